Lay out the workspace: clock, keys, log events and empty crates

The workspace declares versions and lints once. crocushold-base holds the clock in milliseconds, the arena keys and the key=value log event; the other crates are empty. docs/platform.md writes down the protocols towards the platform and backend servers. Built once, no test yet.

--- /dev/null
+++ b/crates/base/src/clock.rs
@@ -0,0 +1,90 @@
+//! Time in milliseconds.
+
+use std::fmt;
+use std::ops::Add;
+use std::ops::AddAssign;
+use std::time::Duration;
+use std::time::Instant;
+
+/// A point on a monotonic clock, or a span between two such points, in milliseconds.
+///
+/// Arithmetic saturates: a clock that steps back yields a span of zero, never a panic.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// The start of the clock, or an empty span.
+    pub const ZERO: Millis = Millis(0);
+
+    /// A point that no clock reaches; used as "no deadline".
+    pub const MAX: Millis = Millis(u64::MAX);
+
+    /// A span of whole seconds.
+    pub const fn from_secs(secs: u64) -> Millis {
+        Millis(secs.saturating_mul(1000))
+    }
+
+    /// The span since `earlier`; zero when `earlier` lies ahead.
+    pub const fn since(self, earlier: Millis) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Whole seconds, rounded up: the unit of the `Retry-After` header.
+    pub const fn as_secs_ceil(self) -> u64 {
+        self.0.div_ceil(1000)
+    }
+
+    /// Seconds as a fraction, the unit of Prometheus.
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1000.0
+    }
+}
+
+impl Add for Millis {
+    type Output = Millis;
+
+    fn add(self, span: Millis) -> Millis {
+        Millis(self.0.saturating_add(span.0))
+    }
+}
+
+impl AddAssign for Millis {
+    fn add_assign(&mut self, span: Millis) {
+        *self = *self + span;
+    }
+}
+
+impl From<Millis> for Duration {
+    fn from(span: Millis) -> Duration {
+        Duration::from_millis(span.0)
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+/// A monotonic clock that starts at zero when it is made.
+///
+/// It keeps counting while the process is stopped by a signal, so a process that wakes late sees
+/// the jump.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// Starts a clock.
+    pub fn start() -> Clock {
+        Clock {
+            start: Instant::now(),
+        }
+    }
+
+    /// The time since the clock was started.
+    pub fn now(&self) -> Millis {
+        Millis(self.start.elapsed().as_millis() as u64)
+    }
+}
--- /dev/null
+++ b/crates/base/src/event.rs
@@ -0,0 +1,46 @@
+//! Log records as one line of `key=value` pairs.
+
+use std::fmt;
+use std::fmt::Write;
+
+/// One log record: an event name followed by `key=value` pairs.
+///
+/// Values that hold anything but plain word characters are quoted and escaped, so that text sent by
+/// a caller (a colon or line break in a header) can't forge a second record or a second pair.
+#[derive(Clone, Debug)]
+pub struct Event {
+    line: String,
+}
+
+impl Event {
+    /// Starts a record of the event `name`.
+    pub fn new(name: &str) -> Event {
+        Event {
+            line: format!("event={name}"),
+        }
+    }
+
+    /// Appends one pair.
+    #[must_use]
+    pub fn with(mut self, key: &str, value: impl fmt::Display) -> Event {
+        let text = value.to_string();
+        let plain = !text.is_empty() && text.chars().all(is_plain);
+        let written = if plain {
+            write!(self.line, " {key}={text}")
+        } else {
+            write!(self.line, " {key}={text:?}")
+        };
+        debug_assert!(written.is_ok(), "writing to a String can't fail");
+        self
+    }
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.line)
+    }
+}
+
+fn is_plain(c: char) -> bool {
+    c.is_ascii_alphanumeric() || "-_./:+%[]".contains(c)
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of crocushold-platform.
--- /dev/null
+++ b/src/bin/crocushold.rs
@@ -0,0 +1,3 @@
+//! The `crocushold` program.
+
+fn main() {}
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,1 @@
+//! Integration tests, one binary of modules.
