--- /dev/null
+++ b/crates/entry/src/payload.rs
@@ -0,0 +1,123 @@
+//! What the router reads from the body of a language-model request.
+//!
+//! Only the fields that a decision needs are decoded; all others pass through as raw JSON, so an
+//! image of several megabytes is scanned once and never copied into a tree.
+
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+
+use quick_error::quick_error;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use twox_hash::XxHash3_64;
+
+/// Bytes of prompt text that identify a shared prefix; fixed by the protocol of cache events.
+const PREFIX_BYTES: usize = 256;
+
+/// Bytes of prompt text that make one token on average, for the estimate before an engine has
+/// counted.
+const BYTES_PER_TOKEN: usize = 4;
+
+quick_error! {
+    /// Why a body could not be read.
+    #[derive(Debug)]
+    pub enum PayloadError {
+        /// The body is not a JSON object, or a field has the wrong type.
+        Json(err: serde_json::Error) {
+            display("the body is not a valid request: {err}")
+            from()
+        }
+        /// The body names no model.
+        NoModel {
+            display("the body has no field \"model\"")
+        }
+    }
+}
+
+/// The decoded facts of a language-model request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Payload {
+    /// The model that the caller asks for.
+    pub model: String,
+    /// Whether the answer is to be streamed as server-sent events.
+    pub stream: bool,
+    /// The caller's bound on generated tokens.
+    pub max_tokens: Option<u32>,
+    /// The estimated number of tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// The hash of the prompt's prefix, when the prompt is long enough to share one.
+    pub prefix: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct Fields<'a> {
+    #[serde(borrow)]
+    model: Option<Cow<'a, str>>,
+    #[serde(default)]
+    stream: Option<bool>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    #[serde(borrow, default)]
+    messages: Vec<Message<'a>>,
+    #[serde(borrow)]
+    prompt: Option<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct Message<'a> {
+    #[serde(borrow)]
+    content: Option<&'a RawValue>,
+}
+
+/// A prompt that is a string is decoded; anything else (content parts, token numbers) stays opaque.
+fn decode_text(raw: &RawValue) -> Cow<'_, str> {
+    serde_json::from_str(raw.get()).unwrap_or(Cow::Borrowed(raw.get()))
+}
+
+impl Payload {
+    /// Decodes the facts from the body of a chat or text completion request.
+    ///
+    /// # Errors
+    ///
+    /// When the body is not a JSON object of the expected shape, or names no model.
+    pub fn decode(body: &[u8]) -> Result<Payload, PayloadError> {
+        let fields: Fields<'_> = serde_json::from_slice(body)?;
+        let texts = prompt_texts(&fields);
+        let model = fields.model.ok_or(PayloadError::NoModel)?;
+        let bytes: usize = texts.iter().map(|text| text.len()).sum();
+        Ok(Payload {
+            model: model.into_owned(),
+            stream: fields.stream.unwrap_or(false),
+            max_tokens: fields.max_tokens.or(fields.max_completion_tokens),
+            prompt_tokens: u32::try_from(bytes.div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX),
+            prefix: prefix_hash(&texts),
+        })
+    }
+}
+
+/// Sets the field `priority` of the body, replacing the caller's: a caller must not be able to
+/// raise its own priority at the engine.
+///
+/// # Errors
+///
+/// When the body is not a JSON object.
+pub fn set_priority(body: &[u8], priority: u8) -> Result<Vec<u8>, PayloadError> {
+    let mut fields: BTreeMap<Cow<'_, str>, &RawValue> = serde_json::from_slice(body)?;
+    let value = RawValue::from_string(priority.to_string())?;
+    fields.insert(Cow::Borrowed("priority"), &value);
+    Ok(serde_json::to_vec(&fields)?)
+}
+
+fn prompt_texts<'a>(fields: &Fields<'a>) -> Vec<Cow<'a, str>> {
+    let contents = fields.messages.iter().filter_map(|message| message.content);
+    contents.chain(fields.prompt).map(decode_text).collect()
+}
+
+fn prefix_hash(texts: &[Cow<'_, str>]) -> Option<u64> {
+    let mut head = Vec::with_capacity(PREFIX_BYTES);
+    for text in texts {
+        let room = PREFIX_BYTES - head.len();
+        head.extend_from_slice(&text.as_bytes()[..text.len().min(room)]);
+    }
+    (head.len() == PREFIX_BYTES).then(|| XxHash3_64::oneshot(&head))
+}
--- /dev/null
+++ b/crates/entry/tests/payload.rs
@@ -0,0 +1,52 @@
+//! What is read from the body of a language-model request.
+
+use crocushold_entry::Payload;
+use crocushold_entry::PayloadError;
+use crocushold_entry::set_priority;
+use test_case::test_case;
+
+#[test]
+fn decodes_the_facts_of_a_chat_request() {
+    let body = br#"{"model":"m","stream":true,"max_tokens":7,
+        "messages":[{"role":"user","content":"12345678"}]}"#;
+    let payload = Payload::decode(body).unwrap();
+    assert_eq!(payload.model, "m");
+    assert!(payload.stream);
+    assert_eq!(payload.max_tokens, Some(7));
+    assert_eq!(payload.prompt_tokens, 2);
+    assert_eq!(payload.prefix, None);
+}
+
+#[test]
+fn equal_heads_share_a_prefix_and_unlike_heads_do_not() {
+    let prefix = |head: &str, tail: &str| {
+        let text = format!("{}{tail}", head.repeat(256));
+        let body = format!(r#"{{"model":"m","prompt":"{text}"}}"#);
+        Payload::decode(body.as_bytes()).unwrap().prefix
+    };
+    assert!(prefix("a", "x").is_some());
+    assert_eq!(prefix("a", "x"), prefix("a", "y"));
+    assert_ne!(prefix("a", "x"), prefix("b", "x"));
+}
+
+#[test_case(r#"{"model":"m","messages":[{"content":[{"type":"text","text":"hi"}]}]}"#; "parts")]
+#[test_case(r#"{"model":"m","messages":[{"content":null}]}"#; "null content")]
+#[test_case(r#"{"model":"m","prompt":[1,2,3]}"#; "token numbers")]
+fn accepts_prompts_that_are_no_plain_strings(body: &str) {
+    assert!(Payload::decode(body.as_bytes()).is_ok());
+}
+
+#[test]
+fn a_body_without_a_model_is_an_error() {
+    let result = Payload::decode(br#"{"messages":[]}"#);
+    assert!(matches!(result, Err(PayloadError::NoModel)));
+}
+
+/// A caller writes `priority` into its own body. If the router only added its field, the engine
+/// would see two, and the caller's might win: a nightly batch could overtake live requests.
+#[test]
+fn the_priority_of_the_caller_is_replaced() {
+    let body = br#"{"priority":0,"model":"m","x":[1.50]}"#;
+    let out = String::from_utf8(set_priority(body, 4).unwrap()).unwrap();
+    assert_eq!(out, r#"{"model":"m","priority":4,"x":[1.50]}"#);
+}
