Relay bounded HTTP/1.1 exchanges over async-h1

async-h1 parses and writes messages, but reads a short body as whole, drops a body that ends at close, and loses bytes read ahead of their message. The crate reads heads on its own, hands async-h1 only the bytes of the message at hand, checks every body against its announced length or last chunk, and cuts the caller's connection where one falls short.

async-h1's ready-made accept and connect were ruled out: neither bounds bodies or idle connections, and errors don't tell whether the request left.

--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,22 @@
+//! The side that speaks to backend servers.
+
+mod error;
+mod limits;
+mod observer;
+mod pool;
+mod relay_body;
+mod send;
+
+pub use error::SendError;
+pub use error::SendErrorKind;
+pub use error::Stage;
+pub use limits::PoolLimits;
+pub use limits::Reuse;
+pub use limits::SendLimits;
+pub use observer::CutCause;
+pub use observer::End;
+pub use observer::Observer;
+pub use relay_body::Cancel;
+pub use relay_body::RelayBody;
+pub use send::Answer;
+pub use send::Client;
--- /dev/null
+++ b/crates/http/src/server/body.rs
@@ -0,0 +1,90 @@
+//! Reading a request's body, bounded in size and time.
+
+use std::io;
+
+use async_std::future::timeout;
+use async_std::io::ReadExt;
+use http_types::Request;
+use http_types::StatusCode;
+use quick_error::quick_error;
+
+use super::limits::ServerLimits;
+
+/// Bytes read at a time.
+const READ_BYTES: usize = 8 * 1024;
+
+quick_error! {
+    /// Why a request's body couldn't be read.
+    #[derive(Debug)]
+    pub enum BodyError {
+        /// It is longer than the limit.
+        TooLarge {
+            display("the body is longer than the limit")
+        }
+        /// It didn't arrive in time.
+        Timeout {
+            display("the body didn't arrive in time")
+        }
+        /// The connection ended before the announced length.
+        Short {
+            display("the body ended before its announced length")
+        }
+        /// The socket failed, or the chunks are malformed.
+        Io(cause: io::Error) {
+            display("the body couldn't be read: {cause}")
+            source(cause)
+            from()
+        }
+    }
+}
+
+impl BodyError {
+    /// The status that tells the caller.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            BodyError::TooLarge => StatusCode::PayloadTooLarge,
+            BodyError::Timeout => StatusCode::RequestTimeout,
+            BodyError::Short | BodyError::Io(_) => StatusCode::BadRequest,
+        }
+    }
+}
+
+/// Reads the whole body of a request.
+///
+/// # Errors
+///
+/// Fails when the body is longer than `limits` allow, doesn't arrive in time, ends early or is
+/// malformed. Answer with [`BodyError::status`]; the connection is closed after that answer.
+pub async fn read_body(request: &mut Request, limits: &ServerLimits) -> Result<Vec<u8>, BodyError> {
+    let body = read_bounded(request, limits.body_bytes);
+    match timeout(limits.body_timeout.into(), body).await {
+        Ok(result) => result,
+        Err(_) => Err(BodyError::Timeout),
+    }
+}
+
+async fn read_bounded(request: &mut Request, limit: u64) -> Result<Vec<u8>, BodyError> {
+    let announced = request.len();
+    if announced.is_some_and(|length| length as u64 > limit) {
+        return Err(BodyError::TooLarge);
+    }
+    // Room for what came, not for what was announced: else many callers that announce much and send
+    // nothing would fill the memory.
+    let mut body = Vec::new();
+    let mut chunk = [0; READ_BYTES];
+    loop {
+        let count = request.read(&mut chunk).await?;
+        if count == 0 {
+            break;
+        }
+        if (body.len() + count) as u64 > limit {
+            return Err(BodyError::TooLarge);
+        }
+        body.extend_from_slice(&chunk[..count]);
+    }
+    // async-h1 reads an early end of the connection as the end of the body.
+    if announced.is_some_and(|length| length != body.len()) {
+        return Err(BodyError::Short);
+    }
+    Ok(body)
+}
--- /dev/null
+++ b/crates/http/src/server/limits.rs
@@ -0,0 +1,57 @@
+//! Bounds on what callers can send and hold.
+
+use crocushold_base::Millis;
+
+/// The longest head that async-h1 parses, in bytes.
+pub(crate) const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
+
+/// Bounds on one connection.
+#[derive(Clone, Debug)]
+pub struct ServerLimits {
+    /// The longest head, in bytes; at most 8,191 whatever is set here.
+    pub head_bytes: usize,
+    /// The longest body of a request, in bytes.
+    pub body_bytes: u64,
+    /// From the first byte of a head to its end.
+    pub head_timeout: Millis,
+    /// For the whole body of a request, counted from when it is asked for.
+    pub body_timeout: Millis,
+    /// Between one answer and the next request.
+    pub idle_timeout: Millis,
+    /// How long a caller may take nothing while bytes wait for it.
+    pub write_timeout: Millis,
+}
+
+impl Default for ServerLimits {
+    fn default() -> ServerLimits {
+        ServerLimits {
+            head_bytes: MAX_HEAD_BYTES,
+            body_bytes: 4 * 1024 * 1024,
+            head_timeout: Millis::from_secs(10),
+            body_timeout: Millis::from_secs(30),
+            idle_timeout: Millis::from_secs(75),
+            write_timeout: Millis::from_secs(30),
+        }
+    }
+}
+
+/// Bounds on a listener.
+#[derive(Clone, Debug)]
+pub struct ListenerLimits {
+    /// Connections at a time; one above it is answered 503 and closed.
+    pub max_connections: usize,
+    /// The `Retry-After` of that answer.
+    pub retry_after: Millis,
+    /// Bounds on each connection.
+    pub server: ServerLimits,
+}
+
+impl Default for ListenerLimits {
+    fn default() -> ListenerLimits {
+        ListenerLimits {
+            max_connections: 10_000,
+            retry_after: Millis::from_secs(1),
+            server: ServerLimits::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/server/listener.rs
@@ -0,0 +1,220 @@
+//! Accepting a bounded number of connections.
+
+use std::future::Future;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use async_h1::server::Encoder;
+use async_std::channel::Receiver;
+use async_std::channel::Sender;
+use async_std::channel::bounded;
+use async_std::future::timeout;
+use async_std::net::Shutdown;
+use async_std::net::SocketAddr;
+use async_std::net::TcpListener;
+use async_std::net::TcpStream;
+use async_std::task;
+use crocushold_base::Event;
+use crocushold_base::Millis;
+use futures::future::Either;
+use futures::future::select;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use log::debug;
+use log::warn;
+
+use super::connection::serve_until;
+use super::hangup::Hangup;
+use super::limits::ListenerLimits;
+use super::refusal::overload;
+use super::stop::Stop;
+use crate::transmit::Transmit;
+use crate::wire::Wire;
+
+/// How long to wait after a failed accept: without free file descriptors it fails at once, again
+/// and again.
+const ACCEPT_PAUSE: Millis = Millis(50);
+
+/// Connections above the limit that are being told so at a time; further ones are just closed.
+const MAX_REFUSALS: usize = 64;
+
+/// How long a refused connection may take to read its answer and close.
+const REFUSAL_TIMEOUT: Millis = Millis(500);
+
+/// How much a refused connection may send meanwhile.
+const REFUSAL_BYTES: usize = 64 * 1024;
+
+/// A listening socket.
+#[derive(Debug)]
+pub struct Listener {
+    listener: TcpListener,
+    limits: Arc<ListenerLimits>,
+    shared: Arc<Shared>,
+    /// Closed once every connection's clone of `alive` is gone.
+    ended: Receiver<()>,
+    alive: Sender<()>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    stop: Stop,
+    connections: AtomicUsize,
+    refusals: AtomicUsize,
+}
+
+/// Stops a listener and tells its state.
+#[derive(Clone, Debug)]
+pub struct ListenerHandle {
+    shared: Arc<Shared>,
+}
+
+impl ListenerHandle {
+    /// Starts a graceful stop: no further connections, idle ones are closed, requests in progress
+    /// are answered and their connections closed after it.
+    pub fn stop(&self) {
+        self.shared.stop.stop();
+    }
+
+    /// The number of open connections.
+    pub fn connections(&self) -> usize {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+}
+
+impl Listener {
+    /// Binds a listening socket.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be bound.
+    pub async fn bind(address: SocketAddr, limits: ListenerLimits) -> io::Result<Listener> {
+        let listener = TcpListener::bind(address).await?;
+        let (alive, ended) = bounded(1);
+        Ok(Listener {
+            listener,
+            limits: Arc::new(limits),
+            shared: Arc::new(Shared {
+                stop: Stop::new(),
+                connections: AtomicUsize::new(0),
+                refusals: AtomicUsize::new(0),
+            }),
+            ended,
+            alive,
+        })
+    }
+
+    /// The address that is listened on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket doesn't tell.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// A handle that outlives [`Listener::run`].
+    pub fn handle(&self) -> ListenerHandle {
+        ListenerHandle {
+            shared: self.shared.clone(),
+        }
+    }
+
+    /// Accepts connections until it is stopped, then waits for those in progress.
+    pub async fn run<H, F>(self, handler: H)
+    where
+        H: Fn(Request, Hangup) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response> + Send + 'static,
+    {
+        let stop = self.shared.stop.clone();
+        loop {
+            let accept = std::pin::pin!(self.listener.accept());
+            let stopped = std::pin::pin!(stop.wait());
+            match select(stopped, accept).await {
+                Either::Left(_) => break,
+                Either::Right((Ok((stream, _)), _)) => self.admit(stream, &handler),
+                Either::Right((Err(error), _)) => {
+                    warn!("{}", Event::new("accept-failed").with("error", &error));
+                    task::sleep(ACCEPT_PAUSE.into()).await;
+                }
+            }
+        }
+        let ended = self.ended.clone();
+        drop(self);
+        // Nothing is ever sent; the channel closes with the last connection.
+        let _ = ended.recv().await;
+    }
+
+    fn admit<H, F>(&self, stream: TcpStream, handler: &H)
+    where
+        H: Fn(Request, Hangup) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response> + Send + 'static,
+    {
+        let limits = self.limits.clone();
+        let Some(slot) = Slot::take(&self.shared, limits.max_connections, &self.alive) else {
+            self.refuse(stream);
+            return;
+        };
+        let handler = handler.clone();
+        task::spawn(async move {
+            let served = serve_until(stream, &limits.server, &slot.shared.stop, handler).await;
+            if let Err(error) = served {
+                debug!("{}", Event::new("connection-cut").with("cause", error));
+            }
+            drop(slot);
+        });
+    }
+
+    fn refuse(&self, stream: TcpStream) {
+        let shared = self.shared.clone();
+        if shared.refusals.fetch_add(1, Ordering::Relaxed) >= MAX_REFUSALS {
+            shared.refusals.fetch_sub(1, Ordering::Relaxed);
+            return;
+        }
+        let response = overload(self.limits.retry_after);
+        task::spawn(async move {
+            let _ = timeout(REFUSAL_TIMEOUT.into(), tell(stream, response)).await;
+            shared.refusals.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+/// Writes an answer without reading the request, then waits for the caller to close.
+async fn tell(stream: TcpStream, response: Response) {
+    let wire = Wire::new(stream);
+    let encoder = Encoder::new(response, Method::Get);
+    if Transmit::new(encoder, wire.clone(), REFUSAL_TIMEOUT)
+        .await
+        .is_ok()
+    {
+        let _ = wire.stream().shutdown(Shutdown::Write);
+        let _ = wire.discard(REFUSAL_BYTES).await;
+    }
+}
+
+/// One of the connections that a listener allows, given back when dropped.
+struct Slot {
+    shared: Arc<Shared>,
+    _alive: Sender<()>,
+}
+
+impl Slot {
+    fn take(shared: &Arc<Shared>, limit: usize, alive: &Sender<()>) -> Option<Slot> {
+        if shared.connections.fetch_add(1, Ordering::Relaxed) >= limit {
+            shared.connections.fetch_sub(1, Ordering::Relaxed);
+            return None;
+        }
+        Some(Slot {
+            shared: shared.clone(),
+            _alive: alive.clone(),
+        })
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.shared.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/http/src/server/receive.rs
@@ -0,0 +1,157 @@
+//! Taking the next request off a connection.
+
+use std::sync::Arc;
+
+use async_std::future::timeout;
+use futures::future::Either;
+use futures::future::select;
+use http_types::Request;
+use http_types::StatusCode;
+use http_types::headers::CONTENT_LENGTH;
+use http_types::headers::EXPECT;
+use http_types::headers::TRANSFER_ENCODING;
+
+use super::limits::MAX_HEAD_BYTES;
+use super::limits::ServerLimits;
+use super::stop::Stop;
+use crate::wire::Gate;
+use crate::wire::HeadError;
+use crate::wire::Wire;
+
+/// What comes next on a connection.
+pub(crate) enum Next {
+    /// A request; its body is still to be read.
+    Request(Box<Incoming>),
+    /// No further request: closed, idle for too long, or stopped.
+    End,
+    /// Something that can't be taken, to be answered with this status.
+    Refused(StatusCode),
+}
+
+/// A request and how its body is framed.
+pub(crate) struct Incoming {
+    pub(crate) request: Request,
+    pub(crate) framing: Framing,
+}
+
+/// How the end of a request's body is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// By its announced length; zero without a body.
+    Length(u64),
+    /// By the last chunk.
+    Chunked,
+}
+
+/// Waits for the next request.
+pub(crate) async fn next_request(wire: &Arc<Wire>, limits: &ServerLimits, stop: &Stop) -> Next {
+    if !wait_for_byte(wire, limits, stop).await {
+        return Next::End;
+    }
+    let limit = limits.head_bytes.min(MAX_HEAD_BYTES);
+    let length = match timeout(limits.head_timeout.into(), wire.read_head(limit)).await {
+        Ok(Ok(length)) => length,
+        Ok(Err(HeadError::TooLarge)) => {
+            return Next::Refused(StatusCode::RequestHeaderFieldsTooLarge);
+        }
+        Ok(Err(HeadError::Malformed)) => return Next::Refused(StatusCode::BadRequest),
+        Ok(Err(HeadError::Closed | HeadError::Io(_))) => return Next::End,
+        Err(_) => return Next::Refused(StatusCode::RequestTimeout),
+    };
+    if let Err(status) = wire.with_head(length, |head| check_head(head)) {
+        return Next::Refused(status);
+    }
+    match parse(wire, length).await {
+        Ok(incoming) => bound(wire, limits, incoming),
+        Err(status) => Next::Refused(status),
+    }
+}
+
+async fn wait_for_byte(wire: &Wire, limits: &ServerLimits, stop: &Stop) -> bool {
+    let byte = std::pin::pin!(timeout(limits.idle_timeout.into(), wire.first_byte()));
+    let stopped = std::pin::pin!(stop.wait());
+    match select(byte, stopped).await {
+        Either::Left((arrived, _)) => matches!(arrived, Ok(Ok(true))),
+        Either::Right(_) => false,
+    }
+}
+
+/// Refuses heads that async-h1 would panic on or leave unanswered.
+fn check_head(head: &[u8]) -> Result<(), StatusCode> {
+    // http-types panics on a value that isn't ASCII, and the caller would see a bare close.
+    if !head.is_ascii() {
+        return Err(StatusCode::BadRequest);
+    }
+    let line = head.split(|byte| *byte == b'\r').next().unwrap_or_default();
+    if line.ends_with(b" HTTP/1.1") {
+        return Ok(());
+    }
+    let version = line.rsplit(|byte| *byte == b' ').next().unwrap_or_default();
+    if version.starts_with(b"HTTP/") {
+        return Err(StatusCode::HttpVersionNotSupported);
+    }
+    Err(StatusCode::BadRequest)
+}
+
+async fn parse(wire: &Arc<Wire>, length: usize) -> Result<Incoming, StatusCode> {
+    wire.allow(length as u64);
+    // The whole head is at hand, so this doesn't wait. It is boxed because its state holds room for
+    // 128 headers, which every connection would hold as well, for as long as it lives.
+    let decoded = Box::pin(async_h1::server::decode(Gate(wire.clone()))).await;
+    let (request, _) = match decoded {
+        Ok(Some(decoded)) => decoded,
+        Ok(None) | Err(_) => return Err(StatusCode::BadRequest),
+    };
+    let framing = framing(&request)?;
+    Ok(Incoming { request, framing })
+}
+
+/// Reads the framing more strictly than async-h1 does.
+///
+/// Two parties that disagree on where a body ends can be made to read part of it as the next request
+/// (request smuggling). async-h1 takes the last of several lengths, accepts a sign, and ignores a
+/// transfer coding that it doesn't know.
+fn framing(request: &Request) -> Result<Framing, StatusCode> {
+    let lengths = request.header(CONTENT_LENGTH);
+    if let Some(codings) = request.header(TRANSFER_ENCODING) {
+        let mut values = codings.iter();
+        let chunked = values
+            .next()
+            .is_some_and(|value| value.as_str().eq_ignore_ascii_case("chunked"));
+        if lengths.is_some() || !chunked || values.next().is_some() {
+            return Err(StatusCode::BadRequest);
+        }
+        return Ok(Framing::Chunked);
+    }
+    let Some(lengths) = lengths else {
+        return Ok(Framing::Length(0));
+    };
+    let first = lengths.iter().next().map_or("", |value| value.as_str());
+    let agree = lengths.iter().all(|value| value.as_str() == first);
+    let digits = first.bytes().all(|byte| byte.is_ascii_digit());
+    if !agree || !digits {
+        return Err(StatusCode::BadRequest);
+    }
+    let length = first.parse().map_err(|_| StatusCode::BadRequest)?;
+    Ok(Framing::Length(length))
+}
+
+fn bound(wire: &Arc<Wire>, limits: &ServerLimits, mut incoming: Incoming) -> Next {
+    match incoming.framing {
+        Framing::Length(length) if length > limits.body_bytes => {
+            return Next::Refused(StatusCode::PayloadTooLarge);
+        }
+        Framing::Length(length) => wire.allow(length),
+        Framing::Chunked => wire.allow(u64::MAX),
+    }
+    if let Some(expected) = incoming.request.header(EXPECT) {
+        if !expected.as_str().eq_ignore_ascii_case("100-continue") {
+            return Next::Refused(StatusCode::ExpectationFailed);
+        }
+        wire.expect_continue();
+    }
+    if let Ok(peer) = wire.stream().peer_addr() {
+        incoming.request.set_peer_addr(Some(peer));
+    }
+    Next::Request(Box::new(incoming))
+}
--- /dev/null
+++ b/crates/http/src/server/stop.rs
@@ -0,0 +1,42 @@
+//! The signal of a graceful stop.
+
+use async_std::channel::Receiver;
+use async_std::channel::Sender;
+use async_std::channel::bounded;
+
+/// A signal that is given once and seen by every clone.
+#[derive(Clone, Debug)]
+pub struct Stop {
+    sender: Sender<()>,
+    receiver: Receiver<()>,
+}
+
+impl Stop {
+    /// Makes a signal that isn't given yet.
+    pub fn new() -> Stop {
+        let (sender, receiver) = bounded(1);
+        Stop { sender, receiver }
+    }
+
+    /// Gives the signal.
+    pub fn stop(&self) {
+        self.sender.close();
+    }
+
+    /// Whether the signal was given.
+    pub fn is_stopped(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Waits for the signal.
+    pub async fn wait(&self) {
+        // Nothing is ever sent, so this ends with the error of the closed channel.
+        let _ = self.receiver.recv().await;
+    }
+}
+
+impl Default for Stop {
+    fn default() -> Stop {
+        Stop::new()
+    }
+}
--- /dev/null
+++ b/crates/http/tests/support/mod.rs
@@ -0,0 +1,206 @@
+//! Raw peers on loopback.
+
+#![allow(dead_code, unreachable_pub, missing_docs, clippy::unwrap_used)]
+
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_std::channel::Receiver;
+use async_std::channel::Sender;
+use async_std::channel::unbounded;
+use async_std::future::timeout;
+use async_std::io::ReadExt;
+use async_std::io::WriteExt;
+use async_std::net::SocketAddr;
+use async_std::net::TcpListener;
+use async_std::net::TcpStream;
+use async_std::task;
+use async_std::task::JoinHandle;
+use crocushold_http::Answer;
+use crocushold_http::Client;
+use crocushold_http::End;
+use crocushold_http::Hangup;
+use crocushold_http::Listener;
+use crocushold_http::ListenerHandle;
+use crocushold_http::ListenerLimits;
+use crocushold_http::Observer;
+use crocushold_http::PoolLimits;
+use crocushold_http::Reuse;
+use crocushold_http::SendError;
+use crocushold_http::SendLimits;
+use crocushold_http::relay_headers;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use http_types::Url;
+
+/// The bound on anything a test waits for; a test that reaches it has failed.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+pub fn run<T>(future: impl Future<Output = T>) -> T {
+    task::block_on(async { soon(future).await })
+}
+
+pub async fn soon<T>(future: impl Future<Output = T>) -> T {
+    timeout(PATIENCE, future)
+        .await
+        .expect("nothing happened for ten seconds")
+}
+
+pub async fn bind() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    (listener, addr)
+}
+
+/// A server that runs `script` on each connection it accepts, numbered from zero.
+pub async fn fake<S, F>(script: S) -> SocketAddr
+where
+    S: Fn(usize, TcpStream) -> F + Send + Sync + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let (listener, addr) = bind().await;
+    task::spawn(async move {
+        for number in 0.. {
+            let Ok((stream, _)) = listener.accept().await else {
+                return;
+            };
+            task::spawn(script(number, stream));
+        }
+    });
+    addr
+}
+
+/// A server that reads one request a connection, writes `answer` and closes.
+pub async fn canned(answer: impl Into<String>) -> SocketAddr {
+    let answer = answer.into();
+    fake(move |_, mut stream| {
+        let answer = answer.clone();
+        async move {
+            read_head(&mut stream).await;
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
+    })
+    .await
+}
+
+/// Reads up to a blank line; what follows the head is lost.
+pub async fn read_head(stream: &mut TcpStream) -> String {
+    read_until(stream, "\r\n\r\n").await
+}
+
+/// Reads until `mark` was seen or the connection ended.
+pub async fn read_until(stream: &mut TcpStream, mark: &str) -> String {
+    let mut text = Vec::new();
+    let mut byte = [0];
+    while !text.ends_with(mark.as_bytes()) {
+        match soon(stream.read(&mut byte)).await {
+            Ok(1) => text.push(byte[0]),
+            _ => break,
+        }
+    }
+    String::from_utf8(text).unwrap()
+}
+
+/// Reads to the end of the connection, whether closed or reset.
+pub async fn read_rest(stream: &mut TcpStream) -> String {
+    read_until(stream, "\0never").await
+}
+
+/// Starts a listener and returns its address and handle, and the task that ends with it.
+pub async fn serve<H, F>(
+    limits: ListenerLimits,
+    handler: H,
+) -> (SocketAddr, ListenerHandle, JoinHandle<()>)
+where
+    H: Fn(Request, Hangup) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let listener = Listener::bind("127.0.0.1:0".parse().unwrap(), limits)
+        .await
+        .unwrap();
+    let addr = listener.local_addr().unwrap();
+    let handle = listener.handle();
+    (addr, handle, task::spawn(listener.run(handler)))
+}
+
+pub fn get(server: SocketAddr) -> Request {
+    Request::new(
+        Method::Get,
+        Url::parse(&format!("http://{server}/")).unwrap(),
+    )
+}
+
+pub fn post(server: SocketAddr, body: &str) -> Request {
+    let mut request = Request::new(
+        Method::Post,
+        Url::parse(&format!("http://{server}/")).unwrap(),
+    );
+    request.set_body(body);
+    request
+}
+
+pub fn client() -> Client {
+    Client::new(PoolLimits::default())
+}
+
+pub async fn send(server: SocketAddr) -> Result<Answer, SendError> {
+    let request = get(server);
+    soon(client().send(server, request, &SendLimits::default(), Reuse::Fresh)).await
+}
+
+/// A relay that passes every request on to `server`; `ends` gets each answer's end.
+pub async fn relay(server: SocketAddr) -> (SocketAddr, Receiver<End>) {
+    let (sender, ends) = unbounded();
+    let client = client();
+    let (addr, _, _) = serve(ListenerLimits::default(), move |_, _| {
+        let client = client.clone();
+        let sender = sender.clone();
+        async move {
+            let answer = client
+                .send(server, get(server), &SendLimits::default(), Reuse::Fresh)
+                .await
+                .unwrap();
+            let mut response = Response::new(answer.status);
+            relay_headers(&answer.headers, response.as_mut());
+            response.set_body(answer.body.into_body(Ends::new(sender)));
+            response
+        }
+    })
+    .await;
+    (addr, ends)
+}
+
+/// Notes how an answer ended.
+pub struct Ends {
+    sender: Sender<End>,
+    pub seen: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Ends {
+    pub fn new(sender: Sender<End>) -> Ends {
+        Ends {
+            sender,
+            seen: Arc::default(),
+        }
+    }
+}
+
+impl Observer for Ends {
+    fn chunk(&mut self, bytes: &[u8]) {
+        self.seen.lock().unwrap().extend_from_slice(bytes);
+    }
+
+    fn end(&mut self, end: End) {
+        self.sender.try_send(end).unwrap();
+    }
+}
+
+/// Connects to `server` and writes `text`.
+pub async fn call(server: SocketAddr, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(server).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    stream
+}
