Add stand-ins for the platform, model engines and plain services

The thin path and every later test need something to talk to that fails on command: a configuration service within a read budget, an engine that batches continuously, and a service that counts its effects. Each runs in a test's process or as a process of its own, commanded over HTTP.

--- /dev/null
+++ b/crates/standins/src/cli.rs
@@ -0,0 +1,129 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use bpaf::OptionParser;
+use bpaf::Parser;
+use bpaf::construct;
+use bpaf::long;
+
+/// What the program is asked to do.
+#[derive(Clone, Debug)]
+pub(crate) enum Command {
+    /// Run the configuration service and the instance list.
+    Platform {
+        listen: SocketAddr,
+        part: Vec<PartFile>,
+        instances: Option<PathBuf>,
+        budget: u64,
+    },
+    /// Run a model engine.
+    Engine {
+        listen: SocketAddr,
+        settings: Option<String>,
+        model: Vec<String>,
+    },
+    /// Run a plain service.
+    Service {
+        listen: SocketAddr,
+        settings: Option<String>,
+    },
+}
+
+/// `TEAM=FILE` on the command line.
+#[derive(Clone, Debug)]
+pub(crate) struct PartFile {
+    pub(crate) team: String,
+    pub(crate) file: PathBuf,
+}
+
+impl FromStr for PartFile {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<PartFile, String> {
+        let (team, file) = text.split_once('=').ok_or("write it as TEAM=FILE")?;
+        Ok(PartFile {
+            team: team.to_owned(),
+            file: PathBuf::from(file),
+        })
+    }
+}
+
+/// The parser of the whole command line.
+pub(crate) fn command() -> OptionParser<Command> {
+    let platform = platform();
+    let engine = engine();
+    let service = service();
+    construct!([platform, engine, service])
+        .to_options()
+        .descr("Stand-ins for the things that crocushold meets in production; for tests only")
+}
+
+fn platform() -> impl Parser<Command> {
+    let listen = listen();
+    let part = long("part")
+        .help("A team's part of the configuration text, from a file")
+        .argument::<PartFile>("TEAM=FILE")
+        .many();
+    let instances = long("instances")
+        .help("The instance list, from a file: a JSON array of instances")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let budget = long("budget")
+        .help("Reads granted in a second")
+        .argument::<u64>("READS")
+        .fallback(2000)
+        .display_fallback();
+    construct!(Command::Platform {
+        listen,
+        part,
+        instances,
+        budget,
+    })
+    .to_options()
+    .descr("The configuration service and the instance list")
+    .command("platform")
+}
+
+fn engine() -> impl Parser<Command> {
+    let listen = listen();
+    let settings = settings();
+    let model = long("model")
+        .help("A model that is loaded from the start; replaces those of the settings")
+        .argument::<String>("MODEL")
+        .many();
+    construct!(Command::Engine {
+        listen,
+        settings,
+        model,
+    })
+    .to_options()
+    .descr("A model engine")
+    .command("engine")
+}
+
+fn service() -> impl Parser<Command> {
+    let listen = listen();
+    let settings = settings();
+    construct!(Command::Service { listen, settings })
+        .to_options()
+        .descr("A plain service that counts its effects")
+        .command("service")
+}
+
+fn listen() -> impl Parser<SocketAddr> {
+    long("listen")
+        .help("Address to listen on; port 0 takes any free one")
+        .argument::<SocketAddr>("ADDR")
+        .fallback(SocketAddr::from(([127, 0, 0, 1], 0)))
+        .display_fallback()
+}
+
+fn settings() -> impl Parser<Option<String>> {
+    long("settings")
+        .help("Settings, as JSON; what is left out keeps its default")
+        .argument::<String>("JSON")
+        .optional()
+}
--- /dev/null
+++ b/crates/standins/src/engine.rs
@@ -0,0 +1,30 @@
+//! A model engine: continuous batching, a prefix cache, streamed answers, lagged reports, orders.
+
+mod answer;
+mod batch;
+mod cache;
+mod command;
+mod core;
+mod events;
+mod fault;
+mod output;
+mod progress;
+mod reports;
+mod request;
+mod server;
+mod stats;
+
+pub use batch::Batch;
+pub use batch::BatchSettings;
+pub use batch::Job;
+pub use batch::JobId;
+pub use batch::StepEnd;
+pub use cache::prefix_hash;
+pub use command::EngineCommand;
+pub use command::EngineSettings;
+pub use fault::Cut;
+pub use fault::CutForm;
+pub use output::Lengths;
+pub use server::Engine;
+pub use stats::Cancellation;
+pub use stats::EngineStats;
--- /dev/null
+++ b/crates/standins/src/engine/batch.rs
@@ -0,0 +1,237 @@
+//! Continuous batching as a pure state machine.
+//!
+//! Time runs in steps. A step takes in waiting jobs up to the batch limit, prefills a bounded number
+//! of prompt tokens, and gives each job whose prompt is done one more token. It lasts longer the
+//! more jobs share it and the more prompt tokens it prefills.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Speed and size of the batch.
+///
+/// Steps are shorter than a millisecond's resolution allows, so their parts are fractions.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct BatchSettings {
+    /// Jobs that share a step.
+    pub batch_limit: usize,
+    /// Time of a step without any job, in milliseconds.
+    pub base_ms: f64,
+    /// Time that each job adds to a step, in milliseconds.
+    pub sequence_ms: f64,
+    /// Prompt tokens prefilled in a second.
+    pub prefill_rate: f64,
+    /// Prompt tokens prefilled in one step, at most.
+    pub prefill_chunk: u32,
+    /// Tokens of prompts and answers that fit into the KV memory.
+    pub kv_tokens: u64,
+}
+
+impl Default for BatchSettings {
+    fn default() -> BatchSettings {
+        BatchSettings {
+            batch_limit: 16,
+            base_ms: 10.0,
+            sequence_ms: 0.5,
+            prefill_rate: 20_000.0,
+            prefill_chunk: 1024,
+            kv_tokens: 400_000,
+        }
+    }
+}
+
+/// Names a job; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct JobId(pub u64);
+
+/// A request as the batch sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Job {
+    /// Lower is sooner.
+    pub priority: i64,
+    /// Prompt tokens that must be prefilled, less the cached ones.
+    pub prefill: u32,
+    /// Tokens that the job holds in KV memory once it is done.
+    pub kv_tokens: u32,
+    /// Tokens to generate.
+    pub length: u32,
+}
+
+/// What a step brought.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StepEnd {
+    /// Jobs that got one more token, finished ones included.
+    pub advanced: Vec<JobId>,
+    /// Jobs that are done and have left the batch.
+    pub finished: Vec<JobId>,
+}
+
+#[derive(Debug)]
+struct Running {
+    id: JobId,
+    kv_tokens: u32,
+    prefill: u32,
+    left: u32,
+    decodes: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Turn {
+    priority: i64,
+    id: JobId,
+}
+
+/// The batch and the queue before it.
+#[derive(Debug)]
+pub struct Batch {
+    settings: BatchSettings,
+    slow_factor: f64,
+    last: u64,
+    waiting: BTreeMap<Turn, Job>,
+    running: Vec<Running>,
+    kv_used: u64,
+}
+
+impl Batch {
+    /// An empty batch.
+    pub fn new(settings: BatchSettings) -> Batch {
+        Batch {
+            settings,
+            slow_factor: 1.0,
+            last: 0,
+            waiting: BTreeMap::new(),
+            running: Vec::new(),
+            kv_used: 0,
+        }
+    }
+
+    /// Changes speed and size from the next step on.
+    pub fn set_settings(&mut self, settings: BatchSettings) {
+        self.settings = settings;
+    }
+
+    /// Makes each later step last `factor` times as long.
+    pub fn set_slow(&mut self, factor: f64) {
+        self.slow_factor = factor;
+    }
+
+    /// The present settings.
+    pub fn settings(&self) -> &BatchSettings {
+        &self.settings
+    }
+
+    /// Jobs in the batch.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Jobs in the queue.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Share of the KV memory that is free.
+    pub fn kv_free(&self) -> f64 {
+        let total = self.settings.kv_tokens.max(1) as f64;
+        (1.0 - self.kv_used as f64 / total).max(0.0)
+    }
+
+    /// Queues a job behind those of the same or a sooner priority.
+    pub fn submit(&mut self, job: Job) -> JobId {
+        self.last += 1;
+        let id = JobId(self.last);
+        let priority = job.priority;
+        self.waiting.insert(Turn { priority, id }, job);
+        id
+    }
+
+    /// Removes a job, queued or running; false when it has left already.
+    pub fn cancel(&mut self, id: JobId) -> bool {
+        if let Some(at) = self.running.iter().position(|r| r.id == id) {
+            let job = self.running.remove(at);
+            self.kv_used -= u64::from(job.kv_tokens);
+            return true;
+        }
+        let before = self.waiting.len();
+        self.waiting.retain(|turn, _| turn.id != id);
+        self.waiting.len() < before
+    }
+
+    /// Removes every job.
+    pub fn clear(&mut self) {
+        self.waiting.clear();
+        self.running.clear();
+        self.kv_used = 0;
+    }
+
+    /// Begins a step; its duration, or none when there is nothing to do.
+    pub fn begin_step(&mut self) -> Option<Duration> {
+        self.take_in();
+        if self.running.is_empty() {
+            return None;
+        }
+        let prefilled = self.prefill();
+        let decoding = self.running.iter().filter(|r| r.decodes).count();
+        let settings = &self.settings;
+        let decode_ms = settings.base_ms + settings.sequence_ms * decoding as f64;
+        let prefill_ms = f64::from(prefilled) / settings.prefill_rate * 1000.0;
+        let ms = (decode_ms + prefill_ms) * self.slow_factor;
+        Some(Duration::from_secs_f64(ms.max(0.01) / 1000.0))
+    }
+
+    /// Ends the step that was begun last.
+    pub fn end_step(&mut self) -> StepEnd {
+        let mut end = StepEnd::default();
+        for job in &mut self.running {
+            if !job.decodes {
+                // Its prompt may have been finished in this step: it decodes in the next one.
+                job.decodes = job.prefill == 0;
+                continue;
+            }
+            job.left -= 1;
+            end.advanced.push(job.id);
+            if job.left == 0 {
+                end.finished.push(job.id);
+                self.kv_used -= u64::from(job.kv_tokens);
+            }
+        }
+        self.running.retain(|job| job.left > 0);
+        end
+    }
+
+    fn take_in(&mut self) {
+        while self.running.len() < self.settings.batch_limit {
+            let Some(first) = self.waiting.first_entry() else {
+                return;
+            };
+            let kv_tokens = first.get().kv_tokens;
+            let fits = self.kv_used + u64::from(kv_tokens) <= self.settings.kv_tokens;
+            if !fits && !self.running.is_empty() {
+                return;
+            }
+            let (turn, job) = first.remove_entry();
+            self.kv_used += u64::from(kv_tokens);
+            self.running.push(Running {
+                id: turn.id,
+                kv_tokens,
+                prefill: job.prefill,
+                left: job.length.max(1),
+                decodes: job.prefill == 0,
+            });
+        }
+    }
+
+    /// Prefills prompts in the order of arrival in the batch; the tokens that were prefilled.
+    fn prefill(&mut self) -> u32 {
+        let mut budget = self.settings.prefill_chunk;
+        for job in &mut self.running {
+            let part = job.prefill.min(budget);
+            job.prefill -= part;
+            budget -= part;
+        }
+        self.settings.prefill_chunk - budget
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/events.rs
@@ -0,0 +1,84 @@
+//! Cache events, published late and with gaps.
+
+use std::collections::VecDeque;
+
+use crocushold_base::Millis;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use serde::Serialize;
+
+/// How many events are kept for readers.
+const KEPT: usize = 4096;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) enum CacheChange {
+    Stored,
+    Evicted,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct CacheEvent {
+    seq: u64,
+    kind: CacheChange,
+    prefix: String,
+    #[serde(skip)]
+    at: Millis,
+}
+
+/// The answer to `GET /cache-events`.
+#[derive(Debug, Serialize)]
+pub(super) struct EventPage {
+    last: u64,
+    events: Vec<CacheEvent>,
+}
+
+/// The log of cache events.
+#[derive(Debug)]
+pub(super) struct EventLog {
+    delay: Millis,
+    gap_share: f64,
+    last: u64,
+    kept: VecDeque<CacheEvent>,
+}
+
+impl EventLog {
+    pub(super) fn new(delay: Millis, gap_share: f64) -> EventLog {
+        EventLog {
+            delay,
+            gap_share,
+            last: 0,
+            kept: VecDeque::new(),
+        }
+    }
+
+    pub(super) fn set_faults(&mut self, delay: Millis, gap_share: f64) {
+        self.delay = delay;
+        self.gap_share = gap_share;
+    }
+
+    /// Records an event; a share of them is lost and leaves a gap in the numbers.
+    pub(super) fn push(&mut self, kind: CacheChange, prefix: &str, now: Millis, rng: &mut StdRng) {
+        self.last += 1;
+        if rng.random::<f64>() < self.gap_share {
+            return;
+        }
+        self.kept.push_back(CacheEvent {
+            seq: self.last,
+            kind,
+            prefix: prefix.to_owned(),
+            at: now,
+        });
+        if self.kept.len() > KEPT {
+            self.kept.pop_front();
+        }
+    }
+
+    /// The events after `after` that are old enough to show.
+    pub(super) fn page(&self, after: u64, now: Millis) -> EventPage {
+        let shown = self.kept.iter().filter(|e| e.at + self.delay <= now);
+        let last = shown.clone().next_back().map_or(0, |e| e.seq);
+        let events = shown.filter(|e| e.seq > after).cloned().collect();
+        EventPage { last, events }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/stats.rs
@@ -0,0 +1,145 @@
+//! Counters of an engine.
+
+use std::collections::BTreeMap;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// How many markers are counted one by one.
+const MARKERS: usize = 200_000;
+
+/// How many cancellations are listed.
+const CANCELLATIONS: usize = 1024;
+
+/// A request that was cancelled because its caller closed the connection.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Cancellation {
+    /// The request's marker.
+    pub marker: String,
+    /// When it was cancelled, in microseconds since the Unix epoch.
+    pub at_us: u64,
+    /// Tokens that were generated for nothing.
+    pub tokens: u32,
+    /// Microseconds between the caller's hang-up and the cancel, when a `hang-up` command told the
+    /// engine of it.
+    pub after_us: Option<u64>,
+}
+
+/// Counters of an engine.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct EngineStats {
+    /// Requests that entered the queue.
+    pub started: u64,
+    /// Requests whose whole answer was handed to the connection.
+    pub completed: u64,
+    /// Requests whose caller closed the connection first.
+    pub cancelled: u64,
+    /// Requests cut, stalled until the caller left, or lost in a crash.
+    pub failed: u64,
+    /// Requests answered with an error status.
+    pub refused: u64,
+    /// Tokens of completed requests.
+    pub useful_tokens: u64,
+    /// Tokens of cancelled, cut and lost requests.
+    pub wasted_tokens: u64,
+    /// Prompts whose prefix was cached.
+    pub prefix_hits: u64,
+    /// Prompts whose prefix wasn't.
+    pub prefix_misses: u64,
+    /// Orders that were carried out.
+    pub orders_done: u64,
+    /// Orders refused for an old fencing number.
+    pub orders_refused: u64,
+    /// Requests in the batch now.
+    pub running: u64,
+    /// Requests in the queue now.
+    pub waiting: u64,
+    /// Markers that ran more than once, with their runs.
+    pub repeated: BTreeMap<String, u64>,
+    /// Different markers seen.
+    pub markers: u64,
+    /// Requests whose marker wasn't counted, because there are too many.
+    pub uncounted: u64,
+    /// The latest cancellations.
+    pub cancellations: Vec<Cancellation>,
+}
+
+/// Runs by marker, and the counters.
+#[derive(Debug, Default)]
+pub(super) struct Tally {
+    pub(super) counts: EngineStats,
+    runs: BTreeMap<String, u64>,
+    hang_ups: BTreeMap<String, u64>,
+}
+
+impl Tally {
+    /// Counts a run of `marker`.
+    pub(super) fn run(&mut self, marker: &str) {
+        self.counts.started += 1;
+        if let Some(runs) = self.runs.get_mut(marker) {
+            *runs += 1;
+            self.counts.repeated.insert(marker.to_owned(), *runs);
+        } else if self.runs.len() < MARKERS {
+            self.runs.insert(marker.to_owned(), 1);
+            self.counts.markers += 1;
+        } else {
+            self.counts.uncounted += 1;
+        }
+    }
+
+    /// How often `marker` ran.
+    pub(super) fn runs(&self, marker: &str) -> u64 {
+        self.runs.get(marker).copied().unwrap_or(0)
+    }
+
+    /// Notes that the caller of `marker` hangs up now.
+    pub(super) fn hang_up(&mut self, marker: String) {
+        let now = unix_micros();
+        let listed = self.counts.cancellations.iter_mut();
+        // The cancel may have come first; the two messages travel by different ways.
+        for cancellation in listed.filter(|c| c.marker == marker) {
+            cancellation.after_us.get_or_insert(0);
+        }
+        if self.hang_ups.len() < CANCELLATIONS {
+            self.hang_ups.insert(marker, now);
+        }
+    }
+
+    /// Counts a request whose caller left.
+    pub(super) fn cancelled(&mut self, marker: &str, tokens: u32) {
+        let at_us = unix_micros();
+        let hung_up = self.hang_ups.remove(marker);
+        self.counts.cancelled += 1;
+        self.counts.wasted_tokens += u64::from(tokens);
+        if self.counts.cancellations.len() == CANCELLATIONS {
+            self.counts.cancellations.remove(0);
+        }
+        self.counts.cancellations.push(Cancellation {
+            marker: marker.to_owned(),
+            at_us,
+            tokens,
+            after_us: hung_up.map(|at| at_us.saturating_sub(at)),
+        });
+    }
+
+    /// Counts a request that ended by a fault of the engine.
+    pub(super) fn failed(&mut self, tokens: u32) {
+        self.counts.failed += 1;
+        self.counts.wasted_tokens += u64::from(tokens);
+    }
+
+    /// Counts a request whose answer went out whole.
+    pub(super) fn completed(&mut self, tokens: u32) {
+        self.counts.completed += 1;
+        self.counts.useful_tokens += u64::from(tokens);
+    }
+}
+
+fn unix_micros() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |span| span.as_micros() as u64)
+}
--- /dev/null
+++ b/crates/standins/src/load.rs
@@ -0,0 +1,1 @@
+//! Load generator.
--- /dev/null
+++ b/crates/standins/src/platform.rs
@@ -0,0 +1,15 @@
+//! The platform: a configuration service that is read and watched, and the instance list.
+
+mod budget;
+mod command;
+mod config;
+mod instances;
+mod server;
+
+pub use command::PlatformCommand;
+pub use command::PlatformSettings;
+pub use command::PlatformStats;
+pub use instances::Instance;
+pub use instances::InstanceState;
+pub use instances::Role;
+pub use server::Platform;
--- /dev/null
+++ b/crates/standins/src/platform/budget.rs
@@ -0,0 +1,56 @@
+//! The budget of reads that all readers share.
+
+use crocushold_base::Millis;
+
+/// Length of the window in which reads are counted.
+const WINDOW: Millis = Millis(1000);
+
+/// Counts reads in windows of one second and refuses those over the budget.
+#[derive(Debug)]
+pub(super) struct Budget {
+    limit: u64,
+    window: Millis,
+    used: u64,
+    peak: u64,
+    refused: u64,
+}
+
+impl Budget {
+    pub(super) fn new(limit: u64) -> Budget {
+        Budget {
+            limit,
+            window: Millis::ZERO,
+            used: 0,
+            peak: 0,
+            refused: 0,
+        }
+    }
+
+    pub(super) fn set_limit(&mut self, limit: u64) {
+        self.limit = limit;
+    }
+
+    /// Takes one read; false when this second's budget is spent.
+    pub(super) fn take(&mut self, now: Millis) -> bool {
+        if now.since(self.window) >= WINDOW {
+            self.window = now;
+            self.used = 0;
+        }
+        if self.used >= self.limit {
+            self.refused += 1;
+            return false;
+        }
+        self.used += 1;
+        self.peak = self.peak.max(self.used);
+        true
+    }
+
+    /// The most reads granted in one window.
+    pub(super) fn peak(&self) -> u64 {
+        self.peak
+    }
+
+    pub(super) fn refused(&self) -> u64 {
+        self.refused
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/config.rs
@@ -0,0 +1,132 @@
+//! The published configuration and its earlier revisions.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use serde::Serialize;
+
+/// How many earlier revisions are kept for going back to.
+const HISTORY: usize = 256;
+
+/// One team's part.
+#[derive(Clone, Debug)]
+pub(super) struct Part {
+    pub(super) text: Arc<str>,
+    pub(super) revision: u64,
+}
+
+/// The whole configuration at one revision.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Revision {
+    pub(super) number: u64,
+    pub(super) parts: BTreeMap<String, Part>,
+}
+
+/// The answer to `GET /v1/config`.
+#[derive(Debug, Serialize)]
+pub(super) struct Index {
+    revision: u64,
+    parts: Vec<IndexEntry>,
+}
+
+#[derive(Debug, Serialize)]
+struct IndexEntry {
+    team: String,
+    revision: u64,
+    bytes: usize,
+}
+
+impl Revision {
+    pub(super) fn index(&self) -> Index {
+        let entry = |(team, part): (&String, &Part)| IndexEntry {
+            team: team.clone(),
+            revision: part.revision,
+            bytes: part.text.len(),
+        };
+        Index {
+            revision: self.number,
+            parts: self.parts.iter().map(entry).collect(),
+        }
+    }
+}
+
+/// The configuration with its history.
+#[derive(Debug)]
+pub(super) struct Config {
+    current: Revision,
+    past: VecDeque<Revision>,
+    newest: u64,
+    pinned: Option<u64>,
+}
+
+impl Config {
+    pub(super) fn new() -> Config {
+        Config {
+            current: Revision::default(),
+            past: VecDeque::new(),
+            newest: 0,
+            pinned: None,
+        }
+    }
+
+    /// The revision that readers see: the pinned one, or the current one.
+    pub(super) fn view(&self) -> &Revision {
+        let Some(pinned) = self.pinned else {
+            return &self.current;
+        };
+        self.at(pinned).unwrap_or(&self.current)
+    }
+
+    /// Publishes a part (`None` removes it) under the next revision.
+    pub(super) fn publish(&mut self, team: &str, text: Option<String>) {
+        self.newest += 1;
+        let mut next = self.current.clone();
+        next.number = self.newest;
+        match text {
+            Some(text) => {
+                let part = Part {
+                    text: text.into(),
+                    revision: self.newest,
+                };
+                next.parts.insert(team.to_owned(), part);
+            }
+            None => {
+                next.parts.remove(team);
+            }
+        }
+        self.past
+            .push_back(std::mem::replace(&mut self.current, next));
+        if self.past.len() > HISTORY {
+            self.past.pop_front();
+        }
+    }
+
+    /// The newest revision that was published.
+    pub(super) fn newest(&self) -> u64 {
+        self.newest
+    }
+
+    /// Answers as of `revision` until told otherwise, whatever is published.
+    pub(super) fn pin(&mut self, revision: Option<u64>) {
+        self.pinned = revision;
+    }
+
+    /// Makes an older revision the current one. Later changes are numbered on from the newest ever,
+    /// or, with `reuse`, from the older one, as after a restore from a backup.
+    pub(super) fn go_back(&mut self, revision: u64, reuse: bool) {
+        let Some(older) = self.at(revision).cloned() else {
+            return;
+        };
+        self.past
+            .push_back(std::mem::replace(&mut self.current, older));
+        if reuse {
+            self.newest = revision;
+        }
+    }
+
+    fn at(&self, revision: u64) -> Option<&Revision> {
+        let all = self.past.iter().chain([&self.current]);
+        all.rev().find(|r| r.number <= revision)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/server.rs
@@ -0,0 +1,277 @@
+//! The platform's calls.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_std::future;
+use crocushold_base::Clock;
+use crocushold_base::Millis;
+use futures::FutureExt;
+use futures::channel::oneshot;
+use futures::future::BoxFuture;
+use futures::future::Either;
+use http_types::Method;
+use http_types::Response;
+use http_types::StatusCode;
+use http_types::mime;
+use serde::Deserialize;
+
+use super::budget::Budget;
+use super::command::PlatformCommand;
+use super::command::PlatformSettings;
+use super::command::PlatformStats;
+use super::config::Config;
+use super::instances::Instances;
+use crate::handle::Handle;
+use crate::handle::Standin;
+use crate::port;
+use crate::port::Call;
+use crate::port::Effect;
+use crate::reply;
+
+const CONFIG: &str = "/v1/config";
+const WATCH: &str = "/v1/config/watch";
+const PARTS: &str = "/v1/config/parts/";
+const INSTANCES: &str = "/v1/instances";
+
+/// Longest wait of a watch, whatever the reader asks for.
+const MAX_WAIT: Millis = Millis::from_secs(120);
+
+/// The platform's stand-in; see [`Platform::start`].
+pub struct Platform {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+struct State {
+    config: Config,
+    instances: Instances,
+    budget: Budget,
+    frozen: bool,
+    counts: PlatformStats,
+    watchers: Vec<oneshot::Sender<()>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WatchQuery {
+    #[serde(default)]
+    after: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+impl Platform {
+    /// Starts a platform on `addr` (port 0: any free one).
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be bound.
+    pub async fn start(
+        addr: SocketAddr,
+        settings: PlatformSettings,
+    ) -> io::Result<Handle<Platform>> {
+        let mut config = Config::new();
+        for (team, text) in settings.parts {
+            config.publish(&team, Some(text));
+        }
+        let state = State {
+            config,
+            instances: Instances::new(settings.instances),
+            budget: Budget::new(settings.read_budget),
+            frozen: false,
+            counts: PlatformStats::default(),
+            watchers: Vec::new(),
+        };
+        let platform = Platform {
+            clock: Clock::start(),
+            state: Mutex::new(state),
+        };
+        Handle::start(platform, addr).await
+    }
+
+    async fn dispatch(self: Arc<Self>, call: Call) -> http_types::Result<Response> {
+        let conn = call.conn.clone();
+        let answer = self.route(call).await;
+        // Asked last: a watch that began before the freeze must stay silent too.
+        if self.is_frozen() {
+            port::hang_up(conn).await;
+            return Err(io::Error::from(io::ErrorKind::ConnectionAborted).into());
+        }
+        answer
+    }
+
+    fn is_frozen(&self) -> bool {
+        port::lock(&self.state).frozen
+    }
+
+    async fn route(&self, call: Call) -> http_types::Result<Response> {
+        let path = call.request.url().path().to_owned();
+        if call.request.method() != Method::Get || !is_known(&path) {
+            return Ok(reply::error(StatusCode::NotFound, "not_found"));
+        }
+        if !self.take_read() {
+            return Ok(over_budget());
+        }
+        match path.as_str() {
+            CONFIG => Ok(self.index()),
+            WATCH => self.watch(call).await,
+            INSTANCES => Ok(self.list()),
+            _ => Ok(self.part(&path[PARTS.len()..])),
+        }
+    }
+
+    fn take_read(&self) -> bool {
+        let now = self.clock.now();
+        let mut state = port::lock(&self.state);
+        let granted = state.budget.take(now);
+        state.counts.reads += u64::from(granted);
+        granted
+    }
+
+    fn index(&self) -> Response {
+        let mut state = port::lock(&self.state);
+        state.counts.indexes += 1;
+        reply::json(StatusCode::Ok, &state.config.view().index())
+    }
+
+    fn list(&self) -> Response {
+        let now = self.clock.now();
+        let mut state = port::lock(&self.state);
+        state.counts.lists += 1;
+        reply::json(StatusCode::Ok, state.instances.view(now))
+    }
+
+    fn part(&self, team: &str) -> Response {
+        let mut state = port::lock(&self.state);
+        state.counts.parts += 1;
+        let view = state.config.view();
+        let Some(part) = view.parts.get(team) else {
+            return reply::error(StatusCode::NotFound, "no_such_part");
+        };
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(part.text.as_ref());
+        response.set_content_type(mime::PLAIN);
+        response.insert_header("x-revision", part.revision.to_string());
+        response.insert_header("x-text-revision", view.number.to_string());
+        response
+    }
+
+    async fn watch(&self, call: Call) -> http_types::Result<Response> {
+        let query: WatchQuery = match call.request.query() {
+            Ok(query) => query,
+            Err(_) => return Ok(reply::error(StatusCode::BadRequest, "bad_query")),
+        };
+        let _waiting = Waiting::begin(&self.state);
+        let wait = Duration::from(Millis(query.wait_ms).min(MAX_WAIT));
+        let changed = future::timeout(wait, self.changed(query.after));
+        let gone = port::hang_up(call.conn);
+        match futures::future::select(changed.boxed(), gone.boxed()).await {
+            Either::Left(_) => {
+                let state = port::lock(&self.state);
+                Ok(reply::json(StatusCode::Ok, &state.config.view().index()))
+            }
+            Either::Right(_) => Err(io::Error::from(io::ErrorKind::ConnectionAborted).into()),
+        }
+    }
+
+    /// Waits until readers see a revision after `after`.
+    async fn changed(&self, after: u64) {
+        loop {
+            let woken = {
+                let mut state = port::lock(&self.state);
+                if state.config.view().number > after {
+                    return;
+                }
+                let (wake, woken) = oneshot::channel();
+                state.watchers.retain(|watcher| !watcher.is_canceled());
+                state.watchers.push(wake);
+                woken
+            };
+            let _ = woken.await;
+        }
+    }
+}
+
+impl Standin for Platform {
+    type Command = PlatformCommand;
+    type Stats = PlatformStats;
+
+    fn answer(self: Arc<Self>, call: Call) -> BoxFuture<'static, http_types::Result<Response>> {
+        self.dispatch(call).boxed()
+    }
+
+    fn command(&self, command: PlatformCommand) -> Effect {
+        let now = self.clock.now();
+        let mut state = port::lock(&self.state);
+        let effect = state.apply(command, now);
+        for watcher in state.watchers.drain(..) {
+            let _ = watcher.send(());
+        }
+        effect
+    }
+
+    fn stats(&self) -> PlatformStats {
+        let state = port::lock(&self.state);
+        PlatformStats {
+            refused: state.budget.refused(),
+            peak: state.budget.peak(),
+            revision: state.config.newest(),
+            ..state.counts.clone()
+        }
+    }
+}
+
+impl State {
+    fn apply(&mut self, command: PlatformCommand, now: Millis) -> Effect {
+        match command {
+            PlatformCommand::Part { team, text } => self.config.publish(&team, Some(text)),
+            PlatformCommand::RemovePart { team } => self.config.publish(&team, None),
+            PlatformCommand::Instances { instances } => self.instances.set(instances, now),
+            PlatformCommand::InstanceState { id, state } => {
+                self.instances.set_state(&id, state, now);
+            }
+            PlatformCommand::Lag { ms } => self.instances.set_lag(Millis(ms)),
+            PlatformCommand::Frozen { on } => self.frozen = on,
+            PlatformCommand::Down { on: true } => return Effect::Crash,
+            PlatformCommand::Down { on: false } => return Effect::Reopen,
+            PlatformCommand::Stale { revision } => self.config.pin(revision),
+            PlatformCommand::GoBack { revision, reuse } => self.config.go_back(revision, reuse),
+            PlatformCommand::Budget { reads } => self.budget.set_limit(reads),
+        }
+        Effect::None
+    }
+}
+
+/// Counts a watch as waiting for as long as it lives.
+struct Waiting<'a> {
+    state: &'a Mutex<State>,
+}
+
+impl<'a> Waiting<'a> {
+    fn begin(state: &'a Mutex<State>) -> Waiting<'a> {
+        let mut locked = port::lock(state);
+        locked.counts.watches += 1;
+        locked.counts.waiting += 1;
+        Waiting { state }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        port::lock(self.state).counts.waiting -= 1;
+    }
+}
+
+fn is_known(path: &str) -> bool {
+    matches!(path, CONFIG | WATCH | INSTANCES) || path.starts_with(PARTS)
+}
+
+fn over_budget() -> Response {
+    let mut response = reply::error(StatusCode::TooManyRequests, "read_budget");
+    response.insert_header("retry-after", "1");
+    response
+}
--- /dev/null
+++ b/crates/standins/src/port.rs
@@ -0,0 +1,263 @@
+//! A listening port that can be closed, reopened and cut while it is in use.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::Weak;
+use std::time::Duration;
+
+use async_std::io::ReadExt;
+use async_std::net::TcpListener;
+use async_std::net::TcpStream;
+use async_std::task;
+use async_std::task::JoinHandle;
+use futures::StreamExt;
+use futures::future::AbortHandle;
+use futures::future::Abortable;
+use futures::future::BoxFuture;
+use http_types::Request;
+use http_types::Response;
+
+/// Largest request body that a stand-in reads, in bytes.
+const MAX_BODY: u64 = 16 * 1024 * 1024;
+
+/// How often, and how many times, a closed port tries to bind its old address again.
+const REBIND_PAUSE: Duration = Duration::from_millis(20);
+const REBIND_TRIES: u32 = 100;
+
+/// One request as a stand-in sees it: the head, the whole body, and the connection it came on.
+pub struct Call {
+    /// The head; its body has been taken out.
+    pub request: Request,
+    /// The whole request body.
+    pub body: Vec<u8>,
+    /// The caller's connection, for watching it and for answers that break the protocol.
+    pub conn: TcpStream,
+    pub(crate) port: Weak<Port>,
+}
+
+impl Call {
+    /// The value of the first header of this name, if any.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.request.header(name).map(|values| values.as_str())
+    }
+
+    /// Applies an effect to the port that the call came on; after a crash this never returns.
+    pub(crate) async fn apply(&self, effect: Effect) {
+        if let Some(port) = self.port.upgrade() {
+            let _ = port.apply(effect).await;
+        }
+    }
+}
+
+/// What a command does to the listening port.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Effect {
+    /// Nothing.
+    #[default]
+    None,
+    /// New connections are refused; open ones live on.
+    Refuse,
+    /// New connections are refused and open ones are closed, as when a process dies.
+    Crash,
+    /// The port listens again, at the same address.
+    Reopen,
+}
+
+pub(crate) type Answer = BoxFuture<'static, http_types::Result<Response>>;
+pub(crate) type Endpoint = Arc<dyn Fn(Call) -> Answer + Send + Sync>;
+
+/// A listening port of one stand-in.
+pub(crate) struct Port {
+    addr: SocketAddr,
+    endpoint: Endpoint,
+    accepting: Mutex<Option<JoinHandle<()>>>,
+    conns: Arc<Conns>,
+}
+
+impl Port {
+    /// Binds `addr` and starts to accept.
+    pub(crate) async fn open(addr: SocketAddr, endpoint: Endpoint) -> io::Result<Port> {
+        let listener = TcpListener::bind(addr).await?;
+        let port = Port {
+            addr: listener.local_addr()?,
+            endpoint,
+            accepting: Mutex::new(None),
+            conns: Arc::new(Conns::default()),
+        };
+        port.accept(listener);
+        Ok(port)
+    }
+
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Applies the effect of a command.
+    pub(crate) async fn apply(&self, effect: Effect) -> io::Result<()> {
+        match effect {
+            Effect::None => Ok(()),
+            Effect::Refuse => {
+                self.close().await;
+                Ok(())
+            }
+            Effect::Crash => {
+                self.close().await;
+                self.conns.cut();
+                Ok(())
+            }
+            Effect::Reopen => self.reopen().await,
+        }
+    }
+
+    /// Stops listening and closes each connection without waiting for it.
+    pub(crate) fn abandon(&self) {
+        if let Some(accepting) = lock(&self.accepting).take() {
+            task::spawn(accepting.cancel());
+        }
+        self.conns.cut();
+    }
+
+    async fn close(&self) {
+        let accepting = lock(&self.accepting).take();
+        if let Some(accepting) = accepting {
+            // A task of its own: a command that came over this very port may be aborted half-way.
+            task::spawn(accepting.cancel()).await;
+        }
+    }
+
+    async fn reopen(&self) -> io::Result<()> {
+        if lock(&self.accepting).is_some() {
+            return Ok(());
+        }
+        for _ in 1..REBIND_TRIES {
+            if let Ok(listener) = TcpListener::bind(self.addr).await {
+                self.accept(listener);
+                return Ok(());
+            }
+            task::sleep(REBIND_PAUSE).await;
+        }
+        let listener = TcpListener::bind(self.addr).await?;
+        self.accept(listener);
+        Ok(())
+    }
+
+    fn accept(&self, listener: TcpListener) {
+        let endpoint = Arc::clone(&self.endpoint);
+        let conns = Arc::clone(&self.conns);
+        let accepting = task::spawn(accept_all(listener, endpoint, conns));
+        *lock(&self.accepting) = Some(accepting);
+    }
+}
+
+impl Drop for Port {
+    fn drop(&mut self) {
+        self.abandon();
+    }
+}
+
+async fn accept_all(listener: TcpListener, endpoint: Endpoint, conns: Arc<Conns>) {
+    let mut incoming = listener.incoming();
+    while let Some(accepted) = incoming.next().await {
+        let Ok(conn) = accepted else {
+            // Out of descriptors, most likely: without a pause this loop would spin.
+            task::sleep(REBIND_PAUSE).await;
+            continue;
+        };
+        conns.spawn(conn, Arc::clone(&endpoint));
+    }
+}
+
+/// The open connections of one port.
+#[derive(Default)]
+struct Conns {
+    open: Mutex<OpenConns>,
+}
+
+#[derive(Default)]
+struct OpenConns {
+    last: u64,
+    live: HashMap<u64, OpenConn>,
+}
+
+struct OpenConn {
+    conn: TcpStream,
+    abort: AbortHandle,
+}
+
+impl Conns {
+    fn spawn(self: &Arc<Conns>, conn: TcpStream, endpoint: Endpoint) {
+        // Without it a token waits for the acknowledgement of the one before.
+        let _ = conn.set_nodelay(true);
+        let (abort, registration) = AbortHandle::new_pair();
+        let id = self.insert(conn.clone(), abort);
+        let conns = Arc::clone(self);
+        let serving = Abortable::new(serve(conn, endpoint), registration);
+        task::spawn(async move {
+            let _ = serving.await;
+            lock(&conns.open).live.remove(&id);
+        });
+    }
+
+    fn insert(&self, conn: TcpStream, abort: AbortHandle) -> u64 {
+        let mut open = lock(&self.open);
+        open.last += 1;
+        let id = open.last;
+        open.live.insert(id, OpenConn { conn, abort });
+        id
+    }
+
+    fn cut(&self) {
+        for (_, open) in lock(&self.open).live.drain() {
+            open.abort.abort();
+            let _ = open.conn.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+async fn serve(conn: TcpStream, endpoint: Endpoint) {
+    let io = conn.clone();
+    let served = async_h1::accept(io, |request| {
+        let endpoint = Arc::clone(&endpoint);
+        let conn = conn.clone();
+        async move {
+            let call = read_call(request, conn).await?;
+            endpoint(call).await
+        }
+    });
+    let _ = served.await;
+    let _ = conn.shutdown(Shutdown::Both);
+}
+
+async fn read_call(mut request: Request, conn: TcpStream) -> http_types::Result<Call> {
+    let mut body = Vec::new();
+    let reader = request.take_body();
+    reader.take(MAX_BODY).read_to_end(&mut body).await?;
+    Ok(Call {
+        request,
+        body,
+        conn,
+        port: Weak::new(),
+    })
+}
+
+/// Waits until the caller closes its side of the connection, or the connection breaks.
+///
+/// Bytes of a further request that arrive early end the watch: it then waits for ever.
+pub(crate) async fn hang_up(conn: TcpStream) {
+    let mut byte = [0];
+    match conn.peek(&mut byte).await {
+        Ok(0) | Err(_) => {}
+        Ok(_) => futures::future::pending().await,
+    }
+}
+
+/// Locks a mutex whose data stays usable when another thread panicked.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/standins/src/service/server.rs
@@ -0,0 +1,283 @@
+//! The plain service's calls.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use async_std::task;
+use crocushold_base::Clock;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use futures::future::Either;
+use http_types::Response;
+use http_types::StatusCode;
+use serde::Serialize;
+
+use super::command::ServiceCommand;
+use super::command::ServiceFault;
+use super::command::ServiceSettings;
+use super::command::ServiceStats;
+use crate::handle::Handle;
+use crate::handle::Standin;
+use crate::port;
+use crate::port::Call;
+use crate::port::Effect;
+use crate::reply;
+
+/// How many keys are counted one by one.
+const KEYS: usize = 200_000;
+
+/// Headers that name a call, the first one present counts.
+const KEY_HEADERS: [&str; 2] = ["idempotency-key", "x-marker"];
+
+/// A plain service's stand-in; see [`PlainService::start`].
+pub struct PlainService {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+struct State {
+    settings: ServiceSettings,
+    fault: ServiceFault,
+    fault_times: Option<u32>,
+    counts: ServiceStats,
+    effects: HashMap<String, u64>,
+}
+
+/// The answer to a call: what was done, for whom, and how often that makes.
+#[derive(Serialize)]
+struct Receipt<'a> {
+    marker: &'a str,
+    effects: u64,
+    method: String,
+    path: &'a str,
+    bytes: usize,
+}
+
+/// The answer to `GET /load`.
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct LoadReport {
+    at_ms: u64,
+    running: u64,
+    waiting: u64,
+    batch_limit: usize,
+    tokens_per_second: f64,
+    kv_free: f64,
+    models: Vec<String>,
+    role: &'static str,
+    fence: u64,
+}
+
+impl PlainService {
+    /// Starts a plain service on `addr` (port 0: any free one).
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be bound.
+    pub async fn start(
+        addr: SocketAddr,
+        settings: ServiceSettings,
+    ) -> io::Result<Handle<PlainService>> {
+        let state = State {
+            settings,
+            fault: ServiceFault::None,
+            fault_times: None,
+            counts: ServiceStats::default(),
+            effects: HashMap::new(),
+        };
+        let service = PlainService {
+            clock: Clock::start(),
+            state: Mutex::new(state),
+        };
+        Handle::start(service, addr).await
+    }
+
+    /// How often a call with this key had its effect.
+    pub fn effects(&self, key: &str) -> u64 {
+        let state = port::lock(&self.state);
+        state.effects.get(key).copied().unwrap_or(0)
+    }
+
+    async fn dispatch(self: Arc<Self>, call: Call) -> http_types::Result<Response> {
+        if call.request.url().path() == "/load" {
+            return Ok(self.load());
+        }
+        let _running = Running::begin(&self.state);
+        let (fault, settings) = port::lock(&self.state).next_call();
+        if fault == ServiceFault::Unavailable {
+            return Ok(reply::error(StatusCode::ServiceUnavailable, "unavailable"));
+        }
+        if fault == ServiceFault::HangBefore {
+            return hang(call.conn).await;
+        }
+        pause(settings.before_ms, &call.conn).await?;
+        let key = key_of(&call).to_owned();
+        let effects = port::lock(&self.state).effect(&key);
+        match fault {
+            ServiceFault::HangAfter => return hang(call.conn).await,
+            ServiceFault::DropAfter => return Err(closed()),
+            ServiceFault::CrashAfter => {
+                call.apply(Effect::Crash).await;
+                return Err(closed());
+            }
+            _ => {}
+        }
+        task::sleep(Duration::from_millis(settings.after_ms)).await;
+        port::lock(&self.state).counts.answered += 1;
+        Ok(receipt(&call, &key, effects))
+    }
+
+    fn load(&self) -> Response {
+        let state = port::lock(&self.state);
+        let report = LoadReport {
+            at_ms: self.clock.now().0,
+            running: state.counts.running,
+            waiting: 0,
+            batch_limit: state.settings.batch_limit,
+            tokens_per_second: 0.0,
+            kv_free: 1.0,
+            models: Vec::new(),
+            role: "both",
+            fence: 0,
+        };
+        reply::json(StatusCode::Ok, &report)
+    }
+}
+
+impl Standin for PlainService {
+    type Command = ServiceCommand;
+    type Stats = ServiceStats;
+
+    fn answer(self: Arc<Self>, call: Call) -> BoxFuture<'static, http_types::Result<Response>> {
+        self.dispatch(call).boxed()
+    }
+
+    fn command(&self, command: ServiceCommand) -> Effect {
+        port::lock(&self.state).apply(command)
+    }
+
+    fn stats(&self) -> ServiceStats {
+        let state = port::lock(&self.state);
+        state.counts.clone()
+    }
+}
+
+impl State {
+    /// Counts a call; the fault that strikes it, and the delays.
+    fn next_call(&mut self) -> (ServiceFault, ServiceSettings) {
+        self.counts.calls += 1;
+        let mut fault = self.fault;
+        match &mut self.fault_times {
+            None => {}
+            Some(0) => fault = ServiceFault::None,
+            Some(times) => *times -= 1,
+        }
+        (fault, self.settings.clone())
+    }
+
+    /// Has the effect; how often this key has had it now.
+    fn effect(&mut self, key: &str) -> u64 {
+        self.counts.effects += 1;
+        let known = self.effects.contains_key(key);
+        if key.is_empty() || (!known && self.effects.len() >= KEYS) {
+            self.counts.uncounted += 1;
+            return 1;
+        }
+        let effects = self.effects.entry(key.to_owned()).or_insert(0);
+        *effects += 1;
+        if *effects > 1 {
+            self.counts.repeated.insert(key.to_owned(), *effects);
+        } else {
+            self.counts.keys += 1;
+        }
+        *effects
+    }
+
+    fn apply(&mut self, command: ServiceCommand) -> Effect {
+        match command {
+            ServiceCommand::Delay {
+                before_ms,
+                after_ms,
+            } => {
+                self.settings.before_ms = before_ms;
+                self.settings.after_ms = after_ms;
+            }
+            ServiceCommand::Fault { fault, times } => {
+                self.fault = fault;
+                self.fault_times = times;
+            }
+            ServiceCommand::Crash => return Effect::Crash,
+            ServiceCommand::Refuse { on: true } => return Effect::Refuse,
+            ServiceCommand::Refuse { on: false } | ServiceCommand::Restart => {
+                return Effect::Reopen;
+            }
+            ServiceCommand::Clear => {
+                self.fault = ServiceFault::None;
+                return Effect::Reopen;
+            }
+        }
+        Effect::None
+    }
+}
+
+/// Counts a call as running for as long as it lives.
+struct Running<'a> {
+    state: &'a Mutex<State>,
+}
+
+impl<'a> Running<'a> {
+    fn begin(state: &'a Mutex<State>) -> Running<'a> {
+        port::lock(state).counts.running += 1;
+        Running { state }
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        port::lock(self.state).counts.running -= 1;
+    }
+}
+
+/// Waits before the effect; a caller that leaves in the meantime prevents it.
+async fn pause(ms: u64, conn: &TcpStream) -> http_types::Result<()> {
+    if ms == 0 {
+        return Ok(());
+    }
+    let gone = port::hang_up(conn.clone());
+    let slept = task::sleep(Duration::from_millis(ms));
+    match futures::future::select(slept.boxed(), gone.boxed()).await {
+        Either::Left(_) => Ok(()),
+        Either::Right(_) => Err(closed()),
+    }
+}
+
+/// Never answers; ends when the caller gives up.
+async fn hang(conn: TcpStream) -> http_types::Result<Response> {
+    port::hang_up(conn).await;
+    Err(closed())
+}
+
+fn closed() -> http_types::Error {
+    io::Error::from(io::ErrorKind::ConnectionAborted).into()
+}
+
+fn key_of(call: &Call) -> &str {
+    let mut named = KEY_HEADERS.iter().filter_map(|name| call.header(name));
+    named.next().unwrap_or("")
+}
+
+fn receipt(call: &Call, key: &str, effects: u64) -> Response {
+    let receipt = Receipt {
+        marker: key,
+        effects,
+        method: call.request.method().to_string(),
+        path: call.request.url().path(),
+        bytes: call.body.len(),
+    };
+    reply::json(StatusCode::Ok, &receipt)
+}
