Add the configuration text, its acceptance and the catalog

Teams write one part each of a shared INI text. The text is split at its [team NAME] lines before rust-ini reads anything, so that a syntax error in one part can't reach another. Names are scoped by team, which rules out that two teams claim one name. An edition with an error is rejected whole, and the edition after the part's [previous] line takes its place; whether an edition is accepted depends on the part alone.

The catalog keeps the keys of names that persist from one revision to the next, and resolve() maps a key digest and a model or path to account, class and service by hash look-ups.

--- /dev/null
+++ b/crates/config/src/apply.rs
@@ -0,0 +1,319 @@
+//! Applies a revision of the text to the catalog.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use slotmap::Key;
+use slotmap::SlotMap;
+
+use crocushold_base::AccountKey;
+use crocushold_base::ClassKey;
+use crocushold_base::ModelKey;
+use crocushold_base::ServerKey;
+use crocushold_base::ServiceKey;
+
+use crate::catalog::Catalog;
+use crate::decl::ServerDecl;
+use crate::link::Linked;
+use crate::link::LinkedAccount;
+use crate::link::LinkedClass;
+use crate::link::LinkedService;
+use crate::link::link;
+use crate::model::Account;
+use crate::model::Class;
+use crate::model::Model;
+use crate::model::Server;
+use crate::model::Service;
+use crate::text::Text;
+
+/// The keys of one kind that a revision added, removed or changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Diff<K> {
+    /// New keys.
+    pub added: Vec<K>,
+    /// Keys that find nothing any more.
+    pub removed: Vec<K>,
+    /// Keys that stayed, with another record behind them.
+    pub changed: Vec<K>,
+}
+
+impl<K> Default for Diff<K> {
+    fn default() -> Diff<K> {
+        Diff {
+            added: Vec::new(),
+            removed: Vec::new(),
+            changed: Vec::new(),
+        }
+    }
+}
+
+impl<K> Diff<K> {
+    /// Whether nothing was added, removed or changed.
+    pub fn is_empty(&self) -> bool {
+        self.added.is_empty() && self.removed.is_empty() && self.changed.is_empty()
+    }
+}
+
+/// What a revision changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Of services.
+    pub services: Diff<ServiceKey>,
+    /// Of backend servers. One with a new address is a removed and an added server.
+    pub servers: Diff<ServerKey>,
+    /// Of classes.
+    pub classes: Diff<ClassKey>,
+    /// Of client accounts.
+    pub accounts: Diff<AccountKey>,
+    /// Of models.
+    pub models: Diff<ModelKey>,
+}
+
+impl Changes {
+    /// Whether the revision changed nothing.
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty()
+            && self.servers.is_empty()
+            && self.classes.is_empty()
+            && self.accounts.is_empty()
+            && self.models.is_empty()
+    }
+}
+
+impl Catalog {
+    /// A catalog of everything in force in a text.
+    pub fn new(text: &Text) -> Catalog {
+        let mut catalog = Catalog::default();
+        catalog.apply(text);
+        catalog
+    }
+
+    /// Makes the catalog say what the text says, and keeps the keys of names that stay.
+    ///
+    /// What is in force afterwards depends on the text alone, not on what the catalog held before;
+    /// only the keys' values do.
+    pub fn apply(&mut self, text: &Text) -> Changes {
+        let linked = link(text);
+        let before = self.services.clone();
+        let mut changes = Changes {
+            services: self.apply_services(&linked),
+            ..Changes::default()
+        };
+        changes.servers = self.apply_servers(&linked);
+        changes.models = self.apply_models(&linked);
+        changes.classes = self.apply_classes(&linked);
+        changes.accounts = self.apply_accounts(&linked);
+        self.fill_services(&linked);
+        self.index_digests();
+        self.names.teams = text.parts().map(|part| part.team().to_owned()).collect();
+        changes.services.changed = changed_services(&before, &self.services);
+        changes
+    }
+
+    fn apply_services(&mut self, linked: &Linked<'_>) -> Diff<ServiceKey> {
+        let wanted = linked.services.values().map(service_record);
+        let wanted = wanted.map(|service| (service.name.clone(), service));
+        settle(
+            &mut self.services,
+            &mut self.names.services,
+            wanted.collect(),
+            |_, _| true,
+        )
+    }
+
+    fn apply_servers(&mut self, linked: &Linked<'_>) -> Diff<ServerKey> {
+        let mut wanted = BTreeMap::new();
+        for decl in linked.declared.iter().flat_map(|d| &d.servers) {
+            let Some(service) = linked.services.get(decl.service.as_str()) else {
+                continue;
+            };
+            let key = self.names.services[&decl.service];
+            wanted.insert(decl.name.clone(), server_record(decl, service, key));
+        }
+        // A late answer from the old address must find nothing.
+        settle(
+            &mut self.servers,
+            &mut self.names.servers,
+            wanted,
+            |old, new| old.address == new.address,
+        )
+    }
+
+    fn apply_models(&mut self, linked: &Linked<'_>) -> Diff<ModelKey> {
+        let mut wanted = BTreeMap::new();
+        for decl in linked.declared.iter().flat_map(|d| &d.models) {
+            let model = Model {
+                name: decl.name.clone(),
+                id: decl.id.clone(),
+                service: self.names.services[&decl.service],
+                weights: decl.weights,
+                replicas: decl.replicas,
+            };
+            wanted.insert(decl.name.clone(), model);
+        }
+        settle(&mut self.models, &mut self.names.models, wanted, |_, _| {
+            true
+        })
+    }
+
+    fn apply_classes(&mut self, linked: &Linked<'_>) -> Diff<ClassKey> {
+        let wanted = linked.classes.values().map(|class| {
+            let service = self.names.services[&class.decl.service];
+            (class.decl.name.clone(), class_record(class, service))
+        });
+        let wanted = wanted.collect();
+        // A class that moved to another service has other queues and other lengths.
+        settle(
+            &mut self.classes,
+            &mut self.names.classes,
+            wanted,
+            |old, new| old.service == new.service,
+        )
+    }
+
+    fn apply_accounts(&mut self, linked: &Linked<'_>) -> Diff<AccountKey> {
+        let classes = &self.names.classes;
+        let wanted = linked.accounts.values().map(|account| {
+            let name = account.decl.name.clone();
+            (name, account_record(account, classes))
+        });
+        let wanted = wanted.collect();
+        settle(
+            &mut self.accounts,
+            &mut self.names.accounts,
+            wanted,
+            |_, _| true,
+        )
+    }
+
+    /// Fills in what refers back from services to what belongs to them.
+    fn fill_services(&mut self, linked: &Linked<'_>) {
+        for (name, service) in &linked.services {
+            let depends = service.depends.iter();
+            let depends = depends.map(|other| self.names.services[*other]).collect();
+            let key = self.names.services[*name];
+            self.services[key].depends = depends;
+        }
+        self.names.model_ids.clear();
+        for &key in self.names.models.values() {
+            let model = &self.models[key];
+            self.services[model.service].models.push(key);
+            let ids = self.names.model_ids.entry(model.service).or_default();
+            ids.insert(model.id.clone(), key);
+        }
+        for &key in self.names.servers.values() {
+            let service = self.servers[key].service;
+            self.services[service].servers.push(key);
+        }
+        for &key in self.names.classes.values() {
+            let service = self.classes[key].service;
+            self.services[service].classes.push(key);
+        }
+    }
+
+    fn index_digests(&mut self) {
+        let mut digests: HashMap<_, Vec<AccountKey>> = HashMap::new();
+        for &key in self.names.accounts.values() {
+            for &digest in &self.accounts[key].digests {
+                digests.entry(digest).or_default().push(key);
+            }
+        }
+        self.names.digests = digests;
+    }
+}
+
+/// Makes an arena hold the wanted records and keeps the keys of those that are the same thing.
+fn settle<K: Key, V: PartialEq>(
+    arena: &mut SlotMap<K, V>,
+    names: &mut BTreeMap<String, K>,
+    wanted: BTreeMap<String, V>,
+    same: impl Fn(&V, &V) -> bool,
+) -> Diff<K> {
+    let mut diff = Diff::default();
+    names.retain(|name, key| {
+        let new = wanted.get(name);
+        let kept = new.is_some_and(|new| same(&arena[*key], new));
+        if !kept {
+            arena.remove(*key);
+            diff.removed.push(*key);
+        }
+        kept
+    });
+    for (name, value) in wanted {
+        match names.get(&name) {
+            None => {
+                let key = arena.insert(value);
+                names.insert(name, key);
+                diff.added.push(key);
+            }
+            Some(&key) if arena[key] != value => {
+                arena[key] = value;
+                diff.changed.push(key);
+            }
+            Some(_) => {}
+        }
+    }
+    diff
+}
+
+fn changed_services(
+    before: &SlotMap<ServiceKey, Service>,
+    after: &SlotMap<ServiceKey, Service>,
+) -> Vec<ServiceKey> {
+    let kept = before.iter().filter_map(|(key, old)| {
+        let new = after.get(key)?;
+        (old != new).then_some(key)
+    });
+    kept.collect()
+}
+
+/// A service's record without the keys of what belongs to it.
+fn service_record(service: &LinkedService<'_>) -> Service {
+    Service {
+        name: service.decl.name.clone(),
+        kind: service.decl.kind.clone(),
+        depends: Vec::new(),
+        servers: Vec::new(),
+        models: Vec::new(),
+        classes: Vec::new(),
+        weight_loads: service.decl.weight_loads,
+    }
+}
+
+fn server_record(decl: &ServerDecl, service: &LinkedService<'_>, key: ServiceKey) -> Server {
+    let defaults = service.decl;
+    Server {
+        name: decl.name.clone(),
+        service: key,
+        address: decl.address,
+        zone: decl.zone.clone(),
+        concurrency: decl.concurrency.unwrap_or(defaults.concurrency),
+        checks_orders: decl.checks_orders.unwrap_or(defaults.checks_orders),
+    }
+}
+
+fn class_record(class: &LinkedClass<'_>, service: ServiceKey) -> Class {
+    let decl = class.decl;
+    Class {
+        name: decl.name.clone(),
+        service,
+        priority: decl.priority,
+        targets: decl.targets,
+        floor: class.floor,
+        idempotent: decl.idempotent,
+        retries: decl.retries,
+        queue: decl.queue,
+        objective: decl.objective,
+        calls: decl.calls.clone(),
+    }
+}
+
+fn account_record(account: &LinkedAccount<'_>, classes: &BTreeMap<String, ClassKey>) -> Account {
+    let keys = account.classes.iter().map(|name| classes[*name]);
+    Account {
+        name: account.decl.name.clone(),
+        digests: account.decl.digests.clone(),
+        classes: keys.collect(),
+        limits: account.decl.limits,
+    }
+}
--- /dev/null
+++ b/crates/config/src/check.rs
@@ -0,0 +1,316 @@
+//! Checks inside one edition. They look at nothing outside it, so that no other team can change
+//! whether it is accepted.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use crate::decl::AccountDecl;
+use crate::decl::ClassDecl;
+use crate::decl::Declared;
+use crate::decl::Place;
+use crate::decl::ServiceDecl;
+use crate::finding::Finding;
+use crate::graph::Graph;
+use crate::model::Kind;
+use crate::model::Share;
+use crate::model::short_name;
+use crate::model::team_name;
+
+/// The most that the floors of all classes on a service may take together. The rest goes by
+/// priority; without it the highest tier could not use a burst's worth of its service.
+pub(crate) const MAX_FLOORS: Share = Share(8_000);
+
+/// Checks the declarations of one team's edition against each other.
+pub(crate) fn check(team: &str, declared: &Declared, findings: &mut Vec<Finding>) {
+    let mut check = Check {
+        team,
+        services: by_name(&declared.services, |s| &s.name),
+        classes: by_name(&declared.classes, |c| &c.name),
+        declared,
+        findings,
+    };
+    check.members();
+    check.dependencies();
+    check.prefixes();
+    check.grants();
+    check.class_services();
+    check.floors();
+    check.calls();
+    check.account_classes();
+    check.digests();
+    check.servers_present();
+}
+
+fn by_name<T>(items: &[T], name: impl Fn(&T) -> &str) -> BTreeMap<&str, &T> {
+    items.iter().map(|item| (name(item), item)).collect()
+}
+
+struct Check<'a> {
+    team: &'a str,
+    services: BTreeMap<&'a str, &'a ServiceDecl>,
+    classes: BTreeMap<&'a str, &'a ClassDecl>,
+    declared: &'a Declared,
+    findings: &'a mut Vec<Finding>,
+}
+
+impl<'a> Check<'a> {
+    fn error(&mut self, place: &Place, key: &str, message: impl Into<String>) {
+        self.findings.push(place.error(key, message.into()));
+    }
+
+    fn warn(&mut self, place: &Place, key: &str, message: impl Into<String>) {
+        self.findings.push(place.warning(key, message.into()));
+    }
+
+    fn is_own(&self, name: &str) -> bool {
+        team_name(name) == self.team
+    }
+
+    /// Servers and models need a service of their own team.
+    fn members(&mut self) {
+        let declared = self.declared;
+        let servers = declared.servers.iter().map(|s| (&s.place, &s.service));
+        let models = declared.models.iter().map(|m| (&m.place, &m.service));
+        for (place, service) in servers.chain(models) {
+            if !self.services.contains_key(service.as_str()) {
+                let message = dangling("service", short_name(service));
+                self.error(place, "", message);
+            }
+        }
+        for model in &declared.models {
+            let service = self.services.get(model.service.as_str());
+            if service.is_some_and(|s| s.kind != Kind::Model) {
+                let message = "a plain service serves no models; write kind = model there, \
+                               or leave this section out";
+                self.error(&model.place, "", message);
+            }
+        }
+    }
+
+    fn dependencies(&mut self) {
+        let graph = Graph::new(&self.declared.services);
+        for service in &self.declared.services {
+            for name in &service.depends {
+                if !self.is_own(name) {
+                    continue;
+                }
+                if !self.services.contains_key(name.as_str()) {
+                    let message = dangling("service", short_name(name));
+                    self.error(&service.place, "depends-on", message);
+                } else if graph.reaches(name, &service.name) {
+                    let message = format!(
+                        "{} depends on this service in turn; leave it out here or there",
+                        short_name(name)
+                    );
+                    self.error(&service.place, "depends-on", message);
+                }
+            }
+        }
+    }
+
+    fn prefixes(&mut self) {
+        let mut seen: BTreeMap<&str, &str> = BTreeMap::new();
+        for service in &self.declared.services {
+            let Kind::Plain { prefix } = &service.kind else {
+                continue;
+            };
+            if let Some(first) = seen.insert(prefix, &service.name) {
+                let message = format!(
+                    "{} has this prefix already; write another one",
+                    short_name(first)
+                );
+                self.error(&service.place, "prefix", message);
+            }
+        }
+    }
+
+    fn grants(&mut self) {
+        for service in &self.declared.services {
+            let mut seen = BTreeSet::from([self.team]);
+            for grant in &service.grants {
+                if !seen.insert(&grant.team) {
+                    let message = format!(
+                        "{} is the own team or listed twice; write each other team once",
+                        grant.team
+                    );
+                    self.error(&service.place, "shared-with", message);
+                }
+            }
+        }
+    }
+
+    fn class_services(&mut self) {
+        for class in &self.declared.classes {
+            if !self.is_own(&class.service) {
+                continue;
+            }
+            let Some(service) = self.services.get(class.service.as_str()).copied() else {
+                let message = dangling("service", short_name(&class.service));
+                self.error(&class.place, "service", message);
+                continue;
+            };
+            let own = service.depends.iter().filter(|name| self.is_own(name));
+            let late = own.filter_map(|name| late_dependency(class, name, &self.declared.classes));
+            let late: Vec<String> = late.collect();
+            for message in late {
+                self.error(&class.place, target_key(class), message);
+            }
+        }
+    }
+
+    /// The own classes' floors and the shares granted to other teams fit into a service together.
+    fn floors(&mut self) {
+        for service in &self.declared.services {
+            let classes = self.declared.classes.iter();
+            let own = classes.filter(|c| c.service == service.name);
+            let own: u32 = own.map(|c| c.floor.0).sum();
+            let granted: u32 = service.grants.iter().map(|g| g.share.0).sum();
+            let total = Share(own.saturating_add(granted));
+            if total > MAX_FLOORS {
+                let message = format!(
+                    "the floors of its classes ({}) and the shares in shared-with ({}) take {total}; \
+                     lower them to {MAX_FLOORS} together",
+                    Share(own),
+                    Share(granted),
+                );
+                self.error(&service.place, "", message);
+            }
+        }
+    }
+
+    /// Only the team that owns a plain service binds its calls to classes.
+    fn calls(&mut self) {
+        let mut seen: HashMap<(&str, &crate::model::Call), &str> = HashMap::new();
+        for class in self.declared.classes.iter() {
+            if class.calls.is_empty() {
+                continue;
+            }
+            let service = self.services.get(class.service.as_str()).copied();
+            let prefix = service.and_then(|s| match &s.kind {
+                Kind::Plain { prefix } => Some(prefix),
+                Kind::Model => None,
+            });
+            let Some(prefix) = prefix else {
+                let message = "calls belong to a plain service of the own team; leave them out";
+                self.error(&class.place, "calls", message);
+                continue;
+            };
+            for call in &class.calls {
+                let path = format!("/{}/", call.segments.join("/"));
+                if !path.starts_with(&format!("{prefix}/")) {
+                    let message = format!("{call} lies outside the service; begin with {prefix}/");
+                    self.error(&class.place, "calls", message);
+                }
+                if let Some(first) = seen.insert((&class.service, call), &class.name) {
+                    let first = short_name(first);
+                    let message = format!("{call} belongs to {first} already; write it once");
+                    self.error(&class.place, "calls", message);
+                }
+            }
+        }
+    }
+
+    fn account_classes(&mut self) {
+        for account in &self.declared.accounts {
+            let mut seen = BTreeSet::new();
+            for name in &account.classes {
+                if !seen.insert(name) {
+                    let message = format!("{} is listed twice; write it once", short_name(name));
+                    self.error(&account.place, "classes", message);
+                }
+                if self.is_own(name) && !self.classes.contains_key(name.as_str()) {
+                    let message = dangling("class", short_name(name));
+                    self.error(&account.place, "classes", message);
+                }
+            }
+            self.unreachable_classes(account);
+        }
+    }
+
+    /// A caller may lower its class but never raise it, so that a class above the account's first
+    /// one on a service is out of reach.
+    fn unreachable_classes(&mut self, account: &AccountDecl) {
+        let mut first: BTreeMap<&str, &ClassDecl> = BTreeMap::new();
+        for name in &account.classes {
+            let Some(class) = self.classes.get(name.as_str()).copied() else {
+                continue;
+            };
+            let default = *first.entry(&class.service).or_insert(class);
+            if class.priority < default.priority && class.calls.is_empty() {
+                let message = format!(
+                    "{} is above {}, the account's first class on the service, and out of reach; \
+                     list it first",
+                    short_name(name),
+                    short_name(&default.name)
+                );
+                self.warn(&account.place, "classes", message);
+            }
+        }
+    }
+
+    fn digests(&mut self) {
+        let mut seen = HashMap::new();
+        for account in &self.declared.accounts {
+            for digest in &account.digests {
+                if let Some(first) = seen.insert(digest, &account.name) {
+                    let message = format!(
+                        "account {} has this key already; give each account its own key",
+                        short_name(first)
+                    );
+                    self.error(&account.place, "key-sha256", message);
+                }
+            }
+        }
+    }
+
+    /// A service without servers may be meant (it is scaled to nothing), so that it is no error.
+    fn servers_present(&mut self) {
+        let served: BTreeSet<&str> = self
+            .declared
+            .servers
+            .iter()
+            .map(|s| s.service.as_str())
+            .collect();
+        for class in &self.declared.classes {
+            let known = self.services.contains_key(class.service.as_str());
+            if known && !served.contains(class.service.as_str()) {
+                let service = short_name(&class.service);
+                let message = format!(
+                    "the class has no server, and its requests are refused; \
+                     write a section [server {service}/NAME]"
+                );
+                self.warn(&class.place, "service", message);
+            }
+        }
+    }
+}
+
+/// What is wrong when every class of a dependency may answer later than `class` has to.
+pub(crate) fn late_dependency<'a>(
+    class: &ClassDecl,
+    dependency: &str,
+    classes: impl IntoIterator<Item = &'a ClassDecl>,
+) -> Option<String> {
+    let own = class.targets.whole_answer.or(class.targets.first_token)?;
+    let theirs = classes.into_iter().filter(|c| c.service == dependency);
+    let soonest = theirs.filter_map(|c| c.targets.earliest()).min()?;
+    let message = format!(
+        "the service depends on {}, whose soonest target is {soonest}; write more than that here, \
+         or a shorter target there",
+        short_name(dependency)
+    );
+    (soonest >= own).then_some(message)
+}
+
+/// The key that holds the target by which a class's dependencies are judged.
+pub(crate) fn target_key(class: &ClassDecl) -> &'static str {
+    match class.targets.whole_answer {
+        Some(_) => "whole-answer",
+        None => "first-token",
+    }
+}
+
+pub(crate) fn dangling(kind: &str, name: &str) -> String {
+    format!("there is no {kind} {name}; write a section [{kind} {name}] or another name")
+}
--- /dev/null
+++ b/crates/config/src/explain.rs
@@ -0,0 +1,223 @@
+//! Explains what a request of an account would get, and why.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use crate::catalog::Catalog;
+use crate::digest::Credential;
+use crate::model::Class;
+use crate::model::Kind;
+use crate::model::Limits;
+use crate::model::Priority;
+use crate::model::Resolved;
+use crate::model::Server;
+use crate::model::Share;
+use crate::model::Targets;
+use crate::resolve::Refusal;
+use crate::resolve::Target;
+use crate::resolve::resolve;
+use crate::resolve::resolve_account;
+
+/// Why a request is in its class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The first class that the account lists on the service.
+    Default,
+    /// The service's owner binds the call to the class.
+    BoundCall,
+    /// The caller asked for it.
+    Wanted,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Reason::Default => "the first class that the account lists on this service",
+            Reason::BoundCall => "the service binds this call to it",
+            Reason::Wanted => "the caller asked for it by x-class",
+        })
+    }
+}
+
+/// A server that may run the request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// The full name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+    /// How many requests it runs at once.
+    pub concurrency: u32,
+    /// Whether it refuses an order that carries an old fencing number.
+    pub checks_orders: bool,
+}
+
+/// What a request gets, by names instead of keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Explanation {
+    /// The account's full name.
+    pub account: String,
+    /// Its limits.
+    pub limits: Limits,
+    /// The class's full name.
+    pub class: String,
+    /// Why the request is in that class.
+    pub reason: Reason,
+    /// The class's tier.
+    pub priority: Priority,
+    /// The class's targets.
+    pub targets: Targets,
+    /// The share of requests that is to meet them.
+    pub objective: Share,
+    /// The class's guaranteed share of the service.
+    pub floor: Share,
+    /// How many requests of the class may wait on one instance.
+    pub queue: u32,
+    /// Whether this request may be run twice without harm.
+    pub idempotent: bool,
+    /// How often it may be sent again.
+    pub retries: u32,
+    /// The service's full name.
+    pub service: String,
+    /// The model's full name, for a service of engines.
+    pub model: Option<String>,
+    /// The services that this one calls in turn, by full name.
+    pub depends: Vec<String>,
+    /// The servers that may run it, ordered by name.
+    pub servers: Vec<Candidate>,
+}
+
+/// Explains a request by the credential that its caller presents.
+///
+/// # Errors
+///
+/// The [`Refusal`] that the request would get.
+pub fn explain(
+    catalog: &Catalog,
+    credential: &Credential<'_>,
+    target: Target<'_>,
+    wanted: Option<&str>,
+) -> Result<Explanation, Refusal> {
+    let resolved = resolve(catalog, credential, target, wanted)?;
+    let unasked = resolve_account(catalog, resolved.account, target, None)?;
+    let reason = reason(catalog, &resolved, &unasked, target);
+    Ok(describe(catalog, &resolved, reason))
+}
+
+fn reason(
+    catalog: &Catalog,
+    resolved: &Resolved,
+    unasked: &Resolved,
+    target: Target<'_>,
+) -> Reason {
+    if resolved.class != unasked.class {
+        return Reason::Wanted;
+    }
+    let account = &catalog.accounts[resolved.account];
+    let classes = account.classes.iter().copied();
+    let mut on_service = classes.filter(|&key| catalog.classes[key].service == resolved.service);
+    let default = on_service.next();
+    let bound = matches!(target, Target::Path { .. }) && default != Some(resolved.class);
+    if bound {
+        Reason::BoundCall
+    } else {
+        Reason::Default
+    }
+}
+
+fn describe(catalog: &Catalog, resolved: &Resolved, reason: Reason) -> Explanation {
+    let account = &catalog.accounts[resolved.account];
+    let class: &Class = &catalog.classes[resolved.class];
+    let service = &catalog.services[resolved.service];
+    let model = resolved.model.map(|key| catalog.models[key].name.clone());
+    let depends = service.depends.iter();
+    let servers = service.servers.iter();
+    Explanation {
+        account: account.name.clone(),
+        limits: account.limits,
+        class: class.name.clone(),
+        reason,
+        priority: class.priority,
+        targets: class.targets,
+        objective: class.objective,
+        floor: class.floor,
+        queue: class.queue,
+        idempotent: resolved.idempotent,
+        retries: resolved.retries,
+        service: service.name.clone(),
+        model,
+        depends: depends
+            .map(|&key| catalog.services[key].name.clone())
+            .collect(),
+        servers: servers
+            .map(|&key| candidate(&catalog.servers[key]))
+            .collect(),
+    }
+}
+
+fn candidate(server: &Server) -> Candidate {
+    Candidate {
+        name: server.name.clone(),
+        address: server.address,
+        zone: server.zone.clone(),
+        concurrency: server.concurrency,
+        checks_orders: server.checks_orders,
+    }
+}
+
+/// Several lines for an operator, one matter a line.
+impl fmt::Display for Explanation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let limits = &self.limits;
+        writeln!(f, "account: {}", self.account)?;
+        writeln!(
+            f,
+            "limits: {} requests/s, {} tokens/s, {} at once",
+            limits.requests, limits.tokens, limits.concurrency
+        )?;
+        writeln!(f, "class: {} ({})", self.class, self.reason)?;
+        writeln!(f, "priority: {}", self.priority)?;
+        let targets = &self.targets;
+        let named = [
+            ("first token", targets.first_token),
+            ("between tokens", targets.between_tokens),
+            ("whole answer", targets.whole_answer),
+        ];
+        for (name, span) in named {
+            if let Some(span) = span {
+                writeln!(f, "{name}: {span} for {}", self.objective)?;
+            }
+        }
+        writeln!(f, "floor: {}", self.floor)?;
+        writeln!(f, "queue: {} on each instance", self.queue)?;
+        let repeat = if self.idempotent { "yes" } else { "no" };
+        writeln!(f, "idempotent: {repeat}, {} retries", self.retries)?;
+        writeln!(f, "service: {}", self.service)?;
+        if let Some(model) = &self.model {
+            writeln!(f, "model: {model}")?;
+        }
+        for name in &self.depends {
+            writeln!(f, "depends on: {name}")?;
+        }
+        for server in &self.servers {
+            writeln!(
+                f,
+                "server: {} at {} in {}, {} at once",
+                server.name, server.address, server.zone, server.concurrency
+            )?;
+        }
+        Ok(())
+    }
+}
+
+impl Kind {
+    /// The word that the text uses.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Kind::Model => "model",
+            Kind::Plain { .. } => "plain",
+        }
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,58 @@
-//! Placeholder of crocushold-config.
+//! The shared configuration text and an instance's local settings.
+//!
+//! Each team writes its own part of the shared text. [`Text`] splits the text into parts, parses
+//! each by itself and decides from the part alone whether it is accepted. [`Catalog`] holds
+//! everything that the accepted parts declare, and [`resolve`] says what a request
+//! belongs to.
+
+mod apply;
+mod catalog;
+mod check;
+mod decl;
+mod digest;
+mod explain;
+mod fields;
+mod finding;
+mod graph;
+mod link;
+mod locate;
+mod model;
+mod part;
+mod read;
+mod resolve;
+mod source;
+mod text;
+mod units;
+
+pub use apply::Changes;
+pub use apply::Diff;
+pub use catalog::Catalog;
+pub use digest::Credential;
+pub use digest::KeyDigest;
+pub use explain::Candidate;
+pub use explain::Explanation;
+pub use explain::Reason;
+pub use explain::explain;
+pub use finding::Finding;
+pub use finding::Severity;
+pub use model::Account;
+pub use model::Call;
+pub use model::Class;
+pub use model::Kind;
+pub use model::Limits;
+pub use model::Model;
+pub use model::Priority;
+pub use model::Resolved;
+pub use model::Server;
+pub use model::Service;
+pub use model::Share;
+pub use model::Targets;
+pub use part::InForce;
+pub use part::MAX_PART;
+pub use part::Part;
+pub use part::with_previous;
+pub use resolve::Refusal;
+pub use resolve::Target;
+pub use resolve::resolve;
+pub use resolve::resolve_account;
+pub use text::Text;
--- /dev/null
+++ b/crates/config/src/read.rs
@@ -0,0 +1,384 @@
+//! Reads the sections of one edition into declarations.
+
+use std::collections::HashMap;
+
+use crocushold_base::Millis;
+
+use crate::decl::AccountDecl;
+use crate::decl::ClassDecl;
+use crate::decl::Declared;
+use crate::decl::Grant;
+use crate::decl::ModelDecl;
+use crate::decl::Place;
+use crate::decl::ServerDecl;
+use crate::decl::ServiceDecl;
+use crate::fields::Fields;
+use crate::finding::Finding;
+use crate::finding::Severity;
+use crate::model::Kind;
+use crate::model::Limits;
+use crate::model::Priority;
+use crate::model::Share;
+use crate::model::Targets;
+use crate::source::Section;
+use crate::units;
+use crate::units::ValueError;
+
+/// The one format that this version knows.
+const FORMAT: u32 = 1;
+
+/// The most sections of one kind in an edition.
+const MAX_SECTIONS: usize = 10_000;
+
+const MAX_CONCURRENCY: u32 = 100_000;
+const MAX_RETRIES: u32 = 3;
+const MAX_QUEUE: u32 = 1_000_000;
+const MAX_REPLICAS: u32 = 10_000;
+
+/// An account has one key, and a second one while it changes keys.
+const MAX_KEYS: usize = 2;
+
+const DEFAULT_CONCURRENCY: u32 = 64;
+const DEFAULT_QUEUE: u32 = 256;
+const DEFAULT_OBJECTIVE: Share = Share(9_500);
+
+const HEADER: &str = "the section is unknown; write [service NAME], [server SERVICE/NAME], \
+                      [model SERVICE/NAME], [class NAME] or [account NAME]";
+
+/// Reads sections one after the other.
+pub(crate) struct Reader<'a> {
+    team: &'a str,
+    declared: Declared,
+    findings: &'a mut Vec<Finding>,
+}
+
+/// Reads an edition: its head section, then the others.
+pub(crate) fn read(team: &str, sections: &[Section], findings: &mut Vec<Finding>) -> Declared {
+    let Some((head, rest)) = sections.split_first() else {
+        return Declared::default();
+    };
+    if !read_head(team, head, findings) {
+        return Declared::default();
+    }
+    report_repeats(team, rest, findings);
+    let mut reader = Reader {
+        team,
+        declared: Declared::default(),
+        findings,
+    };
+    for section in rest {
+        reader.section(section);
+    }
+    reader.declared
+}
+
+/// Whether the head states a format that this version knows.
+///
+/// Nothing after an unknown format is looked at: a later format may give any line another meaning,
+/// and two program versions must not accept the same edition in two ways.
+fn read_head(team: &str, head: &Section, findings: &mut Vec<Finding>) -> bool {
+    let mut fields = Fields::new(team, head, findings);
+    let format = fields.require("format", "1", |v| units::count(v, 1, u32::MAX));
+    let known = format == Some(FORMAT);
+    if format.is_some() && !known {
+        fields.reject("format", "the format is unknown; write format = 1");
+        return false;
+    }
+    fields.finish();
+    known
+}
+
+fn report_repeats(team: &str, sections: &[Section], findings: &mut Vec<Finding>) {
+    let mut seen: HashMap<&str, usize> = HashMap::new();
+    let mut kinds: HashMap<&str, usize> = HashMap::new();
+    for section in sections {
+        let place = Place::new(team, section);
+        if let Some(line) = seen.insert(&section.header, section.line) {
+            let message = format!("the section is already on line {line}; write it once");
+            findings.push(place.error("", message));
+        }
+        let kind = section.header.split(' ').next().unwrap_or_default();
+        let count = kinds.entry(kind).or_default();
+        *count += 1;
+        if *count == MAX_SECTIONS + 1 {
+            let message = format!("there are too many sections; write at most {MAX_SECTIONS}");
+            findings.push(place.error("", message));
+        }
+    }
+}
+
+impl Reader<'_> {
+    fn section(&mut self, section: &Section) {
+        let (kind, name) = section.header.split_once(' ').unwrap_or_default();
+        let name = name.trim();
+        match kind {
+            "service" => self.service(section, name),
+            "server" => self.server(section, name),
+            "model" => self.model(section, name),
+            "class" => self.class(section, name),
+            "account" => self.account(section, name),
+            _ => self.reject(section, HEADER),
+        }
+    }
+
+    fn reject(&mut self, section: &Section, message: impl Into<String>) {
+        let place = Place::new(self.team, section);
+        self.findings
+            .push(place.finding(Severity::Error, "", message.into()));
+    }
+
+    /// The full name of a section that is named by one word.
+    fn name(&mut self, section: &Section, name: &str) -> Option<String> {
+        match units::name(name) {
+            Ok(name) => Some(format!("{}/{name}", self.team)),
+            Err(error) => {
+                self.reject(section, error.to_string());
+                None
+            }
+        }
+    }
+
+    /// The service's full name and the own name of a section named `SERVICE/NAME`.
+    fn member(
+        &mut self,
+        section: &Section,
+        name: &str,
+        read: impl Fn(&str) -> Result<String, ValueError>,
+    ) -> Option<(String, String)> {
+        let Some((service, own)) = name.split_once('/') else {
+            self.reject(section, "the service is missing; write SERVICE/NAME");
+            return None;
+        };
+        match (units::name(service), read(own)) {
+            (Ok(service), Ok(own)) => Some((format!("{}/{service}", self.team), own)),
+            (Err(error), _) | (_, Err(error)) => {
+                self.reject(section, error.to_string());
+                None
+            }
+        }
+    }
+
+    fn service(&mut self, section: &Section, name: &str) {
+        let name = self.name(section, name);
+        let team = self.team;
+        let mut fields = Fields::new(team, section, self.findings);
+        let kind = read_kind(&mut fields);
+        let depends = fields.take("depends-on", |v| {
+            units::list(v, |item| units::reference(team, item))
+        });
+        let grants = fields.take("shared-with", |v| units::list(v, read_grant));
+        let loads = fields.take("weight-loads", |v| units::rate(v, "/min"));
+        let concurrency = take_concurrency(&mut fields);
+        let orders = fields.take("checks-orders", units::flag);
+        if loads.is_some() && matches!(kind, Some(Kind::Plain { .. })) {
+            fields.reject(
+                "weight-loads",
+                "a plain service loads no weights; leave it out",
+            );
+        }
+        fields.finish();
+        let (Some(name), Some(kind)) = (name, kind) else {
+            return;
+        };
+        self.declared.services.push(ServiceDecl {
+            place: Place::new(team, section),
+            name,
+            kind,
+            depends: depends.unwrap_or_default(),
+            grants: grants.unwrap_or_default(),
+            weight_loads: loads.unwrap_or_default(),
+            concurrency: concurrency.unwrap_or(DEFAULT_CONCURRENCY),
+            checks_orders: orders.unwrap_or(false),
+        });
+    }
+
+    fn server(&mut self, section: &Section, name: &str) {
+        let member = self.member(section, name, units::name);
+        let mut fields = Fields::new(self.team, section, self.findings);
+        let address = fields.require("address", "10.0.0.7:8000", units::address);
+        let zone = fields.require("zone", "ZONE", units::name);
+        let concurrency = take_concurrency(&mut fields);
+        let checks_orders = fields.take("checks-orders", units::flag);
+        fields.finish();
+        let (Some((service, own)), Some(address), Some(zone)) = (member, address, zone) else {
+            return;
+        };
+        self.declared.servers.push(ServerDecl {
+            place: Place::new(self.team, section),
+            name: format!("{service}/{own}"),
+            service,
+            address,
+            zone,
+            concurrency,
+            checks_orders,
+        });
+    }
+
+    fn model(&mut self, section: &Section, name: &str) {
+        let member = self.member(section, name, units::model_id);
+        let mut fields = Fields::new(self.team, section, self.findings);
+        let weights = fields.require("weights", "16 GB", units::size);
+        let replicas = fields.require("servers", "2", |v| units::count(v, 1, MAX_REPLICAS));
+        fields.finish();
+        let (Some((service, id)), Some(weights), Some(replicas)) = (member, weights, replicas)
+        else {
+            return;
+        };
+        self.declared.models.push(ModelDecl {
+            place: Place::new(self.team, section),
+            name: format!("{service}/{id}"),
+            id,
+            service,
+            weights,
+            replicas,
+        });
+    }
+
+    fn class(&mut self, section: &Section, name: &str) {
+        let name = self.name(section, name);
+        let team = self.team;
+        let mut fields = Fields::new(team, section, self.findings);
+        let service = fields.require("service", "SERVICE", |v| units::reference(team, v));
+        let priority = fields.require("priority", "3", units::priority);
+        let targets = read_targets(&mut fields);
+        let floor = fields.take("floor", units::share);
+        let idempotent = fields.require("idempotent", "yes", units::flag);
+        let retries = fields.take("retries", |v| units::count(v, 0, MAX_RETRIES));
+        let queue = fields.take("queue", |v| units::count(v, 0, MAX_QUEUE));
+        let objective = fields.take("objective", units::share);
+        let calls = fields.take("calls", |v| units::list(v, units::call));
+        let teams = fields.take("shared-with", |v| units::list(v, units::name));
+        if objective == Some(Share::WHOLE) || objective == Some(Share(0)) {
+            let message = "no burn can be worked out; write a share between 0 % and 100 %";
+            fields.reject("objective", message);
+        }
+        if idempotent == Some(false) && retries.is_some_and(|count| count > 0) {
+            let message = "a request that is not idempotent is never sent again; \
+                           write retries = 0 or idempotent = yes";
+            fields.reject("retries", message);
+        }
+        fields.finish();
+        let (Some(name), Some(service), Some(priority), Some(idempotent)) =
+            (name, service, priority, idempotent)
+        else {
+            return;
+        };
+        let default_retries = u32::from(idempotent);
+        self.declared.classes.push(ClassDecl {
+            place: Place::new(team, section),
+            name,
+            service,
+            priority: priority.min(Priority::LOWEST),
+            targets,
+            floor: floor.unwrap_or_default(),
+            idempotent,
+            retries: retries.unwrap_or(default_retries),
+            queue: queue.unwrap_or(DEFAULT_QUEUE),
+            objective: objective.unwrap_or(DEFAULT_OBJECTIVE),
+            calls: calls.unwrap_or_default(),
+            teams: teams.unwrap_or_default(),
+        });
+    }
+
+    fn account(&mut self, section: &Section, name: &str) {
+        let name = self.name(section, name);
+        let team = self.team;
+        let mut fields = Fields::new(team, section, self.findings);
+        let digests = fields.require("key-sha256", "64 hexadecimal digits", |v| {
+            units::list(v, units::digest)
+        });
+        if digests.as_ref().is_some_and(|keys| keys.len() > MAX_KEYS) {
+            fields.reject(
+                "key-sha256",
+                "there are too many keys; write one, or two to change",
+            );
+        }
+        let classes = fields.require("classes", "CLASS, CLASS", |v| {
+            units::list(v, |item| units::reference(team, item))
+        });
+        let requests = fields.require("requests", "50/s", |v| units::rate(v, "/s"));
+        let tokens = fields.require("tokens", "20000/s", |v| units::rate(v, "/s"));
+        let concurrency =
+            fields.require("concurrency", "64", |v| units::count(v, 1, MAX_CONCURRENCY));
+        fields.finish();
+        let (Some(name), Some(digests), Some(classes)) = (name, digests, classes) else {
+            return;
+        };
+        let (Some(requests), Some(tokens), Some(concurrency)) = (requests, tokens, concurrency)
+        else {
+            return;
+        };
+        self.declared.accounts.push(AccountDecl {
+            place: Place::new(team, section),
+            name,
+            digests,
+            classes,
+            limits: Limits {
+                requests,
+                tokens,
+                concurrency,
+            },
+        });
+    }
+}
+
+fn take_concurrency(fields: &mut Fields<'_>) -> Option<u32> {
+    fields.take("concurrency", |v| units::count(v, 1, MAX_CONCURRENCY))
+}
+
+fn read_kind(fields: &mut Fields<'_>) -> Option<Kind> {
+    let kind = fields.require("kind", "model", |v| Ok(v.to_owned()))?;
+    let prefix = fields.take("prefix", units::prefix);
+    match kind.as_str() {
+        "model" => {
+            if fields.has("prefix") {
+                fields.reject("prefix", "a model service has no prefix; leave it out");
+            }
+            Some(Kind::Model)
+        }
+        "plain" => {
+            if !fields.has("prefix") {
+                fields.reject("prefix", "the key is missing; write prefix = /PATH");
+            }
+            Some(Kind::Plain { prefix: prefix? })
+        }
+        _ => {
+            fields.reject("kind", "the kind is unknown; write model or plain");
+            None
+        }
+    }
+}
+
+fn read_grant(value: &str) -> Result<Grant, ValueError> {
+    let (team, share) = value.split_once(' ').unwrap_or((value, ""));
+    Ok(Grant {
+        team: units::name(team)?,
+        share: units::share(share.trim())?,
+    })
+}
+
+/// Reads the targets: the first token and the gap between tokens, or the whole answer, or both.
+fn read_targets(fields: &mut Fields<'_>) -> Targets {
+    let targets = Targets {
+        first_token: fields.take("first-token", units::duration),
+        between_tokens: fields.take("between-tokens", units::duration),
+        whole_answer: fields.take("whole-answer", units::duration),
+    };
+    let whole = targets.whole_answer.unwrap_or(Millis::MAX);
+    let late = |part: Option<Millis>| part.is_some_and(|part| part >= whole);
+    if late(targets.first_token) {
+        let message = "the first token is due no sooner than the whole answer; \
+                       write a first-token below whole-answer";
+        fields.reject("first-token", message);
+    }
+    if late(targets.between_tokens) {
+        let message = "the gap is as long as the whole answer may take; \
+                       write a between-tokens below whole-answer";
+        fields.reject("between-tokens", message);
+    }
+    if !fields.has("first-token") && !fields.has("whole-answer") {
+        let message = "the class has no target; write first-token = 350 ms or whole-answer = 10 s";
+        fields.reject("", message);
+    }
+    targets
+}
