Add the scheduler: admission, order, limits and settlement

A pure state machine for one service on one entry instance. Tiers are served in strict order with a floor in tokens for each class, classes of a tier by earliest deadline, accounts of a class by tokens served. Tickets carry their state in the type, so that a request which was sent can't be queued again without proof that it did not run.

--- /dev/null
+++ b/crates/admission/src/account.rs
@@ -0,0 +1,179 @@
+//! Limits and the learned bias of one client account.
+
+use crocushold_base::ClassKey;
+use crocushold_base::Millis;
+
+use crate::bucket::Bucket;
+use crate::refusal::Reason;
+use crate::spec::AccountSpec;
+
+/// Gain of the bias with each answer.
+const BIAS_GAIN: f64 = 0.25;
+
+/// Bounds of the bias: one odd answer must not make an account's next requests unpayable.
+const BIAS_MIN: f64 = 0.25;
+const BIAS_MAX: f64 = 64.0;
+
+/// The state of one account.
+#[derive(Debug)]
+pub(crate) struct Account {
+    pub(crate) spec: AccountSpec,
+    pub(crate) queued: u32,
+    pub(crate) running: u32,
+    /// Classes in which the account's queue waits for its concurrency limit.
+    pub(crate) blocked: Vec<ClassKey>,
+    /// How much longer the account's answers are than those of its classes.
+    bias: f64,
+    share: f64,
+    requests: Bucket,
+    tokens: Bucket,
+    grant: Grant,
+}
+
+/// Tokens lent by another instance.
+#[derive(Clone, Copy, Debug, Default)]
+struct Grant {
+    tokens: f64,
+    until: Millis,
+}
+
+/// A limit that refuses a request, and how long it will.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LimitHit {
+    pub(crate) reason: Reason,
+    pub(crate) wait: Millis,
+}
+
+impl Account {
+    pub(crate) fn new(spec: AccountSpec, now: Millis) -> Account {
+        let requests = Bucket::new(spec.requests, spec.burst, now);
+        let tokens = Bucket::new(spec.tokens, spec.burst, now);
+        Account {
+            spec,
+            queued: 0,
+            running: 0,
+            blocked: Vec::new(),
+            bias: 1.0,
+            share: 1.0,
+            requests,
+            tokens,
+            grant: Grant::default(),
+        }
+    }
+
+    pub(crate) fn configure(&mut self, spec: AccountSpec, now: Millis) {
+        if self.spec != spec {
+            self.spec = spec;
+            self.apply_rates(now);
+        }
+    }
+
+    pub(crate) fn set_share(&mut self, share: f64, now: Millis) {
+        self.share = share.clamp(0.0, 1.0);
+        self.apply_rates(now);
+    }
+
+    /// Most requests in flight on this instance: its share, but one at least, because a limit of
+    /// zero would starve an account whose few requests happen to arrive here.
+    pub(crate) fn concurrency(&self) -> u32 {
+        if self.spec.concurrency == u32::MAX {
+            return u32::MAX;
+        }
+        let part = f64::from(self.spec.concurrency) * self.share;
+        (part.ceil() as u32).max(1)
+    }
+
+    pub(crate) fn at_limit(&self) -> bool {
+        self.running >= self.concurrency()
+    }
+
+    /// Tokens that the account is expected to receive where its class expects `output`.
+    pub(crate) fn expect(&self, output: u32) -> u32 {
+        (f64::from(output) * self.bias) as u32
+    }
+
+    /// Learns from an answer of `real` tokens where the class expected `output`.
+    pub(crate) fn learn(&mut self, output: u32, real: u32) {
+        let ratio = f64::from(real.max(1)) / f64::from(output.max(1));
+        let bias = self.bias + (ratio - self.bias) * BIAS_GAIN;
+        self.bias = bias.clamp(BIAS_MIN, BIAS_MAX);
+    }
+
+    /// Checks the limits without using them up.
+    pub(crate) fn check(&mut self, tokens: u64, now: Millis) -> Result<(), LimitHit> {
+        let wait = self.requests.wait(1.0, now);
+        if wait > Millis::ZERO {
+            return Err(LimitHit {
+                reason: Reason::RequestRate,
+                wait,
+            });
+        }
+        let needed = tokens as f64 - self.granted(now);
+        let wait = self.tokens.wait(needed, now);
+        if needed > 0.0 && wait > Millis::ZERO {
+            return Err(LimitHit {
+                reason: Reason::TokenRate,
+                wait,
+            });
+        }
+        if self.queued >= self.spec.queue {
+            return Err(LimitHit {
+                reason: Reason::AccountQueue,
+                wait: Millis::ZERO,
+            });
+        }
+        Ok(())
+    }
+
+    /// Uses up the limits for an admitted request; lent tokens first, since they expire.
+    pub(crate) fn take(&mut self, tokens: u64, now: Millis) {
+        self.requests.take(1.0);
+        let lent = self.granted(now).min(tokens as f64);
+        self.grant.tokens -= lent;
+        self.tokens.take(tokens as f64 - lent);
+    }
+
+    /// Corrects what was taken for a request by the difference to its real count.
+    pub(crate) fn settle(&mut self, billed: u64, real: u64) {
+        self.tokens.take(real as f64 - billed as f64);
+    }
+
+    /// Gives back what a request took that did not run.
+    pub(crate) fn refund(&mut self, tokens: u64) {
+        self.requests.take(-1.0);
+        self.tokens.take(-(tokens as f64));
+    }
+
+    /// Notes that the account's queue in `class` waits for the concurrency limit.
+    pub(crate) fn block(&mut self, class: ClassKey) {
+        if !self.blocked.contains(&class) {
+            self.blocked.push(class);
+        }
+    }
+
+    pub(crate) fn lend(&mut self, tokens: u64, until: Millis, now: Millis) {
+        self.grant.tokens = self.granted(now) + tokens as f64;
+        self.grant.until = until;
+    }
+
+    fn granted(&self, now: Millis) -> f64 {
+        if now < self.grant.until {
+            self.grant.tokens
+        } else {
+            0.0
+        }
+    }
+
+    fn apply_rates(&mut self, now: Millis) {
+        let burst = self.spec.burst;
+        let requests = self.spec.requests * self.share;
+        let tokens = self.spec.tokens * self.share;
+        self.requests.set_rate(rate(requests), burst, now);
+        self.tokens.set_rate(rate(tokens), burst, now);
+    }
+}
+
+/// An unlimited rate stays unlimited under a share of zero.
+fn rate(rate: f64) -> f64 {
+    if rate.is_nan() { f64::INFINITY } else { rate }
+}
--- /dev/null
+++ b/crates/admission/src/class.rs
@@ -0,0 +1,300 @@
+//! The queue of one class, fair between its accounts.
+//!
+//! Start-time fair queuing over a virtual token counter for each account: the account that was
+//! served the least goes next, and one that was idle starts at the class's virtual time, so that
+//! idle time can't be saved up as credit. An account that was served more than its part keeps its
+//! counter until the virtual time has caught up, so that going idle for a moment sheds no debt.
+
+use std::collections::BTreeSet;
+
+use crocushold_base::AccountKey;
+use crocushold_base::ModelKey;
+use slotmap::SecondaryMap;
+use slotmap::SparseSecondaryMap;
+
+use crate::flow::Flow;
+use crate::flow::FlowLength;
+use crate::flow::FlowRank;
+use crate::histogram::DecayingHistogram;
+use crate::pace::Pressure;
+use crate::request::Lane;
+use crate::request::Place;
+use crate::request::Request;
+use crate::request::Turn;
+use crate::spec::ClassSpec;
+use crate::standing::Standing;
+
+/// One start in this many goes to a request that missed its target while others still can attain.
+///
+/// With none, a permanent overload would never reach the late ones; with more, hopeless work would
+/// make attainable work late in turn.
+const LATE_EVERY: u32 = 8;
+
+/// Quantile of the past time to first token that is set aside from the target.
+const START_QUANTILE: f64 = 0.9;
+
+/// The state of one class.
+#[derive(Debug)]
+pub(crate) struct Class {
+    pub(crate) spec: ClassSpec,
+    pub(crate) queued: u32,
+    /// Estimated cost of what is queued.
+    pub(crate) backlog: u64,
+    pub(crate) bytes: u64,
+    pub(crate) pressure: Pressure,
+    /// The instant of the floor's virtual clock up to which the class was served its floor.
+    pub(crate) floor_clock: u64,
+    /// Where the class stands in the scheduler's orders.
+    pub(crate) standing: Standing,
+    /// Queue entries that are kept for the class.
+    pub(crate) kept: u32,
+    pub(crate) outputs: DecayingHistogram,
+    pub(crate) models: SecondaryMap<ModelKey, DecayingHistogram>,
+    pub(crate) starts: DecayingHistogram,
+    flows: SparseSecondaryMap<AccountKey, Flow>,
+    fresh: BTreeSet<FlowRank>,
+    late: BTreeSet<FlowRank>,
+    idle: BTreeSet<FlowRank>,
+    lengths: BTreeSet<FlowLength>,
+    virtual_time: u64,
+    since_late: u32,
+}
+
+/// The request that a class would start next.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) account: AccountKey,
+    pub(crate) lane: Lane,
+    pub(crate) place: Place,
+    /// The class has nothing that can still attain.
+    pub(crate) only_late: bool,
+}
+
+impl Class {
+    pub(crate) fn new(spec: ClassSpec, output_quantile: f64) -> Class {
+        Class {
+            spec,
+            queued: 0,
+            backlog: 0,
+            bytes: 0,
+            pressure: Pressure::default(),
+            floor_clock: 0,
+            standing: Standing::default(),
+            kept: 0,
+            outputs: DecayingHistogram::new(output_quantile),
+            models: SecondaryMap::new(),
+            starts: DecayingHistogram::new(START_QUANTILE),
+            flows: SparseSecondaryMap::new(),
+            fresh: BTreeSet::new(),
+            late: BTreeSet::new(),
+            idle: BTreeSet::new(),
+            lengths: BTreeSet::new(),
+            virtual_time: 0,
+            since_late: 0,
+        }
+    }
+
+    /// Accounts with something queued.
+    pub(crate) fn active(&self) -> u64 {
+        self.lengths.len() as u64
+    }
+
+    pub(crate) fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
+    pub(crate) fn flow(&self, account: AccountKey) -> Option<&Flow> {
+        self.flows.get(account)
+    }
+
+    /// The request that would start next.
+    pub(crate) fn candidate(&self) -> Option<Candidate> {
+        let late_turn = self.since_late >= LATE_EVERY - 1 && !self.late.is_empty();
+        let lane = if self.fresh.is_empty() || late_turn {
+            Lane::Late
+        } else {
+            Lane::Fresh
+        };
+        let account = self.order(lane).first()?.account;
+        let place = *self.flows.get(account)?.head(lane)?;
+        Some(Candidate {
+            account,
+            lane,
+            place,
+            only_late: self.fresh.is_empty(),
+        })
+    }
+
+    /// The account with the longest queue, and its length.
+    pub(crate) fn longest(&self) -> Option<FlowLength> {
+        self.lengths.last().copied()
+    }
+
+    /// Queue entries that are kept for the class and not used.
+    pub(crate) fn spare(&self) -> u32 {
+        self.kept.saturating_sub(self.queued)
+    }
+
+    pub(crate) fn insert(&mut self, request: &Request, lane: Lane) {
+        self.queued += 1;
+        self.backlog += request.place.charge;
+        self.bytes += u64::from(request.bytes);
+        self.pressure.add(request.pressure);
+        let start = self.virtual_time;
+        self.update(request.account, |flow| {
+            if flow.is_empty() {
+                flow.counter = flow.counter.max(start);
+            }
+            flow.insert(lane, request.place);
+        });
+    }
+
+    pub(crate) fn remove(&mut self, request: &Request, lane: Lane) {
+        self.queued -= 1;
+        self.backlog -= request.place.charge;
+        self.bytes -= u64::from(request.bytes);
+        self.pressure.remove(request.pressure);
+        self.update(request.account, |flow| flow.remove(lane, &request.place));
+    }
+
+    /// Takes note that the candidate is about to be started.
+    pub(crate) fn note_start(&mut self, candidate: &Candidate) {
+        self.since_late = match candidate.lane {
+            Lane::Late => 0,
+            Lane::Fresh if self.late.is_empty() => 0,
+            Lane::Fresh => self.since_late + 1,
+        };
+        let counter = self.flow(candidate.account).map_or(0, |flow| flow.counter);
+        self.virtual_time = self.virtual_time.max(counter);
+    }
+
+    pub(crate) fn charge(&mut self, account: AccountKey, tokens: u64) {
+        self.update(account, |flow| flow.charge(tokens));
+    }
+
+    pub(crate) fn refund(&mut self, account: AccountKey, tokens: u64) {
+        self.update(account, |flow| flow.refund(tokens));
+    }
+
+    /// Takes an account in or out of the order when it reaches or leaves its concurrency limit.
+    pub(crate) fn set_blocked(&mut self, account: AccountKey, blocked: bool) {
+        if !self.flows.contains_key(account) {
+            return;
+        }
+        let start = self.virtual_time;
+        self.update(account, |flow| {
+            // Time spent at the limit is no credit either.
+            if flow.blocked && !blocked {
+                flow.counter = flow.counter.max(start);
+            }
+            flow.blocked = blocked;
+        });
+    }
+
+    pub(crate) fn set_weight(&mut self, account: AccountKey, weight: f64) {
+        if let Some(flow) = self.flows.get_mut(account) {
+            flow.weight = weight;
+        }
+    }
+
+    /// Makes sure that the account has a flow; `weight` is used for a new one.
+    pub(crate) fn ensure(&mut self, account: AccountKey, weight: f64) {
+        if !self.flows.contains_key(account) {
+            let flow = Flow::new(self.virtual_time, weight);
+            self.flows.insert(account, flow);
+            self.attach(account);
+        }
+    }
+
+    /// Books a start against the floor.
+    ///
+    /// A start by the floor advances the class's clock by what its share takes to grow back. A
+    /// start in ordinary order uses up credit but leaves no debt: otherwise what the class was
+    /// served in quiet hours would cost it its floor in the rush.
+    pub(crate) fn book_floor(&mut self, turn: Turn, charge: u64, clock: u64) {
+        let step = floor_span(charge, self.spec.floor);
+        let next = self.floor_clock.saturating_add(step);
+        self.floor_clock = match turn {
+            Turn::Floor => next,
+            Turn::Order => next.min(clock).max(self.floor_clock),
+        };
+    }
+
+    fn update(&mut self, account: AccountKey, change: impl FnOnce(&mut Flow)) {
+        self.detach(account);
+        if let Some(flow) = self.flows.get_mut(account) {
+            change(flow);
+        }
+        self.attach(account);
+    }
+
+    fn detach(&mut self, account: AccountKey) {
+        let Some(flow) = self.flows.get(account) else {
+            return;
+        };
+        let rank = FlowRank {
+            counter: flow.counter,
+            account,
+        };
+        if flow.is_empty() {
+            self.idle.remove(&rank);
+            return;
+        }
+        self.lengths.remove(&FlowLength {
+            queued: flow.len(),
+            account,
+        });
+        self.fresh.remove(&rank);
+        self.late.remove(&rank);
+    }
+
+    fn attach(&mut self, account: AccountKey) {
+        let Some(flow) = self.flows.get(account) else {
+            return;
+        };
+        let rank = FlowRank {
+            counter: flow.counter,
+            account,
+        };
+        if flow.is_empty() {
+            self.idle.insert(rank);
+            return;
+        }
+        self.lengths.insert(FlowLength {
+            queued: flow.len(),
+            account,
+        });
+        if flow.blocked {
+            return;
+        }
+        if flow.head(Lane::Fresh).is_some() {
+            self.fresh.insert(rank);
+        }
+        if flow.head(Lane::Late).is_some() {
+            self.late.insert(rank);
+        }
+    }
+
+    /// Drops the idle flows that owe nothing, so that memory follows the accounts in use.
+    pub(crate) fn forget_idle(&mut self) {
+        while let Some(&rank) = self.idle.first() {
+            if rank.counter > self.virtual_time {
+                return;
+            }
+            self.idle.remove(&rank);
+            self.flows.remove(rank.account);
+        }
+    }
+
+    fn order(&self, lane: Lane) -> &BTreeSet<FlowRank> {
+        match lane {
+            Lane::Fresh => &self.fresh,
+            Lane::Late => &self.late,
+        }
+    }
+}
+
+/// The dispatched tokens of which `charge` is the share `floor`.
+pub(crate) fn floor_span(charge: u64, floor: f64) -> u64 {
+    (charge as f64 / floor) as u64
+}
--- /dev/null
+++ b/crates/admission/src/flow.rs
@@ -0,0 +1,106 @@
+//! The queue of one account in one class.
+
+use std::collections::BTreeSet;
+
+use crocushold_base::AccountKey;
+
+use crate::request::Lane;
+use crate::request::Place;
+
+/// Units of a counter to a token of an account of weight 1.
+const SCALE: f64 = 256.0;
+
+/// One account's requests of one class, and the tokens it was served.
+#[derive(Clone, Debug)]
+pub(crate) struct Flow {
+    /// Tokens served, scaled by the account's weight; the account with the least goes next.
+    pub(crate) counter: u64,
+    pub(crate) weight: f64,
+    /// The account is at its concurrency limit.
+    pub(crate) blocked: bool,
+    /// Estimated cost of what is queued.
+    pub(crate) backlog: u64,
+    fresh: BTreeSet<Place>,
+    late: BTreeSet<Place>,
+}
+
+impl Flow {
+    pub(crate) fn new(counter: u64, weight: f64) -> Flow {
+        Flow {
+            counter,
+            weight,
+            blocked: false,
+            backlog: 0,
+            fresh: BTreeSet::new(),
+            late: BTreeSet::new(),
+        }
+    }
+
+    pub(crate) fn len(&self) -> u32 {
+        (self.fresh.len() + self.late.len()) as u32
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.fresh.is_empty() && self.late.is_empty()
+    }
+
+    pub(crate) fn head(&self, lane: Lane) -> Option<&Place> {
+        self.lane(lane).first()
+    }
+
+    /// The request that gives way first: the newest that can still attain, else the newest.
+    pub(crate) fn newest(&self) -> Option<&Place> {
+        self.fresh.last().or_else(|| self.late.last())
+    }
+
+    pub(crate) fn insert(&mut self, lane: Lane, place: Place) {
+        self.backlog += place.charge;
+        self.lane_mut(lane).insert(place);
+    }
+
+    pub(crate) fn remove(&mut self, lane: Lane, place: &Place) {
+        if self.lane_mut(lane).remove(place) {
+            self.backlog -= place.charge;
+        }
+    }
+
+    pub(crate) fn charge(&mut self, tokens: u64) {
+        self.counter = self.counter.saturating_add(self.scaled(tokens));
+    }
+
+    pub(crate) fn refund(&mut self, tokens: u64) {
+        self.counter = self.counter.saturating_sub(self.scaled(tokens));
+    }
+
+    fn scaled(&self, tokens: u64) -> u64 {
+        (tokens as f64 * SCALE / self.weight.max(f64::MIN_POSITIVE)) as u64
+    }
+
+    fn lane(&self, lane: Lane) -> &BTreeSet<Place> {
+        match lane {
+            Lane::Fresh => &self.fresh,
+            Lane::Late => &self.late,
+        }
+    }
+
+    fn lane_mut(&mut self, lane: Lane) -> &mut BTreeSet<Place> {
+        match lane {
+            Lane::Fresh => &mut self.fresh,
+            Lane::Late => &mut self.late,
+        }
+    }
+}
+
+/// Order of the flows of a class by the tokens they were served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct FlowRank {
+    pub(crate) counter: u64,
+    pub(crate) account: AccountKey,
+}
+
+/// Order of the flows of a class by the length of their queues.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct FlowLength {
+    pub(crate) queued: u32,
+    pub(crate) account: AccountKey,
+}
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,1 +1,64 @@
-//! Placeholder of crocushold-admission.
+//! Admission, scheduling and limits as pure state machines.
+//!
+//! One [`Scheduler`] serves one service on one entry instance. It does no I/O and reads no clock:
+//! the caller feeds it events with the time and carries out the actions it returns.
+//!
+//! ```text
+//! submit ──> queued ──next──> Ticket<Dispatched> ──sent──> Ticket<Sent> ──finish──> done
+//!    │          │                  │                            │
+//!    │          └─next: Refuse     └─requeue (keeps its place)  └─not_run: may be sent elsewhere
+//!    └─ Verdict::Refused
+//! ```
+//!
+//! What it decides:
+//!
+//! * **Who may queue.** Rate limits by client account, a bound on queue memory, and a prediction of
+//!   the wait: a request that can't meet its bound any more is refused at once, with the time after
+//!   which to retry. See [`Scheduler::submit`].
+//! * **Who runs next.** Strict order between tiers with a floor in tokens for each class; earliest
+//!   deadline between the classes of a tier; fair by tokens between the accounts of a class. See
+//!   [`Scheduler::next`].
+//! * **Who gives way.** Queued work of the lowest tier first, and never work that was started.
+//!
+//! The contract of the driver is short: after every call, call [`Scheduler::next`] until it returns
+//! `None`, and call it again at [`Scheduler::wake_at`]. Refusals come out of `next` before any
+//! dispatch, so an instance that was suspended answers the overdue requests before it starts others.
+
+mod account;
+mod bucket;
+mod class;
+mod decay;
+mod flow;
+mod headroom;
+mod histogram;
+mod pace;
+mod refusal;
+mod request;
+mod scheduler;
+mod settings;
+mod spec;
+mod standing;
+mod status;
+mod ticket;
+
+pub use refusal::Reason;
+pub use refusal::Refusal;
+pub use refusal::Refused;
+pub use request::Arrival;
+pub use scheduler::Action;
+pub use scheduler::Cancelled;
+pub use scheduler::Completion;
+pub use scheduler::Scheduler;
+pub use scheduler::Settlement;
+pub use scheduler::Verdict;
+pub use settings::HeadroomSettings;
+pub use settings::Settings;
+pub use spec::AccountSpec;
+pub use spec::ClassSpec;
+pub use spec::MAX_TIERS;
+pub use status::ClassStatus;
+pub use status::Status;
+pub use ticket::Dispatched;
+pub use ticket::NotRun;
+pub use ticket::Sent;
+pub use ticket::Ticket;
--- /dev/null
+++ b/crates/admission/src/scheduler/dispatch.rs
@@ -0,0 +1,179 @@
+//! The next action: an overdue answer, or a request to start.
+
+use crocushold_base::ClassKey;
+use crocushold_base::Millis;
+
+use super::Scheduler;
+use crate::class::Candidate;
+use crate::refusal::Reason;
+use crate::refusal::Refused;
+use crate::request::Lane;
+use crate::request::Run;
+use crate::request::Stage;
+use crate::request::Turn;
+use crate::ticket::Dispatched;
+use crate::ticket::Ticket;
+
+/// Time after which a driver asks again when lower tiers wait behind the headroom, which shrinks
+/// with time alone.
+const HEADROOM_POLL: Millis = Millis(50);
+
+/// What the driver has to do next.
+#[derive(Debug)]
+#[must_use = "an action that is dropped leaves a caller without an answer"]
+pub enum Action {
+    /// Answer this request with its refusal.
+    Refuse(Refused),
+    /// Start this request.
+    Dispatch(Ticket<Dispatched>),
+}
+
+impl Scheduler {
+    /// The next action, or `None` when there is nothing to do at present.
+    ///
+    /// `free` is the number of slots that are free on the backend servers now; after a dispatch it
+    /// is one less. All refusals that are due come before any dispatch: a process that was
+    /// suspended answers what expired meanwhile, and never starts a request after its deadline.
+    ///
+    /// When the driver finds no backend server for a dispatched request it gives the ticket to
+    /// [`requeue`](Scheduler::requeue) and stops asking until a slot is free again.
+    pub fn next(&mut self, now: Millis, free: u32) -> Option<Action> {
+        let now = self.observe(now);
+        self.pass_time(now);
+        if let Some(refused) = self.refused.pop_front() {
+            return Some(Action::Refuse(refused));
+        }
+        self.update_headroom(free, now);
+        if free == 0 {
+            return None;
+        }
+        let (class, turn, candidate) = self.choose(free)?;
+        let ticket = self.start(class, turn, &candidate, now)?;
+        Some(Action::Dispatch(ticket))
+    }
+
+    /// The instant at which [`next`](Scheduler::next) may have something to do without another
+    /// event; `None` if there is none.
+    pub fn wake_at(&self) -> Option<Millis> {
+        if !self.refused.is_empty() {
+            return Some(self.now);
+        }
+        let timer = self.timers.first().map(|timer| timer.at);
+        let poll = self.held_back().then_some(self.now + HEADROOM_POLL);
+        timer.into_iter().chain(poll).min()
+    }
+
+    /// Puts a request back for which no backend server could be had. It keeps its place, and its
+    /// account, class and floor are not charged.
+    pub fn requeue(&mut self, ticket: Ticket<Dispatched>, now: Millis) {
+        let now = self.observe(now);
+        let key = ticket.redeem();
+        let Some(run) = self.end_run(key) else {
+            return;
+        };
+        let Some(request) = self.requests.get(key).copied() else {
+            return;
+        };
+        let late = request.place.due <= now;
+        let lane = if late { Lane::Late } else { Lane::Fresh };
+        self.undo_charge(&request, &run, now);
+        self.free += 1;
+        let class_known = self.classes.contains_key(request.class);
+        let account_known = self.accounts.contains_key(request.account);
+        if class_known && account_known {
+            self.insert_queued(key, lane);
+            return;
+        }
+        let reason = if class_known {
+            Reason::UnknownAccount
+        } else {
+            Reason::UnknownClass
+        };
+        self.requests.remove(key);
+        let refusal = self.refusal(reason, Millis::ZERO);
+        self.refused.push_back(Refused { key, refusal });
+    }
+
+    fn update_headroom(&mut self, free: u32, now: Millis) {
+        let idle = if self.held_back() { self.free } else { 0 };
+        let slots = self.slots();
+        self.headroom.book(idle, slots, self.settings.gap, now);
+        self.free = free;
+        let slots = self.slots();
+        let absorbed = self.pace.releases(slots, self.headroom.window());
+        self.headroom.update(slots, absorbed, now);
+    }
+
+    /// Whether slots stand free that only the headroom keeps from lower tiers.
+    fn held_back(&self) -> bool {
+        let lower = self.orders.heads.first().is_some_and(|head| head.tier > 0);
+        lower && self.free > 0 && self.free <= self.headroom.kept()
+    }
+
+    /// Chooses class, right and request. Queues of accounts that reached their concurrency limit
+    /// are taken out of the order on the way.
+    fn choose(&mut self, free: u32) -> Option<(ClassKey, Turn, Candidate)> {
+        loop {
+            let (key, turn) = self.choose_class(free)?;
+            let class = self.classes.get_mut(key)?;
+            let candidate = class.candidate()?;
+            let account = self.accounts.get_mut(candidate.account)?;
+            if !account.at_limit() {
+                return Some((key, turn, candidate));
+            }
+            account.block(key);
+            class.set_blocked(candidate.account, true);
+            self.orders.refresh(key, class);
+        }
+    }
+
+    /// A floor that has fallen due goes first. It falls due only after its share of the tokens
+    /// went to others, so it never takes more than that share from a higher tier.
+    fn choose_class(&self, free: u32) -> Option<(ClassKey, Turn)> {
+        let head = self.orders.heads.first()?;
+        let held_back = head.tier > 0 && free <= self.headroom.kept();
+        let due = self
+            .orders
+            .floors
+            .first()
+            .filter(|floor| floor.at <= self.orders.clock);
+        if let Some(floor) = due
+            && (floor.class != head.class || held_back)
+        {
+            return Some((floor.class, Turn::Floor));
+        }
+        (!held_back).then_some((head.class, Turn::Order))
+    }
+
+    fn start(
+        &mut self,
+        key: ClassKey,
+        turn: Turn,
+        candidate: &Candidate,
+        now: Millis,
+    ) -> Option<Ticket<Dispatched>> {
+        let place = candidate.place;
+        let request = *self.requests.get(place.key)?;
+        self.classes.get_mut(key)?.note_start(candidate);
+        self.remove_queued(&request, candidate.lane);
+        self.orders.clock += place.charge;
+        let class = self.classes.get_mut(key)?;
+        class.charge(candidate.account, place.charge);
+        class.forget_idle();
+        class.book_floor(turn, place.charge, self.orders.clock);
+        self.orders.refresh(key, class);
+        let tier = class.spec.tier_index();
+        self.pace.dispatched(tier, place.charge as f64, now);
+        self.accounts.get_mut(candidate.account)?.running += 1;
+        self.running += 1;
+        self.free = self.free.saturating_sub(1);
+        self.requests.get_mut(place.key)?.stage = Stage::Running(Run {
+            since: now,
+            charged: place.charge,
+            answered: false,
+            pauses: self.pauses,
+            turn,
+        });
+        Some(Ticket::new(place.key, key, candidate.account, place.charge))
+    }
+}
--- /dev/null
+++ b/crates/admission/src/scheduler/mod.rs
@@ -0,0 +1,116 @@
+//! The scheduler of one service on one entry instance.
+
+mod configure;
+mod dispatch;
+mod estimate;
+mod queue;
+mod report;
+mod settle;
+mod submit;
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use crocushold_base::AccountKey;
+use crocushold_base::ClassKey;
+use crocushold_base::Millis;
+use crocushold_base::RequestKey;
+use slotmap::SecondaryMap;
+use slotmap::SlotMap;
+
+use crate::account::Account;
+use crate::class::Class;
+use crate::headroom::Headroom;
+use crate::pace::Pace;
+use crate::refusal::Refused;
+use crate::request::Request;
+use crate::settings::Settings;
+use crate::spec::MAX_TIERS;
+use crate::standing::Orders;
+
+pub use dispatch::Action;
+pub use settle::Cancelled;
+pub use settle::Completion;
+pub use settle::Settlement;
+pub use submit::Verdict;
+
+/// Admission, scheduling and limits of one service on one entry instance.
+///
+/// A pure state machine: each call takes the time as an argument, and the same calls give the same
+/// results. The time may jump forwards by any amount; a step back is taken as standing still.
+#[derive(Debug)]
+pub struct Scheduler {
+    settings: Settings,
+    classes: SecondaryMap<ClassKey, Class>,
+    accounts: SecondaryMap<AccountKey, Account>,
+    requests: SlotMap<RequestKey, Request>,
+    timers: BTreeSet<Timer>,
+    orders: Orders,
+    pace: Pace,
+    headroom: Headroom,
+    /// Answers that are due, in order.
+    refused: VecDeque<Refused>,
+    queued: u32,
+    bytes: [u64; MAX_TIERS],
+    running: u32,
+    /// Queue entries that are kept for classes and not used by them.
+    spare: u32,
+    /// Free slots at the last call of `next`, less what was started since.
+    free: u32,
+    seq: u64,
+    draws: u64,
+    now: Millis,
+    /// Number of pauses seen in the sequence of events.
+    pauses: u32,
+}
+
+/// When a queued request changes its state by waiting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Timer {
+    at: Millis,
+    key: RequestKey,
+}
+
+impl Scheduler {
+    /// A scheduler without classes and accounts; see [`Scheduler::configure`].
+    pub fn new(settings: Settings) -> Scheduler {
+        let headroom = Headroom::new(settings.headroom.clone());
+        Scheduler {
+            settings,
+            classes: SecondaryMap::new(),
+            accounts: SecondaryMap::new(),
+            requests: SlotMap::with_key(),
+            timers: BTreeSet::new(),
+            orders: Orders::default(),
+            pace: Pace::new(),
+            headroom,
+            refused: VecDeque::new(),
+            queued: 0,
+            bytes: [0; MAX_TIERS],
+            running: 0,
+            spare: 0,
+            free: 0,
+            seq: 0,
+            draws: 0,
+            now: Millis::ZERO,
+            pauses: 0,
+        }
+    }
+
+    /// Takes note of the time of an event.
+    ///
+    /// A process that was suspended sees its requests end long after they did. Durations that span
+    /// a pause are therefore not learned from; otherwise one suspension would make the service look
+    /// slow, and requests would be refused that could well attain.
+    fn observe(&mut self, now: Millis) -> Millis {
+        if now.since(self.now) > self.settings.gap {
+            self.pauses = self.pauses.wrapping_add(1);
+        }
+        self.now = self.now.max(now);
+        self.now
+    }
+
+    fn slots(&self) -> u32 {
+        self.running + self.free
+    }
+}
--- /dev/null
+++ b/crates/admission/src/scheduler/queue.rs
@@ -0,0 +1,148 @@
+//! Bookkeeping of queued requests: every way in and out of the queue.
+
+use crocushold_base::AccountKey;
+use crocushold_base::Millis;
+use crocushold_base::RequestKey;
+
+use super::Scheduler;
+use super::Timer;
+use crate::refusal::Reason;
+use crate::refusal::Refused;
+use crate::request::Lane;
+use crate::request::Request;
+use crate::request::Stage;
+
+impl Scheduler {
+    /// Puts a held request into the queue.
+    pub(super) fn insert_queued(&mut self, key: RequestKey, lane: Lane) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.stage = Stage::Queued(lane);
+        let request = *request;
+        self.link(&request, lane);
+        self.queued += 1;
+        if let Some(account) = self.accounts.get_mut(request.account) {
+            account.queued += 1;
+        }
+    }
+
+    /// Takes a request out of the queue; it stays held.
+    pub(super) fn remove_queued(&mut self, request: &Request, lane: Lane) {
+        self.unlink(request, lane);
+        self.queued -= 1;
+        if let Some(account) = self.accounts.get_mut(request.account) {
+            account.queued -= 1;
+        }
+    }
+
+    /// Ends a queued request with a refusal and gives back what it took of the limits.
+    pub(super) fn refuse_queued(&mut self, key: RequestKey, reason: Reason) {
+        let Some(request) = self.requests.get(key).copied() else {
+            return;
+        };
+        let Stage::Queued(lane) = request.stage else {
+            return;
+        };
+        let wait = self.predict(
+            request.class,
+            request.account,
+            request.place.charge,
+            self.now,
+        );
+        self.remove_queued(&request, lane);
+        self.requests.remove(key);
+        self.give_back(&request);
+        let refusal = self.refusal(reason, wait);
+        self.refused.push_back(Refused { key, refusal });
+    }
+
+    pub(super) fn give_back(&mut self, request: &Request) {
+        if let Some(account) = self.accounts.get_mut(request.account) {
+            account.refund(request.billed);
+        }
+    }
+
+    /// Handles the requests whose time is up, until one is to be refused.
+    pub(super) fn pass_time(&mut self, now: Millis) {
+        while let Some(&timer) = self.timers.first() {
+            if timer.at > now || !self.refused.is_empty() {
+                return;
+            }
+            self.timers.remove(&timer);
+            let Some(request) = self.requests.get(timer.key).copied() else {
+                continue;
+            };
+            if request.ends <= now {
+                self.refuse_queued(timer.key, Reason::Expired);
+            } else {
+                self.demote(timer.key, &request);
+            }
+        }
+    }
+
+    /// Moves a request that missed its target behind those that still can attain.
+    fn demote(&mut self, key: RequestKey, request: &Request) {
+        self.unlink(request, Lane::Fresh);
+        if let Some(held) = self.requests.get_mut(key) {
+            held.stage = Stage::Queued(Lane::Late);
+        }
+        self.link(request, Lane::Late);
+    }
+
+    /// Lets the account's queues take part again after it left its concurrency limit.
+    pub(super) fn unblock(&mut self, key: AccountKey) {
+        let Some(account) = self.accounts.get_mut(key) else {
+            return;
+        };
+        if account.at_limit() {
+            return;
+        }
+        while let Some(class_key) = account.blocked.pop() {
+            if let Some(class) = self.classes.get_mut(class_key) {
+                class.set_blocked(key, false);
+                self.orders.refresh(class_key, class);
+            }
+        }
+    }
+
+    fn link(&mut self, request: &Request, lane: Lane) {
+        let Some(class) = self.classes.get_mut(request.class) else {
+            return;
+        };
+        let account = self.accounts.get(request.account);
+        class.ensure(request.account, account.map_or(1.0, |a| a.spec.weight));
+        if class.queued < class.kept {
+            self.spare -= 1;
+        }
+        let tier = class.spec.tier_index();
+        class.insert(request, lane);
+        self.bytes[tier] += u64::from(request.bytes);
+        self.pace
+            .queued(tier, request.place.charge, request.pressure);
+        self.orders.refresh(request.class, class);
+        let at = request.timer(lane);
+        if at < Millis::MAX {
+            let key = request.place.key;
+            self.timers.insert(Timer { at, key });
+        }
+    }
+
+    fn unlink(&mut self, request: &Request, lane: Lane) {
+        let at = request.timer(lane);
+        let key = request.place.key;
+        self.timers.remove(&Timer { at, key });
+        let Some(class) = self.classes.get_mut(request.class) else {
+            return;
+        };
+        let tier = class.spec.tier_index();
+        class.remove(request, lane);
+        if class.queued < class.kept {
+            self.spare += 1;
+        }
+        self.bytes[tier] -= u64::from(request.bytes);
+        self.pace
+            .unqueued(tier, request.place.charge, request.pressure);
+        self.orders.refresh(request.class, class);
+    }
+}
--- /dev/null
+++ b/crates/admission/src/scheduler/report.rs
@@ -0,0 +1,39 @@
+//! Figures for metrics and status pages.
+
+use crocushold_base::AccountKey;
+use crocushold_base::ClassKey;
+
+use super::Scheduler;
+use crate::status::ClassStatus;
+use crate::status::Status;
+
+impl Scheduler {
+    /// Figures of the whole.
+    pub fn status(&self) -> Status {
+        Status {
+            queued: self.queued,
+            bytes: self.bytes.iter().sum(),
+            running: self.running,
+            headroom: self.headroom.kept(),
+            speed: self.pace.speed(self.slots()) * 1000.0,
+        }
+    }
+
+    /// Figures of one class; `None` if it isn't configured.
+    pub fn class_status(&self, key: ClassKey) -> Option<ClassStatus> {
+        let class = self.classes.get(key)?;
+        Some(ClassStatus {
+            class: key,
+            queued: class.queued,
+            backlog: class.backlog,
+            accounts: class.active() as u32,
+            flows: class.flow_count() as u32,
+            wait: self.predict(key, AccountKey::default(), class.backlog, self.now),
+        })
+    }
+
+    /// Requests of the account in flight; zero for one that isn't configured.
+    pub fn account_running(&self, key: AccountKey) -> u32 {
+        self.accounts.get(key).map_or(0, |account| account.running)
+    }
+}
