Add the router, the retry policy and subsetting as state machines

The decisions where a request goes and whether it may be repeated stand apart from sockets, so that the daemon and tests drive the same code. The router samples two servers among those with a free slot, kept in an array per model; a scan per choice was ruled out by the size of the fleet.

--- /dev/null
+++ b/crates/routing/src/health.rs
@@ -0,0 +1,187 @@
+//! The health of one server as seen from this instance's own attempts.
+
+use crocushold_base::Millis;
+
+use crate::settings::HealthSettings;
+
+/// Why a server was taken out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Fault {
+    /// It refused a connection: nothing listens there. A fact, not a suspicion, so it takes the
+    /// server out at once and doesn't count against the ceiling on ejections.
+    Refused,
+    /// No connection could be made in time.
+    Unreachable,
+    /// Connections were cut in the middle of an answer, or it answered with server errors.
+    Failing,
+    /// No first byte came in time.
+    Hung,
+    /// It generates far more slowly than its peers.
+    Straggling,
+}
+
+/// Whether a server takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// It takes its full share.
+    Serving,
+    /// It came back: at most `limit` requests at a time, one more with each success.
+    Recovering { limit: u32 },
+    /// It takes nothing until then.
+    Out { fault: Fault, until: Millis },
+}
+
+/// What a failure asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// Nothing yet.
+    Keep,
+    /// Out, if the router's ceiling allows.
+    Eject,
+}
+
+/// Health of one server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Health {
+    pub(crate) phase: Phase,
+    strikes: u32,
+    struck: Millis,
+    slow: u32,
+    outs: u32,
+}
+
+impl Default for Health {
+    fn default() -> Health {
+        Health {
+            phase: Phase::Serving,
+            strikes: 0,
+            struck: Millis::ZERO,
+            slow: 0,
+            outs: 0,
+        }
+    }
+}
+
+impl Health {
+    /// True while a failure or slow sample stands against the server.
+    pub(crate) fn suspect(&self) -> bool {
+        self.strikes > 0 || self.slow > 0
+    }
+
+    /// Consecutive failures so far.
+    pub(crate) fn strikes(&self) -> u32 {
+        self.strikes
+    }
+
+    /// True while the server is out on suspicion, which counts against the ceiling.
+    pub(crate) fn ejected(&self) -> bool {
+        matches!(self.phase, Phase::Out { fault, .. } if fault != Fault::Refused)
+    }
+
+    /// True while the server is out for whatever reason.
+    pub(crate) fn is_out(&self) -> bool {
+        matches!(self.phase, Phase::Out { .. })
+    }
+
+    /// Counts a failure of an attempt.
+    pub(crate) fn strike(&mut self, settings: &HealthSettings, now: Millis) -> Verdict {
+        if self.is_out() {
+            return Verdict::Keep;
+        }
+        let apart = now.since(self.struck) >= settings.strike_gap;
+        if self.strikes == 0 || apart {
+            self.strikes += 1;
+            self.struck = now;
+        }
+        let probing = matches!(self.phase, Phase::Recovering { .. });
+        if probing || self.strikes >= settings.strikes {
+            Verdict::Eject
+        } else {
+            Verdict::Keep
+        }
+    }
+
+    /// Counts a sample of the server's speed.
+    pub(crate) fn speed(&mut self, settings: &HealthSettings, slow: bool) -> Verdict {
+        if !slow || self.is_out() {
+            self.slow = 0;
+            return Verdict::Keep;
+        }
+        self.slow += 1;
+        if self.slow >= settings.slow_samples {
+            Verdict::Eject
+        } else {
+            Verdict::Keep
+        }
+    }
+
+    /// Takes the server out. `jitter` in 0..1 spreads the returns as seen by many instances.
+    /// Returns when it comes back.
+    pub(crate) fn eject(
+        &mut self,
+        fault: Fault,
+        settings: &HealthSettings,
+        jitter: f64,
+        now: Millis,
+    ) -> Millis {
+        let (base, max) = match fault {
+            Fault::Refused => (settings.refused_base, settings.refused_max),
+            _ => (settings.eject_base, settings.eject_max),
+        };
+        let doubled = base.0.saturating_mul(1 << self.outs.min(16));
+        let span = doubled.min(max.0) as f64 * (0.8 + 0.4 * jitter);
+        let until = now + Millis(span as u64);
+        self.phase = Phase::Out { fault, until };
+        self.strikes = 0;
+        self.slow = 0;
+        self.outs += 1;
+        until
+    }
+
+    /// Lets the server back for one request at a time.
+    pub(crate) fn probe(&mut self) {
+        self.phase = Phase::Recovering { limit: 1 };
+        self.strikes = 0;
+        self.slow = 0;
+    }
+
+    /// Counts a success; `share` is the server's full limit.
+    pub(crate) fn succeed(&mut self, share: u32) {
+        self.strikes = 0;
+        let Phase::Recovering { limit } = &mut self.phase else {
+            return;
+        };
+        *limit += 1;
+        if *limit >= share {
+            self.phase = Phase::Serving;
+            // Not forgotten at once: a server that flaps waits longer each time.
+            self.outs /= 2;
+        }
+    }
+
+    /// Runs timers out: returns an ejected server, forgets an old failure. Says when to come back
+    /// for the next one.
+    pub(crate) fn expire(&mut self, settings: &HealthSettings, now: Millis) -> Option<Millis> {
+        match self.phase {
+            Phase::Out { until, .. } if until <= now => {
+                self.probe();
+                None
+            }
+            Phase::Out { until, .. } => Some(until),
+            _ if self.strikes == 0 => None,
+            _ => {
+                let due = self.struck + settings.strike_memory;
+                if due <= now {
+                    self.strikes = 0;
+                    return None;
+                }
+                Some(due)
+            }
+        }
+    }
+
+    /// When the first failure is forgotten, if this one is the first.
+    pub(crate) fn memory_ends(&self, settings: &HealthSettings) -> Option<Millis> {
+        (self.strikes == 1).then(|| self.struck + settings.strike_memory)
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,68 @@
-//! Placeholder of crocushold-routing.
+//! Which backend server a request goes to, and whether a failed attempt may be repeated.
+//!
+//! Everything here is a pure state machine: no I/O, no clock, seeded randomness. The daemon feeds
+//! events and the time in and acts on what comes out; tests do the same.
+//!
+//! * [`Router`] chooses a server. One router serves one service on one entry instance; the routers
+//!   of different instances don't talk. It knows the servers from [`Router::configure`], who is
+//!   leaving from [`Router::instance_list`], and how each fares from the events of its own attempts.
+//!   Load reports and cache events are lagged hints that shift a choice and never forbid one.
+//! * [`RetryPolicy`] decides whether a failed attempt may be repeated, from its [`Stage`], within a
+//!   budget. [`Attempt`] and [`Permit`] carry the same rule in types: the right to send a request is
+//!   consumed by the first byte written.
+//! * [`subset()`] assigns each entry instance a share of a large group of servers, without messages.
+//!
+//! # Driving a router
+//!
+//! Call [`Router::tick`] about once a second even when idle, and every event of an attempt in the
+//! order it happens: [`Router::pick`], [`Router::connected`], [`Router::first_byte`],
+//! [`Router::progress`], and once [`Router::done`]. After `done`, or for a server that was removed,
+//! a late event finds nothing and changes nothing.
+
+mod cache;
+mod health;
+mod list;
+mod pool;
+mod retry;
+mod ring;
+mod router;
+mod server;
+mod settings;
+mod stats;
+mod subset;
+
+pub use cache::CacheChange;
+pub use cache::CacheEvent;
+pub use health::Fault;
+pub use list::ListSnapshot;
+pub use list::ListVerdict;
+pub use list::Listed;
+pub use list::Presence;
+pub use retry::Attempt;
+pub use retry::Budget;
+pub use retry::BudgetSettings;
+pub use retry::Decision;
+pub use retry::Permit;
+pub use retry::Ran;
+pub use retry::RequestFacts;
+pub use retry::RetryPolicy;
+pub use retry::RetrySettings;
+pub use retry::Sent;
+pub use retry::Stage;
+pub use retry::Unsent;
+pub use router::AttemptKey;
+pub use router::Demand;
+pub use router::NoServer;
+pub use router::Outcome;
+pub use router::Pick;
+pub use router::Reason;
+pub use router::Router;
+pub use server::LoadReport;
+pub use server::ServerSpec;
+pub use server::Share;
+pub use server::Standing;
+pub use server::State;
+pub use settings::HealthSettings;
+pub use settings::Settings;
+pub use subset::coverage;
+pub use subset::subset;
--- /dev/null
+++ b/crates/routing/src/retry/mod.rs
@@ -0,0 +1,18 @@
+//! Whether a failed attempt may be repeated.
+
+mod attempt;
+mod budget;
+mod policy;
+
+pub use attempt::Attempt;
+pub use attempt::Permit;
+pub use attempt::Sent;
+pub use attempt::Unsent;
+pub use budget::Budget;
+pub use budget::BudgetSettings;
+pub use policy::Decision;
+pub use policy::Ran;
+pub use policy::RequestFacts;
+pub use policy::RetryPolicy;
+pub use policy::RetrySettings;
+pub use policy::Stage;
--- /dev/null
+++ b/crates/routing/src/ring.rs
@@ -0,0 +1,49 @@
+//! A consistent-hash ring.
+
+use crocushold_base::ServerKey;
+use twox_hash::XxHash3_64;
+
+/// Points of each server on the ring. More would even out the shares; the bound on load already
+/// does that, so memory goes first.
+const POINTS: u64 = 16;
+
+/// Servers on a ring of hashes.
+///
+/// The points derive from the servers' published identities alone, so every entry instance sends a
+/// prefix to the same server without a word between them, and a server that comes or goes moves
+/// only its own share of prefixes.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Ring {
+    points: Vec<Point>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Point {
+    hash: u64,
+    server: ServerKey,
+}
+
+impl Ring {
+    /// Lays out the ring for servers given by identity and key.
+    pub(crate) fn new(servers: impl Iterator<Item = (u64, ServerKey)>) -> Ring {
+        let mut points = Vec::new();
+        for (id, server) in servers {
+            points.extend((0..POINTS).map(|point| Point {
+                hash: XxHash3_64::oneshot_with_seed(point, &id.to_le_bytes()),
+                server,
+            }));
+        }
+        points.sort_unstable_by_key(|point| point.hash);
+        Ring { points }
+    }
+
+    /// The servers clockwise from `prefix`, each as often as it has points, once around.
+    pub(crate) fn walk(&self, prefix: u64) -> impl Iterator<Item = ServerKey> {
+        // Prefixes are hashes already, but of a function whose low quality this crate can't rule
+        // out; a second hash costs nanoseconds.
+        let hash = XxHash3_64::oneshot(&prefix.to_le_bytes());
+        let start = self.points.partition_point(|point| point.hash < hash);
+        let (before, after) = self.points.split_at(start);
+        after.iter().chain(before).map(|point| point.server)
+    }
+}
--- /dev/null
+++ b/crates/routing/src/router/choice.rs
@@ -0,0 +1,220 @@
+//! The choice of a server.
+
+use crocushold_base::Millis;
+use crocushold_base::ServerKey;
+use rand::RngExt;
+
+use crate::health::Phase;
+use crate::pool::Pool;
+use crate::router::Demand;
+use crate::router::NoServer;
+use crate::router::Pick;
+use crate::router::Reason;
+use crate::router::Router;
+use crate::router::types::InFlight;
+use crate::server::Server;
+
+/// Points of the ring that are looked at for a prefix's home.
+const RING_STEPS: usize = 12;
+
+/// The slowness that the cost follows at most; beyond, ejection is the remedy.
+const MAX_SLOWNESS: f64 = 8.0;
+
+/// How many times dearer a server on trial is for a request that should not be the one to try it.
+const TRIAL_COST: f64 = 8.0;
+
+/// The longest wait that a refusal names.
+const MAX_WAIT: Millis = Millis::from_secs(30);
+
+/// A server and its cost for a demand: requests ahead for each slot, weighted.
+#[derive(Clone, Copy)]
+struct Scored {
+    server: ServerKey,
+    cost: f64,
+}
+
+impl Router {
+    /// Chooses a server with a free slot and takes the slot.
+    ///
+    /// # Errors
+    ///
+    /// Says why no server can take the request, and when to come back.
+    pub fn pick(&mut self, demand: &Demand<'_>, now: Millis) -> Result<Pick, NoServer> {
+        self.tick(now);
+        self.check_fresh(now)?;
+        let Some(pool) = self.pool_of(demand.model) else {
+            return Err(self.refusal(Reason::NoModel, now));
+        };
+        let Some(best) = self.sample(pool, demand, now) else {
+            let reason = self.why_none(pool);
+            return Err(self.refusal(reason, now));
+        };
+        let home = self.home(pool, demand, now);
+        let server = match home {
+            Some(home) if home.cost <= best.cost * self.settings.affinity_bound => home.server,
+            _ => best.server,
+        };
+        Ok(self.start(server, pool, demand, now))
+    }
+
+    /// The cheapest of a few servers drawn at random from those with a free slot.
+    fn sample(&mut self, pool: usize, demand: &Demand<'_>, now: Millis) -> Option<Scored> {
+        let open = self.pools[pool].open.len();
+        if open == 0 {
+            return None;
+        }
+        let mut best: Option<Scored> = None;
+        let mut last = open;
+        for _ in 0..self.settings.choices.max(1) {
+            let mut at = self.rng.random_range(0..open);
+            if at == last {
+                at = (at + 1) % open;
+            }
+            last = at;
+            best = cheaper(best, self.scored(pool, at, demand, now));
+        }
+        best.or_else(|| self.first_untried(pool, last, demand, now))
+    }
+
+    /// The first server from `start` on that wasn't tried. Among one more than were tried there
+    /// is one, unless all were.
+    fn first_untried(
+        &self,
+        pool: usize,
+        start: usize,
+        demand: &Demand<'_>,
+        now: Millis,
+    ) -> Option<Scored> {
+        let open = self.pools[pool].open.len();
+        let steps = open.min(demand.exclude.len() + 1);
+        (0..steps).find_map(|step| self.scored(pool, (start + step) % open, demand, now))
+    }
+
+    fn scored(&self, pool: usize, at: usize, demand: &Demand<'_>, now: Millis) -> Option<Scored> {
+        let server = self.pools[pool].open[at].server;
+        self.score(server, demand, now)
+    }
+
+    fn score(&self, server: ServerKey, demand: &Demand<'_>, now: Millis) -> Option<Scored> {
+        if demand.exclude.contains(&server) {
+            return None;
+        }
+        let cost = self.cost(&self.servers[server], demand, now);
+        Some(Scored { server, cost })
+    }
+
+    /// Requests ahead of this one for each of the server's slots, times its slowness.
+    ///
+    /// Own requests are counted by their outstanding tokens, in mean requests. Others' come from
+    /// the last report and decay to the fleet's mean as it ages.
+    fn cost(&self, server: &Server, demand: &Demand<'_>, now: Millis) -> f64 {
+        let usual = self.others.mean();
+        let others = server.others(usual, self.settings.report_ttl, now);
+        let own = server.tokens as f64 / self.volume.mean().max(1.0);
+        let distance = if server.local {
+            0.0
+        } else {
+            self.settings.zone_cost
+        };
+        let ahead = 1.0 + own + others + distance;
+        let slowness = server.slowness.mean().exp().clamp(1.0, MAX_SLOWNESS);
+        let doubt = 1.0 + f64::from(server.health.strikes());
+        let trial = on_trial(server) && (demand.priority == 0 || !demand.idempotent);
+        let caution = if trial { TRIAL_COST } else { 1.0 };
+        ahead * slowness * doubt * caution / f64::from(server.spec.concurrency.max(1))
+    }
+
+    /// The server that holds the demand's prefix, by a cache event or else by the ring.
+    fn home(&self, pool: usize, demand: &Demand<'_>, now: Millis) -> Option<Scored> {
+        let prefix = demand.prefix?;
+        let hinted = self.hints.get(prefix).and_then(|hint| {
+            let server = self.servers.get(hint.server)?;
+            let valid = server.cursor.epoch() == hint.epoch;
+            (valid && takes_from(server, pool)).then_some(hint.server)
+        });
+        let ring = &self.pools[pool].ring;
+        let placed = || {
+            let mut near = ring.walk(prefix).take(RING_STEPS);
+            near.find(|&server| self.takes(server, pool))
+        };
+        let server = hinted.or_else(placed)?;
+        self.score(server, demand, now)
+    }
+
+    fn takes(&self, server: ServerKey, pool: usize) -> bool {
+        self.servers
+            .get(server)
+            .is_some_and(|server| takes_from(server, pool))
+    }
+
+    fn start(&mut self, server: ServerKey, pool: usize, demand: &Demand<'_>, now: Millis) -> Pick {
+        let tokens = match demand.tokens {
+            0 => self.volume.mean().max(1.0) as u32,
+            known => known,
+        };
+        self.volume.add(f64::from(tokens), 0.01);
+        let attempt = self.attempts.insert(InFlight {
+            server,
+            pool,
+            tokens,
+            picked: now,
+            first: None,
+            sampled: 0,
+            sampled_at: now,
+        });
+        let chosen = &mut self.servers[server];
+        chosen.in_flight += 1;
+        chosen.tokens += u64::from(tokens);
+        self.settle(server);
+        let patience = self.pools[pool].patience(&self.settings);
+        Pick {
+            server,
+            attempt,
+            patience,
+        }
+    }
+
+    fn why_none(&self, pool: usize) -> Reason {
+        let Pool { open, usable, .. } = &self.pools[pool];
+        match (open.is_empty(), usable) {
+            (false, _) => Reason::Tried,
+            (true, 0) => Reason::Out,
+            (true, _) => Reason::Busy,
+        }
+    }
+
+    fn refusal(&self, reason: Reason, now: Millis) -> NoServer {
+        let wait = match reason {
+            Reason::Busy => {
+                let ends = self.lasting.mean() / self.attempts.len().max(1) as f64;
+                Millis(ends.ceil() as u64)
+            }
+            Reason::Out => self
+                .timers
+                .peek()
+                .map_or(MAX_WAIT, |timer| timer.0.0.since(now)),
+            Reason::NoModel => MAX_WAIT,
+            Reason::Tried | Reason::Stale => self.settings.wake_grace,
+        };
+        NoServer {
+            reason,
+            retry_after: wait.max(Millis(1)).min(MAX_WAIT),
+        }
+    }
+}
+
+fn cheaper(best: Option<Scored>, next: Option<Scored>) -> Option<Scored> {
+    match (best, next) {
+        (Some(best), Some(next)) if next.cost < best.cost => Some(next),
+        (None, next) => next,
+        (best, _) => best,
+    }
+}
+
+fn takes_from(server: &Server, pool: usize) -> bool {
+    server.counted.free > 0 && server.members.iter().any(|m| m.pool == pool)
+}
+
+fn on_trial(server: &Server) -> bool {
+    matches!(server.health.phase, Phase::Recovering { limit: 1 })
+}
--- /dev/null
+++ b/crates/routing/src/router/feedback.rs
@@ -0,0 +1,212 @@
+//! What the attempts, the engines' reports and their cache events tell.
+
+use std::cmp::Reverse;
+
+use crocushold_base::Millis;
+use crocushold_base::ServerKey;
+
+use crate::cache::CacheChange;
+use crate::cache::CacheEvent;
+use crate::cache::Hint;
+use crate::health::Fault;
+use crate::health::Verdict;
+use crate::pool::SERVER_ALPHA;
+use crate::router::AttemptKey;
+use crate::router::Outcome;
+use crate::router::Router;
+use crate::router::types::InFlight;
+use crate::server::LoadReport;
+
+/// Tokens between two samples of a stream's pace; fewer measure the network's jitter.
+const PACE_TOKENS: u32 = 16;
+
+/// The greatest logarithm of a ratio of paces that one sample may tell; twelvefold.
+const MAX_RATIO: f64 = 2.5;
+
+impl Router {
+    /// The attempt has a connection. False when the attempt isn't known, as of the other events.
+    pub fn connected(&mut self, attempt: AttemptKey, now: Millis) -> bool {
+        self.notice_gap(now);
+        self.attempts.contains_key(attempt)
+    }
+
+    /// The first byte of an answer came.
+    pub fn first_byte(&mut self, attempt: AttemptKey, now: Millis) -> bool {
+        self.notice_gap(now);
+        let Some(flight) = self.attempts.get_mut(attempt) else {
+            return false;
+        };
+        if flight.first.is_some() {
+            return true;
+        }
+        flight.first = Some(now);
+        flight.sampled_at = now;
+        let flight = *flight;
+        if flight.picked >= self.woke {
+            let span = now.since(flight.picked);
+            self.pools[flight.pool].first_byte(span);
+        }
+        true
+    }
+
+    /// `tokens` of the answer have come so far.
+    pub fn progress(&mut self, attempt: AttemptKey, tokens: u32, now: Millis) -> bool {
+        self.notice_gap(now);
+        let Some(flight) = self.attempts.get_mut(attempt) else {
+            return false;
+        };
+        let fresh = tokens.saturating_sub(flight.sampled);
+        if flight.first.is_none() || fresh < PACE_TOKENS {
+            return true;
+        }
+        let span = now.since(flight.sampled_at);
+        let trusted = flight.sampled_at >= self.woke;
+        flight.sampled = tokens;
+        flight.sampled_at = now;
+        let flight = *flight;
+        if trusted {
+            self.pace(&flight, span.0 as f64 / f64::from(fresh), now);
+        }
+        true
+    }
+
+    /// The attempt ended after `tokens` of an answer; its slot is free again.
+    pub fn done(
+        &mut self,
+        attempt: AttemptKey,
+        outcome: Outcome,
+        tokens: u32,
+        now: Millis,
+    ) -> bool {
+        self.progress(attempt, tokens, now);
+        let Some(flight) = self.attempts.remove(attempt) else {
+            return false;
+        };
+        if outcome == Outcome::Complete {
+            self.lasting.add(now.since(flight.picked).0 as f64, 0.05);
+            if tokens == 0 {
+                self.pace(&flight, now.since(flight.picked).0 as f64, now);
+            }
+        }
+        self.finish(&flight);
+        self.judge_outcome(&flight, outcome, now);
+        true
+    }
+
+    /// Takes in a server's load report.
+    pub fn load_report(&mut self, server: ServerKey, report: LoadReport, now: Millis) {
+        self.notice_gap(now);
+        let alpha = 1.0 / self.present.max(1) as f64;
+        if let Some(server) = self.servers.get_mut(server) {
+            let others = server.take_report(report, now);
+            self.others.add(others, alpha);
+        }
+    }
+
+    /// Takes in a cache event of a server.
+    pub fn cache_event(&mut self, server: ServerKey, event: CacheEvent) {
+        let Some(state) = self.servers.get_mut(server) else {
+            return;
+        };
+        if !state.cursor.advance(event.seq) {
+            return;
+        }
+        let epoch = state.cursor.epoch();
+        match event.change {
+            CacheChange::Stored => self.hints.store(event.prefix, Hint { server, epoch }),
+            CacheChange::Evicted => self.hints.evict(event.prefix, server),
+        }
+    }
+
+    /// A server's cache events start anew, as after its restart: earlier hints are void.
+    pub fn cache_restart(&mut self, server: ServerKey) {
+        if let Some(state) = self.servers.get_mut(server) {
+            state.cursor.restart();
+        }
+    }
+
+    /// Frees the slot; forgets a removed server with its last attempt.
+    fn finish(&mut self, flight: &InFlight) {
+        let key = flight.server;
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        server.in_flight = server.in_flight.saturating_sub(1);
+        server.tokens = server.tokens.saturating_sub(u64::from(flight.tokens));
+        let over = server.departure == Some(crate::server::Departure::Removed);
+        if over && server.in_flight == 0 {
+            self.servers.remove(key);
+            return;
+        }
+        self.settle(key);
+    }
+
+    fn judge_outcome(&mut self, flight: &InFlight, outcome: Outcome, now: Millis) {
+        let fault = match outcome {
+            Outcome::Complete => return self.succeed(flight.server),
+            Outcome::Cancelled | Outcome::Overloaded => return,
+            Outcome::Refused => return self.eject(flight.server, Fault::Refused, now),
+            Outcome::Unreachable => Fault::Unreachable,
+            Outcome::Cut | Outcome::Failed => Fault::Failing,
+            Outcome::TimedOut => Fault::Hung,
+        };
+        let late = matches!(outcome, Outcome::TimedOut | Outcome::Unreachable);
+        if late && flight.picked < self.woke {
+            return;
+        }
+        self.strike(flight, fault, now);
+    }
+
+    fn succeed(&mut self, key: ServerKey) {
+        let Some(share) = self.servers.get(key).map(|server| server.share) else {
+            return;
+        };
+        self.change_health(key, |health| health.succeed(share));
+    }
+
+    fn strike(&mut self, flight: &InFlight, fault: Fault, now: Millis) {
+        let key = flight.server;
+        let settings = self.settings.health.clone();
+        let mut verdict = Verdict::Keep;
+        let mut memory = None;
+        self.change_health(key, |health| {
+            let first = health.strikes() == 0;
+            verdict = health.strike(&settings, now);
+            memory = health.memory_ends(&settings).filter(|_| first);
+        });
+        if let Some(due) = memory {
+            self.timers.push(Reverse((due, key)));
+        }
+        // When all time out together, the estimate behind the timeout is what is wrong: without
+        // this sample it would never learn that answers take longer now.
+        if fault == Fault::Hung && self.suspects * 2 > self.present {
+            let span = now.since(flight.picked);
+            self.pools[flight.pool].first_byte(span);
+        }
+        if verdict == Verdict::Eject {
+            self.eject(key, fault, now);
+        }
+    }
+
+    /// Takes in the time for each token, in milliseconds; for a plain service, for each request.
+    fn pace(&mut self, flight: &InFlight, sample: f64, now: Millis) {
+        let Some(ratio) = self.pools[flight.pool].pace(sample) else {
+            return;
+        };
+        let Some(server) = self.servers.get_mut(flight.server) else {
+            return;
+        };
+        // Bounded, so that a server that was stuck once forgets it in a few samples.
+        let bounded = ratio.clamp(-MAX_RATIO, MAX_RATIO);
+        server.slowness.add(bounded, SERVER_ALPHA);
+        let settings = self.settings.health.clone();
+        let slow = server.slowness.mean().exp() > settings.straggler_ratio;
+        let mut verdict = Verdict::Keep;
+        self.change_health(flight.server, |health| {
+            verdict = health.speed(&settings, slow);
+        });
+        if verdict == Verdict::Eject {
+            self.eject(flight.server, Fault::Straggling, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/router/mod.rs
@@ -0,0 +1,242 @@
+//! The router: one service's servers as one entry instance sees them.
+
+mod choice;
+mod feedback;
+mod listing;
+mod slots;
+mod types;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use crocushold_base::Millis;
+use crocushold_base::ModelKey;
+use crocushold_base::ServerKey;
+use rand::SeedableRng;
+use rand::rngs::Xoshiro256PlusPlus;
+use slotmap::SecondaryMap;
+use slotmap::SlotMap;
+
+use self::listing::Freshness;
+pub use self::types::AttemptKey;
+pub use self::types::Demand;
+use self::types::InFlight;
+pub use self::types::NoServer;
+pub use self::types::Outcome;
+pub use self::types::Pick;
+pub use self::types::Reason;
+use crate::cache::Hints;
+use crate::pool::Pool;
+use crate::server::Counted;
+use crate::server::Departure;
+use crate::server::Member;
+use crate::server::Server;
+use crate::server::ServerSpec;
+use crate::server::Share;
+use crate::server::Standing;
+use crate::settings::Settings;
+use crate::stats::Ewma;
+
+/// The pool of all servers, for demands that name no model.
+const ALL: usize = 0;
+
+/// Chooses servers for one service on one entry instance.
+#[derive(Debug)]
+pub struct Router {
+    settings: Settings,
+    zone: String,
+    rng: Xoshiro256PlusPlus,
+    share: Share,
+    servers: SecondaryMap<ServerKey, Server>,
+    pools: Vec<Pool>,
+    models: SecondaryMap<ModelKey, usize>,
+    attempts: SlotMap<AttemptKey, InFlight>,
+    hints: Hints,
+    timers: BinaryHeap<Reverse<(Millis, ServerKey)>>,
+    freshness: Freshness,
+    revision: u64,
+    /// Since when the list's revisions have been lower than one already seen.
+    outdated: Option<Millis>,
+    /// Servers that aren't departing.
+    present: usize,
+    /// Present servers that are out on suspicion.
+    ejected: usize,
+    /// Present servers with a failure or slow sample against them.
+    suspects: usize,
+    others: Ewma,
+    lasting: Ewma,
+    volume: Ewma,
+    called: Millis,
+    woke: Millis,
+}
+
+impl Router {
+    /// A router without servers, for an instance in availability zone `zone`.
+    ///
+    /// The same seed and the same calls give the same choices.
+    pub fn new(settings: Settings, zone: &str, seed: u64) -> Router {
+        Router {
+            hints: Hints::new(settings.cache_hints),
+            settings,
+            zone: zone.to_owned(),
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            share: Share::default(),
+            servers: SecondaryMap::new(),
+            pools: vec![Pool::default()],
+            models: SecondaryMap::new(),
+            attempts: SlotMap::with_key(),
+            timers: BinaryHeap::new(),
+            freshness: Freshness::Untold,
+            revision: 0,
+            outdated: None,
+            present: 0,
+            ejected: 0,
+            suspects: 0,
+            others: Ewma::default(),
+            lasting: Ewma::default(),
+            volume: Ewma::default(),
+            called: Millis::ZERO,
+            woke: Millis::ZERO,
+        }
+    }
+
+    /// Takes over a set of servers, this instance's subset where it uses one.
+    ///
+    /// Servers that stay keep their state; those that are no longer named get no new work and are
+    /// forgotten with their last attempt. Don't leave a server out because an instance list lacks
+    /// it, unless [`Router::instance_list`] accepted that list: the check for a list that is empty
+    /// by mistake would be bypassed. Costs a pass over all servers.
+    pub fn configure(&mut self, specs: &[ServerSpec], now: Millis) {
+        let mut named: SecondaryMap<ServerKey, ()> = SecondaryMap::new();
+        for spec in specs {
+            self.admit(spec);
+            named.insert(spec.key, ());
+        }
+        for (key, server) in &mut self.servers {
+            if !named.contains_key(key) {
+                server.departure = Some(Departure::Removed);
+            }
+        }
+        self.servers.retain(|_, server| {
+            server.departure != Some(Departure::Removed) || server.in_flight > 0
+        });
+        self.rebuild();
+        self.recount(now);
+    }
+
+    /// Sets this instance's part of each server's concurrency.
+    pub fn set_share(&mut self, share: Share) {
+        self.share = share;
+        let keys: Vec<ServerKey> = self.servers.keys().collect();
+        for key in keys {
+            let server = &mut self.servers[key];
+            server.share = share.of(server.spec.concurrency, server.spec.id);
+            self.settle(key);
+        }
+    }
+
+    /// Runs timers out. Call it once a second at least; `pick` and `free` do it too.
+    pub fn tick(&mut self, now: Millis) {
+        self.notice_gap(now);
+        while let Some(&Reverse((due, key))) = self.timers.peek() {
+            if due > now {
+                break;
+            }
+            self.timers.pop();
+            self.expire(key, now);
+        }
+    }
+
+    /// Attempts that could be started now, over all servers.
+    pub fn free(&mut self, now: Millis) -> usize {
+        self.tick(now);
+        self.pools[ALL].free
+    }
+
+    /// Attempts that could be started now on servers that hold `model`.
+    pub fn free_for(&mut self, model: ModelKey, now: Millis) -> usize {
+        self.tick(now);
+        self.models
+            .get(model)
+            .map_or(0, |&pool| self.pools[pool].free)
+    }
+
+    /// How `server` stands, and why; `None` for one that isn't known.
+    pub fn why(&self, server: ServerKey) -> Option<Standing> {
+        self.servers.get(server).map(Server::standing)
+    }
+
+    /// The servers that are known, those that finish their last attempts included.
+    pub fn servers(&self) -> impl Iterator<Item = ServerKey> {
+        self.servers.keys()
+    }
+
+    /// How long to wait for a first byte from a server that holds `model`.
+    pub fn patience(&self, model: Option<ModelKey>) -> Millis {
+        let pool = self.pool_of(model).unwrap_or(ALL);
+        self.pools[pool].patience(&self.settings)
+    }
+
+    fn pool_of(&self, model: Option<ModelKey>) -> Option<usize> {
+        match model {
+            None => Some(ALL),
+            Some(model) => self.models.get(model).copied(),
+        }
+    }
+
+    fn admit(&mut self, spec: &ServerSpec) {
+        let local = spec.zone == self.zone;
+        let share = self.share.of(spec.concurrency, spec.id);
+        let Some(server) = self.servers.get_mut(spec.key) else {
+            let server = Server::new(spec.clone(), local, share);
+            self.servers.insert(spec.key, server);
+            return;
+        };
+        if server.departure == Some(Departure::Removed) {
+            server.departure = None;
+        }
+        if server.spec != *spec {
+            server.spec.clone_from(spec);
+            server.local = local;
+            server.share = share;
+        }
+    }
+
+    /// Lays out the pools anew; what they have measured stays.
+    fn rebuild(&mut self) {
+        for pool in &mut self.pools {
+            pool.open.clear();
+            pool.free = 0;
+            pool.usable = 0;
+            pool.members = 0;
+        }
+        let mut homes: Vec<Vec<(u64, ServerKey)>> = vec![Vec::new(); self.pools.len()];
+        for (key, server) in &mut self.servers {
+            server.counted = Counted::default();
+            server.members.clear();
+            let mut pools = vec![ALL];
+            if server.departure != Some(Departure::Removed) {
+                for &model in &server.spec.models {
+                    let next = self.pools.len();
+                    let pool = *self
+                        .models
+                        .entry(model)
+                        .map_or(&next, |e| e.or_insert(next));
+                    if pool == next {
+                        self.pools.push(Pool::default());
+                        homes.push(Vec::new());
+                    }
+                    pools.push(pool);
+                }
+            }
+            for pool in pools {
+                self.pools[pool].members += 1;
+                homes[pool].push((server.spec.id, key));
+                server.members.push(Member { pool, open: None });
+            }
+        }
+        for (pool, homes) in self.pools.iter_mut().zip(homes) {
+            pool.ring = crate::ring::Ring::new(homes.into_iter());
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/router/types.rs
@@ -0,0 +1,122 @@
+//! What goes into and comes out of a router.
+
+use std::error::Error;
+use std::fmt;
+
+use crocushold_base::Millis;
+use crocushold_base::ModelKey;
+use crocushold_base::ServerKey;
+use slotmap::new_key_type;
+
+new_key_type! {
+    /// One attempt of a request at a server. Carries a generation: an event that comes after the
+    /// attempt is done finds nothing.
+    pub struct AttemptKey;
+}
+
+/// What a request needs of a server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Demand<'a> {
+    /// The model; `None` for a plain service.
+    pub model: Option<ModelKey>,
+    /// The hash of the prompt's prefix.
+    pub prefix: Option<u64>,
+    /// The tier's priority; lower is sooner. The most urgent tier, 0, isn't used to try out servers
+    /// that just came back.
+    pub priority: u8,
+    /// Running it twice does no harm. Others aren't used to try out servers either.
+    pub idempotent: bool,
+    /// Estimated tokens of prompt and answer; 0 where nothing is known.
+    pub tokens: u32,
+    /// Servers that were tried already.
+    pub exclude: &'a [ServerKey],
+}
+
+/// A chosen server; a slot on it is taken until [`Router::done`](crate::Router::done).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// The server.
+    pub server: ServerKey,
+    /// The attempt, for its events.
+    pub attempt: AttemptKey,
+    /// How long to wait for the first byte of an answer.
+    pub patience: Millis,
+}
+
+/// No server can take the request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoServer {
+    /// Why.
+    pub reason: Reason,
+    /// When to come back.
+    pub retry_after: Millis,
+}
+
+impl fmt::Display for NoServer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}; retry after {}", self.reason, self.retry_after)
+    }
+}
+
+impl Error for NoServer {}
+
+/// Why no server can take a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Reason {
+    /// No configured server holds the model.
+    NoModel,
+    /// Every server that is in is at its limit.
+    Busy,
+    /// Every server is out, leaving or gone.
+    Out,
+    /// Every server with a free slot was tried already.
+    Tried,
+    /// The process woke late, and the instance list wasn't read since.
+    Stale,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Reason::NoModel => "no server holds the model",
+            Reason::Busy => "all servers are busy",
+            Reason::Out => "all servers are out",
+            Reason::Tried => "all free servers were tried",
+            Reason::Stale => "the instance list is stale",
+        })
+    }
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// A whole answer came.
+    Complete,
+    /// This instance gave it up: the caller left, or a hedge won.
+    Cancelled,
+    /// The server refused the connection.
+    Refused,
+    /// No connection was made in time.
+    Unreachable,
+    /// The connection was cut.
+    Cut,
+    /// No first byte came in time, or the answer stalled.
+    TimedOut,
+    /// The server answered with an error of its own.
+    Failed,
+    /// The server answered that it is overloaded, which is no fault.
+    Overloaded,
+}
+
+/// An attempt in flight.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct InFlight {
+    pub(super) server: ServerKey,
+    pub(super) pool: usize,
+    pub(super) tokens: u32,
+    pub(super) picked: Millis,
+    pub(super) first: Option<Millis>,
+    /// Tokens, and when they had come, at the last sample of the pace.
+    pub(super) sampled: u32,
+    pub(super) sampled_at: Millis,
+}
--- /dev/null
+++ b/crates/routing/src/stats.rs
@@ -0,0 +1,66 @@
+//! Running estimates of constant size.
+
+use crocushold_base::Millis;
+
+/// An exponentially weighted moving average; a plain mean until enough samples are in.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Ewma {
+    mean: f64,
+    count: u32,
+}
+
+impl Ewma {
+    /// Takes in `sample` with the weight `alpha`.
+    pub(crate) fn add(&mut self, sample: f64, alpha: f64) {
+        self.count = self.count.saturating_add(1);
+        let weight = alpha.max(1.0 / f64::from(self.count));
+        self.mean += weight * (sample - self.mean);
+    }
+
+    /// The average; zero without samples.
+    pub(crate) fn mean(&self) -> f64 {
+        self.mean
+    }
+
+    /// How many samples are in.
+    pub(crate) fn count(&self) -> u32 {
+        self.count
+    }
+}
+
+/// The quantile that the first-byte timeout rests on.
+const QUANTILE: f64 = 0.99;
+
+/// How far one sample moves the estimate, in natural logarithm.
+const STEP: f64 = 0.1;
+
+/// A running estimate of the 99th percentile by stochastic approximation on the logarithm.
+///
+/// Each sample above the estimate raises it by about a tenth, each below lowers it by a thousandth,
+/// so it keeps one number per model and follows a drift. A histogram per model would cost kilobytes
+/// and need a window of its own.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Quantile {
+    log: Option<f64>,
+}
+
+impl Quantile {
+    /// Takes in one span.
+    pub(crate) fn add(&mut self, span: Millis) {
+        let sample = (span.0.max(1) as f64).ln();
+        let Some(log) = &mut self.log else {
+            self.log = Some(sample);
+            return;
+        };
+        if sample > *log {
+            *log += STEP * QUANTILE;
+        } else {
+            *log -= STEP * (1.0 - QUANTILE);
+        }
+    }
+
+    /// The estimate in milliseconds, if there was a sample.
+    pub(crate) fn value(&self) -> Option<f64> {
+        self.log.map(f64::exp)
+    }
+}
