--- /dev/null
+++ b/crates/metrics/src/instance.rs
@@ -0,0 +1,124 @@
+//! Metrics of the instance as a whole.
+
+use prometheus::Counter;
+use prometheus::Gauge;
+use prometheus::IntCounter;
+use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::core::Collector;
+
+use crate::process;
+
+/// Who this instance is, from its settings.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct InstanceInfo {
+    /// Name of the instance in the platform's list.
+    pub instance: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Version of the program.
+    pub version: String,
+}
+
+/// The series without a class.
+#[derive(Debug)]
+pub(crate) struct InstanceSeries {
+    pub(crate) ejections: IntCounter,
+    pub(crate) revision: IntGauge,
+    pub(crate) peers: IntGauge,
+    pub(crate) uptime: Gauge,
+    pub(crate) accounts: IntGaugeVec,
+    cpu: Counter,
+    resident: IntGauge,
+}
+
+impl InstanceSeries {
+    pub(crate) fn register(registry: &Registry, info: &InstanceInfo) -> InstanceSeries {
+        register_info(registry, info);
+        InstanceSeries {
+            ejections: counter(registry, "crocushold_ejections_total", "Servers ejected."),
+            revision: gauge(
+                registry,
+                "crocushold_config_revision",
+                "Configuration revision in force.",
+            ),
+            peers: gauge(registry, "crocushold_peers_live", "Live peers."),
+            uptime: float_gauge(
+                registry,
+                "crocushold_uptime_seconds",
+                "Time since the process started.",
+            ),
+            accounts: account_gauges(registry),
+            cpu: float_counter(
+                registry,
+                "process_cpu_seconds_total",
+                "User and system processor time.",
+            ),
+            resident: gauge(
+                registry,
+                "process_resident_memory_bytes",
+                "Resident memory.",
+            ),
+        }
+    }
+
+    /// Takes the processor time and memory of this moment.
+    pub(crate) fn refresh_process(&self) {
+        let Some(usage) = process::usage() else {
+            return;
+        };
+        let passed = usage.cpu - self.cpu.get();
+        if passed > 0.0 {
+            self.cpu.inc_by(passed);
+        }
+        self.resident.set(usage.resident);
+    }
+}
+
+/// Registers a collector whose name this crate chose.
+pub(crate) fn register<C: Collector + Clone + 'static>(registry: &Registry, collector: C) -> C {
+    registry
+        .register(Box::new(collector.clone()))
+        .expect("names and labels are constants of this crate and distinct");
+    collector
+}
+
+fn register_info(registry: &Registry, info: &InstanceInfo) {
+    let opts = Opts::new("crocushold_instance_info", "Who this instance is.");
+    let labels = ["instance", "zone", "version"];
+    let family = IntGaugeVec::new(opts, &labels).expect("constant names are valid");
+    let family = register(registry, family);
+    let values = [&*info.instance, &*info.zone, &*info.version];
+    family.with_label_values(&values).set(1);
+}
+
+fn account_gauges(registry: &Registry) -> IntGaugeVec {
+    let opts = Opts::new(
+        "crocushold_top_account_tokens",
+        "Tokens of the heaviest accounts, estimated from above.",
+    );
+    let family = IntGaugeVec::new(opts, &["account"]).expect("constant names are valid");
+    register(registry, family)
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::new(name, help).expect("constant names are valid");
+    register(registry, counter)
+}
+
+fn float_counter(registry: &Registry, name: &str, help: &str) -> Counter {
+    let counter = Counter::new(name, help).expect("constant names are valid");
+    register(registry, counter)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect("constant names are valid");
+    register(registry, gauge)
+}
+
+fn float_gauge(registry: &Registry, name: &str, help: &str) -> Gauge {
+    let gauge = Gauge::new(name, help).expect("constant names are valid");
+    register(registry, gauge)
+}
