Disarm a cancel with the end of its answer; count stalls from the start of the wait

A cancel that came after the answer's end would have cut whatever request travelled next on the pooled connection. A stall clock that ran while the stream wasn't polled would have cut an answer whose reader was slow but within its own bound. A write that fails because the server answered early now yields that answer. A graceful stop takes in the connections that the kernel accepted already, and leaves idle ones open for a moment, so that a request on its way is answered.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,5 +1,6 @@
 //! The side that speaks to backend servers.
 
+mod cancel;
 mod error;
 mod limits;
 mod observer;
@@ -7,6 +8,7 @@
 mod relay_body;
 mod send;
 
+pub use cancel::Cancel;
 pub use error::SendError;
 pub use error::SendErrorKind;
 pub use error::Stage;
@@ -16,7 +18,6 @@
 pub use observer::CutCause;
 pub use observer::End;
 pub use observer::Observer;
-pub use relay_body::Cancel;
 pub use relay_body::RelayBody;
 pub use send::Answer;
 pub use send::Client;
--- a/crates/http/src/client/relay_body.rs
+++ b/crates/http/src/client/relay_body.rs
@@ -4,7 +4,6 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::Weak;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -15,6 +14,7 @@
 use crocushold_base::Millis;
 use http_types::Body;
 
+use super::cancel::Cancel;
 use super::observer::CutCause;
 use super::observer::End;
 use super::observer::Observer;
@@ -40,33 +40,6 @@
     pub(crate) server: SocketAddr,
 }
 
-/// Cuts the connection to the server, which cancels the request there.
-#[derive(Clone)]
-pub struct Cancel {
-    wire: Weak<Wire>,
-}
-
-impl Cancel {
-    pub(crate) fn new(wire: &Arc<Wire>) -> Cancel {
-        Cancel {
-            wire: Arc::downgrade(wire),
-        }
-    }
-
-    /// Cuts the connection at once; without effect once the answer was read to its end.
-    pub fn cancel(&self) {
-        if let Some(wire) = self.wire.upgrade() {
-            wire.cut();
-        }
-    }
-}
-
-impl fmt::Debug for Cancel {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Cancel").finish_non_exhaustive()
-    }
-}
-
 enum State {
     Open,
     Complete,
@@ -85,6 +58,7 @@
     state: State,
     /// Gone once the answer ended.
     wire: Option<Arc<Wire>>,
+    cancel: Cancel,
     home: Option<Home>,
     stall: StallTimer,
     observer: Option<Box<dyn Observer>>,
@@ -105,6 +79,7 @@
             framing,
             bytes: 0,
             state: State::Open,
+            cancel: Cancel::new(wire.clone()),
             wire: Some(wire),
             home,
             stall: StallTimer::new(stall),
@@ -131,6 +106,11 @@
         }
     }
 
+    /// A handle that cuts this answer off.
+    pub fn cancel(&self) -> Cancel {
+        self.cancel.clone()
+    }
+
     /// Makes a body for the caller's answer, with the same length or chunks, watched by `observer`.
     pub fn into_body(mut self, observer: impl Observer + 'static) -> Body {
         let mut observer = Box::new(observer);
@@ -209,6 +189,8 @@
         self.state = State::Complete;
         // async-h1's reader holds the connection as well.
         self.body = Body::empty();
+        // From here on a cancel would hit another request on the same connection.
+        self.cancel.disarm();
         if let (Some(wire), Some(home)) = (self.wire.take(), self.home.take())
             && wire.is_idle()
         {
--- a/crates/http/src/client/send.rs
+++ b/crates/http/src/client/send.rs
@@ -7,14 +7,17 @@
 use async_std::future::timeout;
 use async_std::net::SocketAddr;
 use async_std::net::TcpStream;
+use crocushold_base::Millis;
 use http_types::Headers;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
 use http_types::StatusCode;
+use http_types::headers::CONNECTION;
 use http_types::headers::CONTENT_LENGTH;
 use http_types::headers::TRANSFER_ENCODING;
 
+use super::cancel::Cancel;
 use super::error::SendError;
 use super::error::SendErrorKind;
 use super::error::Stage;
@@ -22,7 +25,6 @@
 use super::limits::Reuse;
 use super::limits::SendLimits;
 use super::pool::Pool;
-use super::relay_body::Cancel;
 use super::relay_body::Framing;
 use super::relay_body::Home;
 use super::relay_body::RelayBody;
@@ -37,6 +39,9 @@
 /// The longest head that async-h1 parses, in bytes.
 const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
 
+/// How long to look for an answer after a write failed.
+const EARLY_TIMEOUT: Millis = Millis::from_secs(1);
+
 /// Sends requests to backend servers and keeps connections for reuse.
 #[derive(Clone)]
 pub struct Client {
@@ -123,8 +128,11 @@
         let exchange = self.connect(server, limits, reuse).await?;
         let cut = CutUnless(Some(exchange.wire.clone()));
         let method = request.method();
-        write_request(&exchange, request, limits).await?;
-        let response = read_answer(&exchange, limits).await?;
+        let written = write_request(&exchange, request, limits).await;
+        let response = match written {
+            Ok(()) => read_answer(&exchange, limits.head_timeout).await?,
+            Err(error) => early_answer(&exchange, limits, error).await?,
+        };
         let answer = self.answer(&exchange, server, method, response, limits)?;
         cut.keep();
         Ok(answer)
@@ -177,7 +185,6 @@
             Framing::Chunked => u64::MAX,
         });
         let status = response.status();
-        let cancel = Cancel::new(&exchange.wire);
         let wire = exchange.wire.clone();
         let body = RelayBody::new(
             response.take_body(),
@@ -186,6 +193,7 @@
             home,
             limits.stall_timeout,
         );
+        let cancel = body.cancel();
         clean_headers(response.as_mut());
         let headers: &Headers = response.as_ref();
         Ok(Answer {
@@ -235,8 +243,30 @@
     Err(exchange.error(exchange.stage(), kind))
 }
 
-async fn read_answer(exchange: &Exchange, limits: &SendLimits) -> Result<Response, SendError> {
-    match timeout(limits.head_timeout.into(), final_head(exchange)).await {
+/// Looks for an answer that the server gave before it had the whole request.
+///
+/// A server that refuses a request by its head answers and closes while the body is still being
+/// written. The write fails then, but the answer is there, and it says more than the failure.
+async fn early_answer(
+    exchange: &Exchange,
+    limits: &SendLimits,
+    error: SendError,
+) -> Result<Response, SendError> {
+    let closed = matches!(error.kind, SendErrorKind::Write(_));
+    if !closed || error.stage != Stage::Written {
+        return Err(error);
+    }
+    let span = limits.head_timeout.min(EARLY_TIMEOUT);
+    let Ok(mut response) = read_answer(exchange, span).await else {
+        return Err(error);
+    };
+    // Part of the request is missing on this connection, so it can't carry another.
+    response.insert_header(CONNECTION, "close");
+    Ok(response)
+}
+
+async fn read_answer(exchange: &Exchange, span: Millis) -> Result<Response, SendError> {
+    match timeout(span.into(), final_head(exchange)).await {
         Ok(result) => result,
         Err(_) => Err(exchange.error(exchange.answered(), SendErrorKind::HeadTimeout)),
     }
--- a/crates/http/src/server/limits.rs
+++ b/crates/http/src/server/limits.rs
@@ -18,6 +18,9 @@
     pub body_timeout: Millis,
     /// Between one answer and the next request.
     pub idle_timeout: Millis,
+    /// How long an idle connection stays open after a graceful stop began. A request that was on its
+    /// way at that moment is still answered.
+    pub stop_grace: Millis,
     /// How long a caller may take nothing while bytes wait for it.
     pub write_timeout: Millis,
 }
@@ -30,6 +33,7 @@
             head_timeout: Millis::from_secs(10),
             body_timeout: Millis::from_secs(30),
             idle_timeout: Millis::from_secs(75),
+            stop_grace: Millis(250),
             write_timeout: Millis::from_secs(30),
         }
     }
--- a/crates/http/src/server/listener.rs
+++ b/crates/http/src/server/listener.rs
@@ -18,6 +18,7 @@
 use async_std::task;
 use crocushold_base::Event;
 use crocushold_base::Millis;
+use futures::FutureExt;
 use futures::future::Either;
 use futures::future::select;
 use http_types::Method;
@@ -141,12 +142,25 @@
                 }
             }
         }
+        self.accept_backlog(&handler);
         let ended = self.ended.clone();
         drop(self);
         // Nothing is ever sent; the channel closes with the last connection.
         let _ = ended.recv().await;
     }
 
+    /// Takes in the connections that the kernel has already accepted; closing the socket would reset
+    /// them.
+    fn accept_backlog<H, F>(&self, handler: &H)
+    where
+        H: Fn(Request, Hangup) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response> + Send + 'static,
+    {
+        while let Some(Ok((stream, _))) = self.listener.accept().now_or_never() {
+            self.admit(stream, handler);
+        }
+    }
+
     fn admit<H, F>(&self, stream: TcpStream, handler: &H)
     where
         H: Fn(Request, Hangup) -> F + Clone + Send + Sync + 'static,
--- a/crates/http/src/server/receive.rs
+++ b/crates/http/src/server/receive.rs
@@ -72,7 +72,10 @@
     let stopped = std::pin::pin!(stop.wait());
     match select(byte, stopped).await {
         Either::Left((arrived, _)) => matches!(arrived, Ok(Ok(true))),
-        Either::Right(_) => false,
+        Either::Right((_, byte)) => {
+            let last = timeout(limits.stop_grace.into(), byte).await;
+            matches!(last, Ok(Ok(Ok(true))))
+        }
     }
 }
 
--- a/crates/http/src/stall.rs
+++ b/crates/http/src/stall.rs
@@ -10,14 +10,16 @@
 
 type Sleep = Pin<Box<dyn Future<Output = ()> + Send + Sync>>;
 
-/// Expires when no progress was noted for a span.
+/// Expires when a wait lasts longer than a span.
 ///
-/// A progress note only stores the time. The timer underneath is armed again when it fires, not on
-/// each note, so a stream of many small chunks costs no timer operation a chunk.
+/// The time counts from the start of the wait, so that a stream that wasn't polled (since its bytes
+/// had nowhere to go) isn't taken for one that stands still. The timer underneath is armed again
+/// when it fires, not at each wait, so a stream of many small chunks costs no timer operation a
+/// chunk.
 pub(crate) struct StallTimer {
     clock: Clock,
     span: Millis,
-    last: Millis,
+    since: Option<Millis>,
     sleep: Option<Sleep>,
 }
 
@@ -26,23 +28,27 @@
         StallTimer {
             clock: Clock::start(),
             span,
-            last: Millis::ZERO,
+            since: None,
             sleep: None,
         }
     }
 
-    /// Notes progress.
+    /// Notes progress: the wait is over.
     pub(crate) fn touch(&mut self) {
-        self.last = self.clock.now();
+        self.since = None;
     }
 
-    /// Tells whether the stream stalled; otherwise the task is woken when it might have.
+    /// Tells whether the wait is too long; otherwise the task is woken when it might be.
     pub(crate) fn poll_expired(&mut self, cx: &mut Context<'_>) -> bool {
+        let since = match self.since {
+            Some(since) => since,
+            None => *self.since.insert(self.clock.now()),
+        };
         loop {
             let sleep = match &mut self.sleep {
                 Some(sleep) => sleep,
                 None => {
-                    let rest = self.span.since(self.clock.now().since(self.last));
+                    let rest = self.span.since(self.clock.now().since(since));
                     self.sleep.insert(Box::pin(task::sleep(rest.into())))
                 }
             };
@@ -50,7 +56,7 @@
                 return false;
             }
             self.sleep = None;
-            if self.clock.now().since(self.last) >= self.span {
+            if self.clock.now().since(since) >= self.span {
                 return true;
             }
         }
--- a/crates/http/src/transmit.rs
+++ b/crates/http/src/transmit.rs
@@ -110,18 +110,13 @@
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
         let this = &mut *self;
         loop {
-            // The stall clock runs while bytes wait for the peer, not while the source is silent.
-            if this.start == this.end {
-                this.stall.touch();
-            }
-            if this.start == 0 {
-                let waits = this.poll_gather(cx);
-                ready!(this.poll_drain(cx))?;
-                if waits {
-                    return Poll::Pending;
-                }
-            } else {
-                ready!(this.poll_drain(cx))?;
+            // What a write left over goes first, so a caller that doesn't read holds its server back
+            // instead of filling the memory.
+            ready!(this.poll_drain(cx))?;
+            let waits = this.poll_gather(cx);
+            ready!(this.poll_drain(cx))?;
+            if waits {
+                return Poll::Pending;
             }
             if this.finished {
                 return Poll::Ready(match this.failure.take() {
--- a/crates/http/tests/support/mod.rs
+++ b/crates/http/tests/support/mod.rs
@@ -40,11 +40,12 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 
 pub fn run<T>(future: impl Future<Output = T>) -> T {
-    task::block_on(async { soon(future).await })
+    task::block_on(soon(future))
 }
 
 pub async fn soon<T>(future: impl Future<Output = T>) -> T {
-    timeout(PATIENCE, future)
+    // Boxed: unoptimized executors move the future about, and test threads have small stacks.
+    timeout(PATIENCE, Box::pin(future))
         .await
         .expect("nothing happened for ten seconds")
 }
