--- a/crates/http/tests/support/mod.rs
+++ b/crates/http/tests/support/mod.rs
@@ -30,6 +30,8 @@
 use crocushold_http::Reuse;
 use crocushold_http::SendError;
 use crocushold_http::SendLimits;
+use crocushold_http::ServerLimits;
+use crocushold_http::read_body;
 use crocushold_http::relay_headers;
 use http_types::Method;
 use http_types::Request;
@@ -127,6 +129,34 @@
     (addr, handle, task::spawn(listener.run(handler)))
 }
 
+/// A server that answers with the body it was sent.
+pub async fn echo(server: ServerLimits) -> SocketAddr {
+    let limits = ListenerLimits {
+        server: server.clone(),
+        ..ListenerLimits::default()
+    };
+    let (addr, _, _) = serve(limits, move |mut request, _| {
+        let server = server.clone();
+        async move {
+            match read_body(&mut request, &server).await {
+                Ok(body) => {
+                    let mut response = Response::new(200);
+                    response.set_body(body);
+                    response
+                }
+                Err(error) => Response::new(error.status()),
+            }
+        }
+    })
+    .await;
+    addr
+}
+
+/// The status line's code, or what there is of the line.
+pub fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or(answer)
+}
+
 pub fn get(server: SocketAddr) -> Request {
     Request::new(
         Method::Get,
