--- /dev/null
+++ b/crates/http/tests/client.rs
@@ -0,0 +1,363 @@
+//! How far a request came is known, and what comes back is whole or an error.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::time::Duration;
+
+use async_std::channel::unbounded;
+use async_std::future::timeout;
+use async_std::io::ReadExt;
+use async_std::io::WriteExt;
+use crocushold_base::Millis;
+use crocushold_http::Client;
+use crocushold_http::CutCause;
+use crocushold_http::End;
+use crocushold_http::PoolLimits;
+use crocushold_http::Reuse;
+use crocushold_http::SendErrorKind;
+use crocushold_http::SendLimits;
+use crocushold_http::Stage;
+use http_types::Body;
+use http_types::Request;
+use test_case::test_case;
+
+use support::Ends;
+use support::bind;
+use support::call;
+use support::canned;
+use support::client;
+use support::fake;
+use support::get;
+use support::post;
+use support::read_head;
+use support::read_rest;
+use support::read_until;
+use support::relay;
+use support::run;
+use support::send;
+use support::soon;
+
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+fn limits() -> SendLimits {
+    SendLimits {
+        head_timeout: Millis(50),
+        stall_timeout: Millis(50),
+        ..SendLimits::default()
+    }
+}
+
+// Nothing listens at the address. The request can't have left, so it may be sent elsewhere.
+#[test]
+fn refused_connection_proves_unsent() {
+    run(async {
+        let (listener, addr) = bind().await;
+        drop(listener);
+        let error = send(addr).await.unwrap_err();
+        assert_eq!(error.stage, Stage::NotConnected);
+        assert!(error.stage.proves_unsent());
+    });
+}
+
+// The request fails before its first byte: there was a connection, and nothing left on it.
+#[test]
+fn failure_before_the_first_byte_proves_unsent() {
+    run(async {
+        let server = canned(OK).await;
+        // Without a host there is no head to write.
+        let request = Request::new(
+            http_types::Method::Get,
+            http_types::Url::parse("data:x").unwrap(),
+        );
+        let error = soon(client().send(server, request, &limits(), Reuse::Fresh))
+            .await
+            .unwrap_err();
+        assert_eq!(error.stage, Stage::Connected);
+        assert!(error.stage.proves_unsent());
+    });
+}
+
+// The request was read, and then the server closed, stayed silent, or answered in part. It may have
+// run: the stage must not prove otherwise.
+#[test_case("", Stage::Written; "closed without an answer")]
+#[test_case("HTTP/1.1 200 O", Stage::Answered; "closed inside the head")]
+#[test_case("HTTP/1.1 200 OK\n\n", Stage::Answered; "bare line feeds")]
+#[test_case("HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nok", Stage::Answered; "older version")]
+#[test_case("HTTP/1.1 101 Switching Protocols\r\n\r\n", Stage::Answered; "upgrade")]
+fn failure_after_the_request_left_proves_nothing(answer: &'static str, stage: Stage) {
+    run(async move {
+        let error = send(canned(answer).await).await.unwrap_err();
+        assert_eq!(error.stage, stage, "{error}");
+        assert!(!error.stage.proves_unsent());
+    });
+}
+
+#[test]
+fn silent_server_is_given_up_and_sees_the_close() {
+    run(async {
+        let (gone, closed) = unbounded();
+        let server = fake(move |_, mut stream| {
+            let gone = gone.clone();
+            async move {
+                read_rest(&mut stream).await;
+                gone.send(()).await.unwrap();
+            }
+        })
+        .await;
+        let sent = client()
+            .send(server, get(server), &limits(), Reuse::Fresh)
+            .await;
+        let error = sent.unwrap_err();
+        assert_eq!(error.stage, Stage::Written);
+        assert!(matches!(error.kind, SendErrorKind::HeadTimeout), "{error}");
+        closed.recv().await.unwrap();
+    });
+}
+
+// The server refuses a large request by its head and closes while the body is still being written.
+// The write fails, but the answer is there and must not be lost.
+#[test]
+fn early_answer_is_read_although_the_write_fails() {
+    run(async {
+        let server = fake(|_, mut stream| async move {
+            read_head(&mut stream).await;
+            let answer = "HTTP/1.1 413 Payload Too Large\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(answer.as_bytes()).await.unwrap();
+            stream.shutdown(async_std::net::Shutdown::Write).unwrap();
+            // Takes a part, so that the close can't overtake the answer.
+            let mut part = vec![0; 1 << 20];
+            stream.read_exact(&mut part).await.unwrap();
+        })
+        .await;
+        let mut request = get(server);
+        request.set_body(Body::from_reader(
+            async_std::io::BufReader::new(async_std::io::repeat(b'x')),
+            None,
+        ));
+        let client = client();
+        let sent = soon(client.send(server, request, &limits(), Reuse::Allowed)).await;
+        match sent {
+            Ok(answer) => assert_eq!(u16::from(answer.status), 413),
+            // A reset may still throw the answer away; then the stage must say so.
+            Err(error) => assert_eq!(error.stage, Stage::Written),
+        }
+        assert_eq!(client.idle_connections(), 0);
+    });
+}
+
+// The server stops in the middle of its answer and keeps the connection open.
+#[test]
+fn stalled_answer_is_cut() {
+    run(async {
+        let server = fake(|_, mut stream| async move {
+            read_head(&mut stream).await;
+            let head = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf";
+            stream.write_all(head.as_bytes()).await.unwrap();
+            read_rest(&mut stream).await;
+        })
+        .await;
+        let answer = client()
+            .send(server, get(server), &limits(), Reuse::Fresh)
+            .await
+            .unwrap();
+        let (sender, ends) = unbounded();
+        let mut body = answer.body.into_body(Ends::new(sender));
+        let error = body.read_to_end(&mut Vec::new()).await.unwrap_err();
+        assert_eq!(error.kind(), std::io::ErrorKind::TimedOut);
+        drop(body);
+        let cause = CutCause::Stalled;
+        assert_eq!(ends.recv().await.unwrap(), End::Cut { bytes: 4, cause });
+        assert!(ends.is_empty(), "one end only");
+    });
+}
+
+// The last line of a chunked answer arrives in two reads: here it straddles async-h1's read buffer,
+// a slow network does the same. Its decoder then waits without having asked to be woken, and the
+// caller waits for the last byte of a finished answer until it gives up.
+#[test]
+fn last_line_in_two_reads_does_not_hang() {
+    run(async {
+        // 8,192 bytes of body stream: chunk line, data, and "0\r\n\r" of the end.
+        let data = "x".repeat(8192 - "1fef\r\n\r\n0\r\n\r".len());
+        let chunk = format!("{:x}\r\n{data}\r\n", data.len());
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        let server = canned(format!("{head}{chunk}0\r\n\r\n")).await;
+        let mut answer = send(server).await.unwrap();
+        let mut body = Vec::new();
+        let read = timeout(Duration::from_secs(2), answer.body.read_to_end(&mut body)).await;
+        read.expect("the end was noticed").unwrap();
+        assert_eq!(body.len(), data.len());
+    });
+}
+
+// The server's answer has no date. async-h1 adds one whose value ends in a line break; written on,
+// it would end the head early and push the rest of the headers into the body.
+#[test]
+fn answer_without_a_date_keeps_its_head_whole() {
+    run(async {
+        let (addr, _ends) =
+            relay(canned("HTTP/1.1 200 OK\r\nx-z: 1\r\ncontent-length: 2\r\n\r\nok").await).await;
+        let mut caller = call(
+            addr,
+            "GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
+        )
+        .await;
+        let head = read_head(&mut caller).await;
+        assert!(
+            head.contains("x-z: 1\r\n") && !head.contains("date: date"),
+            "{head}"
+        );
+        assert_eq!(read_rest(&mut caller).await, "ok");
+    });
+}
+
+#[test_case("HTTP/1.1 100 Continue\r\n\r\n", "200"; "interim answer first")]
+#[test_case("HTTP/1.1 200 OK\r\nx: caf\u{e9}\r\ncontent-length: 0\r\n\r\n", "200"; "header that is not ascii")]
+fn odd_heads_do_not_lose_the_answer(first: &'static str, expected: &'static str) {
+    run(async move {
+        let server = canned(format!("{first}{OK}")).await;
+        let answer = send(server).await.unwrap();
+        assert_eq!(answer.status.to_string(), expected);
+    });
+}
+
+/// A server that counts its connections and answers each request on them.
+async fn counting() -> (
+    async_std::net::SocketAddr,
+    async_std::channel::Receiver<usize>,
+) {
+    let (sender, numbers) = unbounded();
+    let server = fake(move |number, mut stream| {
+        let sender = sender.clone();
+        async move {
+            while !read_head(&mut stream).await.is_empty() {
+                sender.send(number).await.unwrap();
+                stream.write_all(OK.as_bytes()).await.unwrap();
+            }
+        }
+    })
+    .await;
+    (server, numbers)
+}
+
+async fn exchange(client: &Client, server: async_std::net::SocketAddr, reuse: Reuse) {
+    let mut answer = client
+        .send(server, get(server), &limits(), reuse)
+        .await
+        .unwrap();
+    answer.body.read_to_end(&mut Vec::new()).await.unwrap();
+}
+
+// A connection is kept after a whole answer only, and carries another request only where that is
+// allowed: the close of a kept connection can't be told from a request that was lost.
+#[test]
+fn only_clean_connections_are_reused_and_only_where_allowed() {
+    run(async {
+        let (server, numbers) = counting().await;
+        let client = client();
+        exchange(&client, server, Reuse::Allowed).await;
+        exchange(&client, server, Reuse::Allowed).await;
+        exchange(&client, server, Reuse::Fresh).await;
+        let answer = client
+            .send(server, get(server), &limits(), Reuse::Allowed)
+            .await
+            .unwrap();
+        let idle = client.idle_connections();
+        // Dropped in the middle: not kept.
+        drop(answer);
+        assert_eq!(client.idle_connections(), idle);
+        let mut seen = Vec::new();
+        while let Ok(number) = numbers.try_recv() {
+            seen.push(number);
+        }
+        assert_eq!(&seen[..3], &[0, 0, 1]);
+    });
+}
+
+#[test]
+fn pool_is_bounded() {
+    run(async {
+        let (server, _numbers) = counting().await;
+        let client = Client::new(PoolLimits {
+            per_server: 1,
+            ..PoolLimits::default()
+        });
+        exchange(&client, server, Reuse::Fresh).await;
+        exchange(&client, server, Reuse::Fresh).await;
+        assert_eq!(client.idle_connections(), 1);
+    });
+}
+
+// The server closes a kept connection. The next request must notice before it writes, and go out on
+// a new connection, so that nothing ambiguous happens.
+#[test]
+fn closed_idle_connection_is_not_written_on() {
+    run(async {
+        let (closed, wait) = unbounded();
+        let server = fake(move |_, mut stream| {
+            let closed = closed.clone();
+            async move {
+                read_head(&mut stream).await;
+                stream.write_all(OK.as_bytes()).await.unwrap();
+                stream.shutdown(async_std::net::Shutdown::Both).unwrap();
+                closed.send(()).await.unwrap();
+            }
+        })
+        .await;
+        let client = client();
+        for _ in 0..2 {
+            exchange(&client, server, Reuse::Allowed).await;
+            wait.recv().await.unwrap();
+        }
+    });
+}
+
+// A cancel that comes after the answer's end finds the connection carrying another request, which
+// it must not hit.
+#[test]
+fn late_cancel_does_not_hit_the_next_request() {
+    run(async {
+        let (server, _numbers) = counting().await;
+        let client = client();
+        let mut first = client
+            .send(server, get(server), &limits(), Reuse::Allowed)
+            .await
+            .unwrap();
+        first.body.read_to_end(&mut Vec::new()).await.unwrap();
+        let mut second = client
+            .send(server, get(server), &limits(), Reuse::Allowed)
+            .await
+            .unwrap();
+        assert!(second.reused);
+        first.cancel.cancel();
+        let mut text = String::new();
+        second.body.read_to_string(&mut text).await.unwrap();
+        assert_eq!(text, "ok");
+    });
+}
+
+#[test]
+fn cancel_closes_the_connection_to_the_server() {
+    run(async {
+        let (gone, closed) = unbounded();
+        let server = fake(move |_, mut stream| {
+            let gone = gone.clone();
+            async move {
+                let request = read_until(&mut stream, "\r\n\r\nbody").await;
+                assert!(request.contains("content-length: 4"), "{request}");
+                let head = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n";
+                stream.write_all(head.as_bytes()).await.unwrap();
+                gone.send(read_rest(&mut stream).await).await.unwrap();
+            }
+        })
+        .await;
+        let sent = client()
+            .send(server, post(server, "body"), &limits(), Reuse::Fresh)
+            .await;
+        let answer = sent.unwrap();
+        answer.cancel.cancel();
+        assert_eq!(soon(closed.recv()).await.unwrap(), "");
+    });
+}
--- /dev/null
+++ b/crates/http/tests/sse.rs
@@ -0,0 +1,32 @@
+//! Events are counted the same wherever the chunks are cut.
+
+use crocushold_http::EventCounter;
+
+const STREAM: &[u8] = b": comment\n\ndata: {\"a\":1}\n\nevent: x\r\ndata: {\"b\":2}\r\n\r\n\
+    data:{\"usage\":3}\n\ndata: [DONE]\n\n";
+
+#[test]
+fn count_does_not_depend_on_the_cuts() {
+    for size in 1..=STREAM.len() {
+        let mut counter = EventCounter::new();
+        let pushed: u64 = STREAM.chunks(size).map(|chunk| counter.push(chunk)).sum();
+        assert_eq!((counter.events(), pushed), (3, 3), "chunks of {size}");
+        assert_eq!(counter.last_event(), b"{\"usage\":3}", "chunks of {size}");
+        assert!(counter.is_done(), "chunks of {size}");
+    }
+}
+
+// A server sends an event without end. It must be counted, but not kept: memory stays bounded.
+#[test]
+fn oversized_event_is_counted_and_not_kept() {
+    let mut counter = EventCounter::new();
+    counter.push(b"data: small\n\ndata: ");
+    for _ in 0..100 {
+        counter.push(&[b'x'; 1024]);
+    }
+    counter.push(b"\n\n");
+    assert_eq!(counter.events(), 2);
+    assert_eq!(counter.last_event(), b"");
+    counter.push(b"data: next\n\n");
+    assert_eq!(counter.last_event(), b"next");
+}
