Add an open-loop load generator that checks answers to the last token

Arrivals are seeded and Poisson; requests are sent when due, whatever became of earlier ones, and latency counts from the time due. Every token of an answer is checked for its marker and its place, so that a cut, a misdelivered and a disordered answer are told apart; at the end the stand-ins are asked how often each request ran.

--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -30,6 +30,12 @@
         listen: SocketAddr,
         settings: Option<String>,
     },
+    /// Send the requests of a plan and print the report.
+    Load {
+        entry: Vec<SocketAddr>,
+        standin: Vec<SocketAddr>,
+        plan: PathBuf,
+    },
 }
 
 /// `TEAM=FILE` on the command line.
@@ -56,7 +62,8 @@
     let platform = platform();
     let engine = engine();
     let service = service();
-    construct!([platform, engine, service])
+    let load = load();
+    construct!([platform, engine, service, load])
         .to_options()
         .descr("Stand-ins for the things that crocushold meets in production; for tests only")
 }
@@ -113,6 +120,28 @@
         .command("service")
 }
 
+fn load() -> impl Parser<Command> {
+    let entry = long("entry")
+        .help("Address that requests go to; replaces those of the plan")
+        .argument::<SocketAddr>("ADDR")
+        .many();
+    let standin = long("standin")
+        .help("Stand-in to ask how often requests ran; replaces those of the plan")
+        .argument::<SocketAddr>("ADDR")
+        .many();
+    let plan = long("plan")
+        .help("The plan, from a file: JSON; what is left out keeps its default")
+        .argument::<PathBuf>("FILE");
+    construct!(Command::Load {
+        entry,
+        standin,
+        plan,
+    })
+    .to_options()
+    .descr("An open-loop load generator; prints its report as JSON")
+    .command("load")
+}
+
 fn listen() -> impl Parser<SocketAddr> {
     long("listen")
         .help("Address to listen on; port 0 takes any free one")
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -1,5 +1,6 @@
 //! The engine's calls and its clock.
 
+use std::collections::HashMap;
 use std::io;
 use std::net::Shutdown;
 use std::net::SocketAddr;
@@ -266,6 +267,10 @@
         }
     }
 
+    fn all_runs(&self) -> HashMap<String, u64> {
+        port::lock(&self.core).tally.all_runs()
+    }
+
     fn background(self: Arc<Self>) -> BoxFuture<'static, ()> {
         self.drive().boxed()
     }
--- a/crates/standins/src/engine/stats.rs
+++ b/crates/standins/src/engine/stats.rs
@@ -1,6 +1,7 @@
 //! Counters of an engine.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -72,7 +73,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Tally {
     pub(super) counts: EngineStats,
-    runs: BTreeMap<String, u64>,
+    runs: HashMap<String, u64>,
     hang_ups: BTreeMap<String, u64>,
 }
 
@@ -96,6 +97,11 @@
         self.runs.get(marker).copied().unwrap_or(0)
     }
 
+    /// How often each marker ran.
+    pub(super) fn all_runs(&self) -> HashMap<String, u64> {
+        self.runs.clone()
+    }
+
     /// Notes that the caller of `marker` hangs up now.
     pub(super) fn hang_up(&mut self, marker: String) {
         let now = unix_micros();
--- a/crates/standins/src/handle.rs
+++ b/crates/standins/src/handle.rs
@@ -1,5 +1,6 @@
 //! Starting, commanding and stopping a stand-in.
 
+use std::collections::HashMap;
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -30,6 +31,9 @@
 /// Path of the counters.
 const STATS: &str = "/control/stats";
 
+/// Path of the runs by marker.
+const RUNS: &str = "/control/runs";
+
 /// One kind of stand-in: what it answers, and the commands it takes.
 pub trait Standin: Send + Sync + 'static {
     /// A command, as JSON on `POST /control`.
@@ -47,6 +51,11 @@
     /// The present counters.
     fn stats(&self) -> Self::Stats;
 
+    /// How often each marked request ran, or had its effect; JSON on `GET /control/runs`.
+    fn all_runs(&self) -> HashMap<String, u64> {
+        HashMap::new()
+    }
+
     /// Work that goes on while no call waits.
     fn background(self: Arc<Self>) -> BoxFuture<'static, ()> {
         futures::future::ready(()).boxed()
@@ -155,6 +164,10 @@
                 let response = reply::json(StatusCode::Ok, &standin.stats());
                 futures::future::ready(Ok(response)).boxed()
             }
+            (Method::Get, RUNS) => {
+                let response = reply::json(StatusCode::Ok, &standin.all_runs());
+                futures::future::ready(Ok(response)).boxed()
+            }
             _ if listener == Listener::Control => {
                 let response = reply::error(StatusCode::NotFound, "not_found");
                 futures::future::ready(Ok(response)).boxed()
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -1,1 +1,34 @@
-//! Load generator.
+//! An open-loop load generator: requests are sent when they are due, whatever became of the earlier
+//! ones, and each answer is checked down to its last token.
+//!
+//! A [`LoadPlan`] names the entry addresses and the classes of requests; [`run`] sends them and
+//! returns a [`LoadReport`]. Given an engine's address in place of an entry instance's, the same
+//! plan measures the engine alone.
+
+mod client;
+mod exchange;
+mod plan;
+mod prompt;
+mod record;
+mod report;
+mod response;
+mod run;
+mod tally;
+
+pub use exchange::Ending;
+pub use exchange::Exchange;
+pub use plan::Burst;
+pub use plan::Form;
+pub use plan::GiveUp;
+pub use plan::Header;
+pub use plan::LoadClass;
+pub use plan::LoadPlan;
+pub use plan::Targets;
+pub use report::ClassReport;
+pub use report::LoadReport;
+pub use report::Quantiles;
+pub use report::Second;
+pub use report::StandinTotals;
+pub use response::Malformed;
+pub use response::Response;
+pub use run::run;
--- /dev/null
+++ b/crates/standins/src/load/exchange.rs
@@ -0,0 +1,205 @@
+//! One request and its answer.
+
+use std::io;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::future;
+use async_std::io::ReadExt;
+use async_std::io::WriteExt;
+use async_std::net::TcpStream;
+
+use super::client::Client;
+use super::response::Response;
+
+/// Bytes read from a connection at a time.
+const READ_BYTES: usize = 16 * 1024;
+
+/// How a request ended, as its caller sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The whole answer arrived, and it was the request's own.
+    Complete,
+    /// An error status came.
+    Refused,
+    /// The answer, or the connection before it, ended early.
+    Cut,
+    /// Tokens of another request came.
+    Misdelivered,
+    /// Tokens were missing, repeated or out of order in an answer that claims to be whole.
+    Disordered,
+    /// Nothing more came in time.
+    TimedOut,
+    /// The caller left as planned.
+    GaveUp,
+    /// No entry took the connection.
+    Unconnected,
+}
+
+/// What was seen of one request.
+#[derive(Debug)]
+pub struct Exchange {
+    /// How it ended.
+    pub ending: Ending,
+    /// The answer, as far as it came.
+    pub response: Response,
+    /// When the first token, or a plain answer's first byte, came; counted from the time due.
+    pub first: Option<Duration>,
+    /// The gaps between tokens, in microseconds.
+    pub gaps: Vec<u32>,
+    /// When it ended; counted from the time due.
+    pub whole: Duration,
+}
+
+/// When a caller stops waiting.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Patience {
+    pub(super) timeout: Duration,
+    pub(super) give_up: Option<Duration>,
+}
+
+/// A request that is ready to be sent.
+pub(super) struct Outgoing {
+    pub(super) bytes: Vec<u8>,
+    pub(super) response: Response,
+    /// Tokens that the answer must have; none for a plain call.
+    pub(super) tokens: Option<u64>,
+    pub(super) due: Instant,
+    pub(super) patience: Patience,
+}
+
+struct Reading {
+    response: Response,
+    tokens: Option<u64>,
+    due: Instant,
+    first: Option<Duration>,
+    last: Instant,
+    gaps: Vec<u32>,
+}
+
+/// Sends a request and reads its answer.
+pub(super) async fn exchange(client: &Client, outgoing: Outgoing) -> Exchange {
+    let Patience { timeout, give_up } = outgoing.patience;
+    let due = outgoing.due;
+    let limit = give_up.unwrap_or(timeout).min(timeout);
+    let left = limit.saturating_sub(due.elapsed());
+    let mut reading = Reading {
+        response: outgoing.response,
+        tokens: outgoing.tokens,
+        due,
+        first: None,
+        last: due,
+        gaps: Vec::new(),
+    };
+    let talk = reading.talk(client, &outgoing.bytes);
+    let ending = match future::timeout(left, talk).await {
+        Ok(ending) => ending,
+        Err(_) if give_up.is_some_and(|after| after <= timeout) => Ending::GaveUp,
+        Err(_) => Ending::TimedOut,
+    };
+    Exchange {
+        ending,
+        response: reading.response,
+        first: reading.first,
+        gaps: reading.gaps,
+        whole: due.elapsed(),
+    }
+}
+
+impl Reading {
+    async fn talk(&mut self, client: &Client, request: &[u8]) -> Ending {
+        let Ok(mut conn) = client.connect().await else {
+            return Ending::Unconnected;
+        };
+        // An answer may come although the request couldn't be written to its end.
+        let written = conn.stream.write_all(request).await;
+        let read = self.read(&mut conn.stream).await;
+        if read.is_err() || !self.response.is_whole() {
+            return self.early_end();
+        }
+        let ending = self.verdict();
+        if written.is_ok() && !closes(&self.response) {
+            client.give_back(conn);
+        }
+        ending
+    }
+
+    /// Reads until the answer is whole or the connection ends.
+    async fn read(&mut self, stream: &mut TcpStream) -> io::Result<()> {
+        let mut buf = vec![0; READ_BYTES];
+        while !self.response.is_whole() {
+            let count = stream.read(&mut buf).await?;
+            if count == 0 {
+                return Ok(());
+            }
+            let before = self.response.tokens();
+            let fed = self.response.feed(&buf[..count]);
+            let used = fed.map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+            self.note_time(before);
+            if used < count {
+                // Bytes after the end of the answer: they'd complete somebody else's.
+                return Err(io::Error::from(io::ErrorKind::InvalidData));
+            }
+        }
+        Ok(())
+    }
+
+    fn note_time(&mut self, before: u64) {
+        let after = self.response.tokens();
+        let begun = if self.tokens.is_some() {
+            after > 0
+        } else {
+            self.response.has_head()
+        };
+        if !begun {
+            return;
+        }
+        let now = Instant::now();
+        let mut fresh = after - before;
+        if self.first.is_none() {
+            self.first = Some(now - self.due);
+            self.last = now;
+            fresh = fresh.saturating_sub(1);
+        }
+        for _ in 0..fresh {
+            let gap = (now - self.last).as_micros();
+            self.gaps.push(u32::try_from(gap).unwrap_or(u32::MAX));
+            self.last = now;
+        }
+    }
+
+    fn verdict(&mut self) -> Ending {
+        let response = &mut self.response;
+        if response.status() >= 400 {
+            return Ending::Refused;
+        }
+        if self.tokens.is_some() && !response.is_stream() {
+            response.check_whole();
+        }
+        if response.is_foreign() {
+            return Ending::Misdelivered;
+        }
+        if response.is_stream() && !response.is_done() {
+            return Ending::Cut;
+        }
+        let complete = self.tokens.is_none_or(|tokens| tokens == response.tokens());
+        if response.is_disordered() || !complete {
+            return Ending::Disordered;
+        }
+        Ending::Complete
+    }
+
+    /// The connection ended before the framing said that the answer was whole.
+    fn early_end(&self) -> Ending {
+        if self.response.is_foreign() {
+            return Ending::Misdelivered;
+        }
+        Ending::Cut
+    }
+}
+
+fn closes(response: &Response) -> bool {
+    response
+        .header("connection")
+        .is_some_and(|value| value.contains("close"))
+}
--- /dev/null
+++ b/crates/standins/src/load/record.rs
@@ -0,0 +1,149 @@
+//! What was seen of one class.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use super::exchange::Ending;
+use super::exchange::Exchange;
+use super::plan::LoadClass;
+use super::plan::Targets;
+use super::report::ClassReport;
+use super::report::Quantiles;
+use super::report::Second;
+
+/// Longest latency that the histograms tell from longer ones, in microseconds.
+const MAX_MICROS: u64 = 600_000_000;
+
+/// Share of a request's gaps that may be longer than its target.
+const GAP_SHARE: f64 = 0.05;
+
+/// Counters and histograms of one class.
+pub(super) struct Record {
+    targets: Targets,
+    counts: ClassReport,
+    first: Histogram<u64>,
+    between: Histogram<u64>,
+    whole: Histogram<u64>,
+    timeline: Vec<Second>,
+}
+
+impl Record {
+    pub(super) fn new(class: &LoadClass) -> Record {
+        Record {
+            targets: class.targets,
+            counts: ClassReport {
+                name: class.name.clone(),
+                ..ClassReport::default()
+            },
+            first: histogram(),
+            between: histogram(),
+            whole: histogram(),
+            timeline: Vec::new(),
+        }
+    }
+
+    /// Counts a request that was due but couldn't be sent.
+    pub(super) fn unsent(&mut self) {
+        self.counts.unsent += 1;
+    }
+
+    /// Counts a request that has ended; `second` is when it was due.
+    pub(super) fn add(&mut self, exchange: &Exchange, not_run: &str, second: usize) {
+        let attained = self.attained(exchange);
+        self.count_ending(exchange, not_run);
+        self.counts.sent += 1;
+        self.counts.attained += u64::from(attained);
+        self.counts.tokens += exchange.response.tokens();
+        self.add_times(exchange);
+        if self.timeline.len() <= second {
+            self.timeline.resize(second + 1, Second::default());
+        }
+        let line = &mut self.timeline[second];
+        line.sent += 1;
+        line.attained += u64::from(attained);
+        line.refused += u64::from(exchange.ending == Ending::Refused);
+    }
+
+    /// The report; the timeline only when asked for.
+    pub(super) fn report(&self, timeline: bool) -> ClassReport {
+        let mut report = self.counts.clone();
+        report.first = Quantiles::of(&self.first);
+        report.between = Quantiles::of(&self.between);
+        report.whole = Quantiles::of(&self.whole);
+        if timeline {
+            report.timeline.clone_from(&self.timeline);
+        }
+        report
+    }
+
+    fn count_ending(&mut self, exchange: &Exchange, not_run: &str) {
+        let counts = &mut self.counts;
+        match exchange.ending {
+            Ending::Complete => counts.completed += 1,
+            Ending::Refused => {
+                counts.refused += 1;
+                let retry_after = exchange.response.header("retry-after").is_some();
+                counts.without_retry_after += u64::from(!retry_after);
+                counts.told_not_run += u64::from(says_not_run(exchange, not_run));
+            }
+            Ending::Cut => counts.cut += 1,
+            Ending::Misdelivered => counts.misdelivered += 1,
+            Ending::Disordered => counts.disordered += 1,
+            Ending::TimedOut => counts.timed_out += 1,
+            Ending::GaveUp => counts.gave_up += 1,
+            Ending::Unconnected => counts.unconnected += 1,
+        }
+        if exchange.ending == Ending::Complete {
+            counts.useful_tokens += exchange.response.tokens();
+        }
+    }
+
+    fn add_times(&mut self, exchange: &Exchange) {
+        if let Some(first) = exchange.first {
+            self.first.saturating_record(micros(first));
+        }
+        for &gap in &exchange.gaps {
+            self.between.saturating_record(u64::from(gap));
+        }
+        if exchange.ending == Ending::Complete {
+            self.whole.saturating_record(micros(exchange.whole));
+        }
+    }
+
+    fn attained(&self, exchange: &Exchange) -> bool {
+        let Targets {
+            first_ms,
+            between_ms,
+            whole_ms,
+        } = self.targets;
+        let within = |took: Duration, limit: Option<u64>| {
+            limit.is_none_or(|ms| took <= Duration::from_millis(ms))
+        };
+        exchange.ending == Ending::Complete
+            && exchange.first.is_some_and(|first| within(first, first_ms))
+            && within(exchange.whole, whole_ms)
+            && between_ms.is_none_or(|ms| gaps_within(&exchange.gaps, ms))
+    }
+}
+
+/// Whether a refusal states that the request wasn't run.
+pub(super) fn says_not_run(exchange: &Exchange, not_run: &str) -> bool {
+    let head = exchange.response.head();
+    let body = String::from_utf8_lossy(exchange.response.body());
+    !not_run.is_empty() && (head.contains(not_run) || body.contains(not_run))
+}
+
+fn gaps_within(gaps: &[u32], ms: u64) -> bool {
+    let limit = ms.saturating_mul(1000);
+    let longer = gaps.iter().filter(|&&gap| u64::from(gap) > limit).count();
+    longer as f64 <= gaps.len() as f64 * GAP_SHARE
+}
+
+fn micros(took: Duration) -> u64 {
+    u64::try_from(took.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_max(MAX_MICROS, 3).expect("the bounds are constants that are valid")
+}
--- /dev/null
+++ b/crates/standins/src/load/run.rs
@@ -0,0 +1,227 @@
+//! Sending a plan's requests when they are due.
+
+use std::collections::HashSet;
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::task;
+use async_std::task::JoinHandle;
+use hdrhistogram::Histogram;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::client::Client;
+use super::exchange;
+use super::exchange::Ending;
+use super::exchange::Outgoing;
+use super::exchange::Patience;
+use super::plan::Form;
+use super::plan::LoadClass;
+use super::plan::LoadPlan;
+use super::prompt;
+use super::record;
+use super::record::Record;
+use super::report::LoadReport;
+use super::report::Quantiles;
+use super::response::Response;
+use super::tally::RunTally;
+use crate::port;
+
+/// How many requests that were said not to have been run are remembered.
+const MAX_TOLD: usize = 200_000;
+
+/// What the requests of a run share.
+struct Shared {
+    plan: LoadPlan,
+    client: Client,
+    records: Vec<Mutex<Record>>,
+    lateness: Mutex<Histogram<u64>>,
+    told: Mutex<HashSet<String>>,
+    open: AtomicUsize,
+}
+
+/// The next arrivals of one class.
+struct Arrivals {
+    rng: StdRng,
+    next: f64,
+    sent: u64,
+}
+
+/// Runs a plan.
+///
+/// # Errors
+///
+/// Fails when the plan names no entry, or a stand-in can't be asked for its counters.
+pub async fn run(plan: LoadPlan) -> io::Result<LoadReport> {
+    if plan.entries.is_empty() {
+        return Err(io::Error::other("the plan names no entry address"));
+    }
+    let start = Instant::now();
+    let shared = Arc::new(Shared::new(plan));
+    for request in send_all(&shared, start).await {
+        request.await;
+    }
+    let tally = RunTally::collect(&shared.plan.standins).await?;
+    Ok(shared.report(start.elapsed(), &tally))
+}
+
+async fn send_all(shared: &Arc<Shared>, start: Instant) -> Vec<JoinHandle<()>> {
+    let plan = &shared.plan;
+    let mut arrivals: Vec<_> = (0..plan.classes.len())
+        .map(|i| Arrivals::new(plan, i))
+        .collect();
+    let mut requests = Vec::new();
+    while (requests.len() as u64) < plan.max_requests {
+        let times = arrivals.iter().map(|a| a.next).enumerate();
+        let Some((class, time)) = times.min_by(|a, b| a.1.total_cmp(&b.1)) else {
+            break;
+        };
+        if time >= plan.seconds {
+            break;
+        }
+        let due = start + Duration::from_secs_f64(time);
+        task::sleep(due.saturating_duration_since(Instant::now())).await;
+        requests.extend(shared.send(class, time, due, &mut arrivals[class]));
+        arrivals[class].advance(&plan.classes[class]);
+    }
+    requests
+}
+
+impl Arrivals {
+    fn new(plan: &LoadPlan, class: usize) -> Arrivals {
+        let mut arrivals = Arrivals {
+            rng: StdRng::seed_from_u64(plan.seed.wrapping_mul(1000) + class as u64),
+            next: 0.0,
+            sent: 0,
+        };
+        arrivals.advance(&plan.classes[class]);
+        arrivals
+    }
+
+    /// Draws the next arrival of a Poisson process whose rate changes, by thinning one that runs at
+    /// the highest rate.
+    fn advance(&mut self, class: &LoadClass) {
+        let peak = class.peak_rate();
+        if peak <= 0.0 {
+            self.next = f64::INFINITY;
+            return;
+        }
+        loop {
+            let uniform: f64 = self.rng.random();
+            self.next += -(1.0 - uniform).ln() / peak;
+            if self.rng.random::<f64>() * peak < class.rate_at(self.next) || self.next > 1e6 {
+                return;
+            }
+        }
+    }
+}
+
+impl Shared {
+    fn new(plan: LoadPlan) -> Shared {
+        let records = plan
+            .classes
+            .iter()
+            .map(|c| Mutex::new(Record::new(c)))
+            .collect();
+        let lateness = Histogram::new(3).expect("three significant digits are allowed");
+        Shared {
+            client: Client::new(plan.entries.clone(), plan.keep_alive),
+            records,
+            lateness: Mutex::new(lateness),
+            told: Mutex::new(HashSet::new()),
+            open: AtomicUsize::new(0),
+            plan,
+        }
+    }
+
+    /// Sends one request; none when too many are in progress.
+    fn send(
+        self: &Arc<Shared>,
+        class: usize,
+        time: f64,
+        due: Instant,
+        arrivals: &mut Arrivals,
+    ) -> Option<JoinHandle<()>> {
+        if self.open.load(Ordering::Relaxed) >= self.plan.max_open {
+            port::lock(&self.records[class]).unsent();
+            return None;
+        }
+        self.open.fetch_add(1, Ordering::Relaxed);
+        arrivals.sent += 1;
+        let settings = &self.plan.classes[class];
+        let marker = format!("{}.{}.{}", settings.name, self.plan.seed, arrivals.sent);
+        let host = self.client.host();
+        let rng = &mut arrivals.rng;
+        let output = settings.output.draw(rng);
+        let outgoing = Outgoing {
+            bytes: prompt::request_bytes(settings, &marker, host, output, rng),
+            response: Response::new(&marker, settings.stream),
+            tokens: (settings.form != Form::Call).then_some(u64::from(settings.limit(output))),
+            due,
+            patience: patience(settings, rng),
+        };
+        let late = u64::try_from(due.elapsed().as_micros()).unwrap_or(u64::MAX);
+        port::lock(&self.lateness).saturating_record(late);
+        let shared = Arc::clone(self);
+        Some(task::spawn(async move {
+            shared.finish(class, time, marker, outgoing).await;
+        }))
+    }
+
+    async fn finish(&self, class: usize, time: f64, marker: String, outgoing: Outgoing) {
+        let exchange = exchange::exchange(&self.client, outgoing).await;
+        self.open.fetch_sub(1, Ordering::Relaxed);
+        let not_run = &self.plan.not_run;
+        if exchange.ending == Ending::Refused && record::says_not_run(&exchange, not_run) {
+            let mut told = port::lock(&self.told);
+            if told.len() < MAX_TOLD {
+                told.insert(marker);
+            }
+        }
+        if time >= self.plan.warmup {
+            let mut record = port::lock(&self.records[class]);
+            record.add(&exchange, not_run, time as usize);
+        }
+    }
+
+    fn report(&self, took: Duration, tally: &RunTally) -> LoadReport {
+        let told = port::lock(&self.told);
+        let mut classes = Vec::new();
+        for record in &self.records {
+            let mut class = port::lock(record).report(self.plan.timeline);
+            let prefix = format!("{}.{}.", class.name, self.plan.seed);
+            let runs = tally
+                .runs
+                .iter()
+                .filter(|(marker, _)| marker.starts_with(&prefix));
+            class.doubled = runs.filter(|&(_, &runs)| runs > 1).count() as u64;
+            let told = told.iter().filter(|marker| marker.starts_with(&prefix));
+            class.wrongly_told = told
+                .filter(|marker| tally.runs.contains_key(*marker))
+                .count() as u64;
+            classes.push(class);
+        }
+        LoadReport {
+            seconds: took.as_secs_f64(),
+            lateness: Quantiles::of(&port::lock(&self.lateness)),
+            classes,
+            standins: tally.totals,
+        }
+    }
+}
+
+fn patience(class: &LoadClass, rng: &mut StdRng) -> Patience {
+    let leaves = class
+        .give_up
+        .filter(|give_up| rng.random::<f64>() < give_up.share);
+    Patience {
+        timeout: Duration::from_millis(class.timeout_ms),
+        give_up: leaves.map(|give_up| Duration::from_millis(give_up.after_ms)),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/load/tally.rs
@@ -0,0 +1,79 @@
+//! What the stand-ins counted: how often each request ran.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::de::DeserializeOwned;
+
+use super::client::Client;
+use super::exchange;
+use super::exchange::Ending;
+use super::exchange::Outgoing;
+use super::exchange::Patience;
+use super::report::StandinTotals;
+use super::response::Response;
+use crate::engine::EngineStats;
+
+/// Longest wait for a stand-in's counters.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Runs by marker over all stand-ins, and their totals.
+#[derive(Debug, Default)]
+pub(super) struct RunTally {
+    pub(super) runs: HashMap<String, u64>,
+    pub(super) totals: StandinTotals,
+}
+
+impl RunTally {
+    /// Asks every stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one of them can't be asked: a count with gaps would hide a request run twice.
+    pub(super) async fn collect(standins: &[SocketAddr]) -> io::Result<RunTally> {
+        let mut tally = RunTally::default();
+        for &standin in standins {
+            let runs: HashMap<String, u64> = get(standin, "/control/runs").await?;
+            for (marker, count) in runs {
+                *tally.runs.entry(marker).or_insert(0) += count;
+            }
+            let stats: EngineStats = get(standin, "/control/stats").await?;
+            tally.totals.add(&stats);
+        }
+        Ok(tally)
+    }
+}
+
+impl StandinTotals {
+    fn add(&mut self, stats: &EngineStats) {
+        self.started += stats.started;
+        self.completed += stats.completed;
+        self.cancelled += stats.cancelled;
+        self.failed += stats.failed;
+        self.useful_tokens += stats.useful_tokens;
+        self.wasted_tokens += stats.wasted_tokens;
+    }
+}
+
+async fn get<T: DeserializeOwned>(standin: SocketAddr, path: &str) -> io::Result<T> {
+    let client = Client::new(vec![standin], false);
+    let head = format!("GET {path} HTTP/1.1\r\nhost: {standin}\r\nconnection: close\r\n\r\n");
+    let outgoing = Outgoing {
+        bytes: head.into_bytes(),
+        response: Response::new("", false),
+        tokens: None,
+        due: Instant::now(),
+        patience: Patience {
+            timeout: TIMEOUT,
+            give_up: None,
+        },
+    };
+    let exchange = exchange::exchange(&client, outgoing).await;
+    if exchange.ending != Ending::Complete {
+        return Err(io::Error::other(format!("{standin} gave no counters")));
+    }
+    Ok(serde_json::from_slice(exchange.response.body())?)
+}
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,4 +1,4 @@
-//! The stand-ins as separate processes: `crocushold-standin platform|engine|service`.
+//! The stand-ins as separate processes: `crocushold-standin platform|engine|service|load`.
 //!
 //! The first line on standard output is `listening=ADDR`, the second `control=ADDR`; both addresses
 //! take commands as JSON on `POST /control` and show counters on `GET /control/stats`.
@@ -19,6 +19,8 @@
 use crocushold_standins::PlatformSettings;
 use crocushold_standins::ServiceSettings;
 use crocushold_standins::Standin;
+use crocushold_standins::load;
+use crocushold_standins::load::LoadPlan;
 use serde::de::DeserializeOwned;
 
 use crate::cli::Command;
@@ -72,6 +74,22 @@
             let settings: ServiceSettings = read_settings(settings)?;
             serve(PlainService::start(listen, settings).await?).await
         }
+        Command::Load {
+            entry,
+            standin,
+            plan,
+        } => {
+            let mut plan: LoadPlan = serde_json::from_slice(&fs::read(plan)?)?;
+            if !entry.is_empty() {
+                plan.entries = entry;
+            }
+            if !standin.is_empty() {
+                plan.standins = standin;
+            }
+            let report = load::run(plan).await?;
+            println!("{}", serde_json::to_string_pretty(&report)?);
+            Ok(())
+        }
     }
 }
 
--- a/crates/standins/src/service/command.rs
+++ b/crates/standins/src/service/command.rs
@@ -47,7 +47,7 @@
 }
 
 /// A command to a plain service.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 #[serde(
     tag = "kind",
     rename_all = "kebab-case",
--- a/crates/standins/src/service/server.rs
+++ b/crates/standins/src/service/server.rs
@@ -165,6 +165,10 @@
         let state = port::lock(&self.state);
         state.counts.clone()
     }
+
+    fn all_runs(&self) -> HashMap<String, u64> {
+        port::lock(&self.state).effects.clone()
+    }
 }
 
 impl State {
