Hold a frozen stand-in's calls until it thaws

A stopped process answers late once it goes on; the frozen platform and the hung engine now do the same, batch included, where they dropped the calls before. An idle engine's load report is as fresh as its lag allows instead of as old as its last change. The answer reader of the load generator is split into framing, tokens and response.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -11,8 +11,10 @@
 mod progress;
 mod reports;
 mod request;
+mod send;
 mod server;
 mod stats;
+mod text;
 
 pub use batch::Batch;
 pub use batch::BatchSettings;
--- a/crates/standins/src/engine/answer.rs
+++ b/crates/standins/src/engine/answer.rs
@@ -1,4 +1,4 @@
-//! Answers: the text, the stream of tokens, and bodies that end too early.
+//! Answers in progress: the stream of tokens, and bodies that end too early.
 
 use std::io;
 use std::pin::Pin;
@@ -14,14 +14,12 @@
 use futures::future::poll_fn;
 use futures::io::AsyncBufRead;
 use futures::io::AsyncRead;
-use serde_json::Value;
 
 use super::core::Started;
 use super::fault::Cut;
 use super::progress::Outcome;
-use super::request::Completion;
-use super::request::Form;
 use super::server::Engine;
+use super::text::Texts;
 use crate::port;
 
 /// A request in the engine. Dropped before it is settled, it counts as cancelled by its caller.
@@ -69,7 +67,7 @@
                 return Poll::Ready(Ok(()));
             }
             if progress.outcome() == Outcome::Lost || gone.poll_unpin(cx).is_ready() {
-                return Poll::Ready(Err(aborted()));
+                return Poll::Ready(Err(port::aborted()));
             }
             Poll::Pending
         })
@@ -92,126 +90,6 @@
     }
 }
 
-/// The text of one answer. Every token carries the request's marker, so that a test can tell whose
-/// answer it reads.
-pub(super) struct Texts {
-    form: Form,
-    id: String,
-    model: String,
-    marker: String,
-    length: u32,
-    prompt_tokens: u32,
-    cached_tokens: u32,
-}
-
-impl Texts {
-    pub(super) fn new(request: &Completion, started: &Started) -> Texts {
-        Texts {
-            form: request.form,
-            id: format!("cmpl-{}", started.id.0),
-            model: escape(&request.model),
-            marker: escape(&request.marker),
-            length: started.length,
-            prompt_tokens: request.prompt_tokens(),
-            cached_tokens: started.cached_tokens,
-        }
-    }
-
-    /// One token as a server-sent event.
-    pub(super) fn push_token(&self, token: u32, out: &mut Vec<u8>) {
-        let Texts {
-            id, model, marker, ..
-        } = self;
-        let event = match self.form {
-            Form::Chat => format!(
-                "data: {{\"id\":\"{id}\",\"object\":\"chat.completion.chunk\",\"created\":0,\
-                 \"model\":\"{model}\",\"choices\":[{{\"index\":0,\
-                 \"delta\":{{\"content\":\"{marker} {token} \"}},\"finish_reason\":null}}]}}\n\n"
-            ),
-            Form::Text => format!(
-                "data: {{\"id\":\"{id}\",\"object\":\"text_completion\",\"created\":0,\
-                 \"model\":\"{model}\",\"choices\":[{{\"index\":0,\
-                 \"text\":\"{marker} {token} \",\"finish_reason\":null}}]}}\n\n"
-            ),
-        };
-        out.extend_from_slice(event.as_bytes());
-    }
-
-    /// The last two events: usage, and the end of the stream.
-    pub(super) fn push_end(&self, out: &mut Vec<u8>) {
-        let Texts { id, model, .. } = self;
-        let (object, empty) = match self.form {
-            Form::Chat => ("chat.completion.chunk", "\"delta\":{}"),
-            Form::Text => ("text_completion", "\"text\":\"\""),
-        };
-        let usage = self.usage();
-        let event = format!(
-            "data: {{\"id\":\"{id}\",\"object\":\"{object}\",\"created\":0,\"model\":\"{model}\",\
-             \"choices\":[{{\"index\":0,{empty},\"finish_reason\":\"stop\"}}],\
-             \"usage\":{usage}}}\n\ndata: [DONE]\n\n"
-        );
-        out.extend_from_slice(event.as_bytes());
-    }
-
-    /// The whole answer as one JSON text.
-    pub(super) fn whole(&self) -> String {
-        let mut text = self.whole_head();
-        for token in 0..self.length {
-            text.push_str(&self.word(token));
-        }
-        let close = match self.form {
-            Form::Chat => "\"}",
-            Form::Text => "\"",
-        };
-        let usage = self.usage();
-        text.push_str(close);
-        text.push_str(&format!(
-            ",\"finish_reason\":\"stop\"}}],\"usage\":{usage}}}"
-        ));
-        text
-    }
-
-    /// Bytes of the whole answer up to the end of its first `tokens` tokens.
-    pub(super) fn whole_cut(&self, tokens: u32) -> usize {
-        let words = (0..tokens.min(self.length)).map(|token| self.word(token).len());
-        self.whole_head().len() + words.sum::<usize>()
-    }
-
-    fn whole_head(&self) -> String {
-        let Texts { id, model, .. } = self;
-        let (object, open) = match self.form {
-            Form::Chat => (
-                "chat.completion",
-                "\"message\":{\"role\":\"assistant\",\"content\":\"",
-            ),
-            Form::Text => ("text_completion", "\"text\":\""),
-        };
-        format!(
-            "{{\"id\":\"{id}\",\"object\":\"{object}\",\"created\":0,\"model\":\"{model}\",\
-             \"choices\":[{{\"index\":0,{open}"
-        )
-    }
-
-    fn word(&self, token: u32) -> String {
-        format!("{} {token} ", self.marker)
-    }
-
-    fn usage(&self) -> String {
-        let Texts {
-            length,
-            prompt_tokens,
-            cached_tokens,
-            ..
-        } = self;
-        let total = prompt_tokens + length;
-        format!(
-            "{{\"prompt_tokens\":{prompt_tokens},\"completion_tokens\":{length},\
-             \"total_tokens\":{total},\
-             \"prompt_tokens_details\":{{\"cached_tokens\":{cached_tokens}}}}}"
-        )
-    }
-}
-
 /// A streamed answer: one read gives one token, so that one write carries one token.
 pub(super) struct TokenStream {
     run: Run,
@@ -252,7 +130,7 @@
         let fate = self.run.started.fate;
         if fate.cut.is_some_and(|cut| self.written >= cut.after) {
             self.run.fail();
-            return Poll::Ready(Err(aborted()));
+            return Poll::Ready(Err(port::aborted()));
         }
         let progress = &self.run.started.progress;
         progress.register(cx.waker());
@@ -267,18 +145,16 @@
             return Poll::Ready(Ok(()));
         }
         if progress.outcome() == Outcome::Lost || self.poll_gone(cx) {
-            return Poll::Ready(Err(aborted()));
+            return Poll::Ready(Err(port::aborted()));
         }
         Poll::Pending
     }
 
     fn end(&mut self) {
-        if self.ended {
-            self.run.complete();
-            return;
+        if !self.ended {
+            self.ended = true;
+            self.texts.push_end(&mut self.buf);
         }
-        self.ended = true;
-        self.texts.push_end(&mut self.buf);
     }
 
     fn poll_gone(&mut self, cx: &mut Context<'_>) -> bool {
@@ -300,6 +176,9 @@
 
     fn consume(mut self: Pin<&mut Self>, amount: usize) {
         self.at += amount;
+        if self.ended && self.at == self.buf.len() {
+            self.run.complete();
+        }
     }
 }
 
@@ -350,7 +229,7 @@
     fn poll_fill_buf(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
         let this = self.get_mut();
         if this.at == this.bytes.len() {
-            return Poll::Ready(Err(aborted()));
+            return Poll::Ready(Err(port::aborted()));
         }
         Poll::Ready(Ok(&this.bytes[this.at..]))
     }
@@ -359,12 +238,3 @@
         self.at += amount;
     }
 }
-
-fn aborted() -> io::Error {
-    io::Error::from(io::ErrorKind::ConnectionAborted)
-}
-
-fn escape(text: &str) -> String {
-    let quoted = Value::from(text).to_string();
-    quoted[1..quoted.len() - 1].to_owned()
-}
--- a/crates/standins/src/engine/command.rs
+++ b/crates/standins/src/engine/command.rs
@@ -74,7 +74,8 @@
         /// The new settings.
         settings: BatchSettings,
     },
-    /// Accepts connections, reads requests and never answers, whatever the path.
+    /// Stands still like a stopped process: connections are accepted, nothing is answered whatever
+    /// the path, and the batch rests. What waits goes on once the fault is off.
     Hang {
         /// Whether the fault is on.
         on: bool,
--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -256,7 +256,8 @@
         match command {
             EngineCommand::Slow { factor } => self.batch.set_slow(factor),
             EngineCommand::Batch { settings } => self.batch.set_settings(settings),
-            EngineCommand::Hang { on } => self.faults.hang = on,
+            // The gate stands before the state; see `Engine::command`.
+            EngineCommand::Hang { .. } => {}
             EngineCommand::Unavailable { on } => self.faults.unavailable = on,
             EngineCommand::Cut { cut } => self.faults.cut = cut,
             EngineCommand::Stall { after } => self.faults.stall = after,
--- a/crates/standins/src/engine/fault.rs
+++ b/crates/standins/src/engine/fault.rs
@@ -30,7 +30,6 @@
 /// The faults in force.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Faults {
-    pub(super) hang: bool,
     pub(super) unavailable: bool,
     pub(super) stall: Option<u32>,
     pub(super) cut: Option<Cut>,
--- a/crates/standins/src/engine/reports.rs
+++ b/crates/standins/src/engine/reports.rs
@@ -56,6 +56,10 @@
     pub(crate) fn view(&self, now: Millis) -> Load {
         let old = |load: &&Load| load.at + self.lag <= now;
         let seen = self.past.iter().rev().find(old);
-        seen.or(self.past.front()).copied().unwrap_or_default()
+        let mut load = seen.or(self.past.front()).copied().unwrap_or_default();
+        // Nothing has changed since, so the report is as fresh as the lag allows, not as old as the
+        // last change: an idle engine must not look like one that stopped reporting.
+        load.at = load.at.max(now.since(self.lag));
+        load
     }
 }
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -12,35 +11,28 @@
 use async_std::channel;
 use async_std::channel::Receiver;
 use async_std::channel::Sender;
-use async_std::net::TcpStream;
 use async_std::task;
 use crocushold_base::Clock;
-use futures::AsyncRead;
-use futures::AsyncReadExt;
-use futures::AsyncWriteExt;
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use http_types::Body;
 use http_types::Method;
 use http_types::Response;
 use http_types::StatusCode;
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::answer::CutBytes;
 use super::answer::Run;
-use super::answer::Texts;
-use super::answer::TokenStream;
 use super::batch::JobId;
 use super::command::EngineCommand;
 use super::command::EngineSettings;
 use super::core::Core;
 use super::core::Order;
-use super::fault::Cut;
-use super::fault::CutForm;
 use super::request::Completion;
 use super::request::Form;
+use super::send;
 use super::stats::EngineStats;
+use super::text::Texts;
+use crate::gate::Gate;
 use crate::handle::Handle;
 use crate::handle::Standin;
 use crate::port;
@@ -51,12 +43,10 @@
 /// A clock that is later than this doesn't make up for the lost steps.
 const MAX_BACKLOG: Duration = Duration::from_millis(100);
 
-/// Media type of a stream of server-sent events.
-const EVENT_STREAM: &str = "text/event-stream";
-
 /// A model engine's stand-in; see [`Engine::start`].
 pub struct Engine {
     clock: Clock,
+    gate: Gate,
     core: Mutex<Core>,
     work: Sender<()>,
     worked: Receiver<()>,
@@ -103,6 +93,7 @@
         let (work, worked) = channel::bounded(1);
         let engine = Engine {
             clock: Clock::start(),
+            gate: Gate::default(),
             core: Mutex::new(Core::new(settings)),
             work,
             worked,
@@ -132,9 +123,8 @@
     }
 
     async fn dispatch(self: Arc<Self>, call: Call) -> http_types::Result<Response> {
-        let conn = call.conn.clone();
-        if self.is_hung() {
-            return hang(conn).await;
+        if !self.gate.pass_for(&call.conn).await {
+            return Err(port::aborted().into());
         }
         let path = call.request.url().path().to_owned();
         match (call.request.method(), path.as_str()) {
@@ -148,10 +138,6 @@
         }
     }
 
-    fn is_hung(&self) -> bool {
-        port::lock(&self.core).faults.hang
-    }
-
     fn models(&self) -> Response {
         let models = port::lock(&self.core).models(self.clock.now());
         let entry = |id| ModelEntry {
@@ -199,9 +185,9 @@
         };
         let texts = Texts::new(&request, &run.started);
         if request.stream {
-            stream_answer(run, texts, call.conn).await
+            send::stream_answer(run, texts, call.conn).await
         } else {
-            whole_answer(run, texts, call.conn).await
+            send::whole_answer(run, texts, call.conn).await
         }
     }
 
@@ -230,6 +216,7 @@
     async fn drive(self: Arc<Self>) {
         let mut due = Instant::now();
         loop {
+            self.gate.pass().await;
             let begun = port::lock(&self.core).begin_step(self.clock.now());
             let Some(step) = begun else {
                 let _ = self.worked.recv().await;
@@ -237,6 +224,7 @@
                 continue;
             };
             due = wait_until(due + step).await;
+            self.gate.pass().await;
             let woken = port::lock(&self.core).end_step(step, self.clock.now());
             for progress in woken {
                 progress.wake();
@@ -254,6 +242,11 @@
     }
 
     fn command(&self, command: EngineCommand) -> Effect {
+        match command {
+            EngineCommand::Hang { on } => self.gate.set_shut(on),
+            EngineCommand::Clear => self.gate.set_shut(false),
+            _ => {}
+        }
         port::lock(&self.core).command(command)
     }
 
@@ -286,85 +279,3 @@
     task::yield_now().await;
     due.max(now.checked_sub(MAX_BACKLOG).unwrap_or(now))
 }
-
-async fn stream_answer(run: Run, texts: Texts, conn: TcpStream) -> http_types::Result<Response> {
-    run.tokens(1, conn.clone()).await?;
-    let cut = run.started.fate.cut;
-    let stream = TokenStream::new(run, texts, conn.clone());
-    let Some(cut) = cut else {
-        return Ok(with_body(Body::from_reader(stream, None), EVENT_STREAM));
-    };
-    let total = stream.total_len();
-    send_cut(stream, cut, total, EVENT_STREAM, conn).await
-}
-
-async fn whole_answer(mut run: Run, texts: Texts, conn: TcpStream) -> http_types::Result<Response> {
-    let fate = run.started.fate;
-    if let Some(after) = fate.stall {
-        run.tokens(after.min(run.started.length), conn.clone())
-            .await?;
-        return hang(conn).await;
-    }
-    let Some(cut) = fate.cut.filter(|cut| cut.after < run.started.length) else {
-        run.tokens(run.started.length, conn).await?;
-        run.complete();
-        return Ok(with_body(
-            Body::from_string(texts.whole()),
-            "application/json",
-        ));
-    };
-    run.tokens(cut.after, conn.clone()).await?;
-    run.fail();
-    let total = texts.whole().len();
-    let body = CutBytes::new(&texts, cut);
-    send_cut(body, cut, total, "application/json", conn).await
-}
-
-/// Sends a body that ends in an error, in the form that the fault asks for.
-async fn send_cut(
-    body: impl futures::AsyncBufRead + Unpin + Send + Sync + 'static,
-    cut: Cut,
-    total: usize,
-    media: &str,
-    conn: TcpStream,
-) -> http_types::Result<Response> {
-    match cut.form {
-        CutForm::Chunked => Ok(with_body(Body::from_reader(body, None), media)),
-        CutForm::Length => Ok(with_body(Body::from_reader(body, Some(total)), media)),
-        CutForm::Close => {
-            let _ = send_until_close(body, media, &conn).await;
-            let _ = conn.shutdown(Shutdown::Both);
-            Err(io::Error::from(io::ErrorKind::ConnectionAborted).into())
-        }
-    }
-}
-
-async fn send_until_close(
-    mut body: impl AsyncRead + Unpin,
-    media: &str,
-    mut conn: &TcpStream,
-) -> io::Result<()> {
-    let head = format!("HTTP/1.1 200 OK\r\ncontent-type: {media}\r\n\r\n");
-    conn.write_all(head.as_bytes()).await?;
-    let mut buf = vec![0; 4096];
-    loop {
-        let count = body.read(&mut buf).await?;
-        if count == 0 {
-            return Ok(());
-        }
-        conn.write_all(&buf[..count]).await?;
-    }
-}
-
-/// Never answers; ends when the caller gives up.
-async fn hang(conn: TcpStream) -> http_types::Result<Response> {
-    port::hang_up(conn).await;
-    Err(io::Error::from(io::ErrorKind::ConnectionAborted).into())
-}
-
-fn with_body(body: Body, media: &str) -> Response {
-    let mut response = Response::new(StatusCode::Ok);
-    response.set_body(body);
-    response.insert_header("content-type", media);
-    response
-}
--- a/crates/standins/src/engine/stats.rs
+++ b/crates/standins/src/engine/stats.rs
@@ -107,8 +107,10 @@
         let now = unix_micros();
         let listed = self.counts.cancellations.iter_mut();
         // The cancel may have come first; the two messages travel by different ways.
-        for cancellation in listed.filter(|c| c.marker == marker) {
+        let mut same = listed.filter(|c| c.marker == marker);
+        if let Some(cancellation) = same.next_back() {
             cancellation.after_us.get_or_insert(0);
+            return;
         }
         if self.hang_ups.len() < CANCELLATIONS {
             self.hang_ups.insert(marker, now);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`load`]: an open-loop load generator that records what callers would see.
 
 mod engine;
+mod gate;
 mod handle;
 pub mod load;
 mod platform;
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -2,21 +2,25 @@
 //! ones, and each answer is checked down to its last token.
 //!
 //! A [`LoadPlan`] names the entry addresses and the classes of requests; [`run`] sends them and
-//! returns a [`LoadReport`]. Given an engine's address in place of an entry instance's, the same
+//! returns a [`LoadReport`]; [`send_one`] sends a single request. Given an engine's address in place of an entry instance's, the same
 //! plan measures the engine alone.
 
 mod client;
 mod exchange;
+mod framing;
 mod plan;
 mod prompt;
 mod record;
 mod report;
 mod response;
 mod run;
+mod single;
 mod tally;
+mod tokens;
 
 pub use exchange::Ending;
 pub use exchange::Exchange;
+pub use framing::Malformed;
 pub use plan::Burst;
 pub use plan::Form;
 pub use plan::GiveUp;
@@ -29,6 +33,6 @@
 pub use report::Quantiles;
 pub use report::Second;
 pub use report::StandinTotals;
-pub use response::Malformed;
 pub use response::Response;
 pub use run::run;
+pub use single::send_one;
--- /dev/null
+++ b/crates/standins/src/load/framing.rs
@@ -0,0 +1,199 @@
+//! The framing of an answer: head, chunks or length, and its end.
+
+use std::fmt;
+
+/// Longest head, and longest line of the framing, in bytes.
+const MAX_LINE: usize = 64 * 1024;
+
+/// An answer that isn't HTTP/1.1 as we know it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed;
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("malformed answer")
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum State {
+    #[default]
+    Head,
+    Sized {
+        left: u64,
+    },
+    ChunkSize,
+    Chunk {
+        left: u64,
+    },
+    ChunkEnd,
+    Trailer,
+    UntilClose,
+    Whole,
+}
+
+/// The framing of one answer.
+#[derive(Debug, Default)]
+pub(super) struct Framing {
+    state: State,
+    line: Vec<u8>,
+    head: String,
+    status: u16,
+}
+
+impl Framing {
+    /// Takes bytes from the connection and appends those of the body to `out`; how many belong to
+    /// this answer.
+    pub(super) fn feed(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<usize, Malformed> {
+        let mut rest = bytes;
+        while !rest.is_empty() && self.state != State::Whole {
+            let used = self.step(rest, out)?;
+            rest = &rest[used..];
+        }
+        Ok(bytes.len() - rest.len())
+    }
+
+    pub(super) fn is_whole(&self) -> bool {
+        self.state == State::Whole
+    }
+
+    pub(super) fn status(&self) -> u16 {
+        self.status
+    }
+
+    pub(super) fn head(&self) -> &str {
+        &self.head
+    }
+
+    pub(super) fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.head.lines().skip(1);
+        lines.find_map(|line| {
+            let (found, value) = line.split_once(':')?;
+            (found == name).then(|| value.trim())
+        })
+    }
+
+    fn step(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<usize, Malformed> {
+        match self.state {
+            State::Head => self.head_line(bytes),
+            State::ChunkSize => self.chunk_size(bytes),
+            State::ChunkEnd | State::Trailer => self.blank_line(bytes),
+            State::Sized { left } => {
+                let used = take(bytes, left, out);
+                let left = left - used as u64;
+                self.state = if left == 0 {
+                    State::Whole
+                } else {
+                    State::Sized { left }
+                };
+                Ok(used)
+            }
+            State::Chunk { left } => {
+                let used = take(bytes, left, out);
+                let left = left - used as u64;
+                self.state = if left == 0 {
+                    State::ChunkEnd
+                } else {
+                    State::Chunk { left }
+                };
+                Ok(used)
+            }
+            State::UntilClose => Ok(take(bytes, u64::MAX, out)),
+            State::Whole => Ok(0),
+        }
+    }
+
+    /// Collects one line into `self.line`; whether it is complete.
+    fn collect(&mut self, bytes: &[u8]) -> Result<(usize, bool), Malformed> {
+        let end = bytes.iter().position(|&b| b == b'\n');
+        let used = end.map_or(bytes.len(), |at| at + 1);
+        self.line.extend_from_slice(&bytes[..used]);
+        if self.line.len() > MAX_LINE {
+            return Err(Malformed);
+        }
+        Ok((used, end.is_some()))
+    }
+
+    fn head_line(&mut self, bytes: &[u8]) -> Result<usize, Malformed> {
+        let (used, complete) = self.collect(bytes)?;
+        if !complete {
+            return Ok(used);
+        }
+        let line = std::mem::take(&mut self.line);
+        let text = std::str::from_utf8(&line).map_err(|_| Malformed)?;
+        let text = text.trim_end();
+        if !text.is_empty() {
+            self.head.push_str(&text.to_ascii_lowercase());
+            self.head.push('\n');
+            return if self.head.len() > MAX_LINE {
+                Err(Malformed)
+            } else {
+                Ok(used)
+            };
+        }
+        self.end_head()?;
+        Ok(used)
+    }
+
+    fn end_head(&mut self) -> Result<(), Malformed> {
+        let status = self.head.split(' ').nth(1).and_then(|word| word.get(..3));
+        let status: u16 = status.and_then(|s| s.parse().ok()).ok_or(Malformed)?;
+        if status == 100 {
+            self.head.clear();
+            return Ok(());
+        }
+        self.status = status;
+        let chunked = self.header("transfer-encoding") == Some("chunked");
+        let length = self.header("content-length").map(str::parse::<u64>);
+        self.state = match length {
+            _ if chunked => State::ChunkSize,
+            Some(Ok(0)) => State::Whole,
+            Some(Ok(left)) => State::Sized { left },
+            Some(Err(_)) => return Err(Malformed),
+            None if status == 204 => State::Whole,
+            None => State::UntilClose,
+        };
+        Ok(())
+    }
+
+    fn chunk_size(&mut self, bytes: &[u8]) -> Result<usize, Malformed> {
+        let (used, complete) = self.collect(bytes)?;
+        if !complete {
+            return Ok(used);
+        }
+        let text = std::str::from_utf8(&self.line).map_err(|_| Malformed)?;
+        let digits = text.split(';').next().unwrap_or("").trim();
+        let left = u64::from_str_radix(digits, 16).map_err(|_| Malformed)?;
+        self.line.clear();
+        self.state = if left == 0 {
+            State::Trailer
+        } else {
+            State::Chunk { left }
+        };
+        Ok(used)
+    }
+
+    fn blank_line(&mut self, bytes: &[u8]) -> Result<usize, Malformed> {
+        let (used, complete) = self.collect(bytes)?;
+        if !complete {
+            return Ok(used);
+        }
+        let blank = self.line.iter().all(u8::is_ascii_whitespace);
+        self.line.clear();
+        match (self.state, blank) {
+            (State::Trailer, true) => self.state = State::Whole,
+            (State::Trailer, false) => {}
+            (_, true) => self.state = State::ChunkSize,
+            (_, false) => return Err(Malformed),
+        }
+        Ok(used)
+    }
+}
+
+fn take(bytes: &[u8], left: u64, out: &mut Vec<u8>) -> usize {
+    let used = bytes.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+    out.extend_from_slice(&bytes[..used]);
+    used
+}
--- a/crates/standins/src/load/run.rs
+++ b/crates/standins/src/load/run.rs
@@ -20,16 +20,13 @@
 use super::exchange;
 use super::exchange::Ending;
 use super::exchange::Outgoing;
-use super::exchange::Patience;
-use super::plan::Form;
 use super::plan::LoadClass;
 use super::plan::LoadPlan;
-use super::prompt;
 use super::record;
 use super::record::Record;
 use super::report::LoadReport;
 use super::report::Quantiles;
-use super::response::Response;
+use super::single;
 use super::tally::RunTally;
 use crate::port;
 
@@ -157,14 +154,12 @@
         let settings = &self.plan.classes[class];
         let marker = format!("{}.{}.{}", settings.name, self.plan.seed, arrivals.sent);
         let host = self.client.host();
+        let share = settings.give_up.map_or(0.0, |give_up| give_up.share);
+        let leaves = |rng: &mut StdRng| rng.random::<f64>() < share;
         let rng = &mut arrivals.rng;
-        let output = settings.output.draw(rng);
         let outgoing = Outgoing {
-            bytes: prompt::request_bytes(settings, &marker, host, output, rng),
-            response: Response::new(&marker, settings.stream),
-            tokens: (settings.form != Form::Call).then_some(u64::from(settings.limit(output))),
             due,
-            patience: patience(settings, rng),
+            ..single::prepare(settings, &marker, host, rng, leaves)
         };
         let late = u64::try_from(due.elapsed().as_micros()).unwrap_or(u64::MAX);
         port::lock(&self.lateness).saturating_record(late);
@@ -215,13 +210,3 @@
         }
     }
 }
-
-fn patience(class: &LoadClass, rng: &mut StdRng) -> Patience {
-    let leaves = class
-        .give_up
-        .filter(|give_up| rng.random::<f64>() < give_up.share);
-    Patience {
-        timeout: Duration::from_millis(class.timeout_ms),
-        give_up: leaves.map(|give_up| Duration::from_millis(give_up.after_ms)),
-    }
-}
--- /dev/null
+++ b/crates/standins/src/load/single.rs
@@ -0,0 +1,52 @@
+//! Sending one request, for tests that look at one answer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::client::Client;
+use super::exchange;
+use super::exchange::Exchange;
+use super::exchange::Outgoing;
+use super::exchange::Patience;
+use super::plan::Form;
+use super::plan::LoadClass;
+use super::prompt;
+use super::response::Response;
+
+/// Sends one request of a class on a connection of its own and reads its answer.
+///
+/// The class's `give_up` applies whatever its share.
+pub async fn send_one(entry: SocketAddr, class: &LoadClass, marker: &str) -> Exchange {
+    let client = Client::new(vec![entry], false);
+    let outgoing = prepare(class, marker, entry, &mut StdRng::seed_from_u64(1), |_| {
+        true
+    });
+    exchange::exchange(&client, outgoing).await
+}
+
+/// A request of a class, due now; `leaves` decides whether its caller gives up as planned.
+pub(super) fn prepare(
+    class: &LoadClass,
+    marker: &str,
+    host: SocketAddr,
+    rng: &mut StdRng,
+    leaves: impl FnOnce(&mut StdRng) -> bool,
+) -> Outgoing {
+    let output = class.output.draw(rng);
+    let tokens = (class.form != Form::Call).then(|| u64::from(class.limit(output)));
+    let give_up = class.give_up.filter(|_| leaves(rng));
+    Outgoing {
+        bytes: prompt::request_bytes(class, marker, host, output, rng),
+        response: Response::new(marker, class.stream),
+        tokens,
+        due: Instant::now(),
+        patience: Patience {
+            timeout: Duration::from_millis(class.timeout_ms),
+            give_up: give_up.map(|give_up| Duration::from_millis(give_up.after_ms)),
+        },
+    }
+}
--- /dev/null
+++ b/crates/standins/src/load/tokens.rs
@@ -0,0 +1,79 @@
+//! Checking the tokens of an answer: whose they are, and in which order they come.
+
+/// Digits of a token's number that are read.
+const MAX_DIGITS: usize = 9;
+
+/// The tokens of one answer.
+#[derive(Debug)]
+pub(super) struct Tokens {
+    needle: Vec<u8>,
+    count: u64,
+    foreign: bool,
+    disordered: bool,
+}
+
+impl Tokens {
+    /// Expects tokens of the request with this marker.
+    pub(super) fn new(marker: &str) -> Tokens {
+        Tokens {
+            needle: format!("{marker} ").into_bytes(),
+            count: 0,
+            foreign: false,
+            disordered: false,
+        }
+    }
+
+    pub(super) fn count(&self) -> u64 {
+        self.count
+    }
+
+    pub(super) fn is_foreign(&self) -> bool {
+        self.foreign
+    }
+
+    pub(super) fn is_disordered(&self) -> bool {
+        self.disordered
+    }
+
+    /// Checks the text of one event, which is at most one token.
+    pub(super) fn event(&mut self, json: &[u8]) {
+        if let Some(text) = content(json) {
+            self.token(text);
+        }
+    }
+
+    /// Checks the text of a whole answer.
+    pub(super) fn whole(&mut self, json: &[u8]) {
+        let Some(mut rest) = content(json) else {
+            self.disordered = true;
+            return;
+        };
+        while rest.first().is_some_and(|&b| b != b'"') {
+            rest = self.token(rest);
+        }
+    }
+
+    /// Checks one `MARKER NUMBER ` at the start of `text`; what follows it.
+    fn token<'a>(&mut self, text: &'a [u8]) -> &'a [u8] {
+        let expected = self.count;
+        self.count += 1;
+        let Some(rest) = text.strip_prefix(self.needle.as_slice()) else {
+            self.foreign = true;
+            return &[];
+        };
+        let is_digit = |b: &&u8| b.is_ascii_digit();
+        let digits = rest.iter().take_while(is_digit).take(MAX_DIGITS).count();
+        let fold = |n, b: &u8| n * 10 + u64::from(b - b'0');
+        let number = rest[..digits].iter().fold(0, fold);
+        self.disordered |= digits == 0 || number != expected;
+        rest.get(digits + 1..).unwrap_or(&[])
+    }
+}
+
+/// What follows the opening quote of the answer's text; none when it has no text.
+fn content(json: &[u8]) -> Option<&[u8]> {
+    let text = std::str::from_utf8(json).ok()?;
+    let after = |key: &str| text.find(key).map(|at| &text[at + key.len()..]);
+    let found = after("\"content\":\"").or_else(|| after("\"text\":\""))?;
+    (!found.starts_with('"')).then_some(found.as_bytes())
+}
--- a/crates/standins/src/platform/command.rs
+++ b/crates/standins/src/platform/command.rs
@@ -66,7 +66,7 @@
         /// The lag in milliseconds.
         ms: u64,
     },
-    /// Accepts connections and never answers.
+    /// Accepts connections and answers nothing until it is off again; what waits is answered then.
     Frozen {
         /// Whether the fault is on.
         on: bool,
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -25,6 +25,7 @@
 use super::command::PlatformStats;
 use super::config::Config;
 use super::instances::Instances;
+use crate::gate::Gate;
 use crate::handle::Handle;
 use crate::handle::Standin;
 use crate::port;
@@ -43,6 +44,7 @@
 /// The platform's stand-in; see [`Platform::start`].
 pub struct Platform {
     clock: Clock,
+    gate: Gate,
     state: Mutex<State>,
 }
 
@@ -50,7 +52,6 @@
     config: Config,
     instances: Instances,
     budget: Budget,
-    frozen: bool,
     counts: PlatformStats,
     watchers: Vec<oneshot::Sender<()>>,
 }
@@ -82,12 +83,12 @@
             config,
             instances: Instances::new(settings.instances),
             budget: Budget::new(settings.read_budget),
-            frozen: false,
             counts: PlatformStats::default(),
             watchers: Vec::new(),
         };
         let platform = Platform {
             clock: Clock::start(),
+            gate: Gate::default(),
             state: Mutex::new(state),
         };
         Handle::start(platform, addr).await
@@ -95,19 +96,17 @@
 
     async fn dispatch(self: Arc<Self>, call: Call) -> http_types::Result<Response> {
         let conn = call.conn.clone();
+        if !self.gate.pass_for(&conn).await {
+            return Err(port::aborted().into());
+        }
         let answer = self.route(call).await;
-        // Asked last: a watch that began before the freeze must stay silent too.
-        if self.is_frozen() {
-            port::hang_up(conn).await;
-            return Err(io::Error::from(io::ErrorKind::ConnectionAborted).into());
+        // Once more: a watch that began before the freeze must stay silent too.
+        if !self.gate.pass_for(&conn).await {
+            return Err(port::aborted().into());
         }
         answer
     }
 
-    fn is_frozen(&self) -> bool {
-        port::lock(&self.state).frozen
-    }
-
     async fn route(&self, call: Call) -> http_types::Result<Response> {
         let path = call.request.url().path().to_owned();
         if call.request.method() != Method::Get || !is_known(&path) {
@@ -174,7 +173,7 @@
                 let state = port::lock(&self.state);
                 Ok(reply::json(StatusCode::Ok, &state.config.view().index()))
             }
-            Either::Right(_) => Err(io::Error::from(io::ErrorKind::ConnectionAborted).into()),
+            Either::Right(_) => Err(port::aborted().into()),
         }
     }
 
@@ -205,6 +204,10 @@
     }
 
     fn command(&self, command: PlatformCommand) -> Effect {
+        if let PlatformCommand::Frozen { on } = command {
+            self.gate.set_shut(on);
+            return Effect::None;
+        }
         let now = self.clock.now();
         let mut state = port::lock(&self.state);
         let effect = state.apply(command, now);
@@ -235,11 +238,12 @@
                 self.instances.set_state(&id, state, now);
             }
             PlatformCommand::Lag { ms } => self.instances.set_lag(Millis(ms)),
-            PlatformCommand::Frozen { on } => self.frozen = on,
             PlatformCommand::Down { on: true } => return Effect::Crash,
             PlatformCommand::Down { on: false } => return Effect::Reopen,
             PlatformCommand::Stale { revision } => self.config.pin(revision),
             PlatformCommand::GoBack { revision, reuse } => self.config.go_back(revision, reuse),
+            // The gate stands before the state; see `command`.
+            PlatformCommand::Frozen { .. } => {}
             PlatformCommand::Budget { reads } => self.budget.set_limit(reads),
         }
         Effect::None
--- a/crates/standins/src/port.rs
+++ b/crates/standins/src/port.rs
@@ -246,9 +246,15 @@
     })
 }
 
+/// The error of a call that ends without an answer.
+pub(crate) fn aborted() -> io::Error {
+    io::Error::from(io::ErrorKind::ConnectionAborted)
+}
+
 /// Waits until the caller closes its side of the connection, or the connection breaks.
 ///
-/// Bytes of a further request that arrive early end the watch: it then waits for ever.
+/// A caller that only stops sending counts as one that left, as with the usual engines. Bytes of a
+/// further request that arrive early end the watch: it then waits for ever.
 pub(crate) async fn hang_up(conn: TcpStream) {
     let mut byte = [0];
     match conn.peek(&mut byte).await {
--- a/crates/standins/src/service/server.rs
+++ b/crates/standins/src/service/server.rs
@@ -267,7 +267,7 @@
 }
 
 fn closed() -> http_types::Error {
-    io::Error::from(io::ErrorKind::ConnectionAborted).into()
+    port::aborted().into()
 }
 
 fn key_of(call: &Call) -> &str {
