--- a/crates/standins/src/service/server.rs
+++ b/crates/standins/src/service/server.rs
@@ -165,6 +165,10 @@
         let state = port::lock(&self.state);
         state.counts.clone()
     }
+
+    fn all_runs(&self) -> HashMap<String, u64> {
+        port::lock(&self.state).effects.clone()
+    }
 }
 
 impl State {
@@ -263,7 +267,7 @@
 }
 
 fn closed() -> http_types::Error {
-    io::Error::from(io::ErrorKind::ConnectionAborted).into()
+    port::aborted().into()
 }
 
 fn key_of(call: &Call) -> &str {
