--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -63,6 +63,18 @@
         self.findings.push(place.warning(key, message.into()));
     }
 
+    fn has_service(&self, name: &str) -> bool {
+        self.services.contains_key(name) || self.is_broken("service", name)
+    }
+
+    fn has_class(&self, name: &str) -> bool {
+        self.classes.contains_key(name) || self.is_broken("class", name)
+    }
+
+    fn is_broken(&self, kind: &'static str, name: &str) -> bool {
+        self.declared.broken.contains(&(kind, name.to_owned()))
+    }
+
     fn is_own(&self, name: &str) -> bool {
         team_name(name) == self.team
     }
@@ -73,7 +85,7 @@
         let servers = declared.servers.iter().map(|s| (&s.place, &s.service));
         let models = declared.models.iter().map(|m| (&m.place, &m.service));
         for (place, service) in servers.chain(models) {
-            if !self.services.contains_key(service.as_str()) {
+            if !self.has_service(service) {
                 let message = dangling("service", short_name(service));
                 self.error(place, "", message);
             }
@@ -95,10 +107,10 @@
                 if !self.is_own(name) {
                     continue;
                 }
-                if !self.services.contains_key(name.as_str()) {
+                if !self.has_service(name) {
                     let message = dangling("service", short_name(name));
                     self.error(&service.place, "depends-on", message);
-                } else if graph.reaches(name, &service.name) {
+                } else if graph.reaches(name, &service.name) && graph.is_first(&service.name) {
                     let message = format!(
                         "{} depends on this service in turn; leave it out here or there",
                         short_name(name)
@@ -146,6 +158,9 @@
                 continue;
             }
             let Some(service) = self.services.get(class.service.as_str()).copied() else {
+                if self.has_service(&class.service) {
+                    continue;
+                }
                 let message = dangling("service", short_name(&class.service));
                 self.error(&class.place, "service", message);
                 continue;
@@ -192,6 +207,10 @@
                 Kind::Model => None,
             });
             let Some(prefix) = prefix else {
+                let broken = self.is_broken("service", &class.service);
+                if broken || self.is_own(&class.service) && service.is_none() {
+                    continue;
+                }
                 let message = "calls belong to a plain service of the own team; leave them out";
                 self.error(&class.place, "calls", message);
                 continue;
@@ -219,7 +238,7 @@
                     let message = format!("{} is listed twice; write it once", short_name(name));
                     self.error(&account.place, "classes", message);
                 }
-                if self.is_own(name) && !self.classes.contains_key(name.as_str()) {
+                if self.is_own(name) && !self.has_class(name) {
                     let message = dangling("class", short_name(name));
                     self.error(&account.place, "classes", message);
                 }
@@ -237,7 +256,10 @@
                 continue;
             };
             let default = *first.entry(&class.service).or_insert(class);
-            if class.priority < default.priority && class.calls.is_empty() {
+            let unread = [class, default]
+                .iter()
+                .any(|c| self.is_broken("class", &c.name));
+            if !unread && class.priority < default.priority && class.calls.is_empty() {
                 let message = format!(
                     "{} is above {}, the account's first class on the service, and out of reach; \
                      list it first",
--- a/crates/config/src/decl.rs
+++ b/crates/config/src/decl.rs
@@ -1,5 +1,6 @@
 //! What one edition of a team's part declares, before references are resolved.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use crate::digest::KeyDigest;
@@ -131,4 +132,6 @@
     pub(crate) models: Vec<ModelDecl>,
     pub(crate) classes: Vec<ClassDecl>,
     pub(crate) accounts: Vec<AccountDecl>,
+    /// What stands in the text but can't be read: the kind and the full name.
+    pub(crate) broken: BTreeSet<(&'static str, String)>,
 }
--- a/crates/config/src/fields.rs
+++ b/crates/config/src/fields.rs
@@ -45,6 +45,9 @@
             );
             self.error(repeat.line, key, message);
         }
+        if first.broken {
+            return None;
+        }
         let result = match first.value.as_str() {
             "" => Err(ValueError::Empty),
             value => read(value),
@@ -87,7 +90,7 @@
     /// Reports every entry that nothing has read.
     pub(crate) fn finish(mut self) {
         let section = self.section;
-        let unknown = |e: &&Entry| !self.taken.contains(&e.key.as_str());
+        let unknown = |e: &&Entry| !e.broken && !self.taken.contains(&e.key.as_str());
         let unknown: Vec<&Entry> = section.entries.iter().filter(unknown).collect();
         for entry in unknown {
             let message = format!(
--- a/crates/config/src/graph.rs
+++ b/crates/config/src/graph.rs
@@ -31,4 +31,11 @@
         }
         false
     }
+
+    /// Whether a service's name sorts first on every cycle through it, so that a cycle is reported
+    /// once.
+    pub(crate) fn is_first(&self, name: &str) -> bool {
+        let mut earlier = self.edges.keys().take_while(|other| **other < name);
+        !earlier.any(|other| self.reaches(name, other) && self.reaches(other, name))
+    }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -3,7 +3,7 @@
 //! Each team writes its own part of the shared text. [`Text`] splits the text into parts, parses
 //! each by itself and decides from the part alone whether it is accepted. [`Catalog`] holds
 //! everything that the accepted parts declare, and [`resolve`] says what a request
-//! belongs to.
+//! belongs to. [`Settings`] are the second, local text: addresses, availability zone, bounds.
 
 mod apply;
 mod catalog;
@@ -20,6 +20,7 @@
 mod part;
 mod read;
 mod resolve;
+mod settings;
 mod source;
 mod text;
 mod units;
@@ -55,4 +56,7 @@
 pub use resolve::Target;
 pub use resolve::resolve;
 pub use resolve::resolve_account;
+pub use settings::CallerLimits;
+pub use settings::Secret;
+pub use settings::Settings;
 pub use text::Text;
--- a/crates/config/src/locate.rs
+++ b/crates/config/src/locate.rs
@@ -5,6 +5,8 @@
 pub(crate) struct KeyLine {
     pub(crate) key: String,
     pub(crate) line: usize,
+    /// The line has no separator, and the key is a guess from its first word.
+    pub(crate) broken: bool,
 }
 
 /// A section's header, its line and its keys in order.
@@ -26,6 +28,9 @@
 /// Where everything in one INI text stands.
 #[derive(Debug, Default)]
 pub(crate) struct Lines {
+    /// The text with each bad line made readable or empty, so that one bad line doesn't hide what
+    /// else is wrong. Lines keep their numbers.
+    pub(crate) cleaned: String,
     pub(crate) sections: Vec<SectionLines>,
     pub(crate) bad: Vec<BadLine>,
 }
@@ -41,50 +46,64 @@
     let mut lines = Lines::default();
     for (offset, raw) in text.lines().enumerate() {
         lines.add(raw, first + offset);
+        lines.cleaned.push('\n');
     }
     lines
 }
 
 impl Lines {
     fn add(&mut self, raw: &str, line: usize) {
-        let text = raw.trim();
-        if text.is_empty() || raw.starts_with(['#', ';']) {
+        if raw.starts_with(['#', ';']) {
             return;
         }
+        let mut text = raw.trim();
         // The library joins such a line with the next one, which would hide a whole key.
         if text.ends_with('\\') {
-            return self.reject(line, BACKSLASH);
+            self.reject(line, BACKSLASH);
+            text = text.trim_end_matches('\\').trim_end();
         }
-        if text.starts_with(['#', ';']) {
-            return self.reject(line, INDENTED);
+        match text.chars().next() {
+            None => {}
+            Some('#' | ';') => self.reject(line, INDENTED),
+            Some('[') => self.add_section(text, line),
+            Some(_) => self.add_key(text, line),
         }
-        if let Some(rest) = text.strip_prefix('[') {
-            return self.add_section(rest, line);
-        }
-        self.add_key(text, line);
     }
 
-    fn add_section(&mut self, rest: &str, line: usize) {
-        let Some(header) = rest.strip_suffix(']') else {
-            return self.reject(line, NO_BRACKET);
-        };
+    fn add_section(&mut self, text: &str, line: usize) {
+        let header = text.trim_start_matches('[');
+        let closed = header.strip_suffix(']').filter(|h| !h.contains(']'));
+        if closed.is_none() {
+            self.reject(line, NO_BRACKET);
+        }
+        let header = header.split(']').next().unwrap_or_default().trim();
+        self.cleaned.push_str(&format!("[{header}]"));
         self.sections.push(SectionLines {
-            header: header.trim().to_owned(),
+            header: header.to_owned(),
             line,
             keys: Vec::new(),
         });
     }
 
     fn add_key(&mut self, text: &str, line: usize) {
-        // The library takes the next separator it meets, on whatever line that stands.
-        let Some(end) = text.find(['=', ':']) else {
-            return self.reject(line, NO_SEPARATOR);
-        };
-        let Some(section) = self.sections.last_mut() else {
+        if self.sections.is_empty() {
             return self.reject(line, NO_SECTION);
-        };
-        let key = text[..end].trim_end().to_owned();
-        section.keys.push(KeyLine { key, line });
+        }
+        // The library takes the next separator it meets, on whatever line that stands.
+        let end = text.find(['=', ':']);
+        if end.is_none() {
+            self.reject(line, NO_SEPARATOR);
+        }
+        let word = text.split_whitespace().next().unwrap_or_default();
+        let key = end.map_or(word, |end| text[..end].trim_end()).to_owned();
+        match end {
+            Some(_) => self.cleaned.push_str(text),
+            None => self.cleaned.push_str(&format!("{key} =")),
+        }
+        let broken = end.is_none();
+        if let Some(section) = self.sections.last_mut() {
+            section.keys.push(KeyLine { key, line, broken });
+        }
     }
 
     fn reject(&mut self, line: usize, message: &'static str) {
--- a/crates/config/src/part.rs
+++ b/crates/config/src/part.rs
@@ -83,22 +83,15 @@
     /// The declarations of an edition; nothing when it has an error.
     fn parse_edition(&mut self, text: &str, first: usize, head: &str) -> Option<Declared> {
         let mut findings = Vec::new();
-        let declared = match source::parse(text, first, &self.team) {
-            Ok(sections) => {
-                let begins = sections.first().map(|s| s.header.split(' ').next());
-                if begins != Some(Some(head)) {
-                    self.reject(format!("begin with [team {}]", self.team));
-                    return None;
-                }
-                let declared = read(&self.team, &sections, &mut findings);
-                check(&self.team, &declared, &mut findings);
-                declared
-            }
-            Err(errors) => {
-                findings.extend(errors);
-                Declared::default()
-            }
-        };
+        let sections = source::parse(text, first, &self.team, &mut findings);
+        let begins = sections.first().and_then(|s| s.header.split(' ').next());
+        if begins != Some(head) {
+            self.findings.append(&mut findings);
+            self.reject(format!("begin with [team {}]", self.team));
+            return None;
+        }
+        let declared = read(&self.team, &sections, &mut findings);
+        check(&self.team, &declared, &mut findings);
         let accepted = !finding::has_error(&findings);
         self.findings.append(&mut findings);
         accepted.then_some(declared)
@@ -166,7 +159,7 @@
         InForce::Previous => previous.unwrap_or_default(),
         InForce::Nothing => return Err(part.findings),
     };
-    let body = edition.trim_start_matches(|c| c != '\n').trim_start();
+    let body = without_head(edition);
     let (draft, _) = split_editions(draft);
     let text = format!("{}\n\n{PREVIOUS}\n{body}", draft.trim_end());
     if text.len() > MAX_PART {
@@ -179,3 +172,15 @@
     }
     Ok(text)
 }
+
+/// An edition without its first section's header and what stands before that.
+fn without_head(edition: &str) -> &str {
+    let mut start = 0;
+    for line in edition.split_inclusive('\n') {
+        start += line.len();
+        if line.trim_start().starts_with('[') {
+            break;
+        }
+    }
+    &edition[start..]
+}
--- a/crates/config/src/read.rs
+++ b/crates/config/src/read.rs
@@ -1,6 +1,9 @@
 //! Reads the sections of one edition into declarations.
 
 use std::collections::HashMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 
 use crocushold_base::Millis;
 
@@ -42,10 +45,17 @@
 const DEFAULT_QUEUE: u32 = 256;
 const DEFAULT_OBJECTIVE: Share = Share(9_500);
 
+/// Stands for an address that can't be read.
+const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 const HEADER: &str = "the section is unknown; write [service NAME], [server SERVICE/NAME], \
                       [model SERVICE/NAME], [class NAME] or [account NAME]";
 
 /// Reads sections one after the other.
+///
+/// A section with a wrong value is declared all the same, with a stand-in for the value, so that the
+/// checks after this find what else is wrong with it. No stand-in is ever in force: the error that
+/// calls for it rejects the edition.
 pub(crate) struct Reader<'a> {
     team: &'a str,
     declared: Declared,
@@ -89,15 +99,15 @@
 }
 
 fn report_repeats(team: &str, sections: &[Section], findings: &mut Vec<Finding>) {
-    let mut seen: HashMap<&str, usize> = HashMap::new();
+    let mut seen: HashMap<(&str, &str), usize> = HashMap::new();
     let mut kinds: HashMap<&str, usize> = HashMap::new();
     for section in sections {
         let place = Place::new(team, section);
-        if let Some(line) = seen.insert(&section.header, section.line) {
+        let (kind, name) = section.header.split_once(' ').unwrap_or_default();
+        if let Some(line) = seen.insert((kind, name.trim()), section.line) {
             let message = format!("the section is already on line {line}; write it once");
             findings.push(place.error("", message));
         }
-        let kind = section.header.split(' ').next().unwrap_or_default();
         let count = kinds.entry(kind).or_default();
         *count += 1;
         if *count == MAX_SECTIONS + 1 {
@@ -117,10 +127,21 @@
             "model" => self.model(section, name),
             "class" => self.class(section, name),
             "account" => self.account(section, name),
-            _ => self.reject(section, HEADER),
+            _ => self.unknown(section, name),
         }
     }
 
+    fn unknown(&mut self, section: &Section, name: &str) {
+        self.reject(section, HEADER);
+        self.note_broken("service", format!("{}/{name}", self.team));
+        self.note_broken("class", format!("{}/{name}", self.team));
+    }
+
+    /// Notes what was meant to be declared, so that references to it become no findings too.
+    fn note_broken(&mut self, kind: &'static str, name: String) {
+        self.declared.broken.insert((kind, name));
+    }
+
     fn reject(&mut self, section: &Section, message: impl Into<String>) {
         let place = Place::new(self.team, section);
         self.findings
@@ -177,13 +198,16 @@
             );
         }
         fields.finish();
-        let (Some(name), Some(kind)) = (name, kind) else {
+        let Some(name) = name else {
             return;
         };
+        if kind.is_none() {
+            self.note_broken("service", name.clone());
+        }
         self.declared.services.push(ServiceDecl {
             place: Place::new(team, section),
             name,
-            kind,
+            kind: kind.unwrap_or(Kind::Model),
             depends: depends.unwrap_or_default(),
             grants: grants.unwrap_or_default(),
             weight_loads: loads.unwrap_or_default(),
@@ -200,15 +224,15 @@
         let concurrency = take_concurrency(&mut fields);
         let checks_orders = fields.take("checks-orders", units::flag);
         fields.finish();
-        let (Some((service, own)), Some(address), Some(zone)) = (member, address, zone) else {
+        let Some((service, own)) = member else {
             return;
         };
         self.declared.servers.push(ServerDecl {
             place: Place::new(self.team, section),
             name: format!("{service}/{own}"),
             service,
-            address,
-            zone,
+            address: address.unwrap_or(NO_ADDRESS),
+            zone: zone.unwrap_or_default(),
             concurrency,
             checks_orders,
         });
@@ -220,8 +244,7 @@
         let weights = fields.require("weights", "16 GB", units::size);
         let replicas = fields.require("servers", "2", |v| units::count(v, 1, MAX_REPLICAS));
         fields.finish();
-        let (Some((service, id)), Some(weights), Some(replicas)) = (member, weights, replicas)
-        else {
+        let Some((service, id)) = member else {
             return;
         };
         self.declared.models.push(ModelDecl {
@@ -229,8 +252,8 @@
             name: format!("{service}/{id}"),
             id,
             service,
-            weights,
-            replicas,
+            weights: weights.unwrap_or_default(),
+            replicas: replicas.unwrap_or_default(),
         });
     }
 
@@ -258,17 +281,22 @@
             fields.reject("retries", message);
         }
         fields.finish();
-        let (Some(name), Some(service), Some(priority), Some(idempotent)) =
-            (name, service, priority, idempotent)
-        else {
+        let Some(name) = name else {
+            return;
+        };
+        if service.is_none() || priority.is_none() {
+            self.note_broken("class", name.clone());
+        }
+        let Some(service) = service else {
             return;
         };
+        let idempotent = idempotent.unwrap_or(false);
         let default_retries = u32::from(idempotent);
         self.declared.classes.push(ClassDecl {
             place: Place::new(team, section),
             name,
             service,
-            priority: priority.min(Priority::LOWEST),
+            priority: priority.unwrap_or(Priority::LOWEST),
             targets,
             floor: floor.unwrap_or_default(),
             idempotent,
@@ -301,22 +329,18 @@
         let concurrency =
             fields.require("concurrency", "64", |v| units::count(v, 1, MAX_CONCURRENCY));
         fields.finish();
-        let (Some(name), Some(digests), Some(classes)) = (name, digests, classes) else {
-            return;
-        };
-        let (Some(requests), Some(tokens), Some(concurrency)) = (requests, tokens, concurrency)
-        else {
+        let Some(name) = name else {
             return;
         };
         self.declared.accounts.push(AccountDecl {
             place: Place::new(team, section),
             name,
-            digests,
-            classes,
+            digests: digests.unwrap_or_default(),
+            classes: classes.unwrap_or_default(),
             limits: Limits {
-                requests,
-                tokens,
-                concurrency,
+                requests: requests.unwrap_or_default(),
+                tokens: tokens.unwrap_or_default(),
+                concurrency: concurrency.unwrap_or_default(),
             },
         });
     }
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,303 @@
+//! The local settings of one instance: a second, small INI.
+
+use std::fmt;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use crocushold_base::Millis;
+
+use crate::fields::Fields;
+use crate::finding;
+use crate::finding::Finding;
+use crate::finding::Severity;
+use crate::source;
+use crate::source::Section;
+use crate::units;
+use crate::units::ValueError;
+
+/// The most bytes that a settings file may hold.
+const MAX_SETTINGS: usize = 64 << 10;
+
+/// The least length of a peer key, so that it can't be found by trying.
+const MIN_PEER_KEY: usize = 32;
+
+const MIB: u64 = 1 << 20;
+
+/// The least memory bound with which an instance is of use.
+const MIN_MEMORY: u64 = 16 * MIB;
+
+const SECTION: &str = "the section is unknown; write [instance], [platform], [peers] or [limits]";
+
+/// A secret that is never printed.
+#[derive(Clone, Default, PartialEq, Eq)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Wraps a secret.
+    pub fn new(secret: impl Into<String>) -> Secret {
+        Secret(secret.into())
+    }
+
+    /// The secret itself.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+
+    /// Whether no secret is set.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(if self.is_empty() { "unset" } else { "redacted" })
+    }
+}
+
+/// Bounds on everything that a caller can send or hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// The most bytes of a request's head.
+    pub head: u64,
+    /// The most bytes of a request's body.
+    pub body: u64,
+    /// The longest wait for a request's head.
+    pub head_timeout: Millis,
+    /// The longest wait for the next bytes of a request's body.
+    pub body_timeout: Millis,
+    /// The longest wait for a caller that reads nothing of its answer.
+    pub write_timeout: Millis,
+    /// How long a connection between two requests is kept.
+    pub idle: Millis,
+    /// Connections in all.
+    pub connections: u32,
+    /// Connections of one account.
+    pub per_account: u32,
+}
+
+impl Default for CallerLimits {
+    fn default() -> CallerLimits {
+        CallerLimits {
+            head: 16 << 10,
+            body: 4 * MIB,
+            head_timeout: Millis::from_secs(10),
+            body_timeout: Millis::from_secs(15),
+            write_timeout: Millis::from_secs(15),
+            idle: Millis::from_secs(60),
+            connections: 4096,
+            per_account: 1024,
+        }
+    }
+}
+
+/// The local settings of one instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The instance's id, as the instance list gives it.
+    pub id: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where operators connect: health, metrics, status.
+    pub operator: SocketAddr,
+    /// Where other instances connect.
+    pub peer: SocketAddr,
+    /// The platform's addresses, tried in turn.
+    pub platform: Vec<SocketAddr>,
+    /// The secret that instances prove to each other.
+    pub peer_key: Secret,
+    /// How long a planned stop waits for requests in progress.
+    pub drain: Millis,
+    /// The most bytes that requests in progress may hold.
+    pub memory: u64,
+    /// Bounds on callers.
+    pub limits: CallerLimits,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            id: "entry-1".to_owned(),
+            zone: "zone-a".to_owned(),
+            listen: loopback(8080),
+            operator: loopback(8081),
+            peer: loopback(8082),
+            platform: vec![loopback(8090)],
+            peer_key: Secret::default(),
+            drain: Millis::from_secs(120),
+            memory: 192 * MIB,
+            limits: CallerLimits::default(),
+        }
+    }
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port)
+}
+
+impl Settings {
+    /// Reads the settings file's text.
+    ///
+    /// # Errors
+    ///
+    /// Every finding, by line.
+    pub fn parse(text: &str) -> Result<Settings, Vec<Finding>> {
+        if text.len() > MAX_SETTINGS {
+            let message = format!("the settings are too long; write at most {MAX_SETTINGS} bytes");
+            return Err(vec![error(1, "", message)]);
+        }
+        let mut findings = Vec::new();
+        let sections = source::parse(text, 1, "", &mut findings);
+        let mut settings = Settings::default();
+        findings.extend(repeats(&sections));
+        for name in ["instance", "platform", "peers"] {
+            if !sections.iter().any(|s| s.header == name) {
+                findings.push(error(1, name, "the section is missing; write it"));
+            }
+        }
+        for section in &sections {
+            settings.read(section, &mut findings);
+        }
+        settings.check_addresses(&sections, &mut findings);
+        finding::sort(&mut findings);
+        if finding::has_error(&findings) {
+            return Err(findings);
+        }
+        Ok(settings)
+    }
+
+    fn read(&mut self, section: &Section, findings: &mut Vec<Finding>) {
+        let mut fields = Fields::new("", section, findings);
+        match section.header.as_str() {
+            "instance" => self.read_instance(&mut fields),
+            "platform" => self.read_platform(&mut fields),
+            "peers" => self.read_peers(&mut fields),
+            "limits" => self.limits.read(&mut fields),
+            _ => {
+                findings.push(error(section.line, &section.header, SECTION));
+                return;
+            }
+        }
+        fields.finish();
+    }
+
+    fn read_instance(&mut self, fields: &mut Fields<'_>) {
+        set(&mut self.id, fields.require("id", "entry-1", units::name));
+        set(&mut self.zone, fields.require("zone", "ZONE", units::name));
+        let listen = fields.require("listen", "10.0.0.1:8080", units::address);
+        set(&mut self.listen, listen);
+        let operator = fields.require("operator", "10.0.0.1:8081", units::address);
+        set(&mut self.operator, operator);
+        set(&mut self.drain, fields.take("drain", units::duration));
+        set(&mut self.memory, fields.take("memory", units::size));
+        if self.memory < MIN_MEMORY {
+            fields.reject("memory", "the bound is too low; write at least 16 MiB");
+        }
+    }
+
+    fn read_platform(&mut self, fields: &mut Fields<'_>) {
+        let addresses = fields.require("addresses", "10.0.0.2:8090", |v| {
+            units::list(v, units::address)
+        });
+        set(&mut self.platform, addresses);
+    }
+
+    fn read_peers(&mut self, fields: &mut Fields<'_>) {
+        let listen = fields.require("listen", "10.0.0.1:8082", units::address);
+        set(&mut self.peer, listen);
+        let key = fields.require("key", "a secret of 32 characters or more", |v| {
+            Ok(v.to_owned())
+        });
+        if key.as_ref().is_some_and(|key| key.len() < MIN_PEER_KEY) {
+            let message = "the key is too short; write at least 32 characters, \
+                           such as `openssl rand -hex 32` prints";
+            fields.reject("key", message);
+        }
+        set(&mut self.peer_key, key.map(Secret));
+    }
+
+    /// Two of the instance's own addresses are never the same.
+    fn check_addresses(&self, sections: &[Section], findings: &mut Vec<Finding>) {
+        let own = [
+            ("instance", "listen", self.listen),
+            ("instance", "operator", self.operator),
+            ("peers", "listen", self.peer),
+        ];
+        for (index, (section, key, address)) in own.iter().enumerate() {
+            let first = own[..index].iter().find(|(_, _, other)| other == address);
+            let Some((_, other, _)) = first else {
+                continue;
+            };
+            let Some(section) = sections.iter().find(|s| s.header == *section) else {
+                continue;
+            };
+            let mut fields = Fields::new("", section, findings);
+            if fields.has(key) {
+                let message = format!("{address} is the address of {other} too; write another");
+                fields.reject(key, message);
+            }
+        }
+    }
+}
+
+impl CallerLimits {
+    fn read(&mut self, fields: &mut Fields<'_>) {
+        set(&mut self.head, fields.take("head", units::size));
+        set(&mut self.body, fields.take("body", units::size));
+        let timeouts = [
+            ("head-timeout", &mut self.head_timeout),
+            ("body-timeout", &mut self.body_timeout),
+            ("write-timeout", &mut self.write_timeout),
+            ("idle", &mut self.idle),
+        ];
+        for (key, slot) in timeouts {
+            set(slot, fields.take(key, units::duration));
+        }
+        let count = |v: &str| -> Result<u32, ValueError> { units::count(v, 1, 1_000_000) };
+        set(&mut self.connections, fields.take("connections", count));
+        set(
+            &mut self.per_account,
+            fields.take("connections-per-account", count),
+        );
+        if self.per_account > self.connections {
+            let message = "one account may hold more connections than there are in all; \
+                           write at most the value of connections";
+            fields.reject("connections-per-account", message);
+        }
+    }
+}
+
+fn set<T>(slot: &mut T, value: Option<T>) {
+    if let Some(value) = value {
+        *slot = value;
+    }
+}
+
+fn repeats(sections: &[Section]) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    for (index, section) in sections.iter().enumerate() {
+        let earlier = &sections[..index];
+        if let Some(first) = earlier.iter().find(|s| s.header == section.header) {
+            let message = format!(
+                "the section is already on line {}; write it once",
+                first.line
+            );
+            findings.push(error(section.line, &section.header, message));
+        }
+    }
+    findings
+}
+
+fn error(line: usize, section: &str, message: impl Into<String>) -> Finding {
+    Finding {
+        team: String::new(),
+        line,
+        section: section.to_owned(),
+        key: String::new(),
+        severity: Severity::Error,
+        message: message.into(),
+    }
+}
--- /dev/null
+++ b/crates/config/tests/findings.rs
@@ -0,0 +1,202 @@
+//! Every kind of mistake is found, once, at its line, with what to write instead.
+
+// Helpers of tests may unwrap like the tests themselves.
+#![allow(clippy::unwrap_used)]
+
+use crocushold_config::Catalog;
+use crocushold_config::Finding;
+use crocushold_config::InForce;
+use crocushold_config::Severity;
+use crocushold_config::Text;
+use test_case::test_case;
+
+/// A sound part; each test spoils one line of it.
+const SOUND: &str = "\
+[team a]
+format = 1
+[service fleet]
+kind = model
+depends-on = desk
+shared-with = b 10 %
+[server fleet/one]
+address = 10.0.0.1:8000
+zone = z1
+[model fleet/m]
+weights = 1 GB
+servers = 1
+[service desk]
+kind = plain
+prefix = /desk
+[server desk/one]
+address = 10.0.0.2:8000
+zone = z1
+[class chat]
+service = fleet
+priority = 2
+first-token = 300 ms
+whole-answer = 2 s
+floor = 30 %
+idempotent = yes
+[class confirm]
+service = desk
+priority = 2
+whole-answer = 1 s
+idempotent = no
+calls = POST /desk/confirm
+[account app]
+key-sha256 = 0000000000000000000000000000000000000000000000000000000000000001
+classes = chat, confirm
+requests = 10/s
+tokens = 100/s
+concurrency = 4
+";
+
+fn findings(text: &str) -> Vec<Finding> {
+    Text::parse(text).findings()
+}
+
+fn spoil(line: usize, by: &str) -> String {
+    let mut lines: Vec<&str> = SOUND.lines().collect();
+    lines[line - 1] = by;
+    lines.join("\n")
+}
+
+#[test]
+fn sound_part_has_no_findings() {
+    assert_eq!(findings(SOUND), []);
+}
+
+#[test_case(2, "format = 2", "write format = 1"; "unknown format")]
+#[test_case(4, "kind = modle", "write model or plain"; "unknown kind")]
+#[test_case(5, "depends-on = dsk", "there is no service dsk"; "dangling dependency")]
+#[test_case(6, "shared-with = b 60 %", "lower them to 80 %"; "over-committed floors")]
+#[test_case(6, "shared-with = a 5 %", "write each other team once"; "shared with itself")]
+#[test_case(6, "shard-with = b 10 %", "the key is unknown"; "unknown key")]
+#[test_case(8, "address = one:8000", "write an IP number and a port"; "host name")]
+#[test_case(7, "[server flet/one]", "there is no service flet"; "server of no service")]
+#[test_case(10, "[modell fleet/m]", "the section is unknown"; "unknown section")]
+#[test_case(11, "weights = 1", "write a whole number and a unit"; "size without unit")]
+#[test_case(14, "kind = plain \\", "ends with a backslash"; "continued line")]
+#[test_case(15, "prefix = /v1", "belongs to the model services"; "reserved prefix")]
+#[test_case(16, "[server desk/one", "no closing bracket"; "open bracket")]
+#[test_case(20, "service = flet", "there is no service flet"; "class on no service")]
+#[test_case(21, "priority = 6", "from 1 (served first) to 5"; "priority out of range")]
+#[test_case(21, "priority 2", "the line has no '='"; "syntax error")]
+#[test_case(22, "first-token = 300", "write a whole number and a unit"; "missing unit")]
+#[test_case(22, "first-token = 300 sec", "such as 350 ms"; "wrong unit")]
+#[test_case(22, "first-token = 2 s", "below whole-answer"; "target never met")]
+#[test_case(23, "whole-answer = 900 ms", "whose soonest target is 1000ms"; "dependency is later")]
+#[test_case(24, "floor = 30", "such as 5 %"; "share without sign")]
+#[test_case(24, "priority = 3", "already on line 21"; "duplicate key")]
+#[test_case(25, "idempotent = true", "write yes or no"; "flag")]
+#[test_case(30, "idempotent = no\nretries = 1", "write retries = 0"; "retries without idempotence")]
+#[test_case(31, "calls = POST /dsk/confirm", "begin with /desk/"; "call outside the prefix")]
+#[test_case(31, "call = POST /desk/confirm", "the key is unknown"; "unknown key of a class")]
+#[test_case(33, "key-sha256 = secret", "64 hexadecimal digits"; "key instead of digest")]
+#[test_case(34, "classes = chat, confrm", "there is no class confrm"; "dangling class")]
+#[test_case(34, "classes = chat, chat", "listed twice"; "class twice")]
+#[test_case(35, "requests = 10", "such as 50/s"; "rate without unit")]
+#[test_case(37, "concurrency = 0", "from 1 to"; "count out of range")]
+#[test_case(37, "concurrency = 4\n[account app]", "already on line 32"; "duplicate section")]
+fn mistake_is_found_and_rejects_the_edition(line: usize, by: &str, message: &str) {
+    let text = Text::parse(&spoil(line, by));
+    let found = text.findings();
+    let hits: Vec<&Finding> = found
+        .iter()
+        .filter(|f| f.message.contains(message))
+        .collect();
+    assert_eq!(hits.len(), 1, "{found:#?}");
+    assert_eq!(hits[0].team, "a");
+    assert_eq!(hits[0].severity, Severity::Error);
+    let part = text.part("a").unwrap();
+    assert_eq!(part.in_force(), InForce::Nothing);
+    assert!(Catalog::new(&text).services.is_empty());
+}
+
+// A mistake that is listed twice, or that hides the next one, costs the author another round.
+#[test]
+fn ten_mistakes_are_ten_findings_with_their_lines() {
+    let mut lines: Vec<&str> = SOUND.lines().collect();
+    let spoiled = [
+        (4, "kind = modle"),
+        (8, "address = one:8000"),
+        (11, "weights = 1"),
+        (15, "prefix = desk"),
+        (21, "priority = 9"),
+        (22, "first-token 300 ms"),
+        (25, "idempotent = maybe"),
+        (31, "call = POST /desk/confirm"),
+        (34, "classes = chat, nightly"),
+        (36, "tokens = 100/h"),
+    ];
+    for (line, by) in spoiled {
+        lines[line - 1] = by;
+    }
+    let found = findings(&lines.join("\n"));
+    let places: Vec<usize> = found.iter().map(|f| f.line).collect();
+    let expected: Vec<usize> = spoiled.iter().map(|(line, _)| *line).collect();
+    assert_eq!(places, expected, "{found:#?}");
+}
+
+#[test]
+fn finding_is_one_line_that_names_its_place() {
+    let found = findings(&spoil(21, "priority = 6"));
+    let expected = "line 21: error: team a: [class chat] priority: \"6\" is no priority; \
+                    write a whole number from 1 (served first) to 5";
+    assert_eq!(found[0].to_string(), expected);
+}
+
+#[test]
+fn cycle_is_found_once() {
+    let found = findings(&spoil(15, "prefix = /desk\ndepends-on = fleet"));
+    let cycles = found.iter().filter(|f| f.message.contains("in turn"));
+    let sections: Vec<&str> = cycles.map(|f| f.section.as_str()).collect();
+    assert_eq!(sections, ["service desk"]);
+}
+
+#[test]
+fn class_without_server_is_a_warning() {
+    let text = SOUND.replace(
+        "[server fleet/one]\naddress = 10.0.0.1:8000\nzone = z1\n",
+        "",
+    );
+    let text = Text::parse(&text);
+    let found = text.findings();
+    assert_eq!(found.len(), 1, "{found:#?}");
+    assert!(found[0].message.contains("the class has no server"));
+    assert_eq!(text.part("a").unwrap().in_force(), InForce::Current);
+}
+
+#[test]
+fn two_accounts_with_one_key_are_found() {
+    let account = SOUND.split_once("[account app]").unwrap().1;
+    let found = findings(&format!("{SOUND}[account web]{account}"));
+    assert_eq!(found.len(), 1, "{found:#?}");
+    assert_eq!((found[0].line, found[0].key.as_str()), (39, "key-sha256"));
+}
+
+#[test]
+fn line_before_the_first_part_is_found() {
+    let found = findings(&format!("# heading\nformat = 1\n{SOUND}"));
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[0].line, 2);
+}
+
+// A key without a separator swallows the next lines in the INI library, up to the next '='. If that
+// went unnoticed, "[class b]" below would vanish and its keys would land in class a.
+#[test_case("[team a]\nformat = 1\n[class a]\npriority\n[class b]\npriority = 1\n"; "bare word")]
+#[test_case("[team a]\nformat = 1\n[class a]\n  # x\n[class b]\npriority = 1\n"; "indented comment")]
+#[test_case("[team a]\nformat = 1\n[class a]\nservice = x\\\n[class b]\npriority = 1\n"; "backslash")]
+fn swallowed_line_is_found_at_its_own_line(text: &str) {
+    let found = findings(text);
+    let syntax: Vec<usize> = found
+        .iter()
+        .filter(|f| f.key.is_empty() && f.line == 4)
+        .map(|f| f.line)
+        .collect();
+    assert_eq!(syntax.len(), 1, "{found:#?}");
+    let other = found
+        .iter()
+        .any(|f| f.section == "class b" && f.key == "service");
+    assert!(other, "{found:#?}");
+}
--- /dev/null
+++ b/crates/config/tests/settings.rs
@@ -0,0 +1,70 @@
+//! The local settings.
+
+// Helpers of tests may unwrap like the tests themselves.
+#![allow(clippy::unwrap_used)]
+
+use crocushold_base::Millis;
+use crocushold_config::Settings;
+use test_case::test_case;
+
+const SOUND: &str = "\
+[instance]
+id = entry-1
+zone = z1
+listen = 127.0.0.1:8080
+operator = 127.0.0.1:8081
+drain = 90 s
+[platform]
+addresses = 127.0.0.1:8090, 127.0.0.1:8091
+[peers]
+listen = 127.0.0.1:8082
+key = 0123456789abcdef0123456789abcdef
+[limits]
+body = 1 MiB
+";
+
+#[test]
+fn settings_are_read_over_the_defaults() {
+    let settings = Settings::parse(SOUND).unwrap();
+    let defaults = Settings::default();
+    assert_eq!(settings.drain, Millis::from_secs(90));
+    assert_eq!(settings.platform.len(), 2);
+    assert_eq!(settings.limits.body, 1 << 20);
+    assert_eq!(settings.limits.head, defaults.limits.head);
+    assert_eq!(settings.memory, defaults.memory);
+}
+
+// The settings are logged at the start; a key in the log would let any reader of logs join as a
+// peer.
+#[test]
+fn peer_key_is_never_printed() {
+    let settings = Settings::parse(SOUND).unwrap();
+    assert_eq!(
+        settings.peer_key.expose(),
+        "0123456789abcdef0123456789abcdef"
+    );
+    let printed = format!("{settings:?}");
+    assert!(!printed.contains("0123456789"), "{printed}");
+    let findings = Settings::parse(&SOUND.replace("0123456789abcdef0123456789abcdef", "short-key"));
+    let findings = findings.unwrap_err();
+    assert!(!format!("{findings:?}").contains("short-key"));
+}
+
+#[test_case("drain = 90 s", "drain = 90", 6; "missing unit")]
+#[test_case("zone = z1", "zone z1", 3; "syntax error")]
+#[test_case("[limits]", "[limit]", 12; "unknown section")]
+#[test_case("body = 1 MiB", "bodies = 1 MiB", 13; "unknown key")]
+#[test_case("operator = 127.0.0.1:8081", "operator = 127.0.0.1:8080", 5; "address twice")]
+#[test_case("drain = 90 s", "memory = 1 MiB", 6; "memory too low")]
+#[test_case("body = 1 MiB", "connections = 5", 12; "more for one account than in all")]
+fn mistake_is_found_at_its_line(from: &str, to: &str, line: usize) {
+    let findings = Settings::parse(&SOUND.replace(from, to)).unwrap_err();
+    let lines: Vec<usize> = findings.iter().map(|f| f.line).collect();
+    assert_eq!(lines, [line], "{findings:#?}");
+}
+
+#[test]
+fn missing_sections_and_keys_are_all_listed() {
+    let findings = Settings::parse("[instance]\n").unwrap_err();
+    assert_eq!(findings.len(), 6, "{findings:#?}");
+}
