Bound what a hostile part can cost and report a cycle once

A part of one megabyte can hold half a million bad lines or a dense graph of dependencies. Findings are collected up to 1,000 an edition, services and classes up to 64 a part, and the graph's closure is worked out once, so that every instance reads such a part in a bounded time.

--- a/crates/config/examples/measure.rs
+++ b/crates/config/examples/measure.rs
@@ -66,12 +66,12 @@
 fn lookups(catalog: &Catalog) {
     let keys: Vec<String> = (0..ACCOUNTS).map(|i| key(i % TEAMS, i / TEAMS)).collect();
     let keys: Vec<Credential<'_>> = keys.iter().map(|key| Credential::of(key)).collect();
-    let ids: Vec<String> = catalog.models.values().map(|m| m.id.clone()).collect();
+    let ids: Vec<String> = (0..TEAMS).map(|team| format!("model-{team}-0")).collect();
     let start = Instant::now();
     let mut found = 0;
     for i in 0..LOOKUPS {
-        let target = Target::Model(&ids[i % ids.len()]);
-        let resolved = resolve(catalog, &keys[i % keys.len()], target, Some("nightly"));
+        let target = Target::Model(&ids[i % ACCOUNTS % TEAMS]);
+        let resolved = resolve(catalog, &keys[i % ACCOUNTS], target, Some("nightly"));
         found += usize::from(black_box(resolved).is_ok());
     }
     let each = start.elapsed().as_nanos() as usize / LOOKUPS;
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -10,7 +10,7 @@
 use crate::decl::Declared;
 use crate::decl::Place;
 use crate::decl::ServiceDecl;
-use crate::finding::Finding;
+use crate::finding::Findings;
 use crate::graph::Graph;
 use crate::model::Kind;
 use crate::model::Share;
@@ -22,7 +22,7 @@
 pub(crate) const MAX_FLOORS: Share = Share(8_000);
 
 /// Checks the declarations of one team's edition against each other.
-pub(crate) fn check(team: &str, declared: &Declared, findings: &mut Vec<Finding>) {
+pub(crate) fn check(team: &str, declared: &Declared, findings: &mut Findings) {
     let mut check = Check {
         team,
         services: by_name(&declared.services, |s| &s.name),
@@ -51,7 +51,7 @@
     services: BTreeMap<&'a str, &'a ServiceDecl>,
     classes: BTreeMap<&'a str, &'a ClassDecl>,
     declared: &'a Declared,
-    findings: &'a mut Vec<Finding>,
+    findings: &'a mut Findings,
 }
 
 impl<'a> Check<'a> {
@@ -103,21 +103,26 @@
     fn dependencies(&mut self) {
         let graph = Graph::new(&self.declared.services);
         for service in &self.declared.services {
-            for name in &service.depends {
+            let mut cyclic = Vec::new();
+            for name in service.depends.iter() {
                 if !self.is_own(name) {
                     continue;
                 }
                 if !self.has_service(name) {
                     let message = dangling("service", short_name(name));
                     self.error(&service.place, "depends-on", message);
-                } else if graph.reaches(name, &service.name) && graph.is_first(&service.name) {
-                    let message = format!(
-                        "{} depends on this service in turn; leave it out here or there",
-                        short_name(name)
-                    );
-                    self.error(&service.place, "depends-on", message);
+                } else if graph.reaches(name, &service.name) {
+                    cyclic.push(short_name(name));
                 }
             }
+            if !cyclic.is_empty() && graph.is_first(&service.name) {
+                let message = format!(
+                    "a cycle leads back to this service by way of {}; leave out one dependency of \
+                     each cycle",
+                    cyclic.join(", ")
+                );
+                self.error(&service.place, "depends-on", message);
+            }
         }
     }
 
--- a/crates/config/src/fields.rs
+++ b/crates/config/src/fields.rs
@@ -1,6 +1,7 @@
 //! Takes a section's entries one key at a time and collects what is wrong with them.
 
 use crate::finding::Finding;
+use crate::finding::Findings;
 use crate::finding::Severity;
 use crate::source::Entry;
 use crate::source::Section;
@@ -11,14 +12,14 @@
     team: &'a str,
     section: &'a Section,
     taken: Vec<&'static str>,
-    findings: &'a mut Vec<Finding>,
+    findings: &'a mut Findings,
 }
 
 impl<'a> Fields<'a> {
     pub(crate) fn new(
         team: &'a str,
         section: &'a Section,
-        findings: &'a mut Vec<Finding>,
+        findings: &'a mut Findings,
     ) -> Fields<'a> {
         Fields {
             team,
--- a/crates/config/src/finding.rs
+++ b/crates/config/src/finding.rs
@@ -55,13 +55,42 @@
     }
 }
 
+/// The most findings that one edition or the links between teams may hold.
+pub(crate) const MAX_FINDINGS: usize = 1000;
+
+/// Collects findings, up to a bound.
+///
+/// A part of one megabyte can hold half a million bad lines. Without the bound their findings would
+/// take a hundred times the part's size on every instance.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Findings {
+    list: Vec<Finding>,
+    has_error: bool,
+}
+
+impl Findings {
+    pub(crate) fn push(&mut self, finding: Finding) {
+        self.has_error |= finding.severity == Severity::Error;
+        if self.list.len() < MAX_FINDINGS {
+            self.list.push(finding);
+        }
+    }
+
+    /// Whether any finding, kept or not, rejects its edition.
+    pub(crate) fn has_error(&self) -> bool {
+        self.has_error
+    }
+
+    /// The findings, ordered by place.
+    pub(crate) fn into_sorted(self) -> Vec<Finding> {
+        let mut list = self.list;
+        sort(&mut list);
+        list
+    }
+}
+
 /// Sorts by place and drops repeats.
 pub(crate) fn sort(findings: &mut Vec<Finding>) {
     findings.sort();
     findings.dedup();
 }
-
-/// Whether any finding rejects its edition.
-pub(crate) fn has_error(findings: &[Finding]) -> bool {
-    findings.iter().any(|f| f.severity == Severity::Error)
-}
--- a/crates/config/src/link.rs
+++ b/crates/config/src/link.rs
@@ -16,7 +16,7 @@
 use crate::decl::Declared;
 use crate::decl::ServiceDecl;
 use crate::digest::KeyDigest;
-use crate::finding::Finding;
+use crate::finding::Findings;
 use crate::graph::Graph;
 use crate::model::Share;
 use crate::model::team_name;
@@ -29,7 +29,7 @@
     pub(crate) classes: BTreeMap<&'a str, LinkedClass<'a>>,
     pub(crate) accounts: BTreeMap<&'a str, LinkedAccount<'a>>,
     pub(crate) declared: Vec<&'a Declared>,
-    pub(crate) findings: Vec<Finding>,
+    pub(crate) findings: Findings,
 }
 
 pub(crate) struct LinkedService<'a> {
--- a/crates/config/src/locate.rs
+++ b/crates/config/src/locate.rs
@@ -1,5 +1,7 @@
 //! Finds the lines of sections and keys, which `rust-ini` doesn't report.
 
+use crate::finding::MAX_FINDINGS;
+
 /// A key and its line.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) struct KeyLine {
@@ -107,6 +109,9 @@
     }
 
     fn reject(&mut self, line: usize, message: &'static str) {
+        if self.bad.len() == MAX_FINDINGS {
+            return;
+        }
         let section = self.sections.last().map(|s| s.header.clone());
         self.bad.push(BadLine {
             line,
--- a/crates/config/src/part.rs
+++ b/crates/config/src/part.rs
@@ -4,6 +4,7 @@
 use crate::decl::Declared;
 use crate::finding;
 use crate::finding::Finding;
+use crate::finding::Findings;
 use crate::finding::Severity;
 use crate::read::read;
 use crate::source;
@@ -82,18 +83,18 @@
 
     /// The declarations of an edition; nothing when it has an error.
     fn parse_edition(&mut self, text: &str, first: usize, head: &str) -> Option<Declared> {
-        let mut findings = Vec::new();
+        let mut findings = Findings::default();
         let sections = source::parse(text, first, &self.team, &mut findings);
         let begins = sections.first().and_then(|s| s.header.split(' ').next());
         if begins != Some(head) {
-            self.findings.append(&mut findings);
+            self.findings.extend(findings.into_sorted());
             self.reject(format!("begin with [team {}]", self.team));
             return None;
         }
         let declared = read(&self.team, &sections, &mut findings);
         check(&self.team, &declared, &mut findings);
-        let accepted = !finding::has_error(&findings);
-        self.findings.append(&mut findings);
+        let accepted = !findings.has_error();
+        self.findings.extend(findings.into_sorted());
         accepted.then_some(declared)
     }
 
--- a/crates/config/src/read.rs
+++ b/crates/config/src/read.rs
@@ -1,28 +1,31 @@
 //! Reads the sections of one edition into declarations.
 
+mod values;
+
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
-use crocushold_base::Millis;
-
+use self::values::MAX_CONCURRENCY;
+use self::values::read_grant;
+use self::values::read_kind;
+use self::values::read_targets;
+use self::values::take_concurrency;
 use crate::decl::AccountDecl;
 use crate::decl::ClassDecl;
 use crate::decl::Declared;
-use crate::decl::Grant;
 use crate::decl::ModelDecl;
 use crate::decl::Place;
 use crate::decl::ServerDecl;
 use crate::decl::ServiceDecl;
 use crate::fields::Fields;
-use crate::finding::Finding;
+use crate::finding::Findings;
 use crate::finding::Severity;
 use crate::model::Kind;
 use crate::model::Limits;
 use crate::model::Priority;
 use crate::model::Share;
-use crate::model::Targets;
 use crate::source::Section;
 use crate::units;
 use crate::units::ValueError;
@@ -30,10 +33,15 @@
 /// The one format that this version knows.
 const FORMAT: u32 = 1;
 
-/// The most sections of one kind in an edition.
+/// The most services in an edition.
+const MAX_SERVICES: usize = 64;
+
+/// The most classes in an edition. Each is a label of the metrics.
+const MAX_CLASSES: usize = 64;
+
+/// The most sections of any other kind in an edition.
 const MAX_SECTIONS: usize = 10_000;
 
-const MAX_CONCURRENCY: u32 = 100_000;
 const MAX_RETRIES: u32 = 3;
 const MAX_QUEUE: u32 = 1_000_000;
 const MAX_REPLICAS: u32 = 10_000;
@@ -59,15 +67,15 @@
 pub(crate) struct Reader<'a> {
     team: &'a str,
     declared: Declared,
-    findings: &'a mut Vec<Finding>,
+    findings: &'a mut Findings,
 }
 
 /// Reads an edition: its head section, then the others.
-pub(crate) fn read(team: &str, sections: &[Section], findings: &mut Vec<Finding>) -> Declared {
+pub(crate) fn read(team: &str, sections: &[Section], findings: &mut Findings) -> Declared {
     let Some((head, rest)) = sections.split_first() else {
         return Declared::default();
     };
-    if !read_head(team, head, findings) {
+    if !read_head(team, head, findings) || !is_bounded(team, rest, findings) {
         return Declared::default();
     }
     report_repeats(team, rest, findings);
@@ -86,7 +94,7 @@
 ///
 /// Nothing after an unknown format is looked at: a later format may give any line another meaning,
 /// and two program versions must not accept the same edition in two ways.
-fn read_head(team: &str, head: &Section, findings: &mut Vec<Finding>) -> bool {
+fn read_head(team: &str, head: &Section, findings: &mut Findings) -> bool {
     let mut fields = Fields::new(team, head, findings);
     let format = fields.require("format", "1", |v| units::count(v, 1, u32::MAX));
     let known = format == Some(FORMAT);
@@ -98,23 +106,36 @@
     known
 }
 
-fn report_repeats(team: &str, sections: &[Section], findings: &mut Vec<Finding>) {
+fn report_repeats(team: &str, sections: &[Section], findings: &mut Findings) {
     let mut seen: HashMap<(&str, &str), usize> = HashMap::new();
-    let mut kinds: HashMap<&str, usize> = HashMap::new();
     for section in sections {
-        let place = Place::new(team, section);
         let (kind, name) = section.header.split_once(' ').unwrap_or_default();
         if let Some(line) = seen.insert((kind, name.trim()), section.line) {
             let message = format!("the section is already on line {line}; write it once");
-            findings.push(place.error("", message));
+            findings.push(Place::new(team, section).error("", message));
         }
-        let count = kinds.entry(kind).or_default();
+    }
+}
+
+/// Whether there are no more sections of a kind than the checks can look at in a bounded time.
+fn is_bounded(team: &str, sections: &[Section], findings: &mut Findings) -> bool {
+    let mut counts: HashMap<&str, usize> = HashMap::new();
+    for section in sections {
+        let kind = section.header.split(' ').next().unwrap_or_default();
+        let count = counts.entry(kind).or_default();
+        let bound = match kind {
+            "service" => MAX_SERVICES,
+            "class" => MAX_CLASSES,
+            _ => MAX_SECTIONS,
+        };
         *count += 1;
-        if *count == MAX_SECTIONS + 1 {
-            let message = format!("there are too many sections; write at most {MAX_SECTIONS}");
-            findings.push(place.error("", message));
+        if *count > bound {
+            let message = format!("there are too many such sections; write at most {bound}");
+            findings.push(Place::new(team, section).error("", message));
+            return false;
         }
     }
+    true
 }
 
 impl Reader<'_> {
@@ -345,64 +366,3 @@
         });
     }
 }
-
-fn take_concurrency(fields: &mut Fields<'_>) -> Option<u32> {
-    fields.take("concurrency", |v| units::count(v, 1, MAX_CONCURRENCY))
-}
-
-fn read_kind(fields: &mut Fields<'_>) -> Option<Kind> {
-    let kind = fields.require("kind", "model", |v| Ok(v.to_owned()))?;
-    let prefix = fields.take("prefix", units::prefix);
-    match kind.as_str() {
-        "model" => {
-            if fields.has("prefix") {
-                fields.reject("prefix", "a model service has no prefix; leave it out");
-            }
-            Some(Kind::Model)
-        }
-        "plain" => {
-            if !fields.has("prefix") {
-                fields.reject("prefix", "the key is missing; write prefix = /PATH");
-            }
-            Some(Kind::Plain { prefix: prefix? })
-        }
-        _ => {
-            fields.reject("kind", "the kind is unknown; write model or plain");
-            None
-        }
-    }
-}
-
-fn read_grant(value: &str) -> Result<Grant, ValueError> {
-    let (team, share) = value.split_once(' ').unwrap_or((value, ""));
-    Ok(Grant {
-        team: units::name(team)?,
-        share: units::share(share.trim())?,
-    })
-}
-
-/// Reads the targets: the first token and the gap between tokens, or the whole answer, or both.
-fn read_targets(fields: &mut Fields<'_>) -> Targets {
-    let targets = Targets {
-        first_token: fields.take("first-token", units::duration),
-        between_tokens: fields.take("between-tokens", units::duration),
-        whole_answer: fields.take("whole-answer", units::duration),
-    };
-    let whole = targets.whole_answer.unwrap_or(Millis::MAX);
-    let late = |part: Option<Millis>| part.is_some_and(|part| part >= whole);
-    if late(targets.first_token) {
-        let message = "the first token is due no sooner than the whole answer; \
-                       write a first-token below whole-answer";
-        fields.reject("first-token", message);
-    }
-    if late(targets.between_tokens) {
-        let message = "the gap is as long as the whole answer may take; \
-                       write a between-tokens below whole-answer";
-        fields.reject("between-tokens", message);
-    }
-    if !fields.has("first-token") && !fields.has("whole-answer") {
-        let message = "the class has no target; write first-token = 350 ms or whole-answer = 10 s";
-        fields.reject("", message);
-    }
-    targets
-}
--- /dev/null
+++ b/crates/config/src/read/values.rs
@@ -0,0 +1,77 @@
+//! Reads values that take several keys or have several parts.
+
+use crocushold_base::Millis;
+
+use crate::decl::Grant;
+use crate::fields::Fields;
+use crate::model::Kind;
+use crate::model::Targets;
+use crate::units;
+use crate::units::ValueError;
+
+/// The most requests that a server runs, or an account has in progress, at once.
+pub(super) const MAX_CONCURRENCY: u32 = 100_000;
+
+/// Reads how many requests a server runs at once.
+pub(super) fn take_concurrency(fields: &mut Fields<'_>) -> Option<u32> {
+    fields.take("concurrency", |v| units::count(v, 1, MAX_CONCURRENCY))
+}
+
+/// Reads the kind of a service and the prefix that goes with it.
+pub(super) fn read_kind(fields: &mut Fields<'_>) -> Option<Kind> {
+    let kind = fields.require("kind", "model", |v| Ok(v.to_owned()))?;
+    let prefix = fields.take("prefix", units::prefix);
+    match kind.as_str() {
+        "model" => {
+            if fields.has("prefix") {
+                fields.reject("prefix", "a model service has no prefix; leave it out");
+            }
+            Some(Kind::Model)
+        }
+        "plain" => {
+            if !fields.has("prefix") {
+                fields.reject("prefix", "the key is missing; write prefix = /PATH");
+            }
+            Some(Kind::Plain { prefix: prefix? })
+        }
+        _ => {
+            fields.reject("kind", "the kind is unknown; write model or plain");
+            None
+        }
+    }
+}
+
+/// Reads `TEAM SHARE`.
+pub(super) fn read_grant(value: &str) -> Result<Grant, ValueError> {
+    let (team, share) = value.split_once(' ').unwrap_or((value, ""));
+    Ok(Grant {
+        team: units::name(team)?,
+        share: units::share(share.trim())?,
+    })
+}
+
+/// Reads the targets: the first token and the gap between tokens, or the whole answer, or both.
+pub(super) fn read_targets(fields: &mut Fields<'_>) -> Targets {
+    let targets = Targets {
+        first_token: fields.take("first-token", units::duration),
+        between_tokens: fields.take("between-tokens", units::duration),
+        whole_answer: fields.take("whole-answer", units::duration),
+    };
+    let whole = targets.whole_answer.unwrap_or(Millis::MAX);
+    let late = |part: Option<Millis>| part.is_some_and(|part| part >= whole);
+    if late(targets.first_token) {
+        let message = "the first token is due no sooner than the whole answer; \
+                       write a first-token below whole-answer";
+        fields.reject("first-token", message);
+    }
+    if late(targets.between_tokens) {
+        let message = "the gap is as long as the whole answer may take; \
+                       write a between-tokens below whole-answer";
+        fields.reject("between-tokens", message);
+    }
+    if !fields.has("first-token") && !fields.has("whole-answer") {
+        let message = "the class has no target; write first-token = 350 ms or whole-answer = 10 s";
+        fields.reject("", message);
+    }
+    targets
+}
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -8,8 +8,8 @@
 use crocushold_base::Millis;
 
 use crate::fields::Fields;
-use crate::finding;
 use crate::finding::Finding;
+use crate::finding::Findings;
 use crate::finding::Severity;
 use crate::source;
 use crate::source::Section;
@@ -149,10 +149,10 @@
             let message = format!("the settings are too long; write at most {MAX_SETTINGS} bytes");
             return Err(vec![error(1, "", message)]);
         }
-        let mut findings = Vec::new();
+        let mut findings = Findings::default();
         let sections = source::parse(text, 1, "", &mut findings);
         let mut settings = Settings::default();
-        findings.extend(repeats(&sections));
+        report_repeats(&sections, &mut findings);
         for name in ["instance", "platform", "peers"] {
             if !sections.iter().any(|s| s.header == name) {
                 findings.push(error(1, name, "the section is missing; write it"));
@@ -162,14 +162,13 @@
             settings.read(section, &mut findings);
         }
         settings.check_addresses(&sections, &mut findings);
-        finding::sort(&mut findings);
-        if finding::has_error(&findings) {
-            return Err(findings);
+        if findings.has_error() {
+            return Err(findings.into_sorted());
         }
         Ok(settings)
     }
 
-    fn read(&mut self, section: &Section, findings: &mut Vec<Finding>) {
+    fn read(&mut self, section: &Section, findings: &mut Findings) {
         let mut fields = Fields::new("", section, findings);
         match section.header.as_str() {
             "instance" => self.read_instance(&mut fields),
@@ -220,7 +219,7 @@
     }
 
     /// Two of the instance's own addresses are never the same.
-    fn check_addresses(&self, sections: &[Section], findings: &mut Vec<Finding>) {
+    fn check_addresses(&self, sections: &[Section], findings: &mut Findings) {
         let own = [
             ("instance", "listen", self.listen),
             ("instance", "operator", self.operator),
@@ -276,8 +275,7 @@
     }
 }
 
-fn repeats(sections: &[Section]) -> Vec<Finding> {
-    let mut findings = Vec::new();
+fn report_repeats(sections: &[Section], findings: &mut Findings) {
     for (index, section) in sections.iter().enumerate() {
         let earlier = &sections[..index];
         if let Some(first) = earlier.iter().find(|s| s.header == section.header) {
@@ -288,7 +286,6 @@
             findings.push(error(section.line, &section.header, message));
         }
     }
-    findings
 }
 
 fn error(line: usize, section: &str, message: impl Into<String>) -> Finding {
--- a/crates/config/src/source.rs
+++ b/crates/config/src/source.rs
@@ -4,8 +4,8 @@
 use ini::ParseOption;
 
 use crate::finding::Finding;
+use crate::finding::Findings;
 use crate::finding::Severity;
-use crate::locate::Lines;
 use crate::locate::SectionLines;
 use crate::locate::locate;
 
@@ -30,14 +30,11 @@
 /// Parses a text whose first line has the number `first`, as far as it can be read.
 ///
 /// Every line that is no INI becomes a finding, and the rest is read on.
-pub(crate) fn parse(
-    text: &str,
-    first: usize,
-    team: &str,
-    findings: &mut Vec<Finding>,
-) -> Vec<Section> {
+pub(crate) fn parse(text: &str, first: usize, team: &str, findings: &mut Findings) -> Vec<Section> {
     let lines = locate(text, first);
-    findings.extend(bad_lines(&lines, team));
+    for bad in &lines.bad {
+        findings.push(syntax_error(team, bad.line, &bad.section, bad.message));
+    }
     // Neither quotes nor escapes: a value is what stands on the line.
     let options = ParseOption {
         enabled_quote: false,
@@ -98,12 +95,6 @@
     Ok(sections)
 }
 
-fn bad_lines(lines: &Lines, team: &str) -> Vec<Finding> {
-    let bad = lines.bad.iter();
-    bad.map(|bad| syntax_error(team, bad.line, &bad.section, bad.message))
-        .collect()
-}
-
 fn syntax_error(team: &str, line: usize, section: &str, message: &str) -> Finding {
     Finding {
         team: team.to_owned(),
--- a/crates/config/src/text.rs
+++ b/crates/config/src/text.rs
@@ -74,7 +74,7 @@
         let mut all = self.stray.clone();
         let parts = self.parts.values();
         all.extend(parts.flat_map(|part| part.findings().iter().cloned()));
-        all.extend(link(self).findings);
+        all.extend(link(self).findings.into_sorted());
         finding::sort(&mut all);
         all
     }
--- a/crates/config/tests/findings.rs
+++ b/crates/config/tests/findings.rs
@@ -149,7 +149,9 @@
 #[test]
 fn cycle_is_found_once() {
     let found = findings(&spoil(15, "prefix = /desk\ndepends-on = fleet"));
-    let cycles = found.iter().filter(|f| f.message.contains("in turn"));
+    let cycles = found
+        .iter()
+        .filter(|f| f.message.contains("a cycle leads back"));
     let sections: Vec<&str> = cycles.map(|f| f.section.as_str()).collect();
     assert_eq!(sections, ["service desk"]);
 }
@@ -200,3 +202,87 @@
         .any(|f| f.section == "class b" && f.key == "service");
     assert!(other, "{found:#?}");
 }
+
+// One part is full of bad lines, or of services that all depend on each other. Every instance reads
+// it at once; none may spend its memory or its processor on it.
+#[test]
+fn hostile_part_is_read_in_bounds() {
+    let lines = "x\n".repeat(500_000);
+    let found = findings(&format!("[team a]\nformat = 1\n{lines}"));
+    assert!(found.len() <= 1000, "{}", found.len());
+
+    let names: Vec<String> = (0..64).map(|i| format!("s{i}")).collect();
+    let depends = names.join(", ");
+    let service = |name| format!("[service {name}]\nkind = model\ndepends-on = {depends}\n");
+    let services: String = names.iter().map(service).collect();
+    let found = findings(&format!("[team a]\nformat = 1\n{services}"));
+    assert_eq!(found.len(), 1, "{found:#?}");
+
+    let more = "[service more]\nkind = model\n";
+    let found = findings(&format!("[team a]\nformat = 1\n{services}{more}"));
+    assert!(found[0].message.contains("write at most 64"), "{found:#?}");
+}
+
+#[test]
+fn part_above_the_size_bound_is_rejected() {
+    let text = Text::parse(&format!("{SOUND}#{}\n", "x".repeat(1 << 20)));
+    assert_eq!(text.part("a").unwrap().in_force(), InForce::Nothing);
+    assert!(text.findings()[0].message.contains("shorten it to 1048576"));
+}
+
+const OTHER: &str = "\
+[team b]
+format = 1
+[service index]
+kind = model
+depends-on = a/fleet
+[server index/one]
+address = 10.0.0.9:8000
+zone = z1
+";
+
+// Two teams make a cycle together. Neither part is at fault by itself, so both stay in force
+// without the two dependencies that close the cycle.
+#[test]
+fn cycle_between_teams_is_a_warning_on_both() {
+    let first = spoil(5, "depends-on = desk, b/index");
+    let text = Text::parse(&format!("{first}\n{OTHER}"));
+    let found = text.findings();
+    let places: Vec<(&str, Severity)> = found
+        .iter()
+        .map(|f| (f.team.as_str(), f.severity))
+        .collect();
+    assert_eq!(places, [("a", Severity::Warning), ("b", Severity::Warning)]);
+    let catalog = Catalog::new(&text);
+    let depends = |name| {
+        catalog.services[catalog.service(name).unwrap()]
+            .depends
+            .len()
+    };
+    assert_eq!((depends("a/fleet"), depends("b/index")), (1, 0));
+}
+
+#[test_case(OTHER, "a/fleet", "a/flet", "a/flet is not in force"; "foreign dependency")]
+#[test_case(OTHER, "10.0.0.9", "10.0.0.1", "has the same address"; "address of two servers")]
+#[test_case(OTHER, "[server", "[class c]\nservice = a/desk\npriority = 1\nwhole-answer = 1 s\n\
+            idempotent = yes\n[server", "a/desk is not shared with b"; "service not shared")]
+fn mistake_between_teams_is_a_warning(other: &str, from: &str, to: &str, message: &str) {
+    let text = Text::parse(&format!("{SOUND}{}", other.replace(from, to)));
+    let found = text.findings();
+    assert_eq!(found.len(), 1, "{found:#?}");
+    assert!(found[0].message.contains(message), "{found:#?}");
+    assert_eq!(found[0].severity, Severity::Warning);
+    assert_eq!(found[0].team, "b");
+    assert_eq!(text.part("b").unwrap().in_force(), InForce::Current);
+}
+
+#[test]
+fn class_above_the_default_is_a_warning() {
+    let class =
+        "[class low]\nservice = fleet\npriority = 4\nwhole-answer = 5 s\nidempotent = yes\n";
+    let text = SOUND.replace("classes = chat, confirm", "classes = low, chat, confirm");
+    let found = findings(&format!("{text}{class}"));
+    assert_eq!(found.len(), 1, "{found:#?}");
+    assert!(found[0].message.contains("list it first"));
+    assert_eq!(found[0].severity, Severity::Warning);
+}
