--- a/crates/config/src/fields.rs
+++ b/crates/config/src/fields.rs
@@ -1,6 +1,7 @@
 //! Takes a section's entries one key at a time and collects what is wrong with them.
 
 use crate::finding::Finding;
+use crate::finding::Findings;
 use crate::finding::Severity;
 use crate::source::Entry;
 use crate::source::Section;
@@ -11,14 +12,14 @@
     team: &'a str,
     section: &'a Section,
     taken: Vec<&'static str>,
-    findings: &'a mut Vec<Finding>,
+    findings: &'a mut Findings,
 }
 
 impl<'a> Fields<'a> {
     pub(crate) fn new(
         team: &'a str,
         section: &'a Section,
-        findings: &'a mut Vec<Finding>,
+        findings: &'a mut Findings,
     ) -> Fields<'a> {
         Fields {
             team,
@@ -45,6 +46,9 @@
             );
             self.error(repeat.line, key, message);
         }
+        if first.broken {
+            return None;
+        }
         let result = match first.value.as_str() {
             "" => Err(ValueError::Empty),
             value => read(value),
@@ -87,7 +91,7 @@
     /// Reports every entry that nothing has read.
     pub(crate) fn finish(mut self) {
         let section = self.section;
-        let unknown = |e: &&Entry| !self.taken.contains(&e.key.as_str());
+        let unknown = |e: &&Entry| !e.broken && !self.taken.contains(&e.key.as_str());
         let unknown: Vec<&Entry> = section.entries.iter().filter(unknown).collect();
         for entry in unknown {
             let message = format!(
--- a/crates/config/src/read.rs
+++ b/crates/config/src/read.rs
@@ -1,25 +1,31 @@
 //! Reads the sections of one edition into declarations.
 
-use std::collections::HashMap;
+mod values;
 
-use crocushold_base::Millis;
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 
+use self::values::MAX_CONCURRENCY;
+use self::values::read_grant;
+use self::values::read_kind;
+use self::values::read_targets;
+use self::values::take_concurrency;
 use crate::decl::AccountDecl;
 use crate::decl::ClassDecl;
 use crate::decl::Declared;
-use crate::decl::Grant;
 use crate::decl::ModelDecl;
 use crate::decl::Place;
 use crate::decl::ServerDecl;
 use crate::decl::ServiceDecl;
 use crate::fields::Fields;
-use crate::finding::Finding;
+use crate::finding::Findings;
 use crate::finding::Severity;
 use crate::model::Kind;
 use crate::model::Limits;
 use crate::model::Priority;
 use crate::model::Share;
-use crate::model::Targets;
 use crate::source::Section;
 use crate::units;
 use crate::units::ValueError;
@@ -27,10 +33,15 @@
 /// The one format that this version knows.
 const FORMAT: u32 = 1;
 
-/// The most sections of one kind in an edition.
+/// The most services in an edition.
+const MAX_SERVICES: usize = 64;
+
+/// The most classes in an edition. Each is a label of the metrics.
+const MAX_CLASSES: usize = 64;
+
+/// The most sections of any other kind in an edition.
 const MAX_SECTIONS: usize = 10_000;
 
-const MAX_CONCURRENCY: u32 = 100_000;
 const MAX_RETRIES: u32 = 3;
 const MAX_QUEUE: u32 = 1_000_000;
 const MAX_REPLICAS: u32 = 10_000;
@@ -42,22 +53,29 @@
 const DEFAULT_QUEUE: u32 = 256;
 const DEFAULT_OBJECTIVE: Share = Share(9_500);
 
+/// Stands for an address that can't be read.
+const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 const HEADER: &str = "the section is unknown; write [service NAME], [server SERVICE/NAME], \
                       [model SERVICE/NAME], [class NAME] or [account NAME]";
 
 /// Reads sections one after the other.
+///
+/// A section with a wrong value is declared all the same, with a stand-in for the value, so that the
+/// checks after this find what else is wrong with it. No stand-in is ever in force: the error that
+/// calls for it rejects the edition.
 pub(crate) struct Reader<'a> {
     team: &'a str,
     declared: Declared,
-    findings: &'a mut Vec<Finding>,
+    findings: &'a mut Findings,
 }
 
 /// Reads an edition: its head section, then the others.
-pub(crate) fn read(team: &str, sections: &[Section], findings: &mut Vec<Finding>) -> Declared {
+pub(crate) fn read(team: &str, sections: &[Section], findings: &mut Findings) -> Declared {
     let Some((head, rest)) = sections.split_first() else {
         return Declared::default();
     };
-    if !read_head(team, head, findings) {
+    if !read_head(team, head, findings) || !is_bounded(team, rest, findings) {
         return Declared::default();
     }
     report_repeats(team, rest, findings);
@@ -76,7 +94,7 @@
 ///
 /// Nothing after an unknown format is looked at: a later format may give any line another meaning,
 /// and two program versions must not accept the same edition in two ways.
-fn read_head(team: &str, head: &Section, findings: &mut Vec<Finding>) -> bool {
+fn read_head(team: &str, head: &Section, findings: &mut Findings) -> bool {
     let mut fields = Fields::new(team, head, findings);
     let format = fields.require("format", "1", |v| units::count(v, 1, u32::MAX));
     let known = format == Some(FORMAT);
@@ -88,23 +106,36 @@
     known
 }
 
-fn report_repeats(team: &str, sections: &[Section], findings: &mut Vec<Finding>) {
-    let mut seen: HashMap<&str, usize> = HashMap::new();
-    let mut kinds: HashMap<&str, usize> = HashMap::new();
+fn report_repeats(team: &str, sections: &[Section], findings: &mut Findings) {
+    let mut seen: HashMap<(&str, &str), usize> = HashMap::new();
     for section in sections {
-        let place = Place::new(team, section);
-        if let Some(line) = seen.insert(&section.header, section.line) {
+        let (kind, name) = section.header.split_once(' ').unwrap_or_default();
+        if let Some(line) = seen.insert((kind, name.trim()), section.line) {
             let message = format!("the section is already on line {line}; write it once");
-            findings.push(place.error("", message));
+            findings.push(Place::new(team, section).error("", message));
         }
+    }
+}
+
+/// Whether there are no more sections of a kind than the checks can look at in a bounded time.
+fn is_bounded(team: &str, sections: &[Section], findings: &mut Findings) -> bool {
+    let mut counts: HashMap<&str, usize> = HashMap::new();
+    for section in sections {
         let kind = section.header.split(' ').next().unwrap_or_default();
-        let count = kinds.entry(kind).or_default();
+        let count = counts.entry(kind).or_default();
+        let bound = match kind {
+            "service" => MAX_SERVICES,
+            "class" => MAX_CLASSES,
+            _ => MAX_SECTIONS,
+        };
         *count += 1;
-        if *count == MAX_SECTIONS + 1 {
-            let message = format!("there are too many sections; write at most {MAX_SECTIONS}");
-            findings.push(place.error("", message));
+        if *count > bound {
+            let message = format!("there are too many such sections; write at most {bound}");
+            findings.push(Place::new(team, section).error("", message));
+            return false;
         }
     }
+    true
 }
 
 impl Reader<'_> {
@@ -117,10 +148,21 @@
             "model" => self.model(section, name),
             "class" => self.class(section, name),
             "account" => self.account(section, name),
-            _ => self.reject(section, HEADER),
+            _ => self.unknown(section, name),
         }
     }
 
+    fn unknown(&mut self, section: &Section, name: &str) {
+        self.reject(section, HEADER);
+        self.note_broken("service", format!("{}/{name}", self.team));
+        self.note_broken("class", format!("{}/{name}", self.team));
+    }
+
+    /// Notes what was meant to be declared, so that references to it become no findings too.
+    fn note_broken(&mut self, kind: &'static str, name: String) {
+        self.declared.broken.insert((kind, name));
+    }
+
     fn reject(&mut self, section: &Section, message: impl Into<String>) {
         let place = Place::new(self.team, section);
         self.findings
@@ -177,13 +219,16 @@
             );
         }
         fields.finish();
-        let (Some(name), Some(kind)) = (name, kind) else {
+        let Some(name) = name else {
             return;
         };
+        if kind.is_none() {
+            self.note_broken("service", name.clone());
+        }
         self.declared.services.push(ServiceDecl {
             place: Place::new(team, section),
             name,
-            kind,
+            kind: kind.unwrap_or(Kind::Model),
             depends: depends.unwrap_or_default(),
             grants: grants.unwrap_or_default(),
             weight_loads: loads.unwrap_or_default(),
@@ -200,15 +245,15 @@
         let concurrency = take_concurrency(&mut fields);
         let checks_orders = fields.take("checks-orders", units::flag);
         fields.finish();
-        let (Some((service, own)), Some(address), Some(zone)) = (member, address, zone) else {
+        let Some((service, own)) = member else {
             return;
         };
         self.declared.servers.push(ServerDecl {
             place: Place::new(self.team, section),
             name: format!("{service}/{own}"),
             service,
-            address,
-            zone,
+            address: address.unwrap_or(NO_ADDRESS),
+            zone: zone.unwrap_or_default(),
             concurrency,
             checks_orders,
         });
@@ -220,8 +265,7 @@
         let weights = fields.require("weights", "16 GB", units::size);
         let replicas = fields.require("servers", "2", |v| units::count(v, 1, MAX_REPLICAS));
         fields.finish();
-        let (Some((service, id)), Some(weights), Some(replicas)) = (member, weights, replicas)
-        else {
+        let Some((service, id)) = member else {
             return;
         };
         self.declared.models.push(ModelDecl {
@@ -229,8 +273,8 @@
             name: format!("{service}/{id}"),
             id,
             service,
-            weights,
-            replicas,
+            weights: weights.unwrap_or_default(),
+            replicas: replicas.unwrap_or_default(),
         });
     }
 
@@ -258,17 +302,22 @@
             fields.reject("retries", message);
         }
         fields.finish();
-        let (Some(name), Some(service), Some(priority), Some(idempotent)) =
-            (name, service, priority, idempotent)
-        else {
+        let Some(name) = name else {
+            return;
+        };
+        if service.is_none() || priority.is_none() {
+            self.note_broken("class", name.clone());
+        }
+        let Some(service) = service else {
             return;
         };
+        let idempotent = idempotent.unwrap_or(false);
         let default_retries = u32::from(idempotent);
         self.declared.classes.push(ClassDecl {
             place: Place::new(team, section),
             name,
             service,
-            priority: priority.min(Priority::LOWEST),
+            priority: priority.unwrap_or(Priority::LOWEST),
             targets,
             floor: floor.unwrap_or_default(),
             idempotent,
@@ -301,84 +350,19 @@
         let concurrency =
             fields.require("concurrency", "64", |v| units::count(v, 1, MAX_CONCURRENCY));
         fields.finish();
-        let (Some(name), Some(digests), Some(classes)) = (name, digests, classes) else {
-            return;
-        };
-        let (Some(requests), Some(tokens), Some(concurrency)) = (requests, tokens, concurrency)
-        else {
+        let Some(name) = name else {
             return;
         };
         self.declared.accounts.push(AccountDecl {
             place: Place::new(team, section),
             name,
-            digests,
-            classes,
+            digests: digests.unwrap_or_default(),
+            classes: classes.unwrap_or_default(),
             limits: Limits {
-                requests,
-                tokens,
-                concurrency,
+                requests: requests.unwrap_or_default(),
+                tokens: tokens.unwrap_or_default(),
+                concurrency: concurrency.unwrap_or_default(),
             },
         });
     }
 }
-
-fn take_concurrency(fields: &mut Fields<'_>) -> Option<u32> {
-    fields.take("concurrency", |v| units::count(v, 1, MAX_CONCURRENCY))
-}
-
-fn read_kind(fields: &mut Fields<'_>) -> Option<Kind> {
-    let kind = fields.require("kind", "model", |v| Ok(v.to_owned()))?;
-    let prefix = fields.take("prefix", units::prefix);
-    match kind.as_str() {
-        "model" => {
-            if fields.has("prefix") {
-                fields.reject("prefix", "a model service has no prefix; leave it out");
-            }
-            Some(Kind::Model)
-        }
-        "plain" => {
-            if !fields.has("prefix") {
-                fields.reject("prefix", "the key is missing; write prefix = /PATH");
-            }
-            Some(Kind::Plain { prefix: prefix? })
-        }
-        _ => {
-            fields.reject("kind", "the kind is unknown; write model or plain");
-            None
-        }
-    }
-}
-
-fn read_grant(value: &str) -> Result<Grant, ValueError> {
-    let (team, share) = value.split_once(' ').unwrap_or((value, ""));
-    Ok(Grant {
-        team: units::name(team)?,
-        share: units::share(share.trim())?,
-    })
-}
-
-/// Reads the targets: the first token and the gap between tokens, or the whole answer, or both.
-fn read_targets(fields: &mut Fields<'_>) -> Targets {
-    let targets = Targets {
-        first_token: fields.take("first-token", units::duration),
-        between_tokens: fields.take("between-tokens", units::duration),
-        whole_answer: fields.take("whole-answer", units::duration),
-    };
-    let whole = targets.whole_answer.unwrap_or(Millis::MAX);
-    let late = |part: Option<Millis>| part.is_some_and(|part| part >= whole);
-    if late(targets.first_token) {
-        let message = "the first token is due no sooner than the whole answer; \
-                       write a first-token below whole-answer";
-        fields.reject("first-token", message);
-    }
-    if late(targets.between_tokens) {
-        let message = "the gap is as long as the whole answer may take; \
-                       write a between-tokens below whole-answer";
-        fields.reject("between-tokens", message);
-    }
-    if !fields.has("first-token") && !fields.has("whole-answer") {
-        let message = "the class has no target; write first-token = 350 ms or whole-answer = 10 s";
-        fields.reject("", message);
-    }
-    targets
-}
