--- /dev/null
+++ b/crates/admission/examples/overload/model.rs
@@ -0,0 +1,524 @@
+//! A discrete-event model of one service: arrivals, a queue under test, and slots that work.
+//!
+//! No sockets and no real time. Every slot generates tokens at one speed; what the model leaves out
+//! (batching effects, stragglers, lagging reports) is measured elsewhere.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::VecDeque;
+
+use crocushold_admission::AccountSpec;
+use crocushold_admission::Action;
+use crocushold_admission::Arrival;
+use crocushold_admission::ClassSpec;
+use crocushold_admission::Completion;
+use crocushold_admission::Scheduler;
+use crocushold_admission::Sent;
+use crocushold_admission::Settings;
+use crocushold_admission::Ticket;
+use crocushold_admission::Verdict;
+use crocushold_base::AccountKey;
+use crocushold_base::ClassKey;
+use crocushold_base::Millis;
+use crocushold_base::RequestKey;
+use slotmap::SecondaryMap;
+use slotmap::SlotMap;
+use twox_hash::XxHash64;
+
+/// Output tokens a second of one slot.
+const SLOT_SPEED: f64 = 50.0;
+
+/// Prompt tokens a second of one slot.
+const PREFILL_SPEED: f64 = 5000.0;
+
+/// Tokens between two progress calls.
+const PROGRESS_STEP: u32 = 64;
+
+/// Queue bound of the baseline.
+const BASELINE_QUEUE: usize = 10_000;
+
+/// One class of the workload.
+#[derive(Clone, Debug)]
+pub(crate) struct Load {
+    /// Name in the table.
+    pub(crate) name: &'static str,
+    /// The class as configured; the key is filled in.
+    pub(crate) spec: ClassSpec,
+    /// Part of the offered slot time.
+    pub(crate) part: f64,
+    /// Mean prompt length in tokens.
+    pub(crate) prompt: f64,
+    /// Mean output length in tokens.
+    pub(crate) output: f64,
+    /// Time after which the caller gives up.
+    pub(crate) leaves: Millis,
+    /// Arrivals are multiplied by `factor` for `length` at the start of every `period`.
+    pub(crate) burst: Option<Burst>,
+}
+
+/// A periodic burst.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Burst {
+    /// Multiple of the ordinary rate.
+    pub(crate) factor: f64,
+    /// How long it lasts.
+    pub(crate) length: Millis,
+    /// Time from one burst to the next.
+    pub(crate) period: Millis,
+}
+
+/// One run of the model.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    /// The classes.
+    pub(crate) loads: Vec<Load>,
+    /// Client accounts; the first ones send the most.
+    pub(crate) accounts: usize,
+    /// Slots of the service.
+    pub(crate) slots: u32,
+    /// Offered slot time as a multiple of the slots.
+    pub(crate) factor: f64,
+    /// How long requests arrive.
+    pub(crate) length: Millis,
+    /// Arrivals before this instant aren't counted.
+    pub(crate) warmup: Millis,
+    /// Seed of arrivals and lengths.
+    pub(crate) seed: u64,
+}
+
+/// What became of the requests of one class.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Tally {
+    /// Counted arrivals.
+    pub(crate) offered: u64,
+    /// First token within the target.
+    pub(crate) attained: u64,
+    /// Whole answers before the caller gave up.
+    pub(crate) answered: u64,
+    /// Answered with a refusal.
+    pub(crate) refused: u64,
+    /// Left without any answer, the caller having given up.
+    pub(crate) left: u64,
+    /// Output tokens of whole answers, finished in the counted time.
+    pub(crate) tokens: u64,
+    /// Slot time in milliseconds, likewise.
+    pub(crate) busy: u64,
+}
+
+/// Result of a run.
+#[derive(Clone, Debug)]
+pub(crate) struct Outcome {
+    /// One tally a class, in the order of the loads.
+    pub(crate) classes: Vec<Tally>,
+    /// Slot time used, as a share of what the slots had.
+    pub(crate) used: f64,
+}
+
+/// The queue under test.
+pub(crate) enum Policy {
+    /// The scheduler with these settings.
+    Scheduler(Settings),
+    /// First come, first served: no classes, a bounded queue.
+    Baseline,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Job {
+    load: usize,
+    account: usize,
+    arrived: Millis,
+    prompt: u32,
+    output: u32,
+    counted: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive { load: usize },
+    Progress { job: usize, output: u32 },
+    Finish { job: usize },
+    Wake,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Entry {
+    at: Millis,
+    seq: u64,
+    event: Event,
+}
+
+/// Runs the model.
+pub(crate) fn run(run: &Run, policy: Policy) -> Outcome {
+    let mut model = Model::new(run, policy);
+    model.execute();
+    let time = run.length.since(run.warmup).0 as f64 * f64::from(run.slots);
+    let busy: u64 = model.tallies.iter().map(|tally| tally.busy).sum();
+    Outcome {
+        classes: model.tallies,
+        used: busy as f64 / time,
+    }
+}
+
+struct Model<'a> {
+    run: &'a Run,
+    queue: Queue,
+    jobs: Vec<Job>,
+    events: BinaryHeap<Reverse<Entry>>,
+    free: u32,
+    seq: u64,
+    draws: u64,
+    tallies: Vec<Tally>,
+}
+
+enum Queue {
+    Scheduler(Box<Managed>),
+    Baseline(VecDeque<usize>),
+}
+
+struct Managed {
+    scheduler: Scheduler,
+    classes: Vec<ClassKey>,
+    accounts: Vec<AccountKey>,
+    jobs: SecondaryMap<RequestKey, usize>,
+    tickets: Vec<Option<Ticket<Sent>>>,
+    wake: Option<Millis>,
+}
+
+impl<'a> Model<'a> {
+    fn new(run: &'a Run, policy: Policy) -> Model<'a> {
+        let queue = match policy {
+            Policy::Baseline => Queue::Baseline(VecDeque::new()),
+            Policy::Scheduler(settings) => Queue::Scheduler(Box::new(Managed::new(run, settings))),
+        };
+        Model {
+            run,
+            queue,
+            jobs: Vec::new(),
+            events: BinaryHeap::new(),
+            free: run.slots,
+            seq: 0,
+            draws: 0,
+            tallies: vec![Tally::default(); run.loads.len()],
+        }
+    }
+
+    fn execute(&mut self) {
+        for load in 0..self.run.loads.len() {
+            self.schedule_arrival(load, Millis::ZERO);
+        }
+        while let Some(Reverse(entry)) = self.events.pop() {
+            let now = entry.at;
+            match entry.event {
+                Event::Arrive { load } => self.arrive(load, now),
+                Event::Progress { job, output } => self.progress(job, output, now),
+                Event::Finish { job } => self.finish(job, now),
+                Event::Wake => {}
+            }
+            self.pump(now);
+        }
+    }
+
+    fn push(&mut self, at: Millis, event: Event) {
+        self.seq += 1;
+        let seq = self.seq;
+        self.events.push(Reverse(Entry { at, seq, event }));
+    }
+
+    fn schedule_arrival(&mut self, load: usize, now: Millis) {
+        let spec = &self.run.loads[load];
+        let hold = spec.prompt / PREFILL_SPEED + spec.output / SLOT_SPEED;
+        let mut rate = self.run.factor * spec.part * f64::from(self.run.slots) / hold / 1000.0;
+        if let Some(burst) = spec.burst
+            && now.0 % burst.period.0 < burst.length.0
+        {
+            rate *= burst.factor;
+        }
+        let gap = -(1.0 - self.uniform()).ln() / rate;
+        let at = now + Millis(gap.round() as u64);
+        if at < self.run.length {
+            self.push(at, Event::Arrive { load });
+        }
+    }
+
+    fn arrive(&mut self, load: usize, now: Millis) {
+        self.schedule_arrival(load, now);
+        let spec = &self.run.loads[load];
+        let (prompt, output) = (spec.prompt, spec.output);
+        // A few large accounts: the square favours the low numbers.
+        let account = self.uniform().powi(2) * self.run.accounts as f64;
+        let job = Job {
+            load,
+            account: account as usize,
+            arrived: now,
+            prompt: self.length(prompt),
+            output: self.length(output),
+            counted: now >= self.run.warmup,
+        };
+        let index = self.jobs.len();
+        self.jobs.push(job);
+        if job.counted {
+            self.tallies[load].offered += 1;
+        }
+        let admitted = match &mut self.queue {
+            Queue::Scheduler(managed) => managed.submit(index, &job, now),
+            Queue::Baseline(queue) => {
+                let room = queue.len() < BASELINE_QUEUE;
+                if room {
+                    queue.push_back(index);
+                }
+                room
+            }
+        };
+        if !admitted && job.counted {
+            self.tallies[load].refused += 1;
+        }
+    }
+
+    fn progress(&mut self, index: usize, output: u32, now: Millis) {
+        let job = self.jobs[index];
+        let load = &self.run.loads[job.load];
+        if output == 1 && job.counted && now.since(job.arrived) <= load.spec.target {
+            self.tallies[job.load].attained += 1;
+        }
+        if let Queue::Scheduler(managed) = &mut self.queue
+            && let Some(ticket) = &managed.tickets[index]
+        {
+            managed.scheduler.progress(ticket, output, now);
+        }
+        let next = output + PROGRESS_STEP;
+        if next < job.output {
+            let span = f64::from(PROGRESS_STEP) / SLOT_SPEED * 1000.0;
+            let event = Event::Progress {
+                job: index,
+                output: next,
+            };
+            self.push(now + Millis(span as u64), event);
+        }
+    }
+
+    fn finish(&mut self, index: usize, now: Millis) {
+        let job = self.jobs[index];
+        self.free += 1;
+        let tally = &mut self.tallies[job.load];
+        if job.counted {
+            tally.answered += 1;
+        }
+        if now >= self.run.warmup && now < self.run.length {
+            tally.tokens += u64::from(job.output);
+            tally.busy += hold(&job).0;
+        }
+        if let Queue::Scheduler(managed) = &mut self.queue
+            && let Some(ticket) = managed.tickets[index].take()
+        {
+            let completion = Completion {
+                output: job.output,
+                whole: true,
+            };
+            managed.scheduler.finish(ticket, completion, now);
+        }
+    }
+
+    fn pump(&mut self, now: Millis) {
+        while let Some(index) = self.next(now) {
+            let job = self.jobs[index];
+            self.free -= 1;
+            let first = Millis((f64::from(job.prompt) / PREFILL_SPEED * 1000.0) as u64);
+            let event = Event::Progress {
+                job: index,
+                output: 1,
+            };
+            self.push(now + first, event);
+            self.push(now + hold(&job), Event::Finish { job: index });
+        }
+        let Queue::Scheduler(managed) = &mut self.queue else {
+            return;
+        };
+        let wake = managed.scheduler.wake_at();
+        if wake != managed.wake && self.free <= self.run.slots {
+            managed.wake = wake;
+            if let Some(at) = wake {
+                self.push(at.max(now + Millis(1)), Event::Wake);
+            }
+        }
+    }
+
+    /// The next job to start.
+    fn next(&mut self, now: Millis) -> Option<usize> {
+        match &mut self.queue {
+            Queue::Scheduler(managed) => {
+                managed.next(now, self.free, &self.jobs, &mut self.tallies)
+            }
+            Queue::Baseline(queue) => {
+                if self.free == 0 {
+                    return None;
+                }
+                while let Some(index) = queue.pop_front() {
+                    let job = self.jobs[index];
+                    if now.since(job.arrived) < self.run.loads[job.load].leaves {
+                        return Some(index);
+                    }
+                    if job.counted {
+                        self.tallies[job.load].left += 1;
+                    }
+                }
+                None
+            }
+        }
+    }
+
+    /// A length of the given mean, log-normal with a standard deviation of 0.7 in the logarithm.
+    fn length(&mut self, mean: f64) -> u32 {
+        const SIGMA: f64 = 0.7;
+        let radius = (-2.0 * (1.0 - self.uniform()).ln()).sqrt();
+        let normal = radius * (std::f64::consts::TAU * self.uniform()).cos();
+        let value = mean * (SIGMA * normal - SIGMA * SIGMA / 2.0).exp();
+        (value as u32).max(2)
+    }
+
+    fn uniform(&mut self) -> f64 {
+        self.draws += 1;
+        let hash = XxHash64::oneshot(self.run.seed, &self.draws.to_le_bytes());
+        (hash >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+impl Managed {
+    fn new(run: &Run, settings: Settings) -> Managed {
+        let mut class_keys = SlotMap::<ClassKey, ()>::with_key();
+        let mut account_keys = SlotMap::<AccountKey, ()>::with_key();
+        let classes: Vec<ClassSpec> = run
+            .loads
+            .iter()
+            .map(|load| ClassSpec {
+                key: class_keys.insert(()),
+                ..load.spec.clone()
+            })
+            .collect();
+        let accounts: Vec<AccountSpec> = (0..run.accounts)
+            .map(|_| AccountSpec {
+                key: account_keys.insert(()),
+                ..AccountSpec::default()
+            })
+            .collect();
+        let mut scheduler = Scheduler::new(settings);
+        scheduler.configure(&classes, &accounts, Millis::ZERO);
+        Managed {
+            scheduler,
+            classes: classes.iter().map(|spec| spec.key).collect(),
+            accounts: accounts.iter().map(|spec| spec.key).collect(),
+            jobs: SecondaryMap::new(),
+            tickets: Vec::new(),
+            wake: None,
+        }
+    }
+
+    fn submit(&mut self, index: usize, job: &Job, now: Millis) -> bool {
+        self.tickets.resize_with(index + 1, || None);
+        let arrival = Arrival {
+            class: self.classes[job.load],
+            account: self.accounts[job.account],
+            prompt_tokens: job.prompt,
+            ..Arrival::default()
+        };
+        match self.scheduler.submit(&arrival, now) {
+            Verdict::Queued(key) => {
+                self.jobs.insert(key, index);
+                true
+            }
+            Verdict::Refused(_) => false,
+        }
+    }
+
+    fn next(
+        &mut self,
+        now: Millis,
+        free: u32,
+        jobs: &[Job],
+        tallies: &mut [Tally],
+    ) -> Option<usize> {
+        loop {
+            match self.scheduler.next(now, free)? {
+                Action::Refuse(refused) => {
+                    let index = self.jobs.remove(refused.key)?;
+                    let job = &jobs[index];
+                    if job.counted {
+                        tallies[job.load].refused += 1;
+                    }
+                }
+                Action::Dispatch(ticket) => {
+                    let index = self.jobs.remove(ticket.key())?;
+                    self.tickets[index] = Some(ticket.sent());
+                    return Some(index);
+                }
+            }
+        }
+    }
+}
+
+fn hold(job: &Job) -> Millis {
+    let secs = f64::from(job.prompt) / PREFILL_SPEED + f64::from(job.output) / SLOT_SPEED;
+    Millis((secs * 1000.0) as u64)
+}
+
+/// The evening rush: a live chat with bursts, a portal, accountants, reminders and nightly sheets.
+pub(crate) fn evening() -> Vec<Load> {
+    let class = |tier: u8, target: u64, patience: Millis, floor: f64| ClassSpec {
+        tier,
+        target: Millis(target),
+        patience,
+        floor,
+        ..ClassSpec::default()
+    };
+    let load = |name, spec: ClassSpec, part, prompt, output, leaves| Load {
+        name,
+        spec,
+        part,
+        prompt,
+        output,
+        leaves: Millis::from_secs(leaves),
+        burst: None,
+    };
+    let minute = Millis::from_secs(60);
+    vec![
+        load(
+            "chat",
+            class(0, 2000, Millis(2000), 0.0),
+            0.2,
+            500.0,
+            150.0,
+            10,
+        ),
+        load(
+            "portal",
+            class(0, 3000, Millis(10_000), 0.0),
+            0.1,
+            800.0,
+            200.0,
+            20,
+        ),
+        load(
+            "accountants",
+            class(1, 30_000, minute, 0.03),
+            0.25,
+            1500.0,
+            300.0,
+            120,
+        ),
+        load(
+            "reminders",
+            class(2, 300_000, Millis::MAX, 0.03),
+            0.15,
+            600.0,
+            120.0,
+            3600,
+        ),
+        load(
+            "sheets",
+            class(3, u64::MAX, Millis::MAX, 0.04),
+            0.3,
+            3000.0,
+            800.0,
+            36_000,
+        ),
+    ]
+}
--- a/crates/admission/src/class.rs
+++ b/crates/admission/src/class.rs
@@ -48,6 +48,8 @@
     pub(crate) standing: Standing,
     /// Queue entries that are kept for the class.
     pub(crate) kept: u32,
+    /// Bytes of queue memory that the class need not give up.
+    pub(crate) kept_bytes: u64,
     pub(crate) outputs: DecayingHistogram,
     pub(crate) models: SecondaryMap<ModelKey, DecayingHistogram>,
     pub(crate) starts: DecayingHistogram,
@@ -81,6 +83,7 @@
             floor_clock: 0,
             standing: Standing::default(),
             kept: 0,
+            kept_bytes: 0,
             outputs: DecayingHistogram::new(output_quantile),
             models: SecondaryMap::new(),
             starts: DecayingHistogram::new(START_QUANTILE),
@@ -294,7 +297,16 @@
     }
 }
 
-/// The dispatched tokens of which `charge` is the share `floor`.
+/// Units of the floors' clock to a token, so that rounding is small against any charge.
+const CLOCK_SCALE: u64 = 1024;
+
+/// What dispatched tokens add to the floors' clock.
+pub(crate) fn clock_span(tokens: u64) -> u64 {
+    tokens * CLOCK_SCALE
+}
+
+/// The time on the floors' clock of which `charge` is the share `floor`; rounded up, so that
+/// rounding never adds to a floor.
 pub(crate) fn floor_span(charge: u64, floor: f64) -> u64 {
-    (charge as f64 / floor) as u64
+    (clock_span(charge) as f64 / floor).ceil() as u64
 }
--- a/crates/admission/src/scheduler/configure.rs
+++ b/crates/admission/src/scheduler/configure.rs
@@ -107,7 +107,10 @@
             self.bytes[new] += class.bytes;
         }
         class.spec = spec.clone();
-        class.kept = kept(spec, self.settings.queue_limit);
+        let settings = &self.settings;
+        class.kept = (kept_share(spec) * f64::from(settings.queue_limit)) as u32;
+        class.kept = class.kept.min(spec.queue);
+        class.kept_bytes = (kept_share(spec) * settings.queue_bytes as f64) as u64;
         self.orders.refresh(spec.key, class);
     }
 
@@ -127,9 +130,8 @@
     }
 }
 
-/// Queue entries kept for a class: half of its floor's share, so that even over-committed floors
-/// leave the other half to whoever needs it.
-fn kept(spec: &ClassSpec, limit: u32) -> u32 {
-    let part = f64::from(limit) * spec.floor.clamp(0.0, 1.0) / 2.0;
-    (part as u32).min(spec.queue)
+/// Share of the queue kept for a class: half of its floor, so that even over-committed floors leave
+/// the other half to whoever needs it.
+fn kept_share(spec: &ClassSpec) -> f64 {
+    spec.floor.clamp(0.0, 1.0) / 2.0
 }
--- a/crates/admission/src/scheduler/dispatch.rs
+++ b/crates/admission/src/scheduler/dispatch.rs
@@ -5,6 +5,7 @@
 
 use super::Scheduler;
 use crate::class::Candidate;
+use crate::class::clock_span;
 use crate::refusal::Reason;
 use crate::refusal::Refused;
 use crate::request::Lane;
@@ -95,9 +96,6 @@
     }
 
     fn update_headroom(&mut self, free: u32, now: Millis) {
-        let idle = if self.held_back() { self.free } else { 0 };
-        let slots = self.slots();
-        self.headroom.book(idle, slots, self.settings.gap, now);
         self.free = free;
         let slots = self.slots();
         let absorbed = self.pace.releases(slots, self.headroom.window());
@@ -156,7 +154,7 @@
         let request = *self.requests.get(place.key)?;
         self.classes.get_mut(key)?.note_start(candidate);
         self.remove_queued(&request, candidate.lane);
-        self.orders.clock += place.charge;
+        self.orders.clock += clock_span(place.charge);
         let class = self.classes.get_mut(key)?;
         class.charge(candidate.account, place.charge);
         class.forget_idle();
--- a/crates/admission/src/scheduler/settle.rs
+++ b/crates/admission/src/scheduler/settle.rs
@@ -4,6 +4,7 @@
 use crocushold_base::RequestKey;
 
 use super::Scheduler;
+use crate::class::clock_span;
 use crate::class::floor_span;
 use crate::histogram::DecayingHistogram;
 use crate::request::Request;
@@ -171,7 +172,7 @@
     /// floors and, if the run was started by the floor, against the floor of its class.
     fn correct(&mut self, request: &Request, run: &Run, used: u64) {
         let clock = &mut self.orders.clock;
-        *clock = (*clock + used).saturating_sub(run.charged);
+        *clock = (*clock + clock_span(used)).saturating_sub(clock_span(run.charged));
         let Some(class) = self.classes.get_mut(request.class) else {
             return;
         };
--- a/crates/admission/src/scheduler/submit.rs
+++ b/crates/admission/src/scheduler/submit.rs
@@ -12,7 +12,6 @@
 use crate::request::Place;
 use crate::request::Request;
 use crate::request::Stage;
-use crate::standing::YieldRank;
 
 /// What becomes of an arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -89,8 +88,8 @@
         if firm + u64::from(arrival.bytes) > self.settings.queue_bytes {
             return Err(self.refuse_full(arrival));
         }
-        while !self.fits(arrival) {
-            let Some(key) = self.find_yielding(arrival) else {
+        while let Some(shortage) = self.shortage(arrival) {
+            let Some(key) = self.find_yielding(arrival, shortage) else {
                 return Err(self.refuse_full(arrival));
             };
             self.refuse_queued(key, Reason::Displaced);
@@ -103,15 +102,19 @@
         self.refusal(Reason::QueueFull, wait)
     }
 
-    fn fits(&self, arrival: &Arrival) -> bool {
-        let Some(class) = self.classes.get(arrival.class) else {
-            return false;
-        };
+    /// What keeps the arrival out of the queue.
+    fn shortage(&self, arrival: &Arrival) -> Option<Shortage> {
+        let class = self.classes.get(arrival.class)?;
         let held: u64 = self.bytes.iter().sum();
         let limit = self.settings.queue_limit;
-        let entry = class.queued < class.kept || self.queued + self.spare < limit;
-        let memory = held + u64::from(arrival.bytes) <= self.settings.queue_bytes;
-        entry && memory && class.queued < class.spec.queue
+        if class.queued >= class.spec.queue {
+            return Some(Shortage::Class);
+        }
+        if class.queued >= class.kept && self.queued + self.spare >= limit {
+            return Some(Shortage::Entries);
+        }
+        let over = held + u64::from(arrival.bytes) > self.settings.queue_bytes;
+        over.then_some(Shortage::Memory)
     }
 
     /// The queued request that gives way to the arrival.
@@ -119,12 +122,15 @@
     /// First the lowest tier that holds more than is kept for it, so that the live tier is refused
     /// only when it fills the queue itself. Inside a class the account with the longest queue gives
     /// way to one with a shorter queue, so that no account can lock others out.
-    fn find_yielding(&self, arrival: &Arrival) -> Option<RequestKey> {
+    fn find_yielding(&self, arrival: &Arrival, shortage: Shortage) -> Option<RequestKey> {
         let class = self.classes.get(arrival.class)?;
-        let bound = class.queued >= class.spec.queue;
-        if let Some(lowest) = self.orders.yields.first()
-            && !bound
-            && self.may_displace(arrival, lowest)
+        let lowest = match shortage {
+            Shortage::Class => None,
+            Shortage::Entries => self.orders.entries.first(),
+            Shortage::Memory => self.orders.memory.first(),
+        };
+        if let Some(lowest) = lowest
+            && lowest.tier.0 > self.tier(arrival.class)
         {
             let other = self.classes.get(lowest.class)?;
             let longest = other.longest()?;
@@ -138,10 +144,6 @@
         class.flow(longest.account)?.newest().map(|place| place.key)
     }
 
-    fn may_displace(&self, arrival: &Arrival, lowest: &YieldRank) -> bool {
-        lowest.class != arrival.class && lowest.tier.0 > self.tier(arrival.class)
-    }
-
     fn enqueue(&mut self, arrival: &Arrival, quote: &Quote, now: Millis) -> RequestKey {
         self.seq += 1;
         let seq = self.seq;
@@ -173,6 +175,17 @@
     }
 }
 
+/// Which bound of the queue is reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Shortage {
+    /// The bound of the class itself.
+    Class,
+    /// The number of entries in all.
+    Entries,
+    /// The memory in all.
+    Memory,
+}
+
 /// What a request is expected to cost, and until when it can start.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Quote {
--- a/crates/admission/src/settings.rs
+++ b/crates/admission/src/settings.rs
@@ -52,24 +52,21 @@
 pub struct HeadroomSettings {
     /// Share of all slots that is always left free, from 0 to 1.
     pub least: f64,
-    /// Share of all slots that is left free at most, from 0 to 1.
+    /// Share of all slots that is left free at most, from 0 to 1: the goodput that bursts may cost.
     pub most: f64,
     /// Length of the windows in which arrivals of the live tier are counted.
     pub window: Millis,
     /// Time in which the memory of a peak fades to half.
     pub half_life: Millis,
-    /// Share of all slot time that may stand idle for the headroom.
-    pub idle_budget: f64,
 }
 
 impl Default for HeadroomSettings {
     fn default() -> HeadroomSettings {
         HeadroomSettings {
             least: 0.0,
-            most: 0.25,
-            window: Millis(500),
-            half_life: Millis::from_secs(60),
-            idle_budget: 0.02,
+            most: 0.03,
+            window: Millis(2000),
+            half_life: Millis::from_secs(600),
         }
     }
 }
--- a/crates/admission/src/standing.rs
+++ b/crates/admission/src/standing.rs
@@ -37,7 +37,8 @@
 pub(crate) struct Standing {
     head: Option<HeadRank>,
     floor: Option<FloorRank>,
-    yields: Option<YieldRank>,
+    entries: Option<YieldRank>,
+    memory: Option<YieldRank>,
 }
 
 /// The orders between classes.
@@ -45,8 +46,11 @@
 pub(crate) struct Orders {
     pub(crate) heads: BTreeSet<HeadRank>,
     pub(crate) floors: BTreeSet<FloorRank>,
-    pub(crate) yields: BTreeSet<YieldRank>,
-    /// Tokens dispatched since the start: the clock of the floors.
+    /// Classes with more queue entries than are kept for them.
+    pub(crate) entries: BTreeSet<YieldRank>,
+    /// Classes with more queue memory than is kept for them.
+    pub(crate) memory: BTreeSet<YieldRank>,
+    /// Tokens dispatched since the start, scaled: the clock of the floors.
     pub(crate) clock: u64,
 }
 
@@ -57,7 +61,8 @@
         if standing != class.standing {
             replace(&mut self.heads, class.standing.head, standing.head);
             replace(&mut self.floors, class.standing.floor, standing.floor);
-            replace(&mut self.yields, class.standing.yields, standing.yields);
+            replace(&mut self.entries, class.standing.entries, standing.entries);
+            replace(&mut self.memory, class.standing.memory, standing.memory);
             class.standing = standing;
         }
     }
@@ -66,18 +71,22 @@
     pub(crate) fn remove(&mut self, class: &Class) {
         replace(&mut self.heads, class.standing.head, None);
         replace(&mut self.floors, class.standing.floor, None);
-        replace(&mut self.yields, class.standing.yields, None);
+        replace(&mut self.entries, class.standing.entries, None);
+        replace(&mut self.memory, class.standing.memory, None);
     }
 
     fn standing(&self, key: ClassKey, class: &mut Class) -> Standing {
         let tier = class.spec.tier_index();
-        let yields = (class.queued > class.kept).then_some(YieldRank {
+        let rank = YieldRank {
             tier: Reverse(tier),
             class: key,
-        });
+        };
+        let entries = (class.queued > class.kept).then_some(rank);
+        let memory = (class.bytes > class.kept_bytes).then_some(rank);
         let Some(candidate) = class.candidate() else {
             return Standing {
-                yields,
+                entries,
+                memory,
                 ..Standing::default()
             };
         };
@@ -99,7 +108,8 @@
         Standing {
             head: Some(head),
             floor,
-            yields,
+            entries,
+            memory,
         }
     }
 }
