--- /dev/null
+++ b/crates/peers/schema/peer.capnp
@@ -0,0 +1,100 @@
+@0xc3f1d2a96be05847;
+# Protocol between entry instances.
+#
+# Rules of change: fields and union members are only added, never renumbered or reused. A reader takes
+# a missing field as its default and answers an unknown union member with `none`. Raise the protocol
+# version when the meaning of a message changes.
+
+struct Update {
+  # What a node knows about one member.
+  id @0 :Text;
+  start @1 :UInt64;
+  counter @2 :UInt32;
+  status @3 :UInt16;
+  origin @4 :UInt32;
+  address @5 :Text;
+  zone @6 :Text;
+}
+
+struct Gossip {
+  # Carried by each message.
+  start @0 :UInt64;
+  counter @1 :UInt32;
+  revision @2 :UInt64;
+  updates @3 :List(Update);
+  # Since version 2. Zero: not known.
+  viewDigest @4 :UInt64;
+  configDigest @5 :UInt64;
+}
+
+struct PartRef {
+  team @0 :Text;
+  revision @1 :UInt64;
+  bytes @2 :UInt32;
+  removed @3 :Bool;
+  hash @4 :Data;
+}
+
+struct Confirm {
+  target @0 :Text;
+  alive @1 :Bool;
+}
+
+struct PullIndex {
+  after @0 :UInt64;
+  cursor @1 :Text;
+}
+
+struct Changes {
+  revision @0 :UInt64;
+  after @1 :UInt64;
+  parts @2 :List(PartRef);
+  next @3 :Text;
+}
+
+struct PullPart {
+  team @0 :Text;
+  revision @1 :UInt64;
+  offset @2 :UInt32;
+}
+
+struct Chunk {
+  part @0 :PartRef;
+  offset @1 :UInt32;
+  bytes @2 :Data;
+}
+
+struct Message {
+  gossip @0 :Gossip;
+  union {
+    none @1 :Void;
+    probe @2 :Text;
+    ack @3 :Text;
+    indirect @4 :Text;
+    confirm @5 :Confirm;
+    sync @6 :List(UInt64);
+    members @7 :List(Update);
+    query @8 :Void;
+    announce @9 :UInt64;
+    pullIndex @10 :PullIndex;
+    changes @11 :Changes;
+    pullPart @12 :PullPart;
+    chunk @13 :Chunk;
+  }
+}
+
+interface Gate {
+  # All that a connection gives before both ends have proved that they hold the key.
+  hello @0 (minVersion :UInt16, maxVersion :UInt16, id :Text, start :UInt64, challenge :Data)
+        -> (version :UInt16, challenge :Data);
+  authenticate @1 (proof :Data) -> (proof :Data, id :Text, start :UInt64, session :Session);
+}
+
+interface Session {
+  exchange @0 (message :Message) -> (message :Message);
+  claim @1 (keyHigh :UInt64, keyLow :UInt64, claimant :Text, viewDigest :UInt64)
+        -> (verdict :UInt16, waitMs :UInt64);
+  settle @2 (keyHigh :UInt64, keyLow :UInt64, outcome :UInt16) -> ();
+  borrow @3 (account :Text, tokens :UInt64) -> (granted :UInt64, expiresMs :UInt64);
+  giveBack @4 (account :Text, tokens :UInt64) -> ();
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,1 +1,58 @@
-//! Placeholder of crocushold-peers.
+//! How instances find each other and spread the configuration between them.
+
+mod identity;
+mod member;
+mod message;
+mod node;
+mod spread;
+
+#[allow(
+    clippy::all,
+    clippy::needless_pass_by_value,
+    clippy::semicolon_if_nothing_returned,
+    clippy::uninlined_format_args,
+    clippy::unwrap_used,
+    dead_code,
+    missing_docs,
+    unreachable_pub
+)]
+#[rustfmt::skip]
+#[path = "generated/peer_capnp.rs"]
+mod peer_capnp;
+
+pub use identity::Incarnation;
+pub use identity::Instance;
+pub use identity::InstanceId;
+pub use member::Listed;
+pub use member::Member;
+pub use member::MemberAction;
+pub use member::MemberFinding;
+pub use member::MemberSettings;
+pub use member::RINGS;
+pub use member::View;
+pub use message::BUCKETS;
+pub use message::Body;
+pub use message::Gossip;
+pub use message::Message;
+pub use message::PartHash;
+pub use message::PartRef;
+pub use message::Status;
+pub use message::Update;
+pub use node::Action;
+pub use node::Event;
+pub use node::Finding;
+pub use node::Node;
+pub use node::NodeSettings;
+pub use spread::Conflict;
+pub use spread::Index;
+pub use spread::IndexEntry;
+pub use spread::Part;
+pub use spread::PartText;
+pub use spread::PlatformRead;
+pub use spread::ReadFailed;
+pub use spread::Snapshot;
+pub use spread::Spread;
+pub use spread::SpreadAction;
+pub use spread::SpreadFinding;
+pub use spread::SpreadSettings;
+pub use spread::part_hash;
--- /dev/null
+++ b/crates/peers/src/member/join.rs
@@ -0,0 +1,199 @@
+//! Joining, coming back after a pause, and finding those who were lost.
+
+use crocushold_base::Millis;
+use rand::seq::IteratorRandom;
+
+use crate::identity::Instance;
+use crate::identity::InstanceId;
+use crate::member::Member;
+use crate::member::MemberFinding;
+use crate::message::Body;
+use crate::message::Status;
+use crate::message::Update;
+
+/// How far the instance is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// It started and no peer has answered yet.
+    Joining,
+    /// It woke from a pause and no peer has answered yet.
+    Resuming,
+    /// A peer has answered, or the wait is over.
+    Settled,
+}
+
+/// State of joining and of the search for lost members.
+#[derive(Debug)]
+pub(super) struct Join {
+    stage: Stage,
+    since: Millis,
+    asked: Vec<InstanceId>,
+    last_try: Option<Millis>,
+    last_sync: Option<Millis>,
+}
+
+impl Join {
+    pub(super) fn new(now: Millis) -> Join {
+        Join {
+            stage: Stage::Joining,
+            since: now,
+            asked: Vec::new(),
+            last_try: None,
+            last_sync: None,
+        }
+    }
+
+    pub(super) fn is_settled(&self) -> bool {
+        self.stage == Stage::Settled
+    }
+
+    /// Whether no peer has answered since the start.
+    pub(super) fn is_joining(&self) -> bool {
+        self.stage == Stage::Joining
+    }
+
+    /// Whether others must not be accused yet.
+    pub(super) fn is_resuming(&self) -> bool {
+        self.stage == Stage::Resuming
+    }
+
+    pub(super) fn answered(&mut self) {
+        self.stage = Stage::Settled;
+        self.asked.clear();
+    }
+
+    pub(super) fn failed(&mut self, peer: &InstanceId) {
+        self.asked.retain(|asked| asked != peer);
+    }
+}
+
+impl Member {
+    /// Suspects an own pause when ticks have a gap: what is known is old, answers were lost, and
+    /// others may have declared this instance dead. Accusing them from that knowledge would take
+    /// healthy members out of the view, so a peer is asked first.
+    pub(super) fn notice_pause(&mut self, now: Millis) {
+        let gap = now.since(self.last_tick.unwrap_or(now));
+        if gap < self.settings.pause || self.left {
+            return;
+        }
+        self.report(MemberFinding::Paused(gap));
+        self.prober.reset();
+        self.restart_suspicions(now);
+        self.worsen();
+        self.incarnation = self.incarnation.next();
+        self.publish_self(now);
+        if self.join.is_settled() {
+            self.join = Join {
+                stage: Stage::Resuming,
+                ..Join::new(now)
+            };
+        }
+    }
+
+    pub(super) fn continue_join(&mut self, now: Millis) {
+        if self.left {
+            return;
+        }
+        if !self.join.is_settled() && now.since(self.join.since) >= self.settings.join_wait {
+            self.join.answered();
+            self.restart_suspicions(now);
+        }
+        if self.is_time_to_try(now) {
+            self.try_contacts(now);
+        }
+    }
+
+    fn is_time_to_try(&self, now: Millis) -> bool {
+        let Some(last) = self.join.last_try else {
+            return true;
+        };
+        let hurried = !self.join.is_settled() || self.live() <= 1;
+        let wait = if hurried {
+            self.settings.probe_interval
+        } else {
+            self.settings.retry_interval
+        };
+        let idle = self.join.is_joining() && self.join.asked.is_empty();
+        idle || now.since(last) >= wait
+    }
+
+    fn try_contacts(&mut self, now: Millis) {
+        let settled = self.join.is_settled() && self.live() > 1;
+        let count = if settled { 1 } else { self.settings.helpers };
+        let mut contacts = self.lost(count);
+        if self.join.is_resuming() {
+            contacts = self.sample(count);
+        }
+        if contacts.is_empty() {
+            return;
+        }
+        self.join.last_try = Some(now);
+        for contact in contacts {
+            self.join.asked.push(contact.id.clone());
+            self.send_sync(&contact.id);
+        }
+    }
+
+    /// Instances that should live but aren't in the view: listed by the platform, or lost.
+    fn lost(&mut self, count: usize) -> Vec<Instance> {
+        let is_out = |id: &InstanceId| {
+            let record = self.table.get(id);
+            record.is_none_or(|record| record.status == Status::Dead)
+        };
+        let listed = self.listed.values().filter(|i| is_out(&i.id));
+        let dead = self
+            .table
+            .iter()
+            .filter(|r| r.status == Status::Dead && !self.listed.contains_key(&r.instance.id))
+            .map(|r| &r.instance);
+        let lost = listed.chain(dead).sample(&mut self.rng, count);
+        lost.into_iter().cloned().collect()
+    }
+
+    fn send_sync(&mut self, to: &InstanceId) {
+        let digests = self.table.digests().to_vec();
+        self.send(to, Body::Sync(digests));
+    }
+
+    pub(super) fn on_sync(&mut self, digests: &[u64]) {
+        let origin = self.origin();
+        let differing = self.table.differing(digests);
+        let updates = differing.iter().map(|r| r.update(origin)).collect();
+        let reply = Body::Members(updates);
+        self.actions.push(super::MemberAction::Reply(reply));
+    }
+
+    pub(super) fn on_members(&mut self, from: &InstanceId, updates: &[Update], now: Millis) {
+        let origin = self.origin();
+        let mut newer = Vec::new();
+        for update in updates.iter().take(self.settings.members) {
+            self.apply(update, now);
+            let known = self.table.get(&update.instance.id);
+            let overruled =
+                known.filter(|r| (r.incarnation, r.status) > (update.incarnation, update.status));
+            newer.extend(overruled.map(|record| record.update(origin)));
+        }
+        self.join.answered();
+        // What the other holds alive is dead here, as after a split: it has to be refuted over
+        // there, or the two halves never agree again.
+        if !newer.is_empty() {
+            self.send(from, Body::Members(newer));
+        }
+    }
+
+    /// Compares views when both ends should long have heard the same.
+    pub(super) fn compare(&mut self, from: &InstanceId, digest: u64, now: Millis) {
+        if digest == 0 || digest == self.digest() {
+            self.mismatch = None;
+            return;
+        }
+        let since = *self.mismatch.get_or_insert(now);
+        let interval = self.settings.sync_interval;
+        let recent = self.join.last_sync.is_some_and(|t| now.since(t) < interval);
+        if now.since(since) < interval || recent {
+            return;
+        }
+        self.join.last_sync = Some(now);
+        self.send_sync(from);
+    }
+}
--- /dev/null
+++ b/crates/peers/src/member/mod.rs
@@ -0,0 +1,462 @@
+//! Membership: which instances live.
+//!
+//! [`Member`] is a pure state machine in the manner of SWIM with Lifeguard's local health. It sends
+//! no message itself: the caller turns each [`MemberAction`] into a message and adds the updates
+//! that [`Member::updates`] hands out.
+
+mod join;
+mod probe;
+mod queue;
+pub(crate) mod ring;
+mod settings;
+mod table;
+mod view;
+
+use std::collections::BTreeMap;
+
+use crocushold_base::Millis;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
+
+use crate::identity::Incarnation;
+use crate::identity::Instance;
+use crate::identity::InstanceId;
+use crate::member::join::Join;
+use crate::member::probe::Prober;
+use crate::member::queue::Queue;
+use crate::member::table::Merge;
+use crate::member::table::Table;
+use crate::message::Body;
+use crate::message::Gossip;
+use crate::message::Status;
+use crate::message::Update;
+
+pub use ring::RINGS;
+pub use settings::MemberSettings;
+pub use view::View;
+
+/// An instance in the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// The instance.
+    pub instance: Instance,
+    /// Whether the platform says that it is leaving.
+    pub leaving: bool,
+}
+
+/// What the embedder must do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MemberAction {
+    /// Send a message.
+    Send(Instance, Body),
+    /// Answer the message that is being handled.
+    Reply(Body),
+    /// Report something that an operator should know.
+    Report(MemberFinding),
+}
+
+/// Something that an operator should know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MemberFinding {
+    /// A member was declared dead by this instance.
+    Died(InstanceId),
+    /// Others had declared this instance suspect or dead; it refuted that.
+    Refuted(Incarnation),
+    /// Another process uses this instance's name, or the clock stood higher in an earlier life.
+    NewerSelf(Incarnation),
+    /// This process was paused for the given time.
+    Paused(Millis),
+    /// The table is full; the named instance isn't taken in.
+    Full(InstanceId),
+}
+
+/// The membership as one instance sees it.
+#[derive(Debug)]
+pub struct Member {
+    settings: MemberSettings,
+    me: Instance,
+    incarnation: Incarnation,
+    left: bool,
+    table: Table,
+    queue: Queue,
+    listed: BTreeMap<InstanceId, Instance>,
+    targets: Option<Vec<InstanceId>>,
+    prober: Prober,
+    join: Join,
+    health: u64,
+    last_tick: Option<Millis>,
+    mismatch: Option<Millis>,
+    version: u64,
+    rng: SmallRng,
+    actions: Vec<MemberAction>,
+}
+
+impl Member {
+    /// Makes a member that knows only itself; `seed` makes its random choices.
+    pub fn new(
+        settings: MemberSettings,
+        me: Instance,
+        incarnation: Incarnation,
+        seed: u64,
+        now: Millis,
+    ) -> Member {
+        let mut member = Member {
+            settings,
+            me,
+            incarnation,
+            left: false,
+            table: Table::default(),
+            queue: Queue::default(),
+            listed: BTreeMap::new(),
+            targets: None,
+            prober: Prober::default(),
+            join: Join::new(now),
+            health: 0,
+            last_tick: None,
+            mismatch: None,
+            version: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            actions: Vec::new(),
+        };
+        member.publish_self(now);
+        member
+    }
+
+    /// This instance.
+    pub fn me(&self) -> &Instance {
+        &self.me
+    }
+
+    /// This instance's incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Counts up with each change of the live view.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Digest of the live view.
+    pub fn digest(&self) -> u64 {
+        self.table.digest()
+    }
+
+    /// Number of live instances, this one included.
+    pub fn live(&self) -> usize {
+        self.table.live_count()
+    }
+
+    /// Whether joining, or coming back after an own pause, is over.
+    pub fn is_settled(&self) -> bool {
+        self.join.is_settled()
+    }
+
+    /// The live view.
+    pub fn view(&self) -> View {
+        let instances = self.table.live().map(|r| r.instance.clone());
+        View {
+            instances: instances.collect::<Vec<_>>().into(),
+            digest: self.digest(),
+            me: self.me.id.clone(),
+            settled: self.is_settled(),
+        }
+    }
+
+    /// Where a live or listed instance can be reached.
+    pub fn locate(&self, id: &InstanceId) -> Option<Instance> {
+        let known = self.table.get(id).map(|record| &record.instance);
+        known.or_else(|| self.listed.get(id)).cloned()
+    }
+
+    /// The instances that this one probes.
+    pub fn targets(&mut self) -> &[InstanceId] {
+        if self.targets.is_none() {
+            let me = &self.me.id;
+            let others = self.table.live().filter(|r| r.instance.id != *me);
+            let mine = ring::places(me);
+            let others = others.map(|r| (&r.instance.id, &r.places));
+            self.targets = Some(ring::successors(&mine, others));
+        }
+        self.targets.as_deref().unwrap_or_default()
+    }
+
+    /// Up to `count` live instances other than this one, at random.
+    pub fn sample(&mut self, count: usize) -> Vec<Instance> {
+        let me = &self.me.id;
+        let others = self.table.live().filter(|r| r.instance.id != *me);
+        let chosen = others.sample(&mut self.rng, count);
+        chosen.into_iter().map(|r| r.instance.clone()).collect()
+    }
+
+    /// Takes the updates that the next message to `to` carries.
+    pub fn updates(&mut self, to: &InstanceId) -> Vec<Update> {
+        let mut updates = Vec::new();
+        // A suspect that never hears of the suspicion can't refute it and dies although it lives.
+        if let Some(record) = self.table.get(to)
+            && record.status != Status::Alive
+        {
+            updates.push(record.update(self.origin()));
+        }
+        let room = self.settings.updates.saturating_sub(updates.len());
+        updates.extend(self.queue.take(room, self.table.live_count()));
+        updates
+    }
+
+    /// Takes the platform's list in.
+    pub fn list(&mut self, listed: &[Listed], now: Millis) -> Vec<MemberAction> {
+        let seeds = listed
+            .iter()
+            .filter(|entry| !entry.leaving && entry.instance.id != self.me.id)
+            .take(self.settings.members);
+        self.listed = seeds
+            .map(|entry| (entry.instance.id.clone(), entry.instance.clone()))
+            .collect();
+        self.continue_join(now);
+        self.finish()
+    }
+
+    /// Number of instances in the platform's last list that may be reached.
+    pub fn listed(&self) -> usize {
+        self.listed.len()
+    }
+
+    /// Lets time pass. To be called several times a probe timeout.
+    pub fn tick(&mut self, now: Millis) -> Vec<MemberAction> {
+        self.notice_pause(now);
+        self.last_tick = Some(now);
+        if self.left {
+            return self.finish();
+        }
+        self.continue_join(now);
+        if !self.join.is_resuming() {
+            self.advance_probe(now);
+            self.expire_suspicions(now);
+        }
+        self.expire_relays(now);
+        self.table.expire(self.settings.tombstone, now);
+        self.finish()
+    }
+
+    /// Takes a message in. A body that isn't the membership's is ignored, but its gossip counts.
+    pub fn receive(
+        &mut self,
+        from: &InstanceId,
+        gossip: &Gossip,
+        body: &Body,
+        now: Millis,
+    ) -> Vec<MemberAction> {
+        for update in &gossip.updates {
+            self.apply(update, now);
+        }
+        self.hear(from, gossip, now);
+        match body {
+            Body::Probe(_) => self.actions.push(MemberAction::Reply(self.ack())),
+            Body::Ack(id) => self.on_ack(from, id, now),
+            Body::Indirect(target) => self.on_indirect(from, target, now),
+            Body::Confirm { target, alive } => self.on_confirm(target, *alive),
+            Body::Sync(digests) => self.on_sync(digests),
+            Body::Members(updates) => self.on_members(from, updates, now),
+            _ => {}
+        }
+        self.finish()
+    }
+
+    /// A message to `peer` couldn't be delivered or wasn't answered.
+    pub fn failed(&mut self, peer: &InstanceId, now: Millis) -> Vec<MemberAction> {
+        self.join.failed(peer);
+        self.continue_join(now);
+        self.probe_failed(peer);
+        self.finish()
+    }
+
+    /// The instance at the address of `expected` proved to be another one.
+    pub fn replaced(&mut self, expected: &InstanceId, now: Millis) -> Vec<MemberAction> {
+        self.listed.remove(expected);
+        self.declare(expected, Status::Dead, now);
+        self.finish()
+    }
+
+    /// Leaves as planned: tells those nearby, who pass it on. The member answers probes until it is
+    /// dropped, but takes no further part.
+    pub fn leave(&mut self, now: Millis) -> Vec<MemberAction> {
+        let targets = self.targets().to_vec();
+        self.left = true;
+        let update = self.self_update(Status::Left);
+        self.merge(&update, now);
+        for id in targets {
+            self.send(&id, Body::None);
+        }
+        self.finish()
+    }
+
+    fn ack(&self) -> Body {
+        Body::Ack(self.me.id.clone())
+    }
+
+    fn finish(&mut self) -> Vec<MemberAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    fn send(&mut self, id: &InstanceId, body: Body) {
+        if let Some(instance) = self.locate(id) {
+            self.actions.push(MemberAction::Send(instance, body));
+        }
+    }
+
+    fn report(&mut self, finding: MemberFinding) {
+        self.actions.push(MemberAction::Report(finding));
+    }
+
+    fn origin(&self) -> u32 {
+        ring::place(0, &self.me.id) as u32
+    }
+
+    fn self_update(&self, status: Status) -> Update {
+        Update {
+            instance: self.me.clone(),
+            incarnation: self.incarnation,
+            status,
+            origin: 0,
+        }
+    }
+
+    fn publish_self(&mut self, now: Millis) {
+        let update = self.self_update(Status::Alive);
+        self.merge(&update, now);
+    }
+
+    /// Takes in what a message says by itself: its sender lives, in the given incarnation.
+    fn hear(&mut self, from: &InstanceId, gossip: &Gossip, now: Millis) {
+        let Some(record) = self.table.get_mut(from) else {
+            return;
+        };
+        let restarted = gossip.incarnation.start > record.incarnation.start;
+        if restarted {
+            let update = Update {
+                instance: record.instance.clone(),
+                incarnation: gossip.incarnation,
+                status: Status::Alive,
+                origin: 0,
+            };
+            self.merge(&update, now);
+        } else if let Some(suspicion) = &mut record.suspicion
+            && gossip.incarnation == record.incarnation
+        {
+            // It lives but hasn't heard of the suspicion yet: the answer tells it, and the
+            // suspicion starts again so that the refutation has time to come.
+            suspicion.since = now;
+        }
+        self.compare(from, gossip.view_digest, now);
+    }
+
+    /// Applies another's statement about a member.
+    fn apply(&mut self, update: &Update, now: Millis) {
+        if update.instance.id == self.me.id {
+            self.apply_to_self(update, now);
+            return;
+        }
+        let mut update = update.clone();
+        if update.status == Status::Dead && self.holds_alive(&update) {
+            // Late gossip from the far side of a split would remove a member that answers here.
+            // As a suspicion it leaves the member the time to refute it.
+            update.status = Status::Suspect;
+        }
+        if self.merge(&update, now) {
+            self.bury_predecessors(&update, now);
+        } else if update.status == Status::Suspect {
+            self.confirm_suspicion(&update);
+        }
+    }
+
+    fn holds_alive(&self, update: &Update) -> bool {
+        self.table
+            .get(&update.instance.id)
+            .is_some_and(|known| known.status == Status::Alive)
+    }
+
+    fn apply_to_self(&mut self, update: &Update, now: Millis) {
+        let accused = update.status != Status::Alive && update.incarnation == self.incarnation;
+        let newer = update.incarnation > self.incarnation;
+        if self.left || !(accused || newer) {
+            return;
+        }
+        let finding = if update.incarnation.start > self.incarnation.start {
+            MemberFinding::NewerSelf(update.incarnation)
+        } else {
+            MemberFinding::Refuted(update.incarnation)
+        };
+        self.report(finding);
+        // Being suspected while alive is a sign of being slow oneself.
+        self.worsen();
+        self.incarnation = update.incarnation.next();
+        self.publish_self(now);
+    }
+
+    /// Merges an update and passes it on; returns whether it was news.
+    fn merge(&mut self, update: &Update, now: Millis) -> bool {
+        let before = self.table.digest();
+        match self.table.merge(update, self.settings.members, now) {
+            Merge::Old => return false,
+            Merge::Full => {
+                self.report(MemberFinding::Full(update.instance.id.clone()));
+                return false;
+            }
+            Merge::Changed => {}
+        }
+        // A newcomer's whole view is news to nobody else.
+        if !self.join.is_joining() || update.instance.id == self.me.id {
+            self.queue.push(update.clone());
+        }
+        if self.table.digest() != before {
+            self.version += 1;
+            self.targets = None;
+        }
+        true
+    }
+
+    /// A live newcomer at an address proves that an earlier user of the address is gone.
+    fn bury_predecessors(&mut self, update: &Update, now: Millis) {
+        if update.status != Status::Alive {
+            return;
+        }
+        let replaced = self.table.live().find(|record| {
+            record.instance.address == update.instance.address
+                && record.instance.id != update.instance.id
+                && record.incarnation.start < update.incarnation.start
+        });
+        let id = replaced.map(|record| record.instance.id.clone());
+        if let Some(id) = id.filter(|id| *id != self.me.id) {
+            self.declare(&id, Status::Dead, now);
+        }
+    }
+
+    /// States this instance's own finding about a member.
+    fn declare(&mut self, id: &InstanceId, status: Status, now: Millis) {
+        let origin = self.origin();
+        let Some(record) = self.table.get(id) else {
+            return;
+        };
+        let update = Update {
+            status,
+            ..record.update(origin)
+        };
+        if self.merge(&update, now) && status == Status::Dead {
+            self.report(MemberFinding::Died(id.clone()));
+        }
+    }
+
+    fn worsen(&mut self) {
+        self.health = (self.health + 1).min(self.settings.health_ceiling);
+    }
+
+    fn improve(&mut self) {
+        self.health = self.health.saturating_sub(1);
+    }
+
+    /// Spans grow with the local health score: an instance that is slow itself accuses later.
+    fn scaled(&self, span: Millis) -> Millis {
+        Millis(span.0 * (self.health + 1))
+    }
+}
--- /dev/null
+++ b/crates/peers/src/member/queue.rs
@@ -0,0 +1,60 @@
+//! Updates that still have to be passed on.
+
+use std::collections::BTreeMap;
+
+use crate::identity::InstanceId;
+use crate::message::Update;
+
+/// Transmissions of an update, as a multiple of the binary logarithm of the number of members.
+const TRANSMISSIONS: u32 = 2;
+
+/// Least logarithm that counts, so that a newcomer who knows nobody yet isn't forgotten.
+const LEAST_LOG: u32 = 4;
+
+/// An update and how often it was passed on.
+#[derive(Debug)]
+struct Pending {
+    update: Update,
+    sent: u32,
+}
+
+/// The updates that are piggybacked on messages, at most one for each member.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    pending: BTreeMap<InstanceId, Pending>,
+}
+
+impl Queue {
+    /// Adds an update in place of an older one about the same member.
+    pub(crate) fn push(&mut self, update: Update) {
+        let id = update.instance.id.clone();
+        self.pending.insert(id, Pending { update, sent: 0 });
+    }
+
+    /// Takes up to `limit` updates, the least often sent first.
+    pub(crate) fn take(&mut self, limit: usize, members: usize) -> Vec<Update> {
+        let most = TRANSMISSIONS * (members as u32 + 1).ilog2().max(LEAST_LOG);
+        let mut order: Vec<(u32, InstanceId)> = self
+            .pending
+            .iter()
+            .map(|(id, pending)| (pending.sent, id.clone()))
+            .collect();
+        order.sort_unstable();
+        order.truncate(limit);
+        let mut taken = Vec::with_capacity(order.len());
+        for (_, id) in order {
+            taken.extend(self.send(&id, most));
+        }
+        taken
+    }
+
+    fn send(&mut self, id: &InstanceId, most: u32) -> Option<Update> {
+        let pending = self.pending.get_mut(id)?;
+        pending.sent += 1;
+        let update = pending.update.clone();
+        if pending.sent >= most {
+            self.pending.remove(id);
+        }
+        Some(update)
+    }
+}
--- /dev/null
+++ b/crates/peers/src/member/table.rs
@@ -0,0 +1,186 @@
+//! What a member knows about the others.
+
+use std::collections::BTreeMap;
+
+use crocushold_base::Millis;
+use twox_hash::XxHash3_64;
+
+use crate::identity::Incarnation;
+use crate::identity::Instance;
+use crate::identity::InstanceId;
+use crate::member::ring;
+use crate::member::ring::Places;
+use crate::message::BUCKETS;
+use crate::message::Status;
+use crate::message::Update;
+
+/// A suspicion that runs.
+#[derive(Clone, Debug)]
+pub(crate) struct Suspicion {
+    /// When it began.
+    pub(crate) since: Millis,
+    /// Those who suspect, by hash.
+    pub(crate) origins: Vec<u32>,
+}
+
+/// What is known about one member.
+#[derive(Clone, Debug)]
+pub(crate) struct Record {
+    pub(crate) instance: Instance,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) status: Status,
+    pub(crate) changed: Millis,
+    pub(crate) suspicion: Option<Suspicion>,
+    pub(crate) places: Places,
+}
+
+impl Record {
+    /// The record as an update.
+    pub(crate) fn update(&self, origin: u32) -> Update {
+        Update {
+            instance: self.instance.clone(),
+            incarnation: self.incarnation,
+            status: self.status,
+            origin,
+        }
+    }
+}
+
+/// What merging an update did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Merge {
+    /// The table already knew better.
+    Old,
+    /// The table changed.
+    Changed,
+    /// The table is full.
+    Full,
+}
+
+/// The members by name, with digests of those that live.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    records: BTreeMap<InstanceId, Record>,
+    digests: [u64; BUCKETS],
+    live: usize,
+}
+
+impl Table {
+    pub(crate) fn get(&self, id: &InstanceId) -> Option<&Record> {
+        self.records.get(id)
+    }
+
+    pub(crate) fn get_mut(&mut self, id: &InstanceId) -> Option<&mut Record> {
+        self.records.get_mut(id)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
+    /// The live members, in order of their names.
+    pub(crate) fn live(&self) -> impl Iterator<Item = &Record> {
+        self.iter().filter(|record| record.status.is_live())
+    }
+
+    /// Number of live members.
+    pub(crate) fn live_count(&self) -> usize {
+        self.live
+    }
+
+    /// The digests of the live members by bucket.
+    pub(crate) fn digests(&self) -> &[u64; BUCKETS] {
+        &self.digests
+    }
+
+    /// Digest of all live members; never zero, which means "not known" on the wire.
+    pub(crate) fn digest(&self) -> u64 {
+        let bytes: Vec<u8> = self.digests.iter().flat_map(|d| d.to_le_bytes()).collect();
+        XxHash3_64::oneshot(&bytes).max(1)
+    }
+
+    /// The members of the buckets whose digests differ from `theirs`.
+    pub(crate) fn differing(&self, theirs: &[u64]) -> Vec<&Record> {
+        let differs: Vec<bool> = (0..BUCKETS)
+            .map(|bucket| theirs.get(bucket) != Some(&self.digests[bucket]))
+            .collect();
+        self.live()
+            .filter(|record| differs[bucket(&record.instance.id)])
+            .collect()
+    }
+
+    /// Takes an update in, if it is newer than what is known; `limit` bounds the table.
+    pub(crate) fn merge(&mut self, update: &Update, limit: usize, now: Millis) -> Merge {
+        let Some(known) = self.records.get(&update.instance.id) else {
+            return self.insert(update, limit, now);
+        };
+        let newer = (update.incarnation, update.status) > (known.incarnation, known.status);
+        if !newer {
+            return Merge::Old;
+        }
+        self.replace(update, now);
+        Merge::Changed
+    }
+
+    fn insert(&mut self, update: &Update, limit: usize, now: Millis) -> Merge {
+        if self.records.len() >= limit && !self.evict() {
+            return Merge::Full;
+        }
+        self.replace(update, now);
+        Merge::Changed
+    }
+
+    /// Drops the oldest of the dead to make room.
+    fn evict(&mut self) -> bool {
+        let oldest = self
+            .iter()
+            .filter(|record| !record.status.is_live())
+            .min_by_key(|record| record.changed)
+            .map(|record| record.instance.id.clone());
+        oldest.is_some_and(|id| self.records.remove(&id).is_some())
+    }
+
+    fn replace(&mut self, update: &Update, now: Millis) {
+        let id = update.instance.id.clone();
+        let record = Record {
+            instance: update.instance.clone(),
+            incarnation: update.incarnation,
+            status: update.status,
+            changed: now,
+            suspicion: suspicion(update, now),
+            places: ring::places(&id),
+        };
+        if let Some(old) = self.records.get(&id).cloned() {
+            self.count(&old, false);
+        }
+        self.count(&record, true);
+        self.records.insert(id, record);
+    }
+
+    /// Adds a live record to the digests, or takes it out again.
+    fn count(&mut self, record: &Record, add: bool) {
+        if !record.status.is_live() {
+            return;
+        }
+        let id = &record.instance.id;
+        self.digests[bucket(id)] ^= ring::place(record.incarnation.start, id);
+        self.live = if add { self.live + 1 } else { self.live - 1 };
+    }
+
+    /// Forgets those who are dead for longer than `age`.
+    pub(crate) fn expire(&mut self, age: Millis, now: Millis) {
+        self.records
+            .retain(|_, record| record.status.is_live() || now.since(record.changed) < age);
+    }
+}
+
+fn suspicion(update: &Update, now: Millis) -> Option<Suspicion> {
+    (update.status == Status::Suspect).then(|| Suspicion {
+        since: now,
+        origins: vec![update.origin],
+    })
+}
+
+fn bucket(id: &InstanceId) -> usize {
+    ring::place(0, id) as usize % BUCKETS
+}
--- /dev/null
+++ b/crates/peers/src/node.rs
@@ -0,0 +1,287 @@
+//! Membership and spread together, as one state machine that exchanges messages.
+
+use std::sync::Arc;
+
+use crocushold_base::Millis;
+
+use crate::identity::Incarnation;
+use crate::identity::Instance;
+use crate::identity::InstanceId;
+use crate::member::Listed;
+use crate::member::Member;
+use crate::member::MemberAction;
+use crate::member::MemberFinding;
+use crate::member::MemberSettings;
+use crate::member::View;
+use crate::message::Body;
+use crate::message::Gossip;
+use crate::message::Message;
+use crate::message::Update;
+use crate::spread::PlatformRead;
+use crate::spread::Snapshot;
+use crate::spread::Spread;
+use crate::spread::SpreadAction;
+use crate::spread::SpreadFinding;
+use crate::spread::SpreadSettings;
+
+/// Settings of a [`Node`].
+#[derive(Clone, Debug, Default)]
+pub struct NodeSettings {
+    /// The membership's.
+    pub member: MemberSettings,
+    /// The spread's.
+    pub spread: SpreadSettings,
+}
+
+/// What happens to a [`Node`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// Time passed. To be given about every 100 ms: a long gap reads as an own pause.
+    Tick,
+    /// The platform's list of entry instances.
+    InstanceList(Vec<Listed>),
+    /// The outcome of a read of the platform.
+    PlatformRead(PlatformRead),
+    /// A message came, be it a request or an answer.
+    Message(InstanceId, Message),
+    /// A message couldn't be delivered or wasn't answered.
+    Failed(InstanceId),
+    /// Another instance answers at the address of the named one.
+    Replaced(InstanceId),
+    /// The instance stops as planned.
+    Leave,
+}
+
+/// What the embedder of a [`Node`] must do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Send a message.
+    Send(Instance, Message),
+    /// Answer the message that is being handled.
+    Reply(Message),
+    /// Read the index of the configuration.
+    ReadIndex,
+    /// Watch the index of the configuration.
+    WatchIndex {
+        /// The revision that is known.
+        after: u64,
+        /// The longest wait.
+        wait: Millis,
+    },
+    /// Read a part of the configuration.
+    ReadPart(Arc<str>),
+    /// The live view changed.
+    ViewChanged(View),
+    /// This configuration is in force from now on.
+    InForce(Snapshot),
+    /// Report something that an operator should know.
+    Report(Finding),
+}
+
+/// Something that an operator should know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// About the membership.
+    Member(MemberFinding),
+    /// About the configuration.
+    Spread(SpreadFinding),
+}
+
+/// An instance among its peers: [`Member`] and [`Spread`] with their messages.
+#[derive(Debug)]
+pub struct Node {
+    member: Member,
+    spread: Spread,
+    shown: Option<(u64, bool)>,
+    /// Who sent the message that is being handled.
+    asker: Option<InstanceId>,
+}
+
+impl Node {
+    /// Makes a node that knows only itself.
+    pub fn new(
+        settings: NodeSettings,
+        me: Instance,
+        incarnation: Incarnation,
+        seed: u64,
+        now: Millis,
+    ) -> Node {
+        Node {
+            member: Member::new(settings.member, me, incarnation, seed, now),
+            spread: Spread::new(settings.spread, seed ^ 1, now),
+            shown: None,
+            asker: None,
+        }
+    }
+
+    /// The membership.
+    pub fn member(&self) -> &Member {
+        &self.member
+    }
+
+    /// The instances that this node probes and announces to.
+    pub fn neighbours(&mut self) -> Vec<InstanceId> {
+        self.member.targets().to_vec()
+    }
+
+    /// The spread of the configuration.
+    pub fn spread(&self) -> &Spread {
+        &self.spread
+    }
+
+    /// Takes an event in.
+    pub fn handle(&mut self, event: Event, now: Millis) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Tick => self.tick(now, &mut actions),
+            Event::InstanceList(listed) => {
+                let done = self.member.list(&listed, now);
+                self.show_listed();
+                self.member_actions(done, &mut actions);
+            }
+            Event::PlatformRead(read) => {
+                let done = self.spread.platform(read, now);
+                self.spread_actions(done, &mut actions);
+            }
+            Event::Message(from, message) => self.receive(&from, &message, now, &mut actions),
+            Event::Failed(peer) => self.failed(&peer, now, &mut actions),
+            Event::Replaced(peer) => {
+                let done = self.member.replaced(&peer, now);
+                self.member_actions(done, &mut actions);
+                self.failed(&peer, now, &mut actions);
+            }
+            Event::Leave => {
+                let done = self.member.leave(now);
+                self.member_actions(done, &mut actions);
+            }
+        }
+        self.show_view(&mut actions);
+        actions
+    }
+
+    fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let done = self.member.tick(now);
+        self.member_actions(done, actions);
+        let peers = self.member.live().saturating_sub(1);
+        self.spread.peers_known(peers, self.member.is_settled());
+        if peers > 0 {
+            let done = self.spread.query_peers(now);
+            self.spread_actions(done, actions);
+        }
+        let done = self.spread.tick(now);
+        self.spread_actions(done, actions);
+    }
+
+    fn receive(
+        &mut self,
+        from: &InstanceId,
+        message: &Message,
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        let Message { gossip, body } = message;
+        self.asker = Some(from.clone());
+        let done = self.member.receive(from, gossip, body, now);
+        self.member_actions(done, actions);
+        let done = self.spread.receive(from, gossip, body, now);
+        self.spread_actions(done, actions);
+        self.asker = None;
+    }
+
+    fn failed(&mut self, peer: &InstanceId, now: Millis, actions: &mut Vec<Action>) {
+        let done = self.member.failed(peer, now);
+        self.member_actions(done, actions);
+        let done = self.spread.failed(peer, now);
+        self.spread_actions(done, actions);
+    }
+
+    fn member_actions(&mut self, done: Vec<MemberAction>, actions: &mut Vec<Action>) {
+        for action in done {
+            actions.push(match action {
+                MemberAction::Send(to, body) => self.send(to, body),
+                MemberAction::Reply(body) => self.reply(body),
+                MemberAction::Report(finding) => Action::Report(Finding::Member(finding)),
+            });
+        }
+    }
+
+    fn spread_actions(&mut self, done: Vec<SpreadAction>, actions: &mut Vec<Action>) {
+        for action in done {
+            match action {
+                SpreadAction::Send(to, body) => self.send_to(&to, body, actions),
+                SpreadAction::Reply(body) => actions.push(self.reply(body)),
+                SpreadAction::Announce(revision) => self.announce(revision, actions),
+                SpreadAction::Query(count) => self.query(count, actions),
+                SpreadAction::ReadIndex => actions.push(Action::ReadIndex),
+                SpreadAction::WatchIndex { after, wait } => {
+                    actions.push(Action::WatchIndex { after, wait });
+                }
+                SpreadAction::ReadPart(team) => actions.push(Action::ReadPart(team)),
+                SpreadAction::InForce(snapshot) => actions.push(Action::InForce(snapshot)),
+                SpreadAction::Report(finding) => {
+                    actions.push(Action::Report(Finding::Spread(finding)));
+                }
+            }
+        }
+    }
+
+    /// Announces over the connections that the probes keep open.
+    fn announce(&mut self, revision: u64, actions: &mut Vec<Action>) {
+        for peer in self.neighbours() {
+            if self.spread.heard(&peer) < revision {
+                self.send_to(&peer, Body::Announce(revision), actions);
+            }
+        }
+    }
+
+    fn query(&mut self, count: usize, actions: &mut Vec<Action>) {
+        for peer in self.member.sample(count) {
+            actions.push(self.send(peer, Body::Query));
+        }
+    }
+
+    fn send_to(&mut self, id: &InstanceId, body: Body, actions: &mut Vec<Action>) {
+        if let Some(instance) = self.member.locate(id) {
+            actions.push(self.send(instance, body));
+        }
+    }
+
+    fn send(&mut self, to: Instance, body: Body) -> Action {
+        let updates = self.member.updates(&to.id);
+        let gossip = self.gossip(updates);
+        Action::Send(to, Message { gossip, body })
+    }
+
+    fn reply(&mut self, body: Body) -> Action {
+        let asker = self.asker.as_ref();
+        let updates = asker.map(|id| self.member.updates(id));
+        let gossip = self.gossip(updates.unwrap_or_default());
+        Action::Reply(Message { gossip, body })
+    }
+
+    fn gossip(&self, updates: Vec<Update>) -> Gossip {
+        Gossip {
+            incarnation: self.member.incarnation(),
+            revision: self.spread.held().revision,
+            view_digest: self.member.digest(),
+            config_digest: self.spread.digest(),
+            updates,
+        }
+    }
+
+    fn show_listed(&mut self) {
+        let view = self.member.view();
+        self.spread.view_changed(&view, self.member.listed());
+    }
+
+    fn show_view(&mut self, actions: &mut Vec<Action>) {
+        let shown = Some((self.member.version(), self.member.is_settled()));
+        if self.shown == shown {
+            return;
+        }
+        self.shown = shown;
+        let view = self.member.view();
+        self.spread.view_changed(&view, self.member.listed());
+        actions.push(Action::ViewChanged(view));
+    }
+}
--- /dev/null
+++ b/crates/peers/src/spread/budget.rs
@@ -0,0 +1,69 @@
+//! An instance's share of the platform's read budget.
+
+use crocushold_base::Millis;
+use rand::Rng;
+use rand::RngExt;
+
+use crate::spread::SpreadSettings;
+
+/// Tokens for platform calls, and the wait after calls that brought nothing.
+#[derive(Debug)]
+pub(super) struct Budget {
+    rate: f64,
+    burst: f64,
+    tokens: f64,
+    filled: Millis,
+    not_before: Millis,
+    backoff: Millis,
+}
+
+impl Budget {
+    pub(super) fn new(settings: &SpreadSettings, now: Millis) -> Budget {
+        Budget {
+            rate: settings.own_rate,
+            burst: settings.own_rate.max(1.0),
+            tokens: settings.own_rate.max(1.0),
+            filled: now,
+            not_before: Millis::ZERO,
+            backoff: Millis::ZERO,
+        }
+    }
+
+    /// Sets this instance's share: `rate` calls a second among `sharers`.
+    pub(super) fn share(&mut self, rate: f64, sharers: usize) {
+        self.rate = (rate / sharers.max(1) as f64).min(self.burst);
+    }
+
+    /// Takes a token, if there is one and no wait runs.
+    pub(super) fn take(&mut self, now: Millis) -> bool {
+        let span = now.since(self.filled).as_secs_f64();
+        self.tokens = (self.tokens + span * self.rate).min(self.burst);
+        self.filled = now;
+        if now < self.not_before || self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// A call brought something, or waited as long as it should.
+    pub(super) fn succeeded(&mut self) {
+        self.backoff = Millis::ZERO;
+    }
+
+    /// A call failed or returned at once without news. The wait doubles: a watch that returns at
+    /// once would otherwise be repeated as fast as the network allows, and eat the budget of all.
+    pub(super) fn wasted(
+        &mut self,
+        settings: &SpreadSettings,
+        retry_after: Option<Millis>,
+        rng: &mut impl Rng,
+        now: Millis,
+    ) {
+        let doubled = Millis(self.backoff.0 * 2);
+        self.backoff = doubled.clamp(settings.backoff, settings.backoff_ceiling);
+        let jitter = rng.random_range(0..=self.backoff.0 / 4);
+        let wait = Millis(self.backoff.0 + jitter).max(retry_after.unwrap_or_default());
+        self.not_before = now + wait;
+    }
+}
--- /dev/null
+++ b/crates/peers/src/spread/fetch.rs
@@ -0,0 +1,90 @@
+//! Fetching what changed, from the platform or from a peer.
+
+use std::sync::Arc;
+
+use crocushold_base::Millis;
+
+use crate::identity::InstanceId;
+use crate::message::PartRef;
+use crate::spread::store::Part;
+
+/// Bytes of text in one message.
+pub(super) const CHUNK: usize = 128 << 10;
+
+/// Answers older than the listing after which a fetch is given up.
+pub(super) const STALE_ANSWERS: u32 = 3;
+
+/// Where a fetch reads.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Source {
+    Platform,
+    Peer(InstanceId),
+}
+
+/// A part that is wanted; the hash isn't known when the platform listed it.
+#[derive(Clone, Debug)]
+pub(super) struct Want {
+    pub(super) team: Arc<str>,
+    pub(super) revision: u64,
+}
+
+/// A text of which the first bytes have come.
+#[derive(Debug, Default)]
+pub(super) struct Partial {
+    pub(super) head: Option<PartRef>,
+    pub(super) bytes: Vec<u8>,
+}
+
+/// A fetch: the pages of the list first, then the parts one by one, and all is put in force at once.
+#[derive(Debug)]
+pub(super) struct Fetch {
+    pub(super) source: Source,
+    pub(super) revision: u64,
+    pub(super) after: u64,
+    pub(super) listed: Vec<PartRef>,
+    pub(super) cursor: Arc<str>,
+    pub(super) wants: Vec<Want>,
+    pub(super) staged: Vec<Part>,
+    pub(super) partial: Partial,
+    pub(super) asked: Option<Millis>,
+    pub(super) stale: u32,
+    pub(super) is_listed: bool,
+}
+
+impl Fetch {
+    pub(super) fn new(source: Source, revision: u64, after: u64) -> Fetch {
+        Fetch {
+            source,
+            revision,
+            after,
+            listed: Vec::new(),
+            cursor: Arc::from(""),
+            wants: Vec::new(),
+            staged: Vec::new(),
+            partial: Partial::default(),
+            asked: None,
+            stale: 0,
+            is_listed: false,
+        }
+    }
+
+    /// Whether the fetch reads from `peer`.
+    pub(super) fn is_from(&self, peer: &InstanceId) -> bool {
+        matches!(&self.source, Source::Peer(id) if id == peer)
+    }
+
+    /// Starts the list again, as the peer moved on between two pages.
+    pub(super) fn restart(&mut self, revision: u64) {
+        self.revision = revision;
+        self.listed.clear();
+        self.cursor = Arc::from("");
+    }
+
+    /// Stages the part that was asked for.
+    pub(super) fn stage(&mut self, part: Part) {
+        self.wants.retain(|want| want.team != part.head.team);
+        self.staged.push(part);
+        self.partial = Partial::default();
+        self.asked = None;
+    }
+}
--- /dev/null
+++ b/crates/peers/src/spread/mod.rs
@@ -0,0 +1,237 @@
+//! How the configuration comes to all instances.
+//!
+//! [`Spread`] is a pure state machine. A few instances of each zone watch the platform; what they
+//! learn is announced from peer to peer, and who is behind pulls the changed parts from who is
+//! ahead. Part by part, and as a whole, revisions only grow.
+
+mod budget;
+mod fetch;
+mod peers;
+mod platform;
+mod settings;
+mod start;
+mod store;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use crocushold_base::Millis;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::identity::InstanceId;
+use crate::message::Body;
+use crate::spread::budget::Budget;
+use crate::spread::fetch::Fetch;
+use crate::spread::fetch::Source;
+use crate::spread::platform::Reader;
+use crate::spread::start::Start;
+
+pub use platform::Index;
+pub use platform::IndexEntry;
+pub use platform::PartText;
+pub use platform::PlatformRead;
+pub use platform::ReadFailed;
+pub use settings::SpreadSettings;
+pub use store::Conflict;
+pub use store::Part;
+pub use store::Snapshot;
+pub use store::part_hash;
+
+/// Conflicts that are remembered, so that each is reported once.
+const CONFLICTS: usize = 64;
+
+/// What the embedder must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SpreadAction {
+    /// Send to one peer.
+    Send(InstanceId, Body),
+    /// Answer the message that is being handled.
+    Reply(Body),
+    /// Announce the revision to the neighbours whose revision is lower.
+    Announce(u64),
+    /// Ask a number of live peers for their revision.
+    Query(usize),
+    /// Read the configuration's index.
+    ReadIndex,
+    /// Read the configuration's index as soon as its revision exceeds `after`, or after `wait`.
+    WatchIndex {
+        /// The revision that is known.
+        after: u64,
+        /// The longest wait.
+        wait: Millis,
+    },
+    /// Read a part's text.
+    ReadPart(Arc<str>),
+    /// This configuration is in force from now on.
+    InForce(Snapshot),
+    /// Report something that an operator should know.
+    Report(SpreadFinding),
+}
+
+/// Something that an operator should know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SpreadFinding {
+    /// The platform answers an older revision than the one in force.
+    PlatformBehind {
+        /// The platform's revision.
+        platform: u64,
+        /// The revision in force.
+        held: u64,
+    },
+    /// The platform can't be read.
+    PlatformDown,
+    /// Two texts with the same team and revision; the one in force stays.
+    Conflict(Conflict),
+    /// A peer sent a text that doesn't match its hash.
+    Corrupt(InstanceId),
+    /// A part or the whole exceeds the limits and isn't taken in.
+    TooLarge(Arc<str>),
+}
+
+/// The spread of the configuration as one instance takes part in it.
+#[derive(Debug)]
+pub struct Spread {
+    settings: SpreadSettings,
+    held: Snapshot,
+    digest: u64,
+    fetch: Option<Fetch>,
+    /// Revisions heard from peers.
+    heard: BTreeMap<InstanceId, u64>,
+    peers: usize,
+    peers_settled: bool,
+    reader: Reader,
+    budget: Budget,
+    start: Start,
+    compared: Option<Millis>,
+    conflicts: BTreeSet<Conflict>,
+    rng: SmallRng,
+    actions: Vec<SpreadAction>,
+}
+
+impl Spread {
+    /// Makes an instance that holds nothing; `seed` makes its random choices.
+    pub fn new(settings: SpreadSettings, seed: u64, now: Millis) -> Spread {
+        let held = Snapshot::default();
+        Spread {
+            budget: Budget::new(&settings, now),
+            digest: held.digest(),
+            held,
+            settings,
+            fetch: None,
+            heard: BTreeMap::new(),
+            peers: 0,
+            peers_settled: false,
+            reader: Reader::default(),
+            start: Start::new(now),
+            compared: None,
+            conflicts: BTreeSet::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            actions: Vec::new(),
+        }
+    }
+
+    /// What this instance holds; in force once [`Spread::is_ready`].
+    pub fn held(&self) -> &Snapshot {
+        &self.held
+    }
+
+    /// Digest of what this instance holds.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Whether a configuration is in force.
+    pub fn is_ready(&self) -> bool {
+        self.start.is_ready()
+    }
+
+    /// The last revision heard from a peer; zero when it was never heard.
+    pub fn heard(&self, peer: &InstanceId) -> u64 {
+        self.heard.get(peer).copied().unwrap_or_default()
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Millis) -> Vec<SpreadAction> {
+        self.time_out(now);
+        self.read_platform(now);
+        self.advance(now);
+        self.finish(now)
+    }
+
+    fn finish(&mut self, now: Millis) -> Vec<SpreadAction> {
+        self.try_start(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    fn act(&mut self, action: SpreadAction) {
+        self.actions.push(action);
+    }
+
+    fn report(&mut self, finding: SpreadFinding) {
+        self.act(SpreadAction::Report(finding));
+    }
+
+    fn report_conflict(&mut self, conflict: Conflict) {
+        if self.conflicts.len() >= CONFLICTS {
+            self.conflicts.pop_first();
+        }
+        if self.conflicts.insert(conflict.clone()) {
+            self.report(SpreadFinding::Conflict(conflict));
+        }
+    }
+
+    /// Takes the next step of the fetch, or starts one towards the highest revision heard.
+    fn advance(&mut self, now: Millis) {
+        if self.fetch.is_none() {
+            self.start_fetch();
+        }
+        let Some(fetch) = &self.fetch else {
+            return;
+        };
+        if fetch.asked.is_some() {
+            return;
+        }
+        if fetch.is_listed && fetch.wants.is_empty() {
+            self.put_in_force();
+            return;
+        }
+        match fetch.source.clone() {
+            Source::Platform => self.ask_platform(now),
+            Source::Peer(peer) => self.ask_peer(&peer, now),
+        }
+    }
+
+    /// Puts all that was fetched in force at once.
+    fn put_in_force(&mut self) {
+        let Some(fetch) = self.fetch.take() else {
+            return;
+        };
+        let before = (self.held.revision, self.digest);
+        let conflicts = self.held.merge(fetch.staged, fetch.revision);
+        for conflict in conflicts {
+            self.report_conflict(conflict);
+        }
+        self.digest = self.held.digest();
+        if (self.held.revision, self.digest) == before {
+            return;
+        }
+        if self.is_ready() {
+            self.act(SpreadAction::InForce(self.held.clone()));
+        }
+        self.act(SpreadAction::Announce(self.held.revision));
+    }
+
+    /// Gives the fetch up when an answer is overdue, and remembers that the source doesn't answer.
+    fn time_out(&mut self, now: Millis) {
+        let wait = self.settings.answer_wait;
+        let overdue = |fetch: &mut Fetch| fetch.asked.is_some_and(|t| now.since(t) >= wait);
+        let Some(fetch) = self.fetch.take_if(overdue) else {
+            return;
+        };
+        if let Source::Peer(peer) = fetch.source {
+            self.heard.remove(&peer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/peers/src/spread/peers.rs
@@ -0,0 +1,285 @@
+//! The exchange with peers.
+
+use std::sync::Arc;
+
+use crocushold_base::Millis;
+
+use crate::identity::InstanceId;
+use crate::message::Body;
+use crate::message::Gossip;
+use crate::message::PartRef;
+use crate::spread::Spread;
+use crate::spread::SpreadAction;
+use crate::spread::SpreadFinding;
+use crate::spread::fetch::CHUNK;
+use crate::spread::fetch::Fetch;
+use crate::spread::fetch::Source;
+use crate::spread::fetch::Want;
+use crate::spread::store;
+use crate::spread::store::Part;
+use crate::spread::store::part_hash;
+
+impl Spread {
+    /// Takes a message in. A body that isn't the spread's is ignored, but its gossip counts.
+    pub fn receive(
+        &mut self,
+        from: &InstanceId,
+        gossip: &Gossip,
+        body: &Body,
+        now: Millis,
+    ) -> Vec<SpreadAction> {
+        self.hear(from, gossip, now);
+        match body {
+            Body::Query => self.reply(Body::Announce(self.held.revision)),
+            Body::PullIndex { after, cursor } => self.on_pull_index(*after, cursor),
+            Body::PullPart {
+                team,
+                revision,
+                offset,
+            } => self.on_pull_part(team, *revision, *offset),
+            Body::Changes {
+                revision,
+                after,
+                parts,
+                next,
+            } => self.on_changes(from, (*revision, *after), parts, next),
+            Body::Chunk {
+                part,
+                offset,
+                bytes,
+            } => self.on_chunk(from, part, *offset, bytes),
+            _ => {}
+        }
+        self.advance(now);
+        self.finish(now)
+    }
+
+    /// A message to `peer` couldn't be delivered or wasn't answered.
+    pub fn failed(&mut self, peer: &InstanceId, now: Millis) -> Vec<SpreadAction> {
+        self.heard.remove(peer);
+        self.fetch.take_if(|fetch| fetch.is_from(peer));
+        self.advance(now);
+        self.finish(now)
+    }
+
+    /// Forgets peers that left the view.
+    pub(crate) fn retain_peers(&mut self, is_live: impl Fn(&InstanceId) -> bool) {
+        self.heard.retain(|peer, _| is_live(peer));
+    }
+
+    fn reply(&mut self, body: Body) {
+        self.act(SpreadAction::Reply(body));
+    }
+
+    fn hear(&mut self, from: &InstanceId, gossip: &Gossip, now: Millis) {
+        self.heard.insert(from.clone(), gossip.revision);
+        if gossip.revision == self.held.revision && gossip.config_digest != 0 {
+            self.compare(from, gossip.config_digest, now);
+        }
+        self.leave_slow_platform(gossip.revision);
+    }
+
+    /// Changes to the peers when they already hold what the platform's budget would give slowly.
+    fn leave_slow_platform(&mut self, revision: u64) {
+        self.fetch.take_if(|fetch| {
+            fetch.source == Source::Platform && fetch.wants.len() > 1 && revision >= fetch.revision
+        });
+    }
+
+    /// Two instances at one revision should hold the same parts; when they don't, all are compared.
+    fn compare(&mut self, from: &InstanceId, digest: u64, now: Millis) {
+        let interval = self.settings.compare_interval;
+        let recent = self.compared.is_some_and(|t| now.since(t) < interval);
+        if digest == self.digest || recent || self.fetch.is_some() || self.held.revision == 0 {
+            return;
+        }
+        self.compared = Some(now);
+        self.fetch = Some(Fetch::new(
+            Source::Peer(from.clone()),
+            self.held.revision,
+            0,
+        ));
+    }
+
+    /// Starts a fetch towards the highest revision heard, if it is ahead.
+    pub(super) fn start_fetch(&mut self) {
+        let held = self.held.revision;
+        let listed = self.reader.listed_revision();
+        let best = self.heard.iter().max_by_key(|(_, revision)| **revision);
+        match best {
+            Some((peer, revision)) if *revision > held && *revision >= listed => {
+                let source = Source::Peer(peer.clone());
+                self.fetch = Some(Fetch::new(source, *revision, held));
+            }
+            _ if listed > held => self.fetch_from_platform(),
+            _ => {}
+        }
+    }
+
+    pub(super) fn ask_peer(&mut self, peer: &InstanceId, now: Millis) {
+        let Some(fetch) = &mut self.fetch else {
+            return;
+        };
+        fetch.asked = Some(now);
+        let body = match fetch.wants.first() {
+            Some(want) if fetch.is_listed => Body::PullPart {
+                team: want.team.clone(),
+                revision: want.revision,
+                offset: fetch.partial.bytes.len() as u32,
+            },
+            _ => Body::PullIndex {
+                after: fetch.after,
+                cursor: fetch.cursor.clone(),
+            },
+        };
+        self.act(SpreadAction::Send(peer.clone(), body));
+    }
+
+    fn on_pull_index(&mut self, after: u64, cursor: &str) {
+        let (parts, next) = self.held.changes(after, cursor);
+        self.reply(Body::Changes {
+            revision: self.held.revision,
+            after,
+            parts,
+            next,
+        });
+    }
+
+    fn on_pull_part(&mut self, team: &Arc<str>, revision: u64, offset: u32) {
+        let part = self.held.part(team).cloned();
+        let part = part.unwrap_or_else(|| Part::removed(team, revision));
+        let text = part.text.as_bytes();
+        let start = (offset as usize).min(text.len());
+        let end = (start + CHUNK).min(text.len());
+        self.reply(Body::Chunk {
+            offset: start as u32,
+            bytes: text[start..end].to_vec(),
+            part: part.head,
+        });
+    }
+
+    fn on_changes(
+        &mut self,
+        from: &InstanceId,
+        (revision, after): (u64, u64),
+        parts: &[PartRef],
+        next: &Arc<str>,
+    ) {
+        let Some(fetch) = &mut self.fetch else {
+            return;
+        };
+        if !fetch.is_from(from) || fetch.is_listed || fetch.after != after {
+            return;
+        }
+        fetch.asked = None;
+        if !fetch.cursor.is_empty() && revision != fetch.revision {
+            fetch.restart(revision);
+            return;
+        }
+        fetch.revision = revision;
+        fetch.listed.extend_from_slice(parts);
+        fetch.cursor = next.clone();
+        if next.is_empty() {
+            self.plan();
+        }
+    }
+
+    /// Works out from the complete list which texts are wanted.
+    fn plan(&mut self) {
+        let Some(mut fetch) = self.fetch.take() else {
+            return;
+        };
+        let listed = std::mem::take(&mut fetch.listed);
+        if fetch.after == 0 {
+            let teams: Vec<&Arc<str>> = listed.iter().map(|head| &head.team).collect();
+            fetch.staged = self.held.missing(&teams, fetch.revision);
+        }
+        for head in &listed {
+            self.plan_part(&mut fetch, head);
+        }
+        fetch.is_listed = true;
+        self.fetch = Some(fetch);
+    }
+
+    fn plan_part(&mut self, fetch: &mut Fetch, head: &PartRef) {
+        if let Some(known) = self.held.part(&head.team).map(|part| part.head.clone()) {
+            if let Some(conflict) = store::conflict(&known, head) {
+                self.report_conflict(conflict);
+            }
+            if known.revision >= head.revision {
+                return;
+            }
+        }
+        if head.removed {
+            fetch.staged.push(Part::removed(&head.team, head.revision));
+            return;
+        }
+        fetch.wants.push(Want {
+            team: head.team.clone(),
+            revision: head.revision,
+        });
+    }
+
+    fn on_chunk(&mut self, from: &InstanceId, part: &PartRef, offset: u32, bytes: &[u8]) {
+        let limit = self.settings.part_bytes;
+        let Some(fetch) = &mut self.fetch else {
+            return;
+        };
+        let expected = fetch.wants.first().is_some_and(|w| w.team == part.team);
+        if !fetch.is_from(from) || !expected {
+            return;
+        }
+        fetch.asked = None;
+        if part.removed {
+            fetch.stage(Part::removed(&part.team, part.revision));
+            return;
+        }
+        if part.bytes as usize > limit {
+            self.refuse(from, &part.team);
+            return;
+        }
+        let partial = &mut fetch.partial;
+        if partial.head.as_ref() != Some(part) {
+            // The part changed between two pieces: what has come belongs to another text.
+            partial.bytes.clear();
+            partial.head = Some(part.clone());
+        }
+        if offset as usize != partial.bytes.len() {
+            return;
+        }
+        partial.bytes.extend_from_slice(bytes);
+        self.complete(from, part);
+    }
+
+    fn complete(&mut self, from: &InstanceId, part: &PartRef) {
+        let Some(fetch) = &mut self.fetch else {
+            return;
+        };
+        let wanted = part.bytes as usize;
+        if fetch.partial.bytes.len() < wanted {
+            return;
+        }
+        let text = String::from_utf8(std::mem::take(&mut fetch.partial.bytes));
+        let intact = text.ok().filter(|text| part_hash(text) == part.hash);
+        let Some(text) = intact else {
+            self.report(SpreadFinding::Corrupt(from.clone()));
+            self.drop_peer(from);
+            return;
+        };
+        fetch.stage(Part::new(&part.team, part.revision, &text));
+        let staged: usize = fetch.staged.iter().map(|part| part.text.len()).sum();
+        if staged + self.held.bytes() > self.settings.total_bytes {
+            self.refuse(from, &part.team);
+        }
+    }
+
+    fn refuse(&mut self, from: &InstanceId, team: &Arc<str>) {
+        self.report(SpreadFinding::TooLarge(team.clone()));
+        self.drop_peer(from);
+    }
+
+    fn drop_peer(&mut self, from: &InstanceId) {
+        self.heard.remove(from);
+        self.fetch = None;
+    }
+}
--- /dev/null
+++ b/crates/peers/src/spread/platform.rs
@@ -0,0 +1,285 @@
+//! Reading the platform.
+
+use std::sync::Arc;
+
+use crocushold_base::Millis;
+use rand::RngExt;
+
+use crate::member::View;
+use crate::spread::Spread;
+use crate::spread::SpreadAction;
+use crate::spread::SpreadFinding;
+use crate::spread::fetch::Fetch;
+use crate::spread::fetch::STALE_ANSWERS;
+use crate::spread::fetch::Source;
+use crate::spread::fetch::Want;
+use crate::spread::store::Part;
+
+/// A watch that returns sooner than this without news is taken as one that didn't wait.
+const PROMPT: Millis = Millis(1000);
+
+/// Time after which a read that the embedder never answered counts as failed, beyond its wait.
+const LOST_READ: Millis = Millis::from_secs(10);
+
+/// A part in the platform's index.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IndexEntry {
+    /// The team.
+    pub team: Arc<str>,
+    /// The revision at which the part last changed.
+    pub revision: u64,
+}
+
+/// The platform's index of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Index {
+    /// Revision of the whole.
+    pub revision: u64,
+    /// The parts that exist.
+    pub parts: Vec<IndexEntry>,
+}
+
+/// The text of a part as the platform gave it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PartText {
+    /// The team.
+    pub team: Arc<str>,
+    /// The part's revision.
+    pub revision: u64,
+    /// The text.
+    pub text: Arc<str>,
+}
+
+/// A read that failed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReadFailed {
+    /// The platform's wish, when the read exceeded the budget.
+    pub retry_after: Option<Millis>,
+}
+
+/// The outcome of a read of the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlatformRead {
+    /// Answer to a read or watch of the index.
+    Index(Result<Index, ReadFailed>),
+    /// Answer to a read of a part.
+    Part(Arc<str>, Result<PartText, ReadFailed>),
+}
+
+/// State of the reads.
+#[derive(Debug, Default)]
+pub(super) struct Reader {
+    is_watcher: bool,
+    /// When the running index read began, and how long it may take.
+    running: Option<(Millis, Millis)>,
+    last_read: Option<Millis>,
+    /// The index of the highest revision that the platform gave.
+    latest: Option<Index>,
+    spread: Millis,
+    behind: bool,
+    down: bool,
+}
+
+impl Reader {
+    /// The highest revision that the platform gave.
+    pub(super) fn listed_revision(&self) -> u64 {
+        self.latest.as_ref().map_or(0, |index| index.revision)
+    }
+
+    fn take_index(&mut self, index: Index) {
+        if index.revision >= self.listed_revision() {
+            self.latest = Some(index);
+        }
+    }
+}
+
+impl Spread {
+    /// Takes a changed live view in: who watches, and how the read budget is shared.
+    pub fn view_changed(&mut self, view: &View, listed: usize) {
+        let count = self.settings.watchers;
+        self.reader.is_watcher = view.is_watcher(count);
+        if self.reader.is_watcher {
+            // A newcomer that sees nobody yet must not take the whole share.
+            let known = view.watchers(count).max(listed.min(count * 8));
+            self.budget.share(self.settings.watch_rate, known);
+        } else {
+            let sharers = view.live().max(listed);
+            self.budget.share(self.settings.read_rate, sharers);
+        }
+        self.retain_peers(|peer| view.get(peer).is_some());
+    }
+
+    /// Whether this instance holds a watch.
+    pub fn is_watcher(&self) -> bool {
+        self.reader.is_watcher
+    }
+
+    /// Takes the outcome of a read in.
+    pub fn platform(&mut self, read: PlatformRead, now: Millis) -> Vec<SpreadAction> {
+        match read {
+            PlatformRead::Index(Ok(index)) => self.on_index(index, now),
+            PlatformRead::Index(Err(failed)) => self.on_index_failed(failed, now),
+            PlatformRead::Part(team, Ok(part)) => self.on_part(&team, &part, now),
+            PlatformRead::Part(_, Err(failed)) => self.on_part_failed(failed, now),
+        }
+        self.advance(now);
+        self.finish(now)
+    }
+
+    pub(super) fn read_platform(&mut self, now: Millis) {
+        if let Some((began, allowed)) = self.reader.running {
+            if now.since(began) < allowed + LOST_READ {
+                return;
+            }
+            self.on_index_failed(ReadFailed::default(), now);
+        }
+        let watches = self.reader.is_watcher && self.start.has_platform();
+        let due = self
+            .reader
+            .last_read
+            .is_none_or(|t| now.since(t) >= self.reread_after());
+        if !(watches || due || !self.start.has_platform()) || !self.budget.take(now) {
+            return;
+        }
+        self.reader.last_read = Some(now);
+        let wait = self.settings.watch_wait;
+        if watches {
+            self.reader.running = Some((now, wait));
+            // Not the revision in force alone: while a listed one is still being fetched, the watch
+            // would return at once again and again.
+            let after = self.held.revision.max(self.reader.listed_revision());
+            self.act(SpreadAction::WatchIndex { after, wait });
+        } else {
+            self.reader.running = Some((now, Millis::ZERO));
+            self.act(SpreadAction::ReadIndex);
+        }
+    }
+
+    fn reread_after(&self) -> Millis {
+        self.settings.reread + self.reader.spread
+    }
+
+    fn on_index(&mut self, index: Index, now: Millis) {
+        let began = self.reader.running.take();
+        let waited = began.map(|(t, allowed)| (now.since(t), allowed));
+        let known = self.held.revision.max(self.reader.listed_revision());
+        let is_news = index.revision > known;
+        let prompt = waited.is_some_and(|(span, allowed)| span < PROMPT.min(allowed));
+        if prompt && !is_news {
+            self.budget.wasted(&self.settings, None, &mut self.rng, now);
+        } else {
+            self.budget.succeeded();
+        }
+        self.draw_reread_spread();
+        self.reader.down = false;
+        self.start.platform_answered(index.revision);
+        self.notice_behind(index.revision);
+        let revision = index.revision;
+        self.reader.take_index(index);
+        if self.fetch.is_none() && revision >= self.held.revision {
+            self.fetch_from_platform();
+        }
+    }
+
+    /// Spreads the reads of many instances that started together.
+    fn draw_reread_spread(&mut self) {
+        let span = self.settings.reread.0 / 4;
+        self.reader.spread = Millis(self.rng.random_range(0..=span));
+    }
+
+    fn notice_behind(&mut self, platform: u64) {
+        let held = self.held.revision;
+        let behind = platform < held;
+        if behind && !self.reader.behind {
+            self.report(SpreadFinding::PlatformBehind { platform, held });
+        }
+        self.reader.behind = behind;
+    }
+
+    fn on_index_failed(&mut self, failed: ReadFailed, now: Millis) {
+        self.reader.running = None;
+        self.start.platform_failed();
+        self.budget
+            .wasted(&self.settings, failed.retry_after, &mut self.rng, now);
+        if failed.retry_after.is_none() && !self.reader.down {
+            self.reader.down = true;
+            self.report(SpreadFinding::PlatformDown);
+        }
+    }
+
+    /// Starts a fetch of what the platform listed last and this instance doesn't hold.
+    pub(super) fn fetch_from_platform(&mut self) {
+        let Some(index) = &self.reader.latest else {
+            return;
+        };
+        let teams: Vec<&Arc<str>> = index.parts.iter().map(|entry| &entry.team).collect();
+        let mut fetch = Fetch::new(Source::Platform, index.revision, 0);
+        fetch.is_listed = true;
+        fetch.staged = self.held.missing(&teams, index.revision);
+        let newer = index.parts.iter().filter(|entry| {
+            let known = self.held.part(&entry.team);
+            known.is_none_or(|part| part.head.revision < entry.revision)
+        });
+        fetch.wants = newer
+            .map(|entry| Want {
+                team: entry.team.clone(),
+                revision: entry.revision,
+            })
+            .collect();
+        let nothing = fetch.wants.is_empty() && fetch.staged.is_empty();
+        if !nothing || index.revision > self.held.revision {
+            self.fetch = Some(fetch);
+        }
+    }
+
+    pub(super) fn ask_platform(&mut self, now: Millis) {
+        if !self.budget.take(now) {
+            return;
+        }
+        let Some(fetch) = &mut self.fetch else {
+            return;
+        };
+        let Some(want) = fetch.wants.first() else {
+            return;
+        };
+        fetch.asked = Some(now);
+        let team = want.team.clone();
+        self.act(SpreadAction::ReadPart(team));
+    }
+
+    fn on_part(&mut self, team: &Arc<str>, part: &PartText, now: Millis) {
+        let limit = self.settings.part_bytes;
+        let Some(fetch) = &mut self.fetch else {
+            return;
+        };
+        let Some(want) = fetch.wants.iter().find(|want| want.team == *team) else {
+            return;
+        };
+        if fetch.source != Source::Platform {
+            return;
+        }
+        if part.text.len() > limit {
+            self.report(SpreadFinding::TooLarge(team.clone()));
+            self.fetch = None;
+            return;
+        }
+        if part.revision >= want.revision {
+            fetch.stage(Part::new(team, part.revision, &part.text));
+            return;
+        }
+        // The index came from a fresher replica than the text: taking the old text for the new
+        // revision would put a reverted part in force.
+        fetch.asked = None;
+        fetch.stale += 1;
+        if fetch.stale >= STALE_ANSWERS {
+            self.fetch = None;
+        }
+        self.budget.wasted(&self.settings, None, &mut self.rng, now);
+    }
+
+    fn on_part_failed(&mut self, failed: ReadFailed, now: Millis) {
+        self.budget
+            .wasted(&self.settings, failed.retry_after, &mut self.rng, now);
+        self.fetch.take_if(|fetch| fetch.source == Source::Platform);
+    }
+}
--- /dev/null
+++ b/crates/peers/src/spread/start.rs
@@ -0,0 +1,104 @@
+//! When a newcomer puts its first configuration in force.
+
+use crocushold_base::Millis;
+
+use crate::spread::Spread;
+use crate::spread::SpreadAction;
+
+/// What the platform said since the start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PlatformState {
+    Silent,
+    Failed,
+    Answered(u64),
+}
+
+/// State of the start.
+#[derive(Debug)]
+pub(super) struct Start {
+    since: Millis,
+    ready: bool,
+    platform: PlatformState,
+    queried: Option<Millis>,
+}
+
+impl Start {
+    pub(super) fn new(now: Millis) -> Start {
+        Start {
+            since: now,
+            ready: false,
+            platform: PlatformState::Silent,
+            queried: None,
+        }
+    }
+
+    pub(super) fn is_ready(&self) -> bool {
+        self.ready
+    }
+
+    /// Whether the platform has ever answered.
+    pub(super) fn has_platform(&self) -> bool {
+        matches!(self.platform, PlatformState::Answered(_))
+    }
+
+    pub(super) fn platform_answered(&mut self, revision: u64) {
+        self.platform = PlatformState::Answered(revision);
+    }
+
+    pub(super) fn platform_failed(&mut self) {
+        if self.platform == PlatformState::Silent {
+            self.platform = PlatformState::Failed;
+        }
+    }
+}
+
+impl Spread {
+    /// Asks peers for their revision; to be called while the start goes on and peers are known.
+    pub(crate) fn query_peers(&mut self, now: Millis) -> Vec<SpreadAction> {
+        let recent = self
+            .start
+            .queried
+            .is_some_and(|t| now.since(t) < self.settings.answer_wait);
+        if !self.is_ready() && !recent {
+            self.start.queried = Some(now);
+            self.act(SpreadAction::Query(self.settings.join_peers));
+        }
+        self.finish(now)
+    }
+
+    /// Tells how many peers can be asked, and whether more may still be found.
+    pub(crate) fn peers_known(&mut self, peers: usize, settled: bool) {
+        self.peers = peers;
+        self.peers_settled = settled;
+    }
+
+    /// Puts the first configuration in force: never an old one while a newer one is remembered by
+    /// a peer or the platform within reach. A fresh instance that trusted a stale platform alone
+    /// would undo a change that its peers already follow.
+    pub(super) fn try_start(&mut self, now: Millis) {
+        if self.is_ready() {
+            return;
+        }
+        let waited = now.since(self.start.since) >= self.settings.join_wait;
+        let heard_all =
+            self.peers_settled && self.heard.len() >= self.peers.min(self.settings.join_peers);
+        let platform_known = self.start.platform != PlatformState::Silent;
+        let informed = heard_all && platform_known;
+        if !(waited || informed) {
+            return;
+        }
+        let from_platform = match self.start.platform {
+            PlatformState::Answered(revision) => Some(revision),
+            _ => None,
+        };
+        let from_peers = self.heard.values().copied().filter(|r| *r > 0).max();
+        let Some(goal) = from_platform.max(from_peers) else {
+            return;
+        };
+        if self.held.revision < goal || self.fetch.is_some() {
+            return;
+        }
+        self.start.ready = true;
+        self.act(SpreadAction::InForce(self.held.clone()));
+    }
+}
--- /dev/null
+++ b/crates/peers/src/spread/store.rs
@@ -0,0 +1,168 @@
+//! The parts that an instance holds.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use sha2::Digest;
+use sha2::Sha256;
+use twox_hash::XxHash3_64;
+
+use crate::message::PartHash;
+use crate::message::PartRef;
+
+/// Removals that are remembered.
+const REMOVALS: usize = 256;
+
+/// Part references in one message.
+const PAGE: usize = 256;
+
+/// SHA-256 of a text.
+pub fn part_hash(text: &str) -> PartHash {
+    Sha256::digest(text.as_bytes()).into()
+}
+
+/// A part of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Team, revision and hash.
+    pub head: PartRef,
+    /// The text; empty when the part was removed.
+    pub text: Arc<str>,
+}
+
+impl Part {
+    /// Makes a part from its text.
+    pub fn new(team: &Arc<str>, revision: u64, text: &str) -> Part {
+        let head = PartRef {
+            team: team.clone(),
+            revision,
+            bytes: text.len() as u32,
+            removed: false,
+            hash: part_hash(text),
+        };
+        Part {
+            head,
+            text: Arc::from(text),
+        }
+    }
+
+    /// The mark of a part that no longer exists at `revision`.
+    pub fn removed(team: &Arc<str>, revision: u64) -> Part {
+        let mut part = Part::new(team, revision, "");
+        part.head.removed = true;
+        part
+    }
+}
+
+/// The configuration at a revision. Cheap to clone.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Revision of the whole.
+    pub revision: u64,
+    parts: Arc<BTreeMap<Arc<str>, Part>>,
+}
+
+/// A text that contradicts another of the same team and revision.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Conflict {
+    /// The team.
+    pub team: Arc<str>,
+    /// The revision that has two texts.
+    pub revision: u64,
+}
+
+impl Snapshot {
+    /// The parts that exist, ordered by team.
+    pub fn parts(&self) -> impl Iterator<Item = &Part> {
+        self.parts.values().filter(|part| !part.head.removed)
+    }
+
+    /// A part by its team, also when it was removed.
+    pub fn part(&self, team: &str) -> Option<&Part> {
+        self.parts.get(team)
+    }
+
+    /// Digest over team, revision and hash of the existing parts; never zero.
+    pub fn digest(&self) -> u64 {
+        let mut digest = 0;
+        for part in self.parts() {
+            let seed = XxHash3_64::oneshot_with_seed(part.head.revision, part.head.team.as_bytes());
+            digest ^= XxHash3_64::oneshot_with_seed(seed, &part.head.hash);
+        }
+        digest.max(1)
+    }
+
+    /// Bytes of all texts.
+    pub(crate) fn bytes(&self) -> usize {
+        self.parts.values().map(|part| part.text.len()).sum()
+    }
+
+    /// Teams whose part exists here, but not in a whole listing of `revision`.
+    pub(crate) fn missing(&self, listed: &[&Arc<str>], revision: u64) -> Vec<Part> {
+        self.parts()
+            .filter(|part| part.head.revision <= revision && !listed.contains(&&part.head.team))
+            .map(|part| Part::removed(&part.head.team, revision))
+            .collect()
+    }
+
+    /// A page of the parts that changed after `after`, from the team behind `cursor` on.
+    pub(crate) fn changes(&self, after: u64, cursor: &str) -> (Vec<PartRef>, Arc<str>) {
+        let changed = self.parts.values().filter(|part| {
+            let head = &part.head;
+            head.revision > after && &*head.team > cursor && !(after == 0 && head.removed)
+        });
+        let mut page: Vec<PartRef> = changed
+            .take(PAGE + 1)
+            .map(|part| part.head.clone())
+            .collect();
+        if page.len() <= PAGE {
+            return (page, Arc::from(""));
+        }
+        page.truncate(PAGE);
+        let next = page[PAGE - 1].team.clone();
+        (page, next)
+    }
+
+    /// Takes parts in. A part only ever moves to a higher revision; of two texts with the same
+    /// revision the one that is held stays, so that no two instances push theirs to and fro.
+    pub(crate) fn merge(&mut self, parts: Vec<Part>, revision: u64) -> Vec<Conflict> {
+        let mut conflicts = Vec::new();
+        let held = Arc::make_mut(&mut self.parts);
+        for part in parts {
+            let team = part.head.team.clone();
+            match held.get(&team) {
+                Some(known) if known.head.revision > part.head.revision => {}
+                Some(known) if known.head.revision == part.head.revision => {
+                    conflicts.extend(conflict(&known.head, &part.head));
+                }
+                _ => {
+                    held.insert(team, part);
+                }
+            }
+        }
+        forget_removals(held);
+        self.revision = self.revision.max(revision);
+        conflicts
+    }
+}
+
+/// Whether two references contradict each other.
+pub(crate) fn conflict(known: &PartRef, other: &PartRef) -> Option<Conflict> {
+    let differs = known.revision == other.revision && known.hash != other.hash;
+    let both = !known.removed && !other.removed;
+    (differs && both).then(|| Conflict {
+        team: known.team.clone(),
+        revision: known.revision,
+    })
+}
+
+fn forget_removals(held: &mut BTreeMap<Arc<str>, Part>) {
+    let removed = held.values().filter(|part| part.head.removed);
+    let mut revisions: Vec<u64> = removed.map(|part| part.head.revision).collect();
+    if revisions.len() <= REMOVALS {
+        return;
+    }
+    revisions.sort_unstable();
+    let oldest = revisions[revisions.len() - REMOVALS];
+    held.retain(|_, part| !part.head.removed || part.head.revision >= oldest);
+}
