Add the shell of the peers: authenticated capnp-rpc on a thread of its own

RPC systems can't move between threads, so one thread with a local executor runs them all and typed messages cross channels. No method but the handshake can be called before both ends have proved that they hold the key. A change travels as the difference to the text before, inside the answer that lists it.

--- a/crates/peers/schema/peer.capnp
+++ b/crates/peers/schema/peer.capnp
@@ -50,6 +50,17 @@
   after @1 :UInt64;
   parts @2 :List(PartRef);
   next @3 :Text;
+  # Since version 2.
+  pieces @4 :List(Piece);
+}
+
+struct Piece {
+  # How a part's text differs from that of an earlier revision; base zero: from nothing.
+  team @0 :Text;
+  base @1 :UInt64;
+  prefix @2 :UInt32;
+  suffix @3 :UInt32;
+  middle @4 :Data;
 }
 
 struct PullPart {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,10 +1,14 @@
 //! How instances find each other and spread the configuration between them.
 
+mod auth;
+mod coordination;
 mod identity;
 mod member;
 mod message;
 mod node;
+mod shell;
 mod spread;
+mod wire;
 
 #[allow(
     clippy::all,
@@ -20,6 +24,18 @@
 #[path = "generated/peer_capnp.rs"]
 mod peer_capnp;
 
+pub use auth::Proof;
+pub use auth::Role;
+pub use auth::SharedKey;
+pub use auth::Transcript;
+pub use auth::hmac_sha256;
+pub use coordination::Handler;
+pub use coordination::KeyHash;
+pub use coordination::Outcome;
+pub use coordination::Refuse;
+pub use coordination::Request;
+pub use coordination::Response;
+pub use coordination::Verdict;
 pub use identity::Incarnation;
 pub use identity::Instance;
 pub use identity::InstanceId;
@@ -32,10 +48,12 @@
 pub use member::View;
 pub use message::BUCKETS;
 pub use message::Body;
+pub use message::Delta;
 pub use message::Gossip;
 pub use message::Message;
 pub use message::PartHash;
 pub use message::PartRef;
+pub use message::Piece;
 pub use message::Status;
 pub use message::Update;
 pub use node::Action;
@@ -43,6 +61,16 @@
 pub use node::Finding;
 pub use node::Node;
 pub use node::NodeSettings;
+pub use shell::CallError;
+pub use shell::Limits;
+pub use shell::Notice;
+pub use shell::PeerHandle;
+pub use shell::PeerNode;
+pub use shell::PlatformRequest;
+pub use shell::Settings;
+pub use shell::StartError;
+pub use shell::Started;
+pub use shell::Versions;
 pub use spread::Conflict;
 pub use spread::Index;
 pub use spread::IndexEntry;
@@ -56,3 +84,6 @@
 pub use spread::SpreadFinding;
 pub use spread::SpreadSettings;
 pub use spread::part_hash;
+pub use wire::NEWEST_VERSION;
+pub use wire::OLDEST_VERSION;
+pub use wire::encoded_bytes;
--- a/crates/peers/src/member/mod.rs
+++ b/crates/peers/src/member/mod.rs
@@ -13,6 +13,7 @@
 mod view;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crocushold_base::Millis;
 use rand::SeedableRng;
@@ -36,6 +37,9 @@
 pub use settings::MemberSettings;
 pub use view::View;
 
+/// Members at random that hear from this one itself that it leaves, besides those it probes.
+const LEAVE_CONTACTS: usize = 8;
+
 /// An instance in the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
@@ -281,11 +285,13 @@
     /// Leaves as planned: tells those nearby, who pass it on. The member answers probes until it is
     /// dropped, but takes no further part.
     pub fn leave(&mut self, now: Millis) -> Vec<MemberAction> {
-        let targets = self.targets().to_vec();
+        let sampled = self.sample(LEAVE_CONTACTS);
+        let mut contacts: BTreeSet<InstanceId> = sampled.into_iter().map(|i| i.id).collect();
+        contacts.extend(self.targets().iter().cloned());
         self.left = true;
         let update = self.self_update(Status::Left);
         self.merge(&update, now);
-        for id in targets {
+        for id in contacts {
             self.send(&id, Body::None);
         }
         self.finish()
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -75,6 +75,28 @@
     pub hash: PartHash,
 }
 
+/// How a part's text differs from that of an earlier revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Piece {
+    /// The team.
+    pub team: Arc<str>,
+    /// The earlier revision; zero when the middle is the whole text.
+    pub base: u64,
+    /// The difference.
+    pub delta: Delta,
+}
+
+/// A difference between two texts that have a start and an end in common.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Delta {
+    /// Bytes in common at the start.
+    pub prefix: u32,
+    /// Bytes in common at the end.
+    pub suffix: u32,
+    /// What stands between them in the new text.
+    pub middle: Vec<u8>,
+}
+
 /// The body of a message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Body {
@@ -118,6 +140,8 @@
         parts: Vec<PartRef>,
         /// Cursor of the next page; empty at the end.
         next: Arc<str>,
+        /// The smaller texts among them, as differences from what the asker should hold.
+        pieces: Vec<Piece>,
     },
     /// Asks for a piece of a part's text.
     PullPart {
--- a/crates/peers/src/node.rs
+++ b/crates/peers/src/node.rs
@@ -227,10 +227,13 @@
 
     /// Announces over the connections that the probes keep open.
     fn announce(&mut self, revision: u64, actions: &mut Vec<Action>) {
-        for peer in self.neighbours() {
-            if self.spread.heard(&peer) < revision {
-                self.send_to(&peer, Body::Announce(revision), actions);
-            }
+        let mut behind = self.neighbours();
+        behind.retain(|peer| self.spread.heard(peer) < revision);
+        // Taken in turn: always the first ones by name would leave some instances out.
+        let turn = revision as usize % behind.len().max(1);
+        behind.rotate_left(turn);
+        for peer in behind.iter().take(self.spread.fanout()) {
+            self.send_to(peer, Body::Announce(revision), actions);
         }
     }
 
--- /dev/null
+++ b/crates/peers/src/shell/clients.rs
@@ -0,0 +1,174 @@
+//! Calls to peers: connections, deadlines, circuits.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use crocushold_base::Clock;
+use crocushold_base::Millis;
+use futures::lock::Mutex;
+
+use crate::identity::Instance;
+use crate::identity::InstanceId;
+use crate::peer_capnp::session;
+use crate::shell::circuit::Circuit;
+use crate::shell::connect::Connection;
+use crate::shell::connect::connect;
+use crate::shell::error::CallError;
+use crate::shell::settings::Settings;
+
+/// A session with a peer and the protocol version that was agreed for it.
+pub(crate) struct Line {
+    pub(crate) session: session::Client,
+    pub(crate) version: u16,
+}
+
+/// What is kept for one peer.
+#[derive(Default)]
+struct Client {
+    connection: Mutex<Option<Connection>>,
+    circuit: RefCell<Circuit>,
+    waiting: Cell<usize>,
+    used: Cell<Millis>,
+}
+
+/// Counts a waiting call for as long as it lives.
+struct Waiting<'a>(&'a Cell<usize>);
+
+impl<'a> Waiting<'a> {
+    fn enter(waiting: &'a Cell<usize>) -> Waiting<'a> {
+        waiting.set(waiting.get() + 1);
+        Waiting(waiting)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// The peers that were called lately.
+pub(crate) struct Clients {
+    settings: Rc<Settings>,
+    clock: Clock,
+    clients: RefCell<BTreeMap<InstanceId, Rc<Client>>>,
+}
+
+impl Clients {
+    pub(crate) fn new(settings: Rc<Settings>, clock: Clock) -> Clients {
+        Clients {
+            settings,
+            clock,
+            clients: RefCell::default(),
+        }
+    }
+
+    /// Makes a call within `deadline`, connecting first where needed.
+    ///
+    /// # Errors
+    ///
+    /// See [`CallError`].
+    pub(crate) async fn call<T, F>(
+        &self,
+        peer: &Instance,
+        deadline: Millis,
+        make: impl FnOnce(Line) -> F,
+    ) -> Result<T, CallError>
+    where
+        F: Future<Output = capnp::Result<T>>,
+    {
+        let limits = &self.settings.limits;
+        let client = self.client(&peer.id)?;
+        if client.waiting.get() >= limits.calls {
+            return Err(CallError::Busy);
+        }
+        if !client.circuit.borrow_mut().admit(limits, self.clock.now()) {
+            return Err(CallError::CircuitOpen);
+        }
+        let _waiting = Waiting::enter(&client.waiting);
+        let whole = self.connect_and_call(&client, peer, make);
+        let outcome = timeout(Duration::from(deadline), whole).await;
+        let outcome = outcome.unwrap_or(Err(CallError::Deadline));
+        self.judge(&client, &outcome);
+        outcome
+    }
+
+    async fn connect_and_call<T, F>(
+        &self,
+        client: &Client,
+        peer: &Instance,
+        make: impl FnOnce(Line) -> F,
+    ) -> Result<T, CallError>
+    where
+        F: Future<Output = capnp::Result<T>>,
+    {
+        let line = self.line(client, peer).await?;
+        let answer = make(line).await;
+        answer.map_err(|err| CallError::Broken(err.to_string()))
+    }
+
+    async fn line(&self, client: &Client, peer: &Instance) -> Result<Line, CallError> {
+        let mut slot = client.connection.lock().await;
+        let usable = |c: &Connection| c.is_open() && c.address == peer.address;
+        if !slot.as_ref().is_some_and(usable) {
+            *slot = None;
+            *slot = Some(connect(&self.settings, peer).await?);
+        }
+        let connection = slot.as_ref().expect("connected above");
+        Ok(Line {
+            session: connection.session.clone(),
+            version: connection.version,
+        })
+    }
+
+    fn judge<T>(&self, client: &Client, outcome: &Result<T, CallError>) {
+        let now = self.clock.now();
+        let mut circuit = client.circuit.borrow_mut();
+        if outcome.is_ok() {
+            circuit.succeeded();
+            return;
+        }
+        circuit.failed(&self.settings.limits, now);
+        // The connection of a peer that doesn't answer is given up, so that what it still holds
+        // back isn't kept here, and the next trial starts afresh.
+        if let Some(mut slot) = client.connection.try_lock() {
+            *slot = None;
+        }
+    }
+
+    fn client(&self, id: &InstanceId) -> Result<Rc<Client>, CallError> {
+        let mut clients = self.clients.borrow_mut();
+        if !clients.contains_key(id) && clients.len() >= self.settings.limits.outgoing {
+            evict(&mut clients)?;
+        }
+        let client = clients.entry(id.clone()).or_default().clone();
+        client.used.set(self.clock.now());
+        Ok(client)
+    }
+
+    /// Closes connections that weren't used for long.
+    pub(crate) fn close_idle(&self) {
+        let now = self.clock.now();
+        let idle = self.settings.limits.idle;
+        let is_used = |c: &Client| c.waiting.get() > 0 || now.since(c.used.get()) < idle;
+        self.clients.borrow_mut().retain(|_, c| is_used(c));
+    }
+
+    /// Closes all connections.
+    pub(crate) fn close(&self) {
+        self.clients.borrow_mut().clear();
+    }
+}
+
+fn evict(clients: &mut BTreeMap<InstanceId, Rc<Client>>) -> Result<(), CallError> {
+    let unused = clients.iter().filter(|(_, c)| c.waiting.get() == 0);
+    let oldest = unused.min_by_key(|(_, c)| c.used.get());
+    let id = oldest.map(|(id, _)| id.clone()).ok_or(CallError::Busy)?;
+    clients.remove(&id);
+    Ok(())
+}
--- /dev/null
+++ b/crates/peers/src/shell/connect.rs
@@ -0,0 +1,187 @@
+//! An authenticated connection to a peer.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::io::BufReader;
+use async_std::io::BufWriter;
+use async_std::net::TcpStream;
+use async_std::task;
+use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use futures::AsyncReadExt;
+use futures::future::AbortHandle;
+use futures::future::abortable;
+
+use crate::auth::CHALLENGE_BYTES;
+use crate::auth::Challenge;
+use crate::auth::Role;
+use crate::auth::Transcript;
+use crate::auth::challenge;
+use crate::identity::Instance;
+use crate::peer_capnp::gate;
+use crate::peer_capnp::session;
+use crate::shell::error::CallError;
+use crate::shell::settings::Limits;
+use crate::shell::settings::Settings;
+use crate::wire;
+
+/// Limits on what is read from a connection.
+pub(crate) fn reader_options(limits: &Limits) -> ReaderOptions {
+    let mut options = ReaderOptions::new();
+    options
+        .traversal_limit_in_words(Some(limits.message_bytes / 8))
+        .nesting_limit(limits.nesting);
+    options
+}
+
+/// The two-party network of a stream.
+pub(crate) fn network(
+    stream: TcpStream,
+    side: Side,
+    limits: &Limits,
+) -> Box<VatNetwork<BufReader<futures::io::ReadHalf<TcpStream>>>> {
+    let (input, output) = stream.split();
+    Box::new(VatNetwork::new(
+        BufReader::new(input),
+        BufWriter::new(output),
+        side,
+        reader_options(limits),
+    ))
+}
+
+/// A connection over which both ends have proved that they hold the key. Closed when dropped.
+pub(crate) struct Connection {
+    pub(crate) session: session::Client,
+    pub(crate) version: u16,
+    pub(crate) address: SocketAddr,
+    open: Rc<Cell<bool>>,
+    system: AbortHandle,
+}
+
+impl Connection {
+    /// Whether the connection still stands, as far as is known.
+    pub(crate) fn is_open(&self) -> bool {
+        self.open.get()
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.system.abort();
+    }
+}
+
+/// Aborts the connection's task unless the handshake succeeds.
+struct Guard(Option<AbortHandle>);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if let Some(system) = &self.0 {
+            system.abort();
+        }
+    }
+}
+
+/// Connects to a peer and proves both ends, within the handshake's time.
+///
+/// # Errors
+///
+/// [`CallError::Connect`] when there is no connection or no agreement, [`CallError::Replaced`] when
+/// another instance answers.
+pub(crate) async fn connect(settings: &Settings, peer: &Instance) -> Result<Connection, CallError> {
+    let span = Duration::from(settings.limits.handshake);
+    let opening = open(settings, peer);
+    let opened = timeout(span, opening).await;
+    opened.unwrap_or_else(|_| Err(CallError::Connect("no answer in time".into())))
+}
+
+async fn open(settings: &Settings, peer: &Instance) -> Result<Connection, CallError> {
+    let stream = TcpStream::connect(peer.address).await;
+    let stream = stream.map_err(|err| CallError::Connect(err.to_string()))?;
+    // Without it the probes wait for the acknowledgement of earlier ones.
+    let _ = stream.set_nodelay(true);
+    let mut system = RpcSystem::new(network(stream, Side::Client, &settings.limits), None);
+    let gate: gate::Client = system.bootstrap(Side::Server);
+    let open = Rc::new(Cell::new(true));
+    let (running, handle) = abortable(system);
+    let is_open = open.clone();
+    task::spawn_local(async move {
+        let _ = running.await;
+        is_open.set(false);
+    });
+    let mut guard = Guard(Some(handle));
+    let (session, version) = shake_hands(settings, peer, &gate).await?;
+    let system = guard.0.take().expect("the guard was armed above");
+    Ok(Connection {
+        session,
+        version,
+        address: peer.address,
+        open,
+        system,
+    })
+}
+
+async fn shake_hands(
+    settings: &Settings,
+    peer: &Instance,
+    gate: &gate::Client,
+) -> Result<(session::Client, u16), CallError> {
+    let transcript = hello(settings, gate).await.map_err(refused)?;
+    let mut request = gate.authenticate_request();
+    let proof = transcript.proof(&settings.key, Role::Caller);
+    request.get().set_proof(&proof);
+    let response = request.send().promise.await.map_err(refused)?;
+    let answer = response.get().map_err(refused)?;
+    let proof = answer.get_proof().map_err(refused)?;
+    if !transcript.verify(&settings.key, Role::Callee, proof) {
+        return Err(CallError::Connect("the peer doesn't hold the key".into()));
+    }
+    let found = wire::id_of(answer.get_id().map_err(refused)?).map_err(refused)?;
+    if found != peer.id {
+        return Err(CallError::Replaced(found));
+    }
+    let session = answer.get_session().map_err(refused)?;
+    Ok((session, transcript.version))
+}
+
+async fn hello(settings: &Settings, gate: &gate::Client) -> capnp::Result<Transcript> {
+    let challenge = challenge(&mut rand::rng());
+    let mut request = gate.hello_request();
+    let mut hello = request.get();
+    hello.set_min_version(settings.versions.oldest);
+    hello.set_max_version(settings.versions.newest);
+    hello.set_id(settings.me.id.as_str());
+    hello.set_start(settings.start);
+    hello.set_challenge(&challenge);
+    let response = request.send().promise.await?;
+    let answer = response.get()?;
+    let version = answer.get_version();
+    let spoken = settings.versions.oldest..=settings.versions.newest;
+    if !spoken.contains(&version) {
+        return Err(wire::malformed("version"));
+    }
+    Ok(Transcript {
+        version,
+        caller: settings.me.id.clone(),
+        challenge,
+        answer: challenge_of(answer.get_challenge()?)?,
+    })
+}
+
+/// Reads a challenge.
+pub(crate) fn challenge_of(bytes: &[u8]) -> capnp::Result<Challenge> {
+    let bytes: &[u8; CHALLENGE_BYTES] =
+        bytes.try_into().map_err(|_| wire::malformed("challenge"))?;
+    Ok(*bytes)
+}
+
+#[allow(clippy::needless_pass_by_value)] // the shape that map_err wants
+fn refused(err: capnp::Error) -> CallError {
+    CallError::Connect(err.to_string())
+}
--- /dev/null
+++ b/crates/peers/src/shell/server.rs
@@ -0,0 +1,348 @@
+//! The side of a connection that was connected to.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use async_std::task;
+use capnp::capability::Rc as CapRc;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use crocushold_base::Millis;
+use futures::future::AbortHandle;
+use futures::future::abortable;
+
+use crate::auth::Role;
+use crate::auth::Transcript;
+use crate::auth::challenge;
+use crate::coordination::KeyHash;
+use crate::coordination::Outcome;
+use crate::coordination::Request;
+use crate::coordination::Response;
+use crate::identity::InstanceId;
+use crate::message::Body;
+use crate::message::Gossip;
+use crate::message::Message;
+use crate::node::Event;
+use crate::peer_capnp::gate;
+use crate::peer_capnp::session;
+use crate::shell::connect::challenge_of;
+use crate::shell::connect::network;
+use crate::shell::core::Core;
+use crate::shell::settings::Versions;
+use crate::wire;
+
+/// Connections that others hold open to this instance.
+#[derive(Default)]
+pub(crate) struct Doors {
+    open: Cell<usize>,
+    strangers: Cell<usize>,
+}
+
+/// One connection; counted for as long as it lives.
+struct Visit {
+    core: Rc<Core>,
+    is_peer: Cell<bool>,
+    used: Cell<Millis>,
+}
+
+impl Visit {
+    fn enter(core: Rc<Core>) -> Option<Rc<Visit>> {
+        let limits = &core.settings.limits;
+        let doors = &core.doors;
+        if doors.open.get() >= limits.incoming || doors.strangers.get() >= limits.strangers {
+            return None;
+        }
+        doors.open.set(doors.open.get() + 1);
+        doors.strangers.set(doors.strangers.get() + 1);
+        let used = Cell::new(core.clock.now());
+        Some(Rc::new(Visit {
+            core,
+            is_peer: Cell::new(false),
+            used,
+        }))
+    }
+
+    fn prove(&self) {
+        let strangers = &self.core.doors.strangers;
+        strangers.set(strangers.get() - 1);
+        self.is_peer.set(true);
+    }
+
+    fn touch(&self) {
+        self.used.set(self.core.clock.now());
+    }
+
+    /// Time that the connection may go on without a call.
+    fn allowance(&self) -> Millis {
+        let limits = &self.core.settings.limits;
+        if self.is_peer.get() {
+            limits.idle + limits.idle
+        } else {
+            limits.handshake
+        }
+    }
+}
+
+impl Drop for Visit {
+    fn drop(&mut self) {
+        let doors = &self.core.doors;
+        doors.open.set(doors.open.get() - 1);
+        if !self.is_peer.get() {
+            doors.strangers.set(doors.strangers.get() - 1);
+        }
+    }
+}
+
+/// Serves a connection until it ends, or doesn't prove itself in time, or is idle for long.
+pub(crate) fn serve(core: &Rc<Core>, stream: TcpStream) {
+    let Some(visit) = Visit::enter(core.clone()) else {
+        return;
+    };
+    let _ = stream.set_nodelay(true);
+    let ending: Rc<RefCell<Option<AbortHandle>>> = Rc::default();
+    let gate = Gate {
+        visit: Rc::downgrade(&visit),
+        transcript: RefCell::new(None),
+        ending: ending.clone(),
+    };
+    let gate: gate::Client = capnp_rpc::new_client(gate);
+    let network = network(stream, Side::Server, &core.settings.limits);
+    let system = RpcSystem::new(network, Some(gate.client));
+    let (running, handle) = abortable(system);
+    *ending.borrow_mut() = Some(handle.clone());
+    let (watching, watch) = abortable(close_when_idle(visit.clone(), handle));
+    task::spawn_local(watching);
+    task::spawn_local(async move {
+        let _ = running.await;
+        watch.abort();
+        drop(visit);
+    });
+}
+
+async fn close_when_idle(visit: Rc<Visit>, handle: AbortHandle) {
+    loop {
+        let idle = visit.core.clock.now().since(visit.used.get());
+        let allowance = visit.allowance();
+        if idle >= allowance {
+            handle.abort();
+            return;
+        }
+        task::sleep(Duration::from(Millis(allowance.since(idle).0.max(1)))).await;
+    }
+}
+
+/// What a connection gives before the caller has proved that it holds the key.
+struct Gate {
+    visit: std::rc::Weak<Visit>,
+    transcript: RefCell<Option<Transcript>>,
+    ending: Rc<RefCell<Option<AbortHandle>>>,
+}
+
+impl Gate {
+    fn refuse(&self, reason: &str) -> capnp::Error {
+        if let Some(handle) = self.ending.borrow().as_ref() {
+            handle.abort();
+        }
+        capnp::Error::failed(reason.into())
+    }
+
+    fn visit(&self) -> capnp::Result<Rc<Visit>> {
+        let visit = self.visit.upgrade();
+        visit.ok_or_else(|| capnp::Error::disconnected("closed".into()))
+    }
+
+    fn greet(
+        &self,
+        params: &gate::HelloParams,
+        results: &mut gate::HelloResults,
+    ) -> capnp::Result<()> {
+        let visit = self.visit()?;
+        let hello = params.get()?;
+        let theirs = Versions {
+            oldest: hello.get_min_version(),
+            newest: hello.get_max_version(),
+        };
+        let agreed = visit.core.settings.versions.agree(theirs);
+        let version = agreed.ok_or_else(|| self.refuse("no common version"))?;
+        let answer = challenge(&mut rand::rng());
+        let mut out = results.get();
+        out.set_version(version);
+        out.set_challenge(&answer);
+        *self.transcript.borrow_mut() = Some(Transcript {
+            version,
+            caller: wire::id_of(hello.get_id()?)?,
+            challenge: challenge_of(hello.get_challenge()?)?,
+            answer,
+        });
+        Ok(())
+    }
+
+    fn admit(
+        &self,
+        params: &gate::AuthenticateParams,
+        results: &mut gate::AuthenticateResults,
+    ) -> capnp::Result<()> {
+        let visit = self.visit()?;
+        let settings = &visit.core.settings;
+        let proof = params.get()?.get_proof()?;
+        // One try for each challenge.
+        let transcript = self.transcript.borrow_mut().take();
+        let proved = transcript.filter(|t| t.verify(&settings.key, Role::Caller, proof));
+        let Some(transcript) = proved else {
+            visit.core.note_stranger();
+            return Err(self.refuse("not admitted"));
+        };
+        if !visit.is_peer.get() {
+            visit.prove();
+        }
+        let mut out = results.get();
+        out.set_proof(&transcript.proof(&settings.key, Role::Callee));
+        out.set_id(settings.me.id.as_str());
+        out.set_start(settings.start);
+        out.set_session(capnp_rpc::new_client(Session {
+            visit: Rc::downgrade(&visit),
+            peer: transcript.caller,
+            version: transcript.version,
+        }));
+        Ok(())
+    }
+}
+
+impl gate::Server for Gate {
+    async fn hello(
+        self: CapRc<Self>,
+        params: gate::HelloParams,
+        mut results: gate::HelloResults,
+    ) -> capnp::Result<()> {
+        self.greet(&params, &mut results)
+    }
+
+    async fn authenticate(
+        self: CapRc<Self>,
+        params: gate::AuthenticateParams,
+        mut results: gate::AuthenticateResults,
+    ) -> capnp::Result<()> {
+        self.admit(&params, &mut results)
+    }
+}
+
+/// What a proved peer can call.
+struct Session {
+    visit: std::rc::Weak<Visit>,
+    peer: InstanceId,
+    version: u16,
+}
+
+impl Session {
+    fn visit(&self) -> capnp::Result<Rc<Visit>> {
+        let visit = self.visit.upgrade();
+        let visit = visit.ok_or_else(|| capnp::Error::disconnected("closed".into()))?;
+        visit.touch();
+        Ok(visit)
+    }
+
+    fn coordinate(&self, request: Request) -> capnp::Result<Response> {
+        let visit = self.visit()?;
+        Ok(visit.core.handler.handle(&self.peer, request))
+    }
+}
+
+fn unimplemented() -> capnp::Error {
+    capnp::Error::unimplemented("the handler refused".into())
+}
+
+impl session::Server for Session {
+    async fn exchange(
+        self: CapRc<Self>,
+        params: session::ExchangeParams,
+        mut results: session::ExchangeResults,
+    ) -> capnp::Result<()> {
+        let visit = self.visit()?;
+        let message = wire::read(params.get()?.get_message()?)?;
+        let event = Event::Message(self.peer.clone(), message);
+        let reply = visit.core.feed(event);
+        let reply = reply.unwrap_or(Message {
+            gossip: Gossip::default(),
+            body: Body::None,
+        });
+        wire::write(&reply, self.version, results.get().init_message());
+        Ok(())
+    }
+
+    async fn claim(
+        self: CapRc<Self>,
+        params: session::ClaimParams,
+        mut results: session::ClaimResults,
+    ) -> capnp::Result<()> {
+        let input = params.get()?;
+        let answer = self.coordinate(Request::Claim {
+            key: key_of(input.get_key_high(), input.get_key_low()),
+            claimant: wire::id_of(input.get_claimant()?)?,
+            view_digest: input.get_view_digest(),
+        })?;
+        let Response::Claimed { verdict, wait } = answer else {
+            return Err(unimplemented());
+        };
+        results.get().set_verdict(verdict.code());
+        results.get().set_wait_ms(wait.0);
+        Ok(())
+    }
+
+    async fn settle(
+        self: CapRc<Self>,
+        params: session::SettleParams,
+        _results: session::SettleResults,
+    ) -> capnp::Result<()> {
+        let input = params.get()?;
+        let answer = self.coordinate(Request::Settle {
+            key: key_of(input.get_key_high(), input.get_key_low()),
+            outcome: Outcome::from_code(input.get_outcome()),
+        })?;
+        done(answer)
+    }
+
+    async fn borrow(
+        self: CapRc<Self>,
+        params: session::BorrowParams,
+        mut results: session::BorrowResults,
+    ) -> capnp::Result<()> {
+        let input = params.get()?;
+        let answer = self.coordinate(Request::Borrow {
+            account: wire::name(input.get_account()?)?,
+            tokens: input.get_tokens(),
+        })?;
+        let Response::Lent { granted, expires } = answer else {
+            return Err(unimplemented());
+        };
+        results.get().set_granted(granted);
+        results.get().set_expires_ms(expires.0);
+        Ok(())
+    }
+
+    async fn give_back(
+        self: CapRc<Self>,
+        params: session::GiveBackParams,
+        _results: session::GiveBackResults,
+    ) -> capnp::Result<()> {
+        let input = params.get()?;
+        let answer = self.coordinate(Request::GiveBack {
+            account: wire::name(input.get_account()?)?,
+            tokens: input.get_tokens(),
+        })?;
+        done(answer)
+    }
+}
+
+fn done(answer: Response) -> capnp::Result<()> {
+    match answer {
+        Response::Done => Ok(()),
+        _ => Err(unimplemented()),
+    }
+}
+
+fn key_of(high: u64, low: u64) -> KeyHash {
+    KeyHash((u128::from(high) << 64) | u128::from(low))
+}
--- a/crates/peers/src/spread/fetch.rs
+++ b/crates/peers/src/spread/fetch.rs
@@ -6,6 +6,7 @@
 
 use crate::identity::InstanceId;
 use crate::message::PartRef;
+use crate::message::Piece;
 use crate::spread::store::Part;
 
 /// Bytes of text in one message.
@@ -42,6 +43,7 @@
     pub(super) revision: u64,
     pub(super) after: u64,
     pub(super) listed: Vec<PartRef>,
+    pub(super) pieces: Vec<Piece>,
     pub(super) cursor: Arc<str>,
     pub(super) wants: Vec<Want>,
     pub(super) staged: Vec<Part>,
@@ -58,6 +60,7 @@
             revision,
             after,
             listed: Vec::new(),
+            pieces: Vec::new(),
             cursor: Arc::from(""),
             wants: Vec::new(),
             staged: Vec::new(),
@@ -77,6 +80,7 @@
     pub(super) fn restart(&mut self, revision: u64) {
         self.revision = revision;
         self.listed.clear();
+        self.pieces.clear();
         self.cursor = Arc::from("");
     }
 
--- a/crates/peers/src/spread/mod.rs
+++ b/crates/peers/src/spread/mod.rs
@@ -5,6 +5,7 @@
 //! ahead. Part by part, and as a whole, revisions only grow.
 
 mod budget;
+mod delta;
 mod fetch;
 mod peers;
 mod platform;
@@ -142,6 +143,11 @@
         self.digest
     }
 
+    /// Neighbours to which a change is announced.
+    pub fn fanout(&self) -> usize {
+        self.settings.fanout
+    }
+
     /// Whether a configuration is in force.
     pub fn is_ready(&self) -> bool {
         self.start.is_ready()
--- a/crates/peers/src/spread/peers.rs
+++ b/crates/peers/src/spread/peers.rs
@@ -8,6 +8,7 @@
 use crate::message::Body;
 use crate::message::Gossip;
 use crate::message::PartRef;
+use crate::message::Piece;
 use crate::spread::Spread;
 use crate::spread::SpreadAction;
 use crate::spread::SpreadFinding;
@@ -37,12 +38,7 @@
                 revision,
                 offset,
             } => self.on_pull_part(team, *revision, *offset),
-            Body::Changes {
-                revision,
-                after,
-                parts,
-                next,
-            } => self.on_changes(from, (*revision, *after), parts, next),
+            Body::Changes { .. } => self.on_changes(from, body),
             Body::Chunk {
                 part,
                 offset,
@@ -137,11 +133,18 @@
 
     fn on_pull_index(&mut self, after: u64, cursor: &str) {
         let (parts, next) = self.held.changes(after, cursor);
+        // A comparison of everything is about revisions and hashes; the texts are the same mostly.
+        let pieces = if after == 0 {
+            Vec::new()
+        } else {
+            self.held.pieces(after, &parts)
+        };
         self.reply(Body::Changes {
             revision: self.held.revision,
             after,
             parts,
             next,
+            pieces,
         });
     }
 
@@ -158,26 +161,31 @@
         });
     }
 
-    fn on_changes(
-        &mut self,
-        from: &InstanceId,
-        (revision, after): (u64, u64),
-        parts: &[PartRef],
-        next: &Arc<str>,
-    ) {
+    fn on_changes(&mut self, from: &InstanceId, body: &Body) {
+        let Body::Changes {
+            revision,
+            after,
+            parts,
+            next,
+            pieces,
+        } = body
+        else {
+            return;
+        };
         let Some(fetch) = &mut self.fetch else {
             return;
         };
-        if !fetch.is_from(from) || fetch.is_listed || fetch.after != after {
+        if !fetch.is_from(from) || fetch.is_listed || fetch.after != *after {
             return;
         }
         fetch.asked = None;
-        if !fetch.cursor.is_empty() && revision != fetch.revision {
-            fetch.restart(revision);
+        if !fetch.cursor.is_empty() && *revision != fetch.revision {
+            fetch.restart(*revision);
             return;
         }
-        fetch.revision = revision;
+        fetch.revision = *revision;
         fetch.listed.extend_from_slice(parts);
+        fetch.pieces.extend_from_slice(pieces);
         fetch.cursor = next.clone();
         if next.is_empty() {
             self.plan();
@@ -190,18 +198,20 @@
             return;
         };
         let listed = std::mem::take(&mut fetch.listed);
+        let pieces = std::mem::take(&mut fetch.pieces);
         if fetch.after == 0 {
             let teams: Vec<&Arc<str>> = listed.iter().map(|head| &head.team).collect();
             fetch.staged = self.held.missing(&teams, fetch.revision);
         }
         for head in &listed {
-            self.plan_part(&mut fetch, head);
+            let piece = pieces.iter().find(|piece| piece.team == head.team);
+            self.plan_part(&mut fetch, head, piece);
         }
         fetch.is_listed = true;
         self.fetch = Some(fetch);
     }
 
-    fn plan_part(&mut self, fetch: &mut Fetch, head: &PartRef) {
+    fn plan_part(&mut self, fetch: &mut Fetch, head: &PartRef, piece: Option<&Piece>) {
         if let Some(known) = self.held.part(&head.team).map(|part| part.head.clone()) {
             if let Some(conflict) = store::conflict(&known, head) {
                 self.report_conflict(conflict);
@@ -214,12 +224,31 @@
             fetch.staged.push(Part::removed(&head.team, head.revision));
             return;
         }
+        if let Some(part) = piece.and_then(|piece| self.assemble(head, piece)) {
+            fetch.staged.push(part);
+            return;
+        }
         fetch.wants.push(Want {
             team: head.team.clone(),
             revision: head.revision,
         });
     }
 
+    /// Puts a text together from a difference; none when this instance holds another base than the
+    /// peer supposed, so that the whole text has to be pulled.
+    fn assemble(&self, head: &PartRef, piece: &Piece) -> Option<Part> {
+        let known = self.held.part(&head.team);
+        let base = match known {
+            _ if piece.base == 0 => "",
+            Some(known) if known.head.revision == piece.base => &*known.text,
+            _ => return None,
+        };
+        let text = piece.delta.apply(base)?;
+        let part = Part::new(&head.team, head.revision, &text);
+        let allowed = text.len() <= self.settings.part_bytes;
+        (allowed && part.head.hash == head.hash).then_some(part)
+    }
+
     fn on_chunk(&mut self, from: &InstanceId, part: &PartRef, offset: u32, bytes: &[u8]) {
         let limit = self.settings.part_bytes;
         let Some(fetch) = &mut self.fetch else {
--- a/crates/peers/src/spread/settings.rs
+++ b/crates/peers/src/spread/settings.rs
@@ -27,6 +27,8 @@
     pub join_wait: Millis,
     /// Peers whose revision is asked for while joining.
     pub join_peers: usize,
+    /// Neighbours to which a change is announced at once; the others hear of it with a probe.
+    pub fanout: usize,
     /// Least time between two comparisons of all parts with a peer at the same revision.
     pub compare_interval: Millis,
     /// Largest text of a part, in bytes.
@@ -49,6 +51,7 @@
             answer_wait: Millis::from_secs(2),
             join_wait: Millis::from_secs(4),
             join_peers: 3,
+            fanout: 2,
             compare_interval: Millis::from_secs(30),
             part_bytes: 1 << 20,
             total_bytes: 64 << 20,
--- a/crates/peers/src/spread/store.rs
+++ b/crates/peers/src/spread/store.rs
@@ -7,8 +7,10 @@
 use sha2::Sha256;
 use twox_hash::XxHash3_64;
 
+use crate::message::Delta;
 use crate::message::PartHash;
 use crate::message::PartRef;
+use crate::message::Piece;
 
 /// Removals that are remembered.
 const REMOVALS: usize = 256;
@@ -16,6 +18,10 @@
 /// Part references in one message.
 const PAGE: usize = 256;
 
+/// Most bytes of texts that accompany a page of changes, and most of one of them.
+const PAGE_TEXT: usize = 64 << 10;
+const PIECE_TEXT: usize = 16 << 10;
+
 /// SHA-256 of a text.
 pub fn part_hash(text: &str) -> PartHash {
     Sha256::digest(text.as_bytes()).into()
@@ -28,6 +34,14 @@
     pub head: PartRef,
     /// The text; empty when the part was removed.
     pub text: Arc<str>,
+    /// The text before, so that only the difference has to travel.
+    previous: Option<Previous>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Previous {
+    revision: u64,
+    text: Arc<str>,
 }
 
 impl Part {
@@ -43,6 +57,18 @@
         Part {
             head,
             text: Arc::from(text),
+            previous: None,
+        }
+    }
+
+    /// The text as a difference from what a peer at revision `after` of the whole holds.
+    fn piece(&self, after: u64) -> Piece {
+        let previous = self.previous.as_ref().filter(|p| p.revision <= after);
+        let (base, text) = previous.map_or((0, ""), |p| (p.revision, &*p.text));
+        Piece {
+            team: self.head.team.clone(),
+            base,
+            delta: Delta::between(text, &self.text),
         }
     }
 
@@ -123,6 +149,24 @@
         (page, next)
     }
 
+    /// The smaller texts among `parts`, for a peer at revision `after` of the whole.
+    pub(crate) fn pieces(&self, after: u64, parts: &[PartRef]) -> Vec<Piece> {
+        let mut pieces = Vec::new();
+        let mut room = PAGE_TEXT;
+        for part in parts.iter().filter_map(|head| self.part(&head.team)) {
+            if part.head.removed {
+                continue;
+            }
+            let piece = part.piece(after);
+            let bytes = piece.delta.middle.len();
+            if bytes <= PIECE_TEXT.min(room) {
+                room -= bytes;
+                pieces.push(piece);
+            }
+        }
+        pieces
+    }
+
     /// Takes parts in. A part only ever moves to a higher revision; of two texts with the same
     /// revision the one that is held stays, so that no two instances push theirs to and fro.
     pub(crate) fn merge(&mut self, parts: Vec<Part>, revision: u64) -> Vec<Conflict> {
@@ -135,8 +179,13 @@
                 Some(known) if known.head.revision == part.head.revision => {
                     conflicts.extend(conflict(&known.head, &part.head));
                 }
-                _ => {
-                    held.insert(team, part);
+                known => {
+                    let previous = known.filter(|known| !known.head.removed);
+                    let previous = previous.map(|known| Previous {
+                        revision: known.head.revision,
+                        text: known.text.clone(),
+                    });
+                    held.insert(team, Part { previous, ..part });
                 }
             }
         }
