--- a/crates/peers/src/member/mod.rs
+++ b/crates/peers/src/member/mod.rs
@@ -338,8 +338,8 @@
         let Some(record) = self.table.get_mut(from) else {
             return;
         };
-        let restarted = gossip.incarnation.start > record.incarnation.start;
-        if restarted {
+        // Its own word about its incarnation is as good as the update that got lost.
+        if gossip.incarnation > record.incarnation {
             let update = Update {
                 instance: record.instance.clone(),
                 incarnation: gossip.incarnation,
@@ -352,7 +352,7 @@
         {
             // It lives but hasn't heard of the suspicion yet: the answer tells it, and the
             // suspicion starts again so that the refutation has time to come.
-            suspicion.since = now;
+            *suspicion = suspicion.restarted(now);
         }
         self.compare(from, gossip.view_digest, now);
     }
--- a/crates/peers/src/member/probe.rs
+++ b/crates/peers/src/member/probe.rs
@@ -167,19 +167,32 @@
     }
 
     pub(super) fn expire_suspicions(&mut self, now: Millis) {
-        let expired: Vec<InstanceId> = self
-            .table
-            .live()
-            .filter(|record| {
-                record.suspicion.as_ref().is_some_and(|suspicion| {
-                    now.since(suspicion.since) >= self.suspicion_span(suspicion.origins.len())
-                })
-            })
-            .map(|record| record.instance.id.clone())
-            .collect();
-        for id in expired {
-            self.declare(&id, Status::Dead, now);
+        let suspects = self.table.live().filter_map(|record| {
+            let suspicion = record.suspicion.as_ref()?;
+            let span = self.suspicion_span(suspicion.origins.len());
+            let expired = now.since(suspicion.since) >= span;
+            expired.then(|| (record.instance.id.clone(), suspicion.last_call))
+        });
+        let suspects: Vec<_> = suspects.collect();
+        for (id, last_call) in suspects {
+            match last_call {
+                None => self.make_last_call(&id, now),
+                Some(t) if now.since(t) >= self.scaled(self.settings.probe_interval) => {
+                    self.declare(&id, Status::Dead, now);
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
+    /// Probes a suspect once more. Its refutation may have got lost on the way here alone; a death
+    /// declared then would take a healthy member out of every view.
+    fn make_last_call(&mut self, id: &InstanceId, now: Millis) {
+        let record = self.table.get_mut(id);
+        if let Some(suspicion) = record.and_then(|record| record.suspicion.as_mut()) {
+            suspicion.last_call = Some(now);
         }
+        self.send(id, Body::Probe(id.clone()));
     }
 
     /// Starts running suspicions again, as refutations may have been lost in an own pause.
@@ -193,7 +206,7 @@
         for id in suspects {
             let record = self.table.get_mut(&id);
             if let Some(suspicion) = record.and_then(|record| record.suspicion.as_mut()) {
-                suspicion.since = now;
+                *suspicion = suspicion.restarted(now);
             }
         }
     }
--- a/crates/peers/src/member/table.rs
+++ b/crates/peers/src/member/table.rs
@@ -21,6 +21,19 @@
     pub(crate) since: Millis,
     /// Those who suspect, by hash.
     pub(crate) origins: Vec<u32>,
+    /// When this instance itself made the last probe before it declares the member dead.
+    pub(crate) last_call: Option<Millis>,
+}
+
+impl Suspicion {
+    /// The suspicion with all its time before it again.
+    pub(crate) fn restarted(&self, now: Millis) -> Suspicion {
+        Suspicion {
+            since: now,
+            origins: self.origins.clone(),
+            last_call: None,
+        }
+    }
 }
 
 /// What is known about one member.
@@ -178,6 +191,7 @@
     (update.status == Status::Suspect).then(|| Suspicion {
         since: now,
         origins: vec![update.origin],
+        last_call: None,
     })
 }
 
