Reject control characters, never show a pasted key, split long modules

rust-ini ends a line at a lone carriage return, so that text after it was read as a line that no editor shows. A key pasted in place of its digest was printed by the finding about it.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -12,10 +12,13 @@
 use crate::decl::ServiceDecl;
 use crate::finding::Findings;
 use crate::graph::Graph;
+use crate::model::Call;
 use crate::model::Kind;
 use crate::model::Share;
 use crate::model::short_name;
 use crate::model::team_name;
+use crate::targets::late_dependency;
+use crate::targets::target_key;
 
 /// The most that the floors of all classes on a service may take together. The rest goes by
 /// priority; without it the highest tier could not use a burst's worth of its service.
@@ -201,7 +204,7 @@
 
     /// Only the team that owns a plain service binds its calls to classes.
     fn calls(&mut self) {
-        let mut seen: HashMap<(&str, &crate::model::Call), &str> = HashMap::new();
+        let mut seen: HashMap<(&str, &Call), &str> = HashMap::new();
         for class in self.declared.classes.iter() {
             if class.calls.is_empty() {
                 continue;
@@ -313,31 +316,6 @@
     }
 }
 
-/// What is wrong when every class of a dependency may answer later than `class` has to.
-pub(crate) fn late_dependency<'a>(
-    class: &ClassDecl,
-    dependency: &str,
-    classes: impl IntoIterator<Item = &'a ClassDecl>,
-) -> Option<String> {
-    let own = class.targets.whole_answer.or(class.targets.first_token)?;
-    let theirs = classes.into_iter().filter(|c| c.service == dependency);
-    let soonest = theirs.filter_map(|c| c.targets.earliest()).min()?;
-    let message = format!(
-        "the service depends on {}, whose soonest target is {soonest}; write more than that here, \
-         or a shorter target there",
-        short_name(dependency)
-    );
-    (soonest >= own).then_some(message)
-}
-
-/// The key that holds the target by which a class's dependencies are judged.
-pub(crate) fn target_key(class: &ClassDecl) -> &'static str {
-    match class.targets.whole_answer {
-        Some(_) => "whole-answer",
-        None => "first-token",
-    }
-}
-
 pub(crate) fn dangling(kind: &str, name: &str) -> String {
     format!("there is no {kind} {name}; write a section [{kind} {name}] or another name")
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod apply;
 mod catalog;
+mod changes;
 mod check;
 mod decl;
 mod digest;
@@ -22,12 +23,13 @@
 mod resolve;
 mod settings;
 mod source;
+mod targets;
 mod text;
 mod units;
 
-pub use apply::Changes;
-pub use apply::Diff;
 pub use catalog::Catalog;
+pub use changes::Changes;
+pub use changes::Diff;
 pub use digest::Credential;
 pub use digest::KeyDigest;
 pub use explain::Candidate;
--- a/crates/config/src/link.rs
+++ b/crates/config/src/link.rs
@@ -9,8 +9,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use crate::check::late_dependency;
-use crate::check::target_key;
 use crate::decl::AccountDecl;
 use crate::decl::ClassDecl;
 use crate::decl::Declared;
@@ -20,6 +18,8 @@
 use crate::graph::Graph;
 use crate::model::Share;
 use crate::model::team_name;
+use crate::targets::late_dependency;
+use crate::targets::target_key;
 use crate::text::Text;
 
 /// What the accepted editions declare together, by full name.
--- a/crates/config/src/locate.rs
+++ b/crates/config/src/locate.rs
@@ -41,6 +41,7 @@
 const NO_BRACKET: &str = "the section has no closing bracket; write [KIND NAME] alone on its line";
 const INDENTED: &str = "the comment is indented; start it in the first column";
 const BACKSLASH: &str = "the line ends with a backslash; write the value on one line";
+const CONTROL: &str = "the line holds a control character; delete it";
 const NO_SECTION: &str = "the key stands before any section; move it below one";
 
 /// Indexes a text whose first line has the number `first`.
@@ -55,6 +56,10 @@
 
 impl Lines {
     fn add(&mut self, raw: &str, line: usize) {
+        // The library takes a lone carriage return for the end of a line, which no editor shows.
+        if raw.chars().any(|c| c.is_control() && c != '\t') {
+            return self.reject(line, CONTROL);
+        }
         if raw.starts_with(['#', ';']) {
             return;
         }
--- a/crates/config/src/units.rs
+++ b/crates/config/src/units.rs
@@ -55,8 +55,9 @@
         Priority(value: String) {
             display("{value:?} is no priority; write a whole number from 1 (served first) to 5")
         }
-        Digest(value: String) {
-            display("{value:?} is no digest; write the 64 hexadecimal digits that \
+        // Without the value, which may be the key itself, put there by mistake.
+        Digest {
+            display("the value is no digest; write the 64 hexadecimal digits that \
                      `printf %s KEY | sha256sum` prints")
         }
         Prefix(value: String) {
@@ -187,7 +188,7 @@
 
 /// A digest in hexadecimal.
 pub(crate) fn digest(value: &str) -> Result<KeyDigest, ValueError> {
-    KeyDigest::from_hex(value).ok_or_else(|| ValueError::Digest(value.to_owned()))
+    KeyDigest::from_hex(value).ok_or(ValueError::Digest)
 }
 
 /// The path prefix of a plain service.
--- a/crates/config/tests/findings.rs
+++ b/crates/config/tests/findings.rs
@@ -8,6 +8,9 @@
 use crocushold_config::InForce;
 use crocushold_config::Severity;
 use crocushold_config::Text;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
 use test_case::test_case;
 
 /// A sound part; each test spoils one line of it.
@@ -138,6 +141,13 @@
     assert_eq!(places, expected, "{found:#?}");
 }
 
+// A key pasted in place of its digest must not reach the terminal or a log by way of the finding.
+#[test]
+fn finding_shows_no_key() {
+    let found = findings(&spoil(33, "key-sha256 = a.pasted-secret"));
+    assert!(!format!("{found:?}").contains("pasted"), "{found:?}");
+}
+
 #[test]
 fn finding_is_one_line_that_names_its_place() {
     let found = findings(&spoil(21, "priority = 6"));
@@ -187,6 +197,7 @@
 // A key without a separator swallows the next lines in the INI library, up to the next '='. If that
 // went unnoticed, "[class b]" below would vanish and its keys would land in class a.
 #[test_case("[team a]\nformat = 1\n[class a]\npriority\n[class b]\npriority = 1\n"; "bare word")]
+#[test_case("[team a]\nformat = 1\n[class a]\n# x\rpriority = 1\n[class b]\npriority = 1\n"; "lone CR")]
 #[test_case("[team a]\nformat = 1\n[class a]\n  # x\n[class b]\npriority = 1\n"; "indented comment")]
 #[test_case("[team a]\nformat = 1\n[class a]\nservice = x\\\n[class b]\npriority = 1\n"; "backslash")]
 fn swallowed_line_is_found_at_its_own_line(text: &str) {
@@ -290,3 +301,15 @@
     assert!(found[0].message.contains("list it first"));
     assert_eq!(found[0].severity, Severity::Warning);
 }
+
+proptest! {
+    // Whatever stands in a part, reading it ends without a panic, findings are ordered by line, and
+    // reading it again gives the same verdict.
+    #[test]
+    fn any_text_is_read(body in "([a-c]|[=:#;,/ %\\\\]|\\[|\\]|\r|\t|\n|\nservice |\nclass ){0,80}") {
+        let text = format!("{SOUND}{body}");
+        let found = findings(&text);
+        prop_assert!(found.is_sorted_by_key(|f| (f.team.clone(), f.line)));
+        prop_assert_eq!(found, findings(&text));
+    }
+}
