--- a/crates/config/src/explain.rs
+++ b/crates/config/src/explain.rs
@@ -6,7 +6,6 @@
 use crate::catalog::Catalog;
 use crate::digest::Credential;
 use crate::model::Class;
-use crate::model::Kind;
 use crate::model::Limits;
 use crate::model::Priority;
 use crate::model::Resolved;
@@ -211,13 +210,3 @@
         Ok(())
     }
 }
-
-impl Kind {
-    /// The word that the text uses.
-    pub fn as_str(&self) -> &'static str {
-        match self {
-            Kind::Model => "model",
-            Kind::Plain { .. } => "plain",
-        }
-    }
-}
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -105,6 +105,16 @@
     },
 }
 
+impl Kind {
+    /// The word that the text uses.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Kind::Model => "model",
+            Kind::Plain { .. } => "plain",
+        }
+    }
+}
+
 /// A group of backend servers that serve the same requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Service {
