Decide when to read the platform, and what of its answers to believe

The platform is only read, by many readers out of one budget, and may be down, frozen, stale or throttling. ConfigReader and InstancePoller are state machines (event and time in, actions out) that keep their own calls inside a token bucket, give each call a deadline, back off with jitter, honour Retry-After, refuse revisions older than any seen, and read again before they believe anything after a late wake. A thin shell carries the actions out through the trait Fetch.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,55 @@
-//! Placeholder of crocushold-platform.
+//! Reads and watches of what the platform publishes.
+//!
+//! The platform can only be read, answers each call out of a budget that all readers share, and can
+//! be down, frozen, or answer with old data. This crate decides when to call it, and what of its
+//! answers may be believed:
+//!
+//! * [`wire`] holds the types of the documents.
+//! * [`ConfigReader`] reads the configuration index and the teams' parts and watches for changes.
+//!   [`InstancePoller`] polls the instance list. Both are state machines ([`Machine`]): an
+//!   [`Event`] and the time go in, [`Action`]s come out. They open no socket and read no clock.
+//! * [`run`] is the thin shell that carries the actions out through a [`Fetch`].
+//!
+//! Both machines keep these rules whatever the platform does: their own calls stay within a
+//! [`CallBudget`]; every call has a deadline; failures back off with jitter and honour
+//! `Retry-After`; an answer older than an earlier one is reported and never applied; a process that
+//! woke late re-reads before its knowledge counts as confirmed again.
+
+mod call;
+mod fetch;
+mod health;
+mod outstanding;
+mod pace;
+mod poller;
+mod reader;
+mod report;
+mod shell;
+pub mod wire;
+
+pub use call::Action;
+pub use call::Answer;
+pub use call::Call;
+pub use call::CallId;
+pub use call::Event;
+pub use call::Failure;
+pub use call::Machine;
+pub use call::Update;
+pub use fetch::Fetch;
+pub use fetch::FetchError;
+pub use fetch::Get;
+pub use fetch::Header;
+pub use fetch::Reply;
+pub use fetch::fetch;
+pub use pace::Backoff;
+pub use pace::BackoffSettings;
+pub use pace::CallBudget;
+pub use pace::Jitter;
+pub use poller::InstancePoller;
+pub use poller::PollerSettings;
+pub use reader::ConfigReader;
+pub use reader::Part;
+pub use reader::ReaderSettings;
+pub use reader::Snapshot;
+pub use report::Report;
+pub use shell::Shell;
+pub use shell::run;
--- /dev/null
+++ b/crates/platform/src/pace.rs
@@ -0,0 +1,134 @@
+//! How often the platform may be called.
+
+use std::hash::DefaultHasher;
+use std::hash::Hasher;
+
+use crocushold_base::Millis;
+
+/// A token bucket over one reader's own calls, kept as a theoretical arrival time (GCRA).
+///
+/// In any span of time it grants at most `burst` calls plus one for each `interval` of the span.
+/// The platform's budget is shared by all readers; one that loops would starve the others.
+#[derive(Clone, Debug)]
+pub struct CallBudget {
+    interval: Millis,
+    depth: Millis,
+    /// When the bucket will be full again.
+    full_at: Millis,
+}
+
+impl CallBudget {
+    /// A budget of `burst` calls (at least one) that refills by one every `interval`.
+    pub fn new(interval: Millis, burst: u32) -> CallBudget {
+        let extra = u64::from(burst.saturating_sub(1));
+        CallBudget {
+            interval,
+            depth: Millis(interval.0.saturating_mul(extra)),
+            full_at: Millis::ZERO,
+        }
+    }
+
+    /// When the next call is granted.
+    pub fn ready_at(&self) -> Millis {
+        Millis(self.full_at.0.saturating_sub(self.depth.0))
+    }
+
+    /// Takes a call if one is granted at `now`.
+    pub fn take(&mut self, now: Millis) -> bool {
+        if now < self.ready_at() {
+            return false;
+        }
+        self.full_at = self.full_at.max(now) + self.interval;
+        true
+    }
+}
+
+/// Seeded random spans.
+///
+/// Instances that fail together would otherwise retry together; each has its own seed. A keyed hash
+/// of a counter is random enough for that, and repeatable in tests.
+#[derive(Clone, Debug)]
+pub struct Jitter {
+    seed: u64,
+    drawn: u64,
+}
+
+impl Jitter {
+    /// A sequence for this seed.
+    pub fn new(seed: u64) -> Jitter {
+        Jitter { seed, drawn: 0 }
+    }
+
+    /// The next span, from zero to `bound`.
+    pub fn up_to(&mut self, bound: Millis) -> Millis {
+        let mut hasher = DefaultHasher::new();
+        hasher.write_u64(self.seed);
+        hasher.write_u64(self.drawn);
+        self.drawn += 1;
+        Millis(hasher.finish() % bound.0.saturating_add(1))
+    }
+}
+
+/// Bounds of a [`Backoff`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BackoffSettings {
+    /// Longest pause after the first failure.
+    pub first: Millis,
+    /// Longest pause after many.
+    pub cap: Millis,
+    /// Longest `Retry-After` that is honoured: a mistaken one must not silence a reader for ever.
+    pub retry_cap: Millis,
+}
+
+impl Default for BackoffSettings {
+    fn default() -> BackoffSettings {
+        BackoffSettings {
+            first: Millis(250),
+            cap: Millis::from_secs(4),
+            retry_cap: Millis::from_secs(60),
+        }
+    }
+}
+
+/// Exponential pauses; half of each is random.
+#[derive(Clone, Copy, Debug)]
+pub struct Backoff {
+    settings: BackoffSettings,
+    failures: u32,
+}
+
+impl Backoff {
+    /// No failure yet.
+    pub fn new(settings: BackoffSettings) -> Backoff {
+        Backoff {
+            settings,
+            failures: 0,
+        }
+    }
+
+    /// Failures since the last success.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Counts a failure and returns the pause before the next call.
+    pub fn fail(&mut self, jitter: &mut Jitter) -> Millis {
+        let factor = 1u64.checked_shl(self.failures).unwrap_or(u64::MAX);
+        let longest = self.settings.first.0.saturating_mul(factor);
+        let longest = longest.min(self.settings.cap.0);
+        self.failures = self.failures.saturating_add(1);
+        let half = Millis(longest / 2);
+        half + jitter.up_to(half)
+    }
+
+    /// The pause that a `Retry-After` asks for, bounded, and never cut short by the jitter.
+    pub fn retry_after(&self, asked: Millis, jitter: &mut Jitter) -> Millis {
+        let pause = asked.min(self.settings.retry_cap);
+        pause + jitter.up_to(self.settings.first)
+    }
+
+    /// Forgets the failures.
+    pub fn succeed(&mut self) {
+        self.failures = 0;
+    }
+}
--- /dev/null
+++ b/crates/platform/src/shell/exchange.rs
@@ -0,0 +1,121 @@
+//! Turns a call into a read, and its reply into an event.
+
+use crocushold_base::Millis;
+use http_types::Url;
+
+use crate::call::Answer;
+use crate::call::Call;
+use crate::call::CallId;
+use crate::call::Event;
+use crate::call::Failure;
+use crate::fetch::Fetch;
+use crate::fetch::FetchError;
+use crate::fetch::Get;
+use crate::fetch::Reply;
+use crate::shell::Shell;
+use crate::wire::ConfigIndex;
+use crate::wire::InstanceList;
+use crate::wire::PartText;
+
+/// Most bytes of an index or a list: 6,300 entries of 250 bytes, twice over.
+const LIST_LIMIT: usize = 4 << 20;
+/// Most bytes of a part's body; a little above what the machine accepts, so that the machine names
+/// the team.
+const PART_LIMIT: usize = (1 << 20) + 1;
+/// Deadline beyond the machine's own, which cancels first.
+const BACKSTOP: Millis = Millis::from_secs(30);
+
+const OK: u16 = 200;
+const TOO_MANY_REQUESTS: u16 = 429;
+
+/// Makes a call and returns the event that ends it.
+pub(super) async fn perform<F: Fetch>(shell: &Shell<F>, id: CallId, call: Call) -> Event {
+    match exchange(shell, &call).await {
+        Ok(answer) => Event::Answered { call: id, answer },
+        Err(failure) => Event::Failed { call: id, failure },
+    }
+}
+
+async fn exchange<F: Fetch>(shell: &Shell<F>, call: &Call) -> Result<Answer, Failure> {
+    let get = Get {
+        address: shell.address.clone(),
+        path: path(call),
+        timeout: backstop(call),
+        limit: limit(call),
+    };
+    let reply = shell.fetch.get(get).await.map_err(failure)?;
+    check_status(&reply)?;
+    decode(call, reply)
+}
+
+fn path(call: &Call) -> String {
+    match call {
+        Call::Index => "/v1/config".into(),
+        Call::Watch { after, wait } => {
+            format!("/v1/config/watch?after={after}&wait-ms={}", wait.0)
+        }
+        Call::Part { team } => part_path(team),
+        Call::Instances => "/v1/instances".into(),
+    }
+}
+
+/// A team's name comes from the platform and may hold any character.
+fn part_path(team: &str) -> String {
+    let mut url = Url::parse("http://platform/v1/config/parts").expect("a constant URL");
+    if let Ok(mut segments) = url.path_segments_mut() {
+        segments.push(team);
+    }
+    url.path().to_owned()
+}
+
+fn backstop(call: &Call) -> Millis {
+    match call {
+        Call::Watch { wait, .. } => *wait + BACKSTOP,
+        _ => BACKSTOP,
+    }
+}
+
+fn limit(call: &Call) -> usize {
+    match call {
+        Call::Part { .. } => PART_LIMIT,
+        _ => LIST_LIMIT,
+    }
+}
+
+fn failure(error: FetchError) -> Failure {
+    match error {
+        FetchError::Connection(_) => Failure::Connection,
+        FetchError::Timeout => Failure::Timeout,
+        FetchError::TooLarge => Failure::Malformed("answer too large".into()),
+        FetchError::Malformed(cause) => Failure::Malformed(cause),
+        FetchError::Status(status) => Failure::Status(status),
+    }
+}
+
+fn check_status(reply: &Reply) -> Result<(), Failure> {
+    match reply.status {
+        OK => Ok(()),
+        TOO_MANY_REQUESTS => Err(Failure::Throttled {
+            retry_after: reply.number("retry-after").map(Millis::from_secs),
+        }),
+        status => Err(Failure::Status(status)),
+    }
+}
+
+fn decode(call: &Call, reply: Reply) -> Result<Answer, Failure> {
+    let answer = match call {
+        Call::Index | Call::Watch { .. } => ConfigIndex::parse(&reply.body).map(Answer::Index),
+        Call::Part { .. } => part_text(reply).map(Answer::Part),
+        Call::Instances => InstanceList::parse(&reply.body).map(Answer::Instances),
+    };
+    answer.map_err(Failure::Malformed)
+}
+
+fn part_text(reply: Reply) -> Result<PartText, String> {
+    let header = |name| reply.number(name).ok_or(format!("no number in {name}"));
+    Ok(PartText {
+        revision: header("x-revision")?,
+        text_revision: header("x-text-revision")?,
+        text: reply.body,
+    })
+}
--- /dev/null
+++ b/crates/platform/src/wire.rs
@@ -0,0 +1,27 @@
+//! The documents that the platform and backend servers publish.
+//!
+//! Fields that this version doesn't know are ignored, and an enumeration's unknown value becomes
+//! `Other`, so that the platform can be upgraded first.
+
+mod cache;
+mod config;
+mod instances;
+mod load;
+mod orders;
+
+pub use cache::CacheEvent;
+pub use cache::CacheEvents;
+pub use cache::CacheKind;
+pub use config::ConfigIndex;
+pub use config::PartEntry;
+pub use config::PartText;
+pub use instances::InstanceEntry;
+pub use instances::InstanceList;
+pub use instances::InstanceRole;
+pub use instances::InstanceState;
+pub use instances::Misfit;
+pub use load::EngineRole;
+pub use load::LoadReport;
+pub use orders::Order;
+pub use orders::OrderKind;
+pub use orders::OrderRefusal;
--- /dev/null
+++ b/crates/platform/tests/all/driver.rs
@@ -0,0 +1,197 @@
+//! Drives a machine against the fake platform on a virtual clock.
+
+use std::sync::Arc;
+
+use crocushold_base::Millis;
+use crocushold_platform::Action;
+use crocushold_platform::Call;
+use crocushold_platform::CallId;
+use crocushold_platform::ConfigReader;
+use crocushold_platform::Event;
+use crocushold_platform::InstancePoller;
+use crocushold_platform::Machine;
+use crocushold_platform::PollerSettings;
+use crocushold_platform::ReaderSettings;
+use crocushold_platform::Report;
+use crocushold_platform::Snapshot;
+use crocushold_platform::Update;
+use crocushold_platform::wire::InstanceList;
+
+use crate::fake::LATENCY;
+use crate::fake::Platform;
+
+/// A call on its way.
+#[derive(Clone, Debug)]
+pub(crate) struct Started {
+    pub(crate) id: CallId,
+    pub(crate) call: Call,
+    pub(crate) at: Millis,
+}
+
+/// News and when they came.
+#[derive(Clone, Debug)]
+pub(crate) struct Published {
+    pub(crate) at: Millis,
+    pub(crate) update: Update,
+}
+
+/// A machine, its platform, and all that happened.
+pub(crate) struct Driver<M> {
+    pub(crate) machine: M,
+    pub(crate) platform: Platform,
+    pub(crate) now: Millis,
+    pub(crate) waiting: Vec<Started>,
+    pub(crate) started: Vec<Started>,
+    pub(crate) published: Vec<Published>,
+}
+
+/// A reader with default settings.
+pub(crate) fn reader(platform: Platform) -> Driver<ConfigReader> {
+    let settings = ReaderSettings {
+        seed: 7,
+        ..ReaderSettings::default()
+    };
+    Driver::new(ConfigReader::new(settings), platform)
+}
+
+/// A poller with default settings.
+pub(crate) fn poller(platform: Platform) -> Driver<InstancePoller> {
+    let settings = PollerSettings {
+        seed: 7,
+        ..PollerSettings::default()
+    };
+    Driver::new(InstancePoller::new(settings), platform)
+}
+
+impl<M: Machine> Driver<M> {
+    pub(crate) fn new(machine: M, platform: Platform) -> Driver<M> {
+        let mut driver = Driver {
+            machine,
+            platform,
+            now: Millis::from_secs(100),
+            waiting: Vec::new(),
+            started: Vec::new(),
+            published: Vec::new(),
+        };
+        driver.feed(Event::Tick);
+        driver
+    }
+
+    /// Gives the machine an event now.
+    pub(crate) fn feed(&mut self, event: Event) {
+        for action in self.machine.step(event, self.now) {
+            match action {
+                Action::Start { id, call } => self.start(id, call),
+                Action::Cancel { id } => self.waiting.retain(|w| w.id != id),
+                Action::Publish(update) => self.published.push(Published {
+                    at: self.now,
+                    update,
+                }),
+            }
+        }
+        let wake = self.machine.next_wake();
+        assert!(wake > self.now, "the shell would spin at {}", self.now);
+    }
+
+    fn start(&mut self, id: CallId, call: Call) {
+        let at = self.now;
+        let started = Started { id, call, at };
+        self.waiting.push(started.clone());
+        self.started.push(started);
+    }
+
+    /// Runs for `span`, answering calls and waking the machine on time.
+    pub(crate) fn run(&mut self, span: Millis) {
+        let end = self.now + span;
+        while self.now < end {
+            if self.deliver() {
+                continue;
+            }
+            let wake = self.machine.next_wake();
+            self.now = self.next_answer().min(wake).min(end);
+            if self.now >= wake && wake <= end {
+                self.feed(Event::Tick);
+            }
+        }
+    }
+
+    /// Lets time pass while the process is stopped.
+    pub(crate) fn sleep(&mut self, span: Millis) {
+        self.now += span;
+    }
+
+    /// Delivers one answer that has come; returns whether there was one.
+    fn deliver(&mut self) -> bool {
+        let mut answers = self.waiting.iter().enumerate().filter_map(|(place, w)| {
+            let answer = self.platform.answer(&w.call, self.now.since(w.at))?;
+            Some((place, answer))
+        });
+        let Some((place, answer)) = answers.next() else {
+            return false;
+        };
+        let call = self.waiting.remove(place).id;
+        self.feed(match answer {
+            Ok(answer) => Event::Answered { call, answer },
+            Err(failure) => Event::Failed { call, failure },
+        });
+        true
+    }
+
+    /// When the next answer can come.
+    fn next_answer(&self) -> Millis {
+        let times = self.waiting.iter().map(|w| match w.call {
+            Call::Watch { wait, .. } if w.at + LATENCY <= self.now => w.at + wait,
+            _ => w.at + LATENCY,
+        });
+        let next = times.filter(|at| *at > self.now).min();
+        next.unwrap_or(Millis::MAX)
+    }
+
+    /// Calls started since `from`.
+    pub(crate) fn calls_since(&self, from: Millis) -> usize {
+        self.started.iter().filter(|s| s.at >= from).count()
+    }
+
+    pub(crate) fn reports(&self) -> Vec<&Report> {
+        let reports = self.published.iter().filter_map(|p| match &p.update {
+            Update::Report(report) => Some(report),
+            _ => None,
+        });
+        reports.collect()
+    }
+
+    pub(crate) fn snapshots(&self) -> Vec<&Arc<Snapshot>> {
+        let snapshots = self.published.iter().filter_map(|p| match &p.update {
+            Update::Config(snapshot) => Some(snapshot),
+            _ => None,
+        });
+        snapshots.collect()
+    }
+
+    pub(crate) fn lists(&self) -> Vec<&InstanceList> {
+        let lists = self.published.iter().filter_map(|p| match &p.update {
+            Update::Instances(list) => Some(list),
+            _ => None,
+        });
+        lists.collect()
+    }
+
+    /// The revision published last.
+    pub(crate) fn in_force(&self) -> u64 {
+        self.snapshots().last().map_or(0, |s| s.revision)
+    }
+
+    /// When a revision, or a newer one, was published.
+    pub(crate) fn in_force_at(&self, revision: u64) -> Option<Millis> {
+        let published = self
+            .published
+            .iter()
+            .find(|p| matches!(&p.update, Update::Config(s) if s.revision >= revision));
+        published.map(|p| p.at)
+    }
+}
+
+/// A span of whole seconds.
+pub(crate) fn secs(secs: u64) -> Millis {
+    Millis::from_secs(secs)
+}
