--- /dev/null
+++ b/crates/config/src/read.rs
@@ -0,0 +1,368 @@
+//! Reads the sections of one edition into declarations.
+
+mod values;
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use self::values::MAX_CONCURRENCY;
+use self::values::read_grant;
+use self::values::read_kind;
+use self::values::read_targets;
+use self::values::take_concurrency;
+use crate::decl::AccountDecl;
+use crate::decl::ClassDecl;
+use crate::decl::Declared;
+use crate::decl::ModelDecl;
+use crate::decl::Place;
+use crate::decl::ServerDecl;
+use crate::decl::ServiceDecl;
+use crate::fields::Fields;
+use crate::finding::Findings;
+use crate::finding::Severity;
+use crate::model::Kind;
+use crate::model::Limits;
+use crate::model::Priority;
+use crate::model::Share;
+use crate::source::Section;
+use crate::units;
+use crate::units::ValueError;
+
+/// The one format that this version knows.
+const FORMAT: u32 = 1;
+
+/// The most services in an edition.
+const MAX_SERVICES: usize = 64;
+
+/// The most classes in an edition. Each is a label of the metrics.
+const MAX_CLASSES: usize = 64;
+
+/// The most sections of any other kind in an edition.
+const MAX_SECTIONS: usize = 10_000;
+
+const MAX_RETRIES: u32 = 3;
+const MAX_QUEUE: u32 = 1_000_000;
+const MAX_REPLICAS: u32 = 10_000;
+
+/// An account has one key, and a second one while it changes keys.
+const MAX_KEYS: usize = 2;
+
+const DEFAULT_CONCURRENCY: u32 = 64;
+const DEFAULT_QUEUE: u32 = 256;
+const DEFAULT_OBJECTIVE: Share = Share(9_500);
+
+/// Stands for an address that can't be read.
+const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
+const HEADER: &str = "the section is unknown; write [service NAME], [server SERVICE/NAME], \
+                      [model SERVICE/NAME], [class NAME] or [account NAME]";
+
+/// Reads sections one after the other.
+///
+/// A section with a wrong value is declared all the same, with a stand-in for the value, so that the
+/// checks after this find what else is wrong with it. No stand-in is ever in force: the error that
+/// calls for it rejects the edition.
+pub(crate) struct Reader<'a> {
+    team: &'a str,
+    declared: Declared,
+    findings: &'a mut Findings,
+}
+
+/// Reads an edition: its head section, then the others.
+pub(crate) fn read(team: &str, sections: &[Section], findings: &mut Findings) -> Declared {
+    let Some((head, rest)) = sections.split_first() else {
+        return Declared::default();
+    };
+    if !read_head(team, head, findings) || !is_bounded(team, rest, findings) {
+        return Declared::default();
+    }
+    report_repeats(team, rest, findings);
+    let mut reader = Reader {
+        team,
+        declared: Declared::default(),
+        findings,
+    };
+    for section in rest {
+        reader.section(section);
+    }
+    reader.declared
+}
+
+/// Whether the head states a format that this version knows.
+///
+/// Nothing after an unknown format is looked at: a later format may give any line another meaning,
+/// and two program versions must not accept the same edition in two ways.
+fn read_head(team: &str, head: &Section, findings: &mut Findings) -> bool {
+    let mut fields = Fields::new(team, head, findings);
+    let format = fields.require("format", "1", |v| units::count(v, 1, u32::MAX));
+    let known = format == Some(FORMAT);
+    if format.is_some() && !known {
+        fields.reject("format", "the format is unknown; write format = 1");
+        return false;
+    }
+    fields.finish();
+    known
+}
+
+fn report_repeats(team: &str, sections: &[Section], findings: &mut Findings) {
+    let mut seen: HashMap<(&str, &str), usize> = HashMap::new();
+    for section in sections {
+        let (kind, name) = section.header.split_once(' ').unwrap_or_default();
+        if let Some(line) = seen.insert((kind, name.trim()), section.line) {
+            let message = format!("the section is already on line {line}; write it once");
+            findings.push(Place::new(team, section).error("", message));
+        }
+    }
+}
+
+/// Whether there are no more sections of a kind than the checks can look at in a bounded time.
+fn is_bounded(team: &str, sections: &[Section], findings: &mut Findings) -> bool {
+    let mut counts: HashMap<&str, usize> = HashMap::new();
+    for section in sections {
+        let kind = section.header.split(' ').next().unwrap_or_default();
+        let count = counts.entry(kind).or_default();
+        let bound = match kind {
+            "service" => MAX_SERVICES,
+            "class" => MAX_CLASSES,
+            _ => MAX_SECTIONS,
+        };
+        *count += 1;
+        if *count > bound {
+            let message = format!("there are too many such sections; write at most {bound}");
+            findings.push(Place::new(team, section).error("", message));
+            return false;
+        }
+    }
+    true
+}
+
+impl Reader<'_> {
+    fn section(&mut self, section: &Section) {
+        let (kind, name) = section.header.split_once(' ').unwrap_or_default();
+        let name = name.trim();
+        match kind {
+            "service" => self.service(section, name),
+            "server" => self.server(section, name),
+            "model" => self.model(section, name),
+            "class" => self.class(section, name),
+            "account" => self.account(section, name),
+            _ => self.unknown(section, name),
+        }
+    }
+
+    fn unknown(&mut self, section: &Section, name: &str) {
+        self.reject(section, HEADER);
+        self.note_broken("service", format!("{}/{name}", self.team));
+        self.note_broken("class", format!("{}/{name}", self.team));
+    }
+
+    /// Notes what was meant to be declared, so that references to it become no findings too.
+    fn note_broken(&mut self, kind: &'static str, name: String) {
+        self.declared.broken.insert((kind, name));
+    }
+
+    fn reject(&mut self, section: &Section, message: impl Into<String>) {
+        let place = Place::new(self.team, section);
+        self.findings
+            .push(place.finding(Severity::Error, "", message.into()));
+    }
+
+    /// The full name of a section that is named by one word.
+    fn name(&mut self, section: &Section, name: &str) -> Option<String> {
+        match units::name(name) {
+            Ok(name) => Some(format!("{}/{name}", self.team)),
+            Err(error) => {
+                self.reject(section, error.to_string());
+                None
+            }
+        }
+    }
+
+    /// The service's full name and the own name of a section named `SERVICE/NAME`.
+    fn member(
+        &mut self,
+        section: &Section,
+        name: &str,
+        read: impl Fn(&str) -> Result<String, ValueError>,
+    ) -> Option<(String, String)> {
+        let Some((service, own)) = name.split_once('/') else {
+            self.reject(section, "the service is missing; write SERVICE/NAME");
+            return None;
+        };
+        match (units::name(service), read(own)) {
+            (Ok(service), Ok(own)) => Some((format!("{}/{service}", self.team), own)),
+            (Err(error), _) | (_, Err(error)) => {
+                self.reject(section, error.to_string());
+                None
+            }
+        }
+    }
+
+    fn service(&mut self, section: &Section, name: &str) {
+        let name = self.name(section, name);
+        let team = self.team;
+        let mut fields = Fields::new(team, section, self.findings);
+        let kind = read_kind(&mut fields);
+        let depends = fields.take("depends-on", |v| {
+            units::list(v, |item| units::reference(team, item))
+        });
+        let grants = fields.take("shared-with", |v| units::list(v, read_grant));
+        let loads = fields.take("weight-loads", |v| units::rate(v, "/min"));
+        let concurrency = take_concurrency(&mut fields);
+        let orders = fields.take("checks-orders", units::flag);
+        if loads.is_some() && matches!(kind, Some(Kind::Plain { .. })) {
+            fields.reject(
+                "weight-loads",
+                "a plain service loads no weights; leave it out",
+            );
+        }
+        fields.finish();
+        let Some(name) = name else {
+            return;
+        };
+        if kind.is_none() {
+            self.note_broken("service", name.clone());
+        }
+        self.declared.services.push(ServiceDecl {
+            place: Place::new(team, section),
+            name,
+            kind: kind.unwrap_or(Kind::Model),
+            depends: depends.unwrap_or_default(),
+            grants: grants.unwrap_or_default(),
+            weight_loads: loads.unwrap_or_default(),
+            concurrency: concurrency.unwrap_or(DEFAULT_CONCURRENCY),
+            checks_orders: orders.unwrap_or(false),
+        });
+    }
+
+    fn server(&mut self, section: &Section, name: &str) {
+        let member = self.member(section, name, units::name);
+        let mut fields = Fields::new(self.team, section, self.findings);
+        let address = fields.require("address", "10.0.0.7:8000", units::address);
+        let zone = fields.require("zone", "ZONE", units::name);
+        let concurrency = take_concurrency(&mut fields);
+        let checks_orders = fields.take("checks-orders", units::flag);
+        fields.finish();
+        let Some((service, own)) = member else {
+            return;
+        };
+        self.declared.servers.push(ServerDecl {
+            place: Place::new(self.team, section),
+            name: format!("{service}/{own}"),
+            service,
+            address: address.unwrap_or(NO_ADDRESS),
+            zone: zone.unwrap_or_default(),
+            concurrency,
+            checks_orders,
+        });
+    }
+
+    fn model(&mut self, section: &Section, name: &str) {
+        let member = self.member(section, name, units::model_id);
+        let mut fields = Fields::new(self.team, section, self.findings);
+        let weights = fields.require("weights", "16 GB", units::size);
+        let replicas = fields.require("servers", "2", |v| units::count(v, 1, MAX_REPLICAS));
+        fields.finish();
+        let Some((service, id)) = member else {
+            return;
+        };
+        self.declared.models.push(ModelDecl {
+            place: Place::new(self.team, section),
+            name: format!("{service}/{id}"),
+            id,
+            service,
+            weights: weights.unwrap_or_default(),
+            replicas: replicas.unwrap_or_default(),
+        });
+    }
+
+    fn class(&mut self, section: &Section, name: &str) {
+        let name = self.name(section, name);
+        let team = self.team;
+        let mut fields = Fields::new(team, section, self.findings);
+        let service = fields.require("service", "SERVICE", |v| units::reference(team, v));
+        let priority = fields.require("priority", "3", units::priority);
+        let targets = read_targets(&mut fields);
+        let floor = fields.take("floor", units::share);
+        let idempotent = fields.require("idempotent", "yes", units::flag);
+        let retries = fields.take("retries", |v| units::count(v, 0, MAX_RETRIES));
+        let queue = fields.take("queue", |v| units::count(v, 0, MAX_QUEUE));
+        let objective = fields.take("objective", units::share);
+        let calls = fields.take("calls", |v| units::list(v, units::call));
+        let teams = fields.take("shared-with", |v| units::list(v, units::name));
+        if objective == Some(Share::WHOLE) || objective == Some(Share(0)) {
+            let message = "no burn can be worked out; write a share between 0 % and 100 %";
+            fields.reject("objective", message);
+        }
+        if idempotent == Some(false) && retries.is_some_and(|count| count > 0) {
+            let message = "a request that is not idempotent is never sent again; \
+                           write retries = 0 or idempotent = yes";
+            fields.reject("retries", message);
+        }
+        fields.finish();
+        let Some(name) = name else {
+            return;
+        };
+        if service.is_none() || priority.is_none() {
+            self.note_broken("class", name.clone());
+        }
+        let Some(service) = service else {
+            return;
+        };
+        let idempotent = idempotent.unwrap_or(false);
+        let default_retries = u32::from(idempotent);
+        self.declared.classes.push(ClassDecl {
+            place: Place::new(team, section),
+            name,
+            service,
+            priority: priority.unwrap_or(Priority::LOWEST),
+            targets,
+            floor: floor.unwrap_or_default(),
+            idempotent,
+            retries: retries.unwrap_or(default_retries),
+            queue: queue.unwrap_or(DEFAULT_QUEUE),
+            objective: objective.unwrap_or(DEFAULT_OBJECTIVE),
+            calls: calls.unwrap_or_default(),
+            teams: teams.unwrap_or_default(),
+        });
+    }
+
+    fn account(&mut self, section: &Section, name: &str) {
+        let name = self.name(section, name);
+        let team = self.team;
+        let mut fields = Fields::new(team, section, self.findings);
+        let digests = fields.require("key-sha256", "64 hexadecimal digits", |v| {
+            units::list(v, units::digest)
+        });
+        if digests.as_ref().is_some_and(|keys| keys.len() > MAX_KEYS) {
+            fields.reject(
+                "key-sha256",
+                "there are too many keys; write one, or two to change",
+            );
+        }
+        let classes = fields.require("classes", "CLASS, CLASS", |v| {
+            units::list(v, |item| units::reference(team, item))
+        });
+        let requests = fields.require("requests", "50/s", |v| units::rate(v, "/s"));
+        let tokens = fields.require("tokens", "20000/s", |v| units::rate(v, "/s"));
+        let concurrency =
+            fields.require("concurrency", "64", |v| units::count(v, 1, MAX_CONCURRENCY));
+        fields.finish();
+        let Some(name) = name else {
+            return;
+        };
+        self.declared.accounts.push(AccountDecl {
+            place: Place::new(team, section),
+            name,
+            digests: digests.unwrap_or_default(),
+            classes: classes.unwrap_or_default(),
+            limits: Limits {
+                requests: requests.unwrap_or_default(),
+                tokens: tokens.unwrap_or_default(),
+                concurrency: concurrency.unwrap_or_default(),
+            },
+        });
+    }
+}
