Test the stand-ins and the load generator

Wire tests look at the bytes as they came: the three forms of a cut answer, cancel on hang-up, crash, freeze, watch and budget. Parts that depend on time are tested as values with the time as an argument.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -14,6 +14,8 @@
 mod send;
 mod server;
 mod stats;
+#[cfg(test)]
+mod tests;
 mod text;
 
 pub use batch::Batch;
--- a/crates/standins/src/handle.rs
+++ b/crates/standins/src/handle.rs
@@ -103,6 +103,11 @@
         self.control.addr()
     }
 
+    /// The present counters.
+    pub fn stats(&self) -> S::Stats {
+        self.standin.stats()
+    }
+
     /// Applies one command and waits until it is in force.
     ///
     /// # Errors
--- a/crates/standins/src/load/exchange.rs
+++ b/crates/standins/src/load/exchange.rs
@@ -43,7 +43,7 @@
     pub ending: Ending,
     /// The answer, as far as it came.
     pub response: Response,
-    /// When the first token, or a plain answer's first byte, came; counted from the time due.
+    /// When the first token, or the head of an answer that isn't streamed, came; counted from the time due.
     pub first: Option<Duration>,
     /// The gaps between tokens, in microseconds.
     pub gaps: Vec<u32>,
@@ -146,7 +146,8 @@
 
     fn note_time(&mut self, before: u64) {
         let after = self.response.tokens();
-        let begun = if self.tokens.is_some() {
+        let streamed = self.response.is_stream();
+        let begun = if streamed {
             after > 0
         } else {
             self.response.has_head()
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -5,6 +5,8 @@
 mod config;
 mod instances;
 mod server;
+#[cfg(test)]
+mod tests;
 
 pub use command::PlatformCommand;
 pub use command::PlatformSettings;
--- /dev/null
+++ b/crates/standins/tests/all/engine.rs
@@ -0,0 +1,263 @@
+//! The engine over the wire.
+
+use crocushold_standins::BatchSettings;
+use crocushold_standins::Cut;
+use crocushold_standins::CutForm;
+use crocushold_standins::Engine;
+use crocushold_standins::EngineCommand;
+use crocushold_standins::EngineSettings;
+use crocushold_standins::Handle;
+use serde_json::Value;
+use serde_json::json;
+use test_case::test_case;
+
+use crate::wire;
+
+#[async_std::test]
+async fn streamed_answer_carries_its_marker_in_every_token() {
+    let engine = engine().await;
+    let reply = chat(&engine, &request("mine", 3, true)).await;
+    for token in 0..3 {
+        let event = format!("\"content\":\"mine {token} \"");
+        assert!(reply.body.contains(&event), "{}", reply.body);
+    }
+    assert!(reply.body.contains("\"completion_tokens\":3"));
+    assert!(reply.body.ends_with("data: [DONE]\n\n\r\n0\r\n\r\n"));
+    assert_eq!((engine.runs("mine"), engine.stats().useful_tokens), (1, 3));
+}
+
+#[async_std::test]
+async fn whole_answer_has_its_length() {
+    let engine = engine().await;
+    let reply = chat(&engine, &request("mine", 2, false)).await;
+    let length = format!("content-length: {}", reply.body.len());
+    assert!(reply.head.contains(&length), "{}", reply.head);
+    let content = &reply.json()["choices"][0]["message"]["content"];
+    assert_eq!(content, "mine 0 mine 1 ");
+}
+
+#[async_std::test]
+async fn text_completion_answers_in_its_own_form() {
+    let engine = engine().await;
+    let body = json!({"prompt": "hello", "max_tokens": 1, "user": "mine"}).to_string();
+    let reply = wire::post(engine.addr(), "/v1/completions", "", &body).await;
+    assert_eq!(reply.json()["choices"][0]["text"], "mine 0 ");
+}
+
+/// The caller closes its connection while the engine generates, or while its request still queues.
+/// The engine must see it without writing, stop the work, and count it as wasted.
+#[test_case(true; "streamed")]
+#[test_case(false; "whole")]
+#[async_std::test]
+async fn hang_up_cancels_the_request(stream: bool) {
+    let engine = engine().await;
+    let body = request("gone", 30_000, stream).to_string();
+    let request = wire::post_request("/v1/chat/completions", "", &body);
+    let conn = wire::send(engine.addr(), &request).await;
+    wire::eventually("the request runs", || engine.stats().running == 1).await;
+    let marker = "gone".to_owned();
+    engine
+        .command(EngineCommand::HangUp { marker })
+        .await
+        .unwrap();
+    drop(conn);
+    wire::eventually("the cancel", || engine.stats().cancelled == 1).await;
+    let stats = engine.stats();
+    assert_eq!((stats.running, stats.completed), (0, 0));
+    assert_eq!(stats.cancellations[0].marker, "gone");
+    assert!(stats.cancellations[0].after_us.is_some());
+}
+
+/// The caller receives two tokens and the end of the connection; each form of the cut breaks the
+/// framing in its own way, so that a reader who trusts the wrong sign takes the answer for whole.
+#[test_case(CutForm::Chunked, true)]
+#[test_case(CutForm::Chunked, false)]
+#[test_case(CutForm::Length, true)]
+#[test_case(CutForm::Length, false)]
+#[test_case(CutForm::Close, true)]
+#[test_case(CutForm::Close, false)]
+#[async_std::test]
+async fn cut_answer_is_cut_on_the_wire(form: CutForm, stream: bool) {
+    let engine = engine().await;
+    let cut = Some(Cut {
+        after: 2,
+        form,
+        times: Some(1),
+    });
+    engine.command(EngineCommand::Cut { cut }).await.unwrap();
+    let reply = chat(&engine, &request("mine", 5, stream)).await;
+    assert!(reply.body.contains("mine 1 ") && !reply.body.contains("mine 2 "));
+    assert!(!reply.body.contains("[DONE]"));
+    let chunked = reply.head.contains("transfer-encoding: chunked");
+    let length = reply
+        .head
+        .lines()
+        .find_map(|l| l.strip_prefix("content-length: "));
+    match form {
+        CutForm::Chunked => assert!(chunked && !reply.body.ends_with("0\r\n\r\n")),
+        CutForm::Length => {
+            let announced: usize = length.unwrap().parse().unwrap();
+            assert!(!chunked && announced > reply.body.len());
+        }
+        CutForm::Close => assert!(!chunked && length.is_none()),
+    }
+    let stats = engine.stats();
+    assert_eq!((stats.failed, stats.useful_tokens), (1, 0));
+    // The batch may be ahead of what went out; those tokens are wasted too.
+    assert!((2..=5).contains(&stats.wasted_tokens), "{stats:?}");
+    let next = chat(&engine, &request("next", 1, true)).await;
+    assert!(next.body.contains("[DONE]"), "only one answer is cut");
+}
+
+#[async_std::test]
+async fn stalled_stream_stays_open_after_its_tokens() {
+    let engine = engine().await;
+    let stall = EngineCommand::Stall { after: Some(1) };
+    engine.command(stall).await.unwrap();
+    let body = request("mine", 3, true).to_string();
+    let request = wire::post_request("/v1/chat/completions", "", &body);
+    let conn = wire::send(engine.addr(), &request).await;
+    // The engine has generated everything, and still the caller waits.
+    wire::eventually("the batch is done", || {
+        let stats = engine.stats();
+        stats.started == 1 && stats.running + stats.waiting == 0
+    })
+    .await;
+    assert_eq!(engine.stats().completed, 0);
+    drop(conn);
+    wire::eventually("the caller is missed", || engine.stats().cancelled == 1).await;
+}
+
+/// The engine dies in the middle of an answer: the caller's connection ends, new ones are refused,
+/// and after the restart the lost request hasn't been completed.
+#[async_std::test]
+async fn crash_ends_every_connection_until_the_restart() {
+    let engine = engine().await;
+    let body = request("lost", 30_000, true).to_string();
+    let request_text = wire::post_request("/v1/chat/completions", "", &body);
+    let conn = wire::send(engine.addr(), &request_text).await;
+    wire::eventually("the request runs", || engine.stats().running == 1).await;
+    engine.command(EngineCommand::Crash).await.unwrap();
+    let reply = wire::finish(conn).await;
+    assert!(!reply.body.contains("[DONE]"));
+    assert!(
+        async_std::net::TcpStream::connect(engine.addr())
+            .await
+            .is_err()
+    );
+    wire::eventually("the request is lost", || engine.stats().failed == 1).await;
+    engine.command(EngineCommand::Restart).await.unwrap();
+    assert_eq!(chat(&engine, &request("next", 1, false)).await.status, 200);
+    assert_eq!((engine.stats().completed, engine.stats().cancelled), (1, 0));
+}
+
+/// A stopped engine accepts a request and does nothing with it; when it goes on, it answers late.
+#[async_std::test]
+async fn hung_engine_answers_once_it_goes_on() {
+    let engine = engine().await;
+    engine
+        .command(EngineCommand::Hang { on: true })
+        .await
+        .unwrap();
+    let body = request("late", 1, false).to_string();
+    let request = wire::post_request("/v1/chat/completions", "", &body);
+    let conn = wire::send(engine.addr(), &request).await;
+    assert_eq!(
+        wire::get(engine.control_addr(), "/control/stats")
+            .await
+            .status,
+        200
+    );
+    assert_eq!(engine.stats().started, 0);
+    engine
+        .command(EngineCommand::Hang { on: false })
+        .await
+        .unwrap();
+    assert_eq!(wire::finish(conn).await.status, 200);
+}
+
+#[test_case(true, 409, 2; "an engine that checks refuses")]
+#[test_case(false, 200, 1; "an engine that doesn't obeys")]
+#[async_std::test]
+async fn order_with_an_old_fence(checks: bool, status: u16, fence: u64) {
+    let settings = EngineSettings {
+        checks,
+        load_ms: 0,
+        ..fast()
+    };
+    let engine = Engine::start(wire::any(), settings).await.unwrap();
+    let load = |fence| json!({"fence": fence, "kind": "load", "model": format!("m{fence}")});
+    assert_eq!(order(&engine, &load(2)).await.status, 200);
+    assert_eq!(
+        order(&engine, &load(2)).await.status,
+        200,
+        "the same number isn't old"
+    );
+    let old = order(&engine, &load(1)).await;
+    assert_eq!((old.status, &old.json()["fence"]), (status, &json!(fence)));
+    let models = wire::get(engine.addr(), "/v1/models").await;
+    assert_eq!(models.body.contains("m1"), !checks);
+}
+
+#[async_std::test]
+async fn model_that_still_loads_is_not_served() {
+    let settings = EngineSettings {
+        load_ms: 3_600_000,
+        ..fast()
+    };
+    let engine = Engine::start(wire::any(), settings).await.unwrap();
+    order(
+        &engine,
+        &json!({"fence": 1, "kind": "load", "model": "new"}),
+    )
+    .await;
+    let mut body = request("mine", 1, false);
+    body["model"] = json!("new");
+    assert_eq!(chat(&engine, &body).await.status, 404);
+    assert_eq!(engine.stats().started, 0);
+}
+
+#[async_std::test]
+async fn same_prefix_is_cached_the_second_time() {
+    let engine = engine().await;
+    let usage = |reply: wire::Reply| reply.json()["usage"].clone();
+    let cached = "/prompt_tokens_details/cached_tokens";
+    let first = usage(chat(&engine, &request("one", 1, false)).await);
+    let second = usage(chat(&engine, &request("two", 1, false)).await);
+    assert_eq!(first.pointer(cached), Some(&json!(0)));
+    // 80% of the 100 tokens of the prompt.
+    assert_eq!(second.pointer(cached), Some(&json!(80)));
+}
+
+async fn engine() -> Handle<Engine> {
+    Engine::start(wire::any(), fast()).await.unwrap()
+}
+
+fn fast() -> EngineSettings {
+    EngineSettings {
+        batch: BatchSettings {
+            base_ms: 1.0,
+            sequence_ms: 0.1,
+            ..BatchSettings::default()
+        },
+        ..EngineSettings::default()
+    }
+}
+
+fn request(marker: &str, tokens: u32, stream: bool) -> Value {
+    json!({
+        "model": "clara-8b",
+        "messages": [{"role": "user", "content": "p".repeat(400)}],
+        "max_tokens": tokens,
+        "stream": stream,
+        "user": marker,
+    })
+}
+
+async fn chat(engine: &Handle<Engine>, body: &Value) -> wire::Reply {
+    wire::post(engine.addr(), "/v1/chat/completions", "", &body.to_string()).await
+}
+
+async fn order(engine: &Handle<Engine>, body: &Value) -> wire::Reply {
+    wire::post(engine.addr(), "/orders", "", &body.to_string()).await
+}
--- /dev/null
+++ b/crates/standins/tests/all/load.rs
@@ -0,0 +1,237 @@
+//! The load generator, and what it takes for a whole answer.
+
+use crocushold_standins::BatchSettings;
+use crocushold_standins::Cut;
+use crocushold_standins::CutForm;
+use crocushold_standins::Engine;
+use crocushold_standins::EngineCommand;
+use crocushold_standins::EngineSettings;
+use crocushold_standins::Handle;
+use crocushold_standins::Lengths;
+use crocushold_standins::PlainService;
+use crocushold_standins::ServiceSettings;
+use crocushold_standins::load;
+use crocushold_standins::load::Ending;
+use crocushold_standins::load::Form;
+use crocushold_standins::load::GiveUp;
+use crocushold_standins::load::LoadClass;
+use crocushold_standins::load::LoadPlan;
+use crocushold_standins::load::Malformed;
+use crocushold_standins::load::Response;
+use crocushold_standins::load::Targets;
+use test_case::test_case;
+
+use crate::wire;
+
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
+#[test]
+fn stream_is_read_the_same_however_its_bytes_arrive() {
+    let answer = chunked(&["mine 0 ", "mine 1 ", "mine 2 "], true);
+    for split in 0..answer.len() {
+        let mut response = Response::new("mine", true);
+        for part in [&answer[..split], &answer[split..]] {
+            assert_eq!(response.feed(part.as_bytes()), Ok(part.len()));
+        }
+        assert!(
+            response.is_whole() && response.is_done(),
+            "split at {split}"
+        );
+        assert_eq!(response.tokens(), 3);
+        assert!(!response.is_foreign() && !response.is_disordered());
+    }
+}
+
+#[test_case(&["mine 0 ", "other 1 "], true, false; "another request's token")]
+#[test_case(&["mine 0 ", "mine 0 "], false, true; "a repeated token")]
+#[test_case(&["mine 0 ", "mine 2 "], false, true; "a missing token")]
+fn tokens_are_checked(tokens: &[&str], foreign: bool, disordered: bool) {
+    let mut response = Response::new("mine", true);
+    response.feed(chunked(tokens, true).as_bytes()).unwrap();
+    assert_eq!(response.is_foreign(), foreign);
+    assert_eq!(response.is_disordered(), disordered);
+}
+
+#[test]
+fn answer_without_its_last_chunk_is_not_whole() {
+    let mut response = Response::new("mine", true);
+    response
+        .feed(chunked(&["mine 0 "], false).as_bytes())
+        .unwrap();
+    assert!(!response.is_whole());
+}
+
+#[test]
+fn bytes_after_the_answer_are_left() {
+    let mut response = Response::new("mine", false);
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1";
+    assert_eq!(response.feed(answer.as_bytes()), Ok(answer.len() - 8));
+    assert!(response.is_whole());
+}
+
+#[test]
+fn nonsense_is_malformed() {
+    let mut response = Response::new("mine", false);
+    assert_eq!(response.feed(b"nonsense\r\n\r\n"), Err(Malformed));
+}
+
+#[async_std::test]
+async fn run_counts_every_request_once() {
+    let engine = engine().await;
+    let plan = LoadPlan {
+        entries: vec![engine.addr()],
+        standins: vec![engine.control_addr()],
+        seconds: 0.5,
+        classes: vec![
+            LoadClass {
+                name: "chat".to_owned(),
+                rate: 100.0,
+                output: Lengths { low: 1, high: 20 },
+                ..class()
+            },
+            LoadClass {
+                name: "sheets".to_owned(),
+                rate: 50.0,
+                stream: false,
+                form: Form::Text,
+                ..class()
+            },
+        ],
+        ..LoadPlan::default()
+    };
+    let report = load::run(plan).await.unwrap();
+    for class in &report.classes {
+        assert!(class.sent > 5, "{class:?}");
+        assert_eq!(class.completed, class.sent, "{class:?}");
+        assert_eq!((class.doubled, class.wrongly_told), (0, 0));
+        assert_eq!(class.first.count, class.sent);
+    }
+    let sent: u64 = report.classes.iter().map(|class| class.sent).sum();
+    assert_eq!(report.standins.completed, sent);
+    let tokens: u64 = report.classes.iter().map(|class| class.useful_tokens).sum();
+    assert_eq!(report.standins.useful_tokens, tokens);
+}
+
+#[test_case(CutForm::Chunked, true)]
+#[test_case(CutForm::Chunked, false)]
+#[test_case(CutForm::Length, true)]
+#[test_case(CutForm::Length, false)]
+#[test_case(CutForm::Close, true)]
+#[test_case(CutForm::Close, false)]
+#[async_std::test]
+async fn cut_answer_is_recorded_as_cut(form: CutForm, stream: bool) {
+    let engine = engine().await;
+    let cut = Some(Cut {
+        after: 2,
+        form,
+        times: None,
+    });
+    engine.command(EngineCommand::Cut { cut }).await.unwrap();
+    let class = LoadClass { stream, ..class() };
+    let exchange = load::send_one(engine.addr(), &class, "mine").await;
+    assert_eq!(exchange.ending, Ending::Cut);
+}
+
+#[async_std::test]
+async fn refusals_and_unreachable_entries_are_told_apart() {
+    let engine = engine().await;
+    let on = true;
+    engine
+        .command(EngineCommand::Unavailable { on })
+        .await
+        .unwrap();
+    let refused = load::send_one(engine.addr(), &class(), "mine").await;
+    assert_eq!(
+        (refused.ending, refused.response.status()),
+        (Ending::Refused, 503)
+    );
+    engine.command(EngineCommand::Crash).await.unwrap();
+    let unconnected = load::send_one(engine.addr(), &class(), "mine").await;
+    assert_eq!(unconnected.ending, Ending::Unconnected);
+}
+
+#[async_std::test]
+async fn caller_who_leaves_as_planned_is_not_a_timeout() {
+    let engine = engine().await;
+    engine
+        .command(EngineCommand::Hang { on: true })
+        .await
+        .unwrap();
+    let give_up = GiveUp {
+        share: 1.0,
+        after_ms: 20,
+    };
+    let leaving = LoadClass {
+        give_up: Some(give_up),
+        ..class()
+    };
+    let left = load::send_one(engine.addr(), &leaving, "mine").await;
+    assert_eq!(left.ending, Ending::GaveUp);
+    let waiting = LoadClass {
+        timeout_ms: 20,
+        ..class()
+    };
+    let waited = load::send_one(engine.addr(), &waiting, "mine").await;
+    assert_eq!(waited.ending, Ending::TimedOut);
+}
+
+#[async_std::test]
+async fn effect_had_twice_is_counted_as_doubled() {
+    let settings = ServiceSettings::default();
+    let service = PlainService::start(wire::any(), settings).await.unwrap();
+    let class = LoadClass {
+        name: "book".to_owned(),
+        form: Form::Call,
+        path: "/book".to_owned(),
+        rate: 50.0,
+        targets: Targets::default(),
+        ..class()
+    };
+    // The run's first request will carry this marker too.
+    wire::post(service.addr(), "/book", "x-marker: book.9.1\r\n", "{}").await;
+    let plan = LoadPlan {
+        entries: vec![service.addr()],
+        standins: vec![service.addr()],
+        seconds: 0.2,
+        seed: 9,
+        classes: vec![class],
+        ..LoadPlan::default()
+    };
+    let report = load::run(plan).await.unwrap();
+    assert!(report.classes[0].sent > 0);
+    assert_eq!(report.classes[0].doubled, 1);
+}
+
+fn chunked(tokens: &[&str], ended: bool) -> String {
+    let mut answer = CHUNKED.to_owned();
+    let mut chunk = |data: &str| answer.push_str(&format!("{:x}\r\n{data}\r\n", data.len()));
+    for token in tokens {
+        chunk(&format!(
+            "data: {{\"delta\":{{\"content\":\"{token}\"}}}}\n\n"
+        ));
+    }
+    if ended {
+        chunk("data: [DONE]\n\n");
+        answer.push_str("0\r\n\r\n");
+    }
+    answer
+}
+
+async fn engine() -> Handle<Engine> {
+    let settings = EngineSettings {
+        batch: BatchSettings {
+            base_ms: 1.0,
+            sequence_ms: 0.1,
+            ..BatchSettings::default()
+        },
+        ..EngineSettings::default()
+    };
+    Engine::start(wire::any(), settings).await.unwrap()
+}
+
+fn class() -> LoadClass {
+    LoadClass {
+        output: Lengths::fixed(5),
+        ..LoadClass::default()
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/all/service.rs
@@ -0,0 +1,73 @@
+//! The plain service over the wire.
+
+use crocushold_standins::Handle;
+use crocushold_standins::PlainService;
+use crocushold_standins::ServiceCommand;
+use crocushold_standins::ServiceFault;
+use crocushold_standins::ServiceSettings;
+use test_case::test_case;
+
+use crate::wire;
+
+#[async_std::test]
+async fn effects_are_counted_by_key() {
+    let service = service().await;
+    for _ in 0..2 {
+        assert_eq!(
+            book(&service, "idempotency-key: slot-1\r\n").await.status,
+            200
+        );
+    }
+    let reply = book(&service, "x-marker: slot-2\r\n").await;
+    assert_eq!(reply.json()["marker"], "slot-2");
+    assert_eq!(
+        (service.effects("slot-1"), service.effects("slot-2")),
+        (2, 1)
+    );
+    let stats = wire::get(service.addr(), "/control/stats").await.json();
+    assert_eq!(stats["repeated"]["slot-1"], 2);
+}
+
+/// The caller's connection closes without an answer, and from outside it can't be told whether the
+/// call had its effect: in one case it had, in the other it hadn't.
+#[test_case(ServiceFault::DropAfter, 1; "dropped after the effect")]
+#[test_case(ServiceFault::CrashAfter, 1; "crashed after the effect")]
+#[test_case(ServiceFault::Unavailable, 0; "answered without an effect")]
+#[async_std::test]
+async fn fault_strikes_before_or_after_the_effect(fault: ServiceFault, effects: u64) {
+    let service = service().await;
+    let times = Some(1);
+    let command = ServiceCommand::Fault { fault, times };
+    service.command(command).await.unwrap();
+    let reply = book(&service, "x-marker: slot\r\n").await;
+    assert_ne!(reply.status, 200);
+    assert_eq!(service.effects("slot"), effects);
+    service.command(ServiceCommand::Restart).await.unwrap();
+    assert_eq!(book(&service, "x-marker: slot\r\n").await.status, 200);
+    assert_eq!(service.effects("slot"), effects + 1);
+}
+
+#[test_case(ServiceFault::HangBefore, 0; "before the effect")]
+#[test_case(ServiceFault::HangAfter, 1; "after the effect")]
+#[async_std::test]
+async fn hung_call_ends_when_its_caller_leaves(fault: ServiceFault, effects: u64) {
+    let service = service().await;
+    let command = ServiceCommand::Fault { fault, times: None };
+    service.command(command).await.unwrap();
+    let request = wire::post_request("/book", "x-marker: slot\r\n", "{}");
+    let conn = wire::send(service.addr(), &request).await;
+    wire::eventually("the call runs", || service.stats().running == 1).await;
+    wire::eventually("the effect", || service.effects("slot") == effects).await;
+    drop(conn);
+    wire::eventually("the call ends", || service.stats().running == 0).await;
+    assert_eq!(service.effects("slot"), effects);
+}
+
+async fn service() -> Handle<PlainService> {
+    let settings = ServiceSettings::default();
+    PlainService::start(wire::any(), settings).await.unwrap()
+}
+
+async fn book(service: &Handle<PlainService>, headers: &str) -> wire::Reply {
+    wire::post(service.addr(), "/book/slot", headers, "{}").await
+}
