Test the spread, the encoding and real nodes under faults

Calls that were still queued when a node stopped never ended; the queue is drained now. An oversize part held back the changes of other teams; it is passed over and reported.

--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -86,4 +86,6 @@
 pub use spread::part_hash;
 pub use wire::NEWEST_VERSION;
 pub use wire::OLDEST_VERSION;
+pub use wire::decode;
+pub use wire::encode;
 pub use wire::encoded_bytes;
--- a/crates/peers/src/shell/mod.rs
+++ b/crates/peers/src/shell/mod.rs
@@ -177,6 +177,9 @@
             Command::Stop => break,
         }
     }
+    // Calls that are still queued would otherwise wait for as long as a handle lives.
+    setup.commands.close();
+    while setup.commands.try_recv().is_ok() {}
     for task in tasks {
         task.abort();
     }
--- a/crates/peers/src/spread/fetch.rs
+++ b/crates/peers/src/spread/fetch.rs
@@ -84,11 +84,28 @@
         self.cursor = Arc::from("");
     }
 
+    /// Goes on with a text of which an earlier fetch brought the first bytes.
+    pub(super) fn resume(&mut self, half: Partial) {
+        let Some(head) = &half.head else {
+            return;
+        };
+        let wanted = self.wants.iter().position(|want| want.team == head.team);
+        if let Some(at) = wanted {
+            self.wants.swap(0, at);
+            self.partial = half;
+        }
+    }
+
+    /// Passes over a part that is wanted.
+    pub(super) fn pass_over(&mut self, team: &str) {
+        self.wants.retain(|want| *want.team != *team);
+        self.partial = Partial::default();
+        self.asked = None;
+    }
+
     /// Stages the part that was asked for.
     pub(super) fn stage(&mut self, part: Part) {
-        self.wants.retain(|want| want.team != part.head.team);
+        self.pass_over(&part.head.team.clone());
         self.staged.push(part);
-        self.partial = Partial::default();
-        self.asked = None;
     }
 }
--- a/crates/peers/src/spread/mod.rs
+++ b/crates/peers/src/spread/mod.rs
@@ -25,6 +25,7 @@
 use crate::message::Body;
 use crate::spread::budget::Budget;
 use crate::spread::fetch::Fetch;
+use crate::spread::fetch::Partial;
 use crate::spread::fetch::Source;
 use crate::spread::platform::Reader;
 use crate::spread::start::Start;
@@ -98,6 +99,9 @@
     held: Snapshot,
     digest: u64,
     fetch: Option<Fetch>,
+    /// What an abandoned fetch had brought: whole parts, and one of which the first bytes came.
+    leftover: Vec<Part>,
+    half: Partial,
     /// Revisions heard from peers.
     heard: BTreeMap<InstanceId, u64>,
     peers: usize,
@@ -121,6 +125,8 @@
             held,
             settings,
             fetch: None,
+            leftover: Vec::new(),
+            half: Partial::default(),
             heard: BTreeMap::new(),
             peers: 0,
             peers_settled: false,
@@ -209,11 +215,36 @@
         }
     }
 
+    /// Stages a part, unless all texts together would become too large.
+    fn stage(&mut self, part: Part) {
+        let Some(fetch) = &mut self.fetch else {
+            return;
+        };
+        let staged: usize = fetch.staged.iter().map(|part| part.text.len()).sum();
+        let bytes = part.text.len() + staged + self.held.bytes();
+        if bytes > self.settings.total_bytes {
+            self.pass_over(&part.head.team.clone());
+            return;
+        }
+        fetch.stage(part);
+    }
+
+    /// Leaves a part that is too large as it is. The fetch goes on: one team's oversize part must
+    /// not hold back the changes of the others.
+    fn pass_over(&mut self, team: &Arc<str>) {
+        if let Some(fetch) = &mut self.fetch {
+            fetch.pass_over(team);
+        }
+        self.report(SpreadFinding::TooLarge(team.clone()));
+    }
+
     /// Puts all that was fetched in force at once.
     fn put_in_force(&mut self) {
         let Some(fetch) = self.fetch.take() else {
             return;
         };
+        self.leftover.clear();
+        self.half = Partial::default();
         let before = (self.held.revision, self.digest);
         let conflicts = self.held.merge(fetch.staged, fetch.revision);
         for conflict in conflicts {
@@ -232,12 +263,29 @@
     /// Gives the fetch up when an answer is overdue, and remembers that the source doesn't answer.
     fn time_out(&mut self, now: Millis) {
         let wait = self.settings.answer_wait;
-        let overdue = |fetch: &mut Fetch| fetch.asked.is_some_and(|t| now.since(t) >= wait);
-        let Some(fetch) = self.fetch.take_if(overdue) else {
+        let overdue = |fetch: &Fetch| fetch.asked.is_some_and(|t| now.since(t) >= wait);
+        if !self.fetch.as_ref().is_some_and(overdue) {
             return;
-        };
-        if let Source::Peer(peer) = fetch.source {
+        }
+        if let Some(Source::Peer(peer)) = self.abandon() {
             self.heard.remove(&peer);
         }
     }
+
+    /// Gives the fetch up, but keeps the parts that came whole: the next fetch takes up from there.
+    fn abandon(&mut self) -> Option<Source> {
+        let fetch = self.fetch.take()?;
+        for part in fetch.staged {
+            self.leftover.retain(|old| old.head.team != part.head.team);
+            self.leftover.push(part);
+        }
+        self.half = fetch.partial;
+        Some(fetch.source)
+    }
+
+    /// A part left over from an earlier fetch.
+    fn leftover(&self, team: &str, revision: u64) -> Option<&Part> {
+        let mut parts = self.leftover.iter().filter(|part| !part.head.removed);
+        parts.find(|part| *part.head.team == *team && part.head.revision == revision)
+    }
 }
--- a/crates/peers/src/spread/peers.rs
+++ b/crates/peers/src/spread/peers.rs
@@ -53,7 +53,9 @@
     /// A message to `peer` couldn't be delivered or wasn't answered.
     pub fn failed(&mut self, peer: &InstanceId, now: Millis) -> Vec<SpreadAction> {
         self.heard.remove(peer);
-        self.fetch.take_if(|fetch| fetch.is_from(peer));
+        if self.fetch.as_ref().is_some_and(|fetch| fetch.is_from(peer)) {
+            self.abandon();
+        }
         self.advance(now);
         self.finish(now)
     }
@@ -77,9 +79,12 @@
 
     /// Changes to the peers when they already hold what the platform's budget would give slowly.
     fn leave_slow_platform(&mut self, revision: u64) {
-        self.fetch.take_if(|fetch| {
+        let is_slow = self.fetch.as_ref().is_some_and(|fetch| {
             fetch.source == Source::Platform && fetch.wants.len() > 1 && revision >= fetch.revision
         });
+        if is_slow {
+            self.abandon();
+        }
     }
 
     /// Two instances at one revision should hold the same parts; when they don't, all are compared.
@@ -208,6 +213,7 @@
             self.plan_part(&mut fetch, head, piece);
         }
         fetch.is_listed = true;
+        fetch.resume(std::mem::take(&mut self.half));
         self.fetch = Some(fetch);
     }
 
@@ -224,6 +230,11 @@
             fetch.staged.push(Part::removed(&head.team, head.revision));
             return;
         }
+        let leftover = self.leftover(&head.team, head.revision);
+        if let Some(part) = leftover.filter(|part| part.head.hash == head.hash) {
+            fetch.staged.push(part.clone());
+            return;
+        }
         if let Some(part) = piece.and_then(|piece| self.assemble(head, piece)) {
             fetch.staged.push(part);
             return;
@@ -264,7 +275,7 @@
             return;
         }
         if part.bytes as usize > limit {
-            self.refuse(from, &part.team);
+            self.pass_over(&part.team);
             return;
         }
         let partial = &mut fetch.partial;
@@ -295,20 +306,11 @@
             self.drop_peer(from);
             return;
         };
-        fetch.stage(Part::new(&part.team, part.revision, &text));
-        let staged: usize = fetch.staged.iter().map(|part| part.text.len()).sum();
-        if staged + self.held.bytes() > self.settings.total_bytes {
-            self.refuse(from, &part.team);
-        }
-    }
-
-    fn refuse(&mut self, from: &InstanceId, team: &Arc<str>) {
-        self.report(SpreadFinding::TooLarge(team.clone()));
-        self.drop_peer(from);
+        self.stage(Part::new(&part.team, part.revision, &text));
     }
 
     fn drop_peer(&mut self, from: &InstanceId) {
         self.heard.remove(from);
-        self.fetch = None;
+        self.abandon();
     }
 }
--- a/crates/peers/src/spread/platform.rs
+++ b/crates/peers/src/spread/platform.rs
@@ -216,16 +216,20 @@
         let mut fetch = Fetch::new(Source::Platform, index.revision, 0);
         fetch.is_listed = true;
         fetch.staged = self.held.missing(&teams, index.revision);
-        let newer = index.parts.iter().filter(|entry| {
+        for entry in &index.parts {
             let known = self.held.part(&entry.team);
-            known.is_none_or(|part| part.head.revision < entry.revision)
-        });
-        fetch.wants = newer
-            .map(|entry| Want {
+            if known.is_some_and(|part| part.head.revision >= entry.revision) {
+                continue;
+            }
+            if let Some(part) = self.leftover(&entry.team, entry.revision) {
+                fetch.staged.push(part.clone());
+                continue;
+            }
+            fetch.wants.push(Want {
                 team: entry.team.clone(),
                 revision: entry.revision,
-            })
-            .collect();
+            });
+        }
         let nothing = fetch.wants.is_empty() && fetch.staged.is_empty();
         if !nothing || index.revision > self.held.revision {
             self.fetch = Some(fetch);
@@ -259,12 +263,11 @@
             return;
         }
         if part.text.len() > limit {
-            self.report(SpreadFinding::TooLarge(team.clone()));
-            self.fetch = None;
+            self.pass_over(team);
             return;
         }
         if part.revision >= want.revision {
-            fetch.stage(Part::new(team, part.revision, &part.text));
+            self.stage(Part::new(team, part.revision, &part.text));
             return;
         }
         // The index came from a fresher replica than the text: taking the old text for the new
@@ -272,7 +275,7 @@
         fetch.asked = None;
         fetch.stale += 1;
         if fetch.stale >= STALE_ANSWERS {
-            self.fetch = None;
+            self.abandon();
         }
         self.budget.wasted(&self.settings, None, &mut self.rng, now);
     }
@@ -280,6 +283,12 @@
     fn on_part_failed(&mut self, failed: ReadFailed, now: Millis) {
         self.budget
             .wasted(&self.settings, failed.retry_after, &mut self.rng, now);
-        self.fetch.take_if(|fetch| fetch.source == Source::Platform);
+        if self
+            .fetch
+            .as_ref()
+            .is_some_and(|fetch| fetch.source == Source::Platform)
+        {
+            self.abandon();
+        }
     }
 }
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use capnp::message::HeapAllocator;
+use capnp::message::ReaderOptions;
 use capnp::struct_list;
 
 use crate::identity::Incarnation;
@@ -340,9 +341,31 @@
     capnp::Error::failed(format!("malformed {field}"))
 }
 
-/// Length of a message's encoding in bytes, without the envelope of a call.
-pub fn encoded_bytes(message: &Message, version: u16) -> usize {
+fn build(message: &Message, version: u16) -> capnp::message::Builder<HeapAllocator> {
     let mut builder = capnp::message::Builder::new(HeapAllocator::new());
     write(message, version, builder.init_root());
-    capnp::serialize::compute_serialized_size_in_words(&builder) * 8
+    builder
+}
+
+/// Length of a message's encoding in bytes, without the envelope of a call.
+pub fn encoded_bytes(message: &Message, version: u16) -> usize {
+    let builder = build(message, version);
+    let segments = builder.get_segments_for_output();
+    segments.iter().map(|segment| segment.len()).sum()
+}
+
+/// Encodes a message by itself, as the given protocol version does.
+pub fn encode(message: &Message, version: u16) -> Vec<u8> {
+    capnp::serialize::write_message_to_words(&build(message, version))
+}
+
+/// Decodes a message that stands by itself.
+///
+/// # Errors
+///
+/// When the encoding is malformed or exceeds a limit.
+pub fn decode(mut bytes: &[u8]) -> capnp::Result<Message> {
+    let options = ReaderOptions::new();
+    let reader = capnp::serialize::read_message(&mut bytes, options)?;
+    read(reader.get_root()?)
 }
--- a/crates/peers/tests/fleet/mod.rs
+++ b/crates/peers/tests/fleet/mod.rs
@@ -73,11 +73,14 @@
     Hasty,
 }
 
+/// Revision and text by team.
+type Texts = BTreeMap<Arc<str>, (u64, Arc<str>)>;
+
 /// The platform's configuration with its history.
 pub(crate) struct Platform {
     pub(crate) state: PlatformState,
     pub(crate) calls: u64,
-    history: Vec<BTreeMap<Arc<str>, (u64, Arc<str>)>>,
+    history: Vec<Texts>,
 }
 
 impl Platform {
@@ -88,13 +91,13 @@
         }
     }
 
-    fn parts(&self) -> &BTreeMap<Arc<str>, (u64, Arc<str>)> {
+    fn parts(&self) -> &Texts {
         &self.history[self.revision() as usize]
     }
 
     /// Changes a part; an empty text removes it.
     pub(crate) fn publish(&mut self, team: &str, text: &str) -> u64 {
-        let mut parts = self.history.last().unwrap().clone();
+        let mut parts = self.history.last().cloned().unwrap_or_default();
         let revision = self.history.len() as u64;
         if text.is_empty() {
             parts.remove(team);
@@ -105,6 +108,13 @@
         revision
     }
 
+    /// Replaces a text without a new revision, as two platforms that disagree would.
+    pub(crate) fn rewrite(&mut self, team: &str, text: &str) {
+        let last = self.history.last_mut().expect("never empty");
+        let revision = last[team].0;
+        last.insert(Arc::from(team), (revision, Arc::from(text)));
+    }
+
     fn index(&self) -> PlatformRead {
         if self.state == PlatformState::Down {
             return PlatformRead::Index(Err(ReadFailed::default()));
@@ -423,10 +433,10 @@
                     if let Some(to) = self.index.get(&to.id).copied() {
                         self.slots[at].traffic.exchanges += 1;
                         self.slots[to].traffic.exchanges += 1;
-                        self.transmit(at, to, message, true);
+                        self.transmit(at, to, &message, true);
                     }
                 }
-                Action::Reply(message) => self.transmit(at, asker, message, false),
+                Action::Reply(message) => self.transmit(at, asker, &message, false),
                 Action::ReadIndex => {
                     self.platform.calls += 1;
                     let read = self.platform.index();
@@ -451,9 +461,9 @@
         }
     }
 
-    fn transmit(&mut self, from: usize, to: usize, message: Message, is_request: bool) {
+    fn transmit(&mut self, from: usize, to: usize, message: &Message, is_request: bool) {
         self.slots[from].traffic.sent += 1;
-        self.slots[from].traffic.bytes += encoded_bytes(&message, 2) as u64;
+        self.slots[from].traffic.bytes += encoded_bytes(message, 2) as u64;
         let faults = self.faults;
         let reaches = self.slots[to].alive && self.groups[from] == self.groups[to];
         if !reaches || self.rng.random_range(0..1000) < faults.loss {
--- /dev/null
+++ b/crates/peers/tests/sockets.rs
@@ -0,0 +1,354 @@
+//! Real nodes on loopback: freezing, strangers, oversize messages, versions, calls.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::future::timeout;
+use async_std::task;
+use crocushold_base::Millis;
+use crocushold_peers::CallError;
+use crocushold_peers::Handler;
+use crocushold_peers::Index;
+use crocushold_peers::IndexEntry;
+use crocushold_peers::Instance;
+use crocushold_peers::InstanceId;
+use crocushold_peers::KeyHash;
+use crocushold_peers::Limits;
+use crocushold_peers::Listed;
+use crocushold_peers::Outcome;
+use crocushold_peers::PartText;
+use crocushold_peers::PeerHandle;
+use crocushold_peers::PeerNode;
+use crocushold_peers::PlatformRead;
+use crocushold_peers::PlatformRequest;
+use crocushold_peers::ReadFailed;
+use crocushold_peers::Request;
+use crocushold_peers::Response;
+use crocushold_peers::Settings;
+use crocushold_peers::SharedKey;
+use crocushold_peers::Started;
+use crocushold_peers::Verdict;
+use crocushold_peers::Versions;
+
+/// How long a test waits for what must happen.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Deadline of calls in these tests.
+const DEADLINE: Millis = Millis(400);
+
+/// Grants every claim and lends half of what is wanted; remembers what it was asked.
+#[derive(Default)]
+struct Recorder(Mutex<Vec<Request>>);
+
+impl Handler for Recorder {
+    fn handle(&self, _from: &InstanceId, request: Request) -> Response {
+        self.0
+            .lock()
+            .expect("no holder panics")
+            .push(request.clone());
+        match request {
+            Request::Claim { .. } => Response::Claimed {
+                verdict: Verdict::Granted,
+                wait: Millis(7),
+            },
+            Request::Borrow { tokens, .. } => Response::Lent {
+                granted: tokens / 2,
+                expires: Millis(900),
+            },
+            _ => Response::Done,
+        }
+    }
+}
+
+fn settings(number: u64, key: &[u8]) -> Settings {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let me = Instance::new(&format!("entry-{number}"), address, "stgo-a");
+    Settings::new(me, SharedKey::new(key), number, number)
+}
+
+fn start(settings: Settings) -> (PeerHandle, Arc<Recorder>) {
+    let recorder = Arc::new(Recorder::default());
+    let started = PeerNode::start(settings, recorder.clone()).expect("loopback can be listened on");
+    let handle = started.handle.clone();
+    task::spawn(answer(started));
+    (handle, recorder)
+}
+
+/// The platform holds one part at revision 1 for `entry-1`, and is down for all others.
+async fn answer(started: Started) {
+    let reads = started.handle.me().id.as_str() == "entry-1";
+    while let Ok(request) = started.platform.recv().await {
+        let failed = Err(ReadFailed::default());
+        let team: Arc<str> = Arc::from("clara");
+        let entry = IndexEntry {
+            team: team.clone(),
+            revision: 1,
+        };
+        let read = match request {
+            PlatformRequest::ReadPart(team) => {
+                let part = PartText {
+                    team: team.clone(),
+                    revision: 1,
+                    text: Arc::from("[service chat]"),
+                };
+                PlatformRead::Part(team, Ok(part))
+            }
+            PlatformRequest::WatchIndex { .. } => continue,
+            PlatformRequest::ReadIndex if reads => PlatformRead::Index(Ok(Index {
+                revision: 1,
+                parts: vec![entry],
+            })),
+            PlatformRequest::ReadIndex => PlatformRead::Index(failed),
+        };
+        started.handle.platform_read(read);
+    }
+}
+
+fn introduce(handles: &[&PeerHandle], others: &[Instance]) {
+    let mine = handles.iter().map(|handle| handle.me().clone());
+    let listed: Vec<Listed> = mine
+        .chain(others.iter().cloned())
+        .map(|instance| Listed {
+            instance,
+            leaving: false,
+        })
+        .collect();
+    for handle in handles {
+        handle.instance_list(listed.clone());
+    }
+}
+
+async fn wait_for(handle: &PeerHandle, what: &str, holds: impl Fn(&PeerHandle) -> bool) {
+    let notices = handle.subscribe();
+    let waiting = async {
+        while !holds(handle) {
+            notices.recv().await.expect("the node runs");
+        }
+    };
+    assert!(
+        timeout(PATIENCE, waiting).await.is_ok(),
+        "not in time: {what}"
+    );
+}
+
+fn claim() -> Request {
+    Request::Claim {
+        key: KeyHash(0x0123_4567_89ab_cdef_0011_2233_4455_6677),
+        claimant: InstanceId::new("entry-1"),
+        view_digest: 5,
+    }
+}
+
+async fn meet(handles: &[&PeerHandle]) {
+    introduce(handles, &[]);
+    for handle in handles {
+        wait_for(handle, "all see each other", |h| {
+            h.view().live() == handles.len()
+        })
+        .await;
+    }
+}
+
+#[test]
+fn calls_reach_the_peers_handler() {
+    task::block_on(async {
+        let (one, _) = start(settings(1, b"key"));
+        let (two, recorder) = start(settings(2, b"key"));
+        meet(&[&one, &two]).await;
+        let two_id = &two.me().id;
+        let granted = Response::Claimed {
+            verdict: Verdict::Granted,
+            wait: Millis(7),
+        };
+        assert_eq!(one.call(two_id, claim(), DEADLINE).await, Ok(granted));
+        let borrow = Request::Borrow {
+            account: Arc::from("coop"),
+            tokens: 40,
+        };
+        let lent = Response::Lent {
+            granted: 20,
+            expires: Millis(900),
+        };
+        assert_eq!(one.call(two_id, borrow.clone(), DEADLINE).await, Ok(lent));
+        let settle = Request::Settle {
+            key: KeyHash(9),
+            outcome: Outcome::NotRun,
+        };
+        let done = one.call(two_id, settle.clone(), DEADLINE).await;
+        assert_eq!(done, Ok(Response::Done));
+        let asked = recorder.0.lock().unwrap().clone();
+        assert_eq!(asked, [claim(), borrow, settle]);
+    });
+}
+
+/// One of four instances accepts connections but never answers. A caller of it waits for its
+/// deadline a few times; then calls to it fail at once, and calls to the others were never slower.
+#[test]
+fn a_frozen_peer_costs_its_callers_little() {
+    task::block_on(async {
+        let frozen = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = frozen.local_addr().unwrap();
+        let frozen = Instance::new("entry-9", address, "stgo-a");
+        let nodes: Vec<_> = (1..=3).map(|n| start(settings(n, b"key")).0).collect();
+        let handles: Vec<&PeerHandle> = nodes.iter().collect();
+        introduce(&handles, std::slice::from_ref(&frozen));
+        for handle in &handles {
+            wait_for(handle, "three see each other", |h| h.view().live() == 3).await;
+        }
+        let mut refused = 0;
+        for _ in 0..20 {
+            let outcome = nodes[0].call(&frozen.id, claim(), DEADLINE).await;
+            refused += usize::from(outcome == Err(CallError::CircuitOpen));
+            let began = Instant::now();
+            let other = nodes[0].call(&nodes[1].me().id, claim(), DEADLINE).await;
+            assert!(other.is_ok(), "{other:?}");
+            assert!(began.elapsed() < Duration::from(DEADLINE));
+        }
+        assert!(refused >= 14, "only {refused} of 20 calls failed at once");
+    });
+}
+
+/// A stranger with another key lists the fleet, is listed by it, and calls it. Neither side takes
+/// the other in, no call reaches a handler, and no configuration goes out.
+#[test]
+fn a_stranger_with_another_key_gets_nothing_in_or_out() {
+    task::block_on(async {
+        let (one, recorder) = start(settings(1, b"key"));
+        let (two, _) = start(settings(2, b"key"));
+        let (stranger, strange) = start(settings(3, b"another key"));
+        introduce(&[&one, &two, &stranger], &[]);
+        wait_for(&one, "two see each other", |h| h.view().live() == 2).await;
+        wait_for(&two, "the configuration", |h| h.config().is_some()).await;
+        // An open circuit means that earlier attempts of the memberships were refused.
+        let is_refused = |outcome: &Result<Response, CallError>| {
+            matches!(outcome, Err(CallError::Connect(_) | CallError::CircuitOpen))
+        };
+        for peer in [&one, &two] {
+            let outcome = stranger.call(&peer.me().id, claim(), DEADLINE).await;
+            assert!(is_refused(&outcome), "{outcome:?}");
+            let outcome = peer.call(&stranger.me().id, claim(), DEADLINE).await;
+            assert!(is_refused(&outcome), "{outcome:?}");
+        }
+        assert!(recorder.0.lock().unwrap().is_empty());
+        assert!(strange.0.lock().unwrap().is_empty());
+        assert_eq!(stranger.view().live(), 1);
+        assert!(stranger.config().is_none());
+        assert_eq!(one.view().live(), 2);
+    });
+}
+
+/// A stranger connects and says nothing, or announces a message of a gigabyte. The connection is
+/// closed without a byte of answer and without memory for the announced message.
+#[test]
+fn silent_and_oversize_connections_are_closed() {
+    let limits = Limits {
+        handshake: Millis(300),
+        ..Limits::default()
+    };
+    let (one, _) = start(Settings {
+        limits,
+        ..settings(1, b"key")
+    });
+    let address = one.me().address;
+    let mut silent = TcpStream::connect(address).unwrap();
+    let mut oversize = TcpStream::connect(address).unwrap();
+    let words: u32 = 1 << 27;
+    oversize.write_all(&0_u32.to_le_bytes()).unwrap();
+    oversize.write_all(&words.to_le_bytes()).unwrap();
+    for stream in [&mut silent, &mut oversize] {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut answer = Vec::new();
+        // A reset is a close, too.
+        let _ = stream.read_to_end(&mut answer);
+        let refusal = String::from_utf8_lossy(&answer);
+        assert!(!refusal.contains("entry-1"), "{refusal}");
+    }
+    task::block_on(async {
+        let (two, _) = start(settings(2, b"key"));
+        meet(&[&one, &two]).await;
+    });
+}
+
+/// During an upgrade a program of the first version and one of the newest run side by side: they
+/// see each other, share the configuration and call each other.
+#[test]
+fn an_old_and_a_new_version_work_side_by_side() {
+    task::block_on(async {
+        let (new, _) = start(settings(1, b"key"));
+        let (old, recorder) = start(Settings {
+            versions: Versions {
+                oldest: 1,
+                newest: 1,
+            },
+            ..settings(2, b"key")
+        });
+        meet(&[&new, &old]).await;
+        wait_for(&old, "the configuration", |h| h.config().is_some()).await;
+        let outcome = new.call(&old.me().id, claim(), DEADLINE).await;
+        assert!(outcome.is_ok(), "{outcome:?}");
+        let outcome = old.call(&new.me().id, claim(), DEADLINE).await;
+        assert!(outcome.is_ok(), "{outcome:?}");
+        assert_eq!(recorder.0.lock().unwrap().len(), 1);
+    });
+}
+
+#[test]
+fn versions_without_overlap_do_not_connect() {
+    task::block_on(async {
+        let (one, _) = start(settings(1, b"key"));
+        let (future, _) = start(Settings {
+            versions: Versions {
+                oldest: 30,
+                newest: 31,
+            },
+            ..settings(2, b"key")
+        });
+        introduce(&[&one, &future], &[]);
+        let outcome = future.call(&one.me().id, claim(), DEADLINE).await;
+        assert!(matches!(outcome, Err(CallError::Connect(_))), "{outcome:?}");
+    });
+}
+
+/// Another instance took over the address in the list.
+#[test]
+fn a_call_never_reaches_another_instance_at_the_same_address() {
+    task::block_on(async {
+        let (one, _) = start(settings(1, b"key"));
+        let (two, recorder) = start(settings(2, b"key"));
+        let wrong = Instance::new("entry-7", two.me().address, "stgo-a");
+        introduce(&[&one], std::slice::from_ref(&wrong));
+        let mut outcome = Err(CallError::NoPeer);
+        for _ in 0..100 {
+            outcome = one.call(&wrong.id, claim(), DEADLINE).await;
+            if outcome != Err(CallError::NoPeer) {
+                break;
+            }
+            task::yield_now().await;
+        }
+        let found = two.me().id.clone();
+        assert_eq!(outcome, Err(CallError::Replaced(found)));
+        assert!(recorder.0.lock().unwrap().is_empty());
+    });
+}
+
+#[test]
+fn a_stopped_node_answers_calls_with_an_error() {
+    task::block_on(async {
+        let (one, _) = start(settings(1, b"key"));
+        one.stop().await;
+        let me = one.me().id.clone();
+        let stopped = async {
+            while one.call(&me, claim(), DEADLINE).await != Err(CallError::Stopped) {
+                task::yield_now().await;
+            }
+        };
+        assert!(timeout(PATIENCE, stopped).await.is_ok());
+    });
+}
--- /dev/null
+++ b/crates/peers/tests/spread.rs
@@ -0,0 +1,297 @@
+//! The configuration under faults: in force everywhere in time, and never back.
+
+mod fleet;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crocushold_base::Millis;
+use crocushold_peers::Delta;
+use crocushold_peers::Event;
+use crocushold_peers::Finding;
+use crocushold_peers::SpreadFinding;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use test_case::test_case;
+
+use fleet::Faults;
+use fleet::Fleet;
+use fleet::PlatformState;
+
+/// Longest time for a change to be in force everywhere.
+const IN_FORCE: Millis = Millis::from_secs(5);
+
+fn reports(fleet: &Fleet, at: usize, wanted: impl Fn(&SpreadFinding) -> bool) -> bool {
+    let findings = fleet.slots[at].findings.iter();
+    findings
+        .filter_map(|(_, finding)| match finding {
+            Finding::Spread(finding) => Some(finding),
+            Finding::Member(_) => None,
+        })
+        .any(wanted)
+}
+
+/// Runs the fleet and checks at every step that no part of any instance goes back.
+fn run_without_going_back(fleet: &mut Fleet, span: Millis) -> bool {
+    let mut seen: Vec<BTreeMap<Arc<str>, u64>> = vec![BTreeMap::new(); fleet.slots.len()];
+    let mut whole = vec![0; fleet.slots.len()];
+    let end = fleet.now + span;
+    while fleet.now < end {
+        fleet.run(Millis(50));
+        for (at, slot) in fleet.slots.iter().enumerate() {
+            let Some(snapshot) = &slot.in_force else {
+                continue;
+            };
+            if snapshot.revision < whole[at] {
+                return false;
+            }
+            whole[at] = snapshot.revision;
+            for part in snapshot.parts() {
+                let known = seen[at].entry(part.head.team.clone()).or_default();
+                if part.head.revision < *known {
+                    return false;
+                }
+                *known = part.head.revision;
+            }
+        }
+    }
+    true
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_in_time() {
+    let mut fleet = Fleet::settled(1, 40, 5);
+    let revision = fleet
+        .platform
+        .publish("clara", "[service chat]\npriority = 2");
+    let took = fleet.run_until(IN_FORCE, |fleet| fleet.in_force(revision));
+    assert!(took.is_some());
+}
+
+/// A tenth of all messages is lost while three teams change their parts and one removes its own.
+#[test]
+fn changes_arrive_in_time_although_messages_are_lost() {
+    let mut fleet = Fleet::settled(2, 40, 5);
+    fleet.faults = Faults {
+        loss: 100,
+        ..Faults::default()
+    };
+    fleet.platform.publish("one", "a");
+    fleet.platform.publish("two", &"b".repeat(300_000));
+    fleet.platform.publish("clara", "");
+    let revision = fleet.platform.publish("three", "c");
+    let took = fleet.run_until(IN_FORCE + IN_FORCE, |fleet| fleet.in_force(revision));
+    assert!(took.is_some());
+    for slot in &fleet.slots {
+        let snapshot = slot.in_force.as_ref().unwrap();
+        assert_eq!(snapshot.parts().count(), 3);
+        assert_eq!(snapshot.part("two").unwrap().text.len(), 300_000);
+    }
+}
+
+/// The platform falls back to revision 1 while the fleet follows revision 4, and new instances
+/// start. A newcomer that believed the platform would run requests by an undone configuration.
+#[test]
+fn a_newcomer_follows_its_peers_when_the_platform_went_back() {
+    let mut fleet = Fleet::settled(3, 8, 3);
+    for text in ["x", "y", "z"] {
+        fleet.platform.publish("clara", text);
+    }
+    fleet.run(IN_FORCE);
+    fleet.platform.state = PlatformState::Stale(1);
+    for at in [0, 3, 5] {
+        fleet.add(at, at % 3);
+    }
+    fleet.list();
+    assert!(run_without_going_back(&mut fleet, Millis::from_secs(60)));
+    assert!(fleet.in_force(4));
+    let told = |f: &SpreadFinding| matches!(f, SpreadFinding::PlatformBehind { .. });
+    assert!((0..8).any(|at| reports(&fleet, at, told)));
+}
+
+#[test]
+fn a_newcomer_starts_from_its_peers_while_the_platform_is_down() {
+    let mut fleet = Fleet::settled(4, 8, 3);
+    fleet.platform.state = PlatformState::Down;
+    fleet.add(2, 2);
+    fleet.list();
+    let ready = fleet.run_until(Millis::from_secs(10), |fleet| fleet.in_force(1));
+    assert!(ready.is_some());
+}
+
+/// All instances are replaced while the platform answers an old revision: what only the old ones
+/// knew is lost, the newcomers follow the platform, and go forward once it has caught up.
+#[test]
+fn replacing_all_instances_while_the_platform_is_stale_loses_the_newer_revisions() {
+    let mut fleet = Fleet::settled(5, 6, 3);
+    let newest = fleet.platform.publish("clara", "new");
+    fleet.run(IN_FORCE);
+    fleet.platform.state = PlatformState::Stale(1);
+    for at in 0..6 {
+        fleet.add(at, at % 3);
+    }
+    fleet.list();
+    fleet.run(Millis::from_secs(15));
+    assert!(fleet.in_force(1));
+    fleet.platform.state = PlatformState::Up;
+    let took = fleet.run_until(Millis::from_secs(35), |fleet| fleet.in_force(newest));
+    assert!(took.is_some());
+}
+
+/// An instance that reaches neither the platform nor a peer must not answer as if it were ready.
+#[test]
+fn an_instance_without_any_source_is_not_ready() {
+    let mut fleet = Fleet::settled(6, 3, 3);
+    fleet.platform.state = PlatformState::Down;
+    fleet.groups = vec![0, 0, 1];
+    fleet.add(2, 2);
+    fleet.list();
+    fleet.run(Millis::from_secs(60));
+    assert!(fleet.slots[2].in_force.is_none());
+    fleet.groups = vec![0; 3];
+    let ready = fleet.run_until(Millis::from_secs(20), |fleet| fleet.in_force(1));
+    assert!(ready.is_some());
+}
+
+/// The smaller half of a split reaches the platform and the larger doesn't, or the other way round;
+/// after the split all have the highest revision.
+#[test_case(&[0, 0, 0, 0, 0, 1, 1, 1])]
+#[test_case(&[1, 1, 1, 0, 0, 0, 0, 0])]
+fn a_split_delays_changes_but_undoes_none(groups: &[u8]) {
+    let mut fleet = Fleet::settled(7, 8, 2);
+    fleet.groups = groups.to_vec();
+    fleet.platform.publish("clara", "during the split");
+    assert!(run_without_going_back(&mut fleet, Millis::from_secs(60)));
+    let revision = fleet.platform.publish("clara", "at its end");
+    fleet.groups = vec![0; 8];
+    assert!(run_without_going_back(&mut fleet, Millis::from_secs(40)));
+    assert!(fleet.in_force(revision));
+}
+
+/// A watch that returns at once without news, from a platform or proxy that doesn't wait, must not
+/// eat the read budget that all share.
+#[test]
+fn a_watch_that_returns_at_once_is_not_repeated_in_a_loop() {
+    let mut fleet = Fleet::settled(8, 8, 2);
+    fleet.platform.state = PlatformState::Hasty;
+    fleet.run(Millis::from_secs(60));
+    fleet.platform.calls = 0;
+    fleet.run(Millis::from_secs(60));
+    let calls = fleet.platform.calls;
+    assert!(calls <= 8 * 4, "{calls} calls a minute from 8 instances");
+}
+
+#[test]
+fn a_platform_that_is_down_is_read_seldom() {
+    let mut fleet = Fleet::settled(9, 8, 2);
+    fleet.platform.state = PlatformState::Down;
+    fleet.run(Millis::from_secs(120));
+    fleet.platform.calls = 0;
+    fleet.run(Millis::from_secs(60));
+    let calls = fleet.platform.calls;
+    assert!(calls <= 8 * 4, "{calls} calls a minute from 8 instances");
+}
+
+/// Two platforms give two texts for one revision. Each instance keeps what it has in force and
+/// reports the conflict; the next revision settles it.
+#[test]
+fn two_texts_of_one_revision_are_reported_and_not_swapped() {
+    let mut fleet = Fleet::settled(10, 6, 2);
+    fleet.groups = vec![0, 0, 0, 1, 1, 1];
+    fleet.run(Millis::from_secs(40));
+    fleet.platform.publish("clara", "left");
+    for at in 3..6 {
+        fleet.pause(at, Millis::from_secs(10));
+    }
+    fleet.run(Millis::from_secs(9));
+    fleet.platform.rewrite("clara", "right");
+    fleet.run(Millis::from_secs(10));
+    fleet.groups = vec![0; 6];
+    fleet.run(Millis::from_secs(90));
+    let told = |f: &SpreadFinding| matches!(f, SpreadFinding::Conflict(_));
+    assert!((0..6).any(|at| reports(&fleet, at, told)));
+    for (at, slot) in fleet.slots.iter().enumerate() {
+        let text = &slot.in_force.as_ref().unwrap().part("clara").unwrap().text;
+        assert_eq!(&**text, if at < 3 { "left" } else { "right" });
+    }
+    let revision = fleet.platform.publish("clara", "settled");
+    fleet.run(Millis::from_secs(40));
+    assert!(fleet.in_force(revision));
+}
+
+/// A part read from a slower replica of the platform than the index: its old text must not be put
+/// in force under the new revision.
+#[test]
+fn an_old_text_under_a_new_index_is_refused() {
+    use crocushold_peers::Index;
+    use crocushold_peers::IndexEntry;
+    use crocushold_peers::PartText;
+    use crocushold_peers::PlatformRead;
+    let mut fleet = Fleet::settled(11, 1, 1);
+    let team: Arc<str> = Arc::from("clara");
+    let index = Index {
+        revision: 9,
+        parts: vec![IndexEntry {
+            team: team.clone(),
+            revision: 9,
+        }],
+    };
+    fleet.platform.state = PlatformState::Down;
+    fleet.feed_event(0, Event::PlatformRead(PlatformRead::Index(Ok(index))));
+    let old = PartText {
+        team: team.clone(),
+        revision: 1,
+        text: Arc::from("old"),
+    };
+    fleet.feed_event(0, Event::PlatformRead(PlatformRead::Part(team, Ok(old))));
+    fleet.run(Millis::from_secs(5));
+    assert!(fleet.in_force(1));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(16))]
+
+    /// Messages are lost, late, doubled and out of order, the platform changes, goes back and fails,
+    /// instances sleep and are replaced. No instance ever goes back, and once the faults end all
+    /// have the highest revision.
+    #[test]
+    fn no_instance_goes_back_and_all_arrive(
+        seed in any::<u64>(),
+        loss in 0_u32..300,
+        repeat in 0_u32..300,
+        most in 1_u64..1200,
+        steps in proptest::collection::vec((0_u8..6, 0_usize..7, 0_u64..6000), 1..12),
+    ) {
+        let mut fleet = Fleet::settled(seed, 7, 3);
+        fleet.faults = Faults { loss, repeat, least: 1, most };
+        for (step, at, span) in steps {
+            match step {
+                0 | 1 => {
+                    fleet.platform.state = PlatformState::Up;
+                    fleet.platform.publish(["clara", "two"][at % 2], &format!("text {span}"));
+                }
+                2 => fleet.platform.state = PlatformState::Down,
+                3 => fleet.platform.state = PlatformState::Stale(1),
+                4 => fleet.pause(at, Millis(span * 2)),
+                _ => fleet.groups[at] ^= 1,
+            }
+            prop_assert!(run_without_going_back(&mut fleet, Millis(span)));
+        }
+        fleet.faults = Faults::default();
+        fleet.groups = vec![0; 7];
+        fleet.platform.state = PlatformState::Up;
+        let revision = fleet.platform.publish("clara", "last");
+        prop_assert!(run_without_going_back(&mut fleet, Millis::from_secs(60)));
+        prop_assert!(fleet.in_force(revision));
+    }
+
+    /// A difference applied to the old text gives the new one, whatever the texts.
+    #[test]
+    fn differences_restore_the_text(old in ".{0,40}", new in ".{0,40}") {
+        let delta = Delta::between(&old, &new);
+        prop_assert_eq!(delta.apply(&old), Some(new));
+    }
+}
