Prove the router's and the retry policy's rules by induced failures

The random sequences found that a server which the list called leaving took work again when it was configured anew; the router now remembers what the list said of servers that it doesn't know.

--- a/crates/routing/src/retry/attempt.rs
+++ b/crates/routing/src/retry/attempt.rs
@@ -3,8 +3,9 @@
 //! The type that may still be sent elsewhere is consumed by the first write, so a non-idempotent
 //! request can't be sent twice by a slip in the daemon: the code wouldn't compile.
 //!
-//! ```compile_fail
-//! use crocushold_routing::{Attempt, Permit};
+//! ```compile_fail,E0382
+//! use crocushold_routing::Attempt;
+//! use crocushold_routing::Permit;
 //! let attempt = Attempt::new(Permit::new(false));
 //! let sent = attempt.write();
 //! attempt.release(); // moved: a byte may have left
--- a/crates/routing/src/router/listing.rs
+++ b/crates/routing/src/router/listing.rs
@@ -142,6 +142,16 @@
             named.insert(listed.server, listed.presence);
         }
         let verdict = self.judge(&named);
+        if verdict == ListVerdict::Accepted {
+            self.leaving.clear();
+        }
+        let leaving = list
+            .servers
+            .iter()
+            .filter(|l| l.presence == Presence::Leaving);
+        for listed in leaving {
+            self.leaving.insert(listed.server, ());
+        }
         for (key, server) in &mut self.servers {
             if server.departure == Some(Departure::Removed) {
                 continue;
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -27,6 +27,7 @@
 pub use self::types::Reason;
 use crate::cache::Hints;
 use crate::pool::Pool;
+use crate::ring::Ring;
 use crate::server::Counted;
 use crate::server::Departure;
 use crate::server::Member;
@@ -57,6 +58,9 @@
     revision: u64,
     /// Since when the list's revisions have been lower than one already seen.
     outdated: Option<Millis>,
+    /// Servers that the list called leaving, those that aren't configured included: one that is
+    /// configured again must not take work until a list calls it live.
+    leaving: SecondaryMap<ServerKey, ()>,
     /// Servers that aren't departing.
     present: usize,
     /// Present servers that are out on suspicion.
@@ -89,6 +93,7 @@
             freshness: Freshness::Untold,
             revision: 0,
             outdated: None,
+            leaving: SecondaryMap::new(),
             present: 0,
             ejected: 0,
             suspects: 0,
@@ -147,18 +152,15 @@
         }
     }
 
-    /// Attempts that could be started now, over all servers.
+    /// Attempts that could be started now, over all servers; none while the instance list is stale.
     pub fn free(&mut self, now: Millis) -> usize {
-        self.tick(now);
-        self.pools[ALL].free
+        self.free_in(Some(ALL), now)
     }
 
     /// Attempts that could be started now on servers that hold `model`.
     pub fn free_for(&mut self, model: ModelKey, now: Millis) -> usize {
-        self.tick(now);
-        self.models
-            .get(model)
-            .map_or(0, |&pool| self.pools[pool].free)
+        let pool = self.pool_of(Some(model));
+        self.free_in(pool, now)
     }
 
     /// How `server` stands, and why; `None` for one that isn't known.
@@ -177,23 +179,34 @@
         self.pools[pool].patience(&self.settings)
     }
 
+    fn free_in(&mut self, pool: Option<usize>, now: Millis) -> usize {
+        self.tick(now);
+        let fresh = self.check_fresh(now).is_ok();
+        pool.filter(|_| fresh)
+            .map_or(0, |pool| self.pools[pool].free)
+    }
+
     fn pool_of(&self, model: Option<ModelKey>) -> Option<usize> {
-        match model {
-            None => Some(ALL),
-            Some(model) => self.models.get(model).copied(),
-        }
+        let Some(model) = model else {
+            return Some(ALL);
+        };
+        let pool = self.models.get(model).copied();
+        pool.filter(|&pool| self.pools[pool].members > 0)
     }
 
     fn admit(&mut self, spec: &ServerSpec) {
         let local = spec.zone == self.zone;
         let share = self.share.of(spec.concurrency, spec.id);
+        let leaving = self.leaving.contains_key(spec.key);
+        let departure = leaving.then_some(Departure::Leaving);
         let Some(server) = self.servers.get_mut(spec.key) else {
-            let server = Server::new(spec.clone(), local, share);
+            let mut server = Server::new(spec.clone(), local, share);
+            server.departure = departure;
             self.servers.insert(spec.key, server);
             return;
         };
         if server.departure == Some(Departure::Removed) {
-            server.departure = None;
+            server.departure = departure;
         }
         if server.spec != *spec {
             server.spec.clone_from(spec);
@@ -214,29 +227,30 @@
         for (key, server) in &mut self.servers {
             server.counted = Counted::default();
             server.members.clear();
-            let mut pools = vec![ALL];
-            if server.departure != Some(Departure::Removed) {
-                for &model in &server.spec.models {
-                    let next = self.pools.len();
-                    let pool = *self
-                        .models
-                        .entry(model)
-                        .map_or(&next, |e| e.or_insert(next));
-                    if pool == next {
+            if server.departure == Some(Departure::Removed) {
+                continue;
+            }
+            server.members.push(Member::of(ALL));
+            for &model in &server.spec.models {
+                let next = self.pools.len();
+                let pool = match self.models.get(model) {
+                    Some(&pool) => pool,
+                    None => {
+                        self.models.insert(model, next);
                         self.pools.push(Pool::default());
                         homes.push(Vec::new());
+                        next
                     }
-                    pools.push(pool);
-                }
+                };
+                server.members.push(Member::of(pool));
             }
-            for pool in pools {
-                self.pools[pool].members += 1;
-                homes[pool].push((server.spec.id, key));
-                server.members.push(Member { pool, open: None });
+            for member in &server.members {
+                self.pools[member.pool].members += 1;
+                homes[member.pool].push((server.spec.id, key));
             }
         }
         for (pool, homes) in self.pools.iter_mut().zip(homes) {
-            pool.ring = crate::ring::Ring::new(homes.into_iter());
+            pool.ring = Ring::new(homes.into_iter());
         }
     }
 }
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -127,6 +127,13 @@
     pub(crate) open: Option<usize>,
 }
 
+impl Member {
+    /// A place in `pool`, without a free slot so far.
+    pub(crate) fn of(pool: usize) -> Member {
+        Member { pool, open: None }
+    }
+}
+
 /// A server's part in the counts of its pools.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Counted {
--- a/crates/routing/src/subset.rs
+++ b/crates/routing/src/subset.rs
@@ -6,23 +6,25 @@
 
 use twox_hash::XxHash3_64;
 
-/// How far an instance's subset may exceed the mean, as a ratio.
-const SLACK: f64 = 1.05;
+/// How far a subset may run ahead of the mean, or lag behind it, as a share of the mean; at least
+/// one server.
+const SLACK: f64 = 0.25;
 
 /// How many instances each server is covered by, when every instance is to have about `want` of
 /// the group's servers.
 pub fn coverage(servers: usize, instances: usize, want: usize) -> usize {
     let total = instances * want.min(servers);
-    total.div_ceil(servers.max(1)).clamp(1, instances.max(1))
+    let rounded = (total + servers / 2) / servers.max(1);
+    rounded.clamp(1, instances.max(1))
 }
 
 /// The indices into `servers` that instance `me` sends to, ascending.
 ///
 /// Each server is covered by exactly [`coverage`] instances: those that rank highest for it by
-/// rendezvous hashing, those whose subset holds 1.05 times the mean only after the others. So every
-/// server gets the same number of senders, and an instance that comes or goes moves little beyond
-/// its own part. The result depends on the identities alone, not on their order;
-/// an instance that isn't listed among `instances` is taken to be.
+/// rendezvous hashing, but first those whose subset lags behind, last those whose subset runs ahead.
+/// So every server has the same number of senders, the subsets are about equally large, and an
+/// instance or a server that comes or goes moves little beyond its own part. The result depends on
+/// the identities alone, not on their order; `me` is counted even if it isn't listed.
 ///
 /// Call it for each group of servers that hold the same model, or an instance may end up without a
 /// server for some model.
@@ -32,23 +34,21 @@
     peers.sort_unstable();
     peers.dedup();
     let cover = coverage(servers.len(), peers.len(), want);
-    let mean = (servers.len() * cover) as f64 / peers.len() as f64;
-    let mut room = vec![(mean * SLACK).ceil() as usize; peers.len()];
-    let mut order: Vec<usize> = (0..servers.len()).collect();
-    // By hash rather than by identity, so that a newcomer's place in the order is arbitrary and the
-    // full subsets that it meets are too.
-    order.sort_unstable_by_key(|&at| (rank(servers[at], 0), servers[at]));
+    let each = cover as f64 / peers.len() as f64;
+    let slack = (each * servers.len() as f64 * SLACK).max(1.0);
+    let mut sizes = vec![0_usize; peers.len()];
     let mut ranked = Vec::with_capacity(peers.len());
     let mut mine = Vec::new();
-    for at in order {
+    for (step, at) in shuffled(servers).into_iter().enumerate() {
+        let mean = each * (step + 1) as f64;
         ranked.clear();
         ranked.extend((0..peers.len()).map(|peer| Candidate {
-            full: room[peer] == 0,
+            balance: Balance::of(sizes[peer] as f64, mean, slack),
             rank: rank(servers[at], peers[peer]),
             peer,
         }));
         for &Candidate { peer, .. } in first(&mut ranked, cover) {
-            room[peer] = room[peer].saturating_sub(1);
+            sizes[peer] += 1;
             if peers[peer] == me {
                 mine.push(at);
             }
@@ -58,10 +58,37 @@
     mine
 }
 
-/// An instance as a candidate for one server. The order puts those with room first.
+/// The indices of the servers in the order of a hash, so that a newcomer's place is arbitrary.
+fn shuffled(servers: &[u64]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..servers.len()).collect();
+    order.sort_unstable_by_key(|&at| (rank(servers[at], 0), servers[at]));
+    order
+}
+
+/// How an instance's subset compares with the mean so far.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Balance {
+    Behind,
+    Even,
+    Ahead,
+}
+
+impl Balance {
+    fn of(size: f64, mean: f64, slack: f64) -> Balance {
+        if size + slack < mean {
+            Balance::Behind
+        } else if size < mean + slack {
+            Balance::Even
+        } else {
+            Balance::Ahead
+        }
+    }
+}
+
+/// An instance as a candidate for one server, in the order of preference.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Candidate {
-    full: bool,
+    balance: Balance,
     rank: u64,
     peer: usize,
 }
--- /dev/null
+++ b/crates/routing/tests/faults.rs
@@ -0,0 +1,395 @@
+//! What servers, lists and the process itself do wrong, and what the router makes of it.
+
+#![allow(
+    clippy::unwrap_used,
+    reason = "helpers of tests, where the lint looks for test functions only"
+)]
+
+mod common;
+
+use common::Fleet;
+use common::SLOTS;
+use crocushold_base::Millis;
+use crocushold_base::ModelKey;
+use crocushold_base::ServerKey;
+use crocushold_routing::CacheChange;
+use crocushold_routing::CacheEvent;
+use crocushold_routing::Demand;
+use crocushold_routing::Fault;
+use crocushold_routing::ListSnapshot;
+use crocushold_routing::ListVerdict;
+use crocushold_routing::LoadReport;
+use crocushold_routing::Outcome;
+use crocushold_routing::Reason;
+use crocushold_routing::State;
+use slotmap::SlotMap;
+use test_case::test_case;
+
+fn is_out(state: State, expected: Fault) -> bool {
+    matches!(state, State::Out { fault, .. } if fault == expected)
+}
+
+// The caller sees slow tokens although other servers are fast. One server answers ten times slower
+// than its peers for five samples; it goes out, comes back on trial for one request at a time, and
+// is in again once it keeps pace.
+#[test]
+fn straggler_is_ejected_and_returns_slowly() {
+    let mut fleet = Fleet::new(5);
+    for _ in 0..6 {
+        (0..5).for_each(|at| fleet.answer(at, 20));
+    }
+    for _ in 0..12 {
+        if !is_out(fleet.state(0), Fault::Straggling) {
+            fleet.answer(0, 200);
+        }
+    }
+    assert!(is_out(fleet.state(0), Fault::Straggling));
+    assert!(fleet.try_on(0).is_err());
+
+    fleet.wait(3000);
+    assert_eq!(fleet.state(0), State::Recovering);
+    let probe = fleet.pick_on(0);
+    assert!(fleet.try_on(0).is_err(), "one probe at a time");
+    fleet.end(probe.attempt, Outcome::Complete);
+    (0..4).for_each(|_| fleet.answer(0, 20));
+    assert_eq!(fleet.state(0), State::Serving);
+}
+
+// The caller would see a failed connection. The server's process is gone, so its host refuses; the
+// first refusal is proof enough, and ten at once don't lengthen the wait before it is tried again.
+#[test]
+fn crashed_server_is_out_at_the_first_refusal() {
+    let mut fleet = Fleet::new(5);
+    let picks: Vec<_> = (0..SLOTS).map(|_| fleet.pick_on(2)).collect();
+    for pick in picks {
+        fleet.end(pick.attempt, Outcome::Refused);
+    }
+    let State::Out { fault, until } = fleet.state(2) else {
+        panic!("it is in");
+    };
+    assert_eq!(fault, Fault::Refused);
+    assert!(until.since(fleet.now) <= Millis(600));
+    assert!(fleet.try_on(2).is_err());
+}
+
+// Every caller gets an error with a time to come back, at once. All servers refuse: a fact about
+// each, so no ceiling keeps any in.
+#[test]
+fn all_servers_crashed_says_when_to_come_back() {
+    let mut fleet = Fleet::new(3);
+    for at in 0..3 {
+        let pick = fleet.pick_on(at);
+        fleet.end(pick.attempt, Outcome::Refused);
+    }
+    let demand = fleet.demand();
+    let refusal = fleet.router.pick(&demand, fleet.now).unwrap_err();
+    assert_eq!(refusal.reason, Reason::Out);
+    assert!(refusal.retry_after <= Millis(600));
+}
+
+// The caller sees nothing, then an error. One server accepts connections and never answers; the
+// first-byte timeout follows what the others need, and three timeouts apart eject it.
+#[test]
+fn hung_server_is_ejected_by_an_adapted_timeout() {
+    let mut fleet = Fleet::new(5);
+    assert_eq!(fleet.pick_on(0).patience, Millis::from_secs(30));
+    for _ in 0..50 {
+        let pick = fleet.pick_on(1);
+        fleet
+            .router
+            .first_byte(pick.attempt, fleet.now + Millis(600));
+        fleet.end(pick.attempt, Outcome::Complete);
+    }
+    let patience = fleet.pick_on(2).patience;
+    assert!(
+        (Millis(1000)..Millis(2500)).contains(&patience),
+        "{patience}"
+    );
+    for _ in 0..3 {
+        let pick = fleet.pick_on(3);
+        fleet.wait(patience.0);
+        fleet.end(pick.attempt, Outcome::TimedOut);
+    }
+    assert!(is_out(fleet.state(3), Fault::Hung));
+}
+
+// Many callers see cut answers at one moment. The server's connections all drop together, which is
+// one event, not sixteen: the server stays until it fails again.
+#[test]
+fn cuts_at_one_moment_are_one_strike() {
+    let mut fleet = Fleet::new(5);
+    let picks: Vec<_> = (0..SLOTS).map(|_| fleet.pick_on(0)).collect();
+    for pick in picks {
+        fleet.end(pick.attempt, Outcome::Cut);
+    }
+    assert_eq!(fleet.state(0), State::Serving);
+    assert_eq!(fleet.router.why(fleet.keys[0]).unwrap().strikes, 1);
+}
+
+// Callers see timeouts everywhere. Demand exceeds what the fleet does, so every server is slow;
+// ejecting any would push its work onto the rest. None goes out, and the timeout grows.
+#[test]
+fn all_slow_together_ejects_nobody() {
+    let mut fleet = Fleet::new(10);
+    for _ in 0..4 {
+        (0..10).for_each(|at| fleet.answer(at, 20));
+    }
+    let before = fleet.router.patience(Some(fleet.model));
+    for _ in 0..20 {
+        let picks: Vec<_> = (0..10).map(|at| fleet.pick_on(at)).collect();
+        fleet.wait(1500);
+        for pick in picks {
+            fleet.end(pick.attempt, Outcome::TimedOut);
+        }
+    }
+    assert!((0..10).all(|at| fleet.state(at) == State::Serving));
+    let after = fleet.router.patience(Some(fleet.model));
+    assert!(after > before, "{before} {after}");
+}
+
+// Callers see slow tokens from every server at once. The pace of all falls tenfold; relative to
+// its peers none is a straggler.
+#[test]
+fn all_paced_slowly_ejects_nobody() {
+    let mut fleet = Fleet::new(10);
+    for pace in [20; 6].into_iter().chain([200; 12]) {
+        (0..10).for_each(|at| fleet.answer(at, pace));
+    }
+    assert!((0..10).all(|at| fleet.state(at) == State::Serving));
+}
+
+// Callers of a large model would lose its servers one after the other. It takes ten times as long
+// for each token as the other model, on two servers of ten; against their own peers they keep pace.
+#[test]
+fn slower_model_makes_no_straggler() {
+    let mut fleet = Fleet::new(10);
+    let small = fleet.model;
+    let mut models: SlotMap<ModelKey, ()> = SlotMap::with_key();
+    models.insert(());
+    let large = models.insert(());
+    let mut specs: Vec<_> = (0..10).map(|at| fleet.spec(at)).collect();
+    specs[..2]
+        .iter_mut()
+        .for_each(|spec| spec.models = vec![large]);
+    fleet.router.configure(&specs, fleet.now);
+    for _ in 0..15 {
+        fleet.model = large;
+        (0..2).for_each(|at| fleet.answer(at, 100));
+        fleet.model = small;
+        (2..10).for_each(|at| fleet.answer(at, 10));
+        assert!((0..10).all(|at| fleet.state(at) == State::Serving));
+    }
+}
+
+// Callers of a service see errors from many servers. A faulty version runs on half of them: no more
+// than the ceiling goes out, the rest keeps the service up.
+#[test]
+fn ejection_stops_at_the_ceiling() {
+    let mut fleet = Fleet::new(10);
+    for _ in 0..3 {
+        let picks: Vec<_> = (0..5).map(|at| fleet.pick_on(at)).collect();
+        fleet.wait(300);
+        for pick in picks {
+            fleet.end(pick.attempt, Outcome::Failed);
+        }
+    }
+    let out = (0..10).filter(|&at| is_out(fleet.state(at), Fault::Failing));
+    assert_eq!(out.count(), 3);
+}
+
+// The caller of a request in progress sees nothing. The list says that its server is leaving: the
+// attempt goes on, new ones go elsewhere at once; when the server is listed live again it returns.
+#[test]
+fn leaving_server_gets_no_new_work_and_finishes_the_old() {
+    let mut fleet = Fleet::new(4);
+    let pick = fleet.pick_on(0);
+    assert_eq!(fleet.list(&[1, 2, 3], &[0]), ListVerdict::Accepted);
+    assert_eq!(fleet.state(0), State::Leaving);
+    assert!(fleet.try_on(0).is_err());
+    assert_eq!(fleet.router.why(pick.server).unwrap().in_flight, 1);
+    fleet.end(pick.attempt, Outcome::Complete);
+    fleet.list(&[0, 1, 2, 3], &[]);
+    assert_eq!(fleet.state(0), State::Recovering);
+}
+
+// A server that vanished from a sane list was shut down; an older list, from a replica that lags,
+// doesn't bring it back.
+#[test]
+fn vanished_server_counts_as_leaving() {
+    let mut fleet = Fleet::new(4);
+    fleet.list(&[0, 1, 2, 3], &[]);
+    fleet.list(&[1, 2, 3], &[]);
+    assert_eq!(fleet.state(0), State::Vanished);
+    let old = ListSnapshot::default();
+    let verdict = fleet.router.instance_list(&old, fleet.now);
+    assert_eq!(verdict, ListVerdict::Outdated);
+    assert_eq!(fleet.state(0), State::Vanished);
+}
+
+// Callers would see a whole service refuse. The list is empty, or lost most servers at once, while
+// all of them run: nothing is taken from it but what it says outright.
+#[test_case(&[], &[] ; "empty")]
+#[test_case(&[1], &[] ; "lost over half")]
+#[test_case(&[1], &[0] ; "lost half, and one leaving")]
+fn suspect_list_changes_only_explicit_leavings(live: &[usize], leaving: &[usize]) {
+    let mut fleet = Fleet::new(5);
+    assert_eq!(fleet.list(live, leaving), ListVerdict::Suspect);
+    for at in 0..5 {
+        let serving = fleet.state(at) == State::Serving;
+        assert_eq!(serving, !leaving.contains(&at));
+    }
+}
+
+// A caller's request would go to a server that shut down long ago. The process is stopped for a
+// minute and wakes: nothing is sent until the list was read again, and it is then trusted.
+#[test]
+fn woken_late_waits_for_a_fresh_list() {
+    let mut fleet = Fleet::new(4);
+    fleet.list(&[0, 1, 2, 3], &[]);
+    fleet.wait(60_000);
+    let demand = fleet.demand();
+    assert_eq!(fleet.router.free(fleet.now), 0);
+    let refusal = fleet.router.pick(&demand, fleet.now).unwrap_err();
+    assert_eq!(refusal.reason, Reason::Stale);
+    assert!(refusal.retry_after <= Millis(1000));
+    fleet.list(&[1, 2, 3], &[0]);
+    assert!(fleet.try_on(0).is_err());
+    assert_eq!(fleet.router.free(fleet.now), 3 * SLOTS as usize);
+}
+
+// As before, but no list can be read: refusing for as long as that lasts would be an outage of our
+// own making. Each server is tried with one request first.
+#[test_case(true ; "the read fails")]
+#[test_case(false ; "no read ends within the grace")]
+fn woken_late_without_a_list_tries_one_at_a_time(failed: bool) {
+    let mut fleet = Fleet::new(4);
+    fleet.list(&[0, 1, 2, 3], &[]);
+    fleet.wait(60_000);
+    assert_eq!(fleet.router.free(fleet.now), 0);
+    if failed {
+        fleet.router.list_unavailable(fleet.now);
+    } else {
+        fleet.wait(1000);
+    }
+    assert_eq!(fleet.router.free(fleet.now), 4);
+}
+
+// Nothing changes for callers while the list can't be read for an hour and the process is awake.
+#[test]
+fn long_list_outage_changes_nothing() {
+    let mut fleet = Fleet::new(4);
+    fleet.list(&[0, 1, 2, 3], &[]);
+    for _ in 0..3600 {
+        fleet.wait(1000);
+        fleet.router.list_unavailable(fleet.now);
+    }
+    assert_eq!(fleet.router.free(fleet.now), 4 * SLOTS as usize);
+}
+
+// Callers would lose every server they waited for. The process sleeps past the timeouts of its
+// attempts; those that fire when it wakes say nothing about the servers.
+#[test]
+fn timeouts_over_a_sleep_are_no_strikes() {
+    let mut fleet = Fleet::new(5);
+    let picks: Vec<_> = (0..5).map(|at| fleet.pick_on(at)).collect();
+    fleet.wait(60_000);
+    for pick in picks {
+        fleet.end(pick.attempt, Outcome::TimedOut);
+    }
+    for key in fleet.keys.clone() {
+        assert_eq!(fleet.router.why(key).unwrap().strikes, 0);
+    }
+}
+
+fn stored(seq: u64, prefix: u64) -> CacheEvent {
+    CacheEvent {
+        seq,
+        change: CacheChange::Stored,
+        prefix,
+    }
+}
+
+fn home(fleet: &mut Fleet, prefix: u64) -> ServerKey {
+    let demand = Demand {
+        prefix: Some(prefix),
+        ..fleet.demand()
+    };
+    let pick = fleet.router.pick(&demand, fleet.now).unwrap();
+    fleet.end(pick.attempt, Outcome::Cancelled);
+    pick.server
+}
+
+// Callers see a slow first token, as their prompts go to a cold cache. Events are lost, among them
+// perhaps the eviction: after a gap earlier hints of that server are void, and the ring decides.
+#[test]
+fn gapped_cache_events_void_earlier_hints() {
+    let mut fleet = Fleet::new(8);
+    let ring = home(&mut fleet, 5);
+    let other = *fleet.keys.iter().find(|&&key| key != ring).unwrap();
+    fleet.router.cache_event(other, stored(1, 5));
+    assert_eq!(home(&mut fleet, 5), other);
+    fleet.router.cache_event(other, stored(1, 6));
+    assert_ne!(home(&mut fleet, 6), other, "a repeated number is ignored");
+    fleet.router.cache_event(other, stored(3, 7));
+    assert_eq!(home(&mut fleet, 5), ring);
+    assert_eq!(home(&mut fleet, 7), other);
+}
+
+// Callers with one popular prompt would queue at one server while others idle. Its home takes them
+// only while its cost stays near the sampled servers' cost.
+#[test]
+fn popular_prefix_spills_over() {
+    let mut fleet = Fleet::new(8);
+    let demand = Demand {
+        prefix: Some(5),
+        ..fleet.demand()
+    };
+    let now = fleet.now;
+    for _ in 0..8 {
+        fleet.router.pick(&demand, now).unwrap();
+    }
+    let keys = fleet.keys.iter();
+    let loads = keys.map(|&key| fleet.router.why(key).unwrap().in_flight);
+    let busiest = loads.max().unwrap();
+    assert!((2..=3).contains(&busiest), "{busiest}");
+}
+
+// Callers see a long wait at a server that others fill. Its report says so, and choices avoid it
+// until the report is too old to believe.
+#[test]
+fn lagged_report_counts_less_with_age() {
+    let mut fleet = Fleet::new(2);
+    let busy = LoadReport {
+        running: 40,
+        waiting: 40,
+        age: Millis::ZERO,
+    };
+    fleet.router.load_report(fleet.keys[0], busy, fleet.now);
+    fleet
+        .router
+        .load_report(fleet.keys[1], LoadReport::default(), fleet.now);
+    assert!(!fleet.is_picked(0));
+    fleet.wait(4000);
+    assert!(fleet.is_picked(0));
+}
+
+// The caller of a booking sees an unclear outcome. A server that hung comes back; what must not be
+// repeated, and the most urgent tier, don't try it out while another server is free enough.
+#[test_case(1, false ; "non idempotent")]
+#[test_case(0, true ; "most urgent")]
+fn delicate_requests_try_nothing_out(priority: u8, idempotent: bool) {
+    let mut fleet = Fleet::new(2);
+    fleet.list(&[0], &[1]);
+    fleet.list(&[0, 1], &[]);
+    assert_eq!(fleet.state(1), State::Recovering);
+    let demand = Demand {
+        priority,
+        idempotent,
+        ..fleet.demand()
+    };
+    for _ in 0..20 {
+        let pick = fleet.router.pick(&demand, fleet.now).unwrap();
+        assert_eq!(pick.server, fleet.keys[0]);
+        fleet.end(pick.attempt, Outcome::Cancelled);
+    }
+}
