Follow lagged load reports by a quarter, and bench the decisions

Reports that are a second old tell all instances alike which servers were idle. A prefix's home is another matter: all instances send there, and only the reports tell each of the others' part.

--- /dev/null
+++ b/crates/routing/benches/router.rs
@@ -0,0 +1,179 @@
+//! The cost of the router's decisions, and how it grows with the servers:
+//! `cargo bench -p crocushold-routing`.
+
+use crocushold_base::Millis;
+use crocushold_base::ModelKey;
+use crocushold_base::ServerKey;
+use crocushold_routing::Demand;
+use crocushold_routing::ListSnapshot;
+use crocushold_routing::Listed;
+use crocushold_routing::LoadReport;
+use crocushold_routing::Outcome;
+use crocushold_routing::Presence;
+use crocushold_routing::Router;
+use crocushold_routing::ServerSpec;
+use crocushold_routing::Settings;
+use crocushold_routing::subset;
+use divan::AllocProfiler;
+use divan::Bencher;
+use slotmap::SlotMap;
+
+#[global_allocator]
+static ALLOC: AllocProfiler = AllocProfiler::system();
+
+const SERVERS: [usize; 4] = [20, 118, 1000, 5900];
+const MODELS: usize = 39;
+const MODELS_PER_SERVER: usize = 2;
+const SLOTS: u32 = 64;
+
+fn main() {
+    divan::main();
+}
+
+struct Fleet {
+    router: Router,
+    models: Vec<ModelKey>,
+    specs: Vec<ServerSpec>,
+    now: Millis,
+    turn: u64,
+}
+
+impl Fleet {
+    /// A fleet with `filled` of its slots taken.
+    fn new(servers: usize, filled: f64) -> Fleet {
+        let mut keys: SlotMap<ServerKey, ()> = SlotMap::with_key();
+        let mut arena: SlotMap<ModelKey, ()> = SlotMap::with_key();
+        let models: Vec<ModelKey> = (0..MODELS).map(|_| arena.insert(())).collect();
+        let held = |at: usize| (0..MODELS_PER_SERVER).map(move |n| (at * 7 + n * 5) % MODELS);
+        let specs: Vec<ServerSpec> = (0..servers)
+            .map(|at| ServerSpec {
+                key: keys.insert(()),
+                id: at as u64 * 1_000_003,
+                zone: format!("z{}", at % 23),
+                concurrency: SLOTS,
+                models: held(at).map(|model| models[model]).collect(),
+            })
+            .collect();
+        let mut fleet = Fleet {
+            router: Router::new(Settings::default(), "z1", 3),
+            models,
+            specs,
+            now: Millis(1000),
+            turn: 0,
+        };
+        fleet.router.configure(&fleet.specs, fleet.now);
+        fleet.fill((servers as f64 * f64::from(SLOTS) * filled) as usize);
+        fleet
+    }
+
+    fn fill(&mut self, attempts: usize) {
+        for spec in &self.specs {
+            let report = LoadReport {
+                running: 30,
+                ..LoadReport::default()
+            };
+            self.router.load_report(spec.key, report, self.now);
+        }
+        for _ in 0..attempts {
+            let demand = self.demand();
+            let _ = self.router.pick(&demand, self.now);
+        }
+    }
+
+    fn demand(&mut self) -> Demand<'static> {
+        self.turn += 1;
+        let model = self.models[self.turn as usize % MODELS];
+        Demand {
+            model: Some(model),
+            prefix: Some(self.turn % 10_000),
+            priority: 1,
+            idempotent: true,
+            tokens: 500,
+            exclude: &[],
+        }
+    }
+
+    fn cycle(&mut self, outcome: Outcome) {
+        let demand = self.demand();
+        if let Ok(pick) = self.router.pick(&demand, self.now) {
+            self.router.first_byte(pick.attempt, self.now);
+            self.router.done(pick.attempt, outcome, 100, self.now);
+        }
+    }
+}
+
+/// One pick, its first byte and its end.
+#[divan::bench(args = SERVERS, sample_size = 1000)]
+fn pick_and_done(bencher: Bencher<'_, '_>, servers: usize) {
+    let mut fleet = Fleet::new(servers, 0.7);
+    bencher.bench_local(|| fleet.cycle(Outcome::Complete));
+}
+
+/// As before, on a fleet of which nearly every slot is taken.
+#[divan::bench(args = SERVERS, sample_size = 1000)]
+fn pick_and_done_when_full(bencher: Bencher<'_, '_>, servers: usize) {
+    let mut fleet = Fleet::new(servers, 0.99);
+    bencher.bench_local(|| fleet.cycle(Outcome::Complete));
+}
+
+/// As before, but every attempt fails.
+#[divan::bench(args = SERVERS, sample_size = 1000)]
+fn pick_and_fail(bencher: Bencher<'_, '_>, servers: usize) {
+    let mut fleet = Fleet::new(servers, 0.7);
+    bencher.bench_local(|| {
+        fleet.now += Millis(1);
+        fleet.cycle(Outcome::Cut);
+    });
+}
+
+/// A refusal while no slot is free.
+#[divan::bench(args = SERVERS, sample_size = 1000)]
+fn refuse(bencher: Bencher<'_, '_>, servers: usize) {
+    let mut fleet = Fleet::new(servers, 3.0);
+    bencher.bench_local(|| {
+        let demand = fleet.demand();
+        fleet.router.pick(&demand, fleet.now).is_err()
+    });
+}
+
+/// A load report of one server.
+#[divan::bench(args = SERVERS, sample_size = 1000)]
+fn load_report(bencher: Bencher<'_, '_>, servers: usize) {
+    let mut fleet = Fleet::new(servers, 0.7);
+    bencher.bench_local(|| {
+        fleet.turn += 1;
+        let key = fleet.specs[fleet.turn as usize % servers].key;
+        let report = LoadReport::default();
+        fleet.router.load_report(key, report, fleet.now);
+    });
+}
+
+/// A whole reading of the instance list, once a second or so.
+#[divan::bench(args = SERVERS)]
+fn instance_list(bencher: Bencher<'_, '_>, servers: usize) {
+    let mut fleet = Fleet::new(servers, 0.7);
+    let listed = |spec: &ServerSpec| Listed {
+        server: spec.key,
+        presence: Presence::Live,
+    };
+    let list = ListSnapshot {
+        revision: 1,
+        servers: fleet.specs.iter().map(listed).collect(),
+    };
+    bencher.bench_local(|| fleet.router.instance_list(&list, fleet.now));
+}
+
+/// A configuration of all servers, on a change of the set.
+#[divan::bench(args = SERVERS)]
+fn configure(bencher: Bencher<'_, '_>, servers: usize) {
+    let mut fleet = Fleet::new(servers, 0.7);
+    bencher.bench_local(|| fleet.router.configure(&fleet.specs, fleet.now));
+}
+
+/// The subset of one instance of 400.
+#[divan::bench(args = SERVERS)]
+fn subset_of_400(bencher: Bencher<'_, '_>, servers: usize) {
+    let ids: Vec<u64> = (0..servers as u64).collect();
+    let instances: Vec<u64> = (0..400).map(|at| at * 77_777).collect();
+    bencher.bench_local(|| subset(&ids, &instances, instances[7], 118));
+}
--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -49,11 +49,9 @@
             let reason = self.why_none(pool);
             return Err(self.refusal(reason, now));
         };
-        let home = self.home(pool, demand, now);
-        let server = match home {
-            Some(home) if home.cost <= best.cost * self.settings.affinity_bound => home.server,
-            _ => best.server,
-        };
+        let home = self.home(pool, demand);
+        let near = home.filter(|&home| self.is_near(home, best.server, demand, now));
+        let server = near.unwrap_or(best.server);
         Ok(self.start(server, pool, demand, now))
     }
 
@@ -99,17 +97,19 @@
         if demand.exclude.contains(&server) {
             return None;
         }
-        let cost = self.cost(&self.servers[server], demand, now);
+        let gain = self.settings.report_gain;
+        let cost = self.cost(&self.servers[server], demand, gain, now);
         Some(Scored { server, cost })
     }
 
     /// Requests ahead of this one for each of the server's slots, times its slowness.
     ///
     /// Own requests are counted by their outstanding tokens, in mean requests. Others' come from
-    /// the last report and decay to the fleet's mean as it ages.
-    fn cost(&self, server: &Server, demand: &Demand<'_>, now: Millis) -> f64 {
+    /// the last report, which counts with `gain` and decays to the fleet's mean as it ages.
+    fn cost(&self, server: &Server, demand: &Demand<'_>, gain: f64, now: Millis) -> f64 {
         let usual = self.others.mean();
-        let others = server.others(usual, self.settings.report_ttl, now);
+        let known = server.others(usual, self.settings.report_ttl, now);
+        let others = usual + gain * (known - usual);
         let own = server.tokens as f64 / self.volume.mean().max(1.0);
         let distance = if server.local {
             0.0
@@ -124,8 +124,18 @@
         ahead * slowness * doubt * caution / f64::from(server.spec.concurrency.max(1))
     }
 
+    /// True if the prefix's home costs little more than the sampled server.
+    ///
+    /// Here load reports count in full. All instances send a prefix to the same home, so the load
+    /// that the others put on it isn't the usual one, and this instance's own requests don't show
+    /// it; without the reports, a popular prefix overloads its home.
+    fn is_near(&self, home: ServerKey, best: ServerKey, demand: &Demand<'_>, now: Millis) -> bool {
+        let cost = |key| self.cost(&self.servers[key], demand, 1.0, now);
+        cost(home) <= cost(best) * self.settings.affinity_bound
+    }
+
     /// The server that holds the demand's prefix, by a cache event or else by the ring.
-    fn home(&self, pool: usize, demand: &Demand<'_>, now: Millis) -> Option<Scored> {
+    fn home(&self, pool: usize, demand: &Demand<'_>) -> Option<ServerKey> {
         let prefix = demand.prefix?;
         let hinted = self.hints.get(prefix).and_then(|hint| {
             let server = self.servers.get(hint.server)?;
@@ -138,7 +148,7 @@
             near.find(|&server| self.takes(server, pool))
         };
         let server = hinted.or_else(placed)?;
-        self.score(server, demand, now)
+        (!demand.exclude.contains(&server)).then_some(server)
     }
 
     fn takes(&self, server: ServerKey, pool: usize) -> bool {
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -15,6 +15,11 @@
     pub affinity_bound: f64,
     /// Prefixes remembered from cache events, at most.
     pub cache_hints: usize,
+    /// How far a choice among sampled servers follows the load reports, 0 to 1.
+    ///
+    /// A lagged report tells all instances alike which servers were idle, so all send there: with
+    /// the full gain a choice is worse than without reports.
+    pub report_gain: f64,
     /// How long a load report counts; its weight falls linearly to zero over this span.
     pub report_ttl: Millis,
     /// How long after the last attempt to read the instance list the held list may be acted on.
@@ -44,6 +49,7 @@
             zone_cost: 0.5,
             affinity_bound: 1.5,
             cache_hints: 65_536,
+            report_gain: 0.25,
             report_ttl: Millis::from_secs(3),
             list_lease: Millis::from_secs(5),
             list_reset: Millis::from_secs(60),
