Run an instance from its settings file, among its peers

serve takes the settings as an INI file. The configuration comes through the peers' node, which decides when the platform is read; the instance list is polled and handed to peers and routers; load reports and cache events are polled from the servers; each instance takes its part of servers' concurrency and accounts' limits from the live view. Bodies are read only into memory that was reserved. A request whose model is busy is set aside while others are tried.

Found on the way: serve ended with a panic when its standard output was closed after the first lines; three tests timed out on it.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -109,7 +109,10 @@
     pub platform: Vec<SocketAddr>,
     /// The secret that instances prove to each other.
     pub peer_key: Secret,
-    /// How long a planned stop waits for requests in progress.
+    /// How long a planned stop goes on serving after the health answer began to fail: the time in
+    /// which the balancer notices.
+    pub notice: Millis,
+    /// How long a planned stop waits for requests in progress after that.
     pub drain: Millis,
     /// The most bytes that requests in progress may hold.
     pub memory: u64,
@@ -127,6 +130,7 @@
             peer: loopback(8082),
             platform: vec![loopback(8090)],
             peer_key: Secret::default(),
+            notice: Millis::from_secs(5),
             drain: Millis::from_secs(120),
             memory: 192 * MIB,
             limits: CallerLimits::default(),
@@ -190,6 +194,7 @@
         set(&mut self.listen, listen);
         let operator = fields.require("operator", "10.0.0.1:8081", units::address);
         set(&mut self.operator, operator);
+        set(&mut self.notice, fields.take("notice", units::duration));
         set(&mut self.drain, fields.take("drain", units::duration));
         set(&mut self.memory, fields.take("memory", units::size));
         if self.memory < MIN_MEMORY {
@@ -226,7 +231,9 @@
             ("peers", "listen", self.peer),
         ];
         for (index, (section, key, address)) in own.iter().enumerate() {
-            let first = own[..index].iter().find(|(_, _, other)| other == address);
+            // Port 0 stands for any free one, a different one each time.
+            let same = |other: &SocketAddr| other == address && address.port() != 0;
+            let first = own[..index].iter().find(|(_, _, other)| same(other));
             let Some((_, other, _)) = first else {
                 continue;
             };
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,112 @@
+//! Answering callers.
+
+use std::sync::Arc;
+
+use crocushold_base::Millis;
+use crocushold_config as config;
+use crocushold_config::Credential;
+use crocushold_http::Hangup;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use serde::Serialize;
+
+use crate::exchange::Exchange;
+use crate::exchange::Failure;
+use crate::intake::Intake;
+use crate::intake::key_of;
+use crate::refusal::Reason;
+use crate::refusal::Refusal;
+use crate::shared::Shared;
+use crate::world::World;
+
+/// The status of an answer that nobody reads: the caller closed the connection.
+const CALLER_GONE: u16 = 499;
+
+/// Answers one request of a caller.
+pub(crate) async fn answer(shared: &Arc<Shared>, request: Request, hangup: Hangup) -> Response {
+    let id = shared.request_id();
+    let mut response = match serve(shared, request, &hangup, &id).await {
+        Ok(response) => response,
+        Err(Failure::Refused(refusal)) => refusal.into_response(),
+        Err(Failure::CallerGone) => Response::new(CALLER_GONE),
+    };
+    response.insert_header("x-request-id", &id);
+    response
+}
+
+async fn serve(
+    shared: &Arc<Shared>,
+    mut request: Request,
+    hangup: &Hangup,
+    id: &str,
+) -> Result<Response, Failure> {
+    let arrived = shared.clock.now();
+    let world = shared.world();
+    if world.revision == 0 {
+        let refusal = Refusal::not_run(Reason::NotServing, "no configuration is in force yet");
+        return Err(Failure::Refused(refusal.retry_after(Millis::from_secs(1))));
+    }
+    if request.method() == Method::Get && request.url().path() == "/v1/models" {
+        return list_models(&world, &request).map_err(Failure::Refused);
+    }
+    let intake = Intake {
+        world: &world,
+        bodies: &shared.bodies,
+        limits: &shared.settings.limits,
+        arrived,
+    };
+    let job = intake.read(&mut request).await.map_err(Failure::Refused)?;
+    let exchange = Exchange {
+        client: &shared.client,
+        clock: shared.clock,
+        pool: world.pools[&job.resolved.service].clone(),
+        metrics: world.classes[&job.resolved.class].clone(),
+        id,
+        arrived,
+        job,
+    };
+    exchange.run(hangup).await
+}
+
+#[derive(Serialize)]
+struct ModelList<'a> {
+    object: &'static str,
+    data: Vec<ModelEntry<'a>>,
+}
+
+#[derive(Serialize)]
+struct ModelEntry<'a> {
+    id: &'a str,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+impl ModelEntry<'_> {
+    fn new(id: &str) -> ModelEntry<'_> {
+        ModelEntry {
+            id,
+            object: "model",
+            owned_by: "crocushold",
+        }
+    }
+}
+
+/// The models that the caller's account may use.
+fn list_models(world: &World, request: &Request) -> Result<Response, Refusal> {
+    let credential = Credential::of(key_of(request)?);
+    let unknown = || Refusal::from_config(config::Refusal::UnknownKey);
+    let account = world.catalog.account_of(&credential).ok_or_else(unknown)?;
+    let list = ModelList {
+        object: "list",
+        data: world
+            .models_of(account)
+            .into_iter()
+            .map(ModelEntry::new)
+            .collect(),
+    };
+    let mut response = Response::new(200);
+    response.set_body(serde_json::to_string(&list).expect("strings always serialise"));
+    response.insert_header("content-type", "application/json");
+    Ok(response)
+}
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -1,7 +1,11 @@
 //! From a caller's request to a job: who sends it, what it asks for, which class it is.
 
+use std::sync::Arc;
+
 use crocushold_admission::Arrival;
 use crocushold_base::Millis;
+use crocushold_config as config;
+use crocushold_config::CallerLimits;
 use crocushold_config::Class;
 use crocushold_config::Credential;
 use crocushold_config::Resolved;
@@ -17,6 +21,8 @@
 use http_types::Url;
 use http_types::headers::Headers;
 
+use crate::memory::Memory;
+use crate::memory::Reservation;
 use crate::payload::Payload;
 use crate::payload::PayloadError;
 use crate::payload::set_priority;
@@ -34,6 +40,9 @@
 /// How the caller bounds its own wait, in milliseconds.
 const TIMEOUT: &str = "x-timeout-ms";
 
+/// When to come back while bodies fill the memory.
+const FULL_RETRY: Millis = Millis::from_secs(1);
+
 /// Headers that are the router's own business and don't reach a backend server.
 const PRIVATE: [&str; 3] = [AUTHORIZATION, CLASS, TIMEOUT];
 
@@ -49,6 +58,7 @@
     /// Whether the answer is a stream of server-sent events.
     pub(crate) stream: bool,
     outgoing: Outgoing,
+    reservation: Option<Arc<Reservation>>,
 }
 
 /// What goes to the backend server.
@@ -88,29 +98,56 @@
     })
 }
 
-/// Decodes and classifies a request.
-///
-/// # Errors
-///
-/// The refusal of a request that is malformed or not allowed.
-pub(crate) async fn read_job(
-    world: &World,
-    request: &mut Request,
-    limits: &ServerLimits,
-    now: Millis,
-) -> Result<Job, Refusal> {
-    // Checked before the body is read: a stranger must not make the instance buffer megabytes.
-    let known = world.catalog.account_of(&Credential::of(key_of(request)?));
-    if known.is_none() {
-        return Err(Refusal::from_config(crocushold_config::Refusal::UnknownKey));
+/// What a request is decoded and classified with.
+pub(crate) struct Intake<'a> {
+    pub(crate) world: &'a World,
+    pub(crate) bodies: &'a Memory,
+    pub(crate) limits: &'a CallerLimits,
+    pub(crate) arrived: Millis,
+}
+
+impl Intake<'_> {
+    /// Decodes and classifies a request.
+    ///
+    /// # Errors
+    ///
+    /// The refusal of a request that is malformed or not allowed.
+    pub(crate) async fn read(&self, request: &mut Request) -> Result<Job, Refusal> {
+        // Before the body is read: a stranger must not make the instance buffer megabytes.
+        let known = self
+            .world
+            .catalog
+            .account_of(&Credential::of(key_of(request)?));
+        if known.is_none() {
+            return Err(Refusal::from_config(config::Refusal::UnknownKey));
+        }
+        let reservation = self.reserve(request)?;
+        let limits = ServerLimits {
+            body_bytes: self.limits.body,
+            body_timeout: self.limits.body_timeout,
+            ..ServerLimits::default()
+        };
+        let body = read_body(request, &limits).await;
+        let body = body.map_err(|error| refuse_body(&error))?;
+        let job = if is_model_call(request.method(), request.url().path()) {
+            model_job(self.world, request, &body, self.arrived)
+        } else {
+            plain_job(self.world, request, body, self.arrived)
+        };
+        job.map(|job| Job {
+            reservation: Some(Arc::new(reservation)),
+            ..job
+        })
     }
-    let body = read_body(request, limits)
-        .await
-        .map_err(|error| refuse_body(&error))?;
-    if is_model_call(request.method(), request.url().path()) {
-        model_job(world, request, &body, now)
-    } else {
-        plain_job(world, request, body, now)
+
+    /// Reserves memory for the body: its announced length, or the bound when it has none.
+    fn reserve(&self, request: &Request) -> Result<Reservation, Refusal> {
+        let announced = request.len().map_or(self.limits.body, |len| len as u64);
+        let reservation = self.bodies.reserve(announced.min(self.limits.body));
+        reservation.ok_or_else(|| {
+            let text = "the instance has no memory left for the body";
+            Refusal::not_run(Reason::Overloaded, text).retry_after(FULL_RETRY)
+        })
     }
 }
 
@@ -142,6 +179,7 @@
         need: need(&resolved, class, payload.prefix, payload.prompt_tokens),
         stream: payload.stream,
         outgoing: outgoing(request, body),
+        reservation: None,
     })
 }
 
@@ -166,6 +204,7 @@
         need: need(&resolved, class, None, 0),
         stream: false,
         outgoing: outgoing(request, body),
+        reservation: None,
     })
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,20 +10,24 @@
 //! * A request is decoded and classified (`intake`), waits in its pool, is sent (`exchange`), and its
 //!   answer is watched on its way to the caller (`settle`).
 
+mod apply;
+mod callers;
 mod exchange;
 mod instance;
 mod intake;
+mod loads;
+mod memory;
 mod operator;
 mod payload;
 mod pool;
+mod publish;
 mod refusal;
 mod settle;
-mod sync;
+mod shared;
 mod world;
 
 pub use instance::Instance;
 pub use instance::InstanceHandle;
-pub use instance::Options;
 pub use instance::StartError;
 pub use payload::Payload;
 pub use payload::PayloadError;
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -7,6 +7,7 @@
 use crocushold_metrics::status::ConfigStatus;
 use crocushold_metrics::status::InstanceState;
 use crocushold_metrics::status::PartStatus;
+use crocushold_metrics::status::PeerStatus;
 use crocushold_metrics::status::ServerStatus;
 use crocushold_metrics::status::Status;
 use crocushold_metrics::status::WindowStatus;
@@ -16,7 +17,7 @@
 use http_types::Response;
 use http_types::StatusCode;
 
-use crate::instance::Shared;
+use crate::shared::Shared;
 use crate::world::World;
 
 /// Answers a request on the operator's address.
@@ -74,12 +75,13 @@
 fn status(shared: &Shared) -> Status {
     let world = shared.world();
     Status {
-        instance: shared.options.instance.clone(),
-        zone: shared.options.zone.clone(),
+        instance: shared.settings.id.clone(),
+        zone: shared.settings.zone.clone(),
         version: env!("CARGO_PKG_VERSION").to_owned(),
         state: shared.state(),
         uptime_ms: shared.clock.now().0,
         config: config_status(shared, &world),
+        peers: peer_statuses(shared),
         classes: class_statuses(shared, &world),
         servers: server_statuses(&world),
         ..Status::default()
@@ -101,6 +103,21 @@
     }
 }
 
+fn peer_statuses(shared: &Shared) -> Vec<PeerStatus> {
+    let Some(peers) = shared.peers() else {
+        return Vec::new();
+    };
+    let view = peers.view();
+    let others = view.instances.iter().filter(|peer| peer.id != view.me);
+    let statuses = others.map(|peer| PeerStatus {
+        instance: peer.id.to_string(),
+        zone: peer.zone.to_string(),
+        standing: "live".to_owned(),
+        ..PeerStatus::default()
+    });
+    statuses.collect()
+}
+
 fn class_statuses(shared: &Shared, world: &World) -> Vec<ClassStatus> {
     let now = shared.clock.now();
     let classes = world.catalog.classes.iter();
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -34,6 +34,7 @@
 use crocushold_routing::RetryPolicy;
 use crocushold_routing::RetrySettings;
 use crocushold_routing::Router;
+use crocushold_routing::ServerSpec;
 use crocushold_routing::Stage;
 use futures::channel::oneshot;
 
@@ -42,6 +43,9 @@
 /// The longest sleep of a pool's timer task; the router wants to be called about once a second.
 const TICK: Millis = Millis(500);
 
+/// Requests set aside in one round because no server could be had for them.
+const MAX_ASIDE: usize = 16;
+
 /// What a waiting request is told.
 #[derive(Debug)]
 pub(crate) enum Turn {
@@ -100,10 +104,25 @@
     pub(crate) scheduler: Scheduler,
     pub(crate) router: Router,
     pub(crate) addresses: HashMap<ServerKey, SocketAddr>,
+    /// The servers as configured: each holds every model of the service.
+    servers: Vec<ServerSpec>,
+    /// The models that servers reported to hold.
+    loaded: HashMap<ServerKey, Vec<ModelKey>>,
     retry: RetryPolicy,
     waiting: HashMap<RequestKey, Waiter>,
 }
 
+/// Settings of a pool.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PoolSettings {
+    /// The instance's availability zone.
+    pub(crate) zone: String,
+    /// Seed of random choices.
+    pub(crate) seed: u64,
+    /// Most bytes of queued requests.
+    pub(crate) queue_bytes: u64,
+}
+
 /// The scheduler and the router of one service.
 pub(crate) struct Pool {
     clock: Clock,
@@ -113,17 +132,20 @@
 }
 
 impl Pool {
-    /// A pool without classes or servers, for an instance in `zone`.
-    pub(crate) fn new(clock: Clock, zone: &str, seed: u64) -> Arc<Pool> {
+    /// A pool without classes or servers.
+    pub(crate) fn new(clock: Clock, settings: &PoolSettings) -> Arc<Pool> {
         let (wake, woken) = bounded(1);
         let scheduler = admission::Settings {
-            seed,
+            seed: settings.seed,
+            queue_bytes: settings.queue_bytes,
             ..admission::Settings::default()
         };
         let state = State {
             scheduler: Scheduler::new(scheduler),
-            router: Router::new(routing::Settings::default(), zone, seed),
+            router: Router::new(routing::Settings::default(), &settings.zone, settings.seed),
             addresses: HashMap::new(),
+            servers: Vec::new(),
+            loaded: HashMap::new(),
             retry: RetryPolicy::new(RetrySettings::default(), clock.now()),
             waiting: HashMap::new(),
         };
@@ -193,6 +215,34 @@
 }
 
 impl State {
+    /// Takes over the configured servers.
+    pub(crate) fn set_servers(&mut self, servers: Vec<ServerSpec>, now: Millis) {
+        self.servers = servers;
+        let known = &self.servers;
+        self.loaded
+            .retain(|key, _| known.iter().any(|server| server.key == *key));
+        self.configure_router(now);
+    }
+
+    /// Takes in which models a server holds. Until it has reported any, it is taken to hold all.
+    pub(crate) fn set_loaded(&mut self, server: ServerKey, models: Vec<ModelKey>, now: Millis) {
+        if self.loaded.get(&server) == Some(&models) {
+            return;
+        }
+        self.loaded.insert(server, models);
+        self.configure_router(now);
+    }
+
+    fn configure_router(&mut self, now: Millis) {
+        let mut servers = self.servers.clone();
+        for server in &mut servers {
+            if let Some(models) = self.loaded.get(&server.key) {
+                server.models.clone_from(models);
+            }
+        }
+        self.router.configure(&servers, now);
+    }
+
     fn submit(&mut self, arrival: &Arrival, need: Need, now: Millis) -> Result<Waiting, Refusal> {
         let key = match self.scheduler.submit(arrival, now) {
             Verdict::Queued(key) => key,
@@ -209,54 +259,51 @@
     }
 
     /// Carries out the scheduler's actions until there are none.
+    ///
+    /// A request for which no server can be had is set aside while others are tried: a model whose
+    /// servers are all busy must not hold up the requests for the other models behind it.
     fn pump(&mut self, now: Millis) {
-        loop {
+        let mut aside = Vec::new();
+        while aside.len() < MAX_ASIDE {
             let free = u32::try_from(self.router.free(now)).unwrap_or(u32::MAX);
             match self.scheduler.next(now, free) {
-                None => return,
+                None => break,
                 Some(Action::Refuse(refused)) => {
                     let refusal = Refusal::from_admission(&refused.refusal);
                     self.tell(refused.key, Turn::Refused(refusal));
                 }
-                Some(Action::Dispatch(ticket)) => {
-                    if !self.dispatch(ticket, now) {
-                        return;
-                    }
-                }
+                Some(Action::Dispatch(ticket)) => aside.extend(self.dispatch(ticket, now)),
             }
         }
+        for ticket in aside {
+            self.scheduler.requeue(ticket, now);
+        }
     }
 
-    /// Sends a dispatched request on its way; false when no server could be had and the pump must
-    /// wait for the next event.
-    fn dispatch(&mut self, ticket: Ticket<Dispatched>, now: Millis) -> bool {
+    /// Sends a dispatched request on its way; gives the ticket back when no server could be had.
+    fn dispatch(&mut self, ticket: Ticket<Dispatched>, now: Millis) -> Option<Ticket<Dispatched>> {
         let key = ticket.key();
         let Some(need) = self.waiting.get(&key).map(|waiter| waiter.need) else {
             self.scheduler.cancel(key, 0, now);
-            return true;
+            return None;
         };
         match self.pick(&need, &[], now) {
             Ok((pick, address)) => {
                 self.retry.first_attempt(now);
-                self.start(
-                    Start {
-                        ticket,
-                        pick,
-                        address,
-                    },
-                    now,
-                );
-                true
+                let start = Start {
+                    ticket,
+                    pick,
+                    address,
+                };
+                self.start(start, now);
+                None
             }
             Err(none) if none.reason == routing::Reason::NoModel => {
                 self.scheduler.cancel(key, 0, now);
                 self.tell(key, Turn::Refused(Refusal::from_routing(&none)));
-                true
-            }
-            Err(_) => {
-                self.scheduler.requeue(ticket, now);
-                false
+                None
             }
+            Err(_) => Some(ticket),
         }
     }
 
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,149 @@
+//! What the tasks of an instance share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use crocushold_base::Clock;
+use crocushold_config::Settings;
+use crocushold_config::Text;
+use crocushold_http::Client;
+use crocushold_http::PoolLimits;
+use crocushold_metrics::InstanceInfo;
+use crocushold_metrics::Metrics;
+use crocushold_metrics::status::InstanceState;
+use crocushold_peers::PeerHandle;
+use crocushold_peers::View;
+use crocushold_routing::Share;
+
+use crate::memory::Memory;
+use crate::world::Builder;
+use crate::world::World;
+
+/// What is known of one team's part of the configuration.
+#[derive(Clone, Debug)]
+pub(crate) struct PartInfo {
+    pub(crate) team: String,
+    pub(crate) published: u64,
+    pub(crate) in_force: u64,
+    pub(crate) findings: u64,
+}
+
+/// What the tasks of an instance share.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) client: Client,
+    pub(crate) metrics: Metrics,
+    /// Bodies of requests that are read, queued or being sent.
+    pub(crate) bodies: Memory,
+    pub(crate) seed: u64,
+    builder: Builder,
+    world: RwLock<Arc<World>>,
+    parts: Mutex<Vec<PartInfo>>,
+    peers: Mutex<Option<PeerHandle>>,
+    draining: AtomicBool,
+    next_id: AtomicU64,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Settings, seed: u64) -> Shared {
+        let clock = Clock::start();
+        let metrics = Metrics::new(&InstanceInfo {
+            instance: settings.id.clone(),
+            zone: settings.zone.clone(),
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+        });
+        let builder = Builder::new(clock, &settings, seed, metrics.clone());
+        Shared {
+            clock,
+            client: Client::new(PoolLimits::default()),
+            metrics,
+            bodies: Memory::new(settings.memory / 2),
+            seed,
+            builder,
+            world: RwLock::new(Arc::new(World::default())),
+            parts: Mutex::new(Vec::new()),
+            peers: Mutex::new(None),
+            draining: AtomicBool::new(false),
+            next_id: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    /// The configuration in force.
+    pub(crate) fn world(&self) -> Arc<World> {
+        let world = self.world.read();
+        world.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// What is known of the configuration's parts.
+    pub(crate) fn parts(&self) -> Vec<PartInfo> {
+        let parts = self.parts.lock();
+        parts.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// The peers' node, once it runs.
+    pub(crate) fn peers(&self) -> Option<PeerHandle> {
+        let peers = self.peers.lock();
+        peers.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub(crate) fn set_peers(&self, handle: PeerHandle) {
+        *self.peers.lock().unwrap_or_else(PoisonError::into_inner) = Some(handle);
+    }
+
+    /// Puts a configuration in force; false when the one in force is newer.
+    ///
+    /// The peers' node gives revisions in order, and equal ones with more parts. An older one comes
+    /// from a notice that was read late, and putting it in force would revert a change.
+    pub(crate) fn put_in_force(&self, text: &Text, revision: u64, parts: Vec<PartInfo>) -> bool {
+        let before = self.world();
+        if revision < before.revision {
+            return false;
+        }
+        let next = Arc::new(self.builder.next(&before, text, revision));
+        *self.world.write().unwrap_or_else(PoisonError::into_inner) = next;
+        *self.parts.lock().unwrap_or_else(PoisonError::into_inner) = parts;
+        true
+    }
+
+    /// Takes this instance's part of what all instances share from the live view.
+    pub(crate) fn take_view(&self, view: &View) {
+        self.metrics.set_peers(view.live().saturating_sub(1));
+        let instances = u32::try_from(view.live().max(1)).unwrap_or(u32::MAX);
+        let index = view.index().and_then(|index| u32::try_from(index).ok());
+        let share = Share {
+            instances,
+            index: index.unwrap_or(0),
+        };
+        self.builder.set_share(share);
+        self.world().set_share(share);
+    }
+
+    /// The stage of the instance's life.
+    pub(crate) fn state(&self) -> InstanceState {
+        if self.draining.load(Ordering::Relaxed) {
+            InstanceState::Draining
+        } else if self.world().revision == 0 {
+            InstanceState::Starting
+        } else {
+            InstanceState::Serving
+        }
+    }
+
+    /// Begins a planned stop.
+    pub(crate) fn start_drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// A number for a request that no other request of this process has.
+    pub(crate) fn request_id(&self) -> String {
+        let number = self.next_id.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{:x}-{number:x}", self.settings.id, self.seed as u32)
+    }
+}
--- a/crates/entry/src/world.rs
+++ b/crates/entry/src/world.rs
@@ -1,11 +1,15 @@
 //! The configuration in force, with the pools and metrics that belong to it.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 
 use async_std::task;
 use crocushold_admission::AccountSpec;
 use crocushold_admission::ClassSpec;
+use crocushold_base::AccountKey;
 use crocushold_base::ClassKey;
 use crocushold_base::Clock;
 use crocushold_base::Millis;
@@ -14,14 +18,22 @@
 use crocushold_config::Catalog;
 use crocushold_config::Class;
 use crocushold_config::Service;
+use crocushold_config::Settings;
 use crocushold_config::Text;
 use crocushold_metrics::ClassMetrics;
 use crocushold_metrics::ClassSettings;
 use crocushold_metrics::Metrics;
+use crocushold_platform::wire::InstanceEntry;
+use crocushold_platform::wire::InstanceState;
+use crocushold_routing::ListSnapshot;
+use crocushold_routing::Listed;
+use crocushold_routing::Presence;
 use crocushold_routing::ServerSpec;
+use crocushold_routing::Share;
 use twox_hash::XxHash3_64;
 
 use crate::pool::Pool;
+use crate::pool::PoolSettings;
 
 /// Multiple of a class's target after which an answer is of no use to its caller, who is then
 /// refused instead of kept waiting.
@@ -31,6 +43,9 @@
 const PATIENT_TIER: u8 = 4;
 
 /// What is in force at one moment. Requests hold the world they started under until they end.
+///
+/// The default is the world before a configuration was read: it resolves nothing.
+#[derive(Default)]
 pub(crate) struct World {
     /// The revision of the text; zero before the first.
     pub(crate) revision: u64,
@@ -39,25 +54,103 @@
     pub(crate) classes: HashMap<ClassKey, ClassMetrics>,
 }
 
+impl World {
+    /// Hands a reading of the instance list to the routers. Servers are matched by address: the
+    /// list names services in the platform's own way.
+    pub(crate) fn take_list<'a>(
+        &self,
+        revision: u64,
+        entries: impl Iterator<Item = &'a InstanceEntry>,
+    ) {
+        let by_address: HashMap<SocketAddr, Presence> = entries
+            .map(|entry| (entry.address, presence(entry.state)))
+            .collect();
+        for (key, pool) in &self.pools {
+            let service = &self.catalog.services[*key];
+            let servers = service.servers.iter().filter_map(|&server| {
+                let address = self.catalog.servers[server].address;
+                let presence = *by_address.get(&address)?;
+                Some(Listed { server, presence })
+            });
+            let list = ListSnapshot {
+                revision,
+                servers: servers.collect(),
+            };
+            pool.update(|state, now| state.router.instance_list(&list, now));
+        }
+    }
+
+    /// Tells the routers that the instance list couldn't be read.
+    pub(crate) fn list_unavailable(&self) {
+        for pool in self.pools.values() {
+            pool.update(|state, now| state.router.list_unavailable(now));
+        }
+    }
+
+    /// Sets this instance's part of servers' concurrency and of accounts' limits.
+    pub(crate) fn set_share(&self, share: Share) {
+        let fraction = 1.0 / f64::from(share.instances.max(1));
+        for pool in self.pools.values() {
+            pool.update(|state, now| {
+                state.router.set_share(share);
+                for account in self.catalog.accounts.keys() {
+                    state.scheduler.set_share(account, fraction, now);
+                }
+            });
+        }
+    }
+
+    /// The names of the models that an account may use, in order.
+    pub(crate) fn models_of(&self, account: AccountKey) -> Vec<&str> {
+        let catalog = &self.catalog;
+        let classes = catalog.accounts[account].classes.iter();
+        let services = classes.map(|&class| catalog.classes[class].service);
+        let models = services.flat_map(|service| &catalog.services[service].models);
+        let mut ids: Vec<&str> = models
+            .map(|&model| catalog.models[model].id.as_str())
+            .collect();
+        ids.sort_unstable();
+        ids.dedup();
+        ids
+    }
+}
+
+fn presence(state: InstanceState) -> Presence {
+    match state {
+        InstanceState::Live => Presence::Live,
+        InstanceState::Leaving | InstanceState::Other => Presence::Leaving,
+    }
+}
+
 /// What makes pools and metrics for a world.
 pub(crate) struct Builder {
-    pub(crate) clock: Clock,
-    pub(crate) zone: String,
-    pub(crate) seed: u64,
-    pub(crate) metrics: Metrics,
+    clock: Clock,
+    zone: String,
+    seed: u64,
+    metrics: Metrics,
+    queue_bytes: u64,
+    account_queue: u32,
+    share: Mutex<Share>,
 }
 
 impl Builder {
-    /// The world before a configuration was read: it resolves nothing.
-    pub(crate) fn empty() -> World {
-        World {
-            revision: 0,
-            catalog: Catalog::default(),
-            pools: HashMap::new(),
-            classes: HashMap::new(),
+    pub(crate) fn new(clock: Clock, settings: &Settings, seed: u64, metrics: Metrics) -> Builder {
+        Builder {
+            clock,
+            zone: settings.zone.clone(),
+            seed,
+            metrics,
+            queue_bytes: settings.memory / 2,
+            account_queue: settings.limits.per_account,
+            share: Mutex::new(Share::default()),
         }
     }
 
+    /// Remembers the share for worlds that are still to come.
+    pub(crate) fn set_share(&self, share: Share) {
+        *self.share.lock().unwrap_or_else(PoisonError::into_inner) = share;
+    }
+
     /// The world after `text`; pools of services that stay are carried over with their queues.
     pub(crate) fn next(&self, before: &World, text: &Text, revision: u64) -> World {
         let mut catalog = before.catalog.clone();
@@ -71,17 +164,25 @@
         }
         let classes = self.class_metrics(&catalog);
         self.metrics.set_revision(revision);
-        World {
+        let world = World {
             revision,
             catalog,
             pools,
             classes,
-        }
+        };
+        let share = *self.share.lock().unwrap_or_else(PoisonError::into_inner);
+        world.set_share(share);
+        world
     }
 
     fn start_pool(&self, service: &str) -> Arc<Pool> {
         let seed = self.seed ^ XxHash3_64::oneshot(service.as_bytes());
-        let pool = Pool::new(self.clock, &self.zone, seed);
+        let settings = PoolSettings {
+            zone: self.zone.clone(),
+            seed,
+            queue_bytes: self.queue_bytes,
+        };
+        let pool = Pool::new(self.clock, &settings);
         task::spawn(pool.clone().run_timers());
         pool
     }
@@ -96,12 +197,12 @@
             .accounts
             .iter()
             .filter(|(_, account)| account.classes.iter().any(|c| service.classes.contains(c)))
-            .map(|(key, account)| account_spec(key, account))
+            .map(|(key, account)| self.account_spec(key, account))
             .collect();
         let servers = server_specs(catalog, service);
         pool.update(|state, now| {
             state.scheduler.configure(&classes, &accounts, now);
-            state.router.configure(&servers, now);
+            state.set_servers(servers, now);
             state.addresses = service
                 .servers
                 .iter()
@@ -110,6 +211,17 @@
         });
     }
 
+    fn account_spec(&self, key: AccountKey, account: &Account) -> AccountSpec {
+        AccountSpec {
+            key,
+            requests: f64::from(account.limits.requests),
+            tokens: f64::from(account.limits.tokens),
+            concurrency: account.limits.concurrency,
+            queue: self.account_queue,
+            ..AccountSpec::default()
+        }
+    }
+
     fn class_metrics(&self, catalog: &Catalog) -> HashMap<ClassKey, ClassMetrics> {
         let names = catalog.classes.values().map(|class| class.name.as_str());
         self.metrics.retain_classes(names);
@@ -138,16 +250,6 @@
     }
 }
 
-fn account_spec(key: crocushold_base::AccountKey, account: &Account) -> AccountSpec {
-    AccountSpec {
-        key,
-        requests: f64::from(account.limits.requests),
-        tokens: f64::from(account.limits.tokens),
-        concurrency: account.limits.concurrency,
-        ..AccountSpec::default()
-    }
-}
-
 fn class_settings(class: &Class) -> ClassSettings {
     ClassSettings {
         name: class.name.clone(),
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -56,5 +56,6 @@
 pub use reader::Snapshot;
 pub use report::Report;
 pub use shell::Shell;
+pub use shell::read;
 pub use shell::run;
 pub use transport::HttpFetch;
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -13,6 +13,8 @@
 mod calls;
 mod exchange;
 
+pub use exchange::read;
+
 /// What a machine runs on.
 #[derive(Clone, Debug)]
 pub struct Shell<F> {
--- a/crates/platform/src/shell/exchange.rs
+++ b/crates/platform/src/shell/exchange.rs
@@ -30,13 +30,18 @@
 
 /// Makes a call and returns the event that ends it.
 pub(super) async fn perform<F: Fetch>(shell: &Shell<F>, id: CallId, call: Call) -> Event {
-    match exchange(shell, &call).await {
+    match read(shell, &call).await {
         Ok(answer) => Event::Answered { call: id, answer },
         Err(failure) => Event::Failed { call: id, failure },
     }
 }
 
-async fn exchange<F: Fetch>(shell: &Shell<F>, call: &Call) -> Result<Answer, Failure> {
+/// Makes one call, outside a machine.
+///
+/// # Errors
+///
+/// Why it brought no answer.
+pub async fn read<F: Fetch>(shell: &Shell<F>, call: &Call) -> Result<Answer, Failure> {
     let get = Get {
         address: shell.address.clone(),
         path: path(call),
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -1,16 +1,22 @@
 //! `crocushold serve`: runs an entry instance.
 
-use std::net::SocketAddr;
+use std::fs;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use async_std::channel::Receiver;
 use async_std::channel::bounded;
 use async_std::task;
 use bpaf::Parser;
+use bpaf::construct;
 use bpaf::long;
+use bpaf::positional;
 use crocushold_base::Event;
+use crocushold_config::Settings;
 use crocushold_entry::Instance;
-use crocushold_entry::Options;
+use crocushold_entry::InstanceHandle;
 use flexi_logger::DeferredNow;
 use flexi_logger::Logger;
 use flexi_logger::LoggerHandle;
@@ -21,74 +27,31 @@
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
 
+/// Exit status when the settings have findings or can't be read.
+const BAD_SETTINGS: u8 = 2;
+
 /// The arguments of `serve`.
 #[derive(Clone, Debug)]
 pub struct Args {
-    options: Options,
     log: String,
+    file: PathBuf,
 }
 
 /// The parser of `serve`.
 pub fn args() -> impl Parser<Args> {
-    let instance = long("instance")
-        .help("The instance's name in the platform's list")
-        .argument::<String>("NAME")
-        .fallback("entry".to_owned());
-    let zone = long("zone")
-        .help("The availability zone")
-        .argument::<String>("ZONE")
-        .fallback(String::new());
-    let listen = long("listen")
-        .help("Where callers connect")
-        .argument::<SocketAddr>("ADDR");
-    let operator = long("operator")
-        .help("Where the operator connects")
-        .argument::<SocketAddr>("ADDR");
-    let platform = long("platform")
-        .help("The platform's address")
-        .argument::<SocketAddr>("ADDR")
-        .optional();
     let log = long("log")
         .help("Log levels, such as \"info\" or \"warn, crocushold_entry=debug\"")
         .argument::<String>("LEVELS")
-        .fallback("info".to_owned());
-    bpaf::construct!(Fields {
-        instance,
-        zone,
-        listen,
-        operator,
-        platform,
-        log
-    })
-    .map(Args::from)
-    .to_options()
-    .descr("Runs an entry instance")
-    .command("serve")
-}
-
-struct Fields {
-    instance: String,
-    zone: String,
-    listen: SocketAddr,
-    operator: SocketAddr,
-    platform: Option<SocketAddr>,
-    log: String,
-}
-
-impl From<Fields> for Args {
-    fn from(fields: Fields) -> Args {
-        Args {
-            options: Options {
-                instance: fields.instance,
-                zone: fields.zone,
-                listen: fields.listen,
-                operator: fields.operator,
-                platform: fields.platform,
-                ..Options::default()
-            },
-            log: fields.log,
-        }
-    }
+        .fallback("info".to_owned())
+        .display_fallback();
+    let file = positional::<PathBuf>("FILE")
+        .help("The instance's settings, an INI file")
+        .complete_shell(bpaf::ShellComp::File { mask: None });
+    construct!(Args { log, file })
+        .to_options()
+        .descr("Runs an entry instance")
+        .footer("Exit status: 0 stopped as planned, 1 could not start, 2 bad settings")
+        .command("serve")
 }
 
 /// Runs an instance until a signal asks for a graceful stop.
@@ -97,10 +60,17 @@
         Ok(logger) => logger,
         Err(error) => {
             eprintln!("error: --log: {error}");
-            return ExitCode::from(2);
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    let settings = match read_settings(&args.file) {
+        Ok(settings) => settings,
+        Err(message) => {
+            eprintln!("{message}");
+            return ExitCode::from(BAD_SETTINGS);
         }
     };
-    match serve(args.options) {
+    match serve(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => {
             error!("{}", Event::new("start-failed").with("cause", cause));
@@ -109,12 +79,20 @@
     }
 }
 
-fn serve(options: Options) -> Result<(), Box<dyn std::error::Error>> {
+/// Reads the settings; the error lists every finding, one a line.
+fn read_settings(file: &Path) -> Result<Settings, String> {
+    let text = fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+    Settings::parse(&text).map_err(|findings| {
+        let lines = findings.iter().map(|finding| finding.to_string());
+        lines.collect::<Vec<_>>().join("\n")
+    })
+}
+
+fn serve(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
     let stop = stop_signals()?;
     task::block_on(async {
-        let instance = Instance::start(options).await?;
-        println!("listening={}", instance.listen);
-        println!("operator={}", instance.operator);
+        let instance = Instance::start(settings).await?;
+        print_addresses(&instance);
         // The channel closes only with the signal thread, which lives as long as the process.
         let _ = stop.recv().await;
         let open = instance.stop().await;
@@ -123,6 +101,15 @@
     })
 }
 
+/// Tells whoever started the process where it listens.
+fn print_addresses(instance: &InstanceHandle) {
+    let mut out = std::io::stdout();
+    // Whoever reads may close the pipe after the first line; that is no reason to stop serving.
+    let _ = writeln!(out, "listening={}", instance.listen);
+    let _ = writeln!(out, "operator={}", instance.operator);
+    let _ = writeln!(out, "peer={}", instance.peer());
+}
+
 /// A message for each signal that asks for a stop.
 fn stop_signals() -> std::io::Result<Receiver<()>> {
     let mut signals = Signals::new([SIGINT, SIGTERM])?;
--- a/tests/all/support/entry.rs
+++ b/tests/all/support/entry.rs
@@ -23,6 +23,7 @@
     child: Child,
     pub listen: SocketAddr,
     pub operator: SocketAddr,
+    pub peer: SocketAddr,
 }
 
 impl Entry {
@@ -41,10 +42,12 @@
         };
         let listen = address("listening=");
         let operator = address("operator=");
+        let peer = address("peer=");
         Entry {
             child,
             listen,
             operator,
+            peer,
         }
     }
 
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod entry;
+mod folder;
 mod site;
 
 pub use caller::Answer;
--- a/tests/all/support/site.rs
+++ b/tests/all/support/site.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::fs;
+use std::path::PathBuf;
 
 use async_std::task;
 use crocushold_config::KeyDigest;
@@ -15,6 +17,9 @@
 
 use super::any_address;
 use super::entry::Entry;
+use super::folder::Folder;
+
+const PEER_KEY: &str = "0123456789abcdef0123456789abcdef";
 
 /// How a site is laid out.
 #[derive(Clone, Debug)]
@@ -45,6 +50,7 @@
     pub engines: Vec<Handle<Engine>>,
     pub service: Handle<PlainService>,
     pub text: String,
+    folder: Folder,
 }
 
 impl Site {
@@ -69,6 +75,7 @@
                 engines,
                 service,
                 text,
+                folder: Folder::new(),
             }
         })
     }
@@ -82,17 +89,20 @@
 
     /// The arguments of an entry instance at this site.
     pub fn args(&self, name: &str) -> Vec<String> {
-        let pairs = [
-            ("instance", name.to_owned()),
-            ("zone", "zone-a".to_owned()),
-            ("listen", any_address().to_string()),
-            ("operator", any_address().to_string()),
-            ("platform", self.platform.addr().to_string()),
-        ];
-        pairs
-            .iter()
-            .map(|(key, value)| format!("--{key}={value}"))
-            .collect()
+        vec![self.settings_file(name).to_string_lossy().into_owned()]
+    }
+
+    fn settings_file(&self, name: &str) -> PathBuf {
+        let any = any_address();
+        let platform = self.platform.addr();
+        let text = format!(
+            "[instance]\nid = {name}\nzone = zone-a\nlisten = {any}\noperator = {any}\n\
+             notice = 300 ms\ndrain = 20 s\n\n[platform]\naddresses = {platform}\n\n\
+             [peers]\nlisten = {any}\nkey = {PEER_KEY}\n"
+        );
+        let file = self.folder.path().join(format!("{name}.ini"));
+        fs::write(&file, text).unwrap();
+        file
     }
 }
 
