--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -58,7 +58,8 @@
     /// Whether the answer is a stream of server-sent events.
     pub(crate) stream: bool,
     outgoing: Outgoing,
-    reservation: Option<Arc<Reservation>>,
+    /// Held until the request has ended, for its drop alone.
+    _reservation: Option<Arc<Reservation>>,
 }
 
 /// What goes to the backend server.
@@ -135,7 +136,7 @@
             plain_job(self.world, request, body, self.arrived)
         };
         job.map(|job| Job {
-            reservation: Some(Arc::new(reservation)),
+            _reservation: Some(Arc::new(reservation)),
             ..job
         })
     }
@@ -179,7 +180,7 @@
         need: need(&resolved, class, payload.prefix, payload.prompt_tokens),
         stream: payload.stream,
         outgoing: outgoing(request, body),
-        reservation: None,
+        _reservation: None,
     })
 }
 
@@ -204,7 +205,7 @@
         need: need(&resolved, class, None, 0),
         stream: false,
         outgoing: outgoing(request, body),
-        reservation: None,
+        _reservation: None,
     })
 }
 
--- /dev/null
+++ b/src/commands/check.rs
@@ -0,0 +1,103 @@
+//! `crocushold check`: checks a configuration text before it is published.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Parser;
+use bpaf::construct;
+use bpaf::long;
+use bpaf::positional;
+use crocushold_config::Finding;
+use crocushold_config::Settings;
+use crocushold_config::Severity;
+use crocushold_config::Text;
+
+/// The text would be rejected, in whole or in part.
+const REJECTED: u8 = 1;
+/// The text can't be read.
+const UNREADABLE: u8 = 2;
+
+/// The arguments of `check`.
+#[derive(Clone, Debug)]
+pub struct Args {
+    settings: bool,
+    strict: bool,
+    files: Vec<PathBuf>,
+}
+
+/// The parser of `check`.
+pub fn args() -> impl Parser<Args> {
+    let settings = long("settings")
+        .help("The files are settings of instances, not parts of the shared text")
+        .switch();
+    let strict = long("strict")
+        .help("Warnings too make the exit status 1")
+        .switch();
+    let files = positional::<PathBuf>("FILE")
+        .help("Parts of the shared text; several are checked together, as they are published")
+        .complete_shell(bpaf::ShellComp::File { mask: None })
+        .some("give at least one FILE");
+    construct!(Args {
+        settings,
+        strict,
+        files
+    })
+    .to_options()
+    .descr("Checks a configuration text before it is published")
+    .footer("Exit status: 0 accepted, 1 rejected in whole or in part, 2 a file can't be read")
+    .command("check")
+}
+
+/// Prints every finding, one a line, and returns the exit status.
+pub fn run(args: &Args) -> ExitCode {
+    let texts = match read(&args.files) {
+        Ok(texts) => texts,
+        Err(message) => {
+            eprintln!("{message}");
+            return ExitCode::from(UNREADABLE);
+        }
+    };
+    let findings = if args.settings {
+        texts
+            .iter()
+            .flat_map(|text| settings_findings(text))
+            .collect()
+    } else {
+        Text::parse(&texts.concat()).findings()
+    };
+    for finding in &findings {
+        println!("{finding}");
+    }
+    let errors = count(&findings, Severity::Error);
+    let warnings = findings.len() - errors;
+    eprintln!("{errors} errors, {warnings} warnings");
+    if errors > 0 || (args.strict && warnings > 0) {
+        return ExitCode::from(REJECTED);
+    }
+    ExitCode::SUCCESS
+}
+
+fn settings_findings(text: &str) -> Vec<Finding> {
+    Settings::parse(text).err().unwrap_or_default()
+}
+
+fn count(findings: &[Finding], severity: Severity) -> usize {
+    let same = findings
+        .iter()
+        .filter(|finding| finding.severity == severity);
+    same.count()
+}
+
+/// Reads the files, each ended by a line break so that the next one starts on a line of its own.
+pub(super) fn read(files: &[PathBuf]) -> Result<Vec<String>, String> {
+    let texts = files.iter().map(|file| {
+        let text = fs::read_to_string(file);
+        let mut text = text.map_err(|error| format!("{}: {error}", file.display()))?;
+        if !text.ends_with('\n') {
+            text.push('\n');
+        }
+        Ok(text)
+    });
+    texts.collect()
+}
--- /dev/null
+++ b/src/commands/explain.rs
@@ -0,0 +1,122 @@
+//! `crocushold explain`: which class, servers and limits a request would get, and why.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Parser;
+use bpaf::construct;
+use bpaf::long;
+use bpaf::positional;
+use crocushold_config::Catalog;
+use crocushold_config::Credential;
+use crocushold_config::KeyDigest;
+use crocushold_config::Target;
+use crocushold_config::Text;
+use crocushold_config::explain;
+
+use super::check;
+
+/// The request would be refused.
+const REFUSED: u8 = 1;
+/// The text can't be read.
+const UNREADABLE: u8 = 2;
+
+/// The arguments of `explain`.
+#[derive(Clone, Debug)]
+pub struct Args {
+    key: Key,
+    wanted: Option<String>,
+    request: Asked,
+    files: Vec<PathBuf>,
+}
+
+#[derive(Clone, Debug)]
+enum Key {
+    Plain(String),
+    Digest(KeyDigest),
+}
+
+#[derive(Clone, Debug)]
+enum Asked {
+    Model(String),
+    Path(String, String),
+}
+
+/// The parser of `explain`.
+pub fn args() -> impl Parser<Args> {
+    let plain = long("key")
+        .help("The caller's key")
+        .argument::<String>("KEY")
+        .map(Key::Plain);
+    let digest = long("key-sha256")
+        .help("The digest of the caller's key, as the text holds it")
+        .argument::<String>("DIGEST")
+        .parse(|text| KeyDigest::from_hex(&text).ok_or("write 64 hexadecimal digits"))
+        .map(Key::Digest);
+    let key = construct!([plain, digest]);
+    let wanted = long("class")
+        .help("The class that the caller asks for by x-class")
+        .argument::<String>("CLASS")
+        .optional();
+    let model = long("model")
+        .help("The model that the request names")
+        .argument::<String>("MODEL")
+        .map(Asked::Model);
+    let request = construct!([model, path()]);
+    let files = positional::<PathBuf>("FILE")
+        .help("Parts of the shared text")
+        .complete_shell(bpaf::ShellComp::File { mask: None })
+        .some("give at least one FILE");
+    construct!(Args {
+        key,
+        wanted,
+        request,
+        files
+    })
+    .to_options()
+    .descr("Shows which class, servers and limits a request would get, and why")
+    .footer("Exit status: 0 explained, 1 the request would be refused, 2 a file can't be read")
+    .command("explain")
+}
+
+fn path() -> impl Parser<Asked> {
+    let path = long("path")
+        .help("The path of a call to a plain service")
+        .argument::<String>("PATH");
+    let method = long("method")
+        .help("Its method")
+        .argument::<String>("METHOD")
+        .fallback("GET".to_owned())
+        .display_fallback();
+    construct!(method, path).map(|(method, path)| Asked::Path(method, path))
+}
+
+/// Prints the explanation and returns the exit status.
+pub fn run(args: &Args) -> ExitCode {
+    let texts = match check::read(&args.files) {
+        Ok(texts) => texts,
+        Err(message) => {
+            eprintln!("{message}");
+            return ExitCode::from(UNREADABLE);
+        }
+    };
+    let catalog = Catalog::new(&Text::parse(&texts.concat()));
+    let credential = match &args.key {
+        Key::Plain(key) => Credential::of(key),
+        Key::Digest(digest) => Credential::from_digest(*digest),
+    };
+    let target = match &args.request {
+        Asked::Model(id) => Target::Model(id),
+        Asked::Path(method, path) => Target::Path { method, path },
+    };
+    match explain(&catalog, &credential, target, args.wanted.as_deref()) {
+        Ok(explanation) => {
+            print!("{explanation}");
+            ExitCode::SUCCESS
+        }
+        Err(refusal) => {
+            println!("refused with status {}: {refusal}", refusal.status());
+            ExitCode::from(REFUSED)
+        }
+    }
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,3 +1,5 @@
 //! One module a subcommand.
 
+pub mod check;
+pub mod explain;
 pub mod serve;
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -55,7 +55,7 @@
 }
 
 /// Runs an instance until a signal asks for a graceful stop.
-pub fn run(args: Args) -> ExitCode {
+pub fn run(args: &Args) -> ExitCode {
     let _logger = match start_log(&args.log) {
         Ok(logger) => logger,
         Err(error) => {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests: real `crocushold` processes between stand-ins, one binary of modules.
 
+mod commands;
 mod path;
 #[allow(unreachable_pub, reason = "a binary of tests has no interface")]
 mod support;
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -9,6 +9,7 @@
 pub use caller::Call;
 pub use caller::call;
 pub use entry::Entry;
+pub use folder::Folder;
 pub use site::Site;
 pub use site::SiteSettings;
 
