Count refusals by status and wasted tokens by cause; test the processes

A stand-in that is down at the end of a run no longer loses the whole report: it counts as unasked, and the report says that the counts of doubled requests are then lower bounds. One process can run several engines.

--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -22,6 +22,7 @@
     /// Run a model engine.
     Engine {
         listen: SocketAddr,
+        count: usize,
         settings: Option<String>,
         model: Vec<String>,
     },
@@ -96,6 +97,11 @@
 
 fn engine() -> impl Parser<Command> {
     let listen = listen();
+    let count = long("count")
+        .help("Engines to run, each on its own free port but for the first")
+        .argument::<usize>("N")
+        .fallback(1)
+        .display_fallback();
     let settings = settings();
     let model = long("model")
         .help("A model that is loaded from the start; replaces those of the settings")
@@ -103,6 +109,7 @@
         .many();
     construct!(Command::Engine {
         listen,
+        count,
         settings,
         model,
     })
--- a/crates/standins/src/engine/stats.rs
+++ b/crates/standins/src/engine/stats.rs
@@ -45,8 +45,10 @@
     pub refused: u64,
     /// Tokens of completed requests.
     pub useful_tokens: u64,
-    /// Tokens of cancelled, cut and lost requests.
-    pub wasted_tokens: u64,
+    /// Tokens of requests whose caller closed the connection.
+    pub cancelled_tokens: u64,
+    /// Tokens of requests cut, or lost in a crash.
+    pub failed_tokens: u64,
     /// Prompts whose prefix was cached.
     pub prefix_hits: u64,
     /// Prompts whose prefix wasn't.
@@ -122,7 +124,7 @@
         let at_us = unix_micros();
         let hung_up = self.hang_ups.remove(marker);
         self.counts.cancelled += 1;
-        self.counts.wasted_tokens += u64::from(tokens);
+        self.counts.cancelled_tokens += u64::from(tokens);
         if self.counts.cancellations.len() == CANCELLATIONS {
             self.counts.cancellations.remove(0);
         }
@@ -137,7 +139,7 @@
     /// Counts a request that ended by a fault of the engine.
     pub(super) fn failed(&mut self, tokens: u32) {
         self.counts.failed += 1;
-        self.counts.wasted_tokens += u64::from(tokens);
+        self.counts.failed_tokens += u64::from(tokens);
     }
 
     /// Counts a request whose answer went out whole.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,30 @@
 //! * [`Engine`]: a model engine with continuous batching, a prefix cache and streamed answers.
 //! * [`PlainService`]: any method and path, with a counter of effects by idempotency key.
 //! * [`load`]: an open-loop load generator that records what callers would see.
+//!
+//! # Commands
+//!
+//! A command is one JSON object; its `kind` names the variant of [`PlatformCommand`],
+//! [`EngineCommand`] or [`ServiceCommand`] in kebab case:
+//!
+//! ```text
+//! platform  {"kind": "part", "team": "clara", "text": "[class chat]\n"}
+//!           {"kind": "instance-state", "id": "runner-1", "state": "leaving"}
+//!           {"kind": "go-back", "revision": 3}
+//! engine    {"kind": "cut", "cut": {"after": 3, "form": "length", "times": 1}}
+//!           {"kind": "slow", "factor": 4.0}
+//! service   {"kind": "fault", "fault": "drop-after", "times": 1}
+//! ```
+//!
+//! A command that closes the public listener is best sent to the control address: on the public one
+//! its own answer is cut too.
+//!
+//! # Markers
+//!
+//! A request names itself by the body field `user`, or else by the header `x-marker`; every token of
+//! its answer repeats the marker and the token's number. `GET /control/runs` tells how often each
+//! marker ran. The body field `target_tokens` fixes the length of an answer without the router's
+//! knowledge, up to `max_tokens`.
 
 mod engine;
 mod gate;
--- a/crates/standins/src/load/record.rs
+++ b/crates/standins/src/load/record.rs
@@ -83,6 +83,10 @@
             Ending::Complete => counts.completed += 1,
             Ending::Refused => {
                 counts.refused += 1;
+                *counts
+                    .statuses
+                    .entry(exchange.response.status())
+                    .or_insert(0) += 1;
                 let retry_after = exchange.response.header("retry-after").is_some();
                 counts.without_retry_after += u64::from(!retry_after);
                 counts.told_not_run += u64::from(says_not_run(exchange, not_run));
--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -1,5 +1,7 @@
 //! The report of a run, as JSON.
 
+use std::collections::BTreeMap;
+
 use hdrhistogram::Histogram;
 use serde::Deserialize;
 use serde::Serialize;
@@ -46,6 +48,8 @@
     pub gave_up: u64,
     /// Refused a connection by every entry.
     pub unconnected: u64,
+    /// Refusals by status.
+    pub statuses: BTreeMap<u16, u64>,
     /// Refusals without `Retry-After`.
     pub without_retry_after: u64,
     /// Refusals that state that the request wasn't run.
@@ -101,6 +105,11 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct StandinTotals {
+    /// Stand-ins that gave their counters.
+    pub asked: u64,
+    /// Stand-ins that couldn't be asked. Unless it is zero, the counts of doubled and wrongly told
+    /// requests are lower bounds.
+    pub unasked: u64,
     /// Requests that entered a queue.
     pub started: u64,
     /// Requests whose whole answer went out.
@@ -111,8 +120,10 @@
     pub failed: u64,
     /// Tokens of completed requests.
     pub useful_tokens: u64,
-    /// Tokens of the others.
-    pub wasted_tokens: u64,
+    /// Tokens of requests whose caller left.
+    pub cancelled_tokens: u64,
+    /// Tokens of requests cut or lost by a fault.
+    pub failed_tokens: u64,
 }
 
 impl Quantiles {
--- a/crates/standins/src/load/response.rs
+++ b/crates/standins/src/load/response.rs
@@ -5,7 +5,7 @@
 use super::tokens::Tokens;
 
 /// Longest body that is kept whole, and longest line of a stream, in bytes.
-const MAX_KEPT: usize = 4 * 1024 * 1024;
+const MAX_KEPT: usize = 32 * 1024 * 1024;
 
 /// An answer that is being read.
 #[derive(Debug)]
--- a/crates/standins/src/load/run.rs
+++ b/crates/standins/src/load/run.rs
@@ -54,7 +54,7 @@
 ///
 /// # Errors
 ///
-/// Fails when the plan names no entry, or a stand-in can't be asked for its counters.
+/// Fails when the plan names no entry.
 pub async fn run(plan: LoadPlan) -> io::Result<LoadReport> {
     if plan.entries.is_empty() {
         return Err(io::Error::other("the plan names no entry address"));
@@ -64,7 +64,7 @@
     for request in send_all(&shared, start).await {
         request.await;
     }
-    let tally = RunTally::collect(&shared.plan.standins).await?;
+    let tally = RunTally::collect(&shared.plan.standins).await;
     Ok(shared.report(start.elapsed(), &tally))
 }
 
--- a/crates/standins/src/load/tally.rs
+++ b/crates/standins/src/load/tally.rs
@@ -28,22 +28,27 @@
 }
 
 impl RunTally {
-    /// Asks every stand-in.
-    ///
-    /// # Errors
-    ///
-    /// Fails when one of them can't be asked: a count with gaps would hide a request run twice.
-    pub(super) async fn collect(standins: &[SocketAddr]) -> io::Result<RunTally> {
+    /// Asks every stand-in. One that is down is counted as unasked, since a gap in the counts would
+    /// hide a request that ran twice.
+    pub(super) async fn collect(standins: &[SocketAddr]) -> RunTally {
         let mut tally = RunTally::default();
         for &standin in standins {
-            let runs: HashMap<String, u64> = get(standin, "/control/runs").await?;
-            for (marker, count) in runs {
-                *tally.runs.entry(marker).or_insert(0) += count;
+            match tally.ask(standin).await {
+                Ok(()) => tally.totals.asked += 1,
+                Err(_) => tally.totals.unasked += 1,
             }
-            let stats: EngineStats = get(standin, "/control/stats").await?;
-            tally.totals.add(&stats);
         }
-        Ok(tally)
+        tally
+    }
+
+    async fn ask(&mut self, standin: SocketAddr) -> io::Result<()> {
+        let stats: EngineStats = get(standin, "/control/stats").await?;
+        let runs: HashMap<String, u64> = get(standin, "/control/runs").await?;
+        for (marker, count) in runs {
+            *self.runs.entry(marker).or_insert(0) += count;
+        }
+        self.totals.add(&stats);
+        Ok(())
     }
 }
 
@@ -54,7 +59,8 @@
         self.cancelled += stats.cancelled;
         self.failed += stats.failed;
         self.useful_tokens += stats.useful_tokens;
-        self.wasted_tokens += stats.wasted_tokens;
+        self.cancelled_tokens += stats.cancelled_tokens;
+        self.failed_tokens += stats.failed_tokens;
     }
 }
 
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,11 +1,13 @@
 //! The stand-ins as separate processes: `crocushold-standin platform|engine|service|load`.
 //!
-//! The first line on standard output is `listening=ADDR`, the second `control=ADDR`; both addresses
+//! The first line on standard output is `listening=ADDR`, the second `control=ADDR` (a pair for each
+//! engine when there are several); both addresses
 //! take commands as JSON on `POST /control` and show counters on `GET /control/stats`.
 
 use std::error::Error;
 use std::fs;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -57,10 +59,11 @@
             for PartFile { team, file } in part {
                 settings.parts.insert(team, fs::read_to_string(file)?);
             }
-            serve(Platform::start(listen, settings).await?).await
+            serve(vec![Platform::start(listen, settings).await?]).await
         }
         Command::Engine {
             listen,
+            count,
             settings,
             model,
         } => {
@@ -68,11 +71,11 @@
             if !model.is_empty() {
                 settings.models = model;
             }
-            serve(Engine::start(listen, settings).await?).await
+            serve(start_engines(listen, count, &settings).await?).await
         }
         Command::Service { listen, settings } => {
             let settings: ServiceSettings = read_settings(settings)?;
-            serve(PlainService::start(listen, settings).await?).await
+            serve(vec![PlainService::start(listen, settings).await?]).await
         }
         Command::Load {
             entry,
@@ -93,11 +96,32 @@
     }
 }
 
+/// Starts `count` engines, the first one on `listen`, the others on free ports.
+async fn start_engines(
+    listen: SocketAddr,
+    count: usize,
+    settings: &EngineSettings,
+) -> Outcome<Vec<Handle<Engine>>> {
+    let any = SocketAddr::new(listen.ip(), 0);
+    let mut engines = Vec::new();
+    for number in 0..count {
+        let addr = if number == 0 { listen } else { any };
+        let settings = EngineSettings {
+            seed: settings.seed.wrapping_add(number as u64),
+            ..settings.clone()
+        };
+        engines.push(Engine::start(addr, settings).await?);
+    }
+    Ok(engines)
+}
+
 /// Prints the addresses and serves until the process is ended.
-async fn serve<S: Standin>(handle: Handle<S>) -> Outcome<()> {
+async fn serve<S: Standin>(handles: Vec<Handle<S>>) -> Outcome<()> {
     let mut out = std::io::stdout();
-    writeln!(out, "listening={}", handle.addr())?;
-    writeln!(out, "control={}", handle.control_addr())?;
+    for handle in &handles {
+        writeln!(out, "listening={}", handle.addr())?;
+        writeln!(out, "control={}", handle.control_addr())?;
+    }
     out.flush()?;
     std::future::pending().await
 }
--- a/crates/standins/tests/all/engine.rs
+++ b/crates/standins/tests/all/engine.rs
@@ -104,7 +104,7 @@
     let stats = engine.stats();
     assert_eq!((stats.failed, stats.useful_tokens), (1, 0));
     // The batch may be ahead of what went out; those tokens are wasted too.
-    assert!((2..=5).contains(&stats.wasted_tokens), "{stats:?}");
+    assert!((2..=5).contains(&stats.failed_tokens), "{stats:?}");
     let next = chat(&engine, &request("next", 1, true)).await;
     assert!(next.body.contains("[DONE]"), "only one answer is cut");
 }
--- a/crates/standins/tests/all/load.rs
+++ b/crates/standins/tests/all/load.rs
@@ -1,5 +1,9 @@
 //! The load generator, and what it takes for a whole answer.
 
+use async_std::io::ReadExt;
+use async_std::io::WriteExt;
+use async_std::net::TcpListener;
+use async_std::task;
 use crocushold_standins::BatchSettings;
 use crocushold_standins::Cut;
 use crocushold_standins::CutForm;
@@ -108,6 +112,7 @@
     }
     let sent: u64 = report.classes.iter().map(|class| class.sent).sum();
     assert_eq!(report.standins.completed, sent);
+    assert_eq!((report.standins.asked, report.standins.unasked), (1, 0));
     let tokens: u64 = report.classes.iter().map(|class| class.useful_tokens).sum();
     assert_eq!(report.standins.useful_tokens, tokens);
 }
@@ -132,6 +137,31 @@
     assert_eq!(exchange.ending, Ending::Cut);
 }
 
+/// A relay between caller and engine goes wrong although the framing of its answer is in order.
+#[test_case(&["mine 0 ", "mine 1 "], true, "", Ending::Complete; "in order")]
+#[test_case(&["mine 0 "], true, "", Ending::Disordered; "its tail is missing")]
+#[test_case(&["mine 0 ", "other 1 "], true, "", Ending::Misdelivered; "another request's token")]
+#[test_case(&["mine 0 ", "mine 1 "], false, "0\r\n\r\n", Ending::Cut; "no end of the stream")]
+#[test_case(&["mine 0 ", "mine 1 "], true, "HTTP/1.1 200 OK", Ending::Cut; "bytes after its end")]
+#[async_std::test]
+async fn relayed_answer(tokens: &[&str], ended: bool, last: &str, ending: Ending) {
+    let answer = format!("{}{last}", chunked(tokens, ended));
+    let listener = TcpListener::bind(wire::any()).await.unwrap();
+    let entry = listener.local_addr().unwrap();
+    task::spawn(async move {
+        let (mut conn, _) = listener.accept().await.unwrap();
+        let mut request = vec![0; 4096];
+        conn.read(&mut request).await.unwrap();
+        conn.write_all(answer.as_bytes()).await.unwrap();
+    });
+    let class = LoadClass {
+        output: Lengths::fixed(2),
+        ..LoadClass::default()
+    };
+    let exchange = load::send_one(entry, &class, "mine").await;
+    assert_eq!(exchange.ending, ending);
+}
+
 #[async_std::test]
 async fn refusals_and_unreachable_entries_are_told_apart() {
     let engine = engine().await;
--- a/crates/standins/tests/all/main.rs
+++ b/crates/standins/tests/all/main.rs
@@ -4,8 +4,10 @@
 #![allow(clippy::unwrap_used)]
 
 mod batch;
+mod commands;
 mod engine;
 mod load;
 mod platform;
+mod process;
 mod service;
 mod wire;
