Stop listening also while a forked process holds the descriptor

Between fork and exec the child holds a copy of the listening descriptor, and the kernel goes on taking connections after it was closed here.

--- a/crates/standins/src/port.rs
+++ b/crates/standins/src/port.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::Shutdown;
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -76,21 +77,38 @@
 pub(crate) struct Port {
     addr: SocketAddr,
     endpoint: Endpoint,
-    accepting: Mutex<Option<JoinHandle<()>>>,
+    accepting: Mutex<Option<Accepting>>,
     conns: Arc<Conns>,
 }
 
+/// A listener in use: the task that accepts, and a second descriptor to stop it by.
+///
+/// Closing the listener isn't enough: a process that is being forked elsewhere holds a copy of the
+/// descriptor until it has executed its program, and for so long the kernel would go on taking
+/// connections. Shutting the socket down ends that for every copy.
+struct Accepting {
+    task: JoinHandle<()>,
+    socket: std::net::TcpStream,
+}
+
+impl Accepting {
+    fn stop(self) -> JoinHandle<()> {
+        let _ = self.socket.shutdown(Shutdown::Both);
+        self.task
+    }
+}
+
 impl Port {
     /// Binds `addr` and starts to accept.
     pub(crate) async fn open(addr: SocketAddr, endpoint: Endpoint) -> io::Result<Port> {
-        let listener = TcpListener::bind(addr).await?;
+        let listener = std::net::TcpListener::bind(addr)?;
         let port = Port {
             addr: listener.local_addr()?,
             endpoint,
             accepting: Mutex::new(None),
             conns: Arc::new(Conns::default()),
         };
-        port.accept(listener);
+        port.accept(listener)?;
         Ok(port)
     }
 
@@ -118,7 +136,7 @@
     /// Stops listening and closes each connection without waiting for it.
     pub(crate) fn abandon(&self) {
         if let Some(accepting) = lock(&self.accepting).take() {
-            task::spawn(accepting.cancel());
+            task::spawn(accepting.stop().cancel());
         }
         self.conns.cut();
     }
@@ -127,7 +145,7 @@
         let accepting = lock(&self.accepting).take();
         if let Some(accepting) = accepting {
             // A task of its own: a command that came over this very port may be aborted half-way.
-            task::spawn(accepting.cancel()).await;
+            task::spawn(accepting.stop().cancel()).await;
         }
     }
 
@@ -136,22 +154,22 @@
             return Ok(());
         }
         for _ in 1..REBIND_TRIES {
-            if let Ok(listener) = TcpListener::bind(self.addr).await {
-                self.accept(listener);
-                return Ok(());
+            if let Ok(listener) = std::net::TcpListener::bind(self.addr) {
+                return self.accept(listener);
             }
             task::sleep(REBIND_PAUSE).await;
         }
-        let listener = TcpListener::bind(self.addr).await?;
-        self.accept(listener);
-        Ok(())
+        self.accept(std::net::TcpListener::bind(self.addr)?)
     }
 
-    fn accept(&self, listener: TcpListener) {
+    fn accept(&self, listener: std::net::TcpListener) -> io::Result<()> {
+        let socket = std::net::TcpStream::from(OwnedFd::from(listener.try_clone()?));
+        let listener = TcpListener::from(listener);
         let endpoint = Arc::clone(&self.endpoint);
         let conns = Arc::clone(&self.conns);
-        let accepting = task::spawn(accept_all(listener, endpoint, conns));
-        *lock(&self.accepting) = Some(accepting);
+        let task = task::spawn(accept_all(listener, endpoint, conns));
+        *lock(&self.accepting) = Some(Accepting { task, socket });
+        Ok(())
     }
 }
 
