--- a/crates/admission/src/class.rs
+++ b/crates/admission/src/class.rs
@@ -194,10 +194,21 @@
         });
     }
 
-    pub(crate) fn set_weight(&mut self, account: AccountKey, weight: f64) {
-        if let Some(flow) = self.flows.get_mut(account) {
-            flow.weight = weight;
-        }
+    /// Sets the weights of all flows; one without a weight is dropped if it has nothing queued.
+    pub(crate) fn update_weights(&mut self, weight: impl Fn(AccountKey) -> Option<f64>) {
+        let idle = &mut self.idle;
+        self.flows.retain(|account, flow| match weight(account) {
+            Some(weight) => {
+                flow.weight = weight;
+                true
+            }
+            None if flow.is_empty() => {
+                let counter = flow.counter;
+                idle.remove(&FlowRank { counter, account });
+                false
+            }
+            None => true,
+        });
     }
 
     /// Makes sure that the account has a flow; `weight` is used for a new one.
--- a/crates/admission/src/scheduler/configure.rs
+++ b/crates/admission/src/scheduler/configure.rs
@@ -38,7 +38,10 @@
         for spec in classes {
             self.put_class(spec);
         }
-        self.update_weights(accounts);
+        self.update_flows();
+        for spec in accounts {
+            self.unblock(spec.key);
+        }
         self.recount_spare();
     }
 
@@ -114,14 +117,11 @@
         self.orders.refresh(spec.key, class);
     }
 
-    fn update_weights(&mut self, accounts: &[AccountSpec]) {
+    /// Takes over the accounts' weights, and forgets what accounts that are gone owed.
+    fn update_flows(&mut self) {
+        let accounts = &self.accounts;
         for class in self.classes.values_mut() {
-            for spec in accounts {
-                class.set_weight(spec.key, spec.weight);
-            }
-        }
-        for spec in accounts {
-            self.unblock(spec.key);
+            class.update_weights(|key| accounts.get(key).map(|account| account.spec.weight));
         }
     }
 
--- a/crates/admission/src/scheduler/settle.rs
+++ b/crates/admission/src/scheduler/settle.rs
@@ -176,15 +176,13 @@
         let Some(class) = self.classes.get_mut(request.class) else {
             return;
         };
-        let account = self.accounts.get(request.account);
-        let weight = account.map_or(1.0, |account| account.spec.weight);
         let floor = class.spec.floor;
-        if used > run.charged {
-            // The flow may be gone by now; a debt must outlive that.
-            class.ensure(request.account, weight);
-            class.charge(request.account, used - run.charged);
-        } else {
+        if used <= run.charged {
             class.refund(request.account, run.charged - used);
+        } else if let Some(account) = self.accounts.get(request.account) {
+            // The flow may be forgotten by now; a debt must outlive that.
+            class.ensure(request.account, account.spec.weight);
+            class.charge(request.account, used - run.charged);
         }
         if run.turn == Turn::Floor && floor > 0.0 {
             let clock = class.floor_clock + floor_span(used, floor);
@@ -195,8 +193,10 @@
 
     fn learn(&mut self, request: &Request, run: &Run, output: u32, now: Millis) {
         if run.pauses == self.pauses {
-            let used = self.cost(request.prompt, output);
-            self.pace.finished(used, now.since(run.since));
+            // In estimated tokens, because the queue is counted in these too: an estimate that is
+            // too high on the whole then cancels out of the predicted wait.
+            self.pace
+                .finished(request.place.charge, now.since(run.since));
         }
         if let Some(account) = self.accounts.get_mut(request.account) {
             account.learn(request.expected, output);
--- a/crates/admission/src/status.rs
+++ b/crates/admission/src/status.rs
@@ -14,7 +14,7 @@
     pub running: u32,
     /// Slots that lower tiers leave free at present.
     pub headroom: u32,
-    /// Learned speed of the service in output tokens a second; zero before anything finished.
+    /// Learned speed of the service in estimated tokens a second; zero before anything finished.
     pub speed: f64,
 }
 
