--- a/crates/admission/benches/decisions.rs
+++ b/crates/admission/benches/decisions.rs
@@ -325,6 +325,13 @@
         });
 }
 
+/// Memory of a scheduler: see the bytes of "max alloc". The time is that of all the requests that
+/// fill it.
+#[divan::bench(args = SIZES, sample_count = 1, sample_size = 1)]
+fn memory(bencher: Bencher<'_, '_>, size: Size) {
+    bencher.bench_local(|| Fixture::new(size));
+}
+
 /// Ten thousand overdue requests after a pause: time for all the answers.
 #[divan::bench(sample_count = 10, sample_size = 1)]
 fn answer_overdue(bencher: Bencher<'_, '_>) {
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -10,6 +10,11 @@
 //!    └─ Verdict::Refused
 //! ```
 //!
+//! The slots of a scheduler are interchangeable. Where the engines of one service load different
+//! models, run one scheduler for each model; otherwise a request whose model has no free engine
+//! stands ahead of others that could start. Limits of accounts count for each scheduler, see
+//! [`Scheduler::set_share`].
+//!
 //! What it decides:
 //!
 //! * **Who may queue.** Rate limits by client account, a bound on queue memory, and a prediction of
--- a/crates/admission/src/scheduler/configure.rs
+++ b/crates/admission/src/scheduler/configure.rs
@@ -45,7 +45,8 @@
         self.recount_spare();
     }
 
-    /// Sets the share of the account's limits that this instance may give out, from 0 to 1.
+    /// Sets the share of the account's limits that this scheduler may give out, from 0 to 1: the
+    /// instance's share, split between its schedulers.
     pub fn set_share(&mut self, account: AccountKey, share: f64, now: Millis) {
         let now = self.observe(now);
         if let Some(state) = self.accounts.get_mut(account) {
--- a/crates/admission/tests/admission/sequences.rs
+++ b/crates/admission/tests/admission/sequences.rs
@@ -7,6 +7,7 @@
 use crocushold_admission::ClassSpec;
 use crocushold_admission::Completion;
 use crocushold_admission::NotRun;
+use crocushold_admission::Reason;
 use crocushold_admission::Sent;
 use crocushold_admission::Settings;
 use crocushold_admission::Ticket;
@@ -28,6 +29,9 @@
 const QUEUE: u32 = 12;
 const BYTES: u64 = 4000;
 
+/// Half of the floors' shares of the bytes.
+const KEPT_BYTES: u64 = 240;
+
 #[derive(Clone, Debug)]
 enum Step {
     Submit(Plan),
@@ -82,6 +86,7 @@
 struct Waiting {
     tier: u8,
     account: usize,
+    bytes: u64,
     deadline: Millis,
 }
 
@@ -93,7 +98,6 @@
     running: Vec<(Ticket<Sent>, Waiting)>,
     submitted: usize,
     ended: usize,
-    refused: usize,
 }
 
 impl Watch {
@@ -130,7 +134,6 @@
             running: Vec::new(),
             submitted: 0,
             ended: 0,
-            refused: 0,
         }
     }
 
@@ -158,15 +161,19 @@
         arrival.bytes = plan.bytes;
         arrival.deadline = self.now + Millis(plan.patience);
         self.submitted += 1;
+        let settled = !self.owes_answers();
         match self.bed.scheduler.submit(&arrival, self.now) {
-            Verdict::Refused(_) => {
+            Verdict::Refused(refusal) => {
                 self.ended += 1;
-                self.refused += 1;
+                if refusal.reason == Reason::QueueFull && settled {
+                    self.check_refused(plan);
+                }
             }
             Verdict::Queued(key) => {
                 let waiting = Waiting {
                     tier: self.bed.classes[plan.class].tier,
                     account: plan.account,
+                    bytes: u64::from(plan.bytes),
                     deadline: arrival.deadline,
                 };
                 assert!(self.waiting.insert(key, waiting).is_none());
@@ -182,7 +189,6 @@
                 assert!(known.is_some(), "answered twice or never asked");
                 assert!(refused.refusal.retry_after >= Millis::from_secs(1));
                 self.ended += 1;
-                self.refused += 1;
             }
             Some(Action::Dispatch(ticket)) => {
                 let request = self.waiting.remove(&ticket.key()).expect("it was queued");
@@ -255,6 +261,31 @@
         Some(self.running.swap_remove(pick % self.running.len()))
     }
 
+    fn owes_answers(&self) -> bool {
+        let wake = self.bed.scheduler.wake_at();
+        wake.is_some_and(|at| at <= self.now)
+    }
+
+    /// Takes the answers that are due.
+    fn answer(&mut self) {
+        while self.owes_answers() {
+            self.next(0);
+        }
+    }
+
+    /// A request was refused for want of room. If it is a live one, nothing lower may be queued but
+    /// what is kept for the floors; of this small queue that is no entry and a few bytes.
+    fn check_refused(&self, plan: &Plan) {
+        if self.bed.classes[plan.class].tier > 0 {
+            return;
+        }
+        let live = self.waiting.values().filter(|w| w.tier == 0);
+        let live: u64 = live.map(|w| w.bytes).sum();
+        let lower = self.waiting.values().any(|w| w.tier > 0);
+        let full = live + u64::from(plan.bytes) + KEPT_BYTES > BYTES;
+        assert!(!lower || full, "refused for a lower tier");
+    }
+
     fn check(&self) {
         let status = self.bed.scheduler.status();
         assert_eq!(status.running as usize, self.running.len());
@@ -325,6 +356,7 @@
         let mut watch = Watch::new();
         for plan in &plans {
             watch.submit(plan);
+            watch.answer();
             let status = watch.bed.scheduler.status();
             assert!(status.queued <= QUEUE);
             assert!(status.bytes <= BYTES);
@@ -343,9 +375,7 @@
         watch.bed.scheduler.configure(&classes, &accounts, Millis::ZERO);
         for plan in &plans {
             watch.submit(plan);
-            while watch.bed.scheduler.wake_at() == Some(watch.now) {
-                watch.next(0);
-            }
+            watch.answer();
         }
         while let Some(Action::Dispatch(ticket)) = watch.bed.scheduler.next(watch.now, 1) {
             let request = watch.waiting.remove(&ticket.key()).expect("it was queued");
