Watch for a hang-up without asking the socket at each token

The task that writes an answer polled the watch for a hang-up at each token, and each poll peeked at the socket and registered with the reactor again.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -19,6 +19,7 @@
 mod sse;
 mod stall;
 mod transmit;
+mod watch;
 mod wire;
 
 pub use client::Answer;
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -31,6 +31,7 @@
 
 use crate::transmit::Transmit;
 use crate::transmit::TransmitError;
+use crate::watch::Watch;
 use crate::wire::Wire;
 
 /// How long a connection that is closed after a refusal stays open for the caller to read it.
@@ -187,7 +188,7 @@
     source: impl Read + Unpin,
 ) -> Result<(), ServerError> {
     let transmit = Transmit::new(source, wire.clone(), limits.write_timeout);
-    let hangup = std::pin::pin!(wire.closed());
+    let hangup = Watch::new(wire.closed());
     match select(transmit, hangup).await {
         Either::Left((result, _)) => Ok(result?),
         Either::Right(_) => Err(ServerError::HungUp),
