--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod entry;
+mod fleet;
 mod folder;
 mod site;
 
@@ -9,6 +10,7 @@
 pub use caller::Call;
 pub use caller::call;
 pub use entry::Entry;
+pub use fleet::Fleet;
 pub use folder::Folder;
 pub use site::Site;
 pub use site::SiteSettings;
--- a/tests/all/support/site.rs
+++ b/tests/all/support/site.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::fs;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use async_std::task;
@@ -12,6 +13,7 @@
 use crocushold_standins::Handle;
 use crocushold_standins::PlainService;
 use crocushold_standins::Platform;
+use crocushold_standins::PlatformCommand;
 use crocushold_standins::PlatformSettings;
 use crocushold_standins::ServiceSettings;
 
@@ -89,21 +91,41 @@
 
     /// The arguments of an entry instance at this site.
     pub fn args(&self, name: &str) -> Vec<String> {
-        vec![self.settings_file(name).to_string_lossy().into_owned()]
+        self.args_at(name, any_address())
     }
 
-    fn settings_file(&self, name: &str) -> PathBuf {
+    /// The arguments of an entry instance whose peers find it at `peer`.
+    pub fn args_at(&self, name: &str, peer: SocketAddr) -> Vec<String> {
+        let file = self.settings_file(name, peer);
+        vec![file.to_string_lossy().into_owned()]
+    }
+
+    fn settings_file(&self, name: &str, peer: SocketAddr) -> PathBuf {
         let any = any_address();
         let platform = self.platform.addr();
         let text = format!(
             "[instance]\nid = {name}\nzone = zone-a\nlisten = {any}\noperator = {any}\n\
              notice = 300 ms\ndrain = 20 s\n\n[platform]\naddresses = {platform}\n\n\
-             [peers]\nlisten = {any}\nkey = {PEER_KEY}\n"
+             [peers]\nlisten = {peer}\nkey = {PEER_KEY}\n"
         );
         let file = self.folder.path().join(format!("{name}.ini"));
         fs::write(&file, text).unwrap();
         file
     }
+
+    /// Publishes the text anew, changed by `edit`.
+    pub fn publish(&self, edit: impl Fn(&str) -> String) {
+        let command = PlatformCommand::Part {
+            team: "team".to_owned(),
+            text: edit(&self.text),
+        };
+        task::block_on(self.platform.command(command)).unwrap();
+    }
+
+    /// Commands the platform.
+    pub fn platform(&self, command: PlatformCommand) {
+        task::block_on(self.platform.command(command)).unwrap();
+    }
 }
 
 const CLASSES: &str = "
