Add claims: at most one run for each idempotency key

The record of a key lives on the three members of highest rendezvous weight; a majority of votes grants it. A single owner with one replica was ruled out: after a partition both sides form such a pair.

--- /dev/null
+++ b/crates/ownership/src/claims/settings.rs
@@ -0,0 +1,40 @@
+//! Settings of claims.
+
+use crocushold_base::Millis;
+
+/// Settings of claims. They must be the same on all members.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClaimSettings {
+    /// How long an outcome is remembered, counted from the settlement.
+    pub window: Millis,
+    /// How long a claimed request may run; past it the outcome counts as unknown. Less than `window`.
+    pub run_limit: Millis,
+    /// How long after the claim the request may still be sent.
+    pub send_limit: Millis,
+    /// How long a voter that hears nothing trusts its view; a longer gap between events is a pause.
+    pub lease: Millis,
+    /// How long a member that finds no one with records refuses fresh keys. The window, unless no
+    /// fleet ran before (a first start, a test).
+    pub cold_start: Millis,
+    /// How many keys a member records.
+    pub capacity: usize,
+    /// How many records a transfer carries.
+    pub batch: usize,
+    /// When a caller should ask again after a conflict or a membership change.
+    pub retry: Millis,
+}
+
+impl Default for ClaimSettings {
+    fn default() -> ClaimSettings {
+        ClaimSettings {
+            window: Millis::from_secs(600),
+            run_limit: Millis::from_secs(300),
+            send_limit: Millis::from_secs(5),
+            lease: Millis::from_secs(10),
+            cold_start: Millis::from_secs(600),
+            capacity: 200_000,
+            batch: 256,
+            retry: Millis::from_secs(1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/claims/voter.rs
@@ -0,0 +1,280 @@
+//! One member's part in claims: its records, its votes, and their hand-over.
+
+use crocushold_base::Millis;
+
+use super::handover::Handover;
+use super::handover::Parcel;
+use super::merge::merge;
+use super::message::ClaimKey;
+use super::message::ClaimRequest;
+use super::message::ClaimState;
+use super::message::Entry;
+use super::message::Outcome;
+use super::message::Record;
+use super::message::SettleRequest;
+use super::message::TransferRequest;
+use super::message::Vote;
+use super::readiness::Readiness;
+use super::settings::ClaimSettings;
+use super::table::Table;
+use crate::pause::PauseGuard;
+use crate::view::Member;
+use crate::view::View;
+use crate::view::ViewId;
+
+/// A message that the shell sends to another member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Transfer {
+    /// The receiver.
+    pub to: Member,
+    /// The message.
+    pub request: TransferRequest,
+}
+
+/// The records of one member and its votes on claims.
+#[derive(Clone, Debug)]
+pub struct Claims {
+    settings: ClaimSettings,
+    me: Member,
+    table: Table,
+    readiness: Readiness,
+    handover: Handover,
+    guard: PauseGuard,
+}
+
+impl Claims {
+    /// A member that has just started. It refuses fresh keys until [`Claims::on_view`] gives it a
+    /// membership and the others have passed on their records.
+    pub fn new(settings: ClaimSettings, me: Member, now: Millis) -> Claims {
+        let cold_until = now + settings.cold_start;
+        Claims {
+            settings,
+            me,
+            table: Table::new(settings.window, settings.capacity),
+            readiness: Readiness::new(me, settings.window, cold_until),
+            handover: Handover::new(settings.batch),
+            guard: PauseGuard::new(settings.lease, now),
+        }
+    }
+
+    /// How many records are held.
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    /// Whether no record is held.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The reference membership in force.
+    pub fn view(&self) -> &View {
+        self.readiness.view()
+    }
+
+    /// The membership was read or confirmed. Call it after each change, and after a pause even if
+    /// nothing changed. A view without this member starts its planned hand-over.
+    pub fn on_view(&mut self, view: View, now: Millis) -> Vec<Transfer> {
+        self.guard.observe(now);
+        self.guard.rejoined();
+        if self.readiness.adopt(view, now) {
+            self.plan_handover();
+        }
+        self.transfers(now)
+    }
+
+    /// Time has passed; call it several times a lease. Repeats what was not acknowledged.
+    pub fn on_tick(&mut self, now: Millis) -> Vec<Transfer> {
+        self.guard.observe(now);
+        self.table.expire(now);
+        self.transfers(now)
+    }
+
+    /// Whether every peer has acknowledged this member's records, so that it may end.
+    pub fn is_handed_over(&self) -> bool {
+        self.handover.is_done()
+    }
+
+    /// Votes on a claim.
+    pub fn on_claim(&mut self, request: &ClaimRequest, now: Millis) -> Vote {
+        self.guard.observe(now);
+        self.table.expire(now);
+        match self.recorded_vote(request, now) {
+            Some(vote) => vote,
+            None => self.fresh_vote(request, now),
+        }
+    }
+
+    /// Takes note of what became of a claim.
+    pub fn on_settle(&mut self, request: &SettleRequest, now: Millis) {
+        self.guard.observe(now);
+        let state = match request.outcome {
+            Outcome::Completed { status } => ClaimState::Done { status },
+            Outcome::NotRun => ClaimState::NotRun,
+            Outcome::Unknown => ClaimState::Unknown,
+        };
+        let settled = Record {
+            digest: request.digest,
+            claim: Some(request.claim),
+            time: now,
+            state,
+        };
+        match self.table.get(request.key).copied() {
+            Some(own) => self.table.put(request.key, merge(own, settled)),
+            None if state == ClaimState::NotRun && self.table.is_full() => {}
+            None => self.table.put(request.key, settled),
+        }
+    }
+
+    /// Takes over records from another member.
+    pub fn on_transfer(&mut self, from: Member, request: &TransferRequest, now: Millis) {
+        self.guard.observe(now);
+        for entry in &request.entries {
+            let incoming = Record {
+                time: now.since(entry.record.time),
+                ..entry.record
+            };
+            let merged = match self.table.get(entry.key) {
+                Some(own) => merge(*own, incoming),
+                None => incoming,
+            };
+            self.table.put(entry.key, merged);
+        }
+        if let Some(mark) = request.mark {
+            self.readiness.mark(from, request.view, mark, now);
+            self.settle();
+        }
+    }
+
+    /// The peer has acknowledged a transfer.
+    pub fn on_transferred(&mut self, transfer: &Transfer) {
+        if transfer.request.view != self.view_id() {
+            return;
+        }
+        let keys: Vec<ClaimKey> = transfer.request.entries.iter().map(|e| e.key).collect();
+        let marked = transfer.request.mark.is_some();
+        self.handover.taken(transfer.to, &keys, marked);
+        self.settle();
+    }
+
+    /// The round is over once this member has heard from all and all from it.
+    fn settle(&mut self) {
+        if self.handover.is_done() {
+            self.readiness.settle();
+        }
+    }
+
+    fn view_id(&self) -> ViewId {
+        self.readiness.view().id()
+    }
+
+    fn recorded_vote(&self, request: &ClaimRequest, now: Millis) -> Option<Vote> {
+        let record = self.table.get(request.key)?;
+        let same = record.claim == Some(request.claim);
+        if record.state == ClaimState::NotRun {
+            // A claim that is overtaken by its own release must not lock the key again.
+            let retry_after = self.settings.retry;
+            return same.then_some(Vote::NotReady { retry_after });
+        }
+        if record.digest != request.digest {
+            return Some(Vote::Mismatch);
+        }
+        Some(match record.state {
+            ClaimState::Done { status } => Vote::Done { status },
+            ClaimState::InProgress if self.is_overdue(record, now) => Vote::Unknown,
+            ClaimState::InProgress if same => Vote::Granted,
+            ClaimState::InProgress => Vote::InProgress {
+                retry_after: self.settings.retry,
+            },
+            ClaimState::Unknown | ClaimState::NotRun => Vote::Unknown,
+        })
+    }
+
+    /// A claimant that ended or ran over its limit will not settle any more; whether its request ran
+    /// can't be told, so the key is never granted again within the window.
+    fn is_overdue(&self, record: &Record, now: Millis) -> bool {
+        let ended = record
+            .claim
+            .is_none_or(|claim| !self.view().contains(claim.claimant));
+        ended || now.since(record.time) > self.settings.run_limit
+    }
+
+    fn fresh_vote(&mut self, request: &ClaimRequest, now: Millis) -> Vote {
+        let retry_after = self.settings.retry;
+        if self.guard.is_suspended() {
+            return Vote::NotReady { retry_after };
+        }
+        let group = self.view().group(request.key.place());
+        if group.id() != request.group || !group.contains(self.me) {
+            return Vote::OtherGroup;
+        }
+        if let Err(retry_after) = self.readiness.check(request.key, now) {
+            return Vote::NotReady { retry_after };
+        }
+        if self.table.is_full() && self.table.get(request.key).is_none() {
+            let retry_after = self.table.next_expiry(now);
+            return Vote::Full { retry_after };
+        }
+        let record = Record {
+            digest: request.digest,
+            claim: Some(request.claim),
+            time: now,
+            state: ClaimState::InProgress,
+        };
+        self.table.put(request.key, record);
+        Vote::Granted
+    }
+
+    /// Every record goes to the members that are new to its group.
+    fn plan_handover(&mut self) {
+        let view = self.readiness.view();
+        let me = self.me;
+        let peers = view.members().iter().copied().filter(|peer| *peer != me);
+        self.handover.start(peers);
+        let base = self.readiness.base();
+        for (&key, _) in self.table.iter() {
+            let old = base.map(|view| view.group(key.place()));
+            for &peer in view.group(key.place()).members() {
+                if !old.is_some_and(|old| old.contains(peer)) {
+                    self.handover.push(peer, key);
+                }
+            }
+        }
+    }
+
+    fn transfers(&mut self, now: Millis) -> Vec<Transfer> {
+        let table = &self.table;
+        self.handover.retain(|key| table.get(key).is_some());
+        self.handover
+            .parcels()
+            .map(|(to, parcel)| Transfer {
+                to,
+                request: self.fill(&parcel, now),
+            })
+            .collect()
+    }
+
+    fn fill(&self, parcel: &Parcel<'_>, now: Millis) -> TransferRequest {
+        let (keys, mark) = match parcel {
+            Parcel::Records(keys) => (*keys, None),
+            Parcel::Mark => (&[][..], Some(self.readiness.own_mark(now))),
+        };
+        TransferRequest {
+            view: self.view_id(),
+            entries: keys
+                .iter()
+                .filter_map(|&key| self.entry(key, now))
+                .collect(),
+            mark,
+        }
+    }
+
+    fn entry(&self, key: ClaimKey, now: Millis) -> Option<Entry> {
+        let record = *self.table.get(key)?;
+        let time = now.since(record.time);
+        Some(Entry {
+            key,
+            record: Record { time, ..record },
+        })
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/view.rs
@@ -0,0 +1,161 @@
+//! The reference membership and rendezvous hashing over it.
+
+use std::sync::Arc;
+
+use twox_hash::XxHash3_64;
+
+/// How many members hold a record of each key.
+pub const GROUP_SIZE: usize = 3;
+
+/// An instance, as a hash of the name that the platform's instance list gives it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct InstanceId(pub u64);
+
+impl InstanceId {
+    /// The id of the instance called `name`.
+    pub fn from_name(name: &str) -> InstanceId {
+        InstanceId(XxHash3_64::oneshot(name.as_bytes()))
+    }
+}
+
+/// One run of an instance: a restart has lost its memory and is another member.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Member {
+    /// The instance.
+    pub id: InstanceId,
+    /// Grows with each start of the instance.
+    pub incarnation: u64,
+}
+
+impl Member {
+    /// The member called `name` in its run `incarnation`.
+    pub fn new(name: &str, incarnation: u64) -> Member {
+        Member {
+            id: InstanceId::from_name(name),
+            incarnation,
+        }
+    }
+
+    /// The weight of this member for `key`; the highest weight owns the key.
+    fn weight(self, key: u64) -> u64 {
+        let mut bytes = [0; 24];
+        bytes[..8].copy_from_slice(&self.id.0.to_le_bytes());
+        bytes[8..16].copy_from_slice(&self.incarnation.to_le_bytes());
+        bytes[16..].copy_from_slice(&key.to_le_bytes());
+        XxHash3_64::oneshot(&bytes)
+    }
+}
+
+/// Names the exact set of members of a [`View`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ViewId(pub u64);
+
+/// A set of members. Cloning is cheap.
+///
+/// For claims this is the *reference* membership: every member that is not known to have ended. A
+/// member that merely can't be reached stays in it, else both sides of a partition would each form
+/// groups of their own and grant the same key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct View {
+    members: Arc<[Member]>,
+    id: ViewId,
+}
+
+impl View {
+    /// Makes a view. Of several incarnations of one instance only the latest is kept.
+    pub fn new(members: impl IntoIterator<Item = Member>) -> View {
+        let mut sorted: Vec<Member> = members.into_iter().collect();
+        sorted.sort_unstable_by(|a, b| (a.id, b.incarnation).cmp(&(b.id, a.incarnation)));
+        sorted.dedup_by_key(|m| m.id);
+        let id = ViewId(hash_members(&sorted));
+        View {
+            members: sorted.into(),
+            id,
+        }
+    }
+
+    /// The members in ascending order.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// The name of this set.
+    pub fn id(&self) -> ViewId {
+        self.id
+    }
+
+    /// Whether `member` belongs to the view.
+    pub fn contains(&self, member: Member) -> bool {
+        self.members.binary_search(&member).is_ok()
+    }
+
+    /// The owner of `key`: the member of the highest rendezvous weight; `None` in an empty view.
+    pub fn owner(&self, key: u64) -> Option<Member> {
+        self.members
+            .iter()
+            .copied()
+            .max_by_key(|m| (m.weight(key), *m))
+    }
+
+    /// The [`GROUP_SIZE`] members of the highest weight, highest first.
+    pub fn group(&self, key: u64) -> Group {
+        let mut top = [(0, Member::default()); GROUP_SIZE];
+        let mut len = 0;
+        for &member in self.members.iter() {
+            let ranked = (member.weight(key), member);
+            let place = top[..len].partition_point(|other| *other > ranked);
+            if place == GROUP_SIZE {
+                continue;
+            }
+            len = (len + 1).min(GROUP_SIZE);
+            top[place..len].rotate_right(1);
+            top[place] = ranked;
+        }
+        Group {
+            members: top.map(|(_, member)| member),
+            len: len as u8,
+        }
+    }
+}
+
+/// Names the members of a [`Group`] in their order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct GroupId(pub u64);
+
+/// The members that hold the record of one key, by rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Group {
+    members: [Member; GROUP_SIZE],
+    len: u8,
+}
+
+impl Group {
+    /// The members by rank.
+    pub fn members(&self) -> &[Member] {
+        &self.members[..usize::from(self.len)]
+    }
+
+    /// Whether `member` belongs to the group.
+    pub fn contains(&self, member: Member) -> bool {
+        self.members().contains(&member)
+    }
+
+    /// How many votes make a majority. Any two majorities of one group share a member.
+    pub fn majority(&self) -> usize {
+        usize::from(self.len) / 2 + 1
+    }
+
+    /// The name of this group.
+    pub fn id(&self) -> GroupId {
+        GroupId(hash_members(self.members()))
+    }
+}
+
+fn hash_members(members: &[Member]) -> u64 {
+    let mut bytes = Vec::with_capacity(members.len() * 16);
+    for member in members {
+        bytes.extend_from_slice(&member.id.0.to_le_bytes());
+        bytes.extend_from_slice(&member.incarnation.to_le_bytes());
+    }
+    XxHash3_64::oneshot(&bytes)
+}
