--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -5,10 +5,17 @@
 //!
 //! * [`View`] ranks the members for each key by rendezvous hashing.
 //! * [`Claims`] and [`ClaimRound`] let a request with an idempotency key run at most once.
+//! * [`Orders`] decides which orders to send to the engines that this instance owns.
+//! * [`Limits`] holds the rate and the concurrency of accounts over all instances.
+//! * [`LoadPlanner`] spaces loads from the weight store, highest class first.
+//! * [`PauseGuard`] notices that this process stood still.
 
 mod claims;
+mod limits;
+mod orders;
 mod pause;
 mod view;
+mod weights;
 
 pub use claims::ClaimId;
 pub use claims::ClaimKey;
@@ -31,6 +38,27 @@
 pub use claims::TransferRequest;
 pub use claims::Verdict;
 pub use claims::Vote;
+pub use limits::AccountId;
+pub use limits::Admission;
+pub use limits::Borrow;
+pub use limits::BorrowReply;
+pub use limits::BorrowRequest;
+pub use limits::Limit;
+pub use limits::LimitSettings;
+pub use limits::Limits;
+pub use limits::ReturnRequest;
+pub use orders::EngineId;
+pub use orders::EngineReport;
+pub use orders::Fencing;
+pub use orders::ModelId;
+pub use orders::Order;
+pub use orders::OrderAction;
+pub use orders::OrderAnswer;
+pub use orders::OrderKind;
+pub use orders::OrderSettings;
+pub use orders::Orders;
+pub use orders::RoleId;
+pub use orders::Target;
 pub use pause::PauseGuard;
 pub use view::GROUP_SIZE;
 pub use view::Group;
@@ -39,3 +67,7 @@
 pub use view::Member;
 pub use view::View;
 pub use view::ViewId;
+pub use weights::LoadPermit;
+pub use weights::LoadPlanner;
+pub use weights::LoadWant;
+pub use weights::WeightSettings;
--- /dev/null
+++ b/crates/ownership/src/limits/account.rs
@@ -0,0 +1,136 @@
+//! One account as one instance sees it.
+
+use crocushold_base::Millis;
+
+use super::message::Admission;
+use super::message::BorrowReply;
+use super::message::Limit;
+use super::message::LimitSettings;
+use super::pool::Pool;
+
+/// How many instances there are.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Counts {
+    /// Of the live view.
+    pub(super) live: usize,
+    /// Of the reference membership, at least `live`.
+    pub(super) reference: usize,
+}
+
+#[derive(Debug)]
+pub(super) struct Account {
+    pub(super) limit: Limit,
+    pub(super) pool: Pool,
+    tokens: f64,
+    filled_at: Millis,
+    loan: f64,
+    loan_until: Millis,
+    running: u32,
+    lent_slots: u32,
+    slots_until: Millis,
+    /// Units and slots refused since the last request for a loan.
+    unmet: f64,
+    unmet_slots: u32,
+    pub(super) asked_at: Option<Millis>,
+}
+
+impl Account {
+    pub(super) fn new(limit: Limit, now: Millis) -> Account {
+        Account {
+            limit,
+            pool: Pool::default(),
+            tokens: 0.0,
+            filled_at: now,
+            loan: 0.0,
+            loan_until: Millis::ZERO,
+            running: 0,
+            lent_slots: 0,
+            slots_until: Millis::ZERO,
+            unmet: 0.0,
+            unmet_slots: 0,
+            asked_at: None,
+        }
+    }
+
+    pub(super) fn admit(
+        &mut self,
+        settings: &LimitSettings,
+        counts: Counts,
+        cost: f64,
+        now: Millis,
+    ) -> Admission {
+        self.refill(settings, counts, now);
+        let retry_after = settings.period;
+        if self.running >= self.slots(settings, counts, now) {
+            self.unmet_slots += 1;
+            return Admission::Limited { retry_after };
+        }
+        if self.tokens + self.loan < cost {
+            self.unmet += cost;
+            return Admission::Limited { retry_after };
+        }
+        let from_loan = self.loan.min(cost);
+        self.loan -= from_loan;
+        self.tokens -= cost - from_loan;
+        self.running += 1;
+        Admission::Admitted
+    }
+
+    pub(super) fn release(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.unmet <= 0.0 && self.unmet_slots == 0 && self.held(0) == 0
+    }
+
+    /// What to ask the owner for; the demand since the last request is spent by it.
+    pub(super) fn wants(&mut self, settings: &LimitSettings, counts: Counts) -> (f64, u32, u32) {
+        let held = self.held(base_slots(self.limit, settings, counts));
+        let wanted = (self.unmet, held + self.unmet_slots, held);
+        self.unmet = 0.0;
+        self.unmet_slots = 0;
+        wanted
+    }
+
+    pub(super) fn lend(&mut self, settings: &LimitSettings, reply: BorrowReply, asked_at: Millis) {
+        // Counted from the asking, which is before the lender's own count began.
+        let until = asked_at + settings.use_limit();
+        if reply.units > 0.0 {
+            self.loan = reply.units;
+            self.loan_until = until;
+        }
+        self.lent_slots = reply.slots;
+        self.slots_until = until;
+    }
+
+    fn held(&self, base: u32) -> u32 {
+        self.running.saturating_sub(base).min(self.lent_slots)
+    }
+
+    fn slots(&self, settings: &LimitSettings, counts: Counts, now: Millis) -> u32 {
+        let lent = if now < self.slots_until {
+            self.lent_slots
+        } else {
+            0
+        };
+        base_slots(self.limit, settings, counts) + lent
+    }
+
+    fn refill(&mut self, settings: &LimitSettings, counts: Counts, now: Millis) {
+        if now >= self.loan_until {
+            self.loan = 0.0;
+        }
+        let rate = self.limit.rate * settings.base / counts.reference as f64;
+        let span = now.since(self.filled_at).as_secs_f64();
+        self.filled_at = now;
+        // A share below one unit would never admit anything if it couldn't save up to one.
+        let most = (rate * settings.burst).max(1.0);
+        self.tokens = (self.tokens + rate * span).min(most);
+    }
+}
+
+/// The slots that each instance has of its own.
+pub(super) fn base_slots(limit: Limit, settings: &LimitSettings, counts: Counts) -> u32 {
+    (f64::from(limit.slots) * settings.base / counts.reference as f64) as u32
+}
--- /dev/null
+++ b/crates/ownership/src/orders/engine.rs
@@ -0,0 +1,154 @@
+//! What one engine needs next.
+
+use crocushold_base::Millis;
+
+use super::message::EngineReport;
+use super::message::Fencing;
+use super::message::Order;
+use super::message::OrderKind;
+use super::message::Target;
+use super::settings::OrderSettings;
+
+/// What an instance knows of an engine and has begun on it.
+#[derive(Clone, Debug)]
+pub(super) struct Engine {
+    pub(super) target: Target,
+    /// When this target was first seen.
+    pub(super) stated_at: Millis,
+    /// When this instance became the owner; `None` while another is.
+    pub(super) owned_since: Option<Millis>,
+    pub(super) report: Option<EngineReport>,
+    /// When the last order was sent or the last reading was asked for.
+    pub(super) order_at: Option<Millis>,
+    pub(super) read_at: Option<Millis>,
+    /// An order whose answer hasn't come.
+    pub(super) pending: bool,
+    /// The highest number that the engine is known to have obeyed.
+    pub(super) fence: u64,
+}
+
+/// The next step on an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Step {
+    Idle,
+    Read,
+    Send(Order),
+}
+
+impl Engine {
+    pub(super) fn new(target: Target, now: Millis) -> Engine {
+        Engine {
+            target,
+            stated_at: now,
+            owned_since: None,
+            report: None,
+            order_at: None,
+            read_at: None,
+            pending: false,
+            fence: 0,
+        }
+    }
+
+    /// Replaces the target by a newer one; an older one is dropped.
+    pub(super) fn retarget(&mut self, target: Target, now: Millis) {
+        if target.revision <= self.target.revision {
+            return;
+        }
+        let same = target.models == self.target.models && target.role == self.target.role;
+        if !same {
+            self.stated_at = now;
+        }
+        self.target = target;
+    }
+
+    pub(super) fn is_outdated(&self) -> bool {
+        self.target.fencing == Fencing::Checked && self.fence > self.target.revision
+    }
+
+    pub(super) fn step(&self, settings: &OrderSettings, now: Millis) -> Step {
+        let Some(owned_since) = self.owned_since else {
+            return Step::Idle;
+        };
+        if self.is_outdated() || self.is_spaced(settings, now) {
+            return Step::Idle;
+        }
+        let wait = match self.target.fencing {
+            Fencing::Checked => Millis::ZERO,
+            // An engine that obeys everybody is protected by time alone: a former owner that was
+            // stopped or cut off acts for a lease after its last confirmed view, and its last order
+            // is under way for a call's limit. Until then its orders could mix with ours.
+            Fencing::Ignored => settings.takeover,
+        };
+        if now.since(owned_since) < wait {
+            return Step::Idle;
+        }
+        self.act(settings, now)
+    }
+
+    fn act(&self, settings: &OrderSettings, now: Millis) -> Step {
+        let Some(report) = self.fresh_report(settings, now) else {
+            return self.read(settings, now);
+        };
+        let Some(kind) = self.difference(report, settings, now) else {
+            return Step::Idle;
+        };
+        Step::Send(Order {
+            engine: self.target.engine,
+            fence: self.target.revision,
+            kind,
+        })
+    }
+
+    /// A report from before the last order or before the takeover says nothing of the engine's
+    /// present state.
+    fn fresh_report(&self, settings: &OrderSettings, now: Millis) -> Option<&EngineReport> {
+        let report = self.report.as_ref()?;
+        let after_order = self.order_at.is_none_or(|at| report.asked_at > at);
+        let after_takeover = self.owned_since.is_some_and(|at| report.asked_at >= at);
+        let young = now.since(report.asked_at) <= settings.report_limit;
+        (after_order && after_takeover && young).then_some(report)
+    }
+
+    fn read(&self, settings: &OrderSettings, now: Millis) -> Step {
+        let waiting = self
+            .read_at
+            .is_some_and(|at| now.since(at) < settings.spacing);
+        if waiting { Step::Idle } else { Step::Read }
+    }
+
+    fn is_spaced(&self, settings: &OrderSettings, now: Millis) -> bool {
+        let since = self.order_at.map(|at| now.since(at));
+        match since {
+            Some(span) if self.pending => span < settings.call_limit,
+            Some(span) => span < settings.spacing,
+            None => false,
+        }
+    }
+
+    /// Loads come first, so that an engine never loses a model before its successor is there.
+    fn difference(
+        &self,
+        report: &EngineReport,
+        settings: &OrderSettings,
+        now: Millis,
+    ) -> Option<OrderKind> {
+        let missing = |model: &&_| !report.models.contains(model);
+        if let Some(model) = self.target.models.iter().find(missing) {
+            return Some(OrderKind::Load(*model));
+        }
+        // A target that changes to and fro would tear models down as often; loading again costs the
+        // weight store minutes. Destructive orders wait until the target has stood for a while.
+        if now.since(self.stated_at) < settings.damping {
+            return None;
+        }
+        if report.role != self.target.role {
+            return Some(OrderKind::Role(self.target.role));
+        }
+        let extra = |model: &&_| !self.target.models.contains(model);
+        report
+            .models
+            .iter()
+            .find(extra)
+            .map(|model| OrderKind::Unload(*model))
+    }
+}
