Refuse misspelt settings of stand-ins and load plans

A misspelt key left the default in force without a word, and a measurement would have been of something else than its plan says. Report fields have names of two words.

--- a/crates/standins/src/engine/batch.rs
+++ b/crates/standins/src/engine/batch.rs
@@ -14,7 +14,7 @@
 ///
 /// Steps are shorter than a millisecond's resolution allows, so their parts are fractions.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
+#[serde(rename_all = "kebab-case", default, deny_unknown_fields)]
 pub struct BatchSettings {
     /// Jobs that share a step.
     pub batch_limit: usize,
--- a/crates/standins/src/engine/command.rs
+++ b/crates/standins/src/engine/command.rs
@@ -9,7 +9,7 @@
 
 /// What an engine starts with.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
+#[serde(rename_all = "kebab-case", default, deny_unknown_fields)]
 pub struct EngineSettings {
     /// Speed and size of the batch.
     pub batch: BatchSettings,
--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -65,7 +65,8 @@
     running: usize,
     waiting: usize,
     batch_limit: usize,
-    tokens_per_second: f64,
+    #[serde(rename = "tokens-per-second")]
+    token_rate: f64,
     kv_free: f64,
     models: Vec<String>,
     role: String,
@@ -214,7 +215,7 @@
             running: seen.running,
             waiting: seen.waiting,
             batch_limit: self.batch.settings().batch_limit,
-            tokens_per_second: seen.token_rate,
+            token_rate: seen.token_rate,
             kv_free: seen.kv_free,
             models: self.models(now),
             role: self.role.clone(),
--- a/crates/standins/src/load/plan.rs
+++ b/crates/standins/src/load/plan.rs
@@ -9,7 +9,7 @@
 
 /// A whole run.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
+#[serde(rename_all = "kebab-case", default, deny_unknown_fields)]
 pub struct LoadPlan {
     /// Where requests go, in turn; after a refused connection the next one is tried.
     pub entries: Vec<SocketAddr>,
@@ -68,7 +68,7 @@
 
 /// One class of requests.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
+#[serde(rename_all = "kebab-case", default, deny_unknown_fields)]
 pub struct LoadClass {
     /// Name in the report; no dots.
     pub name: String,
@@ -141,7 +141,7 @@
 
 /// Latency targets in milliseconds; those left out aren't asked for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
+#[serde(rename_all = "kebab-case", default, deny_unknown_fields)]
 pub struct Targets {
     /// From the time the request was due until its first token.
     pub first_ms: Option<u64>,
--- a/crates/standins/src/load/record.rs
+++ b/crates/standins/src/load/record.rs
@@ -88,8 +88,8 @@
                     .entry(exchange.response.status())
                     .or_insert(0) += 1;
                 let retry_after = exchange.response.header("retry-after").is_some();
-                counts.without_retry_after += u64::from(!retry_after);
-                counts.told_not_run += u64::from(says_not_run(exchange, not_run));
+                counts.without_hint += u64::from(!retry_after);
+                counts.said_unrun += u64::from(says_not_run(exchange, not_run));
             }
             Ending::Cut => counts.cut += 1,
             Ending::Misdelivered => counts.misdelivered += 1,
--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -51,11 +51,11 @@
     /// Refusals by status.
     pub statuses: BTreeMap<u16, u64>,
     /// Refusals without `Retry-After`.
-    pub without_retry_after: u64,
+    pub without_hint: u64,
     /// Refusals that state that the request wasn't run.
-    pub told_not_run: u64,
+    pub said_unrun: u64,
     /// Requests that were said not to have been run, and were.
-    pub wrongly_told: u64,
+    pub falsely_unrun: u64,
     /// Requests that ran, or had their effect, more than once.
     pub doubled: u64,
     /// Tokens that arrived.
@@ -107,7 +107,7 @@
 pub struct StandinTotals {
     /// Stand-ins that gave their counters.
     pub asked: u64,
-    /// Stand-ins that couldn't be asked. Unless it is zero, the counts of doubled and wrongly told
+    /// Stand-ins that couldn't be asked. Unless it is zero, the counts of doubled and falsely unrun
     /// requests are lower bounds.
     pub unasked: u64,
     /// Requests that entered a queue.
--- a/crates/standins/src/load/run.rs
+++ b/crates/standins/src/load/run.rs
@@ -197,7 +197,7 @@
                 .filter(|(marker, _)| marker.starts_with(&prefix));
             class.doubled = runs.filter(|&(_, &runs)| runs > 1).count() as u64;
             let told = told.iter().filter(|marker| marker.starts_with(&prefix));
-            class.wrongly_told = told
+            class.falsely_unrun = told
                 .filter(|marker| tally.runs.contains_key(*marker))
                 .count() as u64;
             classes.push(class);
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -51,14 +51,7 @@
             instances,
             budget,
         } => {
-            let mut settings = PlatformSettings {
-                read_budget: budget,
-                instances: read_instances(instances)?,
-                ..PlatformSettings::default()
-            };
-            for PartFile { team, file } in part {
-                settings.parts.insert(team, fs::read_to_string(file)?);
-            }
+            let settings = platform_settings(part, instances, budget)?;
             serve(vec![Platform::start(listen, settings).await?]).await
         }
         Command::Engine {
@@ -81,19 +74,42 @@
             entry,
             standin,
             plan,
-        } => {
-            let mut plan: LoadPlan = serde_json::from_slice(&fs::read(plan)?)?;
-            if !entry.is_empty() {
-                plan.entries = entry;
-            }
-            if !standin.is_empty() {
-                plan.standins = standin;
-            }
-            let report = load::run(plan).await?;
-            println!("{}", serde_json::to_string_pretty(&report)?);
-            Ok(())
-        }
+        } => print_load(entry, standin, plan).await,
+    }
+}
+
+fn platform_settings(
+    parts: Vec<PartFile>,
+    instances: Option<PathBuf>,
+    budget: u64,
+) -> Outcome<PlatformSettings> {
+    let mut settings = PlatformSettings {
+        read_budget: budget,
+        instances: read_instances(instances)?,
+        ..PlatformSettings::default()
+    };
+    for PartFile { team, file } in parts {
+        settings.parts.insert(team, fs::read_to_string(file)?);
+    }
+    Ok(settings)
+}
+
+/// Runs the plan in a file and prints the report.
+async fn print_load(
+    entries: Vec<SocketAddr>,
+    standins: Vec<SocketAddr>,
+    file: PathBuf,
+) -> Outcome<()> {
+    let mut plan: LoadPlan = serde_json::from_slice(&fs::read(file)?)?;
+    if !entries.is_empty() {
+        plan.entries = entries;
+    }
+    if !standins.is_empty() {
+        plan.standins = standins;
     }
+    let report = load::run(plan).await?;
+    println!("{}", serde_json::to_string_pretty(&report)?);
+    Ok(())
 }
 
 /// Starts `count` engines, the first one on `listen`, the others on free ports.
--- a/crates/standins/src/service/command.rs
+++ b/crates/standins/src/service/command.rs
@@ -26,7 +26,7 @@
 
 /// What a plain service starts with.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
+#[serde(rename_all = "kebab-case", default, deny_unknown_fields)]
 pub struct ServiceSettings {
     /// Time from a call to its effect, in milliseconds.
     pub before_ms: u64,
--- a/crates/standins/src/service/server.rs
+++ b/crates/standins/src/service/server.rs
@@ -66,7 +66,8 @@
     running: u64,
     waiting: u64,
     batch_limit: usize,
-    tokens_per_second: f64,
+    #[serde(rename = "tokens-per-second")]
+    token_rate: f64,
     kv_free: f64,
     models: Vec<String>,
     role: &'static str,
@@ -139,7 +140,7 @@
             running: state.counts.running,
             waiting: 0,
             batch_limit: state.settings.batch_limit,
-            tokens_per_second: 0.0,
+            token_rate: 0.0,
             kv_free: 1.0,
             models: Vec::new(),
             role: "both",
--- a/crates/standins/tests/all/commands.rs
+++ b/crates/standins/tests/all/commands.rs
@@ -1,8 +1,10 @@
 //! The JSON of commands, as other processes send it.
 
 use crocushold_standins::EngineCommand;
+use crocushold_standins::EngineSettings;
 use crocushold_standins::PlatformCommand;
 use crocushold_standins::ServiceCommand;
+use crocushold_standins::load::LoadPlan;
 use serde_json::from_str;
 use test_case::test_case;
 
@@ -51,3 +53,12 @@
 fn service_command(json: &str) {
     assert!(from_str::<ServiceCommand>(json).is_ok());
 }
+
+/// A misspelt setting would otherwise leave the default in force, and the measurement would be of
+/// something else than the plan says.
+#[test]
+fn misspelt_setting_is_an_error() {
+    assert!(from_str::<LoadPlan>(r#"{"second": 5}"#).is_err());
+    assert!(from_str::<LoadPlan>(r#"{"classes": [{"rates": 5}]}"#).is_err());
+    assert!(from_str::<EngineSettings>(r#"{"batch": {"limit": 4}}"#).is_err());
+}
--- a/crates/standins/tests/all/load.rs
+++ b/crates/standins/tests/all/load.rs
@@ -107,7 +107,7 @@
     for class in &report.classes {
         assert!(class.sent > 5, "{class:?}");
         assert_eq!(class.completed, class.sent, "{class:?}");
-        assert_eq!((class.doubled, class.wrongly_told), (0, 0));
+        assert_eq!((class.doubled, class.falsely_unrun), (0, 0));
         assert_eq!(class.first.count, class.sent);
     }
     let sent: u64 = report.classes.iter().map(|class| class.sent).sum();
