--- a/crates/peers/src/member/mod.rs
+++ b/crates/peers/src/member/mod.rs
@@ -239,6 +239,7 @@
             self.expire_suspicions(now);
         }
         self.expire_relays(now);
+        self.queue.expire(now);
         self.table.expire(self.settings.tombstone, now);
         self.finish()
     }
@@ -371,8 +372,11 @@
         }
         if self.merge(&update, now) {
             self.bury_predecessors(&update, now);
-        } else if update.status == Status::Suspect {
-            self.confirm_suspicion(&update);
+            return;
+        }
+        self.queue.heard(&update);
+        if update.status == Status::Suspect {
+            self.confirm_suspicion(&update, now);
         }
     }
 
@@ -413,7 +417,7 @@
         }
         // A newcomer's whole view is news to nobody else.
         if !self.join.is_joining() || update.instance.id == self.me.id {
-            self.queue.push(update.clone());
+            self.queue.push(update.clone(), now);
         }
         if self.table.digest() != before {
             self.version += 1;
--- a/crates/peers/src/member/probe.rs
+++ b/crates/peers/src/member/probe.rs
@@ -131,12 +131,12 @@
         };
         if record.status == Status::Suspect {
             let update = record.update(origin);
-            self.confirm_suspicion(&update);
+            self.confirm_suspicion(&update, now);
         }
     }
 
     /// Counts an independent suspicion, and passes it on the first times.
-    pub(super) fn confirm_suspicion(&mut self, update: &Update) {
+    pub(super) fn confirm_suspicion(&mut self, update: &Update, now: Millis) {
         let most = self.settings.confirmations + 1;
         let Some(record) = self.table.get_mut(&update.instance.id) else {
             return;
@@ -150,7 +150,7 @@
         let known = suspicion.origins.contains(&update.origin);
         if !known && suspicion.origins.len() < most {
             suspicion.origins.push(update.origin);
-            self.queue.push(update.clone());
+            self.queue.push(update.clone(), now);
         }
     }
 
--- a/crates/peers/src/member/queue.rs
+++ b/crates/peers/src/member/queue.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use crocushold_base::Millis;
+
 use crate::identity::InstanceId;
 use crate::message::Update;
 
@@ -11,11 +13,15 @@
 /// Least logarithm that counts, so that a newcomer who knows nobody yet isn't forgotten.
 const LEAST_LOG: u32 = 4;
 
+/// Time after which an update is left to the comparison of views.
+const LIFETIME: Millis = Millis::from_secs(15);
+
 /// An update and how often it was passed on.
 #[derive(Debug)]
 struct Pending {
     update: Update,
     sent: u32,
+    since: Millis,
 }
 
 /// The updates that are piggybacked on messages, at most one for each member.
@@ -26,9 +32,30 @@
 
 impl Queue {
     /// Adds an update in place of an older one about the same member.
-    pub(crate) fn push(&mut self, update: Update) {
+    pub(crate) fn push(&mut self, update: Update, now: Millis) {
         let id = update.instance.id.clone();
-        self.pending.insert(id, Pending { update, sent: 0 });
+        let pending = Pending {
+            update,
+            sent: 0,
+            since: now,
+        };
+        self.pending.insert(id, pending);
+    }
+
+    /// Another member passed the same update on: one transmission less is needed here.
+    pub(crate) fn heard(&mut self, update: &Update) {
+        if let Some(pending) = self.pending.get_mut(&update.instance.id)
+            && pending.update == *update
+        {
+            pending.sent += 1;
+        }
+    }
+
+    /// Drops what has waited for long. When hundreds of members change at once, the backlog would
+    /// fill each message for minutes after all have compared their views and know.
+    pub(crate) fn expire(&mut self, now: Millis) {
+        self.pending
+            .retain(|_, pending| now.since(pending.since) < LIFETIME);
     }
 
     /// Takes up to `limit` updates, the least often sent first.
