--- a/crates/admission/src/scheduler/configure.rs
+++ b/crates/admission/src/scheduler/configure.rs
@@ -38,11 +38,15 @@
         for spec in classes {
             self.put_class(spec);
         }
-        self.update_weights(accounts);
+        self.update_flows();
+        for spec in accounts {
+            self.unblock(spec.key);
+        }
         self.recount_spare();
     }
 
-    /// Sets the share of the account's limits that this instance may give out, from 0 to 1.
+    /// Sets the share of the account's limits that this scheduler may give out, from 0 to 1: the
+    /// instance's share, split between its schedulers.
     pub fn set_share(&mut self, account: AccountKey, share: f64, now: Millis) {
         let now = self.observe(now);
         if let Some(state) = self.accounts.get_mut(account) {
@@ -114,14 +118,11 @@
         self.orders.refresh(spec.key, class);
     }
 
-    fn update_weights(&mut self, accounts: &[AccountSpec]) {
+    /// Takes over the accounts' weights, and forgets what accounts that are gone owed.
+    fn update_flows(&mut self) {
+        let accounts = &self.accounts;
         for class in self.classes.values_mut() {
-            for spec in accounts {
-                class.set_weight(spec.key, spec.weight);
-            }
-        }
-        for spec in accounts {
-            self.unblock(spec.key);
+            class.update_weights(|key| accounts.get(key).map(|account| account.spec.weight));
         }
     }
 
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -2,12 +2,16 @@
 
 mod caller;
 mod entry;
+mod fleet;
+mod folder;
 mod site;
 
 pub use caller::Answer;
 pub use caller::Call;
 pub use caller::call;
 pub use entry::Entry;
+pub use fleet::Fleet;
+pub use folder::Folder;
 pub use site::Site;
 pub use site::SiteSettings;
 
--- a/tests/all/support/site.rs
+++ b/tests/all/support/site.rs
@@ -2,6 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use async_std::task;
 use crocushold_config::KeyDigest;
@@ -10,11 +13,15 @@
 use crocushold_standins::Handle;
 use crocushold_standins::PlainService;
 use crocushold_standins::Platform;
+use crocushold_standins::PlatformCommand;
 use crocushold_standins::PlatformSettings;
 use crocushold_standins::ServiceSettings;
 
 use super::any_address;
 use super::entry::Entry;
+use super::folder::Folder;
+
+const PEER_KEY: &str = "0123456789abcdef0123456789abcdef";
 
 /// How a site is laid out.
 #[derive(Clone, Debug)]
@@ -45,6 +52,7 @@
     pub engines: Vec<Handle<Engine>>,
     pub service: Handle<PlainService>,
     pub text: String,
+    folder: Folder,
 }
 
 impl Site {
@@ -69,6 +77,7 @@
                 engines,
                 service,
                 text,
+                folder: Folder::new(),
             }
         })
     }
@@ -82,17 +91,40 @@
 
     /// The arguments of an entry instance at this site.
     pub fn args(&self, name: &str) -> Vec<String> {
-        let pairs = [
-            ("instance", name.to_owned()),
-            ("zone", "zone-a".to_owned()),
-            ("listen", any_address().to_string()),
-            ("operator", any_address().to_string()),
-            ("platform", self.platform.addr().to_string()),
-        ];
-        pairs
-            .iter()
-            .map(|(key, value)| format!("--{key}={value}"))
-            .collect()
+        self.args_at(name, any_address())
+    }
+
+    /// The arguments of an entry instance whose peers find it at `peer`.
+    pub fn args_at(&self, name: &str, peer: SocketAddr) -> Vec<String> {
+        let file = self.settings_file(name, peer);
+        vec![file.to_string_lossy().into_owned()]
+    }
+
+    fn settings_file(&self, name: &str, peer: SocketAddr) -> PathBuf {
+        let any = any_address();
+        let platform = self.platform.addr();
+        let text = format!(
+            "[instance]\nid = {name}\nzone = zone-a\nlisten = {any}\noperator = {any}\n\
+             notice = 300 ms\ndrain = 20 s\n\n[platform]\naddresses = {platform}\n\n\
+             [peers]\nlisten = {peer}\nkey = {PEER_KEY}\n"
+        );
+        let file = self.folder.path().join(format!("{name}.ini"));
+        fs::write(&file, text).unwrap();
+        file
+    }
+
+    /// Publishes the text anew, changed by `edit`.
+    pub fn publish(&self, edit: impl Fn(&str) -> String) {
+        let command = PlatformCommand::Part {
+            team: "team".to_owned(),
+            text: edit(&self.text),
+        };
+        task::block_on(self.platform.command(command)).unwrap();
+    }
+
+    /// Commands the platform.
+    pub fn platform(&self, command: PlatformCommand) {
+        task::block_on(self.platform.command(command)).unwrap();
     }
 }
 
