Carry the coordination calls between peers in their full form

A claim carries the try, the request's digest and the group; a settlement its outcome and status; transfers and loans are new. The types are those of crocushold-ownership, so that nothing is translated twice; a vote, outcome or state that this version doesn't know reads as the one that promises least.

--- a/crates/peers/schema/peer.capnp
+++ b/crates/peers/schema/peer.capnp
@@ -94,6 +94,38 @@
   }
 }
 
+struct Member {
+  # One run of an instance: the hash of its name, and when it started.
+  id @0 :UInt64;
+  incarnation @1 :UInt64;
+}
+
+struct Claim {
+  # One try at an idempotency key.
+  keyHigh @0 :UInt64;
+  keyLow @1 :UInt64;
+  claimant @2 :Member;
+  seq @3 :UInt64;
+  digest @4 :UInt64;
+}
+
+struct Record {
+  # What is recorded of a key. No claimant: tries conflict.
+  claim @0 :Claim;
+  ageMs @1 :UInt64;
+  state @2 :UInt16;
+  status @3 :UInt16;
+}
+
+struct Mark {
+  # Absent (seq zero): more records follow.
+  seq @0 :UInt64;
+  warm @1 :Bool;
+  holdMs @2 :UInt64;
+  lost @3 :List(Member);
+  leaving @4 :Bool;
+}
+
 interface Gate {
   # All that a connection gives before both ends have proved that they hold the key.
   hello @0 (minVersion :UInt16, maxVersion :UInt16, id :Text, start :UInt64, challenge :Data)
@@ -103,9 +135,11 @@
 
 interface Session {
   exchange @0 (message :Message) -> (message :Message);
-  claim @1 (keyHigh :UInt64, keyLow :UInt64, claimant :Text, viewDigest :UInt64)
-        -> (verdict :UInt16, waitMs :UInt64);
-  settle @2 (keyHigh :UInt64, keyLow :UInt64, outcome :UInt16) -> ();
-  borrow @3 (account :Text, tokens :UInt64) -> (granted :UInt64, expiresMs :UInt64);
-  giveBack @4 (account :Text, tokens :UInt64) -> ();
+  # Coordination. Numbers of votes, outcomes and states: see the readers in coordination/wire.rs.
+  claim @1 (claim :Claim, group :UInt64) -> (vote :UInt16, status :UInt16, retryMs :UInt64);
+  settle @2 (claim :Claim, outcome :UInt16, status :UInt16) -> ();
+  transfer @3 (view :UInt64, entries :List(Record), mark :Mark) -> ();
+  borrow @4 (account :UInt64, units :Float64, slots :UInt32, held :UInt32)
+         -> (units :Float64, slots :UInt32);
+  giveBack @5 (account :UInt64, kept :UInt32) -> ();
 }
--- /dev/null
+++ b/crates/peers/src/coordination/wire.rs
@@ -0,0 +1,224 @@
+//! The wire form of coordination calls.
+//!
+//! Votes, outcomes and states travel as numbers. One that this version doesn't know reads as the
+//! variant that promises least.
+
+use crocushold_base::Millis;
+use crocushold_ownership::ClaimId;
+use crocushold_ownership::ClaimKey;
+use crocushold_ownership::ClaimState;
+use crocushold_ownership::Entry;
+use crocushold_ownership::Mark;
+use crocushold_ownership::Member;
+use crocushold_ownership::Outcome;
+use crocushold_ownership::Record;
+use crocushold_ownership::RequestDigest;
+use crocushold_ownership::TransferRequest;
+use crocushold_ownership::ViewId;
+use crocushold_ownership::Vote;
+
+use crate::peer_capnp::claim;
+use crate::peer_capnp::mark;
+use crate::peer_capnp::member;
+use crate::peer_capnp::record;
+use crate::peer_capnp::session;
+
+/// A claim's fields that all messages about it share.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Claim {
+    pub(crate) key: ClaimKey,
+    pub(crate) id: ClaimId,
+    pub(crate) digest: RequestDigest,
+}
+
+/// A vote or outcome as numbers.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Coded {
+    pub(crate) kind: u16,
+    pub(crate) status: u16,
+    pub(crate) retry: Millis,
+}
+
+fn write_member(from: Member, mut to: member::Builder<'_>) {
+    to.set_id(from.id.0);
+    to.set_incarnation(from.incarnation);
+}
+
+fn read_member(from: member::Reader<'_>) -> Member {
+    Member {
+        id: crocushold_ownership::InstanceId(from.get_id()),
+        incarnation: from.get_incarnation(),
+    }
+}
+
+pub(crate) fn write_claim(from: &Claim, mut to: claim::Builder<'_>) {
+    to.set_key_high((from.key.0 >> 64) as u64);
+    to.set_key_low(from.key.0 as u64);
+    to.set_seq(from.id.seq);
+    to.set_digest(from.digest.0);
+    write_member(from.id.claimant, to.init_claimant());
+}
+
+pub(crate) fn read_claim(from: claim::Reader<'_>) -> capnp::Result<Claim> {
+    let key = (u128::from(from.get_key_high()) << 64) | u128::from(from.get_key_low());
+    Ok(Claim {
+        key: ClaimKey(key),
+        id: ClaimId {
+            claimant: read_member(from.get_claimant()?),
+            seq: from.get_seq(),
+        },
+        digest: RequestDigest(from.get_digest()),
+    })
+}
+
+pub(crate) fn code_vote(vote: Vote) -> Coded {
+    let plain = |kind| Coded {
+        kind,
+        ..Coded::default()
+    };
+    let later = |kind, retry| Coded {
+        kind,
+        retry,
+        ..Coded::default()
+    };
+    match vote {
+        Vote::Unknown => plain(0),
+        Vote::Granted => plain(1),
+        Vote::InProgress { retry_after } => later(2, retry_after),
+        Vote::Done { status } => Coded {
+            kind: 3,
+            status,
+            ..Coded::default()
+        },
+        Vote::Mismatch => plain(4),
+        Vote::Full { retry_after } => later(5, retry_after),
+        Vote::NotReady { retry_after } => later(6, retry_after),
+        Vote::OtherGroup => plain(7),
+    }
+}
+
+pub(crate) fn read_vote(coded: Coded) -> Vote {
+    let retry_after = coded.retry;
+    match coded.kind {
+        1 => Vote::Granted,
+        2 => Vote::InProgress { retry_after },
+        3 => Vote::Done {
+            status: coded.status,
+        },
+        4 => Vote::Mismatch,
+        5 => Vote::Full { retry_after },
+        6 => Vote::NotReady { retry_after },
+        7 => Vote::OtherGroup,
+        _ => Vote::Unknown,
+    }
+}
+
+pub(crate) fn code_outcome(outcome: Outcome) -> Coded {
+    let (kind, status) = match outcome {
+        Outcome::Unknown => (0, 0),
+        Outcome::Completed { status } => (1, status),
+        Outcome::NotRun => (2, 0),
+    };
+    Coded {
+        kind,
+        status,
+        ..Coded::default()
+    }
+}
+
+pub(crate) fn read_outcome(kind: u16, status: u16) -> Outcome {
+    match kind {
+        1 => Outcome::Completed { status },
+        2 => Outcome::NotRun,
+        _ => Outcome::Unknown,
+    }
+}
+
+pub(crate) fn write_transfer(
+    from: &TransferRequest,
+    mut to: session::transfer_params::Builder<'_>,
+) {
+    to.set_view(from.view.0);
+    let mut entries = to.reborrow().init_entries(from.entries.len() as u32);
+    for (at, entry) in from.entries.iter().enumerate() {
+        write_entry(entry, entries.reborrow().get(at as u32));
+    }
+    if let Some(mark) = &from.mark {
+        write_mark(mark, to.init_mark());
+    }
+}
+
+pub(crate) fn read_transfer(
+    from: session::transfer_params::Reader<'_>,
+) -> capnp::Result<TransferRequest> {
+    let entries = from.get_entries()?.iter().map(read_entry);
+    Ok(TransferRequest {
+        view: ViewId(from.get_view()),
+        entries: entries.collect::<capnp::Result<_>>()?,
+        mark: read_mark(from.get_mark()?)?,
+    })
+}
+
+fn write_entry(from: &Entry, mut to: record::Builder<'_>) {
+    let record = &from.record;
+    let (state, status) = match record.state {
+        ClaimState::Unknown => (0, 0),
+        ClaimState::NotRun => (1, 0),
+        ClaimState::InProgress => (2, 0),
+        ClaimState::Done { status } => (3, status),
+    };
+    to.set_state(state);
+    to.set_status(status);
+    to.set_age_ms(record.time.0);
+    let claim = Claim {
+        key: from.key,
+        id: record.claim.unwrap_or_default(),
+        digest: record.digest,
+    };
+    write_claim(&claim, to.init_claim());
+}
+
+fn read_entry(from: record::Reader<'_>) -> capnp::Result<Entry> {
+    let claim = read_claim(from.get_claim()?)?;
+    let state = match from.get_state() {
+        1 => ClaimState::NotRun,
+        2 => ClaimState::InProgress,
+        3 => ClaimState::Done {
+            status: from.get_status(),
+        },
+        _ => ClaimState::Unknown,
+    };
+    Ok(Entry {
+        key: claim.key,
+        record: Record {
+            digest: claim.digest,
+            claim: (claim.id != ClaimId::default()).then_some(claim.id),
+            time: Millis(from.get_age_ms()),
+            state,
+        },
+    })
+}
+
+fn write_mark(from: &Mark, mut to: mark::Builder<'_>) {
+    to.set_seq(from.seq);
+    to.set_warm(from.warm);
+    to.set_hold_ms(from.hold.0);
+    to.set_leaving(from.leaving);
+    let mut lost = to.init_lost(from.lost.len() as u32);
+    for (at, member) in from.lost.iter().enumerate() {
+        write_member(*member, lost.reborrow().get(at as u32));
+    }
+}
+
+fn read_mark(from: mark::Reader<'_>) -> capnp::Result<Option<Mark>> {
+    if from.get_seq() == 0 {
+        return Ok(None);
+    }
+    Ok(Some(Mark {
+        seq: from.get_seq(),
+        warm: from.get_warm(),
+        hold: Millis(from.get_hold_ms()),
+        lost: from.get_lost()?.iter().map(read_member).collect(),
+        leaving: from.get_leaving(),
+    }))
+}
--- a/crates/peers/src/member/mod.rs
+++ b/crates/peers/src/member/mod.rs
@@ -35,6 +35,7 @@
 
 pub use ring::RINGS;
 pub use settings::MemberSettings;
+pub use view::Life;
 pub use view::View;
 
 /// Members at random that hear from this one itself that it leaves, besides those it probes.
@@ -160,8 +161,14 @@
     /// The live view.
     pub fn view(&self) -> View {
         let instances = self.table.live().map(|r| r.instance.clone());
+        let lives = self.table.iter().map(|record| Life {
+            id: record.instance.id.clone(),
+            start: record.incarnation.start,
+            status: record.status,
+        });
         View {
             instances: instances.collect::<Vec<_>>().into(),
+            lives: lives.collect(),
             digest: self.digest(),
             me: self.me.id.clone(),
             settled: self.is_settled(),
--- a/crates/peers/src/member/view.rs
+++ b/crates/peers/src/member/view.rs
@@ -5,15 +5,29 @@
 use crate::identity::Instance;
 use crate::identity::InstanceId;
 use crate::member::ring;
+use crate::message::Status;
 
 /// Seed of the hash that chooses watchers.
 const WATCHER_SEED: u64 = 0x77;
 
+/// One life of an instance, and what is known of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Life {
+    /// The instance.
+    pub id: InstanceId,
+    /// Wall-clock milliseconds at which the process started.
+    pub start: u64,
+    /// What is known of it.
+    pub status: Status,
+}
+
 /// The live instances as one instance sees them, itself included, in order of their names.
 #[derive(Clone, Debug)]
 pub struct View {
     /// The live instances.
     pub instances: Arc<[Instance]>,
+    /// Every instance that is known, with those that left or seem dead, in order of their names.
+    pub lives: Arc<[Life]>,
     /// Digest of names and lives: equal on two instances exactly when they see the same instances.
     pub digest: u64,
     /// The instance whose view this is.
--- a/crates/peers/src/shell/calls.rs
+++ b/crates/peers/src/shell/calls.rs
@@ -1,11 +1,18 @@
 //! The calls of a session, from the caller's side.
 
 use crocushold_base::Millis;
+use crocushold_ownership::BorrowReply;
+use crocushold_ownership::BorrowRequest;
+use crocushold_ownership::ClaimRequest;
+use crocushold_ownership::ReturnRequest;
+use crocushold_ownership::SettleRequest;
+use crocushold_ownership::TransferRequest;
 
-use crate::coordination::KeyHash;
 use crate::coordination::Request;
 use crate::coordination::Response;
-use crate::coordination::Verdict;
+use crate::coordination::wire as coded;
+use crate::coordination::wire::Claim;
+use crate::coordination::wire::Coded;
 use crate::message::Message;
 use crate::shell::clients::Line;
 use crate::wire;
@@ -21,58 +28,77 @@
 /// Makes a coordination call.
 pub(crate) async fn coordinate(line: Line, request: Request) -> capnp::Result<Response> {
     match request {
-        Request::Claim {
-            key,
-            claimant,
-            view_digest,
-        } => {
-            let mut call = line.session.claim_request();
-            let mut params = call.get();
-            let (high, low) = halves(key);
-            params.set_key_high(high);
-            params.set_key_low(low);
-            params.set_claimant(claimant.as_str());
-            params.set_view_digest(view_digest);
-            let response = call.send().promise.await?;
-            let answer = response.get()?;
-            Ok(Response::Claimed {
-                verdict: Verdict::from_code(answer.get_verdict()),
-                wait: Millis(answer.get_wait_ms()),
-            })
-        }
-        Request::Settle { key, outcome } => {
-            let mut call = line.session.settle_request();
-            let mut params = call.get();
-            let (high, low) = halves(key);
-            params.set_key_high(high);
-            params.set_key_low(low);
-            params.set_outcome(outcome.code());
-            call.send().promise.await?;
-            Ok(Response::Done)
-        }
-        Request::Borrow { account, tokens } => {
-            let mut call = line.session.borrow_request();
-            let mut params = call.get();
-            params.set_account(&*account);
-            params.set_tokens(tokens);
-            let response = call.send().promise.await?;
-            let answer = response.get()?;
-            Ok(Response::Lent {
-                granted: answer.get_granted(),
-                expires: Millis(answer.get_expires_ms()),
-            })
-        }
-        Request::GiveBack { account, tokens } => {
-            let mut call = line.session.give_back_request();
-            let mut params = call.get();
-            params.set_account(&*account);
-            params.set_tokens(tokens);
-            call.send().promise.await?;
-            Ok(Response::Done)
-        }
+        Request::Claim(request) => claim(&line, &request).await,
+        Request::Settle(request) => settle(&line, &request).await,
+        Request::Transfer(request) => transfer(&line, &request).await,
+        Request::Borrow(request) => borrow(&line, &request).await,
+        Request::Return(request) => give_back(&line, &request).await,
     }
 }
 
-fn halves(key: KeyHash) -> (u64, u64) {
-    ((key.0 >> 64) as u64, key.0 as u64)
+async fn claim(line: &Line, request: &ClaimRequest) -> capnp::Result<Response> {
+    let mut call = line.session.claim_request();
+    let mut params = call.get();
+    params.set_group(request.group.0);
+    let claim = Claim {
+        key: request.key,
+        id: request.claim,
+        digest: request.digest,
+    };
+    coded::write_claim(&claim, params.init_claim());
+    let response = call.send().promise.await?;
+    let answer = response.get()?;
+    let vote = coded::read_vote(Coded {
+        kind: answer.get_vote(),
+        status: answer.get_status(),
+        retry: Millis(answer.get_retry_ms()),
+    });
+    Ok(Response::Vote(vote))
+}
+
+async fn settle(line: &Line, request: &SettleRequest) -> capnp::Result<Response> {
+    let mut call = line.session.settle_request();
+    let mut params = call.get();
+    let outcome = coded::code_outcome(request.outcome);
+    params.set_outcome(outcome.kind);
+    params.set_status(outcome.status);
+    let claim = Claim {
+        key: request.key,
+        id: request.claim,
+        digest: request.digest,
+    };
+    coded::write_claim(&claim, params.init_claim());
+    call.send().promise.await?;
+    Ok(Response::Done)
+}
+
+async fn transfer(line: &Line, request: &TransferRequest) -> capnp::Result<Response> {
+    let mut call = line.session.transfer_request();
+    coded::write_transfer(request, call.get());
+    call.send().promise.await?;
+    Ok(Response::Done)
+}
+
+async fn borrow(line: &Line, request: &BorrowRequest) -> capnp::Result<Response> {
+    let mut call = line.session.borrow_request();
+    let mut params = call.get();
+    params.set_account(request.account.0);
+    params.set_units(request.units);
+    params.set_slots(request.slots);
+    params.set_held(request.held);
+    let response = call.send().promise.await?;
+    let answer = response.get()?;
+    Ok(Response::Lent(BorrowReply {
+        units: answer.get_units(),
+        slots: answer.get_slots(),
+    }))
+}
+
+async fn give_back(line: &Line, request: &ReturnRequest) -> capnp::Result<Response> {
+    let mut call = line.session.give_back_request();
+    let mut params = call.get();
+    params.set_account(request.account.0);
+    params.set_kept(request.kept);
+    call.send().promise.await?;
+    Ok(Response::Done)
 }
--- a/crates/peers/src/shell/core.rs
+++ b/crates/peers/src/shell/core.rs
@@ -10,6 +10,7 @@
 use crocushold_base::Clock;
 use crocushold_base::Event as Record;
 use crocushold_base::Millis;
+use crocushold_ownership::Member;
 use log::info;
 use log::warn;
 
@@ -142,7 +143,8 @@
         deadline: Millis,
     ) -> Result<Response, CallError> {
         if peer == self.settings.me.id {
-            return Ok(self.handler.handle(&peer, request));
+            let me = Member::new(peer.as_str(), self.settings.start);
+            return Ok(self.handler.handle(me, request));
         }
         let known = self.node.borrow().member().locate(&peer);
         let instance = known.ok_or(CallError::NoPeer)?;
--- a/crates/peers/src/shell/server.rs
+++ b/crates/peers/src/shell/server.rs
@@ -11,16 +11,22 @@
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use crocushold_base::Millis;
+use crocushold_ownership::AccountId;
+use crocushold_ownership::BorrowRequest;
+use crocushold_ownership::ClaimRequest;
+use crocushold_ownership::GroupId;
+use crocushold_ownership::Member;
+use crocushold_ownership::ReturnRequest;
+use crocushold_ownership::SettleRequest;
 use futures::future::AbortHandle;
 use futures::future::abortable;
 
 use crate::auth::Role;
 use crate::auth::Transcript;
 use crate::auth::challenge;
-use crate::coordination::KeyHash;
-use crate::coordination::Outcome;
 use crate::coordination::Request;
 use crate::coordination::Response;
+use crate::coordination::wire as coded;
 use crate::identity::InstanceId;
 use crate::message::Body;
 use crate::message::Gossip;
@@ -105,7 +111,7 @@
     let ending: Rc<RefCell<Option<AbortHandle>>> = Rc::default();
     let gate = Gate {
         visit: Rc::downgrade(&visit),
-        transcript: RefCell::new(None),
+        greeting: RefCell::new(None),
         ending: ending.clone(),
     };
     let gate: gate::Client = capnp_rpc::new_client(gate);
@@ -137,7 +143,7 @@
 /// What a connection gives before the caller has proved that it holds the key.
 struct Gate {
     visit: std::rc::Weak<Visit>,
-    transcript: RefCell<Option<Transcript>>,
+    greeting: RefCell<Option<Greeting>>,
     ending: Rc<RefCell<Option<AbortHandle>>>,
 }
 
@@ -171,12 +177,14 @@
         let mut out = results.get();
         out.set_version(version);
         out.set_challenge(&answer);
-        *self.transcript.borrow_mut() = Some(Transcript {
+        let transcript = Transcript {
             version,
             caller: wire::id_of(hello.get_id()?)?,
             challenge: challenge_of(hello.get_challenge()?)?,
             answer,
-        });
+        };
+        let start = hello.get_start();
+        *self.greeting.borrow_mut() = Some(Greeting { transcript, start });
         Ok(())
     }
 
@@ -189,21 +197,23 @@
         let settings = &visit.core.settings;
         let proof = params.get()?.get_proof()?;
         // One try for each challenge.
-        let transcript = self.transcript.borrow_mut().take();
-        let proved = transcript.filter(|t| t.verify(&settings.key, Role::Caller, proof));
-        let Some(transcript) = proved else {
+        let greeting = self.greeting.borrow_mut().take();
+        let proved = greeting.filter(|g| g.transcript.verify(&settings.key, Role::Caller, proof));
+        let Some(greeting) = proved else {
             visit.core.note_stranger();
             return Err(self.refuse("not admitted"));
         };
         if !visit.is_peer.get() {
             visit.prove();
         }
+        let transcript = greeting.transcript;
         let mut out = results.get();
         out.set_proof(&transcript.proof(&settings.key, Role::Callee));
         out.set_id(settings.me.id.as_str());
         out.set_start(settings.start);
         out.set_session(capnp_rpc::new_client(Session {
             visit: Rc::downgrade(&visit),
+            member: Member::new(transcript.caller.as_str(), greeting.start),
             peer: transcript.caller,
             version: transcript.version,
         }));
@@ -229,10 +239,18 @@
     }
 }
 
+/// What a stranger said of itself, to be proved.
+struct Greeting {
+    transcript: Transcript,
+    /// When its process started.
+    start: u64,
+}
+
 /// What a proved peer can call.
 struct Session {
     visit: std::rc::Weak<Visit>,
     peer: InstanceId,
+    member: Member,
     version: u16,
 }
 
@@ -246,7 +264,7 @@
 
     fn coordinate(&self, request: Request) -> capnp::Result<Response> {
         let visit = self.visit()?;
-        Ok(visit.core.handler.handle(&self.peer, request))
+        Ok(visit.core.handler.handle(self.member, request))
     }
 }
 
@@ -278,16 +296,21 @@
         mut results: session::ClaimResults,
     ) -> capnp::Result<()> {
         let input = params.get()?;
-        let answer = self.coordinate(Request::Claim {
-            key: key_of(input.get_key_high(), input.get_key_low()),
-            claimant: wire::id_of(input.get_claimant()?)?,
-            view_digest: input.get_view_digest(),
-        })?;
-        let Response::Claimed { verdict, wait } = answer else {
+        let claim = coded::read_claim(input.get_claim()?)?;
+        let answer = self.coordinate(Request::Claim(ClaimRequest {
+            key: claim.key,
+            claim: claim.id,
+            digest: claim.digest,
+            group: GroupId(input.get_group()),
+        }))?;
+        let Response::Vote(vote) = answer else {
             return Err(unimplemented());
         };
-        results.get().set_verdict(verdict.code());
-        results.get().set_wait_ms(wait.0);
+        let vote = coded::code_vote(vote);
+        let mut out = results.get();
+        out.set_vote(vote.kind);
+        out.set_status(vote.status);
+        out.set_retry_ms(vote.retry.0);
         Ok(())
     }
 
@@ -297,28 +320,42 @@
         _results: session::SettleResults,
     ) -> capnp::Result<()> {
         let input = params.get()?;
-        let answer = self.coordinate(Request::Settle {
-            key: key_of(input.get_key_high(), input.get_key_low()),
-            outcome: Outcome::from_code(input.get_outcome()),
-        })?;
+        let claim = coded::read_claim(input.get_claim()?)?;
+        let answer = self.coordinate(Request::Settle(SettleRequest {
+            key: claim.key,
+            claim: claim.id,
+            digest: claim.digest,
+            outcome: coded::read_outcome(input.get_outcome(), input.get_status()),
+        }))?;
         done(answer)
     }
 
+    async fn transfer(
+        self: CapRc<Self>,
+        params: session::TransferParams,
+        _results: session::TransferResults,
+    ) -> capnp::Result<()> {
+        let request = coded::read_transfer(params.get()?)?;
+        done(self.coordinate(Request::Transfer(request))?)
+    }
+
     async fn borrow(
         self: CapRc<Self>,
         params: session::BorrowParams,
         mut results: session::BorrowResults,
     ) -> capnp::Result<()> {
         let input = params.get()?;
-        let answer = self.coordinate(Request::Borrow {
-            account: wire::name(input.get_account()?)?,
-            tokens: input.get_tokens(),
-        })?;
-        let Response::Lent { granted, expires } = answer else {
+        let answer = self.coordinate(Request::Borrow(BorrowRequest {
+            account: AccountId(input.get_account()),
+            units: input.get_units(),
+            slots: input.get_slots(),
+            held: input.get_held(),
+        }))?;
+        let Response::Lent(reply) = answer else {
             return Err(unimplemented());
         };
-        results.get().set_granted(granted);
-        results.get().set_expires_ms(expires.0);
+        results.get().set_units(reply.units);
+        results.get().set_slots(reply.slots);
         Ok(())
     }
 
@@ -328,10 +365,10 @@
         _results: session::GiveBackResults,
     ) -> capnp::Result<()> {
         let input = params.get()?;
-        let answer = self.coordinate(Request::GiveBack {
-            account: wire::name(input.get_account()?)?,
-            tokens: input.get_tokens(),
-        })?;
+        let answer = self.coordinate(Request::Return(ReturnRequest {
+            account: AccountId(input.get_account()),
+            kept: input.get_kept(),
+        }))?;
         done(answer)
     }
 }
@@ -342,7 +379,3 @@
         _ => Err(unimplemented()),
     }
 }
-
-fn key_of(high: u64, low: u64) -> KeyHash {
-    KeyHash((u128::from(high) << 64) | u128::from(low))
-}
--- a/crates/peers/tests/sockets.rs
+++ b/crates/peers/tests/sockets.rs
@@ -13,16 +13,32 @@
 use async_std::future::timeout;
 use async_std::task;
 use crocushold_base::Millis;
+use crocushold_ownership::AccountId;
+use crocushold_ownership::BorrowReply;
+use crocushold_ownership::BorrowRequest;
+use crocushold_ownership::ClaimId;
+use crocushold_ownership::ClaimKey;
+use crocushold_ownership::ClaimRequest;
+use crocushold_ownership::ClaimState;
+use crocushold_ownership::Entry;
+use crocushold_ownership::GroupId;
+use crocushold_ownership::Mark;
+use crocushold_ownership::Member;
+use crocushold_ownership::Outcome;
+use crocushold_ownership::Record;
+use crocushold_ownership::RequestDigest;
+use crocushold_ownership::ReturnRequest;
+use crocushold_ownership::SettleRequest;
+use crocushold_ownership::TransferRequest;
+use crocushold_ownership::ViewId;
+use crocushold_ownership::Vote;
 use crocushold_peers::CallError;
 use crocushold_peers::Handler;
 use crocushold_peers::Index;
 use crocushold_peers::IndexEntry;
 use crocushold_peers::Instance;
-use crocushold_peers::InstanceId;
-use crocushold_peers::KeyHash;
 use crocushold_peers::Limits;
 use crocushold_peers::Listed;
-use crocushold_peers::Outcome;
 use crocushold_peers::PartText;
 use crocushold_peers::PeerHandle;
 use crocushold_peers::PeerNode;
@@ -34,7 +50,6 @@
 use crocushold_peers::Settings;
 use crocushold_peers::SharedKey;
 use crocushold_peers::Started;
-use crocushold_peers::Verdict;
 use crocushold_peers::Versions;
 
 /// How long a test waits for what must happen.
@@ -48,20 +63,17 @@
 struct Recorder(Mutex<Vec<Request>>);
 
 impl Handler for Recorder {
-    fn handle(&self, _from: &InstanceId, request: Request) -> Response {
+    fn handle(&self, _from: Member, request: Request) -> Response {
         self.0
             .lock()
             .expect("no holder panics")
             .push(request.clone());
         match request {
-            Request::Claim { .. } => Response::Claimed {
-                verdict: Verdict::Granted,
-                wait: Millis(7),
-            },
-            Request::Borrow { tokens, .. } => Response::Lent {
-                granted: tokens / 2,
-                expires: Millis(900),
-            },
+            Request::Claim(_) => granted(),
+            Request::Borrow(request) => Response::Lent(BorrowReply {
+                units: request.units / 2.0,
+                slots: request.slots,
+            }),
             _ => Response::Done,
         }
     }
@@ -138,14 +150,75 @@
     );
 }
 
-fn claim() -> Request {
-    Request::Claim {
-        key: KeyHash(0x0123_4567_89ab_cdef_0011_2233_4455_6677),
-        claimant: InstanceId::new("entry-1"),
-        view_digest: 5,
+/// An answer with a number in it, so that a lost field shows.
+fn granted() -> Response {
+    Response::Vote(Vote::InProgress {
+        retry_after: Millis(7),
+    })
+}
+
+fn try_of(claimant: &str) -> ClaimId {
+    ClaimId {
+        claimant: Member::new(claimant, 3),
+        seq: 4,
     }
 }
 
+fn claim() -> Request {
+    Request::Claim(ClaimRequest {
+        key: ClaimKey(0x0123_4567_89ab_cdef_0011_2233_4455_6677),
+        claim: try_of("entry-1"),
+        digest: RequestDigest(8),
+        group: GroupId(5),
+    })
+}
+
+fn settle() -> Request {
+    Request::Settle(SettleRequest {
+        key: ClaimKey(9),
+        claim: try_of("entry-2"),
+        digest: RequestDigest(8),
+        outcome: Outcome::Completed { status: 201 },
+    })
+}
+
+/// One record in each state, and a mark in which no field has its default.
+fn transfer() -> Request {
+    let states = [
+        ClaimState::NotRun,
+        ClaimState::InProgress,
+        ClaimState::Unknown,
+        ClaimState::Done { status: 409 },
+    ];
+    let entries = states.into_iter().zip(1..).map(|(state, at)| Entry {
+        key: ClaimKey(at),
+        record: Record {
+            digest: RequestDigest(at as u64),
+            claim: (state != ClaimState::Unknown).then(|| try_of("entry-3")),
+            time: Millis(70),
+            state,
+        },
+    });
+    Request::Transfer(TransferRequest {
+        view: ViewId(11),
+        entries: entries.collect(),
+        mark: Some(Mark {
+            seq: 2,
+            warm: true,
+            hold: Millis(500),
+            lost: vec![Member::new("entry-4", 1)],
+            leaving: true,
+        }),
+    })
+}
+
+fn give_back() -> Request {
+    Request::Return(ReturnRequest {
+        account: AccountId(6),
+        kept: 1,
+    })
+}
+
 async fn meet(handles: &[&PeerHandle]) {
     introduce(handles, &[]);
     for handle in handles {
@@ -163,28 +236,27 @@
         let (two, recorder) = start(settings(2, b"key"));
         meet(&[&one, &two]).await;
         let two_id = &two.me().id;
-        let granted = Response::Claimed {
-            verdict: Verdict::Granted,
-            wait: Millis(7),
-        };
-        assert_eq!(one.call(two_id, claim(), DEADLINE).await, Ok(granted));
-        let borrow = Request::Borrow {
-            account: Arc::from("coop"),
-            tokens: 40,
-        };
-        let lent = Response::Lent {
-            granted: 20,
-            expires: Millis(900),
-        };
+        assert_eq!(one.call(two_id, claim(), DEADLINE).await, Ok(granted()));
+        let borrow = Request::Borrow(BorrowRequest {
+            account: AccountId(6),
+            units: 40.0,
+            slots: 3,
+            held: 2,
+        });
+        let lent = Response::Lent(BorrowReply {
+            units: 20.0,
+            slots: 3,
+        });
         assert_eq!(one.call(two_id, borrow.clone(), DEADLINE).await, Ok(lent));
-        let settle = Request::Settle {
-            key: KeyHash(9),
-            outcome: Outcome::NotRun,
-        };
-        let done = one.call(two_id, settle.clone(), DEADLINE).await;
-        assert_eq!(done, Ok(Response::Done));
+        let others = [settle(), transfer(), give_back()];
+        for request in &others {
+            let done = one.call(two_id, request.clone(), DEADLINE).await;
+            assert_eq!(done, Ok(Response::Done));
+        }
+        let mut expected = vec![claim(), borrow];
+        expected.extend(others);
         let asked = recorder.0.lock().unwrap().clone();
-        assert_eq!(asked, [claim(), borrow, settle]);
+        assert_eq!(asked, expected);
     });
 }
 
