--- a/crates/standins/tests/all/engine.rs
+++ b/crates/standins/tests/all/engine.rs
@@ -217,6 +217,32 @@
     assert_eq!(engine.stats().started, 0);
 }
 
+/// One request fills the batch, a long one of low priority queues, then a short one of high
+/// priority. Once there is room the short one goes first; else it would wait for the long one.
+#[async_std::test]
+async fn priority_of_the_body_orders_the_queue() {
+    let batch = BatchSettings {
+        batch_limit: 1,
+        ..fast().batch
+    };
+    let settings = EngineSettings { batch, ..fast() };
+    let engine = Engine::start(wire::any(), settings).await.unwrap();
+    let mut conns = Vec::new();
+    for (waiting, priority, tokens) in [(0, 0, 30_000), (1, 9, 30_000), (2, 1, 1)] {
+        let mut body = request("queued", tokens, false);
+        body["priority"] = json!(priority);
+        let request = wire::post_request("/v1/chat/completions", "", &body.to_string());
+        conns.push(wire::send(engine.addr(), &request).await);
+        let settled = || (engine.stats().running, engine.stats().waiting) == (1, waiting);
+        wire::eventually("the request is in its place", settled).await;
+    }
+    let short = conns.pop().unwrap();
+    drop(conns.remove(0));
+    assert_eq!(wire::finish(short).await.status, 200);
+    let stats = engine.stats();
+    assert_eq!((stats.completed, stats.running + stats.waiting), (1, 1));
+}
+
 #[async_std::test]
 async fn same_prefix_is_cached_the_second_time() {
     let engine = engine().await;
