Give a single read of the platform a deadline of its own

`read` makes a call without a machine that would cancel it; a frozen platform held it, and its connection, for the 30 s of the shell's backstop, so that a caller with several addresses turned to the next one only then. It now ends after 2 s, a watch after its wait and 2 s. Seen failing with a longer deadline.

--- a/crates/metrics/src/status.rs
+++ b/crates/metrics/src/status.rs
@@ -1,7 +1,7 @@
 //! The document behind `GET /status`.
 //!
-//! Times are milliseconds; names are those of the configuration and the platform. A reader of another version
-//! ignores fields that it doesn't know and takes defaults for those that are missing, so that
+//! Times are milliseconds; names are those of the configuration and the platform. A reader of another
+//! version ignores fields that it doesn't know and takes defaults for those that are missing, so that
 //! `crocushold status` works through an upgrade.
 
 use serde::Deserialize;
--- a/crates/platform/src/shell/exchange.rs
+++ b/crates/platform/src/shell/exchange.rs
@@ -1,5 +1,6 @@
 //! Turns a call into a read, and its reply into an event.
 
+use async_std::future::timeout;
 use crocushold_base::Millis;
 use http_types::Url;
 
@@ -24,28 +25,42 @@
 const PART_LIMIT: usize = (1 << 20) + 1;
 /// Deadline beyond the machine's own, which cancels first.
 const BACKSTOP: Millis = Millis::from_secs(30);
+/// Deadline of a call outside a machine.
+const DEADLINE: Millis = Millis::from_secs(2);
 
 const OK: u16 = 200;
 const TOO_MANY_REQUESTS: u16 = 429;
 
 /// Makes a call and returns the event that ends it.
 pub(super) async fn perform<F: Fetch>(shell: &Shell<F>, id: CallId, call: Call) -> Event {
-    match read(shell, &call).await {
+    match exchange(shell, &call, BACKSTOP).await {
         Ok(answer) => Event::Answered { call: id, answer },
         Err(failure) => Event::Failed { call: id, failure },
     }
 }
 
-/// Makes one call, outside a machine.
+/// Makes one call, outside a machine, with a deadline of 2 s; a watch has its wait and 2 s more.
 ///
 /// # Errors
 ///
 /// Why it brought no answer.
 pub async fn read<F: Fetch>(shell: &Shell<F>, call: &Call) -> Result<Answer, Failure> {
+    // Nobody else ends this call: a frozen platform would hold it, and its connection, until the
+    // backstop.
+    let read = exchange(shell, call, DEADLINE);
+    let bounded = timeout(deadline(call, DEADLINE).into(), read);
+    bounded.await.map_err(|_| Failure::Timeout)?
+}
+
+async fn exchange<F: Fetch>(
+    shell: &Shell<F>,
+    call: &Call,
+    slack: Millis,
+) -> Result<Answer, Failure> {
     let get = Get {
         address: shell.address.clone(),
         path: path(call),
-        timeout: backstop(call),
+        timeout: deadline(call, slack),
         limit: limit(call),
     };
     let reply = shell.fetch.get(get).await.map_err(failure)?;
@@ -73,10 +88,10 @@
     url.path().to_owned()
 }
 
-fn backstop(call: &Call) -> Millis {
+fn deadline(call: &Call, slack: Millis) -> Millis {
     match call {
-        Call::Watch { wait, .. } => *wait + BACKSTOP,
-        _ => BACKSTOP,
+        Call::Watch { wait, .. } => *wait + slack,
+        _ => slack,
     }
 }
 
--- a/crates/platform/src/wire/instances.rs
+++ b/crates/platform/src/wire/instances.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::de::Error;
 use serde_json::Value;
 
 /// Answer of `GET /v1/instances`.
@@ -112,13 +114,12 @@
 }
 
 /// Reads an address; an empty text is none.
-fn address_or_none<'de, D>(deserializer: D) -> Result<Option<SocketAddr>, D::Error>
-where
-    D: serde::Deserializer<'de>,
-{
+fn address_or_none<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<SocketAddr>, D::Error> {
     let text: Option<String> = Option::deserialize(deserializer)?;
     match text.as_deref() {
         None | Some("") => Ok(None),
-        Some(text) => text.parse().map(Some).map_err(serde::de::Error::custom),
+        Some(text) => text.parse().map(Some).map_err(D::Error::custom),
     }
 }
--- a/crates/platform/tests/all/shell.rs
+++ b/crates/platform/tests/all/shell.rs
@@ -9,6 +9,7 @@
 use async_std::task;
 use crocushold_base::Clock;
 use crocushold_base::Millis;
+use crocushold_platform::Call;
 use crocushold_platform::ConfigReader;
 use crocushold_platform::Event;
 use crocushold_platform::Failure;
@@ -22,6 +23,7 @@
 use crocushold_platform::Shell;
 use crocushold_platform::Update;
 use crocushold_platform::fetch;
+use crocushold_platform::read;
 use crocushold_platform::run;
 use futures::channel::mpsc;
 use futures::channel::mpsc::Sender;
@@ -164,3 +166,18 @@
     let result = task::block_on(fetch(&script, "127.0.0.1:1", "/metrics"));
     assert_eq!(result, Err(FetchError::Status(429)));
 }
+
+/// A single read, made without a machine, of a platform that never answers: it must end by itself.
+#[test]
+fn a_single_read_has_a_deadline() {
+    let script = Script::default();
+    let shell = Shell {
+        fetch: script.clone(),
+        address: "127.0.0.1:1".into(),
+        clock: Clock::start(),
+    };
+    let result = task::block_on(read(&shell, &Call::Instances));
+    assert_eq!(result, Err(Failure::Timeout));
+    assert!(shell.clock.now() < Millis::from_secs(10));
+    assert_eq!(script.hanging.load(Ordering::SeqCst), 0);
+}
