--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of crocushold against its own baselines.
