--- a/crates/admission/tests/admission/fairness.rs
+++ b/crates/admission/tests/admission/fairness.rs
@@ -153,6 +153,22 @@
     assert!((0.4..0.6).contains(&share), "{share} of {served:?}");
 }
 
+/// After some long answers the account's next requests are charged as long ones at the start, and
+/// the other account's as before.
+#[test]
+fn the_charge_follows_the_account() {
+    let mut bed = Bed::new(Settings::default(), &[batch()], 2);
+    for _ in 0..8 {
+        queue_of(&mut bed, 0, 100_000);
+        let ticket = bed.dispatch(NOW, 1);
+        bed.finish(ticket, 5000, NOW);
+    }
+    queue_of(&mut bed, 0, 100_000);
+    assert!(bed.dispatch(NOW, 1).charge() > 2000);
+    queue_of(&mut bed, 1, 100_000);
+    assert_eq!(bed.dispatch(NOW, 1).charge(), 256);
+}
+
 /// The same account charges its output as it streams: before its first long answer has ended, the
 /// other account goes ahead of it.
 #[test]
@@ -172,6 +188,73 @@
     }
 }
 
+/// An account's only request runs far longer than estimated, while the account is idle and its
+/// share was long made up for. The debt counts none the less: a few at a time, such requests would
+/// otherwise cost nothing beyond their estimates.
+#[test]
+fn the_debt_of_a_long_answer_outlives_idling() {
+    let mut bed = Bed::new(Settings::default(), &[batch()], 2);
+    queue_of(&mut bed, 1, 100);
+    let long = bed.dispatch(NOW, 1);
+    for _ in 0..80 {
+        queue_of(&mut bed, 0, 100);
+    }
+    for _ in 0..20 {
+        let ticket = bed.dispatch(NOW, 1);
+        bed.finish(ticket, 100, NOW);
+    }
+    bed.finish(long, 5000, NOW);
+    queue_of(&mut bed, 1, 100);
+    for _ in 0..40 {
+        let ticket = bed.dispatch(NOW, 1);
+        assert_eq!(ticket.account(), bed.accounts[0].key);
+        bed.finish(ticket, 100, NOW);
+    }
+}
+
+/// A thousand accounts send one request each. Once the others have caught up with them nothing is
+/// remembered of them, so memory follows the accounts in use; and nothing of one that is removed.
+#[test]
+fn idle_accounts_are_forgotten() {
+    let mut bed = Bed::new(Settings::default(), &[batch()], 1000);
+    for account in 0..1000 {
+        queue_of(&mut bed, account, 100);
+    }
+    for _ in 0..1000 {
+        let ticket = bed.dispatch(NOW, 1);
+        bed.finish(ticket, 100, NOW);
+    }
+    let flows = |bed: &Bed| {
+        bed.scheduler
+            .class_status(bed.classes[0].key)
+            .map(|s| s.flows)
+    };
+    for _ in 0..3 {
+        queue_of(&mut bed, 0, 100);
+        let ticket = bed.dispatch(NOW, 1);
+        bed.finish(ticket, 100, NOW);
+    }
+    assert_eq!(flows(&bed), Some(1));
+    bed.scheduler
+        .configure(&bed.classes, &bed.accounts[1..], NOW);
+    assert_eq!(flows(&bed), Some(0));
+}
+
+/// Two classes of one tier have no target. They are served in order of arrival, and not one of them
+/// first for ever.
+#[test]
+fn classes_without_a_target_go_by_arrival() {
+    let mut bed = Bed::new(Settings::default(), &[batch(), batch()], 1);
+    for tick in 0..10 {
+        bed.queue(1, 0, Millis(tick * 10));
+        bed.queue(0, 0, Millis(tick * 10 + 5));
+    }
+    for index in 0..20 {
+        let ticket = bed.dispatch(Millis(100), 1);
+        assert_eq!(ticket.class(), bed.classes[1 - index % 2].key);
+    }
+}
+
 /// Two classes of one tier and one target, weights 1 and 4, and more load than can attain. The class
 /// of weight 1 waits to the edge of its target and that of weight 4 to a quarter of it.
 #[test]
--- a/crates/admission/tests/admission/floors.rs
+++ b/crates/admission/tests/admission/floors.rs
@@ -1,6 +1,7 @@
 //! Floors: no class starves, and no floor takes more than its share.
 
 use crocushold_admission::ClassSpec;
+use crocushold_admission::Completion;
 use crocushold_admission::NotRun;
 use crocushold_admission::Settings;
 use crocushold_base::Millis;
@@ -102,6 +103,30 @@
     assert!((9..=10).contains(&count), "{count}");
 }
 
+/// Batch answers turn out four times as long as estimated, live ones half as long. The floor counts
+/// what was really generated; by estimates the batch class would take several times its share.
+#[test]
+fn floors_count_real_tokens() {
+    let mut bed = Bed::new(Settings::default(), &[endless(), batch()], 2);
+    let mut real = [0, 0];
+    for _ in 0..2000 {
+        submit(&mut bed, 0, 100);
+        submit(&mut bed, 1, 100);
+        let ticket = bed.dispatch(NOW, 1);
+        let class = usize::from(ticket.class() == bed.classes[1].key);
+        let output = [50, 400][class];
+        real[class] += output;
+        let completion = Completion {
+            output,
+            whole: false,
+        };
+        bed.scheduler.finish(ticket.sent(), completion, NOW);
+    }
+    // An answer is only known to be long when it has run, so one may be too many.
+    let floor = (real[0] + real[1]) / 10;
+    assert!(real[1].abs_diff(floor) <= 400, "{real:?}");
+}
+
 /// No backend server can be had for a while, so live requests are dispatched and put back again
 /// and again. Were these counted as served, the floor would grow by work that never ran, and then
 /// push the live tier aside.
--- a/crates/admission/tests/admission/limits.rs
+++ b/crates/admission/tests/admission/limits.rs
@@ -119,6 +119,24 @@
     bed.idle(NOW, 8);
 }
 
+/// Another instance stops and this one's share grows: what waited for the concurrency limit goes on
+/// without waiting for one of the account's requests to end.
+#[test]
+fn a_larger_share_lets_waiting_requests_go_on() {
+    let mut bed = bed(&AccountSpec {
+        concurrency: 4,
+        ..AccountSpec::default()
+    });
+    let account = bed.accounts[0].key;
+    bed.scheduler.set_share(account, 0.25, NOW);
+    bed.queue(1, 0, NOW);
+    bed.queue(1, 0, NOW);
+    let _first = bed.dispatch(NOW, 8);
+    bed.idle(NOW, 8);
+    bed.scheduler.set_share(account, 0.5, NOW);
+    let _second = bed.dispatch(NOW, 8);
+}
+
 /// The account runs as many requests as it may. Its next ones wait without holding up other
 /// accounts, and start as soon as one of its own ends.
 #[test]
@@ -140,6 +158,34 @@
     bed.idle(NOW, 8);
 }
 
+/// While an account waits at its concurrency limit another is served. When the limit lets it go on,
+/// the two take turns; the wait is no credit that would hold up the other.
+#[test]
+fn time_at_the_concurrency_limit_is_no_credit() {
+    let mut bed = bed(&AccountSpec {
+        concurrency: 1,
+        ..AccountSpec::default()
+    });
+    for _ in 0..40 {
+        bed.queue(1, 0, NOW);
+        bed.queue(1, 1, NOW);
+    }
+    let limited = bed.dispatch(NOW, 8);
+    assert_eq!(limited.account(), bed.accounts[0].key);
+    for _ in 0..20 {
+        let ticket = bed.dispatch(NOW, 8);
+        bed.finish(ticket, 100, NOW);
+    }
+    bed.finish(limited, 100, NOW);
+    let mut count = 0;
+    for _ in 0..20 {
+        let ticket = bed.dispatch(NOW, 8);
+        count += usize::from(ticket.account() == bed.accounts[0].key);
+        bed.finish(ticket, 100, NOW);
+    }
+    assert!((9..=11).contains(&count), "{count}");
+}
+
 /// An account with its allowed number of requests queued is refused, cheaply and for itself alone.
 #[test]
 fn an_account_queue_is_bounded() {
--- a/crates/admission/tests/admission/queue.rs
+++ b/crates/admission/tests/admission/queue.rs
@@ -115,6 +115,25 @@
     assert_eq!(bed.scheduler.status().bytes, 950);
 }
 
+/// The memory that half of a floor's share allows stays with its class, as its entries do: a large
+/// live request doesn't take the last batch request's place.
+#[test]
+fn the_memory_kept_for_a_floor_is_not_taken() {
+    let settings = Settings {
+        queue_bytes: 1000,
+        ..Settings::default()
+    };
+    let mut bed = Bed::new(settings, &[live(), batch()], 2);
+    let mut small = bed.arrival(1, 1);
+    small.bytes = 50;
+    bed.scheduler.submit(&small, NOW);
+    let mut large = bed.arrival(0, 0);
+    large.bytes = 951;
+    bed.scheduler.submit(&large, NOW);
+    bed.idle(NOW, 0);
+    assert_eq!(bed.scheduler.status().bytes, 50);
+}
+
 /// A team removes a class while its requests are queued. They get their answer; the other class's
 /// queue and what it saved up stay.
 #[test]
--- a/crates/admission/tests/admission/refusals.rs
+++ b/crates/admission/tests/admission/refusals.rs
@@ -66,6 +66,24 @@
     }
 }
 
+/// The engines take half a second to the first token. A request that starts with less than that left
+/// can't attain any more, so its last start is half a second before the target.
+#[test]
+fn the_time_to_first_token_is_set_aside() {
+    let mut bed = Bed::new(Settings::default(), &[live()], 1);
+    let mut now = Millis(0);
+    for _ in 0..20 {
+        bed.queue(0, 0, now);
+        let ticket = bed.dispatch(now, 1).sent();
+        now += Millis(500);
+        bed.scheduler.progress(&ticket, 1, now);
+        bed.scheduler.cancel(ticket.key(), 1, now);
+    }
+    bed.queue(0, 0, now);
+    let last = bed.scheduler.wake_at().expect("it is queued").since(now);
+    assert!((1350..=1500).contains(&last.0), "{last}");
+}
+
 /// Batch work far ahead in number but below in tier doesn't get a live request refused.
 #[test]
 fn lower_tiers_do_not_count_as_ahead() {
@@ -76,6 +94,31 @@
     bed.queue(0, 0, now);
 }
 
+/// A class of the same tier has two requests queued that fall due first. They count as ahead.
+#[test]
+fn earlier_deadlines_of_the_tier_count_as_ahead() {
+    let (mut bed, now) = taught(&[live(), live()]);
+    bed.queue(0, 0, now);
+    bed.queue(0, 0, now);
+    assert_eq!(bed.refuse(1, 1, now).reason, Reason::TooLate);
+}
+
+/// A class of the same tier has a long queue that may wait for an hour. It is not ahead of a request
+/// that falls due in two seconds, and no reason to refuse it.
+#[test]
+fn later_deadlines_of_the_tier_do_not() {
+    let patient = ClassSpec {
+        target: Millis::from_secs(3600),
+        patience: Millis::MAX,
+        ..live()
+    };
+    let (mut bed, now) = taught(&[live(), patient]);
+    for _ in 0..1000 {
+        bed.queue(1, 1, now);
+    }
+    bed.queue(0, 0, now);
+}
+
 /// One account has filled the live queue as far as it is let. The first request of another account
 /// would be served next but one, so the long queue is no reason to refuse it.
 #[test]
