--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -28,6 +28,46 @@
 //! The contract of the driver is short: after every call, call [`Scheduler::next`] until it returns
 //! `None`, and call it again at [`Scheduler::wake_at`]. Refusals come out of `next` before any
 //! dispatch, so an instance that was suspended answers the overdue requests before it starts others.
+//!
+//! # Examples
+//!
+//! ```
+//! use crocushold_admission::AccountSpec;
+//! use crocushold_admission::Action;
+//! use crocushold_admission::Arrival;
+//! use crocushold_admission::ClassSpec;
+//! use crocushold_admission::Completion;
+//! use crocushold_admission::Scheduler;
+//! use crocushold_admission::Settings;
+//! use crocushold_admission::Verdict;
+//! use crocushold_base::AccountKey;
+//! use crocushold_base::ClassKey;
+//! use crocushold_base::Millis;
+//! use slotmap::SlotMap;
+//!
+//! // The keys come from the arenas that hold the configuration.
+//! let class = SlotMap::<ClassKey, ()>::with_key().insert(());
+//! let account = SlotMap::<AccountKey, ()>::with_key().insert(());
+//! let chat = ClassSpec { key: class, target: Millis(2000), ..ClassSpec::default() };
+//! let school = AccountSpec { key: account, ..AccountSpec::default() };
+//!
+//! let mut scheduler = Scheduler::new(Settings::default());
+//! scheduler.configure(&[chat], &[school], Millis(0));
+//!
+//! let arrival = Arrival { class, account, prompt_tokens: 300, ..Arrival::default() };
+//! let verdict = scheduler.submit(&arrival, Millis(10));
+//! assert!(matches!(verdict, Verdict::Queued(_)));
+//!
+//! let Some(Action::Dispatch(ticket)) = scheduler.next(Millis(11), 4) else {
+//!     panic!("a slot is free");
+//! };
+//! // A backend server was found: from here on the request can't be queued again.
+//! let ticket = ticket.sent();
+//! scheduler.progress(&ticket, 1, Millis(150));
+//! let whole = Completion { output: 80, whole: true };
+//! let settlement = scheduler.finish(ticket, whole, Millis(1800)).expect("it was running");
+//! assert_eq!(settlement.waited, Millis(1));
+//! ```
 
 mod account;
 mod bucket;
--- a/crates/admission/tests/admission/refusals.rs
+++ b/crates/admission/tests/admission/refusals.rs
@@ -8,6 +8,7 @@
 use crocushold_admission::Settings;
 use crocushold_admission::Verdict;
 use crocushold_base::Millis;
+use test_case::test_case;
 
 use crate::support::Bed;
 use crate::support::batch;
@@ -68,9 +69,11 @@
 
 /// The engines take half a second to the first token. A request that starts with less than that left
 /// can't attain any more, so its last start is half a second before the target.
-#[test]
-fn the_time_to_first_token_is_set_aside() {
-    let mut bed = Bed::new(Settings::default(), &[live()], 1);
+#[test_case(Millis(2000); "when it is refused then")]
+#[test_case(Millis::MAX; "when it is served late")]
+fn the_time_to_first_token_is_set_aside(patience: Millis) {
+    let class = ClassSpec { patience, ..live() };
+    let mut bed = Bed::new(Settings::default(), &[class], 1);
     let mut now = Millis(0);
     for _ in 0..20 {
         bed.queue(0, 0, now);
