--- a/crates/ownership/tests/claims.rs
+++ b/crates/ownership/tests/claims.rs
@@ -8,17 +8,22 @@
 use crocushold_ownership::ClaimRequest;
 use crocushold_ownership::ClaimRound;
 use crocushold_ownership::ClaimSettings;
+use crocushold_ownership::ClaimState;
 use crocushold_ownership::Claims;
+use crocushold_ownership::Entry;
 use crocushold_ownership::Grant;
 use crocushold_ownership::GroupId;
 use crocushold_ownership::Member;
 use crocushold_ownership::Outcome;
+use crocushold_ownership::Record;
 use crocushold_ownership::Refusal;
 use crocushold_ownership::RequestDigest;
 use crocushold_ownership::Settlement;
 use crocushold_ownership::Transfer;
+use crocushold_ownership::TransferRequest;
 use crocushold_ownership::Verdict;
 use crocushold_ownership::View;
+use crocushold_ownership::Vote;
 use proptest::prelude::prop;
 use proptest::prelude::proptest;
 use test_case::test_case;
@@ -452,3 +457,61 @@
         assert!(sent.iter().all(|count| *count <= 1), "{sent:?}");
     }
 }
+
+/// Two tries hold the key on different members when the membership changes: one of them was granted,
+/// the other lost and is being released. A newcomer gets both records. Did it keep only the loser's,
+/// the release would free the key and a third try would run what the first one runs.
+#[test]
+fn conflicting_records_are_never_released() {
+    let mut fleet = Fleet::new(3, ClaimSettings::default());
+    let voter = member(2);
+    let now = fleet.now;
+    let loser = fleet.request(member(1), 1, 1);
+    let view = fleet.node(voter).view().clone();
+    let mut round = ClaimRound::new(&fleet.settings, &view, loser, now);
+    assert_eq!(
+        fleet.node(voter).on_claim(round.request(), now),
+        Vote::Granted
+    );
+    let winner = fleet.request(member(0), 1, 1);
+    let record = Record {
+        digest: winner.digest,
+        claim: Some(winner.claim),
+        time: Millis::ZERO,
+        state: ClaimState::InProgress,
+    };
+    let transfer = TransferRequest {
+        view: view.id(),
+        entries: vec![Entry {
+            key: winner.key,
+            record,
+        }],
+        mark: None,
+    };
+    fleet.node(voter).on_transfer(member(0), &transfer, now);
+    let Some(Verdict::Refused(_, release)) = round.on_deadline() else {
+        panic!("no vote has reached the loser");
+    };
+    fleet.node(voter).on_settle(release.request(), now);
+    let third = fleet.request(member(1), 1, 1);
+    let third = *ClaimRound::new(&fleet.settings, &view, third, now).request();
+    assert_eq!(fleet.node(voter).on_claim(&third, now), Vote::Unknown);
+}
+
+/// A release overtakes the claim that it releases. The late claim must not lock the key again, for
+/// nobody would ever free it.
+#[test]
+fn a_claim_overtaken_by_its_release_locks_nothing() {
+    let mut fleet = Fleet::new(3, ClaimSettings::default());
+    let now = fleet.now;
+    let late = fleet.request(member(0), 1, 1);
+    let view = fleet.node(member(0)).view().clone();
+    let mut round = ClaimRound::new(&fleet.settings, &view, late, now);
+    let Some(Verdict::Refused(_, release)) = round.on_deadline() else {
+        panic!("no vote has come");
+    };
+    fleet.settle(member(0), &release);
+    let vote = fleet.node(member(2)).on_claim(round.request(), now);
+    assert!(matches!(vote, Vote::NotReady { .. }), "{vote:?}");
+    assert!(fleet.claim(member(1), 1).is_ok());
+}
--- a/crates/ownership/tests/explore.rs
+++ b/crates/ownership/tests/explore.rs
@@ -4,6 +4,9 @@
 use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::fmt::Debug;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::rc::Rc;
 
 use crocushold_base::Millis;
@@ -22,7 +25,6 @@
 use crocushold_ownership::Verdict;
 use crocushold_ownership::View;
 use test_case::test_case;
-use twox_hash::XxHash3_64;
 
 const NOW: Millis = Millis(1_000);
 const MOST_STATES: usize = 3_000_000;
@@ -60,7 +62,9 @@
 }
 
 fn hash_of(value: &impl Debug) -> u64 {
-    XxHash3_64::oneshot(format!("{value:?}").as_bytes())
+    let mut hasher = DefaultHasher::new();
+    hasher.write(format!("{value:?}").as_bytes());
+    hasher.finish()
 }
 
 #[derive(Clone, Debug)]
@@ -198,9 +202,11 @@
             return;
         };
         self.rounds.remove(&claimant);
-        // Claims of a round that is over could only make voters refuse more.
-        let over = |m: &Message| matches!(m, Message::Claim(other, ..) if *other == claimant);
-        self.mail.retain(|_, message| !over(message));
+        if !self.settling {
+            // Claims of a round that is over could only make voters refuse more.
+            let over = |m: &Message| matches!(m, Message::Claim(other, ..) if *other == claimant);
+            self.mail.retain(|_, message| !over(message));
+        }
         let settlement = match verdict {
             Verdict::Refused(_, settlement) => settlement,
             Verdict::Granted(grant) => {
@@ -271,12 +277,9 @@
             .chain(self.mail.keys().copied())
             .chain(std::iter::once(self.sent as u64))
             .collect();
-        XxHash3_64::oneshot(
-            &parts
-                .iter()
-                .flat_map(|p| p.to_le_bytes())
-                .collect::<Vec<u8>>(),
-        )
+        let mut hasher = DefaultHasher::new();
+        parts.hash(&mut hasher);
+        hasher.finish()
     }
 }
 
