--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,9 +2,11 @@
 
 mod cancel;
 mod error;
+mod exchange;
 mod limits;
 mod observer;
 mod pool;
+mod receive;
 mod relay_body;
 mod send;
 
--- a/crates/http/src/client/relay_body.rs
+++ b/crates/http/src/client/relay_body.rs
@@ -19,21 +19,13 @@
 use super::observer::End;
 use super::observer::Observer;
 use super::pool::Pool;
+use crate::framing::Framing;
 use crate::stall::StallTimer;
 use crate::wire::Wire;
 
 /// Bytes read at a time by those who use [`BufRead`].
 const BUFFER_BYTES: usize = 8 * 1024;
 
-/// How the end of an answer's body is found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Framing {
-    /// By its announced length; zero for answers that have no body.
-    Length(u64),
-    /// By the last chunk.
-    Chunked,
-}
-
 /// Where the connection goes after a clean end.
 pub(crate) struct Home {
     pub(crate) pool: Arc<Pool>,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`EventCounter`] counts server-sent events without parsing them.
 
 mod client;
+mod framing;
 mod headers;
 mod server;
 mod sse;
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -21,11 +21,11 @@
 use super::exact::exact;
 use super::hangup::Hangup;
 use super::limits::ServerLimits;
-use super::receive::Framing;
 use super::receive::Next;
 use super::receive::next_request;
 use super::refusal::refusal;
 use super::stop::Stop;
+use crate::framing::Framing;
 use crate::headers::clean_headers;
 use crate::headers::has_connection_option;
 
--- a/crates/http/src/server/receive.rs
+++ b/crates/http/src/server/receive.rs
@@ -7,13 +7,14 @@
 use futures::future::select;
 use http_types::Request;
 use http_types::StatusCode;
-use http_types::headers::CONTENT_LENGTH;
 use http_types::headers::EXPECT;
-use http_types::headers::TRANSFER_ENCODING;
 
 use super::limits::MAX_HEAD_BYTES;
 use super::limits::ServerLimits;
 use super::stop::Stop;
+use crate::framing::Ambiguous;
+use crate::framing::Framing;
+use crate::framing::framing;
 use crate::wire::Gate;
 use crate::wire::HeadError;
 use crate::wire::Wire;
@@ -34,15 +35,6 @@
     pub(crate) framing: Framing,
 }
 
-/// How the end of a request's body is found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Framing {
-    /// By its announced length; zero without a body.
-    Length(u64),
-    /// By the last chunk.
-    Chunked,
-}
-
 /// Waits for the next request.
 pub(crate) async fn next_request(wire: &Arc<Wire>, limits: &ServerLimits, stop: &Stop) -> Next {
     if !wait_for_byte(wire, limits, stop).await {
@@ -105,48 +97,20 @@
         Ok(Some(decoded)) => decoded,
         Ok(None) | Err(_) => return Err(StatusCode::BadRequest),
     };
-    let framing = framing(&request)?;
-    Ok(Incoming { request, framing })
-}
-
-/// Reads the framing more strictly than async-h1 does.
-///
-/// Two parties that disagree on where a body ends can be made to read part of it as the next request
-/// (request smuggling). async-h1 takes the last of several lengths, accepts a sign, and ignores a
-/// transfer coding that it doesn't know.
-fn framing(request: &Request) -> Result<Framing, StatusCode> {
-    let lengths = request.header(CONTENT_LENGTH);
-    if let Some(codings) = request.header(TRANSFER_ENCODING) {
-        let mut values = codings.iter();
-        let chunked = values
-            .next()
-            .is_some_and(|value| value.as_str().eq_ignore_ascii_case("chunked"));
-        if lengths.is_some() || !chunked || values.next().is_some() {
-            return Err(StatusCode::BadRequest);
-        }
-        return Ok(Framing::Chunked);
-    }
-    let Some(lengths) = lengths else {
-        return Ok(Framing::Length(0));
+    let framing = match framing(request.as_ref()) {
+        Ok(framing) => framing.unwrap_or(Framing::Length(0)),
+        Err(Ambiguous) => return Err(StatusCode::BadRequest),
     };
-    let first = lengths.iter().next().map_or("", |value| value.as_str());
-    let agree = lengths.iter().all(|value| value.as_str() == first);
-    let digits = first.bytes().all(|byte| byte.is_ascii_digit());
-    if !agree || !digits {
-        return Err(StatusCode::BadRequest);
-    }
-    let length = first.parse().map_err(|_| StatusCode::BadRequest)?;
-    Ok(Framing::Length(length))
+    Ok(Incoming { request, framing })
 }
 
 fn bound(wire: &Arc<Wire>, limits: &ServerLimits, mut incoming: Incoming) -> Next {
-    match incoming.framing {
-        Framing::Length(length) if length > limits.body_bytes => {
-            return Next::Refused(StatusCode::PayloadTooLarge);
-        }
-        Framing::Length(length) => wire.allow(length),
-        Framing::Chunked => wire.allow(u64::MAX),
+    if let Framing::Length(length) = incoming.framing
+        && length > limits.body_bytes
+    {
+        return Next::Refused(StatusCode::PayloadTooLarge);
     }
+    wire.allow(incoming.framing.allowance());
     if let Some(expected) = incoming.request.header(EXPECT) {
         if !expected.as_str().eq_ignore_ascii_case("100-continue") {
             return Next::Refused(StatusCode::ExpectationFailed);
--- a/crates/http/src/wire.rs
+++ b/crates/http/src/wire.rs
@@ -1,5 +1,9 @@
 //! The socket wrapper that both sides of an exchange share.
 
+mod gate;
+mod head;
+mod inbox;
+
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -17,7 +21,12 @@
 use async_std::net::TcpStream;
 use futures::FutureExt;
 use futures::future::poll_fn;
-use quick_error::quick_error;
+
+use head::head_end;
+use inbox::Inbox;
+
+pub(crate) use gate::Gate;
+pub(crate) use head::HeadError;
 
 /// Bytes read from the socket at a time while a head is awaited.
 const FILL_BYTES: usize = 4096;
@@ -28,25 +37,6 @@
 /// The interim answer to `Expect: 100-continue`.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
-quick_error! {
-    /// Why no head could be read.
-    // The macro knows no restricted visibility; the module is private.
-    #[allow(unreachable_pub)]
-    #[derive(Debug)]
-    pub enum HeadError {
-        /// The connection ended inside the head.
-        Closed {}
-        /// The head is longer than the limit.
-        TooLarge {}
-        /// The head isn't HTTP/1.1.
-        Malformed {}
-        /// The socket failed.
-        Io(cause: io::Error) {
-            from()
-        }
-    }
-}
-
 /// A TCP connection with the bytes that were read ahead of their message.
 ///
 /// async-h1 wraps whatever it reads from in a buffer of its own and drops that buffer with the
@@ -59,47 +49,6 @@
     written: AtomicU64,
 }
 
-#[derive(Default)]
-struct Inbox {
-    /// Bytes that were read and not yet handed out, from `start` on.
-    bytes: Vec<u8>,
-    start: usize,
-    /// How many bytes the gate may still hand out.
-    allowance: u64,
-    /// The last read through the gate found nothing to read.
-    waiting: bool,
-    /// The peer closed its side.
-    ended: bool,
-    /// What is left to write of the interim answer before the body is read.
-    interim: &'static [u8],
-}
-
-impl Inbox {
-    fn unread(&self) -> &[u8] {
-        &self.bytes[self.start..]
-    }
-
-    fn take(&mut self, count: usize) {
-        self.start += count;
-        if self.start == self.bytes.len() {
-            self.bytes.clear();
-            self.start = 0;
-        }
-    }
-
-    fn append(&mut self, bytes: &[u8]) {
-        self.bytes.drain(..self.start);
-        self.start = 0;
-        self.bytes.extend_from_slice(bytes);
-    }
-
-    fn skip_blank_lines(&mut self) {
-        while self.unread().starts_with(b"\r\n") {
-            self.take(2);
-        }
-    }
-}
-
 impl Wire {
     pub(crate) fn new(stream: TcpStream) -> Arc<Wire> {
         Arc::new(Wire {
@@ -320,60 +269,3 @@
         Poll::Ready(Ok(count))
     }
 }
-
-/// Finds the end of a head behind `scanned` bytes that were looked at before.
-fn head_end(bytes: &[u8], scanned: usize) -> Result<Option<usize>, HeadError> {
-    let from = scanned.saturating_sub(3);
-    for (index, _) in bytes[from..]
-        .iter()
-        .enumerate()
-        .filter(|(_, b)| **b == b'\n')
-    {
-        let end = from + index + 1;
-        if bytes[..end].ends_with(b"\r\n\r\n") {
-            return Ok(Some(end));
-        }
-        // Bare line feeds end a head for some parsers and not for others, which is how one request
-        // is smuggled inside another. async-h1 would wait for a line end that never comes.
-        if bytes[..end].ends_with(b"\n\n") {
-            return Err(HeadError::Malformed);
-        }
-    }
-    Ok(None)
-}
-
-/// What async-h1 reads from: the bytes of the message at hand.
-#[derive(Clone)]
-pub(crate) struct Gate(pub(crate) Arc<Wire>);
-
-impl Read for Gate {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        self.0.poll_take(cx, buf)
-    }
-}
-
-/// async-h1 writes one thing through the stream that it reads from: the interim answer to
-/// `Expect: 100-continue`, from a task of its own. That task can run late, and the interim answer
-/// would land inside the final one. So its writes are dropped, and the wire writes the interim
-/// answer itself before it reads the body.
-impl Write for Gate {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        _cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Poll::Ready(Ok(buf.len()))
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_close(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-}
