--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -286,17 +286,20 @@
     });
 }
 
-#[test]
-fn pool_is_bounded() {
-    run(async {
+#[test_case(PoolLimits { per_server: 1, ..PoolLimits::default() }, 1, true; "to one server")]
+#[test_case(PoolLimits { total: 1, ..PoolLimits::default() }, 1, true; "in all")]
+#[test_case(PoolLimits { idle_timeout: Millis::ZERO, ..PoolLimits::default() }, 2, false; "in time")]
+fn pool_is_bounded(pool: PoolLimits, idle: usize, reused: bool) {
+    run(async move {
         let (server, _numbers) = counting().await;
-        let client = Client::new(PoolLimits {
-            per_server: 1,
-            ..PoolLimits::default()
-        });
+        let client = Client::new(pool);
         exchange(&client, server, Reuse::Fresh).await;
         exchange(&client, server, Reuse::Fresh).await;
-        assert_eq!(client.idle_connections(), 1);
+        assert_eq!(client.idle_connections(), idle);
+        let sent = client
+            .send(server, get(server), &limits(), Reuse::Allowed)
+            .await;
+        assert_eq!(sent.unwrap().reused, reused);
     });
 }
 
