--- a/crates/peers/schema/peer.capnp
+++ b/crates/peers/schema/peer.capnp
@@ -43,6 +43,8 @@
 struct PullIndex {
   after @0 :UInt64;
   cursor @1 :Text;
+  # Since version 2: no pieces are wanted.
+  bare @2 :Bool;
 }
 
 struct Changes {
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -129,6 +129,8 @@
         after: u64,
         /// The last team of the previous page; empty for the first page.
         cursor: Arc<str>,
+        /// Whether the list alone is wanted, without the texts.
+        bare: bool,
     },
     /// A page of the parts that changed after a revision.
     Changes {
--- a/crates/peers/src/spread/mod.rs
+++ b/crates/peers/src/spread/mod.rs
@@ -92,6 +92,17 @@
     TooLarge(Arc<str>),
 }
 
+/// Failures in a row after which what a peer said counts no more.
+const HOLDER_FAILURES: u32 = 3;
+
+/// What was heard from a peer.
+#[derive(Clone, Copy, Debug, Default)]
+struct Heard {
+    revision: u64,
+    /// Messages in a row that it didn't answer since.
+    failures: u32,
+}
+
 /// The spread of the configuration as one instance takes part in it.
 #[derive(Debug)]
 pub struct Spread {
@@ -102,8 +113,9 @@
     /// What an abandoned fetch had brought: whole parts, and one of which the first bytes came.
     leftover: Vec<Part>,
     half: Partial,
-    /// Revisions heard from peers.
-    heard: BTreeMap<InstanceId, u64>,
+    /// Answers in a row that were overdue.
+    late: u32,
+    heard: BTreeMap<InstanceId, Heard>,
     peers: usize,
     peers_settled: bool,
     reader: Reader,
@@ -127,6 +139,7 @@
             fetch: None,
             leftover: Vec::new(),
             half: Partial::default(),
+            late: 0,
             heard: BTreeMap::new(),
             peers: 0,
             peers_settled: false,
@@ -161,7 +174,7 @@
 
     /// The last revision heard from a peer; zero when it was never heard.
     pub fn heard(&self, peer: &InstanceId) -> u64 {
-        self.heard.get(peer).copied().unwrap_or_default()
+        self.heard.get(peer).map_or(0, |heard| heard.revision)
     }
 
     /// Lets time pass.
@@ -243,6 +256,7 @@
         let Some(fetch) = self.fetch.take() else {
             return;
         };
+        self.late = 0;
         self.leftover.clear();
         self.half = Partial::default();
         let before = (self.held.revision, self.digest);
@@ -262,14 +276,26 @@
 
     /// Gives the fetch up when an answer is overdue, and remembers that the source doesn't answer.
     fn time_out(&mut self, now: Millis) {
-        let wait = self.settings.answer_wait;
+        let doubled = Millis(self.settings.answer_wait.0 << self.late.min(8));
+        let wait = doubled.min(self.settings.answer_ceiling);
         let overdue = |fetch: &Fetch| fetch.asked.is_some_and(|t| now.since(t) >= wait);
         if !self.fetch.as_ref().is_some_and(overdue) {
             return;
         }
+        self.late += 1;
         if let Some(Source::Peer(peer)) = self.abandon() {
-            self.heard.remove(&peer);
+            self.count_failure(&peer);
+        }
+    }
+
+    /// A single lost message says little about a peer, and it may be the only one that holds the
+    /// newest revision; one that goes on failing is forgotten.
+    fn count_failure(&mut self, peer: &InstanceId) {
+        if let Some(heard) = self.heard.get_mut(peer) {
+            heard.failures += 1;
         }
+        self.heard
+            .retain(|_, heard| heard.failures < HOLDER_FAILURES);
     }
 
     /// Gives the fetch up, but keeps the parts that came whole: the next fetch takes up from there.
--- a/crates/peers/src/spread/peers.rs
+++ b/crates/peers/src/spread/peers.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 
 use crocushold_base::Millis;
+use rand::seq::IteratorRandom;
 
 use crate::identity::InstanceId;
 use crate::message::Body;
 use crate::message::Gossip;
 use crate::message::PartRef;
 use crate::message::Piece;
+use crate::spread::Heard;
 use crate::spread::Spread;
 use crate::spread::SpreadAction;
 use crate::spread::SpreadFinding;
@@ -32,7 +34,11 @@
         self.hear(from, gossip, now);
         match body {
             Body::Query => self.reply(Body::Announce(self.held.revision)),
-            Body::PullIndex { after, cursor } => self.on_pull_index(*after, cursor),
+            Body::PullIndex {
+                after,
+                cursor,
+                bare,
+            } => self.on_pull_index(*after, cursor, *bare),
             Body::PullPart {
                 team,
                 revision,
@@ -52,11 +58,11 @@
 
     /// A message to `peer` couldn't be delivered or wasn't answered.
     pub fn failed(&mut self, peer: &InstanceId, now: Millis) -> Vec<SpreadAction> {
-        self.heard.remove(peer);
+        self.count_failure(peer);
         if self.fetch.as_ref().is_some_and(|fetch| fetch.is_from(peer)) {
             self.abandon();
         }
-        self.advance(now);
+        // The next try waits for the next tick: a peer that fails at once would be asked in a loop.
         self.finish(now)
     }
 
@@ -70,7 +76,11 @@
     }
 
     fn hear(&mut self, from: &InstanceId, gossip: &Gossip, now: Millis) {
-        self.heard.insert(from.clone(), gossip.revision);
+        let heard = Heard {
+            revision: gossip.revision,
+            failures: 0,
+        };
+        self.heard.insert(from.clone(), heard);
         if gossip.revision == self.held.revision && gossip.config_digest != 0 {
             self.compare(from, gossip.config_digest, now);
         }
@@ -106,14 +116,18 @@
     pub(super) fn start_fetch(&mut self) {
         let held = self.held.revision;
         let listed = self.reader.listed_revision();
-        let best = self.heard.iter().max_by_key(|(_, revision)| **revision);
-        match best {
-            Some((peer, revision)) if *revision > held && *revision >= listed => {
-                let source = Source::Peer(peer.clone());
-                self.fetch = Some(Fetch::new(source, *revision, held));
-            }
-            _ if listed > held => self.fetch_from_platform(),
-            _ => {}
+        let highest = self.heard.values().map(|h| h.revision).max();
+        let highest = highest.unwrap_or_default();
+        if highest > held && highest >= listed {
+            let holders = self.heard.iter().filter(|(_, h)| h.revision == highest);
+            let least = holders.clone().map(|(_, h)| h.failures).min();
+            // At random: all would pull from the same peer otherwise.
+            let holders = holders.filter(|(_, h)| Some(h.failures) == least);
+            let holder = holders.choose(&mut self.rng).map(|(peer, _)| peer.clone());
+            let source = holder.map(Source::Peer);
+            self.fetch = source.map(|source| Fetch::new(source, highest, held));
+        } else if listed > held {
+            self.fetch_from_platform();
         }
     }
 
@@ -131,15 +145,16 @@
             _ => Body::PullIndex {
                 after: fetch.after,
                 cursor: fetch.cursor.clone(),
+                // A comparison is about revisions and hashes; the texts are mostly the same.
+                bare: fetch.after == 0 && self.held.revision > 0,
             },
         };
         self.act(SpreadAction::Send(peer.clone(), body));
     }
 
-    fn on_pull_index(&mut self, after: u64, cursor: &str) {
+    fn on_pull_index(&mut self, after: u64, cursor: &str, bare: bool) {
         let (parts, next) = self.held.changes(after, cursor);
-        // A comparison of everything is about revisions and hashes; the texts are the same mostly.
-        let pieces = if after == 0 {
+        let pieces = if bare {
             Vec::new()
         } else {
             self.held.pieces(after, &parts)
--- a/crates/peers/src/spread/settings.rs
+++ b/crates/peers/src/spread/settings.rs
@@ -21,8 +21,11 @@
     pub backoff: Millis,
     /// Longest such wait.
     pub backoff_ceiling: Millis,
-    /// Time that a peer or the platform has to answer.
+    /// Time that a peer or the platform has to answer before another is asked; it doubles with each
+    /// time in a row that it was too short.
     pub answer_wait: Millis,
+    /// Longest such time.
+    pub answer_ceiling: Millis,
     /// Longest wait for peers and for the platform while joining.
     pub join_wait: Millis,
     /// Peers whose revision is asked for while joining.
@@ -48,7 +51,8 @@
             reread: Millis::from_secs(120),
             backoff: Millis::from_secs(1),
             backoff_ceiling: Millis::from_secs(30),
-            answer_wait: Millis::from_secs(2),
+            answer_wait: Millis(700),
+            answer_ceiling: Millis::from_secs(4),
             join_wait: Millis::from_secs(4),
             join_peers: 3,
             fanout: 2,
--- a/crates/peers/src/spread/start.rs
+++ b/crates/peers/src/spread/start.rs
@@ -91,7 +91,12 @@
             PlatformState::Answered(revision) => Some(revision),
             _ => None,
         };
-        let from_peers = self.heard.values().copied().filter(|r| *r > 0).max();
+        let from_peers = self
+            .heard
+            .values()
+            .map(|h| h.revision)
+            .filter(|r| *r > 0)
+            .max();
         let Some(goal) = from_platform.max(from_peers) else {
             return;
         };
--- a/crates/peers/src/spread/store.rs
+++ b/crates/peers/src/spread/store.rs
@@ -19,7 +19,7 @@
 const PAGE: usize = 256;
 
 /// Most bytes of texts that accompany a page of changes, and most of one of them.
-const PAGE_TEXT: usize = 64 << 10;
+const PAGE_TEXT: usize = 192 << 10;
 const PIECE_TEXT: usize = 16 << 10;
 
 /// SHA-256 of a text.
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -87,8 +87,13 @@
 
 fn write_pull(body: &Body, version: u16, mut out: message::Builder<'_>) {
     match body {
-        Body::PullIndex { after, cursor } => {
+        Body::PullIndex {
+            after,
+            cursor,
+            bare,
+        } => {
             let mut pull = out.init_pull_index();
+            pull.set_bare(*bare);
             pull.set_after(*after);
             pull.set_cursor(&**cursor);
         }
@@ -218,6 +223,7 @@
             Body::PullIndex {
                 after: pull.get_after(),
                 cursor: name(pull.get_cursor()?)?,
+                bare: pull.get_bare(),
             }
         }
         message::Changes(changes) => {
--- a/crates/peers/tests/wire.rs
+++ b/crates/peers/tests/wire.rs
@@ -80,7 +80,7 @@
 #[test_case(Body::Members(vec![update(Status::Alive), update(Status::Dead)]))]
 #[test_case(Body::Query)]
 #[test_case(Body::Announce(12))]
-#[test_case(Body::PullIndex { after: 3, cursor: Arc::from("clara") })]
+#[test_case(Body::PullIndex { after: 3, cursor: Arc::from("clara"), bare: true })]
 #[test_case(changes())]
 #[test_case(Body::PullPart { team: Arc::from("clara"), revision: 9, offset: 4 })]
 #[test_case(Body::Chunk { part: part(), offset: 1, bytes: vec![1, 2] })]
