Measure the policy under load against a baseline in the same run

A program starts stand-in engines, a platform, entry instances and a baseline proxy as processes, gives both systems the same seeded arrivals at the same time, and writes a page and a plot.

--- /dev/null
+++ b/crates/measure/src/control.rs
@@ -0,0 +1,117 @@
+//! Commands to the stand-ins, and their counters.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::future;
+use async_std::io::ReadExt;
+use async_std::task;
+use crocushold_http::Client;
+use crocushold_http::PoolLimits;
+use crocushold_http::Reuse;
+use crocushold_http::SendLimits;
+use crocushold_standins::EngineStats;
+use http_types::Method;
+use http_types::Request;
+use http_types::Url;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::Outcome;
+
+/// How long an instance may take until it serves.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The longest wait for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The body of an answer with status 200 or 204.
+pub(crate) async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> Outcome<String> {
+    future::timeout(CALL_TIMEOUT, exchange(address, method, path, body)).await?
+}
+
+async fn exchange(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> Outcome<String> {
+    let url = Url::parse(&format!("http://{address}{path}"))?;
+    let mut request = Request::new(method, url);
+    request.set_body(body);
+    let client = Client::new(PoolLimits::default());
+    let limits = SendLimits::default();
+    let sent = client.send(address, request, &limits, Reuse::Fresh);
+    let mut answer = sent.await.map_err(|error| error.to_string())?;
+    let mut text = String::new();
+    answer.body.read_to_string(&mut text).await?;
+    if !answer.status.is_success() {
+        return Err(format!("{address}{path}: {}", answer.status).into());
+    }
+    Ok(text)
+}
+
+/// Gives a stand-in a command.
+pub(crate) async fn command(control: SocketAddr, command: &impl Serialize) -> Outcome<()> {
+    let body = serde_json::to_vec(command)?;
+    call(control, Method::Post, "/control", body).await?;
+    Ok(())
+}
+
+async fn get<T: DeserializeOwned>(control: SocketAddr, path: &str) -> Outcome<T> {
+    let text = call(control, Method::Get, path, Vec::new()).await?;
+    Ok(serde_json::from_str(&text)?)
+}
+
+/// The counters of several engines, summed. Only the tokens and requests are.
+pub(crate) async fn engine_totals(controls: &[SocketAddr]) -> Outcome<EngineStats> {
+    let mut total = EngineStats::default();
+    for &control in controls {
+        let stats: EngineStats = get(control, "/control/stats").await?;
+        total.started += stats.started;
+        total.completed += stats.completed;
+        total.cancelled += stats.cancelled;
+        total.failed += stats.failed;
+        total.useful_tokens += stats.useful_tokens;
+        total.cancelled_tokens += stats.cancelled_tokens;
+        total.failed_tokens += stats.failed_tokens;
+        total.prefix_hits += stats.prefix_hits;
+        total.prefix_misses += stats.prefix_misses;
+        total.running += stats.running;
+        total.waiting += stats.waiting;
+    }
+    Ok(total)
+}
+
+/// How often each marked request ran, over several stand-ins.
+pub(crate) async fn runs(controls: &[SocketAddr]) -> Outcome<HashMap<String, u64>> {
+    let mut all = HashMap::new();
+    for &control in controls {
+        let runs: HashMap<String, u64> = get(control, "/control/runs").await?;
+        for (marker, count) in runs {
+            *all.entry(marker).or_insert(0) += count;
+        }
+    }
+    Ok(all)
+}
+
+/// Waits until an instance says that it serves.
+pub(crate) async fn wait_ready(operator: SocketAddr) -> Outcome<()> {
+    let ready = async {
+        while call(operator, Method::Get, "/ready", Vec::new())
+            .await
+            .is_err()
+        {
+            task::sleep(Duration::from_millis(30)).await;
+        }
+    };
+    future::timeout(READY_TIMEOUT, ready)
+        .await
+        .map_err(|_| "an instance did not become ready".into())
+}
--- /dev/null
+++ b/crates/measure/src/fleet.rs
@@ -0,0 +1,229 @@
+//! The processes of one system under test.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::path::PathBuf;
+
+use crocushold_standins::BatchSettings;
+use crocushold_standins::EngineSettings;
+use crocushold_standins::Instance;
+use crocushold_standins::InstanceState;
+use crocushold_standins::Role;
+
+use crate::Outcome;
+use crate::control;
+use crate::drive::Entries;
+use crate::process::Process;
+use crate::shape::CONCURRENCY;
+use crate::shape::Shape;
+
+const PEER_KEY: &str = "0123456789abcdef0123456789abcdef";
+
+/// What stands between callers and engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum System {
+    /// Entry instances.
+    Crocushold,
+    /// The proxy without classes.
+    Baseline,
+    /// Nothing: callers go to the engines in turn.
+    Direct,
+}
+
+/// Engines and a plain service.
+pub(crate) struct Backends {
+    _processes: Vec<Process>,
+    /// Addresses of the engines.
+    pub(crate) engines: Vec<SocketAddr>,
+    /// Addresses that the engines take commands on.
+    pub(crate) controls: Vec<SocketAddr>,
+    /// Address of the plain service.
+    pub(crate) service: SocketAddr,
+    /// Address that the plain service takes commands on.
+    pub(crate) service_control: SocketAddr,
+}
+
+/// All processes of one system.
+pub(crate) struct Fleet {
+    /// Engines and the plain service.
+    pub(crate) backends: Backends,
+    /// The processes between callers and servers.
+    pub(crate) instances: Vec<Process>,
+    /// Operator addresses of the entry instances.
+    pub(crate) operators: Vec<SocketAddr>,
+    /// Where callers send.
+    pub(crate) entries: Entries,
+    _platform: Option<Process>,
+}
+
+/// The speed of the engines.
+pub(crate) fn engine_settings() -> EngineSettings {
+    EngineSettings {
+        batch: BatchSettings {
+            batch_limit: CONCURRENCY,
+            base_ms: 15.0,
+            sequence_ms: 0.5,
+            ..BatchSettings::default()
+        },
+        ..EngineSettings::default()
+    }
+}
+
+impl Backends {
+    /// Starts engines and a plain service.
+    pub(crate) fn start(count: usize, settings: &EngineSettings) -> Outcome<Backends> {
+        let args = [
+            "engine".to_owned(),
+            "--count".to_owned(),
+            count.to_string(),
+            "--settings".to_owned(),
+            serde_json::to_string(settings)?,
+        ];
+        let mut engine = Process::start("crocushold-standin", &args)?;
+        let mut engines = Vec::new();
+        let mut controls = Vec::new();
+        for _ in 0..count {
+            engines.push(engine.address("listening")?);
+            controls.push(engine.address("control")?);
+        }
+        let mut service = Process::start("crocushold-standin", &["service".to_owned()])?;
+        Ok(Backends {
+            engines,
+            controls,
+            service: service.address("listening")?,
+            service_control: service.address("control")?,
+            _processes: vec![engine, service],
+        })
+    }
+}
+
+impl Fleet {
+    /// Starts a system with its own engines, and waits until it serves.
+    pub(crate) async fn start(
+        system: System,
+        shape: &Shape,
+        settings: &EngineSettings,
+        folder: &Path,
+    ) -> Outcome<Fleet> {
+        let backends = Backends::start(shape.engines, settings)?;
+        let mut fleet = Fleet {
+            instances: Vec::new(),
+            operators: Vec::new(),
+            entries: Entries {
+                model: backends.engines.clone(),
+                plain: vec![backends.service],
+            },
+            backends,
+            _platform: None,
+        };
+        match system {
+            System::Direct => {}
+            System::Baseline => fleet.start_proxy()?,
+            System::Crocushold => fleet.start_instances(shape, folder).await?,
+        }
+        Ok(fleet)
+    }
+
+    fn start_proxy(&mut self) -> Outcome<()> {
+        let mut args = vec![
+            "proxy".to_owned(),
+            "--concurrency".to_owned(),
+            CONCURRENCY.to_string(),
+        ];
+        for engine in &self.backends.engines {
+            args.push("--server".to_owned());
+            args.push(engine.to_string());
+        }
+        let mut proxy = Process::start("crocushold-measure", &args)?;
+        self.entries.model = vec![proxy.address("listening")?];
+        self.instances.push(proxy);
+        Ok(())
+    }
+
+    async fn start_instances(&mut self, shape: &Shape, folder: &Path) -> Outcome<()> {
+        let text = shape.text(&self.backends.engines, self.backends.service);
+        let part = write(folder, "part.ini", &text)?;
+        let peers: Vec<SocketAddr> = (0..shape.instances)
+            .map(|_| free_address())
+            .collect::<Outcome<_>>()?;
+        let list = serde_json::to_string(&instance_list(shape, &peers))?;
+        let list = write(folder, "instances.json", &list)?;
+        let args = [
+            "platform".to_owned(),
+            "--part".to_owned(),
+            format!("{}={}", shape.team, part.display()),
+            "--instances".to_owned(),
+            list.display().to_string(),
+        ];
+        let mut platform = Process::start("crocushold-standin", &args)?;
+        let address = platform.address("listening")?;
+        self._platform = Some(platform);
+        let mut listens = Vec::new();
+        for (number, &peer) in peers.iter().enumerate() {
+            let zone = shape.zones[number % shape.zones.len()];
+            let file = write_settings(folder, number, zone, peer, address)?;
+            let args = [
+                "serve".to_owned(),
+                "--log".to_owned(),
+                "warn".to_owned(),
+                file,
+            ];
+            let mut instance = Process::start("crocushold", &args)?;
+            listens.push(instance.address("listening")?);
+            self.operators.push(instance.address("operator")?);
+            self.instances.push(instance);
+        }
+        self.entries = Entries {
+            model: listens.clone(),
+            plain: listens,
+        };
+        for &operator in &self.operators {
+            control::wait_ready(operator).await?;
+        }
+        Ok(())
+    }
+}
+
+fn write_settings(
+    folder: &Path,
+    number: usize,
+    zone: &str,
+    peer: SocketAddr,
+    platform: SocketAddr,
+) -> Outcome<String> {
+    let text = format!(
+        "[instance]\nid = entry-{number}\nzone = {zone}\nlisten = 127.0.0.1:0\n\
+         operator = 127.0.0.1:0\nnotice = 300 ms\ndrain = 5 s\n\n\
+         [platform]\naddresses = {platform}\n\n[peers]\nlisten = {peer}\nkey = {PEER_KEY}\n\n\
+         [limits]\nconnections = 20000\nconnections-per-account = 20000\n"
+    );
+    let file = write(folder, &format!("entry-{number}.ini"), &text)?;
+    Ok(file.display().to_string())
+}
+
+fn instance_list(shape: &Shape, peers: &[SocketAddr]) -> Vec<Instance> {
+    let entry = |(number, peer): (usize, &SocketAddr)| Instance {
+        id: format!("entry-{number}"),
+        role: Role::Entry,
+        service: String::new(),
+        zone: shape.zones[number % shape.zones.len()].to_owned(),
+        address: peer.to_string(),
+        peer_address: peer.to_string(),
+        state: InstanceState::Live,
+    };
+    peers.iter().enumerate().map(entry).collect()
+}
+
+fn write(folder: &Path, name: &str, text: &str) -> Outcome<PathBuf> {
+    let file = folder.join(name);
+    fs::write(&file, text)?;
+    Ok(file)
+}
+
+/// An address whose port was free a moment ago.
+fn free_address() -> Outcome<SocketAddr> {
+    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    Ok(listener.local_addr()?)
+}
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,1 +1,22 @@
-//! Measurements of crocushold against its own baselines.
+//! Measurements of crocushold as real processes against baselines in the same run; never shipped.
+//!
+//! * [`policy`] runs both users' traffic below, at and above capacity, with faults, once through
+//!   entry instances and at the same time through the [`proxy`] that knows no classes.
+//! * [`relay`] measures what an entry instance adds to a request.
+
+mod arrivals;
+mod control;
+mod drive;
+mod fleet;
+mod page;
+mod plot;
+mod point;
+pub mod policy;
+mod process;
+pub mod proxy;
+pub mod relay;
+mod shape;
+mod summary;
+
+/// The outcome of a measurement.
+pub type Outcome<T> = Result<T, Box<dyn std::error::Error + Send + Sync>>;
--- /dev/null
+++ b/crates/measure/src/page.rs
@@ -0,0 +1,250 @@
+//! The page of the policy measurement, in Markdown.
+
+use std::fmt::Write;
+use std::process::Command;
+
+use crate::point::Fault;
+use crate::point::STRAGGLER_FACTOR;
+use crate::policy::Results;
+use crate::policy::Row;
+use crate::process;
+use crate::shape::Shape;
+use crate::summary::ClassSummary;
+use crate::summary::Summary;
+
+const INTRODUCTION: &str = "\
+Each point starts fresh processes: twice a set of stand-in engines with a plain service, the entry
+instances with a platform on one side, and on the other the baseline, a proxy that takes requests
+first come first served, sends them to the engines in turn within the same concurrency, and knows
+no classes. Both get the same seeded plan of open-loop arrivals at the same time. Every cell shows
+crocushold / baseline.
+
+A point lasts 15 s; 4 s to 15 s are measured, and requests due until 12.5 s are judged. A request
+that is still open at the end counts as missed when its target has passed by then, and is left out
+otherwise. Goodput counts the tokens that reached callers inside the window, of answers that were
+completed or still ran at its end; its share is of what the same engines do for the same mix of
+requests sent to them directly at 1.6 times their capacity. Wasted work is what the engines count
+as generated for requests whose caller or router left, or that an engine's fault lost.
+
+Scaled: all classes ask for more alike. Flood: all but the lowest class stay at 0.7. A straggler is
+one engine that is four times slower from 6 s on; a crash takes one engine out from 6 s to 9 s with
+what it ran; a burst of the live class asks for 40 % of the capacity more from 6 s to 9 s.
+";
+
+/// The whole page.
+pub(crate) fn render(all: &[Results], quick: bool) -> String {
+    let mut out = String::new();
+    write_page(&mut out, all, quick).expect("writing to a string never fails");
+    out
+}
+
+/// One point as a line for the terminal.
+pub(crate) fn line(shape: &Shape, capacity: f64, row: &Row) -> String {
+    row_line(shape, capacity, row)
+}
+
+fn write_page(out: &mut String, all: &[Results], quick: bool) -> std::fmt::Result {
+    let flag = if quick { " --quick" } else { "" };
+    writeln!(out, "# Policy under load and faults\n")?;
+    writeln!(out, "```text\ncargo build --release --bins --workspace")?;
+    writeln!(
+        out,
+        "cargo run --release -p crocushold-measure -- policy{flag}\n```\n"
+    )?;
+    let cores = std::thread::available_parallelism().map_or(0, |n| n.get());
+    let load = process::load_average();
+    writeln!(
+        out,
+        "Run on {}, {cores} cores shared with other jobs, load average {load:.0} at the end.\n",
+        today()
+    )?;
+    debug_assert!(
+        (STRAGGLER_FACTOR - 4.0).abs() < f64::EPSILON,
+        "the text says four"
+    );
+    writeln!(out, "{INTRODUCTION}")?;
+    for results in all {
+        write_shape(out, results)?;
+    }
+    Ok(())
+}
+
+fn today() -> String {
+    let output = Command::new("date")
+        .arg("-u")
+        .arg("+%Y-%m-%d %H:%M UTC")
+        .output();
+    let text = output.map(|output| String::from_utf8_lossy(&output.stdout).trim().to_owned());
+    text.unwrap_or_else(|_| "an unknown date".to_owned())
+}
+
+fn write_shape(out: &mut String, results: &Results) -> std::fmt::Result {
+    let Results {
+        shape,
+        capacity,
+        rows,
+    } = results;
+    writeln!(out, "## {}\n", shape.name)?;
+    writeln!(
+        out,
+        "{} engines, {} entry instances; the engines do {capacity:.0} tokens a second.\n",
+        shape.engines, shape.instances
+    )?;
+    writeln!(out, "![attainment and goodput]({}.svg)\n", shape.name)?;
+    writeln!(out, "{}", header(shape))?;
+    for row in rows {
+        writeln!(out, "{}", row_line(shape, *capacity, row))?;
+    }
+    writeln!(out)?;
+    write_promises(out, results)?;
+    write_classes(out, results)?;
+    write_causes(out, results)
+}
+
+fn header(shape: &Shape) -> String {
+    let mut head = "| demand | fault |".to_owned();
+    let mut rule = "| --- | --- |".to_owned();
+    let lowest = shape.lowest();
+    let mut column = |text: &str| {
+        head.push_str(&format!(" {text} |"));
+        rule.push_str(" ---: |");
+    };
+    for class in &shape.classes[..lowest] {
+        column(&format!("{} attained %", class.name));
+    }
+    column(&format!("{} share of tokens %", shape.classes[lowest].name));
+    column("goodput tokens/s");
+    column("goodput % of capacity");
+    column("wasted %");
+    column("load");
+    format!("{head}\n{rule}")
+}
+
+fn row_line(shape: &Shape, capacity: f64, row: &Row) -> String {
+    let lowest = shape.lowest();
+    let mut cells = vec![demand_text(row), fault_text(row.fault).to_owned()];
+    for index in 0..lowest {
+        let share = |summary: &Summary| percent(summary.classes[index].attainment());
+        cells.push(both(row, share));
+    }
+    cells.push(both(row, |summary| format!("{:.1}", summary.share(lowest))));
+    cells.push(both(row, |summary| format!("{:.0}", summary.goodput)));
+    cells.push(both(row, |summary| {
+        format!("{:.1}", 100.0 * summary.goodput / capacity)
+    }));
+    cells.push(both(row, |summary| format!("{:.2}", summary.wasted())));
+    cells.push(format!("{:.0}", row.load));
+    format!("| {} |", cells.join(" | "))
+}
+
+fn demand_text(row: &Row) -> String {
+    let kind = if row.demand.flood { "flood" } else { "scaled" };
+    format!("{:.1} {kind}", row.demand.level)
+}
+
+fn fault_text(fault: Fault) -> &'static str {
+    match fault {
+        Fault::None => "none",
+        Fault::Straggler => "straggler",
+        Fault::Crash => "crash",
+        Fault::Burst => "burst",
+    }
+}
+
+fn both(row: &Row, cell: impl Fn(&Summary) -> String) -> String {
+    format!("{} / {}", cell(&row.ours), cell(&row.baseline))
+}
+
+fn percent(share: Option<f64>) -> String {
+    share.map_or("-".to_owned(), |share| format!("{share:.1}"))
+}
+
+fn write_promises(out: &mut String, results: &Results) -> std::fmt::Result {
+    let total = |side: fn(&Row) -> &Summary, count: fn(&ClassSummary) -> u64| -> u64 {
+        let classes = results.rows.iter().flat_map(|row| &side(row).classes);
+        classes.map(count).sum()
+    };
+    let counts: [(&str, fn(&ClassSummary) -> u64); 6] = [
+        ("misdelivered or disordered", |class| class.misdelivered),
+        ("non-idempotent, run more than once", |class| class.doubled),
+        ("idempotent, run more than once", |class| class.repeated),
+        ("told not run, but run", |class| class.falsely_unrun),
+        ("refused without Retry-After", |class| class.unhinted),
+        ("refused a connection", |class| class.unconnected),
+    ];
+    writeln!(out, "| over all points, requests | crocushold | baseline |")?;
+    writeln!(out, "| --- | ---: | ---: |")?;
+    for (name, count) in counts {
+        let ours = total(|row| &row.ours, count);
+        let theirs = total(|row| &row.baseline, count);
+        writeln!(out, "| {name} | {ours} | {theirs} |")?;
+    }
+    writeln!(out)
+}
+
+fn write_classes(out: &mut String, results: &Results) -> std::fmt::Result {
+    writeln!(out, "### By class\n")?;
+    writeln!(
+        out,
+        "| demand | fault | class | judged | attained % | first token p99 ms | tokens/s | \
+         completed | refused | cut | timed out |"
+    )?;
+    writeln!(
+        out,
+        "| --- | --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |"
+    )?;
+    for row in &results.rows {
+        for (index, class) in results.shape.classes.iter().enumerate() {
+            let of = |cell: fn(&ClassSummary) -> String| both(row, |s| cell(&s.classes[index]));
+            let cells = [
+                demand_text(row),
+                fault_text(row.fault).to_owned(),
+                class.name.to_owned(),
+                of(|class| class.judged.to_string()),
+                of(|class| percent(class.attainment())),
+                of(|class| format!("{:.0}", class.first_p99)),
+                of(|class| format!("{:.0}", class.goodput)),
+                of(|class| class.completed.to_string()),
+                of(|class| (class.refused + class.unhinted).to_string()),
+                of(|class| class.cut.to_string()),
+                of(|class| class.timed_out.to_string()),
+            ];
+            writeln!(out, "| {} |", cells.join(" | "))?;
+        }
+    }
+    writeln!(out)
+}
+
+fn write_causes(out: &mut String, results: &Results) -> std::fmt::Result {
+    writeln!(out, "### Wasted work by cause\n")?;
+    writeln!(
+        out,
+        "Tokens a second: cancelled because the caller or the router left, and lost by a fault of \
+         an engine, as the engines count them, crocushold / baseline; then tokens as the entry \
+         instances count them since their start, by class and cause. Late is the 99th percentile \
+         of the load generator's own delay.\n"
+    )?;
+    writeln!(
+        out,
+        "| demand | fault | cancelled | engine fault | instances' count | late ms |"
+    )?;
+    writeln!(out, "| --- | --- | ---: | ---: | --- | ---: |")?;
+    for row in &results.rows {
+        let causes: Vec<String> = row
+            .ours
+            .causes
+            .iter()
+            .map(|(name, tokens)| format!("{name} {tokens:.0}"))
+            .collect();
+        let cells = [
+            demand_text(row),
+            fault_text(row.fault).to_owned(),
+            both(row, |summary| format!("{:.1}", summary.cancelled)),
+            both(row, |summary| format!("{:.1}", summary.failed)),
+            causes.join(", "),
+            both(row, |summary| format!("{:.0}", summary.late)),
+        ];
+        writeln!(out, "| {} |", cells.join(" | "))?;
+    }
+    writeln!(out)
+}
--- /dev/null
+++ b/crates/measure/src/process.rs
@@ -0,0 +1,92 @@
+//! Processes that a measurement starts.
+
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Lines;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::ChildStdout;
+use std::process::Command;
+use std::process::Stdio;
+
+use crate::Outcome;
+
+/// Processor time in `/proc/PID/stat` is counted in hundredths of a second.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Fields of `/proc/PID/stat` between the program's name and the time in user mode.
+const FIELDS_BEFORE_TIME: usize = 11;
+
+/// A running process; ended when dropped.
+pub(crate) struct Process {
+    child: Child,
+    lines: Lines<BufReader<ChildStdout>>,
+}
+
+impl Process {
+    /// Starts a program that stands beside the own one.
+    pub(crate) fn start(program: &str, args: &[String]) -> Outcome<Process> {
+        let mut child = Command::new(beside(program)?)
+            .args(args)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .map_err(|error| {
+                format!("{program}: {error}; build with `cargo build --release --bins --workspace`")
+            })?;
+        let stdout = child.stdout.take().ok_or("the child has no output")?;
+        let lines = BufReader::new(stdout).lines();
+        Ok(Process { child, lines })
+    }
+
+    /// The address in the next line `NAME=ADDRESS` that the process prints.
+    pub(crate) fn address(&mut self, name: &str) -> Outcome<SocketAddr> {
+        let line = self.lines.next().ok_or("the process ended early")??;
+        let value = line
+            .strip_prefix(name)
+            .and_then(|rest| rest.strip_prefix('='));
+        let value = value.ok_or_else(|| format!("expected {name}, got {line}"))?;
+        Ok(value.parse()?)
+    }
+
+    /// Processor seconds used so far.
+    pub(crate) fn cpu(&self) -> f64 {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let stat = stat.unwrap_or_default();
+        let after = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+        let fields = after.split_whitespace().skip(FIELDS_BEFORE_TIME);
+        let ticks: f64 = fields.take(2).filter_map(|f| f.parse::<f64>().ok()).sum();
+        ticks / TICKS_PER_SECOND
+    }
+
+    /// Resident memory in MiB.
+    pub(crate) fn resident(&self) -> f64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|rest| rest.split_whitespace().next()?.parse::<f64>().ok());
+        kib.unwrap_or(0.0) / 1024.0
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn beside(program: &str) -> Outcome<PathBuf> {
+    let own = std::env::current_exe()?;
+    Ok(own.with_file_name(program))
+}
+
+/// The machine's load average over one minute.
+pub(crate) fn load_average() -> f64 {
+    let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    let first = text.split_whitespace().next();
+    first.and_then(|f| f.parse().ok()).unwrap_or(0.0)
+}
--- /dev/null
+++ b/crates/measure/src/proxy.rs
@@ -0,0 +1,185 @@
+//! The baseline: a proxy that sends requests to servers in turn, first come first served, within
+//! the servers' concurrency, and knows neither classes nor latency targets.
+
+use std::collections::VecDeque;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use crocushold_base::Millis;
+use crocushold_http::Client;
+use crocushold_http::End;
+use crocushold_http::Hangup;
+use crocushold_http::Listener;
+use crocushold_http::ListenerLimits;
+use crocushold_http::Observer;
+use crocushold_http::PoolLimits;
+use crocushold_http::Reuse;
+use crocushold_http::SendLimits;
+use crocushold_http::ServerLimits;
+use crocushold_http::read_body;
+use crocushold_http::relay_headers;
+use futures::channel::oneshot;
+use futures::future::Either;
+use futures::future::select;
+use http_types::Request;
+use http_types::Response;
+use http_types::StatusCode;
+use http_types::Url;
+
+use crate::Outcome;
+
+/// The status of an answer that nobody reads: the caller closed the connection.
+const CALLER_GONE: u16 = 499;
+
+/// The longest wait for the head of an answer, which for whole answers comes with their end.
+const HEAD_TIMEOUT: Millis = Millis::from_secs(600);
+
+/// The servers' free slots and who waits for one.
+struct Slots {
+    free: Vec<u32>,
+    turn: usize,
+    waiting: VecDeque<oneshot::Sender<Slot>>,
+}
+
+struct Proxy {
+    servers: Vec<SocketAddr>,
+    slots: Mutex<Slots>,
+    client: Client,
+}
+
+/// A slot of one server, given back when dropped.
+struct Slot {
+    proxy: Arc<Proxy>,
+    server: usize,
+}
+
+/// Runs the proxy until the process is ended.
+///
+/// # Errors
+///
+/// Fails when no port can be had.
+pub async fn run(servers: &[SocketAddr], concurrency: u32) -> Outcome<()> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = Listener::bind(any, ListenerLimits::default()).await?;
+    let mut out = std::io::stdout();
+    writeln!(out, "listening={}", listener.local_addr()?)?;
+    out.flush()?;
+    let proxy = Arc::new(Proxy {
+        servers: servers.to_vec(),
+        slots: Mutex::new(Slots {
+            free: vec![concurrency; servers.len()],
+            turn: 0,
+            waiting: VecDeque::new(),
+        }),
+        client: Client::new(PoolLimits::default()),
+    });
+    let handler = move |request, hangup| answer(proxy.clone(), request, hangup);
+    listener.run(handler).await;
+    Ok(())
+}
+
+async fn answer(proxy: Arc<Proxy>, mut request: Request, hangup: Hangup) -> Response {
+    let body = match read_body(&mut request, &ServerLimits::default()).await {
+        Ok(body) => body,
+        Err(error) => return Response::new(error.status()),
+    };
+    let work = std::pin::pin!(serve(proxy, &request, body));
+    let gone = std::pin::pin!(hangup.wait());
+    match select(work, gone).await {
+        Either::Left((response, _)) => response,
+        Either::Right(_) => Response::new(CALLER_GONE),
+    }
+}
+
+async fn serve(proxy: Arc<Proxy>, request: &Request, body: Vec<u8>) -> Response {
+    let Ok(slot) = proxy.clone().slot().await else {
+        return Response::new(StatusCode::ServiceUnavailable);
+    };
+    let address = proxy.servers[slot.server];
+    let target = format!("http://{address}{}", request.url().path());
+    let Ok(url) = Url::parse(&target) else {
+        return Response::new(StatusCode::BadRequest);
+    };
+    let mut outgoing = Request::new(request.method(), url);
+    relay_headers(request.as_ref(), outgoing.as_mut());
+    outgoing.set_body(body);
+    let limits = SendLimits {
+        head_timeout: HEAD_TIMEOUT,
+        ..SendLimits::default()
+    };
+    let sent = proxy
+        .client
+        .send(address, outgoing, &limits, Reuse::Allowed);
+    let Ok(answer) = sent.await else {
+        return Response::new(StatusCode::BadGateway);
+    };
+    let mut response = Response::new(answer.status);
+    relay_headers(&answer.headers, response.as_mut());
+    let content_type = response.content_type();
+    response.set_body(answer.body.into_body(slot));
+    // Setting a body sets its own type.
+    if let Some(content_type) = content_type {
+        response.set_content_type(content_type);
+    }
+    response
+}
+
+impl Proxy {
+    fn lock(&self) -> MutexGuard<'_, Slots> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits for a slot behind those who came earlier.
+    async fn slot(self: Arc<Proxy>) -> Result<Slot, oneshot::Canceled> {
+        let (sender, receiver) = oneshot::channel();
+        self.lock().waiting.push_back(sender);
+        self.hand_out();
+        receiver.await
+    }
+
+    fn hand_out(self: &Arc<Proxy>) {
+        loop {
+            let mut slots = self.lock();
+            let Some((sender, server)) = slots.next() else {
+                return;
+            };
+            drop(slots);
+            let proxy = self.clone();
+            // The slot of a caller who left comes back by its drop.
+            let _ = sender.send(Slot { proxy, server });
+        }
+    }
+}
+
+impl Slots {
+    /// The first who waits, and the next server in turn with a free slot.
+    fn next(&mut self) -> Option<(oneshot::Sender<Slot>, usize)> {
+        while self.waiting.front().is_some_and(|w| w.is_canceled()) {
+            self.waiting.pop_front();
+        }
+        let count = self.free.len();
+        let mut order = (0..count).map(|step| (self.turn + step) % count);
+        let server = order.find(|&server| self.free[server] > 0)?;
+        let sender = self.waiting.pop_front()?;
+        self.free[server] -= 1;
+        self.turn = (server + 1) % count;
+        Some((sender, server))
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.proxy.lock().free[self.server] += 1;
+        self.proxy.hand_out();
+    }
+}
+
+impl Observer for Slot {
+    fn chunk(&mut self, _bytes: &[u8]) {}
+
+    fn end(&mut self, _end: End) {}
+}
