--- /dev/null
+++ b/tests/all/caller_faults.rs
@@ -0,0 +1,228 @@
+//! Callers that hang up or stop reading, at each step of a request.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crocushold_standins::BatchSettings;
+use crocushold_standins::EngineCommand;
+use crocushold_standins::ServiceCommand;
+use crocushold_standins::ServiceFault;
+use test_case::test_case;
+
+use crate::support::Call;
+use crate::support::Raw;
+use crate::support::Site;
+use crate::support::SiteSettings;
+use crate::support::call;
+use crate::support::wait;
+
+/// How soon after a hang-up the engine's work is cancelled.
+const CANCEL_BOUND: Duration = Duration::from_millis(100);
+
+fn with_slots(concurrency: u32) -> SiteSettings {
+    SiteSettings {
+        engines: 1,
+        concurrency,
+        ..SiteSettings::default()
+    }
+}
+
+fn slow_engine() -> EngineCommand {
+    EngineCommand::Batch {
+        settings: BatchSettings {
+            base_ms: 10_000.0,
+            ..BatchSettings::default()
+        },
+    }
+}
+
+/// Drops the caller's connection and returns how long the engine took to cancel.
+fn hang_up(site: &Site, caller: Raw, marker: &str) -> Duration {
+    site.all_engines(&EngineCommand::HangUp {
+        marker: marker.to_owned(),
+    });
+    drop(caller);
+    let mut cancelled = None;
+    wait("the engine's work is cancelled", || {
+        let stats = site.engines.iter().map(|engine| engine.stats());
+        let mut all = stats.flat_map(|stats| stats.cancellations);
+        cancelled = all.find(|c| c.marker == marker);
+        cancelled.is_some()
+    });
+    Duration::from_micros(cancelled.unwrap().after_us.unwrap())
+}
+
+// A caller announces a body, sends part of it and hangs up. What came reads as a whole request, but
+// nothing was asked for yet: no slot is taken, nothing runs, and the next caller is served.
+#[test]
+fn a_caller_gone_before_its_body_leaves_nothing() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    let request = Call::chat(true, 3).marked("gone");
+    let mut caller = Raw::connect(entry.listen);
+    let longer = Call {
+        body: format!("{}  ", request.body),
+        ..request.clone()
+    };
+    caller.write(longer.head().as_bytes());
+    caller.write(request.body.as_bytes());
+    drop(caller);
+    let answer = call(entry.listen, &Call::chat(true, 3)).unwrap();
+    assert!(answer.whole);
+    entry.wait_idle();
+    assert_eq!(site.runs("gone"), 0);
+}
+
+// A caller hangs up while its request is queued behind another. The request leaves the queue without
+// having run, and the one behind it moves up.
+#[test]
+fn a_caller_gone_from_the_queue_never_runs() {
+    let site = Site::start(&with_slots(1));
+    let entry = site.entry("entry-1");
+    let first = Raw::send(entry.listen, &Call::batch(2000).marked("first"));
+    wait("the only slot is taken", || site.runs("first") == 1);
+    let gone = Raw::send(entry.listen, &Call::batch(2).marked("gone"));
+    wait("it is queued", || entry.queued("batch") == 1);
+    drop(gone);
+    wait("it left the queue", || entry.queued("batch") == 0);
+    drop(first);
+    let answer = call(entry.listen, &Call::chat(true, 3)).unwrap();
+    assert!(answer.whole);
+    entry.wait_idle();
+    assert_eq!(site.runs("gone"), 0);
+}
+
+// A caller hangs up while the engine works on its answer, before the first byte or in the stream.
+// The engine would go on for nobody: its work is cancelled within 100 ms and the slot comes back.
+#[test_case(None; "waiting for the first byte")]
+#[test_case(Some("gone 1 "); "streaming")]
+fn a_caller_gone_cancels_the_engines_work(until: Option<&str>) {
+    let site = Site::start(&with_slots(1));
+    let entry = site.entry("entry-1");
+    if until.is_none() {
+        site.all_engines(&slow_engine());
+    }
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 5000).marked("gone"));
+    wait("the engine runs it", || site.runs("gone") == 1);
+    if let Some(text) = until {
+        assert!(caller.read_until(text));
+    }
+    let took = hang_up(&site, caller, "gone");
+    assert!(took <= CANCEL_BOUND, "{took:?}");
+    assert_eq!(site.held(), 0);
+    entry.wait_idle();
+    site.all_engines(&EngineCommand::Batch {
+        settings: BatchSettings::default(),
+    });
+    assert!(call(entry.listen, &Call::chat(true, 3)).unwrap().whole);
+}
+
+// The engine has said its last token but not the end of the stream when the caller hangs up. The
+// slot must come back although the answer is all but complete.
+#[test]
+fn a_caller_gone_before_the_last_byte_gives_its_slot_back() {
+    let site = Site::start(&with_slots(1));
+    let entry = site.entry("entry-1");
+    site.all_engines(&EngineCommand::Stall { after: Some(4) });
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 4).marked("gone"));
+    assert!(caller.read_until("gone 3 "));
+    drop(caller);
+    entry.wait_idle();
+    site.all_engines(&EngineCommand::Clear);
+    assert!(call(entry.listen, &Call::chat(true, 3)).unwrap().whole);
+}
+
+// A caller keeps its connection after a whole answer and then closes it. Nothing is cancelled: the
+// engine's connection may already carry another caller's request.
+#[test]
+fn a_caller_gone_while_idle_cancels_nobody() {
+    let site = Site::start(&with_slots(8));
+    let entry = site.entry("entry-1");
+    let mut idle = Raw::send(entry.listen, &Call::chat(true, 2).marked("idle"));
+    assert!(idle.read_until("0\r\n\r\n"));
+    let mut other = Raw::send(entry.listen, &Call::chat(true, 30).marked("other"));
+    assert!(other.read_until("other 1 "));
+    drop(idle);
+    assert!(other.read_until("0\r\n\r\n"));
+    assert!(other.text().contains("other 29 "));
+    assert_eq!(site.cancelled("other") + site.cancelled("idle"), 0);
+    entry.wait_idle();
+}
+
+// A caller of a call that must not run twice hangs up while the server works on it. The call is not
+// sent again by anyone, and the slot comes back.
+#[test]
+fn a_booking_whose_caller_left_is_not_repeated() {
+    let site = Site::start(&SiteSettings {
+        services: 2,
+        ..SiteSettings::default()
+    });
+    let entry = site.entry("entry-1");
+    site.booking(ServiceCommand::Fault {
+        fault: ServiceFault::HangAfter,
+        times: Some(1),
+    });
+    let caller = Raw::send(entry.listen, &Call::booking("left"));
+    wait("the effect is there", || site.effects("left") == 1);
+    drop(caller);
+    entry.wait_idle();
+    assert_eq!(site.effects("left"), 1);
+    site.booking(ServiceCommand::Clear);
+    let answer = call(entry.listen, &Call::booking("next")).unwrap();
+    assert_eq!(answer.status, 200);
+}
+
+// A caller stops reading a long stream. Others at the same engine are served meanwhile, and when it
+// reads on it gets every byte of its own answer.
+#[test]
+fn a_caller_that_reads_on_late_gets_the_whole_answer() {
+    let site = Site::start(&with_slots(2));
+    let entry = site.entry("entry-1");
+    site.all_engines(&EngineCommand::Batch {
+        settings: BatchSettings {
+            base_ms: 0.2,
+            sequence_ms: 0.0,
+            ..BatchSettings::default()
+        },
+    });
+    let request = Call::chat(true, 1500).bulky(20_000);
+    let mut slow = Raw::send(entry.listen, &request);
+    assert!(slow.read_until("data: "));
+    let others = Call::chat(true, 20).marked("other");
+    for _ in 0..5 {
+        let answer = call(entry.listen, &others).unwrap();
+        assert!(answer.whole && answer.body.contains("other 19 "));
+    }
+    assert!(slow.read_until("[DONE]\n\n\r\n0\r\n\r\n"));
+    assert!(slow.text().contains("x 1499 "));
+    entry.wait_idle();
+}
+
+// A caller stops reading and never reads on. It is cut after the bound on writing, which cancels the
+// engine's work and gives its slot back; until then it holds one slot and no more.
+#[test]
+fn a_caller_that_never_reads_is_cut() {
+    let site = Site::start(&with_slots(2));
+    let entry = site.entry("entry-1");
+    site.all_engines(&EngineCommand::Batch {
+        settings: BatchSettings {
+            base_ms: 0.2,
+            sequence_ms: 0.0,
+            ..BatchSettings::default()
+        },
+    });
+    let stuck = Raw::send(entry.listen, &Call::chat(true, 4000).bulky(20_000));
+    let start = Instant::now();
+    while entry.in_flight() > 0 || start.elapsed() < Duration::from_secs(1) {
+        assert!(
+            start.elapsed() < Duration::from_secs(50),
+            "it still holds its slot"
+        );
+        let answer = call(entry.listen, &Call::chat(true, 2)).unwrap();
+        assert!(answer.whole, "another caller was hindered");
+        thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(site.held(), 0);
+    drop(stuck);
+}
--- /dev/null
+++ b/tests/all/process_faults.rs
@@ -0,0 +1,323 @@
+//! Entry processes that are frozen, killed or stopped as planned, alone and with another fault.
+
+use std::net::TcpStream;
+use std::time::Duration;
+use std::time::Instant;
+
+use crocushold_standins::BatchSettings;
+use crocushold_standins::EngineCommand;
+use crocushold_standins::PlatformCommand;
+use crocushold_standins::ServiceCommand;
+use crocushold_standins::ServiceFault;
+use test_case::test_case;
+
+use crate::support::Call;
+use crate::support::Entry;
+use crate::support::Raw;
+use crate::support::Site;
+use crate::support::SiteSettings;
+use crate::support::call;
+use crate::support::call_beside;
+use crate::support::wait;
+
+fn one_slot() -> SiteSettings {
+    SiteSettings {
+        engines: 1,
+        concurrency: 1,
+        ..SiteSettings::default()
+    }
+}
+
+fn slow(base_ms: f64) -> EngineCommand {
+    let settings = BatchSettings {
+        base_ms,
+        ..BatchSettings::default()
+    };
+    EngineCommand::Batch { settings }
+}
+
+fn wait_draining(entry: &Entry) {
+    entry.wait_for("/health", |answer| answer.status == 503);
+}
+
+fn wait_closed(entry: &Entry) {
+    let listen = entry.listen;
+    wait("the listener is closed", || {
+        TcpStream::connect(listen).is_err()
+    });
+}
+
+// A stop is asked for while an answer streams. The health answer fails first, new callers are still
+// served until the balancer noticed, then the listener closes; the stream goes on to its end.
+#[test]
+fn a_planned_stop_cuts_no_stream() {
+    let site = Site::start(&SiteSettings::default());
+    let mut entry = site.entry("entry-1");
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 150).marked("last"));
+    assert!(caller.read_until("last 0 "));
+    entry.signal("TERM");
+    wait_draining(&entry);
+    let during = call(entry.listen, &Call::chat(true, 2));
+    assert!(during.unwrap().whole, "the notice serves on");
+    wait_closed(&entry);
+    assert!(caller.read_until("[DONE]\n\n\r\n0\r\n\r\n"), "cut");
+    assert!(caller.text().contains("last 149 "));
+    assert!(entry.wait_exit());
+    assert_eq!(site.runs("last"), 1);
+}
+
+// A stop is asked for while requests are queued, are connecting, wait for their first byte, or have
+// sent half a body. Each was in progress when the listener closed, so each gets its whole answer.
+#[test_case("queued"; "queued")]
+#[test_case("first-byte"; "waiting for the first byte")]
+#[test_case("body"; "before reading the body")]
+fn a_planned_stop_answers_what_is_in_progress(step: &str) {
+    let site = Site::start(&one_slot());
+    let mut entry = site.entry("entry-1");
+    site.all_engines(&slow(150.0));
+    let request = Call::batch(12).marked("mine");
+    let mut first = Raw::send(
+        entry.listen,
+        &Call::batch(if step == "queued" { 12 } else { 1 }),
+    );
+    wait("the slot is taken", || site.runs("") == 1);
+    let mut mine = Raw::connect(entry.listen);
+    mine.write(request.head().as_bytes());
+    mine.write(&request.body.as_bytes()[..10]);
+    if step != "body" {
+        mine.write(&request.body.as_bytes()[10..]);
+    }
+    match step {
+        "queued" => wait("it is queued", || entry.queued("batch") == 1),
+        "first-byte" => wait("the engine runs it", || site.runs("mine") == 1),
+        _ => assert!(first.read_until("usage")),
+    }
+    entry.signal("TERM");
+    wait_closed(&entry);
+    if step == "body" {
+        mine.write(&request.body.as_bytes()[10..]);
+    }
+    assert!(
+        mine.read_until("\"completion_tokens\":12"),
+        "{}",
+        mine.text()
+    );
+    drop(first);
+    assert!(entry.wait_exit());
+    assert_eq!(site.runs("mine"), 1);
+}
+
+// A caller keeps an idle connection while the instance stops. The connection is closed without an
+// answer being lost: a request that comes during the notice is answered, and the process ends.
+#[test]
+fn a_planned_stop_ends_idle_connections() {
+    let site = Site::start(&SiteSettings::default());
+    let mut entry = site.entry("entry-1");
+    let mut idle = Raw::send(entry.listen, &Call::chat(true, 2).marked("one"));
+    assert!(idle.read_until("0\r\n\r\n"));
+    entry.signal("TERM");
+    wait_draining(&entry);
+    let second = Call::chat(true, 2).marked("two");
+    idle.write(second.head().as_bytes());
+    idle.write(second.body.as_bytes());
+    let text = idle.read_to_end();
+    assert!(
+        text.contains("two 1 ") && text.ends_with("0\r\n\r\n"),
+        "{text}"
+    );
+    assert!(entry.wait_exit());
+}
+
+// A stop is asked for and the engine dies in the middle of a stream. The stop must not hide the cut:
+// the caller sees that its answer isn't whole, and the process still ends by itself.
+#[test]
+fn a_crash_during_a_planned_stop_is_a_visible_cut() {
+    let site = Site::start(&one_slot());
+    let mut entry = site.entry("entry-1");
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 5000).marked("cut"));
+    assert!(caller.read_until("cut 0 "));
+    entry.signal("TERM");
+    wait_closed(&entry);
+    site.engine(0, EngineCommand::Crash);
+    caller.read_to_end();
+    assert!(!caller.is_whole());
+    assert!(entry.wait_exit());
+    assert_eq!(site.runs("cut"), 1);
+}
+
+// A stop is asked for, the engine hangs, and then the caller leaves. Nobody waits for the answer any
+// more, so the process must end now rather than at the bound of the drain.
+#[test]
+fn a_planned_stop_does_not_wait_for_callers_that_left() {
+    let site = Site::start(&one_slot());
+    let mut entry = site.entry("entry-1");
+    site.engine(0, EngineCommand::Hang { on: true });
+    let caller = Raw::send(entry.listen, &Call::batch(5));
+    wait("it is in flight", || entry.in_flight() == 1);
+    entry.signal("TERM");
+    wait_closed(&entry);
+    drop(caller);
+    let start = Instant::now();
+    assert!(entry.wait_exit());
+    assert!(
+        start.elapsed() < Duration::from_secs(10),
+        "waited for nobody"
+    );
+}
+
+// A request never ends and the stop has a bound. At the bound the process ends, and what the caller
+// has is visibly cut, never an answer that looks whole.
+#[test]
+fn a_planned_stop_ends_at_its_bound() {
+    let site = Site::start(&one_slot());
+    let mut entry = site.entry("entry-1");
+    site.engine(0, slow(500.0));
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 5000).marked("long"));
+    assert!(caller.read_until("long 0 "));
+    entry.signal("TERM");
+    caller.read_to_end();
+    assert!(!caller.is_whole());
+    entry.wait_exit();
+    wait("the engine's work is cancelled", || site.held() == 0);
+}
+
+// An instance is killed while its requests are at an engine or at a plain service. Callers see their
+// connections end without an end of the answer; the engine's work is cancelled with the connection,
+// and the booking that may have run is not run again by anyone.
+#[test]
+fn a_killed_instance_leaves_visible_cuts_and_no_work() {
+    let site = Site::start(&SiteSettings {
+        services: 2,
+        ..SiteSettings::default()
+    });
+    let mut entry = site.entry("entry-1");
+    site.booking(ServiceCommand::Fault {
+        fault: ServiceFault::HangAfter,
+        times: Some(1),
+    });
+    let mut stream = Raw::send(entry.listen, &Call::chat(true, 5000).marked("killed"));
+    assert!(stream.read_until("killed 1 "));
+    let mut booking = Raw::send(entry.listen, &Call::booking("killed"));
+    wait("the effect is there", || site.effects("killed") == 1);
+    entry.kill();
+    stream.read_to_end();
+    assert!(!stream.is_whole());
+    assert_eq!(booking.read_to_end(), "");
+    wait("the engine's work is cancelled", || site.held() == 0);
+    assert_eq!(site.runs("killed"), 1);
+    assert_eq!(site.effects("killed"), 1);
+}
+
+// An instance is killed while one of its requests is queued. The request never reaches an engine,
+// and another instance serves the caller that comes again.
+#[test]
+fn a_killed_instance_never_runs_what_was_queued() {
+    let site = Site::start(&one_slot());
+    let mut entry = site.entry("entry-1");
+    let other = site.entry("entry-2");
+    let first = Raw::send(entry.listen, &Call::batch(5000).marked("first"));
+    wait("the slot is taken", || site.runs("first") == 1);
+    let mut queued = Raw::send(entry.listen, &Call::batch(2).marked("queued"));
+    wait("it is queued", || entry.queued("batch") == 1);
+    entry.kill();
+    assert_eq!(queued.read_to_end(), "");
+    wait("the engine's work is cancelled", || site.held() == 0);
+    assert!(call(other.listen, &Call::chat(true, 2)).unwrap().whole);
+    assert_eq!(site.runs("queued"), 0);
+    drop(first);
+}
+
+// A process is stopped in the middle of a stream and woken. The engine went on meanwhile, the bytes
+// lie in the sockets, and the caller gets every one of them in order.
+#[test]
+fn a_frozen_instance_goes_on_with_its_streams() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 60).marked("thaw"));
+    assert!(caller.read_until("thaw 1 "));
+    entry.signal("STOP");
+    wait("the engine is done", || site.held() == 0);
+    entry.signal("CONT");
+    assert!(caller.read_until("[DONE]\n\n\r\n0\r\n\r\n"), "cut");
+    assert!(caller.text().contains("thaw 59 "));
+    entry.wait_idle();
+}
+
+// A process is stopped while a request waits for its first byte, and woken after its engine is done.
+// A time-out that ended in the pause says nothing about the engine: the answer lies unread in the
+// socket. The request must not be sent a second time.
+#[test]
+fn a_frozen_instance_repeats_nothing_that_was_answered() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    for _ in 0..32 {
+        call(entry.listen, &Call::chat(true, 1)).unwrap();
+    }
+    site.all_engines(&slow(300.0));
+    let request = Call::chat(true, 5).marked("thaw");
+    let waiting = call_beside(entry.listen, &request);
+    wait("the engine runs it", || site.runs("thaw") == 1);
+    entry.signal("STOP");
+    wait("the engine is done", || site.held() == 0);
+    entry.signal("CONT");
+    let answer = waiting.join().unwrap().unwrap();
+    assert!(answer.whole && answer.body.contains("thaw 4 "));
+    assert_eq!(site.runs("thaw"), 1, "run again after the pause");
+    entry.wait_idle();
+}
+
+// A process is stopped with requests in its queue and woken after their bound. An answer is of no
+// use to their callers any more: they are told that nothing ran, and nothing does.
+#[test]
+fn a_frozen_instance_starts_nothing_that_is_overdue() {
+    let site = Site::start(&one_slot());
+    let entry = site.entry("entry-1");
+    let first = Raw::send(entry.listen, &Call::batch(100).marked("first"));
+    wait("the slot is taken", || site.runs("first") == 1);
+    let late = Call::batch(2).marked("late").header("x-timeout-ms", "900");
+    let waiting = call_beside(entry.listen, &late);
+    wait("it is queued", || entry.queued("batch") == 1);
+    entry.signal("STOP");
+    wait("the slot is free", || site.held() == 0);
+    entry.signal("CONT");
+    let answer = waiting.join().unwrap().unwrap();
+    assert_eq!(answer.status, 503, "{}", answer.body);
+    assert_eq!(answer.header("x-request-ran"), "no");
+    drop(first);
+    entry.wait_idle();
+    assert_eq!(site.runs("late"), 0);
+}
+
+// A process is stopped, the configuration changes, and it wakes. It must not serve a withdrawn key
+// for more than a few seconds: what it knows is older than it believes.
+#[test]
+fn a_frozen_instance_takes_the_change_it_missed() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    assert_eq!(
+        call(entry.listen, &Call::chat(true, 1)).unwrap().status,
+        200
+    );
+    entry.signal("STOP");
+    site.publish(|text| text.replace("[account chat]", "[account renamed]"));
+    site.publish(|text| text.replace("classes = chat, lookup, confirm", "classes = batch"));
+    entry.signal("CONT");
+    entry.wait_in_force(site.platform.stats().revision);
+    let answer = call(entry.listen, &Call::chat(true, 1).header("x-class", "chat")).unwrap();
+    assert_ne!(answer.status, 200);
+}
+
+// A process is stopped while the platform goes down, and it wakes to a platform that doesn't answer.
+// It keeps the configuration that it holds and serves on.
+#[test]
+fn a_frozen_instance_that_wakes_to_an_outage_serves_on() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    assert!(call(entry.listen, &Call::chat(true, 1)).unwrap().whole);
+    entry.signal("STOP");
+    site.platform(PlatformCommand::Down { on: true });
+    entry.signal("CONT");
+    let answer = call(entry.listen, &Call::chat(true, 3)).unwrap();
+    assert!(answer.status == 200 && answer.whole);
+    assert_eq!(entry.status().config.revision, 1);
+}
--- a/tests/all/support/caller.rs
+++ b/tests/all/support/caller.rs
@@ -1,6 +1,8 @@
 //! A caller: sends one request and reads the whole answer.
 
 use std::net::SocketAddr;
+use std::thread;
+use std::thread::JoinHandle;
 
 use async_std::io::ReadExt;
 use async_std::task;
@@ -49,6 +51,34 @@
         }
     }
 
+    /// A request of the nightly batch.
+    pub fn batch(tokens: u32) -> Call {
+        Call::chat(false, tokens).key("team.batch")
+    }
+
+    /// Names the request, so that a stand-in counts its runs and repeats the name in each token.
+    pub fn marked(self, marker: &str) -> Call {
+        self.header("x-marker", marker)
+    }
+
+    /// Makes each token of a streamed answer this many bytes longer.
+    pub fn bulky(mut self, bytes: usize) -> Call {
+        let user = format!("{{\"user\":\"{}\",", "x".repeat(bytes));
+        self.body = self.body.replacen('{', &user, 1);
+        self
+    }
+
+    /// The request's head as it goes over the wire, for the whole body.
+    pub fn head(&self) -> String {
+        let mut head = format!("{} {} HTTP/1.1\r\nhost: entry\r\n", self.method, self.path);
+        head.push_str(&format!("authorization: Bearer {}\r\n", self.key));
+        for (name, value) in &self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str(&format!("content-length: {}\r\n\r\n", self.body.len()));
+        head
+    }
+
     /// Adds a header.
     pub fn header(mut self, name: &'static str, value: &str) -> Call {
         self.headers.push((name, value.to_owned()));
@@ -106,3 +136,9 @@
         })
     })
 }
+
+/// Sends a request beside the test; the answer is what the thread returns.
+pub fn call_beside(address: SocketAddr, request: &Call) -> JoinHandle<Option<Answer>> {
+    let request = request.clone();
+    thread::spawn(move || call(address, &request))
+}
--- a/tests/all/support/entry.rs
+++ b/tests/all/support/entry.rs
@@ -9,11 +9,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crocushold_metrics::status::Status;
 use http_types::Method;
 
 use super::caller::Answer;
 use super::caller::Call;
 use super::caller::call;
+use super::wait::wait;
 
 /// How long an instance may take to reach a state before the test gives up.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -23,7 +25,6 @@
     child: Child,
     pub listen: SocketAddr,
     pub operator: SocketAddr,
-    pub peer: SocketAddr,
 }
 
 impl Entry {
@@ -42,12 +43,10 @@
         };
         let listen = address("listening=");
         let operator = address("operator=");
-        let peer = address("peer=");
         Entry {
             child,
             listen,
             operator,
-            peer,
         }
     }
 
@@ -84,6 +83,44 @@
         panic!("{path} did not reach the state in {PATIENCE:?}");
     }
 
+    /// The status page.
+    pub fn status(&self) -> Status {
+        let page = self
+            .page("/status")
+            .expect("the operator's interface answers");
+        serde_json::from_str(&page.body).unwrap()
+    }
+
+    /// Requests that wait in the queue of a class.
+    pub fn queued(&self, class: &str) -> u64 {
+        let status = self.status();
+        let mut classes = status.classes.iter();
+        let name = format!("team/{class}");
+        classes.find(|c| c.class == name).unwrap().queued
+    }
+
+    /// Requests in flight at the backend servers.
+    pub fn in_flight(&self) -> u64 {
+        self.status().servers.iter().map(|s| s.running).sum()
+    }
+
+    /// Waits until no request waits or is in flight: every slot was given back.
+    pub fn wait_idle(&self) {
+        wait("every slot was given back", || {
+            let status = self.status();
+            let queued: u64 = status.classes.iter().map(|c| c.queued).sum();
+            let running: u64 = status.servers.iter().map(|s| s.running).sum();
+            queued == 0 && running == 0
+        });
+    }
+
+    /// Waits until a revision of the configuration is in force.
+    pub fn wait_in_force(&self, revision: u64) {
+        wait("the revision is in force", || {
+            self.status().config.revision == revision
+        });
+    }
+
     /// Sends the process a signal, such as `TERM`, `STOP` or `CONT`.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -4,16 +4,21 @@
 mod entry;
 mod fleet;
 mod folder;
+mod raw;
 mod site;
+mod wait;
 
 pub use caller::Answer;
 pub use caller::Call;
 pub use caller::call;
+pub use caller::call_beside;
 pub use entry::Entry;
 pub use fleet::Fleet;
 pub use folder::Folder;
+pub use raw::Raw;
 pub use site::Site;
 pub use site::SiteSettings;
+pub use wait::wait;
 
 use std::net::SocketAddr;
 
--- a/tests/all/support/site.rs
+++ b/tests/all/support/site.rs
@@ -9,12 +9,14 @@
 use async_std::task;
 use crocushold_config::KeyDigest;
 use crocushold_standins::Engine;
+use crocushold_standins::EngineCommand;
 use crocushold_standins::EngineSettings;
 use crocushold_standins::Handle;
 use crocushold_standins::PlainService;
 use crocushold_standins::Platform;
 use crocushold_standins::PlatformCommand;
 use crocushold_standins::PlatformSettings;
+use crocushold_standins::ServiceCommand;
 use crocushold_standins::ServiceSettings;
 
 use super::any_address;
@@ -27,6 +29,7 @@
 #[derive(Clone, Debug)]
 pub struct SiteSettings {
     pub engines: usize,
+    pub services: usize,
     pub concurrency: u32,
     pub engine: EngineSettings,
     pub service: ServiceSettings,
@@ -36,6 +39,7 @@
     fn default() -> SiteSettings {
         SiteSettings {
             engines: 2,
+            services: 1,
             concurrency: 8,
             engine: EngineSettings {
                 models: vec!["m".to_owned()],
@@ -51,6 +55,8 @@
     pub platform: Handle<Platform>,
     pub engines: Vec<Handle<Engine>>,
     pub service: Handle<PlainService>,
+    /// Further servers of the plain service.
+    pub more: Vec<Handle<PlainService>>,
     pub text: String,
     folder: Folder,
 }
@@ -66,7 +72,13 @@
             }
             let service = PlainService::start(any_address(), settings.service.clone());
             let service = service.await.unwrap();
-            let text = text(settings, &engines, &service);
+            let mut more = Vec::new();
+            for _ in 1..settings.services {
+                let another = PlainService::start(any_address(), settings.service.clone());
+                more.push(another.await.unwrap());
+            }
+            let services: Vec<_> = [&service].into_iter().chain(&more).collect();
+            let text = text(settings, &engines, &services);
             let platform = PlatformSettings {
                 parts: BTreeMap::from([("team".to_owned(), text.clone())]),
                 ..PlatformSettings::default()
@@ -76,6 +88,7 @@
                 platform,
                 engines,
                 service,
+                more,
                 text,
                 folder: Folder::new(),
             }
@@ -89,6 +102,55 @@
         entry
     }
 
+    /// Commands one engine.
+    pub fn engine(&self, number: usize, command: EngineCommand) {
+        task::block_on(self.engines[number].command(command)).unwrap();
+    }
+
+    /// Commands all engines.
+    pub fn all_engines(&self, command: &EngineCommand) {
+        for number in 0..self.engines.len() {
+            self.engine(number, command.clone());
+        }
+    }
+
+    /// Commands the servers of the plain service.
+    pub fn booking(&self, command: ServiceCommand) {
+        for service in [&self.service].into_iter().chain(&self.more) {
+            task::block_on(service.command(command)).unwrap();
+        }
+    }
+
+    /// How often a marked call had its effect, over all servers of the plain service.
+    pub fn effects(&self, marker: &str) -> u64 {
+        let services = [&self.service].into_iter().chain(&self.more);
+        services.map(|service| service.effects(marker)).sum()
+    }
+
+    /// Calls that the servers of the plain service got, over all.
+    pub fn booking_calls(&self) -> u64 {
+        let services = [&self.service].into_iter().chain(&self.more);
+        services.map(|service| service.stats().calls).sum()
+    }
+
+    /// How often a marked request ran, over all engines.
+    pub fn runs(&self, marker: &str) -> u64 {
+        self.engines.iter().map(|engine| engine.runs(marker)).sum()
+    }
+
+    /// Requests that the engines hold, running or waiting.
+    pub fn held(&self) -> u64 {
+        let stats = self.engines.iter().map(|engine| engine.stats());
+        stats.map(|stats| stats.running + stats.waiting).sum()
+    }
+
+    /// How often the engines were told that a marked request's caller is gone.
+    pub fn cancelled(&self, marker: &str) -> usize {
+        let stats = self.engines.iter().map(|engine| engine.stats());
+        let cancellations = stats.flat_map(|stats| stats.cancellations);
+        cancellations.filter(|c| c.marker == marker).count()
+    }
+
     /// The arguments of an entry instance at this site.
     pub fn args(&self, name: &str) -> Vec<String> {
         self.args_at(name, any_address())
@@ -106,7 +168,8 @@
         let text = format!(
             "[instance]\nid = {name}\nzone = zone-a\nlisten = {any}\noperator = {any}\n\
              notice = 300 ms\ndrain = 20 s\n\n[platform]\naddresses = {platform}\n\n\
-             [peers]\nlisten = {peer}\nkey = {PEER_KEY}\n"
+             [peers]\nlisten = {peer}\nkey = {PEER_KEY}\n\n\
+             [limits]\nwrite-timeout = 5 s\n"
         );
         let file = self.folder.path().join(format!("{name}.ini"));
         fs::write(&file, text).unwrap();
@@ -163,7 +226,7 @@
 fn text(
     settings: &SiteSettings,
     engines: &[Handle<Engine>],
-    service: &Handle<PlainService>,
+    services: &[&Handle<PlainService>],
 ) -> String {
     let mut out = String::from("[team team]\nformat = 1\n");
     let concurrency = settings.concurrency;
@@ -191,12 +254,14 @@
         "\n[service booking]\nkind = plain\nprefix = /booking\n"
     )
     .unwrap();
-    let address = service.addr();
-    write!(
-        out,
-        "\n[server booking/booking-0]\naddress = {address}\nzone = zone-a\n"
-    )
-    .unwrap();
+    for (number, service) in services.iter().enumerate() {
+        let address = service.addr();
+        write!(
+            out,
+            "\n[server booking/booking-{number}]\naddress = {address}\nzone = zone-a\n"
+        )
+        .unwrap();
+    }
     out.push_str(CLASSES);
     out.push_str(&account("chat", "chat, lookup, confirm"));
     out.push_str(&account("batch", "batch"));
