--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -9,6 +9,7 @@
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
+use http_types::StatusCode;
 use serde::Serialize;
 
 use crate::exchange::Exchange;
@@ -21,7 +22,7 @@
 use crate::world::World;
 
 /// The status of an answer that nobody reads: the caller closed the connection.
-const CALLER_GONE: u16 = 499;
+const CALLER_GONE: StatusCode = StatusCode::RequestTimeout;
 
 /// Answers one request of a caller.
 pub(crate) async fn answer(shared: &Arc<Shared>, request: Request, hangup: Hangup) -> Response {
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -50,6 +50,16 @@
 /// The longest idempotency key, in bytes.
 const MAX_KEY: usize = 255;
 
+/// How long a server may take to begin an answer that isn't streamed, where its class has no target
+/// for the whole of it.
+const ANSWER_TIMEOUT: Millis = Millis::from_secs(600);
+
+/// The same as a multiple of that target: the head of such an answer comes with the end of the work.
+const ANSWER_FACTOR: u64 = 4;
+
+/// The least such bound. A late confirmation is worth more than not to know whether it was made.
+const ANSWER_FLOOR: Millis = Millis::from_secs(10);
+
 /// When to come back while bodies fill the memory.
 const FULL_RETRY: Millis = Millis::from_secs(1);
 
@@ -69,6 +79,8 @@
     pub(crate) stream: bool,
     /// The idempotency key, for a request that must not run twice.
     pub(crate) once: Option<Once>,
+    /// How long a server may take to begin an answer that isn't a stream.
+    pub(crate) answer_timeout: Millis,
     outgoing: Outgoing,
     /// Held until the request has ended, for its drop alone.
     _reservation: Option<Arc<Reservation>>,
@@ -234,6 +246,7 @@
         },
         need: need(&resolved, class, payload.prefix, payload.prompt_tokens),
         stream: payload.stream,
+        answer_timeout: answer_timeout(class),
         outgoing: outgoing(request, body),
         once: None,
         _reservation: None,
@@ -260,6 +273,7 @@
         },
         need: need(&resolved, class, None, 0),
         stream: false,
+        answer_timeout: answer_timeout(class),
         outgoing: outgoing(request, body),
         once: None,
         _reservation: None,
@@ -290,6 +304,11 @@
     }
 }
 
+fn answer_timeout(class: &Class) -> Millis {
+    let bound = |target: Millis| Millis(target.0.saturating_mul(ANSWER_FACTOR)).max(ANSWER_FLOOR);
+    class.targets.whole_answer.map_or(ANSWER_TIMEOUT, bound)
+}
+
 fn deadline(request: &Request, now: Millis) -> Millis {
     let header = request.header(TIMEOUT).map(|values| values.as_str());
     let span = header.and_then(|text| text.parse().ok()).map(Millis);
