--- a/crates/http/tests/relay.rs
+++ b/crates/http/tests/relay.rs
@@ -96,6 +96,20 @@
     });
 }
 
+// Trailers end a chunked body in more than one line. They aren't relayed, and the body is whole.
+#[test]
+fn trailers_do_not_spoil_the_end() {
+    run(async {
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        let server = canned(format!("{head}4\r\nfour\r\n0\r\nx-sum: 1\r\n\r\n")).await;
+        let (addr, ends) = relay(server).await;
+        let mut caller = call(addr, GET).await;
+        read_head(&mut caller).await;
+        assert_eq!(read_rest(&mut caller).await, "4\r\nfour\r\n0\r\n\r\n");
+        assert_eq!(ends.recv().await.unwrap(), End::Complete { bytes: 4 });
+    });
+}
+
 // The server sends a body without a length and closes. async-h1 drops such a body, so the caller
 // would get an empty success. It must be an error: a cut couldn't be told from the end.
 #[test_case("HTTP/1.1 200 OK\r\n\r\nall of it"; "no framing at all")]
