Keep a server that fails fast from drawing the traffic

A server that answers an error in a millisecond has nothing in flight and looked like the best choice until it was ejected. Each failure now makes it dearer, an "overloaded" answer halves what it gets at a time, and one that goes on with it while its peers don't is ejected. Ejecting at the first error was ruled out: one cut connection is no fault of the server.

Three choices replace two: with reports damped they no longer herd.

--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -18,6 +18,8 @@
     Hung,
     /// It generates far more slowly than its peers.
     Straggling,
+    /// It answers that it is overloaded while its peers don't.
+    Overloaded,
 }
 
 /// Whether a server takes work.
@@ -48,6 +50,7 @@
     struck: Millis,
     slow: u32,
     outs: u32,
+    on_trial: bool,
 }
 
 impl Default for Health {
@@ -58,6 +61,7 @@
             struck: Millis::ZERO,
             slow: 0,
             outs: 0,
+            on_trial: false,
         }
     }
 }
@@ -73,6 +77,11 @@
         self.strikes
     }
 
+    /// True from a return until the first success.
+    pub(crate) fn on_trial(&self) -> bool {
+        self.on_trial
+    }
+
     /// True while the server is out on suspicion, which counts against the ceiling.
     pub(crate) fn ejected(&self) -> bool {
         matches!(self.phase, Phase::Out { fault, .. } if fault != Fault::Refused)
@@ -93,8 +102,7 @@
             self.strikes += 1;
             self.struck = now;
         }
-        let probing = matches!(self.phase, Phase::Recovering { .. });
-        if probing || self.strikes >= settings.strikes {
+        if self.on_trial || self.strikes >= settings.strikes {
             Verdict::Eject
         } else {
             Verdict::Keep
@@ -141,13 +149,23 @@
     /// Lets the server back for one request at a time.
     pub(crate) fn probe(&mut self) {
         self.phase = Phase::Recovering { limit: 1 };
+        self.on_trial = true;
         self.strikes = 0;
         self.slow = 0;
     }
 
+    /// Halves the limit of a server with `in_flight` attempts, as it says that it has too many.
+    pub(crate) fn back_off(&mut self, in_flight: u32) {
+        if !self.is_out() {
+            let limit = (in_flight / 2).max(1);
+            self.phase = Phase::Recovering { limit };
+        }
+    }
+
     /// Counts a success; `share` is the server's full limit.
     pub(crate) fn succeed(&mut self, share: u32) {
         self.strikes = 0;
+        self.on_trial = false;
         let Phase::Recovering { limit } = &mut self.phase else {
             return;
         };
--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -4,7 +4,6 @@
 use crocushold_base::ServerKey;
 use rand::RngExt;
 
-use crate::health::Phase;
 use crate::pool::Pool;
 use crate::router::Demand;
 use crate::router::NoServer;
@@ -20,6 +19,12 @@
 /// The slowness that the cost follows at most; beyond, ejection is the remedy.
 const MAX_SLOWNESS: f64 = 8.0;
 
+/// How much dearer each strike makes a server, in multiples of its cost.
+///
+/// A server that fails at once has nothing in flight, so it would look like the best choice and draw
+/// all traffic until it is ejected.
+const STRIKE_COST: f64 = 4.0;
+
 /// How many times dearer a server on trial is for a request that should not be the one to try it.
 const TRIAL_COST: f64 = 8.0;
 
@@ -118,8 +123,8 @@
         };
         let ahead = 1.0 + own + others + distance;
         let slowness = server.slowness.mean().exp().clamp(1.0, MAX_SLOWNESS);
-        let doubt = 1.0 + f64::from(server.health.strikes());
-        let trial = on_trial(server) && (demand.priority == 0 || !demand.idempotent);
+        let doubt = 1.0 + STRIKE_COST * f64::from(server.health.strikes());
+        let trial = server.health.on_trial() && (demand.priority == 0 || !demand.idempotent);
         let caution = if trial { TRIAL_COST } else { 1.0 };
         ahead * slowness * doubt * caution / f64::from(server.spec.concurrency.max(1))
     }
@@ -168,6 +173,7 @@
             pool,
             tokens,
             picked: now,
+            waits: now,
             first: None,
             sampled: 0,
             sampled_at: now,
@@ -224,7 +230,3 @@
 fn takes_from(server: &Server, pool: usize) -> bool {
     server.counted.free > 0 && server.members.iter().any(|m| m.pool == pool)
 }
-
-fn on_trial(server: &Server) -> bool {
-    matches!(server.health.phase, Phase::Recovering { limit: 1 })
-}
--- a/crates/routing/src/router/feedback.rs
+++ b/crates/routing/src/router/feedback.rs
@@ -24,10 +24,12 @@
 const MAX_RATIO: f64 = 2.5;
 
 impl Router {
-    /// The attempt has a connection. False when the attempt isn't known, as of the other events.
+    /// The attempt has a connection; the wait for a first byte counts from here. False when the
+    /// attempt isn't known, as of the other events.
     pub fn connected(&mut self, attempt: AttemptKey, now: Millis) -> bool {
         self.notice_gap(now);
-        self.attempts.contains_key(attempt)
+        let flight = self.attempts.get_mut(attempt);
+        flight.map(|flight| flight.waits = now).is_some()
     }
 
     /// The first byte of an answer came.
@@ -43,7 +45,7 @@
         flight.sampled_at = now;
         let flight = *flight;
         if flight.picked >= self.woke {
-            let span = now.since(flight.picked);
+            let span = now.since(flight.waits);
             self.pools[flight.pool].first_byte(span);
         }
         true
@@ -144,7 +146,8 @@
     fn judge_outcome(&mut self, flight: &InFlight, outcome: Outcome, now: Millis) {
         let fault = match outcome {
             Outcome::Complete => return self.succeed(flight.server),
-            Outcome::Cancelled | Outcome::Overloaded => return,
+            Outcome::Cancelled => return,
+            Outcome::Overloaded => Fault::Overloaded,
             Outcome::Refused => return self.eject(flight.server, Fault::Refused, now),
             Outcome::Unreachable => Fault::Unreachable,
             Outcome::Cut | Outcome::Failed => Fault::Failing,
@@ -169,10 +172,14 @@
         let settings = self.settings.health.clone();
         let mut verdict = Verdict::Keep;
         let mut memory = None;
+        let in_flight = self.servers.get(key).map_or(0, |server| server.in_flight);
         self.change_health(key, |health| {
-            let first = health.strikes() == 0;
+            let before = health.strikes();
             verdict = health.strike(&settings, now);
-            memory = health.memory_ends(&settings).filter(|_| first);
+            memory = health.memory_ends(&settings).filter(|_| before == 0);
+            if fault == Fault::Overloaded && health.strikes() > before {
+                health.back_off(in_flight);
+            }
         });
         if let Some(due) = memory {
             self.timers.push(Reverse((due, key)));
@@ -180,7 +187,7 @@
         // When all time out together, the estimate behind the timeout is what is wrong: without
         // this sample it would never learn that answers take longer now.
         if fault == Fault::Hung && self.suspects * 2 > self.present {
-            let span = now.since(flight.picked);
+            let span = now.since(flight.waits);
             self.pools[flight.pool].first_byte(span);
         }
         if verdict == Verdict::Eject {
--- a/crates/routing/src/router/types.rs
+++ b/crates/routing/src/router/types.rs
@@ -39,7 +39,7 @@
     pub server: ServerKey,
     /// The attempt, for its events.
     pub attempt: AttemptKey,
-    /// How long to wait for the first byte of an answer.
+    /// How long to wait for the first byte of an answer, from the connection on.
     pub patience: Millis,
 }
 
@@ -104,7 +104,8 @@
     TimedOut,
     /// The server answered with an error of its own.
     Failed,
-    /// The server answered that it is overloaded, which is no fault.
+    /// The server answered that it is overloaded. It gets half as much at a time; when it goes on
+    /// while its peers don't, it is ejected.
     Overloaded,
 }
 
@@ -115,6 +116,8 @@
     pub(super) pool: usize,
     pub(super) tokens: u32,
     pub(super) picked: Millis,
+    /// Since when it waits for a first byte.
+    pub(super) waits: Millis,
     pub(super) first: Option<Millis>,
     /// Tokens, and when they had come, at the last sample of the pace.
     pub(super) sampled: u32,
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -45,7 +45,7 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
-            choices: 2,
+            choices: 3,
             zone_cost: 0.5,
             affinity_bound: 1.5,
             cache_hints: 65_536,
--- a/crates/routing/tests/faults.rs
+++ b/crates/routing/tests/faults.rs
@@ -18,8 +18,10 @@
 use crocushold_routing::Fault;
 use crocushold_routing::ListSnapshot;
 use crocushold_routing::ListVerdict;
+use crocushold_routing::Listed;
 use crocushold_routing::LoadReport;
 use crocushold_routing::Outcome;
+use crocushold_routing::Presence;
 use crocushold_routing::Reason;
 use crocushold_routing::State;
 use slotmap::SlotMap;
@@ -240,6 +242,88 @@
     }
 }
 
+// Callers see one refusal after the other. A server that answers "overloaded" in a millisecond has
+// nothing in flight, so it looks like the best choice; it must not draw the others' traffic.
+#[test_case(Outcome::Overloaded ; "overloaded")]
+#[test_case(Outcome::Failed ; "failed")]
+fn fast_failure_draws_no_traffic(outcome: Outcome) {
+    let mut fleet = Fleet::new(5);
+    for at in 0..5 {
+        fleet.pick_on(at);
+    }
+    let mut failures = 0;
+    for _ in 0..300 {
+        fleet.wait(2);
+        let pick = fleet.pick();
+        let bad = pick.server == fleet.keys[0];
+        failures += u32::from(bad);
+        fleet.end(pick.attempt, if bad { outcome } else { Outcome::Complete });
+    }
+    assert!(failures <= 10, "{failures}");
+}
+
+// Callers wait in this instance instead of being refused by the server. It says that it has too
+// many requests, so it gets half of them, and one more with each success.
+#[test]
+fn overloaded_server_gets_half() {
+    let mut fleet = Fleet::new(5);
+    let picks: Vec<_> = (0..SLOTS).map(|_| fleet.pick_on(0)).collect();
+    fleet.end(picks[0].attempt, Outcome::Overloaded);
+    let limit = |fleet: &Fleet| fleet.router.why(fleet.keys[0]).unwrap().limit;
+    assert_eq!(limit(&fleet), 1);
+    fleet.end(picks[1].attempt, Outcome::Complete);
+    assert_eq!(limit(&fleet), 2);
+}
+
+// The caller's wait would grow by a queue for the sake of a millisecond. Another zone costs less
+// than one request of load, but decides between equals.
+#[test]
+fn near_zone_wins_between_equals_only() {
+    let mut fleet = Fleet::new(2);
+    let mut specs = [fleet.spec(0), fleet.spec(1)];
+    specs[1].zone = "stgo-b".to_owned();
+    fleet.router.configure(&specs, fleet.now);
+    assert_eq!(fleet.pick().server, fleet.keys[0]);
+    assert_eq!(fleet.pick().server, fleet.keys[1]);
+    assert_eq!(fleet.pick().server, fleet.keys[0]);
+}
+
+// A single failure long ago would count towards an ejection today.
+#[test]
+fn old_strike_is_forgotten() {
+    let mut fleet = Fleet::new(5);
+    let pick = fleet.pick_on(0);
+    fleet.end(pick.attempt, Outcome::Cut);
+    (0..11).for_each(|_| fleet.wait(1000));
+    assert_eq!(fleet.router.why(fleet.keys[0]).unwrap().strikes, 0);
+}
+
+// Leaving servers would get work for ever. The list service restarted and counts from the start
+// again; after a minute of lower revisions its word counts.
+#[test]
+fn restarted_list_is_taken_after_a_minute() {
+    let mut fleet = Fleet::new(4);
+    for _ in 0..9 {
+        fleet.list(&[0, 1, 2, 3], &[]);
+    }
+    let listed = |&server: &ServerKey| Listed {
+        server,
+        presence: Presence::Live,
+    };
+    let list = ListSnapshot {
+        revision: 2,
+        servers: fleet.keys[1..].iter().map(listed).collect(),
+    };
+    for _ in 0..60 {
+        let verdict = fleet.router.instance_list(&list, fleet.now);
+        assert_eq!(verdict, ListVerdict::Outdated);
+        fleet.wait(1000);
+    }
+    let verdict = fleet.router.instance_list(&list, fleet.now);
+    assert_eq!(verdict, ListVerdict::Accepted);
+    assert_eq!(fleet.state(0), State::Vanished);
+}
+
 // A caller's request would go to a server that shut down long ago. The process is stopped for a
 // minute and wakes: nothing is sent until the list was read again, and it is then trusted.
 #[test]
