--- a/crates/routing/benches/router.rs
+++ b/crates/routing/benches/router.rs
@@ -170,6 +170,17 @@
     bencher.bench_local(|| fleet.router.configure(&fleet.specs, fleet.now));
 }
 
+/// A router built anew; its peak of memory is what a router holds, and some.
+#[divan::bench(args = SERVERS)]
+fn build(bencher: Bencher<'_, '_>, servers: usize) {
+    let fleet = Fleet::new(servers, 0.0);
+    bencher.bench_local(|| {
+        let mut router = Router::new(Settings::default(), "z1", 3);
+        router.configure(&fleet.specs, fleet.now);
+        router
+    });
+}
+
 /// The subset of one instance of 400.
 #[divan::bench(args = SERVERS)]
 fn subset_of_400(bencher: Bencher<'_, '_>, servers: usize) {
