Test that a failed trial ejects at once, and say how lists are to be read

Breaking every safeguard anew showed that nothing failed when a server on trial was given three failures like any other; the new test goes red. The crate's page says that each read of the instance list is to be reported, since a longer silence counts as a stopped process.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,6 +18,11 @@
 //! order it happens: [`Router::pick`], [`Router::connected`], [`Router::first_byte`],
 //! [`Router::progress`], and once [`Router::done`]. After `done`, or for a server that was removed,
 //! a late event finds nothing and changes nothing.
+//!
+//! Where there is an instance list, read it about once a second and report the end of every read:
+//! [`Router::instance_list`] or [`Router::list_unavailable`]. A read needs a timeout well below
+//! [`Settings::list_lease`]; a longer silence looks like a process that was stopped, and picks are
+//! refused. Configure a server before handing in the list that names it first.
 
 mod cache;
 mod health;
--- a/crates/routing/tests/faults.rs
+++ b/crates/routing/tests/faults.rs
@@ -242,6 +242,25 @@
     }
 }
 
+// Callers would pay three failures for every return of a broken server. It was ejected, comes back
+// on trial and fails the first request: out at once, for twice as long.
+#[test]
+fn failed_trial_doubles_the_wait() {
+    let mut fleet = Fleet::new(5);
+    for _ in 0..3 {
+        let pick = fleet.pick_on(0);
+        fleet.wait(300);
+        fleet.end(pick.attempt, Outcome::Cut);
+    }
+    fleet.wait(2500);
+    let pick = fleet.pick_on(0);
+    fleet.end(pick.attempt, Outcome::Cut);
+    let State::Out { until, .. } = fleet.state(0) else {
+        panic!("it is in");
+    };
+    assert!(until.since(fleet.now) >= Millis(3200));
+}
+
 // Callers see one refusal after the other. A server that answers "overloaded" in a millisecond has
 // nothing in flight, so it looks like the best choice; it must not draw the others' traffic.
 #[test_case(Outcome::Overloaded ; "overloaded")]
