Let a joining member wait for records whatever its cold start

A fleet whose cold start was set to 0 for its first roll-out let each later joiner vote without a record. The span now counts only where no peer has complete records. The weight store's lowest classes get every eighth permit, where they starved before.

--- a/crates/ownership/src/claims/readiness.rs
+++ b/crates/ownership/src/claims/readiness.rs
@@ -21,7 +21,7 @@
 /// A time during which keys that this member is new to aren't trusted.
 #[derive(Clone, Debug)]
 struct Hold {
-    /// The views of before the loss; none at a cold start, where every key is new.
+    /// The views of before the loss; none where another member told of it, and every key is new.
     before: Option<Vec<View>>,
     until: Millis,
 }
@@ -41,15 +41,17 @@
     /// The last mark of each member, and the view it was for.
     marks: BTreeMap<Member, (ViewId, Mark)>,
     holds: Vec<Hold>,
-    /// Set until another member's records have made this one's complete.
+    /// Set until this member's records are complete.
     cold: bool,
+    /// From when on there can be no records of an earlier fleet.
+    cold_until: Millis,
     /// The member count of losses that a hold covers already.
     covered: usize,
 }
 
 impl Readiness {
-    /// A member that has just started and holds nothing. Unless a warm member marks it, it trusts no
-    /// key before `cold_until`.
+    /// A member that has just started and holds nothing. Unless a member that isn't cold marks it,
+    /// it trusts no key before `cold_until`.
     pub(super) fn new(me: Member, window: Millis, cold_until: Millis) -> Readiness {
         Readiness {
             me,
@@ -59,11 +61,9 @@
             earlier: Vec::new(),
             known: BTreeSet::new(),
             marks: BTreeMap::new(),
-            holds: vec![Hold {
-                before: None,
-                until: cold_until,
-            }],
+            holds: Vec::new(),
             cold: true,
+            cold_until,
             covered: 0,
         }
     }
@@ -82,6 +82,7 @@
         if view == self.view {
             return false;
         }
+        self.warm_up(now);
         let old = std::mem::replace(&mut self.view, view);
         if !old.members().is_empty() {
             self.earlier.push(old);
@@ -104,12 +105,10 @@
 
     /// The mark that this member may give to others.
     pub(super) fn own_mark(&self, now: Millis) -> Mark {
-        let cold = self.is_cold(now);
-        let holds = self.holds.iter().filter(|_| !cold);
-        let hold = holds.map(|hold| hold.until.since(now)).max();
+        let hold = self.holds.iter().map(|hold| hold.until.since(now)).max();
         Mark {
             seq: self.seq,
-            warm: !cold,
+            warm: !self.cold,
             hold: hold.unwrap_or(Millis::ZERO),
             lost: self.lost().collect(),
             leaving: !self.view.contains(self.me),
@@ -122,6 +121,10 @@
     ///
     /// The span after which to ask again.
     pub(super) fn check(&mut self, key: ClaimKey, now: Millis) -> Result<(), Millis> {
+        self.warm_up(now);
+        if self.cold {
+            return Err(RETRY);
+        }
         self.holds.retain(|hold| hold.until > now);
         for hold in &self.holds {
             if self.is_new(key, hold.before.as_deref()) {
@@ -178,31 +181,23 @@
         }
     }
 
-    fn is_cold(&self, now: Millis) -> bool {
-        self.cold
-            && self
-                .holds
-                .iter()
-                .any(|hold| hold.before.is_none() && hold.until > now)
-    }
-
-    /// A fresh member is complete once all but one of the others have passed on their records, at
-    /// least one of which was complete itself: a fleet that lost all its memory at once must not
-    /// declare itself whole.
+    /// A fresh member is complete once all but one of the others have passed on their records. At
+    /// least one of them must have been complete itself, or the time be over: a fleet that lost all
+    /// its memory at once must not declare itself whole.
     fn warm_up(&mut self, now: Millis) {
-        if !self.cold || self.unaccounted().count() > TOLERATED {
+        let viewless = self.view.members().is_empty();
+        if !self.cold || viewless || self.unaccounted().count() > TOLERATED {
             return;
         }
         let mut accounted = self
             .marks
             .iter()
             .filter(|(member, _)| self.is_accounted(**member));
-        if !accounted.any(|(_, (_, mark))| mark.warm) {
+        if now < self.cold_until && !accounted.any(|(_, (_, mark))| mark.warm) {
             return;
         }
         self.cold = false;
         let others = self.marks.values().map(|(_, mark)| mark.hold).max();
-        self.holds.clear();
         if let Some(hold) = others.filter(|hold| *hold > Millis::ZERO) {
             self.holds.push(Hold {
                 before: None,
--- a/crates/ownership/src/claims/settings.rs
+++ b/crates/ownership/src/claims/settings.rs
@@ -13,8 +13,9 @@
     pub send_limit: Millis,
     /// How long a voter that hears nothing trusts its view; a longer gap between events is a pause.
     pub lease: Millis,
-    /// How long a member that finds no one with records refuses fresh keys. The window, unless no
-    /// fleet ran before (a first start, a test).
+    /// How long a member whose peers have no complete records either refuses fresh keys. The window,
+    /// unless no fleet ran before (a first start, a test). A member that joins others waits for their
+    /// records in any case.
     pub cold_start: Millis,
     /// How many keys a member records.
     pub capacity: usize,
--- a/crates/ownership/src/weights.rs
+++ b/crates/ownership/src/weights.rs
@@ -24,6 +24,8 @@
     pub permit: Millis,
     /// How long a new owner gives no permit. More than `permit` and the lease on a view together.
     pub takeover: Millis,
+    /// Every how many permits one goes to whatever has waited longest, so that no class starves.
+    pub floor: u32,
     /// How long a want lasts that isn't repeated.
     pub patience: Millis,
 }
@@ -35,6 +37,7 @@
             burst: 1.0,
             permit: Millis::from_secs(5),
             takeover: Millis::from_secs(25),
+            floor: 8,
             patience: Millis::from_secs(30),
         }
     }
@@ -87,6 +90,8 @@
     filled_at: Millis,
     wanted: BTreeMap<(EngineId, ModelId), Wanted>,
     given: BTreeMap<ModelId, u32>,
+    /// Permits since the last one for whatever had waited longest.
+    since_floor: u32,
 }
 
 impl LoadPlanner {
@@ -102,6 +107,7 @@
             filled_at: Millis::ZERO,
             wanted: BTreeMap::new(),
             given: BTreeMap::new(),
+            since_floor: 0,
         }
     }
 
@@ -173,12 +179,16 @@
     }
 
     fn take_first(&mut self) -> Option<LoadPermit> {
+        let oldest = self.since_floor + 1 >= self.settings.floor;
         let first = self.wanted.iter().min_by_key(|(key, wanted)| {
             let given = self.given.get(&key.1).copied().unwrap_or(0);
             let replicas = wanted.want.replicas + given;
-            (wanted.want.rank, replicas, wanted.first_at, **key)
+            let rank = if oldest { 0 } else { wanted.want.rank };
+            let served = if oldest { 0 } else { replicas };
+            (rank, served, wanted.first_at, **key)
         });
         let key = first.map(|(key, _)| *key)?;
+        self.since_floor = if oldest { 0 } else { self.since_floor + 1 };
         let wanted = self.wanted.remove(&key)?;
         *self.given.entry(key.1).or_default() += 1;
         Some(LoadPermit {
