--- a/crates/ownership/tests/orders.rs
+++ b/crates/ownership/tests/orders.rs
@@ -212,6 +212,12 @@
         orders.on_target(target(round + 2, Fencing::Checked, models), now);
         run(&mut orders, &mut engine, view, round * 10, round * 10 + 10);
     }
+    assert!(
+        engine
+            .obeyed
+            .iter()
+            .all(|order| !order.kind.is_destructive())
+    );
     assert_eq!(engine.models, [ModelId(1), ModelId(2)]);
 }
 
