Give each account a share of the table of claims

One account could fill the table and have every other account's bookings refused for a window. Seen red without the share.

--- a/crates/ownership/benches/ownership.rs
+++ b/crates/ownership/benches/ownership.rs
@@ -45,6 +45,7 @@
     let key = ClaimKey(n.wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835));
     ClaimRequest {
         key,
+        account: AccountId::from_name("clara"),
         claim: ClaimId {
             claimant: view.members()[0],
             seq: n as u64,
@@ -59,6 +60,7 @@
     let settings = ClaimSettings {
         cold_start: Millis::ZERO,
         capacity: usize::MAX,
+        share: usize::MAX,
         ..ClaimSettings::default()
     };
     let mut claims = Claims::new(settings, view.members()[0], NOW);
@@ -87,6 +89,7 @@
         black_box(claims.on_claim(&request, NOW));
         let settle = SettleRequest {
             key: request.key,
+            account: request.account,
             claim: request.claim,
             digest: request.digest,
             outcome: Outcome::Completed { status: 201 },
--- a/crates/ownership/examples/at_most_once.rs
+++ b/crates/ownership/examples/at_most_once.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 
 use crocushold_base::Millis;
+use crocushold_ownership::AccountId;
 use crocushold_ownership::ClaimId;
 use crocushold_ownership::ClaimKey;
 use crocushold_ownership::ClaimRequest;
@@ -78,6 +79,7 @@
         self.seq += 1;
         let request = ClaimRequest {
             key: ClaimKey::new("clara", key),
+            account: AccountId::from_name("clara"),
             claim: ClaimId {
                 claimant,
                 seq: self.seq,
--- a/crates/ownership/src/claims/message.rs
+++ b/crates/ownership/src/claims/message.rs
@@ -3,6 +3,7 @@
 use crocushold_base::Millis;
 use twox_hash::XxHash3_128;
 
+use crate::limits::AccountId;
 use crate::view::GroupId;
 use crate::view::Member;
 use crate::view::ViewId;
@@ -46,6 +47,8 @@
 pub struct ClaimRequest {
     /// The key to claim.
     pub key: ClaimKey,
+    /// The account that sent it.
+    pub account: AccountId,
     /// The try.
     pub claim: ClaimId,
     /// Tells a reused key from a repeated request.
@@ -73,7 +76,7 @@
     Unknown,
     /// The key was used with another request.
     Mismatch,
-    /// There is no record and no room for one.
+    /// There is no record and no room for one, in all or for the account.
     Full {
         /// When the oldest record expires.
         retry_after: Millis,
@@ -106,6 +109,8 @@
 pub struct SettleRequest {
     /// The key that was claimed.
     pub key: ClaimKey,
+    /// The account that sent it.
+    pub account: AccountId,
     /// The try.
     pub claim: ClaimId,
     /// The request's digest, for a voter that missed the claim.
@@ -133,6 +138,8 @@
 /// What a member records of a key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Record {
+    /// The account that sent the key.
+    pub account: AccountId,
     /// The request's digest.
     pub digest: RequestDigest,
     /// The try that holds the key; `None` where two tries conflict.
--- a/crates/ownership/src/claims/round.rs
+++ b/crates/ownership/src/claims/round.rs
@@ -268,6 +268,7 @@
         Settlement {
             request: SettleRequest {
                 key: claim.key,
+                account: claim.account,
                 claim: claim.claim,
                 digest: claim.digest,
                 outcome,
--- a/crates/ownership/src/claims/settings.rs
+++ b/crates/ownership/src/claims/settings.rs
@@ -19,6 +19,8 @@
     pub cold_start: Millis,
     /// How many keys a member records.
     pub capacity: usize,
+    /// How many of them one account may have: an account that runs wild must not shut out the others.
+    pub share: usize,
     /// How many records a transfer carries.
     pub batch: usize,
     /// When a caller should ask again after a conflict or a membership change.
@@ -34,6 +36,7 @@
             lease: Millis::from_secs(10),
             cold_start: Millis::from_secs(600),
             capacity: 200_000,
+            share: 50_000,
             batch: 256,
             retry: Millis::from_secs(1),
         }
--- a/crates/ownership/src/claims/table.rs
+++ b/crates/ownership/src/claims/table.rs
@@ -8,12 +8,17 @@
 use super::message::ClaimKey;
 use super::message::ClaimState;
 use super::message::Record;
+use super::settings::ClaimSettings;
+use crate::limits::AccountId;
 
 /// Records by key, forgotten when they are older than the window; never evicted before.
 #[derive(Clone, Debug)]
 pub(super) struct Table {
     window: Millis,
     capacity: usize,
+    share: usize,
+    /// Records of each account.
+    counts: HashMap<AccountId, usize>,
     records: HashMap<ClaimKey, Record>,
     /// One slot a record, in the order of the first insertion.
     queue: VecDeque<Slot>,
@@ -26,10 +31,12 @@
 }
 
 impl Table {
-    pub(super) fn new(window: Millis, capacity: usize) -> Table {
+    pub(super) fn new(settings: &ClaimSettings) -> Table {
         Table {
-            window,
-            capacity,
+            window: settings.window,
+            capacity: settings.capacity,
+            share: settings.share,
+            counts: HashMap::new(),
             records: HashMap::new(),
             queue: VecDeque::new(),
         }
@@ -39,8 +46,9 @@
         self.records.len()
     }
 
-    pub(super) fn is_full(&self) -> bool {
-        self.records.len() >= self.capacity
+    pub(super) fn is_full(&self, account: AccountId) -> bool {
+        let used = self.counts.get(&account).copied().unwrap_or(0);
+        self.records.len() >= self.capacity || used >= self.share
     }
 
     pub(super) fn get(&self, key: ClaimKey) -> Option<&Record> {
@@ -55,7 +63,12 @@
     /// capacity; the callers check [`Table::is_full`] before they admit a fresh claim.
     pub(super) fn put(&mut self, key: ClaimKey, record: Record) {
         let due = record.time + self.window;
+        // The account was counted with the first record of the key.
+        let known = self.records.get(&key).map(|old| old.account);
+        let account = known.unwrap_or(record.account);
+        let record = Record { account, ..record };
         if self.records.insert(key, record).is_none() {
+            *self.counts.entry(record.account).or_default() += 1;
             self.queue.push_back(Slot { key, due });
         }
     }
@@ -96,6 +109,18 @@
             self.queue.push_back(Slot { key, due });
             return;
         }
+        let account = record.account;
         self.records.remove(&key);
+        self.uncount(account);
+    }
+
+    fn uncount(&mut self, account: AccountId) {
+        let Some(count) = self.counts.get_mut(&account) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.counts.remove(&account);
+        }
     }
 }
--- a/crates/ownership/src/claims/voter.rs
+++ b/crates/ownership/src/claims/voter.rs
@@ -50,7 +50,7 @@
         Claims {
             settings,
             me,
-            table: Table::new(settings.window, settings.capacity),
+            table: Table::new(&settings),
             readiness: Readiness::new(me, settings.window, cold_until),
             handover: Handover::new(settings.batch),
             guard: PauseGuard::new(settings.lease, now),
@@ -114,6 +114,7 @@
             Outcome::Unknown => ClaimState::Unknown,
         };
         let settled = Record {
+            account: request.account,
             digest: request.digest,
             claim: Some(request.claim),
             time: now,
@@ -121,7 +122,7 @@
         };
         match self.table.get(request.key).copied() {
             Some(own) => self.table.put(request.key, merge(own, settled)),
-            None if state == ClaimState::NotRun && self.table.is_full() => {}
+            None if state == ClaimState::NotRun && self.table.is_full(request.account) => {}
             None => self.table.put(request.key, settled),
         }
     }
@@ -211,11 +212,12 @@
         if let Err(retry_after) = self.readiness.check(request.key, now) {
             return Vote::NotReady { retry_after };
         }
-        if self.table.is_full() && self.table.get(request.key).is_none() {
+        if self.table.is_full(request.account) && self.table.get(request.key).is_none() {
             let retry_after = self.table.next_expiry(now);
             return Vote::Full { retry_after };
         }
         let record = Record {
+            account: request.account,
             digest: request.digest,
             claim: Some(request.claim),
             time: now,
--- a/crates/ownership/tests/chaos.rs
+++ b/crates/ownership/tests/chaos.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use crocushold_base::Millis;
+use crocushold_ownership::AccountId;
 use crocushold_ownership::ClaimId;
 use crocushold_ownership::ClaimKey;
 use crocushold_ownership::ClaimRequest;
@@ -219,6 +220,7 @@
         self.seq += 1;
         let request = ClaimRequest {
             key: ClaimKey(u128::from(key)),
+            account: AccountId::from_name("clara"),
             claim: ClaimId {
                 claimant,
                 seq: self.seq,
--- a/crates/ownership/tests/claims.rs
+++ b/crates/ownership/tests/claims.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use crocushold_base::Millis;
+use crocushold_ownership::AccountId;
 use crocushold_ownership::ClaimId;
 use crocushold_ownership::ClaimKey;
 use crocushold_ownership::ClaimRequest;
@@ -122,6 +123,7 @@
         self.seq += 1;
         ClaimRequest {
             key: ClaimKey(key),
+            account: AccountId::from_name("clara"),
             claim: ClaimId {
                 claimant,
                 seq: self.seq,
@@ -475,6 +477,7 @@
     );
     let winner = fleet.request(member(0), 1, 1);
     let record = Record {
+        account: winner.account,
         digest: winner.digest,
         claim: Some(winner.claim),
         time: Millis::ZERO,
@@ -515,3 +518,26 @@
     assert!(matches!(vote, Vote::NotReady { .. }), "{vote:?}");
     assert!(fleet.claim(member(1), 1).is_ok());
 }
+
+/// One account sends fresh keys without end. It uses up its share of the table; another account's
+/// keys are granted all the same.
+#[test]
+fn an_account_that_runs_wild_shuts_out_no_other() {
+    let settings = ClaimSettings {
+        share: 5,
+        ..ClaimSettings::default()
+    };
+    let mut fleet = Fleet::new(3, settings);
+    for key in 0..5 {
+        let _grant = fleet.claim(member(0), key).expect("room");
+    }
+    let refusal = fleet.claim(member(0), 5).expect_err("no room");
+    assert!(matches!(refusal, Refusal::NotRun { .. }), "{refusal:?}");
+    let mut request = fleet.request(member(0), 6, 1);
+    request.account = AccountId::from_name("other");
+    let (now, view) = (fleet.now, fleet.node(member(0)).view().clone());
+    let request = *ClaimRound::new(&settings, &view, request, now).request();
+    assert_eq!(fleet.node(member(0)).on_claim(&request, now), Vote::Granted);
+    fleet.pass(Millis::from_secs(1_300));
+    assert!(fleet.claim(member(0), 5).is_ok());
+}
--- a/crates/ownership/tests/explore.rs
+++ b/crates/ownership/tests/explore.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 
 use crocushold_base::Millis;
+use crocushold_ownership::AccountId;
 use crocushold_ownership::ClaimId;
 use crocushold_ownership::ClaimKey;
 use crocushold_ownership::ClaimRequest;
@@ -176,6 +177,7 @@
         let view = self.nodes[&member].value.view().clone();
         let request = ClaimRequest {
             key: ClaimKey(7),
+            account: AccountId::from_name("clara"),
             claim: ClaimId {
                 claimant: member,
                 seq: claimant as u64,
