--- a/crates/ownership/src/limits/account.rs
+++ b/crates/ownership/src/limits/account.rs
@@ -112,6 +112,15 @@
         self.unmet + self.drawn <= 0.0 && self.unmet_slots == 0 && self.held(0) == 0
     }
 
+    /// How long to wait between two requests: demand is told soon, a mere renewal twice a term.
+    pub(super) fn pace(&self, settings: &LimitSettings) -> Millis {
+        if self.unmet + self.drawn > 0.0 || self.unmet_slots > 0 {
+            settings.period
+        } else {
+            Millis(settings.term.0 / 2)
+        }
+    }
+
     /// What to ask the owner for; the demand since the last request is spent by it.
     pub(super) fn wants(&mut self, terms: &Terms, account: AccountId) -> BorrowRequest {
         let held = self.held(terms.base_slots());
--- a/crates/ownership/src/limits/ledger.rs
+++ b/crates/ownership/src/limits/ledger.rs
@@ -147,8 +147,11 @@
     /// Accounts that may ask for a loan now, from the cursor on and around, so that the limit on
     /// messages starves none.
     fn wanting(&self, now: Millis) -> Vec<AccountId> {
-        let period = self.settings.period;
-        let due = |state: &Account| state.asked_at.is_none_or(|at| now.since(at) >= period);
+        let settings = &self.settings;
+        let due = |state: &Account| {
+            let pace = state.pace(settings);
+            state.asked_at.is_none_or(|at| now.since(at) >= pace)
+        };
         let wants =
             |(id, state): (&AccountId, &Account)| (!state.is_idle() && due(state)).then_some(*id);
         let after = self.accounts.range(self.cursor..).filter_map(wants);
--- a/crates/ownership/tests/limits.rs
+++ b/crates/ownership/tests/limits.rs
@@ -3,6 +3,7 @@
 use crocushold_base::Millis;
 use crocushold_ownership::AccountId;
 use crocushold_ownership::Admission;
+use crocushold_ownership::BorrowReply;
 use crocushold_ownership::BorrowRequest;
 use crocushold_ownership::Limit;
 use crocushold_ownership::LimitSettings;
@@ -282,3 +283,35 @@
     assert!((0.97..=1.01).contains(&known), "{known}");
     assert!((0.97..=1.04).contains(&joined), "{joined}");
 }
+
+/// A borrower is cut off from the owner while it holds lent slots. The owner lends them anew after a
+/// term; by then the borrower admits no more than its own share.
+#[test]
+fn lent_slots_end_before_they_are_lent_anew() {
+    let members: Vec<Member> = (0..2).map(|n| Member::new(&format!("e{n}"), 1)).collect();
+    let view = View::new(members.clone());
+    let me = *members
+        .iter()
+        .find(|m| view.owner(ACCOUNT.0) != Some(**m))
+        .expect("a borrower");
+    let mut node = Limits::new(LimitSettings::default(), me, Millis::ZERO);
+    let limit = Limit {
+        rate: 1e6,
+        slots: 40,
+    };
+    node.on_limit(ACCOUNT, limit, Millis::ZERO);
+    node.on_view(view.clone(), &view, Millis::ZERO);
+    let reply = BorrowReply {
+        units: 0.0,
+        slots: 20,
+    };
+    node.on_lent(ACCOUNT, reply, Millis(1_000));
+    let mut admit = |now| {
+        let admitted = (0..40).filter(|_| node.admit(ACCOUNT, 1.0, now) == Admission::Admitted);
+        let count = admitted.count();
+        (0..count).for_each(|_| node.release(ACCOUNT));
+        count
+    };
+    assert_eq!(admit(Millis(2_500)), 30);
+    assert_eq!(admit(Millis(2_700)), 10);
+}
