--- a/crates/ownership/tests/weights.rs
+++ b/crates/ownership/tests/weights.rs
@@ -95,3 +95,16 @@
     assert!(given <= 24, "{given}");
     assert!(given >= 22, "{given}");
 }
+
+/// The planner was stopped for a minute and wakes still sure that it owns the store. Another one has
+/// been giving permits meanwhile; this one saves nothing up and waits as a new owner does.
+#[test]
+fn a_woken_planner_waits() {
+    let view = View::new(members());
+    let mut planner = planner(&view, Millis::ZERO);
+    let mut all = wants(0, 1, 0..20);
+    assert!(!run(&mut planner, &mut all, 1, 35).is_empty());
+    planner.on_pause(Millis::from_secs(95));
+    assert_eq!(run(&mut planner, &mut all, 95, 120), []);
+    assert!(!run(&mut planner, &mut all, 120, 130).is_empty());
+}
