--- a/crates/ownership/src/claims/settings.rs
+++ b/crates/ownership/src/claims/settings.rs
@@ -13,11 +13,14 @@
     pub send_limit: Millis,
     /// How long a voter that hears nothing trusts its view; a longer gap between events is a pause.
     pub lease: Millis,
-    /// How long a member that finds no one with records refuses fresh keys. The window, unless no
-    /// fleet ran before (a first start, a test).
+    /// How long a member whose peers have no complete records either refuses fresh keys. The window,
+    /// unless no fleet ran before (a first start, a test). A member that joins others waits for their
+    /// records in any case.
     pub cold_start: Millis,
     /// How many keys a member records.
     pub capacity: usize,
+    /// How many of them one account may have: an account that runs wild must not shut out the others.
+    pub share: usize,
     /// How many records a transfer carries.
     pub batch: usize,
     /// When a caller should ask again after a conflict or a membership change.
@@ -33,6 +36,7 @@
             lease: Millis::from_secs(10),
             cold_start: Millis::from_secs(600),
             capacity: 200_000,
+            share: 50_000,
             batch: 256,
             retry: Millis::from_secs(1),
         }
