--- a/crates/entry/src/coordination/mod.rs
+++ b/crates/entry/src/coordination/mod.rs
@@ -19,7 +19,6 @@
 use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_ownership::ClaimId;
-use crocushold_ownership::ClaimKey;
 use crocushold_ownership::ClaimRequest;
 use crocushold_ownership::ClaimRound;
 use crocushold_ownership::ClaimSettings;
@@ -28,7 +27,6 @@
 use crocushold_ownership::GroupId;
 use crocushold_ownership::Member;
 use crocushold_ownership::Refusal;
-use crocushold_ownership::RequestDigest;
 use crocushold_ownership::Settlement;
 use crocushold_ownership::Transfer;
 use crocushold_ownership::Verdict;
@@ -44,6 +42,7 @@
 
 use crate::coordination::members::Members;
 use crate::coordination::transport::Transport;
+use crate::intake::Once;
 
 /// How long a claim waits for votes. A group answers in a round trip; a member that is frozen must
 /// not hold the request up for longer than a caller would notice.
@@ -154,18 +153,15 @@
     /// # Errors
     ///
     /// What to tell the caller instead.
-    pub(crate) async fn claim(
-        self: &Arc<Self>,
-        key: ClaimKey,
-        digest: RequestDigest,
-    ) -> Result<Grant, Refusal> {
+    pub(crate) async fn claim(self: &Arc<Self>, once: Once) -> Result<Grant, Refusal> {
         let request = ClaimRequest {
-            key,
+            key: once.key,
             claim: ClaimId {
                 claimant: self.me,
                 seq: self.next.fetch_add(1, Ordering::Relaxed) + 1,
             },
-            digest,
+            digest: once.digest,
+            account: once.account,
             group: GroupId::default(),
         };
         let view = self.claims().view().clone();
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -133,11 +133,7 @@
             return Ok(None);
         };
         let refused = |refusal| Failure::Refused(Refusal::from_claim(refusal));
-        let grant = self
-            .coordinator
-            .claim(once.key, once.digest)
-            .await
-            .map_err(refused)?;
+        let grant = self.coordinator.claim(once).await.map_err(refused)?;
         match grant.start(self.clock.now()) {
             Ok(started) => Ok(Some(Claimed {
                 coordinator: self.coordinator,
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -16,6 +16,7 @@
 use crocushold_http::ServerLimits;
 use crocushold_http::read_body;
 use crocushold_http::relay_headers;
+use crocushold_ownership::AccountId;
 use crocushold_ownership::ClaimKey;
 use crocushold_ownership::RequestDigest;
 use http_types::Method;
@@ -91,6 +92,7 @@
 pub(crate) struct Once {
     pub(crate) key: ClaimKey,
     pub(crate) digest: RequestDigest,
+    pub(crate) account: AccountId,
 }
 
 /// What goes to the backend server.
@@ -205,6 +207,7 @@
         Ok(Some(Once {
             key: ClaimKey::new(account, key),
             digest: job.outgoing.digest(),
+            account: AccountId::from_name(account),
         }))
     }
 
--- a/crates/peers/schema/peer.capnp
+++ b/crates/peers/schema/peer.capnp
@@ -109,6 +109,7 @@
   claimant @2 :Member;
   seq @3 :UInt64;
   digest @4 :UInt64;
+  account @5 :UInt64;
 }
 
 struct Record {
--- a/crates/peers/src/coordination/wire.rs
+++ b/crates/peers/src/coordination/wire.rs
@@ -4,6 +4,7 @@
 //! variant that promises least.
 
 use crocushold_base::Millis;
+use crocushold_ownership::AccountId;
 use crocushold_ownership::ClaimId;
 use crocushold_ownership::ClaimKey;
 use crocushold_ownership::ClaimState;
@@ -29,6 +30,7 @@
     pub(crate) key: ClaimKey,
     pub(crate) id: ClaimId,
     pub(crate) digest: RequestDigest,
+    pub(crate) account: AccountId,
 }
 
 /// A vote or outcome as numbers.
@@ -56,6 +58,7 @@
     to.set_key_low(from.key.0 as u64);
     to.set_seq(from.id.seq);
     to.set_digest(from.digest.0);
+    to.set_account(from.account.0);
     write_member(from.id.claimant, to.init_claimant());
 }
 
@@ -68,6 +71,7 @@
             seq: from.get_seq(),
         },
         digest: RequestDigest(from.get_digest()),
+        account: AccountId(from.get_account()),
     })
 }
 
@@ -174,6 +178,7 @@
         key: from.key,
         id: record.claim.unwrap_or_default(),
         digest: record.digest,
+        account: record.account,
     };
     write_claim(&claim, to.init_claim());
 }
@@ -192,6 +197,7 @@
         key: claim.key,
         record: Record {
             digest: claim.digest,
+            account: claim.account,
             claim: (claim.id != ClaimId::default()).then_some(claim.id),
             time: Millis(from.get_age_ms()),
             state,
--- a/crates/peers/src/shell/calls.rs
+++ b/crates/peers/src/shell/calls.rs
@@ -44,6 +44,7 @@
         key: request.key,
         id: request.claim,
         digest: request.digest,
+        account: request.account,
     };
     coded::write_claim(&claim, params.init_claim());
     let response = call.send().promise.await?;
@@ -66,6 +67,7 @@
         key: request.key,
         id: request.claim,
         digest: request.digest,
+        account: request.account,
     };
     coded::write_claim(&claim, params.init_claim());
     call.send().promise.await?;
--- a/crates/peers/src/shell/server.rs
+++ b/crates/peers/src/shell/server.rs
@@ -301,6 +301,7 @@
             key: claim.key,
             claim: claim.id,
             digest: claim.digest,
+            account: claim.account,
             group: GroupId(input.get_group()),
         }))?;
         let Response::Vote(vote) = answer else {
@@ -325,6 +326,7 @@
             key: claim.key,
             claim: claim.id,
             digest: claim.digest,
+            account: claim.account,
             outcome: coded::read_outcome(input.get_outcome(), input.get_status()),
         }))?;
         done(answer)
--- a/crates/peers/tests/sockets.rs
+++ b/crates/peers/tests/sockets.rs
@@ -169,6 +169,7 @@
         key: ClaimKey(0x0123_4567_89ab_cdef_0011_2233_4455_6677),
         claim: try_of("entry-1"),
         digest: RequestDigest(8),
+        account: AccountId(12),
         group: GroupId(5),
     })
 }
@@ -178,6 +179,7 @@
         key: ClaimKey(9),
         claim: try_of("entry-2"),
         digest: RequestDigest(8),
+        account: AccountId(12),
         outcome: Outcome::Completed { status: 201 },
     })
 }
@@ -194,6 +196,7 @@
         key: ClaimKey(at),
         record: Record {
             digest: RequestDigest(at as u64),
+            account: AccountId(13),
             claim: (state != ClaimState::Unknown).then(|| try_of("entry-3")),
             time: Millis(70),
             state,
