Hand every reading of the instance list to the routers

The list was handed on only when it changed. It is usually read before the configuration is in force, when there are no routers yet, so that a server that was leaving before the start got new work for as long as it lived; and routers that hear nothing for five seconds take the process to have been stopped: they held requests for a second, then gave each server one request at a time. Ruled out for the first: the match by address, which worked for a change made later.

The end of every read is published now (new, unchanged, unavailable), and the list goes to the routers with each. Also, the poller moves on to the platform's next address after a failure.

Seen red: a leaving server's status never showed; after 7 s of quiet the servers stood as recovering.

--- a/crates/entry/src/publish.rs
+++ b/crates/entry/src/publish.rs
@@ -19,10 +19,13 @@
 use crocushold_platform::Answer;
 use crocushold_platform::Call;
 use crocushold_platform::Failure;
+use crocushold_platform::Fetch;
+use crocushold_platform::FetchError;
+use crocushold_platform::Get;
 use crocushold_platform::HttpFetch;
 use crocushold_platform::InstancePoller;
 use crocushold_platform::PollerSettings;
-use crocushold_platform::Report;
+use crocushold_platform::Reply;
 use crocushold_platform::Shell;
 use crocushold_platform::Update;
 use crocushold_platform::read;
@@ -179,25 +182,56 @@
         seed: shared.seed,
         ..PollerSettings::default()
     };
-    let shell = shell(&shared, addresses.current());
+    let shell = Shell {
+        fetch: Rotating {
+            fetch: HttpFetch::new(shared.client.clone()),
+            addresses,
+        },
+        address: String::new(),
+        clock: shared.clock,
+    };
     // Kept open: the poller runs as long as the process.
     let (_events, inbox) = mpsc::channel(1);
+    let mut latest = InstanceList::default();
     let publish = |_: &InstancePoller, update: Update| match update {
-        Update::Instances(list) => take_list(&shared, &peers, &list),
-        Update::Report(report) => take_report(&shared, &report),
+        Update::Instances(list) => {
+            take_list(&shared, &peers, &list);
+            latest = list;
+        }
+        // Given to the routers again: a configuration that came into force since may have brought
+        // servers that the list calls leaving, and the routers count the age of the list from here.
+        Update::Unchanged => shared.world().take_list(&latest),
+        Update::Unavailable => shared.world().list_unavailable(),
+        Update::Report(report) => {
+            info!("{}", Event::new("instance-list").with("report", &report));
+        }
         Update::Config(_) => {}
     };
     run(InstancePoller::new(settings), &shell, inbox, publish).await;
 }
 
+/// Reads from whichever of the platform's addresses answered last.
+struct Rotating {
+    fetch: HttpFetch,
+    addresses: Arc<Addresses>,
+}
+
+impl Fetch for Rotating {
+    async fn get(&self, get: Get) -> Result<Reply, FetchError> {
+        let address = self.addresses.current();
+        let reply = self.fetch.get(Get { address, ..get }).await;
+        if reply.is_err() {
+            self.addresses.advance();
+        }
+        reply
+    }
+}
+
 fn take_list(shared: &Shared, peers: &PeerHandle, list: &InstanceList) {
     let entries = list.instances.iter();
     peers.instance_list(entries.filter_map(listed_peer).collect());
-    let names = entry_names(list);
-    shared.coordinator.take_list(names);
-    let servers = list.instances.iter();
-    let servers = servers.filter(|entry| entry.role == InstanceRole::Server);
-    shared.world().take_list(list.revision, servers);
+    shared.coordinator.take_list(entry_names(list));
+    shared.world().take_list(list);
 }
 
 fn entry_names(list: &InstanceList) -> impl Iterator<Item = &str> {
@@ -216,10 +250,3 @@
         leaving: entry.state != InstanceState::Live,
     })
 }
-
-fn take_report(shared: &Shared, report: &Report) {
-    info!("{}", Event::new("instance-list").with("report", report));
-    if let Report::Unreachable { .. } = report {
-        shared.world().list_unavailable();
-    }
-}
--- a/crates/entry/src/world.rs
+++ b/crates/entry/src/world.rs
@@ -23,7 +23,8 @@
 use crocushold_metrics::ClassMetrics;
 use crocushold_metrics::ClassSettings;
 use crocushold_metrics::Metrics;
-use crocushold_platform::wire::InstanceEntry;
+use crocushold_platform::wire::InstanceList;
+use crocushold_platform::wire::InstanceRole;
 use crocushold_platform::wire::InstanceState;
 use crocushold_routing::ListSnapshot;
 use crocushold_routing::Listed;
@@ -57,12 +58,10 @@
 impl World {
     /// Hands a reading of the instance list to the routers. Servers are matched by address: the
     /// list names services in the platform's own way.
-    pub(crate) fn take_list<'a>(
-        &self,
-        revision: u64,
-        entries: impl Iterator<Item = &'a InstanceEntry>,
-    ) {
+    pub(crate) fn take_list(&self, list: &InstanceList) {
+        let entries = list.instances.iter();
         let by_address: HashMap<SocketAddr, Presence> = entries
+            .filter(|entry| entry.role == InstanceRole::Server)
             .map(|entry| (entry.address, presence(entry.state)))
             .collect();
         for (key, pool) in &self.pools {
@@ -73,7 +72,7 @@
                 Some(Listed { server, presence })
             });
             let list = ListSnapshot {
-                revision,
+                revision: list.revision,
                 servers: servers.collect(),
             };
             pool.update(|state, now| state.router.instance_list(&list, now));
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -143,6 +143,10 @@
     Config(Arc<Snapshot>),
     /// A newer instance list.
     Instances(InstanceList),
+    /// The instance list was read again, and is the one published last.
+    Unchanged,
+    /// A read of the instance list ended without a list that can be applied.
+    Unavailable,
     /// Something that an operator may want to know.
     Report(Report),
 }
--- a/crates/platform/src/poller.rs
+++ b/crates/platform/src/poller.rs
@@ -50,7 +50,8 @@
     }
 }
 
-/// Polls the instance list, one call at a time.
+/// Polls the instance list, one call at a time. The end of each is published: whoever acts on the
+/// list tells by it how old the list is.
 ///
 /// A list that is older than an earlier one, or empty, is reported and not
 /// applied: an empty list would take every backend server out of use at once, and at least this
@@ -134,6 +135,7 @@
     }
 
     fn tell_doubt(&mut self, doubt: Report, actions: &mut Vec<Action>) {
+        actions.push(Action::Publish(Update::Unavailable));
         if self.doubt.as_ref() != Some(&doubt) {
             actions.push(report(doubt.clone()));
             self.doubt = Some(doubt);
@@ -144,6 +146,7 @@
         self.confirmed = Some(now);
         self.doubt = None;
         if self.revision == Some(list.revision) {
+            actions.push(Action::Publish(Update::Unchanged));
             return;
         }
         self.revision = Some(list.revision);
@@ -156,6 +159,7 @@
     }
 
     fn fail(&mut self, failure: Failure, now: Millis, actions: &mut Vec<Action>) {
+        actions.push(Action::Publish(Update::Unavailable));
         actions.extend(self.health.fail(failure, now).map(report));
     }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,8 +5,10 @@
 mod caller_faults;
 mod commands;
 mod fleet;
+mod instance_list;
 mod once;
 mod path;
+
 mod platform_faults;
 mod process_faults;
 mod server_faults;
