Prove the safeguards of the peers one by one

Each safeguard was taken out to see a test fail. Nine had no test that noticed, since others cover for them in a fleet: the notice of an own pause, the last probe before a death, burying a predecessor, taking a late death as a suspicion, comparing views, answering who holds a dead member alive, both proofs, the handshake's deadline, the limit on a message and the parts that an abandoned fetch leaves. Each now has a test of its own, seen red without it. A newcomer that put the platform's older revision in force before its peers' newer one was not noticed either; the fleet records every revision now. A pull that is overdue twice in a row waits longer only then.

--- a/crates/peers/examples/wire.rs
+++ b/crates/peers/examples/wire.rs
@@ -3,6 +3,7 @@
 //! `cargo run --release -p crocushold-peers --example wire`
 
 use std::error::Error;
+use std::fs;
 use std::io::Read;
 use std::io::Write;
 use std::net::Shutdown;
@@ -52,7 +53,13 @@
     thread::sleep(Duration::from_secs(12));
     println!("joining and handshakes: {} bytes", read(&counter.bytes));
     let before = (read(&counter.bytes), read(&counter.segments));
+    let spent = processor_time();
     thread::sleep(SPAN);
+    let spent = processor_time() - spent;
+    println!(
+        "processor time: {:.3}% of a core a node, forwarders included",
+        spent / 2.0 / SPAN.as_secs_f64() * 100.0
+    );
     let bytes = read(&counter.bytes) - before.0;
     let segments = read(&counter.segments) - before.1;
     // Each node probes once a second; a pure acknowledgement is assumed for each second segment.
@@ -72,6 +79,16 @@
     Ok(())
 }
 
+/// Processor time of all threads, in seconds.
+fn processor_time() -> f64 {
+    let tasks = fs::read_dir("/proc/self/task").into_iter().flatten();
+    let spent = tasks.flatten().filter_map(|task| {
+        let text = fs::read_to_string(task.path().join("schedstat")).ok()?;
+        text.split(' ').next()?.parse::<f64>().ok()
+    });
+    spent.sum::<f64>() / 1e9
+}
+
 fn read(value: &AtomicU64) -> u64 {
     value.load(Ordering::Relaxed)
 }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,4 +1,22 @@
-//! How instances find each other and spread the configuration between them.
+//! How instances find each other, call each other and spread the configuration between them, with
+//! nothing stored, no leader and no consensus.
+//!
+//! The decisions are pure state machines that take an event and the time and return actions:
+//!
+//! * [`Member`] tells which instances live: SWIM with Lifeguard's local health over a fixed graph of
+//!   rings, started from the platform's list, which lags. Its result is a [`View`].
+//! * [`Spread`] brings the configuration to all instances and never lets one go back: a few
+//!   instances watch the platform, the others hear of changes and pull the differences.
+//! * [`Node`] joins the two and exchanges [`Message`]s.
+//!
+//! [`PeerNode::start`] runs a [`Node`] on a thread of its own, with capnp-rpc over TCP, mutual
+//! proofs of a [`SharedKey`], deadlines and circuit breakers. The rest of the process holds a
+//! [`PeerHandle`]: the view, the configuration in force, notices of changes, and
+//! [`PeerHandle::call`] for the coordination calls that a [`Handler`] answers. The embedder reads
+//! the platform when a [`PlatformRequest`] asks for it, and gives the outcome in.
+//!
+//! The example `embed` shows all of it in one process. What is promised, and what isn't, stands in
+//! `docs/design/membership.md` and `docs/design/configuration-spread.md`.
 
 mod auth;
 mod coordination;
--- a/crates/peers/src/spread/mod.rs
+++ b/crates/peers/src/spread/mod.rs
@@ -12,6 +12,8 @@
 mod settings;
 mod start;
 mod store;
+#[cfg(test)]
+mod tests;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -276,7 +278,7 @@
 
     /// Gives the fetch up when an answer is overdue, and remembers that the source doesn't answer.
     fn time_out(&mut self, now: Millis) {
-        let doubled = Millis(self.settings.answer_wait.0 << self.late.min(8));
+        let doubled = Millis(self.settings.answer_wait.0 << (self.late / 2).min(8));
         let wait = doubled.min(self.settings.answer_ceiling);
         let overdue = |fetch: &Fetch| fetch.asked.is_some_and(|t| now.since(t) >= wait);
         if !self.fetch.as_ref().is_some_and(overdue) {
--- a/crates/peers/tests/fleet/mod.rs
+++ b/crates/peers/tests/fleet/mod.rs
@@ -168,6 +168,8 @@
     pub(crate) alive: bool,
     pub(crate) paused_until: Millis,
     pub(crate) in_force: Option<Snapshot>,
+    /// Revisions that were in force, in order.
+    pub(crate) revisions: Vec<u64>,
     pub(crate) findings: Vec<(Millis, Finding)>,
     pub(crate) traffic: Traffic,
     /// When the view last changed, and the configuration.
@@ -245,6 +247,7 @@
             alive: true,
             paused_until: Millis::ZERO,
             in_force: None,
+            revisions: Vec::new(),
             findings: Vec::new(),
             traffic: Traffic::default(),
             view_at: self.now,
@@ -453,6 +456,7 @@
                 }
                 Action::ViewChanged(_) => self.slots[at].view_at = now,
                 Action::InForce(snapshot) => {
+                    self.slots[at].revisions.push(snapshot.revision);
                     self.slots[at].in_force = Some(snapshot);
                     self.slots[at].config_at = now;
                 }
--- a/crates/peers/tests/membership.rs
+++ b/crates/peers/tests/membership.rs
@@ -2,11 +2,22 @@
 
 mod fleet;
 
+use std::net::SocketAddr;
+
 use crocushold_base::Millis;
+use crocushold_peers::Body;
 use crocushold_peers::Event;
 use crocushold_peers::Finding;
+use crocushold_peers::Gossip;
+use crocushold_peers::Incarnation;
 use crocushold_peers::Instance;
+use crocushold_peers::InstanceId;
+use crocushold_peers::Member;
+use crocushold_peers::MemberAction;
 use crocushold_peers::MemberFinding;
+use crocushold_peers::MemberSettings;
+use crocushold_peers::Status;
+use crocushold_peers::Update;
 use proptest::prelude::ProptestConfig;
 use proptest::prelude::any;
 use proptest::prop_assert;
@@ -89,6 +100,223 @@
     }
 }
 
+/// As above, but the network wakes later still: for three seconds after the jump of the clock no
+/// answer comes. Suspicions from before the pause must not run out in that time.
+#[test]
+fn old_suspicions_do_not_run_out_while_nobody_answered_after_a_pause() {
+    let mut member = lonely_member();
+    let mut now = Millis(1000);
+    let mut suspects = 0;
+    while suspects == 0 {
+        now += fleet::TICK;
+        member.tick(now);
+        suspects = suspected(&mut member);
+    }
+    now += Millis::from_secs(60);
+    let end = now + Millis(2900);
+    while now < end {
+        let actions = member.tick(now);
+        let died = |a: &MemberAction| matches!(a, MemberAction::Report(MemberFinding::Died(_)));
+        assert!(!actions.iter().any(died));
+        now += fleet::TICK;
+    }
+    assert_eq!(member.live(), 2);
+}
+
+/// A probe was on its way when the process fell asleep, so its answer is long gone. The member that
+/// was probed must not be suspected for that, and until a peer has answered the view counts as old:
+/// whoever acts on it would act on knowledge from before the pause.
+#[test]
+fn a_probe_from_before_a_pause_accuses_nobody() {
+    let mut member = lonely_member();
+    let mut now = Millis(1000);
+    let is_probe = |a: &MemberAction| matches!(a, MemberAction::Send(_, Body::Probe(_)));
+    while !member.tick(now).iter().any(is_probe) {
+        now += fleet::TICK;
+    }
+    assert!(member.is_settled());
+    now += Millis::from_secs(60);
+    member.tick(now);
+    assert!(!member.is_settled());
+    assert_eq!(suspected(&mut member), 0);
+    let gossip = Gossip {
+        incarnation: Incarnation::starting(5),
+        ..Gossip::default()
+    };
+    let peer = InstanceId::new("entry-2");
+    member.receive(&peer, &gossip, &Body::Members(Vec::new()), now);
+    assert!(member.is_settled());
+}
+
+#[test]
+fn a_newcomer_at_an_address_takes_its_predecessors_place_at_once() {
+    let mut member = lonely_member();
+    let mut newcomer = alive(instance(2));
+    newcomer.instance.id = InstanceId::new("entry-9");
+    newcomer.incarnation = Incarnation::starting(6);
+    let from = InstanceId::new("entry-9");
+    let body = Body::Members(vec![newcomer]);
+    member.receive(&from, &Gossip::default(), &body, Millis(1000));
+    let view = member.view();
+    assert_eq!(view.live(), 2);
+    assert!(view.get(&from).is_some());
+}
+
+/// The update that refutes a suspicion got lost, but a later message of the suspect states the
+/// higher incarnation. Without taking its word the suspicion would run on.
+#[test]
+fn a_messages_own_incarnation_refutes() {
+    let mut member = lonely_member();
+    let mut now = Millis(1000);
+    while suspected(&mut member) == 0 {
+        now += fleet::TICK;
+        member.tick(now);
+    }
+    let gossip = Gossip {
+        incarnation: Incarnation::starting(5).next(),
+        ..Gossip::default()
+    };
+    let suspect = InstanceId::new("entry-2");
+    member.receive(&suspect, &gossip, &Body::None, now);
+    let accusations = member.updates(&suspect);
+    assert!(accusations.iter().all(|u| u.status != Status::Suspect));
+}
+
+/// A suspicion heard of runs out here, as its refutation got lost on this way alone. This instance
+/// doesn't probe the suspect otherwise; before it declares the death it does, and gives it time.
+#[test]
+fn nobody_is_declared_dead_without_a_last_probe() {
+    let mut member = lonely_member();
+    let mut now = Millis(1000);
+    let from = InstanceId::new("entry-2");
+    let crowd: Vec<Update> = (2..20).map(|n| alive(instance(n))).collect();
+    member.receive(&from, &Gossip::default(), &Body::Members(crowd), now);
+    let targets = member.targets().to_vec();
+    let stranger = (2..20).map(instance).find(|i| !targets.contains(&i.id));
+    let suspect = stranger.expect("more members than targets");
+    let accusation = Update {
+        status: Status::Suspect,
+        ..alive(suspect.clone())
+    };
+    let body = Body::Members(vec![accusation]);
+    member.receive(&from, &Gossip::default(), &body, now);
+    let died = MemberAction::Report(MemberFinding::Died(suspect.id.clone()));
+    let probe = MemberAction::Send(suspect.clone(), Body::Probe(suspect.id.clone()));
+    let mut probed = None;
+    loop {
+        now += fleet::TICK;
+        let actions = member.tick(now);
+        if actions.contains(&probe) {
+            probed = Some(now);
+        }
+        if actions.contains(&died) {
+            break;
+        }
+    }
+    let wait = probed.map(|t| now.since(t));
+    assert!(
+        wait.is_some_and(|w| w >= Millis(1000)),
+        "{wait:?} after the last probe"
+    );
+}
+
+/// Late gossip from the far side of a split says that a member which answers here is dead.
+#[test]
+fn a_death_heard_of_a_living_member_is_a_suspicion_first() {
+    let mut member = lonely_member();
+    let dead = Update {
+        status: Status::Dead,
+        ..alive(instance(2))
+    };
+    let from = InstanceId::new("entry-3");
+    member.receive(
+        &from,
+        &Gossip::default(),
+        &Body::Members(vec![dead]),
+        Millis(1000),
+    );
+    assert_eq!(member.live(), 2);
+    assert_eq!(suspected(&mut member), 1);
+}
+
+/// After a split each side holds the other's members dead. Told that one of them lives, a member
+/// answers that it holds it dead, so that it can be refuted over there.
+#[test]
+fn who_holds_a_living_member_dead_says_so() {
+    let mut member = lonely_member();
+    let mut now = Millis(1000);
+    while member.live() == 2 {
+        now += fleet::TICK;
+        member.tick(now);
+    }
+    let dead = member.updates(&InstanceId::new("entry-2")).remove(0);
+    let alive = Update {
+        status: Status::Alive,
+        ..dead
+    };
+    let from = InstanceId::new("entry-2");
+    let body = Body::Members(vec![alive]);
+    let actions = member.receive(&from, &Gossip::default(), &body, now);
+    let says_so = |a: &MemberAction| matches!(a, MemberAction::Send(_, Body::Members(_)));
+    assert!(actions.iter().any(says_so));
+}
+
+/// Some update never arrived here, and the queues of the others no longer hold it.
+#[test]
+fn views_that_differ_for_long_are_compared() {
+    let mut member = lonely_member();
+    let from = InstanceId::new("entry-2");
+    let mut now = Millis(1000);
+    let gossip = Gossip {
+        incarnation: Incarnation::starting(5),
+        view_digest: 99,
+        ..Gossip::default()
+    };
+    let is_sync = |a: &MemberAction| matches!(a, MemberAction::Send(_, Body::Sync(_)));
+    let mut compared = 0;
+    for _ in 0..110 {
+        now += fleet::TICK;
+        let actions = member.receive(&from, &gossip, &Body::None, now);
+        compared += actions.iter().filter(|a| is_sync(a)).count();
+    }
+    assert_eq!(compared, 2, "once in five seconds");
+}
+
+fn instance(number: u16) -> Instance {
+    let address = SocketAddr::from(([10, 0, 0, 1], number));
+    Instance::new(&format!("entry-{number}"), address, "zone-0")
+}
+
+fn alive(instance: Instance) -> Update {
+    Update {
+        instance,
+        incarnation: Incarnation::starting(5),
+        status: Status::Alive,
+        origin: 0,
+    }
+}
+
+/// A member that has heard of one other, which never answers.
+fn lonely_member() -> Member {
+    let life = Incarnation::starting(5);
+    let settings = MemberSettings::default();
+    let mut member = Member::new(settings, instance(1), life, 1, Millis(1000));
+    let gossip = Gossip {
+        incarnation: life,
+        ..Gossip::default()
+    };
+    let body = Body::Members(vec![alive(instance(2))]);
+    member.receive(&InstanceId::new("entry-2"), &gossip, &body, Millis(1000));
+    member
+}
+
+/// Number of suspicions in the updates that would go to another instance.
+fn suspected(member: &mut Member) -> usize {
+    let updates = member.updates(&InstanceId::new("entry-3"));
+    let suspects = updates.iter().filter(|u| u.status == Status::Suspect);
+    suspects.count()
+}
+
 /// A pause shorter than the suspicion: others suspect the sleeper, it wakes, refutes, and nobody
 /// ever takes it for dead.
 #[test]
--- a/crates/peers/tests/sockets.rs
+++ b/crates/peers/tests/sockets.rs
@@ -1,5 +1,6 @@
 //! Real nodes on loopback: freezing, strangers, oversize messages, versions, calls.
 
+use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -244,32 +245,48 @@
     });
 }
 
-/// A stranger connects and says nothing, or announces a message of a gigabyte. The connection is
-/// closed without a byte of answer and without memory for the announced message.
-#[test]
-fn silent_and_oversize_connections_are_closed() {
+/// Reads until the connection is closed, and checks that nothing worth knowing came.
+fn assert_closed(stream: &mut TcpStream) {
+    let timeout = stream.set_read_timeout(Some(PATIENCE));
+    timeout.expect("not zero");
+    let mut answer = Vec::new();
+    // A reset is a close, too; silence isn't.
+    if let Err(err) = stream.read_to_end(&mut answer) {
+        assert_eq!(err.kind(), ErrorKind::ConnectionReset);
+    }
+    let refusal = String::from_utf8_lossy(&answer);
+    assert!(!refusal.contains("entry-1"), "{refusal}");
+}
+
+fn with_handshake(span: Millis) -> Settings {
     let limits = Limits {
-        handshake: Millis(300),
+        handshake: span,
         ..Limits::default()
     };
-    let (one, _) = start(Settings {
+    Settings {
         limits,
         ..settings(1, b"key")
-    });
-    let address = one.me().address;
-    let mut silent = TcpStream::connect(address).unwrap();
-    let mut oversize = TcpStream::connect(address).unwrap();
-    let words: u32 = 1 << 27;
-    oversize.write_all(&0_u32.to_le_bytes()).unwrap();
-    oversize.write_all(&words.to_le_bytes()).unwrap();
-    for stream in [&mut silent, &mut oversize] {
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        let mut answer = Vec::new();
-        // A reset is a close, too.
-        let _ = stream.read_to_end(&mut answer);
-        let refusal = String::from_utf8_lossy(&answer);
-        assert!(!refusal.contains("entry-1"), "{refusal}");
     }
+}
+
+/// A stranger connects and says nothing, to use up the connections of the instance.
+#[test]
+fn silent_connections_are_closed() {
+    let (one, _) = start(with_handshake(Millis(300)));
+    let mut stranger = TcpStream::connect(one.me().address).unwrap();
+    assert_closed(&mut stranger);
+}
+
+/// A stranger announces a message of a gigabyte, to use up the memory of the instance. The
+/// connection is closed at once, not only when the time for the proofs is over.
+#[test]
+fn oversize_messages_close_the_connection() {
+    let (one, _) = start(with_handshake(Millis::from_secs(600)));
+    let mut stranger = TcpStream::connect(one.me().address).unwrap();
+    let words: u32 = 1 << 27;
+    stranger.write_all(&0_u32.to_le_bytes()).unwrap();
+    stranger.write_all(&words.to_le_bytes()).unwrap();
+    assert_closed(&mut stranger);
     task::block_on(async {
         let (two, _) = start(settings(2, b"key"));
         meet(&[&one, &two]).await;
--- a/crates/peers/tests/spread.rs
+++ b/crates/peers/tests/spread.rs
@@ -92,6 +92,39 @@
     }
 }
 
+/// Twelve parts of 20 kB each, and a third of all messages lost: a fetch that began from nothing
+/// with each lost answer would hardly ever end.
+#[test]
+fn a_fetch_takes_up_where_the_last_one_ended() {
+    let mut fleet = Fleet::settled(12, 8, 2);
+    fleet.faults = Faults {
+        loss: 200,
+        ..Faults::default()
+    };
+    let mut revision = 0;
+    for part in 0..12 {
+        let text = part.to_string().repeat(20_000);
+        revision = fleet.platform.publish(&format!("team-{part}"), &text);
+    }
+    let took = fleet.run_until(Millis::from_secs(40), |fleet| fleet.in_force(revision));
+    assert!(took.is_some());
+}
+
+/// One team's part is larger than any instance takes; the other team's change must come into force.
+#[test]
+fn an_oversize_part_holds_nobody_else_back() {
+    let mut fleet = Fleet::settled(13, 4, 2);
+    fleet.platform.publish("clara", &"x".repeat(2 << 20));
+    let revision = fleet.platform.publish("two", "b");
+    fleet.run(IN_FORCE);
+    assert!(fleet.in_force(revision));
+    let snapshot = fleet.slots[0].in_force.as_ref().unwrap();
+    assert_eq!(&*snapshot.part("clara").unwrap().text, "[service chat]");
+    assert_eq!(&*snapshot.part("two").unwrap().text, "b");
+    let told = |f: &SpreadFinding| matches!(f, SpreadFinding::TooLarge(_));
+    assert!((0..4).any(|at| reports(&fleet, at, told)));
+}
+
 /// The platform falls back to revision 1 while the fleet follows revision 4, and new instances
 /// start. A newcomer that believed the platform would run requests by an undone configuration.
 #[test]
@@ -108,6 +141,9 @@
     fleet.list();
     assert!(run_without_going_back(&mut fleet, Millis::from_secs(60)));
     assert!(fleet.in_force(4));
+    for at in [0, 3, 5] {
+        assert_eq!(fleet.slots[at].revisions, [4], "an older one was in force");
+    }
     let told = |f: &SpreadFinding| matches!(f, SpreadFinding::PlatformBehind { .. });
     assert!((0..8).any(|at| reports(&fleet, at, told)));
 }
--- /dev/null
+++ b/crates/peers/tests/stranger.rs
@@ -0,0 +1,168 @@
+//! A stranger who speaks the protocol but doesn't hold the key, as caller and as callee.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::net::TcpListener;
+use async_std::net::TcpStream;
+use async_std::task;
+use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use crocushold_base::Millis;
+use crocushold_peers::CallError;
+use crocushold_peers::Instance;
+use crocushold_peers::KeyHash;
+use crocushold_peers::Listed;
+use crocushold_peers::Outcome;
+use crocushold_peers::PeerHandle;
+use crocushold_peers::PeerNode;
+use crocushold_peers::Refuse;
+use crocushold_peers::Request;
+use crocushold_peers::Settings;
+use crocushold_peers::SharedKey;
+use futures::AsyncReadExt;
+
+#[allow(clippy::all, clippy::pedantic, clippy::unwrap_used, dead_code, missing_docs)]
+#[allow(unreachable_pub)]
+#[rustfmt::skip]
+#[path = "../src/generated/peer_capnp.rs"]
+mod peer_capnp;
+
+use peer_capnp::gate;
+use peer_capnp::session;
+
+/// How long a test waits for what must happen.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn start() -> PeerHandle {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let me = Instance::new("entry-1", address, "stgo-a");
+    let settings = Settings::new(me, SharedKey::new(b"key"), 1, 1);
+    let started = PeerNode::start(settings, Arc::new(Refuse));
+    started.expect("loopback can be listened on").handle
+}
+
+fn network(stream: TcpStream, side: Side) -> Box<VatNetwork<futures::io::ReadHalf<TcpStream>>> {
+    let (input, output) = stream.split();
+    Box::new(VatNetwork::new(input, output, side, ReaderOptions::new()))
+}
+
+async fn knock(address: SocketAddr) -> gate::Client {
+    let stream = TcpStream::connect(address).await.expect("it listens");
+    let mut system = RpcSystem::new(network(stream, Side::Client), None);
+    let gate = system.bootstrap(Side::Server);
+    task::spawn_local(system);
+    gate
+}
+
+/// The stranger says hello, sends proofs that it can't know, and asks without saying hello at all.
+/// It is given no session, and neither the name nor a proof of the instance.
+#[test]
+fn a_caller_without_the_key_gets_no_session() {
+    task::block_on(async {
+        let node = start();
+        for says_hello in [true, false] {
+            for proof in [[0_u8; 32].as_slice(), &[]] {
+                let gate = knock(node.me().address).await;
+                if says_hello {
+                    let mut hello = gate.hello_request();
+                    hello.get().set_min_version(1);
+                    hello.get().set_max_version(2);
+                    hello.get().set_id("entry-2");
+                    hello.get().set_challenge(&[7; 32]);
+                    let answer = hello.send().promise.await;
+                    assert!(answer.is_ok());
+                }
+                let mut request = gate.authenticate_request();
+                request.get().set_proof(proof);
+                let answer = timeout(PATIENCE, request.send().promise).await;
+                assert!(matches!(answer, Ok(Err(_))), "the stranger was answered");
+            }
+        }
+    });
+}
+
+/// Admits everyone, proves nothing, and counts the calls that it is given.
+struct Trap {
+    calls: Rc<Cell<usize>>,
+}
+
+impl gate::Server for Trap {
+    async fn hello(
+        self: Rc<Self>,
+        _params: gate::HelloParams,
+        mut results: gate::HelloResults,
+    ) -> capnp::Result<()> {
+        results.get().set_version(2);
+        results.get().set_challenge(&[9; 32]);
+        Ok(())
+    }
+
+    async fn authenticate(
+        self: Rc<Self>,
+        params: gate::AuthenticateParams,
+        mut results: gate::AuthenticateResults,
+    ) -> capnp::Result<()> {
+        // The caller's own proof, sent back.
+        results.get().set_proof(params.get()?.get_proof()?);
+        results.get().set_id("entry-2");
+        let calls = self.calls.clone();
+        results
+            .get()
+            .set_session(capnp_rpc::new_client(Trap { calls }));
+        Ok(())
+    }
+}
+
+impl session::Server for Trap {
+    async fn settle(
+        self: Rc<Self>,
+        _params: session::SettleParams,
+        _results: session::SettleResults,
+    ) -> capnp::Result<()> {
+        self.calls.set(self.calls.get() + 1);
+        Ok(())
+    }
+}
+
+/// The stranger took over a listed address, admits everyone and returns the caller's own proof. The
+/// caller must not send it anything.
+#[test]
+fn a_callee_without_the_key_gets_no_call() {
+    task::block_on(async {
+        let node = start();
+        let trap = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+        let address = trap.local_addr().expect("bound");
+        let listed = Listed {
+            instance: Instance::new("entry-2", address, "stgo-a"),
+            leaving: false,
+        };
+        let calls = Rc::new(Cell::new(0));
+        let counted = calls.clone();
+        task::spawn_local(async move {
+            while let Ok((stream, _)) = trap.accept().await {
+                let calls = counted.clone();
+                let gate: gate::Client = capnp_rpc::new_client(Trap { calls });
+                let network = network(stream, Side::Server);
+                task::spawn_local(RpcSystem::new(network, Some(gate.client)));
+            }
+        });
+        node.instance_list(vec![listed.clone()]);
+        let settle = Request::Settle {
+            key: KeyHash(1),
+            outcome: Outcome::Ran,
+        };
+        let deadline = Millis::from_secs(5);
+        let outcome = node.call(&listed.instance.id, settle, deadline).await;
+        let refused = matches!(outcome, Err(CallError::Connect(_) | CallError::CircuitOpen));
+        assert!(refused, "{outcome:?}");
+        assert_eq!(calls.get(), 0);
+        assert_eq!(node.view().live(), 1);
+    });
+}
