--- a/crates/peers/examples/scale.rs
+++ b/crates/peers/examples/scale.rs
@@ -17,7 +17,7 @@
 use fleet::Fleet;
 
 /// Bytes of an exchange besides its two encoded messages.
-const ENVELOPE: f64 = 573.0;
+const ENVELOPE: f64 = 356.0;
 
 /// Longest wait for the fleet to agree.
 const LIMIT: Millis = Millis::from_secs(180);
@@ -161,7 +161,11 @@
     act(fleet);
     let began = fleet.now;
     let revision = fleet.platform.revision();
-    let took = fleet.run_until(LIMIT, |f| f.agrees() && f.in_force(revision));
+    let followed = fleet.run_until(LIMIT, |f| f.in_force(revision));
+    let followed = followed.map_or(f64::INFINITY, Millis::as_secs_f64);
+    println!("{what}: the configuration is in force on all after {followed:.2} s");
+    fleet.run_until(LIMIT, Fleet::agrees);
+    let took = fleet.agrees().then(|| fleet.now.since(began));
     report(what, fleet, took);
     fleet.run(Millis::from_secs(60).since(fleet.now.since(began)));
     let (mean, most) = mean_and_most(&traffic(fleet));
@@ -175,14 +179,6 @@
 
 fn report(what: &str, fleet: &Fleet, took: Option<Millis>) {
     let (mean, most) = mean_and_most(&traffic(fleet));
-    let last_view = fleet.alive().map(|slot| slot.view_at).max();
-    let last_config = fleet.alive().map(|slot| slot.config_at).max();
-    println!(
-        "{what}: last view {:?}, last configuration {:?}, now {}",
-        last_view.map(|t| t.0),
-        last_config.map(|t| t.0),
-        fleet.now.0
-    );
     match took {
         Some(took) => println!(
             "{what}: {:.2} s, {:.0} B a node until then, most {:.0} B",
--- a/crates/peers/examples/wire.rs
+++ b/crates/peers/examples/wire.rs
@@ -17,10 +17,12 @@
 use std::time::Duration;
 
 use async_std::task;
+use crocushold_peers::Index;
 use crocushold_peers::Instance;
 use crocushold_peers::Listed;
 use crocushold_peers::PeerHandle;
 use crocushold_peers::PeerNode;
+use crocushold_peers::PlatformRead;
 use crocushold_peers::Refuse;
 use crocushold_peers::Settings;
 use crocushold_peers::SharedKey;
@@ -49,6 +51,12 @@
         .collect();
     for node in &nodes {
         node.instance_list(listed.clone());
+        // An empty configuration makes the node ready; until then it would go on asking its peers.
+        let empty = Index {
+            revision: 0,
+            parts: Vec::new(),
+        };
+        node.platform_read(PlatformRead::Index(Ok(empty)));
     }
     thread::sleep(Duration::from_secs(12));
     println!("joining and handshakes: {} bytes", read(&counter.bytes));
--- a/crates/peers/src/member/mod.rs
+++ b/crates/peers/src/member/mod.rs
@@ -260,7 +260,7 @@
             Body::Probe(_) => self.actions.push(MemberAction::Reply(self.ack())),
             Body::Ack(id) => self.on_ack(from, id, now),
             Body::Indirect(target) => self.on_indirect(from, target, now),
-            Body::Confirm { target, alive } => self.on_confirm(target, *alive),
+            Body::Confirm { target, alive } => self.on_confirm(target, *alive, now),
             Body::Sync(digests) => self.on_sync(digests),
             Body::Members(updates) => self.on_members(from, updates, now),
             _ => {}
--- a/crates/peers/src/member/probe.rs
+++ b/crates/peers/src/member/probe.rs
@@ -96,8 +96,12 @@
         }
         pending.indirect = true;
         let target = pending.target.clone();
+        self.send_to_helpers(&target);
+    }
+
+    fn send_to_helpers(&mut self, target: &InstanceId) {
         let helpers = self.sample(self.settings.helpers + 1);
-        let helpers = helpers.into_iter().filter(|h| h.id != target);
+        let helpers = helpers.into_iter().filter(|h| h.id != *target);
         for helper in helpers.take(self.settings.helpers) {
             self.send(&helper.id, Body::Indirect(target.clone()));
         }
@@ -185,7 +189,7 @@
         }
     }
 
-    /// Probes a suspect once more. Its refutation may have got lost on the way here alone; a death
+    /// Probes a suspect once more, directly and through helpers. Its refutation may have got lost on the way here alone; a death
     /// declared then would take a healthy member out of every view.
     fn make_last_call(&mut self, id: &InstanceId, now: Millis) {
         let record = self.table.get_mut(id);
@@ -193,6 +197,7 @@
             suspicion.last_call = Some(now);
         }
         self.send(id, Body::Probe(id.clone()));
+        self.send_to_helpers(id);
     }
 
     /// Starts running suspicions again, as refutations may have been lost in an own pause.
@@ -204,10 +209,14 @@
             .map(|record| record.instance.id.clone())
             .collect();
         for id in suspects {
-            let record = self.table.get_mut(&id);
-            if let Some(suspicion) = record.and_then(|record| record.suspicion.as_mut()) {
-                *suspicion = suspicion.restarted(now);
-            }
+            self.restart_suspicion(&id, now);
+        }
+    }
+
+    fn restart_suspicion(&mut self, id: &InstanceId, now: Millis) {
+        let record = self.table.get_mut(id);
+        if let Some(suspicion) = record.and_then(|record| record.suspicion.as_mut()) {
+            *suspicion = suspicion.restarted(now);
         }
     }
 
@@ -264,9 +273,10 @@
         }
     }
 
-    pub(super) fn on_confirm(&mut self, target: &InstanceId, alive: bool) {
+    pub(super) fn on_confirm(&mut self, target: &InstanceId, alive: bool, now: Millis) {
         if alive {
             self.settle_probe(target);
+            self.restart_suspicion(target, now);
             return;
         }
         if let Some(pending) = &mut self.prober.pending
