Tell an asked peer where the asker can be reached

It has no list; its peers call it, but a call carried the caller's name and start, never its address, unless an update about the caller happened to be queued. So the newcomer answered probes and could ask nobody. Ruled out: the circuit breaker (no call failed) and the retry of dead members (the calls arrived).

A request for a whole view now carries the caller's own record.

--- a/crates/peers/src/member/mod.rs
+++ b/crates/peers/src/member/mod.rs
@@ -327,6 +327,16 @@
         ring::place(0, &self.me.id) as u32
     }
 
+    /// What this instance says of itself to one that may not know it.
+    pub(crate) fn introduction(&self) -> Update {
+        let status = if self.left {
+            Status::Left
+        } else {
+            Status::Alive
+        };
+        self.self_update(status)
+    }
+
     fn self_update(&self, status: Status) -> Update {
         Update {
             instance: self.me.clone(),
--- a/crates/peers/src/node.rs
+++ b/crates/peers/src/node.rs
@@ -250,7 +250,12 @@
     }
 
     fn send(&mut self, to: Instance, body: Body) -> Action {
-        let updates = self.member.updates(&to.id);
+        let mut updates = self.member.updates(&to.id);
+        // One that asks for a whole view may be unknown to the asked: an instance that started while
+        // the platform is down has no list. Without the address it could only ever answer.
+        if matches!(body, Body::Sync(_)) {
+            updates.push(self.member.introduction());
+        }
         let gossip = self.gossip(updates);
         Action::Send(to, Message { gossip, body })
     }
