Give a server's slot back when a turn is never taken

A caller that hung up between the moment its request was dispatched and the moment its task ran took the request out of the scheduler, but the server that had been picked kept a slot in flight for it for ever. Each such moment shrank the service until the instance was replaced. The turn lay in the channel, and dropping the channel dropped it unseen; the check at the send covers only a receiver that is gone by then. Ruled out: the guards of the attempt and of the answer, which exist only once the turn is taken.

Found by reading; the window is too short to meet from outside, so the test drives the pool itself.

The caller gone in a stream now leaves an engine that pauses between tokens: at full speed a failing write ended the work even with the watch for hang-ups removed, so the test couldn't fail.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -27,6 +27,7 @@
 use crocushold_routing::Ran;
 use crocushold_routing::RequestFacts;
 use crocushold_routing::Stage;
+use futures::channel::oneshot;
 use futures::future::Either;
 use futures::future::select;
 use http_types::Response;
@@ -37,6 +38,7 @@
 use crate::pool::Pool;
 use crate::pool::Start;
 use crate::pool::Turn;
+use crate::pool::Waiting;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::settle::Settle;
@@ -100,25 +102,23 @@
             .map_err(Failure::Refused)?;
         let _queued = self.metrics.queued();
         // The guard also runs when this future is dropped, which is how a cut connection ends it.
-        let guard = QueueGuard {
+        let mut guard = QueueGuard {
             pool: &self.pool,
-            key: Some(waiting.key),
+            waiting: Some(waiting),
         };
         let gone = std::pin::pin!(hangup.wait());
-        match select(waiting.turn, gone).await {
-            Either::Left((Ok(Turn::Start(start)), _)) => {
-                guard.disarm();
-                Ok(start)
-            }
-            Either::Left((Ok(Turn::Refused(refusal)), _)) => {
-                guard.disarm();
-                Err(Failure::Refused(refusal))
-            }
-            Either::Left((Err(_), _)) => {
-                let refusal = Refusal::not_run(Reason::NotServing, "the service was removed");
-                Err(Failure::Refused(refusal))
-            }
-            Either::Right(_) => Err(Failure::CallerGone),
+        let turn = match select(guard.turn(), gone).await {
+            Either::Left((turn, _)) => turn,
+            Either::Right(_) => return Err(Failure::CallerGone),
+        };
+        let Ok(turn) = turn else {
+            let refusal = Refusal::not_run(Reason::NotServing, "the service was removed");
+            return Err(Failure::Refused(refusal));
+        };
+        guard.disarm();
+        match turn {
+            Turn::Start(start) => Ok(start),
+            Turn::Refused(refusal) => Err(Failure::Refused(refusal)),
         }
     }
 
@@ -295,19 +295,24 @@
 /// Takes a request out of the queue when its caller leaves.
 struct QueueGuard<'a> {
     pool: &'a Pool,
-    key: Option<crocushold_base::RequestKey>,
+    waiting: Option<Waiting>,
 }
 
 impl QueueGuard<'_> {
+    fn turn(&mut self) -> &mut oneshot::Receiver<Turn> {
+        let waiting = self.waiting.as_mut();
+        &mut waiting.expect("the guard is disarmed after the turn").turn
+    }
+
     fn disarm(mut self) {
-        self.key = None;
+        self.waiting = None;
     }
 }
 
 impl Drop for QueueGuard<'_> {
     fn drop(&mut self) {
-        if let Some(key) = self.key {
-            self.pool.cancel(key);
+        if let Some(waiting) = self.waiting.take() {
+            self.pool.withdraw(waiting);
         }
     }
 }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -40,6 +40,9 @@
 
 use crate::refusal::Refusal;
 
+#[cfg(test)]
+mod tests;
+
 /// The longest sleep of a pool's timer task; the router wants to be called about once a second.
 const TICK: Millis = Millis(500);
 
@@ -180,6 +183,21 @@
         Ok(waiting)
     }
 
+    /// Takes back a request whose caller left before it took its turn.
+    ///
+    /// The turn can have been sent already: the caller hangs up between the dispatch and the moment
+    /// at which its task runs. The server that was picked holds a slot for it then, which nobody
+    /// else would give back. Turns are sent under the lock, so none comes after this look.
+    pub(crate) fn withdraw(&self, mut waiting: Waiting) {
+        self.update(|state, now| {
+            if let Ok(Some(Turn::Start(start))) = waiting.turn.try_recv() {
+                let attempt = start.pick.attempt;
+                state.router.done(attempt, Outcome::Cancelled, 0, now);
+            }
+            state.cancel(waiting.key, now);
+        });
+    }
+
     /// Chooses another server after a failed attempt, or gives the request up.
     pub(crate) fn retry(
         &self,
--- a/tests/all/caller_faults.rs
+++ b/tests/all/caller_faults.rs
@@ -107,11 +107,13 @@
     wait("the engine runs it", || site.runs("gone") == 1);
     if let Some(text) = until {
         assert!(caller.read_until(text));
+        site.all_engines(&EngineCommand::Slow { factor: 1000.0 });
     }
     let took = hang_up(&site, caller, "gone");
     assert!(took <= CANCEL_BOUND, "{took:?}");
     assert_eq!(site.held(), 0);
     entry.wait_idle();
+    site.all_engines(&EngineCommand::Clear);
     site.all_engines(&EngineCommand::Batch {
         settings: BatchSettings::default(),
     });
