Count the requests in flight of each class

The status page and the metrics showed 0 requests in flight for every class while engines worked on them: the gauge was there and nothing raised it. It is held now from the dispatch to the end of the answer. The tests of faults wait until it is back at 0 too; the caller gone in a stream reads 1 first, which the page shown before the change contradicted (0, with one request in flight at the server).

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -18,6 +18,7 @@
 use crocushold_http::SendLimits;
 use crocushold_http::relay_headers;
 use crocushold_metrics::ClassMetrics;
+use crocushold_metrics::Occupancy;
 use crocushold_metrics::RequestEnd;
 use crocushold_metrics::RequestRecord;
 use crocushold_metrics::WasteCause;
@@ -128,6 +129,7 @@
             pool: &self.pool,
             ticket: Some(start.ticket.sent()),
         };
+        let running = self.metrics.running();
         let mut attempts = Attempts::new(&self.job);
         let mut pick = start.pick;
         let mut address = start.address;
@@ -138,7 +140,7 @@
                 Attempted::Gone => return Err(Failure::CallerGone),
                 Attempted::Answered(answer) if !self.should_retry(&answer) => {
                     let ticket = slot.take();
-                    return Ok(self.relay(*answer, ticket, &pick));
+                    return Ok(self.relay(*answer, ticket, &pick, running));
                 }
                 Attempted::Answered(answer) => {
                     (Stage::Answered, outcome_of_status(answer.status), false)
@@ -233,7 +235,13 @@
         );
     }
 
-    fn relay(&self, answer: Answer, ticket: Ticket<Sent>, pick: &Pick) -> Response {
+    fn relay(
+        &self,
+        answer: Answer,
+        ticket: Ticket<Sent>,
+        pick: &Pick,
+        running: Occupancy,
+    ) -> Response {
         let mut response = Response::new(answer.status);
         relay_headers(&answer.headers, response.as_mut());
         let settle = Settle::new(Watched {
@@ -245,6 +253,7 @@
             arrived: self.arrived,
             stream: self.job.stream,
             failed: answer.status.is_server_error(),
+            _running: running,
         });
         let content_type = response.content_type();
         response.set_body(answer.body.into_body(settle));
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -11,6 +11,7 @@
 use crocushold_http::EventCounter;
 use crocushold_http::Observer;
 use crocushold_metrics::ClassMetrics;
+use crocushold_metrics::Occupancy;
 use crocushold_metrics::RequestEnd;
 use crocushold_metrics::RequestRecord;
 use crocushold_metrics::WasteCause;
@@ -39,6 +40,8 @@
     pub(crate) stream: bool,
     /// Whether the answer's status is the server's own failure.
     pub(crate) failed: bool,
+    /// Counts the request as in flight; held for its drop alone.
+    pub(crate) _running: Occupancy,
 }
 
 /// Settles one request exactly once: at the end of its answer, whatever the end.
--- a/tests/all/caller_faults.rs
+++ b/tests/all/caller_faults.rs
@@ -105,6 +105,7 @@
     }
     let mut caller = Raw::send(entry.listen, &Call::chat(true, 5000).marked("gone"));
     wait("the engine runs it", || site.runs("gone") == 1);
+    assert_eq!(entry.running("chat"), 1);
     if let Some(text) = until {
         assert!(caller.read_until(text));
         site.all_engines(&EngineCommand::Slow { factor: 1000.0 });
--- a/tests/all/support/entry.rs
+++ b/tests/all/support/entry.rs
@@ -99,6 +99,14 @@
         classes.find(|c| c.class == name).unwrap().queued
     }
 
+    /// Requests in flight of a class.
+    pub fn running(&self, class: &str) -> u64 {
+        let status = self.status();
+        let mut classes = status.classes.iter();
+        let name = format!("team/{class}");
+        classes.find(|c| c.class == name).unwrap().running
+    }
+
     /// Requests in flight at the backend servers.
     pub fn in_flight(&self) -> u64 {
         self.status().servers.iter().map(|s| s.running).sum()
@@ -108,9 +116,9 @@
     pub fn wait_idle(&self) {
         wait("every slot was given back", || {
             let status = self.status();
-            let queued: u64 = status.classes.iter().map(|c| c.queued).sum();
+            let held: u64 = status.classes.iter().map(|c| c.queued + c.running).sum();
             let running: u64 = status.servers.iter().map(|s| s.running).sum();
-            queued == 0 && running == 0
+            held == 0 && running == 0
         });
     }
 
