Make the fault matrix from its tests

Each test of a fault declares its cells in one table: fault, step and the promises that it checks. The page is generated from the table, and a test fails when the page differs, when a cell names a test that the binary lacks, or when a test of a fault has no cell. The gaps are listed from the empty cells, so the page can't claim what isn't tested.

New with it: bursts, floods, a straggler, and hints that are late or wrong. Answers that end or stop early have a file of their own; it comes first, since its stall lasts the 30 s of the bound on silence.

--- /dev/null
+++ b/tests/all/answer_faults.rs
@@ -0,0 +1,97 @@
+//! Answers that end or stop before their end: the caller must be able to tell.
+
+use crocushold_standins::Cut;
+use crocushold_standins::CutForm;
+use crocushold_standins::EngineCommand;
+use test_case::test_case;
+
+use crate::support::Call;
+use crate::support::Raw;
+use crate::support::Site;
+use crate::support::SiteSettings;
+use crate::support::call;
+use crate::support::wait;
+
+fn one_engine() -> SiteSettings {
+    SiteSettings {
+        engines: 1,
+        ..SiteSettings::default()
+    }
+}
+
+// An engine dies in the middle of a stream, or just before the stream's last bytes. What the caller
+// has can't be taken back, so no other engine may continue it: the answer ends visibly cut.
+#[test_case(200, 2; "streaming")]
+#[test_case(4, 4; "before the last byte")]
+fn a_crash_in_a_stream_is_a_visible_cut(tokens: u32, after: u32) {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    site.all_engines(&EngineCommand::Stall { after: Some(after) });
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, tokens).marked("crash"));
+    let last = format!("crash {} ", after - 1);
+    assert!(caller.read_until(&last));
+    site.engine(site.runner("crash"), EngineCommand::Crash);
+    caller.read_to_end();
+    assert!(!caller.is_whole(), "{}", caller.text());
+    assert!(!caller.text().contains("[DONE]"));
+    assert_eq!(site.runs("crash"), 1, "a relayed stream was repeated");
+    site.assert_recovers(&entry);
+}
+
+// An answer ends early in each of the three ways that HTTP/1.1 knows. The caller must see an error
+// or a broken connection, never a shorter answer that looks whole.
+#[test_case(CutForm::Chunked, true, 3; "chunked stream")]
+#[test_case(CutForm::Length, true, 3; "stream with a length")]
+#[test_case(CutForm::Chunked, false, 3; "chunked whole answer")]
+#[test_case(CutForm::Length, false, 3; "whole answer with a length")]
+#[test_case(CutForm::Chunked, true, 8; "stream before its last byte")]
+#[test_case(CutForm::Length, true, 8; "stream with a length before its last byte")]
+fn an_answer_that_is_cut_never_looks_whole(form: CutForm, stream: bool, after: u32) {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    let cut = Some(Cut {
+        after,
+        form,
+        times: None,
+    });
+    site.all_engines(&EngineCommand::Cut { cut });
+    let answer = call(entry.listen, &Call::chat(stream, 8).marked("cut")).unwrap();
+    assert_eq!(answer.status, 200);
+    assert!(!answer.whole, "{}", answer.body);
+    assert_eq!(site.runs("cut"), 1, "a relayed answer was repeated");
+    site.assert_recovers(&entry);
+}
+
+// An answer without a length that isn't chunked ends where its connection closes, so a cut one can't
+// be told from a whole one. The caller gets an error that says that the request may have run.
+#[test_case(true; "stream")]
+#[test_case(false; "whole answer")]
+fn an_answer_without_an_end_is_an_error(stream: bool) {
+    let site = Site::start(&one_engine());
+    let entry = site.entry("entry-1");
+    let cut = Some(Cut {
+        after: 3,
+        form: CutForm::Close,
+        times: None,
+    });
+    site.engine(0, EngineCommand::Cut { cut });
+    let answer = call(entry.listen, &Call::chat(stream, 8)).unwrap();
+    assert_eq!(answer.status, 502, "{}", answer.body);
+    assert_eq!(answer.header("x-request-ran"), "unknown");
+    site.assert_recovers(&entry);
+}
+
+// An engine stops in the middle of a stream and keeps its connection open. The stream is cut after
+// the bound on silence, the engine's work is cancelled with it, and the caller sees the cut.
+#[test]
+fn a_stream_that_stalls_is_cut_and_cancelled() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    site.all_engines(&EngineCommand::Stall { after: Some(2) });
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 5000).marked("stall"));
+    caller.read_to_end();
+    assert!(caller.text().contains("stall 1 "));
+    assert!(!caller.is_whole());
+    wait("the engine's work is cancelled", || site.held() == 0);
+    site.assert_recovers(&entry);
+}
--- a/tests/all/caller_faults.rs
+++ b/tests/all/caller_faults.rs
@@ -192,6 +192,8 @@
     let request = Call::chat(true, 1500).bulky(20_000);
     let mut slow = Raw::send(entry.listen, &request);
     assert!(slow.read_until("data: "));
+    wait("the engine has said it all", || site.held() == 0);
+    assert_eq!(entry.in_flight(), 1, "the buffers took the whole answer");
     let others = Call::chat(true, 20).marked("other");
     for _ in 0..5 {
         let answer = call(entry.listen, &others).unwrap();
--- /dev/null
+++ b/tests/all/load_faults.rs
@@ -0,0 +1,207 @@
+//! Bursts, floods and stragglers, and hints about load and caches that are late or wrong.
+
+use std::thread;
+
+use crocushold_standins::BatchSettings;
+use crocushold_standins::EngineCommand;
+use crocushold_standins::EngineSettings;
+use test_case::test_case;
+
+use crate::support::Answer;
+use crate::support::Call;
+use crate::support::Entry;
+use crate::support::Raw;
+use crate::support::Site;
+use crate::support::SiteSettings;
+use crate::support::call;
+use crate::support::call_beside;
+use crate::support::wait;
+
+/// One engine with a few slots, on which a batch request lasts a fraction of a second.
+fn small() -> SiteSettings {
+    SiteSettings {
+        engines: 1,
+        concurrency: 4,
+        ..SiteSettings::default()
+    }
+}
+
+/// Sends requests that all go on at once.
+fn send_all(
+    entry: &Entry,
+    count: usize,
+    request: &Call,
+) -> Vec<thread::JoinHandle<Option<Answer>>> {
+    (0..count)
+        .map(|_| call_beside(entry.listen, request))
+        .collect()
+}
+
+fn served(answer: &Option<Answer>) -> bool {
+    answer
+        .as_ref()
+        .is_some_and(|answer| answer.status == 200 && answer.whole)
+}
+
+// A burst of the nightly batch fills every slot and the queue behind them. Live requests that come
+// then take the next slots: none is refused, and each starts before the batch that was there first.
+#[test]
+fn a_burst_of_batch_refuses_and_delays_no_live_request() {
+    let site = Site::start(&small());
+    let entry = site.entry("entry-1");
+    let batch = send_all(&entry, 40, &Call::batch(30));
+    wait("the batch fills the slots", || entry.queued("batch") > 20);
+    for number in 0..8 {
+        let answer = call(entry.listen, &Call::chat(true, 2));
+        assert!(served(&answer), "live request {number}: {answer:?}");
+    }
+    assert!(
+        entry.queued("batch") > 0,
+        "the live requests waited for the batch"
+    );
+    for answer in batch {
+        assert!(served(&answer.join().unwrap()), "the batch must finish");
+    }
+    entry.wait_idle();
+}
+
+// A flood of live requests goes on for as long as the batch needs. The batch has a floor, so it
+// finishes while the flood lasts, and no live request is refused for it.
+#[test]
+fn a_flood_of_live_requests_starves_no_batch() {
+    let site = Site::start(&small());
+    let entry = site.entry("entry-1");
+    let listen = entry.listen;
+    let live: Vec<_> = (0..6)
+        .map(|_| {
+            thread::spawn(move || {
+                let request = Call::chat(true, 10);
+                (0..40).all(|_| served(&call(listen, &request)))
+            })
+        })
+        .collect();
+    wait("the flood is there", || entry.running("chat") == 4);
+    let batch = send_all(&entry, 4, &Call::batch(5));
+    for answer in batch {
+        assert!(served(&answer.join().unwrap()));
+    }
+    let lasting = live.iter().filter(|flood| !flood.is_finished()).count();
+    assert!(lasting > 0, "the batch finished only after the flood");
+    for flood in live {
+        assert!(flood.join().unwrap(), "a live request was refused");
+    }
+    entry.wait_idle();
+}
+
+// More batch requests come than the queue takes, all slots being in use. Each caller has its final
+// answer: served, or refused at once with when to come back, having run not at all.
+#[test]
+fn a_burst_beyond_the_queue_is_refused_at_once() {
+    let site = Site::start(&small());
+    site.publish(|text| text.replace("queue = 5000", "queue = 10"));
+    let entry = site.entry("entry-1");
+    entry.wait_in_force(2);
+    let answers: Vec<_> = (0..40)
+        .map(|n| call_beside(entry.listen, &Call::batch(100).marked(&format!("b-{n}"))))
+        .collect();
+    let mut refused = 0;
+    for (number, answer) in answers.into_iter().enumerate() {
+        let answer = answer.join().unwrap().unwrap();
+        let runs = site.runs(&format!("b-{number}"));
+        if answer.status == 200 {
+            assert!(answer.whole && runs == 1);
+            continue;
+        }
+        refused += 1;
+        assert_eq!(answer.header("x-request-ran"), "no");
+        assert_ne!(answer.header("retry-after"), "");
+        assert_eq!(runs, 0, "told not run, and ran");
+    }
+    assert!(refused >= 40 - 4 - 10 - 4, "{refused}");
+    entry.wait_idle();
+}
+
+// One engine of three becomes many times slower than its peers. It is noticed by its answers alone,
+// and most of what follows goes elsewhere; no caller loses an answer.
+#[test]
+fn a_straggler_gets_little_new_work() {
+    let site = Site::start(&SiteSettings {
+        engines: 3,
+        ..SiteSettings::default()
+    });
+    let entry = site.entry("entry-1");
+    site.engine(0, EngineCommand::Slow { factor: 10.0 });
+    send_rounds(&entry, 6, 4);
+    let before = site.engines[0].stats().started;
+    send_rounds(&entry, 6, 6);
+    let share = site.engines[0].stats().started - before;
+    assert!(share <= 7, "the straggler got {share} of 36");
+    entry.wait_idle();
+}
+
+/// Sends requests from several callers, each of which sends the next after the answer.
+fn send_rounds(entry: &Entry, callers: usize, rounds: usize) {
+    let listen = entry.listen;
+    let all: Vec<_> = (0..callers)
+        .map(|_| {
+            thread::spawn(move || {
+                let request = Call::chat(true, 34);
+                (0..rounds).all(|_| served(&call(listen, &request)))
+            })
+        })
+        .collect();
+    assert!(all.into_iter().all(|caller| caller.join().unwrap()));
+}
+
+// Load reports lag by many seconds and say that a full engine is free, or cache events come late and
+// with gaps. Both are hints: the requests still spread by what is in flight, and all are answered.
+#[test_case(&EngineCommand::ReportLag { ms: 20_000 }; "lagging load reports")]
+#[test_case(&EngineCommand::Events { delay_ms: 3_000, gaps: 0.9 }; "gapped cache events")]
+fn wrong_hints_pile_nothing_up(fault: &EngineCommand) {
+    let site = Site::start(&SiteSettings {
+        engines: 2,
+        engine: EngineSettings {
+            models: vec!["m".to_owned()],
+            ..EngineSettings::default()
+        },
+        ..SiteSettings::default()
+    });
+    site.all_engines(fault);
+    let entry = site.entry("entry-1");
+    site.all_engines(&EngineCommand::Batch {
+        settings: BatchSettings {
+            base_ms: 100.0,
+            ..BatchSettings::default()
+        },
+    });
+    let long = "one shared prefix ".repeat(40);
+    let mut request = Call::chat(true, 20);
+    request.body = request.body.replace("hello", &long);
+    let calls = send_all(&entry, 12, &request);
+    wait("all are at the engines", || site.held() == 12);
+    for engine in &site.engines {
+        let held = engine.stats().running + engine.stats().waiting;
+        assert!(held <= 8, "{held} of 12 on one engine of 8 slots");
+    }
+    assert!(calls.into_iter().all(|c| served(&c.join().unwrap())));
+    entry.wait_idle();
+}
+
+// Callers leave in the middle of a burst, from the queue and from streams, and one engine hangs all
+// the while. Every slot must come back, and the requests that wait must move up.
+#[test]
+fn callers_that_leave_a_hanging_engine_free_its_slots() {
+    let site = Site::start(&small());
+    let entry = site.entry("entry-1");
+    site.engine(0, EngineCommand::Hang { on: true });
+    let callers: Vec<_> = (0..12)
+        .map(|_| Raw::send(entry.listen, &Call::batch(5)))
+        .collect();
+    wait("slots and queue are full", || {
+        entry.in_flight() == 4 && entry.queued("batch") == 8
+    });
+    drop(callers);
+    entry.wait_idle();
+    site.engine(0, EngineCommand::Hang { on: false });
+    assert!(served(&call(entry.listen, &Call::chat(true, 2))));
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,9 +2,13 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+mod answer_faults;
 mod caller_faults;
+mod cells;
 mod commands;
 mod fleet;
+mod load_faults;
+mod matrix;
 mod path;
 mod platform_faults;
 mod process_faults;
--- /dev/null
+++ b/tests/all/matrix.rs
@@ -0,0 +1,266 @@
+//! The fault matrix: which fault is tested at which step, as a page that the tests themselves make.
+
+use std::collections::BTreeSet;
+use std::env;
+use std::fmt::Write;
+use std::fs;
+use std::path::PathBuf;
+use std::process::Command;
+
+use crate::cells::CELLS;
+
+/// Set to rewrite the page instead of comparing it.
+const REWRITE: &str = "CROCUSHOLD_WRITE_MATRIX";
+
+/// The modules whose tests all have to stand in the table.
+const MODULES: [&str; 6] = [
+    "answer_faults::",
+    "caller_faults::",
+    "load_faults::",
+    "platform_faults::",
+    "process_faults::",
+    "server_faults::",
+];
+
+/// Defines an enum with the text that the page shows for each variant, in the page's order.
+macro_rules! named {
+    ($(#[$doc:meta])* $name:ident { $($variant:ident = $text:literal,)* }) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        #[allow(dead_code, reason = "a variant without a test is an empty row of the page")]
+        pub(crate) enum $name {
+            $($variant,)*
+        }
+
+        impl $name {
+            const ALL: &'static [$name] = &[$($name::$variant,)*];
+
+            fn text(self) -> &'static str {
+                match self {
+                    $($name::$variant => $text,)*
+                }
+            }
+        }
+    };
+}
+
+named! {
+    /// What goes wrong; pairs come last.
+    Fault {
+        Burst = "burst of one class",
+        Straggler = "straggler",
+        Refused = "connection refused",
+        Crash = "engine or server crashes",
+        Cut = "answer cut in the middle",
+        Hang = "hang before the head",
+        Stall = "stall in a stream",
+        Unavailable = "server answers 503",
+        LoadReports = "load reports lag",
+        CacheEvents = "cache events with gaps",
+        ConfigChange = "configuration changes",
+        ConfigRejected = "configuration rejected",
+        ConfigDown = "configuration down or frozen",
+        ConfigStale = "configuration stale",
+        ConfigBack = "configuration goes back",
+        ListEmpty = "instance list empty",
+        ListLagging = "instance list lags",
+        ListLeaving = "server leaves",
+        Frozen = "entry process frozen and woken",
+        Killed = "entry process killed",
+        Stop = "planned stop",
+        CallerGone = "caller gone",
+        CallerSlow = "caller too slow",
+        PeersSplit = "partition between entry instances",
+        ServersSplit = "partition between entry and servers, also one way",
+        StopCrash = "planned stop, engine crash",
+        StopHangGone = "planned stop, engine hang, caller gone",
+        FrozenChange = "entry frozen, configuration change",
+        FrozenDown = "entry frozen, configuration down",
+        KilledFrozenPlatform = "entry replaced, platform frozen",
+        GoneHang = "caller gone, engine hang",
+    }
+}
+
+named! {
+    /// Where a request, or the instance, is at that moment.
+    Step {
+        Body = "before reading the body",
+        Queued = "queued",
+        Connecting = "connecting",
+        Sending = "request partly sent",
+        FirstByte = "waiting for the first byte",
+        Streaming = "streaming",
+        LastByte = "last byte not yet relayed",
+        Idle = "keep-alive idle",
+        Applying = "applying a configuration",
+        Order = "sending an order",
+    }
+}
+
+named! {
+    /// What has to hold whatever goes wrong.
+    Promise {
+        Whole = "an answer is whole and the caller's own, or visibly cut",
+        NotRun = "told \"not run\", truly not run",
+        Once = "a non-idempotent request runs at most once",
+        Live = "no live request refused or delayed for a lower tier",
+        Starve = "no class starves",
+        Leaving = "a leaving server gets no new work and finishes",
+        Stop = "a planned stop cuts nothing in progress",
+        Config = "a change is in force within seconds and never reverts",
+        Cancel = "work that nobody waits for is cancelled at the engine",
+        Slots = "every slot is given back",
+    }
+}
+
+/// One entry of the matrix.
+pub(crate) struct Cell {
+    pub(crate) fault: Fault,
+    pub(crate) step: Step,
+    /// The promises that the test checks.
+    pub(crate) promises: &'static [Promise],
+    /// The path of the test, or of a test with cases, all of which count.
+    pub(crate) test: &'static str,
+}
+
+impl Cell {
+    /// Whether a test of the binary is this one, or a case of it.
+    fn is_filled_by(&self, test: &str) -> bool {
+        let rest = test.strip_prefix(self.test);
+        rest.is_some_and(|rest| rest.is_empty() || rest.starts_with("::"))
+    }
+}
+
+/// The tests of this binary.
+fn tests() -> BTreeSet<String> {
+    let list = Command::new(env::current_exe().unwrap())
+        .arg("--list")
+        .output();
+    let list = String::from_utf8(list.unwrap().stdout).unwrap();
+    let lines = list.lines().filter_map(|line| line.strip_suffix(": test"));
+    lines.map(str::to_owned).collect()
+}
+
+fn page() -> String {
+    let mut page = String::from(
+        "# The fault matrix\n\n\
+         Made from the table in `tests/all/cells.rs` by `CROCUSHOLD_WRITE_MATRIX=1 cargo test --test \
+         all matrix`; the same test fails when the page differs from the table, when the table names \
+         a test that doesn't exist, or lacks one that does. Real `crocushold` processes run between \
+         stand-ins in each of these tests. A number says how many entries of the table fill a cell; \
+         an empty cell has no test.\n\n## Faults by steps\n\n",
+    );
+    table(&mut page, Step::ALL, Step::text, |cell, step| {
+        cell.step == step
+    });
+    page.push_str("\n## Faults by promises\n\n");
+    table(&mut page, Promise::ALL, Promise::text, |cell, promise| {
+        cell.promises.contains(&promise)
+    });
+    push_tests(&mut page);
+    push_gaps(&mut page);
+    page
+}
+
+fn table<T: Copy>(
+    page: &mut String,
+    columns: &[T],
+    text: impl Fn(T) -> &'static str,
+    fills: impl Fn(&Cell, T) -> bool,
+) {
+    page.push_str("| fault |");
+    for &column in columns {
+        write!(page, " {} |", text(column)).unwrap();
+    }
+    writeln!(page, "\n| --- |{}", " --- |".repeat(columns.len())).unwrap();
+    for &fault in Fault::ALL {
+        write!(page, "| {} |", fault.text()).unwrap();
+        for &column in columns {
+            let cells = CELLS.iter().filter(|cell| cell.fault == fault);
+            match cells.filter(|cell| fills(cell, column)).count() {
+                0 => page.push_str("  |"),
+                count => write!(page, " {count} |").unwrap(),
+            }
+        }
+        page.push('\n');
+    }
+}
+
+fn push_tests(page: &mut String) {
+    page.push_str("\n## The tests\n\n| fault | step | test |\n| --- | --- | --- |\n");
+    for &fault in Fault::ALL {
+        for cell in CELLS.iter().filter(|cell| cell.fault == fault) {
+            let (fault, step, test) = (fault.text(), cell.step.text(), cell.test);
+            writeln!(page, "| {fault} | {step} | `{test}` |").unwrap();
+        }
+    }
+}
+
+fn push_gaps(page: &mut String) {
+    page.push_str(
+        "\n## What isn't proved\n\n\
+         The empty cells, fault by fault. Some of them can't occur (an idle connection has no first \
+         byte); none of them is claimed.\n\n",
+    );
+    for &fault in Fault::ALL {
+        let cells: Vec<&Cell> = CELLS.iter().filter(|cell| cell.fault == fault).collect();
+        let steps = Step::ALL.iter().copied();
+        let steps = steps.filter(|&step| !cells.iter().any(|cell| cell.step == step));
+        let promises = Promise::ALL.iter().copied();
+        let promises =
+            promises.filter(|&promise| !cells.iter().any(|cell| cell.promises.contains(&promise)));
+        writeln!(page, "* **{}**", fault.text()).unwrap();
+        writeln!(page, "  * no test at: {}", join(steps.map(Step::text))).unwrap();
+        writeln!(
+            page,
+            "  * no test of: {}",
+            join(promises.map(Promise::text))
+        )
+        .unwrap();
+    }
+}
+
+fn join<'a>(texts: impl Iterator<Item = &'a str>) -> String {
+    let all: Vec<&str> = texts.collect();
+    if all.is_empty() {
+        return "(none)".to_owned();
+    }
+    all.join("; ")
+}
+
+fn page_file() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("docs/fault-matrix.md")
+}
+
+// A reader of the page takes a filled cell for a proof. A test that is renamed or deleted would leave
+// its cell standing, and a test without a cell would not be found: both fail here.
+#[test]
+fn every_cell_has_its_test_and_every_test_its_cell() {
+    let tests = tests();
+    let empty = CELLS
+        .iter()
+        .filter(|cell| !tests.iter().any(|test| cell.is_filled_by(test)));
+    let empty: Vec<&str> = empty.map(|cell| cell.test).collect();
+    assert!(empty.is_empty(), "cells without a test: {empty:#?}");
+    let of_faults = tests
+        .iter()
+        .filter(|test| MODULES.iter().any(|module| test.starts_with(module)));
+    let homeless: Vec<&String> = of_faults
+        .filter(|test| !CELLS.iter().any(|cell| cell.is_filled_by(test)))
+        .collect();
+    assert!(homeless.is_empty(), "tests without a cell: {homeless:#?}");
+}
+
+// The page in the repository is what readers see, so it must be what the table gives.
+#[test]
+fn the_page_is_what_the_table_gives() {
+    let page = page();
+    if env::var_os(REWRITE).is_some() {
+        fs::write(page_file(), &page).unwrap();
+    }
+    let stored = fs::read_to_string(page_file()).unwrap_or_default();
+    assert!(
+        stored == page,
+        "docs/fault-matrix.md differs from the table; run with {REWRITE}=1"
+    );
+}
--- a/tests/all/server_faults.rs
+++ b/tests/all/server_faults.rs
@@ -1,7 +1,5 @@
-//! Backend servers that refuse, crash, cut, hang, stall or answer 503, at each step of a request.
+//! Backend servers that refuse, crash, hang or answer 503 before an answer began.
 
-use crocushold_standins::Cut;
-use crocushold_standins::CutForm;
 use crocushold_standins::EngineCommand;
 use crocushold_standins::EngineSettings;
 use crocushold_standins::ServiceCommand;
@@ -10,13 +8,10 @@
 
 use crate::support::Answer;
 use crate::support::Call;
-use crate::support::Entry;
-use crate::support::Raw;
 use crate::support::Site;
 use crate::support::SiteSettings;
 use crate::support::call;
 use crate::support::call_beside;
-use crate::support::wait;
 
 /// Requests that teach an instance how soon a first byte comes.
 const LESSONS: usize = 32;
@@ -49,32 +44,12 @@
     settings
 }
 
-/// Waits until all slots are back and a request is served again.
-fn assert_recovers(site: &Site, entry: &Entry) {
-    entry.wait_idle();
-    site.all_engines(&EngineCommand::Clear);
-    wait("a request is served again", || {
-        let answer = call(entry.listen, &Call::chat(true, 2));
-        answer.is_some_and(|answer| answer.status == 200 && answer.whole)
-    });
-}
-
 fn assert_whole(answer: &Answer, marker: &str) {
     assert_eq!(answer.status, 200, "{}", answer.body);
     assert!(answer.whole);
     assert!(answer.body.contains(marker), "{}", answer.body);
 }
 
-/// The number of the engine that runs a marked request.
-fn runner(site: &Site, marker: &str) -> usize {
-    let mut found = None;
-    wait("an engine runs the request", || {
-        found = site.engines.iter().position(|e| e.runs(marker) == 1);
-        found.is_some()
-    });
-    found.unwrap()
-}
-
 // One of two engines refuses connections. The caller sees a whole answer, whichever engine the
 // request is first sent to: a refused connection proves that it didn't run, so it goes to the other.
 #[test]
@@ -88,7 +63,7 @@
         assert_whole(&answer, &marker);
         assert_eq!(site.runs(&marker), 1);
     }
-    assert_recovers(&site, &entry);
+    site.assert_recovers(&entry);
 }
 
 // Every server refuses connections. The caller is told at once, or as soon as its patience ends,
@@ -106,7 +81,7 @@
     assert_eq!(answer.header("x-request-ran"), "no", "{}", answer.body);
     assert_ne!(answer.header("retry-after"), "");
     site.booking(ServiceCommand::Clear);
-    assert_recovers(&site, &entry);
+    site.assert_recovers(&entry);
     assert_eq!(site.runs("refused") + site.effects("refused"), 0);
 }
 
@@ -117,7 +92,7 @@
     let site = Site::start(&slow());
     let entry = site.entry("entry-1");
     let waiting = call_beside(entry.listen, &Call::chat(true, 3).marked("crash"));
-    let first = runner(&site, "crash");
+    let first = site.runner("crash");
     let quick = crocushold_standins::BatchSettings::default();
     site.engine(1 - first, EngineCommand::Batch { settings: quick });
     site.engine(first, EngineCommand::Crash);
@@ -126,68 +101,6 @@
     entry.wait_idle();
 }
 
-// An engine dies in the middle of a stream, or just before the stream's last bytes. What the caller
-// has can't be taken back, so no other engine may continue it: the answer ends visibly cut.
-#[test_case(200, 2; "streaming")]
-#[test_case(4, 4; "before the last byte")]
-fn a_crash_in_a_stream_is_a_visible_cut(tokens: u32, after: u32) {
-    let site = Site::start(&SiteSettings::default());
-    let entry = site.entry("entry-1");
-    site.all_engines(&EngineCommand::Stall { after: Some(after) });
-    let mut caller = Raw::send(entry.listen, &Call::chat(true, tokens).marked("crash"));
-    let last = format!("crash {} ", after - 1);
-    assert!(caller.read_until(&last));
-    site.engine(runner(&site, "crash"), EngineCommand::Crash);
-    caller.read_to_end();
-    assert!(!caller.is_whole(), "{}", caller.text());
-    assert!(!caller.text().contains("[DONE]"));
-    assert_eq!(site.runs("crash"), 1, "a relayed stream was repeated");
-    assert_recovers(&site, &entry);
-}
-
-// An answer ends early in each of the three ways that HTTP/1.1 knows. The caller must see an error
-// or a broken connection, never a shorter answer that looks whole.
-#[test_case(CutForm::Chunked, true, 3; "chunked stream")]
-#[test_case(CutForm::Length, true, 3; "stream with a length")]
-#[test_case(CutForm::Chunked, false, 3; "chunked whole answer")]
-#[test_case(CutForm::Length, false, 3; "whole answer with a length")]
-#[test_case(CutForm::Chunked, true, 8; "stream before its last byte")]
-#[test_case(CutForm::Length, true, 8; "stream with a length before its last byte")]
-fn an_answer_that_is_cut_never_looks_whole(form: CutForm, stream: bool, after: u32) {
-    let site = Site::start(&SiteSettings::default());
-    let entry = site.entry("entry-1");
-    let cut = Some(Cut {
-        after,
-        form,
-        times: None,
-    });
-    site.all_engines(&EngineCommand::Cut { cut });
-    let answer = call(entry.listen, &Call::chat(stream, 8).marked("cut")).unwrap();
-    assert_eq!(answer.status, 200);
-    assert!(!answer.whole, "{}", answer.body);
-    assert_eq!(site.runs("cut"), 1, "a relayed answer was repeated");
-    assert_recovers(&site, &entry);
-}
-
-// An answer without a length that isn't chunked ends where its connection closes, so a cut one can't
-// be told from a whole one. The caller gets an error that says that the request may have run.
-#[test_case(true; "stream")]
-#[test_case(false; "whole answer")]
-fn an_answer_without_an_end_is_an_error(stream: bool) {
-    let site = Site::start(&one_engine());
-    let entry = site.entry("entry-1");
-    let cut = Some(Cut {
-        after: 3,
-        form: CutForm::Close,
-        times: None,
-    });
-    site.engine(0, EngineCommand::Cut { cut });
-    let answer = call(entry.listen, &Call::chat(stream, 8)).unwrap();
-    assert_eq!(answer.status, 502, "{}", answer.body);
-    assert_eq!(answer.header("x-request-ran"), "unknown");
-    assert_recovers(&site, &entry);
-}
-
 // One engine stands still before its first byte. An instance that knows how soon first bytes come
 // gives up on it after a multiple of that, and the caller gets a whole answer from the other one.
 #[test]
@@ -209,22 +122,7 @@
     for (number, answer) in calls.into_iter().enumerate() {
         assert_whole(&answer.join().unwrap().unwrap(), &format!("hang-{number}"));
     }
-    assert_recovers(&site, &entry);
-}
-
-// An engine stops in the middle of a stream and keeps its connection open. The stream is cut after
-// the bound on silence, the engine's work is cancelled with it, and the caller sees the cut.
-#[test]
-fn a_stream_that_stalls_is_cut_and_cancelled() {
-    let site = Site::start(&SiteSettings::default());
-    let entry = site.entry("entry-1");
-    site.all_engines(&EngineCommand::Stall { after: Some(2) });
-    let mut caller = Raw::send(entry.listen, &Call::chat(true, 5000).marked("stall"));
-    caller.read_to_end();
-    assert!(caller.text().contains("stall 1 "));
-    assert!(!caller.is_whole());
-    wait("the engine's work is cancelled", || site.held() == 0);
-    assert_recovers(&site, &entry);
+    site.assert_recovers(&entry);
 }
 
 // A server answers 503. An idempotent request is repeated at the other server; when all answer so,
@@ -243,7 +141,7 @@
         assert_eq!(answer.header("x-request-ran"), ran);
         assert!(answer.whole);
     }
-    assert_recovers(&site, &entry);
+    site.assert_recovers(&entry);
 }
 
 // Engines crash and come back while an instance keeps idle connections to them. The next request
--- a/tests/all/support/site.rs
+++ b/tests/all/support/site.rs
@@ -20,8 +20,11 @@
 use crocushold_standins::ServiceSettings;
 
 use super::any_address;
+use super::caller::Call;
+use super::caller::call;
 use super::entry::Entry;
 use super::folder::Folder;
+use super::wait::wait;
 
 const PEER_KEY: &str = "0123456789abcdef0123456789abcdef";
 
@@ -151,6 +154,26 @@
         cancellations.filter(|c| c.marker == marker).count()
     }
 
+    /// The number of the engine that runs a marked request, once one does.
+    pub fn runner(&self, marker: &str) -> usize {
+        let mut found = None;
+        wait("an engine runs the request", || {
+            found = self.engines.iter().position(|e| e.runs(marker) == 1);
+            found.is_some()
+        });
+        found.unwrap()
+    }
+
+    /// Ends the engines' faults, and waits until all slots are back and a request is served again.
+    pub fn assert_recovers(&self, entry: &Entry) {
+        entry.wait_idle();
+        self.all_engines(&EngineCommand::Clear);
+        wait("a request is served again", || {
+            let answer = call(entry.listen, &Call::chat(true, 2));
+            answer.is_some_and(|answer| answer.status == 200 && answer.whole)
+        });
+    }
+
     /// The arguments of an entry instance at this site.
     pub fn args(&self, name: &str) -> Vec<String> {
         self.args_at(name, any_address())
