Test faults while a request is on its way, and more pairs

A server at the level of its socket stands in for what no engine shows: a request cut or held up half-way, and a partition that swallows the opening of a connection. Further pairs: a frozen instance that wakes to a crashed engine, a caller that left, a server that left, or a stop; a stop while the platform hangs. Also a body that never comes, and a class or server that is removed under a request.

--- a/tests/all/caller_faults.rs
+++ b/tests/all/caller_faults.rs
@@ -231,3 +231,20 @@
     assert_eq!(site.held(), 0);
     drop(stuck);
 }
+
+// A caller sends a part of its body and then nothing. It is told so after the bound on bodies, and
+// that nothing ran; its connection is closed and no slot was ever taken.
+#[test]
+fn a_caller_that_never_sends_its_body_is_refused() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    let request = Call::chat(true, 3).marked("stuck");
+    let mut stuck = Raw::connect(entry.listen);
+    stuck.write(request.head().as_bytes());
+    stuck.write(&request.body.as_bytes()[..10]);
+    let text = stuck.read_to_end();
+    assert!(text.starts_with("HTTP/1.1 4"), "{text}");
+    assert!(text.contains("x-request-ran: no"), "{text}");
+    entry.wait_idle();
+    assert_eq!(site.runs("stuck"), 0);
+}
--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -371,25 +371,25 @@
         fault: Fault::StopCrash,
         step: Step::Streaming,
         promises: &[Promise::Whole],
-        test: "process_faults::a_crash_during_a_planned_stop_is_a_visible_cut",
+        test: "pair_faults::a_crash_during_a_planned_stop_is_a_visible_cut",
     },
     Cell {
         fault: Fault::StopHangGone,
         step: Step::FirstByte,
         promises: &[Promise::Stop],
-        test: "process_faults::a_planned_stop_does_not_wait_for_callers_that_left",
+        test: "pair_faults::a_planned_stop_does_not_wait_for_callers_that_left",
     },
     Cell {
         fault: Fault::FrozenChange,
         step: Step::Applying,
         promises: &[Promise::Config],
-        test: "process_faults::a_frozen_instance_takes_the_change_it_missed",
+        test: "pair_faults::a_frozen_instance_takes_the_change_it_missed",
     },
     Cell {
         fault: Fault::FrozenDown,
         step: Step::Applying,
         promises: &[Promise::Config, Promise::Whole],
-        test: "process_faults::a_frozen_instance_that_wakes_to_an_outage_serves_on",
+        test: "pair_faults::a_frozen_instance_that_wakes_to_an_outage_serves_on",
     },
     Cell {
         fault: Fault::KilledFrozenPlatform,
@@ -409,4 +409,103 @@
         promises: &[Promise::Cancel, Promise::Slots],
         test: "load_faults::callers_that_leave_a_hanging_engine_free_its_slots",
     },
+    // Requests on their way.
+    Cell {
+        fault: Fault::Cut,
+        step: Step::Sending,
+        promises: &[Promise::Once, Promise::Slots],
+        test: "sending_faults::a_booking_cut_while_it_is_sent_is_not_repeated",
+    },
+    Cell {
+        fault: Fault::Cut,
+        step: Step::Sending,
+        promises: &[Promise::Whole, Promise::Slots],
+        test: "sending_faults::a_model_call_cut_while_it_is_sent_goes_elsewhere",
+    },
+    Cell {
+        fault: Fault::CallerGone,
+        step: Step::Sending,
+        promises: &[Promise::Cancel, Promise::Slots],
+        test: "sending_faults::a_caller_gone_while_its_request_is_sent_cuts_it",
+    },
+    Cell {
+        fault: Fault::CallerGone,
+        step: Step::Connecting,
+        promises: &[Promise::Slots],
+        test: "sending_faults::a_caller_gone_while_connecting_gives_its_slot_back",
+    },
+    Cell {
+        fault: Fault::Stop,
+        step: Step::Sending,
+        promises: &[Promise::Whole, Promise::Stop],
+        test: "sending_faults::a_planned_stop_finishes_what_is_being_sent",
+    },
+    Cell {
+        fault: Fault::Frozen,
+        step: Step::Sending,
+        promises: &[Promise::Whole, Promise::Once, Promise::Slots],
+        test: "sending_faults::a_frozen_instance_finishes_what_is_being_sent",
+    },
+    Cell {
+        fault: Fault::ServersSplit,
+        step: Step::Connecting,
+        promises: &[Promise::Whole, Promise::Once, Promise::Slots],
+        test: "sending_faults::a_server_behind_a_partition_is_given_up_while_connecting",
+    },
+    Cell {
+        fault: Fault::ServersSplit,
+        step: Step::Connecting,
+        promises: &[Promise::NotRun, Promise::Slots],
+        test: "sending_faults::behind_a_partition_nothing_ran",
+    },
+    // More of callers and the configuration.
+    Cell {
+        fault: Fault::CallerSlow,
+        step: Step::Body,
+        promises: &[Promise::NotRun, Promise::Slots],
+        test: "caller_faults::a_caller_that_never_sends_its_body_is_refused",
+    },
+    Cell {
+        fault: Fault::ConfigChange,
+        step: Step::Streaming,
+        promises: &[Promise::Whole, Promise::Leaving, Promise::Slots],
+        test: "platform_faults::a_removed_server_finishes_and_gets_nothing_new",
+    },
+    Cell {
+        fault: Fault::ConfigChange,
+        step: Step::Queued,
+        promises: &[Promise::NotRun, Promise::Slots],
+        test: "platform_faults::a_queued_request_of_a_removed_class_is_told_not_run",
+    },
+    // More pairs.
+    Cell {
+        fault: Fault::FrozenCrash,
+        step: Step::Streaming,
+        promises: &[Promise::Whole, Promise::Slots],
+        test: "pair_faults::a_frozen_instance_relays_the_cut_of_its_engine",
+    },
+    Cell {
+        fault: Fault::FrozenGone,
+        step: Step::Streaming,
+        promises: &[Promise::Cancel, Promise::Slots],
+        test: "pair_faults::a_frozen_instance_notices_who_left_meanwhile",
+    },
+    Cell {
+        fault: Fault::FrozenLeft,
+        step: Step::Connecting,
+        promises: &[Promise::Whole, Promise::Slots],
+        test: "pair_faults::a_frozen_instance_wakes_to_a_server_that_left",
+    },
+    Cell {
+        fault: Fault::FrozenStop,
+        step: Step::Streaming,
+        promises: &[Promise::Whole, Promise::Stop],
+        test: "pair_faults::a_frozen_instance_stops_as_planned_when_it_wakes",
+    },
+    Cell {
+        fault: Fault::StopDown,
+        step: Step::Streaming,
+        promises: &[Promise::Whole, Promise::Stop],
+        test: "pair_faults::a_planned_stop_needs_no_platform",
+    },
 ];
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,9 +9,11 @@
 mod fleet;
 mod load_faults;
 mod matrix;
+mod pair_faults;
 mod path;
 mod platform_faults;
 mod process_faults;
+mod sending_faults;
 mod server_faults;
 #[allow(unreachable_pub, reason = "a binary of tests has no interface")]
 mod support;
--- a/tests/all/matrix.rs
+++ b/tests/all/matrix.rs
@@ -13,12 +13,14 @@
 const REWRITE: &str = "CROCUSHOLD_WRITE_MATRIX";
 
 /// The modules whose tests all have to stand in the table.
-const MODULES: [&str; 6] = [
+const MODULES: [&str; 8] = [
     "answer_faults::",
     "caller_faults::",
     "load_faults::",
+    "pair_faults::",
     "platform_faults::",
     "process_faults::",
+    "sending_faults::",
     "server_faults::",
 ];
 
@@ -77,6 +79,11 @@
         FrozenChange = "entry frozen, configuration change",
         FrozenDown = "entry frozen, configuration down",
         KilledFrozenPlatform = "entry replaced, platform frozen",
+        FrozenCrash = "entry frozen, engine crash",
+        FrozenGone = "entry frozen, caller gone",
+        FrozenLeft = "entry frozen, server left",
+        FrozenStop = "entry frozen, planned stop",
+        StopDown = "planned stop, platform frozen",
         GoneHang = "caller gone, engine hang",
     }
 }
--- /dev/null
+++ b/tests/all/pair_faults.rs
@@ -0,0 +1,181 @@
+//! Two faults at once: entry processes that are frozen or stopped while something else fails.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crocushold_standins::EngineCommand;
+use crocushold_standins::PlatformCommand;
+
+use crate::support::Call;
+use crate::support::Raw;
+use crate::support::Site;
+use crate::support::SiteSettings;
+use crate::support::call;
+use crate::support::call_beside;
+use crate::support::wait;
+
+fn one_slot() -> SiteSettings {
+    SiteSettings {
+        engines: 1,
+        concurrency: 1,
+        ..SiteSettings::default()
+    }
+}
+
+// A stop is asked for and the engine dies in the middle of a stream. The stop must not hide the cut:
+// the caller sees that its answer isn't whole, and the process still ends by itself.
+#[test]
+fn a_crash_during_a_planned_stop_is_a_visible_cut() {
+    let site = Site::start(&one_slot());
+    let mut entry = site.entry("entry-1");
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 5000).marked("cut"));
+    assert!(caller.read_until("cut 0 "));
+    entry.signal("TERM");
+    entry.wait_closed();
+    site.engine(0, EngineCommand::Crash);
+    caller.read_to_end();
+    assert!(!caller.is_whole());
+    assert!(entry.wait_exit());
+    assert_eq!(site.runs("cut"), 1);
+}
+
+// A stop is asked for, the engine hangs, and then the caller leaves. Nobody waits for the answer any
+// more, so the process must end now rather than at the bound of the drain.
+#[test]
+fn a_planned_stop_does_not_wait_for_callers_that_left() {
+    let site = Site::start(&one_slot());
+    let mut entry = site.entry("entry-1");
+    site.engine(0, EngineCommand::Hang { on: true });
+    let caller = Raw::send(entry.listen, &Call::batch(5));
+    wait("it is in flight", || entry.in_flight() == 1);
+    entry.signal("TERM");
+    entry.wait_closed();
+    drop(caller);
+    let start = Instant::now();
+    assert!(entry.wait_exit());
+    assert!(
+        start.elapsed() < Duration::from_secs(10),
+        "waited for nobody"
+    );
+}
+
+// A process is stopped, the configuration changes, and it wakes. It must not serve a withdrawn key
+// for more than a few seconds: what it knows is older than it believes.
+#[test]
+fn a_frozen_instance_takes_the_change_it_missed() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    assert_eq!(
+        call(entry.listen, &Call::chat(true, 1)).unwrap().status,
+        200
+    );
+    entry.signal("STOP");
+    site.publish(|text| text.replace("[account chat]", "[account renamed]"));
+    site.publish(|text| text.replace("classes = chat, lookup, confirm", "classes = batch"));
+    entry.signal("CONT");
+    entry.wait_in_force(site.platform.stats().revision);
+    let answer = call(entry.listen, &Call::chat(true, 1).header("x-class", "chat")).unwrap();
+    assert_ne!(answer.status, 200);
+}
+
+// A process is stopped while the platform goes down, and it wakes to a platform that doesn't answer.
+// It keeps the configuration that it holds and serves on.
+#[test]
+fn a_frozen_instance_that_wakes_to_an_outage_serves_on() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    assert!(call(entry.listen, &Call::chat(true, 1)).unwrap().whole);
+    entry.signal("STOP");
+    site.platform(PlatformCommand::Down { on: true });
+    entry.signal("CONT");
+    let answer = call(entry.listen, &Call::chat(true, 3)).unwrap();
+    assert!(answer.status == 200 && answer.whole);
+    assert_eq!(entry.status().config.revision, 1);
+}
+
+// A process is stopped in the middle of a stream, its engine dies, and it wakes. It must not take the
+// bytes that it finds for a whole answer, nor run the request again: the caller sees a cut.
+#[test]
+fn a_frozen_instance_relays_the_cut_of_its_engine() {
+    let site = Site::start(&one_slot());
+    let entry = site.entry("entry-1");
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 5000).marked("cut"));
+    assert!(caller.read_until("cut 1 "));
+    entry.signal("STOP");
+    site.engine(0, EngineCommand::Crash);
+    site.engine(0, EngineCommand::Restart);
+    entry.signal("CONT");
+    caller.read_to_end();
+    assert!(!caller.is_whole());
+    site.assert_recovers(&entry);
+    assert_eq!(site.runs("cut"), 1);
+}
+
+// A process is stopped, its caller leaves, and it wakes. The engine's work for nobody is cancelled
+// soon after, and the slot comes back.
+#[test]
+fn a_frozen_instance_notices_who_left_meanwhile() {
+    let site = Site::start(&one_slot());
+    let entry = site.entry("entry-1");
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 5000).marked("gone"));
+    assert!(caller.read_until("gone 1 "));
+    site.all_engines(&EngineCommand::Slow { factor: 1000.0 });
+    entry.signal("STOP");
+    drop(caller);
+    assert_eq!(site.held(), 1);
+    entry.signal("CONT");
+    wait("the engine's work is cancelled", || site.held() == 0);
+    site.assert_recovers(&entry);
+}
+
+// A process is stopped, a server shuts down in the meantime, and it wakes with a list that still
+// calls the server live. No caller notices: the others serve, and the one that is gone gets nothing.
+#[test]
+fn a_frozen_instance_wakes_to_a_server_that_left() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    assert!(call(entry.listen, &Call::chat(true, 1)).unwrap().whole);
+    entry.signal("STOP");
+    site.engine(0, EngineCommand::Crash);
+    let calls: Vec<_> = (0..6)
+        .map(|_| call_beside(entry.listen, &Call::chat(true, 3)))
+        .collect();
+    entry.signal("CONT");
+    for answer in calls {
+        let answer = answer.join().unwrap().unwrap();
+        assert!(answer.status == 200 && answer.whole, "{}", answer.body);
+    }
+    entry.wait_idle();
+}
+
+// A stop is asked for while the process is frozen, and it wakes. It stops as planned: the stream in
+// progress goes on to its end before the process does.
+#[test]
+fn a_frozen_instance_stops_as_planned_when_it_wakes() {
+    let site = Site::start(&one_slot());
+    let mut entry = site.entry("entry-1");
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 100).marked("last"));
+    assert!(caller.read_until("last 1 "));
+    entry.signal("STOP");
+    entry.signal("TERM");
+    entry.signal("CONT");
+    entry.wait_closed();
+    assert!(caller.read_until("[DONE]\n\n\r\n0\r\n\r\n"), "cut");
+    assert!(caller.text().contains("last 99 "));
+    assert!(entry.wait_exit());
+}
+
+// The platform goes down during a planned stop. The stop needs nothing of it: the stream in progress
+// goes on to its end, and the process ends by itself.
+#[test]
+fn a_planned_stop_needs_no_platform() {
+    let site = Site::start(&one_slot());
+    let mut entry = site.entry("entry-1");
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 100).marked("last"));
+    assert!(caller.read_until("last 1 "));
+    site.platform(PlatformCommand::Frozen { on: true });
+    entry.signal("TERM");
+    entry.wait_closed();
+    assert!(caller.read_until("[DONE]\n\n\r\n0\r\n\r\n"), "cut");
+    assert!(entry.wait_exit());
+}
--- a/tests/all/platform_faults.rs
+++ b/tests/all/platform_faults.rs
@@ -17,6 +17,7 @@
 use crate::support::Site;
 use crate::support::SiteSettings;
 use crate::support::call;
+use crate::support::call_beside;
 use crate::support::wait;
 
 /// Within this time a change is in force, and a leaving server gets no more work.
@@ -117,6 +118,63 @@
     entry.wait_idle();
 }
 
+// The configuration removes a server while it streams an answer. The answer goes on to its end, and
+// what comes after goes to the servers that are left.
+#[test]
+fn a_removed_server_finishes_and_gets_nothing_new() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 300).marked("mine"));
+    assert!(caller.read_until("mine 1 "));
+    let runner = site.runner("mine");
+    site.publish(|text| without_server(text, runner));
+    entry.wait_in_force(2);
+    let before = site.engines[runner].stats().started;
+    for _ in 0..10 {
+        assert!(call(entry.listen, &Call::chat(true, 1)).unwrap().whole);
+    }
+    assert_eq!(site.engines[runner].stats().started, before, "new work");
+    assert!(caller.read_until("[DONE]\n\n\r\n0\r\n\r\n"), "cut");
+    assert!(caller.text().contains("mine 299 "));
+    entry.wait_idle();
+}
+
+/// The text without one of the engines.
+fn without_server(text: &str, number: usize) -> String {
+    let head = format!("[server fleet/runner-{number}]\n");
+    let start = text.find(&head).unwrap();
+    let length = text[start..].find("\n\n").unwrap();
+    let text = format!("{}{}", &text[..start], &text[start + length..]);
+    text.replace("servers = 2", "servers = 1")
+}
+
+// The configuration removes a class while a request of it is queued. The request never runs, and its
+// caller is told so at once, instead of waiting for a turn that doesn't come.
+#[test]
+fn a_queued_request_of_a_removed_class_is_told_not_run() {
+    let site = Site::start(&SiteSettings {
+        engines: 1,
+        concurrency: 1,
+        ..SiteSettings::default()
+    });
+    let entry = site.entry("entry-1");
+    put_in_force(&site, &entry, "extra");
+    let first = Raw::send(entry.listen, &Call::batch(5000).marked("first"));
+    wait("the slot is taken", || site.runs("first") == 1);
+    let request = Call::chat(true, 2)
+        .marked("late")
+        .header("x-class", "extra");
+    let queued = call_beside(entry.listen, &request);
+    wait("it is queued", || entry.queued("extra") == 1);
+    site.publish(str::to_owned);
+    let answer = queued.join().unwrap().unwrap();
+    assert!(answer.status >= 400);
+    assert_eq!(answer.header("x-request-ran"), "no", "{}", answer.body);
+    drop(first);
+    entry.wait_idle();
+    assert_eq!(site.runs("late"), 0);
+}
+
 // A text that can't be accepted is published with the one before behind it. The one before stays in
 // force, callers see nothing of it, and the next good text is taken.
 #[test]
--- a/tests/all/process_faults.rs
+++ b/tests/all/process_faults.rs
@@ -1,12 +1,7 @@
-//! Entry processes that are frozen, killed or stopped as planned, alone and with another fault.
-
-use std::net::TcpStream;
-use std::time::Duration;
-use std::time::Instant;
+//! Entry processes that are frozen, killed or stopped as planned.
 
 use crocushold_standins::BatchSettings;
 use crocushold_standins::EngineCommand;
-use crocushold_standins::PlatformCommand;
 use crocushold_standins::ServiceCommand;
 use crocushold_standins::ServiceFault;
 use test_case::test_case;
@@ -40,13 +35,6 @@
     entry.wait_for("/health", |answer| answer.status == 503);
 }
 
-fn wait_closed(entry: &Entry) {
-    let listen = entry.listen;
-    wait("the listener is closed", || {
-        TcpStream::connect(listen).is_err()
-    });
-}
-
 // A stop is asked for while an answer streams. The health answer fails first, new callers are still
 // served until the balancer noticed, then the listener closes; the stream goes on to its end.
 #[test]
@@ -59,7 +47,7 @@
     wait_draining(&entry);
     let during = call(entry.listen, &Call::chat(true, 2));
     assert!(during.unwrap().whole, "the notice serves on");
-    wait_closed(&entry);
+    entry.wait_closed();
     assert!(caller.read_until("[DONE]\n\n\r\n0\r\n\r\n"), "cut");
     assert!(caller.text().contains("last 149 "));
     assert!(entry.wait_exit());
@@ -93,7 +81,7 @@
         _ => assert!(first.read_until("usage")),
     }
     entry.signal("TERM");
-    wait_closed(&entry);
+    entry.wait_closed();
     if step == "body" {
         mine.write(&request.body.as_bytes()[10..]);
     }
@@ -128,43 +116,6 @@
     assert!(entry.wait_exit());
 }
 
-// A stop is asked for and the engine dies in the middle of a stream. The stop must not hide the cut:
-// the caller sees that its answer isn't whole, and the process still ends by itself.
-#[test]
-fn a_crash_during_a_planned_stop_is_a_visible_cut() {
-    let site = Site::start(&one_slot());
-    let mut entry = site.entry("entry-1");
-    let mut caller = Raw::send(entry.listen, &Call::chat(true, 5000).marked("cut"));
-    assert!(caller.read_until("cut 0 "));
-    entry.signal("TERM");
-    wait_closed(&entry);
-    site.engine(0, EngineCommand::Crash);
-    caller.read_to_end();
-    assert!(!caller.is_whole());
-    assert!(entry.wait_exit());
-    assert_eq!(site.runs("cut"), 1);
-}
-
-// A stop is asked for, the engine hangs, and then the caller leaves. Nobody waits for the answer any
-// more, so the process must end now rather than at the bound of the drain.
-#[test]
-fn a_planned_stop_does_not_wait_for_callers_that_left() {
-    let site = Site::start(&one_slot());
-    let mut entry = site.entry("entry-1");
-    site.engine(0, EngineCommand::Hang { on: true });
-    let caller = Raw::send(entry.listen, &Call::batch(5));
-    wait("it is in flight", || entry.in_flight() == 1);
-    entry.signal("TERM");
-    wait_closed(&entry);
-    drop(caller);
-    let start = Instant::now();
-    assert!(entry.wait_exit());
-    assert!(
-        start.elapsed() < Duration::from_secs(10),
-        "waited for nobody"
-    );
-}
-
 // A request never ends and the stop has a bound. At the bound the process ends, and what the caller
 // has is visibly cut, never an answer that looks whole.
 #[test]
@@ -287,37 +238,3 @@
     entry.wait_idle();
     assert_eq!(site.runs("late"), 0);
 }
-
-// A process is stopped, the configuration changes, and it wakes. It must not serve a withdrawn key
-// for more than a few seconds: what it knows is older than it believes.
-#[test]
-fn a_frozen_instance_takes_the_change_it_missed() {
-    let site = Site::start(&SiteSettings::default());
-    let entry = site.entry("entry-1");
-    assert_eq!(
-        call(entry.listen, &Call::chat(true, 1)).unwrap().status,
-        200
-    );
-    entry.signal("STOP");
-    site.publish(|text| text.replace("[account chat]", "[account renamed]"));
-    site.publish(|text| text.replace("classes = chat, lookup, confirm", "classes = batch"));
-    entry.signal("CONT");
-    entry.wait_in_force(site.platform.stats().revision);
-    let answer = call(entry.listen, &Call::chat(true, 1).header("x-class", "chat")).unwrap();
-    assert_ne!(answer.status, 200);
-}
-
-// A process is stopped while the platform goes down, and it wakes to a platform that doesn't answer.
-// It keeps the configuration that it holds and serves on.
-#[test]
-fn a_frozen_instance_that_wakes_to_an_outage_serves_on() {
-    let site = Site::start(&SiteSettings::default());
-    let entry = site.entry("entry-1");
-    assert!(call(entry.listen, &Call::chat(true, 1)).unwrap().whole);
-    entry.signal("STOP");
-    site.platform(PlatformCommand::Down { on: true });
-    entry.signal("CONT");
-    let answer = call(entry.listen, &Call::chat(true, 3)).unwrap();
-    assert!(answer.status == 200 && answer.whole);
-    assert_eq!(entry.status().config.revision, 1);
-}
--- /dev/null
+++ b/tests/all/sending_faults.rs
@@ -0,0 +1,193 @@
+//! Faults while a connection is opened or a request is on its way to its server.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::support::Call;
+use crate::support::Entry;
+use crate::support::Raw;
+use crate::support::RawServer;
+use crate::support::Site;
+use crate::support::SiteSettings;
+use crate::support::answer_rest;
+use crate::support::call;
+use crate::support::call_beside;
+use crate::support::wait;
+use crate::support::wait_cut;
+
+/// More than the sockets' buffers hold, so that a server which doesn't read stops the sender.
+const LARGE: usize = 4_000_000;
+
+/// A booking whose body doesn't fit into the sockets' buffers.
+fn large_booking(marker: &str) -> Call {
+    Call {
+        body: "x".repeat(LARGE),
+        ..Call::booking(marker)
+    }
+}
+
+/// An instance for which the first server of the plain service, or the first engine, is at
+/// `address` instead.
+fn entry_with(site: &Site, old: SocketAddr, address: SocketAddr) -> Entry {
+    site.publish(|text| text.replace(&old.to_string(), &address.to_string()));
+    let entry = site.entry("entry-1");
+    entry.wait_in_force(2);
+    entry
+}
+
+// A server doesn't finish taking in a booking and closes its connection. Some of the bytes left, so
+// the booking may have been made: the caller hears "unknown", and the second server gets nothing.
+#[test]
+fn a_booking_cut_while_it_is_sent_is_not_repeated() {
+    let site = Site::start(&SiteSettings::default());
+    let (server, second) = (RawServer::start(), RawServer::start());
+    let both = format!(
+        "[server booking/booking-1]\naddress = {}\nzone = zone-a\n\n[class chat]",
+        second.addr()
+    );
+    site.publish(|text| {
+        let text = text.replace(&site.service.addr().to_string(), &server.addr().to_string());
+        text.replace("[class chat]", &both)
+    });
+    let entry = site.entry("entry-1");
+    entry.wait_in_force(2);
+    let calls: Vec<_> = (0..2)
+        .map(|_| call_beside(entry.listen, &large_booking("cut")))
+        .collect();
+    drop(server.accept());
+    drop(second.accept());
+    for answer in calls {
+        let answer = answer.join().unwrap().unwrap();
+        assert_eq!(answer.status, 502, "{}", answer.body);
+        assert_eq!(answer.header("x-request-ran"), "unknown");
+    }
+    entry.wait_idle();
+    assert!(!server.has_request() && !second.has_request(), "sent again");
+}
+
+// An engine takes in half of a request and closes its connection. The request is idempotent and no
+// byte of an answer was relayed, so the other engine gets it and the caller sees a whole answer.
+#[test]
+fn a_model_call_cut_while_it_is_sent_goes_elsewhere() {
+    let site = Site::start(&SiteSettings::default());
+    let server = RawServer::start();
+    let entry = entry_with(&site, site.engines[0].addr(), server.addr());
+    let cuts = server.cut_all();
+    let padding = format!("{{\"metadata\":\"{}\",", "x".repeat(LARGE / 2));
+    let mut number = 0;
+    wait("the server that cuts got a request", || {
+        number += 1;
+        let mut request = Call::chat(true, 3).marked(&number.to_string());
+        request.body = request.body.replacen('{', &padding, 1);
+        let answer = call(entry.listen, &request).unwrap();
+        assert!(answer.status == 200 && answer.whole, "{}", answer.body);
+        cuts.load(Ordering::Relaxed) > 0
+    });
+    entry.wait_idle();
+}
+
+// A server stops taking in a request, and the caller leaves. The request isn't finished for nobody:
+// the connection is cut and the slot comes back.
+#[test]
+fn a_caller_gone_while_its_request_is_sent_cuts_it() {
+    let site = Site::start(&SiteSettings::default());
+    let server = RawServer::start();
+    let entry = entry_with(&site, site.service.addr(), server.addr());
+    let caller = Raw::send(entry.listen, &large_booking("gone"));
+    let stream = server.accept();
+    assert_eq!(entry.running("confirm"), 1);
+    drop(caller);
+    entry.wait_idle();
+    wait_cut(stream);
+}
+
+// A stop is asked for while a server is still taking in a request. The rest is sent and the answer
+// relayed before the process ends.
+#[test]
+fn a_planned_stop_finishes_what_is_being_sent() {
+    let site = Site::start(&SiteSettings::default());
+    let server = RawServer::start();
+    let mut entry = entry_with(&site, site.service.addr(), server.addr());
+    let caller = call_beside(entry.listen, &large_booking("stop"));
+    let stream = server.accept();
+    entry.signal("TERM");
+    entry.wait_closed();
+    answer_rest(stream, LARGE);
+    let answer = caller.join().unwrap().unwrap();
+    assert!(answer.status == 200 && answer.whole && answer.body == "ok");
+    assert!(entry.wait_exit());
+}
+
+// A process is stopped while a server takes in its request, and woken. The rest is sent as if
+// nothing had been; the server sees one request, and the caller its answer.
+#[test]
+fn a_frozen_instance_finishes_what_is_being_sent() {
+    let site = Site::start(&SiteSettings::default());
+    let server = RawServer::start();
+    let entry = entry_with(&site, site.service.addr(), server.addr());
+    let caller = call_beside(entry.listen, &large_booking("thaw"));
+    let stream = server.accept();
+    entry.signal("STOP");
+    entry.signal("CONT");
+    answer_rest(stream, LARGE);
+    let answer = caller.join().unwrap().unwrap();
+    assert!(answer.status == 200 && answer.whole && answer.body == "ok");
+    entry.wait_idle();
+    assert!(!server.has_request(), "sent again");
+}
+
+// Packets to one server vanish, so that connecting to it hangs. The bound on connecting proves that
+// nothing was sent: a booking goes to the other server, runs there once, and its caller waits little.
+#[test]
+fn a_server_behind_a_partition_is_given_up_while_connecting() {
+    let site = Site::start(&SiteSettings {
+        services: 2,
+        ..SiteSettings::default()
+    });
+    let server = RawServer::start();
+    let entry = entry_with(&site, site.service.addr(), server.addr());
+    let waiting = server.fill();
+    for number in 0..6 {
+        let marker = format!("split-{number}");
+        let start = Instant::now();
+        let answer = call(entry.listen, &Call::booking(&marker)).unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.body);
+        assert_eq!(site.effects(&marker), 1);
+        assert!(start.elapsed() < Duration::from_secs(4));
+    }
+    drop(waiting);
+    entry.wait_idle();
+}
+
+// Packets to the only server vanish. The caller is told that nothing ran, which the server that
+// nobody reached confirms, and the slot comes back.
+#[test]
+fn behind_a_partition_nothing_ran() {
+    let site = Site::start(&SiteSettings::default());
+    let server = RawServer::start();
+    let entry = entry_with(&site, site.service.addr(), server.addr());
+    let waiting = server.fill();
+    let answer = call(entry.listen, &Call::booking("split")).unwrap();
+    assert!(answer.status >= 500);
+    assert_eq!(answer.header("x-request-ran"), "no", "{}", answer.body);
+    entry.wait_idle();
+    drop(waiting);
+}
+
+// A caller leaves while its request waits for a connection that hangs. The slot comes back because the
+// caller is gone, and not only when the bound on connecting has passed: it counts as cancelled.
+#[test]
+fn a_caller_gone_while_connecting_gives_its_slot_back() {
+    let site = Site::start(&SiteSettings::default());
+    let server = RawServer::start();
+    let entry = entry_with(&site, site.service.addr(), server.addr());
+    let waiting = server.fill();
+    let caller = Raw::send(entry.listen, &Call::booking("gone"));
+    wait("it is in flight", || entry.running("confirm") == 1);
+    drop(caller);
+    entry.wait_idle();
+    assert_eq!(entry.ended("confirm", "cancelled"), 1);
+    drop(waiting);
+}
--- a/tests/all/support/entry.rs
+++ b/tests/all/support/entry.rs
@@ -3,6 +3,7 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -107,6 +108,18 @@
         classes.find(|c| c.class == name).unwrap().running
     }
 
+    /// Requests of a class that ended in a way, such as `cancelled`, as the metrics count them.
+    pub fn ended(&self, class: &str, end: &str) -> u64 {
+        let page = self.page("/metrics").unwrap();
+        let class = format!("class=\"team/{class}\"");
+        let end = format!("end=\"{end}\"");
+        let lines = page.body.lines();
+        let lines = lines.filter(|line| line.starts_with("crocushold_requests_total{"));
+        let lines = lines.filter(|line| line.contains(&class) && line.contains(&end));
+        let counts = lines.map(|line| line.rsplit(' ').next().unwrap().parse::<u64>().unwrap());
+        counts.sum()
+    }
+
     /// Requests in flight at the backend servers.
     pub fn in_flight(&self) -> u64 {
         self.status().servers.iter().map(|s| s.running).sum()
@@ -129,6 +142,13 @@
         });
     }
 
+    /// Waits until the listener for callers is closed.
+    pub fn wait_closed(&self) {
+        wait("the listener is closed", || {
+            TcpStream::connect(self.listen).is_err()
+        });
+    }
+
     /// Sends the process a signal, such as `TERM`, `STOP` or `CONT`.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
--- /dev/null
+++ b/tests/all/support/listener.rs
@@ -0,0 +1,118 @@
+//! A backend server at the level of its socket, for faults that no engine shows.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use super::any_address;
+
+/// How long a connection is tried before the listener counts as full.
+const FULL: Duration = Duration::from_millis(200);
+
+/// How long the server waits for a byte before the test fails.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A listening socket that accepts when told so.
+pub struct RawServer {
+    listener: TcpListener,
+}
+
+impl RawServer {
+    /// Listens and accepts nothing yet.
+    pub fn start() -> RawServer {
+        let listener = TcpListener::bind(any_address()).unwrap();
+        RawServer { listener }
+    }
+
+    /// The address.
+    pub fn addr(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    /// Fills the queue of connections that wait to be accepted, so that further ones hang, as in a
+    /// partition that swallows packets. They hang as long as the result lives.
+    pub fn fill(&self) -> Vec<TcpStream> {
+        let mut waiting = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&self.addr(), FULL) {
+            waiting.push(stream);
+        }
+        waiting
+    }
+
+    /// Accepts connections until one carries a request, and reads its head. Polls for load reports
+    /// come too; they are cut.
+    pub fn accept(&self) -> TcpStream {
+        loop {
+            let (stream, _) = self.listener.accept().unwrap();
+            if let Some(stream) = read_head(stream) {
+                return stream;
+            }
+        }
+    }
+
+    /// Cuts each request after its head as long as the test runs; counts them.
+    pub fn cut_all(self) -> Arc<AtomicUsize> {
+        let cuts = Arc::new(AtomicUsize::new(0));
+        let counted = cuts.clone();
+        thread::spawn(move || {
+            loop {
+                drop(self.accept());
+                counted.fetch_add(1, Ordering::Relaxed);
+            }
+        });
+        cuts
+    }
+
+    /// Whether a request waits to be accepted.
+    pub fn has_request(&self) -> bool {
+        self.listener.set_nonblocking(true).unwrap();
+        let mut found = false;
+        while let Ok((stream, _)) = self.listener.accept() {
+            stream.set_nonblocking(false).unwrap();
+            found |= read_head(stream).is_some();
+        }
+        self.listener.set_nonblocking(false).unwrap();
+        found
+    }
+}
+
+/// Reads the head of a request; nothing when it is a poll, or ends early.
+fn read_head(mut stream: TcpStream) -> Option<TcpStream> {
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    (!head.starts_with(b"GET ")).then_some(stream)
+}
+
+/// Reads what is left of a request of `length` body bytes and answers it with an empty `200`.
+pub fn answer_rest(mut stream: TcpStream, length: usize) {
+    let mut left = length;
+    let mut chunk = vec![0; 64 * 1024];
+    while left > 0 {
+        let count = stream.read(&mut chunk).unwrap();
+        assert!(count > 0, "the request was cut");
+        left -= count.min(left);
+    }
+    stream
+        .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+        .unwrap();
+}
+
+/// Waits until the other side ended the connection; whatever still comes is dropped.
+pub fn wait_cut(mut stream: TcpStream) {
+    let mut chunk = vec![0; 64 * 1024];
+    while stream.read(&mut chunk).is_ok_and(|count| count > 0) {}
+}
--- a/tests/all/support/site.rs
+++ b/tests/all/support/site.rs
@@ -192,7 +192,7 @@
             "[instance]\nid = {name}\nzone = zone-a\nlisten = {any}\noperator = {any}\n\
              notice = 300 ms\ndrain = 20 s\n\n[platform]\naddresses = {platform}\n\n\
              [peers]\nlisten = {peer}\nkey = {PEER_KEY}\n\n\
-             [limits]\nwrite-timeout = 5 s\n"
+             [limits]\nbody-timeout = 2 s\nwrite-timeout = 5 s\n"
         );
         let file = self.folder.path().join(format!("{name}.ini"));
         fs::write(&file, text).unwrap();
