--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,15 +2,20 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+mod answer_faults;
 mod caller_faults;
+mod cells;
 mod commands;
 mod fleet;
 mod instance_list;
+mod load_faults;
+mod matrix;
 mod once;
+mod pair_faults;
 mod path;
-
 mod platform_faults;
 mod process_faults;
+mod sending_faults;
 mod server_faults;
 #[allow(unreachable_pub, reason = "a binary of tests has no interface")]
 mod support;
--- a/tests/all/support/entry.rs
+++ b/tests/all/support/entry.rs
@@ -3,6 +3,7 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -99,6 +100,26 @@
         classes.find(|c| c.class == name).unwrap().queued
     }
 
+    /// Requests in flight of a class.
+    pub fn running(&self, class: &str) -> u64 {
+        let status = self.status();
+        let mut classes = status.classes.iter();
+        let name = format!("team/{class}");
+        classes.find(|c| c.class == name).unwrap().running
+    }
+
+    /// Requests of a class that ended in a way, such as `cancelled`, as the metrics count them.
+    pub fn ended(&self, class: &str, end: &str) -> u64 {
+        let page = self.page("/metrics").unwrap();
+        let class = format!("class=\"team/{class}\"");
+        let end = format!("end=\"{end}\"");
+        let lines = page.body.lines();
+        let lines = lines.filter(|line| line.starts_with("crocushold_requests_total{"));
+        let lines = lines.filter(|line| line.contains(&class) && line.contains(&end));
+        let counts = lines.map(|line| line.rsplit(' ').next().unwrap().parse::<u64>().unwrap());
+        counts.sum()
+    }
+
     /// Requests in flight at the backend servers.
     pub fn in_flight(&self) -> u64 {
         self.status().servers.iter().map(|s| s.running).sum()
@@ -108,9 +129,9 @@
     pub fn wait_idle(&self) {
         wait("every slot was given back", || {
             let status = self.status();
-            let queued: u64 = status.classes.iter().map(|c| c.queued).sum();
+            let held: u64 = status.classes.iter().map(|c| c.queued + c.running).sum();
             let running: u64 = status.servers.iter().map(|s| s.running).sum();
-            queued == 0 && running == 0
+            held == 0 && running == 0
         });
     }
 
@@ -121,6 +142,13 @@
         });
     }
 
+    /// Waits until the listener for callers is closed.
+    pub fn wait_closed(&self) {
+        wait("the listener is closed", || {
+            TcpStream::connect(self.listen).is_err()
+        });
+    }
+
     /// Sends the process a signal, such as `TERM`, `STOP` or `CONT`.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
