Judge only requests whose targets fall inside a measured point

Leaving out what was still open at the end counted the fast answers alone: the baseline's drafts showed 100 % at 2.5 times capacity. Points can be selected and repeated with other seeds.

--- a/crates/measure/src/arrivals.rs
+++ b/crates/measure/src/arrivals.rs
@@ -65,8 +65,9 @@
         let more = burst.map_or(0.0, |burst| burst.part * capacity / mean_tokens(class));
         let peak = steady + more;
         let mut at = 0.0;
-        while peak > 0.0 {
+        loop {
             at += -(1.0 - rng.random::<f64>()).ln() / peak;
+            // With a rate of zero the first arrival is infinitely late.
             if at >= seconds {
                 break;
             }
@@ -83,6 +84,25 @@
     all
 }
 
+/// Requests of the first class at a steady rate, with answers of the same length.
+pub(crate) fn steady(rate: f64, tokens: u32, seconds: f64, seed: u64) -> Vec<Arrival> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut all = Vec::new();
+    let mut at = 0.0;
+    loop {
+        at += -(1.0 - rng.random::<f64>()).ln() / rate;
+        if at >= seconds {
+            return all;
+        }
+        all.push(Arrival {
+            at,
+            class: 0,
+            tokens,
+            prefix: rng.random_range(0..PREFIXES),
+        });
+    }
+}
+
 fn arrival(class: &ClassShape, index: usize, at: f64, rng: &mut StdRng) -> Arrival {
     let tokens = match class.work {
         Work::Model { output, .. } => output.draw(rng),
--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -120,17 +120,17 @@
         };
         match system {
             System::Direct => {}
-            System::Baseline => fleet.start_proxy()?,
+            System::Baseline => fleet.start_proxy(shape)?,
             System::Crocushold => fleet.start_instances(shape, folder).await?,
         }
         Ok(fleet)
     }
 
-    fn start_proxy(&mut self) -> Outcome<()> {
+    fn start_proxy(&mut self, shape: &Shape) -> Outcome<()> {
         let mut args = vec![
             "proxy".to_owned(),
             "--concurrency".to_owned(),
-            CONCURRENCY.to_string(),
+            shape.concurrency.to_string(),
         ];
         for engine in &self.backends.engines {
             args.push("--server".to_owned());
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -11,13 +11,14 @@
 use bpaf::long;
 use crocushold_measure::Outcome;
 use crocushold_measure::policy;
+use crocushold_measure::policy::Select;
 use crocushold_measure::proxy;
 use crocushold_measure::relay;
 
 #[derive(Clone, Debug)]
 enum Command {
     Policy {
-        quick: bool,
+        select: Select,
         out: PathBuf,
     },
     Relay {
@@ -42,7 +43,7 @@
 
 async fn run(command: Command) -> Outcome<()> {
     match command {
-        Command::Policy { quick, out } => policy::run(quick, &out).await,
+        Command::Policy { select, out } => policy::run(&select, &out).await,
         Command::Relay { out } => relay::run(&out).await,
         Command::Proxy {
             concurrency,
@@ -64,8 +65,31 @@
     let quick = long("quick")
         .help("Only the first shape, 0.7 and 2.5 times capacity, without faults")
         .switch();
+    let shape = long("shape")
+        .help("Only this shape")
+        .argument::<String>("NAME")
+        .many();
+    let level = long("level")
+        .help("Only this multiple of the capacity")
+        .argument::<f64>("LEVEL")
+        .many();
+    let fault = long("fault")
+        .help("Only this fault: none, flood, straggler, crash or burst")
+        .argument::<String>("FAULT")
+        .many();
+    let repeat = long("repeat")
+        .help("How often each point is run, each time with another seed")
+        .argument::<u64>("N")
+        .fallback(1);
+    let select = construct!(Select {
+        quick,
+        shape,
+        level,
+        fault,
+        repeat,
+    });
     let out = out();
-    construct!(Command::Policy { quick, out })
+    construct!(Command::Policy { select, out })
         .to_options()
         .descr("Attainment, goodput and wasted work by class, under load and faults")
         .command("policy")
--- a/crates/measure/src/page.rs
+++ b/crates/measure/src/page.rs
@@ -19,9 +19,10 @@
 no classes. Both get the same seeded plan of open-loop arrivals at the same time. Every cell shows
 crocushold / baseline.
 
-A point lasts 15 s; 4 s to 15 s are measured, and requests due until 12.5 s are judged. A request
-that is still open at the end counts as missed when its target has passed by then, and is left out
-otherwise. Goodput counts the tokens that reached callers inside the window, of answers that were
+A point lasts 15 s; 4 s to 15 s are measured. Requests are judged whose targets fall inside the
+point; a class with a target of many minutes is not, and its share of the tokens stands instead.
+A stream that still runs at the end counts as missed when it has missed a target by then, and is
+left out otherwise. Goodput counts the tokens that reached callers inside the window, of answers that were
 completed or still ran at its end; its share is of what the same engines do for the same mix of
 requests sent to them directly at 1.6 times their capacity. Wasted work is what the engines count
 as generated for requests whose caller or router left, or that an engine's fault lost.
@@ -32,9 +33,9 @@
 ";
 
 /// The whole page.
-pub(crate) fn render(all: &[Results], quick: bool) -> String {
+pub(crate) fn render(all: &[Results], flags: &str) -> String {
     let mut out = String::new();
-    write_page(&mut out, all, quick).expect("writing to a string never fails");
+    write_page(&mut out, all, flags).expect("writing to a string never fails");
     out
 }
 
@@ -43,21 +44,14 @@
     row_line(shape, capacity, row)
 }
 
-fn write_page(out: &mut String, all: &[Results], quick: bool) -> std::fmt::Result {
-    let flag = if quick { " --quick" } else { "" };
+fn write_page(out: &mut String, all: &[Results], flags: &str) -> std::fmt::Result {
     writeln!(out, "# Policy under load and faults\n")?;
     writeln!(out, "```text\ncargo build --release --bins --workspace")?;
     writeln!(
         out,
-        "cargo run --release -p crocushold-measure -- policy{flag}\n```\n"
-    )?;
-    let cores = std::thread::available_parallelism().map_or(0, |n| n.get());
-    let load = process::load_average();
-    writeln!(
-        out,
-        "Run on {}, {cores} cores shared with other jobs, load average {load:.0} at the end.\n",
-        today()
+        "cargo run --release -p crocushold-measure -- policy{flags}\n```\n"
     )?;
+    writeln!(out, "{}\n", machine())?;
     debug_assert!(
         (STRAGGLER_FACTOR - 4.0).abs() < f64::EPSILON,
         "the text says four"
@@ -69,6 +63,16 @@
     Ok(())
 }
 
+/// When and on what the measurement ran.
+pub(crate) fn machine() -> String {
+    let cores = std::thread::available_parallelism().map_or(0, |n| n.get());
+    let load = process::load_average();
+    let today = today();
+    format!(
+        "Run on {today}, {cores} cores shared with other jobs, load average {load:.0} at the end."
+    )
+}
+
 fn today() -> String {
     let output = Command::new("date")
         .arg("-u")
@@ -159,12 +163,15 @@
     share.map_or("-".to_owned(), |share| format!("{share:.1}"))
 }
 
+/// A counter of a class.
+type Count = fn(&ClassSummary) -> u64;
+
 fn write_promises(out: &mut String, results: &Results) -> std::fmt::Result {
-    let total = |side: fn(&Row) -> &Summary, count: fn(&ClassSummary) -> u64| -> u64 {
+    let total = |side: fn(&Row) -> &Summary, count: Count| -> u64 {
         let classes = results.rows.iter().flat_map(|row| &side(row).classes);
         classes.map(count).sum()
     };
-    let counts: [(&str, fn(&ClassSummary) -> u64); 6] = [
+    let counts: [(&str, Count); 6] = [
         ("misdelivered or disordered", |class| class.misdelivered),
         ("non-idempotent, run more than once", |class| class.doubled),
         ("idempotent, run more than once", |class| class.repeated),
--- a/crates/measure/src/point.rs
+++ b/crates/measure/src/point.rs
@@ -42,8 +42,8 @@
     pub(crate) fault: f64,
     /// End of a crash or a burst.
     pub(crate) mended: f64,
-    /// The last moment whose requests are judged, so that they can end.
-    pub(crate) judged: f64,
+    /// The least time before the end that a request must be due to be judged: what a stream takes.
+    pub(crate) tail: f64,
     /// The end.
     pub(crate) end: f64,
 }
@@ -54,7 +54,7 @@
             warm: 4.0,
             fault: 6.0,
             mended: 9.0,
-            judged: 12.5,
+            tail: 2.5,
             end: 15.0,
         }
     }
--- a/crates/measure/src/policy.rs
+++ b/crates/measure/src/policy.rs
@@ -36,6 +36,30 @@
 /// Seed of the first point; each further one has the next.
 const SEED: u64 = 20;
 
+/// Which points are run.
+#[derive(Clone, Debug, Default)]
+pub struct Select {
+    /// Only the first shape, the lowest and the highest demand, without faults.
+    pub quick: bool,
+    /// Shapes by name; all when empty.
+    pub shape: Vec<String>,
+    /// Multiples of the capacity; all when empty.
+    pub level: Vec<f64>,
+    /// Faults by name, and `flood`; all when empty.
+    pub fault: Vec<String>,
+    /// How often each point is run.
+    pub repeat: u64,
+}
+
+/// A point to run.
+#[derive(Clone, Copy, Debug)]
+struct Point {
+    level: f64,
+    flood: bool,
+    fault: Fault,
+    seed: u64,
+}
+
 /// One point, through both systems at the same time.
 pub(crate) struct Row {
     /// What was asked for.
@@ -65,73 +89,103 @@
 /// # Errors
 ///
 /// Fails when a process can't be started or commanded, or a file can't be written.
-pub async fn run(quick: bool, out: &Path) -> Outcome<()> {
+pub async fn run(select: &Select, out: &Path) -> Outcome<()> {
     let folder = std::env::temp_dir().join(format!("crocushold-measure-{}", std::process::id()));
-    let shapes = if quick {
-        vec![shape::evening()]
-    } else {
-        vec![shape::evening(), shape::subsidy()]
+    let shapes = [shape::evening(), shape::subsidy()];
+    let wanted = |shape: &Shape| {
+        let first = shape.name == shapes[0].name;
+        let named = select.shape.is_empty() || select.shape.iter().any(|name| name == shape.name);
+        named && (first || !select.quick)
     };
-    let points = points(quick);
+    let points = select.points();
     let mut all = Vec::new();
-    for shape in shapes {
-        all.push(run_shape(Arc::new(shape), &points, &folder).await?);
+    for shape in shapes.iter().filter(|shape| wanted(shape)) {
+        all.push(run_shape(Arc::new(shape.clone()), &points, &folder).await?);
     }
     std::fs::create_dir_all(out)?;
     for results in &all {
         plot::write(results, out)?;
     }
-    let page = page::render(&all, quick);
+    let page = page::render(&all, &select.flags());
     std::fs::write(out.join("policy.md"), &page)?;
     println!("{page}");
     std::fs::remove_dir_all(&folder)?;
     Ok(())
 }
 
-fn points(quick: bool) -> Vec<(f64, bool, Fault)> {
-    let mut points = Vec::new();
-    if quick {
-        return vec![(0.7, false, Fault::None), (2.5, false, Fault::None)];
-    }
-    for level in LEVELS {
-        points.push((level, false, Fault::None));
+impl Select {
+    fn points(&self) -> Vec<Point> {
+        let mut all = Vec::new();
+        let kinds = [
+            ("none", false, Fault::None),
+            ("flood", true, Fault::None),
+            ("straggler", false, Fault::Straggler),
+            ("crash", false, Fault::Crash),
+            ("burst", false, Fault::Burst),
+        ];
+        for (name, flood, fault) in kinds {
+            for level in LEVELS {
+                // A flood of nothing is the scaled demand.
+                let same = flood && level <= BASE_LEVEL;
+                if !same && self.wants(name, level) {
+                    all.push((level, flood, fault));
+                }
+            }
+        }
+        let seeds = all.len() as u64;
+        let repeat = self.repeat.max(1);
+        let numbered = (0..repeat).flat_map(|round| {
+            all.iter()
+                .enumerate()
+                .map(move |(number, &(level, flood, fault))| Point {
+                    level,
+                    flood,
+                    fault,
+                    seed: SEED + round * seeds + number as u64,
+                })
+        });
+        numbered.collect()
     }
-    for level in LEVELS.into_iter().filter(|&level| level > BASE_LEVEL) {
-        points.push((level, true, Fault::None));
+
+    fn wants(&self, kind: &str, level: f64) -> bool {
+        if self.quick {
+            return kind == "none" && (level == LEVELS[0] || level == LEVELS[LEVELS.len() - 1]);
+        }
+        let named = self.fault.is_empty() || self.fault.iter().any(|name| name == kind);
+        named && (self.level.is_empty() || self.level.contains(&level))
     }
-    for fault in [Fault::Straggler, Fault::Crash, Fault::Burst] {
-        for level in LEVELS {
-            points.push((level, false, fault));
+
+    /// The options as they stand on the command line.
+    fn flags(&self) -> String {
+        let mut flags = String::new();
+        if self.quick {
+            flags.push_str(" --quick");
+        }
+        for name in &self.shape {
+            flags.push_str(&format!(" --shape {name}"));
+        }
+        for level in &self.level {
+            flags.push_str(&format!(" --level {level}"));
         }
+        for name in &self.fault {
+            flags.push_str(&format!(" --fault {name}"));
+        }
+        if self.repeat > 1 {
+            flags.push_str(&format!(" --repeat {}", self.repeat));
+        }
+        flags
     }
-    points
 }
 
-async fn run_shape(
-    shape: Arc<Shape>,
-    points: &[(f64, bool, Fault)],
-    folder: &Path,
-) -> Outcome<Results> {
+async fn run_shape(shape: Arc<Shape>, points: &[Point], folder: &Path) -> Outcome<Results> {
     let capacity = capacity(&shape, folder).await?;
     println!(
         "{}: the engines do {capacity:.0} tokens a second",
         shape.name
     );
     let mut rows = Vec::new();
-    for (number, &(level, flood, fault)) in points.iter().enumerate() {
-        let timing = Timing::default();
-        let burst = (fault == Fault::Burst).then_some(Burst {
-            from: timing.fault,
-            until: timing.mended,
-            part: BURST_PART,
-        });
-        let demand = Demand {
-            level,
-            flood,
-            burst,
-        };
-        let seed = SEED + number as u64;
-        let row = run_point(&shape, demand, fault, capacity, seed, folder).await?;
+    for point in points {
+        let row = run_point(&shape, *point, capacity, folder).await?;
         println!("{}", page::line(&shape, capacity, &row));
         rows.push(row);
     }
@@ -142,15 +196,24 @@
     })
 }
 
-async fn run_point(
-    shape: &Arc<Shape>,
-    demand: Demand,
-    fault: Fault,
-    capacity: f64,
-    seed: u64,
-    folder: &Path,
-) -> Outcome<Row> {
+async fn run_point(shape: &Arc<Shape>, point: Point, capacity: f64, folder: &Path) -> Outcome<Row> {
     let timing = Timing::default();
+    let Point {
+        level,
+        flood,
+        fault,
+        seed,
+    } = point;
+    let burst = (fault == Fault::Burst).then_some(Burst {
+        from: timing.fault,
+        until: timing.mended,
+        part: BURST_PART,
+    });
+    let demand = Demand {
+        level,
+        flood,
+        burst,
+    };
     let plan = arrivals::plan(shape, &demand, capacity, timing.end, seed);
     let ours = folder.join("ours");
     let theirs = folder.join("baseline");
--- a/crates/measure/src/process.rs
+++ b/crates/measure/src/process.rs
@@ -51,23 +51,9 @@
         Ok(value.parse()?)
     }
 
-    /// Processor seconds used so far.
-    pub(crate) fn cpu(&self) -> f64 {
-        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
-        let stat = stat.unwrap_or_default();
-        let after = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
-        let fields = after.split_whitespace().skip(FIELDS_BEFORE_TIME);
-        let ticks: f64 = fields.take(2).filter_map(|f| f.parse::<f64>().ok()).sum();
-        ticks / TICKS_PER_SECOND
-    }
-
-    /// Resident memory in MiB.
-    pub(crate) fn resident(&self) -> f64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kib = line.and_then(|rest| rest.split_whitespace().next()?.parse::<f64>().ok());
-        kib.unwrap_or(0.0) / 1024.0
+    /// The process's number.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
     }
 }
 
@@ -79,6 +65,23 @@
     }
 }
 
+/// Processor seconds that a process has used so far.
+pub(crate) fn cpu(id: u32) -> f64 {
+    let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let after = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+    let fields = after.split_whitespace().skip(FIELDS_BEFORE_TIME);
+    let ticks: f64 = fields.take(2).filter_map(|f| f.parse::<f64>().ok()).sum();
+    ticks / TICKS_PER_SECOND
+}
+
+/// Resident memory of a process in MiB.
+pub(crate) fn resident(id: u32) -> f64 {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|rest| rest.split_whitespace().next()?.parse::<f64>().ok());
+    kib.unwrap_or(0.0) / 1024.0
+}
+
 fn beside(program: &str) -> Outcome<PathBuf> {
     let own = std::env::current_exe()?;
     Ok(own.with_file_name(program))
--- a/crates/measure/src/shape.rs
+++ b/crates/measure/src/shape.rs
@@ -69,6 +69,8 @@
     pub(crate) zones: &'static [&'static str],
     /// Engines.
     pub(crate) engines: usize,
+    /// Requests that an engine runs at once: the limit of its batch.
+    pub(crate) concurrency: usize,
     /// Entry instances.
     pub(crate) instances: usize,
     /// Classes; the last of those that ask a model is the lowest.
@@ -78,7 +80,7 @@
 /// The model that all engines hold.
 pub(crate) const MODEL: &str = "clara-8b";
 
-/// Requests that an engine runs at once: the limit of its batch.
+/// Requests that an engine of a measurement of the policy runs at once.
 pub(crate) const CONCURRENCY: usize = 16;
 
 /// A caller that waits as long as the measurement lasts.
@@ -109,6 +111,7 @@
         prefix: "/booking",
         zones: &["stgo-a", "stgo-b", "stgo-c", "stgo-d"],
         engines: 12,
+        concurrency: CONCURRENCY,
         instances: 4,
         classes: vec![
             ClassShape {
@@ -132,7 +135,7 @@
                 priority: 3,
                 floor: 10,
                 idempotent: true,
-                targets: whole(10_000),
+                targets: whole(5_000),
                 timeout_ms: 20_000,
                 work: Work::Model {
                     part: 0.3,
@@ -172,6 +175,7 @@
         prefix: "/doklad",
         zones: &["hala-lisen", "hala-slatina", "hala-komarov"],
         engines: 10,
+        concurrency: CONCURRENCY,
         instances: 3,
         classes: vec![
             ClassShape {
@@ -195,7 +199,7 @@
                 priority: 2,
                 floor: 10,
                 idempotent: true,
-                targets: whole(6_000),
+                targets: whole(5_000),
                 timeout_ms: 12_000,
                 work: Work::Model {
                     part: 0.3,
@@ -224,6 +228,36 @@
     }
 }
 
+/// Streams of one live class through one instance, to measure what the instance itself costs.
+pub(crate) fn streams() -> Shape {
+    Shape {
+        name: "relay",
+        team: "clara",
+        fleet: "model-fleet",
+        service: "booking-api",
+        prefix: "/booking",
+        zones: &["stgo-a"],
+        engines: 4,
+        concurrency: 1000,
+        instances: 1,
+        classes: vec![ClassShape {
+            name: "chat",
+            account: "parents",
+            priority: 1,
+            floor: 30,
+            idempotent: true,
+            targets: first_and_gap(350, 80),
+            timeout_ms: PATIENT,
+            work: Work::Model {
+                part: 1.0,
+                output: Lengths::fixed(1),
+                prompt: 400,
+                stream: true,
+            },
+        }],
+    }
+}
+
 fn plain(
     name: &'static str,
     idempotent: bool,
@@ -279,11 +313,13 @@
         engines: &[SocketAddr],
         service: SocketAddr,
     ) -> std::fmt::Result {
-        let fleet = self.fleet;
+        let Shape {
+            fleet, concurrency, ..
+        } = self;
         writeln!(out, "[team {}]\nformat = 1\n", self.team)?;
         writeln!(
             out,
-            "[service {fleet}]\nkind = model\nconcurrency = {CONCURRENCY}\n"
+            "[service {fleet}]\nkind = model\nconcurrency = {concurrency}\n"
         )?;
         let count = engines.len();
         writeln!(
@@ -312,7 +348,9 @@
             self.write_class(out, class)?;
         }
         for account in ["parents", "sheets"] {
-            self.write_account(out, account)?;
+            if self.classes.iter().any(|class| class.account == account) {
+                self.write_account(out, account)?;
+            }
         }
         Ok(())
     }
--- a/crates/measure/src/summary.rs
+++ b/crates/measure/src/summary.rs
@@ -115,7 +115,7 @@
         cancelled: lost(|stats| stats.cancelled_tokens),
         failed: lost(|stats| stats.failed_tokens),
         causes: causes(&observed.metrics),
-        late: quantile(observed.sent.iter().map(|sent| sent.late * 1000.0)),
+        late: quantile(observed.sent.iter().map(|sent| sent.late * 1000.0), 0.99),
     }
 }
 
@@ -132,7 +132,7 @@
             continue;
         }
         summary.count_ending(sent);
-        if sent.due > timing.judged {
+        if sent.due > judged_until(class, timing) {
             continue;
         }
         firsts.extend(sent.first.map(|first| first * 1000.0));
@@ -142,7 +142,7 @@
         }
     }
     summary.goodput = tokens / (timing.end - timing.warm);
-    summary.first_p99 = quantile(firsts.into_iter());
+    summary.first_p99 = quantile(firsts.into_iter(), 0.99);
     summary
 }
 
@@ -173,6 +173,13 @@
     }
 }
 
+/// The last moment whose requests are judged: their targets must fall inside the measurement, since
+/// leaving out those that are still open would count the fast ones alone.
+fn judged_until(class: &ClassShape, timing: &Timing) -> f64 {
+    let whole = class.targets.whole_ms.unwrap_or(0) as f64 / 1000.0;
+    timing.end - timing.tail.max(whole)
+}
+
 /// Whether the request met its targets; none when the measurement ended before that was known.
 fn verdict(sent: &Sent, class: &ClassShape, end: f64) -> Option<bool> {
     let targets = class.targets;
@@ -202,7 +209,7 @@
 /// Tokens that came inside the window, of a request that was completed or still ran at the end.
 ///
 /// A streamed answer counts token by token; another one with its end.
-fn useful_tokens(sent: &Sent, class: &ClassShape, timing: &Timing) -> f64 {
+pub(crate) fn useful_tokens(sent: &Sent, class: &ClassShape, timing: &Timing) -> f64 {
     let Work::Model { stream, .. } = class.work else {
         return 0.0;
     };
@@ -242,11 +249,11 @@
     causes
 }
 
-/// The 99th percentile.
-fn quantile(values: impl Iterator<Item = f64>) -> f64 {
+/// The value below which the share `part` of the values lies; zero of none.
+pub(crate) fn quantile(values: impl Iterator<Item = f64>, part: f64) -> f64 {
     let mut all: Vec<f64> = values.collect();
     all.sort_by(f64::total_cmp);
-    let at = (all.len() as f64 * 0.99) as usize;
+    let at = (all.len() as f64 * part) as usize;
     all.get(at.min(all.len().saturating_sub(1)))
         .copied()
         .unwrap_or(0.0)
