--- a/crates/measure/src/process.rs
+++ b/crates/measure/src/process.rs
@@ -31,7 +31,7 @@
         let mut child = Command::new(beside(program)?)
             .args(args)
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stderr(Stdio::inherit())
             .spawn()
             .map_err(|error| {
                 format!("{program}: {error}; build with `cargo build --release --bins --workspace`")
--- a/crates/measure/src/proxy.rs
+++ b/crates/measure/src/proxy.rs
@@ -33,7 +33,7 @@
 use crate::Outcome;
 
 /// The status of an answer that nobody reads: the caller closed the connection.
-const CALLER_GONE: u16 = 499;
+const CALLER_GONE: StatusCode = StatusCode::RequestTimeout;
 
 /// The longest wait for the head of an answer, which for whole answers comes with their end.
 const HEAD_TIMEOUT: Millis = Millis::from_secs(600);
