--- a/crates/peers/tests/stranger.rs
+++ b/crates/peers/tests/stranger.rs
@@ -15,11 +15,11 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
 use crocushold_base::Millis;
+use crocushold_ownership::AccountId;
+use crocushold_ownership::ReturnRequest;
 use crocushold_peers::CallError;
 use crocushold_peers::Instance;
-use crocushold_peers::KeyHash;
 use crocushold_peers::Listed;
-use crocushold_peers::Outcome;
 use crocushold_peers::PeerHandle;
 use crocushold_peers::PeerNode;
 use crocushold_peers::Refuse;
@@ -154,10 +154,10 @@
             }
         });
         node.instance_list(vec![listed.clone()]);
-        let settle = Request::Settle {
-            key: KeyHash(1),
-            outcome: Outcome::Ran,
-        };
+        let settle = Request::Return(ReturnRequest {
+            account: AccountId(1),
+            kept: 1,
+        });
         let deadline = Millis::from_secs(5);
         let outcome = node.call(&listed.instance.id, settle, deadline).await;
         let refused = matches!(outcome, Err(CallError::Connect(_) | CallError::CircuitOpen));
