Wait before trying peers that refused at once

A newcomer whose peers weren't up yet tried them again as fast as the network refused: 201 tries in two seconds in the test, seen red; 11 at the most now. Waiting a whole probe interval was ruled out, since it delays a cold start of all.

--- a/crates/peers/src/member/join.rs
+++ b/crates/peers/src/member/join.rs
@@ -11,6 +11,10 @@
 use crate::message::Status;
 use crate::message::Update;
 
+/// Wait after all contacts refused at once. Without it a newcomer whose peers aren't up yet would
+/// try them as fast as the network refuses.
+const REFUSED_WAIT: Millis = Millis(200);
+
 /// How far the instance is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -114,7 +118,8 @@
             self.settings.retry_interval
         };
         let idle = self.join.is_joining() && self.join.asked.is_empty();
-        idle || now.since(last) >= wait
+        let waited = now.since(last);
+        waited >= wait || (idle && waited >= REFUSED_WAIT)
     }
 
     fn try_contacts(&mut self, now: Millis) {
--- a/crates/peers/tests/membership.rs
+++ b/crates/peers/tests/membership.rs
@@ -12,6 +12,7 @@
 use crocushold_peers::Incarnation;
 use crocushold_peers::Instance;
 use crocushold_peers::InstanceId;
+use crocushold_peers::Listed;
 use crocushold_peers::Member;
 use crocushold_peers::MemberAction;
 use crocushold_peers::MemberFinding;
@@ -330,6 +331,29 @@
     }
 }
 
+/// The newcomer is the first to start: each connection is refused at once. It must not try again
+/// as fast as it is refused.
+#[test]
+fn a_newcomer_whose_peers_refuse_does_not_hammer_them() {
+    let settings = MemberSettings::default();
+    let life = Incarnation::starting(5);
+    let mut now = Millis(1000);
+    let mut member = Member::new(settings, instance(1), life, 1, now);
+    let peer = Listed {
+        instance: instance(2),
+        leaving: false,
+    };
+    let mut tries = member.list(std::slice::from_ref(&peer), now).len();
+    for _ in 0..20 {
+        for _ in 0..10 {
+            tries += member.failed(&peer.instance.id, now).len();
+        }
+        now += fleet::TICK;
+        tries += member.tick(now).len();
+    }
+    assert!(tries <= 11, "{tries} tries in two seconds");
+}
+
 /// The process at an address is replaced at once by a new one of the same name. Whoever takes the
 /// newcomer for its predecessor would believe that it still knows which requests it ran.
 #[test]
