Tell of deaths when views are compared

A property test of the membership failed on a merge: a minute after all faults had ended one instance still held a dead one alive, and did so after 100 s. It had slept while the death was passed on. The comparison of views, which is there for such cases, named the living only; and the sleeper was not among those who probe the dead one. Ruled out: the introduction added to requests for a view (the same seed fails without it), a higher incarnation of the dead (all had the same).

The members of a differing part now include the dead, who are remembered for an hour anyway. The seed stands as a named test.

--- a/crates/peers/src/member/table.rs
+++ b/crates/peers/src/member/table.rs
@@ -112,12 +112,14 @@
         XxHash3_64::oneshot(&bytes).max(1)
     }
 
-    /// The members of the buckets whose digests differ from `theirs`.
+    /// The members of the buckets whose digests differ from `theirs`, the dead among them: whoever
+    /// missed the news of a death, and doesn't probe the dead member itself, would hold it alive for
+    /// ever if only the living were named.
     pub(crate) fn differing(&self, theirs: &[u64]) -> Vec<&Record> {
         let differs: Vec<bool> = (0..BUCKETS)
             .map(|bucket| theirs.get(bucket) != Some(&self.digests[bucket]))
             .collect();
-        self.live()
+        self.iter()
             .filter(|record| differs[bucket(&record.instance.id)])
             .collect()
     }
--- a/crates/peers/tests/membership.rs
+++ b/crates/peers/tests/membership.rs
@@ -354,6 +354,26 @@
     assert!(tries <= 11, "{tries} tries in two seconds");
 }
 
+/// An instance sleeps while another dies, and the news of the death is no longer passed on when it
+/// wakes. It doesn't probe the dead one itself; the comparison of views has to tell it.
+#[test]
+fn a_death_that_was_slept_through_is_heard_of() {
+    let mut fleet = Fleet::settled(2_369_943_555_841_071_428, 9, 3);
+    fleet.faults = Faults {
+        loss: 98,
+        repeat: 2,
+        least: 1,
+        most: 623,
+    };
+    fleet.pause(4, Millis(18_041));
+    fleet.run(Millis::from_secs(10));
+    fleet.kill(8);
+    fleet.run(Millis::from_secs(20));
+    fleet.faults = Faults::default();
+    let agreed = fleet.run_until(Millis::from_secs(60), Fleet::agrees);
+    assert!(agreed.is_some(), "views differ a minute after the faults");
+}
+
 /// The process at an address is replaced at once by a new one of the same name. Whoever takes the
 /// newcomer for its predecessor would believe that it still knows which requests it ran.
 #[test]
