Test that answers reach their own callers among cuts and hang-ups

Sixty callers share the connections to the engines; a third leave in the middle and some answers are cut, so that connections are dropped, kept and used again in every order. Each answer that looks whole holds all tokens of its own request and none of another's. Seen failing with a body that failed taken for an end.

The engine of the caller that left a frozen instance pauses longer: its next token came within the test's patience and ended the work by a failed write, so the test passed with the watch for hang-ups removed.

--- a/tests/all/answer_faults.rs
+++ b/tests/all/answer_faults.rs
@@ -1,5 +1,8 @@
 //! Answers that end or stop before their end: the caller must be able to tell.
 
+use std::net::SocketAddr;
+use std::thread;
+
 use crocushold_standins::Cut;
 use crocushold_standins::CutForm;
 use crocushold_standins::EngineCommand;
@@ -95,3 +98,46 @@
     wait("the engine's work is cancelled", || site.held() == 0);
     site.assert_recovers(&entry);
 }
+
+// Sixty callers share the engines' connections. A third of them leave in the middle, and the engines
+// cut some answers, so that connections are dropped, kept and used again in every order. Each answer
+// that looks whole must hold all tokens of its own request and none of another's.
+#[test]
+fn answers_reach_their_own_callers_among_cuts_and_hang_ups() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    let cut = Some(Cut {
+        after: 5,
+        form: CutForm::Chunked,
+        times: Some(6),
+    });
+    site.all_engines(&EngineCommand::Cut { cut });
+    let listen = entry.listen;
+    let callers: Vec<_> = (0..60)
+        .map(|number| thread::spawn(move || ask(listen, number)))
+        .collect();
+    let whole = callers
+        .into_iter()
+        .filter_map(|caller| caller.join().unwrap());
+    let whole = whole.collect::<Vec<(u32, String)>>();
+    assert!(whole.len() >= 40 - 12, "{} of 40", whole.len());
+    for (number, text) in &whole {
+        for token in 0..20 {
+            assert!(text.contains(&format!("\"m{number}x {token} \"")), "{text}");
+        }
+        assert_eq!(text.matches("\"content\"").count(), 20, "{text}");
+    }
+    site.assert_recovers(&entry);
+}
+
+/// Sends a request; every third caller leaves early. The answer, if it looks whole.
+fn ask(listen: SocketAddr, number: u32) -> Option<(u32, String)> {
+    let marker = format!("m{number}x");
+    let mut caller = Raw::send(listen, &Call::chat(true, 20).marked(&marker));
+    if number.is_multiple_of(3) {
+        caller.read_until(&format!("{marker} 1 "));
+        return None;
+    }
+    let came = caller.read_until("\r\n0\r\n\r\n");
+    came.then(|| (number, caller.text()))
+}
--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -128,6 +128,12 @@
         promises: &[Promise::Once, Promise::Slots],
         test: "server_faults::a_booking_answered_unavailable_is_sent_once",
     },
+    Cell {
+        fault: Fault::GoneCut,
+        step: Step::Streaming,
+        promises: &[Promise::Whole, Promise::Slots],
+        test: "answer_faults::answers_reach_their_own_callers_among_cuts_and_hang_ups",
+    },
     // Load.
     Cell {
         fault: Fault::Burst,
--- a/tests/all/matrix.rs
+++ b/tests/all/matrix.rs
@@ -85,6 +85,7 @@
         FrozenLeft = "entry frozen, server left",
         FrozenStop = "entry frozen, planned stop",
         StopDown = "planned stop, platform frozen",
+        GoneCut = "callers gone, answers cut, at once",
         GoneHang = "caller gone, engine hang",
     }
 }
--- a/tests/all/pair_faults.rs
+++ b/tests/all/pair_faults.rs
@@ -122,7 +122,7 @@
     let entry = site.entry("entry-1");
     let mut caller = Raw::send(entry.listen, &Call::chat(true, 5000).marked("gone"));
     assert!(caller.read_until("gone 1 "));
-    site.all_engines(&EngineCommand::Slow { factor: 1000.0 });
+    site.all_engines(&EngineCommand::Slow { factor: 10_000.0 });
     entry.signal("STOP");
     drop(caller);
     assert_eq!(site.held(), 1);
