Test a fleet of eight processes under load and faults

A fleet was tested with three instances and without load. Now eight processes run behind a balancer that asks for their health, under a small load whose generator finds cut, doubled, misdelivered and falsely unrun answers: one killed, one frozen, groups cut off one way and both, all replaced in turn as planned and by kills, the platform frozen or down meanwhile, and a stranger with a wrong key.

Links are cut by relays that learn from the greeting who calls. Instances tell each other the addresses that they listen on, so the relays translate these.

Red so far, for faults in the program: both replacements under load (an instance without a configuration answers /health with 200, so the balancer sends it requests), and a change that doesn't reach an instance without peers within 5 s. Their repair is not part of this commit.

--- /dev/null
+++ b/tests/all/fleet_losses.rs
@@ -0,0 +1,188 @@
+//! Eight instances under load that lose one of them, for good or for a while.
+
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use crocushold_standins::PlatformCommand;
+
+use crate::support::Answer;
+use crate::support::Balancer;
+use crate::support::Call;
+use crate::support::Entry;
+use crate::support::Fleet;
+use crate::support::Load;
+use crate::support::Site;
+use crate::support::SiteSettings;
+use crate::support::call;
+use crate::support::call_beside;
+use crate::support::wait;
+
+/// Within this time all have noticed a loss, or take one back that was away.
+const AGREED: Duration = Duration::from_secs(15);
+
+/// How long a frozen instance sleeps.
+const FREEZE: Duration = Duration::from_secs(3);
+
+/// A caller that is answered later than this beside a frozen instance was held up by it.
+const PROMPT: Duration = Duration::from_millis(1500);
+
+/// How long nothing may be seen of a stranger: each member has tried the address by then.
+const WATCHED: Duration = Duration::from_secs(7);
+
+fn site() -> Site {
+    Site::start(&SiteSettings {
+        concurrency: 64,
+        ..SiteSettings::default()
+    })
+}
+
+/// The machine of one of eight instances fails while it relays answers. Its callers see their answers
+/// end; nobody else is cut, nothing runs twice, and the others soon agree on who is left.
+#[test]
+fn a_killed_instance_cuts_only_its_own_requests() {
+    let site = site();
+    let mut fleet = Fleet::start(&site, 8);
+    fleet.wait_agreed();
+    let balancer = Balancer::start();
+    let backends: Vec<_> = fleet.running().map(|entry| balancer.add(entry)).collect();
+    let load = Load::start(&site, balancer.address);
+    wait("the victim holds requests", || {
+        fleet.entry(3).in_flight() > 0
+    });
+    fleet.kill(3);
+    let took = fleet.wait_agreed();
+    let totals = load.stop();
+    totals.print("kill one");
+    println!("kill one: agreed in {took:?}");
+    totals.assert_sound();
+    for (number, backend) in backends.iter().enumerate() {
+        assert!(
+            number == 3 || backend.cut() == 0,
+            "{number} cut answers too"
+        );
+    }
+    assert!(totals.cut() <= backends[3].cut(), "{}", totals.cut());
+    assert!(took < AGREED, "{took:?}");
+}
+
+/// One of eight instances is stopped for three seconds, as by its hypervisor, while requests wait in
+/// it and a change is published. Its peers go on as if it weren't there. Awake, it must not send on
+/// what has long expired, nor bring back the revision that it knows.
+#[test]
+fn a_frozen_instance_slows_nobody_and_reverts_nothing() {
+    let site = site();
+    let fleet = Fleet::start(&site, 8);
+    fleet.wait_agreed();
+    let balancer = Balancer::start();
+    for entry in fleet.running() {
+        balancer.add(entry);
+    }
+    let load = Load::start(&site, balancer.address);
+    let sleeper = fleet.entry(5);
+    let busy = fill_queue(sleeper);
+    let late = Call::batch(2).marked("late").header("x-timeout-ms", "2000");
+    let late = call_beside(sleeper.listen, &late);
+    wait("it is queued", || sleeper.queued("batch") >= 2);
+    sleeper.signal("STOP");
+    let frozen = Instant::now();
+    site.publish(|text| text.replace("format = 1", "format = 1\n# changed\n"));
+    let slowest = slowest_answer(&fleet, 5, frozen);
+    for (number, entry) in fleet.running().enumerate() {
+        if number != 5 {
+            assert_eq!(entry.status().config.revision, 2, "{number}");
+        }
+    }
+    sleeper.signal("CONT");
+    let woken = Instant::now();
+    while woken.elapsed() < Duration::from_secs(1) {
+        for (number, entry) in fleet.running().enumerate() {
+            let revision = entry.status().config.revision;
+            assert!(
+                number == 5 || revision == 2,
+                "{number} went back to {revision}"
+            );
+        }
+    }
+    fleet.wait_status("\"revision\": 2,");
+    fleet.wait_agreed();
+    let took = woken.elapsed();
+    let totals = load.stop();
+    totals.print("freeze one");
+    println!("freeze one: slowest beside it {slowest:?}, agreed in {took:?}");
+    let answer = late.join().unwrap().unwrap();
+    assert_eq!(answer.header("x-request-ran"), "no", "{}", answer.body);
+    assert_eq!(site.runs("late"), 0);
+    for answer in busy {
+        assert!(answer.join().unwrap().unwrap().whole);
+    }
+    totals.assert_sound();
+    assert_eq!(totals.cut(), 0);
+    assert!(slowest < PROMPT, "{slowest:?}");
+    assert!(took < AGREED, "{took:?}");
+}
+
+/// Calls the others for as long as one is frozen, and returns the longest that an answer took.
+fn slowest_answer(fleet: &Fleet<'_>, frozen: usize, since: Instant) -> Duration {
+    let mut slowest = Duration::ZERO;
+    let others = (0..fleet.members.len()).filter(|&number| number != frozen);
+    for (round, number) in others.cycle().enumerate() {
+        if since.elapsed() >= FREEZE {
+            break;
+        }
+        let key = format!("beside-{round}");
+        // The frozen instance is one of three that are asked about a key.
+        let booking = Call::booking(&key).header("idempotency-key", &key);
+        for request in [Call::chat(true, 2), booking] {
+            let start = Instant::now();
+            let answer = call(fleet.entry(number).listen, &request).unwrap();
+            assert_eq!(answer.status, 200, "{}", answer.body);
+            slowest = slowest.max(start.elapsed());
+        }
+    }
+    slowest
+}
+
+/// Sends long answers through an instance until one has to wait.
+fn fill_queue(entry: &Entry) -> Vec<JoinHandle<Option<Answer>>> {
+    let mut busy = Vec::new();
+    while entry.queued("batch") == 0 {
+        assert!(busy.len() < 100, "nothing has to wait");
+        busy.push(call_beside(entry.listen, &Call::batch(200)));
+    }
+    busy
+}
+
+/// A process that knows everything but the key runs at the address of a member. The platform answers
+/// with an older revision, so that what it holds shows whether a member told it anything. It must
+/// learn nothing, be counted by nobody, and change nothing for callers.
+#[test]
+fn a_stranger_with_a_wrong_key_gets_nothing_in_or_out() {
+    let site = site();
+    let mut fleet = Fleet::start(&site, 4);
+    fleet.wait_agreed();
+    fleet.kill(3);
+    fleet.wait_agreed();
+    site.publish(|text| text.replace("format = 1", "format = 1\n# changed\n"));
+    fleet.wait_status("\"revision\": 2,");
+    site.platform(PlatformCommand::Stale { revision: Some(1) });
+    fleet.spawn_with_key(3, "another-key-that-nobody-else-holds");
+    let stranger = fleet.members[3].entry.take().unwrap();
+    stranger.wait_ready();
+    let start = Instant::now();
+    while start.elapsed() < WATCHED {
+        let status = stranger.status();
+        assert_eq!(
+            status.config.revision, 1,
+            "the stranger was told a revision"
+        );
+        assert!(status.peers.is_empty(), "the stranger was taken in");
+        for entry in fleet.running() {
+            let status = entry.status();
+            assert_eq!(status.config.revision, 2, "the stranger was believed");
+            assert_eq!(status.peers.len(), 2, "a member counts the stranger");
+            let answer = call(entry.listen, &Call::chat(false, 2)).unwrap();
+            assert_eq!(answer.status, 200);
+        }
+    }
+}
--- /dev/null
+++ b/tests/all/fleet_outages.rs
@@ -0,0 +1,62 @@
+//! Instances that are lost and replaced while the platform can't be read.
+
+use crocushold_metrics::status::InstanceState;
+use crocushold_standins::PlatformCommand;
+use test_case::test_case;
+
+use crate::support::Balancer;
+use crate::support::Call;
+use crate::support::Fleet;
+use crate::support::Load;
+use crate::support::Site;
+use crate::support::SiteSettings;
+use crate::support::call;
+
+const COUNT: usize = 8;
+
+/// The platform hangs or is gone. One instance is killed, and another is replaced by a process at an
+/// address that nobody was told of. The remaining six serve on. The newcomer knows nobody and is known
+/// to nobody: it refuses callers truthfully, and shows its operator that it has no configuration.
+/// Once the platform lists it, it joins.
+#[test_case(PlatformCommand::Frozen { on: true }, PlatformCommand::Frozen { on: false }; "frozen")]
+#[test_case(PlatformCommand::Down { on: true }, PlatformCommand::Down { on: false }; "down")]
+fn an_unlisted_newcomer_in_an_outage_waits_and_says_so(
+    begin: PlatformCommand,
+    end: PlatformCommand,
+) {
+    let site = Site::start(&SiteSettings {
+        concurrency: 64,
+        ..SiteSettings::default()
+    });
+    let mut fleet = Fleet::start(&site, COUNT);
+    fleet.wait_agreed();
+    let balancer = Balancer::start();
+    for number in 0..6 {
+        balancer.add(fleet.entry(number));
+    }
+    let load = Load::start(&site, balancer.address);
+    site.platform(begin);
+    fleet.kill(6);
+    fleet.kill(7);
+    let noticed = fleet.wait_agreed();
+    fleet.spawn_elsewhere(7);
+    let newcomer = fleet.members[7].entry.take().unwrap();
+    // All six have probed a member each since then, and none may have found the newcomer.
+    let unseen = fleet.wait_agreed();
+    let refused = call(newcomer.listen, &Call::chat(false, 2)).unwrap();
+    assert_eq!(refused.status, 503, "{}", refused.body);
+    assert_eq!(refused.header("x-request-ran"), "no");
+    assert_ne!(refused.header("retry-after"), "");
+    assert_eq!(newcomer.status().state, InstanceState::Starting);
+    assert_eq!(newcomer.page("/ready").unwrap().status, 503);
+    fleet.members[7].entry = Some(newcomer);
+    site.platform(end);
+    fleet.publish();
+    fleet.wait_ready();
+    let joined = fleet.wait_agreed();
+    let totals = load.stop();
+    totals.print("outage");
+    println!("outage: losses noticed in {noticed:?}, {unseen:?}, joined in {joined:?}");
+    totals.assert_sound();
+    assert_eq!(totals.cut(), 0);
+}
--- /dev/null
+++ b/tests/all/fleet_replacement.rs
@@ -0,0 +1,144 @@
+//! All eight instances replaced in turn under load.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crocushold_standins::PlatformCommand;
+use test_case::test_case;
+
+use crate::support::Answer;
+use crate::support::Balancer;
+use crate::support::Call;
+use crate::support::Fleet;
+use crate::support::Load;
+use crate::support::Site;
+use crate::support::SiteSettings;
+use crate::support::Totals;
+use crate::support::call;
+
+/// Within this time all agree again after the last replacement.
+const AGREED: Duration = Duration::from_secs(15);
+
+const COUNT: usize = 8;
+
+/// Confirmations that are made before the replacement.
+const KEYS: usize = 16;
+
+/// How instances end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    Planned,
+    Killed,
+}
+
+fn site() -> Site {
+    Site::start(&SiteSettings {
+        concurrency: 64,
+        ..SiteSettings::default()
+    })
+}
+
+/// Replaces each instance by a new process at its address, one at a time.
+fn replace_all(fleet: &mut Fleet<'_>, balancer: &Balancer, ending: Ending) {
+    for number in 0..COUNT {
+        let old = fleet.entry(number).listen;
+        match ending {
+            Ending::Planned => fleet.stop(number),
+            Ending::Killed => fleet.kill(number),
+        }
+        balancer.remove(old);
+        fleet.spawn_again(number);
+        balancer.add(fleet.entry(number));
+        fleet.entry(number).wait_ready();
+    }
+}
+
+fn key(number: usize) -> String {
+    format!("before-{number}")
+}
+
+/// Sends a confirmation through an instance; the same for the same key, whichever it is.
+fn book(fleet: &Fleet<'_>, instance: usize, key: &str) -> Answer {
+    let booking = Call::booking(key).header("idempotency-key", key);
+    call(fleet.entry(instance % COUNT).listen, &booking).unwrap()
+}
+
+/// Replaces all under load. Confirmations that were made before are sent again after it, each through
+/// another instance, none of which was there when they ran.
+fn replace_all_under_load(site: &Site, ending: Ending) -> Totals {
+    let mut fleet = Fleet::start(site, COUNT);
+    fleet.wait_agreed();
+    let balancer = Balancer::start();
+    for entry in fleet.running() {
+        balancer.add(entry);
+    }
+    for number in 0..KEYS {
+        assert_eq!(book(&fleet, number, &key(number)).status, 200);
+    }
+    let load = Load::start(site, balancer.address);
+    let start = Instant::now();
+    replace_all(&mut fleet, &balancer, ending);
+    let replaced = start.elapsed();
+    let took = fleet.wait_agreed();
+    let totals = load.stop();
+    for number in 0..KEYS {
+        let answer = book(&fleet, number + 1, &key(number));
+        assert_ne!(answer.status, 200, "{}", answer.body);
+        assert_ne!(answer.header("x-request-ran"), "no", "{}", answer.body);
+        assert_eq!(site.effects(&key(number)), 1);
+    }
+    let test = format!("replace all, {ending:?}");
+    totals.print(&test);
+    println!("{test}: replaced in {replaced:?}, agreed in {took:?}");
+    assert!(took < AGREED, "{took:?}");
+    totals
+}
+
+/// A new version is rolled out. Each instance is stopped as planned: its health answer fails, the
+/// balancer turns away, and what it holds is finished. No caller notices anything.
+#[test]
+fn a_planned_replacement_of_all_cuts_and_refuses_nobody() {
+    let site = site();
+    let totals = replace_all_under_load(&site, Ending::Planned);
+    totals.assert_sound();
+    assert_eq!(totals.cut(), 0);
+    assert_eq!(totals.class("chat").refused, 0);
+    assert_eq!(totals.class("batch").refused, 0);
+    // While a key's holders change, its callers are told to come back.
+    assert_eq!(totals.class("confirm").without_hint, 0);
+}
+
+/// All machines fail one after another. What each held is cut, and its callers see it; what has no
+/// answer isn't run a second time, also not through the instances that came later.
+#[test]
+fn replacing_all_by_kills_doubles_nothing() {
+    let site = site();
+    let totals = replace_all_under_load(&site, Ending::Killed);
+    totals.assert_sound();
+    assert_eq!(totals.class("chat").refused, 0);
+    assert_eq!(totals.class("batch").refused, 0);
+}
+
+/// While a new version is rolled out, the platform answers with an older revision, or has lost the
+/// newer one for good. No instance that follows it is ever in force with the old text: each newcomer
+/// takes the newer one over from a peer that remembers it.
+#[test_case(PlatformCommand::Stale { revision: Some(1) }; "stale")]
+#[test_case(PlatformCommand::GoBack { revision: 1, reuse: false }; "gone back")]
+fn a_replacement_of_all_on_a_platform_behind_reverts_nothing(fault: PlatformCommand) {
+    let site = site();
+    let mut fleet = Fleet::start(&site, 4);
+    fleet.wait_agreed();
+    site.publish(|text| text.replace("format = 1", "format = 1\n# changed\n"));
+    fleet.wait_status("\"revision\": 2,");
+    site.platform(fault);
+    for number in 0..4 {
+        fleet.stop(number);
+        fleet.spawn(number);
+        let newcomer = fleet.entry(number);
+        newcomer.wait_for("/status", |answer| {
+            assert!(!answer.body.contains("\"revision\": 1,"), "reverted");
+            answer.body.contains("\"revision\": 2,")
+        });
+    }
+    fleet.wait_status("\"revision\": 2,");
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,10 @@
 mod caller_faults;
 mod commands;
 mod fleet;
+mod fleet_losses;
+mod fleet_outages;
+mod fleet_replacement;
+mod fleet_splits;
 mod once;
 mod path;
 mod platform_faults;
--- /dev/null
+++ b/tests/all/support/load.rs
@@ -0,0 +1,181 @@
+//! A small steady load beside a test, and what its callers saw.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+
+use async_std::task;
+use crocushold_standins::Lengths;
+use crocushold_standins::load;
+use crocushold_standins::load::ClassReport;
+use crocushold_standins::load::Form;
+use crocushold_standins::load::LoadClass;
+use crocushold_standins::load::LoadPlan;
+use crocushold_standins::load::LoadReport;
+
+use super::site::Site;
+
+/// Length of one round in seconds; the load ends with the round in which it is stopped.
+const ROUND: f64 = 1.0;
+
+/// A load that runs in rounds until it is stopped.
+pub struct Load {
+    stop: Arc<AtomicBool>,
+    thread: JoinHandle<Totals>,
+}
+
+impl Load {
+    /// Starts to send to `address`: streamed chats, a nightly batch and confirmations that must not
+    /// run twice.
+    pub fn start(site: &Site, address: SocketAddr) -> Load {
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = stop.clone();
+        let plan = plan(site, address);
+        let thread = thread::spawn(move || {
+            let mut totals = Totals::default();
+            let mut seed = 1;
+            while !stopped.load(Ordering::Relaxed) {
+                let plan = LoadPlan {
+                    seed,
+                    ..plan.clone()
+                };
+                totals.add(&task::block_on(load::run(plan)).unwrap());
+                seed += 1;
+            }
+            totals
+        });
+        Load { stop, thread }
+    }
+
+    /// Ends the load, and waits for the last answers.
+    pub fn stop(self) -> Totals {
+        self.stop.store(true, Ordering::Relaxed);
+        self.thread.join().unwrap()
+    }
+}
+
+fn plan(site: &Site, address: SocketAddr) -> LoadPlan {
+    let engines = site.engines.iter().map(|engine| engine.control_addr());
+    let services = [&site.service].into_iter().chain(&site.more);
+    let services = services.map(|service| service.control_addr());
+    let chat = LoadClass {
+        name: "chat".to_owned(),
+        rate: 20.0,
+        key: "team.chat".to_owned(),
+        model: "m".to_owned(),
+        timeout_ms: 30_000,
+        ..LoadClass::default()
+    };
+    LoadPlan {
+        entries: vec![address],
+        standins: engines.chain(services).collect(),
+        seconds: ROUND,
+        // One request a connection, so that the balancer chooses for each.
+        keep_alive: false,
+        classes: vec![
+            LoadClass {
+                name: "batch".to_owned(),
+                key: "team.batch".to_owned(),
+                stream: false,
+                ..chat.clone()
+            },
+            LoadClass {
+                name: "confirm".to_owned(),
+                form: Form::Call,
+                path: "/booking/confirmations".to_owned(),
+                prompt: Lengths::fixed(2),
+                stream: false,
+                ..chat.clone()
+            },
+            chat,
+        ],
+        ..LoadPlan::default()
+    }
+}
+
+/// What all callers of a load saw.
+#[derive(Debug, Default)]
+pub struct Totals {
+    /// By class, with the endings summed over the rounds.
+    pub classes: Vec<ClassReport>,
+    /// Counters that couldn't be read, so that a doubled request might be missed.
+    unasked: u64,
+}
+
+impl Totals {
+    fn add(&mut self, report: &LoadReport) {
+        self.unasked += report.standins.unasked;
+        if self.classes.is_empty() {
+            self.classes = report.classes.clone();
+            return;
+        }
+        for (sum, class) in self.classes.iter_mut().zip(&report.classes) {
+            add_class(sum, class);
+        }
+    }
+
+    /// Requests of all classes that ended early, visibly to their callers.
+    pub fn cut(&self) -> u64 {
+        self.classes.iter().map(|class| class.cut).sum()
+    }
+
+    /// The report of a class.
+    pub fn class(&self, name: &str) -> &ClassReport {
+        let mut classes = self.classes.iter();
+        classes.find(|class| class.name == name).unwrap()
+    }
+
+    /// Checks what holds under every fault: each caller got its own answer whole, a refusal or an
+    /// early end that it sees; nothing ran twice, and what was called not run didn't run.
+    pub fn assert_sound(&self) {
+        assert_eq!(self.unasked, 0, "counters are missing");
+        for class in &self.classes {
+            let ended = class.completed + class.refused + class.cut;
+            assert_eq!(class.sent, ended, "{class:?}");
+            assert!(class.completed > 0, "{class:?}");
+            assert_eq!(class.unsent, 0, "{class:?}");
+            assert_eq!(class.doubled, 0, "{class:?}");
+            assert_eq!(class.falsely_unrun, 0, "{class:?}");
+        }
+    }
+
+    /// Prints a line a class, for those who read the log of a run.
+    pub fn print(&self, test: &str) {
+        for class in &self.classes {
+            println!(
+                "{test}: {} sent={} completed={} refused={:?} hintless={} unrun={} cut={} first-p99={:.0}ms",
+                class.name,
+                class.sent,
+                class.completed,
+                class.statuses,
+                class.without_hint,
+                class.said_unrun,
+                class.cut,
+                class.first.p99,
+            );
+        }
+    }
+}
+
+fn add_class(sum: &mut ClassReport, class: &ClassReport) {
+    sum.sent += class.sent;
+    sum.unsent += class.unsent;
+    sum.completed += class.completed;
+    sum.refused += class.refused;
+    sum.cut += class.cut;
+    sum.misdelivered += class.misdelivered;
+    sum.disordered += class.disordered;
+    sum.timed_out += class.timed_out;
+    sum.unconnected += class.unconnected;
+    sum.without_hint += class.without_hint;
+    sum.said_unrun += class.said_unrun;
+    sum.falsely_unrun += class.falsely_unrun;
+    sum.doubled += class.doubled;
+    sum.first.p99 = sum.first.p99.max(class.first.p99);
+    for (status, count) in &class.statuses {
+        *sum.statuses.entry(*status).or_insert(0) += count;
+    }
+}
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -1,13 +1,17 @@
 //! What the integration tests share: processes, callers and a site of stand-ins.
 
+mod balancer;
 mod caller;
 mod entry;
 mod fleet;
 mod folder;
+mod links;
+mod load;
 mod raw;
 mod site;
 mod wait;
 
+pub use balancer::Balancer;
 pub use caller::Answer;
 pub use caller::Call;
 pub use caller::call;
@@ -15,6 +19,8 @@
 pub use entry::Entry;
 pub use fleet::Fleet;
 pub use folder::Folder;
+pub use load::Load;
+pub use load::Totals;
 pub use raw::Raw;
 pub use site::Site;
 pub use site::SiteSettings;
