--- a/crates/measure/src/page.rs
+++ b/crates/measure/src/page.rs
@@ -171,12 +171,17 @@
         let classes = results.rows.iter().flat_map(|row| &side(row).classes);
         classes.map(count).sum()
     };
-    let counts: [(&str, Count); 6] = [
+    let counts: [(&str, Count); 7] = [
         ("misdelivered or disordered", |class| class.misdelivered),
         ("non-idempotent, run more than once", |class| class.doubled),
         ("idempotent, run more than once", |class| class.repeated),
         ("told not run, but run", |class| class.falsely_unrun),
-        ("refused without Retry-After", |class| class.unhinted),
+        ("refused as not run, without Retry-After", |class| {
+            class.unhinted
+        }),
+        ("error that leaves open whether it ran", |class| {
+            class.unknown
+        }),
         ("refused a connection", |class| class.unconnected),
     ];
     writeln!(out, "| over all points, requests | crocushold | baseline |")?;
@@ -189,8 +194,20 @@
     writeln!(out)
 }
 
+/// Judged requests that were completed too late, by the target that they missed.
+fn late(class: &ClassSummary) -> String {
+    format!(
+        "{} / {} / {}",
+        class.late_first, class.late_gaps, class.late_whole
+    )
+}
+
 fn write_classes(out: &mut String, results: &Results) -> std::fmt::Result {
-    writeln!(out, "### By class\n")?;
+    writeln!(
+        out,
+        "### By class\n\nLate: judged requests through crocushold that were completed, but too late \
+         for the first token, too slow between tokens, or too late for the whole answer.\n"
+    )?;
     writeln!(
         out,
         "| demand | fault | class | judged | attained % | first token p99 ms | tokens/s | \
@@ -198,7 +215,7 @@
     )?;
     writeln!(
         out,
-        "| --- | --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |"
+        "| --- | --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |"
     )?;
     for row in &results.rows {
         for (index, class) in results.shape.classes.iter().enumerate() {
@@ -212,7 +229,9 @@
                 of(|class| format!("{:.0}", class.first_p99)),
                 of(|class| format!("{:.0}", class.goodput)),
                 of(|class| class.completed.to_string()),
+                late(&row.ours.classes[index]),
                 of(|class| (class.refused + class.unhinted).to_string()),
+                of(|class| class.unknown.to_string()),
                 of(|class| class.cut.to_string()),
                 of(|class| class.timed_out.to_string()),
             ];
--- a/crates/measure/src/summary.rs
+++ b/crates/measure/src/summary.rs
@@ -43,8 +43,16 @@
     pub(crate) completed: u64,
     /// Refused with `Retry-After`.
     pub(crate) refused: u64,
-    /// Refused without it.
+    /// Refused as not run, but without it.
     pub(crate) unhinted: u64,
+    /// Answered with an error that leaves open whether the request ran.
+    pub(crate) unknown: u64,
+    /// Judged, completed, and too late for the first token.
+    pub(crate) late_first: u64,
+    /// Judged, completed with the first token in time, and too slow between tokens.
+    pub(crate) late_gaps: u64,
+    /// Judged, completed, and too late for the whole answer.
+    pub(crate) late_whole: u64,
     /// Ended early.
     pub(crate) cut: u64,
     /// Given up by the caller after its own timeout.
@@ -140,6 +148,9 @@
             summary.judged += 1;
             summary.attained += u64::from(attained);
         }
+        if sent.ending == Ending::Complete {
+            summary.count_late(sent, class);
+        }
     }
     summary.goodput = tokens / (timing.end - timing.warm);
     summary.first_p99 = quantile(firsts.into_iter(), 0.99);
@@ -159,11 +170,25 @@
         self.misdelivered += u64::from(foreign);
     }
 
+    fn count_late(&mut self, sent: &Sent, class: &ClassShape) {
+        let targets = class.targets;
+        let first = sent
+            .first
+            .is_some_and(|first| within(first, targets.first_ms));
+        let gaps = targets
+            .between_ms
+            .is_none_or(|ms| gaps_within(&sent.gaps, ms));
+        self.late_first += u64::from(!first);
+        self.late_gaps += u64::from(first && !gaps);
+        self.late_whole += u64::from(!within(sent.whole, targets.whole_ms));
+    }
+
     fn count_ending(&mut self, sent: &Sent) {
         match sent.ending {
             Ending::Complete => self.completed += 1,
             Ending::Refused if sent.hinted => self.refused += 1,
-            Ending::Refused => self.unhinted += 1,
+            Ending::Refused if sent.unrun => self.unhinted += 1,
+            Ending::Refused => self.unknown += 1,
             Ending::Cut => self.cut += 1,
             Ending::TimedOut => self.timed_out += 1,
             Ending::Unconnected => self.unconnected += 1,
@@ -173,6 +198,11 @@
     }
 }
 
+/// Whether a time is within a target, if there is one.
+fn within(seconds: f64, limit: Option<u64>) -> bool {
+    limit.is_none_or(|ms| seconds * 1000.0 <= ms as f64)
+}
+
 /// The last moment whose requests are judged: their targets must fall inside the measurement, since
 /// leaving out those that are still open would count the fast ones alone.
 fn judged_until(class: &ClassShape, timing: &Timing) -> f64 {
@@ -183,7 +213,6 @@
 /// Whether the request met its targets; none when the measurement ended before that was known.
 fn verdict(sent: &Sent, class: &ClassShape, end: f64) -> Option<bool> {
     let targets = class.targets;
-    let within = |took: f64, limit: Option<u64>| limit.is_none_or(|ms| took * 1000.0 <= ms as f64);
     if sent.ending == Ending::GaveUp {
         let open = end - sent.due;
         let first = sent.first.unwrap_or(open);
