--- a/tests/all/caller_faults.rs
+++ b/tests/all/caller_faults.rs
@@ -105,13 +105,16 @@
     }
     let mut caller = Raw::send(entry.listen, &Call::chat(true, 5000).marked("gone"));
     wait("the engine runs it", || site.runs("gone") == 1);
+    assert_eq!(entry.running("chat"), 1);
     if let Some(text) = until {
         assert!(caller.read_until(text));
+        site.all_engines(&EngineCommand::Slow { factor: 1000.0 });
     }
     let took = hang_up(&site, caller, "gone");
     assert!(took <= CANCEL_BOUND, "{took:?}");
     assert_eq!(site.held(), 0);
     entry.wait_idle();
+    site.all_engines(&EngineCommand::Clear);
     site.all_engines(&EngineCommand::Batch {
         settings: BatchSettings::default(),
     });
@@ -189,6 +192,8 @@
     let request = Call::chat(true, 1500).bulky(20_000);
     let mut slow = Raw::send(entry.listen, &request);
     assert!(slow.read_until("data: "));
+    wait("the engine has said it all", || site.held() == 0);
+    assert_eq!(entry.in_flight(), 1, "the buffers took the whole answer");
     let others = Call::chat(true, 20).marked("other");
     for _ in 0..5 {
         let answer = call(entry.listen, &others).unwrap();
@@ -226,3 +231,20 @@
     assert_eq!(site.held(), 0);
     drop(stuck);
 }
+
+// A caller sends a part of its body and then nothing. It is told so after the bound on bodies, and
+// that nothing ran; its connection is closed and no slot was ever taken.
+#[test]
+fn a_caller_that_never_sends_its_body_is_refused() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    let request = Call::chat(true, 3).marked("stuck");
+    let mut stuck = Raw::connect(entry.listen);
+    stuck.write(request.head().as_bytes());
+    stuck.write(&request.body.as_bytes()[..10]);
+    let text = stuck.read_to_end();
+    assert!(text.starts_with("HTTP/1.1 4"), "{text}");
+    assert!(text.contains("x-request-ran: no"), "{text}");
+    entry.wait_idle();
+    assert_eq!(site.runs("stuck"), 0);
+}
