--- a/crates/entry/src/world.rs
+++ b/crates/entry/src/world.rs
@@ -36,6 +36,9 @@
 use crate::pool::Pool;
 use crate::pool::PoolSettings;
 
+#[cfg(test)]
+mod tests;
+
 /// Multiple of a class's target after which an answer is of no use to its caller, who is then
 /// refused instead of kept waiting.
 const PATIENCE_FACTOR: u64 = 4;
