Size the live tier's headroom by the bursts inside its target

At 2.5 times capacity chat's misses are late first tokens, in clusters of ten to twenty within a second on one instance while the other three have none: each instance holds a quarter of every server's slots, and a cluster of live requests has to wait for slots that lower tiers hold for seconds. The headroom is meant to meet that, but it compared the arrivals of 2 s with the slots released in 2 s; with some 50 arrivals and 70 releases an instance, that leaves next to nothing to keep. What counts is the time that a target of a few hundred milliseconds leaves for waiting.

The window is now 250 ms and the bound 5 % of the slots. Ruled out: refusals (none without a burst), slow streams (one), wasted work (none). What remains needs slots that instances lend each other, or more headroom than goodput allows.

--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -15,6 +15,7 @@
 use crocushold_admission::Action;
 use crocushold_admission::Arrival;
 use crocushold_admission::Dispatched;
+use crocushold_admission::HeadroomSettings;
 use crocushold_admission::Scheduler;
 use crocushold_admission::Ticket;
 use crocushold_admission::Verdict;
@@ -46,6 +47,14 @@
 /// The longest sleep of a pool's timer task; the router wants to be called about once a second.
 const TICK: Millis = Millis(500);
 
+/// The window in which arrivals of the live tier are counted to size the headroom: what is left of a
+/// target of a few hundred milliseconds for waiting. Over seconds, released slots absorb any burst;
+/// within the target they don't.
+const HEADROOM_WINDOW: Millis = Millis(250);
+
+/// The greatest share of slots that the headroom keeps free.
+const MOST_HEADROOM: f64 = 0.05;
+
 /// Requests set aside in one round because no server could be had for them.
 const MAX_ASIDE: usize = 16;
 
@@ -141,6 +150,11 @@
         let scheduler = admission::Settings {
             seed: settings.seed,
             queue_bytes: settings.queue_bytes,
+            headroom: HeadroomSettings {
+                most: MOST_HEADROOM,
+                window: HEADROOM_WINDOW,
+                ..HeadroomSettings::default()
+            },
             ..admission::Settings::default()
         };
         let state = State {
