--- a/crates/measure/src/process.rs
+++ b/crates/measure/src/process.rs
@@ -65,13 +65,40 @@
     }
 }
 
+/// Processor seconds that a process has used.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Cpu {
+    /// In its own code.
+    pub(crate) user: f64,
+    /// In the kernel.
+    pub(crate) system: f64,
+}
+
+impl Cpu {
+    /// What was used since an earlier reading.
+    pub(crate) fn since(self, earlier: Cpu) -> Cpu {
+        Cpu {
+            user: self.user - earlier.user,
+            system: self.system - earlier.system,
+        }
+    }
+
+    /// In code and kernel.
+    pub(crate) fn total(self) -> f64 {
+        self.user + self.system
+    }
+}
+
 /// Processor seconds that a process has used so far.
-pub(crate) fn cpu(id: u32) -> f64 {
+pub(crate) fn cpu(id: u32) -> Cpu {
     let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
     let after = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
     let fields = after.split_whitespace().skip(FIELDS_BEFORE_TIME);
-    let ticks: f64 = fields.take(2).filter_map(|f| f.parse::<f64>().ok()).sum();
-    ticks / TICKS_PER_SECOND
+    let mut seconds = fields.map(|field| field.parse::<f64>().unwrap_or(0.0) / TICKS_PER_SECOND);
+    Cpu {
+        user: seconds.next().unwrap_or(0.0),
+        system: seconds.next().unwrap_or(0.0),
+    }
 }
 
 /// Resident memory of a process in MiB.
--- a/crates/measure/src/relay.rs
+++ b/crates/measure/src/relay.rs
@@ -25,6 +25,7 @@
 use crate::page;
 use crate::point::Timing;
 use crate::process;
+use crate::process::Cpu;
 use crate::shape;
 use crate::shape::Shape;
 use crate::summary;
@@ -49,16 +50,22 @@
 ];
 
 const TIMING: Timing = Timing {
-    warm: 5.0,
+    warm: 3.0,
     fault: 0.0,
     mended: 0.0,
     tail: 1.0,
-    end: 14.0,
+    end: 12.0,
 };
 
 const SEED: u64 = 7;
 
-#[derive(Clone, Copy)]
+/// How often the loads are run, since the machine is shared.
+const ROUNDS: usize = 2;
+
+/// Time of an engine's step, and so between two tokens of a stream, in milliseconds.
+const STEP_MS: f64 = 4.0;
+
+#[derive(Clone, Copy, PartialEq)]
 struct Load {
     rate: f64,
     tokens: u32,
@@ -75,6 +82,8 @@
     events: f64,
     /// Processor seconds of the instance in a second.
     cores: f64,
+    /// The kernel's part of them.
+    system: f64,
     /// Resident memory of the instance at the end, in MiB.
     resident: f64,
     /// Resident memory before the first request.
@@ -101,7 +110,7 @@
     std::fs::create_dir_all(&folder)?;
     let shape = Arc::new(shape::streams());
     let mut all = Vec::new();
-    for load in LOADS {
+    for load in LOADS.into_iter().cycle().take(LOADS.len() * ROUNDS) {
         let seen = run_load(&shape, load, &folder).await?;
         println!("{}", row(&seen));
         all.push(seen);
@@ -119,7 +128,7 @@
     EngineSettings {
         batch: BatchSettings {
             batch_limit: shape.concurrency,
-            base_ms: 10.0,
+            base_ms: STEP_MS,
             sequence_ms: 0.0,
             prefill_rate: 10_000_000.0,
             prefill_chunk: 1_000_000,
@@ -147,7 +156,7 @@
     )
     .await;
     let span = TIMING.end - TIMING.warm;
-    let (cores, resident) = cpu.await;
+    let (used, resident) = cpu.await;
     let class = &shape.classes[0];
     let events: f64 = relayed
         .iter()
@@ -160,21 +169,22 @@
         relayed: side(&relayed),
         direct: side(&direct),
         events: events / span,
-        cores,
+        cores: used.total() / span,
+        system: used.system / used.total().max(f64::MIN_POSITIVE),
         resident,
         resident_idle,
         machine: process::load_average(),
     })
 }
 
-/// Processor seconds of a process in a second of the window, and its resident memory at the end.
-async fn cpu_used(id: u32, start: Instant) -> (f64, f64) {
+/// Processor seconds of a process in the window, and its resident memory at the end.
+async fn cpu_used(id: u32, start: Instant) -> (Cpu, f64) {
     let at = |seconds| start + Duration::from_secs_f64(seconds);
     task::sleep(at(TIMING.warm).saturating_duration_since(Instant::now())).await;
     let before = process::cpu(id);
     task::sleep(at(TIMING.end).saturating_duration_since(Instant::now())).await;
-    let used = process::cpu(id) - before;
-    (used / (TIMING.end - TIMING.warm), process::resident(id))
+    let used = process::cpu(id).since(before);
+    (used, process::resident(id))
 }
 
 fn side(all: &[Sent]) -> Side {
@@ -210,15 +220,15 @@
     writeln!(
         out,
         "Streams go through one instance (`crocushold serve`, one process) to four stand-in engines \
-         that give every request a token each 10 ms; at the same time {DIRECT_RATE:.0} requests a \
+         that give every request a token each {STEP_MS} ms; at the same time {DIRECT_RATE:.0} requests a \
          second go to the same engines directly. Every request opens a connection of its own. Times \
-         to the first token are counted from sending; 5 s to 14 s are measured. Up to 10 ms of each \
-         is the wait for the engine's next step, the same on both sides.\n"
+         to the first token are counted from sending; 3 s to 12 s are measured, each load {ROUNDS} \
+         times. Each time holds up to three of the engine's steps, the same on both sides.\n"
     )?;
     writeln!(
         out,
         "| requests/s | tokens each | token events/s | first token, relayed ms p50 / p99 | direct \
-         ms p50 / p99 | added ms p50 / p99 | cores | µs of processor per request | per event | \
+         ms p50 / p99 | added ms p50 / p99 | cores (kernel's part) | µs of processor per request | per event | \
          resident MiB idle / loaded | failed relayed / direct | load |"
     )?;
     writeln!(
@@ -237,7 +247,7 @@
         relayed, direct, ..
     } = seen;
     format!(
-        "| {:.0} | {} | {:.0} | {:.2} / {:.2} (n={}) | {:.2} / {:.2} (n={}) | {:.2} / {:.2} | {:.2} \
+        "| {:.0} | {} | {:.0} | {:.2} / {:.2} (n={}) | {:.2} / {:.2} (n={}) | {:.2} / {:.2} | {:.2} ({:.0} %) \
          | {:.0} | {:.1} | {:.0} / {:.0} | {} / {} | {:.0} |",
         seen.requests,
         seen.load.tokens,
@@ -251,6 +261,7 @@
         relayed.median - direct.median,
         relayed.p99 - direct.p99,
         seen.cores,
+        seen.system * 100.0,
         seen.cores * 1e6 / seen.requests.max(1.0),
         seen.cores * 1e6 / seen.events.max(1.0),
         seen.resident_idle,
@@ -263,20 +274,21 @@
 
 /// Splits the processor time between requests and token events.
 fn write_split(out: &mut String, all: &[Seen]) -> std::fmt::Result {
-    let long = all.iter().rfind(|seen| seen.load.tokens > 1);
-    let short = all.iter().rfind(|seen| seen.load.tokens == 1);
-    let (Some(long), Some(short)) = (long, short) else {
-        return Ok(());
+    let [_, long, short] = LOADS;
+    let sum = |load: Load, value: fn(&Seen) -> f64| -> f64 {
+        let same = |seen: &&Seen| seen.load == load;
+        all.iter().filter(same).map(value).sum()
     };
-    let per_request = short.cores / short.requests.max(1.0);
-    let rest = long.cores - per_request * long.requests;
-    let per_event = rest / (long.events - long.requests).max(1.0);
+    let per_request = sum(short, |seen| seen.cores) / sum(short, |seen| seen.requests);
+    let requests = sum(long, |seen| seen.requests);
+    let further = sum(long, |seen| seen.events) - requests;
+    let per_event = (sum(long, |seen| seen.cores) - per_request * requests) / further;
     writeln!(
         out,
         "From the loads with 1 and with {} tokens: {:.0} µs of processor time for each request with \
          its first token, which is {:.0} requests a second and core; {:.2} µs for each further token \
          event.",
-        long.load.tokens,
+        long.tokens,
         per_request * 1e6,
         1.0 / per_request,
         per_event * 1e6,
