Hold the limits of accounts over all instances and services

Each instance took an equal part of each limit, in each service's scheduler.

A gate before the schedulers now admits by what the instance holds of a limit, and borrows what it lacks. The schedulers know accounts for fairness and their bound on the queue alone; feeding them shares and grants was ruled out, since each sees one service and there is no grant of requests or slots. A request above its account's concurrency is now refused at once, where it used to wait.

--- /dev/null
+++ b/crates/entry/src/coordination/lending.rs
@@ -0,0 +1,48 @@
+//! Carries loans of account limits between members.
+
+use std::sync::Arc;
+
+use async_std::task;
+use crocushold_base::Millis;
+use crocushold_ownership::Borrow;
+use crocushold_peers::Request;
+use crocushold_peers::Response;
+
+use super::Coordinator;
+
+/// Between two ticks of the limits: several in each period of their loans.
+const TICK: Millis = Millis(50);
+
+/// How long a wish for a loan may take. A later answer would find the next wish on its way already.
+const DEADLINE: Millis = Millis(200);
+
+impl Coordinator {
+    /// Asks for loans as long as the process runs. A request never waits for one: it is judged by
+    /// what the instance holds, and what it lacked is asked for here.
+    pub(crate) async fn run_lending(self: Arc<Self>) {
+        loop {
+            let (borrows, asked_at) = self.limits.on_tick();
+            for borrow in borrows {
+                self.ask_loan(borrow, asked_at);
+            }
+            task::sleep(TICK.into()).await;
+        }
+    }
+
+    fn ask_loan(self: &Arc<Self>, borrow: Borrow, asked_at: Millis) {
+        let account = borrow.request.account;
+        if borrow.to == self.me {
+            let reply = self.limits.on_borrow(self.me, &borrow.request);
+            self.limits.on_lent(account, reply, asked_at);
+            return;
+        }
+        let coordinator = self.clone();
+        task::spawn(async move {
+            let call = Request::Borrow(borrow.request);
+            let answer = coordinator.transport.call(borrow.to, call, DEADLINE).await;
+            if let Some(Response::Lent(reply)) = answer {
+                coordinator.limits.on_lent(account, reply, asked_at);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/coordination/limits/gate.rs
@@ -0,0 +1,344 @@
+//! Admission against an account's limits, as a pure state machine.
+
+use crocushold_base::AccountKey;
+use crocushold_base::Millis;
+use crocushold_config::Catalog;
+use crocushold_ownership::AccountId;
+use crocushold_ownership::Admission;
+use crocushold_ownership::Borrow;
+use crocushold_ownership::BorrowReply;
+use crocushold_ownership::BorrowRequest;
+use crocushold_ownership::LimitSettings;
+use crocushold_ownership::Limits;
+use crocushold_ownership::Member;
+use crocushold_ownership::ReturnRequest;
+use crocushold_ownership::View;
+use slotmap::SecondaryMap;
+
+use super::account::Account;
+use super::account::Ask;
+use super::account::Charge;
+use super::account::LimitHit;
+use super::account::LimitKind;
+
+/// Most pieces of a token debt that are paid in one call, so that its time is bounded.
+const MAX_PIECES: usize = 64;
+
+/// How often refusals of one account are logged at the most.
+const LOG_PERIOD: Millis = Millis::from_secs(10);
+
+/// Admits requests within what this instance holds of each account's limits.
+#[derive(Debug)]
+pub(crate) struct Gate {
+    settings: LimitSettings,
+    limits: Limits,
+    accounts: SecondaryMap<AccountKey, Account>,
+    /// Members among which the even shares are split.
+    reference: usize,
+}
+
+/// Refusals of an account since the last report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Refusals {
+    pub(crate) account: String,
+    pub(crate) counts: [u32; 3],
+}
+
+/// How an account stands at this instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Standing {
+    pub(crate) account: String,
+    pub(crate) running: u32,
+    pub(crate) concurrency: u32,
+    pub(crate) debt: u64,
+    pub(crate) tokens: u32,
+}
+
+impl Gate {
+    pub(crate) fn new(settings: LimitSettings, me: Member, now: Millis) -> Gate {
+        Gate {
+            settings,
+            limits: Limits::new(settings, me, now),
+            accounts: SecondaryMap::new(),
+            reference: 1,
+        }
+    }
+
+    /// Puts the limits of a catalog in force. What an account that stays has used goes on counting.
+    pub(crate) fn configure(&mut self, catalog: &Catalog, now: Millis) {
+        let gone = |(key, _): &(AccountKey, &Account)| !catalog.accounts.contains_key(*key);
+        let gone: Vec<AccountKey> = self.accounts.iter().filter(gone).map(|(k, _)| k).collect();
+        for key in gone {
+            self.remove(key);
+        }
+        for (key, account) in &catalog.accounts {
+            let fresh = || Account::new(&account.name, account.limits);
+            match self.accounts.get_mut(key) {
+                Some(known) => known.limits = account.limits,
+                None => {
+                    self.accounts.insert(key, fresh());
+                }
+            }
+            for kind in LimitKind::ALL {
+                let limit = kind.limit(&account.limits);
+                self.limits.on_limit(kind.id(&account.name), limit, now);
+            }
+        }
+    }
+
+    fn remove(&mut self, key: AccountKey) {
+        if let Some(account) = self.accounts.remove(key) {
+            for kind in LimitKind::ALL {
+                self.limits.on_account_gone(account.id(kind));
+            }
+        }
+    }
+
+    /// Takes the live view and the members that may be admitting.
+    pub(crate) fn on_view(&mut self, live: View, reference: &View, now: Millis) {
+        self.reference = reference.members().len().max(live.members().len()).max(1);
+        self.limits.on_view(live, reference, now);
+    }
+
+    /// Admits a request, or says which limit it is over.
+    pub(crate) fn admit(
+        &mut self,
+        key: AccountKey,
+        ask: &Ask,
+        now: Millis,
+    ) -> Result<Charge, LimitHit> {
+        let result = self.try_admit(key, ask, now);
+        if let Err(hit) = &result
+            && let Some(account) = self.accounts.get_mut(key)
+        {
+            let count = &mut account.refused[hit.kind as usize];
+            *count = count.saturating_add(1);
+        }
+        result
+    }
+
+    fn try_admit(&mut self, key: AccountKey, ask: &Ask, now: Millis) -> Result<Charge, LimitHit> {
+        let Some(account) = self.accounts.get_mut(key) else {
+            // Its removal is about to be in force; there is nothing to charge it to.
+            return Err(self.hit(LimitKind::Concurrency, Millis::ZERO));
+        };
+        if account.debt > 0.0 {
+            let rate = f64::from(account.limits.tokens).max(1.0);
+            let wait = Millis((account.debt / rate * 1_000.0) as u64);
+            return Err(self.hit(LimitKind::Tokens, wait));
+        }
+        let slot = self.take_slot(key, now)?;
+        if !self.take_request(key, now) {
+            self.free_slot(key, slot);
+            return Err(self.hit(LimitKind::Requests, Millis::ZERO));
+        }
+        let Some(tokens) = self.take_tokens(key, ask, now) else {
+            self.free_slot(key, slot);
+            self.give_back_request(key, now);
+            return Err(self.hit(LimitKind::Tokens, Millis::ZERO));
+        };
+        Ok(Charge {
+            prompt: ask.prompt,
+            tokens,
+            slot,
+        })
+    }
+
+    fn hit(&self, kind: LimitKind, wait: Millis) -> LimitHit {
+        let retry_after = wait.max(self.settings.period);
+        LimitHit { kind, retry_after }
+    }
+
+    /// Takes a slot; false when the request runs without one.
+    ///
+    /// An account with fewer slots than two an instance has no share of its own here, and its first
+    /// request would be refused wherever it arrives. So one runs without a slot, while the refusal
+    /// that the ledger saw asks for a loan.
+    fn take_slot(&mut self, key: AccountKey, now: Millis) -> Result<bool, LimitHit> {
+        let account = &mut self.accounts[key];
+        let id = account.id(LimitKind::Concurrency);
+        let admitted = self.limits.admit(id, 0.0, now) == Admission::Admitted;
+        if !admitted && account.running > 0 {
+            return Err(self.hit(LimitKind::Concurrency, Millis::ZERO));
+        }
+        account.running += 1;
+        Ok(admitted)
+    }
+
+    fn free_slot(&mut self, key: AccountKey, slot: bool) {
+        let Some(account) = self.accounts.get_mut(key) else {
+            return;
+        };
+        account.running = account.running.saturating_sub(1);
+        if slot {
+            self.limits.release(account.id(LimitKind::Concurrency));
+        }
+    }
+
+    fn take_request(&mut self, key: AccountKey, now: Millis) -> bool {
+        let account = &mut self.accounts[key];
+        if account.requests.take(1.0, now) >= 1.0 {
+            return true;
+        }
+        let id = account.id(LimitKind::Requests);
+        self.take_units(id, 1.0, now)
+    }
+
+    fn give_back_request(&mut self, key: AccountKey, now: Millis) {
+        let until = now + self.settings.term;
+        self.accounts[key].requests.add(1.0, until, now);
+    }
+
+    /// Takes what the request is expected to cost. It starts on the first piece, as one that costs
+    /// more than the instance may ever save up could not run otherwise; the rest becomes a debt.
+    fn take_tokens(&mut self, key: AccountKey, ask: &Ask, now: Millis) -> Option<f64> {
+        let piece = self.piece(key);
+        let account = &mut self.accounts[key];
+        let cost = account.expect(ask);
+        let need = cost - account.tokens.take(cost, now);
+        let first = need.min(piece);
+        let id = account.id(LimitKind::Tokens);
+        if first > 0.0 && !self.take_units(id, first, now) {
+            let until = now + self.settings.term;
+            let account = &mut self.accounts[key];
+            account.tokens.add(cost - need, until, now);
+            return None;
+        }
+        self.accounts[key].debt += need - first;
+        self.pay_debt(key, now);
+        Some(cost)
+    }
+
+    /// Units that are paid at a time: what this instance may save up by itself, so that a debt is
+    /// paid also where no loan can be had.
+    fn piece(&self, key: AccountKey) -> f64 {
+        let rate = f64::from(self.accounts[key].limits.tokens);
+        let share = rate * self.settings.base / self.reference as f64;
+        (share * self.settings.burst).max(1.0)
+    }
+
+    fn pay_debt(&mut self, key: AccountKey, now: Millis) {
+        let piece = self.piece(key);
+        let id = self.accounts[key].id(LimitKind::Tokens);
+        for _ in 0..MAX_PIECES {
+            let step = self.accounts[key].debt.min(piece);
+            if step <= 0.0 || !self.take_units(id, step, now) {
+                return;
+            }
+            self.accounts[key].debt -= step;
+        }
+    }
+
+    fn take_units(&mut self, id: AccountId, units: f64, now: Millis) -> bool {
+        let admitted = self.limits.admit(id, units, now) == Admission::Admitted;
+        if admitted {
+            self.limits.release(id);
+        }
+        admitted
+    }
+
+    /// A request ended, after `output` tokens; `whole` when its answer tells their usual number.
+    pub(crate) fn settle(
+        &mut self,
+        key: AccountKey,
+        charge: &Charge,
+        output: u32,
+        whole: bool,
+        now: Millis,
+    ) {
+        self.free_slot(key, charge.slot);
+        let Some(account) = self.accounts.get_mut(key) else {
+            return;
+        };
+        if whole {
+            account.learn(output);
+        }
+        let used = f64::from(charge.prompt) + f64::from(output);
+        self.correct(key, used - charge.tokens, now);
+    }
+
+    /// An admitted request did not run and gets back all that it took.
+    pub(crate) fn refund(&mut self, key: AccountKey, charge: &Charge, now: Millis) {
+        self.free_slot(key, charge.slot);
+        if self.accounts.contains_key(key) {
+            self.give_back_request(key, now);
+            self.correct(key, -charge.tokens, now);
+        }
+    }
+
+    /// Takes tokens that were used beyond the charge, or gives back those that were not.
+    fn correct(&mut self, key: AccountKey, tokens: f64, now: Millis) {
+        let until = now + self.settings.term;
+        let account = &mut self.accounts[key];
+        if tokens > 0.0 {
+            account.debt += tokens - account.tokens.take(tokens, now);
+            self.pay_debt(key, now);
+            return;
+        }
+        let paid = account.debt.min(-tokens);
+        account.debt -= paid;
+        account.tokens.add(-tokens - paid, until, now);
+    }
+
+    /// Time has passed; call it several times a period. Returns the loans to ask for.
+    pub(crate) fn on_tick(&mut self, now: Millis) -> Vec<Borrow> {
+        let owing = self.accounts.iter().filter(|(_, a)| a.debt > 0.0);
+        let owing: Vec<AccountKey> = owing.map(|(key, _)| key).collect();
+        for key in owing {
+            self.pay_debt(key, now);
+        }
+        self.limits.on_tick(now)
+    }
+
+    /// A member asks for a loan.
+    pub(crate) fn on_borrow(
+        &mut self,
+        from: Member,
+        request: &BorrowRequest,
+        now: Millis,
+    ) -> BorrowReply {
+        self.limits.on_borrow(from, request, now)
+    }
+
+    /// A loan came that was asked for at `asked_at`.
+    pub(crate) fn on_lent(&mut self, id: AccountId, reply: BorrowReply, asked_at: Millis) {
+        self.limits.on_lent(id, reply, asked_at);
+    }
+
+    /// A member gives slots back.
+    pub(crate) fn on_return(&mut self, from: Member, request: &ReturnRequest) {
+        self.limits.on_return(from, request);
+    }
+
+    /// The refusals that are due for a line in the log.
+    pub(crate) fn take_refusals(&mut self, now: Millis) -> Vec<Refusals> {
+        let due = |account: &&mut Account| {
+            let quiet = account.logged_at == Millis::ZERO;
+            account.refused != [0; 3] && (quiet || now.since(account.logged_at) >= LOG_PERIOD)
+        };
+        let report = |account: &mut Account| {
+            account.logged_at = now;
+            Refusals {
+                account: account.name.clone(),
+                counts: std::mem::take(&mut account.refused),
+            }
+        };
+        self.accounts.values_mut().filter(due).map(report).collect()
+    }
+
+    /// How the accounts with requests in progress or a debt stand.
+    pub(crate) fn standings(&self) -> Vec<Standing> {
+        let active = self
+            .accounts
+            .values()
+            .filter(|a| a.running > 0 || a.debt > 0.0);
+        let standings = active.map(|account| Standing {
+            account: account.name.clone(),
+            running: account.running,
+            concurrency: account.limits.concurrency,
+            debt: account.debt as u64,
+            tokens: account.limits.tokens,
+        });
+        standings.collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/coordination/limits/tests.rs
@@ -0,0 +1,173 @@
+//! The gate alone: how a request maps to its account's three limits, and how tokens are settled.
+
+use crocushold_base::AccountKey;
+use crocushold_base::Millis;
+use crocushold_config as config;
+use crocushold_config::Catalog;
+use crocushold_ownership::LimitSettings;
+use crocushold_ownership::Member;
+use test_case::test_case;
+
+use super::account::Ask;
+use super::account::Charge;
+use super::account::LimitHit;
+use super::account::LimitKind;
+use super::gate::Gate;
+
+const SHORT: Ask = Ask {
+    prompt: 10,
+    output: 0,
+};
+
+struct Lone {
+    gate: Gate,
+    key: AccountKey,
+    now: Millis,
+}
+
+impl Lone {
+    /// A gate that is alone and has an account with these limits.
+    fn new(limits: config::Limits) -> Lone {
+        let mut catalog = Catalog::default();
+        let account = config::Account {
+            name: "team/chat".to_owned(),
+            digests: Vec::new(),
+            classes: Vec::new(),
+            limits,
+        };
+        let key = catalog.accounts.insert(account);
+        let me = Member::new("entry-0", 1);
+        let mut gate = Gate::new(LimitSettings::default(), me, Millis::ZERO);
+        gate.configure(&catalog, Millis::ZERO);
+        Lone {
+            gate,
+            key,
+            now: Millis::ZERO,
+        }
+    }
+
+    /// Passes time, carrying the gate's loans to itself.
+    fn pass(&mut self, span: u64) {
+        for _ in 0..span / 50 {
+            self.now += Millis(50);
+            for borrow in self.gate.on_tick(self.now) {
+                let id = borrow.request.account;
+                let reply = self.gate.on_borrow(borrow.to, &borrow.request, self.now);
+                self.gate.on_lent(id, reply, self.now);
+            }
+        }
+    }
+
+    fn admit(&mut self, ask: &Ask) -> Result<Charge, LimitHit> {
+        self.gate.admit(self.key, ask, self.now)
+    }
+
+    fn settle(&mut self, charge: &Charge, output: u32) {
+        self.gate.settle(self.key, charge, output, true, self.now);
+    }
+}
+
+fn limits(requests: u32, tokens: u32, concurrency: u32) -> config::Limits {
+    config::Limits {
+        requests,
+        tokens,
+        concurrency,
+    }
+}
+
+#[test]
+fn each_limit_has_an_id_of_its_own() {
+    let ids = LimitKind::ALL.map(|kind| kind.id("team/chat"));
+    assert!(ids[0] != ids[1] && ids[1] != ids[2] && ids[0] != ids[2]);
+    let limits = limits(5, 700, 3);
+    assert_eq!(LimitKind::Requests.limit(&limits).rate, 5.0);
+    assert_eq!(LimitKind::Tokens.limit(&limits).rate, 700.0);
+    assert_eq!(LimitKind::Concurrency.limit(&limits).slots, 3);
+}
+
+#[test]
+fn each_limit_refuses_by_its_own_name() {
+    let cases = [
+        (limits(2, 10_000, 100), LimitKind::Requests),
+        (limits(1_000, 4, 100), LimitKind::Tokens),
+        (limits(1_000, 10_000, 2), LimitKind::Concurrency),
+    ];
+    for (limits, kind) in cases {
+        let mut lone = Lone::new(limits);
+        lone.pass(2_000);
+        let hits: Vec<_> = (0..8).filter_map(|_| lone.admit(&SHORT).err()).collect();
+        assert!(hits.len() >= 6, "{kind:?}: {hits:?}");
+        assert!(
+            hits.iter().all(|hit| hit.kind == kind),
+            "{kind:?}: {hits:?}"
+        );
+        assert!(hits.iter().all(|hit| hit.retry_after > Millis::ZERO));
+    }
+}
+
+/// A caller over one limit repeats its request in a loop. Did each refusal keep a slot or a unit of
+/// the other rate, the account would be locked out by its own refusals: their reason would change.
+#[test_case(limits(4, 20, 4), LimitKind::Tokens; "over the token rate")]
+#[test_case(limits(2, 10_000, 4), LimitKind::Requests; "over the request rate")]
+fn a_refusal_uses_up_no_other_limit(limits: config::Limits, kind: LimitKind) {
+    let mut lone = Lone::new(limits);
+    lone.pass(2_000);
+    lone.admit(&SHORT).unwrap();
+    for _ in 0..50 {
+        assert_eq!(lone.admit(&SHORT).unwrap_err().kind, kind);
+    }
+    assert_eq!(lone.gate.standings()[0].running, 1);
+}
+
+/// Answers turn out far longer than anything before them. What was used beyond the charge is owed,
+/// and until it is paid the account gets nothing: over a minute it has its rate and no more.
+#[test]
+fn tokens_are_settled_on_the_real_count() {
+    let mut lone = Lone::new(limits(1_000, 1_000, 100));
+    let mut used = 0;
+    for _ in 0..1_200 {
+        lone.pass(50);
+        if let Ok(charge) = lone.admit(&SHORT) {
+            lone.settle(&charge, 1_990);
+            used += 2_000;
+        }
+    }
+    let share = f64::from(used) / 60_000.0;
+    assert!((0.9..=1.08).contains(&share), "{share}");
+}
+
+/// A request is admitted, waits in the queue and is refused there. It did not run, so it must cost
+/// its account nothing.
+#[test]
+fn a_request_that_did_not_run_costs_nothing() {
+    let mut lone = Lone::new(limits(2, 20, 2));
+    lone.pass(2_000);
+    for _ in 0..50 {
+        let charge = lone.admit(&SHORT).unwrap();
+        lone.gate.refund(lone.key, &charge, lone.now);
+    }
+}
+
+/// With fewer slots than two an instance the even share rounds to nothing. The first request must
+/// not be refused for that, wherever it arrives; a second one needs a loan.
+#[test]
+fn a_small_account_runs_one_request_without_a_slot() {
+    let mut lone = Lone::new(limits(1_000, 10_000, 1));
+    lone.pass(2_000);
+    let first = lone.admit(&SHORT).unwrap();
+    assert!(!first.slot);
+    assert_eq!(lone.admit(&SHORT).unwrap_err().kind, LimitKind::Concurrency);
+    lone.settle(&first, 0);
+    assert!(lone.admit(&SHORT).is_ok());
+}
+
+#[test]
+fn an_account_that_is_gone_is_refused_and_leaves_no_state() {
+    let mut lone = Lone::new(limits(1_000, 10_000, 10));
+    lone.pass(1_000);
+    let charge = lone.admit(&SHORT).unwrap();
+    lone.gate.configure(&Catalog::default(), lone.now);
+    assert!(lone.admit(&SHORT).is_err());
+    lone.settle(&charge, 0);
+    assert!(lone.gate.standings().is_empty());
+}
--- a/crates/entry/src/coordination/members.rs
+++ b/crates/entry/src/coordination/members.rs
@@ -55,6 +55,26 @@
         self.reference()
     }
 
+    /// The live view, and the members that account limits are split among.
+    pub(crate) fn split(&self) -> (View, View) {
+        let live = self.known.iter();
+        let live = live.filter(|(_, known)| known.status.is_live());
+        let live = live.map(|(&id, known)| member(id, known));
+        (View::new(live.chain([self.me])), self.sharing())
+    }
+
+    /// The members that account limits are split among.
+    ///
+    /// Unlike the reference it counts an instance that is listed and was not yet heard of. A
+    /// newcomer that counted only those it has met would take the share of all others.
+    fn sharing(&self) -> View {
+        let listed = self.listed.iter().flatten();
+        let unheard = listed.filter(|id| !self.known.contains_key(id));
+        let unheard = unheard.map(|&id| Member { id, incarnation: 0 });
+        let reference = self.reference();
+        View::new(reference.members().iter().copied().chain(unheard))
+    }
+
     /// The membership without this instance, for its planned stop.
     pub(crate) fn without_me(&self) -> View {
         let all = self.reference();
@@ -67,10 +87,7 @@
             .known
             .iter()
             .filter(|(id, known)| self.is_present(id, known));
-        let members = present.map(|(&id, known)| Member {
-            id,
-            incarnation: known.start,
-        });
+        let members = present.map(|(&id, known)| member(id, known));
         View::new(members.chain([self.me]))
     }
 
@@ -85,3 +102,10 @@
         }
     }
 }
+
+fn member(id: InstanceId, known: &Known) -> Member {
+    Member {
+        id,
+        incarnation: known.start,
+    }
+}
--- a/crates/entry/src/coordination/mod.rs
+++ b/crates/entry/src/coordination/mod.rs
@@ -1,8 +1,11 @@
-//! What this instance does together with its peers: votes on idempotency keys and claims of its own.
+//! What this instance does together with its peers: votes on idempotency keys and claims of its own,
+//! and the limits of accounts.
 //!
 //! The decisions are those of `crocushold-ownership`; this module keeps their state behind a lock,
 //! carries their messages, and feeds them the membership.
 
+mod lending;
+mod limits;
 mod members;
 mod transport;
 
@@ -40,10 +43,16 @@
 use futures::stream::FuturesUnordered;
 use log::info;
 
+use crate::coordination::limits::AccountLimits;
 use crate::coordination::members::Members;
 use crate::coordination::transport::Transport;
 use crate::intake::Once;
 
+pub(crate) use limits::Ask;
+pub(crate) use limits::LimitHit;
+pub(crate) use limits::LimitKind;
+pub(crate) use limits::Permit;
+
 /// How long a claim waits for votes. A group answers in a round trip; a member that is frozen must
 /// not hold the request up for longer than a caller would notice.
 const VOTE_DEADLINE: Millis = Millis(500);
@@ -70,6 +79,7 @@
     settings: ClaimSettings,
     claims: Mutex<Claims>,
     members: Mutex<Members>,
+    limits: Arc<AccountLimits>,
     transport: Transport,
     next: AtomicU64,
 }
@@ -83,6 +93,7 @@
             settings,
             claims: Mutex::new(Claims::new(settings, me, clock.now())),
             members: Mutex::new(Members::new(me)),
+            limits: AccountLimits::new(clock, me),
             transport: Transport::new(me),
             next: AtomicU64::new(0),
         })
@@ -93,6 +104,11 @@
         self.transport.connect(peers);
     }
 
+    /// The limits of client accounts.
+    pub(crate) fn limits(&self) -> &Arc<AccountLimits> {
+        &self.limits
+    }
+
     fn claims(&self) -> MutexGuard<'_, Claims> {
         self.claims.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -105,6 +121,7 @@
     pub(crate) fn take_view(self: &Arc<Self>, view: &crocushold_peers::View) {
         self.transport.learn(view);
         let reference = self.members().seen(view);
+        self.share_limits();
         // After a pause the own view may be old, and a vote given under it could be a second one.
         if view.settled {
             self.adopt(reference);
@@ -114,9 +131,17 @@
     /// The platform's list names these entry instances.
     pub(crate) fn take_list<'a>(self: &Arc<Self>, names: impl Iterator<Item = &'a str>) {
         let reference = self.members().listed(names);
+        self.share_limits();
         self.adopt(reference);
     }
 
+    /// Splits the account limits anew. Not only in a settled view: a share that is too small for a
+    /// moment does less harm than one from before a pause.
+    fn share_limits(&self) {
+        let (live, sharing) = self.members().split();
+        self.limits.on_view(live, &sharing);
+    }
+
     fn adopt(self: &Arc<Self>, view: View) {
         let transfers = self.claims().on_view(view, self.clock.now());
         self.send_transfers(transfers);
@@ -272,7 +297,11 @@
                 self.claims().on_transfer(from, &request, now);
                 Response::Done
             }
-            Request::Borrow(_) | Request::Return(_) => Response::Refused,
+            Request::Borrow(request) => Response::Lent(self.limits.on_borrow(from, &request)),
+            Request::Return(request) => {
+                self.limits.on_return(from, &request);
+                Response::Done
+            }
         }
     }
 }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -34,7 +34,9 @@
 use http_types::StatusCode;
 use log::info;
 
+use crate::coordination::Ask;
 use crate::coordination::Coordinator;
+use crate::coordination::Permit;
 use crate::intake::Job;
 use crate::pool::Pool;
 use crate::pool::Start;
@@ -90,10 +92,28 @@
     }
 
     async fn run_uncounted(&self, hangup: &Hangup) -> Result<Response, Failure> {
-        let start = self.wait_turn(hangup).await?;
+        let permit = self.admit()?;
+        let start = match self.wait_turn(hangup).await {
+            Ok(start) => start,
+            Err(failure) => {
+                permit.refund();
+                return Err(failure);
+            }
+        };
         self.metrics
             .observe_wait(self.clock.now().since(self.arrived));
-        self.send(start, hangup).await
+        self.send(start, permit, hangup).await
+    }
+
+    /// Checks the account's limits, which hold over all services.
+    fn admit(&self) -> Result<Permit, Failure> {
+        let arrival = &self.job.arrival;
+        let ask = Ask {
+            prompt: arrival.prompt_tokens,
+            output: arrival.max_tokens,
+        };
+        let permit = self.coordinator.limits().admit(arrival.account, &ask);
+        permit.map_err(|hit| Failure::Refused(Refusal::from_limit(hit)))
     }
 
     /// Waits in the queue.
@@ -149,7 +169,12 @@
     }
 
     /// Sends the request, repeatedly where that is allowed.
-    async fn send(&self, start: Start, hangup: &Hangup) -> Result<Response, Failure> {
+    async fn send(
+        &self,
+        start: Start,
+        permit: Permit,
+        hangup: &Hangup,
+    ) -> Result<Response, Failure> {
         let mut slot = Slot {
             pool: &self.pool,
             ticket: Some(start.ticket.sent()),
@@ -168,7 +193,7 @@
                         claimed.completed(answer.status);
                     }
                     let ticket = slot.take();
-                    return Ok(self.relay(*answer, ticket, &pick));
+                    return Ok(self.relay(*answer, ticket, permit, &pick));
                 }
                 Attempted::Answered(answer) => {
                     (Stage::Answered, outcome_of_status(answer.status), false)
@@ -281,7 +306,7 @@
         );
     }
 
-    fn relay(&self, answer: Answer, ticket: Ticket<Sent>, pick: &Pick) -> Response {
+    fn relay(&self, answer: Answer, ticket: Ticket<Sent>, permit: Permit, pick: &Pick) -> Response {
         let mut response = Response::new(answer.status);
         relay_headers(&answer.headers, response.as_mut());
         let settle = Settle::new(Watched {
@@ -289,6 +314,7 @@
             pool: self.pool.clone(),
             metrics: self.metrics.clone(),
             ticket,
+            permit,
             attempt: pick.attempt,
             arrived: self.arrived,
             stream: self.job.stream,
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -84,7 +84,7 @@
         peers: peer_statuses(shared),
         classes: class_statuses(shared, &world),
         servers: server_statuses(&world),
-        ..Status::default()
+        limits: shared.coordinator.limits().statuses(),
     }
 }
 
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -10,6 +10,9 @@
 use http_types::StatusCode;
 use serde::Serialize;
 
+use crate::coordination::LimitHit;
+use crate::coordination::LimitKind;
+
 /// Why a request is not served. The name is part of the interface towards callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -195,6 +198,19 @@
         Refusal::not_run(reason, refusal.to_string())
     }
 
+    /// The refusal of a request over one of its account's limits.
+    pub(crate) fn from_limit(hit: LimitHit) -> Refusal {
+        let (reason, message) = match hit.kind {
+            LimitKind::Requests => (Reason::RateLimited, "too many requests"),
+            LimitKind::Tokens => (Reason::RateLimited, "too many tokens"),
+            LimitKind::Concurrency => (
+                Reason::ConcurrencyLimited,
+                "too many requests are in progress",
+            ),
+        };
+        Refusal::not_run(reason, message).retry_after(hit.retry_after)
+    }
+
     /// The refusal of a request that was not admitted, or waited in vain.
     pub(crate) fn from_admission(refusal: &admission::Refusal) -> Refusal {
         let (reason, message) = match refusal.reason {
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -18,6 +18,7 @@
 use crocushold_routing::Outcome;
 use serde::Deserialize;
 
+use crate::coordination::Permit;
 use crate::pool::Pool;
 
 /// Tokens between two reports of progress: often enough to see a straggler, seldom enough that the
@@ -33,6 +34,7 @@
     pub(crate) pool: Arc<Pool>,
     pub(crate) metrics: ClassMetrics,
     pub(crate) ticket: Ticket<Sent>,
+    pub(crate) permit: Permit,
     pub(crate) attempt: AttemptKey,
     pub(crate) arrived: Millis,
     /// Whether the answer is a stream of server-sent events.
@@ -152,6 +154,7 @@
         watched.metrics.wasted(cause, record.tokens, record.whole);
     }
     watched.metrics.finish(record, now);
+    watched.permit.settle(count, completion.whole);
     watched.pool.update(|state, now| {
         state.router.done(watched.attempt, outcome, count, now);
         state.scheduler.finish(watched.ticket, completion, now);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -124,6 +124,8 @@
             return false;
         }
         let next = Arc::new(self.builder.next(&before, text, revision));
+        // Before the world: its requests must find the limits of its accounts.
+        self.coordinator.limits().configure(&next.catalog);
         *self.world.write().unwrap_or_else(PoisonError::into_inner) = next;
         *self.parts.lock().unwrap_or_else(PoisonError::into_inner) = parts;
         true
--- a/crates/entry/src/world.rs
+++ b/crates/entry/src/world.rs
@@ -14,7 +14,6 @@
 use crocushold_base::Clock;
 use crocushold_base::Millis;
 use crocushold_base::ServiceKey;
-use crocushold_config::Account;
 use crocushold_config::Catalog;
 use crocushold_config::Class;
 use crocushold_config::Service;
@@ -87,16 +86,10 @@
         }
     }
 
-    /// Sets this instance's part of servers' concurrency and of accounts' limits.
+    /// Sets this instance's part of servers' concurrency.
     pub(crate) fn set_share(&self, share: Share) {
-        let fraction = 1.0 / f64::from(share.instances.max(1));
         for pool in self.pools.values() {
-            pool.update(|state, now| {
-                state.router.set_share(share);
-                for account in self.catalog.accounts.keys() {
-                    state.scheduler.set_share(account, fraction, now);
-                }
-            });
+            pool.update(|state, _| state.router.set_share(share));
         }
     }
 
@@ -197,7 +190,7 @@
             .accounts
             .iter()
             .filter(|(_, account)| account.classes.iter().any(|c| service.classes.contains(c)))
-            .map(|(key, account)| self.account_spec(key, account))
+            .map(|(key, _)| self.account_spec(key))
             .collect();
         let servers = server_specs(catalog, service);
         pool.update(|state, now| {
@@ -211,12 +204,11 @@
         });
     }
 
-    fn account_spec(&self, key: AccountKey, account: &Account) -> AccountSpec {
+    /// An account as one service's scheduler sees it. Its rates and its concurrency are those of all
+    /// services together and hold before the schedulers, so none of them bounds it by itself.
+    fn account_spec(&self, key: AccountKey) -> AccountSpec {
         AccountSpec {
             key,
-            requests: f64::from(account.limits.requests),
-            tokens: f64::from(account.limits.tokens),
-            concurrency: account.limits.concurrency,
             queue: self.account_queue,
             ..AccountSpec::default()
         }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod caller_faults;
 mod commands;
 mod fleet;
+mod limits;
 mod once;
 mod path;
 mod platform_faults;
