Decide orders to engines from the text and the engines' reports

The state machine of orders was there, but nothing fed it. A pure desk now places each model on as many engines as the text says, those first that hold it, feeds the readings of /load, and sends what Orders decides. A service without weight-loads is left alone: what is unloaded there could not be loaded again. Loads wait for a permit of the weight store, which nothing gives yet.

--- a/crates/entry/src/coordination/limits/shell.rs
+++ b/crates/entry/src/coordination/limits/shell.rs
@@ -95,6 +95,10 @@
 
     /// Answers a member that asks for a loan.
     pub(crate) fn on_borrow(&self, from: Member, request: &BorrowRequest) -> BorrowReply {
+        // A number that isn't one would spoil the pool for good.
+        if !request.units.is_finite() {
+            return BorrowReply::default();
+        }
         self.gate().on_borrow(from, request, self.clock.now())
     }
 
--- a/crates/entry/src/coordination/members.rs
+++ b/crates/entry/src/coordination/members.rs
@@ -57,10 +57,20 @@
 
     /// The live view, and the members that account limits are split among.
     pub(crate) fn split(&self) -> (View, View) {
-        let live = self.known.iter();
-        let live = live.filter(|(_, known)| known.status.is_live());
-        let live = live.map(|(&id, known)| member(id, known));
-        (View::new(live.chain([self.me])), self.sharing())
+        (self.those(Status::is_live), self.sharing())
+    }
+
+    /// The members that answer, and those that may be acting. A suspect isn't counted on: an
+    /// instance that was cut off must lose its majority long before it declares the others dead.
+    pub(crate) fn quorum(&self) -> (View, View) {
+        (self.those(|status| status == Status::Alive), self.sharing())
+    }
+
+    fn those(&self, wanted: impl Fn(Status) -> bool) -> View {
+        let known = self.known.iter();
+        let those = known.filter(|(_, known)| wanted(known.status));
+        let members = those.map(|(&id, known)| member(id, known));
+        View::new(members.chain([self.me]))
     }
 
     /// The members that account limits are split among.
--- a/crates/entry/src/coordination/mod.rs
+++ b/crates/entry/src/coordination/mod.rs
@@ -1,5 +1,5 @@
 //! What this instance does together with its peers: votes on idempotency keys and claims of its own,
-//! and the limits of accounts.
+//! the limits of accounts, and orders to engines.
 //!
 //! The decisions are those of `crocushold-ownership`; this module keeps their state behind a lock,
 //! carries their messages, and feeds them the membership.
@@ -7,6 +7,8 @@
 mod lending;
 mod limits;
 mod members;
+mod ordering;
+mod orders;
 mod transport;
 
 use std::sync::Arc;
@@ -21,6 +23,7 @@
 use crocushold_base::Clock;
 use crocushold_base::Event;
 use crocushold_base::Millis;
+use crocushold_http::Client;
 use crocushold_ownership::ClaimId;
 use crocushold_ownership::ClaimRequest;
 use crocushold_ownership::ClaimRound;
@@ -45,6 +48,7 @@
 
 use crate::coordination::limits::AccountLimits;
 use crate::coordination::members::Members;
+use crate::coordination::orders::EngineOrders;
 use crate::coordination::transport::Transport;
 use crate::intake::Once;
 
@@ -80,13 +84,19 @@
     claims: Mutex<Claims>,
     members: Mutex<Members>,
     limits: Arc<AccountLimits>,
+    orders: Arc<EngineOrders>,
     transport: Transport,
     next: AtomicU64,
 }
 
 impl Coordinator {
     /// A member that has just started.
-    pub(crate) fn new(clock: Clock, me: Member, settings: ClaimSettings) -> Arc<Coordinator> {
+    pub(crate) fn new(
+        clock: Clock,
+        me: Member,
+        settings: ClaimSettings,
+        client: Client,
+    ) -> Arc<Coordinator> {
         Arc::new(Coordinator {
             clock,
             me,
@@ -94,6 +104,7 @@
             claims: Mutex::new(Claims::new(settings, me, clock.now())),
             members: Mutex::new(Members::new(me)),
             limits: AccountLimits::new(clock, me),
+            orders: EngineOrders::new(clock, me, client),
             transport: Transport::new(me),
             next: AtomicU64::new(0),
         })
@@ -109,6 +120,11 @@
         &self.limits
     }
 
+    /// The orders to engines.
+    pub(crate) fn orders(&self) -> &Arc<EngineOrders> {
+        &self.orders
+    }
+
     fn claims(&self) -> MutexGuard<'_, Claims> {
         self.claims.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- /dev/null
+++ b/crates/entry/src/coordination/ordering.rs
@@ -0,0 +1,26 @@
+//! Feeds the orders to engines with the time and the membership.
+
+use std::sync::Arc;
+
+use async_std::task;
+use crocushold_base::Millis;
+
+use super::Coordinator;
+
+/// Between two ticks of the orders.
+const TICK: Millis = Millis::from_secs(1);
+
+impl Coordinator {
+    /// Decides and sends orders as long as the process runs.
+    pub(crate) async fn run_orders(self: Arc<Self>) {
+        loop {
+            // An unsettled view is that of a newcomer, or of an instance that just woke.
+            if self.transport.is_settled() {
+                let (live, reference) = self.members().quorum();
+                self.orders.on_view(live, &reference);
+            }
+            self.orders.on_tick();
+            task::sleep(TICK.into()).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/coordination/orders/engine.rs
@@ -0,0 +1,122 @@
+//! One engine as the orders see it.
+
+use std::net::SocketAddr;
+
+use crocushold_base::Millis;
+use crocushold_base::ServerKey;
+use crocushold_base::ServiceKey;
+use crocushold_config::Server;
+use crocushold_ownership::EngineId;
+use crocushold_ownership::Fencing;
+use crocushold_ownership::ModelId;
+use twox_hash::XxHash3_64;
+
+use super::placement::Candidate;
+
+/// After how long without a report an engine's models are placed on others. Loading elsewhere costs
+/// minutes, so a restart is waited for.
+const SILENCE: Millis = Millis::from_secs(60);
+
+/// How old a report may be for another engine's model to be unloaded on the strength of it.
+const RECENT: Millis = Millis::from_secs(5);
+
+/// The number under which instances speak of a model, from the name that engines list.
+pub(super) fn model_id(name: &str) -> ModelId {
+    ModelId(XxHash3_64::oneshot(name.as_bytes()) as u32)
+}
+
+/// The engine of a server: a changed address is another engine, which holds other models.
+pub(super) fn engine_id(server: &Server) -> EngineId {
+    EngineId::from_name(&format!("{} {}", server.name, server.address))
+}
+
+/// What an engine said of itself.
+#[derive(Clone, Debug)]
+pub(super) struct Heard {
+    /// Models that the text names.
+    pub(super) models: Vec<ModelId>,
+    /// Whether any request runs or waits there.
+    pub(super) busy: bool,
+    /// When the reading was begun.
+    pub(super) at: Millis,
+}
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub(super) struct Engine {
+    pub(super) id: EngineId,
+    pub(super) key: ServerKey,
+    pub(super) service: ServiceKey,
+    pub(super) name: String,
+    pub(super) address: SocketAddr,
+    pub(super) fencing: Fencing,
+    pub(super) known_at: Millis,
+    pub(super) heard: Option<Heard>,
+    /// What it was last told to be placed on it, and under which revision.
+    pub(super) placed: Option<(u64, Vec<ModelId>)>,
+}
+
+impl Engine {
+    pub(super) fn new(key: ServerKey, server: &Server, now: Millis) -> Engine {
+        Engine {
+            id: engine_id(server),
+            key,
+            service: server.service,
+            name: server.name.clone(),
+            address: server.address,
+            fencing: fencing(server),
+            known_at: now,
+            heard: None,
+            placed: None,
+        }
+    }
+
+    /// Takes over what the text says anew.
+    pub(super) fn update(&mut self, key: ServerKey, server: &Server) {
+        self.key = key;
+        self.service = server.service;
+        self.fencing = fencing(server);
+    }
+
+    pub(super) fn candidate(&self, now: Millis) -> Candidate {
+        let heard = self.heard.as_ref();
+        let last = heard.map_or(self.known_at, |heard| heard.at);
+        Candidate {
+            engine: self.id,
+            up: now.since(last) < SILENCE,
+            held: heard.map(|heard| heard.models.clone()).unwrap_or_default(),
+        }
+    }
+
+    pub(super) fn holds(&self, model: ModelId) -> bool {
+        let heard = self.heard.as_ref();
+        heard.is_some_and(|heard| heard.models.contains(&model))
+    }
+
+    /// Whether a model is placed here that it doesn't hold yet.
+    pub(super) fn awaits(&self, model: ModelId) -> bool {
+        let placed = self.placed.as_ref();
+        placed.is_some_and(|(_, models)| models.contains(&model)) && !self.holds(model)
+    }
+
+    /// Whether it held the model a moment ago.
+    pub(super) fn surely_holds(&self, model: ModelId, now: Millis) -> bool {
+        let heard = self.heard.as_ref();
+        let recent = heard.is_some_and(|heard| now.since(heard.at) <= RECENT);
+        recent && self.holds(model)
+    }
+
+    /// Whether nothing ran there a moment ago.
+    pub(super) fn is_surely_idle(&self, now: Millis) -> bool {
+        let heard = self.heard.as_ref();
+        heard.is_some_and(|heard| !heard.busy && now.since(heard.at) <= RECENT)
+    }
+}
+
+fn fencing(server: &Server) -> Fencing {
+    if server.checks_orders {
+        Fencing::Checked
+    } else {
+        Fencing::Ignored
+    }
+}
--- /dev/null
+++ b/crates/entry/src/coordination/orders/placement.rs
@@ -0,0 +1,75 @@
+//! Which engine holds which model.
+
+use std::cmp::Reverse;
+
+use crocushold_ownership::EngineId;
+use crocushold_ownership::ModelId;
+use twox_hash::XxHash3_64;
+
+/// A model of a service, as the text wants it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Wanted {
+    pub(super) model: ModelId,
+    /// On how many engines.
+    pub(super) replicas: usize,
+}
+
+/// An engine that models can be placed on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Candidate {
+    pub(super) engine: EngineId,
+    /// Whether it was heard of lately.
+    pub(super) up: bool,
+    /// The models that it holds.
+    pub(super) held: Vec<ModelId>,
+}
+
+/// What one engine should hold, in ascending order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Placement {
+    pub(super) engine: EngineId,
+    pub(super) models: Vec<ModelId>,
+}
+
+/// Chooses the engines of each model: those that answer go first, then those that hold it already,
+/// since a load costs the weight store minutes, then those of the highest rendezvous weight.
+///
+/// Instances that see the same reports choose the same engines.
+pub(super) fn place(wanted: &[Wanted], candidates: &[Candidate]) -> Vec<Placement> {
+    let mut placements: Vec<Placement> = candidates
+        .iter()
+        .map(|candidate| Placement {
+            engine: candidate.engine,
+            models: Vec::new(),
+        })
+        .collect();
+    for wanted in wanted {
+        for at in choose(wanted, candidates) {
+            placements[at].models.push(wanted.model);
+        }
+    }
+    for placement in &mut placements {
+        placement.models.sort_unstable();
+        placement.models.dedup();
+    }
+    placements
+}
+
+fn choose(wanted: &Wanted, candidates: &[Candidate]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..candidates.len()).collect();
+    order.sort_by_key(|&at| {
+        let candidate = &candidates[at];
+        let held = candidate.held.contains(&wanted.model);
+        let weight = weight(wanted.model, candidate.engine);
+        (!candidate.up, !held, Reverse(weight))
+    });
+    order.truncate(wanted.replicas);
+    order
+}
+
+fn weight(model: ModelId, engine: EngineId) -> u64 {
+    let mut bytes = [0; 12];
+    bytes[..4].copy_from_slice(&model.0.to_le_bytes());
+    bytes[4..].copy_from_slice(&engine.0.to_le_bytes());
+    XxHash3_64::oneshot(&bytes)
+}
--- /dev/null
+++ b/crates/entry/src/coordination/orders/send.rs
@@ -0,0 +1,69 @@
+//! One order on its way to an engine.
+
+use async_std::future::timeout;
+use async_std::io::ReadExt;
+use crocushold_base::Millis;
+use crocushold_http::Answer;
+use crocushold_http::Client;
+use crocushold_http::Reuse;
+use crocushold_http::SendLimits;
+use crocushold_ownership::OrderAnswer;
+use crocushold_platform::wire::OrderRefusal;
+use http_types::Method;
+use http_types::Request;
+use http_types::StatusCode;
+use http_types::Url;
+
+use super::desk::Errand;
+
+/// Most bytes read of an answer.
+const ANSWER_LIMIT: u64 = 4096;
+
+/// Sends an order and waits for its answer, for `limit` at the most.
+pub(super) async fn send(client: &Client, errand: &Errand, limit: Millis) -> OrderAnswer {
+    let sent = timeout(limit.into(), exchange(client, errand, limit));
+    sent.await.unwrap_or(OrderAnswer::Failed)
+}
+
+async fn exchange(client: &Client, errand: &Errand, limit: Millis) -> OrderAnswer {
+    let Some(request) = request(errand) else {
+        return OrderAnswer::Failed;
+    };
+    let limits = SendLimits {
+        head_timeout: limit,
+        ..SendLimits::default()
+    };
+    // On a connection of its own: a repeat after a reused one was closed could come too late.
+    let sent = client.send(errand.address, request, &limits, Reuse::Fresh);
+    match sent.await {
+        Ok(answer) => read(answer).await,
+        Err(_) => OrderAnswer::Failed,
+    }
+}
+
+fn request(errand: &Errand) -> Option<Request> {
+    let url = Url::parse(&format!("http://{}/orders", errand.address)).ok()?;
+    let mut request = Request::new(Method::Post, url);
+    request.set_body(serde_json::to_string(&errand.body).ok()?);
+    request.insert_header("content-type", "application/json");
+    Some(request)
+}
+
+async fn read(answer: Answer) -> OrderAnswer {
+    let status = answer.status;
+    if status.is_success() {
+        return OrderAnswer::Obeyed;
+    }
+    if status != StatusCode::Conflict {
+        return OrderAnswer::Failed;
+    }
+    let mut text = String::new();
+    let mut body = answer.body.take(ANSWER_LIMIT);
+    if body.read_to_string(&mut text).await.is_err() {
+        return OrderAnswer::Failed;
+    }
+    let refusal = serde_json::from_str::<OrderRefusal>(&text);
+    refusal.map_or(OrderAnswer::Failed, |refusal| OrderAnswer::Fenced {
+        fence: refusal.fence,
+    })
+}
--- a/crates/entry/src/coordination/transport.rs
+++ b/crates/entry/src/coordination/transport.rs
@@ -41,6 +41,11 @@
         *self.names.lock().unwrap_or_else(PoisonError::into_inner) = names.collect();
     }
 
+    /// Whether the membership vouches for its view: not while joining or right after an own pause.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.peers.get().is_some_and(|peers| peers.view().settled)
+    }
+
     /// Makes a call; `None` when the member can't be reached or doesn't answer in time.
     pub(crate) async fn call(
         &self,
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -64,6 +64,8 @@
     key: ServerKey,
     memory: Memory,
     report: Option<(LoadReport, Millis)>,
+    /// When the report was asked for.
+    asked_at: Millis,
     events: Option<CacheEvents>,
 }
 
@@ -80,6 +82,10 @@
             .buffer_unordered(PARALLEL);
         while let Some(polled) = polls.next().await {
             memories.insert(polled.key, polled.memory);
+            if let Some((report, _)) = &polled.report {
+                let orders = shared.coordinator.orders();
+                orders.on_report(polled.key, report, polled.asked_at);
+            }
             take(&world, polled);
         }
         task::sleep(PERIOD.into()).await;
@@ -105,6 +111,7 @@
         key: target.key,
         memory: target.memory,
         report: None,
+        asked_at: clock.now(),
         events: None,
     };
     let text = get(fetch, &target.address, "/load".to_owned()).await;
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -6,6 +6,7 @@
 use crocushold_metrics::status::ClassStatus;
 use crocushold_metrics::status::ConfigStatus;
 use crocushold_metrics::status::InstanceState;
+use crocushold_metrics::status::LimitStatus;
 use crocushold_metrics::status::PartStatus;
 use crocushold_metrics::status::PeerStatus;
 use crocushold_metrics::status::ServerStatus;
@@ -84,7 +85,7 @@
         peers: peer_statuses(shared),
         classes: class_statuses(shared, &world),
         servers: server_statuses(&world),
-        limits: shared.coordinator.limits().statuses(),
+        limits: limit_statuses(shared),
     }
 }
 
@@ -118,6 +119,12 @@
     statuses.collect()
 }
 
+fn limit_statuses(shared: &Shared) -> Vec<LimitStatus> {
+    let mut all = shared.coordinator.limits().statuses();
+    all.push(shared.coordinator.orders().status());
+    all
+}
+
 fn class_statuses(shared: &Shared, world: &World) -> Vec<ClassStatus> {
     let now = shared.clock.now();
     let classes = world.catalog.classes.iter();
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -75,11 +75,12 @@
             version: env!("CARGO_PKG_VERSION").to_owned(),
         });
         let builder = Builder::new(clock, &settings, seed, metrics.clone());
+        let client = Client::new(PoolLimits::default());
         Shared {
             clock,
-            client: Client::new(PoolLimits::default()),
+            client: client.clone(),
             metrics,
-            coordinator: Coordinator::new(clock, me, claims),
+            coordinator: Coordinator::new(clock, me, claims, client),
             bodies: Memory::new(settings.memory / 2),
             seed,
             builder,
@@ -126,6 +127,7 @@
         let next = Arc::new(self.builder.next(&before, text, revision));
         // Before the world: its requests must find the limits of its accounts.
         self.coordinator.limits().configure(&next.catalog);
+        self.coordinator.orders().configure(&next.catalog, revision);
         *self.world.write().unwrap_or_else(PoisonError::into_inner) = next;
         *self.parts.lock().unwrap_or_else(PoisonError::into_inner) = parts;
         true
