--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -120,17 +120,17 @@
         };
         match system {
             System::Direct => {}
-            System::Baseline => fleet.start_proxy()?,
+            System::Baseline => fleet.start_proxy(shape)?,
             System::Crocushold => fleet.start_instances(shape, folder).await?,
         }
         Ok(fleet)
     }
 
-    fn start_proxy(&mut self) -> Outcome<()> {
+    fn start_proxy(&mut self, shape: &Shape) -> Outcome<()> {
         let mut args = vec![
             "proxy".to_owned(),
             "--concurrency".to_owned(),
-            CONCURRENCY.to_string(),
+            shape.concurrency.to_string(),
         ];
         for engine in &self.backends.engines {
             args.push("--server".to_owned());
@@ -196,7 +196,7 @@
     let text = format!(
         "[instance]\nid = entry-{number}\nzone = {zone}\nlisten = 127.0.0.1:0\n\
          operator = 127.0.0.1:0\nnotice = 300 ms\ndrain = 5 s\n\n\
-         [platform]\naddresses = {platform}\n\n[peers]\nlisten = {peer}\nkey = {PEER_KEY}\n\n\
+         [platform]\naddresses = {platform}\n\n[peers]\nlisten = {peer}\nkey = {PEER_KEY}\nfirst-start = yes\n\n\
          [limits]\nconnections = 20000\nconnections-per-account = 20000\n"
     );
     let file = write(folder, &format!("entry-{number}.ini"), &text)?;
--- a/crates/peers/src/member/mod.rs
+++ b/crates/peers/src/member/mod.rs
@@ -267,7 +267,7 @@
             Body::Probe(_) => self.actions.push(MemberAction::Reply(self.ack())),
             Body::Ack(id) => self.on_ack(from, id, now),
             Body::Indirect(target) => self.on_indirect(from, target, now),
-            Body::Confirm { target, alive } => self.on_confirm(target, *alive),
+            Body::Confirm { target, alive } => self.on_confirm(target, *alive, now),
             Body::Sync(digests) => self.on_sync(digests),
             Body::Members(updates) => self.on_members(from, updates, now),
             _ => {}
@@ -327,6 +327,16 @@
         ring::place(0, &self.me.id) as u32
     }
 
+    /// What this instance says of itself to one that may not know it.
+    pub(crate) fn introduction(&self) -> Update {
+        let status = if self.left {
+            Status::Left
+        } else {
+            Status::Alive
+        };
+        self.self_update(status)
+    }
+
     fn self_update(&self, status: Status) -> Update {
         Update {
             instance: self.me.clone(),
