Space the loads of a service by one owner's planner

The weight store's rate holds over all instances only where one of them orders the loads. One instance now owns all engines of a service, by the service's name, so that its planner puts the loads in order without a message: the highest tier that asked for a model goes first.

--- a/crates/entry/src/coordination/mod.rs
+++ b/crates/entry/src/coordination/mod.rs
@@ -56,6 +56,7 @@
 pub(crate) use limits::LimitHit;
 pub(crate) use limits::LimitKind;
 pub(crate) use limits::Permit;
+pub(crate) use orders::ModelDemand;
 
 /// How long a claim waits for votes. A group answers in a round trip; a member that is frozen must
 /// not hold the request up for longer than a caller would notice.
--- a/crates/entry/src/coordination/ordering.rs
+++ b/crates/entry/src/coordination/ordering.rs
@@ -17,7 +17,7 @@
             // An unsettled view is that of a newcomer, or of an instance that just woke.
             if self.transport.is_settled() {
                 let (live, reference) = self.members().quorum();
-                self.orders.on_view(live, &reference);
+                self.orders.on_view(&live, &reference);
             }
             self.orders.on_tick();
             task::sleep(TICK.into()).await;
--- a/crates/entry/src/coordination/orders/desk.rs
+++ b/crates/entry/src/coordination/orders/desk.rs
@@ -1,4 +1,4 @@
-//! From the text and the engines' reports to orders, as a pure state machine.
+//! From the text and the engines' reports to the orders of one service, as a pure state machine.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -6,11 +6,13 @@
 
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
-use crocushold_base::ServiceKey;
 use crocushold_config::Catalog;
-use crocushold_config::Kind;
+use crocushold_config::Model;
+use crocushold_config::Service;
 use crocushold_ownership::EngineId;
 use crocushold_ownership::EngineReport;
+use crocushold_ownership::LoadPlanner;
+use crocushold_ownership::LoadWant;
 use crocushold_ownership::Member;
 use crocushold_ownership::ModelId;
 use crocushold_ownership::Order;
@@ -19,11 +21,14 @@
 use crocushold_ownership::OrderKind;
 use crocushold_ownership::OrderSettings;
 use crocushold_ownership::Orders;
+use crocushold_ownership::PauseGuard;
 use crocushold_ownership::RoleId;
 use crocushold_ownership::Target;
 use crocushold_ownership::View;
+use crocushold_ownership::WeightSettings;
 use crocushold_platform::wire;
 use crocushold_platform::wire::LoadReport;
+use twox_hash::XxHash3_64;
 
 use super::engine::Engine;
 use super::engine::Heard;
@@ -53,6 +58,14 @@
     pub(super) fence: u64,
 }
 
+/// For whom a model is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Ranked {
+    pub(super) model: ModelId,
+    /// The highest tier of its requests of late, 0 being the live one.
+    pub(super) rank: u8,
+}
+
 /// What is to be done after a tick.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct Duties {
@@ -60,26 +73,29 @@
     pub(super) outdated: Vec<Outdated>,
 }
 
-/// A load that waits for the weight store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct PendingLoad {
-    pub(super) service: ServiceKey,
-    pub(super) engine: EngineId,
-    pub(super) model: ModelId,
-}
-
-/// Decides the orders of one instance.
+/// Decides the orders to the engines of one service.
+///
+/// One instance owns all engines of a service, by rendezvous hashing of the service's name. It is
+/// thus the only one that orders loads from the service's weight store, and can space them and put
+/// them in order without a message.
 #[derive(Debug)]
 pub(super) struct Desk {
     me: Member,
-    live: View,
+    /// The hash that decides the owner.
+    store: u64,
+    owned: bool,
     orders: Orders,
+    planner: LoadPlanner,
+    weights: WeightSettings,
+    guard: PauseGuard,
     revision: u64,
     engines: BTreeMap<EngineId, Engine>,
-    wanted: BTreeMap<ServiceKey, Vec<Wanted>>,
+    wanted: Vec<Wanted>,
     names: BTreeMap<ModelId, String>,
-    /// Loads that were decided and have no permit.
-    pending: BTreeSet<PendingLoad>,
+    /// The best rank of the requests for a model, lower being sooner.
+    ranks: BTreeMap<ModelId, u8>,
+    /// Engines that are to load something now.
+    due: BTreeSet<EngineId>,
     /// Permits that may still be used, with their end.
     permits: BTreeMap<(EngineId, ModelId), Millis>,
     /// Engines that were reported as ahead of this instance, with their numbers.
@@ -87,72 +103,98 @@
 }
 
 impl Desk {
-    pub(super) fn new(settings: OrderSettings, me: Member, now: Millis) -> Desk {
+    /// The desk of a service that may order `loads` loads a minute.
+    pub(super) fn new(service: &str, loads: u32, me: Member, now: Millis) -> Desk {
+        let settings = OrderSettings::default();
+        let weights = WeightSettings {
+            rate: f64::from(loads),
+            ..WeightSettings::default()
+        };
+        let store = XxHash3_64::oneshot(service.as_bytes());
         Desk {
             me,
-            live: View::new([me]),
+            store,
+            owned: false,
             orders: Orders::new(settings, me, now),
+            planner: LoadPlanner::new(weights, me, store),
+            weights,
+            guard: PauseGuard::new(settings.lease, now),
             revision: 0,
             engines: BTreeMap::new(),
-            wanted: BTreeMap::new(),
+            wanted: Vec::new(),
             names: BTreeMap::new(),
-            pending: BTreeSet::new(),
+            ranks: BTreeMap::new(),
+            due: BTreeSet::new(),
             permits: BTreeMap::new(),
             ahead: BTreeMap::new(),
         }
     }
 
-    /// Takes a text over. Services that may order no loads are left alone: what is unloaded there
-    /// could not be loaded again.
-    pub(super) fn configure(&mut self, catalog: &Catalog, revision: u64, now: Millis) {
+    /// Loads a minute that the service may order.
+    pub(super) fn loads(&self) -> u32 {
+        self.weights.rate as u32
+    }
+
+    /// Takes a text over.
+    pub(super) fn configure(
+        &mut self,
+        catalog: &Catalog,
+        service: &Service,
+        revision: u64,
+        now: Millis,
+    ) {
         self.revision = revision;
-        self.wanted.clear();
-        self.names.clear();
-        let services = catalog.services.iter();
-        for (key, service) in services.filter(|(_, s)| s.kind == Kind::Model && s.weight_loads > 0)
-        {
-            let models = service.models.iter().map(|&model| &catalog.models[model]);
-            for model in models {
-                let id = model_id(&model.id);
-                self.names.insert(id, model.id.clone());
-                self.wanted.entry(key).or_default().push(Wanted {
-                    model: id,
-                    replicas: model.replicas as usize,
-                });
-            }
-        }
-        self.take_servers(catalog, now);
+        let models = service.models.iter().map(|&model| &catalog.models[model]);
+        let models: Vec<&Model> = models.collect();
+        let wanted = models.iter().map(|model| Wanted {
+            model: model_id(&model.id),
+            replicas: model.replicas as usize,
+        });
+        self.wanted = wanted.collect();
+        let names = models
+            .iter()
+            .map(|model| (model_id(&model.id), model.id.clone()));
+        self.names = names.collect();
+        self.take_servers(catalog, service, now);
     }
 
-    fn take_servers(&mut self, catalog: &Catalog, now: Millis) {
+    fn take_servers(&mut self, catalog: &Catalog, service: &Service, now: Millis) {
         let mut kept = BTreeSet::new();
-        for (key, server) in &catalog.servers {
-            if !self.wanted.contains_key(&server.service) {
-                continue;
-            }
+        for &key in &service.servers {
+            let server = &catalog.servers[key];
             let id = engine_id(server);
             kept.insert(id);
             let fresh = || Engine::new(key, server, now);
-            self.engines
-                .entry(id)
-                .or_insert_with(fresh)
-                .update(key, server);
+            let engine = self.engines.entry(id).or_insert_with(fresh);
+            engine.update(key, server);
         }
-        let gone: Vec<EngineId> = self
-            .engines
-            .extract_if(.., |id, _| !kept.contains(id))
-            .map(|(id, _)| id)
-            .collect();
+        let gone = self.engines.extract_if(.., |id, _| !kept.contains(id));
+        let gone: Vec<EngineId> = gone.map(|(id, _)| id).collect();
         for id in gone {
             self.orders.on_engine_gone(id);
         }
-        self.pending.retain(|load| kept.contains(&load.engine));
+    }
+
+    /// The best rank of the requests for each model of late, lower being sooner.
+    pub(super) fn on_ranks(&mut self, ranks: &[Ranked]) {
+        let ranks = ranks.iter().map(|ranked| (ranked.model, ranked.rank));
+        self.ranks = ranks.collect();
     }
 
     /// The live view, confirmed as of now, and every member not known to have ended.
-    pub(super) fn on_view(&mut self, live: View, reference: &View, now: Millis) {
-        self.live = live.clone();
-        self.orders.on_view(live, reference, now);
+    pub(super) fn on_view(&mut self, live: &View, reference: &View, now: Millis) {
+        self.planner.on_view(live, reference, now);
+        let Some(owner) = live.owner(self.store) else {
+            return;
+        };
+        self.owned = owner == self.me;
+        let majority = live.members().len() * 2 > reference.members().len();
+        // `Orders` chooses an owner for each engine. Where it sees the service's owner alone, that
+        // one owns them all; a second member that must be counted takes the majority from it.
+        let nobody = Member::default();
+        let count = if majority { 1 } else { 2 };
+        let all = View::new([owner, nobody].into_iter().take(count));
+        self.orders.on_view(View::new([owner]), &all, now);
     }
 
     /// A reading of `/load` that was begun at `asked_at`.
@@ -190,8 +232,12 @@
 
     /// Time has passed; call it about once a second.
     pub(super) fn on_tick(&mut self, now: Millis) -> Duties {
+        if self.guard.observe(now) {
+            self.planner.on_pause(now);
+            self.guard.rejoined();
+        }
         self.place_all(now);
-        self.forget_loads(now);
+        self.plan_loads(now);
         let mut duties = Duties::default();
         for action in self.orders.on_tick(now) {
             match action {
@@ -206,26 +252,40 @@
         duties
     }
 
-    /// Drops permits that have ended and wants that were met, or are another's matter by now.
-    fn forget_loads(&mut self, now: Millis) {
+    /// Asks the planner for the loads that are due, and takes its permits.
+    fn plan_loads(&mut self, now: Millis) {
         self.permits.retain(|_, until| now < *until);
-        let (engines, live, me) = (&self.engines, &self.live, self.me);
-        self.pending.retain(|load| {
-            let owned = live.owner(load.engine.0) == Some(me);
-            let engine = engines.get(&load.engine);
-            owned && engine.is_some_and(|engine| engine.awaits(load.model))
+        if !self.owned {
+            self.due.clear();
+        }
+        for want in self.wants() {
+            self.planner.on_want(self.me, want, now);
+        }
+        for permit in self.planner.on_tick(now) {
+            let until = now + self.weights.permit;
+            self.permits.insert((permit.engine, permit.model), until);
+        }
+    }
+
+    /// Every load that an engine lacks which is to load something now.
+    fn wants(&self) -> Vec<LoadWant> {
+        let due = self.due.iter().filter_map(|id| self.engines.get(id));
+        let loads = due.flat_map(|engine| engine.awaited().map(|model| (engine.id, model)));
+        let wants = loads.map(|(engine, model)| LoadWant {
+            engine,
+            model,
+            rank: self.ranks.get(&model).copied().unwrap_or(u8::MAX),
+            replicas: self.engines.values().filter(|e| e.holds(model)).count() as u32,
         });
+        wants.collect()
     }
 
     /// Brings the targets up to date with the text, the reports, and which engines answer.
     fn place_all(&mut self, now: Millis) {
-        let services: Vec<ServiceKey> = self.wanted.keys().copied().collect();
-        for service in services {
-            let engines = self.engines.values().filter(|e| e.service == service);
-            let candidates: Vec<Candidate> = engines.map(|e| e.candidate(now)).collect();
-            for placement in place(&self.wanted[&service], &candidates) {
-                self.set_target(placement.engine, placement.models, now);
-            }
+        let engines = self.engines.values();
+        let candidates: Vec<Candidate> = engines.map(|e| e.candidate(now)).collect();
+        for placement in place(&self.wanted, &candidates) {
+            self.set_target(placement.engine, placement.models, now);
         }
     }
 
@@ -260,21 +320,26 @@
     /// Makes an order ready to be carried, unless it has to wait.
     fn errand(&mut self, order: Order, now: Millis) -> Option<Errand> {
         let engine = self.engines.get(&order.engine)?;
-        let body = self.body(&order);
-        let allowed = match order.kind {
-            OrderKind::Load(model) => engine.holds(model) || self.use_permit(&order, model),
-            OrderKind::Unload(model) => self.may_unload(order.engine, model, now),
-            OrderKind::Role(_) => false,
+        let (server, address) = (engine.name.clone(), engine.address);
+        let kind = match order.kind {
+            OrderKind::Load(model) if !engine.holds(model) => self.use_permit(order.engine),
+            OrderKind::Load(_) => Some(order.kind),
+            OrderKind::Unload(model) => {
+                let allowed = self.may_unload(order.engine, model, now);
+                allowed.then_some(order.kind)
+            }
+            OrderKind::Role(_) => None,
         };
-        let (true, Some(body)) = (allowed, body) else {
+        let ready = kind.map(|kind| Order { kind, ..order });
+        let body = ready.as_ref().and_then(|order| self.body(order));
+        let (Some(order), Some(body)) = (ready, body) else {
             self.orders.on_answer(&order, OrderAnswer::Failed, now);
             return None;
         };
-        let engine = self.engines.get(&order.engine)?;
         Some(Errand {
             order,
-            server: engine.name.clone(),
-            address: engine.address,
+            server,
+            address,
             body,
         })
     }
@@ -296,23 +361,16 @@
         })
     }
 
-    /// Uses the permit for a load, or notes that one is wanted.
-    fn use_permit(&mut self, order: &Order, model: ModelId) -> bool {
-        let engine = order.engine;
-        let Some(service) = self.engines.get(&engine).map(|e| e.service) else {
-            return false;
-        };
-        let load = PendingLoad {
-            service,
-            engine,
-            model,
-        };
-        if self.permits.remove(&(engine, model)).is_some() {
-            self.pending.remove(&load);
-            return true;
-        }
-        self.pending.insert(load);
-        false
+    /// A load is due at the engine: uses a permit, or notes that one is wanted. Which of the missing
+    /// models is loaded is the planner's choice, for it knows whose callers wait.
+    fn use_permit(&mut self, engine: EngineId) -> Option<OrderKind> {
+        self.due.insert(engine);
+        let state = self.engines.get(&engine)?;
+        let mut awaited = state.awaited();
+        let model = awaited.find(|model| self.permits.contains_key(&(engine, *model)))?;
+        self.permits.remove(&(engine, model));
+        self.due.remove(&engine);
+        Some(OrderKind::Load(model))
     }
 
     /// Whether a model may go from an engine: nothing runs there, or another engine of the service
@@ -322,8 +380,7 @@
             return false;
         };
         let mut others = self.engines.values().filter(|other| other.id != id);
-        let served =
-            others.any(|other| other.service == engine.service && other.surely_holds(model, now));
+        let served = others.any(|other| other.surely_holds(model, now));
         served || engine.is_surely_idle(now)
     }
 
@@ -345,10 +402,8 @@
         self.orders.on_answer(order, answer, now);
     }
 
-    /// Engines that this instance owns, and all that there are.
-    pub(super) fn owned(&self) -> (u64, u64) {
-        let mine = |id: &&EngineId| self.live.owner(id.0) == Some(self.me);
-        let owned = self.engines.keys().filter(mine).count();
-        (owned as u64, self.engines.len() as u64)
+    /// Whether this instance owns the service's engines, and how many those are.
+    pub(super) fn owned(&self) -> (bool, u64) {
+        (self.owned, self.engines.len() as u64)
     }
 }
--- a/crates/entry/src/coordination/orders/engine.rs
+++ b/crates/entry/src/coordination/orders/engine.rs
@@ -4,7 +4,6 @@
 
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
-use crocushold_base::ServiceKey;
 use crocushold_config::Server;
 use crocushold_ownership::EngineId;
 use crocushold_ownership::Fencing;
@@ -46,7 +45,6 @@
 pub(super) struct Engine {
     pub(super) id: EngineId,
     pub(super) key: ServerKey,
-    pub(super) service: ServiceKey,
     pub(super) name: String,
     pub(super) address: SocketAddr,
     pub(super) fencing: Fencing,
@@ -61,7 +59,6 @@
         Engine {
             id: engine_id(server),
             key,
-            service: server.service,
             name: server.name.clone(),
             address: server.address,
             fencing: fencing(server),
@@ -74,7 +71,6 @@
     /// Takes over what the text says anew.
     pub(super) fn update(&mut self, key: ServerKey, server: &Server) {
         self.key = key;
-        self.service = server.service;
         self.fencing = fencing(server);
     }
 
@@ -93,10 +89,10 @@
         heard.is_some_and(|heard| heard.models.contains(&model))
     }
 
-    /// Whether a model is placed here that it doesn't hold yet.
-    pub(super) fn awaits(&self, model: ModelId) -> bool {
-        let placed = self.placed.as_ref();
-        placed.is_some_and(|(_, models)| models.contains(&model)) && !self.holds(model)
+    /// The models that are placed here and that it doesn't hold yet.
+    pub(super) fn awaited(&self) -> impl Iterator<Item = ModelId> {
+        let placed = self.placed.iter().flat_map(|(_, models)| models);
+        placed.copied().filter(|model| !self.holds(*model))
     }
 
     /// Whether it held the model a moment ago.
--- a/crates/entry/src/coordination/orders/mod.rs
+++ b/crates/entry/src/coordination/orders/mod.rs
@@ -13,3 +13,4 @@
 mod tests;
 
 pub(crate) use shell::EngineOrders;
+pub(crate) use shell::ModelDemand;
--- a/crates/entry/src/coordination/orders/shell.rs
+++ b/crates/entry/src/coordination/orders/shell.rs
@@ -1,5 +1,6 @@
-//! The desk behind its lock, and the orders that it sends.
+//! The desks behind their lock, and the orders that they send.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -10,7 +11,10 @@
 use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
+use crocushold_base::ServiceKey;
 use crocushold_config::Catalog;
+use crocushold_config::Kind;
+use crocushold_config::Service;
 use crocushold_http::Client;
 use crocushold_metrics::status::LimitStatus;
 use crocushold_ownership::Member;
@@ -23,84 +27,149 @@
 use log::warn;
 
 use super::desk::Desk;
+use super::desk::Duties;
 use super::desk::Errand;
 use super::desk::Outdated;
+use super::desk::Ranked;
+use super::engine::model_id;
 use super::send::send;
 
+/// Which tier asked for a model of late.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ModelDemand {
+    /// The name that engines list.
+    pub(crate) model: String,
+    /// The highest tier, 0 being the live one.
+    pub(crate) tier: u8,
+}
+
 /// The orders to engines, shared by the tasks of an instance.
 pub(crate) struct EngineOrders {
     clock: Clock,
     client: Client,
-    settings: OrderSettings,
-    desk: Mutex<Desk>,
+    me: Member,
+    call_limit: Millis,
+    desks: Mutex<BTreeMap<ServiceKey, Desk>>,
 }
 
 impl EngineOrders {
     pub(crate) fn new(clock: Clock, me: Member, client: Client) -> Arc<EngineOrders> {
-        let settings = OrderSettings::default();
         Arc::new(EngineOrders {
             clock,
             client,
-            settings,
-            desk: Mutex::new(Desk::new(settings, me, clock.now())),
+            me,
+            call_limit: OrderSettings::default().call_limit,
+            desks: Mutex::new(BTreeMap::new()),
         })
     }
 
-    fn desk(&self) -> MutexGuard<'_, Desk> {
-        self.desk.lock().unwrap_or_else(PoisonError::into_inner)
+    fn desks(&self) -> MutexGuard<'_, BTreeMap<ServiceKey, Desk>> {
+        self.desks.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Puts a text in force.
+    /// Puts a text in force. Services that may order no loads are left alone: what is unloaded there
+    /// could not be loaded again.
     pub(crate) fn configure(&self, catalog: &Catalog, revision: u64) {
-        self.desk().configure(catalog, revision, self.clock.now());
+        let now = self.clock.now();
+        let mut desks = self.desks();
+        let ordered = |service: &Service| service.kind == Kind::Model && service.weight_loads > 0;
+        desks.retain(|key, _| catalog.services.get(*key).is_some_and(ordered));
+        for (key, service) in catalog.services.iter().filter(|(_, s)| ordered(s)) {
+            let loads = service.weight_loads;
+            let fresh = || Desk::new(&service.name, loads, self.me, now);
+            let desk = desks.entry(key).or_insert_with(fresh);
+            if desk.loads() != loads {
+                *desk = fresh();
+            }
+            desk.configure(catalog, service, revision, now);
+        }
     }
 
     /// Takes a reading of an engine's `/load` that was begun at `asked_at`.
     pub(crate) fn on_report(&self, server: ServerKey, report: &LoadReport, asked_at: Millis) {
         let now = self.clock.now();
-        self.desk().on_report(server, report, asked_at, now);
+        for desk in self.desks().values_mut() {
+            desk.on_report(server, report, asked_at, now);
+        }
     }
 
     /// The members that certainly live, confirmed as of now, and those not known to have ended.
-    pub(crate) fn on_view(&self, live: View, reference: &View) {
-        self.desk().on_view(live, reference, self.clock.now());
+    pub(crate) fn on_view(&self, live: &View, reference: &View) {
+        let now = self.clock.now();
+        for desk in self.desks().values_mut() {
+            desk.on_view(live, reference, now);
+        }
+    }
+
+    /// The highest tier that asked for each model of a service of late, 0 being the live one.
+    pub(crate) fn on_demand(&self, service: ServiceKey, demand: &[ModelDemand]) {
+        let ranks = demand.iter().map(|demand| Ranked {
+            model: model_id(&demand.model),
+            rank: demand.tier,
+        });
+        let ranks: Vec<Ranked> = ranks.collect();
+        if let Some(desk) = self.desks().get_mut(&service) {
+            desk.on_ranks(&ranks);
+        }
     }
 
     /// Time has passed; sends what is due, each order in a task of its own.
     pub(crate) fn on_tick(self: &Arc<Self>) {
-        let duties = self.desk().on_tick(self.clock.now());
-        duties.outdated.iter().for_each(log_outdated);
-        for errand in duties.errands {
-            let orders = self.clone();
-            task::spawn(async move { orders.carry(&errand).await });
+        let now = self.clock.now();
+        let duties: Vec<(ServiceKey, Duties)> = {
+            let mut desks = self.desks();
+            let desks = desks.iter_mut();
+            desks.map(|(key, desk)| (*key, desk.on_tick(now))).collect()
+        };
+        for (service, duties) in duties {
+            duties.outdated.iter().for_each(log_outdated);
+            for errand in duties.errands {
+                let orders = self.clone();
+                task::spawn(async move { orders.carry(service, &errand).await });
+            }
         }
     }
 
-    async fn carry(&self, errand: &Errand) {
+    async fn carry(&self, service: ServiceKey, errand: &Errand) {
         // The process may have been stopped since the order was decided, for as long as another
         // instance took to become the owner. An engine that ignores fencing numbers would obey it.
-        if !self.desk().may_send(&errand.order, self.clock.now()) {
-            let now = self.clock.now();
-            self.desk()
-                .on_answer(&errand.order, OrderAnswer::Failed, now);
+        if !self.may_send(service, errand) {
+            self.answered(service, errand, OrderAnswer::Failed);
             info!("{}", event("order-dropped", errand));
             return;
         }
-        let answer = send(&self.client, errand, self.settings.call_limit).await;
-        let now = self.clock.now();
-        self.desk().on_answer(&errand.order, answer, now);
+        let answer = send(&self.client, errand, self.call_limit).await;
+        self.answered(service, errand, answer);
         let event = event("order-sent", errand);
         info!("{}", event.with("answer", answer_name(answer)));
     }
 
+    fn may_send(&self, service: ServiceKey, errand: &Errand) -> bool {
+        let now = self.clock.now();
+        let mut desks = self.desks();
+        let desk = desks.get_mut(&service);
+        desk.is_some_and(|desk| desk.may_send(&errand.order, now))
+    }
+
+    fn answered(&self, service: ServiceKey, errand: &Errand, answer: OrderAnswer) {
+        let now = self.clock.now();
+        if let Some(desk) = self.desks().get_mut(&service) {
+            desk.on_answer(&errand.order, answer, now);
+        }
+    }
+
     /// The engines that this instance owns, of all, for the status page.
     pub(crate) fn status(&self) -> LimitStatus {
-        let (used, bound) = self.desk().owned();
-        LimitStatus {
+        let mut status = LimitStatus {
             limit: "orders/engines-owned".to_owned(),
-            used,
-            bound,
+            ..LimitStatus::default()
+        };
+        for desk in self.desks().values() {
+            let (owned, engines) = desk.owned();
+            status.bound += engines;
+            status.used += if owned { engines } else { 0 };
         }
+        status
     }
 }
 
--- a/crates/entry/src/coordination/orders/tests.rs
+++ b/crates/entry/src/coordination/orders/tests.rs
@@ -8,7 +8,6 @@
 use crocushold_ownership::Member;
 use crocushold_ownership::ModelId;
 use crocushold_ownership::OrderAnswer;
-use crocushold_ownership::OrderSettings;
 use crocushold_ownership::View;
 use crocushold_platform::wire::LoadReport;
 use crocushold_platform::wire::OrderKind;
@@ -16,12 +15,17 @@
 
 use super::desk::Desk;
 use super::desk::Errand;
+use super::desk::Ranked;
+use super::engine::model_id;
 use super::placement::Candidate;
 use super::placement::Wanted;
 use super::placement::place;
 
 const MODEL: ModelId = ModelId(7);
 
+/// Loads a minute.
+const LOADS: u32 = 6;
+
 fn candidate(number: u64, up: bool, held: &[ModelId]) -> Candidate {
     Candidate {
         engine: EngineId(number),
@@ -91,33 +95,43 @@
     /// The engine whose reports don't come.
     silent: Option<usize>,
     view: View,
+    reference: View,
     now: u64,
 }
 
 impl Lone {
     fn new(servers: u32, reports: Vec<LoadReport>) -> Lone {
-        let catalog = catalog(servers);
+        let catalog = catalog(servers, reports.len(), true);
         let me = Member::new("entry-0", 1);
-        let mut desk = Desk::new(OrderSettings::default(), me, Millis::ZERO);
-        desk.configure(&catalog, 4, Millis::ZERO);
-        let names = ["team/fleet/runner-0", "team/fleet/runner-1"];
+        let service = &catalog.services[catalog.service("team/fleet").unwrap()];
+        let mut desk = Desk::new(&service.name, LOADS, me, Millis::ZERO);
+        desk.configure(&catalog, service, 4, Millis::ZERO);
         Lone {
             desk,
-            keys: names.map(|name| catalog.server(name).unwrap()).to_vec(),
+            keys: service.servers.clone(),
             reports,
             silent: None,
             view: View::new([me]),
+            reference: View::new([me]),
             now: 0,
         }
     }
 
+    /// Starts anew with engines that check fencing numbers or ignore them.
+    fn checks(&mut self, checks: bool) {
+        let catalog = catalog(1, self.keys.len(), checks);
+        let service = &catalog.services[catalog.service("team/fleet").unwrap()];
+        self.desk.configure(&catalog, service, 5, Millis::ZERO);
+        self.keys = service.servers.clone();
+    }
+
     /// Runs some seconds, answering each order; returns the orders.
     fn run(&mut self, seconds: u64, answer: OrderAnswer) -> Vec<Errand> {
         let mut sent = Vec::new();
         for _ in 0..seconds {
             self.now += 1_000;
             let now = Millis(self.now);
-            self.desk.on_view(self.view.clone(), &self.view, now);
+            self.desk.on_view(&self.view, &self.reference, now);
             for (at, report) in self.reports.iter().enumerate() {
                 if self.silent != Some(at) {
                     self.desk.on_report(self.keys[at], report, now, now);
@@ -133,14 +147,22 @@
     }
 }
 
-fn catalog(servers: u32) -> Catalog {
-    let text = format!(
+fn catalog(servers: u32, engines: usize, checks: bool) -> Catalog {
+    let checks = if checks { "yes" } else { "no" };
+    let mut text = format!(
         "[team team]\nformat = 1\n\n[service fleet]\nkind = model\nconcurrency = 8\n\
-         weight-loads = 6/min\nchecks-orders = yes\n\n\
-         [model fleet/m]\nweights = 16 GB\nservers = {servers}\n\n\
-         [server fleet/runner-0]\naddress = 127.0.0.1:9001\nzone = zone-a\n\n\
-         [server fleet/runner-1]\naddress = 127.0.0.1:9002\nzone = zone-a\n"
+         weight-loads = {LOADS}/min\nchecks-orders = {checks}\n\n\
+         [model fleet/m]\nweights = 16 GB\nservers = {servers}\n\n"
     );
+    if servers == 2 && engines == 2 {
+        text.push_str("[model fleet/n]\nweights = 16 GB\nservers = 2\n\n");
+    }
+    for number in 0..engines {
+        text.push_str(&format!(
+            "[server fleet/runner-{number}]\naddress = 127.0.0.1:{}\nzone = zone-a\n\n",
+            9_000 + number
+        ));
+    }
     let mut parts = Text::default();
     parts.set_part("team", &text);
     let mut catalog = Catalog::default();
@@ -194,14 +216,61 @@
     assert_eq!(sent.iter().any(is_unload), goes, "{sent:?}");
 }
 
+/// The loads among the orders.
+fn loads(sent: &[Errand]) -> Vec<&str> {
+    let loads = sent.iter().filter_map(|errand| match &errand.body.kind {
+        OrderKind::Load { model } => Some(model.as_str()),
+        _ => None,
+    });
+    loads.collect()
+}
+
+/// Ten engines lack a model. Did each load when its order was decided, the weight store would refuse
+/// most of them; a new owner also waits until the former one's loads count no more.
 #[test]
-fn a_load_waits_for_a_permit() {
-    let mut lone = Lone::new(2, vec![report(&["m"], 0), report(&[], 0)]);
-    assert_eq!(lone.run(10, OrderAnswer::Obeyed), []);
+fn loads_stay_within_the_rate_of_the_weight_store() {
+    let mut lone = Lone::new(10, vec![report(&[], 0); 10]);
+    assert_eq!(lone.run(24, OrderAnswer::Failed), []);
+    let sent = lone.run(120, OrderAnswer::Failed);
+    let count = loads(&sent).len();
+    assert!(
+        (10..=12).contains(&count),
+        "{count} loads in two minutes at 6 a minute"
+    );
+}
+
+/// The nightly sheets' model comes first in the text, and the chat's is missing too. The chat's
+/// callers are waiting, so its model is loaded first.
+#[test]
+fn the_model_of_the_highest_tier_is_loaded_first() {
+    for (first, second) in [("m", "n"), ("n", "m")] {
+        let mut lone = Lone::new(2, vec![report(&[], 0); 2]);
+        let ranks = [(first, 0), (second, 4)];
+        let ranks = ranks.map(|(model, rank)| Ranked {
+            model: model_id(model),
+            rank,
+        });
+        lone.desk.on_ranks(&ranks);
+        let sent = lone.run(60, OrderAnswer::Failed);
+        assert_eq!(loads(&sent)[..2], [first, first], "{sent:?}");
+    }
+}
+
+/// Without a majority of the fleet, or while another instance owns the service, nothing is ordered.
+#[test_case(&["entry-0"], &["entry-0", "b", "c"]; "in a minority")]
+#[test_case(&[], &["entry-0"]; "with no view")]
+fn nothing_is_ordered_by_one_that_may_not(live: &[&str], reference: &[&str]) {
+    let mut lone = Lone::new(1, vec![report(&["m"], 0), report(&["m"], 0)]);
+    let view = |names: &[&str]| View::new(names.iter().map(|name| Member::new(name, 1)));
+    lone.view = view(live);
+    lone.reference = view(reference);
+    lone.checks(false);
+    assert_eq!(lone.run(90, OrderAnswer::Obeyed), []);
 }
 
 #[test]
 fn models_that_the_text_never_named_are_left_alone() {
-    let mut lone = Lone::new(2, vec![report(&["m", "x"], 0), report(&["m"], 0)]);
+    let held = || report(&["m", "n", "x"], 0);
+    let mut lone = Lone::new(2, vec![held(), held()]);
     assert_eq!(lone.run(60, OrderAnswer::Obeyed), []);
 }
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -21,6 +21,7 @@
 use futures::StreamExt;
 use futures::stream;
 
+use crate::coordination::ModelDemand;
 use crate::shared::Shared;
 use crate::world::World;
 
@@ -88,10 +89,25 @@
             }
             take(&world, polled);
         }
+        tell_demand(&shared, &world);
         task::sleep(PERIOD.into()).await;
     }
 }
 
+/// Tells the orders which models are asked for, since the most urgent is loaded first.
+fn tell_demand(shared: &Shared, world: &World) {
+    let now = shared.clock.now();
+    for (service, pool) in &world.pools {
+        let recent: Vec<_> = pool.lock().demand.recent(now).collect();
+        let demand = recent.into_iter().filter_map(|(model, tier)| {
+            let model = world.catalog.models.get(model)?.id.clone();
+            Some(ModelDemand { model, tier })
+        });
+        let demand: Vec<ModelDemand> = demand.collect();
+        shared.coordinator.orders().on_demand(*service, &demand);
+    }
+}
+
 fn targets(world: &World, memories: &HashMap<ServerKey, Memory>) -> Vec<Target> {
     let servers = world.catalog.servers.iter();
     let targets = servers.map(|(key, server)| {
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -1,5 +1,7 @@
 //! The scheduler and the router of one service, under one lock.
 
+mod demand;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -38,6 +40,7 @@
 use crocushold_routing::Stage;
 use futures::channel::oneshot;
 
+use crate::pool::demand::Demand as ModelDemand;
 use crate::refusal::Refusal;
 
 #[cfg(test)]
@@ -113,6 +116,7 @@
     loaded: HashMap<ServerKey, Vec<ModelKey>>,
     retry: RetryPolicy,
     waiting: HashMap<RequestKey, Waiter>,
+    pub(crate) demand: ModelDemand,
 }
 
 /// Settings of a pool.
@@ -151,6 +155,7 @@
             loaded: HashMap::new(),
             retry: RetryPolicy::new(RetrySettings::default(), clock.now()),
             waiting: HashMap::new(),
+            demand: ModelDemand::default(),
         };
         Arc::new(Pool {
             clock,
@@ -262,6 +267,9 @@
     }
 
     fn submit(&mut self, arrival: &Arrival, need: Need, now: Millis) -> Result<Waiting, Refusal> {
+        if let Some(model) = need.model {
+            self.demand.note(model, need.tier, now);
+        }
         let key = match self.scheduler.submit(arrival, now) {
             Verdict::Queued(key) => key,
             Verdict::Refused(refusal) => return Err(Refusal::from_admission(&refusal)),
