Put the orders to engines and the weight store to work

The placement follows from the text and the engines' reports; one instance owns the engines of a service.

The first run of the test of a spare replica failed for a real fault: a caller was answered 404 by the engine that had just been told to unload. All instances now keep requests away from a spare replica from the moment the placement says so, half a minute before its unload.

--- a/crates/entry/src/coordination/orders/desk.rs
+++ b/crates/entry/src/coordination/orders/desk.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
+use std::collections::HashMap;
 
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
@@ -11,8 +11,6 @@
 use crocushold_config::Service;
 use crocushold_ownership::EngineId;
 use crocushold_ownership::EngineReport;
-use crocushold_ownership::LoadPlanner;
-use crocushold_ownership::LoadWant;
 use crocushold_ownership::Member;
 use crocushold_ownership::ModelId;
 use crocushold_ownership::Order;
@@ -25,7 +23,6 @@
 use crocushold_ownership::RoleId;
 use crocushold_ownership::Target;
 use crocushold_ownership::View;
-use crocushold_ownership::WeightSettings;
 use crocushold_platform::wire;
 use crocushold_platform::wire::LoadReport;
 use twox_hash::XxHash3_64;
@@ -34,6 +31,11 @@
 use super::engine::Heard;
 use super::engine::engine_id;
 use super::engine::model_id;
+use super::loads::Loads;
+use super::message::Duties;
+use super::message::Errand;
+use super::message::Outdated;
+use super::message::Ranked;
 use super::placement::Candidate;
 use super::placement::Wanted;
 use super::placement::place;
@@ -41,38 +43,6 @@
 /// The text names no roles: engines keep theirs.
 const ROLE: RoleId = RoleId(0);
 
-/// An order to carry.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Errand {
-    pub(super) order: Order,
-    /// The engine's name, for the log.
-    pub(super) server: String,
-    pub(super) address: SocketAddr,
-    pub(super) body: wire::Order,
-}
-
-/// An engine obeyed a newer text than this instance has.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Outdated {
-    pub(super) server: String,
-    pub(super) fence: u64,
-}
-
-/// For whom a model is asked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Ranked {
-    pub(super) model: ModelId,
-    /// The highest tier of its requests of late, 0 being the live one.
-    pub(super) rank: u8,
-}
-
-/// What is to be done after a tick.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(super) struct Duties {
-    pub(super) errands: Vec<Errand>,
-    pub(super) outdated: Vec<Outdated>,
-}
-
 /// Decides the orders to the engines of one service.
 ///
 /// One instance owns all engines of a service, by rendezvous hashing of the service's name. It is
@@ -85,19 +55,13 @@
     store: u64,
     owned: bool,
     orders: Orders,
-    planner: LoadPlanner,
-    weights: WeightSettings,
+    loads: Loads,
     guard: PauseGuard,
     revision: u64,
     engines: BTreeMap<EngineId, Engine>,
+    keys: HashMap<ServerKey, EngineId>,
     wanted: Vec<Wanted>,
     names: BTreeMap<ModelId, String>,
-    /// The best rank of the requests for a model, lower being sooner.
-    ranks: BTreeMap<ModelId, u8>,
-    /// Engines that are to load something now.
-    due: BTreeSet<EngineId>,
-    /// Permits that may still be used, with their end.
-    permits: BTreeMap<(EngineId, ModelId), Millis>,
     /// Engines that were reported as ahead of this instance, with their numbers.
     ahead: BTreeMap<EngineId, u64>,
 }
@@ -106,33 +70,26 @@
     /// The desk of a service that may order `loads` loads a minute.
     pub(super) fn new(service: &str, loads: u32, me: Member, now: Millis) -> Desk {
         let settings = OrderSettings::default();
-        let weights = WeightSettings {
-            rate: f64::from(loads),
-            ..WeightSettings::default()
-        };
         let store = XxHash3_64::oneshot(service.as_bytes());
         Desk {
             me,
             store,
             owned: false,
             orders: Orders::new(settings, me, now),
-            planner: LoadPlanner::new(weights, me, store),
-            weights,
+            loads: Loads::new(loads, me, store),
             guard: PauseGuard::new(settings.lease, now),
             revision: 0,
             engines: BTreeMap::new(),
+            keys: HashMap::new(),
             wanted: Vec::new(),
             names: BTreeMap::new(),
-            ranks: BTreeMap::new(),
-            due: BTreeSet::new(),
-            permits: BTreeMap::new(),
             ahead: BTreeMap::new(),
         }
     }
 
     /// Loads a minute that the service may order.
     pub(super) fn loads(&self) -> u32 {
-        self.weights.rate as u32
+        self.loads.rate()
     }
 
     /// Takes a text over.
@@ -160,13 +117,15 @@
 
     fn take_servers(&mut self, catalog: &Catalog, service: &Service, now: Millis) {
         let mut kept = BTreeSet::new();
+        self.keys.clear();
         for &key in &service.servers {
             let server = &catalog.servers[key];
             let id = engine_id(server);
             kept.insert(id);
-            let fresh = || Engine::new(key, server, now);
+            let fresh = || Engine::new(server, now);
             let engine = self.engines.entry(id).or_insert_with(fresh);
-            engine.update(key, server);
+            engine.update(server);
+            self.keys.insert(key, id);
         }
         let gone = self.engines.extract_if(.., |id, _| !kept.contains(id));
         let gone: Vec<EngineId> = gone.map(|(id, _)| id).collect();
@@ -177,13 +136,12 @@
 
     /// The best rank of the requests for each model of late, lower being sooner.
     pub(super) fn on_ranks(&mut self, ranks: &[Ranked]) {
-        let ranks = ranks.iter().map(|ranked| (ranked.model, ranked.rank));
-        self.ranks = ranks.collect();
+        self.loads.on_ranks(ranks);
     }
 
     /// The live view, confirmed as of now, and every member not known to have ended.
     pub(super) fn on_view(&mut self, live: &View, reference: &View, now: Millis) {
-        self.planner.on_view(live, reference, now);
+        self.loads.on_view(live, reference, now);
         let Some(owner) = live.owner(self.store) else {
             return;
         };
@@ -209,15 +167,14 @@
         now: Millis,
     ) {
         let names = &self.names;
-        let engine = self.engines.values_mut().find(|e| e.key == server);
-        let Some(engine) = engine else {
+        let id = self.keys.get(&server);
+        let Some(engine) = id.and_then(|id| self.engines.get_mut(id)) else {
             return;
         };
         let ids = report.models.iter().map(|name| model_id(name));
         let models: Vec<ModelId> = ids.filter(|id| names.contains_key(id)).collect();
         engine.heard = Some(Heard {
             models: models.clone(),
-            busy: report.running + report.waiting > 0,
             at: asked_at,
         });
         let report = EngineReport {
@@ -233,7 +190,7 @@
     /// Time has passed; call it about once a second.
     pub(super) fn on_tick(&mut self, now: Millis) -> Duties {
         if self.guard.observe(now) {
-            self.planner.on_pause(now);
+            self.loads.on_pause(now);
             self.guard.rejoined();
         }
         self.place_all(now);
@@ -254,30 +211,10 @@
 
     /// Asks the planner for the loads that are due, and takes its permits.
     fn plan_loads(&mut self, now: Millis) {
-        self.permits.retain(|_, until| now < *until);
         if !self.owned {
-            self.due.clear();
-        }
-        for want in self.wants() {
-            self.planner.on_want(self.me, want, now);
-        }
-        for permit in self.planner.on_tick(now) {
-            let until = now + self.weights.permit;
-            self.permits.insert((permit.engine, permit.model), until);
+            self.loads.forget();
         }
-    }
-
-    /// Every load that an engine lacks which is to load something now.
-    fn wants(&self) -> Vec<LoadWant> {
-        let due = self.due.iter().filter_map(|id| self.engines.get(id));
-        let loads = due.flat_map(|engine| engine.awaited().map(|model| (engine.id, model)));
-        let wants = loads.map(|(engine, model)| LoadWant {
-            engine,
-            model,
-            rank: self.ranks.get(&model).copied().unwrap_or(u8::MAX),
-            replicas: self.engines.values().filter(|e| e.holds(model)).count() as u32,
-        });
-        wants.collect()
+        self.loads.on_tick(&self.engines, now);
     }
 
     /// Brings the targets up to date with the text, the reports, and which engines answer.
@@ -322,7 +259,10 @@
         let engine = self.engines.get(&order.engine)?;
         let (server, address) = (engine.name.clone(), engine.address);
         let kind = match order.kind {
-            OrderKind::Load(model) if !engine.holds(model) => self.use_permit(order.engine),
+            OrderKind::Load(model) if !engine.holds(model) => {
+                let model = self.loads.take(engine);
+                model.map(OrderKind::Load)
+            }
             OrderKind::Load(_) => Some(order.kind),
             OrderKind::Unload(model) => {
                 let allowed = self.may_unload(order.engine, model, now);
@@ -361,27 +301,26 @@
         })
     }
 
-    /// A load is due at the engine: uses a permit, or notes that one is wanted. Which of the missing
-    /// models is loaded is the planner's choice, for it knows whose callers wait.
-    fn use_permit(&mut self, engine: EngineId) -> Option<OrderKind> {
-        self.due.insert(engine);
-        let state = self.engines.get(&engine)?;
-        let mut awaited = state.awaited();
-        let model = awaited.find(|model| self.permits.contains_key(&(engine, *model)))?;
-        self.permits.remove(&(engine, model));
-        self.due.remove(&engine);
-        Some(OrderKind::Load(model))
+    /// Whether a model may go from an engine: only while another engine of the service certainly holds
+    /// it. Otherwise its callers would be left without a server.
+    fn may_unload(&self, id: EngineId, model: ModelId, now: Millis) -> bool {
+        let mut others = self.engines.values().filter(|other| other.id != id);
+        others.any(|other| other.surely_holds(model, now))
     }
 
-    /// Whether a model may go from an engine: nothing runs there, or another engine of the service
-    /// certainly holds it. Otherwise its callers would be left without a server.
-    fn may_unload(&self, id: EngineId, model: ModelId, now: Millis) -> bool {
-        let Some(engine) = self.engines.get(&id) else {
+    /// Whether requests for a model should go to this server although it holds it.
+    ///
+    /// It is about to be unloaded where it isn't placed and a placed engine holds it. An instance that
+    /// went on sending requests there would have them answered that the model is unknown. All
+    /// instances place alike, and the unload waits for longer than their reports can differ.
+    pub(super) fn is_spare(&self, server: ServerKey, model: ModelId, now: Millis) -> bool {
+        let id = self.keys.get(&server);
+        let Some(engine) = id.and_then(|id| self.engines.get(id)) else {
             return false;
         };
-        let mut others = self.engines.values().filter(|other| other.id != id);
-        let served = others.any(|other| other.surely_holds(model, now));
-        served || engine.is_surely_idle(now)
+        let mut others = self.engines.values().filter(|other| other.id != engine.id);
+        !engine.is_placed(model)
+            && others.any(|other| other.is_placed(model) && other.surely_holds(model, now))
     }
 
     fn note_outdated(&mut self, engine: EngineId, fence: u64) -> Option<Outdated> {
--- a/crates/entry/src/coordination/orders/engine.rs
+++ b/crates/entry/src/coordination/orders/engine.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 
 use crocushold_base::Millis;
-use crocushold_base::ServerKey;
 use crocushold_config::Server;
 use crocushold_ownership::EngineId;
 use crocushold_ownership::Fencing;
@@ -16,7 +15,7 @@
 /// minutes, so a restart is waited for.
 const SILENCE: Millis = Millis::from_secs(60);
 
-/// How old a report may be for another engine's model to be unloaded on the strength of it.
+/// How old a report may be for another engine to give a model up on the strength of it.
 const RECENT: Millis = Millis::from_secs(5);
 
 /// The number under which instances speak of a model, from the name that engines list.
@@ -34,8 +33,6 @@
 pub(super) struct Heard {
     /// Models that the text names.
     pub(super) models: Vec<ModelId>,
-    /// Whether any request runs or waits there.
-    pub(super) busy: bool,
     /// When the reading was begun.
     pub(super) at: Millis,
 }
@@ -44,7 +41,6 @@
 #[derive(Clone, Debug)]
 pub(super) struct Engine {
     pub(super) id: EngineId,
-    pub(super) key: ServerKey,
     pub(super) name: String,
     pub(super) address: SocketAddr,
     pub(super) fencing: Fencing,
@@ -55,10 +51,9 @@
 }
 
 impl Engine {
-    pub(super) fn new(key: ServerKey, server: &Server, now: Millis) -> Engine {
+    pub(super) fn new(server: &Server, now: Millis) -> Engine {
         Engine {
             id: engine_id(server),
-            key,
             name: server.name.clone(),
             address: server.address,
             fencing: fencing(server),
@@ -69,8 +64,7 @@
     }
 
     /// Takes over what the text says anew.
-    pub(super) fn update(&mut self, key: ServerKey, server: &Server) {
-        self.key = key;
+    pub(super) fn update(&mut self, server: &Server) {
         self.fencing = fencing(server);
     }
 
@@ -95,18 +89,18 @@
         placed.copied().filter(|model| !self.holds(*model))
     }
 
+    /// Whether the model is to stay or to be loaded here.
+    pub(super) fn is_placed(&self, model: ModelId) -> bool {
+        let placed = self.placed.as_ref();
+        placed.is_some_and(|(_, models)| models.contains(&model))
+    }
+
     /// Whether it held the model a moment ago.
     pub(super) fn surely_holds(&self, model: ModelId, now: Millis) -> bool {
         let heard = self.heard.as_ref();
         let recent = heard.is_some_and(|heard| now.since(heard.at) <= RECENT);
         recent && self.holds(model)
     }
-
-    /// Whether nothing ran there a moment ago.
-    pub(super) fn is_surely_idle(&self, now: Millis) -> bool {
-        let heard = self.heard.as_ref();
-        heard.is_some_and(|heard| !heard.busy && now.since(heard.at) <= RECENT)
-    }
 }
 
 fn fencing(server: &Server) -> Fencing {
--- /dev/null
+++ b/crates/entry/src/coordination/orders/loads.rs
@@ -0,0 +1,111 @@
+//! Which load goes next, and when.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crocushold_base::Millis;
+use crocushold_ownership::EngineId;
+use crocushold_ownership::LoadPlanner;
+use crocushold_ownership::LoadWant;
+use crocushold_ownership::Member;
+use crocushold_ownership::ModelId;
+use crocushold_ownership::View;
+use crocushold_ownership::WeightSettings;
+
+use super::engine::Engine;
+use super::message::Ranked;
+
+/// The loads of one service from its weight store.
+///
+/// Wants and permits are calls inside the process: the owner of the store owns the engines too.
+#[derive(Debug)]
+pub(super) struct Loads {
+    me: Member,
+    settings: WeightSettings,
+    planner: LoadPlanner,
+    /// The best rank of the requests for a model, lower being sooner.
+    ranks: BTreeMap<ModelId, u8>,
+    /// Engines that are to load something now.
+    due: BTreeSet<EngineId>,
+    /// Permits that may still be used, with their end.
+    permits: BTreeMap<(EngineId, ModelId), Millis>,
+}
+
+impl Loads {
+    pub(super) fn new(rate: u32, me: Member, store: u64) -> Loads {
+        let settings = WeightSettings {
+            rate: f64::from(rate),
+            ..WeightSettings::default()
+        };
+        Loads {
+            me,
+            settings,
+            planner: LoadPlanner::new(settings, me, store),
+            ranks: BTreeMap::new(),
+            due: BTreeSet::new(),
+            permits: BTreeMap::new(),
+        }
+    }
+
+    /// Loads a minute.
+    pub(super) fn rate(&self) -> u32 {
+        self.settings.rate as u32
+    }
+
+    pub(super) fn on_ranks(&mut self, ranks: &[Ranked]) {
+        let ranks = ranks.iter().map(|ranked| (ranked.model, ranked.rank));
+        self.ranks = ranks.collect();
+    }
+
+    pub(super) fn on_view(&mut self, live: &View, reference: &View, now: Millis) {
+        self.planner.on_view(live, reference, now);
+    }
+
+    /// This process stood still: its permits may be another's by now.
+    pub(super) fn on_pause(&mut self, now: Millis) {
+        self.planner.on_pause(now);
+        self.forget();
+    }
+
+    /// Another instance orders the loads.
+    pub(super) fn forget(&mut self) {
+        self.due.clear();
+        self.permits.clear();
+    }
+
+    /// Asks the planner for the loads that are due, and takes its permits.
+    pub(super) fn on_tick(&mut self, engines: &BTreeMap<EngineId, Engine>, now: Millis) {
+        self.permits.retain(|_, until| now < *until);
+        for want in self.wants(engines) {
+            self.planner.on_want(self.me, want, now);
+        }
+        for permit in self.planner.on_tick(now) {
+            let until = now + self.settings.permit;
+            self.permits.insert((permit.engine, permit.model), until);
+        }
+    }
+
+    /// Every load that an engine lacks which is to load something now.
+    fn wants(&self, engines: &BTreeMap<EngineId, Engine>) -> Vec<LoadWant> {
+        let due = self.due.iter().filter_map(|id| engines.get(id));
+        let loads = due.flat_map(|engine| engine.awaited().map(|model| (engine.id, model)));
+        let wants = loads.map(|(engine, model)| LoadWant {
+            engine,
+            model,
+            rank: self.ranks.get(&model).copied().unwrap_or(u8::MAX),
+            replicas: engines.values().filter(|e| e.holds(model)).count() as u32,
+        });
+        wants.collect()
+    }
+
+    /// A load is due at the engine: uses a permit, or notes that one is wanted. Which of the missing
+    /// models is loaded is the planner's choice, for it knows whose callers wait.
+    pub(super) fn take(&mut self, engine: &Engine) -> Option<ModelId> {
+        self.due.insert(engine.id);
+        let mut awaited = engine.awaited();
+        let model = awaited.find(|model| self.permits.contains_key(&(engine.id, *model)))?;
+        self.permits.remove(&(engine.id, model));
+        self.due.remove(&engine.id);
+        Some(model)
+    }
+}
--- a/crates/entry/src/coordination/orders/mod.rs
+++ b/crates/entry/src/coordination/orders/mod.rs
@@ -6,6 +6,8 @@
 
 mod desk;
 mod engine;
+mod loads;
+mod message;
 mod placement;
 mod send;
 mod shell;
--- a/crates/entry/src/coordination/orders/send.rs
+++ b/crates/entry/src/coordination/orders/send.rs
@@ -14,7 +14,7 @@
 use http_types::StatusCode;
 use http_types::Url;
 
-use super::desk::Errand;
+use super::message::Errand;
 
 /// Most bytes read of an answer.
 const ANSWER_LIMIT: u64 = 4096;
--- a/crates/entry/src/coordination/orders/shell.rs
+++ b/crates/entry/src/coordination/orders/shell.rs
@@ -27,11 +27,11 @@
 use log::warn;
 
 use super::desk::Desk;
-use super::desk::Duties;
-use super::desk::Errand;
-use super::desk::Outdated;
-use super::desk::Ranked;
 use super::engine::model_id;
+use super::message::Duties;
+use super::message::Errand;
+use super::message::Outdated;
+use super::message::Ranked;
 use super::send::send;
 
 /// Which tier asked for a model of late.
@@ -86,13 +86,28 @@
     }
 
     /// Takes a reading of an engine's `/load` that was begun at `asked_at`.
-    pub(crate) fn on_report(&self, server: ServerKey, report: &LoadReport, asked_at: Millis) {
+    pub(crate) fn on_report(
+        &self,
+        service: ServiceKey,
+        server: ServerKey,
+        report: &LoadReport,
+        asked_at: Millis,
+    ) {
         let now = self.clock.now();
-        for desk in self.desks().values_mut() {
+        if let Some(desk) = self.desks().get_mut(&service) {
             desk.on_report(server, report, asked_at, now);
         }
     }
 
+    /// Whether a model that a server holds is about to be unloaded there, so that its requests
+    /// should go to another one.
+    pub(crate) fn is_spare(&self, service: ServiceKey, server: ServerKey, model: &str) -> bool {
+        let now = self.clock.now();
+        let desks = self.desks();
+        let desk = desks.get(&service);
+        desk.is_some_and(|desk| desk.is_spare(server, model_id(model), now))
+    }
+
     /// The members that certainly live, confirmed as of now, and those not known to have ended.
     pub(crate) fn on_view(&self, live: &View, reference: &View) {
         let now = self.clock.now();
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -83,17 +83,23 @@
             .buffer_unordered(PARALLEL);
         while let Some(polled) = polls.next().await {
             memories.insert(polled.key, polled.memory);
-            if let Some((report, _)) = &polled.report {
-                let orders = shared.coordinator.orders();
-                orders.on_report(polled.key, report, polled.asked_at);
-            }
-            take(&world, polled);
+            tell_orders(&shared, &world, &polled);
+            take(&shared, &world, polled);
         }
         tell_demand(&shared, &world);
         task::sleep(PERIOD.into()).await;
     }
 }
 
+/// Hands a reading of an engine to the orders.
+fn tell_orders(shared: &Shared, world: &World, polled: &Polled) {
+    let server = world.catalog.servers.get(polled.key);
+    if let (Some(server), Some((report, _))) = (server, &polled.report) {
+        let orders = shared.coordinator.orders();
+        orders.on_report(server.service, polled.key, report, polled.asked_at);
+    }
+}
+
 /// Tells the orders which models are asked for, since the most urgent is loaded first.
 fn tell_demand(shared: &Shared, world: &World) {
     let now = shared.clock.now();
@@ -166,7 +172,7 @@
     Millis((difference - least).unsigned_abs())
 }
 
-fn take(world: &World, mut polled: Polled) {
+fn take(shared: &Shared, world: &World, mut polled: Polled) {
     let Some(server) = world.catalog.servers.get(polled.key) else {
         return;
     };
@@ -175,7 +181,9 @@
     };
     let loaded = polled.report.as_ref().map(|(report, _)| {
         let models = report.models.iter();
-        let known = models.filter_map(|id| world.catalog.model_of(server.service, id));
+        let orders = shared.coordinator.orders();
+        let kept = models.filter(|id| !orders.is_spare(server.service, polled.key, id));
+        let known = kept.filter_map(|id| world.catalog.model_of(server.service, id));
         known.collect::<Vec<_>>()
     });
     pool.update(|state, now| {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod load_faults;
 mod matrix;
 mod once;
+mod orders;
 mod pair_faults;
 mod path;
 mod process_faults;
--- /dev/null
+++ b/tests/all/orders.rs
@@ -0,0 +1,195 @@
+//! Orders to engines by several instances, of which one owns the engines.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crocushold_platform::wire::LoadReport;
+use crocushold_standins::EngineSettings;
+use crocushold_standins::PlatformCommand;
+use http_types::Method;
+use test_case::test_case;
+
+use crate::support::Call;
+use crate::support::Entry;
+use crate::support::Fleet;
+use crate::support::Site;
+use crate::support::SiteSettings;
+use crate::support::call;
+
+/// Longer than a new owner waits, and a destructive order.
+const PATIENCE: Duration = Duration::from_secs(90);
+
+/// How long a text must stand before an instance unloads what it doesn't want, with some room.
+const DAMPING: Duration = Duration::from_secs(33);
+
+/// How long a woken instance is watched.
+const WATCH: Duration = Duration::from_secs(10);
+
+fn wait_long(what: &str, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < PATIENCE, "never happened: {what}");
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// A site whose engines check fencing numbers or ignore them.
+fn start_site(checks: bool) -> Site {
+    Site::start(&SiteSettings {
+        engine: EngineSettings {
+            models: vec!["m".to_owned()],
+            checks,
+            ..EngineSettings::default()
+        },
+        ..SiteSettings::default()
+    })
+}
+
+/// Publishes a text in which the engines may be ordered, and models are wanted on some of them.
+fn publish(site: &Site, checks: bool, models: &[(&str, usize)]) {
+    let checks = if checks { "yes" } else { "no" };
+    let orders = format!("kind = model\nweight-loads = 60/min\nchecks-orders = {checks}");
+    let models = models.iter().map(|(name, servers)| {
+        format!("[model fleet/{name}]\nweights = 16 GB\nservers = {servers}\n\n")
+    });
+    let models: String = models.collect();
+    site.publish(|text| {
+        let text = text.replace("kind = model", &orders);
+        let at = text.find("[model fleet/m]").unwrap();
+        let end = at + text[at..].find("[server").unwrap();
+        format!("{}{models}{}", &text[..at], &text[end..])
+    });
+}
+
+fn page(path: &str, method: Method, body: &str) -> Call {
+    Call {
+        method,
+        path: path.to_owned(),
+        body: body.to_owned(),
+        ..Call::chat(false, 1)
+    }
+}
+
+fn reports(site: &Site) -> Vec<LoadReport> {
+    let addresses = site.engines.iter().map(|engine| engine.addr());
+    let answers = addresses.map(|at| call(at, &page("/load", Method::Get, "")).unwrap());
+    answers
+        .map(|answer| LoadReport::parse(&answer.body).unwrap())
+        .collect()
+}
+
+fn holders(site: &Site, model: &str) -> usize {
+    let reports = reports(site);
+    let held = |report: &&LoadReport| report.models.iter().any(|held| held == model);
+    reports.iter().filter(held).count()
+}
+
+fn owns(entry: &Entry) -> bool {
+    let status = entry.status();
+    let mut limits = status.limits.iter();
+    limits.any(|limit| limit.limit == "orders/engines-owned" && limit.used > 0)
+}
+
+/// The one running member that owns the engines.
+fn owner(fleet: &Fleet<'_>) -> usize {
+    let mut found = Vec::new();
+    wait_long("one instance owns the engines", || {
+        let members = fleet.members.iter().enumerate();
+        let running = members.filter_map(|(at, member)| Some((at, member.entry.as_ref()?)));
+        found = running.filter(|(_, e)| owns(e)).map(|(at, _)| at).collect();
+        found.len() == 1
+    });
+    found[0]
+}
+
+fn order(engine: SocketAddr, body: &str) -> u16 {
+    call(engine, &page("/orders", Method::Post, body))
+        .unwrap()
+        .status
+}
+
+/// The owner is frozen just before it would unload a model that its text wants on one engine only.
+/// Meanwhile a newer text wants the model on both, and another instance owns the engines. The first
+/// one wakes with the old text, sure that it is the owner and that the unload is due, and neither its
+/// peers nor the platform can tell it better. Engines that check numbers have been given the newer
+/// one by then and refuse the old; from those that don't, it must keep away by itself.
+#[test_case(true; "engines that check")]
+#[test_case(false; "engines that ignore")]
+fn a_woken_owner_unloads_nothing(checks: bool) {
+    let site = start_site(checks);
+    let fleet = Fleet::start_linked(&site, 3);
+    publish(&site, checks, &[("m", 1)]);
+    let stated = Instant::now();
+    fleet.wait_status("\"revision\": 2,");
+    let old = owner(&fleet);
+    fleet.entry(old).signal("STOP");
+    publish(&site, checks, &[("m", 2)]);
+    let others: Vec<usize> = (0..3).filter(|number| *number != old).collect();
+    wait_long("another instance owns the engines", || {
+        others.iter().any(|number| owns(fleet.entry(*number)))
+    });
+    if checks {
+        wait_long("the engines have the newer number", || {
+            reports(&site).iter().all(|report| report.fence == 3)
+        });
+        let engine = site.engines[0].addr();
+        let unload = r#"{"fence": 2, "kind": "unload", "model": "m"}"#;
+        assert_eq!(order(engine, unload), 409);
+    }
+    // Until the frozen one is due to unload, were it still the owner.
+    thread::sleep(DAMPING.saturating_sub(stated.elapsed()));
+    fleet.links.split(&[old], &others);
+    site.platform(PlatformCommand::Frozen { on: true });
+    fleet.entry(old).signal("CONT");
+    let woken = Instant::now();
+    while woken.elapsed() < WATCH {
+        assert_eq!(holders(&site, "m"), 2);
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(fleet.entry(old).status().config.revision, 2);
+    site.platform(PlatformCommand::Frozen { on: false });
+    fleet.links.heal();
+    fleet.wait_status("\"revision\": 3,");
+    assert_eq!(holders(&site, "m"), 2);
+}
+
+/// The owner is killed, and a new text wants another model on both engines. A new owner waits until
+/// the former one's orders can't come any more, then loads it; the model's callers are served.
+#[test]
+fn a_new_owner_carries_the_text_out() {
+    let site = start_site(false);
+    let mut fleet = Fleet::start(&site, 3);
+    publish(&site, false, &[("m", 2)]);
+    fleet.wait_status("\"revision\": 2,");
+    let old = owner(&fleet);
+    fleet.members[old].entry.take().unwrap().kill();
+    publish(&site, false, &[("m", 2), ("n", 2)]);
+    wait_long("the model is loaded on both", || holders(&site, "n") == 2);
+    assert_eq!(holders(&site, "m"), 2);
+    let mut request = Call::chat(false, 1);
+    request.body = request.body.replace("\"m\"", "\"n\"");
+    let entry = fleet.entry(owner(&fleet));
+    wait_long("its callers are served", || {
+        call(entry.listen, &request).unwrap().status == 200
+    });
+}
+
+/// Two engines hold a model that the text wants on one. The spare replica goes, the other stays, and
+/// callers notice nothing: a request that was sent to the engine just after its unload would be
+/// answered that the model is unknown.
+#[test]
+fn a_spare_replica_is_unloaded() {
+    let site = start_site(true);
+    let entry = site.entry("entry-0");
+    publish(&site, true, &[("m", 1)]);
+    entry.wait_in_force(2);
+    wait_long("one engine gave the model up", || {
+        let answer = call(entry.listen, &Call::chat(false, 1)).unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.body);
+        holders(&site, "m") == 1
+    });
+    let after = (0..50).map(|_| call(entry.listen, &Call::chat(false, 1)).unwrap().status);
+    assert!(after.into_iter().all(|status| status == 200));
+}
