--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -21,6 +21,7 @@
 use futures::StreamExt;
 use futures::stream;
 
+use crate::coordination::ModelDemand;
 use crate::shared::Shared;
 use crate::world::World;
 
@@ -64,6 +65,8 @@
     key: ServerKey,
     memory: Memory,
     report: Option<(LoadReport, Millis)>,
+    /// When the report was asked for.
+    asked_at: Millis,
     events: Option<CacheEvents>,
 }
 
@@ -80,12 +83,37 @@
             .buffer_unordered(PARALLEL);
         while let Some(polled) = polls.next().await {
             memories.insert(polled.key, polled.memory);
-            take(&world, polled);
+            tell_orders(&shared, &world, &polled);
+            take(&shared, &world, polled);
         }
+        tell_demand(&shared, &world);
         task::sleep(PERIOD.into()).await;
     }
 }
 
+/// Hands a reading of an engine to the orders.
+fn tell_orders(shared: &Shared, world: &World, polled: &Polled) {
+    let server = world.catalog.servers.get(polled.key);
+    if let (Some(server), Some((report, _))) = (server, &polled.report) {
+        let orders = shared.coordinator.orders();
+        orders.on_report(server.service, polled.key, report, polled.asked_at);
+    }
+}
+
+/// Tells the orders which models are asked for, since the most urgent is loaded first.
+fn tell_demand(shared: &Shared, world: &World) {
+    let now = shared.clock.now();
+    for (service, pool) in &world.pools {
+        let recent: Vec<_> = pool.lock().demand.recent(now).collect();
+        let demand = recent.into_iter().filter_map(|(model, tier)| {
+            let model = world.catalog.models.get(model)?.id.clone();
+            Some(ModelDemand { model, tier })
+        });
+        let demand: Vec<ModelDemand> = demand.collect();
+        shared.coordinator.orders().on_demand(*service, &demand);
+    }
+}
+
 fn targets(world: &World, memories: &HashMap<ServerKey, Memory>) -> Vec<Target> {
     let servers = world.catalog.servers.iter();
     let targets = servers.map(|(key, server)| {
@@ -105,6 +133,7 @@
         key: target.key,
         memory: target.memory,
         report: None,
+        asked_at: clock.now(),
         events: None,
     };
     let text = get(fetch, &target.address, "/load".to_owned()).await;
@@ -143,7 +172,7 @@
     Millis((difference - least).unsigned_abs())
 }
 
-fn take(world: &World, mut polled: Polled) {
+fn take(shared: &Shared, world: &World, mut polled: Polled) {
     let Some(server) = world.catalog.servers.get(polled.key) else {
         return;
     };
@@ -152,7 +181,9 @@
     };
     let loaded = polled.report.as_ref().map(|(report, _)| {
         let models = report.models.iter();
-        let known = models.filter_map(|id| world.catalog.model_of(server.service, id));
+        let orders = shared.coordinator.orders();
+        let kept = models.filter(|id| !orders.is_spare(server.service, polled.key, id));
+        let known = kept.filter_map(|id| world.catalog.model_of(server.service, id));
         known.collect::<Vec<_>>()
     });
     pool.update(|state, now| {
