Let two tests of a stop and of a removed server fail

An instance that kept idle connections open to the bound of its drain passed, since the test had no time in it; and a removed server that kept its work got none of it, since ten calls one after the other always found the other server less loaded. The first asks for the time now, the second sends more at once than the other server has slots for.

--- a/tests/all/config_faults.rs
+++ b/tests/all/config_faults.rs
@@ -134,8 +134,12 @@
     site.publish(|text| without_server(text, runner));
     entry.wait_in_force(2);
     let before = site.engines[runner].stats().started;
-    for _ in 0..10 {
-        assert!(call(entry.listen, &Call::chat(true, 1)).unwrap().whole);
+    // More than the other server has slots for.
+    let calls: Vec<_> = (0..12)
+        .map(|_| call_beside(entry.listen, &Call::chat(true, 10)))
+        .collect();
+    for answer in calls {
+        assert!(answer.join().unwrap().unwrap().whole);
     }
     assert_eq!(site.engines[runner].stats().started, before, "new work");
     assert!(caller.read_until("[DONE]\n\n\r\n0\r\n\r\n"), "cut");
--- a/tests/all/process_faults.rs
+++ b/tests/all/process_faults.rs
@@ -21,6 +21,9 @@
 /// Notice and drain of the site's settings, with room for a busy machine.
 const DRAINED: Duration = Duration::from_secs(30);
 
+/// Far less than the drain, for a stop that has nothing to wait for.
+const SOON: Duration = Duration::from_secs(10);
+
 fn one_slot() -> SiteSettings {
     SiteSettings {
         engines: 1,
@@ -110,6 +113,7 @@
     let mut idle = Raw::send(entry.listen, &Call::chat(true, 2).marked("one"));
     assert!(idle.read_until("0\r\n\r\n"));
     entry.signal("TERM");
+    let start = Instant::now();
     wait_draining(&entry);
     let second = Call::chat(true, 2).marked("two");
     idle.write(second.head().as_bytes());
@@ -120,6 +124,7 @@
         "{text}"
     );
     assert!(entry.wait_exit());
+    assert!(start.elapsed() < SOON, "waited for an idle connection");
 }
 
 // A request never ends and the stop has a bound. At the bound the process ends, and what the caller
