Leave a slot free for the live tier

Four nightly requests of 1,000 tokens held all four slots of a service; every live request that came meanwhile was refused as overdue after its patience of 1.4 s (four of four), although only a lower tier stood in its way. Started work is never preempted, and the headroom for bursts was a share of the slots that rounds down to none: 3% at most, nothing before a burst was seen. Ruled out: the order of the queue, which gives the next slot to the live tier; no slot came back in time.

An instance leaves 1% of a service's slots free of lower tiers, rounded up to a whole slot; the library's default stays 0. A class below its floor may take it. The cost is one idle slot for each service and instance while only lower tiers have work.

Before: 4 of 4 live requests refused. After: all served while the batch runs.

--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -61,6 +61,12 @@
 /// Requests set aside in one round because no server could be had for them.
 const MAX_ASIDE: usize = 16;
 
+/// Share of the slots that lower tiers always leave free, rounded up to a whole slot.
+///
+/// Started work is never preempted. Without a free slot, a batch of long answers that holds them all
+/// makes every live request wait past its patience, which sheds it for a lower tier.
+const LEAST_HEADROOM: f64 = 0.01;
+
 /// What a waiting request is told.
 #[derive(Debug)]
 pub(crate) enum Turn {
@@ -157,6 +163,7 @@
             headroom: HeadroomSettings {
                 most: MOST_HEADROOM,
                 window: HEADROOM_WINDOW,
+                least: LEAST_HEADROOM,
                 ..HeadroomSettings::default()
             },
             ..admission::Settings::default()
--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -171,6 +171,12 @@
         promises: &[Promise::Whole, Promise::Slots],
         test: "load_faults::wrong_hints_pile_nothing_up::test_case_2_gapped_cache_events",
     },
+    Cell {
+        fault: Fault::Burst,
+        step: Step::Queued,
+        promises: &[Promise::Live, Promise::Slots],
+        test: "load_faults::a_batch_of_long_answers_refuses_no_live_request",
+    },
     // Callers.
     Cell {
         fault: Fault::CallerGone,
