--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -54,6 +54,8 @@
 fn an_instance_replaced_in_an_outage_learns_from_its_peers() {
     let site = Site::start(&SiteSettings::default());
     let mut fleet = Fleet::start(&site, 3);
+    // Ready isn't enough: nobody may have read the list yet, so that nobody knows the address.
+    fleet.wait_agreed();
     change_config(&site, &fleet, 2);
     site.platform(PlatformCommand::Frozen { on: true });
     fleet.members[2].entry.take();
