Fail the health answer until a configuration is in force

A newcomer answered /health with 200 as soon as it listened. Ruled out by the reasons in the log (written at debug from now on): late queues, limits, missing servers.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_config as config;
 use crocushold_config::Credential;
@@ -10,6 +11,7 @@
 use http_types::Request;
 use http_types::Response;
 use http_types::StatusCode;
+use log::debug;
 use serde::Serialize;
 
 use crate::exchange::Exchange;
@@ -29,13 +31,26 @@
     let id = shared.request_id();
     let mut response = match serve(shared, request, &hangup, &id).await {
         Ok(response) => response,
-        Err(Failure::Refused(refusal)) => refusal.into_response(),
+        Err(Failure::Refused(refusal)) => {
+            log_refusal(&id, &refusal);
+            refusal.into_response()
+        }
         Err(Failure::CallerGone) => Response::new(CALLER_GONE),
     };
     response.insert_header("x-request-id", &id);
     response
 }
 
+/// At the level `debug`: a flood of refusals must not become a flood of lines.
+fn log_refusal(id: &str, refusal: &Refusal) {
+    let event = Event::new("refused")
+        .with("request", id)
+        .with("reason", refusal.reason.as_str())
+        .with("ran", refusal.ran.as_str())
+        .with("message", &refusal.message);
+    debug!("{event}");
+}
+
 async fn serve(
     shared: &Arc<Shared>,
     mut request: Request,
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -38,12 +38,15 @@
     }
 }
 
+/// What the balancer asks.
+///
 /// Fails first on a planned stop, so that the balancer sends nothing more while requests are still
-/// served.
+/// served; and before a configuration is in force, since the instance would refuse all it is sent.
 fn health(shared: &Shared) -> Response {
     match shared.state() {
+        InstanceState::Serving => text(StatusCode::Ok, "ok\n"),
+        InstanceState::Starting => text(StatusCode::ServiceUnavailable, "starting\n"),
         InstanceState::Draining => text(StatusCode::ServiceUnavailable, "draining\n"),
-        InstanceState::Starting | InstanceState::Serving => text(StatusCode::Ok, "ok\n"),
     }
 }
 
