--- a/crates/entry/src/coordination/limits/account.rs
+++ b/crates/entry/src/coordination/limits/account.rs
@@ -111,6 +111,8 @@
 #[derive(Debug)]
 pub(super) struct Account {
     pub(super) name: String,
+    /// The ids of its limits, worked out once: a refusal must stay cheap.
+    ids: [AccountId; 3],
     pub(super) limits: config::Limits,
     /// Requests in progress on this instance.
     pub(super) running: u32,
@@ -129,6 +131,7 @@
     pub(super) fn new(name: &str, limits: config::Limits) -> Account {
         Account {
             name: name.to_owned(),
+            ids: LimitKind::ALL.map(|kind| kind.id(name)),
             limits,
             running: 0,
             requests: Credit::default(),
@@ -141,7 +144,7 @@
     }
 
     pub(super) fn id(&self, kind: LimitKind) -> AccountId {
-        kind.id(&self.name)
+        self.ids[kind as usize]
     }
 
     /// What a request is expected to cost.
