Admit the first request of a small account

With the limits held over all instances, an account of one request a second was refused at every instance that it reached first, and so was any request that costs more than a share can save up: an empty bucket had to hold the whole cost. Seen in the quickstart: eight of eight requests refused.

An instance starts with one unit for an account and admits while anything is left; the rest is owed and paid back before the next admission. Seen red in the ledger's test.

--- a/crates/ownership/src/limits/account.rs
+++ b/crates/ownership/src/limits/account.rs
@@ -10,6 +10,9 @@
 use super::message::LimitSettings;
 use super::pool::Pool;
 
+/// What an account has at an instance that just learned of it, so that its first request passes.
+const FIRST_UNIT: f64 = 1.0;
+
 /// How many instances there are.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Counts {
@@ -64,7 +67,7 @@
         Account {
             limit,
             pool: Pool::default(),
-            tokens: 0.0,
+            tokens: FIRST_UNIT,
             filled_at: now,
             loan: 0.0,
             loan_until: Millis::ZERO,
@@ -92,7 +95,11 @@
             self.unmet_slots += 1;
             return Admission::Limited { retry_after };
         }
-        if self.tokens + self.loan < cost {
+        // What is left may be less than the cost: the rest is owed, and paid back by the share or by
+        // loans before the next admission. If the whole cost had to be at hand, an account with a
+        // small rate, or a request with a large cost, would be refused at each instance that it
+        // reaches first, however little the account uses.
+        if self.tokens + self.loan <= 0.0 {
             self.unmet += cost;
             return Admission::Limited { retry_after };
         }
--- a/crates/ownership/tests/limits.rs
+++ b/crates/ownership/tests/limits.rs
@@ -16,6 +16,24 @@
 const RATE: f64 = 400.0;
 const STEP: u64 = 10;
 
+/// An account of one request a second sends its first one to the last of eight instances, where its
+/// share is a sixteenth. It would be refused there, though it uses nothing; and so would any request
+/// that costs more than the share can save up. What the first one owes, the second one waits for.
+#[test]
+fn the_first_request_of_a_small_account_passes_wherever_it_comes() {
+    let small = Limit {
+        rate: 1.0,
+        slots: 80,
+    };
+    for cost in [1.0, 5.0] {
+        let mut model = Model::new(&even(0.0), small, 0);
+        let node = &mut model.nodes[7];
+        assert_eq!(node.admit(ACCOUNT, cost, Millis(1)), Admission::Admitted);
+        let second = node.admit(ACCOUNT, cost, Millis(2));
+        assert!(matches!(second, Admission::Limited { .. }), "{second:?}");
+    }
+}
+
 /// Instances that carry their loans at once inside a side, and never between sides.
 struct Model {
     members: Vec<Member>,
