--- a/crates/ownership/src/limits/account.rs
+++ b/crates/ownership/src/limits/account.rs
@@ -10,8 +10,9 @@
 use super::message::LimitSettings;
 use super::pool::Pool;
 
-/// What an account has at an instance that just learned of it, so that its first request passes.
-const FIRST_UNIT: f64 = 1.0;
+/// What an account has at an instance that just learned of it, so that its first request passes; and
+/// the least that has to be at hand for an admission.
+const ONE_UNIT: f64 = 1.0;
 
 /// How many instances there are.
 #[derive(Clone, Copy, Debug)]
@@ -67,7 +68,7 @@
         Account {
             limit,
             pool: Pool::default(),
-            tokens: FIRST_UNIT,
+            tokens: ONE_UNIT,
             filled_at: now,
             loan: 0.0,
             loan_until: Millis::ZERO,
@@ -95,11 +96,10 @@
             self.unmet_slots += 1;
             return Admission::Limited { retry_after };
         }
-        // What is left may be less than the cost: the rest is owed, and paid back by the share or by
-        // loans before the next admission. If the whole cost had to be at hand, an account with a
-        // small rate, or a request with a large cost, would be refused at each instance that it
-        // reaches first, however little the account uses.
-        if self.tokens + self.loan <= 0.0 {
+        // One unit at hand is enough: the rest of the cost is owed, and paid back by the share or by
+        // loans before the next admission. If the whole cost had to be at hand, a request that costs
+        // more than the share can save up would be refused at each instance that it reaches first.
+        if self.tokens + self.loan < cost.min(ONE_UNIT) {
             self.unmet += cost;
             return Admission::Limited { retry_after };
         }
