Remove the configuration reader that no process used

Two state machines decided when to read the configuration and what of it to believe: ConfigReader, with its own budget and its own floor for revisions, and Spread, which the daemon runs. InstancePoller, the single read, the shell and the transport stay. Update::Config stays as a hidden, empty variant, because the entry crate still matches on it.

The tests of the reader went with the code that they tested. Spread had tests for older revisions, hasty watches and outages; it gained those for the read budget, for a platform that is frozen, for Retry-After and for its bound.

The poller gained tests for a late answer, for the end of a backoff on a late wake, and for Retry-After and its bound. Its random test had run on empty lists, which are never published, so its check that revisions never decrease held nothing; it now uses lists with entries.

A Retry-After was honoured without a bound by Spread: a mistaken one of a year silenced an instance until its restart (seen failing: an_absurd_retry_after_is_bounded). It is now bounded at 60 s.

Seen failing with the safeguard taken out, one at a time: the tokens of the budget, Retry-After, giving up a read that nobody ended (Spread); dropping calls on a late wake, refusing an older list, the period, Retry-After and its bound, dropping calls past the deadline, the deadline of a single read (platform).

--- a/crates/peers/src/spread/budget.rs
+++ b/crates/peers/src/spread/budget.rs
@@ -6,6 +6,10 @@
 
 use crate::spread::SpreadSettings;
 
+/// Longest `Retry-After` that is honoured. A mistaken one of days would leave the instance at its
+/// configuration, and report nothing, until it is restarted; a call a minute is no load.
+const RETRY_CEILING: Millis = Millis::from_secs(60);
+
 /// Tokens for platform calls, and the wait after calls that brought nothing.
 #[derive(Debug)]
 pub(super) struct Budget {
@@ -63,7 +67,8 @@
         let doubled = Millis(self.backoff.0 * 2);
         self.backoff = doubled.clamp(settings.backoff, settings.backoff_ceiling);
         let jitter = rng.random_range(0..=self.backoff.0 / 4);
-        let wait = Millis(self.backoff.0 + jitter).max(retry_after.unwrap_or_default());
-        self.not_before = now + wait;
+        let wait = Millis(self.backoff.0 + jitter);
+        let asked = retry_after.unwrap_or_default().min(RETRY_CEILING);
+        self.not_before = now + wait.max(asked);
     }
 }
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -1,11 +1,9 @@
 //! Messages between the state machines and their shell.
 
 use std::fmt;
-use std::sync::Arc;
 
 use crocushold_base::Millis;
 
-use crate::reader::Snapshot;
 use crate::report::Report;
 use crate::wire::ConfigIndex;
 use crate::wire::InstanceList;
@@ -65,18 +63,6 @@
     Malformed(String),
 }
 
-impl Failure {
-    /// Whether the service has answered for good, so that the same call is unlikely to fare better
-    /// within a second.
-    pub(crate) fn is_definite(&self) -> bool {
-        match self {
-            Failure::Status(status) => (400..500).contains(status),
-            Failure::Malformed(_) => true,
-            Failure::Connection | Failure::Timeout | Failure::Throttled { .. } => false,
-        }
-    }
-}
-
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -108,13 +94,6 @@
         /// Why.
         failure: Failure,
     },
-    /// A peer states that a newer configuration revision exists.
-    Hint {
-        /// The revision.
-        revision: u64,
-    },
-    /// A peer handed over a whole configuration, which the caller has already put in force.
-    Adopted(Arc<Snapshot>),
 }
 
 /// What the shell is to do.
@@ -139,8 +118,9 @@
 /// News for the rest of the instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Update {
-    /// A newer configuration text.
-    Config(Arc<Snapshot>),
+    /// Never published; here until no match names it any more.
+    #[doc(hidden)]
+    Config(()),
     /// A newer instance list.
     Instances(InstanceList),
     /// The instance list was read again, and is the one published last.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,20 +1,20 @@
 //! Reads and watches of what the platform publishes.
 //!
 //! The platform can only be read, answers each call out of a budget that all readers share, and can
-//! be down, frozen, or answer with old data. This crate decides when to call it, and what of its
-//! answers may be believed:
+//! be down, frozen, or answer with old data. This crate makes the calls:
 //!
 //! * [`wire`] holds the types of the documents.
-//! * [`ConfigReader`] reads the configuration index and the teams' parts and watches for changes.
-//!   [`InstancePoller`] polls the instance list. Both are state machines ([`Machine`]): an
-//!   [`Event`] and the time go in, [`Action`]s come out. They open no socket and read no clock.
+//! * [`InstancePoller`] polls the instance list. It is a state machine ([`Machine`]): an [`Event`]
+//!   and the time go in, [`Action`]s come out. It opens no socket and reads no clock.
 //! * [`run`] is the thin shell that carries the actions out through a [`Fetch`]; [`HttpFetch`] is the
 //!   one over HTTP.
+//! * [`read`] makes one [`Call`] with a deadline. The configuration is read this way: when, and what
+//!   of the answers may be believed, is decided where instances also learn it from each other.
 //!
-//! Both machines keep these rules whatever the platform does: their own calls stay within a
-//! [`CallBudget`]; every call has a deadline; failures back off with jitter and honour
-//! `Retry-After`; an answer older than an earlier one is reported and never applied; a process that
-//! woke late re-reads before its knowledge counts as confirmed again.
+//! The poller keeps these rules whatever the platform does: at most one call in a period; every call
+//! has a deadline; failures back off with jitter and honour `Retry-After`; a list older than an
+//! earlier one is reported and never applied; a process that woke late re-reads before its knowledge
+//! counts as confirmed again.
 
 mod call;
 mod fetch;
@@ -22,7 +22,6 @@
 mod outstanding;
 mod pace;
 mod poller;
-mod reader;
 mod report;
 mod shell;
 mod transport;
@@ -46,14 +45,9 @@
 pub use fetch::fetch_all;
 pub use pace::Backoff;
 pub use pace::BackoffSettings;
-pub use pace::CallBudget;
 pub use pace::Jitter;
 pub use poller::InstancePoller;
 pub use poller::PollerSettings;
-pub use reader::ConfigReader;
-pub use reader::Part;
-pub use reader::ReaderSettings;
-pub use reader::Snapshot;
 pub use report::Report;
 pub use shell::Shell;
 pub use shell::read;
--- a/crates/platform/src/pace.rs
+++ b/crates/platform/src/pace.rs
@@ -5,44 +5,6 @@
 
 use crocushold_base::Millis;
 
-/// A token bucket over one reader's own calls, kept as a theoretical arrival time (GCRA).
-///
-/// In any span of time it grants at most `burst` calls plus one for each `interval` of the span.
-/// The platform's budget is shared by all readers; one that loops would starve the others.
-#[derive(Clone, Debug)]
-pub struct CallBudget {
-    interval: Millis,
-    depth: Millis,
-    /// When the bucket will be full again.
-    full_at: Millis,
-}
-
-impl CallBudget {
-    /// A budget of `burst` calls (at least one) that refills by one every `interval`.
-    pub fn new(interval: Millis, burst: u32) -> CallBudget {
-        let extra = u64::from(burst.saturating_sub(1));
-        CallBudget {
-            interval,
-            depth: Millis(interval.0.saturating_mul(extra)),
-            full_at: Millis::ZERO,
-        }
-    }
-
-    /// When the next call is granted.
-    pub fn ready_at(&self) -> Millis {
-        Millis(self.full_at.0.saturating_sub(self.depth.0))
-    }
-
-    /// Takes a call if one is granted at `now`.
-    pub fn take(&mut self, now: Millis) -> bool {
-        if now < self.ready_at() {
-            return false;
-        }
-        self.full_at = self.full_at.max(now) + self.interval;
-        true
-    }
-}
-
 /// Seeded random spans.
 ///
 /// Instances that fail together would otherwise retry together; each has its own seed. A keyed hash
@@ -106,11 +68,6 @@
         }
     }
 
-    /// Failures since the last success.
-    pub fn failures(&self) -> u32 {
-        self.failures
-    }
-
     /// Counts a failure and returns the pause before the next call.
     pub fn fail(&mut self, jitter: &mut Jitter) -> Millis {
         let factor = 1u64.checked_shl(self.failures).unwrap_or(u64::MAX);
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -28,7 +28,7 @@
 
 /// Runs a machine until `inbox` is closed.
 ///
-/// Hints and adopted configurations come in through `inbox`; `publish` gets the updates in order
+/// Events from elsewhere in the process come in through `inbox`; `publish` gets the updates in order
 /// and has to return at once.
 pub async fn run<M: Machine, F: Fetch>(
     mut machine: M,
--- a/crates/platform/src/shell/exchange.rs
+++ b/crates/platform/src/shell/exchange.rs
@@ -20,7 +20,7 @@
 
 /// Most bytes of an index or a list: 6,300 entries of 250 bytes, twice over.
 const LIST_LIMIT: usize = 4 << 20;
-/// Most bytes of a part's body; a little above what the machine accepts, so that the machine names
+/// Most bytes of a part's body; a little above what is accepted, so that whoever refuses it can name
 /// the team.
 const PART_LIMIT: usize = (1 << 20) + 1;
 /// Deadline beyond the machine's own, which cancels first.
