Give usage errors an exit status of their own, and outlive a closed pipe

A misspelt option ended with status 1, which says "a class burns" or "rejected" to a pipeline.

println! panics when the reader closed the pipe, so that `crocushold check part.ini | head -1` could end with status 101 and a panic on the terminal. The commands print by a function that ignores what can't be written any more and keep their own status; tested with a pipe that is closed before the start (seen failing with the old code).

--- a/src/bin/crocushold.rs
+++ b/src/bin/crocushold.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 
+use bpaf::Args;
 use bpaf::OptionParser;
 use bpaf::Parser;
 use bpaf::construct;
@@ -10,6 +11,7 @@
 use crocushold::commands::explain;
 use crocushold::commands::serve;
 use crocushold::commands::status;
+use crocushold::commands::usage;
 
 /// The subcommands.
 enum Command {
@@ -30,15 +32,19 @@
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("A router for language-model traffic with service levels and priorities")
-        .footer("Completion for a shell: crocushold --bpaf-complete-style-bash (or zsh, fish)")
+        .footer(
+            "Exit status: 0 done; 1 and 2 as the command's own --help says; 64 a usage error. \
+             Completion for a shell: crocushold --bpaf-complete-style-bash (or zsh, fish)",
+        )
 }
 
 fn main() -> ExitCode {
-    match command().run() {
-        Command::Serve(args) => serve::run(&args),
-        Command::Check(args) => check::run(&args),
-        Command::Explain(args) => explain::run(&args),
-        Command::Burn(args) => burn::run(&args),
-        Command::Status(args) => status::run(&args),
+    match command().run_inner(Args::current_args()) {
+        Ok(Command::Serve(args)) => serve::run(&args),
+        Ok(Command::Check(args)) => check::run(&args),
+        Ok(Command::Explain(args)) => explain::run(&args),
+        Ok(Command::Burn(args)) => burn::run(&args),
+        Ok(Command::Status(args)) => status::run(&args),
+        Err(failure) => usage::answer(failure),
     }
 }
--- a/src/commands/burn.rs
+++ b/src/commands/burn.rs
@@ -16,6 +16,8 @@
 use crocushold_platform::HttpFetch;
 use crocushold_platform::fetch_all;
 
+use super::print;
+
 #[cfg(test)]
 mod tests;
 
@@ -51,7 +53,7 @@
     .descr("Shows how fast each class spends its error budget")
     .footer(
         "Exit status: 0 no class burns; 1 a class burns; 2 no class is seen to burn, but an \
-         instance could not be read.",
+         instance could not be read; 64 a usage error.",
     )
     .command("burn")
 }
@@ -112,7 +114,7 @@
 /// Reads the instances and prints the report.
 pub fn run(args: &Args) -> ExitCode {
     let report = task::block_on(report(&HttpFetch::default(), args));
-    print!("{}", text(&report, args.json));
+    print::out(text(&report, args.json));
     ExitCode::from(status(&report))
 }
 
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -13,6 +13,8 @@
 use crocushold_config::Severity;
 use crocushold_config::Text;
 
+use super::print;
+
 /// The text would be rejected, in whole or in part.
 const REJECTED: u8 = 1;
 /// The text can't be read.
@@ -45,7 +47,7 @@
     })
     .to_options()
     .descr("Checks a configuration text before it is published")
-    .footer("Exit status: 0 accepted, 1 rejected in whole or in part, 2 a file can't be read")
+    .footer("Exit status: 0 accepted, 1 rejected in whole or in part, 2 a file can't be read, 64 a usage error")
     .command("check")
 }
 
@@ -54,7 +56,7 @@
     let texts = match read(&args.files) {
         Ok(texts) => texts,
         Err(message) => {
-            eprintln!("{message}");
+            print::error(message);
             return ExitCode::from(UNREADABLE);
         }
     };
@@ -66,12 +68,11 @@
     } else {
         Text::parse(&texts.concat()).findings()
     };
-    for finding in &findings {
-        println!("{finding}");
-    }
+    let lines = findings.iter().map(|finding| format!("{finding}\n"));
+    print::out(lines.collect::<String>());
     let errors = count(&findings, Severity::Error);
     let warnings = findings.len() - errors;
-    eprintln!("{errors} errors, {warnings} warnings");
+    print::error(format!("{errors} errors, {warnings} warnings"));
     if errors > 0 || (args.strict && warnings > 0) {
         return ExitCode::from(REJECTED);
     }
--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -15,6 +15,7 @@
 use crocushold_config::explain;
 
 use super::check;
+use super::print;
 
 /// The request would be refused.
 const REFUSED: u8 = 1;
@@ -75,7 +76,7 @@
     })
     .to_options()
     .descr("Shows which class, servers and limits a request would get, and why")
-    .footer("Exit status: 0 explained, 1 the request would be refused, 2 a file can't be read")
+    .footer("Exit status: 0 explained, 1 the request would be refused, 2 a file can't be read, 64 a usage error")
     .command("explain")
 }
 
@@ -96,7 +97,7 @@
     let texts = match check::read(&args.files) {
         Ok(texts) => texts,
         Err(message) => {
-            eprintln!("{message}");
+            print::error(message);
             return ExitCode::from(UNREADABLE);
         }
     };
@@ -111,11 +112,12 @@
     };
     match explain(&catalog, &credential, target, args.wanted.as_deref()) {
         Ok(explanation) => {
-            print!("{explanation}");
+            print::out(explanation);
             ExitCode::SUCCESS
         }
         Err(refusal) => {
-            println!("refused with status {}: {refusal}", refusal.status());
+            let status = refusal.status();
+            print::out(format!("refused with status {status}: {refusal}\n"));
             ExitCode::from(REFUSED)
         }
     }
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -27,6 +27,8 @@
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
 
+use super::print;
+
 /// Exit status when the settings have findings or can't be read.
 const BAD_SETTINGS: u8 = 2;
 
@@ -50,7 +52,7 @@
     construct!(Args { log, file })
         .to_options()
         .descr("Runs an entry instance")
-        .footer("Exit status: 0 stopped as planned, 1 could not start, 2 bad settings")
+        .footer("Exit status: 0 stopped as planned, 1 could not start, 2 bad settings, 64 a usage error")
         .command("serve")
 }
 
@@ -59,14 +61,14 @@
     let _logger = match start_log(&args.log) {
         Ok(logger) => logger,
         Err(error) => {
-            eprintln!("error: --log: {error}");
+            print::error(format!("error: --log: {error}"));
             return ExitCode::from(BAD_SETTINGS);
         }
     };
     let settings = match read_settings(&args.file) {
         Ok(settings) => settings,
         Err(message) => {
-            eprintln!("{message}");
+            print::error(message);
             return ExitCode::from(BAD_SETTINGS);
         }
     };
--- a/src/commands/status.rs
+++ b/src/commands/status.rs
@@ -13,6 +13,8 @@
 use crocushold_platform::fetch_all;
 use serde::Serialize;
 
+use super::print;
+
 #[cfg(test)]
 mod tests;
 
@@ -54,14 +56,17 @@
     bpaf::construct!(Args { instances, json })
         .to_options()
         .descr("Shows instances' configuration, peers, classes, backend servers and limits")
-        .footer("Exit status: 0 every instance was read; 2 an instance could not be read.")
+        .footer(
+            "Exit status: 0 every instance was read; 2 an instance could not be read; 64 a usage \
+             error.",
+        )
         .command("status")
 }
 
 /// Reads the instances and prints what they say.
 pub fn run(args: &Args) -> ExitCode {
     let readings = task::block_on(read(&HttpFetch::default(), &args.instances));
-    print!("{}", text(&readings, args.json));
+    print::out(text(&readings, args.json));
     ExitCode::from(status(&readings))
 }
 
--- a/tests/all/commands.rs
+++ b/tests/all/commands.rs
@@ -1,10 +1,13 @@
 //! The commands that need no running instance.
 
 use std::fs;
+use std::io::pipe;
 use std::path::Path;
 use std::process::Command;
 use std::process::Output;
 
+use test_case::test_case;
+
 use crate::support::Folder;
 
 /// A text with ten mistakes, each on the line that its comment-free neighbours make obvious.
@@ -72,6 +75,60 @@
     }
 }
 
+/// `crocushold check part.ini | head -1`: the reader closes the pipe before all is written. The
+/// program must end with its own status, not with a panic that looks like a fault of the text.
+#[test_case(&["check"], 1; "check")]
+#[test_case(&["explain", "--key=nobody", "--model=m"], 1; "explain")]
+#[test_case(&["--help"], 0; "help")]
+fn a_closed_pipe_changes_no_status(args: &[&str], expected: i32) {
+    let folder = Folder::new();
+    let file = folder.path().join("text.ini");
+    fs::write(&file, TEN_MISTAKES).unwrap();
+    let (reader, writer) = pipe().unwrap();
+    drop(reader);
+    let output = Command::new(env!("CARGO_BIN_EXE_crocushold"))
+        .args(args)
+        .arg(file)
+        .stdout(writer)
+        .output()
+        .unwrap();
+    let errors = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(expected), "{errors}");
+    assert!(!errors.contains("panicked"), "{errors}");
+}
+
+/// A misspelt option in a pipeline must not look like "a class burns" or "rejected", which are 1.
+#[test_case(&["burn", "--instanc=127.0.0.1:1"]; "misspelt option")]
+#[test_case(&["burn"]; "missing option")]
+#[test_case(&["chekc"]; "misspelt command")]
+#[test_case(&[]; "nothing")]
+fn a_usage_error_has_a_status_of_its_own(args: &[&str]) {
+    let output = program(args);
+    assert_eq!(output.status.code(), Some(64));
+    assert!(output.stdout.is_empty());
+    assert!(!output.stderr.is_empty());
+}
+
+#[test_case("serve")]
+#[test_case("check")]
+#[test_case("explain")]
+#[test_case("burn")]
+#[test_case("status")]
+fn help_lists_the_exit_statuses(command: &str) {
+    let output = program(&[command, "--help"]);
+    assert_eq!(output.status.code(), Some(0));
+    let help = String::from_utf8(output.stdout).unwrap();
+    let words: Vec<&str> = help.split_whitespace().collect();
+    let help = words.join(" ");
+    assert!(help.contains("Exit status: 0"), "{help}");
+    assert!(help.contains("64 a usage error"), "{help}");
+}
+
+fn program(args: &[&str]) -> Output {
+    let program = env!("CARGO_BIN_EXE_crocushold");
+    Command::new(program).args(args).output().unwrap()
+}
+
 #[test]
 fn check_says_when_a_file_is_missing() {
     let output = crocushold(&["check"], Path::new("no-such-file.ini"));
