Let no team's unreadable part hold up the others

A part that the platform listed and never gave kept every other team's change out: the fetch was given up at each failure and began with the same part again; nothing was in force after 120 s. After two failures the fetch goes on without the part, and asks for it with each answer about the index. Removals are listed always now, and absence says nothing.

Watches wait 2.5 s instead of 30 s: a dead connection is noticed at the end of the wait only.

--- a/crates/entry/src/publish.rs
+++ b/crates/entry/src/publish.rs
@@ -205,7 +205,6 @@
         Update::Report(report) => {
             info!("{}", Event::new("instance-list").with("report", &report));
         }
-        Update::Config(_) => {}
     };
     run(InstancePoller::new(settings), &shell, inbox, publish).await;
 }
--- a/crates/peers/src/spread/mod.rs
+++ b/crates/peers/src/spread/mod.rs
@@ -96,6 +96,8 @@
     Corrupt(InstanceId),
     /// A part or the whole exceeds the limits and isn't taken in.
     TooLarge(Arc<str>),
+    /// The platform lists a part but doesn't give it; the others are in force without it.
+    Unread(Arc<str>),
 }
 
 /// Failures in a row after which what a peer said counts no more.
@@ -122,6 +124,8 @@
     /// Answers in a row that were overdue.
     late: u32,
     heard: BTreeMap<InstanceId, Heard>,
+    /// Failed reads in a row of parts, by team.
+    unread: BTreeMap<Arc<str>, u32>,
     peers: usize,
     peers_settled: bool,
     reader: Reader,
@@ -147,6 +151,7 @@
             half: Partial::default(),
             late: 0,
             heard: BTreeMap::new(),
+            unread: BTreeMap::new(),
             peers: 0,
             peers_settled: false,
             reader: Reader::default(),
--- a/crates/peers/src/spread/peers.rs
+++ b/crates/peers/src/spread/peers.rs
@@ -219,10 +219,9 @@
         };
         let listed = std::mem::take(&mut fetch.listed);
         let pieces = std::mem::take(&mut fetch.pieces);
-        if fetch.after == 0 {
-            let teams: Vec<&Arc<str>> = listed.iter().map(|head| &head.team).collect();
-            fetch.staged = self.held.missing(&teams, fetch.revision);
-        }
+        // A part that the peer doesn't list wasn't removed: removals are listed. The peer may have gone
+        // on without one that the platform doesn't give it, and taking that for a removal would undo
+        // the part here.
         for head in &listed {
             let piece = pieces.iter().find(|piece| piece.team == head.team);
             self.plan_part(&mut fetch, head, piece);
--- a/crates/peers/src/spread/platform.rs
+++ b/crates/peers/src/spread/platform.rs
@@ -66,6 +66,9 @@
     Part(Arc<str>, Result<PartText, ReadFailed>),
 }
 
+/// Failed reads of a part in a row after which a fetch goes on without it.
+const UNREAD_TRIES: u32 = 2;
+
 /// State of the reads.
 #[derive(Debug, Default)]
 pub(super) struct Reader {
@@ -120,7 +123,7 @@
             PlatformRead::Index(Ok(index)) => self.on_index(index, now),
             PlatformRead::Index(Err(failed)) => self.on_index_failed(failed, now),
             PlatformRead::Part(team, Ok(part)) => self.on_part(&team, &part, now),
-            PlatformRead::Part(_, Err(failed)) => self.on_part_failed(failed, now),
+            PlatformRead::Part(team, Err(failed)) => self.on_part_failed(&team, failed, now),
         }
         self.advance(now);
         self.finish(now)
@@ -267,6 +270,7 @@
             return;
         }
         if part.revision >= want.revision {
+            self.unread.remove(team);
             self.stage(Part::new(team, part.revision, &part.text));
             return;
         }
@@ -280,15 +284,28 @@
         self.budget.wasted(&self.settings, None, &mut self.rng, now);
     }
 
-    fn on_part_failed(&mut self, failed: ReadFailed, now: Millis) {
+    /// Tries a part that can't be read once more; then goes on without it, and asks for it again with
+    /// the next answer about the index. One team's part that the platform can't deliver must not hold
+    /// back the changes of the others.
+    fn on_part_failed(&mut self, team: &Arc<str>, failed: ReadFailed, now: Millis) {
         self.budget
             .wasted(&self.settings, failed.retry_after, &mut self.rng, now);
-        if self
-            .fetch
-            .as_ref()
-            .is_some_and(|fetch| fetch.source == Source::Platform)
-        {
+        let Some(fetch) = &mut self.fetch else {
+            return;
+        };
+        if fetch.source != Source::Platform {
+            return;
+        }
+        let tries = self.unread.entry(team.clone()).or_default();
+        *tries += 1;
+        // A fetch that brought nothing is given up: if no part can be read, the platform is at fault,
+        // and a newcomer would put an empty configuration in force.
+        let is_last = fetch.staged.is_empty() && fetch.wants.len() <= 1;
+        if failed.retry_after.is_some() || *tries < UNREAD_TRIES || is_last {
             self.abandon();
+            return;
         }
+        fetch.pass_over(team);
+        self.report(SpreadFinding::Unread(team.clone()));
     }
 }
--- a/crates/peers/src/spread/settings.rs
+++ b/crates/peers/src/spread/settings.rs
@@ -13,7 +13,8 @@
     pub read_rate: f64,
     /// Platform calls a second that one instance may make at most; also its burst.
     pub own_rate: f64,
-    /// How long a watch waits on the platform.
+    /// How long a watch waits on the platform. Short, since a connection that died without a sign is
+    /// noticed at the end of the wait only, and a change is to be in force within 5 s.
     pub watch_wait: Millis,
     /// Time between two reads by an instance that holds no watch.
     pub reread: Millis,
@@ -47,7 +48,7 @@
             watch_rate: 500.0,
             read_rate: 250.0,
             own_rate: 20.0,
-            watch_wait: Millis::from_secs(30),
+            watch_wait: Millis(2500),
             reread: Millis::from_secs(120),
             backoff: Millis::from_secs(1),
             backoff_ceiling: Millis::from_secs(30),
--- a/crates/peers/src/spread/store.rs
+++ b/crates/peers/src/spread/store.rs
@@ -135,7 +135,7 @@
     pub(crate) fn changes(&self, after: u64, cursor: &str) -> (Vec<PartRef>, Arc<str>) {
         let changed = self.parts.values().filter(|part| {
             let head = &part.head;
-            head.revision > after && &*head.team > cursor && !(after == 0 && head.removed)
+            head.revision > after && &*head.team > cursor
         });
         let mut page: Vec<PartRef> = changed
             .take(PAGE + 1)
--- a/crates/peers/tests/fleet/mod.rs
+++ b/crates/peers/tests/fleet/mod.rs
@@ -94,6 +94,8 @@
     pub(crate) calls: u64,
     /// The same calls one by one.
     pub(crate) log: Vec<PlatformCall>,
+    /// The team whose part can't be read.
+    pub(crate) unreadable: Option<&'static str>,
     history: Vec<Texts>,
 }
 
@@ -158,6 +160,9 @@
         if let Some(failed) = self.refusal() {
             return PlatformRead::Part(team.clone(), Err(failed));
         }
+        if self.unreadable == Some(team) {
+            return PlatformRead::Part(team.clone(), Err(ReadFailed::default()));
+        }
         let read = self.parts().get(team).map(|(revision, text)| PartText {
             team: team.clone(),
             revision: *revision,
@@ -230,6 +235,7 @@
                 state: PlatformState::Up,
                 calls: 0,
                 log: Vec::new(),
+                unreadable: None,
                 history: vec![BTreeMap::new()],
             },
             groups: Vec::new(),
--- a/crates/peers/tests/spread.rs
+++ b/crates/peers/tests/spread.rs
@@ -73,6 +73,43 @@
     assert!(took.is_some());
 }
 
+/// The platform can't deliver one team's part. The other teams' changes must not wait for it, and it
+/// must still be asked for: once it can be read again, it is in force as well.
+#[test]
+fn an_unreadable_part_holds_up_no_other() {
+    let mut fleet = Fleet::settled(9, 8, 3);
+    fleet.platform.unreadable = Some("bad");
+    fleet.platform.publish("bad", "x");
+    let revision = fleet.platform.publish("two", "y");
+    let took = fleet.run_until(IN_FORCE, |fleet| fleet.in_force(revision));
+    assert!(took.is_some(), "the other team's change is held up");
+    for slot in &fleet.slots {
+        let snapshot = slot.in_force.as_ref().unwrap();
+        assert!(snapshot.part("two").is_some());
+        assert!(snapshot.part("bad").is_none());
+    }
+    fleet.platform.unreadable = None;
+    let everywhere = |fleet: &Fleet| {
+        let mut slots = fleet.slots.iter();
+        slots.all(|slot| slot.in_force.as_ref().unwrap().part("bad").is_some())
+    };
+    let took = fleet.run_until(Millis::from_secs(90), everywhere);
+    assert!(took.is_some(), "the part is never asked for again");
+}
+
+/// No part can be read, though the index can. A newcomer that put the empty rest in force would turn
+/// every caller away.
+#[test]
+fn a_newcomer_that_can_read_no_part_is_not_ready() {
+    let mut fleet = Fleet::new(10);
+    fleet.add(0, 0);
+    fleet.list();
+    fleet.platform.publish("bad", "x");
+    fleet.platform.unreadable = Some("bad");
+    fleet.run(Millis::from_secs(60));
+    assert!(fleet.slots[0].in_force.is_none());
+}
+
 /// A tenth of all messages is lost while three teams change their parts and one removes its own.
 #[test]
 fn changes_arrive_in_time_although_messages_are_lost() {
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -118,9 +118,6 @@
 /// News for the rest of the instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Update {
-    /// Never published; here until no match names it any more.
-    #[doc(hidden)]
-    Config(()),
     /// A newer instance list.
     Instances(InstanceList),
     /// The instance list was read again, and is the one published last.
