--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -18,6 +18,7 @@
 use crocushold_http::SendLimits;
 use crocushold_http::relay_headers;
 use crocushold_metrics::ClassMetrics;
+use crocushold_metrics::Occupancy;
 use crocushold_metrics::RequestEnd;
 use crocushold_metrics::RequestRecord;
 use crocushold_metrics::WasteCause;
@@ -28,6 +29,7 @@
 use crocushold_routing::Pick;
 use crocushold_routing::RequestFacts;
 use crocushold_routing::Stage;
+use futures::channel::oneshot;
 use futures::future::Either;
 use futures::future::select;
 use http_types::Response;
@@ -39,6 +41,7 @@
 use crate::pool::Pool;
 use crate::pool::Start;
 use crate::pool::Turn;
+use crate::pool::Waiting;
 use crate::refusal::Ran;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
@@ -104,25 +107,23 @@
             .map_err(Failure::Refused)?;
         let _queued = self.metrics.queued();
         // The guard also runs when this future is dropped, which is how a cut connection ends it.
-        let guard = QueueGuard {
+        let mut guard = QueueGuard {
             pool: &self.pool,
-            key: Some(waiting.key),
+            waiting: Some(waiting),
         };
         let gone = std::pin::pin!(hangup.wait());
-        match select(waiting.turn, gone).await {
-            Either::Left((Ok(Turn::Start(start)), _)) => {
-                guard.disarm();
-                Ok(start)
-            }
-            Either::Left((Ok(Turn::Refused(refusal)), _)) => {
-                guard.disarm();
-                Err(Failure::Refused(refusal))
-            }
-            Either::Left((Err(_), _)) => {
-                let refusal = Refusal::not_run(Reason::NotServing, "the service was removed");
-                Err(Failure::Refused(refusal))
-            }
-            Either::Right(_) => Err(Failure::CallerGone),
+        let turn = match select(guard.turn(), gone).await {
+            Either::Left((turn, _)) => turn,
+            Either::Right(_) => return Err(Failure::CallerGone),
+        };
+        let Ok(turn) = turn else {
+            let refusal = Refusal::not_run(Reason::NotServing, "the service was removed");
+            return Err(Failure::Refused(refusal));
+        };
+        guard.disarm();
+        match turn {
+            Turn::Start(start) => Ok(start),
+            Turn::Refused(refusal) => Err(Failure::Refused(refusal)),
         }
     }
 
@@ -154,6 +155,7 @@
             pool: &self.pool,
             ticket: Some(start.ticket.sent()),
         };
+        let running = self.metrics.running();
         let mut attempts = Attempts::new(&self.job);
         let mut pick = start.pick;
         let mut address = start.address;
@@ -168,7 +170,7 @@
                         claimed.completed(answer.status);
                     }
                     let ticket = slot.take();
-                    return Ok(self.relay(*answer, ticket, &pick));
+                    return Ok(self.relay(*answer, ticket, &pick, running));
                 }
                 Attempted::Answered(answer) => {
                     (Stage::Answered, outcome_of_status(answer.status), false)
@@ -281,7 +283,13 @@
         );
     }
 
-    fn relay(&self, answer: Answer, ticket: Ticket<Sent>, pick: &Pick) -> Response {
+    fn relay(
+        &self,
+        answer: Answer,
+        ticket: Ticket<Sent>,
+        pick: &Pick,
+        running: Occupancy,
+    ) -> Response {
         let mut response = Response::new(answer.status);
         relay_headers(&answer.headers, response.as_mut());
         let settle = Settle::new(Watched {
@@ -293,6 +301,7 @@
             arrived: self.arrived,
             stream: self.job.stream,
             failed: answer.status.is_server_error(),
+            _running: running,
         });
         let content_type = response.content_type();
         response.set_body(answer.body.into_body(settle));
@@ -343,19 +352,24 @@
 /// Takes a request out of the queue when its caller leaves.
 struct QueueGuard<'a> {
     pool: &'a Pool,
-    key: Option<crocushold_base::RequestKey>,
+    waiting: Option<Waiting>,
 }
 
 impl QueueGuard<'_> {
+    fn turn(&mut self) -> &mut oneshot::Receiver<Turn> {
+        let waiting = self.waiting.as_mut();
+        &mut waiting.expect("the guard is disarmed after the turn").turn
+    }
+
     fn disarm(mut self) {
-        self.key = None;
+        self.waiting = None;
     }
 }
 
 impl Drop for QueueGuard<'_> {
     fn drop(&mut self) {
-        if let Some(key) = self.key {
-            self.pool.cancel(key);
+        if let Some(waiting) = self.waiting.take() {
+            self.pool.withdraw(waiting);
         }
     }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,13 +2,25 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+mod answer_faults;
 mod caller_faults;
+mod cells;
 mod commands;
+mod config_faults;
 mod fleet;
+mod fleet_losses;
+mod fleet_outages;
+mod fleet_replacement;
+mod fleet_splits;
+mod instance_list;
+mod list_faults;
+mod load_faults;
+mod matrix;
 mod once;
+mod pair_faults;
 mod path;
-mod platform_faults;
 mod process_faults;
+mod sending_faults;
 mod server_faults;
 #[allow(unreachable_pub, reason = "a binary of tests has no interface")]
 mod support;
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -1,13 +1,18 @@
 //! What the integration tests share: processes, callers and a site of stand-ins.
 
+mod balancer;
 mod caller;
 mod entry;
 mod fleet;
 mod folder;
+mod links;
+mod listener;
+mod load;
 mod raw;
 mod site;
 mod wait;
 
+pub use balancer::Balancer;
 pub use caller::Answer;
 pub use caller::Call;
 pub use caller::call;
@@ -15,10 +20,16 @@
 pub use entry::Entry;
 pub use fleet::Fleet;
 pub use folder::Folder;
+pub use listener::RawServer;
+pub use listener::answer_rest;
+pub use listener::wait_cut;
+pub use load::Load;
+pub use load::Totals;
 pub use raw::Raw;
 pub use site::Site;
 pub use site::SiteSettings;
 pub use wait::wait;
+pub use wait::wait_long;
 
 use std::net::SocketAddr;
 
