--- a/crates/measure/examples/fleet_cost/main.rs
+++ b/crates/measure/examples/fleet_cost/main.rs
@@ -15,7 +15,8 @@
 //! | `--claims R` | afterwards send this many calls a second that may run once, first without keys |
 //! | `--seconds S` | time that is measured, 30 |
 //!
-//! Each size starts its own processes and ends them.
+//! Below the row of an idle fleet stand the sizes of what an operator reads of one instance. Each size
+//! starts its own processes and ends them.
 
 mod processes;
 mod site;
@@ -33,8 +34,9 @@
 use sockets::Flow;
 use sockets::Flows;
 
-/// Between readiness and the measurement, so that what belongs to the start has ended.
-const SETTLE: Duration = Duration::from_secs(10);
+/// Between readiness and the measurement, so that what belongs to the start has ended: news of a
+/// start travels with every message for 15 s, and views are compared every 5 s until they agree.
+const SETTLE: Duration = Duration::from_secs(40);
 
 /// Between two changes of the configuration.
 const CHANGE_GAP: Duration = Duration::from_secs(1);
@@ -70,6 +72,7 @@
         thread::sleep(options.span);
         Ok(())
     })?;
+    site.print_documents()?;
     if options.changes > 0 {
         phase("changes", &|| {
             for change in 0..options.changes {
--- a/crates/measure/examples/fleet_cost/site.rs
+++ b/crates/measure/examples/fleet_cost/site.rs
@@ -37,6 +37,12 @@
 /// Zones that the instances are spread over.
 const ZONES: usize = 23;
 
+/// Ports of peers; several measurements at once begin at different ones.
+const FIRST_PORT: u16 = 20_000;
+const LAST_PORT: u16 = 32_000;
+const PORT_STEP: u16 = 100;
+const PORT_STEPS: u32 = 100;
+
 /// Tries until an instance must be ready, a pause apart.
 const READY_TRIES: usize = 300;
 const READY_PAUSE: Duration = Duration::from_millis(100);
@@ -88,6 +94,7 @@
 pub(crate) struct Site {
     instances: Vec<Process>,
     listens: Vec<SocketAddr>,
+    operators: Vec<SocketAddr>,
     peers: Vec<SocketAddr>,
     engines: Vec<SocketAddr>,
     platform: SocketAddr,
@@ -126,6 +133,7 @@
         let mut site = Site {
             instances: Vec::new(),
             listens: Vec::new(),
+            operators: Vec::new(),
             peers,
             engines,
             platform: platform.address("listening")?,
@@ -140,23 +148,33 @@
     }
 
     fn start_instances(&mut self) -> Outcome<()> {
-        let mut operators = Vec::new();
         for (number, peer) in self.peers.iter().enumerate() {
             let text = settings(number, *peer, self.platform);
             let file = write(&self.folder, &format!("entry-{number}.ini"), &text)?;
             let args = ["serve", "--log", "error", &file].map(str::to_owned);
             let mut instance = Process::start("crocushold", &args)?;
             self.listens.push(instance.address("listening")?);
-            operators.push(instance.address("operator")?);
+            self.operators.push(instance.address("operator")?);
             self.instances.push(instance);
         }
         let via = HttpFetch::default();
-        for operator in operators {
+        for &operator in &self.operators {
             task::block_on(ready(&via, operator))?;
         }
         Ok(())
     }
 
+    /// Prints the size of the documents that an operator reads of the first instance.
+    pub(crate) fn print_documents(&self) -> Outcome<()> {
+        let via = HttpFetch::default();
+        let operator = self.operators[0].to_string();
+        for path in ["/status", "/metrics"] {
+            let text = task::block_on(fetch(&via, &operator, path))?;
+            println!("{path}: {} bytes", text.len());
+        }
+        Ok(())
+    }
+
     /// Publishes the text with one line that differs from the last.
     pub(crate) fn publish(&self, change: usize) -> Outcome<()> {
         let command = PlatformCommand::Part {
@@ -349,10 +367,16 @@
 }
 
 /// Addresses whose ports were free a moment ago.
+///
+/// They lie below the range that the kernel gives to connections: with many instances the first
+/// ones' connections took the ports of those that hadn't started yet.
 fn free_addresses(count: usize) -> Outcome<Vec<SocketAddr>> {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listeners: Result<Vec<_>, _> = (0..count).map(|_| TcpListener::bind(any)).collect();
-    let addresses = listeners?.iter().map(TcpListener::local_addr).collect();
-    let addresses: Result<Vec<_>, _> = addresses;
-    Ok(addresses?)
+    let first = FIRST_PORT + (std::process::id() % PORT_STEPS) as u16 * PORT_STEP;
+    let addresses = (first..LAST_PORT).map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let free = addresses.filter(|&address| TcpListener::bind(address).is_ok());
+    let free: Vec<SocketAddr> = free.take(count).collect();
+    if free.len() < count {
+        return Err("too few free ports".into());
+    }
+    Ok(free)
 }
--- a/crates/measure/examples/spread_cost.rs
+++ b/crates/measure/examples/spread_cost.rs
@@ -18,7 +18,7 @@
 use fleet::Fleet;
 
 /// Bytes on Ethernet of an exchange besides its two encoded messages.
-const ENVELOPE: f64 = 395.0;
+const ENVELOPE: f64 = 410.0;
 
 /// Headers of a further packet, as a share of its payload.
 const FURTHER: f64 = 70.0 / 1448.0;
