--- a/crates/entry/src/coordination/members.rs
+++ b/crates/entry/src/coordination/members.rs
@@ -55,6 +55,36 @@
         self.reference()
     }
 
+    /// The live view, and the members that account limits are split among.
+    pub(crate) fn split(&self) -> (View, View) {
+        (self.those(Status::is_live), self.sharing())
+    }
+
+    /// The members that answer, and those that may be acting. A suspect isn't counted on: an
+    /// instance that was cut off must lose its majority long before it declares the others dead.
+    pub(crate) fn quorum(&self) -> (View, View) {
+        (self.those(|status| status == Status::Alive), self.sharing())
+    }
+
+    fn those(&self, wanted: impl Fn(Status) -> bool) -> View {
+        let known = self.known.iter();
+        let those = known.filter(|(_, known)| wanted(known.status));
+        let members = those.map(|(&id, known)| member(id, known));
+        View::new(members.chain([self.me]))
+    }
+
+    /// The members that account limits are split among.
+    ///
+    /// Unlike the reference it counts an instance that is listed and was not yet heard of. A
+    /// newcomer that counted only those it has met would take the share of all others.
+    fn sharing(&self) -> View {
+        let listed = self.listed.iter().flatten();
+        let unheard = listed.filter(|id| !self.known.contains_key(id));
+        let unheard = unheard.map(|&id| Member { id, incarnation: 0 });
+        let reference = self.reference();
+        View::new(reference.members().iter().copied().chain(unheard))
+    }
+
     /// The membership without this instance, for its planned stop.
     pub(crate) fn without_me(&self) -> View {
         let all = self.reference();
@@ -67,10 +97,7 @@
             .known
             .iter()
             .filter(|(id, known)| self.is_present(id, known));
-        let members = present.map(|(&id, known)| Member {
-            id,
-            incarnation: known.start,
-        });
+        let members = present.map(|(&id, known)| member(id, known));
         View::new(members.chain([self.me]))
     }
 
@@ -85,3 +112,10 @@
         }
     }
 }
+
+fn member(id: InstanceId, known: &Known) -> Member {
+    Member {
+        id,
+        incarnation: known.start,
+    }
+}
--- a/crates/entry/src/coordination/mod.rs
+++ b/crates/entry/src/coordination/mod.rs
@@ -1,9 +1,14 @@
-//! What this instance does together with its peers: votes on idempotency keys and claims of its own.
+//! What this instance does together with its peers: votes on idempotency keys and claims of its own,
+//! the limits of accounts, and orders to engines.
 //!
 //! The decisions are those of `crocushold-ownership`; this module keeps their state behind a lock,
 //! carries their messages, and feeds them the membership.
 
+mod lending;
+mod limits;
 mod members;
+mod ordering;
+mod orders;
 mod transport;
 
 use std::sync::Arc;
@@ -18,6 +23,7 @@
 use crocushold_base::Clock;
 use crocushold_base::Event;
 use crocushold_base::Millis;
+use crocushold_http::Client;
 use crocushold_ownership::ClaimId;
 use crocushold_ownership::ClaimRequest;
 use crocushold_ownership::ClaimRound;
@@ -40,10 +46,18 @@
 use futures::stream::FuturesUnordered;
 use log::info;
 
+use crate::coordination::limits::AccountLimits;
 use crate::coordination::members::Members;
+use crate::coordination::orders::EngineOrders;
 use crate::coordination::transport::Transport;
 use crate::intake::Once;
 
+pub(crate) use limits::Ask;
+pub(crate) use limits::LimitHit;
+pub(crate) use limits::LimitKind;
+pub(crate) use limits::Permit;
+pub(crate) use orders::ModelDemand;
+
 /// How long a claim waits for votes. A group answers in a round trip; a member that is frozen must
 /// not hold the request up for longer than a caller would notice.
 const VOTE_DEADLINE: Millis = Millis(500);
@@ -70,19 +84,28 @@
     settings: ClaimSettings,
     claims: Mutex<Claims>,
     members: Mutex<Members>,
+    limits: Arc<AccountLimits>,
+    orders: Arc<EngineOrders>,
     transport: Transport,
     next: AtomicU64,
 }
 
 impl Coordinator {
     /// A member that has just started.
-    pub(crate) fn new(clock: Clock, me: Member, settings: ClaimSettings) -> Arc<Coordinator> {
+    pub(crate) fn new(
+        clock: Clock,
+        me: Member,
+        settings: ClaimSettings,
+        client: Client,
+    ) -> Arc<Coordinator> {
         Arc::new(Coordinator {
             clock,
             me,
             settings,
             claims: Mutex::new(Claims::new(settings, me, clock.now())),
             members: Mutex::new(Members::new(me)),
+            limits: AccountLimits::new(clock, me),
+            orders: EngineOrders::new(clock, me, client),
             transport: Transport::new(me),
             next: AtomicU64::new(0),
         })
@@ -93,6 +116,16 @@
         self.transport.connect(peers);
     }
 
+    /// The limits of client accounts.
+    pub(crate) fn limits(&self) -> &Arc<AccountLimits> {
+        &self.limits
+    }
+
+    /// The orders to engines.
+    pub(crate) fn orders(&self) -> &Arc<EngineOrders> {
+        &self.orders
+    }
+
     fn claims(&self) -> MutexGuard<'_, Claims> {
         self.claims.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -105,6 +138,7 @@
     pub(crate) fn take_view(self: &Arc<Self>, view: &crocushold_peers::View) {
         self.transport.learn(view);
         let reference = self.members().seen(view);
+        self.share_limits();
         // After a pause the own view may be old, and a vote given under it could be a second one.
         if view.settled {
             self.adopt(reference);
@@ -114,9 +148,17 @@
     /// The platform's list names these entry instances.
     pub(crate) fn take_list<'a>(self: &Arc<Self>, names: impl Iterator<Item = &'a str>) {
         let reference = self.members().listed(names);
+        self.share_limits();
         self.adopt(reference);
     }
 
+    /// Splits the account limits anew. Not only in a settled view: a share that is too small for a
+    /// moment does less harm than one from before a pause.
+    fn share_limits(&self) {
+        let (live, sharing) = self.members().split();
+        self.limits.on_view(live, &sharing);
+    }
+
     fn adopt(self: &Arc<Self>, view: View) {
         let transfers = self.claims().on_view(view, self.clock.now());
         self.send_transfers(transfers);
@@ -272,7 +314,11 @@
                 self.claims().on_transfer(from, &request, now);
                 Response::Done
             }
-            Request::Borrow(_) | Request::Return(_) => Response::Refused,
+            Request::Borrow(request) => Response::Lent(self.limits.on_borrow(from, &request)),
+            Request::Return(request) => {
+                self.limits.on_return(from, &request);
+                Response::Done
+            }
         }
     }
 }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -1,5 +1,7 @@
 //! The scheduler and the router of one service, under one lock.
 
+mod demand;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,6 +17,7 @@
 use crocushold_admission::Action;
 use crocushold_admission::Arrival;
 use crocushold_admission::Dispatched;
+use crocushold_admission::HeadroomSettings;
 use crocushold_admission::Scheduler;
 use crocushold_admission::Ticket;
 use crocushold_admission::Verdict;
@@ -38,6 +41,7 @@
 use crocushold_routing::Stage;
 use futures::channel::oneshot;
 
+use crate::pool::demand::Demand as ModelDemand;
 use crate::refusal::Refusal;
 
 #[cfg(test)]
@@ -46,6 +50,14 @@
 /// The longest sleep of a pool's timer task; the router wants to be called about once a second.
 const TICK: Millis = Millis(500);
 
+/// The window in which arrivals of the live tier are counted to size the headroom: what is left of a
+/// target of a few hundred milliseconds for waiting. Over seconds, released slots absorb any burst;
+/// within the target they don't.
+const HEADROOM_WINDOW: Millis = Millis(250);
+
+/// The greatest share of slots that the headroom keeps free.
+const MOST_HEADROOM: f64 = 0.05;
+
 /// Requests set aside in one round because no server could be had for them.
 const MAX_ASIDE: usize = 16;
 
@@ -113,6 +125,7 @@
     loaded: HashMap<ServerKey, Vec<ModelKey>>,
     retry: RetryPolicy,
     waiting: HashMap<RequestKey, Waiter>,
+    pub(crate) demand: ModelDemand,
 }
 
 /// Settings of a pool.
@@ -141,6 +154,11 @@
         let scheduler = admission::Settings {
             seed: settings.seed,
             queue_bytes: settings.queue_bytes,
+            headroom: HeadroomSettings {
+                most: MOST_HEADROOM,
+                window: HEADROOM_WINDOW,
+                ..HeadroomSettings::default()
+            },
             ..admission::Settings::default()
         };
         let state = State {
@@ -151,6 +169,7 @@
             loaded: HashMap::new(),
             retry: RetryPolicy::new(RetrySettings::default(), clock.now()),
             waiting: HashMap::new(),
+            demand: ModelDemand::default(),
         };
         Arc::new(Pool {
             clock,
@@ -262,6 +281,9 @@
     }
 
     fn submit(&mut self, arrival: &Arrival, need: Need, now: Millis) -> Result<Waiting, Refusal> {
+        if let Some(model) = need.model {
+            self.demand.note(model, need.tier, now);
+        }
         let key = match self.scheduler.submit(arrival, now) {
             Verdict::Queued(key) => key,
             Verdict::Refused(refusal) => return Err(Refusal::from_admission(&refusal)),
