Eject a straggler after three slow samples

A sample comes from sixteen tokens of a stream, one and a half seconds apart on a straggler, and an instance holds four slots of it, so five samples in a row took seconds in which new streams still went there.

Three in a row of a mean that forgets a fifth at each still can't come from one pause: it takes several samples to pass the threshold at all.

--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -28,6 +28,7 @@
 use crocushold_routing::AttemptKey;
 use crocushold_routing::Decision;
 use crocushold_routing::Demand;
+use crocushold_routing::HealthSettings;
 use crocushold_routing::NoServer;
 use crocushold_routing::Outcome;
 use crocushold_routing::Pick;
@@ -55,6 +56,9 @@
 /// The greatest share of slots that the headroom keeps free.
 const MOST_HEADROOM: f64 = 0.05;
 
+/// Consecutive slow samples that eject a straggler.
+const SLOW_SAMPLES: u32 = 3;
+
 /// Requests set aside in one round because no server could be had for them.
 const MAX_ASIDE: usize = 16;
 
@@ -159,7 +163,7 @@
         };
         let state = State {
             scheduler: Scheduler::new(scheduler),
-            router: Router::new(routing::Settings::default(), &settings.zone, settings.seed),
+            router: Router::new(router_settings(), &settings.zone, settings.seed),
             addresses: HashMap::new(),
             servers: Vec::new(),
             loaded: HashMap::new(),
@@ -246,6 +250,16 @@
     }
 }
 
+fn router_settings() -> routing::Settings {
+    routing::Settings {
+        health: HealthSettings {
+            slow_samples: SLOW_SAMPLES,
+            ..HealthSettings::default()
+        },
+        ..routing::Settings::default()
+    }
+}
+
 impl State {
     /// Takes over the configured servers.
     pub(crate) fn set_servers(&mut self, servers: Vec<ServerSpec>, now: Millis) {
