Read the counters of a measured point before its callers leave

On a machine with a load average of 60 the readings came after the callers had left at the end, and showed their cancelled work as waste (5 to 11 %). Callers now leave 0.8 s after the window.

--- a/crates/measure/src/control.rs
+++ b/crates/measure/src/control.rs
@@ -12,6 +12,7 @@
 use crocushold_http::Reuse;
 use crocushold_http::SendLimits;
 use crocushold_standins::EngineStats;
+use futures::future::try_join_all;
 use http_types::Method;
 use http_types::Request;
 use http_types::Url;
@@ -72,8 +73,11 @@
 /// The counters of several engines, summed. Only the tokens and requests are.
 pub(crate) async fn engine_totals(controls: &[SocketAddr]) -> Outcome<EngineStats> {
     let mut total = EngineStats::default();
-    for &control in controls {
-        let stats: EngineStats = get(control, "/control/stats").await?;
+    let reads = controls
+        .iter()
+        .map(|&control| get(control, "/control/stats"));
+    let all: Vec<EngineStats> = try_join_all(reads).await?;
+    for stats in all {
         total.started += stats.started;
         total.completed += stats.completed;
         total.cancelled += stats.cancelled;
--- a/crates/measure/src/point.rs
+++ b/crates/measure/src/point.rs
@@ -60,8 +60,9 @@
     }
 }
 
-/// Engines' counters are read this long before the end, since the end itself cancels requests.
-const READ_AHEAD: f64 = 0.15;
+/// How long after the end callers leave, so that the counters are read before that shows in them,
+/// also on a busy machine.
+const LEAVE_AFTER: f64 = 0.8;
 
 /// How many times slower a straggler is.
 pub(crate) const STRAGGLER_FACTOR: f64 = 4.0;
@@ -82,14 +83,10 @@
     let faulty = task::spawn(inflict(fault, victim, start, timing));
     let controls = fleet.backends.controls.clone();
     let before = task::spawn(counters_at(controls.clone(), start, timing.warm));
-    let after = task::spawn(counters_at(
-        controls.clone(),
-        start,
-        timing.end - READ_AHEAD,
-    ));
+    let after = task::spawn(counters_at(controls.clone(), start, timing.end));
     let operators = fleet.operators.clone();
-    let metrics = task::spawn(scrape(operators, start, timing.end - READ_AHEAD));
-    let sent = drive::drive(shape, plan, &fleet.entries, start, timing.end).await;
+    let metrics = task::spawn(scrape(operators, start, timing.end));
+    let sent = drive::drive(shape, plan, &fleet.entries, start, timing.end + LEAVE_AFTER).await;
     faulty.await?;
     let mut controls = controls;
     controls.push(fleet.backends.service_control);
--- a/crates/measure/src/summary.rs
+++ b/crates/measure/src/summary.rs
@@ -144,7 +144,7 @@
             continue;
         }
         firsts.extend(sent.first.map(|first| first * 1000.0));
-        if let Some(attained) = verdict(sent, class, timing.end) {
+        if let Some(attained) = verdict(sent, class) {
             summary.judged += 1;
             summary.attained += u64::from(attained);
         }
@@ -211,10 +211,10 @@
 }
 
 /// Whether the request met its targets; none when the measurement ended before that was known.
-fn verdict(sent: &Sent, class: &ClassShape, end: f64) -> Option<bool> {
+fn verdict(sent: &Sent, class: &ClassShape) -> Option<bool> {
     let targets = class.targets;
     if sent.ending == Ending::GaveUp {
-        let open = end - sent.due;
+        let open = sent.whole;
         let first = sent.first.unwrap_or(open);
         let late = !within(first, targets.first_ms) || !within(open, targets.whole_ms);
         return late.then_some(false);
