--- /dev/null
+++ b/crates/entry/src/coordination/orders/desk.rs
@@ -0,0 +1,348 @@
+//! From the text and the engines' reports to the orders of one service, as a pure state machine.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use crocushold_base::Millis;
+use crocushold_base::ServerKey;
+use crocushold_config::Catalog;
+use crocushold_config::Model;
+use crocushold_config::Service;
+use crocushold_ownership::EngineId;
+use crocushold_ownership::EngineReport;
+use crocushold_ownership::Member;
+use crocushold_ownership::ModelId;
+use crocushold_ownership::Order;
+use crocushold_ownership::OrderAction;
+use crocushold_ownership::OrderAnswer;
+use crocushold_ownership::OrderKind;
+use crocushold_ownership::OrderSettings;
+use crocushold_ownership::Orders;
+use crocushold_ownership::PauseGuard;
+use crocushold_ownership::RoleId;
+use crocushold_ownership::Target;
+use crocushold_ownership::View;
+use crocushold_platform::wire;
+use crocushold_platform::wire::LoadReport;
+use twox_hash::XxHash3_64;
+
+use super::engine::Engine;
+use super::engine::Heard;
+use super::engine::engine_id;
+use super::engine::model_id;
+use super::loads::Loads;
+use super::message::Duties;
+use super::message::Errand;
+use super::message::Outdated;
+use super::message::Ranked;
+use super::placement::Candidate;
+use super::placement::Wanted;
+use super::placement::place;
+
+/// The text names no roles: engines keep theirs.
+const ROLE: RoleId = RoleId(0);
+
+/// Decides the orders to the engines of one service.
+///
+/// One instance owns all engines of a service, by rendezvous hashing of the service's name. It is
+/// thus the only one that orders loads from the service's weight store, and can space them and put
+/// them in order without a message.
+#[derive(Debug)]
+pub(super) struct Desk {
+    me: Member,
+    /// The hash that decides the owner.
+    store: u64,
+    owned: bool,
+    orders: Orders,
+    loads: Loads,
+    guard: PauseGuard,
+    revision: u64,
+    engines: BTreeMap<EngineId, Engine>,
+    keys: HashMap<ServerKey, EngineId>,
+    wanted: Vec<Wanted>,
+    names: BTreeMap<ModelId, String>,
+    /// Engines that were reported as ahead of this instance, with their numbers.
+    ahead: BTreeMap<EngineId, u64>,
+}
+
+impl Desk {
+    /// The desk of a service that may order `loads` loads a minute.
+    pub(super) fn new(service: &str, loads: u32, me: Member, now: Millis) -> Desk {
+        let settings = OrderSettings::default();
+        let store = XxHash3_64::oneshot(service.as_bytes());
+        Desk {
+            me,
+            store,
+            owned: false,
+            orders: Orders::new(settings, me, now),
+            loads: Loads::new(loads, me, store),
+            guard: PauseGuard::new(settings.lease, now),
+            revision: 0,
+            engines: BTreeMap::new(),
+            keys: HashMap::new(),
+            wanted: Vec::new(),
+            names: BTreeMap::new(),
+            ahead: BTreeMap::new(),
+        }
+    }
+
+    /// Loads a minute that the service may order.
+    pub(super) fn loads(&self) -> u32 {
+        self.loads.rate()
+    }
+
+    /// Takes a text over.
+    pub(super) fn configure(
+        &mut self,
+        catalog: &Catalog,
+        service: &Service,
+        revision: u64,
+        now: Millis,
+    ) {
+        self.revision = revision;
+        let models = service.models.iter().map(|&model| &catalog.models[model]);
+        let models: Vec<&Model> = models.collect();
+        let wanted = models.iter().map(|model| Wanted {
+            model: model_id(&model.id),
+            replicas: model.replicas as usize,
+        });
+        self.wanted = wanted.collect();
+        let names = models
+            .iter()
+            .map(|model| (model_id(&model.id), model.id.clone()));
+        self.names = names.collect();
+        self.take_servers(catalog, service, now);
+    }
+
+    fn take_servers(&mut self, catalog: &Catalog, service: &Service, now: Millis) {
+        let mut kept = BTreeSet::new();
+        self.keys.clear();
+        for &key in &service.servers {
+            let server = &catalog.servers[key];
+            let id = engine_id(server);
+            kept.insert(id);
+            let fresh = || Engine::new(server, now);
+            let engine = self.engines.entry(id).or_insert_with(fresh);
+            engine.update(server);
+            self.keys.insert(key, id);
+        }
+        let gone = self.engines.extract_if(.., |id, _| !kept.contains(id));
+        let gone: Vec<EngineId> = gone.map(|(id, _)| id).collect();
+        for id in gone {
+            self.orders.on_engine_gone(id);
+        }
+    }
+
+    /// The best rank of the requests for each model of late, lower being sooner.
+    pub(super) fn on_ranks(&mut self, ranks: &[Ranked]) {
+        self.loads.on_ranks(ranks);
+    }
+
+    /// The live view, confirmed as of now, and every member not known to have ended.
+    pub(super) fn on_view(&mut self, live: &View, reference: &View, now: Millis) {
+        self.loads.on_view(live, reference, now);
+        let Some(owner) = live.owner(self.store) else {
+            return;
+        };
+        self.owned = owner == self.me;
+        let majority = live.members().len() * 2 > reference.members().len();
+        // `Orders` chooses an owner for each engine. Where it sees the service's owner alone, that
+        // one owns them all; a second member that must be counted takes the majority from it.
+        let nobody = Member::default();
+        let count = if majority { 1 } else { 2 };
+        let all = View::new([owner, nobody].into_iter().take(count));
+        self.orders.on_view(View::new([owner]), &all, now);
+    }
+
+    /// A reading of `/load` that was begun at `asked_at`.
+    ///
+    /// Models that the text doesn't name are left out, so that none is ever unloaded that somebody
+    /// else may have put there.
+    pub(super) fn on_report(
+        &mut self,
+        server: ServerKey,
+        report: &LoadReport,
+        asked_at: Millis,
+        now: Millis,
+    ) {
+        let names = &self.names;
+        let id = self.keys.get(&server);
+        let Some(engine) = id.and_then(|id| self.engines.get_mut(id)) else {
+            return;
+        };
+        let ids = report.models.iter().map(|name| model_id(name));
+        let models: Vec<ModelId> = ids.filter(|id| names.contains_key(id)).collect();
+        engine.heard = Some(Heard {
+            models: models.clone(),
+            at: asked_at,
+        });
+        let report = EngineReport {
+            engine: engine.id,
+            models,
+            role: ROLE,
+            fence: report.fence,
+            asked_at,
+        };
+        self.orders.on_report(report, now);
+    }
+
+    /// Time has passed; call it about once a second.
+    pub(super) fn on_tick(&mut self, now: Millis) -> Duties {
+        if self.guard.observe(now) {
+            self.loads.on_pause(now);
+            self.guard.rejoined();
+        }
+        self.place_all(now);
+        self.plan_loads(now);
+        let mut duties = Duties::default();
+        for action in self.orders.on_tick(now) {
+            match action {
+                OrderAction::Send(order) => duties.errands.extend(self.errand(order, now)),
+                // Every engine is read once a second anyhow.
+                OrderAction::ReadBack(_) => {}
+                OrderAction::Outdated { engine, fence } => {
+                    duties.outdated.extend(self.note_outdated(engine, fence));
+                }
+            }
+        }
+        duties
+    }
+
+    /// Asks the planner for the loads that are due, and takes its permits.
+    fn plan_loads(&mut self, now: Millis) {
+        if !self.owned {
+            self.loads.forget();
+        }
+        self.loads.on_tick(&self.engines, now);
+    }
+
+    /// Brings the targets up to date with the text, the reports, and which engines answer.
+    fn place_all(&mut self, now: Millis) {
+        let engines = self.engines.values();
+        let candidates: Vec<Candidate> = engines.map(|e| e.candidate(now)).collect();
+        for placement in place(&self.wanted, &candidates) {
+            self.set_target(placement.engine, placement.models, now);
+        }
+    }
+
+    /// A target that changes within a revision counts as that of a new engine, whose owner waits and
+    /// reads again: two instances that saw different reports might else undo each other's orders.
+    fn set_target(&mut self, id: EngineId, models: Vec<ModelId>, now: Millis) {
+        let Some(engine) = self.engines.get_mut(&id) else {
+            return;
+        };
+        let placed = Some((self.revision, models.clone()));
+        if engine.placed == placed {
+            return;
+        }
+        let moved = engine
+            .placed
+            .as_ref()
+            .is_some_and(|(at, _)| *at == self.revision);
+        if moved {
+            self.orders.on_engine_gone(id);
+        }
+        engine.placed = placed;
+        let target = Target {
+            engine: id,
+            revision: self.revision,
+            fencing: engine.fencing,
+            models,
+            role: ROLE,
+        };
+        self.orders.on_target(target, now);
+    }
+
+    /// Makes an order ready to be carried, unless it has to wait.
+    fn errand(&mut self, order: Order, now: Millis) -> Option<Errand> {
+        let engine = self.engines.get(&order.engine)?;
+        let (server, address) = (engine.name.clone(), engine.address);
+        let kind = match order.kind {
+            OrderKind::Load(model) if !engine.holds(model) => {
+                let model = self.loads.take(engine);
+                model.map(OrderKind::Load)
+            }
+            OrderKind::Load(_) => Some(order.kind),
+            OrderKind::Unload(model) => {
+                let allowed = self.may_unload(order.engine, model, now);
+                allowed.then_some(order.kind)
+            }
+            OrderKind::Role(_) => None,
+        };
+        let ready = kind.map(|kind| Order { kind, ..order });
+        let body = ready.as_ref().and_then(|order| self.body(order));
+        let (Some(order), Some(body)) = (ready, body) else {
+            self.orders.on_answer(&order, OrderAnswer::Failed, now);
+            return None;
+        };
+        Some(Errand {
+            order,
+            server,
+            address,
+            body,
+        })
+    }
+
+    fn body(&self, order: &Order) -> Option<wire::Order> {
+        let name = |model: &ModelId| self.names.get(model).cloned();
+        let kind = match &order.kind {
+            OrderKind::Load(model) => wire::OrderKind::Load {
+                model: name(model)?,
+            },
+            OrderKind::Unload(model) => wire::OrderKind::Unload {
+                model: name(model)?,
+            },
+            OrderKind::Role(_) => return None,
+        };
+        Some(wire::Order {
+            fence: order.fence,
+            kind,
+        })
+    }
+
+    /// Whether a model may go from an engine: only while another engine of the service certainly holds
+    /// it. Otherwise its callers would be left without a server.
+    fn may_unload(&self, id: EngineId, model: ModelId, now: Millis) -> bool {
+        let mut others = self.engines.values().filter(|other| other.id != id);
+        others.any(|other| other.surely_holds(model, now))
+    }
+
+    /// Whether requests for a model should go to this server although it holds it.
+    ///
+    /// It is about to be unloaded where it isn't placed and a placed engine holds it. An instance that
+    /// went on sending requests there would have them answered that the model is unknown. All
+    /// instances place alike, and the unload waits for longer than their reports can differ.
+    pub(super) fn is_spare(&self, server: ServerKey, model: ModelId, now: Millis) -> bool {
+        let id = self.keys.get(&server);
+        let Some(engine) = id.and_then(|id| self.engines.get(id)) else {
+            return false;
+        };
+        let mut others = self.engines.values().filter(|other| other.id != engine.id);
+        !engine.is_placed(model)
+            && others.any(|other| other.is_placed(model) && other.surely_holds(model, now))
+    }
+
+    fn note_outdated(&mut self, engine: EngineId, fence: u64) -> Option<Outdated> {
+        if self.ahead.insert(engine, fence) == Some(fence) {
+            return None;
+        }
+        let server = self.engines.get(&engine)?.name.clone();
+        Some(Outdated { server, fence })
+    }
+
+    /// Whether an order may be sent at this moment; ask right before its first byte.
+    pub(super) fn may_send(&mut self, order: &Order, now: Millis) -> bool {
+        self.orders.may_send(order, now)
+    }
+
+    /// An order was answered, or its call failed.
+    pub(super) fn on_answer(&mut self, order: &Order, answer: OrderAnswer, now: Millis) {
+        self.orders.on_answer(order, answer, now);
+    }
+
+    /// Whether this instance owns the service's engines, and how many those are.
+    pub(super) fn owned(&self) -> (bool, u64) {
+        (self.owned, self.engines.len() as u64)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/coordination/orders/tests.rs
@@ -0,0 +1,288 @@
+//! The desk alone: placement, what is never unloaded, and what waits for the weight store.
+
+use crocushold_base::Millis;
+use crocushold_base::ServerKey;
+use crocushold_config::Catalog;
+use crocushold_config::Text;
+use crocushold_ownership::EngineId;
+use crocushold_ownership::Member;
+use crocushold_ownership::ModelId;
+use crocushold_ownership::OrderAnswer;
+use crocushold_ownership::View;
+use crocushold_platform::wire::LoadReport;
+use crocushold_platform::wire::OrderKind;
+use test_case::test_case;
+
+use super::desk::Desk;
+use super::engine::model_id;
+use super::message::Errand;
+use super::message::Ranked;
+use super::placement::Candidate;
+use super::placement::Wanted;
+use super::placement::place;
+
+const MODEL: ModelId = ModelId(7);
+
+/// Loads a minute.
+const LOADS: u32 = 6;
+
+fn candidate(number: u64, up: bool, held: &[ModelId]) -> Candidate {
+    Candidate {
+        engine: EngineId(number),
+        up,
+        held: held.to_vec(),
+    }
+}
+
+fn holders(replicas: usize, candidates: &[Candidate]) -> Vec<u64> {
+    let wanted = [Wanted {
+        model: MODEL,
+        replicas,
+    }];
+    let placements = place(&wanted, candidates);
+    let holders = placements.iter().filter(|p| p.models.contains(&MODEL));
+    holders.map(|p| p.engine.0).collect()
+}
+
+fn fleet(held: &[u64]) -> Vec<Candidate> {
+    let models = |n| {
+        if held.contains(&n) {
+            vec![MODEL]
+        } else {
+            Vec::new()
+        }
+    };
+    (0..10).map(|n| candidate(n, true, &models(n))).collect()
+}
+
+#[test]
+fn a_model_is_placed_on_as_many_engines_as_the_text_says() {
+    for replicas in [0, 1, 4, 10, 12] {
+        assert_eq!(holders(replicas, &fleet(&[])).len(), replicas.min(10));
+    }
+}
+
+#[test]
+fn engines_that_hold_the_model_keep_it() {
+    assert_eq!(holders(3, &fleet(&[1, 5, 8])), [1, 5, 8]);
+    let two = holders(2, &fleet(&[1, 5, 8]));
+    assert!(two.iter().all(|n| [1, 5, 8].contains(n)), "{two:?}");
+}
+
+/// One engine more joins the service. Were the models dealt out anew, half the fleet would load.
+#[test]
+fn a_joining_engine_moves_no_model_that_is_held() {
+    let before = holders(4, &fleet(&[]));
+    let mut more = fleet(&before);
+    more.push(candidate(10, true, &[]));
+    assert_eq!(holders(4, &more), before);
+}
+
+#[test]
+fn a_silent_engine_is_replaced() {
+    let before = holders(2, &fleet(&[]));
+    let mut fleet = fleet(&before);
+    fleet[before[0] as usize].up = false;
+    let after = holders(2, &fleet);
+    assert!(!after.contains(&before[0]) && after.contains(&before[1]));
+}
+
+/// A lone instance, the text of one service with two engines, and what those say of themselves.
+struct Lone {
+    desk: Desk,
+    keys: Vec<ServerKey>,
+    reports: Vec<LoadReport>,
+    /// The engine whose reports don't come.
+    silent: Option<usize>,
+    view: View,
+    reference: View,
+    now: u64,
+}
+
+impl Lone {
+    fn new(servers: u32, reports: Vec<LoadReport>) -> Lone {
+        let catalog = catalog(servers, reports.len(), true);
+        let me = Member::new("entry-0", 1);
+        let service = &catalog.services[catalog.service("team/fleet").unwrap()];
+        let mut desk = Desk::new(&service.name, LOADS, me, Millis::ZERO);
+        desk.configure(&catalog, service, 4, Millis::ZERO);
+        Lone {
+            desk,
+            keys: service.servers.clone(),
+            reports,
+            silent: None,
+            view: View::new([me]),
+            reference: View::new([me]),
+            now: 0,
+        }
+    }
+
+    /// Starts anew with engines that check fencing numbers or ignore them.
+    fn checks(&mut self, checks: bool) {
+        let catalog = catalog(1, self.keys.len(), checks);
+        let service = &catalog.services[catalog.service("team/fleet").unwrap()];
+        self.desk.configure(&catalog, service, 5, Millis::ZERO);
+        self.keys = service.servers.clone();
+    }
+
+    /// Runs some seconds, answering each order; returns the orders.
+    fn run(&mut self, seconds: u64, answer: OrderAnswer) -> Vec<Errand> {
+        let mut sent = Vec::new();
+        for _ in 0..seconds {
+            self.now += 1_000;
+            let now = Millis(self.now);
+            self.desk.on_view(&self.view, &self.reference, now);
+            for (at, report) in self.reports.iter().enumerate() {
+                if self.silent != Some(at) {
+                    self.desk.on_report(self.keys[at], report, now, now);
+                }
+            }
+            for errand in self.desk.on_tick(now).errands {
+                assert!(self.desk.may_send(&errand.order, now));
+                self.desk.on_answer(&errand.order, answer, now);
+                sent.push(errand);
+            }
+        }
+        sent
+    }
+}
+
+fn catalog(servers: u32, engines: usize, checks: bool) -> Catalog {
+    let checks = if checks { "yes" } else { "no" };
+    let mut text = format!(
+        "[team team]\nformat = 1\n\n[service fleet]\nkind = model\nconcurrency = 8\n\
+         weight-loads = {LOADS}/min\nchecks-orders = {checks}\n\n\
+         [model fleet/m]\nweights = 16 GB\nservers = {servers}\n\n"
+    );
+    if servers == 2 && engines == 2 {
+        text.push_str("[model fleet/n]\nweights = 16 GB\nservers = 2\n\n");
+    }
+    for number in 0..engines {
+        text.push_str(&format!(
+            "[server fleet/runner-{number}]\naddress = 127.0.0.1:{}\nzone = zone-a\n\n",
+            9_000 + number
+        ));
+    }
+    let mut parts = Text::default();
+    parts.set_part("team", &text);
+    let mut catalog = Catalog::default();
+    catalog.apply(&parts);
+    catalog
+}
+
+fn report(models: &[&str], running: u32) -> LoadReport {
+    LoadReport {
+        models: models.iter().map(ToString::to_string).collect(),
+        running,
+        fence: 4,
+        ..LoadReport::default()
+    }
+}
+
+fn is_unload(errand: &Errand) -> bool {
+    matches!(errand.body.kind, OrderKind::Unload { .. })
+}
+
+/// Both engines hold the model and the text wants it on one. Both are busy; the one that gives it
+/// up may, since the other serves its callers.
+#[test]
+fn a_spare_replica_is_unloaded_once_the_target_has_stood() {
+    let mut lone = Lone::new(1, vec![report(&["m"], 3), report(&["m"], 3)]);
+    assert_eq!(lone.run(29, OrderAnswer::Obeyed), []);
+    let sent = lone.run(4, OrderAnswer::Obeyed);
+    assert!(sent.iter().any(is_unload), "{sent:?}");
+    assert!(sent.iter().all(|errand| errand.order.fence == 4));
+}
+
+/// Which engine gives the model up when both hold it and one is to.
+fn spare() -> usize {
+    let mut lone = Lone::new(1, vec![report(&["m"], 3), report(&["m"], 3)]);
+    let sent = lone.run(34, OrderAnswer::Obeyed);
+    let unload = sent.iter().find(|errand| is_unload(errand)).unwrap();
+    usize::from(unload.server.ends_with('1'))
+}
+
+/// Of two engines that hold a model the one that is to keep it falls silent, a moment before the
+/// other is to give it up. Unloaded now, perhaps nobody could serve the model's callers.
+#[test]
+fn a_replica_stays_while_the_other_is_silent() {
+    let mut lone = Lone::new(1, vec![report(&["m"], 3), report(&["m"], 3)]);
+    lone.run(20, OrderAnswer::Obeyed);
+    lone.silent = Some(1 - spare());
+    let sent = lone.run(35, OrderAnswer::Obeyed);
+    assert!(!sent.iter().any(is_unload), "{sent:?}");
+}
+
+/// A spare replica is about to be unloaded. Were requests still sent there, those of the last moment
+/// would be answered that the model is unknown.
+#[test]
+fn requests_keep_away_from_a_spare_replica() {
+    let mut lone = Lone::new(1, vec![report(&["m"], 3), report(&["m"], 3)]);
+    lone.run(3, OrderAnswer::Obeyed);
+    let spares = lone.keys.iter().map(|key| {
+        let now = Millis(lone.now);
+        lone.desk.is_spare(*key, model_id("m"), now)
+    });
+    let mut expected = [false, false];
+    expected[spare()] = true;
+    assert_eq!(spares.collect::<Vec<_>>(), expected);
+}
+
+/// The loads among the orders.
+fn loads(sent: &[Errand]) -> Vec<&str> {
+    let loads = sent.iter().filter_map(|errand| match &errand.body.kind {
+        OrderKind::Load { model } => Some(model.as_str()),
+        _ => None,
+    });
+    loads.collect()
+}
+
+/// Ten engines lack a model. Did each load when its order was decided, the weight store would refuse
+/// most of them; a new owner also waits until the former one's loads count no more.
+#[test]
+fn loads_stay_within_the_rate_of_the_weight_store() {
+    let mut lone = Lone::new(10, vec![report(&[], 0); 10]);
+    assert_eq!(lone.run(24, OrderAnswer::Failed), []);
+    let sent = lone.run(120, OrderAnswer::Failed);
+    let count = loads(&sent).len();
+    assert!(
+        (10..=12).contains(&count),
+        "{count} loads in two minutes at 6 a minute"
+    );
+}
+
+/// The nightly sheets' model comes first in the text, and the chat's is missing too. The chat's
+/// callers are waiting, so its model is loaded first.
+#[test]
+fn the_model_of_the_highest_tier_is_loaded_first() {
+    for (first, second) in [("m", "n"), ("n", "m")] {
+        let mut lone = Lone::new(2, vec![report(&[], 0); 2]);
+        let ranks = [(first, 0), (second, 4)];
+        let ranks = ranks.map(|(model, rank)| Ranked {
+            model: model_id(model),
+            rank,
+        });
+        lone.desk.on_ranks(&ranks);
+        let sent = lone.run(60, OrderAnswer::Failed);
+        assert_eq!(loads(&sent)[..2], [first, first], "{sent:?}");
+    }
+}
+
+/// Without a majority of the fleet, or while another instance owns the service, nothing is ordered.
+#[test_case(&["entry-0"], &["entry-0", "b", "c"]; "in a minority")]
+#[test_case(&[], &["entry-0"]; "with no view")]
+fn nothing_is_ordered_by_one_that_may_not(live: &[&str], reference: &[&str]) {
+    let mut lone = Lone::new(1, vec![report(&["m"], 0), report(&["m"], 0)]);
+    let view = |names: &[&str]| View::new(names.iter().map(|name| Member::new(name, 1)));
+    lone.view = view(live);
+    lone.reference = view(reference);
+    lone.checks(false);
+    assert_eq!(lone.run(90, OrderAnswer::Obeyed), []);
+}
+
+#[test]
+fn models_that_the_text_never_named_are_left_alone() {
+    let held = || report(&["m", "n", "x"], 0);
+    let mut lone = Lone::new(2, vec![held(), held()]);
+    assert_eq!(lone.run(60, OrderAnswer::Obeyed), []);
+}
