--- a/crates/measure/src/arrivals.rs
+++ b/crates/measure/src/arrivals.rs
@@ -8,6 +8,9 @@
 use crate::shape::Shape;
 use crate::shape::Work;
 
+#[cfg(test)]
+mod tests;
+
 /// Different prompt prefixes of a class.
 const PREFIXES: u32 = 24;
 
--- /dev/null
+++ b/crates/measure/src/arrivals/tests.rs
@@ -0,0 +1,61 @@
+//! Plans are the same for every system, and ask for what the demand says.
+
+use super::Burst;
+use super::Demand;
+use super::plan;
+use crate::shape;
+
+const CAPACITY: f64 = 8_000.0;
+const SECONDS: f64 = 400.0;
+
+fn tokens(demand: &Demand, from: f64, until: f64) -> f64 {
+    let shape = shape::evening();
+    let plan = plan(&shape, demand, CAPACITY, SECONDS, 3);
+    let inside = plan.iter().filter(|a| from <= a.at && a.at < until);
+    inside.map(|a| f64::from(a.tokens)).sum::<f64>() / (until - from)
+}
+
+fn scaled(level: f64) -> Demand {
+    Demand {
+        level,
+        flood: false,
+        burst: None,
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_plan() {
+    let shape = shape::subsidy();
+    let plans = [(); 2].map(|()| plan(&shape, &scaled(1.5), CAPACITY, 20.0, 9));
+    assert_eq!(plans[0], plans[1]);
+    assert_ne!(plans[0], plan(&shape, &scaled(1.5), CAPACITY, 20.0, 10));
+}
+
+#[test]
+fn demand_is_a_multiple_of_the_capacity() {
+    let asked = tokens(&scaled(2.5), 0.0, SECONDS) / CAPACITY;
+    assert!((asked - 2.5).abs() < 0.08, "{asked}");
+    let flood = Demand {
+        flood: true,
+        ..scaled(2.5)
+    };
+    let asked = tokens(&flood, 0.0, SECONDS) / CAPACITY;
+    assert!((asked - 2.5).abs() < 0.08, "{asked}");
+}
+
+#[test]
+fn a_burst_adds_its_part_while_it_lasts() {
+    let burst = Burst {
+        from: 100.0,
+        until: 300.0,
+        part: 0.4,
+    };
+    let demand = Demand {
+        burst: Some(burst),
+        ..scaled(0.7)
+    };
+    let during = tokens(&demand, 100.0, 300.0) / CAPACITY;
+    let after = tokens(&demand, 300.0, SECONDS) / CAPACITY;
+    assert!((during - 1.1).abs() < 0.05, "{during}");
+    assert!((after - 0.7).abs() < 0.06, "{after}");
+}
--- a/crates/measure/src/summary.rs
+++ b/crates/measure/src/summary.rs
@@ -13,6 +13,9 @@
 use crate::shape::Shape;
 use crate::shape::Work;
 
+#[cfg(test)]
+mod tests;
+
 /// Share of a request's gaps that may be longer than its target.
 const GAP_SHARE: f64 = 0.05;
 
