--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::ops::Range;
 use std::path::Path;
 use std::path::PathBuf;
 
@@ -11,6 +12,7 @@
 use crocushold_standins::Instance;
 use crocushold_standins::InstanceState;
 use crocushold_standins::Role;
+use rand::RngExt;
 
 use crate::Outcome;
 use crate::control;
@@ -19,6 +21,11 @@
 use crate::shape::CONCURRENCY;
 use crate::shape::Shape;
 
+/// Ports that instances' peers listen on.
+const PORTS: Range<u16> = 12_000..30_000;
+
+const PORT_TRIES: usize = 100;
+
 const PEER_KEY: &str = "0123456789abcdef0123456789abcdef";
 
 /// What stands between callers and engines.
@@ -222,8 +229,18 @@
     Ok(file)
 }
 
-/// An address whose port was free a moment ago.
+/// A loopback address whose port was free a moment ago.
+///
+/// The port is below those that the system gives to outgoing connections: one of these may be taken
+/// by another process before the instance listens on it, and then the whole measurement ends.
 fn free_address() -> Outcome<SocketAddr> {
-    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
-    Ok(listener.local_addr()?)
+    let mut rng = rand::rng();
+    for _ in 0..PORT_TRIES {
+        let port = rng.random_range(PORTS);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err("no free port".into())
 }
