--- a/crates/measure/src/summary/tests.rs
+++ b/crates/measure/src/summary/tests.rs
@@ -26,26 +26,26 @@
     }
 }
 
-#[test_case(stream(0.3, 20_000, Ending::Complete), Some(true); "in time")]
-#[test_case(stream(0.4, 20_000, Ending::Complete), Some(false); "a late first token")]
-#[test_case(stream(0.3, 90_000, Ending::Complete), Some(false); "slow between tokens")]
-#[test_case(stream(0.3, 20_000, Ending::Cut), Some(false); "cut")]
-#[test_case(stream(0.3, 20_000, Ending::GaveUp), None; "open at the end, so far in time")]
-#[test_case(stream(0.4, 20_000, Ending::GaveUp), Some(false); "open at the end, missed already")]
-fn verdicts(sent: Sent, expected: Option<bool>) {
+#[test_case(&stream(0.3, 20_000, Ending::Complete), Some(true); "in time")]
+#[test_case(&stream(0.4, 20_000, Ending::Complete), Some(false); "a late first token")]
+#[test_case(&stream(0.3, 90_000, Ending::Complete), Some(false); "slow between tokens")]
+#[test_case(&stream(0.3, 20_000, Ending::Cut), Some(false); "cut")]
+#[test_case(&stream(0.3, 20_000, Ending::GaveUp), None; "open at the end, so far in time")]
+#[test_case(&stream(0.4, 20_000, Ending::GaveUp), Some(false); "open at the end, missed already")]
+fn verdicts(sent: &Sent, expected: Option<bool>) {
     let class = &shape::evening().classes[0];
-    assert_eq!(verdict(&sent, class), expected);
+    assert_eq!(verdict(sent, class), expected);
 }
 
-#[test_case(stream(4.99, 20_000, Ending::Complete), 1.0; "only tokens inside the window")]
-#[test_case(stream(0.3, 20_000, Ending::GaveUp), 4.0; "an answer that still runs")]
-#[test_case(stream(0.3, 20_000, Ending::Cut), 0.0; "a cut answer is of no use")]
-fn usefulness(sent: Sent, expected: f64) {
+#[test_case(&stream(4.99, 20_000, Ending::Complete), 1.0; "only tokens inside the window")]
+#[test_case(&stream(0.3, 20_000, Ending::GaveUp), 4.0; "an answer that still runs")]
+#[test_case(&stream(0.3, 20_000, Ending::Cut), 0.0; "a cut answer is of no use")]
+fn usefulness(sent: &Sent, expected: f64) {
     let class = &shape::evening().classes[0];
     let timing = Timing {
         warm: 4.0,
         end: 15.0,
         ..Timing::default()
     };
-    assert_eq!(useful_tokens(&sent, class, &timing), expected);
+    assert_eq!(useful_tokens(sent, class, &timing), expected);
 }
