Have a change in force where peers can be heard but not asked

An instance that the platform reaches, and whose links to its peers are cut or swallow one direction, got a change after 20 s and more. Two causes: without a watch it read the index every two minutes, until the membership had called its peers dead; and when it read it, it preferred to fetch from a peer that it could hear and that never answered. Ruled out: the platform's budget, the fetch's time-out.

Every instance reads the index every 3 to 3.75 s, and after an overdue answer the platform is preferred.

--- a/crates/peers/src/spread/peers.rs
+++ b/crates/peers/src/spread/peers.rs
@@ -118,7 +118,10 @@
         let listed = self.reader.listed_revision();
         let highest = self.heard.values().map(|h| h.revision).max();
         let highest = highest.unwrap_or_default();
-        if highest > held && highest >= listed {
+        // Peers spare the platform, but one that can be heard may not answer: its link works one way.
+        // Once an answer was overdue, the platform is asked for what it lists.
+        let prefers_peers = highest > listed || (highest == listed && self.late == 0);
+        if highest > held && prefers_peers {
             let holders = self.heard.iter().filter(|(_, h)| h.revision == highest);
             let least = holders.clone().map(|(_, h)| h.failures).min();
             // At random: all would pull from the same peer otherwise.
--- a/crates/peers/src/spread/settings.rs
+++ b/crates/peers/src/spread/settings.rs
@@ -16,7 +16,8 @@
     /// How long a watch waits on the platform. Short, since a connection that died without a sign is
     /// noticed at the end of the wait only, and a change is to be in force within 5 s.
     pub watch_wait: Millis,
-    /// Time between two reads by an instance that holds no watch.
+    /// Time between two reads by an instance that holds no watch, up to a quarter more at random. An
+    /// instance that the platform reaches and its peers don't has a change in force within 5 s by it.
     pub reread: Millis,
     /// First wait after a failed read, or after a watch that returned at once without news.
     pub backoff: Millis,
@@ -49,7 +50,7 @@
             read_rate: 250.0,
             own_rate: 20.0,
             watch_wait: Millis(2500),
-            reread: Millis::from_secs(120),
+            reread: Millis::from_secs(3),
             backoff: Millis::from_secs(1),
             backoff_ceiling: Millis::from_secs(30),
             answer_wait: Millis(700),
