--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -6,6 +6,7 @@
 
 use async_std::channel::Receiver;
 use crocushold_base::Event;
+use crocushold_config::Finding;
 use crocushold_config::InForce;
 use crocushold_config::Text;
 use crocushold_peers::Notice;
@@ -42,6 +43,8 @@
     text: Text,
     hashes: BTreeMap<Arc<str>, PartHash>,
     revisions: BTreeMap<Arc<str>, u64>,
+    /// Findings that were logged; those that stay aren't logged again with each team's change.
+    logged: BTreeSet<Finding>,
 }
 
 impl Applier {
@@ -51,7 +54,7 @@
         };
         self.take_parts(&snapshot);
         let parts = self.part_infos();
-        log_findings(&self.text);
+        self.log_findings();
         if shared.put_in_force(&self.text, snapshot.revision, parts) {
             let event = Event::new("config-in-force").with("revision", snapshot.revision);
             info!("{event}");
@@ -82,6 +85,22 @@
         }
     }
 
+    /// One line a finding, so that an operator who published a mistake finds it in the log.
+    fn log_findings(&mut self) {
+        let findings: BTreeSet<Finding> = self.text.findings().into_iter().collect();
+        for finding in findings.difference(&self.logged) {
+            let event = Event::new("config-finding")
+                .with("team", &finding.team)
+                .with("line", finding.line)
+                .with("section", &finding.section)
+                .with("key", &finding.key)
+                .with("severity", finding.severity)
+                .with("message", &finding.message);
+            info!("{event}");
+        }
+        self.logged = findings;
+    }
+
     fn part_infos(&self) -> Vec<PartInfo> {
         let parts = self.text.parts().map(|part| {
             let published = self.revisions.get(part.team()).copied().unwrap_or(0);
@@ -98,17 +117,3 @@
         parts.collect()
     }
 }
-
-/// One line a finding, so that an operator who published a mistake finds it in the log.
-fn log_findings(text: &Text) {
-    for finding in text.findings() {
-        let event = Event::new("config-finding")
-            .with("team", &finding.team)
-            .with("line", finding.line)
-            .with("section", &finding.section)
-            .with("key", &finding.key)
-            .with("severity", finding.severity)
-            .with("message", &finding.message);
-        info!("{event}");
-    }
-}
--- a/crates/entry/src/publish.rs
+++ b/crates/entry/src/publish.rs
@@ -81,11 +81,11 @@
         let addresses = addresses.clone();
         task::spawn(async move {
             let shell = shell(&shared, addresses.current());
-            let outcome = make_read(&shell, request).await;
-            if outcome.is_failure() {
+            let read = make_read(&shell, request).await;
+            if is_failure(&read) {
                 addresses.advance();
             }
-            peers.platform_read(outcome.read);
+            peers.platform_read(read);
         });
     }
 }
@@ -98,21 +98,15 @@
     }
 }
 
-struct Outcome {
-    read: PlatformRead,
-}
-
-impl Outcome {
-    fn is_failure(&self) -> bool {
-        match &self.read {
-            PlatformRead::Index(result) => result.is_err(),
-            PlatformRead::Part(_, result) => result.is_err(),
-        }
+fn is_failure(read: &PlatformRead) -> bool {
+    match read {
+        PlatformRead::Index(result) => result.is_err(),
+        PlatformRead::Part(_, result) => result.is_err(),
     }
 }
 
-async fn make_read(shell: &Shell<HttpFetch>, request: PlatformRequest) -> Outcome {
-    let read = match request {
+async fn make_read(shell: &Shell<HttpFetch>, request: PlatformRequest) -> PlatformRead {
+    match request {
         PlatformRequest::ReadIndex => read_index(shell, Call::Index).await,
         PlatformRequest::WatchIndex { after, wait } => {
             read_index(shell, Call::Watch { after, wait }).await
@@ -125,8 +119,7 @@
             let part = result.and_then(|answer| part_of(&team, answer));
             PlatformRead::Part(team, part)
         }
-    };
-    Outcome { read }
+    }
 }
 
 async fn read_index(shell: &Shell<HttpFetch>, call: Call) -> PlatformRead {
