Look a caller's key up once for each request

The account found first is passed on to resolve_account, which was there for it; the two makers of jobs are methods of the intake now, instead of taking its parts one by one. The answers stay the same, but for one case: a change of keys between the two look-ups couldn't show, since both used one world. A comment named the former length of a watch.

--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crocushold_admission::Arrival;
+use crocushold_base::AccountKey;
 use crocushold_base::Millis;
 use crocushold_config as config;
 use crocushold_config::CallerLimits;
@@ -11,7 +12,7 @@
 use crocushold_config::Credential;
 use crocushold_config::Resolved;
 use crocushold_config::Target;
-use crocushold_config::resolve;
+use crocushold_config::resolve_account;
 use crocushold_http::BodyError;
 use crocushold_http::ServerLimits;
 use crocushold_http::read_body;
@@ -161,13 +162,10 @@
     /// The refusal of a request that is malformed or not allowed.
     pub(crate) async fn read(&self, request: &mut Request) -> Result<Job, Refusal> {
         // Before the body is read: a stranger must not make the instance buffer megabytes.
-        let known = self
-            .world
-            .catalog
-            .account_of(&Credential::of(key_of(request)?));
-        if known.is_none() {
-            return Err(Refusal::from_config(config::Refusal::UnknownKey));
-        }
+        let credential = Credential::of(key_of(request)?);
+        let account = self.world.catalog.account_of(&credential);
+        let unknown = || Refusal::from_config(config::Refusal::UnknownKey);
+        let account = account.ok_or_else(unknown)?;
         let reservation = self.reserve(request)?;
         let limits = ServerLimits {
             body_bytes: self.limits.body,
@@ -177,9 +175,9 @@
         let body = read_body(request, &limits).await;
         let body = body.map_err(|error| refuse_body(&error))?;
         let job = if is_model_call(request.method(), request.url().path()) {
-            model_job(self.world, request, &body, self.arrived)
+            self.model_job(account, request, &body)
         } else {
-            plain_job(self.world, request, body, self.arrived)
+            self.plain_job(account, request, body)
         };
         let job = job?;
         Ok(Job {
@@ -189,6 +187,80 @@
         })
     }
 
+    fn model_job(
+        &self,
+        account: AccountKey,
+        request: &Request,
+        body: &[u8],
+    ) -> Result<Job, Refusal> {
+        let payload = Payload::decode(body).map_err(|error| malformed(&error))?;
+        let resolved = self.resolve(account, request, Target::Model(&payload.model))?;
+        let class = &self.world.catalog.classes[resolved.class];
+        let body = set_priority(body, class.priority.tier()).map_err(|error| malformed(&error))?;
+        let max_tokens = payload.max_tokens.unwrap_or(u32::MAX);
+        Ok(Job {
+            resolved,
+            arrival: Arrival {
+                class: resolved.class,
+                account: resolved.account,
+                model: resolved.model,
+                prompt_tokens: payload.prompt_tokens,
+                max_tokens,
+                bytes: u32::try_from(body.len()).unwrap_or(u32::MAX),
+                deadline: deadline(request, self.arrived),
+            },
+            need: need(&resolved, class, payload.prefix, payload.prompt_tokens),
+            stream: payload.stream,
+            answer_timeout: answer_timeout(class),
+            outgoing: outgoing(request, body),
+            once: None,
+            _reservation: None,
+        })
+    }
+
+    fn plain_job(
+        &self,
+        account: AccountKey,
+        request: &Request,
+        body: Vec<u8>,
+    ) -> Result<Job, Refusal> {
+        let method = request.method().to_string();
+        let target = Target::Path {
+            method: &method,
+            path: request.url().path(),
+        };
+        let resolved = self.resolve(account, request, target)?;
+        let class = &self.world.catalog.classes[resolved.class];
+        Ok(Job {
+            resolved,
+            arrival: Arrival {
+                class: resolved.class,
+                account: resolved.account,
+                max_tokens: PLAIN_TOKENS,
+                bytes: u32::try_from(body.len()).unwrap_or(u32::MAX),
+                deadline: deadline(request, self.arrived),
+                ..Arrival::default()
+            },
+            need: need(&resolved, class, None, 0),
+            stream: false,
+            answer_timeout: answer_timeout(class),
+            outgoing: outgoing(request, body),
+            once: None,
+            _reservation: None,
+        })
+    }
+
+    fn resolve(
+        &self,
+        account: AccountKey,
+        request: &Request,
+        target: Target<'_>,
+    ) -> Result<Resolved, Refusal> {
+        let wanted = request.header(CLASS).map(|values| values.as_str());
+        let resolved = resolve_account(&self.world.catalog, account, target, wanted);
+        resolved.map_err(Refusal::from_config)
+    }
+
     /// The idempotency key of a request that must not run twice. A repeat of an idempotent one does
     /// no harm, so that its key needs no claim.
     fn once(&self, request: &Request, job: &Job) -> Result<Option<Once>, Refusal> {
@@ -230,73 +302,10 @@
     Refusal::not_run(reason, error.to_string())
 }
 
-fn model_job(world: &World, request: &Request, body: &[u8], now: Millis) -> Result<Job, Refusal> {
-    let payload = Payload::decode(body).map_err(|error| malformed(&error))?;
-    let resolved = resolve_target(world, request, Target::Model(&payload.model))?;
-    let class = &world.catalog.classes[resolved.class];
-    let body = set_priority(body, class.priority.tier()).map_err(|error| malformed(&error))?;
-    let max_tokens = payload.max_tokens.unwrap_or(u32::MAX);
-    Ok(Job {
-        resolved,
-        arrival: Arrival {
-            class: resolved.class,
-            account: resolved.account,
-            model: resolved.model,
-            prompt_tokens: payload.prompt_tokens,
-            max_tokens,
-            bytes: u32::try_from(body.len()).unwrap_or(u32::MAX),
-            deadline: deadline(request, now),
-        },
-        need: need(&resolved, class, payload.prefix, payload.prompt_tokens),
-        stream: payload.stream,
-        answer_timeout: answer_timeout(class),
-        outgoing: outgoing(request, body),
-        once: None,
-        _reservation: None,
-    })
-}
-
-fn plain_job(world: &World, request: &Request, body: Vec<u8>, now: Millis) -> Result<Job, Refusal> {
-    let method = request.method().to_string();
-    let target = Target::Path {
-        method: &method,
-        path: request.url().path(),
-    };
-    let resolved = resolve_target(world, request, target)?;
-    let class = &world.catalog.classes[resolved.class];
-    Ok(Job {
-        resolved,
-        arrival: Arrival {
-            class: resolved.class,
-            account: resolved.account,
-            max_tokens: PLAIN_TOKENS,
-            bytes: u32::try_from(body.len()).unwrap_or(u32::MAX),
-            deadline: deadline(request, now),
-            ..Arrival::default()
-        },
-        need: need(&resolved, class, None, 0),
-        stream: false,
-        answer_timeout: answer_timeout(class),
-        outgoing: outgoing(request, body),
-        once: None,
-        _reservation: None,
-    })
-}
-
 fn malformed(error: &PayloadError) -> Refusal {
     Refusal::not_run(Reason::BadRequest, error.to_string())
 }
 
-fn resolve_target(
-    world: &World,
-    request: &Request,
-    target: Target<'_>,
-) -> Result<Resolved, Refusal> {
-    let credential = Credential::of(key_of(request)?);
-    let wanted = request.header(CLASS).map(|values| values.as_str());
-    resolve(&world.catalog, &credential, target, wanted).map_err(Refusal::from_config)
-}
-
 fn need(resolved: &Resolved, class: &Class, prefix: Option<u64>, tokens: u32) -> Need {
     Need {
         model: resolved.model,
--- a/crates/entry/src/publish.rs
+++ b/crates/entry/src/publish.rs
@@ -67,8 +67,8 @@
     }
 }
 
-/// Makes the reads that the peers' node asks for, each in a task of its own: a watch waits for half
-/// a minute, and the parts must not wait behind it.
+/// Makes the reads that the peers' node asks for, each in a task of its own: a watch waits for
+/// seconds, and the parts must not wait behind it.
 pub(crate) async fn make_reads(
     shared: Arc<Shared>,
     peers: PeerHandle,
