Let a stand-in's step end with the slowness in which it began

Cause: an engine's stand-in slept through a step at the speed that held when the step began. In pair_faults::a_frozen_instance_notices_who_left_meanwhile a step begun at a ten-thousandth of the speed lasts 105 s; the test passed only if the stop, the hang-up and the wake all fell into one step of 10 ms. On a busy machine they didn't, and the request after the fault waited past its 20 s. A change of speed now ends the step in progress without a token.

The engines now stand almost still until all twelve were seen, so the test no longer depends on how fast they come; it also fails at once, with its reason, when a request ends early. The bound of eight on one engine is unchanged. Ruled out by trial: load alone (64 runs, 24 at a time, passed), a refusal by a fresh account's limits in the first milliseconds (6 runs of a burst sent in the moment of readiness: all served), a share halved by another test's instance (peers of fleets have ports that the kernel gives to nobody else).

--- a/crates/standins/src/engine/command.rs
+++ b/crates/standins/src/engine/command.rs
@@ -136,3 +136,16 @@
     /// Ends all faults, and listens again.
     Clear,
 }
+
+impl EngineCommand {
+    /// Whether a step that was begun before takes another time now.
+    pub(super) fn changes_speed(&self) -> bool {
+        matches!(
+            self,
+            EngineCommand::Slow { .. }
+                | EngineCommand::Batch { .. }
+                | EngineCommand::Crash
+                | EngineCommand::Clear
+        )
+    }
+}
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -14,7 +14,9 @@
 use async_std::task;
 use crocushold_base::Clock;
 use futures::FutureExt;
+use futures::future;
 use futures::future::BoxFuture;
+use futures::future::Either;
 use http_types::Method;
 use http_types::Response;
 use http_types::StatusCode;
@@ -50,6 +52,8 @@
     core: Mutex<Core>,
     work: Sender<()>,
     worked: Receiver<()>,
+    retime: Sender<()>,
+    retimed: Receiver<()>,
 }
 
 #[derive(Deserialize)]
@@ -91,12 +95,15 @@
     /// Fails when the address can't be bound.
     pub async fn start(addr: SocketAddr, settings: EngineSettings) -> io::Result<Handle<Engine>> {
         let (work, worked) = channel::bounded(1);
+        let (retime, retimed) = channel::bounded(1);
         let engine = Engine {
             clock: Clock::start(),
             gate: Gate::default(),
             core: Mutex::new(Core::new(settings)),
             work,
             worked,
+            retime,
+            retimed,
         };
         Handle::start(engine, addr).await
     }
@@ -223,7 +230,11 @@
                 due = Instant::now();
                 continue;
             };
-            due = wait_until(due + step).await;
+            let Some(ended) = self.wait_step(due + step).await else {
+                due = Instant::now();
+                continue;
+            };
+            due = ended;
             self.gate.pass().await;
             let woken = port::lock(&self.core).end_step(step, self.clock.now());
             for progress in woken {
@@ -231,6 +242,20 @@
             }
         }
     }
+
+    /// Waits for a step's end; the moment from which the next step counts, or none when the speed
+    /// changed meanwhile.
+    ///
+    /// A step that was begun at a thousandth of the speed lasts a hundred seconds. If it went on after
+    /// the speed was put back, the engine would hang for a test that is over.
+    async fn wait_step(&self, due: Instant) -> Option<Instant> {
+        let ended = wait_until(due).boxed();
+        let retimed = self.retimed.recv().boxed();
+        match future::select(ended, retimed).await {
+            Either::Left((ended, _)) => Some(ended),
+            Either::Right(_) => None,
+        }
+    }
 }
 
 impl Standin for Engine {
@@ -247,7 +272,13 @@
             EngineCommand::Clear => self.gate.set_shut(false),
             _ => {}
         }
-        port::lock(&self.core).command(command)
+        let retimes = command.changes_speed();
+        let effect = port::lock(&self.core).command(command);
+        if retimes {
+            // A full channel holds a notice already.
+            let _ = self.retime.try_send(());
+        }
+        effect
     }
 
     fn stats(&self) -> EngineStats {
--- a/crates/standins/tests/all/engine.rs
+++ b/crates/standins/tests/all/engine.rs
@@ -36,6 +36,21 @@
     assert_eq!(content, "mine 0 mine 1 ");
 }
 
+/// An engine is slowed so much that its step lasts minutes, and the fault ends while a request is in
+/// that step. The request must go on at once: a test's next request would else wait for the old step.
+#[async_std::test]
+async fn a_step_does_not_outlast_the_slowness_in_which_it_began() {
+    let engine = engine().await;
+    let slow = EngineCommand::Slow { factor: 1e6 };
+    engine.command(slow).await.unwrap();
+    let body = request("mine", 2, false).to_string();
+    let call = wire::post_request("/v1/chat/completions", "", &body);
+    let _conn = wire::send(engine.addr(), &call).await;
+    wire::eventually("the step has begun", || engine.stats().running == 1).await;
+    engine.command(EngineCommand::Clear).await.unwrap();
+    wire::eventually("the request is done", || engine.stats().useful_tokens == 2).await;
+}
+
 #[async_std::test]
 async fn text_completion_answers_in_its_own_form() {
     let engine = engine().await;
--- a/tests/all/load_faults.rs
+++ b/tests/all/load_faults.rs
@@ -2,7 +2,6 @@
 
 use std::thread;
 
-use crocushold_standins::BatchSettings;
 use crocushold_standins::EngineCommand;
 use crocushold_standins::EngineSettings;
 use test_case::test_case;
@@ -168,21 +167,22 @@
     });
     site.all_engines(fault);
     let entry = site.entry("entry-1");
-    site.all_engines(&EngineCommand::Batch {
-        settings: BatchSettings {
-            base_ms: 100.0,
-            ..BatchSettings::default()
-        },
-    });
+    // So slow that no answer ends before all requests were seen together, however late they come.
+    site.all_engines(&EngineCommand::Slow { factor: 10_000.0 });
     let long = "one shared prefix ".repeat(40);
     let mut request = Call::chat(true, 20);
     request.body = request.body.replace("hello", &long);
     let calls = send_all(&entry, 12, &request);
-    wait("all are at the engines", || site.held() == 12);
+    wait("all are at the engines", || {
+        let ended = calls.iter().filter(|call| call.is_finished()).count();
+        assert_eq!(ended, 0, "answered before it was at an engine");
+        site.held() == 12
+    });
     for engine in &site.engines {
         let held = engine.stats().running + engine.stats().waiting;
         assert!(held <= 8, "{held} of 12 on one engine of 8 slots");
     }
+    site.all_engines(&EngineCommand::Slow { factor: 1.0 });
     assert!(calls.into_iter().all(|c| served(&c.join().unwrap())));
     entry.wait_idle();
 }
