Start measured processes in one place

fleet_cost had a copy of the process code of the measurements, which differed in where programs are looked for and in how processor time is read. Both are in crocushold_measure::process now; the example keeps the sum over its processes.

--- a/crates/measure/examples/fleet_cost/main.rs
+++ b/crates/measure/examples/fleet_cost/main.rs
@@ -19,22 +19,23 @@
 //! Below the row of an idle fleet stand the sizes of what an operator reads of one instance. Each size
 //! starts its own processes and ends them.
 
-mod processes;
 mod site;
 mod sockets;
+mod usage;
 
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use crocushold_measure::Outcome;
+use crocushold_measure::process;
 
-use processes::Usage;
 use site::Calls;
 use site::Options;
 use site::Site;
 use sockets::Flow;
 use sockets::Flows;
+use usage::Usage;
 
 /// Between readiness and the measurement, so that what belongs to the start has ended: news of a
 /// start travels with every message for 15 s, and views are compared every 5 s until they agree.
@@ -45,7 +46,7 @@
 
 fn main() -> Outcome<()> {
     let (options, counts) = Options::read(std::env::args().skip(1))?;
-    println!("{options:?}, load average {:.1}", processes::load_average());
+    println!("{options:?}, load average {:.1}", process::load_average());
     println!(
         "| instances | phase | s | core | resident, most | peers B/s | peers packets/s | platform B/s | servers B/s |"
     );
--- a/crates/measure/examples/fleet_cost/site.rs
+++ b/crates/measure/examples/fleet_cost/site.rs
@@ -17,6 +17,7 @@
 use crocushold_http::Reuse;
 use crocushold_http::SendLimits;
 use crocushold_measure::Outcome;
+use crocushold_measure::process::Process;
 use crocushold_platform::HttpFetch;
 use crocushold_platform::fetch;
 use crocushold_standins::Instance;
@@ -27,7 +28,6 @@
 use http_types::Request;
 use http_types::Url;
 
-use crate::processes::Process;
 use crate::sockets::Ports;
 
 const PEER_KEY: &str = "0123456789abcdef0123456789abcdef";
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`policy`] runs both users' traffic below, at and above capacity, with faults, once through
 //!   entry instances and at the same time through the [`proxy`] that knows no classes.
 //! * [`relay`] measures what an entry instance adds to a request.
+//! * [`process`] starts processes and reads what they use.
 
 mod arrivals;
 mod control;
@@ -12,7 +13,7 @@
 mod plot;
 mod point;
 pub mod policy;
-mod process;
+pub mod process;
 pub mod proxy;
 pub mod relay;
 mod shape;
--- a/crates/measure/src/process.rs
+++ b/crates/measure/src/process.rs
@@ -19,15 +19,23 @@
 /// Fields of `/proc/PID/stat` between the program's name and the time in user mode.
 const FIELDS_BEFORE_TIME: usize = 11;
 
+/// Nanoseconds in a second.
+const NANOS: f64 = 1e9;
+
 /// A running process; ended when dropped.
-pub(crate) struct Process {
+pub struct Process {
     child: Child,
     lines: Lines<BufReader<ChildStdout>>,
 }
 
 impl Process {
-    /// Starts a program that stands beside the own one.
-    pub(crate) fn start(program: &str, args: &[String]) -> Outcome<Process> {
+    /// Starts a program of the workspace, which stands beside the own one, or a folder above where the
+    /// own one is an example.
+    ///
+    /// # Errors
+    ///
+    /// When the program isn't there or doesn't start.
+    pub fn start(program: &str, args: &[String]) -> Outcome<Process> {
         let mut child = Command::new(beside(program)?)
             .args(args)
             .stdout(Stdio::piped())
@@ -42,7 +50,11 @@
     }
 
     /// The address in the next line `NAME=ADDRESS` that the process prints.
-    pub(crate) fn address(&mut self, name: &str) -> Outcome<SocketAddr> {
+    ///
+    /// # Errors
+    ///
+    /// When the process ended, or printed another line.
+    pub fn address(&mut self, name: &str) -> Outcome<SocketAddr> {
         let line = self.lines.next().ok_or("the process ended early")??;
         let value = line
             .strip_prefix(name)
@@ -52,7 +64,7 @@
     }
 
     /// The process's number.
-    pub(crate) fn id(&self) -> u32 {
+    pub fn id(&self) -> u32 {
         self.child.id()
     }
 }
@@ -101,8 +113,22 @@
     }
 }
 
+/// Processor seconds of all threads of a process: `schedstat` counts nanoseconds where [`cpu`] has
+/// hundredths of a second, and doesn't tell code from kernel.
+pub fn running_time(id: u32) -> f64 {
+    let Ok(tasks) = fs::read_dir(format!("/proc/{id}/task")) else {
+        return 0.0;
+    };
+    let ran = tasks.flatten().map(|task| {
+        let text = fs::read_to_string(task.path().join("schedstat")).unwrap_or_default();
+        let first = text.split(' ').next();
+        first.and_then(|nanos| nanos.parse().ok()).unwrap_or(0.0)
+    });
+    ran.sum::<f64>() / NANOS
+}
+
 /// Resident memory of a process in MiB.
-pub(crate) fn resident(id: u32) -> f64 {
+pub fn resident(id: u32) -> f64 {
     let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let kib = line.and_then(|rest| rest.split_whitespace().next()?.parse::<f64>().ok());
@@ -111,11 +137,14 @@
 
 fn beside(program: &str) -> Outcome<PathBuf> {
     let own = std::env::current_exe()?;
-    Ok(own.with_file_name(program))
+    let folder = own.parent().ok_or("no folder of programs")?;
+    let is_example = folder.ends_with("examples");
+    let folder = folder.parent().filter(|_| is_example).unwrap_or(folder);
+    Ok(folder.join(program))
 }
 
 /// The machine's load average over one minute.
-pub(crate) fn load_average() -> f64 {
+pub fn load_average() -> f64 {
     let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
     let first = text.split_whitespace().next();
     first.and_then(|f| f.parse().ok()).unwrap_or(0.0)
