Keep a member that leaves out of every later view

Callers' new idempotency keys were refused for more than 20 s (in fact for a window, 10 min) after some planned replacements.

Cause: an instance that stops hands over under the view without itself, and marks the others as leaving. Then it tells its peers that it leaves. That changes its own live view, whose reference counts the instance itself until the process ends; the claims adopted that view, started their hand-over anew as a member, and sent marks with a higher number that say nothing of leaving. These undid the marks of before, and the others counted the leaver as lost. Together with a second loss within one round of transfers that sets a hold, which newcomers take over from those before them.

Ruled out: the supposed cause. No member that left was counted as lost because its mark came late: the marks of all the members that it knew had come before it left.

The same step could grant a key twice: the leaver voted once more after it had handed over, and its record ended with it. `a_leaver_that_is_told_of_itself_grants_nothing` showed it ("granted twice"), `leavers_that_are_told_of_themselves_are_not_counted_as_lost` the refusals; both red before.

Change: once a view without it was in force, a member is left out of all later ones.

--- a/crates/ownership/src/claims/handover.rs
+++ b/crates/ownership/src/claims/handover.rs
@@ -89,6 +89,11 @@
         outbox.marked |= marked;
     }
 
+    /// Whether this member leaves the fleet.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.outboxes.values().all(|outbox| outbox.marked)
     }
--- a/crates/ownership/src/claims/voter.rs
+++ b/crates/ownership/src/claims/voter.rs
@@ -73,10 +73,20 @@
     }
 
     /// The membership was read or confirmed. Call it after each change, and after a pause even if
-    /// nothing changed. A view without this member starts its planned hand-over.
+    /// nothing changed. A view without this member starts its planned hand-over, which is for good:
+    /// this member is left out of every later view.
     pub fn on_view(&mut self, view: View, now: Millis) -> Vec<Transfer> {
         self.guard.observe(now);
         self.guard.rejoined();
+        // The membership of a process counts the process itself until it ends. Taken in again, this
+        // member could vote after it has told the others that they have all its records, and a key
+        // would run twice; and its next mark would undo the one that says that it leaves, so that it
+        // counts as lost. Nothing else brings it back: a restarted process is another member.
+        let view = if self.handover.is_leaving() {
+            view.without(self.me)
+        } else {
+            view
+        };
         if self.readiness.adopt(view, now) {
             self.plan_handover();
         }
--- a/crates/ownership/src/view.rs
+++ b/crates/ownership/src/view.rs
@@ -89,6 +89,16 @@
         self.members.binary_search(&member).is_ok()
     }
 
+    /// The view of the others.
+    pub fn without(&self, member: Member) -> View {
+        View::new(
+            self.members
+                .iter()
+                .copied()
+                .filter(|other| *other != member),
+        )
+    }
+
     /// The owner of `key`: the member of the highest rendezvous weight; `None` in an empty view.
     pub fn owner(&self, key: u64) -> Option<Member> {
         self.members
--- a/crates/ownership/tests/claims.rs
+++ b/crates/ownership/tests/claims.rs
@@ -192,6 +192,15 @@
         self.nodes.remove(&member);
     }
 
+    /// Begins a member's planned stop: it passes everything on, and may then end.
+    fn hand_over(&mut self, leaver: Member) {
+        let (now, view) = (self.now, self.node(leaver).view().without(leaver));
+        let transfers = self.node(leaver).on_view(view, now);
+        self.carry(leaver, transfers);
+        self.tick();
+        assert!(self.node(leaver).is_handed_over());
+    }
+
     fn view_of_living(&self) -> View {
         View::new(self.nodes.keys().copied())
     }
@@ -362,6 +371,60 @@
     }
 }
 
+/// Two instances stop as planned. Each has handed over and waits for its neighbours to hear that it
+/// leaves; meanwhile its own membership changes, in whose view an instance always counts itself. Did it
+/// take itself in again, its next mark would undo the one that says that it leaves: the others would
+/// count both as lost, and refuse callers with fresh keys for a window.
+#[test]
+fn leavers_that_are_told_of_themselves_are_not_counted_as_lost() {
+    let mut fleet = fleet();
+    let all = fleet.view_of_living();
+    let leavers = [member(0), member(1)];
+    for leaver in leavers {
+        fleet.hand_over(leaver);
+    }
+    for leaver in leavers {
+        let now = fleet.now;
+        let transfers = fleet.node(leaver).on_view(all.clone(), now);
+        fleet.carry(leaver, transfers);
+    }
+    for leaver in leavers {
+        fleet.kill(leaver);
+    }
+    let rest = fleet.view_of_living();
+    fleet.adopt(&rest);
+    for key in 0..100 {
+        let claim = fleet.claim(member(2), key);
+        assert!(claim.is_ok(), "key {key}: {claim:?}");
+    }
+}
+
+/// An instance has handed over and is about to end; its own membership names it still. A caller's key
+/// comes under the view of before, while one holder is cut off; then the other holder freezes, and the
+/// first comes back. Had the leaver voted, its record would end with it, and the one that came back and
+/// the newcomer to the group, who knows that the leaver has passed on everything, would grant again.
+#[test]
+fn a_leaver_that_is_told_of_itself_grants_nothing() {
+    let mut fleet = fleet();
+    let all = fleet.view_of_living();
+    let group = fleet.group(1);
+    let (leaver, frozen, cut) = (group[0], group[1], group[2]);
+    let claimant = fleet.outsider(1);
+    fleet.hand_over(leaver);
+    let now = fleet.now;
+    // The process ends before it can send any of this.
+    drop(fleet.node(leaver).on_view(all, now));
+    fleet.silent.push(cut);
+    let first = fleet.claim(claimant, 1);
+    fleet.kill(leaver);
+    fleet.silent = vec![frozen];
+    let rest = fleet.view_of_living();
+    fleet.adopt(&rest);
+    let second = fleet.claim(claimant, 1);
+    assert!(second.is_ok(), "{second:?}");
+    assert!(first.is_err(), "granted twice");
+}
+
 /// Every instance is restarted at once and all memory is gone. A repeat of a booking from before
 /// must not be granted, nor be told that it wasn't run, until the window is over.
 #[test]
