Ask for the newest view before a planned hand-over

Cause: gossip of a newcomer takes seconds to come round. A leaver that hadn't heard of it handed over without it; the newcomer never got its mark, counted it as lost, and told later newcomers so.

The newcomer is right to count it: it can't tell what the leaver's records were.

--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -124,6 +124,11 @@
             Err(_) => self.callers.connections(),
         };
         // Last: until then the peers count this instance in, and it uses no more than its share.
+        // One that joined lately may not have been heard of. It would get neither the records nor the
+        // mark of this instance and count it as lost; two such losses make newcomers refuse fresh keys
+        // for a window. A newcomer that serves is known to nearly all, so some that are asked name it.
+        self.peers.refresh().await;
+        self.shared.take_view(&self.peers.view());
         self.shared.coordinator.hand_over().await;
         self.peers.leave().await;
         self.peers.stop().await;
--- a/crates/peers/src/member/join.rs
+++ b/crates/peers/src/member/join.rs
@@ -155,7 +155,7 @@
         lost.into_iter().cloned().collect()
     }
 
-    fn send_sync(&mut self, to: &InstanceId) {
+    pub(super) fn send_sync(&mut self, to: &InstanceId) {
         let digests = self.table.digests().to_vec();
         self.send(to, Body::Sync(digests));
     }
--- a/crates/peers/src/member/mod.rs
+++ b/crates/peers/src/member/mod.rs
@@ -290,6 +290,14 @@
         self.finish()
     }
 
+    /// Asks some peers for their views, as gossip may be behind by seconds.
+    pub fn refresh(&mut self) -> Vec<MemberAction> {
+        for contact in self.sample(self.settings.helpers) {
+            self.send_sync(&contact.id);
+        }
+        self.finish()
+    }
+
     /// Leaves as planned: tells those nearby, who pass it on. The member answers probes until it is
     /// dropped, but takes no further part.
     pub fn leave(&mut self, now: Millis) -> Vec<MemberAction> {
--- a/crates/peers/src/node.rs
+++ b/crates/peers/src/node.rs
@@ -48,6 +48,8 @@
     Failed(InstanceId),
     /// Another instance answers at the address of the named one.
     Replaced(InstanceId),
+    /// The embedder is about to act on the view and wants it as new as can be.
+    Refresh,
     /// The instance stops as planned.
     Leave,
 }
@@ -150,6 +152,10 @@
                 self.member_actions(done, &mut actions);
                 self.failed(&peer, now, &mut actions);
             }
+            Event::Refresh => {
+                let done = self.member.refresh();
+                self.member_actions(done, &mut actions);
+            }
             Event::Leave => {
                 let done = self.member.leave(now);
                 self.member_actions(done, &mut actions);
--- a/crates/peers/src/shell/handle.rs
+++ b/crates/peers/src/shell/handle.rs
@@ -62,6 +62,7 @@
         deadline: Millis,
         answer: oneshot::Sender<Result<Response, CallError>>,
     },
+    Refresh(oneshot::Sender<()>),
     Leave(oneshot::Sender<()>),
     Stop,
 }
@@ -186,6 +187,15 @@
         answered.await.unwrap_or(Err(CallError::Stopped))
     }
 
+    /// Asks some peers for their views; returns when they have answered, or didn't for a second.
+    /// Gossip may be behind by seconds, and who leaves must know to whom to hand over.
+    pub async fn refresh(&self) {
+        let (done, answered) = oneshot::channel();
+        if self.commands.send(Command::Refresh(done)).await.is_ok() {
+            let _ = answered.await;
+        }
+    }
+
     /// Leaves as planned; returns when the neighbours were told, or couldn't be for a second. The
     /// node goes on answering until [`PeerHandle::stop`].
     pub async fn leave(&self) {
--- a/crates/peers/src/shell/mod.rs
+++ b/crates/peers/src/shell/mod.rs
@@ -56,7 +56,7 @@
 /// Wait after a failed accept, as when the process has no file descriptors left.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(100);
 
-/// Longest wait for the neighbours to hear that this instance leaves.
+/// Longest wait for the neighbours to hear that this instance leaves, or to answer with their views.
 const LEAVE_WAIT: Millis = Millis::from_secs(1);
 
 /// Commands that wait for the thread.
@@ -170,6 +170,10 @@
                     let _ = answer.send(outcome);
                 });
             }
+            Command::Refresh(done) => {
+                core.feed(Event::Refresh);
+                task::spawn_local(tell_when_sent(core.clone(), done));
+            }
             Command::Leave(done) => {
                 core.feed(Event::Leave);
                 task::spawn_local(tell_when_sent(core.clone(), done));
--- a/crates/peers/tests/membership.rs
+++ b/crates/peers/tests/membership.rs
@@ -79,6 +79,32 @@
     assert_eq!(deaths(&fleet), 0);
 }
 
+/// An instance that stops as planned hands over to the members that it knows. One joined just before and
+/// gossip hasn't come round: it would be left out and count the leaver as lost. Others know it already,
+/// so the leaver asks them first and has the newcomer in its view within a round trip.
+#[test]
+fn a_refreshed_view_names_a_newcomer_at_once() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::settled(seed, 20, 3);
+        fleet.add(20, 0);
+        let listed = fleet.listing();
+        fleet.feed_event(20, Event::InstanceList(listed));
+        let newcomer = InstanceId::new("entry-20");
+        let unaware = |fleet: &Fleet| {
+            let lacks = |slot: &usize| fleet.slots[*slot].node.member().locate(&newcomer).is_none();
+            (0..20).filter(lacks).collect::<Vec<usize>>()
+        };
+        let few_are = |fleet: &Fleet| unaware(fleet).len() <= 3;
+        fleet.run_until(Millis::from_secs(10), few_are);
+        let Some(late) = unaware(&fleet).pop() else {
+            continue;
+        };
+        fleet.feed_event(late, Event::Refresh);
+        fleet.run(Millis(200));
+        assert!(!unaware(&fleet).contains(&late), "seed {seed}");
+    }
+}
+
 /// An instance sleeps for longer than any suspicion lasts and wakes with a view in which everyone
 /// else looks silent. Were it to trust its own clock, it would declare healthy instances dead, and
 /// their requests would move to others. It must ask first.
