Bound the connections of a client account, not its queued requests

Cause: connections-per-account was handed to the schedulers as the bound of queued requests, so nothing bounded what its name says. One account could hold every connection of an instance with idle ones, and all others were refused at the door.

A connection now counts for the account of its latest request with a valid key, until it closes. Above the bound the request is refused before its body is read: 429, connections_limited, ran no, Retry-After 1, Connection: close. A listener makes a handler for each connection, so that what belongs to one is dropped with it. The table holds no more entries than there are connections.

The bound of queued requests was of use: default queues of 256 never reached it, but a class with a queue of thousands did. It is kept under queued-per-account, with the same default. `measure` sets both, so that its runs are bounded as before.

Ruled out: counting a connection for every account it served (a balancer's shared connections would use up many accounts' places), and for the first one alone. `explain` reads the shared text only and knows no settings of an instance.

Each of these taken out made connections::tests fail: the release at the drop, the bound, the release of the former account.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -75,6 +75,8 @@
     pub connections: u32,
     /// Connections of one account.
     pub per_account: u32,
+    /// Requests of one account that may wait in the queue of a service.
+    pub queued: u32,
 }
 
 impl Default for CallerLimits {
@@ -88,6 +90,7 @@
             idle: Millis::from_secs(60),
             connections: 4096,
             per_account: 1024,
+            queued: 1024,
         }
     }
 }
@@ -283,6 +286,7 @@
             &mut self.per_account,
             fields.take("connections-per-account", count),
         );
+        set(&mut self.queued, fields.take("queued-per-account", count));
         if self.per_account > self.connections {
             let message = "one account may hold more connections than there are in all; \
                            write at most the value of connections";
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -34,6 +34,18 @@
     assert_eq!(settings.memory, defaults.memory);
 }
 
+// Two bounds of an account that were one key: its connections, and its requests that wait in a queue.
+// Read into each other's place, an account would be refused for the other reason.
+#[test]
+fn connections_and_queued_requests_are_bounded_apart() {
+    let keys = "connections-per-account = 7\nqueued-per-account = 5";
+    let settings = Settings::parse(&SOUND.replace("body = 1 MiB", keys)).unwrap();
+    assert_eq!(
+        (settings.limits.per_account, settings.limits.queued),
+        (7, 5)
+    );
+}
+
 // The settings are logged at the start; a key in the log would let any reader of logs join as a
 // peer.
 #[test]
@@ -57,6 +69,8 @@
 #[test_case("operator = 127.0.0.1:8081", "operator = 127.0.0.1:8080", 5; "address twice")]
 #[test_case("drain = 90 s", "memory = 1 MiB", 6; "memory too low")]
 #[test_case("body = 1 MiB", "connections = 5", 12; "more for one account than in all")]
+#[test_case("body = 1 MiB", "connections-per-account = 0", 13; "no connection for an account")]
+#[test_case("body = 1 MiB", "queued-per-account = many", 13; "queue that is no number")]
 fn mistake_is_found_at_its_line(from: &str, to: &str, line: usize) {
     let findings = Settings::parse(&SOUND.replace(from, to)).unwrap_err();
     let lines: Vec<usize> = findings.iter().map(|f| f.line).collect();
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crocushold_base::AccountKey;
 use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_config as config;
@@ -14,6 +15,7 @@
 use log::debug;
 use serde::Serialize;
 
+use crate::connections::Connection;
 use crate::exchange::Exchange;
 use crate::exchange::Failure;
 use crate::intake::Intake;
@@ -26,10 +28,18 @@
 /// The status of an answer that nobody reads: the caller closed the connection.
 const CALLER_GONE: StatusCode = StatusCode::RequestTimeout;
 
+/// When to come back while the account holds as many connections as it may.
+const CONNECTIONS_RETRY: Millis = Millis::from_secs(1);
+
 /// Answers one request of a caller.
-pub(crate) async fn answer(shared: &Arc<Shared>, request: Request, hangup: Hangup) -> Response {
+pub(crate) async fn answer(
+    shared: &Arc<Shared>,
+    connection: &Connection,
+    request: Request,
+    hangup: Hangup,
+) -> Response {
     let id = shared.request_id();
-    let mut response = match serve(shared, request, &hangup, &id).await {
+    let mut response = match serve(shared, connection, request, &hangup, &id).await {
         Ok(response) => response,
         Err(Failure::Refused(refusal)) => {
             log_refusal(&id, &refusal);
@@ -53,6 +63,7 @@
 
 async fn serve(
     shared: &Arc<Shared>,
+    connection: &Connection,
     mut request: Request,
     hangup: &Hangup,
     id: &str,
@@ -63,11 +74,14 @@
         let refusal = Refusal::not_run(Reason::NotServing, "no configuration is in force yet");
         return Err(Failure::Refused(refusal.retry_after(Millis::from_secs(1))));
     }
+    // Before the body is read: a stranger must not make the instance buffer megabytes.
+    let account = authenticate(&world, connection, &request).map_err(Failure::Refused)?;
     if request.method() == Method::Get && request.url().path() == "/v1/models" {
-        return list_models(&world, &request).map_err(Failure::Refused);
+        return Ok(list_models(&world, account));
     }
     let intake = Intake {
         world: &world,
+        account,
         bodies: &shared.bodies,
         limits: &shared.settings.limits,
         arrived,
@@ -109,11 +123,25 @@
     }
 }
 
-/// The models that the caller's account may use.
-fn list_models(world: &World, request: &Request) -> Result<Response, Refusal> {
+/// The account whose key the request bears, for which its connection counts from now on.
+fn authenticate(
+    world: &World,
+    connection: &Connection,
+    request: &Request,
+) -> Result<AccountKey, Refusal> {
     let credential = Credential::of(key_of(request)?);
     let unknown = || Refusal::from_config(config::Refusal::UnknownKey);
     let account = world.catalog.account_of(&credential).ok_or_else(unknown)?;
+    if !connection.count_for(account) {
+        let text = "the account holds as many connections as it may";
+        let refusal = Refusal::not_run(Reason::ConnectionsLimited, text);
+        return Err(refusal.retry_after(CONNECTIONS_RETRY));
+    }
+    Ok(account)
+}
+
+/// The models that the caller's account may use.
+fn list_models(world: &World, account: AccountKey) -> Response {
     let list = ModelList {
         object: "list",
         data: world
@@ -125,5 +153,5 @@
     let mut response = Response::new(200);
     response.set_body(serde_json::to_string(&list).expect("strings always serialise"));
     response.insert_header("content-type", "application/json");
-    Ok(response)
+    response
 }
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -202,9 +202,14 @@
 
 fn spawn_callers(listener: Listener, shared: &Arc<Shared>) -> JoinHandle<()> {
     let shared = shared.clone();
-    task::spawn(listener.run(move |request, hangup| {
+    task::spawn(listener.run_each(move || {
         let shared = shared.clone();
-        async move { callers::answer(&shared, request, hangup).await }
+        let connection = Arc::new(shared.connections.open());
+        move |request, hangup| {
+            let shared = shared.clone();
+            let connection = connection.clone();
+            async move { callers::answer(&shared, &connection, request, hangup).await }
+        }
     }))
 }
 
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -6,10 +6,8 @@
 use crocushold_admission::Arrival;
 use crocushold_base::AccountKey;
 use crocushold_base::Millis;
-use crocushold_config as config;
 use crocushold_config::CallerLimits;
 use crocushold_config::Class;
-use crocushold_config::Credential;
 use crocushold_config::Resolved;
 use crocushold_config::Target;
 use crocushold_config::resolve_account;
@@ -149,6 +147,8 @@
 /// What a request is decoded and classified with.
 pub(crate) struct Intake<'a> {
     pub(crate) world: &'a World,
+    /// Whose key the request bears.
+    pub(crate) account: AccountKey,
     pub(crate) bodies: &'a Memory,
     pub(crate) limits: &'a CallerLimits,
     pub(crate) arrived: Millis,
@@ -161,11 +161,6 @@
     ///
     /// The refusal of a request that is malformed or not allowed.
     pub(crate) async fn read(&self, request: &mut Request) -> Result<Job, Refusal> {
-        // Before the body is read: a stranger must not make the instance buffer megabytes.
-        let credential = Credential::of(key_of(request)?);
-        let account = self.world.catalog.account_of(&credential);
-        let unknown = || Refusal::from_config(config::Refusal::UnknownKey);
-        let account = account.ok_or_else(unknown)?;
         let reservation = self.reserve(request)?;
         let limits = ServerLimits {
             body_bytes: self.limits.body,
@@ -175,9 +170,9 @@
         let body = read_body(request, &limits).await;
         let body = body.map_err(|error| refuse_body(&error))?;
         let job = if is_model_call(request.method(), request.url().path()) {
-            self.model_job(account, request, &body)
+            self.model_job(request, &body)
         } else {
-            self.plain_job(account, request, body)
+            self.plain_job(request, body)
         };
         let job = job?;
         Ok(Job {
@@ -187,14 +182,9 @@
         })
     }
 
-    fn model_job(
-        &self,
-        account: AccountKey,
-        request: &Request,
-        body: &[u8],
-    ) -> Result<Job, Refusal> {
+    fn model_job(&self, request: &Request, body: &[u8]) -> Result<Job, Refusal> {
         let payload = Payload::decode(body).map_err(|error| malformed(&error))?;
-        let resolved = self.resolve(account, request, Target::Model(&payload.model))?;
+        let resolved = self.resolve(request, Target::Model(&payload.model))?;
         let class = &self.world.catalog.classes[resolved.class];
         let body = set_priority(body, class.priority.tier()).map_err(|error| malformed(&error))?;
         let max_tokens = payload.max_tokens.unwrap_or(u32::MAX);
@@ -218,18 +208,13 @@
         })
     }
 
-    fn plain_job(
-        &self,
-        account: AccountKey,
-        request: &Request,
-        body: Vec<u8>,
-    ) -> Result<Job, Refusal> {
+    fn plain_job(&self, request: &Request, body: Vec<u8>) -> Result<Job, Refusal> {
         let method = request.method().to_string();
         let target = Target::Path {
             method: &method,
             path: request.url().path(),
         };
-        let resolved = self.resolve(account, request, target)?;
+        let resolved = self.resolve(request, target)?;
         let class = &self.world.catalog.classes[resolved.class];
         Ok(Job {
             resolved,
@@ -250,14 +235,9 @@
         })
     }
 
-    fn resolve(
-        &self,
-        account: AccountKey,
-        request: &Request,
-        target: Target<'_>,
-    ) -> Result<Resolved, Refusal> {
+    fn resolve(&self, request: &Request, target: Target<'_>) -> Result<Resolved, Refusal> {
         let wanted = request.header(CLASS).map(|values| values.as_str());
-        let resolved = resolve_account(&self.world.catalog, account, target, wanted);
+        let resolved = resolve_account(&self.world.catalog, self.account, target, wanted);
         resolved.map_err(Refusal::from_config)
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod apply;
 mod callers;
+mod connections;
 mod coordination;
 mod exchange;
 mod instance;
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -31,6 +31,8 @@
     RateLimited,
     /// The account has as many requests in progress as it may.
     ConcurrencyLimited,
+    /// The account holds as many connections as it may; this one is closed.
+    ConnectionsLimited,
     /// The queue of the class is full.
     QueueFull,
     /// The request would miss its target if it waited.
@@ -91,6 +93,7 @@
             Reason::BodyTooLarge => "body_too_large",
             Reason::RateLimited => "rate_limited",
             Reason::ConcurrencyLimited => "concurrency_limited",
+            Reason::ConnectionsLimited => "connections_limited",
             Reason::QueueFull => "queue_full",
             Reason::Overloaded => "overloaded",
             Reason::Expired => "expired",
@@ -110,7 +113,9 @@
             | Reason::NotFound
             | Reason::BadRequest
             | Reason::BodyTooLarge => RefusalReason::Invalid,
-            Reason::RateLimited | Reason::ConcurrencyLimited => RefusalReason::AccountLimit,
+            Reason::RateLimited | Reason::ConcurrencyLimited | Reason::ConnectionsLimited => {
+                RefusalReason::AccountLimit
+            }
             Reason::QueueFull => RefusalReason::QueueFull,
             Reason::Overloaded => RefusalReason::Overload,
             Reason::Expired => RefusalReason::Deadline,
@@ -127,7 +132,9 @@
             Reason::NotFound => StatusCode::NotFound,
             Reason::BadRequest => StatusCode::BadRequest,
             Reason::BodyTooLarge => StatusCode::PayloadTooLarge,
-            Reason::RateLimited | Reason::ConcurrencyLimited => StatusCode::TooManyRequests,
+            Reason::RateLimited | Reason::ConcurrencyLimited | Reason::ConnectionsLimited => {
+                StatusCode::TooManyRequests
+            }
             Reason::ServerFailed => StatusCode::BadGateway,
             Reason::KeyConflict => StatusCode::Conflict,
             Reason::QueueFull
@@ -301,6 +308,9 @@
         if let Some(span) = self.retry_after {
             response.insert_header("retry-after", span.as_secs_ceil().max(1).to_string());
         }
+        if self.reason == Reason::ConnectionsLimited {
+            response.insert_header("connection", "close");
+        }
         let body = ErrorBody {
             error: ErrorFields {
                 message: &self.message,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -23,6 +23,7 @@
 use crocushold_peers::View;
 use crocushold_routing::Share;
 
+use crate::connections::Connections;
 use crate::coordination::Coordinator;
 use crate::memory::Memory;
 use crate::world::Builder;
@@ -46,6 +47,8 @@
     pub(crate) coordinator: Arc<Coordinator>,
     /// Bodies of requests that are read, queued or being sent.
     pub(crate) bodies: Memory,
+    /// Connections of each client account.
+    pub(crate) connections: Connections,
     pub(crate) seed: u64,
     builder: Builder,
     world: RwLock<Arc<World>>,
@@ -82,6 +85,7 @@
             metrics,
             coordinator: Coordinator::new(clock, me, claims, client),
             bodies: Memory::new(settings.memory / 2),
+            connections: Connections::new(settings.limits.per_account),
             seed,
             builder,
             world: RwLock::new(Arc::new(World::default())),
--- a/crates/entry/src/world.rs
+++ b/crates/entry/src/world.rs
@@ -143,7 +143,7 @@
             seed,
             metrics,
             queue_bytes: settings.memory / 2,
-            account_queue: settings.limits.per_account,
+            account_queue: settings.limits.queued,
             share: Mutex::new(Share::default()),
         }
     }
--- a/crates/http/src/server/listener.rs
+++ b/crates/http/src/server/listener.rs
@@ -128,6 +128,17 @@
     where
         H: Fn(Request, Hangup) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response> + Send + 'static,
+    {
+        self.run_each(move || handler.clone()).await;
+    }
+
+    /// Like [`Listener::run`], with a handler of its own for each connection. It is dropped when the
+    /// connection has ended, so what belongs to a connection can be kept in it.
+    pub async fn run_each<M, H, F>(self, make: M)
+    where
+        M: Fn() -> H,
+        H: Fn(Request, Hangup) -> F + Send + Sync + 'static,
+        F: Future<Output = Response> + Send + 'static,
     {
         let stop = self.shared.stop.clone();
         loop {
@@ -135,14 +146,14 @@
             let stopped = std::pin::pin!(stop.wait());
             match select(stopped, accept).await {
                 Either::Left(_) => break,
-                Either::Right((Ok((stream, _)), _)) => self.admit(stream, &handler),
+                Either::Right((Ok((stream, _)), _)) => self.admit(stream, &make),
                 Either::Right((Err(error), _)) => {
                     warn!("{}", Event::new("accept-failed").with("error", &error));
                     task::sleep(ACCEPT_PAUSE.into()).await;
                 }
             }
         }
-        self.accept_backlog(&handler);
+        self.accept_backlog(&make);
         let ended = self.ended.clone();
         drop(self);
         // Nothing is ever sent; the channel closes with the last connection.
@@ -151,19 +162,21 @@
 
     /// Takes in the connections that the kernel has already accepted; closing the socket would reset
     /// them.
-    fn accept_backlog<H, F>(&self, handler: &H)
+    fn accept_backlog<M, H, F>(&self, make: &M)
     where
-        H: Fn(Request, Hangup) -> F + Clone + Send + Sync + 'static,
+        M: Fn() -> H,
+        H: Fn(Request, Hangup) -> F + Send + Sync + 'static,
         F: Future<Output = Response> + Send + 'static,
     {
         while let Some(Ok((stream, _))) = self.listener.accept().now_or_never() {
-            self.admit(stream, handler);
+            self.admit(stream, make);
         }
     }
 
-    fn admit<H, F>(&self, stream: TcpStream, handler: &H)
+    fn admit<M, H, F>(&self, stream: TcpStream, make: &M)
     where
-        H: Fn(Request, Hangup) -> F + Clone + Send + Sync + 'static,
+        M: Fn() -> H,
+        H: Fn(Request, Hangup) -> F + Send + Sync + 'static,
         F: Future<Output = Response> + Send + 'static,
     {
         let limits = self.limits.clone();
@@ -171,7 +184,7 @@
             self.refuse(stream);
             return;
         };
-        let handler = handler.clone();
+        let handler = make();
         task::spawn(async move {
             let served = serve_until(stream, &limits.server, &slot.shared.stop, handler).await;
             if let Err(error) = served {
--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -204,7 +204,8 @@
         "[instance]\nid = entry-{number}\nzone = {zone}\nlisten = 127.0.0.1:0\n\
          operator = 127.0.0.1:0\nnotice = 300 ms\ndrain = 5 s\n\n\
          [platform]\naddresses = {platform}\n\n[peers]\nlisten = {peer}\nkey = {PEER_KEY}\nfirst-start = yes\n\n\
-         [limits]\nconnections = 20000\nconnections-per-account = 20000\n"
+         [limits]\nconnections = 20000\nconnections-per-account = 20000\n\
+         queued-per-account = 20000\n"
     );
     let file = write(folder, &format!("entry-{number}.ini"), &text)?;
     Ok(file.display().to_string())
--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -628,4 +628,34 @@
         promises: &[Promise::Once],
         test: "orders::a_woken_owner_unloads_nothing::test_case_2_engines_that_ignore",
     },
+    Cell {
+        fault: Fault::CallerFlood,
+        step: Step::Idle,
+        promises: &[Promise::NotRun],
+        test: "flood_faults::one_account_holds_a_bounded_number_of_connections",
+    },
+    Cell {
+        fault: Fault::CallerFlood,
+        step: Step::Body,
+        promises: &[Promise::NotRun],
+        test: "flood_faults::one_account_holds_a_bounded_number_of_connections",
+    },
+    Cell {
+        fault: Fault::CallerFlood,
+        step: Step::Idle,
+        promises: &[Promise::NotRun],
+        test: "flood_faults::a_shared_connection_counts_for_its_latest_account_only",
+    },
+    Cell {
+        fault: Fault::CallerFlood,
+        step: Step::Body,
+        promises: &[Promise::Live],
+        test: "flood_faults::wrong_keys_take_no_places",
+    },
+    Cell {
+        fault: Fault::CallerFlood,
+        step: Step::Queued,
+        promises: &[Promise::NotRun, Promise::Slots],
+        test: "flood_faults::one_account_has_a_bounded_number_of_requests_in_a_queue",
+    },
 ];
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod fleet_outages;
 mod fleet_replacement;
 mod fleet_splits;
+mod flood_faults;
 mod instance_list;
 mod limits;
 mod list_faults;
--- a/tests/all/matrix.rs
+++ b/tests/all/matrix.rs
@@ -13,10 +13,11 @@
 const REWRITE: &str = "CROCUSHOLD_WRITE_MATRIX";
 
 /// The modules whose tests all have to stand in the table.
-const MODULES: [&str; 9] = [
+const MODULES: [&str; 10] = [
     "answer_faults::",
     "caller_faults::",
     "config_faults::",
+    "flood_faults::",
     "list_faults::",
     "load_faults::",
     "pair_faults::",
@@ -73,6 +74,7 @@
         Stop = "planned stop",
         CallerGone = "caller gone",
         CallerSlow = "caller too slow",
+        CallerFlood = "callers take all they can get",
         PeersSplit = "partition between entry instances",
         ServersSplit = "partition between entry and servers, also one way",
         StopCrash = "planned stop, engine crash",
--- a/tests/all/support/site.rs
+++ b/tests/all/support/site.rs
@@ -37,6 +37,8 @@
     pub engine: EngineSettings,
     pub service: ServiceSettings,
     pub first_start: bool,
+    /// Further lines of the entry instances' `[limits]`.
+    pub limits: String,
 }
 
 impl Default for SiteSettings {
@@ -51,6 +53,7 @@
             },
             service: ServiceSettings::default(),
             first_start: true,
+            limits: String::new(),
         }
     }
 }
@@ -65,6 +68,7 @@
     pub text: String,
     folder: Folder,
     first_start: bool,
+    limits: String,
 }
 
 impl Site {
@@ -98,6 +102,7 @@
                 text,
                 folder: Folder::new(),
                 first_start: settings.first_start,
+                limits: settings.limits.clone(),
             }
         })
     }
@@ -193,11 +198,12 @@
         let any = any_address();
         let platform = self.platform.addr();
         let first = if self.first_start { "yes" } else { "no" };
+        let limits = &self.limits;
         let text = format!(
             "[instance]\nid = {name}\nzone = zone-a\nlisten = {any}\noperator = {any}\n\
              notice = 300 ms\ndrain = 20 s\n\n[platform]\naddresses = {platform}\n\n\
              [peers]\nlisten = {peer}\nkey = {PEER_KEY}\nfirst-start = {first}\n\n\
-             [limits]\nbody-timeout = 2 s\nwrite-timeout = 5 s\n"
+             [limits]\nbody-timeout = 2 s\nwrite-timeout = 5 s\n{limits}"
         );
         let file = self.folder.path().join(format!("{name}.ini"));
         fs::write(&file, text).unwrap();
