Show when the platform last confirmed the configuration

Cause: ConfigStatus left confirmed-ms at its default and repeated the revision in force as the newest known, so a hung, stale or unreachable platform looked like one that had answered 0 s ago. The peers' table showed revision 0, 0.0 s and "live" for each of them for the same reason.

The spread keeps the time of the last answer of the platform whose revision isn't older than the one held; a stale replica confirms nothing. The peers' thread tells it on demand (Node::standing, a pure reading), with the newest revision known and what was heard of each peer. Status (JSON) leaves the field out when there was none, the table says "never", and crocushold_config_confirmed_age_seconds is infinite then, so that a rule for old ages fires.

Ruled out: the age of the last answer of any revision (hides a stale replica); dropping the age when a peer brings a newer revision (reads "never" for seconds after each change); keeping the standing in a lock that each event writes.

Shown by: an_outage_shows_by_the_age_of_the_confirmation (12 nodes in a model; frozen, down, stale), config_faults::an_outage_is_shown_to_the_operator (a real process; same three) and what_was_never_confirmed_is_shown_as_such. With the comparison of revisions taken out the stale case fails.

--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -217,6 +217,6 @@
     let shared = shared.clone();
     task::spawn(listener.run(move |request, _| {
         let shared = shared.clone();
-        async move { operator::answer(&shared, &request) }
+        async move { operator::answer(&shared, &request).await }
     }));
 }
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use async_std::future::timeout;
+use crocushold_base::Millis;
 use crocushold_metrics::Window;
 use crocushold_metrics::status::ClassStatus;
 use crocushold_metrics::status::ConfigStatus;
@@ -12,6 +14,9 @@
 use crocushold_metrics::status::ServerStatus;
 use crocushold_metrics::status::Status;
 use crocushold_metrics::status::WindowStatus;
+use crocushold_peers as peers;
+use crocushold_peers::PeerStanding;
+use crocushold_peers::Standing;
 use crocushold_routing::State;
 use http_types::Method;
 use http_types::Request;
@@ -21,16 +26,19 @@
 use crate::shared::Shared;
 use crate::world::World;
 
+/// How long the peers' thread may take to tell what it knows; a page without it is of use, too.
+const STANDING_TIMEOUT: Millis = Millis::from_secs(1);
+
 /// Answers a request on the operator's address.
-pub(crate) fn answer(shared: &Arc<Shared>, request: &Request) -> Response {
+pub(crate) async fn answer(shared: &Arc<Shared>, request: &Request) -> Response {
     if request.method() != Method::Get {
         return text(StatusCode::MethodNotAllowed, "only GET\n");
     }
     match request.url().path() {
         "/health" => health(shared),
         "/ready" => ready(shared),
-        "/metrics" => text(StatusCode::Ok, shared.metrics.render(shared.clock.now())),
-        "/status" => status_json(shared),
+        "/metrics" => metrics(shared).await,
+        "/status" => status_json(shared).await,
         _ => text(
             StatusCode::NotFound,
             "try /health, /ready, /metrics or /status\n",
@@ -64,8 +72,24 @@
     response
 }
 
-fn status_json(shared: &Shared) -> Response {
-    let status = status(shared);
+async fn metrics(shared: &Shared) -> Response {
+    // What the thread can't tell now stays as it was told last.
+    if let Some(standing) = standing(shared).await {
+        shared.metrics.set_confirmed(standing.confirmed);
+    }
+    text(StatusCode::Ok, shared.metrics.render(shared.clock.now()))
+}
+
+/// What the peers' thread tells; none when it doesn't answer in time.
+async fn standing(shared: &Shared) -> Option<Standing> {
+    let peers = shared.peers()?;
+    let told = timeout(STANDING_TIMEOUT.into(), peers.standing()).await;
+    told.ok().flatten()
+}
+
+async fn status_json(shared: &Shared) -> Response {
+    let standing = standing(shared).await.unwrap_or_default();
+    let status = status(shared, standing);
     match serde_json::to_string_pretty(&status) {
         Ok(body) => {
             let mut response = text(StatusCode::Ok, body);
@@ -76,7 +100,7 @@
     }
 }
 
-fn status(shared: &Shared) -> Status {
+fn status(shared: &Shared, standing: Standing) -> Status {
     let world = shared.world();
     Status {
         instance: shared.settings.id.clone(),
@@ -84,15 +108,15 @@
         version: env!("CARGO_PKG_VERSION").to_owned(),
         state: shared.state(),
         uptime_ms: shared.clock.now().0,
-        config: config_status(shared, &world),
-        peers: peer_statuses(shared),
+        config: config_status(shared, &world, &standing),
+        peers: standing.peers.into_iter().map(peer_status).collect(),
         classes: class_statuses(shared, &world),
         servers: server_statuses(&world),
         limits: limit_statuses(shared),
     }
 }
 
-fn config_status(shared: &Shared, world: &World) -> ConfigStatus {
+fn config_status(shared: &Shared, world: &World, standing: &Standing) -> ConfigStatus {
     let parts = shared.parts().into_iter().map(|part| PartStatus {
         team: part.team,
         revision: part.in_force,
@@ -101,25 +125,24 @@
     });
     ConfigStatus {
         revision: world.revision,
-        newest_revision: world.revision,
+        newest_revision: standing.newest.max(world.revision),
+        confirmed_ms: standing.confirmed.map(|age| age.0),
         parts: parts.collect(),
-        ..ConfigStatus::default()
     }
 }
 
-fn peer_statuses(shared: &Shared) -> Vec<PeerStatus> {
-    let Some(peers) = shared.peers() else {
-        return Vec::new();
-    };
-    let view = peers.view();
-    let others = view.instances.iter().filter(|peer| peer.id != view.me);
-    let statuses = others.map(|peer| PeerStatus {
+fn peer_status(peer: PeerStanding) -> PeerStatus {
+    PeerStatus {
         instance: peer.id.to_string(),
-        zone: peer.zone.to_string(),
-        standing: "live".to_owned(),
-        ..PeerStatus::default()
-    });
-    statuses.collect()
+        zone: peer.zone,
+        standing: match peer.status {
+            peers::Status::Suspect => "suspect",
+            _ => "live",
+        }
+        .to_owned(),
+        revision: peer.revision,
+        heard_ms: peer.heard.map(|age| age.0),
+    }
 }
 
 fn limit_statuses(shared: &Shared) -> Vec<LimitStatus> {
--- a/crates/metrics/src/instance.rs
+++ b/crates/metrics/src/instance.rs
@@ -28,6 +28,7 @@
     pub(crate) ejections: IntCounter,
     pub(crate) revision: IntGauge,
     pub(crate) peers: IntGauge,
+    pub(crate) confirmed: Gauge,
     pub(crate) uptime: Gauge,
     pub(crate) accounts: IntGaugeVec,
     cpu: Counter,
@@ -45,6 +46,11 @@
                 "Configuration revision in force.",
             ),
             peers: gauge(registry, "crocushold_peers_live", "Live peers."),
+            confirmed: float_gauge(
+                registry,
+                "crocushold_config_confirmed_age_seconds",
+                "Time since the platform last confirmed the configuration; infinite when it never did.",
+            ),
             uptime: float_gauge(
                 registry,
                 "crocushold_uptime_seconds",
--- a/crates/metrics/src/metrics.rs
+++ b/crates/metrics/src/metrics.rs
@@ -52,6 +52,7 @@
     pub fn new(info: &InstanceInfo) -> Metrics {
         let registry = Registry::new();
         let series = InstanceSeries::register(&registry, info);
+        series.confirmed.set(f64::INFINITY);
         let inner = Inner {
             registry,
             series,
@@ -113,6 +114,14 @@
         self.inner.series.peers.set(value);
     }
 
+    /// Sets the time since the platform last confirmed the configuration; `None` when it never did.
+    ///
+    /// That is shown as an infinite age, so that a rule for old ones sees it too.
+    pub fn set_confirmed(&self, age: Option<Millis>) {
+        let age = age.map_or(f64::INFINITY, Millis::as_secs_f64);
+        self.inner.series.confirmed.set(age);
+    }
+
     /// The text format of Prometheus, with the windows that end at `now`.
     ///
     /// `now` is read from the clock that was started with the process.
--- a/crates/metrics/src/status.rs
+++ b/crates/metrics/src/status.rs
@@ -57,10 +57,12 @@
 pub struct ConfigStatus {
     /// Revision in force; 0 before the first.
     pub revision: u64,
-    /// Highest revision that was heard of.
+    /// Highest revision that the platform or a peer told of.
     pub newest_revision: u64,
-    /// Since the configuration service last confirmed it.
-    pub confirmed_ms: u64,
+    /// Since the platform last answered with a revision that isn't older than the one in force;
+    /// missing when it never did.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub confirmed_ms: Option<u64>,
     /// The teams' parts.
     pub parts: Vec<PartStatus>,
 }
@@ -91,8 +93,9 @@
     pub standing: String,
     /// The configuration revision that it stated last.
     pub revision: u64,
-    /// Since it was last heard.
-    pub heard_ms: u64,
+    /// Since this instance itself last heard it; missing when it never did, or gets no answer.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub heard_ms: Option<u64>,
 }
 
 /// One class.
--- a/crates/metrics/src/status/table.rs
+++ b/crates/metrics/src/status/table.rs
@@ -53,12 +53,14 @@
             self.state.label(),
             seconds(self.uptime_ms)
         )?;
+        let confirmed = match config.confirmed_ms {
+            Some(age) => format!("last confirmed {} ago", seconds(age)),
+            None => "never confirmed".to_owned(),
+        };
         writeln!(
             f,
-            "configuration {} in force, newest known {}, confirmed {} ago",
-            config.revision,
-            config.newest_revision,
-            seconds(config.confirmed_ms)
+            "configuration {} in force, newest known {}, {confirmed} by the platform",
+            config.revision, config.newest_revision
         )
     }
 
@@ -94,7 +96,7 @@
                 peer.zone.clone(),
                 peer.standing.clone(),
                 peer.revision.to_string(),
-                seconds(peer.heard_ms),
+                peer.heard_ms.map_or("never".to_owned(), seconds),
             ]);
         }
         table
--- a/crates/metrics/tests/status.rs
+++ b/crates/metrics/tests/status.rs
@@ -1,6 +1,7 @@
 //! The status document across versions of the program.
 
 use crocushold_metrics::status::InstanceState;
+use crocushold_metrics::status::PeerStatus;
 use crocushold_metrics::status::ServerStatus;
 use crocushold_metrics::status::Status;
 
@@ -14,6 +15,23 @@
     assert!(status.servers.is_empty());
 }
 
+/// An operator must tell "confirmed just now" from "never", in the table and in JSON; a peer that was
+/// never heard must not look as if it had just been.
+#[test]
+fn what_never_happened_is_not_shown_as_just_now() {
+    let mut status = Status::default();
+    status.peers.push(PeerStatus::default());
+    let text = status.to_string();
+    assert!(text.contains("never confirmed by the platform"), "{text}");
+    assert!(text.lines().last().unwrap().ends_with("never"), "{text}");
+    assert!(!serde_json::to_string(&status).unwrap().contains("null"));
+    status.config.confirmed_ms = Some(0);
+    status.peers[0].heard_ms = Some(1_500);
+    let text = status.to_string();
+    assert!(text.contains("last confirmed 0.0s ago"), "{text}");
+    assert!(text.lines().last().unwrap().ends_with("1.5s"), "{text}");
+}
+
 #[test]
 fn a_document_survives_the_wire() {
     let status = Status {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -26,6 +26,7 @@
 mod node;
 mod shell;
 mod spread;
+mod standing;
 mod wire;
 
 #[allow(
@@ -100,6 +101,8 @@
 pub use spread::SpreadFinding;
 pub use spread::SpreadSettings;
 pub use spread::part_hash;
+pub use standing::PeerStanding;
+pub use standing::Standing;
 pub use wire::NEWEST_VERSION;
 pub use wire::OLDEST_VERSION;
 pub use wire::decode;
--- a/crates/peers/src/node.rs
+++ b/crates/peers/src/node.rs
@@ -16,6 +16,7 @@
 use crate::message::Body;
 use crate::message::Gossip;
 use crate::message::Message;
+use crate::message::Status;
 use crate::message::Update;
 use crate::spread::PlatformRead;
 use crate::spread::Snapshot;
@@ -23,6 +24,8 @@
 use crate::spread::SpreadAction;
 use crate::spread::SpreadFinding;
 use crate::spread::SpreadSettings;
+use crate::standing::PeerStanding;
+use crate::standing::Standing;
 
 /// Settings of a [`Node`].
 #[derive(Clone, Debug, Default)]
@@ -129,6 +132,28 @@
         &self.spread
     }
 
+    /// How fresh the configuration is, for an operator.
+    pub fn standing(&self, now: Millis) -> Standing {
+        let view = self.member.view();
+        let others = view.instances.iter().filter(|peer| peer.id != view.me);
+        let peers = others.map(|peer| {
+            let mut lives = view.lives.iter().filter(|life| life.id == peer.id);
+            let live = lives.find(|life| life.status.is_live());
+            PeerStanding {
+                id: peer.id.clone(),
+                zone: peer.zone.to_string(),
+                status: live.map_or(Status::Alive, |life| life.status),
+                revision: self.spread.heard(&peer.id),
+                heard: self.spread.heard_at(&peer.id).map(|at| now.since(at)),
+            }
+        });
+        Standing {
+            newest: self.spread.newest(),
+            confirmed: self.spread.confirmed_at().map(|at| now.since(at)),
+            peers: peers.collect(),
+        }
+    }
+
     /// Takes an event in.
     pub fn handle(&mut self, event: Event, now: Millis) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/peers/src/shell/core.rs
+++ b/crates/peers/src/shell/core.rs
@@ -33,6 +33,7 @@
 use crate::shell::handle::Shared;
 use crate::shell::server::Doors;
 use crate::shell::settings::Settings;
+use crate::standing::Standing;
 
 /// The node and all that surrounds it, on one thread.
 pub(crate) struct Core {
@@ -93,6 +94,11 @@
         reply
     }
 
+    /// How fresh the configuration is, for an operator.
+    pub(crate) fn standing(&self) -> Standing {
+        self.node.borrow().standing(self.clock.now())
+    }
+
     fn ask_platform(&self, request: PlatformRequest) {
         // A full channel means that the embedder is behind; the read is repeated later.
         let _ = self.platform.try_send(request);
--- a/crates/peers/src/shell/handle.rs
+++ b/crates/peers/src/shell/handle.rs
@@ -22,6 +22,7 @@
 use crate::shell::error::CallError;
 use crate::spread::PlatformRead;
 use crate::spread::Snapshot;
+use crate::standing::Standing;
 
 /// Notices that a subscriber may leave unread before it misses some.
 const NOTICES: usize = 256;
@@ -62,6 +63,7 @@
         deadline: Millis,
         answer: oneshot::Sender<Result<Response, CallError>>,
     },
+    Standing(oneshot::Sender<Standing>),
     Leave(oneshot::Sender<()>),
     Stop,
 }
@@ -147,6 +149,13 @@
         receiver
     }
 
+    /// How fresh the configuration is at this moment; none when the thread is overloaded or stopped.
+    pub async fn standing(&self) -> Option<Standing> {
+        let (answer, answered) = oneshot::channel();
+        self.commands.try_send(Command::Standing(answer)).ok()?;
+        answered.await.ok()
+    }
+
     /// Gives the platform's instance list in. Lost when the thread is overloaded; give it in again
     /// with the next read.
     pub fn instance_list(&self, listed: Vec<Listed>) {
--- a/crates/peers/src/shell/mod.rs
+++ b/crates/peers/src/shell/mod.rs
@@ -170,6 +170,9 @@
                     let _ = answer.send(outcome);
                 });
             }
+            Command::Standing(answer) => {
+                let _ = answer.send(core.standing());
+            }
             Command::Leave(done) => {
                 core.feed(Event::Leave);
                 task::spawn_local(tell_when_sent(core.clone(), done));
--- a/crates/peers/src/spread/mod.rs
+++ b/crates/peers/src/spread/mod.rs
@@ -107,6 +107,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Heard {
     revision: u64,
+    at: Millis,
     /// Messages in a row that it didn't answer since.
     failures: u32,
 }
@@ -188,6 +189,18 @@
         self.heard.get(peer).map_or(0, |heard| heard.revision)
     }
 
+    /// When a peer was last heard; none when it never was, or went on failing.
+    pub fn heard_at(&self, peer: &InstanceId) -> Option<Millis> {
+        self.heard.get(peer).map(|heard| heard.at)
+    }
+
+    /// The highest revision that the platform or a peer told of, or that is held.
+    pub fn newest(&self) -> u64 {
+        let peers = self.heard.values().map(|heard| heard.revision).max();
+        let known = self.held.revision.max(self.reader.listed_revision());
+        known.max(peers.unwrap_or(0))
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: Millis) -> Vec<SpreadAction> {
         self.time_out(now);
--- a/crates/peers/src/spread/peers.rs
+++ b/crates/peers/src/spread/peers.rs
@@ -78,6 +78,7 @@
     fn hear(&mut self, from: &InstanceId, gossip: &Gossip, now: Millis) {
         let heard = Heard {
             revision: gossip.revision,
+            at: now,
             failures: 0,
         };
         self.heard.insert(from.clone(), heard);
--- a/crates/peers/src/spread/platform.rs
+++ b/crates/peers/src/spread/platform.rs
@@ -81,6 +81,8 @@
     spread: Millis,
     behind: bool,
     down: bool,
+    /// When the platform last answered a revision that wasn't older than the one held.
+    confirmed: Option<Millis>,
 }
 
 impl Reader {
@@ -117,6 +119,12 @@
         self.reader.is_watcher
     }
 
+    /// When the platform last answered with a revision that wasn't older than the one held; none when
+    /// it never did.
+    pub fn confirmed_at(&self) -> Option<Millis> {
+        self.reader.confirmed
+    }
+
     /// Takes the outcome of a read in.
     pub fn platform(&mut self, read: PlatformRead, now: Millis) -> Vec<SpreadAction> {
         match read {
@@ -176,6 +184,11 @@
         self.draw_reread_spread();
         self.reader.down = false;
         self.start.platform_answered(index.revision);
+        // A stale replica answers too. Taken for a confirmation, it would hide from the operator that
+        // changes don't come through.
+        if index.revision >= self.held.revision {
+            self.reader.confirmed = Some(now);
+        }
         self.notice_behind(index.revision);
         let revision = index.revision;
         self.reader.take_index(index);
--- a/crates/peers/tests/spread.rs
+++ b/crates/peers/tests/spread.rs
@@ -73,6 +73,46 @@
     assert!(took.is_some());
 }
 
+/// The oldest and the youngest confirmation that any instance knows of.
+fn confirmed(fleet: &Fleet) -> (Millis, Millis) {
+    let ages = fleet.alive().map(|slot| {
+        let standing = slot.node.standing(fleet.now);
+        standing.confirmed.expect("it was confirmed once")
+    });
+    let ages: Vec<Millis> = ages.collect();
+    let (oldest, youngest) = (ages.iter().max(), ages.iter().min());
+    (*oldest.expect("some live"), *youngest.expect("some live"))
+}
+
+/// The platform hangs, is gone, or answers what was before the last change. Everybody is served on, so
+/// an operator sees it by one sign alone: the age of the last confirmation grows on every instance, and
+/// falls when it is over. A stale answer that counted as a confirmation would hide the fault.
+#[test_case(PlatformState::Frozen; "frozen")]
+#[test_case(PlatformState::Down; "down")]
+#[test_case(PlatformState::Stale(0); "stale")]
+fn an_outage_shows_by_the_age_of_the_confirmation(fault: PlatformState) {
+    let mut fleet = Fleet::settled(3, 12, 5);
+    let newest = fleet
+        .platform
+        .publish("clara", "[service chat]\npriority = 2");
+    fleet.run(Millis::from_secs(10));
+    let (oldest, _) = confirmed(&fleet);
+    assert!(oldest < Millis::from_secs(5), "{oldest}");
+    fleet.platform.state = fault;
+    fleet.run(Millis::from_secs(30));
+    let (_, youngest) = confirmed(&fleet);
+    assert!(youngest >= Millis::from_secs(27), "{youngest}");
+    fleet.platform.state = PlatformState::Up;
+    fleet.run(Millis::from_secs(35));
+    let (oldest, _) = confirmed(&fleet);
+    assert!(oldest < Millis::from_secs(5), "{oldest}");
+    for slot in fleet.alive() {
+        let standing = slot.node.standing(fleet.now);
+        assert_eq!(standing.newest, newest);
+        assert!(standing.peers.iter().any(|peer| peer.revision == newest));
+    }
+}
+
 /// The platform can't deliver one team's part. The other teams' changes must not wait for it, and it
 /// must still be asked for: once it can be read again, it is in force as well.
 #[test]
--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -658,4 +658,28 @@
         promises: &[Promise::NotRun, Promise::Slots],
         test: "flood_faults::one_account_has_a_bounded_number_of_requests_in_a_queue",
     },
+    Cell {
+        fault: Fault::ConfigDown,
+        step: Step::Idle,
+        promises: &[Promise::Config],
+        test: "config_faults::an_outage_is_shown_to_the_operator::test_case_1_frozen",
+    },
+    Cell {
+        fault: Fault::ConfigDown,
+        step: Step::Idle,
+        promises: &[Promise::Config],
+        test: "config_faults::an_outage_is_shown_to_the_operator::test_case_2_down",
+    },
+    Cell {
+        fault: Fault::ConfigStale,
+        step: Step::Idle,
+        promises: &[Promise::Config],
+        test: "config_faults::an_outage_is_shown_to_the_operator::test_case_3_stale",
+    },
+    Cell {
+        fault: Fault::ConfigDown,
+        step: Step::Idle,
+        promises: &[Promise::Config],
+        test: "config_faults::what_was_never_confirmed_is_shown_as_such",
+    },
 ];
--- a/tests/all/config_faults.rs
+++ b/tests/all/config_faults.rs
@@ -1,5 +1,6 @@
 //! A configuration that is down, stale, goes back, is rejected, or changes under a request.
 
+use std::process::Command;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -206,3 +207,65 @@
     assert!(serves(&entry, "extra"));
     put_in_force(&site, &entry, "later");
 }
+
+/// The age of the last confirmation that the metrics show, in seconds.
+fn confirmed_age(entry: &Entry) -> f64 {
+    let page = entry.page("/metrics").unwrap();
+    let mut lines = page.body.lines();
+    let line = lines.find_map(|line| line.strip_prefix("crocushold_config_confirmed_age_seconds "));
+    line.expect("the metric is there").parse().unwrap()
+}
+
+/// What `crocushold status` prints.
+fn shown(entry: &Entry, json: &[&str]) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_crocushold"))
+        .arg("status")
+        .arg(format!("--instance={}", entry.operator))
+        .args(json)
+        .output();
+    String::from_utf8(output.unwrap().stdout).unwrap()
+}
+
+// The platform hangs, is gone, or answers what was before the last change, and all requests are served
+// as before. Only the age of the last confirmation tells the operator: it grows on the status page, in
+// the command and in the metrics, and falls once the platform answers again.
+#[test_case(PlatformCommand::Frozen { on: true }, PlatformCommand::Frozen { on: false }; "frozen")]
+#[test_case(PlatformCommand::Down { on: true }, PlatformCommand::Down { on: false }; "down")]
+#[test_case(PlatformCommand::Stale { revision: Some(1) }, PlatformCommand::Stale { revision: None }; "stale")]
+fn an_outage_is_shown_to_the_operator(begin: PlatformCommand, end: PlatformCommand) {
+    const OLD: u64 = 8_000;
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    put_in_force(&site, &entry, "extra");
+    let age = || entry.status().config.confirmed_ms.unwrap();
+    assert!(age() < OLD && confirmed_age(&entry) < 8.0);
+    site.platform(begin);
+    wait_long("the confirmation grows old", || age() > OLD);
+    assert!(confirmed_age(&entry) > 8.0);
+    let line = shown(&entry, &[]);
+    assert!(line.contains("newest known 2, last confirmed "), "{line}");
+    let json: serde_json::Value = serde_json::from_str(&shown(&entry, &["--json"])).unwrap();
+    let old = &json[0]["status"]["config"]["confirmed-ms"];
+    assert!(old.as_u64().unwrap() > OLD, "{json}");
+    assert!(serves(&entry, "extra"));
+    site.platform(end);
+    wait_long("it is confirmed anew", || age() < OLD);
+    assert!(confirmed_age(&entry) < 8.0);
+}
+
+// An instance starts while the platform is down and has nobody to learn from. It says that nothing was
+// ever confirmed, rather than "0 s ago"; a rule that alerts on old confirmations must fire, too.
+#[test]
+fn what_was_never_confirmed_is_shown_as_such() {
+    let site = Site::start(&SiteSettings::default());
+    site.platform(PlatformCommand::Down { on: true });
+    let entry = Entry::start(&site.args("entry-1"));
+    assert_eq!(entry.status().config.confirmed_ms, None);
+    assert!(confirmed_age(&entry).is_infinite());
+    let line = shown(&entry, &[]);
+    assert!(line.contains("never confirmed by the platform"), "{line}");
+    site.platform(PlatformCommand::Down { on: false });
+    entry.wait_ready();
+    assert!(entry.status().config.confirmed_ms.is_some());
+    assert!(confirmed_age(&entry).is_finite());
+}
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -20,7 +20,7 @@
     let start = Instant::now();
     let comment = format!("# revision {revision}");
     site.publish(|text| text.replace("format = 1", &format!("format = 1\n{comment}")));
-    fleet.wait_status(&format!("\"revision\": {revision},"));
+    fleet.wait_in_force(revision);
     start.elapsed()
 }
 
@@ -44,7 +44,7 @@
     fleet.members[2].entry.take();
     fleet.spawn(2);
     fleet.wait_ready();
-    fleet.wait_status("\"revision\": 2,");
+    fleet.wait_in_force(2);
 }
 
 /// The platform hangs while an instance is replaced at its old address. The new process can read
@@ -60,7 +60,7 @@
     site.platform(PlatformCommand::Frozen { on: true });
     fleet.members[2].entry.take();
     fleet.spawn(2);
-    fleet.wait_status("\"revision\": 2,");
+    fleet.wait_in_force(2);
     let answer = call(fleet.entry(2).listen, &Call::chat(true, 2)).unwrap();
     assert_eq!(answer.status, 200);
 }
--- a/tests/all/fleet_losses.rs
+++ b/tests/all/fleet_losses.rs
@@ -103,7 +103,7 @@
             );
         }
     }
-    fleet.wait_status("\"revision\": 2,");
+    fleet.wait_in_force(2);
     fleet.wait_agreed();
     let took = woken.elapsed();
     let totals = load.stop();
@@ -192,7 +192,7 @@
     fleet.kill(3);
     fleet.wait_agreed();
     site.publish(|text| text.replace("format = 1", "format = 1\n# changed\n"));
-    fleet.wait_status("\"revision\": 2,");
+    fleet.wait_in_force(2);
     site.platform(PlatformCommand::Stale { revision: Some(1) });
     fleet.spawn_with_key(3, "another-key-that-nobody-else-holds");
     let stranger = fleet.members[3].entry.take().unwrap();
--- a/tests/all/fleet_replacement.rs
+++ b/tests/all/fleet_replacement.rs
@@ -176,7 +176,7 @@
     let mut fleet = Fleet::start(&site, 4);
     fleet.wait_agreed();
     site.publish(|text| text.replace("format = 1", "format = 1\n# changed\n"));
-    fleet.wait_status("\"revision\": 2,");
+    fleet.wait_in_force(2);
     site.platform(fault);
     for number in 0..4 {
         fleet.stop(number);
@@ -193,5 +193,5 @@
             }
         }
     }
-    fleet.wait_status("\"revision\": 2,");
+    fleet.wait_in_force(2);
 }
--- a/tests/all/fleet_splits.rs
+++ b/tests/all/fleet_splits.rs
@@ -76,7 +76,7 @@
     cut(&fleet, links);
     let start = Instant::now();
     site.publish(|text| text.replace("format = 1", "format = 1\n# changed\n"));
-    fleet.wait_status("\"revision\": 2,");
+    fleet.wait_in_force(2);
     let took = start.elapsed();
     for entry in fleet.running() {
         let answer = call(entry.listen, &Call::chat(true, 2)).unwrap();
--- a/tests/all/orders.rs
+++ b/tests/all/orders.rs
@@ -122,7 +122,7 @@
     let fleet = Fleet::start_linked(&site, 3);
     publish(&site, checks, &[("m", 1)]);
     let stated = Instant::now();
-    fleet.wait_status("\"revision\": 2,");
+    fleet.wait_in_force(2);
     let old = owner(&fleet);
     fleet.entry(old).signal("STOP");
     publish(&site, checks, &[("m", 2)]);
@@ -151,7 +151,7 @@
     assert_eq!(fleet.entry(old).status().config.revision, 2);
     site.platform(PlatformCommand::Frozen { on: false });
     fleet.links.heal();
-    fleet.wait_status("\"revision\": 3,");
+    fleet.wait_in_force(3);
     assert_eq!(holders(&site, "m"), 2);
 }
 
@@ -162,7 +162,7 @@
     let site = start_site(false);
     let mut fleet = Fleet::start(&site, 3);
     publish(&site, false, &[("m", 2)]);
-    fleet.wait_status("\"revision\": 2,");
+    fleet.wait_in_force(2);
     let old = owner(&fleet);
     fleet.members[old].entry.take().unwrap().kill();
     publish(&site, false, &[("m", 2), ("n", 2)]);
--- a/tests/all/support/fleet.rs
+++ b/tests/all/support/fleet.rs
@@ -194,10 +194,10 @@
         }
     }
 
-    /// Waits until every running member shows a text in its status.
-    pub fn wait_status(&self, text: &str) {
+    /// Waits until every running member has a revision in force.
+    pub fn wait_in_force(&self, revision: u64) {
         for entry in self.running() {
-            entry.wait_for("/status", |answer| answer.body.contains(text));
+            entry.wait_in_force(revision);
         }
     }
 
