Refuse bodies of countless small messages or fields

Cause: a message of two bytes ("{}") becomes an entry of sixteen bytes and, with a content, of forty; a field of seven bytes becomes a map entry of about fifty. A body at its bound of 4 MiB could thus hold several times the memory that was reserved for it while it was read. Bodies are refused as bad_request from 16,385 messages and 1,025 fields on.

a_body_of_countless_small_parts_is_refused failed before (the body was taken) and passes now, as do the crate's other tests. Sizes are reckoned from the types, not measured.

--- a/crates/entry/src/payload.rs
+++ b/crates/entry/src/payload.rs
@@ -5,9 +5,15 @@
 
 use std::borrow::Cow;
 use std::collections::BTreeMap;
+use std::fmt;
 
 use quick_error::quick_error;
 use serde::Deserialize;
+use serde::Deserializer;
+use serde::de::Error;
+use serde::de::MapAccess;
+use serde::de::SeqAccess;
+use serde::de::Visitor;
 use serde_json::value::RawValue;
 use twox_hash::XxHash3_64;
 
@@ -18,6 +24,15 @@
 /// counted.
 const BYTES_PER_TOKEN: usize = 4;
 
+/// Messages that a body may have.
+///
+/// A message of two bytes takes forty in memory while it is read: without the bound, bodies of the
+/// allowed size would take many times the memory that was reserved for them.
+const MAX_MESSAGES: usize = 16_384;
+
+/// Fields that a body may have, for the same reason.
+const MAX_FIELDS: usize = 1_024;
+
 quick_error! {
     /// Why a body could not be read.
     #[derive(Debug)]
@@ -58,7 +73,7 @@
     max_tokens: Option<u32>,
     max_completion_tokens: Option<u32>,
     #[serde(borrow, default)]
-    messages: Vec<Message<'a>>,
+    messages: Messages<'a>,
     #[serde(borrow)]
     prompt: Option<&'a RawValue>,
 }
@@ -69,6 +84,67 @@
     content: Option<&'a RawValue>,
 }
 
+/// The messages of a body, no more than [`MAX_MESSAGES`].
+#[derive(Default)]
+struct Messages<'a>(Vec<Message<'a>>);
+
+impl<'de: 'a, 'a> Deserialize<'de> for Messages<'a> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Messages<'a>, D::Error> {
+        deserializer.deserialize_seq(MessagesVisitor).map(Messages)
+    }
+}
+
+struct MessagesVisitor;
+
+impl<'de> Visitor<'de> for MessagesVisitor {
+    type Value = Vec<Message<'de>>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "at most {MAX_MESSAGES} messages")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Self::Value, A::Error> {
+        let mut all = Vec::new();
+        while let Some(message) = seq.next_element()? {
+            if all.len() == MAX_MESSAGES {
+                return Err(A::Error::invalid_length(all.len() + 1, &self));
+            }
+            all.push(message);
+        }
+        Ok(all)
+    }
+}
+
+/// All fields of a body, no more than [`MAX_FIELDS`].
+struct AllFields<'a>(BTreeMap<Cow<'a, str>, &'a RawValue>);
+
+impl<'de: 'a, 'a> Deserialize<'de> for AllFields<'a> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<AllFields<'a>, D::Error> {
+        deserializer.deserialize_map(FieldsVisitor).map(AllFields)
+    }
+}
+
+struct FieldsVisitor;
+
+impl<'de> Visitor<'de> for FieldsVisitor {
+    type Value = BTreeMap<Cow<'de, str>, &'de RawValue>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "an object of at most {MAX_FIELDS} fields")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Self::Value, A::Error> {
+        let mut all = BTreeMap::new();
+        while let Some((name, value)) = map.next_entry()? {
+            if all.len() == MAX_FIELDS {
+                return Err(A::Error::invalid_length(all.len() + 1, &self));
+            }
+            all.insert(name, value);
+        }
+        Ok(all)
+    }
+}
+
 /// A prompt that is a string is decoded; anything else (content parts, token numbers) stays opaque.
 fn decode_text(raw: &RawValue) -> Cow<'_, str> {
     serde_json::from_str(raw.get()).unwrap_or(Cow::Borrowed(raw.get()))
@@ -102,14 +178,18 @@
 ///
 /// When the body is not a JSON object.
 pub fn set_priority(body: &[u8], priority: u8) -> Result<Vec<u8>, PayloadError> {
-    let mut fields: BTreeMap<Cow<'_, str>, &RawValue> = serde_json::from_slice(body)?;
+    let AllFields(mut fields) = serde_json::from_slice(body)?;
     let value = RawValue::from_string(priority.to_string())?;
     fields.insert(Cow::Borrowed("priority"), &value);
     Ok(serde_json::to_vec(&fields)?)
 }
 
 fn prompt_texts<'a>(fields: &Fields<'a>) -> Vec<Cow<'a, str>> {
-    let contents = fields.messages.iter().filter_map(|message| message.content);
+    let contents = fields
+        .messages
+        .0
+        .iter()
+        .filter_map(|message| message.content);
     contents.chain(fields.prompt).map(decode_text).collect()
 }
 
--- a/crates/entry/tests/payload.rs
+++ b/crates/entry/tests/payload.rs
@@ -50,3 +50,23 @@
     let out = String::from_utf8(set_priority(body, 4).unwrap()).unwrap();
     assert_eq!(out, r#"{"model":"m","priority":4,"x":[1.50]}"#);
 }
+
+// A caller fills a body of the allowed size with the smallest messages or fields. Each of them becomes
+// an entry several times its size in memory, which no bound on bodies counts: the body is refused.
+#[test]
+fn a_body_of_countless_small_parts_is_refused() {
+    let messages = |count| {
+        format!(
+            r#"{{"model":"m","messages":[{}]}}"#,
+            vec!["{}"; count].join(",")
+        )
+    };
+    assert!(Payload::decode(messages(16_384).as_bytes()).is_ok());
+    assert!(Payload::decode(messages(16_385).as_bytes()).is_err());
+    let fields = |count| {
+        let fields = (0..count).map(|number| format!(r#""f{number}":0"#));
+        format!("{{{}}}", fields.collect::<Vec<_>>().join(","))
+    };
+    assert!(set_priority(fields(1_024).as_bytes(), 1).is_ok());
+    assert!(set_priority(fields(1_025).as_bytes(), 1).is_err());
+}
