Bound all that callers can make an instance hold

Cause: half of `memory` bounded bodies and nothing else.

* A request reserves its head and its body from `memory`, twice each, as each is held twice while it is sent.
Before, bodies were reserved once from one half.
* The handler drops the request once the job is made of it.
* An idle connection gives the room back that its longest head took.
* A body that doesn't fit into memory four times is a finding in the settings.
* The operator's address takes 256 connections at a time instead of 10,000.

Ruled out: one fixed reservation a request (ordinary ones would be refused at a tenth of the memory). Not mended: behind more than 16 KiB of pipelined bytes a hang-up is still noticed by writing only (design/http.md).

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -58,6 +58,7 @@
 pub use resolve::Target;
 pub use resolve::resolve;
 pub use resolve::resolve_account;
+pub use settings::CONNECTION_BYTES;
 pub use settings::CallerLimits;
 pub use settings::Secret;
 pub use settings::Settings;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -24,6 +24,10 @@
 
 const MIB: u64 = 1 << 20;
 
+/// What a connection of a caller may take, whatever comes over it, beside its requests: its task, 20 KiB
+/// that were read ahead (in room for 32), and the buffers of an answer.
+pub const CONNECTION_BYTES: u64 = 80 << 10;
+
 /// The least memory bound with which an instance is of use.
 const MIN_MEMORY: u64 = 16 * MIB;
 
@@ -178,6 +182,7 @@
             settings.read(section, &mut findings);
         }
         settings.check_addresses(&sections, &mut findings);
+        settings.check_memory(&sections, &mut findings);
         if findings.has_error() {
             return Err(findings.into_sorted());
         }
@@ -241,6 +246,24 @@
         );
     }
 
+    /// A request with the longest body fits into the memory of all: it is held twice while it is sent.
+    fn check_memory(&self, sections: &[Section], findings: &mut Findings) {
+        if self.memory < MIN_MEMORY || self.limits.body <= self.memory / 4 {
+            return;
+        }
+        let message = "a longest body doesn't fit into memory, where it is held twice; \
+                       write at most a quarter of memory";
+        let limits = sections.iter().find(|section| section.header == "limits");
+        let place = limits.filter(|section| Fields::new("", section, findings).has("body"));
+        let (section, key) = match place {
+            Some(section) => (Some(section), "body"),
+            None => (sections.iter().find(|s| s.header == "instance"), "memory"),
+        };
+        if let Some(section) = section {
+            Fields::new("", section, findings).reject(key, message);
+        }
+    }
+
     /// Two of the instance's own addresses are never the same.
     fn check_addresses(&self, sections: &[Section], findings: &mut Findings) {
         let own = [
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -82,11 +82,13 @@
     let intake = Intake {
         world: &world,
         account,
-        bodies: &shared.bodies,
+        memory: &shared.memory,
         limits: &shared.settings.limits,
         arrived,
     };
     let job = intake.read(&mut request).await.map_err(Failure::Refused)?;
+    // The job has what is needed of it; a second copy would be held for as long as the request waits.
+    drop(request);
     let exchange = Exchange {
         client: &shared.client,
         coordinator: &shared.coordinator,
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -34,6 +34,9 @@
 use crate::publish::Addresses;
 use crate::shared::Shared;
 
+/// Connections of balancers, scrapers and operators at a time.
+const OPERATOR_CONNECTIONS: usize = 256;
+
 quick_error! {
     /// Why an instance could not start.
     #[derive(Debug)]
@@ -65,7 +68,7 @@
         let started = wall_clock();
         let seed = started ^ XxHash3_64::oneshot(settings.id.as_bytes());
         let callers = bind(settings.listen, caller_limits(&settings.limits)).await?;
-        let operators = bind(settings.operator, ListenerLimits::default()).await?;
+        let operators = bind(settings.operator, operator_limits()).await?;
         let listen = local_addr(&callers, settings.listen)?;
         let operator = local_addr(&operators, settings.operator)?;
         let shared = Arc::new(Shared::new(settings, started, seed));
@@ -143,6 +146,13 @@
     since.map_or(0, |span| span.as_millis() as u64)
 }
 
+fn operator_limits() -> ListenerLimits {
+    ListenerLimits {
+        max_connections: OPERATOR_CONNECTIONS,
+        ..ListenerLimits::default()
+    }
+}
+
 fn caller_limits(limits: &CallerLimits) -> ListenerLimits {
     ListenerLimits {
         max_connections: limits.connections as usize,
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -27,6 +27,7 @@
 
 use crate::memory::Memory;
 use crate::memory::Reservation;
+use crate::memory::footprint;
 use crate::payload::Payload;
 use crate::payload::PayloadError;
 use crate::payload::set_priority;
@@ -60,7 +61,7 @@
 /// The least such bound. A late confirmation is worth more than not to know whether it was made.
 const ANSWER_FLOOR: Millis = Millis::from_secs(10);
 
-/// When to come back while bodies fill the memory.
+/// When to come back while requests fill the memory.
 const FULL_RETRY: Millis = Millis::from_secs(1);
 
 /// Headers that are the router's own business and don't reach a backend server.
@@ -149,7 +150,7 @@
     pub(crate) world: &'a World,
     /// Whose key the request bears.
     pub(crate) account: AccountKey,
-    pub(crate) bodies: &'a Memory,
+    pub(crate) memory: &'a Memory,
     pub(crate) limits: &'a CallerLimits,
     pub(crate) arrived: Millis,
 }
@@ -263,12 +264,12 @@
         }))
     }
 
-    /// Reserves memory for the body: its announced length, or the bound when it has none.
+    /// Reserves memory for the head and the body: its announced length, or the bound when it has none.
     fn reserve(&self, request: &Request) -> Result<Reservation, Refusal> {
         let announced = request.len().map_or(self.limits.body, |len| len as u64);
-        let reservation = self.bodies.reserve(announced.min(self.limits.body));
-        reservation.ok_or_else(|| {
-            let text = "the instance has no memory left for the body";
+        let bytes = footprint(request, announced.min(self.limits.body));
+        self.memory.reserve(bytes).ok_or_else(|| {
+            let text = "the instance has no memory left for the request";
             Refusal::not_run(Reason::Overloaded, text).retry_after(FULL_RETRY)
         })
     }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -26,6 +26,7 @@
 use crate::connections::Connections;
 use crate::coordination::Coordinator;
 use crate::memory::Memory;
+use crate::memory::most_held;
 use crate::world::Builder;
 use crate::world::World;
 
@@ -45,8 +46,8 @@
     pub(crate) client: Client,
     pub(crate) metrics: Metrics,
     pub(crate) coordinator: Arc<Coordinator>,
-    /// Bodies of requests that are read, queued or being sent.
-    pub(crate) bodies: Memory,
+    /// Heads and bodies of requests that are read, queued or being sent.
+    pub(crate) memory: Memory,
     /// Connections of each client account.
     pub(crate) connections: Connections,
     pub(crate) seed: u64,
@@ -77,6 +78,7 @@
             zone: settings.zone.clone(),
             version: env!("CARGO_PKG_VERSION").to_owned(),
         });
+        metrics.set_memory_bound(most_held(&settings, claims.capacity));
         let builder = Builder::new(clock, &settings, seed, metrics.clone());
         let client = Client::new(PoolLimits::default());
         Shared {
@@ -84,7 +86,7 @@
             client: client.clone(),
             metrics,
             coordinator: Coordinator::new(clock, me, claims, client),
-            bodies: Memory::new(settings.memory / 2),
+            memory: Memory::new(settings.memory),
             connections: Connections::new(settings.limits.per_account),
             seed,
             builder,
--- a/crates/http/src/wire/inbox.rs
+++ b/crates/http/src/wire/inbox.rs
@@ -1,5 +1,8 @@
 //! What was read from a socket and not yet handed out.
 
+/// Room that an empty inbox keeps.
+const KEPT_BYTES: usize = 1024;
+
 /// Bytes read ahead, and the state of the reading side.
 #[derive(Default)]
 pub(super) struct Inbox {
@@ -24,8 +27,12 @@
     pub(super) fn take(&mut self, count: usize) {
         self.start += count;
         if self.start == self.bytes.len() {
-            self.bytes.clear();
             self.start = 0;
+            self.bytes.clear();
+            // An idle connection would keep room for the longest head that it ever got.
+            if self.bytes.capacity() > KEPT_BYTES {
+                self.bytes = Vec::new();
+            }
         }
     }
 
--- a/crates/metrics/src/instance.rs
+++ b/crates/metrics/src/instance.rs
@@ -29,6 +29,7 @@
     pub(crate) revision: IntGauge,
     pub(crate) peers: IntGauge,
     pub(crate) confirmed: Gauge,
+    pub(crate) memory_bound: IntGauge,
     pub(crate) uptime: Gauge,
     pub(crate) accounts: IntGaugeVec,
     cpu: Counter,
@@ -51,6 +52,11 @@
                 "crocushold_config_confirmed_age_seconds",
                 "Time since the platform last confirmed the configuration; infinite when it never did.",
             ),
+            memory_bound: gauge(
+                registry,
+                "crocushold_memory_bound_bytes",
+                "Most that callers can make the instance hold, beside what it takes without them.",
+            ),
             uptime: float_gauge(
                 registry,
                 "crocushold_uptime_seconds",
--- a/crates/metrics/src/metrics.rs
+++ b/crates/metrics/src/metrics.rs
@@ -122,6 +122,12 @@
         self.inner.series.confirmed.set(age);
     }
 
+    /// Sets the most bytes that callers can make the instance hold.
+    pub fn set_memory_bound(&self, bytes: u64) {
+        let value = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.inner.series.memory_bound.set(value);
+    }
+
     /// The text format of Prometheus, with the windows that end at `now`.
     ///
     /// `now` is read from the clock that was started with the process.
--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -682,4 +682,22 @@
         promises: &[Promise::Config],
         test: "config_faults::what_was_never_confirmed_is_shown_as_such",
     },
+    Cell {
+        fault: Fault::CallerFlood,
+        step: Step::Body,
+        promises: &[Promise::NotRun, Promise::Slots],
+        test: "flood_faults::memory_is_bounded_whatever_callers_hold",
+    },
+    Cell {
+        fault: Fault::CallerFlood,
+        step: Step::FirstByte,
+        promises: &[Promise::NotRun, Promise::Slots],
+        test: "flood_faults::memory_is_bounded_whatever_callers_hold",
+    },
+    Cell {
+        fault: Fault::CallerFlood,
+        step: Step::Streaming,
+        promises: &[Promise::NotRun, Promise::Slots],
+        test: "flood_faults::memory_is_bounded_whatever_callers_hold",
+    },
 ];
--- a/tests/all/flood_faults.rs
+++ b/tests/all/flood_faults.rs
@@ -1,5 +1,10 @@
 //! Callers that take all they can get: connections of one account, and memory.
 
+use std::env;
+
+use crocushold_config::CONNECTION_BYTES;
+use crocushold_standins::EngineCommand;
+
 use crate::support::Call;
 use crate::support::Entry;
 use crate::support::Raw;
@@ -114,3 +119,116 @@
     drop((running, queued));
     entry.wait_idle();
 }
+
+/// Connections of the flood; set to measure with more of them.
+const FLOOD: &str = "CROCUSHOLD_FLOOD";
+
+/// Headers of each request of the flood: as many as are parsed, in the longest head.
+const HEADERS: usize = 120;
+
+/// A request with the longest head that is taken.
+fn heavy(call: &Call) -> String {
+    let mut lines = String::new();
+    for number in 0..HEADERS {
+        lines.push_str(&format!("x-h{number}: {}\r\n", "v".repeat(50)));
+    }
+    let head = call
+        .head()
+        .replacen("host: entry\r\n", &format!("host: entry\r\n{lines}"), 1);
+    assert!(head.len() <= 8_191, "{}", head.len());
+    head + &call.body
+}
+
+/// Bytes behind a request that are kept while a hang-up is watched for. Behind more than 16 KiB of them
+/// it is noticed by writing only.
+fn behind() -> Vec<u8> {
+    vec![b'G'; 15 * 1024]
+}
+
+/// Resident memory of an instance, in bytes.
+fn resident(entry: &Entry) -> u64 {
+    let page = entry.page("/metrics").unwrap();
+    let mut lines = page.body.lines();
+    let line = lines.find_map(|line| line.strip_prefix("process_resident_memory_bytes "));
+    line.unwrap().parse().unwrap()
+}
+
+/// What one connection of the flood does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// Sends most of a longest head and then nothing.
+    HalfHead,
+    /// Streams an answer, and sends bytes behind its request that are kept meanwhile.
+    Streaming,
+    /// Waits for an answer to a longest head and a body.
+    Waiting,
+}
+
+/// Takes a connection of the flood; none when its request was refused, for want of memory alone.
+fn flood(entry: &Entry, kind: Kind) -> Option<Raw> {
+    let mut raw = Raw::connect(entry.listen);
+    match kind {
+        Kind::HalfHead => raw.write(&heavy(&Call::chat(true, 1)).as_bytes()[..7000]),
+        Kind::Streaming => {
+            raw.write(heavy(&Call::chat(true, 50).marked("s")).as_bytes());
+            if !raw.read_until("s 1 ") {
+                assert_refused(&raw.text());
+                return None;
+            }
+            raw.write(&behind());
+        }
+        Kind::Waiting => {
+            let bulky = Call::chat(false, 50).bulky(200 * 1024);
+            raw.write(heavy(&bulky).as_bytes());
+            raw.write(&behind());
+        }
+    }
+    Some(raw)
+}
+
+fn assert_refused(text: &str) {
+    assert!(text.starts_with("HTTP/1.1 503 "), "{text}");
+    assert!(text.contains("x-refusal-reason: overloaded"), "{text}");
+    assert!(text.contains("x-request-ran: no"), "{text}");
+    assert!(text.contains("retry-after: 1\r\n"), "{text}");
+}
+
+// Callers take all they can: heads that never end, streams that stand still with bytes behind their
+// requests, and bodies until the memory for requests is used up, on as many connections as there are.
+// The instance refuses what has no room and says that it didn't run, grows by no more than the sum of
+// its bounds, and serves on once they are gone.
+#[test]
+fn memory_is_bounded_whatever_callers_hold() {
+    const MEMORY: u64 = 16 << 20;
+    let count: usize = env::var(FLOOD).map_or(300, |count| count.parse().unwrap());
+    let most = count + 1;
+    let limits = format!("connections = {most}\nconnections-per-account = {most}\n");
+    let site = Site::start(&SiteSettings {
+        concurrency: 10_000,
+        memory: 16,
+        limits: format!("{limits}head-timeout = 10 min\n"),
+        ..SiteSettings::default()
+    });
+    let entry = site.entry("entry-1");
+    drop(kept(&entry, "team.chat"));
+    let before = resident(&entry);
+    site.all_engines(&EngineCommand::Stall { after: Some(2) });
+    let kinds = [Kind::HalfHead, Kind::Streaming, Kind::Waiting];
+    let flood: Vec<_> = kinds
+        .iter()
+        .cycle()
+        .take(count)
+        .map(|&kind| (kind, flood(&entry, kind)))
+        .collect();
+    let over = Call::chat(false, 50).bulky(4 * 1024 * 1024 - 1024);
+    let mut last = Raw::connect(entry.listen);
+    last.write(over.head().as_bytes());
+    assert_refused(&last.read_to_end());
+    let after = resident(&entry);
+    let bound = before + MEMORY + count as u64 * CONNECTION_BYTES;
+    let held = entry.running("chat");
+    println!("{count} connections, {held} requests: {before} bytes, then {after} of {bound}");
+    assert!(after <= bound, "{after} of {bound}");
+    drop((flood, last));
+    site.assert_recovers(&entry);
+}
--- a/tests/all/support/site.rs
+++ b/tests/all/support/site.rs
@@ -37,6 +37,8 @@
     pub engine: EngineSettings,
     pub service: ServiceSettings,
     pub first_start: bool,
+    /// What the requests at an entry instance may hold, in MiB.
+    pub memory: u64,
     /// Further lines of the entry instances' `[limits]`.
     pub limits: String,
 }
@@ -53,6 +55,7 @@
             },
             service: ServiceSettings::default(),
             first_start: true,
+            memory: 192,
             limits: String::new(),
         }
     }
@@ -68,6 +71,7 @@
     pub text: String,
     folder: Folder,
     first_start: bool,
+    memory: u64,
     limits: String,
 }
 
@@ -102,6 +106,7 @@
                 text,
                 folder: Folder::new(),
                 first_start: settings.first_start,
+                memory: settings.memory,
                 limits: settings.limits.clone(),
             }
         })
@@ -198,10 +203,10 @@
         let any = any_address();
         let platform = self.platform.addr();
         let first = if self.first_start { "yes" } else { "no" };
-        let limits = &self.limits;
+        let (memory, limits) = (self.memory, &self.limits);
         let text = format!(
             "[instance]\nid = {name}\nzone = zone-a\nlisten = {any}\noperator = {any}\n\
-             notice = 300 ms\ndrain = 20 s\n\n[platform]\naddresses = {platform}\n\n\
+             notice = 300 ms\ndrain = 20 s\nmemory = {memory} MiB\n\n[platform]\naddresses = {platform}\n\n\
              [peers]\nlisten = {peer}\nkey = {PEER_KEY}\nfirst-start = {first}\n\n\
              [limits]\nbody-timeout = 2 s\nwrite-timeout = 5 s\n{limits}"
         );
