--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -24,6 +24,10 @@
 
 const MIB: u64 = 1 << 20;
 
+/// What a connection of a caller may take, whatever comes over it, beside its requests: its task, 20 KiB
+/// that were read ahead (in room for 32), and the buffers of an answer.
+pub const CONNECTION_BYTES: u64 = 80 << 10;
+
 /// The least memory bound with which an instance is of use.
 const MIN_MEMORY: u64 = 16 * MIB;
 
@@ -75,6 +79,8 @@
     pub connections: u32,
     /// Connections of one account.
     pub per_account: u32,
+    /// Requests of one account that may wait in the queue of a service.
+    pub queued: u32,
 }
 
 impl Default for CallerLimits {
@@ -88,6 +94,7 @@
             idle: Millis::from_secs(60),
             connections: 4096,
             per_account: 1024,
+            queued: 1024,
         }
     }
 }
@@ -175,6 +182,7 @@
             settings.read(section, &mut findings);
         }
         settings.check_addresses(&sections, &mut findings);
+        settings.check_memory(&sections, &mut findings);
         if findings.has_error() {
             return Err(findings.into_sorted());
         }
@@ -238,6 +246,24 @@
         );
     }
 
+    /// A request with the longest body fits into the memory of all: it is held twice while it is sent.
+    fn check_memory(&self, sections: &[Section], findings: &mut Findings) {
+        if self.memory < MIN_MEMORY || self.limits.body <= self.memory / 4 {
+            return;
+        }
+        let message = "a longest body doesn't fit into memory, where it is held twice; \
+                       write at most a quarter of memory";
+        let limits = sections.iter().find(|section| section.header == "limits");
+        let place = limits.filter(|section| Fields::new("", section, findings).has("body"));
+        let (section, key) = match place {
+            Some(section) => (Some(section), "body"),
+            None => (sections.iter().find(|s| s.header == "instance"), "memory"),
+        };
+        if let Some(section) = section {
+            Fields::new("", section, findings).reject(key, message);
+        }
+    }
+
     /// Two of the instance's own addresses are never the same.
     fn check_addresses(&self, sections: &[Section], findings: &mut Findings) {
         let own = [
@@ -283,6 +309,7 @@
             &mut self.per_account,
             fields.take("connections-per-account", count),
         );
+        set(&mut self.queued, fields.take("queued-per-account", count));
         if self.per_account > self.connections {
             let message = "one account may hold more connections than there are in all; \
                            write at most the value of connections";
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -34,6 +34,9 @@
 use crate::publish::Addresses;
 use crate::shared::Shared;
 
+/// Connections of balancers, scrapers and operators at a time.
+const OPERATOR_CONNECTIONS: usize = 256;
+
 quick_error! {
     /// Why an instance could not start.
     #[derive(Debug)]
@@ -65,7 +68,7 @@
         let started = wall_clock();
         let seed = started ^ XxHash3_64::oneshot(settings.id.as_bytes());
         let callers = bind(settings.listen, caller_limits(&settings.limits)).await?;
-        let operators = bind(settings.operator, ListenerLimits::default()).await?;
+        let operators = bind(settings.operator, operator_limits()).await?;
         let listen = local_addr(&callers, settings.listen)?;
         let operator = local_addr(&operators, settings.operator)?;
         let shared = Arc::new(Shared::new(settings, started, seed));
@@ -148,6 +151,13 @@
     since.map_or(0, |span| span.as_millis() as u64)
 }
 
+fn operator_limits() -> ListenerLimits {
+    ListenerLimits {
+        max_connections: OPERATOR_CONNECTIONS,
+        ..ListenerLimits::default()
+    }
+}
+
 fn caller_limits(limits: &CallerLimits) -> ListenerLimits {
     ListenerLimits {
         max_connections: limits.connections as usize,
@@ -207,9 +217,14 @@
 
 fn spawn_callers(listener: Listener, shared: &Arc<Shared>) -> JoinHandle<()> {
     let shared = shared.clone();
-    task::spawn(listener.run(move |request, hangup| {
+    task::spawn(listener.run_each(move || {
         let shared = shared.clone();
-        async move { callers::answer(&shared, request, hangup).await }
+        let connection = Arc::new(shared.connections.open());
+        move |request, hangup| {
+            let shared = shared.clone();
+            let connection = connection.clone();
+            async move { callers::answer(&shared, &connection, request, hangup).await }
+        }
     }))
 }
 
@@ -217,6 +232,6 @@
     let shared = shared.clone();
     task::spawn(listener.run(move |request, _| {
         let shared = shared.clone();
-        async move { operator::answer(&shared, &request) }
+        async move { operator::answer(&shared, &request).await }
     }));
 }
--- a/crates/peers/src/shell/mod.rs
+++ b/crates/peers/src/shell/mod.rs
@@ -174,6 +174,9 @@
                 core.feed(Event::Refresh);
                 task::spawn_local(tell_when_sent(core.clone(), done));
             }
+            Command::Standing(answer) => {
+                let _ = answer.send(core.standing());
+            }
             Command::Leave(done) => {
                 core.feed(Event::Leave);
                 task::spawn_local(tell_when_sent(core.clone(), done));
--- /dev/null
+++ b/tests/all/flood_faults.rs
@@ -0,0 +1,234 @@
+//! Callers that take all they can get: connections of one account, and memory.
+
+use std::env;
+
+use crocushold_config::CONNECTION_BYTES;
+use crocushold_standins::EngineCommand;
+
+use crate::support::Call;
+use crate::support::Entry;
+use crate::support::Raw;
+use crate::support::Site;
+use crate::support::SiteSettings;
+use crate::support::call;
+use crate::support::wait;
+
+/// The end of a streamed answer.
+const LAST_CHUNK: &str = "0\r\n\r\n";
+
+fn site(limits: &str) -> Site {
+    Site::start(&SiteSettings {
+        limits: limits.to_owned(),
+        ..SiteSettings::default()
+    })
+}
+
+/// A connection that was served once and is kept open.
+fn kept(entry: &Entry, key: &str) -> Raw {
+    let mut raw = Raw::send(entry.listen, &Call::chat(true, 2).key(key));
+    assert!(raw.read_until(LAST_CHUNK), "{}", raw.text());
+    raw
+}
+
+// One client account opens connections without end and keeps them idle after a first answer. It gets
+// as many as one account may hold: the next one is refused at once, before its body is sent, and
+// closed. Others are served meanwhile, and a closed connection makes room for the next.
+#[test]
+fn one_account_holds_a_bounded_number_of_connections() {
+    let site = site("connections = 8\nconnections-per-account = 3\n");
+    let entry = site.entry("entry-1");
+    let mut held: Vec<Raw> = (0..3).map(|_| kept(&entry, "team.chat")).collect();
+    let over = Call::chat(true, 2).marked("over");
+    let mut refused = Raw::connect(entry.listen);
+    refused.write(over.head().as_bytes());
+    let text = refused.read_to_end();
+    assert!(text.starts_with("HTTP/1.1 429 "), "{text}");
+    assert!(
+        text.contains("x-refusal-reason: connections_limited"),
+        "{text}"
+    );
+    assert!(text.contains("x-request-ran: no"), "{text}");
+    assert!(text.contains("retry-after: 1\r\n"), "{text}");
+    assert!(text.contains("connection: close"), "{text}");
+    assert_eq!(site.runs("over"), 0);
+    kept(&entry, "team.batch");
+    let again = Call::chat(true, 2).marked("again");
+    held[0].write(format!("{}{}", again.head(), again.body).as_bytes());
+    assert!(held[0].read_until("again 1 "), "a counted one is served on");
+    held.pop();
+    wait("the place is free", || {
+        call(entry.listen, &over).is_some_and(|answer| answer.status == 200)
+    });
+}
+
+// A balancer sends requests of several accounts over one connection. It counts for the account of its
+// latest request alone: were it counted for all of them, a few connections of the balancer would use
+// up the places of every account.
+#[test]
+fn a_shared_connection_counts_for_its_latest_account_only() {
+    let site = site("connections-per-account = 1\n");
+    let entry = site.entry("entry-1");
+    let mut shared = kept(&entry, "team.chat");
+    let batch = Call::chat(true, 2).key("team.batch").marked("moved");
+    shared.write(format!("{}{}", batch.head(), batch.body).as_bytes());
+    assert!(shared.read_until("moved 1 "));
+    drop(kept(&entry, "team.chat"));
+    let refused = call(entry.listen, &batch).unwrap();
+    assert_eq!(refused.header("x-refusal-reason"), "connections_limited");
+}
+
+// A flood of wrong keys must not take an account's places, and a key that no account has counts for
+// none.
+#[test]
+fn wrong_keys_take_no_places() {
+    let site = site("connections-per-account = 1\n");
+    let entry = site.entry("entry-1");
+    let strangers: Vec<Raw> = (0..4)
+        .map(|_| {
+            let mut raw = Raw::send(entry.listen, &Call::chat(true, 2).key("team.nobody"));
+            assert!(raw.read_until("unauthorized"));
+            raw
+        })
+        .collect();
+    kept(&entry, "team.chat");
+    drop(strangers);
+}
+
+// An account's requests wait for the only slot. As many as it may have in the queue wait on; the next
+// one is told at once that nothing ran and when to come back, and keeps its connection.
+#[test]
+fn one_account_has_a_bounded_number_of_requests_in_a_queue() {
+    let site = Site::start(&SiteSettings {
+        engines: 1,
+        concurrency: 1,
+        limits: "queued-per-account = 2\n".to_owned(),
+        ..SiteSettings::default()
+    });
+    let entry = site.entry("entry-1");
+    let running = Raw::send(entry.listen, &Call::batch(5000).marked("running"));
+    wait("the only slot is taken", || site.runs("running") == 1);
+    let queued = [0; 2].map(|_| Raw::send(entry.listen, &Call::batch(2)));
+    wait("two wait", || entry.queued("batch") == 2);
+    let refused = call(entry.listen, &Call::batch(2).marked("over")).unwrap();
+    assert_eq!(refused.status, 429, "{}", refused.body);
+    assert_eq!(refused.header("x-refusal-reason"), "concurrency_limited");
+    assert_eq!(refused.header("x-request-ran"), "no");
+    assert!(!refused.header("retry-after").is_empty());
+    assert_eq!(refused.header("connection"), "");
+    assert_eq!(site.runs("over"), 0);
+    drop((running, queued));
+    entry.wait_idle();
+}
+
+/// Connections of the flood; set to measure with more of them.
+const FLOOD: &str = "CROCUSHOLD_FLOOD";
+
+/// Headers of each request of the flood: as many as are parsed, in the longest head.
+const HEADERS: usize = 120;
+
+/// A request with the longest head that is taken.
+fn heavy(call: &Call) -> String {
+    let mut lines = String::new();
+    for number in 0..HEADERS {
+        lines.push_str(&format!("x-h{number}: {}\r\n", "v".repeat(50)));
+    }
+    let head = call
+        .head()
+        .replacen("host: entry\r\n", &format!("host: entry\r\n{lines}"), 1);
+    assert!(head.len() <= 8_191, "{}", head.len());
+    head + &call.body
+}
+
+/// Bytes behind a request that are kept while a hang-up is watched for. Behind more than 16 KiB of them
+/// it is noticed by writing only.
+fn behind() -> Vec<u8> {
+    vec![b'G'; 15 * 1024]
+}
+
+/// Resident memory of an instance, in bytes.
+fn resident(entry: &Entry) -> u64 {
+    let page = entry.page("/metrics").unwrap();
+    let mut lines = page.body.lines();
+    let line = lines.find_map(|line| line.strip_prefix("process_resident_memory_bytes "));
+    line.unwrap().parse().unwrap()
+}
+
+/// What one connection of the flood does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// Sends most of a longest head and then nothing.
+    HalfHead,
+    /// Streams an answer, and sends bytes behind its request that are kept meanwhile.
+    Streaming,
+    /// Waits for an answer to a longest head and a body.
+    Waiting,
+}
+
+/// Takes a connection of the flood; none when its request was refused, for want of memory alone.
+fn flood(entry: &Entry, kind: Kind) -> Option<Raw> {
+    let mut raw = Raw::connect(entry.listen);
+    match kind {
+        Kind::HalfHead => raw.write(&heavy(&Call::chat(true, 1)).as_bytes()[..7000]),
+        Kind::Streaming => {
+            raw.write(heavy(&Call::chat(true, 50).marked("s")).as_bytes());
+            if !raw.read_until("s 1 ") {
+                assert_refused(&raw.text());
+                return None;
+            }
+            raw.write(&behind());
+        }
+        Kind::Waiting => {
+            let bulky = Call::chat(false, 50).bulky(200 * 1024);
+            raw.write(heavy(&bulky).as_bytes());
+            raw.write(&behind());
+        }
+    }
+    Some(raw)
+}
+
+fn assert_refused(text: &str) {
+    assert!(text.starts_with("HTTP/1.1 503 "), "{text}");
+    assert!(text.contains("x-refusal-reason: overloaded"), "{text}");
+    assert!(text.contains("x-request-ran: no"), "{text}");
+    assert!(text.contains("retry-after: 1\r\n"), "{text}");
+}
+
+// Callers take all they can: heads that never end, streams that stand still with bytes behind their
+// requests, and bodies until the memory for requests is used up, on as many connections as there are.
+// The instance refuses what has no room and says that it didn't run, grows by no more than the sum of
+// its bounds, and serves on once they are gone.
+#[test]
+fn memory_is_bounded_whatever_callers_hold() {
+    const MEMORY: u64 = 16 << 20;
+    let count: usize = env::var(FLOOD).map_or(300, |count| count.parse().unwrap());
+    let most = count + 1;
+    let limits = format!("connections = {most}\nconnections-per-account = {most}\n");
+    let site = Site::start(&SiteSettings {
+        concurrency: 10_000,
+        memory: 16,
+        limits: format!("{limits}head-timeout = 10 min\n"),
+        ..SiteSettings::default()
+    });
+    let entry = site.entry("entry-1");
+    drop(kept(&entry, "team.chat"));
+    let before = resident(&entry);
+    site.all_engines(&EngineCommand::Stall { after: Some(2) });
+    let kinds = [Kind::HalfHead, Kind::Streaming, Kind::Waiting];
+    let flood: Vec<_> = kinds
+        .iter()
+        .cycle()
+        .take(count)
+        .map(|&kind| (kind, flood(&entry, kind)))
+        .collect();
+    let over = Call::chat(false, 50).bulky(4 * 1024 * 1024 - 1024);
+    let mut last = Raw::connect(entry.listen);
+    last.write(over.head().as_bytes());
+    assert_refused(&last.read_to_end());
+    let after = resident(&entry);
+    let bound = before + MEMORY + count as u64 * CONNECTION_BYTES;
+    let held = entry.running("chat");
+    println!("{count} connections, {held} requests: {before} bytes, then {after} of {bound}");
+    assert!(after <= bound, "{after} of {bound}");
+    drop((flood, last));
+    site.assert_recovers(&entry);
+}
