Add fail points inside the daemon, and the tests that they allow

Faults between two steps of one process (a claim and its first byte, a vote and its count, a change received and in force) could only be hit by luck. Seven named steps of crates/entry now look at the crate fail: a test has the process panic there, or holds the task, and reads how many are held.

Tests: panic with the turn, the claim and the head of an answer; kill, hang-up and freeze beside a claim; planned stop, kill, freeze, outage and a platform that goes back while a change is applied.

--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -16,6 +16,8 @@
 use log::info;
 use log::warn;
 
+use crate::failpoint::Point;
+use crate::failpoint::reach;
 use crate::shared::PartInfo;
 use crate::shared::Shared;
 
@@ -27,7 +29,11 @@
     shared.take_view(&peers.view());
     while let Ok(notice) = notices.recv().await {
         match notice {
-            Notice::Config => applier.apply(&shared, peers.config()),
+            Notice::Config => {
+                let snapshot = peers.config();
+                reach(Point::Applying).await;
+                applier.apply(&shared, snapshot);
+            }
             Notice::View => shared.take_view(&peers.view()),
             Notice::Finding(finding) => {
                 let event = Event::new("peer-finding").with("finding", format!("{finding:?}"));
--- a/crates/entry/src/coordination/mod.rs
+++ b/crates/entry/src/coordination/mod.rs
@@ -50,6 +50,8 @@
 use crate::coordination::members::Members;
 use crate::coordination::orders::EngineOrders;
 use crate::coordination::transport::Transport;
+use crate::failpoint::Point;
+use crate::failpoint::reach;
 use crate::intake::Once;
 
 pub(crate) use limits::Ask;
@@ -226,6 +228,7 @@
             .map(|voter| async move { (voter, self.vote_of(voter, request).await) })
             .collect();
         while let Some((voter, vote)) = votes.next().await {
+            reach(Point::Voted).await;
             let verdict = match vote {
                 Some(vote) => round.on_vote(voter, vote),
                 None => round.on_unreachable(voter),
--- a/crates/entry/src/coordination/orders/shell.rs
+++ b/crates/entry/src/coordination/orders/shell.rs
@@ -33,6 +33,8 @@
 use super::message::Outdated;
 use super::message::Ranked;
 use super::send::send;
+use crate::failpoint::Point;
+use crate::failpoint::reach;
 
 /// Which tier asked for a model of late.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -146,6 +148,7 @@
     }
 
     async fn carry(&self, service: ServiceKey, errand: &Errand) {
+        reach(Point::Ordering).await;
         // The process may have been stopped since the order was decided, for as long as another
         // instance took to become the owner. An engine that ignores fencing numbers would obey it.
         if !self.may_send(service, errand) {
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -46,6 +46,8 @@
 use crate::coordination::Ask;
 use crate::coordination::Coordinator;
 use crate::coordination::Permit;
+use crate::failpoint::Point;
+use crate::failpoint::reach;
 use crate::intake::Job;
 use crate::pool::Pool;
 use crate::pool::Start;
@@ -246,6 +248,7 @@
             pool: &self.pool,
             pick: Some(*pick),
         };
+        reach(Point::Dispatched).await;
         let claimed = self.claim().await?;
         guard.pick = None;
         Ok(claimed)
@@ -267,11 +270,13 @@
             pool: &self.pool,
             pick: Some(*pick),
         };
+        reach(Point::Claimed).await;
         let sent = std::pin::pin!(self.client.send(address, request, &limits, reuse));
         let gone = std::pin::pin!(hangup.wait());
         // Dropping the future cuts the connection, and with it the server's work.
         match select(sent, gone).await {
             Either::Left((Ok(answer), _)) => {
+                reach(Point::Answered).await;
                 guard.pick = None;
                 Attempted::Answered(Box::new(answer))
             }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod callers;
 mod coordination;
 mod exchange;
+mod failpoint;
 mod instance;
 mod intake;
 mod loads;
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -23,6 +23,10 @@
 
 /// Answers a request on the operator's address.
 pub(crate) fn answer(shared: &Arc<Shared>, request: &Request) -> Response {
+    #[cfg(feature = "failpoints")]
+    if let Some(response) = crate::failpoint::command(request) {
+        return response;
+    }
     if request.method() != Method::Get {
         return text(StatusCode::MethodNotAllowed, "only GET\n");
     }
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -20,6 +20,8 @@
 use serde::Deserialize;
 
 use crate::coordination::Permit;
+use crate::failpoint::Point;
+use crate::failpoint::pass;
 use crate::pool::Pool;
 
 /// Tokens between two reports of progress: often enough to see a straggler, seldom enough that the
@@ -180,6 +182,7 @@
     }
 
     fn end(&mut self, end: End) {
+        pass(Point::Read);
         self.settle(end);
     }
 }
--- a/tests/all/matrix.rs
+++ b/tests/all/matrix.rs
@@ -13,7 +13,7 @@
 const REWRITE: &str = "CROCUSHOLD_WRITE_MATRIX";
 
 /// The modules whose tests all have to stand in the table.
-const MODULES: [&str; 9] = [
+const MODULES: [&str; 10] = [
     "answer_faults::",
     "caller_faults::",
     "config_faults::",
@@ -23,6 +23,7 @@
     "process_faults::",
     "sending_faults::",
     "server_faults::",
+    "step_faults::",
 ];
 
 /// Defines an enum with the text that the page shows for each variant, in the page's order.
@@ -75,6 +76,7 @@
         CallerSlow = "caller too slow",
         PeersSplit = "partition between entry instances",
         ServersSplit = "partition between entry and servers, also one way",
+        Panic = "panic of one task of the entry process",
         StopCrash = "planned stop, engine crash",
         StopHangGone = "planned stop, engine hang, caller gone",
         FrozenChange = "entry frozen, configuration change",
--- a/tests/all/support/entry.rs
+++ b/tests/all/support/entry.rs
@@ -149,6 +149,40 @@
         });
     }
 
+    /// Sets a fail point of the process, in the language of the crate `fail`.
+    pub fn set_point(&self, point: &str, actions: &str) {
+        let page = Call {
+            method: Method::Post,
+            path: format!("/failpoints/{point}/{actions}"),
+            key: String::new(),
+            headers: Vec::new(),
+            body: String::new(),
+        };
+        let answer = call(self.operator, &page).expect("the operator's interface answers");
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+
+    /// Holds whatever comes to a fail point, until [`Entry::release`].
+    pub fn hold(&self, point: &str) {
+        self.set_point(point, "return");
+    }
+
+    /// Lets go on what is held at a fail point.
+    pub fn release(&self, point: &str) {
+        self.set_point(point, "off");
+    }
+
+    /// How much is held at a fail point.
+    pub fn held(&self, point: &str) -> u64 {
+        let page = self.page(&format!("/failpoints/{point}")).unwrap();
+        page.body.parse().expect("the binary has fail points")
+    }
+
+    /// Waits until something is held at a fail point.
+    pub fn wait_held(&self, point: &str) {
+        wait("something is held at the point", || self.held(point) > 0);
+    }
+
     /// Sends the process a signal, such as `TERM`, `STOP` or `CONT`.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
--- a/tests/all/support/raw.rs
+++ b/tests/all/support/raw.rs
@@ -64,6 +64,14 @@
         self.text()
     }
 
+    /// Whether a byte came that wasn't read yet.
+    pub fn has_bytes(&self) -> bool {
+        self.stream.set_nonblocking(true).unwrap();
+        let count = self.stream.peek(&mut [0]).unwrap_or(0);
+        self.stream.set_nonblocking(false).unwrap();
+        count > 0
+    }
+
     /// What came so far.
     pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.received).into_owned()
