Give the slots of an answer back when its settlement panics

Cause: the end of an answer is told to Settle, which is taken out of the body first. A panic on the way (found by the fail point `read`, which panics with the last byte) dropped it unsettled, with the slots of scheduler and router still taken: nobody else gives them back, so the server counted one request more for ever. The first await has always stood behind guards; this was the one holder without one.

Slots now holds ticket and attempt and gives them back when dropped. A Drop on Settle itself was ruled out: it would count and parse once more during the panic, and a second panic there ends the process. The request of a panicked task is still not counted by the metrics.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -56,6 +56,7 @@
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::settle::Settle;
+use crate::settle::Slots;
 use crate::settle::Watched;
 
 /// The least time for an attempt whose request is at its bound already.
@@ -336,11 +337,9 @@
         relay_headers(&answer.headers, response.as_mut());
         let settle = Settle::new(Watched {
             clock: self.clock,
-            pool: self.pool.clone(),
             metrics: self.metrics.clone(),
-            ticket: held.ticket,
+            slots: Slots::new(self.pool.clone(), held.ticket, pick.attempt),
             permit: held.permit,
-            attempt: pick.attempt,
             arrived: self.arrived,
             stream: self.job.stream,
             failed: answer.status.is_server_error(),
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -31,14 +31,63 @@
 /// Bytes kept of the end of an answer that isn't streamed; its usage stands there.
 const TAIL_BYTES: usize = 2048;
 
+/// The slots that a request holds at the scheduler and at the router while its answer is relayed.
+///
+/// A panic on the way to the settlement would leak them: the server would count one request more for
+/// ever, and take one less. The drop gives them back wherever that happens.
+pub(crate) struct Slots {
+    pool: Arc<Pool>,
+    ticket: Option<Ticket<Sent>>,
+    attempt: AttemptKey,
+}
+
+impl Slots {
+    pub(crate) fn new(pool: Arc<Pool>, ticket: Ticket<Sent>, attempt: AttemptKey) -> Slots {
+        Slots {
+            pool,
+            ticket: Some(ticket),
+            attempt,
+        }
+    }
+
+    fn progress(&self, tokens: u32) {
+        let Some(ticket) = &self.ticket else {
+            return;
+        };
+        self.pool.update(|state, now| {
+            state.router.first_byte(self.attempt, now);
+            state.router.progress(self.attempt, tokens, now);
+            state.scheduler.progress(ticket, tokens, now);
+        });
+    }
+
+    fn end(mut self, outcome: Outcome, completion: Completion) {
+        let Some(ticket) = self.ticket.take() else {
+            return;
+        };
+        self.pool.update(|state, now| {
+            let tokens = completion.output;
+            state.router.done(self.attempt, outcome, tokens, now);
+            state.scheduler.finish(ticket, completion, now);
+        });
+    }
+}
+
+impl Drop for Slots {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            self.pool.end_attempt(self.attempt, Outcome::Cancelled, 0);
+            self.pool.cancel(ticket.key());
+        }
+    }
+}
+
 /// What is needed to settle a request.
 pub(crate) struct Watched {
     pub(crate) clock: Clock,
-    pub(crate) pool: Arc<Pool>,
     pub(crate) metrics: ClassMetrics,
-    pub(crate) ticket: Ticket<Sent>,
+    pub(crate) slots: Slots,
     pub(crate) permit: Permit,
-    pub(crate) attempt: AttemptKey,
     pub(crate) arrived: Millis,
     /// Whether the answer is a stream of server-sent events.
     pub(crate) stream: bool,
@@ -86,11 +135,7 @@
         };
         self.reported = tokens;
         let count = u32::try_from(tokens).unwrap_or(u32::MAX);
-        watched.pool.update(|state, now| {
-            state.router.first_byte(watched.attempt, now);
-            state.router.progress(watched.attempt, count, now);
-            state.scheduler.progress(&watched.ticket, count, now);
-        });
+        watched.slots.progress(count);
     }
 
     fn keep_tail(&mut self, bytes: &[u8]) {
@@ -160,10 +205,7 @@
     }
     watched.metrics.finish(record, now);
     watched.permit.settle(count, completion.whole);
-    watched.pool.update(|state, now| {
-        state.router.done(watched.attempt, outcome, count, now);
-        state.scheduler.finish(watched.ticket, completion, now);
-    });
+    watched.slots.end(outcome, completion);
 }
 
 impl Observer for Settle {
--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -647,6 +647,12 @@
         promises: &[Promise::Whole, Promise::Slots, Promise::Stop],
         test: "step_faults::a_panic_costs_one_request::test_case_3_with_the_head_of_its_answer",
     },
+    Cell {
+        fault: Fault::Panic,
+        step: Step::LastByte,
+        promises: &[Promise::Whole, Promise::Slots, Promise::Stop],
+        test: "step_faults::a_panic_costs_one_request::test_case_4_with_its_last_byte",
+    },
     Cell {
         fault: Fault::Panic,
         step: Step::Connecting,
--- a/tests/all/step_faults.rs
+++ b/tests/all/step_faults.rs
@@ -62,12 +62,13 @@
 }
 
 // The task of a request panics: with its turn but without a claim, with its claim but no connection,
-// or with the head of its answer. Its caller sees a cut and no answer that looks
+// with the head of its answer, or with its last byte. Its caller sees a cut and no answer that looks
 // whole. All that it held must come back, or the only slot would be lost to everybody for ever; and a
 // planned stop that counts the connection as open would last until its bound.
 #[test_case("dispatched"; "with its turn")]
 #[test_case("claimed"; "connecting")]
 #[test_case("answered"; "with the head of its answer")]
+#[test_case("read"; "with its last byte")]
 fn a_panic_costs_one_request(point: &str) {
     let site = Site::start(&one_slot());
     let mut entry = site.entry("entry-1");
@@ -80,7 +81,7 @@
         let next = call(entry.listen, &Call::chat(true, 2)).unwrap();
         assert!(next.status == 200 && next.whole, "{number}: {}", next.body);
     }
-    let ran = point == "answered";
+    let ran = point == "answered" || point == "read";
     assert_eq!(site.runs("panic"), if ran { 3 } else { 0 });
     entry.signal("TERM");
     entry.wait_closed();
