Send no order of a text that was replaced

Cause: the planner compares an order with its target, and the targets follow a new text at the next tick of the desk, up to a second later. An order that was decided and not yet sent within that second left all the same, and an engine that ignores fencing numbers loaded a model for nobody.

Ruled out: an order that left before the hold, as the point stands before the check. The desk now compares the order's number, which is its text's revision, with the text in force.

--- a/crates/entry/src/coordination/orders/desk.rs
+++ b/crates/entry/src/coordination/orders/desk.rs
@@ -332,8 +332,12 @@
     }
 
     /// Whether an order may be sent at this moment; ask right before its first byte.
+    ///
+    /// The targets that [`Orders::may_send`] knows follow a new text only at the next tick. Within that
+    /// second an order of the replaced text would leave, and an engine that ignores fencing numbers
+    /// would load or unload what nobody wants any more. The order's number is its text's revision.
     pub(super) fn may_send(&mut self, order: &Order, now: Millis) -> bool {
-        self.orders.may_send(order, now)
+        order.fence == self.revision && self.orders.may_send(order, now)
     }
 
     /// An order was answered, or its call failed.
--- a/crates/entry/src/coordination/orders/tests.rs
+++ b/crates/entry/src/coordination/orders/tests.rs
@@ -286,3 +286,18 @@
     let mut lone = Lone::new(2, vec![held(), held()]);
     assert_eq!(lone.run(60, OrderAnswer::Obeyed), []);
 }
+
+/// A load is decided, and before it leaves a text without its model is in force. The targets follow a
+/// text at the next tick; until then an engine that ignores fencing numbers would load for nobody.
+#[test]
+fn an_order_of_a_replaced_text_may_not_be_sent() {
+    let mut lone = Lone::new(2, vec![report(&[], 0); 2]);
+    let mut sent = Vec::new();
+    while sent.is_empty() {
+        sent = lone.run(1, OrderAnswer::Failed);
+    }
+    let (order, now) = (&sent[0].order, Millis(lone.now));
+    assert!(lone.desk.may_send(order, now));
+    lone.checks(true);
+    assert!(!lone.desk.may_send(order, now));
+}
--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -719,6 +719,18 @@
         promises: &[Promise::Whole, Promise::Config],
         test: "step_faults::a_platform_that_fails_while_applying_reverts_nothing::test_case_2_down",
     },
+    Cell {
+        fault: Fault::ConfigChange,
+        step: Step::Order,
+        promises: &[Promise::Config],
+        test: "step_faults::an_order_that_is_held_is_overtaken_by_a_text_and_by_a_stop",
+    },
+    Cell {
+        fault: Fault::Stop,
+        step: Step::Order,
+        promises: &[Promise::Whole, Promise::Stop],
+        test: "step_faults::an_order_that_is_held_is_overtaken_by_a_text_and_by_a_stop",
+    },
     Cell {
         fault: Fault::CallerGone,
         step: Step::Connecting,
--- a/tests/all/step_faults.rs
+++ b/tests/all/step_faults.rs
@@ -17,6 +17,7 @@
 use crate::support::call;
 use crate::support::call_beside;
 use crate::support::wait;
+use crate::support::wait_long;
 
 /// Longer than a claim may take from the first vote asked for to the first byte.
 const CLAIM_BOUND: Duration = Duration::from_millis(5_200);
@@ -276,6 +277,64 @@
     assert_eq!(entry.status().config.revision, 2);
 }
 
+/// Publishes a text in which the engines may be ordered and one more model is wanted on both, and has
+/// the instance stop short of its order.
+fn hold_order(site: &Site, entry: &Entry, model: &str) {
+    entry.hold("ordering");
+    site.publish(|text| with_models(text, &[model]));
+    wait_long("an order is decided", || entry.held("ordering") > 0);
+}
+
+fn with_models(text: &str, models: &[&str]) -> String {
+    let orders = "kind = model\nweight-loads = 60/min\nchecks-orders = no";
+    let text = text.replace("kind = model", orders);
+    let models = models
+        .iter()
+        .map(|name| format!("[model fleet/{name}]\nweights = 16 GB\nservers = 2\n\n"));
+    let models: String = models.collect();
+    text.replacen("[server fleet/", &format!("{models}[server fleet/"), 1)
+}
+
+fn loaded(site: &Site, model: &str) -> usize {
+    let page = Call {
+        method: http_types::Method::Get,
+        path: "/load".to_owned(),
+        body: String::new(),
+        ..Call::chat(false, 1)
+    };
+    let reports = site.engines.iter().map(|engine| call(engine.addr(), &page));
+    let model = format!("\"{model}\"");
+    reports
+        .filter(|report| report.as_ref().unwrap().body.contains(&model))
+        .count()
+}
+
+// An order to load a model is decided and not yet sent when the text that wanted it is replaced. The
+// engines ignore fencing numbers and would obey, so the order must not leave any more. Then a stop is
+// asked for beside another such order. The stop doesn't wait for orders: the stream in progress is
+// whole, and the process ends by itself. (A process that starts waits 25 s before its first order.)
+#[test]
+fn an_order_that_is_held_is_overtaken_by_a_text_and_by_a_stop() {
+    let site = Site::start(&SiteSettings::default());
+    let mut entry = site.entry("entry-1");
+    hold_order(&site, &entry, "n");
+    site.publish(|text| with_models(text, &["o"]));
+    entry.wait_in_force(3);
+    entry.release("ordering");
+    wait("an order of the later text is done", || {
+        loaded(&site, "o") == 2
+    });
+    assert_eq!(loaded(&site, "n"), 0, "loaded for nobody");
+    hold_order(&site, &entry, "p");
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 60).marked("last"));
+    assert!(caller.read_until("last 1 "));
+    entry.signal("TERM");
+    entry.wait_closed();
+    assert!(caller.read_until("[DONE]\n\n\r\n0\r\n\r\n"), "cut");
+    assert!(entry.wait_exit());
+    assert_eq!(loaded(&site, "p"), 0);
+}
+
 // An instance takes long between the claim of a booking's key and its connection. A caller that
 // doesn't wait repeats the booking through another instance: it is answered at once and runs nothing,
 // and the first caller's booking is made once when its instance goes on.
