Queue a repeat again when the servers that are left are full

Cause: after a failed attempt a repeat took a free slot of another server at once or was given up. When an engine dies under load those that are left are full, so every request that was at it or had just been sent to it lost its answer ("not run, come back" or "may have run"), live ones included, while the slots that came free next went to the batch behind them.

Seen red, each on its first run: a live request after a crash in a burst of the batch got 502 "no backend server could be reached"; requests queued beside a crash got 502, with and without a lagging list. Ruled out: the retry budget and the count of attempts (each had its first repeat), and a server that still drew requests (one refused connection ejects it).

The router now tells servers that are full from those that were tried (Busy, not Tried), and a repeat that the rule allowed goes back into the queue at its place by arrival, by a proof that nothing ran or by the rule's word for idempotent requests. One that was written before is told "unknown" if the queue refuses it. A request under an idempotency key is still given up: its claim is good for 5 s only.

After: the four tests pass; also the straggler's case and engines that answer 503 beside a queue, which passed before.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -105,5 +105,6 @@
 pub use status::Status;
 pub use ticket::Dispatched;
 pub use ticket::NotRun;
+pub use ticket::Repeatable;
 pub use ticket::Sent;
 pub use ticket::Ticket;
--- a/crates/admission/src/ticket.rs
+++ b/crates/admission/src/ticket.rs
@@ -26,6 +26,10 @@
     ServerRefused,
 }
 
+/// The word of the rule for repeats that a request may be sent again although it may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Repeatable;
+
 /// A started request. It occupies one slot until it is finished, queued again or cancelled by key.
 ///
 /// A ticket can't be copied, so a request can't be started twice from one dispatch.
@@ -100,6 +104,12 @@
 }
 
 impl Ticket<Sent> {
+    /// Takes the request back as one that may be sent a second time although it may have run: it is
+    /// idempotent, and nothing of an answer went to its caller.
+    pub fn again(self, _permit: Repeatable) -> Ticket<Dispatched> {
+        self.become_state()
+    }
+
     /// Takes the request back as one that may be sent elsewhere, on proof that it did not run.
     pub fn not_run(self, _proof: NotRun) -> Ticket<Dispatched> {
         self.become_state()
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crocushold_admission::NotRun;
+use crocushold_admission::Repeatable;
 use crocushold_admission::Sent;
 use crocushold_admission::Ticket;
 use crocushold_base::Clock;
@@ -49,9 +51,11 @@
 use crate::failpoint::Point;
 use crate::failpoint::reach;
 use crate::intake::Job;
+use crate::pool::NoRepeat;
 use crate::pool::Pool;
 use crate::pool::Start;
 use crate::pool::Turn;
+use crate::pool::Waiting;
 use crate::refusal::Ran;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
@@ -141,6 +145,10 @@
             .pool
             .submit(&self.job.arrival, self.job.need)
             .map_err(Failure::Refused)?;
+        self.wait_in_queue(waiting, hangup).await
+    }
+
+    async fn wait_in_queue(&self, waiting: Waiting, hangup: &Hangup) -> Result<Start, Failure> {
         let _queued = self.metrics.queued();
         // The guard also runs when this future is dropped, which is how a cut connection ends it.
         let mut guard = QueueGuard {
@@ -196,7 +204,7 @@
             pool: &self.pool,
             ticket: Some(start.ticket.sent()),
         };
-        let running = self.metrics.running();
+        let mut running = self.metrics.running();
         let mut attempts = Attempts::new(&self.job);
         let mut pick = start.pick;
         let mut address = start.address;
@@ -232,18 +240,53 @@
                 .pool
                 .retry(&attempts.facts, stage, &self.job.need, &attempts.tried);
             attempts.facts.written |= !stage.proves_not_run();
-            (pick, address) = next.map_err(|decision| {
-                if !attempts.facts.written
-                    && let Some(claimed) = claimed.take()
-                {
-                    claimed.not_run();
+            (pick, address) = match next {
+                Ok(next) => next,
+                // A claim is good for a few seconds only, so its request can't wait for a turn.
+                Err(NoRepeat::Busy(_)) if claimed.is_none() => {
+                    drop(running);
+                    let start = self.wait_again(slot.take(), &attempts, hangup).await?;
+                    slot.ticket = Some(start.ticket.sent());
+                    running = self.metrics.running();
+                    (start.pick, start.address)
+                }
+                Err(none) => {
+                    if !attempts.facts.written
+                        && let Some(claimed) = claimed.take()
+                    {
+                        claimed.not_run();
+                    }
+                    return Err(give_up(none.decision(), late));
                 }
-                give_up(decision, late)
-            })?;
+            };
             self.metrics.retried();
         }
     }
 
+    /// Waits in the queue for a second turn, after the rule for repeats allowed one.
+    async fn wait_again(
+        &self,
+        ticket: Ticket<Sent>,
+        attempts: &Attempts,
+        hangup: &Hangup,
+    ) -> Result<Start, Failure> {
+        let ticket = if attempts.facts.written {
+            ticket.again(Repeatable)
+        } else {
+            ticket.not_run(NotRun::NothingWritten)
+        };
+        let tried = attempts.tried.clone();
+        let waiting = self.pool.requeue(ticket, self.job.need, tried);
+        let start = self.wait_in_queue(waiting, hangup).await;
+        start.map_err(|failure| match failure {
+            // The queue knows nothing of the attempts before, and says that nothing ran.
+            Failure::Refused(refusal) if attempts.facts.written => {
+                Failure::Refused(refusal.may_have_run())
+            }
+            failure => failure,
+        })
+    }
+
     /// Like [`Exchange::claim`]; gives the server's slot back when the claim fails.
     async fn claim_for(&self, pick: &Pick) -> Result<Option<Claimed<'_>>, Failure> {
         let mut guard = AttemptGuard {
--- a/crates/entry/src/exchange/guard.rs
+++ b/crates/entry/src/exchange/guard.rs
@@ -51,7 +51,7 @@
     pub(super) fn take(&mut self) -> Ticket<Sent> {
         self.ticket
             .take()
-            .expect("the ticket is taken once, when the answer comes")
+            .expect("the ticket is there while the request is at a server")
     }
 }
 
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -114,6 +114,26 @@
 struct Waiter {
     turn: oneshot::Sender<Turn>,
     need: Need,
+    /// Servers at which it failed already.
+    tried: Vec<ServerKey>,
+}
+
+/// Why a request isn't sent again at once.
+#[derive(Debug)]
+pub(crate) enum NoRepeat {
+    /// It may be sent to a server that wasn't tried and has no free slot now.
+    Busy(Decision),
+    /// Its caller gets a final answer.
+    Final(Decision),
+}
+
+impl NoRepeat {
+    /// What to tell a caller that won't wait.
+    pub(crate) fn decision(self) -> Decision {
+        match self {
+            NoRepeat::Busy(decision) | NoRepeat::Final(decision) => decision,
+        }
+    }
 }
 
 /// A request that was admitted and waits for its turn.
@@ -235,10 +255,35 @@
         stage: Stage,
         need: &Need,
         tried: &[ServerKey],
-    ) -> Result<(Pick, SocketAddr), Decision> {
+    ) -> Result<(Pick, SocketAddr), NoRepeat> {
         self.update(|state, now| state.repick(facts, stage, need, tried, now))
     }
 
+    /// Puts a request whose attempt failed back into the queue, at its place by arrival.
+    ///
+    /// When a server dies, those that are left are soon full. Given up on at once, a live request
+    /// would lose its answer while the slots that come free next go to lower tiers behind it.
+    pub(crate) fn requeue(
+        &self,
+        ticket: Ticket<Dispatched>,
+        need: Need,
+        tried: Vec<ServerKey>,
+    ) -> Waiting {
+        let (sender, turn) = oneshot::channel();
+        let key = ticket.key();
+        let waiter = Waiter {
+            turn: sender,
+            need,
+            tried,
+        };
+        self.update(|state, now| {
+            state.waiting.insert(key, waiter);
+            state.scheduler.requeue(ticket, now);
+        });
+        let _ = self.wake.try_send(());
+        Waiting { key, turn }
+    }
+
     /// Ends an attempt at a server.
     pub(crate) fn end_attempt(&self, attempt: AttemptKey, outcome: Outcome, tokens: u32) {
         self.update(|state, now| state.router.done(attempt, outcome, tokens, now));
@@ -310,7 +355,12 @@
             Verdict::Refused(refusal) => return Err(Refusal::from_admission(&refusal)),
         };
         let (sender, turn) = oneshot::channel();
-        self.waiting.insert(key, Waiter { turn: sender, need });
+        let waiter = Waiter {
+            turn: sender,
+            need,
+            tried: Vec::new(),
+        };
+        self.waiting.insert(key, waiter);
         Ok(Waiting { key, turn })
     }
 
@@ -344,13 +394,16 @@
     /// Sends a dispatched request on its way; gives the ticket back when no server could be had.
     fn dispatch(&mut self, ticket: Ticket<Dispatched>, now: Millis) -> Option<Ticket<Dispatched>> {
         let key = ticket.key();
-        let Some(need) = self.waiting.get(&key).map(|waiter| waiter.need) else {
+        let Some(waiter) = self.waiting.get(&key) else {
             self.scheduler.cancel(key, 0, now);
             return None;
         };
-        match self.pick(&need, &[], now) {
+        let (need, tried) = (waiter.need, waiter.tried.clone());
+        match self.pick_preferred(&need, &tried, now) {
             Ok((pick, address)) => {
-                self.retry.first_attempt(now);
+                if tried.is_empty() {
+                    self.retry.first_attempt(now);
+                }
                 let start = Start {
                     ticket,
                     pick,
@@ -368,6 +421,20 @@
         }
     }
 
+    /// Picks a server that wasn't tried. When none is left, one that was: it may have recovered while
+    /// the request waited, and the request would wait for ever for another.
+    fn pick_preferred(
+        &mut self,
+        need: &Need,
+        tried: &[ServerKey],
+        now: Millis,
+    ) -> Result<(Pick, SocketAddr), NoServer> {
+        match self.pick(need, tried, now) {
+            Err(none) if none.reason == routing::Reason::Tried => self.pick(need, &[], now),
+            result => result,
+        }
+    }
+
     fn start(&mut self, start: Start, now: Millis) {
         let key = start.ticket.key();
         let attempt = start.pick.attempt;
@@ -404,20 +471,25 @@
         need: &Need,
         tried: &[ServerKey],
         now: Millis,
-    ) -> Result<(Pick, SocketAddr), Decision> {
+    ) -> Result<(Pick, SocketAddr), NoRepeat> {
         match self.retry.after_failure(facts, stage, now) {
             Decision::Retry => {}
-            give_up @ Decision::GiveUp { .. } => return Err(give_up),
+            give_up @ Decision::GiveUp { .. } => return Err(NoRepeat::Final(give_up)),
         }
         let clean = stage.proves_not_run() && !facts.written;
-        self.pick(need, tried, now)
-            .map_err(|none| Decision::GiveUp {
+        self.pick(need, tried, now).map_err(|none| {
+            let decision = Decision::GiveUp {
                 ran: if clean {
                     routing::Ran::No
                 } else {
                     routing::Ran::Unknown
                 },
                 retry_after: clean.then_some(none.retry_after),
-            })
+            };
+            match none.reason {
+                routing::Reason::Busy => NoRepeat::Busy(decision),
+                _ => NoRepeat::Final(decision),
+            }
+        })
     }
 }
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -180,6 +180,17 @@
         }
     }
 
+    /// The same refusal of a request that was sent before. Its caller isn't asked to come back, which
+    /// would be taken for a promise that nothing ran.
+    #[must_use]
+    pub(crate) fn may_have_run(mut self) -> Refusal {
+        self.ran = Ran::Unknown;
+        self.retry_after = None;
+        self.message
+            .push_str("; a backend server failed before, and the request may have run");
+        self
+    }
+
     /// Adds when the caller may come back.
     #[must_use]
     pub fn retry_after(mut self, span: Millis) -> Refusal {
--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -4,7 +4,6 @@
 use crocushold_base::ServerKey;
 use rand::RngExt;
 
-use crate::pool::Pool;
 use crate::router::Demand;
 use crate::router::NoServer;
 use crate::router::Pick;
@@ -51,7 +50,7 @@
             return Err(self.refusal(Reason::NoModel, now));
         };
         let Some(best) = self.sample(pool, demand, now) else {
-            let reason = self.why_none(pool);
+            let reason = self.why_none(pool, demand);
             return Err(self.refusal(reason, now));
         };
         let home = self.home(pool, demand);
@@ -190,15 +189,23 @@
         }
     }
 
-    fn why_none(&self, pool: usize) -> Reason {
-        let Pool { open, usable, .. } = &self.pools[pool];
-        match (open.is_empty(), usable) {
-            (false, _) => Reason::Tried,
-            (true, 0) => Reason::Out,
-            (true, _) => Reason::Busy,
+    fn why_none(&self, pool: usize, demand: &Demand<'_>) -> Reason {
+        let tried = demand.exclude.iter();
+        let tried = tried.filter(|&&server| self.is_usable(server, pool));
+        match (self.pools[pool].usable, tried.count()) {
+            (0, _) => Reason::Out,
+            (usable, tried) if tried >= usable => Reason::Tried,
+            _ => Reason::Busy,
         }
     }
 
+    fn is_usable(&self, server: ServerKey, pool: usize) -> bool {
+        let server = self.servers.get(server);
+        server.is_some_and(|server| {
+            server.counted.usable && server.members.iter().any(|m| m.pool == pool)
+        })
+    }
+
     fn refusal(&self, reason: Reason, now: Millis) -> NoServer {
         let wait = match reason {
             Reason::Busy => {
--- a/crates/routing/src/router/types.rs
+++ b/crates/routing/src/router/types.rs
@@ -69,7 +69,7 @@
     Busy,
     /// Every server is out, leaving or gone.
     Out,
-    /// Every server with a free slot was tried already.
+    /// Every server that is in was tried already.
     Tried,
     /// The process woke late, and the instance list wasn't read since.
     Stale,
@@ -81,7 +81,7 @@
             Reason::NoModel => "no server holds the model",
             Reason::Busy => "all servers are busy",
             Reason::Out => "all servers are out",
-            Reason::Tried => "all free servers were tried",
+            Reason::Tried => "all servers were tried",
             Reason::Stale => "the instance list is stale",
         })
     }
--- a/crates/routing/tests/faults.rs
+++ b/crates/routing/tests/faults.rs
@@ -89,6 +89,27 @@
     assert!(refusal.retry_after <= Millis(600));
 }
 
+// An attempt at one server failed, and the others have no free slot. Those that are merely full will
+// have one: only when every server that is in was tried is there nothing left to wait for.
+#[test]
+fn servers_that_are_full_are_not_taken_for_tried() {
+    let mut fleet = Fleet::new(2);
+    for _ in 0..SLOTS {
+        fleet.pick_on(1);
+    }
+    let (failed, full) = (fleet.keys[0], fleet.keys[1]);
+    let mut reason = |exclude: &[ServerKey]| {
+        let demand = Demand {
+            exclude,
+            ..fleet.demand()
+        };
+        let refusal = fleet.router.pick(&demand, fleet.now).unwrap_err();
+        refusal.reason
+    };
+    assert_eq!(reason(&[failed]), Reason::Busy);
+    assert_eq!(reason(&[failed, full]), Reason::Tried);
+}
+
 // The caller sees nothing, then an error. One server accepts connections and never answers; the
 // first-byte timeout follows what the others need, and three timeouts apart eject it.
 #[test]
--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -749,4 +749,50 @@
         promises: &[Promise::Once, Promise::NotRun, Promise::Slots],
         test: "step_faults::a_booking_that_is_overdue_before_it_is_sent_is_not_sent",
     },
+    Cell {
+        fault: Fault::Crash,
+        step: Step::Queued,
+        promises: &[Promise::Whole, Promise::Slots],
+        test: "server_faults::a_crash_beside_a_queue_is_not_seen",
+    },
+    Cell {
+        fault: Fault::ListLagging,
+        step: Step::Queued,
+        promises: &[Promise::Whole, Promise::Slots],
+        test: "list_faults::a_lagging_list_costs_neither_queue_nor_stream",
+    },
+    Cell {
+        fault: Fault::ListLagging,
+        step: Step::Streaming,
+        promises: &[Promise::Whole, Promise::Slots],
+        test: "list_faults::a_lagging_list_costs_neither_queue_nor_stream",
+    },
+    Cell {
+        fault: Fault::Crash,
+        step: Step::Queued,
+        promises: &[
+            Promise::Whole,
+            Promise::Live,
+            Promise::Starve,
+            Promise::Slots,
+        ],
+        test: "load_faults::a_burst_on_a_failing_engine_refuses_no_live_request::test_case_1_crash",
+    },
+    Cell {
+        fault: Fault::Straggler,
+        step: Step::Queued,
+        promises: &[
+            Promise::Whole,
+            Promise::Live,
+            Promise::Starve,
+            Promise::Slots,
+        ],
+        test: "load_faults::a_burst_on_a_failing_engine_refuses_no_live_request::test_case_2_straggler",
+    },
+    Cell {
+        fault: Fault::Unavailable,
+        step: Step::Queued,
+        promises: &[Promise::Whole, Promise::Slots],
+        test: "server_faults::engines_that_are_unavailable_leave_nobody_in_the_queue",
+    },
 ];
--- a/tests/all/list_faults.rs
+++ b/tests/all/list_faults.rs
@@ -16,6 +16,7 @@
 use crate::support::Site;
 use crate::support::SiteSettings;
 use crate::support::call;
+use crate::support::call_beside;
 use crate::support::wait;
 
 /// Within this time a leaving server gets no more work.
@@ -122,3 +123,29 @@
         assert!(answer.status == 200 && answer.whole, "{}", answer.body);
     }
 }
+
+// The list says that an engine lives which has shut down, while another one streams an answer and a
+// queue waits. The stream is whole, and everybody in the queue is served by the engine that is left.
+#[test]
+fn a_lagging_list_costs_neither_queue_nor_stream() {
+    let site = Site::start(&SiteSettings {
+        concurrency: 2,
+        ..SiteSettings::default()
+    });
+    site.platform(listed(&site, |_| InstanceState::Live));
+    let entry = site.entry("entry-1");
+    let mut stream = Raw::send(entry.listen, &Call::chat(true, 150).marked("mine"));
+    let runner = site.runner("mine");
+    let queue: Vec<_> = (0..8)
+        .map(|_| call_beside(entry.listen, &Call::batch(10)))
+        .collect();
+    wait("a queue waits", || entry.queued("batch") >= 4);
+    site.engine(1 - runner, EngineCommand::Crash);
+    for answer in queue {
+        let answer = answer.join().unwrap().unwrap();
+        assert!(answer.status == 200 && answer.whole, "{}", answer.body);
+    }
+    assert!(stream.read_until("[DONE]\n\n\r\n0\r\n\r\n"), "cut");
+    assert!(stream.text().contains("mine 149 "));
+    entry.wait_idle();
+}
--- a/tests/all/load_faults.rs
+++ b/tests/all/load_faults.rs
@@ -228,3 +228,38 @@
     drop(batch);
     entry.wait_idle();
 }
+
+/// Two engines of four slots each.
+fn pair() -> SiteSettings {
+    SiteSettings {
+        concurrency: 4,
+        ..SiteSettings::default()
+    }
+}
+
+// One of two engines dies, or becomes many times slower, in the middle of a burst of the nightly batch.
+// Live requests that come then are all served before the batch that waits, and the batch is served too:
+// neither is dropped for the loss.
+#[test_case(&EngineCommand::Crash; "crash")]
+#[test_case(&EngineCommand::Slow { factor: 10.0 }; "straggler")]
+fn a_burst_on_a_failing_engine_refuses_no_live_request(fault: &EngineCommand) {
+    let site = Site::start(&pair());
+    let entry = site.entry("entry-1");
+    let batch = send_all(&entry, 40, &Call::batch(20));
+    wait("the batch fills both engines", || {
+        entry.queued("batch") > 20 && site.engines.iter().all(|e| e.stats().running >= 3)
+    });
+    site.engine(0, fault.clone());
+    for number in 0..8 {
+        let answer = call(entry.listen, &Call::chat(true, 2));
+        assert!(served(&answer), "live request {number}: {answer:?}");
+    }
+    assert!(
+        entry.queued("batch") > 0,
+        "the live requests waited for the batch"
+    );
+    for answer in batch {
+        assert!(served(&answer.join().unwrap()), "the batch must finish");
+    }
+    entry.wait_idle();
+}
--- a/tests/all/server_faults.rs
+++ b/tests/all/server_faults.rs
@@ -12,6 +12,7 @@
 use crate::support::SiteSettings;
 use crate::support::call;
 use crate::support::call_beside;
+use crate::support::wait;
 
 /// Requests that teach an instance how soon a first byte comes.
 const LESSONS: usize = 32;
@@ -198,3 +199,59 @@
     assert_eq!(site.booking_calls(), 1);
     entry.wait_idle();
 }
+
+// An engine dies while it holds some requests and others are queued behind them. The queued ones never
+// reached it: each gets a whole answer from the engine that is left, as do those that were at the dead
+// one, since they are idempotent and nothing of them was relayed.
+#[test]
+fn a_crash_beside_a_queue_is_not_seen() {
+    let site = Site::start(&SiteSettings {
+        concurrency: 2,
+        ..SiteSettings::default()
+    });
+    let entry = site.entry("entry-1");
+    let calls: Vec<_> = (0..10)
+        .map(|n| {
+            let request = Call::batch(15).marked(&format!("queued-{n}"));
+            call_beside(entry.listen, &request)
+        })
+        .collect();
+    wait("some wait behind both engines", || {
+        entry.queued("batch") >= 4 && site.engines.iter().all(|e| e.stats().running > 0)
+    });
+    site.engine(0, EngineCommand::Crash);
+    for (number, answer) in calls.into_iter().enumerate() {
+        assert_whole(
+            &answer.join().unwrap().unwrap(),
+            &format!("queued-{number}"),
+        );
+    }
+    site.assert_recovers(&entry);
+}
+
+// Every engine answers 503 while requests are queued. Each caller gets a final answer, at the latest
+// when the engines work again: whole, or that the request may have run. Nobody is left in the queue.
+#[test]
+fn engines_that_are_unavailable_leave_nobody_in_the_queue() {
+    let site = Site::start(&SiteSettings {
+        concurrency: 2,
+        ..SiteSettings::default()
+    });
+    let entry = site.entry("entry-1");
+    let calls: Vec<_> = (0..12)
+        .map(|_| call_beside(entry.listen, &Call::batch(15)))
+        .collect();
+    wait("some are queued", || entry.queued("batch") >= 6);
+    site.all_engines(&EngineCommand::Unavailable { on: true });
+    wait("some are refused", || {
+        site.engines.iter().any(|e| e.stats().refused > 0)
+    });
+    site.all_engines(&EngineCommand::Unavailable { on: false });
+    for answer in calls {
+        let answer = answer.join().unwrap().unwrap();
+        let unknown = answer.status == 502 && answer.header("x-request-ran") == "unknown";
+        let whole = answer.status == 200 && answer.whole;
+        assert!(unknown || whole, "{}: {}", answer.status, answer.body);
+    }
+    site.assert_recovers(&entry);
+}
