--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crocushold_admission::NotRun;
+use crocushold_admission::Repeatable;
 use crocushold_admission::Sent;
 use crocushold_admission::Ticket;
 use crocushold_base::Clock;
@@ -46,14 +48,19 @@
 use crate::coordination::Ask;
 use crate::coordination::Coordinator;
 use crate::coordination::Permit;
+use crate::failpoint::Point;
+use crate::failpoint::reach;
 use crate::intake::Job;
+use crate::pool::NoRepeat;
 use crate::pool::Pool;
 use crate::pool::Start;
 use crate::pool::Turn;
+use crate::pool::Waiting;
 use crate::refusal::Ran;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::settle::Settle;
+use crate::settle::Slots;
 use crate::settle::Watched;
 
 /// The least time for an attempt whose request is at its bound already.
@@ -138,6 +145,10 @@
             .pool
             .submit(&self.job.arrival, self.job.need)
             .map_err(Failure::Refused)?;
+        self.wait_in_queue(waiting, hangup).await
+    }
+
+    async fn wait_in_queue(&self, waiting: Waiting, hangup: &Hangup) -> Result<Start, Failure> {
         let _queued = self.metrics.queued();
         // The guard also runs when this future is dropped, which is how a cut connection ends it.
         let mut guard = QueueGuard {
@@ -193,7 +204,7 @@
             pool: &self.pool,
             ticket: Some(start.ticket.sent()),
         };
-        let running = self.metrics.running();
+        let mut running = self.metrics.running();
         let mut attempts = Attempts::new(&self.job);
         let mut pick = start.pick;
         let mut address = start.address;
@@ -203,6 +214,7 @@
             attempts.tried.push(pick.server);
             let (stage, outcome, late) = match self.attempt(&pick, address, hangup).await {
                 Attempted::Gone => return Err(Failure::CallerGone),
+                Attempted::Overdue => (Stage::NotConnected, Outcome::Cancelled, true),
                 Attempted::Answered(answer) if !self.should_retry(&answer) => {
                     if let Some(claimed) = claimed.take() {
                         claimed.completed(answer.status);
@@ -228,24 +240,60 @@
                 .pool
                 .retry(&attempts.facts, stage, &self.job.need, &attempts.tried);
             attempts.facts.written |= !stage.proves_not_run();
-            (pick, address) = next.map_err(|decision| {
-                if !attempts.facts.written
-                    && let Some(claimed) = claimed.take()
-                {
-                    claimed.not_run();
+            (pick, address) = match next {
+                Ok(next) => next,
+                // A claim is good for a few seconds only, so its request can't wait for a turn.
+                Err(NoRepeat::Busy(_)) if claimed.is_none() => {
+                    drop(running);
+                    let start = self.wait_again(slot.take(), &attempts, hangup).await?;
+                    slot.ticket = Some(start.ticket.sent());
+                    running = self.metrics.running();
+                    (start.pick, start.address)
+                }
+                Err(none) => {
+                    if !attempts.facts.written
+                        && let Some(claimed) = claimed.take()
+                    {
+                        claimed.not_run();
+                    }
+                    return Err(give_up(none.decision(), late));
                 }
-                give_up(decision, late)
-            })?;
+            };
             self.metrics.retried();
         }
     }
 
+    /// Waits in the queue for a second turn, after the rule for repeats allowed one.
+    async fn wait_again(
+        &self,
+        ticket: Ticket<Sent>,
+        attempts: &Attempts,
+        hangup: &Hangup,
+    ) -> Result<Start, Failure> {
+        let ticket = if attempts.facts.written {
+            ticket.again(Repeatable)
+        } else {
+            ticket.not_run(NotRun::NothingWritten)
+        };
+        let tried = attempts.tried.clone();
+        let waiting = self.pool.requeue(ticket, self.job.need, tried);
+        let start = self.wait_in_queue(waiting, hangup).await;
+        start.map_err(|failure| match failure {
+            // The queue knows nothing of the attempts before, and says that nothing ran.
+            Failure::Refused(refusal) if attempts.facts.written => {
+                Failure::Refused(refusal.may_have_run())
+            }
+            failure => failure,
+        })
+    }
+
     /// Like [`Exchange::claim`]; gives the server's slot back when the claim fails.
     async fn claim_for(&self, pick: &Pick) -> Result<Option<Claimed<'_>>, Failure> {
         let mut guard = AttemptGuard {
             pool: &self.pool,
             pick: Some(*pick),
         };
+        reach(Point::Dispatched).await;
         let claimed = self.claim().await?;
         guard.pick = None;
         Ok(claimed)
@@ -267,11 +315,19 @@
             pool: &self.pool,
             pick: Some(*pick),
         };
+        reach(Point::Claimed).await;
+        // The process may have been stopped since the request got its turn. Nobody can use an answer
+        // any more, and what runs now runs behind the back of a caller that has given up on it.
+        if self.clock.now() >= self.job.arrival.deadline {
+            guard.pick = None;
+            return Attempted::Overdue;
+        }
         let sent = std::pin::pin!(self.client.send(address, request, &limits, reuse));
         let gone = std::pin::pin!(hangup.wait());
         // Dropping the future cuts the connection, and with it the server's work.
         match select(sent, gone).await {
             Either::Left((Ok(answer), _)) => {
+                reach(Point::Answered).await;
                 guard.pick = None;
                 Attempted::Answered(Box::new(answer))
             }
@@ -331,11 +387,9 @@
         relay_headers(&answer.headers, response.as_mut());
         let settle = Settle::new(Watched {
             clock: self.clock,
-            pool: self.pool.clone(),
             metrics: self.metrics.clone(),
-            ticket: held.ticket,
+            slots: Slots::new(self.pool.clone(), held.ticket, pick.attempt),
             permit: held.permit,
-            attempt: pick.attempt,
             arrived: self.arrived,
             stream: self.job.stream,
             failed: answer.status.is_server_error(),
@@ -370,6 +424,8 @@
     Answered(Box<Answer>),
     Failed(SendError),
     Gone,
+    /// The caller's bound passed before a connection was opened.
+    Overdue,
 }
 
 impl Attempts {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod connections;
 mod coordination;
 mod exchange;
+mod failpoint;
 mod instance;
 mod intake;
 mod loads;
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -31,6 +31,10 @@
 
 /// Answers a request on the operator's address.
 pub(crate) async fn answer(shared: &Arc<Shared>, request: &Request) -> Response {
+    #[cfg(feature = "failpoints")]
+    if let Some(response) = crate::failpoint::command(request) {
+        return response;
+    }
     if request.method() != Method::Get {
         return text(StatusCode::MethodNotAllowed, "only GET\n");
     }
