Find a straggler by a cumulative sum of its samples

The router judged a server by a running mean of its pace, which climbs from the good time: with the weight of 0.2 a server that is four times slower passes the ratio of three at the ninth sample and is ejected at the eleventh.

Change: a cumulative sum of what each sample exceeds a reference by; three samples at the ratio are enough. Slow samples within 200 ms are one event, as strikes are, so that a pause of the server, which slows all of its streams, doesn't eject it.

--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -42,13 +42,19 @@
     Eject,
 }
 
+/// The slowness from which on a sample counts against a server, as a part of the straggler's ratio
+/// on a logarithmic scale; faster samples count for it.
+const REFERENCE: f64 = 0.8;
+
 /// Health of one server.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Health {
     pub(crate) phase: Phase,
     strikes: u32,
     struck: Millis,
-    slow: u32,
+    /// The cumulative sum of what samples of its speed say against it, in samples at the ratio.
+    slow: f64,
+    slowed: Millis,
     outs: u32,
     on_trial: bool,
 }
@@ -59,7 +65,8 @@
             phase: Phase::Serving,
             strikes: 0,
             struck: Millis::ZERO,
-            slow: 0,
+            slow: 0.0,
+            slowed: Millis::ZERO,
             outs: 0,
             on_trial: false,
         }
@@ -69,7 +76,7 @@
 impl Health {
     /// True while a failure or slow sample stands against the server.
     pub(crate) fn suspect(&self) -> bool {
-        self.strikes > 0 || self.slow > 0
+        self.strikes > 0 || self.slow > 0.0
     }
 
     /// Consecutive failures so far.
@@ -109,14 +116,27 @@
         }
     }
 
-    /// Counts a sample of the server's speed.
-    pub(crate) fn speed(&mut self, settings: &HealthSettings, slow: bool) -> Verdict {
-        if !slow || self.is_out() {
-            self.slow = 0;
+    /// Counts a sample of the server's speed: the logarithm of its time relative to its peers'.
+    ///
+    /// A cumulative sum finds a lasting shift in the fewest samples: one at the straggler's ratio
+    /// or slower adds one, one as fast as the peers takes away four. A running mean, which has to
+    /// climb from what it was, needs eleven samples for a server that is four times slower.
+    pub(crate) fn speed(&mut self, settings: &HealthSettings, sample: f64, now: Millis) -> Verdict {
+        if self.is_out() {
             return Verdict::Keep;
         }
-        self.slow += 1;
-        if self.slow >= settings.slow_samples {
+        let limit = settings.straggler_ratio.ln().max(f64::MIN_POSITIVE);
+        let gain = (sample / limit - REFERENCE) / (1.0 - REFERENCE);
+        // One pause of the server slows every stream on it: were their samples counted apart, it
+        // would go out for a moment that is over. All of them end soon after the pause.
+        if gain > 0.0 && self.slow > 0.0 && now.since(self.slowed) < settings.strike_gap {
+            return Verdict::Keep;
+        }
+        if gain > 0.0 {
+            self.slowed = now;
+        }
+        self.slow = (self.slow + gain.min(1.0)).max(0.0);
+        if self.slow >= f64::from(settings.slow_samples) {
             Verdict::Eject
         } else {
             Verdict::Keep
@@ -141,7 +161,7 @@
         let until = now + Millis(span as u64);
         self.phase = Phase::Out { fault, until };
         self.strikes = 0;
-        self.slow = 0;
+        self.slow = 0.0;
         self.outs += 1;
         until
     }
@@ -151,7 +171,7 @@
         self.phase = Phase::Recovering { limit: 1 };
         self.on_trial = true;
         self.strikes = 0;
-        self.slow = 0;
+        self.slow = 0.0;
     }
 
     /// Halves the limit of a server with `in_flight` attempts, as it says that it has too many.
--- a/crates/routing/src/router/feedback.rs
+++ b/crates/routing/src/router/feedback.rs
@@ -207,10 +207,9 @@
         let bounded = ratio.clamp(-MAX_RATIO, MAX_RATIO);
         server.slowness.add(bounded, SERVER_ALPHA);
         let settings = self.settings.health.clone();
-        let slow = server.slowness.mean().exp() > settings.straggler_ratio;
         let mut verdict = Verdict::Keep;
         self.change_health(flight.server, |health| {
-            verdict = health.speed(&settings, slow);
+            verdict = health.speed(&settings, ratio, now);
         });
         if verdict == Verdict::Eject {
             self.eject(flight.server, Fault::Straggling, now);
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -68,14 +68,14 @@
 pub struct HealthSettings {
     /// Consecutive failures that eject a server.
     pub strikes: u32,
-    /// The least span between two failures that count apart; failures closer together are one
-    /// event, such as a crash that cuts every connection.
+    /// The least span between two failures, or two slow samples, that count apart; those closer
+    /// together are one event, such as a crash that cuts every connection.
     pub strike_gap: Millis,
     /// How long a failure is remembered without a further one.
     pub strike_memory: Millis,
     /// How many times slower than its peers a straggler is.
     pub straggler_ratio: f64,
-    /// Consecutive slow samples that eject a straggler.
+    /// Slow samples that eject a straggler; one as fast as the peers takes four away.
     pub slow_samples: u32,
     /// The first ejection's length; doubles with each further one.
     pub eject_base: Millis,
