See stragglers by short and whole answers too

Cause: a sample of a server's pace took 16 tokens of one stream. Streams that end before gave none, and an answer in one piece gave none whatever its length, as the router never hears of a first byte for it. A service of short or whole answers (the subsidy shape's portal and receipts) could not see a straggler but by its nightly streams. An answer in one piece without a usage count was worse: its whole time was taken in as that of one token.

Change: the gaps at the ends of streams add up on each server until they make a sample. Whole answers, and those of one token, are compared as a whole with their peers' of the same size of prompt and length of answer, less the usual spread; not while the server's report says that requests wait in it.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -27,6 +27,7 @@
 mod cache;
 mod health;
 mod list;
+mod peers;
 mod pool;
 mod retry;
 mod ring;
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -3,6 +3,7 @@
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
 
+use crate::peers::Wholes;
 use crate::ring::Ring;
 use crate::settings::Settings;
 use crate::stats::Ewma;
@@ -36,6 +37,7 @@
     pub(crate) members: usize,
     pub(crate) ring: Ring,
     pace: Ewma,
+    wholes: Wholes,
     first_byte: Quantile,
 }
 
@@ -48,13 +50,22 @@
     /// slow relative to the others.
     pub(crate) fn pace(&mut self, sample: f64) -> Option<f64> {
         let log = sample.max(0.01).ln();
-        let alpha = 2.0 * SERVER_ALPHA / self.members.max(1) as f64;
         let ratio = log - self.pace.mean();
         let known = self.pace.count() >= ENOUGH;
-        self.pace.add(log, alpha.min(1.0));
+        self.pace.add(log, self.alpha());
         known.then_some(ratio)
     }
 
+    /// Takes in the time of a whole answer in milliseconds, as [`Pool::pace`] takes that of a token.
+    pub(crate) fn whole(&mut self, prompt: u32, output: u32, span: f64) -> Option<f64> {
+        let alpha = self.alpha();
+        self.wholes.add(prompt, output, span, alpha)
+    }
+
+    fn alpha(&self) -> f64 {
+        (2.0 * SERVER_ALPHA / self.members.max(1) as f64).min(1.0)
+    }
+
     /// Takes in the time to a first byte.
     pub(crate) fn first_byte(&mut self, span: Millis) {
         self.first_byte.add(span);
--- a/crates/routing/src/router/feedback.rs
+++ b/crates/routing/src/router/feedback.rs
@@ -16,6 +16,7 @@
 use crate::router::Router;
 use crate::router::types::InFlight;
 use crate::server::LoadReport;
+use crate::server::Rest;
 
 /// Tokens between two samples of a stream's pace; fewer measure the network's jitter.
 const PACE_TOKENS: u32 = 16;
@@ -86,9 +87,7 @@
         };
         if outcome == Outcome::Complete {
             self.lasting.add(now.since(flight.picked).0 as f64, 0.05);
-            if tokens == 0 {
-                self.pace(&flight, now.since(flight.picked).0 as f64, now);
-            }
+            self.judge_answer(&flight, tokens, now);
         }
         self.finish(&flight);
         self.judge_outcome(&flight, outcome, now);
@@ -195,9 +194,58 @@
         }
     }
 
-    /// Takes in the time for each token, in milliseconds; for a plain service, for each request.
+    /// Takes the rest of the pace from an answer that has ended.
+    ///
+    /// Streams too short for a sample add up to one. An answer that wasn't streamed, or has no gap
+    /// between tokens, is compared with others of its size as a whole: else a server that only gets
+    /// such requests could never be seen to be slow.
+    fn judge_answer(&mut self, flight: &InFlight, tokens: u32, now: Millis) {
+        if flight.picked < self.woke {
+            return;
+        }
+        if flight.first.is_none() || tokens <= 1 {
+            return self.judge_whole(flight, tokens, now);
+        }
+        // The first token came with the first byte, before any gap.
+        let gaps = tokens.saturating_sub(flight.sampled.max(1));
+        let span = now.since(flight.sampled_at);
+        if let Some(rest) = self.gather(flight, gaps, span) {
+            self.pace(flight, rest.span.0 as f64 / f64::from(rest.gaps), now);
+        }
+    }
+
+    fn judge_whole(&mut self, flight: &InFlight, tokens: u32, now: Millis) {
+        // Behind a queue inside the server the time tells its load: ejecting it would push that
+        // onto its peers.
+        let ttl = self.settings.report_ttl;
+        let server = self.servers.get(flight.server);
+        if server.is_some_and(|server| server.queues(ttl, now)) {
+            return;
+        }
+        let span = now.since(flight.waits).0 as f64;
+        let ratio = self.pools[flight.pool].whole(flight.tokens, tokens, span);
+        self.judge_pace(flight, ratio, now);
+    }
+
+    /// Adds gaps to the server's rest; returns it, and starts anew, when it is enough for a sample.
+    fn gather(&mut self, flight: &InFlight, gaps: u32, span: Millis) -> Option<Rest> {
+        let server = self.servers.get_mut(flight.server)?;
+        let mut members = server.members.iter_mut();
+        let rest = &mut members.find(|member| member.pool == flight.pool)?.rest;
+        rest.gaps += gaps;
+        rest.span += span;
+        (rest.gaps >= PACE_TOKENS).then(|| std::mem::take(rest))
+    }
+
+    /// Takes in the time for each token, in milliseconds.
     fn pace(&mut self, flight: &InFlight, sample: f64, now: Millis) {
-        let Some(ratio) = self.pools[flight.pool].pace(sample) else {
+        let ratio = self.pools[flight.pool].pace(sample);
+        self.judge_pace(flight, ratio, now);
+    }
+
+    /// Takes in a sample relative to the peers', as a logarithm; none while too little is known.
+    fn judge_pace(&mut self, flight: &InFlight, ratio: Option<f64>, now: Millis) {
+        let Some(ratio) = ratio else {
             return;
         };
         let Some(server) = self.servers.get_mut(flight.server) else {
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -125,12 +125,27 @@
     pub(crate) pool: usize,
     /// Its place among the pool's open servers.
     pub(crate) open: Option<usize>,
+    /// Gaps between tokens at the ends of streams, too few on each for a sample.
+    pub(crate) rest: Rest,
+}
+
+/// Gaps between tokens, and the time that they took.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Rest {
+    /// How many.
+    pub(crate) gaps: u32,
+    /// All of them together.
+    pub(crate) span: Millis,
 }
 
 impl Member {
     /// A place in `pool`, without a free slot so far.
     pub(crate) fn of(pool: usize) -> Member {
-        Member { pool, open: None }
+        Member {
+            pool,
+            open: None,
+            rest: Rest::default(),
+        }
     }
 }
 
@@ -147,6 +162,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Received {
     others: f64,
+    waiting: bool,
     taken: Millis,
 }
 
@@ -222,10 +238,22 @@
         let total = report.running.saturating_add(report.waiting);
         let others = f64::from(total.saturating_sub(self.in_flight));
         let taken = Millis(now.0.saturating_sub(report.age.0));
-        self.report = Some(Received { others, taken });
+        self.report = Some(Received {
+            others,
+            waiting: report.waiting > 0,
+            taken,
+        });
         others
     }
 
+    /// True if requests wait inside it, as its last report says, unless that is older than `ttl`.
+    pub(crate) fn queues(&self, ttl: Millis, now: Millis) -> bool {
+        let fresh = |report: &Received| now.since(report.taken) < ttl;
+        self.report
+            .filter(fresh)
+            .is_some_and(|report| report.waiting)
+    }
+
     /// Requests of other instances, as far as the last report still tells; `usual` is the mean over
     /// the fleet, to which the estimate decays as the report ages.
     pub(crate) fn others(&self, usual: f64, ttl: Millis, now: Millis) -> f64 {
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -23,6 +23,16 @@
 /// Slots on each server.
 pub(crate) const SLOTS: u32 = 4;
 
+/// How an answer is given.
+#[derive(Clone, Copy)]
+pub(crate) struct Reply {
+    pub(crate) prompt: u32,
+    pub(crate) prefill: u64,
+    pub(crate) tokens: u32,
+    pub(crate) pace: u64,
+    pub(crate) streamed: bool,
+}
+
 pub(crate) struct Fleet {
     pub(crate) router: Router,
     pub(crate) keys: Vec<ServerKey>,
@@ -123,6 +133,28 @@
         self.router.done(pick.attempt, Outcome::Complete, 32, now);
     }
 
+    /// An answer of `tokens` tokens at `pace` milliseconds each, on the server `at`, streamed or in
+    /// one piece, to a prompt of `prompt` tokens that takes `prefill` milliseconds.
+    pub(crate) fn reply(&mut self, at: usize, reply: Reply) {
+        let mut exclude = self.keys.clone();
+        exclude.remove(at);
+        let demand = Demand {
+            exclude: &exclude,
+            tokens: reply.prompt,
+            ..self.demand()
+        };
+        let pick = self.router.pick(&demand, self.now).unwrap();
+        self.wait(reply.prefill + reply.pace);
+        if reply.streamed {
+            self.router.first_byte(pick.attempt, self.now);
+        }
+        (1..reply.tokens).for_each(|_| self.wait(reply.pace));
+        let now = self.now;
+        let tokens = reply.tokens;
+        self.router
+            .done(pick.attempt, Outcome::Complete, tokens, now);
+    }
+
     /// A new list that names `live` and `leaving`.
     pub(crate) fn list(&mut self, live: &[usize], leaving: &[usize]) -> ListVerdict {
         self.revision += 1;
