Fill a server that came back as its answers begin

Cause: after its back-off a server got one request at a time and one more with each whole answer. With a share of 4 slots and answers of 2 s, that is two slots after 2 s and four after 4 s (reckoned; the test returned_server_fills_as_answers_begin finds one slot taken before the change where two should be).

Change: one more with each first byte that came as soon as 99 in 100 do, up to half of the share until an answer was whole, the rest after. In the test half is taken after 100 ms and all 150 ms after the first whole answer. A server that begins answers and cuts them is out at the first cut, with half of its share at stake, for longer each time. Late first bytes and those of an overloaded server earn nothing.

Seen failing first: returned_server_fills_as_answers_begin, overloaded_server_earns_nothing_by_beginning. Each safeguard taken out turned a test of returns.rs red.

--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -27,7 +27,7 @@
 pub(crate) enum Phase {
     /// It takes its full share.
     Serving,
-    /// It came back: at most `limit` requests at a time, one more with each success.
+    /// It takes at most `limit` requests at a time, one more with each success.
     Recovering { limit: u32 },
     /// It takes nothing until then.
     Out { fault: Fault, until: Millis },
@@ -57,6 +57,8 @@
     slowed: Millis,
     outs: u32,
     on_trial: bool,
+    /// It comes back from being out, rather than from being overloaded.
+    returns: bool,
 }
 
 impl Default for Health {
@@ -69,6 +71,7 @@
             slowed: Millis::ZERO,
             outs: 0,
             on_trial: false,
+            returns: false,
         }
     }
 }
@@ -170,6 +173,7 @@
     pub(crate) fn probe(&mut self) {
         self.phase = Phase::Recovering { limit: 1 };
         self.on_trial = true;
+        self.returns = true;
         self.strikes = 0;
         self.slow = 0.0;
     }
@@ -179,24 +183,47 @@
         if !self.is_out() {
             let limit = (in_flight / 2).max(1);
             self.phase = Phase::Recovering { limit };
+            self.returns = false;
         }
     }
 
+    /// Counts an answer that began in good time; `share` is the server's full limit.
+    ///
+    /// Waiting for whole answers alone would leave most slots of a server that came back idle for
+    /// seconds. Until one was whole, half of them stay so: a server that begins answers and cuts
+    /// them can't lose more at a time, and a request that fails takes it out at once.
+    pub(crate) fn begin(&mut self, share: u32) {
+        if !self.returns {
+            return;
+        }
+        let most = if self.on_trial {
+            share.div_ceil(2)
+        } else {
+            share
+        };
+        self.widen(most);
+    }
+
     /// Counts a success; `share` is the server's full limit.
     pub(crate) fn succeed(&mut self, share: u32) {
         self.strikes = 0;
         self.on_trial = false;
-        let Phase::Recovering { limit } = &mut self.phase else {
-            return;
-        };
-        *limit += 1;
-        if *limit >= share {
+        self.widen(share);
+        if matches!(self.phase, Phase::Recovering { limit } if limit >= share) {
             self.phase = Phase::Serving;
+            self.returns = false;
             // Not forgotten at once: a server that flaps waits longer each time.
             self.outs /= 2;
         }
     }
 
+    /// One request more at a time, up to `most`.
+    fn widen(&mut self, most: u32) {
+        if let Phase::Recovering { limit } = &mut self.phase {
+            *limit = (*limit + 1).min(most).max(*limit);
+        }
+    }
+
     /// Runs timers out: returns an ejected server, forgets an old failure. Says when to come back
     /// for the next one.
     pub(crate) fn expire(&mut self, settings: &HealthSettings, now: Millis) -> Option<Millis> {
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -15,6 +15,9 @@
 /// Samples that a pool needs before its mean says who is slow.
 const ENOUGH: u32 = 16;
 
+/// How far the estimate of the 99th percentile may waver below the times that it stands for.
+const MARGIN: f64 = 1.25;
+
 /// A server with a free slot.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Open {
@@ -71,6 +74,13 @@
         self.first_byte.add(span);
     }
 
+    /// True if a first byte came as soon as nearly all of them do. A straggler that comes back isn't
+    /// given more for answers that begin late.
+    pub(crate) fn is_usual(&self, span: Millis) -> bool {
+        let most = self.first_byte.value();
+        most.is_some_and(|most| span.0 as f64 <= most * MARGIN)
+    }
+
     /// How long to wait for a first byte.
     pub(crate) fn patience(&self, settings: &Settings) -> Millis {
         let Some(quantile) = self.first_byte.value() else {
--- a/crates/routing/src/router/feedback.rs
+++ b/crates/routing/src/router/feedback.rs
@@ -46,8 +46,7 @@
         flight.sampled_at = now;
         let flight = *flight;
         if flight.picked >= self.woke {
-            let span = now.since(flight.waits);
-            self.pools[flight.pool].first_byte(span);
+            self.judge_first(&flight, now);
         }
         true
     }
@@ -194,6 +193,17 @@
         }
     }
 
+    fn judge_first(&mut self, flight: &InFlight, now: Millis) {
+        let span = now.since(flight.waits);
+        let pool = &mut self.pools[flight.pool];
+        let usual = pool.is_usual(span);
+        pool.first_byte(span);
+        let server = self.servers.get(flight.server);
+        if let (true, Some(share)) = (usual, server.map(|server| server.share)) {
+            self.change_health(flight.server, |health| health.begin(share));
+        }
+    }
+
     /// Takes the rest of the pace from an answer that has ended.
     ///
     /// Streams too short for a sample add up to one. An answer that wasn't streamed, or has no gap
