--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -27,7 +27,7 @@
 pub(crate) enum Phase {
     /// It takes its full share.
     Serving,
-    /// It came back: at most `limit` requests at a time, one more with each success.
+    /// It takes at most `limit` requests at a time, one more with each success.
     Recovering { limit: u32 },
     /// It takes nothing until then.
     Out { fault: Fault, until: Millis },
@@ -42,15 +42,23 @@
     Eject,
 }
 
+/// The slowness from which on a sample counts against a server, as a part of the straggler's ratio
+/// on a logarithmic scale; faster samples count for it.
+const REFERENCE: f64 = 0.8;
+
 /// Health of one server.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Health {
     pub(crate) phase: Phase,
     strikes: u32,
     struck: Millis,
-    slow: u32,
+    /// The cumulative sum of what samples of its speed say against it, in samples at the ratio.
+    slow: f64,
+    slowed: Millis,
     outs: u32,
     on_trial: bool,
+    /// It comes back from being out, rather than from being overloaded.
+    returns: bool,
 }
 
 impl Default for Health {
@@ -59,9 +67,11 @@
             phase: Phase::Serving,
             strikes: 0,
             struck: Millis::ZERO,
-            slow: 0,
+            slow: 0.0,
+            slowed: Millis::ZERO,
             outs: 0,
             on_trial: false,
+            returns: false,
         }
     }
 }
@@ -69,7 +79,7 @@
 impl Health {
     /// True while a failure or slow sample stands against the server.
     pub(crate) fn suspect(&self) -> bool {
-        self.strikes > 0 || self.slow > 0
+        self.strikes > 0 || self.slow > 0.0
     }
 
     /// Consecutive failures so far.
@@ -109,14 +119,27 @@
         }
     }
 
-    /// Counts a sample of the server's speed.
-    pub(crate) fn speed(&mut self, settings: &HealthSettings, slow: bool) -> Verdict {
-        if !slow || self.is_out() {
-            self.slow = 0;
+    /// Counts a sample of the server's speed: the logarithm of its time relative to its peers'.
+    ///
+    /// A cumulative sum finds a lasting shift in the fewest samples: one at the straggler's ratio
+    /// or slower adds one, one as fast as the peers takes away four. A running mean, which has to
+    /// climb from what it was, needs eleven samples for a server that is four times slower.
+    pub(crate) fn speed(&mut self, settings: &HealthSettings, sample: f64, now: Millis) -> Verdict {
+        if self.is_out() {
+            return Verdict::Keep;
+        }
+        let limit = settings.straggler_ratio.ln().max(f64::MIN_POSITIVE);
+        let gain = (sample / limit - REFERENCE) / (1.0 - REFERENCE);
+        // One pause of the server slows every stream on it: were their samples counted apart, it
+        // would go out for a moment that is over. All of them end soon after the pause.
+        if gain > 0.0 && self.slow > 0.0 && now.since(self.slowed) < settings.strike_gap {
             return Verdict::Keep;
         }
-        self.slow += 1;
-        if self.slow >= settings.slow_samples {
+        if gain > 0.0 {
+            self.slowed = now;
+        }
+        self.slow = (self.slow + gain.min(1.0)).max(0.0);
+        if self.slow >= f64::from(settings.slow_samples) {
             Verdict::Eject
         } else {
             Verdict::Keep
@@ -141,7 +164,7 @@
         let until = now + Millis(span as u64);
         self.phase = Phase::Out { fault, until };
         self.strikes = 0;
-        self.slow = 0;
+        self.slow = 0.0;
         self.outs += 1;
         until
     }
@@ -150,8 +173,9 @@
     pub(crate) fn probe(&mut self) {
         self.phase = Phase::Recovering { limit: 1 };
         self.on_trial = true;
+        self.returns = true;
         self.strikes = 0;
-        self.slow = 0;
+        self.slow = 0.0;
     }
 
     /// Halves the limit of a server with `in_flight` attempts, as it says that it has too many.
@@ -159,24 +183,47 @@
         if !self.is_out() {
             let limit = (in_flight / 2).max(1);
             self.phase = Phase::Recovering { limit };
+            self.returns = false;
+        }
+    }
+
+    /// Counts an answer that began in good time; `share` is the server's full limit.
+    ///
+    /// Waiting for whole answers alone would leave most slots of a server that came back idle for
+    /// seconds. Until one was whole, half of them stay so: a server that begins answers and cuts
+    /// them can't lose more at a time, and a request that fails takes it out at once.
+    pub(crate) fn begin(&mut self, share: u32) {
+        if !self.returns {
+            return;
         }
+        let most = if self.on_trial {
+            share.div_ceil(2)
+        } else {
+            share
+        };
+        self.widen(most);
     }
 
     /// Counts a success; `share` is the server's full limit.
     pub(crate) fn succeed(&mut self, share: u32) {
         self.strikes = 0;
         self.on_trial = false;
-        let Phase::Recovering { limit } = &mut self.phase else {
-            return;
-        };
-        *limit += 1;
-        if *limit >= share {
+        self.widen(share);
+        if matches!(self.phase, Phase::Recovering { limit } if limit >= share) {
             self.phase = Phase::Serving;
+            self.returns = false;
             // Not forgotten at once: a server that flaps waits longer each time.
             self.outs /= 2;
         }
     }
 
+    /// One request more at a time, up to `most`.
+    fn widen(&mut self, most: u32) {
+        if let Phase::Recovering { limit } = &mut self.phase {
+            *limit = (*limit + 1).min(most).max(*limit);
+        }
+    }
+
     /// Runs timers out: returns an ejected server, forgets an old failure. Says when to come back
     /// for the next one.
     pub(crate) fn expire(&mut self, settings: &HealthSettings, now: Millis) -> Option<Millis> {
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -3,6 +3,7 @@
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
 
+use crate::peers::Wholes;
 use crate::ring::Ring;
 use crate::settings::Settings;
 use crate::stats::Ewma;
@@ -14,6 +15,9 @@
 /// Samples that a pool needs before its mean says who is slow.
 const ENOUGH: u32 = 16;
 
+/// How far the estimate of the 99th percentile may waver below the times that it stands for.
+const MARGIN: f64 = 1.25;
+
 /// A server with a free slot.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Open {
@@ -36,6 +40,7 @@
     pub(crate) members: usize,
     pub(crate) ring: Ring,
     pace: Ewma,
+    wholes: Wholes,
     first_byte: Quantile,
 }
 
@@ -48,18 +53,34 @@
     /// slow relative to the others.
     pub(crate) fn pace(&mut self, sample: f64) -> Option<f64> {
         let log = sample.max(0.01).ln();
-        let alpha = 2.0 * SERVER_ALPHA / self.members.max(1) as f64;
         let ratio = log - self.pace.mean();
         let known = self.pace.count() >= ENOUGH;
-        self.pace.add(log, alpha.min(1.0));
+        self.pace.add(log, self.alpha());
         known.then_some(ratio)
     }
 
+    /// Takes in the time of a whole answer in milliseconds, as [`Pool::pace`] takes that of a token.
+    pub(crate) fn whole(&mut self, prompt: u32, output: u32, span: f64) -> Option<f64> {
+        let alpha = self.alpha();
+        self.wholes.add(prompt, output, span, alpha)
+    }
+
+    fn alpha(&self) -> f64 {
+        (2.0 * SERVER_ALPHA / self.members.max(1) as f64).min(1.0)
+    }
+
     /// Takes in the time to a first byte.
     pub(crate) fn first_byte(&mut self, span: Millis) {
         self.first_byte.add(span);
     }
 
+    /// True if a first byte came as soon as nearly all of them do. A straggler that comes back isn't
+    /// given more for answers that begin late.
+    pub(crate) fn is_usual(&self, span: Millis) -> bool {
+        let most = self.first_byte.value();
+        most.is_some_and(|most| span.0 as f64 <= most * MARGIN)
+    }
+
     /// How long to wait for a first byte.
     pub(crate) fn patience(&self, settings: &Settings) -> Millis {
         let Some(quantile) = self.first_byte.value() else {
