Answer a peer's unknown call without cutting the peer, and run old and new schemas side by side

There was no run of two programs of different schema: the test of versions used one program with its version set back. A program with the schema of version 1 now runs beside the present one over real sockets, and a caller with a later schema calls the present one (crates/peers/tests/versions.rs).

Cause of the change in the shell: a call that an older program lacks was answered with an error of kind "unimplemented", which counted as a failure of the peer. Seen before: of eight such calls the fourth gave CircuitOpen, so that claims and probes to a peer that is well would have been kept from it, and each dropped the connection. Now CallError::Unsupported, after which the circuit and the connection stay; eight of eight are answered so, and a claim right after is granted.

Ruled out: the wire. The later program's unknown field, body and status were read as they should be before the change, too. Seen red with their safeguard taken out: an unknown body read as an error, an unknown status read as an error, a newcomer that trusts the platform alone, an unknown call counted as a failure.

--- a/crates/peers/src/shell/clients.rs
+++ b/crates/peers/src/shell/clients.rs
@@ -109,7 +109,7 @@
     {
         let line = self.line(client, peer).await?;
         let answer = make(line).await;
-        answer.map_err(|err| CallError::Broken(err.to_string()))
+        answer.map_err(CallError::from_answer)
     }
 
     async fn line(&self, client: &Client, peer: &Instance) -> Result<Line, CallError> {
@@ -129,7 +129,10 @@
     fn judge<T>(&self, client: &Client, outcome: &Result<T, CallError>) {
         let now = self.clock.now();
         let mut circuit = client.circuit.borrow_mut();
-        if outcome.is_ok() {
+        // During an upgrade an older program answers that it doesn't know a call. Were that counted as
+        // a failure, the circuit would keep all other calls and the probes from a peer that is well, and
+        // it would be taken for dead. An answer of any kind shows that the peer and the connection live.
+        if outcome.as_ref().err().is_none_or(CallError::is_answer) {
             circuit.succeeded();
             return;
         }
--- a/crates/peers/src/shell/error.rs
+++ b/crates/peers/src/shell/error.rs
@@ -1,5 +1,6 @@
 //! Errors of the shell.
 
+use capnp::ErrorKind;
 use quick_error::quick_error;
 
 use crate::identity::InstanceId;
@@ -44,6 +45,10 @@
         Replaced(found: InstanceId) {
             display("{} answers at the peer's address", found)
         }
+        /// The peer runs a program that doesn't know the call, or its embedder refuses it.
+        Unsupported {
+            display("the peer doesn't answer this call")
+        }
         /// The answer didn't come in time.
         Deadline {
             display("the answer didn't come in time")
@@ -58,3 +63,20 @@
         }
     }
 }
+
+impl CallError {
+    /// The meaning of an error in place of an answer.
+    #[allow(clippy::needless_pass_by_value)] // the shape that map_err wants
+    pub(crate) fn from_answer(err: capnp::Error) -> CallError {
+        if err.kind == ErrorKind::Unimplemented {
+            CallError::Unsupported
+        } else {
+            CallError::Broken(err.to_string())
+        }
+    }
+
+    /// Whether the error shows that the peer answers, so that nothing is wrong with it.
+    pub(crate) fn is_answer(&self) -> bool {
+        *self == CallError::Unsupported
+    }
+}
--- /dev/null
+++ b/crates/peers/tests/versions.rs
@@ -0,0 +1,405 @@
+//! Programs of different schemas side by side, over real sockets.
+//!
+//! The older one is a program with the schema of version 1, and the later one a caller with a schema
+//! that has more than the present one. Both schemas stand in `versions/`.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::net::TcpStream;
+use async_std::task;
+use capnp::ErrorKind;
+use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use crocushold_base::Millis;
+use crocushold_ownership::AccountId;
+use crocushold_ownership::ClaimId;
+use crocushold_ownership::ClaimKey;
+use crocushold_ownership::ClaimRequest;
+use crocushold_ownership::GroupId;
+use crocushold_ownership::Member;
+use crocushold_ownership::RequestDigest;
+use crocushold_ownership::ReturnRequest;
+use crocushold_ownership::Vote;
+use crocushold_peers::CallError;
+use crocushold_peers::Event;
+use crocushold_peers::Handler;
+use crocushold_peers::Index;
+use crocushold_peers::IndexEntry;
+use crocushold_peers::Instance;
+use crocushold_peers::Listed;
+use crocushold_peers::PartText;
+use crocushold_peers::PeerHandle;
+use crocushold_peers::PeerNode;
+use crocushold_peers::PlatformRead;
+use crocushold_peers::PlatformRequest;
+use crocushold_peers::ReadFailed;
+use crocushold_peers::Request;
+use crocushold_peers::Response;
+use crocushold_peers::Role;
+use crocushold_peers::Settings;
+use crocushold_peers::SharedKey;
+use crocushold_peers::Started;
+use crocushold_peers::Transcript;
+use futures::AsyncReadExt;
+use program::OldProgram;
+use program::part;
+
+#[allow(clippy::all, clippy::pedantic, clippy::unwrap_used, dead_code, missing_docs)]
+#[allow(unreachable_pub)]
+#[rustfmt::skip]
+#[path = "versions/generated/peer_next_capnp.rs"]
+mod peer_next_capnp;
+#[allow(clippy::all, clippy::pedantic, clippy::unwrap_used, dead_code, missing_docs)]
+#[allow(unreachable_pub)]
+#[rustfmt::skip]
+#[path = "versions/generated/peer_v1_capnp.rs"]
+mod peer_v1_capnp;
+#[path = "versions/program.rs"]
+mod program;
+#[path = "versions/wire.rs"]
+mod wire;
+
+/// How long a test waits for what must happen.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Time between two looks at the programs.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// Deadline of calls in these tests.
+const DEADLINE: Millis = Millis(1000);
+
+/// More calls in a row than open the circuit of a peer that fails.
+const MANY_CALLS: usize = 8;
+
+/// The number of [`Vote::Granted`] on the wire.
+const GRANTED: u16 = 1;
+
+const KEY: &[u8] = b"the key of both programs";
+
+fn network(stream: TcpStream, side: Side) -> Box<VatNetwork<futures::io::ReadHalf<TcpStream>>> {
+    let (input, output) = stream.split();
+    Box::new(VatNetwork::new(input, output, side, ReaderOptions::new()))
+}
+
+/// Grants every claim and remembers its account.
+#[derive(Default)]
+struct Recorder(Mutex<Vec<AccountId>>);
+
+impl Handler for Recorder {
+    fn handle(&self, _from: Member, request: Request) -> Response {
+        let Request::Claim(claim) = request else {
+            return Response::Done;
+        };
+        self.0.lock().expect("no holder panics").push(claim.account);
+        Response::Vote(Vote::Granted)
+    }
+}
+
+/// Starts a present program whose platform answers one part, or is down.
+fn start(name: &str, start: u64, platform: Option<PartText>) -> (PeerHandle, Arc<Recorder>) {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let me = Instance::new(name, address, "stgo-a");
+    let settings = Settings::new(me, SharedKey::new(KEY), start, start);
+    let recorder = Arc::new(Recorder::default());
+    let started = PeerNode::start(settings, recorder.clone()).expect("loopback can be listened on");
+    let handle = started.handle.clone();
+    task::spawn(answer(started, platform));
+    (handle, recorder)
+}
+
+async fn answer(started: Started, platform: Option<PartText>) {
+    while let Ok(request) = started.platform.recv().await {
+        let part = platform.clone().ok_or(ReadFailed::default());
+        let read = match request {
+            PlatformRequest::ReadPart(team) => PlatformRead::Part(team, part),
+            PlatformRequest::WatchIndex { .. } => continue,
+            PlatformRequest::ReadIndex => PlatformRead::Index(part.map(|part| Index {
+                revision: part.revision,
+                parts: vec![IndexEntry {
+                    team: part.team,
+                    revision: part.revision,
+                }],
+            })),
+        };
+        started.handle.platform_read(read);
+    }
+}
+
+/// A program of either age.
+#[derive(Clone)]
+enum Program {
+    Old(OldProgram),
+    Present(PeerHandle),
+}
+
+impl Program {
+    fn me(&self) -> &Instance {
+        match self {
+            Program::Old(old) => old.me(),
+            Program::Present(handle) => handle.me(),
+        }
+    }
+
+    fn live(&self) -> Vec<String> {
+        match self {
+            Program::Old(old) => old.live(),
+            Program::Present(handle) => {
+                let view = handle.view();
+                let names = view.instances.iter().map(|i| i.id.as_str().to_owned());
+                names.collect()
+            }
+        }
+    }
+
+    fn revision(&self) -> u64 {
+        match self {
+            Program::Old(old) => old.revision(),
+            Program::Present(handle) => handle.config().map_or(0, |config| config.revision),
+        }
+    }
+
+    fn list(&self, listed: Vec<Listed>) {
+        match self {
+            Program::Old(old) => old.feed(Event::InstanceList(listed)),
+            Program::Present(handle) => handle.instance_list(listed),
+        }
+    }
+}
+
+/// The running programs, and what each instance has shown so far.
+#[derive(Default)]
+struct Programs {
+    programs: Vec<Program>,
+    shown: BTreeMap<String, u64>,
+}
+
+impl Programs {
+    /// Adds a program, in place of one of the same name, and tells all of the instance list.
+    fn add(&mut self, program: Program) {
+        let id = program.me().id.clone();
+        self.programs.retain(|other| other.me().id != id);
+        self.programs.push(program);
+        self.introduce();
+    }
+
+    fn introduce(&self) {
+        let listed = self.programs.iter().map(|program| Listed {
+            instance: program.me().clone(),
+            leaving: false,
+        });
+        let listed: Vec<Listed> = listed.collect();
+        for program in &self.programs {
+            program.list(listed.clone());
+        }
+    }
+
+    /// Waits for a state of all programs. Until then no instance goes back to an earlier revision,
+    /// not even one whose program is replaced, and all that `stay` see each other.
+    async fn wait(&mut self, what: &str, stay: &[&str], holds: impl Fn(&Program) -> bool) {
+        let began = Instant::now();
+        loop {
+            self.check(stay);
+            if self.programs.iter().all(&holds) {
+                return;
+            }
+            assert!(began.elapsed() < PATIENCE, "not in time: {what}");
+            task::sleep(LOOK).await;
+        }
+    }
+
+    fn check(&mut self, stay: &[&str]) {
+        for program in &self.programs {
+            let name = program.me().id.as_str();
+            let revision = program.revision();
+            let shown = self.shown.entry(name.to_owned()).or_default();
+            // A program that starts has nothing in force yet.
+            assert!(revision == 0 || revision >= *shown, "{name} went back");
+            *shown = revision.max(*shown);
+            if stay.contains(&name) {
+                let live = program.live();
+                let all = stay.iter().all(|other| live.iter().any(|id| id == other));
+                assert!(all, "{name} sees {live:?}");
+            }
+        }
+    }
+
+    async fn wait_agreed(&mut self, live: usize, revision: u64, stay: &[&str]) {
+        let what = format!("{live} live at revision {revision}");
+        self.wait(&what, stay, |program| {
+            program.live().len() == live && program.revision() == revision
+        })
+        .await;
+    }
+}
+
+fn claim(account: u64) -> Request {
+    Request::Claim(ClaimRequest {
+        key: ClaimKey(7),
+        claim: ClaimId {
+            claimant: Member::new("entry-1", 1),
+            seq: 1,
+        },
+        digest: RequestDigest(8),
+        account: AccountId(account),
+        group: GroupId(5),
+    })
+}
+
+fn give_back() -> Request {
+    Request::Return(ReturnRequest {
+        account: AccountId(6),
+        kept: 1,
+    })
+}
+
+/// Three instances run, two of them still the older program, and the older ones are replaced one
+/// after the other. First a change of the text reaches the present program only through an older one,
+/// whose answers lack what was added since; then the platform goes back to its first text, and the
+/// replacements, one after a planned stop and one after a crash, read that. No instance goes back to
+/// it, and those that aren't being replaced see each other all the time.
+#[test]
+fn an_upgrade_keeps_the_members_and_the_revision() {
+    task::block_on(async {
+        let key = SharedKey::new(KEY);
+        let first = part(1, "[service chat]");
+        let (present, _) = start("entry-1", 1, Some(first.clone()));
+        let two = OldProgram::start("entry-2", 2, key.clone()).await;
+        let three = OldProgram::start("entry-3", 3, key).await;
+        let mut programs = Programs::default();
+        programs.add(Program::Present(present.clone()));
+        programs.add(Program::Old(two.clone()));
+        programs.add(Program::Old(three.clone()));
+        programs.wait_agreed(3, 1, &[]).await;
+        two.publish(part(2, "[service chat]\nkind = model"));
+        let all = ["entry-1", "entry-2", "entry-3"];
+        programs.wait_agreed(3, 2, &all).await;
+
+        two.leave().await;
+        let (second, _) = start("entry-2", 12, Some(first.clone()));
+        programs.add(Program::Present(second.clone()));
+        programs.wait_agreed(3, 2, &["entry-1", "entry-3"]).await;
+        let vote = second.call(&three.me().id, claim(12), DEADLINE).await;
+        assert_eq!(vote, Ok(Response::Vote(Vote::Granted)));
+        assert_eq!(three.claims(), 1);
+
+        three.kill();
+        let (third, recorder) = start("entry-3", 13, Some(first));
+        programs.add(Program::Present(third.clone()));
+        programs.wait_agreed(3, 2, &["entry-1", "entry-2"]).await;
+        let vote = present.call(&third.me().id, claim(12), DEADLINE).await;
+        assert_eq!(vote, Ok(Response::Vote(Vote::Granted)));
+        assert_eq!(*recorder.0.lock().unwrap(), [AccountId(12)]);
+    });
+}
+
+/// A present program calls an older one by a method that came later, more often than a failing peer
+/// is asked. Each time it hears that the peer doesn't know the call; the calls that both know, the
+/// probes among them, go on. The older one's claim has no account, which reads as no account.
+#[test]
+fn a_call_that_an_older_program_lacks_does_not_cut_it_off() {
+    task::block_on(async {
+        let (present, recorder) = start("entry-1", 1, None);
+        let old = OldProgram::start("entry-2", 2, SharedKey::new(KEY)).await;
+        let mut programs = Programs::default();
+        programs.add(Program::Present(present.clone()));
+        programs.add(Program::Old(old.clone()));
+        let both = |program: &Program| program.live().len() == 2;
+        programs.wait("both see each other", &[], both).await;
+        let id = &old.me().id;
+        for _ in 0..MANY_CALLS {
+            let outcome = present.call(id, give_back(), DEADLINE).await;
+            assert_eq!(outcome, Err(CallError::Unsupported));
+        }
+        let vote = present.call(id, claim(12), DEADLINE).await;
+        assert_eq!(vote, Ok(Response::Vote(Vote::Granted)));
+        assert_eq!(old.claim(present.me()).await.unwrap(), GRANTED);
+        assert_eq!(*recorder.0.lock().unwrap(), [AccountId::default()]);
+        programs.check(&["entry-1", "entry-2"]);
+    });
+}
+
+/// A connection of a later program, which has proved that it holds the key.
+async fn later_session(peer: &Instance) -> capnp::Result<peer_next_capnp::session::Client> {
+    let stream = TcpStream::connect(peer.address).await.expect("it listens");
+    let mut system = RpcSystem::new(network(stream, Side::Client), None);
+    let gate: peer_next_capnp::gate::Client = system.bootstrap(Side::Server);
+    task::spawn_local(system);
+    let mut hello = gate.hello_request();
+    let challenge = [6; 32];
+    hello.get().set_min_version(1);
+    hello.get().set_max_version(3);
+    hello.get().set_id("entry-9");
+    hello.get().set_start(9);
+    hello.get().set_challenge(&challenge);
+    let answer = hello.send().promise.await?;
+    let answer = answer.get()?;
+    assert_eq!(answer.get_version(), 2);
+    let transcript = Transcript {
+        version: 2,
+        caller: Instance::new("entry-9", peer.address, "stgo-a").id,
+        challenge,
+        answer: answer.get_challenge()?.try_into().expect("32 bytes"),
+    };
+    let mut request = gate.authenticate_request();
+    let proof = transcript.proof(&SharedKey::new(KEY), Role::Caller);
+    request.get().set_proof(&proof);
+    let answer = request.send().promise.await?;
+    answer.get()?.get_session()
+}
+
+/// What a later program says of itself, with fields that the present one doesn't know.
+fn write_gossip(mut gossip: peer_next_capnp::gossip::Builder<'_>) {
+    gossip.set_start(9);
+    gossip.set_load(77);
+    gossip.reborrow().init_notes(1).set(0, "a note");
+    // An instance in a state that was added later: nothing can be said of it.
+    let mut update = gossip.init_updates(1).get(0);
+    update.set_id("entry-8");
+    update.set_address("127.0.0.1:9");
+    update.set_zone("stgo-a");
+    update.set_status(9);
+}
+
+/// A later program sends fields, a body, a state of a member and a call that the present one doesn't
+/// know. The body is answered by none, the call by "unimplemented"; the connection stays, and a probe
+/// that follows on it is answered.
+#[test]
+fn what_a_later_program_adds_does_not_cut_it_off() {
+    task::block_on(async {
+        let (present, _) = start("entry-1", 1, None);
+        let session = later_session(present.me()).await.unwrap();
+        let mut request = session.exchange_request();
+        let mut message = request.get().init_message();
+        write_gossip(message.reborrow().init_gossip());
+        message.set_hint("what to do");
+        let answer = request.send().promise.await.unwrap();
+        let answer = answer.get().unwrap().get_message().unwrap();
+        assert_eq!(answer.get_gossip().unwrap().get_load(), 0);
+        let body = answer.which().unwrap();
+        assert!(matches!(body, peer_next_capnp::message::None(())));
+
+        let mut request = session.inspect_request();
+        request.get().set_topic("load");
+        let refused = request.send().promise.await.err();
+        assert_eq!(refused.unwrap().kind, ErrorKind::Unimplemented);
+
+        let mut request = session.exchange_request();
+        let mut message = request.get().init_message();
+        write_gossip(message.reborrow().init_gossip());
+        message.set_probe("entry-1");
+        let answer = request.send().promise.await.unwrap();
+        let answer = answer.get().unwrap().get_message().unwrap();
+        assert_eq!(answer.get_gossip().unwrap().get_start(), 1);
+        let body = answer.which().unwrap();
+        assert!(matches!(body, peer_next_capnp::message::Ack(_)));
+        let live = Program::Present(present).live();
+        assert!(!live.contains(&"entry-8".to_owned()), "{live:?}");
+    });
+}
