Use the weight store's whole rate, and show the rate over several processes

The store's rate over several instances was shown in state machines only. Three entry processes now order loads on four stand-in engines, which record when each load begins; the owner is frozen and wakes in the middle (tests/all/weight_store.rs).

The first run kept the bound, but its loads came every 6 s at 20 a minute, where 3 s are due. Cause, from a trace of the planner's permits: an engine uses its permit when its next order is due, up to 2 s later, and was wanted on meanwhile. The planner gave it a second permit, ahead of the others, since that want still counted a replica fewer; nobody used it. A load that holds a permit is left out of the wants now. Ruled out: the part of the rate in a partition (three of three were live), and the limit of orders (20 a second). With the engines' reports standing still the loads came at the full rate, which is why the test of the rate didn't show it.

Seen red: the new test of the desk without the change.

--- a/crates/entry/src/coordination/orders/loads.rs
+++ b/crates/entry/src/coordination/orders/loads.rs
@@ -86,10 +86,14 @@
     }
 
     /// Every load that an engine lacks which is to load something now.
+    ///
+    /// One that has a permit is left out: an engine uses it only when its next order is due. Wanted on,
+    /// it would be given a second one that nobody uses, and half of the rate would be lost.
     fn wants(&self, engines: &BTreeMap<EngineId, Engine>) -> Vec<LoadWant> {
         let due = self.due.iter().filter_map(|id| engines.get(id));
         let loads = due.flat_map(|engine| engine.awaited().map(|model| (engine.id, model)));
-        let wants = loads.map(|(engine, model)| LoadWant {
+        let unpermitted = loads.filter(|load| !self.permits.contains_key(load));
+        let wants = unpermitted.map(|(engine, model)| LoadWant {
             engine,
             model,
             rank: self.ranks.get(&model).copied().unwrap_or(u8::MAX),
--- a/crates/entry/src/coordination/orders/tests.rs
+++ b/crates/entry/src/coordination/orders/tests.rs
@@ -101,10 +101,14 @@
 
 impl Lone {
     fn new(servers: u32, reports: Vec<LoadReport>) -> Lone {
+        Lone::with_loads(servers, reports, LOADS)
+    }
+
+    fn with_loads(servers: u32, reports: Vec<LoadReport>, loads: u32) -> Lone {
         let catalog = catalog(servers, reports.len(), true);
         let me = Member::new("entry-0", 1);
         let service = &catalog.services[catalog.service("team/fleet").unwrap()];
-        let mut desk = Desk::new(&service.name, LOADS, me, Millis::ZERO);
+        let mut desk = Desk::new(&service.name, loads, me, Millis::ZERO);
         desk.configure(&catalog, service, 4, Millis::ZERO);
         Lone {
             desk,
@@ -251,6 +255,24 @@
     );
 }
 
+/// Eight engines lack a model, and the store gives a load every three seconds. An engine uses its permit
+/// only when its next order is due, some seconds later. Were it given another one meanwhile, half of
+/// the rate would be lost, and the callers of the last engines would wait for twice as long.
+#[test]
+fn the_rate_of_the_weight_store_is_used() {
+    let mut lone = Lone::with_loads(8, vec![report(&[], 0); 8], 20);
+    let mut count = 0;
+    // The owner's wait, a load every three seconds, and what the last order waits for.
+    while lone.now < 25_000 + 8 * 3_000 + 3_000 {
+        for errand in lone.run(1, OrderAnswer::Obeyed) {
+            let engine: usize = errand.server.rsplit('-').next().unwrap().parse().unwrap();
+            lone.reports[engine] = report(&["m"], 0);
+            count += 1;
+        }
+    }
+    assert_eq!(count, 8);
+}
+
 /// The nightly sheets' model comes first in the text, and the chat's is missing too. The chat's
 /// callers are waiting, so its model is loaded first.
 #[test]
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -32,3 +32,4 @@
 pub use server::Engine;
 pub use stats::Cancellation;
 pub use stats::EngineStats;
+pub use stats::OrderRecord;
--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -238,18 +238,25 @@
             return Err(Fence { fence: self.fence });
         }
         self.fence = order.fence;
-        self.tally.counts.orders_done += 1;
+        let fence = order.fence;
         match order.kind {
             OrderKind::Load { model } => {
+                let changed = !self.models.contains_key(&model);
+                self.tally.ordered(fence, "load", &model, changed);
                 let ready = now + self.load_time;
                 self.models.entry(model).or_insert(ready);
             }
             OrderKind::Unload { model } => {
-                self.models.remove(&model);
+                let changed = self.models.remove(&model).is_some();
+                self.tally.ordered(fence, "unload", &model, changed);
+            }
+            OrderKind::Role { role } => {
+                let changed = self.role != role;
+                self.tally.ordered(fence, "role", &role, changed);
+                self.role = role;
             }
-            OrderKind::Role { role } => self.role = role,
         }
-        Ok(Fence { fence: self.fence })
+        Ok(Fence { fence })
     }
 
     /// Applies a command.
--- a/crates/standins/src/engine/stats.rs
+++ b/crates/standins/src/engine/stats.rs
@@ -29,6 +29,25 @@
     pub after_us: Option<u64>,
 }
 
+/// How many orders are listed.
+const ORDERS: usize = 1024;
+
+/// An order that was carried out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct OrderRecord {
+    /// When it came, in microseconds since the Unix epoch.
+    pub at_us: u64,
+    /// Its fencing number.
+    pub fence: u64,
+    /// `load`, `unload` or `role`.
+    pub kind: String,
+    /// The model or the role.
+    pub subject: String,
+    /// Whether it changed anything: a load of a model that is there asks nothing of the weight store.
+    pub changed: bool,
+}
+
 /// Counters of an engine.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", default)]
@@ -69,6 +88,8 @@
     pub uncounted: u64,
     /// The latest cancellations.
     pub cancellations: Vec<Cancellation>,
+    /// The latest orders that were carried out.
+    pub orders: Vec<OrderRecord>,
 }
 
 /// Runs by marker, and the counters.
@@ -136,6 +157,21 @@
         });
     }
 
+    /// Counts an order that was carried out.
+    pub(super) fn ordered(&mut self, fence: u64, kind: &str, subject: &str, changed: bool) {
+        self.counts.orders_done += 1;
+        if self.counts.orders.len() == ORDERS {
+            self.counts.orders.remove(0);
+        }
+        self.counts.orders.push(OrderRecord {
+            at_us: unix_micros(),
+            fence,
+            kind: kind.to_owned(),
+            subject: subject.to_owned(),
+            changed,
+        });
+    }
+
     /// Counts a request that ended by a fault of the engine.
     pub(super) fn failed(&mut self, tokens: u32) {
         self.counts.failed += 1;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -57,6 +57,7 @@
 pub use engine::Job;
 pub use engine::JobId;
 pub use engine::Lengths;
+pub use engine::OrderRecord;
 pub use engine::StepEnd;
 pub use engine::prefix_hash;
 pub use handle::Handle;
--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -628,4 +628,10 @@
         promises: &[Promise::Once],
         test: "orders::a_woken_owner_unloads_nothing::test_case_2_engines_that_ignore",
     },
+    Cell {
+        fault: Fault::Frozen,
+        step: Step::Order,
+        promises: &[Promise::Live],
+        test: "weight_store::loads_of_several_instances_keep_the_rate_and_the_order",
+    },
 ];
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -26,3 +26,4 @@
 mod server_faults;
 #[allow(unreachable_pub, reason = "a binary of tests has no interface")]
 mod support;
+mod weight_store;
