Order the roles that the text gives to engines

Engines take orders "to load models, adapters and versions, or to change role", and roles weren't ordered: the desk gave each target and each report the same role, and dropped a role order. The text now has `role` for a service of engines and for a server (`both`, `prefill`, `decode`; without it the role is left to the engine), with findings for a word that is no role, a role of a plain service or its server, a service in which no server would run whole requests, and a warning without weight-loads.

Roles go the same way as unloads: the same owner, fencing number, takeover, majority, reading back and 30 s of standing. An engine without models has its number raised by the role that it plays. An engine leaves `both` only while another one of that role certainly holds each of its models; requests keep away from it before, and models are placed on engines of the role `both` first.

Weighed: roles by count, placed like models. Then a role would move with each engine that falls silent, and each move ends what an engine does; see docs/design/orders.md.

The test of a woken owner that unloads nothing shares its steps with the new one now; its conditions are the same.

--- a/crates/config/src/apply.rs
+++ b/crates/config/src/apply.rs
@@ -237,6 +237,7 @@
         zone: decl.zone.clone(),
         concurrency: decl.concurrency.unwrap_or(defaults.concurrency),
         checks_orders: decl.checks_orders.unwrap_or(defaults.checks_orders),
+        role: decl.role.or(defaults.role),
     }
 }
 
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -14,6 +14,7 @@
 use crate::graph::Graph;
 use crate::model::Call;
 use crate::model::Kind;
+use crate::model::Role;
 use crate::model::Share;
 use crate::model::short_name;
 use crate::model::team_name;
@@ -34,6 +35,7 @@
         findings,
     };
     check.members();
+    check.roles();
     check.dependencies();
     check.prefixes();
     check.grants();
@@ -103,6 +105,39 @@
         }
     }
 
+    /// Roles need engines, one of which goes on running whole requests, and leave to order them.
+    fn roles(&mut self) {
+        let declared = self.declared;
+        for server in &declared.servers {
+            let service = self.services.get(server.service.as_str());
+            let plain = service.is_some_and(|s| s.kind != Kind::Model);
+            if plain && server.role.is_some() {
+                let message = "a plain service has no roles; leave it out";
+                self.error(&server.place, "role", message);
+            }
+        }
+        for service in declared.services.iter().filter(|s| s.kind == Kind::Model) {
+            self.service_roles(service);
+        }
+    }
+
+    fn service_roles(&mut self, service: &ServiceDecl) {
+        let servers = self.declared.servers.iter();
+        let servers = servers.filter(|server| server.service == service.name);
+        let roles: Vec<Option<Role>> = servers.map(|s| s.role.or(service.role)).collect();
+        let is_whole = |role: &Option<Role>| role.is_none_or(|role| role == Role::Both);
+        if !roles.is_empty() && !roles.iter().any(is_whole) {
+            let message = "no server of this service would run whole requests; \
+                           write role = both for one of them";
+            self.error(&service.place, "role", message);
+        }
+        if roles.iter().any(Option::is_some) && service.weight_loads == 0 {
+            let message = "the roles are not ordered, since nothing is ordered in a service without \
+                           weight-loads; write weight-loads = 6/min";
+            self.warn(&service.place, "role", message);
+        }
+    }
+
     fn dependencies(&mut self) {
         let graph = Graph::new(&self.declared.services);
         for service in &self.declared.services {
--- a/crates/config/src/decl.rs
+++ b/crates/config/src/decl.rs
@@ -10,6 +10,7 @@
 use crate::model::Kind;
 use crate::model::Limits;
 use crate::model::Priority;
+use crate::model::Role;
 use crate::model::Share;
 use crate::model::Targets;
 use crate::source::Section;
@@ -73,6 +74,7 @@
     pub(crate) weight_loads: u32,
     pub(crate) concurrency: u32,
     pub(crate) checks_orders: bool,
+    pub(crate) role: Option<Role>,
 }
 
 #[derive(Clone, Debug)]
@@ -86,6 +88,8 @@
     pub(crate) concurrency: Option<u32>,
     /// The service's default where it is left out.
     pub(crate) checks_orders: Option<bool>,
+    /// The service's default where it is left out.
+    pub(crate) role: Option<Role>,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -46,6 +46,7 @@
 pub use model::Model;
 pub use model::Priority;
 pub use model::Resolved;
+pub use model::Role;
 pub use model::Server;
 pub use model::Service;
 pub use model::Share;
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -115,6 +115,17 @@
     }
 }
 
+/// What an engine works on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Whole requests: prompts and tokens.
+    Both,
+    /// Prompts only.
+    Prefill,
+    /// Tokens only.
+    Decode,
+}
+
 /// A group of backend servers that serve the same requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Service {
@@ -149,6 +160,8 @@
     pub concurrency: u32,
     /// Whether it refuses an order that carries an old fencing number.
     pub checks_orders: bool,
+    /// The role that it is to take; none where the text leaves that to the engine.
+    pub role: Option<Role>,
 }
 
 /// One method and path pattern that a class binds.
--- a/crates/config/src/read.rs
+++ b/crates/config/src/read.rs
@@ -155,12 +155,16 @@
         let loads = fields.take("weight-loads", |v| units::rate(v, "/min"));
         let concurrency = take_concurrency(&mut fields);
         let orders = fields.take("checks-orders", units::flag);
+        let role = fields.take("role", units::role);
         if loads.is_some() && matches!(kind, Some(Kind::Plain { .. })) {
             fields.reject(
                 "weight-loads",
                 "a plain service loads no weights; leave it out",
             );
         }
+        if role.is_some() && matches!(kind, Some(Kind::Plain { .. })) {
+            fields.reject("role", "a plain service has no roles; leave it out");
+        }
         fields.finish();
         let Some(name) = name else {
             return;
@@ -177,6 +181,7 @@
             weight_loads: loads.unwrap_or_default(),
             concurrency: concurrency.unwrap_or(DEFAULT_CONCURRENCY),
             checks_orders: orders.unwrap_or(false),
+            role,
         });
     }
 
@@ -187,6 +192,7 @@
         let zone = fields.require("zone", "ZONE", units::name);
         let concurrency = take_concurrency(&mut fields);
         let checks_orders = fields.take("checks-orders", units::flag);
+        let role = fields.take("role", units::role);
         fields.finish();
         let Some((service, own)) = member else {
             return;
@@ -199,6 +205,7 @@
             zone: zone.unwrap_or_default(),
             concurrency,
             checks_orders,
+            role,
         });
     }
 
--- a/crates/config/src/units.rs
+++ b/crates/config/src/units.rs
@@ -11,6 +11,7 @@
 use crate::digest::KeyDigest;
 use crate::model::Call;
 use crate::model::Priority;
+use crate::model::Role;
 use crate::model::Share;
 
 /// The longest list that one key may hold.
@@ -49,6 +50,9 @@
         Flag(value: String) {
             display("{value:?} is neither yes nor no; write yes or no")
         }
+        Role(value: String) {
+            display("{value:?} is no role; write both, prefill or decode")
+        }
         Address(value: String) {
             display("{value:?} is no address; write an IP number and a port, such as 10.0.0.7:8000")
         }
@@ -97,6 +101,16 @@
     Ok(Millis(span))
 }
 
+/// A role: `both`, `prefill` or `decode`.
+pub(crate) fn role(value: &str) -> Result<Role, ValueError> {
+    match value {
+        "both" => Ok(Role::Both),
+        "prefill" => Ok(Role::Prefill),
+        "decode" => Ok(Role::Decode),
+        _ => Err(ValueError::Role(value.to_owned())),
+    }
+}
+
 /// A share: `5 %` or `99.95 %`.
 pub(crate) fn share(value: &str) -> Result<Share, ValueError> {
     let fail = || ValueError::Share(value.to_owned());
--- a/crates/config/tests/findings.rs
+++ b/crates/config/tests/findings.rs
@@ -77,6 +77,10 @@
 #[test_case(6, "shard-with = b 10 %", "the key is unknown"; "unknown key")]
 #[test_case(8, "address = one:8000", "write an IP number and a port"; "host name")]
 #[test_case(7, "[server flet/one]", "there is no service flet"; "server of no service")]
+#[test_case(6, "role = whole", "write both, prefill or decode"; "unknown role")]
+#[test_case(6, "role = decode\nweight-loads = 6/min", "would run whole requests"; "no whole role")]
+#[test_case(15, "prefix = /desk\nrole = both", "a plain service has no roles"; "role of a plain service")]
+#[test_case(18, "zone = z1\nrole = both", "a plain service has no roles"; "role of a plain server")]
 #[test_case(10, "[modell fleet/m]", "the section is unknown"; "unknown section")]
 #[test_case(11, "weights = 1", "write a whole number and a unit"; "size without unit")]
 #[test_case(14, "kind = plain \\", "ends with a backslash"; "continued line")]
@@ -166,6 +170,15 @@
     assert_eq!(sections, ["service desk"]);
 }
 
+#[test]
+fn role_that_nobody_may_order_is_a_warning() {
+    let text = Text::parse(&spoil(9, "zone = z1\nrole = both"));
+    let found = text.findings();
+    assert_eq!(found.len(), 1, "{found:#?}");
+    assert!(found[0].message.contains("write weight-loads = 6/min"));
+    assert_eq!(text.part("a").unwrap().in_force(), InForce::Current);
+}
+
 #[test]
 fn class_without_server_is_a_warning() {
     let text = SOUND.replace(
--- a/crates/entry/src/coordination/orders/desk.rs
+++ b/crates/entry/src/coordination/orders/desk.rs
@@ -39,9 +39,9 @@
 use super::placement::Candidate;
 use super::placement::Wanted;
 use super::placement::place;
-
-/// The text names no roles: engines keep theirs.
-const ROLE: RoleId = RoleId(0);
+use super::role::WHOLE;
+use super::role::ordered_role;
+use super::role::reported_role;
 
 /// Decides the orders to the engines of one service.
 ///
@@ -173,14 +173,16 @@
         };
         let ids = report.models.iter().map(|name| model_id(name));
         let models: Vec<ModelId> = ids.filter(|id| names.contains_key(id)).collect();
+        let role = reported_role(report.role);
         engine.heard = Some(Heard {
             models: models.clone(),
+            role,
             at: asked_at,
         });
         let report = EngineReport {
             engine: engine.id,
             models,
-            role: ROLE,
+            role,
             fence: report.fence,
             asked_at,
         };
@@ -249,7 +251,7 @@
             revision: self.revision,
             fencing: engine.fencing,
             models,
-            role: ROLE,
+            role: engine.role,
         };
         self.orders.on_target(target, now);
     }
@@ -268,7 +270,10 @@
                 let allowed = self.may_unload(order.engine, model, now);
                 allowed.then_some(order.kind)
             }
-            OrderKind::Role(_) => None,
+            OrderKind::Role(role) => {
+                let allowed = self.may_change_role(order.engine, role, now);
+                allowed.then_some(order.kind)
+            }
         };
         let ready = kind.map(|kind| Order { kind, ..order });
         let body = ready.as_ref().and_then(|order| self.body(order));
@@ -293,7 +298,9 @@
             OrderKind::Unload(model) => wire::OrderKind::Unload {
                 model: name(model)?,
             },
-            OrderKind::Role(_) => return None,
+            OrderKind::Role(role) => wire::OrderKind::Role {
+                role: ordered_role(*role)?,
+            },
         };
         Some(wire::Order {
             fence: order.fence,
@@ -302,25 +309,40 @@
     }
 
     /// Whether a model may go from an engine: only while another engine of the service certainly holds
-    /// it. Otherwise its callers would be left without a server.
+    /// it and runs whole requests. Otherwise its callers would be left without a server.
     fn may_unload(&self, id: EngineId, model: ModelId, now: Millis) -> bool {
         let mut others = self.engines.values().filter(|other| other.id != id);
-        others.any(|other| other.surely_holds(model, now))
+        others.any(|other| other.serves() && other.surely_holds(model, now))
+    }
+
+    /// Whether an engine may take a role. One that stops running whole requests leaves the callers of
+    /// its models without a server, unless another engine certainly serves each of them.
+    fn may_change_role(&self, id: EngineId, role: RoleId, now: Millis) -> bool {
+        let heard = self
+            .engines
+            .get(&id)
+            .and_then(|engine| engine.heard.as_ref());
+        let mut models = heard.iter().flat_map(|heard| &heard.models);
+        let others = || self.engines.values().filter(|other| other.id != id);
+        let whole = || others().filter(|other| other.serves() && other.plays(WHOLE));
+        role == WHOLE || models.all(|model| whole().any(|other| other.surely_holds(*model, now)))
     }
 
     /// Whether requests for a model should go to this server although it holds it.
     ///
     /// It is about to be unloaded where it isn't placed and a placed engine holds it. An instance that
     /// went on sending requests there would have them answered that the model is unknown. All
-    /// instances place alike, and the unload waits for longer than their reports can differ.
+    /// instances place alike, and the unload waits for longer than their reports can differ. The same
+    /// goes for an engine that the text gives a role without whole requests.
     pub(super) fn is_spare(&self, server: ServerKey, model: ModelId, now: Millis) -> bool {
         let id = self.keys.get(&server);
         let Some(engine) = id.and_then(|id| self.engines.get(id)) else {
             return false;
         };
         let mut others = self.engines.values().filter(|other| other.id != engine.id);
-        !engine.is_placed(model)
-            && others.any(|other| other.is_placed(model) && other.surely_holds(model, now))
+        let leaves = !engine.is_placed(model) || !engine.serves();
+        let serves = |other: &Engine| other.is_placed(model) && other.serves();
+        leaves && others.any(|other| serves(other) && other.surely_holds(model, now))
     }
 
     fn note_outdated(&mut self, engine: EngineId, fence: u64) -> Option<Outdated> {
--- a/crates/entry/src/coordination/orders/engine.rs
+++ b/crates/entry/src/coordination/orders/engine.rs
@@ -7,9 +7,12 @@
 use crocushold_ownership::EngineId;
 use crocushold_ownership::Fencing;
 use crocushold_ownership::ModelId;
+use crocushold_ownership::RoleId;
 use twox_hash::XxHash3_64;
 
 use super::placement::Candidate;
+use super::role::WHOLE;
+use super::role::wanted_role;
 
 /// After how long without a report an engine's models are placed on others. Loading elsewhere costs
 /// minutes, so a restart is waited for.
@@ -33,6 +36,7 @@
 pub(super) struct Heard {
     /// Models that the text names.
     pub(super) models: Vec<ModelId>,
+    pub(super) role: RoleId,
     /// When the reading was begun.
     pub(super) at: Millis,
 }
@@ -44,6 +48,8 @@
     pub(super) name: String,
     pub(super) address: SocketAddr,
     pub(super) fencing: Fencing,
+    /// The role that the text wants; none where it names none.
+    pub(super) role: Option<RoleId>,
     pub(super) known_at: Millis,
     pub(super) heard: Option<Heard>,
     /// What it was last told to be placed on it, and under which revision.
@@ -57,6 +63,7 @@
             name: server.name.clone(),
             address: server.address,
             fencing: fencing(server),
+            role: server.role.map(wanted_role),
             known_at: now,
             heard: None,
             placed: None,
@@ -66,6 +73,7 @@
     /// Takes over what the text says anew.
     pub(super) fn update(&mut self, server: &Server) {
         self.fencing = fencing(server);
+        self.role = server.role.map(wanted_role);
     }
 
     pub(super) fn candidate(&self, now: Millis) -> Candidate {
@@ -74,6 +82,7 @@
         Candidate {
             engine: self.id,
             up: now.since(last) < SILENCE,
+            whole: self.role.is_none_or(|role| role == WHOLE),
             held: heard.map(|heard| heard.models.clone()).unwrap_or_default(),
         }
     }
@@ -95,6 +104,18 @@
         placed.is_some_and(|(_, models)| models.contains(&model))
     }
 
+    /// Whether it runs whole requests and is to go on with it. Where the text names no role, that is
+    /// left to the engine.
+    pub(super) fn serves(&self) -> bool {
+        self.role
+            .is_none_or(|wanted| wanted == WHOLE && self.plays(WHOLE))
+    }
+
+    pub(super) fn plays(&self, role: RoleId) -> bool {
+        let heard = self.heard.as_ref();
+        heard.is_some_and(|heard| heard.role == role)
+    }
+
     /// Whether it held the model a moment ago.
     pub(super) fn surely_holds(&self, model: ModelId, now: Millis) -> bool {
         let heard = self.heard.as_ref();
--- a/crates/entry/src/coordination/orders/mod.rs
+++ b/crates/entry/src/coordination/orders/mod.rs
@@ -9,6 +9,7 @@
 mod loads;
 mod message;
 mod placement;
+mod role;
 mod send;
 mod shell;
 #[cfg(test)]
--- a/crates/entry/src/coordination/orders/placement.rs
+++ b/crates/entry/src/coordination/orders/placement.rs
@@ -20,6 +20,8 @@
     pub(super) engine: EngineId,
     /// Whether it was heard of lately.
     pub(super) up: bool,
+    /// Whether it is to run whole requests.
+    pub(super) whole: bool,
     /// The models that it holds.
     pub(super) held: Vec<ModelId>,
 }
@@ -31,8 +33,9 @@
     pub(super) models: Vec<ModelId>,
 }
 
-/// Chooses the engines of each model: those that answer go first, then those that hold it already,
-/// since a load costs the weight store minutes, then those of the highest rendezvous weight.
+/// Chooses the engines of each model: those that answer go first, then those that are to run whole
+/// requests, then those that hold it already, since a load costs the weight store minutes, then those
+/// of the highest rendezvous weight.
 ///
 /// Instances that see the same reports choose the same engines.
 pub(super) fn place(wanted: &[Wanted], candidates: &[Candidate]) -> Vec<Placement> {
@@ -61,7 +64,7 @@
         let candidate = &candidates[at];
         let held = candidate.held.contains(&wanted.model);
         let weight = weight(wanted.model, candidate.engine);
-        (!candidate.up, !held, Reverse(weight))
+        (!candidate.up, !candidate.whole, !held, Reverse(weight))
     });
     order.truncate(wanted.replicas);
     order
--- a/crates/entry/src/coordination/orders/shell.rs
+++ b/crates/entry/src/coordination/orders/shell.rs
@@ -21,6 +21,7 @@
 use crocushold_ownership::OrderAnswer;
 use crocushold_ownership::OrderSettings;
 use crocushold_ownership::View;
+use crocushold_platform::wire::EngineRole;
 use crocushold_platform::wire::LoadReport;
 use crocushold_platform::wire::OrderKind;
 use log::info;
@@ -189,16 +190,22 @@
 }
 
 fn event(name: &'static str, errand: &Errand) -> Event {
-    let (kind, model) = match &errand.body.kind {
-        OrderKind::Load { model } => ("load", model.as_str()),
-        OrderKind::Unload { model } => ("unload", model.as_str()),
-        OrderKind::Role { .. } => ("role", ""),
+    let event = Event::new(name).with("server", &errand.server);
+    let event = match &errand.body.kind {
+        OrderKind::Load { model } => event.with("kind", "load").with("model", model),
+        OrderKind::Unload { model } => event.with("kind", "unload").with("model", model),
+        OrderKind::Role { role } => event.with("kind", "role").with("role", role_name(*role)),
     };
-    Event::new(name)
-        .with("server", &errand.server)
-        .with("kind", kind)
-        .with("model", model)
-        .with("fence", errand.order.fence)
+    event.with("fence", errand.order.fence)
+}
+
+fn role_name(role: EngineRole) -> &'static str {
+    match role {
+        EngineRole::Both => "both",
+        EngineRole::Prefill => "prefill",
+        EngineRole::Decode => "decode",
+        EngineRole::Other => "other",
+    }
 }
 
 fn answer_name(answer: OrderAnswer) -> &'static str {
--- a/crates/entry/src/coordination/orders/tests.rs
+++ b/crates/entry/src/coordination/orders/tests.rs
@@ -9,6 +9,7 @@
 use crocushold_ownership::ModelId;
 use crocushold_ownership::OrderAnswer;
 use crocushold_ownership::View;
+use crocushold_platform::wire::EngineRole;
 use crocushold_platform::wire::LoadReport;
 use crocushold_platform::wire::OrderKind;
 use test_case::test_case;
@@ -30,6 +31,7 @@
     Candidate {
         engine: EngineId(number),
         up,
+        whole: true,
         held: held.to_vec(),
     }
 }
@@ -129,6 +131,16 @@
         self.keys = service.servers.clone();
     }
 
+    /// Publishes a text that gives the first engine a role.
+    fn publish_role(&mut self, servers: u32, role: &str) {
+        let text = text(servers, self.keys.len(), true);
+        let first = "[server fleet/runner-0]\n";
+        let catalog = parse(&text.replace(first, &format!("{first}role = {role}\n")));
+        let service = &catalog.services[catalog.service("team/fleet").unwrap()];
+        self.desk.configure(&catalog, service, 5, Millis(self.now));
+        self.keys = service.servers.clone();
+    }
+
     /// Runs some seconds, answering each order; returns the orders.
     fn run(&mut self, seconds: u64, answer: OrderAnswer) -> Vec<Errand> {
         let mut sent = Vec::new();
@@ -152,6 +164,18 @@
 }
 
 fn catalog(servers: u32, engines: usize, checks: bool) -> Catalog {
+    parse(&text(servers, engines, checks))
+}
+
+fn parse(text: &str) -> Catalog {
+    let mut parts = Text::default();
+    parts.set_part("team", text);
+    let mut catalog = Catalog::default();
+    catalog.apply(&parts);
+    catalog
+}
+
+fn text(servers: u32, engines: usize, checks: bool) -> String {
     let checks = if checks { "yes" } else { "no" };
     let mut text = format!(
         "[team team]\nformat = 1\n\n[service fleet]\nkind = model\nconcurrency = 8\n\
@@ -167,11 +191,7 @@
             9_000 + number
         ));
     }
-    let mut parts = Text::default();
-    parts.set_part("team", &text);
-    let mut catalog = Catalog::default();
-    catalog.apply(&parts);
-    catalog
+    text
 }
 
 fn report(models: &[&str], running: u32) -> LoadReport {
@@ -308,3 +328,79 @@
     let mut lone = Lone::new(2, vec![held(), held()]);
     assert_eq!(lone.run(60, OrderAnswer::Obeyed), []);
 }
+
+/// The roles among the orders, with their engines.
+fn roles(sent: &[Errand]) -> Vec<(&str, EngineRole)> {
+    let roles = sent.iter().filter_map(|errand| match errand.body.kind {
+        OrderKind::Role { role } => Some((errand.server.as_str(), role)),
+        _ => None,
+    });
+    roles.collect()
+}
+
+/// Both engines serve a model, and a text gives the first one another role. Requests keep away from it
+/// at once, and the role is ordered once the text has stood.
+#[test]
+fn a_role_is_ordered_after_requests_keep_away() {
+    let mut lone = Lone::new(2, vec![report(&["m", "n"], 3); 2]);
+    lone.run(3, OrderAnswer::Obeyed);
+    lone.publish_role(2, "prefill");
+    assert_eq!(roles(&lone.run(29, OrderAnswer::Obeyed)), []);
+    let spares: Vec<bool> = lone
+        .keys
+        .iter()
+        .map(|key| {
+            let now = Millis(lone.now);
+            lone.desk.is_spare(*key, model_id("m"), now)
+        })
+        .collect();
+    assert_eq!(spares, [true, false]);
+    let sent = lone.run(6, OrderAnswer::Obeyed);
+    assert_eq!(
+        roles(&sent)[0],
+        ("team/fleet/runner-0", EngineRole::Prefill)
+    );
+}
+
+/// The engine that is to stop running whole requests is the only one that serves a model for now: the
+/// other one lacks it, is silent, or still has a role without whole requests. Its callers would be
+/// left without a server, so the role waits.
+#[test_case(report(&["n"], 0), None; "lacks the model")]
+#[test_case(report(&["m", "n"], 0), Some(1); "is silent")]
+#[test_case(LoadReport { role: EngineRole::Decode, ..report(&["m", "n"], 0) }, None; "only decodes")]
+fn a_role_waits_until_another_engine_serves(other: LoadReport, silent: Option<usize>) {
+    let mut lone = Lone::new(2, vec![report(&["m", "n"], 3), other]);
+    lone.publish_role(2, "prefill");
+    lone.silent = silent;
+    let sent = lone.run(55, OrderAnswer::Failed);
+    let first = ("team/fleet/runner-0", EngineRole::Prefill);
+    assert!(!roles(&sent).contains(&first), "{sent:?}");
+}
+
+/// One of two engines is to hold a model, and the text gives the one that does another role. The model
+/// is loaded on the other one first, which then serves its callers; the first gives it up last.
+#[test]
+fn a_model_moves_before_its_engine_changes_role() {
+    let mut lone = Lone::new(1, vec![report(&["m"], 3), report(&[], 0)]);
+    lone.publish_role(1, "decode");
+    let sent = lone.run(60, OrderAnswer::Obeyed);
+    assert_eq!(loads(&sent)[..1], ["m"]);
+    assert_eq!(roles(&sent), []);
+    lone.reports[1] = report(&["m"], 0);
+    let sent = lone.run(10, OrderAnswer::Obeyed);
+    assert_eq!(roles(&sent)[0], ("team/fleet/runner-0", EngineRole::Decode));
+    assert!(!sent.iter().any(is_unload), "{sent:?}");
+    lone.reports[0].role = EngineRole::Decode;
+    assert!(lone.run(10, OrderAnswer::Obeyed).iter().any(is_unload));
+}
+
+/// Engines play other roles than usual, and the text names none.
+#[test]
+fn a_role_that_the_text_does_not_name_is_left_alone() {
+    let decodes = LoadReport {
+        role: EngineRole::Decode,
+        ..report(&["m", "n"], 0)
+    };
+    let mut lone = Lone::new(2, vec![decodes.clone(), decodes]);
+    assert_eq!(roles(&lone.run(60, OrderAnswer::Obeyed)), []);
+}
--- a/crates/ownership/benches/ownership.rs
+++ b/crates/ownership/benches/ownership.rs
@@ -115,7 +115,7 @@
             revision: 1,
             fencing: Fencing::Checked,
             models: vec![ModelId(1)],
-            role: RoleId(0),
+            role: Some(RoleId(0)),
         };
         orders.on_target(target, NOW);
     }
@@ -134,7 +134,7 @@
             revision: 1,
             fencing: Fencing::Checked,
             models: vec![ModelId(1)],
-            role: RoleId(0),
+            role: Some(RoleId(0)),
         };
         orders.on_target(target, NOW);
     }
--- a/crates/ownership/src/orders/engine.rs
+++ b/crates/ownership/src/orders/engine.rs
@@ -158,8 +158,8 @@
         if now.since(self.stated_at) < settings.damping {
             return None;
         }
-        if report.role != self.target.role {
-            return Some(OrderKind::Role(self.target.role));
+        if let Some(role) = self.target.role.filter(|role| *role != report.role) {
+            return Some(OrderKind::Role(role));
         }
         let extra = |model: &&_| !self.target.models.contains(model);
         match report.models.iter().find(extra) {
@@ -169,10 +169,15 @@
     }
 
     /// An engine that is as wanted by luck still has an old number, and would obey an instance that
-    /// wakes with an old text. A load of a model that it has raises the number and changes nothing.
+    /// wakes with an old text. A load of a model that it has raises the number and changes nothing, and
+    /// so does the role that it plays already.
     fn raise(&self, report: &EngineReport) -> Option<OrderKind> {
         let unfenced = self.target.fencing == Fencing::Checked && report.fence < self.stated_in;
-        let first = self.target.models.first().filter(|_| unfenced);
-        first.map(|model| OrderKind::Load(*model))
+        if !unfenced {
+            return None;
+        }
+        let first = self.target.models.first();
+        let load = first.map(|model| OrderKind::Load(*model));
+        load.or(self.target.role.map(OrderKind::Role))
     }
 }
--- a/crates/ownership/src/orders/message.rs
+++ b/crates/ownership/src/orders/message.rs
@@ -42,8 +42,8 @@
     pub fencing: Fencing,
     /// The models that it should have loaded, in ascending order.
     pub models: Vec<ModelId>,
-    /// The role that it should play.
-    pub role: RoleId,
+    /// The role that it should play; none where that is left to the engine.
+    pub role: Option<RoleId>,
 }
 
 /// What an engine says of itself.
@@ -68,7 +68,8 @@
     Load(ModelId),
     /// Unload a model. Destructive.
     Unload(ModelId),
-    /// Change role. Destructive: it ends the former role.
+    /// Take a role. Destructive: it ends the former one. An order to take the role that the engine
+    /// has changes nothing.
     Role(RoleId),
 }
 
--- a/crates/ownership/tests/orders.rs
+++ b/crates/ownership/tests/orders.rs
@@ -19,10 +19,14 @@
 
 const ENGINE: EngineId = EngineId(5);
 
+const WHOLE: RoleId = RoleId(0);
+const PREFILL: RoleId = RoleId(1);
+
 /// An engine that obeys, and keeps count.
 struct Engine {
     fencing: Fencing,
     models: Vec<ModelId>,
+    role: RoleId,
     fence: u64,
     obeyed: Vec<Order>,
 }
@@ -32,6 +36,7 @@
         Engine {
             fencing,
             models: models.iter().copied().map(ModelId).collect(),
+            role: WHOLE,
             fence: 0,
             obeyed: Vec::new(),
         }
@@ -46,7 +51,8 @@
         match order.kind {
             OrderKind::Load(model) if !self.models.contains(&model) => self.models.push(model),
             OrderKind::Unload(model) => self.models.retain(|other| *other != model),
-            OrderKind::Load(_) | OrderKind::Role(_) => {}
+            OrderKind::Load(_) => {}
+            OrderKind::Role(role) => self.role = role,
         }
         OrderAnswer::Obeyed
     }
@@ -56,7 +62,7 @@
         EngineReport {
             engine: ENGINE,
             models: self.models.clone(),
-            role: RoleId(0),
+            role: self.role,
             fence: if keeps { self.fence } else { 0 },
             asked_at: now,
         }
@@ -69,7 +75,15 @@
         revision,
         fencing,
         models: models.iter().copied().map(ModelId).collect(),
-        role: RoleId(0),
+        role: Some(WHOLE),
+    }
+}
+
+/// A target that wants the first model and a role.
+fn role_target(revision: u64, fencing: Fencing, role: Option<RoleId>) -> Target {
+    Target {
+        role,
+        ..target(revision, fencing, &[1])
     }
 }
 
@@ -293,3 +307,103 @@
     run(&mut old, &mut engine, &views[0], 1, 120);
     assert_eq!(engine.models, [ModelId(1), ModelId(2)]);
 }
+
+/// A text gives an engine another role. It is ordered once, after the text has stood for a while, and
+/// an engine whose role the text leaves alone is given none, whatever it plays.
+#[test_case(Fencing::Checked, Some(PREFILL), &[OrderKind::Role(PREFILL)])]
+#[test_case(Fencing::Ignored, Some(PREFILL), &[OrderKind::Role(PREFILL)])]
+#[test_case(Fencing::Ignored, None, &[])]
+#[test_case(Fencing::Checked, None, &[OrderKind::Load(ModelId(1))]; "number raised")]
+fn a_role_is_ordered_once(fencing: Fencing, role: Option<RoleId>, orders: &[OrderKind]) {
+    let mut engine = Engine::new(fencing, &[1]);
+    let view = view("a");
+    let mut owner = instance("a", role_target(4, fencing, role), &view);
+    run(&mut owner, &mut engine, &view, 1, 30);
+    assert_eq!(engine.role, WHOLE);
+    run(&mut owner, &mut engine, &view, 30, 90);
+    let obeyed: Vec<OrderKind> = engine.obeyed.iter().map(|order| order.kind).collect();
+    assert_eq!(obeyed, orders);
+}
+
+/// A text gives an engine without models the role that it plays by luck. An instance woken with an
+/// older text would be obeyed, so the owner raises the engine's number by the role itself.
+#[test]
+fn a_role_alone_raises_the_number() {
+    let mut engine = Engine::new(Fencing::Checked, &[]);
+    let views = [view("a"), view("b")];
+    let wanted = target(5, Fencing::Checked, &[]);
+    let mut new = instance("b", wanted, &views[1]);
+    run(&mut new, &mut engine, &views[1], 1, 60);
+    assert_eq!(engine.fence, 5);
+    let stale = Target {
+        role: Some(PREFILL),
+        ..target(4, Fencing::Checked, &[])
+    };
+    let mut old = instance("a", stale, &views[0]);
+    run(&mut old, &mut engine, &views[0], 1, 120);
+    assert_eq!(engine.role, WHOLE);
+}
+
+/// Revision 4 gives the engine another role, and its owner is stopped with that order in its hands.
+/// Revision 5 takes the role back, and another instance owns the engine. The first wakes, still sure
+/// that it owns the engine, and goes on for minutes with its old text. An engine that checks refuses
+/// it; to one that obeys anybody it must send nothing until its view is confirmed, which only shows it
+/// that another is the owner.
+#[test_case(Fencing::Checked)]
+#[test_case(Fencing::Ignored)]
+fn a_woken_owner_changes_no_role(fencing: Fencing) {
+    let mut engine = Engine::new(fencing, &[1]);
+    let all = View::new(["a", "b"].map(|name| Member::new(name, 1)));
+    let alone = [view("a"), view("b")];
+    let mut old = instance("a", role_target(4, fencing, Some(PREFILL)), &alone[0]);
+    let mut second = 1;
+    let order = loop {
+        let now = Millis::from_secs(second);
+        old.on_view(alone[0].clone(), &alone[0], now);
+        if let Some(OrderAction::Send(order)) = old.on_tick(now).first() {
+            break *order;
+        }
+        old.on_report(engine.report(now + Millis(1)), now);
+        second += 1;
+        assert!(second < 120, "no order at all");
+    };
+    assert_eq!(order.kind, OrderKind::Role(PREFILL));
+
+    let mut new = instance("b", role_target(5, fencing, Some(WHOLE)), &alone[1]);
+    run(&mut new, &mut engine, &alone[1], second, second + 60);
+    let woken = second + 60;
+    assert!(!old.may_send(&order, Millis::from_secs(woken)));
+    assert_eq!(step(&mut old, &mut engine, Millis::from_secs(woken)), []);
+    let takeover = OrderSettings::default().takeover.as_secs_ceil();
+    for at in woken + 1..woken + 180 {
+        let now = Millis::from_secs(at);
+        // Sure that it is the owner, on an engine that checks to the end; on the other one until it
+        // hears that it is alone in a fleet of two, which is long before the end of the takeover.
+        let deluded = fencing == Fencing::Checked || at < woken + takeover;
+        let reference = if deluded { &alone[0] } else { &all };
+        old.on_view(alone[0].clone(), reference, now);
+        step(&mut old, &mut engine, now);
+        new.on_view(alone[1].clone(), &alone[1], now);
+        step(&mut new, &mut engine, now);
+        assert_eq!(engine.role, WHOLE);
+    }
+    let roles = engine.obeyed.iter().filter(|o| o.kind.is_destructive());
+    assert_eq!(roles.count(), 0);
+}
+
+/// A team gives an engine another role and takes it back every few seconds. Each change would end
+/// what the engine is doing, so none is ordered.
+#[test]
+fn a_flapping_role_is_not_ordered() {
+    let mut engine = Engine::new(Fencing::Checked, &[1]);
+    let view = &view("a");
+    let mut orders = instance("a", role_target(1, Fencing::Checked, None), view);
+    for round in 0..30 {
+        let role = [PREFILL, WHOLE][round as usize % 2];
+        let now = Millis::from_secs(round * 10);
+        orders.on_target(role_target(round + 2, Fencing::Checked, Some(role)), now);
+        run(&mut orders, &mut engine, view, round * 10, round * 10 + 10);
+    }
+    let destructive = engine.obeyed.iter().filter(|o| o.kind.is_destructive());
+    assert_eq!(destructive.count(), 0);
+}
--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -628,6 +628,18 @@
         promises: &[Promise::Once],
         test: "orders::a_woken_owner_unloads_nothing::test_case_2_engines_that_ignore",
     },
+    Cell {
+        fault: Fault::Frozen,
+        step: Step::Order,
+        promises: &[Promise::Once],
+        test: "orders::a_woken_owner_changes_no_role::test_case_1_engines_that_check",
+    },
+    Cell {
+        fault: Fault::Frozen,
+        step: Step::Order,
+        promises: &[Promise::Once],
+        test: "orders::a_woken_owner_changes_no_role::test_case_2_engines_that_ignore",
+    },
     Cell {
         fault: Fault::Frozen,
         step: Step::Order,
--- a/tests/all/orders.rs
+++ b/tests/all/orders.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crocushold_platform::wire::EngineRole;
 use crocushold_platform::wire::LoadReport;
 use crocushold_standins::EngineSettings;
 use crocushold_standins::PlatformCommand;
@@ -49,18 +50,27 @@
 
 /// Publishes a text in which the engines may be ordered, and models are wanted on some of them.
 fn publish(site: &Site, checks: bool, models: &[(&str, usize)]) {
+    site.publish(|text| ordered_text(text, checks, models));
+}
+
+/// Publishes a text that wants the model on both engines, and a role of the first one.
+fn publish_role(site: &Site, checks: bool, role: &str) {
+    let first = "[server fleet/runner-0]\n";
+    let with_role = format!("{first}role = {role}\n");
+    site.publish(|text| ordered_text(text, checks, &[("m", 2)]).replace(first, &with_role));
+}
+
+fn ordered_text(text: &str, checks: bool, models: &[(&str, usize)]) -> String {
     let checks = if checks { "yes" } else { "no" };
     let orders = format!("kind = model\nweight-loads = 60/min\nchecks-orders = {checks}");
     let models = models.iter().map(|(name, servers)| {
         format!("[model fleet/{name}]\nweights = 16 GB\nservers = {servers}\n\n")
     });
     let models: String = models.collect();
-    site.publish(|text| {
-        let text = text.replace("kind = model", &orders);
-        let at = text.find("[model fleet/m]").unwrap();
-        let end = at + text[at..].find("[server").unwrap();
-        format!("{}{models}{}", &text[..at], &text[end..])
-    });
+    let text = text.replace("kind = model", &orders);
+    let at = text.find("[model fleet/m]").unwrap();
+    let end = at + text[at..].find("[server").unwrap();
+    format!("{}{models}{}", &text[..at], &text[end..])
 }
 
 fn page(path: &str, method: Method, body: &str) -> Call {
@@ -110,22 +120,26 @@
         .status
 }
 
-/// The owner is frozen just before it would unload a model that its text wants on one engine only.
-/// Meanwhile a newer text wants the model on both, and another instance owns the engines. The first
-/// one wakes with the old text, sure that it is the owner and that the unload is due, and neither its
-/// peers nor the platform can tell it better. Engines that check numbers have been given the newer
-/// one by then and refuse the old; from those that don't, it must keep away by itself.
-#[test_case(true; "engines that check")]
-#[test_case(false; "engines that ignore")]
-fn a_woken_owner_unloads_nothing(checks: bool) {
+/// A text, a newer one that takes it back, and an order that carries the first one out.
+struct Change {
+    first: fn(&Site, bool),
+    second: fn(&Site, bool),
+    order: &'static str,
+}
+
+/// Freezes the owner just before it would carry the first text out, lets another instance take over
+/// with the second one, and wakes the first where neither its peers nor the platform can tell it
+/// better. Engines that check numbers have been given the newer one by then. The state of the engines
+/// that the second text wants has to stand all the while.
+fn wake_a_former_owner(checks: bool, change: &Change, stands: impl Fn(&Site) -> bool) {
     let site = start_site(checks);
     let fleet = Fleet::start_linked(&site, 3);
-    publish(&site, checks, &[("m", 1)]);
+    (change.first)(&site, checks);
     let stated = Instant::now();
     fleet.wait_status("\"revision\": 2,");
     let old = owner(&fleet);
     fleet.entry(old).signal("STOP");
-    publish(&site, checks, &[("m", 2)]);
+    (change.second)(&site, checks);
     let others: Vec<usize> = (0..3).filter(|number| *number != old).collect();
     wait_long("another instance owns the engines", || {
         others.iter().any(|number| owns(fleet.entry(*number)))
@@ -134,25 +148,82 @@
         wait_long("the engines have the newer number", || {
             reports(&site).iter().all(|report| report.fence == 3)
         });
-        let engine = site.engines[0].addr();
-        let unload = r#"{"fence": 2, "kind": "unload", "model": "m"}"#;
-        assert_eq!(order(engine, unload), 409);
+        assert_eq!(order(site.engines[0].addr(), change.order), 409);
     }
-    // Until the frozen one is due to unload, were it still the owner.
+    // Until the frozen one is due, were it still the owner.
     thread::sleep(DAMPING.saturating_sub(stated.elapsed()));
     fleet.links.split(&[old], &others);
     site.platform(PlatformCommand::Frozen { on: true });
     fleet.entry(old).signal("CONT");
     let woken = Instant::now();
     while woken.elapsed() < WATCH {
-        assert_eq!(holders(&site, "m"), 2);
+        assert!(stands(&site));
         thread::sleep(Duration::from_millis(20));
     }
     assert_eq!(fleet.entry(old).status().config.revision, 2);
     site.platform(PlatformCommand::Frozen { on: false });
     fleet.links.heal();
     fleet.wait_status("\"revision\": 3,");
-    assert_eq!(holders(&site, "m"), 2);
+    assert!(stands(&site));
+}
+
+/// The owner is frozen just before it would unload a model that its text wants on one engine only.
+/// Meanwhile a newer text wants the model on both, and another instance owns the engines. The first
+/// one wakes with the old text, sure that it is the owner and that the unload is due. Engines that
+/// check numbers refuse it; from those that don't, it must keep away by itself.
+#[test_case(true; "engines that check")]
+#[test_case(false; "engines that ignore")]
+fn a_woken_owner_unloads_nothing(checks: bool) {
+    let change = Change {
+        first: |site, checks| publish(site, checks, &[("m", 1)]),
+        second: |site, checks| publish(site, checks, &[("m", 2)]),
+        order: r#"{"fence": 2, "kind": "unload", "model": "m"}"#,
+    };
+    wake_a_former_owner(checks, &change, |site| holders(site, "m") == 2);
+}
+
+/// Orders to take another role that the engines obeyed.
+fn role_changes(site: &Site) -> usize {
+    let stats = site.engines.iter().map(|engine| engine.stats());
+    let orders = stats.flat_map(|stats| stats.orders);
+    let roles = orders.filter(|order| order.kind == "role" && order.changed);
+    roles.count()
+}
+
+/// The owner is frozen just before it would give an engine a role without whole requests. Meanwhile a
+/// newer text wants the former role, and another instance owns the engines. The first one wakes with
+/// the old text, sure that it is the owner and that the change is due; obeyed, it would end what the
+/// engine does for its callers. Engines that check numbers refuse it; from the others it must keep away.
+#[test_case(true; "engines that check")]
+#[test_case(false; "engines that ignore")]
+fn a_woken_owner_changes_no_role(checks: bool) {
+    let change = Change {
+        first: |site, checks| publish_role(site, checks, "prefill"),
+        second: |site, checks| publish_role(site, checks, "both"),
+        order: r#"{"fence": 2, "kind": "role", "role": "prefill"}"#,
+    };
+    wake_a_former_owner(checks, &change, |site| role_changes(site) == 0);
+}
+
+/// Two engines serve a model, and a text gives the first one another role. It is ordered once, and
+/// callers notice nothing: requests go to the other engine, before the change already.
+#[test]
+fn an_engine_takes_the_role_that_the_text_wants() {
+    let site = start_site(true);
+    let entry = site.entry("entry-0");
+    publish_role(&site, true, "decode");
+    entry.wait_in_force(2);
+    wait_long("the engine took the role", || {
+        let answer = call(entry.listen, &Call::chat(false, 1)).unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.body);
+        reports(&site)[0].role == EngineRole::Decode
+    });
+    let started = site.engines[0].stats().started;
+    let after = (0..50).map(|_| call(entry.listen, &Call::chat(false, 1)).unwrap().status);
+    assert!(after.into_iter().all(|status| status == 200));
+    assert_eq!(site.engines[0].stats().started, started);
+    assert_eq!(role_changes(&site), 1);
+    assert_eq!(reports(&site)[1].role, EngineRole::Both);
 }
 
 /// The owner is killed, and a new text wants another model on both engines. A new owner waits until
