Don't order a load again that an engine has begun

An engine lists a model only when it is loaded, which takes minutes; until then it seemed to lack the model, and its load was ordered again each time its next order was due. The engine does nothing with the repeat, but it used a permit of the weight store, and of a high class before the loads of the lower ones.

Cause seen in the desk alone, with two engines whose loads don't end and 6 loads a minute: in 120 s the chat's model was ordered eight times on its two engines, and the sheets' model once. After: each model once on each engine. A load is forgotten when the model is there, when the engine wasn't heard of for 5 s, since a crash ends it, and after 10 min. The other choice, to count permits for an engine once only, would leave a crashed engine without its model until the text changes.

Seen red: both new tests without the change, and the one of the crash without the 5 s. After: 21 tests of the desk, and 8 of 8 with real processes (orders, weight_store).

--- a/crates/entry/src/coordination/orders/desk.rs
+++ b/crates/entry/src/coordination/orders/desk.rs
@@ -360,6 +360,12 @@
 
     /// An order was answered, or its call failed.
     pub(super) fn on_answer(&mut self, order: &Order, answer: OrderAnswer, now: Millis) {
+        let engine = self.engines.get(&order.engine);
+        if let (OrderKind::Load(model), OrderAnswer::Obeyed) = (order.kind, answer)
+            && engine.is_some_and(|engine| !engine.holds(model))
+        {
+            self.loads.on_begun(order.engine, model, now);
+        }
         self.orders.on_answer(order, answer, now);
     }
 
--- a/crates/entry/src/coordination/orders/engine.rs
+++ b/crates/entry/src/coordination/orders/engine.rs
@@ -118,9 +118,13 @@
 
     /// Whether it held the model a moment ago.
     pub(super) fn surely_holds(&self, model: ModelId, now: Millis) -> bool {
+        self.is_heard(now) && self.holds(model)
+    }
+
+    /// Whether it was heard of a moment ago.
+    pub(super) fn is_heard(&self, now: Millis) -> bool {
         let heard = self.heard.as_ref();
-        let recent = heard.is_some_and(|heard| now.since(heard.at) <= RECENT);
-        recent && self.holds(model)
+        heard.is_some_and(|heard| now.since(heard.at) <= RECENT)
     }
 }
 
--- a/crates/entry/src/coordination/orders/loads.rs
+++ b/crates/entry/src/coordination/orders/loads.rs
@@ -15,6 +15,9 @@
 use super::engine::Engine;
 use super::message::Ranked;
 
+/// How long a load may take before it is ordered again.
+const LOAD_LIMIT: Millis = Millis::from_secs(600);
+
 /// The loads of one service from its weight store.
 ///
 /// Wants and permits are calls inside the process: the owner of the store owns the engines too.
@@ -29,6 +32,8 @@
     due: BTreeSet<EngineId>,
     /// Permits that may still be used, with their end.
     permits: BTreeMap<(EngineId, ModelId), Millis>,
+    /// Loads that engines have begun, with the time of the order.
+    begun: BTreeMap<(EngineId, ModelId), Millis>,
 }
 
 impl Loads {
@@ -44,6 +49,7 @@
             ranks: BTreeMap::new(),
             due: BTreeSet::new(),
             permits: BTreeMap::new(),
+            begun: BTreeMap::new(),
         }
     }
 
@@ -71,11 +77,28 @@
     pub(super) fn forget(&mut self) {
         self.due.clear();
         self.permits.clear();
+        self.begun.clear();
+    }
+
+    /// An engine obeyed the order to load a model that it lacks.
+    pub(super) fn on_begun(&mut self, engine: EngineId, model: ModelId, now: Millis) {
+        self.begun.insert((engine, model), now);
+    }
+
+    /// Forgets the loads that ended. An engine that crashed in the middle of one doesn't know of it any
+    /// more, and its reports were missing for a while.
+    fn forget_ended(&mut self, engines: &BTreeMap<EngineId, Engine>, now: Millis) {
+        self.begun.retain(|(engine, model), at| {
+            let engine = engines.get(engine).filter(|engine| engine.is_heard(now));
+            let loading = engine.is_some_and(|engine| !engine.holds(*model));
+            loading && now.since(*at) < LOAD_LIMIT
+        });
     }
 
     /// Asks the planner for the loads that are due, and takes its permits.
     pub(super) fn on_tick(&mut self, engines: &BTreeMap<EngineId, Engine>, now: Millis) {
         self.permits.retain(|_, until| now < *until);
+        self.forget_ended(engines, now);
         for want in self.wants(engines) {
             self.planner.on_want(self.me, want, now);
         }
@@ -88,17 +111,22 @@
     /// Every load that an engine lacks which is to load something now.
     ///
     /// One that has a permit is left out: an engine uses it only when its next order is due. Wanted on,
-    /// it would be given a second one that nobody uses, and half of the rate would be lost.
+    /// it would be given a second one that nobody uses, and half of the rate would be lost. So is one that
+    /// was begun: a report shows the model only minutes later, and until then the loads of a high class
+    /// would be ordered over and over in place of those of the lower ones.
     fn wants(&self, engines: &BTreeMap<EngineId, Engine>) -> Vec<LoadWant> {
         let due = self.due.iter().filter_map(|id| engines.get(id));
         let loads = due.flat_map(|engine| engine.awaited().map(|model| (engine.id, model)));
-        let unpermitted = loads.filter(|load| !self.permits.contains_key(load));
-        let wants = unpermitted.map(|(engine, model)| LoadWant {
-            engine,
-            model,
-            rank: self.ranks.get(&model).copied().unwrap_or(u8::MAX),
-            replicas: engines.values().filter(|e| e.holds(model)).count() as u32,
-        });
+        let is_under_way =
+            |load: &_| self.permits.contains_key(load) || self.begun.contains_key(load);
+        let wants = loads
+            .filter(|load| !is_under_way(load))
+            .map(|(engine, model)| LoadWant {
+                engine,
+                model,
+                rank: self.ranks.get(&model).copied().unwrap_or(u8::MAX),
+                replicas: engines.values().filter(|e| e.holds(model)).count() as u32,
+            });
         wants.collect()
     }
 
--- a/crates/entry/src/coordination/orders/tests.rs
+++ b/crates/entry/src/coordination/orders/tests.rs
@@ -310,6 +310,34 @@
     }
 }
 
+/// The engines take minutes to load. The chat's model is begun on both, and the sheets' model waits for
+/// its turn. Were the loads that are in progress ordered again and again, they would take the store's
+/// permits, and the sheets' model would be begun only once the chat's is there.
+#[test]
+fn loads_in_progress_take_no_permits() {
+    let mut lone = Lone::new(2, vec![report(&[], 0); 2]);
+    let ranks = [("m", 0), ("n", 4)];
+    let ranks = ranks.map(|(model, rank)| Ranked {
+        model: model_id(model),
+        rank,
+    });
+    lone.desk.on_ranks(&ranks);
+    let sent = lone.run(120, OrderAnswer::Obeyed);
+    assert_eq!(loads(&sent), ["m", "m", "n", "n"]);
+}
+
+/// An engine crashes while it loads: no report comes for some seconds, and it has forgotten the load.
+#[test]
+fn a_load_is_ordered_again_after_a_crash() {
+    let mut lone = Lone::new(1, vec![report(&[], 0)]);
+    let first = lone.run(60, OrderAnswer::Obeyed);
+    assert_eq!(loads(&first), ["m"]);
+    lone.silent = Some(0);
+    lone.run(8, OrderAnswer::Obeyed);
+    lone.silent = None;
+    assert_eq!(loads(&lone.run(30, OrderAnswer::Obeyed)), ["m"]);
+}
+
 /// Without a majority of the fleet, or while another instance owns the service, nothing is ordered.
 #[test_case(&["entry-0"], &["entry-0", "b", "c"]; "in a minority")]
 #[test_case(&[], &["entry-0"]; "with no view")]
