--- a/crates/entry/src/coordination/orders/tests.rs
+++ b/crates/entry/src/coordination/orders/tests.rs
@@ -9,6 +9,7 @@
 use crocushold_ownership::ModelId;
 use crocushold_ownership::OrderAnswer;
 use crocushold_ownership::View;
+use crocushold_platform::wire::EngineRole;
 use crocushold_platform::wire::LoadReport;
 use crocushold_platform::wire::OrderKind;
 use test_case::test_case;
@@ -30,6 +31,7 @@
     Candidate {
         engine: EngineId(number),
         up,
+        whole: true,
         held: held.to_vec(),
     }
 }
@@ -101,10 +103,14 @@
 
 impl Lone {
     fn new(servers: u32, reports: Vec<LoadReport>) -> Lone {
+        Lone::with_loads(servers, reports, LOADS)
+    }
+
+    fn with_loads(servers: u32, reports: Vec<LoadReport>, loads: u32) -> Lone {
         let catalog = catalog(servers, reports.len(), true);
         let me = Member::new("entry-0", 1);
         let service = &catalog.services[catalog.service("team/fleet").unwrap()];
-        let mut desk = Desk::new(&service.name, LOADS, me, Millis::ZERO);
+        let mut desk = Desk::new(&service.name, loads, me, Millis::ZERO);
         desk.configure(&catalog, service, 4, Millis::ZERO);
         Lone {
             desk,
@@ -125,6 +131,16 @@
         self.keys = service.servers.clone();
     }
 
+    /// Publishes a text that gives the first engine a role.
+    fn publish_role(&mut self, servers: u32, role: &str) {
+        let text = text(servers, self.keys.len(), true);
+        let first = "[server fleet/runner-0]\n";
+        let catalog = parse(&text.replace(first, &format!("{first}role = {role}\n")));
+        let service = &catalog.services[catalog.service("team/fleet").unwrap()];
+        self.desk.configure(&catalog, service, 5, Millis(self.now));
+        self.keys = service.servers.clone();
+    }
+
     /// Runs some seconds, answering each order; returns the orders.
     fn run(&mut self, seconds: u64, answer: OrderAnswer) -> Vec<Errand> {
         let mut sent = Vec::new();
@@ -148,6 +164,18 @@
 }
 
 fn catalog(servers: u32, engines: usize, checks: bool) -> Catalog {
+    parse(&text(servers, engines, checks))
+}
+
+fn parse(text: &str) -> Catalog {
+    let mut parts = Text::default();
+    parts.set_part("team", text);
+    let mut catalog = Catalog::default();
+    catalog.apply(&parts);
+    catalog
+}
+
+fn text(servers: u32, engines: usize, checks: bool) -> String {
     let checks = if checks { "yes" } else { "no" };
     let mut text = format!(
         "[team team]\nformat = 1\n\n[service fleet]\nkind = model\nconcurrency = 8\n\
@@ -163,11 +191,7 @@
             9_000 + number
         ));
     }
-    let mut parts = Text::default();
-    parts.set_part("team", &text);
-    let mut catalog = Catalog::default();
-    catalog.apply(&parts);
-    catalog
+    text
 }
 
 fn report(models: &[&str], running: u32) -> LoadReport {
@@ -251,6 +275,24 @@
     );
 }
 
+/// Eight engines lack a model, and the store gives a load every three seconds. An engine uses its permit
+/// only when its next order is due, some seconds later. Were it given another one meanwhile, half of
+/// the rate would be lost, and the callers of the last engines would wait for twice as long.
+#[test]
+fn the_rate_of_the_weight_store_is_used() {
+    let mut lone = Lone::with_loads(8, vec![report(&[], 0); 8], 20);
+    let mut count = 0;
+    // The owner's wait, a load every three seconds, and what the last order waits for.
+    while lone.now < 25_000 + 8 * 3_000 + 3_000 {
+        for errand in lone.run(1, OrderAnswer::Obeyed) {
+            let engine: usize = errand.server.rsplit('-').next().unwrap().parse().unwrap();
+            lone.reports[engine] = report(&["m"], 0);
+            count += 1;
+        }
+    }
+    assert_eq!(count, 8);
+}
+
 /// The nightly sheets' model comes first in the text, and the chat's is missing too. The chat's
 /// callers are waiting, so its model is loaded first.
 #[test]
@@ -268,6 +310,34 @@
     }
 }
 
+/// The engines take minutes to load. The chat's model is begun on both, and the sheets' model waits for
+/// its turn. Were the loads that are in progress ordered again and again, they would take the store's
+/// permits, and the sheets' model would be begun only once the chat's is there.
+#[test]
+fn loads_in_progress_take_no_permits() {
+    let mut lone = Lone::new(2, vec![report(&[], 0); 2]);
+    let ranks = [("m", 0), ("n", 4)];
+    let ranks = ranks.map(|(model, rank)| Ranked {
+        model: model_id(model),
+        rank,
+    });
+    lone.desk.on_ranks(&ranks);
+    let sent = lone.run(120, OrderAnswer::Obeyed);
+    assert_eq!(loads(&sent), ["m", "m", "n", "n"]);
+}
+
+/// An engine crashes while it loads: no report comes for some seconds, and it has forgotten the load.
+#[test]
+fn a_load_is_ordered_again_after_a_crash() {
+    let mut lone = Lone::new(1, vec![report(&[], 0)]);
+    let first = lone.run(60, OrderAnswer::Obeyed);
+    assert_eq!(loads(&first), ["m"]);
+    lone.silent = Some(0);
+    lone.run(8, OrderAnswer::Obeyed);
+    lone.silent = None;
+    assert_eq!(loads(&lone.run(30, OrderAnswer::Obeyed)), ["m"]);
+}
+
 /// Without a majority of the fleet, or while another instance owns the service, nothing is ordered.
 #[test_case(&["entry-0"], &["entry-0", "b", "c"]; "in a minority")]
 #[test_case(&[], &["entry-0"]; "with no view")]
@@ -301,3 +371,79 @@
     lone.checks(true);
     assert!(!lone.desk.may_send(order, now));
 }
+
+/// The roles among the orders, with their engines.
+fn roles(sent: &[Errand]) -> Vec<(&str, EngineRole)> {
+    let roles = sent.iter().filter_map(|errand| match errand.body.kind {
+        OrderKind::Role { role } => Some((errand.server.as_str(), role)),
+        _ => None,
+    });
+    roles.collect()
+}
+
+/// Both engines serve a model, and a text gives the first one another role. Requests keep away from it
+/// at once, and the role is ordered once the text has stood.
+#[test]
+fn a_role_is_ordered_after_requests_keep_away() {
+    let mut lone = Lone::new(2, vec![report(&["m", "n"], 3); 2]);
+    lone.run(3, OrderAnswer::Obeyed);
+    lone.publish_role(2, "prefill");
+    assert_eq!(roles(&lone.run(29, OrderAnswer::Obeyed)), []);
+    let spares: Vec<bool> = lone
+        .keys
+        .iter()
+        .map(|key| {
+            let now = Millis(lone.now);
+            lone.desk.is_spare(*key, model_id("m"), now)
+        })
+        .collect();
+    assert_eq!(spares, [true, false]);
+    let sent = lone.run(6, OrderAnswer::Obeyed);
+    assert_eq!(
+        roles(&sent)[0],
+        ("team/fleet/runner-0", EngineRole::Prefill)
+    );
+}
+
+/// The engine that is to stop running whole requests is the only one that serves a model for now: the
+/// other one lacks it, is silent, or still has a role without whole requests. Its callers would be
+/// left without a server, so the role waits.
+#[test_case(report(&["n"], 0), None; "lacks the model")]
+#[test_case(report(&["m", "n"], 0), Some(1); "is silent")]
+#[test_case(LoadReport { role: EngineRole::Decode, ..report(&["m", "n"], 0) }, None; "only decodes")]
+fn a_role_waits_until_another_engine_serves(other: LoadReport, silent: Option<usize>) {
+    let mut lone = Lone::new(2, vec![report(&["m", "n"], 3), other]);
+    lone.publish_role(2, "prefill");
+    lone.silent = silent;
+    let sent = lone.run(55, OrderAnswer::Failed);
+    let first = ("team/fleet/runner-0", EngineRole::Prefill);
+    assert!(!roles(&sent).contains(&first), "{sent:?}");
+}
+
+/// One of two engines is to hold a model, and the text gives the one that does another role. The model
+/// is loaded on the other one first, which then serves its callers; the first gives it up last.
+#[test]
+fn a_model_moves_before_its_engine_changes_role() {
+    let mut lone = Lone::new(1, vec![report(&["m"], 3), report(&[], 0)]);
+    lone.publish_role(1, "decode");
+    let sent = lone.run(60, OrderAnswer::Obeyed);
+    assert_eq!(loads(&sent)[..1], ["m"]);
+    assert_eq!(roles(&sent), []);
+    lone.reports[1] = report(&["m"], 0);
+    let sent = lone.run(10, OrderAnswer::Obeyed);
+    assert_eq!(roles(&sent)[0], ("team/fleet/runner-0", EngineRole::Decode));
+    assert!(!sent.iter().any(is_unload), "{sent:?}");
+    lone.reports[0].role = EngineRole::Decode;
+    assert!(lone.run(10, OrderAnswer::Obeyed).iter().any(is_unload));
+}
+
+/// Engines play other roles than usual, and the text names none.
+#[test]
+fn a_role_that_the_text_does_not_name_is_left_alone() {
+    let decodes = LoadReport {
+        role: EngineRole::Decode,
+        ..report(&["m", "n"], 0)
+    };
+    let mut lone = Lone::new(2, vec![decodes.clone(), decodes]);
+    assert_eq!(roles(&lone.run(60, OrderAnswer::Obeyed)), []);
+}
--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -867,4 +867,22 @@
         promises: &[Promise::Whole, Promise::Slots],
         test: "server_faults::engines_that_are_unavailable_leave_nobody_in_the_queue",
     },
+    Cell {
+        fault: Fault::Frozen,
+        step: Step::Order,
+        promises: &[Promise::Once],
+        test: "orders::a_woken_owner_changes_no_role::test_case_1_engines_that_check",
+    },
+    Cell {
+        fault: Fault::Frozen,
+        step: Step::Order,
+        promises: &[Promise::Once],
+        test: "orders::a_woken_owner_changes_no_role::test_case_2_engines_that_ignore",
+    },
+    Cell {
+        fault: Fault::Frozen,
+        step: Step::Order,
+        promises: &[Promise::Live],
+        test: "weight_store::loads_of_several_instances_keep_the_rate_and_the_order",
+    },
 ];
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -28,3 +28,4 @@
 mod step_faults;
 #[allow(unreachable_pub, reason = "a binary of tests has no interface")]
 mod support;
+mod weight_store;
