Let each server have few senders, and widen a subset that can't serve

Cause: the daemon sent to every server and polled it. crocushold-routing had deterministic subsets, and nothing used them: at 400 instances and 5,900 servers a node's polls are worked out at 6.3 MB/s and 45% of a core, and a server of 16 slots is split into 400 parts of at least one.

The senders of a server now follow from the live view, by rendezvous hashing: `senders` (8, a new setting) for each server; more where an instance would have under 8 servers of a service, bounded by the concurrency. Fleets of up to 8 instances keep all servers and the same parts. A subset that can't serve (down, full, without the model, or two attempts of a request failed) is widened by borrowed servers: one request at a time, none where the last report shows no free slot. Log lines reach-widened and reach-narrowed say so. The owner of a service's orders still hears all its engines.

Ruled out: the instance list as source of the groups (it lags differently on each instance), a fixed number of servers for each service (2,760 polled servers with 23 services), subsets by holders of a model (known from reports only, so instances would not agree).

Found on the way: three attempts of a request all fell on a subset that had died a moment ago, and its first callers got 502 beside 18 idle servers. The third attempt now goes beyond the subset.

Safeguards broken one at a time, each with a red test: the report that spares a full server, the third attempt, no blind request for a model, the look at blocked requests, the refusal before all were searched, one step for fullness, the way back, the bound by slots, the least number of servers, the least number of senders, the polls of servers in reach.

PlainService counts reads of /load.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -112,6 +112,9 @@
     /// How long the outcome of a request with an idempotency key is remembered. The same on all
     /// instances.
     pub claim_window: Millis,
+    /// How many instances send to a backend server and poll it, where there are more. The same on
+    /// all instances.
+    pub senders: u32,
     /// Whether no instance ran before this fleet. If not, an instance that finds no peer with records
     /// refuses requests with an idempotency key for the length of the window, since an earlier fleet
     /// may have run them.
@@ -138,6 +141,7 @@
             platform: vec![loopback(8090)],
             peer_key: Secret::default(),
             claim_window: Millis::from_secs(600),
+            senders: 8,
             first_start: false,
             notice: Millis::from_secs(5),
             drain: Millis::from_secs(120),
@@ -232,6 +236,8 @@
         set(&mut self.peer_key, key.map(Secret));
         let window = fields.take("claim-window", units::duration);
         set(&mut self.claim_window, window);
+        let senders = |v: &str| -> Result<u32, ValueError> { units::count(v, 1, 10_000) };
+        set(&mut self.senders, fields.take("senders", senders));
         set(
             &mut self.first_start,
             fields.take("first-start", units::flag),
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -32,6 +32,7 @@
     assert_eq!(settings.limits.body, 1 << 20);
     assert_eq!(settings.limits.head, defaults.limits.head);
     assert_eq!(settings.memory, defaults.memory);
+    assert_eq!(settings.senders, 8);
 }
 
 // The settings are logged at the start; a key in the log would let any reader of logs join as a
@@ -56,6 +57,8 @@
 #[test_case("body = 1 MiB", "bodies = 1 MiB", 13; "unknown key")]
 #[test_case("operator = 127.0.0.1:8081", "operator = 127.0.0.1:8080", 5; "address twice")]
 #[test_case("drain = 90 s", "memory = 1 MiB", 6; "memory too low")]
+#[test_case("[limits]", "senders = 0\n[limits]", 12; "no senders")]
+#[test_case("[limits]", "senders = all\n[limits]", 12; "senders without a number")]
 #[test_case("body = 1 MiB", "connections = 5", 12; "more for one account than in all")]
 fn mistake_is_found_at_its_line(from: &str, to: &str, line: usize) {
     let findings = Settings::parse(&SOUND.replace(from, to)).unwrap_err();
--- a/crates/entry/src/coordination/orders/shell.rs
+++ b/crates/entry/src/coordination/orders/shell.rs
@@ -85,6 +85,13 @@
         }
     }
 
+    /// The services whose engines this instance sends orders to, and has to hear of.
+    pub(crate) fn owned(&self) -> Vec<ServiceKey> {
+        let desks = self.desks();
+        let owned = desks.iter().filter(|(_, desk)| desk.owned().0);
+        owned.map(|(&service, _)| service).collect()
+    }
+
     /// Takes a reading of an engine's `/load` that was begun at `asked_at`.
     pub(crate) fn on_report(
         &self,
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -70,13 +70,13 @@
     events: Option<CacheEvents>,
 }
 
-/// Polls every server once a second as long as the process runs.
+/// Polls the servers in reach once a second as long as the process runs.
 pub(crate) async fn poll(shared: Arc<Shared>) {
     let fetch = HttpFetch::new(shared.client.clone());
     let mut memories: HashMap<ServerKey, Memory> = HashMap::new();
     loop {
         let world = shared.world();
-        let targets = targets(&world, &memories);
+        let targets = targets(&shared, &world, &memories);
         memories.clear();
         let mut polls = stream::iter(targets)
             .map(|target| poll_one(&fetch, shared.clock, target))
@@ -114,18 +114,31 @@
     }
 }
 
-fn targets(world: &World, memories: &HashMap<ServerKey, Memory>) -> Vec<Target> {
-    let servers = world.catalog.servers.iter();
-    let targets = servers.map(|(key, server)| {
-        let service = &world.catalog.services[server.service];
-        Target {
+/// The servers to poll: those that this instance may send to, and all engines of the services for
+/// which it sends the orders.
+fn targets(shared: &Shared, world: &World, memories: &HashMap<ServerKey, Memory>) -> Vec<Target> {
+    let owned = shared.coordinator.orders().owned();
+    let mut targets = Vec::new();
+    for (&service, pool) in &world.pools {
+        let Some(spec) = world.catalog.services.get(service) else {
+            continue;
+        };
+        let keys: Vec<ServerKey> = if owned.contains(&service) {
+            spec.servers.clone()
+        } else {
+            pool.lock().in_reach().collect()
+        };
+        let known = keys
+            .into_iter()
+            .filter_map(|key| Some((key, world.catalog.servers.get(key)?)));
+        targets.extend(known.map(|(key, server)| Target {
             key,
             address: server.address.to_string(),
-            is_engine: service.kind == Kind::Model,
+            is_engine: spec.kind == Kind::Model,
             memory: memories.get(&key).copied().unwrap_or_default(),
-        }
-    });
-    targets.collect()
+        }));
+    }
+    targets
 }
 
 async fn poll_one(fetch: &HttpFetch, clock: Clock, target: Target) -> Polled {
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -12,6 +12,7 @@
 use crocushold_metrics::status::ServerStatus;
 use crocushold_metrics::status::Status;
 use crocushold_metrics::status::WindowStatus;
+use crocushold_routing::Standing;
 use crocushold_routing::State;
 use http_types::Method;
 use http_types::Request;
@@ -170,7 +171,7 @@
                 zone: server.zone.clone(),
                 usable: matches!(standing.state, State::Serving | State::Recovering),
                 standing: standing_name(standing.state).to_owned(),
-                reason: standing_reason(standing.state),
+                reason: standing_reason(&standing),
                 running: standing.in_flight.into(),
             });
         }
@@ -190,8 +191,11 @@
     }
 }
 
-fn standing_reason(state: State) -> String {
-    match state {
+fn standing_reason(standing: &Standing) -> String {
+    match standing.state {
+        State::Serving if standing.borrowed => {
+            "takes one request at a time, outside this instance's subset".to_owned()
+        }
         State::Serving => "takes its full share".to_owned(),
         State::Recovering => "takes a growing share after it was out".to_owned(),
         State::Out { fault, until } => format!("{fault:?}, tried again at {until}").to_lowercase(),
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -1,6 +1,7 @@
 //! The scheduler and the router of one service, under one lock.
 
 mod demand;
+mod reach;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -22,18 +23,24 @@
 use crocushold_admission::Ticket;
 use crocushold_admission::Verdict;
 use crocushold_base::Clock;
+use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_base::ModelKey;
 use crocushold_base::RequestKey;
 use crocushold_base::ServerKey;
 use crocushold_routing as routing;
+use crocushold_routing::Allotment;
 use crocushold_routing::AttemptKey;
 use crocushold_routing::Decision;
 use crocushold_routing::Demand;
+use crocushold_routing::EntryFleet;
 use crocushold_routing::HealthSettings;
+use crocushold_routing::Lack;
 use crocushold_routing::NoServer;
 use crocushold_routing::Outcome;
 use crocushold_routing::Pick;
+use crocushold_routing::Reach;
+use crocushold_routing::Reason;
 use crocushold_routing::RequestFacts;
 use crocushold_routing::RetryPolicy;
 use crocushold_routing::RetrySettings;
@@ -41,8 +48,10 @@
 use crocushold_routing::ServerSpec;
 use crocushold_routing::Stage;
 use futures::channel::oneshot;
+use log::info;
 
 use crate::pool::demand::Demand as ModelDemand;
+pub(crate) use crate::pool::reach::ServerGroup;
 use crate::refusal::Refusal;
 
 #[cfg(test)]
@@ -111,6 +120,13 @@
     }
 }
 
+/// A dispatched request for which no server could be had.
+struct Aside {
+    ticket: Ticket<Dispatched>,
+    reason: Reason,
+    model: Option<ModelKey>,
+}
+
 struct Waiter {
     turn: oneshot::Sender<Turn>,
     need: Need,
@@ -129,8 +145,16 @@
     pub(crate) scheduler: Scheduler,
     pub(crate) router: Router,
     pub(crate) addresses: HashMap<ServerKey, SocketAddr>,
+    /// The service's name, for events.
+    service: String,
     /// The servers as configured: each holds every model of the service.
     servers: Vec<ServerSpec>,
+    /// Which of them this instance uses.
+    pub(crate) reach: Reach,
+    /// The model that last lacked a server.
+    lacking: Option<ModelKey>,
+    /// Whether some model is to be held by some of the servers only.
+    mixed: bool,
     /// The models that servers reported to hold.
     loaded: HashMap<ServerKey, Vec<ModelKey>>,
     retry: RetryPolicy,
@@ -141,10 +165,14 @@
 /// Settings of a pool.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PoolSettings {
+    /// The service's name.
+    pub(crate) service: String,
     /// The instance's availability zone.
     pub(crate) zone: String,
     /// Seed of random choices.
     pub(crate) seed: u64,
+    /// Senders of a server.
+    pub(crate) senders: usize,
     /// Most bytes of queued requests.
     pub(crate) queue_bytes: u64,
 }
@@ -176,7 +204,11 @@
             scheduler: Scheduler::new(scheduler),
             router: Router::new(router_settings(), &settings.zone, settings.seed),
             addresses: HashMap::new(),
+            service: settings.service.clone(),
             servers: Vec::new(),
+            mixed: false,
+            reach: Reach::new(settings.senders),
+            lacking: None,
             loaded: HashMap::new(),
             retry: RetryPolicy::new(RetrySettings::default(), clock.now()),
             waiting: HashMap::new(),
@@ -273,34 +305,6 @@
 }
 
 impl State {
-    /// Takes over the configured servers.
-    pub(crate) fn set_servers(&mut self, servers: Vec<ServerSpec>, now: Millis) {
-        self.servers = servers;
-        let known = &self.servers;
-        self.loaded
-            .retain(|key, _| known.iter().any(|server| server.key == *key));
-        self.configure_router(now);
-    }
-
-    /// Takes in which models a server holds. Until it has reported any, it is taken to hold all.
-    pub(crate) fn set_loaded(&mut self, server: ServerKey, models: Vec<ModelKey>, now: Millis) {
-        if self.loaded.get(&server) == Some(&models) {
-            return;
-        }
-        self.loaded.insert(server, models);
-        self.configure_router(now);
-    }
-
-    fn configure_router(&mut self, now: Millis) {
-        let mut servers = self.servers.clone();
-        for server in &mut servers {
-            if let Some(models) = self.loaded.get(&server.key) {
-                server.models.clone_from(models);
-            }
-        }
-        self.router.configure(&servers, now);
-    }
-
     fn submit(&mut self, arrival: &Arrival, need: Need, now: Millis) -> Result<Waiting, Refusal> {
         if let Some(model) = need.model {
             self.demand.note(model, need.tier, now);
@@ -321,10 +325,19 @@
 
     /// Carries out the scheduler's actions until there are none.
     ///
+    /// What a wider reach brings in is given out at once: without another event, the requests that
+    /// lacked it would wait for the next tick.
+    fn pump(&mut self, now: Millis) {
+        while self.pump_round(now) {}
+    }
+
+    /// One round; true when the reach was widened by it.
+    ///
     /// A request for which no server can be had is set aside while others are tried: a model whose
     /// servers are all busy must not hold up the requests for the other models behind it.
-    fn pump(&mut self, now: Millis) {
+    fn pump_round(&mut self, now: Millis) -> bool {
         let mut aside = Vec::new();
+        let mut lack = None;
         while aside.len() < MAX_ASIDE {
             let free = u32::try_from(self.router.free(now)).unwrap_or(u32::MAX);
             match self.scheduler.next(now, free) {
@@ -333,20 +346,26 @@
                     let refusal = Refusal::from_admission(&refused.refusal);
                     self.tell(refused.key, Turn::Refused(refusal));
                 }
-                Some(Action::Dispatch(ticket)) => aside.extend(self.dispatch(ticket, now)),
+                Some(Action::Dispatch(ticket)) => {
+                    if let Err(set) = self.dispatch(ticket, now) {
+                        lack = lack.or(Some((set.reason, set.model)));
+                        aside.push(set.ticket);
+                    }
+                }
             }
         }
         for ticket in aside {
             self.scheduler.requeue(ticket, now);
         }
+        self.follow_lack(lack, now)
     }
 
     /// Sends a dispatched request on its way; gives the ticket back when no server could be had.
-    fn dispatch(&mut self, ticket: Ticket<Dispatched>, now: Millis) -> Option<Ticket<Dispatched>> {
+    fn dispatch(&mut self, ticket: Ticket<Dispatched>, now: Millis) -> Result<(), Aside> {
         let key = ticket.key();
         let Some(need) = self.waiting.get(&key).map(|waiter| waiter.need) else {
             self.scheduler.cancel(key, 0, now);
-            return None;
+            return Ok(());
         };
         match self.pick(&need, &[], now) {
             Ok((pick, address)) => {
@@ -357,14 +376,19 @@
                     address,
                 };
                 self.start(start, now);
-                None
+                Ok(())
             }
-            Err(none) if none.reason == routing::Reason::NoModel => {
+            // Else a server that isn't in reach, or hasn't reported yet, may hold the model.
+            Err(none) if none.reason == Reason::NoModel && self.reach.is_searched(now) => {
                 self.scheduler.cancel(key, 0, now);
                 self.tell(key, Turn::Refused(Refusal::from_routing(&none)));
-                None
+                Ok(())
             }
-            Err(_) => Some(ticket),
+            Err(none) => Err(Aside {
+                ticket,
+                reason: none.reason,
+                model: need.model,
+            }),
         }
     }
 
@@ -410,7 +434,7 @@
             give_up @ Decision::GiveUp { .. } => return Err(give_up),
         }
         let clean = stage.proves_not_run() && !facts.written;
-        self.pick(need, tried, now)
+        self.pick_again(need, tried, now)
             .map_err(|none| Decision::GiveUp {
                 ran: if clean {
                     routing::Ran::No
--- /dev/null
+++ b/crates/entry/src/pool/reach.rs
@@ -0,0 +1,200 @@
+//! The servers that the pool's router is given: those in reach of this instance.
+
+use super::Allotment;
+use super::EntryFleet;
+use super::Event;
+use super::HashMap;
+use super::Lack;
+use super::Millis;
+use super::ModelKey;
+use super::Need;
+use super::NoServer;
+use super::Pick;
+use super::Reason;
+use super::ServerKey;
+use super::ServerSpec;
+use super::SocketAddr;
+use super::State;
+use super::info;
+
+/// Attempts of a request that failed within the reach before the next is made beyond the subset.
+///
+/// The failure: all servers of the subset died a moment ago, and nobody knows yet. Each request has
+/// three attempts; with all of them in the subset the first callers are told that no server could be
+/// reached, while most of the service is up.
+const FAILED_WITHIN: usize = 2;
+
+/// The servers of a service as configured.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ServerGroup {
+    /// Each with every model of the service.
+    pub(crate) specs: Vec<ServerSpec>,
+    /// About how many of them an instance is to use.
+    pub(crate) wanted: usize,
+    /// Whether some model is to be held by some of them only.
+    pub(crate) mixed: bool,
+}
+
+impl State {
+    /// Takes over the configured servers.
+    pub(crate) fn set_servers(&mut self, group: ServerGroup, now: Millis) {
+        self.reach.set_servers(&group.specs, group.wanted);
+        self.servers = group.specs;
+        self.mixed = group.mixed;
+        self.configure_router(now);
+    }
+
+    /// Takes over the live instances, which share the servers.
+    pub(crate) fn set_fleet(&mut self, fleet: &EntryFleet, now: Millis) {
+        if self.reach.set_fleet(fleet) {
+            self.configure_router(now);
+        }
+    }
+
+    /// Takes in which models a server holds. Until it has reported any, it is taken to hold all.
+    pub(crate) fn set_loaded(&mut self, server: ServerKey, models: Vec<ModelKey>, now: Millis) {
+        let same = self.loaded.get(&server) == Some(&models);
+        if same || !self.in_reach().any(|key| key == server) {
+            return;
+        }
+        self.loaded.insert(server, models);
+        self.configure_router(now);
+    }
+
+    /// The servers in reach.
+    pub(crate) fn in_reach(&self) -> impl Iterator<Item = ServerKey> {
+        let allotted = self.reach.allotted().iter();
+        allotted.map(|&(at, _)| self.servers[at].key)
+    }
+
+    fn configure_router(&mut self, now: Millis) {
+        let allotted = self.reach.allotted().iter();
+        let allotted: Vec<(ServerKey, Allotment)> = allotted
+            .map(|&(at, allotment)| (self.servers[at].key, allotment))
+            .collect();
+        let reached = self.reach.allotted().iter();
+        let mut specs: Vec<ServerSpec> = reached.map(|&(at, _)| self.servers[at].clone()).collect();
+        // What a server held when it was last in reach says nothing of what it holds now.
+        let mut loaded = HashMap::new();
+        let small = self.reach.is_whole() && !self.reach.is_widened();
+        let blind = !self.mixed || small || self.loaded.is_empty();
+        for spec in &mut specs {
+            if let Some(models) = self.loaded.remove(&spec.key) {
+                spec.models.clone_from(&models);
+                loaded.insert(spec.key, models);
+            } else if !blind {
+                // It came into reach a moment ago and may lack the model: its callers would be told
+                // that the model doesn't exist. It reports within a second, while others serve.
+                spec.models.clear();
+            }
+        }
+        self.loaded = loaded;
+        self.router.allot(&allotted);
+        self.router.configure(&specs, now);
+    }
+
+    /// Widens the reach when a request lacks a server, and narrows it when the own servers serve
+    /// again; true when it was widened.
+    ///
+    /// The failure: all servers of the subset are down, ejected or full while hundreds of others are
+    /// idle, and the callers of this instance wait or are refused. Each step reaches twice as many
+    /// servers, so that all are in reach after a few.
+    pub(super) fn follow_lack(
+        &mut self,
+        lack: Option<(Reason, Option<ModelKey>)>,
+        now: Millis,
+    ) -> bool {
+        let lack = lack.or_else(|| self.blocked());
+        let Some((reason, model)) = lack else {
+            let serves = self.reach.is_widened() && self.own_serve();
+            if self.reach.on_ease(serves, now) {
+                self.log_reach("reach-narrowed");
+                self.configure_router(now);
+            }
+            return false;
+        };
+        let lack = match reason {
+            Reason::NoModel | Reason::Out => Lack::Down,
+            Reason::Busy | Reason::Tried => Lack::Full,
+            Reason::Stale => return false,
+        };
+        self.widen(lack, model, now)
+    }
+
+    /// Why requests wait although nothing was dispatched: the scheduler asks for no server when
+    /// none has a free slot.
+    fn blocked(&self) -> Option<(Reason, Option<ModelKey>)> {
+        let waiting = !self.waiting.is_empty();
+        let reason = self.router.shortage(None).filter(|_| waiting);
+        reason.map(|reason| (reason, None))
+    }
+
+    /// Whether an own server could take a request that lacked one.
+    fn own_serve(&self) -> bool {
+        self.own_servers().any(|key| {
+            let holds = |model| {
+                self.loaded
+                    .get(&key)
+                    .is_none_or(|held| held.contains(&model))
+            };
+            let free = |key| {
+                let standing = self.router.why(key);
+                standing.is_some_and(|standing| standing.in_flight < standing.limit)
+            };
+            self.lacking.is_none_or(holds) && free(key)
+        })
+    }
+
+    fn widen(&mut self, lack: Lack, model: Option<ModelKey>, now: Millis) -> bool {
+        self.lacking = model;
+        let widened = self.reach.on_lack(lack, now);
+        if widened {
+            self.log_reach("reach-widened");
+            self.configure_router(now);
+        }
+        widened
+    }
+
+    /// Tells the operator: a wider reach costs polls, and says that servers of the subset are in
+    /// trouble.
+    fn log_reach(&self, name: &'static str) {
+        let event = Event::new(name)
+            .with("service", &self.service)
+            .with("own", self.reach.own())
+            .with("in-reach", self.reach.allotted().len())
+            .with("servers", self.servers.len());
+        info!("{event}");
+    }
+
+    /// Picks for a further attempt. A request that failed doesn't wait in the queue again, so the
+    /// reach is widened at once where no other server in it can be had.
+    pub(super) fn pick_again(
+        &mut self,
+        need: &Need,
+        tried: &[ServerKey],
+        now: Millis,
+    ) -> Result<(Pick, SocketAddr), NoServer> {
+        if tried.len() >= FAILED_WITHIN && !self.reach.is_whole() {
+            self.widen(Lack::Retry, need.model, now);
+            let own = self.own_servers();
+            let exclude: Vec<ServerKey> = own.chain(tried.iter().copied()).collect();
+            if let Ok(picked) = self.pick(need, &exclude, now) {
+                return Ok(picked);
+            }
+        }
+        let picked = self.pick(need, tried, now);
+        let Err(none) = &picked else {
+            return picked;
+        };
+        if none.reason != Reason::Stale && self.widen(Lack::Retry, need.model, now) {
+            return self.pick(need, tried, now);
+        }
+        picked
+    }
+
+    fn own_servers(&self) -> impl Iterator<Item = ServerKey> {
+        let allotted = self.reach.allotted().iter();
+        let own = allotted.filter(|(_, allotment)| *allotment != Allotment::Borrowed);
+        own.map(|&(at, _)| self.servers[at].key)
+    }
+}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -19,9 +19,12 @@
 use crocushold_metrics::status::InstanceState;
 use crocushold_ownership::ClaimSettings;
 use crocushold_ownership::Member;
+use crocushold_peers::InstanceId;
 use crocushold_peers::PeerHandle;
 use crocushold_peers::View;
+use crocushold_routing::EntryFleet;
 use crocushold_routing::Share;
+use twox_hash::XxHash3_64;
 
 use crate::coordination::Coordinator;
 use crate::memory::Memory;
@@ -142,9 +145,16 @@
             instances,
             index: index.unwrap_or(0),
         };
+        let identity = |id: &InstanceId| XxHash3_64::oneshot(id.as_str().as_bytes());
+        let live = view.instances.iter();
+        let fleet = EntryFleet {
+            instances: live.map(|instance| identity(&instance.id)).collect(),
+            me: identity(&view.me),
+            share,
+        };
         self.coordinator.take_view(view);
-        self.builder.set_share(share);
-        self.world().set_share(share);
+        self.builder.set_fleet(&fleet);
+        self.world().set_fleet(&fleet);
     }
 
     /// The stage of the instance's life.
--- a/crates/entry/src/world.rs
+++ b/crates/entry/src/world.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
 use async_std::task;
@@ -25,15 +26,16 @@
 use crocushold_platform::wire::InstanceList;
 use crocushold_platform::wire::InstanceRole;
 use crocushold_platform::wire::InstanceState;
+use crocushold_routing::EntryFleet;
 use crocushold_routing::ListSnapshot;
 use crocushold_routing::Listed;
 use crocushold_routing::Presence;
 use crocushold_routing::ServerSpec;
-use crocushold_routing::Share;
 use twox_hash::XxHash3_64;
 
 use crate::pool::Pool;
 use crate::pool::PoolSettings;
+use crate::pool::ServerGroup;
 
 #[cfg(test)]
 mod tests;
@@ -52,6 +54,10 @@
 /// The lowest tier that waits until it is served: batch work has nobody who gives up.
 const PATIENT_TIER: u8 = 4;
 
+/// Servers of a subset that should hold each model. With eight in the mean, three instances of
+/// 10,000 have none where only some of the servers hold the model.
+const HOLDERS_WANTED: usize = 8;
+
 /// What is in force at one moment. Requests hold the world they started under until they end.
 ///
 /// The default is the world before a configuration was read: it resolves nothing.
@@ -95,10 +101,10 @@
         }
     }
 
-    /// Sets this instance's part of servers' concurrency.
-    pub(crate) fn set_share(&self, share: Share) {
+    /// Takes over the live instances, among which the servers are shared.
+    pub(crate) fn set_fleet(&self, fleet: &EntryFleet) {
         for pool in self.pools.values() {
-            pool.update(|state, _| state.router.set_share(share));
+            pool.update(|state, now| state.set_fleet(fleet, now));
         }
     }
 
@@ -132,7 +138,8 @@
     metrics: Metrics,
     queue_bytes: u64,
     account_queue: u32,
-    share: Mutex<Share>,
+    senders: usize,
+    fleet: Mutex<EntryFleet>,
 }
 
 impl Builder {
@@ -144,13 +151,18 @@
             metrics,
             queue_bytes: settings.memory / 2,
             account_queue: settings.limits.per_account,
-            share: Mutex::new(Share::default()),
+            senders: settings.senders as usize,
+            fleet: Mutex::new(EntryFleet::default()),
         }
     }
 
-    /// Remembers the share for worlds that are still to come.
-    pub(crate) fn set_share(&self, share: Share) {
-        *self.share.lock().unwrap_or_else(PoisonError::into_inner) = share;
+    /// Remembers the live instances for worlds that are still to come.
+    pub(crate) fn set_fleet(&self, fleet: &EntryFleet) {
+        self.fleet().clone_from(fleet);
+    }
+
+    fn fleet(&self) -> MutexGuard<'_, EntryFleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The world after `text`; pools of services that stay are carried over with their queues.
@@ -172,16 +184,18 @@
             pools,
             classes,
         };
-        let share = *self.share.lock().unwrap_or_else(PoisonError::into_inner);
-        world.set_share(share);
+        let fleet = self.fleet().clone();
+        world.set_fleet(&fleet);
         world
     }
 
     fn start_pool(&self, service: &str) -> Arc<Pool> {
         let seed = self.seed ^ XxHash3_64::oneshot(service.as_bytes());
         let settings = PoolSettings {
+            service: service.to_owned(),
             zone: self.zone.clone(),
             seed,
+            senders: self.senders,
             queue_bytes: self.queue_bytes,
         };
         let pool = Pool::new(self.clock, &settings);
@@ -201,7 +215,7 @@
             .filter(|(_, account)| account.classes.iter().any(|c| service.classes.contains(c)))
             .map(|(key, _)| self.account_spec(key))
             .collect();
-        let servers = server_specs(catalog, service);
+        let servers = server_group(catalog, service);
         pool.update(|state, now| {
             state.scheduler.configure(&classes, &accounts, now);
             state.set_servers(servers, now);
@@ -265,6 +279,25 @@
     }
 }
 
+/// The servers of a service, and about how many of them an instance is to use.
+///
+/// A model that only some of the servers hold needs a wider subset: where 100 of 1,000 servers hold
+/// it, a subset of 10 would have none of them in one case of three, and every request for it would
+/// have to wait until the reach is widened.
+fn server_group(catalog: &Catalog, service: &Service) -> ServerGroup {
+    let specs = server_specs(catalog, service);
+    let models = service.models.iter();
+    let replicas = models.map(|&model| catalog.models[model].replicas.max(1) as usize);
+    let fewest = replicas.min().unwrap_or(usize::MAX);
+    ServerGroup {
+        wanted: (HOLDERS_WANTED * specs.len())
+            .div_ceil(fewest)
+            .max(HOLDERS_WANTED),
+        mixed: fewest < specs.len(),
+        specs,
+    }
+}
+
 fn server_specs(catalog: &Catalog, service: &Service) -> Vec<ServerSpec> {
     let servers = service.servers.iter();
     servers
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 //!   budget. [`Attempt`] and [`Permit`] carry the same rule in types: the right to send a request is
 //!   consumed by the first byte written.
 //! * [`subset()`] assigns each entry instance a share of a large group of servers, without messages.
+//!   [`Reach`] keeps that share for one service, and widens it while it can't serve.
 //!
 //! # Driving a router
 //!
@@ -28,6 +29,7 @@
 mod health;
 mod list;
 mod pool;
+mod reach;
 mod retry;
 mod ring;
 mod router;
@@ -43,6 +45,9 @@
 pub use list::ListVerdict;
 pub use list::Listed;
 pub use list::Presence;
+pub use reach::EntryFleet;
+pub use reach::Lack;
+pub use reach::Reach;
 pub use retry::Attempt;
 pub use retry::Budget;
 pub use retry::BudgetSettings;
@@ -62,6 +67,7 @@
 pub use router::Pick;
 pub use router::Reason;
 pub use router::Router;
+pub use server::Allotment;
 pub use server::LoadReport;
 pub use server::ServerSpec;
 pub use server::Share;
--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -190,7 +190,7 @@
         }
     }
 
-    fn why_none(&self, pool: usize) -> Reason {
+    pub(super) fn why_none(&self, pool: usize) -> Reason {
         let Pool { open, usable, .. } = &self.pools[pool];
         match (open.is_empty(), usable) {
             (false, _) => Reason::Tried,
--- a/crates/routing/src/router/feedback.rs
+++ b/crates/routing/src/router/feedback.rs
@@ -99,10 +99,11 @@
     pub fn load_report(&mut self, server: ServerKey, report: LoadReport, now: Millis) {
         self.notice_gap(now);
         let alpha = 1.0 / self.present.max(1) as f64;
-        if let Some(server) = self.servers.get_mut(server) {
-            let others = server.take_report(report, now);
+        if let Some(state) = self.servers.get_mut(server) {
+            let others = state.take_report(report, now);
             self.others.add(others, alpha);
         }
+        self.settle(server);
     }
 
     /// Takes in a cache event of a server.
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -28,6 +28,7 @@
 use crate::cache::Hints;
 use crate::pool::Pool;
 use crate::ring::Ring;
+use crate::server::Allotment;
 use crate::server::Counted;
 use crate::server::Departure;
 use crate::server::Member;
@@ -48,6 +49,8 @@
     zone: String,
     rng: Xoshiro256PlusPlus,
     share: Share,
+    /// Where they differ from the share.
+    allotments: SecondaryMap<ServerKey, Allotment>,
     servers: SecondaryMap<ServerKey, Server>,
     pools: Vec<Pool>,
     models: SecondaryMap<ModelKey, usize>,
@@ -85,6 +88,7 @@
             zone: zone.to_owned(),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             share: Share::default(),
+            allotments: SecondaryMap::new(),
             servers: SecondaryMap::new(),
             pools: vec![Pool::default()],
             models: SecondaryMap::new(),
@@ -129,13 +133,20 @@
         self.recount(now);
     }
 
-    /// Sets this instance's part of each server's concurrency.
+    /// Sets this instance's part of each server's concurrency, the same for all.
     pub fn set_share(&mut self, share: Share) {
         self.share = share;
+        self.allot(&[]);
+    }
+
+    /// Sets how much of each server this instance may use, also of servers that are configured
+    /// later; [`Router::set_share`] holds for those that aren't named.
+    pub fn allot(&mut self, allotments: &[(ServerKey, Allotment)]) {
+        self.allotments = allotments.iter().copied().collect();
         let keys: Vec<ServerKey> = self.servers.keys().collect();
         for key in keys {
-            let server = &mut self.servers[key];
-            server.share = share.of(server.spec.concurrency, server.spec.id);
+            let allotment = self.allotment(key);
+            self.servers[key].allot(allotment);
             self.settle(key);
         }
     }
@@ -163,6 +174,17 @@
         self.free_in(pool, now)
     }
 
+    /// Why a pick for `model` would find no server now; `None` when one has a free slot.
+    pub fn shortage(&self, model: Option<ModelKey>) -> Option<Reason> {
+        let Some(pool) = self.pool_of(model) else {
+            return Some(Reason::NoModel);
+        };
+        self.pools[pool]
+            .open
+            .is_empty()
+            .then(|| self.why_none(pool))
+    }
+
     /// How `server` stands, and why; `None` for one that isn't known.
     pub fn why(&self, server: ServerKey) -> Option<Standing> {
         self.servers.get(server).map(Server::standing)
@@ -194,13 +216,18 @@
         pool.filter(|&pool| self.pools[pool].members > 0)
     }
 
+    fn allotment(&self, server: ServerKey) -> Allotment {
+        let allotment = self.allotments.get(server).copied();
+        allotment.unwrap_or(Allotment::Own(self.share))
+    }
+
     fn admit(&mut self, spec: &ServerSpec) {
         let local = spec.zone == self.zone;
-        let share = self.share.of(spec.concurrency, spec.id);
+        let allotment = self.allotment(spec.key);
         let leaving = self.leaving.contains_key(spec.key);
         let departure = leaving.then_some(Departure::Leaving);
         let Some(server) = self.servers.get_mut(spec.key) else {
-            let mut server = Server::new(spec.clone(), local, share);
+            let mut server = Server::new(spec.clone(), local, allotment);
             server.departure = departure;
             self.servers.insert(spec.key, server);
             return;
@@ -211,7 +238,7 @@
         if server.spec != *spec {
             server.spec.clone_from(spec);
             server.local = local;
-            server.share = share;
+            server.allot(allotment);
         }
     }
 
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -59,6 +59,26 @@
     }
 }
 
+/// How much of a server this instance may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Allotment {
+    /// It is one of the server's senders, with this part of the concurrency.
+    Own(Share),
+    /// It isn't one of the server's senders, but its own servers can't serve: one request at a
+    /// time, and none while the last report says that the server is full.
+    Borrowed,
+}
+
+impl Allotment {
+    /// The most requests in flight on the server `id`.
+    pub fn of(&self, concurrency: u32, id: u64) -> u32 {
+        match self {
+            Allotment::Own(share) => share.of(concurrency, id),
+            Allotment::Borrowed => 1,
+        }
+    }
+}
+
 /// A server's load report, as received.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadReport {
@@ -105,6 +125,8 @@
     pub strikes: u32,
     /// Its time for each token relative to its peers; 1 is the fleet's mean.
     pub slowness: f64,
+    /// Whether it is lent to this instance, whose own servers can't serve.
+    pub borrowed: bool,
 }
 
 /// Why a server gets no new work, apart from its health.
@@ -156,6 +178,10 @@
     pub(crate) spec: ServerSpec,
     pub(crate) local: bool,
     pub(crate) share: u32,
+    /// Whether this instance isn't one of its senders, but its own servers can't serve.
+    pub(crate) borrowed: bool,
+    /// Whether the last report left no free slot.
+    crowded: bool,
     pub(crate) health: Health,
     pub(crate) departure: Option<Departure>,
     pub(crate) in_flight: u32,
@@ -172,11 +198,13 @@
 
 impl Server {
     /// A server as configured, taken to be healthy.
-    pub(crate) fn new(spec: ServerSpec, local: bool, share: u32) -> Server {
-        Server {
+    pub(crate) fn new(spec: ServerSpec, local: bool, allotment: Allotment) -> Server {
+        let mut server = Server {
             spec,
             local,
-            share,
+            share: 0,
+            borrowed: false,
+            crowded: false,
             health: Health::default(),
             departure: None,
             in_flight: 0,
@@ -186,12 +214,20 @@
             members: Vec::new(),
             counted: Counted::default(),
             report: None,
-        }
+        };
+        server.allot(allotment);
+        server
+    }
+
+    /// Takes over how much of it this instance may use.
+    pub(crate) fn allot(&mut self, allotment: Allotment) {
+        self.share = allotment.of(self.spec.concurrency, self.spec.id);
+        self.borrowed = allotment == Allotment::Borrowed;
     }
 
     /// The most attempts in flight, by health and share.
     pub(crate) fn limit(&self) -> u32 {
-        if self.departure.is_some() {
+        if self.departure.is_some() || self.is_spared() {
             return 0;
         }
         match self.health.phase {
@@ -201,6 +237,15 @@
         }
     }
 
+    /// Whether it must be left to its own senders.
+    ///
+    /// The failure: in an overload of the whole fleet every instance lacks slots and borrows, and
+    /// each server gets one request more from every instance, while it is full. A report that is
+    /// late by a second lets one through, no more: the borrower holds one slot at most.
+    fn is_spared(&self) -> bool {
+        self.borrowed && self.crowded
+    }
+
     /// Slots for new attempts.
     pub(crate) fn free(&self) -> u32 {
         self.limit().saturating_sub(self.in_flight)
@@ -220,6 +265,7 @@
     /// the rest is kept: the report less the attempts in flight when it arrived.
     pub(crate) fn take_report(&mut self, report: LoadReport, now: Millis) -> f64 {
         let total = report.running.saturating_add(report.waiting);
+        self.crowded = total >= self.spec.concurrency;
         let others = f64::from(total.saturating_sub(self.in_flight));
         let taken = Millis(now.0.saturating_sub(report.age.0));
         self.report = Some(Received { others, taken });
@@ -253,6 +299,7 @@
             limit: self.limit(),
             strikes: self.health.strikes(),
             slowness: self.slowness.mean().exp(),
+            borrowed: self.borrowed,
         }
     }
 }
--- a/crates/routing/src/subset.rs
+++ b/crates/routing/src/subset.rs
@@ -6,6 +6,8 @@
 
 use twox_hash::XxHash3_64;
 
+use crate::server::Share;
+
 /// How far a subset may run ahead of the mean, or lag behind it, as a share of the mean; at least
 /// one server.
 const SLACK: f64 = 0.25;
@@ -29,35 +31,66 @@
 /// Call it for each group of servers that hold the same model, or an instance may end up without a
 /// server for some model.
 pub fn subset(servers: &[u64], instances: &[u64], me: u64, want: usize) -> Vec<usize> {
+    let peers = members(instances, me);
+    let cover = coverage(servers.len(), peers.len(), want);
+    let covers = vec![cover; servers.len()];
+    let mine = covered(servers, &covers, &peers, me);
+    mine.into_iter().map(|(at, _)| at).collect()
+}
+
+/// The identities of all instances, `me` included, each once and in order.
+pub(crate) fn members(instances: &[u64], me: u64) -> Vec<u64> {
     let mut peers = instances.to_vec();
     peers.push(me);
     peers.sort_unstable();
     peers.dedup();
-    let cover = coverage(servers.len(), peers.len(), want);
-    let each = cover as f64 / peers.len() as f64;
-    let slack = (each * servers.len() as f64 * SLACK).max(1.0);
+    peers
+}
+
+/// The servers of `me` by index, ascending, with its part among each one's senders. The server at
+/// an index has as many senders as `covers` says there. The `peers` come from [`members`].
+pub(crate) fn covered(
+    servers: &[u64],
+    covers: &[usize],
+    peers: &[u64],
+    me: u64,
+) -> Vec<(usize, Share)> {
+    let total: usize = covers.iter().sum();
+    let slack = (total as f64 / peers.len() as f64 * SLACK).max(1.0);
     let mut sizes = vec![0_usize; peers.len()];
     let mut ranked = Vec::with_capacity(peers.len());
     let mut mine = Vec::new();
-    for (step, at) in shuffled(servers).into_iter().enumerate() {
-        let mean = each * (step + 1) as f64;
+    let mut given = 0;
+    for at in shuffled(servers) {
+        given += covers[at];
+        let mean = given as f64 / peers.len() as f64;
         ranked.clear();
         ranked.extend((0..peers.len()).map(|peer| Candidate {
             balance: Balance::of(sizes[peer] as f64, mean, slack),
             rank: rank(servers[at], peers[peer]),
             peer,
         }));
-        for &Candidate { peer, .. } in first(&mut ranked, cover) {
+        let senders = first(&mut ranked, covers[at]);
+        for &Candidate { peer, .. } in senders {
             sizes[peer] += 1;
             if peers[peer] == me {
-                mine.push(at);
+                mine.push((at, share(senders, peer)));
             }
         }
     }
-    mine.sort_unstable();
+    mine.sort_unstable_by_key(|&(at, _)| at);
     mine
 }
 
+/// The part of one of a server's senders, numbered in the order of their identities.
+fn share(senders: &[Candidate], me: usize) -> Share {
+    let before = senders.iter().filter(|sender| sender.peer < me).count();
+    Share {
+        instances: senders.len() as u32,
+        index: before as u32,
+    }
+}
+
 /// The indices of the servers in the order of a hash, so that a newcomer's place is arbitrary.
 fn shuffled(servers: &[u64]) -> Vec<usize> {
     let mut order: Vec<usize> = (0..servers.len()).collect();
--- a/crates/standins/src/service/command.rs
+++ b/crates/standins/src/service/command.rs
@@ -88,6 +88,8 @@
 pub struct ServiceStats {
     /// Calls that arrived.
     pub calls: u64,
+    /// Reads of `/load`, which aren't calls.
+    pub polls: u64,
     /// Effects, repeated ones included.
     pub effects: u64,
     /// Calls that were answered after their effect.
--- a/crates/standins/src/service/server.rs
+++ b/crates/standins/src/service/server.rs
@@ -134,7 +134,8 @@
     }
 
     fn load(&self) -> Response {
-        let state = port::lock(&self.state);
+        let mut state = port::lock(&self.state);
+        state.counts.polls += 1;
         let report = LoadReport {
             at_ms: self.clock.now().0,
             running: state.counts.running,
--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -628,4 +628,16 @@
         promises: &[Promise::Once],
         test: "orders::a_woken_owner_unloads_nothing::test_case_2_engines_that_ignore",
     },
+    Cell {
+        fault: Fault::Killed,
+        step: Step::Sending,
+        promises: &[Promise::Whole, Promise::Once, Promise::NotRun],
+        test: "subsets::a_lost_instance_leaves_no_server_without_work",
+    },
+    Cell {
+        fault: Fault::Refused,
+        step: Step::Connecting,
+        promises: &[Promise::Whole, Promise::Once, Promise::NotRun],
+        test: "subsets::a_dead_subset_refuses_no_caller",
+    },
 ];
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -24,5 +24,6 @@
 mod process_faults;
 mod sending_faults;
 mod server_faults;
+mod subsets;
 #[allow(unreachable_pub, reason = "a binary of tests has no interface")]
 mod support;
--- a/tests/all/support/site.rs
+++ b/tests/all/support/site.rs
@@ -37,6 +37,7 @@
     pub engine: EngineSettings,
     pub service: ServiceSettings,
     pub first_start: bool,
+    pub senders: u32,
 }
 
 impl Default for SiteSettings {
@@ -51,6 +52,7 @@
             },
             service: ServiceSettings::default(),
             first_start: true,
+            senders: 8,
         }
     }
 }
@@ -65,6 +67,7 @@
     pub text: String,
     folder: Folder,
     first_start: bool,
+    senders: u32,
 }
 
 impl Site {
@@ -98,6 +101,7 @@
                 text,
                 folder: Folder::new(),
                 first_start: settings.first_start,
+                senders: settings.senders,
             }
         })
     }
@@ -193,10 +197,12 @@
         let any = any_address();
         let platform = self.platform.addr();
         let first = if self.first_start { "yes" } else { "no" };
+        let senders = self.senders;
         let text = format!(
             "[instance]\nid = {name}\nzone = zone-a\nlisten = {any}\noperator = {any}\n\
              notice = 300 ms\ndrain = 20 s\n\n[platform]\naddresses = {platform}\n\n\
-             [peers]\nlisten = {peer}\nkey = {PEER_KEY}\nfirst-start = {first}\n\n\
+             [peers]\nlisten = {peer}\nkey = {PEER_KEY}\nfirst-start = {first}\n\
+             senders = {senders}\n\n\
              [limits]\nbody-timeout = 2 s\nwrite-timeout = 5 s\n"
         );
         let file = self.folder.path().join(format!("{name}.ini"));
