--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -32,6 +32,7 @@
     assert_eq!(settings.limits.body, 1 << 20);
     assert_eq!(settings.limits.head, defaults.limits.head);
     assert_eq!(settings.memory, defaults.memory);
+    assert_eq!(settings.senders, 8);
 }
 
 // Two bounds of an account that were one key: its connections, and its requests that wait in a queue.
@@ -69,6 +70,8 @@
 #[test_case("operator = 127.0.0.1:8081", "operator = 127.0.0.1:8080", 5; "address twice")]
 #[test_case("drain = 90 s", "memory = 1 MiB", 6; "memory too low")]
 #[test_case("body = 1 MiB", "body = 49 MiB", 13; "body that never fits into memory")]
+#[test_case("[limits]", "senders = 0\n[limits]", 12; "no senders")]
+#[test_case("[limits]", "senders = all\n[limits]", 12; "senders without a number")]
 #[test_case("body = 1 MiB", "connections = 5", 12; "more for one account than in all")]
 #[test_case("body = 1 MiB", "connections-per-account = 0", 13; "no connection for an account")]
 #[test_case("body = 1 MiB", "queued-per-account = many", 13; "queue that is no number")]
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -17,6 +17,7 @@
 use crocushold_peers as peers;
 use crocushold_peers::PeerStanding;
 use crocushold_peers::Standing;
+use crocushold_routing as routing;
 use crocushold_routing::State;
 use http_types::Method;
 use http_types::Request;
@@ -197,7 +198,7 @@
                 zone: server.zone.clone(),
                 usable: matches!(standing.state, State::Serving | State::Recovering),
                 standing: standing_name(standing.state).to_owned(),
-                reason: standing_reason(standing.state),
+                reason: standing_reason(&standing),
                 running: standing.in_flight.into(),
             });
         }
@@ -217,8 +218,11 @@
     }
 }
 
-fn standing_reason(state: State) -> String {
-    match state {
+fn standing_reason(standing: &routing::Standing) -> String {
+    match standing.state {
+        State::Serving if standing.borrowed => {
+            "takes one request at a time, outside this instance's subset".to_owned()
+        }
         State::Serving => "takes its full share".to_owned(),
         State::Recovering => "takes a growing share after it was out".to_owned(),
         State::Out { fault, until } => format!("{fault:?}, tried again at {until}").to_lowercase(),
--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -50,7 +50,7 @@
             return Err(self.refusal(Reason::NoModel, now));
         };
         let Some(best) = self.sample(pool, demand, now) else {
-            let reason = self.why_none(pool, demand);
+            let reason = self.why_none(pool, demand.exclude);
             return Err(self.refusal(reason, now));
         };
         let home = self.home(pool, demand);
@@ -189,8 +189,8 @@
         }
     }
 
-    fn why_none(&self, pool: usize, demand: &Demand<'_>) -> Reason {
-        let tried = demand.exclude.iter();
+    pub(super) fn why_none(&self, pool: usize, exclude: &[ServerKey]) -> Reason {
+        let tried = exclude.iter();
         let tried = tried.filter(|&&server| self.is_usable(server, pool));
         match (self.pools[pool].usable, tried.count()) {
             (0, _) => Reason::Out,
--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -885,4 +885,16 @@
         promises: &[Promise::Live],
         test: "weight_store::loads_of_several_instances_keep_the_rate_and_the_order",
     },
+    Cell {
+        fault: Fault::Killed,
+        step: Step::Sending,
+        promises: &[Promise::Whole, Promise::Once, Promise::NotRun],
+        test: "subsets::a_lost_instance_leaves_no_server_without_work",
+    },
+    Cell {
+        fault: Fault::Refused,
+        step: Step::Connecting,
+        promises: &[Promise::Whole, Promise::Once, Promise::NotRun],
+        test: "subsets::a_dead_subset_refuses_no_caller",
+    },
 ];
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -26,6 +26,7 @@
 mod sending_faults;
 mod server_faults;
 mod step_faults;
+mod subsets;
 #[allow(unreachable_pub, reason = "a binary of tests has no interface")]
 mod support;
 mod weight_store;
--- a/tests/all/support/site.rs
+++ b/tests/all/support/site.rs
@@ -41,6 +41,7 @@
     pub memory: u64,
     /// Further lines of the entry instances' `[limits]`.
     pub limits: String,
+    pub senders: u32,
 }
 
 impl Default for SiteSettings {
@@ -57,6 +58,7 @@
             first_start: true,
             memory: 192,
             limits: String::new(),
+            senders: 8,
         }
     }
 }
@@ -73,6 +75,7 @@
     first_start: bool,
     memory: u64,
     limits: String,
+    senders: u32,
 }
 
 impl Site {
@@ -108,6 +111,7 @@
                 first_start: settings.first_start,
                 memory: settings.memory,
                 limits: settings.limits.clone(),
+                senders: settings.senders,
             }
         })
     }
@@ -203,11 +207,12 @@
         let any = any_address();
         let platform = self.platform.addr();
         let first = if self.first_start { "yes" } else { "no" };
-        let (memory, limits) = (self.memory, &self.limits);
+        let (memory, limits, senders) = (self.memory, &self.limits, self.senders);
         let text = format!(
             "[instance]\nid = {name}\nzone = zone-a\nlisten = {any}\noperator = {any}\n\
              notice = 300 ms\ndrain = 20 s\nmemory = {memory} MiB\n\n[platform]\naddresses = {platform}\n\n\
-             [peers]\nlisten = {peer}\nkey = {PEER_KEY}\nfirst-start = {first}\n\n\
+             [peers]\nlisten = {peer}\nkey = {PEER_KEY}\nfirst-start = {first}\n\
+             senders = {senders}\n\n\
              [limits]\nbody-timeout = 2 s\nwrite-timeout = 5 s\n{limits}"
         );
         let file = self.folder.path().join(format!("{name}.ini"));
