--- a/crates/measure/src/process.rs
+++ b/crates/measure/src/process.rs
@@ -113,8 +113,8 @@
     }
 }
 
-/// Processor seconds of all threads of a process: `schedstat` counts nanoseconds where [`cpu`] has
-/// hundredths of a second, and doesn't tell code from kernel.
+/// Processor seconds of all threads of a process, from `schedstat`: it counts nanoseconds where `stat`
+/// has hundredths of a second, and doesn't tell code from kernel.
 pub fn running_time(id: u32) -> f64 {
     let Ok(tasks) = fs::read_dir(format!("/proc/{id}/task")) else {
         return 0.0;
