Give each grant its second holder back after a change

Two faults of at-most-once. Found by exploring two changes of the membership (the first) and by reading the plan of a hand-over beside the test that a receiver makes (the second).

* In a fleet of three, one ends that voted.
The other two hold the key's group already, so nobody was new and nothing was sent, although one of them may never have heard of the claim.
The round counted as over with one holder, whom the next newcomer may do without: frozen, it let the third and the newcomer grant the key again.
* Records were sent to the members that are new against the oldest view that isn't settled; a receiver counts itself as new against any of them.
A newcomer that granted a key and was killed left one holder, and the place that fell back to a member of before got no record.

Change: the sender uses the receiver's test, and sends to all where the members are fewer than a group. At four members or more and one unsettled view nothing more is sent than before.

--- a/crates/ownership/src/claims/readiness.rs
+++ b/crates/ownership/src/claims/readiness.rs
@@ -7,6 +7,8 @@
 
 use super::message::ClaimKey;
 use super::message::Mark;
+use crate::view::GROUP_SIZE;
+use crate::view::Group;
 use crate::view::Member;
 use crate::view::View;
 use crate::view::ViewId;
@@ -72,9 +74,19 @@
         &self.view
     }
 
-    /// The oldest view that isn't settled, against which records are handed over.
-    pub(super) fn base(&self) -> Option<&View> {
-        self.earlier.first()
+    /// The members of a key's group that may lack its record.
+    ///
+    /// They are those that are new to it, as they themselves count it: against any view that isn't
+    /// settled, for a grant may stand on its members. Where the members are fewer than a group nobody
+    /// is new when one of them ends, and its grants would be left with one holder, whom a later newcomer
+    /// may do without: the key would run twice. So there it is all of them.
+    pub(super) fn receivers(&self, key: ClaimKey) -> Vec<Member> {
+        let views = self.earlier.iter();
+        let old: Vec<Group> = views.map(|view| view.group(key.place())).collect();
+        let all = old.is_empty() || self.view.members().len() < GROUP_SIZE;
+        let group = self.view.group(key.place());
+        let is_new = |peer: &Member| all || old.iter().any(|old| !old.contains(*peer));
+        group.members().iter().copied().filter(is_new).collect()
     }
 
     /// Moves to `view`; false when it is in force already.
--- a/crates/ownership/src/claims/voter.rs
+++ b/crates/ownership/src/claims/voter.rs
@@ -237,19 +237,15 @@
         Vote::Granted
     }
 
-    /// Every record goes to the members that are new to its group.
+    /// Every record goes to the members of its group that may lack it.
     fn plan_handover(&mut self) {
         let view = self.readiness.view();
         let me = self.me;
         let peers = view.members().iter().copied().filter(|peer| *peer != me);
         self.handover.start(peers, !view.contains(me));
-        let base = self.readiness.base();
         for (&key, _) in self.table.iter() {
-            let old = base.map(|view| view.group(key.place()));
-            for &peer in view.group(key.place()).members() {
-                if !old.is_some_and(|old| old.contains(peer)) {
-                    self.handover.push(peer, key);
-                }
+            for peer in self.readiness.receivers(key) {
+                self.handover.push(peer, key);
             }
         }
     }
--- a/crates/ownership/tests/claims.rs
+++ b/crates/ownership/tests/claims.rs
@@ -192,6 +192,14 @@
         self.nodes.remove(&member);
     }
 
+    /// Starts a member, of whom all learn.
+    fn join(&mut self, newcomer: Member) {
+        let claims = Claims::new(self.settings, newcomer, self.now);
+        self.nodes.insert(newcomer, claims);
+        let view = self.view_of_living();
+        self.adopt(&view);
+    }
+
     /// Begins a member's planned stop: it passes everything on, and may then end.
     fn hand_over(&mut self, leaver: Member) {
         let (now, view) = (self.now, self.node(leaver).view().without(leaver));
@@ -425,6 +433,71 @@
     assert!(first.is_err(), "granted twice");
 }
 
+/// Of three instances one voted for a claim that the third never heard of, and stops as planned; its
+/// successor joins while the second is frozen. The two that are left for the group hold it already, so
+/// nobody is new to the key. Did the leaver pass its record to newcomers alone, the frozen one would
+/// be the only holder, whom a newcomer does without: the third and the successor would grant it again.
+#[test]
+fn a_leaver_of_a_small_fleet_leaves_its_records_with_the_rest() {
+    let mut fleet = Fleet::new(3, ClaimSettings::default());
+    let (leaver, frozen, third) = (member(0), member(1), member(2));
+    fleet.silent.push(third);
+    let _grant = fleet.claim(frozen, 1).expect("a majority");
+    fleet.silent.clear();
+    fleet.hand_over(leaver);
+    fleet.kill(leaver);
+    let rest = fleet.view_of_living();
+    fleet.adopt(&rest);
+    fleet.silent.push(frozen);
+    let successor = Member {
+        incarnation: 2,
+        ..leaver
+    };
+    fleet.join(successor);
+    let refusal = fleet.claim(third, 1).expect_err("it may run");
+    assert!(
+        !matches!(refusal, Refusal::NotRun { .. }),
+        "it may run: {refusal:?}"
+    );
+}
+
+/// An instance joins while one holder is frozen, grants a claim together with the other, and is killed.
+/// The other is left with the only record, and the newcomer's place falls back to one that held the key
+/// before it came. Were that one not sent the record, all would agree without a second copy; once the
+/// other freezes too, the rest and the next newcomer would grant the key again.
+#[test]
+fn a_grant_of_a_newcomer_that_is_killed_gets_a_second_holder_back() {
+    let granted = (0..300).filter(|key| is_granted_with_a_newcomer(*key));
+    assert!(granted.count() > 20);
+}
+
+/// Whether the first claim was granted, in which case the second one is not.
+fn is_granted_with_a_newcomer(key: u128) -> bool {
+    let newcomer = member(4);
+    let group = View::new((0..5).map(member)).group(ClaimKey(key).place());
+    let is_old = |m: &Member| *m != newcomer;
+    let old: Vec<Member> = group.members().iter().copied().filter(is_old).collect();
+    let [other, frozen] = old[..] else {
+        return false;
+    };
+    let mut fleet = Fleet::new(4, ClaimSettings::default());
+    let claimant = fleet.awake().into_iter().find(|m| !group.contains(*m));
+    let claimant = claimant.expect("two are outside of the group");
+    fleet.silent.push(frozen);
+    fleet.join(newcomer);
+    let first = fleet.claim(claimant, key);
+    fleet.kill(newcomer);
+    fleet.silent.clear();
+    let rest = fleet.view_of_living();
+    fleet.adopt(&rest);
+    fleet.silent.push(other);
+    fleet.join(member(5));
+    let second = fleet.claim(claimant, key);
+    let twice = first.is_ok() && second.is_ok();
+    assert!(!twice, "key {key} was granted twice");
+    first.is_ok()
+}
+
 /// Every instance is restarted at once and all memory is gone. A repeat of a booking from before
 /// must not be granted, nor be told that it wasn't run, until the window is over.
 #[test]
