Count no record that was passed on as a vote

A claim that reached a newcomer after the record of another voter's grant of the same try was answered with a grant from that record, before the newcomer was ready. One vote counted as two, and a key could be granted beside an earlier grant. Found by exploring two changes of the membership.

Change: a voter that finds this very try in progress votes as on a fresh key (its guard against pauses, the group, its readiness), and leaves the record as it is.

Red before: a_record_that_was_passed_on_is_no_vote (Granted).

--- a/crates/ownership/src/claims/voter.rs
+++ b/crates/ownership/src/claims/voter.rs
@@ -193,7 +193,10 @@
         Some(match record.state {
             ClaimState::Done { status } => Vote::Done { status },
             ClaimState::InProgress if self.is_overdue(record, now) => Vote::Unknown,
-            ClaimState::InProgress if same => Vote::Granted,
+            // The record may be another voter's grant, which was passed on and overtook the claim.
+            // Answered from the record alone, one vote would count as two and a key could run twice;
+            // so this member votes like on a fresh key, or not at all.
+            ClaimState::InProgress if same => return None,
             ClaimState::InProgress => Vote::InProgress {
                 retry_after: self.settings.retry,
             },
@@ -222,6 +225,9 @@
         if let Err(retry_after) = self.readiness.check(request.key, now) {
             return Vote::NotReady { retry_after };
         }
+        if self.holds(request) {
+            return Vote::Granted;
+        }
         if self.table.is_full(request.account) && self.table.get(request.key).is_none() {
             let retry_after = self.table.next_expiry(now);
             return Vote::Full { retry_after };
@@ -237,6 +243,12 @@
         Vote::Granted
     }
 
+    /// Whether this very try is recorded; a repeated message must not make its record younger.
+    fn holds(&self, request: &ClaimRequest) -> bool {
+        let record = self.table.get(request.key);
+        record.is_some_and(|record| record.claim == Some(request.claim))
+    }
+
     /// Every record goes to the members of its group that may lack it.
     fn plan_handover(&mut self) {
         let view = self.readiness.view();
--- a/crates/ownership/tests/claims.rs
+++ b/crates/ownership/tests/claims.rs
@@ -498,6 +498,38 @@
     first.is_ok()
 }
 
+/// A claim is on its way to a newcomer, and overtaken by the record of another voter's grant. The
+/// newcomer can't tell yet whether an earlier try was granted. Did it answer from the record that it was
+/// sent, the one voter would count twice, and a caller's repeat would run beside the first try.
+#[test]
+fn a_record_that_was_passed_on_is_no_vote() {
+    let mut fleet = Fleet::new(3, ClaimSettings::default());
+    let (voter, newcomer, now) = (member(1), member(3), fleet.now);
+    let view = View::new([voter, member(2), newcomer]);
+    let claim = fleet.request(member(2), 1, 1);
+    let claim = *ClaimRound::new(&fleet.settings, &view, claim, now).request();
+    let mut claims = Claims::new(fleet.settings, newcomer, now);
+    claims.on_view(view.clone(), now);
+    let record = Record {
+        account: claim.account,
+        digest: claim.digest,
+        claim: Some(claim.claim),
+        time: Millis::ZERO,
+        state: ClaimState::InProgress,
+    };
+    let transfer = TransferRequest {
+        view: view.id(),
+        entries: vec![Entry {
+            key: claim.key,
+            record,
+        }],
+        mark: None,
+    };
+    claims.on_transfer(voter, &transfer, now);
+    let vote = claims.on_claim(&claim, now);
+    assert!(matches!(vote, Vote::NotReady { .. }), "{vote:?}");
+}
+
 /// Every instance is restarted at once and all memory is gone. A repeat of a booking from before
 /// must not be granted, nor be told that it wasn't run, until the window is over.
 #[test]
