Send a record again that changed on its way

A voter's record was on its way to a newcomer when a leaver's record of an earlier try reached the voter and made it unknown. The newcomer acknowledged the record of before, was marked, and voted for the later try: granted twice. Found by exploring two changes of the membership.

Change: a record that comes or changes by a transfer is added to what the members that aren't marked yet are to get. A change of its time alone isn't, or two members would send it to and fro.

Red before: a_record_that_changes_on_its_way_is_sent_again (nothing was sent).

--- a/crates/ownership/src/claims/handover.rs
+++ b/crates/ownership/src/claims/handover.rs
@@ -46,8 +46,9 @@
         self.outboxes = peers.map(|peer| (peer, Outbox::default())).collect();
     }
 
+    /// Adds a record that `peer` needs before its mark. One that is on its way already is sent again.
     pub(super) fn push(&mut self, peer: Member, key: ClaimKey) {
-        if let Some(outbox) = self.outboxes.get_mut(&peer) {
+        if let Some(outbox) = self.outboxes.get_mut(&peer).filter(|o| !o.marked) {
             outbox.keys.push(key);
         }
     }
--- a/crates/ownership/src/claims/voter.rs
+++ b/crates/ownership/src/claims/voter.rs
@@ -145,11 +145,13 @@
                 time: now.since(entry.record.time),
                 ..entry.record
             };
-            let merged = match self.table.get(entry.key) {
-                Some(own) => merge(*own, incoming),
-                None => incoming,
-            };
+            let own = self.table.get(entry.key).copied();
+            let merged = own.map_or(incoming, |own| merge(own, incoming));
             self.table.put(entry.key, merged);
+            // Not its time, which moves with each way: two members would send it to and fro for ever.
+            if own.is_none_or(|own| (own.claim, own.state) != (merged.claim, merged.state)) {
+                self.pass_on(entry.key);
+            }
         }
         if let Some(mark) = request.mark.clone() {
             self.readiness.mark(from, request.view, mark, now);
@@ -249,6 +251,15 @@
         record.is_some_and(|record| record.claim == Some(request.claim))
     }
 
+    /// A record that came or changed since the plan was made goes to those that aren't marked yet. A
+    /// mark vouches for all that leavers have passed on; what is on its way may be the record of before,
+    /// and a newcomer that knew that one alone would grant the key a second time.
+    fn pass_on(&mut self, key: ClaimKey) {
+        for peer in self.readiness.receivers(key) {
+            self.handover.push(peer, key);
+        }
+    }
+
     /// Every record goes to the members of its group that may lack it.
     fn plan_handover(&mut self) {
         let view = self.readiness.view();
--- a/crates/ownership/tests/claims.rs
+++ b/crates/ownership/tests/claims.rs
@@ -530,6 +530,46 @@
     assert!(matches!(vote, Vote::NotReady { .. }), "{vote:?}");
 }
 
+/// A voter's record is on its way to a newcomer when a leaver's record of an earlier try reaches the
+/// voter. The newcomer acknowledges what it was sent. Did that count, it would be marked without ever
+/// hearing of the earlier try, and vote for the later one: both would run.
+#[test]
+fn a_record_that_changes_on_its_way_is_sent_again() {
+    let mut fleet = Fleet::new(3, ClaimSettings::default());
+    let (voter, newcomer, now) = (member(1), member(3), fleet.now);
+    let view = View::new([voter, member(2), newcomer]);
+    let later = fleet.request(member(2), 1, 1);
+    let old = fleet.node(voter).view().clone();
+    let later = *ClaimRound::new(&fleet.settings, &old, later, now).request();
+    assert_eq!(fleet.node(voter).on_claim(&later, now), Vote::Granted);
+    let transfers = fleet.node(voter).on_view(view.clone(), now);
+    let on_its_way = transfers.into_iter().find(|t| t.to == newcomer);
+    let on_its_way = on_its_way.expect("the record");
+    let earlier = fleet.request(member(0), 1, 1);
+    let record = Record {
+        account: earlier.account,
+        digest: earlier.digest,
+        claim: Some(earlier.claim),
+        time: Millis::ZERO,
+        state: ClaimState::InProgress,
+    };
+    let transfer = TransferRequest {
+        view: view.id(),
+        entries: vec![Entry {
+            key: earlier.key,
+            record,
+        }],
+        mark: None,
+    };
+    fleet.node(voter).on_transfer(member(0), &transfer, now);
+    fleet.node(voter).on_transferred(&on_its_way);
+    let transfers = fleet.node(voter).on_tick(now);
+    let next = transfers.into_iter().find(|t| t.to == newcomer);
+    let entries = next.expect("the record again").request.entries;
+    let states: Vec<ClaimState> = entries.iter().map(|e| e.record.state).collect();
+    assert_eq!(states, [ClaimState::Unknown]);
+}
+
 /// Every instance is restarted at once and all memory is gone. A repeat of a booking from before
 /// must not be granted, nor be told that it wasn't run, until the window is over.
 #[test]
