--- a/crates/ownership/src/claims/voter.rs
+++ b/crates/ownership/src/claims/voter.rs
@@ -145,11 +145,13 @@
                 time: now.since(entry.record.time),
                 ..entry.record
             };
-            let merged = match self.table.get(entry.key) {
-                Some(own) => merge(*own, incoming),
-                None => incoming,
-            };
+            let own = self.table.get(entry.key).copied();
+            let merged = own.map_or(incoming, |own| merge(own, incoming));
             self.table.put(entry.key, merged);
+            // Not its time, which moves with each way: two members would send it to and fro for ever.
+            if own.is_none_or(|own| (own.claim, own.state) != (merged.claim, merged.state)) {
+                self.pass_on(entry.key);
+            }
         }
         if let Some(mark) = request.mark.clone() {
             self.readiness.mark(from, request.view, mark, now);
@@ -193,7 +195,10 @@
         Some(match record.state {
             ClaimState::Done { status } => Vote::Done { status },
             ClaimState::InProgress if self.is_overdue(record, now) => Vote::Unknown,
-            ClaimState::InProgress if same => Vote::Granted,
+            // The record may be another voter's grant, which was passed on and overtook the claim.
+            // Answered from the record alone, one vote would count as two and a key could run twice;
+            // so this member votes like on a fresh key, or not at all.
+            ClaimState::InProgress if same => return None,
             ClaimState::InProgress => Vote::InProgress {
                 retry_after: self.settings.retry,
             },
@@ -222,6 +227,9 @@
         if let Err(retry_after) = self.readiness.check(request.key, now) {
             return Vote::NotReady { retry_after };
         }
+        if self.holds(request) {
+            return Vote::Granted;
+        }
         if self.table.is_full(request.account) && self.table.get(request.key).is_none() {
             let retry_after = self.table.next_expiry(now);
             return Vote::Full { retry_after };
@@ -237,19 +245,30 @@
         Vote::Granted
     }
 
-    /// Every record goes to the members that are new to its group.
+    /// Whether this very try is recorded; a repeated message must not make its record younger.
+    fn holds(&self, request: &ClaimRequest) -> bool {
+        let record = self.table.get(request.key);
+        record.is_some_and(|record| record.claim == Some(request.claim))
+    }
+
+    /// A record that came or changed since the plan was made goes to those that aren't marked yet. A
+    /// mark vouches for all that leavers have passed on; what is on its way may be the record of before,
+    /// and a newcomer that knew that one alone would grant the key a second time.
+    fn pass_on(&mut self, key: ClaimKey) {
+        for peer in self.readiness.receivers(key) {
+            self.handover.push(peer, key);
+        }
+    }
+
+    /// Every record goes to the members of its group that may lack it.
     fn plan_handover(&mut self) {
         let view = self.readiness.view();
         let me = self.me;
         let peers = view.members().iter().copied().filter(|peer| *peer != me);
         self.handover.start(peers, !view.contains(me));
-        let base = self.readiness.base();
         for (&key, _) in self.table.iter() {
-            let old = base.map(|view| view.group(key.place()));
-            for &peer in view.group(key.place()).members() {
-                if !old.is_some_and(|old| old.contains(peer)) {
-                    self.handover.push(peer, key);
-                }
+            for peer in self.readiness.receivers(key) {
+                self.handover.push(peer, key);
             }
         }
     }
