Give what never becomes a request a refusal that programs can read

Cause: malformed heads, bodies announced too long, slow heads and connections above the bound of all were answered in plain text by the HTTP server, without x-refusal-reason and x-request-ran, which the issue asks of every refusal. A caller above `connections` could not tell that nothing had run.

The server takes the answer from a function of its limits; the entry instance gives its own kind of refusal. The status stays what it was.

what_never_becomes_a_request_is_refused_readably fails in all four cases without the instance's own function, and passes with it, as do the 11 of flood_faults and matrix and those of crocushold-http.

--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -32,6 +32,7 @@
 use crate::operator;
 use crate::publish;
 use crate::publish::Addresses;
+use crate::refusal::refuse_unread;
 use crate::shared::Shared;
 
 /// Connections of balancers, scrapers and operators at a time.
@@ -164,6 +165,7 @@
             body_timeout: limits.body_timeout,
             idle_timeout: limits.idle,
             write_timeout: limits.write_timeout,
+            refuse: refuse_unread,
             ..ServerLimits::default()
         },
     }
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -160,6 +160,21 @@
     pub message: String,
 }
 
+/// The answer to what never becomes a request: a head that can't be taken, a body that is announced too
+/// long, or a connection above the bound of all.
+pub(crate) fn refuse_unread(status: StatusCode, retry_after: Option<Millis>) -> Response {
+    let reason = match status {
+        StatusCode::PayloadTooLarge => Reason::BodyTooLarge,
+        StatusCode::ServiceUnavailable => Reason::Overloaded,
+        _ => Reason::BadRequest,
+    };
+    let mut refusal = Refusal::not_run(reason, status.canonical_reason().to_lowercase());
+    refusal.retry_after = retry_after;
+    let mut response = refusal.into_response();
+    response.set_status(status);
+    response
+}
+
 #[derive(Serialize)]
 struct ErrorBody<'a> {
     error: ErrorFields<'a>,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -42,6 +42,7 @@
 pub use server::Listener;
 pub use server::ListenerHandle;
 pub use server::ListenerLimits;
+pub use server::Refuse;
 pub use server::Served;
 pub use server::ServerError;
 pub use server::ServerLimits;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -18,6 +18,7 @@
 pub use connection::serve_until;
 pub use hangup::Hangup;
 pub use limits::ListenerLimits;
+pub use limits::Refuse;
 pub use limits::ServerLimits;
 pub use listener::Listener;
 pub use listener::ListenerHandle;
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -134,7 +134,7 @@
             Next::End => return Ok(served),
             Next::Refused(status) => {
                 served.refused += 1;
-                respond(&wire, limits, refusal(status), Method::Get).await?;
+                respond(&wire, limits, refusal(limits, status), Method::Get).await?;
                 linger(&wire).await;
                 return Ok(served);
             }
--- a/crates/http/src/server/limits.rs
+++ b/crates/http/src/server/limits.rs
@@ -1,10 +1,18 @@
 //! Bounds on what callers can send and hold.
 
 use crocushold_base::Millis;
+use http_types::Response;
+use http_types::StatusCode;
+
+use super::refusal::plain;
 
 /// The longest head that async-h1 parses, in bytes.
 pub(crate) const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
 
+/// Makes the answer to what never becomes a request, from its status and when to come back. No handler
+/// saw anything of it.
+pub type Refuse = fn(StatusCode, Option<Millis>) -> Response;
+
 /// Bounds on one connection.
 #[derive(Clone, Debug)]
 pub struct ServerLimits {
@@ -23,6 +31,9 @@
     pub stop_grace: Millis,
     /// How long a caller may take nothing while bytes wait for it.
     pub write_timeout: Millis,
+    /// What is answered to that which never becomes a request; its framing and `Connection: close` are
+    /// set by the server.
+    pub refuse: Refuse,
 }
 
 impl Default for ServerLimits {
@@ -35,6 +46,7 @@
             idle_timeout: Millis::from_secs(75),
             stop_grace: Millis(250),
             write_timeout: Millis::from_secs(30),
+            refuse: plain,
         }
     }
 }
--- a/crates/http/src/server/listener.rs
+++ b/crates/http/src/server/listener.rs
@@ -200,7 +200,7 @@
             shared.refusals.fetch_sub(1, Ordering::Relaxed);
             return;
         }
-        let response = overload(self.limits.retry_after);
+        let response = overload(&self.limits);
         task::spawn(async move {
             let _ = timeout(REFUSAL_TIMEOUT.into(), tell(stream, response)).await;
             shared.refusals.fetch_sub(1, Ordering::Relaxed);
--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -700,4 +700,10 @@
         promises: &[Promise::NotRun, Promise::Slots],
         test: "flood_faults::memory_is_bounded_whatever_callers_hold",
     },
+    Cell {
+        fault: Fault::CallerFlood,
+        step: Step::Body,
+        promises: &[Promise::NotRun],
+        test: "flood_faults::what_never_becomes_a_request_is_refused_readably",
+    },
 ];
--- a/tests/all/flood_faults.rs
+++ b/tests/all/flood_faults.rs
@@ -4,6 +4,7 @@
 
 use crocushold_config::CONNECTION_BYTES;
 use crocushold_standins::EngineCommand;
+use test_case::test_case;
 
 use crate::support::Call;
 use crate::support::Entry;
@@ -120,6 +121,36 @@
     entry.wait_idle();
 }
 
+// What a caller sends never becomes a request, or all connections are taken. A program must be able to
+// read off the answer that nothing ran and whether to come back, as off any other refusal.
+#[test_case("GET /v1/models HTTP/1.0\r\n\r\n", 505, "bad_request"; "old version")]
+#[test_case("GET\r\n\r\n", 400, "bad_request"; "no head")]
+#[test_case("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 99999999\r\n\r\n", 413, "body_too_large"; "announced body")]
+#[test_case("", 503, "overloaded"; "connections of all")]
+fn what_never_becomes_a_request_is_refused_readably(text: &str, status: u16, reason: &str) {
+    let site = site("connections = 1\nconnections-per-account = 1\n");
+    let entry = site.entry("entry-1");
+    let held = text.is_empty().then(|| kept(&entry, "team.chat"));
+    let mut refused = Raw::connect(entry.listen);
+    refused.write(text.as_bytes());
+    let answer = refused.read_to_end();
+    assert!(
+        answer.starts_with(&format!("HTTP/1.1 {status} ")),
+        "{answer}"
+    );
+    assert!(
+        answer.contains(&format!("x-refusal-reason: {reason}\r\n")),
+        "{answer}"
+    );
+    assert!(answer.contains("x-request-ran: no\r\n"), "{answer}");
+    assert!(answer.contains("\"ran\":\"no\""), "{answer}");
+    assert_eq!(
+        answer.contains("retry-after: 1\r\n"),
+        held.is_some(),
+        "{answer}"
+    );
+}
+
 /// Connections of the flood; set to measure with more of them.
 const FLOOD: &str = "CROCUSHOLD_FLOOD";
 
