--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -896,5 +896,10 @@
         step: Step::Connecting,
         promises: &[Promise::Whole, Promise::Once, Promise::NotRun],
         test: "subsets::a_dead_subset_refuses_no_caller",
+    Cell {
+        fault: Fault::CallerFlood,
+        step: Step::Body,
+        promises: &[Promise::NotRun],
+        test: "flood_faults::what_never_becomes_a_request_is_refused_readably",
     },
 ];
