Take a straggler that returns out at its first slow sample

Cause: an ejected straggler comes back after 2 s, doubling, on trial. A failure on trial takes it out at once, but slow samples counted anew from none, so at each return it took new work until it had shown three of them.

Change: on trial, the first sample of a stream's pace that is as slow as a straggler's takes it out, for twice as long. Whole answers don't: the cache of a server that was just restarted is cold.

Seen failing first: straggler_that_returns_slow_is_out_at_the_first_sample; cold_cache_after_a_return_keeps_it_in with whole answers counted like streams.

--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -33,6 +33,23 @@
     Out { fault: Fault, until: Millis },
 }
 
+/// What a sample of a server's speed is of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// Gaps between the tokens of streams.
+    Pace,
+    /// A whole answer, its prompt included.
+    Whole,
+}
+
+/// A sample of a server's speed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sample {
+    pub(crate) kind: Kind,
+    /// The logarithm of its time relative to the peers'.
+    pub(crate) ratio: f64,
+}
+
 /// What a failure asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Verdict {
@@ -119,17 +136,22 @@
         }
     }
 
-    /// Counts a sample of the server's speed: the logarithm of its time relative to its peers'.
+    /// Counts a sample of the server's speed.
     ///
     /// A cumulative sum finds a lasting shift in the fewest samples: one at the straggler's ratio
     /// or slower adds one, one as fast as the peers takes away four. A running mean, which has to
     /// climb from what it was, needs eleven samples for a server that is four times slower.
-    pub(crate) fn speed(&mut self, settings: &HealthSettings, sample: f64, now: Millis) -> Verdict {
+    pub(crate) fn speed(
+        &mut self,
+        settings: &HealthSettings,
+        sample: Sample,
+        now: Millis,
+    ) -> Verdict {
         if self.is_out() {
             return Verdict::Keep;
         }
         let limit = settings.straggler_ratio.ln().max(f64::MIN_POSITIVE);
-        let gain = (sample / limit - REFERENCE) / (1.0 - REFERENCE);
+        let gain = (sample.ratio / limit - REFERENCE) / (1.0 - REFERENCE);
         // One pause of the server slows every stream on it: were their samples counted apart, it
         // would go out for a moment that is over. All of them end soon after the pause.
         if gain > 0.0 && self.slow > 0.0 && now.since(self.slowed) < settings.strike_gap {
@@ -139,7 +161,10 @@
             self.slowed = now;
         }
         self.slow = (self.slow + gain.min(1.0)).max(0.0);
-        if self.slow >= f64::from(settings.slow_samples) {
+        // It was out for a reason, and the first stream tells whether that is over. A whole answer
+        // doesn't: its prompt found a cold cache.
+        let still_slow = self.on_trial && sample.kind == Kind::Pace && gain >= 1.0;
+        if still_slow || self.slow >= f64::from(settings.slow_samples) {
             Verdict::Eject
         } else {
             Verdict::Keep
--- a/crates/routing/src/router/feedback.rs
+++ b/crates/routing/src/router/feedback.rs
@@ -9,6 +9,8 @@
 use crate::cache::CacheEvent;
 use crate::cache::Hint;
 use crate::health::Fault;
+use crate::health::Kind;
+use crate::health::Sample;
 use crate::health::Verdict;
 use crate::pool::SERVER_ALPHA;
 use crate::router::AttemptKey;
@@ -234,7 +236,7 @@
         }
         let span = now.since(flight.waits).0 as f64;
         let ratio = self.pools[flight.pool].whole(flight.tokens, tokens, span);
-        self.judge_pace(flight, ratio, now);
+        self.judge_speed(flight, Kind::Whole, ratio, now);
     }
 
     /// Adds gaps to the server's rest; returns it, and starts anew, when it is enough for a sample.
@@ -250,11 +252,11 @@
     /// Takes in the time for each token, in milliseconds.
     fn pace(&mut self, flight: &InFlight, sample: f64, now: Millis) {
         let ratio = self.pools[flight.pool].pace(sample);
-        self.judge_pace(flight, ratio, now);
+        self.judge_speed(flight, Kind::Pace, ratio, now);
     }
 
     /// Takes in a sample relative to the peers', as a logarithm; none while too little is known.
-    fn judge_pace(&mut self, flight: &InFlight, ratio: Option<f64>, now: Millis) {
+    fn judge_speed(&mut self, flight: &InFlight, kind: Kind, ratio: Option<f64>, now: Millis) {
         let Some(ratio) = ratio else {
             return;
         };
@@ -267,7 +269,7 @@
         let settings = self.settings.health.clone();
         let mut verdict = Verdict::Keep;
         self.change_health(flight.server, |health| {
-            verdict = health.speed(&settings, ratio, now);
+            verdict = health.speed(&settings, Sample { kind, ratio }, now);
         });
         if verdict == Verdict::Eject {
             self.eject(flight.server, Fault::Straggling, now);
--- a/crates/routing/tests/returns.rs
+++ b/crates/routing/tests/returns.rs
@@ -8,6 +8,7 @@
 mod common;
 
 use common::Fleet;
+use common::Reply;
 use common::SLOTS;
 use crocushold_base::Millis;
 use crocushold_routing::AttemptKey;
@@ -116,3 +117,54 @@
     fleet.end(held[1], Outcome::Overloaded);
     assert_eq!(fill(&mut fleet, FIRST).len(), 1);
 }
+
+// Callers would get slow tokens each time that a straggler returns. It comes back as slow as it was:
+// the first sample takes it out again, before its first answer is whole, and for longer.
+#[test]
+fn straggler_that_returns_slow_is_out_at_the_first_sample() {
+    let mut fleet = Fleet::new(5);
+    for _ in 0..6 {
+        (0..5).for_each(|at| fleet.answer(at, 20));
+    }
+    while !matches!(fleet.state(0), State::Out { .. }) {
+        fleet.answer(0, 200);
+    }
+    while fleet.state(0) != State::Recovering {
+        fleet.wait(500);
+    }
+    let pick = fleet.pick_on(0);
+    fleet.router.first_byte(pick.attempt, fleet.now);
+    (0..16).for_each(|_| fleet.wait(200));
+    fleet.router.progress(pick.attempt, 16, fleet.now);
+    let State::Out { until, .. } = fleet.state(0) else {
+        panic!("it is in");
+    };
+    assert!(until.since(fleet.now) > Millis(3000));
+}
+
+// Callers would lose a server that was just restarted, for longer each time. It comes back with an
+// empty cache, so its first answer of one token takes five times as long as its peers'; that doesn't
+// count as slow, as a first stream would.
+#[test]
+fn cold_cache_after_a_return_keeps_it_in() {
+    let mut fleet = Fleet::new(5);
+    let warm = Reply {
+        prompt: 100,
+        prefill: 20,
+        tokens: 1,
+        pace: 20,
+        streamed: true,
+    };
+    for _ in 0..20 {
+        (0..5).for_each(|at| fleet.reply(at, warm));
+    }
+    let pick = fleet.pick_on(0);
+    fleet.end(pick.attempt, Outcome::Refused);
+    fleet.wait(700);
+    let cold = Reply {
+        prefill: 180,
+        ..warm
+    };
+    fleet.reply(0, cold);
+    assert_eq!(fleet.state(0), State::Recovering);
+}
