Don't take the end of a head for the end of an answer in tests

Cause: a head whose last line ends in 0 ends in the bytes "0\r\n\r\n", which the tests' callers took for the last chunk. Headers come in any order, so a request id ending in 0 was enough: a test read on too early, and a cut answer of which only the head had come would have looked whole. Seen: a new test of this kind failed once in a run of 38 tests (its answer "wasn't whole" after all of it had been waited for). Ruled out: a cut by the daemon, as the process was killed only after the wait. The end looked for is now "\r\n0\r\n\r\n", which a head can't hold; the checks are stricter than before.

--- a/tests/all/caller_faults.rs
+++ b/tests/all/caller_faults.rs
@@ -143,11 +143,11 @@
     let site = Site::start(&with_slots(8));
     let entry = site.entry("entry-1");
     let mut idle = Raw::send(entry.listen, &Call::chat(true, 2).marked("idle"));
-    assert!(idle.read_until("0\r\n\r\n"));
+    assert!(idle.read_until("\r\n0\r\n\r\n"));
     let mut other = Raw::send(entry.listen, &Call::chat(true, 30).marked("other"));
     assert!(other.read_until("other 1 "));
     drop(idle);
-    assert!(other.read_until("0\r\n\r\n"));
+    assert!(other.read_until("\r\n0\r\n\r\n"));
     assert!(other.text().contains("other 29 "));
     assert_eq!(site.cancelled("other") + site.cancelled("idle"), 0);
     entry.wait_idle();
--- a/tests/all/process_faults.rs
+++ b/tests/all/process_faults.rs
@@ -111,7 +111,7 @@
     let site = Site::start(&SiteSettings::default());
     let mut entry = site.entry("entry-1");
     let mut idle = Raw::send(entry.listen, &Call::chat(true, 2).marked("one"));
-    assert!(idle.read_until("0\r\n\r\n"));
+    assert!(idle.read_until("\r\n0\r\n\r\n"));
     entry.signal("TERM");
     let start = Instant::now();
     wait_draining(&entry);
--- a/tests/all/support/raw.rs
+++ b/tests/all/support/raw.rs
@@ -13,7 +13,7 @@
 const PATIENCE: Duration = Duration::from_secs(45);
 
 /// What ends a chunked body that is whole.
-const LAST_CHUNK: &str = "0\r\n\r\n";
+const LAST_CHUNK: &str = "\r\n0\r\n\r\n";
 
 /// One connection of a caller. It is closed when dropped, as by a caller that hangs up.
 pub struct Raw {
