Fill cells of the fault matrix that mean something

Two were wrong at first: the end of a stalled stream can't be released at the stand-in, so the last byte comes from a socket of the test, and a watch shows an older index only after half a minute, so a peer that starts anew reads it.

--- a/tests/all/caller_faults.rs
+++ b/tests/all/caller_faults.rs
@@ -248,3 +248,23 @@
     entry.wait_idle();
     assert_eq!(site.runs("stuck"), 0);
 }
+
+// A caller gets a whole answer, and sends only a part of its next request on the same connection. The
+// answer before stays whole; the second request is refused after the bound on bodies, having run not at
+// all, and the connection is closed.
+#[test]
+fn a_caller_too_slow_on_a_kept_connection_is_refused() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 2).marked("one"));
+    assert!(caller.read_until("[DONE]\n\n\r\n0\r\n\r\n"));
+    let second = Call::chat(true, 3).marked("two");
+    caller.write(second.head().as_bytes());
+    caller.write(&second.body.as_bytes()[..10]);
+    let text = caller.read_to_end();
+    let (_, rest) = text.split_once("\r\n0\r\n\r\n").unwrap();
+    assert!(rest.starts_with("HTTP/1.1 4"), "{rest}");
+    assert!(rest.contains("x-request-ran: no"), "{rest}");
+    entry.wait_idle();
+    assert_eq!(site.runs("two"), 0);
+}
--- a/tests/all/config_faults.rs
+++ b/tests/all/config_faults.rs
@@ -5,11 +5,13 @@
 use std::time::Instant;
 
 use crocushold_config::with_previous;
+use crocushold_standins::EngineCommand;
 use crocushold_standins::PlatformCommand;
 use test_case::test_case;
 
 use crate::support::Call;
 use crate::support::Entry;
+use crate::support::Fleet;
 use crate::support::Raw;
 use crate::support::Site;
 use crate::support::SiteSettings;
@@ -206,3 +208,70 @@
     assert!(serves(&entry, "extra"));
     put_in_force(&site, &entry, "later");
 }
+
+// The platform's replica falls behind, or the platform goes back, while a request of a class that only
+// the newer text knows streams and another one is queued. An instance that starts now reads the older
+// text and tells its peer of it. Both requests belong to what was accepted: the stream is whole, and the
+// queued one is served instead of being told that its class is gone.
+#[test_case(PlatformCommand::Stale { revision: Some(1) }; "stale")]
+#[test_case(PlatformCommand::GoBack { revision: 1, reuse: false }; "going back")]
+fn an_older_revision_cuts_and_refuses_nobody(fault: PlatformCommand) {
+    let site = Site::start(&SiteSettings {
+        engines: 1,
+        concurrency: 2,
+        ..SiteSettings::default()
+    });
+    let mut fleet = Fleet::start(&site, 2);
+    site.publish(|text| {
+        with_class(text, "extra").replace("first-token = 2 s", "first-token = 60 s")
+    });
+    fleet.wait_status("\"revision\": 2,");
+    fleet.kill(1);
+    let entry = fleet.entry(0);
+    let request = Call::chat(true, 20).header("x-class", "extra");
+    let mut callers: Vec<_> = (0..6)
+        .map(|n| Raw::send(entry.listen, &request.clone().marked(&format!("m{n}"))))
+        .collect();
+    wait("some stream and some are queued", || {
+        site.held() >= 1 && entry.queued("extra") >= 1
+    });
+    site.engine(0, EngineCommand::Slow { factor: 100.0 });
+    let before = site.platform.stats().indexes;
+    site.platform(fault);
+    fleet.spawn(1);
+    fleet.entry(1).wait_ready();
+    assert!(site.platform.stats().indexes > before, "it wasn't read");
+    assert_eq!(fleet.entry(1).status().config.revision, 2);
+    let entry = fleet.entry(0);
+    assert!(site.held() >= 1 && entry.queued("extra") >= 1);
+    site.engine(0, EngineCommand::Slow { factor: 1.0 });
+    for (number, caller) in callers.iter_mut().enumerate() {
+        assert!(caller.read_until("[DONE]\n\n\r\n0\r\n\r\n"), "cut");
+        assert!(caller.text().contains(&format!("m{number} 19 ")));
+    }
+    assert_eq!(entry.status().config.revision, 2);
+    entry.wait_idle();
+}
+
+// The platform is down or hangs while one request streams and another is queued. Neither needs it: the
+// stream is whole, and the queued request gets its turn.
+#[test_case(PlatformCommand::Down { on: true }; "down")]
+#[test_case(PlatformCommand::Frozen { on: true }; "frozen")]
+fn an_outage_of_the_platform_cuts_and_refuses_nobody(fault: PlatformCommand) {
+    let site = Site::start(&SiteSettings {
+        engines: 1,
+        concurrency: 1,
+        ..SiteSettings::default()
+    });
+    let entry = site.entry("entry-1");
+    let mut stream = Raw::send(entry.listen, &Call::chat(true, 100).marked("mine"));
+    assert!(stream.read_until("mine 1 "));
+    let queued = call_beside(entry.listen, &Call::batch(2));
+    wait("it is queued", || entry.queued("batch") == 1);
+    site.platform(fault);
+    assert!(stream.read_until("[DONE]\n\n\r\n0\r\n\r\n"), "cut");
+    assert!(stream.text().contains("mine 99 "));
+    let answer = queued.join().unwrap().unwrap();
+    assert!(answer.status == 200 && answer.whole, "{}", answer.body);
+    entry.wait_idle();
+}
--- a/tests/all/process_faults.rs
+++ b/tests/all/process_faults.rs
@@ -1,5 +1,6 @@
 //! Entry processes that are frozen, killed or stopped as planned.
 
+use std::io::Write;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,6 +13,7 @@
 use crate::support::Call;
 use crate::support::Entry;
 use crate::support::Raw;
+use crate::support::RawServer;
 use crate::support::Site;
 use crate::support::SiteSettings;
 use crate::support::call;
@@ -255,3 +257,112 @@
     entry.wait_idle();
     assert_eq!(site.runs("late"), 0);
 }
+
+// An instance is killed while a caller keeps an idle connection after its answer. The connection ends
+// without a byte more, so that the answer before can't be taken for cut or continued.
+#[test]
+fn a_killed_instance_adds_nothing_to_an_idle_connection() {
+    let site = Site::start(&SiteSettings::default());
+    let mut entry = site.entry("entry-1");
+    let mut idle = Raw::send(entry.listen, &Call::chat(true, 2).marked("one"));
+    assert!(idle.read_until("\r\n0\r\n\r\n"));
+    let before = idle.text();
+    entry.kill();
+    assert_eq!(idle.read_to_end(), before);
+    assert!(idle.is_whole());
+}
+
+// A caller sends its next request on an idle connection while the process is frozen. The bytes wait in
+// the socket, and the caller gets the whole answer after the process woke; the request runs once.
+#[test]
+fn a_frozen_instance_answers_what_came_on_an_idle_connection() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    let mut idle = Raw::send(entry.listen, &Call::chat(true, 2).marked("one"));
+    assert!(idle.read_until("\r\n0\r\n\r\n"));
+    entry.signal("STOP");
+    let second = Call::chat(true, 3).marked("two");
+    idle.write(second.head().as_bytes());
+    idle.write(second.body.as_bytes());
+    entry.signal("CONT");
+    assert!(idle.read_until("two 2 "));
+    assert!(idle.read_until("[DONE]\n\n\r\n0\r\n\r\n"), "cut");
+    entry.wait_idle();
+    assert_eq!(site.runs("two"), 1);
+}
+
+// The engine has said its last token but not the end of the stream when the instance is killed. All
+// tokens are there, yet the caller must not take them for a whole answer.
+#[test]
+fn a_killed_instance_cuts_before_the_last_byte() {
+    let site = Site::start(&SiteSettings::default());
+    let mut entry = site.entry("entry-1");
+    site.all_engines(&EngineCommand::Stall { after: Some(4) });
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 4).marked("cut"));
+    assert!(caller.read_until("cut 3 "));
+    entry.kill();
+    caller.read_to_end();
+    assert!(!caller.is_whole());
+    wait("the engine's work is cancelled", || site.held() == 0);
+    assert_eq!(site.runs("cut"), 1);
+}
+
+// A stop is asked for, or the process is frozen and woken, when the last token is relayed and the end
+// of the stream isn't. The end that comes late is relayed too: the answer is whole.
+#[test_case("TERM"; "planned stop")]
+#[test_case("STOP"; "frozen and woken")]
+fn the_last_byte_is_relayed_whatever_the_signal(signal: &str) {
+    let site = Site::start(&one_slot());
+    let server = RawServer::start();
+    let engine = site.engines[0].addr().to_string();
+    site.publish(|text| text.replace(&engine, &server.addr().to_string()));
+    let mut entry = site.entry("entry-1");
+    entry.wait_in_force(2);
+    let mut caller = Raw::send(entry.listen, &Call::chat(true, 4));
+    let mut stream = server.accept();
+    let head =
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    let token = "data: last\n\n";
+    write!(stream, "{head}{:x}\r\n{token}\r\n", token.len()).unwrap();
+    assert!(caller.read_until("data: last"));
+    entry.signal(signal);
+    if signal == "TERM" {
+        entry.wait_closed();
+    }
+    write!(stream, "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n").unwrap();
+    entry.signal("CONT");
+    assert!(caller.read_until("[DONE]\n\n\r\n0\r\n\r\n"), "cut");
+    match signal {
+        "TERM" => assert!(entry.wait_exit()),
+        _ => entry.wait_idle(),
+    }
+}
+
+// A stop is asked for in the middle of a burst of the nightly batch. During the notice live requests
+// still come: each is served before the batch that waits. The batch isn't dropped for the stop either;
+// it finishes before the process ends.
+#[test]
+fn a_planned_stop_in_a_burst_keeps_its_promises() {
+    let site = Site::start(&SiteSettings {
+        engines: 1,
+        concurrency: 4,
+        ..SiteSettings::default()
+    });
+    let mut entry = site.entry("entry-1");
+    let batch: Vec<_> = (0..24)
+        .map(|_| call_beside(entry.listen, &Call::batch(20)))
+        .collect();
+    wait("the batch waits", || entry.queued("batch") >= 16);
+    entry.signal("TERM");
+    let live = (0..4).map(|_| call_beside(entry.listen, &Call::chat(true, 2)));
+    for answer in live.collect::<Vec<_>>() {
+        let answer = answer.join().unwrap().unwrap();
+        assert!(answer.status == 200 && answer.whole, "{}", answer.body);
+    }
+    assert!(entry.queued("batch") > 0, "the live ones waited for it");
+    for answer in batch {
+        let answer = answer.join().unwrap().unwrap();
+        assert!(answer.status == 200 && answer.whole, "{}", answer.body);
+    }
+    assert!(entry.wait_exit());
+}
--- a/tests/all/sending_faults.rs
+++ b/tests/all/sending_faults.rs
@@ -1,5 +1,6 @@
 //! Faults while a connection is opened or a request is on its way to its server.
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use crate::support::Entry;
 use crate::support::Raw;
 use crate::support::RawServer;
+use crate::support::Relay;
 use crate::support::Site;
 use crate::support::SiteSettings;
 use crate::support::answer_rest;
@@ -191,3 +193,107 @@
     assert_eq!(entry.ended("confirm", "cancelled"), 1);
     drop(waiting);
 }
+
+// The only server of a booking dies when it has taken in half of it. Some of the bytes left, so the
+// caller hears "unknown" and no invitation to come back, and the slot comes back.
+#[test]
+fn a_booking_whose_server_crashes_while_it_is_sent_is_unknown() {
+    let site = Site::start(&SiteSettings::default());
+    let server = RawServer::start();
+    let entry = entry_with(&site, site.service.addr(), server.addr());
+    let caller = call_beside(entry.listen, &large_booking("crash"));
+    let stream = server.accept();
+    drop(server);
+    drop(stream);
+    let answer = caller.join().unwrap().unwrap();
+    assert_eq!(answer.status, 502, "{}", answer.body);
+    assert_eq!(answer.header("x-request-ran"), "unknown");
+    assert_eq!(answer.header("retry-after"), "");
+    entry.wait_idle();
+}
+
+// A server answers 503 to a booking whose body it hasn't read, and closes. A status proves nothing, and
+// bytes left: whichever of answer and cut the instance sees, the booking is sent once and nobody is
+// told that it didn't run.
+#[test]
+fn a_booking_answered_unavailable_while_it_is_sent_is_sent_once() {
+    let site = Site::start(&SiteSettings::default());
+    let server = RawServer::start();
+    let entry = entry_with(&site, site.service.addr(), server.addr());
+    let caller = call_beside(entry.listen, &large_booking("busy"));
+    let mut stream = server.accept();
+    let busy = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
+    stream.write_all(busy).unwrap();
+    drop(stream);
+    let answer = caller.join().unwrap().unwrap();
+    assert!(answer.status >= 500, "{}", answer.status);
+    assert_ne!(answer.header("x-request-ran"), "no", "{}", answer.body);
+    entry.wait_idle();
+    assert!(!server.has_request(), "sent again");
+}
+
+/// A site with one engine behind a relay, and an instance that reaches it through the relay alone.
+fn relayed_engine() -> (Site, Relay, Entry) {
+    let site = Site::start(&SiteSettings {
+        engines: 1,
+        ..SiteSettings::default()
+    });
+    let relay = Relay::start(site.engines[0].addr());
+    let entry = entry_with(&site, site.engines[0].addr(), relay.addr());
+    (site, relay, entry)
+}
+
+// What the instance sends to an engine is lost from the middle of a stream on, while the engine's bytes
+// still come. A caller that stays gets its whole answer. One that leaves is forgotten by the instance,
+// although the engine can't be told: the slot comes back, and the engine's work runs out by itself.
+#[test]
+fn a_partition_towards_the_engine_cuts_no_stream() {
+    let (site, relay, entry) = relayed_engine();
+    let mut stays = Raw::send(entry.listen, &Call::chat(true, 100).marked("stays"));
+    let mut leaves = Raw::send(entry.listen, &Call::chat(true, 100).marked("leaves"));
+    assert!(stays.read_until("stays 1 ") && leaves.read_until("leaves 1 "));
+    relay.cut_to_server();
+    drop(leaves);
+    wait("the slot of the one that left is back", || {
+        entry.running("chat") == 1
+    });
+    assert!(stays.read_until("[DONE]\n\n\r\n0\r\n\r\n"), "cut");
+    assert!(stays.text().contains("stays 99 "));
+    entry.wait_idle();
+    assert_eq!(site.runs("stays") + site.runs("leaves"), 2);
+}
+
+// What a server sends is lost while a booking waits for its answer. The booking was made, nobody can
+// tell: it isn't sent again, the caller hears "unknown" at its bound, and the slot comes back.
+#[test]
+fn a_partition_from_the_server_leaves_a_booking_unknown() {
+    let site = Site::start(&SiteSettings::default());
+    let relay = Relay::start(site.service.addr());
+    let entry = entry_with(&site, site.service.addr(), relay.addr());
+    relay.cut_to_entry();
+    let booking = Call::booking("lost").header("x-timeout-ms", "800");
+    let answer = call(entry.listen, &booking).unwrap();
+    assert_eq!(answer.status, 502, "{}", answer.body);
+    assert_eq!(answer.header("x-request-ran"), "unknown");
+    assert_eq!(answer.header("retry-after"), "");
+    assert_eq!(site.effects("lost"), 1);
+    entry.wait_idle();
+}
+
+// Packets between an instance and an engine are lost both ways while requests wait for their first
+// byte, as a kept connection finds when the partition came while it was idle. The bound of each ends
+// the wait: it may have run, and the slots come back.
+#[test]
+fn a_partition_found_by_a_kept_connection_ends_at_the_bound() {
+    let (_site, relay, entry) = relayed_engine();
+    assert!(call(entry.listen, &Call::chat(true, 2)).unwrap().whole);
+    relay.cut_to_server();
+    relay.cut_to_entry();
+    let request = Call::chat(true, 2).header("x-timeout-ms", "800");
+    let start = Instant::now();
+    let answer = call(entry.listen, &request).unwrap();
+    assert!(answer.status >= 500, "{}", answer.status);
+    assert_ne!(answer.header("x-request-ran"), "no", "{}", answer.body);
+    assert!(start.elapsed() < Duration::from_secs(4));
+    entry.wait_idle();
+}
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -9,6 +9,7 @@
 mod listener;
 mod load;
 mod raw;
+mod relay;
 mod site;
 mod wait;
 
@@ -26,6 +27,7 @@
 pub use load::Load;
 pub use load::Totals;
 pub use raw::Raw;
+pub use relay::Relay;
 pub use site::Site;
 pub use site::SiteSettings;
 pub use wait::wait;
