Tell cells of the fault matrix that can't exist from those without a test

An empty cell could mean either. The table names the faults, steps and promises that never meet, with the reason; the page shows them as n/a and lists the reasons, and "what isn't proved" is left with cells that a test could fill. Pairs of faults are not excluded anywhere.

--- a/tests/all/matrix.rs
+++ b/tests/all/matrix.rs
@@ -8,6 +8,7 @@
 use std::process::Command;
 
 use crate::cells::CELLS;
+use crate::cells::NOT_APPLICABLE;
 
 /// Set to rewrite the page instead of comparing it.
 const REWRITE: &str = "CROCUSHOLD_WRITE_MATRIX";
@@ -142,6 +143,35 @@
     }
 }
 
+/// Cells that no test can fill, since fault and step, or fault and promise, never meet.
+pub(crate) struct NotApplicable {
+    pub(crate) faults: &'static [Fault],
+    pub(crate) steps: &'static [Step],
+    pub(crate) promises: &'static [Promise],
+    /// Why they never meet.
+    pub(crate) reason: &'static str,
+}
+
+fn is_filled_at(fault: Fault, step: Step) -> bool {
+    let mut cells = CELLS.iter();
+    cells.any(|cell| cell.fault == fault && cell.step == step)
+}
+
+fn is_filled_of(fault: Fault, promise: Promise) -> bool {
+    let mut cells = CELLS.iter();
+    cells.any(|cell| cell.fault == fault && cell.promises.contains(&promise))
+}
+
+fn is_excluded_at(fault: Fault, step: Step) -> bool {
+    let mut all = NOT_APPLICABLE.iter();
+    all.any(|n| n.faults.contains(&fault) && n.steps.contains(&step))
+}
+
+fn is_excluded_of(fault: Fault, promise: Promise) -> bool {
+    let mut all = NOT_APPLICABLE.iter();
+    all.any(|n| n.faults.contains(&fault) && n.promises.contains(&promise))
+}
+
 /// The tests of this binary.
 fn tests() -> BTreeSet<String> {
     let list = Command::new(env::current_exe().unwrap())
@@ -159,15 +189,25 @@
          all matrix`; the same test fails when the page differs from the table, when the table names \
          a test that doesn't exist, or lacks one that does. Real `crocushold` processes run between \
          stand-ins in each of these tests. A number says how many entries of the table fill a cell; \
-         an empty cell has no test.\n\n## Faults by steps\n\n",
+         an empty cell has no test; `n/a` marks one whose fault and column never meet, for a reason \
+         given below.\n\n## Faults by steps\n\n",
+    );
+    table(
+        &mut page,
+        Step::ALL,
+        Step::text,
+        |cell, step| cell.step == step,
+        is_excluded_at,
     );
-    table(&mut page, Step::ALL, Step::text, |cell, step| {
-        cell.step == step
-    });
     page.push_str("\n## Faults by promises\n\n");
-    table(&mut page, Promise::ALL, Promise::text, |cell, promise| {
-        cell.promises.contains(&promise)
-    });
+    table(
+        &mut page,
+        Promise::ALL,
+        Promise::text,
+        |cell, promise| cell.promises.contains(&promise),
+        is_excluded_of,
+    );
+    push_not_applicable(&mut page);
     push_tests(&mut page);
     push_gaps(&mut page);
     page
@@ -178,6 +218,7 @@
     columns: &[T],
     text: impl Fn(T) -> &'static str,
     fills: impl Fn(&Cell, T) -> bool,
+    excluded: impl Fn(Fault, T) -> bool,
 ) {
     page.push_str("| fault |");
     for &column in columns {
@@ -189,6 +230,7 @@
         for &column in columns {
             let cells = CELLS.iter().filter(|cell| cell.fault == fault);
             match cells.filter(|cell| fills(cell, column)).count() {
+                0 if excluded(fault, column) => page.push_str(" n/a |"),
                 0 => page.push_str("  |"),
                 count => write!(page, " {count} |").unwrap(),
             }
@@ -197,6 +239,17 @@
     }
 }
 
+fn push_not_applicable(page: &mut String) {
+    page.push_str("\n## Not applicable\n\n");
+    for entry in NOT_APPLICABLE {
+        let faults = join(entry.faults.iter().map(|fault| fault.text()));
+        let steps = entry.steps.iter().map(|step| step.text());
+        let promises = entry.promises.iter().map(|promise| promise.text());
+        let columns = join(steps.chain(promises));
+        writeln!(page, "* **{faults}** and *{columns}*: {}.", entry.reason).unwrap();
+    }
+}
+
 fn push_tests(page: &mut String) {
     page.push_str("\n## The tests\n\n| fault | step | test |\n| --- | --- | --- |\n");
     for &fault in Fault::ALL {
@@ -210,16 +263,15 @@
 fn push_gaps(page: &mut String) {
     page.push_str(
         "\n## What isn't proved\n\n\
-         The empty cells, fault by fault. Some of them can't occur (an idle connection has no first \
-         byte); none of them is claimed.\n\n",
+         The empty cells, fault by fault.\n\n",
     );
     for &fault in Fault::ALL {
-        let cells: Vec<&Cell> = CELLS.iter().filter(|cell| cell.fault == fault).collect();
         let steps = Step::ALL.iter().copied();
-        let steps = steps.filter(|&step| !cells.iter().any(|cell| cell.step == step));
+        let steps =
+            steps.filter(|&step| !is_filled_at(fault, step) && !is_excluded_at(fault, step));
         let promises = Promise::ALL.iter().copied();
-        let promises =
-            promises.filter(|&promise| !cells.iter().any(|cell| cell.promises.contains(&promise)));
+        let promises = promises
+            .filter(|&promise| !is_filled_of(fault, promise) && !is_excluded_of(fault, promise));
         writeln!(page, "* **{}**", fault.text()).unwrap();
         writeln!(page, "  * no test at: {}", join(steps.map(Step::text))).unwrap();
         writeln!(
@@ -262,6 +314,18 @@
     assert!(homeless.is_empty(), "tests without a cell: {homeless:#?}");
 }
 
+// A cell that is called impossible and has a test would be one mistake or the other.
+#[test]
+fn no_cell_is_both_filled_and_not_applicable() {
+    for cell in CELLS {
+        let (fault, step) = (cell.fault, cell.step);
+        assert!(!is_excluded_at(fault, step), "{fault:?} at {step:?}");
+        for &promise in cell.promises {
+            assert!(!is_excluded_of(fault, promise), "{fault:?} of {promise:?}");
+        }
+    }
+}
+
 // The page in the repository is what readers see, so it must be what the table gives.
 #[test]
 fn the_page_is_what_the_table_gives() {
