Test three more pairs of faults with queues and first bytes

An engine that dies during a planned stop while a queue waits, one that dies while the instance is frozen with a request before its first byte, and a caller that leaves the queue of a frozen instance.

--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -915,6 +915,24 @@
         promises: &[Promise::Whole, Promise::Slots],
         test: "process_faults::a_frozen_instance_blames_no_server_for_its_pause",
     },
+    Cell {
+        fault: Fault::StopCrash,
+        step: Step::Queued,
+        promises: &[Promise::Whole, Promise::Stop],
+        test: "pair_faults::a_crash_during_a_planned_stop_loses_no_queue",
+    },
+    Cell {
+        fault: Fault::FrozenCrash,
+        step: Step::FirstByte,
+        promises: &[Promise::Whole, Promise::Slots],
+        test: "pair_faults::a_frozen_instance_repeats_what_its_dead_engine_had",
+    },
+    Cell {
+        fault: Fault::FrozenGone,
+        step: Step::Queued,
+        promises: &[Promise::Slots],
+        test: "pair_faults::a_frozen_instance_starts_nothing_for_who_left_its_queue",
+    },
 ];
 
 /// Which cells can't be filled, and why.
--- a/tests/all/pair_faults.rs
+++ b/tests/all/pair_faults.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crocushold_standins::BatchSettings;
 use crocushold_standins::EngineCommand;
 use crocushold_standins::PlatformCommand;
 
@@ -182,3 +183,75 @@
     assert!(caller.read_until("[DONE]\n\n\r\n0\r\n\r\n"), "cut");
     assert!(entry.wait_exit());
 }
+
+// A stop is asked for while a queue waits, and then one of two engines dies. Each request that was in
+// progress gets its whole answer from the engine that is left, and the process ends by itself.
+#[test]
+fn a_crash_during_a_planned_stop_loses_no_queue() {
+    let site = Site::start(&SiteSettings {
+        concurrency: 2,
+        ..SiteSettings::default()
+    });
+    let mut entry = site.entry("entry-1");
+    let calls: Vec<_> = (0..10)
+        .map(|_| call_beside(entry.listen, &Call::batch(30)))
+        .collect();
+    wait("a queue waits behind both engines", || {
+        entry.queued("batch") >= 4 && site.engines.iter().all(|e| e.stats().running > 0)
+    });
+    entry.signal("TERM");
+    site.engine(0, EngineCommand::Crash);
+    for answer in calls {
+        let answer = answer.join().unwrap().unwrap();
+        assert!(answer.status == 200 && answer.whole, "{}", answer.body);
+    }
+    assert!(entry.wait_exit());
+}
+
+// A process is stopped while a request waits for its first byte, its engine dies, and it wakes. Nothing
+// was relayed and the request is idempotent, so the other engine gets it and the caller a whole answer.
+#[test]
+fn a_frozen_instance_repeats_what_its_dead_engine_had() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    site.all_engines(&EngineCommand::Batch {
+        settings: BatchSettings {
+            base_ms: 5_000.0,
+            ..BatchSettings::default()
+        },
+    });
+    let waiting = call_beside(entry.listen, &Call::chat(true, 3).marked("crash"));
+    let runner = site.runner("crash");
+    entry.signal("STOP");
+    site.engine(runner, EngineCommand::Crash);
+    let settings = BatchSettings::default();
+    site.engine(1 - runner, EngineCommand::Batch { settings });
+    entry.signal("CONT");
+    let answer = waiting.join().unwrap().unwrap();
+    assert!(answer.status == 200 && answer.whole, "{}", answer.body);
+    assert_eq!(site.engines[1 - runner].runs("crash"), 1);
+    entry.wait_idle();
+}
+
+// A process is stopped, a caller leaves its queue, and it wakes; then the slot comes free. The request
+// of the caller that left is not started for nobody; the one behind it takes the slot.
+#[test]
+fn a_frozen_instance_starts_nothing_for_who_left_its_queue() {
+    let site = Site::start(&one_slot());
+    let entry = site.entry("entry-1");
+    let first = Raw::send(entry.listen, &Call::batch(5000).marked("first"));
+    wait("the slot is taken", || site.runs("first") == 1);
+    let gone = Raw::send(entry.listen, &Call::batch(2).marked("gone"));
+    wait("one is queued", || entry.queued("batch") == 1);
+    let stays = call_beside(entry.listen, &Call::batch(2).marked("stays"));
+    wait("two are queued", || entry.queued("batch") == 2);
+    entry.signal("STOP");
+    drop(gone);
+    entry.signal("CONT");
+    wait("one left the queue", || entry.queued("batch") == 1);
+    drop(first);
+    let answer = stays.join().unwrap().unwrap();
+    assert!(answer.status == 200 && answer.whole, "{}", answer.body);
+    entry.wait_idle();
+    assert_eq!(site.runs("gone"), 0);
+}
