Adopt the members in the order in which they are known

Each worked out the members under one lock and handed them to the claims under another, so the older could be adopted last: the claims would count a newcomer as gone, or a leaver as back, until the next view. The members are now read while the claims are locked, so that the last adopted are the last known. Ruled out: a deadlock, as nothing locks the claims while it holds the members.

No test shows the race: it lies between two lines of two tasks.

--- a/crates/entry/src/coordination/mod.rs
+++ b/crates/entry/src/coordination/mod.rs
@@ -139,19 +139,19 @@
     /// The membership changed, or was confirmed.
     pub(crate) fn take_view(self: &Arc<Self>, view: &crocushold_peers::View) {
         self.transport.learn(view);
-        let reference = self.members().seen(view);
-        self.share_limits();
         // After a pause the own view may be old, and a vote given under it could be a second one.
         if view.settled {
-            self.adopt(reference);
+            self.adopt(|members| members.seen(view));
+        } else {
+            self.members().seen(view);
         }
+        self.share_limits();
     }
 
     /// The platform's list names these entry instances.
     pub(crate) fn take_list<'a>(self: &Arc<Self>, names: impl Iterator<Item = &'a str>) {
-        let reference = self.members().listed(names);
+        self.adopt(|members| members.listed(names));
         self.share_limits();
-        self.adopt(reference);
     }
 
     /// Splits the account limits anew. Not only in a settled view: a share that is too small for a
@@ -161,8 +161,17 @@
         self.limits.on_view(live, &sharing);
     }
 
-    fn adopt(self: &Arc<Self>, view: View) {
-        let transfers = self.claims().on_view(view, self.clock.now());
+    /// Has the claims go on with the members that `read` finds.
+    ///
+    /// The claims are locked before the members are read. A list and a view arrive in different tasks:
+    /// each could read its members and then wait for the claims, and the older members would be
+    /// adopted last, as if a newcomer had gone or a leaver had come back.
+    fn adopt(self: &Arc<Self>, read: impl FnOnce(&mut Members) -> View) {
+        let transfers = {
+            let mut claims = self.claims();
+            let view = read(&mut self.members());
+            claims.on_view(view, self.clock.now())
+        };
         self.send_transfers(transfers);
     }
 
@@ -177,11 +186,10 @@
 
     /// Hands the records over before a planned stop, as far as the peers take them in time.
     pub(crate) async fn hand_over(self: &Arc<Self>) {
-        let rest = self.members().without_me();
-        if rest.members().is_empty() {
+        if self.members().without_me().members().is_empty() {
             return;
         }
-        self.adopt(rest);
+        self.adopt(|members| members.without_me());
         let done = timeout(HANDOVER_LIMIT.into(), async {
             while !self.claims().is_handed_over() {
                 task::sleep(Millis(50).into()).await;
