Test log levels a module, and that no prompt, answer or key is logged

An instance serves a caller and refuses a stranger; at info and at trace of every module the log holds no prompt, token, caller's key or peers' key. With "warn, crocushold_entry::callers=debug" that module's lines come and no info line of another does.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod limits;
 mod list_faults;
 mod load_faults;
+mod logs;
 mod matrix;
 mod once;
 mod orders;
--- a/tests/all/support/entry.rs
+++ b/tests/all/support/entry.rs
@@ -31,10 +31,16 @@
 impl Entry {
     /// Starts an instance and waits until it listens.
     pub fn start(args: &[String]) -> Entry {
+        Entry::start_logging(args, Stdio::inherit())
+    }
+
+    /// Starts an instance whose log goes to `log`, and waits until it listens.
+    pub fn start_logging(args: &[String], log: impl Into<Stdio>) -> Entry {
         let mut child = Command::new(env!("CARGO_BIN_EXE_crocushold"))
             .arg("serve")
             .args(args)
             .stdout(Stdio::piped())
+            .stderr(log)
             .spawn()
             .unwrap();
         let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
