Let the flood of the memory test grow with CROCUSHOLD_FLOOD

Cause: with 3,000 connections the flood reached the account's concurrency of 1,000 and the engines' batch limit. The flood's account and engines have room now, and a refused stream is told by its head.

--- a/tests/all/flood_faults.rs
+++ b/tests/all/flood_faults.rs
@@ -3,6 +3,7 @@
 use std::env;
 
 use crocushold_config::CONNECTION_BYTES;
+use crocushold_standins::BatchSettings;
 use crocushold_standins::EngineCommand;
 use test_case::test_case;
 
@@ -202,10 +203,12 @@
         Kind::HalfHead => raw.write(&heavy(&Call::chat(true, 1)).as_bytes()[..7000]),
         Kind::Streaming => {
             raw.write(heavy(&Call::chat(true, 50).marked("s")).as_bytes());
-            if !raw.read_until("s 1 ") {
+            assert!(raw.read_until("\r\n\r\n"));
+            if !raw.text().starts_with("HTTP/1.1 200 ") {
                 assert_refused(&raw.text());
                 return None;
             }
+            assert!(raw.read_until("s 1 "));
             raw.write(&behind());
         }
         Kind::Waiting => {
@@ -240,10 +243,18 @@
         limits: format!("{limits}head-timeout = 10 min\n"),
         ..SiteSettings::default()
     });
+    site.publish(|text| text.replace("concurrency = 1000", "concurrency = 10000"));
     let entry = site.entry("entry-1");
     drop(kept(&entry, "team.chat"));
     let before = resident(&entry);
     site.all_engines(&EngineCommand::Stall { after: Some(2) });
+    site.all_engines(&EngineCommand::Batch {
+        settings: BatchSettings {
+            batch_limit: count,
+            kv_tokens: u64::MAX,
+            ..BatchSettings::default()
+        },
+    });
     let kinds = [Kind::HalfHead, Kind::Streaming, Kind::Waiting];
     let flood: Vec<_> = kinds
         .iter()
