Reject a bound of heads that can't be kept, and say what body-timeout bounds

Cause: the settings took head = 16 KiB and had it as default, while the HTTP library reads 8,191 bytes at most and the server caps the setting silently: a caller with a head of 10 KiB got 431 under a bound of 16. A higher value is a finding now.

head_that_is_never_read fails without the check and passes with it; the tests of crocushold-config pass.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -28,6 +28,9 @@
 /// that were read ahead (in room for 32), and the buffers of an answer.
 pub const CONNECTION_BYTES: u64 = 80 << 10;
 
+/// The longest head that the HTTP library reads. A higher bound would promise what callers don't get.
+const MAX_HEAD: u64 = 8191;
+
 /// The least memory bound with which an instance is of use.
 const MIN_MEMORY: u64 = 16 * MIB;
 
@@ -69,7 +72,7 @@
     pub body: u64,
     /// The longest wait for a request's head.
     pub head_timeout: Millis,
-    /// The longest wait for the next bytes of a request's body.
+    /// The longest wait for the whole body of a request.
     pub body_timeout: Millis,
     /// The longest wait for a caller that reads nothing of its answer.
     pub write_timeout: Millis,
@@ -86,7 +89,7 @@
 impl Default for CallerLimits {
     fn default() -> CallerLimits {
         CallerLimits {
-            head: 16 << 10,
+            head: MAX_HEAD,
             body: 4 * MIB,
             head_timeout: Millis::from_secs(10),
             body_timeout: Millis::from_secs(15),
@@ -293,6 +296,9 @@
 impl CallerLimits {
     fn read(&mut self, fields: &mut Fields<'_>) {
         set(&mut self.head, fields.take("head", units::size));
+        if self.head > MAX_HEAD {
+            fields.reject("head", "no longer head can be read; write at most 8 KB");
+        }
         set(&mut self.body, fields.take("body", units::size));
         let timeouts = [
             ("head-timeout", &mut self.head_timeout),
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -69,6 +69,7 @@
 #[test_case("operator = 127.0.0.1:8081", "operator = 127.0.0.1:8080", 5; "address twice")]
 #[test_case("drain = 90 s", "memory = 1 MiB", 6; "memory too low")]
 #[test_case("body = 1 MiB", "body = 49 MiB", 13; "body that never fits into memory")]
+#[test_case("body = 1 MiB", "head = 16 KiB", 13; "head that is never read")]
 #[test_case("body = 1 MiB", "connections = 5", 12; "more for one account than in all")]
 #[test_case("body = 1 MiB", "connections-per-account = 0", 13; "no connection for an account")]
 #[test_case("body = 1 MiB", "queued-per-account = many", 13; "queue that is no number")]
