--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -72,6 +72,7 @@
 #[test_case("body = 1 MiB", "body = 49 MiB", 13; "body that never fits into memory")]
 #[test_case("[limits]", "senders = 0\n[limits]", 12; "no senders")]
 #[test_case("[limits]", "senders = all\n[limits]", 12; "senders without a number")]
+#[test_case("body = 1 MiB", "head = 16 KiB", 13; "head that is never read")]
 #[test_case("body = 1 MiB", "connections = 5", 12; "more for one account than in all")]
 #[test_case("body = 1 MiB", "connections-per-account = 0", 13; "no connection for an account")]
 #[test_case("body = 1 MiB", "queued-per-account = many", 13; "queue that is no number")]
