Take the next configuration although the one before panicked

Cause: one task follows the configuration as long as the process runs. A panic in it ended the task and nothing else: the instance went on serving its text, healthy to everybody, and no change was ever in force there again. Found by the fail point `applying`.

Seen red: a_panic_while_applying_delays_one_change, "never happened: the revision is in force" after 20 s. Ruled out: the notices, which still came and were read by nobody. The panic is caught now, and the change is tried again after a second, with all parts parsed anew. Ending the process was weighed: a text that panics everywhere would take all instances down at once. Not mended: the other endless tasks (load reports, lending, orders, timers) still end with a panic.

--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -2,10 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 
 use async_std::channel::Receiver;
+use async_std::future::timeout;
 use crocushold_base::Event;
+use crocushold_base::Millis;
 use crocushold_config::Finding;
 use crocushold_config::InForce;
 use crocushold_config::Text;
@@ -13,6 +16,8 @@
 use crocushold_peers::PartHash;
 use crocushold_peers::PeerHandle;
 use crocushold_peers::Snapshot;
+use futures::FutureExt;
+use log::error;
 use log::info;
 use log::warn;
 
@@ -21,19 +26,18 @@
 use crate::shared::PartInfo;
 use crate::shared::Shared;
 
+/// Between two tries to apply a configuration.
+const RETRY: Millis = Millis::from_secs(1);
+
 /// Follows the notices of the peers' node as long as it runs.
 pub(crate) async fn follow(shared: Arc<Shared>, peers: PeerHandle, notices: Receiver<Notice>) {
     let mut applier = Applier::default();
     // A notice may have been given before the subscription.
-    applier.apply(&shared, peers.config());
+    let mut applied = applier.try_apply(&shared, &peers).await;
     shared.take_view(&peers.view());
-    while let Ok(notice) = notices.recv().await {
+    while let Some(notice) = next(&notices, applied).await {
         match notice {
-            Notice::Config => {
-                let snapshot = peers.config();
-                reach(Point::Applying).await;
-                applier.apply(&shared, snapshot);
-            }
+            Notice::Config => applied = applier.try_apply(&shared, &peers).await,
             Notice::View => shared.take_view(&peers.view()),
             Notice::Finding(finding) => {
                 let event = Event::new("peer-finding").with("finding", format!("{finding:?}"));
@@ -43,6 +47,15 @@
     }
 }
 
+/// The next notice; that of a configuration again, after a pause, where it couldn't be applied.
+async fn next(notices: &Receiver<Notice>, applied: bool) -> Option<Notice> {
+    if applied {
+        return notices.recv().await.ok();
+    }
+    let notice = timeout(RETRY.into(), notices.recv()).await;
+    notice.map_or(Some(Notice::Config), Result::ok)
+}
+
 /// The parsed text, and which parts it was made of. Only a part whose hash changed is parsed again.
 #[derive(Default)]
 struct Applier {
@@ -54,6 +67,27 @@
 }
 
 impl Applier {
+    /// Puts what the node holds in force; false when that panicked.
+    ///
+    /// Had the panic ended the task, the instance would serve its text for good, look healthy, and
+    /// never take a change again. Nothing is in force before the last step, so it may be tried anew,
+    /// with all parts parsed again since their state may be half changed.
+    async fn try_apply(&mut self, shared: &Shared, peers: &PeerHandle) -> bool {
+        let attempt = AssertUnwindSafe(self.apply_held(shared, peers));
+        if attempt.catch_unwind().await.is_ok() {
+            return true;
+        }
+        *self = Applier::default();
+        error!("{}", Event::new("config-apply-panicked"));
+        false
+    }
+
+    async fn apply_held(&mut self, shared: &Shared, peers: &PeerHandle) {
+        let snapshot = peers.config();
+        reach(Point::Applying).await;
+        self.apply(shared, snapshot);
+    }
+
     fn apply(&mut self, shared: &Shared, snapshot: Option<Snapshot>) {
         let Some(snapshot) = snapshot else {
             return;
--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -933,6 +933,12 @@
         promises: &[Promise::Slots],
         test: "pair_faults::a_frozen_instance_starts_nothing_for_who_left_its_queue",
     },
+    Cell {
+        fault: Fault::Panic,
+        step: Step::Applying,
+        promises: &[Promise::Whole, Promise::Config],
+        test: "step_faults::a_panic_while_applying_delays_one_change",
+    },
 ];
 
 /// Which cells can't be filled, and why.
--- a/tests/all/step_faults.rs
+++ b/tests/all/step_faults.rs
@@ -404,3 +404,19 @@
     entry.wait_idle();
     assert_eq!(site.effects("k-1"), 0);
 }
+
+// The task that applies configurations panics with a change in its hands. Callers are served on under
+// the text before, and the change is in force within seconds: an instance that stayed with its text for
+// good would look healthy to everybody.
+#[test]
+fn a_panic_while_applying_delays_one_change() {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    entry.set_point("applying", "1*panic");
+    site.publish(str::to_owned);
+    assert!(call(entry.listen, &Call::chat(true, 1)).unwrap().whole);
+    entry.wait_in_force(2);
+    site.publish(str::to_owned);
+    entry.wait_in_force(3);
+    assert!(call(entry.listen, &Call::chat(true, 1)).unwrap().whole);
+}
