--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -1,7 +1,9 @@
 //! The scheduler and the router of one service, under one lock.
 
 mod demand;
+mod dispatch;
 mod reach;
+mod turn;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -15,32 +17,22 @@
 use async_std::channel::bounded;
 use async_std::future::timeout;
 use crocushold_admission as admission;
-use crocushold_admission::Action;
 use crocushold_admission::Arrival;
 use crocushold_admission::Dispatched;
 use crocushold_admission::HeadroomSettings;
 use crocushold_admission::Scheduler;
 use crocushold_admission::Ticket;
-use crocushold_admission::Verdict;
 use crocushold_base::Clock;
-use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_base::ModelKey;
 use crocushold_base::RequestKey;
 use crocushold_base::ServerKey;
 use crocushold_routing as routing;
-use crocushold_routing::Allotment;
 use crocushold_routing::AttemptKey;
-use crocushold_routing::Decision;
-use crocushold_routing::Demand;
-use crocushold_routing::EntryFleet;
 use crocushold_routing::HealthSettings;
-use crocushold_routing::Lack;
-use crocushold_routing::NoServer;
 use crocushold_routing::Outcome;
 use crocushold_routing::Pick;
 use crocushold_routing::Reach;
-use crocushold_routing::Reason;
 use crocushold_routing::RequestFacts;
 use crocushold_routing::RetryPolicy;
 use crocushold_routing::RetrySettings;
@@ -48,10 +40,15 @@
 use crocushold_routing::ServerSpec;
 use crocushold_routing::Stage;
 use futures::channel::oneshot;
-use log::info;
 
 use crate::pool::demand::Demand as ModelDemand;
 pub(crate) use crate::pool::reach::ServerGroup;
+pub(crate) use crate::pool::turn::Need;
+pub(crate) use crate::pool::turn::NoRepeat;
+pub(crate) use crate::pool::turn::Start;
+pub(crate) use crate::pool::turn::Turn;
+use crate::pool::turn::Waiter;
+pub(crate) use crate::pool::turn::Waiting;
 use crate::refusal::Refusal;
 
 #[cfg(test)]
@@ -71,94 +68,12 @@
 /// Consecutive slow samples that eject a straggler.
 const SLOW_SAMPLES: u32 = 3;
 
-/// Requests set aside in one round because no server could be had for them.
-const MAX_ASIDE: usize = 16;
-
 /// Share of the slots that lower tiers always leave free, rounded up to a whole slot.
 ///
 /// Started work is never preempted. Without a free slot, a batch of long answers that holds them all
 /// makes every live request wait past its patience, which sheds it for a lower tier.
 const LEAST_HEADROOM: f64 = 0.01;
 
-/// What a waiting request is told.
-#[derive(Debug)]
-pub(crate) enum Turn {
-    /// It may be sent to the server that was picked.
-    Start(Start),
-    /// It won't run.
-    Refused(Refusal),
-}
-
-/// The right to send a request, and where to.
-#[derive(Debug)]
-pub(crate) struct Start {
-    pub(crate) ticket: Ticket<Dispatched>,
-    pub(crate) pick: Pick,
-    pub(crate) address: SocketAddr,
-}
-
-/// What a request needs of a server.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Need {
-    pub(crate) model: Option<ModelKey>,
-    pub(crate) prefix: Option<u64>,
-    pub(crate) tier: u8,
-    pub(crate) idempotent: bool,
-    pub(crate) tokens: u32,
-}
-
-impl Need {
-    fn demand<'a>(&self, exclude: &'a [ServerKey]) -> Demand<'a> {
-        Demand {
-            model: self.model,
-            prefix: self.prefix,
-            priority: self.tier,
-            idempotent: self.idempotent,
-            tokens: self.tokens,
-            exclude,
-        }
-    }
-}
-
-/// A dispatched request for which no server could be had.
-struct Aside {
-    ticket: Ticket<Dispatched>,
-    reason: Reason,
-    model: Option<ModelKey>,
-}
-
-struct Waiter {
-    turn: oneshot::Sender<Turn>,
-    need: Need,
-    /// Servers at which it failed already.
-    tried: Vec<ServerKey>,
-}
-
-/// Why a request isn't sent again at once.
-#[derive(Debug)]
-pub(crate) enum NoRepeat {
-    /// It may be sent to a server that wasn't tried and has no free slot now.
-    Busy(Decision),
-    /// Its caller gets a final answer.
-    Final(Decision),
-}
-
-impl NoRepeat {
-    /// What to tell a caller that won't wait.
-    pub(crate) fn decision(self) -> Decision {
-        match self {
-            NoRepeat::Busy(decision) | NoRepeat::Final(decision) => decision,
-        }
-    }
-}
-
-/// A request that was admitted and waits for its turn.
-#[derive(Debug)]
-pub(crate) struct Waiting {
-    pub(crate) key: RequestKey,
-    pub(crate) turn: oneshot::Receiver<Turn>,
-}
-
 /// The mutable state of a pool. One lock holds scheduler and router together, since a dispatch
 /// takes a slot of both.
 pub(crate) struct State {
@@ -348,172 +263,3 @@
         ..routing::Settings::default()
     }
 }
-
-impl State {
-    fn submit(&mut self, arrival: &Arrival, need: Need, now: Millis) -> Result<Waiting, Refusal> {
-        if let Some(model) = need.model {
-            self.demand.note(model, need.tier, now);
-        }
-        let key = match self.scheduler.submit(arrival, now) {
-            Verdict::Queued(key) => key,
-            Verdict::Refused(refusal) => return Err(Refusal::from_admission(&refusal)),
-        };
-        let (sender, turn) = oneshot::channel();
-        let waiter = Waiter {
-            turn: sender,
-            need,
-            tried: Vec::new(),
-        };
-        self.waiting.insert(key, waiter);
-        Ok(Waiting { key, turn })
-    }
-
-    fn cancel(&mut self, key: RequestKey, now: Millis) {
-        self.waiting.remove(&key);
-        self.scheduler.cancel(key, 0, now);
-    }
-
-    /// Carries out the scheduler's actions until there are none.
-    ///
-    /// What a wider reach brings in is given out at once: without another event, the requests that
-    /// lacked it would wait for the next tick.
-    fn pump(&mut self, now: Millis) {
-        while self.pump_round(now) {}
-    }
-
-    /// One round; true when the reach was widened by it.
-    ///
-    /// A request for which no server can be had is set aside while others are tried: a model whose
-    /// servers are all busy must not hold up the requests for the other models behind it.
-    fn pump_round(&mut self, now: Millis) -> bool {
-        let mut aside = Vec::new();
-        let mut lack = None;
-        while aside.len() < MAX_ASIDE {
-            let free = u32::try_from(self.router.free(now)).unwrap_or(u32::MAX);
-            match self.scheduler.next(now, free) {
-                None => break,
-                Some(Action::Refuse(refused)) => {
-                    let refusal = Refusal::from_admission(&refused.refusal);
-                    self.tell(refused.key, Turn::Refused(refusal));
-                }
-                Some(Action::Dispatch(ticket)) => {
-                    if let Err(set) = self.dispatch(ticket, now) {
-                        lack = lack.or(Some((set.reason, set.model)));
-                        aside.push(set.ticket);
-                    }
-                }
-            }
-        }
-        for ticket in aside {
-            self.scheduler.requeue(ticket, now);
-        }
-        self.follow_lack(lack, now)
-    }
-
-    /// Sends a dispatched request on its way; gives the ticket back when no server could be had.
-    fn dispatch(&mut self, ticket: Ticket<Dispatched>, now: Millis) -> Result<(), Aside> {
-        let key = ticket.key();
-        let Some(waiter) = self.waiting.get(&key) else {
-            self.scheduler.cancel(key, 0, now);
-            return Ok(());
-        };
-        let (need, tried) = (waiter.need, waiter.tried.clone());
-        match self.pick_preferred(&need, &tried, now) {
-            Ok((pick, address)) => {
-                if tried.is_empty() {
-                    self.retry.first_attempt(now);
-                }
-                let start = Start {
-                    ticket,
-                    pick,
-                    address,
-                };
-                self.start(start, now);
-                Ok(())
-            }
-            // Else a server that isn't in reach, or hasn't reported yet, may hold the model.
-            Err(none) if none.reason == Reason::NoModel && self.reach.is_searched(now) => {
-                self.scheduler.cancel(key, 0, now);
-                self.tell(key, Turn::Refused(Refusal::from_routing(&none)));
-                Ok(())
-            }
-            Err(none) => Err(Aside {
-                ticket,
-                reason: none.reason,
-                model: need.model,
-            }),
-        }
-    }
-
-    /// Picks a server that wasn't tried. When none is left, one that was: it may have recovered while
-    /// the request waited, and the request would wait for ever for another.
-    fn pick_preferred(
-        &mut self,
-        need: &Need,
-        tried: &[ServerKey],
-        now: Millis,
-    ) -> Result<(Pick, SocketAddr), NoServer> {
-        match self.pick(need, tried, now) {
-            Err(none) if none.reason == routing::Reason::Tried => self.pick(need, &[], now),
-            result => result,
-        }
-    }
-
-    fn start(&mut self, start: Start, now: Millis) {
-        let key = start.ticket.key();
-        let attempt = start.pick.attempt;
-        if !self.tell(key, Turn::Start(start)) {
-            // The caller left between the queue and here: nothing was sent, so both slots return.
-            self.router.done(attempt, Outcome::Cancelled, 0, now);
-            self.scheduler.cancel(key, 0, now);
-        }
-    }
-
-    fn tell(&mut self, key: RequestKey, turn: Turn) -> bool {
-        let waiter = self.waiting.remove(&key);
-        waiter.is_some_and(|waiter| waiter.turn.send(turn).is_ok())
-    }
-
-    fn pick(
-        &mut self,
-        need: &Need,
-        exclude: &[ServerKey],
-        now: Millis,
-    ) -> Result<(Pick, SocketAddr), NoServer> {
-        let pick = self.router.pick(&need.demand(exclude), now)?;
-        let address = self.addresses.get(&pick.server).copied();
-        address.map(|address| (pick, address)).ok_or(NoServer {
-            reason: routing::Reason::Out,
-            retry_after: Millis::from_secs(1),
-        })
-    }
-
-    fn repick(
-        &mut self,
-        facts: &RequestFacts,
-        stage: Stage,
-        need: &Need,
-        tried: &[ServerKey],
-        now: Millis,
-    ) -> Result<(Pick, SocketAddr), NoRepeat> {
-        match self.retry.after_failure(facts, stage, now) {
-            Decision::Retry => {}
-            give_up @ Decision::GiveUp { .. } => return Err(NoRepeat::Final(give_up)),
-        }
-        let clean = stage.proves_not_run() && !facts.written;
-        self.pick_again(need, tried, now).map_err(|none| {
-            let decision = Decision::GiveUp {
-                ran: if clean {
-                    routing::Ran::No
-                } else {
-                    routing::Ran::Unknown
-                },
-                retry_after: clean.then_some(none.retry_after),
-            };
-            match none.reason {
-                routing::Reason::Busy => NoRepeat::Busy(decision),
-                _ => NoRepeat::Final(decision),
-            }
-        })
-    }
-}
--- a/crates/entry/src/pool/reach.rs
+++ b/crates/entry/src/pool/reach.rs
@@ -1,21 +1,23 @@
 //! The servers that the pool's router is given: those in reach of this instance.
 
-use super::Allotment;
-use super::EntryFleet;
-use super::Event;
-use super::HashMap;
-use super::Lack;
-use super::Millis;
-use super::ModelKey;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use crocushold_base::Event;
+use crocushold_base::Millis;
+use crocushold_base::ModelKey;
+use crocushold_base::ServerKey;
+use crocushold_routing::Allotment;
+use crocushold_routing::EntryFleet;
+use crocushold_routing::Lack;
+use crocushold_routing::NoServer;
+use crocushold_routing::Pick;
+use crocushold_routing::Reason;
+use crocushold_routing::ServerSpec;
+use log::info;
+
 use super::Need;
-use super::NoServer;
-use super::Pick;
-use super::Reason;
-use super::ServerKey;
-use super::ServerSpec;
-use super::SocketAddr;
 use super::State;
-use super::info;
 use crate::loads::Cause;
 
 /// Attempts of a request that failed within the reach before the next is made beyond the subset.
