Test what is told when the queue refuses a repeat that was sent before

The queue knows nothing of earlier attempts and says "not run"; the exchange turns that into "unknown" for a request of which a byte left.

--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -939,6 +939,12 @@
         promises: &[Promise::Whole, Promise::Config],
         test: "step_faults::a_panic_while_applying_delays_one_change",
     },
+    Cell {
+        fault: Fault::Crash,
+        step: Step::Queued,
+        promises: &[Promise::NotRun, Promise::Slots],
+        test: "server_faults::a_request_that_was_sent_is_not_told_not_run_by_the_queue",
+    },
 ];
 
 /// Which cells can't be filled, and why.
--- a/tests/all/server_faults.rs
+++ b/tests/all/server_faults.rs
@@ -8,6 +8,7 @@
 
 use crate::support::Answer;
 use crate::support::Call;
+use crate::support::Raw;
 use crate::support::Site;
 use crate::support::SiteSettings;
 use crate::support::call;
@@ -255,3 +256,27 @@
     }
     site.assert_recovers(&entry);
 }
+
+// An engine dies with a request that was sent to it, and the other engine is full until the caller's
+// bound has passed. The request waits in the queue for its second turn, and the queue, for which nothing
+// of it ran, refuses it: its caller must hear "unknown", and no invitation to come back.
+#[test]
+fn a_request_that_was_sent_is_not_told_not_run_by_the_queue() {
+    let mut settings = slow();
+    settings.concurrency = 1;
+    let site = Site::start(&settings);
+    let entry = site.entry("entry-1");
+    let request = Call::batch(3).marked("mine").header("x-timeout-ms", "2000");
+    let waiting = call_beside(entry.listen, &request);
+    let runner = site.runner("mine");
+    let filler = Raw::send(entry.listen, &Call::chat(true, 3).marked("filler"));
+    assert_ne!(site.runner("filler"), runner);
+    site.engine(runner, EngineCommand::Crash);
+    wait("it waits for a second turn", || entry.queued("batch") == 1);
+    let answer = waiting.join().unwrap().unwrap();
+    assert!(answer.status >= 500, "{}", answer.status);
+    assert_eq!(answer.header("x-request-ran"), "unknown", "{}", answer.body);
+    assert_eq!(answer.header("retry-after"), "");
+    drop(filler);
+    entry.wait_idle();
+}
