Outwait an order that left late before the next one

Cause: an order may leave until `spacing` (2 s) after its decision and is under way for `call_limit` (10 s) from then on, but an order without an answer was outwaited for `call_limit` from its decision only. On an engine that ignores fencing numbers an unload of a replaced text could thus arrive after the first order of the newer one, up to 2 s late.

Test: an_order_under_way_is_never_overtaken, default settings: decided at 30 s, sent at 31.9 s.

Ruled out: to shorten the call by the time an order lay about, as the limit of the call is the shell's. Cost: an order whose answer is lost is repeated 2 s later. Where the call ends with an answer or a failure, nothing changes.

--- a/crates/ownership/src/orders/engine.rs
+++ b/crates/ownership/src/orders/engine.rs
@@ -133,10 +133,13 @@
         if waiting { Step::Idle } else { Step::Read }
     }
 
+    /// An order may leave until `spacing` after it was decided, and is under way for a call's limit from
+    /// then on. Counted from the decision alone, the wait would end while it can still arrive: an unload
+    /// of a replaced text would be obeyed after the first order of the newer one.
     fn is_spaced(&self, settings: &OrderSettings, now: Millis) -> bool {
         let since = self.order_at.map(|at| now.since(at));
         match since {
-            Some(span) if self.pending => span < settings.call_limit,
+            Some(span) if self.pending => span < settings.spacing + settings.call_limit,
             Some(span) => span < settings.spacing,
             None => false,
         }
--- a/crates/ownership/tests/orders.rs
+++ b/crates/ownership/tests/orders.rs
@@ -213,6 +213,44 @@
     assert_eq!(engine.models, [ModelId(1)]);
 }
 
+/// An order to unload leaves late, and its call is slow. The text changes meanwhile, and no answer comes.
+/// The engine obeys anybody: were the next order, of the newer text, to overtake the one that is still
+/// under way, the older text's unload would be obeyed last. Until its call is over nothing is done.
+#[test]
+fn an_order_under_way_is_never_overtaken() {
+    let settings = OrderSettings::default();
+    let engine = Engine::new(Fencing::Ignored, &[1, 2]);
+    let view = &view("a");
+    let mut owner = instance("a", target(4, Fencing::Ignored, &[1]), view);
+    let mut second = 0;
+    let order = loop {
+        second += 1;
+        assert!(second < 120, "no order at all");
+        let now = Millis::from_secs(second);
+        owner.on_view(view.clone(), view, now);
+        match owner.on_tick(now).first() {
+            Some(OrderAction::Send(order)) => break *order,
+            Some(OrderAction::ReadBack(_)) => owner.on_report(engine.report(now + Millis(1)), now),
+            _ => {}
+        }
+    };
+    let sent_at = Millis(second * 1_000 + 1_900);
+    assert!(owner.may_send(&order, sent_at));
+    owner.on_target(target(5, Fencing::Ignored, &[1, 2, 3]), sent_at);
+    for at in second + 2..second + 60 {
+        let now = Millis::from_secs(at);
+        owner.on_view(view.clone(), view, now);
+        for action in owner.on_tick(now) {
+            assert!(now >= sent_at + settings.call_limit, "{action:?} at {now}");
+            if matches!(action, OrderAction::Send(_)) {
+                return;
+            }
+            owner.on_report(engine.report(now + Millis(1)), now);
+        }
+    }
+    panic!("the newer text is never carried out");
+}
+
 /// A team publishes a change and takes it back every few seconds. Loads are cheap to repeat; an
 /// unload each time would have the weight store busy for ever, so none is sent.
 #[test]
