Explore the orders of two instances exhaustively

Cause: the tests of orders walk chosen ways. This one visits every state within small bounds, on the daemon's own `Orders`: a pause or a cut at any moment, an order in the hands of a stopped instance, reports and answers late or lost, orders late or twice, the newer text seen by either one first; engines that check numbers and that ignore them. `Orders` is made `Clone` for it.

The exploration is home-made like that of claims, nearest states first, and prints the steps to a fault.

Not seen: an order that carries the engine's number instead of its text's, as `is_outdated` and `may_send` each stop it before.

--- a/crates/ownership/src/orders/planner.rs
+++ b/crates/ownership/src/orders/planner.rs
@@ -22,7 +22,7 @@
 ///
 /// Events: [`Orders::on_target`], [`Orders::on_view`], [`Orders::on_report`], [`Orders::on_answer`],
 /// [`Orders::on_tick`]. Actions come from the tick alone, so that one limit covers all of them.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Orders {
     settings: OrderSettings,
     me: Member,
