Say 502 where an earlier send may have run

Cause: the reason of the last send decided the status. Test: a_refusal_after_a_send_that_may_have_run, red before (503), green now.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -351,11 +351,14 @@
     fn ask(&mut self, stage: Stage, reason: Reason) -> Result<(), Failure> {
         let refused = self.may_repeat(stage);
         refused.map_err(|refusal| {
-            let certain = stage.proves_not_run() && !self.facts.written;
-            Failure::Refused(if certain {
-                refusal
-            } else {
+            Failure::Refused(if !stage.proves_not_run() {
                 Refusal::new(reason)
+            } else if self.facts.written {
+                // This send didn't run, but one before it may have. The reason of this one would say
+                // that nothing ran.
+                Refusal::new(Reason::ServerFailed)
+            } else {
+                refusal
             })
         })
     }
