--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -230,7 +230,8 @@
             "{}",
             Event::new("stop-started").with("connections", running)
         );
-        let notice = settings.notice.min(settings.grace);
+        // Half of a short grace is left for what runs: what is taken must have time to end.
+        let notice = settings.notice.min(Millis(settings.grace.0 / 2));
         task::sleep(notice.into()).await;
         self.shared.enter(Stage::Stopping);
         self.handle.stop();
