Take signals before anything else is done

What is left is the time before the first instruction, in which nothing can keep a signal from ending the process; the soak waits for it. Test: the soak's planned work; a signal 0.5 s after each start.

--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -72,6 +72,14 @@
 
 /// Runs a gateway until a signal asks for a graceful stop.
 pub fn run(args: &Args) -> ExitCode {
+    // First of all: until then a signal for a reload or a planned stop ends the process.
+    let requests = match signals() {
+        Ok(requests) => requests,
+        Err(error) => {
+            print::error(format!("error: can't wait for signals: {error}"));
+            return ExitCode::FAILURE;
+        }
+    };
     let _logger = match start_log(&args.log) {
         Ok(logger) => logger,
         Err(error) => {
@@ -94,7 +102,7 @@
             return ExitCode::from(BAD_SETTINGS);
         }
     };
-    match serve(&file, settings) {
+    match serve(&file, settings, &requests) {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => {
             error!("{}", Event::new("start-failed").with("cause", cause));
@@ -113,8 +121,11 @@
     })
 }
 
-fn serve(file: &Path, mut settings: BootSettings) -> Result<(), Box<dyn std::error::Error>> {
-    let requests = signals()?;
+fn serve(
+    file: &Path,
+    mut settings: BootSettings,
+    requests: &Receiver<Request>,
+) -> Result<(), Box<dyn std::error::Error>> {
     task::block_on(async {
         let store = Store::new(settings.store);
         let gateway = Gateway::start(settings.gateway.clone(), Arc::new(Headers), store).await?;
