Bound the lines of log a second; a clock that counts suspension; starvation tested

* At most 500 lines a second over a longer time, with bursts of 1,024; what is beyond is dropped, counted and told, as before.
Until now only the buffer was bounded, so a flood of refusals wrote as fast as a reader took it.
A request held through a suspension was sent on with more time than its caller had left.
* A flood with one long prompt in ten: the longest are served at least half as often as the rest, and hardly a shared prompt is left out.

--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -4,7 +4,9 @@
 use std::ops::Add;
 use std::ops::AddAssign;
 use std::time::Duration;
-use std::time::Instant;
+
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 
 /// A point on a monotonic clock, or a span between two such points, in milliseconds.
 ///
@@ -68,23 +70,31 @@
 
 /// A monotonic clock that starts at zero when it is made.
 ///
-/// It keeps counting while the process is stopped by a signal, so a process that wakes late sees
-/// the jump.
+/// It keeps counting while the process is stopped by a signal and while the machine is suspended, so a
+/// process that wakes late sees the jump. The standard library's clock doesn't count a suspended machine's
+/// time: a request that was held through it would be sent on with more time than its caller has left.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: Instant,
+    start: Millis,
 }
 
 impl Clock {
     /// Starts a clock.
     pub fn start() -> Clock {
         Clock {
-            start: Instant::now(),
+            start: since_boot(),
         }
     }
 
     /// The time since the clock was started.
     pub fn now(&self) -> Millis {
-        Millis(self.start.elapsed().as_millis() as u64)
+        since_boot().since(self.start)
     }
 }
+
+/// The time since the machine started, suspended or not.
+fn since_boot() -> Millis {
+    let time = clock_gettime(ClockId::Boottime);
+    // The seconds are never negative, and the nanoseconds are below a second.
+    Millis(time.tv_sec as u64 * 1000 + time.tv_nsec as u64 / 1_000_000)
+}
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -256,6 +256,24 @@
     }
 }
 
+impl World {
+    fn run(&mut self, loads: [Load; 2], seconds: u64) -> Vec<Fare> {
+        // Time starts late, as everything that the fleets remember is older then.
+        for now in 10_000..10_000 + seconds * 1000 {
+            for (class, load) in loads.iter().enumerate() {
+                // A little apart, so that the classes don't arrive in step.
+                let at = now + class as u64 * 7;
+                let due = (at + 1) * load.rate / 1000 - at * load.rate / 1000;
+                for _ in 0..due {
+                    self.arrive(class, load, now);
+                }
+            }
+            self.step(&loads, now);
+        }
+        self.fares.clone()
+    }
+}
+
 fn record(engine: usize) -> ServerRecord {
     ServerRecord {
         id: format!("engine-{engine}"),
@@ -274,19 +292,7 @@
 }
 
 fn play_in(mut world: World, loads: [Load; 2], seconds: u64) -> Vec<Fare> {
-    // Time starts late, as everything that the fleets remember is older then.
-    for now in 10_000..10_000 + seconds * 1000 {
-        for (class, load) in loads.iter().enumerate() {
-            // A little apart, so that the classes don't arrive in step.
-            let at = now + class as u64 * 7;
-            let due = (at + 1) * load.rate / 1000 - at * load.rate / 1000;
-            for _ in 0..due {
-                world.arrive(class, load, now);
-            }
-        }
-        world.step(&loads, now);
-    }
-    world.fares
+    world.run(loads, seconds)
 }
 
 /// Long prompts take most of the engines' time in a rush. A live stream stands still while one is read
@@ -384,3 +390,25 @@
         "{before:?} {after:?}"
     );
 }
+
+/// A flood of long prompts, of which one in ten is four times as long as the others, and more come than the
+/// engines read. What is refused is chosen by the wait, not by the length: the longest are served at
+/// least half as often as the rest, and hardly a shared prompt goes without any service.
+#[test]
+fn a_flood_starves_neither_the_longest_nor_any_prompt() {
+    let usual = Load { rate: 200, ..BATCH };
+    let longest = Load {
+        rate: 20,
+        own: 11_600,
+        prompts: 40,
+        ..BATCH
+    };
+    let mut world = World::new(true);
+    let fares = world.run([usual, longest], 30);
+    let (usual, longest) = (fares[0], fares[1]);
+    let served = |fare: Fare| fare.percent(fare.asked - fare.refused);
+    assert!(usual.refused > 0, "{fares:?}");
+    assert!(served(longest) * 2 >= served(usual), "{fares:?}");
+    let unserved = 160 - world.seen.len();
+    assert!(unserved <= 160 * 4 / 100, "{unserved} of 160 prompts");
+}
--- a/src/commands/log_line.rs
+++ b/src/commands/log_line.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::io::Write;
+use std::num::NonZeroU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
@@ -12,11 +13,21 @@
 use crocushold_base::Event;
 use flexi_logger::DeferredNow;
 use flexi_logger::writers::LogWriter;
+use governor::DefaultDirectRateLimiter;
+use governor::Quota;
+use governor::RateLimiter;
 use log::Record;
 
-/// Lines that wait for a reader of standard output: a second of the busiest instance.
+#[cfg(test)]
+mod tests;
+
+/// Lines that wait for a reader of standard output, and that may come at once.
 const WAITING_LINES: usize = 1024;
 
+/// Lines a second at most over a longer time. An instance of the largest fleet answers 40 requests a second,
+/// with a line or two each; a flood of requests that are refused must not become a flood of lines.
+const LINES_A_SECOND: NonZeroU32 = NonZeroU32::new(500).expect("more than none");
+
 /// Lines that are written together at most.
 const BATCH_LINES: usize = 64;
 
@@ -39,9 +50,11 @@
 /// Writes records to standard output from a thread of its own.
 ///
 /// Standard output may be a pipe that nobody reads for a while. A request that waits for it would be
-/// late for a line of log, so what doesn't fit in the buffer is dropped, counted, and the count told.
+/// late for a line of log, so what doesn't fit in the buffer or comes faster than the pace is dropped,
+/// counted, and the count told.
 pub(super) struct Nonblocking {
     lines: SyncSender<Vec<u8>>,
+    pace: DefaultDirectRateLimiter,
     dropped: AtomicU64,
 }
 
@@ -56,14 +69,21 @@
         thread::Builder::new()
             .name("log".to_owned())
             .spawn(move || write_all(&waiting))?;
-        Ok(Nonblocking {
+        Ok(Nonblocking::on(lines, LINES_A_SECOND))
+    }
+
+    /// Writes to a channel, so many lines a second.
+    fn on(lines: SyncSender<Vec<u8>>, pace: NonZeroU32) -> Nonblocking {
+        let burst = NonZeroU32::new(WAITING_LINES as u32).expect("more than none");
+        Nonblocking {
             lines,
+            pace: RateLimiter::direct(Quota::per_second(pace).allow_burst(burst)),
             dropped: AtomicU64::new(0),
-        })
+        }
     }
 
     fn offer(&self, line: Vec<u8>) -> bool {
-        self.lines.try_send(line).is_ok()
+        self.pace.check().is_ok() && self.lines.try_send(line).is_ok()
     }
 
     /// Tells how many lines were dropped, once there is room again.
