Write the last lines of log before the process ends

The process ends with its main thread, and the thread that writes the log had not had a turn since the last line. Change: the end of the process asks that thread to tell when it has written what came before, for 100 ms at most, so a reader that is gone holds nothing up.

--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -80,7 +80,7 @@
             return ExitCode::FAILURE;
         }
     };
-    let _logger = match start_log(&args.log) {
+    let logger = match start_log(&args.log) {
         Ok(logger) => logger,
         Err(error) => {
             print::error(format!("error: --log: {error}"));
@@ -102,13 +102,15 @@
             return ExitCode::from(BAD_SETTINGS);
         }
     };
-    match serve(&file, settings, &requests) {
+    let status = match serve(&file, settings, &requests) {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => {
             error!("{}", Event::new("start-failed").with("cause", cause));
             ExitCode::FAILURE
         }
-    }
+    };
+    logger.flush();
+    status
 }
 
 /// Reads the settings; the error lists every finding, one a line.
--- a/src/commands/log_line.rs
+++ b/src/commands/log_line.rs
@@ -11,6 +11,7 @@
 use std::thread;
 
 use crocushold_base::Event;
+use crocushold_base::Millis;
 use flexi_logger::DeferredNow;
 use flexi_logger::writers::LogWriter;
 use governor::DefaultDirectRateLimiter;
@@ -28,6 +29,17 @@
 /// with a line or two each; a flood of requests that are refused must not become a flood of lines.
 const LINES_A_SECOND: NonZeroU32 = NonZeroU32::new(500).expect("more than none");
 
+/// How long the end of the process waits for its last lines.
+const FLUSH_TIMEOUT: Millis = Millis(100);
+
+/// What the writing thread is sent.
+enum Message {
+    /// A line.
+    Line(Vec<u8>),
+    /// Asks to be told when the lines before were written.
+    Flush(SyncSender<()>),
+}
+
 /// Lines that are written together at most.
 const BATCH_LINES: usize = 64;
 
@@ -53,7 +65,7 @@
 /// late for a line of log, so what doesn't fit in the buffer or comes faster than the pace is dropped,
 /// counted, and the count told.
 pub(super) struct Nonblocking {
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<Message>,
     pace: DefaultDirectRateLimiter,
     dropped: AtomicU64,
 }
@@ -73,7 +85,7 @@
     }
 
     /// Writes to a channel, so many lines a second.
-    fn on(lines: SyncSender<Vec<u8>>, pace: NonZeroU32) -> Nonblocking {
+    fn on(lines: SyncSender<Message>, pace: NonZeroU32) -> Nonblocking {
         let burst = NonZeroU32::new(WAITING_LINES as u32).expect("more than none");
         Nonblocking {
             lines,
@@ -83,7 +95,7 @@
     }
 
     fn offer(&self, line: Vec<u8>) -> bool {
-        self.pace.check().is_ok() && self.lines.try_send(line).is_ok()
+        self.pace.check().is_ok() && self.lines.try_send(Message::Line(line)).is_ok()
     }
 
     /// Tells how many lines were dropped, once there is room again.
@@ -111,18 +123,36 @@
         Ok(())
     }
 
+    /// Waits until the lines before were written, but not for a reader that is gone.
+    ///
+    /// The process ends with its main thread; the lines that tell how a planned stop went are the last ones,
+    /// and were lost with the thread that had yet to write them.
     fn flush(&self) -> io::Result<()> {
+        let (done, written) = sync_channel(1);
+        if self.lines.try_send(Message::Flush(done)).is_ok() {
+            // The lines are lost if they can't be written in time; there is nobody left to tell.
+            let _ = written.recv_timeout(FLUSH_TIMEOUT.into());
+        }
         Ok(())
     }
 }
 
 /// Whoever reads may close the pipe; that is no reason to stop serving, so failed writes end nothing.
-fn write_all(waiting: &Receiver<Vec<u8>>) {
+fn write_all(waiting: &Receiver<Message>) {
     while let Ok(first) = waiting.recv() {
-        let mut batch = first;
-        for line in waiting.try_iter().take(BATCH_LINES) {
-            batch.extend_from_slice(&line);
+        let mut batch = Vec::new();
+        let mut flushed = Vec::new();
+        let more = waiting.try_iter().take(BATCH_LINES);
+        for message in std::iter::once(first).chain(more) {
+            match message {
+                Message::Line(line) => batch.extend_from_slice(&line),
+                Message::Flush(done) => flushed.push(done),
+            }
         }
         let _ = io::stdout().write_all(&batch);
+        for done in flushed {
+            // Whoever asked may have given up waiting.
+            let _ = done.try_send(());
+        }
     }
 }
