One last line of a request, and no record copied that says nothing new

The line was put together in three places; Record builds it now, so that a refusal and an answer tell the same of what decided them. An entry of the registry is compared before it is copied or put into a line.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -58,7 +58,7 @@
             let record = exchange.record();
             let report = &shared.report;
             report.ended(record.repeat.label(), record.priority, "caller-gone");
-            info!("{}", ended(shared, &record, "caller-gone"));
+            info!("{}", record.ended(shared, "caller-gone"));
             Response::new(CALLER_GONE)
         }
     }
@@ -75,27 +75,13 @@
 fn note(shared: &Shared, record: &Record, label: &str, refusal: &Refusal) {
     let report = &shared.report;
     report.ended(record.repeat.label(), record.priority, label);
-    let event = ended(shared, record, label)
+    let event = record
+        .ended(shared, label)
         .with("status", refusal.status())
         .with("retry-after", refusal.retry_after.unwrap_or(Millis::ZERO));
     info!("{event}");
 }
 
-fn ended(shared: &Shared, record: &Record, outcome: &str) -> Event {
-    Event::new("request-ended")
-        .with("request", &record.id)
-        .with("route", &record.route)
-        .with("account", record.account.as_deref().unwrap_or("none"))
-        .with("rank", record.priority)
-        .with("config", record.version)
-        .with("knowledge-age", shared.knowledge_age())
-        .with("attempts", record.attempts)
-        .with("expected-wait", record.wait)
-        .with("wait-limit", wait_limit(record))
-        .with("outcome", outcome)
-        .with("total", shared.clock.now().since(record.arrived))
-}
-
 fn note_unread(shared: &Shared, id: &str, refusal: &Refusal, arrived: Millis) {
     let label = refusal.reason.label();
     shared.report.ended("none", u8::MAX, label);
@@ -109,10 +95,3 @@
         .with("total", shared.clock.now().since(arrived));
     info!("{event}");
 }
-
-/// The longest wait with which the request is sent, for logs.
-fn wait_limit(record: &Record) -> String {
-    record
-        .limit
-        .map_or("none".to_owned(), |limit| limit.to_string())
-}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -82,6 +82,25 @@
     pub(crate) limit: Option<Millis>,
 }
 
+impl Record {
+    /// The last line in the log of a request that was resolved, without what its answer was like.
+    pub(crate) fn ended(&self, shared: &Shared, outcome: &str) -> Event {
+        let limit = self.limit.map(|limit| limit.to_string());
+        Event::new("request-ended")
+            .with("request", &self.id)
+            .with("route", &self.route)
+            .with("account", self.account.as_deref().unwrap_or("none"))
+            .with("rank", self.priority)
+            .with("config", self.version)
+            .with("knowledge-age", shared.knowledge_age())
+            .with("attempts", self.attempts)
+            .with("expected-wait", self.wait)
+            .with("wait-limit", limit.as_deref().unwrap_or("none"))
+            .with("outcome", outcome)
+            .with("total", shared.clock.now().since(self.arrived))
+    }
+}
+
 /// One request on its way.
 pub(crate) struct Exchange<'a> {
     shared: &'a Arc<Shared>,
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -140,13 +140,13 @@
     }
 
     /// Takes in what the registry says of a server; false when it says nothing new.
-    pub fn list(&mut self, record: ServerRecord, now: Millis) -> bool {
+    pub fn list(&mut self, record: &ServerRecord, now: Millis) -> bool {
         let service = record.service.clone();
         match self.ids.get(&record.id) {
-            Some(&key) if self.servers[key].record == record => return false,
+            Some(&key) if self.servers[key].record == *record => return false,
             Some(&key) => {
                 let before = self.servers[key].record.service.clone();
-                self.servers[key].record = record;
+                self.servers[key].record.clone_from(record);
                 if before != service {
                     self.configure(&before, now);
                 }
@@ -155,7 +155,7 @@
                 let id = record.id.clone();
                 let server = Server {
                     id: id.as_str().into(),
-                    record,
+                    record: record.clone(),
                 };
                 let key = self.servers.insert(server);
                 self.ids.insert(id, key);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -187,7 +187,7 @@
 fn set(shared: &Shared, entry: Entry, now: Millis) {
     match entry {
         Entry::Config(spec) => configure(shared, spec),
-        Entry::Server(record) => list_server(shared, record, now),
+        Entry::Server(record) => list_server(shared, &record, now),
         Entry::Malformed { name, finding } => {
             let event = Event::new("entry-malformed")
                 .with("name", name)
@@ -214,16 +214,17 @@
     shared.put_in_force(table);
 }
 
-fn list_server(shared: &Shared, record: ServerRecord, now: Millis) {
+fn list_server(shared: &Shared, record: &ServerRecord, now: Millis) {
     shared.directory().seen(&record.id);
+    if !shared.fleet().list(record, now) {
+        return;
+    }
     let event = Event::new("server-listed")
         .with("server", &record.id)
         .with("service", &record.service)
         .with("address", record.address)
         .with("presence", format!("{:?}", record.presence));
-    if shared.fleet().list(record, now) {
-        info!("{event}");
-    }
+    info!("{event}");
 }
 
 fn drop_server(shared: &Shared, id: &str, cause: &str, now: Millis) {
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_http::CutCause;
 use crocushold_http::End;
@@ -95,24 +94,15 @@
         report.ended(record.repeat.label(), record.priority, label);
         let span = now.since(record.arrived);
         report.answered(record.repeat.label(), record.priority, "end", span);
-        let event = Event::new("request-ended")
-            .with("request", &record.id)
-            .with("route", &record.route)
-            .with("account", record.account.as_deref().unwrap_or("none"))
-            .with("rank", record.priority)
-            .with("config", record.version)
-            .with("knowledge-age", self.shared.knowledge_age())
+        let event = record
+            .ended(&self.shared, label)
             .with("server", &self.choice.id)
             .with("prefix", format!("{:x}", record.prefix.unwrap_or(0)))
-            .with("expected-wait", record.wait)
-            .with("attempts", record.attempts)
-            .with("outcome", label)
             .with("status", self.status)
             .with("first", self.headed.since(record.arrived))
-            .with("total", span)
             .with("events", events)
-            .with("most-tokens", record.output)
             .with("longest-pause", self.pauses.longest)
+            .with("most-tokens", record.output)
             .with("bytes", bytes);
         info!("{event}");
     }
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -131,7 +131,7 @@
                 ..FleetSettings::default()
             });
             for engine in 0..ENGINES {
-                fleet.list(record(engine), Millis::ZERO);
+                fleet.list(&record(engine), Millis::ZERO);
             }
             fleet
         });
