Keep reports of known instances only

What instances tell was kept by sender without a bound; a flood of datagrams from made-up addresses would have filled the memory of the machine. Only those that are remembered count, 512 at most. Test: made_up_senders_are_bounded, red before (10,000 kept). With names in the state of sharing that say what they hold.

--- a/crates/gateway/src/sharing/state.rs
+++ b/crates/gateway/src/sharing/state.rs
@@ -168,6 +168,11 @@
             capacity: message.capacity,
         };
         self.members.hear(identity, now);
+        // Those that are remembered are bounded in number, and what they tell with them: a flood of messages
+        // from made-up addresses must not fill the memory.
+        if !self.members.knows(&from) {
+            return;
+        }
         for named in message.names {
             self.members.hear_of(named, now);
         }
@@ -190,15 +195,16 @@
         self.rounds += 1;
         self.forget(now);
         let mut contents = Vec::new();
-        let idle = !self.rounds.is_multiple_of(IDLE_ROUNDS);
-        let quiet = idle && own.is_empty() && self.told[1].is_empty();
+        // Whether to tell also that there is nothing to tell.
+        let due = self.rounds.is_multiple_of(IDLE_ROUNDS);
+        let tells = due || !own.is_empty() || !self.told[1].is_empty();
         match self.choose_collector(now) {
-            Some(collector) if !quiet => contents.push((collector, Content::Own(own.clone()))),
+            Some(collector) if tells => contents.push((collector, Content::Own(own.clone()))),
             _ => {}
         }
         self.told.rotate_left(1);
         self.told[1] = own;
-        self.collect(idle, now, &mut contents);
+        self.collect(due, now, &mut contents);
         self.greet(&mut contents);
         if contents.is_empty() {
             return Vec::new();
@@ -253,7 +259,7 @@
     /// Tells the other zones what this one has, and the instances of this one what the fleet has.
     ///
     /// A sum that has become empty is told once more at once, or the others would go by the last one.
-    fn collect(&mut self, idle: bool, now: Millis, contents: &mut Vec<(SocketAddr, Content)>) {
+    fn collect(&mut self, due: bool, now: Millis, contents: &mut Vec<(SocketAddr, Content)>) {
         if self.reports.is_empty() && self.collector.is_some() {
             return;
         }
@@ -261,7 +267,7 @@
         sums.add(&self.told[1], 1.0);
         self.add_zone(&mut sums, now);
         let zone = sums.load();
-        let tells = !idle || !zone.is_empty() || self.busy[0];
+        let tells = due || !zone.is_empty() || self.busy[0];
         self.busy[0] = !zone.is_empty();
         if tells {
             for to in self.other_collectors(now) {
@@ -270,7 +276,7 @@
         }
         self.add_other_zones(&mut sums, now);
         let fleet = sums.load();
-        let tells = !idle || !fleet.is_empty() || self.busy[1];
+        let tells = due || !fleet.is_empty() || self.busy[1];
         self.busy[1] = !fleet.is_empty();
         if !tells {
             return;
--- a/crates/gateway/tests/sharing.rs
+++ b/crates/gateway/tests/sharing.rs
@@ -331,3 +331,21 @@
         assert!((0.45..=0.55).contains(&part), "{address} {news:?}");
     }
 }
+
+/// Datagrams come from ten thousand made-up addresses. What is kept of them is bounded: 512 instances count.
+#[test]
+fn made_up_senders_are_bounded() {
+    let mut sharing = Sharing::new(identity(0), &[]);
+    for number in 0..10_000_u32 {
+        let [_, a, b, c] = number.to_be_bytes();
+        let from = Identity {
+            address: ([172, a, b, c], 7340).into(),
+            ..identity(4)
+        };
+        let message = Message::new(&from, Vec::new(), Content::Own(load(7, 1)));
+        sharing.hear(from.address, message, Millis(1000));
+    }
+    assert_eq!(sharing.others(Millis(1000)).waiting[&7], 512.0);
+    let messages = sharing.round(Load::default(), Millis(1000));
+    assert!(messages.len() <= 600, "{}", messages.len());
+}
--- a/crates/routing/src/lanes.rs
+++ b/crates/routing/src/lanes.rs
@@ -30,6 +30,9 @@
 /// How many lanes there are.
 pub const LANES: usize = 3;
 
+/// A part below this is none: what is left of work that ended a minute ago.
+const LEAST_PART: f64 = 1e-6;
+
 /// What one instance or several saw of late.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LaneNews {
@@ -271,6 +274,3 @@
         parts
     }
 }
-
-/// A part below this is none: what is left of work that ended a minute ago.
-const LEAST_PART: f64 = 1e-6;
