--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -7,11 +7,15 @@
 
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// A point on a monotonic clock, or a span between two such points, in milliseconds.
 ///
 /// Arithmetic saturates: a clock that steps back yields a span of zero, never a panic.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Millis(pub u64);
 
 impl Millis {
--- a/crates/gateway/examples/sharing_cost.rs
+++ b/crates/gateway/examples/sharing_cost.rs
@@ -63,6 +63,7 @@
             prefix: (round as u32).wrapping_mul(0x85eb_ca6b),
             engine: number as u32,
         })),
+        ..Load::default()
     }
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -28,6 +28,8 @@
 
 use crate::fleet::Choice;
 use crate::intake::Job;
+use crate::placing::Question;
+use crate::placing::Verdict as Advice;
 use crate::protocol::AnswerMeta;
 use crate::protocol::Forward;
 use crate::refusal::Reason;
@@ -83,12 +85,17 @@
     pub(crate) wait: Millis,
     /// The longest wait with which it is sent at all.
     pub(crate) limit: Option<Millis>,
+    /// Tokens of its prompt that the server was expected to read.
+    pub(crate) read: u32,
+    /// The instance that chose its server, where it is another one.
+    pub(crate) placer: Option<SocketAddr>,
 }
 
 impl Record {
     /// The last line in the log of a request that was resolved, without what its answer was like.
     pub(crate) fn ended(&self, shared: &Shared, outcome: &str) -> Event {
         let limit = self.limit.map(|limit| limit.to_string());
+        let placer = self.placer.map(|placer| placer.to_string());
         Event::new("request-ended")
             .with("request", &self.id)
             .with("route", &self.route)
@@ -97,7 +104,9 @@
             .with("config", self.version)
             .with("knowledge-age", shared.knowledge_age())
             .with("attempts", self.attempts)
+            .with("placer", placer.as_deref().unwrap_or("none"))
             .with("expected-wait", self.wait)
+            .with("expected-read", self.read)
             .with("wait-limit", limit.as_deref().unwrap_or("none"))
             .with("outcome", outcome)
             .with("total", shared.clock.now().since(self.arrived))
@@ -115,6 +124,10 @@
     wait: Millis,
     /// Whence the last choice was to bring the shared part.
     source: Option<SocketAddr>,
+    /// Tokens that the server was expected to read, at the last choice.
+    read: u32,
+    /// Which other instance made the last choice.
+    placer: Option<SocketAddr>,
     tried: Vec<ServerKey>,
 }
 
@@ -144,8 +157,7 @@
 impl Held<'_> {
     fn done(&mut self, outcome: Outcome) {
         if let Some(choice) = self.choice.take() {
-            let now = self.shared.clock.now();
-            self.shared.fleet().done(&choice, outcome, 0, now);
+            self.shared.done(&choice, outcome, 0);
         }
     }
 }
@@ -171,6 +183,8 @@
             sent: 0,
             wait: Millis::ZERO,
             source: None,
+            read: 0,
+            placer: None,
             tried: Vec::new(),
         }
     }
@@ -183,7 +197,7 @@
     /// The final refusal, or that the caller is gone.
     pub(crate) async fn run(&mut self, hangup: &Hangup) -> Result<Response, Failure> {
         loop {
-            let choice = self.choose()?;
+            let choice = self.choose().await?;
             self.facts.attempts += 1;
             self.tried.push(choice.server);
             let mut held = Held {
@@ -204,18 +218,64 @@
         }
     }
 
-    fn choose(&mut self) -> Result<Choice, Failure> {
+    async fn choose(&mut self) -> Result<Choice, Failure> {
         let now = self.shared.clock.now();
         if now >= self.job.ends {
             return Err(Failure::Refused(self.give_up(Reason::Overdue, None)));
         }
-        let picked = self.shared.fleet().pick(&self.job.need, &self.tried, now);
+        let asked = self.ask_placer(now).await;
+        let picked = match asked {
+            Some(asked) => asked,
+            None => {
+                let now = self.shared.clock.now();
+                let mut fleet = self.shared.fleet();
+                fleet.pick(&self.job.need, &self.tried, now)
+            }
+        };
         let choice = picked.map_err(|none| Failure::Refused(self.no_server(&none)))?;
         self.wait = choice.wait;
         self.source = choice.source;
+        self.read = choice.read;
+        self.placer = choice.ticket.map(|ticket| ticket.placer);
         Ok(choice)
     }
 
+    /// What the instance that places for all says; `None` where this one chooses by itself: the request is no
+    /// engine's, there is no answer, or it isn't of use here.
+    async fn ask_placer(&self, now: Millis) -> Option<Result<Choice, NoServer>> {
+        let need = &self.job.need;
+        if need.own == 0 {
+            return None;
+        }
+        let question = Question {
+            need,
+            zone: &self.shared.settings.zone,
+            left: self.job.ends.since(now),
+            tried: self.shared.fleet().hashes_of(&self.tried),
+            now,
+        };
+        let (ticket, verdict) = self.shared.placing.ask(question).await?;
+        let now = self.shared.clock.now();
+        match verdict {
+            Advice::At(place) => {
+                let adopted = self.shared.fleet().adopt(need, &place, &self.tried, now);
+                if adopted.is_none() {
+                    let placing = &self.shared.placing;
+                    placing.ended(Some(ticket), Outcome::Cancelled, 0);
+                }
+                adopted.map(|mut choice| {
+                    choice.ticket = Some(ticket);
+                    Ok(choice)
+                })
+            }
+            Advice::Late { wait, back } => Some(Err(NoServer {
+                reason: routing::Reason::Late { wait },
+                retry_after: back,
+            })),
+            Advice::Unable => None,
+        }
+    }
+
     fn no_server(&mut self, none: &NoServer) -> Refusal {
         let reason = match none.reason {
             routing::Reason::Busy => Reason::Busy,
@@ -328,7 +388,7 @@
         match verdict {
             Verdict::Good => {
                 self.sent += 1;
-                self.shared.fleet().first_byte(choice, now);
+                self.shared.first_byte(choice, meta.load);
                 self.shared.report.attempt("answered");
                 Next::Relay(answer, verdict)
             }
@@ -451,6 +511,8 @@
             source: self.source,
             wait: self.wait,
             limit: self.job.need.limit,
+            read: self.read,
+            placer: self.placer,
         }
     }
 }
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 use crocushold_routing::NoServer;
 use crocushold_routing::Outcome;
 use crocushold_routing::Pick;
+use crocushold_routing::Placed;
 use crocushold_routing::Reason;
 use crocushold_routing::RequestFacts;
 use crocushold_routing::ServerSpec;
@@ -34,6 +35,8 @@
 use self::news::News;
 use self::service::ModelLanes;
 use self::service::Service;
+use crate::placing::Place;
+use crate::placing::Ticket;
 use crate::routes::EngineSpec;
 use crate::routes::Presence;
 use crate::routes::ServerRecord;
@@ -91,6 +94,10 @@
     pub source: Option<SocketAddr>,
     /// How long the request is expected to wait there.
     pub wait: Millis,
+    /// Where another instance chose the server: whom to tell of the attempt.
+    pub ticket: Option<Ticket>,
+    /// Tokens of the prompt that it is expected to read; zero where that isn't known.
+    pub read: u32,
     lane: Lane,
     attempt: AttemptKey,
     service: Arc<str>,
@@ -137,6 +144,8 @@
     news: News,
     /// How fast the engines of a service bring prompts from each other, where that is published.
     transfers: HashMap<String, f64>,
+    /// Whether this instance chooses for others.
+    places: bool,
 }
 
 impl Fleet {
@@ -151,6 +160,7 @@
             hashes: HashMap::new(),
             news: News::default(),
             transfers: HashMap::new(),
+            places: false,
         }
     }
 
@@ -232,7 +242,79 @@
         tried: &[ServerKey],
         now: Millis,
     ) -> Result<Choice, NoServer> {
+        let central = self.places;
+        let choice = self.decide(need, tried, None, central, now)?;
+        self.note_first(need, tried, now);
+        Ok(choice)
+    }
+
+    /// Chooses a server for another instance, in availability zone `zone`, and takes a slot of it.
+    ///
+    /// # Errors
+    ///
+    /// Says why no server can take the request, and when to come back.
+    pub fn place(
+        &mut self,
+        need: &Need,
+        zone: &str,
+        tried: &[u32],
+        now: Millis,
+    ) -> Result<Choice, NoServer> {
+        let tried = tried.iter().filter_map(|hash| self.hashes.get(hash));
+        let tried: Vec<ServerKey> = tried.copied().collect();
+        self.decide(need, &tried, Some(zone), true, now)
+    }
+
+    /// Takes a slot of the server that another instance chose; `None` where this one knows better.
+    pub fn adopt(
+        &mut self,
+        need: &Need,
+        place: &Place,
+        tried: &[ServerKey],
+        now: Millis,
+    ) -> Option<Choice> {
+        let server = *self.hashes.get(&place.engine)?;
+        let record = &self.servers[server].record;
         let model = need.model.as_deref().unwrap_or_default();
+        // The instance that chose may hold another configuration, or an older entry of the server.
+        if record.service != need.service || !record.models.iter().any(|held| held == model) {
+            return None;
+        }
+        let source = place.source.and_then(|hash| self.hashes.get(&hash));
+        let placed = Placed {
+            server,
+            source: source.copied(),
+            wait: place.wait,
+            read: place.read,
+        };
+        let service = self.services.get_mut(&need.service)?;
+        let demand = demand(service, &self.models, need, tried);
+        let pick = service.router.adopt(&placed, &demand, now)?;
+        let choice = choice(&self.servers, service, &pick, need.lane());
+        self.note_first(need, tried, now);
+        Some(choice)
+    }
+
+    /// Whether this instance chooses for others from now on. What it chooses for its own requests goes by
+    /// the same knowledge.
+    pub fn set_places(&mut self, places: bool) {
+        self.places = places;
+    }
+
+    /// The names under which other instances know servers.
+    pub fn hashes_of(&self, servers: &[ServerKey]) -> Vec<u32> {
+        let known = servers.iter().filter_map(|key| self.servers.get(*key));
+        known.map(|server| short_hash(&server.id)).collect()
+    }
+
+    fn decide(
+        &mut self,
+        need: &Need,
+        tried: &[ServerKey],
+        zone: Option<&str>,
+        central: bool,
+        now: Millis,
+    ) -> Result<Choice, NoServer> {
         let service = self.services.get_mut(&need.service).ok_or(NoServer {
             reason: Reason::Out,
             retry_after: UNKNOWN_RETRY,
@@ -242,25 +324,13 @@
             service.lanes.note(need.lane(), work, now);
             service.take_pause(need);
         }
-        let (model, spill) = service.pools(&self.models, model, need.lane());
-        let lane = need.lane();
         let demand = Demand {
-            model,
-            prefix: need.prefix.map(u64::from),
-            priority: need.priority,
-            idempotent: need.idempotent,
-            tokens: need.prompt.saturating_add(need.output),
-            own: need.own,
-            shared: need.shared(),
-            spill,
-            limit: need.limit,
-            exclude: tried,
+            zone,
+            central,
+            ..demand(service, &self.models, need, tried)
         };
         let pick = service.router.pick(&demand, now)?;
-        if tried.is_empty() {
-            service.retry.first_attempt(now);
-        }
-        let choice = choice(&self.servers, service, &pick, lane);
+        let choice = choice(&self.servers, service, &pick, need.lane());
         if let Some(prefix) = need.prefix {
             let kept = Kept {
                 prefix,
@@ -271,6 +341,15 @@
         Ok(choice)
     }
 
+    /// The first attempt of a request of this instance: what may be repeated is a part of these.
+    fn note_first(&mut self, need: &Need, tried: &[ServerKey], now: Millis) {
+        let service = self.services.get_mut(&need.service);
+        if let Some(service) = service.filter(|_| tried.is_empty()) {
+            service.take_pause(need);
+            service.retry.first_attempt(now);
+        }
+    }
+
     /// Takes in what is published of the engines.
     pub fn take_engines(&mut self, engines: &[EngineSpec]) {
         let transfers = engines
@@ -332,6 +411,20 @@
         }
     }
 
+    /// The choice as another instance is told of it.
+    pub fn placed(&self, choice: &Choice) -> Place {
+        let source = choice.source.and_then(|address| {
+            let mut servers = self.servers.values();
+            servers.find(|server| server.record.address == address)
+        });
+        Place {
+            engine: short_hash(&choice.id),
+            source: source.map(|server| short_hash(&server.id)),
+            wait: choice.wait,
+            read: choice.read,
+        }
+    }
+
     /// An attempt ended after `tokens` of an answer.
     pub fn done(&mut self, choice: &Choice, outcome: Outcome, tokens: u32, now: Millis) {
         if let Some(service) = self.services.get_mut(&*choice.service) {
@@ -374,9 +467,8 @@
                 continue;
             }
             if let Some(service) = self.services.get_mut(&server.record.service) {
-                let reading = others.waiting.get(&short_hash(&server.id)).copied();
-                let router = &mut service.router;
-                router.pending_elsewhere(key, reading.unwrap_or(0.0));
+                let reading = others.waiting_at(short_hash(&server.id));
+                service.router.pending_elsewhere(key, reading);
             }
         }
         for service in self.services.values_mut() {
@@ -457,6 +549,29 @@
     }
 }
 
+fn demand<'a>(
+    service: &Service,
+    models: &ModelLanes,
+    need: &Need,
+    tried: &'a [ServerKey],
+) -> Demand<'a> {
+    let model = need.model.as_deref().unwrap_or_default();
+    let (model, spill) = service.pools(models, model, need.lane());
+    Demand {
+        model,
+        prefix: need.prefix.map(u64::from),
+        priority: need.priority,
+        idempotent: need.idempotent,
+        tokens: need.prompt.saturating_add(need.output),
+        own: need.own,
+        shared: need.shared(),
+        spill,
+        limit: need.limit,
+        exclude: tried,
+        ..Demand::default()
+    }
+}
+
 /// A hash of a name that is the same on all instances.
 fn short_hash(id: &str) -> u32 {
     XxHash3_64::oneshot(id.as_bytes()) as u32
@@ -481,6 +596,8 @@
             .and_then(|key| servers.get(key))
             .map(|source| source.record.address),
         wait: pick.wait,
+        ticket: None,
+        read: pick.read,
         lane,
         attempt: pick.attempt,
         service: service.name.clone(),
--- a/crates/gateway/src/fleet/need.rs
+++ b/crates/gateway/src/fleet/need.rs
@@ -2,6 +2,8 @@
 
 use crocushold_base::Millis;
 use crocushold_routing::Lane;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// The prompt from which on a request is heavy, in tokens. Reading it takes about 80 ms on the engines
 /// that were measured, 50 tokens a ms: most of the pause that a live stream allows, 120 ms.
@@ -15,7 +17,7 @@
 const REREAD_PART: f64 = 0.2;
 
 /// What a request needs of a server.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Need {
     /// The service.
     pub service: String,
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -322,7 +322,9 @@
     loop {
         task::sleep(TICK.into()).await;
         follow::expire(&shared);
-        let moved = shared.fleet().tick(shared.clock.now());
+        let now = shared.clock.now();
+        shared.placing.expire(&mut shared.fleet(), now);
+        let moved = shared.fleet().tick(now);
         for borders in moved {
             note_borders(&borders);
         }
--- /dev/null
+++ b/crates/gateway/src/placing/message.rs
@@ -0,0 +1,164 @@
+//! What an instance and the placer tell each other.
+
+use crocushold_base::Millis;
+use crocushold_routing::LoadReport;
+use crocushold_routing::Outcome;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::fleet::Need;
+use crate::sharing::Message;
+
+/// All that instances send each other, as one datagram each.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Packet {
+    /// What the sender and others have.
+    News(Message),
+    /// Where should a request go?
+    Ask(Ask),
+    /// There.
+    Reply(Reply),
+    /// What became of requests that the receiver placed, the latest last.
+    Notes(Vec<Note>),
+}
+
+impl Packet {
+    /// The packet as bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_allocvec(self).expect("numbers, names and addresses always serialise")
+    }
+
+    /// Reads a packet; `None` for one that isn't.
+    pub fn decode(bytes: &[u8]) -> Option<Packet> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
+
+/// The question where a request should go.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The sender's number of the question, by which the reply and the notes are known.
+    pub number: u32,
+    /// The sender's availability zone.
+    pub zone: String,
+    /// How long the request has left.
+    pub left: Millis,
+    /// Engines that it was sent to already, by hashes of their identities.
+    pub tried: Vec<u32>,
+    /// What it needs.
+    pub need: Need,
+}
+
+/// An engine that was chosen for a request of another instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// A hash of the engine's identity.
+    pub engine: u32,
+    /// The same of the engine from which it should bring the shared part of the prompt.
+    pub source: Option<u32>,
+    /// How long the request is expected to wait there.
+    pub wait: Millis,
+    /// Tokens of the prompt that the engine is expected to read.
+    pub read: u32,
+}
+
+/// What the placer says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// The request goes there.
+    At(Place),
+    /// At every engine it would wait for longer than its answer is of use.
+    Late {
+        /// How long at the best one.
+        wait: Millis,
+        /// When to come back.
+        back: Millis,
+    },
+    /// The placer knows no server for it.
+    Unable,
+}
+
+/// The answer to an [`Ask`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply {
+    /// The number of the question.
+    pub number: u32,
+    /// What the placer says.
+    pub verdict: Verdict,
+}
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Note {
+    /// The number of the question.
+    pub number: u32,
+    /// What happened.
+    pub kind: NoteKind,
+}
+
+/// What happened to a request that was placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NoteKind {
+    /// Its answer has begun; with how many requests the engine had then, running and waiting, where it told.
+    Began(Option<[u32; 2]>),
+    /// It has ended, after so many tokens.
+    Ended(Ending, u32),
+}
+
+impl NoteKind {
+    /// The answer began, with what the engine told of its load.
+    pub fn began(load: Option<LoadReport>) -> NoteKind {
+        NoteKind::Began(load.map(|load| [load.running, load.waiting]))
+    }
+}
+
+/// How an attempt ended, as [`Outcome`] says it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ending {
+    /// [`Outcome::Complete`].
+    Complete,
+    /// [`Outcome::Cancelled`].
+    Cancelled,
+    /// [`Outcome::Refused`].
+    Refused,
+    /// [`Outcome::Unreachable`].
+    Unreachable,
+    /// [`Outcome::Cut`].
+    Cut,
+    /// [`Outcome::TimedOut`].
+    TimedOut,
+    /// [`Outcome::Failed`].
+    Failed,
+    /// [`Outcome::Overloaded`].
+    Overloaded,
+}
+
+impl From<Outcome> for Ending {
+    fn from(outcome: Outcome) -> Ending {
+        match outcome {
+            Outcome::Complete => Ending::Complete,
+            Outcome::Cancelled => Ending::Cancelled,
+            Outcome::Refused => Ending::Refused,
+            Outcome::Unreachable => Ending::Unreachable,
+            Outcome::Cut => Ending::Cut,
+            Outcome::TimedOut => Ending::TimedOut,
+            Outcome::Failed => Ending::Failed,
+            Outcome::Overloaded => Ending::Overloaded,
+        }
+    }
+}
+
+impl From<Ending> for Outcome {
+    fn from(ending: Ending) -> Outcome {
+        match ending {
+            Ending::Complete => Outcome::Complete,
+            Ending::Cancelled => Outcome::Cancelled,
+            Ending::Refused => Outcome::Refused,
+            Ending::Unreachable => Outcome::Unreachable,
+            Ending::Cut => Outcome::Cut,
+            Ending::TimedOut => Outcome::TimedOut,
+            Ending::Failed => Outcome::Failed,
+            Ending::Overloaded => Outcome::Overloaded,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/placing/shell.rs
@@ -0,0 +1,193 @@
+//! The sockets and the clock of asking and placing.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+
+use async_std::future::timeout;
+use crocushold_base::Event;
+use crocushold_base::Millis;
+use crocushold_routing::LoadReport;
+use crocushold_routing::Outcome;
+use futures::channel::oneshot;
+use log::info;
+
+use super::asker::Asker;
+use super::asker::Ticket;
+use super::message::Ask;
+use super::message::Note;
+use super::message::NoteKind;
+use super::message::Packet;
+use super::message::Reply;
+use super::message::Verdict;
+use super::placer::Placer;
+use crate::fleet::Fleet;
+use crate::fleet::Need;
+
+/// How long an instance waits for the placer's answer before it chooses by itself: several times the way
+/// there and back between availability zones, and a tenth of the shortest target of a first token.
+pub(super) const ASK_TIMEOUT: Millis = Millis(20);
+
+/// One instance's questions to the placer, and what it places itself.
+#[derive(Default)]
+pub(crate) struct Placing {
+    /// The socket that the instances tell each other by; none where they don't.
+    socket: OnceLock<UdpSocket>,
+    asker: Mutex<Asker>,
+    placer: Mutex<Placer>,
+    waiting: Mutex<HashMap<u32, oneshot::Sender<Verdict>>>,
+}
+
+/// Forgets an open question when the caller leaves meanwhile.
+struct Open<'a> {
+    placing: &'a Placing,
+    ticket: Ticket,
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        lock(&self.placing.waiting).remove(&self.ticket.number);
+        lock(&self.placing.asker).dropped(self.ticket);
+    }
+}
+
+impl Placing {
+    /// Numbers of questions begin at `first`.
+    pub(crate) fn new(first: u32) -> Placing {
+        Placing {
+            asker: Mutex::new(Asker::new(first)),
+            ..Placing::default()
+        }
+    }
+
+    /// Gives the socket by which the instances tell each other.
+    pub(crate) fn set_socket(&self, socket: UdpSocket) {
+        // It is set once, before any request is read.
+        let _ = self.socket.set(socket);
+    }
+
+    /// Takes in who places for this instance; none where it chooses by itself.
+    pub(crate) fn follow(&self, placer: Option<SocketAddr>) {
+        if lock(&self.asker).follow(placer) {
+            let placer = placer.map(|placer| placer.to_string());
+            let placer = placer.as_deref().unwrap_or("none");
+            info!("{}", Event::new("placer-changed").with("placer", placer));
+        }
+    }
+
+    /// Asks where a request should go; `None` where there is no answer, and the instance chooses by itself.
+    pub(crate) async fn ask(&self, question: Question<'_>) -> Option<(Ticket, Verdict)> {
+        let now = question.now;
+        let ticket = lock(&self.asker).open(now)?;
+        let open = Open {
+            placing: self,
+            ticket,
+        };
+        let (sender, receiver) = oneshot::channel();
+        lock(&self.waiting).insert(ticket.number, sender);
+        let ask = Ask {
+            number: ticket.number,
+            zone: question.zone.to_owned(),
+            left: question.left,
+            tried: question.tried,
+            need: question.need.clone(),
+        };
+        self.send(ticket.placer, &Packet::Ask(ask));
+        let verdict = timeout(ASK_TIMEOUT.into(), receiver).await;
+        if let Ok(Ok(verdict)) = verdict {
+            return Some((ticket, verdict));
+        }
+        let doubts = lock(&self.asker).missed(ticket, now + ASK_TIMEOUT);
+        if doubts {
+            let event = Event::new("placer-silent").with("placer", ticket.placer);
+            info!("{event}");
+        }
+        drop(open);
+        None
+    }
+
+    /// The answer to a placed request has begun.
+    pub(crate) fn began(&self, ticket: Option<Ticket>, load: Option<LoadReport>) {
+        self.note(ticket, NoteKind::began(load));
+    }
+
+    /// A placed request has ended.
+    pub(crate) fn ended(&self, ticket: Option<Ticket>, outcome: Outcome, tokens: u32) {
+        self.note(ticket, NoteKind::Ended(outcome.into(), tokens));
+    }
+
+    /// Another instance asks.
+    pub(crate) fn place(&self, fleet: &mut Fleet, from: SocketAddr, ask: &Ask, now: Millis) {
+        let reply = lock(&self.placer).place(fleet, from, ask, now);
+        self.send(from, &Packet::Reply(reply));
+    }
+
+    /// Another instance tells what became of its requests.
+    pub(crate) fn take_notes(
+        &self,
+        fleet: &mut Fleet,
+        from: SocketAddr,
+        notes: Vec<Note>,
+        now: Millis,
+    ) {
+        let mut placer = lock(&self.placer);
+        for note in notes {
+            placer.note(fleet, from, note, now);
+        }
+    }
+
+    /// The placer answers.
+    pub(crate) fn take_reply(&self, from: SocketAddr, reply: Reply) {
+        let ticket = Ticket {
+            placer: from,
+            number: reply.number,
+        };
+        let open = lock(&self.asker).answered(ticket);
+        let waiting = lock(&self.waiting).remove(&reply.number);
+        let taken = waiting.filter(|_| open);
+        let taken = taken.is_some_and(|waiting| waiting.send(reply.verdict).is_ok());
+        // The request went elsewhere meanwhile: the slot that was taken for it is given back.
+        if !taken && matches!(reply.verdict, Verdict::At(_)) {
+            self.ended(Some(ticket), Outcome::Cancelled, 0);
+        }
+    }
+
+    /// Runs timers out.
+    pub(crate) fn expire(&self, fleet: &mut Fleet, now: Millis) {
+        lock(&self.placer).expire(fleet, now);
+    }
+
+    fn note(&self, ticket: Option<Ticket>, kind: NoteKind) {
+        if let Some(ticket) = ticket {
+            let notes = lock(&self.asker).note(ticket, kind);
+            self.send(ticket.placer, &Packet::Notes(notes));
+        }
+    }
+
+    fn send(&self, to: SocketAddr, packet: &Packet) {
+        if let Some(socket) = self.socket.get() {
+            // Lost, refused or no room: whoever waits for it goes on without.
+            let _ = socket.send_to(&packet.encode(), to);
+        }
+    }
+}
+
+/// What is asked of the placer.
+pub(crate) struct Question<'a> {
+    pub(crate) need: &'a Need,
+    /// This instance's availability zone.
+    pub(crate) zone: &'a str,
+    /// How long the request has left.
+    pub(crate) left: Millis,
+    /// Engines that it was sent to, by hashes of their identities.
+    pub(crate) tried: Vec<u32>,
+    pub(crate) now: Millis,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -77,13 +77,11 @@
         };
         let events = self.counter.events();
         let tokens = u32::try_from(events).unwrap_or(u32::MAX);
-        {
-            let mut fleet = self.shared.fleet();
-            if events >= LEAST_EVENTS {
-                fleet.paused(&self.choice, self.pauses.longest, now);
-            }
-            fleet.done(&self.choice, outcome, tokens, now);
+        if events >= LEAST_EVENTS {
+            let longest = self.pauses.longest;
+            self.shared.fleet().paused(&self.choice, longest, now);
         }
+        self.shared.done(&self.choice, outcome, tokens);
         let record = &self.record;
         let report = &self.shared.report;
         let label = if end_is_failure(&end, self.outcome) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -15,12 +15,16 @@
 use crocushold_http::Client;
 use crocushold_http::ListenerHandle;
 use crocushold_http::PoolLimits;
+use crocushold_routing::LoadReport;
+use crocushold_routing::Outcome;
 
 use crate::directory::Directory;
+use crate::fleet::Choice;
 use crate::fleet::Fleet;
 use crate::fleet::FleetSettings;
 use crate::instance::Settings;
 use crate::instance::caller_limits;
+use crate::placing::Placing;
 use crate::protocol::Protocol;
 use crate::report::Report;
 use crate::routes::RouteTable;
@@ -56,6 +60,8 @@
     pub(crate) report: Report,
     /// Bodies of requests that are read or wait for an answer to begin.
     pub(crate) memory: Memory,
+    /// Where requests go by the word of the instance that places for all.
+    pub(crate) placing: Placing,
     table: RwLock<Option<Arc<RouteTable>>>,
     fleet: Mutex<Fleet>,
     directory: Mutex<Directory>,
@@ -83,6 +89,7 @@
             protocol,
             clock: Clock::start(),
             seed,
+            placing: Placing::new(seed as u32),
             client: Client::new(pool),
             report: Report::new(),
             table: RwLock::new(None),
@@ -123,6 +130,19 @@
         lock(&self.fleet)
     }
 
+    /// The answer of an attempt has begun.
+    pub(crate) fn first_byte(&self, choice: &Choice, load: Option<LoadReport>) {
+        self.fleet().first_byte(choice, self.clock.now());
+        self.placing.began(choice.ticket, load);
+    }
+
+    /// An attempt ended after `tokens` of an answer.
+    pub(crate) fn done(&self, choice: &Choice, outcome: Outcome, tokens: u32) {
+        let now = self.clock.now();
+        self.fleet().done(choice, outcome, tokens, now);
+        self.placing.ended(choice.ticket, outcome, tokens);
+    }
+
     /// The entries of the registry.
     pub(crate) fn directory(&self) -> MutexGuard<'_, Directory> {
         lock(&self.directory)
--- a/crates/gateway/src/sharing/members.rs
+++ b/crates/gateway/src/sharing/members.rs
@@ -101,6 +101,16 @@
         best.map(|identity| identity.address)
     }
 
+    /// The instance among those that collect for their zones that places for all, by the same order.
+    pub fn placer(&self, collectors: impl Iterator<Item = SocketAddr>) -> SocketAddr {
+        let known = collectors.filter_map(|address| self.members.get(&address));
+        let all = known
+            .map(|member| &member.identity)
+            .chain(std::iter::once(&self.me));
+        let best = all.min_by_key(|identity| (Reverse(identity.capacity), identity.address));
+        best.map_or(self.me.address, |identity| identity.address)
+    }
+
     /// The availability zones beside this instance's own.
     pub fn other_zones(&self) -> Vec<u32> {
         let members = self.members.values();
--- a/crates/gateway/src/sharing/message.rs
+++ b/crates/gateway/src/sharing/message.rs
@@ -14,6 +14,13 @@
 /// the rest of the message.
 const MOST_ENGINES: usize = 90;
 
+/// Engines that a part is meant to tell of. Parts are divided by hashes, so that some hold more than others.
+const USUAL_ENGINES: usize = 70;
+
+/// Messages in which a sender tells what it has at most. They hold the 280 engines or so that a region of the
+/// largest fleet has; to tell of more would take more than the four kilobytes a second that an instance may.
+const MOST_PARTS: usize = 4;
+
 /// Shared parts that a message tells of at most, ten bytes each.
 pub(crate) const MOST_KEPT: usize = 32;
 
@@ -84,12 +91,33 @@
 /// What one instance or several have.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
-    /// By engine; those that aren't named have nothing waiting.
+    /// By engine; those that aren't named have [`Load::least`] waiting at most.
     pub waiting: Vec<Waiting>,
     /// By service.
     pub work: Vec<Work>,
     /// Shared parts that requests were sent with lately, and where.
     pub kept: Vec<Kept>,
+    /// How long the prompts at an engine that isn't named take at most, in milliseconds: zero where all are
+    /// named that have any.
+    pub least: u32,
+    /// Which of several parts this is.
+    pub part: Part,
+}
+
+/// Which part of what a sender has a message tells: that of the engines whose hash leaves `index` when divided
+/// by `count`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Counted from zero.
+    pub index: u8,
+    /// How many there are.
+    pub count: u8,
+}
+
+impl Default for Part {
+    fn default() -> Part {
+        Part { index: 0, count: 1 }
+    }
 }
 
 impl Load {
@@ -98,10 +126,41 @@
         self.waiting.is_empty() && self.kept.is_empty()
     }
 
+    /// Divides it into as many parts as it takes to name all engines that have something waiting.
+    ///
+    /// An engine that has a queue and isn't named looks idle to the whole fleet, which sends all there. So
+    /// all are named; and where there are too many for that, it is told how long the others' queues may be.
+    pub(crate) fn split(self) -> Vec<Load> {
+        let count = self.waiting.len().div_ceil(USUAL_ENGINES);
+        let count = count.clamp(1, MOST_PARTS);
+        let mut parts: Vec<Load> = (0..count)
+            .map(|index| Load {
+                part: Part {
+                    index: index as u8,
+                    count: count as u8,
+                },
+                ..Load::default()
+            })
+            .collect();
+        for entry in self.waiting {
+            parts[entry.engine as usize % count].waiting.push(entry);
+        }
+        parts[0].work = self.work;
+        parts[0].kept = self.kept;
+        let parts: Vec<Load> = parts.into_iter().map(Load::bounded).collect();
+        let least = parts.iter().map(|part| part.least);
+        let least = least.fold(self.least, u32::max);
+        let parts = parts.into_iter().map(|part| Load { least, ..part });
+        parts.collect()
+    }
+
     /// The longest queues, as many as a message holds.
     fn bounded(mut self) -> Load {
         self.waiting
             .sort_unstable_by_key(|entry| std::cmp::Reverse(entry.reading));
+        if let Some(left) = self.waiting.get(MOST_ENGINES) {
+            self.least = self.least.max(left.reading);
+        }
         self.waiting.truncate(MOST_ENGINES);
         self.work.truncate(MOST_SERVICES);
         self.kept.truncate(MOST_KEPT);
@@ -140,8 +199,8 @@
     Own(Load),
     /// What the sender's zone has, for the collectors of the other zones.
     Zone(Load),
-    /// What the fleet has, for those that told the sender what they have.
-    Fleet(Load),
+    /// What the fleet has, for those that told the sender what they have, and which instance places for all.
+    Fleet(Load, SocketAddr),
 }
 
 /// What an instance tells another.
@@ -164,7 +223,7 @@
             Content::Hello | Content::Names => content,
             Content::Own(load) => Content::Own(load.bounded()),
             Content::Zone(load) => Content::Zone(load.bounded()),
-            Content::Fleet(load) => Content::Fleet(load.bounded()),
+            Content::Fleet(load, placer) => Content::Fleet(load.bounded(), placer),
         };
         Message {
             zone: from.zone,
--- a/crates/gateway/src/sharing/mod.rs
+++ b/crates/gateway/src/sharing/mod.rs
@@ -28,6 +28,7 @@
 pub(crate) use message::MOST_KEPT;
 pub use message::Message;
 pub use message::Named;
+pub use message::Part;
 pub use message::Waiting;
 pub use message::Work;
 pub(crate) use shell::share;
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -16,8 +16,8 @@
 
 use super::message::Identity;
 use super::message::MOST_BYTES;
-use super::message::Message;
 use super::state::Sharing;
+use crate::placing::Packet;
 use crate::shared::Shared;
 
 /// Between two rounds. Three steps of it pass until the fleet knows of a change, in which an engine
@@ -34,7 +34,10 @@
     address: SocketAddr,
     seeds: &[SocketAddr],
 ) -> io::Result<()> {
-    let socket = Arc::new(UdpSocket::bind(address).await?);
+    let socket = std::net::UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    shared.placing.set_socket(socket.try_clone()?);
+    let socket = Arc::new(UdpSocket::from(socket));
     let me = Identity {
         address: socket.local_addr()?,
         zone: XxHash3_64::oneshot(shared.settings.zone.as_bytes()) as u32,
@@ -42,7 +45,7 @@
     };
     let state = Arc::new(Mutex::new(Sharing::new(me, seeds)));
     task::spawn(listen(shared.clone(), socket.clone(), state.clone()));
-    task::spawn(tell(shared.clone(), socket, state));
+    task::spawn(tell(shared.clone(), socket, me.address, state));
     Ok(())
 }
 
@@ -54,35 +57,59 @@
             task::sleep(ROUND.into()).await;
             continue;
         };
-        if let Some(message) = Message::decode(&bytes[..count]) {
-            lock(&state).hear(from, message, shared.clock.now());
+        let now = shared.clock.now();
+        match Packet::decode(&bytes[..count]) {
+            Some(Packet::News(message)) => lock(&state).hear(from, message, now),
+            Some(Packet::Ask(ask)) => shared.placing.place(&mut shared.fleet(), from, &ask, now),
+            Some(Packet::Reply(reply)) => shared.placing.take_reply(from, reply),
+            Some(Packet::Notes(notes)) => {
+                let mut fleet = shared.fleet();
+                shared.placing.take_notes(&mut fleet, from, notes, now);
+            }
+            None => {}
         }
     }
 }
 
-async fn tell(shared: Arc<Shared>, socket: Arc<UdpSocket>, state: Arc<Mutex<Sharing>>) {
+async fn tell(
+    shared: Arc<Shared>,
+    socket: Arc<UdpSocket>,
+    me: SocketAddr,
+    state: Arc<Mutex<Sharing>>,
+) {
     let mut live = 0;
     loop {
         task::sleep(ROUND.into()).await;
         let now = shared.clock.now();
         let own = shared.fleet().load_told(now);
-        let (messages, others, kept, count) = {
+        let (messages, others, kept, count, placer) = {
             let mut state = lock(&state);
             let messages = state.round(own, now);
-            (messages, state.others(now), state.kept(), state.live())
+            let placer = state.placer(now);
+            (
+                messages,
+                state.others(now),
+                state.kept(),
+                state.live(),
+                placer,
+            )
         };
+        let places = placer == Some(me);
         {
             let mut fleet = shared.fleet();
             fleet.take_others(&others);
             fleet.take_kept(&kept, now);
+            fleet.set_places(places);
         }
+        shared.placing.follow(placer.filter(|_| !places));
         if count != live {
             live = count;
             info!("{}", Event::new("peers-changed").with("live", live));
         }
         for (target, message) in messages {
             // Lost or refused: the next round tells more recent news.
-            let _ = socket.send_to(&message.encode(), target).await;
+            let packet = Packet::News(message);
+            let _ = socket.send_to(&packet.encode(), target).await;
         }
     }
 }
--- a/crates/gateway/src/sharing/state.rs
+++ b/crates/gateway/src/sharing/state.rs
@@ -41,28 +41,62 @@
 /// How many of them are answered in a round.
 const ROUND_ANSWERS: usize = 8;
 
-/// What was heard from one sender.
-#[derive(Clone, Debug)]
+/// What was heard from one sender, by parts.
+#[derive(Clone, Debug, Default)]
 struct Heard {
-    load: Load,
+    parts: BTreeMap<u8, (Load, Millis)>,
+    /// Of how many parts the last message was one.
+    count: u8,
+    /// When the last message came.
     at: Millis,
 }
 
+impl Heard {
+    /// Takes in a message. Divided otherwise than before, engines are told of in other parts, and what was
+    /// told of them in the former ones would count twice.
+    fn take(&mut self, load: Load, now: Millis) {
+        if load.part.count != self.count {
+            self.parts.clear();
+            self.count = load.part.count;
+        }
+        if load.part.index < load.part.count {
+            self.parts.insert(load.part.index, (load, now));
+        }
+        self.at = now;
+    }
+}
+
 /// What several instances have together.
 #[derive(Clone, Debug, Default)]
 pub struct Sums {
-    /// What waits at each engine, in milliseconds of reading, by a hash of its identity.
+    /// What waits at each engine beyond [`Sums::unnamed`], in milliseconds of reading, by a hash of its
+    /// identity.
     pub waiting: HashMap<u32, f64>,
+    /// What is taken to wait at each engine that isn't named, in milliseconds. It isn't nothing where a sender
+    /// had too many to name.
+    pub unnamed: f64,
     /// The work of late of each service, by a hash of its name.
     pub work: HashMap<u32, LaneNews>,
 }
 
 impl Sums {
+    /// What waits at an engine, in milliseconds of reading.
+    pub fn waiting_at(&self, engine: u32) -> f64 {
+        let named = self.waiting.get(&engine).copied().unwrap_or(0.0);
+        (self.unnamed + named).max(0.0)
+    }
+
     /// Adds what was told, with a weight.
+    ///
+    /// An engine that a sender didn't name has between nothing and its least there: half of it is taken.
     pub fn add(&mut self, load: &Load, weight: f64) {
+        let unnamed = f64::from(load.least) / 2.0;
+        if load.part.index == 0 {
+            self.unnamed += weight * unnamed;
+        }
         for entry in &load.waiting {
             let sum = self.waiting.entry(entry.engine).or_default();
-            *sum += weight * f64::from(entry.reading);
+            *sum += weight * (f64::from(entry.reading) - unnamed);
         }
         for entry in &load.work {
             let sum = self.work.entry(entry.service).or_default();
@@ -72,30 +106,34 @@
 
     /// Adds what was heard, as far as it still counts.
     fn add_heard(&mut self, heard: &Heard, now: Millis) {
-        let left = FRESH.since(now.since(heard.at)).0 as f64;
-        let weight = (left / FRESH.since(FULL).0 as f64).min(1.0);
-        if weight > 0.0 {
-            self.add(&heard.load, weight);
+        for (load, at) in heard.parts.values() {
+            let left = FRESH.since(now.since(*at)).0 as f64;
+            let weight = (left / FRESH.since(FULL).0 as f64).min(1.0);
+            if weight > 0.0 {
+                self.add(load, weight);
+            }
         }
     }
 
     /// Leaves out a part of the sums, and what is nothing without it.
     fn leave_out(&mut self, load: &Load) {
         self.add(load, -1.0);
-        self.waiting.retain(|_, sum| *sum > 0.0);
+        let unnamed = self.unnamed;
+        self.waiting.retain(|_, sum| *sum + unnamed > 0.0);
     }
 
     fn load(&self) -> Load {
-        let waiting = self.waiting.iter().map(|(&engine, &reading)| Waiting {
+        let waiting = self.waiting.keys().map(|&engine| Waiting {
             engine,
-            reading: reading.round() as u32,
+            reading: self.waiting_at(engine).round() as u32,
         });
         let work = self.work.iter();
         let work = work.map(|(&service, news)| Work::new(service, news));
         Load {
             waiting: waiting.filter(|entry| entry.reading > 0).collect(),
             work: work.filter(|entry| !entry.is_empty()).collect(),
-            kept: Vec::new(),
+            least: (self.unnamed * 2.0).round() as u32,
+            ..Load::default()
         }
     }
 }
@@ -116,6 +154,8 @@
     zones: BTreeMap<SocketAddr, (u32, Heard)>,
     /// What the fleet has, as the collector of this zone told.
     fleet: Option<Heard>,
+    /// Which instance places for all, as the collector of this zone told.
+    placer: Option<SocketAddr>,
     /// Whom this instance tells, and since when.
     collector: Option<(SocketAddr, Millis)>,
     /// What this instance told in the last rounds, the latest last. The answer to the last one is still on
@@ -141,6 +181,7 @@
             reports: BTreeMap::new(),
             zones: BTreeMap::new(),
             fleet: None,
+            placer: None,
             collector: None,
             told: [Load::default(), Load::default()],
             // Each instance begins at another one, so that they don't all ask the same at once.
@@ -186,16 +227,18 @@
             Content::Hello | Content::Names => {}
             Content::Own(load) => {
                 self.holdings.zone_told(&load.kept);
-                self.reports.insert(from, Heard { load, at: now });
+                self.reports.entry(from).or_default().take(load, now);
             }
             Content::Zone(load) => {
                 self.holdings.other_zone_told(&load.kept);
-                let heard = Heard { load, at: now };
-                self.zones.insert(from, (message.zone, heard));
+                let (zone, heard) = self.zones.entry(from).or_default();
+                *zone = message.zone;
+                heard.take(load, now);
             }
-            Content::Fleet(load) => {
+            Content::Fleet(load, placer) => {
                 self.holdings.collector_told(&load.kept);
-                self.fleet = Some(Heard { load, at: now });
+                self.fleet.get_or_insert_default().take(load, now);
+                self.placer = Some(placer);
             }
         }
     }
@@ -209,7 +252,10 @@
         let due = self.rounds.is_multiple_of(IDLE_ROUNDS);
         let tells = due || !own.is_empty() || !self.told[1].is_empty();
         match self.choose_collector(now) {
-            Some(collector) if tells => contents.push((collector, Content::Own(own.clone()))),
+            Some(collector) if tells => {
+                let parts = own.clone().split().into_iter();
+                contents.extend(parts.map(|part| (collector, Content::Own(part))));
+            }
             _ => {}
         }
         if self.collector.is_none() {
@@ -228,7 +274,7 @@
         let all = self.members.names(false, now);
         let messages = contents.into_iter().map(|(to, content)| {
             let names = match content {
-                Content::Own(_) | Content::Fleet(_) => &inside,
+                Content::Own(_) | Content::Fleet(..) => &inside,
                 Content::Hello | Content::Names | Content::Zone(_) => &all,
             };
             (to, Message::new(&self.me, names.clone(), content))
@@ -252,6 +298,20 @@
         sums
     }
 
+    /// Which instance places for all; `None` while this one knows none, and this one's own address where it
+    /// is the one.
+    ///
+    /// An instance that collects for nobody doesn't place: it only hasn't heard of the others yet, and knows no
+    /// more than its own requests.
+    pub fn placer(&self, now: Millis) -> Option<SocketAddr> {
+        if self.collector.is_none() {
+            let collects = !self.reports.is_empty();
+            return collects.then(|| self.members.placer(self.zones.keys().copied()));
+        }
+        let told = self.fleet.as_ref()?.at;
+        self.placer.filter(|_| now.since(told) <= PATIENCE)
+    }
+
     /// What engines hold, as was heard since the last call.
     pub fn kept(&mut self) -> Vec<Kept> {
         self.holdings.heard()
@@ -289,8 +349,9 @@
         let tells = due || !zone.is_empty() || self.busy[0];
         self.busy[0] = !zone.is_empty();
         if tells {
+            let parts = zone.split();
             for to in self.other_collectors(now) {
-                contents.push((to, Content::Zone(zone.clone())));
+                contents.extend(parts.iter().map(|part| (to, Content::Zone(part.clone()))));
             }
         }
         self.add_other_zones(&mut sums, now);
@@ -301,8 +362,11 @@
         if !tells {
             return;
         }
+        let placer = self.members.placer(self.zones.keys().copied());
+        let parts = fleet.split();
         for to in self.reports.keys() {
-            contents.push((*to, Content::Fleet(fleet.clone())));
+            let parts = parts.iter().cloned();
+            contents.extend(parts.map(|part| (*to, Content::Fleet(part, placer))));
         }
     }
 
--- a/crates/gateway/tests/sharing.rs
+++ b/crates/gateway/tests/sharing.rs
@@ -286,15 +286,21 @@
         waiting: waiting.collect(),
         work: work.collect(),
         kept: (0..200).map(kept).collect(),
+        least: u32::MAX,
+        ..Load::default()
     };
     let names = (0..100).map(|number| Named {
         identity: identity(number),
         age: u16::MAX,
     });
-    let message = Message::new(&identity(1), names.collect(), Content::Fleet(load));
+    let message = Message::new(
+        &identity(1),
+        names.collect(),
+        Content::Fleet(load, identity(0).address),
+    );
     let bytes = message.encode();
     assert!(bytes.len() <= 1400, "{}", bytes.len());
-    let Content::Fleet(told) = &message.content else {
+    let Content::Fleet(told, _) = &message.content else {
         unreachable!()
     };
     assert_eq!(
@@ -415,7 +421,7 @@
     let mut told = Vec::new();
     for round in 0..4 {
         for (to, message) in sharing.round(Load::default(), Millis(1000 + round * ROUND)) {
-            if let Content::Fleet(load) = message.content
+            if let Content::Fleet(load, _) = message.content
                 && to == from
             {
                 told.extend(load.kept);
--- a/crates/routing/src/delay.rs
+++ b/crates/routing/src/delay.rs
@@ -22,13 +22,34 @@
 /// in which a place comes free.
 const REJECTED: f64 = 300.0;
 
+/// How much earlier a request must have been sent than one whose answer has begun to count as read itself, in
+/// milliseconds. Sent at the same time by different instances, they may overtake each other on their way.
+const OVERTAKEN: Millis = Millis(50);
+
+/// How far a server is believed to be behind at most for a request that is overdue, in milliseconds. The
+/// instance that sent it may be gone, and nothing more come of it; nobody would send there to find out.
+const MOST_OVERDUE: f64 = 500.0;
+
+/// A request that is sent to be read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sent {
+    pub(crate) attempt: AttemptKey,
+    /// How long it takes to be read, in milliseconds.
+    pub(crate) reading: f64,
+    /// The wait that is expected before, in milliseconds.
+    pub(crate) ahead: f64,
+    /// Its rank in the server's queue; lower is sooner.
+    pub(crate) rank: u8,
+    /// Whether another instance chose the server, and tells of the request. Told twice, the queue would seem
+    /// to be twice as long.
+    pub(crate) told: bool,
+}
+
 /// A request that has no answer yet.
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
-    attempt: AttemptKey,
+    sent: Sent,
     since: Millis,
-    /// How long it takes to be read, in milliseconds.
-    reading: f64,
 }
 
 /// The wait at one engine.
@@ -38,26 +59,34 @@
     /// The wait that was seen last, in milliseconds, and when.
     seen: f64,
     seen_at: Millis,
+    /// Since when the server reads the prompt that is first in its queue.
+    reads_since: Millis,
     /// What other instances have waiting there, in milliseconds of reading.
     others: f64,
 }
 
 impl Delay {
-    /// A request was sent that takes `reading` milliseconds to be read.
-    pub(crate) fn sent(&mut self, attempt: AttemptKey, reading: f64, now: Millis) {
-        self.waiting.push(Waiting {
-            attempt,
-            since: now,
-            reading,
-        });
+    /// A request was sent.
+    pub(crate) fn sent(&mut self, sent: Sent, now: Millis) {
+        if self.waiting.is_empty() {
+            self.reads_since = now;
+        }
+        self.waiting.push(Waiting { sent, since: now });
     }
 
     /// The request's answer has begun; returns how long it took beyond what an idle engine takes.
+    ///
+    /// Engines read in the order of rank and arrival, so that those before it were read, too. Where nothing was
+    /// heard of one, its instance is gone or the word was lost; kept, it would make the engine seem busy until
+    /// its time is over.
     pub(crate) fn answered(&mut self, attempt: AttemptKey, now: Millis) -> Option<f64> {
-        let request = self.take(attempt)?;
-        let span = now.since(request.since).0 as f64 - BASE;
-        self.seen = (span - request.reading).max(0.0);
+        let Waiting { sent, since } = self.take(attempt)?;
+        self.waiting
+            .retain(|other| other.sent.rank > sent.rank || other.since + OVERTAKEN >= since);
+        let span = now.since(since).0 as f64 - BASE;
+        self.seen = (span - sent.reading).max(0.0);
         self.seen_at = now;
+        self.reads_since = now;
         Some(span)
     }
 
@@ -74,17 +103,42 @@
 
     /// How long a request that is sent now waits before it is read, in milliseconds.
     pub(crate) fn estimate(&self, now: Millis) -> f64 {
+        let overdue = self.overdue(now, |_| 0.0);
+        self.left(now).max(overdue).max(self.others) + self.pending()
+    }
+
+    /// The same for a router that chooses for all instances: it knows all that waits and when each answer
+    /// began, so that the queue is what was placed, less what was read of it since.
+    ///
+    /// A request that is overdue by its own expectation says how far the server is behind what is believed.
+    pub(crate) fn exact(&self, now: Millis) -> f64 {
+        self.others + self.ahead_of(u8::MAX, now)
+    }
+
+    /// How long a request of `rank` waits there behind those that this router placed, in milliseconds.
+    pub(crate) fn ahead_of(&self, rank: u8, now: Millis) -> f64 {
+        let ahead = self.waiting.iter().filter(|other| other.sent.rank <= rank);
+        let ahead: f64 = ahead.map(|other| other.sent.reading).sum();
+        let first = self.waiting.first().map_or(0.0, |first| first.sent.reading);
+        let read = (now.since(self.reads_since).0 as f64).min(first);
+        let overdue = self.overdue(now, |sent| sent.ahead).min(MOST_OVERDUE);
+        (ahead - read).max(0.0) + overdue
+    }
+
+    /// By how much the request is late that is latest by its reading and what was `expected` before.
+    fn overdue(&self, now: Millis, expected: impl Fn(&Sent) -> f64) -> f64 {
         let overdue = self.waiting.iter().map(|request| {
             let span = now.since(request.since).0 as f64;
-            span - BASE - request.reading
+            span - BASE - request.sent.reading - expected(&request.sent)
         });
-        let overdue = overdue.fold(0.0, f64::max);
-        self.left(now).max(overdue).max(self.others) + self.pending()
+        overdue.fold(0.0, f64::max)
     }
 
-    /// How long this instance's requests that have no answer yet take to be read, in milliseconds.
+    /// How long the requests that this router placed and that have no answer yet take to be read, in
+    /// milliseconds.
     pub(crate) fn pending(&self) -> f64 {
-        self.waiting.iter().map(|request| request.reading).sum()
+        let placed = self.waiting.iter().filter(|request| !request.sent.told);
+        placed.map(|request| request.sent.reading).sum()
     }
 
     /// Other instances have this much waiting.
@@ -98,8 +152,11 @@
     }
 
     fn take(&mut self, attempt: AttemptKey) -> Option<Waiting> {
-        let place = self.waiting.iter().position(|w| w.attempt == attempt)?;
-        Some(self.waiting.swap_remove(place))
+        let place = self
+            .waiting
+            .iter()
+            .position(|w| w.sent.attempt == attempt)?;
+        Some(self.waiting.remove(place))
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -73,6 +73,7 @@
 pub use router::NoServer;
 pub use router::Outcome;
 pub use router::Pick;
+pub use router::Placed;
 pub use router::Reason;
 pub use router::Router;
 pub use router::Spill;
--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -4,10 +4,13 @@
 use crocushold_base::ServerKey;
 use rand::RngExt;
 
+use super::ALL;
 use super::kept::Reading;
+use crate::delay::Sent;
 use crate::router::Demand;
 use crate::router::NoServer;
 use crate::router::Pick;
+use crate::router::Placed;
 use crate::router::Reason;
 use crate::router::Router;
 use crate::router::types::InFlight;
@@ -67,7 +70,7 @@
             self.note_load(demand, best.wait);
             check_wait(&best, demand)?;
             let reading = self.reading_at(&best, demand, &kept);
-            return Ok(self.start(best.server, pool, demand, reading, now));
+            return Ok(self.start(best.server, pool, demand, &reading, now));
         }
         let Some(best) = self.sample(pool, demand, now) else {
             let reason = self.why_none(pool, demand.exclude);
@@ -76,7 +79,27 @@
         let home = self.home(pool, demand);
         let near = home.filter(|&home| self.is_near(home, best.server, demand, now));
         let server = near.unwrap_or(best.server);
-        Ok(self.start(server, pool, demand, Reading::default(), now))
+        Ok(self.start(server, pool, demand, &Reading::default(), now))
+    }
+
+    /// Takes a slot of the server that another instance chose; `None` where this router knows better: the
+    /// server is gone, leaving, out or full, or was tried.
+    pub fn adopt(&mut self, placed: &Placed, demand: &Demand<'_>, now: Millis) -> Option<Pick> {
+        self.tick(now);
+        let Placed { server, source, .. } = *placed;
+        if demand.exclude.contains(&server) {
+            return None;
+        }
+        let takes = |pool: &usize| self.takes(server, *pool);
+        let wanted = self.pool_of(demand.model).filter(takes);
+        let pool = wanted.or_else(|| Some(ALL).filter(takes))?;
+        let reading = Reading {
+            read: f64::from(placed.read),
+            source,
+            wait: placed.wait.0 as f64,
+            told: true,
+        };
+        Some(self.start(server, pool, demand, &reading, now))
     }
 
     /// The cheapest of a few servers drawn at random from those with a free slot.
@@ -189,7 +212,7 @@
         server: ServerKey,
         pool: usize,
         demand: &Demand<'_>,
-        reading: Reading,
+        reading: &Reading,
         now: Millis,
     ) -> Pick {
         let tokens = match demand.tokens {
@@ -197,7 +220,12 @@
             known => known,
         };
         self.volume.add(f64::from(tokens), 0.01);
-        let Reading { read, source, wait } = reading;
+        let &Reading {
+            read,
+            source,
+            wait,
+            told,
+        } = reading;
         let attempt = self.attempts.insert(InFlight {
             server,
             life: self.servers[server].life,
@@ -219,7 +247,14 @@
         if read > 0.0 {
             let reading = self.speed.reading(read);
             self.reading.add(reading, READING_ALPHA);
-            chosen.delay.sent(attempt, reading, now);
+            let sent = Sent {
+                attempt,
+                reading,
+                ahead: wait,
+                rank: demand.priority,
+                told,
+            };
+            chosen.delay.sent(sent, now);
             self.note_kept(server, demand.prefix, now);
         }
         self.settle(server);
@@ -230,6 +265,7 @@
             patience,
             source,
             wait: Millis(wait as u64),
+            read: read as u32,
         }
     }
 
--- a/crates/routing/src/router/expected.rs
+++ b/crates/routing/src/router/expected.rs
@@ -65,13 +65,14 @@
             }
         }
         let open = self.pools[pool].open.len();
+        let drawn = if demand.central { open } else { DRAWN };
         let start = if open > 0 {
             self.rng.random_range(0..open)
         } else {
             0
         };
         // A stride through the array draws different servers; with few all are drawn.
-        for step in 0..open.min(DRAWN + demand.exclude.len()) {
+        for step in 0..open.min(drawn + demand.exclude.len()) {
             let server = self.pools[pool].open[(start + step) % open].server;
             best = cheaper(best, self.expect(server, demand, kept, extra, now));
         }
@@ -96,9 +97,20 @@
         let ttl = self.settings.report_ttl;
         let running = f64::from(state.in_flight) + state.others(self.others.mean(), ttl, now);
         let queue = state.queued(ttl, now) * WAITING_COST * self.reading.mean();
-        let distance = if state.local { 0.0 } else { DISTANCE };
-        let wait = state.delay.estimate(now).max(queue);
-        let expected = wait + own + shared + running * RUNNING_COST + distance;
+        let local = demand
+            .zone
+            .map_or(state.local, |zone| zone == state.spec.zone);
+        let distance = if local { 0.0 } else { DISTANCE };
+        // All that is read there counts for the choice, also what the request would overtake: its own tokens
+        // come between the pieces of that.
+        let (busy, wait) = if demand.central {
+            let delay = &state.delay;
+            (delay.exact(now), delay.ahead_of(demand.priority, now))
+        } else {
+            let busy = state.delay.estimate(now).max(queue);
+            (busy, busy)
+        };
+        let expected = busy + own + shared + running * RUNNING_COST + distance;
         let cost = (expected + 1.0) * self.doubt(state, demand) + extra;
         Some(Scored { server, cost, wait })
     }
--- a/crates/routing/src/router/kept.rs
+++ b/crates/routing/src/router/kept.rs
@@ -78,6 +78,8 @@
     pub(super) source: Option<ServerKey>,
     /// The expected wait before, in milliseconds.
     pub(super) wait: f64,
+    /// Whether another instance chose the server, and tells of the request.
+    pub(super) told: bool,
 }
 
 impl Router {
@@ -182,6 +184,7 @@
             read: f64::from(demand.own) + shared,
             source,
             wait: chosen.wait,
+            told: false,
         }
     }
 
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -26,6 +26,7 @@
 pub use self::types::NoServer;
 pub use self::types::Outcome;
 pub use self::types::Pick;
+pub use self::types::Placed;
 pub use self::types::Reason;
 pub use self::types::Spill;
 use crate::cache::Hints;
--- a/crates/routing/src/router/types.rs
+++ b/crates/routing/src/router/types.rs
@@ -40,6 +40,12 @@
     pub limit: Option<Millis>,
     /// Servers that were tried already.
     pub exclude: &'a [ServerKey],
+    /// The availability zone of the instance that sends it; `None` for the router's own.
+    pub zone: Option<&'a str>,
+    /// Whether this router chooses for all instances. It then sees each request as it is placed, and all
+    /// servers are weighed by their exact queues; else a few are drawn, so that instances that know little
+    /// don't all choose the same one.
+    pub central: bool,
 }
 
 /// Servers that take a request where its own have a queue.
@@ -65,6 +71,21 @@
     pub source: Option<ServerKey>,
     /// How long the request is expected to wait at the server; zero where that isn't estimated.
     pub wait: Millis,
+    /// Tokens of the prompt that the server is expected to read; zero where that isn't known.
+    pub read: u32,
+}
+
+/// A server that another instance chose for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Placed {
+    /// The server.
+    pub server: ServerKey,
+    /// Another server, from which this one should bring the prefix instead of reading it.
+    pub source: Option<ServerKey>,
+    /// How long the request is expected to wait at the server.
+    pub wait: Millis,
+    /// Tokens of the prompt that the server is expected to read.
+    pub read: u32,
 }
 
 /// No server can take the request now.
