Tell whether expected waits were met, with their rank correlation

Cause: at 195 instances the expected wait said nothing, and no log or table showed it; scripts of the moment did. Tests: expectations.rs.

--- a/crates/gateway/src/latencies.rs
+++ b/crates/gateway/src/latencies.rs
@@ -9,6 +9,7 @@
 
 use crate::log_fields::field;
 use crate::log_fields::millis;
+use crate::log_fields::percentile;
 
 /// The percentiles that are told, as parts of a hundred.
 const PERCENTILES: [usize; 3] = [50, 90, 99];
@@ -97,13 +98,6 @@
     })
 }
 
-/// The value below which `part` of a hundred lie; zero without values.
-fn percentile(sorted: &[Millis], part: usize) -> Millis {
-    let last = sorted.len().saturating_sub(1);
-    let place = (sorted.len() * part / 100).min(last);
-    sorted.get(place).copied().unwrap_or_default()
-}
-
 /// The time of day of a line, as milliseconds since midnight. Only spans between lines are told, and a log that
 /// goes over midnight is told as two.
 fn time_of(line: &str) -> Option<Millis> {
--- a/crates/gateway/src/log_fields.rs
+++ b/crates/gateway/src/log_fields.rs
@@ -1,4 +1,4 @@
-//! Pairs of a line of log.
+//! Pairs of a line of log, and sums over them.
 
 use crocushold_base::Millis;
 
@@ -13,3 +13,10 @@
     let text = field(line, name)?.strip_suffix("ms")?;
     text.parse().ok().map(Millis)
 }
+
+/// The value below which `part` of a hundred lie; zero without values.
+pub(crate) fn percentile(sorted: &[Millis], part: usize) -> Millis {
+    let last = sorted.len().saturating_sub(1);
+    let place = (sorted.len() * part / 100).min(last);
+    sorted.get(place).copied().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/gateway/tests/expectations.rs
@@ -0,0 +1,70 @@
+//! Expected waits against those that were met, out of logs.
+
+use crocushold_base::Millis;
+use crocushold_gateway::Chooser;
+use crocushold_gateway::Expectation;
+use crocushold_gateway::expectations;
+use test_case::test_case;
+
+fn line(route: &str, placer: &str, expected: u64, first: u64) -> String {
+    format!(
+        "time=2026-02-12T10:00:00.000+0000 event=request-ended route={route} placer={placer} \
+         expected-wait={expected}ms outcome=answered prefix=7f first={first}ms"
+    )
+}
+
+fn told(lines: &[String]) -> Vec<Expectation> {
+    expectations(lines.iter().map(String::as_str))
+}
+
+fn correlation(pairs: &[(u64, u64)]) -> Option<f64> {
+    let lines = pairs
+        .iter()
+        .map(|&(wait, first)| line("a", "none", wait, first));
+    let lines: Vec<String> = lines.collect();
+    told(&lines)[0].correlation
+}
+
+/// Requests that were expected to wait longer do, whatever the scale; or the other way round; or both the same.
+#[test_case(&[(0, 10), (50, 400), (900, 401)], Some(1.0); "in order")]
+#[test_case(&[(0, 900), (50, 400), (900, 10)], Some(-1.0); "reversed")]
+#[test_case(&[(0, 10), (0, 20), (900, 10), (900, 20)], Some(0.0); "no relation")]
+#[test_case(&[(0, 10), (0, 20)], None; "nothing was expected")]
+#[test_case(&[(5, 10)], None; "one request")]
+fn relations_are_told(pairs: &[(u64, u64)], expected: Option<f64>) {
+    let met = correlation(pairs);
+    match (met, expected) {
+        (Some(met), Some(expected)) => assert!((met - expected).abs() < 1e-9, "{met}"),
+        _ => assert_eq!(met, expected),
+    }
+}
+
+/// A fleet places requests of two routes; one was placed by the instance that was asked. The table tells them
+/// apart, and puts each into the step of what was expected.
+#[test]
+fn requests_are_told_by_route_and_chooser() {
+    let lines = [
+        line("a", "10.0.0.1:7340", 0, 30),
+        line("a", "10.0.0.1:7340", 150, 90),
+        line("b", "none", 5000, 2000),
+        "event=request-ended route=a expected-wait=0ms outcome=late prefix=7f".to_owned(),
+        "event=request-ended route=a expected-wait=0ms first=3ms prefix=0".to_owned(),
+    ];
+    let told = told(&lines);
+    let keys: Vec<_> = told
+        .iter()
+        .map(|told| (told.route.as_deref(), told.chooser))
+        .collect();
+    let wanted = [
+        (None, Chooser::All),
+        (None, Chooser::Own),
+        (None, Chooser::Placer),
+        (Some("a"), Chooser::All),
+        (Some("b"), Chooser::All),
+    ];
+    assert_eq!(keys, wanted);
+    let requests: Vec<usize> = told[0].steps.iter().map(|step| step.requests).collect();
+    assert_eq!(requests, [1, 1, 0, 0, 1]);
+    assert_eq!(told[0].steps[4].first, [Millis(2000); 2]);
+    assert_eq!(told[0].steps[4].most, None);
+}
--- a/src/commands/latencies.rs
+++ b/src/commands/latencies.rs
@@ -1,4 +1,5 @@
-//! `crocushold latencies`: how the classes of requests fared over time, out of the logs of gateways.
+//! `crocushold latencies`: how the classes of requests fared over time, and whether the waits that were expected
+//! were met, out of the logs of gateways.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -7,7 +8,11 @@
 use bpaf::construct;
 use bpaf::long;
 use crocushold_base::Millis;
+use crocushold_gateway::Chooser;
+use crocushold_gateway::Expectation;
 use crocushold_gateway::Span;
+use crocushold_gateway::Step;
+use crocushold_gateway::expectations;
 use crocushold_gateway::latencies;
 
 use super::logs;
@@ -53,6 +58,11 @@
     for span in latencies(lines, Millis(args.span)) {
         print::out(row(&span));
     }
+    print::out("\nexpected wait against the first byte, 50/90 ms\n".to_owned());
+    let lines = logs.iter().flat_map(|log| log.lines());
+    for expectation in expectations(lines) {
+        print::out(expected_row(&expectation));
+    }
     ExitCode::SUCCESS
 }
 
@@ -73,3 +83,24 @@
         three(span.expected),
     )
 }
+
+fn expected_row(told: &Expectation) -> String {
+    let chooser = match told.chooser {
+        Chooser::All => "",
+        Chooser::Own => " chosen by themselves",
+        Chooser::Placer => " chosen by a placer",
+    };
+    let route = told.route.as_deref().unwrap_or("all");
+    let relation = told.correlation.map(|value| format!("{value:.2}"));
+    let relation = relation.as_deref().unwrap_or("none");
+    let steps: String = told.steps.iter().map(step_row).collect();
+    format!("{route}{chooser}: rank correlation {relation}\n{steps}")
+}
+
+fn step_row(step: &Step) -> String {
+    let [half, most] = step.first;
+    let end = step.most.map(|most| format!("to {} ms", most.0));
+    let end = end.as_deref().unwrap_or("beyond");
+    let (half, most) = (half.0, most.0);
+    format!("  {end:<12} {:>6} {half:>6}/{most}\n", step.requests)
+}
