Give reasons of constants in terms of callers; restore what telling queues must gain

The test of what telling queues brings had been lowered from one in 33 more in time to one in 50; it asks for one in 33 again, of the way that requests are placed now, and one in 50 stays for telling alone.

--- a/crates/gateway/src/fleet/need.rs
+++ b/crates/gateway/src/fleet/need.rs
@@ -13,7 +13,7 @@
 /// 6 ms and more were seen where few run, 8 where many do.
 const STEP: f64 = 8.0;
 
-/// The part of shared tokens that is read again all the same, as seen on days without faults.
+/// The part of shared tokens that is read again all the same, as seen where nothing fails.
 const REREAD_PART: f64 = 0.2;
 
 /// What a request needs of a server.
--- a/crates/gateway/tests/model/mod.rs
+++ b/crates/gateway/tests/model/mod.rs
@@ -136,7 +136,7 @@
     /// Whether prompts that wait behind the one that is read make a stream's pause longer.
     pub(crate) rows: bool,
     /// The requests that the first instance placed for the others, where they ask it.
-    pub(crate) placer: Option<Placer>,
+    placer: Option<Placer>,
 }
 
 impl World {
@@ -332,6 +332,12 @@
 }
 
 impl World {
+    /// The first instance chooses for all from now on.
+    pub(crate) fn place_centrally(&mut self) {
+        self.placer = Some(Placer::default());
+        self.fleets[0].set_places(true);
+    }
+
     pub(crate) fn run(&mut self, loads: [Load; 2], seconds: u64) -> Vec<Fare> {
         // Time starts late, as everything that the fleets remember is older then.
         for now in 10_000..10_000 + seconds * 1000 {
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -4,7 +4,6 @@
 mod model;
 
 use crocushold_gateway::EngineSpec;
-use crocushold_gateway::Placer;
 
 use self::model::BATCH;
 use self::model::Fare;
@@ -66,20 +65,27 @@
 /// A rush brings more long prompts than the engines read, and each of the instances sees a quarter of
 /// them. Going by its own part alone, an instance takes a queue for longer or shorter than it is, and
 /// sends prompts away from their homes to be read again. Told what the others have waiting, it keeps them
-/// there, and the engines' time that this saves serves more in time.
+/// there, and the engines' time that this saves serves more in time. Placed by one that sees all, one in 33 more
+/// than by each alone is in time.
 #[test]
 fn instances_that_tell_each_other_their_queues_read_less_again() {
     let rush = Load { rate: 200, ..BATCH };
     let alone = play([LIVE, rush], 30);
     let sharing = play_in(World::new(true), [LIVE, rush], 30);
     let (before, after) = (alone[1], sharing[1]);
-    // One in 400 at most is read again, and one in 50 more is in time.
     assert!(after.reread <= before.reread, "{before:?} {after:?}");
     assert!(after.reread * 400 <= after.asked, "{before:?} {after:?}");
     assert!(
         after.in_time * 100 >= before.in_time * 102,
         "{before:?} {after:?}"
     );
+    let mut world = World::new(true);
+    world.place_centrally();
+    let placed = play_in(world, [LIVE, rush], 30)[1];
+    assert!(
+        placed.in_time * 100 >= before.in_time * 103,
+        "{before:?} {placed:?}"
+    );
     assert!(
         sharing[0].in_time * 100 >= alone[0].in_time * 97,
         "{alone:?} {sharing:?}"
@@ -190,8 +196,7 @@
     };
     let alone = play_in(World::sized(true, 40, 40), [LIVE, rush], 10);
     let mut world = World::sized(true, 40, 40);
-    world.placer = Some(Placer::default());
-    world.fleets[0].set_places(true);
+    world.place_centrally();
     let placed = play_in(world, [LIVE, rush], 10);
     let late = |fares: &[Fare]| fares[1].asked - fares[1].in_time;
     assert!(
--- a/crates/routing/src/lanes.rs
+++ b/crates/routing/src/lanes.rs
@@ -67,14 +67,14 @@
 pub struct LaneSettings {
     /// The time in which the memory of past work fades to half. Shorter than a burst, so that the
     /// borders follow it, and long enough to even out the fleet's arrivals. With 3 s live streams were late
-    /// at the start of each burst: of the worth of one day they had 0.61 in place of 0.55.
+    /// at the start of each burst.
     pub half_life: Millis,
     /// The same for the streams whose pauses were seen. What a pause beside prompts takes is a matter of the
     /// engines and hardly changes.
     pub stream_half_life: Millis,
     /// How much room live and light work get for their part of the work. Their tokens are made in the same
-    /// steps in which prompts are read, so that they take less than they count: with 1.5 in place of 0.5
-    /// the mean worth of six days was 0.795 in place of 0.820, as long prompts had too few engines.
+    /// steps in which prompts are read, so that they take less than they count: in a rush on 117 engines,
+    /// 68 in 100 long prompts were on time with 0.5 and 63 with 1.2, as they had too few engines.
     pub light_room: f64,
     /// The part of an engine's time that live streams may fill where they have engines of their own.
     pub full: f64,
--- a/crates/routing/src/router/kept.rs
+++ b/crates/routing/src/router/kept.rs
@@ -21,24 +21,22 @@
 const HOMES: usize = 2;
 
 /// What the reading of shared parts counts for, in times of its length. An engine that reads them once
-/// more reads nothing else meanwhile, which those behind it pay as well. With 10, the busiest days had 0.01
-/// to 0.02 less of their worth.
+/// more reads nothing else meanwhile, which those behind it pay as well.
 const REREAD_WEIGHT: f64 = 20.0;
 
 /// What a transfer counts for at least, in times of its length: the memory that the copy takes there is no
-/// longer there for others. Mean worth of the days of three small deployments, one play each: 0.818 with 10,
-/// 0.819 with 20, 0.816 with 40, 0.809 with 80; of two of them, 0.797 with 4 in place of 0.806 with 10.
+/// longer there for others.
 const TRANSFER_WEIGHT: f64 = 10.0;
 
 /// What each millisecond that long prompts wait of late, beyond [`USUAL_WAIT`], adds to that weight.
 ///
 /// Where all engines have queues a prompt that is moved meets another queue, and its copy pushes out what others
-/// need: with a weight of 10 alone the busiest day of a large fleet had 0.31 of its worth in place of 0.53.
+/// need: in twelve seconds of a rush on 117 engines, 3.5 million shared tokens were read again with a weight of 10
+/// alone, 4.2 million with 4, and 2.5 million with this.
 const WEIGHT_BY_WAIT: f64 = 0.5;
 
-/// The wait of a rush that some engines are free of, in milliseconds. Counted from zero on, waits kept prompts at
-/// full engines in the rushes of a small fleet: 0.777 of its worth in place of 0.786. From 300 on, the busiest
-/// day of a large one had 0.49 in place of 0.52.
+/// The wait of a rush that some engines are free of, in milliseconds: about the reading of one long prompt. Counted
+/// from zero on, waits kept prompts at full engines in the rushes of a small fleet.
 const USUAL_WAIT: f64 = 150.0;
 
 /// Weight of one long prompt in the mean wait. An instance of today's fleets sends about eight a second, so
--- a/src/commands/latencies.rs
+++ b/src/commands/latencies.rs
@@ -58,9 +58,12 @@
     for span in latencies(lines, Millis(args.span)) {
         print::out(row(&span));
     }
-    print::out("\nexpected wait against the first byte, 50/90 ms\n".to_owned());
     let lines = logs.iter().flat_map(|log| log.lines());
-    for expectation in expectations(lines) {
+    let told = expectations(lines);
+    if !told.is_empty() {
+        print::out("\nexpected wait against the first byte, 50/90 ms\n".to_owned());
+    }
+    for expectation in told {
         print::out(expected_row(&expectation));
     }
     ExitCode::SUCCESS
--- a/tests/all/commands.rs
+++ b/tests/all/commands.rs
@@ -248,8 +248,15 @@
         rows[0].starts_with("r ") && rows[0].contains("30/30/30"),
         "{printed}"
     );
+    let log = log.replace("first=30ms", "first=30ms expected-wait=9ms prefix=7f");
+    let (status, printed) = run(&["latencies"], &log);
+    assert_eq!(status, 0);
+    assert!(
+        printed.contains("all chosen by themselves: rank correlation none"),
+        "{printed}"
+    );
     let (status, printed) = run(&["latencies"], "event=started\n");
     assert_eq!((status, printed.lines().count()), (0, 1));
-    let (status, _) = run(&["latencies", "--span", "0"], log);
+    let (status, _) = run(&["latencies", "--span", "0"], &log);
     assert_eq!(status, 64);
 }
