Tell when queues were left out; split the choice of servers and the record of a request from their modules

Change: one line when it begins and ends and a counter of rounds; a counter of what came of questions to the placer. fleet/choose.rs holds where requests go, record.rs the last line of a request, Round what comes of a round. Tests: all of 140 engines are named to 80 instances; of 400 and 5,900 none is taken to be idle; all agree on one that places, and on another when it is lost; one that starts doesn't place.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -14,8 +14,8 @@
 
 use crate::exchange::Exchange;
 use crate::exchange::Failure;
-use crate::exchange::Record;
 use crate::intake::Job;
+use crate::record::Record;
 use crate::refusal::Refusal;
 use crate::shared::Shared;
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -28,13 +28,14 @@
 
 use crate::fleet::Choice;
 use crate::intake::Job;
+use crate::placing::NoAdvice;
 use crate::placing::Question;
 use crate::placing::Verdict as Advice;
 use crate::protocol::AnswerMeta;
 use crate::protocol::Forward;
+use crate::record::Record;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
-use crate::routes::Repeat;
 use crate::settle::Pauses;
 use crate::settle::Settle;
 use crate::shared::Shared;
@@ -63,56 +64,6 @@
     CallerGone,
 }
 
-/// What is kept of a request for its last line in the log.
-#[derive(Clone, Debug)]
-pub(crate) struct Record {
-    pub(crate) id: String,
-    pub(crate) route: String,
-    /// The caller's account.
-    pub(crate) account: Option<String>,
-    pub(crate) repeat: Repeat,
-    pub(crate) priority: u8,
-    pub(crate) version: u64,
-    pub(crate) arrived: Millis,
-    pub(crate) attempts: u32,
-    /// Most tokens of its answer.
-    pub(crate) output: u32,
-    /// What it shares with others, by which it is placed.
-    pub(crate) prefix: Option<u32>,
-    /// Another engine, from which the chosen one was to bring it.
-    pub(crate) source: Option<SocketAddr>,
-    /// The wait that was expected when its server was chosen.
-    pub(crate) wait: Millis,
-    /// The longest wait with which it is sent at all.
-    pub(crate) limit: Option<Millis>,
-    /// Tokens of its prompt that the server was expected to read.
-    pub(crate) read: u32,
-    /// The instance that chose its server, where it is another one.
-    pub(crate) placer: Option<SocketAddr>,
-}
-
-impl Record {
-    /// The last line in the log of a request that was resolved, without what its answer was like.
-    pub(crate) fn ended(&self, shared: &Shared, outcome: &str) -> Event {
-        let limit = self.limit.map(|limit| limit.to_string());
-        let placer = self.placer.map(|placer| placer.to_string());
-        Event::new("request-ended")
-            .with("request", &self.id)
-            .with("route", &self.route)
-            .with("account", self.account.as_deref().unwrap_or("none"))
-            .with("rank", self.priority)
-            .with("config", self.version)
-            .with("knowledge-age", shared.knowledge_age())
-            .with("attempts", self.attempts)
-            .with("placer", placer.as_deref().unwrap_or("none"))
-            .with("expected-wait", self.wait)
-            .with("expected-read", self.read)
-            .with("wait-limit", limit.as_deref().unwrap_or("none"))
-            .with("outcome", outcome)
-            .with("total", shared.clock.now().since(self.arrived))
-    }
-}
-
 /// One request on its way.
 pub(crate) struct Exchange<'a> {
     shared: &'a Arc<Shared>,
@@ -254,11 +205,25 @@
             tried: self.shared.fleet().hashes_of(&self.tried),
             now,
         };
-        let (ticket, verdict) = self.shared.placing.ask(question).await?;
+        let advice = self.shared.placing.ask(question).await;
+        let report = &self.shared.report;
+        let (ticket, advice) = match advice {
+            Ok(advice) => advice,
+            Err(NoAdvice::Nobody) => return None,
+            Err(NoAdvice::Silent) => {
+                report.placement("silent");
+                return None;
+            }
+        };
         let now = self.shared.clock.now();
-        match verdict {
+        match advice {
             Advice::At(place) => {
                 let adopted = self.shared.fleet().adopt(need, &place, &self.tried, now);
+                report.placement(if adopted.is_some() {
+                    "placed"
+                } else {
+                    "not-taken"
+                });
                 if adopted.is_none() {
                     self.shared.placing.unused(ticket);
                 }
@@ -267,11 +232,17 @@
                     Ok(choice)
                 })
             }
-            Advice::Late { wait, back } => Some(Err(NoServer {
-                reason: routing::Reason::Late { wait },
-                retry_after: back,
-            })),
-            Advice::Unable => None,
+            Advice::Late { wait, back } => {
+                report.placement("late");
+                Some(Err(NoServer {
+                    reason: routing::Reason::Late { wait },
+                    retry_after: back,
+                }))
+            }
+            Advice::Unable => {
+                report.placement("unable");
+                None
+            }
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/fleet/choose.rs
@@ -0,0 +1,210 @@
+//! Where requests go: of this instance, by its own choice or another one's, and of others.
+
+use crocushold_base::Millis;
+use crocushold_base::ServerKey;
+use crocushold_routing::Demand;
+use crocushold_routing::Lane;
+use crocushold_routing::NoServer;
+use crocushold_routing::Pick;
+use crocushold_routing::Placed;
+use crocushold_routing::Reason;
+use slotmap::SlotMap;
+
+use super::Choice;
+use super::Fleet;
+use super::Need;
+use super::Server;
+use super::service::ModelLanes;
+use super::service::Service;
+use super::short_hash;
+use crate::placing::Place;
+use crate::sharing::Kept;
+
+/// When to come back where no service is known yet.
+const UNKNOWN_RETRY: Millis = Millis::from_secs(1);
+
+impl Fleet {
+    /// Chooses a server and takes a slot of it.
+    ///
+    /// # Errors
+    ///
+    /// Says why no server can take the request, and when to come back.
+    pub fn pick(
+        &mut self,
+        need: &Need,
+        tried: &[ServerKey],
+        now: Millis,
+    ) -> Result<Choice, NoServer> {
+        let central = self.places;
+        let choice = self.decide(need, tried, None, central, now)?;
+        self.note_first(need, tried, now);
+        Ok(choice)
+    }
+
+    /// Chooses a server for another instance, in availability zone `zone`, and takes a slot of it.
+    ///
+    /// # Errors
+    ///
+    /// Says why no server can take the request, and when to come back.
+    pub fn place(
+        &mut self,
+        need: &Need,
+        zone: &str,
+        tried: &[u32],
+        now: Millis,
+    ) -> Result<Choice, NoServer> {
+        let tried = tried.iter().filter_map(|hash| self.hashes.get(hash));
+        let tried: Vec<ServerKey> = tried.copied().collect();
+        self.decide(need, &tried, Some(zone), true, now)
+    }
+
+    /// Takes a slot of the server that another instance chose; `None` where this one knows better.
+    pub fn adopt(
+        &mut self,
+        need: &Need,
+        place: &Place,
+        tried: &[ServerKey],
+        now: Millis,
+    ) -> Option<Choice> {
+        let server = *self.hashes.get(&place.engine)?;
+        let record = &self.servers[server].record;
+        let model = need.model.as_deref().unwrap_or_default();
+        // The instance that chose may hold another configuration, or an older entry of the server.
+        if record.service != need.service || !record.models.iter().any(|held| held == model) {
+            return None;
+        }
+        let source = place.source.and_then(|hash| self.hashes.get(&hash));
+        let placed = Placed {
+            server,
+            source: source.copied(),
+            wait: place.wait,
+            read: place.read,
+        };
+        let service = self.services.get_mut(&need.service)?;
+        let demand = demand(service, &self.models, need, tried);
+        let pick = service.router.adopt(&placed, &demand, now)?;
+        let choice = choice(&self.servers, service, &pick, need.lane());
+        self.note_first(need, tried, now);
+        Some(choice)
+    }
+
+    /// Whether this instance chooses for others from now on. What it chooses for its own requests goes by
+    /// the same knowledge.
+    pub fn set_places(&mut self, places: bool) {
+        self.places = places;
+    }
+
+    /// The names under which other instances know servers.
+    pub fn hashes_of(&self, servers: &[ServerKey]) -> Vec<u32> {
+        let known = servers.iter().filter_map(|key| self.servers.get(*key));
+        known.map(|server| short_hash(&server.id)).collect()
+    }
+
+    fn decide(
+        &mut self,
+        need: &Need,
+        tried: &[ServerKey],
+        zone: Option<&str>,
+        central: bool,
+        now: Millis,
+    ) -> Result<Choice, NoServer> {
+        let service = self.services.get_mut(&need.service).ok_or(NoServer {
+            reason: Reason::Out,
+            retry_after: UNKNOWN_RETRY,
+        })?;
+        if tried.is_empty() {
+            let work = need.work(service.router.reading_speed(), service.slots);
+            service.lanes.note(need.lane(), work, now);
+            service.take_pause(need);
+        }
+        let demand = Demand {
+            zone,
+            central,
+            ..demand(service, &self.models, need, tried)
+        };
+        let pick = service.router.pick(&demand, now)?;
+        let choice = choice(&self.servers, service, &pick, need.lane());
+        if let Some(prefix) = need.prefix {
+            let kept = Kept {
+                prefix,
+                engine: short_hash(&choice.id),
+            };
+            self.news.sent(kept, need.shared(), now);
+        }
+        Ok(choice)
+    }
+
+    /// The first attempt of a request of this instance: what may be repeated is a part of these.
+    fn note_first(&mut self, need: &Need, tried: &[ServerKey], now: Millis) {
+        let service = self.services.get_mut(&need.service);
+        if let Some(service) = service.filter(|_| tried.is_empty()) {
+            service.take_pause(need);
+            service.retry.first_attempt(now);
+        }
+    }
+
+    /// The choice as another instance is told of it.
+    pub fn placed(&self, choice: &Choice) -> Place {
+        let source = choice.source.and_then(|address| {
+            let mut servers = self.servers.values();
+            servers.find(|server| server.record.address == address)
+        });
+        Place {
+            engine: short_hash(&choice.id),
+            source: source.map(|server| short_hash(&server.id)),
+            wait: choice.wait,
+            read: choice.read,
+        }
+    }
+}
+
+fn demand<'a>(
+    service: &Service,
+    models: &ModelLanes,
+    need: &Need,
+    tried: &'a [ServerKey],
+) -> Demand<'a> {
+    let model = need.model.as_deref().unwrap_or_default();
+    let (model, spill) = service.pools(models, model, need.lane());
+    Demand {
+        model,
+        prefix: need.prefix.map(u64::from),
+        priority: need.priority,
+        idempotent: need.idempotent,
+        tokens: need.prompt.saturating_add(need.output),
+        own: need.own,
+        shared: need.shared(),
+        pause: need.pause,
+        spill,
+        limit: need.limit,
+        exclude: tried,
+        ..Demand::default()
+    }
+}
+
+fn choice(
+    servers: &SlotMap<ServerKey, Server>,
+    service: &Service,
+    pick: &Pick,
+    lane: Lane,
+) -> Choice {
+    // The router knows only servers that `configure` gave it, and forgets them with their last
+    // attempt; a removed one is never picked.
+    let server = &servers[pick.server];
+    Choice {
+        server: pick.server,
+        id: server.id.clone(),
+        address: server.record.address,
+        engine: !server.record.models.is_empty(),
+        source: pick
+            .source
+            .and_then(|key| servers.get(key))
+            .map(|source| source.record.address),
+        wait: pick.wait,
+        ticket: None,
+        read: pick.read,
+        lane,
+        attempt: pick.attempt,
+        service: service.name.clone(),
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod log_fields;
 mod placing;
 mod protocol;
+mod record;
 mod refusal;
 mod report;
 mod routes;
--- a/crates/gateway/src/placing/mod.rs
+++ b/crates/gateway/src/placing/mod.rs
@@ -28,5 +28,6 @@
 pub use message::Reply;
 pub use message::Verdict;
 pub use placer::Placer;
+pub(crate) use shell::NoAdvice;
 pub(crate) use shell::Placing;
 pub(crate) use shell::Question;
--- a/crates/gateway/src/placing/shell.rs
+++ b/crates/gateway/src/placing/shell.rs
@@ -80,10 +80,15 @@
         }
     }
 
-    /// Asks where a request should go; `None` where there is no answer, and the instance chooses by itself.
-    pub(crate) async fn ask(&self, question: Question<'_>) -> Option<(Ticket, Verdict)> {
+    /// Asks where a request should go.
+    ///
+    /// # Errors
+    ///
+    /// Says why there is no answer; the instance chooses by itself then.
+    pub(crate) async fn ask(&self, question: Question<'_>) -> Result<(Ticket, Verdict), NoAdvice> {
         let now = question.now;
-        let ticket = lock(&self.asker).open(now)?;
+        let opened = lock(&self.asker).open(now);
+        let ticket = opened.ok_or(NoAdvice::Nobody)?;
         let open = Open {
             placing: self,
             ticket,
@@ -100,7 +105,7 @@
         self.send(ticket.placer, &Packet::Ask(ask));
         let verdict = timeout(ASK_TIMEOUT.into(), receiver).await;
         if let Ok(Ok(verdict)) = verdict {
-            return Some((ticket, verdict));
+            return Ok((ticket, verdict));
         }
         let doubts = lock(&self.asker).missed(ticket, now + ASK_TIMEOUT);
         if doubts {
@@ -108,7 +113,7 @@
             info!("{event}");
         }
         drop(open);
-        None
+        Err(NoAdvice::Silent)
     }
 
     /// The answer to a placed request has begun.
@@ -187,6 +192,15 @@
     }
 }
 
+/// Why the placer didn't say where a request should go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoAdvice {
+    /// None is known, or it is left alone as it didn't answer.
+    Nobody,
+    /// It didn't answer in time.
+    Silent,
+}
+
 /// What is asked of the placer.
 pub(crate) struct Question<'a> {
     pub(crate) need: &'a Need,
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -21,6 +21,8 @@
     attempts: IntCounterVec,
     seconds: HistogramVec,
     malformed: IntCounter,
+    placements: IntCounterVec,
+    left_out: IntCounter,
     version: IntGauge,
     running: IntGauge,
 }
@@ -50,13 +52,25 @@
             "Published entries that couldn't be read",
         );
         let malformed = malformed.expect("the name is valid");
+        let placements = counters(
+            "crocushold_placements_total",
+            "Questions where a request should go, by what came of them",
+            &["outcome"],
+        );
+        let left_out = IntCounter::new(
+            "crocushold_queues_left_out_total",
+            "Rounds in which there were more engines with a queue than messages could name",
+        );
+        let left_out = left_out.expect("the name is valid");
         let version = gauge("crocushold_config_version", "The configuration in force");
         let running = gauge("crocushold_requests_running", "Requests in progress");
-        let collectors: [Box<dyn prometheus::core::Collector>; 6] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(seconds.clone()),
             Box::new(malformed.clone()),
+            Box::new(placements.clone()),
+            Box::new(left_out.clone()),
             Box::new(version.clone()),
             Box::new(running.clone()),
         ];
@@ -70,6 +84,8 @@
             attempts,
             seconds,
             malformed,
+            placements,
+            left_out,
             version,
             running,
         }
@@ -84,6 +100,16 @@
         self.malformed.inc_by(count);
     }
 
+    /// A question where a request should go came to `outcome`.
+    pub(crate) fn placement(&self, outcome: &str) {
+        self.placements.with_label_values(&[outcome]).inc();
+    }
+
+    /// Not all engines with a queue could be named to other instances.
+    pub(crate) fn left_out(&self) {
+        self.left_out.inc();
+    }
+
     pub(crate) fn started(&self) {
         self.running.inc();
     }
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -10,8 +10,8 @@
 use crocushold_routing::Outcome;
 use log::info;
 
-use crate::exchange::Record;
 use crate::fleet::Choice;
+use crate::record::Record;
 use crate::shared::Shared;
 
 /// Events that a stream must have had for its pauses to tell something.
--- a/crates/gateway/src/sharing/message.rs
+++ b/crates/gateway/src/sharing/message.rs
@@ -203,6 +203,16 @@
     Fleet(Load, SocketAddr),
 }
 
+impl Content {
+    /// Whether it names only the longest queues.
+    pub(crate) fn leaves_out(&self) -> bool {
+        match self {
+            Content::Hello | Content::Names => false,
+            Content::Own(load) | Content::Zone(load) | Content::Fleet(load, _) => load.least > 0,
+        }
+    }
+}
+
 /// What an instance tells another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -15,8 +15,11 @@
 use twox_hash::XxHash3_64;
 
 use super::message::Identity;
+use super::message::Kept;
 use super::message::MOST_BYTES;
+use super::message::Message;
 use super::state::Sharing;
+use super::state::Sums;
 use crate::placing::Packet;
 use crate::shared::Shared;
 
@@ -78,47 +81,74 @@
     state: Arc<Mutex<Sharing>>,
 ) {
     let mut live = 0;
+    let mut left_out = false;
     loop {
         task::sleep(ROUND.into()).await;
-        let now = shared.clock.now();
-        let own = shared.fleet().load_told(now);
-        let (messages, others, kept, count, placer) = {
-            let mut state = lock(&state);
-            state.saw(shared.store.changed());
-            if state.is_behind(shared.store.watched(), now) {
-                shared.store.give_up();
-            }
-            let messages = state.round(own, now);
-            let placer = state.placer(now);
-            (
-                messages,
-                state.others(now),
-                state.kept(),
-                state.live(),
-                placer,
-            )
-        };
-        let places = placer == Some(me);
+        let round = Round::run(&shared, &state);
+        let places = round.placer == Some(me);
         {
             let mut fleet = shared.fleet();
-            fleet.take_others(&others);
-            fleet.take_kept(&kept, now);
+            fleet.take_others(&round.others);
+            fleet.take_kept(&round.kept, round.now);
             fleet.set_places(places);
         }
-        shared.placing.follow(placer.filter(|_| !places));
-        if count != live {
-            live = count;
-            shared.store.set_live(count);
+        shared.placing.follow(round.placer.filter(|_| !places));
+        if round.leaves_out {
+            shared.report.left_out();
+        }
+        if round.leaves_out != left_out {
+            left_out = round.leaves_out;
+            info!("{}", Event::new("queues-left-out").with("now", left_out));
+        }
+        if round.live != live {
+            live = round.live;
+            shared.store.set_live(live);
             info!("{}", Event::new("peers-changed").with("live", live));
         }
-        for (target, message) in messages {
-            // Lost or refused: the next round tells more recent news.
+        for (target, message) in round.messages {
             let packet = Packet::News(message);
+            // Lost or refused: the next round tells more recent news.
             let _ = socket.send_to(&packet.encode(), target).await;
         }
     }
 }
 
+/// What comes of one round.
+struct Round {
+    now: Millis,
+    messages: Vec<(SocketAddr, Message)>,
+    /// What the other instances have.
+    others: Sums,
+    kept: Vec<Kept>,
+    /// Other instances of the zone.
+    live: usize,
+    /// Which instance places for all.
+    placer: Option<SocketAddr>,
+    /// Whether engines with a queue couldn't be named.
+    leaves_out: bool,
+}
+
+impl Round {
+    fn run(shared: &Shared, state: &Mutex<Sharing>) -> Round {
+        let now = shared.clock.now();
+        let own = shared.fleet().load_told(now);
+        let mut state = lock(state);
+        state.saw(shared.store.changed());
+        if state.is_behind(shared.store.watched(), now) {
+            shared.store.give_up();
+        }
+        Round {
+            now,
+            messages: state.round(own, now),
+            others: state.others(now),
+            kept: state.kept(),
+            live: state.live(),
+            placer: state.placer(now),
+            leaves_out: state.leaves_out(),
+        }
+    }
+}
+
 fn lock(state: &Mutex<Sharing>) -> MutexGuard<'_, Sharing> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/gateway/src/sharing/state.rs
+++ b/crates/gateway/src/sharing/state.rs
@@ -169,6 +169,8 @@
     askers: Vec<SocketAddr>,
     holdings: Holdings,
     lag: Lag,
+    /// Whether engines with a queue were left out of the last round's messages.
+    leaves_out: bool,
     rounds: u64,
 }
 
@@ -192,6 +194,7 @@
             askers: Vec::new(),
             holdings: Holdings::default(),
             lag: Lag::default(),
+            leaves_out: false,
             rounds: 0,
         }
     }
@@ -268,6 +271,7 @@
         self.told.rotate_left(1);
         self.told[1] = own;
         self.collect(due, now, &mut contents);
+        self.leaves_out = contents.iter().any(|(_, content)| content.leaves_out());
         self.greet(&mut contents);
         if contents.is_empty() {
             return Vec::new();
@@ -324,6 +328,11 @@
         self.placer.filter(|_| now.since(told) <= PATIENCE)
     }
 
+    /// Whether the last round's messages couldn't name all engines with a queue.
+    pub fn leaves_out(&self) -> bool {
+        self.leaves_out
+    }
+
     /// This instance saw a change of the store at `revision`.
     pub fn saw(&mut self, revision: u64) {
         self.lag.hear(revision);
--- a/crates/gateway/tests/sharing.rs
+++ b/crates/gateway/tests/sharing.rs
@@ -1,6 +1,7 @@
 //! What the instances tell each other, and what they make of it.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use crocushold_base::Millis;
@@ -14,6 +15,7 @@
 use crocushold_gateway::Sharing;
 use crocushold_gateway::Waiting;
 use crocushold_gateway::Work;
+use test_case::test_case;
 
 const ZONES: u32 = 4;
 const ROUND: u64 = 100;
@@ -112,10 +114,7 @@
         let up = up.filter(|(address, _)| !self.down.contains(address));
         let beliefs = up.map(|(address, instance)| {
             let others = instance.others(self.now);
-            (
-                *address,
-                others.waiting.get(&engine).copied().unwrap_or(0.0),
-            )
+            (*address, others.waiting_at(engine))
         });
         beliefs.collect()
     }
@@ -431,3 +430,98 @@
     let expected: Vec<Kept> = (0..64).map(kept).collect();
     assert_eq!(told, expected, "each once");
 }
+
+/// A hundred and forty engines have something waiting. Named in part, those left out looked idle to the whole
+/// fleet, which sent all there. All instances know all queues, in messages of one packet each.
+#[test]
+fn all_engines_are_named() {
+    let mut net = Net::new(80);
+    net.run(60);
+    let waiting = (1..=140).map(|engine: u32| Waiting {
+        engine: engine.wrapping_mul(0x9e37_79b9),
+        reading: 100 + engine,
+    });
+    let busy = Load {
+        waiting: waiting.collect(),
+        ..Load::default()
+    };
+    net.loads.insert(identity(5).address, busy.clone());
+    net.run(8);
+    for entry in &busy.waiting {
+        for (address, belief) in net.beliefs(entry.engine) {
+            let told = f64::from(entry.reading);
+            let expected = if address == identity(5).address {
+                0.0
+            } else {
+                told
+            };
+            assert!(
+                (belief - expected).abs() < 1.0,
+                "{address}: {belief} of {told}"
+            );
+        }
+    }
+}
+
+/// As many engines as the largest fleet is to have, all with a queue. Not all fit into what an instance may tell:
+/// the longest are named, and of the others it is known that they may have as much as the shortest of those. None
+/// is taken to be idle.
+#[test_case(400; "400 engines")]
+#[test_case(5900; "5,900 engines")]
+fn an_engine_that_is_not_named_is_not_idle(engines: u32) {
+    let mut net = Net::new(8);
+    net.run(60);
+    let hash = |engine: u32| engine.wrapping_mul(0x9e37_79b9);
+    let waiting = (1..=engines).map(|engine| Waiting {
+        engine: hash(engine),
+        reading: 1000 + engine,
+    });
+    let busy = Load {
+        waiting: waiting.collect(),
+        ..Load::default()
+    };
+    let teller = identity(5).address;
+    net.loads.insert(teller, busy);
+    net.run(8);
+    for engine in [1, engines / 2, engines] {
+        for (address, belief) in net.beliefs(hash(engine)) {
+            let told = address != teller;
+            assert!(
+                !told || belief >= 500.0,
+                "{address} believes {belief} of {engine}"
+            );
+        }
+    }
+    assert!(net.instances[&teller].leaves_out());
+}
+
+/// Eighty instances in four zones agree on one that places for all. It loses its power; within two and a half
+/// seconds they agree on another one, and meanwhile nobody names one that knows nothing.
+#[test]
+fn all_agree_on_who_places() {
+    let mut net = Net::new(80);
+    net.run(60);
+    for number in 0..80 {
+        net.loads.insert(identity(number).address, load(7, 10));
+    }
+    net.run(10);
+    let placers = |net: &Net| {
+        let up = net.instances.iter();
+        let up = up.filter(|(address, _)| !net.down.contains(address));
+        let placers: BTreeSet<_> = up.map(|(_, instance)| instance.placer(net.now)).collect();
+        placers
+    };
+    assert_eq!(placers(&net), BTreeSet::from([Some(identity(0).address)]));
+    net.down = vec![identity(0).address];
+    net.run(25);
+    assert_eq!(placers(&net), BTreeSet::from([Some(identity(1).address)]));
+}
+
+/// An instance that has just started has heard of nobody. It doesn't place, as it knows no more than its own
+/// requests, and all that start at once would choose the same engines.
+#[test]
+fn an_instance_that_starts_does_not_place() {
+    let mut sharing = Sharing::new(identity(3), &[identity(0).address]);
+    sharing.round(load(7, 10), Millis(100));
+    assert_eq!(sharing.placer(Millis(100)), None);
+}
