--- a/crates/routing/benches/router.rs
+++ b/crates/routing/benches/router.rs
@@ -128,6 +128,21 @@
     });
 }
 
+/// As before, by one router that chooses for all instances and weighs every server.
+#[divan::bench(args = SERVERS, sample_size = 100)]
+fn pick_centrally_and_done(bencher: Bencher<'_, '_>, servers: usize) {
+    let mut fleet = Fleet::new(servers, 0.3);
+    bencher.bench_local(|| {
+        let demand = Demand {
+            own: 2900,
+            shared: 6300,
+            central: true,
+            ..fleet.demand()
+        };
+        fleet.serve(&demand, Outcome::Complete);
+    });
+}
+
 /// As before, on a fleet of which nearly every slot is taken.
 #[divan::bench(args = SERVERS, sample_size = 1000)]
 fn pick_and_done_when_full(bencher: Bencher<'_, '_>, servers: usize) {
