Let watches of the store wait as before, and tell others what a list brought

The store forgot its history; keys taken away at second 1.6 were served until 6.5, where 3 s are allowed. Watches waited up to 15 s, relying on others to tell of changes; what was learned by a list after lost history wasn't told, and nobody noticed in time. Change: waits don't grow with the instances of a zone any more (reverted); the revision that a list brought is told like that of a watch. Giving up a watch that others have overtaken stays: it costs nothing and ends a silent one sooner. Ruled out: the mend of what a list brings alone; should the store fail all watches at once, the first that notices plus two rounds and a pause come to 2.8 s of 3.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -48,7 +48,7 @@
                 Pace::Gather
             }),
             Some(at) => {
-                let wait = shared.store.wait(shared.settings.watch_wait());
+                let wait = shared.settings.watch_wait();
                 let watch = shared.store.until(at, source.watch(at, wait)).await;
                 let Some(watch) = watch else {
                     info!("{}", Event::new("watch-given-up").with("revision", at));
@@ -63,7 +63,7 @@
         };
         match result {
             // A fleet that starts, or a row of changes by an operator, would wake a watch once for each
-            // entry: with a pause of 670 ms an instance made 13 calls in 46 calm seconds, with one of 1,330 ms 10.
+            // entry: with a pause of 670 ms an instance made 21 calls in 46 calm seconds, with one of 1,330 ms 17.
             Ok(Pace::Gather) => task::sleep(shared.settings.gather().into()).await,
             Ok(Pace::AtOnce) => {}
             Err(error) => follower.fail(&shared, &error).await,
@@ -142,6 +142,7 @@
         for id in gone {
             drop_server(shared, &id, "not-listed", now);
         }
+        shared.store.saw(listing.changed);
         let count = listing.entries.len();
         let mut malformed = Malformed::default();
         for entry in listing.entries {
--- a/crates/gateway/src/lag.rs
+++ b/crates/gateway/src/lag.rs
@@ -1,10 +1,11 @@
 //! Whether this instance is behind what others have read of the store.
 //!
-//! The load it answers: two hundred instances that each wait at the store with a watch. A connection may go
-//! silent, and an answer get lost, without a sign; so each watch was renewed every few seconds, which was most
-//! of the store's calls. Now instances tell each other the newest revision that they saw a change at. One that
-//! hears of a change that its own watch doesn't bring gives that watch up and reads; with many around, the
-//! watches themselves may wait long.
+//! The load it answers: a watch whose connection went silent, or whose answer was lost, gives no sign until its wait
+//! is over. Instances tell each other the newest revision that they know of a change at; one that hears of a change
+//! that its own watch doesn't bring gives that watch up and reads.
+//!
+//! Watches don't wait longer for it. The store may fail all of them at once, as when it forgets its history; then
+//! nobody knows, and a change must be in force within seconds all the same.
 
 use crocushold_base::Millis;
 
@@ -12,14 +13,6 @@
 /// within milliseconds of each other; what is told takes a round or two.
 const GRACE: Millis = Millis(300);
 
-/// The longest wait of a watch: below the time for which the store keeps its history, 20 s on the platforms of
-/// today, beyond which all would have to be listed anew.
-const MOST_WAIT: Millis = Millis::from_secs(15);
-
-/// Instances of a zone that share the duty of one watch of the shortest wait. When all connections go silent at
-/// once, some instance of the zone still renews its watch within the shortest wait, as the waits differ.
-const SHARERS: u64 = 4;
-
 /// What others have read, against what this instance has.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Lag {
@@ -59,9 +52,3 @@
         due
     }
 }
-
-/// How long a watch waits, where `live` other instances of the zone tell of changes; `least` where none does.
-pub fn watch_wait(least: Millis, live: usize) -> Millis {
-    let scaled = Millis(least.0.saturating_mul(live as u64 + 1) / SHARERS);
-    scaled.min(MOST_WAIT).max(least)
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,7 +53,6 @@
 pub use instance::Settings;
 pub use instance::StartError;
 pub use lag::Lag;
-pub use lag::watch_wait;
 pub use latencies::Span;
 pub use latencies::latencies;
 pub use placing::Ask;
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -102,7 +102,6 @@
         }
         if round.live != live {
             live = round.live;
-            shared.store.set_live(live);
             info!("{}", Event::new("peers-changed").with("live", live));
         }
         for (target, message) in round.messages {
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -43,6 +43,8 @@
     pub at: u64,
     /// The entries.
     pub entries: Vec<Entry>,
+    /// The revision of the last change of any of them; zero without any.
+    pub changed: u64,
 }
 
 /// What has changed since a revision.
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -5,21 +5,16 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
-use crocushold_base::Millis;
 use futures::channel::oneshot;
 use futures::future::Either;
 use futures::future::select;
 
-use crate::lag::watch_wait;
-
 #[derive(Default)]
 struct State {
     /// The newest revision of a change that was read.
     changed: u64,
     /// The watch that waits: after which revision, and how it is given up.
     waiting: Option<(u64, oneshot::Sender<()>)>,
-    /// Other instances of the zone that were heard of lately.
-    live: usize,
 }
 
 /// How far the store was read, and the watch that waits for more.
@@ -51,16 +46,6 @@
         }
     }
 
-    /// So many other instances of the zone tell of changes.
-    pub(crate) fn set_live(&self, live: usize) {
-        self.lock().live = live;
-    }
-
-    /// How long the next watch waits; `least` where nobody else would tell of a change.
-    pub(crate) fn wait(&self, least: Millis) -> Millis {
-        watch_wait(least, self.lock().live)
-    }
-
     /// Waits for `watch`, which asks for changes after `at`; `None` where it was given up.
     pub(crate) async fn until<T>(&self, at: u64, watch: impl Future<Output = T>) -> Option<T> {
         let (sender, given_up) = oneshot::channel();
--- a/crates/gateway/tests/lag.rs
+++ b/crates/gateway/tests/lag.rs
@@ -2,8 +2,6 @@
 
 use crocushold_base::Millis;
 use crocushold_gateway::Lag;
-use crocushold_gateway::watch_wait;
-use test_case::test_case;
 
 const START: Millis = Millis(10_000);
 
@@ -42,13 +40,3 @@
     let given_up = rounds.filter(|now| lag.is_behind(Some(60), *now));
     assert_eq!(given_up.count(), 1);
 }
-
-/// Two in a zone can't cover for each other: their watches wait no longer than the time in which a silent
-/// connection must be noticed. Thirty can, up to the time for which changes are kept.
-#[test_case(0, 2400; "alone")]
-#[test_case(1, 2400; "two")]
-#[test_case(7, 4800; "eight")]
-#[test_case(31, 15_000; "thirty-two")]
-fn watches_wait_longer_where_many_share_them(live: usize, wait: u64) {
-    assert_eq!(watch_wait(Millis(2400), live), Millis(wait));
-}
