Count streams that ended before their first event, and report late timers

Callers saw urgent requests end without any output, and the logs and metrics could not tell why: a caller that disconnected before the first event was counted like one that disconnected midway, and nothing showed whether the process itself had been late.

crocushold_streams_unanswered_total counts streams that ended before their first event, by rank and outcome. The `latencies` command shows requests that ended before the head of an answer in a separate column. A round of timers that runs 250 ms late or more logs `process-late` and increments crocushold_timers_late_total.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -58,6 +58,7 @@
             let record = exchange.record();
             let report = &shared.report;
             report.ended(record.repeat.label(), record.priority, "caller-gone");
+            count_unanswered(shared, &record, "caller-gone");
             info!("{}", record.ended(shared, "caller-gone"));
             Response::new(CALLER_GONE)
         }
@@ -75,6 +76,7 @@
 fn note(shared: &Shared, record: &Record, label: &str, refusal: &Refusal) {
     let report = &shared.report;
     report.ended(record.repeat.label(), record.priority, label);
+    count_unanswered(shared, record, label);
     let event = record
         .ended(shared, label)
         .with("status", refusal.status())
@@ -82,6 +84,13 @@
     info!("{event}");
 }
 
+/// Counts a request that ended without an answer, if it is a stream.
+fn count_unanswered(shared: &Shared, record: &Record, label: &str) {
+    if record.repeat.is_stream() {
+        shared.report.unanswered(record.priority, label);
+    }
+}
+
 fn note_unread(shared: &Shared, id: &str, refusal: &Refusal, arrived: Millis) {
     let label = refusal.reason.label();
     shared.report.ended("none", u8::MAX, label);
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -42,6 +42,9 @@
 /// Between two rounds of timers: entries in doubt, servers that are out.
 const TICK: Millis = Millis(500);
 
+/// Delay from which a round of timers is reported as late. Requests that arrived meanwhile may have waited as long.
+const LATE_THRESHOLD: Millis = Millis(250);
+
 /// File descriptors that a caller's connection takes at most: its own, and the one to a server.
 const DESCRIPTORS_EACH: usize = 2;
 
@@ -334,7 +337,9 @@
 
 async fn run_timers(shared: Arc<Shared>) {
     loop {
+        let due = shared.clock.now() + TICK;
         task::sleep(TICK.into()).await;
+        note_late_timers(&shared, due);
         follow::expire(&shared);
         quarantine::expire(&shared);
         let now = shared.clock.now();
@@ -346,6 +351,15 @@
     }
 }
 
+/// Reports a round of timers that ran late, as when the process was paused or short of processor time.
+fn note_late_timers(shared: &Shared, due: Millis) {
+    let late = shared.clock.now().since(due);
+    if late >= LATE_THRESHOLD {
+        shared.report.late_timers();
+        warn!("{}", Event::new("process-late").with("by", late));
+    }
+}
+
 fn note_borders(borders: &Borders) {
     let [live, light, heavy] = borders.engines;
     let news = &borders.news;
--- a/crates/gateway/src/latencies.rs
+++ b/crates/gateway/src/latencies.rs
@@ -34,6 +34,8 @@
     pub ended: usize,
     /// Those of them that weren't answered.
     pub unserved: usize,
+    /// Those of them that ended before the head of an answer.
+    pub unanswered: usize,
     /// Those that brought the shared part of their prompt from another engine.
     pub moved: usize,
     /// From a request's head to that of its answer, at the 50th, 90th and 99th percentile.
@@ -73,6 +75,7 @@
         .iter()
         .filter(|line| field(line, "outcome") == Some("answered"));
     let samples: Vec<Sample> = answered.filter_map(|line| sample(line)).collect();
+    let unanswered = lines.iter().filter(|line| field(line, "first").is_none());
     let percentiles = |value: fn(&Sample) -> Millis| {
         let mut values: Vec<Millis> = samples.iter().map(value).collect();
         values.sort_unstable();
@@ -81,6 +84,7 @@
     Span {
         ended: lines.len(),
         unserved: lines.len() - samples.len(),
+        unanswered: unanswered.count(),
         moved: samples.iter().filter(|sample| sample.moved).count(),
         first: percentiles(|sample| sample.first),
         pause: percentiles(|sample| sample.pause),
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -20,6 +20,8 @@
     requests: IntCounterVec,
     attempts: IntCounterVec,
     seconds: HistogramVec,
+    unanswered: IntCounterVec,
+    late_timers: IntCounter,
     malformed: IntCounter,
     placements: IntCounterVec,
     left_out: IntCounter,
@@ -49,6 +51,16 @@
         let options = options.buckets(BUCKETS.to_vec());
         let seconds = HistogramVec::new(options, &["repeat", "priority", "until"]);
         let seconds = seconds.expect("the names are valid");
+        let unanswered = counters(
+            "crocushold_streams_unanswered_total",
+            "Streams that ended before their first event, by rank and outcome",
+            &["priority", "outcome"],
+        );
+        let late_timers = IntCounter::new(
+            "crocushold_timers_late_total",
+            "Rounds of timers that ran late, as the process had no processor time",
+        );
+        let late_timers = late_timers.expect("the name is valid");
         let malformed = IntCounter::new(
             "crocushold_entries_malformed_total",
             "Published entries that couldn't be read",
@@ -75,10 +87,12 @@
         );
         let version = gauge("crocushold_config_version", "The configuration in force");
         let running = gauge("crocushold_requests_running", "Requests in progress");
-        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 12] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(seconds.clone()),
+            Box::new(unanswered.clone()),
+            Box::new(late_timers.clone()),
             Box::new(malformed.clone()),
             Box::new(placements.clone()),
             Box::new(left_out.clone()),
@@ -96,6 +110,8 @@
             requests,
             attempts,
             seconds,
+            unanswered,
+            late_timers,
             malformed,
             placements,
             left_out,
@@ -148,6 +164,16 @@
             .inc();
     }
 
+    /// Counts a stream that ended before its first event.
+    pub(crate) fn unanswered(&self, priority: u8, outcome: &str) {
+        let labels = [rank(priority), outcome];
+        self.unanswered.with_label_values(&labels).inc();
+    }
+
+    pub(crate) fn late_timers(&self) {
+        self.late_timers.inc();
+    }
+
     pub(crate) fn attempt(&self, outcome: &str) {
         self.attempts.with_label_values(&[outcome]).inc();
     }
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -99,6 +99,9 @@
             label
         };
         report.ended(record.repeat.label(), record.priority, label);
+        if record.repeat.is_stream() && events == 0 {
+            report.unanswered(record.priority, label);
+        }
         let span = now.since(record.arrived);
         report.answered(record.repeat.label(), record.priority, "end", span);
         let source = record.source.map(|source| source.to_string());
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -5,7 +5,7 @@
 use crate::log_fields::field;
 
 /// Events that change what an instance believes of everything.
-const BELIEFS: [&str; 8] = [
+const BELIEFS: [&str; 9] = [
     "started",
     "stop-started",
     "stopped",
@@ -14,6 +14,7 @@
     "store-history-lost",
     "config-in-force",
     "log-lines-dropped",
+    "process-late",
 ];
 
 /// Beliefs of everything that are told of before the request's own lines: the latest ones.
--- a/crates/gateway/tests/latencies.rs
+++ b/crates/gateway/tests/latencies.rs
@@ -7,7 +7,7 @@
     format!("time=2026-02-12T{at}+0000 level=info module=m event=request-ended {rest}")
 }
 
-/// Live streams of one class were late by their pauses in the second span, and one was refused. The table shows
+/// Live streams had long pauses in the second span, one was refused, and one lost its caller midway. The table shows
 /// it where it happened, and tells nothing of other lines.
 #[test]
 fn classes_are_told_by_span() {
@@ -28,6 +28,10 @@
             "10:00:03.100",
             "request=d route=live expected-wait=900ms outcome=late",
         ),
+        line(
+            "10:00:03.150",
+            "request=f route=live expected-wait=9ms outcome=caller-gone first=60ms longest-pause=300ms",
+        ),
         line(
             "10:00:03.200",
             "request=e route=batch expected-wait=5ms outcome=answered first=700ms longest-pause=10ms",
@@ -46,7 +50,7 @@
     assert_eq!((calm.route.as_str(), calm.at), ("live", Millis(0)));
     assert_eq!((calm.ended, calm.unserved, calm.moved), (2, 0, 1));
     assert_eq!(calm.first, [50, 50, 50].map(Millis));
-    assert_eq!((late.ended, late.unserved), (2, 1));
+    assert_eq!((late.ended, late.unserved, late.unanswered), (3, 2, 1));
     assert_eq!(late.pause, [240, 240, 240].map(Millis));
     assert_eq!(late.expected, [9, 9, 9].map(Millis));
 }
--- a/src/commands/latencies.rs
+++ b/src/commands/latencies.rs
@@ -51,7 +51,7 @@
     };
     let lines = logs.iter().flat_map(|log| log.lines());
     print::out(
-        "route            from s  ended unserved moved    first 50/90/99 ms    \
+        "route            from s  ended unserved unanswered moved    first 50/90/99 ms    \
          pause 50/90/99 ms  expected 50/90/99 ms\n"
             .to_owned(),
     );
@@ -75,11 +75,12 @@
         format!("{half}/{most}/{all}")
     };
     format!(
-        "{:<16} {:>6.1} {:>6} {:>8} {:>5} {:>20} {:>20} {:>21}\n",
+        "{:<16} {:>6.1} {:>6} {:>8} {:>10} {:>5} {:>20} {:>20} {:>21}\n",
         span.route,
         span.at.as_secs_f64(),
         span.ended,
         span.unserved,
+        span.unanswered,
         span.moved,
         three(span.first),
         three(span.pause),
