Don't treat a caller's shorter timeout as an earlier refusal

Callers of urgent streams (hints, drafts) disconnected after two or three seconds without an event, while less urgent readings started.

Cause: the least urgent streams are refused if they would wait for more than 0.8 of their target. A request that was refused before may wait for a quarter of its remaining time instead, since a second refusal is worth less to it than a late answer. A request counted as refused before if its caller waits for less than 97 % of the route's timeout. All classes share the engines, so urgent requests met queues of twice the intended length.

A request now counts as refused before if its remaining time plus the route's target is less than the route's timeout. It has then lost more than the target, as after a try elsewhere; smaller differences between callers' timeouts no longer count. A caller whose own timeout is shorter by more than the target still gets the longer limit.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -46,9 +46,6 @@
 /// What is reserved for a body that comes in chunks, until its length is known: a long prompt.
 const UNANNOUNCED: u64 = 64 * 1024;
 
-/// The part of a route's time that a request has left when it comes for the first time, in percent.
-const FRESH_PART: u64 = 97;
-
 /// The part of the target that a request may wait at a server, in percent; the rest is for its reading.
 const FRESH_LIMIT: u64 = 80;
 
@@ -249,9 +246,10 @@
     if !table.is_last(route) {
         return None;
     }
-    // One that came back has less time than the route gives. An answer that is late is worth more to
-    // it than a second refusal.
-    let returned = patience.0 < route.timeout.0 * FRESH_PART / 100;
+    // A request that has less than the route's timeout by more than the route's target is taken for one that was
+    // refused before: a late answer is worth more to it than a second refusal. A smaller difference may be the
+    // caller's own timeout, and the longer limit would let queues grow to twice the intended length.
+    let returned = patience + route.target < route.timeout;
     let limit = if returned {
         Millis(patience.0 * RETURNED_PART / 100)
     } else {
--- a/crates/gateway/src/intake/tests.rs
+++ b/crates/gateway/src/intake/tests.rs
@@ -1,4 +1,4 @@
-//! How long a request may wait at a server.
+//! Tests of the limit on a request's wait at a server.
 
 use crocushold_base::Millis;
 use test_case::test_case;
@@ -9,7 +9,7 @@
 use crate::routes::RouteTable;
 use crate::routes::TableSpec;
 
-fn batch() -> Route {
+fn batch_route() -> Route {
     Route {
         name: "batch".to_owned(),
         host: "a.example".to_owned(),
@@ -26,14 +26,13 @@
     }
 }
 
-/// A request whose caller waits for a little less than the route's timeout is taken for one that was refused before, and may
-/// wait for twice as long.
-#[test_case(10_000, 1200; "the timeout")]
+/// Guards against taking a caller's slightly shorter timeout for an earlier refusal, which doubles the limit.
+#[test_case(10_000, 1200; "the full timeout")]
 #[test_case(9600, 1200; "a little less")]
 #[test_case(8600, 1200; "a seventh less")]
 #[test_case(8000, 2000; "less by more than the target")]
-fn only_requests_that_lost_time_may_wait_longer(patience: u64, limit: u64) {
-    let route = batch();
+fn only_requests_refused_before_get_the_longer_wait_limit(patience: u64, limit: u64) {
+    let route = batch_route();
     let table = RouteTable::new(TableSpec {
         routes: vec![route.clone()],
         ..TableSpec::default()
