Hold back a request that ends servers also when many copies run concurrently

A request is held back after two sequential ends of servers that ran it; concurrent runs count once. Six ends are kept per request, and these were the latest six. When more than six copies of a request run concurrently, the latest six ends overlap and count once, so the request is never held back and each copy ends another server.

Found by varying the timing and rates of such a request in a test of the state machine. The test allows three.

An end that isn't counted because its run overlaps with a counted one is now evicted before counted ends, so that the first end is kept and the first copy sent after it provides the second one. Where no end overlaps, the oldest one goes, as before.

--- a/crates/routing/src/quarantine/record.rs
+++ b/crates/routing/src/quarantine/record.rs
@@ -4,7 +4,7 @@
 use super::QuarantineSettings;
 use super::ToldEnd;
 
-/// Ends that are remembered of one request; the latest ones. They bound how often its span is doubled, too.
+/// Maximum number of ends kept per request. Also bounds how often its span is doubled.
 const MOST_ENDS: usize = 6;
 
 /// Rounds in which something new is told. Told to three others in each, and told on by whoever hears it, it reaches
@@ -56,15 +56,36 @@
         self.ends.sort_by_key(|end| end.ended);
     }
 
-    /// Adds the end of a server that isn't known; false where it is older than all that are remembered.
+    /// Inserts the end of a server that isn't known and returns whether it was kept.
+    ///
+    /// Over the limit, evicts the oldest overlapping end or, if there is none, the oldest end.
     fn add(&mut self, end: End) -> bool {
         let place = self.ends.partition_point(|known| known.ended <= end.ended);
         self.ends.insert(place, end);
         if self.ends.len() <= MOST_ENDS {
             return true;
         }
-        self.ends.remove(0);
-        place > 0
+        let evicted = self.oldest_overlapping().unwrap_or(0);
+        self.ends.remove(evicted);
+        place != evicted
+    }
+
+    /// Returns the index of the oldest end that isn't counted because its run overlaps with a counted one.
+    ///
+    /// Evicting by age alone would leave only overlapping ends when many copies of a request run concurrently, so the
+    /// request would never be held back.
+    fn oldest_overlapping(&self) -> Option<usize> {
+        let mut last = i64::MIN;
+        for (place, end) in self.ends.iter().enumerate() {
+            if end.cleared {
+                continue;
+            }
+            if end.sent < last {
+                return Some(place);
+            }
+            last = end.ended;
+        }
+        None
     }
 
     /// The request was served; returns whether anything was held against it.
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -9,6 +9,7 @@
 use crocushold_routing::Suspicion;
 use crocushold_routing::ToldEnd;
 use proptest::prelude::*;
+use test_case::test_case;
 
 const CONTENT: Fingerprint = Fingerprint(7);
 const OTHER: Fingerprint = Fingerprint(8);
@@ -54,6 +55,40 @@
     assert_eq!(placed[0].servers, [Incarnation(1), Incarnation(2)]);
 }
 
+/// Guards against never holding back a request that ends servers when many of its runs overlap.
+#[test_case(15, 80; "many copies before the first end")]
+#[test_case(60, 80; "the next copy before the end")]
+#[test_case(250, 80; "the next copy after the end")]
+#[test_case(40, 600; "many copies with long runs")]
+#[test_case(900, 350; "infrequent copies")]
+fn a_request_that_ends_servers_is_held_back_at_each_copy_interval(interval: u64, runs_for: u64) {
+    let mut quarantine = Quarantine::default();
+    let mut ends = Vec::new();
+    let mut running: Vec<(u64, u64)> = Vec::new();
+    let mut sent_late = 0;
+    for copy in 0..20_000 / interval {
+        let now = START + copy * interval;
+        let (ended, rest) = running
+            .into_iter()
+            .partition(|(sent, _)| sent + runs_for <= now);
+        running = rest;
+        let ended: Vec<(u64, u64)> = ended;
+        for (sent, server) in ended {
+            end(&mut quarantine, CONTENT, server, sent, runs_for);
+            ends.push(sent + runs_for);
+        }
+        if is_held(&quarantine, CONTENT, now) {
+            continue;
+        }
+        running.push((now, copy + 1));
+        sent_late += usize::from(ends.get(2).is_some_and(|third| third + 3000 < now));
+    }
+    assert!(
+        sent_late <= 3,
+        "{sent_late} copies sent more than 3 s after the third end; servers ended at {ends:?}"
+    );
+}
+
 /// An engine ends with all that ran on it. Of its callers one comes back with the request that ended it; the others'
 /// requests run well elsewhere, and another end months of requests later finds nothing against them.
 #[test]
