gateway: log how long the store was away, and servers that stay in use without an entry

Directory::remove and reconcile return what became of each server for that; the tests compare the whole result in place of a flag.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -19,6 +19,17 @@
 /// The platform documents that live servers are listed again within about two seconds.
 pub const RETURN_GRACE: Millis = Millis::from_secs(2);
 
+/// Result of the removal of an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Removal {
+    /// The server is gone.
+    Gone,
+    /// The server may still be running; unless its entry reappears, it is gone at this time.
+    Unconfirmed(Millis),
+    /// No server was listed under this name.
+    Unknown,
+}
+
 /// The set of listed servers.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -71,26 +82,33 @@
         true
     }
 
-    /// Records that an entry was removed. Returns true if its server is gone.
-    pub fn remove(&mut self, id: &str, now: Millis) -> bool {
+    /// Records that an entry was removed.
+    pub fn remove(&mut self, id: &str, now: Millis) -> Removal {
         if !self.known.contains(id) {
-            return false;
+            return Removal::Unknown;
         }
         match self.grace_ends(now) {
             Some(until) => {
-                self.unconfirmed.entry(id.to_owned()).or_insert(until);
-                false
+                let until = *self.unconfirmed.entry(id.to_owned()).or_insert(until);
+                Removal::Unconfirmed(until)
+            }
+            None => {
+                self.forget(id);
+                Removal::Gone
             }
-            None => self.forget(id),
         }
     }
 
-    /// Applies a full listing that contains exactly `ids`. Returns the servers that are gone.
-    pub fn reconcile(&mut self, ids: &HashSet<&str>, now: Millis) -> Vec<String> {
+    /// Applies a full listing that contains exactly `ids`. Returns the servers that are missing
+    /// from it.
+    pub fn reconcile(&mut self, ids: &HashSet<&str>, now: Millis) -> Vec<(String, Removal)> {
         let missing = self.known.iter().filter(|id| !ids.contains(id.as_str()));
         let missing: Vec<String> = missing.cloned().collect();
-        let gone = missing.into_iter().filter(|id| self.remove(id, now));
-        gone.collect()
+        let removed = missing.into_iter().map(|id| {
+            let removal = self.remove(&id, now);
+            (id, removal)
+        });
+        removed.collect()
     }
 
     /// Removes the servers whose entries are still missing at the end of their grace period, and
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -12,6 +12,7 @@
 use log::info;
 use log::warn;
 
+use crate::directory::Removal;
 use crate::era::Revision;
 use crate::fleet::ListOutcome;
 use crate::quarantine::Evidence;
@@ -52,12 +53,13 @@
             }),
             Some(at) => {
                 let wait = shared.settings.watch_wait();
+                let started = shared.clock.now();
                 let watch = shared.store.run(at, source.watch(at, wait)).await;
                 let Some(watch) = watch else {
-                    info!(
-                        "{}",
-                        Event::new("watch-given-up").with("revision", at.number)
-                    );
+                    let event = Event::new("watch-given-up")
+                        .with("revision", at.number)
+                        .with("after", shared.clock.now().since(started));
+                    info!("{event}");
                     continue;
                 };
                 watch.and_then(|changes| {
@@ -127,7 +129,9 @@
         self.backoff.reset();
         let now = shared.clock.now();
         if shared.directory().record_success(now) {
-            let event = Event::new("store-regained").with("revision", at.number);
+            let event = Event::new("store-regained")
+                .with("revision", at.number)
+                .with("after", shared.knowledge_age());
             info!("{event}");
         }
         shared.record_confirmed(now);
@@ -185,9 +189,13 @@
                 readmit(shared, &zone, now);
             }
         }
-        let gone = shared.directory().reconcile(&ids, now);
-        for id in gone {
-            remove_lost_server(shared, &id, "not-listed");
+        let missing = shared.directory().reconcile(&ids, now);
+        for (id, removal) in missing {
+            match removal {
+                Removal::Gone => remove_lost_server(shared, &id, "not-listed"),
+                Removal::Unconfirmed(until) => log_unconfirmed(&id, until, now),
+                Removal::Unknown => {}
+            }
         }
         shared.store.observe(listing.last_change);
         let count = listing.entries.len();
@@ -216,8 +224,11 @@
             match change {
                 Change::Set(entry) => apply_entry(shared, entry, &mut malformed, now),
                 Change::Unlisted(id) => {
-                    if shared.directory().remove(&id, now) {
-                        remove_lost_server(shared, &id, "removed");
+                    let removal = shared.directory().remove(&id, now);
+                    match removal {
+                        Removal::Gone => remove_lost_server(shared, &id, "removed"),
+                        Removal::Unconfirmed(until) => log_unconfirmed(&id, until, now),
+                        Removal::Unknown => {}
                     }
                 }
                 Change::Readmission(zone) => {
@@ -381,6 +392,14 @@
     info!("{event}");
 }
 
+/// Logs a server that stays in use although its entry is missing.
+fn log_unconfirmed(id: &str, until: Millis, now: Millis) {
+    let event = Event::new("server-unconfirmed")
+        .with("server", id)
+        .with("left-ms", until.since(now).0);
+    info!("{event}");
+}
+
 /// Removes a server whose entry expired or was deleted.
 fn remove_lost_server(shared: &Shared, id: &str, cause: &str) {
     let serving = shared.fleet().serving(id);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub use check::findings;
 pub use directory::Directory;
 pub use directory::RETURN_GRACE;
+pub use directory::Removal;
 pub use era::EVACUATION_GRACE;
 pub use era::EntryVersion;
 pub use era::EraGuard;
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -6,6 +6,7 @@
 use crocushold_gateway::Directory;
 use crocushold_gateway::EntryVersion;
 use crocushold_gateway::RETURN_GRACE;
+use crocushold_gateway::Removal;
 
 fn known(ids: &[&str]) -> Directory {
     let mut directory = Directory::default();
@@ -18,13 +19,15 @@
 #[test]
 fn an_entry_removed_while_the_registry_is_reachable_is_gone() {
     let mut directory = known(&["a", "b"]);
-    assert!(directory.remove("a", Millis(10)));
-    assert!(
-        !directory.remove("a", Millis(11)),
+    assert_eq!(directory.remove("a", Millis(10)), Removal::Gone);
+    assert_eq!(
+        directory.remove("a", Millis(11)),
+        Removal::Unknown,
         "the removal is reported once"
     );
     let ids = HashSet::new();
-    assert_eq!(directory.reconcile(&ids, Millis(12)), ["b"]);
+    let missing = directory.reconcile(&ids, Millis(12));
+    assert_eq!(missing, [("b".to_owned(), Removal::Gone)]);
 }
 
 /// The registry is unreachable for 5 s and all leases expire. Only one of two servers returns in
@@ -36,8 +39,9 @@
     assert!(!directory.record_failure(), "the outage is reported once");
     let back = Millis(5000);
     assert!(directory.record_success(back));
-    assert!(!directory.remove("a", back));
-    assert!(!directory.remove("b", back));
+    let unconfirmed = Removal::Unconfirmed(back + RETURN_GRACE);
+    assert_eq!(directory.remove("a", back), unconfirmed);
+    assert_eq!(directory.remove("b", back), unconfirmed);
     assert_eq!(directory.unconfirmed(), 2);
     directory.observe("a", EntryVersion::default());
     assert!(
@@ -56,7 +60,8 @@
     let mut directory = known(&["a"]);
     directory.record_failure();
     directory.record_success(Millis(1000));
-    assert!(!directory.remove("a", Millis(1000)));
+    let removal = directory.remove("a", Millis(1000));
+    assert_eq!(removal, Removal::Unconfirmed(Millis(1000) + RETURN_GRACE));
     directory.record_failure();
     assert!(directory.expire(Millis(60_000)).is_empty());
 }
@@ -66,5 +71,6 @@
     let mut directory = known(&["a"]);
     directory.record_failure();
     directory.record_success(Millis(1000));
-    assert!(directory.remove("a", Millis(1000) + RETURN_GRACE));
+    let removal = directory.remove("a", Millis(1000) + RETURN_GRACE);
+    assert_eq!(removal, Removal::Gone);
 }
