gateway: cancel a watch only until its answer begins

Callers were refused with 404 on routes that a confirmed configuration had, by instances with narrow links, for as long as servers kept changing.

An instance cancels its watch of the store if other instances know of a change that it hasn't delivered within 300 ms: its connection may have gone silent. The answer with a large configuration takes a second on a link of 10 Mbit/s, so it was cancelled as well, and again for each newer change.

A watch now has two steps: waiting, which may be cancelled, and receiving, which has a time limit of its own. Cancelling can no longer undo progress.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -24,6 +24,7 @@
 use crate::source::Change;
 use crate::source::Changes;
 use crate::source::Entry;
+use crate::source::IncomingAnswer;
 use crate::source::Listing;
 use crate::source::Source;
 use crate::source::SourceError;
@@ -62,7 +63,11 @@
                     info!("{event}");
                     continue;
                 };
-                watch.and_then(|changes| {
+                let changes = match watch {
+                    Ok(incoming) => incoming.receive().await,
+                    Err(error) => Err(error),
+                };
+                changes.and_then(|changes| {
                     follower.on_answer(&shared, changes.revision)?;
                     shared.store.observe(changes.last_change);
                     Ok(follower.apply_changes(&shared, changes))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -106,6 +106,7 @@
 pub use source::Change;
 pub use source::Changes;
 pub use source::Entry;
+pub use source::IncomingAnswer;
 pub use source::Listing;
 pub use source::Source;
 pub use source::SourceError;
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -82,17 +82,26 @@
     }
 }
 
+/// The answer of a watch, which has begun to arrive.
+pub trait IncomingAnswer: Send {
+    /// Receives the rest of the answer.
+    fn receive(self) -> impl Future<Output = Result<Changes, SourceError>> + Send;
+}
+
 /// Reads published entries.
 pub trait Source: Send + Sync + 'static {
+    /// The answer of a watch.
+    type Incoming: IncomingAnswer;
+
     /// Reads all entries.
     fn list(&self) -> impl Future<Output = Result<Listing, SourceError>> + Send;
 
-    /// Waits up to `wait` for changes after the revision `after`. The answer may contain no
-    /// changes. It may belong to a later era, in which case its changes don't follow on those
-    /// before `after`.
+    /// Waits up to `wait` for changes after the revision `after`, until the answer begins. It may
+    /// contain no changes. It may belong to a later era, in which case its changes don't follow on
+    /// those before `after`.
     fn watch(
         &self,
         after: Revision,
         wait: Millis,
-    ) -> impl Future<Output = Result<Changes, SourceError>> + Send;
+    ) -> impl Future<Output = Result<Self::Incoming, SourceError>> + Send;
 }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -49,6 +49,9 @@
     }
 
     /// Runs `watch`, which waits for changes after `at`. Returns `None` if it was cancelled.
+    ///
+    /// Only the wait may be cancelled. An answer that has begun must be received to its end:
+    /// if each newer change cancelled it, an instance with a narrow link would never learn of any.
     pub(crate) async fn run<T>(&self, at: Revision, watch: impl Future<Output = T>) -> Option<T> {
         let (sender, cancelled) = oneshot::channel();
         self.lock().active = Some((at, sender));
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -52,3 +52,4 @@
 pub use shell::read;
 pub use shell::run;
 pub use transport::HttpFetch;
+pub use transport::Incoming;
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -4,6 +4,7 @@
 
 use async_std::future::timeout;
 use async_std::io::ReadExt;
+use crocushold_base::Millis;
 use crocushold_http::Answer;
 use crocushold_http::Client;
 use crocushold_http::PoolLimits;
@@ -37,7 +38,19 @@
         HttpFetch { client }
     }
 
-    async fn exchange(&self, get: &Get) -> Result<Reply, FetchError> {
+    /// Performs a request and returns its reply as soon as the head has arrived.
+    ///
+    /// `get.timeout` limits the time until then. Dropping the future closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// Any [`FetchError`] except [`FetchError::Status`].
+    pub async fn begin(&self, get: &Get) -> Result<Incoming, FetchError> {
+        let bounded = timeout(get.timeout.into(), self.send(get));
+        bounded.await.map_err(|_| FetchError::Timeout)?
+    }
+
+    async fn send(&self, get: &Get) -> Result<Incoming, FetchError> {
         let address = address(&get.address)?;
         let request = request(address, &get.path)?;
         let limits = SendLimits {
@@ -47,7 +60,52 @@
         };
         let sent = self.client.send(address, request, &limits, Reuse::Allowed);
         let answer = sent.await.map_err(send_error)?;
-        read(answer, get.limit).await
+        Ok(Incoming {
+            answer,
+            limit: get.limit,
+        })
+    }
+
+    async fn exchange(&self, get: &Get) -> Result<Reply, FetchError> {
+        self.send(get).await?.read().await
+    }
+}
+
+/// A reply whose head has arrived, and whose body is still to be read.
+#[derive(Debug)]
+pub struct Incoming {
+    answer: Answer,
+    /// Largest accepted body, in bytes.
+    limit: usize,
+}
+
+impl Incoming {
+    /// Reads the body within `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// Any [`FetchError`] except [`FetchError::Status`].
+    pub async fn read_within(self, timeout: Millis) -> Result<Reply, FetchError> {
+        let bounded = async_std::future::timeout(timeout.into(), self.read());
+        bounded.await.map_err(|_| FetchError::Timeout)?
+    }
+
+    async fn read(mut self) -> Result<Reply, FetchError> {
+        let mut bytes = Vec::new();
+        // Reading one byte past the limit distinguishes a body of exactly `limit` bytes from a
+        // longer one.
+        let mut body = (&mut self.answer.body).take(self.limit as u64 + 1);
+        let read = body.read_to_end(&mut bytes).await;
+        read.map_err(|e| FetchError::Connection(e.to_string()))?;
+        if bytes.len() > self.limit {
+            return Err(FetchError::TooLarge);
+        }
+        let body = String::from_utf8(bytes).map_err(|e| FetchError::Malformed(e.to_string()))?;
+        Ok(Reply {
+            status: self.answer.status.into(),
+            headers: headers(&self.answer.headers),
+            body,
+        })
     }
 }
 
@@ -75,24 +133,6 @@
     Ok(Request::new(Method::Get, url))
 }
 
-async fn read(mut answer: Answer, limit: usize) -> Result<Reply, FetchError> {
-    let mut bytes = Vec::new();
-    // Reading one byte past the limit distinguishes a body of exactly `limit` bytes from a longer
-    // one.
-    let mut body = (&mut answer.body).take(limit as u64 + 1);
-    let read = body.read_to_end(&mut bytes).await;
-    read.map_err(|e| FetchError::Connection(e.to_string()))?;
-    if bytes.len() > limit {
-        return Err(FetchError::TooLarge);
-    }
-    let body = String::from_utf8(bytes).map_err(|e| FetchError::Malformed(e.to_string()))?;
-    Ok(Reply {
-        status: answer.status.into(),
-        headers: headers(&answer.headers),
-        body,
-    })
-}
-
 fn headers(headers: &Headers) -> Vec<Header> {
     let pairs = headers.iter();
     let headers = pairs.map(|(name, values)| Header {
