gateway: don't cancel the watch that reads a known change

An instance that is served by a slow store never learned of any change while changes were closer together than the store's answers were late: each newer revision that others announced cancelled its watch once more, before the answer began.

After a cancelled watch the change is known to exist. The next watch reads it: it isn't cancelled, and it waits a quarter of the time in which a change must be in force, so that a connection that is silent as well is noticed in time for another call, and a mistaken announcement costs one short call as before.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -53,20 +53,9 @@
                 Ok(NextCall::Batch)
             }),
             Some(at) => {
-                let wait = shared.settings.watch_wait();
-                let started = shared.clock.now();
-                let watch = shared.store.run(at, source.watch(at, wait)).await;
-                let Some(watch) = watch else {
-                    let event = Event::new("watch-given-up")
-                        .with("revision", at.number)
-                        .with("after", shared.clock.now().since(started));
-                    info!("{event}");
+                let Some(changes) = follower.watch(&shared, &source, at).await else {
                     continue;
                 };
-                let changes = match watch {
-                    Ok(incoming) => incoming.receive().await,
-                    Err(error) => Err(error),
-                };
                 changes.and_then(|changes| {
                     follower.on_answer(&shared, changes.revision)?;
                     shared.store.observe(changes.last_change);
@@ -98,6 +87,8 @@
     at: Option<Revision>,
     /// The era of the last answer; `None` before the first one.
     era: Option<u64>,
+    /// Whether the last watch was cancelled because other instances know of a change.
+    lags: bool,
     backoff: Backoff,
     jitter: Jitter,
 }
@@ -112,11 +103,45 @@
         Follower {
             at: None,
             era: None,
+            lags: false,
             backoff: Backoff::new(settings),
             jitter: Jitter::new(shared.seed),
         }
     }
 
+    /// Watches for changes after `at`. Returns `None` if the watch was cancelled.
+    ///
+    /// After that the changes are known to exist, so the next watch has nothing to wait for: it
+    /// isn't cancelled again, or a store whose answers take longer than changes are apart would
+    /// never be heard.
+    async fn watch(
+        &mut self,
+        shared: &Shared,
+        source: &impl Source,
+        at: Revision,
+    ) -> Option<Result<Changes, SourceError>> {
+        let begun = if self.lags {
+            source.watch(at, shared.settings.lag_wait()).await
+        } else {
+            let started = shared.clock.now();
+            let watch = source.watch(at, shared.settings.watch_wait());
+            let begun = shared.store.run(at, watch).await;
+            self.lags = begun.is_none();
+            if self.lags {
+                let event = Event::new("watch-given-up")
+                    .with("revision", at.number)
+                    .with("after", shared.clock.now().since(started));
+                info!("{event}");
+            }
+            begun?
+        };
+        self.lags = false;
+        Some(match begun {
+            Ok(incoming) => incoming.receive().await,
+            Err(error) => Err(error),
+        })
+    }
+
     /// Records an answer of the store. This must precede the processing of its content: the first
     /// answer after an outage may report removed entries, and those must stay unconfirmed.
     ///
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -147,6 +147,11 @@
 /// failed call and its retry, and for requests already in flight.
 const BATCH_PAUSE_DIVISOR: u64 = 3;
 
+/// Divisor of the time in which a change must be in force. It gives the wait of a watch for changes
+/// that are known to exist; a connection that is silent as well must be noticed in time for another
+/// call.
+const LAG_WAIT_DIVISOR: u64 = 4;
+
 impl Settings {
     /// The key of each availability zone's region.
     pub(crate) fn region_keys(&self) -> HashMap<String, RegionKey> {
@@ -165,6 +170,12 @@
         self.stable_window.since(SILENCE_MARGIN).max(MIN_WATCH_WAIT)
     }
 
+    /// Maximum wait of a watch for changes that other instances know of. The store answers it at
+    /// once, unless they are mistaken.
+    pub(crate) fn lag_wait(&self) -> Millis {
+        Millis(self.apply_bound.min(self.drain_bound).0 / LAG_WAIT_DIVISOR)
+    }
+
     /// Pause between two watches after changes, to batch them.
     pub(crate) fn batch_pause(&self) -> Millis {
         Millis(self.apply_bound.min(self.drain_bound).0 / BATCH_PAUSE_DIVISOR)
