platform: limit the pauses of the store's answers, not their length

An instance with a narrow link never learned of a large configuration, or never became ready: a page had to be complete within 2 s of the call, and what a watch brings within its wait and 2 s more. An answer that needs longer ended every try in the same way.

The calls of serve keep their limits on whole answers.

--- a/crates/entry/src/polling.rs
+++ b/crates/entry/src/polling.rs
@@ -223,6 +223,7 @@
         path,
         timeout: POLL_TIMEOUT,
         limit: MAX_RESPONSE_BYTES,
+        ..Get::default()
     };
     let reply = fetch.get(get).await.ok()?;
     (reply.status == OK).then_some(reply.body)
--- a/crates/platform/src/fetch.rs
+++ b/crates/platform/src/fetch.rs
@@ -8,9 +8,9 @@
 use quick_error::quick_error;
 
 const OK: u16 = 200;
-/// Largest document that [`fetch`] accepts, in bytes. Sized for a status page of 6,000 servers.
+/// Default for the largest accepted body, in bytes. Sized for a status page of 6,000 servers.
 const MAX_DOCUMENT_BYTES: usize = 8 << 20;
-/// Deadline of [`fetch`].
+/// Default time limit.
 const DOCUMENT_TIMEOUT: Millis = Millis::from_secs(3);
 /// Number of documents that [`fetch_all`] reads concurrently.
 const MAX_CONCURRENT_READS: usize = 32;
@@ -51,10 +51,24 @@
     pub path: String,
     /// Time limit for the complete answer, from the start of the call.
     pub timeout: Millis,
+    /// Longest pause between two parts of the body.
+    pub stall_timeout: Millis,
     /// Largest accepted body, in bytes.
     pub limit: usize,
 }
 
+impl Default for Get {
+    fn default() -> Get {
+        Get {
+            address: String::new(),
+            path: String::new(),
+            timeout: DOCUMENT_TIMEOUT,
+            stall_timeout: DOCUMENT_TIMEOUT,
+            limit: MAX_DOCUMENT_BYTES,
+        }
+    }
+}
+
 /// One header of a reply.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Header {
@@ -112,8 +126,7 @@
     let get = Get {
         address: address.to_owned(),
         path: path.to_owned(),
-        timeout: DOCUMENT_TIMEOUT,
-        limit: MAX_DOCUMENT_BYTES,
+        ..Get::default()
     };
     let reply = via.get(get).await?;
     if reply.status != OK {
--- a/crates/platform/src/shell/exchange.rs
+++ b/crates/platform/src/shell/exchange.rs
@@ -58,10 +58,12 @@
     call: &Call,
     slack: Millis,
 ) -> Result<Answer, Failure> {
+    let timeout = call_timeout(call, slack);
     let get = Get {
         address: shell.address.clone(),
         path: path(call),
-        timeout: call_timeout(call, slack),
+        timeout,
+        stall_timeout: timeout,
         limit: limit(call),
     };
     let reply = shell.fetch.get(get).await.map_err(failure)?;
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -55,7 +55,7 @@
         let request = request(address, &get.path)?;
         let limits = SendLimits {
             head_timeout: get.timeout,
-            stall_timeout: get.timeout,
+            stall_timeout: get.stall_timeout.min(get.timeout),
             ..SendLimits::default()
         };
         let sent = self.client.send(address, request, &limits, Reuse::Allowed);
--- a/crates/platform/tests/all/transport.rs
+++ b/crates/platform/tests/all/transport.rs
@@ -35,6 +35,7 @@
             path: "/v1/config".into(),
             timeout: Millis(200),
             limit: LIMIT,
+            ..Get::default()
         };
         let reply = HttpFetch::default().get(get).await;
         server.await;
@@ -77,6 +78,7 @@
             path: "/v1/config".into(),
             timeout: Millis(200),
             limit: 1 << 20,
+            ..Get::default()
         };
         let reply = HttpFetch::default().get(get).await;
         server.await;
@@ -85,6 +87,32 @@
     assert_eq!(reply, Err(FetchError::Timeout));
 }
 
+/// An answer that begins late, or is long, must not be given up while it arrives: on a narrow link
+/// each further try would end in the same way. Only the beginning of the answer, a pause in it and
+/// its whole duration are limited.
+#[test_case(Millis(100), Millis(60_000), true; "arrives slowly")]
+#[test_case(Millis(10), Millis(60_000), false; "pauses too long")]
+#[test_case(Millis(100), Millis(500), false; "takes too long as a whole")]
+fn an_answer_that_has_begun_is_limited_by_its_pauses(stall: Millis, total: Millis, whole: bool) {
+    let reply = task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound").to_string();
+        let server = task::spawn(trickle(listener));
+        let get = Get {
+            address,
+            path: "/v1/config".into(),
+            timeout: Millis(200),
+            stall_timeout: stall,
+            limit: 1 << 20,
+        };
+        let incoming = HttpFetch::default().begin(&get).await.expect("it begins");
+        let reply = incoming.read_within(total).await;
+        server.await;
+        reply
+    });
+    assert_eq!(reply.is_ok(), whole);
+}
+
 /// Declares 100 bytes and writes one every 20 ms until the client closes.
 async fn trickle(listener: TcpListener) {
     let (mut stream, _) = listener.accept().await.expect("a connection");
