gateway: list the store if the changes since a revision exceed the limit on an answer

An instance that was away from the store while a large configuration was written three times requested the same changes, and gave their answer up at 4 MB, until the store had discarded them: up to 20 s of an old configuration. Found by looking for the cause elsewhere.

A listing contains each entry once, and is read in that case, as after a lost history.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -183,9 +183,13 @@
     }
 
     async fn on_failure(&mut self, shared: &Shared, error: &SourceError) {
-        if *error == SourceError::HistoryLost {
+        let must_list = *error == SourceError::HistoryLost
+            || (*error == SourceError::TooLarge && self.at.is_some());
+        if must_list {
             let at = self.at.take().unwrap_or_default();
-            let event = Event::new("store-history-lost").with("revision", at.number);
+            let event = Event::new("store-history-lost")
+                .with("revision", at.number)
+                .with("cause", error);
             info!("{event}");
             return;
         }
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -71,6 +71,11 @@
         HistoryLost {
             display("the history is no longer kept")
         }
+        /// The answer exceeds the limit on its size. A full listing may be shorter than the changes,
+        /// since it contains each entry once.
+        TooLarge {
+            display("the answer is too large")
+        }
         /// The store refused the call.
         Refused(status: u16, retry_after: Option<Millis>) {
             display("refused with status {status}")
