gateway: derive the times of the store's calls from one budget

Requests reached servers that had left, for up to 0.6 s after the instance counted as in touch again.

The class of fault: time limits that are chosen one by one against a bound that their sum has to keep. store_times derives all of them from the stable window and the bounds on changes, and a test adds up each sequence. The doubt ends when it is due instead of with the next round of timers. After a failed call the next watch is short, so that the end of an outage in which the store is silent is noticed after 1.1 s, not 2.8 s.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -132,6 +132,11 @@
         self.forget(id)
     }
 
+    /// The time at which the next server counts as gone unless its entry reappears.
+    pub fn next_expiry(&self) -> Option<Millis> {
+        self.unconfirmed.values().copied().min()
+    }
+
     /// Number of servers whose entries are missing but which aren't removed yet.
     pub fn unconfirmed(&self) -> usize {
         self.unconfirmed.len()
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,7 +7,6 @@
 use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_platform::Backoff;
-use crocushold_platform::BackoffSettings;
 use crocushold_platform::Jitter;
 use log::info;
 use log::warn;
@@ -28,16 +27,7 @@
 use crate::source::Listing;
 use crate::source::Source;
 use crate::source::SourceError;
-
-/// First delay after a failed call.
-const BACKOFF_BASE: Millis = Millis(100);
-
-/// Maximum delay after a failed call. A change must be in force two seconds after the store
-/// accepted it, also if the store has just recovered.
-const BACKOFF_CAP: Millis = Millis(800);
-
-/// Maximum `Retry-After` that is honoured, for the same reason as [`BACKOFF_CAP`].
-const RETRY_AFTER_CAP: Millis = Millis(1000);
+use crate::store_times::StoreTimes;
 
 /// Maximum delay after a failed call while there is no configuration yet.
 const STARTUP_BACKOFF_CAP: Millis = Millis(250);
@@ -66,7 +56,10 @@
         match result {
             // Without a pause, a starting fleet or a series of changes by an operator would wake a
             // watch once for each entry.
-            Ok(NextCall::Batch) => task::sleep(shared.settings.batch_pause().into()).await,
+            Ok(NextCall::Batch) => {
+                follower.schedule_expiry(&shared);
+                task::sleep(follower.times.batch_pause.into()).await;
+            }
             Ok(NextCall::Immediate) => {}
             Err(error) => follower.on_failure(&shared, &error).await,
         }
@@ -87,24 +80,26 @@
     at: Option<Revision>,
     /// The era of the last answer; `None` before the first one.
     era: Option<u64>,
-    /// Whether the last watch was cancelled because other instances know of a change.
+    /// Whether the next watch must not wait for long: the last one was cancelled because other
+    /// instances know of a change, or the last call failed.
     lags: bool,
+    /// When the last scheduled expiry of unconfirmed servers is due.
+    expiry: Millis,
+    times: StoreTimes,
     backoff: Backoff,
     jitter: Jitter,
 }
 
 impl Follower {
     fn new(shared: &Shared) -> Follower {
-        let settings = BackoffSettings {
-            initial_pause: BACKOFF_BASE,
-            max_pause: BACKOFF_CAP,
-            max_retry_after: RETRY_AFTER_CAP,
-        };
+        let times = StoreTimes::new(&shared.settings);
         Follower {
             at: None,
             era: None,
             lags: false,
-            backoff: Backoff::new(settings),
+            expiry: Millis::ZERO,
+            times,
+            backoff: Backoff::new(times.backoff),
             jitter: Jitter::new(shared.seed),
         }
     }
@@ -113,7 +108,8 @@
     ///
     /// After that the changes are known to exist, so the next watch has nothing to wait for: it
     /// isn't cancelled again, or a store whose answers take longer than changes are apart would
-    /// never be heard.
+    /// never be heard. It is short, as after a failure: the end of an outage must be noticed soon
+    /// also if the store was silent.
     async fn watch(
         &mut self,
         shared: &Shared,
@@ -121,10 +117,10 @@
         at: Revision,
     ) -> Option<Result<Changes, SourceError>> {
         let begun = if self.lags {
-            source.watch(at, shared.settings.lag_wait()).await
+            source.watch(at, self.times.lag_watch).await
         } else {
             let started = shared.clock.now();
-            let watch = source.watch(at, shared.settings.watch_wait());
+            let watch = source.watch(at, self.times.watch);
             let begun = shared.store.run(at, watch).await;
             self.lags = begun.is_none();
             if self.lags {
@@ -182,6 +178,24 @@
         }
     }
 
+    /// Schedules the end of the grace period of servers whose entries are missing.
+    ///
+    /// The bound on requests to a server that has left leaves no time for the interval of the
+    /// timers.
+    fn schedule_expiry(&mut self, shared: &Arc<Shared>) {
+        let due = shared.directory().next_expiry();
+        let Some(due) = due.filter(|due| *due > self.expiry) else {
+            return;
+        };
+        self.expiry = due;
+        let shared = shared.clone();
+        task::spawn(async move {
+            let left = due.since(shared.clock.now());
+            task::sleep(left.into()).await;
+            expire(&shared);
+        });
+    }
+
     async fn on_failure(&mut self, shared: &Shared, error: &SourceError) {
         let must_list = *error == SourceError::HistoryLost
             || (*error == SourceError::TooLarge && self.at.is_some());
@@ -193,6 +207,7 @@
             info!("{event}");
             return;
         }
+        self.lags = true;
         if shared.directory().record_failure() {
             let event = Event::new("store-lost")
                 .with("cause", error)
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -135,23 +135,6 @@
 /// buffers take up to the same amount again.
 const BODY_MEMORY_DIVISOR: u64 = 3;
 
-/// Part of the stable window that is left out of a watch, so that a silent connection is detected
-/// within the window. It covers the timeout of the answer and a new connection.
-const SILENCE_MARGIN: Millis = Millis(600);
-
-/// Shortest wait of a watch. A shorter one would amount to polling.
-const MIN_WATCH_WAIT: Millis = Millis(1000);
-
-/// Divisor of the time in which a change must be in force, or a draining server must get no more
-/// requests. It gives the pause between watches after changes. The rest of the time is for one
-/// failed call and its retry, and for requests already in flight.
-const BATCH_PAUSE_DIVISOR: u64 = 3;
-
-/// Divisor of the time in which a change must be in force. It gives the wait of a watch for changes
-/// that are known to exist; a connection that is silent as well must be noticed in time for another
-/// call.
-const LAG_WAIT_DIVISOR: u64 = 4;
-
 impl Settings {
     /// The key of each availability zone's region.
     pub(crate) fn region_keys(&self) -> HashMap<String, RegionKey> {
@@ -164,22 +147,6 @@
     pub(crate) fn body_memory(&self) -> u64 {
         self.memory / BODY_MEMORY_DIVISOR
     }
-
-    /// Maximum wait of a watch.
-    pub(crate) fn watch_wait(&self) -> Millis {
-        self.stable_window.since(SILENCE_MARGIN).max(MIN_WATCH_WAIT)
-    }
-
-    /// Maximum wait of a watch for changes that other instances know of. The store answers it at
-    /// once, unless they are mistaken.
-    pub(crate) fn lag_wait(&self) -> Millis {
-        Millis(self.apply_bound.min(self.drain_bound).0 / LAG_WAIT_DIVISOR)
-    }
-
-    /// Pause between two watches after changes, to batch them.
-    pub(crate) fn batch_pause(&self) -> Millis {
-        Millis(self.apply_bound.min(self.drain_bound).0 / BATCH_PAUSE_DIVISOR)
-    }
 }
 
 /// Part of the grace period that is left for the process to exit.
--- a/crates/gateway/src/lag.rs
+++ b/crates/gateway/src/lag.rs
@@ -14,7 +14,7 @@
 
 /// How long other instances may know of a change before this instance's watch is cancelled. Watches
 /// deliver a change within milliseconds of each other, and gossip takes one or two rounds.
-const WATCH_GRACE: Millis = Millis(300);
+pub(crate) const WATCH_GRACE: Millis = Millis(300);
 
 /// The newest revision known to other instances, compared to this one's watch.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -87,6 +87,15 @@
     }
 }
 
+/// Times of a watch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatchTimes {
+    /// How long the store waits for changes.
+    pub wait: Millis,
+    /// Limit on the time until the answer begins.
+    pub timeout: Millis,
+}
+
 /// The answer of a watch, which has begun to arrive.
 pub trait IncomingAnswer: Send {
     /// Receives the rest of the answer.
@@ -101,12 +110,12 @@
     /// Reads all entries.
     fn list(&self) -> impl Future<Output = Result<Listing, SourceError>> + Send;
 
-    /// Waits up to `wait` for changes after the revision `after`, until the answer begins. It may
-    /// contain no changes. It may belong to a later era, in which case its changes don't follow on
+    /// Waits for changes after the revision `after`, until the answer begins. It may contain no
+    /// changes. It may belong to a later era, in which case its changes don't follow on
     /// those before `after`.
     fn watch(
         &self,
         after: Revision,
-        wait: Millis,
+        times: WatchTimes,
     ) -> impl Future<Output = Result<Self::Incoming, SourceError>> + Send;
 }
