gateway: don't doubt removals if another instance kept its contact to the store

Requests reached servers that had left for two seconds after an instance had read that they had.

The class of fault: a local failure taken for a global one. An instance that has regained its contact asks one other instance a round, until one has had contact since before the outage: then nothing is doubted any longer. A store that was restored from an older copy is doubted in any case.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -5,6 +5,10 @@
 //! such servers would empty the fleet after every outage and refuse every caller although all
 //! servers run. They are therefore kept as unconfirmed, and removed only if the entry is still
 //! missing some time after the registry has recovered.
+//!
+//! An instance that lost its own contact can't tell whether the registry was unavailable to all. If
+//! another instance kept its contact meanwhile, servers could renew their entries, and the removals
+//! are confirmed.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -19,6 +23,11 @@
 /// The platform documents that live servers are listed again within about two seconds.
 pub const RETURN_GRACE: Millis = Millis::from_secs(2);
 
+/// Longest time between two answers of the registry for which the contact counts as uninterrupted.
+/// It is longer than a watch waits; an instance that was suspended for longer knows nothing about
+/// that time.
+const MAX_SILENCE: Millis = Millis::from_secs(6);
+
 /// Result of the removal of an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Removal {
@@ -38,32 +47,118 @@
     unconfirmed: HashMap<String, Millis>,
     /// Versions of entries and evacuations, for a store that was restored from an older copy.
     eras: EraGuard,
-    unavailable: bool,
-    recovered_at: Option<Millis>,
+    contact: Contact,
+    recovery: Option<Recovery>,
+}
+
+/// Contact of this instance to the registry.
+#[derive(Clone, Copy, Debug, Default)]
+enum Contact {
+    /// No call has succeeded yet.
+    #[default]
+    None,
+    /// The last call succeeded.
+    Available {
+        /// Since when no call has failed.
+        since: Millis,
+        /// When the last call succeeded.
+        confirmed: Millis,
+    },
+    /// The last call failed.
+    Lost {
+        /// When the last call before the failure succeeded; `None` if none has.
+        confirmed: Option<Millis>,
+    },
+}
+
+/// The last recovery of the registry.
+#[derive(Clone, Copy, Debug)]
+struct Recovery {
+    /// When it was noticed.
+    at: Millis,
+    /// When the contact was last known to exist before; `None` if the registry's contents changed
+    /// in a way that other instances may not have noticed yet.
+    lost: Option<Millis>,
 }
 
 impl Directory {
     /// Records a failed call. Returns true if the registry was reachable before.
     pub fn record_failure(&mut self) -> bool {
-        !std::mem::replace(&mut self.unavailable, true)
+        let confirmed = match self.contact {
+            Contact::Lost { .. } => return false,
+            Contact::None => None,
+            Contact::Available { confirmed, .. } => Some(confirmed),
+        };
+        self.contact = Contact::Lost { confirmed };
+        true
     }
 
     /// Records a successful call. Returns true if the registry was unreachable before.
     pub fn record_success(&mut self, now: Millis) -> bool {
-        let unavailable = std::mem::take(&mut self.unavailable);
-        if unavailable {
-            self.recovered_at = Some(now);
+        let (since, lost) = match self.contact {
+            Contact::None => (now, None),
+            Contact::Available { since, confirmed } if now.since(confirmed) <= MAX_SILENCE => {
+                (since, None)
+            }
+            Contact::Available { .. } => (now, None),
+            Contact::Lost { confirmed } => (now, Some(confirmed)),
+        };
+        self.contact = Contact::Available {
+            since,
+            confirmed: now,
+        };
+        if let Some(lost) = lost {
+            self.recovery = Some(Recovery { at: now, lost });
         }
-        unavailable
+        lost.is_some()
     }
 
     /// Records that the registry was restored from an older copy. Servers that are missing from the
     /// copy may have started since, so removed entries stay unconfirmed as after an outage.
     pub fn record_rollback(&mut self, now: Millis) {
-        self.recovered_at = Some(now);
+        self.contact = Contact::Available {
+            since: now,
+            confirmed: now,
+        };
+        self.recovery = Some(Recovery {
+            at: now,
+            lost: None,
+        });
         self.eras.start_era(now);
     }
 
+    /// How long this instance has had contact to the registry without a failed call; `None` while it
+    /// has none.
+    pub fn contact_age(&self, now: Millis) -> Option<Millis> {
+        match self.contact {
+            Contact::Available { since, confirmed } if now.since(confirmed) <= MAX_SILENCE => {
+                Some(now.since(since))
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether the contact of another instance during the last outage would confirm removals.
+    pub fn needs_confirmation(&self, now: Millis) -> bool {
+        let lost = self.recovery.and_then(|recovery| recovery.lost);
+        lost.is_some() && self.grace_ends(now).is_some()
+    }
+
+    /// Records that another instance has had contact to the registry since `since`. Returns the
+    /// servers that are therefore known to be gone.
+    pub fn confirm_removals(&mut self, since: Millis, now: Millis) -> Vec<String> {
+        let lost = self.recovery.and_then(|recovery| recovery.lost);
+        if !self.needs_confirmation(now) || lost.is_none_or(|lost| since > lost) {
+            return Vec::new();
+        }
+        self.recovery = None;
+        let gone: Vec<String> = self.unconfirmed.keys().cloned().collect();
+        for id in &gone {
+            self.forget(id);
+        }
+        gone
+    }
+
     /// The guard against outdated entries and evacuations after a restore.
     pub fn eras(&mut self) -> &mut EraGuard {
         &mut self.eras
@@ -114,7 +209,7 @@
     /// Removes the servers whose entries are still missing at the end of their grace period, and
     /// returns them.
     pub fn expire(&mut self, now: Millis) -> Vec<String> {
-        if self.unavailable {
+        if matches!(self.contact, Contact::Lost { .. }) {
             return Vec::new();
         }
         let due = self.unconfirmed.iter().filter(|(_, until)| **until <= now);
@@ -144,7 +239,7 @@
 
     /// The time at which an entry that is removed now counts as gone; `None` if it does so at once.
     fn grace_ends(&self, now: Millis) -> Option<Millis> {
-        let ends = self.recovered_at? + RETURN_GRACE;
+        let ends = self.recovery?.at + RETURN_GRACE;
         (now < ends).then_some(ends)
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -306,6 +306,16 @@
     }
 }
 
+/// Records that another instance has had contact to the store for `age`.
+pub(crate) fn on_peer_contact(shared: &Shared, age: Millis) {
+    let now = shared.clock.now();
+    let since = Millis(now.0.saturating_sub(age.0));
+    let gone = shared.directory().confirm_removals(since, now);
+    for id in gone {
+        remove_lost_server(shared, &id, "confirmed");
+    }
+}
+
 fn server_id(entry: &Entry) -> Option<&str> {
     match entry {
         Entry::Server(record) => Some(&record.id),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -103,6 +103,8 @@
 pub use sharing::Message;
 pub use sharing::Part;
 pub use sharing::ServiceWork;
+pub use sharing::contact_answer;
+pub use sharing::contact_query;
 pub use sharing::suspicion_packets;
 pub use source::Change;
 pub use source::Changes;
--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -23,6 +23,10 @@
     Updates(Vec<RequestUpdate>),
     /// Requests under which servers ended.
     Suspicions(Vec<Suspicion>),
+    /// The sender asks how long the receiver has had contact to the registry.
+    ContactQuery,
+    /// How long the sender has had contact to the registry without a failed call.
+    Contact(Millis),
 }
 
 impl Packet {
--- a/crates/gateway/src/sharing/mod.rs
+++ b/crates/gateway/src/sharing/mod.rs
@@ -17,6 +17,7 @@
 //! collector: every instance that receives loads is one, and if it doesn't respond, another one is
 //! used after a second.
 
+mod contact;
 mod members;
 mod message;
 mod prefix_relay;
@@ -24,6 +25,8 @@
 mod state;
 mod suspicions;
 
+pub use contact::contact_answer;
+pub use contact::contact_query;
 pub use members::Members;
 pub use message::CachedPrefix;
 pub use message::Content;
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -14,12 +14,15 @@
 use log::info;
 use twox_hash::XxHash3_64;
 
+use super::contact::contact_answer;
+use super::contact::contact_query;
 use super::message::CachedPrefix;
 use super::message::Identity;
 use super::message::MAX_MESSAGE_BYTES;
 use super::state::Gossip;
 use super::state::LoadSum;
 use super::suspicions::suspicion_packets;
+use crate::follow;
 use crate::placing::Packet;
 use crate::quarantine;
 use crate::shared::Shared;
@@ -68,6 +71,14 @@
             Some(Packet::Request(ask)) => shared.placer.place(&mut shared.fleet(), from, &ask, now),
             Some(Packet::Reply(reply)) => shared.placer.handle_reply(from, reply),
             Some(Packet::Suspicions(suspicions)) => quarantine::receive(&shared, &suspicions),
+            Some(Packet::Contact(age)) => follow::on_peer_contact(&shared, age),
+            Some(Packet::ContactQuery) => {
+                let answer = contact_answer(&shared.directory(), now);
+                if let Some(packet) = answer {
+                    // Without an answer the sender asks another instance.
+                    let _ = socket.send_to(&packet.encode(), from).await;
+                }
+            }
             Some(Packet::Updates(updates)) => {
                 let mut fleet = shared.fleet();
                 shared.placer.apply_updates(&mut fleet, from, updates, now);
@@ -145,6 +156,7 @@
         }
         let messages = state.round(own, now);
         let mut packets = suspicion_packets(&mut shared.quarantine(), &state, &messages, now);
+        packets.extend(contact_query(&shared.directory(), &state, now));
         let gossip = messages.into_iter();
         packets.extend(gossip.map(|(to, message)| (to, Packet::Gossip(message))));
         Round {
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -7,6 +7,7 @@
 use crocushold_gateway::EntryVersion;
 use crocushold_gateway::RETURN_GRACE;
 use crocushold_gateway::Removal;
+use test_case::test_case;
 
 fn known(ids: &[&str]) -> Directory {
     let mut directory = Directory::default();
@@ -74,3 +75,55 @@
     let removal = directory.remove("a", Millis(1000) + RETURN_GRACE);
     assert_eq!(removal, Removal::Gone);
 }
+
+/// Contact of another instance, and what it says about the outage of this one from 2 s to 5 s.
+#[test_case(Millis(2000), true; "without a failure since before the outage")]
+#[test_case(Millis(2001), false; "only since the outage")]
+fn removals_are_confirmed_by_an_instance_that_kept_its_contact(since: Millis, confirmed: bool) {
+    let mut directory = known(&["a", "b"]);
+    directory.record_success(Millis(2000));
+    directory.record_failure();
+    let back = Millis(5000);
+    directory.record_success(back);
+    assert_eq!(
+        directory.remove("a", back),
+        Removal::Unconfirmed(back + RETURN_GRACE)
+    );
+    let gone = directory.confirm_removals(since, back + Millis(100));
+    assert_eq!(gone == ["a"], confirmed);
+    assert_eq!(
+        directory.remove("b", back + Millis(200)) == Removal::Gone,
+        confirmed
+    );
+    assert_eq!(directory.needs_confirmation(back + Millis(200)), !confirmed);
+}
+
+/// A store that was restored from an older copy lacks entries of running servers, whoever kept its
+/// contact to it.
+#[test]
+fn removals_after_a_rollback_are_not_confirmed() {
+    let mut directory = known(&["a"]);
+    directory.record_success(Millis(2000));
+    directory.record_failure();
+    directory.record_success(Millis(5000));
+    directory.record_rollback(Millis(5000));
+    directory.remove("a", Millis(5000));
+    let gone = directory.confirm_removals(Millis::ZERO, Millis(5100));
+    assert_eq!(gone, [""; 0]);
+    assert_eq!(directory.unconfirmed(), 1);
+}
+
+/// An instance that was suspended can't tell whether the registry was available meanwhile.
+#[test]
+fn contact_is_interrupted_by_a_long_silence() {
+    let mut directory = known(&[]);
+    assert_eq!(directory.contact_age(Millis(10)), None);
+    directory.record_success(Millis(1000));
+    directory.record_success(Millis(5000));
+    assert_eq!(directory.contact_age(Millis(6000)), Some(Millis(5000)));
+    assert_eq!(directory.contact_age(Millis(15_000)), None);
+    directory.record_success(Millis(15_000));
+    assert_eq!(directory.contact_age(Millis(15_000)), Some(Millis::ZERO));
+    directory.record_failure();
+    assert_eq!(directory.contact_age(Millis(15_000)), None);
+}
