Keep the limits that servers name, over all instances together

A server in need names in its answers how many requests a second it takes from all instances together. The cause is a missing part, not a fault in one; what makes it more than a header is that the limit is shared by instances that share nothing.

The slow start had solved that: only the instance that places for all uses the rate of a cold server, at three quarters of it, and all others skip the server. That mechanism becomes the pace of a server (slow_start.rs is pace.rs), with two sources: the cold phase of its entry, and the limit of its answers; the lower one counts. A limit of nearly nothing still gets a request every five seconds, or the server could never withdraw it.

The placing instance relays few answers itself. All instances keep the latest word of each server and tell changes to the placing instance and to others, and to the former again while answers name the limit, so that a lost datagram changes nothing. An answer without a limit ends it only if its request was sent after the limit was last named. Requests of a plain service are placed by the one instance while one of its servers is paced; cold plain servers, which got nothing so far, are used at their rate as well.

The tests of the slow start go on in tests/pace.rs, with the renamed field.

--- a/crates/entry/src/pool/reach.rs
+++ b/crates/entry/src/pool/reach.rs
@@ -133,9 +133,12 @@
         };
         let shortage = match reason {
             Reason::NoModel | Reason::Out => Shortage::Down,
-            Reason::Busy | Reason::Late { .. } | Reason::Cold | Reason::Region | Reason::Tried => {
-                Shortage::Full
-            }
+            Reason::Busy
+            | Reason::Late { .. }
+            | Reason::Cold
+            | Reason::Limited
+            | Reason::Region
+            | Reason::Tried => Shortage::Full,
             Reason::Stale => return false,
         };
         self.widen(shortage, model, now)
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -206,10 +206,11 @@
     }
 
     /// Asks the placer for a server. Returns `None` if this instance has to choose itself: the
-    /// request isn't for an engine, there is no reply, or the reply can't be used here.
+    /// request is neither for an engine nor for a service with paced servers, there is no reply, or
+    /// the reply can't be used here.
     async fn ask_placer(&self, now: Millis) -> Option<Result<Choice, NoServer>> {
         let need = &self.job.need;
-        if need.unique_tokens == 0 {
+        if need.unique_tokens == 0 && !self.shared.fleet().needs_placer(&need.service, now) {
             return None;
         }
         let query = PlacementQuery {
@@ -271,6 +272,7 @@
                 Reason::Late
             }
             routing::Reason::Cold => Reason::Cold,
+            routing::Reason::Limited => Reason::Limited,
             routing::Reason::Region => Reason::Region,
             routing::Reason::Tried => Reason::Rejected,
             _ => Reason::NoServer,
@@ -385,6 +387,9 @@
             self.shared.fleet().record_load(choice, load, now);
         }
         let verdict = classify_answer(answer.status, meta, &self.job.id, self.job.need.idempotent);
+        if verdict.is_from_server() {
+            self.shared.record_limit(choice, meta.limit);
+        }
         match verdict {
             Verdict::Good => {
                 self.sent += 1;
--- a/crates/gateway/src/fleet/choose.rs
+++ b/crates/gateway/src/fleet/choose.rs
@@ -70,9 +70,9 @@
         self.update_routers(now);
         let server = *self.hashes.get(&placement.engine)?;
         let record = &self.servers[server].record;
-        let model = need.model.as_deref().unwrap_or_default();
+        let holds = |model: &String| record.models.contains(model);
         // The placer may have another configuration, or an older entry of the server.
-        if record.service != need.service || !record.models.iter().any(|held| held == model) {
+        if record.service != need.service || !need.model.as_ref().is_none_or(holds) {
             return None;
         }
         let source = placement.source.and_then(|hash| self.hashes.get(&hash));
@@ -124,7 +124,7 @@
         let demand = Demand {
             zone,
             central,
-            allow_cold: self.is_placer || self.settings.alone,
+            allow_paced: self.is_placer || self.settings.alone,
             ..demand(service, &self.models, need, tried)
         };
         let pick = service.router.pick(&demand, now)?;
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod announcements;
 mod choose;
 mod evacuation;
+mod limits;
 mod need;
 mod service;
 mod slow_start;
@@ -34,6 +35,8 @@
 use twox_hash::XxHash3_64;
 
 use self::announcements::Announcements;
+use self::limits::NamedLimit;
+pub use self::limits::ServerLimit;
 pub use self::need::Need;
 use self::service::ModelLanes;
 use self::service::Service;
@@ -151,6 +154,8 @@
     reported_cold_until: Millis,
     /// End of the server's assumed cold phase, regardless of its entry.
     assumed_cold_until: Millis,
+    /// The limit that its answers name.
+    limit: NamedLimit,
 }
 
 impl Server {
@@ -161,6 +166,7 @@
             incarnation: incarnation(&record),
             reported_cold_until: Millis::ZERO,
             assumed_cold_until: Millis::ZERO,
+            limit: NamedLimit::default(),
             record,
         }
     }
@@ -237,12 +243,12 @@
     /// back. In both cases what was learned is unreliable, but a draining server isn't reinstated
     /// by an entry with an earlier start time.
     pub fn list(&mut self, record: &ServerRecord, now: Millis) -> ListOutcome {
-        let listed = self.list_record(record);
+        let listed = self.list_record(record, now);
         self.record_cold(&record.id, record.heartbeat.cold_remaining, now);
         listed
     }
 
-    fn list_record(&mut self, record: &ServerRecord) -> ListOutcome {
+    fn list_record(&mut self, record: &ServerRecord, now: Millis) -> ListOutcome {
         let service = record.service.clone();
         // The heartbeat changes with each entry, and carries nothing else about the server.
         let mut record = record.clone();
@@ -271,6 +277,7 @@
         if !restarted {
             return ListOutcome::Changed;
         }
+        self.servers[key].limit = NamedLimit::of_new_process(now);
         if let Some(service) = self.services.get_mut(&service) {
             service.router.server_restarted(key);
         }
@@ -501,7 +508,7 @@
         }
         let specs: Vec<ServerSpec> = specs.into_iter().map(|(spec, _)| spec).collect();
         service.router.configure(&specs, now);
-        self.push_cold_states(name);
+        self.push_paces(name, now);
     }
 }
 
--- a/crates/gateway/src/fleet/slow_start.rs
+++ b/crates/gateway/src/fleet/slow_start.rs
@@ -41,15 +41,16 @@
         }
     }
 
-    /// Passes the cold phases of a service's servers to its router after the router received them
-    /// anew.
-    pub(super) fn push_cold_states(&mut self, name: &str) {
+    /// Passes the cold phases and the limits of a service's servers to its router after the router
+    /// received them anew.
+    pub(super) fn push_paces(&mut self, name: &str, now: Millis) {
         let Some(service) = self.services.get_mut(name) else {
             return;
         };
         for (key, server) in &self.servers {
             if server.record.service == name {
                 service.router.set_cold(key, server.cold_until());
+                service.router.set_limit(key, server.limit.rate, now);
             }
         }
     }
--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::fleet::Need;
+use crate::fleet::ServerLimit;
 use crate::sharing::Message;
 
 /// Any message between instances. Each is sent as one datagram.
@@ -27,6 +28,8 @@
     ContactQuery,
     /// How long the sender has had contact to the registry without a failed call.
     Contact(Millis),
+    /// Limits that servers name.
+    Limits(Vec<ServerLimit>),
 }
 
 impl Packet {
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -69,7 +69,7 @@
 }
 
 /// Decoded headers of a server's answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AnswerMeta {
     /// ID of the request that is answered.
     pub id: Option<String>,
@@ -81,6 +81,9 @@
     pub encoded: bool,
     /// Number of requests at the server, if reported.
     pub load: Option<LoadReport>,
+    /// Requests per second that the server accepts from all instances together, if it names a
+    /// limit.
+    pub limit: Option<f64>,
 }
 
 /// Reads and writes the headers of one deployment.
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -28,6 +28,8 @@
     Busy,
     /// The servers with free slots are cold and accept only few requests.
     Cold,
+    /// The servers with free slots limit how many requests they accept per second.
+    Limited,
     /// No server accepts requests in a region in which the request may run.
     Region,
     /// Request bodies fill the instance's memory.
@@ -64,6 +66,7 @@
             Reason::NoServer => "no-server",
             Reason::Busy => "busy",
             Reason::Cold => "cold",
+            Reason::Limited => "limited",
             Reason::Region => "region",
             Reason::Memory => "memory",
             Reason::Late => "late",
@@ -93,6 +96,7 @@
             | Reason::NoServer
             | Reason::Busy
             | Reason::Cold
+            | Reason::Limited
             | Reason::Region
             | Reason::Memory
             | Reason::Late
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::Ordering;
 
 use crocushold_base::Clock;
+use crocushold_base::Event;
 use crocushold_base::MemoryBudget;
 use crocushold_base::Millis;
 use crocushold_base::Pseudonymizer;
@@ -19,11 +20,13 @@
 use crocushold_routing::LoadReport;
 use crocushold_routing::Outcome;
 use crocushold_routing::Quarantine;
+use log::info;
 
 use crate::directory::Directory;
 use crate::fleet::Choice;
 use crate::fleet::Fleet;
 use crate::fleet::FleetSettings;
+use crate::fleet::ServerLimit;
 use crate::instance::Settings;
 use crate::instance::caller_limits;
 use crate::metrics::Metrics;
@@ -177,6 +180,22 @@
         self.placer.request_ended(choice.placement_id, ended);
     }
 
+    /// Records what an answer says about its server's limit.
+    pub(crate) fn record_limit(&self, choice: &Choice, limit: Option<f64>) {
+        let mut fleet = self.fleet();
+        if fleet.record_limit(choice, limit, self.clock.now()) {
+            log_limit(&fleet, &choice.id, "answer");
+        }
+    }
+
+    /// Records the limits that another instance knows.
+    pub(crate) fn record_remote_limits(&self, limits: &[ServerLimit]) {
+        let mut fleet = self.fleet();
+        for id in fleet.record_remote_limits(limits, self.clock.now()) {
+            log_limit(&fleet, &id, "instance");
+        }
+    }
+
     /// The listed servers.
     pub(crate) fn directory(&self) -> MutexGuard<'_, Directory> {
         lock(&self.directory)
@@ -219,6 +238,15 @@
     }
 }
 
+fn log_limit(fleet: &Fleet, id: &str, source: &str) {
+    let limit = fleet.limit_of(id).map(|limit| limit.to_string());
+    let event = Event::new("server-limit")
+        .with("server", id)
+        .with("per-second", limit.as_deref().unwrap_or("none"))
+        .with("source", source);
+    info!("{event}");
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/gateway/src/sharing/mod.rs
+++ b/crates/gateway/src/sharing/mod.rs
@@ -18,6 +18,7 @@
 //! used after a second.
 
 mod contact;
+mod limits;
 mod members;
 mod message;
 mod prefix_relay;
@@ -27,6 +28,7 @@
 
 pub use contact::contact_answer;
 pub use contact::contact_query;
+pub use limits::limit_packets;
 pub use members::Members;
 pub use message::CachedPrefix;
 pub use message::Content;
--- a/crates/gateway/src/sharing/state.rs
+++ b/crates/gateway/src/sharing/state.rs
@@ -268,7 +268,7 @@
         self.forget(now);
         let mut contents = Vec::new();
         // Whether to send messages even if they contain nothing new.
-        let keepalive = self.rounds.is_multiple_of(KEEPALIVE_ROUNDS);
+        let keepalive = self.is_keepalive_round();
         let should_send = keepalive || !local.is_empty() || !self.sent_loads[1].is_empty();
         match self.choose_collector(now) {
             Some(collector) if should_send => {
@@ -345,6 +345,11 @@
         self.is_truncated
     }
 
+    /// Whether messages of this round are sent even if they contain nothing new.
+    pub fn is_keepalive_round(&self) -> bool {
+        self.rounds.is_multiple_of(KEEPALIVE_ROUNDS)
+    }
+
     /// The instances to send urgent updates to. Each round selects other ones.
     pub fn gossip_targets(&self) -> Vec<SocketAddr> {
         self.members.sample(FANOUT, self.rounds ^ self.seed)
--- a/crates/gateway/src/verdict.rs
+++ b/crates/gateway/src/verdict.rs
@@ -25,6 +25,16 @@
     Bad,
 }
 
+impl Verdict {
+    /// Whether the answer is certain to be from the server that the request was sent to.
+    pub(crate) fn is_from_server(self) -> bool {
+        match self {
+            Verdict::Good | Verdict::Failed | Verdict::Rejected => true,
+            Verdict::Misdirected | Verdict::Bad => false,
+        }
+    }
+}
+
 /// Classifies the head of an answer to the request `id`.
 ///
 /// An answer with another request's ID was left on the connection by an earlier request. If it were
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -32,6 +32,7 @@
 mod health;
 mod lanes;
 mod list;
+mod pace;
 mod pool;
 mod quarantine;
 mod queue_delay;
@@ -42,7 +43,6 @@
 mod server;
 mod server_subset;
 mod settings;
-mod slow_start;
 mod stats;
 mod subset;
 
--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -268,7 +268,7 @@
             chosen.queue_delay.on_sent(sent, now);
             self.record_prefix(server, demand.prefix, now);
         }
-        self.record_cold_request(server, now);
+        self.record_paced_request(server, now);
         self.update_slots(server);
         let first_byte_timeout = self.pools[pool].first_byte_timeout(&self.settings);
         Pick {
@@ -282,7 +282,7 @@
     }
 
     fn no_server_error(&self, pool: usize, demand: &Demand<'_>, now: Millis) -> NoServer {
-        self.cold_refusal(pool, demand, now).unwrap_or_else(|| {
+        self.paced_refusal(pool, demand, now).unwrap_or_else(|| {
             let reason = match self.pool_unavailable_reason(pool, demand.exclude) {
                 Reason::Busy | Reason::Tried if !self.has_region(pool, demand) => Reason::Region,
                 reason => reason,
@@ -322,7 +322,9 @@
             // `check_wait` sets the actual time from the wait.
             Reason::Late { .. } => self.settings.wake_grace,
             Reason::Region => MAX_RETRY_AFTER,
-            Reason::Cold | Reason::Tried | Reason::Stale => self.settings.wake_grace,
+            Reason::Cold | Reason::Limited | Reason::Tried | Reason::Stale => {
+                self.settings.wake_grace
+            }
         };
         NoServer {
             reason,
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -2,10 +2,10 @@
 
 mod capacity;
 mod choice;
-mod cold;
 mod expected;
 mod feedback;
 mod instance_list;
+mod paced;
 mod placement;
 mod prefix;
 mod slots;
--- a/crates/routing/src/router/placement.rs
+++ b/crates/routing/src/router/placement.rs
@@ -9,11 +9,11 @@
 
 impl Router {
     /// Whether the request may be sent to the server: it wasn't tried, is in an allowed region, and
-    /// isn't too cold.
+    /// its pace permits it.
     pub(super) fn is_eligible(&self, server: ServerKey, demand: &Demand<'_>, now: Millis) -> bool {
         !demand.exclude.contains(&server)
             && is_in_region(&self.servers[server], demand)
-            && self.is_warm_for(server, demand, now)
+            && self.is_paced_for(server, demand, now)
     }
 
     /// Whether a usable server of the pool is in a region in which the request may run.
--- a/crates/routing/src/router/types.rs
+++ b/crates/routing/src/router/types.rs
@@ -53,8 +53,8 @@
     /// and all servers are compared by their exact queues. Otherwise a few servers are sampled, so
     /// that instances with partial information don't all choose the same one.
     pub central: bool,
-    /// Whether this router may use cold servers at their limited rate. All other routers skip them.
-    pub allow_cold: bool,
+    /// Whether this router may use paced servers at their rate. All other routers skip them.
+    pub allow_paced: bool,
 }
 
 /// Spill-over of a request to the servers of another model.
@@ -130,6 +130,8 @@
     },
     /// All servers with free slots are cold and accept no more requests for now.
     Cold,
+    /// All servers with free slots name limits and accept no more requests for now.
+    Limited,
     /// No usable server is in one of the allowed regions.
     Region,
     /// Every usable server was tried already.
@@ -146,6 +148,7 @@
             Reason::Out => "all servers are out",
             Reason::Late { .. } => "the wait is too long everywhere",
             Reason::Cold => "the servers that are free are cold",
+            Reason::Limited => "the servers that are free limit their requests",
             Reason::Region => "no server is in an allowed region",
             Reason::Tried => "all servers were tried",
             Reason::Stale => "the instance list is stale",
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -8,9 +8,9 @@
 use crate::health::Fault;
 use crate::health::Health;
 use crate::health::Phase;
+use crate::pace::Pace;
 use crate::queue_delay::QueueDelay;
 use crate::region::RegionKey;
-use crate::slow_start::SlowStart;
 use crate::stats::Ewma;
 use crate::stats::Median;
 
@@ -221,7 +221,7 @@
     pub(crate) median_pause: Option<Median>,
     /// Number of reported starts of its process.
     pub(crate) generation: u32,
-    pub(crate) slow_start: SlowStart,
+    pub(crate) pace: Pace,
     report: Option<ReceivedReport>,
 }
 
@@ -245,7 +245,7 @@
             queue_delay: QueueDelay::default(),
             median_pause: None,
             generation: 0,
-            slow_start: SlowStart::default(),
+            pace: Pace::default(),
             report: None,
         };
         server.allot(allotment);
@@ -261,6 +261,7 @@
         self.queue_delay = QueueDelay::default();
         self.median_pause = None;
         self.report = None;
+        self.pace.clear_limit();
     }
 
     /// Sets how much of the server this instance may use.
--- a/crates/routing/tests/slow_start.rs
+++ b/crates/routing/tests/pace.rs
@@ -1,4 +1,4 @@
-//! Tests of servers that start cold during a burst.
+//! Tests of paced servers: those that start cold during a burst, and those that name a limit.
 
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
@@ -81,12 +81,12 @@
     }
 }
 
-fn demand(allow_cold: bool, unique_tokens: u32) -> Demand<'static> {
+fn demand(allow_paced: bool, unique_tokens: u32) -> Demand<'static> {
     Demand {
         unique_tokens,
         tokens: UNIQUE_TOKENS,
-        central: allow_cold,
-        allow_cold,
+        central: allow_paced,
+        allow_paced,
         ..Demand::default()
     }
 }
@@ -170,3 +170,106 @@
         .adopt(&placement, &demand(false, UNIQUE_TOKENS), START);
     assert_eq!(pick.map(|pick| pick.server), Some(burst.keys[1]));
 }
+
+/// Requests per second that a server accepts by its own word.
+const LIMIT: f64 = 4.0;
+
+/// The most that it may get within four seconds: half as many more, plus five.
+const MAX_IN_FOUR_SECONDS: usize = 29;
+
+fn max_in_four_seconds(times: &[Millis]) -> usize {
+    let window = |start: &Millis| {
+        let within = times.iter().filter(|at| **at >= *start);
+        within.filter(|at| at.since(*start) < Millis(4000)).count()
+    };
+    times.iter().map(window).max().unwrap_or(0)
+}
+
+/// Guards against sending as many requests to a server in need as to the others.
+#[test_case(UNIQUE_TOKENS; "an engine")]
+#[test_case(0; "a plain server")]
+fn a_limited_server_is_sent_requests_at_a_pace(own: u32) {
+    let mut burst = Burst::new(2, 0);
+    let limited = burst.keys[0];
+    burst.router.set_limit(limited, Some(LIMIT), START);
+    let sent = burst.run(&demand(true, own), START, Millis(8000));
+    let count = max_in_four_seconds(&sent[0]);
+    assert!(count <= 4 * LIMIT as usize, "{count} in four seconds");
+    assert!(count > 2 * LIMIT as usize, "{count}: it should be used");
+    burst.router.set_limit(limited, None, Millis(18_000));
+    let sent = burst.run(&demand(true, own), Millis(18_000), Millis(4000));
+    let count = max_in_four_seconds(&sent[0]);
+    assert!(count > MAX_IN_FOUR_SECONDS, "{count}: the limit has ended");
+}
+
+/// Guards against a limit that several instances exceed together.
+#[test]
+fn instances_that_choose_on_their_own_skip_limited_servers() {
+    let mut burst = Burst::new(2, 0);
+    let limited = burst.keys[0];
+    burst.router.set_limit(limited, Some(LIMIT), START);
+    assert!(burst.router.has_paced(START));
+    let sent = burst.run(&demand(false, UNIQUE_TOKENS), START, Millis(1000));
+    assert!(sent[0].is_empty());
+    assert!(sent[1].len() > 100, "{}", sent[1].len());
+}
+
+/// Guards against two instances that place at the same time, each with the whole limit.
+#[test]
+fn two_placing_instances_stay_below_a_limit() {
+    let runs = [0, 1].map(|offset| {
+        let mut burst = Burst::new(1, 0);
+        let limited = burst.keys[0];
+        burst.router.set_limit(limited, Some(LIMIT), START);
+        let demand = demand(true, UNIQUE_TOKENS);
+        burst.run(&demand, START + Millis(offset), Millis(8000))
+    });
+    let mut both: Vec<Millis> = runs.into_iter().flatten().flatten().collect();
+    both.sort_unstable();
+    let count = max_in_four_seconds(&both);
+    assert!(count <= MAX_IN_FOUR_SECONDS, "{count} in four seconds");
+}
+
+/// Guards against a server that never gets a request, and so can't say that it recovered.
+#[test]
+fn a_server_that_accepts_nothing_gets_a_request_now_and_then() {
+    let mut burst = Burst::new(1, 0);
+    let limited = burst.keys[0];
+    burst.router.set_limit(limited, Some(0.0), START);
+    let sent = burst.run(&demand(true, UNIQUE_TOKENS), START, Millis(20_000));
+    let count = max_in_four_seconds(&sent[0]);
+    assert!((1..=5).contains(&count), "{count} in four seconds");
+}
+
+/// Guards against a refusal without a retry time, and against a limit by which a cold server gets
+/// more than it bears.
+#[test_case(Some(2.0), Reason::Limited, Millis(667); "its limit")]
+#[test_case(None, Reason::Cold, Millis(3000); "its cold phase")]
+fn requests_beyond_a_pace_are_refused_with_a_retry_time(
+    limit: Option<f64>,
+    reason: Reason,
+    retry_after: Millis,
+) {
+    let mut burst = Burst::new(0, 1);
+    let server = burst.keys[0];
+    burst.router.set_limit(server, limit, START);
+    let refused = burst.router.pick(&demand(false, UNIQUE_TOKENS), START);
+    let refused = refused.map(|pick| pick.server);
+    assert_eq!(
+        refused,
+        Err(NoServer {
+            reason,
+            retry_after
+        })
+    );
+}
+
+/// Guards against applying the limit of a process that has ended to its successor.
+#[test]
+fn a_restarted_server_has_no_limit() {
+    let mut burst = Burst::new(1, 0);
+    let server = burst.keys[0];
+    burst.router.set_limit(server, Some(LIMIT), START);
+    burst.router.server_restarted(server);
+    assert!(!burst.router.has_paced(START));
+}
