gateway: a later outage doesn't confirm the removals of an earlier one

The outages whose removals are still unconfirmed count as one.

a_second_outage_does_not_confirm_the_removals_of_the_first is for it.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -76,8 +76,8 @@
 struct Recovery {
     /// When it was noticed.
     at: Millis,
-    /// When the contact was last known to exist before; `None` if the registry's contents changed
-    /// in a way that other instances may not have noticed yet.
+    /// When the contact was last known to exist before; `None` if that isn't known, or if the
+    /// registry's contents changed in a way that other instances may not have noticed yet.
     lost: Option<Millis>,
 }
 
@@ -108,11 +108,23 @@
             confirmed: now,
         };
         if let Some(lost) = lost {
+            let lost = self.unconfirmed_since(lost, now);
             self.recovery = Some(Recovery { at: now, lost });
         }
         lost.is_some()
     }
 
+    /// The start of the outages whose removals may still be unconfirmed, if the last of them began
+    /// at `lost`.
+    fn unconfirmed_since(&self, lost: Option<Millis>, now: Millis) -> Option<Millis> {
+        let settled = self.unconfirmed.is_empty() && self.grace_ends(now).is_none();
+        let before = self.recovery.filter(|_| !settled);
+        match before {
+            Some(before) => before.lost.min(lost),
+            None => lost,
+        }
+    }
+
     /// Records that the registry was restored from an older copy. Servers that are missing from the
     /// copy may have started since, so removed entries stay unconfirmed as after an outage.
     pub fn record_rollback(&mut self, now: Millis) {
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -98,6 +98,23 @@
     assert_eq!(directory.needs_confirmation(back + Millis(200)), !confirmed);
 }
 
+/// Guards against confirming the removals of an outage for all because of a later one that only this
+/// instance had.
+#[test]
+fn a_second_outage_does_not_confirm_the_removals_of_the_first() {
+    let mut directory = known(&["a"]);
+    directory.record_success(Millis(2000));
+    directory.record_failure();
+    directory.record_success(Millis(5000));
+    directory.remove("a", Millis(5000));
+    directory.record_failure();
+    directory.record_success(Millis(6000));
+    // The other instance has had contact since the first outage, and kept it in the second one.
+    let gone = directory.confirm_removals(Millis(4900), Millis(6100));
+    assert_eq!(gone, [""; 0]);
+    assert_eq!(directory.unconfirmed(), 1);
+}
+
 /// A store that was restored from an older copy lacks entries of running servers, whoever kept its
 /// contact to it.
 #[test]
