gateway: instances agree on limits with many digits

Found by reading: a limit is sent in thousandths, and an instance that had it from an answer with more digits took the other's number for a change, in each round, for ever. An answer's limit is rounded as it comes. The placing instance no longer sends limits to itself.

--- a/crates/gateway/src/fleet/limits.rs
+++ b/crates/gateway/src/fleet/limits.rs
@@ -12,6 +12,7 @@
 //! that has just recovered has no queue, and without a pace it would get a burst.
 
 use crocushold_base::Millis;
+use crocushold_routing::MIN_PACED_RATE;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -25,9 +26,6 @@
 /// that isn't in need gets.
 const UNPACED_RATE: f64 = 16.0;
 
-/// Lowest rate that is raised, in requests per second.
-const MIN_RATE: f64 = 0.25;
-
 /// How long a limit is reported to the placer after an answer named it.
 const REPORT_TIME: Millis = Millis::from_secs(5);
 
@@ -72,6 +70,8 @@
 
     /// Applies an answer to a request that was sent at `sent`. Returns whether the limit changed.
     fn observe(&mut self, limit: Option<f64>, sent: Millis, now: Millis) -> bool {
+        // Instances must agree on the number, or each would report its own as a change.
+        let limit = limit.map(|limit| rate_from_units(rate_to_units(limit)));
         let overlaps = sent <= self.as_of;
         let rate = match (limit, self.rate) {
             (Some(limit), Some(held)) if overlaps => Some(limit.min(held)),
@@ -109,15 +109,23 @@
     fn message(&self, server: u32, now: Millis) -> ServerLimit {
         ServerLimit {
             server,
-            rate: self.rate.map(|rate| (rate * RATE_UNITS) as u32),
+            rate: self.rate.map(rate_to_units),
             age: u32::try_from(now.since(self.as_of).0).unwrap_or(u32::MAX),
         }
     }
 }
 
+fn rate_to_units(rate: f64) -> u32 {
+    (rate * RATE_UNITS).round() as u32
+}
+
+fn rate_from_units(units: u32) -> f64 {
+    f64::from(units) / RATE_UNITS
+}
+
 /// The rate after an answer without a limit; `None` once the server isn't paced any longer.
 fn raised(rate: f64) -> Option<f64> {
-    let rate = rate.max(MIN_RATE) * RAISE_FACTOR;
+    let rate = rate.max(MIN_PACED_RATE) * RAISE_FACTOR;
     (rate < UNPACED_RATE).then_some(rate)
 }
 
@@ -145,7 +153,7 @@
                 continue;
             };
             let server = &mut self.servers[key];
-            let rate = limit.rate.map(|rate| f64::from(rate) / RATE_UNITS);
+            let rate = limit.rate.map(rate_from_units);
             let as_of = now.since(Millis(u64::from(limit.age)));
             if server.limit.merge(rate, as_of) {
                 changed.push(server.id.to_string());
--- a/crates/gateway/src/sharing/limits.rs
+++ b/crates/gateway/src/sharing/limits.rs
@@ -28,7 +28,7 @@
             packets.push((to, Packet::Limits(limits)));
         }
     };
-    let placer = gossip.placer(now);
+    let placer = gossip.other_placer(now);
     let unsent = fleet.take_unsent_limits(now);
     for target in gossip.gossip_targets().into_iter().chain(placer) {
         send(target, unsent.clone());
--- a/crates/gateway/src/sharing/state.rs
+++ b/crates/gateway/src/sharing/state.rs
@@ -340,6 +340,11 @@
             .filter(|_| now.since(last_received) <= COLLECTOR_TIMEOUT)
     }
 
+    /// The placer, if it is another instance.
+    pub fn other_placer(&self, now: Millis) -> Option<SocketAddr> {
+        self.placer(now).filter(|placer| *placer != self.me.address)
+    }
+
     /// Whether the last round's messages couldn't list all engines with a queue.
     pub fn is_truncated(&self) -> bool {
         self.is_truncated
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -170,6 +170,23 @@
     assert_eq!(source.take_unsent_limits(START).len(), 1);
 }
 
+/// Guards against two instances that correct each other for ever, because a limit can't be sent
+/// exactly.
+#[test]
+fn instances_agree_on_a_limit_with_many_digits() {
+    let mut fleets = [fleet(), fleet()];
+    for fleet in &mut fleets {
+        let choice = send(fleet, START);
+        fleet.record_limit(&choice, Some(10.0 / 3.0), START + Millis(50));
+    }
+    let [mut first, mut second] = fleets;
+    let limits = first.take_unsent_limits(START + Millis(50));
+    second.take_unsent_limits(START + Millis(50));
+    let later = START + Millis(60);
+    assert!(second.record_remote_limits(&limits, later).is_empty());
+    assert!(second.take_unsent_limits(later).is_empty());
+}
+
 /// Guards against a placer that never learns of a limit because one message was lost.
 #[test]
 fn a_limit_is_reported_while_answers_name_it() {
--- a/crates/routing/src/pace.rs
+++ b/crates/routing/src/pace.rs
@@ -21,7 +21,7 @@
 
 /// Lowest accepted rate, in requests per second. A server that gets no requests can't withdraw its
 /// limit.
-const MIN_RATE: f64 = 0.25;
+pub const MIN_PACED_RATE: f64 = 0.25;
 
 /// The pace of one server.
 #[derive(Clone, Copy, Debug, Default)]
@@ -108,6 +108,6 @@
 
 /// Time between two requests to a server that accepts `rate` requests per second.
 fn interval(rate: f64) -> Millis {
-    let rate = rate.max(MIN_RATE) * RATE_FRACTION;
+    let rate = rate.max(MIN_PACED_RATE) * RATE_FRACTION;
     Millis((Millis::PER_SECOND as f64 / rate).ceil() as u64)
 }
