--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -240,11 +240,7 @@
         }
         let missing = shared.directory().reconcile(&ids, now);
         for (id, removal) in missing {
-            match removal {
-                Removal::Gone => remove_lost_server(shared, &id, "not-listed"),
-                Removal::Unconfirmed(until) => log_unconfirmed(&id, until, now),
-                Removal::Unknown => {}
-            }
+            apply_removal(shared, &id, removal, "not-listed", now);
         }
         shared.store.observe(listing.last_change);
         let count = listing.entries.len();
@@ -274,11 +270,7 @@
                 Change::Set(entry) => apply_entry(shared, entry, &mut malformed, now),
                 Change::Unlisted(id) => {
                     let removal = shared.directory().remove(&id, now);
-                    match removal {
-                        Removal::Gone => remove_lost_server(shared, &id, "removed"),
-                        Removal::Unconfirmed(until) => log_unconfirmed(&id, until, now),
-                        Removal::Unknown => {}
-                    }
+                    apply_removal(shared, &id, removal, "removed", now);
                 }
                 Change::Readmission(zone) => {
                     shared.directory().eras().confirm_zone(&zone);
@@ -309,8 +301,7 @@
 /// Records that another instance has had contact to the store for `age`.
 pub(crate) fn on_peer_contact(shared: &Shared, age: Millis) {
     let now = shared.clock.now();
-    let since = Millis(now.0.saturating_sub(age.0));
-    let gone = shared.directory().confirm_removals(since, now);
+    let gone = shared.directory().confirm_removals(now.since(age), now);
     for id in gone {
         remove_lost_server(shared, &id, "confirmed");
     }
@@ -451,12 +442,18 @@
     info!("{event}");
 }
 
-/// Logs a server that stays in use although its entry is missing.
-fn log_unconfirmed(id: &str, until: Millis, now: Millis) {
-    let event = Event::new("server-unconfirmed")
-        .with("server", id)
-        .with("left-ms", until.since(now).0);
-    info!("{event}");
+/// Removes a server whose entry is missing, unless it stays in use for a while.
+fn apply_removal(shared: &Shared, id: &str, removal: Removal, cause: &str, now: Millis) {
+    match removal {
+        Removal::Gone => remove_lost_server(shared, id, cause),
+        Removal::Unconfirmed(until) => {
+            let event = Event::new("server-unconfirmed")
+                .with("server", id)
+                .with("left-ms", until.since(now).0);
+            info!("{event}");
+        }
+        Removal::Unknown => {}
+    }
 }
 
 /// Removes a server whose entry expired or was deleted.
