--- a/crates/platform/tests/all/transport.rs
+++ b/crates/platform/tests/all/transport.rs
@@ -4,6 +4,7 @@
 use async_std::io::WriteExt;
 use async_std::net::TcpListener;
 use async_std::task;
+use async_std::task::JoinHandle;
 use crocushold_base::Millis;
 use crocushold_platform::Fetch;
 use crocushold_platform::FetchError;
@@ -65,21 +66,26 @@
     assert!(read_from(answer, holds).is_err());
 }
 
+/// A GET request to a server whose answer arrives byte by byte.
+async fn trickled_get(stall_timeout: Millis) -> (Get, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound").to_string();
+    let get = Get {
+        address,
+        path: "/v1/config".into(),
+        timeout: Millis(200),
+        stall_timeout,
+        limit: 1 << 20,
+    };
+    (get, task::spawn(trickle(listener)))
+}
+
 /// A server that sends single bytes keeps each wait for data short. The deadline applies to the
 /// whole answer, since otherwise the read would never end.
 #[test]
 fn a_trickled_answer_ends_at_the_deadline() {
     let reply = task::block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("bound").to_string();
-        let server = task::spawn(trickle(listener));
-        let get = Get {
-            address,
-            path: "/v1/config".into(),
-            timeout: Millis(200),
-            limit: 1 << 20,
-            ..Get::default()
-        };
+        let (get, server) = trickled_get(Millis(200)).await;
         let reply = HttpFetch::default().get(get).await;
         server.await;
         reply
@@ -95,16 +101,7 @@
 #[test_case(Millis(100), Millis(500), false; "takes too long as a whole")]
 fn an_answer_that_has_begun_is_limited_by_its_pauses(stall: Millis, total: Millis, whole: bool) {
     let reply = task::block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("bound").to_string();
-        let server = task::spawn(trickle(listener));
-        let get = Get {
-            address,
-            path: "/v1/config".into(),
-            timeout: Millis(200),
-            stall_timeout: stall,
-            limit: 1 << 20,
-        };
+        let (get, server) = trickled_get(stall).await;
         let incoming = HttpFetch::default().begin(&get).await.expect("it begins");
         let reply = incoming.read_within(total).await;
         server.await;
