--- a/crates/gateway/src/fleet/limits.rs
+++ b/crates/gateway/src/fleet/limits.rs
@@ -22,8 +22,8 @@
 /// Factor by which each answer without a limit raises the rate.
 const RAISE_FACTOR: f64 = 2.0;
 
-/// Rate from which a server isn't paced any longer, in requests per second: about what an engine
-/// that isn't in need gets.
+/// Rate from which a server isn't paced any longer, in requests per second. It is several times the
+/// lowest limits, so that a server in need has had answers in which to name its limit again.
 const UNPACED_RATE: f64 = 16.0;
 
 /// How long a limit is reported to the placer after an answer named it.
