gateway: show what servers say of a leave and of rest

Both headers are decoded, counted in `crocushold_server_notices_total`, and a rejection logs the time. Nothing acts on them yet.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -33,6 +33,7 @@
 use crate::placing::PlacementVerdict;
 use crate::protocol::AnswerMeta;
 use crate::protocol::Forward;
+use crate::protocol::Notice;
 use crate::quarantine::run_cut;
 use crate::record::RequestRecord;
 use crate::refusal::Reason;
@@ -388,9 +389,13 @@
         }
         let verdict = classify_answer(answer.status, meta, &self.job.id, self.job.need.idempotent);
         // A server that rejects a request, or fails, may leave out its limit.
-        let tells_limit = verdict == Verdict::Good || meta.limit.is_some();
+        if verdict.is_from_server() {
+            self.log_notice(choice, meta.notice);
+        }
+        let limit = meta.notice.limit;
+        let tells_limit = verdict == Verdict::Good || limit.is_some();
         if verdict.is_from_server() && tells_limit {
-            self.shared.record_limit(choice, meta.limit);
+            self.shared.record_limit(choice, limit);
         }
         match verdict {
             Verdict::Good => {
@@ -422,6 +427,22 @@
         }
     }
 
+    fn log_notice(&self, choice: &Choice, notice: Notice) {
+        let metrics = &self.shared.metrics;
+        if notice.leaving {
+            metrics.count_notice("leaving");
+        }
+        let Some(rest) = notice.rest else {
+            return;
+        };
+        metrics.count_notice("rest");
+        let event = Event::new("server-rest-asked")
+            .with("request", &self.job.id)
+            .with("server", &choice.id)
+            .with("for", rest);
+        info!("{event}");
+    }
+
     /// Checks whether the request may be sent again after an attempt that reached `stage`.
     fn may_retry(&mut self, stage: Stage) -> Result<(), Refusal> {
         let now = self.shared.clock.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -75,6 +75,7 @@
 pub use protocol::AnswerMeta;
 pub use protocol::Executed;
 pub use protocol::Forward;
+pub use protocol::Notice;
 pub use protocol::PromptPart;
 pub use protocol::Protocol;
 pub use protocol::RequestMeta;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,7 @@
     placements: IntCounterVec,
     left_out: IntCounter,
     server_ends: IntCounterVec,
+    notices: IntCounterVec,
     quarantined: IntGauge,
     version: IntGauge,
     running: IntGauge,
@@ -82,13 +83,18 @@
             "Servers that ended under requests of this instance, by what told so",
             &["evidence"],
         );
+        let notices = counters(
+            "crocushold_server_notices_total",
+            "Answers in which servers said that they are leaving, or asked for rest",
+            &["notice"],
+        );
         let quarantined = gauge(
             "crocushold_quarantined_contents",
             "Requests that are held back, as servers ended under them",
         );
         let version = gauge("crocushold_config_version", "The configuration in force");
         let running = gauge("crocushold_requests_running", "Requests in progress");
-        let collectors: [Box<dyn prometheus::core::Collector>; 12] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 13] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(seconds.clone()),
@@ -98,6 +104,7 @@
             Box::new(placements.clone()),
             Box::new(left_out.clone()),
             Box::new(server_ends.clone()),
+            Box::new(notices.clone()),
             Box::new(quarantined.clone()),
             Box::new(version.clone()),
             Box::new(running.clone()),
@@ -117,6 +124,7 @@
             placements,
             left_out,
             server_ends,
+            notices,
             quarantined,
             version,
             running,
@@ -147,6 +155,11 @@
         self.server_ends.with_label_values(&[evidence]).inc();
     }
 
+    /// Counts an answer that says which requests its server accepts.
+    pub(crate) fn count_notice(&self, notice: &str) {
+        self.notices.with_label_values(&[notice]).inc();
+    }
+
     /// Sets the number of quarantined requests.
     pub(crate) fn set_quarantined(&self, count: usize) {
         self.quarantined
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -68,6 +68,18 @@
     Unknown,
 }
 
+/// What an answer says about the requests that its server accepts.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Notice {
+    /// Whether the server is leaving, and accepts no more requests.
+    pub leaving: bool,
+    /// Requests per second that it accepts from all instances together, if it names a limit.
+    pub limit: Option<f64>,
+    /// For how long it accepts no requests from this instance, if it rejects the request and asks
+    /// for that.
+    pub rest: Option<Millis>,
+}
+
 /// Decoded headers of a server's answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AnswerMeta {
@@ -81,9 +93,8 @@
     pub encoded: bool,
     /// Number of requests at the server, if reported.
     pub load: Option<LoadReport>,
-    /// Requests per second that the server accepts from all instances together, if it names a
-    /// limit.
-    pub limit: Option<f64>,
+    /// What the answer says about the requests that the server accepts.
+    pub notice: Notice,
 }
 
 /// Reads and writes the headers of one deployment.
