gateway: a server that says it is leaving gets no more requests

Requests reached engines up to 3.2 s after an answer had said that they leave, where 2 s are allowed; they were served, but by a server that may exit at any moment. The store, which had been the only source of a leave, was away for all instances for 13 s.

Class: a fact about a process kept as a state of a registry's record, so that it is known only as long and as early as the registry tells it.

A departure is now kept by process, apart from the entries, so that entries that change, expire, are listed again or arrive later don't undo it, and a new process under the same name isn't affected. It leaves the router's list of servers, from which every choice comes: own ones, the placer's for others, and the check of a placer's choice. The word of an answer counts if it is certain to be the server's own; what runs there isn't cut. Instances tell each other, with the time for which it is still remembered, so that they don't remind each other forever.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -388,14 +388,10 @@
             self.shared.fleet().record_load(choice, load, now);
         }
         let verdict = classify_answer(answer.status, meta, &self.job.id, self.job.need.idempotent);
-        // A server that rejects a request, or fails, may leave out its limit.
         if verdict.is_from_server() {
             self.log_notice(choice, meta.notice);
-        }
-        let limit = meta.notice.limit;
-        let tells_limit = verdict == Verdict::Good || limit.is_some();
-        if verdict.is_from_server() && tells_limit {
-            self.shared.record_limit(choice, limit);
+            let is_success = verdict == Verdict::Good;
+            self.shared.record_notice(choice, meta.notice, is_success);
         }
         match verdict {
             Verdict::Good => {
@@ -429,9 +425,6 @@
 
     fn log_notice(&self, choice: &Choice, notice: Notice) {
         let metrics = &self.shared.metrics;
-        if notice.leaving {
-            metrics.count_notice("leaving");
-        }
         let Some(rest) = notice.rest else {
             return;
         };
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 mod announcements;
 mod choose;
+mod departures;
 mod evacuation;
 mod limits;
 mod need;
@@ -35,6 +36,8 @@
 use twox_hash::XxHash3_64;
 
 use self::announcements::Announcements;
+use self::departures::Departures;
+pub use self::departures::ServerDeparture;
 use self::limits::NamedLimit;
 pub use self::limits::ServerLimit;
 pub use self::need::Need;
@@ -175,6 +178,11 @@
         self.reported_cold_until.max(self.assumed_cold_until)
     }
 
+    /// Whether it is leaving, by its entry or by its answers.
+    fn is_leaving(&self, departures: &Departures) -> bool {
+        self.record.presence == Presence::Leaving || departures.contains(self.incarnation)
+    }
+
     fn update(&mut self, record: ServerRecord) {
         self.incarnation = incarnation(&record);
         self.record = record;
@@ -197,6 +205,8 @@
     slow_starts: HashMap<String, SlowStart>,
     /// Availability zones that the operator has evacuated.
     evacuated: HashSet<String>,
+    /// Processes that said they are leaving.
+    departures: Departures,
     /// Services whose servers have changed since their routers were updated.
     changed: HashSet<String>,
     router_updates: u64,
@@ -218,6 +228,7 @@
             engines: HashMap::new(),
             slow_starts: HashMap::new(),
             evacuated: HashSet::new(),
+            departures: Departures::default(),
             changed: HashSet::new(),
             router_updates: 0,
             is_placer: false,
@@ -284,12 +295,10 @@
         ListOutcome::Restarted
     }
 
-    /// The process behind an entry, unless it is draining. The end of a draining server is
-    /// expected.
+    /// The process behind an entry, unless it is leaving. The end of a leaving server is expected.
     pub fn serving(&self, id: &str) -> Option<Incarnation> {
         let server = &self.servers[*self.ids.get(id)?];
-        let serves = server.record.presence == Presence::Ready;
-        serves.then_some(server.incarnation)
+        (!server.is_leaving(&self.departures)).then_some(server.incarnation)
     }
 
     /// Removes a server that is no longer listed.
@@ -433,6 +442,7 @@
     /// Runs expired timers and reallocates engines to lanes, returning the allocations that
     /// changed. It should be called about once a second.
     pub fn tick(&mut self, now: Millis) -> Vec<LaneAllocation> {
+        self.expire_departures(now);
         self.update_routers(now);
         let mut moved = Vec::new();
         for service in self.services.values_mut() {
@@ -478,7 +488,7 @@
         });
         let servers = self.servers.iter().filter(|(_, server)| {
             let record = &server.record;
-            let accepts = record.presence == Presence::Ready;
+            let accepts = !server.is_leaving(&self.departures);
             record.service == name && accepts && !self.evacuated.contains(&record.zone)
         });
         let mut specs: Vec<(ServerSpec, &[String])> = servers
--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::fleet::Need;
+use crate::fleet::ServerDeparture;
 use crate::fleet::ServerLimit;
 use crate::sharing::Message;
 
@@ -30,6 +31,8 @@
     Contact(Millis),
     /// Limits that servers name.
     Limits(Vec<ServerLimit>),
+    /// Processes of servers that said they are leaving.
+    Departures(Vec<ServerDeparture>),
 }
 
 impl Packet {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -26,12 +26,14 @@
 use crate::fleet::Choice;
 use crate::fleet::Fleet;
 use crate::fleet::FleetSettings;
+use crate::fleet::ServerDeparture;
 use crate::fleet::ServerLimit;
 use crate::instance::Settings;
 use crate::instance::caller_limits;
 use crate::metrics::Metrics;
 use crate::placing::PlacementService;
 use crate::placing::RequestEnd;
+use crate::protocol::Notice;
 use crate::protocol::Protocol;
 use crate::routes::RouteTable;
 use crate::store_watch::StoreWatch;
@@ -180,14 +182,32 @@
         self.placer.request_ended(choice.placement_id, ended);
     }
 
-    /// Records what an answer says about its server's limit.
-    pub(crate) fn record_limit(&self, choice: &Choice, limit: Option<f64>) {
+    /// Records what an answer says about the requests that its server accepts. Only a successful
+    /// answer without a limit withdraws one: a server that rejects a request, or fails, may leave
+    /// its limit out.
+    pub(crate) fn record_notice(&self, choice: &Choice, notice: Notice, is_success: bool) {
+        let now = self.clock.now();
         let mut fleet = self.fleet();
-        if fleet.record_limit(choice, limit, self.clock.now()) {
+        if notice.leaving {
+            self.metrics.count_notice("leaving");
+            if fleet.record_departure(choice, now) {
+                log_departure(&choice.id, "answer");
+            }
+        }
+        let tells_limit = is_success || notice.limit.is_some();
+        if tells_limit && fleet.record_limit(choice, notice.limit, now) {
             log_limit(&fleet, &choice.id, "answer");
         }
     }
 
+    /// Records the departures that another instance knows.
+    pub(crate) fn record_remote_departures(&self, departed: &[ServerDeparture]) {
+        let now = self.clock.now();
+        for id in self.fleet().record_remote_departures(departed, now) {
+            log_departure(&id, "instance");
+        }
+    }
+
     /// Records the limits that another instance knows.
     pub(crate) fn record_remote_limits(&self, limits: &[ServerLimit]) {
         let mut fleet = self.fleet();
@@ -238,6 +258,13 @@
     }
 }
 
+fn log_departure(id: &str, source: &str) {
+    let event = Event::new("server-leaving")
+        .with("server", id)
+        .with("source", source);
+    info!("{event}");
+}
+
 fn log_limit(fleet: &Fleet, id: &str, source: &str) {
     let limit = fleet.limit_of(id).map(|limit| limit.to_string());
     let event = Event::new("server-limit")
--- a/crates/gateway/src/sharing/mod.rs
+++ b/crates/gateway/src/sharing/mod.rs
@@ -18,17 +18,17 @@
 //! used after a second.
 
 mod contact;
-mod limits;
 mod members;
 mod message;
+mod notices;
 mod prefix_relay;
 mod shell;
+mod spread;
 mod state;
 mod suspicions;
 
 pub use contact::contact_answer;
 pub use contact::contact_query;
-pub use limits::limit_packets;
 pub use members::Members;
 pub use message::CachedPrefix;
 pub use message::Content;
--- /dev/null
+++ b/crates/gateway/src/sharing/notices.rs
@@ -0,0 +1,41 @@
+//! Distribution of what servers say about the requests that they accept.
+
+use std::net::SocketAddr;
+
+use crocushold_base::Millis;
+
+use super::message::Message;
+use super::spread::packet;
+use super::spread::spread;
+use super::state::Gossip;
+use crate::fleet::Fleet;
+use crate::placing::Packet;
+
+/// Returns the departures and limits to send beside the `messages` of a round: new ones to the
+/// placer and to some of the instances, limits that answers still name to the placer now and then,
+/// and all known ones to the instances that asked for members.
+///
+/// A limit must be known to the placer, and a lost message must not keep it from that. The other
+/// instances need it in case one of them becomes the placer. A departure concerns all instances;
+/// the placer would choose the server for many of them.
+pub(super) fn notice_packets(
+    fleet: &mut Fleet,
+    gossip: &Gossip,
+    messages: &[(SocketAddr, Message)],
+    now: Millis,
+) -> Vec<(SocketAddr, Packet)> {
+    let placer = gossip.other_placer(now);
+    let limits = packet(fleet.take_unsent_limits(now), Packet::Limits);
+    let departures = packet(fleet.take_unsent_departures(now), Packet::Departures);
+    let seen = placer.filter(|_| gossip.is_keepalive_round());
+    let seen = seen.and_then(|_| packet(fleet.seen_limits(now), Packet::Limits));
+    let for_placer = [&limits, &departures, &seen].into_iter().flatten();
+    let mut packets: Vec<(SocketAddr, Packet)> = for_placer
+        .filter_map(|packet| placer.map(|placer| (placer, packet.clone())))
+        .collect();
+    let known = || packet(fleet.known_limits(now), Packet::Limits);
+    packets.extend(spread(gossip, messages, limits, known));
+    let known = || packet(fleet.known_departures(now), Packet::Departures);
+    packets.extend(spread(gossip, messages, departures, known));
+    packets
+}
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -16,10 +16,10 @@
 
 use super::contact::contact_answer;
 use super::contact::contact_query;
-use super::limits::limit_packets;
 use super::message::CachedPrefix;
 use super::message::Identity;
 use super::message::MAX_MESSAGE_BYTES;
+use super::notices::notice_packets;
 use super::state::Gossip;
 use super::state::LoadSum;
 use super::suspicions::suspicion_packets;
@@ -73,6 +73,7 @@
             Some(Packet::Reply(reply)) => shared.placer.handle_reply(from, reply),
             Some(Packet::Suspicions(suspicions)) => quarantine::receive(&shared, &suspicions),
             Some(Packet::Limits(limits)) => shared.record_remote_limits(&limits),
+            Some(Packet::Departures(departed)) => shared.record_remote_departures(&departed),
             Some(Packet::Contact(age)) => follow::on_peer_contact(&shared, age),
             Some(Packet::ContactQuery) => {
                 let answer = contact_answer(&shared.directory(), now);
@@ -159,7 +160,7 @@
         let messages = state.round(own, now);
         let mut packets = suspicion_packets(&mut shared.quarantine(), &state, &messages, now);
         packets.extend(contact_query(&shared.directory(), &state, now));
-        packets.extend(limit_packets(&mut shared.fleet(), &state, &messages, now));
+        packets.extend(notice_packets(&mut shared.fleet(), &state, &messages, now));
         let gossip = messages.into_iter();
         packets.extend(gossip.map(|(to, message)| (to, Packet::Gossip(message))));
         Round {
