routing: no transfer from a leaving server that another instance chose

Where the placer chose a server together with one from which to transfer the prompt's prefix, the instance that sends checked the former, but of the latter only its region: one that is leaving and still answers something, or that refused a connection, was passed on as the source. Callers waited for the transfer to fail before the prompt was read. Found by listing all ways by which a request reaches a server. The same check now serves own and foreign choices.

--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -101,7 +101,7 @@
         let pool = wanted.or_else(|| Some(ALL).filter(accepts))?;
         let plan = PrefillPlan {
             prefill_tokens: f64::from(placement.prefill_tokens),
-            source: source.filter(|&source| self.is_allowed(source, demand)),
+            source: source.filter(|&source| self.is_usable_source(source, demand)),
             wait: placement.wait.0 as f64,
             remote: true,
         };
--- a/crates/routing/src/router/prefix.rs
+++ b/crates/routing/src/router/prefix.rs
@@ -147,9 +147,8 @@
         for hint in self.valid_hints(prefix) {
             holders.push(hint.server);
             let old_enough = now.since(hint.since) >= MIN_HINT_AGE;
-            let can_transfer =
-                || self.can_transfer_from(hint.server) && self.is_allowed(hint.server, demand);
-            if source.is_none() && old_enough && can_transfer() {
+            let is_usable = || self.is_usable_source(hint.server, demand);
+            if source.is_none() && old_enough && is_usable() {
                 source = Some(hint.server);
             }
         }
@@ -240,8 +239,10 @@
 
     /// Whether a prefix can be transferred from the server. One that is ejected, leaving or unknown
     /// may not respond.
-    fn can_transfer_from(&self, server: ServerKey) -> bool {
-        let server = self.servers.get(server);
-        server.is_some_and(|server| server.departure.is_none() && server.pool_counts.usable)
+    pub(super) fn is_usable_source(&self, source: ServerKey, demand: &Demand<'_>) -> bool {
+        let server = self.servers.get(source);
+        let is_usable =
+            server.is_some_and(|server| server.departure.is_none() && server.pool_counts.usable);
+        is_usable && self.is_allowed(source, demand)
     }
 }
