gateway: a server that asks an instance for rest gets it

Servers that rejected a request and asked for 3 s of rest got up to four more requests from the same instance in that time, where two are allowed. Callers were rejected again, or refused with 0.5 s to retry.

Cause: `Retry-After` wasn't read. A rejection counted as a failure by overload: the first one cost nothing, later ones ejected the server for 0.8 to 4 s, unless half of the servers were ejected or suspect. Class: a guess from one's own failures in the place of what the server says, with the bounds of the guess (ejection times, a maximum ratio of ejected servers) in force for the fact.

A rest is now state of its own. It binds the instance that was asked, ends at its time and not before (no later word, success or new entry shortens it; an hour at most), is no failure of health, and no limit on the ratio of servers out of use applies. It is checked where all choices are (`is_open_to`): own ones, retries, and a placer's choice. The placer chooses for others by their rests, which each placement request names, and applies its own to its own requests alone. Where all servers rest, callers are told when the first rest ends; instances return at different times, with one request at a time.

A placement request has a field more: instances of an older version can't be placed for by a newer placer and choose by themselves meanwhile.

--- a/crates/entry/src/pool/reach.rs
+++ b/crates/entry/src/pool/reach.rs
@@ -137,6 +137,7 @@
             | Reason::Late { .. }
             | Reason::Cold
             | Reason::Limited
+            | Reason::Resting
             | Reason::Region
             | Reason::Tried => Shortage::Full,
             Reason::Stale => return false,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -33,7 +33,6 @@
 use crate::placing::PlacementVerdict;
 use crate::protocol::AnswerMeta;
 use crate::protocol::Forward;
-use crate::protocol::Notice;
 use crate::quarantine::run_cut;
 use crate::record::RequestRecord;
 use crate::refusal::Reason;
@@ -43,6 +42,7 @@
 use crate::shared::Shared;
 use crate::verdict::Verdict;
 use crate::verdict::classify_answer;
+use crate::verdict::is_from_server;
 use crate::verdict::outcome_of;
 use crate::verdict::outcome_of_verdict;
 use crate::verdict::stage_of;
@@ -214,11 +214,19 @@
         if need.unique_tokens == 0 && !self.shared.fleet().needs_placer(&need.service, now) {
             return None;
         }
+        let (tried, resting) = {
+            let mut fleet = self.shared.fleet();
+            (
+                fleet.hashes_of(&self.tried),
+                fleet.resting(&need.service, now),
+            )
+        };
         let query = PlacementQuery {
             need,
             zone: &self.shared.settings.zone,
             remaining: self.job.deadline.since(now),
-            tried: self.shared.fleet().hashes_of(&self.tried),
+            tried,
+            resting,
             now,
         };
         let verdict = self.shared.placer.ask(query).await;
@@ -274,6 +282,7 @@
             }
             routing::Reason::Cold => Reason::Cold,
             routing::Reason::Limited => Reason::Limited,
+            routing::Reason::Resting => Reason::Resting,
             routing::Reason::Region => Reason::Region,
             routing::Reason::Tried => Reason::Rejected,
             _ => Reason::NoServer,
@@ -388,8 +397,7 @@
             self.shared.fleet().record_load(choice, load, now);
         }
         let verdict = classify_answer(answer.status, meta, &self.job.id, self.job.need.idempotent);
-        if verdict.is_from_server() {
-            self.log_notice(choice, meta.notice);
+        if is_from_server(answer.status, meta, &self.job.id) {
             let is_success = verdict == Verdict::Good;
             self.shared.record_notice(choice, meta.notice, is_success);
         }
@@ -423,19 +431,6 @@
         }
     }
 
-    fn log_notice(&self, choice: &Choice, notice: Notice) {
-        let metrics = &self.shared.metrics;
-        let Some(rest) = notice.rest else {
-            return;
-        };
-        metrics.count_notice("rest");
-        let event = Event::new("server-rest-asked")
-            .with("request", &self.job.id)
-            .with("server", &choice.id)
-            .with("for", rest);
-        info!("{event}");
-    }
-
     /// Checks whether the request may be sent again after an attempt that reached `stage`.
     fn may_retry(&mut self, stage: Stage) -> Result<(), Refusal> {
         let now = self.shared.clock.now();
@@ -449,12 +444,18 @@
             return match decision {
                 Decision::Retry => Ok(()),
                 Decision::GiveUp { retry_after, .. } => {
-                    let duration = retry_after.map(|duration| duration.max(MIN_RETRY_AFTER));
+                    let duration = retry_after.map(|duration| duration.max(self.retry_delay(now)));
                     Err(self.final_refusal(Reason::BudgetSpent, duration))
                 }
             };
         }
-        Err(self.final_refusal(Reason::Rejected, Some(MIN_RETRY_AFTER)))
+        Err(self.final_refusal(Reason::Rejected, Some(self.retry_delay(now))))
+    }
+
+    /// When a retry may succeed: not before the first server ends its rest, if all are resting.
+    fn retry_delay(&self, now: Millis) -> Millis {
+        let rest = self.shared.fleet().rest_wait(&self.job.need, now);
+        rest.unwrap_or_default().max(MIN_RETRY_AFTER)
     }
 
     fn retry_or_refuse(&mut self, stage: Stage, reason: Reason) -> Result<(), Failure> {
--- a/crates/gateway/src/fleet/choose.rs
+++ b/crates/gateway/src/fleet/choose.rs
@@ -1,6 +1,8 @@
 //! The choice of servers: for requests of this instance, by itself or by the placer, and for
 //! requests of other instances.
 
+use std::borrow::Cow;
+
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
 use crocushold_routing::Demand;
@@ -9,6 +11,7 @@
 use crocushold_routing::Pick;
 use crocushold_routing::Placement as RouterPlacement;
 use crocushold_routing::Reason;
+use crocushold_routing::Rest;
 use slotmap::SlotMap;
 
 use super::Choice;
@@ -18,6 +21,7 @@
 use super::service::ModelLanes;
 use super::service::Service;
 use crate::placing::Placement;
+use crate::placing::PlacementRequest;
 use crate::sharing::CachedPrefix;
 
 /// `Retry-After` while the service is unknown.
@@ -35,27 +39,24 @@
         tried: &[ServerKey],
         now: Millis,
     ) -> Result<Choice, NoServer> {
-        let central = self.is_placer;
-        let choice = self.choose(need, tried, None, central, now)?;
+        let choice = self.choose(need, tried, Sender::Local, now)?;
         self.record_first_attempt(need, tried, now);
         Ok(choice)
     }
 
-    /// Chooses a server for an instance in availability zone `zone`, and takes one of its slots.
+    /// Chooses a server for a request of another instance, and takes one of its slots.
     ///
     /// # Errors
     ///
     /// Returns why no server can take the request, and when to retry.
-    pub fn place(
-        &mut self,
-        need: &Need,
-        zone: &str,
-        tried: &[u32],
-        now: Millis,
-    ) -> Result<Choice, NoServer> {
-        let tried = tried.iter().filter_map(|hash| self.hashes.get(hash));
-        let tried: Vec<ServerKey> = tried.copied().collect();
-        self.choose(need, &tried, Some(zone), true, now)
+    pub fn place(&mut self, request: &PlacementRequest, now: Millis) -> Result<Choice, NoServer> {
+        let tried = self.keys_of(&request.tried);
+        let resting = self.keys_of(&request.resting);
+        let sender = Sender::Remote {
+            zone: &request.zone,
+            resting: &resting,
+        };
+        self.choose(&request.need, &tried, sender, now)
     }
 
     /// Takes a slot of the server that the placer chose. Returns `None` if this instance knows that
@@ -67,6 +68,7 @@
         tried: &[ServerKey],
         now: Millis,
     ) -> Option<Choice> {
+        self.end_rests(now);
         self.update_routers(now);
         let server = *self.hashes.get(&placement.engine)?;
         let record = &self.servers[server].record;
@@ -83,7 +85,7 @@
             prefill_tokens: placement.read,
         };
         let service = self.services.get_mut(&need.service)?;
-        let demand = demand(service, &self.models, need, tried);
+        let demand = demand(service, &self.models, need, tried, self.rests.active());
         let pick = service.router.adopt(&placed, &demand, now)?;
         service.update_max_pause(need);
         let choice = choice(&self.servers, service, &pick, need.lane(), now);
@@ -103,14 +105,20 @@
         known.map(|server| server.hash).collect()
     }
 
+    /// The known servers with these hashes.
+    fn keys_of(&self, hashes: &[u32]) -> Vec<ServerKey> {
+        let keys = hashes.iter().filter_map(|hash| self.hashes.get(hash));
+        keys.copied().collect()
+    }
+
     fn choose(
         &mut self,
         need: &Need,
         tried: &[ServerKey],
-        zone: Option<&str>,
-        central: bool,
+        sender: Sender<'_>,
         now: Millis,
     ) -> Result<Choice, NoServer> {
+        self.end_rests(now);
         self.update_routers(now);
         let service = self.services.get_mut(&need.service).ok_or(NoServer {
             reason: Reason::Out,
@@ -121,11 +129,16 @@
             service.lanes.record_work(need.lane(), work, now);
             service.update_max_pause(need);
         }
+        let excluded = sender.excluded(tried);
+        let resting = match sender {
+            Sender::Local => self.rests.active(),
+            Sender::Remote { .. } => &[],
+        };
         let demand = Demand {
-            zone,
-            central,
+            zone: sender.zone(),
+            central: self.is_placer || matches!(sender, Sender::Remote { .. }),
             allow_paced: self.is_placer || self.settings.alone,
-            ..demand(service, &self.models, need, tried)
+            ..demand(service, &self.models, need, &excluded, resting)
         };
         let pick = service.router.pick(&demand, now)?;
         let choice = choice(&self.servers, service, &pick, need.lane(), now);
@@ -149,6 +162,40 @@
     }
 }
 
+/// The instance that sends a request.
+#[derive(Clone, Copy)]
+enum Sender<'a> {
+    /// This instance.
+    Local,
+    /// Another one, for which this instance places the request.
+    Remote {
+        /// Its availability zone.
+        zone: &'a str,
+        /// The servers that asked it for rest.
+        resting: &'a [ServerKey],
+    },
+}
+
+impl<'a> Sender<'a> {
+    fn zone(self) -> Option<&'a str> {
+        match self {
+            Sender::Local => None,
+            Sender::Remote { zone, .. } => Some(zone),
+        }
+    }
+
+    /// The servers that were `tried` and those that rest for another instance. When those rests end
+    /// is known only there.
+    fn excluded(self, tried: &[ServerKey]) -> Cow<'_, [ServerKey]> {
+        match self {
+            Sender::Remote { resting, .. } if !resting.is_empty() => {
+                [tried, resting].concat().into()
+            }
+            Sender::Local | Sender::Remote { .. } => tried.into(),
+        }
+    }
+}
+
 impl Choice {
     /// The choice in the form that is sent to other instances.
     pub fn placed(&self) -> Placement {
@@ -161,11 +208,12 @@
     }
 }
 
-fn demand<'a>(
+pub(super) fn demand<'a>(
     service: &Service,
     models: &ModelLanes,
     need: &'a Need,
-    tried: &'a [ServerKey],
+    exclude: &'a [ServerKey],
+    resting: &'a [Rest],
 ) -> Demand<'a> {
     let model = need.model.as_deref().unwrap_or_default();
     let (model, spill) = service.pools(models, model, need.lane());
@@ -181,7 +229,8 @@
         spill,
         max_wait: need.wait_limit,
         regions: need.regions.as_deref(),
-        exclude: tried,
+        exclude,
+        resting,
         ..Demand::default()
     }
 }
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod evacuation;
 mod limits;
 mod need;
+mod rests;
 mod service;
 mod slow_start;
 
@@ -30,6 +31,7 @@
 use crocushold_routing::Outcome;
 use crocushold_routing::RegionKey;
 use crocushold_routing::RequestFacts;
+use crocushold_routing::Rests;
 use crocushold_routing::ServerSpec;
 use crocushold_routing::Stage;
 use slotmap::SlotMap;
@@ -207,6 +209,12 @@
     evacuated: HashSet<String>,
     /// Processes that said they are leaving.
     departures: Departures,
+    /// Servers that asked this instance for rest.
+    rests: Rests,
+    /// Ends of the rests of processes that aren't listed at the moment.
+    unlisted_rests: Vec<(Incarnation, Millis)>,
+    /// Names of servers whose rest has ended, for the log.
+    ended_rests: Vec<Arc<str>>,
     /// Services whose servers have changed since their routers were updated.
     changed: HashSet<String>,
     router_updates: u64,
@@ -218,6 +226,9 @@
     /// Creates a fleet without servers.
     pub fn new(settings: FleetSettings) -> Fleet {
         Fleet {
+            rests: Rests::new(settings.seed),
+            unlisted_rests: Vec::new(),
+            ended_rests: Vec::new(),
             settings,
             services: HashMap::new(),
             servers: SlotMap::with_key(),
@@ -270,6 +281,7 @@
             self.hashes.insert(short_hash(&id), key);
             self.ids.insert(id, key);
             self.changed.insert(service);
+            self.resume_rest(key);
             return ListOutcome::Changed;
         };
         let held = &self.servers[key].record;
@@ -289,6 +301,7 @@
             return ListOutcome::Changed;
         }
         self.servers[key].limit = NamedLimit::of_new_process(now);
+        self.rests.remove(key);
         if let Some(service) = self.services.get_mut(&service) {
             service.router.server_restarted(key);
         }
@@ -307,6 +320,7 @@
             return;
         };
         self.hashes.remove(&short_hash(id));
+        self.suspend_rest(key);
         if let Some(server) = self.servers.remove(key) {
             self.changed.insert(server.record.service);
         }
@@ -387,8 +401,13 @@
         }
     }
 
-    /// Records that an attempt ended after `tokens` of an answer.
+    /// Records that an attempt ended after `tokens` of an answer. While a server rests, its
+    /// rejections are no failures.
     pub fn done(&mut self, choice: &Choice, outcome: Outcome, tokens: u32, now: Millis) {
+        let outcome = match outcome {
+            Outcome::Overloaded if self.rests.contains(choice.server) => Outcome::Cancelled,
+            outcome => outcome,
+        };
         if let Some(service) = self.services.get_mut(&*choice.service) {
             service.router.done(choice.attempt, outcome, tokens, now);
         }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -323,6 +323,7 @@
         log_late_timers(&shared, due);
         follow::expire(&shared);
         quarantine::expire(&shared);
+        shared.log_ended_rests();
         let now = shared.clock.now();
         shared.placer.expire(&mut shared.fleet(), now);
         let moved = shared.fleet().tick(now);
--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -60,6 +60,8 @@
     pub tried: Vec<u32>,
     /// The requirements of the caller's request.
     pub need: Need,
+    /// Servers that asked the sender for rest, by hashes of their names.
+    pub resting: Vec<u32>,
 }
 
 /// The engine chosen for a request of another instance.
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -72,7 +72,7 @@
         if self.placed.len() >= MAX_PLACED {
             return unable;
         }
-        match fleet.place(&request.need, &request.zone, &request.tried, now) {
+        match fleet.place(request, now) {
             Ok(choice) => {
                 let verdict = PlacementVerdict::Placed(choice.placed());
                 let reply = PlacementReply { number, verdict };
--- a/crates/gateway/src/placing/shell.rs
+++ b/crates/gateway/src/placing/shell.rs
@@ -104,6 +104,7 @@
             remaining: query.remaining,
             tried: query.tried,
             need: query.need.clone(),
+            resting: query.resting,
         };
         self.send(placement_id.placer, &Packet::Request(request));
         let verdict = timeout(ASK_TIMEOUT.into(), receiver).await;
@@ -225,6 +226,8 @@
     pub(crate) remaining: Millis,
     /// Engines that were already tried, by hashes of their names.
     pub(crate) tried: Vec<u32>,
+    /// Servers that asked this instance for rest, by hashes of their names.
+    pub(crate) resting: Vec<u32>,
     pub(crate) now: Millis,
 }
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -30,6 +30,8 @@
     Cold,
     /// The servers with free slots limit how many requests they accept per second.
     Limited,
+    /// The servers that could take the request asked this instance for rest.
+    Resting,
     /// No server accepts requests in a region in which the request may run.
     Region,
     /// Request bodies fill the instance's memory.
@@ -67,6 +69,7 @@
             Reason::Busy => "busy",
             Reason::Cold => "cold",
             Reason::Limited => "limited",
+            Reason::Resting => "resting",
             Reason::Region => "region",
             Reason::Memory => "memory",
             Reason::Late => "late",
@@ -97,6 +100,7 @@
             | Reason::Busy
             | Reason::Cold
             | Reason::Limited
+            | Reason::Resting
             | Reason::Region
             | Reason::Memory
             | Reason::Late
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -194,16 +194,31 @@
                 log_departure(&choice.id, "answer");
             }
         }
+        if let Some(span) = notice.rest {
+            self.metrics.count_notice("rest");
+            if fleet.record_rest(choice, span, now) {
+                log_rest(&choice.id, span);
+            }
+        }
         let tells_limit = is_success || notice.limit.is_some();
         if tells_limit && fleet.record_limit(choice, notice.limit, now) {
             log_limit(&fleet, &choice.id, "answer");
         }
     }
 
+    /// Logs the servers whose rest has ended.
+    pub(crate) fn log_ended_rests(&self) {
+        let ended = self.fleet().take_ended_rests(self.clock.now());
+        for id in ended {
+            info!("{}", Event::new("server-rested").with("server", id));
+        }
+    }
+
     /// Records the departures that another instance knows.
     pub(crate) fn record_remote_departures(&self, departed: &[ServerDeparture]) {
         let now = self.clock.now();
-        for id in self.fleet().record_remote_departures(departed, now) {
+        let new = self.fleet().record_remote_departures(departed, now);
+        for id in new {
             log_departure(&id, "instance");
         }
     }
@@ -265,6 +280,13 @@
     info!("{event}");
 }
 
+fn log_rest(id: &str, span: Millis) {
+    let event = Event::new("server-resting")
+        .with("server", id)
+        .with("for", span);
+    info!("{event}");
+}
+
 fn log_limit(fleet: &Fleet, id: &str, source: &str) {
     let limit = fleet.limit_of(id).map(|limit| limit.to_string());
     let event = Event::new("server-limit")
--- a/crates/gateway/src/verdict.rs
+++ b/crates/gateway/src/verdict.rs
@@ -25,21 +25,24 @@
     Bad,
 }
 
-impl Verdict {
-    /// Whether the answer is certain to be from the server that the request was sent to.
-    pub(crate) fn is_from_server(self) -> bool {
-        match self {
-            Verdict::Good | Verdict::Failed | Verdict::Rejected => true,
-            Verdict::Misdirected | Verdict::Bad => false,
+/// Whether the head of an answer is certain to be from the server that the request `id` was sent
+/// to.
+///
+/// An answer with another request's ID was left on the connection by an earlier request. If it were
+/// relayed, a caller would read another caller's data. An answer without the server's seal, or with
+/// a content encoding, isn't what the server wrote.
+pub(crate) fn is_from_server(status: StatusCode, meta: &AnswerMeta, id: &str) -> bool {
+    match meta.executed {
+        Executed::Misdirected => false,
+        Executed::No => true,
+        Executed::Unknown => {
+            let is_intact = meta.id.as_deref() == Some(id) && !meta.encoded;
+            is_intact && (meta.sealed || !status.is_success())
         }
     }
 }
 
 /// Classifies the head of an answer to the request `id`.
-///
-/// An answer with another request's ID was left on the connection by an earlier request. If it were
-/// relayed, a caller would read another caller's data. An answer without the server's seal, or with
-/// a content encoding, isn't what the server wrote.
 pub(crate) fn classify_answer(
     status: StatusCode,
     meta: &AnswerMeta,
@@ -51,10 +54,7 @@
         Executed::No => return Verdict::Rejected,
         Executed::Unknown => {}
     }
-    if meta.id.as_deref() != Some(id) || meta.encoded {
-        return Verdict::Bad;
-    }
-    if status.is_success() && !meta.sealed {
+    if !is_from_server(status, meta, id) {
         return Verdict::Bad;
     }
     if !idempotent && promises_not_run(status) {
--- a/crates/gateway/tests/model/mod.rs
+++ b/crates/gateway/tests/model/mod.rs
@@ -222,6 +222,7 @@
             remaining: Millis::from_secs(30),
             tried: Vec::new(),
             need: need.clone(),
+            resting: Vec::new(),
         };
         let from = peer_of(instance);
         let reply = placer.place(&mut self.fleets[0], from, &ask, now);
--- a/crates/gateway/tests/placer.rs
+++ b/crates/gateway/tests/placer.rs
@@ -72,6 +72,7 @@
         remaining: LEFT,
         tried: Vec::new(),
         need: need(),
+        resting: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/rests.rs
@@ -0,0 +1,212 @@
+//! Tests of servers that asked an instance for rest, on that instance and on the placer.
+
+use std::net::SocketAddr;
+
+use crocushold_base::Millis;
+use crocushold_gateway::Choice;
+use crocushold_gateway::Fleet;
+use crocushold_gateway::FleetSettings;
+use crocushold_gateway::Heartbeat;
+use crocushold_gateway::Need;
+use crocushold_gateway::PlacementRequest;
+use crocushold_gateway::PlacementVerdict;
+use crocushold_gateway::Placer;
+use crocushold_gateway::Presence;
+use crocushold_gateway::ServerRecord;
+use crocushold_routing::NoServer;
+use crocushold_routing::Outcome;
+use crocushold_routing::Reason;
+use test_case::test_case;
+
+const START: Millis = Millis(10_000);
+const REST: Millis = Millis(3000);
+
+/// Longest time for which a rest is extended.
+const MAX_SPREAD: Millis = Millis(1000);
+
+fn record(id: &str, started: u64) -> ServerRecord {
+    ServerRecord {
+        id: id.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        service: "svc".to_owned(),
+        zone: "z".to_owned(),
+        slots: 8,
+        presence: Presence::Ready,
+        started: Some(started),
+        models: vec!["m".to_owned()],
+        heartbeat: Heartbeat::default(),
+    }
+}
+
+fn need() -> Need {
+    Need {
+        service: "svc".to_owned(),
+        model: Some("m".to_owned()),
+        prompt_tokens: 100,
+        unique_tokens: 100,
+        ..Need::default()
+    }
+}
+
+fn fleet(servers: &[&str], seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(FleetSettings {
+        alone: true,
+        seed,
+        ..FleetSettings::default()
+    });
+    for id in servers {
+        fleet.list(&record(id, 1), START);
+    }
+    fleet
+}
+
+/// Sends a request that the server rejects, with this rest.
+fn reject(fleet: &mut Fleet, span: Millis, now: Millis) -> Choice {
+    let choice = fleet.pick(&need(), &[], now).expect("a free server");
+    fleet.record_rest(&choice, span, now);
+    fleet.done(&choice, Outcome::Overloaded, 0, now);
+    choice
+}
+
+fn refusal(fleet: &mut Fleet, now: Millis) -> Option<NoServer> {
+    fleet.pick(&need(), &[], now).err()
+}
+
+/// Guards against a rest that ends early, and against one that never ends.
+#[test_case(Millis(1); "shortest")]
+#[test_case(REST; "usual")]
+#[test_case(Millis::from_secs(600); "long")]
+fn a_rest_ends_at_its_time(span: Millis) {
+    let mut fleet = fleet(&["s1"], 7);
+    reject(&mut fleet, span, START);
+    let refused = refusal(&mut fleet, START + Millis(span.0 - 1)).expect("it rests");
+    assert_eq!(refused.reason, Reason::Resting);
+    assert!(refusal(&mut fleet, START + span + MAX_SPREAD).is_none());
+}
+
+/// Guards against a server that is out of use for years because of a wrong value.
+#[test]
+fn an_absurd_rest_is_bounded() {
+    let mut fleet = fleet(&["s1"], 7);
+    reject(&mut fleet, Millis::MAX, START);
+    let day = Millis::from_secs(24 * 3600);
+    assert!(refusal(&mut fleet, START + day).is_none());
+}
+
+/// Guards against taking a rest for a failure: repeated rejections must not eject the server beyond
+/// its rest.
+#[test]
+fn a_rest_is_no_failure() {
+    let mut fleet = fleet(&["s1", "s2"], 7);
+    let first = reject(&mut fleet, REST, START);
+    let other = fleet.pick(&need(), &[], START).expect("a free server");
+    fleet.done(&other, Outcome::Complete, 1, START);
+    let mut now = START;
+    for _ in 0..5 {
+        now += REST + MAX_SPREAD;
+        let choice = fleet.pick(&need(), &[other.server], now);
+        let choice = choice.expect("it is used after its rest");
+        assert_eq!(choice.id, first.id);
+        fleet.record_rest(&choice, REST, now);
+        fleet.done(&choice, Outcome::Overloaded, 0, now);
+    }
+}
+
+/// Guards against instances that all return to a server at the same moment.
+#[test]
+fn instances_return_at_different_times() {
+    let mut ends: Vec<u64> = Vec::new();
+    for seed in 0..20 {
+        let mut fleet = fleet(&["s1"], seed);
+        reject(&mut fleet, REST, START);
+        let refused = refusal(&mut fleet, START).expect("it rests");
+        assert!(refused.retry_after >= REST);
+        assert!(refused.retry_after <= REST + MAX_SPREAD);
+        ends.push(refused.retry_after.0);
+    }
+    ends.sort_unstable();
+    ends.dedup();
+    assert!(ends.len() > 15, "{ends:?}");
+}
+
+/// Guards against forgetting a rest when the server's entry expires and is written again, and
+/// against keeping it for the next process.
+#[test_case(1, true; "the same process")]
+#[test_case(2, false; "another process")]
+fn a_rest_outlives_the_entry_but_not_the_process(started: u64, rests: bool) {
+    let mut fleet = fleet(&["s1"], 7);
+    reject(&mut fleet, REST, START);
+    fleet.unlist("s1");
+    let later = START + Millis(1000);
+    fleet.list(&record("s1", started), later);
+    assert_eq!(refusal(&mut fleet, later).is_some(), rests);
+    assert!(refusal(&mut fleet, START + REST + MAX_SPREAD).is_none());
+}
+
+fn ask(number: u32, resting: Vec<u32>) -> PlacementRequest {
+    PlacementRequest {
+        number,
+        zone: "z".to_owned(),
+        remaining: Millis(5000),
+        tried: Vec::new(),
+        need: need(),
+        resting,
+    }
+}
+
+/// Guards against a placer that sends an instance to a server that wants nothing from it, and
+/// against one that takes the server from all others.
+#[test]
+fn the_placer_knows_whom_a_server_turned_away() {
+    let mut asking = fleet(&["s1", "s2"], 7);
+    let mut placing = fleet(&["s1", "s2"], 8);
+    let mut placer = Placer::default();
+    let rejected = reject(&mut asking, REST, START);
+    let resting = asking.resting("svc", START);
+    assert_eq!(resting.len(), 1);
+    let from = SocketAddr::from(([10, 0, 0, 1], 1));
+    let other = SocketAddr::from(([10, 0, 0, 2], 1));
+    let mut others_got_it = false;
+    for number in 0..10 {
+        let reply = placer.place(&mut placing, from, &ask(number, resting.clone()), START);
+        let PlacementVerdict::Placed(placement) = reply.verdict else {
+            panic!("not placed");
+        };
+        assert!(!resting.contains(&placement.engine));
+        let adopted = asking.adopt(&need(), &placement, &[], START);
+        assert!(adopted.is_some_and(|choice| choice.id != rejected.id));
+        let reply = placer.place(&mut placing, other, &ask(number, Vec::new()), START);
+        if let PlacementVerdict::Placed(placement) = reply.verdict {
+            others_got_it |= resting.contains(&placement.engine);
+        }
+    }
+    assert!(others_got_it);
+    let later = START + REST + MAX_SPREAD;
+    assert!(asking.resting("svc", later).is_empty());
+}
+
+/// Guards against applying the placer's own rests to the requests of others.
+#[test]
+fn the_placers_own_rest_binds_only_its_requests() {
+    let mut placing = fleet(&["s1"], 7);
+    placing.set_placer(true);
+    reject(&mut placing, REST, START);
+    assert!(refusal(&mut placing, START).is_some());
+    let from = SocketAddr::from(([10, 0, 0, 1], 1));
+    let reply = Placer::default().place(&mut placing, from, &ask(1, Vec::new()), START);
+    assert!(matches!(reply.verdict, PlacementVerdict::Placed(_)));
+}
+
+/// Guards against a placement on a resting server by an instance that doesn't know of the rest.
+#[test]
+fn a_placement_on_a_resting_server_is_not_used() {
+    let mut asking = fleet(&["s1"], 7);
+    reject(&mut asking, REST, START);
+    let mut placing = fleet(&["s1"], 8);
+    let from = SocketAddr::from(([10, 0, 0, 1], 1));
+    let reply = Placer::default().place(&mut placing, from, &ask(1, Vec::new()), START);
+    let PlacementVerdict::Placed(placement) = reply.verdict else {
+        panic!("not placed");
+    };
+    assert!(asking.adopt(&need(), &placement, &[], START).is_none());
+}
--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -83,8 +83,8 @@
     }
 
     /// Takes a slot of the server that another instance chose. Returns `None` if this router knows
-    /// that it is unsuitable: the server is unknown, leaving, ejected or full, or was tried
-    /// already.
+    /// that it is unsuitable: the server is unknown, leaving, resting, ejected or full, or
+    /// was tried already.
     pub fn adopt(
         &mut self,
         placement: &Placement,
@@ -93,7 +93,7 @@
     ) -> Option<Pick> {
         self.tick(now);
         let Placement { server, source, .. } = *placement;
-        if demand.exclude.contains(&server) || !self.is_allowed(server, demand) {
+        if !self.is_open_to(server, demand) {
             return None;
         }
         let accepts = |pool: &usize| self.accepts(server, *pool);
@@ -208,8 +208,7 @@
             let mut near = ring.walk(prefix).take(RING_STEPS);
             near.find(|&server| self.accepts(server, pool))
         };
-        let server = hinted.or_else(from_ring)?;
-        (!demand.exclude.contains(&server)).then_some(server)
+        hinted.or_else(from_ring)
     }
 
     pub(super) fn accepts(&self, server: ServerKey, pool: usize) -> bool {
@@ -282,7 +281,9 @@
     }
 
     fn no_server_error(&self, pool: usize, demand: &Demand<'_>, now: Millis) -> NoServer {
-        self.paced_refusal(pool, demand, now).unwrap_or_else(|| {
+        let paced = self.paced_refusal(pool, demand, now);
+        let refusal = paced.or_else(|| self.rest_refusal(pool, demand, now));
+        refusal.unwrap_or_else(|| {
             let reason = match self.pool_unavailable_reason(pool, demand.exclude) {
                 Reason::Busy | Reason::Tried if !self.has_region(pool, demand) => Reason::Region,
                 reason => reason,
@@ -322,7 +323,7 @@
             // `check_wait` sets the actual time from the wait.
             Reason::Late { .. } => self.settings.wake_grace,
             Reason::Region => MAX_RETRY_AFTER,
-            Reason::Cold | Reason::Limited | Reason::Tried | Reason::Stale => {
+            Reason::Cold | Reason::Limited | Reason::Resting | Reason::Tried | Reason::Stale => {
                 self.settings.wake_grace
             }
         };
--- a/crates/routing/src/router/expected.rs
+++ b/crates/routing/src/router/expected.rs
@@ -89,7 +89,7 @@
         } else {
             0
         };
-        let drawn = drawn + demand.exclude.len();
+        let drawn = drawn + demand.exclude.len() + demand.resting.len();
         // The stride through the array yields different servers. If there are few, all are drawn.
         for step in 0..open {
             // The search continues while none of the drawn servers takes the request.
--- a/crates/routing/src/router/paced.rs
+++ b/crates/routing/src/router/paced.rs
@@ -6,7 +6,6 @@
 use super::Router;
 use super::choice::MAX_RETRY_AFTER;
 use super::choice::MIN_RETRY_AFTER;
-use super::placement::is_in_region;
 use crate::router::Demand;
 use crate::router::NoServer;
 
@@ -58,9 +57,8 @@
         now: Millis,
     ) -> Option<NoServer> {
         let open = self.pools[pool].open.iter().map(|open| open.server);
-        let servers = open.filter(|server| !demand.exclude.contains(server));
+        let servers = open.filter(|&server| self.is_open_to(server, demand));
         let servers = servers.map(|server| &self.servers[server]);
-        let servers = servers.filter(|server| is_in_region(server, demand));
         let refusals = servers.filter_map(|server| server.pace.refusal(self.cold_rate, now));
         let first = refusals.min_by_key(|refusal| refusal.retry_after)?;
         Some(NoServer {
--- a/crates/routing/src/router/types.rs
+++ b/crates/routing/src/router/types.rs
@@ -11,6 +11,7 @@
 use slotmap::new_key_type;
 
 use crate::region::RegionKey;
+use crate::rest::Rest;
 
 new_key_type! {
     /// An attempt of a request at a server. The key contains a generation, so an event after the
@@ -47,6 +48,8 @@
     pub regions: Option<&'a [RegionKey]>,
     /// Servers that were tried already.
     pub exclude: &'a [ServerKey],
+    /// Servers that asked the sending instance for rest.
+    pub resting: &'a [Rest],
     /// The availability zone of the sending instance; `None` for the router's own.
     pub zone: Option<&'a str>,
     /// Whether this router chooses for all instances. If so, it sees each request as it is placed,
@@ -132,6 +135,8 @@
     Cold,
     /// All servers with free slots name limits and accept no more requests for now.
     Limited,
+    /// All servers that could take the request asked the sending instance for rest.
+    Resting,
     /// No usable server is in one of the allowed regions.
     Region,
     /// Every usable server was tried already.
@@ -149,6 +154,7 @@
             Reason::Late { .. } => "the wait is too long everywhere",
             Reason::Cold => "the servers that are free are cold",
             Reason::Limited => "the servers that are free limit their requests",
+            Reason::Resting => "the servers asked for rest",
             Reason::Region => "no server is in an allowed region",
             Reason::Tried => "all servers were tried",
             Reason::Stale => "the instance list is stale",
