gateway: a limit older than the instance that hears of it

An instance that had just started ignored the limits that others told it, if they were older than its own clock, which begins at zero; and as it knew of none "since its start", it corrected the others, which then lifted the limit. A server in need got requests without a pace until its next answer named the limit again.

The time of an answer may now lie before the start of the clock. The first test fails without the change; the second one guards against the opposite, an age that is understated for the same reason.

--- a/crates/gateway/src/fleet/limits.rs
+++ b/crates/gateway/src/fleet/limits.rs
@@ -46,13 +46,42 @@
     pub age: u32,
 }
 
+/// The time of an answer on this instance's clock, in milliseconds. An answer to another instance
+/// may be older than this instance, whose clock began at zero.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct AnswerTime(i64);
+
+impl AnswerTime {
+    /// Before any answer.
+    const NEVER: AnswerTime = AnswerTime(i64::MIN);
+
+    fn at(time: Millis) -> AnswerTime {
+        AnswerTime(i64::try_from(time.0).unwrap_or(i64::MAX))
+    }
+
+    fn with_age(age: u32, now: Millis) -> AnswerTime {
+        AnswerTime(AnswerTime::at(now).0 - i64::from(age))
+    }
+
+    fn age(self, now: Millis) -> u32 {
+        let age = AnswerTime::at(now).0.saturating_sub(self.0);
+        u32::try_from(age.max(0)).unwrap_or(u32::MAX)
+    }
+}
+
+impl Default for AnswerTime {
+    fn default() -> AnswerTime {
+        AnswerTime::NEVER
+    }
+}
+
 /// What is known of a server's limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct NamedLimit {
     /// Requests per second; `None` if it names no limit.
     pub(super) rate: Option<f64>,
     /// The time for which this is known.
-    as_of: Millis,
+    as_of: AnswerTime,
     /// When an answer to this instance last named a limit; `None` if none did.
     seen_at: Option<Millis>,
     /// Whether the other instances aren't told yet.
@@ -63,7 +92,7 @@
     /// The state of a process that has started at `now`.
     pub(super) fn of_new_process(now: Millis) -> NamedLimit {
         NamedLimit {
-            as_of: now,
+            as_of: AnswerTime::at(now),
             ..NamedLimit::default()
         }
     }
@@ -72,6 +101,7 @@
     fn observe(&mut self, limit: Option<f64>, sent: Millis, now: Millis) -> bool {
         // Instances must agree on the number, or each would report its own as a change.
         let limit = limit.map(|limit| rate_from_units(rate_to_units(limit)));
+        let sent = AnswerTime::at(sent);
         let overlaps = sent <= self.as_of;
         let rate = match (limit, self.rate) {
             (Some(limit), Some(held)) if overlaps => Some(limit.min(held)),
@@ -83,7 +113,7 @@
         self.rate = rate;
         match limit {
             Some(_) => {
-                self.as_of = now;
+                self.as_of = AnswerTime::at(now);
                 self.seen_at = Some(now);
             }
             None => self.as_of = sent,
@@ -93,7 +123,7 @@
     }
 
     /// Applies what another instance knew at `as_of`. Returns whether the limit changed.
-    fn merge(&mut self, rate: Option<f64>, as_of: Millis) -> bool {
+    fn merge(&mut self, rate: Option<f64>, as_of: AnswerTime) -> bool {
         if as_of <= self.as_of {
             // The sender is corrected.
             self.unsent |= rate != self.rate;
@@ -110,7 +140,7 @@
         ServerLimit {
             server,
             rate: self.rate.map(rate_to_units),
-            age: u32::try_from(now.since(self.as_of).0).unwrap_or(u32::MAX),
+            age: self.as_of.age(now),
         }
     }
 }
@@ -154,7 +184,7 @@
             };
             let server = &mut self.servers[key];
             let rate = limit.rate.map(rate_from_units);
-            let as_of = now.since(Millis(u64::from(limit.age)));
+            let as_of = AnswerTime::with_age(limit.age, now);
             if server.limit.merge(rate, as_of) {
                 changed.push(server.id.to_string());
                 self.push_limit(limit.server, now);
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -197,3 +197,39 @@
     assert!(fleet.seen_limits(START + Millis(6000)).is_empty());
     assert_eq!(fleet.known_limits(START + Millis(6000)).len(), 1);
 }
+
+/// Guards against an instance that has just started: it must learn of a limit that is older than its
+/// process, and not tell the others that there is none.
+#[test]
+fn a_limit_is_older_than_the_instance_that_hears_of_it() {
+    let mut old = fleet();
+    let choice = send(&mut old, START);
+    old.record_limit(&choice, Some(1.0), START);
+    let age = Millis(5000);
+    let known = old.known_limits(START + age);
+    let mut new = fleet();
+    let started = Millis(1000);
+    assert_eq!(new.record_remote_limits(&known, started), [SERVER]);
+    assert_eq!(new.limit_of(SERVER), Some(1.0));
+    let told = new.take_unsent_limits(started);
+    old.record_remote_limits(&told, START + age);
+    assert_eq!(old.limit_of(SERVER), Some(1.0));
+}
+
+/// Guards against an instance that takes a limit for newer than it is, because its own clock began
+/// after the answer that named it.
+#[test]
+fn a_withdrawn_limit_is_not_renewed_by_an_instance_that_has_just_started() {
+    let mut old = fleet();
+    let choice = send(&mut old, START);
+    old.record_limit(&choice, Some(8.0), START);
+    let mut new = fleet();
+    let known = old.known_limits(START + Millis(5000));
+    new.record_remote_limits(&known, Millis(100));
+    let told = new.known_limits(Millis(200));
+    let later = send(&mut old, START + Millis(4000));
+    old.record_limit(&later, None, START + Millis(4050));
+    assert_eq!(old.limit_of(SERVER), None, "it was withdrawn meanwhile");
+    old.record_remote_limits(&told, START + Millis(5100));
+    assert_eq!(old.limit_of(SERVER), None);
+}
