entry: calls of `serve` honour the Retry-After of their servers

A retried rejection of this kind is no failure of health; one that is relayed to the caller counts as before.

`a_server_that_asks_for_rest_gets_no_calls_until_its_end` fails without the change (the early call is sent).

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -37,6 +37,7 @@
 use http_types::Response;
 use log::info;
 
+use self::classify::asked_rest;
 use self::classify::give_up;
 use self::classify::outcome_of_error;
 use self::classify::outcome_of_status;
@@ -249,6 +250,9 @@
                     };
                     return Ok(self.relay(*answer, resources, &pick, sent));
                 }
+                AttemptResult::Responded(answer) if asked_rest(&answer).is_some() => {
+                    (Stage::Answered, Outcome::Cancelled, false)
+                }
                 AttemptResult::Responded(answer) => {
                     (Stage::Answered, outcome_of_status(answer.status), false)
                 }
@@ -377,6 +381,11 @@
             Either::Left((Ok(answer), _)) => {
                 reach(Point::Answered).await;
                 guard.pick = None;
+                if let Some(span) = asked_rest(&answer) {
+                    let server = pick.server;
+                    self.pool
+                        .update(|state, now| state.record_rest(server, span, now));
+                }
                 AttemptResult::Responded(Box::new(answer))
             }
             Either::Left((Err(error), _)) => {
--- a/crates/entry/src/exchange/classify.rs
+++ b/crates/entry/src/exchange/classify.rs
@@ -1,7 +1,10 @@
 //! Classifies a failed attempt for the router, the retry policy and the caller.
 
+use crocushold_base::Millis;
+use crocushold_http::Answer;
 use crocushold_http::SendError;
 use crocushold_http::SendErrorKind;
+use crocushold_http::retry_after;
 use crocushold_routing::Decision;
 use crocushold_routing::Outcome;
 use crocushold_routing::Stage;
@@ -49,6 +52,13 @@
     }
 }
 
+/// How long the server wants no requests from this instance, if it rejected the request and says
+/// so.
+pub(super) fn asked_rest(answer: &Answer) -> Option<Millis> {
+    let rejected = outcome_of_status(answer.status) == Outcome::Overloaded;
+    retry_after(&answer.headers).filter(|_| rejected)
+}
+
 pub(super) fn outcome_of_error(error: &SendError) -> Outcome {
     // A server may close an idle connection just when it is reused. That isn't a fault; counting it
     // as one would eject servers that merely have little traffic.
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -33,6 +33,7 @@
 use crocushold_routing::Outcome;
 use crocushold_routing::Pick;
 use crocushold_routing::RequestFacts;
+use crocushold_routing::Rests;
 use crocushold_routing::RetryPolicy;
 use crocushold_routing::RetrySettings;
 use crocushold_routing::Router;
@@ -94,6 +95,8 @@
     /// The models that servers reported to hold.
     loaded: HashMap<ServerKey, Vec<ModelKey>>,
     retry: RetryPolicy,
+    /// Servers that asked this instance for rest.
+    rests: Rests,
     queued: HashMap<RequestKey, QueueEntry>,
     pub(crate) demand: RecentDemand,
 }
@@ -147,6 +150,7 @@
             missing_model: None,
             loaded: HashMap::new(),
             retry: RetryPolicy::new(RetrySettings::default(), clock.now()),
+            rests: Rests::new(settings.seed),
             queued: HashMap::new(),
             demand: RecentDemand::default(),
         };
@@ -251,6 +255,7 @@
     pub(crate) async fn run_timers(self: Arc<Pool>) {
         while Arc::strong_count(&self) > 1 {
             let wait = self.update(|state, now| {
+                state.end_rests(now);
                 state.router.tick(now);
                 let at = state.scheduler.wake_at().unwrap_or(Millis::MAX);
                 at.since(now).max(Millis(1)).min(MAX_TIMER_SLEEP)
--- a/crates/entry/src/pool/dispatch.rs
+++ b/crates/entry/src/pool/dispatch.rs
@@ -7,6 +7,7 @@
 use crocushold_admission::Arrival;
 use crocushold_admission::Dispatched;
 use crocushold_admission::Ticket;
+use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_base::RequestKey;
 use crocushold_base::ServerKey;
@@ -19,6 +20,7 @@
 use crocushold_routing::RequestFacts;
 use crocushold_routing::Stage;
 use futures::channel::oneshot;
+use log::info;
 
 use super::State;
 use super::queue::Deferred;
@@ -143,7 +145,9 @@
         now: Millis,
     ) -> Result<(Pick, SocketAddr), NoServer> {
         match self.pick(requirements, tried, now) {
-            Err(none) if none.reason == Reason::Tried => self.pick(requirements, &[], now),
+            Err(none) if matches!(none.reason, Reason::Tried | Reason::Resting) => {
+                self.pick(requirements, &[], now)
+            }
             result => result,
         }
     }
@@ -164,13 +168,36 @@
         entry.is_some_and(|entry| entry.queue_result.send(queue_result).is_ok())
     }
 
+    /// Records that a server asks this instance for a rest of `span`.
+    pub(crate) fn record_rest(&mut self, server: ServerKey, span: Millis, now: Millis) {
+        let Some(address) = self.addresses.get(&server) else {
+            return;
+        };
+        if self.rests.record(server, span, now) {
+            let event = Event::new("server-resting")
+                .with("service", &self.service)
+                .with("server", address)
+                .with("for", span);
+            info!("{event}");
+        }
+    }
+
+    /// Lets the servers whose rest has ended get requests again.
+    pub(super) fn end_rests(&mut self, now: Millis) {
+        for server in self.rests.take_ended(now) {
+            self.router.end_rest(server);
+        }
+    }
+
     pub(super) fn pick(
         &mut self,
         requirements: &Requirements,
         exclude: &[ServerKey],
         now: Millis,
     ) -> Result<(Pick, SocketAddr), NoServer> {
-        let pick = self.router.pick(&requirements.demand(exclude), now)?;
+        self.end_rests(now);
+        let demand = requirements.demand(exclude, self.rests.active());
+        let pick = self.router.pick(&demand, now)?;
         let address = self.addresses.get(&pick.server).copied();
         address.map(|address| (pick, address)).ok_or(NoServer {
             reason: Reason::Out,
--- a/crates/entry/src/pool/queue.rs
+++ b/crates/entry/src/pool/queue.rs
@@ -11,6 +11,7 @@
 use crocushold_routing::Demand;
 use crocushold_routing::Pick;
 use crocushold_routing::Reason;
+use crocushold_routing::Rest;
 use futures::channel::oneshot;
 
 use crate::refusal::Refusal;
@@ -43,7 +44,7 @@
 }
 
 impl Requirements {
-    pub(super) fn demand<'a>(&self, exclude: &'a [ServerKey]) -> Demand<'a> {
+    pub(super) fn demand<'a>(&self, exclude: &'a [ServerKey], resting: &'a [Rest]) -> Demand<'a> {
         Demand {
             model: self.model,
             prefix: self.prefix,
@@ -51,6 +52,7 @@
             idempotent: self.idempotent,
             tokens: self.tokens,
             exclude,
+            resting,
             ..Demand::default()
         }
     }
--- a/crates/standins/src/service/command.rs
+++ b/crates/standins/src/service/command.rs
@@ -22,6 +22,8 @@
     CrashAfter,
     /// Responds with 503 without a side effect.
     Unavailable,
+    /// Responds with 503 without a side effect, and asks the sender to wait for three seconds.
+    Resting,
 }
 
 /// Initial settings of a plain service.
--- a/crates/standins/src/service/server.rs
+++ b/crates/standins/src/service/server.rs
@@ -113,6 +113,11 @@
         if fault == ServiceFault::Unavailable {
             return Ok(reply::error(StatusCode::ServiceUnavailable, "unavailable"));
         }
+        if fault == ServiceFault::Resting {
+            let mut response = reply::error(StatusCode::ServiceUnavailable, "unavailable");
+            response.insert_header("retry-after", "3");
+            return Ok(response);
+        }
         if fault == ServiceFault::HangBefore {
             return hang(call.conn).await;
         }
--- a/tests/all/server_faults.rs
+++ b/tests/all/server_faults.rs
@@ -1,5 +1,8 @@
 //! Backend servers that refuse, crash, hang or answer 503 before an answer has begun.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use crocushold_standins::EngineCommand;
 use crocushold_standins::EngineSettings;
 use crocushold_standins::ServiceCommand;
@@ -204,6 +207,34 @@
     entry.wait_idle();
 }
 
+// Guards against sending to a server before the time that it asked to wait: further calls wait in
+// the queue or are refused as not run, and are served once the time is over.
+#[test]
+fn a_server_that_asks_for_rest_gets_no_calls_until_its_end() {
+    let site = Site::start(&two_services());
+    let entry = site.entry("entry-1");
+    site.command_services(ServiceCommand::Fault {
+        fault: ServiceFault::Resting,
+        times: Some(1),
+    });
+    let servers = 2;
+    for number in 0..servers {
+        let answer = call(entry.listen, &Call::booking(&format!("busy-{number}"))).unwrap();
+        assert_eq!(answer.status, 503);
+    }
+    let early = Call::booking("early").header("x-timeout-ms", "500");
+    let answer = call(entry.listen, &early).unwrap();
+    assert_eq!(answer.header("x-request-ran"), "no", "{}", answer.body);
+    assert_eq!(site.booking_calls(), servers);
+    let start = Instant::now();
+    let late = Call::booking("late").header("x-timeout-ms", "8000");
+    let answer = call(entry.listen, &late).unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert!(start.elapsed() > Duration::from_secs(2));
+    assert_eq!(site.effects("late"), 1);
+    entry.wait_idle();
+}
+
 // An engine crashes with requests in flight and others queued. The queued requests never reached
 // it, and those in flight are idempotent and nothing of them was relayed: each gets a complete
 // answer from the remaining engine.
