gateway: what servers say of themselves in one place

A cold phase, a limit, a leave and a rest were four mechanisms in four places, each with its own way into the fleet and the routers. Behaviour is the same.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -5,13 +5,10 @@
 
 mod announcements;
 mod choose;
-mod departures;
 mod evacuation;
-mod limits;
 mod need;
-mod rests;
+mod notices;
 mod service;
-mod slow_start;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -38,11 +35,12 @@
 use twox_hash::XxHash3_64;
 
 use self::announcements::Announcements;
-use self::departures::Departures;
-pub use self::departures::ServerDeparture;
-use self::limits::NamedLimit;
-pub use self::limits::ServerLimit;
 pub use self::need::Need;
+use self::notices::Departures;
+use self::notices::NamedLimit;
+pub use self::notices::NoticeChange;
+pub use self::notices::ServerDeparture;
+pub use self::notices::ServerLimit;
 use self::service::ModelLanes;
 use self::service::Service;
 use crate::placing::PlacementId;
--- a/crates/gateway/src/fleet/slow_start.rs
+++ b/crates/gateway/src/fleet/notices/cold.rs
@@ -5,7 +5,7 @@
 
 use crocushold_base::Millis;
 
-use super::Fleet;
+use crate::fleet::Fleet;
 use crate::routes::SlowStart;
 
 /// Maximum remaining cold phase that is accepted from an entry.
@@ -30,28 +30,12 @@
     }
 
     /// Records the remaining cold phase of a server, as reported by its entry.
-    pub(super) fn record_cold(&mut self, id: &str, remaining: Millis, now: Millis) {
+    pub(in crate::fleet) fn record_cold(&mut self, id: &str, remaining: Millis, now: Millis) {
         let Some(&key) = self.ids.get(id) else {
             return;
         };
         let server = &mut self.servers[key];
         server.reported_cold_until = now + remaining.min(MAX_COLD);
-        if let Some(service) = self.services.get_mut(&server.record.service) {
-            service.router.set_cold(key, server.cold_until());
-        }
-    }
-
-    /// Passes the cold phases and the limits of a service's servers to its router after the router
-    /// received them anew.
-    pub(super) fn push_paces(&mut self, name: &str, now: Millis) {
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        for (key, server) in &self.servers {
-            if server.record.service == name {
-                service.router.set_cold(key, server.cold_until());
-                service.router.set_limit(key, server.limit.rate, now);
-            }
-        }
+        self.push_pace(key, now);
     }
 }
--- a/crates/gateway/src/fleet/departures.rs
+++ b/crates/gateway/src/fleet/notices/departures.rs
@@ -12,8 +12,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::Choice;
-use super::Fleet;
+use crate::fleet::Choice;
+use crate::fleet::Fleet;
 
 /// How long a departure is remembered after the last answer that mentions it, once the server is no
 /// longer listed. A process that is leaving exits within seconds.
@@ -47,10 +47,10 @@
 
 /// The processes that are known to be leaving.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Departures(HashMap<Incarnation, Departure>);
+pub(in crate::fleet) struct Departures(HashMap<Incarnation, Departure>);
 
 impl Departures {
-    pub(super) fn contains(&self, incarnation: Incarnation) -> bool {
+    pub(in crate::fleet) fn contains(&self, incarnation: Incarnation) -> bool {
         self.0.contains_key(&incarnation)
     }
 
@@ -146,7 +146,7 @@
     }
 
     /// Forgets the departures of processes that must have exited.
-    pub(super) fn expire_departures(&mut self, now: Millis) {
+    pub(in crate::fleet) fn expire_departures(&mut self, now: Millis) {
         let servers = &self.servers;
         let is_listed = |incarnation| {
             let mut servers = servers.values();
--- a/crates/gateway/src/fleet/limits.rs
+++ b/crates/gateway/src/fleet/notices/limits.rs
@@ -16,8 +16,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::Choice;
-use super::Fleet;
+use crate::fleet::Choice;
+use crate::fleet::Fleet;
 
 /// Factor by which each answer without a limit raises the rate.
 const RAISE_FACTOR: f64 = 2.0;
@@ -77,9 +77,9 @@
 
 /// What is known of a server's limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(super) struct NamedLimit {
+pub(in crate::fleet) struct NamedLimit {
     /// Requests per second; `None` if it names no limit.
-    pub(super) rate: Option<f64>,
+    pub(in crate::fleet) rate: Option<f64>,
     /// The time for which this is known.
     as_of: AnswerTime,
     /// When an answer to this instance last named a limit; `None` if none did.
@@ -90,7 +90,7 @@
 
 impl NamedLimit {
     /// The state of a process that has started at `now`.
-    pub(super) fn of_new_process(now: Millis) -> NamedLimit {
+    pub(in crate::fleet) fn of_new_process(now: Millis) -> NamedLimit {
         NamedLimit {
             as_of: AnswerTime::at(now),
             ..NamedLimit::default()
@@ -169,7 +169,8 @@
         let changed = server.incarnation == choice.incarnation
             && server.limit.observe(limit, choice.chosen, now);
         if changed {
-            self.push_limit(choice.hash, now);
+            self.update_routers(now);
+            self.push_pace(choice.server, now);
         }
         changed
     }
@@ -187,7 +188,8 @@
             let as_of = AnswerTime::with_age(limit.age, now);
             if server.limit.merge(rate, as_of) {
                 changed.push(server.id.to_string());
-                self.push_limit(limit.server, now);
+                self.update_routers(now);
+                self.push_pace(key, now);
             }
         }
         changed
@@ -238,15 +240,4 @@
         let service = self.services.get(service);
         service.is_some_and(|service| service.router.has_paced(now))
     }
-
-    fn push_limit(&mut self, hash: u32, now: Millis) {
-        self.update_routers(now);
-        let Some(&key) = self.hashes.get(&hash) else {
-            return;
-        };
-        let server = &self.servers[key];
-        if let Some(service) = self.services.get_mut(&server.record.service) {
-            service.router.set_limit(key, server.limit.rate, now);
-        }
-    }
 }
--- a/crates/gateway/src/fleet/rests.rs
+++ b/crates/gateway/src/fleet/notices/rests.rs
@@ -10,10 +10,10 @@
 use crocushold_base::ServerKey;
 use crocushold_routing::Rest;
 
-use super::Choice;
-use super::Fleet;
-use super::Need;
-use super::choose::demand;
+use crate::fleet::Choice;
+use crate::fleet::Fleet;
+use crate::fleet::Need;
+use crate::fleet::choose::demand;
 
 /// Maximum number of resting servers in a placement request. The sender checks the reply, so it
 /// chooses by itself if one is left out.
@@ -58,7 +58,7 @@
 
     /// Keeps the rest of a server that is no longer listed. Its entry may only have expired, and the
     /// process be listed again.
-    pub(super) fn suspend_rest(&mut self, key: ServerKey) {
+    pub(in crate::fleet) fn suspend_rest(&mut self, key: ServerKey) {
         if let Some(until) = self.rests.remove(key) {
             let incarnation = self.servers[key].incarnation;
             self.unlisted_rests.push((incarnation, until));
@@ -66,7 +66,7 @@
     }
 
     /// Resumes the rest of a process that is listed again.
-    pub(super) fn resume_rest(&mut self, server: ServerKey) {
+    pub(in crate::fleet) fn resume_rest(&mut self, server: ServerKey) {
         let incarnation = self.servers[server].incarnation;
         let mut unlisted = self.unlisted_rests.iter();
         if let Some(at) = unlisted.position(|(resting, _)| *resting == incarnation) {
@@ -76,7 +76,7 @@
     }
 
     /// Lets the servers whose rest has ended get requests again.
-    pub(super) fn end_rests(&mut self, now: Millis) {
+    pub(in crate::fleet) fn end_rests(&mut self, now: Millis) {
         self.unlisted_rests.retain(|(_, until)| now < *until);
         for key in self.rests.take_ended(now) {
             let Some(server) = self.servers.get(key) else {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 pub use fleet::LaneAllocation;
 pub use fleet::ListOutcome;
 pub use fleet::Need;
+pub use fleet::NoticeChange;
 pub use fleet::ServerDeparture;
 pub use fleet::ServerLimit;
 pub use instance::Gateway;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -26,6 +26,7 @@
 use crate::fleet::Choice;
 use crate::fleet::Fleet;
 use crate::fleet::FleetSettings;
+use crate::fleet::NoticeChange;
 use crate::fleet::ServerDeparture;
 use crate::fleet::ServerLimit;
 use crate::instance::Settings;
@@ -182,27 +183,18 @@
         self.placer.request_ended(choice.placement_id, ended);
     }
 
-    /// Records what an answer says about the requests that its server accepts. Only a successful
-    /// answer without a limit withdraws one: a server that rejects a request, or fails, may leave
-    /// its limit out.
+    /// Records what an answer says about the requests that its server accepts.
     pub(crate) fn record_notice(&self, choice: &Choice, notice: Notice, is_success: bool) {
-        let now = self.clock.now();
-        let mut fleet = self.fleet();
         if notice.leaving {
             self.metrics.count_notice("leaving");
-            if fleet.record_departure(choice, now) {
-                log_departure(&choice.id, "answer");
-            }
         }
-        if let Some(span) = notice.rest {
+        if notice.rest.is_some() {
             self.metrics.count_notice("rest");
-            if fleet.record_rest(choice, span, now) {
-                log_rest(&choice.id, span);
-            }
         }
-        let tells_limit = is_success || notice.limit.is_some();
-        if tells_limit && fleet.record_limit(choice, notice.limit, now) {
-            log_limit(&fleet, &choice.id, "answer");
+        let now = self.clock.now();
+        let changes = self.fleet().record_notice(choice, notice, is_success, now);
+        for change in changes {
+            log_notice(&choice.id, change, "answer");
         }
     }
 
@@ -219,7 +211,7 @@
         let now = self.clock.now();
         let new = self.fleet().record_remote_departures(departed, now);
         for id in new {
-            log_departure(&id, "instance");
+            log_notice(&id, NoticeChange::Leaving, "instance");
         }
     }
 
@@ -227,7 +219,7 @@
     pub(crate) fn record_remote_limits(&self, limits: &[ServerLimit]) {
         let mut fleet = self.fleet();
         for id in fleet.record_remote_limits(limits, self.clock.now()) {
-            log_limit(&fleet, &id, "instance");
+            log_notice(&id, NoticeChange::Limit(fleet.limit_of(&id)), "instance");
         }
     }
 
@@ -273,26 +265,22 @@
     }
 }
 
-fn log_departure(id: &str, source: &str) {
-    let event = Event::new("server-leaving")
-        .with("server", id)
-        .with("source", source);
-    info!("{event}");
-}
-
-fn log_rest(id: &str, span: Millis) {
-    let event = Event::new("server-resting")
-        .with("server", id)
-        .with("for", span);
-    info!("{event}");
-}
-
-fn log_limit(fleet: &Fleet, id: &str, source: &str) {
-    let limit = fleet.limit_of(id).map(|limit| limit.to_string());
-    let event = Event::new("server-limit")
-        .with("server", id)
-        .with("per-second", limit.as_deref().unwrap_or("none"))
-        .with("source", source);
+fn log_notice(id: &str, change: NoticeChange, source: &str) {
+    let event = match change {
+        NoticeChange::Leaving => Event::new("server-leaving")
+            .with("server", id)
+            .with("source", source),
+        NoticeChange::Resting(span) => Event::new("server-resting")
+            .with("server", id)
+            .with("for", span),
+        NoticeChange::Limit(limit) => {
+            let limit = limit.map(|limit| limit.to_string());
+            Event::new("server-limit")
+                .with("server", id)
+                .with("per-second", limit.as_deref().unwrap_or("none"))
+                .with("source", source)
+        }
+    };
     info!("{event}");
 }
 
