entry: a repeat that overtakes the end of its first attempt is told that it ran

A caller whose booking was answered and who repeated it through another instance was told that the first attempt still runs ("unknown"), where it had run.

An instance that finds a claim in progress now tries it again up to three times, 50 ms apart, before it says so. Callers that repeat a request that really runs are told 150 ms later than before.

--- a/crates/entry/src/coordination/mod.rs
+++ b/crates/entry/src/coordination/mod.rs
@@ -281,6 +281,7 @@
     }
 
     async fn deliver(&self, mut settlement: Settlement) {
+        reach(Point::Settling).await;
         for _ in 0..SETTLE_ATTEMPTS {
             for member in settlement.pending().to_vec() {
                 if self.send_settlement(member, &settlement).await {
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use async_std::task;
 use crocushold_admission::NotRun;
 use crocushold_admission::RetryPermit;
 use crocushold_admission::Sent;
@@ -65,6 +66,12 @@
 use crate::response_observer::ResponseObserver;
 use crate::sent_attempt::SentAttempt;
 
+/// How often, and at which intervals, the claim of a repeated request is tried again while its first
+/// attempt seems to run. The members are told of an attempt's end after the last byte of its answer,
+/// which a repeat may overtake.
+const SETTLEMENT_CHECKS: u32 = 3;
+const SETTLEMENT_INTERVAL: Millis = Millis(50);
+
 /// Minimum timeout of an attempt whose request has reached its deadline.
 const MIN_TIMEOUT: Millis = Millis(1);
 
@@ -187,11 +194,15 @@
             return Ok(None);
         };
         let refused = |refusal| Failure::Refused(Refusal::from_claim(refusal));
-        let grant = self
-            .coordinator
-            .claim(idempotency_key)
-            .await
-            .map_err(refused)?;
+        let mut claimed = self.coordinator.claim(idempotency_key).await;
+        for _ in 0..SETTLEMENT_CHECKS {
+            if !matches!(claimed, Err(ownership::Refusal::InProgress { .. })) {
+                break;
+            }
+            task::sleep(SETTLEMENT_INTERVAL.into()).await;
+            claimed = self.coordinator.claim(idempotency_key).await;
+        }
+        let grant = claimed.map_err(refused)?;
         match grant.start(self.clock.now()) {
             Ok(started) => Ok(Some(ClaimGuard {
                 coordinator: self.coordinator,
--- a/crates/entry/src/failpoint.rs
+++ b/crates/entry/src/failpoint.rs
@@ -17,6 +17,8 @@
     Answered,
     /// The last byte of a response was read; the request is not settled yet.
     Read,
+    /// A request has ended; the members that recorded its claim aren't told yet.
+    Settling,
     /// A configuration was received; it is not active yet.
     Applying,
     /// An order to an engine was decided; the check whether it may be sent is still to come.
@@ -58,12 +60,13 @@
     /// Interval at which a blocked task checks the failpoint.
     const PAUSE: Duration = Duration::from_millis(2);
 
-    static POINTS: [(Point, &str, AtomicUsize); 7] = [
+    static POINTS: [(Point, &str, AtomicUsize); 8] = [
         (Point::Dispatched, "dispatched", AtomicUsize::new(0)),
         (Point::Voted, "voted", AtomicUsize::new(0)),
         (Point::Claimed, "claimed", AtomicUsize::new(0)),
         (Point::Answered, "answered", AtomicUsize::new(0)),
         (Point::Read, "read", AtomicUsize::new(0)),
+        (Point::Settling, "settling", AtomicUsize::new(0)),
         (Point::Applying, "applying", AtomicUsize::new(0)),
         (Point::Ordering, "ordering", AtomicUsize::new(0)),
     ];
--- a/tests/all/once.rs
+++ b/tests/all/once.rs
@@ -1,6 +1,7 @@
 //! Non-idempotent requests that are repeated through several instances.
 
 use std::thread;
+use std::time::Duration;
 
 use async_std::task;
 use crocushold_standins::ServiceCommand;
@@ -13,6 +14,9 @@
 use crate::support::SiteSettings;
 use crate::support::call;
 
+/// Time by which a repeat overtakes the end of the first attempt.
+const OVERTAKING: Duration = Duration::from_millis(50);
+
 /// A booking with an idempotency key. The marker is the same, so that effects can be counted.
 fn booking(key: &str) -> Call {
     Call::booking(key).header("idempotency-key", key)
@@ -54,6 +58,26 @@
     assert_eq!(site.service.effects("k-1"), 1);
 }
 
+/// Guards against telling a caller that its request still runs, because its repeat overtook the
+/// instance's message that it has ended.
+#[test]
+fn a_repeat_that_overtakes_the_end_of_the_first_attempt_is_told_that_it_ran() {
+    let site = Site::start(&SiteSettings::default());
+    let fleet = Fleet::start(&site, 3);
+    fleet.entry(0).hold("settling");
+    let first = send(&fleet, 0, "k-9");
+    assert_eq!(first.status, 200, "{}", first.body);
+    let repeat = thread::scope(|scope| {
+        let repeat = scope.spawn(|| send(&fleet, 1, "k-9"));
+        thread::sleep(OVERTAKING);
+        fleet.entry(0).release("settling");
+        repeat.join().unwrap()
+    });
+    assert_eq!(repeat.status, 409);
+    assert_eq!(repeat.header("x-request-ran"), "yes");
+    assert_eq!(site.service.effects("k-9"), 1);
+}
+
 /// A request is repeated while the first attempt is still running. The repeat must neither run nor
 /// block, and the caller must be told when to retry.
 #[test]
