--- a/crates/gateway/tests/departures.rs
+++ b/crates/gateway/tests/departures.rs
@@ -1,21 +1,20 @@
 //! Tests of servers that said they are leaving, and of the spread to other instances.
 
-use std::net::SocketAddr;
+mod common;
 
 use crocushold_base::Millis;
 use crocushold_gateway::Choice;
 use crocushold_gateway::Fleet;
-use crocushold_gateway::FleetSettings;
-use crocushold_gateway::Heartbeat;
 use crocushold_gateway::Need;
 use crocushold_gateway::Packet;
-use crocushold_gateway::Presence;
 use crocushold_gateway::ServerDeparture;
-use crocushold_gateway::ServerRecord;
 use crocushold_routing::Incarnation;
 use crocushold_routing::Outcome;
 
-const START: Millis = Millis(10_000);
+use crate::common::START;
+use crate::common::fleet;
+use crate::common::record;
+
 const SERVER: &str = "s1";
 
 /// Time after which every instance has forgotten a departure.
@@ -24,27 +23,6 @@
 /// Maximum size of a datagram, in bytes.
 const MAX_PACKET: usize = 1400;
 
-fn record(started: u64) -> ServerRecord {
-    ServerRecord {
-        id: SERVER.to_owned(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
-        service: "svc".to_owned(),
-        zone: "z".to_owned(),
-        slots: 8,
-        presence: Presence::Ready,
-        started: Some(started),
-        models: Vec::new(),
-        heartbeat: Heartbeat::default(),
-    }
-}
-
-fn fleet() -> Fleet {
-    Fleet::new(FleetSettings {
-        alone: true,
-        ..FleetSettings::default()
-    })
-}
-
 fn send(fleet: &mut Fleet, now: Millis) -> Option<Choice> {
     let need = Need {
         service: "svc".to_owned(),
@@ -57,8 +35,8 @@
 
 /// An instance whose server said that it is leaving.
 fn told_fleet() -> Fleet {
-    let mut fleet = fleet();
-    fleet.list(&record(1), START);
+    let mut fleet = fleet(7);
+    fleet.list(&record(SERVER, 1), START);
     let choice = send(&mut fleet, START).expect("a free server");
     assert!(fleet.record_departure(&choice, START));
     assert!(!fleet.record_departure(&choice, START), "it is known");
@@ -71,7 +49,7 @@
     let mut fleet = told_fleet();
     assert!(send(&mut fleet, START).is_none());
     assert_eq!(fleet.serving(SERVER), None, "its end is expected");
-    fleet.list(&record(2), START + Millis(2000));
+    fleet.list(&record(SERVER, 2), START + Millis(2000));
     assert!(send(&mut fleet, START + Millis(2000)).is_some());
 }
 
@@ -80,16 +58,16 @@
 #[test]
 fn a_departure_is_known_before_the_entry() {
     let departed = told_fleet().take_unsent_departures(START);
-    let mut other = fleet();
+    let mut other = fleet(7);
     assert!(other.record_remote_departures(&departed, START).is_empty());
-    other.list(&record(1), START + Millis(500));
+    other.list(&record(SERVER, 1), START + Millis(500));
     assert!(send(&mut other, START + Millis(500)).is_none());
 }
 
 /// Guards against instances that remind each other of a departure forever.
 #[test]
 fn a_departure_is_forgotten_by_all() {
-    let mut fleets = [told_fleet(), fleet()];
+    let mut fleets = [told_fleet(), fleet(7)];
     fleets[0].unlist(SERVER);
     let mut now = START;
     while now < START + FORGOTTEN {
@@ -104,7 +82,7 @@
     }
     for fleet in &mut fleets {
         assert!(fleet.known_departures(now).is_empty());
-        fleet.list(&record(1), now);
+        fleet.list(&record(SERVER, 1), now);
         assert!(send(fleet, now).is_some());
     }
 }
@@ -122,7 +100,7 @@
 /// Guards against departures that fill the memory, and against messages that exceed a datagram.
 #[test]
 fn the_memory_of_departures_is_bounded() {
-    let mut fleet = fleet();
+    let mut fleet = fleet(7);
     for number in 0..10_000 {
         let departure = ServerDeparture {
             incarnation: Incarnation(u64::MAX - number),
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -1,44 +1,25 @@
 //! Tests of the limits that servers name, and of their spread to other instances.
 
-use std::net::SocketAddr;
+mod common;
 
 use crocushold_base::Millis;
 use crocushold_gateway::Choice;
 use crocushold_gateway::Fleet;
-use crocushold_gateway::FleetSettings;
-use crocushold_gateway::Heartbeat;
 use crocushold_gateway::Need;
 use crocushold_gateway::Packet;
-use crocushold_gateway::Presence;
 use crocushold_gateway::ServerLimit;
-use crocushold_gateway::ServerRecord;
 use crocushold_routing::Outcome;
 use test_case::test_case;
 
-const START: Millis = Millis(10_000);
-const SERVER: &str = "s1";
+use crate::common::START;
+use crate::common::record;
 
-fn record(started: u64) -> ServerRecord {
-    ServerRecord {
-        id: SERVER.to_owned(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
-        service: "svc".to_owned(),
-        zone: "z".to_owned(),
-        slots: 8,
-        presence: Presence::Ready,
-        started: Some(started),
-        models: Vec::new(),
-        heartbeat: Heartbeat::default(),
-    }
-}
+const SERVER: &str = "s1";
 
 /// An instance that knows one server.
 fn fleet() -> Fleet {
-    let mut fleet = Fleet::new(FleetSettings {
-        alone: true,
-        ..FleetSettings::default()
-    });
-    fleet.list(&record(1), Millis::ZERO);
+    let mut fleet = common::fleet(7);
+    fleet.list(&record(SERVER, 1), Millis::ZERO);
     fleet
 }
 
@@ -108,7 +89,7 @@
     let first = send(&mut fleet, START);
     let second = send(&mut fleet, START);
     fleet.record_limit(&first, Some(1.0), START + Millis(50));
-    fleet.list(&record(2), START + Millis(100));
+    fleet.list(&record(SERVER, 2), START + Millis(100));
     assert_eq!(fleet.limit_of(SERVER), None);
     assert!(!fleet.record_limit(&second, Some(1.0), START + Millis(150)));
     assert!(!fleet.needs_placer("svc", START + Millis(150)));
--- a/crates/gateway/tests/rests.rs
+++ b/crates/gateway/tests/rests.rs
@@ -1,43 +1,29 @@
 //! Tests of servers that asked an instance for rest, on that instance and on the placer.
 
+mod common;
+
 use std::net::SocketAddr;
 
 use crocushold_base::Millis;
 use crocushold_gateway::Choice;
 use crocushold_gateway::Fleet;
-use crocushold_gateway::FleetSettings;
-use crocushold_gateway::Heartbeat;
 use crocushold_gateway::Need;
 use crocushold_gateway::PlacementRequest;
 use crocushold_gateway::PlacementVerdict;
 use crocushold_gateway::Placer;
-use crocushold_gateway::Presence;
 use crocushold_gateway::ServerRecord;
 use crocushold_routing::NoServer;
 use crocushold_routing::Outcome;
 use crocushold_routing::Reason;
 use test_case::test_case;
 
-const START: Millis = Millis(10_000);
+use crate::common::START;
+
 const REST: Millis = Millis(3000);
 
 /// Longest time for which a rest is extended.
 const MAX_SPREAD: Millis = Millis(1000);
 
-fn record(id: &str, started: u64) -> ServerRecord {
-    ServerRecord {
-        id: id.to_owned(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
-        service: "svc".to_owned(),
-        zone: "z".to_owned(),
-        slots: 8,
-        presence: Presence::Ready,
-        started: Some(started),
-        models: vec!["m".to_owned()],
-        heartbeat: Heartbeat::default(),
-    }
-}
-
 fn need() -> Need {
     Need {
         service: "svc".to_owned(),
@@ -48,12 +34,17 @@
     }
 }
 
+/// The entry of an engine.
+fn record(id: &str, started: u64) -> ServerRecord {
+    ServerRecord {
+        models: vec!["m".to_owned()],
+        ..common::record(id, started)
+    }
+}
+
+/// An instance that knows these engines.
 fn fleet(servers: &[&str], seed: u64) -> Fleet {
-    let mut fleet = Fleet::new(FleetSettings {
-        alone: true,
-        seed,
-        ..FleetSettings::default()
-    });
+    let mut fleet = common::fleet(seed);
     for id in servers {
         fleet.list(&record(id, 1), START);
     }
