--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -129,6 +129,12 @@
         promises: &[Promise::Once, Promise::Slots],
         test: "server_faults::a_booking_answered_unavailable_is_sent_once",
     },
+    Cell {
+        fault: Fault::Unavailable,
+        step: Step::Queued,
+        promises: &[Promise::NotRun, Promise::Once, Promise::Slots],
+        test: "server_faults::a_server_that_asks_for_rest_gets_no_calls_until_its_end",
+    },
     Cell {
         fault: Fault::GoneCut,
         step: Step::Streaming,
