--- a/crates/gateway/src/sharing/spread.rs
+++ b/crates/gateway/src/sharing/spread.rs
@@ -28,9 +28,8 @@
         .iter()
         .filter(|(_, message)| matches!(message.content, Content::Members));
     let requesters: Vec<SocketAddr> = requesters.map(|(requester, _)| *requester).collect();
-    if let Some(known) = Some(known)
-        .filter(|_| !requesters.is_empty())
-        .and_then(|known| known())
+    if !requesters.is_empty()
+        && let Some(known) = known()
     {
         packets.extend(requesters.into_iter().map(|to| (to, known.clone())));
     }
