gateway: which servers an instance reaches, since when, and how it knows

Each connection that is opened or fails is recorded by server. Connections to three servers that fail, with none that succeeds since, are taken for a lost path. Nothing acts on it yet. Log events server-unreachable, server-reachable, path-lost, path-regained and server-ejected, the last with whose attempts failed; two metrics; and the page /servers at the operators' address. Lack of file descriptors is no evidence about a path.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -31,6 +31,7 @@
 use crate::protocol::AnswerMeta;
 use crate::protocol::Forward;
 use crate::quarantine::run_cut;
+use crate::reach;
 use crate::record::RequestRecord;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
@@ -240,6 +241,7 @@
             AttemptResult::CallerGone => NextStep::CallerGone,
             AttemptResult::Failed(error) => {
                 let stage = stage_of(&error);
+                reach::failed(self.shared, choice, &error);
                 slot.done(outcome_of(&error));
                 self.record_failure(choice, stage, &error.to_string());
                 if error.is_disconnect() {
@@ -269,6 +271,7 @@
         choice: &Choice,
         slot: &mut SlotGuard<'_>,
     ) -> NextStep {
+        reach::answered(self.shared, choice, answer.reused);
         let now = self.shared.clock.now();
         if let Some(load) = meta.load {
             self.shared.fleet().record_load(choice, load, now);
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod evacuation;
 mod need;
 mod notices;
+mod reach;
 mod service;
 
 use std::collections::HashMap;
@@ -26,6 +27,7 @@
 use crocushold_routing::LaneStats;
 use crocushold_routing::LoadReport;
 use crocushold_routing::Outcome;
+use crocushold_routing::Reachability;
 use crocushold_routing::RegionKey;
 use crocushold_routing::RequestFacts;
 use crocushold_routing::Rests;
@@ -41,6 +43,8 @@
 pub use self::notices::NoticeChange;
 pub use self::notices::ServerDeparture;
 pub use self::notices::ServerLimit;
+pub use self::reach::Ejection;
+pub use self::reach::ServerReach;
 use self::service::ModelLanes;
 use self::service::Service;
 use crate::placing::PlacementId;
@@ -213,6 +217,10 @@
     unlisted_rests: Vec<(Incarnation, Millis)>,
     /// Names of servers whose rest has ended, for the log.
     ended_rests: Vec<Arc<str>>,
+    /// Which servers this instance reaches.
+    reach: Reachability,
+    /// Ejections that weren't taken yet, for the log.
+    ejections: Vec<Ejection>,
     /// Services whose servers have changed since their routers were updated.
     changed: HashSet<String>,
     router_updates: u64,
@@ -238,6 +246,8 @@
             slow_starts: HashMap::new(),
             evacuated: HashSet::new(),
             departures: Departures::default(),
+            reach: Reachability::default(),
+            ejections: Vec::new(),
             changed: HashSet::new(),
             router_updates: 0,
             is_placer: false,
@@ -300,6 +310,7 @@
         }
         self.servers[key].limit = NamedLimit::of_new_process(now);
         self.rests.remove(key);
+        self.reach.forget(key);
         if let Some(service) = self.services.get_mut(&service) {
             service.router.server_restarted(key);
         }
@@ -319,6 +330,7 @@
         };
         self.hashes.remove(&short_hash(id));
         self.suspend_rest(key);
+        self.reach.forget(key);
         if let Some(server) = self.servers.remove(key) {
             self.changed.insert(server.record.service);
         }
@@ -406,9 +418,11 @@
             Outcome::Overloaded if self.rests.contains(choice.server) => Outcome::Cancelled,
             outcome => outcome,
         };
+        let before = self.state_of(choice);
         if let Some(service) = self.services.get_mut(&*choice.service) {
             service.router.done(choice.attempt, outcome, tokens, now);
         }
+        self.note_ejection(choice, before, now);
     }
 
     /// Records the number of requests at a server.
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -30,6 +30,7 @@
 use crate::follow;
 use crate::protocol::Protocol;
 use crate::quarantine;
+use crate::reach;
 use crate::routes::CallerLimits;
 use crate::shared::Shared;
 use crate::shared::Stage;
@@ -306,11 +307,13 @@
     task::spawn(listener.run(move |request: Request, _| {
         let shared = shared.clone();
         async move {
-            if request.url().path() != "/metrics" {
-                return Response::new(StatusCode::NotFound);
-            }
+            let text = match request.url().path() {
+                "/metrics" => shared.metrics.encode(),
+                "/servers" => reach::page(&shared.fleet(), shared.clock.now()),
+                _ => return Response::new(StatusCode::NotFound),
+            };
             let mut response = Response::new(StatusCode::Ok);
-            response.set_body(shared.metrics.encode());
+            response.set_body(text);
             response
         }
     }));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,8 @@
     server_ends: IntCounterVec,
     notices: IntCounterVec,
     quarantined: IntGauge,
+    unreachable: IntGauge,
+    path_lost: IntGauge,
     version: IntGauge,
     running: IntGauge,
 }
@@ -92,9 +94,17 @@
             "crocushold_quarantined_contents",
             "Requests that are held back, as servers ended under them",
         );
+        let unreachable = gauge(
+            "crocushold_servers_unreachable",
+            "Servers to which this instance can't open connections",
+        );
+        let path_lost = gauge(
+            "crocushold_path_lost",
+            "Whether this instance reaches no server",
+        );
         let version = gauge("crocushold_config_version", "The configuration in force");
         let running = gauge("crocushold_requests_running", "Requests in progress");
-        let collectors: [Box<dyn prometheus::core::Collector>; 13] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 15] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(seconds.clone()),
@@ -106,6 +116,8 @@
             Box::new(server_ends.clone()),
             Box::new(notices.clone()),
             Box::new(quarantined.clone()),
+            Box::new(unreachable.clone()),
+            Box::new(path_lost.clone()),
             Box::new(version.clone()),
             Box::new(running.clone()),
         ];
@@ -126,6 +138,8 @@
             server_ends,
             notices,
             quarantined,
+            unreachable,
+            path_lost,
             version,
             running,
         }
@@ -166,6 +180,13 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets how many servers are out of reach, and whether all of them are taken to be.
+    pub(crate) fn set_reach(&self, unreachable: usize, path_lost: bool) {
+        self.unreachable
+            .set(i64::try_from(unreachable).unwrap_or(i64::MAX));
+        self.path_lost.set(i64::from(path_lost));
+    }
+
     pub(crate) fn request_started(&self) {
         self.running.inc();
     }
--- a/crates/gateway/src/placing/shell.rs
+++ b/crates/gateway/src/placing/shell.rs
@@ -28,6 +28,7 @@
 use super::placer::Placer;
 use crate::fleet::Fleet;
 use crate::fleet::Need;
+use crate::reach::log_ejections;
 
 /// How long to wait for the placer's reply before choosing a server locally. This is several round
 /// trips between availability zones, and a tenth of the shortest target for a first token.
@@ -168,6 +169,7 @@
         for update in updates {
             placer.apply_update(fleet, from, update, now);
         }
+        log_ejections(fleet.take_ejections(), "placement");
     }
 
     /// Handles a reply of the placer.
--- /dev/null
+++ b/crates/gateway/src/reach.rs
@@ -0,0 +1,147 @@
+//! Logging of which servers this instance reaches, and the operators' page about it.
+
+use std::fmt::Write;
+
+use crocushold_base::Event;
+use crocushold_base::Millis;
+use crocushold_http::SendError;
+use crocushold_http::SendErrorKind;
+use crocushold_http::Stage;
+use crocushold_http::is_path_failure;
+use crocushold_routing::Fault;
+use crocushold_routing::ReachChange;
+use crocushold_routing::ReachEvidence;
+use log::info;
+use log::warn;
+
+use crate::fleet::Choice;
+use crate::fleet::Ejection;
+use crate::fleet::Fleet;
+use crate::shared::Shared;
+
+/// Records that an answer to a request arrived.
+pub(crate) fn answered(shared: &Shared, choice: &Choice, reused: bool) {
+    // An answer on a connection that is open already doesn't show that another can be opened.
+    if !reused {
+        connected(shared, choice);
+    }
+}
+
+/// Records what an attempt without an answer says about the path to its server.
+pub(crate) fn failed(shared: &Shared, choice: &Choice, error: &SendError) {
+    if error.stage > Stage::NotConnected {
+        answered(shared, choice, error.reused);
+        return;
+    }
+    let is_path = match &error.kind {
+        SendErrorKind::ConnectTimeout => true,
+        SendErrorKind::Connect(cause) => is_path_failure(cause),
+        _ => false,
+    };
+    if is_path {
+        let mut fleet = shared.fleet();
+        let changes = fleet.record_connect_failure(choice);
+        log_changes(shared, &fleet, &changes);
+    }
+}
+
+fn connected(shared: &Shared, choice: &Choice) {
+    let now = shared.clock.now();
+    let mut fleet = shared.fleet();
+    let changes = fleet.record_connected(choice, now);
+    log_changes(shared, &fleet, &changes);
+}
+
+fn log_changes(shared: &Shared, fleet: &Fleet, changes: &[ReachChange]) {
+    if changes.is_empty() {
+        return;
+    }
+    let name = |server| fleet.name_of(server).unwrap_or_else(|| "unlisted".into());
+    for change in changes {
+        match *change {
+            ReachChange::ServerLost(server, evidence) => info!(
+                "{}",
+                Event::new("server-unreachable")
+                    .with("server", name(server))
+                    .with("evidence", evidence_label(evidence))
+            ),
+            ReachChange::ServerRegained(server, after) => info!(
+                "{}",
+                Event::new("server-reachable")
+                    .with("server", name(server))
+                    .with("after", after)
+            ),
+            ReachChange::PathLost { servers } => warn!(
+                "{}",
+                Event::new("path-lost")
+                    .with("servers", servers)
+                    .with("known", fleet.len())
+            ),
+            ReachChange::PathRegained { after } => {
+                warn!("{}", Event::new("path-regained").with("after", after));
+            }
+        }
+    }
+    shared
+        .metrics
+        .set_reach(fleet.unreachable_count(), fleet.path_lost_since().is_some());
+}
+
+/// Logs the servers that were taken out of use for failing. `source` says whose attempts failed.
+pub(crate) fn log_ejections(ejections: Vec<Ejection>, source: &str) {
+    for Ejection { id, fault, span } in ejections {
+        let event = Event::new("server-ejected")
+            .with("server", id)
+            .with("fault", fault_label(fault))
+            .with("for", span)
+            .with("source", source);
+        info!("{event}");
+    }
+}
+
+/// The operators' page: which servers this instance reaches, since when, and how it knows.
+pub(crate) fn page(fleet: &Fleet, now: Millis) -> String {
+    let age = |at: Option<Millis>| at.map_or("none".to_owned(), |at| now.since(at).to_string());
+    let mut text = format!(
+        "path={} lost-for={}\n",
+        if fleet.path_lost_since().is_some() {
+            "lost"
+        } else {
+            "open"
+        },
+        age(fleet.path_lost_since()),
+    );
+    for server in fleet.server_reaches() {
+        let failure = server.failure;
+        let evidence = failure.map_or("none", |failure| evidence_label(failure.evidence));
+        // Writing to a string can't fail.
+        let _ = writeln!(
+            text,
+            "server={} service={} zone={} unreachable-for={} evidence={evidence} connected={}",
+            server.id,
+            server.service,
+            server.zone,
+            age(failure.map(|failure| failure.since)),
+            age(server.connected_at),
+        );
+    }
+    text
+}
+
+fn evidence_label(evidence: ReachEvidence) -> &'static str {
+    match evidence {
+        ReachEvidence::Request => "request",
+        ReachEvidence::Probe => "probe",
+    }
+}
+
+fn fault_label(fault: Fault) -> &'static str {
+    match fault {
+        Fault::Refused => "refused",
+        Fault::Unreachable => "unreachable",
+        Fault::Failing => "failing",
+        Fault::Hung => "hung",
+        Fault::Straggling => "straggling",
+        Fault::Overloaded => "overloaded",
+    }
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -36,6 +36,7 @@
 use crate::placing::RequestEnd;
 use crate::protocol::Notice;
 use crate::protocol::Protocol;
+use crate::reach::log_ejections;
 use crate::routes::RouteTable;
 use crate::store_watch::StoreWatch;
 
@@ -174,7 +175,9 @@
             fleet.record_pause(choice, longest, now);
         }
         fleet.done(choice, outcome, tokens, now);
+        let ejections = fleet.take_ejections();
         drop(fleet);
+        log_ejections(ejections, "request");
         let ended = RequestEnd {
             result: outcome,
             tokens,
--- a/crates/http/src/client/probe.rs
+++ b/crates/http/src/client/probe.rs
@@ -1,5 +1,6 @@
 //! Probing whether a process listens at an address.
 
+use std::io;
 use std::io::ErrorKind;
 
 use async_std::future::timeout;
@@ -20,3 +21,17 @@
         Ok(Ok(_)) | Err(_) => false,
     }
 }
+
+/// Whether a connection failed because of the server or the network path to it, and not for lack of
+/// this process's own resources, such as file descriptors.
+pub fn is_path_failure(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::ConnectionRefused
+            | ErrorKind::ConnectionReset
+            | ErrorKind::ConnectionAborted
+            | ErrorKind::HostUnreachable
+            | ErrorKind::NetworkUnreachable
+            | ErrorKind::TimedOut
+    )
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,6 +12,7 @@
 //!   within a budget. [`Attempt`] and [`Permit`] express the same rule in types: the right to send
 //!   a request is consumed by the first byte written.
 //! * [`Quarantine`] blocks requests that end the processes of the servers that run them.
+//! * [`Reachability`] tells a server that fails from a network path that is lost.
 //! * [`subset()`] assigns each entry instance a share of a large group of servers, without
 //!   communication. [`ServerSubset`] keeps that share for one service and widens it while the
 //!   assigned servers can't serve.
@@ -36,6 +37,7 @@
 mod pool;
 mod quarantine;
 mod queue_delay;
+mod reachability;
 mod region;
 mod rest;
 mod retry;
@@ -69,6 +71,11 @@
 pub use quarantine::ReportedEnd;
 pub use quarantine::Run;
 pub use quarantine::Suspicion;
+pub use reachability::Reach;
+pub use reachability::ReachChange;
+pub use reachability::ReachEvidence;
+pub use reachability::ReachFailure;
+pub use reachability::Reachability;
 pub use region::RegionKey;
 pub use rest::Rest;
 pub use rest::Rests;
