gateway: requests of an instance without a path are relayed through another

Cause: an instance could serve a request only over its own path, and took each failed connection for the server's fault.

Why this works: connections to several servers that fail, with none that succeeds since, are one fact about this instance's path; on the first failure other servers are probed, so that it is known after one timeout more. While it holds, nothing is sent to servers and nothing held against them, and the requests go through an instance that reaches servers, once at most. The callers' connections stay where they are. A server that is out of reach alone isn't chosen for this instance, neither here nor by the placer, until a probe reaches it.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -66,7 +66,7 @@
     }
 }
 
-fn refuse(shared: &Shared, id: &str, refusal: &Refusal) -> Response {
+pub(crate) fn refuse(shared: &Shared, id: &str, refusal: &Refusal) -> Response {
     let mut response = refusal.response();
     if !id.is_empty() {
         shared.protocol.set_request_id(response.as_mut(), id);
@@ -74,10 +74,14 @@
     response
 }
 
-fn log_refusal(shared: &Shared, record: &RequestRecord, label: &str, refusal: &Refusal) {
-    let metrics = &shared.metrics;
-    metrics.request_ended(record.repeat.label(), record.priority, label);
-    count_unanswered(shared, record, label);
+pub(crate) fn log_refusal(shared: &Shared, record: &RequestRecord, label: &str, refusal: &Refusal) {
+    if record.entry.is_some() {
+        shared.metrics.count_relayed("in", label);
+    } else {
+        let metrics = &shared.metrics;
+        metrics.request_ended(record.repeat.label(), record.priority, label);
+        count_unanswered(shared, record, label);
+    }
     let event = record
         .end_event(shared, label)
         .with("status", refusal.status())
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,9 @@
 //! Handling of one request, from choosing a server to the head of the answer.
 
 mod choose;
+mod relay;
+
+pub(crate) use self::relay::PeerGuard;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -37,6 +40,7 @@
 use crate::refusal::Refusal;
 use crate::settle::AnswerObserver;
 use crate::settle::PauseTracker;
+use crate::settle::Upstream;
 use crate::shared::Shared;
 use crate::verdict::Verdict;
 use crate::verdict::classify_answer;
@@ -151,6 +155,17 @@
     /// Returns the final refusal, or that the caller is gone.
     pub(crate) async fn run(&mut self, hangup: &Hangup) -> Result<Response, Failure> {
         loop {
+            if self.is_cut_off() {
+                // A request is relayed once at most.
+                if self.job.entry.is_some() && !self.facts.written {
+                    return Err(relay::unreachable());
+                }
+                if self.job.entry.is_none()
+                    && let Some(result) = self.relay_through_peer(hangup).await
+                {
+                    return result;
+                }
+            }
             let choice = self.choose().await?;
             self.facts.attempts += 1;
             self.tried.push(choice.server);
@@ -164,7 +179,8 @@
                 NextStep::CallerGone => return Err(Failure::CallerGone),
                 NextStep::Relay(answer, verdict) => {
                     slot.choice = None;
-                    return Ok(self.relay(*answer, verdict, choice));
+                    let outcome = outcome_of_verdict(verdict);
+                    return Ok(self.relay(*answer, Upstream::Server(choice, outcome)));
                 }
                 NextStep::Retry => {}
                 NextStep::CheckRetry(stage, reason) => self.retry_or_refuse(stage, reason)?,
@@ -373,7 +389,7 @@
         info!("{event}");
     }
 
-    fn relay(&self, answer: Answer, verdict: Verdict, choice: Choice) -> Response {
+    fn relay(&self, answer: Answer, upstream: Upstream) -> Response {
         let now = self.shared.clock.now();
         let record = self.record();
         let label = record.repeat.label();
@@ -385,8 +401,7 @@
         let settle = AnswerObserver {
             shared: self.shared.clone(),
             record,
-            choice,
-            outcome: outcome_of_verdict(verdict),
+            upstream,
             status: answer.status.into(),
             head_at: now,
             counter: EventCounter::new(),
@@ -421,6 +436,7 @@
             wait_limit: self.job.need.wait_limit,
             expected_prefill: self.expected_prefill,
             placer: self.placer,
+            entry: self.job.entry.clone(),
         }
     }
 }
--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -59,7 +59,7 @@
         let (tried, resting) = {
             let mut fleet = self.shared.fleet();
             (
-                fleet.hashes_of(&self.tried),
+                fleet.excluded_hashes(need, &self.tried, now),
                 fleet.resting(&need.service, now),
             )
         };
--- a/crates/gateway/src/fleet/choose.rs
+++ b/crates/gateway/src/fleet/choose.rs
@@ -1,8 +1,6 @@
 //! The choice of servers: for requests of this instance, by itself or by the placer, and for
 //! requests of other instances.
 
-use std::borrow::Cow;
-
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
 use crocushold_routing::Demand;
@@ -71,6 +69,7 @@
         self.end_rests(now);
         self.update_routers(now);
         let server = *self.hashes.get(&placement.engine)?;
+        let excluded = self.excluded(need, tried, now);
         let record = &self.servers[server].record;
         let holds = |model: &String| record.models.contains(model);
         // The placer may have another configuration, or an older entry of the server.
@@ -85,7 +84,8 @@
             prefill_tokens: placement.read,
         };
         let service = self.services.get_mut(&need.service)?;
-        let demand = demand(service, &self.models, need, tried, self.rests.active());
+        let resting = self.rests.active();
+        let demand = demand(service, &self.models, need, &excluded, resting);
         let pick = service.router.adopt(&placed, &demand, now)?;
         service.update_max_pause(need);
         let choice = choice(&self.servers, service, &pick, need.lane(), now);
@@ -99,12 +99,6 @@
         self.is_placer = is_placer;
     }
 
-    /// The hashes by which other instances identify servers.
-    pub fn hashes_of(&self, servers: &[ServerKey]) -> Vec<u32> {
-        let known = servers.iter().filter_map(|key| self.servers.get(*key));
-        known.map(|server| server.hash).collect()
-    }
-
     /// The known servers with these hashes.
     fn keys_of(&self, hashes: &[u32]) -> Vec<ServerKey> {
         let keys = hashes.iter().filter_map(|hash| self.hashes.get(hash));
@@ -120,6 +114,10 @@
     ) -> Result<Choice, NoServer> {
         self.end_rests(now);
         self.update_routers(now);
+        let excluded = match sender {
+            Sender::Local => self.excluded(need, tried, now),
+            Sender::Remote { resting, .. } => [tried, resting].concat().into(),
+        };
         let service = self.services.get_mut(&need.service).ok_or(NoServer {
             reason: Reason::Out,
             retry_after: UNKNOWN_RETRY,
@@ -129,7 +127,6 @@
             service.lanes.record_work(need.lane(), work, now);
             service.update_max_pause(need);
         }
-        let excluded = sender.excluded(tried);
         let resting = match sender {
             Sender::Local => self.rests.active(),
             Sender::Remote { .. } => &[],
@@ -171,7 +168,7 @@
     Remote {
         /// Its availability zone.
         zone: &'a str,
-        /// The servers that asked it for rest.
+        /// The servers that asked it for rest. When those rests end is known only there.
         resting: &'a [ServerKey],
     },
 }
@@ -183,17 +180,6 @@
             Sender::Remote { zone, .. } => Some(zone),
         }
     }
-
-    /// The servers that were `tried` and those that rest for another instance. When those rests end
-    /// is known only there.
-    fn excluded(self, tried: &[ServerKey]) -> Cow<'_, [ServerKey]> {
-        match self {
-            Sender::Remote { resting, .. } if !resting.is_empty() => {
-                [tried, resting].concat().into()
-            }
-            Sender::Local | Sender::Remote { .. } => tried.into(),
-        }
-    }
 }
 
 impl Choice {
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -44,6 +44,7 @@
 pub use self::notices::ServerDeparture;
 pub use self::notices::ServerLimit;
 pub use self::reach::Ejection;
+pub use self::reach::ProbeTarget;
 pub use self::reach::ServerReach;
 use self::service::ModelLanes;
 use self::service::Service;
@@ -233,6 +234,7 @@
     pub fn new(settings: FleetSettings) -> Fleet {
         Fleet {
             rests: Rests::new(settings.seed),
+            reach: Reachability::new(settings.seed),
             unlisted_rests: Vec::new(),
             ended_rests: Vec::new(),
             settings,
@@ -246,7 +248,6 @@
             slow_starts: HashMap::new(),
             evacuated: HashSet::new(),
             departures: Departures::default(),
-            reach: Reachability::default(),
             ejections: Vec::new(),
             changed: HashSet::new(),
             router_updates: 0,
@@ -412,10 +413,13 @@
     }
 
     /// Records that an attempt ended after `tokens` of an answer. While a server rests, its
-    /// rejections are no failures.
+    /// rejections are no failures, and while the path is lost, neither are failed connections.
     pub fn done(&mut self, choice: &Choice, outcome: Outcome, tokens: u32, now: Millis) {
         let outcome = match outcome {
             Outcome::Overloaded if self.rests.contains(choice.server) => Outcome::Cancelled,
+            Outcome::Refused | Outcome::Unreachable if self.path_lost_since().is_some() => {
+                Outcome::Cancelled
+            }
             outcome => outcome,
         };
         let before = self.state_of(choice);
--- a/crates/gateway/src/fleet/reach.rs
+++ b/crates/gateway/src/fleet/reach.rs
@@ -1,10 +1,13 @@
 //! Which servers this instance reaches.
 
+use std::borrow::Cow;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
 use crocushold_routing::Fault;
+use crocushold_routing::Incarnation;
 use crocushold_routing::ReachChange;
 use crocushold_routing::ReachEvidence;
 use crocushold_routing::ReachFailure;
@@ -12,6 +15,8 @@
 
 use super::Choice;
 use super::Fleet;
+use super::Need;
+use super::Server;
 
 /// Maximum number of ejections that are kept until they are taken.
 const MAX_EJECTIONS: usize = 64;
@@ -42,13 +47,165 @@
     pub failure: Option<ReachFailure>,
 }
 
+/// A server to which a connection is opened to test the path.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProbeTarget {
+    /// The server's key.
+    pub server: ServerKey,
+    /// Its process.
+    pub incarnation: Incarnation,
+    /// The address it listens on.
+    pub address: SocketAddr,
+}
+
+/// Maximum number of servers out of reach in a placement request. The sender checks the reply.
+const MAX_UNREACHABLE: usize = 64;
+
 impl Fleet {
+    /// Whether a server that could take the request is within reach of this instance. It is true if
+    /// there is no such server at all.
+    pub fn can_reach(&mut self, need: &Need, now: Millis) -> bool {
+        if self.reach.reaches_all() {
+            return true;
+        }
+        self.update_routers(now);
+        let servers = self.servers.iter();
+        let mut suitable = servers.filter(|(_, server)| self.is_suitable(server, need));
+        let Some((first, _)) = suitable.next() else {
+            return true;
+        };
+        self.reach.reaches(first) || suitable.any(|(key, _)| self.reach.reaches(key))
+    }
+
+    /// Whether there is a server within reach that could take the request.
+    pub fn can_send(&mut self, need: &Need, now: Millis) -> bool {
+        let mut servers = self.servers.values();
+        servers.any(|server| self.is_suitable(server, need)) && self.can_reach(need, now)
+    }
+
+    /// Whether the server accepts requests with this need at all.
+    fn is_suitable(&self, server: &Server, need: &Need) -> bool {
+        let record = &server.record;
+        let is_in_region = need.regions.as_ref().is_none_or(|regions| {
+            let region = self.settings.regions.get(&record.zone);
+            region.is_some_and(|region| regions.contains(region))
+        });
+        let holds = |model: &String| record.models.contains(model);
+        record.service == need.service
+            && need.model.as_ref().is_none_or(holds)
+            && is_in_region
+            && !server.is_leaving(&self.departures)
+            && !self.evacuated.contains(&record.zone)
+    }
+
+    /// The servers that a request of this instance must not be sent to: those that were `tried`, and
+    /// those out of reach, unless all are.
+    pub(super) fn excluded<'a>(
+        &mut self,
+        need: &Need,
+        tried: &'a [ServerKey],
+        now: Millis,
+    ) -> Cow<'a, [ServerKey]> {
+        if self.reach.reaches_all() || !self.can_reach(need, now) {
+            return tried.into();
+        }
+        let mut excluded = tried.to_vec();
+        excluded.extend(self.reach.unreachable());
+        excluded.into()
+    }
+
+    /// The hashes of the servers that the placer must not choose for a request of this instance:
+    /// those that were `tried`, and those out of reach.
+    pub fn excluded_hashes(&mut self, need: &Need, tried: &[ServerKey], now: Millis) -> Vec<u32> {
+        let excluded = self.excluded(need, tried, now).into_owned();
+        let servers = excluded.iter().filter_map(|key| self.servers.get(*key));
+        let servers = servers.filter(|server| server.record.service == need.service);
+        let hashes = servers.map(|server| server.hash);
+        hashes.take(tried.len() + MAX_UNREACHABLE).collect()
+    }
+
+    /// The servers to probe after the chosen one has turned out to be out of reach.
+    pub fn spread_probes(&mut self, choice: &Choice) -> Vec<ProbeTarget> {
+        let usable = self.usable_servers();
+        let servers = self.reach.spread_probes(choice.server, &usable);
+        self.probe_targets(&servers)
+    }
+
+    /// The servers whose probes are due.
+    pub fn due_probes(&mut self, now: Millis) -> Vec<ProbeTarget> {
+        if self.reach.reaches_all() {
+            return Vec::new();
+        }
+        let usable = self.usable_servers();
+        let servers = self.reach.due_probes(&usable, now);
+        self.probe_targets(&servers)
+    }
+
+    /// Records the end of a probe that was started at `started`.
+    pub fn record_probe(
+        &mut self,
+        target: &ProbeTarget,
+        connected: bool,
+        started: Millis,
+        now: Millis,
+    ) -> Vec<ReachChange> {
+        let server = self.servers.get(target.server);
+        if server.is_none_or(|server| server.incarnation != target.incarnation) {
+            return Vec::new();
+        }
+        if connected {
+            return self.regain(target.server, now);
+        }
+        let known = self.usable_servers().len();
+        let evidence = ReachEvidence::Probe;
+        let changes = self
+            .reach
+            .record_failure(target.server, started, evidence, known);
+        self.pardon_if_lost(&changes);
+        changes
+    }
+
+    fn probe_targets(&self, servers: &[ServerKey]) -> Vec<ProbeTarget> {
+        let targets = servers.iter().map(|&key| ProbeTarget {
+            server: key,
+            incarnation: self.servers[key].incarnation,
+            address: self.servers[key].record.address,
+        });
+        targets.collect()
+    }
+
+    /// The listed servers that aren't leaving.
+    fn usable_servers(&self) -> Vec<ServerKey> {
+        let servers = self.servers.iter();
+        let usable = servers.filter(|(_, server)| !server.is_leaving(&self.departures));
+        usable.map(|(key, _)| key).collect()
+    }
+
+    fn regain(&mut self, server: ServerKey, now: Millis) -> Vec<ReachChange> {
+        self.reach.record_connected(server, now)
+    }
+
+    /// Lifts what was held against servers if the path turns out to be the cause.
+    fn pardon_if_lost(&mut self, changes: &[ReachChange]) {
+        let is_lost = |change: &ReachChange| matches!(change, ReachChange::PathLost { .. });
+        if !changes.iter().any(is_lost) {
+            return;
+        }
+        let servers: Vec<ServerKey> = self.reach.unreachable().collect();
+        for key in servers {
+            let service = &self.servers[key].record.service;
+            if let Some(service) = self.services.get_mut(service) {
+                service.router.pardon(key);
+            }
+        }
+    }
+
     /// Records that a connection to the chosen server was established.
     pub fn record_connected(&mut self, choice: &Choice, now: Millis) -> Vec<ReachChange> {
         if !self.is_current(choice) {
             return Vec::new();
         }
-        self.reach.record_connected(choice.server, now)
+        self.regain(choice.server, now)
     }
 
     /// Records that no connection to the chosen server could be established.
@@ -56,9 +213,13 @@
         if !self.is_current(choice) {
             return Vec::new();
         }
-        let known = self.accepting_servers();
-        self.reach
-            .record_failure(choice.server, choice.chosen, ReachEvidence::Request, known)
+        let known = self.usable_servers().len();
+        let evidence = ReachEvidence::Request;
+        let changes = self
+            .reach
+            .record_failure(choice.server, choice.chosen, evidence, known);
+        self.pardon_if_lost(&changes);
+        changes
     }
 
     /// The name of a listed server.
@@ -125,11 +286,4 @@
         let server = self.servers.get(choice.server);
         server.is_some_and(|server| server.incarnation == choice.incarnation)
     }
-
-    /// Number of listed servers that aren't leaving.
-    fn accepting_servers(&self) -> usize {
-        let servers = self.servers.values();
-        let accepting = servers.filter(|server| !server.is_leaving(&self.departures));
-        accepting.count()
-    }
 }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -31,6 +31,7 @@
 use crate::protocol::Protocol;
 use crate::quarantine;
 use crate::reach;
+use crate::relay::start_relay;
 use crate::routes::CallerLimits;
 use crate::shared::Shared;
 use crate::shared::Stage;
@@ -163,6 +164,8 @@
     pub operators: Option<SocketAddr>,
     handle: ListenerHandle,
     serving: JoinHandle<()>,
+    /// The listener for requests that other instances relay, if there is one.
+    relay: Option<(ListenerHandle, JoinHandle<()>)>,
     shared: Arc<Shared>,
 }
 
@@ -179,6 +182,7 @@
     ) -> Result<Gateway, StartError> {
         let seed = wall_clock() ^ XxHash3_64::oneshot(settings.id.as_bytes());
         let limits = caller_limits(&settings, &CallerLimits::default());
+        let max_callers = limits.max_connections;
         let (callers, callers_at) = bind(settings.callers, limits).await?;
         let (readiness, readiness_at) = bind(settings.readiness, operator_limits()).await?;
         let operators = match settings.operators {
@@ -194,10 +198,13 @@
         if let Some((listener, _)) = operators {
             spawn_operators(listener, &shared);
         }
-        if let Some(address) = shared.settings.peer {
-            let started = start_gossip(&shared, address, &shared.settings.seeds).await;
-            started.map_err(|cause| StartError::Bind(address, cause))?;
-        }
+        let relay = match shared.settings.peer {
+            Some(address) => {
+                let started = start_peering(&shared, address, max_callers).await;
+                Some(started.map_err(|cause| StartError::Bind(address, cause))?)
+            }
+            None => None,
+        };
         task::spawn(follow::follow(shared.clone(), source));
         task::spawn(run_timers(shared.clone()));
         let event = Event::new("started")
@@ -212,6 +219,7 @@
             operators: operators_at,
             handle,
             serving,
+            relay,
             shared,
         })
     }
@@ -234,11 +242,24 @@
         task::sleep(notice.into()).await;
         self.shared.set_stage(Stage::Stopping);
         self.handle.stop();
+        let (relay, relaying) = self.relay.unzip();
+        if let Some(relay) = &relay {
+            relay.stop();
+        }
         let rest = settings.grace.since(notice + EXIT_MARGIN);
-        let ended = timeout(rest.into(), self.serving).await;
+        let serving = async {
+            self.serving.await;
+            if let Some(relaying) = relaying {
+                relaying.await;
+            }
+        };
+        let ended = timeout(rest.into(), serving).await;
         let open = match ended {
             Ok(()) => 0,
-            Err(_) => self.handle.connections(),
+            Err(_) => {
+                let relayed = relay.map_or(0, |relay| relay.connections());
+                self.handle.connections() + relayed
+            }
         };
         let event = Event::new("stopped").with("open", open);
         if open > 0 {
@@ -282,6 +303,16 @@
     Ok((listener, bound))
 }
 
+/// Starts gossip and accepts relayed requests, at the same address.
+async fn start_peering(
+    shared: &Arc<Shared>,
+    address: SocketAddr,
+    max_callers: usize,
+) -> io::Result<(ListenerHandle, JoinHandle<()>)> {
+    let bound = start_gossip(shared, address, &shared.settings.seeds).await?;
+    start_relay(shared, bound, max_callers).await
+}
+
 fn spawn_callers(listener: Listener, shared: &Arc<Shared>) -> JoinHandle<()> {
     let shared = shared.clone();
     task::spawn(
@@ -326,6 +357,7 @@
         log_late_timers(&shared, due);
         follow::expire(&shared);
         quarantine::expire(&shared);
+        reach::probe(&shared);
         shared.log_ended_rests();
         let now = shared.clock.now();
         shared.placer.expire(&mut shared.fleet(), now);
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -26,6 +26,7 @@
 use crate::protocol::RequestMeta;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
+use crate::relay::RelayedRequest;
 use crate::routes::Repeat;
 use crate::routes::Route;
 use crate::routes::RouteTable;
@@ -74,6 +75,8 @@
     pub(crate) arrived: Millis,
     /// Deadline of the request.
     pub(crate) deadline: Millis,
+    /// Name of the instance that relayed the request to this one, if any.
+    pub(crate) entry: Option<String>,
     outgoing: Outgoing,
     /// Memory reservations, released when the answer has begun.
     reserved: Vec<Reservation>,
@@ -117,25 +120,65 @@
         let table = shared
             .table()
             .ok_or(Refusal::later(Reason::NoConfiguration, START_RETRY))?;
-        let mut job = Job::resolve(&table, request, meta, arrived)?;
+        let job = Job::resolve(&table, request, meta, arrived)?;
+        let body_bytes = table.limits().body_bytes;
+        drop(table);
+        job.with_body(shared, request, body_bytes).await
+    }
+
+    /// Reads a request that another instance has accepted and relays.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final refusal of a request that can't be read.
+    pub(crate) async fn read_relayed(
+        shared: &Shared,
+        request: &mut Request,
+        relayed: RelayedRequest,
+        arrived: Millis,
+    ) -> Result<Job, Refusal> {
+        let job = Job {
+            id: relayed.id,
+            route: relayed.route,
+            repeat: relayed.repeat,
+            version: relayed.version,
+            account: relayed.account,
+            attempts: relayed.attempts,
+            need: relayed.need,
+            content: Fingerprint::of(&[]),
+            arrived,
+            deadline: arrived + relayed.remaining,
+            entry: Some(relayed.entry),
+            outgoing: Outgoing::new(request),
+            reserved: Vec::new(),
+        };
+        // The instance that accepted it has checked its length.
+        job.with_body(shared, request, u64::MAX).await
+    }
+
+    async fn with_body(
+        mut self,
+        shared: &Shared,
+        request: &mut Request,
+        body_bytes: u64,
+    ) -> Result<Job, Refusal> {
         let limits = ServerLimits {
-            body_bytes: table.limits().body_bytes,
+            body_bytes,
             ..ServerLimits::default()
         };
-        drop(table);
         let declared = request
             .len()
             .map_or(UNKNOWN_LENGTH_RESERVATION, |length| length as u64);
-        job.reserved.push(reserve(shared, declared)?);
+        self.reserved.push(reserve(shared, declared)?);
         let body = read_body(request, &limits).await;
         let body = body.map_err(|error| refuse_body(&error))?;
         let more = (body.len() as u64).saturating_sub(declared);
         if more > 0 {
-            job.reserved.push(reserve(shared, more)?);
+            self.reserved.push(reserve(shared, more)?);
         }
-        job.outgoing.body = SharedBody(Arc::new(body));
-        job.content = job.outgoing.content(job.account.as_deref());
-        Ok(job)
+        self.outgoing.body = SharedBody(Arc::new(body));
+        self.content = self.outgoing.content(self.account.as_deref());
+        Ok(self)
     }
 
     fn resolve(
@@ -190,6 +233,7 @@
             content: Fingerprint::of(&[]),
             arrived,
             deadline: arrived + timeout.min(route.timeout),
+            entry: None,
             outgoing: Outgoing::new(request),
             reserved: Vec::new(),
         })
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,7 @@
     left_out: IntCounter,
     server_ends: IntCounterVec,
     notices: IntCounterVec,
+    relayed: IntCounterVec,
     quarantined: IntGauge,
     unreachable: IntGauge,
     path_lost: IntGauge,
@@ -90,6 +91,11 @@
             "Answers in which servers said that they are leaving, or asked for rest",
             &["notice"],
         );
+        let relayed = counters(
+            "crocushold_relayed_total",
+            "Requests relayed to another instance (out) or from one (in), by outcome",
+            &["direction", "outcome"],
+        );
         let quarantined = gauge(
             "crocushold_quarantined_contents",
             "Requests that are held back, as servers ended under them",
@@ -104,7 +110,7 @@
         );
         let version = gauge("crocushold_config_version", "The configuration in force");
         let running = gauge("crocushold_requests_running", "Requests in progress");
-        let collectors: [Box<dyn prometheus::core::Collector>; 15] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(seconds.clone()),
@@ -115,6 +121,7 @@
             Box::new(left_out.clone()),
             Box::new(server_ends.clone()),
             Box::new(notices.clone()),
+            Box::new(relayed.clone()),
             Box::new(quarantined.clone()),
             Box::new(unreachable.clone()),
             Box::new(path_lost.clone()),
@@ -137,6 +144,7 @@
             left_out,
             server_ends,
             notices,
+            relayed,
             quarantined,
             unreachable,
             path_lost,
@@ -174,6 +182,11 @@
         self.notices.with_label_values(&[notice]).inc();
     }
 
+    /// Counts a request that was relayed to another instance or from one.
+    pub(crate) fn count_relayed(&self, direction: &str, outcome: &str) {
+        self.relayed.with_label_values(&[direction, outcome]).inc();
+    }
+
     /// Sets the number of quarantined requests.
     pub(crate) fn set_quarantined(&self, count: usize) {
         self.quarantined
--- a/crates/gateway/src/placing/mod.rs
+++ b/crates/gateway/src/placing/mod.rs
@@ -6,8 +6,8 @@
 //! request as it is placed, each answer as it begins, which engine caches which prompt prefix, and
 //! which engine fails.
 //!
-//! Only the placement request and its reply are sent, in two datagrams; a caller's request never
-//! passes through another instance. There is no dedicated placer: it is the collector that the
+//! Only the placement request and its reply are sent, in two datagrams. A caller's request passes
+//! through another instance only if this one reaches no server, see [`crate::relay`]. There is no dedicated placer: it is the collector that the
 //! others agree on, see [`crate::sharing`]. Nothing depends on it either. An instance that gets no
 //! reply within [`ASK_TIMEOUT`](shell::ASK_TIMEOUT), or that knows no placer, chooses by itself.
 //! Two placers that don't know of each other make worse choices, but not wrong ones. The instance
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -1,12 +1,15 @@
 //! Logging of which servers this instance reaches, and the operators' page about it.
 
 use std::fmt::Write;
+use std::sync::Arc;
 
+use async_std::task;
 use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_http::SendError;
 use crocushold_http::SendErrorKind;
 use crocushold_http::Stage;
+use crocushold_http::accepts_connections;
 use crocushold_http::is_path_failure;
 use crocushold_routing::Fault;
 use crocushold_routing::ReachChange;
@@ -17,6 +20,7 @@
 use crate::fleet::Choice;
 use crate::fleet::Ejection;
 use crate::fleet::Fleet;
+use crate::fleet::ProbeTarget;
 use crate::shared::Shared;
 
 /// Records that an answer to a request arrived.
@@ -28,7 +32,7 @@
 }
 
 /// Records what an attempt without an answer says about the path to its server.
-pub(crate) fn failed(shared: &Shared, choice: &Choice, error: &SendError) {
+pub(crate) fn failed(shared: &Arc<Shared>, choice: &Choice, error: &SendError) {
     if error.stage > Stage::NotConnected {
         answered(shared, choice, error.reused);
         return;
@@ -42,9 +46,37 @@
         let mut fleet = shared.fleet();
         let changes = fleet.record_connect_failure(choice);
         log_changes(shared, &fleet, &changes);
+        if !changes.is_empty() {
+            let targets = fleet.spread_probes(choice);
+            drop(fleet);
+            start_probes(shared, targets);
+        }
+    }
+}
+
+/// Starts the probes that are due.
+pub(crate) fn probe(shared: &Arc<Shared>) {
+    let targets = shared.fleet().due_probes(shared.clock.now());
+    start_probes(shared, targets);
+}
+
+fn start_probes(shared: &Arc<Shared>, targets: Vec<ProbeTarget>) {
+    for target in targets {
+        task::spawn(probe_server(shared.clone(), target));
     }
 }
 
+async fn probe_server(shared: Arc<Shared>, target: ProbeTarget) {
+    let started = shared.clock.now();
+    let Some(connected) = accepts_connections(target.address).await else {
+        return;
+    };
+    let now = shared.clock.now();
+    let mut fleet = shared.fleet();
+    let changes = fleet.record_probe(&target, connected, started, now);
+    log_changes(&shared, &fleet, &changes);
+}
+
 fn connected(shared: &Shared, choice: &Choice) {
     let now = shared.clock.now();
     let mut fleet = shared.fleet();
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -37,6 +37,8 @@
     pub(crate) expected_prefill: u32,
     /// The other instance that chose the server, if any.
     pub(crate) placer: Option<SocketAddr>,
+    /// The instance that the caller is connected to, if that relayed the request to this one.
+    pub(crate) entry: Option<String>,
 }
 
 impl RequestRecord {
@@ -57,6 +59,7 @@
             .with("expected-wait", self.expected_wait)
             .with("expected-read", self.expected_prefill)
             .with("wait-limit", limit.as_deref().unwrap_or("none"))
+            .with("entry", self.entry.as_deref().unwrap_or("here"))
             .with("outcome", outcome)
             .with("total", shared.clock.now().since(self.arrived))
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -32,6 +32,8 @@
     Limited,
     /// The servers that could take the request asked this instance for rest.
     Resting,
+    /// Neither this instance nor another one reaches a server.
+    Unreachable,
     /// No server accepts requests in a region in which the request may run.
     Region,
     /// Request bodies fill the instance's memory.
@@ -70,6 +72,7 @@
             Reason::Cold => "cold",
             Reason::Limited => "limited",
             Reason::Resting => "resting",
+            Reason::Unreachable => "unreachable",
             Reason::Region => "region",
             Reason::Memory => "memory",
             Reason::Late => "late",
@@ -101,6 +104,7 @@
             | Reason::Cold
             | Reason::Limited
             | Reason::Resting
+            | Reason::Unreachable
             | Reason::Region
             | Reason::Memory
             | Reason::Late
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -6,11 +6,14 @@
 use crocushold_base::Millis;
 use crocushold_routing::EngineCapacity;
 use crocushold_routing::RegionKey;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::era::EntryVersion;
 
-/// How often a request may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+/// How often a request may run. Instances exchange it as the index of the variant, so new variants
+/// must be added at the end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Repeat {
     /// It may run more than once without harm.
     Idempotent,
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -10,6 +10,7 @@
 use crocushold_routing::Outcome;
 use log::info;
 
+use crate::exchange::PeerGuard;
 use crate::fleet::Choice;
 use crate::quarantine::run_cut;
 use crate::quarantine::served;
@@ -23,15 +24,21 @@
 pub(crate) struct AnswerObserver {
     pub(crate) shared: Arc<Shared>,
     pub(crate) record: RequestRecord,
-    pub(crate) choice: Choice,
-    /// Outcome for the server, according to the head of the answer.
-    pub(crate) outcome: Outcome,
+    pub(crate) upstream: Upstream,
     pub(crate) status: u16,
     pub(crate) head_at: Millis,
     pub(crate) counter: EventCounter,
     pub(crate) pauses: PauseTracker,
 }
 
+/// Where an answer comes from.
+pub(crate) enum Upstream {
+    /// A server, and the outcome for it according to the head of the answer.
+    Server(Choice, Outcome),
+    /// Another instance, which reports the outcome to the server's peers itself.
+    Peer(PeerGuard),
+}
+
 /// Tracks the pauses between the events of a stream.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PauseTracker {
@@ -67,47 +74,32 @@
 
     fn end(&mut self, end: AnswerEnd) {
         let now = self.shared.clock.now();
-        let (outcome, label, bytes) = match end {
-            AnswerEnd::Complete { bytes } => (self.outcome, "answered", bytes),
+        let (label, bytes) = match end {
+            AnswerEnd::Complete { bytes } if self.is_failure() => ("server-error", bytes),
+            AnswerEnd::Complete { bytes } => ("answered", bytes),
             // The deadline of the request passed, which says nothing about the server.
             AnswerEnd::Cut {
                 bytes,
                 cause: CutCause::Overdue,
-            } => (Outcome::Cancelled, "overdue", bytes),
-            AnswerEnd::Cut { bytes, .. } => (Outcome::Cut, "cut-by-server", bytes),
-            AnswerEnd::Dropped { bytes } => (Outcome::Cancelled, "caller-gone", bytes),
+            } => ("overdue", bytes),
+            AnswerEnd::Cut { bytes, .. } => ("cut-by-server", bytes),
+            AnswerEnd::Dropped { bytes } => ("caller-gone", bytes),
         };
-        let content = self.record.content;
-        match end {
-            AnswerEnd::Complete { .. } if self.outcome == Outcome::Complete => {
-                served(&self.shared, content);
-            }
-            AnswerEnd::Cut { cause, .. } if cause.is_disconnect() => {
-                run_cut(&self.shared, &self.choice, content);
-            }
-            _ => {}
+        if let Upstream::Server(choice, outcome) = &self.upstream {
+            self.report(end, choice, *outcome);
         }
         let events = self.counter.events();
-        let tokens = u32::try_from(events).unwrap_or(u32::MAX);
-        let pause = Some(self.pauses.longest).filter(|_| events >= MIN_EVENTS);
-        self.shared.done(&self.choice, outcome, tokens, pause);
         let record = &self.record;
-        let metrics = &self.shared.metrics;
-        let label = if end_is_failure(&end, self.outcome) {
-            "server-error"
-        } else {
-            label
+        self.count(label, events, now);
+        let (server, peer) = match &self.upstream {
+            Upstream::Server(choice, _) => (&*choice.id, None),
+            Upstream::Peer(guard) => ("none", Some(guard.peer.to_string())),
         };
-        metrics.request_ended(record.repeat.label(), record.priority, label);
-        if record.repeat.is_stream() && events == 0 {
-            metrics.count_unanswered(record.priority, label);
-        }
-        let duration = now.since(record.arrived);
-        metrics.observe_latency(record.repeat.label(), record.priority, "end", duration);
         let source = record.source.map(|source| source.to_string());
         let event = record
             .end_event(&self.shared, label)
-            .with("server", &self.choice.id)
+            .with("server", server)
+            .with("relay", peer.as_deref().unwrap_or("none"))
             .with("prefix", format!("{:x}", record.prefix.unwrap_or(0)))
             .with("source", source.as_deref().unwrap_or("none"))
             .with("status", self.status)
@@ -120,6 +112,51 @@
     }
 }
 
-fn end_is_failure(end: &AnswerEnd, outcome: Outcome) -> bool {
-    matches!(end, AnswerEnd::Complete { .. }) && outcome != Outcome::Complete
+impl AnswerObserver {
+    /// Whether a complete answer reports a failure.
+    fn is_failure(&self) -> bool {
+        match &self.upstream {
+            Upstream::Server(_, outcome) => *outcome != Outcome::Complete,
+            Upstream::Peer(_) => self.status >= 500,
+        }
+    }
+
+    /// Reports the end of an answer of a server, whose head gave `outcome`.
+    fn report(&self, end: AnswerEnd, choice: &Choice, outcome: Outcome) {
+        let content = self.record.content;
+        match end {
+            AnswerEnd::Complete { .. } if outcome == Outcome::Complete => {
+                served(&self.shared, content);
+            }
+            AnswerEnd::Cut { cause, .. } if cause.is_disconnect() => {
+                run_cut(&self.shared, choice, content);
+            }
+            _ => {}
+        }
+        let outcome = match end {
+            AnswerEnd::Complete { .. } => outcome,
+            AnswerEnd::Cut { cause, .. } if cause != CutCause::Overdue => Outcome::Cut,
+            AnswerEnd::Cut { .. } | AnswerEnd::Dropped { .. } => Outcome::Cancelled,
+        };
+        let events = self.counter.events();
+        let tokens = u32::try_from(events).unwrap_or(u32::MAX);
+        let pause = Some(self.pauses.longest).filter(|_| events >= MIN_EVENTS);
+        self.shared.done(choice, outcome, tokens, pause);
+    }
+
+    fn count(&self, label: &str, events: u64, now: Millis) {
+        let record = &self.record;
+        let metrics = &self.shared.metrics;
+        if record.entry.is_some() {
+            metrics.count_relayed("in", label);
+            return;
+        }
+        let repeat = record.repeat.label();
+        metrics.request_ended(repeat, record.priority, label);
+        if record.repeat.is_stream() && events == 0 {
+            metrics.count_unanswered(record.priority, label);
+        }
+        let duration = now.since(record.arrived);
+        metrics.observe_latency(repeat, record.priority, "end", duration);
+    }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -37,6 +37,7 @@
 use crate::protocol::Notice;
 use crate::protocol::Protocol;
 use crate::reach::log_ejections;
+use crate::relay::RelayPeers;
 use crate::routes::RouteTable;
 use crate::store_watch::StoreWatch;
 
@@ -81,6 +82,7 @@
     fleet: Mutex<Fleet>,
     directory: Mutex<Directory>,
     quarantine: Mutex<Quarantine>,
+    relays: Mutex<RelayPeers>,
     callers: Mutex<Option<ListenerHandle>>,
     last_confirmed: AtomicU64,
     stage: AtomicU8,
@@ -116,6 +118,7 @@
             fleet: Mutex::new(fleet),
             directory: Mutex::default(),
             quarantine: Mutex::default(),
+            relays: Mutex::new(RelayPeers::new(seed)),
             callers: Mutex::new(None),
             last_confirmed: AtomicU64::new(0),
             stage: AtomicU8::new(Stage::Serving as u8),
@@ -236,6 +239,11 @@
         lock(&self.quarantine)
     }
 
+    /// The instances that requests may be relayed to.
+    pub(crate) fn relays(&self) -> MutexGuard<'_, RelayPeers> {
+        lock(&self.relays)
+    }
+
     /// Records that the store confirmed the known state at `now`.
     pub(crate) fn record_confirmed(&self, now: Millis) {
         self.last_confirmed.store(now.0, Ordering::Relaxed);
--- a/crates/gateway/src/sharing/members.rs
+++ b/crates/gateway/src/sharing/members.rs
@@ -56,6 +56,11 @@
             .count()
     }
 
+    /// The other instances.
+    pub fn identities(&self) -> impl Iterator<Item = &Identity> {
+        self.members.values().map(|member| &member.identity)
+    }
+
     /// Whether an instance is a member.
     pub fn contains(&self, address: &SocketAddr) -> bool {
         self.members.contains_key(address)
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -1,5 +1,6 @@
 //! The socket and the tasks of gossip.
 
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,6 +12,7 @@
 use async_std::task;
 use crocushold_base::Event;
 use crocushold_base::Millis;
+use crocushold_routing::RegionKey;
 use log::info;
 use twox_hash::XxHash3_64;
 
@@ -26,13 +28,14 @@
 use crate::follow;
 use crate::placing::Packet;
 use crate::quarantine;
+use crate::relay::RelayPeer;
 use crate::shared::Shared;
 
 /// Interval of gossip rounds. A change reaches the whole fleet within three rounds, in which an
 /// engine reads two long prompts.
 const ROUND: Millis = Millis(100);
 
-/// Starts sending and receiving gossip.
+/// Starts sending and receiving gossip. Returns the address that is bound.
 ///
 /// # Errors
 ///
@@ -41,20 +44,20 @@
     shared: &Arc<Shared>,
     address: SocketAddr,
     seeds: &[SocketAddr],
-) -> io::Result<()> {
+) -> io::Result<SocketAddr> {
     let socket = std::net::UdpSocket::bind(address)?;
     socket.set_nonblocking(true)?;
     shared.placer.set_socket(socket.try_clone()?);
     let socket = Arc::new(UdpSocket::from(socket));
     let me = Identity {
         address: socket.local_addr()?,
-        zone: XxHash3_64::oneshot(shared.settings.zone.as_bytes()) as u32,
+        zone: zone_hash(&shared.settings.zone),
         capacity: shared.settings.capacity,
     };
     let state = Arc::new(Mutex::new(Gossip::new(me, seeds)));
     task::spawn(receive_loop(shared.clone(), socket.clone(), state.clone()));
     task::spawn(send_loop(shared.clone(), socket, me.address, state));
-    Ok(())
+    Ok(me.address)
 }
 
 async fn receive_loop(shared: Arc<Shared>, socket: Arc<UdpSocket>, state: Arc<Mutex<Gossip>>) {
@@ -112,6 +115,7 @@
         shared
             .placer
             .set_placer(round.placer.filter(|_| !is_placer));
+        shared.relays().set(round.relays);
         if round.is_truncated {
             shared.metrics.count_truncated_round();
         }
@@ -142,6 +146,8 @@
     cached: Vec<CachedPrefix>,
     /// Number of other live instances in the zone.
     live: usize,
+    /// The instances that requests may be relayed to.
+    relays: Vec<RelayPeer>,
     /// The placer.
     placer: Option<SocketAddr>,
     /// Whether some engines with a queue couldn't be listed.
@@ -169,12 +175,32 @@
             others: state.others_load(now),
             cached: state.take_cached_prefixes(),
             live: state.live_members(),
+            relays: relay_peers(shared, &state),
             placer: state.placer(now),
             is_truncated: state.is_truncated(),
         }
     }
 }
 
+fn relay_peers(shared: &Shared, state: &Gossip) -> Vec<RelayPeer> {
+    let own = zone_hash(&shared.settings.zone);
+    let regions = shared.settings.region_keys();
+    let regions = regions.iter();
+    let regions: HashMap<u32, RegionKey> = regions
+        .map(|(zone, region)| (zone_hash(zone), *region))
+        .collect();
+    let peers = state.identities().map(|identity| RelayPeer {
+        address: identity.address,
+        same_zone: identity.zone == own,
+        region: regions.get(&identity.zone).copied(),
+    });
+    peers.collect()
+}
+
+fn zone_hash(zone: &str) -> u32 {
+    XxHash3_64::oneshot(zone.as_bytes()) as u32
+}
+
 fn lock(state: &Mutex<Gossip>) -> MutexGuard<'_, Gossip> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/gateway/src/sharing/state.rs
+++ b/crates/gateway/src/sharing/state.rs
@@ -210,6 +210,11 @@
         }
     }
 
+    /// The other live instances.
+    pub fn identities(&self) -> impl Iterator<Item = &Identity> {
+        self.members.identities()
+    }
+
     /// Number of other live instances in this availability zone.
     pub fn live_members(&self) -> usize {
         self.members.live(self.me.zone)
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -21,6 +21,7 @@
 pub use observer::AnswerEnd;
 pub use observer::CutCause;
 pub use observer::Observer;
+pub use probe::accepts_connections;
 pub use probe::is_path_failure;
 pub use probe::refuses_connections;
 pub use relay_body::RelayBody;
--- a/crates/http/src/client/probe.rs
+++ b/crates/http/src/client/probe.rs
@@ -22,6 +22,17 @@
     }
 }
 
+/// Whether an address accepts connections within 250 ms. `None` if this process lacks the resources
+/// to find out.
+pub async fn accepts_connections(address: SocketAddr) -> Option<bool> {
+    let connected = timeout(PROBE_TIMEOUT.into(), TcpStream::connect(address)).await;
+    match connected {
+        Ok(Ok(_)) => Some(true),
+        Ok(Err(error)) => is_path_failure(&error).then_some(false),
+        Err(_) => Some(false),
+    }
+}
+
 /// Whether a connection failed because of the server or the network path to it, and not for lack of
 /// this process's own resources, such as file descriptors.
 pub fn is_path_failure(error: &io::Error) -> bool {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -37,6 +37,7 @@
 pub use client::SendErrorKind;
 pub use client::SendLimits;
 pub use client::Stage;
+pub use client::accepts_connections;
 pub use client::is_path_failure;
 pub use client::refuses_connections;
 pub use headers::relay_headers;
--- a/crates/routing/src/router/slots.rs
+++ b/crates/routing/src/router/slots.rs
@@ -7,6 +7,7 @@
 use rand::RngExt;
 
 use crate::health::Fault;
+use crate::health::Health;
 use crate::pool::OpenServer;
 use crate::router::Router;
 
@@ -137,6 +138,11 @@
         self.timers.push(Reverse((until, key)));
     }
 
+    /// Forgets the failures that were counted against a server, as they had another cause.
+    pub fn pardon(&mut self, server: ServerKey) {
+        self.change_health(server, |health| *health = Health::default());
+    }
+
     /// Runs a server's expired timer.
     pub(super) fn expire(&mut self, key: ServerKey, now: Millis) {
         let settings = self.settings.health.clone();
--- a/crates/routing/tests/reachability.rs
+++ b/crates/routing/tests/reachability.rs
@@ -14,7 +14,7 @@
 fn connected(count: usize) -> (Reachability, Vec<ServerKey>) {
     let mut keys: SlotMap<ServerKey, ()> = SlotMap::with_key();
     let keys: Vec<ServerKey> = (0..count).map(|_| keys.insert(())).collect();
-    let mut reach = Reachability::default();
+    let mut reach = Reachability::new(1);
     for &key in &keys {
         reach.record_connected(key, START);
     }
