gateway: a failed connection of another instance is probed by the placer

Cause: an instance reports the end of a placed request with its outcome, and the placer took a refused connection for the server's end, past every limit on ejection. The class: one instance's path taken for a fact about a server.

Reports about one server share a probe.

--- a/crates/gateway/src/fleet/reach.rs
+++ b/crates/gateway/src/fleet/reach.rs
@@ -174,6 +174,12 @@
         targets.collect()
     }
 
+    /// The chosen server as the target of a probe; `None` if its process is no longer listed.
+    pub fn probe_target(&self, choice: &Choice) -> Option<ProbeTarget> {
+        let targets = self.is_current(choice).then_some([choice.server]);
+        self.probe_targets(targets.as_ref()?).pop()
+    }
+
     /// The listed servers that aren't leaving.
     fn usable_servers(&self) -> Vec<ServerKey> {
         let servers = self.servers.iter();
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use crocushold_base::Millis;
+use crocushold_base::ServerKey;
 use crocushold_routing::LoadReport;
 use crocushold_routing::NoServer;
 use crocushold_routing::Outcome;
@@ -16,6 +17,7 @@
 use super::message::UpdateKind;
 use crate::fleet::Choice;
 use crate::fleet::Fleet;
+use crate::fleet::ProbeTarget;
 
 /// Maximum number of placed requests: some seconds of the 2,000 per second that a placer is
 /// expected to handle at most, with a third of a kilobyte each. Beyond that, instances choose by
@@ -38,6 +40,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Placer {
     placed: HashMap<(SocketAddr, u32), PlacedRequest>,
+    /// Requests whose connections failed, with the outcomes, until a probe shows whether the server
+    /// is the cause. Their slots are taken until then.
+    doubted: HashMap<ServerKey, Vec<(Choice, Outcome)>>,
 }
 
 impl Placer {
@@ -97,19 +102,22 @@
     }
 
     /// Applies an update of a request of `from`. Updates may arrive late and more than once.
+    ///
+    /// A connection that another instance couldn't open shows either a server or the network path
+    /// of that instance. If it counted against the server, an instance without a path would take
+    /// sound servers out of use for all. Returns the server to probe instead, whose result is passed
+    /// to [`Placer::record_probe`].
     pub fn apply_update(
         &mut self,
         fleet: &mut Fleet,
         from: SocketAddr,
         update: RequestUpdate,
         now: Millis,
-    ) {
+    ) -> Option<ProbeTarget> {
         let key = (from, update.number);
-        let Some(placed) = self.placed.get_mut(&key) else {
-            return;
-        };
+        let placed = self.placed.get_mut(&key)?;
         match update.kind {
-            UpdateKind::Started(_) if placed.started => {}
+            UpdateKind::Started(_) if placed.started => None,
             UpdateKind::Started(load) => {
                 placed.started = true;
                 fleet.first_byte(&placed.choice, now);
@@ -122,17 +130,59 @@
                     };
                     fleet.record_load(&placed.choice, report, now);
                 }
+                None
             }
             UpdateKind::Ended(ended) => {
                 if let Some(pause) = ended.pause {
                     fleet.record_remote_pause(&placed.choice, pause);
                 }
-                fleet.done(&placed.choice, ended.result, ended.tokens, now);
-                self.placed.remove(&key);
+                let choice = self.placed.remove(&key)?.choice;
+                if matches!(ended.result, Outcome::Refused | Outcome::Unreachable) {
+                    return self.doubt(fleet, choice, ended.result, now);
+                }
+                fleet.done(&choice, ended.result, ended.tokens, now);
+                None
             }
         }
     }
 
+    /// Keeps the outcome of a failed connection until a probe has ended. Returns the server to
+    /// probe, unless it is being probed.
+    fn doubt(
+        &mut self,
+        fleet: &mut Fleet,
+        choice: Choice,
+        outcome: Outcome,
+        now: Millis,
+    ) -> Option<ProbeTarget> {
+        let Some(target) = fleet.probe_target(&choice) else {
+            fleet.done(&choice, Outcome::Cancelled, 0, now);
+            return None;
+        };
+        let doubted = self.doubted.entry(choice.server).or_default();
+        doubted.push((choice, outcome));
+        (doubted.len() == 1).then_some(target)
+    }
+
+    /// Applies the outcomes of failed connections to a server after it was probed. They count
+    /// against it if this instance can't reach it either.
+    pub fn record_probe(
+        &mut self,
+        fleet: &mut Fleet,
+        server: ServerKey,
+        is_reachable: bool,
+        now: Millis,
+    ) {
+        for (choice, outcome) in self.doubted.remove(&server).unwrap_or_default() {
+            let outcome = if is_reachable {
+                Outcome::Cancelled
+            } else {
+                outcome
+            };
+            fleet.done(&choice, outcome, 0, now);
+        }
+    }
+
     /// Releases the slots of requests whose end wasn't reported, because their instance or the
     /// update was lost.
     pub fn expire(&mut self, fleet: &mut Fleet, now: Millis) {
--- a/crates/gateway/src/placing/shell.rs
+++ b/crates/gateway/src/placing/shell.rs
@@ -11,6 +11,7 @@
 use async_std::future::timeout;
 use crocushold_base::Event;
 use crocushold_base::Millis;
+use crocushold_base::ServerKey;
 use crocushold_routing::LoadReport;
 use crocushold_routing::Outcome;
 use futures::channel::oneshot;
@@ -28,6 +29,7 @@
 use super::placer::Placer;
 use crate::fleet::Fleet;
 use crate::fleet::Need;
+use crate::fleet::ProbeTarget;
 use crate::reach::log_ejections;
 
 /// How long to wait for the placer's reply before choosing a server locally. This is several round
@@ -157,18 +159,31 @@
         self.send(from, &Packet::Reply(reply));
     }
 
-    /// Applies another instance's updates of its requests.
+    /// Applies another instance's updates of its requests. Returns the servers to probe.
     pub(crate) fn apply_updates(
         &self,
         fleet: &mut Fleet,
         from: SocketAddr,
         updates: Vec<RequestUpdate>,
         now: Millis,
-    ) {
+    ) -> Vec<ProbeTarget> {
         let mut placer = lock(&self.placer);
-        for update in updates {
-            placer.apply_update(fleet, from, update, now);
-        }
+        let updates = updates.into_iter();
+        let probes = updates.filter_map(|update| placer.apply_update(fleet, from, update, now));
+        let probes = probes.collect();
+        log_ejections(fleet.take_ejections(), "placement");
+        probes
+    }
+
+    /// Applies the result of a probe of a server that another instance couldn't reach.
+    pub(crate) fn record_probe(
+        &self,
+        fleet: &mut Fleet,
+        server: ServerKey,
+        is_reachable: bool,
+        now: Millis,
+    ) {
+        lock(&self.placer).record_probe(fleet, server, is_reachable, now);
         log_ejections(fleet.take_ejections(), "placement");
     }
 
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -60,7 +60,7 @@
     start_probes(shared, targets);
 }
 
-fn start_probes(shared: &Arc<Shared>, targets: Vec<ProbeTarget>) {
+pub(crate) fn start_probes(shared: &Arc<Shared>, targets: Vec<ProbeTarget>) {
     for target in targets {
         task::spawn(probe_server(shared.clone(), target));
     }
@@ -68,13 +68,18 @@
 
 async fn probe_server(shared: Arc<Shared>, target: ProbeTarget) {
     let started = shared.clock.now();
-    let Some(connected) = accepts_connections(target.address).await else {
-        return;
-    };
+    let connected = accepts_connections(target.address).await;
     let now = shared.clock.now();
     let mut fleet = shared.fleet();
-    let changes = fleet.record_probe(&target, connected, started, now);
-    log_changes(&shared, &fleet, &changes);
+    if let Some(connected) = connected {
+        let changes = fleet.record_probe(&target, connected, started, now);
+        log_changes(&shared, &fleet, &changes);
+    }
+    // In doubt nothing is held against the server.
+    let is_reachable = connected.unwrap_or(true);
+    shared
+        .placer
+        .record_probe(&mut fleet, target.server, is_reachable, now);
 }
 
 fn connected(shared: &Shared, choice: &Choice) {
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -28,6 +28,7 @@
 use crate::follow;
 use crate::placing::Packet;
 use crate::quarantine;
+use crate::reach;
 use crate::relay::RelayPeer;
 use crate::shared::Shared;
 
@@ -87,7 +88,9 @@
             }
             Some(Packet::Updates(updates)) => {
                 let mut fleet = shared.fleet();
-                shared.placer.apply_updates(&mut fleet, from, updates, now);
+                let probes = shared.placer.apply_updates(&mut fleet, from, updates, now);
+                drop(fleet);
+                reach::start_probes(&shared, probes);
             }
             None => {}
         }
--- a/crates/gateway/src/verdict.rs
+++ b/crates/gateway/src/verdict.rs
@@ -111,6 +111,6 @@
         Verdict::Good => Outcome::Complete,
         Verdict::Failed | Verdict::Bad => Outcome::Failed,
         Verdict::Rejected => Outcome::Overloaded,
-        Verdict::Misdirected => Outcome::Refused,
+        Verdict::Misdirected => Outcome::Replaced,
     }
 }
--- a/crates/gateway/tests/placer.rs
+++ b/crates/gateway/tests/placer.rs
@@ -22,6 +22,7 @@
 use crocushold_gateway::ServerRecord;
 use crocushold_gateway::UpdateKind;
 use crocushold_routing::Outcome;
+use test_case::test_case;
 
 const ENGINES: u8 = 3;
 const LEFT: Millis = Millis(6000);
@@ -315,3 +316,65 @@
         assert_eq!(Packet::decode(bytes), None);
     }
 }
+
+fn unreachable(number: u32, result: Outcome) -> RequestUpdate {
+    let ended = RequestEnd {
+        result,
+        tokens: 0,
+        pause: None,
+    };
+    update(number, UpdateKind::Ended(ended))
+}
+
+/// Places as many requests as there are engines for an instance that can't connect to any of them,
+/// and applies the results of the probes.
+fn report_unreachable(
+    fleet: &mut Fleet,
+    placer: &mut Placer,
+    result: Outcome,
+    is_reachable: bool,
+) -> usize {
+    let mut probes = Vec::new();
+    for number in 0..u32::from(ENGINES) {
+        place(placer.place(fleet, peer_at(1), &request(number), START));
+        probes.extend(placer.apply_update(fleet, peer_at(1), unreachable(number, result), START));
+    }
+    for probe in &probes {
+        placer.record_probe(fleet, probe.server, is_reachable, START);
+    }
+    probes.len()
+}
+
+/// Guards against an instance without a path to the servers, whose failures make the placer take
+/// sound engines out of use for all.
+#[test_case(Outcome::Refused; "refused connections")]
+#[test_case(Outcome::Unreachable; "connections without an answer")]
+fn an_instance_without_a_path_takes_no_engine_from_the_others(result: Outcome) {
+    let mut fleet = fleet();
+    let mut placer = Placer::default();
+    let probes = report_unreachable(&mut fleet, &mut placer, result, true);
+    assert!(probes > 0, "the engines are probed");
+    assert!(fleet.take_ejections().is_empty());
+    for number in 10..10 + u32::from(ENGINES) {
+        place(placer.place(&mut fleet, peer_at(2), &request(number), START));
+    }
+}
+
+/// Guards against a placer that goes on to choose an engine that has ended.
+#[test]
+fn engines_that_the_placer_cannot_reach_either_are_ejected() {
+    let mut fleet = fleet();
+    let mut placer = Placer::default();
+    report_unreachable(&mut fleet, &mut placer, Outcome::Refused, false);
+    assert!(!fleet.take_ejections().is_empty());
+}
+
+/// Guards against slots that stay taken by requests whose connections failed.
+#[test]
+fn failed_connections_release_their_slots() {
+    let mut fleet = fleet();
+    let mut placer = Placer::default();
+    report_unreachable(&mut fleet, &mut placer, Outcome::Unreachable, true);
+    assert!(placer.is_empty());
+    assert_eq!(queued_ms(&mut fleet, START), 0);
+}
--- a/crates/routing/src/router/feedback.rs
+++ b/crates/routing/src/router/feedback.rs
@@ -241,7 +241,9 @@
             Outcome::Complete => return self.record_success(flight.server),
             Outcome::Cancelled => return,
             Outcome::Overloaded => Fault::Overloaded,
-            Outcome::Refused => return self.eject(flight.server, Fault::Refused, now),
+            Outcome::Refused | Outcome::Replaced => {
+                return self.eject(flight.server, Fault::Refused, now);
+            }
             Outcome::Unreachable => Fault::Unreachable,
             Outcome::Cut | Outcome::Failed => Fault::Failing,
             Outcome::TimedOut => Fault::Hung,
--- a/crates/routing/src/router/types.rs
+++ b/crates/routing/src/router/types.rs
@@ -183,6 +183,8 @@
     /// The server reported overload. Its limit is halved; if the overload persists while its peers
     /// have none, it is ejected.
     Overloaded,
+    /// Another process answers at the server's address.
+    Replaced,
 }
 
 /// An attempt in flight.
