gateway: an instance that loses its path sees no server end

What callers could see: after a cut that resets connections, the requests whose streams it broke were suspects at all instances, for six servers that run; a second such cut under the same content holds it back for ten minutes.

Cause: a server that cuts a request and refuses connections counted as ended. A path that refuses looks the same. The same class as the placer's opinion: one instance's path taken for a fact about servers.

A cut from some servers only still looks like their end.

--- a/crates/gateway/src/fleet/reach.rs
+++ b/crates/gateway/src/fleet/reach.rs
@@ -141,6 +141,14 @@
         self.probe_targets(&servers)
     }
 
+    /// Records that a probe of the chosen server was refused at `now`.
+    pub fn record_refusal(&mut self, choice: &Choice, now: Millis) -> Vec<ReachChange> {
+        let target = self.probe_target(choice);
+        target.map_or_else(Vec::new, |target| {
+            self.record_probe(&target, false, now, now)
+        })
+    }
+
     /// Records the end of a probe that was started at `started`.
     pub fn record_probe(
         &mut self,
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -15,6 +15,7 @@
 use log::warn;
 
 use crate::fleet::Choice;
+use crate::reach::is_path_open;
 use crate::shared::Shared;
 
 /// Evidence that a server's process has ended.
@@ -39,7 +40,8 @@
 }
 
 /// Records that a server cut a request. A reset or a lost answer looks the same as the end of the
-/// process, so the server is probed: if the process is alive, it still accepts connections.
+/// process, so the server is probed: if the process is alive, it still accepts connections. If no
+/// other server does either, the network path was lost, which says nothing about the server.
 pub(crate) fn run_cut(shared: &Arc<Shared>, choice: &Choice, content: Fingerprint) {
     // A planned shutdown cuts the remaining requests at the end of its grace period.
     if shared.fleet().serving(&choice.id) != Some(choice.incarnation) {
@@ -108,7 +110,7 @@
 }
 
 async fn probe_server(shared: Arc<Shared>, choice: Choice) {
-    if refuses_connections(choice.address).await {
+    if refuses_connections(choice.address).await && is_path_open(&shared, &choice).await {
         server_ended(&shared, &choice.id, choice.incarnation, Evidence::Refused);
     } else {
         shared.quarantine().mark_inconclusive(choice.incarnation);
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -14,6 +14,7 @@
 use crocushold_routing::Fault;
 use crocushold_routing::ReachChange;
 use crocushold_routing::ReachEvidence;
+use futures::future::join_all;
 use log::info;
 use log::warn;
 
@@ -66,7 +67,25 @@
     }
 }
 
-async fn probe_server(shared: Arc<Shared>, target: ProbeTarget) {
+/// Whether connections to other servers can be opened after the chosen one has refused one.
+pub(crate) async fn is_path_open(shared: &Arc<Shared>, choice: &Choice) -> bool {
+    let targets = {
+        let now = shared.clock.now();
+        let mut fleet = shared.fleet();
+        let changes = fleet.record_refusal(choice, now);
+        log_changes(shared, &fleet, &changes);
+        if fleet.path_lost_since().is_some() {
+            return false;
+        }
+        fleet.spread_probes(choice)
+    };
+    let probes = targets.iter().cloned();
+    let probes = join_all(probes.map(|target| probe_server(shared.clone(), target))).await;
+    targets.is_empty() || probes.contains(&Some(true))
+}
+
+/// Tests the path to a server. Returns whether it is open, if that could be tested.
+async fn probe_server(shared: Arc<Shared>, target: ProbeTarget) -> Option<bool> {
     let started = shared.clock.now();
     let connected = accepts_connections(target.address).await;
     let now = shared.clock.now();
@@ -80,6 +99,7 @@
     shared
         .placer
         .record_probe(&mut fleet, target.server, is_reachable, now);
+    connected
 }
 
 fn connected(shared: &Shared, choice: &Choice) {
