http: connections to servers that acknowledge nothing end after a time

What callers saw: streams on a path that is cut silently, and requests that wait for an answer there, last until their deadline: nothing is sent whose loss would show.

Connections to servers and between instances are probed after a second without data, and end if the other side acknowledges nothing for four seconds. TCP_USER_TIMEOUT decides alone when probes give up, so their count isn't set. Four seconds are above the pauses of a server that goes on afterwards; the default of other clients is ten.

Loopback acknowledges everything, so that no test here shows the end itself.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -54,6 +54,10 @@
 /// met.
 const CONNECT_TIMEOUT: Millis = Millis(250);
 
+/// How long a server or an instance may acknowledge nothing on TCP level. Sound servers may pause
+/// for a second or two.
+const ACK_TIMEOUT: Millis = Millis(4000);
+
 /// Minimum timeout of an attempt whose request has reached its deadline.
 const MIN_TIMEOUT: Millis = Millis(1);
 
@@ -210,6 +214,7 @@
             // A silent server may still be working; only the deadline of the request bounds the
             // wait.
             stall_timeout: remaining,
+            ack_timeout: ACK_TIMEOUT,
             close_delimited: true,
         };
         let reuse = if job.need.idempotent {
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -16,6 +16,7 @@
 use http_types::Response;
 use log::info;
 
+use super::ACK_TIMEOUT;
 use super::Exchange;
 use super::Failure;
 use super::MIN_TIMEOUT;
@@ -136,6 +137,7 @@
             write_timeout: remaining,
             head_timeout: remaining,
             stall_timeout: remaining,
+            ack_timeout: ACK_TIMEOUT,
             close_delimited: false,
         };
         let reuse = if job.need.idempotent {
--- a/crates/http/src/client/limits.rs
+++ b/crates/http/src/client/limits.rs
@@ -24,6 +24,9 @@
     pub head_timeout: Millis,
     /// The longest time without progress while reading the answer's body.
     pub stall_timeout: Millis,
+    /// The longest time for which the server may acknowledge nothing on TCP level, be it data or
+    /// keep-alive probes. It is above the pauses of a server that goes on afterwards.
+    pub ack_timeout: Millis,
     /// Whether an answer without framing headers may be delimited by the end of its connection. A
     /// server that crashes may close its connection in the same way, and the truncated answer then
     /// looks complete. A reset connection is still detected.
@@ -37,6 +40,7 @@
             write_timeout: Millis::from_secs(10),
             head_timeout: Millis::from_secs(60),
             stall_timeout: Millis::from_secs(30),
+            ack_timeout: Millis::from_secs(10),
             close_delimited: false,
         }
     }
--- a/crates/http/src/client/send.rs
+++ b/crates/http/src/client/send.rs
@@ -40,6 +40,7 @@
 use crate::framing::Framing;
 use crate::headers::has_connection_option;
 use crate::headers::sanitize_headers;
+use crate::keepalive::end_unacknowledged;
 use crate::transmit::Transmit;
 use crate::transmit::TransmitError;
 
@@ -197,6 +198,7 @@
     };
     let stream = connected.map_err(SendErrorKind::Connect)?;
     stream.set_nodelay(true).map_err(SendErrorKind::Connect)?;
+    end_unacknowledged(&stream, limits.ack_timeout).map_err(SendErrorKind::Connect)?;
     Ok(stream)
 }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,6 +17,7 @@
 mod connection;
 mod framing;
 mod headers;
+mod keepalive;
 mod poll_on_wake;
 mod retry_after;
 mod server;
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -417,3 +417,40 @@
         drop((cancel, kept));
     });
 }
+
+/// Whether a keep-alive timer runs on the connection of this process to `server`, by the kernel's
+/// table of sockets.
+fn is_probed(server: async_std::net::SocketAddr) -> bool {
+    const KEEPALIVE_TIMER: &str = "02:";
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let remote = format!(":{:04X}", server.port());
+    let mut rows = table
+        .lines()
+        .map(|row| row.split_whitespace().collect::<Vec<_>>());
+    rows.any(|row| row[2].ends_with(&remote) && row[5].starts_with(KEEPALIVE_TIMER))
+}
+
+/// Guards against requests that wait until their deadline on a path that is cut, where nothing is
+/// sent whose loss would show.
+#[test]
+fn a_connection_that_waits_for_an_answer_is_probed() {
+    block_on(async {
+        let server = scripted_server(|_, mut stream| async move {
+            read_rest(&mut stream).await;
+        })
+        .await;
+        let limits = SendLimits {
+            head_timeout: Millis(1500),
+            ..SendLimits::default()
+        };
+        let sender = client();
+        let sent = sender.send(server, get(server), &limits, Reuse::Fresh);
+        let watch = async {
+            while !is_probed(server) {
+                task::sleep(Millis(20).into()).await;
+            }
+        };
+        let (sent, ()) = join(sent, watch).await;
+        assert!(matches!(sent.unwrap_err().kind, SendErrorKind::HeadTimeout));
+    });
+}
