sharing: an instance alone in its availability zone knows the placer

Cause: such an instance is its zone's collector, and a collector without reports of its zone counted as one that has just started. It asked nobody, so it could send nothing to servers that are cold or name a limit.

Now loads of other zones count as well: who has received some has found the others. An instance of a larger zone that hears of another zone first may name itself for a round; two placers for a moment are borne.

Test: an_instance_alone_in_its_zone_knows_the_placer, red before.

--- a/crates/gateway/src/sharing/state.rs
+++ b/crates/gateway/src/sharing/state.rs
@@ -333,11 +333,11 @@
 
     /// The placer; `None` while it is unknown, and this instance's own address if it is the placer.
     ///
-    /// An instance that has received no loads isn't the placer. It has only not found the others
-    /// yet, and knows no more than its own requests.
+    /// An instance that has received no loads, neither from its zone nor from others, isn't the
+    /// placer. It has only not found the others yet, and knows no more than its own requests.
     pub fn placer(&self, now: Millis) -> Option<SocketAddr> {
         if self.collector.is_none() {
-            let collects = !self.reports.is_empty();
+            let collects = !self.reports.is_empty() || !self.zones.is_empty();
             return collects.then(|| self.members.placer(self.zones.keys().copied()));
         }
         let last_received = self.fleet.as_ref()?.received_at;
--- a/crates/gateway/tests/sharing.rs
+++ b/crates/gateway/tests/sharing.rs
@@ -84,6 +84,13 @@
         }
     }
 
+    /// The placers that the instances know.
+    fn placers(&self) -> BTreeSet<Option<SocketAddr>> {
+        let up = self.instances.iter();
+        let up = up.filter(|(address, _)| !self.down.contains(address));
+        up.map(|(_, instance)| instance.placer(self.now)).collect()
+    }
+
     fn run(&mut self, rounds: usize) {
         for _ in 0..rounds {
             self.now += Millis(ROUND);
@@ -524,22 +531,14 @@
         network.loads.insert(identity(number).address, load(7, 10));
     }
     network.run(10);
-    let placers = |network: &Network| {
-        let up = network.instances.iter();
-        let up = up.filter(|(address, _)| !network.down.contains(address));
-        let placers: BTreeSet<_> = up
-            .map(|(_, instance)| instance.placer(network.now))
-            .collect();
-        placers
-    };
     assert_eq!(
-        placers(&network),
+        network.placers(),
         BTreeSet::from([Some(identity(0).address)])
     );
     network.down = vec![identity(0).address];
     network.run(25);
     assert_eq!(
-        placers(&network),
+        network.placers(),
         BTreeSet::from([Some(identity(1).address)])
     );
 }
@@ -553,3 +552,15 @@
     gossip.round(load(7, 10), Millis(100));
     assert_eq!(gossip.placer(Millis(100)), None);
 }
+
+/// Guards against an instance that is alone in its availability zone, gets no loads from there, and
+/// knows no placer: it could send nothing to servers that are cold or name a limit.
+#[test]
+fn an_instance_alone_in_its_zone_knows_the_placer() {
+    // Two instances in the first zone, one in each of the others.
+    let mut network = Network::new(5);
+    network.run(60);
+    let placers = network.placers();
+    assert_eq!(placers.len(), 1, "{placers:?}");
+    assert!(placers.first().is_some_and(Option::is_some), "{placers:?}");
+}
