gateway: servers that say they are brittle are kept within their room

Cause: each instance sends up to twice a server's slots by its own count, and relies on the server's queue, which gets shorter while it is brittle. The class: a resource bounded by each user's own count, where the bound is on all together.

The notice is a fifth one in the model: it concerns a service, binds all instances together, ends five seconds after the last answer that says so, and is told to the placer. The requests of such a service, plain ones too, are placed by one instance, whose count includes all: no more than the slots, or than a rejection showed, none while requests wait there, none for a second after half of the rejections that the server survives. What doesn't fit waits at the instance, by rank and for a second at most, and is then refused with when to come back.

--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -1,5 +1,6 @@
 //! The choice of a server for a request of this instance.
 
+use async_std::task;
 use crocushold_base::Millis;
 use crocushold_routing as routing;
 use crocushold_routing::NoServer;
@@ -14,29 +15,64 @@
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 
+/// Maximum time for which a request waits here while no brittle server has room, and the part of its
+/// remaining time that it may take at most.
+const MAX_ROOM_WAIT: Millis = Millis(1000);
+const ROOM_WAIT_DIVISOR: u64 = 4;
+
+/// Time between two looks for room of the most urgent requests.
+const ROOM_INTERVAL: Millis = Millis(8);
+
 impl Exchange<'_> {
-    /// Chooses a server: by the placer, or by this instance.
+    /// Chooses a server, and waits for one with room if the servers are brittle.
     pub(super) async fn choose(&mut self) -> Result<Choice, Failure> {
-        let now = self.shared.clock.now();
-        if now >= self.job.deadline {
-            return Err(Failure::Refused(self.final_refusal(Reason::Overdue, None)));
-        }
-        self.check_quarantine(now)?;
-        let asked = self.ask_placer(now).await;
-        let picked = match asked {
-            Some(asked) => asked,
-            None => {
-                let now = self.shared.clock.now();
-                let mut fleet = self.shared.fleet();
-                fleet.pick(&self.job.need, &self.tried, now)
+        let started = self.shared.clock.now();
+        let longest = Millis(self.job.deadline.since(started).0 / ROOM_WAIT_DIVISOR);
+        let longest = longest.min(MAX_ROOM_WAIT);
+        let none = loop {
+            let now = self.shared.clock.now();
+            if now >= self.job.deadline {
+                return Err(Failure::Refused(self.final_refusal(Reason::Overdue, None)));
+            }
+            self.check_quarantine(now)?;
+            match self.pick(now).await {
+                Ok(choice) => return Ok(self.record_choice(choice)),
+                Err(none) if self.waits_for_room(&none) && now.since(started) < longest => {
+                    task::sleep(self.room_interval().into()).await;
+                }
+                Err(none) => break none,
             }
         };
-        let choice = picked.map_err(|none| Failure::Refused(self.no_server(&none)))?;
+        Err(Failure::Refused(self.no_server(&none)))
+    }
+
+    /// Chooses a server: by the placer, or by this instance.
+    async fn pick(&self, now: Millis) -> Result<Choice, NoServer> {
+        if let Some(asked) = self.ask_placer(now).await {
+            return asked;
+        }
+        let now = self.shared.clock.now();
+        let mut fleet = self.shared.fleet();
+        fleet.pick(&self.job.need, &self.tried, now)
+    }
+
+    fn record_choice(&mut self, choice: Choice) -> Choice {
         self.expected_wait = choice.wait;
         self.source = choice.source;
         self.expected_prefill = choice.read;
         self.placer = choice.placement_id.map(|placement_id| placement_id.placer);
-        Ok(choice)
+        choice
+    }
+
+    /// Whether the request waits here rather than in the queue of a brittle server.
+    fn waits_for_room(&self, none: &NoServer) -> bool {
+        none.reason == routing::Reason::Busy && self.shared.fleet().is_brittle(&self.job.need)
+    }
+
+    /// Time between two looks for room. Urgent requests look more often, so that they are the first
+    /// to get it.
+    fn room_interval(&self) -> Millis {
+        Millis(ROOM_INTERVAL.0 * (1 + u64::from(self.job.need.priority)))
     }
 
     /// Refuses a request under which servers have ended. Each further attempt would end another
@@ -78,7 +114,7 @@
             Err(PlacementError::NoPlacer) => return None,
             Err(PlacementError::Timeout) => {
                 metrics.count_placement("silent");
-                return None;
+                return self.full_if_brittle();
             }
         };
         let now = self.shared.clock.now();
@@ -93,13 +129,12 @@
                 } else {
                     "not-taken"
                 });
-                if adopted.is_none() {
+                let Some(mut choice) = adopted else {
                     self.shared.placer.release(placement_id);
-                }
-                adopted.map(|mut choice| {
-                    choice.placement_id = Some(placement_id);
-                    Ok(choice)
-                })
+                    return self.full_if_brittle();
+                };
+                choice.placement_id = Some(placement_id);
+                Some(Ok(choice))
             }
             PlacementVerdict::Late { wait, retry_delay } => {
                 metrics.count_placement("late");
@@ -108,6 +143,13 @@
                     retry_after: retry_delay,
                 }))
             }
+            PlacementVerdict::Full { retry_delay } => {
+                metrics.count_placement("full");
+                Some(Err(NoServer {
+                    reason: routing::Reason::Busy,
+                    retry_after: retry_delay,
+                }))
+            }
             PlacementVerdict::Unable => {
                 metrics.count_placement("unable");
                 None
@@ -115,6 +157,16 @@
         }
     }
 
+    /// The result of a question that led to no placement, if the servers are brittle: what this
+    /// instance sent there by itself would come on top of what the placer sends.
+    fn full_if_brittle(&self) -> Option<Result<Choice, NoServer>> {
+        let is_brittle = self.shared.fleet().is_brittle(&self.job.need);
+        is_brittle.then_some(Err(NoServer {
+            reason: routing::Reason::Busy,
+            retry_after: MIN_RETRY_AFTER,
+        }))
+    }
+
     fn no_server(&mut self, none: &NoServer) -> Refusal {
         let reason = match none.reason {
             routing::Reason::Busy => Reason::Busy,
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -38,6 +38,7 @@
 
 use self::announcements::Announcements;
 pub use self::need::Need;
+pub use self::notices::BrittleService;
 use self::notices::Departures;
 use self::notices::NamedLimit;
 pub use self::notices::NoticeChange;
@@ -125,7 +126,8 @@
     source_hash: Option<u32>,
     lane: Lane,
     attempt: AttemptKey,
-    service: Arc<str>,
+    /// The service's name.
+    pub(crate) service: Arc<str>,
 }
 
 /// How the engines of a service are allocated to lanes, and the data behind it.
@@ -225,6 +227,8 @@
     /// Services whose servers have changed since their routers were updated.
     changed: HashSet<String>,
     router_updates: u64,
+    /// Number of instances, including this one.
+    instances: u32,
     /// Whether this instance chooses servers for others.
     is_placer: bool,
 }
@@ -251,6 +255,7 @@
             ejections: Vec::new(),
             changed: HashSet::new(),
             router_updates: 0,
+            instances: 1,
             is_placer: false,
         }
     }
@@ -415,6 +420,11 @@
     /// Records that an attempt ended after `tokens` of an answer. While a server rests, its
     /// rejections are no failures, and while the path is lost, neither are failed connections.
     pub fn done(&mut self, choice: &Choice, outcome: Outcome, tokens: u32, now: Millis) {
+        if outcome == Outcome::Overloaded
+            && let Some(service) = self.services.get_mut(&*choice.service)
+        {
+            service.router.record_rejection(choice.server, now);
+        }
         let outcome = match outcome {
             Outcome::Overloaded if self.rests.contains(choice.server) => Outcome::Cancelled,
             Outcome::Refused | Outcome::Unreachable if self.path_lost_since().is_some() => {
--- a/crates/gateway/src/fleet/notices/limits.rs
+++ b/crates/gateway/src/fleet/notices/limits.rs
@@ -234,10 +234,12 @@
     }
 
     /// Whether the requests of a service must be placed by one instance, since one of its servers
-    /// is paced.
+    /// is paced, or all are brittle.
     pub fn needs_placer(&mut self, service: &str, now: Millis) -> bool {
         self.update_routers(now);
         let service = self.services.get(service);
-        service.is_some_and(|service| service.router.has_paced(now))
+        service.is_some_and(|service| {
+            service.brittle.rejections.is_some() || service.router.has_paced(now)
+        })
     }
 }
--- a/crates/gateway/src/fleet/notices/mod.rs
+++ b/crates/gateway/src/fleet/notices/mod.rs
@@ -3,18 +3,21 @@
 //! | notice | said in | binds | ends |
 //! | --- | --- | --- | --- |
 //! | it is cold | its entry | all instances together | at its time |
+//! | it and all of its service are brittle | answers | all instances together | some seconds after answers stop to say so |
 //! | it has a limit | answers | all instances together | step by step, with answers that name none |
 //! | it is leaving | its entry, and answers | each instance | with the process |
 //! | it wants rest | rejections | the instance that was rejected | at its time |
 //!
-//! Every notice concerns one process and ends with it at the latest. A notice that binds all
-//! instances together is a pace of the server, which only the placer spends. A server that is
+//! Every notice but that of brittle servers concerns one process and ends with it at the latest. A
+//! notice that binds all instances together is a pace of the server, or the room that it has, which
+//! only the placer spends. A server that is
 //! leaving isn't passed to the routers. A rest is no state of the server: it is passed with each
 //! request, as the rests of the instance that sends it.
 //!
 //! What binds several instances is told to them, with its age, by [`crate::sharing`]. A rest is
 //! told to the placer alone, with each request for a placement.
 
+mod brittle;
 mod cold;
 mod departures;
 mod limits;
@@ -23,6 +26,8 @@
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
 
+pub use self::brittle::BrittleService;
+pub(in crate::fleet) use self::brittle::NamedBrittleness;
 pub(in crate::fleet) use self::departures::Departures;
 pub use self::departures::ServerDeparture;
 pub(in crate::fleet) use self::limits::NamedLimit;
@@ -40,6 +45,9 @@
     Resting(Millis),
     /// The server's limit in requests per second; `None` if it has none any longer.
     Limit(Option<f64>),
+    /// The servers of the service fall over once they turn away more requests per second than this;
+    /// `None` if they survive any number.
+    Brittle(Option<u32>),
 }
 
 impl Fleet {
@@ -63,6 +71,11 @@
         {
             changes.push(NoticeChange::Resting(span));
         }
+        if let Some(rejections) = notice.brittle
+            && self.record_brittle(choice, rejections, now)
+        {
+            changes.push(NoticeChange::Brittle(Some(rejections)));
+        }
         let tells_limit = is_success || notice.limit.is_some();
         if tells_limit && self.record_limit(choice, notice.limit, now) {
             changes.push(NoticeChange::Limit(self.limit_of(&choice.id)));
--- a/crates/gateway/src/fleet/service.rs
+++ b/crates/gateway/src/fleet/service.rs
@@ -21,6 +21,7 @@
 
 use super::FleetSettings;
 use super::Need;
+use super::notices::NamedBrittleness;
 use crate::routes::EngineSpec;
 use crate::routes::SlowStart;
 
@@ -68,6 +69,8 @@
     pub(super) engines: [usize; LANES],
     /// Number of requests that one of its engines runs concurrently.
     pub(super) slots: u32,
+    /// How brittle its servers say that they are.
+    pub(super) brittle: NamedBrittleness,
     /// Longest tolerable pause of its live streams; `None` if there are none.
     max_pause: Option<Millis>,
 }
@@ -93,6 +96,7 @@
             lanes: Lanes::new(LaneSettings::default()),
             engines: [0; LANES],
             slots: 1,
+            brittle: NamedBrittleness::default(),
             max_pause: None,
         }
     }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -359,6 +359,7 @@
         quarantine::expire(&shared);
         reach::probe(&shared);
         shared.log_ended_rests();
+        shared.expire_brittle();
         let now = shared.clock.now();
         shared.placer.expire(&mut shared.fleet(), now);
         let moved = shared.fleet().tick(now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,6 +50,7 @@
 pub use era::EntryVersion;
 pub use era::EraGuard;
 pub use era::Revision;
+pub use fleet::BrittleService;
 pub use fleet::Choice;
 pub use fleet::Ejection;
 pub use fleet::Fleet;
--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::fleet::BrittleService;
 use crate::fleet::Need;
 use crate::fleet::ServerDeparture;
 use crate::fleet::ServerLimit;
@@ -33,6 +34,8 @@
     Limits(Vec<ServerLimit>),
     /// Processes of servers that said they are leaving.
     Departures(Vec<ServerDeparture>),
+    /// Services whose servers are brittle.
+    Brittle(Vec<BrittleService>),
 }
 
 impl Packet {
@@ -91,6 +94,11 @@
     },
     /// The placer knows no server for the request.
     Unable,
+    /// The servers are brittle, and none of them surely has room.
+    Full {
+        /// When to retry.
+        retry_delay: Millis,
+    },
 }
 
 /// The reply to a [`PlacementRequest`].
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -97,6 +97,11 @@
                 number,
                 verdict: PlacementVerdict::Late { wait, retry_delay },
             },
+            Err(none) if none.reason == Reason::Busy && fleet.is_brittle(&request.need) => {
+                let retry_delay = none.retry_after;
+                let verdict = PlacementVerdict::Full { retry_delay };
+                PlacementReply { number, verdict }
+            }
             Err(_) => unable,
         }
     }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -78,6 +78,9 @@
     /// For how long it accepts no requests from this instance, if it rejects the request and asks
     /// for that.
     pub rest: Option<Millis>,
+    /// Requests that a server of this service may turn away within a second without falling over,
+    /// if the servers say that they are brittle.
+    pub brittle: Option<u32>,
 }
 
 /// Decoded headers of a server's answer.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -23,6 +23,7 @@
 use log::info;
 
 use crate::directory::Directory;
+use crate::fleet::BrittleService;
 use crate::fleet::Choice;
 use crate::fleet::Fleet;
 use crate::fleet::FleetSettings;
@@ -200,7 +201,11 @@
         let now = self.clock.now();
         let changes = self.fleet().record_notice(choice, notice, is_success, now);
         for change in changes {
-            log_notice(&choice.id, change, "answer");
+            let subject = match change {
+                NoticeChange::Brittle(_) => &choice.service,
+                _ => &choice.id,
+            };
+            log_notice(subject, change, "answer");
         }
     }
 
@@ -229,6 +234,23 @@
         }
     }
 
+    /// Records the brittle services that another instance knows.
+    pub(crate) fn record_remote_brittle(&self, known: &[BrittleService]) {
+        let mut fleet = self.fleet();
+        for name in fleet.record_remote_brittle(known, self.clock.now()) {
+            let rejections = fleet.brittleness_of(&name);
+            log_notice(&name, NoticeChange::Brittle(rejections), "instance");
+        }
+    }
+
+    /// Ends and logs the notices of brittle services that are over.
+    pub(crate) fn expire_brittle(&self) {
+        let ended = self.fleet().expire_brittle(self.clock.now());
+        for name in ended {
+            log_notice(&name, NoticeChange::Brittle(None), "time");
+        }
+    }
+
     /// The listed servers.
     pub(crate) fn directory(&self) -> MutexGuard<'_, Directory> {
         lock(&self.directory)
@@ -291,6 +313,13 @@
                 .with("per-second", limit.as_deref().unwrap_or("none"))
                 .with("source", source)
         }
+        NoticeChange::Brittle(rejections) => {
+            let rejections = rejections.map(|rejections| rejections.to_string());
+            Event::new("service-brittle")
+                .with("service", id)
+                .with("rejections", rejections.as_deref().unwrap_or("any"))
+                .with("source", source)
+        }
     };
     info!("{event}");
 }
--- a/crates/gateway/src/sharing/notices.rs
+++ b/crates/gateway/src/sharing/notices.rs
@@ -29,7 +29,11 @@
     let departures = packet(fleet.take_unsent_departures(now), Packet::Departures);
     let seen = placer.filter(|_| gossip.is_keepalive_round());
     let seen = seen.and_then(|_| packet(fleet.seen_limits(now), Packet::Limits));
-    let for_placer = [&limits, &departures, &seen].into_iter().flatten();
+    let brittle = gossip.is_keepalive_round().then(|| fleet.seen_brittle(now));
+    let brittle = brittle.and_then(|known| packet(known, Packet::Brittle));
+    let for_placer = [&limits, &departures, &seen, &brittle]
+        .into_iter()
+        .flatten();
     let mut packets: Vec<(SocketAddr, Packet)> = for_placer
         .filter_map(|packet| placer.map(|placer| (placer, packet.clone())))
         .collect();
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -77,6 +77,7 @@
             Some(Packet::Reply(reply)) => shared.placer.handle_reply(from, reply),
             Some(Packet::Suspicions(suspicions)) => quarantine::receive(&shared, &suspicions),
             Some(Packet::Limits(limits)) => shared.record_remote_limits(&limits),
+            Some(Packet::Brittle(known)) => shared.record_remote_brittle(&known),
             Some(Packet::Departures(departed)) => shared.record_remote_departures(&departed),
             Some(Packet::Contact(age)) => follow::on_peer_contact(&shared, age),
             Some(Packet::ContactQuery) => {
@@ -114,6 +115,7 @@
             fleet.set_others_load(&round.others);
             fleet.add_cached_prefixes(&round.cached, round.now);
             fleet.set_placer(is_placer);
+            fleet.set_instances(round.instances);
         }
         shared
             .placer
@@ -149,6 +151,8 @@
     cached: Vec<CachedPrefix>,
     /// Number of other live instances in the zone.
     live: usize,
+    /// Number of live instances, including this one.
+    instances: u32,
     /// The instances that requests may be relayed to.
     relays: Vec<RelayPeer>,
     /// The placer.
@@ -178,6 +182,7 @@
             others: state.others_load(now),
             cached: state.take_cached_prefixes(),
             live: state.live_members(),
+            instances: 1 + state.identities().count() as u32,
             relays: relay_peers(shared, &state),
             placer: state.placer(now),
             is_truncated: state.is_truncated(),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -29,6 +29,7 @@
 //! refused. Configure a server before passing in the first list that names it.
 
 mod answer_times;
+mod brittle;
 mod cache;
 mod health;
 mod lanes;
@@ -49,6 +50,7 @@
 mod stats;
 mod subset;
 
+pub use brittle::Brittleness;
 pub use cache::CacheChange;
 pub use cache::CacheEvent;
 pub use health::Fault;
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -33,6 +33,7 @@
 pub use self::types::Placement;
 pub use self::types::Reason;
 pub use self::types::Spill;
+use crate::brittle::Brittleness;
 use crate::cache::Hints;
 use crate::pool::Pool;
 use crate::queue_delay::PrefillRate;
@@ -59,7 +60,7 @@
     share: Share,
     /// Allotments that differ from the share.
     allotments: SecondaryMap<ServerKey, Allotment>,
-    servers: SecondaryMap<ServerKey, Server>,
+    pub(crate) servers: SecondaryMap<ServerKey, Server>,
     pools: Vec<Pool>,
     models: SecondaryMap<ModelKey, usize>,
     attempts: SlotMap<AttemptKey, InFlight>,
@@ -95,6 +96,8 @@
     /// Requests per second that a cold server tolerates from all instances together; `None` if it
     /// tolerates as many as a warm one.
     cold_rate: Option<f64>,
+    /// How brittle the servers are; `None` if they aren't.
+    pub(crate) brittle: Option<Brittleness>,
     last_call: Millis,
     resumed_at: Millis,
 }
@@ -132,6 +135,7 @@
             transfer_rate: None,
             capacity: None,
             cold_rate: None,
+            brittle: None,
             last_call: Millis::ZERO,
             resumed_at: Millis::ZERO,
         }
--- a/crates/routing/src/router/placement.rs
+++ b/crates/routing/src/router/placement.rs
@@ -13,10 +13,12 @@
 use crate::server::Server;
 
 impl Router {
-    /// Whether the request may be sent to the server now: it may be sent there at all, and the
-    /// server's pace permits it.
+    /// Whether the request may be sent to the server now: it may be sent there at all, the server's
+    /// pace permits it, and a brittle server surely has room.
     pub(super) fn is_eligible(&self, server: ServerKey, demand: &Demand<'_>, now: Millis) -> bool {
-        self.is_open_to(server, demand) && self.is_paced_for(server, demand, now)
+        self.is_open_to(server, demand)
+            && self.is_paced_for(server, demand, now)
+            && self.has_room(server, demand, now)
     }
 
     /// Whether the request may be sent to the server, apart from its pace: it wasn't tried, wants
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -4,6 +4,7 @@
 use crocushold_base::ModelKey;
 use crocushold_base::ServerKey;
 
+use crate::brittle::Rejections;
 use crate::cache::Cursor;
 use crate::health::Fault;
 use crate::health::Health;
@@ -222,6 +223,8 @@
     /// Number of reported starts of its process.
     pub(crate) generation: u32,
     pub(crate) pace: Pace,
+    /// The requests that it turned away lately.
+    pub(crate) rejections: Rejections,
     report: Option<ReceivedReport>,
 }
 
@@ -246,6 +249,7 @@
             median_pause: None,
             generation: 0,
             pace: Pace::default(),
+            rejections: Rejections::default(),
             report: None,
         };
         server.allot(allotment);
@@ -262,6 +266,7 @@
         self.median_pause = None;
         self.report = None;
         self.pace.clear_limit();
+        self.rejections = Rejections::default();
     }
 
     /// Sets how much of the server this instance may use.
