--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -32,7 +32,8 @@
         let none = loop {
             let now = self.shared.clock.now();
             if now >= self.job.deadline {
-                return Err(Failure::Refused(self.final_refusal(Reason::Overdue, None)));
+                let refusal = self.final_refusal(Reason::Overdue, Some(MIN_RETRY_AFTER));
+                return Err(Failure::Refused(refusal));
             }
             self.check_quarantine(now)?;
             match self.pick(now).await {
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -80,9 +80,8 @@
         while tried.len() < MAX_PEERS {
             let now = self.shared.clock.now();
             if now >= self.job.deadline {
-                return Some(Err(Failure::Refused(
-                    self.final_refusal(Reason::Overdue, None),
-                )));
+                let refusal = self.final_refusal(Reason::Overdue, Some(RETRY_AFTER));
+                return Some(Err(Failure::Refused(refusal)));
             }
             let regions = self.job.need.regions.as_deref();
             let Some(peer) = self.shared.relays().choose(&tried, regions, now) else {
--- a/crates/gateway/src/fleet/notices/brittle.rs
+++ b/crates/gateway/src/fleet/notices/brittle.rs
@@ -19,7 +19,7 @@
 
 /// How long the notice holds after the last answer with it. It covers the time for which all
 /// servers may be away after they fell over.
-const HOLD_TIME: Millis = Millis::from_secs(5);
+const HOLD_TIME: Millis = Millis::from_secs(3);
 
 /// How long it is reported to the placer after an answer to this instance.
 const REPORT_TIME: Millis = Millis::from_secs(2);
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -96,7 +96,8 @@
 /// Whether this instance can send the request to a server, as far as it knows.
 fn is_able(shared: &Shared, relayed: &RelayedRequest) -> bool {
     let now = shared.clock.now();
-    shared.is_ready() && shared.fleet().can_send(&relayed.need, now)
+    let accepts = !shared.is_stopping() && shared.table().is_some();
+    accepts && shared.fleet().can_send(&relayed.need, now)
 }
 
 fn unable(shared: &Shared) -> Response {
