routing: servers that end in series make no request guilty

Cause: runs that overlapped counted once, but a request that lost its server is sent again at once, to one that ends some hundred milliseconds later; each retry was a run after the former end, so it counted as one after the other.

Now ends within two seconds count once if five requests or more stand under as many ends of that time. A request that ends servers takes few others with it a second time, since these go to different servers; in a series from outside much of what ran on the first server stands under the next ones too.

A request that ends servers among 64 others is held back after three ends at the latest.

--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -45,6 +45,11 @@
     /// How long after a run was cut the end of its server still counts. This covers the expiry of a
     /// registry's lease and the next read of the registry.
     pub evidence: Millis,
+    /// Ends of servers within this time may have a common cause.
+    pub burst: Millis,
+    /// Number of requests that ran on several servers which ended in that time, from which on the
+    /// cause isn't one of them.
+    pub common_suspects: usize,
     /// Maximum number of remembered requests.
     pub capacity: usize,
 }
@@ -55,6 +60,8 @@
             limit: 2,
             span: Millis::from_secs(600),
             evidence: Millis::from_secs(6),
+            burst: Millis::from_secs(2),
+            common_suspects: 5,
             capacity: 1024,
         }
     }
@@ -196,7 +203,24 @@
             other.open_ends() > record.open_ends() && other.consecutive_ends() >= limit
         });
         let explained: Vec<Incarnation> = graver.flat_map(Record::servers).collect();
-        record.unexplained(&explained)
+        let burst = signed(self.settings.burst);
+        record.unexplained(&explained, burst, |ends, at| {
+            self.had_common_cause(ends, at)
+        })
+    }
+
+    /// Whether servers that ended around `at` had another cause than the requests of which each
+    /// stands under `ends` of the ends.
+    ///
+    /// A request that ends servers in series takes few others with it each time, as these are sent
+    /// to different servers after the first end. If the servers end for another reason, everything
+    /// that ran on the first one is sent again, and much of it to the next ones.
+    fn had_common_cause(&self, ends: usize, at: i64) -> bool {
+        let burst = signed(self.settings.burst);
+        let records = self.records.values();
+        let mut suspects =
+            records.filter(|record| record.ends_between(at - burst, at + burst) >= ends);
+        suspects.nth(self.settings.common_suspects - 1).is_some()
     }
 
     /// Records that a server cut a run. Returns whether the caller should check if the server still
--- a/crates/routing/src/quarantine/record.rs
+++ b/crates/routing/src/quarantine/record.rs
@@ -107,23 +107,55 @@
     /// impatient caller may have copies of its request on all of them. Counting each copy would
     /// quarantine the request without cause.
     pub(super) fn consecutive_ends(&self) -> usize {
-        self.unexplained(&[])
+        count_consecutive(self.open())
     }
 
-    /// Like `consecutive_ends`, without the servers whose ends another request explains.
-    pub(super) fn unexplained(&self, explained: &[Incarnation]) -> usize {
+    /// Like `consecutive_ends`, only those between two times.
+    pub(super) fn ends_between(&self, from: i64, to: i64) -> usize {
+        count_consecutive(self.open().filter(|end| (from..to).contains(&end.ended)))
+    }
+
+    /// Like `consecutive_ends`, without the servers whose ends another request explains. Ends within
+    /// `burst` of each other count once if `is_common` says that so many consecutive ends around a time
+    /// have another cause.
+    pub(super) fn unexplained(
+        &self,
+        explained: &[Incarnation],
+        burst: i64,
+        is_common: impl Fn(usize, i64) -> bool,
+    ) -> usize {
+        let open = self.open().filter(|end| !explained.contains(&end.server));
+        let open: Vec<&End> = open.collect();
+        let mut rest = open.as_slice();
         let mut count = 0;
         let mut last = i64::MIN;
-        let open = self.ends.iter().filter(|end| !end.cleared);
-        for end in open.filter(|end| !explained.contains(&end.server)) {
-            if end.sent >= last {
-                count += 1;
-                last = end.ended;
+        while let Some(first) = rest.first() {
+            let within = rest.partition_point(|end| end.ended < first.ended + burst);
+            let (group, later) = rest.split_at(within);
+            rest = later;
+            let consecutive = count_consecutive(group.iter().copied());
+            let counted = if consecutive > 1 && is_common(consecutive, first.ended) {
+                &group[..1]
+            } else {
+                group
+            };
+            for end in counted {
+                if end.sent >= last {
+                    count += 1;
+                    last = end.ended;
+                }
+            }
+            if counted.len() < group.len() {
+                last = group[group.len() - 1].ended;
             }
         }
         count
     }
 
+    fn open(&self) -> impl Iterator<Item = &End> {
+        self.ends.iter().filter(|end| !end.cleared)
+    }
+
     /// Returns until when the request is quarantined after `ends` ends, or `None` if it isn't.
     pub(super) fn quarantined_until(
         &self,
@@ -181,6 +213,19 @@
     }
 }
 
+/// Number of ends, each of a run that was sent after the one before had ended.
+fn count_consecutive<'a>(ends: impl Iterator<Item = &'a End>) -> usize {
+    let mut count = 0;
+    let mut last = i64::MIN;
+    for end in ends {
+        if end.sent >= last {
+            count += 1;
+            last = end.ended;
+        }
+    }
+    count
+}
+
 fn span(settings: &QuarantineSettings, excess: usize) -> i64 {
     let span = i64::try_from(settings.span.0).unwrap_or(i64::MAX);
     span.saturating_mul(1 << excess.min(MAX_DOUBLINGS))
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -507,3 +507,70 @@
         check_news_merge_in_any_order(all, 700, &order)?;
     }
 }
+
+/// Replays servers that end from outside, `spread` ms apart, below streams that their callers send
+/// again at once, and returns how many contents are quarantined afterwards.
+fn held_after_a_series(servers: u64, ending: u64, spread: u64, contents: u128) -> usize {
+    let mut quarantine = Quarantine::default();
+    let mut runs: Vec<(Fingerprint, u64, u64)> = (0..contents)
+        .map(|content| (Fingerprint(content), content as u64 % servers, START))
+        .collect();
+    for server in 0..ending {
+        let now = START + 1000 + server * spread;
+        let (cut, others): (Vec<_>, Vec<_>) = runs.iter().partition(|run| run.1 == server);
+        runs = others;
+        for &(content, _, sent) in &cut {
+            quarantine.run_cut(run(content, server, sent), Millis(now));
+        }
+        quarantine.server_ended(Incarnation(server), Millis(now));
+        // Each goes to another server that still runs, in turn.
+        let left = servers - server - 1;
+        for (number, (content, ..)) in cut.into_iter().enumerate() {
+            if left > 0 && !is_quarantined(&quarantine, content, now) {
+                let next = server + 1 + (number as u64 + content.0 as u64) % left;
+                runs.push((content, next, now + 1));
+            }
+        }
+    }
+    let now = START + 2000 + ending * spread;
+    let held =
+        (0..contents).filter(|content| is_quarantined(&quarantine, Fingerprint(*content), now));
+    held.count()
+}
+
+/// Guards against holding back requests that did nothing, for minutes, after a rack or a zone has
+/// lost power over some hundred milliseconds.
+#[test_case(4, 4, 100, 64; "all of four servers")]
+#[test_case(12, 4, 100, 400; "a rack of twelve servers")]
+#[test_case(140, 35, 20, 4000; "a quarter of a large fleet")]
+fn servers_that_end_in_series_make_no_request_guilty(
+    servers: u64,
+    ending: u64,
+    spread: u64,
+    contents: u128,
+) {
+    let held = held_after_a_series(servers, ending, spread, contents);
+    assert!(held * 100 <= contents as usize, "{held} of {contents}");
+}
+
+/// Guards against a request that ends servers and hides behind those that ran beside it.
+#[test]
+fn a_request_that_ends_servers_is_found_among_many() {
+    let mut quarantine = Quarantine::default();
+    let mut ends = 0;
+    for server in 0..9 {
+        let sent = START + server * 400;
+        if is_quarantined(&quarantine, CONTENT, sent) {
+            break;
+        }
+        ends += 1;
+        quarantine.run_cut(run(CONTENT, server, sent), Millis(sent + 100));
+        // Of those beside it on one server, an eighth is on the next one as well.
+        for other in (0..64).filter(|other| other % 8_u64.pow(server as u32).max(1) == 0) {
+            let content = Fingerprint(1000 + u128::from(other));
+            quarantine.run_cut(run(content, server, sent), Millis(sent + 100));
+        }
+        quarantine.server_ended(Incarnation(server), Millis(sent + 105));
+    }
+    assert!(ends <= 3, "{ends} servers ended");
+}
