--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,8 +3,6 @@
 mod choose;
 mod relay;
 
-pub(crate) use self::relay::PeerGuard;
-
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -29,6 +27,7 @@
 use http_types::headers::CONTENT_TYPE;
 use log::info;
 
+pub(crate) use self::relay::PeerGuard;
 use crate::fleet::Choice;
 use crate::intake::Job;
 use crate::protocol::AnswerMeta;
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -120,7 +120,9 @@
         shared
             .placer
             .set_placer(round.placer.filter(|_| !is_placer));
-        shared.relays().set(round.relays);
+        if let Some(relays) = round.relays {
+            shared.relays().set(relays);
+        }
         if round.is_truncated {
             shared.metrics.count_truncated_round();
         }
@@ -153,8 +155,8 @@
     live: usize,
     /// Number of live instances, including this one.
     instances: u32,
-    /// The instances that requests may be relayed to.
-    relays: Vec<RelayPeer>,
+    /// The instances that requests may be relayed to, in some of the rounds.
+    relays: Option<Vec<RelayPeer>>,
     /// The placer.
     placer: Option<SocketAddr>,
     /// Whether some engines with a queue couldn't be listed.
@@ -183,7 +185,9 @@
             cached: state.take_cached_prefixes(),
             live: state.live_members(),
             instances: 1 + state.identities().count() as u32,
-            relays: relay_peers(shared, &state),
+            relays: state
+                .is_keepalive_round()
+                .then(|| relay_peers(shared, &state)),
             placer: state.placer(now),
             is_truncated: state.is_truncated(),
         }
