--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -203,24 +203,25 @@
         }
     }
 
-    async fn attempt(&mut self, choice: &Choice, hangup: &Hangup) -> AttemptResult {
-        let job = self.job;
-        let remaining = job.deadline.since(self.shared.clock.now()).max(MIN_TIMEOUT);
-        let limits = SendLimits {
-            connect_timeout: CONNECT_TIMEOUT.min(remaining),
-            write_timeout: remaining,
-            head_timeout: remaining,
-            // A silent server may still be working; only the deadline of the request bounds the
-            // wait.
-            stall_timeout: remaining,
-            ack_timeout: ACK_TIMEOUT,
-            close_delimited: true,
-        };
-        let reuse = if job.need.idempotent {
+    /// Time left until the request's deadline.
+    fn remaining(&self) -> Millis {
+        let now = self.shared.clock.now();
+        self.job.deadline.since(now).max(MIN_TIMEOUT)
+    }
+
+    /// Whether the request may use a connection that was open before.
+    fn reuse(&self) -> Reuse {
+        if self.job.need.idempotent {
             Reuse::Allowed
         } else {
             Reuse::Fresh
-        };
+        }
+    }
+
+    async fn attempt(&mut self, choice: &Choice, hangup: &Hangup) -> AttemptResult {
+        let job = self.job;
+        let remaining = self.remaining();
+        let limits = send_limits(CONNECT_TIMEOUT, remaining);
         let mut request = job.request(choice.address);
         let forward = Forward {
             server: &choice.id,
@@ -231,17 +232,17 @@
             source: choice.source,
         };
         self.shared.protocol.forward(request.as_mut(), &forward);
-        let sent = std::pin::pin!(
-            self.shared
-                .client
-                .send(choice.address, request, &limits, reuse)
-        );
+        let sent = std::pin::pin!(self.shared.client.send(
+            choice.address,
+            request,
+            &limits,
+            self.reuse()
+        ));
         let gone = std::pin::pin!(hangup.wait());
         // Dropping the future closes the connection, which cancels the request at the server.
         match select(sent, gone).await {
             Either::Left((Ok(mut answer), _)) => {
-                let remaining = job.deadline.since(self.shared.clock.now()).max(MIN_TIMEOUT);
-                answer.body.set_total_timeout(remaining);
+                answer.body.set_total_timeout(self.remaining());
                 let meta = self.shared.protocol.answer(answer.status, &answer.headers);
                 AttemptResult::Answered(Box::new(answer), Box::new(meta))
             }
@@ -445,6 +446,19 @@
     }
 }
 
+/// Limits on an attempt. A silent server may still be working; only the deadline of the request
+/// bounds the wait.
+fn send_limits(connect_timeout: Millis, remaining: Millis) -> SendLimits {
+    SendLimits {
+        connect_timeout: connect_timeout.min(remaining),
+        write_timeout: remaining,
+        head_timeout: remaining,
+        stall_timeout: remaining,
+        ack_timeout: ACK_TIMEOUT,
+        close_delimited: true,
+    }
+}
+
 fn label(stage: Stage) -> &'static str {
     match stage {
         Stage::NotConnected => "not-connected",
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -8,7 +8,6 @@
 use crocushold_base::Millis;
 use crocushold_http::Answer;
 use crocushold_http::Hangup;
-use crocushold_http::Reuse;
 use crocushold_http::SendError;
 use crocushold_http::SendLimits;
 use futures::future::Either;
@@ -16,11 +15,10 @@
 use http_types::Response;
 use log::info;
 
-use super::ACK_TIMEOUT;
 use super::Exchange;
 use super::Failure;
-use super::MIN_TIMEOUT;
 use super::label;
+use super::send_limits;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::relay::RelayOutcome;
@@ -130,19 +128,10 @@
 
     async fn send_to_peer(&self, peer: SocketAddr) -> Result<(Answer, RelayOutcome), SendError> {
         let job = self.job;
-        let remaining = job.deadline.since(self.shared.clock.now()).max(MIN_TIMEOUT);
+        let remaining = self.remaining();
         let limits = SendLimits {
-            connect_timeout: CONNECT_TIMEOUT.min(remaining),
-            write_timeout: remaining,
-            head_timeout: remaining,
-            stall_timeout: remaining,
-            ack_timeout: ACK_TIMEOUT,
             close_delimited: false,
-        };
-        let reuse = if job.need.idempotent {
-            Reuse::Allowed
-        } else {
-            Reuse::Fresh
+            ..send_limits(CONNECT_TIMEOUT, remaining)
         };
         let relayed = RelayedRequest {
             entry: self.shared.settings.id.clone(),
@@ -157,10 +146,12 @@
         };
         let mut request = job.request(peer);
         relayed.write(request.as_mut());
-        let sent = self.shared.client.send(peer, request, &limits, reuse);
+        let sent = self
+            .shared
+            .client
+            .send(peer, request, &limits, self.reuse());
         let mut answer = sent.await?;
-        let remaining = job.deadline.since(self.shared.clock.now()).max(MIN_TIMEOUT);
-        answer.body.set_total_timeout(remaining);
+        answer.body.set_total_timeout(self.remaining());
         let outcome = RelayOutcome::take(&mut answer.headers);
         Ok((answer, outcome))
     }
