--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -160,14 +160,13 @@
         loop {
             if self.is_cut_off() {
                 // A request is relayed once at most.
-                if self.job.entry.is_some() && !self.facts.written {
+                if self.job.entry.is_none() {
+                    if let Some(result) = self.relay_through_peer(hangup).await {
+                        return result;
+                    }
+                } else if !self.facts.written {
                     return Err(relay::unreachable());
                 }
-                if self.job.entry.is_none()
-                    && let Some(result) = self.relay_through_peer(hangup).await
-                {
-                    return result;
-                }
             }
             let choice = self.choose().await?;
             self.facts.attempts += 1;
@@ -183,7 +182,7 @@
                 NextStep::Relay(answer, verdict) => {
                     slot.choice = None;
                     let outcome = outcome_of_verdict(verdict);
-                    return Ok(self.relay(*answer, Upstream::Server(choice, outcome)));
+                    return Ok(self.respond(*answer, Upstream::Server(choice, outcome)));
                 }
                 NextStep::Retry => {}
                 NextStep::CheckRetry(stage, reason) => self.retry_or_refuse(stage, reason)?,
@@ -292,7 +291,7 @@
         choice: &Choice,
         slot: &mut SlotGuard<'_>,
     ) -> NextStep {
-        reach::answered(self.shared, choice, answer.reused);
+        reach::connected(self.shared, choice, answer.reused);
         let now = self.shared.clock.now();
         if let Some(load) = meta.load {
             self.shared.fleet().record_load(choice, load, now);
@@ -394,7 +393,9 @@
         info!("{event}");
     }
 
-    fn relay(&self, answer: Answer, upstream: Upstream) -> Response {
+    /// Returns the response with which an answer reaches the caller, or the instance that relayed the
+    /// request.
+    fn respond(&self, answer: Answer, upstream: Upstream) -> Response {
         let now = self.shared.clock.now();
         let record = self.record();
         let label = record.repeat.label();
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -95,7 +95,7 @@
                 }
                 PeerResult::Final(answer, guard, outcome) => {
                     self.record_relay(peer, outcome.label());
-                    return Some(Ok(self.relay(*answer, Upstream::Peer(guard))));
+                    return Some(Ok(self.respond(*answer, Upstream::Peer(guard))));
                 }
                 PeerResult::Failed(error) => {
                     if let Err(failure) = self.review_relay_failure(peer, &error) {
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -585,6 +585,6 @@
 }
 
 /// Short hash of a name that is the same on all instances.
-fn short_hash(id: &str) -> u32 {
-    XxHash3_64::oneshot(id.as_bytes()) as u32
+pub(crate) fn short_hash(name: &str) -> u32 {
+    XxHash3_64::oneshot(name.as_bytes()) as u32
 }
--- a/crates/gateway/src/fleet/notices/mod.rs
+++ b/crates/gateway/src/fleet/notices/mod.rs
@@ -3,16 +3,15 @@
 //! | notice | said in | binds | ends |
 //! | --- | --- | --- | --- |
 //! | it is cold | its entry | all instances together | at its time |
-//! | it and all of its service are brittle | answers | all instances together | some seconds after answers stop to say so |
+//! | it and all of its service are brittle | answers | all instances together | some seconds after the last answer that says so |
 //! | it has a limit | answers | all instances together | step by step, with answers that name none |
 //! | it is leaving | its entry, and answers | each instance | with the process |
 //! | it wants rest | rejections | the instance that was rejected | at its time |
 //!
 //! Every notice but that of brittle servers concerns one process and ends with it at the latest. A
 //! notice that binds all instances together is a pace of the server, or the room that it has, which
-//! only the placer spends. A server that is
-//! leaving isn't passed to the routers. A rest is no state of the server: it is passed with each
-//! request, as the rests of the instance that sends it.
+//! only the placer spends. A server that is leaving isn't passed to the routers. A rest is no state
+//! of the server: it is passed with each request, as the rests of the instance that sends it.
 //!
 //! What binds several instances is told to them, with its age, by [`crate::sharing`]. A rest is
 //! told to the placer alone, with each request for a placement.
--- a/crates/gateway/src/fleet/notices/rests.rs
+++ b/crates/gateway/src/fleet/notices/rests.rs
@@ -23,9 +23,7 @@
     /// Records that a server rejected a request and asks for a rest of `span`. Returns whether it
     /// wasn't resting.
     pub fn record_rest(&mut self, choice: &Choice, span: Millis, now: Millis) -> bool {
-        let server = self.servers.get(choice.server);
-        let is_current = server.is_some_and(|server| server.incarnation == choice.incarnation);
-        is_current && self.rests.record(choice.server, span, now)
+        self.is_current(choice) && self.rests.record(choice.server, span, now)
     }
 
     /// Hashes of a service's servers that rest, by which other instances identify them.
--- a/crates/gateway/src/fleet/reach.rs
+++ b/crates/gateway/src/fleet/reach.rs
@@ -21,6 +21,9 @@
 /// Maximum number of ejections that are kept until they are taken.
 const MAX_EJECTIONS: usize = 64;
 
+/// Maximum number of servers out of reach in a placement request. The sender checks the reply.
+const MAX_UNREACHABLE: usize = 64;
+
 /// A server that was taken out of use for failing.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ejection {
@@ -58,9 +61,6 @@
     pub address: SocketAddr,
 }
 
-/// Maximum number of servers out of reach in a placement request. The sender checks the reply.
-const MAX_UNREACHABLE: usize = 64;
-
 impl Fleet {
     /// Whether a server that could take the request is within reach of this instance. It is true if
     /// there is no such server at all.
@@ -162,15 +162,9 @@
             return Vec::new();
         }
         if connected {
-            return self.regain(target.server, now);
+            return self.reach.record_connected(target.server, now);
         }
-        let known = self.usable_servers().len();
-        let evidence = ReachEvidence::Probe;
-        let changes = self
-            .reach
-            .record_failure(target.server, started, evidence, known);
-        self.pardon_if_lost(&changes);
-        changes
+        self.record_unreachable(target.server, started, ReachEvidence::Probe)
     }
 
     fn probe_targets(&self, servers: &[ServerKey]) -> Vec<ProbeTarget> {
@@ -195,10 +189,6 @@
         usable.map(|(key, _)| key).collect()
     }
 
-    fn regain(&mut self, server: ServerKey, now: Millis) -> Vec<ReachChange> {
-        self.reach.record_connected(server, now)
-    }
-
     /// Lifts what was held against servers if the path turns out to be the cause.
     fn pardon_if_lost(&mut self, changes: &[ReachChange]) {
         let is_lost = |change: &ReachChange| matches!(change, ReachChange::PathLost { .. });
@@ -219,7 +209,7 @@
         if !self.is_current(choice) {
             return Vec::new();
         }
-        self.regain(choice.server, now)
+        self.reach.record_connected(choice.server, now)
     }
 
     /// Records that no connection to the chosen server could be established.
@@ -227,11 +217,17 @@
         if !self.is_current(choice) {
             return Vec::new();
         }
+        self.record_unreachable(choice.server, choice.chosen, ReachEvidence::Request)
+    }
+
+    fn record_unreachable(
+        &mut self,
+        server: ServerKey,
+        started: Millis,
+        evidence: ReachEvidence,
+    ) -> Vec<ReachChange> {
         let known = self.usable_servers().len();
-        let evidence = ReachEvidence::Request;
-        let changes = self
-            .reach
-            .record_failure(choice.server, choice.chosen, evidence, known);
+        let changes = self.reach.record_failure(server, started, evidence, known);
         self.pardon_if_lost(&changes);
         changes
     }
@@ -296,7 +292,8 @@
         Some(standing.state)
     }
 
-    fn is_current(&self, choice: &Choice) -> bool {
+    /// Whether the chosen server is still listed with the process that was chosen.
+    pub(super) fn is_current(&self, choice: &Choice) -> bool {
         let server = self.servers.get(choice.server);
         server.is_some_and(|server| server.incarnation == choice.incarnation)
     }
--- a/crates/gateway/src/placing/mod.rs
+++ b/crates/gateway/src/placing/mod.rs
@@ -7,12 +7,13 @@
 //! which engine fails.
 //!
 //! Only the placement request and its reply are sent, in two datagrams. A caller's request passes
-//! through another instance only if this one reaches no server, see [`crate::relay`]. There is no dedicated placer: it is the collector that the
-//! others agree on, see [`crate::sharing`]. Nothing depends on it either. An instance that gets no
-//! reply within [`ASK_TIMEOUT`](shell::ASK_TIMEOUT), or that knows no placer, chooses by itself.
-//! Two placers that don't know of each other make worse choices, but not wrong ones. The instance
-//! that sends a request checks the choice against its own knowledge: a server that it knows to be
-//! draining, ejected or of another service gets nothing.
+//! through another instance only if this one reaches no server, see [`crate::relay`]. There is no
+//! dedicated placer: it is the collector that the others agree on, see [`crate::sharing`]. Nothing
+//! depends on it either. An instance that gets no reply within
+//! [`ASK_TIMEOUT`](shell::ASK_TIMEOUT), or that knows no placer, chooses by itself, unless the
+//! servers are brittle. Two placers that don't know of each other make worse choices, but not wrong
+//! ones. The instance that sends a request checks the choice against its own knowledge: a server
+//! that it knows to be draining, ejected or of another service gets nothing.
 
 mod client;
 mod message;
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -1,4 +1,5 @@
-//! Logging of which servers this instance reaches, and the operators' page about it.
+//! Which servers this instance reaches: the evidence of its requests, the tests of paths, the log, and
+//! the operators' page.
 
 use std::fmt::Write;
 use std::sync::Arc;
@@ -24,18 +25,22 @@
 use crate::fleet::ProbeTarget;
 use crate::shared::Shared;
 
-/// Records that an answer to a request arrived.
-pub(crate) fn answered(shared: &Shared, choice: &Choice, reused: bool) {
-    // An answer on a connection that is open already doesn't show that another can be opened.
-    if !reused {
-        connected(shared, choice);
+/// Records that an attempt had a connection to its server. One that was `reused` doesn't show that
+/// another can be opened.
+pub(crate) fn connected(shared: &Shared, choice: &Choice, reused: bool) {
+    if reused {
+        return;
     }
+    let now = shared.clock.now();
+    let mut fleet = shared.fleet();
+    let changes = fleet.record_connected(choice, now);
+    log_changes(shared, &fleet, &changes);
 }
 
 /// Records what an attempt without an answer says about the path to its server.
 pub(crate) fn failed(shared: &Arc<Shared>, choice: &Choice, error: &SendError) {
     if error.stage > Stage::NotConnected {
-        answered(shared, choice, error.reused);
+        connected(shared, choice, error.reused);
         return;
     }
     let is_path = match &error.kind {
@@ -61,6 +66,7 @@
     start_probes(shared, targets);
 }
 
+/// Starts to test the paths to the `targets`.
 pub(crate) fn start_probes(shared: &Arc<Shared>, targets: Vec<ProbeTarget>) {
     for target in targets {
         task::spawn(probe_server(shared.clone(), target));
@@ -102,13 +108,6 @@
     connected
 }
 
-fn connected(shared: &Shared, choice: &Choice) {
-    let now = shared.clock.now();
-    let mut fleet = shared.fleet();
-    let changes = fleet.record_connected(choice, now);
-    log_changes(shared, &fleet, &changes);
-}
-
 fn log_changes(shared: &Shared, fleet: &Fleet, changes: &[ReachChange]) {
     if changes.is_empty() {
         return;
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -77,10 +77,11 @@
     /// the peer has read the request, as by a listener that is full.
     pub(crate) fn take(headers: &mut Headers) -> RelayOutcome {
         let values = headers.remove(RELAY_HEADER);
-        match values.as_ref().map(|values| values.last().as_str()) {
-            Some("answered") => RelayOutcome::Answered,
-            Some("refused") => RelayOutcome::Refused,
-            _ => RelayOutcome::Unable,
-        }
+        let value = values.as_ref().map(|values| values.last().as_str());
+        let given = [RelayOutcome::Answered, RelayOutcome::Refused];
+        let outcome = given
+            .into_iter()
+            .find(|outcome| value == Some(outcome.label()));
+        outcome.unwrap_or(RelayOutcome::Unable)
     }
 }
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -101,9 +101,9 @@
 }
 
 fn unable(shared: &Shared) -> Response {
-    shared.metrics.count_relayed("in", "unable");
-    let response = Response::new(StatusCode::ServiceUnavailable);
-    with_outcome(response, RelayOutcome::Unable)
+    let outcome = RelayOutcome::Unable;
+    shared.metrics.count_relayed("in", outcome.label());
+    with_outcome(Response::new(StatusCode::ServiceUnavailable), outcome)
 }
 
 fn with_outcome(mut response: Response, outcome: RelayOutcome) -> Response {
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -35,7 +35,7 @@
 pub(crate) enum Upstream {
     /// A server, and the outcome for it according to the head of the answer.
     Server(Choice, Outcome),
-    /// Another instance, which reports the outcome to the server's peers itself.
+    /// Another instance, which knows the server and records the outcome itself.
     Peer(PeerGuard),
 }
 
--- a/crates/gateway/src/sharing/notices.rs
+++ b/crates/gateway/src/sharing/notices.rs
@@ -11,9 +11,9 @@
 use crate::fleet::Fleet;
 use crate::placing::Packet;
 
-/// Returns the departures and limits to send beside the `messages` of a round: new ones to the
-/// placer and to some of the instances, limits that answers still name to the placer now and then,
-/// and all known ones to the instances that asked for members.
+/// Returns the departures, limits and brittle services to send beside the `messages` of a round: new
+/// departures and limits to the placer and to some of the instances, what answers still name to the
+/// placer now and then, and all known departures and limits to the instances that asked for members.
 ///
 /// A limit must be known to the placer, and a lost message must not keep it from that. The other
 /// instances need it in case one of them becomes the placer. A departure concerns all instances;
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -14,7 +14,6 @@
 use crocushold_base::Millis;
 use crocushold_routing::RegionKey;
 use log::info;
-use twox_hash::XxHash3_64;
 
 use super::contact::contact_answer;
 use super::contact::contact_query;
@@ -25,6 +24,7 @@
 use super::state::Gossip;
 use super::state::LoadSum;
 use super::suspicions::suspicion_packets;
+use crate::fleet::short_hash;
 use crate::follow;
 use crate::placing::Packet;
 use crate::quarantine;
@@ -52,7 +52,7 @@
     let socket = Arc::new(UdpSocket::from(socket));
     let me = Identity {
         address: socket.local_addr()?,
-        zone: zone_hash(&shared.settings.zone),
+        zone: short_hash(&shared.settings.zone),
         capacity: shared.settings.capacity,
     };
     let state = Arc::new(Mutex::new(Gossip::new(me, seeds)));
@@ -195,11 +195,11 @@
 }
 
 fn relay_peers(shared: &Shared, state: &Gossip) -> Vec<RelayPeer> {
-    let own = zone_hash(&shared.settings.zone);
+    let own = short_hash(&shared.settings.zone);
     let regions = shared.settings.region_keys();
     let regions = regions.iter();
     let regions: HashMap<u32, RegionKey> = regions
-        .map(|(zone, region)| (zone_hash(zone), *region))
+        .map(|(zone, region)| (short_hash(zone), *region))
         .collect();
     let peers = state.identities().map(|identity| RelayPeer {
         address: identity.address,
@@ -209,10 +209,6 @@
     peers.collect()
 }
 
-fn zone_hash(zone: &str) -> u32 {
-    XxHash3_64::oneshot(zone.as_bytes()) as u32
-}
-
 fn lock(state: &Mutex<Gossip>) -> MutexGuard<'_, Gossip> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/routing/src/brittle.rs
+++ b/crates/routing/src/brittle.rs
@@ -3,9 +3,9 @@
 //! While a service is brittle its servers may let fewer requests wait than at other times, and
 //! nobody knows how few. What a server surely has room for are its slots, unless its memory is full
 //! before. So it gets no more requests than slots from all instances together, and none while it
-//! reports that some wait. A rejection shows how many requests it has room for; that number is tried
-//! to be exceeded by one every few seconds. It gets nothing for a second once it has turned away half
-//! of what it survives.
+//! reports that some wait. A rejection shows how many requests it has room for; every few seconds
+//! without another one, it is tried with one more. It gets nothing for a second once it has turned
+//! away half of what it survives.
 
 use std::collections::VecDeque;
 
@@ -74,8 +74,8 @@
         recent.take_while(|at| now.since(**at) < WINDOW).count()
     }
 
-    /// Number of requests that the server has room for at `now`, if rejections have shown it.
-    /// `may_try` states whether it may be tried whether there is more room.
+    /// Number of requests that the server is taken to have room for at `now`; unbounded if it
+    /// rejected none. Only if it `may_try` does that number grow with the time since then.
     fn room(&self, may_try: bool, now: Millis) -> u32 {
         let Some(room) = self.room else {
             return u32::MAX;
--- a/crates/routing/src/quarantine/record.rs
+++ b/crates/routing/src/quarantine/record.rs
@@ -127,8 +127,7 @@
         let open = self.open().filter(|end| !explained.contains(&end.server));
         let open: Vec<&End> = open.collect();
         let mut rest = open.as_slice();
-        let mut count = 0;
-        let mut last = i64::MIN;
+        let mut run = Consecutive::default();
         while let Some(first) = rest.first() {
             let within = rest.partition_point(|end| end.ended < first.ended + burst);
             let (group, later) = rest.split_at(within);
@@ -139,17 +138,12 @@
             } else {
                 group
             };
-            for end in counted {
-                if end.sent >= last {
-                    count += 1;
-                    last = end.ended;
-                }
-            }
+            run.extend(counted.iter().copied());
             if counted.len() < group.len() {
-                last = group[group.len() - 1].ended;
+                run.last = group[group.len() - 1].ended;
             }
         }
-        count
+        run.count
     }
 
     fn open(&self) -> impl Iterator<Item = &End> {
@@ -213,17 +207,37 @@
     }
 }
 
-/// Number of ends, each of a run that was sent after the one before had ended.
-fn count_consecutive<'a>(ends: impl Iterator<Item = &'a End>) -> usize {
-    let mut count = 0;
-    let mut last = i64::MIN;
-    for end in ends {
-        if end.sent >= last {
-            count += 1;
-            last = end.ended;
+/// Counts ends, each of a run that was sent after the one before had ended.
+struct Consecutive {
+    count: usize,
+    /// When the last one ended.
+    last: i64,
+}
+
+impl Default for Consecutive {
+    fn default() -> Consecutive {
+        Consecutive {
+            count: 0,
+            last: i64::MIN,
+        }
+    }
+}
+
+impl Consecutive {
+    fn extend<'a>(&mut self, ends: impl Iterator<Item = &'a End>) {
+        for end in ends {
+            if end.sent >= self.last {
+                self.count += 1;
+                self.last = end.ended;
+            }
         }
     }
-    count
+}
+
+fn count_consecutive<'a>(ends: impl Iterator<Item = &'a End>) -> usize {
+    let mut run = Consecutive::default();
+    run.extend(ends);
+    run.count
 }
 
 fn span(settings: &QuarantineSettings, excess: usize) -> i64 {
--- a/crates/routing/src/reachability.rs
+++ b/crates/routing/src/reachability.rs
@@ -179,8 +179,8 @@
         self.lost_since.is_none() && self.failing == 0
     }
 
-    /// Whether the last failure of a server leaves it open if the path is lost: no connection has
-    /// been established since.
+    /// Whether the path may be lost, after a failure that began at `since`: no connection to any server
+    /// has been established since then.
     fn is_doubtful(&self, since: Millis) -> bool {
         self.lost_since.is_none() && self.connected_at.is_none_or(|at| at < since)
     }
