gateway: logs and metrics tell what delimits an answer and how it ended

The log line of a request said 'answered' or 'cut-by-server'. Which answers had a length, chunks, or only the end of their connection, and why one was taken for complete, could not be seen, so the hypotheses on a cut answer that reaches its caller as a complete one could not be told apart. request-ended has the fields delimiter and end, and crocushold_answer_ends_total counts by both. No decision changes.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -410,6 +410,7 @@
             upstream,
             status: answer.status.into(),
             head_at: now,
+            delimiter: answer.body.delimiter(),
             counter: EventCounter::new(),
             pauses: PauseTracker::from(now),
         };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,7 @@
     registry: Registry,
     requests: IntCounterVec,
     attempts: IntCounterVec,
+    ends: IntCounterVec,
     seconds: HistogramVec,
     unanswered: IntCounterVec,
     late_timers: IntCounter,
@@ -49,6 +50,11 @@
             "Attempts at servers by how they ended",
             &["outcome"],
         );
+        let ends = counters(
+            "crocushold_answer_ends_total",
+            "Relayed answers by what delimits them and how they ended",
+            &["delimiter", "end"],
+        );
         let options = HistogramOpts::new(
             "crocushold_answer_seconds",
             "From a request's head to the head of its answer, and to its end",
@@ -110,9 +116,10 @@
         );
         let version = gauge("crocushold_config_version", "The configuration in force");
         let running = gauge("crocushold_requests_running", "Requests in progress");
-        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 17] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
+            Box::new(ends.clone()),
             Box::new(seconds.clone()),
             Box::new(unanswered.clone()),
             Box::new(late_timers.clone()),
@@ -136,6 +143,7 @@
             registry,
             requests,
             attempts,
+            ends,
             seconds,
             unanswered,
             late_timers,
@@ -226,6 +234,11 @@
         self.attempts.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts the end of a relayed answer.
+    pub(crate) fn count_end(&self, delimiter: &str, end: &str) {
+        self.ends.with_label_values(&[delimiter, end]).inc();
+    }
+
     pub(crate) fn observe_latency(
         &self,
         repeat: &str,
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -27,6 +27,8 @@
     pub(crate) upstream: Upstream,
     pub(crate) status: u16,
     pub(crate) head_at: Millis,
+    /// What delimits the answer.
+    pub(crate) delimiter: &'static str,
     pub(crate) counter: EventCounter,
     pub(crate) pauses: PauseTracker,
 }
@@ -91,6 +93,7 @@
         let events = self.counter.events();
         let record = &self.record;
         self.count(label, events, now);
+        self.shared.metrics.count_end(self.delimiter, end.label());
         let (server, peer) = match &self.upstream {
             Upstream::Server(choice, _) => (&*choice.id, None),
             Upstream::Peer(guard) => ("none", Some(guard.peer.to_string())),
@@ -103,6 +106,8 @@
             .with("prefix", format!("{:x}", record.prefix.unwrap_or(0)))
             .with("source", source.as_deref().unwrap_or("none"))
             .with("status", self.status)
+            .with("delimiter", self.delimiter)
+            .with("end", end.label())
             .with("first", self.head_at.since(record.arrived))
             .with("events", events)
             .with("longest-pause", self.pauses.longest)
--- a/crates/http/src/client/observer.rs
+++ b/crates/http/src/client/observer.rs
@@ -20,6 +20,17 @@
     pub fn is_disconnect(self) -> bool {
         matches!(self, CutCause::Short | CutCause::Failed)
     }
+
+    /// Label for logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            CutCause::Short => "short",
+            CutCause::Stalled => "stalled",
+            CutCause::Overdue => "overdue",
+            CutCause::Malformed => "malformed",
+            CutCause::Failed => "failed",
+        }
+    }
 }
 
 /// How an answer's body ended. `bytes` counts the part of it that was read.
@@ -45,6 +56,17 @@
     },
 }
 
+impl AnswerEnd {
+    /// Label for logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            AnswerEnd::Complete { .. } => "complete",
+            AnswerEnd::Cut { cause, .. } => cause.label(),
+            AnswerEnd::Dropped { .. } => "dropped",
+        }
+    }
+}
+
 /// Receives an answer's body as it is relayed.
 pub trait Observer: Send + Sync {
     /// Called with each chunk of the body, in order. Chunks have arbitrary boundaries.
--- a/crates/http/src/client/relay_body.rs
+++ b/crates/http/src/client/relay_body.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// What delimits the answer: its `length`, `chunks`, or the end of its `connection`.
+    pub fn delimiter(&self) -> &'static str {
+        self.framing.label()
+    }
+
     /// Cuts the answer off if it isn't complete after `span`. Unlike the stall timeout, this also
     /// applies while bytes keep arriving.
     pub fn set_total_timeout(&mut self, span: Millis) {
--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -16,6 +16,15 @@
 }
 
 impl Framing {
+    /// Label for logs and metrics.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Framing::Length(_) => "length",
+            Framing::Chunked => "chunks",
+            Framing::Close => "connection",
+        }
+    }
+
     /// The most bytes of the connection that belong to the body.
     pub(crate) fn max_body_bytes(self) -> u64 {
         match self {
