tests: answers that end with their connection and were cut (red)

What callers see: an answer without a length and without chunks whose server breaks it off, or ends, reaches them with status 200, the seal, and the framing of a complete answer.

--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -145,6 +145,34 @@
     });
 }
 
+// Guards against a reset that the failed write of the request has reported: a read then finds the end
+// of the connection, and an answer that ends with its connection would look complete.
+#[test]
+fn early_answer_delimited_by_a_reset_connection_is_cut_off() {
+    block_on(async {
+        let server = scripted_server(|_, mut stream| async move {
+            read_head(&mut stream).await;
+            let answer = "HTTP/1.1 413 Payload Too Large\r\n\r\nhalf of";
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        })
+        .await;
+        let mut request = get(server);
+        request.set_body(Body::from_reader(
+            async_std::io::BufReader::new(async_std::io::repeat(b'x')),
+            None,
+        ));
+        let limits = SendLimits {
+            close_delimited: true,
+            ..limits()
+        };
+        let sent = with_timeout(client().send(server, request, &limits, Reuse::Fresh)).await;
+        let Ok(mut answer) = sent else { return };
+        let mut body = String::new();
+        let read = with_timeout(answer.body.read_to_string(&mut body)).await;
+        assert!(read.is_err(), "{body:?}");
+    });
+}
+
 // The server stops in the middle of its answer and keeps the connection open.
 #[test]
 fn stalled_answer_is_cut_off() {
