gateway, http: the end of a connection proves no answer complete

What callers saw: a stream or a plain answer without a length and without chunks, broken off by its server or by the end of the server's process, reached them as a complete answer with status 200 and the server's seal.

Cause: a clean end of the connection completed such an answer, whatever its last bytes were and whatever had become of the server. The absence of an error was read as the end. The system closes the connections of a crashed process in the same way as the process does after the last byte.

Now an answer that ends with its connection is complete only if that is shown: a stream must end after the blank line of an event and before the next line, and the server's process must accept a connection ten milliseconds later. The end of the answer, not its bytes, is held back for that time. In doubt the answer is cut off: its caller gets no last chunk, and the cut counts for the server, the quarantine and the metrics as any other.

Weighed: refusing such answers (a booking that was made would look failed); the boundary of events alone (plain answers have none, and a server may end between two events); evidence from other connections to the server (there may be none); taking each such stream for cut (callers of complete ones would come back for nothing).

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -25,6 +25,7 @@
 use futures::future::select;
 use http_types::Response;
 use http_types::headers::CONTENT_TYPE;
+use http_types::headers::HeaderValues;
 use log::info;
 
 pub(crate) use self::relay::PeerGuard;
@@ -64,6 +65,9 @@
 /// completes.
 const MIN_RETRY_AFTER: Millis = Millis(500);
 
+/// Media type of a stream of server-sent events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Why a request ended without an answer to relay.
 #[derive(Debug)]
 pub(crate) enum Failure {
@@ -395,7 +399,7 @@
 
     /// Returns the response with which an answer reaches the caller, or the instance that relayed the
     /// request.
-    fn respond(&self, answer: Answer, upstream: Upstream) -> Response {
+    fn respond(&self, mut answer: Answer, upstream: Upstream) -> Response {
         let now = self.shared.clock.now();
         let record = self.record();
         let label = record.repeat.label();
@@ -404,6 +408,10 @@
         metrics.observe_latency(label, record.priority, "head", duration);
         let mut response = Response::new(answer.status);
         relay_headers(&answer.headers, response.as_mut());
+        let server = match &upstream {
+            Upstream::Server(choice, _) => Some(choice.address),
+            Upstream::Peer(_) => None,
+        };
         let settle = AnswerObserver {
             shared: self.shared.clone(),
             record,
@@ -415,6 +423,17 @@
             pauses: PauseTracker::from(now),
         };
         let content_type = answer.headers.get(CONTENT_TYPE).cloned();
+        let media_type = content_type.as_ref().map(media_type);
+        // A failure on a stream's route is described in some other way.
+        let untyped_events = self.job.repeat.is_stream() && answer.status.is_success();
+        if media_type.map_or(untyped_events, |name| {
+            name.eq_ignore_ascii_case(EVENT_STREAM)
+        }) {
+            answer.body.expect_events();
+        }
+        if let Some(address) = server {
+            answer.body.set_end_check(reach::is_alive(address));
+        }
         response.set_body(answer.body.into_body(settle));
         // `set_body` overwrites the content type.
         match content_type {
@@ -461,6 +480,12 @@
     }
 }
 
+/// The content type without its parameters.
+fn media_type(content_type: &HeaderValues) -> &str {
+    let text = content_type.last().as_str();
+    text.split(';').next().unwrap_or_default().trim()
+}
+
 fn label(stage: Stage) -> &'static str {
     match stage {
         Stage::NotConnected => "not-connected",
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -2,6 +2,7 @@
 //! the operators' page.
 
 use std::fmt::Write;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use async_std::task;
@@ -25,6 +26,17 @@
 use crate::fleet::ProbeTarget;
 use crate::shared::Shared;
 
+/// Time after the end of an answer's connection in which a process that ends closes its other sockets.
+const END_DELAY: Millis = Millis(10);
+
+/// Whether a server lives on after it has closed the connection that delimits an answer. The system
+/// closes the connections of a process that has crashed in the same way as the process does after the
+/// last byte, but then nothing accepts new ones. In doubt it counts as ended.
+pub(crate) async fn is_alive(server: SocketAddr) -> bool {
+    task::sleep(END_DELAY.into()).await;
+    accepts_connections(server).await == Some(true)
+}
+
 /// Records that an attempt had a connection to its server. One that was `reused` doesn't show that
 /// another can be opened.
 pub(crate) fn connected(shared: &Shared, choice: &Choice, reused: bool) {
--- a/crates/http/src/client/limits.rs
+++ b/crates/http/src/client/limits.rs
@@ -28,8 +28,8 @@
     /// keep-alive probes. It is above the pauses of a server that goes on afterwards.
     pub ack_timeout: Millis,
     /// Whether an answer without framing headers may be delimited by the end of its connection. A
-    /// server that crashes may close its connection in the same way, and the truncated answer then
-    /// looks complete. A reset connection is still detected.
+    /// server that crashes closes its connections in the same way, so such an answer is complete only
+    /// if [`RelayBody::set_end_check`](crate::RelayBody::set_end_check) says so.
     pub close_delimited: bool,
 }
 
--- a/crates/http/src/client/observer.rs
+++ b/crates/http/src/client/observer.rs
@@ -13,12 +13,20 @@
     Malformed,
     /// The socket failed.
     Failed,
+    /// The connection that delimits a stream was closed inside an event.
+    InsideEvent,
+    /// The connection that delimits the answer was closed, and nothing shows that the answer was
+    /// complete.
+    Unproven,
 }
 
 impl CutCause {
     /// Whether the connection was lost, as opposed to an answer that was too slow or malformed.
     pub fn is_disconnect(self) -> bool {
-        matches!(self, CutCause::Short | CutCause::Failed)
+        match self {
+            CutCause::Short | CutCause::Failed | CutCause::InsideEvent | CutCause::Unproven => true,
+            CutCause::Stalled | CutCause::Overdue | CutCause::Malformed => false,
+        }
     }
 
     /// Label for logs and metrics.
@@ -29,6 +37,8 @@
             CutCause::Overdue => "overdue",
             CutCause::Malformed => "malformed",
             CutCause::Failed => "failed",
+            CutCause::InsideEvent => "inside-event",
+            CutCause::Unproven => "unproven",
         }
     }
 }
--- a/crates/http/src/client/relay_body.rs
+++ b/crates/http/src/client/relay_body.rs
@@ -4,6 +4,8 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -21,6 +23,7 @@
 use super::observer::Observer;
 use super::pool::Pool;
 use crate::connection::Connection;
+use crate::event_boundary::EventBoundary;
 use crate::framing::Framing;
 use crate::stall::Sleep;
 use crate::stall::StallTimer;
@@ -34,16 +37,23 @@
     pub(crate) server: SocketAddr,
 }
 
+/// Decides whether an answer that ended with its connection is complete. The mutex makes it `Sync`; it
+/// is never locked.
+type EndCheck = Mutex<Pin<Box<dyn Future<Output = bool> + Send>>>;
+
 enum State {
     Open,
+    /// The connection that delimits the answer has ended.
+    Checking,
     Complete,
     Cut(CutCause),
 }
 
 /// The body of an answer.
 ///
-/// Reading it fails if the answer ends before its announced length or its last chunk, or if nothing
-/// arrives within the stall timeout. Dropping it before its end closes the connection, which
+/// Reading it fails if the answer ends before its announced length or its last chunk, if it ends with
+/// its connection and nothing shows that it is complete, or if nothing arrives within the stall
+/// timeout. Dropping it before its end closes the connection, which
 /// cancels the request at the server.
 pub struct RelayBody {
     body: Body,
@@ -55,6 +65,9 @@
     cancel: Cancel,
     pool_return: Option<PoolReturn>,
     stall_timer: StallTimer,
+    /// Where a stream of events is, if it ends with its connection.
+    boundary: Option<EventBoundary>,
+    end_check: Option<EndCheck>,
     /// Fires at the end of the total timeout.
     deadline: Option<Sleep>,
     observer: Option<Box<dyn Observer>>,
@@ -79,6 +92,8 @@
             connection: Some(connection),
             pool_return,
             stall_timer: StallTimer::new(stall_timeout),
+            boundary: None,
+            end_check: None,
             deadline: None,
             observer: None,
             buffer: Vec::new(),
@@ -114,6 +129,26 @@
         self.deadline = Some(Box::pin(task::sleep(span.into())));
     }
 
+    /// Whether the end of the connection delimits the answer.
+    pub fn ends_with_connection(&self) -> bool {
+        self.framing == Framing::Close
+    }
+
+    /// Takes the answer for a stream of server-sent events. If it ends with its connection, it is cut
+    /// off unless it ends after an event and before the next one.
+    pub fn expect_events(&mut self) {
+        if self.ends_with_connection() {
+            self.boundary = Some(EventBoundary::default());
+        }
+    }
+
+    /// Sets what decides whether an answer that ended with its connection is complete. It is polled
+    /// after the end of the connection, and the end of the answer is held back until then. Without
+    /// it, no such answer is complete.
+    pub fn set_end_check(&mut self, check: impl Future<Output = bool> + Send + 'static) {
+        self.end_check = Some(Mutex::new(Box::pin(check)));
+    }
+
     /// A handle that cancels this answer.
     pub fn cancel(&self) -> Cancel {
         self.cancel.clone()
@@ -137,11 +172,12 @@
     fn poll_chunk(&mut self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
         match self.state {
             State::Open => {}
+            State::Checking => return self.poll_end_check(cx).map_ok(|()| 0),
             State::Complete => return Poll::Ready(Ok(0)),
             State::Cut(cause) => return Poll::Ready(Err(cut_error(cause))),
         }
         match self.poll_body(cx, buf) {
-            Poll::Ready(Ok(0)) => Poll::Ready(self.finish().map(|()| 0)),
+            Poll::Ready(Ok(0)) => self.poll_finish(cx).map_ok(|()| 0),
             Poll::Ready(Ok(count)) => {
                 self.record_chunk(&buf[..count]);
                 Poll::Ready(Ok(count))
@@ -186,6 +222,9 @@
     fn record_chunk(&mut self, bytes: &[u8]) {
         self.bytes += bytes.len() as u64;
         self.stall_timer.reset();
+        if let Some(boundary) = &mut self.boundary {
+            boundary.push(bytes);
+        }
         if let Some(observer) = &mut self.observer {
             observer.chunk(bytes);
         }
@@ -196,13 +235,44 @@
         }
     }
 
-    fn finish(&mut self) -> io::Result<()> {
+    fn poll_finish(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         match self.framing {
-            Framing::Length(length) if length != self.bytes => Err(self.cut_off(CutCause::Short)),
-            _ => {
+            Framing::Length(length) if length != self.bytes => {
+                Poll::Ready(Err(self.cut_off(CutCause::Short)))
+            }
+            Framing::Length(_) | Framing::Chunked => {
+                self.complete();
+                Poll::Ready(Ok(()))
+            }
+            Framing::Close => {
+                let between_events = EventBoundary::is_between_events;
+                if !self.boundary.as_ref().is_none_or(between_events) {
+                    return Poll::Ready(Err(self.cut_off(CutCause::InsideEvent)));
+                }
+                self.state = State::Checking;
+                self.poll_end_check(cx)
+            }
+        }
+    }
+
+    fn poll_end_check(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let is_complete = match &mut self.end_check {
+            None => Poll::Ready(false),
+            Some(check) => {
+                let check = check.get_mut().unwrap_or_else(PoisonError::into_inner);
+                check.as_mut().poll(cx)
+            }
+        };
+        match is_complete {
+            Poll::Ready(true) => {
                 self.complete();
-                Ok(())
+                Poll::Ready(Ok(()))
             }
+            Poll::Ready(false) => Poll::Ready(Err(self.cut_off(CutCause::Unproven))),
+            Poll::Pending if self.poll_deadline(cx) => {
+                Poll::Ready(Err(self.cut_off(CutCause::Overdue)))
+            }
+            Poll::Pending => Poll::Pending,
         }
     }
 
@@ -266,6 +336,14 @@
             io::Error::new(io::ErrorKind::InvalidData, "malformed chunked encoding")
         }
         CutCause::Failed => io::Error::new(io::ErrorKind::ConnectionReset, "the connection failed"),
+        CutCause::InsideEvent => io::Error::new(
+            io::ErrorKind::UnexpectedEof,
+            "the connection ended inside an event",
+        ),
+        CutCause::Unproven => io::Error::new(
+            io::ErrorKind::UnexpectedEof,
+            "the connection ended, and the answer isn't known to be complete",
+        ),
     }
 }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod client;
 mod connection;
+mod event_boundary;
 mod framing;
 mod headers;
 mod keepalive;
