http: an error of the socket that another call has reported still cuts the answer

What callers saw: a server that answers before it has read the request, without a length and without chunks, and closes with bytes unread resets the connection. Its answer could look complete however much of it was lost.

Cause: a socket reports a reset once. The write of the request took the error, and the next read found a plain end of the stream, which ends such an answer.

Now a connection remembers that its socket failed, in a write, a read or a peek, and an answer that it delimits is cut off.

--- a/crates/http/src/client/relay_body.rs
+++ b/crates/http/src/client/relay_body.rs
@@ -244,6 +244,7 @@
                 self.complete();
                 Poll::Ready(Ok(()))
             }
+            Framing::Close if self.has_failed() => Poll::Ready(Err(self.cut_off(CutCause::Failed))),
             Framing::Close => {
                 let between_events = EventBoundary::is_between_events;
                 if !self.boundary.as_ref().is_none_or(between_events) {
@@ -255,6 +256,11 @@
         }
     }
 
+    fn has_failed(&self) -> bool {
+        let connection = self.connection.as_ref();
+        connection.is_some_and(|connection| connection.has_failed())
+    }
+
     fn poll_end_check(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let is_complete = match &mut self.end_check {
             None => Poll::Ready(false),
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -47,6 +48,7 @@
     stream: TcpStream,
     read_buffer: Mutex<ReadBuffer>,
     written: AtomicU64,
+    failed: AtomicBool,
 }
 
 impl Connection {
@@ -55,6 +57,7 @@
             stream,
             read_buffer: Mutex::default(),
             written: AtomicU64::new(0),
+            failed: AtomicBool::new(false),
         })
     }
 
@@ -67,6 +70,20 @@
         self.written.load(Ordering::Relaxed)
     }
 
+    /// Whether the socket has reported an error. It reports one once, and a later read finds the end
+    /// of the stream as after a proper close.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.failed.load(Ordering::Relaxed)
+    }
+
+    /// Records an error of the socket.
+    fn note_failure<T>(&self, result: io::Result<T>) -> io::Result<T> {
+        if result.is_err() {
+            self.failed.store(true, Ordering::Relaxed);
+        }
+        result
+    }
+
     fn read_buffer(&self) -> MutexGuard<'_, ReadBuffer> {
         match self.read_buffer.lock() {
             Ok(read_buffer) => read_buffer,
@@ -193,7 +210,7 @@
             }
             // Each peek registers its own waker, so several tasks can wait here while another one
             // reads.
-            match self.stream.peek(&mut byte).await {
+            match self.note_failure(self.stream.peek(&mut byte).await) {
                 Ok(0) | Err(_) => {
                     self.read_buffer().eof = true;
                     return;
@@ -227,7 +244,8 @@
     fn poll_fill(&self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let mut read_buffer = self.read_buffer();
         let mut chunk = [0; READ_CHUNK_BYTES];
-        let count = ready!(Pin::new(&mut &self.stream).poll_read(cx, &mut chunk))?;
+        let read = ready!(Pin::new(&mut &self.stream).poll_read(cx, &mut chunk));
+        let count = self.note_failure(read)?;
         if count == 0 {
             read_buffer.eof = true;
         }
@@ -264,7 +282,7 @@
                 read_buffer.remaining -= count as u64;
                 Poll::Ready(Ok(count))
             }
-            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Ready(error) => Poll::Ready(self.note_failure(error)),
             Poll::Pending => {
                 read_buffer.read_pending = true;
                 Poll::Pending
@@ -273,7 +291,8 @@
     }
 
     pub(crate) fn poll_write(&self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let count = ready!(Pin::new(&mut &self.stream).poll_write(cx, buf))?;
+        let written = ready!(Pin::new(&mut &self.stream).poll_write(cx, buf));
+        let count = self.note_failure(written)?;
         self.written.fetch_add(count as u64, Ordering::Relaxed);
         if count == 0 && !buf.is_empty() {
             return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -166,7 +166,8 @@
             ..limits()
         };
         let sent = with_timeout(client().send(server, request, &limits, Reuse::Fresh)).await;
-        let Ok(mut answer) = sent else { return };
+        let mut answer = sent.unwrap();
+        answer.body.set_end_check(async { true });
         let mut body = String::new();
         let read = with_timeout(answer.body.read_to_string(&mut body)).await;
         assert!(read.is_err(), "{body:?}");
