gateway: logs name the software of servers, and the streams that callers take up

Neither a server's software version nor a caller's words about a stream that it takes up (Resumes, Last-Event-Id) were read, so no log could tell at which version a stream began and went on. server-listed and request-ended have the field software, request-ended of a stream that is taken up resumes and last-event. No decision changes.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -463,6 +463,7 @@
             expected_prefill: self.expected_prefill,
             placer: self.placer,
             entry: self.job.entry.clone(),
+            resumption: self.job.resumption.clone(),
         }
     }
 }
--- a/crates/gateway/src/fleet/choose.rs
+++ b/crates/gateway/src/fleet/choose.rs
@@ -236,6 +236,7 @@
         server: pick.server,
         id: server.id.clone(),
         incarnation: server.incarnation,
+        software: server.software.clone(),
         chosen: now,
         address: server.record.address,
         engine: !server.record.models.is_empty(),
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -107,6 +107,8 @@
     pub id: Arc<str>,
     /// Its process. The server may restart under the same name.
     pub incarnation: Incarnation,
+    /// Version of its software.
+    pub software: Arc<str>,
     /// When it was chosen.
     pub chosen: Millis,
     /// The address it listens on.
@@ -157,6 +159,7 @@
 struct Server {
     record: ServerRecord,
     id: Arc<str>,
+    software: Arc<str>,
     /// Hash of the name, used in gossip. It is computed once because each round lists all servers.
     hash: u32,
     incarnation: Incarnation,
@@ -172,6 +175,7 @@
     fn new(record: ServerRecord) -> Server {
         Server {
             id: record.id.as_str().into(),
+            software: record.software.as_str().into(),
             hash: short_hash(&record.id),
             incarnation: incarnation(&record),
             reported_cold_until: Millis::ZERO,
@@ -192,6 +196,7 @@
 
     fn update(&mut self, record: ServerRecord) {
         self.incarnation = incarnation(&record);
+        self.software = record.software.as_str().into();
         self.record = record;
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -420,6 +420,7 @@
         .with("server", &record.id)
         .with("restarted", listed == ListOutcome::Restarted)
         .with("service", &record.service)
+        .with("software", &record.software)
         .with("address", record.address)
         .with("presence", format!("{:?}", record.presence))
         .with("started", record.started.unwrap_or_default());
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -24,6 +24,7 @@
 use crate::fleet::Need;
 use crate::protocol::PromptPart;
 use crate::protocol::RequestMeta;
+use crate::protocol::Resumption;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::relay::RelayedRequest;
@@ -77,6 +78,8 @@
     pub(crate) deadline: Millis,
     /// Name of the instance that relayed the request to this one, if any.
     pub(crate) entry: Option<String>,
+    /// The stream that the caller takes up, if it does.
+    pub(crate) resumption: Option<Resumption>,
     outgoing: Outgoing,
     /// Memory reservations, released when the answer has begun.
     reserved: Vec<Reservation>,
@@ -149,6 +152,7 @@
             arrived,
             deadline: arrived + relayed.remaining,
             entry: Some(relayed.entry),
+            resumption: None,
             outgoing: Outgoing::new(request),
             reserved: Vec::new(),
         };
@@ -234,6 +238,7 @@
             arrived,
             deadline: arrived + timeout.min(route.timeout),
             entry: None,
+            resumption: meta.resumption,
             outgoing: Outgoing::new(request),
             reserved: Vec::new(),
         })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -87,6 +87,7 @@
 pub use protocol::PromptPart;
 pub use protocol::Protocol;
 pub use protocol::RequestMeta;
+pub use protocol::Resumption;
 pub use refusal::Reason;
 pub use refusal::Refusal;
 pub use relay::RelayPeer;
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -19,6 +19,28 @@
     pub tokens: u32,
 }
 
+/// What a caller says about a stream that it takes up after it was cut off.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resumption {
+    /// ID of the attempt that brought its first event.
+    pub first_attempt: Option<String>,
+    /// ID of the last event that the caller has.
+    pub last_event: Option<String>,
+}
+
+impl Resumption {
+    /// `None` if the caller says neither; an empty text says nothing.
+    pub fn new(first_attempt: Option<String>, last_event: Option<String>) -> Option<Resumption> {
+        let first_attempt = first_attempt.filter(|id| !id.is_empty());
+        let last_event = last_event.filter(|id| !id.is_empty());
+        let is_given = first_attempt.is_some() || last_event.is_some();
+        is_given.then_some(Resumption {
+            first_attempt,
+            last_event,
+        })
+    }
+}
+
 /// Decoded headers of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestMeta {
@@ -38,6 +60,8 @@
     pub expected_tokens: Option<u32>,
     /// The parts of the prompt in order. The last part isn't shared with other requests.
     pub prompt: Vec<PromptPart>,
+    /// The stream that the caller takes up, if it does.
+    pub resumption: Option<Resumption>,
 }
 
 /// What a backend server receives in addition to the caller's own headers.
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -6,6 +6,7 @@
 use crocushold_base::Millis;
 use crocushold_routing::Fingerprint;
 
+use crate::protocol::Resumption;
 use crate::routes::Repeat;
 use crate::shared::Shared;
 
@@ -39,6 +40,8 @@
     pub(crate) placer: Option<SocketAddr>,
     /// The instance that the caller is connected to, if that relayed the request to this one.
     pub(crate) entry: Option<String>,
+    /// The stream that the caller takes up, if it does.
+    pub(crate) resumption: Option<Resumption>,
 }
 
 impl RequestRecord {
@@ -46,7 +49,7 @@
     pub(crate) fn end_event(&self, shared: &Shared, outcome: &str) -> Event {
         let limit = self.wait_limit.map(|limit| limit.to_string());
         let placer = self.placer.map(|placer| placer.to_string());
-        Event::new("request-ended")
+        let event = Event::new("request-ended")
             .with("request", &self.id)
             .with("route", &self.route)
             .with("content", shared.content_names.pseudonym(self.content))
@@ -61,6 +64,13 @@
             .with("wait-limit", limit.as_deref().unwrap_or("none"))
             .with("entry", self.entry.as_deref().unwrap_or("here"))
             .with("outcome", outcome)
-            .with("total", shared.clock.now().since(self.arrived))
+            .with("total", shared.clock.now().since(self.arrived));
+        let Some(resumption) = &self.resumption else {
+            return event;
+        };
+        let text = |id: &Option<String>| id.clone().unwrap_or_else(|| "none".to_owned());
+        event
+            .with("resumes", text(&resumption.first_attempt))
+            .with("last-event", text(&resumption.last_event))
     }
 }
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -373,6 +373,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: String,
+    /// Version of its software. Several may serve at the same time.
+    pub software: String,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it accepts new requests.
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -94,14 +94,15 @@
         let record = &self.record;
         self.count(label, events, now);
         self.shared.metrics.count_end(self.delimiter, end.label());
-        let (server, peer) = match &self.upstream {
-            Upstream::Server(choice, _) => (&*choice.id, None),
-            Upstream::Peer(guard) => ("none", Some(guard.peer.to_string())),
+        let (server, software, peer) = match &self.upstream {
+            Upstream::Server(choice, _) => (&*choice.id, &*choice.software, None),
+            Upstream::Peer(guard) => ("none", "none", Some(guard.peer.to_string())),
         };
         let source = record.source.map(|source| source.to_string());
         let event = record
             .end_event(&self.shared, label)
             .with("server", server)
+            .with("software", software)
             .with("relay", peer.as_deref().unwrap_or("none"))
             .with("prefix", format!("{:x}", record.prefix.unwrap_or(0)))
             .with("source", source.as_deref().unwrap_or("none"))
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -18,6 +18,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         service: "svc".to_owned(),
         zone: "z".to_owned(),
+        software: "v1".to_owned(),
         slots: 8,
         presence: Presence::Ready,
         started: Some(started),
--- a/crates/gateway/tests/model/mod.rs
+++ b/crates/gateway/tests/model/mod.rs
@@ -393,6 +393,7 @@
         id,
         service: "svc".to_owned(),
         zone: String::new(),
+        software: "v1".to_owned(),
         slots: 64,
         presence: Presence::Ready,
         started: None,
--- a/crates/gateway/tests/placer.rs
+++ b/crates/gateway/tests/placer.rs
@@ -38,6 +38,7 @@
         address: ([10, 0, 0, engine], 80).into(),
         service: "svc".to_owned(),
         zone: "here".to_owned(),
+        software: "v1".to_owned(),
         slots: 4,
         presence: Presence::Ready,
         started: None,
--- a/crates/gateway/tests/reach.rs
+++ b/crates/gateway/tests/reach.rs
@@ -20,6 +20,7 @@
         address: ([10, 0, 0, number], 80).into(),
         service: service.to_owned(),
         zone: "here".to_owned(),
+        software: "v1".to_owned(),
         slots: 4,
         presence: Presence::Ready,
         started: None,
--- a/crates/gateway/tests/updates.rs
+++ b/crates/gateway/tests/updates.rs
@@ -17,6 +17,7 @@
         address: ([10, 0, 0, 1], number as u16).into(),
         service: "svc".to_owned(),
         zone: "here".to_owned(),
+        software: "v1".to_owned(),
         slots: 32,
         presence,
         started: None,
