gateway, routing: a stream goes on only at the software version that began it

What callers saw: with servers of several software versions side by side, a stream that they took up again went on at a server of any version. Its events don't fit together, and no server checks that.

Cause: no instance knew of versions. The adapter read past the version of an entry and past Resumes, the choice of a server had no such requirement, and the version that began a stream was known to nobody, least of all at the instance where its caller turned up.

Now the instance that relays the first answer of a stream that may be taken up records its origin (a hash of account and attempt, and the version) and tells two others that follow from the key and the live instances by rendezvous hashing; one datagram of 24 bytes at most to each, before the caller has the first event. Where the stream is taken up, own records and then up to five instances are asked, four times in 120 ms. The version becomes a requirement of the request, like its regions: the placer, own choices, retries, the check of a placement, relaying and reach all keep to it, and all lanes are searched for it. An unknown origin goes on only where a single version has been listed, in unbroken contact to the store, for as long as a stream may last; else the request is refused as not run (unknown-origin, software-gone).

--- a/crates/entry/src/active_config.rs
+++ b/crates/entry/src/active_config.rs
@@ -318,6 +318,7 @@
                 id: XxHash3_64::oneshot(server.name.as_bytes()),
                 zone: server.zone.clone(),
                 region: None,
+                software: None,
                 concurrency: server.concurrency,
                 models: service.models.clone(),
             }
--- a/crates/entry/src/pool/reach.rs
+++ b/crates/entry/src/pool/reach.rs
@@ -139,6 +139,7 @@
             | Reason::Limited
             | Reason::Resting
             | Reason::Region
+            | Reason::Software
             | Reason::Tried => Shortage::Full,
             Reason::Stale => return false,
         };
--- a/crates/entry/src/pool/tests.rs
+++ b/crates/entry/src/pool/tests.rs
@@ -66,6 +66,7 @@
                 id: 1,
                 zone: String::new(),
                 region: None,
+                software: None,
                 concurrency: 1,
                 models: Vec::new(),
             };
@@ -188,6 +189,7 @@
             id: 1 + at * 1_000_003,
             zone: String::new(),
             region: None,
+            software: None,
             concurrency: 8,
             models: vec![fixture.model],
         });
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -17,6 +17,7 @@
 use crate::intake::Job;
 use crate::record::RequestRecord;
 use crate::refusal::Refusal;
+use crate::resumption::require_origin;
 use crate::shared::Shared;
 
 /// Status of the response after the caller has closed the connection. It is never read.
@@ -30,11 +31,11 @@
     let id = meta.id.clone().unwrap_or_default();
     shared.metrics.request_started();
     let mut response = match Job::read(&shared, &mut request, meta, arrived).await {
-        Ok(job) => {
+        Ok(mut job) => {
             // `job` owns everything that is still needed. Keeping `request` would hold a second
             // copy of the body for as long as the job waits.
             drop(request);
-            exchange(&shared, &job, &hangup).await
+            exchange(&shared, &mut job, &hangup).await
         }
         Err(refusal) => {
             log_unread_request(&shared, &id, &refusal, arrived);
@@ -47,9 +48,14 @@
     response
 }
 
-async fn exchange(shared: &Arc<Shared>, job: &Job, hangup: &Hangup) -> Response {
+async fn exchange(shared: &Arc<Shared>, job: &mut Job, hangup: &Hangup) -> Response {
+    let required = require_origin(shared, job).await;
     let mut exchange = Exchange::new(shared, job);
-    match exchange.run(hangup).await {
+    let result = match required {
+        Ok(()) => exchange.run(hangup).await,
+        Err(refusal) => Err(Failure::Refused(refusal)),
+    };
+    match result {
         Ok(response) => response,
         Err(Failure::Refused(refusal)) => {
             log_refusal(shared, &exchange.record(), refusal.reason.label(), &refusal);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -38,6 +38,7 @@
 use crate::record::RequestRecord;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
+use crate::resumption::record_origin;
 use crate::settle::AnswerObserver;
 use crate::settle::PauseTracker;
 use crate::settle::Upstream;
@@ -185,6 +186,9 @@
                 NextStep::CallerGone => return Err(Failure::CallerGone),
                 NextStep::Relay(answer, verdict) => {
                     slot.choice = None;
+                    if answer.status.is_success() {
+                        record_origin(self.shared, self.job, &choice);
+                    }
                     let outcome = outcome_of_verdict(verdict);
                     return Ok(self.respond(*answer, Upstream::Server(choice, outcome)));
                 }
--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -184,6 +184,7 @@
             routing::Reason::Limited => Reason::Limited,
             routing::Reason::Resting => Reason::Resting,
             routing::Reason::Region => Reason::Region,
+            routing::Reason::Software => Reason::SoftwareGone,
             routing::Reason::Tried => Reason::Rejected,
             _ => Reason::NoServer,
         };
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -143,6 +143,7 @@
             attempts: job.attempts.saturating_sub(self.sent).max(1),
             need: job.need.clone(),
             remaining,
+            stream: job.stream,
         };
         let mut request = job.request(peer);
         relayed.write(request.as_mut());
--- a/crates/gateway/src/fleet/choose.rs
+++ b/crates/gateway/src/fleet/choose.rs
@@ -137,7 +137,11 @@
             allow_paced: self.is_placer || self.settings.alone,
             ..demand(service, &self.models, need, &excluded, resting)
         };
-        let pick = service.router.pick(&demand, now)?;
+        let picked = service.router.pick(&demand, now);
+        let pick = picked.or_else(|none| {
+            let other = pick_in_other_lane(service, &self.models, need, &demand, now);
+            other.ok_or(none)
+        })?;
         let choice = choice(&self.servers, service, &pick, need.lane(), now);
         if let Some(prefix) = need.prefix {
             let cached = CachedPrefix {
@@ -215,12 +219,35 @@
         spill,
         max_wait: need.wait_limit,
         regions: need.regions.as_deref(),
+        software: need.software,
         exclude,
         resting,
         ..Demand::default()
     }
 }
 
+/// Chooses a server of any lane for a request that requires a software version. The few servers of
+/// that version may all be in lanes that other requests of its kind don't use.
+fn pick_in_other_lane(
+    service: &mut Service,
+    models: &ModelLanes,
+    need: &Need,
+    demand: &Demand<'_>,
+    now: Millis,
+) -> Option<Pick> {
+    need.software?;
+    let model = need.model.as_deref().unwrap_or_default();
+    let mut lanes = [Lane::Light, Lane::Heavy, Lane::Live].into_iter();
+    lanes.find_map(|lane| {
+        let demand = Demand {
+            model: Some(models.get(model, lane)?),
+            spill: None,
+            ..*demand
+        };
+        service.router.pick(&demand, now).ok()
+    })
+}
+
 fn choice(
     servers: &SlotMap<ServerKey, Server>,
     service: &Service,
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod notices;
 mod reach;
 mod service;
+mod software;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -32,6 +33,7 @@
 use crocushold_routing::RequestFacts;
 use crocushold_routing::Rests;
 use crocushold_routing::ServerSpec;
+use crocushold_routing::SoftwareKey;
 use crocushold_routing::Stage;
 use slotmap::SlotMap;
 use twox_hash::XxHash3_64;
@@ -49,6 +51,7 @@
 pub use self::reach::ServerReach;
 use self::service::ModelLanes;
 use self::service::Service;
+use self::software::ListedSoftware;
 use crate::placing::PlacementId;
 use crate::routes::EngineSpec;
 use crate::routes::Heartbeat;
@@ -219,6 +222,8 @@
     evacuated: HashSet<String>,
     /// Processes that said they are leaving.
     departures: Departures,
+    /// Software versions that have been listed of late.
+    listed_software: ListedSoftware,
     /// Servers that asked this instance for rest.
     rests: Rests,
     /// Ends of the rests of processes that aren't listed at the moment.
@@ -257,6 +262,7 @@
             slow_starts: HashMap::new(),
             evacuated: HashSet::new(),
             departures: Departures::default(),
+            listed_software: ListedSoftware::default(),
             ejections: Vec::new(),
             changed: HashSet::new(),
             router_updates: 0,
@@ -284,6 +290,8 @@
     /// back. In both cases what was learned is unreliable, but a draining server isn't reinstated
     /// by an entry with an earlier start time.
     pub fn list(&mut self, record: &ServerRecord, now: Millis) -> ListOutcome {
+        let software = SoftwareKey::new(&record.software);
+        self.listed_software.record(&record.service, software, now);
         let listed = self.list_record(record, now);
         self.record_cold(&record.id, record.heartbeat.cold_remaining, now);
         listed
@@ -493,6 +501,7 @@
     /// changed. It should be called about once a second.
     pub fn tick(&mut self, now: Millis) -> Vec<LaneAllocation> {
         self.expire_departures(now);
+        self.record_software(now);
         self.update_routers(now);
         let mut moved = Vec::new();
         for service in self.services.values_mut() {
@@ -578,6 +587,7 @@
         id: XxHash3_64::oneshot(record.id.as_bytes()),
         zone: record.zone.clone(),
         region,
+        software: Some(SoftwareKey::new(&record.software)),
         concurrency: record.slots.saturating_mul(OVERCOMMIT).max(1),
         models: Vec::new(),
     }
--- a/crates/gateway/src/fleet/need.rs
+++ b/crates/gateway/src/fleet/need.rs
@@ -3,6 +3,7 @@
 use crocushold_base::Millis;
 use crocushold_routing::Lane;
 use crocushold_routing::RegionKey;
+use crocushold_routing::SoftwareKey;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -43,6 +44,8 @@
     pub wait_limit: Option<Millis>,
     /// The regions in which it may run; `None` for any.
     pub regions: Option<Vec<RegionKey>>,
+    /// The software version of the servers at which it may run; `None` for any.
+    pub software: Option<SoftwareKey>,
 }
 
 impl Need {
--- a/crates/gateway/src/fleet/reach.rs
+++ b/crates/gateway/src/fleet/reach.rs
@@ -11,6 +11,7 @@
 use crocushold_routing::ReachChange;
 use crocushold_routing::ReachEvidence;
 use crocushold_routing::ReachFailure;
+use crocushold_routing::SoftwareKey;
 use crocushold_routing::State;
 
 use super::Choice;
@@ -94,6 +95,9 @@
         record.service == need.service
             && need.model.as_ref().is_none_or(holds)
             && is_in_region
+            && need
+                .software
+                .is_none_or(|required| SoftwareKey::new(&server.software) == required)
             && !server.is_leaving(&self.departures)
             && !self.evacuated.contains(&record.zone)
     }
--- /dev/null
+++ b/crates/gateway/src/fleet/software.rs
@@ -0,0 +1,72 @@
+//! Which software versions have been listed of late.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crocushold_base::Millis;
+use crocushold_routing::SoftwareKey;
+
+use super::Fleet;
+
+/// How long a version is remembered after its last server has left.
+const MEMORY: Millis = Millis::from_secs(3600);
+
+/// Time by which the record of a version may be older than the removal of its last server: some
+/// intervals of [`Fleet::tick`].
+const RECORD_LAG: Millis = Millis::from_secs(2);
+
+/// The software versions of each service, with the time at which each was last listed.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ListedSoftware {
+    services: HashMap<String, HashMap<SoftwareKey, Millis>>,
+}
+
+impl ListedSoftware {
+    pub(super) fn record(&mut self, service: &str, software: SoftwareKey, now: Millis) {
+        if let Some(versions) = self.services.get_mut(service) {
+            versions.insert(software, now);
+        } else {
+            let versions = HashMap::from([(software, now)]);
+            self.services.insert(service.to_owned(), versions);
+        }
+    }
+
+    fn expire(&mut self, now: Millis) {
+        for versions in self.services.values_mut() {
+            versions.retain(|_, listed| now.since(*listed) < MEMORY);
+        }
+        self.services.retain(|_, versions| !versions.is_empty());
+    }
+}
+
+impl Fleet {
+    /// The software version of all servers of a service that were listed within the last `span`, if
+    /// there is one version only.
+    pub fn only_software(&self, service: &str, span: Millis, now: Millis) -> Option<SoftwareKey> {
+        let versions = self.listed_software.services.get(service)?;
+        let since = span + RECORD_LAG;
+        let recent = versions
+            .iter()
+            .filter(|(_, listed)| now.since(**listed) <= since);
+        let mut recent = recent.map(|(software, _)| *software);
+        let first = recent.next()?;
+        recent.next().is_none().then_some(first)
+    }
+
+    /// The name of a software version of which a server is listed.
+    pub fn software_name(&self, software: SoftwareKey) -> Option<Arc<str>> {
+        let mut servers = self.servers.values();
+        let server = servers.find(|server| SoftwareKey::new(&server.software) == software);
+        server.map(|server| server.software.clone())
+    }
+
+    /// Records the software versions that are listed now.
+    pub(super) fn record_software(&mut self, now: Millis) {
+        for server in self.servers.values() {
+            let software = SoftwareKey::new(&server.software);
+            let service = &server.record.service;
+            self.listed_software.record(service, software, now);
+        }
+        self.listed_software.expire(now);
+    }
+}
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -362,6 +362,7 @@
         shared.expire_brittle();
         let now = shared.clock.now();
         shared.placer.expire(&mut shared.fleet(), now);
+        shared.metrics.set_known_streams(shared.origins.expire(now));
         let moved = shared.fleet().tick(now);
         for allocation in moved {
             log_lane_allocation(&allocation);
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -28,6 +28,8 @@
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::relay::RelayedRequest;
+use crate::resumption::StreamKey;
+use crate::routes::Account;
 use crate::routes::Repeat;
 use crate::routes::Route;
 use crate::routes::RouteTable;
@@ -80,6 +82,9 @@
     pub(crate) entry: Option<String>,
     /// The stream that the caller takes up, if it does.
     pub(crate) resumption: Option<Resumption>,
+    /// The stream that it takes up, or that it begins and that may be taken up; `None` if the caller
+    /// doesn't say how the stream began.
+    pub(crate) stream: Option<StreamKey>,
     outgoing: Outgoing,
     /// Memory reservations, released when the answer has begun.
     reserved: Vec<Reservation>,
@@ -153,6 +158,7 @@
             deadline: arrived + relayed.remaining,
             entry: Some(relayed.entry),
             resumption: None,
+            stream: relayed.stream,
             outgoing: Outgoing::new(request),
             reserved: Vec::new(),
         };
@@ -210,6 +216,7 @@
             .ok_or(Refusal::later(Reason::NoServer, START_RETRY))?;
         let timeout = meta.timeout.unwrap_or(Millis::MAX);
         let rank = table.rank(route, account);
+        let stream = stream_key(route.repeat, account, meta.resumption.as_ref(), &id);
         Ok(Job {
             id,
             route: route.name.clone(),
@@ -233,11 +240,13 @@
                 max_pause: Some(route.gap).filter(|_| table.is_live(route)),
                 wait_limit: wait_limit(table, route, timeout),
                 regions: table.regions(route, account),
+                software: None,
             },
             content: Fingerprint::of(&[]),
             arrived,
             deadline: arrived + timeout.min(route.timeout),
             entry: None,
+            stream,
             resumption: meta.resumption,
             outgoing: Outgoing::new(request),
             reserved: Vec::new(),
@@ -322,6 +331,21 @@
     reserved.ok_or(Refusal::later(Reason::Memory, MEMORY_RETRY))
 }
 
+fn stream_key(
+    repeat: Repeat,
+    account: Option<&Account>,
+    resumption: Option<&Resumption>,
+    id: &str,
+) -> Option<StreamKey> {
+    let first_attempt = match resumption {
+        Some(resumption) if repeat.is_stream() => resumption.first_attempt.as_deref()?,
+        None if repeat == Repeat::ResumableStream => id,
+        _ => return None,
+    };
+    let account = account.map(|account| account.name.as_str());
+    Some(StreamKey::new(account, first_attempt))
+}
+
 /// Hash of the prompt parts that other requests may share, which are all but the last.
 ///
 /// Servers cache the prompts they have prefilled. Requests with the same prefix go to the same
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     server_ends: IntCounterVec,
     notices: IntCounterVec,
     relayed: IntCounterVec,
+    resumptions: IntCounterVec,
+    known_streams: IntGauge,
     quarantined: IntGauge,
     unreachable: IntGauge,
     path_lost: IntGauge,
@@ -102,6 +104,15 @@
             "Requests relayed to another instance (out) or from one (in), by outcome",
             &["direction", "outcome"],
         );
+        let resumptions = counters(
+            "crocushold_resumptions_total",
+            "Streams that callers took up again, by how the version that began them was known",
+            &["source"],
+        );
+        let known_streams = gauge(
+            "crocushold_streams_known",
+            "Streams of which this instance knows the version that began them",
+        );
         let quarantined = gauge(
             "crocushold_quarantined_contents",
             "Requests that are held back, as servers ended under them",
@@ -116,7 +127,7 @@
         );
         let version = gauge("crocushold_config_version", "The configuration in force");
         let running = gauge("crocushold_requests_running", "Requests in progress");
-        let collectors: [Box<dyn prometheus::core::Collector>; 17] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(ends.clone()),
@@ -129,6 +140,8 @@
             Box::new(server_ends.clone()),
             Box::new(notices.clone()),
             Box::new(relayed.clone()),
+            Box::new(resumptions.clone()),
+            Box::new(known_streams.clone()),
             Box::new(quarantined.clone()),
             Box::new(unreachable.clone()),
             Box::new(path_lost.clone()),
@@ -153,6 +166,8 @@
             server_ends,
             notices,
             relayed,
+            resumptions,
+            known_streams,
             quarantined,
             unreachable,
             path_lost,
@@ -195,6 +210,17 @@
         self.relayed.with_label_values(&[direction, outcome]).inc();
     }
 
+    /// Counts a stream that a caller takes up.
+    pub(crate) fn count_resumption(&self, source: &str) {
+        self.resumptions.with_label_values(&[source]).inc();
+    }
+
+    /// Sets the number of streams whose origins are known.
+    pub(crate) fn set_known_streams(&self, count: usize) {
+        self.known_streams
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of quarantined requests.
     pub(crate) fn set_quarantined(&self, count: usize) {
         self.quarantined
--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -11,6 +11,9 @@
 use crate::fleet::Need;
 use crate::fleet::ServerDeparture;
 use crate::fleet::ServerLimit;
+use crate::resumption::OriginQuery;
+use crate::resumption::OriginReply;
+use crate::resumption::StreamOrigin;
 use crate::sharing::Message;
 
 /// Any message between instances. Each is sent as one datagram.
@@ -36,6 +39,12 @@
     Departures(Vec<ServerDeparture>),
     /// Services whose servers are brittle.
     Brittle(Vec<BrittleService>),
+    /// Which software version began a stream.
+    Origin(StreamOrigin),
+    /// A question for the origin of a stream.
+    OriginQuery(OriginQuery),
+    /// The reply to such a question.
+    OriginReply(OriginReply),
 }
 
 impl Packet {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -36,6 +36,10 @@
     Unreachable,
     /// No server accepts requests in a region in which the request may run.
     Region,
+    /// No server accepts requests that has the software version which began the stream.
+    SoftwareGone,
+    /// Nobody knows which software version began the stream, and several serve.
+    UnknownOrigin,
     /// Request bodies fill the instance's memory.
     Memory,
     /// The wait at every server is longer than the request's limit.
@@ -74,6 +78,8 @@
             Reason::Resting => "resting",
             Reason::Unreachable => "unreachable",
             Reason::Region => "region",
+            Reason::SoftwareGone => "software-gone",
+            Reason::UnknownOrigin => "unknown-origin",
             Reason::Memory => "memory",
             Reason::Late => "late",
             Reason::Rejected => "rejected",
@@ -106,6 +112,8 @@
             | Reason::Resting
             | Reason::Unreachable
             | Reason::Region
+            | Reason::SoftwareGone
+            | Reason::UnknownOrigin
             | Reason::Memory
             | Reason::Late
             | Reason::Rejected
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::fleet::Need;
+use crate::resumption::StreamKey;
 use crate::routes::Repeat;
 
 /// Carries a [`RelayedRequest`] in a request, and a [`RelayOutcome`] in its answer.
@@ -35,6 +36,8 @@
     pub need: Need,
     /// Time left until its deadline.
     pub remaining: Millis,
+    /// The stream that it begins or takes up.
+    pub stream: Option<StreamKey>,
 }
 
 impl RelayedRequest {
--- /dev/null
+++ b/crates/gateway/src/resumption/shell.rs
@@ -0,0 +1,199 @@
+//! The socket and the timeouts of questions for the origins of streams.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use async_std::future::timeout;
+use crocushold_base::Millis;
+use crocushold_routing::SoftwareKey;
+use futures::StreamExt;
+use futures::channel::mpsc::UnboundedReceiver;
+use futures::channel::mpsc::UnboundedSender;
+use futures::channel::mpsc::unbounded;
+
+use super::holders::holders;
+use super::message::OriginQuery;
+use super::message::OriginReply;
+use super::message::StreamKey;
+use super::message::StreamOrigin;
+use super::origins::Origins;
+use crate::placing::Packet;
+
+#[cfg(test)]
+mod tests;
+
+/// Number of other instances that are told the origin of a stream. Its origin is lost only if all of
+/// them end, and the one that began it.
+const HOLDERS: usize = 2;
+
+/// Number of instances that are asked. It exceeds [`HOLDERS`], as the instance that began the stream
+/// may have known other members.
+const ASKED: usize = 5;
+
+/// Time after which those that haven't replied are asked again, as datagrams may get lost: several
+/// round trips between availability zones.
+const REPEAT_AFTER: Millis = Millis(30);
+
+/// Number of times that the holders are asked. A process without processor time may take a tenth of
+/// a second.
+const ROUNDS: usize = 4;
+
+/// The sender of a reply, and the version that it knows, if any.
+type Reply = (SocketAddr, Option<SoftwareKey>);
+
+/// What is known of the origin of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Found {
+    /// This instance has a record.
+    Here(SoftwareKey),
+    /// Another instance has one.
+    Elsewhere(SoftwareKey),
+    /// Nobody who was asked knows it, or none of them replied.
+    Unknown,
+}
+
+/// The known origins, and the questions of this instance.
+#[derive(Default)]
+pub(crate) struct OriginService {
+    /// The gossip socket; unset if there are no other instances.
+    socket: OnceLock<UdpSocket>,
+    origins: Mutex<Origins>,
+    members: Mutex<Vec<SocketAddr>>,
+    next: AtomicU32,
+    pending: Mutex<HashMap<u32, UnboundedSender<Reply>>>,
+}
+
+impl OriginService {
+    /// Sets the gossip socket and the first instances to ask.
+    pub(crate) fn start(&self, socket: UdpSocket, seeds: &[SocketAddr]) {
+        // The socket is set once, before any request is read.
+        let _ = self.socket.set(socket);
+        self.set_members(seeds.to_vec());
+    }
+
+    /// Sets the other live instances. While none are known, the last ones stay.
+    pub(crate) fn set_members(&self, members: Vec<SocketAddr>) {
+        if !members.is_empty() {
+            *lock(&self.members) = members;
+        }
+    }
+
+    /// Records the origin of a stream that this instance relays, and tells its holders. They learn of
+    /// it before the caller has the first event.
+    pub(crate) fn record(&self, origin: StreamOrigin, now: Millis) {
+        lock(&self.origins).record(origin, now);
+        let packet = Packet::Origin(origin);
+        for holder in holders(origin.key, &lock(&self.members), HOLDERS) {
+            self.send(holder, &packet);
+        }
+    }
+
+    /// Records an origin that another instance tells.
+    pub(crate) fn record_remote(&self, origin: StreamOrigin, now: Millis) {
+        lock(&self.origins).record(origin, now);
+    }
+
+    /// Replies to a question of another instance.
+    pub(crate) fn reply(&self, from: SocketAddr, query: OriginQuery, now: Millis) {
+        let reply = OriginReply {
+            number: query.number,
+            software: lock(&self.origins).software(query.key, now),
+        };
+        self.send(from, &Packet::OriginReply(reply));
+    }
+
+    /// Handles a reply of another instance.
+    pub(crate) fn handle_reply(&self, from: SocketAddr, reply: OriginReply) {
+        if let Some(sender) = lock(&self.pending).get(&reply.number) {
+            // The question may have been answered meanwhile.
+            let _ = sender.unbounded_send((from, reply.software));
+        }
+    }
+
+    /// Looks up the origin of a stream, here and at its holders.
+    pub(crate) async fn find(&self, key: StreamKey, now: Millis) -> Found {
+        if let Some(software) = lock(&self.origins).software(key, now) {
+            return Found::Here(software);
+        }
+        let asked = holders(key, &lock(&self.members), ASKED);
+        if asked.is_empty() {
+            return Found::Unknown;
+        }
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let (sender, replies) = unbounded();
+        lock(&self.pending).insert(number, sender);
+        let _pending = PendingQuery {
+            service: self,
+            number,
+        };
+        self.ask(&asked, OriginQuery { number, key }, replies).await
+    }
+
+    async fn ask(
+        &self,
+        asked: &[SocketAddr],
+        query: OriginQuery,
+        mut replies: UnboundedReceiver<Reply>,
+    ) -> Found {
+        let mut silent: HashSet<SocketAddr> = asked.iter().copied().collect();
+        for _ in 0..ROUNDS {
+            for holder in &silent {
+                self.send(*holder, &Packet::OriginQuery(query));
+            }
+            let round = async {
+                while !silent.is_empty()
+                    && let Some((from, software)) = replies.next().await
+                {
+                    silent.remove(&from);
+                    if software.is_some() {
+                        return software;
+                    }
+                }
+                None
+            };
+            if let Ok(known) = timeout(REPEAT_AFTER.into(), round).await {
+                return known.map_or(Found::Unknown, Found::Elsewhere);
+            }
+        }
+        Found::Unknown
+    }
+
+    /// Forgets the streams that can't be taken up any more. Returns how many are known.
+    pub(crate) fn expire(&self, now: Millis) -> usize {
+        let mut origins = lock(&self.origins);
+        origins.expire(now);
+        origins.len()
+    }
+
+    fn send(&self, to: SocketAddr, packet: &Packet) {
+        if let Some(socket) = self.socket.get() {
+            // The datagram may be lost, refused or dropped for lack of buffer space. Another holder
+            // knows the same, and questions are repeated.
+            let _ = socket.send_to(&packet.encode(), to);
+        }
+    }
+}
+
+/// Removes a question if the caller's request is dropped, or at its end.
+struct PendingQuery<'a> {
+    service: &'a OriginService,
+    number: u32,
+}
+
+impl Drop for PendingQuery<'_> {
+    fn drop(&mut self) {
+        lock(&self.service.pending).remove(&self.number);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -334,6 +334,13 @@
         route.repeat.is_stream() && tight && min_gap.0 * LIVE_GAP_RATIO <= max_gap.0
     }
 
+    /// The longest time for which a stream may last.
+    pub fn longest_stream(&self) -> Millis {
+        let streams = self.routes.iter().filter(|route| route.repeat.is_stream());
+        let timeouts = streams.map(|route| route.timeout);
+        timeouts.max().unwrap_or(Millis::ZERO)
+    }
+
     /// Whether callers need an API key on routes that aren't public.
     pub fn requires_keys(&self) -> bool {
         !self.accounts.is_empty()
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -39,6 +39,7 @@
 use crate::protocol::Protocol;
 use crate::reach::log_ejections;
 use crate::relay::RelayPeers;
+use crate::resumption::OriginService;
 use crate::routes::RouteTable;
 use crate::store_watch::StoreWatch;
 
@@ -77,6 +78,8 @@
     pub(crate) memory: MemoryBudget,
     /// The client and server side of placement.
     pub(crate) placer: PlacementService,
+    /// The origins of streams that callers may take up again.
+    pub(crate) origins: OriginService,
     /// How far the store was read, and the watch in progress.
     pub(crate) store: StoreWatch,
     table: RwLock<Option<Arc<RouteTable>>>,
@@ -111,6 +114,7 @@
             clock: Clock::start(),
             seed,
             placer: PlacementService::new(seed as u32),
+            origins: OriginService::default(),
             store: StoreWatch::default(),
             client: Client::new(pool),
             metrics: Metrics::new(),
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -49,6 +49,7 @@
     let socket = std::net::UdpSocket::bind(address)?;
     socket.set_nonblocking(true)?;
     shared.placer.set_socket(socket.try_clone()?);
+    shared.origins.start(socket.try_clone()?, seeds);
     let socket = Arc::new(UdpSocket::from(socket));
     let me = Identity {
         address: socket.local_addr()?,
@@ -79,6 +80,9 @@
             Some(Packet::Limits(limits)) => shared.record_remote_limits(&limits),
             Some(Packet::Brittle(known)) => shared.record_remote_brittle(&known),
             Some(Packet::Departures(departed)) => shared.record_remote_departures(&departed),
+            Some(Packet::Origin(origin)) => shared.origins.record_remote(origin, now),
+            Some(Packet::OriginQuery(query)) => shared.origins.reply(from, query, now),
+            Some(Packet::OriginReply(reply)) => shared.origins.handle_reply(from, reply),
             Some(Packet::Contact(age)) => follow::on_peer_contact(&shared, age),
             Some(Packet::ContactQuery) => {
                 let answer = contact_answer(&shared.directory(), now);
@@ -121,6 +125,8 @@
             .placer
             .set_placer(round.placer.filter(|_| !is_placer));
         if let Some(relays) = round.relays {
+            let members = relays.iter().map(|peer| peer.address);
+            shared.origins.set_members(members.collect());
             shared.relays().set(relays);
         }
         if round.is_truncated {
--- a/crates/routing/benches/router.rs
+++ b/crates/routing/benches/router.rs
@@ -52,6 +52,7 @@
                 id: at as u64 * 1_000_003,
                 zone: format!("z{}", at % 23),
                 region: None,
+                software: None,
                 concurrency: SLOTS,
                 models: model_indices(at).map(|model| models[model]).collect(),
             })
--- a/crates/routing/examples/model/policy.rs
+++ b/crates/routing/examples/model/policy.rs
@@ -116,6 +116,7 @@
             id: at as u64,
             zone: "a".to_owned(),
             region: None,
+            software: None,
             concurrency: slots,
             models: Vec::new(),
         };
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -47,6 +47,7 @@
 mod server;
 mod server_subset;
 mod settings;
+mod software;
 mod stats;
 mod subset;
 
@@ -114,5 +115,6 @@
 pub use server_subset::Shortage;
 pub use settings::HealthSettings;
 pub use settings::Settings;
+pub use software::SoftwareKey;
 pub use subset::coverage;
 pub use subset::subset;
--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -37,6 +37,10 @@
 /// Minimum retry time in a refusal because of a long queue.
 pub(super) const MIN_RETRY_AFTER: Millis = Millis(200);
 
+/// Retry time while no server has the required software version: the time in which a server that has
+/// crashed starts again.
+const SOFTWARE_RETRY_AFTER: Millis = Millis::from_secs(1);
+
 /// Maximum retry time in a refusal.
 pub(super) const MAX_RETRY_AFTER: Millis = Millis::from_secs(30);
 
@@ -284,8 +288,9 @@
         let paced = self.paced_refusal(pool, demand, now);
         let refusal = paced.or_else(|| self.rest_refusal(pool, demand, now));
         refusal.unwrap_or_else(|| {
-            let reason = match self.pool_unavailable_reason(pool, demand.exclude) {
-                Reason::Busy | Reason::Tried if !self.has_region(pool, demand) => Reason::Region,
+            let reason = self.pool_unavailable_reason(pool, demand.exclude);
+            let reason = match reason {
+                Reason::Busy | Reason::Tried => self.exclusion(pool, demand).unwrap_or(reason),
                 reason => reason,
             };
             self.refusal(reason, now)
@@ -323,6 +328,7 @@
             // `check_wait` sets the actual time from the wait.
             Reason::Late { .. } => self.settings.wake_grace,
             Reason::Region => MAX_RETRY_AFTER,
+            Reason::Software => SOFTWARE_RETRY_AFTER,
             Reason::Cold | Reason::Limited | Reason::Resting | Reason::Tried | Reason::Stale => {
                 self.settings.wake_grace
             }
--- a/crates/routing/src/router/placement.rs
+++ b/crates/routing/src/router/placement.rs
@@ -22,7 +22,7 @@
     }
 
     /// Whether the request may be sent to the server, apart from its pace: it wasn't tried, wants
-    /// requests of the sending instance, and is in an allowed region.
+    /// requests of the sending instance, and is allowed for it.
     pub(super) fn is_open_to(&self, server: ServerKey, demand: &Demand<'_>) -> bool {
         !demand.exclude.contains(&server)
             && rest_of(server, demand).is_none()
@@ -67,20 +67,27 @@
         self.change_health(server, Health::end_rest);
     }
 
-    /// Whether a usable server of the pool is in a region in which the request may run.
-    pub(super) fn has_region(&self, pool: usize, demand: &Demand<'_>) -> bool {
-        let mut usable = self
-            .servers
-            .keys()
-            .filter(|&server| self.is_usable(server, pool));
-        usable.any(|server| self.is_allowed(server, demand))
+    /// Why no usable server of the pool is allowed for the request, if that is so.
+    pub(super) fn exclusion(&self, pool: usize, demand: &Demand<'_>) -> Option<Reason> {
+        let usable = || {
+            let keys = self.servers.keys();
+            let keys = keys.filter(|&server| self.is_usable(server, pool));
+            keys.map(|key| &self.servers[key])
+        };
+        if usable().any(|server| is_in_region(server, demand) && has_software(server, demand)) {
+            None
+        } else if usable().any(|server| is_in_region(server, demand)) {
+            Some(Reason::Software)
+        } else {
+            Some(Reason::Region)
+        }
     }
 
-    /// Whether the server is known and in a region in which the request, including parts of its
-    /// prompt, is allowed.
+    /// Whether the server is known, and the request, including parts of its prompt, is allowed there:
+    /// in its region, and at its software version.
     pub(super) fn is_allowed(&self, server: ServerKey, demand: &Demand<'_>) -> bool {
         let server = self.servers.get(server);
-        server.is_some_and(|server| is_in_region(server, demand))
+        server.is_some_and(|server| is_in_region(server, demand) && has_software(server, demand))
     }
 }
 
@@ -92,6 +99,13 @@
         .map(|rest| rest.until)
 }
 
+/// Whether the server has the software version that the request requires. One of unknown version
+/// doesn't.
+fn has_software(server: &Server, demand: &Demand<'_>) -> bool {
+    let required = demand.software;
+    required.is_none_or(|required| server.spec.software == Some(required))
+}
+
 /// Whether the server is in a region in which the request may run. A server of unknown region is in
 /// none.
 fn is_in_region(server: &Server, demand: &Demand<'_>) -> bool {
--- a/crates/routing/src/router/types.rs
+++ b/crates/routing/src/router/types.rs
@@ -12,6 +12,7 @@
 
 use crate::region::RegionKey;
 use crate::rest::Rest;
+use crate::software::SoftwareKey;
 
 new_key_type! {
     /// An attempt of a request at a server. The key contains a generation, so an event after the
@@ -46,6 +47,8 @@
     pub max_wait: Option<Millis>,
     /// The regions in which it may run; `None` for all.
     pub regions: Option<&'a [RegionKey]>,
+    /// The software version at which it must run; `None` for any.
+    pub software: Option<SoftwareKey>,
     /// Servers that were tried already.
     pub exclude: &'a [ServerKey],
     /// Servers that asked the sending instance for rest.
@@ -139,6 +142,8 @@
     Resting,
     /// No usable server is in one of the allowed regions.
     Region,
+    /// No usable server has the required software version.
+    Software,
     /// Every usable server was tried already.
     Tried,
     /// The process was suspended, and the instance list hasn't been read since.
@@ -156,6 +161,7 @@
             Reason::Limited => "the servers that are free limit their requests",
             Reason::Resting => "the servers asked for rest",
             Reason::Region => "no server is in an allowed region",
+            Reason::Software => "no server has the required software version",
             Reason::Tried => "all servers were tried",
             Reason::Stale => "the instance list is stale",
         })
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -12,6 +12,7 @@
 use crate::pace::Pace;
 use crate::queue_delay::QueueDelay;
 use crate::region::RegionKey;
+use crate::software::SoftwareKey;
 use crate::stats::Ewma;
 use crate::stats::Median;
 
@@ -26,6 +27,8 @@
     pub zone: String,
     /// The zone's region, if known.
     pub region: Option<RegionKey>,
+    /// The version of its software, if known.
+    pub software: Option<SoftwareKey>,
     /// Maximum number of concurrent requests from all entry instances together.
     pub concurrency: u32,
     /// The models it holds; none for a plain service.
--- a/crates/routing/tests/central.rs
+++ b/crates/routing/tests/central.rs
@@ -26,6 +26,7 @@
         id: number as u64,
         zone: "here".to_owned(),
         region: None,
+        software: None,
         concurrency: 48,
         models: Vec::new(),
     });
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -67,6 +67,7 @@
             id: 1000 + at as u64,
             zone: "stgo-a".to_owned(),
             region: None,
+            software: None,
             concurrency: SLOTS,
             models: vec![self.model],
         }
--- a/crates/routing/tests/pace.rs
+++ b/crates/routing/tests/pace.rs
@@ -42,6 +42,7 @@
             id: number as u64,
             zone: "here".to_owned(),
             region: None,
+            software: None,
             concurrency: 64,
             models: Vec::new(),
         });
--- a/crates/routing/tests/regions.rs
+++ b/crates/routing/tests/regions.rs
@@ -31,6 +31,7 @@
         id,
         zone: "here".to_owned(),
         region: region.map(RegionKey::new),
+        software: None,
         concurrency: 64,
         models: Vec::new(),
     });
--- a/crates/routing/tests/ring.rs
+++ b/crates/routing/tests/ring.rs
@@ -19,6 +19,7 @@
         id,
         zone: "here".to_owned(),
         region: None,
+        software: None,
         concurrency: 64,
         models: Vec::new(),
     });
--- a/crates/routing/tests/server_subset.rs
+++ b/crates/routing/tests/server_subset.rs
@@ -30,6 +30,7 @@
         id: 1 + at as u64 * 1_000_003,
         zone: String::new(),
         region: None,
+        software: None,
         concurrency,
         models: Vec::new(),
     });
--- a/crates/routing/tests/transfer_sources.rs
+++ b/crates/routing/tests/transfer_sources.rs
@@ -29,6 +29,7 @@
         id,
         zone: "here".to_owned(),
         region: None,
+        software: None,
         concurrency: 64,
         models: Vec::new(),
     }
