gateway: an instance that has just started asks which versions have served

These callers name the last event alone (Last-Event-Id without Resumes), as callers of deployments without several versions do, so no record can be found, and the instances had started seconds before: they hadn't seen for long enough that only one version serves.

Cause: that evidence was this instance's own only. Now a question for an origin also asks which versions of the service the others have seen within the longest time for which a stream may last, and whether they had contact to the store all the while. A version is the only one if one instance has seen all of that time and none, this one included, has seen another. Without a name the first complete reply is enough.

After a loss of power everywhere all instances are young, and such streams are refused until one has seen enough: open.

--- a/crates/gateway/src/fleet/software.rs
+++ b/crates/gateway/src/fleet/software.rs
@@ -7,6 +7,8 @@
 use crocushold_routing::SoftwareKey;
 
 use super::Fleet;
+use super::short_hash;
+use crate::resumption::SoftwareVersions;
 
 /// How long a version is remembered after its last server has left.
 const MEMORY: Millis = Millis::from_secs(3600);
@@ -40,17 +42,23 @@
 }
 
 impl Fleet {
-    /// The software version of all servers of a service that were listed within the last `span`, if
-    /// there is one version only.
-    pub fn only_software(&self, service: &str, span: Millis, now: Millis) -> Option<SoftwareKey> {
-        let versions = self.listed_software.services.get(service)?;
+    /// The software versions of the servers of a service that were listed within the last `span`. The
+    /// service is given by the hash of its name.
+    pub fn listed_software(&self, service: u32, span: Millis, now: Millis) -> SoftwareVersions {
+        let mut services = self.listed_software.services.iter();
+        let Some((_, versions)) = services.find(|(name, _)| short_hash(name) == service) else {
+            return SoftwareVersions::None;
+        };
         let since = span + RECORD_LAG;
         let recent = versions
             .iter()
             .filter(|(_, listed)| now.since(**listed) <= since);
         let mut recent = recent.map(|(software, _)| *software);
-        let first = recent.next()?;
-        recent.next().is_none().then_some(first)
+        match (recent.next(), recent.next()) {
+            (None, _) => SoftwareVersions::None,
+            (Some(software), None) => SoftwareVersions::One(software),
+            (Some(_), Some(_)) => SoftwareVersions::Several,
+        }
     }
 
     /// The name of a software version of which a server is listed.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -97,6 +97,8 @@
 pub use resumption::OriginQuery;
 pub use resumption::OriginReply;
 pub use resumption::Origins;
+pub use resumption::SeenSoftware;
+pub use resumption::SoftwareVersions;
 pub use resumption::StreamKey;
 pub use resumption::StreamOrigin;
 pub use resumption::holders;
--- a/crates/gateway/src/resumption/mod.rs
+++ b/crates/gateway/src/resumption/mod.rs
@@ -11,7 +11,8 @@
 //!   The version becomes a requirement of the request, like its regions: every choice of a server, by
 //!   this instance, by the placer or behind a relay, keeps to it.
 //! * A stream of unknown origin goes on only if a single version has served for as long as a stream
-//!   may last. Otherwise it is refused: it isn't run, and a guess could spoil it.
+//!   may last, which an instance in contact to the store has seen. Otherwise it is refused: it isn't
+//!   run, and a guess could spoil it.
 //!
 //! An origin is forgotten some time after the deadline of the stream.
 
@@ -24,9 +25,12 @@
 pub use holders::holders;
 pub use message::OriginQuery;
 pub use message::OriginReply;
+pub use message::SeenSoftware;
+pub use message::SoftwareVersions;
 pub use message::StreamKey;
 pub use message::StreamOrigin;
 pub use origins::Origins;
 pub(crate) use resolve::record_origin;
+pub(crate) use resolve::reply_origin;
 pub(crate) use resolve::require_origin;
 pub(crate) use shell::OriginService;
--- a/crates/gateway/src/resumption/resolve.rs
+++ b/crates/gateway/src/resumption/resolve.rs
@@ -1,5 +1,6 @@
 //! The software version that a request requires because it takes up a stream.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crocushold_base::Event;
@@ -7,9 +8,13 @@
 use crocushold_routing::SoftwareKey;
 use log::info;
 
+use super::message::OriginQuery;
+use super::message::SeenSoftware;
+use super::message::StreamKey;
 use super::message::StreamOrigin;
 use super::shell::Found;
 use crate::fleet::Choice;
+use crate::fleet::short_hash;
 use crate::intake::Job;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
@@ -30,20 +35,7 @@
         return Ok(());
     }
     let now = shared.clock.now();
-    let found = match job.stream {
-        Some(key) => shared.origins.find(key, now).await,
-        None => Found::Unknown,
-    };
-    let only_version = match found {
-        Found::Unknown => only_version(shared, &job.need.service),
-        Found::Here(_) | Found::Elsewhere(_) => None,
-    };
-    let (software, source) = match found {
-        Found::Here(software) => (Some(software), "here"),
-        Found::Elsewhere(software) => (Some(software), "instance"),
-        Found::Unknown if only_version.is_some() => (only_version, "only-version"),
-        Found::Unknown => (None, "unknown"),
-    };
+    let (software, source) = find_origin(shared, job, now).await;
     shared.metrics.count_resumption(source);
     let name = software.and_then(|key| shared.fleet().software_name(key));
     let event = Event::new("stream-taken-up")
@@ -83,14 +75,49 @@
     job.repeat == Repeat::ResumableStream || (job.repeat.is_stream() && has_beginning)
 }
 
-/// The software version of all servers of a service that have been listed for as long as a stream may
-/// last, if this instance has seen all of that time and there is one version only.
-fn only_version(shared: &Shared, service: &str) -> Option<SoftwareKey> {
+/// The software version that began the stream of a request, and how that is known.
+async fn find_origin(
+    shared: &Shared,
+    job: &Job,
+    now: Millis,
+) -> (Option<SoftwareKey>, &'static str) {
+    let known = job.stream.and_then(|key| shared.origins.known(key, now));
+    if known.is_some() {
+        return (known, "here");
+    }
+    let service = short_hash(&job.need.service);
+    let mut seen = vec![seen_software(shared, service)];
+    let needs_others = job.stream.is_some() || !seen[0].complete;
+    if needs_others {
+        let name = StreamKey::new(job.account.as_deref(), &job.id);
+        match shared.origins.find(job.stream, name, service).await {
+            Found::Elsewhere(software) => return (Some(software), "instance"),
+            Found::Unknown(others) => seen.extend(others),
+        }
+    }
+    match SeenSoftware::only_version(&seen) {
+        Some(software) => (Some(software), "only-version"),
+        None => (None, "unknown"),
+    }
+}
+
+/// The software versions of a service that this instance has seen within the longest time for which a
+/// stream may last.
+fn seen_software(shared: &Shared, service: u32) -> SeenSoftware {
     let now = shared.clock.now();
-    let span = shared.table()?.longest_stream();
-    let seen = shared.directory().contact_age(now)?;
-    if seen < span {
-        return None;
+    let Some(table) = shared.table() else {
+        return SeenSoftware::default();
+    };
+    let span = table.longest_stream();
+    let contact = shared.directory().contact_age(now);
+    SeenSoftware {
+        complete: contact.is_some_and(|contact| contact >= span),
+        versions: shared.fleet().listed_software(service, span, now),
     }
-    shared.fleet().only_software(service, span, now)
+}
+
+/// Replies to another instance's question for the origin of a stream.
+pub(crate) fn reply_origin(shared: &Shared, from: SocketAddr, query: OriginQuery) {
+    let seen = seen_software(shared, query.service);
+    shared.origins.reply(from, query, seen, shared.clock.now());
 }
--- a/crates/gateway/src/resumption/shell.rs
+++ b/crates/gateway/src/resumption/shell.rs
@@ -22,6 +22,7 @@
 use super::holders::holders;
 use super::message::OriginQuery;
 use super::message::OriginReply;
+use super::message::SeenSoftware;
 use super::message::StreamKey;
 use super::message::StreamOrigin;
 use super::origins::Origins;
@@ -46,18 +47,16 @@
 /// a second.
 const ROUNDS: usize = 4;
 
-/// The sender of a reply, and the version that it knows, if any.
-type Reply = (SocketAddr, Option<SoftwareKey>);
+/// A reply and its sender.
+type Reply = (SocketAddr, OriginReply);
 
 /// What is known of the origin of a stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Found {
-    /// This instance has a record.
-    Here(SoftwareKey),
     /// Another instance has one.
     Elsewhere(SoftwareKey),
-    /// Nobody who was asked knows it, or none of them replied.
-    Unknown,
+    /// Nobody who replied knows it. Those have seen these versions.
+    Unknown(Vec<SeenSoftware>),
 }
 
 /// The known origins, and the questions of this instance.
@@ -101,12 +100,21 @@
         lock(&self.origins).record(origin, now);
     }
 
-    /// Replies to a question of another instance.
-    pub(crate) fn reply(&self, from: SocketAddr, query: OriginQuery, now: Millis) {
+    /// Replies to a question of another instance, with the versions that this one has seen.
+    pub(crate) fn reply(
+        &self,
+        from: SocketAddr,
+        query: OriginQuery,
+        seen: SeenSoftware,
+        now: Millis,
+    ) {
+        let origins = lock(&self.origins);
         let reply = OriginReply {
             number: query.number,
-            software: lock(&self.origins).software(query.key, now),
+            software: query.key.and_then(|key| origins.software(key, now)),
+            seen,
         };
+        drop(origins);
         self.send(from, &Packet::OriginReply(reply));
     }
 
@@ -114,18 +122,26 @@
     pub(crate) fn handle_reply(&self, from: SocketAddr, reply: OriginReply) {
         if let Some(sender) = lock(&self.pending).get(&reply.number) {
             // The question may have been answered meanwhile.
-            let _ = sender.unbounded_send((from, reply.software));
+            let _ = sender.unbounded_send((from, reply));
         }
     }
 
-    /// Looks up the origin of a stream, here and at its holders.
-    pub(crate) async fn find(&self, key: StreamKey, now: Millis) -> Found {
-        if let Some(software) = lock(&self.origins).software(key, now) {
-            return Found::Here(software);
-        }
-        let asked = holders(key, &lock(&self.members), ASKED);
+    /// The origin of a stream according to the records of this instance.
+    pub(crate) fn known(&self, key: StreamKey, now: Millis) -> Option<SoftwareKey> {
+        lock(&self.origins).software(key, now)
+    }
+
+    /// Asks for the origin of a stream of `service`: the holders of the stream, or those of `name` if
+    /// the stream has no key.
+    pub(crate) async fn find(
+        &self,
+        key: Option<StreamKey>,
+        name: StreamKey,
+        service: u32,
+    ) -> Found {
+        let asked = holders(key.unwrap_or(name), &lock(&self.members), ASKED);
         if asked.is_empty() {
-            return Found::Unknown;
+            return Found::Unknown(Vec::new());
         }
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let (sender, replies) = unbounded();
@@ -134,7 +150,12 @@
             service: self,
             number,
         };
-        self.ask(&asked, OriginQuery { number, key }, replies).await
+        let query = OriginQuery {
+            number,
+            key,
+            service,
+        };
+        self.ask(&asked, query, replies).await
     }
 
     async fn ask(
@@ -144,26 +165,36 @@
         mut replies: UnboundedReceiver<Reply>,
     ) -> Found {
         let mut silent: HashSet<SocketAddr> = asked.iter().copied().collect();
+        let mut seen = Vec::new();
         for _ in 0..ROUNDS {
             for holder in &silent {
                 self.send(*holder, &Packet::OriginQuery(query));
             }
             let round = async {
                 while !silent.is_empty()
-                    && let Some((from, software)) = replies.next().await
+                    && let Some((from, reply)) = replies.next().await
                 {
-                    silent.remove(&from);
-                    if software.is_some() {
-                        return software;
+                    if !silent.remove(&from) {
+                        continue;
+                    }
+                    if reply.software.is_some() {
+                        return reply.software;
+                    }
+                    seen.push(reply.seen);
+                    // Without a key there is no better reply to wait for.
+                    if query.key.is_none() && reply.seen.complete {
+                        break;
                     }
                 }
                 None
             };
-            if let Ok(known) = timeout(REPEAT_AFTER.into(), round).await {
-                return known.map_or(Found::Unknown, Found::Elsewhere);
+            match timeout(REPEAT_AFTER.into(), round).await {
+                Ok(Some(software)) => return Found::Elsewhere(software),
+                Ok(None) => break,
+                Err(_) => {}
             }
         }
-        Found::Unknown
+        Found::Unknown(seen)
     }
 
     /// Forgets the streams that can't be taken up any more. Returns how many are known.
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -30,6 +30,7 @@
 use crate::quarantine;
 use crate::reach;
 use crate::relay::RelayPeer;
+use crate::resumption::reply_origin;
 use crate::shared::Shared;
 
 /// Interval of gossip rounds. A change reaches the whole fleet within three rounds, in which an
@@ -81,7 +82,7 @@
             Some(Packet::Brittle(known)) => shared.record_remote_brittle(&known),
             Some(Packet::Departures(departed)) => shared.record_remote_departures(&departed),
             Some(Packet::Origin(origin)) => shared.origins.record_remote(origin, now),
-            Some(Packet::OriginQuery(query)) => shared.origins.reply(from, query, now),
+            Some(Packet::OriginQuery(query)) => reply_origin(&shared, from, query),
             Some(Packet::OriginReply(reply)) => shared.origins.handle_reply(from, reply),
             Some(Packet::Contact(age)) => follow::on_peer_contact(&shared, age),
             Some(Packet::ContactQuery) => {
--- a/crates/gateway/tests/origins.rs
+++ b/crates/gateway/tests/origins.rs
@@ -5,6 +5,8 @@
 use crocushold_base::Millis;
 use crocushold_gateway::Origins;
 use crocushold_gateway::Packet;
+use crocushold_gateway::SeenSoftware;
+use crocushold_gateway::SoftwareVersions;
 use crocushold_gateway::StreamKey;
 use crocushold_gateway::StreamOrigin;
 use crocushold_gateway::holders;
@@ -117,3 +119,32 @@
         Some(Packet::Origin(origin("a", "v1")))
     );
 }
+
+/// Guards against a version that is taken for the only one although an instance has seen another, or
+/// none has seen all of the time.
+#[test]
+fn the_only_version_is_one_that_nobody_contradicts() {
+    let seen = |complete, versions| SeenSoftware { complete, versions };
+    let [first, second] = ["v1", "v2"].map(|name| SoftwareVersions::One(SoftwareKey::new(name)));
+    let only = |all: &[SeenSoftware]| SeenSoftware::only_version(all);
+    let complete = seen(true, first);
+    assert_eq!(only(&[complete]), Some(SoftwareKey::new("v1")));
+    assert_eq!(only(&[seen(false, first), complete]), only(&[complete]));
+    assert_eq!(
+        only(&[SeenSoftware::default(), complete]),
+        only(&[complete])
+    );
+    assert_eq!(only(&[]), None);
+    assert_eq!(only(&[seen(false, first)]), None);
+    assert_eq!(only(&[seen(false, second), complete]), None);
+    assert_eq!(only(&[complete, seen(true, second)]), None);
+    assert_eq!(
+        only(&[complete, seen(true, SoftwareVersions::Several)]),
+        None
+    );
+    assert_eq!(
+        only(&[complete, seen(false, SoftwareVersions::Several)]),
+        None
+    );
+    assert_eq!(only(&[seen(true, SoftwareVersions::None)]), None);
+}
