gateway: only streams that may be taken up count for the time to have seen

The time that an instance must have seen, and for which versions count, is now the longest timeout of the routes whose streams may be taken up.

--- a/crates/gateway/src/fleet/software.rs
+++ b/crates/gateway/src/fleet/software.rs
@@ -13,8 +13,8 @@
 /// How long a version is remembered after its last server has left.
 const MEMORY: Millis = Millis::from_secs(3600);
 
-/// Time by which the record of a version may be older than the removal of its last server: some
-/// intervals of [`Fleet::tick`].
+/// Time by which the record of a version may be older than the last answer of its last server: some
+/// intervals of [`Fleet::tick`], and the time of a request that was on its way when the entry went.
 const RECORD_LAG: Millis = Millis::from_secs(2);
 
 /// The software versions of each service, with the time at which each was last listed.
--- a/crates/gateway/src/resumption/resolve.rs
+++ b/crates/gateway/src/resumption/resolve.rs
@@ -102,13 +102,13 @@
 }
 
 /// The software versions of a service that this instance has seen within the longest time for which a
-/// stream may last.
+/// stream that may be taken up may last.
 fn seen_software(shared: &Shared, service: u32) -> SeenSoftware {
     let now = shared.clock.now();
     let Some(table) = shared.table() else {
         return SeenSoftware::default();
     };
-    let span = table.longest_stream();
+    let span = table.longest_resumable();
     let contact = shared.directory().contact_age(now);
     SeenSoftware {
         complete: contact.is_some_and(|contact| contact >= span),
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -334,9 +334,10 @@
         route.repeat.is_stream() && tight && min_gap.0 * LIVE_GAP_RATIO <= max_gap.0
     }
 
-    /// The longest time for which a stream may last.
-    pub fn longest_stream(&self) -> Millis {
-        let streams = self.routes.iter().filter(|route| route.repeat.is_stream());
+    /// The longest time for which a stream that may be taken up may last.
+    pub fn longest_resumable(&self) -> Millis {
+        let streams = self.routes.iter();
+        let streams = streams.filter(|route| route.repeat == Repeat::ResumableStream);
         let timeouts = streams.map(|route| route.timeout);
         timeouts.max().unwrap_or(Millis::ZERO)
     }
