gateway, soak: a stream that is taken up waits for a server of its version

The soak has a scenario with two and three software versions: servers crash, break streams off or are replaced by the next version, gateways are stopped, killed and paused, the store is away, and callers take streams up at random gateways by Resumes and Last-Event-Id.

By the logs the version was known each time; the requests were refused as cold (a cold server takes four a second) or unreachable (all listed servers of the version had just ended).

Cause in the product: a version has a part of the servers only, and a request that found none of them free was refused at once, though its caller has one or two tries. It now waits here as requests for brittle servers do, half a second and a quarter of its remaining time at most, also where all servers of the version are out of reach; only a long queue (late) still refuses at once.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -94,6 +94,10 @@
     /// The other instance that made the last choice, if any.
     placer: Option<SocketAddr>,
     tried: Vec<ServerKey>,
+    /// Until when the request may wait here for a server, once it has waited.
+    wait_until: Option<Millis>,
+    /// Time until the next look for a server, once it has waited.
+    look_interval: Option<Millis>,
 }
 
 /// Result of one attempt.
@@ -152,6 +156,8 @@
             expected_prefill: 0,
             placer: None,
             tried: Vec::new(),
+            wait_until: None,
+            look_interval: None,
         }
     }
 
@@ -166,8 +172,14 @@
             if self.is_cut_off() {
                 // A request is relayed once at most.
                 if self.job.entry.is_none() {
-                    if let Some(result) = self.relay_through_peer(hangup).await {
-                        return result;
+                    match self.relay_through_peer(hangup).await {
+                        Some(Err(failure))
+                            if self.may_wait_for_path(&failure) && self.wait_for_server().await =>
+                        {
+                            continue;
+                        }
+                        Some(result) => return result,
+                        None => {}
                     }
                 } else if !self.facts.written {
                     return Err(relay::unreachable());
--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -15,22 +15,18 @@
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 
-/// Maximum time for which a request waits here while no brittle server has room, and the part of its
-/// remaining time that it may take at most.
-const MAX_ROOM_WAIT: Millis = Millis(500);
-const ROOM_WAIT_DIVISOR: u64 = 4;
+/// Maximum time for which a request waits here for a server, and the part of its remaining time that it
+/// may take at most.
+const MAX_WAIT: Millis = Millis(500);
+const WAIT_DIVISOR: u64 = 4;
 
-/// Time until the second look for room of the most urgent requests. It grows by half with each one,
-/// as every look is a question to the placer.
-const ROOM_INTERVAL: Millis = Millis(8);
+/// Time until the second look for a server of the most urgent requests. It grows by half with each
+/// one, as every look is a question to the placer.
+const LOOK_INTERVAL: Millis = Millis(8);
 
 impl Exchange<'_> {
-    /// Chooses a server, and waits for one with room if the servers are brittle.
+    /// Chooses a server, and waits for one if the request may wait here.
     pub(super) async fn choose(&mut self) -> Result<Choice, Failure> {
-        let started = self.shared.clock.now();
-        let longest = Millis(self.job.deadline.since(started).0 / ROOM_WAIT_DIVISOR);
-        let longest = longest.min(MAX_ROOM_WAIT);
-        let mut interval = self.room_interval();
         let none = loop {
             let now = self.shared.clock.now();
             if now >= self.job.deadline {
@@ -40,10 +36,7 @@
             self.check_quarantine(now)?;
             match self.pick(now).await {
                 Ok(choice) => return Ok(self.record_choice(choice)),
-                Err(none) if self.waits_for_room(&none) && now.since(started) < longest => {
-                    task::sleep(interval.into()).await;
-                    interval = Millis(interval.0 * 3 / 2);
-                }
+                Err(none) if self.may_wait(&none) && self.wait_for_server().await => {}
                 Err(none) => break none,
             }
         };
@@ -68,15 +61,31 @@
         choice
     }
 
-    /// Whether the request waits here rather than in the queue of a brittle server.
-    fn waits_for_room(&self, none: &NoServer) -> bool {
-        none.reason == routing::Reason::Busy && self.shared.fleet().is_brittle(&self.job.need)
+    /// Whether the request waits here: rather than in the queue of a brittle server, or because it takes
+    /// up a stream, for which only a part of the servers can be used and whose caller has few tries
+    /// left.
+    fn may_wait(&self, none: &NoServer) -> bool {
+        let is_late = matches!(none.reason, routing::Reason::Late { .. });
+        let takes_up = self.job.need.software.is_some() && !is_late;
+        let is_busy = none.reason == routing::Reason::Busy;
+        takes_up || is_busy && self.shared.fleet().is_brittle(&self.job.need)
     }
 
-    /// Time between the first two looks for room. Urgent requests look more often, so that they are
-    /// the first to get it.
-    fn room_interval(&self) -> Millis {
-        Millis(ROOM_INTERVAL.0 * (1 + u64::from(self.job.need.priority)))
+    /// Waits until the next look for a server; `false` if the request has waited for as long as it may.
+    /// Urgent requests look more often, so that they are the first to get one.
+    pub(super) async fn wait_for_server(&mut self) -> bool {
+        let now = self.shared.clock.now();
+        let longest = Millis(self.job.deadline.since(now).0 / WAIT_DIVISOR).min(MAX_WAIT);
+        let until = *self.wait_until.get_or_insert(now + longest);
+        if now >= until {
+            return false;
+        }
+        let rank = u64::from(self.job.need.priority);
+        let interval = self.look_interval;
+        let interval = interval.unwrap_or(Millis(LOOK_INTERVAL.0 * (1 + rank)));
+        self.look_interval = Some(Millis(interval.0 * 3 / 2));
+        task::sleep(interval.min(until.since(now)).into()).await;
+        true
     }
 
     /// Refuses a request under which servers have ended. Each further attempt would end another
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -108,6 +108,17 @@
         Some(Err(Failure::Refused(refusal)))
     }
 
+    /// Whether a request that no instance could send may wait for a server within reach. One that takes
+    /// up a stream may: it needs a server of one version, of which all that are listed may just have
+    /// ended.
+    pub(super) fn may_wait_for_path(&self, failure: &Failure) -> bool {
+        let is_unreachable = matches!(
+            failure,
+            Failure::Refused(refusal) if refusal.reason == Reason::Unreachable
+        );
+        is_unreachable && self.job.need.software.is_some()
+    }
+
     async fn ask_peer(&self, peer: SocketAddr, hangup: &Hangup) -> PeerResult {
         let guard = PeerGuard {
             shared: self.shared.clone(),
