gateway: no version is guessed while an instance that may know it is silent

By reading, not seen: an instance that is cut off silently from the store and from the others believes for some seconds that it has seen all versions. A stream that others began meanwhile at a new version, named by its caller, would have gone on at the old one there, and the rule holds for instances out of touch too.

--- a/crates/gateway/src/resumption/resolve.rs
+++ b/crates/gateway/src/resumption/resolve.rs
@@ -93,6 +93,7 @@
         match shared.origins.find(job.stream, name, service).await {
             Found::Elsewhere(software) => return (Some(software), "instance"),
             Found::Unknown(others) => seen.extend(others),
+            Found::Unsure => return (None, "unsure"),
         }
     }
     match SeenSoftware::only_version(&seen) {
--- a/crates/gateway/src/resumption/shell.rs
+++ b/crates/gateway/src/resumption/shell.rs
@@ -55,8 +55,10 @@
 pub(crate) enum Found {
     /// Another instance has one.
     Elsewhere(SoftwareKey),
-    /// Nobody who replied knows it. Those have seen these versions.
+    /// Nobody who was asked knows it. They have seen these versions.
     Unknown(Vec<SeenSoftware>),
+    /// One that may know it hasn't replied.
+    Unsure,
 }
 
 /// The known origins, and the questions of this instance.
@@ -89,9 +91,9 @@
     /// it before the caller has the first event.
     pub(crate) fn record(&self, origin: StreamOrigin, now: Millis) {
         lock(&self.origins).record(origin, now);
-        let packet = Packet::Origin(origin);
-        for holder in holders(origin.key, &lock(&self.members), HOLDERS) {
-            self.send(holder, &packet);
+        let told = holders(origin.key, &lock(&self.members), HOLDERS);
+        for holder in told {
+            self.send(holder, &Packet::Origin(origin));
         }
     }
 
@@ -194,7 +196,10 @@
                 Err(_) => {}
             }
         }
-        Found::Unknown(seen)
+        match query.key {
+            Some(_) if !silent.is_empty() => Found::Unsure,
+            _ => Found::Unknown(seen),
+        }
     }
 
     /// Forgets the streams that can't be taken up any more. Returns how many are known.
