--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 mod choose;
 mod relay;
+mod respond;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,13 +11,11 @@
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
 use crocushold_http::Answer;
-use crocushold_http::EventCounter;
 use crocushold_http::Hangup;
 use crocushold_http::Reuse;
 use crocushold_http::SendError;
 use crocushold_http::SendErrorKind;
 use crocushold_http::SendLimits;
-use crocushold_http::relay_headers;
 use crocushold_routing::Decision;
 use crocushold_routing::Outcome;
 use crocushold_routing::RequestFacts;
@@ -24,8 +23,6 @@
 use futures::future::Either;
 use futures::future::select;
 use http_types::Response;
-use http_types::headers::CONTENT_TYPE;
-use http_types::headers::HeaderValues;
 use log::info;
 
 pub(crate) use self::relay::PeerGuard;
@@ -35,12 +32,9 @@
 use crate::protocol::Forward;
 use crate::quarantine::run_cut;
 use crate::reach;
-use crate::record::RequestRecord;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::resumption::record_origin;
-use crate::settle::AnswerObserver;
-use crate::settle::PauseTracker;
 use crate::settle::Upstream;
 use crate::shared::Shared;
 use crate::verdict::Verdict;
@@ -66,9 +60,6 @@
 /// completes.
 const MIN_RETRY_AFTER: Millis = Millis(500);
 
-/// Media type of a stream of server-sent events.
-const EVENT_STREAM: &str = "text/event-stream";
-
 /// Why a request ended without an answer to relay.
 #[derive(Debug)]
 pub(crate) enum Failure {
@@ -412,76 +403,6 @@
             .with("cause", cause);
         info!("{event}");
     }
-
-    /// Returns the response with which an answer reaches the caller, or the instance that relayed the
-    /// request.
-    fn respond(&self, mut answer: Answer, upstream: Upstream) -> Response {
-        let now = self.shared.clock.now();
-        let record = self.record();
-        let label = record.repeat.label();
-        let duration = now.since(record.arrived);
-        let metrics = &self.shared.metrics;
-        metrics.observe_latency(label, record.priority, "head", duration);
-        let mut response = Response::new(answer.status);
-        relay_headers(&answer.headers, response.as_mut());
-        let server = match &upstream {
-            Upstream::Server(choice, _) => Some(choice.address),
-            Upstream::Peer(_) => None,
-        };
-        let settle = AnswerObserver {
-            shared: self.shared.clone(),
-            record,
-            upstream,
-            status: answer.status.into(),
-            head_at: now,
-            delimiter: answer.body.delimiter(),
-            counter: EventCounter::new(),
-            pauses: PauseTracker::from(now),
-        };
-        let content_type = answer.headers.get(CONTENT_TYPE).cloned();
-        let media_type = content_type.as_ref().map(media_type);
-        // A failure on a stream's route is described in some other way.
-        let untyped_events = self.job.repeat.is_stream() && answer.status.is_success();
-        if media_type.map_or(untyped_events, |name| {
-            name.eq_ignore_ascii_case(EVENT_STREAM)
-        }) {
-            answer.body.expect_events();
-        }
-        if let Some(address) = server {
-            answer.body.set_end_check(reach::is_alive(address));
-        }
-        response.set_body(answer.body.into_body(settle));
-        // `set_body` overwrites the content type.
-        match content_type {
-            Some(values) => response.insert_header(CONTENT_TYPE, &values),
-            None => response.remove_header(CONTENT_TYPE),
-        };
-        response
-    }
-
-    /// The data for the log line at the end of the request.
-    pub(crate) fn record(&self) -> RequestRecord {
-        RequestRecord {
-            id: self.job.id.clone(),
-            route: self.job.route.clone(),
-            content: self.job.content,
-            account: self.job.account.clone(),
-            repeat: self.job.repeat,
-            priority: self.job.need.priority,
-            version: self.job.version,
-            arrived: self.job.arrived,
-            attempts: self.facts.attempts,
-            max_output_tokens: self.job.need.max_output_tokens,
-            prefix: self.job.need.prefix,
-            source: self.source,
-            expected_wait: self.expected_wait,
-            wait_limit: self.job.need.wait_limit,
-            expected_prefill: self.expected_prefill,
-            placer: self.placer,
-            entry: self.job.entry.clone(),
-            resumption: self.job.resumption.clone(),
-        }
-    }
 }
 
 /// Limits on an attempt. A silent server may still be working; only the deadline of the request
@@ -497,12 +418,6 @@
     }
 }
 
-/// The content type without its parameters.
-fn media_type(content_type: &HeaderValues) -> &str {
-    let text = content_type.last().as_str();
-    text.split(';').next().unwrap_or_default().trim()
-}
-
 fn label(stage: Stage) -> &'static str {
     match stage {
         Stage::NotConnected => "not-connected",
