gateway: the log names the first attempt of a stream in the product's word

Read as a newcomer: request-ended had a field with the name of a header of the platform, which stands in platform/ alone. A variable of http is named for what it holds. No decision changes.

--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -70,7 +70,7 @@
         };
         let text = |id: &Option<String>| id.clone().unwrap_or_else(|| "none".to_owned());
         event
-            .with("resumes", text(&resumption.first_attempt))
+            .with("first-attempt", text(&resumption.first_attempt))
             .with("last-event", text(&resumption.last_event))
     }
 }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -282,7 +282,7 @@
                 read_buffer.remaining -= count as u64;
                 Poll::Ready(Ok(count))
             }
-            Poll::Ready(error) => Poll::Ready(self.note_failure(error)),
+            Poll::Ready(failed) => Poll::Ready(self.note_failure(failed)),
             Poll::Pending => {
                 read_buffer.read_pending = true;
                 Poll::Pending
