gateway: the log names the content and the prompt parts of each run that a server cuts

The logs of an incident in which 15 engines ended under one prefix can't tell which part of a prompt the runs under these ends had in common: request-ended has one hash of all shared parts. run-cut gives the content, the shared parts, the server's process, for how long the answer had been arriving and how many events it had. Names of contents and parts differ between instances, as before. Decisions are unchanged.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -30,6 +30,7 @@
 use crate::intake::Job;
 use crate::protocol::AnswerMeta;
 use crate::protocol::Forward;
+use crate::quarantine::CutRun;
 use crate::quarantine::run_cut;
 use crate::reach;
 use crate::refusal::Reason;
@@ -276,7 +277,12 @@
                 slot.done(outcome_of(&error));
                 self.record_failure(choice, stage, &error.to_string());
                 if error.is_disconnect() {
-                    run_cut(self.shared, choice, self.job.content);
+                    let cut = CutRun {
+                        request: &self.job.id,
+                        content: &self.job.content,
+                        answering: None,
+                    };
+                    run_cut(self.shared, choice, &cut);
                 }
                 let timed_out = matches!(
                     error.kind,
@@ -395,7 +401,7 @@
             .with("request", &self.job.id)
             .with(
                 "content",
-                self.shared.content_names.pseudonym(self.job.content),
+                self.shared.content_names.pseudonym(self.job.content.request),
             )
             .with("server", &choice.id)
             .with("stage", label(stage))
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -90,7 +90,7 @@
         RequestRecord {
             id: self.job.id.clone(),
             route: self.job.route.clone(),
-            content: self.job.content,
+            content: self.job.content.clone(),
             account: self.job.account.clone(),
             repeat: self.job.repeat,
             priority: self.job.need.priority,
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -11,6 +11,7 @@
 use crocushold_http::read_body;
 use crocushold_http::relay_headers;
 use crocushold_routing::Fingerprint;
+use crocushold_routing::RequestContent;
 use http_types::Body;
 use http_types::Headers;
 use http_types::Method;
@@ -72,8 +73,8 @@
     /// Maximum number of servers that the request is sent to.
     pub(crate) attempts: u32,
     pub(crate) need: Need,
-    /// Fingerprint of the request and its account. It is the same for every retry.
-    pub(crate) content: Fingerprint,
+    /// What is asked. It is the same for every retry.
+    pub(crate) content: RequestContent,
     /// When the head of the request was complete.
     pub(crate) arrived: Millis,
     /// Deadline of the request.
@@ -145,6 +146,8 @@
         relayed: RelayedRequest,
         arrived: Millis,
     ) -> Result<Job, Refusal> {
+        let meta = shared.protocol.request(request.as_ref());
+        let parts = part_fingerprints(&relayed.need.service, &meta.prompt);
         let job = Job {
             id: relayed.id,
             route: relayed.route,
@@ -153,7 +156,7 @@
             account: relayed.account,
             attempts: relayed.attempts,
             need: relayed.need,
-            content: Fingerprint::of(&[]),
+            content: unread_content(parts),
             arrived,
             deadline: arrived + relayed.remaining,
             entry: Some(relayed.entry),
@@ -187,7 +190,7 @@
             self.reserved.push(reserve(shared, more)?);
         }
         self.outgoing.body = SharedBody(Arc::new(body));
-        self.content = self.outgoing.content(self.account.as_deref());
+        self.content.request = self.outgoing.fingerprint(self.account.as_deref());
         Ok(self)
     }
 
@@ -242,7 +245,7 @@
                 regions: table.regions(route, account),
                 software: None,
             },
-            content: Fingerprint::of(&[]),
+            content: unread_content(part_fingerprints(service, &meta.prompt)),
             arrived,
             deadline: arrived + timeout.min(route.timeout),
             entry: None,
@@ -289,7 +292,7 @@
         }
     }
 
-    fn content(&self, account: Option<&str>) -> Fingerprint {
+    fn fingerprint(&self, account: Option<&str>) -> Fingerprint {
         let account = account.unwrap_or_default();
         Fingerprint::of(&[
             self.method.as_ref().as_bytes(),
@@ -363,6 +366,24 @@
     Some(XxHash3_64::oneshot(&bytes) as u32)
 }
 
+/// The content of a request whose body hasn't been read yet.
+fn unread_content(parts: Arc<[Fingerprint]>) -> RequestContent {
+    RequestContent {
+        request: Fingerprint::of(&[]),
+        parts,
+    }
+}
+
+/// Fingerprints of the prompt parts that other requests for the service may share, which are all but
+/// the last.
+fn part_fingerprints(service: &str, prompt: &[PromptPart]) -> Arc<[Fingerprint]> {
+    let common = prompt.split_last().map_or(&[][..], |(_, common)| common);
+    let parts = common.iter();
+    let fingerprints =
+        parts.map(|part| Fingerprint::of(&[service.as_bytes(), &part.id.to_le_bytes()]));
+    fingerprints.collect()
+}
+
 fn refuse_body(error: &BodyError) -> Refusal {
     Refusal::new(match error.status() {
         StatusCode::PayloadTooLarge => Reason::BodyTooLarge,
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -5,10 +5,12 @@
 
 use async_std::task;
 use crocushold_base::Event;
+use crocushold_base::Millis;
 use crocushold_http::refuses_connections;
 use crocushold_routing::Fingerprint;
 use crocushold_routing::Incarnation;
 use crocushold_routing::Quarantine;
+use crocushold_routing::RequestContent;
 use crocushold_routing::Run;
 use crocushold_routing::Suspicion;
 use log::info;
@@ -39,17 +41,37 @@
     }
 }
 
+/// A request that a server cut.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CutRun<'a> {
+    /// The request's ID.
+    pub(crate) request: &'a str,
+    pub(crate) content: &'a RequestContent,
+    /// The answer, if it had begun.
+    pub(crate) answering: Option<Answering>,
+}
+
+/// An answer that has begun.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Answering {
+    /// When its head arrived.
+    pub(crate) since: Millis,
+    /// Number of events that have arrived.
+    pub(crate) events: u64,
+}
+
 /// Records that a server cut a request. A reset or a lost answer looks the same as the end of the
 /// process, so the server is probed: if the process is alive, it still accepts connections. If no
 /// other server does either, the network path was lost, which says nothing about the server.
-pub(crate) fn run_cut(shared: &Arc<Shared>, choice: &Choice, content: Fingerprint) {
+pub(crate) fn run_cut(shared: &Arc<Shared>, choice: &Choice, cut: &CutRun<'_>) {
     // A planned shutdown cuts the remaining requests at the end of its grace period.
     if shared.fleet().serving(&choice.id) != Some(choice.incarnation) {
         return;
     }
     let now = shared.clock.now();
+    log_cut(shared, choice, cut, now);
     let run = Run {
-        content,
+        content: cut.content.request,
         server: choice.incarnation,
         sent: choice.chosen,
     };
@@ -109,6 +131,24 @@
         .set_quarantined(quarantine.quarantined_count(now));
 }
 
+/// Logs what ran on a server when it cut its connections, so that the runs under an end can be
+/// compared.
+fn log_cut(shared: &Shared, choice: &Choice, cut: &CutRun<'_>, now: Millis) {
+    let name = |content: &Fingerprint| shared.content_names.pseudonym(content);
+    let parts: Vec<String> = cut.content.parts.iter().map(name).collect();
+    let answering = cut.answering;
+    let answering_for = answering.map(|answering| now.since(answering.since).to_string());
+    let event = Event::new("run-cut")
+        .with("request", cut.request)
+        .with("content", name(&cut.content.request))
+        .with("parts", parts.join(","))
+        .with("server", &choice.id)
+        .with("incarnation", incarnation_name(choice.incarnation))
+        .with("answering", answering_for.as_deref().unwrap_or("none"))
+        .with("events", answering.map_or(0, |answering| answering.events));
+    info!("{event}");
+}
+
 async fn probe_server(shared: Arc<Shared>, choice: Choice) {
     if refuses_connections(choice.address).await && is_path_open(&shared, &choice).await {
         server_ended(&shared, &choice.id, choice.incarnation, Evidence::Refused);
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -4,7 +4,7 @@
 
 use crocushold_base::Event;
 use crocushold_base::Millis;
-use crocushold_routing::Fingerprint;
+use crocushold_routing::RequestContent;
 
 use crate::protocol::Resumption;
 use crate::routes::Repeat;
@@ -15,8 +15,8 @@
 pub(crate) struct RequestRecord {
     pub(crate) id: String,
     pub(crate) route: String,
-    /// Fingerprint of the request and its account.
-    pub(crate) content: Fingerprint,
+    /// What is asked.
+    pub(crate) content: RequestContent,
     /// The caller's account.
     pub(crate) account: Option<String>,
     pub(crate) repeat: Repeat,
@@ -52,7 +52,7 @@
         let event = Event::new("request-ended")
             .with("request", &self.id)
             .with("route", &self.route)
-            .with("content", shared.content_names.pseudonym(self.content))
+            .with("content", shared.content_names.pseudonym(self.content.request))
             .with("account", self.account.as_deref().unwrap_or("none"))
             .with("rank", self.priority)
             .with("config", self.version)
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -12,6 +12,8 @@
 
 use crate::exchange::PeerGuard;
 use crate::fleet::Choice;
+use crate::quarantine::Answering;
+use crate::quarantine::CutRun;
 use crate::quarantine::run_cut;
 use crate::quarantine::served;
 use crate::record::RequestRecord;
@@ -129,13 +131,21 @@
 
     /// Reports the end of an answer of a server, whose head gave `outcome`.
     fn report(&self, end: AnswerEnd, choice: &Choice, outcome: Outcome) {
-        let content = self.record.content;
+        let content = &self.record.content;
         match end {
             AnswerEnd::Complete { .. } if outcome == Outcome::Complete => {
-                served(&self.shared, content);
+                served(&self.shared, content.request);
             }
             AnswerEnd::Cut { cause, .. } if cause.is_disconnect() => {
-                run_cut(&self.shared, choice, content);
+                let cut = CutRun {
+                    request: &self.record.id,
+                    content,
+                    answering: Some(Answering {
+                        since: self.head_at,
+                        events: self.counter.events(),
+                    }),
+                };
+                run_cut(&self.shared, choice, &cut);
             }
             _ => {}
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -72,6 +72,7 @@
 pub use quarantine::QuarantineSettings;
 pub use quarantine::Quarantined;
 pub use quarantine::ReportedEnd;
+pub use quarantine::RequestContent;
 pub use quarantine::Run;
 pub use quarantine::Suspicion;
 pub use reachability::Reach;
--- a/crates/routing/src/quarantine/fingerprint.rs
+++ b/crates/routing/src/quarantine/fingerprint.rs
@@ -1,4 +1,6 @@
-//! Identifies repeated requests by their content.
+//! Identifies requests, and parts of prompts, by their content.
+
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -20,3 +22,23 @@
         Fingerprint(XxHash3_128::oneshot(&bytes))
     }
 }
+
+/// The content of a request: the whole of it, and the parts of its prompt that other requests may
+/// have as well.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestContent {
+    /// Fingerprint of the request and its account.
+    pub request: Fingerprint,
+    /// Fingerprints of the shared parts of its prompt.
+    pub parts: Arc<[Fingerprint]>,
+}
+
+impl From<Fingerprint> for RequestContent {
+    /// A request whose prompt has no parts that others may have.
+    fn from(request: Fingerprint) -> RequestContent {
+        RequestContent {
+            request,
+            parts: Arc::default(),
+        }
+    }
+}
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -25,6 +25,7 @@
 use serde::Serialize;
 
 pub use self::fingerprint::Fingerprint;
+pub use self::fingerprint::RequestContent;
 use self::record::End;
 use self::record::Record;
 use self::served::RecentlyServed;
