--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -401,7 +401,9 @@
             .with("request", &self.job.id)
             .with(
                 "content",
-                self.shared.content_names.pseudonym(self.job.content.request),
+                self.shared
+                    .content_names
+                    .pseudonym(self.job.content.request),
             )
             .with("server", &choice.id)
             .with("stage", label(stage))
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -52,7 +52,10 @@
         let event = Event::new("request-ended")
             .with("request", &self.id)
             .with("route", &self.route)
-            .with("content", shared.content_names.pseudonym(self.content.request))
+            .with(
+                "content",
+                shared.content_names.pseudonym(self.content.request),
+            )
             .with("account", self.account.as_deref().unwrap_or("none"))
             .with("rank", self.priority)
             .with("config", self.version)
