--- a/crates/entry/src/coordination/suspects.rs
+++ b/crates/entry/src/coordination/suspects.rs
@@ -19,6 +19,7 @@
 use crocushold_routing::Incarnation;
 use crocushold_routing::Quarantine;
 use crocushold_routing::Run;
+use crocushold_routing::SuspectKind;
 use crocushold_routing::Suspicion;
 use log::info;
 use log::warn;
@@ -79,7 +80,10 @@
     /// Returns a refusal if servers ended under it: each attempt would end another one, with all
     /// requests that run there.
     pub(crate) fn admit(&self, content: Fingerprint) -> Result<(), Refusal> {
-        let admitted = self.state().quarantine.admit(content, self.clock.now());
+        let admitted = self
+            .state()
+            .quarantine
+            .admit(&content.into(), self.clock.now());
         admitted.map_err(|held| {
             let text = "backend servers ended while they ran this request";
             Refusal::not_run(Reason::Quarantined, text).retry_after(held.retry_after)
@@ -99,9 +103,11 @@
         let mut state = self.state();
         let server = self.incarnation(&state, address);
         let run = Run {
-            content,
+            content: content.into(),
             server,
             sent,
+            began: None,
+            writing: None,
         };
         let needs_check = state.quarantine.run_cut(run, now);
         self.log_quarantined(state);
@@ -113,7 +119,7 @@
     /// Handles a request that was served completely.
     pub(crate) fn on_served(&self, content: Fingerprint) {
         let now = self.clock.now();
-        if self.state().quarantine.served(content, now) {
+        if self.state().quarantine.served(&content.into(), now, now) {
             let content = self.names.pseudonym(content);
             info!("{}", Event::new("content-cleared").with("content", content));
         }
@@ -124,7 +130,9 @@
         let now = self.clock.now();
         let mut state = self.state();
         for suspicion in suspicions {
-            state.quarantine.apply_suspicion(suspicion, now);
+            state
+                .quarantine
+                .apply_suspicion(SuspectKind::Request, suspicion, now);
         }
         self.log_quarantined(state);
     }
@@ -172,9 +180,9 @@
         let quarantine = &mut self.state().quarantine;
         quarantine.expire(now);
         if all {
-            quarantine.all_suspicions(now)
+            quarantine.all_suspicions(SuspectKind::Request, now)
         } else {
-            quarantine.unsent_suspicions(now)
+            quarantine.unsent_suspicions(SuspectKind::Request, now)
         }
     }
 }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -15,7 +15,9 @@
 use crate::exchange::Exchange;
 use crate::exchange::Failure;
 use crate::intake::Job;
+use crate::quarantine::part_names;
 use crate::record::RequestRecord;
+use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::resumption::require_origin;
 use crate::shared::Shared;
@@ -88,10 +90,13 @@
         metrics.request_ended(record.repeat.label(), record.priority, label);
         count_unanswered(shared, record, label);
     }
-    let event = record
+    let mut event = record
         .end_event(shared, label)
         .with("status", refusal.status())
         .with("retry-after", refusal.retry_after.unwrap_or(Millis::ZERO));
+    if refusal.reason == Reason::Quarantined {
+        event = event.with("parts", part_names(shared, &record.content));
+    }
     info!("{event}");
 }
 
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -43,6 +43,8 @@
             upstream,
             status: answer.status.into(),
             head_at: now,
+            writing: None,
+            survived: false,
             delimiter: answer.body.delimiter(),
             counter: EventCounter::new(),
             pauses: PauseTracker::from(now),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,7 @@
     resumptions: IntCounterVec,
     known_streams: IntGauge,
     quarantined: IntGauge,
+    quarantined_parts: IntGauge,
     unreachable: IntGauge,
     path_lost: IntGauge,
     version: IntGauge,
@@ -117,6 +118,10 @@
             "crocushold_quarantined_contents",
             "Requests that are held back, as servers ended under them",
         );
+        let quarantined_parts = gauge(
+            "crocushold_quarantined_parts",
+            "Prompt parts whose requests are held back, as servers ended under them",
+        );
         let unreachable = gauge(
             "crocushold_servers_unreachable",
             "Servers to which this instance can't open connections",
@@ -127,7 +132,7 @@
         );
         let version = gauge("crocushold_config_version", "The configuration in force");
         let running = gauge("crocushold_requests_running", "Requests in progress");
-        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 20] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(ends.clone()),
@@ -143,6 +148,7 @@
             Box::new(resumptions.clone()),
             Box::new(known_streams.clone()),
             Box::new(quarantined.clone()),
+            Box::new(quarantined_parts.clone()),
             Box::new(unreachable.clone()),
             Box::new(path_lost.clone()),
             Box::new(version.clone()),
@@ -169,6 +175,7 @@
             resumptions,
             known_streams,
             quarantined,
+            quarantined_parts,
             unreachable,
             path_lost,
             version,
@@ -221,10 +228,12 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
-    /// Sets the number of quarantined requests.
-    pub(crate) fn set_quarantined(&self, count: usize) {
+    /// Sets the number of quarantined requests and of quarantined prompt parts.
+    pub(crate) fn set_quarantined(&self, requests: usize, parts: usize) {
         self.quarantined
-            .set(i64::try_from(count).unwrap_or(i64::MAX));
+            .set(i64::try_from(requests).unwrap_or(i64::MAX));
+        self.quarantined_parts
+            .set(i64::try_from(parts).unwrap_or(i64::MAX));
     }
 
     /// Sets how many servers are out of reach, and whether all of them are taken to be.
--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -45,6 +45,8 @@
     OriginQuery(OriginQuery),
     /// The reply to such a question.
     OriginReply(OriginReply),
+    /// Parts of prompts under which servers ended.
+    PartSuspicions(Vec<Suspicion>),
 }
 
 impl Packet {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -7,11 +7,11 @@
 use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_http::refuses_connections;
-use crocushold_routing::Fingerprint;
 use crocushold_routing::Incarnation;
 use crocushold_routing::Quarantine;
 use crocushold_routing::RequestContent;
 use crocushold_routing::Run;
+use crocushold_routing::SuspectKind;
 use crocushold_routing::Suspicion;
 use log::info;
 use log::warn;
@@ -56,6 +56,8 @@
 pub(crate) struct Answering {
     /// When its head arrived.
     pub(crate) since: Millis,
+    /// When the first piece of its body arrived.
+    pub(crate) writing: Option<Millis>,
     /// Number of events that have arrived.
     pub(crate) events: u64,
 }
@@ -71,9 +73,11 @@
     let now = shared.clock.now();
     log_cut(shared, choice, cut, now);
     let run = Run {
-        content: cut.content.request,
+        content: cut.content.clone(),
         server: choice.incarnation,
         sent: choice.chosen,
+        began: cut.answering.map(|answering| answering.since),
+        writing: cut.answering.and_then(|answering| answering.writing),
     };
     let mut quarantine = shared.quarantine();
     let needs_probe = quarantine.run_cut(run, now);
@@ -83,13 +87,23 @@
     }
 }
 
-/// Records that a request was answered completely.
-pub(crate) fn served(shared: &Shared, content: Fingerprint) {
+/// Records that a request was answered completely, from `began` on.
+pub(crate) fn served(shared: &Shared, content: &RequestContent, began: Millis) {
     let now = shared.clock.now();
-    if shared.quarantine().served(content, now) {
-        let content = shared.content_names.pseudonym(content);
+    let mut quarantine = shared.quarantine();
+    if quarantine.served(content, began, now) {
+        let content = shared.content_names.pseudonym(content.request);
         info!("{}", Event::new("content-cleared").with("content", content));
     }
+    log_quarantined(shared, quarantine);
+}
+
+/// Records that a server goes on with an answer that it began to write at `began`.
+pub(crate) fn parts_survived(shared: &Shared, content: &RequestContent, began: Millis) {
+    let now = shared.clock.now();
+    let mut quarantine = shared.quarantine();
+    quarantine.parts_survived(content, began, now);
+    log_quarantined(shared, quarantine);
 }
 
 /// Records evidence that a server's process has ended unexpectedly.
@@ -112,11 +126,11 @@
 }
 
 /// Records suspicions received from other instances.
-pub(crate) fn receive(shared: &Shared, suspicions: &[Suspicion]) {
+pub(crate) fn receive(shared: &Shared, kind: SuspectKind, suspicions: &[Suspicion]) {
     let now = shared.clock.now();
     let mut quarantine = shared.quarantine();
     for suspicion in suspicions {
-        quarantine.apply_suspicion(suspicion, now);
+        quarantine.apply_suspicion(kind, suspicion, now);
     }
     log_quarantined(shared, quarantine);
 }
@@ -126,22 +140,30 @@
     let now = shared.clock.now();
     let mut quarantine = shared.quarantine();
     quarantine.expire(now);
-    shared
-        .metrics
-        .set_quarantined(quarantine.quarantined_count(now));
+    let requests = quarantine.quarantined_count(SuspectKind::Request, now);
+    let parts = quarantine.quarantined_count(SuspectKind::Part, now);
+    shared.metrics.set_quarantined(requests, parts);
+}
+
+/// The names in logs of the shared parts of a request's prompt, separated by commas.
+pub(crate) fn part_names(shared: &Shared, content: &RequestContent) -> String {
+    let parts = content.parts.iter();
+    let names = parts.map(|part| shared.content_names.pseudonym(*part));
+    names.collect::<Vec<String>>().join(",")
 }
 
 /// Logs what ran on a server when it cut its connections, so that the runs under an end can be
 /// compared.
 fn log_cut(shared: &Shared, choice: &Choice, cut: &CutRun<'_>, now: Millis) {
-    let name = |content: &Fingerprint| shared.content_names.pseudonym(content);
-    let parts: Vec<String> = cut.content.parts.iter().map(name).collect();
     let answering = cut.answering;
     let answering_for = answering.map(|answering| now.since(answering.since).to_string());
     let event = Event::new("run-cut")
         .with("request", cut.request)
-        .with("content", name(&cut.content.request))
-        .with("parts", parts.join(","))
+        .with(
+            "content",
+            shared.content_names.pseudonym(cut.content.request),
+        )
+        .with("parts", part_names(shared, cut.content))
         .with("server", &choice.id)
         .with("incarnation", incarnation_name(choice.incarnation))
         .with("answering", answering_for.as_deref().unwrap_or("none"))
@@ -159,18 +181,24 @@
 
 fn log_quarantined(shared: &Shared, mut quarantine: MutexGuard<'_, Quarantine>) {
     let placed = quarantine.take_quarantined();
+    let cleared = quarantine.take_cleared_parts();
     drop(quarantine);
+    for part in cleared {
+        let part = shared.content_names.pseudonym(part);
+        info!("{}", Event::new("part-cleared").with("part", part));
+    }
     for quarantined in placed {
         let servers: Vec<String> = quarantined
             .servers
             .into_iter()
             .map(incarnation_name)
             .collect();
-        let event = Event::new("content-quarantined")
-            .with(
-                "content",
-                shared.content_names.pseudonym(quarantined.content),
-            )
+        let (event, field) = match quarantined.kind {
+            SuspectKind::Request => (Event::new("content-quarantined"), "content"),
+            SuspectKind::Part => (Event::new("part-quarantined"), "part"),
+        };
+        let event = event
+            .with(field, shared.content_names.pseudonym(quarantined.content))
             .with("incarnations", servers.join(","))
             .with("span", quarantined.span);
         warn!("{event}");
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -8,12 +8,14 @@
 use crocushold_http::EventCounter;
 use crocushold_http::Observer;
 use crocushold_routing::Outcome;
+use crocushold_routing::SURVIVAL;
 use log::info;
 
 use crate::exchange::PeerGuard;
 use crate::fleet::Choice;
 use crate::quarantine::Answering;
 use crate::quarantine::CutRun;
+use crate::quarantine::parts_survived;
 use crate::quarantine::run_cut;
 use crate::quarantine::served;
 use crate::record::RequestRecord;
@@ -29,6 +31,10 @@
     pub(crate) upstream: Upstream,
     pub(crate) status: u16,
     pub(crate) head_at: Millis,
+    /// When the first piece of the body arrived.
+    pub(crate) writing: Option<Millis>,
+    /// Whether the quarantine knows that the server went on after it began to write.
+    pub(crate) survived: bool,
     /// What delimits the answer.
     pub(crate) delimiter: &'static str,
     pub(crate) counter: EventCounter,
@@ -67,6 +73,7 @@
 
 impl Observer for AnswerObserver {
     fn chunk(&mut self, bytes: &[u8]) {
+        self.note_survival();
         if self.record.repeat.is_stream() {
             let before = self.counter.events();
             self.counter.push(bytes);
@@ -121,6 +128,22 @@
 }
 
 impl AnswerObserver {
+    /// Tells the quarantine, once, that the server has gone on for long enough after it began to write.
+    fn note_survival(&mut self) {
+        let Upstream::Server(..) = &self.upstream else {
+            return;
+        };
+        if self.survived || self.record.content.parts.is_empty() || self.is_failure() {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let began = *self.writing.get_or_insert(now);
+        if now.since(began) >= SURVIVAL {
+            self.survived = true;
+            parts_survived(&self.shared, &self.record.content, began);
+        }
+    }
+
     /// Whether a complete answer reports a failure.
     fn is_failure(&self) -> bool {
         match &self.upstream {
@@ -134,7 +157,7 @@
         let content = &self.record.content;
         match end {
             AnswerEnd::Complete { .. } if outcome == Outcome::Complete => {
-                served(&self.shared, content.request);
+                served(&self.shared, content, self.writing.unwrap_or(self.head_at));
             }
             AnswerEnd::Cut { cause, .. } if cause.is_disconnect() => {
                 let cut = CutRun {
@@ -142,6 +165,7 @@
                     content,
                     answering: Some(Answering {
                         since: self.head_at,
+                        writing: self.writing,
                         events: self.counter.events(),
                     }),
                 };
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -13,6 +13,7 @@
 use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_routing::RegionKey;
+use crocushold_routing::SuspectKind;
 use log::info;
 
 use super::contact::contact_answer;
@@ -77,7 +78,12 @@
             Some(Packet::Gossip(message)) => lock(&state).receive(from, message, now),
             Some(Packet::Request(ask)) => shared.placer.place(&mut shared.fleet(), from, &ask, now),
             Some(Packet::Reply(reply)) => shared.placer.handle_reply(from, reply),
-            Some(Packet::Suspicions(suspicions)) => quarantine::receive(&shared, &suspicions),
+            Some(Packet::Suspicions(suspicions)) => {
+                quarantine::receive(&shared, SuspectKind::Request, &suspicions);
+            }
+            Some(Packet::PartSuspicions(suspicions)) => {
+                quarantine::receive(&shared, SuspectKind::Part, &suspicions);
+            }
             Some(Packet::Limits(limits)) => shared.record_remote_limits(&limits),
             Some(Packet::Brittle(known)) => shared.record_remote_brittle(&known),
             Some(Packet::Departures(departed)) => shared.record_remote_departures(&departed),
--- a/crates/gateway/src/sharing/suspicions.rs
+++ b/crates/gateway/src/sharing/suspicions.rs
@@ -1,9 +1,11 @@
-//! Distribution of suspicions about requests under which servers end.
+//! Distribution of suspicions about requests and prompt parts under which servers end.
 
 use std::net::SocketAddr;
 
 use crocushold_base::Millis;
 use crocushold_routing::Quarantine;
+use crocushold_routing::SuspectKind;
+use crocushold_routing::Suspicion;
 
 use super::message::Message;
 use super::spread::packet;
@@ -11,6 +13,13 @@
 use super::state::Gossip;
 use crate::placing::Packet;
 
+/// The packet for the suspicions of each kind.
+type ToPacket = fn(Vec<Suspicion>) -> Packet;
+const PACKETS: [(SuspectKind, ToPacket); 2] = [
+    (SuspectKind::Request, Packet::Suspicions),
+    (SuspectKind::Part, Packet::PartSuspicions),
+];
+
 /// Returns the suspicions to send beside the `messages` of a round: new ones to some of the
 /// instances, and all known ones to the instances that asked for members.
 pub fn suspicion_packets(
@@ -19,7 +28,11 @@
     messages: &[(SocketAddr, Message)],
     now: Millis,
 ) -> Vec<(SocketAddr, Packet)> {
-    let news = packet(quarantine.unsent_suspicions(now), Packet::Suspicions);
-    let known = || packet(quarantine.all_suspicions(now), Packet::Suspicions);
-    spread(gossip, messages, news, known)
+    let mut packets = Vec::new();
+    for (kind, to_packet) in PACKETS {
+        let news = packet(quarantine.unsent_suspicions(kind, now), to_packet);
+        let known = || packet(quarantine.all_suspicions(kind, now), to_packet);
+        packets.extend(spread(gossip, messages, news, known));
+    }
+    packets
 }
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -24,7 +24,7 @@
 ///
 /// These are the request's own lines, the latest state events before them, all state events until
 /// its end, the last event of each server that it was sent to, and the quarantine events of its
-/// content.
+/// content and of the parts of its prompt.
 pub fn trace<'a>(lines: &[&'a str], id: &str) -> Vec<&'a str> {
     let own: Vec<usize> = indices(lines, |line| field(line, "request") == Some(id));
     let (Some(&first), Some(&last)) = (own.first(), own.last()) else {
@@ -32,6 +32,8 @@
     };
     let servers = values(lines, &own, "server");
     let contents = values(lines, &own, "content");
+    let parts = values(lines, &own, "parts");
+    let parts: HashSet<&str> = parts.into_iter().flat_map(|list| list.split(',')).collect();
     let mut chosen: HashSet<usize> = own.into_iter().collect();
     let state_events = indices(&lines[..last], |line| {
         field(line, "event").is_some_and(|event| STATE_EVENTS.contains(&event))
@@ -51,6 +53,11 @@
         let content = field(line, "content").unwrap_or_default();
         event.starts_with("content-") && contents.contains(content)
     }));
+    chosen.extend(indices(&lines[..last], |line| {
+        let event = field(line, "event").unwrap_or_default();
+        let part = field(line, "part").unwrap_or_default();
+        event.starts_with("part-") && parts.contains(part)
+    }));
     let mut chosen: Vec<usize> = chosen.into_iter().collect();
     chosen.sort_unstable();
     chosen.into_iter().map(|at| lines[at]).collect()
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -17,7 +17,10 @@
 use crocushold_routing::Fingerprint;
 use crocushold_routing::Incarnation;
 use crocushold_routing::Quarantine;
+use crocushold_routing::RequestContent;
 use crocushold_routing::Run;
+use crocushold_routing::SuspectKind;
+use crocushold_routing::Suspicion;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -44,16 +47,21 @@
     fn receive(&mut self, from: SocketAddr, packet: Packet, now: Millis) {
         match packet {
             Packet::Gossip(message) => self.gossip.receive(from, message, now),
-            Packet::Suspicions(suspicions) => {
-                for suspicion in &suspicions {
-                    self.quarantine.apply_suspicion(suspicion, now);
-                }
-            }
+            Packet::Suspicions(suspicions) => self.apply(SuspectKind::Request, &suspicions, now),
+            Packet::PartSuspicions(suspicions) => self.apply(SuspectKind::Part, &suspicions, now),
             _ => {}
         }
     }
 }
 
+impl Instance {
+    fn apply(&mut self, kind: SuspectKind, suspicions: &[Suspicion], now: Millis) {
+        for suspicion in suspicions {
+            self.quarantine.apply_suspicion(kind, suspicion, now);
+        }
+    }
+}
+
 struct Instances {
     all: HashMap<SocketAddr, Instance>,
     rng: SmallRng,
@@ -92,9 +100,11 @@
     fn end(&mut self, at: u16, server: u64, sent: u64) {
         let instance = self.all.get_mut(&identity(at).address).unwrap();
         let run = Run {
-            content: CONTENT,
+            content: CONTENT.into(),
             server: Incarnation(server),
             sent: Millis(sent),
+            began: None,
+            writing: None,
         };
         instance.quarantine.run_cut(run, self.now);
         instance
@@ -131,10 +141,30 @@
         self.now = now + ROUND;
     }
 
+    /// Ends a server under a request of an instance, which was sent a moment ago.
+    fn cut(&mut self, at: u16, server: u64, content: &RequestContent) {
+        let instance = self.all.get_mut(&identity(at).address).unwrap();
+        let run = Run {
+            content: content.clone(),
+            server: Incarnation(server),
+            sent: Millis(self.now.0 - 80),
+            began: None,
+            writing: None,
+        };
+        instance.quarantine.run_cut(run, self.now);
+        instance
+            .quarantine
+            .server_ended(Incarnation(server), self.now);
+    }
+
     /// Number of instances that would still send the request.
     fn unaware(&self) -> usize {
+        self.unaware_of(&CONTENT.into())
+    }
+
+    fn unaware_of(&self, content: &RequestContent) -> usize {
         let all = self.all.values();
-        let unaware = all.filter(|one| one.quarantine.admit(CONTENT, self.now).is_ok());
+        let unaware = all.filter(|one| one.quarantine.admit(content, self.now).is_ok());
         unaware.count()
     }
 }
@@ -182,6 +212,58 @@
     }
 }
 
+/// Number of runs on a server when it ends, and of shared parts of the prompt of each.
+const RUNS_AT_END: u128 = 48;
+const PARTS: u128 = 3;
+
+/// Guards against news of a part that crashes servers that arrive late because those of hundreds of other
+/// suspects, all parts of all requests that ran on the same servers, are told as well.
+#[test_case(7, 0; "few instances")]
+#[test_case(7, 3; "few instances, a third is lost")]
+#[test_case(195, 5; "two hundred, a fifth is lost")]
+fn suspicions_of_parts_reach_every_instance_in_time(count: u16, loss: u32) {
+    let bad = RequestContent {
+        request: CONTENT,
+        parts: [Fingerprint(8)].into(),
+    };
+    for seed in 0..2 {
+        let mut fleet = Instances::new(count, loss, seed);
+        let mut ended = fleet.now;
+        for server in 0..5u64 {
+            ended = fleet.now;
+            for run in 0..RUNS_AT_END {
+                let number = u128::from(server) * RUNS_AT_END + run;
+                let parts = (0..PARTS).map(|part| Fingerprint(1000 + number * PARTS + part));
+                let content = RequestContent {
+                    request: Fingerprint(100_000 + number),
+                    parts: parts.collect(),
+                };
+                fleet.cut(number as u16 % count, server, &content);
+            }
+            let own = RequestContent {
+                request: Fingerprint(200_000 + u128::from(server)),
+                ..bad.clone()
+            };
+            fleet.cut(server as u16 * 31 % count, server, &own);
+            for _ in 0..4 {
+                fleet.round();
+            }
+        }
+        while fleet.unaware_of(&bad) > 0 {
+            fleet.round();
+            let span = fleet.now.since(ended);
+            let left = fleet.unaware_of(&bad);
+            assert!(span <= STABLE_WINDOW, "{left} unaware after {span}");
+        }
+        let most = fleet.all.values().map(|one| one.sent).max();
+        println!(
+            "{count} instances, seed {seed}: all aware {} after the last end, at most {} bytes sent",
+            fleet.now.since(ended),
+            most.unwrap_or_default()
+        );
+    }
+}
+
 /// Number of servers, and concurrent requests at each.
 const SERVERS: usize = 100;
 const RUNS: usize = 24;
@@ -238,9 +320,11 @@
                 let runs = request.copies.iter().filter(|(at, _)| at == server);
                 for (_, sent) in runs {
                     let run = Run {
-                        content: request.content,
+                        content: request.content.into(),
                         server: incarnation,
                         sent: *sent,
+                        began: None,
+                        writing: None,
                     };
                     quarantine.run_cut(run, now);
                 }
@@ -254,7 +338,7 @@
                 .retain(|(server, _)| !crashed.contains(server));
             if request.copies.is_empty() {
                 request.attempts += 1;
-                if quarantine.admit(request.content, now).is_err() {
+                if quarantine.admit(&request.content.into(), now).is_err() {
                     held += 1;
                     return false;
                 }
@@ -267,7 +351,7 @@
             }
             request.left = request.left.saturating_sub(1);
             if request.left == 0 {
-                quarantine.served(request.content, now);
+                quarantine.served(&request.content.into(), now, now);
             }
             request.left > 0
         });
--- a/crates/gateway/tests/trace.rs
+++ b/crates/gateway/tests/trace.rs
@@ -54,3 +54,14 @@
     ];
     assert_eq!(trace(&log, "r1"), [log[0], log[2]]);
 }
+
+/// Guards against a refusal that nothing explains because it concerns a part of the prompt.
+#[test]
+fn a_refusal_is_explained_by_quarantine_events_of_its_parts() {
+    let lines = [
+        "event=part-quarantined part=p1 incarnations=a,b span=600000ms",
+        "event=part-quarantined part=p2 incarnations=c,d span=600000ms",
+        "event=request-ended request=r1 content=c1 outcome=quarantined parts=p0,p1",
+    ];
+    assert_eq!(trace(&lines, "r1"), [lines[0], lines[2]]);
+}
--- a/crates/routing/benches/quarantine.rs
+++ b/crates/routing/benches/quarantine.rs
@@ -23,9 +23,11 @@
             let server = Incarnation(number * 2 + end);
             let sent = Millis(NOW.0 - 1000 + 100 * end);
             let run = Run {
-                content: Fingerprint(u128::from(number)),
+                content: Fingerprint(u128::from(number)).into(),
                 server,
                 sent,
+                began: None,
+                writing: None,
             };
             quarantine.run_cut(run, sent + Millis(50));
             quarantine.server_ended(server, sent + Millis(55));
@@ -43,13 +45,13 @@
 #[divan::bench(args = [0, 16, 1024])]
 fn admit_another(bencher: Bencher<'_, '_>, records: u64) {
     let quarantine = quarantine(records);
-    bencher.bench(|| quarantine.admit(black_box(Fingerprint(u128::MAX)), NOW));
+    bencher.bench(|| quarantine.admit(black_box(&Fingerprint(u128::MAX).into()), NOW));
 }
 
 #[divan::bench(args = [1, 16, 1024])]
 fn admit_held(bencher: Bencher<'_, '_>, records: u64) {
     let quarantine = quarantine(records);
-    bencher.bench(|| quarantine.admit(black_box(Fingerprint(0)), NOW));
+    bencher.bench(|| quarantine.admit(black_box(&Fingerprint(0).into()), NOW));
 }
 
 #[divan::bench(args = [0, 16, 1024])]
@@ -58,6 +60,6 @@
     let mut number = u128::MAX;
     bencher.bench_local(|| {
         number -= 1;
-        quarantine.served(Fingerprint(number), NOW)
+        quarantine.served(&Fingerprint(number).into(), NOW, NOW)
     });
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -74,6 +74,8 @@
 pub use quarantine::ReportedEnd;
 pub use quarantine::RequestContent;
 pub use quarantine::Run;
+pub use quarantine::SURVIVAL;
+pub use quarantine::SuspectKind;
 pub use quarantine::Suspicion;
 pub use reachability::Reach;
 pub use reachability::ReachChange;
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -11,14 +11,21 @@
 //! or afterwards, clears its request, and a run whose server ends again is counted. After
 //! [`QuarantineSettings::limit`] such runs, one after the other, the request is quarantined.
 //!
+//! A part of a prompt may crash servers as well, in requests of which no two are alike. The shared
+//! parts of the prompts are suspects of their own, which nearly always overlap: what a part has in
+//! common with others is told apart by answers that began after the end of a server, and by requests
+//! that have only some of the suspects.
+//!
 //! Instances exchange their suspicions. These can be merged in any order and received repeatedly:
 //! for each request, they are a set of ended servers and whether the request was served afterwards.
 
 mod fingerprint;
 mod record;
 mod served;
+mod suspects;
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use crocushold_base::Millis;
 use serde::Deserialize;
@@ -29,6 +36,7 @@
 use self::record::End;
 use self::record::Record;
 use self::served::RecentlyServed;
+use self::suspects::Suspects;
 
 /// One incarnation of a server's process, as a hash of its identity and its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -51,7 +59,10 @@
     /// Number of requests that ran on several servers which ended in that time, from which on the
     /// cause isn't one of them.
     pub common_suspects: usize,
-    /// Maximum number of remembered requests.
+    /// Number of consecutive runs with ended servers from which on a prompt part is quarantined. It
+    /// is more than for a request, as refusing a part refuses more.
+    pub part_limit: usize,
+    /// Maximum number of remembered requests, and of remembered parts.
     pub capacity: usize,
 }
 
@@ -63,20 +74,34 @@
             evidence: Millis::from_secs(6),
             burst: Millis::from_secs(2),
             common_suspects: 5,
+            part_limit: 4,
             capacity: 1024,
         }
     }
 }
 
 /// A run of a request at a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
-    /// The request's content.
-    pub content: Fingerprint,
+    /// What was asked.
+    pub content: RequestContent,
     /// The server that ran it.
     pub server: Incarnation,
     /// When the request was sent.
     pub sent: Millis,
+    /// When the head of its answer arrived, if it did.
+    pub began: Option<Millis>,
+    /// When the first piece of the body of its answer arrived, if one did.
+    pub writing: Option<Millis>,
+}
+
+/// What is suspected of ending servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum SuspectKind {
+    /// A whole request.
+    Request,
+    /// A part of a prompt.
+    Part,
 }
 
 /// The refusal of a quarantined request.
@@ -88,10 +113,12 @@
     pub ends: usize,
 }
 
-/// A newly quarantined request, for the log.
+/// A newly quarantined request or part, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Quarantined {
-    /// The request's content.
+    /// Whether it is a request or a part.
+    pub kind: SuspectKind,
+    /// Its content.
     pub content: Fingerprint,
     /// The remembered servers that ended while running it.
     pub servers: Vec<Incarnation>,
@@ -99,10 +126,10 @@
     pub span: Millis,
 }
 
-/// A suspect request as reported to other instances.
+/// A suspect request or part as reported to other instances.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspicion {
-    /// The request's content.
+    /// Its content.
     pub content: Fingerprint,
     /// The servers that ended while running it.
     pub ends: Vec<ReportedEnd>,
@@ -118,12 +145,12 @@
     pub sent_ago: u32,
     /// How long ago the run was cut, in milliseconds.
     pub ended_ago: u32,
-    /// Whether the request was served afterwards.
+    /// Whether it was served afterwards.
     pub cleared: bool,
 }
 
 /// A run that was cut, without knowing whether its server ended.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct CutRun {
     run: Run,
     at: Millis,
@@ -135,19 +162,30 @@
 /// servers.
 const MAX_PENDING_CUTS: usize = 2048;
 
-/// Maximum size of a report in bytes. It fits into one packet on all common networks.
-const MAX_REPORT_BYTES: usize = 1300;
+/// How long a server goes on after it began to write an answer if no part of the prompt crashes it.
+pub const SURVIVAL: Millis = Millis(1000);
+
+/// Number of ends of a part up to which other suspects explain the rest: servers end for other reasons
+/// now and then.
+const MAX_UNEXPLAINED_ENDS: usize = 1;
 
 /// One instance's knowledge of the requests that end servers.
 #[derive(Debug)]
 pub struct Quarantine {
     settings: QuarantineSettings,
-    records: HashMap<Fingerprint, Record>,
+    requests: Suspects,
+    parts: Suspects,
     cuts: Vec<CutRun>,
     /// Servers that ended recently, and when. Cuts of their runs may be noticed later.
     ended: HashMap<Incarnation, Millis>,
     newly_quarantined: Vec<Quarantined>,
+    /// The parts that were quarantined when this was last checked.
+    held_parts: HashSet<Fingerprint>,
+    cleared_parts: Vec<Fingerprint>,
+    /// When requests were served.
     served: RecentlyServed,
+    /// When servers last began to write an answer on a part and went on.
+    sound_parts: RecentlyServed,
 }
 
 impl Default for Quarantine {
@@ -160,12 +198,16 @@
     /// Creates a quarantine without suspects.
     pub fn new(settings: QuarantineSettings) -> Quarantine {
         Quarantine {
+            requests: Suspects::new(settings.limit, settings.capacity),
+            parts: Suspects::new(settings.part_limit, settings.capacity),
             settings,
-            records: HashMap::new(),
             cuts: Vec::new(),
             ended: HashMap::new(),
             newly_quarantined: Vec::new(),
+            held_parts: HashSet::new(),
+            cleared_parts: Vec::new(),
             served: RecentlyServed::default(),
+            sound_parts: RecentlyServed::default(),
         }
     }
 
@@ -173,24 +215,72 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if the request is quarantined.
-    pub fn admit(&self, content: Fingerprint, now: Millis) -> Result<(), QuarantineRefusal> {
-        let Some(record) = self.records.get(&content) else {
-            return Ok(());
-        };
+    /// Returns a refusal if the request or a part of its prompt is quarantined.
+    pub fn admit(&self, content: &RequestContent, now: Millis) -> Result<(), QuarantineRefusal> {
+        let request = self.check_request(content.request, now);
+        let parts = content.parts.iter();
+        let parts = parts.filter_map(|part| self.check_part(*part, content, now));
+        let refusals = request.into_iter().chain(parts);
+        let longest = refusals.max_by_key(|refusal| refusal.retry_after);
+        longest.map_or(Ok(()), Err)
+    }
+
+    fn check_request(&self, request: Fingerprint, now: Millis) -> Option<QuarantineRefusal> {
+        let record = self.requests.get(request)?;
         let ends = self.unexplained_ends(record);
-        let until = record.quarantined_until(ends, &self.settings);
-        let left = until.map_or(0, |until| until - signed(now));
-        if left <= 0 {
-            return Ok(());
-        }
-        Err(QuarantineRefusal {
+        self.refusal(record, ends, self.requests.limit, now)
+    }
+
+    fn check_part(
+        &self,
+        part: Fingerprint,
+        content: &RequestContent,
+        now: Millis,
+    ) -> Option<QuarantineRefusal> {
+        let record = self.parts.get(part)?;
+        let refusal = self.part_refusal(record, now)?;
+        (!self.is_explained_without(record, content)).then_some(refusal)
+    }
+
+    /// The refusal of requests with a part, unless they lack another suspect that explains its ends.
+    fn part_refusal(&self, record: &Record, now: Millis) -> Option<QuarantineRefusal> {
+        self.refusal(record, record.consecutive_ends(), self.parts.limit, now)
+    }
+
+    /// Whether the ends of a part of a request are explained by suspects that the request doesn't have,
+    /// and that are about as grave.
+    ///
+    /// Parts overlap nearly always: what crashes servers stands beside the same system prompt each
+    /// time. A request with the one but not the other shows which of them it is: its answer clears the
+    /// part, or another end leaves only the part as a cause.
+    fn is_explained_without(&self, record: &Record, content: &RequestContent) -> bool {
+        let parts = self.parts.grave();
+        let parts = parts.filter(|(part, _)| !content.parts.contains(part));
+        let requests = self.requests.grave();
+        let requests = requests.filter(|(request, _)| *request != content.request);
+        let others = parts.chain(requests).map(|(_, other)| other);
+        let grave =
+            others.filter(|other| other.open_ends() + MAX_UNEXPLAINED_ENDS >= record.open_ends());
+        let explained: Vec<Incarnation> = grave.flat_map(Record::servers).collect();
+        record.ends_without(&explained) <= MAX_UNEXPLAINED_ENDS
+    }
+
+    fn refusal(
+        &self,
+        record: &Record,
+        ends: usize,
+        limit: usize,
+        now: Millis,
+    ) -> Option<QuarantineRefusal> {
+        let until = record.quarantined_until(ends, self.settings.span, limit)?;
+        let left = until - signed(now);
+        (left > 0).then_some(QuarantineRefusal {
             retry_after: Millis(left.unsigned_abs()),
             ends,
         })
     }
 
-    /// Returns the number of ends counted against a request that no more severe suspect explains.
+    /// Returns the number of ends counted against a request that no graver suspect explains.
     ///
     /// A request that ends servers takes down other requests that happen to run there, possibly the
     /// same one twice. But it ran on more of the ended servers than any of the others.
@@ -200,10 +290,12 @@
         if ends < limit {
             return ends;
         }
-        let graver = self.records.values().filter(|other| {
-            other.open_ends() > record.open_ends() && other.consecutive_ends() >= limit
-        });
-        let explained: Vec<Incarnation> = graver.flat_map(Record::servers).collect();
+        let requests = self.requests.grave().map(|(_, other)| other);
+        let graver = requests.filter(|other| other.open_ends() > record.open_ends());
+        let parts = self.parts.grave().map(|(_, other)| other);
+        // What crashes servers is in the part rather than in one of the requests that have it.
+        let parts = parts.filter(|other| other.open_ends() >= record.open_ends());
+        let explained: Vec<Incarnation> = graver.chain(parts).flat_map(Record::servers).collect();
         let burst = signed(self.settings.burst);
         record.unexplained(&explained, burst, |ends, at| {
             self.had_common_cause(ends, at)
@@ -218,7 +310,7 @@
     /// that ran on the first one is sent again, and much of it to the next ones.
     fn had_common_cause(&self, ends: usize, at: i64) -> bool {
         let burst = signed(self.settings.burst);
-        let records = self.records.values();
+        let records = self.requests.records();
         let mut suspects =
             records.filter(|record| record.ends_between(at - burst, at + burst) >= ends);
         suspects.nth(self.settings.common_suspects - 1).is_some()
@@ -229,9 +321,10 @@
     /// or [`Quarantine::mark_inconclusive`].
     pub fn run_cut(&mut self, run: Run, now: Millis) -> bool {
         self.forget_cuts(now);
+        let run = self.without_sound_parts(run, now);
         if let Some(ended) = self.ended.get(&run.server) {
             if run.sent < *ended {
-                self.count_end(run, now, now);
+                self.count_end(&run, now, now);
             }
             return false;
         }
@@ -250,6 +343,19 @@
         !check_pending
     }
 
+    /// Removes the parts of a run whose answer the server has written for so long that it didn't crash
+    /// on them.
+    fn without_sound_parts(&mut self, run: Run, now: Millis) -> Run {
+        let Some(writing) = run.writing.filter(|at| now.since(*at) >= SURVIVAL) else {
+            return run;
+        };
+        self.parts_survived(&run.content, writing, now);
+        Run {
+            content: run.content.request.into(),
+            ..run
+        }
+    }
+
     /// Records that a check didn't prove the server's end. Its next cut is checked again, because a
     /// server that resets a connection may end a second later.
     pub fn mark_inconclusive(&mut self, server: Incarnation) {
@@ -269,75 +375,108 @@
         let first = matching.iter().map(|cut| (cut.inconclusive, cut.at)).min();
         self.ended.insert(server, first.map_or(now, |(_, at)| at));
         for cut in &matching {
-            self.count_end(cut.run, cut.at, now);
+            self.count_end(&cut.run, cut.at, now);
         }
         matching.len()
     }
 
-    /// Records that a request was served without ending its server. Returns whether it was
-    /// quarantined until now.
-    pub fn served(&mut self, content: Fingerprint, now: Millis) -> bool {
+    /// Records that a request was served without ending its server, which began to write the answer at
+    /// `began`. Returns whether the request was quarantined until now.
+    pub fn served(&mut self, content: &RequestContent, began: Millis, now: Millis) -> bool {
+        let request = content.request;
         // If the end of a server is noticed later, it happened before this success.
-        self.cuts.retain(|cut| cut.run.content != content);
-        self.served.insert(content, now);
-        let quarantined = self.admit(content, now).is_err();
-        let record = self.records.get_mut(&content);
-        record.is_some_and(Record::clear) && quarantined
+        self.cuts.retain(|cut| cut.run.content.request != request);
+        self.served.insert(request, now);
+        let quarantined = self.check_request(request, now).is_some();
+        let record = self.requests.get_mut(request);
+        let cleared = record.is_some_and(Record::clear) && quarantined;
+        self.parts_survived(content, began, now);
+        cleared
+    }
+
+    /// Records that a server began to write an answer at `began` and has gone on for [`SURVIVAL`]. The parts of the prompt didn't end any server until then.
+    pub fn parts_survived(&mut self, content: &RequestContent, began: Millis, now: Millis) {
+        for &part in content.parts.iter() {
+            self.sound_parts.insert(part, began);
+            if let Some(record) = self.parts.get_mut(part) {
+                record.clear_before(signed(began));
+                self.update_held_part(part, now);
+            }
+        }
     }
 
     /// Merges a suspicion that another instance reported.
-    pub fn apply_suspicion(&mut self, suspicion: &Suspicion, now: Millis) {
+    pub fn apply_suspicion(&mut self, kind: SuspectKind, suspicion: &Suspicion, now: Millis) {
         let ends = suspicion.ends.iter().map(|reported| End {
             server: reported.server,
             sent: signed(now) - i64::from(reported.sent_ago),
             ended: signed(now) - i64::from(reported.ended_ago),
             cleared: reported.cleared,
         });
-        self.merge(suspicion.content, ends.collect(), now);
+        let ends = ends.collect();
+        match kind {
+            SuspectKind::Request => self.merge_request(suspicion.content, ends, now),
+            SuspectKind::Part => self.merge_part(suspicion.content, ends, now),
+        }
     }
 
-    /// Returns the suspicions that other instances may not know yet, the most severe first.
-    pub fn unsent_suspicions(&mut self, now: Millis) -> Vec<Suspicion> {
-        let fresh = self
-            .records
-            .iter()
-            .filter(|(_, record)| record.needs_gossip());
-        let chosen = select_for_report(fresh, now);
-        for suspicion in &chosen {
-            if let Some(record) = self.records.get_mut(&suspicion.content) {
-                record.mark_sent();
-            }
+    /// Returns the suspicions of a kind that other instances may not know yet, the gravest first.
+    pub fn unsent_suspicions(&mut self, kind: SuspectKind, now: Millis) -> Vec<Suspicion> {
+        match kind {
+            SuspectKind::Request => self.requests.take_news(now),
+            SuspectKind::Part => self.parts.take_news(now),
         }
-        chosen
     }
 
-    /// Returns the suspicions for an instance that may know nothing yet, the most severe first.
-    pub fn all_suspicions(&self, now: Millis) -> Vec<Suspicion> {
-        let open = self.records.iter();
-        select_for_report(
-            open.filter(|(_, record)| record.consecutive_ends() > 0),
-            now,
-        )
+    /// Returns the suspicions of a kind for an instance that may know nothing yet, the gravest first.
+    pub fn all_suspicions(&self, kind: SuspectKind, now: Millis) -> Vec<Suspicion> {
+        match kind {
+            SuspectKind::Request => self.requests.open(now),
+            SuspectKind::Part => self.parts.open(now),
+        }
     }
 
-    /// Returns the requests quarantined since the last call.
+    /// Returns the requests and parts quarantined since the last call.
     pub fn take_quarantined(&mut self) -> Vec<Quarantined> {
         std::mem::take(&mut self.newly_quarantined)
     }
 
-    /// Returns the number of quarantined requests.
-    pub fn quarantined_count(&self, now: Millis) -> usize {
-        let contents = self.records.keys();
-        let quarantined = contents.filter(|content| self.admit(**content, now).is_err());
-        quarantined.count()
+    /// Returns the parts whose quarantine has ended since the last call.
+    pub fn take_cleared_parts(&mut self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.cleared_parts)
+    }
+
+    /// Returns the number of quarantined suspects of a kind.
+    pub fn quarantined_count(&self, kind: SuspectKind, now: Millis) -> usize {
+        match kind {
+            SuspectKind::Request => {
+                let requests = self.requests.contents();
+                let held = requests.filter(|request| self.check_request(*request, now).is_some());
+                held.count()
+            }
+            SuspectKind::Part => {
+                let parts = self.parts.contents();
+                parts.filter(|part| self.is_part_held(*part, now)).count()
+            }
+        }
+    }
+
+    fn is_part_held(&self, part: Fingerprint, now: Millis) -> bool {
+        let record = self.parts.get(part);
+        record.is_some_and(|record| self.part_refusal(record, now).is_some())
     }
 
     /// Drops expired state.
     pub fn expire(&mut self, now: Millis) {
         self.forget_cuts(now);
-        let settings = &self.settings;
-        self.records
-            .retain(|_, record| record.expires_at(settings) > signed(now));
+        let span = self.settings.span;
+        self.requests.expire(span, signed(now));
+        self.parts.expire(span, signed(now));
+        let grave = self.parts.grave().map(|(part, _)| part);
+        let changeable: Vec<Fingerprint> = grave.chain(self.held_parts.iter().copied()).collect();
+        for part in changeable {
+            self.update_held_part(part, now);
+        }
     }
 
     fn forget_cuts(&mut self, now: Millis) {
@@ -346,74 +485,77 @@
         self.ended.retain(|_, at| now.since(*at) < span);
     }
 
-    fn count_end(&mut self, run: Run, cut: Millis, now: Millis) {
+    fn count_end(&mut self, run: &Run, cut: Millis, now: Millis) {
         let end = End {
             server: run.server,
             sent: signed(run.sent),
             ended: signed(cut),
             cleared: false,
         };
-        self.merge(run.content, vec![end], now);
+        self.merge_request(run.content.request, vec![end], now);
+        // A part does harm from when the server begins to write, however long the request waited.
+        let end = End {
+            sent: signed(run.began.unwrap_or(run.sent)),
+            ..end
+        };
+        for &part in run.content.parts.iter() {
+            self.merge_part(part, vec![end], now);
+        }
     }
 
-    fn merge(&mut self, content: Fingerprint, mut ends: Vec<End>, now: Millis) {
+    fn merge_request(&mut self, request: Fingerprint, mut ends: Vec<End>, now: Millis) {
         // Many callers may send the same request, and a copy of it runs on each server that ends
         // for another reason. Quarantining it would refuse all of them for minutes.
-        if self.served.contains(content, now) {
+        if self.served.contains(request, now) {
             for end in &mut ends {
                 end.cleared = true;
             }
         }
-        if !self.records.contains_key(&content) {
-            self.make_room();
-        }
-        let was_quarantined = self.admit(content, now).is_err();
-        let record = self.records.entry(content).or_default();
-        record.merge(ends);
-        let servers = record.servers();
-        if let (false, Err(refusal)) = (was_quarantined, self.admit(content, now)) {
+        let was_quarantined = self.check_request(request, now).is_some();
+        self.requests.merge(request, ends);
+        if let (false, Some(refusal)) = (was_quarantined, self.check_request(request, now)) {
+            let servers = self.requests.get(request).map(Record::servers);
             self.newly_quarantined.push(Quarantined {
-                content,
-                servers,
+                kind: SuspectKind::Request,
+                content: request,
+                servers: servers.unwrap_or_default(),
                 span: refusal.retry_after,
             });
         }
     }
 
-    /// Drops the least important record. Only ended servers create records, so a flood of requests
-    /// evicts none, and quarantined requests are evicted last.
-    fn make_room(&mut self) {
-        if self.records.len() < self.settings.capacity {
+    fn merge_part(&mut self, part: Fingerprint, mut ends: Vec<End>, now: Millis) {
+        // Unlike a request, a part isn't cleared of ends that came after it was last sound: every
+        // request that many callers send has it, and it may have become harmful since.
+        if let Some(sound) = self.sound_parts.time(part) {
+            for end in &mut ends {
+                end.cleared |= end.ended < signed(sound);
+            }
+        }
+        self.parts.merge(part, ends);
+        self.update_held_part(part, now);
+    }
+
+    /// Records for the log whether a part has been quarantined or cleared.
+    fn update_held_part(&mut self, part: Fingerprint, now: Millis) {
+        if !self.is_part_held(part, now) {
+            if self.held_parts.remove(&part) {
+                self.cleared_parts.push(part);
+            }
             return;
         }
-        let records = self.records.iter();
-        let least =
-            records.min_by_key(|(_, record)| (record.consecutive_ends(), record.last_end()));
-        if let Some(content) = least.map(|(content, _)| *content) {
-            self.records.remove(&content);
+        if self.held_parts.insert(part) {
+            let servers = self.parts.get(part).map(Record::servers);
+            self.newly_quarantined.push(Quarantined {
+                kind: SuspectKind::Part,
+                content: part,
+                servers: servers.unwrap_or_default(),
+                span: self.settings.span,
+            });
         }
     }
 }
 
-/// Returns as many of the records as fit into a packet, the most severe and latest first.
-fn select_for_report<'a>(
-    records: impl Iterator<Item = (&'a Fingerprint, &'a Record)>,
-    now: Millis,
-) -> Vec<Suspicion> {
-    let mut records: Vec<_> = records.collect();
-    records.sort_unstable_by_key(|(_, record)| (record.consecutive_ends(), record.last_end()));
-    let mut bytes = 0;
-    let fitting = records.into_iter().rev().take_while(|(_, record)| {
-        bytes += record.encoded_bytes();
-        bytes <= MAX_REPORT_BYTES
-    });
-    let suspicions = fitting.map(|(content, record)| Suspicion {
-        content: *content,
-        ends: record.report(signed(now)),
-    });
-    suspicions.collect()
-}
-
 /// Converts a time to a signed number, since an end reported by another instance may lie before the
 /// start of this instance's clock.
 fn signed(time: Millis) -> i64 {
--- a/crates/routing/src/quarantine/record.rs
+++ b/crates/routing/src/quarantine/record.rs
@@ -1,7 +1,8 @@
-//! The record of one request that ran on servers whose processes ended.
+//! The record of one request or prompt part that ran on servers whose processes ended.
+
+use crocushold_base::Millis;
 
 use super::Incarnation;
-use super::QuarantineSettings;
 use super::ReportedEnd;
 
 /// Number of ends kept per request: those that ended first, and those that ended last. An end has its
@@ -28,7 +29,7 @@
     pub(super) server: Incarnation,
     pub(super) sent: i64,
     pub(super) ended: i64,
-    /// Whether the request was served afterwards.
+    /// Whether it was served afterwards.
     pub(super) cleared: bool,
 }
 
@@ -90,14 +91,21 @@
 
     /// Clears all ends because the request was served. Returns whether any end counted against it.
     pub(super) fn clear(&mut self) -> bool {
-        let open = self.ends.iter().any(|end| !end.cleared);
-        for end in &mut self.ends {
+        self.clear_before(i64::MAX)
+    }
+
+    /// Clears the ends before a time. Returns whether any of them counted.
+    pub(super) fn clear_before(&mut self, time: i64) -> bool {
+        let ends = self.ends.iter_mut();
+        let mut changed = false;
+        for end in ends.filter(|end| !end.cleared && end.ended < time) {
             end.cleared = true;
+            changed = true;
         }
-        if open {
+        if changed {
             self.remaining_rounds = GOSSIP_ROUNDS;
         }
-        open
+        changed
     }
 
     /// Returns the number of runs that ended their servers, each sent after the previous one had
@@ -115,7 +123,12 @@
         count_consecutive(self.open().filter(|end| (from..to).contains(&end.ended)))
     }
 
-    /// Like `consecutive_ends`, without the servers whose ends another request explains. Ends within
+    /// Like `consecutive_ends`, without those of the given servers.
+    pub(super) fn ends_without(&self, servers: &[Incarnation]) -> usize {
+        count_consecutive(self.open().filter(|end| !servers.contains(&end.server)))
+    }
+
+    /// Like `consecutive_ends`, without the servers whose ends another suspect explains. Ends within
     /// `burst` of each other count once if `is_common` says that so many consecutive ends around a time
     /// have another cause.
     pub(super) fn unexplained(
@@ -150,21 +163,18 @@
         self.ends.iter().filter(|end| !end.cleared)
     }
 
-    /// Returns until when the request is quarantined after `ends` ends, or `None` if it isn't.
-    pub(super) fn quarantined_until(
-        &self,
-        ends: usize,
-        settings: &QuarantineSettings,
-    ) -> Option<i64> {
-        let excess = ends.checked_sub(settings.limit)?;
-        Some(self.last_end() + span(settings, excess))
+    /// Returns until when it is quarantined after `ends` ends, first for `span` from `limit` ends on,
+    /// or `None` if it isn't.
+    pub(super) fn quarantined_until(&self, ends: usize, span: Millis, limit: usize) -> Option<i64> {
+        let excess = ends.checked_sub(limit)?;
+        Some(self.last_end() + doubled(span, excess))
     }
 
     /// Returns when the record expires. It is kept for twice the quarantine, so that another end
     /// after the quarantine doubles the span.
-    pub(super) fn expires_at(&self, settings: &QuarantineSettings) -> i64 {
-        let excess = self.consecutive_ends().saturating_sub(settings.limit);
-        self.last_end() + 2 * span(settings, excess)
+    pub(super) fn expires_at(&self, span: Millis, limit: usize) -> i64 {
+        let excess = self.consecutive_ends().saturating_sub(limit);
+        self.last_end() + 2 * doubled(span, excess)
     }
 
     /// Returns when the last server ended.
@@ -240,8 +250,8 @@
     run.count
 }
 
-fn span(settings: &QuarantineSettings, excess: usize) -> i64 {
-    let span = i64::try_from(settings.span.0).unwrap_or(i64::MAX);
+fn doubled(span: Millis, excess: usize) -> i64 {
+    let span = i64::try_from(span.0).unwrap_or(i64::MAX);
     span.saturating_mul(1 << excess.min(MAX_DOUBLINGS))
 }
 
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -8,6 +8,7 @@
 use crocushold_routing::QuarantineSettings;
 use crocushold_routing::ReportedEnd;
 use crocushold_routing::Run;
+use crocushold_routing::SuspectKind;
 use crocushold_routing::Suspicion;
 use proptest::prelude::*;
 use test_case::test_case;
@@ -18,9 +19,11 @@
 
 fn run(content: Fingerprint, server: u64, sent: u64) -> Run {
     Run {
-        content,
+        content: content.into(),
         server: Incarnation(server),
         sent: Millis(sent),
+        began: None,
+        writing: None,
     }
 }
 
@@ -33,7 +36,7 @@
 }
 
 fn is_quarantined(quarantine: &Quarantine, content: Fingerprint, at: u64) -> bool {
-    quarantine.admit(content, Millis(at)).is_err()
+    quarantine.admit(&content.into(), Millis(at)).is_err()
 }
 
 fn span() -> u64 {
@@ -48,7 +51,9 @@
     end(&mut quarantine, CONTENT, 1, START, 80);
     assert!(!is_quarantined(&quarantine, CONTENT, START + 100));
     end(&mut quarantine, CONTENT, 2, START + 500, 90);
-    let refusal = quarantine.admit(CONTENT, Millis(START + 600)).unwrap_err();
+    let refusal = quarantine
+        .admit(&CONTENT.into(), Millis(START + 600))
+        .unwrap_err();
     assert_eq!(refusal.ends, 2);
     assert_eq!(refusal.retry_after, Millis(span() - 10));
     assert!(!is_quarantined(&quarantine, OTHER, START + 600));
@@ -104,7 +109,7 @@
         quarantine.server_ended(Incarnation(1), Millis(START + 90)),
         2
     );
-    quarantine.served(OTHER, Millis(START + 1000));
+    quarantine.served(&OTHER.into(), Millis(START + 1000), Millis(START + 1000));
     for content in [CONTENT, OTHER] {
         end(&mut quarantine, content, 2, START + 2000, 80);
     }
@@ -191,7 +196,7 @@
 #[test]
 fn a_request_of_many_callers_isnt_quarantined_with_a_graver_one() {
     let mut quarantine = Quarantine::default();
-    quarantine.served(OTHER, Millis(START));
+    quarantine.served(&OTHER.into(), Millis(START), Millis(START));
     for server in 1..=3 {
         let sent = START + server * 1000;
         for content in [CONTENT, OTHER] {
@@ -211,13 +216,13 @@
     end(&mut first, CONTENT, 1, START, 80);
     end(&mut first, CONTENT, 2, START + 500, 80);
     let mut second = Quarantine::default();
-    second.served(CONTENT, Millis(START - 1000));
+    second.served(&CONTENT.into(), Millis(START - 1000), Millis(START - 1000));
     let now = Millis(START + 700);
-    for suspicion in first.unsent_suspicions(now) {
-        second.apply_suspicion(&suspicion, now);
+    for suspicion in first.unsent_suspicions(SuspectKind::Request, now) {
+        second.apply_suspicion(SuspectKind::Request, &suspicion, now);
     }
-    for suspicion in second.unsent_suspicions(now) {
-        first.apply_suspicion(&suspicion, now);
+    for suspicion in second.unsent_suspicions(SuspectKind::Request, now) {
+        first.apply_suspicion(SuspectKind::Request, &suspicion, now);
     }
     assert!(!is_quarantined(&first, CONTENT, now.0));
     assert!(!is_quarantined(&second, CONTENT, now.0));
@@ -278,7 +283,7 @@
 fn evidence_that_comes_after_the_request_was_served_is_too_late() {
     let mut quarantine = Quarantine::default();
     quarantine.run_cut(run(CONTENT, 1, START), Millis(START + 80));
-    quarantine.served(CONTENT, Millis(START + 500));
+    quarantine.served(&CONTENT.into(), Millis(START + 500), Millis(START + 500));
     quarantine.server_ended(Incarnation(1), Millis(START + 3500));
     end(&mut quarantine, CONTENT, 2, START + 4000, 80);
     assert!(!is_quarantined(&quarantine, CONTENT, START + 5000));
@@ -304,7 +309,7 @@
     ));
     let later = again + 90 + 2 * span();
     assert!(!is_quarantined(&quarantine, CONTENT, later));
-    quarantine.served(CONTENT, Millis(later));
+    quarantine.served(&CONTENT.into(), Millis(later), Millis(later));
     end(&mut quarantine, CONTENT, 4, later + 100, 80);
     assert!(!is_quarantined(&quarantine, CONTENT, later + 200));
 }
@@ -315,7 +320,11 @@
     let mut quarantine = Quarantine::default();
     end(&mut quarantine, CONTENT, 1, START, 80);
     quarantine.expire(Millis(START + 80 + 2 * span()));
-    assert!(quarantine.all_suspicions(Millis(START)).is_empty());
+    assert!(
+        quarantine
+            .all_suspicions(SuspectKind::Request, Millis(START))
+            .is_empty()
+    );
 }
 
 /// Guards against a flood of requests that evicts quarantined requests, which could then end
@@ -329,7 +338,11 @@
     end(&mut quarantine, CONTENT, 2, START + 500, 80);
     for number in 0..2 * capacity {
         let content = Fingerprint(1000 + number);
-        assert!(quarantine.admit(content, Millis(START + 600)).is_ok());
+        assert!(
+            quarantine
+                .admit(&content.into(), Millis(START + 600))
+                .is_ok()
+        );
         // Each of them was on a server that ended afterwards, the worst case of a flood.
         end(
             &mut quarantine,
@@ -351,17 +364,17 @@
     end(&mut first, CONTENT, 1, START, 80);
     end(&mut second, CONTENT, 2, START + 500, 80);
     let now = START + 700;
-    for suspicion in first.unsent_suspicions(Millis(now)) {
-        second.apply_suspicion(&suspicion, Millis(now));
+    for suspicion in first.unsent_suspicions(SuspectKind::Request, Millis(now)) {
+        second.apply_suspicion(SuspectKind::Request, &suspicion, Millis(now));
     }
     assert!(is_quarantined(&second, CONTENT, now));
     let mut third = Quarantine::default();
-    for suspicion in second.all_suspicions(Millis(now)) {
-        third.apply_suspicion(&suspicion, Millis(40));
+    for suspicion in second.all_suspicions(SuspectKind::Request, Millis(now)) {
+        third.apply_suspicion(SuspectKind::Request, &suspicion, Millis(40));
     }
-    let refusal = third.admit(CONTENT, Millis(40)).unwrap_err();
+    let refusal = third.admit(&CONTENT.into(), Millis(40)).unwrap_err();
     assert_eq!(refusal.retry_after, Millis(span() - (now - (START + 580))));
-    assert_eq!(third.quarantined_count(Millis(40)), 1);
+    assert_eq!(third.quarantined_count(SuspectKind::Request, Millis(40)), 1);
 }
 
 /// Guards against outdated suspicions that undo a clearance. An instance first receives the report
@@ -372,15 +385,15 @@
     let mut first = Quarantine::default();
     end(&mut first, CONTENT, 1, START, 80);
     end(&mut first, CONTENT, 2, START + 500, 80);
-    let old = first.all_suspicions(Millis(START + 600));
-    assert!(first.served(CONTENT, Millis(START + 700)));
+    let old = first.all_suspicions(SuspectKind::Request, Millis(START + 600));
+    assert!(first.served(&CONTENT.into(), Millis(START + 700), Millis(START + 700)));
     let mut second = Quarantine::default();
     for suspicion in first
-        .unsent_suspicions(Millis(START + 800))
+        .unsent_suspicions(SuspectKind::Request, Millis(START + 800))
         .iter()
         .chain(&old)
     {
-        second.apply_suspicion(suspicion, Millis(START + 900));
+        second.apply_suspicion(SuspectKind::Request, suspicion, Millis(START + 900));
     }
     assert!(!is_quarantined(&second, CONTENT, START + 1000));
 }
@@ -401,9 +414,9 @@
         }],
     };
     end(&mut quarantine, CONTENT, 2, START, 80);
-    quarantine.apply_suspicion(&reported(200), Millis(START + 300));
+    quarantine.apply_suspicion(SuspectKind::Request, &reported(200), Millis(START + 300));
     assert!(!is_quarantined(&quarantine, CONTENT, START + 300));
-    quarantine.apply_suspicion(&reported(310), Millis(START + 300));
+    quarantine.apply_suspicion(SuspectKind::Request, &reported(310), Millis(START + 300));
     assert!(is_quarantined(&quarantine, CONTENT, START + 300));
 }
 
@@ -452,26 +465,32 @@
         match observed {
             Observed::End { server, sent } => end(&mut source, CONTENT, server, sent, runs_for),
             Observed::Served => {
-                source.served(CONTENT, now);
+                source.served(&CONTENT.into(), now, now);
             }
         }
-        news.extend(source.unsent_suspicions(now));
+        news.extend(source.unsent_suspicions(SuspectKind::Request, now));
     }
     let mut in_order = Quarantine::default();
     let mut shuffled = Quarantine::default();
     for suspicion in &news {
-        in_order.apply_suspicion(suspicion, now);
+        in_order.apply_suspicion(SuspectKind::Request, suspicion, now);
     }
     for index in order {
         if !news.is_empty() {
-            shuffled.apply_suspicion(index.get(&news), now);
+            shuffled.apply_suspicion(SuspectKind::Request, index.get(&news), now);
         }
     }
     for suspicion in news.iter().rev() {
-        shuffled.apply_suspicion(suspicion, now);
+        shuffled.apply_suspicion(SuspectKind::Request, suspicion, now);
     }
-    prop_assert_eq!(in_order.admit(CONTENT, now), shuffled.admit(CONTENT, now));
-    prop_assert_eq!(in_order.admit(CONTENT, now), source.admit(CONTENT, now));
+    prop_assert_eq!(
+        in_order.admit(&CONTENT.into(), now),
+        shuffled.admit(&CONTENT.into(), now)
+    );
+    prop_assert_eq!(
+        in_order.admit(&CONTENT.into(), now),
+        source.admit(&CONTENT.into(), now)
+    );
     Ok(())
 }
 
