serve: messages under which engines end are suspects of their own

All messages of a prompt but the last are shared parts; of a single text its first 256 bytes, if it has as many. The call suspect between peers says whether it is about parts; an instance of before takes these for requests that it never sees. The first message and the last shared one are held back by three instances now, and requests with the other messages are answered: 20 of 20.

--- a/crates/entry/src/coordination/mod.rs
+++ b/crates/entry/src/coordination/mod.rs
@@ -60,6 +60,7 @@
 pub(crate) use limits::Permit;
 pub(crate) use limits::TokenEstimate;
 pub(crate) use orders::ModelDemand;
+pub(crate) use suspects::CutAttempt;
 pub(crate) use suspects::Suspects;
 
 /// Time that a claim waits for votes. A group replies within a round trip; a suspended member must
@@ -345,8 +346,8 @@
                 self.limits.on_return(from, &request);
                 Response::Done
             }
-            Request::Suspect(suspicions) => {
-                self.suspects.on_suspicions(&suspicions);
+            Request::Suspect(kind, suspicions) => {
+                self.suspects.on_suspicions(kind, &suspicions);
                 Response::Done
             }
         }
--- a/crates/entry/src/coordination/suspects.rs
+++ b/crates/entry/src/coordination/suspects.rs
@@ -1,4 +1,4 @@
-//! Requests under which backend servers ended: the evidence, and its exchange between instances.
+//! Requests and prompt parts under which backend servers ended: the evidence, and its exchange between instances.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -15,9 +15,9 @@
 use crocushold_http::refuses_connections;
 use crocushold_ownership::Member;
 use crocushold_peers::Request;
-use crocushold_routing::Fingerprint;
 use crocushold_routing::Incarnation;
 use crocushold_routing::Quarantine;
+use crocushold_routing::RequestContent;
 use crocushold_routing::Run;
 use crocushold_routing::SuspectKind;
 use crocushold_routing::Suspicion;
@@ -42,7 +42,22 @@
 /// Timeout of a message. Its contents are also sent by other instances.
 const GOSSIP_TIMEOUT: Millis = Millis(500);
 
-/// What this instance knows of requests under which servers ended.
+/// An attempt whose connection the server broke.
+#[derive(Clone, Debug)]
+pub(crate) struct CutAttempt {
+    /// What was asked.
+    pub(crate) content: RequestContent,
+    /// The server's address.
+    pub(crate) address: SocketAddr,
+    /// When it was sent.
+    pub(crate) sent: Millis,
+    /// When the head of the response arrived, if it did.
+    pub(crate) began: Option<Millis>,
+    /// When the first piece of the body arrived, if one did.
+    pub(crate) writing: Option<Millis>,
+}
+
+/// What this instance knows of requests and prompt parts under which servers ended.
 #[derive(Debug)]
 pub(crate) struct Suspects {
     clock: Clock,
@@ -79,62 +94,61 @@
     ///
     /// Returns a refusal if servers ended under it: each attempt would end another one, with all
     /// requests that run there.
-    pub(crate) fn admit(&self, content: Fingerprint) -> Result<(), Refusal> {
-        let admitted = self
-            .state()
-            .quarantine
-            .admit(&content.into(), self.clock.now());
+    pub(crate) fn admit(&self, content: &RequestContent) -> Result<(), Refusal> {
+        let admitted = self.state().quarantine.admit(content, self.clock.now());
         admitted.map_err(|held| {
             let text = "backend servers ended while they ran this request";
             Refusal::not_run(Reason::Quarantined, text).retry_after(held.retry_after)
         })
     }
 
-    /// Handles a run, sent to the server at `address` at the time `sent`, whose connection the
-    /// server broke. A connection reset looks the same as a process that ended, so the server is
-    /// checked.
-    pub(crate) fn on_cut(
-        self: &Arc<Self>,
-        content: Fingerprint,
-        address: SocketAddr,
-        sent: Millis,
-    ) {
+    /// Handles an attempt whose connection the server broke. A connection reset looks the same as a
+    /// process that ended, so the server is checked.
+    pub(crate) fn on_cut(self: &Arc<Self>, cut: CutAttempt) {
         let now = self.clock.now();
         let mut state = self.state();
-        let server = self.incarnation(&state, address);
+        let server = self.incarnation(&state, cut.address);
         let run = Run {
-            content: content.into(),
+            content: cut.content,
             server,
-            sent,
-            began: None,
-            writing: None,
+            sent: cut.sent,
+            began: cut.began,
+            writing: cut.writing,
         };
         let needs_check = state.quarantine.run_cut(run, now);
-        self.log_quarantined(state);
+        self.log_changes(state);
         if needs_check {
-            task::spawn(self.clone().check_process(address, server));
+            task::spawn(self.clone().check_process(cut.address, server));
         }
     }
 
-    /// Handles a request that was served completely.
-    pub(crate) fn on_served(&self, content: Fingerprint) {
+    /// Handles a request that was served completely, from `began` on.
+    pub(crate) fn on_served(&self, content: &RequestContent, began: Millis) {
         let now = self.clock.now();
-        if self.state().quarantine.served(&content.into(), now, now) {
-            let content = self.names.pseudonym(content);
+        let mut state = self.state();
+        if state.quarantine.served(content, began, now) {
+            let content = self.names.pseudonym(content.request);
             info!("{}", Event::new("content-cleared").with("content", content));
         }
+        self.log_changes(state);
+    }
+
+    /// Handles a server that goes on with a response that it began to write at `began`.
+    pub(crate) fn on_survival(&self, content: &RequestContent, began: Millis) {
+        let mut state = self.state();
+        let now = self.clock.now();
+        state.quarantine.parts_survived(content, began, now);
+        self.log_changes(state);
     }
 
     /// Handles the suspicions of another instance.
-    pub(super) fn on_suspicions(&self, suspicions: &[Suspicion]) {
+    pub(super) fn on_suspicions(&self, kind: SuspectKind, suspicions: &[Suspicion]) {
         let now = self.clock.now();
         let mut state = self.state();
         for suspicion in suspicions {
-            state
-                .quarantine
-                .apply_suspicion(SuspectKind::Request, suspicion, now);
+            state.quarantine.apply_suspicion(kind, suspicion, now);
         }
-        self.log_quarantined(state);
+        self.log_changes(state);
     }
 
     async fn check_process(self: Arc<Self>, address: SocketAddr, server: Incarnation) {
@@ -150,7 +164,7 @@
             .with("server", address)
             .with("suspects", suspects);
         warn!("{event}");
-        self.log_quarantined(state);
+        self.log_changes(state);
     }
 
     /// The incarnation of the process at an address, as counted by this instance. Other instances
@@ -162,29 +176,44 @@
         Incarnation(XxHash3_64::oneshot_with_seed(self.me.id.0, text.as_bytes()))
     }
 
-    fn log_quarantined(&self, mut state: MutexGuard<'_, State>) {
+    fn log_changes(&self, mut state: MutexGuard<'_, State>) {
         let placed = state.quarantine.take_quarantined();
+        let cleared = state.quarantine.take_cleared_parts();
         drop(state);
+        for part in cleared {
+            let part = self.names.pseudonym(part);
+            info!("{}", Event::new("part-cleared").with("part", part));
+        }
         for quarantined in placed {
-            let event = Event::new("content-quarantined")
-                .with("content", self.names.pseudonym(quarantined.content))
+            let (event, field) = match quarantined.kind {
+                SuspectKind::Request => (Event::new("content-quarantined"), "content"),
+                SuspectKind::Part => (Event::new("part-quarantined"), "part"),
+            };
+            let event = event
+                .with(field, self.names.pseudonym(quarantined.content))
                 .with("ends", quarantined.servers.len())
                 .with("span", quarantined.span);
             warn!("{event}");
         }
     }
 
-    /// Returns the suspicions to send in a round.
-    fn suspicions_to_send(&self, all: bool) -> Vec<Suspicion> {
+    /// Returns the suspicions of a kind to send in a round.
+    fn suspicions_to_send(&self, kind: SuspectKind, all: bool) -> Vec<Suspicion> {
         let now = self.clock.now();
         let quarantine = &mut self.state().quarantine;
-        quarantine.expire(now);
         if all {
-            quarantine.all_suspicions(SuspectKind::Request, now)
+            quarantine.all_suspicions(kind, now)
         } else {
-            quarantine.unsent_suspicions(SuspectKind::Request, now)
+            quarantine.unsent_suspicions(kind, now)
         }
     }
+
+    /// Drops expired state.
+    fn expire(&self) {
+        let mut state = self.state();
+        state.quarantine.expire(self.clock.now());
+        self.log_changes(state);
+    }
 }
 
 impl Coordinator {
@@ -193,16 +222,18 @@
     pub(crate) async fn run_suspects(self: Arc<Self>) {
         for round in 0usize.. {
             task::sleep(GOSSIP_PERIOD.into()).await;
-            let suspicions = self
-                .suspects
-                .suspicions_to_send(round % FULL_GOSSIP_ROUNDS == 0);
-            if !suspicions.is_empty() {
-                self.gossip(round, &suspicions);
+            self.suspects.expire();
+            let all = round % FULL_GOSSIP_ROUNDS == 0;
+            for kind in [SuspectKind::Request, SuspectKind::Part] {
+                let suspicions = self.suspects.suspicions_to_send(kind, all);
+                if !suspicions.is_empty() {
+                    self.gossip(round, kind, &suspicions);
+                }
             }
         }
     }
 
-    fn gossip(self: &Arc<Self>, round: usize, suspicions: &[Suspicion]) {
+    fn gossip(self: &Arc<Self>, round: usize, kind: SuspectKind, suspicions: &[Suspicion]) {
         let (live, _) = self.members().quorum();
         let others = live.members().iter().copied();
         let others: Vec<Member> = others.filter(|member| *member != self.me).collect();
@@ -213,7 +244,7 @@
                 &(round * GOSSIP_FANOUT + number).to_le_bytes(),
             );
             let to = others[draw as usize % others.len()];
-            let call = Request::Suspect(suspicions.to_vec());
+            let call = Request::Suspect(kind, suspicions.to_vec());
             let coordinator = self.clone();
             task::spawn(async move { coordinator.transport.call(to, call, GOSSIP_TIMEOUT).await });
         }
--- a/crates/entry/src/decode.rs
+++ b/crates/entry/src/decode.rs
@@ -21,6 +21,7 @@
 use crocushold_ownership::ClaimKey;
 use crocushold_ownership::RequestDigest;
 use crocushold_routing::Fingerprint;
+use crocushold_routing::RequestContent;
 use http_types::Method;
 use http_types::Request;
 use http_types::StatusCode;
@@ -84,9 +85,8 @@
     pub(crate) stream: bool,
     /// The idempotency key of a request that must not run twice.
     pub(crate) idempotency_key: Option<IdempotencyKey>,
-    /// Identifies the content of the request and its account. A repeated request has the same
-    /// fingerprint.
-    pub(crate) content: Fingerprint,
+    /// What is asked. It is the same for a repeated request.
+    pub(crate) content: RequestContent,
     /// Time within which a server must begin a non-streamed response.
     pub(crate) response_timeout: Millis,
     outgoing: OutgoingRequest,
@@ -111,6 +111,17 @@
     body: Vec<u8>,
 }
 
+/// The content of a model request, with the fingerprint of the whole still to be set.
+fn unread_content(payload: &Payload) -> RequestContent {
+    let parts = payload.parts.iter();
+    let fingerprints =
+        parts.map(|part| Fingerprint::of(&[payload.model.as_bytes(), &part.to_le_bytes()]));
+    RequestContent {
+        request: Fingerprint::of(&[]),
+        parts: fingerprints.collect(),
+    }
+}
+
 impl OutgoingRequest {
     /// Hash of the request, which distinguishes a repeat from a different request with the same
     /// idempotency key.
@@ -124,7 +135,7 @@
         RequestDigest(hasher.finish())
     }
 
-    fn content(&self, account: &str) -> Fingerprint {
+    fn fingerprint(&self, account: &str) -> Fingerprint {
         Fingerprint::of(&[
             self.method.as_ref().as_bytes(),
             self.target.as_bytes(),
@@ -197,7 +208,10 @@
         let account = &self.config.catalog.accounts[job.resolved.account].name;
         Ok(Job {
             idempotency_key: self.idempotency_key(request, &job)?,
-            content: job.outgoing.content(account),
+            content: RequestContent {
+                request: job.outgoing.fingerprint(account),
+                ..job.content
+            },
             _reservation: Some(Arc::new(reservation)),
             ..job
         })
@@ -226,7 +240,7 @@
             response_timeout: response_timeout(class),
             outgoing: outgoing(request, body),
             idempotency_key: None,
-            content: Fingerprint::of(&[]),
+            content: unread_content(&payload),
             _reservation: None,
         })
     }
@@ -254,7 +268,7 @@
             response_timeout: response_timeout(class),
             outgoing: outgoing(request, body),
             idempotency_key: None,
-            content: Fingerprint::of(&[]),
+            content: Fingerprint::of(&[]).into(),
             _reservation: None,
         })
     }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -126,7 +126,9 @@
 
     async fn run_uncounted(&self, hangup: &Hangup) -> Result<Response, Failure> {
         let suspects = self.coordinator.suspects();
-        suspects.admit(self.job.content).map_err(Failure::Refused)?;
+        suspects
+            .admit(&self.job.content)
+            .map_err(Failure::Refused)?;
         let permit = self.admit()?;
         let dispatch = match self.wait_for_dispatch(hangup).await {
             Ok(dispatch) => dispatch,
@@ -269,7 +271,7 @@
                 }
                 AttemptResult::Failed(error) => {
                     if error.is_disconnect() {
-                        sent.on_cut();
+                        sent.on_cut(None);
                     }
                     let timed_out = matches!(error.kind, SendErrorKind::HeadTimeout);
                     (stage_of(&error), self.outcome(&error), timed_out)
@@ -314,8 +316,9 @@
             pool: self.pool.clone(),
             server: pick.server,
             address,
-            content: self.job.content,
+            content: self.job.content.clone(),
             sent: self.clock.now(),
+            began: None,
         }
     }
 
@@ -382,7 +385,7 @@
         }
         // While the request was queued, servers may have ended under other requests with the same
         // content.
-        if let Err(refusal) = self.coordinator.suspects().admit(self.job.content) {
+        if let Err(refusal) = self.coordinator.suspects().admit(&self.job.content) {
             return AttemptResult::Quarantined(refusal);
         }
         let sent = std::pin::pin!(self.client.send(address, request, &limits, reuse));
@@ -468,7 +471,10 @@
             arrived: self.arrived,
             stream: self.job.stream,
             failed: answer.status.is_server_error(),
-            sent,
+            sent: SentAttempt {
+                began: Some(self.clock.now()),
+                ..sent
+            },
             _running: resources.running,
         });
         let content_type = response.content_type();
--- a/crates/entry/src/payload.rs
+++ b/crates/entry/src/payload.rs
@@ -62,6 +62,9 @@
     pub prompt_tokens: u32,
     /// Hash of the prompt's prefix, if the prompt is long enough to share one.
     pub prefix: Option<u64>,
+    /// Hashes of the parts of the prompt that other requests may have: all messages but the last, or
+    /// the prefix of a single text.
+    pub parts: Vec<u64>,
 }
 
 #[derive(Deserialize)]
@@ -169,6 +172,7 @@
             max_tokens: fields.max_tokens.or(fields.max_completion_tokens),
             prompt_tokens: u32::try_from(bytes.div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX),
             prefix: prefix_hash(&texts),
+            parts: part_hashes(&texts),
         })
     }
 }
@@ -195,6 +199,21 @@
     contents.chain(fields.prompt).map(decode_text).collect()
 }
 
+fn part_hashes(texts: &[Cow<'_, str>]) -> Vec<u64> {
+    match texts {
+        [] => Vec::new(),
+        [text] => prefix_hash(std::slice::from_ref(text))
+            .into_iter()
+            .collect(),
+        [common @ .., _] => {
+            let hashes = common.iter();
+            hashes
+                .map(|text| XxHash3_64::oneshot(text.as_bytes()))
+                .collect()
+        }
+    }
+}
+
 fn prefix_hash(texts: &[Cow<'_, str>]) -> Option<u64> {
     let mut head = Vec::with_capacity(PREFIX_BYTES);
     for text in texts {
--- a/crates/entry/src/response_observer.rs
+++ b/crates/entry/src/response_observer.rs
@@ -17,6 +17,7 @@
 use crocushold_metrics::WasteCause;
 use crocushold_routing::AttemptKey;
 use crocushold_routing::Outcome;
+use crocushold_routing::SURVIVAL;
 use serde::Deserialize;
 
 use crate::coordination::Permit;
@@ -106,6 +107,10 @@
     counter: EventCounter,
     tail: Vec<u8>,
     first: Option<Millis>,
+    /// When the first piece of the body arrived.
+    writing: Option<Millis>,
+    /// Whether the suspects know that the server went on after it began to write.
+    survived: bool,
     reported: u64,
 }
 
@@ -116,10 +121,29 @@
             counter: EventCounter::new(),
             tail: Vec::new(),
             first: None,
+            writing: None,
+            survived: false,
             reported: 0,
         }
     }
 
+    /// Tells the suspects, once, that the server has gone on for long enough after it began to write.
+    fn note_survival(&mut self) {
+        let Some(context) = &self.context else {
+            return;
+        };
+        let sent = &context.sent;
+        if self.survived || context.failed || sent.content.parts.is_empty() {
+            return;
+        }
+        let now = context.clock.now();
+        let began = *self.writing.get_or_insert(now);
+        if now.since(began) >= SURVIVAL {
+            sent.on_survival(began);
+            self.survived = true;
+        }
+    }
+
     fn record_first_token(&mut self) {
         let Some(context) = &self.context else {
             return;
@@ -178,8 +202,10 @@
             AnswerEnd::Dropped { .. } => (Outcome::Cancelled, RequestEnd::Cancelled),
         };
         match cut {
-            Some(cause) if cause.is_disconnect() => context.sent.on_cut(),
-            None if end == RequestEnd::Completed && !context.failed => context.sent.on_served(),
+            Some(cause) if cause.is_disconnect() => context.sent.on_cut(self.writing),
+            None if end == RequestEnd::Completed && !context.failed => {
+                context.sent.on_served(self.writing);
+            }
             _ => {}
         }
         let record = self.record(&context, end, tokens);
@@ -224,6 +250,7 @@
 
 impl Observer for ResponseObserver {
     fn chunk(&mut self, bytes: &[u8]) {
+        self.note_survival();
         if self.context.as_ref().is_some_and(|context| !context.stream) {
             self.keep_tail(bytes);
             return;
--- a/crates/entry/src/sent_attempt.rs
+++ b/crates/entry/src/sent_attempt.rs
@@ -6,9 +6,10 @@
 
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
-use crocushold_routing::Fingerprint;
+use crocushold_routing::RequestContent;
 use crocushold_routing::State;
 
+use crate::coordination::CutAttempt;
 use crate::coordination::Suspects;
 use crate::pool::Pool;
 
@@ -18,24 +19,40 @@
     pub(crate) pool: Arc<Pool>,
     pub(crate) server: ServerKey,
     pub(crate) address: SocketAddr,
-    /// Fingerprint of the request's content.
-    pub(crate) content: Fingerprint,
+    /// What is asked.
+    pub(crate) content: RequestContent,
     pub(crate) sent: Millis,
+    /// When the head of the response arrived.
+    pub(crate) began: Option<Millis>,
 }
 
 impl SentAttempt {
-    /// Handles a connection that the server broke.
-    pub(crate) fn on_cut(&self) {
+    /// Handles a connection that the server broke. `writing` is when the first piece of the body
+    /// arrived.
+    pub(crate) fn on_cut(&self, writing: Option<Millis>) {
         // A server that leaves as planned breaks the remaining connections at the end of its grace
         // period.
         if !self.is_leaving() {
-            self.suspects.on_cut(self.content, self.address, self.sent);
+            let cut = CutAttempt {
+                content: self.content.clone(),
+                address: self.address,
+                sent: self.sent,
+                began: self.began,
+                writing,
+            };
+            self.suspects.on_cut(cut);
         }
     }
 
-    /// Handles a response that was complete.
-    pub(crate) fn on_served(&self) {
-        self.suspects.on_served(self.content);
+    /// Handles a response that was complete, and whose body began at `writing`.
+    pub(crate) fn on_served(&self, writing: Option<Millis>) {
+        let began = writing.or(self.began).unwrap_or(self.sent);
+        self.suspects.on_served(&self.content, began);
+    }
+
+    /// Handles a server that goes on with a body that it began to write at `began`.
+    pub(crate) fn on_survival(&self, began: Millis) {
+        self.suspects.on_survival(&self.content, began);
     }
 
     fn is_leaving(&self) -> bool {
--- a/crates/entry/tests/payload.rs
+++ b/crates/entry/tests/payload.rs
@@ -29,6 +29,25 @@
     assert_ne!(prefix("a", "x"), prefix("b", "x"));
 }
 
+/// Guards against holding back what a caller asks by itself, and against missing what others ask as well.
+#[test]
+fn all_messages_but_the_last_are_shared_parts() {
+    let parts = |messages: &str| {
+        let body = format!(r#"{{"model":"m","messages":[{messages}]}}"#);
+        Payload::decode(body.as_bytes()).unwrap().parts
+    };
+    let rules = r#"{"content":"rules"}"#;
+    assert!(parts(rules).is_empty());
+    let one = parts(&format!(r#"{rules},{{"content":"one"}}"#));
+    assert_eq!(one.len(), 1);
+    assert_eq!(parts(&format!(r#"{rules},{{"content":"two"}}"#)), one);
+    let three = parts(&format!(
+        r#"{{"content":"other"}},{rules},{{"content":"one"}}"#
+    ));
+    assert_eq!(three[1..], one);
+    assert_ne!(three[0], one[0]);
+}
+
 #[test_case(r#"{"model":"m","messages":[{"content":[{"type":"text","text":"hi"}]}]}"#; "parts")]
 #[test_case(r#"{"model":"m","messages":[{"content":null}]}"#; "null content")]
 #[test_case(r#"{"model":"m","prompt":[1,2,3]}"#; "token numbers")]
--- a/crates/peers/schema/peer.capnp
+++ b/crates/peers/schema/peer.capnp
@@ -161,5 +161,6 @@
          -> (units :Float64, slots :UInt32);
   giveBack @5 (account :UInt64, kept :UInt32) -> ();
   # An instance of before answers that it isn't implemented, and goes by its own requests.
-  suspect @6 (suspicions :List(Suspicion)) -> ();
+  # Suspicions are of parts of prompts, or of whole requests.
+  suspect @6 (suspicions :List(Suspicion), parts :Bool) -> ();
 }
--- a/crates/peers/src/coordination/mod.rs
+++ b/crates/peers/src/coordination/mod.rs
@@ -11,6 +11,7 @@
 use crocushold_ownership::SettleRequest;
 use crocushold_ownership::TransferRequest;
 use crocushold_ownership::Vote;
+use crocushold_routing::SuspectKind;
 use crocushold_routing::Suspicion;
 
 /// A call to a peer.
@@ -26,8 +27,8 @@
     Borrow(BorrowRequest),
     /// Returns borrowed slots.
     Return(ReturnRequest),
-    /// Reports requests during which servers ended.
-    Suspect(Vec<Suspicion>),
+    /// Reports requests, or parts of prompts, during which servers ended.
+    Suspect(SuspectKind, Vec<Suspicion>),
 }
 
 /// The answer to a [`Request`] of the same kind.
--- a/crates/peers/src/shell/calls.rs
+++ b/crates/peers/src/shell/calls.rs
@@ -7,6 +7,7 @@
 use crocushold_ownership::ReturnRequest;
 use crocushold_ownership::SettleRequest;
 use crocushold_ownership::TransferRequest;
+use crocushold_routing::SuspectKind;
 use crocushold_routing::Suspicion;
 
 use crate::coordination::Request;
@@ -34,7 +35,7 @@
         Request::Transfer(request) => transfer(&session, &request).await,
         Request::Borrow(request) => borrow(&session, &request).await,
         Request::Return(request) => give_back(&session, &request).await,
-        Request::Suspect(suspicions) => suspect(&session, &suspicions).await,
+        Request::Suspect(kind, suspicions) => suspect(&session, kind, &suspicions).await,
     }
 }
 
@@ -107,8 +108,13 @@
     Ok(Response::Done)
 }
 
-async fn suspect(session: &PeerSession, suspicions: &[Suspicion]) -> capnp::Result<Response> {
+async fn suspect(
+    session: &PeerSession,
+    kind: SuspectKind,
+    suspicions: &[Suspicion],
+) -> capnp::Result<Response> {
     let mut call = session.client.suspect_request();
+    call.get().set_parts(kind == SuspectKind::Part);
     let mut list = call.get().init_suspicions(suspicions.len() as u32);
     for (at, suspicion) in suspicions.iter().enumerate() {
         codec::write_suspicion(suspicion, list.reborrow().get(at as u32));
--- a/crates/peers/src/shell/server.rs
+++ b/crates/peers/src/shell/server.rs
@@ -18,6 +18,7 @@
 use crocushold_ownership::Member;
 use crocushold_ownership::ReturnRequest;
 use crocushold_ownership::SettleRequest;
+use crocushold_routing::SuspectKind;
 use futures::future::AbortHandle;
 use futures::future::abortable;
 
@@ -385,10 +386,16 @@
         params: session::SuspectParams,
         _results: session::SuspectResults,
     ) -> capnp::Result<()> {
-        let list = params.get()?.get_suspicions()?;
+        let params = params.get()?;
+        let kind = if params.get_parts() {
+            SuspectKind::Part
+        } else {
+            SuspectKind::Request
+        };
+        let list = params.get_suspicions()?;
         let suspicions = list.iter().map(codec::read_suspicion);
         let suspicions = suspicions.collect::<capnp::Result<Vec<_>>>()?;
-        done(self.coordinate(Request::Suspect(suspicions))?)
+        done(self.coordinate(Request::Suspect(kind, suspicions))?)
     }
 }
 
--- a/tests/all/ended_servers.rs
+++ b/tests/all/ended_servers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crocushold_standins::EngineCommand;
+use test_case::test_case;
 
 use crate::support::Call;
 use crate::support::Entry;
@@ -17,6 +18,9 @@
 /// Engines that may end under one request before the instances notice.
 const ENDS_BEFORE_QUARANTINE: usize = 3;
 
+/// Engines that may end under one message, in requests that differ otherwise, before the instances notice.
+const ENDS_BEFORE_PART_QUARANTINE: usize = 5;
+
 /// Further sends that are allowed in total once all instances have noticed.
 const FURTHER_SENDS: usize = 3;
 
@@ -45,13 +49,25 @@
 /// Sends the poison request to the instances in turn until one doesn't forward it. Returns the
 /// engines that ended under it.
 fn send_until_quarantined(site: &Site, entries: &[&Entry]) -> Vec<usize> {
+    let poison = |_| poison_request();
+    send_until_refused(site, entries, ENDS_BEFORE_QUARANTINE, poison)
+}
+
+/// Sends marked requests to the instances in turn until one doesn't forward it, and waits for the stable
+/// window after `ends` engines have ended. Returns the engines that ended under them.
+fn send_until_refused(
+    site: &Site,
+    entries: &[&Entry],
+    ends: usize,
+    request: impl Fn(usize) -> Call,
+) -> Vec<usize> {
     let mut ended = Vec::new();
-    for number in 0..ENDS_BEFORE_QUARANTINE + FURTHER_SENDS + 1 {
-        if ended.len() == ENDS_BEFORE_QUARANTINE {
+    for number in 0..ends + FURTHER_SENDS + 1 {
+        if ended.len() == ends {
             thread::sleep(STABLE_WINDOW);
         }
         let entry = entries[number % entries.len()];
-        let mut caller = RawCaller::send(entry.listen, &poison_request());
+        let mut caller = RawCaller::send(entry.listen, &request(number));
         let Some(runner) = new_runner(site, &ended) else {
             break;
         };
@@ -131,6 +147,52 @@
     second.wait_idle();
 }
 
+/// A request with these messages before one of its own.
+fn chat_after(messages: &[&str], number: usize) -> Call {
+    let mut list: Vec<String> = messages
+        .iter()
+        .map(|text| format!(r#"{{"role":"system","content":"{text}"}}"#))
+        .collect();
+    list.push(format!(
+        r#"{{"role":"user","content":"question {number}"}}"#
+    ));
+    let list = list.join(",");
+    let call = Call::chat(true, 50);
+    Call {
+        body: format!(r#"{{"model":"m","stream":true,"max_tokens":50,"messages":[{list}]}}"#),
+        ..call
+    }
+}
+
+// A message crashes each engine that begins to answer on it, in requests that are never the same. They
+// went to one engine after the other.
+#[test_case(&["a message that no engine survives", "rules of the house"]; "the first message")]
+#[test_case(&["rules of the house", "a message that no engine survives"]; "the last shared message")]
+fn serve_holds_back_a_message_that_ends_engines(messages: &[&str]) {
+    let site = site();
+    let fleet = Fleet::start(&site, 3);
+    fleet.wait_converged();
+    let entries: Vec<&Entry> = fleet.running().collect();
+    let request = |number| chat_after(messages, number).marked("poison");
+    let ended = send_until_refused(&site, &entries[..2], ENDS_BEFORE_PART_QUARANTINE, request);
+    let count = ended.len();
+    assert!(
+        count <= ENDS_BEFORE_PART_QUARANTINE + FURTHER_SENDS,
+        "{count} engines ended under the message"
+    );
+    let runs = site.runs("poison");
+    let refused = call(entries[2].listen, &request(100)).unwrap();
+    assert_eq!(refused.status, 503);
+    assert_eq!(refused.header("x-refusal-reason"), "quarantined");
+    assert_eq!(site.runs("poison"), runs);
+    site.command_all_engines(&EngineCommand::Stall { after: None });
+    for number in 0..20 {
+        let entry = entries[number % entries.len()];
+        let sound = chat_after(&["rules of the house"], number);
+        assert_eq!(call(entry.listen, &sound).unwrap().status, 200);
+    }
+}
+
 // An engine crashes for a reason unrelated to the request that it runs. The caller repeats the
 // request and is served: a single end quarantines nothing.
 #[test]
