gateway: connections that can't be served in time are closed unread

What callers saw: where most new connections of a zone or a region went to one instance and it had little processor time, half of their requests got nothing for a second, and they couldn't turn to another instance, as their connections had been accepted. Above the limit on connections they got 503 with a time to wait, after up to 64 KB had been read from them.

Cause: the listener accepted whatever the limit on descriptors allowed, however long the accepted ones waited for processor time. The class of fault: a queue without a bound in time, which nobody watched.

Now a listener measures how long each accepted connection waits until its task starts. Where not one in 200 ms started within 100 ms (controlled delay), those that waited longer are closed unread, as are those above the limit; their callers try at once at another instance. A burst, or a processor quota that holds the process for 92 of each 100 ms, turns nobody away. Operators see connections-turned-away and crocushold_connections_turned_away_total. serve keeps its documented answer (503, overloaded).

--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -16,6 +16,7 @@
 use crocushold_http::Listener;
 use crocushold_http::ListenerHandle;
 use crocushold_http::ListenerLimits;
+use crocushold_http::OverloadPolicy;
 use crocushold_http::ServerLimits;
 use crocushold_peers as peers;
 use crocushold_peers::PeerHandle;
@@ -164,6 +165,7 @@
 fn caller_limits(limits: &CallerLimits) -> ListenerLimits {
     ListenerLimits {
         max_connections: limits.connections as usize,
+        overload: OverloadPolicy::Answer,
         retry_after: Millis::from_secs(1),
         server: ServerLimits {
             head_bytes: usize::try_from(limits.head_bytes).unwrap_or(usize::MAX),
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -15,6 +15,7 @@
 use crocushold_http::Listener;
 use crocushold_http::ListenerHandle;
 use crocushold_http::ListenerLimits;
+use crocushold_http::OverloadPolicy;
 use crocushold_http::ServerLimits;
 use crocushold_routing::RegionKey;
 use http_types::Request;
@@ -275,6 +276,7 @@
 pub(crate) fn caller_limits(settings: &Settings, limits: &CallerLimits) -> ListenerLimits {
     ListenerLimits {
         max_connections: (settings.descriptors / DESCRIPTORS_PER_CALLER).max(1),
+        overload: OverloadPolicy::CloseUnread,
         server: ServerLimits {
             head_bytes: limits.head_bytes,
             body_bytes: limits.body_bytes,
@@ -351,6 +353,7 @@
 }
 
 async fn run_timers(shared: Arc<Shared>) {
+    let mut turned_away = 0;
     loop {
         let due = shared.clock.now() + TIMER_INTERVAL;
         task::sleep(TIMER_INTERVAL.into()).await;
@@ -363,6 +366,7 @@
         let now = shared.clock.now();
         shared.placer.expire(&mut shared.fleet(), now);
         shared.metrics.set_known_streams(shared.origins.expire(now));
+        log_turned_away(&shared, &mut turned_away);
         let moved = shared.fleet().tick(now);
         for allocation in moved {
             log_lane_allocation(&allocation);
@@ -379,6 +383,20 @@
     }
 }
 
+/// Reports connections that were closed unread since the last call, of which `reported` were reported before.
+fn log_turned_away(shared: &Shared, reported: &mut u64) {
+    let total = shared.turned_away();
+    let count = total.saturating_sub(*reported);
+    if count > 0 {
+        *reported = total;
+        shared.metrics.count_turned_away(count);
+        warn!(
+            "{}",
+            Event::new("connections-turned-away").with("count", count)
+        );
+    }
+}
+
 fn log_lane_allocation(allocation: &LaneAllocation) {
     let [live, light, heavy] = allocation.engines;
     let stats = &allocation.stats;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,7 @@
     seconds: HistogramVec,
     unanswered: IntCounterVec,
     late_timers: IntCounter,
+    turned_away: IntCounter,
     malformed: IntCounter,
     placements: IntCounterVec,
     left_out: IntCounter,
@@ -75,6 +76,11 @@
             "Rounds of timers that ran late, as the process had no processor time",
         );
         let late_timers = late_timers.expect("the name is valid");
+        let turned_away = IntCounter::new(
+            "crocushold_connections_turned_away_total",
+            "Connections of callers that were closed unread, as they could not be served in time",
+        );
+        let turned_away = turned_away.expect("the name is valid");
         let malformed = IntCounter::new(
             "crocushold_entries_malformed_total",
             "Published entries that couldn't be read",
@@ -132,13 +138,14 @@
         );
         let version = gauge("crocushold_config_version", "The configuration in force");
         let running = gauge("crocushold_requests_running", "Requests in progress");
-        let collectors: [Box<dyn prometheus::core::Collector>; 20] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 21] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(ends.clone()),
             Box::new(seconds.clone()),
             Box::new(unanswered.clone()),
             Box::new(late_timers.clone()),
+            Box::new(turned_away.clone()),
             Box::new(malformed.clone()),
             Box::new(placements.clone()),
             Box::new(left_out.clone()),
@@ -166,6 +173,7 @@
             seconds,
             unanswered,
             late_timers,
+            turned_away,
             malformed,
             placements,
             left_out,
@@ -261,6 +269,10 @@
         self.unanswered.with_label_values(&labels).inc();
     }
 
+    pub(crate) fn count_turned_away(&self, count: u64) {
+        self.turned_away.inc_by(count);
+    }
+
     pub(crate) fn count_late_timers(&self) {
         self.late_timers.inc();
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -156,6 +156,12 @@
         *lock(&self.callers) = Some(handle);
     }
 
+    /// The number of callers' connections that were closed unread so far.
+    pub(crate) fn turned_away(&self) -> u64 {
+        let callers = lock(&self.callers);
+        callers.as_ref().map_or(0, ListenerHandle::turned_away)
+    }
+
     /// The backend servers. Every method leaves the fleet in a consistent state, so a poisoned lock
     /// can be used.
     pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -51,6 +51,7 @@
 pub use server::Listener;
 pub use server::ListenerHandle;
 pub use server::ListenerLimits;
+pub use server::OverloadPolicy;
 pub use server::RefusalFn;
 pub use server::ServerError;
 pub use server::ServerLimits;
--- a/crates/http/src/server/limits.rs
+++ b/crates/http/src/server/limits.rs
@@ -53,12 +53,25 @@
     }
 }
 
+/// What a listener does with connections that it can't serve in time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum OverloadPolicy {
+    /// Answers connections above the limit with 503. Others wait for processor time, however long.
+    #[default]
+    Answer,
+    /// Closes connections above the limit, and those that wait for processor time for too long, without
+    /// reading from them. It is for callers that try at once elsewhere when their request wasn't read.
+    CloseUnread,
+}
+
 /// Limits on a listener.
 #[derive(Clone, Debug)]
 pub struct ListenerLimits {
-    /// The most concurrent connections; a further one is answered with 503 and closed.
+    /// The most concurrent connections.
     pub max_connections: usize,
-    /// The `Retry-After` of that answer.
+    /// What is done with connections that can't be served in time.
+    pub overload: OverloadPolicy,
+    /// The `Retry-After` of the answer to connections above the limit.
     pub retry_after: Millis,
     /// Limits on each connection.
     pub server: ServerLimits,
@@ -68,6 +81,7 @@
     fn default() -> ListenerLimits {
         ListenerLimits {
             max_connections: 10_000,
+            overload: OverloadPolicy::default(),
             retry_after: Millis::from_secs(1),
             server: ServerLimits::default(),
         }
--- a/crates/http/src/server/listener.rs
+++ b/crates/http/src/server/listener.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
@@ -18,6 +19,7 @@
 use async_std::net::TcpListener;
 use async_std::net::TcpStream;
 use async_std::task;
+use crocushold_base::Clock;
 use crocushold_base::Event;
 use crocushold_base::Millis;
 use futures::FutureExt;
@@ -31,6 +33,8 @@
 
 use super::hangup::Hangup;
 use super::limits::ListenerLimits;
+use super::limits::OverloadPolicy;
+use super::overload::Overload;
 use super::refusal::over_limit;
 use super::serve::serve_until;
 use super::stop::StopSignal;
@@ -68,9 +72,23 @@
     stop: StopSignal,
     connections: AtomicUsize,
     refusals: AtomicUsize,
+    clock: Clock,
+    overload: Mutex<Overload>,
+    turned_away: AtomicU64,
 }
 
 impl Shared {
+    /// Decides whether a connection that was accepted at `accepted`, and whose task starts now, is closed unread.
+    fn turns_away(&self, limits: &ListenerLimits, accepted: Millis) -> bool {
+        if limits.overload != OverloadPolicy::CloseUnread {
+            return false;
+        }
+        let now = self.clock.now();
+        let overload = self.overload.lock();
+        let mut overload = overload.unwrap_or_else(PoisonError::into_inner);
+        overload.turns_away(now.since(accepted), now)
+    }
+
     fn limits(&self) -> Arc<ListenerLimits> {
         let limits = self.limits.lock();
         limits.unwrap_or_else(PoisonError::into_inner).clone()
@@ -96,6 +114,11 @@
         *current.unwrap_or_else(PoisonError::into_inner) = Arc::new(limits);
     }
 
+    /// The number of connections that were closed unread so far.
+    pub fn turned_away(&self) -> u64 {
+        self.shared.turned_away.load(Ordering::Relaxed)
+    }
+
     /// The number of open connections.
     pub fn connections(&self) -> usize {
         self.shared.connections.load(Ordering::Relaxed)
@@ -118,6 +141,9 @@
                 stop: StopSignal::new(),
                 connections: AtomicUsize::new(0),
                 refusals: AtomicUsize::new(0),
+                clock: Clock::start(),
+                overload: Mutex::default(),
+                turned_away: AtomicU64::new(0),
             }),
             all_closed,
             alive,
@@ -203,7 +229,12 @@
             return;
         };
         let handler = make_handler();
+        let accepted = self.shared.clock.now();
         task::spawn(async move {
+            if slot.shared.turns_away(&limits, accepted) {
+                slot.shared.turned_away.fetch_add(1, Ordering::Relaxed);
+                return;
+            }
             let served = serve_until(stream, &limits.server, &slot.shared.stop, handler).await;
             if let Err(error) = served {
                 debug!("{}", Event::new("connection-cut").with("cause", error));
@@ -214,6 +245,10 @@
 
     fn refuse(&self, stream: TcpStream) {
         let shared = self.shared.clone();
+        if shared.limits().overload == OverloadPolicy::CloseUnread {
+            shared.turned_away.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
         if shared.refusals.fetch_add(1, Ordering::Relaxed) >= MAX_REFUSALS {
             shared.refusals.fetch_sub(1, Ordering::Relaxed);
             return;
