--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -90,7 +90,7 @@
 
     /// Refuses a request under which servers have ended. Each further attempt would end another
     /// server with all requests that run there.
-    fn check_quarantine(&self, now: Millis) -> Result<(), Failure> {
+    pub(super) fn check_quarantine(&self, now: Millis) -> Result<(), Failure> {
         let admitted = self.shared.quarantine().admit(&self.job.content, now);
         admitted.map_err(|held| {
             Failure::Refused(self.final_refusal(Reason::Quarantined, Some(held.retry_after)))
--- a/crates/http/tests/listener.rs
+++ b/crates/http/tests/listener.rs
@@ -5,9 +5,12 @@
 mod support;
 
 use async_std::channel::unbounded;
+use async_std::io::ReadExt;
 use async_std::io::WriteExt;
+use async_std::net::TcpStream;
 use crocushold_base::Millis;
 use crocushold_http::ListenerLimits;
+use crocushold_http::OverloadPolicy;
 use crocushold_http::ServerLimits;
 use crocushold_http::StopSignal;
 use crocushold_http::serve_until;
@@ -62,6 +65,27 @@
     });
 }
 
+// Guards against holding callers who could turn to another instance: above the limit, their connection is closed
+// unread and without an answer.
+#[test]
+fn connection_above_the_limit_is_closed_unread_if_callers_try_elsewhere() {
+    block_on(async {
+        let limits = ListenerLimits {
+            max_connections: 1,
+            overload: OverloadPolicy::CloseUnread,
+            ..ListenerLimits::default()
+        };
+        let (addr, handle, _) = serve(limits, |_, _| async { Response::new(200) }).await;
+        let mut first = connect_and_send(addr, GET).await;
+        read_head(&mut first).await;
+        let mut second = TcpStream::connect(addr).await.unwrap();
+        let mut byte = [0];
+        let closed = second.read(&mut byte).await;
+        assert!(matches!(closed, Ok(0) | Err(_)), "{closed:?}");
+        assert_eq!(handle.turned_away(), 1);
+    });
+}
+
 // The listener is stopped while one request is in progress and another is being written on an idle
 // connection. Both must be answered, with `Connection: close`.
 #[test]
--- a/crates/routing/tests/quarantine_parts.rs
+++ b/crates/routing/tests/quarantine_parts.rs
@@ -121,6 +121,20 @@
     assert!(!is_refused(&quarantine, &[OTHER], at));
 }
 
+/// Guards against ends that are heard of late: the answer that clears them has been given already.
+#[test]
+fn an_end_that_is_reported_after_the_answer_is_cleared() {
+    let mut other = Quarantine::default();
+    end_series(&mut other, &[BESIDE], 4);
+    let mut quarantine = Quarantine::default();
+    let now = Millis(START + 5000);
+    quarantine.served(&request(100, &[BESIDE]), Millis(START + 4000), now);
+    for suspicion in other.all_suspicions(SuspectKind::Part, now) {
+        quarantine.apply_suspicion(SuspectKind::Part, &suspicion, now);
+    }
+    assert!(!is_refused(&quarantine, &[BESIDE], now.0));
+}
+
 /// Guards against trusting what was once sound: a part that many requests had goes bad, and answers that
 /// began before arrive whole afterwards.
 #[test]
