quarantine: a refusal waits until other instances could say that they served the request

What callers saw: requests that other instances were serving were refused as quarantined by an instance that had just started, each with 600 s as the time to come back.

Cause: evidence against a request is told to all instances, evidence for it to none. An instance that remembers nothing counts the ends of servers against everything that ran there, and two ends a moment apart are enough.

Hypothesis ruled out as the cause: too few suspects for the rule of common causes; older gateways had the same ends and refused nothing.

Now a quarantine settles for a second, in which requests wait (half of their time at most); an instance that knows better answers the one that told it at once; an instance that starts asks three others what was served repeatedly, and settles nothing for three seconds or until one answers. serve waits too (its news are told in rounds as before); it doesn't ask at its start.

--- a/crates/entry/src/coordination/suspects.rs
+++ b/crates/entry/src/coordination/suspects.rs
@@ -16,9 +16,11 @@
 use crocushold_ownership::Member;
 use crocushold_peers::Request;
 use crocushold_routing::Incarnation;
+use crocushold_routing::Passage;
 use crocushold_routing::Quarantine;
 use crocushold_routing::RequestContent;
 use crocushold_routing::Run;
+use crocushold_routing::SettlementWait;
 use crocushold_routing::SuspectKind;
 use crocushold_routing::Suspicion;
 use log::info;
@@ -88,18 +90,40 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Checks whether a request may be sent.
+    /// Checks whether a request, which has to end by `deadline`, may be sent. It waits until a quarantine is
+    /// settled.
     ///
     /// # Errors
     ///
     /// Returns a refusal if servers ended under it: each attempt would end another one, with all
     /// requests that run there.
-    pub(crate) fn admit(&self, content: &RequestContent) -> Result<(), Refusal> {
-        let admitted = self.state().quarantine.admit(content, self.clock.now());
-        admitted.map_err(|held| {
-            let text = "backend servers ended while they ran this request";
-            Refusal::not_run(Reason::Quarantined, text).retry_after(held.retry_after)
-        })
+    pub(crate) async fn admit(
+        &self,
+        content: &RequestContent,
+        deadline: Millis,
+    ) -> Result<(), Refusal> {
+        let mut wait = SettlementWait::default();
+        loop {
+            match self.check(content, deadline, &mut wait) {
+                Passage::Open => return Ok(()),
+                Passage::Wait(interval) => task::sleep(interval.into()).await,
+                Passage::Refused { retry_after } => {
+                    let text = "backend servers ended while they ran this request";
+                    let refusal = Refusal::not_run(Reason::Quarantined, text);
+                    return Err(refusal.retry_after(retry_after));
+                }
+            }
+        }
+    }
+
+    fn check(
+        &self,
+        content: &RequestContent,
+        deadline: Millis,
+        wait: &mut SettlementWait,
+    ) -> Passage {
+        let now = self.clock.now();
+        wait.check(&self.state().quarantine, content, deadline, now)
     }
 
     /// Handles an attempt whose connection the server broke. A connection reset looks the same as a
@@ -128,7 +152,10 @@
         let mut state = self.state();
         if state.quarantine.served(content, began, now) {
             let content = self.names.pseudonym(content.request);
-            info!("{}", Event::new("content-cleared").with("content", content));
+            let event = Event::new("content-cleared")
+                .with("content", content)
+                .with("source", "answer");
+            info!("{event}");
         }
         self.log_changes(state);
     }
@@ -178,9 +205,16 @@
 
     fn log_changes(&self, mut state: MutexGuard<'_, State>) {
         let placed = state.quarantine.take_quarantined();
-        let cleared = state.quarantine.take_cleared_parts();
+        let cleared_requests = state.quarantine.take_cleared_requests();
+        let cleared_parts = state.quarantine.take_cleared_parts();
         drop(state);
-        for part in cleared {
+        for request in cleared_requests {
+            let event = Event::new("content-cleared")
+                .with("content", self.names.pseudonym(request))
+                .with("source", "instance");
+            info!("{event}");
+        }
+        for part in cleared_parts {
             let part = self.names.pseudonym(part);
             info!("{}", Event::new("part-cleared").with("part", part));
         }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -126,9 +126,9 @@
 
     async fn run_uncounted(&self, hangup: &Hangup) -> Result<Response, Failure> {
         let suspects = self.coordinator.suspects();
-        suspects
-            .admit(&self.job.content)
-            .map_err(Failure::Refused)?;
+        let deadline = self.job.arrival.deadline;
+        let admitted = suspects.admit(&self.job.content, deadline).await;
+        admitted.map_err(Failure::Refused)?;
         let permit = self.admit()?;
         let dispatch = match self.wait_for_dispatch(hangup).await {
             Ok(dispatch) => dispatch,
@@ -385,7 +385,8 @@
         }
         // While the request was queued, servers may have ended under other requests with the same
         // content.
-        if let Err(refusal) = self.coordinator.suspects().admit(&self.job.content) {
+        let (suspects, deadline) = (self.coordinator.suspects(), self.job.arrival.deadline);
+        if let Err(refusal) = suspects.admit(&self.job.content, deadline).await {
             return AttemptResult::Quarantined(refusal);
         }
         let sent = std::pin::pin!(self.client.send(address, request, &limits, reuse));
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -162,7 +162,7 @@
     pub(crate) async fn run(&mut self, hangup: &Hangup) -> Result<Response, Failure> {
         loop {
             if self.is_cut_off() {
-                self.check_quarantine(self.shared.clock.now())?;
+                self.pass_quarantine().await?;
                 // A request is relayed once at most.
                 if self.job.entry.is_none() {
                     match self.relay_through_peer(hangup).await {
--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -4,6 +4,8 @@
 use crocushold_base::Millis;
 use crocushold_routing as routing;
 use crocushold_routing::NoServer;
+use crocushold_routing::Passage;
+use crocushold_routing::SettlementWait;
 
 use super::Exchange;
 use super::Failure;
@@ -33,7 +35,8 @@
                 let refusal = self.final_refusal(Reason::Overdue, Some(MIN_RETRY_AFTER));
                 return Err(Failure::Refused(refusal));
             }
-            self.check_quarantine(now)?;
+            self.pass_quarantine().await?;
+            let now = self.shared.clock.now();
             match self.pick(now).await {
                 Ok(choice) => return Ok(self.record_choice(choice)),
                 Err(none) if self.may_wait(&none) && self.wait_for_server().await => {}
@@ -90,11 +93,27 @@
 
     /// Refuses a request under which servers have ended. Each further attempt would end another
     /// server with all requests that run there.
-    pub(super) fn check_quarantine(&self, now: Millis) -> Result<(), Failure> {
-        let admitted = self.shared.quarantine().admit(&self.job.content, now);
-        admitted.map_err(|held| {
-            Failure::Refused(self.final_refusal(Reason::Quarantined, Some(held.retry_after)))
-        })
+    ///
+    /// Until the quarantine is settled, the request waits: another instance may have served it since,
+    /// and says so soon.
+    pub(super) async fn pass_quarantine(&self) -> Result<(), Failure> {
+        let mut wait = SettlementWait::default();
+        loop {
+            match self.check_quarantine(&mut wait) {
+                Passage::Open => return Ok(()),
+                Passage::Wait(interval) => task::sleep(interval.into()).await,
+                Passage::Refused { retry_after } => {
+                    let refusal = self.final_refusal(Reason::Quarantined, Some(retry_after));
+                    return Err(Failure::Refused(refusal));
+                }
+            }
+        }
+    }
+
+    fn check_quarantine(&self, wait: &mut SettlementWait) -> Passage {
+        let now = self.shared.clock.now();
+        let quarantine = self.shared.quarantine();
+        wait.check(&quarantine, &self.job.content, self.job.deadline, now)
     }
 
     /// Asks the placer for a server. Returns `None` if this instance has to choose itself: the
--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -3,6 +3,7 @@
 use crocushold_base::Millis;
 use crocushold_routing::LoadReport;
 use crocushold_routing::Outcome;
+use crocushold_routing::ServedContent;
 use crocushold_routing::Suspicion;
 use serde::Deserialize;
 use serde::Serialize;
@@ -47,6 +48,12 @@
     OriginReply(OriginReply),
     /// Parts of prompts under which servers ended.
     PartSuspicions(Vec<Suspicion>),
+    /// The sender has just started and asks what was served of late.
+    ServedQuery,
+    /// Requests that were served of late.
+    Served(Vec<ServedContent>),
+    /// Parts of prompts on which servers wrote answers of late.
+    SoundParts(Vec<ServedContent>),
 }
 
 impl Packet {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -11,6 +11,7 @@
 use crocushold_routing::Quarantine;
 use crocushold_routing::RequestContent;
 use crocushold_routing::Run;
+use crocushold_routing::ServedContent;
 use crocushold_routing::SuspectKind;
 use crocushold_routing::Suspicion;
 use log::info;
@@ -93,7 +94,10 @@
     let mut quarantine = shared.quarantine();
     if quarantine.served(content, began, now) {
         let content = shared.content_names.pseudonym(content.request);
-        info!("{}", Event::new("content-cleared").with("content", content));
+        let event = Event::new("content-cleared")
+            .with("content", content)
+            .with("source", "answer");
+        info!("{event}");
     }
     log_quarantined(shared, quarantine);
 }
@@ -125,13 +129,27 @@
     log_quarantined(shared, quarantine);
 }
 
-/// Records suspicions received from other instances.
-pub(crate) fn receive(shared: &Shared, kind: SuspectKind, suspicions: &[Suspicion]) {
+/// Records suspicions received from another instance. Returns what this instance knows of the suspects that
+/// were served since, for the other one.
+pub(crate) fn receive(
+    shared: &Shared,
+    kind: SuspectKind,
+    suspicions: &[Suspicion],
+) -> Vec<Suspicion> {
     let now = shared.clock.now();
     let mut quarantine = shared.quarantine();
-    for suspicion in suspicions {
-        quarantine.apply_suspicion(kind, suspicion, now);
-    }
+    let suspicions = suspicions.iter();
+    let known = suspicions.filter_map(|suspicion| quarantine.apply_suspicion(kind, suspicion, now));
+    let known = known.collect();
+    log_quarantined(shared, quarantine);
+    known
+}
+
+/// Records what another instance has served of late.
+pub(crate) fn receive_served(shared: &Shared, kind: SuspectKind, served: &[ServedContent]) {
+    let now = shared.clock.now();
+    let mut quarantine = shared.quarantine();
+    quarantine.apply_served(kind, served, now);
     log_quarantined(shared, quarantine);
 }
 
@@ -181,9 +199,16 @@
 
 fn log_quarantined(shared: &Shared, mut quarantine: MutexGuard<'_, Quarantine>) {
     let placed = quarantine.take_quarantined();
-    let cleared = quarantine.take_cleared_parts();
+    let cleared_requests = quarantine.take_cleared_requests();
+    let cleared_parts = quarantine.take_cleared_parts();
     drop(quarantine);
-    for part in cleared {
+    for request in cleared_requests {
+        let event = Event::new("content-cleared")
+            .with("content", shared.content_names.pseudonym(request))
+            .with("source", "instance");
+        info!("{event}");
+    }
+    for part in cleared_parts {
         let part = shared.content_names.pseudonym(part);
         info!("{}", Event::new("part-cleared").with("part", part));
     }
--- /dev/null
+++ b/crates/gateway/src/sharing/handover.rs
@@ -0,0 +1,81 @@
+//! What an instance that has just started asks the others for: the requests and prompt parts that were
+//! served of late.
+//!
+//! A server that ends makes suspects of all that ran there, and what was served of late clears them. An
+//! instance without that memory would refuse what hundreds of callers send.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use crocushold_base::Millis;
+use crocushold_routing::Quarantine;
+use crocushold_routing::ServedContent;
+use crocushold_routing::SuspectKind;
+
+use super::shell::ROUND;
+use super::state::Gossip;
+use crate::placing::Packet;
+
+/// Number of gossip rounds in which a starting instance asks: some seconds, as those that know may be paused.
+const ROUNDS: u32 = 30;
+
+/// Number of instances whose answers are enough.
+const ANSWERS: usize = 3;
+
+/// Maximum number of contents of a kind in one datagram, and in an answer.
+const CONTENTS_PER_PACKET: usize = 50;
+const CONTENTS: usize = 4 * CONTENTS_PER_PACKET;
+
+/// The questions of a starting instance.
+#[derive(Debug)]
+pub(super) struct Handover {
+    rounds_left: u32,
+    answered: HashSet<SocketAddr>,
+}
+
+impl Default for Handover {
+    fn default() -> Handover {
+        Handover {
+            rounds_left: ROUNDS,
+            answered: HashSet::new(),
+        }
+    }
+}
+
+impl Handover {
+    /// How long an instance asks.
+    pub(super) const DURATION: Millis = Millis(ROUNDS as u64 * ROUND.0);
+
+    /// The instances to ask in this round: some of the members, or the seeds while no member is known.
+    pub(super) fn targets(&mut self, gossip: &Gossip) -> Vec<SocketAddr> {
+        if self.rounds_left == 0 || self.answered.len() >= ANSWERS {
+            return Vec::new();
+        }
+        self.rounds_left -= 1;
+        let mut targets = gossip.gossip_targets();
+        if targets.is_empty() {
+            targets = gossip.seeds().to_vec();
+        }
+        targets.retain(|target| !self.answered.contains(target));
+        targets
+    }
+
+    /// Records an answer.
+    pub(super) fn record_answer(&mut self, from: SocketAddr) {
+        self.answered.insert(from);
+    }
+}
+
+/// Returns the answer to an instance that has just started. It is empty if this instance knows nothing, so
+/// that another one is asked.
+pub(super) fn served_packets(quarantine: &Quarantine, now: Millis) -> Vec<Packet> {
+    let packets = |kind, to_packet: fn(Vec<ServedContent>) -> Packet| {
+        let contents = quarantine.recently_served(kind, CONTENTS, now);
+        let chunks = contents.chunks(CONTENTS_PER_PACKET);
+        let packets: Vec<Packet> = chunks.map(|chunk| to_packet(chunk.to_vec())).collect();
+        packets
+    };
+    let mut all = packets(SuspectKind::Request, Packet::Served);
+    all.extend(packets(SuspectKind::Part, Packet::SoundParts));
+    all
+}
--- a/crates/gateway/src/sharing/mod.rs
+++ b/crates/gateway/src/sharing/mod.rs
@@ -18,6 +18,7 @@
 //! used after a second.
 
 mod contact;
+mod handover;
 mod members;
 mod message;
 mod notices;
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -18,10 +18,13 @@
 
 use super::contact::contact_answer;
 use super::contact::contact_query;
+use super::handover::Handover;
+use super::handover::served_packets;
 use super::message::CachedPrefix;
 use super::message::Identity;
 use super::message::MAX_MESSAGE_BYTES;
 use super::notices::notice_packets;
+use super::spread::packet;
 use super::state::Gossip;
 use super::state::LoadSum;
 use super::suspicions::suspicion_packets;
@@ -36,7 +39,7 @@
 
 /// Interval of gossip rounds. A change reaches the whole fleet within three rounds, in which an
 /// engine reads two long prompts.
-const ROUND: Millis = Millis(100);
+pub(super) const ROUND: Millis = Millis(100);
 
 /// Starts sending and receiving gossip. Returns the address that is bound.
 ///
@@ -59,12 +62,31 @@
         capacity: shared.settings.capacity,
     };
     let state = Arc::new(Mutex::new(Gossip::new(me, seeds)));
-    task::spawn(receive_loop(shared.clone(), socket.clone(), state.clone()));
-    task::spawn(send_loop(shared.clone(), socket, me.address, state));
+    let handover = Arc::new(Mutex::default());
+    let now = shared.clock.now();
+    shared.quarantine().start_recall(now + Handover::DURATION);
+    task::spawn(receive_loop(
+        shared.clone(),
+        socket.clone(),
+        state.clone(),
+        handover.clone(),
+    ));
+    task::spawn(send_loop(
+        shared.clone(),
+        socket,
+        me.address,
+        state,
+        handover,
+    ));
     Ok(me.address)
 }
 
-async fn receive_loop(shared: Arc<Shared>, socket: Arc<UdpSocket>, state: Arc<Mutex<Gossip>>) {
+async fn receive_loop(
+    shared: Arc<Shared>,
+    socket: Arc<UdpSocket>,
+    state: Arc<Mutex<Gossip>>,
+    handover: Arc<Mutex<Handover>>,
+) {
     let mut bytes = [0; MAX_MESSAGE_BYTES];
     loop {
         // An error concerns an earlier datagram to an unreachable peer; the next message may still
@@ -79,10 +101,24 @@
             Some(Packet::Request(ask)) => shared.placer.place(&mut shared.fleet(), from, &ask, now),
             Some(Packet::Reply(reply)) => shared.placer.handle_reply(from, reply),
             Some(Packet::Suspicions(suspicions)) => {
-                quarantine::receive(&shared, SuspectKind::Request, &suspicions);
+                let known = quarantine::receive(&shared, SuspectKind::Request, &suspicions);
+                send_packets(&socket, from, packet(known, Packet::Suspicions)).await;
             }
             Some(Packet::PartSuspicions(suspicions)) => {
-                quarantine::receive(&shared, SuspectKind::Part, &suspicions);
+                let known = quarantine::receive(&shared, SuspectKind::Part, &suspicions);
+                send_packets(&socket, from, packet(known, Packet::PartSuspicions)).await;
+            }
+            Some(Packet::ServedQuery) => {
+                let served = served_packets(&shared.quarantine(), now);
+                send_packets(&socket, from, served).await;
+            }
+            Some(Packet::Served(served)) => {
+                lock(&handover).record_answer(from);
+                quarantine::receive_served(&shared, SuspectKind::Request, &served);
+            }
+            Some(Packet::SoundParts(served)) => {
+                lock(&handover).record_answer(from);
+                quarantine::receive_served(&shared, SuspectKind::Part, &served);
             }
             Some(Packet::Limits(limits)) => shared.record_remote_limits(&limits),
             Some(Packet::Brittle(known)) => shared.record_remote_brittle(&known),
@@ -92,11 +128,9 @@
             Some(Packet::OriginReply(reply)) => shared.origins.handle_reply(from, reply),
             Some(Packet::Contact(age)) => follow::on_peer_contact(&shared, age),
             Some(Packet::ContactQuery) => {
+                // Without an answer the sender asks another instance.
                 let answer = contact_answer(&shared.directory(), now);
-                if let Some(packet) = answer {
-                    // Without an answer the sender asks another instance.
-                    let _ = socket.send_to(&packet.encode(), from).await;
-                }
+                send_packets(&socket, from, answer).await;
             }
             Some(Packet::Updates(updates)) => {
                 let mut fleet = shared.fleet();
@@ -109,15 +143,31 @@
     }
 }
 
+/// Sends packets to an instance. A lost or refused one is sent again, or asked for again, in a later round.
+async fn send_packets(
+    socket: &UdpSocket,
+    to: SocketAddr,
+    packets: impl IntoIterator<Item = Packet>,
+) {
+    for packet in packets {
+        let _ = socket.send_to(&packet.encode(), to).await;
+    }
+}
+
 async fn send_loop(
     shared: Arc<Shared>,
     socket: Arc<UdpSocket>,
     me: SocketAddr,
     state: Arc<Mutex<Gossip>>,
+    handover: Arc<Mutex<Handover>>,
 ) {
     let mut live = 0;
     let mut was_truncated = false;
     loop {
+        let asked = lock(&handover).targets(&lock(&state));
+        for target in asked {
+            send_packets(&socket, target, [Packet::ServedQuery]).await;
+        }
         task::sleep(ROUND.into()).await;
         let round = Round::run(&shared, &state);
         let is_placer = round.placer == Some(me);
@@ -151,8 +201,7 @@
             info!("{}", Event::new("peers-changed").with("live", live));
         }
         for (target, packet) in round.packets {
-            // A lost or refused message is superseded by that of the next round.
-            let _ = socket.send_to(&packet.encode(), target).await;
+            send_packets(&socket, target, [packet]).await;
         }
     }
 }
@@ -222,6 +271,6 @@
     peers.collect()
 }
 
-fn lock(state: &Mutex<Gossip>) -> MutexGuard<'_, Gossip> {
+fn lock<T>(state: &Mutex<T>) -> MutexGuard<'_, T> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/gateway/src/sharing/state.rs
+++ b/crates/gateway/src/sharing/state.rs
@@ -214,6 +214,11 @@
         self.members.identities()
     }
 
+    /// The instances that are contacted at the start, without this one.
+    pub(super) fn seeds(&self) -> &[SocketAddr] {
+        &self.seeds
+    }
+
     /// Number of other live instances in this availability zone.
     pub fn live_members(&self) -> usize {
         self.members.live(self.me.zone)
--- a/crates/gateway/src/sharing/suspicions.rs
+++ b/crates/gateway/src/sharing/suspicions.rs
@@ -30,7 +30,12 @@
 ) -> Vec<(SocketAddr, Packet)> {
     let mut packets = Vec::new();
     for (kind, to_packet) in PACKETS {
-        let news = packet(quarantine.unsent_suspicions(kind, now), to_packet);
+        // News count as sent, so they are kept while there is nobody to send them to.
+        let news = if gossip.gossip_targets().is_empty() {
+            None
+        } else {
+            packet(quarantine.unsent_suspicions(kind, now), to_packet)
+        };
         let known = || packet(quarantine.all_suspicions(kind, now), to_packet);
         packets.extend(spread(gossip, messages, news, known));
     }
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -23,6 +23,7 @@
 mod record;
 mod served;
 mod settings;
+mod settlement;
 mod suspects;
 mod verdict;
 
@@ -40,6 +41,8 @@
 use self::served::RecentlyServed;
 pub use self::settings::QuarantineSettings;
 pub use self::settings::SURVIVAL;
+pub use self::settlement::Passage;
+pub use self::settlement::SettlementWait;
 use self::suspects::Suspects;
 
 /// One incarnation of a server's process, as a hash of its identity and its start.
@@ -115,6 +118,15 @@
     pub cleared: bool,
 }
 
+/// A request or part that was served of late, as reported to other instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServedContent {
+    /// Its content.
+    pub content: Fingerprint,
+    /// How long ago a server last began to answer it, or had answered it, in milliseconds.
+    pub served_ago: u32,
+}
+
 /// A run that was cut, without knowing whether its server ended.
 #[derive(Clone, Debug)]
 struct CutRun {
@@ -140,7 +152,11 @@
     newly_quarantined: Vec<Quarantined>,
     /// The parts that were quarantined when this was last checked.
     held_parts: HashSet<Fingerprint>,
+    /// The requests that were quarantined until another instance cleared them.
+    cleared_requests: Vec<Fingerprint>,
     cleared_parts: Vec<Fingerprint>,
+    /// Until when other instances may still tell this one, which has just started, what was served before.
+    recall_until: Millis,
     /// When requests were served.
     served: RecentlyServed,
     /// When servers last began to write an answer on a part and went on.
@@ -164,7 +180,9 @@
             ended: HashMap::new(),
             newly_quarantined: Vec::new(),
             held_parts: HashSet::new(),
+            cleared_requests: Vec::new(),
             cleared_parts: Vec::new(),
+            recall_until: Millis::ZERO,
             served: RecentlyServed::default(),
             sound_parts: RecentlyServed::default(),
         }
@@ -242,25 +260,27 @@
         self.cuts.retain(|cut| cut.run.content.request != request);
         self.served.insert(request, now);
         let quarantined = self.check_request(request, now).is_some();
-        let record = self.requests.get_mut(request);
-        let cleared = record.is_some_and(Record::clear) && quarantined;
+        let cleared = self.requests.clear_before(request, i64::MAX, now);
         self.parts_survived(content, began, now);
-        cleared
+        cleared && quarantined
     }
 
     /// Records that a server began to write an answer at `began` and has gone on for [`SURVIVAL`]. The parts of the prompt didn't end any server until then.
     pub fn parts_survived(&mut self, content: &RequestContent, began: Millis, now: Millis) {
         for &part in content.parts.iter() {
             self.sound_parts.insert(part, began);
-            if let Some(record) = self.parts.get_mut(part) {
-                record.clear_before(signed(began));
-                self.update_held_part(part, now);
-            }
+            self.clear_sound_part(part, now);
         }
     }
 
-    /// Merges a suspicion that another instance reported.
-    pub fn apply_suspicion(&mut self, kind: SuspectKind, suspicion: &Suspicion, now: Millis) {
+    /// Merges a suspicion that another instance reported. Returns what this instance knows of the suspect
+    /// if it has been served since, which the other instance should know before it refuses it.
+    pub fn apply_suspicion(
+        &mut self,
+        kind: SuspectKind,
+        suspicion: &Suspicion,
+        now: Millis,
+    ) -> Option<Suspicion> {
         let ends = suspicion.ends.iter().map(|reported| End {
             server: reported.server,
             sent: signed(now) - i64::from(reported.sent_ago),
@@ -272,6 +292,64 @@
             SuspectKind::Request => self.merge_request(suspicion.content, ends, now),
             SuspectKind::Part => self.merge_part(suspicion.content, ends, now),
         }
+        match kind {
+            SuspectKind::Request => self.requests.contradiction(suspicion, now),
+            SuspectKind::Part => self.parts.contradiction(suspicion, now),
+        }
+    }
+
+    /// Returns at most `count` requests or parts that were served repeatedly of late, for an instance that
+    /// has just started: it can't tell them from those that end servers.
+    pub fn recently_served(
+        &self,
+        kind: SuspectKind,
+        count: usize,
+        now: Millis,
+    ) -> Vec<ServedContent> {
+        match kind {
+            SuspectKind::Request => self.served.repeated(count, now),
+            SuspectKind::Part => self.sound_parts.repeated(count, now),
+        }
+    }
+
+    /// Sets until when no quarantine settles, unless another instance tells what was served before: this
+    /// instance has just started, and asks.
+    pub fn start_recall(&mut self, until: Millis) {
+        self.recall_until = until;
+    }
+
+    /// Records requests or parts that another instance has served of late.
+    pub fn apply_served(&mut self, kind: SuspectKind, served: &[ServedContent], now: Millis) {
+        self.recall_until = Millis::ZERO;
+        for report in served {
+            match kind {
+                SuspectKind::Request => {
+                    self.served.insert_reported(report, now);
+                    self.clear_served_request(report.content, now);
+                }
+                SuspectKind::Part => {
+                    self.sound_parts.insert_reported(report, now);
+                    self.clear_sound_part(report.content, now);
+                }
+            }
+        }
+    }
+
+    fn clear_served_request(&mut self, request: Fingerprint, now: Millis) {
+        if !self.served.contains(request, now) {
+            return;
+        }
+        let was_quarantined = self.check_request(request, now).is_some();
+        if self.requests.clear_before(request, i64::MAX, now) && was_quarantined {
+            self.cleared_requests.push(request);
+        }
+    }
+
+    fn clear_sound_part(&mut self, part: Fingerprint, now: Millis) {
+        let sound = self.sound_parts.time(part);
+        if sound.is_some_and(|sound| self.parts.clear_before(part, sound, now)) {
+            self.update_held_part(part, now);
+        }
     }
 
     /// Returns the suspicions of a kind that other instances may not know yet, the gravest first.
@@ -295,6 +373,11 @@
         std::mem::take(&mut self.newly_quarantined)
     }
 
+    /// Returns the requests whose quarantine other instances have ended since the last call.
+    pub fn take_cleared_requests(&mut self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.cleared_requests)
+    }
+
     /// Returns the parts whose quarantine has ended since the last call.
     pub fn take_cleared_parts(&mut self) -> Vec<Fingerprint> {
         std::mem::take(&mut self.cleared_parts)
@@ -346,15 +429,19 @@
             }
         }
         let was_quarantined = self.check_request(request, now).is_some();
-        self.requests.merge(request, ends);
-        if let (false, Some(refusal)) = (was_quarantined, self.check_request(request, now)) {
-            let servers = self.requests.get(request).map(Record::servers);
-            self.newly_quarantined.push(Quarantined {
-                kind: SuspectKind::Request,
-                content: request,
-                servers: servers.unwrap_or_default(),
-                span: refusal.retry_after,
-            });
+        self.requests.merge(request, ends, now);
+        match (was_quarantined, self.check_request(request, now)) {
+            (false, Some(refusal)) => {
+                let servers = self.requests.get(request).map(Record::servers);
+                self.newly_quarantined.push(Quarantined {
+                    kind: SuspectKind::Request,
+                    content: request,
+                    servers: servers.unwrap_or_default(),
+                    span: refusal.retry_after,
+                });
+            }
+            (true, None) => self.cleared_requests.push(request),
+            _ => {}
         }
     }
 
@@ -363,10 +450,10 @@
         // request that many callers send has it, and it may have become harmful since.
         if let Some(sound) = self.sound_parts.time(part) {
             for end in &mut ends {
-                end.cleared |= end.ended < signed(sound);
+                end.cleared |= end.ended < sound;
             }
         }
-        self.parts.merge(part, ends);
+        self.parts.merge(part, ends, now);
         self.update_held_part(part, now);
     }
 
--- a/crates/routing/src/quarantine/record.rs
+++ b/crates/routing/src/quarantine/record.rs
@@ -46,6 +46,8 @@
     ends: Vec<End>,
     /// Remaining gossip rounds.
     remaining_rounds: u8,
+    /// Since when this instance has known of enough ends for a quarantine, if it does.
+    grave_since: Option<i64>,
 }
 
 impl Record {
@@ -89,11 +91,6 @@
         index != MAX_FIRST_ENDS
     }
 
-    /// Clears all ends because the request was served. Returns whether any end counted against it.
-    pub(super) fn clear(&mut self) -> bool {
-        self.clear_before(i64::MAX)
-    }
-
     /// Clears the ends before a time. Returns whether any of them counted.
     pub(super) fn clear_before(&mut self, time: i64) -> bool {
         let ends = self.ends.iter_mut();
@@ -192,6 +189,17 @@
         open.map(|end| end.server).collect()
     }
 
+    /// Updates since when this instance has known of `limit` consecutive ends or more.
+    pub(super) fn update_grave(&mut self, limit: usize, now: i64) {
+        let is_grave = self.consecutive_ends() >= limit;
+        self.grave_since = is_grave.then(|| self.grave_since.unwrap_or(now));
+    }
+
+    /// Returns since when this instance has known of enough ends for a quarantine.
+    pub(super) fn grave_since(&self) -> Option<i64> {
+        self.grave_since
+    }
+
     /// Returns whether other instances may not know the record yet.
     pub(super) fn needs_gossip(&self) -> bool {
         self.remaining_rounds > 0
@@ -255,6 +263,6 @@
     span.saturating_mul(1 << excess.min(MAX_DOUBLINGS))
 }
 
-fn ago(now: i64, time: i64) -> u32 {
+pub(super) fn ago(now: i64, time: i64) -> u32 {
     u32::try_from((now - time).max(0)).unwrap_or(u32::MAX)
 }
--- a/crates/routing/src/quarantine/served.rs
+++ b/crates/routing/src/quarantine/served.rs
@@ -1,11 +1,15 @@
 //! Recently served requests and parts of prompts.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
 use crocushold_base::Millis;
 
 use super::Fingerprint;
+use super::ServedContent;
+use super::record::ago;
+use super::signed;
 
 /// Maximum number of remembered successes: about a minute of them at an instance of a large fleet.
 const CAPACITY: usize = 2048;
@@ -14,21 +18,49 @@
 /// previous version did.
 const SPAN: Millis = Millis::from_secs(60);
 
+/// Number of successes from which on other instances are told. What is served once is hardly asked for
+/// again.
+const MIN_REPEATS: u32 = 2;
+
+/// The successes of one request or part.
+#[derive(Clone, Copy, Debug)]
+struct Successes {
+    /// Time of the last one, which may lie before the start of this instance's clock.
+    last: i64,
+    count: u32,
+}
+
 /// Recently served requests, or parts, with their times.
 #[derive(Debug, Default)]
 pub(super) struct RecentlyServed {
-    times: HashMap<Fingerprint, Millis>,
+    contents: HashMap<Fingerprint, Successes>,
     /// In the order in which they were recorded. A request that was served repeatedly appears more than once.
-    order: VecDeque<(Fingerprint, Millis)>,
+    order: VecDeque<(Fingerprint, i64)>,
 }
 
 impl RecentlyServed {
+    /// Records a success at this instance.
     pub(super) fn insert(&mut self, content: Fingerprint, time: Millis) {
-        let known = self.times.get(&content);
-        if known.is_some_and(|known| *known >= time) {
-            return;
+        self.record(content, signed(time), 1);
+    }
+
+    /// Records successes that another instance reports.
+    pub(super) fn insert_reported(&mut self, served: &ServedContent, now: Millis) {
+        let time = signed(now) - i64::from(served.served_ago);
+        self.record(served.content, time, MIN_REPEATS);
+    }
+
+    fn record(&mut self, content: Fingerprint, time: i64, count: u32) {
+        if let Some(known) = self.contents.get_mut(&content) {
+            known.count = known.count.saturating_add(count);
+            if known.last >= time {
+                return;
+            }
+            known.last = time;
+        } else {
+            let successes = Successes { last: time, count };
+            self.contents.insert(content, successes);
         }
-        self.times.insert(content, time);
         self.order.push_back((content, time));
         if self.order.len() > CAPACITY {
             self.evict_oldest();
@@ -36,21 +68,39 @@
     }
 
     pub(super) fn contains(&self, content: Fingerprint, now: Millis) -> bool {
-        let time = self.times.get(&content);
-        time.is_some_and(|time| now.since(*time) < SPAN)
+        let known = self.contents.get(&content);
+        known.is_some_and(|known| signed(now) - known.last < signed(SPAN))
     }
 
     /// When it was last served, if that is remembered.
-    pub(super) fn time(&self, content: Fingerprint) -> Option<Millis> {
-        self.times.get(&content).copied()
+    pub(super) fn time(&self, content: Fingerprint) -> Option<i64> {
+        self.contents.get(&content).map(|known| known.last)
+    }
+
+    /// Returns at most `count` contents that were served repeatedly of late, those served most often first.
+    pub(super) fn repeated(&self, count: usize, now: Millis) -> Vec<ServedContent> {
+        let known = self.contents.iter();
+        let mut repeated: Vec<(Fingerprint, Successes)> = known
+            .filter(|(content, known)| known.count >= MIN_REPEATS && self.contains(**content, now))
+            .map(|(content, known)| (*content, *known))
+            .collect();
+        repeated.sort_unstable_by_key(|(content, known)| {
+            (Reverse(known.count), Reverse(known.last), *content)
+        });
+        let reported = repeated.into_iter().take(count);
+        let reported = reported.map(|(content, known)| ServedContent {
+            content,
+            served_ago: ago(signed(now), known.last),
+        });
+        reported.collect()
     }
 
     fn evict_oldest(&mut self) {
         let Some((content, time)) = self.order.pop_front() else {
             return;
         };
-        if self.times.get(&content) == Some(&time) {
-            self.times.remove(&content);
+        if self.time(content) == Some(time) {
+            self.contents.remove(&content);
         }
     }
 }
--- a/crates/routing/src/quarantine/settings.rs
+++ b/crates/routing/src/quarantine/settings.rs
@@ -25,6 +25,9 @@
     /// Number of consecutive runs with ended servers from which on a prompt part is quarantined. It
     /// is more than for a request, as refusing a part refuses more.
     pub part_limit: usize,
+    /// Time from the last end that a quarantine needs until it is settled: other instances have heard of the
+    /// ends by then, and have said whether they served the request since.
+    pub settle: Millis,
     /// Maximum number of remembered requests, and of remembered parts.
     pub capacity: usize,
 }
@@ -38,6 +41,7 @@
             burst: Millis::from_secs(2),
             common_suspects: 5,
             part_limit: 4,
+            settle: Millis(1000),
             capacity: 1024,
         }
     }
--- a/crates/routing/src/quarantine/suspects.rs
+++ b/crates/routing/src/quarantine/suspects.rs
@@ -35,8 +35,14 @@
         self.records.get(&content)
     }
 
-    pub(super) fn get_mut(&mut self, content: Fingerprint) -> Option<&mut Record> {
-        self.records.get_mut(&content)
+    /// Clears the ends of a suspect before a time. Returns whether any of them counted against it.
+    pub(super) fn clear_before(&mut self, content: Fingerprint, time: i64, now: Millis) -> bool {
+        let Some(record) = self.records.get_mut(&content) else {
+            return false;
+        };
+        let changed = record.clear_before(time);
+        record.update_grave(self.limit, signed(now));
+        changed
     }
 
     pub(super) fn contents(&self) -> impl Iterator<Item = Fingerprint> {
@@ -55,11 +61,13 @@
     }
 
     /// Merges ends into the record of a suspect.
-    pub(super) fn merge(&mut self, content: Fingerprint, ends: Vec<End>) {
+    pub(super) fn merge(&mut self, content: Fingerprint, ends: Vec<End>, now: Millis) {
         if !self.records.contains_key(&content) {
             self.make_room();
         }
-        self.records.entry(content).or_default().merge(ends);
+        let record = self.records.entry(content).or_default();
+        record.merge(ends);
+        record.update_grave(self.limit, signed(now));
     }
 
     /// Keeps the records that expire after `now`.
@@ -95,6 +103,21 @@
         news
     }
 
+    /// Returns the ends that a report holds against a suspect and that are cleared here, if there are any.
+    pub(super) fn contradiction(&self, reported: &Suspicion, now: Millis) -> Option<Suspicion> {
+        let record = self.records.get(&reported.content)?;
+        let is_held = |server| {
+            let mut open = reported.ends.iter().filter(|end| !end.cleared);
+            open.any(|end| end.server == server)
+        };
+        let mut ends = record.report(signed(now));
+        ends.retain(|end| end.cleared && is_held(end.server));
+        (!ends.is_empty()).then_some(Suspicion {
+            content: reported.content,
+            ends,
+        })
+    }
+
     /// Returns all open suspicions, the gravest first, as far as they fit into a packet.
     pub(super) fn open(&self, now: Millis) -> Vec<Suspicion> {
         let records = self.records.iter();
--- a/crates/routing/src/quarantine/verdict.rs
+++ b/crates/routing/src/quarantine/verdict.rs
@@ -30,6 +30,19 @@
         longest.map_or(Ok(()), Err)
     }
 
+    /// Returns the time until a refusal of the request is settled; zero if it is. Until then another instance
+    /// may say that it has served the request, which ends the quarantine.
+    pub fn settles_in(&self, content: &RequestContent, now: Millis) -> Millis {
+        let request = self.requests.get(content.request).into_iter();
+        let parts = content.parts.iter();
+        let parts = parts.filter_map(|part| self.parts.get(*part));
+        let grave = request.chain(parts).filter_map(Record::grave_since);
+        let latest = grave.max().unwrap_or(i64::MIN / 2);
+        let left = latest + signed(self.settings.settle) - signed(now);
+        let left = Millis(left.max(0).unsigned_abs());
+        left.max(self.recall_until.since(now))
+    }
+
     pub(super) fn check_request(
         &self,
         request: Fingerprint,
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -7,6 +7,7 @@
 use crocushold_routing::Quarantine;
 use crocushold_routing::QuarantineSettings;
 use crocushold_routing::ReportedEnd;
+use crocushold_routing::RequestContent;
 use crocushold_routing::Run;
 use crocushold_routing::SuspectKind;
 use crocushold_routing::Suspicion;
@@ -228,6 +229,134 @@
     assert!(!is_quarantined(&second, CONTENT, now.0));
 }
 
+/// Guards against a refusal for ten minutes that is a moment old: until the others could say that they have
+/// served the request, the quarantine isn't settled, however many ends follow.
+#[test]
+fn a_quarantine_settles_once_others_could_contradict() {
+    let settle = QuarantineSettings::default().settle;
+    let mut quarantine = Quarantine::default();
+    end(&mut quarantine, CONTENT, 1, START, 80);
+    end(&mut quarantine, CONTENT, 2, START + 500, 80);
+    let known = START + 585;
+    let settles_in = |quarantine: &Quarantine, at| {
+        assert!(is_quarantined(quarantine, CONTENT, at));
+        quarantine.settles_in(&CONTENT.into(), Millis(at))
+    };
+    assert_eq!(
+        settles_in(&quarantine, known + 100),
+        settle.since(Millis(100))
+    );
+    end(&mut quarantine, CONTENT, 3, START + 600, 80);
+    assert_eq!(
+        settles_in(&quarantine, known + 300),
+        settle.since(Millis(300))
+    );
+    assert_eq!(settles_in(&quarantine, known + settle.0), Millis::ZERO);
+}
+
+/// Guards against an instance that waits for the next round of gossip before it tells another one that the
+/// request was served.
+#[test]
+fn a_suspicion_of_a_served_request_is_contradicted_at_once() {
+    let now = Millis(START + 700);
+    let mut first = Quarantine::default();
+    end(&mut first, CONTENT, 1, START, 80);
+    end(&mut first, CONTENT, 2, START + 500, 80);
+    let mut second = Quarantine::default();
+    second.served(&CONTENT.into(), Millis(START), Millis(START));
+    let told = first.all_suspicions(SuspectKind::Request, now);
+    let known = second.apply_suspicion(SuspectKind::Request, &told[0], now);
+    let known = known.expect("a contradiction");
+    assert!(
+        first
+            .apply_suspicion(SuspectKind::Request, &known, now)
+            .is_none()
+    );
+    assert!(!is_quarantined(&first, CONTENT, now.0));
+    assert_eq!(first.take_cleared_requests(), [CONTENT]);
+    let again = second.apply_suspicion(SuspectKind::Request, &known, now);
+    assert!(again.is_none(), "what is cleared isn't contradicted");
+}
+
+/// Guards against an instance that has just started and counts ends against what others have served for long.
+#[test]
+fn what_others_served_repeatedly_is_cleared_at_an_instance_that_starts() {
+    let mut old = Quarantine::default();
+    for time in [START, START + 10] {
+        old.served(&CONTENT.into(), Millis(time), Millis(time));
+    }
+    old.served(&OTHER.into(), Millis(START), Millis(START));
+    let told = old.recently_served(SuspectKind::Request, 10, Millis(START + 100));
+    assert_eq!(told.len(), 1, "what was served once isn't told");
+    // The clock of an instance starts at zero.
+    let mut young = Quarantine::default();
+    young.apply_served(SuspectKind::Request, &told, Millis(20));
+    end(&mut young, CONTENT, 1, 30, 80);
+    end(&mut young, CONTENT, 2, 200, 80);
+    end(&mut young, OTHER, 3, 30, 80);
+    end(&mut young, OTHER, 4, 200, 80);
+    assert!(!is_quarantined(&young, CONTENT, 400));
+    assert!(is_quarantined(&young, OTHER, 400));
+    let told = young.recently_served(SuspectKind::Request, 10, Millis(500));
+    assert_eq!(told[0].served_ago, 570, "the age is kept");
+}
+
+/// Guards against a quarantine that settles at an instance that has just started while those that remember what
+/// was served are paused.
+#[test]
+fn no_quarantine_settles_while_an_instance_asks_what_was_served() {
+    let recall = Millis(3000);
+    let mut young = Quarantine::default();
+    young.start_recall(recall);
+    end(&mut young, CONTENT, 1, 30, 80);
+    end(&mut young, CONTENT, 2, 200, 80);
+    assert!(is_quarantined(&young, CONTENT, 1500));
+    let settles_in = young.settles_in(&CONTENT.into(), Millis(1500));
+    assert_eq!(settles_in, Millis(1500));
+    young.apply_served(SuspectKind::Request, &[], Millis(1500));
+    let settles_in = young.settles_in(&CONTENT.into(), Millis(1500));
+    assert_eq!(settles_in, Millis::ZERO);
+}
+
+/// Guards against clearing a part of ends that came after it was last sound, where both lie before the start
+/// of the instance that is told.
+#[test]
+fn a_part_that_was_sound_before_its_ends_stays_suspect_at_an_instance_that_starts() {
+    let part = Fingerprint(70);
+    let content = RequestContent {
+        request: CONTENT,
+        parts: [part].into(),
+    };
+    let mut old = Quarantine::default();
+    for time in [START, START + 10] {
+        old.parts_survived(&content, Millis(time), Millis(time + 1000));
+    }
+    for server in 1..=4 {
+        let sent = START + 2000 + server * 1000;
+        let run = Run {
+            content: RequestContent {
+                request: Fingerprint(100 + u128::from(server)),
+                ..content.clone()
+            },
+            ..run(CONTENT, server, sent)
+        };
+        old.run_cut(run, Millis(sent + 80));
+        old.server_ended(Incarnation(server), Millis(sent + 85));
+    }
+    let now = Millis(START + 8000);
+    let suspicions = old.all_suspicions(SuspectKind::Part, now);
+    let sound = old.recently_served(SuspectKind::Part, 10, now);
+    assert_eq!(sound.len(), 1);
+    let mut young = Quarantine::default();
+    young.apply_suspicion(SuspectKind::Part, &suspicions[0], Millis(20));
+    young.apply_served(SuspectKind::Part, &sound, Millis(30));
+    let other = RequestContent {
+        request: OTHER,
+        ..content
+    };
+    assert!(young.admit(&other, Millis(40)).is_err());
+}
+
 /// Guards against counting requests that never reached a server. A proxy accepts connections for a
 /// server and closes them once the server has ended. Only requests that were on the server when it
 /// ended count.
--- a/tests/all/ended_servers.rs
+++ b/tests/all/ended_servers.rs
@@ -211,6 +211,34 @@
     assert!(answer.whole);
 }
 
+/// Guards against an instance that refuses for ten minutes what another one has served a moment ago, because two
+/// engines ended one after the other before it could be told.
+#[test]
+fn serve_waits_for_the_word_of_an_instance_that_has_served_the_request() {
+    let site = site();
+    site.command_all_engines(&EngineCommand::Stall { after: None });
+    let fleet = Fleet::start(&site, 2);
+    fleet.wait_converged();
+    let [first, second] = [fleet.entry(0), fleet.entry(1)];
+    assert_eq!(call(first.listen, &poison_request()).unwrap().status, 200);
+    site.command_all_engines(&EngineCommand::Stall { after: Some(2) });
+    let engines = 0..site.engines.len();
+    let mut used: Vec<usize> = engines
+        .filter(|at| site.engines[*at].runs("poison") > 0)
+        .collect();
+    for _ in 0..2 {
+        let mut caller = RawCaller::send(second.listen, &poison_request());
+        let runner = new_runner(&site, &used).expect("an engine runs it");
+        assert!(caller.read_until("poison 1 "));
+        site.command_engine(runner, EngineCommand::Crash);
+        caller.read_to_end();
+        used.push(runner);
+    }
+    site.command_all_engines(&EngineCommand::Stall { after: None });
+    let answer = call(second.listen, &poison_request()).unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.header("x-refusal-reason"));
+}
+
 /// Returns the engine that runs the request, if one does within a second.
 fn new_runner(site: &Site, ended: &[usize]) -> Option<usize> {
     let runs = |engine: &usize| site.engines[*engine].runs("poison") > 0;
