relay: requests without a server that this instance knows go through one that knows some

What callers saw: after an outage an instance that had read an older copy of the store answered no-server to everything for about a second, while its peers, which knew the servers, served all.

Cause: requests are relayed where no server is within reach, but not where none is known.

Now every way to a refusal for lack of a server (none known, none in the region, none of the version) relays the request first. A peer that knows none either isn't asked again for this service for half a second; the refusal is then that of the first instance. Requests are relayed once at most, as before.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -90,6 +90,8 @@
     wait_until: Option<Millis>,
     /// Time until the next look for a server, once it has waited.
     look_interval: Option<Millis>,
+    /// Whether this instance knows no server that accepts the request.
+    unserved: bool,
 }
 
 /// Result of one attempt.
@@ -150,6 +152,7 @@
             tried: Vec::new(),
             wait_until: None,
             look_interval: None,
+            unserved: false,
         }
     }
 
@@ -178,7 +181,13 @@
                     return Err(relay::unreachable());
                 }
             }
-            let choice = self.choose().await?;
+            let choice = match self.choose().await {
+                Ok(choice) => choice,
+                Err(failure) if self.may_be_served_elsewhere() => {
+                    return self.relay_unserved(failure, hangup).await;
+                }
+                Err(failure) => return Err(failure),
+            };
             self.facts.attempts += 1;
             self.tried.push(choice.server);
             let mut slot = SlotGuard {
--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -216,6 +216,7 @@
             routing::Reason::Tried => Reason::Rejected,
             _ => Reason::NoServer,
         };
+        self.unserved = reason.is_unserved();
         let duration = match reason {
             Reason::Late => none.retry_after,
             _ => none.retry_after.max(MIN_RETRY_AFTER),
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -66,6 +66,27 @@
         !self.shared.fleet().can_reach(&self.job.need, now)
     }
 
+    /// Whether this instance knows no server that accepts the request, and may relay it to one that does.
+    pub(super) fn may_be_served_elsewhere(&self) -> bool {
+        self.unserved && self.job.entry.is_none()
+    }
+
+    /// Relays a request for which this instance knows no server. Fails with `failure` if no other instance
+    /// can send it either.
+    pub(super) async fn relay_unserved(
+        &mut self,
+        failure: Failure,
+        hangup: &Hangup,
+    ) -> Result<Response, Failure> {
+        match self.relay_through_peer(hangup).await {
+            None => Err(failure),
+            Some(Err(Failure::Refused(refusal))) if refusal.reason == Reason::Unreachable => {
+                Err(failure)
+            }
+            Some(result) => result,
+        }
+    }
+
     /// Relays the request. Returns `None` if there is no other instance.
     pub(super) async fn relay_through_peer(
         &mut self,
@@ -74,8 +95,9 @@
         if self.shared.relays().is_empty() {
             return None;
         }
-        let mut tried = Vec::new();
-        while tried.len() < MAX_PEERS {
+        let now = self.shared.clock.now();
+        let mut tried = self.shared.relays().unaware(&self.job.need.service, now);
+        for _ in 0..MAX_PEERS {
             let now = self.shared.clock.now();
             if now >= self.job.deadline {
                 let refusal = self.final_refusal(Reason::Overdue, Some(RETRY_AFTER));
@@ -90,8 +112,7 @@
                 PeerResult::CallerGone => return Some(Err(Failure::CallerGone)),
                 PeerResult::Unable => {
                     self.record_relay(peer, RelayOutcome::Unable.label());
-                    let now = self.shared.clock.now();
-                    self.shared.relays().record_unable(peer, now);
+                    self.record_unable(peer);
                 }
                 PeerResult::Final(answer, guard, outcome) => {
                     self.record_relay(peer, outcome.label());
@@ -183,6 +204,17 @@
         self.retry_or_refuse(stage, Reason::ServerFailed)
     }
 
+    /// Records that a peer can't send the request: it has lost its path as well, or knows no server either.
+    fn record_unable(&self, peer: SocketAddr) {
+        let now = self.shared.clock.now();
+        let mut relays = self.shared.relays();
+        if self.unserved {
+            relays.record_unaware(peer, &self.job.need.service, now);
+        } else {
+            relays.record_unable(peer, now);
+        }
+    }
+
     fn record_relay(&mut self, peer: SocketAddr, outcome: &str) {
         self.shared.metrics.count_relayed("out", outcome);
         let event = Event::new("request-relayed")
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -92,6 +92,15 @@
         }
     }
 
+    /// Whether no server that this instance knows, or reaches, accepts the request. Another instance may know
+    /// one: it may have read a later state of the store.
+    pub(crate) fn is_unserved(self) -> bool {
+        matches!(
+            self,
+            Reason::NoServer | Reason::Region | Reason::SoftwareGone | Reason::Unreachable
+        )
+    }
+
     /// Status of the response.
     ///
     /// 503 promises that the request didn't run and never will. If that isn't certain the status is
--- a/crates/gateway/src/relay/peers.rs
+++ b/crates/gateway/src/relay/peers.rs
@@ -9,6 +9,8 @@
 use rand::SeedableRng;
 use rand::rngs::Xoshiro256PlusPlus;
 
+use crate::fleet::short_hash;
+
 /// How long a peer isn't asked after it couldn't send a request. Paths are tested twice a second.
 const UNABLE_BACKOFF: Millis = Millis(500);
 
@@ -32,6 +34,8 @@
     peers: Vec<RelayPeer>,
     /// Peers that aren't asked before these times.
     backoffs: HashMap<SocketAddr, Millis>,
+    /// Peers that aren't asked for a service before these times, by the hash of its name.
+    unaware: HashMap<(SocketAddr, u32), Millis>,
     /// Number of requests at each peer.
     running: HashMap<SocketAddr, u32>,
     rng: Xoshiro256PlusPlus,
@@ -43,6 +47,7 @@
         RelayPeers {
             peers: Vec::new(),
             backoffs: HashMap::new(),
+            unaware: HashMap::new(),
             running: HashMap::new(),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
         }
@@ -116,6 +121,21 @@
         self.backoffs.insert(peer, now + UNABLE_BACKOFF);
     }
 
+    /// Records that a peer knows no server of a service that this instance has none of either.
+    pub fn record_unaware(&mut self, peer: SocketAddr, service: &str, now: Millis) {
+        let key = (peer, short_hash(service));
+        self.unaware.insert(key, now + UNABLE_BACKOFF);
+    }
+
+    /// The peers that recently knew no server of a service.
+    pub fn unaware(&mut self, service: &str, now: Millis) -> Vec<SocketAddr> {
+        self.unaware.retain(|_, until| now < *until);
+        let service = short_hash(service);
+        let known = self.unaware.keys();
+        let peers = known.filter(|(_, known)| *known == service);
+        peers.map(|(peer, _)| *peer).collect()
+    }
+
     /// Records that a peer couldn't be reached.
     pub fn record_failure(&mut self, peer: SocketAddr, now: Millis) {
         self.backoffs.insert(peer, now + FAILURE_BACKOFF);
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -79,7 +79,7 @@
     let mut exchange = Exchange::new(&shared, &job);
     match exchange.run(&hangup).await {
         Ok(response) => with_outcome(response, RelayOutcome::Answered),
-        Err(Failure::Refused(refusal)) if refusal.reason == Reason::Unreachable => unable(&shared),
+        Err(Failure::Refused(refusal)) if refusal.reason.is_unserved() => unable(&shared),
         Err(Failure::Refused(refusal)) => {
             log_refusal(
                 &shared,
