gateway: an answer of the store is applied servers first, then the configuration, then removals

What callers saw: 503 from an instance that had just said it is ready.

Cause: an instance is ready as soon as a configuration is in force, and the entries were applied in the order of their keys, op/config before servers/.

The same order matters for changes that come together: servers before the route that leads to them, and the route before the removal of those that it led to. A server that is removed and listed again in one answer is still removed first. serve builds a configuration with its pools before it puts it in force, and needs no change.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -239,16 +239,17 @@
             }
         }
         let missing = shared.directory().reconcile(&ids, now);
-        for (id, removal) in missing {
-            apply_removal(shared, &id, removal, "not-listed", now);
-        }
         shared.store.observe(listing.last_change);
         let count = listing.entries.len();
-        let mut malformed = MalformedEntries::default();
+        let mut batch = Batch::new(shared, now);
         for entry in listing.entries {
-            apply_entry(shared, entry, &mut malformed, now);
+            batch.set(entry);
         }
-        malformed.log(shared);
+        batch.apply_configs();
+        for (id, removal) in missing {
+            apply_removal(shared, &id, removal, "not-listed", now);
+        }
+        batch.finish();
         self.at = Some(listing.revision);
         let event = Event::new("store-listed")
             .with("revision", listing.revision.number)
@@ -264,21 +265,19 @@
         } else {
             NextCall::Batch
         };
-        let mut malformed = MalformedEntries::default();
+        let mut batch = Batch::new(shared, now);
         for change in changes.changes {
             match change {
-                Change::Set(entry) => apply_entry(shared, entry, &mut malformed, now),
-                Change::Unlisted(id) => {
-                    let removal = shared.directory().remove(&id, now);
-                    apply_removal(shared, &id, removal, "removed", now);
-                }
+                Change::Set(entry) => batch.set(entry),
+                Change::Unlisted(id) => batch.removed.push(id),
                 Change::Readmission(zone) => {
                     shared.directory().eras().confirm_zone(&zone);
                     readmit(shared, &zone, now);
                 }
             }
         }
-        malformed.log(shared);
+        batch.apply_configs();
+        batch.finish();
         self.at = Some(changes.revision.max(self.at.unwrap_or_default()));
         next_call
     }
@@ -321,26 +320,83 @@
     }
 }
 
-fn apply_entry(shared: &Shared, entry: Entry, malformed: &mut MalformedEntries, now: Millis) {
-    match entry {
-        Entry::Config(spec) => apply_config(shared, spec),
-        Entry::Server(record) => list_server(shared, &record, now),
-        Entry::Evacuation(zone) => evacuate(shared, &zone),
-        Entry::Malformed {
-            name,
-            server,
-            finding,
-        } => {
-            // The server that was listed under this name must get no new work: the registry no
-            // longer says that whatever runs there accepts any.
-            if let Some(id) = server
-                && shared.directory().invalidate(&id)
-            {
-                remove_server(shared, &id, "entry-malformed");
+/// The content of one answer while it is applied: new servers first, then the configuration, then the removal
+/// of servers.
+///
+/// In between, requests are handled. A route must not be in force before the servers of its service are
+/// known, nor a server removed before the route that leads to its successors is.
+struct Batch<'a> {
+    shared: &'a Shared,
+    now: Millis,
+    configs: Vec<TableSpec>,
+    /// Servers whose removal is still to be applied.
+    removed: Vec<String>,
+    malformed: MalformedEntries,
+}
+
+impl Batch<'_> {
+    fn new(shared: &Shared, now: Millis) -> Batch<'_> {
+        Batch {
+            shared,
+            now,
+            configs: Vec::new(),
+            removed: Vec::new(),
+            malformed: MalformedEntries::default(),
+        }
+    }
+
+    fn set(&mut self, entry: Entry) {
+        let shared = self.shared;
+        match entry {
+            Entry::Config(spec) => self.configs.push(spec),
+            Entry::Server(record) => {
+                self.apply_earlier_removal(&record.id);
+                list_server(shared, &record, self.now);
+            }
+            Entry::Evacuation(zone) => evacuate(shared, &zone),
+            Entry::Malformed {
+                name,
+                server,
+                finding,
+            } => {
+                // The server that was listed under this name must get no new work: the registry no
+                // longer says that whatever runs there accepts any.
+                if let Some(id) = server
+                    && shared.directory().invalidate(&id)
+                {
+                    remove_server(shared, &id, "entry-malformed");
+                }
+                self.malformed.add(name, finding);
             }
-            malformed.add(name, finding);
         }
     }
+
+    /// Applies the removal of a server that is listed again by a later change.
+    fn apply_earlier_removal(&mut self, id: &str) {
+        let before = self.removed.len();
+        self.removed.retain(|removed| removed != id);
+        if self.removed.len() < before {
+            self.apply_removal(id);
+        }
+    }
+
+    fn apply_configs(&mut self) {
+        for spec in std::mem::take(&mut self.configs) {
+            apply_config(self.shared, spec);
+        }
+    }
+
+    fn finish(mut self) {
+        for id in std::mem::take(&mut self.removed) {
+            self.apply_removal(&id);
+        }
+        self.malformed.log(self.shared);
+    }
+
+    fn apply_removal(&self, id: &str) {
+        let removal = self.shared.directory().remove(id, self.now);
+        apply_removal(self.shared, id, removal, "removed", self.now);
+    }
 }
 
 /// Entries of one answer that can't be decoded. Another writer may leave a thousand of them, so
