routing: the slowness of a server that gets no requests fades

What callers saw: nothing yet; a_lost_instance_leaves_no_server_without_work found servers that got no request for 20 s, although each had a sender.

Cause: of a few idle servers three are drawn and the cheapest is taken, and cost is multiplied by slowness, which changes only with a server's own answers. The slowest two never win. Evidence: in a router with eight servers, two of which answered once in three times the time of the others, these got 0 and 1 of 200 requests (the new test, red with the fading taken out: [0, 1, 39, 27, 40, 28, 34, 31]). Ruled out: that they had no sender (the test waits for it), and too few requests (13 for each in 20 s).

Slowness now counts in full right after a sample and not at all ten seconds later, for the choice among sampled servers, in gateway and serve alike. Engines chosen by the expected first token keep theirs: a trial of a straggler costs a long prompt there.

--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -22,6 +22,12 @@
 /// Maximum slowness that the cost takes into account. Slower servers are handled by ejection.
 const MAX_SLOWNESS: f64 = 8.0;
 
+/// Time in which the slowness of a server that gets no requests is forgotten.
+///
+/// The slowest ones of a few idle servers never win against the others that are drawn with them, so they would get
+/// no request by which they could show that they aren't slow any more.
+const SLOWNESS_TTL: Millis = Millis::from_secs(10);
+
 /// How much each failure adds to a server's cost, as a multiple of its cost.
 ///
 /// A server that fails immediately has nothing in flight, so without this it would look like the
@@ -174,12 +180,20 @@
             self.settings.zone_cost
         };
         let ahead = 1.0 + own + others + distance;
-        ahead * self.health_factor(server, demand) / f64::from(server.spec.concurrency.max(1))
+        let age = now.since(server.slowness_sampled);
+        let current = 1.0 - (age.as_secs_f64() / SLOWNESS_TTL.as_secs_f64()).min(1.0);
+        let factor = self.health_factor_with(server, demand, server.slowness.mean() * current);
+        ahead * factor / f64::from(server.spec.concurrency.max(1))
     }
 
     /// Returns the cost factor for a server's slowness and failures.
     pub(super) fn health_factor(&self, server: &Server, demand: &Demand<'_>) -> f64 {
-        let slowness = server.slowness.mean().exp().clamp(1.0, MAX_SLOWNESS);
+        self.health_factor_with(server, demand, server.slowness.mean())
+    }
+
+    /// Like [`Router::health_factor`], with the logarithm of the slowness.
+    fn health_factor_with(&self, server: &Server, demand: &Demand<'_>, slowness: f64) -> f64 {
+        let slowness = slowness.exp().clamp(1.0, MAX_SLOWNESS);
         let failures = 1.0 + FAILURE_COST * f64::from(server.health.failures());
         let trial = server.health.on_trial() && (demand.priority == 0 || !demand.idempotent);
         let caution = if trial { TRIAL_COST } else { 1.0 };
--- a/crates/routing/src/router/feedback.rs
+++ b/crates/routing/src/router/feedback.rs
@@ -377,6 +377,7 @@
         // The ratio is bounded so that a server that was stuck once recovers within a few samples.
         let bounded = log_ratio.clamp(-MAX_LOG_RATIO, MAX_LOG_RATIO);
         server.slowness.add(bounded, SERVER_ALPHA);
+        server.slowness_sampled = now;
         let settings = self.settings.health.clone();
         let mut verdict = Verdict::Keep;
         self.change_health(flight.server, |health| {
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -215,6 +215,8 @@
     pub(crate) tokens: u64,
     /// Logarithm of its time per token relative to its peers.
     pub(crate) slowness: Ewma,
+    /// When a sample was last added to it.
+    pub(crate) slowness_sampled: Millis,
     pub(crate) cursor: Cursor,
     pub(crate) members: Vec<Member>,
     /// The counts that the pools currently include.
@@ -245,6 +247,7 @@
             in_flight: 0,
             tokens: 0,
             slowness: Ewma::default(),
+            slowness_sampled: Millis::ZERO,
             cursor: Cursor::default(),
             members: Vec::new(),
             pool_counts: SlotCounts::default(),
--- a/crates/routing/tests/faults.rs
+++ b/crates/routing/tests/faults.rs
@@ -57,6 +57,30 @@
     assert_eq!(fleet.state(0), State::Serving);
 }
 
+/// Guards against a server that gets no work for ever, as it was slow once and the others are idle.
+#[test]
+fn a_server_that_was_slow_once_gets_work_again() {
+    let mut fleet = Fleet::new(8);
+    for _ in 0..6 {
+        (0..8).for_each(|at| fleet.answer(at, 20));
+    }
+    for at in [0, 1] {
+        fleet.answer(at, 60);
+    }
+    let mut served = [0; 8];
+    for _ in 0..200 {
+        fleet.wait(100);
+        let pick = fleet.router.pick(&fleet.demand(), fleet.now).unwrap();
+        served[fleet
+            .keys
+            .iter()
+            .position(|key| *key == pick.server)
+            .unwrap()] += 1;
+        fleet.end(pick.attempt, Outcome::Cancelled);
+    }
+    assert!(served.iter().all(|served| *served > 0), "{served:?}");
+}
+
 // Guards against failed connections to a server whose process is gone, so that its host refuses.
 // The first refusal suffices to eject it, and ten at once don't lengthen the backoff.
 #[test]
