tests: a frozen instance has stopped, and has its answers, before a newer configuration is published

Hypotheses: it took revision 3 before it stopped (kill returns when the signal is queued), when it woke, from an answer to what it had asked before, or it reached somebody when it woke. Evidence: in the failing run it woke at 48.996 and put revision 3 in force at 49.084; its reads of the platform timed out from then on and its links were cut, so it had the answer in its sockets. In both the premise of the test doesn't hold; no order went wrong, and no change of the product follows.

--- a/tests/all/orders.rs
+++ b/tests/all/orders.rs
@@ -26,6 +26,10 @@
 /// some margin.
 const UNLOAD_DELAY: Duration = Duration::from_secs(33);
 
+/// Time in which what an instance asked for before it was frozen is answered. An answer that came after the
+/// newer configuration would tell it of the change when it resumes.
+const IN_FLIGHT: Duration = Duration::from_secs(1);
+
 /// How long a resumed instance is observed.
 const OBSERVATION: Duration = Duration::from_secs(10);
 
@@ -140,6 +144,7 @@
     fleet.wait_active(2);
     let old = owner(&fleet);
     fleet.entry(old).signal("STOP");
+    thread::sleep(IN_FLIGHT);
     (change.second)(&site, checks);
     let others: Vec<usize> = (0..3).filter(|number| *number != old).collect();
     wait_long("another instance owns the engines", || {
--- a/tests/all/support/entry.rs
+++ b/tests/all/support/entry.rs
@@ -190,13 +190,36 @@
         wait("something is held at the point", || self.held(point) > 0);
     }
 
-    /// Sends a signal, such as `TERM`, `STOP` or `CONT`, to the process.
+    /// Sends a signal, such as `TERM`, `STOP` or `CONT`, to the process. After `STOP`, waits until it has
+    /// stopped: the signal is only queued when `kill` returns, and a process without processor time acts
+    /// on it later.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
             .arg(format!("-{name}"))
             .arg(self.child.id().to_string())
             .status();
         assert!(status.unwrap().success());
+        if name == "STOP" {
+            let sent = Instant::now();
+            wait("the process is stopped", || self.is_stopped());
+            println!("stopped {:?} after the signal was sent", sent.elapsed());
+        }
+    }
+
+    /// Whether all threads of the process are stopped.
+    fn is_stopped(&self) -> bool {
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let mut tasks = std::fs::read_dir(tasks).expect("the process runs");
+        tasks.all(|task| {
+            let stat = task.and_then(|task| std::fs::read_to_string(task.path().join("stat")));
+            // The state follows the name of the thread, which is in parentheses. A thread that has just
+            // ended has none.
+            stat.map_or(true, |stat| {
+                stat.rsplit(')')
+                    .next()
+                    .is_some_and(|rest| rest.starts_with(" T"))
+            })
+        })
     }
 
     /// Kills the process, as a failure of its machine does.
