fleet: the first reading of an entry says when its server is warm, whichever instance read it

Callers got 503 with `cold` from an instance whose peers served the same requests: after an outage of the store it took servers for cold that had been warm for seconds. So it had been taken out too early.

Cause: an entry says how much longer its server is cold, not when it was written, and the time counted from each reading: also of an entry that was listed again, and of one that the instance read for the first time after the outage. If that instance places, it refuses what goes beyond the pace of cold servers.

An entry that is read again extends nothing, and who reads an end that it didn't know asks three others in three rounds; they answer if they read the same entry of the same process earlier. What others know of other entries shortens nothing: the server may have become cold again. Weighed besides: to relay what is refused as cold, which would send the requests of those that know of a cold server to those that don't yet.

Taken out one by one, each part turns a test red: the rule for an entry that is read again, the questions, and that a new process begins anew. serve knows no cold servers.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -41,9 +41,12 @@
 use self::announcements::Announcements;
 pub use self::need::Need;
 pub use self::notices::BrittleService;
+pub use self::notices::ColdPhase;
+pub use self::notices::ColdReview;
 use self::notices::Departures;
 use self::notices::NamedLimit;
 pub use self::notices::NoticeChange;
+use self::notices::ReportedCold;
 pub use self::notices::ServerDeparture;
 pub use self::notices::ServerLimit;
 pub use self::reach::Ejection;
@@ -166,8 +169,8 @@
     /// Hash of the name, used in gossip. It is computed once because each round lists all servers.
     hash: u32,
     incarnation: Incarnation,
-    /// End of the server's cold phase according to its entry.
-    reported_cold_until: Millis,
+    /// The server's cold phase according to its entry.
+    reported_cold: ReportedCold,
     /// End of the server's assumed cold phase, regardless of its entry.
     assumed_cold_until: Millis,
     /// The limit that its answers name.
@@ -181,7 +184,7 @@
             software: record.software.as_str().into(),
             hash: short_hash(&record.id),
             incarnation: incarnation(&record),
-            reported_cold_until: Millis::ZERO,
+            reported_cold: ReportedCold::default(),
             assumed_cold_until: Millis::ZERO,
             limit: NamedLimit::default(),
             record,
@@ -189,7 +192,7 @@
     }
 
     fn cold_until(&self) -> Millis {
-        self.reported_cold_until.max(self.assumed_cold_until)
+        self.reported_cold.until.max(self.assumed_cold_until)
     }
 
     /// Whether it is leaving, by its entry or by its answers.
@@ -293,7 +296,7 @@
         let software = SoftwareKey::new(&record.software);
         self.listed_software.record(&record.service, software, now);
         let listed = self.list_record(record, now);
-        self.record_cold(&record.id, record.heartbeat.cold_remaining, now);
+        self.record_cold(&record.id, record.heartbeat, now);
         listed
     }
 
@@ -328,6 +331,7 @@
             return ListOutcome::Changed;
         }
         self.servers[key].limit = NamedLimit::of_new_process(now);
+        self.servers[key].reported_cold = ReportedCold::default();
         self.rests.remove(key);
         self.reach.forget(key);
         if let Some(service) = self.services.get_mut(&service) {
--- a/crates/gateway/src/fleet/notices/mod.rs
+++ b/crates/gateway/src/fleet/notices/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! | notice | said in | binds | ends |
 //! | --- | --- | --- | --- |
-//! | it is cold | its entry | all instances together | at its time |
+//! | it is cold | its entry | all instances together | at its time, as the first that read the entry has it |
 //! | it and all of its service are brittle | answers | all instances together | some seconds after the last answer that says so |
 //! | it has a limit | answers | all instances together | step by step, with answers that name none |
 //! | it is leaving | its entry, and answers | each instance | with the process |
@@ -27,6 +27,9 @@
 
 pub use self::brittle::BrittleService;
 pub(in crate::fleet) use self::brittle::NamedBrittleness;
+pub use self::cold::ColdPhase;
+pub use self::cold::ColdReview;
+pub(in crate::fleet) use self::cold::ReportedCold;
 pub(in crate::fleet) use self::departures::Departures;
 pub use self::departures::ServerDeparture;
 pub(in crate::fleet) use self::limits::NamedLimit;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,6 +53,8 @@
 pub use era::Revision;
 pub use fleet::BrittleService;
 pub use fleet::Choice;
+pub use fleet::ColdPhase;
+pub use fleet::ColdReview;
 pub use fleet::Ejection;
 pub use fleet::Fleet;
 pub use fleet::FleetSettings;
--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::fleet::BrittleService;
+use crate::fleet::ColdPhase;
 use crate::fleet::Need;
 use crate::fleet::ServerDeparture;
 use crate::fleet::ServerLimit;
@@ -54,6 +55,8 @@
     Served(Vec<ServedContent>),
     /// Parts of prompts on which servers wrote answers of late.
     SoundParts(Vec<ServedContent>),
+    /// Cold phases of servers, as far as the sender knows.
+    ColdPhases(Vec<ColdPhase>),
 }
 
 impl Packet {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -25,6 +25,7 @@
 use crate::directory::Directory;
 use crate::fleet::BrittleService;
 use crate::fleet::Choice;
+use crate::fleet::ColdPhase;
 use crate::fleet::Fleet;
 use crate::fleet::FleetSettings;
 use crate::fleet::NoticeChange;
@@ -236,6 +237,22 @@
         }
     }
 
+    /// Takes over the earlier ends of cold phases that another instance knows. Returns those that end
+    /// earlier than it believes.
+    pub(crate) fn review_cold(&self, phases: &[ColdPhase]) -> Vec<ColdPhase> {
+        let now = self.clock.now();
+        let mut fleet = self.fleet();
+        let review = fleet.review_cold(phases, now);
+        for id in review.shortened {
+            let until = fleet.cold_until(&id, now).unwrap_or(now);
+            let event = Event::new("cold-phase-shortened")
+                .with("server", id)
+                .with("left-ms", until.since(now).0);
+            info!("{event}");
+        }
+        review.earlier
+    }
+
     /// Records the limits that another instance knows.
     pub(crate) fn record_remote_limits(&self, limits: &[ServerLimit]) {
         let mut fleet = self.fleet();
--- a/crates/gateway/src/sharing/notices.rs
+++ b/crates/gateway/src/sharing/notices.rs
@@ -41,5 +41,18 @@
     packets.extend(spread(gossip, messages, limits, known));
     let known = || packet(fleet.known_departures(now), Packet::Departures);
     packets.extend(spread(gossip, messages, departures, known));
+    packets.extend(cold_phases(fleet, gossip, now));
     packets
 }
+
+/// Returns the cold phases to send: those of which others may know an earlier end, and answer so. They
+/// count as sent, so they are kept while there is nobody to send them to.
+fn cold_phases(fleet: &mut Fleet, gossip: &Gossip, now: Millis) -> Vec<(SocketAddr, Packet)> {
+    let targets = gossip.gossip_targets();
+    if targets.is_empty() {
+        return Vec::new();
+    }
+    let packet = packet(fleet.take_untold_cold(now), Packet::ColdPhases);
+    let packets = targets.into_iter().zip(packet.into_iter().cycle());
+    packets.collect()
+}
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -120,6 +120,10 @@
                 lock(&handover).record_answer(from);
                 quarantine::receive_served(&shared, SuspectKind::Part, &served);
             }
+            Some(Packet::ColdPhases(phases)) => {
+                let earlier = shared.review_cold(&phases);
+                send_packets(&socket, from, packet(earlier, Packet::ColdPhases)).await;
+            }
             Some(Packet::Limits(limits)) => shared.record_remote_limits(&limits),
             Some(Packet::Brittle(known)) => shared.record_remote_brittle(&known),
             Some(Packet::Departures(departed)) => shared.record_remote_departures(&departed),
