quarantine: what is served repeatedly is told to others before anybody asks

Callers of a sound request got 503 and a Retry-After of ten minutes where every instance that had served it was lost before another one asked.

Cause: since evidence for a request is told on request only: to an instance that starts, and to one that tells of an end. What nobody asked for in time is lost with its holders.

An instance now tells one other instance, in each of three rounds, of each request and part that it has just served for the second time. Those that are told don't pass it on, and it isn't taken for an answer to an instance that has just started and still asks. At most 80 B a round; a content costs 60 B in all.

--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -55,6 +55,10 @@
     Served(Vec<ServedContent>),
     /// Parts of prompts on which servers wrote answers of late.
     SoundParts(Vec<ServedContent>),
+    /// Requests that the sender has just served repeatedly.
+    NewlyServed(Vec<ServedContent>),
+    /// Parts of prompts on which servers have just written answers repeatedly.
+    NewlySoundParts(Vec<ServedContent>),
     /// Cold phases of servers, as far as the sender knows.
     ColdPhases(Vec<ColdPhase>),
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -145,7 +145,7 @@
     known
 }
 
-/// Records what another instance has served of late.
+/// Records what another instance has served of late, according to its answer to this instance.
 pub(crate) fn receive_served(shared: &Shared, kind: SuspectKind, served: &[ServedContent]) {
     let now = shared.clock.now();
     let mut quarantine = shared.quarantine();
@@ -153,6 +153,14 @@
     log_quarantined(shared, quarantine);
 }
 
+/// Records what another instance tells unasked that it has just served repeatedly.
+pub(crate) fn receive_newly_served(shared: &Shared, kind: SuspectKind, served: &[ServedContent]) {
+    let now = shared.clock.now();
+    let mut quarantine = shared.quarantine();
+    quarantine.merge_served(kind, served, now);
+    log_quarantined(shared, quarantine);
+}
+
 /// Runs expired timers.
 pub(crate) fn expire(shared: &Shared) {
     let now = shared.clock.now();
--- a/crates/gateway/src/sharing/handover.rs
+++ b/crates/gateway/src/sharing/handover.rs
@@ -1,8 +1,9 @@
-//! What an instance that has just started asks the others for: the requests and prompt parts that were
-//! served of late.
+//! How instances share which requests and prompt parts were served of late.
 //!
 //! A server that ends makes suspects of all that ran there, and what was served of late clears them. An
-//! instance without that memory would refuse what hundreds of callers send.
+//! instance without that memory would refuse what hundreds of callers send. One that has just started asks
+//! the others; what an instance has just begun to serve repeatedly it tells some of them unasked, so that
+//! the memory outlives the instances that served it.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -13,6 +14,7 @@
 use crocushold_routing::SuspectKind;
 
 use super::shell::ROUND;
+use super::spread::packet;
 use super::state::Gossip;
 use crate::placing::Packet;
 
@@ -26,6 +28,9 @@
 const CONTENTS_PER_PACKET: usize = 50;
 const CONTENTS: usize = 4 * CONTENTS_PER_PACKET;
 
+/// Maximum number of contents of a kind, of 20 bytes each, that one other instance is told unasked in a round.
+const NEWS_PER_ROUND: usize = 2;
+
 /// The questions of a starting instance.
 #[derive(Debug)]
 pub(super) struct Handover {
@@ -79,3 +84,22 @@
     all.extend(packets(SuspectKind::Part, Packet::SoundParts));
     all
 }
+
+/// Returns what this instance has just served repeatedly, for one of the others. It is kept while there is
+/// no other instance.
+pub(super) fn newly_served_packets(
+    quarantine: &mut Quarantine,
+    gossip: &Gossip,
+    now: Millis,
+) -> Vec<(SocketAddr, Packet)> {
+    let Some(target) = gossip.member_in_turn() else {
+        return Vec::new();
+    };
+    let mut news = |kind| quarantine.take_untold_served(kind, NEWS_PER_ROUND, now);
+    let packets = [
+        packet(news(SuspectKind::Request), Packet::NewlyServed),
+        packet(news(SuspectKind::Part), Packet::NewlySoundParts),
+    ];
+    let packets = packets.into_iter().flatten();
+    packets.map(|packet| (target, packet)).collect()
+}
--- a/crates/gateway/src/sharing/members.rs
+++ b/crates/gateway/src/sharing/members.rs
@@ -156,6 +156,14 @@
         drawn.copied().collect()
     }
 
+    /// One of the members, in each of three consecutive turns another one if there are as many.
+    pub(super) fn in_turn(&self, turn: u64) -> Option<SocketAddr> {
+        let known = self.members.len() as u64;
+        let stride = (known / 3).max(1);
+        let index = turn.wrapping_mul(stride).checked_rem(known)?;
+        self.members.keys().nth(index as usize).copied()
+    }
+
     /// The member with the next address after `last`, to contact all members in turn.
     pub fn next_after(&self, last: SocketAddr) -> Option<SocketAddr> {
         let mut later = self
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -19,6 +19,7 @@
 use super::contact::contact_answer;
 use super::contact::contact_query;
 use super::handover::Handover;
+use super::handover::newly_served_packets;
 use super::handover::served_packets;
 use super::message::CachedPrefix;
 use super::message::Identity;
@@ -120,6 +121,12 @@
                 lock(&handover).record_answer(from);
                 quarantine::receive_served(&shared, SuspectKind::Part, &served);
             }
+            Some(Packet::NewlyServed(served)) => {
+                quarantine::receive_newly_served(&shared, SuspectKind::Request, &served);
+            }
+            Some(Packet::NewlySoundParts(served)) => {
+                quarantine::receive_newly_served(&shared, SuspectKind::Part, &served);
+            }
             Some(Packet::ColdPhases(phases)) => {
                 let earlier = shared.review_cold(&phases);
                 send_packets(&socket, from, packet(earlier, Packet::ColdPhases)).await;
@@ -240,6 +247,7 @@
         }
         let messages = state.round(own, now);
         let mut packets = suspicion_packets(&mut shared.quarantine(), &state, &messages, now);
+        packets.extend(newly_served_packets(&mut shared.quarantine(), &state, now));
         packets.extend(contact_query(&shared.directory(), &state, now));
         packets.extend(notice_packets(&mut shared.fleet(), &state, &messages, now));
         let gossip = messages.into_iter();
--- a/crates/gateway/src/sharing/state.rs
+++ b/crates/gateway/src/sharing/state.rs
@@ -369,6 +369,12 @@
         self.members.sample(FANOUT, self.rounds ^ self.seed)
     }
 
+    /// The instance whose turn it is in this round. Those of consecutive rounds lie far apart, so that few
+    /// of them share a rack.
+    pub(super) fn member_in_turn(&self) -> Option<SocketAddr> {
+        self.members.in_turn(self.rounds.wrapping_add(self.seed))
+    }
+
     /// Records that this instance saw a change of the store at `revision`.
     pub fn observe_revision(&mut self, revision: Revision) {
         self.lag.observe(revision);
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -312,15 +312,36 @@
         }
     }
 
+    /// Takes at most `count` requests or parts that were just served here repeatedly, to tell one other
+    /// instance of them: those that know them may all be lost before any instance asks.
+    pub fn take_untold_served(
+        &mut self,
+        kind: SuspectKind,
+        count: usize,
+        now: Millis,
+    ) -> Vec<ServedContent> {
+        match kind {
+            SuspectKind::Request => self.served.take_untold(count, now),
+            SuspectKind::Part => self.sound_parts.take_untold(count, now),
+        }
+    }
+
     /// Sets until when no quarantine settles, unless another instance tells what was served before: this
     /// instance has just started, and asks.
     pub fn start_recall(&mut self, until: Millis) {
         self.recall_until = until;
     }
 
-    /// Records requests or parts that another instance has served of late.
+    /// Records the requests or parts that another instance served of late, as it answers. This instance
+    /// need not ask any longer.
     pub fn apply_served(&mut self, kind: SuspectKind, served: &[ServedContent], now: Millis) {
         self.recall_until = Millis::ZERO;
+        self.merge_served(kind, served, now);
+    }
+
+    /// Records requests or parts that another instance has served of late. They may be a part of what it
+    /// knows.
+    pub fn merge_served(&mut self, kind: SuspectKind, served: &[ServedContent], now: Millis) {
         for report in served {
             match kind {
                 SuspectKind::Request => {
--- a/crates/routing/src/quarantine/served.rs
+++ b/crates/routing/src/quarantine/served.rs
@@ -22,6 +22,13 @@
 /// again.
 const MIN_REPEATS: u32 = 2;
 
+/// Number of other instances that are told of a content before any of them asks. Instances may be lost
+/// together, and with them the memory of what they have just begun to serve.
+const TELLS: u8 = 3;
+
+/// Maximum number of contents that wait until other instances are told.
+const MAX_UNTOLD: usize = 256;
+
 /// The successes of one request or part.
 #[derive(Clone, Copy, Debug)]
 struct Successes {
@@ -30,18 +37,33 @@
     count: u32,
 }
 
+impl Successes {
+    fn report(&self, content: Fingerprint, now: Millis) -> ServedContent {
+        ServedContent {
+            content,
+            served_ago: ago(signed(now), self.last),
+        }
+    }
+}
+
 /// Recently served requests, or parts, with their times.
 #[derive(Debug, Default)]
 pub(super) struct RecentlyServed {
     contents: HashMap<Fingerprint, Successes>,
     /// In the order in which they were recorded. A request that was served repeatedly appears more than once.
     order: VecDeque<(Fingerprint, i64)>,
+    /// Contents that were just served here repeatedly, and how many instances are still to be told of each.
+    untold: VecDeque<(Fingerprint, u8)>,
 }
 
 impl RecentlyServed {
     /// Records a success at this instance.
     pub(super) fn insert(&mut self, content: Fingerprint, time: Millis) {
         self.record(content, signed(time), 1);
+        let count = self.contents.get(&content).map(|known| known.count);
+        if count == Some(MIN_REPEATS) && self.untold.len() < MAX_UNTOLD {
+            self.untold.push_back((content, TELLS));
+        }
     }
 
     /// Records successes that another instance reports.
@@ -88,11 +110,26 @@
             (Reverse(known.count), Reverse(known.last), *content)
         });
         let reported = repeated.into_iter().take(count);
-        let reported = reported.map(|(content, known)| ServedContent {
-            content,
-            served_ago: ago(signed(now), known.last),
-        });
-        reported.collect()
+        reported
+            .map(|(content, known)| known.report(content, now))
+            .collect()
+    }
+
+    /// Takes at most `count` contents that were just served repeatedly, to tell one instance of them.
+    pub(super) fn take_untold(&mut self, count: usize, now: Millis) -> Vec<ServedContent> {
+        let mut taken = Vec::new();
+        for _ in 0..count.min(self.untold.len()) {
+            let Some((content, tells)) = self.untold.pop_front() else {
+                break;
+            };
+            if let Some(known) = self.contents.get(&content) {
+                taken.push(known.report(content, now));
+            }
+            if tells > 1 {
+                self.untold.push_back((content, tells - 1));
+            }
+        }
+        taken
     }
 
     fn evict_oldest(&mut self) {
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -9,6 +9,7 @@
 use crocushold_routing::ReportedEnd;
 use crocushold_routing::RequestContent;
 use crocushold_routing::Run;
+use crocushold_routing::ServedContent;
 use crocushold_routing::SuspectKind;
 use crocushold_routing::Suspicion;
 use proptest::prelude::*;
@@ -301,6 +302,48 @@
     assert_eq!(told[0].served_ago, 570, "the age is kept");
 }
 
+/// Guards against the loss of what was served, as those that know it are lost before another instance asks.
+#[test]
+fn what_is_served_repeatedly_is_told_to_three_others_unasked() {
+    let mut quarantine = Quarantine::default();
+    let now = Millis(START);
+    quarantine.served(&CONTENT.into(), now, now);
+    let first = quarantine.take_untold_served(SuspectKind::Request, 2, now);
+    assert_eq!(first, [], "what was served once isn't told");
+    for _ in 0..5 {
+        quarantine.served(&CONTENT.into(), now, now);
+    }
+    let later = now + Millis(100);
+    for _ in 0..3 {
+        let told = quarantine.take_untold_served(SuspectKind::Request, 2, later);
+        assert_eq!(told.len(), 1);
+        assert_eq!((told[0].content, told[0].served_ago), (CONTENT, 100));
+    }
+    let last = quarantine.take_untold_served(SuspectKind::Request, 2, later);
+    assert_eq!(last, []);
+}
+
+/// Guards against news that reach every instance again and again, as each one passes on what it was told, and
+/// against taking them for all that the others know.
+#[test]
+fn what_others_tell_unasked_is_not_passed_on_and_ends_no_recall() {
+    let mut young = Quarantine::default();
+    young.start_recall(Millis(3000));
+    end(&mut young, CONTENT, 1, 30, 80);
+    end(&mut young, CONTENT, 2, 200, 80);
+    let told = ServedContent {
+        content: OTHER,
+        served_ago: 100,
+    };
+    young.merge_served(SuspectKind::Request, &[told], Millis(1500));
+    let known = young.recently_served(SuspectKind::Request, 10, Millis(1500));
+    assert_eq!(known, [told]);
+    let passed_on = young.take_untold_served(SuspectKind::Request, 2, Millis(1500));
+    assert_eq!(passed_on, []);
+    let settles_in = young.settles_in(&CONTENT.into(), Millis(1500));
+    assert_eq!(settles_in, Millis(1500));
+}
+
 /// Guards against a quarantine that settles at an instance that has just started while those that remember what
 /// was served are paused.
 #[test]
