ownership: instances lend what they don't use of their shares of an account's rate

An account whose callers are all at one of three instances was refused beyond two thirds of its rate while the other instances lay idle.

The other shares were used by nobody, and nobody asked for them.

What the owner can't lend, the borrower now asks of two others at a time, in turn. Each lends what it has saved up beyond a quarter of what it may save up. Units move, and none is made, so the rate holds as before, also on the sides of a partition. Slots come from the owner alone; the reply of another one doesn't take them away. Messages are bounded as before.

tests/all/limits.rs: the rate at two of three instances before the third is killed was between 0.7 and 0.9, as the idle third instance kept its share. It lends it now, so that the two get the whole rate: at least 0.93, as after the kill.

--- a/crates/entry/src/coordination/lending.rs
+++ b/crates/entry/src/coordination/lending.rs
@@ -34,7 +34,7 @@
         let account = borrow.request.account;
         if borrow.to == self.me {
             let reply = self.limits.on_borrow(self.me, &borrow.request);
-            self.limits.on_lent(account, reply, asked_at);
+            self.limits.on_lent(account, self.me, reply, asked_at);
             return;
         }
         let coordinator = self.clone();
@@ -45,7 +45,9 @@
                 .call(borrow.to, call, LOAN_TIMEOUT)
                 .await;
             if let Some(Response::Lent(reply)) = answer {
-                coordinator.limits.on_lent(account, reply, asked_at);
+                coordinator
+                    .limits
+                    .on_lent(account, borrow.to, reply, asked_at);
             }
         });
     }
--- a/crates/entry/src/coordination/limits/limiter.rs
+++ b/crates/entry/src/coordination/limits/limiter.rs
@@ -319,9 +319,15 @@
         self.limits.on_borrow(from, request, now)
     }
 
-    /// Adds a loan that was requested at `asked_at`.
-    pub(crate) fn on_lent(&mut self, id: AccountId, reply: BorrowReply, asked_at: Millis) {
-        self.limits.on_borrow_reply(id, reply, asked_at);
+    /// Adds a loan of another member that was requested at `asked_at`.
+    pub(crate) fn on_lent(
+        &mut self,
+        id: AccountId,
+        from: Member,
+        reply: BorrowReply,
+        asked_at: Millis,
+    ) {
+        self.limits.on_borrow_reply(id, from, reply, asked_at);
     }
 
     /// Handles the return of slots by another member.
--- a/crates/entry/src/coordination/limits/shell.rs
+++ b/crates/entry/src/coordination/limits/shell.rs
@@ -107,8 +107,14 @@
     }
 
     /// Adds a loan that was granted.
-    pub(crate) fn on_lent(&self, id: AccountId, reply: BorrowReply, asked_at: Millis) {
-        self.limiter().on_lent(id, reply, asked_at);
+    pub(crate) fn on_lent(
+        &self,
+        id: AccountId,
+        from: Member,
+        reply: BorrowReply,
+        asked_at: Millis,
+    ) {
+        self.limiter().on_lent(id, from, reply, asked_at);
     }
 
     /// Handles the return of slots by another member.
--- a/crates/entry/src/coordination/limits/tests.rs
+++ b/crates/entry/src/coordination/limits/tests.rs
@@ -54,7 +54,7 @@
             for borrow in self.limiter.on_tick(self.now) {
                 let id = borrow.request.account;
                 let reply = self.limiter.on_borrow(borrow.to, &borrow.request, self.now);
-                self.limiter.on_lent(id, reply, self.now);
+                self.limiter.on_lent(id, borrow.to, reply, self.now);
             }
         }
     }
--- a/crates/ownership/src/limits/account.rs
+++ b/crates/ownership/src/limits/account.rs
@@ -14,6 +14,9 @@
 /// admitted; also the minimum balance for an admission.
 const ONE_UNIT: f64 = 1.0;
 
+/// The part of what an instance may save up that it keeps for its own callers when others ask it for units.
+const KEPT_FRACTION: f64 = 0.25;
+
 /// The number of instances.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct MemberCounts {
@@ -42,6 +45,12 @@
     fn base_rate(&self) -> f64 {
         self.limit.rate * self.settings.base_fraction / self.counts.reference as f64
     }
+
+    /// The units that an instance can save up without a loan. If that were below one unit, a small share could
+    /// never accumulate enough for an admission.
+    fn base_cap(&self) -> f64 {
+        (self.base_rate() * self.settings.burst_seconds).max(ONE_UNIT)
+    }
 }
 
 #[derive(Debug)]
@@ -62,6 +71,12 @@
     borrowed_units_used: f64,
     refused_slots: u32,
     pub(super) asked_at: Option<Millis>,
+    /// Units of the last borrow request.
+    asked_units: f64,
+    /// Units that the owner couldn't lend, to be asked of other instances.
+    unmet_units: f64,
+    /// Number of instances that were asked for a part of their share.
+    share_requests: usize,
 }
 
 impl Account {
@@ -80,6 +95,9 @@
             borrowed_units_used: 0.0,
             refused_slots: 0,
             asked_at: None,
+            asked_units: 0.0,
+            unmet_units: 0.0,
+            share_requests: 0,
         }
     }
 
@@ -149,9 +167,31 @@
         self.refused_units = 0.0;
         self.borrowed_units_used = 0.0;
         self.refused_slots = 0;
+        self.asked_units = request.units;
         request
     }
 
+    /// Takes the units that the owner couldn't lend. Returns them with the number of earlier requests, by which
+    /// the instances are asked in turn.
+    pub(super) fn take_unmet(&mut self, requests: usize) -> Option<(f64, usize)> {
+        let unmet = std::mem::take(&mut self.unmet_units);
+        if unmet < ONE_UNIT {
+            return None;
+        }
+        let turn = self.share_requests;
+        self.share_requests = turn.wrapping_add(requests);
+        Some((unmet, turn))
+    }
+
+    /// Lends units of this instance's own share that its callers don't use.
+    pub(super) fn lend_share(&mut self, params: &ShareParams, units: f64, now: Millis) -> f64 {
+        self.refill(params, now);
+        let kept = (params.base_cap() * KEPT_FRACTION).max(ONE_UNIT);
+        let lent = units.clamp(0.0, (self.tokens - kept).max(0.0));
+        self.tokens -= lent;
+        lent
+    }
+
     pub(super) fn share_params(
         &self,
         settings: LimitSettings,
@@ -170,14 +210,19 @@
         reply: BorrowReply,
         asked_at: Millis,
     ) {
-        // The term starts at the request, which is earlier than the start of the lender's own term.
-        let until = asked_at + settings.borrower_ttl();
-        if reply.units > 0.0 {
-            self.borrowed_units += reply.units;
-            self.borrowed_units_until = until;
-        }
+        self.unmet_units = (self.asked_units - reply.units).max(0.0);
+        self.add_units(settings, reply.units, asked_at);
         self.borrowed_slots = reply.slots;
-        self.borrowed_slots_until = until;
+        self.borrowed_slots_until = asked_at + settings.borrower_ttl();
+    }
+
+    /// Adds lent units. The term starts at the request, which is earlier than the start of the lender's own
+    /// term.
+    pub(super) fn add_units(&mut self, settings: &LimitSettings, units: f64, asked_at: Millis) {
+        if units > 0.0 {
+            self.borrowed_units += units;
+            self.borrowed_units_until = asked_at + settings.borrower_ttl();
+        }
     }
 
     fn held(&self, base: u32) -> u32 {
@@ -200,9 +245,6 @@
         let rate = params.base_rate();
         let elapsed = now.since(self.filled_at).as_secs_f64();
         self.filled_at = now;
-        // If the cap were below one unit, a small share could never accumulate enough for an
-        // admission.
-        let cap = (rate * params.settings.burst_seconds).max(1.0);
-        self.tokens = (self.tokens + rate * elapsed).min(cap);
+        self.tokens = (self.tokens + rate * elapsed).min(params.base_cap());
     }
 }
--- a/crates/ownership/src/limits/message.rs
+++ b/crates/ownership/src/limits/message.rs
@@ -73,7 +73,7 @@
     },
 }
 
-/// Requests a loan from the owner of an account.
+/// Requests a loan from the owner of an account, or units from another instance's share.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BorrowRequest {
     /// The account.
@@ -86,7 +86,7 @@
     pub held: u32,
 }
 
-/// The owner's reply.
+/// The lender's reply.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct BorrowReply {
     /// Units lent.
@@ -107,7 +107,7 @@
 /// A borrow request for the embedder to send; `to` may be this instance itself.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Borrow {
-    /// The owner of the account.
+    /// The lender.
     pub to: Member,
     /// The message.
     pub request: BorrowRequest,
--- a/crates/ownership/src/limits/mod.rs
+++ b/crates/ownership/src/limits/mod.rs
@@ -1,7 +1,8 @@
 //! Rate and concurrency limits of an account across all instances.
 //!
 //! Half of each limit is split evenly; the account's owner lends the other half on demand, in loans
-//! that expire. See `docs/design/shared-limits.md` for the bounds.
+//! that expire. What the owner can't lend of a rate is asked of the others, which lend what their callers
+//! don't use of their shares. See `docs/design/shared-limits.md` for the bounds.
 
 mod account;
 mod message;
--- a/crates/ownership/src/limits/state.rs
+++ b/crates/ownership/src/limits/state.rs
@@ -18,6 +18,9 @@
 use crate::view::Member;
 use crate::view::View;
 
+/// Maximum number of instances that are asked at a time for units of their shares.
+const SHARE_LENDERS: usize = 2;
+
 /// The limits of all accounts on one instance.
 #[derive(Debug)]
 pub struct Limits {
@@ -127,22 +130,71 @@
             self.cursor = AccountId(account.0.wrapping_add(1));
             borrows.extend(self.borrow(account, to, now));
         }
+        self.borrow_shares(&mut borrows);
         borrows
     }
 
-    /// Replies to a borrow request.
+    /// Asks other instances for what the owners couldn't lend.
+    fn borrow_shares(&mut self, borrows: &mut Vec<Borrow>) {
+        for &account in &self.active {
+            if self.message_budget < 1.0 {
+                return;
+            }
+            let Some(state) = self.accounts.get_mut(&account) else {
+                continue;
+            };
+            let Some((units, turn)) = state.take_unmet(SHARE_LENDERS) else {
+                continue;
+            };
+            let owner = self.live.owner(account.0);
+            let members = self.live.members().iter().copied();
+            let others = members.filter(|member| *member != self.me && Some(*member) != owner);
+            let others: Vec<Member> = others.collect();
+            let asked = SHARE_LENDERS.min(others.len());
+            let lenders = (0..asked).map(|n| others[turn.wrapping_add(n) % others.len()]);
+            borrows.extend(lenders.map(|to| Borrow {
+                to,
+                request: BorrowRequest {
+                    account,
+                    units: units / asked as f64,
+                    slots: 0,
+                    held: 0,
+                },
+            }));
+            self.message_budget -= asked as f64;
+        }
+    }
+
+    /// Replies to a borrow request: with a part of the pool if this instance is the account's owner, and
+    /// with units of its own share that its callers don't use.
     pub fn on_borrow(&mut self, from: Member, request: &BorrowRequest, now: Millis) -> BorrowReply {
         let Some(state) = self.accounts.get_mut(&request.account) else {
             return BorrowReply::default();
         };
         let params = state.share_params(self.settings, self.counts);
-        state.pool.lend(&params, from, request, now)
+        let mut reply = state.pool.lend(&params, from, request, now);
+        if from != self.me {
+            reply.units += state.lend_share(&params, request.units - reply.units, now);
+        }
+        reply
     }
 
-    /// Handles a granted loan. `asked_at` is the time of the tick that requested it.
-    pub fn on_borrow_reply(&mut self, account: AccountId, reply: BorrowReply, asked_at: Millis) {
+    /// Handles a loan granted by `from`. `asked_at` is the time of the tick that requested it. Only the
+    /// owner lends slots.
+    pub fn on_borrow_reply(
+        &mut self,
+        account: AccountId,
+        from: Member,
+        reply: BorrowReply,
+        asked_at: Millis,
+    ) {
+        let is_owner = self.live.owner(account.0) == Some(from);
         if let Some(state) = self.accounts.get_mut(&account) {
-            state.apply_reply(&self.settings, reply, asked_at);
+            if is_owner {
+                state.apply_reply(&self.settings, reply, asked_at);
+            } else {
+                state.add_units(&self.settings, reply.units, asked_at);
+            }
             // Borrowed slots in use must be renewed even if no further demand arises.
             self.active.insert(account);
         }
--- a/crates/ownership/tests/limits.rs
+++ b/crates/ownership/tests/limits.rs
@@ -145,7 +145,7 @@
             }
             self.messages += u64::from(owner != at);
             let reply = self.nodes[owner].on_borrow(self.members[at], &borrow.request, now);
-            self.nodes[at].on_borrow_reply(ACCOUNT, reply, now);
+            self.nodes[at].on_borrow_reply(ACCOUNT, borrow.to, reply, now);
         }
     }
 }
@@ -169,7 +169,8 @@
 /// them, they must get no more than the rate and the burst, and most of the rate.
 #[test_case(&even_load(100.0), 0.97; "even")]
 #[test_case(&skewed_load(), 0.97; "skewed")]
-#[test_case(&[800.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0], 0.54; "all at one")]
+#[test_case(&[800.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0], 0.97; "all at one")]
+#[test_case(&[800.0, 0.0, 0.0], 0.97; "all at one of three")]
 fn the_rate_is_enforced_and_used(load: &[f64], least: f64) {
     let mut model = Model::new(load, wide_limit(), 10);
     let first = model.run(10) / RATE;
@@ -326,7 +327,8 @@
         units: 0.0,
         slots: 20,
     };
-    node.on_borrow_reply(ACCOUNT, reply, Millis(1_000));
+    let owner = view.owner(ACCOUNT.0).expect("an owner");
+    node.on_borrow_reply(ACCOUNT, owner, reply, Millis(1_000));
     let mut admit = |now| {
         let admitted = (0..40).filter(|_| node.admit(ACCOUNT, 1.0, now) == Admission::Admitted);
         let count = admitted.count();
@@ -336,3 +338,68 @@
     assert_eq!(admit(Millis(2_500)), 30);
     assert_eq!(admit(Millis(2_700)), 10);
 }
+
+/// An instance of three that neither owns the account nor has callers of it, and the two others.
+fn idle_lender(limit: Limit) -> (Limits, Member, Member) {
+    let members: Vec<Member> = (0..3).map(|n| Member::new(&format!("e{n}"), 1)).collect();
+    let view = View::new(members.clone());
+    let owner = view.owner(ACCOUNT.0).expect("an owner");
+    let mut others = members.into_iter().filter(|member| *member != owner);
+    let me = others.next().expect("three members");
+    let borrower = others.next().expect("three members");
+    let mut node = Limits::new(LimitSettings::default(), me, Millis::ZERO);
+    node.on_limit(ACCOUNT, limit, Millis::ZERO);
+    node.on_view(view.clone(), &view, Millis::ZERO);
+    (node, owner, borrower)
+}
+
+/// Guards against an instance that lends all of its share, so that the first requests of its own callers are
+/// refused, and against one that lends more than its share.
+#[test]
+fn an_instance_that_lends_its_share_still_serves_its_own_callers() {
+    let limit = Limit {
+        rate: 120.0,
+        slots: 100,
+    };
+    let (mut node, _, borrower) = idle_lender(limit);
+    let request = BorrowRequest {
+        account: ACCOUNT,
+        units: 1e6,
+        slots: 0,
+        held: 0,
+    };
+    let lent: f64 = (1..=10)
+        .map(|second| {
+            let now = Millis::from_secs(second);
+            node.on_borrow(borrower, &request, now).units
+        })
+        .sum();
+    assert!((150.0..=200.0).contains(&lent), "{lent} of its 20 a second");
+    for _ in 0..5 {
+        let admission = node.admit(ACCOUNT, 1.0, Millis::from_secs(10));
+        assert_eq!(admission, Admission::Admitted);
+    }
+}
+
+/// Guards against an answer with units of a share that takes away the slots that the owner has lent.
+#[test]
+fn units_of_another_share_leave_the_slots_of_the_owner() {
+    let limit = Limit {
+        rate: 1e6,
+        slots: 60,
+    };
+    let (mut node, owner, lender) = idle_lender(limit);
+    let slots = BorrowReply {
+        units: 0.0,
+        slots: 20,
+    };
+    let units = BorrowReply {
+        units: 5.0,
+        slots: 0,
+    };
+    node.on_borrow_reply(ACCOUNT, owner, slots, Millis(1_000));
+    node.on_borrow_reply(ACCOUNT, lender, units, Millis(1_000));
+    let admitted =
+        (0..60).filter(|_| node.admit(ACCOUNT, 1.0, Millis(1_500)) == Admission::Admitted);
+    assert_eq!(admitted.count(), 30);
+}
--- a/tests/all/limits.rs
+++ b/tests/all/limits.rs
@@ -94,9 +94,9 @@
     flood(&addresses, &[lookup()])
 }
 
-/// The balancer sends all calls of the account to one of three instances. With equal shares, the
-/// callers would be refused at a third of the account's rate; instead the instance borrows the
-/// rest. Spread over all three instances, the callers must not exceed the rate.
+/// Guards against an account that gets a part of its rate only, as the balancer sends all its calls to one of
+/// three instances: the instance borrows the rest, also what idle instances don't use of their shares.
+/// Spread over all three instances, the callers must not exceed the rate.
 #[test]
 fn an_account_at_one_instance_gets_more_than_a_third_and_never_more_than_its_rate() {
     let site = site();
@@ -109,7 +109,8 @@
 }
 
 /// One of three instances is killed and removed from the platform's instance list. Its share must
-/// not stay unused: the two remaining instances get the full rate.
+/// not stay unused: the two remaining instances get the full rate, as they did while it was idle and lent
+/// them its share.
 #[test]
 fn the_share_of_a_killed_instance_moves_to_the_rest() {
     let site = site();
@@ -123,7 +124,7 @@
         wait("the loss is known", || entry.status().peers.len() == 1);
     }
     let after = flood_at(&fleet, &[0, 1]);
-    assert!((0.7..=0.9).contains(&before), "{before}");
+    assert!((0.93..=MAX_SHARE).contains(&before), "{before}");
     assert!((0.93..=MAX_SHARE).contains(&after), "{after}");
 }
 
