tests: whether interactive requests wait for a batch is measured by the instance's own clock

Cause, from a trace (one of 18 runs beside 45 busy processes, load 17 to 19): the eight calls waited for 9 ms in all by the instance's clock. Six of them took 444 to 474 ms in place of 34 to 45, as they ran on the engine that the test makes ten times slower; meanwhile the batch emptied its queue at the other one. So the check took the length of calls for their wait. Ruled out: a starved caller (5 to 10 ms between two calls), and that urgent requests queue behind the batch.

The check is replaced by one as strict: no live request may wait in the queue for more than a tenth of the mean wait of the batch, both from the instance's metrics. What the trace shows of the product stays open: the slot that is kept free for urgent requests may be one of a straggler, until that is known.

--- a/tests/all/load_faults.rs
+++ b/tests/all/load_faults.rs
@@ -242,9 +242,12 @@
     }
 }
 
-// One of two engines crashes, or becomes many times slower, in the middle of a batch burst.
-// Interactive requests that arrive then are all served before the queued batch, and the batch is
-// served too: neither is dropped because of the loss.
+/// Largest wait of an interactive request in the queue, as a fraction of the mean wait of the batch.
+const MAX_WAIT_RATIO: f64 = 0.1;
+
+/// Guards against interactive requests that are refused, or wait for the queued batch, after one of two engines
+/// has crashed or become many times slower in the middle of a burst. The batch is served too: neither is
+/// dropped because of the loss.
 #[test_case(&EngineCommand::Crash; "crash")]
 #[test_case(&EngineCommand::Slow { factor: 10.0 }; "straggler")]
 fn a_burst_on_a_failing_engine_refuses_no_live_request(fault: &EngineCommand) {
@@ -255,16 +258,24 @@
         entry.queued("batch") > 20 && site.engines.iter().all(|e| e.stats().running >= 3)
     });
     site.command_engine(0, fault.clone());
+    let mut longest: f64 = 0.0;
     for number in 0..8 {
+        let (before, _) = entry.queue_waits("chat");
         let answer = call(entry.listen, &Call::chat(true, 2));
         assert!(served(&answer), "live request {number}: {answer:?}");
+        let (after, count) = entry.queue_waits("chat");
+        assert!(count > f64::from(number), "{count} waits");
+        longest = longest.max(after - before);
     }
-    assert!(
-        entry.queued("batch") > 0,
-        "the interactive requests waited for the batch"
-    );
     for answer in batch {
         assert!(served(&answer.join().unwrap()), "the batch must finish");
     }
+    let (sum, count) = entry.queue_waits("batch");
+    let mean = sum / count;
+    println!("a live request waited for {longest:.3} s at most, the batch for {mean:.3} s");
+    assert!(
+        longest <= mean * MAX_WAIT_RATIO,
+        "an interactive request waited for the batch: {longest:.3} s, which waited for {mean:.3} s"
+    );
     entry.wait_idle();
 }
--- a/tests/all/support/entry.rs
+++ b/tests/all/support/entry.rs
@@ -127,6 +127,19 @@
         counts.sum()
     }
 
+    /// Returns the time that requests of a class waited in the queue, in seconds and in all by the instance's
+    /// clock, and their number.
+    pub fn queue_waits(&self, class: &str) -> (f64, f64) {
+        let page = self.page("/metrics").unwrap();
+        let value = |name: &str| {
+            let series = format!("crocushold_queue_wait_seconds_{name}{{class=\"team/{class}\"}} ");
+            let mut lines = page.body.lines();
+            let value = lines.find_map(|line| line.strip_prefix(&series));
+            value.map_or(0.0, |value| value.parse().unwrap())
+        };
+        (value("sum"), value("count"))
+    }
+
     /// Returns the number of requests in flight at the backend servers.
     pub fn in_flight(&self) -> u64 {
         self.status().servers.iter().map(|s| s.running).sum()
