ownership: requests for units of shares go over the accounts in turn

Accounts with the lowest ids took all messages that the requests to owners left. No behaviour of a single account changes.

--- a/crates/gateway/src/fleet/notices/cold.rs
+++ b/crates/gateway/src/fleet/notices/cold.rs
@@ -5,7 +5,6 @@
 //! of one entry the earliest is the most accurate, whether this instance or another one read it.
 
 use crocushold_base::Millis;
-use crocushold_base::ServerKey;
 use crocushold_routing::Incarnation;
 use serde::Deserialize;
 use serde::Serialize;
@@ -17,8 +16,8 @@
 /// Maximum remaining cold phase that is accepted from an entry.
 const MAX_COLD: Millis = Millis::from_secs(60);
 
-/// Difference between two ends of a cold phase that is ignored: the time in which an instance reads
-/// an entry, or a message of another one.
+/// Difference between two ends of a cold phase that is ignored: entries and messages take that long to
+/// arrive.
 const TOLERANCE: Millis = Millis(100);
 
 /// Number of rounds in which other instances are told of an end that wasn't known here.
@@ -93,11 +92,7 @@
 
     /// The end of a server's cold phase; `None` if it is warm or its service doesn't start slowly.
     pub fn cold_until(&self, id: &str, now: Millis) -> Option<Millis> {
-        self.end_of_cold(*self.ids.get(id)?, now)
-    }
-
-    fn end_of_cold(&self, key: ServerKey, now: Millis) -> Option<Millis> {
-        let server = &self.servers[key];
+        let server = &self.servers[*self.ids.get(id)?];
         let starts_slowly = self.slow_starts.contains_key(&server.record.service);
         Some(server.cold_until()).filter(|until| starts_slowly && now < *until)
     }
--- a/crates/ownership/src/limits/state.rs
+++ b/crates/ownership/src/limits/state.rs
@@ -134,9 +134,12 @@
         borrows
     }
 
-    /// Asks other instances for what the owners couldn't lend.
+    /// Asks other instances for what the owners couldn't lend, as far as the requests to owners leave messages
+    /// to send.
     fn borrow_shares(&mut self, borrows: &mut Vec<Borrow>) {
-        for &account in &self.active {
+        let after = self.active.range(self.cursor..);
+        let before = self.active.range(..self.cursor);
+        for &account in after.chain(before) {
             if self.message_budget < 1.0 {
                 return;
             }
