--- a/crates/ownership/src/limits/account.rs
+++ b/crates/ownership/src/limits/account.rs
@@ -15,7 +15,7 @@
 const ONE_UNIT: f64 = 1.0;
 
 /// The part of what an instance may save up that it keeps for its own callers when others ask it for units.
-const KEPT_FRACTION: f64 = 0.25;
+const KEPT_FRACTION: f64 = 0.5;
 
 /// The number of instances.
 #[derive(Clone, Copy, Debug)]
