--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -783,7 +783,7 @@
             Promise::Starve,
             Promise::Slots,
         ],
-        test: "load_faults::a_burst_on_a_failing_engine_refuses_no_live_request::test_case_1_crash",
+        test: "load_faults::a_burst_on_a_crashing_engine_refuses_no_live_request",
     },
     Cell {
         fault: Fault::Straggler,
@@ -794,7 +794,7 @@
             Promise::Starve,
             Promise::Slots,
         ],
-        test: "load_faults::a_burst_on_a_failing_engine_refuses_no_live_request::test_case_2_straggler",
+        test: "load_faults::a_burst_on_a_straggling_engine_refuses_and_delays_no_live_request",
     },
     Cell {
         fault: Fault::Unavailable,
