Ask cold servers themselves how much longer they are cold

Cause: an entry says how much longer its server is cold, not when it was written. The store was away for all gateways for 1 to 1.6 s; all read the entries of servers that had started meanwhile late, within 30 ms of each other, with 998 to 999 ms that were nearly over. The first reading counts since, but here no reading was in time.

Only the servers knew better.

The instance that sends to cold servers now asks each of them once for a cold phase that it didn't know: the health check names the time. The answer goes the way of another instance's earlier reading, so it counts for the entry that was asked about alone, and shortens only.

--- a/crates/gateway/src/fleet/choose.rs
+++ b/crates/gateway/src/fleet/choose.rs
@@ -99,6 +99,11 @@
         self.is_placer = is_placer;
     }
 
+    /// Whether this instance sends requests to paced servers, which no two instances may do at a time.
+    pub(in crate::fleet) fn sends_to_paced(&self) -> bool {
+        self.is_placer || self.settings.alone
+    }
+
     /// The known servers with these hashes.
     fn keys_of(&self, hashes: &[u32]) -> Vec<ServerKey> {
         let keys = hashes.iter().filter_map(|hash| self.hashes.get(hash));
@@ -118,6 +123,7 @@
             Sender::Local => self.excluded(need, tried, now),
             Sender::Remote { resting, .. } => [tried, resting].concat().into(),
         };
+        let allow_paced = self.sends_to_paced();
         let service = self.services.get_mut(&need.service).ok_or(NoServer {
             reason: Reason::Out,
             retry_after: UNKNOWN_RETRY,
@@ -134,7 +140,7 @@
         let demand = Demand {
             zone: sender.zone(),
             central: self.is_placer || matches!(sender, Sender::Remote { .. }),
-            allow_paced: self.is_placer || self.settings.alone,
+            allow_paced,
             ..demand(service, &self.models, need, &excluded, resting)
         };
         let picked = service.router.pick(&demand, now);
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -42,6 +42,7 @@
 pub use self::need::Need;
 pub use self::notices::BrittleService;
 pub use self::notices::ColdPhase;
+pub use self::notices::ColdQuery;
 pub use self::notices::ColdReview;
 use self::notices::Departures;
 use self::notices::NamedLimit;
--- a/crates/gateway/src/fleet/notices/cold.rs
+++ b/crates/gateway/src/fleet/notices/cold.rs
@@ -2,7 +2,12 @@
 //!
 //! An entry contains how much longer its server is cold, but not when it was written. The remaining
 //! time counts from when the entry was read, which overestimates the cold phase. Of several readings
-//! of one entry the earliest is the most accurate, whether this instance or another one read it.
+//! of one entry the earliest is the most accurate, whether this instance or another one read it. After
+//! an outage of the store all of them are late, so the instance that sends to cold servers asks each
+//! server itself once.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crocushold_base::Millis;
 use crocushold_routing::Incarnation;
@@ -26,6 +31,9 @@
 /// Maximum number of cold phases in a message, with up to 24 bytes each.
 const MAX_SENT: usize = 48;
 
+/// Maximum number of servers that are asked at a time, each on a connection of its own.
+const MAX_QUERIES: usize = 32;
+
 /// The cold phase of a server according to one of its entries, as sent to other instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ColdPhase {
@@ -37,6 +45,19 @@
     pub left: u32,
 }
 
+/// A question to a server of how much longer it is cold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ColdQuery {
+    /// The server's name.
+    pub id: Arc<str>,
+    /// The address it listens on.
+    pub address: SocketAddr,
+    /// Path of its health check.
+    pub path: String,
+    /// Its cold phase as known here.
+    pub phase: ColdPhase,
+}
+
 /// The cold phase of a server according to its last entry.
 #[derive(Clone, Copy, Debug, Default)]
 pub(in crate::fleet) struct ReportedCold {
@@ -44,6 +65,8 @@
     pub(in crate::fleet) until: Millis,
     /// Number of rounds in which other instances are still told.
     rounds_left: u8,
+    /// Whether the entry may be older than it was when it was read, and the server wasn't asked.
+    unconfirmed: bool,
 }
 
 impl ReportedCold {
@@ -56,6 +79,7 @@
         }
         if until > self.until + TOLERANCE {
             self.rounds_left = TELL_ROUNDS;
+            self.unconfirmed = true;
         }
         self.heartbeat = heartbeat;
         self.until = until;
@@ -122,8 +146,35 @@
         untold.collect()
     }
 
-    /// Compares the cold phases that another instance knows with those known here, and takes over the
-    /// earlier ends. Other entries than the last one that was read here don't count: the server may
+    /// Takes the servers to ask how much longer they are cold, as their entries may be old. It is for the
+    /// instance that sends to cold servers; each server is asked once for each cold phase.
+    pub fn take_cold_queries(&mut self, now: Millis) -> Vec<ColdQuery> {
+        if !self.sends_to_paced() {
+            return Vec::new();
+        }
+        let slow_starts = &self.slow_starts;
+        let queries = self.servers.values_mut().filter_map(|server| {
+            let cold = &mut server.reported_cold;
+            if !cold.unconfirmed || now >= cold.until {
+                return None;
+            }
+            let path = slow_starts
+                .get(&server.record.service)?
+                .health_path
+                .clone()?;
+            cold.unconfirmed = false;
+            Some(ColdQuery {
+                id: server.id.clone(),
+                address: server.record.address,
+                path,
+                phase: cold.phase(server.incarnation, now),
+            })
+        });
+        queries.take(MAX_QUERIES).collect()
+    }
+
+    /// Compares the cold phases that another instance or a server itself knows with those known here, and
+    /// takes over the earlier ends. Other entries than the last one that was read here don't count: the server may
     /// have become cold again.
     pub fn review_cold(&mut self, phases: &[ColdPhase], now: Millis) -> ColdReview {
         let mut review = ColdReview::default();
--- a/crates/gateway/src/fleet/notices/mod.rs
+++ b/crates/gateway/src/fleet/notices/mod.rs
@@ -28,6 +28,7 @@
 pub use self::brittle::BrittleService;
 pub(in crate::fleet) use self::brittle::NamedBrittleness;
 pub use self::cold::ColdPhase;
+pub use self::cold::ColdQuery;
 pub use self::cold::ColdReview;
 pub(in crate::fleet) use self::cold::ReportedCold;
 pub(in crate::fleet) use self::departures::Departures;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,6 +11,7 @@
 use log::info;
 use log::warn;
 
+use crate::cold_check;
 use crate::directory::Removal;
 use crate::era::Revision;
 use crate::fleet::ListOutcome;
@@ -228,7 +229,7 @@
         task::sleep(pause.into()).await;
     }
 
-    fn apply_listing(&mut self, shared: &Shared, listing: Listing) {
+    fn apply_listing(&mut self, shared: &Arc<Shared>, listing: Listing) {
         let now = shared.clock.now();
         let ids: HashSet<&str> = listing.entries.iter().filter_map(server_id).collect();
         let zones: HashSet<&str> = listing.entries.iter().filter_map(evacuated_zone).collect();
@@ -250,6 +251,7 @@
             apply_removal(shared, &id, removal, "not-listed", now);
         }
         batch.finish();
+        cold_check::start(shared);
         self.at = Some(listing.revision);
         let event = Event::new("store-listed")
             .with("revision", listing.revision.number)
@@ -258,7 +260,7 @@
         info!("{event}");
     }
 
-    fn apply_changes(&mut self, shared: &Shared, changes: Changes) -> NextCall {
+    fn apply_changes(&mut self, shared: &Arc<Shared>, changes: Changes) -> NextCall {
         let now = shared.clock.now();
         let next_call = if changes.changes.is_empty() {
             NextCall::Immediate
@@ -278,6 +280,7 @@
         }
         batch.apply_configs();
         batch.finish();
+        cold_check::start(shared);
         self.at = Some(changes.revision.max(self.at.unwrap_or_default()));
         next_call
     }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -27,6 +27,7 @@
 use twox_hash::XxHash3_64;
 
 use crate::callers;
+use crate::cold_check;
 use crate::fleet::LaneAllocation;
 use crate::follow;
 use crate::protocol::Protocol;
@@ -361,6 +362,7 @@
         follow::expire(&shared);
         quarantine::expire(&shared);
         reach::probe(&shared);
+        cold_check::start(&shared);
         shared.log_ended_rests();
         shared.expire_brittle();
         let now = shared.clock.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod callers;
 mod check;
+mod cold_check;
 mod directory;
 mod era;
 mod exchange;
@@ -54,6 +55,7 @@
 pub use fleet::BrittleService;
 pub use fleet::Choice;
 pub use fleet::ColdPhase;
+pub use fleet::ColdQuery;
 pub use fleet::ColdReview;
 pub use fleet::Ejection;
 pub use fleet::Fleet;
@@ -86,6 +88,7 @@
 pub use protocol::AnswerMeta;
 pub use protocol::Executed;
 pub use protocol::Forward;
+pub use protocol::HealthMeta;
 pub use protocol::Notice;
 pub use protocol::PromptPart;
 pub use protocol::Protocol;
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -124,6 +124,15 @@
     pub notice: Notice,
 }
 
+/// Decoded headers of the answer to a health check.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HealthMeta {
+    /// Identity of the server.
+    pub server: Option<String>,
+    /// How much longer it is cold, if it says so.
+    pub cold_remaining: Option<Millis>,
+}
+
 /// Reads and writes the headers of one deployment.
 pub trait Protocol: Send + Sync + 'static {
     /// Decodes the headers of a caller's request.
@@ -135,6 +144,9 @@
     /// Decodes the headers of a server's answer.
     fn answer(&self, status: StatusCode, headers: &Headers) -> AnswerMeta;
 
+    /// Decodes the headers of the answer to a health check.
+    fn health(&self, headers: &Headers) -> HealthMeta;
+
     /// Sets the request ID in a response of the gateway itself.
     fn set_request_id(&self, headers: &mut Headers, id: &str);
 
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -164,6 +164,8 @@
     pub rate: f64,
     /// How long a server is cold after its start.
     pub duration: Millis,
+    /// Path of the servers' health checks; `None` if it isn't published.
+    pub health_path: Option<String>,
 }
 
 /// Contents of a [`RouteTable`].
--- a/crates/gateway/tests/cold_phases.rs
+++ b/crates/gateway/tests/cold_phases.rs
@@ -6,6 +6,7 @@
 use crocushold_gateway::ColdPhase;
 use crocushold_gateway::ColdReview;
 use crocushold_gateway::Fleet;
+use crocushold_gateway::FleetSettings;
 use crocushold_gateway::Heartbeat;
 use crocushold_gateway::ServerRecord;
 use crocushold_gateway::SlowStart;
@@ -28,12 +29,17 @@
 /// An instance that knows that the servers start slowly.
 fn slow_fleet() -> Fleet {
     let mut fleet = fleet(7);
-    fleet.set_slow_starts(&[SlowStart {
+    fleet.set_slow_starts(&[slow_start()]);
+    fleet
+}
+
+fn slow_start() -> SlowStart {
+    SlowStart {
         service: "svc".to_owned(),
         rate: 4.0,
         duration: COLD,
-    }]);
-    fleet
+        health_path: Some("/health".to_owned()),
+    }
 }
 
 /// The entry of a process that has just started.
@@ -131,3 +137,47 @@
         assert!(until.since(START + COLD) <= TOLERANCE);
     }
 }
+
+/// Guards against asking each server again at every heartbeat, and by every instance.
+#[test]
+fn the_instance_that_sends_to_cold_servers_asks_each_once_for_a_cold_phase() {
+    let mut fleet = slow_fleet();
+    fleet.list(&cold_record(1, 1, COLD), START);
+    let queries = fleet.take_cold_queries(START);
+    let [query] = queries.as_slice() else {
+        panic!("{queries:?}");
+    };
+    assert_eq!((&*query.id, query.path.as_str()), (SERVER, "/health"));
+    fleet.list(&cold_record(1, 2, COLD), START);
+    assert!(fleet.take_cold_queries(START).is_empty());
+    let again = START + OUTAGE;
+    fleet.list(&cold_record(1, 3, COLD), again);
+    assert_eq!(fleet.take_cold_queries(again).len(), 1);
+    let mut other = Fleet::new(FleetSettings::default());
+    other.set_slow_starts(&[slow_start()]);
+    other.list(&cold_record(1, 1, COLD), START);
+    assert!(other.take_cold_queries(START).is_empty());
+    other.set_placer(true);
+    assert_eq!(other.take_cold_queries(START).len(), 1);
+}
+
+/// Guards against a server that is taken for warm by an answer that concerned an earlier entry.
+#[test]
+fn an_answer_of_a_server_counts_for_the_entry_that_it_was_asked_about() {
+    for (next, until) in [
+        (cold_record(1, 1, COLD), None),
+        (cold_record(1, 2, COLD), Some(START + COLD)),
+        (cold_record(2, 1, COLD), Some(START + COLD)),
+    ] {
+        let mut fleet = slow_fleet();
+        fleet.list(&cold_record(1, 1, COLD), START);
+        let query = fleet.take_cold_queries(START).remove(0);
+        fleet.list(&next, START);
+        let warm = ColdPhase {
+            left: 0,
+            ..query.phase
+        };
+        fleet.review_cold(&[warm], START);
+        assert_eq!(fleet.cold_until(SERVER, START), until);
+    }
+}
