Try a request once more under which two servers ended

Cause: two servers crashed for other reasons within 0.33 s, in the first second of the traffic. Three streams had run on both and had never been served, so two ends held them back. Five common suspects are needed to tell that the cause is another; there were three. Nobody may send what is held back, so nothing could clear it.

Seven seconds after the last end one instance, by rendezvous hashing of the content, sends such a request once more. Its answer clears it at all instances; a third end leaves it held back, without further trials. The limit of three ends stands. Both pipelines have it (`gateway`, `serve`).

--- a/crates/entry/src/coordination/suspects.rs
+++ b/crates/entry/src/coordination/suspects.rs
@@ -90,8 +90,8 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Checks whether a request, which has to end by `deadline`, may be sent. It waits until a quarantine is
-    /// settled.
+    /// Checks whether the request `id`, which has to end by `deadline`, may be sent. It waits until a quarantine
+    /// is settled.
     ///
     /// # Errors
     ///
@@ -99,13 +99,21 @@
     /// requests that run there.
     pub(crate) async fn admit(
         &self,
+        id: &str,
         content: &RequestContent,
         deadline: Millis,
+        settlement: &mut SettlementWait,
     ) -> Result<(), Refusal> {
-        let mut wait = SettlementWait::default();
         loop {
-            match self.check(content, deadline, &mut wait) {
+            match self.check(content, deadline, settlement) {
                 Passage::Open => return Ok(()),
+                Passage::Trial => {
+                    let event = Event::new("content-tried")
+                        .with("request", id)
+                        .with("content", self.names.pseudonym(content.request));
+                    info!("{event}");
+                    return Ok(());
+                }
                 Passage::Wait(interval) => task::sleep(interval.into()).await,
                 Passage::Refused { retry_after } => {
                     let text = "backend servers ended while they ran this request";
@@ -120,10 +128,11 @@
         &self,
         content: &RequestContent,
         deadline: Millis,
-        wait: &mut SettlementWait,
+        settlement: &mut SettlementWait,
     ) -> Passage {
         let now = self.clock.now();
-        wait.check(&self.state().quarantine, content, deadline, now)
+        let quarantine = &mut self.state().quarantine;
+        settlement.check(quarantine, content, deadline, now)
     }
 
     /// Handles an attempt whose connection the server broke. A connection reset looks the same as a
@@ -258,6 +267,9 @@
             task::sleep(GOSSIP_PERIOD.into()).await;
             self.suspects.expire();
             let all = round % FULL_GOSSIP_ROUNDS == 0;
+            if all {
+                self.set_trial_instances();
+            }
             for kind in [SuspectKind::Request, SuspectKind::Part] {
                 let suspicions = self.suspects.suspicions_to_send(kind, all);
                 if !suspicions.is_empty() {
@@ -267,6 +279,16 @@
         }
     }
 
+    fn set_trial_instances(&self) {
+        let (live, _) = self.members().quorum();
+        let others = live.members().iter().filter(|member| **member != self.me);
+        let others = others.copied().map(instance_hash).collect();
+        let mut state = self.suspects.state();
+        state
+            .quarantine
+            .set_instances(instance_hash(self.me), others);
+    }
+
     fn gossip(self: &Arc<Self>, round: usize, kind: SuspectKind, suspicions: &[Suspicion]) {
         let (live, _) = self.members().quorum();
         let others = live.members().iter().copied();
@@ -284,3 +306,8 @@
         }
     }
 }
+
+/// Hash of an instance that is the same at all instances.
+fn instance_hash(member: Member) -> u64 {
+    XxHash3_64::oneshot_with_seed(member.id.0, &member.incarnation.to_le_bytes())
+}
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -32,6 +32,7 @@
 use crocushold_routing::Outcome;
 use crocushold_routing::Pick;
 use crocushold_routing::RequestFacts;
+use crocushold_routing::SettlementWait;
 use crocushold_routing::Stage;
 use futures::future::Either;
 use futures::future::select;
@@ -127,8 +128,9 @@
     async fn run_uncounted(&self, hangup: &Hangup) -> Result<Response, Failure> {
         let suspects = self.coordinator.suspects();
         let deadline = self.job.arrival.deadline;
-        let admitted = suspects.admit(&self.job.content, deadline).await;
-        admitted.map_err(Failure::Refused)?;
+        let mut settlement = SettlementWait::default();
+        let admitted = suspects.admit(self.id, &self.job.content, deadline, &mut settlement);
+        admitted.await.map_err(Failure::Refused)?;
         let permit = self.admit()?;
         let dispatch = match self.wait_for_dispatch(hangup).await {
             Ok(dispatch) => dispatch,
@@ -139,7 +141,7 @@
         };
         self.metrics
             .observe_wait(self.clock.now().since(self.arrived));
-        self.send(dispatch, permit, hangup).await
+        self.send(dispatch, permit, settlement, hangup).await
     }
 
     /// Checks the account's limits, which apply to all services together.
@@ -224,6 +226,7 @@
         &self,
         dispatch: Dispatch,
         permit: Permit,
+        mut settlement: SettlementWait,
         hangup: &Hangup,
     ) -> Result<Response, Failure> {
         let mut ticket_guard = TicketGuard {
@@ -239,7 +242,10 @@
             attempts.facts.attempts += 1;
             attempts.tried.push(pick.server);
             let sent = self.sent_attempt(&pick, address);
-            let (stage, outcome, timed_out) = match self.attempt(&pick, address, hangup).await {
+            let (stage, outcome, timed_out) = match self
+                .attempt(&pick, address, &mut settlement, hangup)
+                .await
+            {
                 AttemptResult::CallerGone => return Err(Failure::CallerGone),
                 AttemptResult::DeadlinePassed => (Stage::NotConnected, Outcome::Cancelled, true),
                 AttemptResult::Quarantined(refusal) if attempts.facts.written => {
@@ -284,7 +290,10 @@
                 &self.job.requirements,
                 &attempts.tried,
             );
-            attempts.facts.written |= !stage.proves_not_run();
+            if !stage.proves_not_run() {
+                attempts.facts.written = true;
+                settlement.end_trial();
+            }
             (pick, address) = match next {
                 Ok(next) => next,
                 // A claim is valid for a few seconds only, so its request can't be queued again.
@@ -359,7 +368,13 @@
         Ok(claim_guard)
     }
 
-    async fn attempt(&self, pick: &Pick, address: SocketAddr, hangup: &Hangup) -> AttemptResult {
+    async fn attempt(
+        &self,
+        pick: &Pick,
+        address: SocketAddr,
+        settlement: &mut SettlementWait,
+        hangup: &Hangup,
+    ) -> AttemptResult {
         let limits = SendLimits {
             head_timeout: self.head_timeout(pick),
             ..SendLimits::default()
@@ -386,7 +401,8 @@
         // While the request was queued, servers may have ended under other requests with the same
         // content.
         let (suspects, deadline) = (self.coordinator.suspects(), self.job.arrival.deadline);
-        if let Err(refusal) = suspects.admit(&self.job.content, deadline).await {
+        let content = &self.job.content;
+        if let Err(refusal) = suspects.admit(self.id, content, deadline, settlement).await {
             return AttemptResult::Quarantined(refusal);
         }
         let sent = std::pin::pin!(self.client.send(address, request, &limits, reuse));
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,6 +19,7 @@
 use crocushold_routing::Decision;
 use crocushold_routing::Outcome;
 use crocushold_routing::RequestFacts;
+use crocushold_routing::SettlementWait;
 use crocushold_routing::Stage;
 use futures::future::Either;
 use futures::future::select;
@@ -92,6 +93,8 @@
     look_interval: Option<Millis>,
     /// Whether this instance knows no server that accepts the request.
     unserved: bool,
+    /// Its wait for a quarantine to settle.
+    settlement: SettlementWait,
 }
 
 /// Result of one attempt.
@@ -153,6 +156,7 @@
             wait_until: None,
             look_interval: None,
             unserved: false,
+            settlement: SettlementWait::default(),
         }
     }
 
@@ -405,7 +409,10 @@
         if !stage.proves_unsent() {
             self.sent += 1;
         }
-        self.facts.written |= !stage.proves_not_run();
+        if !stage.proves_not_run() {
+            self.facts.written = true;
+            self.settlement.end_trial();
+        }
         self.shared.metrics.count_attempt(label(stage));
         let event = Event::new("attempt-failed")
             .with("request", &self.job.id)
--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -5,7 +5,6 @@
 use crocushold_routing as routing;
 use crocushold_routing::NoServer;
 use crocushold_routing::Passage;
-use crocushold_routing::SettlementWait;
 
 use super::Exchange;
 use super::Failure;
@@ -14,6 +13,7 @@
 use crate::placing::PlacementError;
 use crate::placing::PlacementQuery;
 use crate::placing::PlacementVerdict;
+use crate::quarantine::log_trial;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 
@@ -96,11 +96,14 @@
     ///
     /// Until the quarantine is settled, the request waits: another instance may have served it since,
     /// and says so soon.
-    pub(super) async fn pass_quarantine(&self) -> Result<(), Failure> {
-        let mut wait = SettlementWait::default();
+    pub(super) async fn pass_quarantine(&mut self) -> Result<(), Failure> {
         loop {
-            match self.check_quarantine(&mut wait) {
+            match self.check_quarantine() {
                 Passage::Open => return Ok(()),
+                Passage::Trial => {
+                    log_trial(self.shared, &self.job.id, &self.job.content);
+                    return Ok(());
+                }
                 Passage::Wait(interval) => task::sleep(interval.into()).await,
                 Passage::Refused { retry_after } => {
                     let refusal = self.final_refusal(Reason::Quarantined, Some(retry_after));
@@ -110,10 +113,11 @@
         }
     }
 
-    fn check_quarantine(&self, wait: &mut SettlementWait) -> Passage {
+    fn check_quarantine(&mut self) -> Passage {
         let now = self.shared.clock.now();
-        let quarantine = self.shared.quarantine();
-        wait.check(&quarantine, &self.job.content, self.job.deadline, now)
+        let mut quarantine = self.shared.quarantine();
+        let settlement = &mut self.settlement;
+        settlement.check(&mut quarantine, &self.job.content, self.job.deadline, now)
     }
 
     /// Asks the placer for a server. Returns `None` if this instance has to choose itself: the
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -88,6 +88,14 @@
     }
 }
 
+/// Logs that a quarantined request is sent to find out whether its content ends servers.
+pub(crate) fn log_trial(shared: &Shared, request: &str, content: &RequestContent) {
+    let event = Event::new("content-tried")
+        .with("request", request)
+        .with("content", shared.content_names.pseudonym(content.request));
+    info!("{event}");
+}
+
 /// Records that a request was answered completely, from `began` on.
 pub(crate) fn served(shared: &Shared, content: &RequestContent, began: Millis) {
     let now = shared.clock.now();
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -15,6 +15,7 @@
 use crocushold_routing::RegionKey;
 use crocushold_routing::SuspectKind;
 use log::info;
+use twox_hash::XxHash3_64;
 
 use super::contact::contact_answer;
 use super::contact::contact_query;
@@ -193,8 +194,10 @@
             .placer
             .set_placer(round.placer.filter(|_| !is_placer));
         if let Some(relays) = round.relays {
-            let members = relays.iter().map(|peer| peer.address);
-            shared.origins.set_members(members.collect());
+            let members: Vec<SocketAddr> = relays.iter().map(|peer| peer.address).collect();
+            let others = members.iter().copied().map(instance_hash).collect();
+            shared.quarantine().set_instances(instance_hash(me), others);
+            shared.origins.set_members(members);
             shared.relays().set(relays);
         }
         if round.is_truncated {
@@ -268,6 +271,11 @@
     }
 }
 
+/// Hash of an instance that is the same at all instances.
+fn instance_hash(address: SocketAddr) -> u64 {
+    XxHash3_64::oneshot(address.to_string().as_bytes())
+}
+
 fn relay_peers(shared: &Shared, state: &Gossip) -> Vec<RelayPeer> {
     let own = short_hash(&shared.settings.zone);
     let regions = shared.settings.region_keys();
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -9,7 +9,8 @@
 //! same to the instance that waits for the answer. Everything that ran on the server becomes
 //! suspect with it, and further runs tell the requests apart: a run that succeeds, shortly before
 //! or afterwards, clears its request, and a run whose server ends again is counted. After
-//! [`QuarantineSettings::limit`] such runs, one after the other, the request is quarantined.
+//! [`QuarantineSettings::limit`] such runs, one after the other, the request is quarantined. One more run is
+//! a trial of a request that was never served.
 //!
 //! A part of a prompt may crash servers as well, in requests of which no two are alike. The shared
 //! parts of the prompts are suspects of their own, which nearly always overlap: what a part has in
@@ -25,6 +26,7 @@
 mod settings;
 mod settlement;
 mod suspects;
+mod trial;
 mod verdict;
 
 use std::collections::HashMap;
@@ -44,6 +46,7 @@
 pub use self::settlement::Passage;
 pub use self::settlement::SettlementWait;
 use self::suspects::Suspects;
+use self::trial::Instances;
 
 /// One incarnation of a server's process, as a hash of its identity and its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -157,6 +160,8 @@
     cleared_parts: Vec<Fingerprint>,
     /// Until when other instances may still tell this one, which has just started, what was served before.
     recall_until: Millis,
+    /// The live instances.
+    instances: Instances,
     /// When requests were served.
     served: RecentlyServed,
     /// When servers last began to write an answer on a part and went on.
@@ -183,6 +188,7 @@
             cleared_requests: Vec::new(),
             cleared_parts: Vec::new(),
             recall_until: Millis::ZERO,
+            instances: Instances::default(),
             served: RecentlyServed::default(),
             sound_parts: RecentlyServed::default(),
         }
--- a/crates/routing/src/quarantine/record.rs
+++ b/crates/routing/src/quarantine/record.rs
@@ -48,6 +48,8 @@
     remaining_rounds: u8,
     /// Since when this instance has known of enough ends for a quarantine, if it does.
     grave_since: Option<i64>,
+    /// When this instance last tried it.
+    tried_at: Option<i64>,
 }
 
 impl Record {
@@ -200,6 +202,18 @@
         self.grave_since
     }
 
+    /// Starts a trial if the last end and the last trial are an `interval` ago.
+    pub(super) fn start_trial(&mut self, interval: i64, now: i64) -> bool {
+        let last = self
+            .tried_at
+            .map_or(self.last_end(), |at| at.max(self.last_end()));
+        let is_due = now >= last + interval;
+        if is_due {
+            self.tried_at = Some(now);
+        }
+        is_due
+    }
+
     /// Returns whether other instances may not know the record yet.
     pub(super) fn needs_gossip(&self) -> bool {
         self.remaining_rounds > 0
--- a/crates/routing/src/quarantine/settings.rs
+++ b/crates/routing/src/quarantine/settings.rs
@@ -32,6 +32,14 @@
     pub capacity: usize,
 }
 
+impl QuarantineSettings {
+    /// Time from the last end until a quarantined request is tried once more, and between two trials: by then
+    /// all instances know of the end, also if only the registry shows it.
+    pub fn trial_interval(&self) -> Millis {
+        self.evidence + self.settle
+    }
+}
+
 impl Default for QuarantineSettings {
     fn default() -> QuarantineSettings {
         QuarantineSettings {
--- a/crates/routing/src/quarantine/suspects.rs
+++ b/crates/routing/src/quarantine/suspects.rs
@@ -35,6 +35,10 @@
         self.records.get(&content)
     }
 
+    pub(super) fn get_mut(&mut self, content: Fingerprint) -> Option<&mut Record> {
+        self.records.get_mut(&content)
+    }
+
     /// Clears the ends of a suspect before a time. Returns whether any of them counted against it.
     pub(super) fn clear_before(&mut self, content: Fingerprint, time: i64, now: Millis) -> bool {
         let Some(record) = self.records.get_mut(&content) else {
--- a/crates/routing/src/quarantine/verdict.rs
+++ b/crates/routing/src/quarantine/verdict.rs
@@ -23,13 +23,22 @@
     /// Returns a refusal if the request or a part of its prompt is quarantined.
     pub fn admit(&self, content: &RequestContent, now: Millis) -> Result<(), QuarantineRefusal> {
         let request = self.check_request(content.request, now);
-        let parts = content.parts.iter();
-        let parts = parts.filter_map(|part| self.check_part(*part, content, now));
-        let refusals = request.into_iter().chain(parts);
+        let refusals = request.into_iter().chain(self.check_parts(content, now));
         let longest = refusals.max_by_key(|refusal| refusal.retry_after);
         longest.map_or(Ok(()), Err)
     }
 
+    /// The longest refusal by a part of the request's prompt.
+    pub(super) fn check_parts(
+        &self,
+        content: &RequestContent,
+        now: Millis,
+    ) -> Option<QuarantineRefusal> {
+        let parts = content.parts.iter();
+        let refusals = parts.filter_map(|part| self.check_part(*part, content, now));
+        refusals.max_by_key(|refusal| refusal.retry_after)
+    }
+
     /// Returns the time until a refusal of the request is settled; zero if it is. Until then another instance
     /// may say that it has served the request, which ends the quarantine.
     pub fn settles_in(&self, content: &RequestContent, now: Millis) -> Millis {
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -4,12 +4,14 @@
 use crocushold_base::Millis;
 use crocushold_routing::Fingerprint;
 use crocushold_routing::Incarnation;
+use crocushold_routing::Passage;
 use crocushold_routing::Quarantine;
 use crocushold_routing::QuarantineSettings;
 use crocushold_routing::ReportedEnd;
 use crocushold_routing::RequestContent;
 use crocushold_routing::Run;
 use crocushold_routing::ServedContent;
+use crocushold_routing::SettlementWait;
 use crocushold_routing::SuspectKind;
 use crocushold_routing::Suspicion;
 use proptest::prelude::*;
@@ -279,6 +281,102 @@
     assert!(again.is_none(), "what is cleared isn't contradicted");
 }
 
+/// Three instances that know each other, and that two servers have ended under `CONTENT`, the second one at
+/// `START + 580`.
+fn instances_with_two_ends() -> [Quarantine; 3] {
+    let mut all = [0, 1, 2].map(|_| Quarantine::default());
+    for (number, quarantine) in (0..).zip(&mut all) {
+        let others = (0..3).filter(|other| *other != number).collect();
+        quarantine.set_instances(number, others);
+    }
+    let [first, others @ ..] = &mut all;
+    end(first, CONTENT, 1, START, 80);
+    end(first, CONTENT, 2, START + 500, 80);
+    let now = Millis(START + 600);
+    for suspicion in first.all_suspicions(SuspectKind::Request, now) {
+        for other in &mut *others {
+            other.apply_suspicion(SuspectKind::Request, &suspicion, now);
+        }
+    }
+    all
+}
+
+/// What a new request with `CONTENT` may do at an instance.
+fn passage(quarantine: &mut Quarantine, at: Millis) -> Passage {
+    let deadline = at + Millis::from_secs(10);
+    SettlementWait::default().check(quarantine, &CONTENT.into(), deadline, at)
+}
+
+/// When a trial is due after the end of [`instances_with_two_ends`].
+fn trial_due() -> Millis {
+    Millis(START + 600) + QuarantineSettings::default().trial_interval()
+}
+
+/// Guards against refusing for ten minutes, at all instances, what was never served before two servers ended
+/// for other reasons: nobody could clear it, as nobody sent it.
+#[test]
+fn a_request_that_two_servers_ended_under_is_tried_by_one_instance() {
+    let mut all = instances_with_two_ends();
+    for quarantine in &mut all {
+        let passage = passage(quarantine, Millis(START + 3000));
+        assert!(matches!(passage, Passage::Refused { .. }), "{passage:?}");
+    }
+    let due = trial_due();
+    let tried = |quarantine: &mut Quarantine| passage(quarantine, due) == Passage::Trial;
+    let tried: Vec<bool> = all.iter_mut().map(tried).collect();
+    assert_eq!(tried.iter().filter(|tried| **tried).count(), 1, "{tried:?}");
+    let owner = tried.iter().position(|tried| *tried).unwrap();
+    let again = passage(&mut all[owner], due + Millis(1000));
+    assert!(matches!(again, Passage::Refused { .. }), "{again:?}");
+    let now = due + Millis(1500);
+    all[owner].served(&CONTENT.into(), due, now);
+    let told = all[owner].unsent_suspicions(SuspectKind::Request, now);
+    for quarantine in &mut all {
+        for suspicion in &told {
+            quarantine.apply_suspicion(SuspectKind::Request, suspicion, now);
+        }
+        assert_eq!(passage(quarantine, now), Passage::Open);
+    }
+}
+
+/// Guards against ending one server after the other by trials.
+#[test]
+fn a_request_that_ended_a_server_in_its_trial_is_not_tried_again() {
+    let mut all = instances_with_two_ends();
+    let due = trial_due();
+    let owner = all.iter_mut().find_map(|quarantine| {
+        let is_trial = passage(quarantine, due) == Passage::Trial;
+        is_trial.then_some(quarantine)
+    });
+    let owner = owner.expect("a trial");
+    end(owner, CONTENT, 3, due.0, 80);
+    for later in [1, 10, 100, 1000].map(Millis::from_secs) {
+        let passage = passage(owner, due + later);
+        assert!(matches!(passage, Passage::Refused { .. }), "{passage:?}");
+    }
+}
+
+/// Guards against a trial that comes to nothing because its first attempt wasn't run, and against a second
+/// attempt after one that may have ended its server.
+#[test]
+fn a_trial_is_sent_again_if_it_was_not_run() {
+    let mut quarantine = Quarantine::default();
+    end(&mut quarantine, CONTENT, 1, START, 80);
+    end(&mut quarantine, CONTENT, 2, START + 500, 80);
+    let due = trial_due();
+    let deadline = due + Millis::from_secs(10);
+    let mut settlement = SettlementWait::default();
+    let content = CONTENT.into();
+    let mut check = |settlement: &mut SettlementWait| {
+        settlement.check(&mut quarantine, &content, deadline, due)
+    };
+    assert_eq!(check(&mut settlement), Passage::Trial);
+    assert_eq!(check(&mut settlement), Passage::Open);
+    settlement.end_trial();
+    let after = check(&mut settlement);
+    assert!(matches!(after, Passage::Refused { .. }), "{after:?}");
+}
+
 /// Guards against an instance that has just started and counts ends against what others have served for long.
 #[test]
 fn what_others_served_repeatedly_is_cleared_at_an_instance_that_starts() {
--- a/tests/all/ended_servers.rs
+++ b/tests/all/ended_servers.rs
@@ -2,6 +2,7 @@
 
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use crocushold_standins::EngineCommand;
 use test_case::test_case;
@@ -33,6 +34,10 @@
 /// Interval between two sends of the caller.
 const RETRY_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Limit on the time after which a request is sent again under which two engines ended: the evidence of ends
+/// and its spread, and the delay of a busy machine.
+const TRIAL_TIME: Duration = Duration::from_secs(12);
+
 fn site() -> Site {
     let site = Site::start(&SiteSettings {
         engines: 12,
@@ -239,6 +244,28 @@
     assert_eq!(answer.status, 200, "{}", answer.header("x-refusal-reason"));
 }
 
+/// Guards against refusing for the rest of ten minutes what was never served before two engines ended for other
+/// reasons: one of the instances finds out some seconds later.
+#[test]
+fn serve_tries_a_request_again_that_two_engines_ended_under() {
+    let site = site();
+    let fleet = Fleet::start(&site, 2);
+    fleet.wait_converged();
+    let [first, second] = [fleet.entry(0), fleet.entry(1)];
+    let ended = send_until_quarantined(&site, &[first]);
+    assert_eq!(ended.len(), 2, "the third send is held back");
+    site.command_all_engines(&EngineCommand::Stall { after: None });
+    let started = Instant::now();
+    let mut served = [false; 2];
+    while served != [true; 2] {
+        for (entry, served) in [first, second].into_iter().zip(&mut served) {
+            *served = call(entry.listen, &poison_request()).unwrap().status == 200;
+        }
+        assert!(started.elapsed() < TRIAL_TIME, "{served:?}");
+        thread::sleep(RETRY_INTERVAL);
+    }
+}
+
 /// Returns the engine that runs the request, if one does within a second.
 fn new_runner(site: &Site, ended: &[usize]) -> Option<usize> {
     let runs = |engine: &usize| site.engines[*engine].runs("poison") > 0;
