--- a/crates/standins/src/load/record.rs
+++ b/crates/standins/src/load/record.rs
@@ -18,6 +18,9 @@
 /// Maximum share of a request's gaps that may exceed the target.
 const MAX_SLOW_GAP_SHARE: f64 = 0.05;
 
+/// The header in which a refusal names its reason.
+const REASON_HEADER: &str = "x-refusal-reason";
+
 /// Counters and histograms of a class.
 pub(super) struct ClassRecorder {
     targets: Targets,
@@ -87,6 +90,8 @@
                     .statuses
                     .entry(exchange.response.status())
                     .or_insert(0) += 1;
+                let reason = exchange.response.header(REASON_HEADER).unwrap_or("-");
+                *report.reasons.entry(reason.to_owned()).or_insert(0) += 1;
                 let retry_after = exchange.response.header("retry-after").is_some();
                 report.without_retry_after += u64::from(!retry_after);
                 report.reported_not_run += u64::from(reports_not_run(exchange, not_run_marker));
--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -52,6 +52,9 @@
     pub connect_failed: u64,
     /// Refusals by status.
     pub statuses: BTreeMap<u16, u64>,
+    /// Refusals by the reason that they name, as `-` if they name none.
+    #[serde(default)]
+    pub reasons: BTreeMap<String, u64>,
     /// Refusals without `Retry-After`.
     #[serde(rename = "without-hint")]
     pub without_retry_after: u64,
--- a/tests/all/support/load.rs
+++ b/tests/all/support/load.rs
@@ -147,11 +147,12 @@
     pub fn print(&self, test: &str) {
         for class in &self.classes {
             println!(
-                "{test}: {} sent={} completed={} refused={:?} hintless={} unrun={} cut={} doubled={} first-p99={:.0}ms",
+                "{test}: {} sent={} completed={} refused={:?} reasons={:?} hintless={} unrun={} cut={} doubled={} first-p99={:.0}ms",
                 class.name,
                 class.sent,
                 class.completed,
                 class.statuses,
+                class.reasons,
                 class.without_retry_after,
                 class.reported_not_run,
                 class.cut,
@@ -180,4 +181,7 @@
     for (status, count) in &class.statuses {
         *sum.statuses.entry(*status).or_insert(0) += count;
     }
+    for (reason, count) in &class.reasons {
+        *sum.reasons.entry(reason.clone()).or_insert(0) += count;
+    }
 }
