--- a/tests/all/limits.rs
+++ b/tests/all/limits.rs
@@ -56,36 +56,42 @@
     start_site(&SiteSettings::default(), "requests = 10000/s", &limits)
 }
 
-/// Sends the requests in turn until the time is up. Returns the number of served requests that were
-/// sent within the last [`MEASUREMENT`].
-fn send_for(address: SocketAddr, requests: &[Call], start: Instant) -> usize {
-    let mut served = 0;
+/// Sends the requests in turn until the time is up. Returns the numbers of requests that were sent within the
+/// last [`MEASUREMENT`], and of those that were served.
+fn send_for(address: SocketAddr, requests: &[Call], start: Instant) -> [usize; 2] {
+    let [mut sent, mut served] = [0; 2];
     let mut turn = requests.iter().cycle();
     while start.elapsed() < WARM_UP + MEASUREMENT {
         let counted = start.elapsed() >= WARM_UP;
+        sent += usize::from(counted);
         let answer = call(address, turn.next().unwrap());
         match answer.map_or(0, |answer| answer.status) {
             200 => served += usize::from(counted),
             _ => thread::sleep(Duration::from_millis(10)),
         }
     }
-    served
+    [sent, served]
 }
 
 /// Returns the throughput of the callers at all given instances, as a share of the account's rate.
 fn flood(addresses: &[SocketAddr], requests: &[Call]) -> f64 {
     let start = Instant::now();
-    let served: usize = thread::scope(|scope| {
+    let counts: Vec<[usize; 2]> = thread::scope(|scope| {
         let callers = addresses
             .iter()
             .flat_map(|address| [*address; CALLERS_PER_INSTANCE]);
         let callers: Vec<_> = callers
             .map(|address| scope.spawn(move || send_for(address, requests, start)))
             .collect();
-        callers.into_iter().map(|c| c.join().unwrap()).sum()
+        callers.into_iter().map(|c| c.join().unwrap()).collect()
     });
-    let share = served as f64 / MEASUREMENT.as_secs_f64() / RATE;
-    println!("{} instances: {share:.3} of the rate", addresses.len());
+    let of_rate = |count: usize| count as f64 / MEASUREMENT.as_secs_f64() / RATE;
+    let share = of_rate(counts.iter().map(|[_, served]| served).sum());
+    let asked = of_rate(counts.iter().map(|[sent, _]| sent).sum());
+    println!(
+        "{} instances: {share:.3} of the rate, {asked:.3} asked for",
+        addresses.len()
+    );
     share
 }
 
