What an instance knows that has just started answers no other one

Cause: an instance that starts asks others what was served before, and settles no quarantine until one answers. Two gateways had started 33 ms apart, the third was paused for 1.2 s. One of the two had served two contents repeatedly within a second, so that its answer wasn't empty, and ended the question of the other.

While an instance still asks itself, it sends what it has as news, which are taken in and end no question.

--- a/crates/gateway/src/sharing/handover.rs
+++ b/crates/gateway/src/sharing/handover.rs
@@ -72,16 +72,23 @@
 }
 
 /// Returns the answer to an instance that has just started. It is empty if this instance knows nothing, so
-/// that another one is asked.
+/// that another one is asked. What an instance knows that has just started itself is no answer: it may lack
+/// nearly all that was served before.
 pub(super) fn served_packets(quarantine: &Quarantine, now: Millis) -> Vec<Packet> {
-    let packets = |kind, to_packet: fn(Vec<ServedContent>) -> Packet| {
+    type ToPacket = fn(Vec<ServedContent>) -> Packet;
+    let to_packets: [ToPacket; 2] = if quarantine.is_recalling(now) {
+        [Packet::NewlyServed, Packet::NewlySoundParts]
+    } else {
+        [Packet::Served, Packet::SoundParts]
+    };
+    let packets = |kind, to_packet: ToPacket| {
         let contents = quarantine.recently_served(kind, CONTENTS, now);
         let chunks = contents.chunks(CONTENTS_PER_PACKET);
         let packets: Vec<Packet> = chunks.map(|chunk| to_packet(chunk.to_vec())).collect();
         packets
     };
-    let mut all = packets(SuspectKind::Request, Packet::Served);
-    all.extend(packets(SuspectKind::Part, Packet::SoundParts));
+    let mut all = packets(SuspectKind::Request, to_packets[0]);
+    all.extend(packets(SuspectKind::Part, to_packets[1]));
     all
 }
 
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -338,6 +338,11 @@
         self.recall_until = until;
     }
 
+    /// Whether this instance has just started and still asks others what was served before.
+    pub fn is_recalling(&self, now: Millis) -> bool {
+        now < self.recall_until
+    }
+
     /// Records the requests or parts that another instance served of late, as it answers. This instance
     /// need not ask any longer.
     pub fn apply_served(&mut self, kind: SuspectKind, served: &[ServedContent], now: Millis) {
