A gateway that was paused takes no cut answer for complete

Cause: an answer that ends with its connection is complete if its server accepts another one. The gateway was paused for 2.0 and 1.5 s, its server crashed meanwhile, and the server that got its address accepted the connection.

Evidence: the gateways' logs: nothing between 36.638 and 38.662, and between 42.163 and 43.623; process-late by 1956 and 962 ms; then end=complete for the stream, 1 and 16 ms later; its server refused connections before, and the address was reachable again for the other gateways half a second before the pause ended.

For half a second after a round of timers that ran half a second late or more, such an answer counts as cut: its end may have waited, and who listens at the address may be another server.

--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -83,7 +83,7 @@
             body.expect_events();
         }
         if let Some(server) = server {
-            body.set_end_check(reach::is_alive(server));
+            body.set_end_check(reach::is_alive(self.shared.clone(), server));
         }
     }
 
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -50,6 +50,10 @@
 /// waited as long.
 const LATE_THRESHOLD: Millis = Millis(250);
 
+/// Delay of a timer round from which the process counts as paused. An address isn't assigned again in so
+/// short a time.
+const PAUSE_THRESHOLD: Millis = Millis(500);
+
 /// Maximum number of file descriptors for each caller connection: its own, and the one to a server.
 const DESCRIPTORS_PER_CALLER: usize = 2;
 
@@ -378,7 +382,11 @@
 
 /// Reports a timer round that ran late because the process was paused or short of CPU time.
 fn log_late_timers(shared: &Shared, due: Millis) {
-    let late = shared.clock.now().since(due);
+    let now = shared.clock.now();
+    let late = now.since(due);
+    if late >= PAUSE_THRESHOLD {
+        shared.record_resumed(now);
+    }
     if late >= LATE_THRESHOLD {
         shared.metrics.count_late_timers();
         warn!("{}", Event::new("process-late").with("by", late));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -54,6 +54,9 @@
 /// How long connections are kept idle. This is below the servers' own idle timeouts.
 const IDLE_TIMEOUT: Millis = Millis::from_secs(2);
 
+/// Time after a pause of the process in which it handles what has arrived meanwhile.
+const RESUME_SPAN: Millis = Millis(500);
+
 /// The stages of an instance's life cycle, in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
@@ -90,6 +93,8 @@
     relays: Mutex<RelayPeers>,
     callers: Mutex<Option<ListenerHandle>>,
     last_confirmed: AtomicU64,
+    /// When this process last found that it had been paused; zero if it never did.
+    resumed_at: AtomicU64,
     stage: AtomicU8,
 }
 
@@ -127,6 +132,7 @@
             relays: Mutex::new(RelayPeers::new(seed)),
             callers: Mutex::new(None),
             last_confirmed: AtomicU64::new(0),
+            resumed_at: AtomicU64::new(0),
             stage: AtomicU8::new(Stage::Serving as u8),
         }
     }
@@ -293,6 +299,17 @@
         lock(&self.relays)
     }
 
+    /// Records that this process was paused, or got no processor time, until `now`.
+    pub(crate) fn record_resumed(&self, now: Millis) {
+        self.resumed_at.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Whether this process was paused a moment ago, so that what it learns now may be old.
+    pub(crate) fn has_just_resumed(&self) -> bool {
+        let resumed = Millis(self.resumed_at.load(Ordering::Relaxed));
+        resumed > Millis::ZERO && self.clock.now().since(resumed) < RESUME_SPAN
+    }
+
     /// Records that the store confirmed the known state at `now`.
     pub(crate) fn record_confirmed(&self, now: Millis) {
         self.last_confirmed.store(now.0, Ordering::Relaxed);
