Interfaces for hard load: a server's momentary pace, its speed, tokens in an event

Load reports carry how long work takes on the server at this moment, engines publish how many tokens an event holds, and each place that asks how long a prompt takes on a given server asks server_speed.

--- a/crates/entry/src/polling.rs
+++ b/crates/entry/src/polling.rs
@@ -260,6 +260,7 @@
                 running: report.running,
                 waiting: report.waiting,
                 age,
+                ..routing::LoadReport::default()
             };
             // Infrequent reports don't help the selection. In the simulation, one report every 5 s
             // made the 99th percentile twice as bad as none, since prefixes piled up on their
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -127,11 +127,10 @@
                 placed.started = true;
                 fleet.first_byte(&placed.choice, now);
                 if let Some([running, waiting]) = load {
-                    let age = Millis::ZERO;
                     let report = LoadReport {
                         running,
                         waiting,
-                        age,
+                        ..LoadReport::default()
                     };
                     fleet.record_load(&placed.choice, report, now);
                 }
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -153,6 +153,8 @@
     pub transfer_rate: Option<f64>,
     /// Capacity of an engine; `None` if it isn't published.
     pub capacity: Option<EngineCapacity>,
+    /// Tokens in one event of a stream; `None` if it isn't published.
+    pub event_tokens: Option<u32>,
 }
 
 /// A service whose servers start slowly.
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -121,6 +121,7 @@
         service: "svc".to_owned(),
         transfer_rate: Some(TRANSFER as f64),
         capacity: None,
+        event_tokens: None,
     };
     for fleet in &mut simulation.fleets {
         fleet.set_engines(std::slice::from_ref(&spec));
--- a/crates/routing/examples/model/world.rs
+++ b/crates/routing/examples/model/world.rs
@@ -271,6 +271,7 @@
             running: engine.running.len() as u32,
             waiting: engine.waiting.len() as u32,
             age: Millis(REPORT_LAG),
+            ..LoadReport::default()
         };
         self.past_reports
             .push_back(self.engines.iter().map(of).collect());
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -45,6 +45,7 @@
 mod ring;
 mod router;
 mod server;
+mod server_speed;
 mod server_subset;
 mod settings;
 mod software;
--- a/crates/routing/src/router/expected.rs
+++ b/crates/routing/src/router/expected.rs
@@ -119,9 +119,9 @@
             return None;
         }
         let state = &self.servers[server];
-        let own = self
-            .prefill_rate
-            .prefill_ms(f64::from(demand.unique_tokens));
+        let own = state
+            .speed
+            .prefill_ms(f64::from(demand.unique_tokens), &self.prefill_rate);
         let shared = self.prefix_cost(server, f64::from(demand.prefix_tokens), locations);
         let ttl = self.settings.report_ttl;
         let running =
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -12,6 +12,7 @@
 use crate::pace::Pace;
 use crate::queue_delay::QueueDelay;
 use crate::region::RegionKey;
+use crate::server_speed::ServerSpeed;
 use crate::software::SoftwareKey;
 use crate::stats::Ewma;
 use crate::stats::Median;
@@ -98,6 +99,9 @@
     pub waiting: u32,
     /// How old the report was when it arrived.
     pub age: Millis,
+    /// How long work takes on the server at this moment, in percent of the usual duration; `None`
+    /// if the server doesn't say.
+    pub work_percent: Option<u16>,
 }
 
 /// Whether a server accepts requests, and why not.
@@ -227,6 +231,7 @@
     pub(crate) median_pause: Option<Median>,
     /// Number of reported starts of its process.
     pub(crate) generation: u32,
+    pub(crate) speed: ServerSpeed,
     pub(crate) pace: Pace,
     /// The requests that it turned away lately.
     pub(crate) rejections: Rejections,
@@ -254,6 +259,7 @@
             queue_delay: QueueDelay::default(),
             median_pause: None,
             generation: 0,
+            speed: ServerSpeed::default(),
             pace: Pace::default(),
             rejections: Rejections::default(),
             report: None,
@@ -270,6 +276,7 @@
         self.cursor.restart();
         self.queue_delay = QueueDelay::default();
         self.median_pause = None;
+        self.speed = ServerSpeed::default();
         self.report = None;
         self.pace.clear_limit();
         self.rejections = Rejections::default();
--- a/crates/routing/tests/faults.rs
+++ b/crates/routing/tests/faults.rs
@@ -515,6 +515,7 @@
         running: 40,
         waiting: 40,
         age: Millis::ZERO,
+        ..LoadReport::default()
     };
     fleet.router.load_report(fleet.keys[0], busy, fleet.now);
     fleet
--- a/crates/routing/tests/stragglers.rs
+++ b/crates/routing/tests/stragglers.rs
@@ -225,6 +225,7 @@
             running: SLOTS,
             waiting: 20,
             age: Millis(100),
+            ..LoadReport::default()
         };
         (1..SERVERS).for_each(|at| fleet.reply(at, ONE));
         fleet.router.load_report(fleet.keys[0], report, fleet.now);
