Live streams beside prompts: lanes by need, isolation by published figures, harm weighed

The light lane had half of the engines that its work fills, as light work counted half.

Change: where live streams are isolated, each lane of short requests gets the engines that its work fills; live streams count by the time for which they take a slot. Published tokens of an event say that prompts delay live streams before any stream has ended. The placer weighs a prompt's delay for all live streams that run at an engine, and short requests overflow by their rank.

--- a/crates/gateway/src/fleet/choose.rs
+++ b/crates/gateway/src/fleet/choose.rs
@@ -129,9 +129,8 @@
             retry_after: UNKNOWN_RETRY,
         })?;
         if tried.is_empty() {
-            let work = need.work_ms(service.router.prefill_rate(), service.slots);
-            service.lanes.record_work(need.lane(), work, now);
             service.update_max_pause(need);
+            service.record_work(need, now);
         }
         let resting = match sender {
             Sender::Local => self.rests.active(),
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -422,8 +422,10 @@
             return;
         };
         service.router.record_longest_pause(choice.attempt, longest);
-        if choice.lane == Lane::Heavy {
-            service.record_stream_pause(longest, now);
+        match choice.lane {
+            Lane::Heavy => service.record_stream_pause(longest, now),
+            Lane::Live => service.record_live_stream(choice.attempt, longest, now),
+            Lane::Light => {}
         }
     }
 
@@ -511,8 +513,7 @@
         let mut moved = Vec::new();
         for service in self.services.values_mut() {
             service.router.tick(now);
-            let engines = service.engines.iter().sum();
-            if service.lanes.rebalance(engines) {
+            if service.rebalance() {
                 moved.push(service.name.clone());
             }
         }
--- a/crates/gateway/src/fleet/need.rs
+++ b/crates/gateway/src/fleet/need.rs
@@ -66,12 +66,13 @@
     }
 
     /// Engine time that the request takes, in milliseconds, if the engine prefills `speed` tokens
-    /// per millisecond and decodes `slots` requests in a step.
-    pub(super) fn work_ms(&self, speed: f64, slots: u32) -> f64 {
+    /// per millisecond and decodes `slots` requests in a step. `min_span` is the least time that its
+    /// answer is expected to take.
+    pub(super) fn work_ms(&self, speed: f64, slots: u32, min_span: f64) -> f64 {
         let shared_tokens = f64::from(self.shared_tokens());
         let prefill_tokens = f64::from(self.unique_tokens) + shared_tokens * REPEATED_PREFILL_RATIO;
         let expected_output_tokens = self.expected_output_tokens.min(self.max_output_tokens);
-        prefill_tokens / speed
-            + f64::from(expected_output_tokens) * STEP_MS / f64::from(slots.max(1))
+        let span = (f64::from(expected_output_tokens) * STEP_MS).max(min_span);
+        prefill_tokens / speed + span / f64::from(slots.max(1))
     }
 }
--- a/crates/gateway/src/fleet/service.rs
+++ b/crates/gateway/src/fleet/service.rs
@@ -6,6 +6,7 @@
 use crocushold_base::Millis;
 use crocushold_base::ModelKey;
 use crocushold_routing as routing;
+use crocushold_routing::AttemptKey;
 use crocushold_routing::BudgetSettings;
 use crocushold_routing::HealthSettings;
 use crocushold_routing::LANES;
@@ -73,6 +74,8 @@
     pub(super) brittle: NamedBrittleness,
     /// Longest tolerable pause of its live streams; `None` if there are none.
     max_pause: Option<Millis>,
+    /// Tokens in one event of its streams, if published.
+    event_tokens: Option<u32>,
 }
 
 impl Service {
@@ -98,6 +101,7 @@
             slots: 1,
             brittle: NamedBrittleness::default(),
             max_pause: None,
+            event_tokens: None,
         }
     }
 
@@ -107,6 +111,34 @@
             .set_transfer_rate(spec.and_then(|spec| spec.transfer_rate));
         self.router
             .set_engine_capacity(spec.and_then(|spec| spec.capacity));
+        self.event_tokens = spec.and_then(|spec| spec.event_tokens);
+    }
+
+    /// Moves the boundaries between its lanes. Returns whether they have moved.
+    pub(super) fn rebalance(&mut self) -> bool {
+        let expected = self.event_tokens.zip(self.max_pause);
+        let delays = expected.is_some_and(|(event_tokens, max_pause)| {
+            self.router.delays_live_streams(event_tokens, max_pause)
+        });
+        self.lanes.expect_delays(delays);
+        let moved = self.lanes.rebalance(self.engines.iter().sum());
+        let protects = self.lanes.isolates_live();
+        self.router
+            .protect_live_streams(self.event_tokens.filter(|_| protects));
+        moved
+    }
+
+    /// Records the work of a request of this instance.
+    pub(super) fn record_work(&mut self, need: &Need, now: Millis) {
+        let lane = need.lane();
+        let occupies = lane == Lane::Live && self.lanes.isolates_live();
+        let min_span = if occupies {
+            self.lanes.live_span()
+        } else {
+            0.0
+        };
+        let work = need.work_ms(self.router.prefill_rate(), self.slots, min_span);
+        self.lanes.record_work(lane, work, now);
     }
 
     /// Sets how its servers start.
@@ -121,6 +153,15 @@
         }
     }
 
+    /// Records a live stream of `attempt` that has ended, with its longest pause.
+    pub(super) fn record_live_stream(&mut self, attempt: AttemptKey, longest: Millis, now: Millis) {
+        let is_undisturbed = self.max_pause.is_some_and(|max_pause| longest <= max_pause);
+        let span = self.router.answer_span(attempt, now);
+        if let Some(span) = span.filter(|_| is_undisturbed) {
+            self.lanes.record_live_span(span);
+        }
+    }
+
     /// Records the longest pause of a long prompt's stream.
     pub(super) fn record_stream_pause(&mut self, longest: Millis, now: Millis) {
         if let Some(max_pause) = self.max_pause {
--- a/crates/routing/src/lanes.rs
+++ b/crates/routing/src/lanes.rs
@@ -19,6 +19,8 @@
 
 use crocushold_base::Millis;
 
+use crate::stats::Ewma;
+
 /// The group of engines that a request prefers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Lane {
@@ -36,6 +38,9 @@
 /// Shares below this count as zero. They are the remainder of work that ended a minute ago.
 const MIN_SHARE: f64 = 1e-6;
 
+/// Weight of one live stream in their mean span. An instance of a large fleet sees a few per second.
+const LIVE_SPAN_ALPHA: f64 = 0.05;
+
 /// Recent statistics of one or several instances, with exponential decay.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LaneStats {
@@ -80,6 +85,12 @@
     /// The fraction of an engine's time that live streams may fill where they have engines of their
     /// own.
     pub max_live_utilization: f64,
+    /// The fraction of an engine's time that other short requests may fill. Above it, some of them
+    /// wait behind several others at each moment, which takes most of their target.
+    pub max_light_utilization: f64,
+    /// The part of the engines of both kinds of short requests that live streams may take where
+    /// there are too few. The others are urgent, too.
+    pub max_live_part: f64,
     /// The fraction of the engines that long prompts always keep.
     pub min_heavy_share: f64,
     /// The fraction of long prompts' streams with too long a pause above which live streams get
@@ -87,6 +98,11 @@
     pub slow_stream_share: f64,
     /// The number of ended streams required for that decision.
     pub min_streams: f64,
+    /// The same fraction where published figures say that prompts delay live streams for too long.
+    /// Callers want 95 of 100 live streams in time.
+    pub expected_slow_share: f64,
+    /// The number of ended streams that outweighs published figures.
+    pub expected_min_streams: f64,
     /// The smallest change of a lane's share that moves the boundaries. Each move changes the home
     /// of some prompts, which must be prefilled again.
     pub min_share_change: f64,
@@ -99,9 +115,13 @@
             stream_half_life: Millis::from_secs(10),
             light_weight: 0.5,
             max_live_utilization: 0.8,
+            max_light_utilization: 0.7,
+            max_live_part: 0.75,
             min_heavy_share: 0.4,
             slow_stream_share: 0.3,
             min_streams: 10.0,
+            expected_slow_share: 0.1,
+            expected_min_streams: 30.0,
             min_share_change: 0.05,
         }
     }
@@ -116,6 +136,12 @@
     decayed_at: Millis,
     /// Whether live streams have engines of their own.
     live_isolated: bool,
+    /// Whether prompts are expected to delay live streams, by published figures.
+    delays_expected: bool,
+    /// Whether enough streams have ended to tell.
+    is_measured: bool,
+    /// Mean time from the first event of a live stream to its last one, in milliseconds.
+    live_span: Ewma,
     /// The shares of the live and the light lane.
     shares: [f64; 2],
 }
@@ -129,6 +155,9 @@
             remote: LaneStats::default(),
             decayed_at: Millis::ZERO,
             live_isolated: false,
+            delays_expected: false,
+            is_measured: false,
+            live_span: Ewma::default(),
             shares: [0.0, 1.0],
         }
     }
@@ -156,6 +185,29 @@
         self.local.slow_streams += f64::from(u8::from(slow));
     }
 
+    /// Sets whether prompts are expected to delay live streams for too long, by published figures.
+    /// It decides until enough streams of long prompts have ended.
+    pub fn expect_delays(&mut self, expected: bool) {
+        self.delays_expected = expected;
+    }
+
+    /// Whether live streams have engines of their own.
+    pub fn isolates_live(&self) -> bool {
+        self.live_isolated
+    }
+
+    /// Records the time from the first event of a live stream to its last one. Streams that were
+    /// delayed by prompts must not be recorded: they take several times as long as they will on
+    /// engines of their own.
+    pub fn record_live_span(&mut self, span: Millis) {
+        self.live_span.add(span.0 as f64, LIVE_SPAN_ALPHA);
+    }
+
+    /// Returns the mean of these times in milliseconds; zero before the first one.
+    pub fn live_span(&self) -> f64 {
+        self.live_span.mean()
+    }
+
     /// Returns this instance's recent statistics, for the other instances.
     pub fn local_stats(&mut self, now: Millis) -> LaneStats {
         self.decay(now);
@@ -237,14 +289,22 @@
     }
 
     /// Whether live streams should have engines of their own.
-    fn should_isolate_live(&self, fleet: &LaneStats) -> bool {
+    ///
+    /// The published figures decide until enough streams have ended; the first ones to end are
+    /// short, and say little about the others.
+    fn should_isolate_live(&mut self, fleet: &LaneStats) -> bool {
         let settings = &self.settings;
-        if fleet.streams < settings.min_streams {
-            return self.live_isolated;
+        let (min_streams, slow_share) = if self.delays_expected {
+            (settings.expected_min_streams, settings.expected_slow_share)
+        } else {
+            (settings.min_streams, settings.slow_stream_share)
+        };
+        if fleet.streams < min_streams {
+            return self.live_isolated || (self.delays_expected && !self.is_measured);
         }
+        self.is_measured = true;
         let share = fleet.slow_streams / fleet.streams;
-        share > settings.slow_stream_share
-            || (self.live_isolated && share * 2.0 > settings.slow_stream_share)
+        share > slow_share || (self.live_isolated && share * 2.0 > slow_share)
     }
 
     fn target_shares(&self, fleet: &LaneStats, engines: usize) -> [f64; 2] {
@@ -269,11 +329,18 @@
             let span = settings.half_life.0 as f64 / std::f64::consts::LN_2;
             let engine = span * engines.max(1) as f64;
             shares[0] = shares[0].max(live / engine / settings.max_live_utilization);
+            shares[1] = shares[1].max(light / engine / settings.max_light_utilization);
         }
         let max = 1.0 - settings.min_heavy_share.min(heavy / all);
         let used = shares[0] + shares[1];
         if used > max {
-            shares = shares.map(|share| share * max / used);
+            shares = if self.live_isolated {
+                // Live streams are the most urgent, so the other short requests get what is left.
+                let live = shares[0].min(max * settings.max_live_part);
+                [live, max - live]
+            } else {
+                shares.map(|share| share * max / used)
+            };
         }
         shares
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -34,6 +34,7 @@
 mod health;
 mod lanes;
 mod list;
+mod live_streams;
 mod pace;
 mod pool;
 mod quarantine;
--- /dev/null
+++ b/crates/routing/src/live_streams.rs
@@ -0,0 +1,100 @@
+//! Live streams at one engine, and the pauses that prompts prefilled beside them cause.
+//!
+//! An event of a stream holds several tokens, each from one step of the engine, and while prompts
+//! wait for their prefill each step also prefills a chunk of one. So an event takes its steps and,
+//! in addition, up to as many chunks as it has tokens, or all that waits if that is less. On an
+//! engine with little to prefill, live streams and prompts can share the steps; a queue of prompts
+//! makes every live stream there pause for too long.
+
+use crocushold_base::Millis;
+
+/// Prompt tokens that an engine prefills in one step. Engines of current services use this size.
+const CHUNK_TOKENS: f64 = 2048.0;
+
+/// Duration of a step without a prefill, in milliseconds.
+const STEP_MS: f64 = 8.0;
+
+/// Fraction of the longest tolerable pause that the expected one may take. Some engines are slower
+/// than the mean, and at times all are.
+const PAUSE_TOLERANCE: f64 = 0.85;
+
+/// Variation of an event's way from the engine to the caller, in milliseconds.
+const NETWORK_JITTER: f64 = 20.0;
+
+/// The effect of prefills on the streams of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct PauseModel {
+    /// Tokens in one event of a stream.
+    pub(crate) event_tokens: f64,
+}
+
+impl PauseModel {
+    /// Returns the longest pause of a stream beside prompts that wait, in milliseconds, on engines
+    /// that prefill `rate` tokens per millisecond.
+    pub(crate) fn longest_pause(&self, rate: f64) -> f64 {
+        self.event_tokens * (CHUNK_TOKENS / rate + STEP_MS)
+    }
+
+    /// Returns how much prefill may wait at an engine before a stream there pauses for longer than
+    /// `max_pause`, in milliseconds; `None` if no amount causes that.
+    pub(crate) fn tolerated_prefill(&self, max_pause: Millis, rate: f64) -> Option<f64> {
+        let max_pause = max_pause.0 as f64;
+        if self.longest_pause(rate) <= max_pause * PAUSE_TOLERANCE {
+            return None;
+        }
+        Some((max_pause - self.event_tokens * STEP_MS - NETWORK_JITTER).max(0.0))
+    }
+}
+
+/// The live streams at one engine.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LiveStreams {
+    /// Streams that no prompt has delayed yet.
+    undisturbed: u32,
+    /// Prefill that all of them tolerate, in milliseconds.
+    tolerated: f64,
+    /// Number of times that prompts have delayed all streams.
+    disturbances: u32,
+}
+
+/// A live stream's membership of [`LiveStreams`], for its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LiveTicket(u32);
+
+impl LiveStreams {
+    /// Adds a stream that tolerates `tolerated` milliseconds of prefill.
+    pub(crate) fn add(&mut self, tolerated: f64) -> LiveTicket {
+        self.tolerated = if self.undisturbed == 0 {
+            tolerated
+        } else {
+            self.tolerated.min(tolerated)
+        };
+        self.undisturbed += 1;
+        LiveTicket(self.disturbances)
+    }
+
+    /// Removes a stream that has ended.
+    pub(crate) fn remove(&mut self, ticket: LiveTicket) {
+        if ticket.0 == self.disturbances {
+            self.undisturbed = self.undisturbed.saturating_sub(1);
+        }
+    }
+
+    /// Returns how many streams pause for too long if `prefill` milliseconds of prompts wait. A
+    /// stream that is late already isn't counted, as it can't be saved.
+    pub(crate) fn delayed_by(&self, prefill: f64) -> u32 {
+        if prefill > self.tolerated {
+            self.undisturbed
+        } else {
+            0
+        }
+    }
+
+    /// Records that `prefill` milliseconds of prompts wait.
+    pub(crate) fn record_prefill(&mut self, prefill: f64) {
+        if self.delayed_by(prefill) > 0 {
+            self.undisturbed = 0;
+            self.disturbances = self.disturbances.wrapping_add(1);
+        }
+    }
+}
--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -254,6 +254,7 @@
             wait,
             remote,
         } = plan;
+        let live = self.add_live_stream(server, demand, prefill_tokens, now);
         let attempt = self.attempts.insert(InFlight {
             server,
             generation: self.servers[server].generation,
@@ -263,6 +264,7 @@
             is_exact: prefill_tokens <= f64::from(demand.unique_tokens) && source.is_none(),
             tokens_ahead: wait * self.prefill_rate.tokens_per_ms(),
             prefix: demand.prefix,
+            live,
             picked_at: now,
             waiting_since: now,
             first_byte_at: None,
--- a/crates/routing/src/router/expected.rs
+++ b/crates/routing/src/router/expected.rs
@@ -34,7 +34,7 @@
 /// Cost for a live stream of a server whose median pause reaches the stream's maximum, in
 /// milliseconds. It exceeds any possible gain in time to first token, because a stream with too
 /// long a pause is late whatever its first token was.
-const PAUSE_COST: f64 = 300.0;
+pub(super) const PAUSE_COST: f64 = 300.0;
 
 /// Expected time above which engines of the spill-over lane are considered too, in milliseconds.
 const SPILL_THRESHOLD: f64 = 200.0;
@@ -136,16 +136,24 @@
         let (busy, wait) = if demand.central {
             let queue_delay = &state.queue_delay;
             let capacity_wait = self.wait_for_capacity(state, demand);
-            (
-                queue_delay.central_estimate(now) + capacity_wait,
-                queue_delay.wait_at_priority(demand.priority, now) + capacity_wait,
-            )
+            let all = queue_delay.central_estimate(now);
+            let ahead = queue_delay.wait_at_priority(demand.priority, now);
+            let busy = self.relevant_prefill(demand, all, ahead);
+            (busy + capacity_wait, ahead + capacity_wait)
         } else {
             let busy = state.queue_delay.estimate(now).max(queue);
             (busy, busy)
         };
         let pause_cost = pause_cost(state, demand.max_pause);
-        let expected = pause_cost + busy + own + shared + running * RUNNING_COST + zone_cost;
+        let delay_cost = if demand.central {
+            let shared = self.expected_shared_prefill(server, demand, locations);
+            let waiting = state.queue_delay.central_estimate(now);
+            self.live_delay_cost(state, demand, waiting + own + shared)
+        } else {
+            0.0
+        };
+        let expected =
+            pause_cost + delay_cost + busy + own + shared + running * RUNNING_COST + zone_cost;
         let cost = (expected + 1.0) * self.health_factor(state, demand) + extra;
         Some(Scored { server, cost, wait })
     }
--- a/crates/routing/src/router/feedback.rs
+++ b/crates/routing/src/router/feedback.rs
@@ -228,6 +228,11 @@
         };
         server.in_flight = server.in_flight.saturating_sub(1);
         server.tokens = server.tokens.saturating_sub(u64::from(flight.tokens));
+        if let Some(ticket) = flight.live
+            && server.generation == flight.generation
+        {
+            server.live.remove(ticket);
+        }
         let removed = server.departure == Some(crate::server::Departure::Removed);
         if removed && server.in_flight == 0 {
             self.servers.remove(key);
--- /dev/null
+++ b/crates/routing/src/router/live.rs
@@ -0,0 +1,95 @@
+//! Protection of live streams from the prefill of prompts beside them.
+
+use crocushold_base::Millis;
+use crocushold_base::ServerKey;
+
+use super::expected::PAUSE_COST;
+use crate::live_streams::LiveTicket;
+use crate::live_streams::PauseModel;
+use crate::router::AttemptKey;
+use crate::router::Demand;
+use crate::router::Router;
+use crate::server::Server;
+
+/// Weight of the prefill of prompts that a request overtakes.
+const OVERTAKEN_WEIGHT: f64 = 0.25;
+
+impl Router {
+    /// Sets the number of tokens in one event of a stream; `None` if it is unknown or live streams
+    /// need no protection from prefills.
+    pub fn protect_live_streams(&mut self, event_tokens: Option<u32>) {
+        self.pauses = event_tokens.map(|tokens| PauseModel {
+            event_tokens: f64::from(tokens),
+        });
+    }
+
+    /// Whether a stream beside prompts is expected to pause for longer than `max_pause`.
+    pub fn delays_live_streams(&self, event_tokens: u32, max_pause: Millis) -> bool {
+        let model = PauseModel {
+            event_tokens: f64::from(event_tokens),
+        };
+        let tolerated = model.tolerated_prefill(max_pause, self.prefill_rate());
+        tolerated.is_some()
+    }
+
+    /// Returns the time since the answer of the attempt began; `None` if it hasn't.
+    pub fn answer_span(&self, attempt: AttemptKey, now: Millis) -> Option<Millis> {
+        let began = self.attempts.get(attempt)?.first_byte_at?;
+        Some(now.since(began))
+    }
+
+    /// Returns the cost of choosing the server, in milliseconds, by the live streams that would
+    /// pause for too long if `prefill` milliseconds of prompts waited there: those that it runs, and
+    /// the request itself.
+    pub(super) fn live_delay_cost(
+        &self,
+        server: &Server,
+        demand: &Demand<'_>,
+        prefill: f64,
+    ) -> f64 {
+        if self.pauses.is_none() {
+            return 0.0;
+        }
+        let own = self.tolerated_prefill(demand);
+        let is_delayed = own.is_some_and(|tolerated| prefill > tolerated);
+        let delayed = server.live.delayed_by(prefill) + u32::from(is_delayed);
+        PAUSE_COST * f64::from(delayed)
+    }
+
+    /// Returns the part of the prefill that waits at a server which matters for the request, in
+    /// milliseconds: `all` of it, of which `ahead` goes before the request's own.
+    ///
+    /// Prompts that the request overtakes are prefilled between its tokens. Where the effect of
+    /// that on live streams is known, it hardly matters for the others, which tolerate longer
+    /// pauses: the wait for their first token counts.
+    pub(super) fn relevant_prefill(&self, demand: &Demand<'_>, all: f64, ahead: f64) -> f64 {
+        if self.pauses.is_none() || demand.max_pause.is_some() {
+            return all;
+        }
+        ahead + OVERTAKEN_WEIGHT * (all - ahead).max(0.0)
+    }
+
+    /// Records a request at the server it was sent to, and returns its membership of the live
+    /// streams there.
+    pub(super) fn add_live_stream(
+        &mut self,
+        server: ServerKey,
+        demand: &Demand<'_>,
+        prefill_tokens: f64,
+        now: Millis,
+    ) -> Option<LiveTicket> {
+        self.pauses?;
+        let tolerated = self.tolerated_prefill(demand);
+        let own = self.prefill_rate.prefill_ms(prefill_tokens);
+        let state = &mut self.servers[server];
+        let prefill = state.queue_delay.central_estimate(now) + own;
+        state.live.record_prefill(prefill);
+        let tolerated = tolerated.filter(|tolerated| prefill <= *tolerated)?;
+        Some(state.live.add(tolerated))
+    }
+
+    fn tolerated_prefill(&self, demand: &Demand<'_>) -> Option<f64> {
+        let model = self.pauses?;
+        model.tolerated_prefill(demand.max_pause?, self.prefill_rate())
+    }
+}
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -5,6 +5,7 @@
 mod expected;
 mod feedback;
 mod instance_list;
+mod live;
 mod paced;
 mod placement;
 mod prefix;
@@ -35,6 +36,7 @@
 pub use self::types::Spill;
 use crate::brittle::Brittleness;
 use crate::cache::Hints;
+use crate::live_streams::PauseModel;
 use crate::pool::Pool;
 use crate::queue_delay::PrefillRate;
 use crate::server::Allotment;
@@ -93,6 +95,8 @@
     transfer_rate: Option<f64>,
     /// The capacity of each engine, if known.
     capacity: Option<EngineCapacity>,
+    /// The effect of prefills on live streams, if it is known and live streams need protection.
+    pauses: Option<PauseModel>,
     /// Requests per second that a cold server tolerates from all instances together; `None` if it
     /// tolerates as many as a warm one.
     cold_rate: Option<f64>,
@@ -134,6 +138,7 @@
             long_prompt_wait: Ewma::default(),
             transfer_rate: None,
             capacity: None,
+            pauses: None,
             cold_rate: None,
             brittle: None,
             last_call: Millis::ZERO,
--- a/crates/routing/src/router/prefix.rs
+++ b/crates/routing/src/router/prefix.rs
@@ -192,6 +192,25 @@
         }
     }
 
+    /// Returns the prefill time of the demand's shared prefix at a server, in milliseconds.
+    pub(super) fn expected_shared_prefill(
+        &self,
+        server: ServerKey,
+        demand: &Demand<'_>,
+        locations: &PrefixLocations,
+    ) -> f64 {
+        let is_held = locations.has_hints && locations.holders.contains(&server);
+        if is_held || demand.prefix_tokens == 0 {
+            return 0.0;
+        }
+        let shared = f64::from(demand.prefix_tokens);
+        let transferred = locations.source.is_some()
+            && self.transfer_rate.is_some()
+            && demand.prefix_tokens >= MIN_TRANSFER_TOKENS;
+        let part = if transferred { TRANSFER_MISS_RATE } else { 1.0 };
+        self.prefill_rate.prefill_ms(shared * part)
+    }
+
     /// Returns what the chosen server is expected to prefill, and from where it should transfer the
     /// prefix.
     pub(super) fn plan_prefill(
--- a/crates/routing/src/router/types.rs
+++ b/crates/routing/src/router/types.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use slotmap::new_key_type;
 
+use crate::live_streams::LiveTicket;
 use crate::region::RegionKey;
 use crate::rest::Rest;
 use crate::software::SoftwareKey;
@@ -210,6 +211,8 @@
     pub(super) tokens_ahead: f64,
     /// The prompt's prefix.
     pub(super) prefix: Option<u64>,
+    /// Its membership of the server's live streams, if it is one that prefills can delay.
+    pub(super) live: Option<LiveTicket>,
     pub(super) picked_at: Millis,
     /// Since when it waits for a first byte.
     pub(super) waiting_since: Millis,
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -9,6 +9,7 @@
 use crate::health::Fault;
 use crate::health::Health;
 use crate::health::Phase;
+use crate::live_streams::LiveStreams;
 use crate::pace::Pace;
 use crate::queue_delay::QueueDelay;
 use crate::region::RegionKey;
@@ -232,6 +233,7 @@
     /// Number of reported starts of its process.
     pub(crate) generation: u32,
     pub(crate) speed: ServerSpeed,
+    pub(crate) live: LiveStreams,
     pub(crate) pace: Pace,
     /// The requests that it turned away lately.
     pub(crate) rejections: Rejections,
@@ -260,6 +262,7 @@
             median_pause: None,
             generation: 0,
             speed: ServerSpeed::default(),
+            live: LiveStreams::default(),
             pace: Pace::default(),
             rejections: Rejections::default(),
             report: None,
@@ -277,6 +280,7 @@
         self.queue_delay = QueueDelay::default();
         self.median_pause = None;
         self.speed = ServerSpeed::default();
+        self.live = LiveStreams::default();
         self.report = None;
         self.pace.clear_limit();
         self.rejections = Rejections::default();
