Read how long work takes on a server from its load report

Servers that share their machines say with each answer how long work takes there at this moment, as a fourth figure of their load report, which was dropped. It is decoded into LoadReport::work_percent, recorded with the load, and told to the placer by a new update, UpdateKind::StartedAtPace, at the end of the enum; the earlier update is sent where the server reports no pace, and is decoded as before. The placer records the report before the first byte, since it says how fast the engine was until then. A figure that no work can take (0, negative, text, beyond 65,535) is ignored without losing the rest of the report, counted in crocushold_loads_absurd_total, and logged once. Nothing is decided by it yet.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -25,6 +25,7 @@
 use futures::future::select;
 use http_types::Response;
 use log::info;
+use log::warn;
 
 pub(crate) use self::relay::PeerGuard;
 use crate::fleet::Choice;
@@ -327,6 +328,9 @@
         if let Some(load) = meta.load {
             self.shared.fleet().record_load(choice, load, now);
         }
+        if meta.absurd_load && self.shared.metrics.count_absurd_load() {
+            warn!("{}", Event::new("load-absurd").with("server", &choice.id));
+        }
         let verdict = classify_answer(answer.status, meta, &self.job.id, self.job.need.idempotent);
         if is_from_server(answer.status, meta, &self.job.id) {
             let is_success = verdict == Verdict::Good;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,7 @@
     malformed: IntCounter,
     placements: IntCounterVec,
     left_out: IntCounter,
+    absurd_loads: IntCounter,
     server_ends: IntCounterVec,
     notices: IntCounterVec,
     relayed: IntCounterVec,
@@ -96,6 +97,11 @@
             "Rounds in which there were more engines with a queue than messages could name",
         );
         let left_out = left_out.expect("the name is valid");
+        let absurd_loads = IntCounter::new(
+            "crocushold_loads_absurd_total",
+            "Answers whose load report says a time that no work can take",
+        );
+        let absurd_loads = absurd_loads.expect("the name is valid");
         let server_ends = counters(
             "crocushold_server_ends_total",
             "Servers that ended under requests of this instance, by what told so",
@@ -138,7 +144,7 @@
         );
         let version = gauge("crocushold_config_version", "The configuration in force");
         let running = gauge("crocushold_requests_running", "Requests in progress");
-        let collectors: [Box<dyn prometheus::core::Collector>; 21] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 22] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(ends.clone()),
@@ -149,6 +155,7 @@
             Box::new(malformed.clone()),
             Box::new(placements.clone()),
             Box::new(left_out.clone()),
+            Box::new(absurd_loads.clone()),
             Box::new(server_ends.clone()),
             Box::new(notices.clone()),
             Box::new(relayed.clone()),
@@ -177,6 +184,7 @@
             malformed,
             placements,
             left_out,
+            absurd_loads,
             server_ends,
             notices,
             relayed,
@@ -210,6 +218,13 @@
         self.left_out.inc();
     }
 
+    /// Counts an answer whose load report says a time that no work can take. Returns whether it is the
+    /// first one.
+    pub(crate) fn count_absurd_load(&self) -> bool {
+        self.absurd_loads.inc();
+        self.absurd_loads.get() == 1
+    }
+
     /// Counts a server that ended under requests of this instance.
     pub(crate) fn count_server_end(&self, evidence: &str) {
         self.server_ends.with_label_values(&[evidence]).inc();
--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -152,6 +152,9 @@
     Started(Option<[u32; 2]>),
     /// The request has ended.
     Ended(RequestEnd),
+    /// The answer has begun, at an engine that reported the numbers of running and waiting requests,
+    /// and how long work takes there at this moment, in percent of the usual time.
+    StartedAtPace([u32; 2], u16),
 }
 
 /// The end of a placed request.
@@ -166,8 +169,30 @@
 }
 
 impl UpdateKind {
+    /// The engine's load report, if the update carries one.
+    pub(crate) fn load(&self) -> Option<LoadReport> {
+        let (requests, work_percent) = match *self {
+            UpdateKind::Started(requests) => (requests, None),
+            UpdateKind::StartedAtPace(requests, percent) => (Some(requests), Some(percent)),
+            UpdateKind::Ended(_) => (None, None),
+        };
+        requests.map(|[running, waiting]| LoadReport {
+            running,
+            waiting,
+            work_percent,
+            ..LoadReport::default()
+        })
+    }
+
     /// The answer has begun, with the engine's load report.
+    ///
+    /// An instance of an earlier version can't decode the pace, and ignores the packet. It then learns
+    /// of the end of the request by its expiry, as if the packet were lost.
     pub fn started(load: Option<LoadReport>) -> UpdateKind {
-        UpdateKind::Started(load.map(|load| [load.running, load.waiting]))
+        let requests = |load: LoadReport| [load.running, load.waiting];
+        match load.and_then(|load| Some((load, load.work_percent?))) {
+            Some((load, percent)) => UpdateKind::StartedAtPace(requests(load), percent),
+            None => UpdateKind::Started(load.map(requests)),
+        }
     }
 }
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -5,7 +5,6 @@
 
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
-use crocushold_routing::LoadReport;
 use crocushold_routing::NoServer;
 use crocushold_routing::Outcome;
 use crocushold_routing::Reason;
@@ -122,17 +121,14 @@
         let key = (from, update.number);
         let placed = self.placed.get_mut(&key)?;
         match update.kind {
-            UpdateKind::Started(_) if placed.started => None,
-            UpdateKind::Started(load) => {
-                placed.started = true;
-                fleet.first_byte(&placed.choice, now);
-                if let Some([running, waiting]) = load {
-                    let report = LoadReport {
-                        running,
-                        waiting,
-                        ..LoadReport::default()
-                    };
-                    fleet.record_load(&placed.choice, report, now);
+            UpdateKind::Started(_) | UpdateKind::StartedAtPace(..) => {
+                if !placed.started {
+                    placed.started = true;
+                    // The report says how fast the engine was, so it comes first.
+                    if let Some(load) = update.kind.load() {
+                        fleet.record_load(&placed.choice, load, now);
+                    }
+                    fleet.first_byte(&placed.choice, now);
                 }
                 None
             }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -120,6 +120,8 @@
     pub encoded: bool,
     /// Number of requests at the server, if reported.
     pub load: Option<LoadReport>,
+    /// Whether that report says a time for which no work can take, which is left out of it.
+    pub absurd_load: bool,
     /// What the answer says about the requests that the server accepts.
     pub notice: Notice,
 }
--- a/crates/gateway/tests/placer.rs
+++ b/crates/gateway/tests/placer.rs
@@ -21,6 +21,7 @@
 use crocushold_gateway::RequestUpdate;
 use crocushold_gateway::ServerRecord;
 use crocushold_gateway::UpdateKind;
+use crocushold_routing::LoadReport;
 use crocushold_routing::Outcome;
 use test_case::test_case;
 
@@ -152,8 +153,9 @@
     let mut placer = Placer::default();
     placer.place(&mut fleet, peer_at(1), &request(1), START);
     let began = update(1, UpdateKind::Started(Some([3, 0])));
+    let paced = update(1, UpdateKind::StartedAtPace([3, 0], 250));
     let ended = update(1, ended(10));
-    for update in [began, began, ended, began, ended] {
+    for update in [began, paced, began, ended, paced, began, ended] {
         placer.apply_update(&mut fleet, peer_at(1), update, START + Millis(200));
     }
     assert!(placer.is_empty());
@@ -307,6 +309,7 @@
             },
         }),
         Packet::Updates(vec![update(3, UpdateKind::Started(Some([1, 2])))]),
+        Packet::Updates(vec![update(3, UpdateKind::StartedAtPace([1, 2], 250))]),
     ];
     for packet in packets {
         let bytes = packet.encode();
@@ -318,6 +321,43 @@
     }
 }
 
+/// An update of an instance of the earlier version is decoded as before, since instances of two
+/// versions run side by side during a release.
+#[test]
+fn updates_of_the_earlier_version_are_decoded() {
+    let started = UpdateKind::Started(Some([1, 2]));
+    // The number of the packet's kind, of updates, of the request, of the update's kind, and the
+    // report.
+    let bytes = [3, 1, 7, 0, 1, 1, 2];
+    let packet = Packet::Updates(vec![update(7, started)]);
+    assert_eq!(Packet::decode(&bytes), Some(packet.clone()));
+    assert_eq!(packet.encode(), bytes);
+}
+
+/// The pace that an engine reports with an answer is told along with its load, and otherwise the
+/// update is that of the earlier version.
+#[test]
+fn the_pace_of_an_engine_is_told_with_its_load() {
+    let load = LoadReport {
+        running: 3,
+        waiting: 1,
+        ..LoadReport::default()
+    };
+    assert_eq!(UpdateKind::started(None), UpdateKind::Started(None));
+    assert_eq!(
+        UpdateKind::started(Some(load)),
+        UpdateKind::Started(Some([3, 1]))
+    );
+    let slow = LoadReport {
+        work_percent: Some(250),
+        ..load
+    };
+    assert_eq!(
+        UpdateKind::started(Some(slow)),
+        UpdateKind::StartedAtPace([3, 1], 250)
+    );
+}
+
 fn unreachable(number: u32, result: Outcome) -> RequestUpdate {
     let ended = RequestEnd {
         result,
