Each server's own speed, as a rule and at this moment, in the expected wait

One prefill rate for all engines of a service and no momentary pace: a prompt waited on a slow engine while a fast one was idle. ServerSpeed keeps a server's usual pace (the mean of its reports, little while there are few), the momentary one (the last report, whose weight falls to zero over 600 ms), and what the reports don't explain, learned from answers with the reported pace taken out: beyond a band of a factor of 1.5, and for prefill only by a router that sees all requests. It is used for the expected wait and prefill, the queue estimates, the cost of a prefix, the wait for capacity and the choice among plain servers; the fleet's PrefillRate is that of a usual server. Samples of speed are judged with the reported pace taken out, so that a server isn't ejected for what others do on its machine. ServerSpeed::step_factor says how long a decoding step takes as a rule, relative to a usual server.

Without reports the factors are exactly 1, and the choice is the earlier one.

--- a/crates/routing/src/queue_delay.rs
+++ b/crates/routing/src/queue_delay.rs
@@ -38,9 +38,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct QueuedPrompt {
     pub(crate) attempt: AttemptKey,
-    /// Expected duration of its prefill, in milliseconds.
+    /// Usual duration of its prefill at the server, in milliseconds.
     pub(crate) prefill_ms: f64,
-    /// Expected wait before its prefill, in milliseconds.
+    /// Expected wait before its prefill, in milliseconds, and what the prefill is expected to take
+    /// beyond its usual duration.
     pub(crate) expected_wait: f64,
     /// Its priority in the server's queue; lower values go first.
     pub(crate) priority: u8,
@@ -108,13 +109,14 @@
         self.last_wait_at = now;
     }
 
-    /// Returns how long a request sent now waits before its prefill, in milliseconds.
-    pub(crate) fn estimate(&self, now: Millis) -> f64 {
+    /// Returns how long a request sent now waits before its prefill, in milliseconds, if work takes
+    /// `pace` times as long as usual.
+    pub(crate) fn estimate(&self, pace: f64, now: Millis) -> f64 {
         let overdue = self.overdue(now, |_| 0.0);
         self.remaining_wait(now)
             .max(overdue)
-            .max(self.remote_pending)
-            + self.pending()
+            .max(self.remote_pending * pace)
+            + self.pending() * pace
     }
 
     /// Like `estimate`, for a router that chooses for all instances. It knows every waiting request
@@ -123,13 +125,13 @@
     ///
     /// A request that is overdue by its own estimate shows how far the server lags behind the
     /// estimate.
-    pub(crate) fn central_estimate(&self, now: Millis) -> f64 {
-        self.remote_pending + self.wait_at_priority(u8::MAX, now)
+    pub(crate) fn central_estimate(&self, pace: f64, now: Millis) -> f64 {
+        self.remote_pending * pace + self.wait_at_priority(u8::MAX, pace, now)
     }
 
     /// Returns how long a request of priority `priority` waits behind the requests that this router
-    /// placed, in milliseconds.
-    pub(crate) fn wait_at_priority(&self, priority: u8, now: Millis) -> f64 {
+    /// placed, in milliseconds, if work takes `pace` times as long as usual.
+    pub(crate) fn wait_at_priority(&self, priority: u8, pace: f64, now: Millis) -> f64 {
         let ahead = self
             .waiting
             .iter()
@@ -143,7 +145,7 @@
         let overdue = self
             .overdue(now, |sent| sent.expected_wait)
             .min(MAX_OVERDUE);
-        (ahead - prefilled).max(0.0) + overdue
+        (ahead - prefilled).max(0.0) * pace + overdue
     }
 
     /// Returns the largest delay of a waiting request beyond its prefill time and the wait
@@ -194,7 +196,7 @@
 /// 540 tokens wrong by a factor of two, and for 1,500 tokens by a third.
 const MIN_SAMPLE_TOKENS: f64 = 1500.0;
 
-/// The prefill rate of engines, learned from answers.
+/// The prefill rate of a usual engine, learned from answers.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PrefillRate(Median);
 
--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -164,7 +164,8 @@
         Some(Scored { server, cost, wait })
     }
 
-    /// The requests ahead of this one per slot of the server, multiplied by its slowness.
+    /// The requests ahead of this one per slot of the server, multiplied by its slowness as a rule
+    /// and at this moment.
     ///
     /// This instance's own requests are counted by their outstanding tokens, in mean requests. The
     /// requests of others come from the last report, which is weighted with `gain` and decays to
@@ -182,18 +183,29 @@
         let ahead = 1.0 + own + others + distance;
         let age = now.since(server.slowness_sampled);
         let current = 1.0 - (age.as_secs_f64() / SLOWNESS_TTL.as_secs_f64()).min(1.0);
-        let factor = self.health_factor_with(server, demand, server.slowness.mean() * current);
+        let pace = server.speed.reported_pace_over(0.0, now);
+        let factor =
+            self.health_factor_with(server, demand, server.slowness.mean() * current, pace);
         ahead * factor / f64::from(server.spec.concurrency.max(1))
     }
 
-    /// Returns the cost factor for a server's slowness and failures.
+    /// Returns the cost factor for a server's failures, and its slowness beyond its usual speed,
+    /// which the expected time contains.
     pub(super) fn health_factor(&self, server: &Server, demand: &Demand<'_>) -> f64 {
-        self.health_factor_with(server, demand, server.slowness.mean())
+        let expected = server.speed.unreported_slowness();
+        self.health_factor_with(server, demand, server.slowness.mean() - expected, 1.0)
     }
 
-    /// Like [`Router::health_factor`], with the logarithm of the slowness.
-    fn health_factor_with(&self, server: &Server, demand: &Demand<'_>, slowness: f64) -> f64 {
-        let slowness = slowness.exp().clamp(1.0, MAX_SLOWNESS);
+    /// Like [`Router::health_factor`], with the logarithm of the slowness and the reported pace.
+    fn health_factor_with(
+        &self,
+        server: &Server,
+        demand: &Demand<'_>,
+        slowness: f64,
+        pace: f64,
+    ) -> f64 {
+        // A server may be faster than the others by its reports, but not by a few quick answers.
+        let slowness = (slowness.exp() * pace).clamp(pace.min(1.0), MAX_SLOWNESS);
         let failures = 1.0 + FAILURE_COST * f64::from(server.health.failures());
         let trial = server.health.on_trial() && (demand.priority == 0 || !demand.idempotent);
         let caution = if trial { TRIAL_COST } else { 1.0 };
@@ -254,6 +266,10 @@
             wait,
             remote,
         } = plan;
+        let speed = self.servers[server].speed;
+        let prefill_ms = speed.prefill_ms(prefill_tokens, &self.prefill_rate);
+        let pace = speed.momentary_pace_over(wait + prefill_ms, now);
+        let work_ahead = wait / (pace * speed.prefill_factor());
         let attempt = self.attempts.insert(InFlight {
             server,
             generation: self.servers[server].generation,
@@ -261,7 +277,8 @@
             tokens,
             prefill_tokens,
             is_exact: prefill_tokens <= f64::from(demand.unique_tokens) && source.is_none(),
-            tokens_ahead: wait * self.prefill_rate.tokens_per_ms(),
+            sees_queue: demand.central,
+            tokens_ahead: work_ahead * self.prefill_rate.tokens_per_ms(),
             prefix: demand.prefix,
             picked_at: now,
             waiting_since: now,
@@ -273,12 +290,12 @@
         chosen.in_flight += 1;
         chosen.tokens += u64::from(tokens);
         if prefill_tokens > 0.0 {
-            let prefill_ms = self.prefill_rate.prefill_ms(prefill_tokens);
-            self.prefill_time.add(prefill_ms, PREFILL_TIME_ALPHA);
+            let usual_ms = self.prefill_rate.prefill_ms(prefill_tokens);
+            self.prefill_time.add(usual_ms, PREFILL_TIME_ALPHA);
             let sent = QueuedPrompt {
                 attempt,
                 prefill_ms,
-                expected_wait: wait,
+                expected_wait: wait + prefill_ms * (pace - 1.0),
                 priority: demand.priority,
                 remote,
             };
--- a/crates/routing/src/router/expected.rs
+++ b/crates/routing/src/router/expected.rs
@@ -119,14 +119,17 @@
             return None;
         }
         let state = &self.servers[server];
-        let own = state
-            .speed
-            .prefill_ms(f64::from(demand.unique_tokens), &self.prefill_rate);
+        let speed = &state.speed;
+        let own = speed.prefill_ms(f64::from(demand.unique_tokens), &self.prefill_rate);
         let shared = self.prefix_cost(server, f64::from(demand.prefix_tokens), locations);
         let ttl = self.settings.report_ttl;
         let running =
             f64::from(state.in_flight) + state.remote_requests(self.remote_load.mean(), ttl, now);
-        let queue = state.queue_length(ttl, now) * WAITING_COST * self.prefill_time.mean();
+        let queue = state.queue_length(ttl, now)
+            * WAITING_COST
+            * self.prefill_time.mean()
+            * speed.prefill_factor();
+        let pace = speed.momentary_pace_over(state.queue_delay.pending() + own, now);
         let same_zone = demand
             .zone
             .map_or(state.same_zone, |zone| zone == state.spec.zone);
@@ -135,17 +138,22 @@
         // would overtake, because its own tokens are decoded between their prefill chunks.
         let (busy, wait) = if demand.central {
             let queue_delay = &state.queue_delay;
-            let capacity_wait = self.wait_for_capacity(state, demand);
+            let capacity_wait = self.wait_for_capacity(state, demand) * speed.step_factor();
             (
-                queue_delay.central_estimate(now) + capacity_wait,
-                queue_delay.wait_at_priority(demand.priority, now) + capacity_wait,
+                queue_delay.central_estimate(pace, now) + capacity_wait,
+                queue_delay.wait_at_priority(demand.priority, pace, now) + capacity_wait,
             )
         } else {
-            let busy = state.queue_delay.estimate(now).max(queue);
+            let busy = state.queue_delay.estimate(pace, now).max(queue * pace);
             (busy, busy)
         };
         let pause_cost = pause_cost(state, demand.max_pause);
-        let expected = pause_cost + busy + own + shared + running * RUNNING_COST + zone_cost;
+        let expected = pause_cost
+            + busy
+            + own * pace
+            + shared
+            + running * speed.step_factor() * RUNNING_COST
+            + zone_cost;
         let cost = (expected + 1.0) * self.health_factor(state, demand) + extra;
         Some(Scored { server, cost, wait })
     }
--- a/crates/routing/src/router/feedback.rs
+++ b/crates/routing/src/router/feedback.rs
@@ -76,7 +76,7 @@
         flight.sampled_at = now;
         let flight = *flight;
         if trusted && !self.is_from_old_process(&flight) {
-            self.record_token_time(&flight, span.0 as f64 / f64::from(fresh), now);
+            self.record_token_time(&flight, fresh, span, now);
         }
         true
     }
@@ -206,8 +206,14 @@
             && flight.picked_at >= self.resumed_at
             && flight.is_exact
         {
-            self.prefill_rate
-                .add_sample(flight.prefill_tokens, flight.tokens_ahead, span);
+            let speed = &mut server.speed;
+            let span = span / speed.reported_pace_over(span, now);
+            let [tokens, ahead] = [flight.prefill_tokens, flight.tokens_ahead];
+            let usual_span = span / speed.unreported_prefill();
+            self.prefill_rate.add_sample(tokens, ahead, usual_span);
+            if flight.sees_queue {
+                speed.add_prefill([tokens, ahead], span, &self.prefill_rate, now);
+            }
         }
         if flight.prefill_tokens > 0.0 {
             self.record_prefix(flight.server, flight.prefix, flight.picked_at);
@@ -317,11 +323,7 @@
         let gaps = tokens.saturating_sub(flight.sampled_tokens.max(1));
         let span = now.since(flight.sampled_at);
         if let Some(leftover) = self.accumulate_gaps(flight, gaps, span) {
-            self.record_token_time(
-                flight,
-                leftover.span.0 as f64 / f64::from(leftover.gaps),
-                now,
-            );
+            self.record_token_time(flight, leftover.gaps, leftover.span, now);
         }
     }
 
@@ -334,8 +336,10 @@
             return;
         }
         let span = now.since(flight.waiting_since).0 as f64;
-        let log_ratio = self.pools[flight.pool].record_answer_time(flight.tokens, tokens, span);
-        self.apply_speed_sample(flight, SampleKind::WholeAnswer, log_ratio, now);
+        let pace = self.reported_pace(flight, span, now);
+        let pool = &mut self.pools[flight.pool];
+        let log_ratio = pool.record_answer_time(flight.tokens, tokens, span / pace);
+        self.apply_speed_sample(flight, SampleKind::WholeAnswer, log_ratio, pace, now);
     }
 
     /// Adds gaps to the server's leftover gaps. Returns and resets them when they are enough for a
@@ -354,18 +358,32 @@
         (leftover.gaps >= SAMPLE_TOKENS).then(|| std::mem::take(leftover))
     }
 
-    /// Records a time per token, in milliseconds.
-    fn record_token_time(&mut self, flight: &InFlight, sample: f64, now: Millis) {
-        let log_ratio = self.pools[flight.pool].record_token_time(sample);
-        self.apply_speed_sample(flight, SampleKind::TokenTime, log_ratio, now);
+    /// Records that `tokens` tokens took `span`.
+    fn record_token_time(&mut self, flight: &InFlight, tokens: u32, span: Millis, now: Millis) {
+        let span = span.0 as f64;
+        let pace = self.reported_pace(flight, span, now);
+        let token_time = span / f64::from(tokens) / pace;
+        let log_ratio = self.pools[flight.pool].record_token_time(token_time);
+        self.apply_speed_sample(flight, SampleKind::TokenTime, log_ratio, pace, now);
+    }
+
+    /// Returns how long work of `span` milliseconds has taken on the attempt's server by its reports,
+    /// relative to a usual one.
+    fn reported_pace(&self, flight: &InFlight, span: f64, now: Millis) -> f64 {
+        let server = self.servers.get(flight.server);
+        server.map_or(1.0, |server| server.speed.reported_pace_over(span, now))
     }
 
-    /// Records a speed sample relative to the peers, as a logarithm; `None` if too little is known.
+    /// Records a speed sample relative to the peers, as a logarithm, with the reported `pace` taken
+    /// out; `None` if too little is known.
+    ///
+    /// A server is no straggler while others use its machine, nor at its own usual speed.
     fn apply_speed_sample(
         &mut self,
         flight: &InFlight,
         kind: SampleKind,
         log_ratio: Option<f64>,
+        pace: f64,
         now: Millis,
     ) {
         let Some(log_ratio) = log_ratio else {
@@ -374,11 +392,16 @@
         let Some(server) = self.servers.get_mut(flight.server) else {
             return;
         };
+        let speed = &mut server.speed;
+        let settings = self.settings.health.clone();
+        let excused = speed.excused(settings.straggler_ratio);
+        speed.add_step(log_ratio, now);
         // The ratio is bounded so that a server that was stuck once recovers within a few samples.
         let bounded = log_ratio.clamp(-MAX_LOG_RATIO, MAX_LOG_RATIO);
         server.slowness.add(bounded, SERVER_ALPHA);
         server.slowness_sampled = now;
-        let settings = self.settings.health.clone();
+        // A report that is wrong about being fast doesn't make the server slow.
+        let log_ratio = log_ratio + pace.min(1.0).ln() - excused;
         let mut verdict = Verdict::Keep;
         self.change_health(flight.server, |health| {
             verdict = health.record_speed(&settings, SpeedSample { kind, log_ratio }, now);
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -45,6 +45,7 @@
 use crate::server::Share;
 use crate::server::SlotCounts;
 use crate::server::Standing;
+use crate::server_speed::FADE_INTERVAL;
 use crate::settings::Settings;
 use crate::stats::Ewma;
 
@@ -82,7 +83,7 @@
     remote_load: Ewma,
     request_duration: Ewma,
     request_tokens: Ewma,
-    /// Prefill rate of the engines.
+    /// Prefill rate of a usual engine.
     prefill_rate: PrefillRate,
     /// Mean prefill time of a prompt, in milliseconds.
     prefill_time: Ewma,
@@ -98,6 +99,8 @@
     cold_rate: Option<f64>,
     /// How brittle the servers are; `None` if they aren't.
     pub(crate) brittle: Option<Brittleness>,
+    /// When the speeds last faded.
+    speeds_faded: Millis,
     last_call: Millis,
     resumed_at: Millis,
 }
@@ -136,6 +139,7 @@
             capacity: None,
             cold_rate: None,
             brittle: None,
+            speeds_faded: Millis::ZERO,
             last_call: Millis::ZERO,
             resumed_at: Millis::ZERO,
         }
@@ -186,6 +190,7 @@
     /// Runs expired timers. Call it at least once a second; `pick` and `free` call it too.
     pub fn tick(&mut self, now: Millis) {
         self.detect_suspension(now);
+        self.fade_speeds(now);
         while let Some(&Reverse((due, key))) = self.timers.peek() {
             if due > now {
                 break;
@@ -195,6 +200,17 @@
         }
     }
 
+    /// Lets what was learned about servers without samples fade.
+    fn fade_speeds(&mut self, now: Millis) {
+        if now.since(self.speeds_faded) < FADE_INTERVAL {
+            return;
+        }
+        self.speeds_faded = now;
+        for server in self.servers.values_mut() {
+            server.speed.fade(now);
+        }
+    }
+
     /// Returns the number of attempts that could start now on all servers; zero while the instance
     /// list is stale.
     pub fn free(&mut self, now: Millis) -> usize {
--- a/crates/routing/src/router/prefix.rs
+++ b/crates/routing/src/router/prefix.rs
@@ -178,7 +178,8 @@
         if locations.holders.contains(&server) {
             return 0.0;
         }
-        let prefill = self.prefill_rate.prefill_ms(shared) * PREFILL_WEIGHT;
+        let speed = &self.servers[server].speed;
+        let prefill = speed.prefill_ms(shared, &self.prefill_rate) * PREFILL_WEIGHT;
         let source = locations
             .source
             .filter(|_| shared >= f64::from(MIN_TRANSFER_TOKENS));
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -330,6 +330,9 @@
         let total = self.update_occupancy(report);
         let remote_requests = f64::from(total.saturating_sub(self.in_flight));
         let measured_at = Millis(now.0.saturating_sub(report.age.0));
+        if let Some(percent) = report.work_percent {
+            self.speed.record_pace(percent, measured_at);
+        }
         self.report = Some(ReceivedReport {
             remote_requests,
             waiting: report.waiting,
