--- a/crates/routing/src/live_streams.rs
+++ b/crates/routing/src/live_streams.rs
@@ -29,20 +29,22 @@
 }
 
 impl PauseModel {
-    /// Returns the longest pause of a stream beside prompts that wait, in milliseconds, on engines
-    /// that prefill `rate` tokens per millisecond.
-    pub(crate) fn longest_pause(&self, rate: f64) -> f64 {
-        self.event_tokens * (CHUNK_TOKENS / rate + STEP_MS)
-    }
-
     /// Returns how much prefill may wait at an engine before a stream there pauses for longer than
-    /// `max_pause`, in milliseconds; `None` if no amount causes that.
-    pub(crate) fn tolerated_prefill(&self, max_pause: Millis, rate: f64) -> Option<f64> {
+    /// `max_pause`, in milliseconds; `None` if no amount causes that. The engine prefills `rate`
+    /// tokens per millisecond, and its steps take `step_factor` times as long as usual.
+    pub(crate) fn tolerated_prefill(
+        &self,
+        max_pause: Millis,
+        rate: f64,
+        step_factor: f64,
+    ) -> Option<f64> {
         let max_pause = max_pause.0 as f64;
-        if self.longest_pause(rate) <= max_pause * PAUSE_TOLERANCE {
+        let steps = self.event_tokens * STEP_MS * step_factor;
+        let chunks = self.event_tokens * CHUNK_TOKENS / rate;
+        if steps + chunks <= max_pause * PAUSE_TOLERANCE {
             return None;
         }
-        Some((max_pause - self.event_tokens * STEP_MS - NETWORK_JITTER).max(0.0))
+        Some((max_pause - steps - NETWORK_JITTER).max(0.0))
     }
 }
 
--- a/crates/routing/src/router/live.rs
+++ b/crates/routing/src/router/live.rs
@@ -28,7 +28,7 @@
         let model = PauseModel {
             event_tokens: f64::from(event_tokens),
         };
-        let tolerated = model.tolerated_prefill(max_pause, self.prefill_rate());
+        let tolerated = model.tolerated_prefill(max_pause, self.prefill_rate(), 1.0);
         tolerated.is_some()
     }
 
@@ -50,7 +50,7 @@
         if self.pauses.is_none() {
             return 0.0;
         }
-        let own = self.tolerated_prefill(demand);
+        let own = self.tolerated_prefill(server, demand);
         let is_delayed = own.is_some_and(|tolerated| prefill > tolerated);
         let delayed = server.live.delayed_by(prefill) + u32::from(is_delayed);
         PAUSE_COST * f64::from(delayed)
@@ -79,17 +79,21 @@
         now: Millis,
     ) -> Option<LiveTicket> {
         self.pauses?;
-        let tolerated = self.tolerated_prefill(demand);
-        let own = self.prefill_rate.prefill_ms(prefill_tokens);
+        let state = &self.servers[server];
+        let tolerated = self.tolerated_prefill(state, demand);
+        let own = state.speed.prefill_ms(prefill_tokens, &self.prefill_rate);
+        let pace = state.speed.momentary_pace_over(own, now);
+        let prefill = state.queue_delay.central_estimate(pace, now) + own * pace;
         let state = &mut self.servers[server];
-        let prefill = state.queue_delay.central_estimate(now) + own;
         state.live.record_prefill(prefill);
         let tolerated = tolerated.filter(|tolerated| prefill <= *tolerated)?;
         Some(state.live.add(tolerated))
     }
 
-    fn tolerated_prefill(&self, demand: &Demand<'_>) -> Option<f64> {
+    fn tolerated_prefill(&self, server: &Server, demand: &Demand<'_>) -> Option<f64> {
         let model = self.pauses?;
-        model.tolerated_prefill(demand.max_pause?, self.prefill_rate())
+        let speed = &server.speed;
+        let rate = self.prefill_rate() / speed.prefill_factor();
+        model.tolerated_prefill(demand.max_pause?, rate, speed.step_factor())
     }
 }
--- a/crates/routing/src/router/prefix.rs
+++ b/crates/routing/src/router/prefix.rs
@@ -178,7 +178,8 @@
         if locations.holders.contains(&server) {
             return 0.0;
         }
-        let prefill = self.prefill_rate.prefill_ms(shared) * PREFILL_WEIGHT;
+        let speed = &self.servers[server].speed;
+        let prefill = speed.prefill_ms(shared, &self.prefill_rate) * PREFILL_WEIGHT;
         let source = locations
             .source
             .filter(|_| shared >= f64::from(MIN_TRANSFER_TOKENS));
@@ -208,7 +209,8 @@
             && self.transfer_rate.is_some()
             && demand.prefix_tokens >= MIN_TRANSFER_TOKENS;
         let part = if transferred { TRANSFER_MISS_RATE } else { 1.0 };
-        self.prefill_rate.prefill_ms(shared * part)
+        let speed = &self.servers[server].speed;
+        speed.prefill_ms(shared * part, &self.prefill_rate)
     }
 
     /// Returns what the chosen server is expected to prefill, and from where it should transfer the
