Instances that start find each other and the placer between rounds

Hellos went out once a second and a seed answered eight a round.

Hellos are now sent every 50 ms until a seed answers, and are answered at once: with the placer by the collector of the same zone, else with the collectors. A new instance introduces itself to its collector, and collectors to each other, without waiting for a round. The load of the fleet is taken only from the instance's own collector, so that an instance that was asked first can't overwrite it.

Requests that arrive while the first listing is under way wait for it, for a quarter of their time and half a second at most; nothing waits while no read runs. Those that need a placer wait up to 100 ms for the first one. Refusals for lack of a configuration name a time that grows with the start and differs between callers. Each step of a start is logged as start-step.

--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -11,6 +11,7 @@
 use super::MIN_RETRY_AFTER;
 use crate::fleet::Choice;
 use crate::placing::PlacementError;
+use crate::placing::PlacementId;
 use crate::placing::PlacementQuery;
 use crate::placing::PlacementVerdict;
 use crate::quarantine::log_trial;
@@ -143,7 +144,10 @@
             resting,
             now,
         };
-        let verdict = self.shared.placer.ask(query).await;
+        let verdict = match self.shared.placer.ask(query.clone()).await {
+            Err(PlacementError::NoPlacer) => self.ask_first_placer(query).await,
+            verdict => verdict,
+        };
         let metrics = &self.shared.metrics;
         let (placement_id, verdict) = match verdict {
             Ok(verdict) => verdict,
@@ -195,6 +199,24 @@
         }
     }
 
+    /// Asks the first placer after a start, once it is known.
+    async fn ask_first_placer(
+        &self,
+        query: PlacementQuery<'_>,
+    ) -> Result<(PlacementId, PlacementVerdict), PlacementError> {
+        let placer = &self.shared.placer;
+        if !placer.wait_for_placer(query.remaining).await {
+            return Err(PlacementError::NoPlacer);
+        }
+        let now = self.shared.clock.now();
+        let query = PlacementQuery {
+            remaining: self.job.deadline.since(now),
+            now,
+            ..query
+        };
+        placer.ask(query).await
+    }
+
     /// The result of a question that led to no placement, if the servers are brittle: what this
     /// instance sent there by itself would come on top of what the placer sends.
     fn full_if_brittle(&self) -> Option<Result<Choice, NoServer>> {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -28,6 +28,8 @@
 use crate::source::Listing;
 use crate::source::Source;
 use crate::source::SourceError;
+use crate::start::FirstRead;
+use crate::start::StartStep;
 use crate::store_times::StoreTimes;
 
 /// Maximum delay after a failed call while there is no configuration yet.
@@ -38,7 +40,7 @@
     let mut follower = Follower::new(&shared);
     loop {
         let result = match follower.at {
-            None => source.list().await.and_then(|listing| {
+            None => list(&shared, &source).await.and_then(|listing| {
                 follower.on_answer(&shared, listing.revision)?;
                 follower.apply_listing(&shared, listing);
                 Ok(NextCall::Batch)
@@ -67,6 +69,23 @@
     }
 }
 
+/// Lists everything. Requests that arrive before there is a configuration may wait for the first
+/// listing.
+async fn list(shared: &Shared, source: &impl Source) -> Result<Listing, SourceError> {
+    let is_first = shared.table().is_none();
+    if is_first {
+        shared
+            .start
+            .record(StartStep::ListingAsked, shared.clock.now());
+        shared.start.set_first_read(FirstRead::Running);
+    }
+    let listed = source.list().await;
+    if is_first && listed.is_err() {
+        shared.start.set_first_read(FirstRead::Idle);
+    }
+    listed
+}
+
 /// When to make the next call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum NextCall {
@@ -445,6 +464,9 @@
         .with("routes", table.len());
     info!("{event}");
     shared.apply_config(table);
+    shared
+        .start
+        .record(StartStep::Configured, shared.clock.now());
 }
 
 fn evacuate(shared: &Shared, zone: &str) {
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -39,6 +39,7 @@
 use crate::shared::Stage;
 use crate::sharing::start_gossip;
 use crate::source::Source;
+use crate::start::StartStep;
 
 /// Maximum number of connections of load balancers, metrics scrapers and operators.
 const OPERATOR_CONNECTIONS: usize = 64;
@@ -213,6 +214,9 @@
         };
         task::spawn(follow::follow(shared.clone(), source));
         task::spawn(run_timers(shared.clone()));
+        shared
+            .start
+            .record(StartStep::Listening, shared.clock.now());
         let event = Event::new("started")
             .with("instance", &shared.settings.id)
             .with("zone", &shared.settings.zone)
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -35,12 +35,13 @@
 use crate::routes::Route;
 use crate::routes::RouteTable;
 use crate::shared::Shared;
+use crate::start::return_delay;
 
 #[cfg(test)]
 mod tests;
 
-/// `Retry-After` while there is no configuration. The first read takes well under a second.
-const START_RETRY: Millis = Millis::from_secs(1);
+/// `Retry-After` while the route's service has no server at all.
+const UNSERVED_RETRY: Millis = Millis::from_secs(1);
 
 /// `Retry-After` during shutdown: another instance can take the request at once, but callers
 /// shouldn't all retry in the same moment.
@@ -126,9 +127,7 @@
         if shared.is_stopping() {
             return Err(Refusal::later(Reason::Stopping, STOP_RETRY));
         }
-        let table = shared
-            .table()
-            .ok_or(Refusal::later(Reason::NoConfiguration, START_RETRY))?;
+        let table = first_table(shared, &meta).await?;
         let job = Job::resolve(&table, request, meta, arrived)?;
         let body_bytes = table.limits().body_bytes;
         drop(table);
@@ -216,7 +215,7 @@
         let hash = XxHash3_64::oneshot(id.as_bytes());
         let service = route
             .service(hash)
-            .ok_or(Refusal::later(Reason::NoServer, START_RETRY))?;
+            .ok_or(Refusal::later(Reason::NoServer, UNSERVED_RETRY))?;
         let timeout = meta.timeout.unwrap_or(Millis::MAX);
         let rank = table.rank(route, account);
         let stream = stream_key(route.repeat, account, meta.resumption.as_ref(), &id);
@@ -325,6 +324,21 @@
     Some(limit)
 }
 
+/// The configuration in force. A request that arrives while the first one is being read waits for
+/// it, for as long as it may.
+async fn first_table(shared: &Shared, meta: &RequestMeta) -> Result<Arc<RouteTable>, Refusal> {
+    if let Some(table) = shared.table() {
+        return Ok(table);
+    }
+    shared.start.wait_for_read(meta.timeout).await;
+    shared.table().ok_or_else(|| {
+        let id = meta.id.as_deref().unwrap_or_default();
+        let draw = XxHash3_64::oneshot_with_seed(shared.seed, id.as_bytes());
+        let delay = return_delay(shared.clock.now(), draw);
+        Refusal::later(Reason::NoConfiguration, delay)
+    })
+}
+
 /// Reserves memory for a body.
 ///
 /// Without this limit a flood of long bodies would exceed the machine's memory, and the process
--- a/crates/gateway/src/placing/shell.rs
+++ b/crates/gateway/src/placing/shell.rs
@@ -7,6 +7,8 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use async_std::future::timeout;
 use crocushold_base::Event;
@@ -31,11 +33,18 @@
 use crate::fleet::Need;
 use crate::fleet::ProbeTarget;
 use crate::reach::log_ejections;
+use crate::start::Signal;
 
 /// How long to wait for the placer's reply before choosing a server locally. This is several round
 /// trips between availability zones, and a tenth of the shortest target for a first token.
 pub(super) const ASK_TIMEOUT: Millis = Millis(20);
 
+/// Longest wait for the first placer after a start, and the part of its time that a request waits at
+/// most. Until then each instance would choose without knowing what the others have sent; a queue
+/// that arises that way lasts longer, and the shortest target allows the wait.
+const FIRST_PLACER_WAIT: Millis = Millis(100);
+const FIRST_PLACER_DIVISOR: u64 = 10;
+
 /// The placement requests of this instance, and the requests that it placed for others.
 #[derive(Default)]
 pub(crate) struct PlacementService {
@@ -44,6 +53,9 @@
     client: Mutex<PlacementClient>,
     placer: Mutex<Placer>,
     pending: Mutex<HashMap<u32, oneshot::Sender<PlacementVerdict>>>,
+    /// Whether this instance has just started and is about to know a placer.
+    expected: AtomicBool,
+    found: Signal,
 }
 
 /// Cancels a pending placement request if the caller's request is dropped.
@@ -83,6 +95,30 @@
         }
     }
 
+    /// Sets whether this instance is about to know a placer.
+    pub(crate) fn set_expected(&self, expected: bool) {
+        let before = self.expected.swap(expected, Ordering::Relaxed);
+        if before && !expected {
+            self.found.notify();
+        }
+    }
+
+    /// Whether this instance is about to know a placer.
+    pub(crate) fn is_expected(&self) -> bool {
+        self.expected.load(Ordering::Relaxed)
+    }
+
+    /// Waits for a placer that is about to become known; `false` if none is. A request with
+    /// `remaining` time waits for a small part of it.
+    pub(crate) async fn wait_for_placer(&self, remaining: Millis) -> bool {
+        let found = self.found.subscribe();
+        if !self.is_expected() {
+            return false;
+        }
+        let longest = Millis(remaining.0 / FIRST_PLACER_DIVISOR).min(FIRST_PLACER_WAIT);
+        timeout(longest.into(), found).await.is_ok()
+    }
+
     /// Requests a placement.
     ///
     /// # Errors
@@ -244,6 +280,7 @@
 }
 
 /// A query for the placer.
+#[derive(Clone)]
 pub(crate) struct PlacementQuery<'a> {
     pub(crate) need: &'a Need,
     /// This instance's availability zone.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -42,6 +42,8 @@
 use crate::relay::RelayPeers;
 use crate::resumption::OriginService;
 use crate::routes::RouteTable;
+use crate::start::FirstRead;
+use crate::start::Start;
 use crate::store_watch::StoreWatch;
 
 /// Maximum number of idle connections to one server. A burst opens more, but they aren't worth
@@ -86,6 +88,8 @@
     pub(crate) origins: OriginService,
     /// How far the store was read, and the watch in progress.
     pub(crate) store: StoreWatch,
+    /// The progress of the start.
+    pub(crate) start: Start,
     table: RwLock<Option<Arc<RouteTable>>>,
     fleet: Mutex<Fleet>,
     directory: Mutex<Directory>,
@@ -122,6 +126,7 @@
             placer: PlacementService::new(seed as u32),
             origins: OriginService::default(),
             store: StoreWatch::default(),
+            start: Start::default(),
             client: Client::new(pool),
             metrics: Metrics::new(),
             content_names: Pseudonymizer::default(),
@@ -156,6 +161,8 @@
         drop(fleet);
         let mut held = self.table.write().unwrap_or_else(PoisonError::into_inner);
         *held = Some(Arc::new(table));
+        drop(held);
+        self.start.set_first_read(FirstRead::Idle);
     }
 
     /// Sets the handle of the callers' listener, whose limits depend on the configuration.
--- a/crates/gateway/src/sharing/members.rs
+++ b/crates/gateway/src/sharing/members.rs
@@ -9,6 +9,7 @@
 use twox_hash::XxHash3_64;
 
 use super::message::Identity;
+use super::message::MAX_INTRODUCED;
 use super::message::MAX_MEMBER_ENTRIES;
 use super::message::MemberEntry;
 
@@ -28,6 +29,15 @@
     suspended_until: Millis,
 }
 
+impl Member {
+    fn entry(&self, now: Millis) -> MemberEntry {
+        MemberEntry {
+            identity: self.identity,
+            age: u16::try_from(now.since(self.last_heard).0).unwrap_or(u16::MAX),
+        }
+    }
+}
+
 /// The other instances, by address.
 #[derive(Clone, Debug)]
 pub struct Members {
@@ -136,15 +146,49 @@
         let next = next.filter(|(_, member)| !own_zone || member.identity.zone == self.me.zone);
         let entries: Vec<MemberEntry> = next
             .take(MAX_MEMBER_ENTRIES)
-            .map(|(_, member)| MemberEntry {
-                identity: member.identity,
-                age: u16::try_from(now.since(member.last_heard).0).unwrap_or(u16::MAX),
-            })
+            .map(|(_, member)| member.entry(now))
             .collect();
         self.last_entry[usize::from(own_zone)] = entries.last().map(|entry| entry.identity.address);
         entries
     }
 
+    /// The members to name to an instance of `zone` that has just started: the collector of its
+    /// zone, the other collectors in the order in which they become placer, then others.
+    ///
+    /// The collector of its zone is what it needs most, since that one tells it the placer and the
+    /// load of the fleet.
+    pub fn introduction(&self, zone: u32, now: Millis) -> Vec<MemberEntry> {
+        let mut zones = self.other_zones();
+        zones.push(self.me.zone);
+        let collectors = zones.iter().filter_map(|zone| self.collector(*zone, now));
+        let collectors = collectors.filter_map(|address| self.members.get(&address));
+        let mut named: Vec<&Member> = collectors.collect();
+        named.sort_unstable_by_key(|member| {
+            let identity = &member.identity;
+            (
+                identity.zone != zone,
+                Reverse(identity.capacity),
+                identity.address,
+            )
+        });
+        let is_collector = |member: &&Member| {
+            let address = member.identity.address;
+            named.iter().any(|named| named.identity.address == address)
+        };
+        let others = self.members.values().filter(|member| !is_collector(member));
+        let others: Vec<&Member> = others.take(MAX_INTRODUCED).collect();
+        let all = named.into_iter().chain(others);
+        all.take(MAX_INTRODUCED)
+            .map(|member| member.entry(now))
+            .collect()
+    }
+
+    /// The zone of a member.
+    pub fn zone_of(&self, address: &SocketAddr) -> Option<u32> {
+        let member = self.members.get(address);
+        member.map(|member| member.identity.zone)
+    }
+
     /// A random sample of the members, drawn with `seed`. A member may be drawn twice.
     pub fn sample(&self, count: usize, seed: u64) -> Vec<SocketAddr> {
         let known = self.members.len();
--- a/crates/gateway/src/sharing/message.rs
+++ b/crates/gateway/src/sharing/message.rs
@@ -35,6 +35,10 @@
 /// zone without load, a zone of twenty instances is named within two seconds.
 pub(crate) const MAX_MEMBER_ENTRIES: usize = 8;
 
+/// Maximum number of members in the answer to a hello: the collectors of most deployments, in a
+/// quarter of a kilobyte.
+pub(crate) const MAX_INTRODUCED: usize = 12;
+
 /// Queue of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineQueue {
@@ -243,6 +247,10 @@
 impl Message {
     /// Creates a message that fits into one packet.
     pub fn new(from: &Identity, members: Vec<MemberEntry>, content: Content) -> Message {
+        let max_members = match content {
+            Content::Members => MAX_INTRODUCED,
+            _ => MAX_MEMBER_ENTRIES,
+        };
         let content = match content {
             Content::Hello | Content::Members => content,
             Content::Instance(load) => Content::Instance(load.truncated()),
@@ -253,7 +261,7 @@
             zone: from.zone,
             capacity: from.capacity,
             revision: Revision::default(),
-            members: members.into_iter().take(MAX_MEMBER_ENTRIES).collect(),
+            members: members.into_iter().take(max_members).collect(),
             content,
         }
     }
--- a/crates/gateway/src/sharing/mod.rs
+++ b/crates/gateway/src/sharing/mod.rs
@@ -19,6 +19,7 @@
 
 mod contact;
 mod handover;
+mod joining;
 mod members;
 mod message;
 mod notices;
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -43,6 +43,10 @@
 /// engine reads two long prompts.
 pub(super) const ROUND: Millis = Millis(100);
 
+/// Shortest pause between two looks for what is due, so that a clock that stands still costs no
+/// processor time.
+const MIN_STEP: Millis = Millis(1);
+
 /// Starts sending and receiving gossip. Returns the address that is bound.
 ///
 /// # Errors
@@ -63,13 +67,16 @@
         zone: short_hash(&shared.settings.zone),
         capacity: shared.settings.capacity,
     };
-    let state = Arc::new(Mutex::new(Gossip::new(me, seeds)));
+    let state = Gossip::new(me, seeds);
+    shared.placer.set_expected(!state.seeds().is_empty());
+    let state = Arc::new(Mutex::new(state));
     let handover = Arc::new(Mutex::default());
     let now = shared.clock.now();
     shared.quarantine().start_recall(now + Handover::DURATION);
     task::spawn(receive_loop(
         shared.clone(),
         socket.clone(),
+        me.address,
         state.clone(),
         handover.clone(),
     ));
@@ -86,6 +93,7 @@
 async fn receive_loop(
     shared: Arc<Shared>,
     socket: Arc<UdpSocket>,
+    me: SocketAddr,
     state: Arc<Mutex<Gossip>>,
     handover: Arc<Mutex<Handover>>,
 ) {
@@ -99,7 +107,10 @@
         };
         let now = shared.clock.now();
         match Packet::decode(&bytes[..count]) {
-            Some(Packet::Gossip(message)) => lock(&state).receive(from, message, now),
+            Some(Packet::Gossip(message)) => {
+                lock(&state).receive(from, message, now);
+                take_step(&shared, &socket, &state, me).await;
+            }
             Some(Packet::Request(ask)) => shared.placer.place(&mut shared.fleet(), from, &ask, now),
             Some(Packet::Reply(reply)) => shared.placer.handle_reply(from, reply),
             Some(Packet::Suspicions(suspicions)) => {
@@ -180,19 +191,16 @@
         for target in asked {
             send_packets(&socket, target, [Packet::ServedQuery]).await;
         }
-        task::sleep(ROUND.into()).await;
+        wait_for_round(&shared, &socket, &state, me).await;
         let round = Round::run(&shared, &state);
-        let is_placer = round.placer == Some(me);
         {
             let mut fleet = shared.fleet();
             fleet.set_others_load(&round.others);
             fleet.add_cached_prefixes(&round.cached, round.now);
-            fleet.set_placer(is_placer);
             fleet.set_instances(round.instances);
         }
-        shared
-            .placer
-            .set_placer(round.placer.filter(|_| !is_placer));
+        publish_placer(&shared, round.placer, me);
+        shared.placer.set_expected(round.expects_placer);
         if let Some(relays) = round.relays {
             let members: Vec<SocketAddr> = relays.iter().map(|peer| peer.address).collect();
             let others = members.iter().copied().map(instance_hash).collect();
@@ -220,6 +228,51 @@
     }
 }
 
+/// Waits for the next round, and sends the hellos that are due before.
+async fn wait_for_round(
+    shared: &Shared,
+    socket: &UdpSocket,
+    state: &Mutex<Gossip>,
+    me: SocketAddr,
+) {
+    let round_at = shared.clock.now() + ROUND;
+    loop {
+        take_step(shared, socket, state, me).await;
+        let now = shared.clock.now();
+        if now >= round_at {
+            return;
+        }
+        let next = lock(state).next_step(now).unwrap_or(round_at);
+        let pause = next.min(round_at).since(now).max(MIN_STEP);
+        task::sleep(pause.into()).await;
+    }
+}
+
+/// Sends what doesn't wait for the next round, and uses a placer that has just become known.
+async fn take_step(shared: &Shared, socket: &UdpSocket, state: &Mutex<Gossip>, me: SocketAddr) {
+    let now = shared.clock.now();
+    let (messages, placer) = {
+        let mut state = lock(state);
+        shared.start.record_members(&state, now);
+        let is_due = state.next_step(now).is_some_and(|due| due <= now);
+        let messages = if is_due { state.step(now) } else { Vec::new() };
+        (messages, state.placer(now))
+    };
+    for (target, message) in messages {
+        send_packets(socket, target, [Packet::Gossip(message)]).await;
+    }
+    if shared.placer.is_expected() && placer.is_some() {
+        publish_placer(shared, placer, me);
+        shared.placer.set_expected(false);
+    }
+}
+
+fn publish_placer(shared: &Shared, placer: Option<SocketAddr>, me: SocketAddr) {
+    let is_placer = placer == Some(me);
+    shared.fleet().set_placer(is_placer);
+    shared.placer.set_placer(placer.filter(|_| !is_placer));
+}
+
 /// Result of a round.
 struct Round {
     now: Millis,
@@ -235,6 +288,8 @@
     relays: Option<Vec<RelayPeer>>,
     /// The placer.
     placer: Option<SocketAddr>,
+    /// Whether a placer is about to become known.
+    expects_placer: bool,
     /// Whether some engines with a queue couldn't be listed.
     is_truncated: bool,
 }
@@ -266,6 +321,7 @@
                 .is_keepalive_round()
                 .then(|| relay_peers(shared, &state)),
             placer: state.placer(now),
+            expects_placer: state.expects_placer(now),
             is_truncated: state.is_truncated(),
         }
     }
--- a/crates/gateway/src/sharing/state.rs
+++ b/crates/gateway/src/sharing/state.rs
@@ -7,12 +7,14 @@
 use crocushold_routing::LaneStats;
 use twox_hash::XxHash3_64;
 
+use super::joining::Joining;
 use super::members::Members;
 use super::message::CachedPrefix;
 use super::message::Content;
 use super::message::EngineQueue;
 use super::message::Identity;
 use super::message::Load;
+use super::message::MemberEntry;
 use super::message::Message;
 use super::message::ServiceWork;
 use super::prefix_relay::PrefixRelay;
@@ -37,13 +39,6 @@
 /// their members. This discovers members that aren't reported by the collector.
 const HELLO_ROUNDS: u64 = 10;
 
-/// Maximum number of pending hellos. A starting fleet contacts its seeds all at once; instances
-/// without a reply ask again.
-const MAX_HELLOS: usize = 64;
-
-/// Number of hellos to answer per round.
-const HELLO_REPLIES_PER_ROUND: usize = 8;
-
 /// Number of instances per round that receive what every instance must know soon.
 const FANOUT: usize = 3;
 
@@ -171,8 +166,12 @@
     last_hello: SocketAddr,
     /// Whether the last sums that were sent, of the zone and of the fleet, were non-empty.
     was_nonempty: [bool; 2],
-    /// Instances whose hello wasn't answered yet.
-    hellos: Vec<SocketAddr>,
+    joining: Joining,
+    /// Instances that have sent a load for the first time, and get the fleet's load or that of this
+    /// zone before the next round.
+    newcomers: Vec<SocketAddr>,
+    /// The placer that was last named to the instances of this zone.
+    told_placer: Option<SocketAddr>,
     prefix_relay: PrefixRelay,
     lag: Lag,
     /// Whether engines with a queue were left out of the last round's messages.
@@ -187,6 +186,7 @@
     /// Creates a state that only knows the seeds.
     pub fn new(me: Identity, seeds: &[SocketAddr]) -> Gossip {
         let seeds = seeds.iter().copied().filter(|seed| *seed != me.address);
+        let seed = XxHash3_64::oneshot(me.address.to_string().as_bytes());
         Gossip {
             me,
             seeds: seeds.collect(),
@@ -200,12 +200,14 @@
             // Each instance starts at another member, so that they don't all contact the same one.
             last_hello: me.address,
             was_nonempty: [false; 2],
-            hellos: Vec::new(),
+            joining: Joining::new(seed),
+            newcomers: Vec::new(),
+            told_placer: None,
             prefix_relay: PrefixRelay::default(),
             lag: Lag::default(),
             is_truncated: false,
             rounds: 0,
-            seed: XxHash3_64::oneshot(me.address.to_string().as_bytes()),
+            seed,
         }
     }
 
@@ -251,18 +253,26 @@
             self.members.observe_reported(entry, now);
         }
         match message.content {
-            Content::Hello if self.hellos.len() < MAX_HELLOS => self.hellos.push(from),
-            Content::Hello | Content::Members => {}
+            Content::Hello => self.joining.push_hello(from),
+            Content::Members => {}
             Content::Instance(load) => {
                 self.prefix_relay.add_from_zone(&load.cached);
+                if !self.reports.contains_key(&from) {
+                    self.newcomers.push(from);
+                }
                 self.reports.entry(from).or_default().update(load, now);
             }
             Content::Zone(load) => {
                 self.prefix_relay.add_from_other_zone(&load.cached);
+                if !self.zones.contains_key(&from) {
+                    self.newcomers.push(from);
+                }
                 let (zone, received) = self.zones.entry(from).or_default();
                 *zone = message.zone;
                 received.update(load, now);
             }
+            // After a start, an instance may have reported to another one first.
+            Content::Fleet(..) if self.members.collector(self.me.zone, now) != Some(from) => {}
             Content::Fleet(load, placer) => {
                 self.prefix_relay.add_from_collector(&load.cached);
                 self.fleet.get_or_insert_default().update(load, now);
@@ -274,12 +284,18 @@
     /// Runs a round with the load of this instance. Returns the messages to send.
     pub fn round(&mut self, local: Load, now: Millis) -> Vec<(SocketAddr, Message)> {
         self.rounds += 1;
+        self.joining.begin_round();
         self.forget(now);
         let mut contents = Vec::new();
         // Whether to send messages even if they contain nothing new.
-        let keepalive = self.is_keepalive_round();
-        let should_send = keepalive || !local.is_empty() || !self.sent_loads[1].is_empty();
-        match self.choose_collector(now) {
+        let keepalive = self.is_keepalive_round() || self.joining.is_active(now);
+        let previous = self.collector();
+        let collector = self.choose_collector(now);
+        let should_send = keepalive
+            || collector != previous
+            || !local.is_empty()
+            || !self.sent_loads[1].is_empty();
+        match collector {
             Some(collector) if should_send => {
                 let parts = local.clone().split().into_iter();
                 contents.extend(parts.map(|part| (collector, Content::Instance(part))));
@@ -293,7 +309,120 @@
         self.sent_loads[1] = local;
         self.send_sums(keepalive, now, &mut contents);
         self.is_truncated = contents.iter().any(|(_, content)| content.is_truncated());
-        self.send_hellos(&mut contents);
+        self.send_hellos(now, &mut contents);
+        self.round_messages(contents, now)
+    }
+
+    /// Whether this instance has just started and doesn't know a placer yet.
+    pub fn is_joining(&mut self, now: Millis) -> bool {
+        !self.seeds.is_empty() && self.joining.is_active(now) && self.placer(now).is_none()
+    }
+
+    /// Whether this instance has just started and is about to know a placer.
+    pub fn expects_placer(&mut self, now: Millis) -> bool {
+        self.is_joining(now) && self.joining.is_recent(now)
+    }
+
+    /// When [`Gossip::step`] has something to send before the next round; `None` if not.
+    pub fn next_step(&mut self, now: Millis) -> Option<Millis> {
+        if self.joining.has_hellos() || !self.newcomers.is_empty() {
+            return Some(now);
+        }
+        if !self.joining.is_active(now) {
+            return None;
+        }
+        let is_new = |collector| !self.joining.is_introduced(collector);
+        if self.collectors_in_use(now).iter().any(is_new) {
+            return Some(now);
+        }
+        let has_target = !self.hello_targets(now).is_empty();
+        has_target.then(|| self.joining.next_hello())
+    }
+
+    /// Returns the messages that are sent between rounds: those by which instances that have just
+    /// started find the others, their collector and the placer.
+    ///
+    /// Queues and work wait for the next round.
+    pub fn step(&mut self, now: Millis) -> Vec<(SocketAddr, Message)> {
+        let mut contents = Vec::new();
+        self.answer_hellos(now, &mut contents);
+        if self.joining.is_active(now) {
+            let target = self.joining.take_target(&self.hello_targets(now), now);
+            contents.extend(target.map(|target| (target, Content::Hello)));
+            self.introduce(now, &mut contents);
+        }
+        self.answer_newcomers(now, &mut contents);
+        self.step_messages(contents, now)
+    }
+
+    /// The collectors to which this instance sends loads: that of its zone, or those of the other
+    /// zones if it is the collector itself.
+    fn collectors_in_use(&self, now: Millis) -> Vec<SocketAddr> {
+        let own = self.members.collector(self.me.zone, now);
+        match own.filter(|own| *own != self.me.address) {
+            Some(own) => vec![own],
+            None => self.other_collectors(now),
+        }
+    }
+
+    /// Sends the load to collectors that haven't heard of this instance. Their answers name the
+    /// placer.
+    fn introduce(&mut self, now: Millis, contents: &mut Vec<(SocketAddr, Content)>) {
+        self.choose_collector(now);
+        for collector in self.collectors_in_use(now) {
+            if !self.joining.introduce(collector) {
+                continue;
+            }
+            let own = self.sent_loads[1].clone();
+            if self.collector.is_some() {
+                let parts = own.split().into_iter();
+                contents.extend(parts.map(|part| (collector, Content::Instance(part))));
+            } else {
+                let parts = self.zone_sum(now).load().split().into_iter();
+                contents.extend(parts.map(|part| (collector, Content::Zone(part))));
+            }
+        }
+    }
+
+    /// Answers the first loads of other instances, and tells all instances of this zone if the
+    /// placer has changed.
+    fn answer_newcomers(&mut self, now: Millis, contents: &mut Vec<(SocketAddr, Content)>) {
+        let placer = self.members.placer(self.zones.keys().copied());
+        let mut newcomers = std::mem::take(&mut self.newcomers);
+        if self.told_placer != Some(placer) {
+            self.told_placer = Some(placer);
+            newcomers.extend(self.reports.keys());
+            newcomers.sort_unstable();
+            newcomers.dedup();
+        }
+        if newcomers.is_empty() {
+            return;
+        }
+        let mut sums = self.zone_sum(now);
+        let zone = sums.load().split();
+        self.add_other_zones(&mut sums, now);
+        let fleet = sums.load().split();
+        let is_collector = self.collector.is_none() || !self.reports.is_empty();
+        for to in newcomers {
+            if self.reports.contains_key(&to) {
+                let parts = fleet.iter().cloned();
+                contents.extend(parts.map(|part| (to, Content::Fleet(part, placer))));
+            } else if is_collector {
+                let parts = zone.iter().cloned();
+                contents.extend(parts.map(|part| (to, Content::Zone(part))));
+            } else {
+                // It takes this instance for the collector of its zone.
+                contents.push((to, Content::Members));
+            }
+        }
+    }
+
+    /// Adds the members to the messages of a round.
+    fn round_messages(
+        &mut self,
+        contents: Vec<(SocketAddr, Content)>,
+        now: Millis,
+    ) -> Vec<(SocketAddr, Message)> {
         if contents.is_empty() {
             return Vec::new();
         }
@@ -302,23 +431,46 @@
         let inside = self.members.next_entries(true, now);
         let all = self.members.next_entries(false, now);
         let messages = contents.into_iter().map(|(to, content)| {
+            let introduced;
             let members = match content {
                 Content::Instance(_) | Content::Fleet(..) => &inside,
-                Content::Hello | Content::Members | Content::Zone(_) => &all,
+                Content::Members => {
+                    introduced = self.introduction(&to, now);
+                    &introduced
+                }
+                Content::Hello | Content::Zone(_) => &all,
             };
-            let message = Message::new(&self.me, members.clone(), content);
-            let revision = self.lag.newest();
-            (
-                to,
-                Message {
-                    revision,
-                    ..message
-                },
-            )
+            (to, self.message(members, content))
         });
         messages.collect()
     }
 
+    /// Adds the members to messages that are sent between rounds. The rotation of the rounds stays
+    /// as it is.
+    fn step_messages(
+        &self,
+        contents: Vec<(SocketAddr, Content)>,
+        now: Millis,
+    ) -> Vec<(SocketAddr, Message)> {
+        let messages = contents.into_iter().map(|(to, content)| {
+            let members = self.introduction(&to, now);
+            (to, self.message(&members, content))
+        });
+        messages.collect()
+    }
+
+    fn introduction(&self, to: &SocketAddr, now: Millis) -> Vec<MemberEntry> {
+        let zone = self.members.zone_of(to);
+        self.members.introduction(zone.unwrap_or(self.me.zone), now)
+    }
+
+    fn message(&self, members: &[MemberEntry], content: Content) -> Message {
+        Message {
+            revision: self.lag.newest(),
+            ..Message::new(&self.me, members.to_vec(), content)
+        }
+    }
+
     /// Load of all other instances.
     pub fn others_load(&self, now: Millis) -> LoadSum {
         let mut sums = LoadSum::default();
@@ -425,9 +577,7 @@
         if self.reports.is_empty() && self.collector.is_some() {
             return;
         }
-        let mut sums = LoadSum::default();
-        sums.add(&self.sent_loads[1], 1.0);
-        self.add_zone(&mut sums, now);
+        let mut sums = self.zone_sum(now);
         let mut zone = sums.load();
         zone.cached = self.prefix_relay.take_for_zones();
         let should_send = keepalive || !zone.is_empty() || self.was_nonempty[0];
@@ -441,12 +591,16 @@
         self.add_other_zones(&mut sums, now);
         let mut fleet = sums.load();
         fleet.cached = self.prefix_relay.take_for_fleet();
-        let should_send = keepalive || !fleet.is_empty() || self.was_nonempty[1];
+        let placer = self.members.placer(self.zones.keys().copied());
+        let should_send = keepalive
+            || !fleet.is_empty()
+            || self.was_nonempty[1]
+            || self.told_placer != Some(placer);
         self.was_nonempty[1] = !fleet.is_empty();
         if !should_send {
             return;
         }
-        let placer = self.members.placer(self.zones.keys().copied());
+        self.told_placer = Some(placer);
         let parts = fleet.split();
         for to in self.reports.keys() {
             let parts = parts.iter().cloned();
@@ -454,41 +608,75 @@
         }
     }
 
-    /// The collectors of the other zones: those that sent their zone's load, otherwise those that
-    /// should do so.
+    /// The collectors of the other zones: those that sent their zone's load, and those that should
+    /// do so. After a start these may differ for a moment, while not all know each other.
     fn other_collectors(&self, now: Millis) -> Vec<SocketAddr> {
-        let mut collectors = Vec::new();
-        for zone in self.members.other_zones() {
-            let known = self.zones.iter().filter(|(_, (other, _))| *other == zone);
-            let before = collectors.len();
-            collectors.extend(known.map(|(address, _)| *address));
-            if collectors.len() == before {
-                collectors.extend(self.members.collector(zone, now));
-            }
-        }
+        let zones = self.members.other_zones().into_iter();
+        let expected = zones.filter_map(|zone| self.members.collector(zone, now));
+        let known = self.zones.iter();
+        let known = known.filter(|(_, (zone, _))| *zone != self.me.zone);
+        let known = known.map(|(address, _)| *address);
+        let mut collectors: Vec<SocketAddr> = expected.chain(known).collect();
+        collectors.sort_unstable();
+        collectors.dedup();
         collectors
     }
 
     /// Answers pending hellos, and periodically sends hellos to one member and to the seeds that
     /// aren't members.
-    fn send_hellos(&mut self, contents: &mut Vec<(SocketAddr, Content)>) {
-        let next = self.hellos.len().min(HELLO_REPLIES_PER_ROUND);
-        let hellos = self.hellos.drain(..next);
-        contents.extend(hellos.map(|sender| (sender, Content::Members)));
+    fn send_hellos(&mut self, now: Millis, contents: &mut Vec<(SocketAddr, Content)>) {
+        self.answer_hellos(now, contents);
         if self.rounds % HELLO_ROUNDS != 1 {
             return;
         }
-        let unknown_seeds = self
-            .seeds
-            .iter()
-            .filter(|seed| !self.members.contains(seed));
-        contents.extend(unknown_seeds.map(|seed| (*seed, Content::Hello)));
+        let unknown = self.unknown_seeds().into_iter();
+        contents.extend(unknown.map(|seed| (seed, Content::Hello)));
         if let Some(next) = self.members.next_after(self.last_hello) {
             self.last_hello = next;
             contents.push((next, Content::Hello));
         }
     }
 
+    /// The instances to say hello to between rounds: the collector until it names the placer, and
+    /// the seeds that haven't answered.
+    fn hello_targets(&self, now: Millis) -> Vec<SocketAddr> {
+        match self.collector() {
+            Some(collector) if self.placer(now).is_none() => vec![collector],
+            _ => self.unknown_seeds(),
+        }
+    }
+
+    fn unknown_seeds(&self) -> Vec<SocketAddr> {
+        let unknown = self.seeds.iter();
+        let unknown = unknown.filter(|seed| !self.members.contains(seed));
+        unknown.copied().collect()
+    }
+
+    /// Answers hellos. An instance of this zone is told the placer at once, if this instance is the
+    /// collector.
+    fn answer_hellos(&mut self, now: Millis, contents: &mut Vec<(SocketAddr, Content)>) {
+        let hellos = self.joining.take_hellos();
+        if hellos.is_empty() {
+            return;
+        }
+        let placer = self.placer(now).filter(|_| self.collector.is_none());
+        let fleet = placer.map(|placer| {
+            let mut sums = self.zone_sum(now);
+            self.add_other_zones(&mut sums, now);
+            (sums.load().split(), placer)
+        });
+        for sender in hellos {
+            let is_near = self.members.zone_of(&sender) == Some(self.me.zone);
+            match &fleet {
+                Some((parts, placer)) if is_near => {
+                    let parts = parts.iter().cloned();
+                    contents.extend(parts.map(|part| (sender, Content::Fleet(part, *placer))));
+                }
+                _ => contents.push((sender, Content::Members)),
+            }
+        }
+    }
+
     fn forget(&mut self, now: Millis) {
         self.members.expire(now);
         let fresh = |received: &ReceivedLoad| now.since(received.received_at) < MAX_AGE;
@@ -496,6 +684,14 @@
         self.zones.retain(|_, (_, received)| fresh(received));
     }
 
+    /// Load of this zone.
+    fn zone_sum(&self, now: Millis) -> LoadSum {
+        let mut sums = LoadSum::default();
+        sums.add(&self.sent_loads[1], 1.0);
+        self.add_zone(&mut sums, now);
+        sums
+    }
+
     fn add_zone(&self, sums: &mut LoadSum, now: Millis) {
         for received in self.reports.values() {
             sums.add_received(received, now);
--- /dev/null
+++ b/crates/gateway/src/start.rs
@@ -0,0 +1,182 @@
+//! The first second of an instance: what it has reached, and what requests may wait for.
+//!
+//! When many instances start at once, their callers have been waiting and return together. Those
+//! that reach an instance while the store is sending the first configuration would be served by it
+//! a moment later. A refusal sends them away for longer than that.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+
+use async_std::future::timeout;
+use crocushold_base::Event;
+use crocushold_base::Millis;
+use futures::channel::oneshot;
+use log::info;
+
+use crate::sharing::Gossip;
+
+/// Longest wait for the first configuration. Live requests still meet most targets after it, and
+/// it is the time that a request may wait for a server.
+const MAX_WAIT: Millis = Millis(500);
+
+/// Part of a caller's time that its request may wait.
+const WAIT_DIVISOR: u64 = 4;
+
+/// Longest wait of a request whose caller names no time limit.
+const UNLIMITED_WAIT: Millis = Millis(250);
+
+/// Shortest and longest time after which a caller is asked to return, before it is spread. The
+/// shortest is the time in which a narrow link carries a large configuration.
+const MIN_RETURN: Millis = Millis(200);
+const MAX_RETURN: Millis = Millis(650);
+
+/// The steps of a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub(crate) enum StartStep {
+    /// Requests are accepted.
+    Listening,
+    /// The store was asked for everything.
+    ListingAsked,
+    /// The first configuration is in force.
+    Configured,
+    /// Another instance was heard.
+    PeerHeard,
+    /// The collector of the zone was chosen, after another instance was heard.
+    Collector,
+    /// The placer is known.
+    Placer,
+}
+
+impl StartStep {
+    fn label(self) -> &'static str {
+        match self {
+            StartStep::Listening => "listening",
+            StartStep::ListingAsked => "listing-asked",
+            StartStep::Configured => "configured",
+            StartStep::PeerHeard => "peer-heard",
+            StartStep::Collector => "collector",
+            StartStep::Placer => "placer",
+        }
+    }
+}
+
+/// The first read of the store, as far as requests depend on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FirstRead {
+    /// It hasn't begun, or the last try has failed.
+    #[default]
+    Idle,
+    /// It runs.
+    Running,
+}
+
+impl FirstRead {
+    /// How long a request may wait for the end of the read, if its caller gives it `caller_limit`.
+    ///
+    /// Nothing waits while no read runs: a store that refuses or is gone may be so for long, and a
+    /// final refusal is worth more the sooner it comes.
+    pub fn longest_wait(self, caller_limit: Option<Millis>) -> Millis {
+        match (self, caller_limit) {
+            (FirstRead::Idle, _) => Millis::ZERO,
+            (FirstRead::Running, None) => UNLIMITED_WAIT,
+            (FirstRead::Running, Some(limit)) => Millis(limit.0 / WAIT_DIVISOR).min(MAX_WAIT),
+        }
+    }
+}
+
+/// When a caller that can't be served yet should return, `elapsed` after the start.
+///
+/// What has lasted for some time is likely to last about as long again. `draw` spreads the callers
+/// over half of that time, so that they don't return in the same moment.
+pub fn return_delay(elapsed: Millis, draw: u64) -> Millis {
+    let expected = elapsed.max(MIN_RETURN).min(MAX_RETURN);
+    Millis(expected.0 + draw % (expected.0 / 2))
+}
+
+/// The progress of a start.
+#[derive(Default)]
+pub(crate) struct Start {
+    /// The steps that were taken, by bit.
+    taken: AtomicU8,
+    first_read: Mutex<FirstRead>,
+    read_ended: Signal,
+}
+
+impl Start {
+    /// Records a step. The first time it is logged.
+    pub(crate) fn record(&self, step: StartStep, now: Millis) {
+        let bit = 1 << step as u8;
+        if self.taken.fetch_or(bit, Ordering::Relaxed) & bit == 0 {
+            let event = Event::new("start-step")
+                .with("step", step.label())
+                .with("after", now);
+            info!("{event}");
+        }
+    }
+
+    /// Records which instances are known.
+    pub(crate) fn record_members(&self, gossip: &Gossip, now: Millis) {
+        let placer_bit = 1 << StartStep::Placer as u8;
+        if self.taken.load(Ordering::Relaxed) & placer_bit != 0 {
+            return;
+        }
+        if gossip.identities().next().is_some() {
+            self.record(StartStep::PeerHeard, now);
+        }
+        if gossip.collector().is_some() {
+            self.record(StartStep::Collector, now);
+        }
+        if gossip.placer(now).is_some() {
+            self.record(StartStep::Placer, now);
+        }
+    }
+
+    /// Records that the first read of the store runs, or that a try has ended.
+    pub(crate) fn set_first_read(&self, state: FirstRead) {
+        *lock(&self.first_read) = state;
+        if state == FirstRead::Idle {
+            self.read_ended.notify();
+        }
+    }
+
+    /// Waits for the end of the first read of the store, for as long as a request may whose caller
+    /// gives it `caller_limit`.
+    pub(crate) async fn wait_for_read(&self, caller_limit: Option<Millis>) {
+        let ended = self.read_ended.subscribe();
+        let longest = lock(&self.first_read).longest_wait(caller_limit);
+        if longest > Millis::ZERO {
+            let _ = timeout(longest.into(), ended).await;
+        }
+    }
+}
+
+/// Wakes the tasks that wait for an event.
+#[derive(Default)]
+pub(crate) struct Signal(Mutex<Vec<oneshot::Sender<()>>>);
+
+impl Signal {
+    /// Returns a receiver of the next event.
+    pub(crate) fn subscribe(&self) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        let mut waiting = lock(&self.0);
+        waiting.retain(|sender| !sender.is_canceled());
+        waiting.push(sender);
+        receiver
+    }
+
+    /// Wakes all that wait.
+    pub(crate) fn notify(&self) {
+        for sender in std::mem::take(&mut *lock(&self.0)) {
+            // The send fails if the wait was given up.
+            let _ = sender.send(());
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/gateway/tests/fleet_start.rs
@@ -0,0 +1,327 @@
+//! Tests of instances that start: how soon they know the placer, and what that costs.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use crocushold_base::Millis;
+use crocushold_gateway::FirstRead;
+use crocushold_gateway::Gossip;
+use crocushold_gateway::Identity;
+use crocushold_gateway::Load;
+use crocushold_gateway::Message;
+use crocushold_gateway::Packet;
+use crocushold_gateway::return_delay;
+use test_case::test_case;
+
+const ROUND: Millis = Millis(100);
+
+/// Time that a message takes, as between availability zones.
+const LATENCY: Millis = Millis(2);
+
+/// The bound on the time from the first listing to a placer. The instances here start no
+/// earlier than their listing would arrive.
+const PLACER_BOUND: Millis = Millis(300);
+
+/// Bytes a second that an instance may send or receive in steady state.
+const STEADY_BYTES: usize = 4096;
+
+struct Node {
+    gossip: Gossip,
+    /// When it starts, and when its next round is due.
+    starts: Millis,
+    next_round: Millis,
+    /// When it first knew a placer.
+    placed: Option<Millis>,
+    sent: usize,
+    received: usize,
+}
+
+/// A network of instances.
+struct Network {
+    zones: u16,
+    seeds: Vec<SocketAddr>,
+    nodes: BTreeMap<SocketAddr, Node>,
+    /// Messages under way, by the time of their arrival.
+    under_way: BTreeMap<Millis, Vec<(SocketAddr, SocketAddr, Message)>>,
+    now: Millis,
+    /// Of a hundred messages, how many are lost.
+    loss_percent: u32,
+    draws: u32,
+}
+
+impl Network {
+    /// A network whose first instance in each zone has the most capacity; three of these are the
+    /// seeds.
+    fn new(zones: u16) -> Network {
+        let seeds = (0..zones.min(3)).map(address);
+        Network {
+            zones,
+            seeds: seeds.collect(),
+            nodes: BTreeMap::new(),
+            under_way: BTreeMap::new(),
+            now: Millis(1000),
+            loss_percent: 0,
+            draws: 1,
+        }
+    }
+
+    fn start(&mut self, number: u16, starts: Millis) {
+        let identity = Identity {
+            address: address(number),
+            zone: u32::from(number % self.zones),
+            capacity: if number < self.zones { 50 } else { 12 },
+        };
+        let node = Node {
+            gossip: Gossip::new(identity, &self.seeds),
+            starts,
+            next_round: starts + ROUND,
+            placed: None,
+            sent: 0,
+            received: 0,
+        };
+        self.nodes.insert(identity.address, node);
+    }
+
+    /// Starts instances within 0.3 s, the seeds last.
+    fn start_together(&mut self, numbers: std::ops::Range<u16>) -> Millis {
+        let from = self.now;
+        for number in numbers {
+            let after = if number < self.zones {
+                250 + 25 * u64::from(number % 3)
+            } else {
+                u64::from(number) * 37 % 200
+            };
+            self.start(number, from + Millis(after));
+        }
+        from + Millis(300)
+    }
+
+    fn is_lost(&mut self) -> bool {
+        self.draws = self
+            .draws
+            .wrapping_mul(1_664_525)
+            .wrapping_add(1_013_904_223);
+        (self.draws >> 16) % 100 < self.loss_percent
+    }
+
+    fn run_until(&mut self, end: Millis) {
+        self.run_in_steps(end, Millis(1));
+    }
+
+    fn run_in_steps(&mut self, end: Millis, step: Millis) {
+        while self.now < end {
+            self.now += step;
+            let now = self.now;
+            let mut sent = Vec::new();
+            let later = self.under_way.split_off(&(now + Millis(1)));
+            let arrived = std::mem::replace(&mut self.under_way, later);
+            for (from, to, message) in arrived.into_values().flatten() {
+                let node = self.nodes.get_mut(&to);
+                if let Some(node) = node.filter(|node| node.starts <= now) {
+                    node.received += size(&message);
+                    node.gossip.receive(from, message, now);
+                    sent.extend(node.step(now).into_iter().map(|message| (to, message)));
+                }
+            }
+            for (from, node) in &mut self.nodes {
+                if node.starts > now {
+                    continue;
+                }
+                let mut messages = node.step(now);
+                if node.next_round <= now {
+                    node.next_round = now + ROUND;
+                    messages.extend(node.gossip.round(Load::default(), now));
+                }
+                sent.extend(messages.into_iter().map(|message| (*from, message)));
+                if node.placed.is_none() && node.gossip.placer(now).is_some() {
+                    node.placed = Some(now);
+                }
+            }
+            for (from, (to, message)) in sent {
+                self.nodes.get_mut(&from).expect("a sender").sent += size(&message);
+                if !self.is_lost() {
+                    let due = self.under_way.entry(now + LATENCY).or_default();
+                    due.push((from, to, message));
+                }
+            }
+        }
+    }
+
+    fn placers(&self) -> BTreeSet<Option<SocketAddr>> {
+        let nodes = self.nodes.values();
+        nodes.map(|node| node.gossip.placer(self.now)).collect()
+    }
+
+    /// When the last of these instances first knew a placer.
+    fn last_placed(&self, numbers: std::ops::Range<u16>) -> Millis {
+        let placed = numbers.map(|number| self.nodes[&address(number)].placed);
+        placed
+            .max_by_key(|placed| placed.unwrap_or(Millis::MAX))
+            .flatten()
+            .unwrap_or(Millis::MAX)
+    }
+
+    fn expects_placer(&mut self, number: u16) -> bool {
+        let node = self.nodes.get_mut(&address(number)).expect("a node");
+        node.gossip.expects_placer(self.now)
+    }
+
+    fn clear_counts(&mut self) {
+        for node in self.nodes.values_mut() {
+            node.sent = 0;
+            node.received = 0;
+        }
+    }
+
+    fn most(&self, count: impl Fn(&Node) -> usize) -> usize {
+        self.nodes.values().map(count).max().unwrap_or(0)
+    }
+}
+
+impl Node {
+    fn step(&mut self, now: Millis) -> Vec<(SocketAddr, Message)> {
+        match self.gossip.next_step(now) {
+            Some(due) if due <= now => self.gossip.step(now),
+            _ => Vec::new(),
+        }
+    }
+}
+
+fn address(number: u16) -> SocketAddr {
+    let [high, low] = number.to_be_bytes();
+    ([10, 0, high, low], 7340).into()
+}
+
+fn size(message: &Message) -> usize {
+    let size = Packet::Gossip(message.clone()).encode().len();
+    assert!(size <= 1400);
+    size
+}
+
+/// All instances lose power and start within 0.3 s, the seeds last. All must know the same placer
+/// soon after the last seed is up; hellos once a second and eight answers a round took up to 1.6 s.
+#[test_case(86, 3; "three zones")]
+#[test_case(400, 5; "the largest fleet")]
+fn instances_that_start_together_know_one_placer(count: u16, zones: u16) {
+    let mut network = Network::new(zones);
+    let up = network.start_together(0..count);
+    network.run_until(up + PLACER_BOUND);
+    assert!(network.last_placed(0..count) <= up + PLACER_BOUND);
+    assert_eq!(network.placers(), BTreeSet::from([Some(address(0))]));
+}
+
+/// Half of the fleet starts, as after the loss of some zones or in a release, with the placer among
+/// those that stayed.
+#[test]
+fn a_half_that_starts_knows_the_placer_of_the_others() {
+    let mut network = Network::new(3);
+    let up = network.start_together(0..43);
+    network.run_until(up + Millis(5000));
+    let up = network.start_together(43..86);
+    network.run_until(up + PLACER_BOUND);
+    assert!(network.last_placed(43..86) <= up);
+    assert_eq!(network.placers(), BTreeSet::from([Some(address(0))]));
+}
+
+/// One instance starts. It must know the placer within a few round trips.
+#[test]
+fn one_that_starts_knows_the_placer_at_once() {
+    let mut network = Network::new(3);
+    let up = network.start_together(0..85);
+    network.run_until(up + Millis(5000));
+    let up = network.now + Millis(10);
+    network.start(85, up);
+    network.run_until(up + Millis(1000));
+    assert!(network.last_placed(85..86) <= up + Millis(6 * LATENCY.0));
+}
+
+/// A tenth of all datagrams is lost while all start. No instance may depend on a single one.
+#[test]
+fn lost_datagrams_delay_a_start_little() {
+    let mut network = Network::new(3);
+    network.loss_percent = 10;
+    let up = network.start_together(0..86);
+    network.run_until(up + Millis(1000));
+    assert!(network.last_placed(0..86) <= up + PLACER_BOUND);
+    assert_eq!(network.placers(), BTreeSet::from([Some(address(0))]));
+}
+
+/// Two of three seeds stay down. The third must be enough.
+#[test]
+fn one_seed_is_enough() {
+    let mut network = Network::new(3);
+    let up = network.start_together(1..86);
+    network.nodes.remove(&address(1));
+    network.run_until(up + PLACER_BOUND);
+    assert!(network.last_placed(2..86) <= up + PLACER_BOUND);
+    assert_eq!(network.placers(), BTreeSet::from([Some(address(2))]));
+}
+
+/// No seed answers. The hellos must become rare, and requests must not go on waiting for a placer.
+#[test]
+fn an_instance_without_an_answer_asks_less_often() {
+    let mut network = Network::new(3);
+    network.start(7, Millis(1000));
+    network.run_until(Millis(1500));
+    assert!(network.expects_placer(7));
+    network.run_until(Millis(5000));
+    let first = network.most(|node| node.sent);
+    assert!(first <= 4 * STEADY_BYTES, "{first} bytes in four seconds");
+    network.clear_counts();
+    network.run_until(Millis(9000));
+    let later = network.most(|node| node.sent);
+    assert!(later < first / 4, "{later} bytes after {first}");
+    assert!(!network.expects_placer(7));
+}
+
+/// Four hundred instances in five zones start at once. What each sends and receives in the first
+/// second must fit a link of 10 Mbit/s several times, and must be back at the steady amount after.
+#[test]
+fn the_bytes_of_a_start_are_bounded() {
+    let mut network = Network::new(5);
+    let up = network.start_together(0..400);
+    network.run_until(up + Millis(700));
+    let sent = network.most(|node| node.sent);
+    let received = network.most(|node| node.received);
+    assert!(sent <= 400_000, "{sent} sent");
+    assert!(received <= 400_000, "{received} received");
+    network.run_in_steps(up + Millis(4000), Millis(20));
+    network.clear_counts();
+    network.run_in_steps(up + Millis(9000), Millis(20));
+    let mut steady: Vec<usize> = network.nodes.values().map(|node| node.sent / 5).collect();
+    steady.sort_unstable();
+    // The collectors send to all instances of their zones.
+    assert!(steady[390] <= STEADY_BYTES, "{steady:?}");
+}
+
+/// Requests wait only while the first read of the store runs, for a part of their callers' time.
+#[test]
+fn requests_wait_for_a_read_that_runs() {
+    let limit = Some(Millis(1000));
+    assert_eq!(FirstRead::Idle.longest_wait(limit), Millis::ZERO);
+    assert_eq!(FirstRead::Running.longest_wait(limit), Millis(250));
+    assert_eq!(
+        FirstRead::Running.longest_wait(Some(Millis(60_000))),
+        Millis(500)
+    );
+    assert!(FirstRead::Running.longest_wait(None) <= Millis(250));
+}
+
+/// Callers of an outage must return soon after a start, later the longer it lasts, and not all in
+/// the same moment.
+#[test]
+fn callers_return_spread_and_soon() {
+    for elapsed in [0, 300, 10_000] {
+        let delays: BTreeSet<Millis> = (0..1000)
+            .map(|draw| return_delay(Millis(elapsed), draw * 7919))
+            .collect();
+        assert!(delays.len() >= 50, "{} moments", delays.len());
+        assert!(delays.iter().all(|delay| *delay <= Millis::from_secs(1)));
+        assert!(
+            delays
+                .iter()
+                .all(|delay| *delay >= Millis(elapsed.min(650)))
+        );
+    }
+}
