http: answers that never end are bounded in bytes and in time

A server may send bytes without end, in any part of an answer. Several parts had no bound, or one that was only looked at when a read had to wait: a timer isn't polled while a server sends as fast as it is read, and the task then keeps its executor thread.

* interim answers: 64 KiB (a loop that never yielded before)
* sizes of chunks: 32 KiB of framing between two pieces of a body (async-h1 accepts zeros without end)
* plain bodies: 256 MiB; an announced length above it is an error at once
* one event of a stream: 16 MiB; the stream as a whole is bounded by its deadline alone
* the deadline also holds while bytes are at hand; up to 256 KiB of them are still delivered, so that an answer that has arrived by its deadline isn't lost, also in a process that was paused
* the deadline of an answer whose caller doesn't read it, or slowly (AnswerTimeout)
* a task yields after 64 KiB of a body
* idle connections are looked at each second: one on which bytes arrive unasked is closed
* blank lines (1 KiB) and chunked bodies of requests

The stand-in Flood sends each of 17 parts of an answer without end, fast or bytewise.

The three of them that stayed green at first had tests that reached another bound earlier; those tests were made sharper.

--- a/crates/http/src/client/error.rs
+++ b/crates/http/src/client/error.rs
@@ -87,6 +87,10 @@
         HeadMalformed(cause: String) {
             display("the answer's head is malformed: {cause}")
         }
+        /// The announced body of the answer is longer than the limit.
+        BodyTooLarge {
+            display("the answer's announced length exceeds the limit")
+        }
         /// The answer has no valid `Content-Length` and isn't chunked, so a truncated body would
         /// look complete.
         Unframed {
--- a/crates/http/src/client/limits.rs
+++ b/crates/http/src/client/limits.rs
@@ -27,6 +27,10 @@
     /// The longest time for which the server may acknowledge nothing on TCP level, be it data or
     /// keep-alive probes. It is above the pauses of a server that goes on afterwards.
     pub ack_timeout: Millis,
+    /// The longest body of an answer that isn't a stream of events, in bytes.
+    pub answer_bytes: u64,
+    /// The longest event of a stream of events, in bytes. A stream as a whole isn't bounded in bytes.
+    pub event_bytes: u64,
     /// Whether an answer without framing headers may be delimited by the end of its connection. A
     /// server that crashes closes its connections in the same way, so such an answer is complete only
     /// if [`RelayBody::set_end_check`](crate::RelayBody::set_end_check) says so.
@@ -41,6 +45,8 @@
             head_timeout: Millis::from_secs(60),
             stall_timeout: Millis::from_secs(30),
             ack_timeout: Millis::from_secs(10),
+            answer_bytes: 256 * 1024 * 1024,
+            event_bytes: 16 * 1024 * 1024,
             close_delimited: false,
         }
     }
--- a/crates/http/src/client/observer.rs
+++ b/crates/http/src/client/observer.rs
@@ -11,6 +11,8 @@
     Overdue,
     /// The chunked encoding is malformed.
     Malformed,
+    /// The body, or one event of a stream, is longer than the limit.
+    TooLarge,
     /// The socket failed.
     Failed,
     /// The connection that delimits a stream was closed inside an event.
@@ -25,7 +27,9 @@
     pub fn is_disconnect(self) -> bool {
         match self {
             CutCause::Short | CutCause::Failed | CutCause::InsideEvent | CutCause::Unproven => true,
-            CutCause::Stalled | CutCause::Overdue | CutCause::Malformed => false,
+            CutCause::Stalled | CutCause::Overdue | CutCause::Malformed | CutCause::TooLarge => {
+                false
+            }
         }
     }
 
@@ -36,6 +40,7 @@
             CutCause::Stalled => "stalled",
             CutCause::Overdue => "overdue",
             CutCause::Malformed => "malformed",
+            CutCause::TooLarge => "too-large",
             CutCause::Failed => "failed",
             CutCause::InsideEvent => "inside-event",
             CutCause::Unproven => "unproven",
--- a/crates/http/src/client/pool.rs
+++ b/crates/http/src/client/pool.rs
@@ -4,14 +4,20 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::Weak;
 
 use async_std::net::SocketAddr;
+use async_std::task;
 use crocushold_base::Clock;
 use crocushold_base::Millis;
 
 use super::limits::PoolLimits;
 use crate::connection::Connection;
 
+/// Interval at which idle connections are looked at. Until then a server that sends on one without being asked
+/// fills its receive buffer, and no more.
+const SWEEP_INTERVAL: Millis = Millis::from_secs(1);
+
 struct IdleConnection {
     connection: Arc<Connection>,
     since: Millis,
@@ -21,6 +27,8 @@
 struct IdleLists {
     by_server: HashMap<SocketAddr, Vec<IdleConnection>>,
     total: usize,
+    /// Whether a task looks at them.
+    swept: bool,
 }
 
 /// The idle connections of a client. Those of one server are ordered from the oldest to the newest.
@@ -73,7 +81,7 @@
     }
 
     /// Returns a connection whose last answer was read to its end.
-    pub(crate) fn put(&self, server: SocketAddr, connection: Arc<Connection>) {
+    pub(crate) fn put(self: &Arc<Self>, server: SocketAddr, connection: Arc<Connection>) {
         let since = self.clock.now();
         let mut lists = self.lists();
         if lists.total >= self.limits.total {
@@ -88,6 +96,32 @@
         }
         list.push(IdleConnection { connection, since });
         lists.total += 1;
+        if !std::mem::replace(&mut lists.swept, true) {
+            task::spawn(sweep(Arc::downgrade(self)));
+        }
+    }
+
+    /// Drops the connections that have expired, were closed, or hold bytes that nobody asked for. Returns
+    /// whether some are left.
+    fn sweep(&self) -> bool {
+        let kept: Vec<Arc<Connection>> = {
+            let mut lists = self.lists();
+            lists.remove_expired(self.clock.now(), self.limits.idle_timeout);
+            let idle = lists.by_server.values().flatten();
+            idle.map(|idle| idle.connection.clone()).collect()
+        };
+        // The lock isn't held during the system calls. A connection that was taken meanwhile isn't listed.
+        let unusable: Vec<Arc<Connection>> = kept
+            .into_iter()
+            .filter(|connection| !connection.is_idle())
+            .collect();
+        let mut lists = self.lists();
+        lists.retain(|idle| {
+            let mut unusable = unusable.iter();
+            !unusable.any(|connection| Arc::ptr_eq(connection, &idle.connection))
+        });
+        lists.swept = lists.total > 0;
+        lists.swept
     }
 
     /// The number of idle connections.
@@ -96,11 +130,26 @@
     }
 }
 
+/// Looks at the idle connections until there are none.
+async fn sweep(pool: Weak<Pool>) {
+    loop {
+        task::sleep(SWEEP_INTERVAL.into()).await;
+        let is_left = pool.upgrade().is_some_and(|pool| pool.sweep());
+        if !is_left {
+            return;
+        }
+    }
+}
+
 impl IdleLists {
     /// Drops the connections that have been idle for `limit` or longer.
     fn remove_expired(&mut self, now: Millis, limit: Millis) {
+        self.retain(|idle| now.since(idle.since) < limit);
+    }
+
+    fn retain(&mut self, keep: impl Fn(&IdleConnection) -> bool) {
         for list in self.by_server.values_mut() {
-            list.retain(|idle| now.since(idle.since) < limit);
+            list.retain(&keep);
         }
         self.by_server.retain(|_, list| !list.is_empty());
         self.total = self.by_server.values().map(Vec::len).sum();
--- a/crates/http/src/client/receive.rs
+++ b/crates/http/src/client/receive.rs
@@ -21,6 +21,10 @@
 /// The longest head that async-h1 parses, in bytes.
 const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
 
+/// The most bytes of interim answers. A server may send one for each second of a long request; without a limit
+/// one that sends nothing else would be read for as long as it sends.
+const MAX_INTERIM_BYTES: usize = 64 * 1024;
+
 /// How long to wait for an answer after a write failed.
 const EARLY_ANSWER_TIMEOUT: Millis = Millis::from_secs(1);
 
@@ -61,6 +65,7 @@
 /// Reads heads until one is final; interim answers (1xx) are discarded.
 pub(super) async fn final_head(exchange: &Exchange) -> Result<Response, SendError> {
     let connection = &exchange.connection;
+    let mut interim_bytes = 0;
     loop {
         let length = connection
             .read_head(MAX_HEAD_BYTES)
@@ -83,6 +88,10 @@
         if !response.status().is_informational() {
             return Ok(response);
         }
+        interim_bytes += length;
+        if interim_bytes > MAX_INTERIM_BYTES {
+            return Err(exchange.error(Stage::Answered, SendErrorKind::HeadTooLarge));
+        }
     }
 }
 
--- a/crates/http/src/client/relay_body.rs
+++ b/crates/http/src/client/relay_body.rs
@@ -14,10 +14,13 @@
 use async_std::io::Read;
 use async_std::net::SocketAddr;
 use async_std::task;
+use crocushold_base::Clock;
 use crocushold_base::Millis;
 use http_types::Body;
 
+use super::body_meter::BodyMeter;
 use super::cancel::Cancel;
+use super::limits::SendLimits;
 use super::observer::AnswerEnd;
 use super::observer::CutCause;
 use super::observer::Observer;
@@ -25,6 +28,7 @@
 use crate::connection::Connection;
 use crate::event_boundary::EventBoundary;
 use crate::framing::Framing;
+use crate::framing::MAX_CHUNK_FRAMING_BYTES;
 use crate::stall::Sleep;
 use crate::stall::StallTimer;
 
@@ -58,7 +62,8 @@
 pub struct RelayBody {
     body: Body,
     framing: Framing,
-    bytes: u64,
+    clock: Clock,
+    meter: BodyMeter,
     state: State,
     /// `None` once the answer has ended.
     connection: Option<Arc<Connection>>,
@@ -81,17 +86,18 @@
         framing: Framing,
         connection: Arc<Connection>,
         pool_return: Option<PoolReturn>,
-        stall_timeout: Millis,
+        limits: &SendLimits,
     ) -> RelayBody {
         let mut relay = RelayBody {
             body,
             framing,
-            bytes: 0,
+            clock: Clock::start(),
+            meter: BodyMeter::new(limits.answer_bytes, limits.event_bytes),
             state: State::Open,
             cancel: Cancel::new(connection.clone()),
             connection: Some(connection),
             pool_return,
-            stall_timer: StallTimer::new(stall_timeout),
+            stall_timer: StallTimer::new(limits.stall_timeout),
             boundary: None,
             end_check: None,
             deadline: None,
@@ -107,7 +113,7 @@
 
     /// Bytes read so far.
     pub fn bytes(&self) -> u64 {
-        self.bytes
+        self.meter.bytes()
     }
 
     /// The announced length, if there is one.
@@ -124,8 +130,9 @@
     }
 
     /// Cuts the answer off if it isn't complete after `span`. Unlike the stall timeout, this also
-    /// applies while bytes keep arriving.
+    /// applies while bytes keep arriving; what is at hand by then is still read.
     pub fn set_total_timeout(&mut self, span: Millis) {
+        self.meter.set_deadline(self.clock.now() + span);
         self.deadline = Some(Box::pin(task::sleep(span.into())));
     }
 
@@ -134,9 +141,10 @@
         self.framing == Framing::Close
     }
 
-    /// Takes the answer for a stream of server-sent events. If it ends with its connection, it is cut
+    /// Takes the answer for a stream of server-sent events, each of which is bounded in bytes. If it ends with its connection, it is cut
     /// off unless it ends after an event and before the next one.
     pub fn expect_events(&mut self) {
+        self.meter.expect_events();
         if self.ends_with_connection() {
             self.boundary = Some(EventBoundary::default());
         }
@@ -159,7 +167,9 @@
     pub fn into_body(mut self, observer: impl Observer + 'static) -> Body {
         let mut observer = Box::new(observer);
         if let State::Complete = self.state {
-            observer.end(AnswerEnd::Complete { bytes: self.bytes });
+            observer.end(AnswerEnd::Complete {
+                bytes: self.bytes(),
+            });
         } else {
             self.observer = Some(observer);
         }
@@ -176,13 +186,28 @@
             State::Complete => return Poll::Ready(Ok(0)),
             State::Cut(cause) => return Poll::Ready(Err(cut_error(cause))),
         }
-        match self.poll_body(cx, buf) {
+        if self.meter.is_turn_over() {
+            self.meter.begin_turn();
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let poll = self.poll_body(cx, buf);
+        if poll.is_pending() {
+            self.meter.begin_turn();
+        }
+        match poll {
             Poll::Ready(Ok(0)) => self.poll_finish(cx).map_ok(|()| 0),
             Poll::Ready(Ok(count)) => {
-                self.record_chunk(&buf[..count]);
-                Poll::Ready(Ok(count))
+                let recorded = self.record_chunk(&buf[..count]);
+                Poll::Ready(match recorded {
+                    Ok(()) => Ok(count),
+                    Err(cause) => Err(self.cut_off(cause)),
+                })
+            }
+            Poll::Ready(Err(error)) => {
+                let cause = self.cut_cause(&error);
+                Poll::Ready(Err(self.cut_off(cause)))
             }
-            Poll::Ready(Err(error)) => Poll::Ready(Err(self.cut_off(cut_cause(&error)))),
             Poll::Pending if self.stall_timer.poll_expired(cx) => {
                 Poll::Ready(Err(self.cut_off(CutCause::Stalled)))
             }
@@ -219,9 +244,12 @@
         }
     }
 
-    fn record_chunk(&mut self, bytes: &[u8]) {
-        self.bytes += bytes.len() as u64;
+    fn record_chunk(&mut self, bytes: &[u8]) -> Result<(), CutCause> {
+        self.meter.record(bytes, self.clock.now())?;
         self.stall_timer.reset();
+        if let (Framing::Chunked, Some(connection)) = (self.framing, &self.connection) {
+            connection.set_remaining(MAX_CHUNK_FRAMING_BYTES);
+        }
         if let Some(boundary) = &mut self.boundary {
             boundary.push(bytes);
         }
@@ -230,14 +258,15 @@
         }
         // A reader that knows the length doesn't read again to see the end, so completion is
         // detected here.
-        if self.framing == Framing::Length(self.bytes) {
+        if self.framing == Framing::Length(self.bytes()) {
             self.complete();
         }
+        Ok(())
     }
 
     fn poll_finish(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         match self.framing {
-            Framing::Length(length) if length != self.bytes => {
+            Framing::Length(length) if length != self.bytes() => {
                 Poll::Ready(Err(self.cut_off(CutCause::Short)))
             }
             Framing::Length(_) | Framing::Chunked => {
@@ -294,18 +323,31 @@
         {
             pool_return.pool.put(pool_return.server, connection);
         }
-        let bytes = self.bytes;
+        let bytes = self.bytes();
         self.notify_end(AnswerEnd::Complete { bytes });
     }
 
     fn cut_off(&mut self, cause: CutCause) -> io::Error {
         self.state = State::Cut(cause);
         self.close();
-        let bytes = self.bytes;
+        let bytes = self.bytes();
         self.notify_end(AnswerEnd::Cut { bytes, cause });
         cut_error(cause)
     }
 
+    fn cut_cause(&self, error: &io::Error) -> CutCause {
+        // async-h1 sees the end of the connection where the bytes of the framing are used up.
+        let exhausted = |connection: &Arc<Connection>| connection.remaining() == 0;
+        match error.kind() {
+            io::ErrorKind::UnexpectedEof if self.connection.as_ref().is_some_and(exhausted) => {
+                CutCause::Malformed
+            }
+            io::ErrorKind::UnexpectedEof => CutCause::Short,
+            io::ErrorKind::InvalidData => CutCause::Malformed,
+            _ => CutCause::Failed,
+        }
+    }
+
     fn close(&mut self) {
         if let Some(connection) = self.connection.take() {
             connection.shutdown();
@@ -319,14 +361,6 @@
     }
 }
 
-fn cut_cause(error: &io::Error) -> CutCause {
-    match error.kind() {
-        io::ErrorKind::UnexpectedEof => CutCause::Short,
-        io::ErrorKind::InvalidData => CutCause::Malformed,
-        _ => CutCause::Failed,
-    }
-}
-
 fn cut_error(cause: CutCause) -> io::Error {
     match cause {
         CutCause::Short => io::Error::new(
@@ -341,6 +375,10 @@
         CutCause::Malformed => {
             io::Error::new(io::ErrorKind::InvalidData, "malformed chunked encoding")
         }
+        CutCause::TooLarge => io::Error::new(
+            io::ErrorKind::InvalidData,
+            "the answer is longer than the limit",
+        ),
         CutCause::Failed => io::Error::new(io::ErrorKind::ConnectionReset, "the connection failed"),
         CutCause::InsideEvent => io::Error::new(
             io::ErrorKind::UnexpectedEof,
@@ -356,7 +394,7 @@
 impl Drop for RelayBody {
     fn drop(&mut self) {
         self.close();
-        let bytes = self.bytes;
+        let bytes = self.bytes();
         self.notify_end(AnswerEnd::Dropped { bytes });
     }
 }
@@ -409,7 +447,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("RelayBody")
             .field("framing", &self.framing)
-            .field("bytes", &self.bytes)
+            .field("bytes", &self.bytes())
             .finish_non_exhaustive()
     }
 }
--- a/crates/http/src/client/send.rs
+++ b/crates/http/src/client/send.rs
@@ -143,12 +143,15 @@
     ) -> Result<Answer, SendError> {
         let framing = answer_framing(&response, method, limits.close_delimited)
             .map_err(|kind| exchange.error(Stage::Answered, kind))?;
+        if matches!(framing, Framing::Length(length) if length > limits.answer_bytes) {
+            return Err(exchange.error(Stage::Answered, SendErrorKind::BodyTooLarge));
+        }
         let closes = framing == Framing::Close || has_connection_option(response.as_ref(), "close");
         let pool_return = (!closes).then(|| PoolReturn {
             pool: self.pool.clone(),
             server,
         });
-        exchange.connection.set_remaining(framing.max_body_bytes());
+        exchange.connection.set_remaining(framing.answer_bytes());
         let status = response.status();
         let connection = exchange.connection.clone();
         // async-h1 decodes an answer without framing headers as empty.
@@ -158,7 +161,7 @@
             }
             Framing::Length(_) | Framing::Chunked => response.take_body(),
         };
-        let body = RelayBody::new(body, framing, connection, pool_return, limits.stall_timeout);
+        let body = RelayBody::new(body, framing, connection, pool_return, limits);
         let cancel = body.cancel();
         sanitize_headers(response.as_mut());
         let headers: &Headers = response.as_ref();
@@ -245,7 +248,7 @@
     let kind = match error {
         TransmitError::Source(cause) => SendErrorKind::Body(cause),
         TransmitError::Sink(cause) => SendErrorKind::Write(cause),
-        TransmitError::Stalled => SendErrorKind::WriteTimeout,
+        TransmitError::Stalled | TransmitError::Overdue => SendErrorKind::WriteTimeout,
     };
     Err(exchange.error(exchange.write_stage(), kind))
 }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -36,6 +36,9 @@
 /// isn't detected.
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 
+/// The most bytes of blank lines before a message. They are no part of it, so that no other limit counts them.
+const MAX_BLANK_BYTES: usize = 1024;
+
 /// The interim answer to `Expect: 100-continue`.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -97,12 +100,17 @@
         let _ = self.stream.shutdown(Shutdown::Both);
     }
 
-    /// Waits for the first byte of a message; `false` if the peer closed the connection instead.
+    /// Waits for the first byte of a message; `false` if the peer closed the connection instead, or sent too many
+    /// blank lines.
     pub(crate) async fn first_byte(&self) -> io::Result<bool> {
+        let mut blank_bytes = 0;
         loop {
             {
                 let mut read_buffer = self.read_buffer();
-                read_buffer.skip_blank_lines();
+                blank_bytes += read_buffer.skip_blank_lines();
+                if blank_bytes > MAX_BLANK_BYTES {
+                    return Ok(false);
+                }
                 if !read_buffer.unread().is_empty() {
                     return Ok(true);
                 }
--- a/crates/http/src/connection/read_buffer.rs
+++ b/crates/http/src/connection/read_buffer.rs
@@ -43,9 +43,13 @@
         self.bytes.extend_from_slice(bytes);
     }
 
-    pub(super) fn skip_blank_lines(&mut self) {
+    /// Skips blank lines and returns the number of their bytes.
+    pub(super) fn skip_blank_lines(&mut self) -> usize {
+        let mut count = 0;
         while self.unread().starts_with(b"\r\n") {
             self.consume(2);
+            count += 2;
         }
+        count
     }
 }
--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -4,6 +4,13 @@
 use http_types::headers::CONTENT_LENGTH;
 use http_types::headers::TRANSFER_ENCODING;
 
+/// The most bytes of the connection between two pieces of a body in chunks: async-h1 reads 8 KiB ahead and
+/// accepts trailers of 8 KiB. It has no limit on the digits of a chunk's size.
+pub(crate) const MAX_CHUNK_FRAMING_BYTES: u64 = 32 * 1024;
+
+/// Bytes of the connection for each byte of a body in chunks of one byte.
+const MAX_CHUNK_BYTES_A_BYTE: u64 = 6;
+
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Framing {
@@ -25,11 +32,24 @@
         }
     }
 
-    /// The most bytes of the connection that belong to the body.
-    pub(crate) fn max_body_bytes(self) -> u64 {
+    /// The most bytes of the connection that belong to an answer's body. For one in chunks they are renewed by
+    /// each piece of the body.
+    pub(crate) fn answer_bytes(self) -> u64 {
+        match self {
+            Framing::Length(length) => length,
+            Framing::Chunked => MAX_CHUNK_FRAMING_BYTES,
+            Framing::Close => u64::MAX,
+        }
+    }
+
+    /// The most bytes of the connection that belong to a request's body of at most `limit` bytes.
+    pub(crate) fn request_bytes(self, limit: u64) -> u64 {
         match self {
             Framing::Length(length) => length,
-            Framing::Chunked | Framing::Close => u64::MAX,
+            Framing::Chunked => limit
+                .saturating_mul(MAX_CHUNK_BYTES_A_BYTE)
+                .saturating_add(MAX_CHUNK_FRAMING_BYTES),
+            Framing::Close => u64::MAX,
         }
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -15,6 +15,7 @@
 pub use body::BodyError;
 pub use body::read_body;
 pub use hangup::Hangup;
+pub use limits::AnswerTimeout;
 pub use limits::ListenerLimits;
 pub use limits::OverloadPolicy;
 pub use limits::RefusalFn;
--- a/crates/http/src/server/limits.rs
+++ b/crates/http/src/server/limits.rs
@@ -13,6 +13,13 @@
 /// the status and the time to wait before a retry.
 pub type RefusalFn = fn(StatusCode, Option<Millis>) -> Response;
 
+/// The longest time until an answer is complete, set as an extension of the response.
+///
+/// It bounds an answer whose caller doesn't read it, or reads it slowly, for as long as its body has not ended. What
+/// the body had at hand may still be written after it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerTimeout(pub Millis);
+
 /// Limits on one connection.
 #[derive(Clone, Debug)]
 pub struct ServerLimits {
--- a/crates/http/src/server/serve.rs
+++ b/crates/http/src/server/serve.rs
@@ -20,6 +20,7 @@
 
 use super::body_length::enforce_body_length;
 use super::hangup::Hangup;
+use super::limits::AnswerTimeout;
 use super::limits::ServerLimits;
 use super::receive::Next;
 use super::receive::next_request;
@@ -30,6 +31,7 @@
 use crate::headers::sanitize_headers;
 
 use crate::connection::Connection;
+use crate::overdue::Overdue;
 use crate::poll_on_wake::PollOnWake;
 use crate::transmit::Transmit;
 use crate::transmit::TransmitError;
@@ -69,6 +71,10 @@
         Stalled {
             display("the caller stopped reading")
         }
+        /// The caller hadn't read the answer by its deadline.
+        Overdue {
+            display("the caller read too slowly")
+        }
         /// The socket failed.
         Io(cause: io::Error) {
             display("the connection failed: {cause}")
@@ -83,6 +89,7 @@
             TransmitError::Source(cause) => ServerError::Body(cause),
             TransmitError::Sink(cause) => ServerError::Io(cause),
             TransmitError::Stalled => ServerError::Stalled,
+            TransmitError::Overdue => ServerError::Overdue,
         }
     }
 }
@@ -183,16 +190,20 @@
 ) -> Result<(), ServerError> {
     sanitize_headers(response.as_mut());
     enforce_body_length(&mut response);
+    let overdue = response.ext().get::<AnswerTimeout>();
+    let overdue = overdue.map(|timeout| Overdue::after(timeout.0));
     let encoder = Encoder::new(response, method);
-    transmit(connection, limits, encoder).await
+    transmit(connection, limits, encoder, overdue).await
 }
 
 async fn transmit(
     connection: &Arc<Connection>,
     limits: &ServerLimits,
     source: impl Read + Unpin,
+    overdue: Option<Overdue>,
 ) -> Result<(), ServerError> {
     let transmit = Transmit::new(source, connection.clone(), limits.write_timeout);
+    let transmit = transmit.until(overdue);
     let closed = PollOnWake::new(connection.closed());
     match select(transmit, closed).await {
         Either::Left((result, _)) => Ok(result?),
--- a/crates/http/src/transmit.rs
+++ b/crates/http/src/transmit.rs
@@ -13,6 +13,7 @@
 use quick_error::quick_error;
 
 use crate::connection::Connection;
+use crate::overdue::Overdue;
 use crate::stall::StallTimer;
 
 /// Size of the write buffer, in bytes.
@@ -34,6 +35,8 @@
         Sink(cause: io::Error) {}
         /// The peer read nothing within the timeout.
         Stalled {}
+        /// The peer hadn't read the message by its deadline, and its source hadn't ended.
+        Overdue {}
     }
 }
 
@@ -50,6 +53,7 @@
     finished: bool,
     failure: Option<io::Error>,
     stall_timer: StallTimer,
+    overdue: Option<Overdue>,
 }
 
 impl<R: Read + Unpin> Transmit<R> {
@@ -63,9 +67,20 @@
             finished: false,
             failure: None,
             stall_timer: StallTimer::new(timeout),
+            overdue: None,
         }
     }
 
+    /// Sets the deadline of the message.
+    pub(crate) fn until(self, overdue: Option<Overdue>) -> Transmit<R> {
+        Transmit { overdue, ..self }
+    }
+
+    fn poll_overdue(&mut self, cx: &mut Context<'_>) -> bool {
+        let overdue = self.overdue.as_mut().filter(|_| !self.finished);
+        overdue.is_some_and(|overdue| overdue.poll_expired(cx))
+    }
+
     /// Buffers bytes until the source is pending or at its end, or the buffer is full. Returns
     /// `true` if the source is pending.
     ///
@@ -100,6 +115,9 @@
                 Poll::Pending if self.stall_timer.poll_expired(cx) => {
                     return Poll::Ready(Err(TransmitError::Stalled));
                 }
+                Poll::Pending if self.poll_overdue(cx) => {
+                    return Poll::Ready(Err(TransmitError::Overdue));
+                }
                 Poll::Pending => return Poll::Pending,
             }
         }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`Platform`]: configuration index, parts, watch and instance list, with a read budget.
 //! * [`Engine`]: a model engine with continuous batching, a prefix cache and streamed responses.
 //! * [`PlainService`]: accepts any method and path and counts side effects by idempotency key.
+//! * [`Flood`]: an answer that never ends.
 //! * [`load`]: an open-loop load generator that records what clients observe.
 //!
 //! # Commands
@@ -38,6 +39,7 @@
 //! length of a response, up to `max_tokens`; the router doesn't know this field.
 
 mod engine;
+mod flood;
 mod gate;
 mod handle;
 pub mod load;
@@ -61,6 +63,8 @@
 pub use engine::OrderRecord;
 pub use engine::StepResult;
 pub use engine::prefix_hash;
+pub use flood::Flood;
+pub use flood::Pace;
 pub use handle::Handle;
 pub use handle::Standin;
 pub use platform::Instance;
