gateway, serve: endless answers end with their request

An answer carries its deadline to the writer (AnswerTimeout), so that a caller that doesn't read holds its server no longer than the request lasts. In `serve`, a plain answer has the class's response timeout for its body as well, a stream the deadline that its caller names; both had only the bound on silence, so that a server that sends a byte now and then was never ended. Such an end says nothing about the server, as in the gateway. Streams of events are known by their type there, and their events are bounded. A sender of datagrams that never pauses no longer keeps the receiving task from yielding.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -16,6 +16,7 @@
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
 use crocushold_http::Answer;
+use crocushold_http::AnswerTimeout;
 use crocushold_http::Client;
 use crocushold_http::Hangup;
 use crocushold_http::Reuse;
@@ -73,6 +74,9 @@
 const SETTLEMENT_CHECKS: u32 = 3;
 const SETTLEMENT_INTERVAL: Millis = Millis(50);
 
+/// Media type of a stream of server-sent events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Minimum timeout of an attempt whose request has reached its deadline.
 const MIN_TIMEOUT: Millis = Millis(1);
 
@@ -441,6 +445,16 @@
         bound.min(left.max(MIN_TIMEOUT))
     }
 
+    /// Time within which the response must be complete; `None` for a stream whose caller names no deadline.
+    fn body_timeout(&self, is_event_stream: bool) -> Option<Millis> {
+        let deadline = self.job.arrival.deadline;
+        let left = deadline.since(self.clock.now()).max(MIN_TIMEOUT);
+        if is_event_stream {
+            return (deadline != Millis::MAX).then_some(left);
+        }
+        Some(left.min(self.job.response_timeout))
+    }
+
     /// Outcome of a failed attempt for the router. An attempt that ended because of the caller's
     /// deadline says nothing about the server: a caller with a short timeout must not cause servers
     /// to be ejected.
@@ -473,7 +487,7 @@
 
     fn relay(
         &self,
-        answer: Answer,
+        mut answer: Answer,
         resources: HeldResources,
         pick: &Pick,
         sent: SentAttempt,
@@ -495,6 +509,16 @@
             _running: resources.running,
         });
         let content_type = response.content_type();
+        let is_event_stream = content_type
+            .as_ref()
+            .is_some_and(|content_type| content_type.essence() == EVENT_STREAM);
+        if is_event_stream {
+            answer.body.expect_events();
+        }
+        if let Some(timeout) = self.body_timeout(is_event_stream) {
+            answer.body.set_total_timeout(timeout);
+            response.ext_mut().insert(AnswerTimeout(timeout));
+        }
         response.set_body(answer.body.into_body(observer));
         // Setting the body overwrites the content type.
         if let Some(content_type) = content_type {
--- a/crates/entry/src/response_observer.rs
+++ b/crates/entry/src/response_observer.rs
@@ -8,6 +8,7 @@
 use crocushold_base::Clock;
 use crocushold_base::Millis;
 use crocushold_http::AnswerEnd;
+use crocushold_http::CutCause;
 use crocushold_http::EventCounter;
 use crocushold_http::Observer;
 use crocushold_metrics::ClassMetrics;
@@ -198,6 +199,11 @@
             }
             AnswerEnd::Complete { .. } if truncated => (Outcome::Cut, RequestEnd::Cut),
             AnswerEnd::Complete { .. } => (Outcome::Complete, RequestEnd::Completed),
+            // The time of the request has passed, which says nothing about the server.
+            AnswerEnd::Cut {
+                cause: CutCause::Overdue,
+                ..
+            } => (Outcome::Cancelled, RequestEnd::Cut),
             AnswerEnd::Cut { .. } => (Outcome::Cut, RequestEnd::Cut),
             AnswerEnd::Dropped { .. } => (Outcome::Cancelled, RequestEnd::Cancelled),
         };
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -440,6 +440,7 @@
         stall_timeout: remaining,
         ack_timeout: ACK_TIMEOUT,
         close_delimited: true,
+        ..SendLimits::default()
     }
 }
 
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crocushold_http::Answer;
+use crocushold_http::AnswerTimeout;
 use crocushold_http::EventCounter;
 use crocushold_http::RelayBody;
 use crocushold_http::relay_headers;
@@ -56,6 +57,7 @@
             content_type.as_ref(),
             server,
         );
+        response.ext_mut().insert(AnswerTimeout(self.remaining()));
         response.set_body(answer.body.into_body(settle));
         // `set_body` overwrites the content type.
         match content_type {
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -83,6 +83,10 @@
     Ok(me.address)
 }
 
+/// Messages that are received in one turn of the task. A sender that never pauses would otherwise keep the
+/// executor from other tasks.
+const MAX_TURN_MESSAGES: u32 = 64;
+
 async fn receive_loop(
     shared: Arc<Shared>,
     socket: Arc<UdpSocket>,
@@ -90,7 +94,13 @@
     handover: Arc<Mutex<Handover>>,
 ) {
     let mut bytes = [0; MAX_MESSAGE_BYTES];
+    let mut turn_messages = 0;
     loop {
+        if turn_messages >= MAX_TURN_MESSAGES {
+            turn_messages = 0;
+            task::yield_now().await;
+        }
+        turn_messages += 1;
         // An error concerns an earlier datagram to an unreachable peer; the next message may still
         // be received.
         let Ok((count, from)) = socket.recv_from(&mut bytes).await else {
--- a/crates/standins/src/flood.rs
+++ b/crates/standins/src/flood.rs
@@ -115,8 +115,9 @@
             Flood::EmptyChunks => "0\r\n\r\n",
             Flood::AfterLength | Flood::AfterChunks => "HTTP/1.1 200 OK\r\n\r\n",
             Flood::Length | Flood::UntilClose | Flood::EventLineUntilClose => "x",
-            Flood::Chunks => return format!("400\r\n{}\r\n", "x".repeat(0x400)),
-            Flood::EventLine => "4\r\nfour\r\n",
+            Flood::Chunks | Flood::EventLine => {
+                return format!("400\r\n{}\r\n", "x".repeat(0x400));
+            }
             Flood::EventLines => "8\r\ndata: x\n\r\n",
         };
         cycle.to_owned()
