--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -150,6 +150,9 @@
     pub speed: f64,
     /// Recent statistics of the fleet.
     pub stats: LaneStats,
+    /// Mean time for which an undisturbed live stream of this instance took a slot, in
+    /// milliseconds; zero before the first one.
+    pub live_span: f64,
 }
 
 /// Result of listing an entry.
@@ -524,6 +527,7 @@
                 engines: service.engines,
                 speed: service.router.prefill_rate(),
                 stats: service.lanes.fleet_stats(),
+                live_span: service.lanes.live_span(),
                 service: name,
             }
         });
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -425,7 +425,8 @@
         .with("light-work", light_work as u64)
         .with("heavy-work", heavy_work as u64)
         .with("streams", stats.streams as u64)
-        .with("strained", stats.slow_streams as u64);
+        .with("strained", stats.slow_streams as u64)
+        .with("live-span", allocation.live_span as u64);
     info!("{event}");
 }
 
