First token: learn its latency where servers differ, and weigh queues against a prompt's own time

Where servers report unlike paces the latency is now learned from short prompts on idle engines, scaled by the engine's speed, and the next prompt's prefill counts as begun meanwhile. A prompt's own time weighs half as much as the queue before it, since who joins a queue delays those that come after: with equal weights all wait for the fast engines as long as for the slow ones. The mean of a server's reports is taken over 20 s instead of 50 reports, and fades without reports.

--- a/crates/routing/src/queue_delay.rs
+++ b/crates/routing/src/queue_delay.rs
@@ -14,7 +14,7 @@
 
 /// Time to first token of an idle engine excluding prefill, in milliseconds: one engine step and
 /// the network round trip.
-const BASE_LATENCY: f64 = 20.0;
+pub(crate) const BASE_LATENCY: f64 = 20.0;
 
 /// How fast an observed queue is assumed to drain, in milliseconds per millisecond. The queue of a
 /// fully used engine drains at 0, that of an engine that receives no more requests at 1.
@@ -43,6 +43,8 @@
     /// Expected wait before its prefill, in milliseconds, and what the prefill is expected to take
     /// beyond its usual duration.
     pub(crate) expected_wait: f64,
+    /// Expected time to first token excluding prefill and wait, in milliseconds.
+    pub(crate) latency: f64,
     /// Its priority in the server's queue; lower values go first.
     pub(crate) priority: u8,
     /// Whether another instance chose the server and reports the request itself. If both reported
@@ -50,6 +52,14 @@
     pub(crate) remote: bool,
 }
 
+impl QueuedPrompt {
+    /// How long the server prefills the next prompt before the first token of this one arrives, in
+    /// milliseconds.
+    fn overlap(&self) -> f64 {
+        (self.latency - BASE_LATENCY).max(0.0)
+    }
+}
+
 /// A request without an answer yet.
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
@@ -79,23 +89,27 @@
         self.waiting.push(Waiting { sent, since: now });
     }
 
-    /// Records that the request's answer has begun. Returns the time this took beyond an idle
-    /// engine's latency, in milliseconds.
+    /// Records that the request's answer has begun. Returns the request and the time this took, in
+    /// milliseconds.
     ///
     /// Engines prefill by priority and then in order of arrival, so the requests ahead of this one
     /// have been prefilled as well. If no answer was reported for one of them, its instance is gone
     /// or the report was lost. Keeping it would make the engine seem busy until the request's
     /// deadline.
-    pub(crate) fn on_first_byte(&mut self, attempt: AttemptKey, now: Millis) -> Option<f64> {
+    pub(crate) fn on_first_byte(
+        &mut self,
+        attempt: AttemptKey,
+        now: Millis,
+    ) -> Option<(QueuedPrompt, f64)> {
         let Waiting { sent, since } = self.remove(attempt)?;
         self.waiting.retain(|other| {
             other.sent.priority > sent.priority || other.since + REORDER_TOLERANCE >= since
         });
-        let span = now.since(since).0 as f64 - BASE_LATENCY;
-        self.last_wait = (span - sent.prefill_ms).max(0.0);
+        let span = now.since(since).0 as f64;
+        self.last_wait = (span - sent.latency - sent.prefill_ms).max(0.0);
         self.last_wait_at = now;
-        self.prefill_since = now;
-        Some(span)
+        self.prefill_since = Millis(now.0.saturating_sub(sent.overlap() as u64));
+        Some((sent, span))
     }
 
     /// Records that the request ended without an answer.
@@ -140,7 +154,7 @@
         let first = self
             .waiting
             .first()
-            .map_or(0.0, |first| first.sent.prefill_ms);
+            .map_or(0.0, |first| first.sent.prefill_ms + first.sent.overlap());
         let prefilled = (now.since(self.prefill_since).0 as f64).min(first);
         let overdue = self
             .overdue(now, |sent| sent.expected_wait)
@@ -153,7 +167,7 @@
     fn overdue(&self, now: Millis, expected: impl Fn(&QueuedPrompt) -> f64) -> f64 {
         let overdue = self.waiting.iter().map(|request| {
             let span = now.since(request.since).0 as f64;
-            span - BASE_LATENCY - request.sent.prefill_ms - expected(&request.sent)
+            span - request.sent.latency - request.sent.prefill_ms - expected(&request.sent)
         });
         overdue.fold(0.0, f64::max)
     }
@@ -235,3 +249,37 @@
         self.0.value()
     }
 }
+
+/// Maximum number of tokens for a sample of the latency. Their prefill takes a small part of the
+/// time to first token.
+const MAX_LATENCY_TOKENS: f64 = 1000.0;
+
+/// Minimum and maximum accepted latency, in milliseconds.
+const LATENCY_BOUNDS: (f64, f64) = (5.0, 300.0);
+
+/// The time to first token of an idle engine excluding prefill, learned from answers.
+///
+/// Where an event of a stream holds several tokens, the first one comes after as many steps. With
+/// [`BASE_LATENCY`], those steps look like a queue in front of each engine that has just got a
+/// prompt, and like slow prefill.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct FirstTokenLatency(Option<Median>);
+
+impl FirstTokenLatency {
+    /// Adds a sample: an answer began `span` milliseconds after `tokens` were sent for prefill to an
+    /// idle engine, of which the prefill takes `prefill_ms`.
+    pub(crate) fn add_sample(&mut self, tokens: f64, prefill_ms: f64, span: f64) {
+        if tokens > MAX_LATENCY_TOKENS {
+            return;
+        }
+        let latency = span - prefill_ms;
+        let initial = Median::with_initial(BASE_LATENCY);
+        let median = self.0.get_or_insert(initial);
+        median.add(latency.clamp(LATENCY_BOUNDS.0, LATENCY_BOUNDS.1));
+    }
+
+    /// Returns the latency of a usual engine, in milliseconds.
+    pub(crate) fn latency_ms(&self) -> f64 {
+        self.0.map_or(BASE_LATENCY, |median| median.value())
+    }
+}
--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -296,6 +296,7 @@
                 attempt,
                 prefill_ms,
                 expected_wait: wait + prefill_ms * (pace - 1.0),
+                latency: self.latency.latency_ms() * speed.step_factor() * pace,
                 priority: demand.priority,
                 remote,
             };
--- a/crates/routing/src/router/expected.rs
+++ b/crates/routing/src/router/expected.rs
@@ -24,6 +24,11 @@
 /// Cost of a request that waits at an engine by its last report, in mean prefill times.
 const WAITING_COST: f64 = 1.0;
 
+/// Weight of a prompt's own time, relative to that of the queue before it, where servers differ in
+/// speed. A prompt that joins a queue also delays those that come as long as the queue lasts, so
+/// that with the same weight all wait for the fast servers as long as for the slow ones.
+const OWN_WEIGHT: f64 = 0.5;
+
 /// Number of ended streams that are required before a server's pauses are considered.
 const MIN_STREAMS: u32 = 4;
 
@@ -148,9 +153,11 @@
             (busy, busy)
         };
         let pause_cost = pause_cost(state, demand.max_pause);
+        let latency = self.latency.latency_ms() * (speed.step_factor() * pace - 1.0);
+        let own_weight = if self.is_uneven { OWN_WEIGHT } else { 1.0 };
         let expected = pause_cost
             + busy
-            + own * pace
+            + (own * pace + latency) * own_weight
             + shared
             + running * speed.step_factor() * RUNNING_COST
             + zone_cost;
--- a/crates/routing/src/router/feedback.rs
+++ b/crates/routing/src/router/feedback.rs
@@ -26,6 +26,12 @@
 /// jitter.
 const SAMPLE_TOKENS: u32 = 16;
 
+/// The reported time of work that is usual, in percent.
+const USUAL_PERCENT: u16 = 100;
+
+/// Maximum expected prefill ahead of a sample of the latency, in tokens.
+const MAX_TOKENS_AHEAD: f64 = 100.0;
+
 /// Maximum log ratio of speeds in one sample; a factor of twelve.
 const MAX_LOG_RATIO: f64 = 2.5;
 
@@ -137,6 +143,9 @@
         if let Some(state) = self.servers.get_mut(server) {
             let others = state.record_report(report, now);
             self.remote_load.add(others, alpha);
+            self.is_uneven |= report
+                .work_percent
+                .is_some_and(|percent| percent != USUAL_PERCENT);
         }
         self.update_slots(server);
     }
@@ -202,13 +211,18 @@
         let Some(server) = self.servers.get_mut(flight.server) else {
             return;
         };
-        if let Some(span) = server.queue_delay.on_first_byte(attempt, now)
+        if let Some((sent, span)) = server.queue_delay.on_first_byte(attempt, now)
             && flight.picked_at >= self.resumed_at
             && flight.is_exact
         {
             let speed = &mut server.speed;
-            let span = span / speed.reported_pace_over(span, now);
+            let pace = speed.reported_pace_over(span, now);
             let [tokens, ahead] = [flight.prefill_tokens, flight.tokens_ahead];
+            if self.is_uneven && flight.sees_queue && ahead <= MAX_TOKENS_AHEAD {
+                let prefill_ms = self.prefill_rate.prefill_ms(tokens);
+                self.latency.add_sample(tokens, prefill_ms, span / pace);
+            }
+            let span = (span - sent.latency) / pace;
             let usual_span = span / speed.unreported_prefill();
             self.prefill_rate.add_sample(tokens, ahead, usual_span);
             if flight.sees_queue {
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -36,6 +36,7 @@
 use crate::brittle::Brittleness;
 use crate::cache::Hints;
 use crate::pool::Pool;
+use crate::queue_delay::FirstTokenLatency;
 use crate::queue_delay::PrefillRate;
 use crate::server::Allotment;
 use crate::server::Departure;
@@ -85,6 +86,10 @@
     request_tokens: Ewma,
     /// Prefill rate of a usual engine.
     prefill_rate: PrefillRate,
+    /// The latency of a usual engine.
+    latency: FirstTokenLatency,
+    /// Whether servers report paces that aren't all the usual one.
+    is_uneven: bool,
     /// Mean prefill time of a prompt, in milliseconds.
     prefill_time: Ewma,
     /// Mean expected wait of long prompts, in milliseconds.
@@ -133,6 +138,8 @@
             request_duration: Ewma::default(),
             request_tokens: Ewma::default(),
             prefill_rate: PrefillRate::default(),
+            latency: FirstTokenLatency::default(),
+            is_uneven: false,
             prefill_time: Ewma::default(),
             long_prompt_wait: Ewma::default(),
             transfer_rate: None,
--- a/crates/routing/src/server_speed.rs
+++ b/crates/routing/src/server_speed.rs
@@ -61,8 +61,9 @@
 /// report in two says the same after 300 ms, and after this time no more than any.
 const REPORT_SPAN_MS: f64 = 600.0;
 
-/// Weight of a report in the server's mean.
-const MEAN_ALPHA: f64 = 0.02;
+/// Time over which the mean of a server's reports is taken, in milliseconds: many times as long as a
+/// machine is shared at a time.
+const MEAN_SPAN_MS: f64 = 20_000.0;
 
 /// Number of reports at which the server's mean counts as much as the usual time.
 const ASSUMED_REPORTS: f64 = 2.0;
@@ -71,7 +72,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Pace {
     mean: Ewma,
-    /// As a rule: the mean, which counts less the fewer reports there are.
+    /// The weight of the mean, from 0 to 1: less the fewer reports there are, and the longer ago.
+    weight: f64,
+    /// As a rule, by the mean and its weight.
     usual: f64,
     /// The last report.
     last: f64,
@@ -82,6 +85,7 @@
     fn default() -> Pace {
         Pace {
             mean: Ewma::default(),
+            weight: 0.0,
             usual: 1.0,
             last: 1.0,
             measured_at: Millis::ZERO,
@@ -93,10 +97,15 @@
     fn record(&mut self, percent: u16, measured_at: Millis) {
         let percent = percent.clamp(WORK_PERCENT.0, WORK_PERCENT.1);
         self.last = f64::from(percent) / 100.0;
+        let span = measured_at.since(self.measured_at).0 as f64;
+        self.mean.add(self.last, (span / MEAN_SPAN_MS).min(1.0));
         self.measured_at = measured_at;
-        self.mean.add(self.last, MEAN_ALPHA);
         let reports = f64::from(self.mean.count());
-        let weight = reports / (reports + ASSUMED_REPORTS);
+        self.set_weight(reports / (reports + ASSUMED_REPORTS));
+    }
+
+    fn set_weight(&mut self, weight: f64) {
+        self.weight = weight;
         self.usual = 1.0 + weight * (self.mean.mean() - 1.0);
     }
 
@@ -251,13 +260,19 @@
         }
     }
 
-    /// Lets what was learned fade while there are no samples.
+    /// Lets what was learned fade while there are no samples, and what was reported while there are
+    /// no reports.
     pub(crate) fn fade(&mut self, now: Millis) {
+        let factor = |span: Millis| 0.5_f64.powf(span.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        if now.since(self.pace.measured_at) >= FADE_INTERVAL {
+            self.pace
+                .set_weight(self.pace.weight * factor(FADE_INTERVAL));
+        }
         let span = now.since(self.sampled_at);
         if span < FADE_INTERVAL {
             return;
         }
-        let factor = 0.5_f64.powf(span.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        let factor = factor(span);
         self.prefill.weight *= factor;
         self.step.weight *= factor;
         self.update(now);
