Plain servers of unlike speed: chosen by completion, and few of them by one instance for all

Three servers with six slots had answers late while one of them was slow: an instance gets a few answers a second of them, and what they report lasts half a second. Where servers report unlike paces, the cost of a plain server is its expected completion: its usual and momentary pace times the work, which doesn't depend on how many others run while a slot is free, and the requests that wait, weighed four times, as those that come later wait for them too. Services of up to 64 slots are then placed by one instance, as those with paced servers are, which hears of every answer; it compares all of up to 16 servers.

--- a/crates/gateway/src/fleet/notices/limits.rs
+++ b/crates/gateway/src/fleet/notices/limits.rs
@@ -233,13 +233,16 @@
             .collect()
     }
 
-    /// Whether the requests of a service must be placed by one instance, since one of its servers
-    /// is paced, or all are brittle.
+    /// Whether the requests of a service are placed by one instance, since one of its servers is paced,
+    /// or all are brittle, or they are a few plain servers of unlike speed. How fast those are changes
+    /// within a second, in which most instances get no answer of theirs.
     pub fn needs_placer(&mut self, service: &str, now: Millis) -> bool {
         self.update_routers(now);
         let service = self.services.get(service);
         service.is_some_and(|service| {
-            service.brittle.rejections.is_some() || service.router.has_paced(now)
+            service.brittle.rejections.is_some()
+                || service.router.has_paced(now)
+                || service.is_few_uneven()
         })
     }
 }
--- a/crates/gateway/src/fleet/service.rs
+++ b/crates/gateway/src/fleet/service.rs
@@ -21,6 +21,7 @@
 
 use super::FleetSettings;
 use super::Need;
+use super::OVERCOMMIT;
 use super::notices::NamedBrittleness;
 use crate::routes::EngineSpec;
 use crate::routes::SlowStart;
@@ -48,6 +49,10 @@
 /// the others.
 const MAX_EJECTED: f64 = 0.5;
 
+/// Maximum number of slots of a plain service whose requests one instance places for all. With 30 ms
+/// of work, they run some two thousand requests a second, which is what it can place.
+const MAX_PLACED_SLOTS: u32 = 64;
+
 /// Maximum number of shared prompts whose engine is remembered. Some hundred are in use at a time.
 const MAX_PREFIXES: usize = 4096;
 
@@ -114,6 +119,12 @@
         self.router.set_cold_rate(spec.map(|spec| spec.rate));
     }
 
+    /// Whether it is a plain service with a few servers that report unlike speeds.
+    pub(super) fn is_few_uneven(&self) -> bool {
+        let is_plain = self.engines == [0; LANES];
+        is_plain && self.router.is_uneven() && self.router.has_few_slots(MAX_PLACED_SLOTS)
+    }
+
     /// Updates the longest tolerable pause from a live stream.
     pub(super) fn update_max_pause(&mut self, need: &Need) {
         if need.max_pause.is_some() {
@@ -206,6 +217,7 @@
 fn router_settings() -> routing::Settings {
     routing::Settings {
         cache_hints: MAX_PREFIXES,
+        overcommit: OVERCOMMIT,
         health: HealthSettings {
             max_failures: MAX_FAILURES,
             eject_base: EJECT_BASE,
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -8,6 +8,8 @@
 use crocushold_gateway::Need;
 use crocushold_gateway::Packet;
 use crocushold_gateway::ServerLimit;
+use crocushold_gateway::ServerRecord;
+use crocushold_routing::LoadReport;
 use crocushold_routing::Outcome;
 use test_case::test_case;
 
@@ -95,6 +97,37 @@
     assert!(!fleet.needs_placer("svc", START + Millis(150)));
 }
 
+/// Few plain servers that report unlike speeds are chosen by one instance for all, since most instances
+/// get no answer of theirs in the time in which the speed changes. Equal ones, and many, are chosen
+/// by each instance.
+#[test_case(1, 4, Some(250), true; "few that differ")]
+#[test_case(1, 4, Some(100), false; "as usual")]
+#[test_case(1, 4, None, false; "without reports")]
+#[test_case(17, 4, Some(250), false; "many")]
+fn few_servers_of_unlike_speed_are_placed(
+    servers: usize,
+    slots: u32,
+    work_percent: Option<u16>,
+    expected: bool,
+) {
+    let mut fleet = common::fleet(7);
+    for server in 0..servers {
+        let record = ServerRecord {
+            slots,
+            ..record(&format!("s{server}"), 1)
+        };
+        fleet.list(&record, Millis::ZERO);
+    }
+    let choice = send(&mut fleet, START);
+    assert!(!fleet.needs_placer("svc", START));
+    let load = LoadReport {
+        work_percent,
+        ..LoadReport::default()
+    };
+    fleet.record_load(&choice, load, START + Millis(50));
+    assert_eq!(fleet.needs_placer("svc", START + Millis(60)), expected);
+}
+
 /// The limits as another instance receives them.
 fn received(limits: Vec<ServerLimit>) -> Vec<ServerLimit> {
     match Packet::decode(&Packet::Limits(limits).encode()) {
--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -37,6 +37,19 @@
 /// Cost factor of a server on trial for a request that shouldn't be used to test it.
 const TRIAL_COST: f64 = 8.0;
 
+/// Maximum number of servers of unlike speed that are all compared by a router that chooses for all
+/// instances.
+const MAX_COMPARED: usize = 16;
+
+/// Cost of a request that runs on a server with a free slot, relative to one that waits. It spreads
+/// the requests while none waits, so that fewer of them share a machine when it slows down.
+const SPREAD_COST: f64 = 0.25;
+
+/// Weight of the requests that wait before this one, where servers differ in speed. Those that come
+/// after it wait for it as well, so that with a weight of 1 all fast servers get queues before a slow
+/// one gets its first request.
+const WAITING_WEIGHT: f64 = 4.0;
+
 /// Weight of one request in the mean prefill time.
 const PREFILL_TIME_ALPHA: f64 = 0.05;
 
@@ -124,6 +137,11 @@
         if open == 0 {
             return None;
         }
+        if demand.central && self.is_uneven && open <= MAX_COMPARED {
+            let start = self.rng.random_range(0..open);
+            let scored = (0..open).map(|at| self.scored(pool, (start + at) % open, demand, now));
+            return scored.fold(None, cheaper);
+        }
         let mut best: Option<Scored> = None;
         let mut last = open;
         for _ in 0..self.settings.choices.max(1) {
@@ -165,7 +183,10 @@
     }
 
     /// The requests ahead of this one per slot of the server, multiplied by its slowness as a rule
-    /// and at this moment.
+    /// and at this moment; where servers differ in speed, those that must end before it runs.
+    ///
+    /// On a server with a free slot a request takes as long as its work takes there, however many
+    /// others run.
     ///
     /// This instance's own requests are counted by their outstanding tokens, in mean requests. The
     /// requests of others come from the last report, which is weighted with `gain` and decays to
@@ -180,13 +201,20 @@
         } else {
             self.settings.zone_cost
         };
-        let ahead = 1.0 + own + others + distance;
+        let ahead = own + others;
         let age = now.since(server.slowness_sampled);
         let current = 1.0 - (age.as_secs_f64() / SLOWNESS_TTL.as_secs_f64()).min(1.0);
         let pace = server.speed.reported_pace_over(0.0, now);
         let factor =
             self.health_factor_with(server, demand, server.slowness.mean() * current, pace);
-        ahead * factor / f64::from(server.spec.concurrency.max(1))
+        let concurrency = f64::from(server.spec.concurrency.max(1));
+        if !self.is_uneven {
+            return (1.0 + ahead + distance) * factor / concurrency;
+        }
+        // The time until the answer, in the work of a request.
+        let slots = (concurrency / f64::from(self.settings.overcommit.max(1))).max(1.0);
+        let waiting = (1.0 + ahead - slots).max(0.0);
+        (slots + WAITING_WEIGHT * waiting + SPREAD_COST * (ahead + distance)) * factor / slots
     }
 
     /// Returns the cost factor for a server's failures, and its slowness beyond its usual speed,
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -241,6 +241,23 @@
             .then(|| self.pool_unavailable_reason(pool, &[]))
     }
 
+    /// Whether servers report that they differ in speed.
+    pub fn is_uneven(&self) -> bool {
+        self.is_uneven
+    }
+
+    /// Whether all servers together run at most `limit` requests at once.
+    pub fn has_few_slots(&self, limit: u32) -> bool {
+        let overcommit = self.settings.overcommit.max(1);
+        let mut left = limit;
+        self.servers.values().all(|server| {
+            let slots = server.spec.concurrency / overcommit;
+            let fits = slots <= left;
+            left = left.saturating_sub(slots);
+            fits
+        })
+    }
+
     /// Returns the status of `server`; `None` if it is unknown.
     pub fn standing(&self, server: ServerKey) -> Option<Standing> {
         self.servers.get(server).map(Server::standing)
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -7,6 +7,9 @@
 pub struct Settings {
     /// Number of servers sampled for each choice: 1 is a random choice, 2 the power of two choices.
     pub choices: usize,
+    /// The ratio of the servers' concurrency to the number of requests that they run at once. The
+    /// others wait.
+    pub overcommit: u32,
     /// Cost of a server in another availability zone, in requests of load. Less than 1, so that the
     /// zone never outweighs one request.
     pub zone_cost: f64,
@@ -47,6 +50,7 @@
     fn default() -> Settings {
         Settings {
             choices: 3,
+            overcommit: 1,
             zone_cost: 0.5,
             affinity_bound: 1.5,
             cache_hints: 65_536,
