--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -38,6 +38,7 @@
 use crate::cache::Hints;
 use crate::live_streams::PauseModel;
 use crate::pool::Pool;
+use crate::queue_delay::FirstTokenLatency;
 use crate::queue_delay::PrefillRate;
 use crate::server::Allotment;
 use crate::server::Departure;
@@ -87,6 +88,10 @@
     request_tokens: Ewma,
     /// Prefill rate of a usual engine.
     prefill_rate: PrefillRate,
+    /// The latency of a usual engine.
+    latency: FirstTokenLatency,
+    /// Whether servers report paces that aren't all the usual one.
+    is_uneven: bool,
     /// Mean prefill time of a prompt, in milliseconds.
     prefill_time: Ewma,
     /// Mean expected wait of long prompts, in milliseconds.
@@ -137,6 +142,8 @@
             request_duration: Ewma::default(),
             request_tokens: Ewma::default(),
             prefill_rate: PrefillRate::default(),
+            latency: FirstTokenLatency::default(),
+            is_uneven: false,
             prefill_time: Ewma::default(),
             long_prompt_wait: Ewma::default(),
             transfer_rate: None,
@@ -239,6 +246,23 @@
             .then(|| self.pool_unavailable_reason(pool, &[]))
     }
 
+    /// Whether servers report that they differ in speed.
+    pub fn is_uneven(&self) -> bool {
+        self.is_uneven
+    }
+
+    /// Whether all servers together run at most `limit` requests at once.
+    pub fn has_few_slots(&self, limit: u32) -> bool {
+        let overcommit = self.settings.overcommit.max(1);
+        let mut left = limit;
+        self.servers.values().all(|server| {
+            let slots = server.spec.concurrency / overcommit;
+            let fits = slots <= left;
+            left = left.saturating_sub(slots);
+            fits
+        })
+    }
+
     /// Returns the status of `server`; `None` if it is unknown.
     pub fn standing(&self, server: ServerKey) -> Option<Standing> {
         self.servers.get(server).map(Server::standing)
