An instance that can't serve isn't chosen as placer, and hellos bring all news

An instance that has no configuration yet, or is about to end, offers no capacity, so that another one collects and places. A planned stop of the placer hands over before it ends; an instance with the most capacity no longer becomes placer while it knows no server. Collectors name themselves to the one they replace and to each other in the round in which that changes.

`suspicion_packets` takes the requesters from the gossip state instead of a list of messages; the model in tests/quarantine.rs passes one argument less and checks the same.

--- a/crates/gateway/src/sharing/joining.rs
+++ b/crates/gateway/src/sharing/joining.rs
@@ -44,6 +44,10 @@
     /// Instances whose hello wasn't answered yet.
     hellos: Vec<SocketAddr>,
     answers_left: usize,
+    /// Instances whose hellos were answered in this round and before it.
+    greeted: Vec<SocketAddr>,
+    /// Number of those that the last round has already seen.
+    seen: usize,
 }
 
 impl Joining {
@@ -96,6 +100,11 @@
         self.introduced.insert(collector)
     }
 
+    /// Makes this instance introduce itself again.
+    pub(super) fn reintroduce(&mut self) {
+        self.introduced.clear();
+    }
+
     /// Records the hello of an instance.
     pub(super) fn push_hello(&mut self, from: SocketAddr) {
         if self.hellos.len() < MAX_WAITING && !self.hellos.contains(&from) {
@@ -112,11 +121,24 @@
     pub(super) fn take_hellos(&mut self) -> Vec<SocketAddr> {
         let next = self.hellos.len().min(self.answers_left);
         self.answers_left -= next;
-        self.hellos.drain(..next).collect()
+        let taken: Vec<SocketAddr> = self.hellos.drain(..next).collect();
+        self.greeted.extend(&taken);
+        taken
+    }
+
+    /// The instances whose hellos were answered in the last round or in the time before it.
+    pub(super) fn greeted(&self) -> &[SocketAddr] {
+        &self.greeted
     }
 
     /// Begins a round.
     pub(super) fn begin_round(&mut self) {
         self.answers_left = ANSWERS_PER_ROUND;
+        self.greeted.drain(..self.seen);
+    }
+
+    /// Ends a round.
+    pub(super) fn end_round(&mut self) {
+        self.seen = self.greeted.len();
     }
 }
--- a/crates/gateway/src/sharing/members.rs
+++ b/crates/gateway/src/sharing/members.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Sets the capacity that this instance offers.
+    pub fn set_capacity(&mut self, capacity: u16) {
+        self.me.capacity = capacity;
+    }
+
     /// Number of other live instances in a zone.
     pub fn live(&self, zone: u32) -> usize {
         let members = self.members.values();
@@ -118,6 +123,12 @@
         best.map(|identity| identity.address)
     }
 
+    /// The collector of a zone, if it is another instance.
+    pub fn collector_entry(&self, zone: u32, now: Millis) -> Option<MemberEntry> {
+        let member = self.members.get(&self.collector(zone, now)?);
+        member.map(|member| member.entry(now))
+    }
+
     /// The placer: the first of the zones' collectors in the same order.
     pub fn placer(&self, collectors: impl Iterator<Item = SocketAddr>) -> SocketAddr {
         let known = collectors.filter_map(|address| self.members.get(&address));
--- a/crates/gateway/src/sharing/message.rs
+++ b/crates/gateway/src/sharing/message.rs
@@ -249,7 +249,8 @@
     pub fn new(from: &Identity, members: Vec<MemberEntry>, content: Content) -> Message {
         let max_members = match content {
             Content::Members => MAX_INTRODUCED,
-            _ => MAX_MEMBER_ENTRIES,
+            // The collector comes on top of those in turn.
+            _ => MAX_MEMBER_ENTRIES + 1,
         };
         let content = match content {
             Content::Hello | Content::Members => content,
--- a/crates/gateway/src/sharing/notices.rs
+++ b/crates/gateway/src/sharing/notices.rs
@@ -4,14 +4,13 @@
 
 use crocushold_base::Millis;
 
-use super::message::Message;
 use super::spread::packet;
 use super::spread::spread;
 use super::state::Gossip;
 use crate::fleet::Fleet;
 use crate::placing::Packet;
 
-/// Returns the departures, limits and brittle services to send beside the `messages` of a round: new
+/// Returns the departures, limits and brittle services to send beside the messages of a round: new
 /// departures and limits to the placer and to some of the instances, what answers still name to the
 /// placer now and then, and all known departures and limits to the instances that asked for members.
 ///
@@ -21,7 +20,6 @@
 pub(super) fn notice_packets(
     fleet: &mut Fleet,
     gossip: &Gossip,
-    messages: &[(SocketAddr, Message)],
     now: Millis,
 ) -> Vec<(SocketAddr, Packet)> {
     let placer = gossip.other_placer(now);
@@ -38,9 +36,9 @@
         .filter_map(|packet| placer.map(|placer| (placer, packet.clone())))
         .collect();
     let known = || packet(fleet.known_limits(now), Packet::Limits);
-    packets.extend(spread(gossip, messages, limits, known));
+    packets.extend(spread(gossip, limits, known));
     let known = || packet(fleet.known_departures(now), Packet::Departures);
-    packets.extend(spread(gossip, messages, departures, known));
+    packets.extend(spread(gossip, departures, known));
     packets.extend(cold_phases(fleet, gossip, now));
     packets
 }
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -253,6 +253,7 @@
     let now = shared.clock.now();
     let (messages, placer) = {
         let mut state = lock(state);
+        state.set_serving(shared.is_ready());
         shared.start.record_members(&state, now);
         let is_due = state.next_step(now).is_some_and(|due| due <= now);
         let messages = if is_due { state.step(now) } else { Vec::new() };
@@ -299,15 +300,16 @@
         let now = shared.clock.now();
         let own = shared.fleet().local_load(now);
         let mut state = lock(state);
+        state.set_serving(shared.is_ready());
         state.observe_revision(shared.store.last_change());
         if state.is_behind(shared.store.watched_revision(), now) {
             shared.store.cancel();
         }
         let messages = state.round(own, now);
-        let mut packets = suspicion_packets(&mut shared.quarantine(), &state, &messages, now);
+        let mut packets = suspicion_packets(&mut shared.quarantine(), &state, now);
         packets.extend(newly_served_packets(&mut shared.quarantine(), &state, now));
         packets.extend(contact_query(&shared.directory(), &state, now));
-        packets.extend(notice_packets(&mut shared.fleet(), &state, &messages, now));
+        packets.extend(notice_packets(&mut shared.fleet(), &state, now));
         let gossip = messages.into_iter();
         packets.extend(gossip.map(|(to, message)| (to, Packet::Gossip(message))));
         Round {
--- a/crates/gateway/src/sharing/spread.rs
+++ b/crates/gateway/src/sharing/spread.rs
@@ -2,12 +2,10 @@
 
 use std::net::SocketAddr;
 
-use super::message::Content;
-use super::message::Message;
 use super::state::Gossip;
 use crate::placing::Packet;
 
-/// Returns the packets to send beside the `messages` of a round: `news` to some of the instances,
+/// Returns the packets to send beside the messages of a round: `news` to some of the instances,
 /// and what `known` returns to the instances that asked for members.
 ///
 /// Receivers forward what is new to them, so that it reaches nearly all instances within a second,
@@ -15,7 +13,6 @@
 /// receives what it missed. This includes instances that have just started.
 pub(super) fn spread(
     gossip: &Gossip,
-    messages: &[(SocketAddr, Message)],
     news: Option<Packet>,
     known: impl FnOnce() -> Option<Packet>,
 ) -> Vec<(SocketAddr, Packet)> {
@@ -24,14 +21,11 @@
         let targets = gossip.gossip_targets().into_iter();
         packets.extend(targets.map(|to| (to, news.clone())));
     }
-    let requesters = messages
-        .iter()
-        .filter(|(_, message)| matches!(message.content, Content::Members));
-    let requesters: Vec<SocketAddr> = requesters.map(|(requester, _)| *requester).collect();
+    let requesters = gossip.greeted();
     if !requesters.is_empty()
         && let Some(known) = known()
     {
-        packets.extend(requesters.into_iter().map(|to| (to, known.clone())));
+        packets.extend(requesters.iter().map(|to| (*to, known.clone())));
     }
     packets
 }
--- a/crates/gateway/src/sharing/state.rs
+++ b/crates/gateway/src/sharing/state.rs
@@ -148,6 +148,10 @@
 #[derive(Clone, Debug)]
 pub struct Gossip {
     me: Identity,
+    /// The capacity that this instance offers while it serves.
+    capacity: u16,
+    /// Whether the offered capacity has changed since the last round.
+    has_changed: bool,
     seeds: Vec<SocketAddr>,
     members: Members,
     /// Loads received from the instances of this zone.
@@ -160,6 +164,8 @@
     placer: Option<SocketAddr>,
     /// The collector of this zone and since when it has been used.
     collector: Option<(SocketAddr, Millis)>,
+    /// The collector of the last round.
+    last_collector: Option<SocketAddr>,
     /// The loads sent in the last two rounds, newest last. The fleet's load contains the older one,
     /// since the answer to the newer one hasn't arrived yet.
     sent_loads: [Load; 2],
@@ -189,6 +195,8 @@
         let seed = XxHash3_64::oneshot(me.address.to_string().as_bytes());
         Gossip {
             me,
+            capacity: me.capacity,
+            has_changed: false,
             seeds: seeds.collect(),
             members: Members::new(me),
             reports: BTreeMap::new(),
@@ -196,6 +204,7 @@
             fleet: None,
             placer: None,
             collector: None,
+            last_collector: None,
             sent_loads: [Load::default(), Load::default()],
             // Each instance starts at another member, so that they don't all contact the same one.
             last_hello: me.address,
@@ -211,6 +220,19 @@
         }
     }
 
+    /// Sets whether this instance can serve requests. While it has no configuration, or is about to
+    /// end, it offers no capacity: as placer it would know no server, or be lost with all that it
+    /// knows.
+    pub fn set_serving(&mut self, serving: bool) {
+        let offered = if serving { self.capacity } else { 0 };
+        if offered != self.me.capacity {
+            self.me.capacity = offered;
+            self.members.set_capacity(offered);
+            self.has_changed = true;
+            self.joining.reintroduce();
+        }
+    }
+
     /// The other live instances.
     pub fn identities(&self) -> impl Iterator<Item = &Identity> {
         self.members.identities()
@@ -288,13 +310,11 @@
         self.forget(now);
         let mut contents = Vec::new();
         // Whether to send messages even if they contain nothing new.
-        let keepalive = self.is_keepalive_round() || self.joining.is_active(now);
-        let previous = self.collector();
         let collector = self.choose_collector(now);
-        let should_send = keepalive
-            || collector != previous
-            || !local.is_empty()
-            || !self.sent_loads[1].is_empty();
+        let previous = std::mem::replace(&mut self.last_collector, collector);
+        let has_changed = std::mem::take(&mut self.has_changed) || collector != previous;
+        let keepalive = self.is_keepalive_round() || self.joining.is_active(now) || has_changed;
+        let should_send = keepalive || !local.is_empty() || !self.sent_loads[1].is_empty();
         match collector {
             Some(collector) if should_send => {
                 let parts = local.clone().split().into_iter();
@@ -302,6 +322,9 @@
             }
             _ => {}
         }
+        // An instance that takes over from its collector tells it so.
+        let replaced = previous.filter(|_| collector.is_none());
+        contents.extend(replaced.map(|replaced| (replaced, Content::Hello)));
         if self.collector.is_none() {
             self.prefix_relay.add_local(&local.cached);
         }
@@ -310,6 +333,7 @@
         self.send_sums(keepalive, now, &mut contents);
         self.is_truncated = contents.iter().any(|(_, content)| content.is_truncated());
         self.send_hellos(now, &mut contents);
+        self.joining.end_round();
         self.round_messages(contents, now)
     }
 
@@ -384,10 +408,17 @@
         }
     }
 
+    /// The placer that this instance names to those that send it their loads. One that has a
+    /// collector itself, as it is no longer chosen, passes on what that one says.
+    fn named_placer(&self, now: Millis) -> SocketAddr {
+        let told = self.placer(now).filter(|_| self.collector.is_some());
+        told.unwrap_or_else(|| self.members.placer(self.zones.keys().copied()))
+    }
+
     /// Answers the first loads of other instances, and tells all instances of this zone if the
     /// placer has changed.
     fn answer_newcomers(&mut self, now: Millis, contents: &mut Vec<(SocketAddr, Content)>) {
-        let placer = self.members.placer(self.zones.keys().copied());
+        let placer = self.named_placer(now);
         let mut newcomers = std::mem::take(&mut self.newcomers);
         if self.told_placer != Some(placer) {
             self.told_placer = Some(placer);
@@ -427,8 +458,10 @@
             return Vec::new();
         }
         // All receivers get the same members, so that a receiver of every round learns all of them
-        // in turn. The instances of this zone only need to know each other.
-        let inside = self.members.next_entries(true, now);
+        // in turn. The instances of this zone only need to know each other, and first of all their
+        // collector.
+        let mut inside = self.members.next_entries(true, now);
+        inside.splice(0..0, self.members.collector_entry(self.me.zone, now));
         let all = self.members.next_entries(false, now);
         let messages = contents.into_iter().map(|(to, content)| {
             let introduced;
@@ -591,7 +624,7 @@
         self.add_other_zones(&mut sums, now);
         let mut fleet = sums.load();
         fleet.cached = self.prefix_relay.take_for_fleet();
-        let placer = self.members.placer(self.zones.keys().copied());
+        let placer = self.named_placer(now);
         let should_send = keepalive
             || !fleet.is_empty()
             || self.was_nonempty[1]
@@ -652,6 +685,11 @@
         unknown.copied().collect()
     }
 
+    /// The instances whose hellos were answered in the last round or in the time before it.
+    pub(super) fn greeted(&self) -> &[SocketAddr] {
+        self.joining.greeted()
+    }
+
     /// Answers hellos. An instance of this zone is told the placer at once, if this instance is the
     /// collector.
     fn answer_hellos(&mut self, now: Millis, contents: &mut Vec<(SocketAddr, Content)>) {
--- a/crates/gateway/src/sharing/suspicions.rs
+++ b/crates/gateway/src/sharing/suspicions.rs
@@ -7,7 +7,6 @@
 use crocushold_routing::SuspectKind;
 use crocushold_routing::Suspicion;
 
-use super::message::Message;
 use super::spread::packet;
 use super::spread::spread;
 use super::state::Gossip;
@@ -20,12 +19,11 @@
     (SuspectKind::Part, Packet::PartSuspicions),
 ];
 
-/// Returns the suspicions to send beside the `messages` of a round: new ones to some of the
+/// Returns the suspicions to send beside the messages of a round: new ones to some of the
 /// instances, and all known ones to the instances that asked for members.
 pub fn suspicion_packets(
     quarantine: &mut Quarantine,
     gossip: &Gossip,
-    messages: &[(SocketAddr, Message)],
     now: Millis,
 ) -> Vec<(SocketAddr, Packet)> {
     let mut packets = Vec::new();
@@ -37,7 +35,7 @@
             packet(quarantine.unsent_suspicions(kind, now), to_packet)
         };
         let known = || packet(quarantine.all_suspicions(kind, now), to_packet);
-        packets.extend(spread(gossip, messages, news, known));
+        packets.extend(spread(gossip, news, known));
     }
     packets
 }
--- a/crates/gateway/tests/fleet_start.rs
+++ b/crates/gateway/tests/fleet_start.rs
@@ -295,6 +295,38 @@
     assert!(steady[390] <= STEADY_BYTES, "{steady:?}");
 }
 
+/// The placer is stopped. It must hand over before it ends, while it still answers.
+#[test]
+fn a_placer_that_is_about_to_end_hands_over() {
+    let mut network = Network::new(3);
+    let up = network.start_together(0..86);
+    network.run_until(up + Millis(5000));
+    let placer = network.nodes.get_mut(&address(0)).expect("a node");
+    placer.gossip.set_serving(false);
+    network.run_until(network.now + PLACER_BOUND);
+    assert_eq!(network.placers(), BTreeSet::from([Some(address(1))]));
+}
+
+/// An instance whose listing takes long must not become placer before it knows a server, although
+/// it has the most capacity.
+#[test]
+fn an_instance_without_configuration_is_not_the_placer() {
+    let mut network = Network::new(3);
+    let up = network.start_together(1..86);
+    network.run_until(up + Millis(5000));
+    let up = network.now + Millis(10);
+    network.start(0, up);
+    let starting = network.nodes.get_mut(&address(0)).expect("a node");
+    starting.gossip.set_serving(false);
+    network.run_until(up + Millis(1000));
+    assert_eq!(network.placers(), BTreeSet::from([Some(address(1))]));
+    let started = network.nodes.get_mut(&address(0)).expect("a node");
+    started.gossip.set_serving(true);
+    // The placer that it replaces serves until then.
+    network.run_until(up + Millis(2000));
+    assert_eq!(network.placers(), BTreeSet::from([Some(address(0))]));
+}
+
 /// Requests wait only while the first read of the store runs, for a part of their callers' time.
 #[test]
 fn requests_wait_for_a_read_that_runs() {
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -118,8 +118,7 @@
         let mut packets = Vec::new();
         for (from, instance) in &mut self.all {
             let messages = instance.gossip.round(Load::default(), now);
-            let suspicions =
-                suspicion_packets(&mut instance.quarantine, &instance.gossip, &messages, now);
+            let suspicions = suspicion_packets(&mut instance.quarantine, &instance.gossip, now);
             let bytes = suspicions.iter().map(|(_, packet)| packet.encode().len());
             instance.sent += bytes.sum::<usize>();
             let news = messages.into_iter();
