--- a/crates/admission/src/account.rs
+++ b/crates/admission/src/account.rs
@@ -84,6 +84,11 @@
         (limit.ceil() as u32).max(1)
     }
 
+    /// Whether it has requests that are queued or in flight.
+    pub(crate) fn is_active(&self) -> bool {
+        self.queued > 0 || self.running > 0
+    }
+
     pub(crate) fn at_limit(&self) -> bool {
         self.running >= self.concurrency()
     }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -26,6 +26,9 @@
 //! * **Which request is evicted from a full queue.** Queued requests of the lowest-priority tier
 //!   first; running requests never.
 //!
+//! A [`Line`] is the queue of a gateway's placer: it orders the requests of all instances before the
+//! engines, with a scheduler for each group of interchangeable engines.
+//!
 //! After every call the driver must call [`Scheduler::next`] until it returns `None`, and again at
 //! [`Scheduler::wake_at`]. `next` returns refusals before any dispatch, so an instance that was
 //! suspended answers overdue requests before it starts others.
@@ -78,6 +81,7 @@
 mod flow;
 mod headroom;
 mod histogram;
+mod line;
 mod refusal;
 mod request;
 mod scheduler;
@@ -87,6 +91,16 @@
 mod throughput;
 mod ticket;
 
+pub use line::Line;
+pub use line::LineArrival;
+pub use line::LineEnd;
+pub use line::LineGroupKey;
+pub use line::LineRefusal;
+pub use line::LineScope;
+pub use line::LineSettings;
+pub use line::LineStatus;
+pub use line::LineStep;
+pub use line::WaiterKey;
 pub use refusal::Reason;
 pub use refusal::Refusal;
 pub use refusal::Refused;
--- /dev/null
+++ b/crates/admission/src/line/mod.rs
@@ -0,0 +1,557 @@
+//! The line of requests that wait before the engines, as a state machine.
+//!
+//! Engines order what they hold by rank alone, and what they hold can't be taken back. A request in
+//! the line can be overtaken, refused in time or given up, and begins when an engine can begin it
+//! soon. The line doesn't know the engines: its driver offers the next request to them and says
+//! whether one had room.
+//!
+//! The load that it answers: more requests arrive than the engines can begin for seconds, by a rush
+//! of one kind, a rush of one account, or a loss of engines.
+//!
+//! * **Order:** by rank, within a rank the account with the fewest tokens served, then by arrival.
+//!   That is the order of a [`Scheduler`], whose classes are the ranks; each group of
+//!   interchangeable engines has one, so that a full group doesn't hold up the others.
+//! * **Refusal:** a request whose wait is expected to exceed what its caller bears is refused as it
+//!   arrives, and one that has waited for that long is refused then. The expected wait counts no
+//!   more of other accounts' requests than fair queuing serves first.
+//! * **Rank:** a request isn't refused while less urgent ones are served. When half of its wait is
+//!   over it may use any engines that have room, and at the end of it, it is sent to an engine
+//!   however long the queue there is.
+
+mod returns;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use crocushold_base::AccountKey;
+use crocushold_base::ClassKey;
+use crocushold_base::Millis;
+use crocushold_base::RequestKey;
+use slotmap::SecondaryMap;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use self::returns::Returns;
+use crate::decay::DecayingSum;
+use crate::request::Arrival;
+use crate::scheduler::Action;
+use crate::scheduler::Admission;
+use crate::scheduler::Completion;
+use crate::scheduler::Scheduler;
+use crate::settings::HeadroomSettings;
+use crate::settings::Settings;
+use crate::spec::AccountSpec;
+use crate::spec::ClassSpec;
+use crate::ticket::Dispatched;
+use crate::ticket::NotRun;
+use crate::ticket::Sent;
+use crate::ticket::Ticket;
+
+/// Half-life of the tokens served by rank. Callers whose requests take a second or two perceive a
+/// preference for others over about that time.
+const SERVED_HALF_LIFE: Millis = Millis::from_secs(1);
+
+/// Share of the tokens from which less urgent ranks count as served. Their floors alone are below.
+const SERVED_SHARE: f64 = 0.1;
+
+/// Guaranteed share of each rank in a group, so that none starves.
+const RANK_FLOOR: f64 = 0.02;
+
+/// Time until a request that was to be sent whatever the queue, and found no engine at all, is
+/// offered again: about the time in which an engine ends a request.
+const REOFFER: Millis = Millis(50);
+
+/// Minimum time that a request may wait, whatever its limit: two round trips between instances.
+const MIN_LIMIT: Millis = Millis(10);
+
+new_key_type! {
+    /// A group of interchangeable engines.
+    pub struct LineGroupKey;
+}
+
+/// Settings of a [`Line`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct LineSettings {
+    /// Maximum number of waiting requests in a group.
+    pub max_waiting: u32,
+    /// Number of accounts beyond which those without requests are forgotten.
+    pub max_accounts: usize,
+    /// Minimum time after which a refused request may return.
+    pub retry_min: Millis,
+}
+
+impl Default for LineSettings {
+    fn default() -> LineSettings {
+        LineSettings {
+            max_waiting: 10_000,
+            max_accounts: 16 * 1024,
+            retry_min: Millis(200),
+        }
+    }
+}
+
+/// A request that joins the line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LineArrival {
+    /// The service.
+    pub service: u32,
+    /// Name of the group of engines that it prefers, unique over all services.
+    pub group: u64,
+    /// Its rank; 0 is the most urgent.
+    pub rank: u8,
+    /// The client account.
+    pub account: u32,
+    /// Length of the prompt, in tokens.
+    pub prompt_tokens: u32,
+    /// Expected length of the answer, in tokens.
+    pub output_tokens: u32,
+    /// How long it may wait in the line.
+    pub limit: Millis,
+    /// Time after which its caller wouldn't return.
+    pub patience: Millis,
+}
+
+/// A request in the line, or one that has left it for an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct WaiterKey {
+    group: LineGroupKey,
+    request: RequestKey,
+}
+
+/// The final answer to a request that is not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LineRefusal {
+    /// Time after which room is expected.
+    pub retry_after: Millis,
+}
+
+/// The engines to which a request is offered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LineScope {
+    /// Those of its group that can begin it soon.
+    Group,
+    /// All that can begin it soon.
+    Any,
+    /// All, however long their queues are.
+    Unbounded,
+}
+
+/// What the driver does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[must_use = "a request that was offered is in nobody's queue"]
+pub enum LineStep {
+    /// Offer the request to the engines, and call [`Line::begin`] or [`Line::put_back`].
+    Offer(WaiterKey, LineScope),
+    /// Answer the request with the refusal. Its key is no longer valid.
+    Refuse(WaiterKey, LineRefusal),
+}
+
+/// How a request that left the line ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LineEnd {
+    /// A whole answer of so many tokens.
+    Complete(u32),
+    /// A part of an answer.
+    Partial(u32),
+    /// It didn't run.
+    NotRun,
+}
+
+/// The waiting requests of a rank.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LineStatus {
+    /// Their number.
+    pub waiting: u32,
+    /// How long the first of them has waited.
+    pub oldest: Millis,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiter {
+    rank: u8,
+    joined: Millis,
+    /// End of its wait.
+    until: Millis,
+    patience: Millis,
+    /// Its entry in the ends of waits, if less urgent requests were served when it arrived.
+    end: Option<Millis>,
+}
+
+#[derive(Debug)]
+struct Group {
+    service: u32,
+    scheduler: Scheduler,
+    ranks: BTreeMap<u8, ClassKey>,
+    /// By key rather than by slot: the scheduler may use the slot of a request that it refused before
+    /// the refusal is taken from it.
+    waiters: HashMap<RequestKey, Waiter>,
+    offered: SecondaryMap<RequestKey, Ticket<Dispatched>>,
+    begun: SecondaryMap<RequestKey, Ticket<Sent>>,
+    /// Ends of the waits of those that outrank others.
+    ends: BTreeSet<(Millis, RequestKey)>,
+    returns: Returns,
+}
+
+/// The line of requests that wait before the engines of all services.
+///
+/// A pure state machine: each call takes the current time as an argument. Time may jump forwards by
+/// any amount; if it steps back, the last time is used.
+#[derive(Debug, Default)]
+pub struct Line {
+    settings: LineSettings,
+    groups: SlotMap<LineGroupKey, Group>,
+    names: HashMap<u64, LineGroupKey>,
+    classes: SlotMap<ClassKey, ()>,
+    accounts: SlotMap<AccountKey, u32>,
+    account_keys: HashMap<u32, AccountKey>,
+    /// Tokens served of late, by service and rank.
+    served: HashMap<u32, BTreeMap<u8, DecayingSum>>,
+}
+
+impl Line {
+    /// Creates an empty line.
+    pub fn new(settings: LineSettings) -> Line {
+        Line {
+            settings,
+            ..Line::default()
+        }
+    }
+
+    /// Adds a request to the line.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a request whose wait is expected to be too long, or that finds the
+    /// line full of more urgent ones.
+    pub fn join(&mut self, arrival: &LineArrival, now: Millis) -> Result<WaiterKey, LineRefusal> {
+        let account = self.account(arrival.account);
+        let outranks = self.outranks(arrival.service, arrival.rank, now);
+        let name = arrival.group;
+        let group = self.names.get(&name).copied();
+        let group = group.unwrap_or_else(|| self.add_group(arrival));
+        let state = &mut self.groups[group];
+        let class = state.class(arrival.rank, &mut self.classes);
+        let spec = AccountSpec {
+            key: account,
+            ..AccountSpec::default()
+        };
+        state.scheduler.ensure_account(spec, now);
+        let until = now + arrival.limit.max(MIN_LIMIT);
+        let submitted = Arrival {
+            class,
+            account,
+            prompt_tokens: arrival.prompt_tokens,
+            max_tokens: arrival.output_tokens.max(1),
+            deadline: if outranks { Millis::MAX } else { until },
+            ..Arrival::default()
+        };
+        match state.scheduler.submit(&submitted, now) {
+            Admission::Queued(request) => {
+                let waiter = Waiter {
+                    rank: arrival.rank,
+                    joined: now,
+                    until,
+                    patience: arrival.patience,
+                    end: outranks.then_some(until),
+                };
+                state.waiters.insert(request, waiter);
+                state.ends.extend(waiter.end.map(|end| (end, request)));
+                Ok(WaiterKey { group, request })
+            }
+            Admission::Refused(refusal) => {
+                Err(state.refusal(refusal.retry_after, arrival.patience, now))
+            }
+        }
+    }
+
+    /// The groups in which requests wait.
+    pub fn groups(&self) -> impl Iterator<Item = LineGroupKey> {
+        let groups = self.groups.iter();
+        let waiting = groups.filter(|(_, group)| !group.waiters.is_empty());
+        waiting.map(|(key, _)| key)
+    }
+
+    /// The group of a request.
+    pub fn group_of(&self, waiter: WaiterKey) -> LineGroupKey {
+        waiter.group
+    }
+
+    /// The next step in a group; `None` if no request waits there that wasn't offered.
+    ///
+    /// A request that is put back is offered again, so the driver puts back what found no room only
+    /// after it has made all steps that it wants to.
+    pub fn next(&mut self, group: LineGroupKey, now: Millis) -> Option<LineStep> {
+        if let Some(step) = self.next_end(group, now) {
+            return Some(step);
+        }
+        let state = self.groups.get_mut(group)?;
+        // One slot at a time: the engines decide whether there is room.
+        match state.scheduler.next(now, 1)? {
+            Action::Refuse(refused) => {
+                let request = refused.key;
+                let waiter = state.forget(request)?;
+                let refusal = state.refusal(refused.refusal.retry_after, waiter.patience, now);
+                Some(LineStep::Refuse(WaiterKey { group, request }, refusal))
+            }
+            Action::Dispatch(ticket) => {
+                let request = ticket.key();
+                let waiter = state.waiters.get(&request)?;
+                let half = Millis(waiter.until.since(waiter.joined).0 / 2);
+                let is_long = now >= waiter.joined + half;
+                let scope = if waiter.end.is_some() && is_long {
+                    LineScope::Any
+                } else {
+                    LineScope::Group
+                };
+                state.offered.insert(request, ticket);
+                Some(LineStep::Offer(WaiterKey { group, request }, scope))
+            }
+        }
+    }
+
+    /// Records that an engine takes the request that was offered.
+    pub fn begin(&mut self, waiter: WaiterKey, now: Millis) {
+        let Some(group) = self.groups.get_mut(waiter.group) else {
+            return;
+        };
+        let Some(ticket) = group.offered.remove(waiter.request) else {
+            return;
+        };
+        let Some(state) = group.forget(waiter.request) else {
+            return;
+        };
+        let tokens = ticket.charge() as f64;
+        group.begun.insert(waiter.request, ticket.sent());
+        let served = self.served.entry(group.service).or_default();
+        let served = served.entry(state.rank);
+        let served = served.or_insert_with(|| DecayingSum::new(SERVED_HALF_LIFE));
+        served.add(tokens, now);
+    }
+
+    /// Returns a request that was offered, and for which no engine had room, to its place.
+    pub fn put_back(&mut self, waiter: WaiterKey, now: Millis) {
+        let WaiterKey { group, request } = waiter;
+        let Some(group) = self.groups.get_mut(group) else {
+            return;
+        };
+        let Some(ticket) = group.offered.remove(request) else {
+            return;
+        };
+        group.scheduler.requeue(ticket, now);
+        let Some(state) = group.waiters.get_mut(&request) else {
+            return;
+        };
+        if state.end.is_some_and(|end| end <= now) {
+            let end = now + REOFFER;
+            state.end = Some(end);
+            group.ends.insert((end, request));
+        }
+    }
+
+    /// Removes a request whose caller or instance is gone, or for which there is no server at all.
+    pub fn leave(&mut self, waiter: WaiterKey, now: Millis) {
+        self.put_back(waiter, now);
+        let WaiterKey { group, request } = waiter;
+        if let Some(group) = self.groups.get_mut(group)
+            && group.forget(request).is_some()
+        {
+            group.scheduler.cancel(request, 0, now);
+        }
+    }
+
+    /// Settles a request that has left the line by what it really used.
+    pub fn finish(&mut self, waiter: WaiterKey, end: LineEnd, now: Millis) {
+        let WaiterKey { group, request } = waiter;
+        let Some(group) = self.groups.get_mut(group) else {
+            return;
+        };
+        let Some(ticket) = group.begun.remove(request) else {
+            return;
+        };
+        let completion = match end {
+            LineEnd::Complete(output) => Completion {
+                output,
+                complete: true,
+            },
+            LineEnd::Partial(output) => Completion {
+                output,
+                complete: false,
+            },
+            LineEnd::NotRun => {
+                // Undoes the charge; the request isn't offered in between.
+                let ticket = ticket.not_run(NotRun::NothingWritten);
+                group.scheduler.requeue(ticket, now);
+                group.scheduler.cancel(request, 0, now);
+                return;
+            }
+        };
+        group.scheduler.finish(ticket, completion, now);
+    }
+
+    /// How long the request has waited in the line; `None` if it doesn't wait.
+    pub fn waited(&self, waiter: WaiterKey, now: Millis) -> Option<Millis> {
+        let group = self.groups.get(waiter.group)?;
+        let state = group.waiters.get(&waiter.request)?;
+        Some(now.since(state.joined))
+    }
+
+    /// Number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.groups.values().map(|group| group.waiters.len()).sum()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.groups.values().all(|group| group.waiters.is_empty())
+    }
+
+    /// The waiting requests by rank.
+    pub fn status(&self, now: Millis) -> BTreeMap<u8, LineStatus> {
+        let mut ranks: BTreeMap<u8, LineStatus> = BTreeMap::new();
+        let waiters = self
+            .groups
+            .values()
+            .flat_map(|group| group.waiters.values());
+        for waiter in waiters {
+            let status = ranks.entry(waiter.rank).or_default();
+            status.waiting += 1;
+            status.oldest = status.oldest.max(now.since(waiter.joined));
+        }
+        ranks
+    }
+
+    /// The step for the first request that outranks others and whose wait is over.
+    fn next_end(&mut self, group: LineGroupKey, now: Millis) -> Option<LineStep> {
+        let state = self.groups.get_mut(group)?;
+        let &(at, request) = state.ends.first()?;
+        if at > now {
+            return None;
+        }
+        state.ends.pop_first();
+        let waiter = *state.waiters.get(&request)?;
+        let service = state.service;
+        let retry_min = self.settings.retry_min;
+        let key = WaiterKey { group, request };
+        if self.outranks(service, waiter.rank, now) {
+            let state = self.groups.get_mut(group)?;
+            let ticket = state.scheduler.dispatch(request, now)?;
+            state.offered.insert(request, ticket);
+            return Some(LineStep::Offer(key, LineScope::Unbounded));
+        }
+        let state = self.groups.get_mut(group)?;
+        state.forget(request);
+        state.scheduler.cancel(request, 0, now);
+        let refusal = state.refusal(retry_min, waiter.patience, now);
+        Some(LineStep::Refuse(key, refusal))
+    }
+
+    /// Whether less urgent requests of the service are served at present.
+    fn outranks(&self, service: u32, rank: u8, now: Millis) -> bool {
+        let Some(served) = self.served.get(&service) else {
+            return false;
+        };
+        let total: f64 = served.values().map(|sum| sum.rate(now)).sum();
+        let below = served.iter().filter(|&(&other, _)| other > rank);
+        let below: f64 = below.map(|(_, sum)| sum.rate(now)).sum();
+        below > 0.0 && below >= total * SERVED_SHARE
+    }
+
+    fn add_group(&mut self, arrival: &LineArrival) -> LineGroupKey {
+        let settings = Settings {
+            queue_limit: self.settings.max_waiting,
+            // The bodies are held by the instances.
+            queue_bytes: u64::MAX,
+            // The limit of each request is what its caller bears, and leaves time for the prefill.
+            wait_margin: 1.0,
+            retry_min: self.settings.retry_min,
+            headroom: HeadroomSettings {
+                max_share: 0.0,
+                ..HeadroomSettings::default()
+            },
+            ..Settings::default()
+        };
+        let group = self.groups.insert(Group {
+            service: arrival.service,
+            scheduler: Scheduler::new(settings),
+            ranks: BTreeMap::new(),
+            waiters: HashMap::new(),
+            offered: SecondaryMap::new(),
+            begun: SecondaryMap::new(),
+            ends: BTreeSet::new(),
+            returns: Returns::default(),
+        });
+        self.names.insert(arrival.group, group);
+        group
+    }
+
+    fn account(&mut self, account: u32) -> AccountKey {
+        if let Some(&key) = self.account_keys.get(&account) {
+            return key;
+        }
+        if self.accounts.len() >= self.settings.max_accounts {
+            self.forget_accounts();
+        }
+        let key = self.accounts.insert(account);
+        self.account_keys.insert(account, key);
+        key
+    }
+
+    /// Forgets the accounts without requests.
+    fn forget_accounts(&mut self) {
+        for group in self.groups.values_mut() {
+            group.scheduler.drop_idle_accounts();
+        }
+        let groups = &self.groups;
+        self.accounts.retain(|key, account| {
+            let mut groups = groups.values();
+            let is_kept = groups.any(|group| group.scheduler.has_account(key));
+            if !is_kept {
+                self.account_keys.remove(account);
+            }
+            is_kept
+        });
+    }
+}
+
+impl Group {
+    /// The class of a rank. Tiers are numbered by the ranks that the group has seen.
+    fn class(&mut self, rank: u8, keys: &mut SlotMap<ClassKey, ()>) -> ClassKey {
+        if let Some(&class) = self.ranks.get(&rank) {
+            return class;
+        }
+        let class = keys.insert(());
+        self.ranks.insert(rank, class);
+        let ranks = self.ranks.values().enumerate();
+        let specs = ranks.map(|(tier, &key)| ClassSpec {
+            key,
+            tier: u8::try_from(tier).unwrap_or(u8::MAX),
+            floor: RANK_FLOOR,
+            ..ClassSpec::default()
+        });
+        let specs: Vec<ClassSpec> = specs.collect();
+        self.scheduler.put_classes(&specs);
+        class
+    }
+
+    fn forget(&mut self, request: RequestKey) -> Option<Waiter> {
+        let waiter = self.waiters.remove(&request)?;
+        if let Some(end) = waiter.end {
+            self.ends.remove(&(end, request));
+        }
+        Some(waiter)
+    }
+
+    fn refusal(&mut self, wait: Millis, patience: Millis, now: Millis) -> LineRefusal {
+        let rate = self.scheduler.requests_per_second();
+        let span = if rate > 0.0 {
+            Millis((1000.0 / rate) as u64)
+        } else {
+            Millis::ZERO
+        };
+        let at = self.returns.reserve(now + wait, now + patience, span);
+        LineRefusal {
+            retry_after: at.since(now),
+        }
+    }
+}
--- a/crates/admission/src/scheduler/configure.rs
+++ b/crates/admission/src/scheduler/configure.rs
@@ -45,6 +45,27 @@
         self.recount_unused_reserve();
     }
 
+    /// Adds classes, or changes those that exist, and keeps all others.
+    pub(crate) fn put_classes(&mut self, classes: &[ClassSpec]) {
+        for spec in classes {
+            self.put_class(spec);
+        }
+        self.recount_unused_reserve();
+    }
+
+    /// Adds an account unless it exists, and keeps all others.
+    pub(crate) fn ensure_account(&mut self, spec: AccountSpec, now: Millis) {
+        if !self.accounts.contains_key(spec.key) {
+            self.accounts.insert(spec.key, Account::new(spec, now));
+        }
+    }
+
+    /// Drops accounts that have neither queued requests nor any in flight.
+    pub(crate) fn drop_idle_accounts(&mut self) {
+        self.accounts.retain(|_, account| account.is_active());
+        self.update_flows();
+    }
+
     /// Sets the share of the account's limits that this scheduler may use, from 0 to 1: the
     /// instance's share, divided among its schedulers.
     pub fn set_share(&mut self, account: AccountKey, share: f64, now: Millis) {
--- a/crates/admission/src/scheduler/dispatch.rs
+++ b/crates/admission/src/scheduler/dispatch.rs
@@ -2,6 +2,7 @@
 
 use crocushold_base::ClassKey;
 use crocushold_base::Millis;
+use crocushold_base::RequestKey;
 
 use super::Scheduler;
 use crate::class::Candidate;
@@ -67,6 +68,22 @@
         timer.into_iter().chain(poll).min()
     }
 
+    /// Starts a queued request out of order; `None` if it isn't queued. It is charged like any other.
+    pub(crate) fn dispatch(&mut self, key: RequestKey, now: Millis) -> Option<Ticket<Dispatched>> {
+        let now = self.advance_clock(now);
+        let request = *self.requests.get(key)?;
+        let Stage::Queued(lane) = request.stage else {
+            return None;
+        };
+        let candidate = Candidate {
+            account: request.account,
+            lane,
+            position: request.position,
+            only_late: false,
+        };
+        self.start(request.class, SelectedBy::Rank, &candidate, now)
+    }
+
     /// Returns a request to the queue for which no backend server was available. It keeps its
     /// position, and the charges to its account, class and floor are undone.
     pub fn requeue(&mut self, ticket: Ticket<Dispatched>, now: Millis) {
--- a/crates/admission/src/scheduler/report.rs
+++ b/crates/admission/src/scheduler/report.rs
@@ -2,6 +2,7 @@
 
 use crocushold_base::AccountKey;
 use crocushold_base::ClassKey;
+use crocushold_base::Millis;
 
 use super::Scheduler;
 use crate::status::ClassStatus;
@@ -36,4 +37,16 @@
     pub fn account_running(&self, key: AccountKey) -> u32 {
         self.accounts.get(key).map_or(0, |account| account.running)
     }
+
+    /// Whether the account is configured.
+    pub(crate) fn has_account(&self, key: AccountKey) -> bool {
+        self.accounts.contains_key(key)
+    }
+
+    /// Requests that end per second; zero until one has finished.
+    pub(crate) fn requests_per_second(&self) -> f64 {
+        let second = Millis::from_secs(1);
+        self.throughput
+            .expected_releases(self.slots().max(1), second)
+    }
 }
--- /dev/null
+++ b/crates/admission/tests/admission/line.rs
@@ -0,0 +1,429 @@
+//! The line before the engines, with engines that begin one request after the other.
+
+use std::collections::HashMap;
+
+use crocushold_admission::Line;
+use crocushold_admission::LineArrival;
+use crocushold_admission::LineEnd;
+use crocushold_admission::LineRefusal;
+use crocushold_admission::LineScope;
+use crocushold_admission::LineSettings;
+use crocushold_admission::LineStep;
+use crocushold_admission::WaiterKey;
+use crocushold_base::Millis;
+use test_case::test_case;
+
+const START: Millis = Millis(10_000);
+const OUTPUT: u32 = 20;
+
+fn arrival(rank: u8, account: u32) -> LineArrival {
+    LineArrival {
+        service: 1,
+        group: 1,
+        rank,
+        account,
+        prompt_tokens: 800,
+        output_tokens: OUTPUT,
+        limit: Millis(1000),
+        patience: Millis(1300),
+    }
+}
+
+fn join(line: &mut Line, arrival: LineArrival, now: Millis) -> WaiterKey {
+    line.join(&arrival, now).expect("there is room in line")
+}
+
+/// Takes the next request, for which there is room.
+fn begin(line: &mut Line, waiter: WaiterKey, now: Millis) -> Option<(WaiterKey, LineScope)> {
+    match line.next(line.group_of(waiter), now)? {
+        LineStep::Offer(key, scope) => {
+            line.begin(key, now);
+            Some((key, scope))
+        }
+        LineStep::Refuse(..) => panic!("refused"),
+    }
+}
+
+fn refused(line: &mut Line, waiter: WaiterKey, now: Millis) -> (WaiterKey, LineRefusal) {
+    match line.next(line.group_of(waiter), now) {
+        Some(LineStep::Refuse(key, refusal)) => (key, refusal),
+        other => panic!("expected a refusal, got {other:?}"),
+    }
+}
+
+/// How the requests of an account or a rank fared.
+#[derive(Clone, Copy, Debug, Default)]
+struct Fared {
+    asked: u64,
+    refused: u64,
+    begun: u64,
+    /// The longest time until a decision.
+    longest: u64,
+}
+
+impl Fared {
+    fn refused_permille(self) -> u64 {
+        1000 * self.refused / self.asked.max(1)
+    }
+}
+
+/// What arrives: requests per second, by rank and account.
+#[derive(Clone, Copy)]
+struct Stream {
+    rank: u8,
+    account: u32,
+    rate: u64,
+    group: u64,
+}
+
+/// Engines that hold no more than they can begin within the bound.
+struct Engines {
+    /// Until when each is busy, by group.
+    busy: HashMap<u64, Vec<u64>>,
+    span: u64,
+}
+
+const ENGINE_BOUND: u64 = 150;
+
+impl Engines {
+    fn new(counts: &[(u64, usize)], span: u64) -> Engines {
+        let busy = counts.iter();
+        Engines {
+            busy: busy
+                .map(|&(group, count)| (group, vec![0; count]))
+                .collect(),
+            span,
+        }
+    }
+
+    /// The engine that begins a request first, and whether it does so soon.
+    fn take(&mut self, group: u64, scope: LineScope, now: u64) -> Option<u64> {
+        let own = self.busy.get_mut(&group)?.iter_mut().min()?;
+        if *own <= now + ENGINE_BOUND {
+            *own = now.max(*own) + self.span;
+            return Some(*own);
+        }
+        if scope == LineScope::Group {
+            return None;
+        }
+        let any = self.busy.values_mut().flatten().min()?;
+        if *any <= now + ENGINE_BOUND || scope == LineScope::Unbounded {
+            *any = now.max(*any) + self.span;
+            return Some(*any);
+        }
+        None
+    }
+}
+
+/// Plays the streams for some seconds and returns how each fared.
+fn play(streams: &[Stream], engines: &mut Engines, seconds: u64) -> Vec<Fared> {
+    let mut line = Line::new(LineSettings::default());
+    let mut fared = vec![Fared::default(); streams.len()];
+    let mut joined: HashMap<WaiterKey, (usize, u64)> = HashMap::new();
+    let mut running: Vec<(u64, WaiterKey)> = Vec::new();
+    for now in START.0..START.0 + seconds * 1000 {
+        let at = Millis(now);
+        for (index, stream) in streams.iter().enumerate() {
+            let offset = now + 37 * index as u64;
+            let due = (offset + 1) * stream.rate / 1000 - offset * stream.rate / 1000;
+            for _ in 0..due {
+                fared[index].asked += 1;
+                let wanted = LineArrival {
+                    group: stream.group,
+                    ..arrival(stream.rank, stream.account)
+                };
+                match line.join(&wanted, at) {
+                    Ok(key) => {
+                        joined.insert(key, (index, now));
+                    }
+                    Err(_) => fared[index].refused += 1,
+                }
+            }
+        }
+        for (_, key) in running.extract_if(.., |(ends, _)| *ends <= now) {
+            line.finish(key, LineEnd::Complete(OUTPUT), at);
+        }
+        let groups: Vec<_> = line.groups().collect();
+        for group in groups {
+            let mut in_vain = Vec::new();
+            while in_vain.len() < 4
+                && let Some(step) = line.next(group, at)
+            {
+                let (LineStep::Offer(key, _) | LineStep::Refuse(key, _)) = step;
+                let (index, since) = joined[&key];
+                let stats = &mut fared[index];
+                stats.longest = stats.longest.max(now - since);
+                match step {
+                    LineStep::Refuse(..) => stats.refused += 1,
+                    LineStep::Offer(_, scope) => {
+                        match engines.take(streams[index].group, scope, now) {
+                            Some(ends) => {
+                                stats.begun += 1;
+                                line.begin(key, at);
+                                running.push((ends, key));
+                            }
+                            None => in_vain.push(key),
+                        }
+                    }
+                }
+            }
+            for key in in_vain {
+                line.put_back(key, at);
+            }
+        }
+    }
+    fared
+}
+
+/// The streams of 24 accounts of one rank, of which the first `rushing` send six times their usual.
+fn accounts(rushing: u32) -> Vec<Stream> {
+    let accounts = 0..24;
+    let streams = accounts.map(|account| Stream {
+        rank: 1,
+        account,
+        rate: if account < rushing { 60 } else { 10 },
+        group: 1,
+    });
+    streams.collect()
+}
+
+/// The most urgent go first, then the account that was served least, then the first to arrive.
+#[test]
+fn order_is_by_rank_then_account_then_arrival() {
+    let mut line = Line::new(LineSettings::default());
+    let busy = [0, 1].map(|_| join(&mut line, arrival(1, 1), START));
+    let lesser = join(&mut line, arrival(2, 3), START);
+    let other = join(&mut line, arrival(1, 2), START + Millis(1));
+    let urgent = join(&mut line, arrival(0, 1), START + Millis(2));
+    let now = START + Millis(3);
+    let order: Vec<WaiterKey> =
+        std::iter::from_fn(|| Some(begin(&mut line, busy[0], now)?.0)).collect();
+    assert_eq!(order, [urgent, busy[0], other, busy[1], lesser]);
+    assert!(line.is_empty());
+}
+
+/// Two of 24 accounts send six times their usual, which is more than the engines do. An account
+/// below its share is refused no more than without the rush, and waits no longer than its limit.
+#[test]
+fn a_rush_of_two_accounts_is_not_paid_for_by_the_others() {
+    // The engines begin 300 requests a second: 240 are usual, and 340 come with the rush.
+    let engines = || Engines::new(&[(1, 30)], 100);
+    let before = play(&accounts(0), &mut engines(), 20);
+    let rush = play(&accounts(2), &mut engines(), 20);
+    for (before, rush) in before[2..].iter().zip(&rush[2..]) {
+        assert!(
+            rush.refused_permille() <= before.refused_permille() + 5,
+            "{before:?} {rush:?}"
+        );
+    }
+    let rushing: u64 = rush[..2].iter().map(|fared| fared.refused).sum();
+    assert!(rushing > 0, "{rush:?}");
+    // What the others leave goes to those that ask.
+    let begun: u64 = rush.iter().map(|fared| fared.begun).sum();
+    assert!(begun >= 300 * 20 * 97 / 100, "{begun}");
+}
+
+/// Half of the engines are gone, and the rest do two thirds of what arrives. The most urgent rank is
+/// never refused, the least urgent one pays, and each request has its answer within its limit.
+#[test]
+fn the_least_urgent_pay_for_a_loss_of_engines() {
+    let stream = |rank, rate| Stream {
+        rank,
+        account: u32::from(rank),
+        rate,
+        group: 1,
+    };
+    let streams = [stream(0, 50), stream(1, 60), stream(2, 115)];
+    let fared = play(&streams, &mut Engines::new(&[(1, 15)], 100), 20);
+    assert_eq!(fared[0].refused, 0, "{fared:?}");
+    assert_eq!(fared[1].refused, 0, "{fared:?}");
+    assert!(fared[2].refused > 0, "{fared:?}");
+    assert!(fared[2].begun > 0, "{fared:?}");
+    assert!(fared[0].longest <= 100, "{fared:?}");
+    for fared in fared {
+        assert!(fared.longest <= 1000, "{fared:?}");
+    }
+}
+
+/// A rush of each rank in turn, of more than its engines do: the most urgent rank is never refused,
+/// and all engines work.
+#[test_case(0; "the most urgent")]
+#[test_case(1; "the middle one")]
+#[test_case(2; "the least urgent")]
+fn a_rush_of_one_rank_uses_all_engines(rushing: u8) {
+    let stream = |rank: u8| Stream {
+        rank,
+        account: u32::from(rank),
+        rate: if rank == rushing { 250 } else { 80 },
+        group: u64::from(rank),
+    };
+    let streams = [stream(0), stream(1), stream(2)];
+    let mut engines = Engines::new(&[(0, 10), (1, 10), (2, 10)], 100);
+    let fared = play(&streams, &mut engines, 20);
+    assert_eq!(fared[0].refused, 0, "{fared:?}");
+    let served = |rank: usize| fared[rank].begun * 1000 / fared[rank].asked;
+    assert!(served(0) >= 950, "{fared:?}");
+    assert!(
+        fared[2].begun > 0,
+        "the least urgent aren't starved: {fared:?}"
+    );
+    let begun: u64 = fared.iter().map(|fared| fared.begun).sum();
+    let spills = rushing < 2;
+    let least = if spills { 280 } else { 240 };
+    assert!(begun >= least * 20, "{begun} {fared:?}");
+}
+
+/// While less urgent requests are served a request isn't refused: it may use any engines after half
+/// of its wait, and at its end it is sent however long their queues are.
+#[test]
+fn a_request_is_not_refused_while_lesser_ones_are_served() {
+    let mut line = Line::new(LineSettings::default());
+    let lesser = LineArrival {
+        group: 2,
+        ..arrival(5, 1)
+    };
+    let served = join(&mut line, lesser, START);
+    begin(&mut line, served, START);
+    let urgent = join(&mut line, arrival(1, 2), START);
+    let group = line.group_of(urgent);
+    let mut scopes = Vec::new();
+    for at in [0, 600, 1000] {
+        let now = START + Millis(at);
+        let Some(LineStep::Offer(key, scope)) = line.next(group, now) else {
+            panic!("not offered");
+        };
+        assert_eq!(key, urgent);
+        line.put_back(key, now);
+        scopes.push(scope);
+    }
+    assert_eq!(
+        scopes,
+        [LineScope::Group, LineScope::Any, LineScope::Unbounded]
+    );
+    assert_eq!(line.len(), 1);
+    // No less urgent request was served for seconds, so that there is no room for this one either.
+    let much_later = START + Millis(60_000);
+    let newer = join(&mut line, arrival(0, 2), much_later);
+    assert!(begin(&mut line, newer, much_later).is_some());
+}
+
+/// Guards against a process that was suspended and starts requests whose time is over.
+#[test]
+fn after_a_jump_of_the_clock_overdue_requests_are_refused_first() {
+    let mut line = Line::new(LineSettings::default());
+    let first = join(&mut line, arrival(1, 1), START);
+    let second = join(&mut line, arrival(1, 2), START);
+    let later = START + Millis(60_000);
+    let fresh = join(&mut line, arrival(1, 1), later);
+    let mut gone = [first, second].map(|_| refused(&mut line, first, later).0);
+    gone.sort_by_key(|key| *key != first);
+    assert_eq!(gone, [first, second]);
+    // A clock that steps back is ignored.
+    let offered = begin(&mut line, fresh, START);
+    assert_eq!(offered.map(|(key, _)| key), Some(fresh));
+}
+
+/// A full line takes a more urgent request in place of the least urgent one, which is told so.
+#[test]
+fn a_full_line_refuses_the_least_urgent() {
+    let settings = LineSettings {
+        max_waiting: 20,
+        ..LineSettings::default()
+    };
+    let mut line = Line::new(settings);
+    let lesser: Vec<WaiterKey> = (0..20)
+        .filter_map(|account| line.join(&arrival(3, account), START).ok())
+        .collect();
+    let urgent = join(&mut line, arrival(0, 1), START);
+    let (key, _) = refused(&mut line, urgent, START);
+    assert!(lesser.contains(&key));
+    assert_eq!(
+        begin(&mut line, urgent, START).map(|(key, _)| key),
+        Some(urgent)
+    );
+    while line.join(&arrival(3, 30), START).is_ok() {}
+    assert!(line.len() <= 21, "{}", line.len());
+}
+
+/// A request that didn't run costs its account nothing; one that did is charged what it used.
+#[test]
+fn accounts_are_charged_what_they_used() {
+    for (end, first) in [(LineEnd::NotRun, 1), (LineEnd::Complete(4000), 2)] {
+        let mut line = Line::new(LineSettings::default());
+        let earlier = join(&mut line, arrival(1, 1), START);
+        begin(&mut line, earlier, START);
+        line.finish(earlier, end, START + Millis(10));
+        let now = START + Millis(20);
+        let own = join(&mut line, arrival(1, 1), now);
+        let other = join(&mut line, arrival(1, 2), now + Millis(1));
+        let expected = if first == 1 { own } else { other };
+        let began = begin(&mut line, own, now + Millis(2));
+        assert_eq!(began.map(|(key, _)| key), Some(expected), "{end:?}");
+    }
+}
+
+/// A request that leaves isn't offered, and events of requests that are gone are ignored.
+#[test]
+fn requests_may_leave_at_any_time() {
+    let mut line = Line::new(LineSettings::default());
+    let first = join(&mut line, arrival(1, 1), START);
+    let second = join(&mut line, arrival(1, 1), START);
+    line.leave(first, START);
+    line.leave(first, START);
+    line.begin(first, START);
+    line.put_back(first, START);
+    line.finish(first, LineEnd::Complete(1), START);
+    assert_eq!(line.len(), 1);
+    let offered = line.next(line.group_of(second), START);
+    assert_eq!(offered, Some(LineStep::Offer(second, LineScope::Group)));
+    // The caller leaves between the offer and its result.
+    line.leave(second, START);
+    line.begin(second, START);
+    assert!(line.is_empty());
+}
+
+/// Refused requests get return times one after the other, within the patience of their callers.
+#[test]
+fn return_times_are_spread() {
+    let mut line = Line::new(LineSettings::default());
+    for at in 0..100 {
+        let now = START + Millis(at * 10);
+        let key = join(&mut line, arrival(1, 1), now);
+        begin(&mut line, key, now);
+        line.finish(key, LineEnd::Complete(OUTPUT), now + Millis(100));
+    }
+    let now = START + Millis(2000);
+    let keys: Vec<WaiterKey> = (0..40)
+        .filter_map(|account| line.join(&arrival(1, account), now).ok())
+        .collect();
+    let late = now + Millis(1000);
+    let mut times = Vec::new();
+    while let Some(LineStep::Refuse(_, refusal)) = line.next(line.group_of(keys[0]), late) {
+        times.push(refusal.retry_after);
+    }
+    assert!(times.len() > 10, "{times:?}");
+    let patient = times.iter().filter(|&&time| time < Millis(1300));
+    let mut distinct: Vec<Millis> = patient.copied().collect();
+    distinct.dedup();
+    assert!(distinct.len() > 5, "{times:?}");
+    assert!(distinct.is_sorted(), "{times:?}");
+    assert!(times.iter().all(|&time| time >= Millis(200)), "{times:?}");
+}
+
+/// Accounts that are gone from the configuration are forgotten, unless they have requests in line.
+#[test]
+fn idle_accounts_are_forgotten() {
+    let settings = LineSettings {
+        max_accounts: 10,
+        ..LineSettings::default()
+    };
+    let mut line = Line::new(settings);
+    let waiting = join(&mut line, arrival(1, 1), START);
+    for account in 2..500 {
+        let key = join(&mut line, arrival(0, account), START);
+        line.leave(key, START);
+    }
+    assert_eq!(line.len(), 1);
+    let began = begin(&mut line, waiting, START);
+    assert_eq!(began.map(|(key, _)| key), Some(waiting));
+}
--- a/crates/admission/tests/admission/main.rs
+++ b/crates/admission/tests/admission/main.rs
@@ -5,6 +5,7 @@
 mod fairness;
 mod floors;
 mod limits;
+mod line;
 mod pauses;
 mod queue;
 mod refusals;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -87,6 +87,8 @@
     /// The other instance that made the last choice, if any.
     placer: Option<SocketAddr>,
     tried: Vec<ServerKey>,
+    /// How long it has waited in the placer's line, if it has.
+    line_wait: Option<Millis>,
     /// Until when the request may wait here for a server, once it has waited.
     wait_until: Option<Millis>,
     /// Time until the next look for a server, once it has waited.
@@ -153,6 +155,7 @@
             expected_prefill: 0,
             placer: None,
             tried: Vec::new(),
+            line_wait: None,
             wait_until: None,
             look_interval: None,
             unserved: false,
@@ -185,7 +188,7 @@
                     return Err(relay::unreachable());
                 }
             }
-            let choice = match self.choose().await {
+            let choice = match self.choose_for(hangup).await {
                 Ok(choice) => choice,
                 Err(failure) if self.may_be_served_elsewhere() => {
                     return self.relay_unserved(failure, hangup).await;
@@ -216,6 +219,20 @@
         }
     }
 
+    /// Chooses a server unless the caller leaves. The wait for one is as long as an answer may take
+    /// only in the placer's line.
+    async fn choose_for(&mut self, hangup: &Hangup) -> Result<Choice, Failure> {
+        if !self.shared.settings.waiting_line {
+            return self.choose().await;
+        }
+        let chosen = std::pin::pin!(self.choose());
+        let gone = std::pin::pin!(hangup.wait());
+        match select(chosen, gone).await {
+            Either::Left((chosen, _)) => chosen,
+            Either::Right(_) => Err(Failure::CallerGone),
+        }
+    }
+
     /// Builds the final refusal of a request. If the request may have run, the reason must not
     /// promise that it didn't.
     fn final_refusal(&self, reason: Reason, retry_after: Option<Millis>) -> Refusal {
--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -10,7 +10,11 @@
 use super::Failure;
 use super::MIN_RETRY_AFTER;
 use crate::fleet::Choice;
+use crate::fleet::short_hash;
+use crate::placing::LineTerms;
+use crate::placing::PlacementAnswer;
 use crate::placing::PlacementError;
+use crate::placing::PlacementId;
 use crate::placing::PlacementQuery;
 use crate::placing::PlacementVerdict;
 use crate::quarantine::log_trial;
@@ -22,6 +26,10 @@
 const MAX_WAIT: Millis = Millis(500);
 const WAIT_DIVISOR: u64 = 4;
 
+/// The part of its remaining time that a request may wait in line at most. It still has to be
+/// answered, or refused so that its caller can go elsewhere.
+const LINE_DIVISOR: u64 = 2;
+
 /// Time until the second look for a server of the most urgent requests. It grows by half with each
 /// one, as every look is a question to the placer.
 const LOOK_INTERVAL: Millis = Millis(8);
@@ -47,7 +55,7 @@
     }
 
     /// Chooses a server: by the placer, or by this instance.
-    async fn pick(&self, now: Millis) -> Result<Choice, NoServer> {
+    async fn pick(&mut self, now: Millis) -> Result<Choice, NoServer> {
         if let Some(asked) = self.ask_placer(now).await {
             return asked;
         }
@@ -123,11 +131,16 @@
     /// Asks the placer for a server. Returns `None` if this instance has to choose itself: the
     /// request is neither for an engine nor for a service with paced servers, there is no reply, or
     /// the reply can't be used here.
-    async fn ask_placer(&self, now: Millis) -> Option<Result<Choice, NoServer>> {
+    async fn ask_placer(&mut self, now: Millis) -> Option<Result<Choice, NoServer>> {
         let need = &self.job.need;
         if need.unique_tokens == 0 && !self.shared.fleet().needs_placer(&need.service, now) {
             return None;
         }
+        let line = self.line_terms(now);
+        // The line is what the placer needs to be asked for by itself.
+        if line.is_none() && self.shared.placer.asks_itself() {
+            return None;
+        }
         let (tried, resting) = {
             let mut fleet = self.shared.fleet();
             (
@@ -141,12 +154,17 @@
             remaining: self.job.deadline.since(now),
             tried,
             resting,
-            now,
+            line,
+            clock: self.shared.clock,
         };
-        let verdict = self.shared.placer.ask(query).await;
+        let answer = self.shared.placer.ask(query).await;
         let metrics = &self.shared.metrics;
-        let (placement_id, verdict) = match verdict {
-            Ok(verdict) => verdict,
+        let PlacementAnswer {
+            placement_id,
+            verdict,
+            waited,
+        } = match answer {
+            Ok(answer) => answer,
             Err(PlacementError::NoPlacer) => return None,
             // The placer may only be late, and is replaced soon if it is gone.
             Err(PlacementError::Silent) => return self.full_if_brittle(),
@@ -155,13 +173,18 @@
                 return self.full_if_brittle();
             }
         };
+        if let Some(waited) = waited {
+            self.line_wait = Some(self.line_wait.unwrap_or_default() + waited);
+        }
         let now = self.shared.clock.now();
         match verdict {
             PlacementVerdict::Placed(placement) => {
-                let adopted = self
-                    .shared
-                    .fleet()
-                    .adopt(need, &placement, &self.tried, now);
+                let adopted = if self.shared.placer.is_own(placement_id.placer) {
+                    self.take_own(placement_id, now)
+                } else {
+                    let mut fleet = self.shared.fleet();
+                    fleet.adopt(need, &placement, &self.tried, now)
+                };
                 metrics.count_placement(if adopted.is_some() {
                     "placed"
                 } else {
@@ -188,13 +211,36 @@
                     retry_after: retry_delay,
                 }))
             }
-            PlacementVerdict::Unable => {
+            PlacementVerdict::Unable | PlacementVerdict::Waiting => {
                 metrics.count_placement("unable");
                 None
             }
         }
     }
 
+    /// On which terms the request may wait in line; `None` if it may not.
+    fn line_terms(&self, now: Millis) -> Option<LineTerms> {
+        let limit = self.job.line_limit?;
+        if !self.shared.settings.waiting_line || !self.shared.fleet().has_line(&self.job.need) {
+            return None;
+        }
+        let remaining = self.job.deadline.since(now);
+        let limit = limit.since(now.since(self.job.arrived));
+        let account = self.job.account.as_deref();
+        Some(LineTerms {
+            account: account.map_or(0, short_hash),
+            limit: limit.min(Millis(remaining.0 / LINE_DIVISOR)),
+        })
+    }
+
+    /// The choice of this instance in its own line.
+    fn take_own(&self, placement_id: PlacementId, now: Millis) -> Option<Choice> {
+        let choice = self.shared.placer.take_own(placement_id)?;
+        let mut fleet = self.shared.fleet();
+        fleet.record_first_attempt(&self.job.need, &self.tried, now);
+        Some(choice)
+    }
+
     /// The result of a question that led to no placement, if the servers are brittle: what this
     /// instance sent there by itself would come on top of what the placer sends.
     fn full_if_brittle(&self) -> Option<Result<Choice, NoServer>> {
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -104,6 +104,8 @@
             source: self.source,
             expected_wait: self.expected_wait,
             wait_limit: self.job.need.wait_limit,
+            line_wait: self.line_wait,
+            line_limit: self.job.line_limit,
             expected_prefill: self.expected_prefill,
             placer: self.placer,
             entry: self.job.entry.clone(),
--- a/crates/gateway/src/fleet/choose.rs
+++ b/crates/gateway/src/fleet/choose.rs
@@ -1,6 +1,7 @@
 //! The choice of servers: for requests of this instance, by itself or by the placer, and for
 //! requests of other instances.
 
+use crocushold_admission::LineScope;
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
 use crocushold_routing::Demand;
@@ -11,6 +12,7 @@
 use crocushold_routing::Reason;
 use crocushold_routing::Rest;
 use slotmap::SlotMap;
+use twox_hash::XxHash3_64;
 
 use super::Choice;
 use super::Fleet;
@@ -18,10 +20,16 @@
 use super::Server;
 use super::service::ModelLanes;
 use super::service::Service;
+use super::short_hash;
 use crate::placing::Placement;
 use crate::placing::PlacementRequest;
 use crate::sharing::CachedPrefix;
 
+/// Longest expected wait at an engine with which a request leaves the line. It covers the way of the
+/// engine's last answer to the placer and of the next request to the engine, and the chunk of a
+/// prompt that the engine is prefilling, so that it doesn't fall idle between two requests.
+pub(crate) const ENGINE_BOUND: Millis = Millis(150);
+
 /// `Retry-After` while the service is unknown.
 const UNKNOWN_RETRY: Millis = Millis::from_secs(1);
 
@@ -57,6 +65,68 @@
         self.choose(&request.need, &tried, sender, now)
     }
 
+    /// Like [`Fleet::place`], for a request in line. Its engine must be able to begin it soon, unless
+    /// its wait in line is over.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no server can take the request.
+    pub(crate) fn place_from_line(
+        &mut self,
+        request: &PlacementRequest,
+        offer: LineOffer,
+        now: Millis,
+    ) -> Result<Choice, NoServer> {
+        let tried = self.keys_of(&request.tried);
+        let resting = self.keys_of(&request.resting);
+        let sender = Sender::Line {
+            zone: &request.zone,
+            resting: &resting,
+            offer,
+        };
+        self.choose(&request.need, &tried, sender, now)
+    }
+
+    /// Records the work of a request that this instance is asked to place.
+    pub(crate) fn record_demand(&mut self, need: &Need, tried: &[u32], now: Millis) {
+        self.update_routers(now);
+        let Some(service) = self.services.get_mut(&need.service) else {
+            return;
+        };
+        if tried.is_empty() {
+            service.record_demand(need, now);
+        }
+    }
+
+    /// Whether requests like this one may wait in line: for engines of published capacity that
+    /// aren't brittle.
+    pub(crate) fn has_line(&self, need: &Need) -> bool {
+        let spec = self.engines.get(&need.service);
+        let model = need.model.as_deref().unwrap_or_default();
+        need.unique_tokens > 0
+            && spec.is_some_and(|spec| spec.capacity.is_some())
+            && self.models.get(model, need.lane()).is_some()
+            && !self.is_brittle(need)
+    }
+
+    /// The service, as the line knows it.
+    pub(crate) fn line_service(&self, need: &Need) -> u32 {
+        short_hash(&need.service)
+    }
+
+    /// The group of engines that requests like this one prefer, as the line knows it.
+    pub(crate) fn line_group(&self, need: &Need) -> u64 {
+        let model = need.model.as_deref().unwrap_or_default();
+        let lane = need.lane() as u64;
+        XxHash3_64::oneshot_with_seed(lane, format!("{}/{model}", need.service).as_bytes())
+    }
+
+    /// Number of tokens in an event of the chosen server's streams; 1 if it isn't published.
+    pub(crate) fn event_tokens(&self, choice: &Choice) -> u32 {
+        let spec = self.engines.get(&*choice.service);
+        spec.and_then(|spec| spec.event_tokens).unwrap_or(1)
+    }
+
     /// Takes a slot of the server that the placer chose. Returns `None` if this instance knows that
     /// the server can't be used.
     pub fn adopt(
@@ -121,33 +191,38 @@
         self.update_routers(now);
         let excluded = match sender {
             Sender::Local => self.excluded(need, tried, now),
-            Sender::Remote { resting, .. } => [tried, resting].concat().into(),
+            Sender::Remote { resting, .. } | Sender::Line { resting, .. } => {
+                [tried, resting].concat().into()
+            }
         };
         let allow_paced = self.sends_to_paced();
         let service = self.services.get_mut(&need.service).ok_or(NoServer {
             reason: Reason::Out,
             retry_after: UNKNOWN_RETRY,
         })?;
-        if tried.is_empty() {
-            let work = need.work_ms(service.router.prefill_rate(), service.slots);
-            service.lanes.record_work(need.lane(), work, now);
-            service.update_max_pause(need);
+        // The work of a request in line was recorded when it joined.
+        if tried.is_empty() && !matches!(sender, Sender::Line { .. }) {
+            service.record_demand(need, now);
         }
         let resting = match sender {
             Sender::Local => self.rests.active(),
-            Sender::Remote { .. } => &[],
+            Sender::Remote { .. } | Sender::Line { .. } => &[],
         };
         let demand = Demand {
             zone: sender.zone(),
-            central: self.is_placer || matches!(sender, Sender::Remote { .. }),
+            central: self.is_placer || !matches!(sender, Sender::Local),
             allow_paced,
             ..demand(service, &self.models, need, &excluded, resting)
         };
-        let picked = service.router.pick(&demand, now);
-        let pick = picked.or_else(|none| {
-            let other = pick_in_other_lane(service, &self.models, need, &demand, now);
-            other.ok_or(none)
-        })?;
+        let pick = match sender {
+            Sender::Line { offer, .. } => {
+                pick_from_line(service, &self.models, need, &demand, offer, now)?
+            }
+            _ => service.router.pick(&demand, now).or_else(|none| {
+                let other = pick_in_other_lane(service, &self.models, need, &demand, now);
+                other.ok_or(none)
+            })?,
+        };
         let choice = choice(&self.servers, service, &pick, need.lane(), now);
         if let Some(prefix) = need.prefix {
             let cached = CachedPrefix {
@@ -161,7 +236,7 @@
 
     /// Records the first attempt of a request of this instance. The retry budget is a ratio of
     /// these.
-    fn record_first_attempt(&mut self, need: &Need, tried: &[ServerKey], now: Millis) {
+    pub(crate) fn record_first_attempt(&mut self, need: &Need, tried: &[ServerKey], now: Millis) {
         let service = self.services.get_mut(&need.service);
         if let Some(service) = service.filter(|_| tried.is_empty()) {
             service.retry.first_attempt(now);
@@ -181,13 +256,30 @@
         /// The servers that asked it for rest. When those rests end is known only there.
         resting: &'a [ServerKey],
     },
+    /// Any one, whose request has waited in line at this instance.
+    Line {
+        /// Its availability zone.
+        zone: &'a str,
+        /// The servers that asked it for rest.
+        resting: &'a [ServerKey],
+        offer: LineOffer,
+    },
+}
+
+/// A request that is offered from the line.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LineOffer {
+    /// The engines that the request may use.
+    pub(crate) scope: LineScope,
+    /// How long it has waited.
+    pub(crate) waited: Millis,
 }
 
 impl<'a> Sender<'a> {
     fn zone(self) -> Option<&'a str> {
         match self {
             Sender::Local => None,
-            Sender::Remote { zone, .. } => Some(zone),
+            Sender::Remote { zone, .. } | Sender::Line { zone, .. } => Some(zone),
         }
     }
 }
@@ -242,9 +334,62 @@
     now: Millis,
 ) -> Option<Pick> {
     need.software?;
+    let lanes = [Lane::Light, Lane::Heavy, Lane::Live];
+    pick_in_lanes(service, models, need, demand, &lanes, now)
+}
+
+/// Chooses a server for a request that has waited in line.
+fn pick_from_line(
+    service: &mut Service,
+    models: &ModelLanes,
+    need: &Need,
+    demand: &Demand<'_>,
+    offer: LineOffer,
+    now: Millis,
+) -> Result<Pick, NoServer> {
+    let LineOffer { scope, waited } = offer;
+    let bounded = Demand {
+        max_wait: Some(ENGINE_BOUND),
+        line_wait: Some(waited),
+        ..*demand
+    };
+    let none = match service.router.pick(&bounded, now) {
+        Ok(pick) => return Ok(pick),
+        Err(none) => none,
+    };
+    if let Some(pick) = pick_in_other_lane(service, models, need, &bounded, now) {
+        return Ok(pick);
+    }
+    if scope == LineScope::Group {
+        return Err(none);
+    }
+    // Not that of live streams, all of which a few prompts a second make late.
+    let lanes = [Lane::Light, Lane::Heavy];
+    if let Some(pick) = pick_in_lanes(service, models, need, &bounded, &lanes, now) {
+        return Ok(pick);
+    }
+    if scope == LineScope::Any {
+        return Err(none);
+    }
+    let unbounded = Demand {
+        max_wait: None,
+        ..bounded
+    };
+    service.router.pick(&unbounded, now)
+}
+
+/// Chooses a server of the first of these lanes that has one for the request.
+fn pick_in_lanes(
+    service: &mut Service,
+    models: &ModelLanes,
+    need: &Need,
+    demand: &Demand<'_>,
+    lanes: &[Lane],
+    now: Millis,
+) -> Option<Pick> {
     let model = need.model.as_deref().unwrap_or_default();
-    let mut lanes = [Lane::Light, Lane::Heavy, Lane::Live].into_iter();
-    lanes.find_map(|lane| {
+    let mut lanes = lanes.iter();
+    lanes.find_map(|&lane| {
         let demand = Demand {
             model: Some(models.get(model, lane)?),
             spill: None,
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -39,6 +39,8 @@
 use twox_hash::XxHash3_64;
 
 use self::announcements::Announcements;
+pub(crate) use self::choose::ENGINE_BOUND;
+pub(crate) use self::choose::LineOffer;
 pub use self::need::Need;
 pub use self::notices::BrittleService;
 pub use self::notices::ColdPhase;
--- a/crates/gateway/src/fleet/service.rs
+++ b/crates/gateway/src/fleet/service.rs
@@ -114,6 +114,13 @@
         self.router.set_cold_rate(spec.map(|spec| spec.rate));
     }
 
+    /// Records the work of a new request.
+    pub(super) fn record_demand(&mut self, need: &Need, now: Millis) {
+        let work = need.work_ms(self.router.prefill_rate(), self.slots);
+        self.lanes.record_work(need.lane(), work, now);
+        self.update_max_pause(need);
+    }
+
     /// Updates the longest tolerable pause from a live stream.
     pub(super) fn update_max_pause(&mut self, need: &Need) {
         if need.max_pause.is_some() {
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -111,6 +111,9 @@
     /// instances together, but no instance knows their number: with 2 each, up to 26 instances stay
     /// within 52, and a hundred within 200.
     pub retry_burst: f64,
+    /// Whether requests for engines of published capacity wait in one line, at the placer, while no
+    /// engine can begin them soon.
+    pub waiting_line: bool,
 }
 
 impl Default for Settings {
@@ -135,6 +138,7 @@
             notice: Millis::from_secs(3),
             retry_ratio: 0.1,
             retry_burst: 2.0,
+            waiting_line: false,
         }
     }
 }
@@ -371,6 +375,8 @@
         shared.expire_brittle();
         let now = shared.clock.now();
         shared.placer.expire(&mut shared.fleet(), now);
+        let status = shared.placer.line_status(now);
+        shared.metrics.set_line(&status);
         shared.metrics.set_known_streams(shared.origins.expire(now));
         log_turned_away(&shared, &mut turned_away);
         let moved = shared.fleet().tick(now);
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -73,6 +73,8 @@
     /// Maximum number of servers that the request is sent to.
     pub(crate) attempts: u32,
     pub(crate) need: Need,
+    /// How long a stream may wait for an engine to begin it; `None` for other requests.
+    pub(crate) line_limit: Option<Millis>,
     /// What is asked. It is the same for every retry.
     pub(crate) content: RequestContent,
     /// When the head of the request was complete.
@@ -156,6 +158,8 @@
             account: relayed.account,
             attempts: relayed.attempts,
             need: relayed.need,
+            // It has waited at the instance that accepted it.
+            line_limit: None,
             content: unread_content(parts),
             arrived,
             deadline: arrived + relayed.remaining,
@@ -245,6 +249,10 @@
                 regions: table.regions(route, account),
                 software: None,
             },
+            line_limit: route
+                .repeat
+                .is_stream()
+                .then(|| longest_wait(route, timeout)),
             content: unread_content(part_fingerprints(service, &meta.prompt)),
             arrived,
             deadline: arrived + timeout.min(route.timeout),
@@ -309,20 +317,23 @@
 /// ahead of them, so the wait doesn't apply to those, and a live request is never refused in favour
 /// of batch work.
 fn wait_limit(table: &RouteTable, route: &Route, timeout: Millis) -> Option<Millis> {
-    if !table.is_least_urgent(route) {
-        return None;
-    }
+    table
+        .is_least_urgent(route)
+        .then(|| longest_wait(route, timeout))
+}
+
+/// The longest wait for the beginning of the prefill with which an answer is of use to the caller.
+fn longest_wait(route: &Route, timeout: Millis) -> Millis {
     // A request whose timeout is below the route's by more than the route's target is taken for a
     // retry after a refusal: a late answer is worth more to it than a second refusal. A smaller
     // difference may be the caller's own timeout, and the longer limit would let queues grow to
     // twice the intended length.
     let is_retry = timeout + route.target < route.timeout;
-    let limit = if is_retry {
+    if is_retry {
         Millis(timeout.0 * RETRY_WAIT_PERCENT / 100)
     } else {
         Millis(route.target.0 * WAIT_LIMIT_PERCENT / 100)
-    };
-    Some(limit)
+    }
 }
 
 /// Reserves memory for a body.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and latency histograms.
 
+use crocushold_admission::LineStatus;
 use crocushold_base::Millis;
 use prometheus::Encoder;
 use prometheus::HistogramOpts;
@@ -7,6 +8,7 @@
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -39,6 +41,8 @@
     path_lost: IntGauge,
     version: IntGauge,
     running: IntGauge,
+    line_waiting: IntGaugeVec,
+    line_oldest: IntGaugeVec,
 }
 
 impl Metrics {
@@ -138,7 +142,15 @@
         );
         let version = gauge("crocushold_config_version", "The configuration in force");
         let running = gauge("crocushold_requests_running", "Requests in progress");
-        let collectors: [Box<dyn prometheus::core::Collector>; 21] = [
+        let line_waiting = gauges(
+            "crocushold_line_waiting",
+            "Requests that wait in the line of this instance, by rank",
+        );
+        let line_oldest = gauges(
+            "crocushold_line_oldest_milliseconds",
+            "How long the first request in the line of this instance has waited, by rank",
+        );
+        let collectors: [Box<dyn prometheus::core::Collector>; 23] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(ends.clone()),
@@ -160,6 +172,8 @@
             Box::new(path_lost.clone()),
             Box::new(version.clone()),
             Box::new(running.clone()),
+            Box::new(line_waiting.clone()),
+            Box::new(line_oldest.clone()),
         ];
         for collector in collectors {
             let registered = registry.register(collector);
@@ -188,6 +202,8 @@
             path_lost,
             version,
             running,
+            line_waiting,
+            line_oldest,
         }
     }
 
@@ -251,6 +267,22 @@
         self.path_lost.set(i64::from(path_lost));
     }
 
+    /// Sets the lengths and ages of the line, by rank.
+    pub(crate) fn set_line(&self, status: &[(u8, LineStatus)]) {
+        for label in RANKS {
+            let ranks = status.iter().filter(|(own, _)| rank(*own) == label);
+            let ranks = ranks.map(|(_, status)| status);
+            let waiting: u32 = ranks.clone().map(|status| status.waiting).sum();
+            let oldest = ranks.map(|status| status.oldest).max().unwrap_or_default();
+            let oldest = i64::try_from(oldest.0).unwrap_or(i64::MAX);
+            let labels = [label];
+            self.line_waiting
+                .with_label_values(&labels)
+                .set(waiting.into());
+            self.line_oldest.with_label_values(&labels).set(oldest);
+        }
+    }
+
     pub(crate) fn request_started(&self) {
         self.running.inc();
     }
@@ -308,9 +340,11 @@
     }
 }
 
-/// The label of a rank. All less urgent ranks share one label.
+/// Labels of ranks. All less urgent ranks share the last one.
+const RANKS: [&str; 5] = ["0", "1", "2", "3", "4+"];
+
+/// The label of a rank.
 fn rank(priority: u8) -> &'static str {
-    const RANKS: [&str; 5] = ["0", "1", "2", "3", "4+"];
     RANKS[usize::from(priority).min(RANKS.len() - 1)]
 }
 
@@ -318,6 +352,10 @@
     IntCounterVec::new(Opts::new(name, help), labels).expect("the names are valid")
 }
 
+fn gauges(name: &str, help: &str) -> IntGaugeVec {
+    IntGaugeVec::new(Opts::new(name, help), &["priority"]).expect("the names are valid")
+}
+
 fn gauge(name: &str, help: &str) -> IntGauge {
     IntGauge::new(name, help).expect("the name is valid")
 }
--- a/crates/gateway/src/placing/client.rs
+++ b/crates/gateway/src/placing/client.rs
@@ -64,6 +64,11 @@
         true
     }
 
+    /// The placer, responsive or not.
+    pub fn placer(&self) -> Option<SocketAddr> {
+        self.placer
+    }
+
     /// Whether there is a placer, responsive or not.
     pub fn has_placer(&self) -> bool {
         self.placer.is_some()
@@ -87,6 +92,13 @@
         self.pending.remove(&placement_id.number)
     }
 
+    /// Records that the placer holds the request in line.
+    pub fn record_waiting(&mut self, placement_id: PlacementId) {
+        if Some(placement_id.placer) == self.placer {
+            self.misses = 0;
+        }
+    }
+
     /// Records that no reply arrived in time. Returns whether the placer isn't asked for a while.
     pub fn time_out(&mut self, placement_id: PlacementId, now: Millis) -> bool {
         if !self.pending.remove(&placement_id.number) || Some(placement_id.placer) != self.placer {
--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -90,6 +90,17 @@
     pub need: Need,
     /// Servers that asked the sender for rest, by hashes of their names.
     pub resting: Vec<u32>,
+    /// On which terms it waits in line while no engine has room; `None` if it doesn't.
+    pub line: Option<LineTerms>,
+}
+
+/// On which terms a request waits in line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LineTerms {
+    /// Hash of the client account's name; zero if it has none.
+    pub account: u32,
+    /// How much longer the caller bears to wait for the beginning of the prefill.
+    pub limit: Millis,
 }
 
 /// The engine chosen for a request of another instance.
@@ -124,6 +135,9 @@
         /// When to retry.
         retry_delay: Millis,
     },
+    /// It waits in line. The decision follows; until then the sender asks again, so that the
+    /// placer knows that it is still there.
+    Waiting,
 }
 
 /// The reply to a [`PlacementRequest`].
--- a/crates/gateway/src/placing/mod.rs
+++ b/crates/gateway/src/placing/mod.rs
@@ -14,14 +14,22 @@
 //! servers are brittle. Two placers that don't know of each other make worse choices, but not wrong
 //! ones. The instance that sends a request checks the choice against its own knowledge: a server
 //! that it knows to be draining, ejected or of another service gets nothing.
+//!
+//! With a [waiting line](waiting), requests that no engine can begin soon wait at the placer, in one
+//! order over all instances.
 
 mod client;
+mod line_wait;
 mod message;
 mod placer;
 mod shell;
+mod waiting;
 
 pub use client::PlacementClient;
 pub use client::PlacementId;
+pub use line_wait::LineWait;
+pub use line_wait::LineWaitStep;
+pub use message::LineTerms;
 pub use message::Packet;
 pub use message::Placement;
 pub use message::PlacementReply;
@@ -31,6 +39,7 @@
 pub use message::RequestUpdate;
 pub use message::UpdateKind;
 pub use placer::Placer;
+pub(crate) use shell::PlacementAnswer;
 pub(crate) use shell::PlacementError;
 pub(crate) use shell::PlacementQuery;
 pub(crate) use shell::PlacementService;
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -3,6 +3,10 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use crocushold_admission::LineEnd;
+use crocushold_admission::LineGroupKey;
+use crocushold_admission::LineStatus;
+use crocushold_admission::WaiterKey;
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
 use crocushold_routing::LoadReport;
@@ -10,11 +14,16 @@
 use crocushold_routing::Outcome;
 use crocushold_routing::Reason;
 
+use super::message::LineTerms;
 use super::message::PlacementReply;
 use super::message::PlacementRequest;
 use super::message::PlacementVerdict;
+use super::message::RequestEnd;
 use super::message::RequestUpdate;
 use super::message::UpdateKind;
+use super::waiting::Decided;
+use super::waiting::WaitingRequests;
+use super::waiting::late;
 use crate::fleet::Choice;
 use crate::fleet::Fleet;
 use crate::fleet::ProbeTarget;
@@ -34,18 +43,67 @@
     reply: PlacementReply,
     started: bool,
     expires: Millis,
+    /// Its key in the line, if it came from there.
+    waiter: Option<WaiterKey>,
+    /// Whether this instance sends it itself, and reports its events to the fleet.
+    is_own: bool,
 }
 
 /// The requests that this instance placed for others.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct Placer {
     placed: HashMap<(SocketAddr, u32), PlacedRequest>,
     /// Requests whose connections failed, with the outcomes, until a probe shows whether the server
     /// is the cause. Their slots are taken until then.
     doubted: HashMap<ServerKey, Vec<(Choice, Outcome)>>,
+    /// The requests that wait in line; `None` if none may.
+    waiting: Option<WaitingRequests>,
+    /// Decisions on requests that waited, to be sent to their instances.
+    replies: Vec<(SocketAddr, PlacementReply)>,
 }
 
 impl Placer {
+    /// Creates a placer at which requests wait in line while no engine can begin them soon.
+    pub fn with_line() -> Placer {
+        Placer {
+            waiting: Some(WaitingRequests::default()),
+            ..Placer::default()
+        }
+    }
+
+    /// Number of requests that wait in line.
+    pub fn waiting(&self) -> usize {
+        self.waiting.as_ref().map_or(0, WaitingRequests::len)
+    }
+
+    /// The requests that wait in line, by rank.
+    pub fn line_status(&self, now: Millis) -> Vec<(u8, LineStatus)> {
+        let waiting = self.waiting.as_ref();
+        waiting.map_or_else(Vec::new, |waiting| waiting.status(now))
+    }
+
+    /// Takes the decisions on requests that waited, to be sent to their instances.
+    pub fn take_replies(&mut self) -> Vec<(SocketAddr, PlacementReply)> {
+        std::mem::take(&mut self.replies)
+    }
+
+    /// Offers the waiting requests to the engines. To be called every few milliseconds while there
+    /// are any.
+    pub fn serve_line(&mut self, fleet: &mut Fleet, now: Millis) {
+        if let Some(waiting) = &mut self.waiting {
+            let decided = waiting.offer_due(fleet, now);
+            self.record_decisions(decided, now);
+        }
+    }
+
+    /// Takes over a request of this instance that it placed itself: its events are reported to the
+    /// fleet where it is sent. `None` if it isn't placed any more.
+    pub fn take_own(&mut self, from: SocketAddr, number: u32) -> Option<Choice> {
+        let placed = self.placed.get_mut(&(from, number))?;
+        placed.is_own = true;
+        Some(placed.choice.clone())
+    }
+
     /// Number of placed requests.
     pub fn len(&self) -> usize {
         self.placed.len()
@@ -77,6 +135,12 @@
         if self.placed.len() >= MAX_PLACED {
             return unable;
         }
+        if let Some(terms) = request.line
+            && self.waiting.is_some()
+            && fleet.has_line(&request.need)
+        {
+            return self.place_in_line(fleet, from, request, terms, now);
+        }
         match fleet.place(request, now) {
             Ok(choice) => {
                 let verdict = PlacementVerdict::Placed(choice.placed());
@@ -86,6 +150,8 @@
                     reply,
                     started: false,
                     expires: now + request.remaining + EXPIRY_GRACE,
+                    waiter: None,
+                    is_own: false,
                 };
                 self.placed.insert((from, number), placed);
                 reply
@@ -106,6 +172,78 @@
         }
     }
 
+    /// Places a request if an engine can begin it soon and no other one goes first; otherwise it waits.
+    fn place_in_line(
+        &mut self,
+        fleet: &mut Fleet,
+        from: SocketAddr,
+        request: &PlacementRequest,
+        terms: LineTerms,
+        now: Millis,
+    ) -> PlacementReply {
+        let number = request.number;
+        let reply = |verdict| PlacementReply { number, verdict };
+        let asker = (from, number);
+        let Some(waiting) = &mut self.waiting else {
+            return reply(PlacementVerdict::Unable);
+        };
+        let group = match waiting.renew(&asker, now) {
+            Some(group) => group,
+            None => {
+                fleet.record_demand(&request.need, &request.tried, now);
+                match waiting.join(fleet, asker, request, terms, now) {
+                    Ok(group) => group,
+                    Err(refusal) => return reply(late(request, refusal)),
+                }
+            }
+        };
+        self.offer(fleet, group, now);
+        let own = |(to, reply): &(SocketAddr, PlacementReply)| (*to, reply.number) == asker;
+        match self.replies.iter().position(own) {
+            Some(at) => self.replies.swap_remove(at).1,
+            None => reply(PlacementVerdict::Waiting),
+        }
+    }
+
+    fn offer(&mut self, fleet: &mut Fleet, group: LineGroupKey, now: Millis) {
+        if let Some(waiting) = &mut self.waiting {
+            let decided = waiting.offer(fleet, group, now);
+            self.record_decisions(decided, now);
+        }
+    }
+
+    fn record_decisions(&mut self, decided: Vec<Decided>, now: Millis) {
+        for Decided {
+            asker,
+            verdict,
+            placed,
+        } in decided
+        {
+            let (from, number) = asker;
+            let reply = PlacementReply { number, verdict };
+            self.replies.push((from, reply));
+            if let Some((choice, waiter, remaining)) = placed {
+                let placed = PlacedRequest {
+                    choice,
+                    reply,
+                    started: false,
+                    expires: now + remaining + EXPIRY_GRACE,
+                    waiter: Some(waiter),
+                    is_own: false,
+                };
+                self.placed.insert(asker, placed);
+            }
+        }
+    }
+
+    /// Settles a request that came from the line, and offers others what it leaves.
+    fn settle(&mut self, fleet: &mut Fleet, waiter: WaiterKey, end: LineEnd, now: Millis) {
+        if let Some(waiting) = &mut self.waiting {
+            let group = waiting.finish(waiter, end, now);
+            self.offer(fleet, group, now);
+        }
+    }
+
     /// Applies an update of a request of `from`. Updates may arrive late and more than once.
     ///
     /// A connection that another instance couldn't open shows either a server or the network path
@@ -120,12 +258,22 @@
         now: Millis,
     ) -> Option<ProbeTarget> {
         let key = (from, update.number);
+        if let Some(waiting) = &mut self.waiting
+            && waiting.contains(&key)
+        {
+            if matches!(update.kind, UpdateKind::Ended(_)) {
+                waiting.leave(&key, now);
+            }
+            return None;
+        }
         let placed = self.placed.get_mut(&key)?;
         match update.kind {
             UpdateKind::Started(_) if placed.started => None,
             UpdateKind::Started(load) => {
                 placed.started = true;
-                fleet.first_byte(&placed.choice, now);
+                if !placed.is_own {
+                    fleet.first_byte(&placed.choice, now);
+                }
                 if let Some([running, waiting]) = load {
                     let report = LoadReport {
                         running,
@@ -134,13 +282,37 @@
                     };
                     fleet.record_load(&placed.choice, report, now);
                 }
+                let waiter = placed.waiter;
+                if let Some(waiting) = &self.waiting
+                    && let Some(waiter) = waiter
+                {
+                    let group = waiting.group_of(waiter);
+                    self.offer(fleet, group, now);
+                }
                 None
             }
             UpdateKind::Ended(ended) => {
-                if let Some(pause) = ended.pause {
-                    fleet.record_remote_pause(&placed.choice, pause);
+                let PlacedRequest {
+                    choice,
+                    started,
+                    waiter,
+                    is_own,
+                    ..
+                } = self.placed.remove(&key)?;
+                if let Some(pause) = ended.pause.filter(|_| !is_own) {
+                    fleet.record_remote_pause(&choice, pause);
+                }
+                if let Some(waiter) = waiter {
+                    let event_tokens = fleet.event_tokens(&choice);
+                    let end = line_end(&ended, started, event_tokens);
+                    if !is_own && end != LineEnd::NotRun {
+                        fleet.done(&choice, ended.result, ended.tokens, now);
+                    }
+                    self.settle(fleet, waiter, end, now);
+                    if is_own || end != LineEnd::NotRun {
+                        return None;
+                    }
                 }
-                let choice = self.placed.remove(&key)?.choice;
                 if matches!(ended.result, Outcome::Refused | Outcome::Unreachable) {
                     return self.doubt(fleet, choice, ended.result, now);
                 }
@@ -190,12 +362,25 @@
     /// Releases the slots of requests whose end wasn't reported, because their instance or the
     /// update was lost.
     pub fn expire(&mut self, fleet: &mut Fleet, now: Millis) {
-        self.placed.retain(|_, placed| {
-            let keep = now < placed.expires;
-            if !keep {
+        let expired = self.placed.extract_if(|_, placed| placed.expires <= now);
+        let expired: Vec<PlacedRequest> = expired.map(|(_, placed)| placed).collect();
+        for placed in expired {
+            if !placed.is_own {
                 fleet.done(&placed.choice, Outcome::Cancelled, 0, now);
             }
-            keep
-        });
+            if let Some(waiter) = placed.waiter {
+                self.settle(fleet, waiter, LineEnd::Partial(0), now);
+            }
+        }
+    }
+}
+
+/// How a request ended, as the line counts it. Instances count events, of `event_tokens` each.
+fn line_end(ended: &RequestEnd, started: bool, event_tokens: u32) -> LineEnd {
+    let tokens = ended.tokens.saturating_mul(event_tokens);
+    match ended.result {
+        Outcome::Complete => LineEnd::Complete(tokens),
+        _ if started => LineEnd::Partial(tokens),
+        _ => LineEnd::NotRun,
     }
 }
--- a/crates/gateway/src/placing/shell.rs
+++ b/crates/gateway/src/placing/shell.rs
@@ -9,16 +9,24 @@
 use std::sync::PoisonError;
 
 use async_std::future::timeout;
+use crocushold_admission::LineStatus;
+use crocushold_base::Clock;
 use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
 use crocushold_routing::LoadReport;
 use crocushold_routing::Outcome;
-use futures::channel::oneshot;
+use futures::StreamExt;
+use futures::channel::mpsc;
+use futures::channel::mpsc::UnboundedReceiver;
+use futures::channel::mpsc::UnboundedSender;
 use log::info;
 
 use super::client::PlacementClient;
 use super::client::PlacementId;
+use super::line_wait::LineWait;
+use super::line_wait::LineWaitStep;
+use super::message::LineTerms;
 use super::message::Packet;
 use super::message::PlacementReply;
 use super::message::PlacementRequest;
@@ -27,6 +35,7 @@
 use super::message::RequestUpdate;
 use super::message::UpdateKind;
 use super::placer::Placer;
+use crate::fleet::Choice;
 use crate::fleet::Fleet;
 use crate::fleet::Need;
 use crate::fleet::ProbeTarget;
@@ -43,19 +52,33 @@
     socket: OnceLock<UdpSocket>,
     client: Mutex<PlacementClient>,
     placer: Mutex<Placer>,
-    pending: Mutex<HashMap<u32, oneshot::Sender<PlacementVerdict>>>,
+    pending: Mutex<HashMap<u32, UnboundedSender<PlacementVerdict>>>,
+    /// This instance's address if requests wait in line: it then asks itself as well if it is the
+    /// placer, so that its own requests don't overtake those in line.
+    own: OnceLock<SocketAddr>,
 }
 
 /// Cancels a pending placement request if the caller's request is dropped.
 struct PendingRequest<'a> {
     service: &'a PlacementService,
     placement_id: PlacementId,
+    verdicts: UnboundedReceiver<PlacementVerdict>,
+    /// Whether the placer has it in line.
+    waits: bool,
 }
 
 impl Drop for PendingRequest<'_> {
     fn drop(&mut self) {
         lock(&self.service.pending).remove(&self.placement_id.number);
         lock(&self.service.client).cancel(self.placement_id);
+        self.verdicts.close();
+        let mut unread = false;
+        while let Ok(verdict) = self.verdicts.try_recv() {
+            unread |= matches!(verdict, PlacementVerdict::Placed(_));
+        }
+        if self.waits || unread {
+            self.service.release(self.placement_id);
+        }
     }
 }
 
@@ -68,6 +91,54 @@
         }
     }
 
+    /// Lets requests wait in line. `own` is the address at which this instance receives gossip.
+    pub(crate) fn start_line(&self, own: SocketAddr) {
+        // It is set once, before any request is read.
+        let _ = self.own.set(own);
+        *lock(&self.placer) = Placer::with_line();
+    }
+
+    /// Whether this is the address of this instance, and requests wait in line.
+    pub(crate) fn is_own(&self, address: SocketAddr) -> bool {
+        self.own.get() == Some(&address)
+    }
+
+    /// Whether this instance asks itself.
+    pub(crate) fn asks_itself(&self) -> bool {
+        let placer = lock(&self.client).placer();
+        placer.is_some_and(|placer| self.is_own(placer))
+    }
+
+    /// Whether requests wait in line at this instance.
+    pub(crate) fn has_waiting(&self) -> bool {
+        lock(&self.placer).waiting() > 0
+    }
+
+    /// The requests that wait in line, by rank.
+    pub(crate) fn line_status(&self, now: Millis) -> Vec<(u8, LineStatus)> {
+        lock(&self.placer).line_status(now)
+    }
+
+    /// Offers the waiting requests to the engines.
+    pub(crate) fn serve_line(&self, fleet: &mut Fleet, now: Millis) {
+        let mut placer = lock(&self.placer);
+        placer.serve_line(fleet, now);
+        self.send_replies(&mut placer);
+    }
+
+    /// Takes over a request of this instance that it placed itself.
+    pub(crate) fn take_own(&self, placement_id: PlacementId) -> Option<Choice> {
+        let mut choice = lock(&self.placer).take_own(placement_id.placer, placement_id.number)?;
+        choice.placement_id = Some(placement_id);
+        Some(choice)
+    }
+
+    fn send_replies(&self, placer: &mut Placer) {
+        for (to, reply) in placer.take_replies() {
+            self.send(to, &Packet::Reply(reply));
+        }
+    }
+
     /// Sets the gossip socket.
     pub(crate) fn set_socket(&self, socket: UdpSocket) {
         // The socket is set once, before any request is read.
@@ -91,37 +162,55 @@
     pub(crate) async fn ask(
         &self,
         query: PlacementQuery<'_>,
-    ) -> Result<(PlacementId, PlacementVerdict), PlacementError> {
-        let now = query.now;
+    ) -> Result<PlacementAnswer, PlacementError> {
+        let now = query.clock.now();
         let placement_id = {
             let mut client = lock(&self.client);
-            let started = client.start(now);
-            started.ok_or(if client.has_placer() {
+            let placement_id = client.start(now);
+            placement_id.ok_or(if client.has_placer() {
                 PlacementError::Silent
             } else {
                 PlacementError::NoPlacer
             })?
         };
-        let open = PendingRequest {
+        let (sender, verdicts) = mpsc::unbounded();
+        let mut open = PendingRequest {
             service: self,
             placement_id,
+            verdicts,
+            waits: false,
         };
-        let (sender, receiver) = oneshot::channel();
         lock(&self.pending).insert(placement_id.number, sender);
-        let request = PlacementRequest {
+        let mut request = PlacementRequest {
             number: placement_id.number,
             zone: query.zone.to_owned(),
             remaining: query.remaining,
             tried: query.tried,
             need: query.need.clone(),
             resting: query.resting,
+            line: query.line,
+        };
+        self.send(placement_id.placer, &Packet::Request(request.clone()));
+        let first = timeout(ASK_TIMEOUT.into(), open.verdicts.next()).await;
+        let answered = match first {
+            Ok(Some(PlacementVerdict::Waiting)) => {
+                open.waits = true;
+                self.wait_in_line(&mut open, &mut request, query.clock, now)
+                    .await
+            }
+            Ok(Some(verdict)) => Some((verdict, None)),
+            Ok(None) | Err(_) => None,
         };
-        self.send(placement_id.placer, &Packet::Request(request));
-        let verdict = timeout(ASK_TIMEOUT.into(), receiver).await;
-        if let Ok(Ok(verdict)) = verdict {
-            return Ok((placement_id, verdict));
+        if let Some((verdict, waited)) = answered {
+            // The placer has decided, and updates follow from the one who uses the decision.
+            open.waits = false;
+            return Ok(PlacementAnswer {
+                placement_id,
+                verdict,
+                waited,
+            });
         }
-        let backs_off = lock(&self.client).time_out(placement_id, now + ASK_TIMEOUT);
+        let backs_off = lock(&self.client).time_out(placement_id, query.clock.now());
         if backs_off {
             let event = Event::new("placer-silent").with("placer", placement_id.placer);
             info!("{event}");
@@ -130,6 +219,44 @@
         Err(PlacementError::Timeout)
     }
 
+    /// Waits for the decision on a request that is in the placer's line. Returns it with the time
+    /// that it took, or `None` if the placer is gone.
+    async fn wait_in_line(
+        &self,
+        open: &mut PendingRequest<'_>,
+        request: &mut PlacementRequest,
+        clock: Clock,
+        asked: Millis,
+    ) -> Option<(PlacementVerdict, Option<Millis>)> {
+        let limit = request.line.map(|terms| terms.limit);
+        let remaining = request.remaining;
+        let mut wait = LineWait::new(limit.unwrap_or_default(), asked);
+        loop {
+            let now = clock.now();
+            match wait.next(now) {
+                LineWaitStep::GiveUp => return None,
+                LineWaitStep::Ask(limit) => {
+                    request.remaining = remaining.since(wait.waited(now));
+                    if let Some(terms) = &mut request.line {
+                        terms.limit = limit;
+                    }
+                    self.send(open.placement_id.placer, &Packet::Request(request.clone()));
+                }
+                LineWaitStep::Listen(until) => {
+                    let heard = timeout(until.since(now).into(), open.verdicts.next()).await;
+                    match heard {
+                        Ok(Some(PlacementVerdict::Waiting)) => wait.record_reply(),
+                        Ok(Some(verdict)) => {
+                            return Some((verdict, Some(wait.waited(clock.now()))));
+                        }
+                        Ok(None) => return None,
+                        Err(_) => {}
+                    }
+                }
+            }
+        }
+    }
+
     /// Reports that the answer to a placed request has begun.
     pub(crate) fn request_started(
         &self,
@@ -162,8 +289,10 @@
         request: &PlacementRequest,
         now: Millis,
     ) {
-        let reply = lock(&self.placer).place(fleet, from, request, now);
+        let mut placer = lock(&self.placer);
+        let reply = placer.place(fleet, from, request, now);
         self.send(from, &Packet::Reply(reply));
+        self.send_replies(&mut placer);
     }
 
     /// Applies another instance's updates of its requests. Returns the servers to probe.
@@ -178,6 +307,7 @@
         let updates = updates.into_iter();
         let probes = updates.filter_map(|update| placer.apply_update(fleet, from, update, now));
         let probes = probes.collect();
+        self.send_replies(&mut placer);
         log_ejections(fleet.take_ejections(), "placement");
         probes
     }
@@ -200,10 +330,18 @@
             placer: from,
             number: reply.number,
         };
+        if reply.verdict == PlacementVerdict::Waiting {
+            lock(&self.client).record_waiting(placement_id);
+            if let Some(sender) = lock(&self.pending).get(&reply.number) {
+                let _ = sender.unbounded_send(reply.verdict);
+            }
+            return;
+        }
         let open = lock(&self.client).complete(placement_id);
         let sender = lock(&self.pending).remove(&reply.number);
         let delivered = sender.filter(|_| open);
-        let delivered = delivered.is_some_and(|sender| sender.send(reply.verdict).is_ok());
+        let delivered =
+            delivered.is_some_and(|sender| sender.unbounded_send(reply.verdict).is_ok());
         // The request was sent elsewhere in the meantime, so release the slot that was taken for
         // it.
         if !delivered && matches!(reply.verdict, PlacementVerdict::Placed(_)) {
@@ -213,7 +351,9 @@
 
     /// Runs expired timers.
     pub(crate) fn expire(&self, fleet: &mut Fleet, now: Millis) {
-        lock(&self.placer).expire(fleet, now);
+        let mut placer = lock(&self.placer);
+        placer.expire(fleet, now);
+        self.send_replies(&mut placer);
     }
 
     fn send_update(&self, placement_id: Option<PlacementId>, kind: UpdateKind) {
@@ -254,7 +394,17 @@
     pub(crate) tried: Vec<u32>,
     /// Servers that asked this instance for rest, by hashes of their names.
     pub(crate) resting: Vec<u32>,
-    pub(crate) now: Millis,
+    /// On which terms it may wait in line.
+    pub(crate) line: Option<LineTerms>,
+    pub(crate) clock: Clock,
+}
+
+/// The placer's decision on a query.
+pub(crate) struct PlacementAnswer {
+    pub(crate) placement_id: PlacementId,
+    pub(crate) verdict: PlacementVerdict,
+    /// How long the request waited in line; `None` if it didn't.
+    pub(crate) waited: Option<Millis>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- /dev/null
+++ b/crates/gateway/src/placing/waiting.rs
@@ -0,0 +1,260 @@
+//! The requests of all instances that wait at the placer, as a state machine beside its [`Fleet`].
+//!
+//! An engine gets no more than it can begin soon, because what it has can't be reordered, refused in
+//! time or taken back.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use crocushold_admission::Line;
+use crocushold_admission::LineArrival;
+use crocushold_admission::LineEnd;
+use crocushold_admission::LineGroupKey;
+use crocushold_admission::LineRefusal;
+use crocushold_admission::LineScope;
+use crocushold_admission::LineStatus;
+use crocushold_admission::LineStep;
+use crocushold_admission::WaiterKey;
+use crocushold_base::Millis;
+use crocushold_routing::Reason;
+
+use super::message::LineTerms;
+use super::message::PlacementRequest;
+use super::message::PlacementVerdict;
+use crate::fleet::Choice;
+use crate::fleet::ENGINE_BOUND;
+use crate::fleet::Fleet;
+use crate::fleet::LineOffer;
+
+/// How long a request stays in line without being asked for again: several of the intervals at which
+/// its instance asks. A process that is short of CPU time is late by two or three of them.
+const ABANDONED_AFTER: Millis = Millis(250);
+
+/// Interval at which the requests in a group are offered to its engines. Waits at engines shrink
+/// without an event, and this is a fraction of what an engine holds.
+const OFFER_INTERVAL: Millis = Millis(10);
+
+/// Maximum number of requests of a group that are offered in vain in one interval. Requests differ
+/// in the engines that they may use or that hold their prefixes, so one that finds no room doesn't
+/// mean that the next one finds none.
+const MAX_VAIN_OFFERS: usize = 6;
+
+/// Divisor of the time that a caller has left for the time after which it is told to return. It
+/// needs the rest for a second wait and for its answer.
+const PATIENCE_DIVISOR: u64 = 3;
+
+/// Identifies a request by its instance and that instance's number of it.
+pub(super) type Asker = (SocketAddr, u32);
+
+/// A decision on a request that waited.
+pub(super) struct Decided {
+    pub(super) asker: Asker,
+    pub(super) verdict: PlacementVerdict,
+    /// The engine with a slot taken, and time left until the deadline.
+    pub(super) placed: Option<(Choice, WaiterKey, Millis)>,
+}
+
+#[derive(Debug)]
+struct Held {
+    waiter: WaiterKey,
+    request: PlacementRequest,
+    asked: Millis,
+}
+
+/// The requests that wait at this placer.
+#[derive(Debug, Default)]
+pub(super) struct WaitingRequests {
+    line: Line,
+    held: HashMap<Asker, Held>,
+    askers: HashMap<WaiterKey, Asker>,
+    /// When the requests of each group were last offered in vain.
+    offered: HashMap<LineGroupKey, Millis>,
+}
+
+impl WaitingRequests {
+    pub(super) fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    pub(super) fn contains(&self, asker: &Asker) -> bool {
+        self.held.contains_key(asker)
+    }
+
+    pub(super) fn status(&self, now: Millis) -> Vec<(u8, LineStatus)> {
+        self.line.status(now).into_iter().collect()
+    }
+
+    /// Records that an instance still waits for a request. Returns its group.
+    pub(super) fn renew(&mut self, asker: &Asker, now: Millis) -> Option<LineGroupKey> {
+        let held = self.held.get_mut(asker)?;
+        held.asked = now;
+        Some(self.line.group_of(held.waiter))
+    }
+
+    /// Adds a request to the line. Returns its group.
+    pub(super) fn join(
+        &mut self,
+        fleet: &Fleet,
+        asker: Asker,
+        request: &PlacementRequest,
+        terms: LineTerms,
+        now: Millis,
+    ) -> Result<LineGroupKey, LineRefusal> {
+        let need = &request.need;
+        let arrival = LineArrival {
+            service: fleet.line_service(need),
+            group: fleet.line_group(need),
+            rank: need.priority,
+            account: terms.account,
+            prompt_tokens: need.prompt_tokens,
+            output_tokens: need.expected_output_tokens.min(need.max_output_tokens),
+            // The wait at the engine follows the one in line.
+            limit: terms.limit.since(ENGINE_BOUND),
+            patience: Millis(request.remaining.0 / PATIENCE_DIVISOR),
+        };
+        let waiter = self.line.join(&arrival, now)?;
+        let held = Held {
+            waiter,
+            request: request.clone(),
+            asked: now,
+        };
+        self.held.insert(asker, held);
+        self.askers.insert(waiter, asker);
+        Ok(self.line.group_of(waiter))
+    }
+
+    /// Removes a request whose caller has left.
+    pub(super) fn leave(&mut self, asker: &Asker, now: Millis) {
+        if let Some(held) = self.held.remove(asker) {
+            self.askers.remove(&held.waiter);
+            self.line.leave(held.waiter, now);
+        }
+    }
+
+    /// Settles a request that was placed.
+    pub(super) fn finish(&mut self, waiter: WaiterKey, end: LineEnd, now: Millis) -> LineGroupKey {
+        self.line.finish(waiter, end, now);
+        self.line.group_of(waiter)
+    }
+
+    pub(super) fn group_of(&self, waiter: WaiterKey) -> LineGroupKey {
+        self.line.group_of(waiter)
+    }
+
+    /// Offers the requests of all groups that are due.
+    pub(super) fn offer_due(&mut self, fleet: &mut Fleet, now: Millis) -> Vec<Decided> {
+        let groups: Vec<LineGroupKey> = self.line.groups().collect();
+        let decided = groups.into_iter();
+        decided
+            .flat_map(|group| self.offer(fleet, group, now))
+            .collect()
+    }
+
+    /// Offers the requests of a group to its engines, in their order. While it isn't due again, a
+    /// single one is offered, which may have just arrived or find what was just freed.
+    pub(super) fn offer(
+        &mut self,
+        fleet: &mut Fleet,
+        group: LineGroupKey,
+        now: Millis,
+    ) -> Vec<Decided> {
+        let last = self.offered.get(&group).copied().unwrap_or_default();
+        let is_due = last + OFFER_INTERVAL <= now;
+        let vain_offers = if is_due { MAX_VAIN_OFFERS } else { 1 };
+        let mut decided = Vec::new();
+        let mut in_vain = Vec::new();
+        while in_vain.len() < vain_offers
+            && let Some(step) = self.line.next(group, now)
+        {
+            match step {
+                LineStep::Refuse(waiter, refusal) => {
+                    decided.extend(self.refuse(waiter, refusal));
+                }
+                LineStep::Offer(waiter, scope) => match self.try_place(fleet, waiter, scope, now) {
+                    Offered::Decided(decision) => decided.push(*decision),
+                    Offered::Gone => {}
+                    Offered::InVain => in_vain.push(waiter),
+                },
+            }
+        }
+        if is_due && !in_vain.is_empty() {
+            self.offered.insert(group, now);
+        }
+        for waiter in in_vain {
+            self.line.put_back(waiter, now);
+        }
+        decided
+    }
+
+    fn refuse(&mut self, waiter: WaiterKey, refusal: LineRefusal) -> Option<Decided> {
+        let asker = self.askers.remove(&waiter)?;
+        let held = self.held.remove(&asker)?;
+        Some(Decided {
+            asker,
+            verdict: late(&held.request, refusal),
+            placed: None,
+        })
+    }
+
+    fn try_place(
+        &mut self,
+        fleet: &mut Fleet,
+        waiter: WaiterKey,
+        scope: LineScope,
+        now: Millis,
+    ) -> Offered {
+        let Some((asker, held)) = self
+            .askers
+            .get(&waiter)
+            .and_then(|asker| Some((*asker, self.held.get(asker)?)))
+        else {
+            self.line.leave(waiter, now);
+            return Offered::Gone;
+        };
+        if held.asked + ABANDONED_AFTER <= now {
+            self.leave(&asker, now);
+            return Offered::Gone;
+        }
+        let waited = self.line.waited(waiter, now).unwrap_or_default();
+        let remaining = held.request.remaining.since(waited);
+        let offer = LineOffer { scope, waited };
+        let placed = fleet.place_from_line(&held.request, offer, now);
+        let verdict = match &placed {
+            Ok(choice) => PlacementVerdict::Placed(choice.placed()),
+            Err(none) if matches!(none.reason, Reason::Late { .. } | Reason::Busy) => {
+                return Offered::InVain;
+            }
+            Err(_) => PlacementVerdict::Unable,
+        };
+        self.askers.remove(&waiter);
+        self.held.remove(&asker);
+        if placed.is_ok() {
+            self.line.begin(waiter, now);
+        } else {
+            self.line.leave(waiter, now);
+        }
+        Offered::Decided(Box::new(Decided {
+            asker,
+            verdict,
+            placed: placed.ok().map(|choice| (choice, waiter, remaining)),
+        }))
+    }
+}
+
+/// Result of offering a request to the engines.
+enum Offered {
+    Decided(Box<Decided>),
+    /// Its caller or its instance is gone.
+    Gone,
+    /// No engine has room.
+    InVain,
+}
+
+/// The verdict on a request that isn't run.
+pub(super) fn late(request: &PlacementRequest, refusal: LineRefusal) -> PlacementVerdict {
+    let limit = request.line.map(|terms| terms.limit);
+    PlacementVerdict::Late {
+        wait: limit.unwrap_or_default(),
+        retry_delay: refusal.retry_after,
+    }
+}
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -34,6 +34,10 @@
     pub(crate) expected_wait: Millis,
     /// Maximum wait with which the request is sent.
     pub(crate) wait_limit: Option<Millis>,
+    /// How long it waited in the placer's line, if it did.
+    pub(crate) line_wait: Option<Millis>,
+    /// How long it may wait there and at an engine.
+    pub(crate) line_limit: Option<Millis>,
     /// Number of prompt tokens that the server was expected to prefill.
     pub(crate) expected_prefill: u32,
     /// The other instance that chose the server, if any.
@@ -48,6 +52,9 @@
     /// The log event at the end of a request, without the fields that describe its answer.
     pub(crate) fn end_event(&self, shared: &Shared, outcome: &str) -> Event {
         let limit = self.wait_limit.map(|limit| limit.to_string());
+        let line_wait = self.line_wait.map(|wait| wait.to_string());
+        let line_limit = self.line_limit.filter(|_| shared.settings.waiting_line);
+        let line_limit = line_limit.map(|limit| limit.to_string());
         let placer = self.placer.map(|placer| placer.to_string());
         let event = Event::new("request-ended")
             .with("request", &self.id)
@@ -65,6 +72,8 @@
             .with("expected-wait", self.expected_wait)
             .with("expected-read", self.expected_prefill)
             .with("wait-limit", limit.as_deref().unwrap_or("none"))
+            .with("line-wait", line_wait.as_deref().unwrap_or("none"))
+            .with("line-limit", line_limit.as_deref().unwrap_or("none"))
             .with("entry", self.entry.as_deref().unwrap_or("here"))
             .with("outcome", outcome)
             .with("total", shared.clock.now().since(self.arrived));
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -43,6 +43,10 @@
 /// engine reads two long prompts.
 pub(super) const ROUND: Millis = Millis(100);
 
+/// Interval at which the line is served while requests wait in it: a small part of what an engine
+/// holds.
+const LINE_INTERVAL: Millis = Millis(10);
+
 /// Starts sending and receiving gossip. Returns the address that is bound.
 ///
 /// # Errors
@@ -63,6 +67,10 @@
         zone: short_hash(&shared.settings.zone),
         capacity: shared.settings.capacity,
     };
+    if shared.settings.waiting_line {
+        shared.placer.start_line(me.address);
+        task::spawn(serve_line(shared.clone()));
+    }
     let state = Arc::new(Mutex::new(Gossip::new(me, seeds)));
     let handover = Arc::new(Mutex::default());
     let now = shared.clock.now();
@@ -166,6 +174,22 @@
     }
 }
 
+/// Offers requests that wait in line to the engines, beside what each event offers.
+async fn serve_line(shared: Arc<Shared>) {
+    loop {
+        let interval = if shared.placer.has_waiting() {
+            LINE_INTERVAL
+        } else {
+            ROUND
+        };
+        task::sleep(interval.into()).await;
+        if shared.placer.has_waiting() {
+            let now = shared.clock.now();
+            shared.placer.serve_line(&mut shared.fleet(), now);
+        }
+    }
+}
+
 async fn send_loop(
     shared: Arc<Shared>,
     socket: Arc<UdpSocket>,
@@ -190,9 +214,8 @@
             fleet.set_placer(is_placer);
             fleet.set_instances(round.instances);
         }
-        shared
-            .placer
-            .set_placer(round.placer.filter(|_| !is_placer));
+        let is_asked = |_: &SocketAddr| !is_placer || shared.settings.waiting_line;
+        shared.placer.set_placer(round.placer.filter(is_asked));
         if let Some(relays) = round.relays {
             let members: Vec<SocketAddr> = relays.iter().map(|peer| peer.address).collect();
             let others = members.iter().copied().map(instance_hash).collect();
--- a/crates/gateway/tests/model/mod.rs
+++ b/crates/gateway/tests/model/mod.rs
@@ -222,6 +222,7 @@
             tried: Vec::new(),
             need: need.clone(),
             resting: Vec::new(),
+            line: None,
         };
         let from = peer_of(instance);
         let reply = placer.place(&mut self.fleets[0], from, &ask, now);
--- a/crates/gateway/tests/placer.rs
+++ b/crates/gateway/tests/placer.rs
@@ -75,6 +75,7 @@
         tried: Vec::new(),
         need: need(),
         resting: Vec::new(),
+        line: None,
     }
 }
 
--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -76,8 +76,13 @@
             let Some(best) = self.earliest_first_token(pool, demand, &locations, now) else {
                 return Err(self.no_server_error(pool, demand, now));
             };
-            self.record_wait(demand, best.wait);
+            if demand.line_wait.is_none() {
+                self.record_wait(demand, best.wait);
+            }
             check_wait(&best, demand)?;
+            if let Some(waited) = demand.line_wait {
+                self.record_wait(demand, best.wait + waited.0 as f64);
+            }
             let plan = self.plan_prefill(&best, demand, &locations);
             return Ok(self.start_attempt(best.server, pool, demand, &plan, now));
         }
--- a/crates/routing/src/router/types.rs
+++ b/crates/routing/src/router/types.rs
@@ -45,6 +45,8 @@
     pub spill: Option<Spill>,
     /// Maximum wait at a server; `None` for any. Applies only if `unique_tokens` is known.
     pub max_wait: Option<Millis>,
+    /// How long the request has waited for a server to have room, if it is offered until one has.
+    pub line_wait: Option<Millis>,
     /// The regions in which it may run; `None` for all.
     pub regions: Option<&'a [RegionKey]>,
     /// The software version at which it must run; `None` for any.
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -42,6 +42,7 @@
 #[derive(Clone, Debug)]
 pub struct Args {
     log: String,
+    waiting_line: bool,
     file: Option<PathBuf>,
 }
 
@@ -52,15 +53,24 @@
         .argument::<String>("LEVELS")
         .fallback("info".to_owned())
         .display_fallback();
+    let waiting_line = long("waiting-line")
+        .help("Lets requests for engines wait in one line over all instances, shared between accounts")
+        .switch();
     let file = positional::<PathBuf>("FILE")
         .help("The settings file; by default the one that the environment names")
         .complete_shell(bpaf::ShellComp::File { mask: None })
         .optional();
-    construct!(Args { log, file })
-        .to_options()
-        .descr("Runs a gateway that follows the platform's store")
-        .footer("Exit status: 0 stopped gracefully, 1 could not start, 2 bad settings, 64 a usage error")
-        .command("gateway")
+    construct!(Args {
+        log,
+        waiting_line,
+        file
+    })
+    .to_options()
+    .descr("Runs a gateway that follows the platform's store")
+    .footer(
+        "Exit status: 0 stopped gracefully, 1 could not start, 2 bad settings, 64 a usage error",
+    )
+    .command("gateway")
 }
 
 /// The action that a signal requests.
@@ -97,7 +107,10 @@
         return ExitCode::from(BAD_SETTINGS);
     };
     let settings = match load(&file) {
-        Ok(settings) => settings,
+        Ok(mut settings) => {
+            settings.gateway.waiting_line = args.waiting_line;
+            settings
+        }
         Err(message) => {
             print::error(message);
             return ExitCode::from(BAD_SETTINGS);
@@ -145,7 +158,8 @@
 /// Settings that can't be read or are invalid change nothing.
 fn reload(file: &Path, settings: &mut BootSettings) {
     match load(file) {
-        Ok(next) => {
+        Ok(mut next) => {
+            next.gateway.waiting_line = settings.gateway.waiting_line;
             let changed = next != *settings;
             *settings = next;
             info!(
