Waiting line: offers in vain keep the order, live streams don't wait, tests under failure

Requests that were offered in vain lost their place among accounts: each offer was a start that moved the class's virtual time, and an account with one request came back behind it. Starts are now undone in reverse order, with the counter and the virtual time from before.

A rank counted as served for ever after its first request; now for a second after its last.

They are placed at once now, as before.

--- a/crates/admission/src/class.rs
+++ b/crates/admission/src/class.rs
@@ -61,6 +61,16 @@
     by_length: BTreeSet<FlowLength>,
     virtual_time: u64,
     starts_since_late: u32,
+    /// Number of starts that weren't undone.
+    starts: u64,
+}
+
+/// The state of a class before a start, by which the start can be undone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct StartMark {
+    number: u64,
+    virtual_time: u64,
+    counter: u64,
 }
 
 /// The request of a class that is started next.
@@ -73,6 +83,13 @@
     pub(crate) only_late: bool,
 }
 
+impl StartMark {
+    /// The account's counter.
+    pub(crate) fn counter(self) -> u64 {
+        self.counter
+    }
+}
+
 impl Class {
     pub(crate) fn new(spec: ClassSpec, output_quantile: f64) -> Class {
         Class {
@@ -95,6 +112,7 @@
             by_length: BTreeSet::new(),
             virtual_time: 0,
             starts_since_late: 0,
+            starts: 0,
         }
     }
 
@@ -164,14 +182,40 @@
 
     /// Updates the virtual time and the count of on-time starts; called just before the candidate
     /// is started.
-    pub(crate) fn record_start(&mut self, candidate: &Candidate) {
+    pub(crate) fn record_start(&mut self, candidate: &Candidate) -> StartMark {
         self.starts_since_late = match candidate.lane {
             Lane::Late => 0,
             Lane::OnTime if self.late.is_empty() => 0,
             Lane::OnTime => self.starts_since_late + 1,
         };
         let counter = self.flow(candidate.account).map_or(0, |flow| flow.counter);
-        self.virtual_time = self.virtual_time.max(counter);
+        let virtual_time = self.virtual_time;
+        self.virtual_time = virtual_time.max(counter);
+        self.starts += 1;
+        StartMark {
+            number: self.starts,
+            virtual_time,
+            counter,
+        }
+    }
+
+    /// Undoes a start whose request was charged nothing in the end and is about to be queued again.
+    /// Several starts are undone in reverse order.
+    ///
+    /// Otherwise an account whose only request was tried in vain would lose its place to one with
+    /// several requests: its queue was empty meanwhile, and would start at a virtual time that the
+    /// other one's starts advanced.
+    pub(crate) fn undo_start(&mut self, mark: StartMark) {
+        // Starts that followed and weren't undone keep the virtual time.
+        if self.starts == mark.number {
+            self.starts -= 1;
+            self.virtual_time = mark.virtual_time;
+        }
+    }
+
+    /// Returns an account's counter to what it was before its queue was empty for a moment.
+    pub(crate) fn restore_counter(&mut self, account: AccountKey, counter: u64) {
+        self.update_flow(account, |flow| flow.counter = counter);
     }
 
     pub(crate) fn charge(&mut self, account: AccountKey, tokens: u64) {
--- a/crates/admission/src/line/mod.rs
+++ b/crates/admission/src/line/mod.rs
@@ -48,9 +48,10 @@
 use crate::ticket::Sent;
 use crate::ticket::Ticket;
 
-/// Half-life of the tokens served by rank. Callers whose requests take a second or two perceive a
-/// preference for others over about that time.
-const SERVED_HALF_LIFE: Millis = Millis::from_secs(1);
+/// Half-life of the tokens served by rank, and how long a rank counts as served after its last
+/// request. Callers whose requests take a second or two perceive a preference for others over about
+/// that time.
+const SERVED_SPAN: Millis = Millis::from_secs(1);
 
 /// Share of the tokens from which less urgent ranks count as served. Their floors alone are below.
 const SERVED_SHARE: f64 = 0.1;
@@ -206,7 +207,14 @@
     accounts: SlotMap<AccountKey, u32>,
     account_keys: HashMap<u32, AccountKey>,
     /// Tokens served of late, by service and rank.
-    served: HashMap<u32, BTreeMap<u8, DecayingSum>>,
+    served: HashMap<u32, BTreeMap<u8, Served>>,
+}
+
+/// What was served of a rank.
+#[derive(Clone, Copy, Debug)]
+struct Served {
+    tokens: DecayingSum,
+    last: Millis,
 }
 
 impl Line {
@@ -280,7 +288,7 @@
     /// The next step in a group; `None` if no request waits there that wasn't offered.
     ///
     /// A request that is put back is offered again, so the driver puts back what found no room only
-    /// after it has made all steps that it wants to.
+    /// after it has made all steps that it wants to, the last one first.
     pub fn next(&mut self, group: LineGroupKey, now: Millis) -> Option<LineStep> {
         if let Some(step) = self.next_end(group, now) {
             return Some(step);
@@ -324,9 +332,12 @@
         let tokens = ticket.charge() as f64;
         group.begun.insert(waiter.request, ticket.sent());
         let served = self.served.entry(group.service).or_default();
-        let served = served.entry(state.rank);
-        let served = served.or_insert_with(|| DecayingSum::new(SERVED_HALF_LIFE));
-        served.add(tokens, now);
+        let served = served.entry(state.rank).or_insert_with(|| Served {
+            tokens: DecayingSum::new(SERVED_SPAN),
+            last: now,
+        });
+        served.tokens.add(tokens, now);
+        served.last = now;
     }
 
     /// Returns a request that was offered, and for which no engine had room, to its place.
@@ -451,10 +462,13 @@
         let Some(served) = self.served.get(&service) else {
             return false;
         };
-        let total: f64 = served.values().map(|sum| sum.rate(now)).sum();
-        let below = served.iter().filter(|&(&other, _)| other > rank);
-        let below: f64 = below.map(|(_, sum)| sum.rate(now)).sum();
-        below > 0.0 && below >= total * SERVED_SHARE
+        let tokens = |served: &Served| served.tokens.rate(now);
+        let total: f64 = served.values().map(tokens).sum();
+        let lesser = served
+            .iter()
+            .filter(|&(&other, served)| other > rank && now.since(served.last) < SERVED_SPAN);
+        let lesser: f64 = lesser.map(|(_, served)| tokens(served)).sum();
+        lesser > 0.0 && lesser >= total * SERVED_SHARE
     }
 
     fn add_group(&mut self, arrival: &LineArrival) -> LineGroupKey {
--- a/crates/admission/src/request.rs
+++ b/crates/admission/src/request.rs
@@ -6,6 +6,7 @@
 use crocushold_base::ModelKey;
 use crocushold_base::RequestKey;
 
+use crate::class::StartMark;
 use crate::throughput::DemandRate;
 
 /// A request submitted for admission.
@@ -81,6 +82,7 @@
     /// Value of the scheduler's pause counter when the request started.
     pub(crate) pauses_at_start: u32,
     pub(crate) selected_by: SelectedBy,
+    pub(crate) mark: StartMark,
 }
 
 /// Why a request was selected for dispatch.
--- a/crates/admission/src/scheduler/dispatch.rs
+++ b/crates/admission/src/scheduler/dispatch.rs
@@ -85,7 +85,8 @@
     }
 
     /// Returns a request to the queue for which no backend server was available. It keeps its
-    /// position, and the charges to its account, class and floor are undone.
+    /// position, and the charges to its account, class and floor are undone. Several requests are
+    /// returned in the reverse order of their dispatch.
     pub fn requeue(&mut self, ticket: Ticket<Dispatched>, now: Millis) {
         let now = self.advance_clock(now);
         let key = ticket.into_key();
@@ -102,7 +103,7 @@
         let class_known = self.classes.contains_key(request.class);
         let account_known = self.accounts.contains_key(request.account);
         if class_known && account_known {
-            self.insert_queued(key, lane);
+            self.return_queued(key, lane, run.mark);
             return;
         }
         let reason = if class_known {
@@ -179,7 +180,7 @@
     ) -> Option<Ticket<Dispatched>> {
         let position = candidate.position;
         let request = *self.requests.get(position.key)?;
-        self.classes.get_mut(key)?.record_start(candidate);
+        let mark = self.classes.get_mut(key)?.record_start(candidate);
         self.remove_queued(&request, candidate.lane);
         self.class_indexes.token_clock += clock_ticks(position.charge);
         let class = self.classes.get_mut(key)?;
@@ -199,6 +200,7 @@
             first_token_seen: false,
             pauses_at_start: self.pauses,
             selected_by,
+            mark,
         });
         Some(Ticket::new(
             position.key,
--- a/crates/admission/src/scheduler/queue.rs
+++ b/crates/admission/src/scheduler/queue.rs
@@ -6,6 +6,7 @@
 
 use super::Scheduler;
 use super::Timer;
+use crate::class::StartMark;
 use crate::refusal::Reason;
 use crate::refusal::Refused;
 use crate::request::Lane;
@@ -27,6 +28,24 @@
         }
     }
 
+    /// Puts a request back whose start is undone.
+    pub(super) fn return_queued(&mut self, key: RequestKey, lane: Lane, mark: StartMark) {
+        let Some(request) = self.requests.get(key).copied() else {
+            return;
+        };
+        let Some(class) = self.classes.get_mut(request.class) else {
+            return;
+        };
+        class.undo_start(mark);
+        let flow = class.flow(request.account);
+        let counter = flow.map_or(mark.counter(), |flow| flow.counter);
+        self.insert_queued(key, lane);
+        if let Some(class) = self.classes.get_mut(request.class) {
+            class.restore_counter(request.account, counter);
+            self.class_indexes.refresh(request.class, class);
+        }
+    }
+
     /// Takes a request out of the queue; it remains stored.
     pub(super) fn remove_queued(&mut self, request: &Request, lane: Lane) {
         self.unlink(request, lane);
--- a/crates/admission/tests/admission/line.rs
+++ b/crates/admission/tests/admission/line.rs
@@ -167,7 +167,7 @@
                     }
                 }
             }
-            for key in in_vain {
+            for key in in_vain.into_iter().rev() {
                 line.put_back(key, at);
             }
         }
@@ -289,6 +289,8 @@
     let mut scopes = Vec::new();
     for at in [0, 600, 1000] {
         let now = START + Millis(at);
+        let served = join(&mut line, lesser, now);
+        begin(&mut line, served, now);
         let Some(LineStep::Offer(key, scope)) = line.next(group, now) else {
             panic!("not offered");
         };
@@ -302,9 +304,8 @@
     );
     assert_eq!(line.len(), 1);
     // No less urgent request was served for seconds, so that there is no room for this one either.
-    let much_later = START + Millis(60_000);
-    let newer = join(&mut line, arrival(0, 2), much_later);
-    assert!(begin(&mut line, newer, much_later).is_some());
+    let (key, _) = refused(&mut line, urgent, START + Millis(5000));
+    assert_eq!(key, urgent);
 }
 
 /// Guards against a process that was suspended and starts requests whose time is over.
@@ -362,6 +363,42 @@
     }
 }
 
+/// Requests that are offered in vain, several at a time, keep their order.
+#[test]
+fn offers_in_vain_change_no_order() {
+    let mut line = Line::new(LineSettings::default());
+    let mut keys = Vec::new();
+    for account in [1, 1, 1, 2, 3] {
+        keys.push(join(&mut line, arrival(1, account), START));
+    }
+    let group = line.group_of(keys[0]);
+    for round in 1..20 {
+        let now = START + Millis(round);
+        let mut offered = Vec::new();
+        while offered.len() < 4
+            && let Some(LineStep::Offer(key, _)) = line.next(group, now)
+        {
+            offered.push(key);
+        }
+        assert_eq!(offered, [keys[0], keys[3], keys[4], keys[1]]);
+        for key in offered.into_iter().rev() {
+            line.put_back(key, now);
+        }
+    }
+    // One of them begins between two that don't.
+    let now = START + Millis(30);
+    let [first, second, third] = [(); 3].map(|()| match line.next(group, now) {
+        Some(LineStep::Offer(key, _)) => key,
+        other => panic!("not offered: {other:?}"),
+    });
+    line.begin(second, now);
+    line.put_back(third, now);
+    line.put_back(first, now);
+    let rest: Vec<WaiterKey> =
+        std::iter::from_fn(|| Some(begin(&mut line, first, now)?.0)).collect();
+    assert_eq!(rest, [keys[0], keys[4], keys[1], keys[2]]);
+}
+
 /// A request that leaves isn't offered, and events of requests that are gone are ignored.
 #[test]
 fn requests_may_leave_at_any_time() {
--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -221,7 +221,8 @@
     /// On which terms the request may wait in line; `None` if it may not.
     fn line_terms(&self, now: Millis) -> Option<LineTerms> {
         let limit = self.job.line_limit?;
-        if !self.shared.settings.waiting_line || !self.shared.fleet().has_line(&self.job.need) {
+        if !self.shared.settings.waiting_line || !self.shared.fleet().has_line(&self.job.need, now)
+        {
             return None;
         }
         let remaining = self.job.deadline.since(now);
--- a/crates/gateway/src/fleet/choose.rs
+++ b/crates/gateway/src/fleet/choose.rs
@@ -100,7 +100,8 @@
 
     /// Whether requests like this one may wait in line: for engines of published capacity that
     /// aren't brittle.
-    pub(crate) fn has_line(&self, need: &Need) -> bool {
+    pub(crate) fn has_line(&mut self, need: &Need, now: Millis) -> bool {
+        self.update_routers(now);
         let spec = self.engines.get(&need.service);
         let model = need.model.as_deref().unwrap_or_default();
         need.unique_tokens > 0
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -22,6 +22,7 @@
 use http_types::headers::HOST;
 use twox_hash::XxHash3_64;
 
+use crate::fleet::ENGINE_BOUND;
 use crate::fleet::Need;
 use crate::protocol::PromptPart;
 use crate::protocol::RequestMeta;
@@ -59,6 +60,9 @@
 /// Maximum wait at a server of a retried request, in percent of its remaining time.
 const RETRY_WAIT_PERCENT: u64 = 25;
 
+/// Minimum limit of a request that waits in line: twice what it may wait at an engine afterwards.
+const MIN_LINE_LIMIT: Millis = Millis(2 * ENGINE_BOUND.0);
+
 /// A request that is ready to be sent, possibly several times.
 pub(crate) struct Job {
     /// Request ID, as sent by the caller.
@@ -249,10 +253,7 @@
                 regions: table.regions(route, account),
                 software: None,
             },
-            line_limit: route
-                .repeat
-                .is_stream()
-                .then(|| longest_wait(route, timeout)),
+            line_limit: line_limit(table, route, timeout),
             content: unread_content(part_fingerprints(service, &meta.prompt)),
             arrived,
             deadline: arrived + timeout.min(route.timeout),
@@ -322,6 +323,17 @@
         .then(|| longest_wait(route, timeout))
 }
 
+/// How long a request may wait in the placer's line and for an engine to begin it; `None` if it
+/// doesn't wait in line.
+///
+/// Live streams don't: their engines are kept for them, their prompts are short, and what they bear
+/// before the first event is hardly longer than a wait in line by itself.
+fn line_limit(table: &RouteTable, route: &Route, timeout: Millis) -> Option<Millis> {
+    let waits = route.repeat.is_stream() && !table.is_live(route);
+    let limit = longest_wait(route, timeout);
+    Some(limit).filter(|&limit| waits && limit >= MIN_LINE_LIMIT)
+}
+
 /// The longest wait for the beginning of the prefill with which an answer is of use to the caller.
 fn longest_wait(route: &Route, timeout: Millis) -> Millis {
     // A request whose timeout is below the route's by more than the route's target is taken for a
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -137,7 +137,7 @@
         }
         if let Some(terms) = request.line
             && self.waiting.is_some()
-            && fleet.has_line(&request.need)
+            && fleet.has_line(&request.need, now)
         {
             return self.place_in_line(fleet, from, request, terms, now);
         }
@@ -236,14 +236,53 @@
         }
     }
 
-    /// Settles a request that came from the line, and offers others what it leaves.
-    fn settle(&mut self, fleet: &mut Fleet, waiter: WaiterKey, end: LineEnd, now: Millis) {
-        if let Some(waiting) = &mut self.waiting {
-            let group = waiting.finish(waiter, end, now);
-            self.offer(fleet, group, now);
+    /// Offers the waiting requests what a placed one leaves: to those of its group, or to all if it
+    /// didn't come from the line.
+    fn offer_freed(&mut self, fleet: &mut Fleet, waiter: Option<WaiterKey>, now: Millis) {
+        let Some(waiting) = &self.waiting else {
+            return;
+        };
+        match waiter {
+            Some(waiter) => {
+                let group = waiting.group_of(waiter);
+                self.offer(fleet, group, now);
+            }
+            None => self.serve_line(fleet, now),
+        }
+    }
+
+    /// Settles what a request from the line really used.
+    fn settle(&mut self, fleet: &Fleet, placed: &PlacedRequest, ended: RequestEnd, now: Millis) {
+        if let Some(waiting) = &mut self.waiting
+            && let Some(waiter) = placed.waiter
+        {
+            let event_tokens = fleet.event_tokens(&placed.choice);
+            waiting.finish(waiter, line_end(&ended, placed.started, event_tokens), now);
         }
     }
 
+    /// Reports the end of a request to the fleet, unless that knows it by itself.
+    fn record_end(
+        &mut self,
+        fleet: &mut Fleet,
+        placed: &PlacedRequest,
+        ended: RequestEnd,
+        now: Millis,
+    ) -> Option<ProbeTarget> {
+        if placed.is_own {
+            return None;
+        }
+        let choice = &placed.choice;
+        if let Some(pause) = ended.pause {
+            fleet.record_remote_pause(choice, pause);
+        }
+        if matches!(ended.result, Outcome::Refused | Outcome::Unreachable) {
+            return self.doubt(fleet, choice.clone(), ended.result, now);
+        }
+        fleet.done(choice, ended.result, ended.tokens, now);
+        None
+    }
+
     /// Applies an update of a request of `from`. Updates may arrive late and more than once.
     ///
     /// A connection that another instance couldn't open shows either a server or the network path
@@ -283,41 +322,15 @@
                     fleet.record_load(&placed.choice, report, now);
                 }
                 let waiter = placed.waiter;
-                if let Some(waiting) = &self.waiting
-                    && let Some(waiter) = waiter
-                {
-                    let group = waiting.group_of(waiter);
-                    self.offer(fleet, group, now);
-                }
+                self.offer_freed(fleet, waiter, now);
                 None
             }
             UpdateKind::Ended(ended) => {
-                let PlacedRequest {
-                    choice,
-                    started,
-                    waiter,
-                    is_own,
-                    ..
-                } = self.placed.remove(&key)?;
-                if let Some(pause) = ended.pause.filter(|_| !is_own) {
-                    fleet.record_remote_pause(&choice, pause);
-                }
-                if let Some(waiter) = waiter {
-                    let event_tokens = fleet.event_tokens(&choice);
-                    let end = line_end(&ended, started, event_tokens);
-                    if !is_own && end != LineEnd::NotRun {
-                        fleet.done(&choice, ended.result, ended.tokens, now);
-                    }
-                    self.settle(fleet, waiter, end, now);
-                    if is_own || end != LineEnd::NotRun {
-                        return None;
-                    }
-                }
-                if matches!(ended.result, Outcome::Refused | Outcome::Unreachable) {
-                    return self.doubt(fleet, choice, ended.result, now);
-                }
-                fleet.done(&choice, ended.result, ended.tokens, now);
-                None
+                let placed = self.placed.remove(&key)?;
+                let probe = self.record_end(fleet, &placed, ended, now);
+                self.settle(fleet, &placed, ended, now);
+                self.offer_freed(fleet, placed.waiter, now);
+                probe
             }
         }
     }
@@ -365,12 +378,13 @@
         let expired = self.placed.extract_if(|_, placed| placed.expires <= now);
         let expired: Vec<PlacedRequest> = expired.map(|(_, placed)| placed).collect();
         for placed in expired {
-            if !placed.is_own {
-                fleet.done(&placed.choice, Outcome::Cancelled, 0, now);
-            }
-            if let Some(waiter) = placed.waiter {
-                self.settle(fleet, waiter, LineEnd::Partial(0), now);
-            }
+            let lost = RequestEnd {
+                result: Outcome::Cancelled,
+                tokens: 0,
+                pause: None,
+            };
+            self.record_end(fleet, &placed, lost, now);
+            self.settle(fleet, &placed, lost, now);
         }
     }
 }
--- a/crates/gateway/src/placing/waiting.rs
+++ b/crates/gateway/src/placing/waiting.rs
@@ -132,9 +132,8 @@
     }
 
     /// Settles a request that was placed.
-    pub(super) fn finish(&mut self, waiter: WaiterKey, end: LineEnd, now: Millis) -> LineGroupKey {
+    pub(super) fn finish(&mut self, waiter: WaiterKey, end: LineEnd, now: Millis) {
         self.line.finish(waiter, end, now);
-        self.line.group_of(waiter)
     }
 
     pub(super) fn group_of(&self, waiter: WaiterKey) -> LineGroupKey {
@@ -180,7 +179,7 @@
         if is_due && !in_vain.is_empty() {
             self.offered.insert(group, now);
         }
-        for waiter in in_vain {
+        for waiter in in_vain.into_iter().rev() {
             self.line.put_back(waiter, now);
         }
         decided
--- a/crates/gateway/tests/rests.rs
+++ b/crates/gateway/tests/rests.rs
@@ -160,6 +160,7 @@
         tried: Vec::new(),
         need: need(),
         resting,
+        line: None,
     }
 }
 
