--- a/crates/admission/src/line/mod.rs
+++ b/crates/admission/src/line/mod.rs
@@ -14,12 +14,14 @@
 //! * **Refusal:** a request whose wait is expected to exceed what its caller bears is refused as it
 //!   arrives, and one that has waited for that long is refused then. The expected wait counts no
 //!   more of other accounts' requests than fair queuing serves first.
-//! * **Rank:** a request isn't refused while less urgent ones are served. When half of its wait is
-//!   over it may use any engines that have room, and at the end of it, it is sent to an engine
-//!   however long the queue there is.
+//! * **Rank:** a request isn't refused while less urgent ones are served. It may use the engines of
+//!   other groups that have room, and at the end of its wait it is sent to an engine however long the
+//!   queue there is.
 
+mod drain;
 mod returns;
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -32,6 +34,7 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+use self::drain::Drain;
 use self::returns::Returns;
 use crate::decay::DecayingSum;
 use crate::request::Arrival;
@@ -132,9 +135,9 @@
 pub enum LineScope {
     /// Those of its group that can begin it soon.
     Group,
-    /// All that can begin it soon.
+    /// Those of other groups too that can begin it soon.
     Any,
-    /// All, however long their queues are.
+    /// Any, however long their queues are.
     Unbounded,
 }
 
@@ -168,8 +171,21 @@
     pub oldest: Millis,
 }
 
+/// The refusals of some time.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LineRefusals {
+    /// Their number.
+    pub total: u32,
+    /// The accounts with the most, with their numbers.
+    pub largest: Vec<(u32, u32)>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Waiter {
+    account: u32,
+    key: AccountKey,
+    /// Its expected cost, in output tokens.
+    work: u64,
     rank: u8,
     joined: Millis,
     /// End of its wait.
@@ -191,7 +207,9 @@
     begun: SecondaryMap<RequestKey, Ticket<Sent>>,
     /// Ends of the waits of those that outrank others.
     ends: BTreeSet<(Millis, RequestKey)>,
+    drain: Drain,
     returns: Returns,
+    retry_min: Millis,
 }
 
 /// The line of requests that wait before the engines of all services.
@@ -206,6 +224,8 @@
     classes: SlotMap<ClassKey, ()>,
     accounts: SlotMap<AccountKey, u32>,
     account_keys: HashMap<u32, AccountKey>,
+    /// Refused requests by account, since they were last taken.
+    refused: HashMap<u32, u32>,
     /// Tokens served of late, by service and rank.
     served: HashMap<u32, BTreeMap<u8, Served>>,
 }
@@ -245,7 +265,17 @@
             ..AccountSpec::default()
         };
         state.scheduler.ensure_account(spec, now);
-        let until = now + arrival.limit.max(MIN_LIMIT);
+        state.advance(now);
+        let limit = arrival.limit.max(MIN_LIMIT);
+        let work = state
+            .scheduler
+            .cost(arrival.prompt_tokens, arrival.output_tokens);
+        let wait = state.expected_wait(arrival.rank, account, work);
+        if wait > limit && !outranks {
+            *self.refused.entry(arrival.account).or_default() += 1;
+            return Err(state.refusal(wait.since(limit), arrival.patience, now));
+        }
+        let until = now + limit;
         let submitted = Arrival {
             class,
             account,
@@ -257,6 +287,9 @@
         match state.scheduler.submit(&submitted, now) {
             Admission::Queued(request) => {
                 let waiter = Waiter {
+                    account: arrival.account,
+                    key: account,
+                    work,
                     rank: arrival.rank,
                     joined: now,
                     until,
@@ -267,8 +300,9 @@
                 state.ends.extend(waiter.end.map(|end| (end, request)));
                 Ok(WaiterKey { group, request })
             }
-            Admission::Refused(refusal) => {
-                Err(state.refusal(refusal.retry_after, arrival.patience, now))
+            Admission::Refused(_) => {
+                *self.refused.entry(arrival.account).or_default() += 1;
+                Err(state.refusal(wait, arrival.patience, now))
             }
         }
     }
@@ -290,6 +324,7 @@
     /// A request that is put back is offered again, so the driver puts back what found no room only
     /// after it has made all steps that it wants to, the last one first.
     pub fn next(&mut self, group: LineGroupKey, now: Millis) -> Option<LineStep> {
+        self.groups.get_mut(group)?.advance(now);
         if let Some(step) = self.next_end(group, now) {
             return Some(step);
         }
@@ -299,15 +334,14 @@
             Action::Refuse(refused) => {
                 let request = refused.key;
                 let waiter = state.forget(request)?;
-                let refusal = state.refusal(refused.refusal.retry_after, waiter.patience, now);
+                *self.refused.entry(waiter.account).or_default() += 1;
+                let refusal = state.refusal_of(&waiter, now);
                 Some(LineStep::Refuse(WaiterKey { group, request }, refusal))
             }
             Action::Dispatch(ticket) => {
                 let request = ticket.key();
                 let waiter = state.waiters.get(&request)?;
-                let half = Millis(waiter.until.since(waiter.joined).0 / 2);
-                let is_long = now >= waiter.joined + half;
-                let scope = if waiter.end.is_some() && is_long {
+                let scope = if waiter.end.is_some() {
                     LineScope::Any
                 } else {
                     LineScope::Group
@@ -326,9 +360,13 @@
         let Some(ticket) = group.offered.remove(waiter.request) else {
             return;
         };
+        group.advance(now);
         let Some(state) = group.forget(waiter.request) else {
             return;
         };
+        if !group.waiters.is_empty() {
+            group.drain.record(state.rank, ticket.charge());
+        }
         let tokens = ticket.charge() as f64;
         group.begun.insert(waiter.request, ticket.sent());
         let served = self.served.entry(group.service).or_default();
@@ -364,9 +402,11 @@
     pub fn leave(&mut self, waiter: WaiterKey, now: Millis) {
         self.put_back(waiter, now);
         let WaiterKey { group, request } = waiter;
-        if let Some(group) = self.groups.get_mut(group)
-            && group.forget(request).is_some()
-        {
+        let Some(group) = self.groups.get_mut(group) else {
+            return;
+        };
+        group.advance(now);
+        if group.forget(request).is_some() {
             group.scheduler.cancel(request, 0, now);
         }
     }
@@ -432,6 +472,16 @@
         ranks
     }
 
+    /// Takes the refusals since the last call, with the `most` accounts that had the most.
+    pub fn take_refusals(&mut self, most: usize) -> LineRefusals {
+        let refused = std::mem::take(&mut self.refused);
+        let mut largest: Vec<(u32, u32)> = refused.into_iter().collect();
+        largest.sort_unstable_by_key(|&(account, count)| (Reverse(count), account));
+        let total = largest.iter().map(|(_, count)| count).sum();
+        largest.truncate(most);
+        LineRefusals { total, largest }
+    }
+
     /// The step for the first request that outranks others and whose wait is over.
     fn next_end(&mut self, group: LineGroupKey, now: Millis) -> Option<LineStep> {
         let state = self.groups.get_mut(group)?;
@@ -442,7 +492,6 @@
         state.ends.pop_first();
         let waiter = *state.waiters.get(&request)?;
         let service = state.service;
-        let retry_min = self.settings.retry_min;
         let key = WaiterKey { group, request };
         if self.outranks(service, waiter.rank, now) {
             let state = self.groups.get_mut(group)?;
@@ -452,8 +501,9 @@
         }
         let state = self.groups.get_mut(group)?;
         state.forget(request);
+        *self.refused.entry(waiter.account).or_default() += 1;
         state.scheduler.cancel(request, 0, now);
-        let refusal = state.refusal(retry_min, waiter.patience, now);
+        let refusal = state.refusal_of(&waiter, now);
         Some(LineStep::Refuse(key, refusal))
     }
 
@@ -476,9 +526,9 @@
             queue_limit: self.settings.max_waiting,
             // The bodies are held by the instances.
             queue_bytes: u64::MAX,
-            // The limit of each request is what its caller bears, and leaves time for the prefill.
-            wait_margin: 1.0,
-            retry_min: self.settings.retry_min,
+            // The line refuses by itself, from what begins while requests wait. The scheduler's rate
+            // follows whole answers, and is right for waits of many seconds.
+            wait_margin: f64::INFINITY,
             headroom: HeadroomSettings {
                 max_share: 0.0,
                 ..HeadroomSettings::default()
@@ -493,7 +543,9 @@
             offered: SecondaryMap::new(),
             begun: SecondaryMap::new(),
             ends: BTreeSet::new(),
+            drain: Drain::default(),
             returns: Returns::default(),
+            retry_min: self.settings.retry_min,
         });
         self.names.insert(arrival.group, group);
         group
@@ -556,14 +608,35 @@
         Some(waiter)
     }
 
-    fn refusal(&mut self, wait: Millis, patience: Millis, now: Millis) -> LineRefusal {
-        let rate = self.scheduler.requests_per_second();
-        let span = if rate > 0.0 {
-            Millis((1000.0 / rate) as u64)
-        } else {
-            Millis::ZERO
+    /// Brings the rate at which requests begin up to date. To be called before any request is added
+    /// or removed.
+    fn advance(&mut self, now: Millis) {
+        self.drain.advance(!self.waiters.is_empty(), now);
+    }
+
+    /// Expected wait of a request of `work` tokens that joins now; zero if it isn't known.
+    fn expected_wait(&self, rank: u8, account: AccountKey, work: u64) -> Millis {
+        let Some(&class) = self.ranks.get(&rank) else {
+            return Millis::ZERO;
         };
-        let at = self.returns.reserve(now + wait, now + patience, span);
+        let ahead = self.scheduler.work_ahead(class, account, work);
+        let rate = self.drain.rate(rank);
+        rate.map_or(Millis::ZERO, |rate| Millis((ahead as f64 / rate) as u64))
+    }
+
+    /// The refusal of a request that has waited.
+    fn refusal_of(&mut self, waiter: &Waiter, now: Millis) -> LineRefusal {
+        let wait = self.expected_wait(waiter.rank, waiter.key, waiter.work);
+        let limit = waiter.until.since(waiter.joined);
+        self.refusal(wait.since(limit), waiter.patience, now)
+    }
+
+    /// The refusal of a request whose wait would be too long by `excess`.
+    fn refusal(&mut self, excess: Millis, patience: Millis, now: Millis) -> LineRefusal {
+        let earliest = now + excess.max(self.retry_min);
+        let span = self.drain.interval();
+        let latest = now + patience.max(self.retry_min);
+        let at = self.returns.reserve(earliest, latest, span);
         LineRefusal {
             retry_after: at.since(now),
         }
--- a/crates/admission/src/line/returns.rs
+++ b/crates/admission/src/line/returns.rs
@@ -10,13 +10,12 @@
 }
 
 impl Returns {
-    /// Reserves a time of at least `earliest` for a request that takes the engines `span`. After
-    /// `latest` its caller wouldn't return; if all times until then are taken, it returns with the
-    /// last of them.
+    /// Reserves a time of at least `earliest` for a request, `span` before the next one. After `latest`
+    /// its caller wouldn't return; if there is no time until then, that is its time.
     pub(super) fn reserve(&mut self, earliest: Millis, latest: Millis, span: Millis) -> Millis {
         let at = self.next.max(earliest);
         if at >= latest {
-            return latest.max(earliest);
+            return latest;
         }
         self.next = at + span;
         at
--- a/crates/admission/src/scheduler/estimate.rs
+++ b/crates/admission/src/scheduler/estimate.rs
@@ -63,7 +63,7 @@
     }
 
     /// Cost in output tokens.
-    pub(super) fn cost(&self, prompt: u32, output: u32) -> u64 {
+    pub(crate) fn cost(&self, prompt: u32, output: u32) -> u64 {
         u64::from(prompt / self.settings.prompt_ratio.max(1)) + u64::from(output)
     }
 
@@ -83,15 +83,8 @@
         let Some(class) = self.classes.get(key) else {
             return Millis::ZERO;
         };
+        let ahead = self.work_ahead(key, account, charge);
         let tier = class.spec.tier_index();
-        let own = class.flow(account).map_or(0, |flow| flow.backlog);
-        let fair = own
-            .saturating_add(charge)
-            .saturating_mul(class.active_accounts().max(1));
-        let peers = self
-            .throughput
-            .due_from_other_classes(tier, scaled_target(class), class);
-        let ahead = self.throughput.backlog_above(tier) + peers + class.backlog.min(fair);
         let drain = self
             .throughput
             .drain_rate(tier, self.slots(), class.spec.floor, now);
@@ -101,6 +94,23 @@
         }
     }
 
+    /// Cost of the queued requests that are served before one of cost `charge` that is queued now,
+    /// in output tokens.
+    pub(crate) fn work_ahead(&self, key: ClassKey, account: AccountKey, charge: u64) -> u64 {
+        let Some(class) = self.classes.get(key) else {
+            return 0;
+        };
+        let tier = class.spec.tier_index();
+        let own = class.flow(account).map_or(0, |flow| flow.backlog);
+        let fair = own
+            .saturating_add(charge)
+            .saturating_mul(class.active_accounts().max(1));
+        let peers = self
+            .throughput
+            .due_from_other_classes(tier, scaled_target(class), class);
+        self.throughput.backlog_above(tier) + peers + class.backlog.min(fair)
+    }
+
     /// Builds a refusal with the retry-after time `wait`, clamped to the configured bounds and
     /// jittered.
     pub(super) fn refusal(&mut self, reason: Reason, wait: Millis) -> Refusal {
--- a/crates/admission/src/scheduler/report.rs
+++ b/crates/admission/src/scheduler/report.rs
@@ -2,7 +2,6 @@
 
 use crocushold_base::AccountKey;
 use crocushold_base::ClassKey;
-use crocushold_base::Millis;
 
 use super::Scheduler;
 use crate::status::ClassStatus;
@@ -42,11 +41,4 @@
     pub(crate) fn has_account(&self, key: AccountKey) -> bool {
         self.accounts.contains_key(key)
     }
-
-    /// Requests that end per second; zero until one has finished.
-    pub(crate) fn requests_per_second(&self) -> f64 {
-        let second = Millis::from_secs(1);
-        self.throughput
-            .expected_releases(self.slots().max(1), second)
-    }
 }
--- a/crates/gateway/src/fleet/choose.rs
+++ b/crates/gateway/src/fleet/choose.rs
@@ -364,9 +364,8 @@
     if scope == LineScope::Group {
         return Err(none);
     }
-    // Not that of live streams, all of which a few prompts a second make late.
-    let lanes = [Lane::Light, Lane::Heavy];
-    if let Some(pick) = pick_in_lanes(service, models, need, &bounded, &lanes, now) {
+    // Only to the engines of long prompts: elsewhere a long prompt makes live streams late.
+    if let Some(pick) = pick_in_lanes(service, models, need, &bounded, &[Lane::Heavy], now) {
         return Ok(pick);
     }
     if scope == LineScope::Any {
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -375,8 +375,7 @@
         shared.expire_brittle();
         let now = shared.clock.now();
         shared.placer.expire(&mut shared.fleet(), now);
-        let status = shared.placer.line_status(now);
-        shared.metrics.set_line(&status);
+        report_line(&shared, now);
         shared.metrics.set_known_streams(shared.origins.expire(now));
         log_turned_away(&shared, &mut turned_away);
         let moved = shared.fleet().tick(now);
@@ -386,6 +385,30 @@
     }
 }
 
+/// Reports the line at this instance, and whom it refused since the last call.
+fn report_line(shared: &Shared, now: Millis) {
+    let status = shared.placer.line_status(now);
+    shared.metrics.set_line(&status);
+    let refusals = shared.placer.take_line_refusals();
+    let waiting: u32 = status.iter().map(|(_, status)| status.waiting).sum();
+    if waiting == 0 && refusals.total == 0 {
+        return;
+    }
+    let oldest = status.iter().map(|(_, status)| status.oldest).max();
+    let table = shared.table();
+    let largest = refusals.largest.iter().map(|&(account, count)| {
+        let name = table.as_ref().and_then(|table| table.account_name(account));
+        format!("{}:{count}", name.unwrap_or("none"))
+    });
+    let largest: Vec<String> = largest.collect();
+    let event = Event::new("line-state")
+        .with("waiting", waiting)
+        .with("oldest", oldest.unwrap_or_default())
+        .with("refused", refusals.total)
+        .with("accounts", largest.join(","));
+    info!("{event}");
+}
+
 /// Reports a timer round that ran late because the process was paused or short of CPU time.
 fn log_late_timers(shared: &Shared, due: Millis) {
     let now = shared.clock.now();
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -5,6 +5,7 @@
 
 use crocushold_admission::LineEnd;
 use crocushold_admission::LineGroupKey;
+use crocushold_admission::LineRefusals;
 use crocushold_admission::LineStatus;
 use crocushold_admission::WaiterKey;
 use crocushold_base::Millis;
@@ -82,6 +83,12 @@
         waiting.map_or_else(Vec::new, |waiting| waiting.status(now))
     }
 
+    /// Takes the refusals of the line since the last call.
+    pub fn take_line_refusals(&mut self) -> LineRefusals {
+        let waiting = self.waiting.as_mut();
+        waiting.map_or_else(LineRefusals::default, WaitingRequests::take_refusals)
+    }
+
     /// Takes the decisions on requests that waited, to be sent to their instances.
     pub fn take_replies(&mut self) -> Vec<(SocketAddr, PlacementReply)> {
         std::mem::take(&mut self.replies)
--- a/crates/gateway/src/placing/shell.rs
+++ b/crates/gateway/src/placing/shell.rs
@@ -9,6 +9,7 @@
 use std::sync::PoisonError;
 
 use async_std::future::timeout;
+use crocushold_admission::LineRefusals;
 use crocushold_admission::LineStatus;
 use crocushold_base::Clock;
 use crocushold_base::Event;
@@ -119,6 +120,11 @@
         lock(&self.placer).line_status(now)
     }
 
+    /// Takes the refusals of the line since the last call.
+    pub(crate) fn take_line_refusals(&self) -> LineRefusals {
+        lock(&self.placer).take_line_refusals()
+    }
+
     /// Offers the waiting requests to the engines.
     pub(crate) fn serve_line(&self, fleet: &mut Fleet, now: Millis) {
         let mut placer = lock(&self.placer);
--- a/crates/gateway/src/placing/waiting.rs
+++ b/crates/gateway/src/placing/waiting.rs
@@ -11,6 +11,7 @@
 use crocushold_admission::LineEnd;
 use crocushold_admission::LineGroupKey;
 use crocushold_admission::LineRefusal;
+use crocushold_admission::LineRefusals;
 use crocushold_admission::LineScope;
 use crocushold_admission::LineStatus;
 use crocushold_admission::LineStep;
@@ -43,6 +44,9 @@
 /// needs the rest for a second wait and for its answer.
 const PATIENCE_DIVISOR: u64 = 3;
 
+/// Number of accounts that are named with their refusals.
+const MAX_ACCOUNTS_NAMED: usize = 3;
+
 /// Identifies a request by its instance and that instance's number of it.
 pub(super) type Asker = (SocketAddr, u32);
 
@@ -84,6 +88,11 @@
         self.line.status(now).into_iter().collect()
     }
 
+    /// Takes the refusals since the last call.
+    pub(super) fn take_refusals(&mut self) -> LineRefusals {
+        self.line.take_refusals(MAX_ACCOUNTS_NAMED)
+    }
+
     /// Records that an instance still waits for a request. Returns its group.
     pub(super) fn renew(&mut self, asker: &Asker, now: Millis) -> Option<LineGroupKey> {
         let held = self.held.get_mut(asker)?;
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 
 use crate::era::EntryVersion;
+use crate::fleet::short_hash;
 
 /// How often a request may run. Instances exchange it as the index of the variant, so new variants
 /// must be added at the end.
@@ -351,6 +352,12 @@
         !self.accounts.is_empty()
     }
 
+    /// Name of the account with this hash of it.
+    pub(crate) fn account_name(&self, hash: u32) -> Option<&str> {
+        let mut names = self.accounts.iter().map(|account| account.name.as_str());
+        names.find(|name| short_hash(name) == hash)
+    }
+
     /// The account with the API key `key`.
     pub fn account(&self, key: &str) -> Option<&Account> {
         self.keys.get(key).map(|&index| &self.accounts[index])
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -227,6 +227,89 @@
     );
 }
 
+/// Two of 24 accounts send six times their usual, and all together a third more than the engines can
+/// prefill. In the line the two wait and are refused, and the others are served as without the rush;
+/// without it the others were refused as often as the two.
+#[test]
+fn a_rush_of_two_accounts_is_theirs_to_wait_for() {
+    let usual = Load {
+        rate: 88,
+        shared: 0,
+        prompts: 60_000,
+        accounts: [10, 22],
+        ..BATCH
+    };
+    let rush = Load {
+        rate: 190,
+        accounts: [1, 2],
+        ..usual
+    };
+    let without = Load { rate: 8, ..rush };
+    let play = |two: Load, has_line: bool| {
+        let mut simulation = Simulation::new(true);
+        if has_line {
+            simulation.wait_in_line();
+        } else {
+            simulation.place_centrally();
+        }
+        play_in(simulation, [two, usual], 20)
+    };
+    let calm = play(without, true);
+    let shared = play(rush, true);
+    let ranked = play(rush, false);
+    let refused = |class_stats: ClassStats| 1000 * class_stats.refused / class_stats.asked;
+    assert!(refused(ranked[1]) > 100, "{ranked:?}");
+    assert!(
+        refused(shared[1]) <= refused(calm[1]) + 5,
+        "{calm:?} {shared:?}"
+    );
+    assert!(
+        shared[1].on_time * 100 >= calm[1].on_time * 97,
+        "{calm:?} {shared:?}"
+    );
+    assert!(shared[0].refused > 0, "{shared:?}");
+    // The engines do as much as without the line.
+    let served = |stats: &[ClassStats]| {
+        let served = stats.iter().map(|stats| stats.asked - stats.refused);
+        served.sum::<u64>()
+    };
+    assert!(
+        served(&shared) * 100 >= served(&ranked) * 97,
+        "{ranked:?} {shared:?}"
+    );
+}
+
+/// Half of the engines are gone. The rest are worked off in order: the more urgent class is served,
+/// the other one gets what is left, and who waits has an engine or a refusal within the limit.
+#[test]
+fn a_loss_of_half_of_the_engines_is_borne_by_the_least_urgent() {
+    let urgent = Load {
+        rate: 60,
+        rank: 1,
+        shared: 0,
+        prompts: 60_000,
+        accounts: [1, 12],
+        ..BATCH
+    };
+    let lesser = Load {
+        rate: 100,
+        rank: 2,
+        accounts: [1, 24],
+        ..urgent
+    };
+    let mut simulation = Simulation::new(true);
+    simulation.wait_in_line();
+    simulation.lose_engines(6);
+    let stats = simulation.run([urgent, lesser], 20);
+    assert_eq!(stats[0].refused, 0, "{stats:?}");
+    // The answers of the last half second haven't ended.
+    assert!(stats[0].percent(stats[0].on_time) >= 95, "{stats:?}");
+    assert!(stats[1].refused > 0, "{stats:?}");
+    assert!(stats[1].percent(stats[1].on_time) >= 25, "{stats:?}");
+    let accepted = stats[1].asked - stats[1].refused;
+    assert!(stats[1].on_time * 100 >= accepted * 80, "{stats:?}");
+}
+
 /// Guards against assuming that engines which have just started cache the shared prefix, which
 /// sends long prompts to queues several times as long as their wait limit. Callers of the most
 /// urgent class tolerate two seconds without an event.
