--- a/crates/gateway/src/placing/waiting.rs
+++ b/crates/gateway/src/placing/waiting.rs
@@ -37,8 +37,16 @@
 
 /// Maximum number of requests of a group that are offered in vain in one interval. Requests differ
 /// in the engines that they may use or that hold their prefixes, so one that finds no room doesn't
-/// mean that the next one finds none.
-const MAX_VAIN_OFFERS: usize = 6;
+/// mean that the next one finds none. Each costs a look at all engines.
+const MAX_VAIN_OFFERS: usize = 16;
+
+/// Maximum number of requests that are passed over in an interval, as they found no room a moment
+/// ago.
+const MAX_SKIPPED: usize = 256;
+
+/// Bounds of the time until a request that found no room is offered again. In the longest one an
+/// engine that was just full has ended what it held.
+const REOFFER_BOUNDS: [Millis; 2] = [Millis(10), ENGINE_BOUND];
 
 /// Divisor of the time that a caller has left for the time after which it is told to return. It
 /// needs the rest for a second wait and for its answer.
@@ -63,6 +71,8 @@
     waiter: WaiterKey,
     request: PlacementRequest,
     asked: Millis,
+    /// It is passed over until this time, unless it is the first in line.
+    full_until: Millis,
 }
 
 /// The requests that wait at this placer.
@@ -126,6 +136,7 @@
             waiter,
             request: request.clone(),
             asked: now,
+            full_until: now,
         };
         self.held.insert(asker, held);
         self.askers.insert(waiter, asker);
@@ -158,8 +169,8 @@
             .collect()
     }
 
-    /// Offers the requests of a group to its engines, in their order. While it isn't due again, a
-    /// single one is offered, which may have just arrived or find what was just freed.
+    /// Offers the requests of a group to its engines, in their order. While it isn't due again, only
+    /// the first is offered, which may have just arrived or find what was just freed.
     pub(super) fn offer(
         &mut self,
         fleet: &mut Fleet,
@@ -168,24 +179,41 @@
     ) -> Vec<Decided> {
         let last = self.offered.get(&group).copied().unwrap_or_default();
         let is_due = last + OFFER_INTERVAL <= now;
-        let vain_offers = if is_due { MAX_VAIN_OFFERS } else { 1 };
+        let [max_vain, max_skipped] = if is_due {
+            [MAX_VAIN_OFFERS, MAX_SKIPPED]
+        } else {
+            [1, 0]
+        };
+        let mut vain = 0;
         let mut decided = Vec::new();
         let mut in_vain = Vec::new();
-        while in_vain.len() < vain_offers
+        while vain < max_vain
+            && in_vain.len() <= vain + max_skipped
             && let Some(step) = self.line.next(group, now)
         {
             match step {
                 LineStep::Refuse(waiter, refusal) => {
                     decided.extend(self.refuse(waiter, refusal));
                 }
+                // An engine may have ended earlier than expected, so the first is offered in any case.
+                LineStep::Offer(waiter, scope)
+                    if vain > 0
+                        && scope != LineScope::Unbounded
+                        && self.is_postponed(&waiter, now) =>
+                {
+                    in_vain.push(waiter);
+                }
                 LineStep::Offer(waiter, scope) => match self.try_place(fleet, waiter, scope, now) {
                     Offered::Decided(decision) => decided.push(*decision),
                     Offered::Gone => {}
-                    Offered::InVain => in_vain.push(waiter),
+                    Offered::InVain => {
+                        vain += 1;
+                        in_vain.push(waiter);
+                    }
                 },
             }
         }
-        if is_due && !in_vain.is_empty() {
+        if is_due && vain > 0 {
             self.offered.insert(group, now);
         }
         for waiter in in_vain.into_iter().rev() {
@@ -194,6 +222,18 @@
         decided
     }
 
+    fn is_postponed(&self, waiter: &WaiterKey, now: Millis) -> bool {
+        let asker = self.askers.get(waiter);
+        let held = asker.and_then(|asker| self.held.get(asker));
+        held.is_some_and(|held| now < held.full_until)
+    }
+
+    fn postpone(&mut self, asker: &Asker, reason: Reason, now: Millis) {
+        if let Some(held) = self.held.get_mut(asker) {
+            held.full_until = now + reoffer_after(reason);
+        }
+    }
+
     fn refuse(&mut self, waiter: WaiterKey, refusal: LineRefusal) -> Option<Decided> {
         let asker = self.askers.remove(&waiter)?;
         let held = self.held.remove(&asker)?;
@@ -230,6 +270,7 @@
         let verdict = match &placed {
             Ok(choice) => PlacementVerdict::Placed(choice.placed()),
             Err(none) if matches!(none.reason, Reason::Late { .. } | Reason::Busy) => {
+                self.postpone(&asker, none.reason, now);
                 return Offered::InVain;
             }
             Err(_) => PlacementVerdict::Unable,
@@ -249,6 +290,16 @@
     }
 }
 
+/// When to offer a request again whose engines have no room.
+fn reoffer_after(reason: Reason) -> Millis {
+    let [least, most] = REOFFER_BOUNDS;
+    match reason {
+        // The queue may be shorter than it seems.
+        Reason::Late { wait } => Millis(wait.since(ENGINE_BOUND).0 / 2).clamp(least, most),
+        _ => most,
+    }
+}
+
 /// Result of offering a request to the engines.
 enum Offered {
     Decided(Box<Decided>),
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -104,6 +104,8 @@
 struct Busy {
     fleet: Fleet,
     placer: Placer,
+    /// The engines of the prompts, by hashes of their names.
+    engines: [u32; ENGINES as usize],
 }
 
 impl Busy {
@@ -111,13 +113,17 @@
         let mut busy = Busy {
             fleet: fleet(capacity()),
             placer: Placer::with_line(),
+            engines: [0; ENGINES as usize],
         };
         for number in 0..u32::from(ENGINES) {
             let mut long = request(number, 0, 0);
             long.need.prompt_tokens = LONG_PROMPT;
             long.need.unique_tokens = LONG_PROMPT;
             let placed = busy.ask(0, &long, START);
-            assert!(matches!(placed, PlacementVerdict::Placed(_)), "{placed:?}");
+            let PlacementVerdict::Placed(placement) = placed else {
+                panic!("not placed: {placed:?}");
+            };
+            busy.engines[number as usize] = placement.engine;
         }
         busy
     }
@@ -253,6 +259,25 @@
     );
 }
 
+/// Guards against requests whose engines are full and hold up others that may use an idle one.
+#[test]
+fn requests_without_room_do_not_hold_up_others() {
+    let mut busy = Busy::new();
+    let [_, idle, other] = busy.engines;
+    for number in 0..100 {
+        let mut bound = request(100 + number, 0, 1);
+        bound.tried = vec![idle, other];
+        busy.wait(1, &bound, START);
+    }
+    busy.wait(2, &request(7, 1, 1), START);
+    busy.free(1, START + Millis(5));
+    let mut placed = Vec::new();
+    for step in 1..=10 {
+        placed.extend(busy.serve(START + Millis(10 * step)));
+    }
+    assert_eq!(placed, [(peer_at(2), 7)]);
+}
+
 /// Datagrams are lost, repeated and late. A request takes one place in line and one slot, and
 /// whoever asks again gets the decision that was lost.
 #[test]
