--- a/crates/admission/src/scheduler/dispatch.rs
+++ b/crates/admission/src/scheduler/dispatch.rs
@@ -2,6 +2,7 @@
 
 use crocushold_base::ClassKey;
 use crocushold_base::Millis;
+use crocushold_base::RequestKey;
 
 use super::Scheduler;
 use crate::class::Candidate;
@@ -67,8 +68,25 @@
         timer.into_iter().chain(poll).min()
     }
 
+    /// Starts a queued request out of order; `None` if it isn't queued. It is charged like any other.
+    pub(crate) fn dispatch(&mut self, key: RequestKey, now: Millis) -> Option<Ticket<Dispatched>> {
+        let now = self.advance_clock(now);
+        let request = *self.requests.get(key)?;
+        let Stage::Queued(lane) = request.stage else {
+            return None;
+        };
+        let candidate = Candidate {
+            account: request.account,
+            lane,
+            position: request.position,
+            only_late: false,
+        };
+        self.start(request.class, SelectedBy::Rank, &candidate, now)
+    }
+
     /// Returns a request to the queue for which no backend server was available. It keeps its
-    /// position, and the charges to its account, class and floor are undone.
+    /// position, and the charges to its account, class and floor are undone. Several requests are
+    /// returned in the reverse order of their dispatch.
     pub fn requeue(&mut self, ticket: Ticket<Dispatched>, now: Millis) {
         let now = self.advance_clock(now);
         let key = ticket.into_key();
@@ -85,7 +103,7 @@
         let class_known = self.classes.contains_key(request.class);
         let account_known = self.accounts.contains_key(request.account);
         if class_known && account_known {
-            self.insert_queued(key, lane);
+            self.return_queued(key, lane, run.mark);
             return;
         }
         let reason = if class_known {
@@ -162,7 +180,7 @@
     ) -> Option<Ticket<Dispatched>> {
         let position = candidate.position;
         let request = *self.requests.get(position.key)?;
-        self.classes.get_mut(key)?.record_start(candidate);
+        let mark = self.classes.get_mut(key)?.record_start(candidate);
         self.remove_queued(&request, candidate.lane);
         self.class_indexes.token_clock += clock_ticks(position.charge);
         let class = self.classes.get_mut(key)?;
@@ -182,6 +200,7 @@
             first_token_seen: false,
             pauses_at_start: self.pauses,
             selected_by,
+            mark,
         });
         Some(Ticket::new(
             position.key,
--- a/crates/admission/src/scheduler/report.rs
+++ b/crates/admission/src/scheduler/report.rs
@@ -36,4 +36,9 @@
     pub fn account_running(&self, key: AccountKey) -> u32 {
         self.accounts.get(key).map_or(0, |account| account.running)
     }
+
+    /// Whether the account is configured.
+    pub(crate) fn has_account(&self, key: AccountKey) -> bool {
+        self.accounts.contains_key(key)
+    }
 }
--- a/crates/gateway/src/fleet/service.rs
+++ b/crates/gateway/src/fleet/service.rs
@@ -133,8 +133,9 @@
         moved
     }
 
-    /// Records the work of a request of this instance.
-    pub(super) fn record_work(&mut self, need: &Need, now: Millis) {
+    /// Records the work of a new request.
+    pub(super) fn record_demand(&mut self, need: &Need, now: Millis) {
+        self.update_max_pause(need);
         let lane = need.lane();
         let occupies = lane == Lane::Live && self.lanes.isolates_live();
         let min_span = if occupies {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -22,6 +22,7 @@
 use http_types::headers::HOST;
 use twox_hash::XxHash3_64;
 
+use crate::fleet::ENGINE_BOUND;
 use crate::fleet::Need;
 use crate::protocol::PromptPart;
 use crate::protocol::RequestMeta;
@@ -60,6 +61,9 @@
 /// Maximum wait at a server of a retried request, in percent of its remaining time.
 const RETRY_WAIT_PERCENT: u64 = 25;
 
+/// Minimum limit of a request that waits in line: twice what it may wait at an engine afterwards.
+const MIN_LINE_LIMIT: Millis = Millis(2 * ENGINE_BOUND.0);
+
 /// A request that is ready to be sent, possibly several times.
 pub(crate) struct Job {
     /// Request ID, as sent by the caller.
@@ -74,6 +78,8 @@
     /// Maximum number of servers that the request is sent to.
     pub(crate) attempts: u32,
     pub(crate) need: Need,
+    /// How long a stream may wait for an engine to begin it; `None` for other requests.
+    pub(crate) line_limit: Option<Millis>,
     /// What is asked. It is the same for every retry.
     pub(crate) content: RequestContent,
     /// When the head of the request was complete.
@@ -155,6 +161,8 @@
             account: relayed.account,
             attempts: relayed.attempts,
             need: relayed.need,
+            // It has waited at the instance that accepted it.
+            line_limit: None,
             content: unread_content(parts),
             arrived,
             deadline: arrived + relayed.remaining,
@@ -244,6 +252,7 @@
                 regions: table.regions(route, account),
                 software: None,
             },
+            line_limit: line_limit(table, route, timeout),
             content: unread_content(part_fingerprints(service, &meta.prompt)),
             arrived,
             deadline: arrived + timeout.min(route.timeout),
@@ -308,20 +317,34 @@
 /// ahead of them, so the wait doesn't apply to those, and a live request is never refused in favour
 /// of batch work.
 fn wait_limit(table: &RouteTable, route: &Route, timeout: Millis) -> Option<Millis> {
-    if !table.is_least_urgent(route) {
-        return None;
-    }
+    table
+        .is_least_urgent(route)
+        .then(|| longest_wait(route, timeout))
+}
+
+/// How long a request may wait in the placer's line and for an engine to begin it; `None` if it
+/// doesn't wait in line.
+///
+/// Live streams don't: their engines are kept for them, their prompts are short, and what they bear
+/// before the first event is hardly longer than a wait in line by itself.
+fn line_limit(table: &RouteTable, route: &Route, timeout: Millis) -> Option<Millis> {
+    let waits = route.repeat.is_stream() && !table.is_live(route);
+    let limit = longest_wait(route, timeout);
+    Some(limit).filter(|&limit| waits && limit >= MIN_LINE_LIMIT)
+}
+
+/// The longest wait for the beginning of the prefill with which an answer is of use to the caller.
+fn longest_wait(route: &Route, timeout: Millis) -> Millis {
     // A request whose timeout is below the route's by more than the route's target is taken for a
     // retry after a refusal: a late answer is worth more to it than a second refusal. A smaller
     // difference may be the caller's own timeout, and the longer limit would let queues grow to
     // twice the intended length.
     let is_retry = timeout + route.target < route.timeout;
-    let limit = if is_retry {
+    if is_retry {
         Millis(timeout.0 * RETRY_WAIT_PERCENT / 100)
     } else {
         Millis(route.target.0 * WAIT_LIMIT_PERCENT / 100)
-    };
-    Some(limit)
+    }
 }
 
 /// The configuration in force. A request that arrives while the first one is being read waits for
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -3,17 +3,27 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use crocushold_admission::LineEnd;
+use crocushold_admission::LineGroupKey;
+use crocushold_admission::LineRefusals;
+use crocushold_admission::LineStatus;
+use crocushold_admission::WaiterKey;
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
 use crocushold_routing::NoServer;
 use crocushold_routing::Outcome;
 use crocushold_routing::Reason;
 
+use super::message::LineTerms;
 use super::message::PlacementReply;
 use super::message::PlacementRequest;
 use super::message::PlacementVerdict;
+use super::message::RequestEnd;
 use super::message::RequestUpdate;
 use super::message::UpdateKind;
+use super::waiting::Decided;
+use super::waiting::WaitingRequests;
+use super::waiting::late;
 use crate::fleet::Choice;
 use crate::fleet::Fleet;
 use crate::fleet::ProbeTarget;
@@ -33,18 +43,73 @@
     reply: PlacementReply,
     started: bool,
     expires: Millis,
+    /// Its key in the line, if it came from there.
+    waiter: Option<WaiterKey>,
+    /// Whether this instance sends it itself, and reports its events to the fleet.
+    is_own: bool,
 }
 
 /// The requests that this instance placed for others.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct Placer {
     placed: HashMap<(SocketAddr, u32), PlacedRequest>,
     /// Requests whose connections failed, with the outcomes, until a probe shows whether the server
     /// is the cause. Their slots are taken until then.
     doubted: HashMap<ServerKey, Vec<(Choice, Outcome)>>,
+    /// The requests that wait in line; `None` if none may.
+    waiting: Option<WaitingRequests>,
+    /// Decisions on requests that waited, to be sent to their instances.
+    replies: Vec<(SocketAddr, PlacementReply)>,
 }
 
 impl Placer {
+    /// Creates a placer at which requests wait in line while no engine can begin them soon.
+    pub fn with_line() -> Placer {
+        Placer {
+            waiting: Some(WaitingRequests::default()),
+            ..Placer::default()
+        }
+    }
+
+    /// Number of requests that wait in line.
+    pub fn waiting(&self) -> usize {
+        self.waiting.as_ref().map_or(0, WaitingRequests::len)
+    }
+
+    /// The requests that wait in line, by rank.
+    pub fn line_status(&self, now: Millis) -> Vec<(u8, LineStatus)> {
+        let waiting = self.waiting.as_ref();
+        waiting.map_or_else(Vec::new, |waiting| waiting.status(now))
+    }
+
+    /// Takes the refusals of the line since the last call.
+    pub fn take_line_refusals(&mut self) -> LineRefusals {
+        let waiting = self.waiting.as_mut();
+        waiting.map_or_else(LineRefusals::default, WaitingRequests::take_refusals)
+    }
+
+    /// Takes the decisions on requests that waited, to be sent to their instances.
+    pub fn take_replies(&mut self) -> Vec<(SocketAddr, PlacementReply)> {
+        std::mem::take(&mut self.replies)
+    }
+
+    /// Offers the waiting requests to the engines. To be called every few milliseconds while there
+    /// are any.
+    pub fn serve_line(&mut self, fleet: &mut Fleet, now: Millis) {
+        if let Some(waiting) = &mut self.waiting {
+            let decided = waiting.offer_due(fleet, now);
+            self.record_decisions(decided, now);
+        }
+    }
+
+    /// Takes over a request of this instance that it placed itself: its events are reported to the
+    /// fleet where it is sent. `None` if it isn't placed any more.
+    pub fn take_own(&mut self, from: SocketAddr, number: u32) -> Option<Choice> {
+        let placed = self.placed.get_mut(&(from, number))?;
+        placed.is_own = true;
+        Some(placed.choice.clone())
+    }
+
     /// Number of placed requests.
     pub fn len(&self) -> usize {
         self.placed.len()
@@ -76,6 +141,12 @@
         if self.placed.len() >= MAX_PLACED {
             return unable;
         }
+        if let Some(terms) = request.line
+            && self.waiting.is_some()
+            && fleet.has_line(&request.need, now)
+        {
+            return self.place_in_line(fleet, from, request, terms, now);
+        }
         match fleet.place(request, now) {
             Ok(choice) => {
                 let verdict = PlacementVerdict::Placed(choice.placed());
@@ -85,6 +156,8 @@
                     reply,
                     started: false,
                     expires: now + request.remaining + EXPIRY_GRACE,
+                    waiter: None,
+                    is_own: false,
                 };
                 self.placed.insert((from, number), placed);
                 reply
@@ -105,6 +178,117 @@
         }
     }
 
+    /// Places a request if an engine can begin it soon and no other one goes first; otherwise it waits.
+    fn place_in_line(
+        &mut self,
+        fleet: &mut Fleet,
+        from: SocketAddr,
+        request: &PlacementRequest,
+        terms: LineTerms,
+        now: Millis,
+    ) -> PlacementReply {
+        let number = request.number;
+        let reply = |verdict| PlacementReply { number, verdict };
+        let asker = (from, number);
+        let Some(waiting) = &mut self.waiting else {
+            return reply(PlacementVerdict::Unable);
+        };
+        let group = match waiting.renew(&asker, now) {
+            Some(group) => group,
+            None => {
+                fleet.record_demand(&request.need, &request.tried, now);
+                match waiting.join(fleet, asker, request, terms, now) {
+                    Ok(group) => group,
+                    Err(refusal) => return reply(late(request, refusal)),
+                }
+            }
+        };
+        self.offer(fleet, group, now);
+        let own = |(to, reply): &(SocketAddr, PlacementReply)| (*to, reply.number) == asker;
+        match self.replies.iter().position(own) {
+            Some(at) => self.replies.swap_remove(at).1,
+            None => reply(PlacementVerdict::Waiting),
+        }
+    }
+
+    fn offer(&mut self, fleet: &mut Fleet, group: LineGroupKey, now: Millis) {
+        if let Some(waiting) = &mut self.waiting {
+            let decided = waiting.offer(fleet, group, now);
+            self.record_decisions(decided, now);
+        }
+    }
+
+    fn record_decisions(&mut self, decided: Vec<Decided>, now: Millis) {
+        for Decided {
+            asker,
+            verdict,
+            placed,
+        } in decided
+        {
+            let (from, number) = asker;
+            let reply = PlacementReply { number, verdict };
+            self.replies.push((from, reply));
+            if let Some((choice, waiter, remaining)) = placed {
+                let placed = PlacedRequest {
+                    choice,
+                    reply,
+                    started: false,
+                    expires: now + remaining + EXPIRY_GRACE,
+                    waiter: Some(waiter),
+                    is_own: false,
+                };
+                self.placed.insert(asker, placed);
+            }
+        }
+    }
+
+    /// Offers the waiting requests what a placed one leaves: to those of its group, or to all if it
+    /// didn't come from the line.
+    fn offer_freed(&mut self, fleet: &mut Fleet, waiter: Option<WaiterKey>, now: Millis) {
+        let Some(waiting) = &self.waiting else {
+            return;
+        };
+        match waiter {
+            Some(waiter) => {
+                let group = waiting.group_of(waiter);
+                self.offer(fleet, group, now);
+            }
+            None => self.serve_line(fleet, now),
+        }
+    }
+
+    /// Settles what a request from the line really used.
+    fn settle(&mut self, fleet: &Fleet, placed: &PlacedRequest, ended: RequestEnd, now: Millis) {
+        if let Some(waiting) = &mut self.waiting
+            && let Some(waiter) = placed.waiter
+        {
+            let event_tokens = fleet.event_tokens(&placed.choice);
+            waiting.finish(waiter, line_end(&ended, placed.started, event_tokens), now);
+        }
+    }
+
+    /// Reports the end of a request to the fleet, unless that knows it by itself.
+    fn record_end(
+        &mut self,
+        fleet: &mut Fleet,
+        placed: &PlacedRequest,
+        ended: RequestEnd,
+        now: Millis,
+    ) -> Option<ProbeTarget> {
+        if placed.is_own {
+            return None;
+        }
+        let choice = &placed.choice;
+        if let Some(pause) = ended.pause {
+            fleet.record_remote_pause(choice, pause);
+        }
+        if matches!(ended.result, Outcome::Refused | Outcome::Unreachable) {
+            return self.doubt(fleet, choice.clone(), ended.result, now);
+        }
+        fleet.done(choice, ended.result, ended.tokens, now);
+        None
+    }
+
     /// Applies an update of a request of `from`. Updates may arrive late and more than once.
     ///
     /// A connection that another instance couldn't open shows either a server or the network path
@@ -119,29 +303,39 @@
         now: Millis,
     ) -> Option<ProbeTarget> {
         let key = (from, update.number);
+        if let Some(waiting) = &mut self.waiting
+            && waiting.contains(&key)
+        {
+            if matches!(update.kind, UpdateKind::Ended(_)) {
+                waiting.leave(&key, now);
+            }
+            return None;
+        }
         let placed = self.placed.get_mut(&key)?;
         match update.kind {
             UpdateKind::Started(_) | UpdateKind::StartedAtPace(..) => {
-                if !placed.started {
-                    placed.started = true;
+                if placed.started {
+                    return None;
+                }
+                placed.started = true;
+                // This instance has recorded its own requests already.
+                if !placed.is_own {
                     // The report says how fast the engine was, so it comes first.
                     if let Some(load) = update.kind.load() {
                         fleet.record_load(&placed.choice, load, now);
                     }
                     fleet.first_byte(&placed.choice, now);
                 }
+                let waiter = placed.waiter;
+                self.offer_freed(fleet, waiter, now);
                 None
             }
             UpdateKind::Ended(ended) => {
-                if let Some(pause) = ended.pause {
-                    fleet.record_remote_pause(&placed.choice, pause);
-                }
-                let choice = self.placed.remove(&key)?.choice;
-                if matches!(ended.result, Outcome::Refused | Outcome::Unreachable) {
-                    return self.doubt(fleet, choice, ended.result, now);
-                }
-                fleet.done(&choice, ended.result, ended.tokens, now);
-                None
+                let placed = self.placed.remove(&key)?;
+                let probe = self.record_end(fleet, &placed, ended, now);
+                self.settle(fleet, &placed, ended, now);
+                self.offer_freed(fleet, placed.waiter, now);
+                probe
             }
         }
     }
@@ -186,12 +380,26 @@
     /// Releases the slots of requests whose end wasn't reported, because their instance or the
     /// update was lost.
     pub fn expire(&mut self, fleet: &mut Fleet, now: Millis) {
-        self.placed.retain(|_, placed| {
-            let keep = now < placed.expires;
-            if !keep {
-                fleet.done(&placed.choice, Outcome::Cancelled, 0, now);
-            }
-            keep
-        });
+        let expired = self.placed.extract_if(|_, placed| placed.expires <= now);
+        let expired: Vec<PlacedRequest> = expired.map(|(_, placed)| placed).collect();
+        for placed in expired {
+            let lost = RequestEnd {
+                result: Outcome::Cancelled,
+                tokens: 0,
+                pause: None,
+            };
+            self.record_end(fleet, &placed, lost, now);
+            self.settle(fleet, &placed, lost, now);
+        }
+    }
+}
+
+/// How a request ended, as the line counts it. Instances count events, of `event_tokens` each.
+fn line_end(ended: &RequestEnd, started: bool, event_tokens: u32) -> LineEnd {
+    let tokens = ended.tokens.saturating_mul(event_tokens);
+    match ended.result {
+        Outcome::Complete => LineEnd::Complete(tokens),
+        _ if started => LineEnd::Partial(tokens),
+        _ => LineEnd::NotRun,
     }
 }
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -47,6 +47,10 @@
 /// processor time.
 const MIN_STEP: Millis = Millis(1);
 
+/// Interval at which the line is served while requests wait in it: a small part of what an engine
+/// holds.
+const LINE_INTERVAL: Millis = Millis(10);
+
 /// Starts sending and receiving gossip. Returns the address that is bound.
 ///
 /// # Errors
@@ -67,6 +71,10 @@
         zone: short_hash(&shared.settings.zone),
         capacity: shared.settings.capacity,
     };
+    if shared.settings.waiting_line {
+        shared.placer.start_line(me.address);
+        task::spawn(serve_line(shared.clone()));
+    }
     let state = Gossip::new(me, seeds);
     shared.placer.set_expected(!state.seeds().is_empty());
     let state = Arc::new(Mutex::new(state));
@@ -187,6 +195,22 @@
     }
 }
 
+/// Offers requests that wait in line to the engines, beside what each event offers.
+async fn serve_line(shared: Arc<Shared>) {
+    loop {
+        let interval = if shared.placer.has_waiting() {
+            LINE_INTERVAL
+        } else {
+            ROUND
+        };
+        task::sleep(interval.into()).await;
+        if shared.placer.has_waiting() {
+            let now = shared.clock.now();
+            shared.placer.serve_line(&mut shared.fleet(), now);
+        }
+    }
+}
+
 async fn send_loop(
     shared: Arc<Shared>,
     socket: Arc<UdpSocket>,
@@ -281,7 +305,8 @@
 fn publish_placer(shared: &Shared, placer: Option<SocketAddr>, me: SocketAddr) {
     let is_placer = placer == Some(me);
     shared.fleet().set_placer(is_placer);
-    shared.placer.set_placer(placer.filter(|_| !is_placer));
+    let is_asked = |_: &SocketAddr| !is_placer || shared.settings.waiting_line;
+    shared.placer.set_placer(placer.filter(is_asked));
 }
 
 /// Result of a round.
--- a/crates/gateway/tests/placer.rs
+++ b/crates/gateway/tests/placer.rs
@@ -76,6 +76,7 @@
         tried: Vec::new(),
         need: need(),
         resting: Vec::new(),
+        line: None,
     }
 }
 
