--- a/crates/gateway/src/fleet/reach.rs
+++ b/crates/gateway/src/fleet/reach.rs
@@ -49,6 +49,8 @@
     pub connected_at: Option<Millis>,
     /// The failure since which no connection was established, if any.
     pub failure: Option<ReachFailure>,
+    /// How long work takes there by its reports, in percent of the usual time: as a rule, and now.
+    pub work_percent: Option<[u16; 2]>,
 }
 
 /// A server to which a connection is opened to test the path.
@@ -252,15 +254,18 @@
     }
 
     /// What is known of the paths to all listed servers, by name.
-    pub fn server_reaches(&self) -> Vec<ServerReach> {
+    pub fn server_reaches(&self, now: Millis) -> Vec<ServerReach> {
         let servers = self.servers.iter().map(|(key, server)| {
             let reach = self.reach.of(key);
+            let service = self.services.get(&server.record.service);
+            let pace = service.and_then(|service| service.router.reported_pace(key, now));
             ServerReach {
                 id: server.id.clone(),
                 service: server.record.service.clone(),
                 zone: server.record.zone.clone(),
                 connected_at: reach.connected_at,
                 failure: reach.failure,
+                work_percent: pace.map(|factors| factors.map(percent)),
             }
         });
         let mut servers: Vec<ServerReach> = servers.collect();
@@ -268,6 +273,18 @@
         servers
     }
 
+    /// Number of servers by whose last reports work takes at least `factor` times as long as usual there.
+    pub fn slow_count(&self, factor: f64, now: Millis) -> usize {
+        let servers = self.servers.iter();
+        let paces = servers.filter_map(|(key, server)| {
+            let service = self.services.get(&server.record.service)?;
+            service.router.reported_pace(key, now)
+        });
+        paces
+            .filter(|[usual, at_present]| *at_present >= factor * usual)
+            .count()
+    }
+
     /// Takes the ejections since the last call.
     pub fn take_ejections(&mut self) -> Vec<Ejection> {
         std::mem::take(&mut self.ejections)
@@ -302,3 +319,8 @@
         server.is_some_and(|server| server.incarnation == choice.incarnation)
     }
 }
+
+/// A factor in percent.
+fn percent(factor: f64) -> u16 {
+    (factor * 100.0).round() as u16
+}
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -346,7 +346,12 @@
         let shared = shared.clone();
         async move {
             let text = match request.url().path() {
-                "/metrics" => shared.metrics.encode(),
+                "/metrics" => {
+                    let now = shared.clock.now();
+                    let slow = shared.fleet().slow_count(SLOW_FACTOR, now);
+                    shared.metrics.set_slow_servers(slow);
+                    shared.metrics.encode()
+                }
                 "/servers" => reach::page(&shared.fleet(), shared.clock.now()),
                 _ => return Response::new(StatusCode::NotFound),
             };
@@ -357,6 +362,10 @@
     }));
 }
 
+/// How many times as long as usual work takes at least on a server that is counted as slow at this
+/// moment.
+const SLOW_FACTOR: f64 = 1.5;
+
 async fn run_timers(shared: Arc<Shared>) {
     let mut turned_away = 0;
     loop {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,7 @@
     quarantined_parts: IntGauge,
     unreachable: IntGauge,
     path_lost: IntGauge,
+    slow_servers: IntGauge,
     version: IntGauge,
     running: IntGauge,
 }
@@ -142,9 +143,13 @@
             "crocushold_path_lost",
             "Whether this instance reaches no server",
         );
+        let slow_servers = gauge(
+            "crocushold_servers_slow",
+            "Servers by whose last reports work takes at least 1.5 times as long as usual there",
+        );
         let version = gauge("crocushold_config_version", "The configuration in force");
         let running = gauge("crocushold_requests_running", "Requests in progress");
-        let collectors: [Box<dyn prometheus::core::Collector>; 22] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 23] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(ends.clone()),
@@ -165,6 +170,7 @@
             Box::new(quarantined_parts.clone()),
             Box::new(unreachable.clone()),
             Box::new(path_lost.clone()),
+            Box::new(slow_servers.clone()),
             Box::new(version.clone()),
             Box::new(running.clone()),
         ];
@@ -194,6 +200,7 @@
             quarantined_parts,
             unreachable,
             path_lost,
+            slow_servers,
             version,
             running,
         }
@@ -266,6 +273,12 @@
         self.path_lost.set(i64::from(path_lost));
     }
 
+    /// Sets how many servers are slow at this moment.
+    pub(crate) fn set_slow_servers(&self, count: usize) {
+        self.slow_servers
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn request_started(&self) {
         self.running.inc();
     }
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -171,6 +171,7 @@
 /// The operators' page: which servers this instance reaches, since when, and how it knows.
 pub(crate) fn page(fleet: &Fleet, now: Millis) -> String {
     let age = |at: Option<Millis>| at.map_or("none".to_owned(), |at| now.since(at).to_string());
+    let percent = |work: Option<u16>| work.map_or("none".to_owned(), |work| format!("{work}%"));
     let mut text = format!(
         "path={} lost-for={}\n",
         if fleet.path_lost_since().is_some() {
@@ -180,18 +181,21 @@
         },
         age(fleet.path_lost_since()),
     );
-    for server in fleet.server_reaches() {
+    for server in fleet.server_reaches(now) {
         let failure = server.failure;
         let evidence = failure.map_or("none", |failure| evidence_label(failure.evidence));
         // Writing to a string can't fail.
         let _ = writeln!(
             text,
-            "server={} service={} zone={} unreachable-for={} evidence={evidence} connected={}",
+            "server={} service={} zone={} unreachable-for={} evidence={evidence} connected={} \
+             usual-work={} work={}",
             server.id,
             server.service,
             server.zone,
             age(failure.map(|failure| failure.since)),
             age(server.connected_at),
+            percent(server.work_percent.map(|[usual, _]| usual)),
+            percent(server.work_percent.map(|[_, work]| work)),
         );
     }
     text
--- a/crates/routing/benches/router.rs
+++ b/crates/routing/benches/router.rs
@@ -83,6 +83,18 @@
         }
     }
 
+    /// Lets each server report one of three paces.
+    fn report_paces(&mut self) {
+        for (spec, percent) in self.specs.iter().zip([60, 100, 160].into_iter().cycle()) {
+            let report = LoadReport {
+                running: 30,
+                work_percent: Some(percent),
+                ..LoadReport::default()
+            };
+            self.router.load_report(spec.key, report, self.now);
+        }
+    }
+
     fn demand(&mut self) -> Demand<'static> {
         self.turn += 1;
         let model = self.models[self.turn as usize % MODELS];
@@ -131,6 +143,21 @@
     });
 }
 
+/// The same, on servers that report unlike speeds.
+#[divan::bench(args = SERVERS, sample_size = 1000)]
+fn pick_soonest_of_uneven_and_done(bencher: Bencher<'_, '_>, servers: usize) {
+    let mut fleet = Fleet::new(servers, 0.3);
+    fleet.report_paces();
+    bencher.bench_local(|| {
+        let demand = Demand {
+            unique_tokens: 2900,
+            prefix_tokens: 6300,
+            ..fleet.demand()
+        };
+        fleet.serve(&demand, Outcome::Complete);
+    });
+}
+
 /// The same, by one router that chooses for all instances and compares all servers.
 #[divan::bench(args = SERVERS, sample_size = 100)]
 fn pick_centrally_and_done(bencher: Bencher<'_, '_>, servers: usize) {
--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -305,7 +305,7 @@
             tokens,
             prefill_tokens,
             is_exact: prefill_tokens <= f64::from(demand.unique_tokens) && source.is_none(),
-            sees_queue: demand.central,
+            sees_queue: demand.central || remote,
             tokens_ahead: work_ahead * self.prefill_rate.tokens_per_ms(),
             prefix: demand.prefix,
             picked_at: now,
--- a/crates/routing/src/router/feedback.rs
+++ b/crates/routing/src/router/feedback.rs
@@ -350,7 +350,7 @@
             return;
         }
         let span = now.since(flight.waiting_since).0 as f64;
-        let pace = self.reported_pace(flight, span, now);
+        let pace = self.pace_during(flight, span, now);
         let pool = &mut self.pools[flight.pool];
         let log_ratio = pool.record_answer_time(flight.tokens, tokens, span / pace);
         self.apply_speed_sample(flight, SampleKind::WholeAnswer, log_ratio, pace, now);
@@ -375,7 +375,7 @@
     /// Records that `tokens` tokens took `span`.
     fn record_token_time(&mut self, flight: &InFlight, tokens: u32, span: Millis, now: Millis) {
         let span = span.0 as f64;
-        let pace = self.reported_pace(flight, span, now);
+        let pace = self.pace_during(flight, span, now);
         let token_time = span / f64::from(tokens) / pace;
         let log_ratio = self.pools[flight.pool].record_token_time(token_time);
         self.apply_speed_sample(flight, SampleKind::TokenTime, log_ratio, pace, now);
@@ -383,7 +383,7 @@
 
     /// Returns how long work of `span` milliseconds has taken on the attempt's server by its reports,
     /// relative to a usual one.
-    fn reported_pace(&self, flight: &InFlight, span: f64, now: Millis) -> f64 {
+    fn pace_during(&self, flight: &InFlight, span: f64, now: Millis) -> f64 {
         let server = self.servers.get(flight.server);
         server.map_or(1.0, |server| server.speed.reported_pace_over(span, now))
     }
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -241,6 +241,12 @@
             .then(|| self.pool_unavailable_reason(pool, &[]))
     }
 
+    /// Returns how long work takes on `server` by its reports, relative to a usual server: as a rule,
+    /// and now. `None` without reports.
+    pub fn reported_pace(&self, server: ServerKey, now: Millis) -> Option<[f64; 2]> {
+        self.servers.get(server)?.speed.reported(now)
+    }
+
     /// Whether servers report that they differ in speed.
     pub fn is_uneven(&self) -> bool {
         self.is_uneven
--- a/crates/routing/src/router/types.rs
+++ b/crates/routing/src/router/types.rs
@@ -206,8 +206,8 @@
     /// Whether that number is exact, because no part of the prompt may already be cached there for
     /// other requests.
     pub(super) is_exact: bool,
-    /// Whether this router sees all requests at the server. Otherwise a queue that it doesn't see
-    /// can't be told from a slow server.
+    /// Whether the expected wait is that of a router that sees all requests at the server. Otherwise a
+    /// queue that it doesn't see can't be told from a slow server.
     pub(super) sees_queue: bool,
     /// Tokens that the server was expected to prefill before.
     pub(super) tokens_ahead: f64,
--- a/crates/routing/src/server_speed.rs
+++ b/crates/routing/src/server_speed.rs
@@ -193,6 +193,13 @@
         self.pace.usual * self.step_log.exp()
     }
 
+    /// Returns how long work takes by the server's reports, relative to a usual server: as a rule, and
+    /// now. `None` without reports.
+    pub(crate) fn reported(&self, now: Millis) -> Option<[f64; 2]> {
+        let has_reports = self.pace.mean.count() > 0;
+        has_reports.then(|| [self.pace.usual, self.reported_pace_over(0.0, now)])
+    }
+
     /// Returns how long work takes now, relative to what is usual for this server, on average over
     /// `span` milliseconds that begin or end now.
     pub(crate) fn momentary_pace_over(&self, span: f64, now: Millis) -> f64 {
