--- a/crates/gateway/tests/fleet_start.rs
+++ b/crates/gateway/tests/fleet_start.rs
@@ -202,7 +202,7 @@
 /// All instances lose power and start within 0.3 s, the seeds last. All must know the same placer
 /// soon after the last seed is up; hellos once a second and eight answers a round took up to 1.6 s.
 #[test_case(86, 3; "three zones")]
-#[test_case(400, 5; "the largest fleet")]
+#[test_case(400, 23; "the largest fleet")]
 fn instances_that_start_together_know_one_placer(count: u16, zones: u16) {
     let mut network = Network::new(zones);
     let up = network.start_together(0..count);
