--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -144,6 +144,7 @@
 pub use source::SourceError;
 pub use source::WatchTimes;
 pub use start::FirstRead;
+pub use start::first_placer_wait;
 pub use start::return_delay;
 pub use trace::trace;
 pub use wait_predictions::Chooser;
--- a/crates/gateway/src/placing/shell.rs
+++ b/crates/gateway/src/placing/shell.rs
@@ -34,17 +34,12 @@
 use crate::fleet::ProbeTarget;
 use crate::reach::log_ejections;
 use crate::start::Signal;
+use crate::start::first_placer_wait;
 
 /// How long to wait for the placer's reply before choosing a server locally. This is several round
 /// trips between availability zones, and a tenth of the shortest target for a first token.
 pub(super) const ASK_TIMEOUT: Millis = Millis(20);
 
-/// Longest wait for the first placer after a start, and the part of its time that a request waits at
-/// most. Until then each instance would choose without knowing what the others have sent; a queue
-/// that arises that way lasts longer, and the shortest target allows the wait.
-const FIRST_PLACER_WAIT: Millis = Millis(100);
-const FIRST_PLACER_DIVISOR: u64 = 10;
-
 /// The placement requests of this instance, and the requests that it placed for others.
 #[derive(Default)]
 pub(crate) struct PlacementService {
@@ -115,8 +110,9 @@
         if !self.is_expected() {
             return false;
         }
-        let longest = Millis(remaining.0 / FIRST_PLACER_DIVISOR).min(FIRST_PLACER_WAIT);
-        timeout(longest.into(), found).await.is_ok()
+        timeout(first_placer_wait(remaining).into(), found)
+            .await
+            .is_ok()
     }
 
     /// Requests a placement.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -28,6 +28,12 @@
 /// Longest wait of a request whose caller names no time limit.
 const UNLIMITED_WAIT: Millis = Millis(250);
 
+/// Longest wait for the first placer, and the part of its time that a request waits at most. Without
+/// a placer each instance chooses without knowing what the others have sent. The queues that arise
+/// that way last longer, and the shortest target allows the wait.
+const PLACER_WAIT: Millis = Millis(100);
+const PLACER_WAIT_DIVISOR: u64 = 10;
+
 /// Shortest and longest time after which a caller is asked to return, before it is spread. The
 /// shortest is the time in which a narrow link carries a large configuration.
 const MIN_RETURN: Millis = Millis(200);
@@ -88,6 +94,11 @@
     }
 }
 
+/// How long a request with `remaining` time may wait for the first placer.
+pub fn first_placer_wait(remaining: Millis) -> Millis {
+    Millis(remaining.0 / PLACER_WAIT_DIVISOR).min(PLACER_WAIT)
+}
+
 /// When a caller that can't be served yet should return, `elapsed` after the start.
 ///
 /// What has lasted for some time is likely to last about as long again. `draw` spreads the callers
--- a/crates/gateway/tests/fleet_start.rs
+++ b/crates/gateway/tests/fleet_start.rs
@@ -11,6 +11,7 @@
 use crocushold_gateway::Load;
 use crocushold_gateway::Message;
 use crocushold_gateway::Packet;
+use crocushold_gateway::first_placer_wait;
 use crocushold_gateway::return_delay;
 use test_case::test_case;
 
@@ -340,6 +341,14 @@
     assert!(FirstRead::Running.longest_wait(None) <= Millis(250));
 }
 
+/// Requests wait for the first placer for a small part of their time, as the instance can choose by
+/// itself.
+#[test]
+fn requests_wait_for_the_first_placer_shortly() {
+    assert_eq!(first_placer_wait(Millis(400)), Millis(40));
+    assert_eq!(first_placer_wait(Millis(60_000)), Millis(100));
+}
+
 /// Callers of an outage must return soon after a start, later the longer it lasts, and not all in
 /// the same moment.
 #[test]
