--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -41,6 +41,7 @@
 use log::info;
 
 use self::classify::asked_rest;
+use self::classify::body_timeout;
 use self::classify::give_up;
 use self::classify::outcome_of_error;
 use self::classify::outcome_of_status;
@@ -445,16 +446,6 @@
         bound.min(left.max(MIN_TIMEOUT))
     }
 
-    /// Time within which the response must be complete; `None` for a stream whose caller names no deadline.
-    fn body_timeout(&self, is_event_stream: bool) -> Option<Millis> {
-        let deadline = self.job.arrival.deadline;
-        let left = deadline.since(self.clock.now()).max(MIN_TIMEOUT);
-        if is_event_stream {
-            return (deadline != Millis::MAX).then_some(left);
-        }
-        Some(left.min(self.job.response_timeout))
-    }
-
     /// Outcome of a failed attempt for the router. An attempt that ended because of the caller's
     /// deadline says nothing about the server: a caller with a short timeout must not cause servers
     /// to be ejected.
@@ -515,7 +506,9 @@
         if is_event_stream {
             answer.body.expect_events();
         }
-        if let Some(timeout) = self.body_timeout(is_event_stream) {
+        let plain_timeout = (!is_event_stream).then_some(self.job.response_timeout);
+        let deadline = self.job.arrival.deadline;
+        if let Some(timeout) = body_timeout(deadline, plain_timeout, self.clock.now()) {
             answer.body.set_total_timeout(timeout);
             response.ext_mut().insert(AnswerTimeout(timeout));
         }
--- a/crates/entry/src/exchange/classify.rs
+++ b/crates/entry/src/exchange/classify.rs
@@ -11,6 +11,7 @@
 use http_types::StatusCode;
 
 use super::Failure;
+use super::MIN_TIMEOUT;
 use crate::refusal::Ran;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
@@ -72,3 +73,17 @@
         _ => Outcome::Failed,
     }
 }
+
+/// Time within which a response must be complete: until the caller's deadline, and for one that isn't a stream
+/// within `plain_timeout`. `None` for a stream whose caller names no deadline, as it may go on for long.
+pub(super) fn body_timeout(
+    deadline: Millis,
+    plain_timeout: Option<Millis>,
+    now: Millis,
+) -> Option<Millis> {
+    let left = (deadline != Millis::MAX).then(|| deadline.since(now).max(MIN_TIMEOUT));
+    left.into_iter().chain(plain_timeout).min()
+}
+
+#[cfg(test)]
+mod tests;
