--- a/crates/admission/src/line/mod.rs
+++ b/crates/admission/src/line/mod.rs
@@ -329,25 +329,30 @@
             return Some(step);
         }
         let state = self.groups.get_mut(group)?;
-        // One slot at a time: the engines decide whether there is room.
-        match state.scheduler.next(now, 1)? {
-            Action::Refuse(refused) => {
-                let request = refused.key;
-                let waiter = state.forget(request)?;
-                *self.refused.entry(waiter.account).or_default() += 1;
-                let refusal = state.refusal_of(&waiter, now);
-                Some(LineStep::Refuse(WaiterKey { group, request }, refusal))
-            }
-            Action::Dispatch(ticket) => {
-                let request = ticket.key();
-                let waiter = state.waiters.get(&request)?;
-                let scope = if waiter.end.is_some() {
-                    LineScope::Any
-                } else {
-                    LineScope::Group
-                };
-                state.offered.insert(request, ticket);
-                Some(LineStep::Offer(WaiterKey { group, request }, scope))
+        loop {
+            // One slot at a time: the engines decide whether there is room.
+            match state.scheduler.next(now, 1)? {
+                Action::Refuse(refused) => {
+                    let request = refused.key;
+                    // It may have left since it was refused.
+                    let Some(waiter) = state.forget(request) else {
+                        continue;
+                    };
+                    *self.refused.entry(waiter.account).or_default() += 1;
+                    let refusal = state.refusal_of(&waiter, now);
+                    return Some(LineStep::Refuse(WaiterKey { group, request }, refusal));
+                }
+                Action::Dispatch(ticket) => {
+                    let request = ticket.key();
+                    let waiter = state.waiters.get(&request)?;
+                    let scope = if waiter.end.is_some() {
+                        LineScope::Any
+                    } else {
+                        LineScope::Group
+                    };
+                    state.offered.insert(request, ticket);
+                    return Some(LineStep::Offer(WaiterKey { group, request }, scope));
+                }
             }
         }
     }
--- a/crates/admission/tests/admission/line.rs
+++ b/crates/admission/tests/admission/line.rs
@@ -346,6 +346,21 @@
     assert!(line.len() <= 21, "{}", line.len());
 }
 
+/// Guards against a caller that leaves between its refusal and its answer and holds up others.
+#[test]
+fn a_refused_request_may_leave_before_its_answer() {
+    let settings = LineSettings {
+        max_waiting: 1,
+        ..LineSettings::default()
+    };
+    let mut line = Line::new(settings);
+    let displaced = join(&mut line, arrival(3, 1), START);
+    let urgent = join(&mut line, arrival(0, 2), START);
+    line.leave(displaced, START);
+    let began = begin(&mut line, urgent, START);
+    assert_eq!(began.map(|(key, _)| key), Some(urgent));
+}
+
 /// A request that didn't run costs its account nothing; one that did is charged what it used.
 #[test]
 fn accounts_are_charged_what_they_used() {
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -521,6 +521,20 @@
     assert_eq!(busy.placer.len(), before - 1);
 }
 
+/// During a release instances of an earlier version send questions without terms. They can't be read,
+/// so that their senders go on alone; those without a line stay short.
+#[test]
+fn questions_of_an_earlier_version_are_ignored() {
+    let without = PlacementRequest {
+        line: None,
+        ..request(7, 1, 1)
+    };
+    let bytes = Packet::Request(without).encode();
+    assert!(Packet::decode(&bytes).is_some());
+    let earlier = &bytes[..bytes.len() - 1];
+    assert_eq!(Packet::decode(earlier), None);
+}
+
 /// A request in line costs its instance a few kilobytes a second at most, for tens of them.
 #[test]
 fn messages_of_the_line_are_short() {
