--- a/crates/standins/src/flood.rs
+++ b/crates/standins/src/flood.rs
@@ -118,7 +118,7 @@
             Flood::Chunks | Flood::EventLine => {
                 return format!("400\r\n{}\r\n", "x".repeat(0x400));
             }
-            Flood::EventLines => "8\r\ndata: x\n\r\n",
+            Flood::EventLines => return format!("400\r\n{}\r\n", "data: x\n".repeat(0x80)),
         };
         cycle.to_owned()
     }
