Waiting line: used where queues inside engines delay live streams

Change: an instance asks for a place in line only where the service's lanes isolate live streams. Test: four cases of published figures.

--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -241,7 +241,7 @@
     /// On which terms the request may wait in line; `None` if it may not.
     fn line_terms(&self, now: Millis) -> Option<LineTerms> {
         let limit = self.job.line_limit?;
-        if !self.shared.settings.waiting_line || !self.shared.fleet().has_line(&self.job.need, now)
+        if !self.shared.settings.waiting_line || !self.shared.fleet().uses_line(&self.job.need, now)
         {
             return None;
         }
--- a/crates/gateway/src/fleet/choose.rs
+++ b/crates/gateway/src/fleet/choose.rs
@@ -110,6 +110,16 @@
             && !self.is_brittle(need)
     }
 
+    /// Whether requests like this one wait in line rather than inside engines: where there is a
+    /// line, and prompts that wait inside an engine delay the live streams beside them.
+    ///
+    /// Elsewhere engines lose nothing by queues of their own, which they order by rank, and a line
+    /// would only keep some of them idle between two prompts.
+    pub fn uses_line(&mut self, need: &Need, now: Millis) -> bool {
+        let service = self.services.get(&need.service);
+        service.is_some_and(|service| service.lanes.isolates_live()) && self.has_line(need, now)
+    }
+
     /// The service, as the line knows it.
     pub(crate) fn line_service(&self, need: &Need) -> u32 {
         short_hash(&need.service)
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -549,3 +549,32 @@
     assert!(ask <= 64, "{ask}");
     assert!(reply <= 8, "{reply}");
 }
+
+/// Where prompts that wait inside engines delay no live stream, requests wait there as before: a
+/// line would keep engines idle between two prompts.
+#[test_case(None, Some(300), false; "nothing published about streams")]
+#[test_case(Some(7), None, false; "no live streams")]
+#[test_case(Some(1), Some(300), false; "short events")]
+#[test_case(Some(7), Some(300), true; "events of several tokens")]
+fn a_line_is_used_where_queues_in_engines_delay_live_streams(
+    event_tokens: Option<u32>,
+    max_pause: Option<u64>,
+    expected: bool,
+) {
+    let mut fleet = fleet(capacity());
+    fleet.set_engines(&[EngineSpec {
+        service: "svc".to_owned(),
+        transfer_rate: None,
+        capacity: capacity(),
+        event_tokens,
+    }]);
+    let live = Need {
+        max_pause: max_pause.map(Millis),
+        ..request(1, 0, 0).need
+    };
+    let choice = fleet.pick(&live, &[], START);
+    assert!(choice.is_ok());
+    fleet.tick(START + Millis(500));
+    let long = request(2, 1, 0).need;
+    assert_eq!(fleet.uses_line(&long, START + Millis(500)), expected);
+}
