--- a/crates/gateway/src/fleet/choose.rs
+++ b/crates/gateway/src/fleet/choose.rs
@@ -359,8 +359,11 @@
     now: Millis,
 ) -> Result<Pick, NoServer> {
     let LineOffer { scope, waited } = offer;
+    // An engine that holds the shared part of a prompt answers that much earlier than expected, and
+    // would be idle until the next request arrives.
+    let uncertain = f64::from(need.shared_tokens()) / service.router.prefill_rate();
     let bounded = Demand {
-        max_wait: Some(ENGINE_BOUND),
+        max_wait: Some(ENGINE_BOUND + Millis(uncertain as u64)),
         line_wait: Some(waited),
         ..*demand
     };
