--- a/crates/routing/src/lanes.rs
+++ b/crates/routing/src/lanes.rs
@@ -98,10 +98,10 @@
     pub slow_stream_share: f64,
     /// The number of ended streams required for that decision.
     pub min_streams: f64,
-    /// The same fraction where published figures say that prompts delay live streams for too long.
-    /// Callers want 95 of 100 live streams in time.
+    /// Like `slow_stream_share`, where published figures say that prompts delay live streams for too
+    /// long. Callers want 95 of 100 live streams in time.
     pub expected_slow_share: f64,
-    /// The number of ended streams that outweighs published figures.
+    /// The number of ended streams that outweigh published figures.
     pub expected_min_streams: f64,
     /// The smallest change of a lane's share that moves the boundaries. Each move changes the home
     /// of some prompts, which must be prefilled again.
