--- a/crates/gateway/src/fleet/choose.rs
+++ b/crates/gateway/src/fleet/choose.rs
@@ -100,7 +100,7 @@
 
     /// Whether requests like this one may wait in line: for engines of published capacity that
     /// aren't brittle.
-    pub(crate) fn has_line(&mut self, need: &Need, now: Millis) -> bool {
+    pub(crate) fn supports_line(&mut self, need: &Need, now: Millis) -> bool {
         self.update_routers(now);
         let spec = self.engines.get(&need.service);
         let model = need.model.as_deref().unwrap_or_default();
@@ -117,7 +117,8 @@
     /// would only keep some of them idle between two prompts.
     pub fn uses_line(&mut self, need: &Need, now: Millis) -> bool {
         let service = self.services.get(&need.service);
-        service.is_some_and(|service| service.lanes.isolates_live()) && self.has_line(need, now)
+        service.is_some_and(|service| service.lanes.isolates_live())
+            && self.supports_line(need, now)
     }
 
     /// The service, as the line knows it.
--- a/crates/gateway/src/fleet/need.rs
+++ b/crates/gateway/src/fleet/need.rs
@@ -3,6 +3,7 @@
 use crocushold_base::Millis;
 use crocushold_routing::Lane;
 use crocushold_routing::RegionKey;
+use crocushold_routing::STEP_MS;
 use crocushold_routing::SoftwareKey;
 use serde::Deserialize;
 use serde::Serialize;
@@ -11,9 +12,6 @@
 /// the pause that a live stream tolerates.
 const HEAVY_PROMPT_TOKENS: u32 = 4096;
 
-/// Duration of a decoding step, in which each running request generates a token, in milliseconds.
-const STEP_MS: f64 = 8.0;
-
 /// Part of the shared tokens that is prefilled again because cached prefixes were evicted.
 const REPEATED_PREFILL_RATIO: f64 = 0.2;
 
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -143,7 +143,7 @@
         }
         if let Some(terms) = request.line
             && self.waiting.is_some()
-            && fleet.has_line(&request.need, now)
+            && fleet.supports_line(&request.need, now)
         {
             return self.place_in_line(fleet, from, request, terms, now);
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -66,6 +66,7 @@
 pub use list::ListVerdict;
 pub use list::Listed;
 pub use list::Presence;
+pub use live_streams::STEP_MS;
 pub use pace::MIN_PACED_RATE;
 pub use quarantine::Fingerprint;
 pub use quarantine::Incarnation;
--- a/crates/routing/src/live_streams.rs
+++ b/crates/routing/src/live_streams.rs
@@ -11,12 +11,12 @@
 /// Prompt tokens that an engine prefills in one step. Engines of current services use this size.
 const CHUNK_TOKENS: f64 = 2048.0;
 
-/// Duration of a step without a prefill, in milliseconds.
-const STEP_MS: f64 = 8.0;
+/// Duration of a decoding step, in which each running request generates a token, in milliseconds.
+pub const STEP_MS: f64 = 8.0;
 
-/// Fraction of the longest tolerable pause that the expected one may take. Some engines are slower
-/// than the mean, and at times all are.
-const PAUSE_TOLERANCE: f64 = 0.85;
+/// Fraction of the longest tolerable pause that an expected one, or a usual one, may take. Half of
+/// the streams pause for longer than the median, and some engines are slower than the mean.
+pub(crate) const PAUSE_TOLERANCE: f64 = 0.85;
 
 /// Variation of an event's way from the engine to the caller, in milliseconds.
 const NETWORK_JITTER: f64 = 20.0;
--- a/crates/routing/src/router/expected.rs
+++ b/crates/routing/src/router/expected.rs
@@ -7,6 +7,7 @@
 use super::choice::Scored;
 use super::choice::cheaper;
 use super::prefix::PrefixLocations;
+use crate::live_streams::PAUSE_TOLERANCE;
 use crate::router::Demand;
 use crate::router::Router;
 use crate::server::Server;
@@ -32,10 +33,6 @@
 /// Number of ended streams that are required before a server's pauses are considered.
 const MIN_STREAMS: u32 = 4;
 
-/// Fraction of a live stream's maximum pause above which a server's median pause has a cost. Half
-/// of its streams pause for longer than the median.
-const PAUSE_TOLERANCE: f64 = 0.85;
-
 /// Cost for a live stream of a server whose median pause reaches the stream's maximum, in
 /// milliseconds. It exceeds any possible gain in time to first token, because a stream with too
 /// long a pause is late whatever its first token was.
