line: an account's requests begin in the order of their arrival

The scheduler orders an account's requests by the end of their wait, and those that outrank others had none, so that each later one of the account went first; once less urgent requests were no longer served, the earlier one was refused at its end. A request with the longer limit stood behind later ones in the same way.

--- a/crates/admission/src/line/mod.rs
+++ b/crates/admission/src/line/mod.rs
@@ -191,8 +191,10 @@
     /// End of its wait.
     until: Millis,
     patience: Millis,
-    /// Its entry in the ends of waits, if less urgent requests were served when it arrived.
-    end: Option<Millis>,
+    /// Its entry in the ends of waits.
+    end: Millis,
+    /// Less urgent requests were served when it arrived.
+    outranks: bool,
 }
 
 #[derive(Debug)]
@@ -205,7 +207,7 @@
     waiters: HashMap<RequestKey, Waiter>,
     offered: SecondaryMap<RequestKey, Ticket<Dispatched>>,
     begun: SecondaryMap<RequestKey, Ticket<Sent>>,
-    /// Ends of the waits of those that outrank others.
+    /// Ends of waits. The scheduler knows none, as it orders an account's requests by theirs first.
     ends: BTreeSet<(Millis, RequestKey)>,
     drain: Drain,
     returns: Returns,
@@ -281,7 +283,6 @@
             account,
             prompt_tokens: arrival.prompt_tokens,
             max_tokens: arrival.output_tokens.max(1),
-            deadline: if outranks { Millis::MAX } else { until },
             ..Arrival::default()
         };
         match state.scheduler.submit(&submitted, now) {
@@ -294,10 +295,11 @@
                     joined: now,
                     until,
                     patience: arrival.patience,
-                    end: outranks.then_some(until),
+                    end: until,
+                    outranks,
                 };
                 state.waiters.insert(request, waiter);
-                state.ends.extend(waiter.end.map(|end| (end, request)));
+                state.ends.insert((until, request));
                 Ok(WaiterKey { group, request })
             }
             Admission::Refused(_) => {
@@ -345,7 +347,7 @@
                 Action::Dispatch(ticket) => {
                     let request = ticket.key();
                     let waiter = state.waiters.get(&request)?;
-                    let scope = if waiter.end.is_some() {
+                    let scope = if waiter.outranks {
                         LineScope::Any
                     } else {
                         LineScope::Group
@@ -396,10 +398,9 @@
         let Some(state) = group.waiters.get_mut(&request) else {
             return;
         };
-        if state.end.is_some_and(|end| end <= now) {
-            let end = now + REOFFER;
-            state.end = Some(end);
-            group.ends.insert((end, request));
+        if state.end <= now {
+            state.end = now + REOFFER;
+            group.ends.insert((state.end, request));
         }
     }
 
@@ -487,7 +488,7 @@
         LineRefusals { total, largest }
     }
 
-    /// The step for the first request that outranks others and whose wait is over.
+    /// The step for the first request whose wait is over.
     fn next_end(&mut self, group: LineGroupKey, now: Millis) -> Option<LineStep> {
         let state = self.groups.get_mut(group)?;
         let &(at, request) = state.ends.first()?;
@@ -498,7 +499,7 @@
         let waiter = *state.waiters.get(&request)?;
         let service = state.service;
         let key = WaiterKey { group, request };
-        if self.outranks(service, waiter.rank, now) {
+        if waiter.outranks && self.outranks(service, waiter.rank, now) {
             let state = self.groups.get_mut(group)?;
             let ticket = state.scheduler.dispatch(request, now)?;
             state.offered.insert(request, ticket);
@@ -607,9 +608,7 @@
 
     fn forget(&mut self, request: RequestKey) -> Option<Waiter> {
         let waiter = self.waiters.remove(&request)?;
-        if let Some(end) = waiter.end {
-            self.ends.remove(&(end, request));
-        }
+        self.ends.remove(&(waiter.end, request));
         Some(waiter)
     }
 
--- a/crates/admission/tests/admission/line.rs
+++ b/crates/admission/tests/admission/line.rs
@@ -308,6 +308,28 @@
     assert_eq!(key, urgent);
 }
 
+/// Guards against a request that is refused at the end of its wait, as later ones of its account went
+/// first all the time: less urgent ones were served only when it arrived, or its limit is longer.
+#[test_case(true, 2000; "it outranked others")]
+#[test_case(false, 6000; "it may wait for longer")]
+fn requests_of_an_account_begin_in_the_order_of_their_arrival(outranks: bool, limit: u64) {
+    let mut line = Line::new(LineSettings::default());
+    if outranks {
+        let lesser = join(&mut line, arrival(5, 9), START);
+        begin(&mut line, lesser, START);
+    }
+    let limited = |limit| LineArrival {
+        limit: Millis(limit),
+        ..arrival(1, 1)
+    };
+    let earlier = join(&mut line, limited(limit), START + Millis(10));
+    let later = START + Millis(1100);
+    let rest = [0, 1].map(|_| join(&mut line, limited(2000), later));
+    let order: Vec<WaiterKey> =
+        std::iter::from_fn(|| Some(begin(&mut line, earlier, later)?.0)).collect();
+    assert_eq!(order, [earlier, rest[0], rest[1]]);
+}
+
 /// Guards against a process that was suspended and starts requests whose time is over.
 #[test]
 fn after_a_jump_of_the_clock_overdue_requests_are_refused_first() {
