placing: a refusal of the line that was lost is repeated

A request that the line refused wasn't known any more, so that the next question, sent before the refusal arrived or as it was lost, put it in line again: it was counted as refused twice, and with a longer limit it could be given an engine that nobody used. The new test got Waiting in place of the refusal before.

--- a/crates/gateway/src/placing/mod.rs
+++ b/crates/gateway/src/placing/mod.rs
@@ -22,6 +22,7 @@
 mod line_wait;
 mod message;
 mod placer;
+mod refused;
 mod shell;
 mod waiting;
 
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -21,6 +21,7 @@
 use super::message::RequestEnd;
 use super::message::RequestUpdate;
 use super::message::UpdateKind;
+use super::refused::SentRefusals;
 use super::waiting::Decided;
 use super::waiting::WaitingRequests;
 use super::waiting::late;
@@ -58,6 +59,8 @@
     doubted: HashMap<ServerKey, Vec<(Choice, Outcome)>>,
     /// The requests that wait in line; `None` if none may.
     waiting: Option<WaitingRequests>,
+    /// The refusals of the line that may have been lost.
+    refused: SentRefusals,
     /// Decisions on requests that waited, to be sent to their instances.
     replies: Vec<(SocketAddr, PlacementReply)>,
 }
@@ -141,6 +144,9 @@
         if self.placed.len() >= MAX_PLACED {
             return unable;
         }
+        if let Some(verdict) = self.refused.find(&(from, number), now) {
+            return PlacementReply { number, verdict };
+        }
         if let Some(terms) = request.line
             && self.waiting.is_some()
             && fleet.supports_line(&request.need, now)
@@ -199,7 +205,11 @@
                 fleet.record_demand(&request.need, &request.tried, now);
                 match waiting.join(fleet, asker, request, terms, now) {
                     Ok(group) => group,
-                    Err(refusal) => return reply(late(request, refusal)),
+                    Err(refusal) => {
+                        let verdict = late(request, refusal);
+                        self.refused.record(asker, verdict, now);
+                        return reply(verdict);
+                    }
                 }
             }
         };
@@ -228,6 +238,9 @@
             let (from, number) = asker;
             let reply = PlacementReply { number, verdict };
             self.replies.push((from, reply));
+            if matches!(verdict, PlacementVerdict::Late { .. }) {
+                self.refused.record(asker, verdict, now);
+            }
             if let Some((choice, waiter, remaining)) = placed {
                 let placed = PlacedRequest {
                     choice,
--- a/crates/gateway/src/placing/waiting.rs
+++ b/crates/gateway/src/placing/waiting.rs
@@ -29,7 +29,7 @@
 
 /// How long a request stays in line without being asked for again: several of the intervals at which
 /// its instance asks. A process that is short of CPU time is late by two or three of them.
-const ABANDONED_AFTER: Millis = Millis(250);
+pub(super) const ABANDONED_AFTER: Millis = Millis(250);
 
 /// Interval at which the requests in a group are offered to its engines. Waits at engines shrink
 /// without an event, and this is a fraction of what an engine holds.
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -297,6 +297,40 @@
     assert_eq!(busy.placer.len(), usize::from(ENGINES) + 1);
 }
 
+/// Guards against a request that is refused, asks again as the refusal was lost or on its way, and
+/// stands in line a second time.
+#[test]
+fn a_refusal_that_was_lost_is_repeated() {
+    let mut busy = Busy::new();
+    let mut waiting = request(7, 1, 1);
+    waiting.line = Some(LineTerms {
+        limit: Millis(LIMIT.0 / 2),
+        ..waiting.line.expect("it waits in line")
+    });
+    for step in 0..10 {
+        busy.wait(1, &waiting, START + Millis(45 * step));
+    }
+    busy.placer
+        .serve_line(&mut busy.fleet, START + Millis(LIMIT.0 / 2));
+    let first = busy.placer.take_replies();
+    assert!(matches!(
+        first[..],
+        [(
+            _,
+            PlacementReply {
+                number: 7,
+                verdict: PlacementVerdict::Late { .. }
+            }
+        )]
+    ));
+    for at in [620, 670] {
+        let again = busy.ask(1, &waiting, START + Millis(at));
+        assert_eq!(again, first[0].1.verdict);
+    }
+    assert_eq!(busy.placer.waiting(), 0);
+    assert_eq!(busy.placer.take_line_refusals().total, 1);
+}
+
 /// Guards against places that are kept for callers that have left.
 #[test]
 fn a_caller_that_leaves_gives_up_its_place() {
