placing: requests of a lost instance leave the line wherever they stand

What wasn't asked for in 250 ms left the line only when it was offered, and those far behind aren't offered while others are ahead of them: 300 of them behind 300 others counted as ahead of newcomers until the end of their wait. All requests are checked each 50 ms now.

--- a/crates/gateway/src/placing/waiting.rs
+++ b/crates/gateway/src/placing/waiting.rs
@@ -31,6 +31,10 @@
 /// its instance asks. A process that is short of CPU time is late by two or three of them.
 pub(super) const ABANDONED_AFTER: Millis = Millis(250);
 
+/// Interval at which all requests are checked for that. Those far behind in line are offered to no
+/// engine, and would count as ahead of others until the end of their wait.
+const SWEEP_INTERVAL: Millis = Millis(50);
+
 /// Interval at which the requests in a group are offered to its engines. Waits at engines shrink
 /// without an event, and this is a fraction of what an engine holds.
 const OFFER_INTERVAL: Millis = Millis(10);
@@ -75,6 +79,13 @@
     full_until: Millis,
 }
 
+impl Held {
+    /// Whether its instance has stopped asking for it.
+    fn is_abandoned(&self, now: Millis) -> bool {
+        self.asked + ABANDONED_AFTER <= now
+    }
+}
+
 /// The requests that wait at this placer.
 #[derive(Debug, Default)]
 pub(super) struct WaitingRequests {
@@ -83,6 +94,8 @@
     askers: HashMap<WaiterKey, Asker>,
     /// When the requests of each group were last offered in vain.
     offered: HashMap<LineGroupKey, Millis>,
+    /// When all requests were last checked for being abandoned.
+    swept: Millis,
 }
 
 impl WaitingRequests {
@@ -162,6 +175,7 @@
 
     /// Offers the requests of all groups that are due.
     pub(super) fn offer_due(&mut self, fleet: &mut Fleet, now: Millis) -> Vec<Decided> {
+        self.leave_abandoned(now);
         let groups: Vec<LineGroupKey> = self.line.groups().collect();
         let decided = groups.into_iter();
         decided
@@ -169,6 +183,19 @@
             .collect()
     }
 
+    /// Removes the requests that weren't asked for again.
+    fn leave_abandoned(&mut self, now: Millis) {
+        if now < self.swept + SWEEP_INTERVAL {
+            return;
+        }
+        self.swept = now;
+        let abandoned = self.held.iter().filter(|(_, held)| held.is_abandoned(now));
+        let abandoned: Vec<Asker> = abandoned.map(|(asker, _)| *asker).collect();
+        for asker in abandoned {
+            self.leave(&asker, now);
+        }
+    }
+
     /// Offers the requests of a group to its engines, in their order. While it isn't due again, only
     /// the first is offered, which may have just arrived or find what was just freed.
     pub(super) fn offer(
@@ -259,7 +286,7 @@
             self.line.leave(waiter, now);
             return Offered::Gone;
         };
-        if held.asked + ABANDONED_AFTER <= now {
+        if held.is_abandoned(now) {
             self.leave(&asker, now);
             return Offered::Gone;
         }
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -363,6 +363,28 @@
     assert_eq!(busy.serve(now), [(peer_at(2), 99)]);
 }
 
+/// Guards against newcomers that are refused for requests of an instance that is gone: those count as
+/// waiting only until they weren't asked for, wherever they stand.
+#[test]
+fn all_requests_of_a_lost_instance_leave_the_line() {
+    let mut busy = Busy::new();
+    // As many are looked at in one interval, and more, before those of the lost instance.
+    for step in 0..8 {
+        let now = START + Millis(40 * step);
+        for number in 0..300 {
+            busy.wait(2, &request(number, 1, 1), now);
+        }
+        if step == 0 {
+            for number in 0..300 {
+                busy.wait(1, &request(number, 1, 1), now);
+            }
+        }
+        busy.serve(now);
+    }
+    busy.serve(START + Millis(310));
+    assert_eq!(busy.placer.waiting(), 300);
+}
+
 /// A placer is paused for two seconds with requests in line. Their instances have chosen by
 /// themselves since, so it must place none of them when it goes on.
 #[test]
