line: those who come back in their time keep their place

A request that the line refused got a time at which to return, which was forgotten: it came back as a newcomer behind all that waited, and callers that retried at once got ahead of those who waited as told. In its time a request goes before the later ones of its account and isn't refused for them; before its time it gets the same time again while others wait. Shares between accounts and ranks decide as before.

--- a/crates/admission/benches/line.rs
+++ b/crates/admission/benches/line.rs
@@ -57,6 +57,7 @@
         group: (pseudo_random(index, 1) % GROUPS) as u64,
         rank: (pseudo_random(index, 2) % RANKS) as u8,
         account: (pseudo_random(index, 3) % ACCOUNTS) as u32,
+        request: 0,
         prompt_tokens: 3000,
         output_tokens: 50,
         limit: Millis::from_secs(1_000_000),
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -97,6 +97,7 @@
 pub use line::LineGroupKey;
 pub use line::LineRefusal;
 pub use line::LineRefusals;
+pub use line::LineReturns;
 pub use line::LineScope;
 pub use line::LineSettings;
 pub use line::LineStatus;
--- a/crates/admission/src/line/mod.rs
+++ b/crates/admission/src/line/mod.rs
@@ -14,6 +14,8 @@
 //! * **Refusal:** a request whose wait is expected to exceed what its caller bears is refused as it
 //!   arrives, and one that has waited for that long is refused then. The expected wait counts no
 //!   more of other accounts' requests than fair queuing serves first.
+//! * **Return:** a request that was refused has a time at which it may return, and keeps its place until
+//!   shortly after. If it comes back earlier while others wait, it is refused again with the same time.
 //! * **Rank:** a request isn't refused while less urgent ones are served. It may use the engines of
 //!   other groups that have room, and at the end of its wait it is sent to an engine however long the
 //!   queue there is.
@@ -36,6 +38,7 @@
 
 use self::drain::Drain;
 use self::returns::Returns;
+use self::returns::Visit;
 use crate::decay::DecayingSum;
 use crate::request::Arrival;
 use crate::scheduler::Action;
@@ -81,6 +84,8 @@
     pub max_waiting: u32,
     /// Number of accounts beyond which those without requests are forgotten.
     pub max_accounts: usize,
+    /// Maximum number of refused requests of a group whose return times and places are kept.
+    pub max_returns: usize,
     /// Minimum time after which a refused request may return.
     pub retry_min: Millis,
 }
@@ -90,6 +95,7 @@
         LineSettings {
             max_waiting: 10_000,
             max_accounts: 16 * 1024,
+            max_returns: 10_000,
             retry_min: Millis(200),
         }
     }
@@ -106,6 +112,8 @@
     pub rank: u8,
     /// The client account.
     pub account: u32,
+    /// Hash of what it asks, which is the same when it comes back; zero if that isn't known.
+    pub request: u32,
     /// Length of the prompt, in tokens.
     pub prompt_tokens: u32,
     /// Expected length of the answer, in tokens.
@@ -180,10 +188,24 @@
     pub largest: Vec<(u32, u32)>,
 }
 
+/// Requests that were refused and may return.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LineReturns {
+    /// Number of those whose times and places are kept.
+    pub kept: usize,
+    /// Number of those that came back in their time, since they were last taken.
+    pub in_time: u32,
+    /// Number of those that came back before it, since they were last taken.
+    pub early: u32,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Waiter {
     account: u32,
     key: AccountKey,
+    request: u32,
+    /// Its place among its account's requests.
+    place: u64,
     /// Its expected cost, in output tokens.
     work: u64,
     rank: u8,
@@ -197,6 +219,14 @@
     outranks: bool,
 }
 
+/// A request that is to be refused.
+#[derive(Clone, Copy, Debug)]
+struct Refused {
+    request: u32,
+    place: u64,
+    patience: Millis,
+}
+
 #[derive(Debug)]
 struct Group {
     service: u32,
@@ -212,6 +242,7 @@
     drain: Drain,
     returns: Returns,
     retry_min: Millis,
+    max_returns: usize,
 }
 
 /// The line of requests that wait before the engines of all services.
@@ -230,6 +261,10 @@
     refused: HashMap<u32, u32>,
     /// Tokens served of late, by service and rank.
     served: HashMap<u32, BTreeMap<u8, Served>>,
+    /// Number of places that were given.
+    places: u64,
+    /// Those who came back, since they were last taken.
+    returns: LineReturns,
 }
 
 /// What was served of a rank.
@@ -272,10 +307,33 @@
         let work = state
             .scheduler
             .cost(arrival.prompt_tokens, arrival.output_tokens);
-        let wait = state.expected_wait(arrival.rank, account, work);
+        let visit = state.returns.visit(arrival.request, now);
+        self.returns.count(visit);
+        if let Visit::Early(at) = visit
+            && !outranks
+            && state.is_crowded(arrival.rank)
+        {
+            *self.refused.entry(arrival.account).or_default() += 1;
+            return Err(LineRefusal {
+                retry_after: at.since(now),
+            });
+        }
+        let place = match visit {
+            Visit::InTime(place) => place,
+            Visit::First | Visit::Early(_) => {
+                self.places += 1;
+                self.places
+            }
+        };
+        let refused = Refused {
+            request: arrival.request,
+            place,
+            patience: arrival.patience,
+        };
+        let wait = state.expected_wait(arrival.rank, account, work, visit);
         if wait > limit && !outranks {
             *self.refused.entry(arrival.account).or_default() += 1;
-            return Err(state.refusal(wait.since(limit), arrival.patience, now));
+            return Err(state.refusal(refused, wait.since(limit), now));
         }
         let until = now + limit;
         let submitted = Arrival {
@@ -285,11 +343,13 @@
             max_tokens: arrival.output_tokens.max(1),
             ..Arrival::default()
         };
-        match state.scheduler.submit(&submitted, now) {
+        match state.scheduler.submit_in_order(&submitted, place, now) {
             Admission::Queued(request) => {
                 let waiter = Waiter {
                     account: arrival.account,
                     key: account,
+                    request: arrival.request,
+                    place,
                     work,
                     rank: arrival.rank,
                     joined: now,
@@ -304,7 +364,7 @@
             }
             Admission::Refused(_) => {
                 *self.refused.entry(arrival.account).or_default() += 1;
-                Err(state.refusal(wait, arrival.patience, now))
+                Err(state.refusal(refused, wait, now))
             }
         }
     }
@@ -371,6 +431,7 @@
         let Some(state) = group.forget(waiter.request) else {
             return;
         };
+        group.returns.forget(state.request);
         if !group.waiters.is_empty() {
             group.drain.record(state.rank, ticket.charge());
         }
@@ -488,6 +549,19 @@
         LineRefusals { total, largest }
     }
 
+    /// Takes the numbers of requests that came back since the last call.
+    pub fn take_returns(&mut self, now: Millis) -> LineReturns {
+        let mut kept = 0;
+        for group in self.groups.values_mut() {
+            group.returns.expire(now);
+            kept += group.returns.len();
+        }
+        LineReturns {
+            kept,
+            ..std::mem::take(&mut self.returns)
+        }
+    }
+
     /// The step for the first request whose wait is over.
     fn next_end(&mut self, group: LineGroupKey, now: Millis) -> Option<LineStep> {
         let state = self.groups.get_mut(group)?;
@@ -552,6 +626,7 @@
             drain: Drain::default(),
             returns: Returns::default(),
             retry_min: self.settings.retry_min,
+            max_returns: self.settings.max_returns,
         });
         self.names.insert(arrival.group, group);
         group
@@ -618,31 +693,68 @@
         self.drain.advance(!self.waiters.is_empty(), now);
     }
 
+    /// Whether requests of this rank or more urgent ones wait.
+    fn is_crowded(&self, rank: u8) -> bool {
+        let mut classes = self.ranks.range(..=rank);
+        classes.any(|(_, &class)| self.scheduler.has_queued(class))
+    }
+
     /// Expected wait of a request of `work` tokens that joins now; zero if it isn't known.
-    fn expected_wait(&self, rank: u8, account: AccountKey, work: u64) -> Millis {
+    ///
+    /// One that came back in its time goes before the later requests of its account.
+    fn expected_wait(&self, rank: u8, account: AccountKey, work: u64, visit: Visit) -> Millis {
         let Some(&class) = self.ranks.get(&rank) else {
             return Millis::ZERO;
         };
-        let ahead = self.scheduler.work_ahead(class, account, work);
+        let ahead = match visit {
+            Visit::InTime(_) => self.scheduler.work_ahead_of_first(class, work),
+            Visit::First | Visit::Early(_) => self.scheduler.work_ahead(class, account, work),
+        };
         let rate = self.drain.rate(rank);
         rate.map_or(Millis::ZERO, |rate| Millis((ahead as f64 / rate) as u64))
     }
 
     /// The refusal of a request that has waited.
     fn refusal_of(&mut self, waiter: &Waiter, now: Millis) -> LineRefusal {
-        let wait = self.expected_wait(waiter.rank, waiter.key, waiter.work);
+        let wait = self.expected_wait(waiter.rank, waiter.key, waiter.work, Visit::First);
         let limit = waiter.until.since(waiter.joined);
-        self.refusal(wait.since(limit), waiter.patience, now)
+        let refused = Refused {
+            request: waiter.request,
+            place: waiter.place,
+            patience: waiter.patience,
+        };
+        self.refusal(refused, wait.since(limit), now)
     }
 
     /// The refusal of a request whose wait would be too long by `excess`.
-    fn refusal(&mut self, excess: Millis, patience: Millis, now: Millis) -> LineRefusal {
+    fn refusal(&mut self, refused: Refused, excess: Millis, now: Millis) -> LineRefusal {
+        let Refused {
+            request,
+            place,
+            patience,
+        } = refused;
+        if let Some(at) = self.returns.pending(request, now) {
+            return LineRefusal {
+                retry_after: at.since(now),
+            };
+        }
         let earliest = now + excess.max(self.retry_min);
         let span = self.drain.interval();
         let latest = now + patience.max(self.retry_min);
         let at = self.returns.reserve(earliest, latest, span);
+        self.returns.keep(request, at, place, self.max_returns);
         LineRefusal {
             retry_after: at.since(now),
         }
     }
 }
+
+impl LineReturns {
+    fn count(&mut self, visit: Visit) {
+        match visit {
+            Visit::First => {}
+            Visit::Early(_) => self.early += 1,
+            Visit::InTime(_) => self.in_time += 1,
+        }
+    }
+}
--- a/crates/admission/src/scheduler/estimate.rs
+++ b/crates/admission/src/scheduler/estimate.rs
@@ -97,11 +97,20 @@
     /// Cost of the queued requests that are served before one of cost `charge` that is queued now,
     /// in output tokens.
     pub(crate) fn work_ahead(&self, key: ClassKey, account: AccountKey, charge: u64) -> u64 {
+        let flow = self.classes.get(key).and_then(|class| class.flow(account));
+        self.work_ahead_of(key, flow.map_or(0, |flow| flow.backlog), charge)
+    }
+
+    /// Like `work_ahead`, for a request that goes before all others of its account.
+    pub(crate) fn work_ahead_of_first(&self, key: ClassKey, charge: u64) -> u64 {
+        self.work_ahead_of(key, 0, charge)
+    }
+
+    fn work_ahead_of(&self, key: ClassKey, own: u64, charge: u64) -> u64 {
         let Some(class) = self.classes.get(key) else {
             return 0;
         };
         let tier = class.spec.tier_index();
-        let own = class.flow(account).map_or(0, |flow| flow.backlog);
         let fair = own
             .saturating_add(charge)
             .saturating_mul(class.active_accounts().max(1));
@@ -111,6 +120,11 @@
         self.throughput.backlog_above(tier) + peers + class.backlog.min(fair)
     }
 
+    /// Whether requests of a class are queued.
+    pub(crate) fn has_queued(&self, key: ClassKey) -> bool {
+        self.classes.get(key).is_some_and(|class| class.queued > 0)
+    }
+
     /// Builds a refusal with the retry-after time `wait`, clamped to the configured bounds and
     /// jittered.
     pub(super) fn refusal(&mut self, reason: Reason, wait: Millis) -> Refusal {
--- a/crates/admission/src/scheduler/submit.rs
+++ b/crates/admission/src/scheduler/submit.rs
@@ -29,22 +29,33 @@
     /// of a lower-priority tier or of an account with a longer queue; their refusals are returned
     /// by [`next`](Scheduler::next).
     pub fn submit(&mut self, arrival: &Arrival, now: Millis) -> Admission {
+        self.submit_in_order(arrival, self.seq + 1, now)
+    }
+
+    /// Like [`submit`](Scheduler::submit), with the place of the request among those of its account that
+    /// have no deadline.
+    pub(crate) fn submit_in_order(
+        &mut self,
+        arrival: &Arrival,
+        place: u64,
+        now: Millis,
+    ) -> Admission {
         let now = self.advance_clock(now);
-        match self.admit(arrival, now) {
+        match self.admit(arrival, place, now) {
             Ok(key) => Admission::Queued(key),
             Err(refusal) => Admission::Refused(refusal),
         }
     }
 
-    fn admit(&mut self, arrival: &Arrival, now: Millis) -> Result<RequestKey, Refusal> {
+    fn admit(&mut self, arrival: &Arrival, place: u64, now: Millis) -> Result<RequestKey, Refusal> {
         let estimate = self.estimate(arrival, now)?;
         self.check_limits(arrival, &estimate, now)?;
         if self.tier(arrival.class) == 0 {
             self.headroom.record_arrival(now);
         }
         self.check_wait(arrival, &estimate, now)?;
-        self.make_room(arrival)?;
-        Ok(self.enqueue(arrival, &estimate, now))
+        self.make_room(arrival, place)?;
+        Ok(self.enqueue(arrival, place, &estimate, now))
     }
 
     fn check_limits(
@@ -87,7 +98,7 @@
     }
 
     /// Frees the queue entry and the memory that the arrival needs, by evicting queued requests.
-    fn make_room(&mut self, arrival: &Arrival) -> Result<(), Refusal> {
+    fn make_room(&mut self, arrival: &Arrival, place: u64) -> Result<(), Refusal> {
         let own = self.tier(arrival.class);
         let evictable: u64 = self.bytes[own + 1..].iter().sum();
         let not_evictable = self.bytes.iter().sum::<u64>() - evictable;
@@ -95,7 +106,7 @@
             return Err(self.queue_full_refusal(arrival));
         }
         while let Some(bound) = self.exceeded_bound(arrival) {
-            let Some(key) = self.find_victim(arrival, bound) else {
+            let Some(key) = self.find_victim(arrival, place, bound) else {
                 return Err(self.queue_full_refusal(arrival));
             };
             self.refuse_queued(key, Reason::Displaced);
@@ -128,8 +139,8 @@
     /// The lowest-priority tier that exceeds its reserve is evicted first, so that tier 0 is
     /// refused only when it fills the queue itself. Inside a class, the account with the longest
     /// queue is evicted in favour of one with a shorter queue, so that no account can lock others
-    /// out.
-    fn find_victim(&self, arrival: &Arrival, bound: QueueBound) -> Option<RequestKey> {
+    /// out. A request whose place is before others of its account is never refused for those.
+    fn find_victim(&self, arrival: &Arrival, place: u64, bound: QueueBound) -> Option<RequestKey> {
         let class = self.classes.get(arrival.class)?;
         let lowest = match bound {
             QueueBound::Class => None,
@@ -149,7 +160,9 @@
         let longest = class.longest_queue()?;
         let own = class.flow(arrival.account).map_or(0, |flow| flow.len());
         if longest.queued <= own + 1 {
-            return None;
+            let newest = class.flow(arrival.account)?.newest();
+            let newest = newest.filter(|newest| newest.seq > place);
+            return newest.map(|position| position.key);
         }
         class
             .flow(longest.account)?
@@ -157,16 +170,21 @@
             .map(|position| position.key)
     }
 
-    fn enqueue(&mut self, arrival: &Arrival, estimate: &Estimate, now: Millis) -> RequestKey {
-        self.seq += 1;
-        let seq = self.seq;
+    fn enqueue(
+        &mut self,
+        arrival: &Arrival,
+        place: u64,
+        estimate: &Estimate,
+        now: Millis,
+    ) -> RequestKey {
+        self.seq = self.seq.max(place);
         let key = self.requests.insert_with_key(|key| Request {
             class: arrival.class,
             account: arrival.account,
             model: arrival.model,
             position: QueuePosition {
                 latest_start: estimate.latest_start,
-                seq,
+                seq: place,
                 key,
                 scaled_deadline: estimate.scaled_deadline,
                 charge: estimate.charge,
--- a/crates/admission/tests/admission/line.rs
+++ b/crates/admission/tests/admission/line.rs
@@ -22,6 +22,7 @@
         group: 1,
         rank,
         account,
+        request: 0,
         prompt_tokens: 800,
         output_tokens: OUTPUT,
         limit: Millis(1000),
@@ -495,6 +496,220 @@
     }
 }
 
+/// A line that was full for a second, a request of its group, and another one that was refused, with the
+/// time at which that may return.
+fn refused_return() -> (Line, WaiterKey, LineArrival, Millis) {
+    let mut line = Line::new(LineSettings::default());
+    let patient = LineArrival {
+        limit: Millis(5000),
+        ..arrival(1, 1)
+    };
+    let keys = [(); 12].map(|()| join(&mut line, patient, START));
+    for step in 1..=10 {
+        begin(&mut line, keys[0], START + Millis(step * 100));
+    }
+    let now = START + Millis(1000);
+    while line.join(&arrival(1, 1), now).is_ok() {}
+    let asked = LineArrival {
+        request: 7,
+        ..arrival(1, 1)
+    };
+    let refusal = line.join(&asked, now).expect_err("the line is full");
+    (line, keys[0], asked, now + refusal.retry_after)
+}
+
+/// Guards against a request that comes back when it was told to and is refused again for later ones of
+/// its account, or stands behind them.
+#[test]
+fn a_request_that_returns_in_its_time_goes_before_later_ones() {
+    let (mut line, group, asked, at) = refused_return();
+    for _ in 0..3 {
+        begin(&mut line, group, at);
+    }
+    while line.join(&arrival(1, 1), at).is_ok() {}
+    let returned = join(&mut line, asked, at);
+    assert_eq!(line.take_returns(at).in_time, 1);
+    // Its place is taken, so that nobody takes it again.
+    assert!(line.join(&asked, at).is_err());
+    let mut order =
+        std::iter::from_fn(|| Some(begin(&mut line, group, at)?.0)).collect::<Vec<WaiterKey>>();
+    let place = order.iter().position(|key| *key == returned);
+    let place = place.expect("it was served");
+    // Those of the first second were there before it.
+    assert!(place <= 10, "{place}");
+    assert!(order.split_off(place).len() > 1);
+}
+
+/// Guards against callers that retry at once and take what those get who wait for as long as they were
+/// told: a retry before its time gets the same time again, unless nobody waits.
+#[test]
+fn a_request_that_returns_early_keeps_its_time() {
+    let (mut line, group, asked, at) = refused_return();
+    line.take_refusals(1);
+    for early in [150, 100, 20] {
+        let now = Millis(at.0 - early);
+        let refusal = line.join(&asked, now).expect_err("others wait");
+        assert_eq!(now + refusal.retry_after, at);
+    }
+    assert_eq!(line.take_refusals(1).total, 3);
+    assert_eq!(line.take_returns(at).early, 3);
+    let now = Millis(at.0 - 20);
+    while begin(&mut line, group, now).is_some() {}
+    let served = join(&mut line, asked, now);
+    assert_eq!(
+        begin(&mut line, group, now).map(|(key, _)| key),
+        Some(served)
+    );
+    assert_eq!(line.take_returns(at).kept, 0);
+}
+
+/// Guards against return times that are kept for ever, or without a bound.
+#[test]
+fn kept_returns_are_bounded() {
+    let settings = LineSettings {
+        max_waiting: 0,
+        max_returns: 5,
+        ..LineSettings::default()
+    };
+    let mut line = Line::new(settings);
+    for request in 0..100 {
+        let asked = LineArrival {
+            request,
+            ..arrival(1, 1)
+        };
+        assert!(line.join(&asked, START).is_err());
+    }
+    assert_eq!(line.take_returns(START).kept, 5);
+    assert_eq!(line.take_returns(START + Millis(5000)).kept, 0);
+}
+
+/// Guards against a full line that refuses a request which came back in its time, and keeps later ones of
+/// its account.
+#[test]
+fn a_full_line_has_room_for_those_who_return() {
+    let settings = LineSettings {
+        max_waiting: 5,
+        ..LineSettings::default()
+    };
+    let mut line = Line::new(settings);
+    let first = [(); 5].map(|()| join(&mut line, arrival(1, 1), START));
+    let asked = LineArrival {
+        request: 7,
+        ..arrival(1, 1)
+    };
+    let refusal = line.join(&asked, START).expect_err("the line is full");
+    let now = START + refusal.retry_after;
+    begin(&mut line, first[0], now);
+    let last = join(&mut line, arrival(1, 1), now);
+    let returned = join(&mut line, asked, now);
+    assert_eq!(refused(&mut line, returned, now).0, last);
+    let order: Vec<WaiterKey> =
+        std::iter::from_fn(|| Some(begin(&mut line, returned, now)?.0)).collect();
+    assert_eq!(order[3..], [first[4], returned]);
+}
+
+/// How the callers of a kind fared, who come back after a refusal.
+#[derive(Clone, Copy, Debug, Default)]
+struct Callers {
+    asked: u64,
+    served: u64,
+    refused: u64,
+}
+
+impl Callers {
+    fn served_permille(self) -> u64 {
+        1000 * self.served / self.asked.max(1)
+    }
+}
+
+/// Zero for a caller who comes back as told; one in three, of every account, may not.
+fn kind_of(request: u32) -> usize {
+    let mixed = request.wrapping_mul(0x9e37_79b9) >> 8;
+    usize::from(mixed.is_multiple_of(3))
+}
+
+/// Plays 20 s in which 24 accounts ask for half more than the engines do, 100 a second. A refused
+/// caller comes back when it was told to, and for four seconds; every third one, where `abuse`, each
+/// 60 ms. Returns how the callers fared who came back as told, and the others.
+fn play_returns(abuse: bool) -> [Callers; 2] {
+    let mut line = Line::new(LineSettings::default());
+    let mut due: std::collections::BTreeMap<u64, Vec<u32>> = std::collections::BTreeMap::new();
+    let mut waiting: HashMap<WaiterKey, u32> = HashMap::new();
+    let mut first: HashMap<u32, u64> = HashMap::new();
+    let mut callers = [Callers::default(); 2];
+    let mut next = 0;
+    for now in START.0..START.0 + 20_000 {
+        let at = Millis(now);
+        if now % 20 < 3 {
+            next += 1;
+            first.insert(next, now);
+            callers[kind_of(next)].asked += 1;
+            due.entry(now).or_default().push(next);
+        }
+        let mut refusals = Vec::new();
+        for request in due.remove(&now).unwrap_or_default() {
+            let left = Millis(first[&request] + 4000).since(at);
+            let asked = LineArrival {
+                request,
+                patience: Millis(left.0 / 3),
+                limit: Millis((left.0 / 4).min(600)),
+                ..arrival(1, request % 24)
+            };
+            match line.join(&asked, at) {
+                Ok(key) => {
+                    waiting.insert(key, request);
+                }
+                Err(refusal) => refusals.push((request, refusal)),
+            }
+        }
+        let group = line.groups().next();
+        let mut room = usize::from(now % 10 == 0);
+        while let Some(step) = group.and_then(|group| line.next(group, at)) {
+            match step {
+                LineStep::Refuse(key, refusal) => refusals.push((waiting[&key], refusal)),
+                LineStep::Offer(key, _) if room == 0 => {
+                    line.put_back(key, at);
+                    break;
+                }
+                LineStep::Offer(key, _) => {
+                    room -= 1;
+                    line.begin(key, at);
+                    line.finish(key, LineEnd::Complete(OUTPUT), at);
+                    callers[kind_of(waiting[&key])].served += 1;
+                }
+            }
+        }
+        for (request, refusal) in refusals {
+            let kind = kind_of(request);
+            callers[kind].refused += 1;
+            let after = if abuse && kind == 1 {
+                60
+            } else {
+                refusal.retry_after.0.max(1)
+            };
+            if now + after < first[&request] + 4000 {
+                due.entry(now + after).or_default().push(request);
+            }
+        }
+    }
+    callers
+}
+
+/// Guards against a third of the callers that retry at once, many times as often as told, and take from
+/// those who come back as told.
+#[test]
+fn callers_that_retry_at_once_take_nothing_from_the_others() {
+    let before = play_returns(false);
+    let abused = play_returns(true);
+    let [told, at_once] = [0, 1].map(|kind| {
+        let [before, abused] = [before[kind], abused[kind]];
+        abused.served_permille() as i64 - before.served_permille() as i64
+    });
+    assert!(told >= -15, "{before:?} {abused:?}");
+    assert!(at_once <= 15, "{before:?} {abused:?}");
+    assert!(abused[1].refused > 3 * before[1].refused, "{abused:?}");
+}
+
 /// The refusals of an interval name the accounts with the most.
 #[test]
 fn refusals_are_counted_by_account() {
--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -251,6 +251,7 @@
         Some(LineTerms {
             account: account.map_or(0, short_hash),
             limit: limit.min(Millis(remaining.0 / LINE_DIVISOR)),
+            request: (self.job.content.request.0 as u32).max(1),
         })
     }
 
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -403,8 +403,10 @@
     let status = shared.placer.line_status(now);
     shared.metrics.set_line(&status);
     let refusals = shared.placer.take_line_refusals();
+    let returns = shared.placer.take_line_returns(now);
+    shared.metrics.count_line_returns(&returns);
     let waiting: u32 = status.iter().map(|(_, status)| status.waiting).sum();
-    if waiting == 0 && refusals.total == 0 {
+    if waiting == 0 && refusals.total == 0 && returns.in_time == 0 {
         return;
     }
     let oldest = status.iter().map(|(_, status)| status.oldest).max();
@@ -418,7 +420,10 @@
         .with("waiting", waiting)
         .with("oldest", oldest.unwrap_or_default())
         .with("refused", refusals.total)
-        .with("accounts", largest.join(","));
+        .with("accounts", largest.join(","))
+        .with("returns", returns.kept)
+        .with("returned", returns.in_time)
+        .with("early", returns.early);
     info!("{event}");
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and latency histograms.
 
+use crocushold_admission::LineReturns;
 use crocushold_admission::LineStatus;
 use crocushold_base::Millis;
 use prometheus::Encoder;
@@ -45,6 +46,7 @@
     running: IntGauge,
     line_waiting: IntGaugeVec,
     line_oldest: IntGaugeVec,
+    line_returns: IntCounterVec,
 }
 
 impl Metrics {
@@ -161,7 +163,12 @@
             "crocushold_line_oldest_milliseconds",
             "How long the first request in the line of this instance has waited, by rank",
         );
-        let collectors: [Box<dyn prometheus::core::Collector>; 25] = [
+        let line_returns = counters(
+            "crocushold_line_returns_total",
+            "Requests that came back after a refusal by the line, by whether that was in their time",
+            &["kind"],
+        );
+        let collectors: [Box<dyn prometheus::core::Collector>; 26] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(ends.clone()),
@@ -187,6 +194,7 @@
             Box::new(running.clone()),
             Box::new(line_waiting.clone()),
             Box::new(line_oldest.clone()),
+            Box::new(line_returns.clone()),
         ];
         for collector in collectors {
             let registered = registry.register(collector);
@@ -219,6 +227,7 @@
             running,
             line_waiting,
             line_oldest,
+            line_returns,
         }
     }
 
@@ -305,6 +314,14 @@
         }
     }
 
+    /// Counts requests that came back after a refusal by the line.
+    pub(crate) fn count_line_returns(&self, returns: &LineReturns) {
+        for (kind, count) in [("in-time", returns.in_time), ("early", returns.early)] {
+            let counter = self.line_returns.with_label_values(&[kind]);
+            counter.inc_by(count.into());
+        }
+    }
+
     /// Sets how many servers are slow at this moment.
     pub(crate) fn set_slow_servers(&self, count: usize) {
         self.slow_servers
--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -101,6 +101,8 @@
     pub account: u32,
     /// How much longer the caller bears to wait for the beginning of the prefill.
     pub limit: Millis,
+    /// Hash of what is asked, which is the same when the caller comes back; never zero.
+    pub request: u32,
 }
 
 /// The engine chosen for a request of another instance.
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -6,6 +6,7 @@
 use crocushold_admission::LineEnd;
 use crocushold_admission::LineGroupKey;
 use crocushold_admission::LineRefusals;
+use crocushold_admission::LineReturns;
 use crocushold_admission::LineStatus;
 use crocushold_admission::WaiterKey;
 use crocushold_base::Millis;
@@ -91,6 +92,12 @@
         waiting.map_or_else(LineRefusals::default, WaitingRequests::take_refusals)
     }
 
+    /// Takes the numbers of requests that came back after a refusal since the last call.
+    pub fn take_line_returns(&mut self, now: Millis) -> LineReturns {
+        let waiting = self.waiting.as_mut();
+        waiting.map_or_else(LineReturns::default, |waiting| waiting.take_returns(now))
+    }
+
     /// Takes the decisions on requests that waited, to be sent to their instances.
     pub fn take_replies(&mut self) -> Vec<(SocketAddr, PlacementReply)> {
         std::mem::take(&mut self.replies)
--- a/crates/gateway/src/placing/shell.rs
+++ b/crates/gateway/src/placing/shell.rs
@@ -12,6 +12,7 @@
 
 use async_std::future::timeout;
 use crocushold_admission::LineRefusals;
+use crocushold_admission::LineReturns;
 use crocushold_admission::LineStatus;
 use crocushold_base::Clock;
 use crocushold_base::Event;
@@ -132,6 +133,11 @@
         lock(&self.placer).take_line_refusals()
     }
 
+    /// Takes the numbers of requests that came back after a refusal since the last call.
+    pub(crate) fn take_line_returns(&self, now: Millis) -> LineReturns {
+        lock(&self.placer).take_line_returns(now)
+    }
+
     /// Offers the waiting requests to the engines.
     pub(crate) fn serve_line(&self, fleet: &mut Fleet, now: Millis) {
         let mut placer = lock(&self.placer);
--- a/crates/gateway/src/placing/waiting.rs
+++ b/crates/gateway/src/placing/waiting.rs
@@ -12,6 +12,7 @@
 use crocushold_admission::LineGroupKey;
 use crocushold_admission::LineRefusal;
 use crocushold_admission::LineRefusals;
+use crocushold_admission::LineReturns;
 use crocushold_admission::LineScope;
 use crocushold_admission::LineStatus;
 use crocushold_admission::LineStep;
@@ -116,6 +117,11 @@
         self.line.take_refusals(MAX_ACCOUNTS_NAMED)
     }
 
+    /// Takes the numbers of requests that came back since the last call.
+    pub(super) fn take_returns(&mut self, now: Millis) -> LineReturns {
+        self.line.take_returns(now)
+    }
+
     /// Records that an instance still waits for a request. Returns its group.
     pub(super) fn renew(&mut self, asker: &Asker, now: Millis) -> Option<LineGroupKey> {
         let held = self.held.get_mut(asker)?;
@@ -138,6 +144,7 @@
             group: fleet.line_group(need),
             rank: need.priority,
             account: terms.account,
+            request: terms.request,
             prompt_tokens: need.prompt_tokens,
             output_tokens: need.expected_output_tokens.min(need.max_output_tokens),
             // The wait at the engine follows the one in line.
--- a/crates/gateway/tests/model/mod.rs
+++ b/crates/gateway/tests/model/mod.rs
@@ -226,6 +226,7 @@
         let terms = terms.map(|limit| LineTerms {
             account: first + self.number as u32 % count,
             limit,
+            request: self.number as u32 + 1,
         });
         let choice = match self.choose(instance, &need, terms, Millis(now)) {
             Chosen::Server(choice) => *choice,
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -95,6 +95,7 @@
         line: Some(LineTerms {
             account,
             limit: LIMIT,
+            request: number + 1,
         }),
     }
 }
@@ -331,6 +332,52 @@
     assert_eq!(busy.placer.take_line_refusals().total, 1);
 }
 
+/// Guards against callers that come back when they were told to, at another instance, and find later
+/// ones served first, and against those that come back at once and do better.
+#[test]
+fn a_caller_returns_to_its_place_at_any_instance() {
+    let mut busy = Busy::new();
+    let with_limit = |number, limit| PlacementRequest {
+        line: request(6, 1, 1)
+            .line
+            .map(|terms| LineTerms { limit, ..terms }),
+        ..request(number, 1, 1)
+    };
+    let refused = with_limit(6, Millis(600));
+    let later = request(7, 1, 1);
+    let last = request(8, 1, 1);
+    let again = with_limit(60, LIMIT);
+    let mut returned_at = None;
+    for step in 0..45 {
+        let now = START + Millis(20 * step);
+        if returned_at.is_none()
+            && let PlacementVerdict::Late { retry_delay, .. } = busy.ask(1, &refused, now)
+        {
+            returned_at = Some(now + retry_delay);
+            let early = now + Millis(50);
+            let told = PlacementVerdict::Late {
+                wait: LIMIT,
+                retry_delay: retry_delay.since(Millis(50)),
+            };
+            assert_eq!(busy.ask(3, &with_limit(61, LIMIT), early), told);
+        }
+        busy.wait(1, &later, now);
+        if returned_at.is_some_and(|at| now >= at) {
+            busy.wait(1, &last, now);
+            busy.wait(2, &again, now);
+        }
+    }
+    let now = START + Millis(890);
+    let mut order = Vec::new();
+    for number in 0..u32::from(ENGINES) {
+        busy.free(number, now);
+        order.extend(busy.serve(now));
+    }
+    assert_eq!(order, [(peer_at(2), 60), (peer_at(1), 7), (peer_at(1), 8)]);
+    let returns = busy.placer.take_line_returns(now);
+    assert_eq!([returns.in_time, returns.early], [1, 1]);
+}
+
 /// Guards against places that are kept for callers that have left.
 #[test]
 fn a_caller_that_leaves_gives_up_its_place() {
