line: a refusal says how the request stood

The line of a refused request in the log named its limit, but neither what waited before it nor what its account was served, so that a caller could not be told whether the account's own rush or a lack of engines was the reason. The placer's verdict Refused carries both, and request-ended adds line-ahead and line-share; expected-wait is the wait that was expected, not the limit. Late is sent as before without a line. A new test traces a refusal by these fields.

--- a/crates/admission/src/line/mod.rs
+++ b/crates/admission/src/line/mod.rs
@@ -22,6 +22,7 @@
 
 mod drain;
 mod returns;
+mod shares;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -39,6 +40,7 @@
 use self::drain::Drain;
 use self::returns::Returns;
 use self::returns::Visit;
+use self::shares::Shares;
 use crate::decay::DecayingSum;
 use crate::request::Arrival;
 use crate::scheduler::Action;
@@ -136,6 +138,13 @@
 pub struct LineRefusal {
     /// Time after which room is expected.
     pub retry_after: Millis,
+    /// Expected wait if it joined now; zero if it isn't known.
+    pub wait: Millis,
+    /// Number of requests of its rank and of more urgent ones that wait in its group.
+    pub ahead: u32,
+    /// Share of its account in the tokens of its rank that began in its group in about the last second,
+    /// in percent.
+    pub share: u8,
 }
 
 /// The engines to which a request is offered.
@@ -222,8 +231,12 @@
 /// A request that is to be refused.
 #[derive(Clone, Copy, Debug)]
 struct Refused {
+    account: u32,
+    rank: u8,
     request: u32,
     place: u64,
+    /// How long it might have waited.
+    limit: Millis,
     patience: Millis,
 }
 
@@ -241,6 +254,8 @@
     ends: BTreeSet<(Millis, RequestKey)>,
     drain: Drain,
     returns: Returns,
+    /// What the accounts were served, by rank.
+    shares: BTreeMap<u8, Shares>,
     retry_min: Millis,
     max_returns: usize,
 }
@@ -309,14 +324,19 @@
             .cost(arrival.prompt_tokens, arrival.output_tokens);
         let visit = state.returns.visit(arrival.request, now);
         self.returns.count(visit);
-        if let Visit::Early(at) = visit
-            && !outranks
-            && state.is_crowded(arrival.rank)
-        {
+        let wait = state.expected_wait(arrival.rank, account, work, visit);
+        let refused = Refused {
+            account: arrival.account,
+            rank: arrival.rank,
+            request: arrival.request,
+            place: self.places + 1,
+            limit,
+            patience: arrival.patience,
+        };
+        let is_early = matches!(visit, Visit::Early(_)) && state.ahead(arrival.rank) > 0;
+        if is_early && !outranks {
             *self.refused.entry(arrival.account).or_default() += 1;
-            return Err(LineRefusal {
-                retry_after: at.since(now),
-            });
+            return Err(state.refusal(refused, wait, now));
         }
         let place = match visit {
             Visit::InTime(place) => place,
@@ -325,15 +345,10 @@
                 self.places
             }
         };
-        let refused = Refused {
-            request: arrival.request,
-            place,
-            patience: arrival.patience,
-        };
-        let wait = state.expected_wait(arrival.rank, account, work, visit);
+        let refused = Refused { place, ..refused };
         if wait > limit && !outranks {
             *self.refused.entry(arrival.account).or_default() += 1;
-            return Err(state.refusal(refused, wait.since(limit), now));
+            return Err(state.refusal(refused, wait, now));
         }
         let until = now + limit;
         let submitted = Arrival {
@@ -364,7 +379,9 @@
             }
             Admission::Refused(_) => {
                 *self.refused.entry(arrival.account).or_default() += 1;
-                Err(state.refusal(refused, wait, now))
+                // Room is expected when what waits has begun, whatever the limit.
+                let limit = Millis::ZERO;
+                Err(state.refusal(Refused { limit, ..refused }, wait, now))
             }
         }
     }
@@ -436,6 +453,8 @@
             group.drain.record(state.rank, ticket.charge());
         }
         let tokens = ticket.charge() as f64;
+        let shares = group.shares.entry(state.rank).or_default();
+        shares.record(state.account, tokens, now);
         group.begun.insert(waiter.request, ticket.sent());
         let served = self.served.entry(group.service).or_default();
         let served = served.entry(state.rank).or_insert_with(|| Served {
@@ -625,6 +644,7 @@
             ends: BTreeSet::new(),
             drain: Drain::default(),
             returns: Returns::default(),
+            shares: BTreeMap::new(),
             retry_min: self.settings.retry_min,
             max_returns: self.settings.max_returns,
         });
@@ -693,10 +713,11 @@
         self.drain.advance(!self.waiters.is_empty(), now);
     }
 
-    /// Whether requests of this rank or more urgent ones wait.
-    fn is_crowded(&self, rank: u8) -> bool {
-        let mut classes = self.ranks.range(..=rank);
-        classes.any(|(_, &class)| self.scheduler.has_queued(class))
+    /// Number of requests of this rank and of more urgent ones that wait.
+    fn ahead(&self, rank: u8) -> u32 {
+        let classes = self.ranks.range(..=rank);
+        let queued = classes.map(|(_, &class)| self.scheduler.queued(class));
+        queued.sum()
     }
 
     /// Expected wait of a request of `work` tokens that joins now; zero if it isn't known.
@@ -717,35 +738,39 @@
     /// The refusal of a request that has waited.
     fn refusal_of(&mut self, waiter: &Waiter, now: Millis) -> LineRefusal {
         let wait = self.expected_wait(waiter.rank, waiter.key, waiter.work, Visit::First);
-        let limit = waiter.until.since(waiter.joined);
         let refused = Refused {
+            account: waiter.account,
+            rank: waiter.rank,
             request: waiter.request,
             place: waiter.place,
+            limit: waiter.until.since(waiter.joined),
             patience: waiter.patience,
         };
-        self.refusal(refused, wait.since(limit), now)
+        self.refusal(refused, wait, now)
     }
 
-    /// The refusal of a request whose wait would be too long by `excess`.
-    fn refusal(&mut self, refused: Refused, excess: Millis, now: Millis) -> LineRefusal {
-        let Refused {
-            request,
-            place,
-            patience,
-        } = refused;
-        if let Some(at) = self.returns.pending(request, now) {
-            return LineRefusal {
-                retry_after: at.since(now),
-            };
+    /// The refusal of a request that would wait for `wait`.
+    fn refusal(&mut self, refused: Refused, wait: Millis, now: Millis) -> LineRefusal {
+        let pending = self.returns.pending(refused.request, now);
+        let at = pending.unwrap_or_else(|| self.reserve_return(&refused, wait, now));
+        let shares = self.shares.get(&refused.rank);
+        LineRefusal {
+            retry_after: at.since(now),
+            wait,
+            ahead: self.ahead(refused.rank),
+            share: shares.map_or(0, |shares| shares.percent(refused.account, now)),
         }
+    }
+
+    fn reserve_return(&mut self, refused: &Refused, wait: Millis, now: Millis) -> Millis {
+        let excess = wait.since(refused.limit);
         let earliest = now + excess.max(self.retry_min);
         let span = self.drain.interval();
-        let latest = now + patience.max(self.retry_min);
+        let latest = now + refused.patience.max(self.retry_min);
         let at = self.returns.reserve(earliest, latest, span);
+        let Refused { request, place, .. } = *refused;
         self.returns.keep(request, at, place, self.max_returns);
-        LineRefusal {
-            retry_after: at.since(now),
-        }
+        at
     }
 }
 
--- a/crates/admission/src/scheduler/estimate.rs
+++ b/crates/admission/src/scheduler/estimate.rs
@@ -120,9 +120,9 @@
         self.throughput.backlog_above(tier) + peers + class.backlog.min(fair)
     }
 
-    /// Whether requests of a class are queued.
-    pub(crate) fn has_queued(&self, key: ClassKey) -> bool {
-        self.classes.get(key).is_some_and(|class| class.queued > 0)
+    /// Number of queued requests of a class.
+    pub(crate) fn queued(&self, key: ClassKey) -> u32 {
+        self.classes.get(key).map_or(0, |class| class.queued)
     }
 
     /// Builds a refusal with the retry-after time `wait`, clamped to the configured bounds and
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -30,6 +30,7 @@
 pub(crate) use self::relay::PeerGuard;
 use crate::fleet::Choice;
 use crate::intake::Job;
+use crate::placing::LineStanding;
 use crate::protocol::AnswerMeta;
 use crate::protocol::Forward;
 use crate::quarantine::CutRun;
@@ -90,6 +91,8 @@
     tried: Vec<ServerKey>,
     /// How long it has waited in the placer's line, if it has.
     line_wait: Option<Millis>,
+    /// How it stood in line when that refused it.
+    line_standing: Option<LineStanding>,
     /// Until when the request may wait here for a server, once it has waited.
     wait_until: Option<Millis>,
     /// Time until the next look for a server, once it has waited.
@@ -157,6 +160,7 @@
             placer: None,
             tried: Vec::new(),
             line_wait: None,
+            line_standing: None,
             wait_until: None,
             look_interval: None,
             unserved: false,
--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -207,6 +207,18 @@
                     retry_after: retry_delay,
                 }))
             }
+            PlacementVerdict::Refused {
+                wait,
+                retry_delay,
+                standing,
+            } => {
+                metrics.count_placement("late");
+                self.line_standing = Some(standing);
+                Some(Err(NoServer {
+                    reason: routing::Reason::Late { wait },
+                    retry_after: retry_delay,
+                }))
+            }
             PlacementVerdict::Full { retry_delay } => {
                 metrics.count_placement("full");
                 Some(Err(NoServer {
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -108,6 +108,7 @@
             wait_limit: self.job.need.wait_limit,
             line_wait: self.line_wait,
             line_limit: self.job.line_limit,
+            line_standing: self.line_standing,
             expected_prefill: self.expected_prefill,
             placer: self.placer,
             entry: self.job.entry.clone(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -75,6 +75,7 @@
 pub use lag::Lag;
 pub use latencies::ClassInterval;
 pub use latencies::latencies;
+pub use placing::LineStanding;
 pub use placing::LineTerms;
 pub use placing::LineWait;
 pub use placing::LineWaitStep;
--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -1,5 +1,6 @@
 //! Messages between an instance and the placer.
 
+use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_routing::LoadReport;
 use crocushold_routing::Outcome;
@@ -140,6 +141,24 @@
     /// It waits in line. The decision follows; until then the sender asks again, so that the
     /// placer knows that it is still there.
     Waiting,
+    /// The line refuses it.
+    Refused {
+        /// The expected wait; zero if it isn't known.
+        wait: Millis,
+        /// When to retry.
+        retry_delay: Millis,
+        /// Why.
+        standing: LineStanding,
+    },
+}
+
+/// How a request stood in line when that refused it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LineStanding {
+    /// Number of requests of its rank and of more urgent ones that waited.
+    pub ahead: u32,
+    /// Share of its account in what began of its rank in about the last second, in percent.
+    pub share: u8,
 }
 
 /// The reply to a [`PlacementRequest`].
@@ -184,6 +203,16 @@
     pub pause: Option<Millis>,
 }
 
+impl LineStanding {
+    /// Adds the fields that explain the refusal.
+    pub fn log(&self, event: Event) -> Event {
+        let share = format!("{}%", self.share);
+        event
+            .with("line-ahead", self.ahead)
+            .with("line-share", share)
+    }
+}
+
 impl UpdateKind {
     /// The engine's load report, if the update carries one.
     pub(crate) fn load(&self) -> Option<LoadReport> {
--- a/crates/gateway/src/placing/mod.rs
+++ b/crates/gateway/src/placing/mod.rs
@@ -30,6 +30,7 @@
 pub use client::PlacementId;
 pub use line_wait::LineWait;
 pub use line_wait::LineWaitStep;
+pub use message::LineStanding;
 pub use message::LineTerms;
 pub use message::Packet;
 pub use message::Placement;
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -25,7 +25,7 @@
 use super::refused::SentRefusals;
 use super::waiting::Decided;
 use super::waiting::WaitingRequests;
-use super::waiting::late;
+use super::waiting::refused;
 use crate::fleet::Choice;
 use crate::fleet::Fleet;
 use crate::fleet::ProbeTarget;
@@ -213,7 +213,7 @@
                 match waiting.join(fleet, asker, request, terms, now) {
                     Ok(group) => group,
                     Err(refusal) => {
-                        let verdict = late(request, refusal);
+                        let verdict = refused(refusal);
                         self.refused.record(asker, verdict, now);
                         return reply(verdict);
                     }
@@ -245,7 +245,7 @@
             let (from, number) = asker;
             let reply = PlacementReply { number, verdict };
             self.replies.push((from, reply));
-            if matches!(verdict, PlacementVerdict::Late { .. }) {
+            if matches!(verdict, PlacementVerdict::Refused { .. }) {
                 self.refused.record(asker, verdict, now);
             }
             if let Some((choice, waiter, remaining)) = placed {
--- a/crates/gateway/src/placing/waiting.rs
+++ b/crates/gateway/src/placing/waiting.rs
@@ -20,6 +20,7 @@
 use crocushold_base::Millis;
 use crocushold_routing::Reason;
 
+use super::message::LineStanding;
 use super::message::LineTerms;
 use super::message::PlacementRequest;
 use super::message::PlacementVerdict;
@@ -270,10 +271,10 @@
 
     fn refuse(&mut self, waiter: WaiterKey, refusal: LineRefusal) -> Option<Decided> {
         let asker = self.askers.remove(&waiter)?;
-        let held = self.held.remove(&asker)?;
+        self.held.remove(&asker)?;
         Some(Decided {
             asker,
-            verdict: late(&held.request, refusal),
+            verdict: refused(refusal),
             placed: None,
         })
     }
@@ -343,11 +344,14 @@
     InVain,
 }
 
-/// The verdict on a request that isn't run.
-pub(super) fn late(request: &PlacementRequest, refusal: LineRefusal) -> PlacementVerdict {
-    let limit = request.line.map(|terms| terms.limit);
-    PlacementVerdict::Late {
-        wait: limit.unwrap_or_default(),
+/// The verdict on a request that the line refuses.
+pub(super) fn refused(refusal: LineRefusal) -> PlacementVerdict {
+    PlacementVerdict::Refused {
+        wait: refusal.wait,
         retry_delay: refusal.retry_after,
+        standing: LineStanding {
+            ahead: refusal.ahead,
+            share: refusal.share,
+        },
     }
 }
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -6,6 +6,7 @@
 use crocushold_base::Millis;
 use crocushold_routing::RequestContent;
 
+use crate::placing::LineStanding;
 use crate::protocol::Resumption;
 use crate::routes::Repeat;
 use crate::shared::Shared;
@@ -38,6 +39,8 @@
     pub(crate) line_wait: Option<Millis>,
     /// How long it may wait there and at an engine.
     pub(crate) line_limit: Option<Millis>,
+    /// How it stood in line when that refused it.
+    pub(crate) line_standing: Option<LineStanding>,
     /// Number of prompt tokens that the server was expected to prefill.
     pub(crate) expected_prefill: u32,
     /// The other instance that chose the server, if any.
@@ -77,6 +80,10 @@
             .with("entry", self.entry.as_deref().unwrap_or("here"))
             .with("outcome", outcome)
             .with("total", shared.clock.now().since(self.arrived));
+        let event = match &self.line_standing {
+            Some(standing) => standing.log(event),
+            None => event,
+        };
         let Some(resumption) = &self.resumption else {
             return event;
         };
--- a/crates/gateway/tests/trace.rs
+++ b/crates/gateway/tests/trace.rs
@@ -1,5 +1,12 @@
 //! Tests of the explanation of a request from a log.
 
+use crocushold_admission::Line;
+use crocushold_admission::LineArrival;
+use crocushold_admission::LineSettings;
+use crocushold_admission::LineStep;
+use crocushold_base::Event;
+use crocushold_base::Millis;
+use crocushold_gateway::LineStanding;
 use crocushold_gateway::trace;
 
 const LOG: [&str; 9] = [
@@ -65,3 +72,54 @@
     ];
     assert_eq!(trace(&lines, "r1"), [lines[0], lines[2]]);
 }
+
+/// Guards against a refusal by the line that nothing explains: the trace shows how many requests were
+/// ahead, what its account was served, how long it would have waited, and how long it may.
+#[test]
+fn a_refusal_by_the_line_is_explained_by_its_standing() {
+    let mut line = Line::new(LineSettings {
+        max_waiting: 3,
+        ..LineSettings::default()
+    });
+    let arrival = LineArrival {
+        service: 1,
+        group: 1,
+        rank: 1,
+        account: 1,
+        request: 7,
+        prompt_tokens: 800,
+        output_tokens: 20,
+        limit: Millis(900),
+        patience: Millis(1300),
+    };
+    let now = Millis(1000);
+    let other = LineArrival {
+        account: 2,
+        ..arrival
+    };
+    for account in [arrival, arrival, arrival, other] {
+        let waiter = line.join(&account, now).expect("there is room");
+        let Some(LineStep::Offer(key, _)) = line.next(line.group_of(waiter), now) else {
+            panic!("not offered");
+        };
+        line.begin(key, now);
+    }
+    let refusal = std::iter::from_fn(|| Some(line.join(&arrival, now))).find_map(Result::err);
+    let refusal = refusal.expect("the line is bounded");
+    let standing = LineStanding {
+        ahead: refusal.ahead,
+        share: refusal.share,
+    };
+    let event = Event::new("request-ended")
+        .with("request", "r1")
+        .with("line-limit", arrival.limit)
+        .with("outcome", "late");
+    let own = standing.log(event).to_string();
+    let log = ["event=line-state waiting=3", own.as_str()];
+    assert_eq!(
+        trace(&log, "r1"),
+        [
+            "event=request-ended request=r1 line-limit=900ms outcome=late line-ahead=3 line-share=75%"
+        ]
+    );
+}
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -320,7 +320,7 @@
             _,
             PlacementReply {
                 number: 7,
-                verdict: PlacementVerdict::Late { .. }
+                verdict: PlacementVerdict::Refused { .. }
             }
         )]
     ));
@@ -351,15 +351,18 @@
     for step in 0..45 {
         let now = START + Millis(20 * step);
         if returned_at.is_none()
-            && let PlacementVerdict::Late { retry_delay, .. } = busy.ask(1, &refused, now)
+            && let PlacementVerdict::Refused { retry_delay, .. } = busy.ask(1, &refused, now)
         {
             returned_at = Some(now + retry_delay);
             let early = now + Millis(50);
-            let told = PlacementVerdict::Late {
-                wait: LIMIT,
-                retry_delay: retry_delay.since(Millis(50)),
+            let verdict = busy.ask(3, &with_limit(61, LIMIT), early);
+            let PlacementVerdict::Refused {
+                retry_delay: left, ..
+            } = verdict
+            else {
+                panic!("{verdict:?}");
             };
-            assert_eq!(busy.ask(3, &with_limit(61, LIMIT), early), told);
+            assert_eq!(early + left, now + retry_delay);
         }
         busy.wait(1, &later, now);
         if returned_at.is_some_and(|at| now >= at) {
@@ -483,7 +486,7 @@
     for request in &requests {
         match busy.ask(1, request, START) {
             PlacementVerdict::Waiting => open.push(request.number),
-            PlacementVerdict::Late { .. } => refused += 1,
+            PlacementVerdict::Refused { .. } => refused += 1,
             PlacementVerdict::Placed(_) => {}
             other => panic!("{other:?}"),
         }
@@ -494,7 +497,7 @@
         busy.placer.serve_line(&mut busy.fleet, now);
         for (_, reply) in busy.placer.take_replies() {
             open.retain(|number| *number != reply.number);
-            if let PlacementVerdict::Late { retry_delay, .. } = reply.verdict {
+            if let PlacementVerdict::Refused { retry_delay, .. } = reply.verdict {
                 assert!(retry_delay > Millis::ZERO);
                 assert!(retry_delay <= Millis(2000), "{retry_delay}");
                 refused += 1;
