placing: a repeated question doesn't look at the engines again

Each question of a request in line had the first in line offered to all engines, 20 a second for each that waits, although neither the engines nor the line had changed since the last look. The placer skips the look within the same millisecond unless a request arrived or left, or a placed one began, ended or expired; only what gossip alone changes is seen up to a millisecond later.

--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -207,6 +207,9 @@
             return reply(PlacementVerdict::Unable);
         };
         let group = match waiting.renew(&asker, now) {
+            Some(group) if !waiting.may_find_room(group, now) => {
+                return reply(PlacementVerdict::Waiting);
+            }
             Some(group) => group,
             None => {
                 fleet.record_demand(&request.need, &request.tried, now);
@@ -265,9 +268,10 @@
     /// Offers the waiting requests what a placed one leaves: to those of its group, or to all if it
     /// didn't come from the line.
     fn offer_freed(&mut self, fleet: &mut Fleet, waiter: Option<WaiterKey>, now: Millis) {
-        let Some(waiting) = &self.waiting else {
+        let Some(waiting) = &mut self.waiting else {
             return;
         };
+        waiting.record_change();
         match waiter {
             Some(waiter) => {
                 let group = waiting.group_of(waiter);
@@ -277,6 +281,13 @@
         }
     }
 
+    /// Records that engines may have room for what waits.
+    fn record_change(&mut self) {
+        if let Some(waiting) = &mut self.waiting {
+            waiting.record_change();
+        }
+    }
+
     /// Settles what a request from the line really used.
     fn settle(&mut self, fleet: &Fleet, placed: &PlacedRequest, ended: RequestEnd, now: Millis) {
         if let Some(waiting) = &mut self.waiting
@@ -387,6 +398,7 @@
         is_reachable: bool,
         now: Millis,
     ) {
+        self.record_change();
         for (choice, outcome) in self.doubted.remove(&server).unwrap_or_default() {
             let outcome = if is_reachable {
                 Outcome::Cancelled
@@ -402,6 +414,9 @@
     pub fn expire(&mut self, fleet: &mut Fleet, now: Millis) {
         let expired = self.placed.extract_if(|_, placed| placed.expires <= now);
         let expired: Vec<PlacedRequest> = expired.map(|(_, placed)| placed).collect();
+        if !expired.is_empty() {
+            self.record_change();
+        }
         for placed in expired {
             let lost = RequestEnd {
                 result: Outcome::Cancelled,
--- a/crates/gateway/src/placing/waiting.rs
+++ b/crates/gateway/src/placing/waiting.rs
@@ -96,6 +96,8 @@
     askers: HashMap<WaiterKey, Asker>,
     /// When the requests of each group were last offered in vain.
     offered: HashMap<LineGroupKey, Millis>,
+    /// When the first request of each group last found no room, unless something has changed since.
+    looked: HashMap<LineGroupKey, Millis>,
     /// When all requests were last checked for being abandoned.
     swept: Millis,
 }
@@ -164,8 +166,21 @@
         Ok(self.line.group_of(waiter))
     }
 
+    /// Whether the first request of a group may find room that it didn't find before, as time has passed
+    /// or something has changed. Each look is one at all engines, and those who ask again come far more
+    /// often than the time passes.
+    pub(super) fn may_find_room(&self, group: LineGroupKey, now: Millis) -> bool {
+        self.looked.get(&group) != Some(&now)
+    }
+
+    /// Records that engines may have room that they didn't have before.
+    pub(super) fn record_change(&mut self) {
+        self.looked.clear();
+    }
+
     /// Removes a request whose caller has left.
     pub(super) fn leave(&mut self, asker: &Asker, now: Millis) {
+        self.record_change();
         if let Some(held) = self.held.remove(asker) {
             self.askers.remove(&held.waiter);
             self.line.leave(held.waiter, now);
@@ -248,8 +263,11 @@
                 },
             }
         }
-        if is_due && vain > 0 {
-            self.offered.insert(group, now);
+        if vain > 0 {
+            self.looked.insert(group, now);
+            if is_due {
+                self.offered.insert(group, now);
+            }
         }
         for waiter in in_vain.into_iter().rev() {
             self.line.put_back(waiter, now);
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -279,6 +279,27 @@
     assert_eq!(placed, [(peer_at(2), 7)]);
 }
 
+/// Guards against a request that isn't offered an idle engine although the one before it has left, as that
+/// found no room a moment ago.
+#[test]
+fn a_request_is_offered_at_once_when_the_first_has_left() {
+    let mut busy = Busy::new();
+    let [_, idle, other] = busy.engines;
+    let mut bound = request(6, 0, 1);
+    bound.tried = vec![idle, other];
+    busy.wait(1, &bound, START);
+    busy.wait(2, &request(7, 1, 1), START);
+    let now = START + Millis(5);
+    busy.free(1, now);
+    busy.wait(2, &request(7, 1, 1), now);
+    busy.update(1, 6, ended(Outcome::Cancelled), now);
+    let verdict = busy.ask(2, &request(7, 1, 1), now);
+    assert!(
+        matches!(verdict, PlacementVerdict::Placed(_)),
+        "{verdict:?}"
+    );
+}
+
 /// Datagrams are lost, repeated and late. A request takes one place in line and one slot, and
 /// whoever asks again gets the decision that was lost.
 #[test]
