--- a/crates/admission/benches/line.rs
+++ b/crates/admission/benches/line.rs
@@ -57,7 +57,7 @@
         group: (pseudo_random(index, 1) % GROUPS) as u64,
         rank: (pseudo_random(index, 2) % RANKS) as u8,
         account: (pseudo_random(index, 3) % ACCOUNTS) as u32,
-        request: 0,
+        request: index as u32 + 1,
         prompt_tokens: 3000,
         output_tokens: 50,
         limit: Millis::from_secs(1_000_000),
@@ -88,6 +88,31 @@
         });
 }
 
+/// A line without room, in which the return times of as many requests are kept.
+fn refusing() -> Line {
+    let mut line = Line::new(LineSettings {
+        max_waiting: 0,
+        max_returns: usize::MAX,
+        ..LineSettings::default()
+    });
+    for index in BATCH..BATCH + WAITING {
+        let _ = line.join(&arrival(index), NOW);
+    }
+    line
+}
+
+#[divan::bench]
+fn refuse(bencher: Bencher) {
+    bencher
+        .counter(ItemsCount::new(BATCH))
+        .with_inputs(refusing)
+        .bench_local_refs(|line| {
+            for index in 0..BATCH {
+                let _ = black_box(line.join(&arrival(index), NOW));
+            }
+        });
+}
+
 #[divan::bench]
 fn offer_in_vain(bencher: Bencher) {
     bencher
