line: the log names the accounts that were served most

An operator saw which accounts were refused, but not who was served in their place. line-state names the three accounts with the largest shares of about the last second.

--- a/crates/admission/src/line/mod.rs
+++ b/crates/admission/src/line/mod.rs
@@ -568,6 +568,23 @@
         LineRefusals { total, largest }
     }
 
+    /// The accounts with the largest shares in all that began in about the last second, in percent, and
+    /// no more than `most` of them.
+    pub fn largest_shares(&self, most: usize, now: Millis) -> Vec<(u32, u8)> {
+        let mut rates: HashMap<u32, f64> = HashMap::new();
+        let shares = self.groups.values().flat_map(|group| group.shares.values());
+        for (account, rate) in shares.flat_map(|shares| shares.rates(now)) {
+            *rates.entry(account).or_default() += rate;
+        }
+        let total: f64 = rates.values().sum();
+        let percent = |rate: f64| (100.0 * rate / total) as u8;
+        let shares = rates.into_iter();
+        let mut shares: Vec<(u32, u8)> = shares.map(|(key, rate)| (key, percent(rate))).collect();
+        shares.sort_unstable_by_key(|&(account, share)| (Reverse(share), account));
+        shares.truncate(most);
+        shares
+    }
+
     /// Takes the numbers of requests that came back since the last call.
     pub fn take_returns(&mut self, now: Millis) -> LineReturns {
         let mut kept = 0;
--- a/crates/admission/src/line/shares.rs
+++ b/crates/admission/src/line/shares.rs
@@ -41,6 +41,12 @@
         own.add(tokens, now);
     }
 
+    /// The rate at which the tokens of each account began.
+    pub(super) fn rates(&self, now: Millis) -> impl Iterator<Item = (u32, f64)> {
+        let accounts = self.accounts.iter();
+        accounts.map(move |(&account, tokens)| (account, tokens.rate(now)))
+    }
+
     /// The share of an account, in percent.
     pub(super) fn percent(&self, account: u32, now: Millis) -> u8 {
         let total = self.total.rate(now);
--- a/crates/admission/tests/admission/line.rs
+++ b/crates/admission/tests/admission/line.rs
@@ -727,6 +727,36 @@
     assert_eq!(line.take_refusals(2).total, 0);
 }
 
+/// The accounts that were served most are named, the largest share first.
+#[test]
+fn shares_are_counted_by_account() {
+    let mut line = Line::new(LineSettings::default());
+    assert_eq!(line.largest_shares(2, START), []);
+    for (group, account) in [
+        (1, 1),
+        (1, 2),
+        (2, 2),
+        (1, 3),
+        (2, 3),
+        (2, 3),
+        (1, 3),
+        (2, 2),
+    ] {
+        let wanted = LineArrival {
+            group,
+            ..arrival(1, account)
+        };
+        let key = join(&mut line, wanted, START);
+        begin(&mut line, key, START);
+    }
+    assert_eq!(line.largest_shares(2, START), [(3, 50), (2, 37)]);
+    // What was served long ago doesn't count beside what is.
+    let now = START + Millis(20_000);
+    let key = join(&mut line, arrival(1, 1), now);
+    begin(&mut line, key, now);
+    assert_eq!(line.largest_shares(1, now), [(1, 99)]);
+}
+
 /// Accounts that are gone from the configuration are forgotten, unless they have requests in line.
 #[test]
 fn idle_accounts_are_forgotten() {
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -411,16 +411,22 @@
     }
     let oldest = status.iter().map(|(_, status)| status.oldest).max();
     let table = shared.table();
-    let largest = refusals.largest.iter().map(|&(account, count)| {
+    let name = |account| {
         let name = table.as_ref().and_then(|table| table.account_name(account));
-        format!("{}:{count}", name.unwrap_or("none"))
-    });
+        name.unwrap_or("none")
+    };
+    let largest = refusals.largest.iter();
+    let largest = largest.map(|&(account, count)| format!("{}:{count}", name(account)));
     let largest: Vec<String> = largest.collect();
+    let shares = shared.placer.largest_line_shares(now).into_iter();
+    let shares = shares.map(|(account, share)| format!("{}:{share}%", name(account)));
+    let shares: Vec<String> = shares.collect();
     let event = Event::new("line-state")
         .with("waiting", waiting)
         .with("oldest", oldest.unwrap_or_default())
         .with("refused", refusals.total)
         .with("accounts", largest.join(","))
+        .with("shares", shares.join(","))
         .with("returns", returns.kept)
         .with("returned", returns.in_time)
         .with("early", returns.early);
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -92,6 +92,12 @@
         waiting.map_or_else(LineRefusals::default, WaitingRequests::take_refusals)
     }
 
+    /// The accounts that the line served most of late, with their shares in percent.
+    pub fn largest_line_shares(&self, now: Millis) -> Vec<(u32, u8)> {
+        let waiting = self.waiting.as_ref();
+        waiting.map_or_else(Vec::new, |waiting| waiting.largest_shares(now))
+    }
+
     /// Takes the numbers of requests that came back after a refusal since the last call.
     pub fn take_line_returns(&mut self, now: Millis) -> LineReturns {
         let waiting = self.waiting.as_mut();
--- a/crates/gateway/src/placing/shell.rs
+++ b/crates/gateway/src/placing/shell.rs
@@ -133,6 +133,11 @@
         lock(&self.placer).take_line_refusals()
     }
 
+    /// The accounts that the line served most of late, with their shares in percent.
+    pub(crate) fn largest_line_shares(&self, now: Millis) -> Vec<(u32, u8)> {
+        lock(&self.placer).largest_line_shares(now)
+    }
+
     /// Takes the numbers of requests that came back after a refusal since the last call.
     pub(crate) fn take_line_returns(&self, now: Millis) -> LineReturns {
         lock(&self.placer).take_line_returns(now)
--- a/crates/gateway/src/placing/waiting.rs
+++ b/crates/gateway/src/placing/waiting.rs
@@ -58,7 +58,7 @@
 /// needs the rest for a second wait and for its answer.
 const PATIENCE_DIVISOR: u64 = 3;
 
-/// Number of accounts that are named with their refusals.
+/// Number of accounts that are named with their refusals, and with their shares.
 const MAX_ACCOUNTS_NAMED: usize = 3;
 
 /// Identifies a request by its instance and that instance's number of it.
@@ -120,6 +120,11 @@
         self.line.take_refusals(MAX_ACCOUNTS_NAMED)
     }
 
+    /// The accounts that were served most of late, with their shares in percent.
+    pub(super) fn largest_shares(&self, now: Millis) -> Vec<(u32, u8)> {
+        self.line.largest_shares(MAX_ACCOUNTS_NAMED, now)
+    }
+
     /// Takes the numbers of requests that came back since the last call.
     pub(super) fn take_returns(&mut self, now: Millis) -> LineReturns {
         self.line.take_returns(now)
