http: the connection of an answer that is cut off closes at once

Cause: `RelayBody::cut_off` shut the connection to the server down, but async-h1's reader and the cancel handle still held the socket. With unread bytes in its receive buffer, a socket that is shut down and not closed answers the peer's probes with a window of zero, so a server that sends on waited until the reader was dropped: for a caller that doesn't read, the write timeout (15 s in the gateway). Seen in a hanging run: the receiving socket in FIN_WAIT2 with 5,120 unread bytes, the server's in CLOSE_WAIT with a persist timer.

Ruled out: the deadline's timer (it fired, and the end was reported), lost wakeups.

Change: the end of an answer drops both references, as its completion did already.

--- a/crates/http/src/client/relay_body.rs
+++ b/crates/http/src/client/relay_body.rs
@@ -141,8 +141,8 @@
         self.framing == Framing::Close
     }
 
-    /// Takes the answer for a stream of server-sent events, each of which is bounded in bytes. If it ends with its connection, it is cut
-    /// off unless it ends after an event and before the next one.
+    /// Takes the answer for a stream of server-sent events, each of which is bounded in bytes. If it ends
+    /// with its connection, it is cut off unless it ends after an event and before the next one.
     pub fn expect_events(&mut self) {
         self.meter.expect_events();
         if self.ends_with_connection() {
@@ -352,6 +352,10 @@
         if let Some(connection) = self.connection.take() {
             connection.shutdown();
         }
+        // The socket closes with its last holder. Until then a server that sends on waits for room in the
+        // receive buffer, and doesn't learn that its answer was cut off.
+        self.body = Body::empty();
+        self.cancel.disarm();
     }
 
     fn notify_end(&mut self, end: AnswerEnd) {
--- a/crates/http/tests/endless.rs
+++ b/crates/http/tests/endless.rs
@@ -242,6 +242,26 @@
     });
 }
 
+// The connection of an answer that is cut off must be closed at once, and not when its reader lets go of it: the
+// reader may wait for a caller that doesn't read, and the server would go on waiting for room.
+#[test_case(Flood::Chunks)]
+#[test_case(Flood::UntilClose)]
+#[test_case(Flood::EventLine)]
+fn connection_of_an_answer_that_is_cut_off_is_closed_before_its_reader_is_dropped(flood: Flood) {
+    block_on(async move {
+        let (server, closed) = flooding_server(flood, Pace::Fast).await;
+        let mut answer = send_to(server).await.unwrap();
+        if flood == Flood::EventLine {
+            answer.body.expect_events();
+        }
+        let mut bytes = Vec::new();
+        let read = with_timeout(answer.body.read_to_end(&mut bytes)).await;
+        read.unwrap_err();
+        with_timeout(closed.recv()).await.unwrap();
+        drop(answer);
+    });
+}
+
 // An answer whose announced length exceeds the limit is an error before its first byte.
 #[test]
 fn announced_length_above_the_limit_is_an_error() {
