http: the deadline ends a message whose source has failed

Cause: after its source had ended, a message was bounded by the write timeout alone, so that an answer which had arrived is delivered late, too. An answer that was cut off also counted as ended, and kept its caller's connection and buffers beyond the deadline if that caller didn't read.

Change: only a message that is whole outlasts its deadline.

Before: the new test failed (still open 5 s after a deadline of 0.1 s).

--- a/crates/http/src/transmit.rs
+++ b/crates/http/src/transmit.rs
@@ -16,6 +16,9 @@
 use crate::overdue::Overdue;
 use crate::stall::StallTimer;
 
+#[cfg(test)]
+mod tests;
+
 /// Size of the write buffer, in bytes.
 const BUFFER_BYTES: usize = 16 * 1024;
 
@@ -35,7 +38,7 @@
         Sink(cause: io::Error) {}
         /// The peer read nothing within the timeout.
         Stalled {}
-        /// The peer hadn't read the message by its deadline, and its source hadn't ended.
+        /// The peer hadn't read the message by its deadline, and its source hadn't come to its end.
         Overdue {}
     }
 }
@@ -77,7 +80,8 @@
     }
 
     fn poll_overdue(&mut self, cx: &mut Context<'_>) -> bool {
-        let overdue = self.overdue.as_mut().filter(|_| !self.finished);
+        let is_whole = self.finished && self.failure.is_none();
+        let overdue = self.overdue.as_mut().filter(|_| !is_whole);
         overdue.is_some_and(|overdue| overdue.poll_expired(cx))
     }
 
