routing: what waits for others counts, and a live stream's own prompt doesn't

* After a loss of the placer, three quarters of what other instances had sent to an engine were ignored where live streams are protected, as if the next prompt overtook it; the new placer heaped prompts on these engines.
The ranks of such prompts aren't known, so they count in full.
* A live stream's own prefill precedes its first event.
It counted as a pause: with a prompt of 400 ms every engine looked alike, and the stream wasn't protected after it.
* Where steps alone exceed the tolerable pause, no placement saves the stream, and nothing is charged.
* Where nothing protects live streams, the choice no longer computes their cost.

Both new tests failed before; the other set-ups that passed without the code taken out are changed so that they wouldn't. All tests of the crate pass.

--- a/crates/gateway/src/fleet/service.rs
+++ b/crates/gateway/src/fleet/service.rs
@@ -123,7 +123,7 @@
     pub(super) fn rebalance(&mut self) -> bool {
         let expected = self.event_tokens.zip(self.max_pause);
         let delays = expected.is_some_and(|(event_tokens, max_pause)| {
-            self.router.delays_live_streams(event_tokens, max_pause)
+            self.router.expects_live_delays(event_tokens, max_pause, false)
         });
         self.lanes.expect_delays(delays);
         let moved = self.lanes.rebalance(self.engines.iter().sum());
--- a/crates/routing/src/live_streams.rs
+++ b/crates/routing/src/live_streams.rs
@@ -18,6 +18,10 @@
 /// the streams pause for longer than the median, and some engines are slower than the mean.
 pub(crate) const PAUSE_TOLERANCE: f64 = 0.85;
 
+/// Fraction of the longest tolerable pause below which a pause that was expected to be too long no
+/// longer is. The expected pause follows the learned prefill rate, which swings.
+const RELEASED_TOLERANCE: f64 = 0.7;
+
 /// Variation of an event's way from the engine to the caller, in milliseconds.
 const NETWORK_JITTER: f64 = 20.0;
 
@@ -29,9 +33,24 @@
 }
 
 impl PauseModel {
+    /// Whether a stream beside prompts is expected to pause for longer than `max_pause`, at engines
+    /// that prefill `rate` tokens per millisecond. `was_expected` is the last answer.
+    pub(crate) fn expects_delays(&self, max_pause: Millis, rate: f64, was_expected: bool) -> bool {
+        let tolerance = if was_expected {
+            RELEASED_TOLERANCE
+        } else {
+            PAUSE_TOLERANCE
+        };
+        let steps = self.event_tokens * STEP_MS;
+        let chunks = self.event_tokens * CHUNK_TOKENS / rate;
+        let max_pause = max_pause.0 as f64;
+        steps < max_pause && steps + chunks > max_pause * tolerance
+    }
+
     /// Returns how much prefill may wait at an engine before a stream there pauses for longer than
-    /// `max_pause`, in milliseconds; `None` if no amount causes that. The engine prefills `rate`
-    /// tokens per millisecond, and its steps take `step_factor` times as long as usual.
+    /// `max_pause`, in milliseconds; `None` if no amount causes that, or the steps alone do. The
+    /// engine prefills `rate` tokens per millisecond, and its steps take `step_factor` times as long
+    /// as usual.
     pub(crate) fn tolerated_prefill(
         &self,
         max_pause: Millis,
@@ -41,7 +60,7 @@
         let max_pause = max_pause.0 as f64;
         let steps = self.event_tokens * STEP_MS * step_factor;
         let chunks = self.event_tokens * CHUNK_TOKENS / rate;
-        if steps + chunks <= max_pause * PAUSE_TOLERANCE {
+        if steps >= max_pause || steps + chunks <= max_pause * PAUSE_TOLERANCE {
             return None;
         }
         Some((max_pause - steps - NETWORK_JITTER).max(0.0))
--- a/crates/routing/src/queue_delay.rs
+++ b/crates/routing/src/queue_delay.rs
@@ -179,6 +179,11 @@
         placed.map(|request| request.sent.prefill_ms).sum()
     }
 
+    /// Returns the pending prefill of other instances' requests, in milliseconds.
+    pub(crate) fn remote_pending(&self) -> f64 {
+        self.remote_pending
+    }
+
     /// Sets the pending prefill of other instances' requests.
     pub(crate) fn set_remote_pending(&mut self, prefill_ms: f64) {
         self.remote_pending = prefill_ms;
--- a/crates/routing/src/router/expected.rs
+++ b/crates/routing/src/router/expected.rs
@@ -33,9 +33,9 @@
 /// Number of ended streams that are required before a server's pauses are considered.
 const MIN_STREAMS: u32 = 4;
 
-/// Cost for a live stream of a server whose median pause reaches the stream's maximum, in
-/// milliseconds. It exceeds any possible gain in time to first token, because a stream with too
-/// long a pause is late whatever its first token was.
+/// Cost of a live stream that pauses for longer than it tolerates, in milliseconds. It exceeds any
+/// possible gain in time to first token, because a stream with too long a pause is late whatever its
+/// first token was.
 pub(super) const PAUSE_COST: f64 = 300.0;
 
 /// Expected time above which engines of the spill-over lane are considered too, in milliseconds.
@@ -138,25 +138,25 @@
         let zone_cost = if same_zone { 0.0 } else { ZONE_COST };
         // All pending prefill counts for the choice, including that of requests which this one
         // would overtake, because its own tokens are decoded between their prefill chunks.
+        let mut delay_cost = 0.0;
         let (busy, wait) = if demand.central {
             let queue_delay = &state.queue_delay;
             let capacity_wait = self.wait_for_capacity(state, demand) * speed.step_factor();
             let all = queue_delay.central_estimate(pace, now);
             let ahead = queue_delay.wait_at_priority(demand.priority, pace, now);
-            let busy = self.relevant_prefill(demand, all, ahead);
+            // The ranks of what other instances sent aren't known.
+            let unranked = queue_delay.remote_pending() * pace;
+            let busy = self.relevant_prefill(demand, all, ahead + unranked);
+            if self.pauses.is_some() {
+                let shared = self.expected_shared_prefill(server, demand, locations);
+                delay_cost = self.live_delay_cost(state, demand, all, (own + shared) * pace);
+            }
             (busy + capacity_wait, ahead + capacity_wait)
         } else {
             let busy = state.queue_delay.estimate(pace, now).max(queue * pace);
             (busy, busy)
         };
         let pause_cost = pause_cost(state, demand.max_pause);
-        let delay_cost = if demand.central {
-            let shared = self.expected_shared_prefill(server, demand, locations);
-            let waiting = state.queue_delay.central_estimate(pace, now);
-            self.live_delay_cost(state, demand, waiting + (own + shared) * pace)
-        } else {
-            0.0
-        };
         let latency = self.latency.latency_ms() * (speed.step_factor() * pace - 1.0);
         let own_weight = if self.is_uneven { OWN_WEIGHT } else { 1.0 };
         let expected = pause_cost
--- a/crates/routing/src/router/live.rs
+++ b/crates/routing/src/router/live.rs
@@ -24,12 +24,17 @@
     }
 
     /// Whether a stream beside prompts is expected to pause for longer than `max_pause`.
-    pub fn delays_live_streams(&self, event_tokens: u32, max_pause: Millis) -> bool {
+    /// `was_expected` is the last answer, which changes only if the pause does by much.
+    pub fn expects_live_delays(
+        &self,
+        event_tokens: u32,
+        max_pause: Millis,
+        was_expected: bool,
+    ) -> bool {
         let model = PauseModel {
             event_tokens: f64::from(event_tokens),
         };
-        let tolerated = model.tolerated_prefill(max_pause, self.prefill_rate(), 1.0);
-        tolerated.is_some()
+        model.expects_delays(max_pause, self.prefill_rate(), was_expected)
     }
 
     /// Returns the time since the answer of the attempt began; `None` if it hasn't.
@@ -39,25 +44,23 @@
     }
 
     /// Returns the cost of choosing the server, in milliseconds, by the live streams that would
-    /// pause for too long if `prefill` milliseconds of prompts waited there: those that it runs, and
-    /// the request itself.
+    /// pause for too long: those that it runs, beside `waiting` milliseconds of prompts and the
+    /// request's `own`, and the request itself, whose own prefill precedes its first event.
     pub(super) fn live_delay_cost(
         &self,
         server: &Server,
         demand: &Demand<'_>,
-        prefill: f64,
+        waiting: f64,
+        own: f64,
     ) -> f64 {
-        if self.pauses.is_none() {
-            return 0.0;
-        }
-        let own = self.tolerated_prefill(server, demand);
-        let is_delayed = own.is_some_and(|tolerated| prefill > tolerated);
-        let delayed = server.live.delayed_by(prefill) + u32::from(is_delayed);
+        let tolerated = self.tolerated_prefill(server, demand);
+        let is_delayed = tolerated.is_some_and(|tolerated| waiting > tolerated);
+        let delayed = server.live.delayed_by(waiting + own) + u32::from(is_delayed);
         PAUSE_COST * f64::from(delayed)
     }
 
     /// Returns the part of the prefill that waits at a server which matters for the request, in
-    /// milliseconds: `all` of it, of which `ahead` goes before the request's own.
+    /// milliseconds: `all` of it, of which `ahead` may go before the request's own.
     ///
     /// Prompts that the request overtakes are prefilled between its tokens. Where the effect of
     /// that on live streams is known, it hardly matters for the others, which tolerate longer
@@ -83,10 +86,10 @@
         let tolerated = self.tolerated_prefill(state, demand);
         let own = state.speed.prefill_ms(prefill_tokens, &self.prefill_rate);
         let pace = state.speed.momentary_pace_over(own, now);
-        let prefill = state.queue_delay.central_estimate(pace, now) + own * pace;
+        let waiting = state.queue_delay.central_estimate(pace, now);
         let state = &mut self.servers[server];
-        state.live.record_prefill(prefill);
-        let tolerated = tolerated.filter(|tolerated| prefill <= *tolerated)?;
+        state.live.record_prefill(waiting + own * pace);
+        let tolerated = tolerated.filter(|tolerated| waiting <= *tolerated)?;
         Some(state.live.add(tolerated))
     }
 
--- a/crates/routing/tests/live_streams.rs
+++ b/crates/routing/tests/live_streams.rs
@@ -76,8 +76,10 @@
 /// isn't lost to prompts.
 #[test]
 fn a_short_prompt_may_run_beside_a_live_stream() {
-    let mut router = router(1, Some(EVENT_TOKENS));
+    let mut router = router(2, Some(EVENT_TOKENS));
+    let queued = send(&mut router, &prompt(SHORT), START);
     let stream = start_stream(&mut router, START);
+    assert_ne!(stream.server, queued.server);
     let beside = send(&mut router, &prompt(SHORT), START + Millis(50));
     assert_eq!(beside.server, stream.server);
 }
@@ -116,13 +118,53 @@
         "both engines get prompts alike"
     );
 
-    let mut router = self::router(2, Some(EVENT_TOKENS));
-    let ended = start_stream(&mut router, START);
-    router.done(ended.attempt, Outcome::Complete, 1, START + Millis(50));
-    let later = START + Millis(60);
-    let first = send(&mut router, &prompt(LONG), later);
-    let second = send(&mut router, &prompt(LONG), later);
-    assert_ne!(first.server, second.server);
+    for has_ended in [false, true] {
+        let mut router = self::router(2, Some(EVENT_TOKENS));
+        let queued = send(&mut router, &prompt(SHORT), START);
+        let stream = start_stream(&mut router, START);
+        if has_ended {
+            router.done(stream.attempt, Outcome::Complete, 1, START + Millis(40));
+        }
+        let next = send(&mut router, &prompt(LONG), START + Millis(50));
+        let expected = if has_ended { &stream } else { &queued };
+        assert_eq!(next.server, expected.server, "ended: {has_ended}");
+    }
+}
+
+/// Guards against engines with a queue of prompts from before the placer that get the next ones,
+/// because other instances have sent those.
+#[test]
+fn prompts_that_others_have_sent_count_in_full() {
+    let mut router = router(2, Some(EVENT_TOKENS));
+    let urgent = Demand {
+        priority: 1,
+        ..prompt(SHORT)
+    };
+    let own = send(&mut router, &urgent, START);
+    let other = send(&mut router, &urgent, START);
+    assert_ne!(own.server, other.server);
+    router.first_byte(other.attempt, START);
+    router.set_remote_pending(other.server, 400.0);
+    let next = send(&mut router, &urgent, START + Millis(1));
+    assert_eq!(next.server, own.server);
+}
+
+/// Guards against a live stream that isn't protected because its own prompt is long: that precedes
+/// its first event.
+#[test]
+fn a_live_stream_with_a_long_prompt_is_protected() {
+    let mut router = router(2, Some(EVENT_TOKENS));
+    let demand = Demand {
+        unique_tokens: LONG,
+        tokens: LONG,
+        ..live()
+    };
+    let stream = send(&mut router, &demand, START);
+    router.first_byte(stream.attempt, START + Millis(430));
+    let queued = send(&mut router, &prompt(SHORT), START + Millis(440));
+    assert_ne!(queued.server, stream.server);
+    let next = send(&mut router, &prompt(LONG), START + Millis(450));
+    assert_eq!(next.server, queued.server);
 }
 
 /// Guards against live streams that begin where prompts wait. Their first token comes soon, as the
@@ -153,8 +195,8 @@
     assert_eq!(next.server, less_urgent.server);
 }
 
-/// Without published tokens of an event, or without live streams, the choice is the one by the
-/// expected time to first token alone.
+/// Without published tokens of an event, or with neither live streams nor unequal ranks, the choice
+/// is the one by the expected time to first token alone.
 #[test]
 fn without_live_streams_the_choice_is_unchanged() {
     let picks = |event_tokens| {
