quarantine: a request waits for the check that would hold it back

ended_servers::a_request_that_two_servers_ended_under_is_served_again got 200 in place of 503. The logs of a failing run: the second server cuts the request at 11.1898, its caller sends it again at 11.192 and is served at 11.1941, and the check whether that server has ended is done only after 11.1973. What is sent again within the milliseconds of a check passed the quarantine and could end a third server.

A request now waits for the checks of servers that cut it if it would be held back should they have ended: half a second at most, and half of its remaining time. First cuts and what was served of late don't wait.

--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -435,12 +435,7 @@
     }
 
     fn count_end(&mut self, run: &Run, cut: Millis, now: Millis) {
-        let end = End {
-            server: run.server,
-            sent: signed(run.sent),
-            ended: signed(cut),
-            cleared: false,
-        };
+        let end = End::of_run(run, cut);
         self.merge_request(run.content.request, vec![end], now);
         // A part does harm from when the server begins to write, however long the request waited.
         let end = End {
--- a/crates/routing/src/quarantine/record.rs
+++ b/crates/routing/src/quarantine/record.rs
@@ -4,6 +4,8 @@
 
 use super::Incarnation;
 use super::ReportedEnd;
+use super::Run;
+use super::signed;
 
 /// Number of ends kept per request: those that ended first, and those that ended last. An end has its
 /// place by its own time and server, so that instances keep the same ones in whatever order they
@@ -34,6 +36,16 @@
 }
 
 impl End {
+    /// The end of the server that cut a run at `cut`.
+    pub(super) fn of_run(run: &Run, cut: Millis) -> End {
+        End {
+            server: run.server,
+            sent: signed(run.sent),
+            ended: signed(cut),
+            cleared: false,
+        }
+    }
+
     /// Its place among the ends of a request.
     fn place(&self) -> (i64, Incarnation) {
         (self.ended, self.server)
@@ -117,6 +129,13 @@
         count_consecutive(self.open())
     }
 
+    /// Like `consecutive_ends`, with further ends of other servers.
+    pub(super) fn ends_with(&self, further: &[End]) -> usize {
+        let mut ends: Vec<&End> = self.open().chain(further).collect();
+        ends.sort_by_key(|end| end.place());
+        count_consecutive(ends.into_iter())
+    }
+
     /// Like `consecutive_ends`, only those between two times.
     pub(super) fn ends_between(&self, from: i64, to: i64) -> usize {
         count_consecutive(self.open().filter(|end| (from..to).contains(&end.ended)))
--- a/crates/routing/src/quarantine/settings.rs
+++ b/crates/routing/src/quarantine/settings.rs
@@ -28,6 +28,9 @@
     /// Time from the last end that a quarantine needs until it is settled: other instances have heard of the
     /// ends by then, and have said whether they served the request since.
     pub settle: Millis,
+    /// How long a request waits at most for a check whether a server that cut it has ended, if that end would
+    /// quarantine it. This covers a connection attempt to the server and one to others, of 250 ms each.
+    pub check: Millis,
     /// Maximum number of remembered requests, and of remembered parts.
     pub capacity: usize,
 }
@@ -50,6 +53,7 @@
             common_suspects: 5,
             part_limit: 4,
             settle: Millis(1000),
+            check: Millis(500),
             capacity: 1024,
         }
     }
--- a/crates/routing/src/quarantine/settlement.rs
+++ b/crates/routing/src/quarantine/settlement.rs
@@ -30,13 +30,15 @@
     },
 }
 
-/// The wait of one request for a quarantine to settle, and its trial.
+/// The wait of one request for the check of a server that cut it and for a quarantine to settle, and its trial.
 ///
 /// Until a quarantine is settled another instance may say that it has served the request, which ends the
 /// quarantine. A request that was refused at once would be told to stay away for minutes.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SettlementWait {
     until: Option<Millis>,
+    /// Until when it waits for a check whether a server that cut it has ended.
+    check_until: Option<Millis>,
     /// Whether this request is the trial of its content.
     on_trial: bool,
 }
@@ -55,16 +57,16 @@
         deadline: Millis,
         now: Millis,
     ) -> Passage {
+        let longest = Millis(deadline.since(now).0 / WAIT_DIVISOR);
         let Err(held) = quarantine.admit(content, now) else {
             self.until = None;
-            return Passage::Open;
+            return self.wait_for_check(quarantine, content, longest, now);
         };
         // An attempt that wasn't run is followed by another one.
         if self.on_trial && quarantine.may_be_tried(content, now) {
             return Passage::Open;
         }
         let settles_in = quarantine.settles_in(content, now);
-        let longest = Millis(deadline.since(now).0 / WAIT_DIVISOR);
         let until = *self.until.get_or_insert(now + settles_in.min(longest));
         if now < until {
             return Passage::Wait(CHECK_INTERVAL.min(until.since(now)));
@@ -80,4 +82,25 @@
         };
         Passage::Refused { retry_after }
     }
+
+    /// A caller sends a request again within milliseconds after its answer was cut, and the check whether the
+    /// server has ended takes as long. Sent before its result, the request could end one server more.
+    fn wait_for_check(
+        &mut self,
+        quarantine: &Quarantine,
+        content: &RequestContent,
+        longest: Millis,
+        now: Millis,
+    ) -> Passage {
+        if !quarantine.is_being_checked(content.request, now) {
+            self.check_until = None;
+            return Passage::Open;
+        }
+        let longest = quarantine.settings.check.min(longest);
+        let until = *self.check_until.get_or_insert(now + longest);
+        if now >= until {
+            return Passage::Open;
+        }
+        Passage::Wait(CHECK_INTERVAL.min(until.since(now)))
+    }
 }
--- a/crates/routing/src/quarantine/verdict.rs
+++ b/crates/routing/src/quarantine/verdict.rs
@@ -8,6 +8,7 @@
 use super::QuarantineRefusal;
 use super::RequestContent;
 use super::SuspectKind;
+use super::record::End;
 use super::record::Record;
 use super::signed;
 
@@ -52,6 +53,19 @@
         left.max(self.recall_until.since(now))
     }
 
+    /// Whether a request would be quarantined if the servers that cut it and are being checked have ended.
+    pub(super) fn is_being_checked(&self, request: Fingerprint, now: Millis) -> bool {
+        let cuts = self.cuts.iter().filter(|cut| !cut.inconclusive);
+        let cuts = cuts.filter(|cut| cut.run.content.request == request);
+        let ends: Vec<End> = cuts.map(|cut| End::of_run(&cut.run, cut.at)).collect();
+        if ends.is_empty() || self.served.contains(request, now) {
+            return false;
+        }
+        let unknown = Record::default();
+        let record = self.requests.get(request).unwrap_or(&unknown);
+        record.ends_with(&ends) >= self.requests.limit
+    }
+
     pub(super) fn check_request(
         &self,
         request: Fingerprint,
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -281,6 +281,56 @@
     assert!(again.is_none(), "what is cleared isn't contradicted");
 }
 
+/// Guards against a third end under a request whose caller sends it again while the server that cut it is
+/// still being checked: it got an answer, or ended one server more, within 4 ms of the second end.
+#[test_case(Some(true), 10, true; "the server has ended")]
+#[test_case(Some(false), 10, false; "the server lives on")]
+#[test_case(None, 500, true; "the check goes on")]
+#[test_case(None, 501, false; "the check is late")]
+fn a_request_waits_for_the_check_of_the_server_that_would_be_its_second_end(
+    has_ended: Option<bool>,
+    after: u64,
+    held: bool,
+) {
+    let mut quarantine = Quarantine::default();
+    end(&mut quarantine, CONTENT, 1, START, 80);
+    let cut = START + 580;
+    assert!(quarantine.run_cut(run(CONTENT, 2, START + 500), Millis(cut)));
+    let deadline = Millis(cut + 5000);
+    let mut settlement = SettlementWait::default();
+    let mut check = |quarantine: &mut Quarantine, content: Fingerprint, after| {
+        settlement.check(quarantine, &content.into(), deadline, Millis(cut + after))
+    };
+    assert_eq!(check(&mut quarantine, OTHER, 1), Passage::Open);
+    let waits = check(&mut quarantine, CONTENT, 1);
+    assert!(matches!(waits, Passage::Wait(_)), "{waits:?}");
+    match has_ended {
+        Some(true) => assert_eq!(quarantine.server_ended(Incarnation(2), Millis(cut + 7)), 1),
+        Some(false) => quarantine.mark_inconclusive(Incarnation(2)),
+        None => {}
+    }
+    let passage = check(&mut quarantine, CONTENT, after);
+    assert_eq!(passage != Passage::Open, held, "{passage:?}");
+}
+
+/// Guards against a wait for checks that can't hold the request back, as after its first cut or if it was served
+/// of late, and against one that counts a check only once the one before has ended.
+#[test_case(1, false, false; "the first cut")]
+#[test_case(2, true, false; "two cuts, served of late")]
+#[test_case(2, false, true; "two cuts")]
+fn a_request_waits_for_checks_only_if_they_can_hold_it_back(cuts: u64, served: bool, waits: bool) {
+    let mut quarantine = Quarantine::default();
+    if served {
+        quarantine.served(&CONTENT.into(), Millis(START), Millis(START));
+    }
+    for server in 1..=cuts {
+        let sent = START + server * 10;
+        assert!(quarantine.run_cut(run(CONTENT, server, sent), Millis(sent + 5)));
+    }
+    let passage = passage(&mut quarantine, Millis(START + 30));
+    assert_eq!(matches!(passage, Passage::Wait(_)), waits, "{passage:?}");
+}
+
 /// Three instances that know each other, and that two servers have ended under `CONTENT`, the second one at
 /// `START + 580`.
 fn instances_with_two_ends() -> [Quarantine; 3] {
