--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -207,6 +207,18 @@
                     retry_after: retry_delay,
                 }))
             }
+            PlacementVerdict::Refused {
+                wait,
+                retry_delay,
+                standing,
+            } => {
+                metrics.count_placement("late");
+                self.line_standing = Some(standing);
+                Some(Err(NoServer {
+                    reason: routing::Reason::Late { wait },
+                    retry_after: retry_delay,
+                }))
+            }
             PlacementVerdict::Full { retry_delay } => {
                 metrics.count_placement("full");
                 Some(Err(NoServer {
@@ -251,6 +263,7 @@
         Some(LineTerms {
             account: account.map_or(0, short_hash),
             limit: limit.min(Millis(remaining.0 / LINE_DIVISOR)),
+            request: (self.job.content.request.0 as u32).max(1),
         })
     }
 
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -6,6 +6,7 @@
 use crocushold_admission::LineEnd;
 use crocushold_admission::LineGroupKey;
 use crocushold_admission::LineRefusals;
+use crocushold_admission::LineReturns;
 use crocushold_admission::LineStatus;
 use crocushold_admission::WaiterKey;
 use crocushold_base::Millis;
@@ -21,9 +22,10 @@
 use super::message::RequestEnd;
 use super::message::RequestUpdate;
 use super::message::UpdateKind;
+use super::refused::SentRefusals;
 use super::waiting::Decided;
 use super::waiting::WaitingRequests;
-use super::waiting::late;
+use super::waiting::refused;
 use crate::fleet::Choice;
 use crate::fleet::Fleet;
 use crate::fleet::ProbeTarget;
@@ -58,6 +60,8 @@
     doubted: HashMap<ServerKey, Vec<(Choice, Outcome)>>,
     /// The requests that wait in line; `None` if none may.
     waiting: Option<WaitingRequests>,
+    /// The refusals of the line that may have been lost.
+    refused: SentRefusals,
     /// Decisions on requests that waited, to be sent to their instances.
     replies: Vec<(SocketAddr, PlacementReply)>,
 }
@@ -88,6 +92,12 @@
         waiting.map_or_else(LineRefusals::default, WaitingRequests::take_refusals)
     }
 
+    /// Takes the numbers of requests that came back after a refusal since the last call.
+    pub fn take_line_returns(&mut self, now: Millis) -> LineReturns {
+        let waiting = self.waiting.as_mut();
+        waiting.map_or_else(LineReturns::default, |waiting| waiting.take_returns(now))
+    }
+
     /// Takes the decisions on requests that waited, to be sent to their instances.
     pub fn take_replies(&mut self) -> Vec<(SocketAddr, PlacementReply)> {
         std::mem::take(&mut self.replies)
@@ -141,6 +151,9 @@
         if self.placed.len() >= MAX_PLACED {
             return unable;
         }
+        if let Some(verdict) = self.refused.find(&(from, number), now) {
+            return PlacementReply { number, verdict };
+        }
         if let Some(terms) = request.line
             && self.waiting.is_some()
             && fleet.supports_line(&request.need, now)
@@ -199,7 +212,11 @@
                 fleet.record_demand(&request.need, &request.tried, now);
                 match waiting.join(fleet, asker, request, terms, now) {
                     Ok(group) => group,
-                    Err(refusal) => return reply(late(request, refusal)),
+                    Err(refusal) => {
+                        let verdict = refused(refusal);
+                        self.refused.record(asker, verdict, now);
+                        return reply(verdict);
+                    }
                 }
             }
         };
@@ -228,6 +245,9 @@
             let (from, number) = asker;
             let reply = PlacementReply { number, verdict };
             self.replies.push((from, reply));
+            if matches!(verdict, PlacementVerdict::Refused { .. }) {
+                self.refused.record(asker, verdict, now);
+            }
             if let Some((choice, waiter, remaining)) = placed {
                 let placed = PlacedRequest {
                     choice,
--- a/crates/gateway/src/placing/waiting.rs
+++ b/crates/gateway/src/placing/waiting.rs
@@ -12,6 +12,7 @@
 use crocushold_admission::LineGroupKey;
 use crocushold_admission::LineRefusal;
 use crocushold_admission::LineRefusals;
+use crocushold_admission::LineReturns;
 use crocushold_admission::LineScope;
 use crocushold_admission::LineStatus;
 use crocushold_admission::LineStep;
@@ -19,6 +20,7 @@
 use crocushold_base::Millis;
 use crocushold_routing::Reason;
 
+use super::message::LineStanding;
 use super::message::LineTerms;
 use super::message::PlacementRequest;
 use super::message::PlacementVerdict;
@@ -29,7 +31,11 @@
 
 /// How long a request stays in line without being asked for again: several of the intervals at which
 /// its instance asks. A process that is short of CPU time is late by two or three of them.
-const ABANDONED_AFTER: Millis = Millis(250);
+pub(super) const ABANDONED_AFTER: Millis = Millis(250);
+
+/// Interval at which all requests are checked for that. Those far behind in line are offered to no
+/// engine, and would count as ahead of others until the end of their wait.
+const SWEEP_INTERVAL: Millis = Millis(50);
 
 /// Interval at which the requests in a group are offered to its engines. Waits at engines shrink
 /// without an event, and this is a fraction of what an engine holds.
@@ -75,6 +81,13 @@
     full_until: Millis,
 }
 
+impl Held {
+    /// Whether its instance has stopped asking for it.
+    fn is_abandoned(&self, now: Millis) -> bool {
+        self.asked + ABANDONED_AFTER <= now
+    }
+}
+
 /// The requests that wait at this placer.
 #[derive(Debug, Default)]
 pub(super) struct WaitingRequests {
@@ -83,6 +96,8 @@
     askers: HashMap<WaiterKey, Asker>,
     /// When the requests of each group were last offered in vain.
     offered: HashMap<LineGroupKey, Millis>,
+    /// When all requests were last checked for being abandoned.
+    swept: Millis,
 }
 
 impl WaitingRequests {
@@ -103,6 +118,11 @@
         self.line.take_refusals(MAX_ACCOUNTS_NAMED)
     }
 
+    /// Takes the numbers of requests that came back since the last call.
+    pub(super) fn take_returns(&mut self, now: Millis) -> LineReturns {
+        self.line.take_returns(now)
+    }
+
     /// Records that an instance still waits for a request. Returns its group.
     pub(super) fn renew(&mut self, asker: &Asker, now: Millis) -> Option<LineGroupKey> {
         let held = self.held.get_mut(asker)?;
@@ -125,6 +145,7 @@
             group: fleet.line_group(need),
             rank: need.priority,
             account: terms.account,
+            request: terms.request,
             prompt_tokens: need.prompt_tokens,
             output_tokens: need.expected_output_tokens.min(need.max_output_tokens),
             // The wait at the engine follows the one in line.
@@ -162,6 +183,7 @@
 
     /// Offers the requests of all groups that are due.
     pub(super) fn offer_due(&mut self, fleet: &mut Fleet, now: Millis) -> Vec<Decided> {
+        self.leave_abandoned(now);
         let groups: Vec<LineGroupKey> = self.line.groups().collect();
         let decided = groups.into_iter();
         decided
@@ -169,6 +191,19 @@
             .collect()
     }
 
+    /// Removes the requests that weren't asked for again.
+    fn leave_abandoned(&mut self, now: Millis) {
+        if now < self.swept + SWEEP_INTERVAL {
+            return;
+        }
+        self.swept = now;
+        let abandoned = self.held.iter().filter(|(_, held)| held.is_abandoned(now));
+        let abandoned: Vec<Asker> = abandoned.map(|(asker, _)| *asker).collect();
+        for asker in abandoned {
+            self.leave(&asker, now);
+        }
+    }
+
     /// Offers the requests of a group to its engines, in their order. While it isn't due again, only
     /// the first is offered, which may have just arrived or find what was just freed.
     pub(super) fn offer(
@@ -236,10 +271,10 @@
 
     fn refuse(&mut self, waiter: WaiterKey, refusal: LineRefusal) -> Option<Decided> {
         let asker = self.askers.remove(&waiter)?;
-        let held = self.held.remove(&asker)?;
+        self.held.remove(&asker)?;
         Some(Decided {
             asker,
-            verdict: late(&held.request, refusal),
+            verdict: refused(refusal),
             placed: None,
         })
     }
@@ -259,7 +294,7 @@
             self.line.leave(waiter, now);
             return Offered::Gone;
         };
-        if held.asked + ABANDONED_AFTER <= now {
+        if held.is_abandoned(now) {
             self.leave(&asker, now);
             return Offered::Gone;
         }
@@ -309,11 +344,14 @@
     InVain,
 }
 
-/// The verdict on a request that isn't run.
-pub(super) fn late(request: &PlacementRequest, refusal: LineRefusal) -> PlacementVerdict {
-    let limit = request.line.map(|terms| terms.limit);
-    PlacementVerdict::Late {
-        wait: limit.unwrap_or_default(),
+/// The verdict on a request that the line refuses.
+pub(super) fn refused(refusal: LineRefusal) -> PlacementVerdict {
+    PlacementVerdict::Refused {
+        wait: refusal.wait,
         retry_delay: refusal.retry_after,
+        standing: LineStanding {
+            ahead: refusal.ahead,
+            share: refusal.share,
+        },
     }
 }
