Updates with a pace are decoded by a placer of the earlier version

Instances of two versions run side by side during a release. The pace of an engine was sent as a variant of its own, which the version before can't decode: its placer dropped the whole packet, with the ends in it, and freed the slots after the deadlines of their requests.

The update is sent as the earlier variant again, and the paces follow the packet as a trailer. The earlier version ignores bytes after a packet. The variant that sends is still decoded.

--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -63,18 +63,6 @@
     ColdPhases(Vec<ColdPhase>),
 }
 
-impl Packet {
-    /// Encodes the packet.
-    pub fn encode(&self) -> Vec<u8> {
-        postcard::to_allocvec(self).expect("numbers, names and addresses always serialise")
-    }
-
-    /// Decodes a packet; `None` if the bytes aren't a valid packet.
-    pub fn decode(bytes: &[u8]) -> Option<Packet> {
-        postcard::from_bytes(bytes).ok()
-    }
-}
-
 /// A request for the placement of a caller's request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlacementRequest {
@@ -167,7 +155,8 @@
     /// The request has ended.
     Ended(RequestEnd),
     /// The answer has begun, at an engine that reported the numbers of running and waiting requests,
-    /// and how long work takes there at this moment, in percent of the usual time.
+    /// and how long work takes there at this moment, in percent of the usual time. It is encoded as
+    /// [`UpdateKind::Started`] with a trailer; only one earlier version sends the variant itself.
     StartedAtPace([u32; 2], u16),
 }
 
@@ -198,10 +187,23 @@
         })
     }
 
+    /// How long work takes at the engine, in percent of the usual time, if the update tells it.
+    pub(super) fn pace(&self) -> Option<u16> {
+        match *self {
+            UpdateKind::StartedAtPace(_, percent) => Some(percent),
+            UpdateKind::Started(_) | UpdateKind::Ended(_) => None,
+        }
+    }
+
+    /// The update as versions that know no pace understand it.
+    pub(super) fn without_pace(self) -> UpdateKind {
+        match self {
+            UpdateKind::StartedAtPace(requests, _) => UpdateKind::Started(Some(requests)),
+            UpdateKind::Started(_) | UpdateKind::Ended(_) => self,
+        }
+    }
+
     /// The answer has begun, with the engine's load report.
-    ///
-    /// An instance of an earlier version can't decode the pace, and ignores the packet. It then learns
-    /// of the end of the request by its expiry, as if the packet were lost.
     pub fn started(load: Option<LoadReport>) -> UpdateKind {
         let requests = |load: LoadReport| [load.running, load.waiting];
         match load.and_then(|load| Some((load, load.work_percent?))) {
--- a/crates/gateway/src/placing/mod.rs
+++ b/crates/gateway/src/placing/mod.rs
@@ -24,6 +24,7 @@
 mod placer;
 mod shell;
 mod waiting;
+mod wire;
 
 pub use client::PlacementClient;
 pub use client::PlacementId;
--- a/crates/gateway/tests/placer.rs
+++ b/crates/gateway/tests/placer.rs
@@ -23,6 +23,7 @@
 use crocushold_gateway::UpdateKind;
 use crocushold_routing::LoadReport;
 use crocushold_routing::Outcome;
+use serde::Deserialize;
 use test_case::test_case;
 
 const ENGINES: u8 = 3;
@@ -335,6 +336,75 @@
     assert_eq!(packet.encode(), bytes);
 }
 
+/// The packets of the version before paces, up to the updates.
+#[derive(Debug, PartialEq, Deserialize)]
+enum EarlierPacket {
+    Gossip,
+    Request,
+    Reply,
+    Updates(Vec<EarlierUpdate>),
+}
+
+#[derive(Debug, PartialEq, Deserialize)]
+struct EarlierUpdate {
+    number: u32,
+    kind: EarlierKind,
+}
+
+#[derive(Debug, PartialEq, Deserialize)]
+enum EarlierKind {
+    Started(Option<[u32; 2]>),
+    Ended(RequestEnd),
+}
+
+/// Guards against updates with a pace that a placer of the version before can't decode during a release: it
+/// would take the slots of these requests, and of those whose ends are in the same packet, for used until their
+/// deadlines.
+#[test]
+fn updates_with_a_pace_are_decoded_by_the_earlier_version() {
+    let paced = [
+        UpdateKind::StartedAtPace([1, 2], 250),
+        ended(10),
+        UpdateKind::StartedAtPace([3, 0], 80),
+    ];
+    let bytes = Packet::Updates(paced.map(|kind| update(7, kind)).to_vec()).encode();
+    let UpdateKind::Ended(end) = ended(10) else {
+        unreachable!("it is an end");
+    };
+    let kinds = [
+        EarlierKind::Started(Some([1, 2])),
+        EarlierKind::Ended(end),
+        EarlierKind::Started(Some([3, 0])),
+    ];
+    let number = 7;
+    let updates = kinds.map(|kind| EarlierUpdate { number, kind });
+    let decoded: EarlierPacket = postcard::from_bytes(&bytes).expect("the format is known");
+    assert_eq!(decoded, EarlierPacket::Updates(updates.into()));
+}
+
+/// Guards against losing the paces, or the slots, that the one version which sent paces as a variant of
+/// their own tells the placer during the next release.
+#[test]
+fn paces_of_the_version_between_are_decoded() {
+    let bytes = [3, 1, 7, 2, 1, 2, 0xfa, 1];
+    let packet = Packet::Updates(vec![update(7, UpdateKind::StartedAtPace([1, 2], 250))]);
+    assert_eq!(Packet::decode(&bytes), Some(packet));
+}
+
+/// Guards against updates that are lost with their trailer: one that is cut, of a later version, or about
+/// updates that aren't there, or have no load, is ignored.
+#[test_case(&[]; "none")]
+#[test_case(&[2, 0]; "cut")]
+#[test_case(&[0xff; 20]; "unknown")]
+#[test_case(&[1, 9, 0xfa, 1]; "another_update")]
+#[test_case(&[1, 1, 0xfa, 1]; "an_update_without_load")]
+fn updates_are_used_without_their_trailer(trailer: &[u8]) {
+    let updates = [UpdateKind::Started(Some([1, 2])), UpdateKind::Started(None)];
+    let packet = Packet::Updates(updates.map(|kind| update(7, kind)).to_vec());
+    let bytes = [&packet.encode(), trailer].concat();
+    assert_eq!(Packet::decode(&bytes), Some(packet));
+}
+
 /// The pace that an engine reports with an answer is told along with its load, and otherwise the
 /// update is that of the earlier version.
 #[test]
