Callers refused just after a start return when the instance can serve

A service without servers named a fixed second, or half of one, though servers that start with an instance are announced a moment later. A store that was to be asked again after its own pause wasn't counted in the time of callers without a configuration.

`ReturnTimes` decides it from what the start has reached: without a configuration, no earlier than the next read can have ended; without servers, in the first 3 s of the configuration, after the time that has passed since, 0.2 to 1 s, urgent callers first, each group spread. It never names a later time than before for a service without servers.

Tests without a network: the times by state, their spread and order.

--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -290,8 +290,19 @@
         self.unserved = reason.is_unserved();
         let duration = match reason {
             Reason::Late => none.retry_after,
+            Reason::NoServer => self.unserved_delay(none.retry_after.max(MIN_RETRY_AFTER)),
             _ => none.retry_after.max(MIN_RETRY_AFTER),
         };
         self.final_refusal(reason, Some(duration))
     }
+
+    /// When to retry while the service has no servers: earlier than after `usual` if the instance has
+    /// just started, since servers that started with it are announced soon.
+    fn unserved_delay(&self, usual: Millis) -> Millis {
+        let shared = self.shared;
+        let draw = shared.return_draw(&self.job.id);
+        let returns = shared.start.returns();
+        let delay = returns.unserved(shared.clock.now(), self.job.need.priority, draw);
+        delay.map_or(usual, |delay| delay.min(usual))
+    }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -245,6 +245,7 @@
                 .min(STARTUP_BACKOFF_CAP),
             _ => self.backoff.next_pause(&mut self.jitter),
         };
+        shared.start.record_failed_read(shared.clock.now() + pause);
         task::sleep(pause.into()).await;
     }
 
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -36,12 +36,11 @@
 use crate::routes::Route;
 use crate::routes::RouteTable;
 use crate::shared::Shared;
-use crate::start::return_delay;
 
 #[cfg(test)]
 mod tests;
 
-/// `Retry-After` while the route's service has no server at all.
+/// `Retry-After` while the route has no service.
 const UNSERVED_RETRY: Millis = Millis::from_secs(1);
 
 /// `Retry-After` during shutdown: another instance can take the request at once, but callers
@@ -356,8 +355,8 @@
     shared.start.wait_for_read(meta.timeout).await;
     shared.table().ok_or_else(|| {
         let id = meta.id.as_deref().unwrap_or_default();
-        let draw = XxHash3_64::oneshot_with_seed(shared.seed, id.as_bytes());
-        let delay = return_delay(shared.clock.now(), draw);
+        let returns = shared.start.returns();
+        let delay = returns.unconfigured(shared.clock.now(), shared.return_draw(id));
         Refusal::later(Reason::NoConfiguration, delay)
     })
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -147,6 +147,7 @@
 pub use source::SourceError;
 pub use source::WatchTimes;
 pub use start::FirstRead;
+pub use start::ReturnTimes;
 pub use start::first_placer_wait;
 pub use start::return_delay;
 pub use trace::trace;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -21,6 +21,7 @@
 use crocushold_routing::Outcome;
 use crocushold_routing::Quarantine;
 use log::info;
+use twox_hash::XxHash3_64;
 
 use crate::directory::Directory;
 use crate::fleet::BrittleService;
@@ -42,7 +43,6 @@
 use crate::relay::RelayPeers;
 use crate::resumption::OriginService;
 use crate::routes::RouteTable;
-use crate::start::FirstRead;
 use crate::start::Start;
 use crate::store_watch::StoreWatch;
 
@@ -162,7 +162,7 @@
         let mut held = self.table.write().unwrap_or_else(PoisonError::into_inner);
         *held = Some(Arc::new(table));
         drop(held);
-        self.start.set_first_read(FirstRead::Idle);
+        self.start.record_configured(self.clock.now());
     }
 
     /// Sets the handle of the callers' listener, whose limits depend on the configuration.
@@ -306,6 +306,11 @@
         lock(&self.relays)
     }
 
+    /// A number that spreads the callers of refused requests in time, by the request's ID.
+    pub(crate) fn return_draw(&self, id: &str) -> u64 {
+        XxHash3_64::oneshot_with_seed(self.seed, id.as_bytes())
+    }
+
     /// Records that this process was paused, or got no processor time, until `now`.
     pub(crate) fn record_resumed(&self, now: Millis) {
         self.resumed_at.store(now.0, Ordering::Relaxed);
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -18,6 +18,11 @@
 
 use crate::sharing::Gossip;
 
+mod returns;
+
+pub use self::returns::ReturnTimes;
+pub use self::returns::return_delay;
+
 /// Longest wait for the first configuration. Live requests still meet most targets after it, and
 /// it is the time that a request may wait for a server.
 const MAX_WAIT: Millis = Millis(500);
@@ -34,11 +39,6 @@
 const PLACER_WAIT: Millis = Millis(100);
 const PLACER_WAIT_DIVISOR: u64 = 10;
 
-/// Shortest and longest time after which a caller is asked to return, before it is spread. The
-/// shortest is the time in which a narrow link carries a large configuration.
-const MIN_RETURN: Millis = Millis(200);
-const MAX_RETURN: Millis = Millis(650);
-
 /// The steps of a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
@@ -99,15 +99,6 @@
     Millis(remaining.0 / PLACER_WAIT_DIVISOR).min(PLACER_WAIT)
 }
 
-/// When a caller that can't be served yet should return, `elapsed` after the start.
-///
-/// What has lasted for some time is likely to last about as long again. `draw` spreads the callers
-/// over half of that time, so that they don't return in the same moment.
-pub fn return_delay(elapsed: Millis, draw: u64) -> Millis {
-    let expected = elapsed.max(MIN_RETURN).min(MAX_RETURN);
-    Millis(expected.0 + draw % (expected.0 / 2))
-}
-
 /// The progress of a start.
 #[derive(Default)]
 pub(crate) struct Start {
@@ -115,6 +106,7 @@
     taken: AtomicU8,
     first_read: Mutex<FirstRead>,
     read_ended: Signal,
+    returns: Mutex<ReturnTimes>,
 }
 
 impl Start {
@@ -154,6 +146,22 @@
         }
     }
 
+    /// Records that the store couldn't be read, and is asked again at `next_read`.
+    pub(crate) fn record_failed_read(&self, next_read: Millis) {
+        lock(&self.returns).record_failed_read(next_read);
+    }
+
+    /// Records that a configuration was put in force.
+    pub(crate) fn record_configured(&self, now: Millis) {
+        lock(&self.returns).record_configured(now);
+        self.set_first_read(FirstRead::Idle);
+    }
+
+    /// When callers should return that can't be served just after the start.
+    pub(crate) fn returns(&self) -> ReturnTimes {
+        *lock(&self.returns)
+    }
+
     /// Waits for the end of the first read of the store, for as long as a request may whose caller
     /// gives it `caller_limit`.
     pub(crate) async fn wait_for_read(&self, caller_limit: Option<Millis>) {
--- a/crates/gateway/tests/fleet_start.rs
+++ b/crates/gateway/tests/fleet_start.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::ops::Range;
 
 use crocushold_base::Millis;
 use crocushold_gateway::FirstRead;
@@ -11,6 +12,7 @@
 use crocushold_gateway::Load;
 use crocushold_gateway::Message;
 use crocushold_gateway::Packet;
+use crocushold_gateway::ReturnTimes;
 use crocushold_gateway::first_placer_wait;
 use crocushold_gateway::return_delay;
 use test_case::test_case;
@@ -366,3 +368,50 @@
         );
     }
 }
+
+/// Guards against sending callers away for a fixed time, or until after a lost store is asked again: without a
+/// configuration they return once the next read can have ended, spread, and within a second.
+#[test_case(Millis(20), Millis(0), 200..300; "the first read runs")]
+#[test_case(Millis(50), Millis(300), 450..675; "the store is asked again in a moment")]
+#[test_case(Millis(500), Millis(600), 500..750; "the outage has lasted longer than that")]
+#[test_case(Millis(30_000), Millis(30_100), 650..975; "a long outage")]
+#[test_case(Millis(50), Millis(9000), 650..975; "the store asks for more time than callers have")]
+fn callers_return_when_the_store_can_have_been_read(
+    now: Millis,
+    next_read: Millis,
+    expected: Range<u64>,
+) {
+    let mut returns = ReturnTimes::default();
+    returns.record_failed_read(next_read);
+    let delays: BTreeSet<u64> = (0..1000)
+        .map(|draw| returns.unconfigured(now, draw * 7919).0)
+        .collect();
+    assert!(delays.len() >= 50, "{} moments", delays.len());
+    assert!(
+        delays.iter().all(|delay| expected.contains(delay)),
+        "{delays:?}"
+    );
+}
+
+/// Guards against a second's absence of callers whose servers are announced a moment after the start: they
+/// return soon, spread, and the urgent ones first. A service that loses its servers later is no start.
+#[test]
+fn callers_of_servers_that_start_as_well_return_soon_and_in_order() {
+    let mut returns = ReturnTimes::default();
+    assert_eq!(returns.unserved(Millis(100), 0, 0), None);
+    returns.record_configured(Millis(400));
+    // A later configuration is no start.
+    returns.record_configured(Millis(5000));
+    for (now, latest) in [(400, 300), (800, 600), (2000, 975)] {
+        let delays = |rank| -> BTreeSet<Millis> {
+            let delays = (0..1000).map(|draw| returns.unserved(Millis(now), rank, draw * 7919));
+            delays.map(|delay| delay.expect("a start")).collect()
+        };
+        let [urgent, usual, last] = [0, 1, 200].map(delays);
+        assert!(urgent.len() >= 30, "{} moments", urgent.len());
+        assert!(urgent.first() >= Some(&Millis(200)));
+        assert!(urgent.last() < usual.first() && usual.last() < last.first());
+        assert!(last.last() <= Some(&Millis(latest)), "{last:?}");
+    }
+    assert_eq!(returns.unserved(Millis(3400), 0, 0), None);
+}
