A collector or placer whose process is gone is replaced at once

A killed placer was replaced after 1.2 s of silence: two of the longest intervals between messages and a lost one. Less silence proves nothing, since a process that is paused or short of processor time is silent as well, and would be replaced and come back.

An instance now questions whoever is silent by an empty datagram from a socket of its own. The system of a machine refuses it if no process has the port; one that is paused keeps its port. What is refused is passed over until it is heard again, and the next collector is found as after a start. Without a refusal all is as before.

--- a/crates/gateway/src/placing/shell.rs
+++ b/crates/gateway/src/placing/shell.rs
@@ -64,6 +64,8 @@
     /// Whether this instance has just started and is about to know a placer.
     expected: AtomicBool,
     found: Signal,
+    /// The placer that a question of the last round got no answer from.
+    unanswered: Mutex<Option<SocketAddr>>,
 }
 
 /// Cancels a pending placement request if the caller's request is dropped.
@@ -167,6 +169,11 @@
         }
     }
 
+    /// Takes the placer that hasn't answered a question since the last call.
+    pub(crate) fn take_unanswered(&self) -> Option<SocketAddr> {
+        lock(&self.unanswered).take()
+    }
+
     /// Sets whether this instance is about to know a placer.
     pub(crate) fn set_expected(&self, expected: bool) {
         let before = self.expected.swap(expected, Ordering::Relaxed);
@@ -248,6 +255,7 @@
                 waited,
             });
         }
+        *lock(&self.unanswered) = Some(placement_id.placer);
         let backs_off = lock(&self.client).time_out(placement_id, query.clock.now());
         if backs_off {
             let event = Event::new("placer-silent").with("placer", placement_id.placer);
--- a/crates/gateway/src/sharing/joining.rs
+++ b/crates/gateway/src/sharing/joining.rs
@@ -34,6 +34,8 @@
 pub(super) struct Joining {
     /// When this instance began to look for others.
     since: Option<Millis>,
+    /// When it began to look for another collector, since the one before was gone.
+    rejoined: Option<Millis>,
     /// When the next hello is due.
     next_hello: Millis,
     /// Number of hellos sent. Instances start at different seeds, so that each seed gets a part of
@@ -59,10 +61,17 @@
         }
     }
 
-    /// Whether this instance has just started.
+    /// Whether this instance has just started, or lost its collector.
     pub(super) fn is_active(&mut self, now: Millis) -> bool {
         let since = *self.since.get_or_insert(now);
-        now.since(since) < SPAN
+        now.since(self.rejoined.unwrap_or(since)) < SPAN
+    }
+
+    /// Makes this instance look for a collector as after a start. Requests don't wait for it: this
+    /// instance knows what the others sent.
+    pub(super) fn rejoin(&mut self, now: Millis) {
+        self.rejoined = Some(now);
+        self.introduced.clear();
     }
 
     /// Whether this instance began to look for others a moment ago.
--- a/crates/gateway/src/sharing/members.rs
+++ b/crates/gateway/src/sharing/members.rs
@@ -27,9 +27,16 @@
     last_heard: Millis,
     /// It isn't chosen as collector before this time, because it was unresponsive.
     suspended_until: Millis,
+    /// When its process was found not to run. It doesn't count until it is heard after that.
+    gone_at: Option<Millis>,
 }
 
 impl Member {
+    fn is_gone(&self) -> bool {
+        self.gone_at
+            .is_some_and(|gone_at| self.last_heard <= gone_at)
+    }
+
     fn entry(&self, now: Millis) -> MemberEntry {
         MemberEntry {
             identity: self.identity,
@@ -111,11 +118,26 @@
         }
     }
 
+    /// Records that no process runs at the address of an instance. Returns whether that is news.
+    pub fn record_gone(&mut self, address: &SocketAddr, now: Millis) -> bool {
+        let member = self.members.get_mut(address);
+        member.is_some_and(|member| {
+            let is_news = !member.is_gone();
+            member.gone_at = Some(now);
+            is_news
+        })
+    }
+
+    /// Whether no process ran at the address of an instance when it was last questioned.
+    pub fn is_gone(&self, address: &SocketAddr) -> bool {
+        self.members.get(address).is_some_and(Member::is_gone)
+    }
+
     /// The collector of a zone: the instance with the highest spare capacity, and among equals that
     /// with the lowest address. All instances that know the same members agree on it.
     pub fn collector(&self, zone: u32, now: Millis) -> Option<SocketAddr> {
         let others = self.members.values();
-        let eligible = others.filter(|member| member.suspended_until <= now);
+        let eligible = others.filter(|member| member.suspended_until <= now && !member.is_gone());
         let others = eligible.map(|member| &member.identity);
         let all = others.chain(std::iter::once(&self.me));
         let own_zone = all.filter(|identity| identity.zone == zone);
@@ -133,6 +155,7 @@
     pub fn placer(&self, collectors: impl Iterator<Item = SocketAddr>) -> SocketAddr {
         let known = collectors.filter_map(|address| self.members.get(&address));
         let all = known
+            .filter(|member| !member.is_gone())
             .map(|member| &member.identity)
             .chain(std::iter::once(&self.me));
         let best = all.min_by_key(|identity| (Reverse(identity.capacity), identity.address));
@@ -240,6 +263,7 @@
             identity,
             last_heard,
             suspended_until: Millis::ZERO,
+            gone_at: None,
         });
         if last_heard >= member.last_heard {
             member.identity = identity;
--- a/crates/gateway/src/sharing/mod.rs
+++ b/crates/gateway/src/sharing/mod.rs
@@ -14,8 +14,8 @@
 //!
 //! Nothing depends on gossip. A lost message makes a choice slightly worse, and without any
 //! messages an instance goes by its own requests. Messages are datagrams. There is no dedicated
-//! collector: every instance that receives loads is one, and if it doesn't respond, another one is
-//! used after a second.
+//! collector: every instance that receives loads is one. If its process is gone, another one is used
+//! at once, and if it doesn't respond for another reason, after a second.
 
 mod contact;
 mod handover;
@@ -24,6 +24,7 @@
 mod message;
 mod notices;
 mod prefix_relay;
+mod presence;
 mod shell;
 mod spread;
 mod state;
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -26,6 +26,7 @@
 use super::message::Identity;
 use super::message::MAX_MESSAGE_BYTES;
 use super::notices::notice_packets;
+use super::presence::find_gone;
 use super::spread::packet;
 use super::state::Gossip;
 use super::state::LoadSum;
@@ -256,6 +257,10 @@
             live = round.live;
             info!("{}", Event::new("peers-changed").with("live", live));
         }
+        if !round.silent.is_empty() {
+            let (shared, socket, state) = (shared.clone(), socket.clone(), state.clone());
+            task::spawn(replace_gone(shared, socket, state, me, round.silent));
+        }
         for (target, packet) in round.packets {
             send_packets(&socket, target, [packet]).await;
         }
@@ -302,6 +307,28 @@
     }
 }
 
+/// Finds out which of the silent instances are gone, and looks for others in their place.
+async fn replace_gone(
+    shared: Arc<Shared>,
+    socket: Arc<UdpSocket>,
+    state: Arc<Mutex<Gossip>>,
+    me: SocketAddr,
+    silent: Vec<SocketAddr>,
+) {
+    let mut is_news = false;
+    for peer in find_gone(me.ip(), silent).await {
+        if lock(&state).record_gone(peer, shared.clock.now()) {
+            is_news = true;
+            info!("{}", Event::new("peer-gone").with("peer", peer));
+        }
+    }
+    if is_news {
+        take_step(&shared, &socket, &state, me).await;
+        let placer = lock(&state).placer(shared.clock.now());
+        publish_placer(&shared, placer, me);
+    }
+}
+
 fn publish_placer(shared: &Shared, placer: Option<SocketAddr>, me: SocketAddr) {
     let is_placer = placer == Some(me);
     shared.fleet().set_placer(is_placer);
@@ -328,6 +355,8 @@
     expects_placer: bool,
     /// Whether some engines with a queue couldn't be listed.
     is_truncated: bool,
+    /// The instances of which it is to be found out whether they run.
+    silent: Vec<SocketAddr>,
 }
 
 impl Round {
@@ -347,9 +376,14 @@
         packets.extend(notice_packets(&mut shared.fleet(), &state, now));
         let gossip = messages.into_iter();
         packets.extend(gossip.map(|(to, message)| (to, Packet::Gossip(message))));
+        let mut silent = state.silent_peers(now);
+        silent.extend(shared.placer.take_unanswered());
+        silent.sort_unstable();
+        silent.dedup();
         Round {
             now,
             packets,
+            silent,
             others: state.others_load(now),
             cached: state.take_cached_prefixes(),
             live: state.live_members(),
--- a/crates/gateway/src/sharing/state.rs
+++ b/crates/gateway/src/sharing/state.rs
@@ -32,6 +32,17 @@
 /// intervals between a collector's messages, plus a lost message.
 const COLLECTOR_TIMEOUT: Millis = Millis(1200);
 
+/// Longest interval of a sender's messages while they have a load, and while they have none, each with a
+/// lost or late message. A sender that is silent for longer is questioned.
+const LOADED_SILENCE: Millis = Millis(250);
+const IDLE_SILENCE: Millis = Millis(600);
+
+/// How long a collector may be silent before it is questioned, if another one appears in its zone.
+const DOUBLED_SILENCE: Millis = Millis(150);
+
+/// Maximum number of instances that are questioned in a round: the zones of the largest deployment.
+const MAX_QUESTIONED: usize = 24;
+
 /// Number of rounds between messages without news, which show that the sender is alive.
 const KEEPALIVE_ROUNDS: u64 = 5;
 
@@ -65,6 +76,17 @@
         }
         self.received_at = now;
     }
+
+    /// How long the sender may be silent. After a load it always sends another message, at least one
+    /// that is empty.
+    fn longest_silence(&self) -> Millis {
+        let mut loads = self.parts.values().map(|(load, _)| load);
+        if loads.any(|load| !load.is_empty()) {
+            LOADED_SILENCE
+        } else {
+            IDLE_SILENCE
+        }
+    }
 }
 
 /// Sum of the loads of several instances.
@@ -532,6 +554,7 @@
         let last_received = self.fleet.as_ref()?.received_at;
         self.placer
             .filter(|_| now.since(last_received) <= COLLECTOR_TIMEOUT)
+            .filter(|placer| !self.members.is_gone(placer))
     }
 
     /// The placer, if it is another instance.
@@ -560,6 +583,55 @@
         self.members.in_turn(self.rounds.wrapping_add(self.seed))
     }
 
+    /// The instances to be questioned whether their processes run: the collector, and those of other
+    /// zones, that are silent. While others take this instance or another one for the collector, they
+    /// may know that it is gone.
+    ///
+    /// A process that is paused, or has little processor time, is silent as well, and stays what it
+    /// is: only one that is found not to run is passed to [`Gossip::record_gone`].
+    pub fn silent_peers(&self, now: Millis) -> Vec<SocketAddr> {
+        let mut silent = Vec::new();
+        if let Some((collector, since)) = self.collector {
+            let received = self.fleet.as_ref();
+            let last = received.map_or(Millis::ZERO, |fleet| fleet.received_at);
+            let longest = received.map_or(IDLE_SILENCE, ReceivedLoad::longest_silence);
+            if now.since(last.max(since)) > longest || !self.reports.is_empty() {
+                silent.push(collector);
+            }
+        }
+        let mut senders: BTreeMap<u32, usize> = BTreeMap::new();
+        for (zone, _) in self.zones.values() {
+            *senders.entry(*zone).or_default() += 1;
+        }
+        for (address, (zone, received)) in &self.zones {
+            let longest = if senders[zone] > 1 {
+                DOUBLED_SILENCE
+            } else {
+                received.longest_silence()
+            };
+            if now.since(received.received_at) > longest {
+                silent.push(*address);
+            }
+        }
+        silent.truncate(MAX_QUESTIONED);
+        silent
+    }
+
+    /// Records that no process runs at the address of an instance. Returns whether that is news. If it
+    /// was a collector, another one is found as after a start.
+    pub fn record_gone(&mut self, address: SocketAddr, now: Millis) -> bool {
+        if !self.members.record_gone(&address, now) {
+            return false;
+        }
+        self.reports.remove(&address);
+        let was_used = self.zones.remove(&address).is_some();
+        if was_used || self.collector() == Some(address) || self.placer == Some(address) {
+            self.joining.rejoin(now);
+            self.choose_collector(now);
+        }
+        true
+    }
+
     /// Records that this instance saw a change of the store at `revision`.
     pub fn observe_revision(&mut self, revision: Revision) {
         self.lag.observe(revision);
--- a/crates/gateway/tests/fleet_start.rs
+++ b/crates/gateway/tests/fleet_start.rs
@@ -6,6 +6,7 @@
 use std::ops::Range;
 
 use crocushold_base::Millis;
+use crocushold_gateway::EngineQueue;
 use crocushold_gateway::FirstRead;
 use crocushold_gateway::Gossip;
 use crocushold_gateway::Identity;
@@ -29,6 +30,7 @@
 /// Bytes a second that an instance may send or receive in steady state.
 const STEADY_BYTES: usize = 4096;
 
+#[derive(Clone)]
 struct Node {
     gossip: Gossip,
     /// When it starts, and when its next round is due.
@@ -41,6 +43,7 @@
 }
 
 /// A network of instances.
+#[derive(Clone)]
 struct Network {
     zones: u16,
     seeds: Vec<SocketAddr>,
@@ -51,6 +54,12 @@
     /// Of a hundred messages, how many are lost.
     loss_percent: u32,
     draws: u32,
+    /// The load that each instance has.
+    load: Load,
+    /// Instances that are paused.
+    paused: BTreeSet<SocketAddr>,
+    /// Whether it becomes known that no process runs at an address.
+    refuses: bool,
 }
 
 impl Network {
@@ -66,6 +75,9 @@
             now: Millis(1000),
             loss_percent: 0,
             draws: 1,
+            load: Load::default(),
+            paused: BTreeSet::new(),
+            refuses: true,
         }
     }
 
@@ -121,20 +133,30 @@
             let arrived = std::mem::replace(&mut self.under_way, later);
             for (from, to, message) in arrived.into_values().flatten() {
                 let node = self.nodes.get_mut(&to);
-                if let Some(node) = node.filter(|node| node.starts <= now) {
+                let runs = !self.paused.contains(&to);
+                if let Some(node) = node.filter(|node| node.starts <= now && runs) {
                     node.received += size(&message);
                     node.gossip.receive(from, message, now);
                     sent.extend(node.step(now).into_iter().map(|message| (to, message)));
                 }
             }
+            let running: BTreeSet<SocketAddr> = self.nodes.keys().copied().collect();
             for (from, node) in &mut self.nodes {
-                if node.starts > now {
+                if node.starts > now || self.paused.contains(from) {
                     continue;
                 }
                 let mut messages = node.step(now);
                 if node.next_round <= now {
                     node.next_round = now + ROUND;
-                    messages.extend(node.gossip.round(Load::default(), now));
+                    messages.extend(node.gossip.round(self.load.clone(), now));
+                    let asked = node.gossip.other_placer(now);
+                    let asked = asked.filter(|_| !self.load.is_empty());
+                    let questioned = node.gossip.silent_peers(now).into_iter().chain(asked);
+                    for peer in questioned.filter(|peer| !running.contains(peer)) {
+                        if self.refuses {
+                            node.gossip.record_gone(peer, now);
+                        }
+                    }
                 }
                 sent.extend(messages.into_iter().map(|message| (*from, message)));
                 if node.placed.is_none() && node.gossip.placer(now).is_some() {
@@ -151,6 +173,22 @@
         }
     }
 
+    /// Whether all that run agree on one of the instances as placer.
+    fn agree_on(&self, number: u16) -> bool {
+        let nodes = self.nodes.iter();
+        let mut running = nodes.filter(|(address, _)| !self.paused.contains(address));
+        running.all(|(_, node)| node.gossip.placer(self.now) == Some(address(number)))
+    }
+
+    /// How long it takes until all that run agree on one of the instances as placer.
+    fn time_to_agree_on(&mut self, number: u16) -> Millis {
+        let from = self.now;
+        while !self.agree_on(number) && self.now.since(from) < Millis(10_000) {
+            self.run_until(self.now + Millis(1));
+        }
+        self.now.since(from)
+    }
+
     fn placers(&self) -> BTreeSet<Option<SocketAddr>> {
         let nodes = self.nodes.values();
         nodes.map(|node| node.gossip.placer(self.now)).collect()
@@ -415,3 +453,82 @@
     }
     assert_eq!(returns.unserved(Millis(3400), 0, 0), None);
 }
+
+/// A fleet whose placer is the first instance, with or without load.
+fn settled(count: u16, zones: u16, is_loaded: bool) -> Network {
+    let mut network = Network::new(zones);
+    if is_loaded {
+        network.load.queues.push(EngineQueue {
+            engine: 7,
+            read_ms: 10,
+        });
+    }
+    let up = network.start_together(0..count);
+    network.run_until(up + Millis(500));
+    network.run_in_steps(up + Millis(4000), Millis(10));
+    assert!(network.agree_on(0));
+    network
+}
+
+/// Guards against a killed placer whose part nobody takes for 1.2 s. Those that ask it find that it doesn't
+/// run, and those that get no messages from it look.
+#[test_case(86, 3, true, Millis(300); "three zones under load")]
+#[test_case(86, 3, false, Millis(900); "three zones without load")]
+fn a_killed_placer_is_replaced(count: u16, zones: u16, is_loaded: bool, bound: Millis) {
+    let settled = settled(count, zones, is_loaded);
+    // Rounds begin at other times in each.
+    for after in [0, 70] {
+        let mut network = settled.clone();
+        network.run_until(network.now + Millis(after));
+        network.nodes.remove(&address(0));
+        let time = network.time_to_agree_on(1);
+        println!("{count} instances: {time}");
+        assert!(time <= bound, "{time}");
+        network.run_in_steps(network.now + Millis(3000), Millis(10));
+        assert!(network.agree_on(1));
+    }
+}
+
+/// Guards against replacing a placer for a pause, and a fleet that asks one after the other: its process still
+/// runs, and it goes on.
+#[test_case(Millis(300))]
+#[test_case(Millis(800))]
+fn a_paused_placer_is_not_replaced(pause: Millis) {
+    let mut network = settled(86, 3, true);
+    let paused = network.now;
+    network.paused.insert(address(0));
+    while network.now < paused + pause {
+        network.run_until(network.now + Millis(1));
+        assert!(network.agree_on(0), "after {}", network.now.since(paused));
+    }
+    network.paused.clear();
+    network.run_in_steps(network.now + Millis(3000), Millis(10));
+    assert!(network.agree_on(0));
+}
+
+/// Guards against two placers after the one that was killed has started again: some have found another one by
+/// then, and some haven't looked.
+#[test_case(Millis(20))]
+#[test_case(Millis(150))]
+#[test_case(Millis(1000))]
+fn a_killed_placer_that_starts_again_is_the_only_one(down: Millis) {
+    let mut network = settled(86, 3, true);
+    network.nodes.remove(&address(0));
+    network.run_until(network.now + down);
+    network.start(0, network.now + Millis(1));
+    network.run_until(network.now + Millis(1500));
+    assert!(network.agree_on(0), "{:?}", network.placers());
+    network.run_in_steps(network.now + Millis(3000), Millis(10));
+    assert!(network.agree_on(0), "{:?}", network.placers());
+}
+
+/// Guards against relying on a refusal: a placer whose machine is lost doesn't refuse anything, and is replaced
+/// once it has been silent for too long.
+#[test]
+fn a_placer_whose_machine_is_lost_is_replaced() {
+    let mut network = settled(86, 3, true);
+    network.refuses = false;
+    network.nodes.remove(&address(0));
+    let time = network.time_to_agree_on(1);
+    assert!(time <= Millis(2000), "{time}");
+}
