--- a/crates/gateway/src/placing/mod.rs
+++ b/crates/gateway/src/placing/mod.rs
@@ -25,6 +25,7 @@
 mod refused;
 mod shell;
 mod waiting;
+mod wire;
 
 pub use client::PlacementClient;
 pub use client::PlacementId;
