--- a/crates/routing/tests/central.rs
+++ b/crates/routing/tests/central.rs
@@ -1,6 +1,9 @@
 //! Tests of a router that chooses for all instances. It knows every queue as long as it receives
 //! the outcomes of what it placed.
 
+#[path = "common/engines.rs"]
+mod engines;
+
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
 use crocushold_routing::Demand;
@@ -9,45 +12,20 @@
 use crocushold_routing::Pick;
 use crocushold_routing::Placement;
 use crocushold_routing::Router;
-use crocushold_routing::ServerSpec;
-use crocushold_routing::Settings;
-use slotmap::SlotMap;
 use test_case::test_case;
 
-const START: Millis = Millis(10_000);
+use engines::START;
+use engines::prompt;
+use engines::router;
 
 /// A prompt with a prefill of about 250 ms at the initially assumed rate.
 const LONG: u32 = 6250;
 
-fn router(count: usize) -> (Router, Vec<ServerKey>) {
-    let mut keys: SlotMap<ServerKey, ()> = SlotMap::with_key();
-    let specs = (0..count).map(|number| ServerSpec {
-        key: keys.insert(()),
-        id: number as u64,
-        zone: "here".to_owned(),
-        region: None,
-        software: None,
-        concurrency: 48,
-        models: Vec::new(),
-    });
-    let specs: Vec<ServerSpec> = specs.collect();
-    let mut router = Router::new(Settings::default(), "here", 7);
-    router.configure(&specs, START);
-    (router, specs.iter().map(|spec| spec.key).collect())
-}
-
-fn demand(tokens: u32) -> Demand<'static> {
-    Demand {
-        unique_tokens: tokens,
-        tokens,
-        priority: 2,
-        central: true,
-        ..Demand::default()
-    }
-}
+/// Number of requests that an engine runs concurrently.
+const SLOTS: u32 = 48;
 
 fn pick(router: &mut Router, tokens: u32, now: Millis) -> Pick {
-    let picked = router.pick(&demand(tokens), now);
+    let picked = router.pick(&prompt(tokens), now);
     picked.expect("servers are free")
 }
 
@@ -56,7 +34,7 @@
 /// gets three.
 #[test]
 fn a_burst_is_distributed_evenly() {
-    let (mut router, keys) = router(20);
+    let (mut router, keys) = router(20, SLOTS);
     let mut counts = vec![0; keys.len()];
     for _ in 0..60 {
         let server = pick(&mut router, LONG, START).server;
@@ -71,7 +49,7 @@
 /// with the remaining time as its wait.
 #[test]
 fn finished_prefill_is_not_counted_as_queue() {
-    let (mut router, _) = router(2);
+    let (mut router, _) = router(2, SLOTS);
     let first = pick(&mut router, LONG, START);
     let second = pick(&mut router, LONG, START + Millis(200));
     let third = pick(&mut router, LONG, START + Millis(210));
@@ -86,7 +64,7 @@
 /// made an eighth of the servers seem seconds behind after each kill.
 #[test]
 fn an_overtaken_prompt_is_not_counted_as_queue() {
-    let (mut router, _) = router(1);
+    let (mut router, _) = router(1, SLOTS);
     pick(&mut router, LONG, START);
     let next = pick(&mut router, LONG, START + Millis(100));
     router.first_byte(next.attempt, START + Millis(600));
@@ -97,11 +75,11 @@
 /// A less urgent prompt that was sent earlier still waits when a more urgent one begins.
 #[test]
 fn a_less_urgent_prompt_still_waits() {
-    let (mut router, _) = router(1);
+    let (mut router, _) = router(1, SLOTS);
     pick(&mut router, LONG, START);
     let urgent = Demand {
         priority: 0,
-        ..demand(500)
+        ..prompt(500)
     };
     let urgent = router.pick(&urgent, START + Millis(100)).expect("free");
     assert_eq!(urgent.wait, Millis::ZERO, "it doesn't wait for the other");
@@ -115,7 +93,7 @@
 /// be gone and nobody would send to the server to find out.
 #[test]
 fn a_server_is_avoided_by_half_a_second_at_most() {
-    let (mut router, _) = router(1);
+    let (mut router, _) = router(1, SLOTS);
     pick(&mut router, LONG, START);
     let wait = pick(&mut router, LONG, START + Millis(5000)).wait;
     assert!(wait <= Millis(500), "{wait:?}");
@@ -126,7 +104,7 @@
 /// chose the server. A placement on an ejected or already tried server isn't adopted.
 #[test]
 fn an_adopted_placement_takes_a_slot_and_is_not_reported() {
-    let (mut router, keys) = router(2);
+    let (mut router, keys) = router(2, SLOTS);
     let placement = Placement {
         server: keys[0],
         source: None,
@@ -134,7 +112,7 @@
         prefill_tokens: LONG,
     };
     let pick = router
-        .adopt(&placement, &demand(LONG), START)
+        .adopt(&placement, &prompt(LONG), START)
         .expect("the server is usable");
     assert_eq!(pick.server, keys[0]);
     assert_eq!(pick.wait, Millis(40));
@@ -146,7 +124,7 @@
     router.done(pick.attempt, Outcome::Refused, 0, START + Millis(5));
     assert!(
         router
-            .adopt(&placement, &demand(LONG), START + Millis(6))
+            .adopt(&placement, &prompt(LONG), START + Millis(6))
             .is_none()
     );
     let tried = [keys[1]];
@@ -156,7 +134,7 @@
     };
     let again = Demand {
         exclude: &tried,
-        ..demand(LONG)
+        ..prompt(LONG)
     };
     assert!(router.adopt(&other, &again, START + Millis(6)).is_none());
 }
@@ -167,11 +145,11 @@
 /// short queue; prompts that tolerate more use both.
 #[test]
 fn live_streams_go_where_pauses_are_short() {
-    let (mut router, keys) = router(4);
+    let (mut router, keys) = router(4, SLOTS);
     let live = Demand {
         priority: 0,
         max_pause: Some(Millis(120)),
-        ..demand(500)
+        ..prompt(500)
     };
     for at in 0..40 {
         let now = START + Millis(at * 10);
@@ -204,7 +182,7 @@
 #[test_case(24, 500; "by slots")]
 #[test_case(12, 20_000; "by memory")]
 fn a_full_server_adds_a_wait(running: usize, tokens: u32) {
-    let (mut router, keys) = router(2);
+    let (mut router, keys) = router(2, SLOTS);
     router.set_engine_capacity(Some(EngineCapacity {
         slots: 24,
         tokens: 240_000,
@@ -218,7 +196,7 @@
         };
         for _ in 0..running {
             let pick = router
-                .adopt(&placement, &demand(tokens), START)
+                .adopt(&placement, &prompt(tokens), START)
                 .expect("free");
             router.first_byte(pick.attempt, START + Millis(20));
         }
--- a/crates/routing/tests/live_streams.rs
+++ b/crates/routing/tests/live_streams.rs
@@ -1,16 +1,16 @@
 //! Tests of the choice between engines where prompts delay the live streams that run beside them.
 
+#[path = "common/engines.rs"]
+mod engines;
+
 use crocushold_base::Millis;
-use crocushold_base::ServerKey;
 use crocushold_routing::Demand;
 use crocushold_routing::Outcome;
 use crocushold_routing::Pick;
 use crocushold_routing::Router;
-use crocushold_routing::ServerSpec;
-use crocushold_routing::Settings;
-use slotmap::SlotMap;
 
-const START: Millis = Millis(10_000);
+use engines::START;
+use engines::prompt;
 
 /// Tokens in an event. At the initially assumed rate of 25 tokens per millisecond, an event beside
 /// prompts takes 630 ms.
@@ -26,33 +26,11 @@
 const LONG: u32 = 10_000;
 
 fn router(count: usize, event_tokens: Option<u32>) -> Router {
-    let mut keys: SlotMap<ServerKey, ()> = SlotMap::with_key();
-    let specs = (0..count).map(|number| ServerSpec {
-        key: keys.insert(()),
-        id: number as u64,
-        zone: "here".to_owned(),
-        region: None,
-        software: None,
-        concurrency: 64,
-        models: Vec::new(),
-    });
-    let specs: Vec<ServerSpec> = specs.collect();
-    let mut router = Router::new(Settings::default(), "here", 7);
-    router.configure(&specs, START);
+    let (mut router, _) = engines::router(count, 64);
     router.protect_live_streams(event_tokens);
     router
 }
 
-fn prompt(tokens: u32) -> Demand<'static> {
-    Demand {
-        unique_tokens: tokens,
-        tokens,
-        priority: 2,
-        central: true,
-        ..Demand::default()
-    }
-}
-
 fn live() -> Demand<'static> {
     Demand {
         priority: 0,
--- a/crates/routing/tests/pace.rs
+++ b/crates/routing/tests/pace.rs
@@ -1,5 +1,8 @@
 //! Tests of paced servers: those that start cold during a burst, and those that name a limit.
 
+#[path = "common/engines.rs"]
+mod engines;
+
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
 use crocushold_routing::Demand;
@@ -8,12 +11,9 @@
 use crocushold_routing::Placement;
 use crocushold_routing::Reason;
 use crocushold_routing::Router;
-use crocushold_routing::ServerSpec;
-use crocushold_routing::Settings;
-use slotmap::SlotMap;
 use test_case::test_case;
 
-const START: Millis = Millis(10_000);
+use engines::START;
 
 /// Requests per second that a cold server tolerates.
 const RATE: f64 = 10.0;
@@ -36,21 +36,8 @@
 impl Burst {
     /// A router with `warm` warm and `cold` cold servers.
     fn new(warm: usize, cold: usize) -> Burst {
-        let mut keys: SlotMap<ServerKey, ()> = SlotMap::with_key();
-        let specs = (0..warm + cold).map(|number| ServerSpec {
-            key: keys.insert(()),
-            id: number as u64,
-            zone: "here".to_owned(),
-            region: None,
-            software: None,
-            concurrency: 64,
-            models: Vec::new(),
-        });
-        let specs: Vec<ServerSpec> = specs.collect();
-        let mut router = Router::new(Settings::default(), "here", 7);
-        router.configure(&specs, START);
+        let (mut router, keys) = engines::router(warm + cold, 64);
         router.set_cold_rate(Some(RATE));
-        let keys: Vec<ServerKey> = specs.iter().map(|spec| spec.key).collect();
         for key in &keys[warm..] {
             router.set_cold(*key, COLD_UNTIL);
         }
