--- a/crates/routing/src/router/expected.rs
+++ b/crates/routing/src/router/expected.rs
@@ -197,9 +197,8 @@
 /// Returns the cost of the server's usual pauses for a stream that tolerates `max_pause`, in
 /// milliseconds.
 ///
-/// This matters for live streams that run along with prompts on engines of two kinds. In one such
-/// fleet the median gap between events was 123 ms on a third of the engines and 95 ms on the
-/// others, where 120 ms were tolerated.
+/// This matters for live streams that run along with prompts on engines of two kinds, of which one is
+/// too slow for them.
 fn pause_cost(server: &Server, max_pause: Option<Millis>) -> f64 {
     let known = server
         .median_pause
--- a/crates/routing/tests/server_speed.rs
+++ b/crates/routing/tests/server_speed.rs
@@ -358,7 +358,7 @@
     assert_eq!(play(honest), picks);
 }
 
-/// Hashes of the picks at 622804f, which drops the reported pace.
+/// Hashes of the picks of a router that knows no reported pace.
 const BEFORE_CENTRAL: u64 = 10_130_882_858_731_905_877;
 const BEFORE_ALONE: u64 = 11_179_672_241_068_563_208;
 
