peers: tests of programs that send without end

Nothing tested the bounds of messages between instances: the length of a message, the number of its segments, the handshake's timeout. A caller and a callee without the key send empty messages, segments, messages that are too long and messages of the longest length, as fast as they are read and slowly; the connection ends in time, and hellos of others are answered meanwhile.

--- /dev/null
+++ b/crates/peers/tests/endless.rs
@@ -0,0 +1,160 @@
+//! Programs that send without end, as caller and as callee: their connection is closed in time, and the instance
+//! serves others meanwhile.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::future::timeout;
+use async_std::task;
+use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use crocushold_base::Millis;
+use crocushold_ownership::AccountId;
+use crocushold_ownership::ReturnRequest;
+use crocushold_peers::CallError;
+use crocushold_peers::Instance;
+use crocushold_peers::Limits;
+use crocushold_peers::ListedInstance;
+use crocushold_peers::PeerHandle;
+use crocushold_peers::PeerNode;
+use crocushold_peers::RefuseAll;
+use crocushold_peers::Request;
+use crocushold_peers::Settings;
+use crocushold_peers::SharedKey;
+use futures::AsyncReadExt;
+use test_case::test_case;
+
+#[allow(clippy::all, clippy::pedantic, clippy::unwrap_used, dead_code, missing_docs)]
+#[allow(unreachable_pub)]
+#[rustfmt::skip]
+#[path = "../src/generated/peer_capnp.rs"]
+mod peer_capnp;
+
+use peer_capnp::gate;
+
+/// Messages of no words.
+const EMPTY_MESSAGES: [u8; 8] = [0; 8];
+
+/// A message of more segments than there may be.
+const SEGMENTS: [u8; 8] = [0xff; 8];
+
+/// A message of half a gigabyte.
+const LONG_MESSAGE: [u8; 8] = [0, 0, 0, 0, 0, 0, 0, 4];
+
+/// A message of the longest permitted length, less a word.
+const MESSAGE: [u8; 8] = [0, 0, 0, 0, 0xff, 0xff, 0, 0];
+
+/// Bytes of one write.
+const BLOCK_BYTES: usize = 64 * 1024;
+
+/// Time after the handshake timeout in which a connection has ended, on a busy machine.
+const SLACK: Duration = Duration::from_secs(3);
+
+fn start() -> PeerHandle {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let me = Instance::new("entry-1", address, "stgo-a");
+    let settings = Settings::new(me, SharedKey::new(b"key"), 1, 1);
+    let started = PeerNode::start(settings, Arc::new(RefuseAll));
+    started.expect("loopback can be listened on").handle
+}
+
+/// Sends `cycle` until the peer closes the connection, and returns how long that took.
+fn flood(mut stream: TcpStream, cycle: &[u8], pause: Duration) -> Duration {
+    let began = Instant::now();
+    let block = if pause.is_zero() {
+        cycle.repeat(BLOCK_BYTES / cycle.len())
+    } else {
+        cycle.to_vec()
+    };
+    while stream.write_all(&block).is_ok() {
+        thread::sleep(pause);
+    }
+    began.elapsed()
+}
+
+/// Sends a hello, as another instance does first, and waits for the answer.
+async fn greet(address: SocketAddr) {
+    let stream = async_std::net::TcpStream::connect(address).await;
+    let (input, output) = stream.expect("it listens").split();
+    let network = VatNetwork::new(input, output, Side::Client, ReaderOptions::new());
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let gate: gate::Client = system.bootstrap(Side::Server);
+    let system = task::spawn_local(system);
+    let mut hello = gate.hello_request();
+    hello.get().set_min_version(1);
+    hello.get().set_max_version(2);
+    hello.get().set_id("entry-2");
+    hello.get().set_challenge(&[7; 32]);
+    let answer = hello.send().promise.await;
+    assert!(answer.is_ok());
+    // Otherwise the connection would count against the limit on those without the key.
+    system.cancel().await;
+}
+
+/// Guards against a caller without the key that keeps a connection, or the instance from all others.
+#[test_case(&EMPTY_MESSAGES, Duration::ZERO; "empty messages")]
+#[test_case(&EMPTY_MESSAGES, Duration::from_millis(2); "empty messages slowly")]
+#[test_case(&SEGMENTS, Duration::ZERO; "segments")]
+#[test_case(&LONG_MESSAGE, Duration::ZERO; "a long message")]
+#[test_case(&MESSAGE, Duration::ZERO; "messages")]
+#[test_case(&MESSAGE, Duration::from_millis(2); "a message slowly")]
+fn a_caller_that_sends_without_end_is_let_go(cycle: &'static [u8], pause: Duration) {
+    let node = start();
+    let address = node.me().address;
+    let stream = TcpStream::connect(address).expect("it listens");
+    let flooding = thread::spawn(move || flood(stream, cycle, pause));
+    let exchange = Duration::from(Limits::default().exchange_timeout);
+    while !flooding.is_finished() {
+        let greeted = task::block_on(timeout(exchange, greet(address)));
+        greeted.expect("others are served");
+        thread::sleep(Duration::from_millis(20));
+    }
+    let lasted = flooding.join().expect("the thread ends");
+    let limit = Duration::from(Limits::default().handshake_timeout) + SLACK;
+    assert!(lasted < limit, "{lasted:?}");
+}
+
+/// Guards against a call that lasts, or an instance that serves nobody, because the program at a listed address
+/// sends without end.
+#[test_case(&EMPTY_MESSAGES; "empty messages")]
+#[test_case(&SEGMENTS; "segments")]
+#[test_case(&LONG_MESSAGE; "a long message")]
+#[test_case(&MESSAGE; "messages")]
+fn a_callee_that_sends_without_end_is_an_error(cycle: &'static [u8]) {
+    let node = start();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || flood(stream, cycle, Duration::ZERO));
+        }
+    });
+    let listed = ListedInstance {
+        instance: Instance::new("entry-2", address, "stgo-a"),
+        leaving: false,
+    };
+    node.instance_list(vec![listed.clone()]);
+    let settle = Request::Return(ReturnRequest {
+        account: AccountId(1),
+        kept: 1,
+    });
+    let limits = Limits::default();
+    let outcome = task::block_on(async {
+        let call = node.call(&listed.instance.id, settle, Millis::from_secs(60));
+        let span = Duration::from(limits.handshake_timeout) + SLACK;
+        let outcome = timeout(span, call).await.expect("the call ends");
+        let greeted = timeout(limits.exchange_timeout.into(), greet(node.me().address));
+        greeted.await.expect("others are served");
+        outcome
+    });
+    let refused = matches!(outcome, Err(CallError::Connect(_) | CallError::CircuitOpen));
+    assert!(refused, "{outcome:?}");
+}
