A new instance is told how fast servers usually are

What instances know of the speeds of servers was learned anew by each one that starts: a new placer gave a slow server as much as a fast one until it had heard of an answer there, of thousands of servers for long.

An instance that has just started and knows the servers asks the placer and one more for their usual paces, each round for 3 s at most, until it is told. What is told gives way to the server's own reports. Older instances ignore both messages. The work by lane needs no message: the collector's first answer contains it, which has a test now.

Not told: the deviations that reports don't explain.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod reach;
 mod service;
 mod software;
+mod speeds;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -58,6 +59,7 @@
 use self::service::ModelLanes;
 use self::service::Service;
 use self::software::ListedSoftware;
+pub use self::speeds::ServerPace;
 use crate::placing::PlacementId;
 use crate::routes::EngineSpec;
 use crate::routes::Heartbeat;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -68,6 +68,7 @@
 pub use fleet::ProbeTarget;
 pub use fleet::ServerDeparture;
 pub use fleet::ServerLimit;
+pub use fleet::ServerPace;
 pub use fleet::ServerReach;
 pub use instance::Gateway;
 pub use instance::Settings;
--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -13,6 +13,7 @@
 use crate::fleet::Need;
 use crate::fleet::ServerDeparture;
 use crate::fleet::ServerLimit;
+use crate::fleet::ServerPace;
 use crate::resumption::OriginQuery;
 use crate::resumption::OriginReply;
 use crate::resumption::StreamOrigin;
@@ -61,6 +62,10 @@
     NewlySoundParts(Vec<ServedContent>),
     /// Cold phases of servers, as far as the sender knows.
     ColdPhases(Vec<ColdPhase>),
+    /// The sender has just started, knows the servers, and asks for their speeds.
+    PacesQuery,
+    /// How long work usually takes on servers, as far as it isn't what is published.
+    Paces(Vec<ServerPace>),
 }
 
 /// A request for the placement of a caller's request.
--- a/crates/gateway/src/sharing/shell.rs
+++ b/crates/gateway/src/sharing/shell.rs
@@ -144,6 +144,14 @@
                 let served = served_packets(&shared.quarantine(), now);
                 send_packets(&socket, from, served).await;
             }
+            Some(Packet::PacesQuery) => {
+                let paces = lock(&handover).answer_paces(&shared.fleet());
+                send_packets(&socket, from, paces).await;
+            }
+            Some(Packet::Paces(paces)) => {
+                lock(&handover).record_paces(from);
+                shared.fleet().adopt_paces(&paces, now);
+            }
             Some(Packet::Served(served)) => {
                 lock(&handover).record_answer(from);
                 quarantine::receive_served(&shared, SuspectKind::Request, &served);
@@ -226,6 +234,12 @@
         for target in asked {
             send_packets(&socket, target, [Packet::ServedQuery]).await;
         }
+        if shared.is_ready() {
+            let asked = lock(&handover).pace_targets(&lock(&state), shared.clock.now());
+            for target in asked {
+                send_packets(&socket, target, [Packet::PacesQuery]).await;
+            }
+        }
         wait_for_round(&shared, &socket, &state, me).await;
         let round = Round::run(&shared, &state);
         {
--- a/crates/gateway/tests/fleet_start.rs
+++ b/crates/gateway/tests/fleet_start.rs
@@ -14,6 +14,7 @@
 use crocushold_gateway::Message;
 use crocushold_gateway::Packet;
 use crocushold_gateway::ReturnTimes;
+use crocushold_gateway::ServiceWork;
 use crocushold_gateway::first_placer_wait;
 use crocushold_gateway::return_delay;
 use test_case::test_case;
@@ -532,3 +533,25 @@
     let time = network.time_to_agree_on(1);
     assert!(time <= Millis(2000), "{time}");
 }
+
+/// Guards against an instance that starts and allocates engines to lanes as if there were no work: its first answer from
+/// the collector contains the work of the fleet.
+#[test]
+fn one_that_starts_is_told_the_work_of_the_fleet() {
+    let mut network = Network::new(3);
+    let work = ServiceWork {
+        service: 5,
+        lanes: [10, 20, 30],
+        streams: [16, 0],
+    };
+    network.load.work.push(work);
+    let up = network.start_together(0..85);
+    network.run_in_steps(up + Millis(5000), Millis(10));
+    let up = network.now + Millis(10);
+    network.start(85, up);
+    network.run_until(up + Millis(6 * LATENCY.0));
+    let started = &network.nodes[&address(85)].gossip;
+    let known = started.others_load(network.now).work;
+    // What each instance has sent in the last second counts, and less the older it is.
+    assert!(known[&5].work[1] >= 20.0 * 85.0 / 2.0, "{known:?}");
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -119,6 +119,7 @@
 pub use server::Share;
 pub use server::Standing;
 pub use server::State;
+pub use server_speed::UsualPace;
 pub use server_subset::EntryFleet;
 pub use server_subset::ServerSubset;
 pub use server_subset::Shortage;
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -49,6 +49,7 @@
 use crate::server::SlotCounts;
 use crate::server::Standing;
 use crate::server_speed::FADE_INTERVAL;
+use crate::server_speed::UsualPace;
 use crate::settings::Settings;
 use crate::stats::Ewma;
 
@@ -252,6 +253,19 @@
         self.servers.get(server)?.speed.reported(now)
     }
 
+    /// Returns the usual pace of `server` by its reports; `None` without reports.
+    pub fn usual_pace(&self, server: ServerKey) -> Option<UsualPace> {
+        self.servers.get(server)?.speed.usual_pace()
+    }
+
+    /// Takes over the usual pace of `server` that another instance knows, if that had more reports.
+    pub fn adopt_pace(&mut self, server: ServerKey, told: UsualPace, now: Millis) {
+        if let Some(state) = self.servers.get_mut(server) {
+            state.speed.adopt_pace(told, now);
+            self.is_uneven |= told.percent != UsualPace::PUBLISHED.percent;
+        }
+    }
+
     /// Whether servers report that they differ in speed.
     pub fn is_uneven(&self) -> bool {
         self.is_uneven
--- a/crates/routing/src/server_speed.rs
+++ b/crates/routing/src/server_speed.rs
@@ -68,6 +68,23 @@
 /// Number of reports at which the server's mean counts as much as the usual time.
 const ASSUMED_REPORTS: f64 = 2.0;
 
+/// The usual pace of a server by its reports, as one instance tells it to another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UsualPace {
+    /// Mean of the reports, in percent of what is usual for the service.
+    pub percent: u16,
+    /// Number of reports; [`u8::MAX`] also stands for more.
+    pub reports: u8,
+}
+
+impl UsualPace {
+    /// What is assumed of a server without reports.
+    pub const PUBLISHED: UsualPace = UsualPace {
+        percent: 100,
+        reports: 0,
+    };
+}
+
 /// How long work takes on a server by its own reports, relative to what is usual for its service.
 #[derive(Clone, Copy, Debug)]
 struct Pace {
@@ -104,6 +121,23 @@
         self.set_weight(reports / (reports + ASSUMED_REPORTS));
     }
 
+    /// Takes over the mean of another instance, unless the reports to this one say as much. Without any
+    /// to this one, nothing is known of this moment.
+    fn adopt(&mut self, told: UsualPace, now: Millis) {
+        if self.mean.count() >= u32::from(told.reports) {
+            return;
+        }
+        let percent = told.percent.clamp(WORK_PERCENT.0, WORK_PERCENT.1);
+        let has_reports = self.mean.count() > 0;
+        self.mean = Ewma::of(f64::from(percent) / 100.0, told.reports.into());
+        let reports = f64::from(told.reports);
+        self.set_weight(reports / (reports + ASSUMED_REPORTS));
+        if !has_reports {
+            self.last = self.usual;
+            self.measured_at = now;
+        }
+    }
+
     fn set_weight(&mut self, weight: f64) {
         self.weight = weight;
         self.usual = 1.0 + weight * (self.mean.mean() - 1.0);
@@ -224,6 +258,20 @@
         self.prefill_log.exp()
     }
 
+    /// Returns the mean of the server's reports; `None` without reports.
+    pub(crate) fn usual_pace(&self) -> Option<UsualPace> {
+        let mean = &self.pace.mean;
+        (mean.count() > 0).then(|| UsualPace {
+            percent: (mean.mean() * 100.0).round() as u16,
+            reports: u8::try_from(mean.count()).unwrap_or(u8::MAX),
+        })
+    }
+
+    /// Takes over the usual pace that another instance knows, if more reports told it that.
+    pub(crate) fn adopt_pace(&mut self, told: UsualPace, now: Millis) {
+        self.pace.adopt(told, now);
+    }
+
     /// Records how long work takes, in percent of the usual time.
     pub(crate) fn record_pace(&mut self, percent: u16, measured_at: Millis) {
         self.pace.record(percent, measured_at);
--- a/crates/routing/src/stats.rs
+++ b/crates/routing/src/stats.rs
@@ -10,6 +10,11 @@
 }
 
 impl Ewma {
+    /// Creates an average of `count` samples.
+    pub(crate) fn of(mean: f64, count: u32) -> Ewma {
+        Ewma { mean, count }
+    }
+
     /// Adds `sample` with the weight `alpha`.
     pub(crate) fn add(&mut self, sample: f64, alpha: f64) {
         self.count = self.count.saturating_add(1);
--- a/crates/routing/tests/server_speed.rs
+++ b/crates/routing/tests/server_speed.rs
@@ -22,6 +22,7 @@
 use crocushold_routing::ServerSpec;
 use crocushold_routing::Settings;
 use crocushold_routing::State;
+use crocushold_routing::UsualPace;
 use slotmap::SlotMap;
 use test_case::test_case;
 
@@ -452,3 +453,30 @@
         "{prompts:?}"
     );
 }
+
+/// Guards against a router that trusts what another instance tells more than its own reports, or takes it for what is
+/// so at this moment.
+#[test]
+fn a_pace_that_another_instance_tells_is_used_until_there_are_reports() {
+    let mut model = Model::new(&[EQUAL; 2]);
+    let servers = [0, 1].map(|at| model.engines[at].key);
+    let router = &mut model.router;
+    let told = UsualPace {
+        percent: 160,
+        reports: 40,
+    };
+    let now = Millis(1000);
+    router.adopt_pace(servers[0], told, now);
+    assert_eq!(router.usual_pace(servers[0]), Some(told));
+    assert_eq!(router.usual_pace(servers[1]), None);
+    assert!(router.is_uneven());
+    let [usual, at_present] = router.reported_pace(servers[0], now).unwrap();
+    assert!((1.5..1.6).contains(&usual), "{usual}");
+    assert_eq!(usual, at_present);
+    let fewer = UsualPace {
+        percent: 60,
+        reports: 40,
+    };
+    router.adopt_pace(servers[0], fewer, now);
+    assert_eq!(router.usual_pace(servers[0]), Some(told));
+}
