--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -14,6 +14,7 @@
 use crate::fleet::Need;
 use crate::fleet::ServerDeparture;
 use crate::fleet::ServerLimit;
+use crate::fleet::ServerPace;
 use crate::resumption::OriginQuery;
 use crate::resumption::OriginReply;
 use crate::resumption::StreamOrigin;
@@ -62,18 +63,10 @@
     NewlySoundParts(Vec<ServedContent>),
     /// Cold phases of servers, as far as the sender knows.
     ColdPhases(Vec<ColdPhase>),
-}
-
-impl Packet {
-    /// Encodes the packet.
-    pub fn encode(&self) -> Vec<u8> {
-        postcard::to_allocvec(self).expect("numbers, names and addresses always serialise")
-    }
-
-    /// Decodes a packet; `None` if the bytes aren't a valid packet.
-    pub fn decode(bytes: &[u8]) -> Option<Packet> {
-        postcard::from_bytes(bytes).ok()
-    }
+    /// The sender has just started, knows the servers, and asks for their speeds.
+    PacesQuery,
+    /// How long work usually takes on servers, as far as it isn't what is published.
+    Paces(Vec<ServerPace>),
 }
 
 /// A request for the placement of a caller's request.
@@ -188,7 +181,8 @@
     /// The request has ended.
     Ended(RequestEnd),
     /// The answer has begun, at an engine that reported the numbers of running and waiting requests,
-    /// and how long work takes there at this moment, in percent of the usual time.
+    /// and how long work takes there at this moment, in percent of the usual time. It is encoded as
+    /// [`UpdateKind::Started`] with a trailer; only one earlier version sends the variant itself.
     StartedAtPace([u32; 2], u16),
 }
 
@@ -229,10 +223,23 @@
         })
     }
 
+    /// How long work takes at the engine, in percent of the usual time, if the update tells it.
+    pub(super) fn pace(&self) -> Option<u16> {
+        match *self {
+            UpdateKind::StartedAtPace(_, percent) => Some(percent),
+            UpdateKind::Started(_) | UpdateKind::Ended(_) => None,
+        }
+    }
+
+    /// The update as versions that know no pace understand it.
+    pub(super) fn without_pace(self) -> UpdateKind {
+        match self {
+            UpdateKind::StartedAtPace(requests, _) => UpdateKind::Started(Some(requests)),
+            UpdateKind::Started(_) | UpdateKind::Ended(_) => self,
+        }
+    }
+
     /// The answer has begun, with the engine's load report.
-    ///
-    /// An instance of an earlier version can't decode the pace, and ignores the packet. It then learns
-    /// of the end of the request by its expiry, as if the packet were lost.
     pub fn started(load: Option<LoadReport>) -> UpdateKind {
         let requests = |load: LoadReport| [load.running, load.waiting];
         match load.and_then(|load| Some((load, load.work_percent?))) {
