placing: requests don't avoid a server for the rests that others were asked for

resting_servers::a_server_that_asks_for_rest_gets_it, case 4: "the server is tried again". The suspicion was a learned speed. The logs of three failing runs show another cause: instances that a server asks for rest report their rejections to the placer, which counted them as failures of the server. After one, requests cost five times as much there for ten seconds; after two it was ejected for a second and then on trial, at eight times the cost for requests that run at most once, until a success. With others free it got nothing for 4.6, 6.2 and 6.8 s where it had asked for 3 s. A rest binds the instance that was asked and isn't a state of the server.

The placer is told now that a rejection asked for rest (Outcome::Resting, the last variant). It halves the server's limit and ejects it as before, so that not each of many instances needs a rejection of its own, but the cost of requests there doesn't rise. What it ejects for that reason logs fault=resting.

New test in crates/gateway/tests/rests.rs: its three cases fail with the outcome that the placer was told before; without the count of rests one goes red, without the rule for trials two. The tests of crocushold-routing and crocushold-gateway pass.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -442,16 +442,25 @@
         }
     }
 
+    /// The outcome of an attempt of this instance, as the placer is told. A rest binds only the instance
+    /// that was asked.
+    pub fn told_outcome(&self, choice: &Choice, outcome: Outcome) -> Outcome {
+        let is_rest = outcome == Outcome::Overloaded && self.rests.contains(choice.server);
+        if is_rest { Outcome::Resting } else { outcome }
+    }
+
     /// Records that an attempt ended after `tokens` of an answer. While a server rests, its
     /// rejections are no failures, and while the path is lost, neither are failed connections.
     pub fn done(&mut self, choice: &Choice, outcome: Outcome, tokens: u32, now: Millis) {
-        if outcome == Outcome::Overloaded
+        if matches!(outcome, Outcome::Overloaded | Outcome::Resting)
             && let Some(service) = self.services.get_mut(&*choice.service)
         {
             service.router.record_rejection(choice.server, now);
         }
         let outcome = match outcome {
-            Outcome::Overloaded if self.rests.contains(choice.server) => Outcome::Cancelled,
+            Outcome::Overloaded | Outcome::Resting if self.rests.contains(choice.server) => {
+                Outcome::Cancelled
+            }
             Outcome::Refused | Outcome::Unreachable if self.path_lost_since().is_some() => {
                 Outcome::Cancelled
             }
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -216,5 +216,6 @@
         Fault::Hung => "hung",
         Fault::Straggling => "straggling",
         Fault::Overloaded => "overloaded",
+        Fault::Resting => "resting",
     }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -202,12 +202,13 @@
         if let Some(longest) = pause {
             fleet.record_pause(choice, longest, now);
         }
+        let told_outcome = fleet.told_outcome(choice, outcome);
         fleet.done(choice, outcome, tokens, now);
         let ejections = fleet.take_ejections();
         drop(fleet);
         log_ejections(ejections, "request");
         let ended = RequestEnd {
-            result: outcome,
+            result: told_outcome,
             tokens,
             pause,
         };
--- a/crates/gateway/tests/rests.rs
+++ b/crates/gateway/tests/rests.rs
@@ -11,7 +11,10 @@
 use crocushold_gateway::PlacementRequest;
 use crocushold_gateway::PlacementVerdict;
 use crocushold_gateway::Placer;
+use crocushold_gateway::RequestEnd;
+use crocushold_gateway::RequestUpdate;
 use crocushold_gateway::ServerRecord;
+use crocushold_gateway::UpdateKind;
 use crocushold_routing::NoServer;
 use crocushold_routing::Outcome;
 use crocushold_routing::Reason;
@@ -220,3 +223,61 @@
     };
     assert!(asking.adopt(&need(), &placement, &[], START).is_none());
 }
+
+/// Guards against a server that stands idle for seconds after it has asked some instances for rest: the placer
+/// took their rejections for failures and sent it nothing while others were free, ten seconds after one
+/// rejection, and until a success after two.
+#[test_case(1; "one instance")]
+#[test_case(2; "two instances")]
+#[test_case(3; "three instances")]
+fn a_server_is_placed_again_after_the_rests_of_others(rested: u16) {
+    let mut placing = fleet(&["s1", "s2"], 8);
+    let mut placer = Placer::default();
+    let address = |port| SocketAddr::from(([10, 0, 0, 1], port));
+    for port in 1..=rested {
+        let now = START + Millis(u64::from(port) * 300);
+        let request = ask(1, vec![hash("s2")]);
+        placer.place(&mut placing, address(port), &request, now);
+        let mut asking = fleet(&["s1"], 7);
+        let rejected = reject(&mut asking, REST, now);
+        let result = asking.told_outcome(&rejected, Outcome::Overloaded);
+        end(&mut placer, &mut placing, address(port), 1, result, now);
+    }
+    let later = START + REST + MAX_SPREAD;
+    let mut is_used = false;
+    for number in 0..40 {
+        let now = later + Millis(u64::from(number) * 100);
+        let reply = placer.place(&mut placing, address(9), &ask(number, Vec::new()), now);
+        let PlacementVerdict::Placed(placement) = reply.verdict else {
+            panic!("not placed");
+        };
+        is_used |= placement.engine == hash("s1");
+        let complete = Outcome::Complete;
+        end(&mut placer, &mut placing, address(9), number, complete, now);
+    }
+    assert!(is_used);
+}
+
+/// The hash of a server, by which instances name it to each other.
+fn hash(id: &str) -> u32 {
+    let mut fleet = fleet(&[id], 7);
+    reject(&mut fleet, REST, START);
+    fleet.resting("svc", START)[0]
+}
+
+/// Reports the end of a request to its placer.
+fn end(
+    placer: &mut Placer,
+    fleet: &mut Fleet,
+    from: SocketAddr,
+    number: u32,
+    result: Outcome,
+    now: Millis,
+) {
+    let kind = UpdateKind::Ended(RequestEnd {
+        result,
+        tokens: 1,
+        pause: None,
+    });
+    placer.apply_update(fleet, from, RequestUpdate { number, kind }, now);
+}
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -20,6 +20,8 @@
     Straggling,
     /// It reports overload while its peers don't.
     Overloaded,
+    /// It asks instances for rest while its peers don't.
+    Resting,
 }
 
 /// Whether a server accepts requests.
@@ -68,6 +70,8 @@
 pub(crate) struct Health {
     pub(crate) phase: Phase,
     failures: u32,
+    /// How many of the failures are rejections with which it asked other instances for rest.
+    rests: u32,
     last_failure: Millis,
     /// The cumulative sum of the evidence from speed samples against the server. One sample at the
     /// straggler ratio adds one.
@@ -75,6 +79,8 @@
     last_slow: Millis,
     ejections: u32,
     on_trial: bool,
+    /// Whether it was ejected last for rests that it asked other instances for.
+    ejected_at_rest: bool,
     /// Whether it returns from an ejection rather than from overload.
     returning: bool,
 }
@@ -84,11 +90,13 @@
         Health {
             phase: Phase::Serving,
             failures: 0,
+            rests: 0,
             last_failure: Millis::ZERO,
             slow_sum: 0.0,
             last_slow: Millis::ZERO,
             ejections: 0,
             on_trial: false,
+            ejected_at_rest: false,
             returning: false,
         }
     }
@@ -105,9 +113,17 @@
         self.failures
     }
 
-    /// Returns true from the end of an ejection until the first success.
-    pub(crate) fn on_trial(&self) -> bool {
-        self.on_trial
+    /// Returns the number of consecutive failures for which requests avoid the server. Rests that other
+    /// instances were asked for aren't among them: it has harmed no request, and serves the instances that it
+    /// hasn't asked.
+    pub(crate) fn avoided_failures(&self) -> u32 {
+        self.failures - self.rests
+    }
+
+    /// Returns true from the end of an ejection until the first success, unless it was ejected for rests that
+    /// other instances were asked for.
+    pub(crate) fn is_doubted(&self) -> bool {
+        self.on_trial && !self.ejected_at_rest
     }
 
     /// Returns true while the server is ejected on suspicion, which counts against the ejection
@@ -122,13 +138,19 @@
     }
 
     /// Records a failed attempt.
-    pub(crate) fn record_failure(&mut self, settings: &HealthSettings, now: Millis) -> Verdict {
+    pub(crate) fn record_failure(
+        &mut self,
+        settings: &HealthSettings,
+        fault: Fault,
+        now: Millis,
+    ) -> Verdict {
         if self.is_out() {
             return Verdict::Keep;
         }
         let separate = now.since(self.last_failure) >= settings.min_failure_gap;
         if self.failures == 0 || separate {
             self.failures += 1;
+            self.rests += u32::from(fault == Fault::Resting);
             self.last_failure = now;
         }
         if self.on_trial || self.failures >= settings.max_failures {
@@ -193,7 +215,8 @@
         let span = doubled.min(max.0) as f64 * (0.8 + 0.4 * jitter);
         let until = now + Millis(span as u64);
         self.phase = Phase::Out { fault, until };
-        self.failures = 0;
+        self.ejected_at_rest = fault == Fault::Resting;
+        self.forget_failures();
         self.slow_sum = 0.0;
         self.ejections += 1;
         until
@@ -204,7 +227,7 @@
         self.phase = Phase::Recovering { limit: 1 };
         self.on_trial = true;
         self.returning = true;
-        self.failures = 0;
+        self.forget_failures();
         self.slow_sum = 0.0;
     }
 
@@ -247,7 +270,7 @@
 
     /// Records a success; `share` is the server's full limit.
     pub(crate) fn record_success(&mut self, share: u32) {
-        self.failures = 0;
+        self.forget_failures();
         self.on_trial = false;
         self.raise_limit(share);
         if matches!(self.phase, Phase::Recovering { limit } if limit >= share) {
@@ -259,6 +282,11 @@
         }
     }
 
+    fn forget_failures(&mut self) {
+        self.failures = 0;
+        self.rests = 0;
+    }
+
     /// Raises the limit by one request, up to `max`.
     fn raise_limit(&mut self, max: u32) {
         if let Phase::Recovering { limit } = &mut self.phase {
@@ -279,7 +307,7 @@
             _ => {
                 let due = self.last_failure + settings.failure_memory;
                 if due <= now {
-                    self.failures = 0;
+                    self.forget_failures();
                     return None;
                 }
                 Some(due)
--- a/crates/routing/src/router/choice.rs
+++ b/crates/routing/src/router/choice.rs
@@ -239,8 +239,8 @@
     ) -> f64 {
         // A server may be faster than the others by its reports, but not by a few quick answers.
         let slowness = (slowness.exp() * pace).clamp(pace.min(1.0), MAX_SLOWNESS);
-        let failures = 1.0 + FAILURE_COST * f64::from(server.health.failures());
-        let trial = server.health.on_trial() && (demand.priority == 0 || !demand.idempotent);
+        let failures = 1.0 + FAILURE_COST * f64::from(server.health.avoided_failures());
+        let trial = server.health.is_doubted() && (demand.priority == 0 || !demand.idempotent);
         let caution = if trial { TRIAL_COST } else { 1.0 };
         slowness * failures * caution
     }
--- a/crates/routing/src/router/feedback.rs
+++ b/crates/routing/src/router/feedback.rs
@@ -127,7 +127,7 @@
         }
         if let Some(server) = self.servers.get_mut(flight.server) {
             server.queue_delay.on_end(attempt);
-            if outcome == Outcome::Overloaded {
+            if matches!(outcome, Outcome::Overloaded | Outcome::Resting) {
                 server.queue_delay.on_rejection(now);
             }
         }
@@ -266,6 +266,7 @@
             Outcome::Complete => return self.record_success(flight.server),
             Outcome::Cancelled => return,
             Outcome::Overloaded => Fault::Overloaded,
+            Outcome::Resting => Fault::Resting,
             Outcome::Refused | Outcome::Replaced => {
                 return self.eject(flight.server, Fault::Refused, now);
             }
@@ -295,9 +296,10 @@
         let in_flight = self.servers.get(key).map_or(0, |server| server.in_flight);
         self.change_health(key, |health| {
             let before = health.failures();
-            verdict = health.record_failure(&settings, now);
+            verdict = health.record_failure(&settings, fault, now);
             expiry = health.failure_expires(&settings).filter(|_| before == 0);
-            if fault == Fault::Overloaded && health.failures() > before {
+            let is_rejection = matches!(fault, Fault::Overloaded | Fault::Resting);
+            if is_rejection && health.failures() > before {
                 health.halve_limit(in_flight);
             }
         });
--- a/crates/routing/src/router/types.rs
+++ b/crates/routing/src/router/types.rs
@@ -194,6 +194,9 @@
     Overloaded,
     /// Another process answers at the server's address.
     Replaced,
+    /// The server rejected it and asked the instance that sent it, for which this one chose, for rest. It
+    /// counts as overload, but other instances' requests don't avoid the server for it.
+    Resting,
 }
 
 /// An attempt in flight.
