placing: a rest that a server asked for is told in the trailer of updates

The outcome `Resting` is a new variant, which a placer of the version before can't decode: during a release it would drop the packet with the ends of other requests in it and free their slots after the deadlines, as it did with paces. It is sent as `Overloaded` now, and the trailer names the updates that mean a rest.

--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -231,14 +231,6 @@
         }
     }
 
-    /// The update as versions that know no pace understand it.
-    pub(super) fn without_pace(self) -> UpdateKind {
-        match self {
-            UpdateKind::StartedAtPace(requests, _) => UpdateKind::Started(Some(requests)),
-            UpdateKind::Started(_) | UpdateKind::Ended(_) => self,
-        }
-    }
-
     /// The answer has begun, with the engine's load report.
     pub fn started(load: Option<LoadReport>) -> UpdateKind {
         let requests = |load: LoadReport| [load.running, load.waiting];
--- a/crates/gateway/tests/placer.rs
+++ b/crates/gateway/tests/placer.rs
@@ -391,13 +391,28 @@
     assert_eq!(Packet::decode(&bytes), Some(packet));
 }
 
+/// Guards against ends that a placer of the version before can't decode, because the server asked for rest:
+/// it would take their slots for used until the deadlines.
+#[test]
+fn rests_are_overload_to_the_earlier_version() {
+    let end = |result| {
+        let end = unreachable(7, result);
+        Packet::Updates(vec![update(6, ended(10)), end])
+    };
+    let (resting, overloaded) = (end(Outcome::Resting), end(Outcome::Overloaded));
+    let bytes = resting.encode();
+    assert!(bytes.starts_with(&overloaded.encode()));
+    assert_eq!(Packet::decode(&bytes), Some(resting));
+}
+
 /// Guards against updates that are lost with their trailer: one that is cut, of a later version, or about
 /// updates that aren't there, or have no load, is ignored.
 #[test_case(&[]; "none")]
 #[test_case(&[2, 0]; "cut")]
 #[test_case(&[0xff; 20]; "unknown")]
-#[test_case(&[1, 9, 0xfa, 1]; "another_update")]
-#[test_case(&[1, 1, 0xfa, 1]; "an_update_without_load")]
+#[test_case(&[1, 9, 0xfa, 1, 0]; "another_update")]
+#[test_case(&[1, 1, 0xfa, 1, 0]; "an_update_without_load")]
+#[test_case(&[0, 2, 0, 9]; "rests_of_others")]
 fn updates_are_used_without_their_trailer(trailer: &[u8]) {
     let updates = [UpdateKind::Started(Some([1, 2])), UpdateKind::Started(None)];
     let packet = Packet::Updates(updates.map(|kind| update(7, kind)).to_vec());
