--- a/crates/admission/src/line/mod.rs
+++ b/crates/admission/src/line/mod.rs
@@ -21,40 +21,32 @@
 //!   queue there is.
 
 mod drain;
+mod group;
 mod returns;
 mod shares;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 
 use crocushold_base::AccountKey;
 use crocushold_base::ClassKey;
 use crocushold_base::Millis;
 use crocushold_base::RequestKey;
-use slotmap::SecondaryMap;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
-use self::drain::Drain;
-use self::returns::Returns;
+use self::group::Group;
+use self::group::Refused;
+use self::group::Waiter;
 use self::returns::Visit;
-use self::shares::Shares;
 use crate::decay::DecayingSum;
 use crate::request::Arrival;
 use crate::scheduler::Action;
 use crate::scheduler::Admission;
 use crate::scheduler::Completion;
-use crate::scheduler::Scheduler;
-use crate::settings::HeadroomSettings;
-use crate::settings::Settings;
 use crate::spec::AccountSpec;
-use crate::spec::ClassSpec;
-use crate::ticket::Dispatched;
 use crate::ticket::NotRun;
-use crate::ticket::Sent;
-use crate::ticket::Ticket;
 
 /// Half-life of the tokens served by rank, and how long a rank counts as served after its last
 /// request. Callers whose requests take a second or two perceive a preference for others over about
@@ -64,9 +56,6 @@
 /// Share of the tokens from which less urgent ranks count as served. Their floors alone are below.
 const SERVED_SHARE: f64 = 0.1;
 
-/// Guaranteed share of each rank in a group, so that none starves.
-const RANK_FLOOR: f64 = 0.02;
-
 /// Time until a request that was to be sent whatever the queue, and found no engine at all, is
 /// offered again: about the time in which an engine ends a request.
 const REOFFER: Millis = Millis(50);
@@ -208,58 +197,6 @@
     pub early: u32,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Waiter {
-    account: u32,
-    key: AccountKey,
-    request: u32,
-    /// Its place among its account's requests.
-    place: u64,
-    /// Its expected cost, in output tokens.
-    work: u64,
-    rank: u8,
-    joined: Millis,
-    /// End of its wait.
-    until: Millis,
-    patience: Millis,
-    /// Its entry in the ends of waits.
-    end: Millis,
-    /// Less urgent requests were served when it arrived.
-    outranks: bool,
-}
-
-/// A request that is to be refused.
-#[derive(Clone, Copy, Debug)]
-struct Refused {
-    account: u32,
-    rank: u8,
-    request: u32,
-    place: u64,
-    /// How long it might have waited.
-    limit: Millis,
-    patience: Millis,
-}
-
-#[derive(Debug)]
-struct Group {
-    service: u32,
-    scheduler: Scheduler,
-    ranks: BTreeMap<u8, ClassKey>,
-    /// By key rather than by slot: the scheduler may use the slot of a request that it refused before
-    /// the refusal is taken from it.
-    waiters: HashMap<RequestKey, Waiter>,
-    offered: SecondaryMap<RequestKey, Ticket<Dispatched>>,
-    begun: SecondaryMap<RequestKey, Ticket<Sent>>,
-    /// Ends of waits. The scheduler knows none, as it orders an account's requests by theirs first.
-    ends: BTreeSet<(Millis, RequestKey)>,
-    drain: Drain,
-    returns: Returns,
-    /// What the accounts were served, by rank.
-    shares: BTreeMap<u8, Shares>,
-    retry_min: Millis,
-    max_returns: usize,
-}
-
 /// The line of requests that wait before the engines of all services.
 ///
 /// A pure state machine: each call takes the current time as an argument. Time may jump forwards by
@@ -638,33 +575,9 @@
     }
 
     fn add_group(&mut self, arrival: &LineArrival) -> LineGroupKey {
-        let settings = Settings {
-            queue_limit: self.settings.max_waiting,
-            // The bodies are held by the instances.
-            queue_bytes: u64::MAX,
-            // The line refuses by itself, from what begins while requests wait. The scheduler's rate
-            // follows whole answers, and is right for waits of many seconds.
-            wait_margin: f64::INFINITY,
-            headroom: HeadroomSettings {
-                max_share: 0.0,
-                ..HeadroomSettings::default()
-            },
-            ..Settings::default()
-        };
-        let group = self.groups.insert(Group {
-            service: arrival.service,
-            scheduler: Scheduler::new(settings),
-            ranks: BTreeMap::new(),
-            waiters: HashMap::new(),
-            offered: SecondaryMap::new(),
-            begun: SecondaryMap::new(),
-            ends: BTreeSet::new(),
-            drain: Drain::default(),
-            returns: Returns::default(),
-            shares: BTreeMap::new(),
-            retry_min: self.settings.retry_min,
-            max_returns: self.settings.max_returns,
-        });
+        let group = self
+            .groups
+            .insert(Group::new(arrival.service, &self.settings));
         self.names.insert(arrival.group, group);
         group
     }
@@ -698,99 +611,6 @@
     }
 }
 
-impl Group {
-    /// The class of a rank. Tiers are numbered by the ranks that the group has seen.
-    fn class(&mut self, rank: u8, keys: &mut SlotMap<ClassKey, ()>) -> ClassKey {
-        if let Some(&class) = self.ranks.get(&rank) {
-            return class;
-        }
-        let class = keys.insert(());
-        self.ranks.insert(rank, class);
-        let ranks = self.ranks.values().enumerate();
-        let specs = ranks.map(|(tier, &key)| ClassSpec {
-            key,
-            tier: u8::try_from(tier).unwrap_or(u8::MAX),
-            floor: RANK_FLOOR,
-            ..ClassSpec::default()
-        });
-        let specs: Vec<ClassSpec> = specs.collect();
-        self.scheduler.put_classes(&specs);
-        class
-    }
-
-    fn forget(&mut self, request: RequestKey) -> Option<Waiter> {
-        let waiter = self.waiters.remove(&request)?;
-        self.ends.remove(&(waiter.end, request));
-        Some(waiter)
-    }
-
-    /// Brings the rate at which requests begin up to date. To be called before any request is added
-    /// or removed.
-    fn advance(&mut self, now: Millis) {
-        self.drain.advance(!self.waiters.is_empty(), now);
-    }
-
-    /// Number of requests of this rank and of more urgent ones that wait.
-    fn ahead(&self, rank: u8) -> u32 {
-        let classes = self.ranks.range(..=rank);
-        let queued = classes.map(|(_, &class)| self.scheduler.queued(class));
-        queued.sum()
-    }
-
-    /// Expected wait of a request of `work` tokens that joins now; zero if it isn't known.
-    ///
-    /// One that came back in its time goes before the later requests of its account.
-    fn expected_wait(&self, rank: u8, account: AccountKey, work: u64, visit: Visit) -> Millis {
-        let Some(&class) = self.ranks.get(&rank) else {
-            return Millis::ZERO;
-        };
-        let ahead = match visit {
-            Visit::InTime(_) => self.scheduler.work_ahead_of_first(class, work),
-            Visit::First | Visit::Early(_) => self.scheduler.work_ahead(class, account, work),
-        };
-        let rate = self.drain.rate(rank);
-        rate.map_or(Millis::ZERO, |rate| Millis((ahead as f64 / rate) as u64))
-    }
-
-    /// The refusal of a request that has waited.
-    fn refusal_of(&mut self, waiter: &Waiter, now: Millis) -> LineRefusal {
-        let wait = self.expected_wait(waiter.rank, waiter.key, waiter.work, Visit::First);
-        let refused = Refused {
-            account: waiter.account,
-            rank: waiter.rank,
-            request: waiter.request,
-            place: waiter.place,
-            limit: waiter.until.since(waiter.joined),
-            patience: waiter.patience,
-        };
-        self.refusal(refused, wait, now)
-    }
-
-    /// The refusal of a request that would wait for `wait`.
-    fn refusal(&mut self, refused: Refused, wait: Millis, now: Millis) -> LineRefusal {
-        let pending = self.returns.pending(refused.request, now);
-        let at = pending.unwrap_or_else(|| self.reserve_return(&refused, wait, now));
-        let shares = self.shares.get(&refused.rank);
-        LineRefusal {
-            retry_after: at.since(now),
-            wait,
-            ahead: self.ahead(refused.rank),
-            share: shares.map_or(0, |shares| shares.percent(refused.account, now)),
-        }
-    }
-
-    fn reserve_return(&mut self, refused: &Refused, wait: Millis, now: Millis) -> Millis {
-        let excess = wait.since(refused.limit);
-        let earliest = now + excess.max(self.retry_min);
-        let span = self.drain.interval();
-        let latest = now + refused.patience.max(self.retry_min);
-        let at = self.returns.reserve(earliest, latest, span);
-        let Refused { request, place, .. } = *refused;
-        self.returns.keep(request, at, place, self.max_returns);
-        at
-    }
-}
-
 impl LineReturns {
     fn count(&mut self, visit: Visit) {
         match visit {
