sharing: received loads and silence stand apart from the gossip state

The loads and their sum move to loads.rs, the choice of those that are questioned to state/silence.rs, unchanged.

--- a/crates/gateway/src/sharing/mod.rs
+++ b/crates/gateway/src/sharing/mod.rs
@@ -20,6 +20,7 @@
 mod contact;
 mod handover;
 mod joining;
+mod loads;
 mod members;
 mod message;
 mod notices;
@@ -32,6 +33,7 @@
 
 pub use contact::contact_answer;
 pub use contact::contact_query;
+pub use loads::LoadSum;
 pub use members::Members;
 pub use message::CachedPrefix;
 pub use message::Content;
@@ -45,5 +47,4 @@
 pub use message::ServiceWork;
 pub(crate) use shell::start_gossip;
 pub use state::Gossip;
-pub use state::LoadSum;
 pub use suspicions::suspicion_packets;
--- a/crates/gateway/src/sharing/state.rs
+++ b/crates/gateway/src/sharing/state.rs
@@ -4,45 +4,29 @@
 use std::net::SocketAddr;
 
 use crocushold_base::Millis;
-use crocushold_routing::LaneStats;
 use twox_hash::XxHash3_64;
 
 use super::joining::Joining;
+use super::loads::LoadSum;
+use super::loads::MAX_AGE;
+use super::loads::ReceivedLoad;
 use super::members::Members;
 use super::message::CachedPrefix;
 use super::message::Content;
-use super::message::EngineQueue;
 use super::message::Identity;
 use super::message::Load;
 use super::message::MemberEntry;
 use super::message::Message;
-use super::message::ServiceWork;
 use super::prefix_relay::PrefixRelay;
 use crate::era::Revision;
 use crate::lag::Lag;
 
-/// How long a received load counts in full: the longest interval between messages.
-const FULL_WEIGHT_AGE: Millis = Millis(500);
-
-/// How long a received load counts at all. After [`FULL_WEIGHT_AGE`] its weight declines, since the
-/// engines are reading the prompts.
-const MAX_AGE: Millis = Millis::from_secs(1);
+mod silence;
 
 /// How long to wait for the fleet's load before changing to another collector: two of the longest
 /// intervals between a collector's messages, plus a lost message.
 const COLLECTOR_TIMEOUT: Millis = Millis(1200);
 
-/// Longest interval of a sender's messages while they have a load, and while they have none, each with a
-/// lost or late message. A sender that is silent for longer is questioned.
-const LOADED_SILENCE: Millis = Millis(250);
-const IDLE_SILENCE: Millis = Millis(600);
-
-/// How long a collector may be silent before it is questioned, if another one appears in its zone.
-const DOUBLED_SILENCE: Millis = Millis(150);
-
-/// Maximum number of instances that are questioned in a round: the zones of the largest deployment.
-const MAX_QUESTIONED: usize = 24;
-
 /// Number of rounds between messages without news, which show that the sender is alive.
 const KEEPALIVE_ROUNDS: u64 = 5;
 
@@ -53,115 +37,6 @@
 /// Number of instances per round that receive what every instance must know soon.
 const FANOUT: usize = 3;
 
-/// The load received from one sender, by part.
-#[derive(Clone, Debug, Default)]
-struct ReceivedLoad {
-    parts: BTreeMap<u8, (Load, Millis)>,
-    /// Number of parts of the last message.
-    count: u8,
-    /// When the last message was received.
-    received_at: Millis,
-}
-
-impl ReceivedLoad {
-    /// Updates the load from a message. If the number of parts has changed, the engines are
-    /// distributed differently, so the previous parts are dropped to avoid counting queues twice.
-    fn update(&mut self, load: Load, now: Millis) {
-        if load.part.count != self.count {
-            self.parts.clear();
-            self.count = load.part.count;
-        }
-        if load.part.index < load.part.count {
-            self.parts.insert(load.part.index, (load, now));
-        }
-        self.received_at = now;
-    }
-
-    /// How long the sender may be silent. After a load it always sends another message, at least one
-    /// that is empty.
-    fn longest_silence(&self) -> Millis {
-        let mut loads = self.parts.values().map(|(load, _)| load);
-        if loads.any(|load| !load.is_empty()) {
-            LOADED_SILENCE
-        } else {
-            IDLE_SILENCE
-        }
-    }
-}
-
-/// Sum of the loads of several instances.
-#[derive(Clone, Debug, Default)]
-pub struct LoadSum {
-    /// Queue at each listed engine beyond [`LoadSum::unlisted`], in milliseconds of reading, by
-    /// hash of the engine's name.
-    pub queues: BTreeMap<u32, f64>,
-    /// Assumed queue at each engine that isn't listed, in milliseconds. It isn't zero if a sender
-    /// had too many engines to list.
-    pub unlisted: f64,
-    /// Recent work by hash of the service's name.
-    pub work: BTreeMap<u32, LaneStats>,
-}
-
-impl LoadSum {
-    /// Queue at an engine, in milliseconds of reading.
-    pub fn queue_at(&self, engine: u32) -> f64 {
-        let listed = self.queues.get(&engine).copied().unwrap_or(0.0);
-        (self.unlisted + listed).max(0.0)
-    }
-
-    /// Adds a load with a weight.
-    ///
-    /// An engine that isn't listed has a queue between zero and [`Load::unlisted_max`], of which
-    /// half is assumed.
-    pub fn add(&mut self, load: &Load, weight: f64) {
-        let unlisted = f64::from(load.unlisted_max) / 2.0;
-        if load.part.index == 0 {
-            self.unlisted += weight * unlisted;
-        }
-        for entry in &load.queues {
-            let sum = self.queues.entry(entry.engine).or_default();
-            *sum += weight * (f64::from(entry.read_ms) - unlisted);
-        }
-        for entry in &load.work {
-            let sum = self.work.entry(entry.service).or_default();
-            sum.add(&entry.stats(), weight);
-        }
-    }
-
-    /// Adds a received load, weighted by its age.
-    fn add_received(&mut self, received: &ReceivedLoad, now: Millis) {
-        for (load, at) in received.parts.values() {
-            let left = MAX_AGE.since(now.since(*at)).0 as f64;
-            let weight = (left / MAX_AGE.since(FULL_WEIGHT_AGE).0 as f64).min(1.0);
-            if weight > 0.0 {
-                self.add(load, weight);
-            }
-        }
-    }
-
-    /// Subtracts a load, and removes the engines whose queue becomes empty.
-    fn subtract(&mut self, load: &Load) {
-        self.add(load, -1.0);
-        let unlisted = self.unlisted;
-        self.queues.retain(|_, sum| *sum + unlisted > 0.0);
-    }
-
-    fn load(&self) -> Load {
-        let queues = self.queues.keys().map(|&engine| EngineQueue {
-            engine,
-            read_ms: self.queue_at(engine).round() as u32,
-        });
-        let work = self.work.iter();
-        let work = work.map(|(&service, stats)| ServiceWork::new(service, stats));
-        Load {
-            queues: queues.filter(|entry| entry.read_ms > 0).collect(),
-            work: work.filter(|entry| !entry.is_empty()).collect(),
-            unlisted_max: (self.unlisted * 2.0).round() as u32,
-            ..Load::default()
-        }
-    }
-}
-
 /// Gossip state of an instance.
 ///
 /// Each instance sends its load to the collector of its zone. Any instance that receives loads acts
@@ -583,55 +458,6 @@
         self.members.in_turn(self.rounds.wrapping_add(self.seed))
     }
 
-    /// The instances to be questioned whether their processes run: the collector, and those of other
-    /// zones, that are silent. While others take this instance or another one for the collector, they
-    /// may know that it is gone.
-    ///
-    /// A process that is paused, or has little processor time, is silent as well, and stays what it
-    /// is: only one that is found not to run is passed to [`Gossip::record_gone`].
-    pub fn silent_peers(&self, now: Millis) -> Vec<SocketAddr> {
-        let mut silent = Vec::new();
-        if let Some((collector, since)) = self.collector {
-            let received = self.fleet.as_ref();
-            let last = received.map_or(Millis::ZERO, |fleet| fleet.received_at);
-            let longest = received.map_or(IDLE_SILENCE, ReceivedLoad::longest_silence);
-            if now.since(last.max(since)) > longest || !self.reports.is_empty() {
-                silent.push(collector);
-            }
-        }
-        let mut senders: BTreeMap<u32, usize> = BTreeMap::new();
-        for (zone, _) in self.zones.values() {
-            *senders.entry(*zone).or_default() += 1;
-        }
-        for (address, (zone, received)) in &self.zones {
-            let longest = if senders[zone] > 1 {
-                DOUBLED_SILENCE
-            } else {
-                received.longest_silence()
-            };
-            if now.since(received.received_at) > longest {
-                silent.push(*address);
-            }
-        }
-        silent.truncate(MAX_QUESTIONED);
-        silent
-    }
-
-    /// Records that no process runs at the address of an instance. Returns whether that is news. If it
-    /// was a collector, another one is found as after a start.
-    pub fn record_gone(&mut self, address: SocketAddr, now: Millis) -> bool {
-        if !self.members.record_gone(&address, now) {
-            return false;
-        }
-        self.reports.remove(&address);
-        let was_used = self.zones.remove(&address).is_some();
-        if was_used || self.collector() == Some(address) || self.placer == Some(address) {
-            self.joining.rejoin(now);
-            self.choose_collector(now);
-        }
-        true
-    }
-
     /// Records that this instance saw a change of the store at `revision`.
     pub fn observe_revision(&mut self, revision: Revision) {
         self.lag.observe(revision);
