--- a/crates/admission/src/line/mod.rs
+++ b/crates/admission/src/line/mod.rs
@@ -14,12 +14,15 @@
 //! * **Refusal:** a request whose wait is expected to exceed what its caller bears is refused as it
 //!   arrives, and one that has waited for that long is refused then. The expected wait counts no
 //!   more of other accounts' requests than fair queuing serves first.
+//! * **Return:** a request that was refused has a time at which it may return, and keeps its place until
+//!   shortly after. If it comes back earlier while others wait, it is refused again with the same time.
 //! * **Rank:** a request isn't refused while less urgent ones are served. It may use the engines of
 //!   other groups that have room, and at the end of its wait it is sent to an engine however long the
 //!   queue there is.
 
 mod drain;
 mod returns;
+mod shares;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -36,6 +39,8 @@
 
 use self::drain::Drain;
 use self::returns::Returns;
+use self::returns::Visit;
+use self::shares::Shares;
 use crate::decay::DecayingSum;
 use crate::request::Arrival;
 use crate::scheduler::Action;
@@ -81,6 +86,8 @@
     pub max_waiting: u32,
     /// Number of accounts beyond which those without requests are forgotten.
     pub max_accounts: usize,
+    /// Maximum number of refused requests of a group whose return times and places are kept.
+    pub max_returns: usize,
     /// Minimum time after which a refused request may return.
     pub retry_min: Millis,
 }
@@ -90,6 +97,7 @@
         LineSettings {
             max_waiting: 10_000,
             max_accounts: 16 * 1024,
+            max_returns: 10_000,
             retry_min: Millis(200),
         }
     }
@@ -106,6 +114,8 @@
     pub rank: u8,
     /// The client account.
     pub account: u32,
+    /// Hash of what it asks, which is the same when it comes back; zero if that isn't known.
+    pub request: u32,
     /// Length of the prompt, in tokens.
     pub prompt_tokens: u32,
     /// Expected length of the answer, in tokens.
@@ -128,6 +138,13 @@
 pub struct LineRefusal {
     /// Time after which room is expected.
     pub retry_after: Millis,
+    /// Expected wait if it joined now; zero if it isn't known.
+    pub wait: Millis,
+    /// Number of requests of its rank and of more urgent ones that wait in its group.
+    pub ahead: u32,
+    /// Share of its account in the tokens of its rank that began in its group in about the last second,
+    /// in percent.
+    pub share: u8,
 }
 
 /// The engines to which a request is offered.
@@ -180,10 +197,24 @@
     pub largest: Vec<(u32, u32)>,
 }
 
+/// Requests that were refused and may return.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LineReturns {
+    /// Number of those whose times and places are kept.
+    pub kept: usize,
+    /// Number of those that came back in their time, since they were last taken.
+    pub in_time: u32,
+    /// Number of those that came back before it, since they were last taken.
+    pub early: u32,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Waiter {
     account: u32,
     key: AccountKey,
+    request: u32,
+    /// Its place among its account's requests.
+    place: u64,
     /// Its expected cost, in output tokens.
     work: u64,
     rank: u8,
@@ -191,8 +222,22 @@
     /// End of its wait.
     until: Millis,
     patience: Millis,
-    /// Its entry in the ends of waits, if less urgent requests were served when it arrived.
-    end: Option<Millis>,
+    /// Its entry in the ends of waits.
+    end: Millis,
+    /// Less urgent requests were served when it arrived.
+    outranks: bool,
+}
+
+/// A request that is to be refused.
+#[derive(Clone, Copy, Debug)]
+struct Refused {
+    account: u32,
+    rank: u8,
+    request: u32,
+    place: u64,
+    /// How long it might have waited.
+    limit: Millis,
+    patience: Millis,
 }
 
 #[derive(Debug)]
@@ -205,11 +250,14 @@
     waiters: HashMap<RequestKey, Waiter>,
     offered: SecondaryMap<RequestKey, Ticket<Dispatched>>,
     begun: SecondaryMap<RequestKey, Ticket<Sent>>,
-    /// Ends of the waits of those that outrank others.
+    /// Ends of waits. The scheduler knows none, as it orders an account's requests by theirs first.
     ends: BTreeSet<(Millis, RequestKey)>,
     drain: Drain,
     returns: Returns,
+    /// What the accounts were served, by rank.
+    shares: BTreeMap<u8, Shares>,
     retry_min: Millis,
+    max_returns: usize,
 }
 
 /// The line of requests that wait before the engines of all services.
@@ -228,6 +276,10 @@
     refused: HashMap<u32, u32>,
     /// Tokens served of late, by service and rank.
     served: HashMap<u32, BTreeMap<u8, Served>>,
+    /// Number of places that were given.
+    places: u64,
+    /// Those who came back, since they were last taken.
+    returns: LineReturns,
 }
 
 /// What was served of a rank.
@@ -270,10 +322,33 @@
         let work = state
             .scheduler
             .cost(arrival.prompt_tokens, arrival.output_tokens);
-        let wait = state.expected_wait(arrival.rank, account, work);
+        let visit = state.returns.visit(arrival.request, now);
+        self.returns.count(visit);
+        let wait = state.expected_wait(arrival.rank, account, work, visit);
+        let refused = Refused {
+            account: arrival.account,
+            rank: arrival.rank,
+            request: arrival.request,
+            place: self.places + 1,
+            limit,
+            patience: arrival.patience,
+        };
+        let is_early = matches!(visit, Visit::Early(_)) && state.ahead(arrival.rank) > 0;
+        if is_early && !outranks {
+            *self.refused.entry(arrival.account).or_default() += 1;
+            return Err(state.refusal(refused, wait, now));
+        }
+        let place = match visit {
+            Visit::InTime(place) => place,
+            Visit::First | Visit::Early(_) => {
+                self.places += 1;
+                self.places
+            }
+        };
+        let refused = Refused { place, ..refused };
         if wait > limit && !outranks {
             *self.refused.entry(arrival.account).or_default() += 1;
-            return Err(state.refusal(wait.since(limit), arrival.patience, now));
+            return Err(state.refusal(refused, wait, now));
         }
         let until = now + limit;
         let submitted = Arrival {
@@ -281,28 +356,32 @@
             account,
             prompt_tokens: arrival.prompt_tokens,
             max_tokens: arrival.output_tokens.max(1),
-            deadline: if outranks { Millis::MAX } else { until },
             ..Arrival::default()
         };
-        match state.scheduler.submit(&submitted, now) {
+        match state.scheduler.submit_in_order(&submitted, place, now) {
             Admission::Queued(request) => {
                 let waiter = Waiter {
                     account: arrival.account,
                     key: account,
+                    request: arrival.request,
+                    place,
                     work,
                     rank: arrival.rank,
                     joined: now,
                     until,
                     patience: arrival.patience,
-                    end: outranks.then_some(until),
+                    end: until,
+                    outranks,
                 };
                 state.waiters.insert(request, waiter);
-                state.ends.extend(waiter.end.map(|end| (end, request)));
+                state.ends.insert((until, request));
                 Ok(WaiterKey { group, request })
             }
             Admission::Refused(_) => {
                 *self.refused.entry(arrival.account).or_default() += 1;
-                Err(state.refusal(wait, arrival.patience, now))
+                // Room is expected when what waits has begun, whatever the limit.
+                let limit = Millis::ZERO;
+                Err(state.refusal(Refused { limit, ..refused }, wait, now))
             }
         }
     }
@@ -345,7 +424,7 @@
                 Action::Dispatch(ticket) => {
                     let request = ticket.key();
                     let waiter = state.waiters.get(&request)?;
-                    let scope = if waiter.end.is_some() {
+                    let scope = if waiter.outranks {
                         LineScope::Any
                     } else {
                         LineScope::Group
@@ -369,10 +448,13 @@
         let Some(state) = group.forget(waiter.request) else {
             return;
         };
+        group.returns.forget(state.request);
         if !group.waiters.is_empty() {
             group.drain.record(state.rank, ticket.charge());
         }
         let tokens = ticket.charge() as f64;
+        let shares = group.shares.entry(state.rank).or_default();
+        shares.record(state.account, tokens, now);
         group.begun.insert(waiter.request, ticket.sent());
         let served = self.served.entry(group.service).or_default();
         let served = served.entry(state.rank).or_insert_with(|| Served {
@@ -396,10 +478,9 @@
         let Some(state) = group.waiters.get_mut(&request) else {
             return;
         };
-        if state.end.is_some_and(|end| end <= now) {
-            let end = now + REOFFER;
-            state.end = Some(end);
-            group.ends.insert((end, request));
+        if state.end <= now {
+            state.end = now + REOFFER;
+            group.ends.insert((state.end, request));
         }
     }
 
@@ -487,7 +568,20 @@
         LineRefusals { total, largest }
     }
 
-    /// The step for the first request that outranks others and whose wait is over.
+    /// Takes the numbers of requests that came back since the last call.
+    pub fn take_returns(&mut self, now: Millis) -> LineReturns {
+        let mut kept = 0;
+        for group in self.groups.values_mut() {
+            group.returns.expire(now);
+            kept += group.returns.len();
+        }
+        LineReturns {
+            kept,
+            ..std::mem::take(&mut self.returns)
+        }
+    }
+
+    /// The step for the first request whose wait is over.
     fn next_end(&mut self, group: LineGroupKey, now: Millis) -> Option<LineStep> {
         let state = self.groups.get_mut(group)?;
         let &(at, request) = state.ends.first()?;
@@ -498,7 +592,7 @@
         let waiter = *state.waiters.get(&request)?;
         let service = state.service;
         let key = WaiterKey { group, request };
-        if self.outranks(service, waiter.rank, now) {
+        if waiter.outranks && self.outranks(service, waiter.rank, now) {
             let state = self.groups.get_mut(group)?;
             let ticket = state.scheduler.dispatch(request, now)?;
             state.offered.insert(request, ticket);
@@ -550,7 +644,9 @@
             ends: BTreeSet::new(),
             drain: Drain::default(),
             returns: Returns::default(),
+            shares: BTreeMap::new(),
             retry_min: self.settings.retry_min,
+            max_returns: self.settings.max_returns,
         });
         self.names.insert(arrival.group, group);
         group
@@ -607,9 +703,7 @@
 
     fn forget(&mut self, request: RequestKey) -> Option<Waiter> {
         let waiter = self.waiters.remove(&request)?;
-        if let Some(end) = waiter.end {
-            self.ends.remove(&(end, request));
-        }
+        self.ends.remove(&(waiter.end, request));
         Some(waiter)
     }
 
@@ -619,31 +713,73 @@
         self.drain.advance(!self.waiters.is_empty(), now);
     }
 
+    /// Number of requests of this rank and of more urgent ones that wait.
+    fn ahead(&self, rank: u8) -> u32 {
+        let classes = self.ranks.range(..=rank);
+        let queued = classes.map(|(_, &class)| self.scheduler.queued(class));
+        queued.sum()
+    }
+
     /// Expected wait of a request of `work` tokens that joins now; zero if it isn't known.
-    fn expected_wait(&self, rank: u8, account: AccountKey, work: u64) -> Millis {
+    ///
+    /// One that came back in its time goes before the later requests of its account.
+    fn expected_wait(&self, rank: u8, account: AccountKey, work: u64, visit: Visit) -> Millis {
         let Some(&class) = self.ranks.get(&rank) else {
             return Millis::ZERO;
         };
-        let ahead = self.scheduler.work_ahead(class, account, work);
+        let ahead = match visit {
+            Visit::InTime(_) => self.scheduler.work_ahead_of_first(class, work),
+            Visit::First | Visit::Early(_) => self.scheduler.work_ahead(class, account, work),
+        };
         let rate = self.drain.rate(rank);
         rate.map_or(Millis::ZERO, |rate| Millis((ahead as f64 / rate) as u64))
     }
 
     /// The refusal of a request that has waited.
     fn refusal_of(&mut self, waiter: &Waiter, now: Millis) -> LineRefusal {
-        let wait = self.expected_wait(waiter.rank, waiter.key, waiter.work);
-        let limit = waiter.until.since(waiter.joined);
-        self.refusal(wait.since(limit), waiter.patience, now)
+        let wait = self.expected_wait(waiter.rank, waiter.key, waiter.work, Visit::First);
+        let refused = Refused {
+            account: waiter.account,
+            rank: waiter.rank,
+            request: waiter.request,
+            place: waiter.place,
+            limit: waiter.until.since(waiter.joined),
+            patience: waiter.patience,
+        };
+        self.refusal(refused, wait, now)
     }
 
-    /// The refusal of a request whose wait would be too long by `excess`.
-    fn refusal(&mut self, excess: Millis, patience: Millis, now: Millis) -> LineRefusal {
+    /// The refusal of a request that would wait for `wait`.
+    fn refusal(&mut self, refused: Refused, wait: Millis, now: Millis) -> LineRefusal {
+        let pending = self.returns.pending(refused.request, now);
+        let at = pending.unwrap_or_else(|| self.reserve_return(&refused, wait, now));
+        let shares = self.shares.get(&refused.rank);
+        LineRefusal {
+            retry_after: at.since(now),
+            wait,
+            ahead: self.ahead(refused.rank),
+            share: shares.map_or(0, |shares| shares.percent(refused.account, now)),
+        }
+    }
+
+    fn reserve_return(&mut self, refused: &Refused, wait: Millis, now: Millis) -> Millis {
+        let excess = wait.since(refused.limit);
         let earliest = now + excess.max(self.retry_min);
         let span = self.drain.interval();
-        let latest = now + patience.max(self.retry_min);
+        let latest = now + refused.patience.max(self.retry_min);
         let at = self.returns.reserve(earliest, latest, span);
-        LineRefusal {
-            retry_after: at.since(now),
+        let Refused { request, place, .. } = *refused;
+        self.returns.keep(request, at, place, self.max_returns);
+        at
+    }
+}
+
+impl LineReturns {
+    fn count(&mut self, visit: Visit) {
+        match visit {
+            Visit::First => {}
+            Visit::Early(_) => self.early += 1,
+            Visit::InTime(_) => self.in_time += 1,
         }
     }
 }
--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -207,6 +207,18 @@
                     retry_after: retry_delay,
                 }))
             }
+            PlacementVerdict::Refused {
+                wait,
+                retry_delay,
+                standing,
+            } => {
+                metrics.count_placement("late");
+                self.line_standing = Some(standing);
+                Some(Err(NoServer {
+                    reason: routing::Reason::Late { wait },
+                    retry_after: retry_delay,
+                }))
+            }
             PlacementVerdict::Full { retry_delay } => {
                 metrics.count_placement("full");
                 Some(Err(NoServer {
@@ -251,6 +263,7 @@
         Some(LineTerms {
             account: account.map_or(0, short_hash),
             limit: limit.min(Millis(remaining.0 / LINE_DIVISOR)),
+            request: (self.job.content.request.0 as u32).max(1),
         })
     }
 
@@ -290,8 +303,19 @@
         self.unserved = reason.is_unserved();
         let duration = match reason {
             Reason::Late => none.retry_after,
+            Reason::NoServer => self.unserved_delay(none.retry_after.max(MIN_RETRY_AFTER)),
             _ => none.retry_after.max(MIN_RETRY_AFTER),
         };
         self.final_refusal(reason, Some(duration))
     }
+
+    /// When to retry while the service has no servers: earlier than after `usual` if the instance has
+    /// just started, since servers that started with it are announced soon.
+    fn unserved_delay(&self, usual: Millis) -> Millis {
+        let shared = self.shared;
+        let draw = shared.return_draw(&self.job.id);
+        let returns = shared.start.returns();
+        let delay = returns.unserved(shared.clock.now(), self.job.need.priority, draw);
+        delay.map_or(usual, |delay| delay.min(usual))
+    }
 }
--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -1,5 +1,6 @@
 //! Messages between an instance and the placer.
 
+use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_routing::LoadReport;
 use crocushold_routing::Outcome;
@@ -63,18 +64,6 @@
     ColdPhases(Vec<ColdPhase>),
 }
 
-impl Packet {
-    /// Encodes the packet.
-    pub fn encode(&self) -> Vec<u8> {
-        postcard::to_allocvec(self).expect("numbers, names and addresses always serialise")
-    }
-
-    /// Decodes a packet; `None` if the bytes aren't a valid packet.
-    pub fn decode(bytes: &[u8]) -> Option<Packet> {
-        postcard::from_bytes(bytes).ok()
-    }
-}
-
 /// A request for the placement of a caller's request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlacementRequest {
@@ -101,6 +90,8 @@
     pub account: u32,
     /// How much longer the caller bears to wait for the beginning of the prefill.
     pub limit: Millis,
+    /// Hash of what is asked, which is the same when the caller comes back; never zero.
+    pub request: u32,
 }
 
 /// The engine chosen for a request of another instance.
@@ -138,6 +129,24 @@
     /// It waits in line. The decision follows; until then the sender asks again, so that the
     /// placer knows that it is still there.
     Waiting,
+    /// The line refuses it.
+    Refused {
+        /// The expected wait; zero if it isn't known.
+        wait: Millis,
+        /// When to retry.
+        retry_delay: Millis,
+        /// Why.
+        standing: LineStanding,
+    },
+}
+
+/// How a request stood in line when that refused it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LineStanding {
+    /// Number of requests of its rank and of more urgent ones that waited.
+    pub ahead: u32,
+    /// Share of its account in what began of its rank in about the last second, in percent.
+    pub share: u8,
 }
 
 /// The reply to a [`PlacementRequest`].
@@ -167,7 +176,8 @@
     /// The request has ended.
     Ended(RequestEnd),
     /// The answer has begun, at an engine that reported the numbers of running and waiting requests,
-    /// and how long work takes there at this moment, in percent of the usual time.
+    /// and how long work takes there at this moment, in percent of the usual time. It is encoded as
+    /// [`UpdateKind::Started`] with a trailer; only one earlier version sends the variant itself.
     StartedAtPace([u32; 2], u16),
 }
 
@@ -182,6 +192,16 @@
     pub pause: Option<Millis>,
 }
 
+impl LineStanding {
+    /// Adds the fields that explain the refusal.
+    pub fn log(&self, event: Event) -> Event {
+        let share = format!("{}%", self.share);
+        event
+            .with("line-ahead", self.ahead)
+            .with("line-share", share)
+    }
+}
+
 impl UpdateKind {
     /// The engine's load report, if the update carries one.
     pub(crate) fn load(&self) -> Option<LoadReport> {
@@ -198,10 +218,23 @@
         })
     }
 
+    /// How long work takes at the engine, in percent of the usual time, if the update tells it.
+    pub(super) fn pace(&self) -> Option<u16> {
+        match *self {
+            UpdateKind::StartedAtPace(_, percent) => Some(percent),
+            UpdateKind::Started(_) | UpdateKind::Ended(_) => None,
+        }
+    }
+
+    /// The update as versions that know no pace understand it.
+    pub(super) fn without_pace(self) -> UpdateKind {
+        match self {
+            UpdateKind::StartedAtPace(requests, _) => UpdateKind::Started(Some(requests)),
+            UpdateKind::Started(_) | UpdateKind::Ended(_) => self,
+        }
+    }
+
     /// The answer has begun, with the engine's load report.
-    ///
-    /// An instance of an earlier version can't decode the pace, and ignores the packet. It then learns
-    /// of the end of the request by its expiry, as if the packet were lost.
     pub fn started(load: Option<LoadReport>) -> UpdateKind {
         let requests = |load: LoadReport| [load.running, load.waiting];
         match load.and_then(|load| Some((load, load.work_percent?))) {
--- a/crates/gateway/src/placing/shell.rs
+++ b/crates/gateway/src/placing/shell.rs
@@ -12,6 +12,7 @@
 
 use async_std::future::timeout;
 use crocushold_admission::LineRefusals;
+use crocushold_admission::LineReturns;
 use crocushold_admission::LineStatus;
 use crocushold_base::Clock;
 use crocushold_base::Event;
@@ -64,6 +65,8 @@
     /// Whether this instance has just started and is about to know a placer.
     expected: AtomicBool,
     found: Signal,
+    /// The placer that a question of the last round got no answer from.
+    unanswered: Mutex<Option<SocketAddr>>,
 }
 
 /// Cancels a pending placement request if the caller's request is dropped.
@@ -132,6 +135,11 @@
         lock(&self.placer).take_line_refusals()
     }
 
+    /// Takes the numbers of requests that came back after a refusal since the last call.
+    pub(crate) fn take_line_returns(&self, now: Millis) -> LineReturns {
+        lock(&self.placer).take_line_returns(now)
+    }
+
     /// Offers the waiting requests to the engines.
     pub(crate) fn serve_line(&self, fleet: &mut Fleet, now: Millis) {
         let mut placer = lock(&self.placer);
@@ -167,6 +175,11 @@
         }
     }
 
+    /// Takes the placer that hasn't answered a question since the last call.
+    pub(crate) fn take_unanswered(&self) -> Option<SocketAddr> {
+        lock(&self.unanswered).take()
+    }
+
     /// Sets whether this instance is about to know a placer.
     pub(crate) fn set_expected(&self, expected: bool) {
         let before = self.expected.swap(expected, Ordering::Relaxed);
@@ -248,6 +261,7 @@
                 waited,
             });
         }
+        *lock(&self.unanswered) = Some(placement_id.placer);
         let backs_off = lock(&self.client).time_out(placement_id, query.clock.now());
         if backs_off {
             let event = Event::new("placer-silent").with("placer", placement_id.placer);
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -95,6 +95,7 @@
         line: Some(LineTerms {
             account,
             limit: LIMIT,
+            request: number + 1,
         }),
     }
 }
@@ -297,6 +298,89 @@
     assert_eq!(busy.placer.len(), usize::from(ENGINES) + 1);
 }
 
+/// Guards against a request that is refused, asks again as the refusal was lost or on its way, and
+/// stands in line a second time.
+#[test]
+fn a_refusal_that_was_lost_is_repeated() {
+    let mut busy = Busy::new();
+    let mut waiting = request(7, 1, 1);
+    waiting.line = Some(LineTerms {
+        limit: Millis(LIMIT.0 / 2),
+        ..waiting.line.expect("it waits in line")
+    });
+    for step in 0..10 {
+        busy.wait(1, &waiting, START + Millis(45 * step));
+    }
+    busy.placer
+        .serve_line(&mut busy.fleet, START + Millis(LIMIT.0 / 2));
+    let first = busy.placer.take_replies();
+    assert!(matches!(
+        first[..],
+        [(
+            _,
+            PlacementReply {
+                number: 7,
+                verdict: PlacementVerdict::Refused { .. }
+            }
+        )]
+    ));
+    for at in [620, 670] {
+        let again = busy.ask(1, &waiting, START + Millis(at));
+        assert_eq!(again, first[0].1.verdict);
+    }
+    assert_eq!(busy.placer.waiting(), 0);
+    assert_eq!(busy.placer.take_line_refusals().total, 1);
+}
+
+/// Guards against callers that come back when they were told to, at another instance, and find later
+/// ones served first, and against those that come back at once and do better.
+#[test]
+fn a_caller_returns_to_its_place_at_any_instance() {
+    let mut busy = Busy::new();
+    let with_limit = |number, limit| PlacementRequest {
+        line: request(6, 1, 1)
+            .line
+            .map(|terms| LineTerms { limit, ..terms }),
+        ..request(number, 1, 1)
+    };
+    let refused = with_limit(6, Millis(600));
+    let later = request(7, 1, 1);
+    let last = request(8, 1, 1);
+    let again = with_limit(60, LIMIT);
+    let mut returned_at = None;
+    for step in 0..45 {
+        let now = START + Millis(20 * step);
+        if returned_at.is_none()
+            && let PlacementVerdict::Refused { retry_delay, .. } = busy.ask(1, &refused, now)
+        {
+            returned_at = Some(now + retry_delay);
+            let early = now + Millis(50);
+            let verdict = busy.ask(3, &with_limit(61, LIMIT), early);
+            let PlacementVerdict::Refused {
+                retry_delay: left, ..
+            } = verdict
+            else {
+                panic!("{verdict:?}");
+            };
+            assert_eq!(early + left, now + retry_delay);
+        }
+        busy.wait(1, &later, now);
+        if returned_at.is_some_and(|at| now >= at) {
+            busy.wait(1, &last, now);
+            busy.wait(2, &again, now);
+        }
+    }
+    let now = START + Millis(890);
+    let mut order = Vec::new();
+    for number in 0..u32::from(ENGINES) {
+        busy.free(number, now);
+        order.extend(busy.serve(now));
+    }
+    assert_eq!(order, [(peer_at(2), 60), (peer_at(1), 7), (peer_at(1), 8)]);
+    let returns = busy.placer.take_line_returns(now);
+    assert_eq!([returns.in_time, returns.early], [1, 1]);
+}
+
 /// Guards against places that are kept for callers that have left.
 #[test]
 fn a_caller_that_leaves_gives_up_its_place() {
@@ -329,6 +413,28 @@
     assert_eq!(busy.serve(now), [(peer_at(2), 99)]);
 }
 
+/// Guards against newcomers that are refused for requests of an instance that is gone: those count as
+/// waiting only until they weren't asked for, wherever they stand.
+#[test]
+fn all_requests_of_a_lost_instance_leave_the_line() {
+    let mut busy = Busy::new();
+    // As many are looked at in one interval, and more, before those of the lost instance.
+    for step in 0..8 {
+        let now = START + Millis(40 * step);
+        for number in 0..300 {
+            busy.wait(2, &request(number, 1, 1), now);
+        }
+        if step == 0 {
+            for number in 0..300 {
+                busy.wait(1, &request(number, 1, 1), now);
+            }
+        }
+        busy.serve(now);
+    }
+    busy.serve(START + Millis(310));
+    assert_eq!(busy.placer.waiting(), 300);
+}
+
 /// A placer is paused for two seconds with requests in line. Their instances have chosen by
 /// themselves since, so it must place none of them when it goes on.
 #[test]
@@ -380,7 +486,7 @@
     for request in &requests {
         match busy.ask(1, request, START) {
             PlacementVerdict::Waiting => open.push(request.number),
-            PlacementVerdict::Late { .. } => refused += 1,
+            PlacementVerdict::Refused { .. } => refused += 1,
             PlacementVerdict::Placed(_) => {}
             other => panic!("{other:?}"),
         }
@@ -391,7 +497,7 @@
         busy.placer.serve_line(&mut busy.fleet, now);
         for (_, reply) in busy.placer.take_replies() {
             open.retain(|number| *number != reply.number);
-            if let PlacementVerdict::Late { retry_delay, .. } = reply.verdict {
+            if let PlacementVerdict::Refused { retry_delay, .. } = reply.verdict {
                 assert!(retry_delay > Millis::ZERO);
                 assert!(retry_delay <= Millis(2000), "{retry_delay}");
                 refused += 1;
