--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod reach;
 mod service;
 mod software;
+mod speeds;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -58,6 +59,7 @@
 use self::service::ModelLanes;
 use self::service::Service;
 use self::software::ListedSoftware;
+pub use self::speeds::ServerPace;
 use crate::placing::PlacementId;
 use crate::routes::EngineSpec;
 use crate::routes::Heartbeat;
@@ -453,16 +455,25 @@
         }
     }
 
+    /// The outcome of an attempt of this instance, as the placer is told. A rest binds only the instance
+    /// that was asked.
+    pub fn told_outcome(&self, choice: &Choice, outcome: Outcome) -> Outcome {
+        let is_rest = outcome == Outcome::Overloaded && self.rests.contains(choice.server);
+        if is_rest { Outcome::Resting } else { outcome }
+    }
+
     /// Records that an attempt ended after `tokens` of an answer. While a server rests, its
     /// rejections are no failures, and while the path is lost, neither are failed connections.
     pub fn done(&mut self, choice: &Choice, outcome: Outcome, tokens: u32, now: Millis) {
-        if outcome == Outcome::Overloaded
+        if matches!(outcome, Outcome::Overloaded | Outcome::Resting)
             && let Some(service) = self.services.get_mut(&*choice.service)
         {
             service.router.record_rejection(choice.server, now);
         }
         let outcome = match outcome {
-            Outcome::Overloaded if self.rests.contains(choice.server) => Outcome::Cancelled,
+            Outcome::Overloaded | Outcome::Resting if self.rests.contains(choice.server) => {
+                Outcome::Cancelled
+            }
             Outcome::Refused | Outcome::Unreachable if self.path_lost_since().is_some() => {
                 Outcome::Cancelled
             }
--- a/crates/gateway/src/placing/message.rs
+++ b/crates/gateway/src/placing/message.rs
@@ -14,6 +14,7 @@
 use crate::fleet::Need;
 use crate::fleet::ServerDeparture;
 use crate::fleet::ServerLimit;
+use crate::fleet::ServerPace;
 use crate::resumption::OriginQuery;
 use crate::resumption::OriginReply;
 use crate::resumption::StreamOrigin;
@@ -62,6 +63,10 @@
     NewlySoundParts(Vec<ServedContent>),
     /// Cold phases of servers, as far as the sender knows.
     ColdPhases(Vec<ColdPhase>),
+    /// The sender has just started, knows the servers, and asks for their speeds.
+    PacesQuery,
+    /// How long work usually takes on servers, as far as it isn't what is published.
+    Paces(Vec<ServerPace>),
 }
 
 /// A request for the placement of a caller's request.
@@ -226,14 +231,6 @@
         }
     }
 
-    /// The update as versions that know no pace understand it.
-    pub(super) fn without_pace(self) -> UpdateKind {
-        match self {
-            UpdateKind::StartedAtPace(requests, _) => UpdateKind::Started(Some(requests)),
-            UpdateKind::Started(_) | UpdateKind::Ended(_) => self,
-        }
-    }
-
     /// The answer has begun, with the engine's load report.
     pub fn started(load: Option<LoadReport>) -> UpdateKind {
         let requests = |load: LoadReport| [load.running, load.waiting];
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -92,6 +92,12 @@
         waiting.map_or_else(LineRefusals::default, WaitingRequests::take_refusals)
     }
 
+    /// The accounts that the line served most of late, with their shares in percent.
+    pub fn largest_line_shares(&self, now: Millis) -> Vec<(u32, u8)> {
+        let waiting = self.waiting.as_ref();
+        waiting.map_or_else(Vec::new, |waiting| waiting.largest_shares(now))
+    }
+
     /// Takes the numbers of requests that came back after a refusal since the last call.
     pub fn take_line_returns(&mut self, now: Millis) -> LineReturns {
         let waiting = self.waiting.as_mut();
@@ -207,6 +213,9 @@
             return reply(PlacementVerdict::Unable);
         };
         let group = match waiting.renew(&asker, now) {
+            Some(group) if !waiting.may_find_room(group, now) => {
+                return reply(PlacementVerdict::Waiting);
+            }
             Some(group) => group,
             None => {
                 fleet.record_demand(&request.need, &request.tried, now);
@@ -265,9 +274,10 @@
     /// Offers the waiting requests what a placed one leaves: to those of its group, or to all if it
     /// didn't come from the line.
     fn offer_freed(&mut self, fleet: &mut Fleet, waiter: Option<WaiterKey>, now: Millis) {
-        let Some(waiting) = &self.waiting else {
+        let Some(waiting) = &mut self.waiting else {
             return;
         };
+        waiting.record_change();
         match waiter {
             Some(waiter) => {
                 let group = waiting.group_of(waiter);
@@ -277,6 +287,13 @@
         }
     }
 
+    /// Records that engines may have room for what waits.
+    fn record_change(&mut self) {
+        if let Some(waiting) = &mut self.waiting {
+            waiting.record_change();
+        }
+    }
+
     /// Settles what a request from the line really used.
     fn settle(&mut self, fleet: &Fleet, placed: &PlacedRequest, ended: RequestEnd, now: Millis) {
         if let Some(waiting) = &mut self.waiting
@@ -387,6 +404,7 @@
         is_reachable: bool,
         now: Millis,
     ) {
+        self.record_change();
         for (choice, outcome) in self.doubted.remove(&server).unwrap_or_default() {
             let outcome = if is_reachable {
                 Outcome::Cancelled
@@ -402,6 +420,9 @@
     pub fn expire(&mut self, fleet: &mut Fleet, now: Millis) {
         let expired = self.placed.extract_if(|_, placed| placed.expires <= now);
         let expired: Vec<PlacedRequest> = expired.map(|(_, placed)| placed).collect();
+        if !expired.is_empty() {
+            self.record_change();
+        }
         for placed in expired {
             let lost = RequestEnd {
                 result: Outcome::Cancelled,
