line: what a request asks for is kept once, and a group is called a group

A waiting request and one that is to be refused had the same fields, the end of a wait stood twice, and an early return carried a time that nobody read. Variables named state were sometimes the group, sometimes the request.

--- a/crates/admission/src/line/group.rs
+++ b/crates/admission/src/line/group.rs
@@ -28,39 +28,35 @@
 /// Guaranteed share of each rank in a group, so that none starves.
 const RANK_FLOOR: f64 = 0.02;
 
-/// A request that waits.
+/// What a request's caller asks for, and its place.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Waiter {
+pub(super) struct Entry {
     pub(super) account: u32,
-    pub(super) key: AccountKey,
+    pub(super) rank: u8,
+    /// Hash of what it asks.
     pub(super) request: u32,
     /// Its place among its account's requests.
     pub(super) place: u64,
+    /// How long it may wait.
+    pub(super) limit: Millis,
+    /// Time after which its caller wouldn't return.
+    pub(super) patience: Millis,
+}
+
+/// A request that waits.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiter {
+    pub(super) entry: Entry,
+    pub(super) account: AccountKey,
     /// Its expected cost, in output tokens.
     pub(super) work: u64,
-    pub(super) rank: u8,
     pub(super) joined: Millis,
-    /// End of its wait.
-    pub(super) until: Millis,
-    pub(super) patience: Millis,
-    /// Its entry in the ends of waits.
+    /// The key in the ends of waits.
     pub(super) end: Millis,
     /// Less urgent requests were served when it arrived.
     pub(super) outranks: bool,
 }
 
-/// A request that is to be refused.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Refused {
-    pub(super) account: u32,
-    pub(super) rank: u8,
-    pub(super) request: u32,
-    pub(super) place: u64,
-    /// How long it might have waited.
-    pub(super) limit: Millis,
-    pub(super) patience: Millis,
-}
-
 /// The requests that wait for the same engines.
 #[derive(Debug)]
 pub(super) struct Group {
@@ -166,7 +162,7 @@
         };
         let ahead = match visit {
             Visit::InTime(_) => self.scheduler.work_ahead_of_first(class, work),
-            Visit::First | Visit::Early(_) => self.scheduler.work_ahead(class, account, work),
+            Visit::First | Visit::Early => self.scheduler.work_ahead(class, account, work),
         };
         let rate = self.drain.rate(rank);
         rate.map_or(Millis::ZERO, |rate| Millis((ahead as f64 / rate) as u64))
@@ -174,39 +170,33 @@
 
     /// The refusal of a request that has waited.
     pub(super) fn refusal_of(&mut self, waiter: &Waiter, now: Millis) -> LineRefusal {
-        let wait = self.expected_wait(waiter.rank, waiter.key, waiter.work, Visit::First);
-        let refused = Refused {
-            account: waiter.account,
-            rank: waiter.rank,
-            request: waiter.request,
-            place: waiter.place,
-            limit: waiter.until.since(waiter.joined),
-            patience: waiter.patience,
-        };
-        self.refusal(refused, wait, now)
+        let Waiter { entry, account, .. } = waiter;
+        let wait = self.expected_wait(entry.rank, *account, waiter.work, Visit::First);
+        self.refusal(entry, wait, now)
     }
 
     /// The refusal of a request that would wait for `wait`.
-    pub(super) fn refusal(&mut self, refused: Refused, wait: Millis, now: Millis) -> LineRefusal {
-        let pending = self.returns.pending(refused.request, now);
-        let at = pending.unwrap_or_else(|| self.reserve_return(&refused, wait, now));
-        let shares = self.shares.get(&refused.rank);
+    pub(super) fn refusal(&mut self, entry: &Entry, wait: Millis, now: Millis) -> LineRefusal {
+        let pending = self.returns.pending(entry.request, now);
+        let at = pending.unwrap_or_else(|| self.reserve_return(entry, wait, now));
+        let shares = self.shares.get(&entry.rank);
         LineRefusal {
             retry_after: at.since(now),
             wait,
-            ahead: self.ahead(refused.rank),
-            share: shares.map_or(0, |shares| shares.percent(refused.account, now)),
+            ahead: self.ahead(entry.rank),
+            share: shares.map_or(0, |shares| shares.percent(entry.account, now)),
         }
     }
 
-    fn reserve_return(&mut self, refused: &Refused, wait: Millis, now: Millis) -> Millis {
-        let excess = wait.since(refused.limit);
+    fn reserve_return(&mut self, entry: &Entry, wait: Millis, now: Millis) -> Millis {
+        let excess = wait.since(entry.limit);
         let earliest = now + excess.max(self.retry_min);
         let span = self.drain.interval();
-        let latest = now + refused.patience.max(self.retry_min);
+        let latest = now + entry.patience.max(self.retry_min);
         let at = self.returns.reserve(earliest, latest, span);
-        let Refused { request, place, .. } = *refused;
-        self.returns.keep(request, at, place, self.max_returns);
+        let max_returns = self.max_returns;
+        self.returns
+            .keep(entry.request, at, entry.place, max_returns);
         at
     }
 }
--- a/crates/admission/src/line/mod.rs
+++ b/crates/admission/src/line/mod.rs
@@ -36,8 +36,8 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+use self::group::Entry;
 use self::group::Group;
-use self::group::Refused;
 use self::group::Waiter;
 use self::returns::Visit;
 use crate::decay::DecayingSum;
@@ -209,9 +209,10 @@
     classes: SlotMap<ClassKey, ()>,
     accounts: SlotMap<AccountKey, u32>,
     account_keys: HashMap<u32, AccountKey>,
-    /// Refused requests by account, since they were last taken.
-    refused: HashMap<u32, u32>,
-    /// Tokens served of late, by service and rank.
+    /// Refused requests since they were last taken.
+    refused: Refusals,
+    /// Tokens served of late, by service and rank. Each decision asks for them, and a service has more
+    /// groups than it could add up.
     served: HashMap<u32, BTreeMap<u8, Served>>,
     /// Number of places that were given.
     places: u64,
@@ -219,6 +220,16 @@
     returns: LineReturns,
 }
 
+/// Number of refused requests by account.
+#[derive(Debug, Default)]
+struct Refusals(HashMap<u32, u32>);
+
+impl Refusals {
+    fn count(&mut self, account: u32) {
+        *self.0.entry(account).or_default() += 1;
+    }
+}
+
 /// What was served of a rank.
 #[derive(Clone, Copy, Debug)]
 struct Served {
@@ -244,50 +255,40 @@
     pub fn join(&mut self, arrival: &LineArrival, now: Millis) -> Result<WaiterKey, LineRefusal> {
         let account = self.account(arrival.account);
         let outranks = self.outranks(arrival.service, arrival.rank, now);
-        let name = arrival.group;
-        let group = self.names.get(&name).copied();
-        let group = group.unwrap_or_else(|| self.add_group(arrival));
-        let state = &mut self.groups[group];
-        let class = state.class(arrival.rank, &mut self.classes);
+        let named = self.names.get(&arrival.group).copied();
+        let key = named.unwrap_or_else(|| self.add_group(arrival));
+        let group = &mut self.groups[key];
+        let class = group.class(arrival.rank, &mut self.classes);
         let spec = AccountSpec {
             key: account,
             ..AccountSpec::default()
         };
-        state.scheduler.ensure_account(spec, now);
-        state.advance(now);
-        let limit = arrival.limit.max(MIN_LIMIT);
-        let work = state
+        group.scheduler.ensure_account(spec, now);
+        group.advance(now);
+        let work = group
             .scheduler
             .cost(arrival.prompt_tokens, arrival.output_tokens);
-        let visit = state.returns.visit(arrival.request, now);
+        let visit = group.returns.visit(arrival.request, now);
         self.returns.count(visit);
-        let wait = state.expected_wait(arrival.rank, account, work, visit);
-        let refused = Refused {
+        let wait = group.expected_wait(arrival.rank, account, work, visit);
+        let place = match visit {
+            Visit::InTime(place) => place,
+            Visit::First | Visit::Early => self.places + 1,
+        };
+        self.places = self.places.max(place);
+        let entry = Entry {
             account: arrival.account,
             rank: arrival.rank,
             request: arrival.request,
-            place: self.places + 1,
-            limit,
+            place,
+            limit: arrival.limit.max(MIN_LIMIT),
             patience: arrival.patience,
         };
-        let is_early = matches!(visit, Visit::Early(_)) && state.ahead(arrival.rank) > 0;
-        if is_early && !outranks {
-            *self.refused.entry(arrival.account).or_default() += 1;
-            return Err(state.refusal(refused, wait, now));
+        let is_early = visit == Visit::Early && group.ahead(entry.rank) > 0;
+        if !outranks && (is_early || wait > entry.limit) {
+            self.refused.count(entry.account);
+            return Err(group.refusal(&entry, wait, now));
         }
-        let place = match visit {
-            Visit::InTime(place) => place,
-            Visit::First | Visit::Early(_) => {
-                self.places += 1;
-                self.places
-            }
-        };
-        let refused = Refused { place, ..refused };
-        if wait > limit && !outranks {
-            *self.refused.entry(arrival.account).or_default() += 1;
-            return Err(state.refusal(refused, wait, now));
-        }
-        let until = now + limit;
         let submitted = Arrival {
             class,
             account,
@@ -295,30 +296,29 @@
             max_tokens: arrival.output_tokens.max(1),
             ..Arrival::default()
         };
-        match state.scheduler.submit_in_order(&submitted, place, now) {
+        match group.scheduler.submit_in_order(&submitted, place, now) {
             Admission::Queued(request) => {
+                let end = now + entry.limit;
                 let waiter = Waiter {
-                    account: arrival.account,
-                    key: account,
-                    request: arrival.request,
-                    place,
+                    entry,
+                    account,
                     work,
-                    rank: arrival.rank,
                     joined: now,
-                    until,
-                    patience: arrival.patience,
-                    end: until,
+                    end,
                     outranks,
                 };
-                state.waiters.insert(request, waiter);
-                state.ends.insert((until, request));
-                Ok(WaiterKey { group, request })
+                group.waiters.insert(request, waiter);
+                group.ends.insert((end, request));
+                Ok(WaiterKey {
+                    group: key,
+                    request,
+                })
             }
             Admission::Refused(_) => {
-                *self.refused.entry(arrival.account).or_default() += 1;
+                self.refused.count(entry.account);
                 // Room is expected when what waits has begun, whatever the limit.
                 let limit = Millis::ZERO;
-                Err(state.refusal(Refused { limit, ..refused }, wait, now))
+                Err(group.refusal(&Entry { limit, ..entry }, wait, now))
             }
         }
     }
@@ -331,70 +331,78 @@
     }
 
     /// The group of a request.
-    pub fn group_of(&self, waiter: WaiterKey) -> LineGroupKey {
-        waiter.group
+    pub fn group_of(&self, key: WaiterKey) -> LineGroupKey {
+        key.group
     }
 
     /// The next step in a group; `None` if no request waits there that wasn't offered.
     ///
     /// A request that is put back is offered again, so the driver puts back what found no room only
     /// after it has made all steps that it wants to, the last one first.
-    pub fn next(&mut self, group: LineGroupKey, now: Millis) -> Option<LineStep> {
-        self.groups.get_mut(group)?.advance(now);
-        if let Some(step) = self.next_end(group, now) {
+    pub fn next(&mut self, key: LineGroupKey, now: Millis) -> Option<LineStep> {
+        self.groups.get_mut(key)?.advance(now);
+        if let Some(step) = self.next_end(key, now) {
             return Some(step);
         }
-        let state = self.groups.get_mut(group)?;
+        let group = self.groups.get_mut(key)?;
         loop {
             // One slot at a time: the engines decide whether there is room.
-            match state.scheduler.next(now, 1)? {
+            match group.scheduler.next(now, 1)? {
                 Action::Refuse(refused) => {
                     let request = refused.key;
                     // It may have left since it was refused.
-                    let Some(waiter) = state.forget(request) else {
+                    let Some(waiter) = group.forget(request) else {
                         continue;
                     };
-                    *self.refused.entry(waiter.account).or_default() += 1;
-                    let refusal = state.refusal_of(&waiter, now);
-                    return Some(LineStep::Refuse(WaiterKey { group, request }, refusal));
+                    self.refused.count(waiter.entry.account);
+                    let refusal = group.refusal_of(&waiter, now);
+                    let key = WaiterKey {
+                        group: key,
+                        request,
+                    };
+                    return Some(LineStep::Refuse(key, refusal));
                 }
                 Action::Dispatch(ticket) => {
                     let request = ticket.key();
-                    let waiter = state.waiters.get(&request)?;
+                    let waiter = group.waiters.get(&request)?;
                     let scope = if waiter.outranks {
                         LineScope::Any
                     } else {
                         LineScope::Group
                     };
-                    state.offered.insert(request, ticket);
-                    return Some(LineStep::Offer(WaiterKey { group, request }, scope));
+                    group.offered.insert(request, ticket);
+                    let key = WaiterKey {
+                        group: key,
+                        request,
+                    };
+                    return Some(LineStep::Offer(key, scope));
                 }
             }
         }
     }
 
     /// Records that an engine takes the request that was offered.
-    pub fn begin(&mut self, waiter: WaiterKey, now: Millis) {
-        let Some(group) = self.groups.get_mut(waiter.group) else {
+    pub fn begin(&mut self, key: WaiterKey, now: Millis) {
+        let Some(group) = self.groups.get_mut(key.group) else {
             return;
         };
-        let Some(ticket) = group.offered.remove(waiter.request) else {
+        let Some(ticket) = group.offered.remove(key.request) else {
             return;
         };
         group.advance(now);
-        let Some(state) = group.forget(waiter.request) else {
+        let Some(Waiter { entry, .. }) = group.forget(key.request) else {
             return;
         };
-        group.returns.forget(state.request);
+        group.returns.forget(entry.request);
         if !group.waiters.is_empty() {
-            group.drain.record(state.rank, ticket.charge());
+            group.drain.record(entry.rank, ticket.charge());
         }
         let tokens = ticket.charge() as f64;
-        let shares = group.shares.entry(state.rank).or_default();
-        shares.record(state.account, tokens, now);
-        group.begun.insert(waiter.request, ticket.sent());
+        let shares = group.shares.entry(entry.rank).or_default();
+        shares.record(entry.account, tokens, now);
+        group.begun.insert(key.request, ticket.sent());
         let served = self.served.entry(group.service).or_default();
-        let served = served.entry(state.rank).or_insert_with(|| Served {
+        let served = served.entry(entry.rank).or_insert_with(|| Served {
             tokens: DecayingSum::new(SERVED_SPAN),
             last: now,
         });
@@ -403,8 +411,8 @@
     }
 
     /// Returns a request that was offered, and for which no engine had room, to its place.
-    pub fn put_back(&mut self, waiter: WaiterKey, now: Millis) {
-        let WaiterKey { group, request } = waiter;
+    pub fn put_back(&mut self, key: WaiterKey, now: Millis) {
+        let WaiterKey { group, request } = key;
         let Some(group) = self.groups.get_mut(group) else {
             return;
         };
@@ -412,19 +420,19 @@
             return;
         };
         group.scheduler.requeue(ticket, now);
-        let Some(state) = group.waiters.get_mut(&request) else {
+        let Some(waiter) = group.waiters.get_mut(&request) else {
             return;
         };
-        if state.end <= now {
-            state.end = now + REOFFER;
-            group.ends.insert((state.end, request));
+        if waiter.end <= now {
+            waiter.end = now + REOFFER;
+            group.ends.insert((waiter.end, request));
         }
     }
 
     /// Removes a request whose caller or instance is gone, or for which there is no server at all.
-    pub fn leave(&mut self, waiter: WaiterKey, now: Millis) {
-        self.put_back(waiter, now);
-        let WaiterKey { group, request } = waiter;
+    pub fn leave(&mut self, key: WaiterKey, now: Millis) {
+        self.put_back(key, now);
+        let WaiterKey { group, request } = key;
         let Some(group) = self.groups.get_mut(group) else {
             return;
         };
@@ -435,8 +443,8 @@
     }
 
     /// Settles a request that has left the line by what it really used.
-    pub fn finish(&mut self, waiter: WaiterKey, end: LineEnd, now: Millis) {
-        let WaiterKey { group, request } = waiter;
+    pub fn finish(&mut self, key: WaiterKey, end: LineEnd, now: Millis) {
+        let WaiterKey { group, request } = key;
         let Some(group) = self.groups.get_mut(group) else {
             return;
         };
@@ -464,10 +472,10 @@
     }
 
     /// How long the request has waited in the line; `None` if it doesn't wait.
-    pub fn waited(&self, waiter: WaiterKey, now: Millis) -> Option<Millis> {
-        let group = self.groups.get(waiter.group)?;
-        let state = group.waiters.get(&waiter.request)?;
-        Some(now.since(state.joined))
+    pub fn waited(&self, key: WaiterKey, now: Millis) -> Option<Millis> {
+        let group = self.groups.get(key.group)?;
+        let waiter = group.waiters.get(&key.request)?;
+        Some(now.since(waiter.joined))
     }
 
     /// Number of waiting requests.
@@ -488,7 +496,7 @@
             .values()
             .flat_map(|group| group.waiters.values());
         for waiter in waiters {
-            let status = ranks.entry(waiter.rank).or_default();
+            let status = ranks.entry(waiter.entry.rank).or_default();
             status.waiting += 1;
             status.oldest = status.oldest.max(now.since(waiter.joined));
         }
@@ -497,7 +505,7 @@
 
     /// Takes the refusals since the last call, with the `most` accounts that had the most.
     pub fn take_refusals(&mut self, most: usize) -> LineRefusals {
-        let refused = std::mem::take(&mut self.refused);
+        let Refusals(refused) = std::mem::take(&mut self.refused);
         let mut largest: Vec<(u32, u32)> = refused.into_iter().collect();
         largest.sort_unstable_by_key(|&(account, count)| (Reverse(count), account));
         let total = largest.iter().map(|(_, count)| count).sum();
@@ -536,27 +544,30 @@
     }
 
     /// The step for the first request whose wait is over.
-    fn next_end(&mut self, group: LineGroupKey, now: Millis) -> Option<LineStep> {
-        let state = self.groups.get_mut(group)?;
-        let &(at, request) = state.ends.first()?;
+    fn next_end(&mut self, key: LineGroupKey, now: Millis) -> Option<LineStep> {
+        let group = self.groups.get_mut(key)?;
+        let &(at, request) = group.ends.first()?;
         if at > now {
             return None;
         }
-        state.ends.pop_first();
-        let waiter = *state.waiters.get(&request)?;
-        let service = state.service;
-        let key = WaiterKey { group, request };
-        if waiter.outranks && self.outranks(service, waiter.rank, now) {
-            let state = self.groups.get_mut(group)?;
-            let ticket = state.scheduler.dispatch(request, now)?;
-            state.offered.insert(request, ticket);
+        group.ends.pop_first();
+        let waiter = *group.waiters.get(&request)?;
+        let service = group.service;
+        let outranks = waiter.outranks && self.outranks(service, waiter.entry.rank, now);
+        let group = self.groups.get_mut(key)?;
+        let key = WaiterKey {
+            group: key,
+            request,
+        };
+        if outranks {
+            let ticket = group.scheduler.dispatch(request, now)?;
+            group.offered.insert(request, ticket);
             return Some(LineStep::Offer(key, LineScope::Unbounded));
         }
-        let state = self.groups.get_mut(group)?;
-        state.forget(request);
-        *self.refused.entry(waiter.account).or_default() += 1;
-        state.scheduler.cancel(request, 0, now);
-        let refusal = state.refusal_of(&waiter, now);
+        group.forget(request);
+        self.refused.count(waiter.entry.account);
+        group.scheduler.cancel(request, 0, now);
+        let refusal = group.refusal_of(&waiter, now);
         Some(LineStep::Refuse(key, refusal))
     }
 
@@ -615,7 +626,7 @@
     fn count(&mut self, visit: Visit) {
         match visit {
             Visit::First => {}
-            Visit::Early(_) => self.early += 1,
+            Visit::Early => self.early += 1,
             Visit::InTime(_) => self.in_time += 1,
         }
     }
--- a/crates/admission/src/line/returns.rs
+++ b/crates/admission/src/line/returns.rs
@@ -18,8 +18,8 @@
 pub(super) enum Visit {
     /// There was none of late.
     First,
-    /// It comes back before this time, at which it may return.
-    Early(Millis),
+    /// It comes back before its time.
+    Early,
     /// It comes back in its time, and takes this place.
     InTime(u64),
 }
@@ -70,7 +70,7 @@
             return Visit::First;
         };
         if now + EARLY_SLACK < at {
-            return Visit::Early(at);
+            return Visit::Early;
         }
         self.forget(request);
         Visit::InTime(place)
