--- a/crates/admission/src/line/mod.rs
+++ b/crates/admission/src/line/mod.rs
@@ -24,6 +24,7 @@
 mod group;
 mod returns;
 mod shares;
+mod types;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -32,9 +33,7 @@
 use crocushold_base::AccountKey;
 use crocushold_base::ClassKey;
 use crocushold_base::Millis;
-use crocushold_base::RequestKey;
 use slotmap::SlotMap;
-use slotmap::new_key_type;
 
 use self::group::Entry;
 use self::group::Group;
@@ -48,6 +47,18 @@
 use crate::spec::AccountSpec;
 use crate::ticket::NotRun;
 
+pub use self::types::LineArrival;
+pub use self::types::LineEnd;
+pub use self::types::LineGroupKey;
+pub use self::types::LineRefusal;
+pub use self::types::LineRefusals;
+pub use self::types::LineReturns;
+pub use self::types::LineScope;
+pub use self::types::LineSettings;
+pub use self::types::LineStatus;
+pub use self::types::LineStep;
+pub use self::types::WaiterKey;
+
 /// Half-life of the tokens served by rank, and how long a rank counts as served after its last
 /// request. Callers whose requests take a second or two perceive a preference for others over about
 /// that time.
@@ -63,140 +74,6 @@
 /// Minimum time that a request may wait, whatever its limit: two round trips between instances.
 const MIN_LIMIT: Millis = Millis(10);
 
-new_key_type! {
-    /// A group of interchangeable engines.
-    pub struct LineGroupKey;
-}
-
-/// Settings of a [`Line`].
-#[derive(Clone, Debug, PartialEq)]
-pub struct LineSettings {
-    /// Maximum number of waiting requests in a group.
-    pub max_waiting: u32,
-    /// Number of accounts beyond which those without requests are forgotten.
-    pub max_accounts: usize,
-    /// Maximum number of refused requests of a group whose return times and places are kept.
-    pub max_returns: usize,
-    /// Minimum time after which a refused request may return.
-    pub retry_min: Millis,
-}
-
-impl Default for LineSettings {
-    fn default() -> LineSettings {
-        LineSettings {
-            max_waiting: 10_000,
-            max_accounts: 16 * 1024,
-            max_returns: 10_000,
-            retry_min: Millis(200),
-        }
-    }
-}
-
-/// A request that joins the line.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LineArrival {
-    /// The service.
-    pub service: u32,
-    /// Name of the group of engines that it prefers, unique over all services.
-    pub group: u64,
-    /// Its rank; 0 is the most urgent.
-    pub rank: u8,
-    /// The client account.
-    pub account: u32,
-    /// Hash of what it asks, which is the same when it comes back; zero if that isn't known.
-    pub request: u32,
-    /// Length of the prompt, in tokens.
-    pub prompt_tokens: u32,
-    /// Expected length of the answer, in tokens.
-    pub output_tokens: u32,
-    /// How long it may wait in the line.
-    pub limit: Millis,
-    /// Time after which its caller wouldn't return.
-    pub patience: Millis,
-}
-
-/// A request in the line, or one that has left it for an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct WaiterKey {
-    group: LineGroupKey,
-    request: RequestKey,
-}
-
-/// The final answer to a request that is not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LineRefusal {
-    /// Time after which room is expected.
-    pub retry_after: Millis,
-    /// Expected wait if it joined now; zero if it isn't known.
-    pub wait: Millis,
-    /// Number of requests of its rank and of more urgent ones that wait in its group.
-    pub ahead: u32,
-    /// Share of its account in the tokens of its rank that began in its group in about the last second,
-    /// in percent.
-    pub share: u8,
-}
-
-/// The engines to which a request is offered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LineScope {
-    /// Those of its group that can begin it soon.
-    Group,
-    /// Those of other groups too that can begin it soon.
-    Any,
-    /// Any, however long their queues are.
-    Unbounded,
-}
-
-/// What the driver does next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[must_use = "a request that was offered is in nobody's queue"]
-pub enum LineStep {
-    /// Offer the request to the engines, and call [`Line::begin`] or [`Line::put_back`].
-    Offer(WaiterKey, LineScope),
-    /// Answer the request with the refusal. Its key is no longer valid.
-    Refuse(WaiterKey, LineRefusal),
-}
-
-/// How a request that left the line ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LineEnd {
-    /// A whole answer of so many tokens.
-    Complete(u32),
-    /// A part of an answer.
-    Partial(u32),
-    /// It didn't run.
-    NotRun,
-}
-
-/// The waiting requests of a rank.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LineStatus {
-    /// Their number.
-    pub waiting: u32,
-    /// How long the first of them has waited.
-    pub oldest: Millis,
-}
-
-/// The refusals of some time.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct LineRefusals {
-    /// Their number.
-    pub total: u32,
-    /// The accounts with the most, with their numbers.
-    pub largest: Vec<(u32, u32)>,
-}
-
-/// Requests that were refused and may return.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LineReturns {
-    /// Number of those whose times and places are kept.
-    pub kept: usize,
-    /// Number of those that came back in their time, since they were last taken.
-    pub in_time: u32,
-    /// Number of those that came back before it, since they were last taken.
-    pub early: u32,
-}
-
 /// The line of requests that wait before the engines of all services.
 ///
 /// A pure state machine: each call takes the current time as an argument. Time may jump forwards by
@@ -621,13 +498,3 @@
         });
     }
 }
-
-impl LineReturns {
-    fn count(&mut self, visit: Visit) {
-        match visit {
-            Visit::First => {}
-            Visit::Early => self.early += 1,
-            Visit::InTime(_) => self.in_time += 1,
-        }
-    }
-}
