--- a/crates/http/src/client/body_meter.rs
+++ b/crates/http/src/client/body_meter.rs
@@ -5,6 +5,9 @@
 use super::observer::CutCause;
 use crate::event_size::EventSize;
 
+#[cfg(test)]
+mod tests;
+
 /// Bytes that are relayed after the deadline if they can be read without waiting: about what a receive
 /// buffer holds. An answer that has arrived by its deadline is delivered, also by a process that was
 /// suspended.
@@ -94,6 +97,3 @@
         self.turn_bytes >= TURN_BYTES
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/http/src/client/send.rs
+++ b/crates/http/src/client/send.rs
@@ -151,7 +151,9 @@
             pool: self.pool.clone(),
             server,
         });
-        exchange.connection.set_remaining(framing.answer_bytes());
+        exchange
+            .connection
+            .set_remaining(framing.max_answer_bytes());
         let status = response.status();
         let connection = exchange.connection.clone();
         // async-h1 decodes an answer without framing headers as empty.
--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -34,7 +34,7 @@
 
     /// The most bytes of the connection that belong to an answer's body. For one in chunks they are renewed by
     /// each piece of the body.
-    pub(crate) fn answer_bytes(self) -> u64 {
+    pub(crate) fn max_answer_bytes(self) -> u64 {
         match self {
             Framing::Length(length) => length,
             Framing::Chunked => MAX_CHUNK_FRAMING_BYTES,
@@ -43,7 +43,7 @@
     }
 
     /// The most bytes of the connection that belong to a request's body of at most `limit` bytes.
-    pub(crate) fn request_bytes(self, limit: u64) -> u64 {
+    pub(crate) fn max_request_bytes(self, limit: u64) -> u64 {
         match self {
             Framing::Length(length) => length,
             Framing::Chunked => limit
--- a/crates/http/src/server/receive.rs
+++ b/crates/http/src/server/receive.rs
@@ -137,7 +137,7 @@
     {
         return Next::Refused(StatusCode::PayloadTooLarge);
     }
-    connection.set_remaining(incoming.framing.request_bytes(limits.body_bytes));
+    connection.set_remaining(incoming.framing.max_request_bytes(limits.body_bytes));
     if let Some(expected) = incoming.request.header(EXPECT) {
         if !expected.as_str().eq_ignore_ascii_case("100-continue") {
             return Next::Refused(StatusCode::ExpectationFailed);
