--- a/crates/gateway/src/fleet/speeds.rs
+++ b/crates/gateway/src/fleet/speeds.rs
@@ -1,5 +1,7 @@
 //! What instances tell one that has just started about the speeds of servers.
 
+use std::cmp::Reverse;
+
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
 use crocushold_routing::UsualPace;
@@ -21,26 +23,22 @@
 pub struct ServerPace {
     /// Hash of the server's name.
     pub server: u32,
-    /// Mean of its reports, in percent of what is usual for the service.
-    pub percent: u16,
-    /// Number of reports.
-    pub reports: u8,
+    /// Its usual pace.
+    pub pace: UsualPace,
 }
 
 impl Fleet {
     /// The usual paces of servers that differ from those of usual ones, the most unusual first.
     pub fn unusual_paces(&self) -> Vec<ServerPace> {
         let paces = self.servers.iter().filter_map(|(key, server)| {
-            let UsualPace { percent, reports } = self.usual_pace(key)?;
-            let is_told = reports >= MIN_REPORTS && percent != UsualPace::PUBLISHED.percent;
-            is_told.then_some(ServerPace {
-                server: server.hash,
-                percent,
-                reports,
-            })
+            let pace = self.usual_pace(key)?;
+            let is_unusual = pace.percent != UsualPace::PUBLISHED.percent;
+            let is_told = pace.reports >= MIN_REPORTS && is_unusual;
+            let server = server.hash;
+            is_told.then_some(ServerPace { server, pace })
         });
         let mut paces: Vec<ServerPace> = paces.collect();
-        paces.sort_by_key(|pace| (std::cmp::Reverse(ratio(pace.percent)), pace.server));
+        paces.sort_by_key(|told| (Reverse(ratio(told.pace.percent)), told.server));
         paces.truncate(MAX_TOLD);
         paces
     }
@@ -49,17 +47,13 @@
     /// this one.
     pub fn adopt_paces(&mut self, paces: &[ServerPace], now: Millis) {
         self.update_routers(now);
-        for pace in paces {
-            let Some(&key) = self.hashes.get(&pace.server) else {
+        for told in paces {
+            let Some(&key) = self.hashes.get(&told.server) else {
                 continue;
             };
             let server = &self.servers[key];
             if let Some(service) = self.services.get_mut(&server.record.service) {
-                let told = UsualPace {
-                    percent: pace.percent,
-                    reports: pace.reports,
-                };
-                service.router.adopt_pace(key, told, now);
+                service.router.adopt_pace(key, told.pace, now);
             }
         }
     }
--- a/crates/gateway/src/sharing/handover/tests.rs
+++ b/crates/gateway/src/sharing/handover/tests.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crocushold_base::Millis;
+use crocushold_routing::UsualPace;
 
 use super::Handover;
 use super::PACE_ANSWERS_PER_ROUND;
@@ -53,8 +54,7 @@
 fn pace(server: u16, percent: u16, reports: u8) -> ServerPace {
     ServerPace {
         server: short_hash(&name(server)),
-        percent,
-        reports,
+        pace: UsualPace { percent, reports },
     }
 }
 
@@ -124,7 +124,7 @@
     assert!(sizes.iter().sum::<usize>() <= 5000, "{sizes:?}");
     let told = paces(&packets);
     assert_eq!(told.len(), 600);
-    assert!(told.iter().all(|pace| pace.percent >= 700));
+    assert!(told.iter().all(|told| told.pace.percent >= 700));
 }
 
 /// Guards against a placer whose link is filled by all that start at once, and against an answer of one that knows as
--- a/crates/routing/src/live_streams.rs
+++ b/crates/routing/src/live_streams.rs
@@ -29,10 +29,16 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct PauseModel {
     /// Tokens in one event of a stream.
-    pub(crate) event_tokens: f64,
+    event_tokens: f64,
 }
 
 impl PauseModel {
+    pub(crate) fn new(event_tokens: u32) -> PauseModel {
+        PauseModel {
+            event_tokens: f64::from(event_tokens),
+        }
+    }
+
     /// Whether a stream beside prompts is expected to pause for longer than `max_pause`, at engines
     /// that prefill `rate` tokens per millisecond. `was_expected` is the last answer.
     pub(crate) fn expects_delays(&self, max_pause: Millis, rate: f64, was_expected: bool) -> bool {
--- a/crates/routing/src/router/expected.rs
+++ b/crates/routing/src/router/expected.rs
@@ -147,7 +147,7 @@
             // The ranks of what other instances sent aren't known.
             let unranked = queue_delay.remote_pending() * pace;
             let busy = self.relevant_prefill(demand, all, ahead + unranked);
-            if self.pauses.is_some() {
+            if self.pause_model.is_some() {
                 let shared = self.expected_shared_prefill(server, demand, locations);
                 delay_cost = self.live_delay_cost(state, demand, all, (own + shared) * pace);
             }
--- a/crates/routing/src/router/live.rs
+++ b/crates/routing/src/router/live.rs
@@ -18,9 +18,7 @@
     /// Sets the number of tokens in one event of a stream; `None` if it is unknown or live streams
     /// need no protection from prefills.
     pub fn protect_live_streams(&mut self, event_tokens: Option<u32>) {
-        self.pauses = event_tokens.map(|tokens| PauseModel {
-            event_tokens: f64::from(tokens),
-        });
+        self.pause_model = event_tokens.map(PauseModel::new);
     }
 
     /// Whether a stream beside prompts is expected to pause for longer than `max_pause`.
@@ -31,9 +29,7 @@
         max_pause: Millis,
         was_expected: bool,
     ) -> bool {
-        let model = PauseModel {
-            event_tokens: f64::from(event_tokens),
-        };
+        let model = PauseModel::new(event_tokens);
         model.expects_delays(max_pause, self.prefill_rate(), was_expected)
     }
 
@@ -66,7 +62,7 @@
     /// that on live streams is known, it hardly matters for the others, which tolerate longer
     /// pauses: the wait for their first token counts.
     pub(super) fn relevant_prefill(&self, demand: &Demand<'_>, all: f64, ahead: f64) -> f64 {
-        if self.pauses.is_none() || demand.max_pause.is_some() {
+        if self.pause_model.is_none() || demand.max_pause.is_some() {
             return all;
         }
         ahead + OVERTAKEN_WEIGHT * (all - ahead).max(0.0)
@@ -81,7 +77,7 @@
         prefill_tokens: f64,
         now: Millis,
     ) -> Option<LiveTicket> {
-        self.pauses?;
+        self.pause_model?;
         let state = &self.servers[server];
         let tolerated = self.tolerated_prefill(state, demand);
         let own = state.speed.prefill_ms(prefill_tokens, &self.prefill_rate);
@@ -94,7 +90,7 @@
     }
 
     fn tolerated_prefill(&self, server: &Server, demand: &Demand<'_>) -> Option<f64> {
-        let model = self.pauses?;
+        let model = self.pause_model?;
         let speed = &server.speed;
         let rate = self.prefill_rate() / speed.prefill_factor();
         model.tolerated_prefill(demand.max_pause?, rate, speed.step_factor())
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -91,7 +91,7 @@
     prefill_rate: PrefillRate,
     /// The latency of a usual engine.
     latency: FirstTokenLatency,
-    /// Whether servers report paces that aren't all the usual one.
+    /// Whether a server has ever reported a pace other than the usual one.
     is_uneven: bool,
     /// Mean prefill time of a prompt, in milliseconds.
     prefill_time: Ewma,
@@ -103,7 +103,7 @@
     /// The capacity of each engine, if known.
     capacity: Option<EngineCapacity>,
     /// The effect of prefills on live streams, if it is known and live streams need protection.
-    pauses: Option<PauseModel>,
+    pause_model: Option<PauseModel>,
     /// Requests per second that a cold server tolerates from all instances together; `None` if it
     /// tolerates as many as a warm one.
     cold_rate: Option<f64>,
@@ -149,7 +149,7 @@
             long_prompt_wait: Ewma::default(),
             transfer_rate: None,
             capacity: None,
-            pauses: None,
+            pause_model: None,
             cold_rate: None,
             brittle: None,
             speeds_faded: Millis::ZERO,
--- a/crates/routing/src/server_speed.rs
+++ b/crates/routing/src/server_speed.rs
@@ -14,6 +14,8 @@
 //! all of the usual speed, and of one whose reports are wrong, by how much they are.
 
 use crocushold_base::Millis;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::queue_delay::PrefillRate;
 use crate::stats::Ewma;
@@ -69,7 +71,7 @@
 const ASSUMED_REPORTS: f64 = 2.0;
 
 /// The usual pace of a server by its reports, as one instance tells it to another.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsualPace {
     /// Mean of the reports, in percent of what is usual for the service.
     pub percent: u16,
