gateway: one report of the line, a file for signals, one entry of engines in tests

Four readings of the line went through three layers each; they are one report now, which line_report.rs logs. The signal that placing and start share stands beside them. The same entry of an engine stood in three tests and a benchmark. The tests of the admission, http, routing and gateway crates pass.

--- a/crates/gateway/benches/waiting.rs
+++ b/crates/gateway/benches/waiting.rs
@@ -2,24 +2,26 @@
 //!
 //! `cargo bench -p crocushold-gateway --bench waiting`
 
+#[path = "../tests/common/engines.rs"]
+mod engines;
+
 use std::net::SocketAddr;
 
 use crocushold_base::Millis;
 use crocushold_gateway::EngineSpec;
 use crocushold_gateway::Fleet;
 use crocushold_gateway::FleetSettings;
-use crocushold_gateway::Heartbeat;
 use crocushold_gateway::LineTerms;
 use crocushold_gateway::Need;
 use crocushold_gateway::PlacementRequest;
 use crocushold_gateway::Placer;
-use crocushold_gateway::Presence;
-use crocushold_gateway::ServerRecord;
 use crocushold_routing::EngineCapacity;
 use divan::Bencher;
 use divan::black_box;
 use divan::counter::ItemsCount;
 
+use engines::engine;
+
 const ENGINES: u32 = 60;
 const START: Millis = Millis(10_000);
 
@@ -41,23 +43,8 @@
         capacity: Some(capacity),
         event_tokens: None,
     }]);
-    for engine in 0..ENGINES {
-        let [_, _, third, fourth] = engine.to_be_bytes();
-        fleet.list(
-            &ServerRecord {
-                id: format!("engine-{engine}"),
-                address: ([10, 0, third, fourth], 80).into(),
-                service: "svc".to_owned(),
-                zone: "here".to_owned(),
-                software: "v1".to_owned(),
-                slots: 64,
-                presence: Presence::Ready,
-                started: None,
-                models: vec!["m".to_owned()],
-                heartbeat: Heartbeat::default(),
-            },
-            START,
-        );
+    for number in 0..ENGINES {
+        fleet.list(&engine(number, 64), START);
     }
     fleet.set_placer(true);
     fleet
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -30,6 +30,7 @@
 use crate::cold_check;
 use crate::fleet::LaneAllocation;
 use crate::follow;
+use crate::line_report::report_line;
 use crate::protocol::Protocol;
 use crate::quarantine;
 use crate::reach;
@@ -44,6 +45,10 @@
 /// Maximum number of connections of load balancers, metrics scrapers and operators.
 const OPERATOR_CONNECTIONS: usize = 64;
 
+/// How many times as long as usual work takes at least on a server that is counted as slow at this
+/// moment.
+const SLOW_FACTOR: f64 = 1.5;
+
 /// Interval of timers, such as those of unconfirmed entries and ejected servers.
 const TIMER_INTERVAL: Millis = Millis(500);
 
@@ -370,10 +375,6 @@
     }));
 }
 
-/// How many times as long as usual work takes at least on a server that is counted as slow at this
-/// moment.
-const SLOW_FACTOR: f64 = 1.5;
-
 async fn run_timers(shared: Arc<Shared>) {
     let mut turned_away = 0;
     loop {
@@ -398,41 +399,6 @@
     }
 }
 
-/// Reports the line at this instance, and whom it refused since the last call.
-fn report_line(shared: &Shared, now: Millis) {
-    let status = shared.placer.line_status(now);
-    shared.metrics.set_line(&status);
-    let refusals = shared.placer.take_line_refusals();
-    let returns = shared.placer.take_line_returns(now);
-    shared.metrics.count_line_returns(&returns);
-    let waiting: u32 = status.iter().map(|(_, status)| status.waiting).sum();
-    if waiting == 0 && refusals.total == 0 && returns.in_time == 0 {
-        return;
-    }
-    let oldest = status.iter().map(|(_, status)| status.oldest).max();
-    let table = shared.table();
-    let name = |account| {
-        let name = table.as_ref().and_then(|table| table.account_name(account));
-        name.unwrap_or("none")
-    };
-    let largest = refusals.largest.iter();
-    let largest = largest.map(|&(account, count)| format!("{}:{count}", name(account)));
-    let largest: Vec<String> = largest.collect();
-    let shares = shared.placer.largest_line_shares(now).into_iter();
-    let shares = shares.map(|(account, share)| format!("{}:{share}%", name(account)));
-    let shares: Vec<String> = shares.collect();
-    let event = Event::new("line-state")
-        .with("waiting", waiting)
-        .with("oldest", oldest.unwrap_or_default())
-        .with("refused", refusals.total)
-        .with("accounts", largest.join(","))
-        .with("shares", shares.join(","))
-        .with("returns", returns.kept)
-        .with("returned", returns.in_time)
-        .with("early", returns.early);
-    info!("{event}");
-}
-
 /// Reports a timer round that ran late because the process was paused or short of CPU time.
 fn log_late_timers(shared: &Shared, due: Millis) {
     let now = shared.clock.now();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and latency histograms.
 
+use std::collections::BTreeMap;
+
 use crocushold_admission::LineReturns;
 use crocushold_admission::LineStatus;
 use crocushold_base::Millis;
@@ -299,9 +301,9 @@
     }
 
     /// Sets the lengths and ages of the line, by rank.
-    pub(crate) fn set_line(&self, status: &[(u8, LineStatus)]) {
+    pub(crate) fn set_line(&self, ranks: &BTreeMap<u8, LineStatus>) {
         for label in RANKS {
-            let ranks = status.iter().filter(|(own, _)| rank(*own) == label);
+            let ranks = ranks.iter().filter(|(own, _)| rank(**own) == label);
             let ranks = ranks.map(|(_, status)| status);
             let waiting: u32 = ranks.clone().map(|status| status.waiting).sum();
             let oldest = ranks.map(|status| status.oldest).max().unwrap_or_default();
--- a/crates/gateway/src/placing/mod.rs
+++ b/crates/gateway/src/placing/mod.rs
@@ -46,3 +46,4 @@
 pub(crate) use shell::PlacementError;
 pub(crate) use shell::PlacementQuery;
 pub(crate) use shell::PlacementService;
+pub use waiting::LineReport;
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -5,9 +5,6 @@
 
 use crocushold_admission::LineEnd;
 use crocushold_admission::LineGroupKey;
-use crocushold_admission::LineRefusals;
-use crocushold_admission::LineReturns;
-use crocushold_admission::LineStatus;
 use crocushold_admission::WaiterKey;
 use crocushold_base::Millis;
 use crocushold_base::ServerKey;
@@ -24,6 +21,7 @@
 use super::message::UpdateKind;
 use super::refused::SentRefusals;
 use super::waiting::Decided;
+use super::waiting::LineReport;
 use super::waiting::WaitingRequests;
 use super::waiting::refused;
 use crate::fleet::Choice;
@@ -51,6 +49,20 @@
     is_own: bool,
 }
 
+impl PlacedRequest {
+    /// A request with `remaining` time until its deadline.
+    fn new(choice: Choice, reply: PlacementReply, remaining: Millis, now: Millis) -> PlacedRequest {
+        PlacedRequest {
+            choice,
+            reply,
+            started: false,
+            expires: now + remaining + EXPIRY_GRACE,
+            waiter: None,
+            is_own: false,
+        }
+    }
+}
+
 /// The requests that this instance placed for others.
 #[derive(Debug, Default)]
 pub struct Placer {
@@ -80,28 +92,10 @@
         self.waiting.as_ref().map_or(0, WaitingRequests::len)
     }
 
-    /// The requests that wait in line, by rank.
-    pub fn line_status(&self, now: Millis) -> Vec<(u8, LineStatus)> {
-        let waiting = self.waiting.as_ref();
-        waiting.map_or_else(Vec::new, |waiting| waiting.status(now))
-    }
-
-    /// Takes the refusals of the line since the last call.
-    pub fn take_line_refusals(&mut self) -> LineRefusals {
+    /// Reports on the line since the last call.
+    pub fn take_line_report(&mut self, now: Millis) -> LineReport {
         let waiting = self.waiting.as_mut();
-        waiting.map_or_else(LineRefusals::default, WaitingRequests::take_refusals)
-    }
-
-    /// The accounts that the line served most of late, with their shares in percent.
-    pub fn largest_line_shares(&self, now: Millis) -> Vec<(u32, u8)> {
-        let waiting = self.waiting.as_ref();
-        waiting.map_or_else(Vec::new, |waiting| waiting.largest_shares(now))
-    }
-
-    /// Takes the numbers of requests that came back after a refusal since the last call.
-    pub fn take_line_returns(&mut self, now: Millis) -> LineReturns {
-        let waiting = self.waiting.as_mut();
-        waiting.map_or_else(LineReturns::default, |waiting| waiting.take_returns(now))
+        waiting.map_or_else(LineReport::default, |waiting| waiting.take_report(now))
     }
 
     /// Takes the decisions on requests that waited, to be sent to their instances.
@@ -170,14 +164,7 @@
             Ok(choice) => {
                 let verdict = PlacementVerdict::Placed(choice.placed());
                 let reply = PlacementReply { number, verdict };
-                let placed = PlacedRequest {
-                    choice,
-                    reply,
-                    started: false,
-                    expires: now + request.remaining + EXPIRY_GRACE,
-                    waiter: None,
-                    is_own: false,
-                };
+                let placed = PlacedRequest::new(choice, reply, request.remaining, now);
                 self.placed.insert((from, number), placed);
                 reply
             }
@@ -259,12 +246,8 @@
             }
             if let Some((choice, waiter, remaining)) = placed {
                 let placed = PlacedRequest {
-                    choice,
-                    reply,
-                    started: false,
-                    expires: now + remaining + EXPIRY_GRACE,
                     waiter: Some(waiter),
-                    is_own: false,
+                    ..PlacedRequest::new(choice, reply, remaining, now)
                 };
                 self.placed.insert(asker, placed);
             }
--- a/crates/gateway/src/placing/shell.rs
+++ b/crates/gateway/src/placing/shell.rs
@@ -11,9 +11,6 @@
 use std::sync::atomic::Ordering;
 
 use async_std::future::timeout;
-use crocushold_admission::LineRefusals;
-use crocushold_admission::LineReturns;
-use crocushold_admission::LineStatus;
 use crocushold_base::Clock;
 use crocushold_base::Event;
 use crocushold_base::Millis;
@@ -39,12 +36,13 @@
 use super::message::RequestUpdate;
 use super::message::UpdateKind;
 use super::placer::Placer;
+use super::waiting::LineReport;
 use crate::fleet::Choice;
 use crate::fleet::Fleet;
 use crate::fleet::Need;
 use crate::fleet::ProbeTarget;
 use crate::reach::log_ejections;
-use crate::start::Signal;
+use crate::signal::Signal;
 use crate::start::first_placer_wait;
 
 /// How long to wait for the placer's reply before choosing a server locally. This is several round
@@ -125,24 +123,9 @@
         lock(&self.placer).waiting() > 0
     }
 
-    /// The requests that wait in line, by rank.
-    pub(crate) fn line_status(&self, now: Millis) -> Vec<(u8, LineStatus)> {
-        lock(&self.placer).line_status(now)
-    }
-
-    /// Takes the refusals of the line since the last call.
-    pub(crate) fn take_line_refusals(&self) -> LineRefusals {
-        lock(&self.placer).take_line_refusals()
-    }
-
-    /// The accounts that the line served most of late, with their shares in percent.
-    pub(crate) fn largest_line_shares(&self, now: Millis) -> Vec<(u32, u8)> {
-        lock(&self.placer).largest_line_shares(now)
-    }
-
-    /// Takes the numbers of requests that came back after a refusal since the last call.
-    pub(crate) fn take_line_returns(&self, now: Millis) -> LineReturns {
-        lock(&self.placer).take_line_returns(now)
+    /// Reports on the line at this instance since the last call.
+    pub(crate) fn take_line_report(&self, now: Millis) -> LineReport {
+        lock(&self.placer).take_line_report(now)
     }
 
     /// Offers the waiting requests to the engines.
--- a/crates/gateway/src/placing/waiting.rs
+++ b/crates/gateway/src/placing/waiting.rs
@@ -3,6 +3,7 @@
 //! An engine gets no more than it can begin soon, because what it has can't be reordered, refused in
 //! time or taken back.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -64,6 +65,19 @@
 /// Identifies a request by its instance and that instance's number of it.
 pub(super) type Asker = (SocketAddr, u32);
 
+/// The line of a placer, and what became of its requests since the last report.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LineReport {
+    /// The waiting requests by rank.
+    pub ranks: BTreeMap<u8, LineStatus>,
+    /// The refusals, with the accounts that had the most.
+    pub refusals: LineRefusals,
+    /// The accounts that were served most in about the last second, with their shares in percent.
+    pub shares: Vec<(u32, u8)>,
+    /// The requests that came back after a refusal, and those that may.
+    pub returns: LineReturns,
+}
+
 /// A decision on a request that waited.
 pub(super) struct Decided {
     pub(super) asker: Asker,
@@ -111,23 +125,14 @@
         self.held.contains_key(asker)
     }
 
-    pub(super) fn status(&self, now: Millis) -> Vec<(u8, LineStatus)> {
-        self.line.status(now).into_iter().collect()
-    }
-
-    /// Takes the refusals since the last call.
-    pub(super) fn take_refusals(&mut self) -> LineRefusals {
-        self.line.take_refusals(MAX_ACCOUNTS_NAMED)
-    }
-
-    /// The accounts that were served most of late, with their shares in percent.
-    pub(super) fn largest_shares(&self, now: Millis) -> Vec<(u32, u8)> {
-        self.line.largest_shares(MAX_ACCOUNTS_NAMED, now)
-    }
-
-    /// Takes the numbers of requests that came back since the last call.
-    pub(super) fn take_returns(&mut self, now: Millis) -> LineReturns {
-        self.line.take_returns(now)
+    /// Reports on the line since the last call.
+    pub(super) fn take_report(&mut self, now: Millis) -> LineReport {
+        LineReport {
+            ranks: self.line.status(now),
+            refusals: self.line.take_refusals(MAX_ACCOUNTS_NAMED),
+            shares: self.line.largest_shares(MAX_ACCOUNTS_NAMED, now),
+            returns: self.line.take_returns(now),
+        }
     }
 
     /// Records that an instance still waits for a request. Returns its group.
--- a/crates/gateway/src/sharing/joining.rs
+++ b/crates/gateway/src/sharing/joining.rs
@@ -71,7 +71,7 @@
     /// instance knows what the others sent.
     pub(super) fn rejoin(&mut self, now: Millis) {
         self.rejoined = Some(now);
-        self.introduced.clear();
+        self.reintroduce();
     }
 
     /// Whether this instance began to look for others a moment ago.
--- a/crates/gateway/src/sharing/state.rs
+++ b/crates/gateway/src/sharing/state.rs
@@ -1,5 +1,7 @@
 //! The gossip state machine: what an instance sends to whom, and how it uses what it receives.
 
+mod silence;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -21,8 +23,6 @@
 use crate::era::Revision;
 use crate::lag::Lag;
 
-mod silence;
-
 /// How long to wait for the fleet's load before changing to another collector: two of the longest
 /// intervals between a collector's messages, plus a lost message.
 const COLLECTOR_TIMEOUT: Millis = Millis(1200);
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -4,6 +4,8 @@
 //! that reach an instance while the store is sending the first configuration would be served by it
 //! a moment later. A refusal sends them away for longer than that.
 
+mod returns;
+
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -13,12 +15,10 @@
 use async_std::future::timeout;
 use crocushold_base::Event;
 use crocushold_base::Millis;
-use futures::channel::oneshot;
 use log::info;
 
 use crate::sharing::Gossip;
-
-mod returns;
+use crate::signal::Signal;
 
 pub use self::returns::ReturnTimes;
 pub use self::returns::return_delay;
@@ -173,29 +173,6 @@
     }
 }
 
-/// Wakes the tasks that wait for an event.
-#[derive(Default)]
-pub(crate) struct Signal(Mutex<Vec<oneshot::Sender<()>>>);
-
-impl Signal {
-    /// Returns a receiver of the next event.
-    pub(crate) fn subscribe(&self) -> oneshot::Receiver<()> {
-        let (sender, receiver) = oneshot::channel();
-        let mut waiting = lock(&self.0);
-        waiting.retain(|sender| !sender.is_canceled());
-        waiting.push(sender);
-        receiver
-    }
-
-    /// Wakes all that wait.
-    pub(crate) fn notify(&self) {
-        for sender in std::mem::take(&mut *lock(&self.0)) {
-            // The send fails if the wait was given up.
-            let _ = sender.send(());
-        }
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/gateway/tests/model/mod.rs
+++ b/crates/gateway/tests/model/mod.rs
@@ -2,6 +2,9 @@
 //! urgent first, and cache what they have prefilled. The instances choose engines by themselves, or
 //! ask the first instance.
 
+#[path = "../common/engines.rs"]
+mod engines;
+
 use std::collections::BTreeMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -11,7 +14,6 @@
 use crocushold_gateway::EngineSpec;
 use crocushold_gateway::Fleet;
 use crocushold_gateway::FleetSettings;
-use crocushold_gateway::Heartbeat;
 use crocushold_gateway::LineTerms;
 use crocushold_gateway::LoadSum;
 use crocushold_gateway::Need;
@@ -19,7 +21,6 @@
 use crocushold_gateway::PlacementRequest;
 use crocushold_gateway::PlacementVerdict;
 use crocushold_gateway::Placer;
-use crocushold_gateway::Presence;
 use crocushold_gateway::RequestEnd;
 use crocushold_gateway::RequestUpdate;
 use crocushold_gateway::ServerRecord;
@@ -27,6 +28,8 @@
 use crocushold_routing::EngineCapacity;
 use crocushold_routing::Outcome;
 
+use engines::engine;
+
 /// Default numbers of instances and engines.
 const INSTANCES: usize = 4;
 const ENGINES: usize = 12;
@@ -553,18 +556,11 @@
     ([10, 0, 0, number], 80).into()
 }
 
-fn record(engine: usize) -> ServerRecord {
-    let id = format!("engine-{engine}");
+fn record(number: usize) -> ServerRecord {
+    let record = engine(number as u32, 64);
     ServerRecord {
-        address: address_of(&id),
-        id,
-        service: "svc".to_owned(),
+        address: address_of(&record.id),
         zone: String::new(),
-        software: "v1".to_owned(),
-        slots: 64,
-        presence: Presence::Ready,
-        started: None,
-        models: vec!["m".to_owned()],
-        heartbeat: Heartbeat::default(),
+        ..record
     }
 }
--- a/crates/gateway/tests/placer.rs
+++ b/crates/gateway/tests/placer.rs
@@ -1,12 +1,14 @@
 //! Tests of placement requests and of the placer with lost, late and duplicate datagrams, and with
 //! instances that have crashed.
 
+#[path = "common/engines.rs"]
+mod engines;
+
 use std::net::SocketAddr;
 
 use crocushold_base::Millis;
 use crocushold_gateway::Fleet;
 use crocushold_gateway::FleetSettings;
-use crocushold_gateway::Heartbeat;
 use crocushold_gateway::Need;
 use crocushold_gateway::Packet;
 use crocushold_gateway::Placement;
@@ -26,7 +28,10 @@
 use serde::Deserialize;
 use test_case::test_case;
 
+use engines::engine;
+
 const ENGINES: u8 = 3;
+const SLOTS: u32 = 4;
 const LEFT: Millis = Millis(6000);
 const START: Millis = Millis(10_000);
 
@@ -34,25 +39,10 @@
     ([10, 0, 1, number], 7340).into()
 }
 
-fn record(engine: u8) -> ServerRecord {
-    ServerRecord {
-        id: format!("engine-{engine}"),
-        address: ([10, 0, 0, engine], 80).into(),
-        service: "svc".to_owned(),
-        zone: "here".to_owned(),
-        software: "v1".to_owned(),
-        slots: 4,
-        presence: Presence::Ready,
-        started: None,
-        models: vec!["m".to_owned()],
-        heartbeat: Heartbeat::default(),
-    }
-}
-
 fn fleet() -> Fleet {
     let mut fleet = Fleet::new(FleetSettings::default());
-    for engine in 0..ENGINES {
-        fleet.list(&record(engine), START);
+    for number in 0..ENGINES {
+        fleet.list(&engine(number, SLOTS), START);
     }
     fleet
 }
@@ -188,10 +178,10 @@
     let reply = placer.place(&mut placing, peer_at(1), &request(1), START);
     let placement = place(reply);
     let mut own = fleet();
-    for engine in 0..ENGINES {
+    for number in 0..ENGINES {
         let leaving = ServerRecord {
             presence: Presence::Leaving,
-            ..record(engine)
+            ..engine(number, SLOTS)
         };
         own.list(&leaving, START);
     }
@@ -206,10 +196,10 @@
     let mut placer = Placer::default();
     let reply = placer.place(&mut placing, peer_at(1), &request(1), START);
     let mut own = Fleet::new(FleetSettings::default());
-    for engine in 0..ENGINES {
+    for number in 0..ENGINES {
         let other = ServerRecord {
             service: "other".to_owned(),
-            ..record(engine)
+            ..engine(number, SLOTS)
         };
         own.list(&other, START);
     }
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -1,13 +1,15 @@
 //! The line at the placer: requests that wait for an engine, with lost and repeated datagrams, and
 //! with instances, callers and placers that are gone.
 
+#[path = "common/engines.rs"]
+mod engines;
+
 use std::net::SocketAddr;
 
 use crocushold_base::Millis;
 use crocushold_gateway::EngineSpec;
 use crocushold_gateway::Fleet;
 use crocushold_gateway::FleetSettings;
-use crocushold_gateway::Heartbeat;
 use crocushold_gateway::LineTerms;
 use crocushold_gateway::LineWait;
 use crocushold_gateway::LineWaitStep;
@@ -17,15 +19,15 @@
 use crocushold_gateway::PlacementRequest;
 use crocushold_gateway::PlacementVerdict;
 use crocushold_gateway::Placer;
-use crocushold_gateway::Presence;
 use crocushold_gateway::RequestEnd;
 use crocushold_gateway::RequestUpdate;
-use crocushold_gateway::ServerRecord;
 use crocushold_gateway::UpdateKind;
 use crocushold_routing::EngineCapacity;
 use crocushold_routing::Outcome;
 use test_case::test_case;
 
+use engines::engine;
+
 const ENGINES: u8 = 3;
 const START: Millis = Millis(10_000);
 /// A prompt that an engine reads for some 1,080 ms.
@@ -36,21 +38,6 @@
     ([10, 0, 1, number], 7340).into()
 }
 
-fn record(engine: u8) -> ServerRecord {
-    ServerRecord {
-        id: format!("engine-{engine}"),
-        address: ([10, 0, 0, engine], 80).into(),
-        service: "svc".to_owned(),
-        zone: "here".to_owned(),
-        software: "v1".to_owned(),
-        slots: 64,
-        presence: Presence::Ready,
-        started: None,
-        models: vec!["m".to_owned()],
-        heartbeat: Heartbeat::default(),
-    }
-}
-
 /// A placer's fleet of engines, with or without a published capacity.
 fn fleet(capacity: Option<EngineCapacity>) -> Fleet {
     let mut fleet = Fleet::new(FleetSettings::default());
@@ -60,8 +47,8 @@
         capacity,
         event_tokens: None,
     }]);
-    for engine in 0..ENGINES {
-        fleet.list(&record(engine), START);
+    for number in 0..ENGINES {
+        fleet.list(&engine(number, 64), START);
     }
     fleet.set_placer(true);
     fleet
@@ -350,7 +337,7 @@
         assert_eq!(again, first[0].1.verdict);
     }
     assert_eq!(busy.placer.waiting(), 0);
-    assert_eq!(busy.placer.take_line_refusals().total, 1);
+    assert_eq!(busy.placer.take_line_report(START).refusals.total, 1);
 }
 
 /// Guards against callers that come back when they were told to, at another instance, and find later
@@ -398,7 +385,7 @@
         order.extend(busy.serve(now));
     }
     assert_eq!(order, [(peer_at(2), 60), (peer_at(1), 7), (peer_at(1), 8)]);
-    let returns = busy.placer.take_line_returns(now);
+    let returns = busy.placer.take_line_report(now).returns;
     assert_eq!([returns.in_time, returns.early], [1, 1]);
 }
 
