--- a/crates/admission/benches/line.rs
+++ b/crates/admission/benches/line.rs
@@ -42,7 +42,9 @@
         for index in 0..200 {
             let key = line.join(&arrival(index), Millis(100));
             let key = key.expect("nothing waits yet");
-            begin(&mut line, key);
+            if let Some(key) = offer(&mut line, key) {
+                line.begin(key, NOW);
+            }
             line.finish(key, LineEnd::Complete(50), Millis(300));
         }
         let keys = (0..WAITING).filter_map(|index| line.join(&arrival(index), NOW).ok());
@@ -65,9 +67,11 @@
     }
 }
 
-fn begin(line: &mut Line, key: WaiterKey) {
-    if let Some(LineStep::Offer(key, _)) = line.next(line.group_of(key), NOW) {
-        line.begin(key, NOW);
+/// The request that is offered next in the group of `key`.
+fn offer(line: &mut Line, key: WaiterKey) -> Option<WaiterKey> {
+    match line.next(line.group_of(key), NOW) {
+        Some(LineStep::Offer(key, _)) => Some(key),
+        _ => None,
     }
 }
 
@@ -120,7 +124,7 @@
         .with_inputs(Fixture::new)
         .bench_local_refs(|Fixture { line, keys }| {
             for &key in keys.iter().take(BATCH) {
-                if let Some(LineStep::Offer(key, _)) = line.next(line.group_of(key), NOW) {
+                if let Some(key) = offer(line, key) {
                     line.put_back(black_box(key), NOW);
                 }
             }
@@ -134,7 +138,7 @@
         .with_inputs(Fixture::new)
         .bench_local_refs(|Fixture { line, keys }| {
             for &key in keys.iter().take(BATCH) {
-                if let Some(LineStep::Offer(key, _)) = line.next(line.group_of(key), NOW) {
+                if let Some(key) = offer(line, key) {
                     line.begin(key, NOW);
                     line.finish(black_box(key), LineEnd::Complete(50), NOW);
                 }
--- a/crates/peers/tests/endless.rs
+++ b/crates/peers/tests/endless.rs
@@ -5,17 +5,12 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
-use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use async_std::future::timeout;
 use async_std::task;
-use capnp::message::ReaderOptions;
-use capnp_rpc::RpcSystem;
-use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::twoparty::VatNetwork;
 use crocushold_base::Millis;
 use crocushold_ownership::AccountId;
 use crocushold_ownership::ReturnRequest;
@@ -23,13 +18,7 @@
 use crocushold_peers::Instance;
 use crocushold_peers::Limits;
 use crocushold_peers::ListedInstance;
-use crocushold_peers::PeerHandle;
-use crocushold_peers::PeerNode;
-use crocushold_peers::RefuseAll;
 use crocushold_peers::Request;
-use crocushold_peers::Settings;
-use crocushold_peers::SharedKey;
-use futures::AsyncReadExt;
 use test_case::test_case;
 
 #[allow(clippy::all, clippy::pedantic, clippy::unwrap_used, dead_code, missing_docs)]
@@ -38,7 +27,11 @@
 #[path = "../src/generated/peer_capnp.rs"]
 mod peer_capnp;
 
-use peer_capnp::gate;
+mod common;
+
+use common::connect;
+use common::say_hello;
+use common::start;
 
 /// Messages of no words.
 const EMPTY_MESSAGES: [u8; 8] = [0; 8];
@@ -58,14 +51,6 @@
 /// Time after the handshake timeout in which a connection has ended, on a busy machine.
 const SLACK: Duration = Duration::from_secs(3);
 
-fn start() -> PeerHandle {
-    let address = SocketAddr::from(([127, 0, 0, 1], 0));
-    let me = Instance::new("entry-1", address, "stgo-a");
-    let settings = Settings::new(me, SharedKey::new(b"key"), 1, 1);
-    let started = PeerNode::start(settings, Arc::new(RefuseAll));
-    started.expect("loopback can be listened on").handle
-}
-
 /// Sends `cycle` until the peer closes the connection, and returns how long that took.
 fn flood(mut stream: TcpStream, cycle: &[u8], pause: Duration) -> Duration {
     let began = Instant::now();
@@ -80,23 +65,11 @@
     began.elapsed()
 }
 
-/// Sends a hello, as another instance does first, and waits for the answer.
+/// Says hello, and leaves: otherwise the connection would count against the limit on those without the key.
 async fn greet(address: SocketAddr) {
-    let stream = async_std::net::TcpStream::connect(address).await;
-    let (input, output) = stream.expect("it listens").split();
-    let network = VatNetwork::new(input, output, Side::Client, ReaderOptions::new());
-    let mut system = RpcSystem::new(Box::new(network), None);
-    let gate: gate::Client = system.bootstrap(Side::Server);
-    let system = task::spawn_local(system);
-    let mut hello = gate.hello_request();
-    hello.get().set_min_version(1);
-    hello.get().set_max_version(2);
-    hello.get().set_id("entry-2");
-    hello.get().set_challenge(&[7; 32]);
-    let answer = hello.send().promise.await;
-    assert!(answer.is_ok());
-    // Otherwise the connection would count against the limit on those without the key.
-    system.cancel().await;
+    let (gate, connection) = connect(address).await;
+    say_hello(&gate).await;
+    connection.cancel().await;
 }
 
 /// Guards against a caller without the key that keeps a connection, or the instance from all others.
--- a/crates/peers/tests/unauthenticated.rs
+++ b/crates/peers/tests/unauthenticated.rs
@@ -1,32 +1,21 @@
 //! A program that speaks the protocol but doesn't hold the key, as caller and as callee.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::future::timeout;
 use async_std::net::TcpListener;
-use async_std::net::TcpStream;
 use async_std::task;
-use capnp::message::ReaderOptions;
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::twoparty::VatNetwork;
 use crocushold_base::Millis;
 use crocushold_ownership::AccountId;
 use crocushold_ownership::ReturnRequest;
 use crocushold_peers::CallError;
 use crocushold_peers::Instance;
 use crocushold_peers::ListedInstance;
-use crocushold_peers::PeerHandle;
-use crocushold_peers::PeerNode;
-use crocushold_peers::RefuseAll;
 use crocushold_peers::Request;
-use crocushold_peers::Settings;
-use crocushold_peers::SharedKey;
-use futures::AsyncReadExt;
 
 #[allow(clippy::all, clippy::pedantic, clippy::unwrap_used, dead_code, missing_docs)]
 #[allow(unreachable_pub)]
@@ -34,33 +23,18 @@
 #[path = "../src/generated/peer_capnp.rs"]
 mod peer_capnp;
 
+mod common;
+
+use common::connect;
+use common::network;
+use common::say_hello;
+use common::start;
 use peer_capnp::gate;
 use peer_capnp::session;
 
 /// Maximum time that a test waits for an expected state.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
-fn start() -> PeerHandle {
-    let address = SocketAddr::from(([127, 0, 0, 1], 0));
-    let me = Instance::new("entry-1", address, "stgo-a");
-    let settings = Settings::new(me, SharedKey::new(b"key"), 1, 1);
-    let started = PeerNode::start(settings, Arc::new(RefuseAll));
-    started.expect("loopback can be listened on").handle
-}
-
-fn network(stream: TcpStream, side: Side) -> Box<VatNetwork<futures::io::ReadHalf<TcpStream>>> {
-    let (input, output) = stream.split();
-    Box::new(VatNetwork::new(input, output, side, ReaderOptions::new()))
-}
-
-async fn connect(address: SocketAddr) -> gate::Client {
-    let stream = TcpStream::connect(address).await.expect("it listens");
-    let mut system = RpcSystem::new(network(stream, Side::Client), None);
-    let gate = system.bootstrap(Side::Server);
-    task::spawn_local(system);
-    gate
-}
-
 /// The caller sends a hello and invalid proofs, and also tries to authenticate without a hello. It
 /// must receive no session, and neither the name nor a proof of the instance.
 #[test]
@@ -69,15 +43,9 @@
         let node = start();
         for says_hello in [true, false] {
             for proof in [[0_u8; 32].as_slice(), &[]] {
-                let gate = connect(node.me().address).await;
+                let (gate, _) = connect(node.me().address).await;
                 if says_hello {
-                    let mut hello = gate.hello_request();
-                    hello.get().set_min_version(1);
-                    hello.get().set_max_version(2);
-                    hello.get().set_id("entry-2");
-                    hello.get().set_challenge(&[7; 32]);
-                    let answer = hello.send().promise.await;
-                    assert!(answer.is_ok());
+                    say_hello(&gate).await;
                 }
                 let mut request = gate.authenticate_request();
                 request.get().set_proof(proof);
--- a/crates/routing/tests/plain_servers.rs
+++ b/crates/routing/tests/plain_servers.rs
@@ -8,6 +8,9 @@
     reason = "helpers of tests, where the lint looks for test functions only"
 )]
 
+#[path = "common/shared_machines.rs"]
+mod shared_machines;
+
 use std::collections::VecDeque;
 
 use crocushold_base::Millis;
@@ -17,17 +20,14 @@
 use crocushold_routing::LoadReport;
 use crocushold_routing::Outcome;
 use crocushold_routing::Router;
-use crocushold_routing::ServerSpec;
 use crocushold_routing::Settings;
 use crocushold_routing::State;
-use slotmap::SlotMap;
 use test_case::test_case;
 
 const SERVERS: usize = 3;
 const SLOTS: usize = 6;
 const OVERCOMMIT: u32 = 2;
 const WORK: f64 = 30.0;
-const NOISE_SPAN: u64 = 600;
 
 /// Time in which an answer is wanted.
 const TARGET: u64 = 150;
@@ -57,28 +57,17 @@
 
 impl Model {
     fn new(reports: bool) -> Model {
-        let mut servers: SlotMap<ServerKey, ()> = SlotMap::with_key();
-        let keys: Vec<ServerKey> = (0..SERVERS).map(|_| servers.insert(())).collect();
         let settings = Settings {
             overcommit: OVERCOMMIT,
             ..Settings::default()
         };
-        let mut router = Router::new(settings, "a", 5);
-        let specs = keys.iter().enumerate().map(|(at, &key)| ServerSpec {
-            key,
-            id: 1000 + at as u64,
-            zone: "a".to_owned(),
-            region: None,
-            software: None,
-            concurrency: SLOTS as u32 * OVERCOMMIT,
-            models: Vec::new(),
-        });
-        router.configure(&specs.collect::<Vec<_>>(), Millis(1000));
+        let (router, keys) =
+            shared_machines::router(settings, SERVERS, SLOTS as u32 * OVERCOMMIT, &[]);
         Model {
             router,
             keys,
             calls: (0..SERVERS).map(|_| VecDeque::new()).collect(),
-            now: 10_000,
+            now: shared_machines::START,
             reports,
             slow_together: false,
             slow: None,
@@ -92,14 +81,9 @@
         if self.slow == Some(at) {
             return 400;
         }
-        let span = self.now / NOISE_SPAN;
-        let seed = if self.slow_together {
-            0
-        } else {
-            at as u64 * 7919
-        };
-        let draw = (span + seed).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40;
-        if draw.is_multiple_of(8) { 250 } else { 100 }
+        let machine = if self.slow_together { 0 } else { at };
+        let is_shared = shared_machines::is_shared(machine, self.now);
+        if is_shared { 250 } else { 100 }
     }
 
     /// The work of the next call: exponentially distributed, by a fixed sequence.
--- a/crates/routing/tests/server_speed.rs
+++ b/crates/routing/tests/server_speed.rs
@@ -9,6 +9,9 @@
     reason = "helpers of tests, where the lint looks for test functions only"
 )]
 
+#[path = "common/shared_machines.rs"]
+mod shared_machines;
+
 use std::collections::VecDeque;
 
 use crocushold_base::Millis;
@@ -19,7 +22,6 @@
 use crocushold_routing::LoadReport;
 use crocushold_routing::Outcome;
 use crocushold_routing::Router;
-use crocushold_routing::ServerSpec;
 use crocushold_routing::Settings;
 use crocushold_routing::State;
 use crocushold_routing::UsualPace;
@@ -33,9 +35,6 @@
 const LONG: u32 = 2900;
 const SHORT: u32 = 540;
 
-/// Length of a span in which a machine is shared or not.
-const NOISE_SPAN: u64 = 600;
-
 /// Time of an answer from its first token to its end.
 const ANSWER: u64 = 300;
 
@@ -95,8 +94,7 @@
 impl Engine {
     /// How long work takes now, in percent.
     fn actual(&self, at: usize, now: u64) -> f64 {
-        let draw = (now / NOISE_SPAN + at as u64 * 7919).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40;
-        let shared = self.spec.noisy && draw.is_multiple_of(8);
+        let shared = self.spec.noisy && shared_machines::is_shared(at, now);
         self.spec.usual * if shared { 2.5 } else { 1.0 }
     }
 }
@@ -117,11 +115,12 @@
 
 impl Model {
     fn new(specs: &[Spec]) -> Model {
-        let mut servers: SlotMap<ServerKey, ()> = SlotMap::with_key();
         let mut models: SlotMap<ModelKey, ()> = SlotMap::with_key();
         let model = models.insert(());
-        let engines = specs.iter().map(|&spec| Engine {
-            key: servers.insert(()),
+        let (router, keys) =
+            shared_machines::router(Settings::default(), specs.len(), 96, &[model]);
+        let engines = keys.into_iter().zip(specs).map(|(key, &spec)| Engine {
+            key,
             spec,
             queue: VecDeque::new(),
             begun: VecDeque::new(),
@@ -129,22 +128,11 @@
             prompts: 0,
         });
         let engines: Vec<Engine> = engines.collect();
-        let mut router = Router::new(Settings::default(), "a", 5);
-        let specs = engines.iter().enumerate().map(|(at, engine)| ServerSpec {
-            key: engine.key,
-            id: 1000 + at as u64,
-            zone: "a".to_owned(),
-            region: None,
-            software: None,
-            concurrency: 96,
-            models: vec![model],
-        });
-        router.configure(&specs.collect::<Vec<_>>(), Millis(1000));
         Model {
             router,
             model,
             engines,
-            now: 10_000,
+            now: shared_machines::START,
             waits: Vec::new(),
             times: Vec::new(),
             number: 0,
