--- a/crates/admission/src/line/group.rs
+++ b/crates/admission/src/line/group.rs
@@ -17,6 +17,8 @@
 use super::returns::Returns;
 use super::returns::Visit;
 use super::shares::Shares;
+use crate::request::Arrival;
+use crate::scheduler::Admission;
 use crate::scheduler::Scheduler;
 use crate::settings::HeadroomSettings;
 use crate::settings::Settings;
@@ -128,6 +130,22 @@
         class
     }
 
+    /// Queues a request; `None` if the queue is full of others that go before it.
+    pub(super) fn queue(
+        &mut self,
+        arrival: &Arrival,
+        waiter: Waiter,
+        now: Millis,
+    ) -> Option<RequestKey> {
+        let place = waiter.entry.place;
+        let Admission::Queued(request) = self.scheduler.submit_in_order(arrival, place, now) else {
+            return None;
+        };
+        self.ends.insert((waiter.end, request));
+        self.waiters.insert(request, waiter);
+        Some(request)
+    }
+
     pub(super) fn forget(&mut self, request: RequestKey) -> Option<Waiter> {
         let waiter = self.waiters.remove(&request)?;
         self.ends.remove(&(waiter.end, request));
--- a/crates/admission/src/line/mod.rs
+++ b/crates/admission/src/line/mod.rs
@@ -42,7 +42,6 @@
 use crate::decay::DecayingSum;
 use crate::request::Arrival;
 use crate::scheduler::Action;
-use crate::scheduler::Admission;
 use crate::scheduler::Completion;
 use crate::spec::AccountSpec;
 use crate::ticket::NotRun;
@@ -173,31 +172,24 @@
             max_tokens: arrival.output_tokens.max(1),
             ..Arrival::default()
         };
-        match group.scheduler.submit_in_order(&submitted, place, now) {
-            Admission::Queued(request) => {
-                let end = now + entry.limit;
-                let waiter = Waiter {
-                    entry,
-                    account,
-                    work,
-                    joined: now,
-                    end,
-                    outranks,
-                };
-                group.waiters.insert(request, waiter);
-                group.ends.insert((end, request));
-                Ok(WaiterKey {
-                    group: key,
-                    request,
-                })
-            }
-            Admission::Refused(_) => {
-                self.refused.count(entry.account);
-                // Room is expected when what waits has begun, whatever the limit.
-                let limit = Millis::ZERO;
-                Err(group.refusal(&Entry { limit, ..entry }, wait, now))
-            }
-        }
+        let waiter = Waiter {
+            entry,
+            account,
+            work,
+            joined: now,
+            end: now + entry.limit,
+            outranks,
+        };
+        let Some(request) = group.queue(&submitted, waiter, now) else {
+            self.refused.count(entry.account);
+            // Room is expected when what waits has begun, whatever the limit.
+            let limit = Millis::ZERO;
+            return Err(group.refusal(&Entry { limit, ..entry }, wait, now));
+        };
+        Ok(WaiterKey {
+            group: key,
+            request,
+        })
     }
 
     /// The groups in which requests wait.
--- a/crates/gateway/src/exchange/choose.rs
+++ b/crates/gateway/src/exchange/choose.rs
@@ -12,6 +12,7 @@
 use crate::fleet::Choice;
 use crate::fleet::short_hash;
 use crate::placing::LineTerms;
+use crate::placing::Placement;
 use crate::placing::PlacementAnswer;
 use crate::placing::PlacementError;
 use crate::placing::PlacementId;
@@ -137,7 +138,7 @@
             return None;
         }
         let line = self.line_terms(now);
-        // The line is what the placer needs to be asked for by itself.
+        // The placer asks itself only for requests that may wait in its line.
         if line.is_none() && self.shared.placer.asks_itself() {
             return None;
         }
@@ -161,51 +162,47 @@
             Err(PlacementError::NoPlacer) => self.ask_first_placer(query).await,
             answer => answer,
         };
-        let metrics = &self.shared.metrics;
-        let PlacementAnswer {
-            placement_id,
-            verdict,
-            waited,
-        } = match answer {
-            Ok(answer) => answer,
-            Err(PlacementError::NoPlacer) => return None,
+        match answer {
+            Ok(answer) => self.use_answer(answer),
+            Err(PlacementError::NoPlacer) => None,
             // The placer may only be late, and is replaced soon if it is gone.
-            Err(PlacementError::Silent) => return self.full_if_brittle(),
+            Err(PlacementError::Silent) => self.full_if_brittle(),
             Err(PlacementError::Timeout) => {
-                metrics.count_placement("silent");
-                return self.full_if_brittle();
+                self.shared.metrics.count_placement("silent");
+                self.full_if_brittle()
             }
-        };
-        if let Some(waited) = waited {
+        }
+    }
+
+    /// The choice or the refusal by the placer's answer; `None` if this instance has to choose itself.
+    fn use_answer(&mut self, answer: PlacementAnswer) -> Option<Result<Choice, NoServer>> {
+        if let Some(waited) = answer.waited {
             self.line_wait = Some(self.line_wait.unwrap_or_default() + waited);
         }
-        let now = self.shared.clock.now();
-        match verdict {
+        let metrics = &self.shared.metrics;
+        let refusal = |reason, retry_after| {
+            Some(Err(NoServer {
+                reason,
+                retry_after,
+            }))
+        };
+        match answer.verdict {
             PlacementVerdict::Placed(placement) => {
-                let adopted = if self.shared.placer.is_own(placement_id.placer) {
-                    self.take_own(placement_id, now)
-                } else {
-                    let mut fleet = self.shared.fleet();
-                    fleet.adopt(need, &placement, &self.tried, now)
-                };
+                let adopted = self.adopt(answer.placement_id, &placement);
                 metrics.count_placement(if adopted.is_some() {
                     "placed"
                 } else {
                     "not-taken"
                 });
-                let Some(mut choice) = adopted else {
-                    self.shared.placer.release(placement_id);
+                let Some(choice) = adopted else {
+                    self.shared.placer.release(answer.placement_id);
                     return self.full_if_brittle();
                 };
-                choice.placement_id = Some(placement_id);
                 Some(Ok(choice))
             }
             PlacementVerdict::Late { wait, retry_delay } => {
                 metrics.count_placement("late");
-                Some(Err(NoServer {
-                    reason: routing::Reason::Late { wait },
-                    retry_after: retry_delay,
-                }))
+                refusal(routing::Reason::Late { wait }, retry_delay)
             }
             PlacementVerdict::Refused {
                 wait,
@@ -214,17 +211,11 @@
             } => {
                 metrics.count_placement("late");
                 self.line_standing = Some(standing);
-                Some(Err(NoServer {
-                    reason: routing::Reason::Late { wait },
-                    retry_after: retry_delay,
-                }))
+                refusal(routing::Reason::Late { wait }, retry_delay)
             }
             PlacementVerdict::Full { retry_delay } => {
                 metrics.count_placement("full");
-                Some(Err(NoServer {
-                    reason: routing::Reason::Busy,
-                    retry_after: retry_delay,
-                }))
+                refusal(routing::Reason::Busy, retry_delay)
             }
             PlacementVerdict::Unable | PlacementVerdict::Waiting => {
                 metrics.count_placement("unable");
@@ -233,6 +224,19 @@
         }
     }
 
+    /// Takes a slot of the server that the placer chose; `None` if it can't be used here.
+    fn adopt(&self, placement_id: PlacementId, placement: &Placement) -> Option<Choice> {
+        let now = self.shared.clock.now();
+        let mut choice = if self.shared.placer.is_own(placement_id.placer) {
+            self.take_own(placement_id, now)?
+        } else {
+            let mut fleet = self.shared.fleet();
+            fleet.adopt(&self.job.need, placement, &self.tried, now)?
+        };
+        choice.placement_id = Some(placement_id);
+        Some(choice)
+    }
+
     /// Asks the first placer after a start, once it is known.
     async fn ask_first_placer(
         &self,
--- a/crates/gateway/src/placing/shell.rs
+++ b/crates/gateway/src/placing/shell.rs
@@ -137,9 +137,7 @@
 
     /// Takes over a request of this instance that it placed itself.
     pub(crate) fn take_own(&self, placement_id: PlacementId) -> Option<Choice> {
-        let mut choice = lock(&self.placer).take_own(placement_id.placer, placement_id.number)?;
-        choice.placement_id = Some(placement_id);
-        Some(choice)
+        lock(&self.placer).take_own(placement_id.placer, placement_id.number)
     }
 
     fn send_replies(&self, placer: &mut Placer) {
@@ -441,6 +439,7 @@
 }
 
 /// The placer's decision on a query.
+#[derive(Clone, Copy)]
 pub(crate) struct PlacementAnswer {
     pub(crate) placement_id: PlacementId,
     pub(crate) verdict: PlacementVerdict,
