--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -23,6 +23,7 @@
 use crocushold_http::SendError;
 use crocushold_http::SendErrorKind;
 use crocushold_http::SendLimits;
+use crocushold_http::is_event_stream;
 use crocushold_http::relay_headers;
 use crocushold_metrics::ClassMetrics;
 use crocushold_metrics::GaugeGuard;
@@ -75,9 +76,6 @@
 const SETTLEMENT_CHECKS: u32 = 3;
 const SETTLEMENT_INTERVAL: Millis = Millis(50);
 
-/// Media type of a stream of server-sent events.
-const EVENT_STREAM: &str = "text/event-stream";
-
 /// Minimum timeout of an attempt whose request has reached its deadline.
 const MIN_TIMEOUT: Millis = Millis(1);
 
@@ -500,13 +498,13 @@
             _running: resources.running,
         });
         let content_type = response.content_type();
-        let is_event_stream = content_type
+        let has_events = content_type
             .as_ref()
-            .is_some_and(|content_type| content_type.essence() == EVENT_STREAM);
-        if is_event_stream {
+            .is_some_and(|content_type| is_event_stream(content_type.essence()));
+        if has_events {
             answer.body.expect_events();
         }
-        let plain_timeout = (!is_event_stream).then_some(self.job.response_timeout);
+        let plain_timeout = (!has_events).then_some(self.job.response_timeout);
         let deadline = self.job.arrival.deadline;
         if let Some(timeout) = body_timeout(deadline, plain_timeout, self.clock.now()) {
             answer.body.set_total_timeout(timeout);
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -6,6 +6,7 @@
 use crocushold_http::AnswerTimeout;
 use crocushold_http::EventCounter;
 use crocushold_http::RelayBody;
+use crocushold_http::is_event_stream;
 use crocushold_http::relay_headers;
 use http_types::Response;
 use http_types::StatusCode;
@@ -19,9 +20,6 @@
 use crate::settle::PauseTracker;
 use crate::settle::Upstream;
 
-/// Media type of a stream of server-sent events.
-const EVENT_STREAM: &str = "text/event-stream";
-
 impl Exchange<'_> {
     /// Returns the response with which an answer reaches the caller, or the instance that relayed the
     /// request.
@@ -78,7 +76,7 @@
         // A failure on a stream's route is described in some other way.
         let untyped_events = self.job.repeat.is_stream() && status.is_success();
         let has_events = match content_type {
-            Some(content_type) => media_type(content_type).eq_ignore_ascii_case(EVENT_STREAM),
+            Some(content_type) => is_event_stream(content_type.last().as_str()),
             None => untyped_events,
         };
         if has_events {
@@ -116,9 +114,3 @@
         }
     }
 }
-
-/// The content type without its parameters.
-fn media_type(content_type: &HeaderValues) -> &str {
-    let text = content_type.last().as_str();
-    text.split(';').next().unwrap_or_default().trim()
-}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -63,3 +63,4 @@
 pub use server::serve_connection;
 pub use server::serve_until;
 pub use sse::EventCounter;
+pub use sse::is_event_stream;
--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -1,4 +1,7 @@
-//! Counting server-sent events in a stream of bytes.
+//! Streams of server-sent events: their media type, and counting events in the bytes.
+
+/// The media type.
+const EVENT_STREAM: &str = "text/event-stream";
 
 /// The most bytes of an event that are kept.
 const MAX_KEPT_BYTES: usize = 16 * 1024;
@@ -6,6 +9,12 @@
 const DATA_FIELD: &[u8] = b"data:";
 const DONE_MARKER: &[u8] = b"[DONE]";
 
+/// Whether a `Content-Type` is that of a stream of server-sent events.
+pub fn is_event_stream(content_type: &str) -> bool {
+    let media_type = content_type.split(';').next().unwrap_or_default();
+    media_type.trim().eq_ignore_ascii_case(EVENT_STREAM)
+}
+
 /// Counts `data:` events across arbitrary chunk boundaries.
 ///
 /// The end marker `[DONE]` isn't counted. The last event before it is kept, because it carries the
--- a/crates/http/tests/sse.rs
+++ b/crates/http/tests/sse.rs
@@ -1,6 +1,8 @@
-//! The event count is independent of chunk boundaries.
+//! Streams of events: their media type, and the count of events, which is independent of chunk boundaries.
 
 use crocushold_http::EventCounter;
+use crocushold_http::is_event_stream;
+use test_case::test_case;
 
 const STREAM: &[u8] = b": comment\n\ndata: {\"a\":1}\n\nevent: x\r\ndata: {\"b\":2}\r\n\r\n\
     data:{\"usage\":3}\n\ndata: [DONE]\n\n";
@@ -30,3 +32,12 @@
     counter.push(b"data: next\n\n");
     assert_eq!(counter.last_event(), b"next");
 }
+
+#[test_case("text/event-stream", true)]
+#[test_case("Text/Event-Stream; charset=utf-8", true)]
+#[test_case("text/event-stream ;charset=utf-8", true)]
+#[test_case("text/plain", false)]
+#[test_case("", false)]
+fn the_media_type_tells_streams_of_events(content_type: &str, expected: bool) {
+    assert_eq!(is_event_stream(content_type), expected);
+}
