--- a/tests/all/ended_servers.rs
+++ b/tests/all/ended_servers.rs
@@ -72,8 +72,9 @@
             thread::sleep(STABLE_WINDOW);
         }
         let entry = entries[number % entries.len()];
+        let before = runs_by_engine(site);
         let mut caller = RawCaller::send(entry.listen, &request(number));
-        let Some(runner) = new_runner(site, &ended) else {
+        let Some(runner) = next_runner(site, &before) else {
             break;
         };
         assert!(caller.read_until("poison 1 "));
@@ -204,8 +205,9 @@
 fn serve_sends_a_request_again_after_one_engine_has_ended_under_it() {
     let site = site();
     let entry = site.entry("entry-1");
+    let before = runs_by_engine(&site);
     let mut caller = RawCaller::send(entry.listen, &poison_request());
-    let runner = new_runner(&site, &[]).expect("an engine runs it");
+    let runner = next_runner(&site, &before).expect("an engine runs it");
     assert!(caller.read_until("poison 1 "));
     site.command_engine(runner, EngineCommand::Crash);
     caller.read_to_end();
@@ -227,17 +229,16 @@
     let [first, second] = [fleet.entry(0), fleet.entry(1)];
     assert_eq!(call(first.listen, &poison_request()).unwrap().status, 200);
     site.command_all_engines(&EngineCommand::Stall { after: Some(2) });
-    let engines = 0..site.engines.len();
-    let mut used: Vec<usize> = engines
-        .filter(|at| site.engines[*at].runs("poison") > 0)
-        .collect();
+    let mut ended = Vec::new();
     for _ in 0..2 {
+        let before = runs_by_engine(&site);
         let mut caller = RawCaller::send(second.listen, &poison_request());
-        let runner = new_runner(&site, &used).expect("an engine runs it");
+        let runner = next_runner(&site, &before).expect("an engine runs it");
         assert!(caller.read_until("poison 1 "));
         site.command_engine(runner, EngineCommand::Crash);
         caller.read_to_end();
-        used.push(runner);
+        assert!(!ended.contains(&runner), "engine {runner} ended twice");
+        ended.push(runner);
     }
     site.command_all_engines(&EngineCommand::Stall { after: None });
     let answer = call(second.listen, &poison_request()).unwrap();
@@ -266,13 +267,18 @@
     }
 }
 
-/// Returns the engine that runs the request, if one does within a second.
-fn new_runner(site: &Site, ended: &[usize]) -> Option<usize> {
-    let runs = |engine: &usize| site.engines[*engine].runs("poison") > 0;
+/// Returns how often each engine has run the request, in the order of the engines.
+fn runs_by_engine(site: &Site) -> Vec<u64> {
+    let engines = site.engines.iter();
+    engines.map(|engine| engine.runs("poison")).collect()
+}
+
+/// Returns the engine that has run the request more often than `before`, if one has within a second.
+fn next_runner(site: &Site, before: &[u64]) -> Option<usize> {
     let pause = Duration::from_millis(10);
     for _ in 0..DISPATCH_BOUND.as_millis() / pause.as_millis() {
-        let mut all = 0..site.engines.len();
-        let found = all.find(|engine| !ended.contains(engine) && runs(engine));
+        let runs = runs_by_engine(site);
+        let found = (0..runs.len()).find(|engine| runs[*engine] > before[*engine]);
         if found.is_some() {
             return found;
         }
