line: times to return are reserved for a quarter of what begins, and places with them

Times to return were given at the whole rate of beginnings, and whoever came back in one went before those who arrived, so that under a lasting overload these were refused in turn, and nearly all were served late. Those beyond all times kept a place as well.

Change: times are a quarter of the rate apart, and a place is kept with a reserved time alone. Whoever is given none returns at the end of the caller's patience and stands like one that arrives; a return before its time is refused as before.

Tests: returns_leave_room_for_those_who_arrive is new. In a_request_that_returns_in_its_time_goes_before_later_ones the engines go on until the time, which is later now, in place of three requests at once; its checks are as they were.

--- a/crates/admission/src/line/group.rs
+++ b/crates/admission/src/line/group.rs
@@ -209,12 +209,13 @@
     fn reserve_return(&mut self, entry: &Entry, wait: Millis, now: Millis) -> Millis {
         let excess = wait.since(entry.limit);
         let earliest = now + excess.max(self.retry_min);
-        let span = self.drain.interval();
         let latest = now + entry.patience.max(self.retry_min);
-        let at = self.returns.reserve(earliest, latest, span);
-        let max_returns = self.max_returns;
-        self.returns
-            .keep(entry.request, at, entry.place, max_returns);
-        at
+        self.returns.reserve(
+            entry.request,
+            entry.place,
+            [earliest, latest],
+            self.drain.interval(),
+            self.max_returns,
+        )
     }
 }
--- a/crates/admission/src/line/returns.rs
+++ b/crates/admission/src/line/returns.rs
@@ -13,10 +13,15 @@
 /// connect first.
 const RETURN_SPAN: Millis = Millis(1500);
 
+/// Divisor of the rate at which requests begin for the rate at which refused ones may return. Those who
+/// return go first and are late already; if they took all that begins, each newcomer would be refused
+/// and served late as well.
+const RATE_DIVISOR: u64 = 4;
+
 /// The earlier refusal of a request that arrives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Visit {
-    /// There was none of late.
+    /// There was none of late, or it comes back at a time that wasn't reserved for it.
     First,
     /// It comes back before its time.
     Early,
@@ -27,11 +32,12 @@
 #[derive(Clone, Copy, Debug)]
 struct Return {
     at: Millis,
-    place: u64,
+    /// Its place, if the time is reserved for it.
+    place: Option<u64>,
 }
 
 /// Hands out return times, so that those who come back find room instead of each other: an earlier
-/// refusal has an earlier time, and the times are as far apart as the requests take.
+/// refusal has an earlier time, and the times are as far apart as [`RATE_DIVISOR`] requests take.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Returns {
     next: Millis,
@@ -41,26 +47,39 @@
 }
 
 impl Returns {
-    /// Reserves a time of at least `earliest` for a request, `span` before the next one. After `latest`
-    /// its caller wouldn't return; if there is no time until then, that is its time.
-    pub(super) fn reserve(&mut self, earliest: Millis, latest: Millis, span: Millis) -> Millis {
-        let at = self.next.max(earliest);
-        if at >= latest {
-            return latest;
-        }
-        self.next = at + span;
-        at
-    }
-
-    /// Keeps the time and the place of a refused request, unless there are `max` already: those were
-    /// refused before it.
-    pub(super) fn keep(&mut self, request: u32, at: Millis, place: u64, max: usize) {
-        if request == 0 || self.kept.len() >= max {
-            return;
+    /// Gives a refused request of this hash a time between `earliest` and `latest`, after which its
+    /// caller wouldn't return, and keeps that and its place, unless there are `max` already: those were
+    /// refused before it. `interval` is that between two requests that begin.
+    ///
+    /// If all times until then are reserved, it is given the latest one and no place: it returns like
+    /// one that arrives for the first time.
+    pub(super) fn reserve(
+        &mut self,
+        request: u32,
+        place: u64,
+        [earliest, latest]: [Millis; 2],
+        interval: Millis,
+        max: usize,
+    ) -> Millis {
+        let reserved = self.next.max(earliest);
+        let kept = if reserved < latest {
+            self.next = reserved + Millis(interval.0 * RATE_DIVISOR);
+            Return {
+                at: reserved,
+                place: Some(place),
+            }
+        } else {
+            Return {
+                at: latest,
+                place: None,
+            }
+        };
+        if request != 0 && self.kept.len() < max {
+            self.forget(request);
+            self.kept.insert(request, kept);
+            self.ends.insert((kept.at + RETURN_SPAN, request));
         }
-        self.forget(request);
-        self.kept.insert(request, Return { at, place });
-        self.ends.insert((at + RETURN_SPAN, request));
+        kept.at
     }
 
     /// Whether a request that arrives was refused of late. Its place is taken with that.
@@ -73,7 +92,7 @@
             return Visit::Early;
         }
         self.forget(request);
-        Visit::InTime(place)
+        place.map_or(Visit::First, Visit::InTime)
     }
 
     /// The time at which a request may return that came back before, if that is still to come.
