lanes: live streams get engines of their own from one delayed stream in five

One in ten was required of the streams of long prompts, which have more events than live ones and pause more often.

Change: one in five. Without figures it stays three in ten.

few_delayed_streams_leave_the_engines_to_all is new and fails with one in ten; the other tests are unchanged.

--- a/crates/routing/src/lanes.rs
+++ b/crates/routing/src/lanes.rs
@@ -111,7 +111,8 @@
     /// The number of ended streams required for that decision.
     pub min_streams: f64,
     /// The fraction that replaces `slow_stream_share` where published figures say that prompts
-    /// delay live streams for too long. Callers want 95 of 100 live streams in time.
+    /// delay live streams for too long. Callers want 95 of 100 live streams in time, which have fewer
+    /// events than the streams of long prompts and pause less often.
     pub expected_slow_share: f64,
     /// The number of ended streams that outweigh published figures.
     pub expected_min_streams: f64,
@@ -132,7 +133,7 @@
             min_heavy_share: 0.4,
             slow_stream_share: 0.3,
             min_streams: 10.0,
-            expected_slow_share: 0.1,
+            expected_slow_share: 0.2,
             expected_min_streams: 30.0,
             min_share_change: 0.05,
         }
--- a/crates/routing/tests/lanes.rs
+++ b/crates/routing/tests/lanes.rs
@@ -231,6 +231,21 @@
     assert_eq!(lanes.lane(Lane::Live), Lane::Light);
 }
 
+/// Guards against engines that are taken from long prompts in a rush of live streams, of which few would
+/// be delayed beside them.
+#[test]
+fn few_delayed_streams_leave_the_engines_to_all() {
+    let mut lanes = forecast_lanes();
+    for number in 0..240 {
+        let now = Millis(number * 100);
+        lanes.record_work(Lane::Live, 300.0, now);
+        lanes.record_work(Lane::Heavy, 2500.0, now);
+        lanes.record_stream(number % 12 == 11, now);
+        lanes.rebalance(40);
+    }
+    assert_eq!(lanes.lane(Lane::Live), Lane::Light);
+}
+
 /// Two of ten streams of long prompts are delayed, because some engines are slower than others. If
 /// published figures say so, too, that is enough: callers want 95 of 100 live streams in time.
 #[test]
