--- a/crates/gateway/src/fleet/choose.rs
+++ b/crates/gateway/src/fleet/choose.rs
@@ -56,13 +56,7 @@
     ///
     /// Returns why no server can take the request, and when to retry.
     pub fn place(&mut self, request: &PlacementRequest, now: Millis) -> Result<Choice, NoServer> {
-        let tried = self.keys_of(&request.tried);
-        let resting = self.keys_of(&request.resting);
-        let sender = Sender::Remote {
-            zone: &request.zone,
-            resting: &resting,
-        };
-        self.choose(&request.need, &tried, sender, now)
+        self.choose_for(request, None, now)
     }
 
     /// Like [`Fleet::place`], for a request in line. Its engine must be able to begin it soon, unless
@@ -77,14 +71,7 @@
         offer: LineOffer,
         now: Millis,
     ) -> Result<Choice, NoServer> {
-        let tried = self.keys_of(&request.tried);
-        let resting = self.keys_of(&request.resting);
-        let sender = Sender::Line {
-            zone: &request.zone,
-            resting: &resting,
-            offer,
-        };
-        self.choose(&request.need, &tried, sender, now)
+        self.choose_for(request, Some(offer), now)
     }
 
     /// Records the work of a request that this instance is asked to place.
@@ -191,6 +178,23 @@
         keys.copied().collect()
     }
 
+    /// Chooses a server for a request of another instance, which waited in line if there is an `offer`.
+    fn choose_for(
+        &mut self,
+        request: &PlacementRequest,
+        offer: Option<LineOffer>,
+        now: Millis,
+    ) -> Result<Choice, NoServer> {
+        let tried = self.keys_of(&request.tried);
+        let resting = self.keys_of(&request.resting);
+        let sender = Sender::Remote {
+            zone: &request.zone,
+            resting: &resting,
+            offer,
+        };
+        self.choose(&request.need, &tried, sender, now)
+    }
+
     fn choose(
         &mut self,
         need: &Need,
@@ -202,9 +206,7 @@
         self.update_routers(now);
         let excluded = match sender {
             Sender::Local => self.excluded(need, tried, now),
-            Sender::Remote { resting, .. } | Sender::Line { resting, .. } => {
-                [tried, resting].concat().into()
-            }
+            Sender::Remote { resting, .. } => [tried, resting].concat().into(),
         };
         let allow_paced = self.sends_to_paced();
         let service = self.services.get_mut(&need.service).ok_or(NoServer {
@@ -212,12 +214,12 @@
             retry_after: UNKNOWN_RETRY,
         })?;
         // The work of a request in line was recorded when it joined.
-        if tried.is_empty() && !matches!(sender, Sender::Line { .. }) {
+        if tried.is_empty() && sender.offer().is_none() {
             service.record_demand(need, now);
         }
         let resting = match sender {
             Sender::Local => self.rests.active(),
-            Sender::Remote { .. } | Sender::Line { .. } => &[],
+            Sender::Remote { .. } => &[],
         };
         let demand = Demand {
             zone: sender.zone(),
@@ -225,11 +227,9 @@
             allow_paced,
             ..demand(service, &self.models, need, &excluded, resting)
         };
-        let pick = match sender {
-            Sender::Line { offer, .. } => {
-                pick_from_line(service, &self.models, need, &demand, offer, now)?
-            }
-            _ => service.router.pick(&demand, now).or_else(|none| {
+        let pick = match sender.offer() {
+            Some(offer) => pick_from_line(service, &self.models, need, &demand, offer, now)?,
+            None => service.router.pick(&demand, now).or_else(|none| {
                 let other = pick_in_other_lane(service, &self.models, need, &demand, now);
                 other.ok_or(none)
             })?,
@@ -266,14 +266,8 @@
         zone: &'a str,
         /// The servers that asked it for rest. When those rests end is known only there.
         resting: &'a [ServerKey],
-    },
-    /// Any one, whose request has waited in line at this instance.
-    Line {
-        /// Its availability zone.
-        zone: &'a str,
-        /// The servers that asked it for rest.
-        resting: &'a [ServerKey],
-        offer: LineOffer,
+        /// Set if the request has waited in line at this instance.
+        offer: Option<LineOffer>,
     },
 }
 
@@ -290,7 +284,14 @@
     fn zone(self) -> Option<&'a str> {
         match self {
             Sender::Local => None,
-            Sender::Remote { zone, .. } | Sender::Line { zone, .. } => Some(zone),
+            Sender::Remote { zone, .. } => Some(zone),
+        }
+    }
+
+    fn offer(self) -> Option<LineOffer> {
+        match self {
+            Sender::Local => None,
+            Sender::Remote { offer, .. } => offer,
         }
     }
 }
