--- a/crates/gateway/tests/model/mod.rs
+++ b/crates/gateway/tests/model/mod.rs
@@ -249,9 +249,7 @@
                 return;
             }
         };
-        let engine = self.engines.get_mut(&*choice.id);
-        let engine = engine.expect("only listed engines are chosen");
-        let job = Job {
+        self.enqueue(Job {
             class,
             instance,
             choice,
@@ -259,8 +257,15 @@
             sent: now,
             prompt,
             rank: load.rank,
-        };
-        engine.queue.insert((job.rank, self.number), job);
+        });
+    }
+
+    /// Adds a job to the queue of its engine.
+    fn enqueue(&mut self, job: Job) {
+        let engine = self.engines.get_mut(&*job.choice.id);
+        let engine = engine.expect("only listed engines are chosen");
+        let key = (job.rank, u64::from(job.number));
+        engine.queue.insert(key, job);
     }
 
     /// Chooses an engine for a request of an instance. In its own line the placer asks itself.
@@ -350,9 +355,7 @@
                 sent,
             } = waiting;
             let choice = self.adopt(instance, &ask, &place, at);
-            let engine = self.engines.get_mut(&*choice.id);
-            let engine = engine.expect("only listed engines are chosen");
-            let job = Job {
+            self.enqueue(Job {
                 class,
                 instance,
                 choice,
@@ -360,9 +363,7 @@
                 sent,
                 prompt,
                 rank: ask.need.priority,
-            };
-            let key = (job.rank, u64::from(job.number));
-            engine.queue.insert(key, job);
+            });
         }
     }
 
