--- a/crates/gateway/src/placing/line_wait.rs
+++ b/crates/gateway/src/placing/line_wait.rs
@@ -30,7 +30,7 @@
     since: Millis,
     limit: Millis,
     asked: Millis,
-    answered: bool,
+    /// Number of questions since the last reply.
     unanswered: u32,
 }
 
@@ -41,14 +41,12 @@
             since: now,
             limit,
             asked: now,
-            answered: true,
             unanswered: 0,
         }
     }
 
     /// Records that the placer says that the request waits.
     pub fn record_reply(&mut self) {
-        self.answered = true;
         self.unanswered = 0;
     }
 
@@ -62,14 +60,11 @@
         if now < due {
             return LineWaitStep::Listen(due);
         }
-        if !self.answered {
-            self.unanswered += 1;
-        }
         if self.unanswered >= MAX_UNANSWERED {
             return LineWaitStep::GiveUp;
         }
         self.asked = now;
-        self.answered = false;
+        self.unanswered += 1;
         LineWaitStep::Ask(self.limit.since(waited))
     }
 
--- a/crates/routing/src/server_speed.rs
+++ b/crates/routing/src/server_speed.rs
@@ -59,8 +59,8 @@
 /// nearest inside.
 const WORK_PERCENT: (u16, u16) = (25, 1000);
 
-/// Time in which a report loses all its weight, in milliseconds. On a machine that was shared, one
-/// report in two says the same after 300 ms, and after this time no more than any.
+/// Time in which a report loses all its weight, in milliseconds. A machine is shared for parts of a
+/// second, and after this time an old report says no more about it than the server's mean.
 const REPORT_SPAN_MS: f64 = 600.0;
 
 /// Time over which the mean of a server's reports is taken, in milliseconds: many times as long as a
