--- a/review/standin/stand.rs
+++ b/review/standin/stand.rs
@@ -48,9 +48,9 @@
     }
 
     pub fn write(&self) {
-        let folder = std::env::var("CASE_FOLDER").unwrap_or_else(|_| ".".to_owned());
+        let file = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".to_owned());
         let text = self.lines.lock().unwrap().join("\n") + "\n";
-        let _ = fs::write(PathBuf::from(folder).join("record.txt"), text);
+        let _ = fs::write(file, text);
     }
 }
 
