--- a/tests/all/support/entry.rs
+++ b/tests/all/support/entry.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// The process's identity.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Requests a page of the operator interface.
     pub fn page(&self, path: &str) -> Option<Answer> {
         let page = Call {
--- a/tests/all/support/site.rs
+++ b/tests/all/support/site.rs
@@ -39,6 +39,8 @@
     pub first_start: bool,
     /// Memory limit of the requests at an entry instance, in MiB.
     pub memory: u64,
+    /// Longest wait for a whole body, in seconds.
+    pub body_timeout: u32,
     /// Further lines of the `[limits]` section of the entry instances.
     pub limits: String,
     pub senders: u32,
@@ -57,6 +59,7 @@
             service: ServiceSettings::default(),
             first_start: true,
             memory: 192,
+            body_timeout: 2,
             limits: String::new(),
             senders: 8,
         }
@@ -74,6 +77,7 @@
     temp_dir: TempDir,
     first_start: bool,
     memory: u64,
+    body_timeout: u32,
     limits: String,
     senders: u32,
 }
@@ -110,6 +114,7 @@
                 temp_dir: TempDir::new(),
                 first_start: settings.first_start,
                 memory: settings.memory,
+                body_timeout: settings.body_timeout,
                 limits: settings.limits.clone(),
                 senders: settings.senders,
             }
@@ -209,12 +214,13 @@
         let platform = self.platform.addr();
         let first = if self.first_start { "yes" } else { "no" };
         let (memory, limits, senders) = (self.memory, &self.limits, self.senders);
+        let body_timeout = self.body_timeout;
         let text = format!(
             "[instance]\nid = {name}\nzone = zone-a\nlisten = {any}\noperator = {any}\n\
              notice = 300 ms\ndrain = 20 s\nmemory = {memory} MiB\n\n[platform]\naddresses = {platform}\n\n\
              [peers]\nlisten = {peer}\nkey = {PEER_KEY}\nfirst-start = {first}\n\
              senders = {senders}\n\n\
-             [limits]\nbody-timeout = 2 s\nwrite-timeout = 5 s\n{limits}"
+             [limits]\nbody-timeout = {body_timeout} s\nwrite-timeout = 5 s\n{limits}"
         );
         let file = self.temp_dir.path().join(format!("{name}.ini"));
         fs::write(&file, text).unwrap();
