Answer requests whose last chunk line comes in two segments

Cause: async-h1's decoder returns pending without a waker there; the bodies of answers are guarded against it, those of requests weren't. Requests carry their connection as an extension now, and the body is polled again unless the socket was what it waited for. An interim answer that can't be written counts as waiting too: the loop would spin on it.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -183,7 +183,7 @@
         self.read_buffer().read_pending = false;
     }
 
-    /// Whether a read through [`MessageStream`] was pending since the flag was cleared.
+    /// Whether a read through [`MessageStream`] waited for the socket since the flag was cleared.
     pub(crate) fn is_read_pending(&self) -> bool {
         self.read_buffer().read_pending
     }
@@ -281,8 +281,11 @@
             return Poll::Ready(Ok(0));
         }
         while !read_buffer.interim.is_empty() {
-            let count = ready!(self.poll_write(cx, read_buffer.interim))?;
-            read_buffer.interim = &read_buffer.interim[count..];
+            let Poll::Ready(written) = self.poll_write(cx, read_buffer.interim) else {
+                read_buffer.read_pending = true;
+                return Poll::Pending;
+            };
+            read_buffer.interim = &read_buffer.interim[written?..];
         }
         match Pin::new(&mut &self.stream).poll_read(cx, &mut buf[..limit]) {
             Poll::Ready(Ok(count)) => {
--- a/crates/http/src/server/body.rs
+++ b/crates/http/src/server/body.rs
@@ -1,18 +1,28 @@
 //! Reading a request's body with limits on its size and duration.
 
 use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
 
 use async_std::future::timeout;
-use async_std::io::ReadExt;
+use async_std::io::Read;
+use futures::future::poll_fn;
 use http_types::Request;
 use http_types::StatusCode;
 use quick_error::quick_error;
 
 use super::limits::ServerLimits;
+use crate::connection::Connection;
 
 /// Bytes read at a time.
 const READ_BYTES: usize = 8 * 1024;
 
+/// The connection on which a request arrived, set as an extension of the request.
+#[derive(Clone)]
+pub(crate) struct CallerConnection(pub(crate) Arc<Connection>);
+
 quick_error! {
     /// Why a request's body couldn't be read.
     #[derive(Debug)]
@@ -68,12 +78,13 @@
     if announced.is_some_and(|length| length as u64 > limit) {
         return Err(BodyError::TooLarge);
     }
+    let connection = request.ext().get::<CallerConnection>().cloned();
     // Memory is allocated for the bytes received, not for the announced length. Otherwise callers
     // that announce long bodies and send nothing could exhaust the memory.
     let mut body = Vec::new();
     let mut chunk = [0; READ_BYTES];
     loop {
-        let count = request.read(&mut chunk).await?;
+        let count = poll_fn(|cx| poll_piece(request, connection.as_ref(), cx, &mut chunk)).await?;
         if count == 0 {
             break;
         }
@@ -88,3 +99,25 @@
     }
     Ok(body)
 }
+
+/// Polls async-h1's body.
+///
+/// Its chunk decoder returns `Pending` without registering a waker when the last line of a body arrives in two
+/// reads. If the socket itself wasn't pending, the decoder is polled again.
+fn poll_piece(
+    request: &mut Request,
+    connection: Option<&CallerConnection>,
+    cx: &mut Context<'_>,
+    buf: &mut [u8],
+) -> Poll<io::Result<usize>> {
+    loop {
+        if let Some(CallerConnection(connection)) = connection {
+            connection.clear_read_pending();
+        }
+        let poll = Pin::new(&mut *request).poll_read(cx, buf);
+        let waits = connection.is_none_or(|CallerConnection(inner)| inner.is_read_pending());
+        if poll.is_ready() || waits {
+            return poll;
+        }
+    }
+}
--- a/crates/http/src/server/receive.rs
+++ b/crates/http/src/server/receive.rs
@@ -9,6 +9,7 @@
 use http_types::StatusCode;
 use http_types::headers::EXPECT;
 
+use super::body::CallerConnection;
 use super::limits::MAX_HEAD_BYTES;
 use super::limits::ServerLimits;
 use super::long_head::remove_long_lines;
@@ -147,5 +148,7 @@
     if let Ok(peer) = connection.stream().peer_addr() {
         incoming.request.set_peer_addr(Some(peer));
     }
+    let extensions = incoming.request.ext_mut();
+    extensions.insert(CallerConnection(connection.clone()));
     Next::Request(Box::new(incoming))
 }
