Let other tasks run beside a body that is sent without a pause

On a machine with one core ordinary callers got no answer, and no timeout fired, while clients sent bodies in chunks of a byte as fast as they were read. Cause: reading a body never waits then, so that its task kept the only executor thread for up to 24 MB of chunks. The task now yields after 64 KiB of work, each piece counting 256 bytes more, as for the bodies of answers; both use the same count (`Turn`).

--- a/crates/http/src/client/body_meter.rs
+++ b/crates/http/src/client/body_meter.rs
@@ -4,6 +4,7 @@
 
 use super::observer::CutCause;
 use crate::event_size::EventSize;
+use crate::turn::Turn;
 
 #[cfg(test)]
 mod tests;
@@ -13,13 +14,6 @@
 /// suspended.
 const MAX_LATE_BYTES: u64 = 256 * 1024;
 
-/// Work in one turn of a task, in bytes. A server that sends as fast as it is read would otherwise keep the
-/// executor from all other tasks.
-const TURN_BYTES: usize = 64 * 1024;
-
-/// Work that a piece of a body costs besides its bytes, expressed in bytes.
-const PIECE_BYTES: usize = 256;
-
 /// Counts the bytes of a body against its limits.
 #[derive(Debug)]
 pub(super) struct BodyMeter {
@@ -27,7 +21,7 @@
     max_event_bytes: u64,
     bytes: u64,
     late_bytes: u64,
-    turn_bytes: usize,
+    turn: Turn,
     deadline: Option<Millis>,
     /// `Some` for a stream of events.
     event: Option<EventSize>,
@@ -40,7 +34,7 @@
             max_event_bytes,
             bytes: 0,
             late_bytes: 0,
-            turn_bytes: 0,
+            turn: Turn::default(),
             deadline: None,
             event: None,
         }
@@ -83,17 +77,17 @@
             return Err(CutCause::TooLarge);
         }
         self.bytes += count;
-        self.turn_bytes += bytes.len() + PIECE_BYTES;
+        self.turn.record(bytes.len());
         Ok(())
     }
 
     /// Begins a new turn of the task.
     pub(super) fn begin_turn(&mut self) {
-        self.turn_bytes = 0;
+        self.turn.begin();
     }
 
     /// Whether the task should let others run before it reads on.
     pub(super) fn is_turn_over(&self) -> bool {
-        self.turn_bytes >= TURN_BYTES
+        self.turn.is_over()
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -27,6 +27,7 @@
 mod sse;
 mod stall;
 mod transmit;
+mod turn;
 
 pub use client::Answer;
 pub use client::AnswerEnd;
--- a/crates/http/src/server/body.rs
+++ b/crates/http/src/server/body.rs
@@ -8,6 +8,7 @@
 
 use async_std::future::timeout;
 use async_std::io::Read;
+use async_std::task;
 use futures::future::poll_fn;
 use http_types::Request;
 use http_types::StatusCode;
@@ -15,6 +16,7 @@
 
 use super::limits::ServerLimits;
 use crate::connection::Connection;
+use crate::turn::Turn;
 
 /// Bytes read at a time.
 const READ_BYTES: usize = 8 * 1024;
@@ -83,7 +85,13 @@
     // that announce long bodies and send nothing could exhaust the memory.
     let mut body = Vec::new();
     let mut chunk = [0; READ_BYTES];
+    let mut turn = Turn::default();
     loop {
+        // The timeout and other tasks get their turn beside a caller that sends without a pause.
+        if turn.is_over() {
+            task::yield_now().await;
+            turn.begin();
+        }
         let count = poll_fn(|cx| poll_piece(request, connection.as_ref(), cx, &mut chunk)).await?;
         if count == 0 {
             break;
@@ -92,6 +100,7 @@
             return Err(BodyError::TooLarge);
         }
         body.extend_from_slice(&chunk[..count]);
+        turn.record(count);
     }
     // async-h1 treats a connection that is closed early as the end of the body.
     if announced.is_some_and(|length| length != body.len()) {
