Bound the wait for a body by the deadline of its request

The body timeout is now at most what is left of the request's time, in the gateway and in serve. 408 stays true: nothing was sent.

gateways::a_body_that_outlasts_its_deadline failed before (no answer 9 s after the deadline) and passes.

--- a/crates/entry/src/decode.rs
+++ b/crates/entry/src/decode.rs
@@ -192,9 +192,10 @@
     /// Returns a refusal if the request is malformed or not allowed.
     pub(crate) async fn decode(&self, request: &mut Request) -> Result<Job, Refusal> {
         let reservation = self.reserve(request)?;
+        let remaining = deadline(request, self.arrived).since(self.arrived);
         let limits = ServerLimits {
             body_bytes: self.limits.body_bytes,
-            body_timeout: self.limits.body_timeout,
+            body_timeout: self.limits.body_timeout.min(remaining),
             ..ServerLimits::default()
         };
         let body = read_body(request, &limits).await;
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -181,9 +181,12 @@
         request: &mut Request,
         body_bytes: u64,
     ) -> Result<Job, Refusal> {
+        let defaults = ServerLimits::default();
+        let remaining = self.deadline.since(shared.clock.now());
         let limits = ServerLimits {
             body_bytes,
-            ..ServerLimits::default()
+            body_timeout: defaults.body_timeout.min(remaining),
+            ..defaults
         };
         let declared = request
             .len()
