Reserve the memory of a body in chunks before it is allocated

Cause: 64 KB were reserved for such a body, and the rest only after it had been read. The buffer of a body now grows in reserved memory alone: twice the size is reserved before it is allocated, and the old part freed after the copy. A body that gets no more memory is refused with 503, as before, which stays true. Bodies that other instances relay are bounded the same way, whatever length they have.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -8,7 +8,7 @@
 use crocushold_base::Reservation;
 use crocushold_http::BodyError;
 use crocushold_http::ServerLimits;
-use crocushold_http::read_body;
+use crocushold_http::read_reserved_body;
 use crocushold_http::relay_headers;
 use crocushold_routing::Fingerprint;
 use crocushold_routing::RequestContent;
@@ -16,7 +16,6 @@
 use http_types::Headers;
 use http_types::Method;
 use http_types::Request;
-use http_types::StatusCode;
 use http_types::Url;
 use http_types::headers::CONTENT_TYPE;
 use http_types::headers::HOST;
@@ -51,9 +50,6 @@
 /// then.
 const MEMORY_RETRY: Millis = Millis(500);
 
-/// Bytes to reserve for a chunked body until its length is known: the size of a long prompt.
-const UNKNOWN_LENGTH_RESERVATION: u64 = 64 * 1024;
-
 /// Maximum wait at a server in percent of the route's target. The rest is for the prefill.
 const WAIT_LIMIT_PERCENT: u64 = 80;
 
@@ -93,8 +89,8 @@
     /// doesn't say how the stream began.
     pub(crate) stream: Option<StreamKey>,
     outgoing: Outgoing,
-    /// Memory reservations, released when the answer has begun.
-    reserved: Vec<Reservation>,
+    /// The memory of the body, released when the answer has begun.
+    reservation: Option<Reservation>,
 }
 
 /// The parts of the request that are sent to a backend server.
@@ -169,7 +165,7 @@
             resumption: None,
             stream: relayed.stream,
             outgoing: Outgoing::new(request),
-            reserved: Vec::new(),
+            reservation: None,
         };
         // The instance that accepted it has checked its length.
         job.with_body(shared, request, u64::MAX).await
@@ -188,17 +184,10 @@
             body_timeout: defaults.body_timeout.min(remaining),
             ..defaults
         };
-        let declared = request
-            .len()
-            .map_or(UNKNOWN_LENGTH_RESERVATION, |length| length as u64);
-        self.reserved.push(reserve(shared, declared)?);
-        let body = read_body(request, &limits).await;
+        let body = read_reserved_body(request, &limits, &shared.memory).await;
         let body = body.map_err(|error| refuse_body(&error))?;
-        let more = (body.len() as u64).saturating_sub(declared);
-        if more > 0 {
-            self.reserved.push(reserve(shared, more)?);
-        }
-        self.outgoing.body = SharedBody(Arc::new(body));
+        self.reservation = Some(body.reservation);
+        self.outgoing.body = SharedBody(Arc::new(body.bytes));
         self.content.request = self.outgoing.fingerprint(self.account.as_deref());
         Ok(self)
     }
@@ -262,7 +251,7 @@
             stream,
             resumption: meta.resumption,
             outgoing: Outgoing::new(request),
-            reserved: Vec::new(),
+            reservation: None,
         })
     }
 
@@ -364,15 +353,6 @@
     })
 }
 
-/// Reserves memory for a body.
-///
-/// Without this limit a flood of long bodies would exceed the machine's memory, and the process
-/// would be killed together with every answer that it relays.
-fn reserve(shared: &Shared, bytes: u64) -> Result<Reservation, Refusal> {
-    let reserved = shared.memory.reserve(bytes);
-    reserved.ok_or(Refusal::later(Reason::Memory, MEMORY_RETRY))
-}
-
 fn stream_key(
     repeat: Repeat,
     account: Option<&Account>,
@@ -423,10 +403,12 @@
     fingerprints.collect()
 }
 
+/// The refusal of a request whose body wasn't received. It didn't run.
 fn refuse_body(error: &BodyError) -> Refusal {
-    Refusal::new(match error.status() {
-        StatusCode::PayloadTooLarge => Reason::BodyTooLarge,
-        StatusCode::RequestTimeout => Reason::BodyTimeout,
-        _ => Reason::BadRequest,
-    })
+    match error {
+        BodyError::TooLarge => Refusal::new(Reason::BodyTooLarge),
+        BodyError::Timeout => Refusal::new(Reason::BodyTimeout),
+        BodyError::NoMemory => Refusal::later(Reason::Memory, MEMORY_RETRY),
+        BodyError::Short | BodyError::Io(_) => Refusal::new(Reason::BadRequest),
+    }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -13,7 +13,9 @@
 mod stop;
 
 pub use body::BodyError;
+pub use body::ReservedBody;
 pub use body::read_body;
+pub use body::read_reserved_body;
 pub use hangup::Hangup;
 pub use limits::AnswerTimeout;
 pub use limits::ListenerLimits;
--- a/crates/http/src/server/body.rs
+++ b/crates/http/src/server/body.rs
@@ -9,6 +9,8 @@
 use async_std::future::timeout;
 use async_std::io::Read;
 use async_std::task;
+use crocushold_base::MemoryBudget;
+use crocushold_base::Reservation;
 use futures::future::poll_fn;
 use http_types::Request;
 use http_types::StatusCode;
@@ -21,6 +23,9 @@
 /// Bytes read at a time.
 const READ_BYTES: usize = 8 * 1024;
 
+/// Bytes that are reserved for a body in chunks before its length is known: the size of a long prompt.
+const FIRST_RESERVATION: u64 = 64 * 1024;
+
 /// The connection on which a request arrived, set as an extension of the request.
 #[derive(Clone)]
 pub(crate) struct CallerConnection(pub(crate) Arc<Connection>);
@@ -41,6 +46,10 @@
         Short {
             display("the body ended before its announced length")
         }
+        /// The instance has no memory left for it.
+        NoMemory {
+            display("no memory is left for the body")
+        }
         /// The socket failed, or the chunked encoding is malformed.
         Io(cause: io::Error) {
             display("the body couldn't be read: {cause}")
@@ -56,34 +65,114 @@
         match self {
             BodyError::TooLarge => StatusCode::PayloadTooLarge,
             BodyError::Timeout => StatusCode::RequestTimeout,
+            BodyError::NoMemory => StatusCode::ServiceUnavailable,
             BodyError::Short | BodyError::Io(_) => StatusCode::BadRequest,
         }
     }
 }
 
-/// Reads the whole body of a request.
+/// Reads the whole body of a request, in memory that the caller of this function has bounded.
 ///
 /// # Errors
 ///
 /// Fails when the body is longer than `limits` allow, doesn't arrive in time, is truncated or is
-/// malformed. Answer with [`BodyError::status`]; the connection is closed after that answer.
+/// malformed. Answer with [`BodyError::status`]; the connection is closed
+/// after that answer.
 pub async fn read_body(request: &mut Request, limits: &ServerLimits) -> Result<Vec<u8>, BodyError> {
-    let body = read_bounded(request, limits.body_bytes);
-    match timeout(limits.body_timeout.into(), body).await {
-        Ok(result) => result,
-        Err(_) => Err(BodyError::Timeout),
+    let body = BodyBuffer {
+        bytes: Vec::new(),
+        memory: None,
+    };
+    let body = read_within(request, limits, body).await?;
+    Ok(body.bytes)
+}
+
+/// A body and the memory that is reserved for it.
+#[derive(Debug)]
+pub struct ReservedBody {
+    /// The whole body.
+    pub bytes: Vec<u8>,
+    /// The memory that it takes.
+    pub reservation: Reservation,
+}
+
+/// Reads the whole body of a request, in memory of `budget` that is reserved before it is allocated.
+///
+/// # Errors
+///
+/// As [`read_body`], and when too little of the budget is free.
+pub async fn read_reserved_body(
+    request: &mut Request,
+    limits: &ServerLimits,
+    budget: &MemoryBudget,
+) -> Result<ReservedBody, BodyError> {
+    let announced = request.len().map(|length| length as u64);
+    if announced.is_some_and(|length| length > limits.body_bytes) {
+        return Err(BodyError::TooLarge);
     }
+    let first = announced.unwrap_or(FIRST_RESERVATION);
+    let reservation = budget.reserve(first).ok_or(BodyError::NoMemory)?;
+    let body = BodyBuffer {
+        bytes: Vec::with_capacity(first as usize),
+        memory: Some((budget.clone(), reservation)),
+    };
+    let body = read_within(request, limits, body).await?;
+    let (_, reservation) = body.memory.expect("the buffer keeps its reservation");
+    Ok(ReservedBody {
+        bytes: body.bytes,
+        reservation,
+    })
+}
+
+/// A body that grows with the bytes that were received.
+struct BodyBuffer {
+    bytes: Vec<u8>,
+    /// The budget and the part of it that the buffer takes; `None` where its memory is bounded elsewhere.
+    memory: Option<(MemoryBudget, Reservation)>,
 }
 
-async fn read_bounded(request: &mut Request, limit: u64) -> Result<Vec<u8>, BodyError> {
+impl BodyBuffer {
+    /// Appends bytes of a body of at most `limit` bytes.
+    fn append(&mut self, bytes: &[u8], limit: u64) -> Result<(), BodyError> {
+        let length = (self.bytes.len() + bytes.len()) as u64;
+        if length > limit {
+            return Err(BodyError::TooLarge);
+        }
+        let capacity = self.bytes.capacity() as u64;
+        if let Some((budget, reservation)) = &mut self.memory
+            && length > capacity
+        {
+            // Both buffers exist while the bytes are copied.
+            let larger = capacity.saturating_mul(2).min(limit).max(length);
+            let reserved = budget.reserve(larger).ok_or(BodyError::NoMemory)?;
+            self.bytes.reserve_exact(larger as usize - self.bytes.len());
+            *reservation = reserved;
+        }
+        self.bytes.extend_from_slice(bytes);
+        Ok(())
+    }
+}
+
+async fn read_within(
+    request: &mut Request,
+    limits: &ServerLimits,
+    body: BodyBuffer,
+) -> Result<BodyBuffer, BodyError> {
+    let read = read_bounded(request, limits.body_bytes, body);
+    let read = timeout(limits.body_timeout.into(), read).await;
+    read.unwrap_or(Err(BodyError::Timeout))
+}
+
+async fn read_bounded(
+    request: &mut Request,
+    limit: u64,
+    mut body: BodyBuffer,
+) -> Result<BodyBuffer, BodyError> {
     let announced = request.len();
     if announced.is_some_and(|length| length as u64 > limit) {
         return Err(BodyError::TooLarge);
     }
-    let connection = request.ext().get::<CallerConnection>().cloned();
-    // Memory is allocated for the bytes received, not for the announced length. Otherwise callers
-    // that announce long bodies and send nothing could exhaust the memory.
-    let mut body = Vec::new();
+    let caller = request.ext().get::<CallerConnection>().cloned();
     let mut chunk = [0; READ_BYTES];
     let mut turn = Turn::default();
     loop {
@@ -92,18 +181,15 @@
             task::yield_now().await;
             turn.begin();
         }
-        let count = poll_fn(|cx| poll_piece(request, connection.as_ref(), cx, &mut chunk)).await?;
+        let count = poll_fn(|cx| poll_piece(request, caller.as_ref(), cx, &mut chunk)).await?;
         if count == 0 {
             break;
         }
-        if (body.len() + count) as u64 > limit {
-            return Err(BodyError::TooLarge);
-        }
-        body.extend_from_slice(&chunk[..count]);
+        body.append(&chunk[..count], limit)?;
         turn.record(count);
     }
     // async-h1 treats a connection that is closed early as the end of the body.
-    if announced.is_some_and(|length| length != body.len()) {
+    if announced.is_some_and(|length| length != body.bytes.len()) {
         return Err(BodyError::Short);
     }
     Ok(body)
@@ -115,16 +201,16 @@
 /// reads. If the socket itself wasn't pending, the decoder is polled again.
 fn poll_piece(
     request: &mut Request,
-    connection: Option<&CallerConnection>,
+    caller: Option<&CallerConnection>,
     cx: &mut Context<'_>,
     buf: &mut [u8],
 ) -> Poll<io::Result<usize>> {
     loop {
-        if let Some(CallerConnection(connection)) = connection {
+        if let Some(CallerConnection(connection)) = caller {
             connection.clear_read_pending();
         }
         let poll = Pin::new(&mut *request).poll_read(cx, buf);
-        let waits = connection.is_none_or(|CallerConnection(inner)| inner.is_read_pending());
+        let waits = caller.is_none_or(|CallerConnection(inner)| inner.is_read_pending());
         if poll.is_ready() || waits {
             return poll;
         }
