End bodies that come too slowly when others need their memory

Clients that announced long bodies, or sent them byte by byte, held all memory for bodies until the body timeout; ordinary callers with a body got 503 meanwhile, in the gateway and in serve. A wait for a body is now behind when a second passed without the bytes that 64 KiB a second ask for: each byte puts the time off by what it buys at that rate, at most a second ahead, so that neither a burst nor a trickle holds memory for long. Where memory is short, and only there, the bodies that are furthest behind are ended with 503 (`slow-body`, with Retry-After), which is true, as nothing was sent; if those that are behind hold too little, none is ended and the new request is refused as before. The furthest behind was preferred to the largest and to the account that holds most: the one says nothing about who sends, the other isn't known on public routes.

--- a/crates/entry/src/decode.rs
+++ b/crates/entry/src/decode.rs
@@ -17,6 +17,7 @@
 use crocushold_http::ServerLimits;
 use crocushold_http::read_body;
 use crocushold_http::relay_headers;
+use crocushold_http::reserve_memory;
 use crocushold_ownership::AccountId;
 use crocushold_ownership::ClaimKey;
 use crocushold_ownership::RequestDigest;
@@ -191,7 +192,7 @@
     ///
     /// Returns a refusal if the request is malformed or not allowed.
     pub(crate) async fn decode(&self, request: &mut Request) -> Result<Job, Refusal> {
-        let reservation = self.reserve(request)?;
+        let reservation = self.reserve(request).await?;
         let remaining = deadline(request, self.arrived).since(self.arrived);
         let limits = ServerLimits {
             body_bytes: self.limits.body_bytes,
@@ -308,12 +309,13 @@
 
     /// Reserves memory for the head and the body. A body without a declared length counts with the
     /// maximum.
-    fn reserve(&self, request: &Request) -> Result<Reservation, Refusal> {
+    async fn reserve(&self, request: &mut Request) -> Result<Reservation, Refusal> {
         let announced = request
             .len()
             .map_or(self.limits.body_bytes, |len| len as u64);
         let bytes = footprint(request, announced.min(self.limits.body_bytes));
-        self.memory.reserve(bytes).ok_or_else(|| {
+        let reservation = reserve_memory(request, self.memory, bytes).await;
+        reservation.ok_or_else(|| {
             let text = "the instance has no memory left for the request";
             Refusal::not_run(Reason::Overloaded, text).retry_after(MEMORY_RETRY_AFTER)
         })
@@ -321,11 +323,14 @@
 }
 
 fn body_refusal(error: &BodyError) -> Refusal {
-    let reason = match error.status() {
-        StatusCode::PayloadTooLarge => Reason::BodyTooLarge,
-        _ => Reason::BadRequest,
-    };
-    Refusal::not_run(reason, error.to_string())
+    let refusal = |reason| Refusal::not_run(reason, error.to_string());
+    match error.status() {
+        StatusCode::PayloadTooLarge => refusal(Reason::BodyTooLarge),
+        StatusCode::ServiceUnavailable => {
+            refusal(Reason::Overloaded).retry_after(MEMORY_RETRY_AFTER)
+        }
+        _ => refusal(Reason::BadRequest),
+    }
 }
 
 fn payload_refusal(error: &PayloadError) -> Refusal {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -409,6 +409,7 @@
         BodyError::TooLarge => Refusal::new(Reason::BodyTooLarge),
         BodyError::Timeout => Refusal::new(Reason::BodyTimeout),
         BodyError::NoMemory => Refusal::later(Reason::Memory, MEMORY_RETRY),
+        BodyError::Slow => Refusal::later(Reason::SlowBody, MEMORY_RETRY),
         BodyError::Short | BodyError::Io(_) => Refusal::new(Reason::BadRequest),
     }
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -42,6 +42,8 @@
     UnknownOrigin,
     /// Request bodies fill the instance's memory.
     Memory,
+    /// The body came too slowly while its memory or its connection was needed for other requests.
+    SlowBody,
     /// The wait at every server is longer than the request's limit.
     Late,
     /// Every server that may be tried reported that it didn't run the request.
@@ -81,6 +83,7 @@
             Reason::SoftwareGone => "software-gone",
             Reason::UnknownOrigin => "unknown-origin",
             Reason::Memory => "memory",
+            Reason::SlowBody => "slow-body",
             Reason::Late => "late",
             Reason::Rejected => "rejected",
             Reason::Quarantined => "quarantined",
@@ -124,6 +127,7 @@
             | Reason::SoftwareGone
             | Reason::UnknownOrigin
             | Reason::Memory
+            | Reason::SlowBody
             | Reason::Late
             | Reason::Rejected
             | Reason::Quarantined
--- a/crates/http/src/server/body.rs
+++ b/crates/http/src/server/body.rs
@@ -11,12 +11,17 @@
 use async_std::task;
 use crocushold_base::MemoryBudget;
 use crocushold_base::Reservation;
+use futures::future::Abortable;
+use futures::future::Aborted;
 use futures::future::poll_fn;
 use http_types::Request;
 use http_types::StatusCode;
 use quick_error::quick_error;
 
 use super::limits::ServerLimits;
+use super::waits::Seat;
+use super::waits::WaitGuard;
+use super::waits::WaitKind;
 use crate::connection::Connection;
 use crate::turn::Turn;
 
@@ -28,7 +33,13 @@
 
 /// The connection on which a request arrived, set as an extension of the request.
 #[derive(Clone)]
-pub(crate) struct CallerConnection(pub(crate) Arc<Connection>);
+pub(crate) struct CallerConnection {
+    pub(crate) connection: Arc<Connection>,
+    pub(crate) seat: Arc<Seat>,
+}
+
+/// Memory that was reserved for a request before its body is read, set as an extension of the request.
+struct ReservedBytes(u64);
 
 quick_error! {
     /// Why a request's body couldn't be read.
@@ -50,6 +61,10 @@
         NoMemory {
             display("no memory is left for the body")
         }
+        /// It came too slowly, and its memory or its connection was needed for another request.
+        Slow {
+            display("the body came too slowly")
+        }
         /// The socket failed, or the chunked encoding is malformed.
         Io(cause: io::Error) {
             display("the body couldn't be read: {cause}")
@@ -65,25 +80,43 @@
         match self {
             BodyError::TooLarge => StatusCode::PayloadTooLarge,
             BodyError::Timeout => StatusCode::RequestTimeout,
-            BodyError::NoMemory => StatusCode::ServiceUnavailable,
+            BodyError::NoMemory | BodyError::Slow => StatusCode::ServiceUnavailable,
             BodyError::Short | BodyError::Io(_) => StatusCode::BadRequest,
         }
     }
 }
 
+/// Reserves memory for a request whose body wasn't read yet. If too little of the budget is free, bodies that come too
+/// slowly end; `None` if that doesn't help.
+pub async fn reserve_memory(
+    request: &mut Request,
+    budget: &MemoryBudget,
+    bytes: u64,
+) -> Option<Reservation> {
+    let caller = request.ext().get::<CallerConnection>().cloned();
+    let reservation = match caller {
+        Some(caller) => caller.seat.reserve(budget, bytes).await?,
+        None => budget.reserve(bytes)?,
+    };
+    request.ext_mut().insert(ReservedBytes(bytes));
+    Some(reservation)
+}
+
 /// Reads the whole body of a request, in memory that the caller of this function has bounded.
 ///
 /// # Errors
 ///
 /// Fails when the body is longer than `limits` allow, doesn't arrive in time, is truncated or is
-/// malformed. Answer with [`BodyError::status`]; the connection is closed
+/// malformed, or comes too slowly while its memory is needed. Answer with [`BodyError::status`]; the connection is closed
 /// after that answer.
 pub async fn read_body(request: &mut Request, limits: &ServerLimits) -> Result<Vec<u8>, BodyError> {
+    let reserved = request.ext().get::<ReservedBytes>();
+    let reserved = reserved.map_or(0, |reserved| reserved.0);
     let body = BodyBuffer {
         bytes: Vec::new(),
         memory: None,
     };
-    let body = read_within(request, limits, body).await?;
+    let body = read_within(request, limits, body, reserved).await?;
     Ok(body.bytes)
 }
 
@@ -111,12 +144,13 @@
         return Err(BodyError::TooLarge);
     }
     let first = announced.unwrap_or(FIRST_RESERVATION);
-    let reservation = budget.reserve(first).ok_or(BodyError::NoMemory)?;
+    let reservation = reserve_memory(request, budget, first).await;
+    let reservation = reservation.ok_or(BodyError::NoMemory)?;
     let body = BodyBuffer {
         bytes: Vec::with_capacity(first as usize),
         memory: Some((budget.clone(), reservation)),
     };
-    let body = read_within(request, limits, body).await?;
+    let body = read_within(request, limits, body, first).await?;
     let (_, reservation) = body.memory.expect("the buffer keeps its reservation");
     Ok(ReservedBody {
         bytes: body.bytes,
@@ -133,7 +167,13 @@
 
 impl BodyBuffer {
     /// Appends bytes of a body of at most `limit` bytes.
-    fn append(&mut self, bytes: &[u8], limit: u64) -> Result<(), BodyError> {
+    async fn append(
+        &mut self,
+        bytes: &[u8],
+        limit: u64,
+        caller: Option<&CallerConnection>,
+        wait: Option<&WaitGuard>,
+    ) -> Result<(), BodyError> {
         let length = (self.bytes.len() + bytes.len()) as u64;
         if length > limit {
             return Err(BodyError::TooLarge);
@@ -144,35 +184,67 @@
         {
             // Both buffers exist while the bytes are copied.
             let larger = capacity.saturating_mul(2).min(limit).max(length);
-            let reserved = budget.reserve(larger).ok_or(BodyError::NoMemory)?;
+            let reserved = match caller {
+                Some(caller) => caller.seat.reserve(budget, larger).await,
+                None => budget.reserve(larger),
+            };
+            let reserved = reserved.ok_or(BodyError::NoMemory)?;
             self.bytes.reserve_exact(larger as usize - self.bytes.len());
             *reservation = reserved;
+            if let Some(wait) = wait {
+                wait.set_reserved(larger);
+            }
         }
         self.bytes.extend_from_slice(bytes);
         Ok(())
     }
 }
 
+/// Reads a body into `body`, for which `reserved` bytes of memory are reserved.
 async fn read_within(
     request: &mut Request,
     limits: &ServerLimits,
     body: BodyBuffer,
+    reserved: u64,
 ) -> Result<BodyBuffer, BodyError> {
-    let read = read_bounded(request, limits.body_bytes, body);
-    let read = timeout(limits.body_timeout.into(), read).await;
-    read.unwrap_or(Err(BodyError::Timeout))
+    let caller = request.ext().get::<CallerConnection>().cloned();
+    if request.len() == Some(0) {
+        return Ok(body);
+    }
+    let Some(caller) = caller else {
+        let read = read_bounded(request, limits.body_bytes, body, None, None);
+        return timeout(limits.body_timeout.into(), read)
+            .await
+            .unwrap_or(Err(BodyError::Timeout));
+    };
+    let (mut wait, registration) = caller.seat.begin(WaitKind::Body, &limits.wait);
+    wait.set_reserved(reserved);
+    let read = read_bounded(
+        request,
+        limits.body_bytes,
+        body,
+        Some(&caller),
+        Some(&mut wait),
+    );
+    let read = timeout(limits.body_timeout.into(), read);
+    match Abortable::new(read, registration).await {
+        Ok(Ok(result)) => result,
+        Ok(Err(_)) => Err(BodyError::Timeout),
+        Err(Aborted) => Err(BodyError::Slow),
+    }
 }
 
 async fn read_bounded(
     request: &mut Request,
     limit: u64,
     mut body: BodyBuffer,
+    caller: Option<&CallerConnection>,
+    mut wait: Option<&mut WaitGuard>,
 ) -> Result<BodyBuffer, BodyError> {
     let announced = request.len();
     if announced.is_some_and(|length| length as u64 > limit) {
         return Err(BodyError::TooLarge);
     }
-    let caller = request.ext().get::<CallerConnection>().cloned();
     let mut chunk = [0; READ_BYTES];
     let mut turn = Turn::default();
     loop {
@@ -181,11 +253,15 @@
             task::yield_now().await;
             turn.begin();
         }
-        let count = poll_fn(|cx| poll_piece(request, caller.as_ref(), cx, &mut chunk)).await?;
+        let count = poll_fn(|cx| poll_piece(request, caller, cx, &mut chunk)).await?;
         if count == 0 {
             break;
         }
-        body.append(&chunk[..count], limit)?;
+        if let Some(wait) = &mut wait {
+            wait.record(count);
+        }
+        let piece = &chunk[..count];
+        body.append(piece, limit, caller, wait.as_deref()).await?;
         turn.record(count);
     }
     // async-h1 treats a connection that is closed early as the end of the body.
@@ -206,11 +282,11 @@
     buf: &mut [u8],
 ) -> Poll<io::Result<usize>> {
     loop {
-        if let Some(CallerConnection(connection)) = caller {
-            connection.clear_read_pending();
+        if let Some(caller) = caller {
+            caller.connection.clear_read_pending();
         }
         let poll = Pin::new(&mut *request).poll_read(cx, buf);
-        let waits = caller.is_none_or(|CallerConnection(inner)| inner.is_read_pending());
+        let waits = caller.is_none_or(|caller| caller.connection.is_read_pending());
         if poll.is_ready() || waits {
             return poll;
         }
--- a/crates/http/src/server/limits.rs
+++ b/crates/http/src/server/limits.rs
@@ -20,6 +20,26 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerTimeout(pub Millis);
 
+/// When a caller that is waited for is behind. It is let go only where its connection, or the memory of its body, is
+/// needed for another caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WaitLimits {
+    /// The longest time without progress: without a request, inside a head, or without the bytes of a body that
+    /// `body_rate` asks for.
+    pub patience: Millis,
+    /// The lowest rate at which the bytes of a body arrive, in bytes a second.
+    pub body_rate: u64,
+}
+
+impl Default for WaitLimits {
+    fn default() -> WaitLimits {
+        WaitLimits {
+            patience: Millis::from_secs(1),
+            body_rate: 64 * 1024,
+        }
+    }
+}
+
 /// Limits on one connection.
 #[derive(Clone, Debug)]
 pub struct ServerLimits {
@@ -40,6 +60,8 @@
     pub stop_grace: Millis,
     /// The longest time without progress while writing an answer.
     pub write_timeout: Millis,
+    /// When a caller may be let go in favour of others.
+    pub wait: WaitLimits,
     /// Builds the answer to what is refused before it reaches a handler. The server sets the
     /// framing and `Connection: close`.
     pub refuse: RefusalFn,
@@ -55,6 +77,7 @@
             idle_timeout: Millis::from_secs(75),
             stop_grace: Millis(250),
             write_timeout: Millis::from_secs(30),
+            wait: WaitLimits::default(),
             refuse: plain_text,
         }
     }
--- a/crates/http/src/server/listener.rs
+++ b/crates/http/src/server/listener.rs
@@ -37,8 +37,10 @@
 use super::limits::OverloadPolicy;
 use super::overload::Overload;
 use super::refusal::over_limit;
-use super::serve::serve_until;
+use super::serve::serve_seat;
 use super::stop::StopSignal;
+use super::waits::EndedWaits;
+use super::waits::Waits;
 use crate::connection::Connection;
 use crate::transmit::Transmit;
 
@@ -76,6 +78,7 @@
     clock: Clock,
     overload: Mutex<Overload>,
     turned_away: AtomicU64,
+    waits: Waits,
 }
 
 impl Shared {
@@ -123,6 +126,11 @@
         self.shared.turned_away.load(Ordering::Relaxed)
     }
 
+    /// The numbers of waits for callers that were ended in favour of others so far.
+    pub fn ended_waits(&self) -> EndedWaits {
+        self.shared.waits.ended()
+    }
+
     /// The number of open connections.
     pub fn connections(&self) -> usize {
         self.shared.connections.load(Ordering::Relaxed)
@@ -148,6 +156,7 @@
                 clock: Clock::start(),
                 overload: Mutex::default(),
                 turned_away: AtomicU64::new(0),
+                waits: Waits::default(),
             }),
             all_closed,
             alive,
@@ -248,7 +257,9 @@
                     answer
                 }
             };
-            let served = serve_until(stream, &limits.server, &slot.shared.stop, observed).await;
+            let seat = slot.shared.waits.open();
+            let stop = &slot.shared.stop;
+            let served = serve_seat(stream, seat, &limits.server, stop, observed).await;
             if let Err(error) = served {
                 debug!("{}", Event::new("connection-cut").with("cause", error));
             }
--- a/crates/http/src/server/receive.rs
+++ b/crates/http/src/server/receive.rs
@@ -15,6 +15,7 @@
 use super::long_head::remove_long_lines;
 use super::long_head::restore_lines;
 use super::stop::StopSignal;
+use super::waits::Seat;
 use crate::connection::Connection;
 use crate::connection::HeadError;
 use crate::connection::MessageStream;
@@ -42,6 +43,7 @@
 /// Waits for the next request.
 pub(crate) async fn next_request(
     connection: &Arc<Connection>,
+    seat: &Arc<Seat>,
     limits: &ServerLimits,
     stop: &StopSignal,
 ) -> Next {
@@ -75,7 +77,7 @@
     match parse(connection, length).await {
         Ok(mut incoming) => {
             restore_lines(&mut incoming.request, removed);
-            apply_limits(connection, limits, incoming)
+            apply_limits(connection, seat, limits, incoming)
         }
         Err(status) => Next::Refused(status),
     }
@@ -130,6 +132,7 @@
 
 fn apply_limits(
     connection: &Arc<Connection>,
+    seat: &Arc<Seat>,
     limits: &ServerLimits,
     mut incoming: Incoming,
 ) -> Next {
@@ -149,6 +152,9 @@
         incoming.request.set_peer_addr(Some(peer));
     }
     let extensions = incoming.request.ext_mut();
-    extensions.insert(CallerConnection(connection.clone()));
+    extensions.insert(CallerConnection {
+        connection: connection.clone(),
+        seat: seat.clone(),
+    });
     Next::Request(Box::new(incoming))
 }
--- a/crates/http/src/server/serve.rs
+++ b/crates/http/src/server/serve.rs
@@ -27,6 +27,8 @@
 use super::receive::next_request;
 use super::refusal::refusal;
 use super::stop::StopSignal;
+use super::waits::Seat;
+use super::waits::Waits;
 use crate::framing::Framing;
 use crate::headers::has_connection_option;
 use crate::headers::sanitize_headers;
@@ -129,6 +131,22 @@
     stop: &StopSignal,
     handler: H,
 ) -> Result<ConnectionSummary, ServerError>
+where
+    H: Fn(Request, Hangup) -> F,
+    F: Future<Output = Response>,
+{
+    let seat = Waits::default().open();
+    serve_seat(stream, seat, limits, stop, handler).await
+}
+
+/// Like [`serve_until`], for a connection that shares its waits with others.
+pub(crate) async fn serve_seat<H, F>(
+    stream: TcpStream,
+    seat: Arc<Seat>,
+    limits: &ServerLimits,
+    stop: &StopSignal,
+    handler: H,
+) -> Result<ConnectionSummary, ServerError>
 where
     H: Fn(Request, Hangup) -> F,
     F: Future<Output = Response>,
@@ -142,7 +160,7 @@
         refused: 0,
     };
     loop {
-        let incoming = match next_request(&connection, limits, stop).await {
+        let incoming = match next_request(&connection, &seat, limits, stop).await {
             Next::Request(incoming) => incoming,
             Next::End => return Ok(summary),
             Next::Refused(status) => {
--- /dev/null
+++ b/crates/http/src/server/waits.rs
@@ -0,0 +1,271 @@
+//! Connections that wait for bytes of their callers.
+//!
+//! A wait may last as long as a timeout that suits the slowest proper caller. Until then an unfinished request keeps its
+//! connection, and the memory that was reserved for its body. When either runs short, the waits that are furthest behind
+//! are ended, so that callers who send aren't refused because of callers who don't.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use async_std::task;
+use crocushold_base::Clock;
+use crocushold_base::MemoryBudget;
+use crocushold_base::Millis;
+use crocushold_base::Reservation;
+use futures::future::AbortHandle;
+use futures::future::AbortRegistration;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use super::limits::WaitLimits;
+
+/// Pause between two attempts to reserve memory that ended waits are about to free, and their number.
+const RESERVE_PAUSE: Millis = Millis(2);
+const RESERVE_ATTEMPTS: u32 = 100;
+
+new_key_type! {
+    struct WaitKey;
+}
+
+/// What a connection waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WaitKind {
+    /// The first byte of a request.
+    Idle,
+    /// The end of a head.
+    Head,
+    /// The end of a body.
+    Body,
+}
+
+/// Numbers of waits that were ended early, by what the connection waited for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndedWaits {
+    /// Connections without a request.
+    pub idle: u64,
+    /// Unfinished heads.
+    pub head: u64,
+    /// Unfinished bodies.
+    pub body: u64,
+}
+
+#[derive(Debug)]
+struct Wait {
+    kind: WaitKind,
+    /// When the caller falls behind, unless it sends more.
+    due: Millis,
+    /// Memory that is reserved for the body.
+    reserved: u64,
+    abort: AbortHandle,
+    /// Whether the connection is to make room for another one.
+    leaving: Arc<AtomicBool>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    waits: SlotMap<WaitKey, Wait>,
+    ended: EndedWaits,
+}
+
+impl State {
+    /// The waits that are behind at `now`, those furthest behind first.
+    fn behind(&self, now: Millis) -> Vec<WaitKey> {
+        let waits = self.waits.iter();
+        let mut behind: Vec<(Millis, WaitKey)> = waits
+            .filter(|(_, wait)| wait.due < now)
+            .map(|(key, wait)| (wait.due, key))
+            .collect();
+        behind.sort_unstable();
+        behind.into_iter().map(|(_, key)| key).collect()
+    }
+
+    fn end(&mut self, key: WaitKey) -> Option<Wait> {
+        let wait = self.waits.remove(key)?;
+        match wait.kind {
+            WaitKind::Idle => self.ended.idle += 1,
+            WaitKind::Head => self.ended.head += 1,
+            WaitKind::Body => self.ended.body += 1,
+        }
+        wait.abort.abort();
+        Some(wait)
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    clock: Clock,
+    state: Mutex<State>,
+    /// Number of connections that were chosen to make room for others, and are still open.
+    leaving: AtomicUsize,
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        let state = self.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The waits of all connections of a listener. Clones share them.
+#[derive(Clone, Debug)]
+pub(crate) struct Waits {
+    shared: Arc<Shared>,
+}
+
+impl Default for Waits {
+    fn default() -> Waits {
+        Waits {
+            shared: Arc::new(Shared {
+                clock: Clock::start(),
+                state: Mutex::default(),
+                leaving: AtomicUsize::new(0),
+            }),
+        }
+    }
+}
+
+impl Waits {
+    /// Adds a connection.
+    pub(crate) fn open(&self) -> Arc<Seat> {
+        Arc::new(Seat {
+            waits: self.clone(),
+            leaving: Arc::default(),
+        })
+    }
+
+    /// Numbers of waits that were ended early so far.
+    pub(crate) fn ended(&self) -> EndedWaits {
+        self.shared.state().ended
+    }
+
+    /// Ends the waits for bodies that are furthest behind, until `bytes` are freed. Ends none, and returns `false`, if
+    /// those that are behind hold less.
+    fn free(&self, bytes: u64) -> bool {
+        let now = self.shared.clock.now();
+        let mut state = self.shared.state();
+        let mut keys = state.behind(now);
+        let mut freed = 0;
+        keys.retain(|key| {
+            let reserved = state.waits[*key].reserved;
+            let is_needed = reserved > 0 && freed < bytes;
+            freed += if is_needed { reserved } else { 0 };
+            is_needed
+        });
+        if freed < bytes {
+            return false;
+        }
+        for key in keys {
+            state.end(key);
+        }
+        true
+    }
+
+    /// Reserves `bytes` of `budget`. If too few are free, waits for bodies that are behind end.
+    async fn reserve(&self, budget: &MemoryBudget, bytes: u64) -> Option<Reservation> {
+        let reservation = budget.reserve(bytes);
+        if reservation.is_some() || !self.free(bytes) {
+            return reservation;
+        }
+        // The memory is free once the tasks of the ended waits have run.
+        for _ in 0..RESERVE_ATTEMPTS {
+            task::sleep(RESERVE_PAUSE.into()).await;
+            let reservation = budget.reserve(bytes);
+            if reservation.is_some() {
+                return reservation;
+            }
+        }
+        None
+    }
+}
+
+/// A connection among those that share their waits.
+#[derive(Debug)]
+pub(crate) struct Seat {
+    waits: Waits,
+    leaving: Arc<AtomicBool>,
+}
+
+impl Seat {
+    /// Begins a wait. What waits is to be made abortable with the registration.
+    pub(crate) fn begin(
+        &self,
+        kind: WaitKind,
+        limits: &WaitLimits,
+    ) -> (WaitGuard, AbortRegistration) {
+        let (abort, registration) = AbortHandle::new_pair();
+        let shared = self.waits.shared.clone();
+        let key = shared.state().waits.insert(Wait {
+            kind,
+            due: shared.clock.now() + limits.patience,
+            reserved: 0,
+            abort,
+            leaving: self.leaving.clone(),
+        });
+        let guard = WaitGuard {
+            waits: self.waits.clone(),
+            key,
+            limits: *limits,
+            received: 0,
+        };
+        (guard, registration)
+    }
+
+    /// As [`Waits::reserve`].
+    pub(crate) async fn reserve(&self, budget: &MemoryBudget, bytes: u64) -> Option<Reservation> {
+        self.waits.reserve(budget, bytes).await
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        if self.leaving.load(Ordering::Relaxed) {
+            self.waits.shared.leaving.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// A wait, which ends when this is dropped.
+#[derive(Debug)]
+pub(crate) struct WaitGuard {
+    waits: Waits,
+    key: WaitKey,
+    limits: WaitLimits,
+    /// Bytes that don't count towards the due time yet.
+    received: u64,
+}
+
+impl WaitGuard {
+    /// Records that `bytes` arrived. They put off the time at which the caller is behind.
+    pub(crate) fn record(&mut self, bytes: usize) {
+        self.received += bytes as u64;
+        let bought = self.received * 1000 / self.limits.body_rate.max(1);
+        if bought == 0 {
+            return;
+        }
+        self.received = 0;
+        let shared = &self.waits.shared;
+        let now = shared.clock.now();
+        if let Some(wait) = shared.state().waits.get_mut(self.key) {
+            let due = wait.due.max(now) + Millis(bought);
+            wait.due = due.min(now + self.limits.patience);
+        }
+    }
+
+    /// Sets how much memory the end of the wait would free.
+    pub(crate) fn set_reserved(&self, bytes: u64) {
+        if let Some(wait) = self.waits.shared.state().waits.get_mut(self.key) {
+            wait.reserved = bytes;
+        }
+    }
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        self.waits.shared.state().waits.remove(self.key);
+    }
+}
