Give the place of a connection that waits for its caller to another one

Clients that opened as many connections as a gateway or an instance accepts, and sent nothing, a part of a head, or a byte at a time, kept all others out until the idle or the head timeout: new connections were closed unread, or got 503. At the limit, the connection that is furthest behind makes room now: one without a request, inside a head or inside a body for over a second. An idle one is closed, as an idle timeout does, an unfinished head isn't answered, a body gets 503. Connections that are about to close are at most 64 above the limit. Weighed besides: shorter timeouts, which let go of slow callers in calm too; a limit for each address, which a balancer in front makes one for all.

--- a/crates/http/src/server/listener.rs
+++ b/crates/http/src/server/listener.rs
@@ -236,8 +236,7 @@
         F: Future<Output = Response> + Send + 'static,
     {
         let limits = self.shared.limits();
-        let Some(slot) = ConnectionSlot::take(&self.shared, limits.max_connections, &self.alive)
-        else {
+        let Some(slot) = self.take_slot(limits.max_connections) else {
             self.refuse(stream);
             return;
         };
@@ -267,6 +266,16 @@
         });
     }
 
+    /// Takes a place for a connection, which may be the place of one that waits for its caller.
+    fn take_slot(&self, limit: usize) -> Option<ConnectionSlot> {
+        let waits = &self.shared.waits;
+        let take = || {
+            let limit = limit.saturating_add(waits.leaving());
+            ConnectionSlot::take(&self.shared, limit, &self.alive)
+        };
+        take().or_else(|| if waits.make_room() { take() } else { None })
+    }
+
     fn refuse(&self, stream: TcpStream) {
         let shared = self.shared.clone();
         if shared.limits().overload == OverloadPolicy::CloseUnread {
--- a/crates/http/src/server/receive.rs
+++ b/crates/http/src/server/receive.rs
@@ -16,6 +16,7 @@
 use super::long_head::restore_lines;
 use super::stop::StopSignal;
 use super::waits::Seat;
+use super::waits::WaitKind;
 use crate::connection::Connection;
 use crate::connection::HeadError;
 use crate::connection::MessageStream;
@@ -47,18 +48,22 @@
     limits: &ServerLimits,
     stop: &StopSignal,
 ) -> Next {
-    if !wait_for_byte(connection, limits, stop).await {
+    let byte = wait_for_byte(connection, limits, stop);
+    let arrived = seat.wait(WaitKind::Idle, &limits.wait, byte).await;
+    if arrived != Some(true) {
         return Next::End;
     }
     let limit = limits.head_bytes;
-    let mut length = match timeout(limits.head_timeout.into(), connection.read_head(limit)).await {
-        Ok(Ok(length)) => length,
-        Ok(Err(HeadError::TooLarge)) => {
+    let head = timeout(limits.head_timeout.into(), connection.read_head(limit));
+    let head = seat.wait(WaitKind::Head, &limits.wait, head).await;
+    let mut length = match head {
+        Some(Ok(Ok(length))) => length,
+        Some(Ok(Err(HeadError::TooLarge))) => {
             return Next::Refused(StatusCode::RequestHeaderFieldsTooLarge);
         }
-        Ok(Err(HeadError::Malformed)) => return Next::Refused(StatusCode::BadRequest),
-        Ok(Err(HeadError::Closed | HeadError::Io(_))) => return Next::End,
-        Err(_) => return Next::Refused(StatusCode::RequestTimeout),
+        Some(Ok(Err(HeadError::Malformed))) => return Next::Refused(StatusCode::BadRequest),
+        Some(Ok(Err(HeadError::Closed | HeadError::Io(_)))) | None => return Next::End,
+        Some(Err(_)) => return Next::Refused(StatusCode::RequestTimeout),
     };
     if let Err(status) = connection.with_head(length, |head| check_head(head)) {
         return Next::Refused(status);
--- a/crates/http/src/server/waits.rs
+++ b/crates/http/src/server/waits.rs
@@ -19,11 +19,15 @@
 use crocushold_base::Reservation;
 use futures::future::AbortHandle;
 use futures::future::AbortRegistration;
+use futures::future::Abortable;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
 use super::limits::WaitLimits;
 
+/// The most connections that were chosen to make room for others and are still open.
+const MAX_LEAVING: usize = 64;
+
 /// Pause between two attempts to reserve memory that ended waits are about to free, and their number.
 const RESERVE_PAUSE: Millis = Millis(2);
 const RESERVE_ATTEMPTS: u32 = 100;
@@ -138,6 +142,29 @@
         })
     }
 
+    /// Ends the wait that is furthest behind, so that its connection makes room for another one. Returns whether
+    /// there is one.
+    pub(crate) fn make_room(&self) -> bool {
+        if self.leaving() >= MAX_LEAVING {
+            return false;
+        }
+        let now = self.shared.clock.now();
+        let mut state = self.shared.state();
+        let key = state.behind(now).into_iter().next();
+        let Some(wait) = key.and_then(|key| state.end(key)) else {
+            return false;
+        };
+        if !wait.leaving.swap(true, Ordering::Relaxed) {
+            self.shared.leaving.fetch_add(1, Ordering::Relaxed);
+        }
+        true
+    }
+
+    /// The number of connections that are to make room for others and are still open.
+    pub(crate) fn leaving(&self) -> usize {
+        self.shared.leaving.load(Ordering::Relaxed)
+    }
+
     /// Numbers of waits that were ended early so far.
     pub(crate) fn ended(&self) -> EndedWaits {
         self.shared.state().ended
@@ -215,6 +242,17 @@
         (guard, registration)
     }
 
+    /// Waits for `awaited`; `None` if the wait was ended early.
+    pub(crate) async fn wait<T>(
+        &self,
+        kind: WaitKind,
+        limits: &WaitLimits,
+        awaited: impl Future<Output = T>,
+    ) -> Option<T> {
+        let (_wait, registration) = self.begin(kind, limits);
+        Abortable::new(awaited, registration).await.ok()
+    }
+
     /// As [`Waits::reserve`].
     pub(crate) async fn reserve(&self, budget: &MemoryBudget, bytes: u64) -> Option<Reservation> {
         self.waits.reserve(budget, bytes).await
