Let probes in beside idle connections at the endpoints of operators

64 idle connections at the readiness endpoint made all probes of the load balancer 503, which takes the instance out. Operators and balancers send their request at once, so that a connection without one makes room for the next without any patience.

--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -18,6 +18,7 @@
 use crocushold_http::ListenerLimits;
 use crocushold_http::OverloadPolicy;
 use crocushold_http::ServerLimits;
+use crocushold_http::WaitLimits;
 use crocushold_peers as peers;
 use crocushold_peers::PeerHandle;
 use crocushold_peers::PeerNode;
@@ -39,6 +40,13 @@
 /// Maximum number of connections of balancers, metrics scrapers and operators.
 const MAX_OPERATOR_CONNECTIONS: usize = 256;
 
+/// Operators and balancers send their request as soon as they have a connection. One that doesn't makes room for the
+/// next one at once.
+const OPERATOR_WAIT: WaitLimits = WaitLimits {
+    patience: Millis::ZERO,
+    body_rate: u64::MAX,
+};
+
 quick_error! {
     /// Why an instance could not start.
     #[derive(Debug)]
@@ -158,6 +166,10 @@
 fn operator_limits() -> ListenerLimits {
     ListenerLimits {
         max_connections: MAX_OPERATOR_CONNECTIONS,
+        server: ServerLimits {
+            wait: OPERATOR_WAIT,
+            ..ServerLimits::default()
+        },
         ..ListenerLimits::default()
     }
 }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -17,6 +17,7 @@
 use crocushold_http::ListenerLimits;
 use crocushold_http::OverloadPolicy;
 use crocushold_http::ServerLimits;
+use crocushold_http::WaitLimits;
 use crocushold_routing::RegionKey;
 use http_types::Request;
 use http_types::Response;
@@ -45,6 +46,13 @@
 /// Maximum number of connections of load balancers, metrics scrapers and operators.
 const OPERATOR_CONNECTIONS: usize = 64;
 
+/// Operators and load balancers send their request as soon as they have a connection. One that doesn't makes room for
+/// the next one at once.
+const OPERATOR_WAIT: WaitLimits = WaitLimits {
+    patience: Millis::ZERO,
+    body_rate: u64::MAX,
+};
+
 /// How many times as long as usual work takes at least on a server that is counted as slow at this
 /// moment.
 const SLOW_FACTOR: f64 = 1.5;
@@ -309,6 +317,10 @@
 fn operator_limits() -> ListenerLimits {
     ListenerLimits {
         max_connections: OPERATOR_CONNECTIONS,
+        server: ServerLimits {
+            wait: OPERATOR_WAIT,
+            ..ServerLimits::default()
+        },
         ..ListenerLimits::default()
     }
 }
