Settings, counts and log lines of the waits that are ended early

`patience` and `body-rate` in the limits of serve, `limits.patience-ms` and `limits.body-rate` in the file of a gateway; the metric `crocushold_waits_ended_total` and the event `waits-ended` in both. Tests of the waits without sockets.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -79,6 +79,11 @@
     pub write_timeout: Millis,
     /// How long an idle connection is kept open between requests.
     pub idle_timeout: Millis,
+    /// How long a caller that is waited for may make no progress while another one needs its connection, or the
+    /// memory of its body.
+    pub patience: Millis,
+    /// Rate of a body below which its caller makes no progress, in bytes per second.
+    pub body_rate: u64,
     /// Maximum number of connections.
     pub connections: u32,
     /// Maximum number of connections of one account.
@@ -96,6 +101,8 @@
             body_timeout: Millis::from_secs(15),
             write_timeout: Millis::from_secs(15),
             idle_timeout: Millis::from_secs(60),
+            patience: Millis::from_secs(1),
+            body_rate: 64 * 1024,
             connections: 4096,
             connections_per_account: 1024,
             queued_per_account: 1024,
@@ -312,11 +319,13 @@
             fields.reject("head", "no longer head can be read; write at most 8 KB");
         }
         set(&mut self.body_bytes, fields.take("body", units::size));
+        set(&mut self.body_rate, fields.take("body-rate", units::size));
         let timeouts = [
             ("head-timeout", &mut self.head_timeout),
             ("body-timeout", &mut self.body_timeout),
             ("write-timeout", &mut self.write_timeout),
             ("idle", &mut self.idle_timeout),
+            ("patience", &mut self.patience),
         ];
         for (key, slot) in timeouts {
             set(slot, fields.take(key, units::duration));
--- a/crates/entry/src/decode.rs
+++ b/crates/entry/src/decode.rs
@@ -31,6 +31,7 @@
 use twox_hash::XxHash3_64;
 
 use crate::active_config::ActiveConfig;
+use crate::instance::wait_limits;
 use crate::memory::footprint;
 use crate::payload::Payload;
 use crate::payload::PayloadError;
@@ -197,6 +198,7 @@
         let limits = ServerLimits {
             body_bytes: self.limits.body_bytes,
             body_timeout: self.limits.body_timeout.min(remaining),
+            wait: wait_limits(self.limits),
             ..ServerLimits::default()
         };
         let body = read_body(request, &limits).await;
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -13,6 +13,7 @@
 use crocushold_base::Millis;
 use crocushold_config::CallerLimits;
 use crocushold_config::Settings;
+use crocushold_http::EndedWaits;
 use crocushold_http::Listener;
 use crocushold_http::ListenerHandle;
 use crocushold_http::ListenerLimits;
@@ -40,6 +41,9 @@
 /// Maximum number of connections of balancers, metrics scrapers and operators.
 const MAX_OPERATOR_CONNECTIONS: usize = 256;
 
+/// Interval of reports on waits that were ended.
+const REPORT_INTERVAL: Millis = Millis::from_secs(1);
+
 /// Operators and balancers send their request as soon as they have a connection. One that doesn't makes room for the
 /// next one at once.
 const OPERATOR_WAIT: WaitLimits = WaitLimits {
@@ -86,6 +90,7 @@
         let handle = callers.handle();
         let serving = spawn_callers(callers, &shared);
         spawn_operators(operators, &shared);
+        task::spawn(report_waits(shared.clone(), handle.clone()));
         task::spawn(polling::poll(shared.clone()));
         let event = Event::new("started")
             .with("listen", listen)
@@ -186,12 +191,41 @@
             body_timeout: limits.body_timeout,
             idle_timeout: limits.idle_timeout,
             write_timeout: limits.write_timeout,
+            wait: wait_limits(limits),
             refuse: refuse_unread,
             ..ServerLimits::default()
         },
     }
 }
 
+/// Reports waits for callers that were ended in favour of others.
+async fn report_waits(shared: Arc<Shared>, callers: ListenerHandle) {
+    let mut reported = EndedWaits::default();
+    loop {
+        task::sleep(REPORT_INTERVAL.into()).await;
+        let total = callers.ended_waits();
+        let ended = total.since(reported);
+        reported = total;
+        if ended == EndedWaits::default() {
+            continue;
+        }
+        let mut event = Event::new("waits-ended");
+        for (awaited, count) in ended.by_label() {
+            shared.metrics.count_ended_waits(awaited, count);
+            event = event.with(awaited, count);
+        }
+        warn!("{event}");
+    }
+}
+
+/// When callers may be let go in favour of others.
+pub(crate) fn wait_limits(limits: &CallerLimits) -> WaitLimits {
+    WaitLimits {
+        patience: limits.patience,
+        body_rate: limits.body_rate,
+    }
+}
+
 async fn bind(address: SocketAddr, limits: ListenerLimits) -> Result<Listener, StartError> {
     let listener = Listener::bind(address, limits).await;
     listener.map_err(|cause| StartError::Bind(address, cause))
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -12,6 +12,7 @@
 use async_std::task::JoinHandle;
 use crocushold_base::Event;
 use crocushold_base::Millis;
+use crocushold_http::EndedWaits;
 use crocushold_http::Listener;
 use crocushold_http::ListenerHandle;
 use crocushold_http::ListenerLimits;
@@ -114,6 +115,8 @@
     pub drain_bound: Millis,
     /// Number of file descriptors available for sockets.
     pub descriptors: usize,
+    /// When a caller that is waited for may be let go in favour of others.
+    pub wait: WaitLimits,
     /// Time from the shutdown signal until the process is killed.
     pub grace: Millis,
     /// How long connections are still accepted after the shutdown signal, until the load balancer
@@ -148,6 +151,7 @@
             apply_bound: Millis(2000),
             drain_bound: Millis(2000),
             descriptors: 4096,
+            wait: WaitLimits::default(),
             grace: Millis::from_secs(8),
             notice: Millis::from_secs(3),
             retry_ratio: 0.1,
@@ -308,6 +312,7 @@
             body_bytes: limits.body_bytes,
             head_timeout: limits.head_timeout,
             idle_timeout: limits.idle_timeout,
+            wait: settings.wait,
             ..ServerLimits::default()
         },
         ..ListenerLimits::default()
@@ -389,6 +394,7 @@
 
 async fn run_timers(shared: Arc<Shared>) {
     let mut turned_away = 0;
+    let mut ended_waits = EndedWaits::default();
     loop {
         let due = shared.clock.now() + TIMER_INTERVAL;
         task::sleep(TIMER_INTERVAL.into()).await;
@@ -404,6 +410,7 @@
         report_line(&shared, now);
         shared.metrics.set_known_streams(shared.origins.expire(now));
         log_turned_away(&shared, &mut turned_away);
+        log_ended_waits(&shared, &mut ended_waits);
         let moved = shared.fleet().tick(now);
         for allocation in moved {
             log_lane_allocation(&allocation);
@@ -424,6 +431,22 @@
     }
 }
 
+/// Reports waits for callers that were ended in favour of others since the last call; `reported` are those before.
+fn log_ended_waits(shared: &Shared, reported: &mut EndedWaits) {
+    let total = shared.ended_waits();
+    let ended = total.since(*reported);
+    *reported = total;
+    if ended == EndedWaits::default() {
+        return;
+    }
+    let mut event = Event::new("waits-ended");
+    for (awaited, count) in ended.by_label() {
+        shared.metrics.count_ended_waits(awaited, count);
+        event = event.with(awaited, count);
+    }
+    warn!("{event}");
+}
+
 /// Reports connections that were closed unread since the last call, of which `reported` were reported before.
 fn log_turned_away(shared: &Shared, reported: &mut u64) {
     let total = shared.turned_away();
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -182,6 +182,7 @@
         let limits = ServerLimits {
             body_bytes,
             body_timeout: defaults.body_timeout.min(remaining),
+            wait: shared.settings.wait,
             ..defaults
         };
         let body = read_reserved_body(request, &limits, &shared.memory).await;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     unanswered: IntCounterVec,
     late_timers: IntCounter,
     turned_away: IntCounter,
+    ended_waits: IntCounterVec,
     malformed: IntCounter,
     placements: IntCounterVec,
     left_out: IntCounter,
@@ -91,6 +92,12 @@
             "Connections of callers that were closed unread, as they could not be served in time",
         );
         let turned_away = turned_away.expect("the name is valid");
+        let ended_waits = Opts::new(
+            "crocushold_waits_ended_total",
+            "Waits for callers that were ended, as others needed their connection or memory",
+        );
+        let ended_waits = IntCounterVec::new(ended_waits, &["awaited"]);
+        let ended_waits = ended_waits.expect("the name is valid");
         let malformed = IntCounter::new(
             "crocushold_entries_malformed_total",
             "Published entries that couldn't be read",
@@ -170,7 +177,7 @@
             "Requests that came back after a refusal by the line, by whether that was in their time",
             &["kind"],
         );
-        let collectors: [Box<dyn prometheus::core::Collector>; 26] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 27] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(ends.clone()),
@@ -178,6 +185,7 @@
             Box::new(unanswered.clone()),
             Box::new(late_timers.clone()),
             Box::new(turned_away.clone()),
+            Box::new(ended_waits.clone()),
             Box::new(malformed.clone()),
             Box::new(placements.clone()),
             Box::new(left_out.clone()),
@@ -211,6 +219,7 @@
             unanswered,
             late_timers,
             turned_away,
+            ended_waits,
             malformed,
             placements,
             left_out,
@@ -352,6 +361,12 @@
         self.turned_away.inc_by(count);
     }
 
+    /// Counts waits of callers that were ended early, by what the callers were waited for: a request (`idle`), the
+    /// end of its `head`, or of its `body`.
+    pub(crate) fn count_ended_waits(&self, awaited: &str, count: u64) {
+        self.ended_waits.with_label_values(&[awaited]).inc_by(count);
+    }
+
     pub(crate) fn count_late_timers(&self) {
         self.late_timers.inc();
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -15,6 +15,7 @@
 use crocushold_base::Millis;
 use crocushold_base::Pseudonymizer;
 use crocushold_http::Client;
+use crocushold_http::EndedWaits;
 use crocushold_http::ListenerHandle;
 use crocushold_http::PoolLimits;
 use crocushold_routing::LoadReport;
@@ -177,6 +178,13 @@
         callers.as_ref().map_or(0, ListenerHandle::turned_away)
     }
 
+    /// The numbers of waits for callers that were ended in favour of other callers so far.
+    pub(crate) fn ended_waits(&self) -> EndedWaits {
+        let callers = lock(&self.callers);
+        let ended = callers.as_ref().map(ListenerHandle::ended_waits);
+        ended.unwrap_or_default()
+    }
+
     /// The backend servers. Every method leaves the fleet in a consistent state, so a poisoned lock
     /// can be used.
     pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
--- a/crates/http/src/server/waits.rs
+++ b/crates/http/src/server/waits.rs
@@ -25,6 +25,9 @@
 
 use super::limits::WaitLimits;
 
+#[cfg(test)]
+mod tests;
+
 /// The most connections that were chosen to make room for others and are still open.
 const MAX_LEAVING: usize = 64;
 
@@ -58,6 +61,26 @@
     pub body: u64,
 }
 
+impl EndedWaits {
+    /// The numbers since `earlier` ones.
+    pub fn since(self, earlier: EndedWaits) -> EndedWaits {
+        EndedWaits {
+            idle: self.idle - earlier.idle,
+            head: self.head - earlier.head,
+            body: self.body - earlier.body,
+        }
+    }
+
+    /// The numbers with their labels for logs and metrics.
+    pub fn by_label(self) -> [(&'static str, u64); 3] {
+        [
+            ("idle", self.idle),
+            ("head", self.head),
+            ("body", self.body),
+        ]
+    }
+}
+
 #[derive(Debug)]
 struct Wait {
     kind: WaitKind,
--- a/crates/metrics/src/instance.rs
+++ b/crates/metrics/src/instance.rs
@@ -3,6 +3,7 @@
 use prometheus::Counter;
 use prometheus::Gauge;
 use prometheus::IntCounter;
+use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::IntGaugeVec;
 use prometheus::Opts;
@@ -30,6 +31,7 @@
     pub(crate) peers: IntGauge,
     pub(crate) confirmed: Gauge,
     pub(crate) memory_bound: IntGauge,
+    pub(crate) ended_waits: IntCounterVec,
     pub(crate) uptime: Gauge,
     pub(crate) accounts: IntGaugeVec,
     cpu: Counter,
@@ -57,6 +59,7 @@
                 "crocushold_memory_bound_bytes",
                 "Most that callers can make the instance hold, beside what it takes without them.",
             ),
+            ended_waits: wait_counters(registry),
             uptime: float_gauge(
                 registry,
                 "crocushold_uptime_seconds",
@@ -115,6 +118,15 @@
     register(registry, family)
 }
 
+fn wait_counters(registry: &Registry) -> IntCounterVec {
+    let opts = Opts::new(
+        "crocushold_waits_ended_total",
+        "Waits for callers that were ended, as others needed their connection or memory.",
+    );
+    let family = IntCounterVec::new(opts, &["awaited"]).expect("constant names are valid");
+    register(registry, family)
+}
+
 fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
     let counter = IntCounter::new(name, help).expect("constant names are valid");
     register(registry, counter)
--- a/crates/metrics/src/metrics.rs
+++ b/crates/metrics/src/metrics.rs
@@ -130,6 +130,13 @@
         self.inner.series.memory_bound.set(value);
     }
 
+    /// Counts waits for callers that were ended early, by what the callers were waited for: a request (`idle`), the
+    /// end of its `head`, or of its `body`.
+    pub fn count_ended_waits(&self, awaited: &str, count: u64) {
+        let waits = &self.inner.series.ended_waits;
+        waits.with_label_values(&[awaited]).inc_by(count);
+    }
+
     /// Renders the metrics in the text format of Prometheus, with the windows that end at `now`.
     ///
     /// `now` is the time since the start of the process.
--- a/tests/all/support/entry.rs
+++ b/tests/all/support/entry.rs
@@ -58,6 +58,7 @@
     }
 
     /// The process's identity.
+    #[allow(dead_code, reason = "only the test of clients uses it")]
     pub fn id(&self) -> u32 {
         self.child.id()
     }
