Bound the memory of requests in progress

Requests that wait for their server, or whose answers nobody reads, took a gateway beyond the memory of its machine: up to 600 connections of 76 KB beside 64 MB in the tests, 1,950 connections on a machine of 110 MB. Cause: only bodies were counted; a connection was bounded by file descriptors, whatever the memory. Now each request reserves, until its answer has ended, 48 KB for its buffers and its tasks and twice its parsed head, and each head twice its longest length while it is read. Bodies are a part of the same budget. 24 MB are left to the process itself and 4 KB to each connection; `crocushold_memory_bound_bytes` tells what callers can make the process hold. What the kernel keeps for sockets isn't in the sum.

--- a/crates/base/src/memory.rs
+++ b/crates/base/src/memory.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Debug)]
 pub struct MemoryBudget {
     free: Arc<AtomicU64>,
+    /// The budget of which this one is a part.
+    whole: Option<Arc<MemoryBudget>>,
 }
 
 impl MemoryBudget {
@@ -18,11 +20,24 @@
     pub fn new(bytes: u64) -> MemoryBudget {
         MemoryBudget {
             free: Arc::new(AtomicU64::new(bytes)),
+            whole: None,
+        }
+    }
+
+    /// Creates a budget of at most `bytes` of this one. What is reserved of it is reserved of both.
+    pub fn part(&self, bytes: u64) -> MemoryBudget {
+        MemoryBudget {
+            whole: Some(Arc::new(self.clone())),
+            ..MemoryBudget::new(bytes)
         }
     }
 
     /// Reserves `bytes`, or returns `None` if fewer are free.
     pub fn reserve(&self, bytes: u64) -> Option<Reservation> {
+        let whole = match &self.whole {
+            Some(whole) => Some(Box::new(whole.reserve(bytes)?)),
+            None => None,
+        };
         let take = |free: u64| free.checked_sub(bytes);
         let taken = self
             .free
@@ -30,6 +45,7 @@
         taken.ok().map(|_| Reservation {
             free: self.free.clone(),
             bytes,
+            _whole: whole,
         })
     }
 }
@@ -39,6 +55,8 @@
 pub struct Reservation {
     free: Arc<AtomicU64>,
     bytes: u64,
+    /// The same bytes of the budget of which this one is a part.
+    _whole: Option<Box<Reservation>>,
 }
 
 impl Drop for Reservation {
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -37,7 +37,9 @@
             // `job` owns everything that is still needed. Keeping `request` would hold a second
             // copy of the body for as long as the job waits.
             drop(request);
-            exchange(&shared, &mut job, &hangup).await
+            let mut response = exchange(&shared, &mut job, &hangup).await;
+            hold(&mut response, job);
+            response
         }
         Err(refusal) => {
             log_unread_request(&shared, &id, &refusal, arrived);
@@ -50,6 +52,13 @@
     response
 }
 
+/// Keeps the room of a request until its response has ended.
+pub(crate) fn hold(response: &mut Response, job: Job) {
+    if let Some(place) = job.place {
+        response.ext_mut().insert(place);
+    }
+}
+
 async fn exchange(shared: &Arc<Shared>, job: &mut Job, hangup: &Hangup) -> Response {
     let required = require_origin(shared, job).await;
     let mut exchange = Exchange::new(shared, job);
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -11,6 +11,7 @@
 use async_std::task;
 use async_std::task::JoinHandle;
 use crocushold_base::Event;
+use crocushold_base::MemoryBudget;
 use crocushold_base::Millis;
 use crocushold_http::EndedWaits;
 use crocushold_http::Listener;
@@ -37,6 +38,7 @@
 use crate::quarantine;
 use crate::reach;
 use crate::relay::start_relay;
+use crate::room::Room;
 use crate::routes::CallerLimits;
 use crate::shared::Shared;
 use crate::shared::Stage;
@@ -161,10 +163,15 @@
     }
 }
 
-/// Divisor of the machine's memory that gives the limit for request bodies. Connections and their
-/// buffers take up to the same amount again.
+/// Divisor of the machine's memory that gives the limit for request bodies.
 const BODY_MEMORY_DIVISOR: u64 = 3;
 
+/// Memory of the process without callers, in bytes: the program, the configuration and the state of the fleet.
+const OWN_MEMORY: u64 = 24 * 1024 * 1024;
+
+/// Memory of a connection without a request, in bytes.
+const IDLE_CONNECTION_BYTES: u64 = 4 * 1024;
+
 impl Settings {
     /// The key of each availability zone's region.
     pub(crate) fn region_keys(&self) -> HashMap<String, RegionKey> {
@@ -173,6 +180,22 @@
         keys.collect()
     }
 
+    /// The most memory that callers may make the process hold, in bytes.
+    pub(crate) fn caller_memory(&self) -> u64 {
+        self.memory - OWN_MEMORY.min(self.memory / 2)
+    }
+
+    /// The part of it for requests in progress, in bytes.
+    pub(crate) fn request_memory(&self) -> u64 {
+        let idle = self.max_connections() as u64 * IDLE_CONNECTION_BYTES;
+        self.caller_memory().saturating_sub(idle)
+    }
+
+    /// Maximum number of callers' connections.
+    pub(crate) fn max_connections(&self) -> usize {
+        (self.descriptors / DESCRIPTORS_PER_CALLER).max(1)
+    }
+
     /// Limit on the total size of request bodies held until their answers begin, in bytes.
     pub(crate) fn body_memory(&self) -> u64 {
         self.memory / BODY_MEMORY_DIVISOR
@@ -209,7 +232,8 @@
         source: impl Source,
     ) -> Result<Gateway, StartError> {
         let seed = wall_clock() ^ XxHash3_64::oneshot(settings.id.as_bytes());
-        let limits = caller_limits(&settings, &CallerLimits::default());
+        let room = Room::new(&settings);
+        let limits = caller_limits(&settings, &CallerLimits::default(), room.memory());
         let max_callers = limits.max_connections;
         let (callers, callers_at) = bind(settings.callers, limits).await?;
         let (readiness, readiness_at) = bind(settings.readiness, operator_limits()).await?;
@@ -217,7 +241,9 @@
             Some(address) => Some(bind(address, operator_limits()).await?),
             None => None,
         };
-        let shared = Arc::new(Shared::new(settings, protocol, seed));
+        let shared = Arc::new(Shared::new(settings, room, protocol, seed));
+        let bound = shared.settings.caller_memory();
+        shared.metrics.set_memory_bound(bound);
         let handle = callers.handle();
         shared.set_callers(handle.clone());
         let operators_at = operators.as_ref().map(|(_, address)| *address);
@@ -303,9 +329,13 @@
 }
 
 /// Limits on caller connections under a configuration.
-pub(crate) fn caller_limits(settings: &Settings, limits: &CallerLimits) -> ListenerLimits {
+pub(crate) fn caller_limits(
+    settings: &Settings,
+    limits: &CallerLimits,
+    memory: &MemoryBudget,
+) -> ListenerLimits {
     ListenerLimits {
-        max_connections: (settings.descriptors / DESCRIPTORS_PER_CALLER).max(1),
+        max_connections: settings.max_connections(),
         overload: OverloadPolicy::CloseUnread,
         server: ServerLimits {
             head_bytes: limits.head_bytes,
@@ -313,6 +343,7 @@
             head_timeout: limits.head_timeout,
             idle_timeout: limits.idle_timeout,
             wait: settings.wait,
+            head_memory: Some(memory.clone()),
             ..ServerLimits::default()
         },
         ..ListenerLimits::default()
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -30,6 +30,8 @@
 use crate::refusal::Refusal;
 use crate::relay::RelayedRequest;
 use crate::resumption::StreamKey;
+use crate::room::Place;
+use crate::room::ROOM_RETRY;
 use crate::routes::Account;
 use crate::routes::Repeat;
 use crate::routes::Route;
@@ -46,10 +48,6 @@
 /// shouldn't all retry in the same moment.
 const STOP_RETRY: Millis = Millis(50);
 
-/// `Retry-After` while request bodies fill the memory: some of their answers will have begun by
-/// then.
-const MEMORY_RETRY: Millis = Millis(500);
-
 /// Maximum wait at a server in percent of the route's target. The rest is for the prefill.
 const WAIT_LIMIT_PERCENT: u64 = 80;
 
@@ -89,6 +87,8 @@
     /// doesn't say how the stream began.
     pub(crate) stream: Option<StreamKey>,
     outgoing: Outgoing,
+    /// The room that the request takes, from its intake until its answer has ended.
+    pub(crate) place: Option<Place>,
     /// The memory of the body, released when the answer has begun.
     reservation: Option<Reservation>,
 }
@@ -165,6 +165,7 @@
             resumption: None,
             stream: relayed.stream,
             outgoing: Outgoing::new(request),
+            place: None,
             reservation: None,
         };
         // The instance that accepted it has checked its length.
@@ -177,6 +178,7 @@
         request: &mut Request,
         body_bytes: u64,
     ) -> Result<Job, Refusal> {
+        self.place = Some(shared.room.enter(request).await?);
         let defaults = ServerLimits::default();
         let remaining = self.deadline.since(shared.clock.now());
         let limits = ServerLimits {
@@ -185,7 +187,7 @@
             wait: shared.settings.wait,
             ..defaults
         };
-        let body = read_reserved_body(request, &limits, &shared.memory).await;
+        let body = read_reserved_body(request, &limits, shared.room.bodies()).await;
         let body = body.map_err(|error| refuse_body(&error))?;
         self.reservation = Some(body.reservation);
         self.outgoing.body = SharedBody(Arc::new(body.bytes));
@@ -252,6 +254,7 @@
             stream,
             resumption: meta.resumption,
             outgoing: Outgoing::new(request),
+            place: None,
             reservation: None,
         })
     }
@@ -409,8 +412,8 @@
     match error {
         BodyError::TooLarge => Refusal::new(Reason::BodyTooLarge),
         BodyError::Timeout => Refusal::new(Reason::BodyTimeout),
-        BodyError::NoMemory => Refusal::later(Reason::Memory, MEMORY_RETRY),
-        BodyError::Slow => Refusal::later(Reason::SlowBody, MEMORY_RETRY),
+        BodyError::NoMemory => Refusal::later(Reason::Memory, ROOM_RETRY),
+        BodyError::Slow => Refusal::later(Reason::SlowBody, ROOM_RETRY),
         BodyError::Short | BodyError::Io(_) => Refusal::new(Reason::BadRequest),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod refusal;
 mod relay;
 mod resumption;
+mod room;
 mod routes;
 mod settle;
 mod shared;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,6 +31,7 @@
     late_timers: IntCounter,
     turned_away: IntCounter,
     ended_waits: IntCounterVec,
+    memory_bound: IntGauge,
     malformed: IntCounter,
     placements: IntCounterVec,
     left_out: IntCounter,
@@ -98,6 +99,11 @@
         );
         let ended_waits = IntCounterVec::new(ended_waits, &["awaited"]);
         let ended_waits = ended_waits.expect("the name is valid");
+        let memory_bound = IntGauge::new(
+            "crocushold_memory_bound_bytes",
+            "Most that callers can make the instance hold, beside what it takes without them",
+        );
+        let memory_bound = memory_bound.expect("the name is valid");
         let malformed = IntCounter::new(
             "crocushold_entries_malformed_total",
             "Published entries that couldn't be read",
@@ -177,7 +183,7 @@
             "Requests that came back after a refusal by the line, by whether that was in their time",
             &["kind"],
         );
-        let collectors: [Box<dyn prometheus::core::Collector>; 27] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 28] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(ends.clone()),
@@ -186,6 +192,7 @@
             Box::new(late_timers.clone()),
             Box::new(turned_away.clone()),
             Box::new(ended_waits.clone()),
+            Box::new(memory_bound.clone()),
             Box::new(malformed.clone()),
             Box::new(placements.clone()),
             Box::new(left_out.clone()),
@@ -220,6 +227,7 @@
             late_timers,
             turned_away,
             ended_waits,
+            memory_bound,
             malformed,
             placements,
             left_out,
@@ -367,6 +375,12 @@
         self.ended_waits.with_label_values(&[awaited]).inc_by(count);
     }
 
+    /// Sets the most memory that callers can make the instance hold, in bytes.
+    pub(crate) fn set_memory_bound(&self, bytes: u64) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.memory_bound.set(bytes);
+    }
+
     pub(crate) fn count_late_timers(&self) {
         self.late_timers.inc();
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -40,7 +40,7 @@
     SoftwareGone,
     /// Nobody knows which software version began the stream, and several serve.
     UnknownOrigin,
-    /// Request bodies fill the instance's memory.
+    /// Requests in progress fill the instance's memory.
     Memory,
     /// The body came too slowly while its memory or its connection was needed for other requests.
     SlowBody,
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -18,6 +18,7 @@
 use super::message::RELAY_HEADER;
 use super::message::RelayOutcome;
 use super::message::RelayedRequest;
+use crate::callers::hold;
 use crate::callers::log_refusal;
 use crate::callers::refuse;
 use crate::exchange::Exchange;
@@ -77,8 +78,12 @@
     // Keeping `request` would hold a second copy of the body.
     drop(request);
     let mut exchange = Exchange::new(&shared, &job);
-    match exchange.run(&hangup).await {
-        Ok(response) => with_outcome(response, RelayOutcome::Answered),
+    let result = exchange.run(&hangup).await;
+    match result {
+        Ok(mut response) => {
+            hold(&mut response, job);
+            with_outcome(response, RelayOutcome::Answered)
+        }
         Err(Failure::Refused(refusal)) if refusal.reason.is_unserved() => unable(&shared),
         Err(Failure::Refused(refusal)) => {
             log_refusal(
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -11,7 +11,6 @@
 
 use crocushold_base::Clock;
 use crocushold_base::Event;
-use crocushold_base::MemoryBudget;
 use crocushold_base::Millis;
 use crocushold_base::Pseudonymizer;
 use crocushold_http::Client;
@@ -43,6 +42,7 @@
 use crate::reach::log_ejections;
 use crate::relay::RelayPeers;
 use crate::resumption::OriginService;
+use crate::room::Room;
 use crate::routes::RouteTable;
 use crate::start::Start;
 use crate::store_watch::StoreWatch;
@@ -81,8 +81,8 @@
     pub(crate) client: Client,
     pub(crate) metrics: Metrics,
     pub(crate) content_names: Pseudonymizer,
-    /// Memory of request bodies that are being read or wait for an answer to begin.
-    pub(crate) memory: MemoryBudget,
+    /// Room for requests in progress.
+    pub(crate) room: Room,
     /// The client and server side of placement.
     pub(crate) placer: PlacementService,
     /// The origins of streams that callers may take up again.
@@ -104,7 +104,12 @@
 }
 
 impl Shared {
-    pub(crate) fn new(settings: Settings, protocol: Arc<dyn Protocol>, seed: u64) -> Shared {
+    pub(crate) fn new(
+        settings: Settings,
+        room: Room,
+        protocol: Arc<dyn Protocol>,
+        seed: u64,
+    ) -> Shared {
         let fleet = Fleet::new(FleetSettings {
             zone: settings.zone.clone(),
             regions: settings.region_keys(),
@@ -119,7 +124,7 @@
             idle_timeout: IDLE_TIMEOUT,
         };
         Shared {
-            memory: MemoryBudget::new(settings.body_memory()),
+            room,
             settings,
             protocol,
             clock: Clock::start(),
@@ -152,7 +157,7 @@
     /// Puts a configuration in force.
     pub(crate) fn apply_config(&self, table: RouteTable) {
         self.metrics.set_config_version(table.version());
-        let limits = caller_limits(&self.settings, &table.limits());
+        let limits = caller_limits(&self.settings, &table.limits(), self.room.memory());
         if let Some(callers) = &*lock(&self.callers) {
             callers.set_limits(limits);
         }
--- a/crates/http/src/server/body.rs
+++ b/crates/http/src/server/body.rs
@@ -38,9 +38,17 @@
     pub(crate) seat: Arc<Seat>,
 }
 
-/// Memory that was reserved for a request before its body is read, set as an extension of the request.
+/// Memory that was reserved for a request so far, set as an extension of the request.
+#[derive(Clone, Copy, Default)]
 struct ReservedBytes(u64);
 
+impl ReservedBytes {
+    fn of(request: &Request) -> u64 {
+        let reserved = request.ext().get::<ReservedBytes>();
+        reserved.copied().unwrap_or_default().0
+    }
+}
+
 quick_error! {
     /// Why a request's body couldn't be read.
     #[derive(Debug)]
@@ -98,7 +106,8 @@
         Some(caller) => caller.seat.reserve(budget, bytes).await?,
         None => budget.reserve(bytes)?,
     };
-    request.ext_mut().insert(ReservedBytes(bytes));
+    let reserved = ReservedBytes::of(request) + bytes;
+    request.ext_mut().insert(ReservedBytes(reserved));
     Some(reservation)
 }
 
@@ -110,13 +119,11 @@
 /// malformed, or comes too slowly while its memory is needed. Answer with [`BodyError::status`]; the connection is closed
 /// after that answer.
 pub async fn read_body(request: &mut Request, limits: &ServerLimits) -> Result<Vec<u8>, BodyError> {
-    let reserved = request.ext().get::<ReservedBytes>();
-    let reserved = reserved.map_or(0, |reserved| reserved.0);
     let body = BodyBuffer {
         bytes: Vec::new(),
         memory: None,
     };
-    let body = read_within(request, limits, body, reserved).await?;
+    let body = read_within(request, limits, body).await?;
     Ok(body.bytes)
 }
 
@@ -150,7 +157,7 @@
         bytes: Vec::with_capacity(first as usize),
         memory: Some((budget.clone(), reservation)),
     };
-    let body = read_within(request, limits, body, first).await?;
+    let body = read_within(request, limits, body).await?;
     let (_, reservation) = body.memory.expect("the buffer keeps its reservation");
     Ok(ReservedBody {
         bytes: body.bytes,
@@ -192,7 +199,7 @@
             self.bytes.reserve_exact(larger as usize - self.bytes.len());
             *reservation = reserved;
             if let Some(wait) = wait {
-                wait.set_reserved(larger);
+                wait.add_reserved(larger - capacity);
             }
         }
         self.bytes.extend_from_slice(bytes);
@@ -200,12 +207,10 @@
     }
 }
 
-/// Reads a body into `body`, for which `reserved` bytes of memory are reserved.
 async fn read_within(
     request: &mut Request,
     limits: &ServerLimits,
     body: BodyBuffer,
-    reserved: u64,
 ) -> Result<BodyBuffer, BodyError> {
     let caller = request.ext().get::<CallerConnection>().cloned();
     if request.len() == Some(0) {
@@ -218,7 +223,7 @@
             .unwrap_or(Err(BodyError::Timeout));
     };
     let (mut wait, registration) = caller.seat.begin(WaitKind::Body, &limits.wait);
-    wait.set_reserved(reserved);
+    wait.set_reserved(ReservedBytes::of(request));
     let read = read_bounded(
         request,
         limits.body_bytes,
--- a/crates/http/src/server/limits.rs
+++ b/crates/http/src/server/limits.rs
@@ -1,5 +1,6 @@
 //! Limits on the resources of callers.
 
+use crocushold_base::MemoryBudget;
 use crocushold_base::Millis;
 use http_types::Response;
 use http_types::StatusCode;
@@ -62,6 +63,8 @@
     pub write_timeout: Millis,
     /// When a caller may be let go in favour of others.
     pub wait: WaitLimits,
+    /// The memory of heads that are being read; `None` if it is bounded by the number of connections alone.
+    pub head_memory: Option<MemoryBudget>,
     /// Builds the answer to what is refused before it reaches a handler. The server sets the
     /// framing and `Connection: close`.
     pub refuse: RefusalFn,
@@ -78,6 +81,7 @@
             stop_grace: Millis(250),
             write_timeout: Millis::from_secs(30),
             wait: WaitLimits::default(),
+            head_memory: None,
             refuse: plain_text,
         }
     }
--- a/crates/http/src/server/receive.rs
+++ b/crates/http/src/server/receive.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use async_std::future::timeout;
+use futures::future::Abortable;
+use futures::future::Aborted;
 use futures::future::Either;
 use futures::future::select;
 use http_types::Request;
@@ -24,6 +26,9 @@
 use crate::framing::Framing;
 use crate::framing::framing;
 
+/// Size of the buffer of a head, at most, relative to the longest head: its capacity doubles.
+const HEAD_BUFFER_FACTOR: usize = 2;
+
 /// The outcome of waiting for the next request.
 pub(crate) enum Next {
     /// A request whose body hasn't been read yet.
@@ -53,17 +58,9 @@
     if arrived != Some(true) {
         return Next::End;
     }
-    let limit = limits.head_bytes;
-    let head = timeout(limits.head_timeout.into(), connection.read_head(limit));
-    let head = seat.wait(WaitKind::Head, &limits.wait, head).await;
-    let mut length = match head {
-        Some(Ok(Ok(length))) => length,
-        Some(Ok(Err(HeadError::TooLarge))) => {
-            return Next::Refused(StatusCode::RequestHeaderFieldsTooLarge);
-        }
-        Some(Ok(Err(HeadError::Malformed))) => return Next::Refused(StatusCode::BadRequest),
-        Some(Ok(Err(HeadError::Closed | HeadError::Io(_)))) | None => return Next::End,
-        Some(Err(_)) => return Next::Refused(StatusCode::RequestTimeout),
+    let mut length = match read_head(connection, seat, limits).await {
+        Ok(length) => length,
+        Err(next) => return next,
     };
     if let Err(status) = connection.with_head(length, |head| check_head(head)) {
         return Next::Refused(status);
@@ -88,6 +85,37 @@
     }
 }
 
+/// Reads a head and returns its length.
+async fn read_head(
+    connection: &Connection,
+    seat: &Seat,
+    limits: &ServerLimits,
+) -> Result<usize, Next> {
+    let (wait, registration) = seat.begin(WaitKind::Head, &limits.wait);
+    let bytes = (HEAD_BUFFER_FACTOR * limits.head_bytes) as u64;
+    let _reserved = match &limits.head_memory {
+        Some(budget) => {
+            let reserved = seat.reserve(budget, bytes).await;
+            wait.set_reserved(bytes);
+            Some(reserved.ok_or(Next::Refused(StatusCode::ServiceUnavailable))?)
+        }
+        None => None,
+    };
+    let head = timeout(
+        limits.head_timeout.into(),
+        connection.read_head(limits.head_bytes),
+    );
+    match Abortable::new(head, registration).await {
+        Ok(Ok(Ok(length))) => Ok(length),
+        Ok(Ok(Err(HeadError::TooLarge))) => {
+            Err(Next::Refused(StatusCode::RequestHeaderFieldsTooLarge))
+        }
+        Ok(Ok(Err(HeadError::Malformed))) => Err(Next::Refused(StatusCode::BadRequest)),
+        Ok(Ok(Err(HeadError::Closed | HeadError::Io(_)))) | Err(Aborted) => Err(Next::End),
+        Ok(Err(_)) => Err(Next::Refused(StatusCode::RequestTimeout)),
+    }
+}
+
 async fn wait_for_byte(connection: &Connection, limits: &ServerLimits, stop: &StopSignal) -> bool {
     let byte = std::pin::pin!(timeout(limits.idle_timeout.into(), connection.first_byte()));
     let stopped = std::pin::pin!(stop.wait());
--- a/crates/http/src/server/waits.rs
+++ b/crates/http/src/server/waits.rs
@@ -35,6 +35,9 @@
 const RESERVE_PAUSE: Millis = Millis(2);
 const RESERVE_ATTEMPTS: u32 = 100;
 
+/// Attempts after which further waits end.
+const FREE_ATTEMPTS: u32 = 20;
+
 new_key_type! {
     struct WaitKey;
 }
@@ -193,7 +196,7 @@
         self.shared.state().ended
     }
 
-    /// Ends the waits for bodies that are furthest behind, until `bytes` are freed. Ends none, and returns `false`, if
+    /// Ends the waits that are furthest behind and hold memory, until `bytes` are freed. Ends none, and returns `false`, if
     /// those that are behind hold less.
     fn free(&self, bytes: u64) -> bool {
         let now = self.shared.clock.now();
@@ -215,19 +218,23 @@
         true
     }
 
-    /// Reserves `bytes` of `budget`. If too few are free, waits for bodies that are behind end.
+    /// Reserves `bytes` of `budget`. If too few are free, waits that are behind and hold memory end.
     async fn reserve(&self, budget: &MemoryBudget, bytes: u64) -> Option<Reservation> {
         let reservation = budget.reserve(bytes);
         if reservation.is_some() || !self.free(bytes) {
             return reservation;
         }
-        // The memory is free once the tasks of the ended waits have run.
-        for _ in 0..RESERVE_ATTEMPTS {
+        for attempt in 1..=RESERVE_ATTEMPTS {
+            // The memory is free once the tasks of the ended waits have run.
             task::sleep(RESERVE_PAUSE.into()).await;
             let reservation = budget.reserve(bytes);
             if reservation.is_some() {
                 return reservation;
             }
+            // What ended may have held memory of another budget, or was reserved by another request.
+            if attempt % FREE_ATTEMPTS == 0 {
+                self.free(bytes);
+            }
         }
         None
     }
@@ -323,6 +330,13 @@
             wait.reserved = bytes;
         }
     }
+
+    /// Adds to the memory that the end of the wait would free.
+    pub(crate) fn add_reserved(&self, bytes: u64) {
+        if let Some(wait) = self.waits.shared.state().waits.get_mut(self.key) {
+            wait.reserved += bytes;
+        }
+    }
 }
 
 impl Drop for WaitGuard {
