Leave room beside the requests of one service

When the requests of one service hung, or its answers weren't read, they held all connections of a gateway, or all memory for requests, and the callers of every other service were closed unread or got 503 until the deadlines of the first. The requests in progress of one service now hold at most three quarters of the connections and of the memory; further ones get 503 (`service-full`, or `memory`) at once, which is true, as nothing was sent. `limits.service-percent` sets the part.

--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -39,6 +39,7 @@
 use crate::reach;
 use crate::relay::start_relay;
 use crate::room::Room;
+use crate::room::ServiceLimit;
 use crate::routes::CallerLimits;
 use crate::shared::Shared;
 use crate::shared::Stage;
@@ -119,6 +120,9 @@
     pub descriptors: usize,
     /// When a caller that is waited for may be let go in favour of others.
     pub wait: WaitLimits,
+    /// Part of the callers' connections, and of the memory for requests, that the requests in progress of one service
+    /// may hold, in percent.
+    pub service_percent: u16,
     /// Time from the shutdown signal until the process is killed.
     pub grace: Millis,
     /// How long connections are still accepted after the shutdown signal, until the load balancer
@@ -154,6 +158,7 @@
             drain_bound: Millis(2000),
             descriptors: 4096,
             wait: WaitLimits::default(),
+            service_percent: 75,
             grace: Millis::from_secs(8),
             notice: Millis::from_secs(3),
             retry_ratio: 0.1,
@@ -196,6 +201,15 @@
         (self.descriptors / DESCRIPTORS_PER_CALLER).max(1)
     }
 
+    /// What the requests in progress of one service may hold.
+    pub(crate) fn service_limit(&self) -> ServiceLimit {
+        let percent = usize::from(self.service_percent);
+        ServiceLimit {
+            connections: (self.max_connections() * percent / 100).max(1),
+            memory: self.request_memory() * percent as u64 / 100,
+        }
+    }
+
     /// Limit on the total size of request bodies held until their answers begin, in bytes.
     pub(crate) fn body_memory(&self) -> u64 {
         self.memory / BODY_MEMORY_DIVISOR
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -178,7 +178,7 @@
         request: &mut Request,
         body_bytes: u64,
     ) -> Result<Job, Refusal> {
-        self.place = Some(shared.room.enter(request).await?);
+        self.place = Some(shared.room.enter(&self.need.service, request).await?);
         let defaults = ServerLimits::default();
         let remaining = self.deadline.since(shared.clock.now());
         let limits = ServerLimits {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -42,6 +42,8 @@
     UnknownOrigin,
     /// Requests in progress fill the instance's memory.
     Memory,
+    /// The requests of the service hold as many connections as one service may.
+    ServiceFull,
     /// The body came too slowly while its memory or its connection was needed for other requests.
     SlowBody,
     /// The wait at every server is longer than the request's limit.
@@ -83,6 +85,7 @@
             Reason::SoftwareGone => "software-gone",
             Reason::UnknownOrigin => "unknown-origin",
             Reason::Memory => "memory",
+            Reason::ServiceFull => "service-full",
             Reason::SlowBody => "slow-body",
             Reason::Late => "late",
             Reason::Rejected => "rejected",
@@ -104,6 +107,11 @@
         )
     }
 
+    /// Whether this instance has no room for the request. Another one may have.
+    pub(crate) fn is_lack_of_room(self) -> bool {
+        matches!(self, Reason::Memory | Reason::ServiceFull)
+    }
+
     /// Status of the response.
     ///
     /// 503 promises that the request didn't run and never will. If that isn't certain the status is
@@ -127,6 +135,7 @@
             | Reason::SoftwareGone
             | Reason::UnknownOrigin
             | Reason::Memory
+            | Reason::ServiceFull
             | Reason::SlowBody
             | Reason::Late
             | Reason::Rejected
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -24,7 +24,6 @@
 use crate::exchange::Exchange;
 use crate::exchange::Failure;
 use crate::intake::Job;
-use crate::refusal::Reason;
 use crate::shared::Shared;
 
 /// Room for the headers of a caller and for the one of the relay, in bytes.
@@ -72,7 +71,7 @@
     }
     let job = match Job::read_relayed(&shared, &mut request, relayed, arrived).await {
         Ok(job) => job,
-        Err(refusal) if refusal.reason == Reason::Memory => return unable(&shared),
+        Err(refusal) if refusal.reason.is_lack_of_room() => return unable(&shared),
         Err(refusal) => return with_outcome(refusal.response(), RelayOutcome::Refused),
     };
     // Keeping `request` would hold a second copy of the body.
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/room.rs
@@ -1,7 +1,14 @@
-//! Room for requests in progress.
+//! Room for requests in progress: memory, and the connections that the requests of one service may hold.
 //!
-//! A request holds its parsed head and the buffers of its answer for as long as its server takes and its caller reads.
-//! Without a bound, many of them would exceed the memory of the machine.
+//! A request holds its connection, its parsed head and the buffers of its answer for as long as its server takes and its
+//! caller reads. Without a bound, the requests of one service that hangs would hold all connections and exceed the memory
+//! of the machine.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 
 use crocushold_base::MemoryBudget;
 use crocushold_base::Millis;
@@ -27,12 +34,30 @@
 /// `Retry-After` where there is no room: some answers will have ended by then.
 pub(crate) const ROOM_RETRY: Millis = Millis(500);
 
+/// What the requests in progress of a service hold.
+#[derive(Debug)]
+struct ServiceRoom {
+    running: usize,
+    memory: MemoryBudget,
+}
+
 /// The room of an instance. Clones share it.
 #[derive(Clone, Debug)]
 pub(crate) struct Room {
     memory: MemoryBudget,
     /// The part of it for bodies that are being read or wait for an answer to begin.
     bodies: MemoryBudget,
+    /// Services with requests in progress.
+    services: Arc<Mutex<HashMap<String, ServiceRoom>>>,
+    service_limit: ServiceLimit,
+}
+
+/// What the requests in progress of one service may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ServiceLimit {
+    pub(crate) connections: usize,
+    /// Memory besides bodies, in bytes.
+    pub(crate) memory: u64,
 }
 
 impl Room {
@@ -41,6 +66,8 @@
         Room {
             bodies: memory.part(settings.body_memory()),
             memory,
+            services: Arc::default(),
+            service_limit: settings.service_limit(),
         }
     }
 
@@ -54,24 +81,77 @@
         &self.bodies
     }
 
-    /// Makes room for a request whose body wasn't read yet.
+    /// Makes room for a request of a service, whose body wasn't read yet.
     ///
     /// # Errors
     ///
     /// Returns the refusal of a request for which no room is left.
-    pub(crate) async fn enter(&self, request: &mut Request) -> Result<Place, Refusal> {
-        let reserved = reserve_memory(request, &self.memory, exchange_bytes(request)).await;
+    pub(crate) async fn enter(
+        &self,
+        service: &str,
+        request: &mut Request,
+    ) -> Result<Place, Refusal> {
+        let (counted, memory) = self.count(service)?;
+        let reserved = reserve_memory(request, &memory, exchange_bytes(request)).await;
         let reserved = reserved.ok_or(Refusal::later(Reason::Memory, ROOM_RETRY))?;
-        Ok(Place { _memory: reserved })
+        Ok(Place {
+            _counted: counted,
+            _memory: reserved,
+        })
+    }
+
+    /// Counts a request of a service. Returns the memory that requests of the service may take.
+    fn count(&self, service: &str) -> Result<(Counted, MemoryBudget), Refusal> {
+        let mut services = self.services();
+        let room = services
+            .entry(service.to_owned())
+            .or_insert_with(|| ServiceRoom {
+                running: 0,
+                memory: self.memory.part(self.service_limit.memory),
+            });
+        if room.running >= self.service_limit.connections {
+            return Err(Refusal::later(Reason::ServiceFull, ROOM_RETRY));
+        }
+        room.running += 1;
+        let counted = Counted {
+            room: self.clone(),
+            service: service.to_owned(),
+        };
+        Ok((counted, room.memory.clone()))
+    }
+
+    fn services(&self) -> MutexGuard<'_, HashMap<String, ServiceRoom>> {
+        let services = self.services.lock();
+        services.unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// The room of a request until this is dropped. It is kept as an extension of the response until that has ended.
 #[derive(Debug)]
 pub(crate) struct Place {
+    _counted: Counted,
     _memory: Reservation,
 }
 
+/// A request among those of its service.
+#[derive(Debug)]
+struct Counted {
+    room: Room,
+    service: String,
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let mut services = self.room.services();
+        if let Some(room) = services.get_mut(&self.service) {
+            room.running -= 1;
+            if room.running == 0 {
+                services.remove(&self.service);
+            }
+        }
+    }
+}
+
 /// Maximum memory of a request besides its body, in bytes.
 fn exchange_bytes(request: &Request) -> u64 {
     let headers: &Headers = request.as_ref();
