Find the wait that is furthest behind without a sort; bound connections by memory

At the limit of connections a flood of new ones sorted all waits for each. On a machine with little memory and many file descriptors the idle connections left none for requests; they take half of the callers' memory at most (8,192 at 88 MB, far above the descriptors). The limits of operators' connections stand in one place.

--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -44,13 +44,6 @@
 /// Interval of reports on waits that were ended.
 const REPORT_INTERVAL: Millis = Millis::from_secs(1);
 
-/// Operators and balancers send their request as soon as they have a connection. One that doesn't makes room for the
-/// next one at once.
-const OPERATOR_WAIT: WaitLimits = WaitLimits {
-    patience: Millis::ZERO,
-    body_rate: u64::MAX,
-};
-
 quick_error! {
     /// Why an instance could not start.
     #[derive(Debug)]
@@ -172,7 +165,7 @@
     ListenerLimits {
         max_connections: MAX_OPERATOR_CONNECTIONS,
         server: ServerLimits {
-            wait: OPERATOR_WAIT,
+            wait: WaitLimits::PROMPT,
             ..ServerLimits::default()
         },
         ..ListenerLimits::default()
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -50,13 +50,6 @@
 /// Maximum number of connections of load balancers, metrics scrapers and operators.
 const OPERATOR_CONNECTIONS: usize = 64;
 
-/// Operators and load balancers send their request as soon as they have a connection. One that doesn't makes room for
-/// the next one at once.
-const OPERATOR_WAIT: WaitLimits = WaitLimits {
-    patience: Millis::ZERO,
-    body_rate: u64::MAX,
-};
-
 /// How many times as long as usual work takes at least on a server that is counted as slow at this
 /// moment.
 const SLOW_FACTOR: f64 = 1.5;
@@ -196,9 +189,11 @@
         self.caller_memory().saturating_sub(idle)
     }
 
-    /// Maximum number of callers' connections.
+    /// Maximum number of callers' connections. Without a request they take half of the callers' memory at most.
     pub(crate) fn max_connections(&self) -> usize {
-        (self.descriptors / DESCRIPTORS_PER_CALLER).max(1)
+        let by_memory = self.caller_memory() / 2 / IDLE_CONNECTION_BYTES;
+        let by_descriptors = self.descriptors / DESCRIPTORS_PER_CALLER;
+        by_descriptors.min(by_memory as usize).max(1)
     }
 
     /// What the requests in progress of one service may hold.
@@ -368,7 +363,7 @@
     ListenerLimits {
         max_connections: OPERATOR_CONNECTIONS,
         server: ServerLimits {
-            wait: OPERATOR_WAIT,
+            wait: WaitLimits::PROMPT,
             ..ServerLimits::default()
         },
         ..ListenerLimits::default()
--- a/crates/http/src/server/body.rs
+++ b/crates/http/src/server/body.rs
@@ -94,8 +94,8 @@
     }
 }
 
-/// Reserves memory for a request whose body wasn't read yet. If too little of the budget is free, bodies that come too
-/// slowly end; `None` if that doesn't help.
+/// Reserves memory for a request whose body wasn't read yet, in bytes. If too little of the budget is free, requests that
+/// come too slowly are ended; `None` if that doesn't help.
 pub async fn reserve_memory(
     request: &mut Request,
     budget: &MemoryBudget,
@@ -207,6 +207,7 @@
     }
 }
 
+/// Reads a body into `body`, unless it is ended in favour of another request.
 async fn read_within(
     request: &mut Request,
     limits: &ServerLimits,
--- a/crates/http/src/server/limits.rs
+++ b/crates/http/src/server/limits.rs
@@ -32,6 +32,15 @@
     pub body_rate: u64,
 }
 
+impl WaitLimits {
+    /// Of callers that send their request as soon as they are connected, such as operators and load balancers. One that
+    /// doesn't makes room for the next one at once.
+    pub const PROMPT: WaitLimits = WaitLimits {
+        patience: Millis::ZERO,
+        body_rate: u64::MAX,
+    };
+}
+
 impl Default for WaitLimits {
     fn default() -> WaitLimits {
         WaitLimits {
--- a/crates/http/src/server/receive.rs
+++ b/crates/http/src/server/receive.rs
@@ -26,7 +26,7 @@
 use crate::framing::Framing;
 use crate::framing::framing;
 
-/// Size of the buffer of a head, at most, relative to the longest head: its capacity doubles.
+/// Memory of a head while it is read, relative to its longest length: the buffer and its copy while it grows.
 const HEAD_BUFFER_FACTOR: usize = 2;
 
 /// The outcome of waiting for the next request.
--- a/crates/http/src/server/waits.rs
+++ b/crates/http/src/server/waits.rs
@@ -1,8 +1,8 @@
 //! Connections that wait for bytes of their callers.
 //!
 //! A wait may last as long as a timeout that suits the slowest proper caller. Until then an unfinished request keeps its
-//! connection, and the memory that was reserved for its body. When either runs short, the waits that are furthest behind
-//! are ended, so that callers who send aren't refused because of callers who don't.
+//! connection, and the memory that is reserved for it. When either runs short, the waits that are furthest behind are
+//! ended, so that callers who send aren't refused because of callers who don't.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -89,7 +89,7 @@
     kind: WaitKind,
     /// When the caller falls behind, unless it sends more.
     due: Millis,
-    /// Memory that is reserved for the body.
+    /// Memory that the end of the wait frees, in bytes.
     reserved: u64,
     abort: AbortHandle,
     /// Whether the connection is to make room for another one.
@@ -103,15 +103,11 @@
 }
 
 impl State {
-    /// The waits that are behind at `now`, those furthest behind first.
-    fn behind(&self, now: Millis) -> Vec<WaitKey> {
+    /// The waits that are behind at `now`, and since when.
+    fn behind(&self, now: Millis) -> impl Iterator<Item = (Millis, WaitKey)> {
         let waits = self.waits.iter();
-        let mut behind: Vec<(Millis, WaitKey)> = waits
-            .filter(|(_, wait)| wait.due < now)
-            .map(|(key, wait)| (wait.due, key))
-            .collect();
-        behind.sort_unstable();
-        behind.into_iter().map(|(_, key)| key).collect()
+        let behind = waits.filter(move |(_, wait)| wait.due < now);
+        behind.map(|(key, wait)| (wait.due, key))
     }
 
     fn end(&mut self, key: WaitKey) -> Option<Wait> {
@@ -176,8 +172,8 @@
         }
         let now = self.shared.clock.now();
         let mut state = self.shared.state();
-        let key = state.behind(now).into_iter().next();
-        let Some(wait) = key.and_then(|key| state.end(key)) else {
+        let furthest = state.behind(now).min().map(|(_, key)| key);
+        let Some(wait) = furthest.and_then(|key| state.end(key)) else {
             return false;
         };
         if !wait.leaving.swap(true, Ordering::Relaxed) {
@@ -201,18 +197,21 @@
     fn free(&self, bytes: u64) -> bool {
         let now = self.shared.clock.now();
         let mut state = self.shared.state();
-        let mut keys = state.behind(now);
+        let mut behind: Vec<(Millis, WaitKey)> = state.behind(now).collect();
+        behind.sort_unstable();
+        let mut chosen = Vec::new();
         let mut freed = 0;
-        keys.retain(|key| {
-            let reserved = state.waits[*key].reserved;
-            let is_needed = reserved > 0 && freed < bytes;
-            freed += if is_needed { reserved } else { 0 };
-            is_needed
-        });
+        for (_, key) in behind {
+            let reserved = state.waits[key].reserved;
+            if freed < bytes && reserved > 0 {
+                freed += reserved;
+                chosen.push(key);
+            }
+        }
         if freed < bytes {
             return false;
         }
-        for key in keys {
+        for key in chosen {
             state.end(key);
         }
         true
