--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -68,6 +68,10 @@
 /// Maximum number of file descriptors for each caller connection: its own, and the one to a server.
 const DESCRIPTORS_PER_CALLER: usize = 2;
 
+/// File descriptors of other connections: idle ones to servers, those of callers that are about to close, listeners, and
+/// those to the store and to other instances.
+const OTHER_DESCRIPTORS: usize = 200;
+
 quick_error! {
     /// Why a gateway could not start.
     #[derive(Debug)]
@@ -192,7 +196,8 @@
     /// Maximum number of callers' connections. Without a request they take half of the callers' memory at most.
     pub(crate) fn max_connections(&self) -> usize {
         let by_memory = self.caller_memory() / 2 / IDLE_CONNECTION_BYTES;
-        let by_descriptors = self.descriptors / DESCRIPTORS_PER_CALLER;
+        let descriptors = self.descriptors.saturating_sub(OTHER_DESCRIPTORS);
+        let by_descriptors = descriptors / DESCRIPTORS_PER_CALLER;
         by_descriptors.min(by_memory as usize).max(1)
     }
 
