End answers that nobody reads when others need their connection or memory

Callers that sent requests of several services and didn't read the answers held all connections of a gateway until the deadlines, or the write timeout of 30 s; ordinary callers were closed unread. An answer whose bytes wait to be read counts as a wait for its caller now, with the same patience and rate as a body, and is ended where its place or its memory is needed; while its server is what is waited for, it doesn't count.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -38,7 +38,9 @@
             // copy of the body for as long as the job waits.
             drop(request);
             let mut response = exchange(&shared, &mut job, &hangup).await;
-            hold(&mut response, job);
+            if let Some(place) = job.place {
+                place.hold_until_end(&mut response);
+            }
             response
         }
         Err(refusal) => {
@@ -52,13 +54,6 @@
     response
 }
 
-/// Keeps the room of a request until its response has ended.
-pub(crate) fn hold(response: &mut Response, job: Job) {
-    if let Some(place) = job.place {
-        response.ext_mut().insert(place);
-    }
-}
-
 async fn exchange(shared: &Arc<Shared>, job: &mut Job, hangup: &Hangup) -> Response {
     let required = require_origin(shared, job).await;
     let mut exchange = Exchange::new(shared, job);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -370,7 +370,7 @@
     }
 
     /// Counts waits of callers that were ended early, by what the callers were waited for: a request (`idle`), the
-    /// end of its `head`, or of its `body`.
+    /// end of its `head` or of its `body`, or to read the `answer`.
     pub(crate) fn count_ended_waits(&self, awaited: &str, count: u64) {
         self.ended_waits.with_label_values(&[awaited]).inc_by(count);
     }
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -18,7 +18,6 @@
 use super::message::RELAY_HEADER;
 use super::message::RelayOutcome;
 use super::message::RelayedRequest;
-use crate::callers::hold;
 use crate::callers::log_refusal;
 use crate::callers::refuse;
 use crate::exchange::Exchange;
@@ -80,7 +79,9 @@
     let result = exchange.run(&hangup).await;
     match result {
         Ok(mut response) => {
-            hold(&mut response, job);
+            if let Some(place) = job.place {
+                place.hold_until_end(&mut response);
+            }
             with_outcome(response, RelayOutcome::Answered)
         }
         Err(Failure::Refused(refusal)) if refusal.reason.is_unserved() => unable(&shared),
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/room.rs
@@ -13,9 +13,11 @@
 use crocushold_base::MemoryBudget;
 use crocushold_base::Millis;
 use crocushold_base::Reservation;
+use crocushold_http::AnswerMemory;
 use crocushold_http::reserve_memory;
 use http_types::Headers;
 use http_types::Request;
+use http_types::Response;
 
 use crate::instance::Settings;
 use crate::refusal::Reason;
@@ -92,9 +94,11 @@
         request: &mut Request,
     ) -> Result<Place, Refusal> {
         let (counted, memory) = self.count(service)?;
-        let reserved = reserve_memory(request, &memory, exchange_bytes(request)).await;
+        let bytes = exchange_bytes(request);
+        let reserved = reserve_memory(request, &memory, bytes).await;
         let reserved = reserved.ok_or(Refusal::later(Reason::Memory, ROOM_RETRY))?;
         Ok(Place {
+            bytes,
             _counted: counted,
             _memory: reserved,
         })
@@ -126,13 +130,24 @@
     }
 }
 
-/// The room of a request until this is dropped. It is kept as an extension of the response until that has ended.
+/// The room of a request until this is dropped.
 #[derive(Debug)]
 pub(crate) struct Place {
+    /// Memory of the request besides its body, in bytes.
+    bytes: u64,
     _counted: Counted,
     _memory: Reservation,
 }
 
+impl Place {
+    /// Keeps the place until the response of the request has ended.
+    pub(crate) fn hold_until_end(self, response: &mut Response) {
+        let extensions = response.ext_mut();
+        extensions.insert(AnswerMemory(self.bytes));
+        extensions.insert(self);
+    }
+}
+
 /// A request among those of its service.
 #[derive(Debug)]
 struct Counted {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -48,6 +48,7 @@
 pub use headers::relay_headers;
 pub use retry_after::parse_retry_after;
 pub use retry_after::retry_after;
+pub use server::AnswerMemory;
 pub use server::AnswerTimeout;
 pub use server::BodyError;
 pub use server::ConnectionSummary;
--- a/crates/http/src/server/limits.rs
+++ b/crates/http/src/server/limits.rs
@@ -21,14 +21,20 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerTimeout(pub Millis);
 
+/// The memory that the end of an answer frees, in bytes, set as an extension of the response.
+///
+/// An answer that isn't read may be ended where others need its memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerMemory(pub u64);
+
 /// When a caller that is waited for is behind. It is let go only where its connection, or the memory of its body, is
 /// needed for another caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WaitLimits {
-    /// The longest time without progress: without a request, inside a head, or without the bytes of a body that
-    /// `body_rate` asks for.
+    /// The longest time without progress: without a request, inside a head, or without the bytes of a body, or of an
+    /// answer that waits to be read, that `body_rate` asks for.
     pub patience: Millis,
-    /// The lowest rate at which the bytes of a body arrive, in bytes a second.
+    /// The lowest rate at which the bytes of a body arrive, or those of an answer are read, in bytes a second.
     pub body_rate: u64,
 }
 
--- a/crates/http/src/server/serve.rs
+++ b/crates/http/src/server/serve.rs
@@ -6,11 +6,12 @@
 
 use async_h1::server::Encoder;
 use async_std::future::timeout;
-use async_std::io::Read;
 use async_std::net::Shutdown;
 use async_std::net::TcpStream;
 use async_std::task;
 use crocushold_base::Millis;
+use futures::future::Abortable;
+use futures::future::Aborted;
 use futures::future::Either;
 use futures::future::select;
 use http_types::Method;
@@ -21,6 +22,7 @@
 
 use super::body_length::enforce_body_length;
 use super::hangup::Hangup;
+use super::limits::AnswerMemory;
 use super::limits::AnswerTimeout;
 use super::limits::ServerLimits;
 use super::receive::Next;
@@ -28,6 +30,7 @@
 use super::refusal::refusal;
 use super::stop::StopSignal;
 use super::waits::Seat;
+use super::waits::WaitKind;
 use super::waits::Waits;
 use crate::framing::Framing;
 use crate::headers::has_connection_option;
@@ -165,7 +168,14 @@
             Next::End => return Ok(summary),
             Next::Refused(status) => {
                 summary.refused += 1;
-                respond(&connection, limits, refusal(limits, status), Method::Get).await?;
+                respond(
+                    &connection,
+                    &seat,
+                    limits,
+                    refusal(limits, status),
+                    Method::Get,
+                )
+                .await?;
                 linger(&connection).await;
                 return Ok(summary);
             }
@@ -185,7 +195,7 @@
         if close {
             response.insert_header(CONNECTION, "close");
         }
-        respond(&connection, limits, response, method).await?;
+        respond(&connection, &seat, limits, response, method).await?;
         summary.answered += 1;
         if close {
             linger(&connection).await;
@@ -204,9 +214,11 @@
     }
 }
 
-/// Writes one answer, and stops when the caller disconnects.
+/// Writes one answer, and stops when the caller disconnects, or when its connection or its memory is needed and it
+/// doesn't read.
 async fn respond(
     connection: &Arc<Connection>,
+    seat: &Seat,
     limits: &ServerLimits,
     mut response: Response,
     method: Method,
@@ -215,21 +227,18 @@
     enforce_body_length(&mut response);
     let overdue = response.ext().get::<AnswerTimeout>();
     let overdue = overdue.map(|timeout| Overdue::after(timeout.0));
+    let (wait, registration) = seat.begin(WaitKind::Answer, &limits.wait);
+    if let Some(AnswerMemory(bytes)) = response.ext().get::<AnswerMemory>() {
+        wait.set_reserved(*bytes);
+    }
     let encoder = Encoder::new(response, method);
-    transmit(connection, limits, encoder, overdue).await
-}
-
-async fn transmit(
-    connection: &Arc<Connection>,
-    limits: &ServerLimits,
-    source: impl Read + Unpin,
-    overdue: Option<Overdue>,
-) -> Result<(), ServerError> {
-    let transmit = Transmit::new(source, connection.clone(), limits.write_timeout);
-    let transmit = transmit.until(overdue);
+    let transmit = Transmit::new(encoder, connection.clone(), limits.write_timeout);
+    let transmit = transmit.until(overdue).count_wait(wait);
+    let transmit = Abortable::new(transmit, registration);
     let closed = PollOnWake::new(connection.closed());
     match select(transmit, closed).await {
-        Either::Left((result, _)) => Ok(result?),
+        Either::Left((Ok(result), _)) => Ok(result?),
+        Either::Left((Err(Aborted), _)) => Err(ServerError::Stalled),
         Either::Right(_) => Err(ServerError::Disconnected),
     }
 }
--- a/crates/http/src/server/waits.rs
+++ b/crates/http/src/server/waits.rs
@@ -1,8 +1,8 @@
-//! Connections that wait for bytes of their callers.
+//! Connections that wait for their callers to send, or to read.
 //!
 //! A wait may last as long as a timeout that suits the slowest proper caller. Until then an unfinished request keeps its
 //! connection, and the memory that is reserved for it. When either runs short, the waits that are furthest behind are
-//! ended, so that callers who send aren't refused because of callers who don't.
+//! ended, so that callers who go on aren't refused because of callers who don't.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -51,6 +51,8 @@
     Head,
     /// The end of a body.
     Body,
+    /// Room for more of an answer, while its caller doesn't read.
+    Answer,
 }
 
 /// Numbers of waits that were ended early, by what the connection waited for.
@@ -62,6 +64,8 @@
     pub head: u64,
     /// Unfinished bodies.
     pub body: u64,
+    /// Answers that weren't read.
+    pub answer: u64,
 }
 
 impl EndedWaits {
@@ -71,15 +75,17 @@
             idle: self.idle - earlier.idle,
             head: self.head - earlier.head,
             body: self.body - earlier.body,
+            answer: self.answer - earlier.answer,
         }
     }
 
     /// The numbers with their labels for logs and metrics.
-    pub fn by_label(self) -> [(&'static str, u64); 3] {
+    pub fn by_label(self) -> [(&'static str, u64); 4] {
         [
             ("idle", self.idle),
             ("head", self.head),
             ("body", self.body),
+            ("answer", self.answer),
         ]
     }
 }
@@ -116,6 +122,7 @@
             WaitKind::Idle => self.ended.idle += 1,
             WaitKind::Head => self.ended.head += 1,
             WaitKind::Body => self.ended.body += 1,
+            WaitKind::Answer => self.ended.answer += 1,
         }
         wait.abort.abort();
         Some(wait)
@@ -255,9 +262,11 @@
     ) -> (WaitGuard, AbortRegistration) {
         let (abort, registration) = AbortHandle::new_pair();
         let shared = self.waits.shared.clone();
+        let counts = kind != WaitKind::Answer;
+        let due = shared.clock.now() + limits.patience;
         let key = shared.state().waits.insert(Wait {
             kind,
-            due: shared.clock.now() + limits.patience,
+            due: if counts { due } else { Millis::MAX },
             reserved: 0,
             abort,
             leaving: self.leaving.clone(),
@@ -266,7 +275,8 @@
             waits: self.waits.clone(),
             key,
             limits: *limits,
-            received: 0,
+            counts,
+            moved: 0,
         };
         (guard, registration)
     }
@@ -302,38 +312,60 @@
     waits: Waits,
     key: WaitKey,
     limits: WaitLimits,
+    /// Whether the caller is waited for at this moment.
+    counts: bool,
     /// Bytes that don't count towards the due time yet.
-    received: u64,
+    moved: u64,
 }
 
 impl WaitGuard {
-    /// Records that `bytes` arrived. They put off the time at which the caller is behind.
+    /// Records that the caller has sent or read `bytes`. They put off the time at which it is behind.
     pub(crate) fn record(&mut self, bytes: usize) {
-        self.received += bytes as u64;
-        let bought = self.received * 1000 / self.limits.body_rate.max(1);
+        if !self.counts {
+            return;
+        }
+        self.moved += bytes as u64;
+        let bought = self.moved * 1000 / self.limits.body_rate.max(1);
         if bought == 0 {
             return;
         }
-        self.received = 0;
-        let shared = &self.waits.shared;
-        let now = shared.clock.now();
-        if let Some(wait) = shared.state().waits.get_mut(self.key) {
-            let due = wait.due.max(now) + Millis(bought);
-            wait.due = due.min(now + self.limits.patience);
+        self.moved = 0;
+        let now = self.waits.shared.clock.now();
+        let latest = now + self.limits.patience;
+        self.update(|wait| wait.due = (wait.due.max(now) + Millis(bought)).min(latest));
+    }
+
+    /// Records that the caller is waited for, unless it was before.
+    pub(crate) fn resume(&mut self) {
+        if !self.counts {
+            self.counts = true;
+            let due = self.waits.shared.clock.now() + self.limits.patience;
+            self.update(|wait| wait.due = due);
+        }
+    }
+
+    /// Records that the caller isn't waited for at this moment.
+    pub(crate) fn pause(&mut self) {
+        if self.counts {
+            self.counts = false;
+            self.update(|wait| wait.due = Millis::MAX);
         }
     }
 
     /// Sets how much memory the end of the wait would free.
     pub(crate) fn set_reserved(&self, bytes: u64) {
-        if let Some(wait) = self.waits.shared.state().waits.get_mut(self.key) {
-            wait.reserved = bytes;
-        }
+        self.update(|wait| wait.reserved = bytes);
     }
 
     /// Adds to the memory that the end of the wait would free.
     pub(crate) fn add_reserved(&self, bytes: u64) {
+        self.update(|wait| wait.reserved += bytes);
+    }
+
+    /// Changes the wait unless it was ended.
+    fn update(&self, change: impl FnOnce(&mut Wait)) {
         if let Some(wait) = self.waits.shared.state().waits.get_mut(self.key) {
-            wait.reserved += bytes;
+            change(wait);
         }
     }
 }
--- a/crates/http/src/server/waits/tests.rs
+++ b/crates/http/src/server/waits/tests.rs
@@ -102,3 +102,21 @@
     assert!(reserved.is_some());
     assert!(task::block_on(held).is_err());
 }
+
+/// Guards against an answer that is ended although its caller reads, or its server is what is waited for.
+#[test]
+fn an_answer_is_behind_only_while_its_caller_does_not_read() {
+    let waits = Waits::default();
+    let seat = waits.open();
+    let (mut wait, _) = seat.begin(WaitKind::Answer, &IMPATIENT);
+    pass(3);
+    assert!(!waits.make_room(), "the server is waited for");
+    wait.resume();
+    wait.pause();
+    pass(3);
+    assert!(!waits.make_room(), "all was read");
+    wait.resume();
+    pass(3);
+    assert!(waits.make_room());
+    assert_eq!(waits.ended().answer, 1);
+}
--- a/crates/http/src/transmit.rs
+++ b/crates/http/src/transmit.rs
@@ -14,6 +14,7 @@
 
 use crate::connection::Connection;
 use crate::overdue::Overdue;
+use crate::server::WaitGuard;
 use crate::stall::StallTimer;
 
 #[cfg(test)]
@@ -57,6 +58,8 @@
     failure: Option<io::Error>,
     stall_timer: StallTimer,
     overdue: Option<Overdue>,
+    /// The wait for the peer to read.
+    wait: Option<WaitGuard>,
 }
 
 impl<R: Read + Unpin> Transmit<R> {
@@ -71,6 +74,15 @@
             failure: None,
             stall_timer: StallTimer::new(timeout),
             overdue: None,
+            wait: None,
+        }
+    }
+
+    /// Sets the wait that counts while the peer doesn't read.
+    pub(crate) fn count_wait(self, wait: WaitGuard) -> Transmit<R> {
+        Transmit {
+            wait: Some(wait),
+            ..self
         }
     }
 
@@ -114,6 +126,9 @@
                 Poll::Ready(Ok(count)) => {
                     self.start += count;
                     self.stall_timer.reset();
+                    if let Some(wait) = &mut self.wait {
+                        wait.record(count);
+                    }
                 }
                 Poll::Ready(Err(error)) => return Poll::Ready(Err(TransmitError::Sink(error))),
                 Poll::Pending if self.stall_timer.poll_expired(cx) => {
@@ -122,9 +137,17 @@
                 Poll::Pending if self.poll_overdue(cx) => {
                     return Poll::Ready(Err(TransmitError::Overdue));
                 }
-                Poll::Pending => return Poll::Pending,
+                Poll::Pending => {
+                    if let Some(wait) = &mut self.wait {
+                        wait.resume();
+                    }
+                    return Poll::Pending;
+                }
             }
         }
+        if let Some(wait) = &mut self.wait {
+            wait.pause();
+        }
         self.start = 0;
         self.end = 0;
         Poll::Ready(Ok(()))
--- a/crates/metrics/src/metrics.rs
+++ b/crates/metrics/src/metrics.rs
@@ -131,7 +131,7 @@
     }
 
     /// Counts waits for callers that were ended early, by what the callers were waited for: a request (`idle`), the
-    /// end of its `head`, or of its `body`.
+    /// end of its `head` or of its `body`, or to read the `answer`.
     pub fn count_ended_waits(&self, awaited: &str, count: u64) {
         let waits = &self.inner.series.ended_waits;
         waits.with_label_values(&[awaited]).inc_by(count);
