Poll async-h1's decoder in one place; name the empty crowd

The guard against the decoder's missing waker stood twice, in the bodies of answers and in those of requests; it is a method of the connection now. No change of behaviour, checks or bounds.

--- a/crates/http/src/client/relay_body.rs
+++ b/crates/http/src/client/relay_body.rs
@@ -223,24 +223,12 @@
         deadline.is_some_and(|deadline| deadline.as_mut().poll(cx).is_ready())
     }
 
-    /// Polls async-h1's body.
-    ///
-    /// Its chunk decoder returns `Pending` without registering a waker when the last line of a body
-    /// arrives in two reads, so the answer would hang one byte before its end. If the socket itself
-    /// wasn't pending, the decoder is polled again.
     fn poll_body(&mut self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
-        loop {
-            if let Some(connection) = &self.connection {
-                connection.clear_read_pending();
-            }
-            let poll = Pin::new(&mut self.body).poll_read(cx, buf);
-            let read_pending = self
-                .connection
-                .as_ref()
-                .is_none_or(|connection| connection.is_read_pending());
-            if poll.is_ready() || read_pending {
-                return poll;
-            }
+        let body = &mut self.body;
+        let mut poll = || Pin::new(&mut *body).poll_read(cx, buf);
+        match &self.connection {
+            Some(connection) => connection.poll_decoder(poll),
+            None => poll(),
         }
     }
 
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -178,14 +178,19 @@
         self.read_buffer().interim = CONTINUE;
     }
 
-    /// Clears the flag that a read through [`MessageStream`] was pending.
-    pub(crate) fn clear_read_pending(&self) {
-        self.read_buffer().read_pending = false;
-    }
-
-    /// Whether a read through [`MessageStream`] waited for the socket since the flag was cleared.
-    pub(crate) fn is_read_pending(&self) -> bool {
-        self.read_buffer().read_pending
+    /// Polls a body that async-h1 decodes from this connection.
+    ///
+    /// Its chunk decoder returns `Pending` without registering a waker when the last line of a body
+    /// arrives in two reads, so the body would hang one byte before its end. If the socket itself
+    /// wasn't pending, the decoder is polled again.
+    pub(crate) fn poll_decoder<T>(&self, mut poll: impl FnMut() -> Poll<T>) -> Poll<T> {
+        loop {
+            self.read_buffer().read_pending = false;
+            let polled = poll();
+            if polled.is_ready() || self.read_buffer().read_pending {
+                return polled;
+            }
+        }
     }
 
     /// Whether the read buffer holds unread bytes.
--- a/crates/http/src/server/body.rs
+++ b/crates/http/src/server/body.rs
@@ -278,24 +278,15 @@
     Ok(body)
 }
 
-/// Polls async-h1's body.
-///
-/// Its chunk decoder returns `Pending` without registering a waker when the last line of a body arrives in two
-/// reads. If the socket itself wasn't pending, the decoder is polled again.
 fn poll_piece(
     request: &mut Request,
     caller: Option<&CallerConnection>,
     cx: &mut Context<'_>,
     buf: &mut [u8],
 ) -> Poll<io::Result<usize>> {
-    loop {
-        if let Some(caller) = caller {
-            caller.connection.clear_read_pending();
-        }
-        let poll = Pin::new(&mut *request).poll_read(cx, buf);
-        let waits = caller.is_none_or(|caller| caller.connection.is_read_pending());
-        if poll.is_ready() || waits {
-            return poll;
-        }
+    let mut poll = || Pin::new(&mut *request).poll_read(cx, buf);
+    match caller {
+        Some(caller) => caller.connection.poll_decoder(poll),
+        None => poll(),
     }
 }
--- a/crates/http/src/server/waits.rs
+++ b/crates/http/src/server/waits.rs
@@ -28,7 +28,7 @@
 #[cfg(test)]
 mod tests;
 
-/// The most connections that were chosen to make room for others and are still open.
+/// Maximum number of open connections that are about to close to make room for others.
 const MAX_LEAVING: usize = 64;
 
 /// Pause between two attempts to reserve memory that ended waits are about to free, and their number.
@@ -133,7 +133,7 @@
 struct Shared {
     clock: Clock,
     state: Mutex<State>,
-    /// Number of connections that were chosen to make room for others, and are still open.
+    /// Number of open connections that are about to close to make room for others.
     leaving: AtomicUsize,
 }
 
@@ -189,7 +189,7 @@
         true
     }
 
-    /// The number of connections that are to make room for others and are still open.
+    /// Number of open connections that are about to close to make room for others.
     pub(crate) fn leaving(&self) -> usize {
         self.shared.leaving.load(Ordering::Relaxed)
     }
