--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -79,11 +79,11 @@
     pub write_timeout: Millis,
     /// How long an idle connection is kept open between requests.
     pub idle_timeout: Millis,
-    /// How long a caller that is waited for may make no progress while another one needs its connection, or the
-    /// memory of its body.
+    /// How long a caller that is waited for may make no progress while another one needs its connection or its
+    /// memory.
     pub patience: Millis,
-    /// Rate of a body below which its caller makes no progress, in bytes per second.
-    pub body_rate: u64,
+    /// Rate below which a body that arrives, or an answer that waits to be read, makes no progress, in bytes per second.
+    pub min_rate: u64,
     /// Maximum number of connections.
     pub connections: u32,
     /// Maximum number of connections of one account.
@@ -102,7 +102,7 @@
             write_timeout: Millis::from_secs(15),
             idle_timeout: Millis::from_secs(60),
             patience: Millis::from_secs(1),
-            body_rate: 64 * 1024,
+            min_rate: 64 * 1024,
             connections: 4096,
             connections_per_account: 1024,
             queued_per_account: 1024,
@@ -319,7 +319,7 @@
             fields.reject("head", "no longer head can be read; write at most 8 KB");
         }
         set(&mut self.body_bytes, fields.take("body", units::size));
-        set(&mut self.body_rate, fields.take("body-rate", units::size));
+        set(&mut self.min_rate, fields.take("min-rate", units::size));
         let timeouts = [
             ("head-timeout", &mut self.head_timeout),
             ("body-timeout", &mut self.body_timeout),
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -52,12 +52,12 @@
 
 // Callers that send slowly are let go by these two. With the unit of one for the other, proper callers would be.
 #[test]
-fn patience_is_a_time_and_the_body_rate_a_size() {
-    let keys = "patience = 3 s\nbody-rate = 16 KiB";
+fn patience_is_a_time_and_the_min_rate_a_size() {
+    let keys = "patience = 3 s\nmin-rate = 16 KiB";
     let settings = Settings::parse(&VALID_SETTINGS.replace("body = 1 MiB", keys)).unwrap();
     let limits = settings.limits;
     assert_eq!(
-        (limits.patience, limits.body_rate),
+        (limits.patience, limits.min_rate),
         (Millis::from_secs(3), 16 << 10)
     );
 }
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -215,7 +215,7 @@
 pub(crate) fn wait_limits(limits: &CallerLimits) -> WaitLimits {
     WaitLimits {
         patience: limits.patience,
-        body_rate: limits.body_rate,
+        min_rate: limits.min_rate,
     }
 }
 
--- a/crates/http/src/server/body.rs
+++ b/crates/http/src/server/body.rs
@@ -22,6 +22,7 @@
 use super::waits::Seat;
 use super::waits::WaitGuard;
 use super::waits::WaitKind;
+use super::waits::Waits;
 use crate::connection::Connection;
 use crate::turn::Turn;
 
@@ -31,11 +32,29 @@
 /// Bytes that are reserved for a body in chunks before its length is known: the size of a long prompt.
 const FIRST_RESERVATION: u64 = 64 * 1024;
 
-/// The connection on which a request arrived, set as an extension of the request.
+/// Where a request comes from, set as an extension of the request.
 #[derive(Clone)]
-pub(crate) struct CallerConnection {
-    pub(crate) connection: Arc<Connection>,
-    pub(crate) seat: Arc<Seat>,
+pub(crate) struct Inbound {
+    /// The connection on which the request arrived; `None` if it didn't arrive at a server of this crate.
+    connection: Option<Arc<Connection>>,
+    seat: Arc<Seat>,
+}
+
+impl Inbound {
+    pub(crate) fn new(connection: Arc<Connection>, seat: Arc<Seat>) -> Inbound {
+        Inbound {
+            connection: Some(connection),
+            seat,
+        }
+    }
+
+    fn of(request: &Request) -> Inbound {
+        let inbound = request.ext().get::<Inbound>();
+        inbound.cloned().unwrap_or_else(|| Inbound {
+            connection: None,
+            seat: Waits::default().open(),
+        })
+    }
 }
 
 /// Memory that was reserved for a request so far, set as an extension of the request.
@@ -101,11 +120,8 @@
     budget: &MemoryBudget,
     bytes: u64,
 ) -> Option<Reservation> {
-    let caller = request.ext().get::<CallerConnection>().cloned();
-    let reservation = match caller {
-        Some(caller) => caller.seat.reserve(budget, bytes).await?,
-        None => budget.reserve(bytes)?,
-    };
+    let seat = Inbound::of(request).seat;
+    let reservation = seat.reserve(budget, bytes).await?;
     let reserved = ReservedBytes::of(request) + bytes;
     request.ext_mut().insert(ReservedBytes(reserved));
     Some(reservation)
@@ -178,8 +194,7 @@
         &mut self,
         bytes: &[u8],
         limit: u64,
-        caller: Option<&CallerConnection>,
-        wait: Option<&WaitGuard>,
+        wait: &WaitGuard,
     ) -> Result<(), BodyError> {
         let length = (self.bytes.len() + bytes.len()) as u64;
         if length > limit {
@@ -191,16 +206,11 @@
         {
             // Both buffers exist while the bytes are copied.
             let larger = capacity.saturating_mul(2).min(limit).max(length);
-            let reserved = match caller {
-                Some(caller) => caller.seat.reserve(budget, larger).await,
-                None => budget.reserve(larger),
-            };
+            let reserved = wait.reserve(budget, larger).await;
             let reserved = reserved.ok_or(BodyError::NoMemory)?;
             self.bytes.reserve_exact(larger as usize - self.bytes.len());
             *reservation = reserved;
-            if let Some(wait) = wait {
-                wait.add_reserved(larger - capacity);
-            }
+            wait.add_reserved(larger - capacity);
         }
         self.bytes.extend_from_slice(bytes);
         Ok(())
@@ -213,25 +223,14 @@
     limits: &ServerLimits,
     body: BodyBuffer,
 ) -> Result<BodyBuffer, BodyError> {
-    let caller = request.ext().get::<CallerConnection>().cloned();
     if request.len() == Some(0) {
         return Ok(body);
     }
-    let Some(caller) = caller else {
-        let read = read_bounded(request, limits.body_bytes, body, None, None);
-        return timeout(limits.body_timeout.into(), read)
-            .await
-            .unwrap_or(Err(BodyError::Timeout));
-    };
-    let (mut wait, registration) = caller.seat.begin(WaitKind::Body, &limits.wait);
+    let inbound = Inbound::of(request);
+    let (wait, registration) = inbound.seat.begin(WaitKind::Body, &limits.wait);
     wait.set_reserved(ReservedBytes::of(request));
-    let read = read_bounded(
-        request,
-        limits.body_bytes,
-        body,
-        Some(&caller),
-        Some(&mut wait),
-    );
+    let connection = inbound.connection.as_deref();
+    let read = read_bounded(request, connection, limits.body_bytes, body, wait);
     let read = timeout(limits.body_timeout.into(), read);
     match Abortable::new(read, registration).await {
         Ok(Ok(result)) => result,
@@ -242,10 +241,10 @@
 
 async fn read_bounded(
     request: &mut Request,
+    connection: Option<&Connection>,
     limit: u64,
     mut body: BodyBuffer,
-    caller: Option<&CallerConnection>,
-    mut wait: Option<&mut WaitGuard>,
+    mut wait: WaitGuard,
 ) -> Result<BodyBuffer, BodyError> {
     let announced = request.len();
     if announced.is_some_and(|length| length as u64 > limit) {
@@ -260,15 +259,12 @@
             task::yield_now().await;
             turn.begin();
         }
-        let count = poll_fn(|cx| poll_piece(request, caller, cx, &mut chunk)).await?;
+        let count = poll_fn(|cx| poll_piece(request, connection, cx, &mut chunk)).await?;
         if count == 0 {
             break;
         }
-        if let Some(wait) = &mut wait {
-            wait.record(count);
-        }
-        let piece = &chunk[..count];
-        body.append(piece, limit, caller, wait.as_deref()).await?;
+        wait.record(count);
+        body.append(&chunk[..count], limit, &wait).await?;
         turn.record(count);
     }
     // async-h1 treats a connection that is closed early as the end of the body.
@@ -280,13 +276,13 @@
 
 fn poll_piece(
     request: &mut Request,
-    caller: Option<&CallerConnection>,
+    connection: Option<&Connection>,
     cx: &mut Context<'_>,
     buf: &mut [u8],
 ) -> Poll<io::Result<usize>> {
     let mut poll = || Pin::new(&mut *request).poll_read(cx, buf);
-    match caller {
-        Some(caller) => caller.connection.poll_decoder(poll),
+    match connection {
+        Some(connection) => connection.poll_decoder(poll),
         None => poll(),
     }
 }
--- a/crates/http/src/server/limits.rs
+++ b/crates/http/src/server/limits.rs
@@ -27,15 +27,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerMemory(pub u64);
 
-/// When a caller that is waited for is behind. It is let go only where its connection, or the memory of its body, is
-/// needed for another caller.
+/// When a caller that is waited for is behind. It is let go only where its connection, or its memory, is needed
+/// for another caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WaitLimits {
     /// The longest time without progress: without a request, inside a head, or without the bytes of a body, or of an
-    /// answer that waits to be read, that `body_rate` asks for.
+    /// answer that waits to be read, that `min_rate` asks for.
     pub patience: Millis,
     /// The lowest rate at which the bytes of a body arrive, or those of an answer are read, in bytes a second.
-    pub body_rate: u64,
+    pub min_rate: u64,
 }
 
 impl WaitLimits {
@@ -43,7 +43,7 @@
     /// doesn't makes room for the next one at once.
     pub const PROMPT: WaitLimits = WaitLimits {
         patience: Millis::ZERO,
-        body_rate: u64::MAX,
+        min_rate: u64::MAX,
     };
 }
 
@@ -51,7 +51,7 @@
     fn default() -> WaitLimits {
         WaitLimits {
             patience: Millis::from_secs(1),
-            body_rate: 64 * 1024,
+            min_rate: 64 * 1024,
         }
     }
 }
--- a/crates/http/src/server/receive.rs
+++ b/crates/http/src/server/receive.rs
@@ -11,7 +11,7 @@
 use http_types::StatusCode;
 use http_types::headers::EXPECT;
 
-use super::body::CallerConnection;
+use super::body::Inbound;
 use super::limits::MAX_HEAD_BYTES;
 use super::limits::ServerLimits;
 use super::long_head::remove_long_lines;
@@ -185,9 +185,6 @@
         incoming.request.set_peer_addr(Some(peer));
     }
     let extensions = incoming.request.ext_mut();
-    extensions.insert(CallerConnection {
-        connection: connection.clone(),
-        seat: seat.clone(),
-    });
+    extensions.insert(Inbound::new(connection.clone(), seat.clone()));
     Next::Request(Box::new(incoming))
 }
--- a/crates/http/src/server/waits.rs
+++ b/crates/http/src/server/waits.rs
@@ -325,7 +325,7 @@
             return;
         }
         self.moved += bytes as u64;
-        let bought = self.moved * 1000 / self.limits.body_rate.max(1);
+        let bought = self.moved * 1000 / self.limits.min_rate.max(1);
         if bought == 0 {
             return;
         }
@@ -352,6 +352,11 @@
         }
     }
 
+    /// As [`Waits::reserve`].
+    pub(crate) async fn reserve(&self, budget: &MemoryBudget, bytes: u64) -> Option<Reservation> {
+        self.waits.reserve(budget, bytes).await
+    }
+
     /// Sets how much memory the end of the wait would free.
     pub(crate) fn set_reserved(&self, bytes: u64) {
         self.update(|wait| wait.reserved = bytes);
--- a/crates/http/src/server/waits/tests.rs
+++ b/crates/http/src/server/waits/tests.rs
@@ -11,7 +11,7 @@
 /// Every wait is behind a millisecond after its last progress.
 const IMPATIENT: WaitLimits = WaitLimits {
     patience: Millis::ZERO,
-    body_rate: 1,
+    min_rate: 1,
 };
 
 fn pass(millis: u64) {
@@ -69,7 +69,7 @@
 fn bytes_put_off_the_due_time_by_what_they_buy() {
     let limits = WaitLimits {
         patience: Millis(100),
-        body_rate: 1_000_000,
+        min_rate: 1_000_000,
     };
     let waits = Waits::default();
     let due = |waits: &Waits| waits.shared.state().waits.values().next().unwrap().due;
