Show the progress of a listing of the store

Between `start-step step=listing-asked` and `store-listed` an instance said nothing, so a listing that never ends couldn't be told from one that is large, or from a process that hangs. The gateway asks for each page itself now and reports pages and held entries while they arrive: `store-listing-continues`, `crocushold_store_listing_pages_total`, `crocushold_store_listing_entries`, and `pages` in `store-listed`. No change of logic.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -15,6 +15,8 @@
 use crate::directory::Removal;
 use crate::era::Revision;
 use crate::fleet::ListOutcome;
+use crate::listing::Listing;
+use crate::listing::read_listing;
 use crate::quarantine::Evidence;
 use crate::quarantine::server_ended;
 use crate::routes::RouteTable;
@@ -25,7 +27,6 @@
 use crate::source::Changes;
 use crate::source::Entry;
 use crate::source::IncomingAnswer;
-use crate::source::Listing;
 use crate::source::Source;
 use crate::source::SourceError;
 use crate::start::FirstRead;
@@ -79,7 +80,7 @@
             .record(StartStep::ListingAsked, shared.clock.now());
         shared.start.set_first_read(FirstRead::Running);
     }
-    let listed = source.list().await;
+    let listed = read_listing(shared, source).await;
     if is_first && listed.is_err() {
         shared.start.set_first_read(FirstRead::Idle);
     }
@@ -276,7 +277,8 @@
         let event = Event::new("store-listed")
             .with("revision", listing.revision.number)
             .with("era", listing.revision.era)
-            .with("entries", count);
+            .with("entries", count)
+            .with("pages", listing.pages);
         info!("{event}");
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,8 @@
     ended_waits: IntCounterVec,
     memory_bound: IntGauge,
     malformed: IntCounter,
+    listing_pages: IntCounter,
+    listed_entries: IntGauge,
     placements: IntCounterVec,
     left_out: IntCounter,
     absurd_loads: IntCounter,
@@ -109,6 +111,15 @@
             "Published entries that couldn't be read",
         );
         let malformed = malformed.expect("the name is valid");
+        let listing_pages = IntCounter::new(
+            "crocushold_store_listing_pages_total",
+            "Pages of listings of the store that another page followed",
+        );
+        let listing_pages = listing_pages.expect("the name is valid");
+        let listed_entries = gauge(
+            "crocushold_store_listing_entries",
+            "Entries that the running listing of the store holds",
+        );
         let placements = counters(
             "crocushold_placements_total",
             "Questions where a request should go, by what came of them",
@@ -183,7 +194,7 @@
             "Requests that came back after a refusal by the line, by whether that was in their time",
             &["kind"],
         );
-        let collectors: [Box<dyn prometheus::core::Collector>; 28] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 30] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(ends.clone()),
@@ -194,6 +205,8 @@
             Box::new(ended_waits.clone()),
             Box::new(memory_bound.clone()),
             Box::new(malformed.clone()),
+            Box::new(listing_pages.clone()),
+            Box::new(listed_entries.clone()),
             Box::new(placements.clone()),
             Box::new(left_out.clone()),
             Box::new(absurd_loads.clone()),
@@ -229,6 +242,8 @@
             ended_waits,
             memory_bound,
             malformed,
+            listing_pages,
+            listed_entries,
             placements,
             left_out,
             absurd_loads,
@@ -259,6 +274,18 @@
         self.malformed.inc_by(count);
     }
 
+    /// Counts a page of a listing that holds `entries` so far.
+    pub(crate) fn count_listing_page(&self, entries: usize) {
+        self.listing_pages.inc();
+        self.set_listed_entries(entries);
+    }
+
+    /// Sets the number of entries that the running listing holds.
+    pub(crate) fn set_listed_entries(&self, entries: usize) {
+        self.listed_entries
+            .set(entries.try_into().unwrap_or(i64::MAX));
+    }
+
     /// Counts the outcome of a placement request.
     pub(crate) fn count_placement(&self, outcome: &str) {
         self.placements.with_label_values(&[outcome]).inc();
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -41,15 +41,17 @@
     Readmission(String),
 }
 
-/// A full listing of the store.
+/// A page of a listing of the store. The pages of a listing aren't a snapshot.
 #[derive(Clone, Debug, Default)]
-pub struct Listing {
-    /// The revision from which to watch.
+pub struct Page {
+    /// The revision of the store at the time of the page.
     pub revision: Revision,
     /// The entries.
     pub entries: Vec<Entry>,
     /// The revision of the latest change of any entry. Its number is zero if there is none.
     pub last_change: Revision,
+    /// Name of the last entry, after which the next page begins; `None` on the last page.
+    pub next: Option<String>,
 }
 
 /// The changes after a revision.
@@ -107,8 +109,8 @@
     /// The answer of a watch.
     type Incoming: IncomingAnswer;
 
-    /// Reads all entries.
-    fn list(&self) -> impl Future<Output = Result<Listing, SourceError>> + Send;
+    /// Reads a page of all entries: those whose names follow `after`, or the first ones.
+    fn page(&self, after: Option<&str>) -> impl Future<Output = Result<Page, SourceError>> + Send;
 
     /// Waits for changes after the revision `after`, until the answer begins. It may contain no
     /// changes. It may belong to a later era, in which case its changes don't follow on
