Percent-encode what becomes a part of a call's target

Callers saw instances that ended by themselves again and again, or refused everything after a return, once another writer had put entries with odd names into the store. Cause: the next page of a listing begins after the last name of the page before, and that name was written into the target as it is. `#` cut the target there, `&` ended the parameter, `+` and `%` stood for other characters, so the store began again at an earlier name: the same page for ever, each kept until the listing would end.

Targets of calls are a type now, built from literals and values, and values are encoded as they are added. Whoever adds a call can't forget it: there is no way to pass a target as text. The crate `percent-encoding` was in the tree already, as a part of `url`.

Property tests for any text as a parameter and as a segment. A team called `..` still can't be read by `serve`: a URL has no such segment.

--- a/crates/entry/src/polling.rs
+++ b/crates/entry/src/polling.rs
@@ -17,6 +17,7 @@
 use crocushold_platform::Fetch;
 use crocushold_platform::Get;
 use crocushold_platform::HttpFetch;
+use crocushold_platform::Target;
 use crocushold_platform::wire::CacheEvents;
 use crocushold_platform::wire::CacheKind;
 use crocushold_platform::wire::LoadReport;
@@ -203,24 +204,24 @@
         asked_at: clock.now(),
         events: None,
     };
-    let text = get(fetch, &target.address, "/load".to_owned()).await;
+    let text = get(fetch, &target.address, Target::new("/load")).await;
     let Some(report) = text.and_then(|text| LoadReport::parse(&text).ok()) else {
         return polled;
     };
     let age = age(&mut polled.poll_state, report.at_ms, clock.now());
     polled.report = Some((report, age));
     if target.is_engine && target.reason == PollReason::Selection {
-        let path = format!("/cache-events?after={}", target.poll_state.last);
-        let text = get(fetch, &target.address, path).await;
+        let cache_events = Target::new("/cache-events").parameter("after", target.poll_state.last);
+        let text = get(fetch, &target.address, cache_events).await;
         polled.events = text.and_then(|text| CacheEvents::parse(&text).ok());
     }
     polled
 }
 
-async fn get(fetch: &HttpFetch, address: &str, path: String) -> Option<String> {
+async fn get(fetch: &HttpFetch, address: &str, target: Target) -> Option<String> {
     let get = Get {
         address: address.to_owned(),
-        path,
+        target,
         timeout: POLL_TIMEOUT,
         limit: MAX_RESPONSE_BYTES,
         ..Get::default()
--- a/crates/platform/src/fetch.rs
+++ b/crates/platform/src/fetch.rs
@@ -7,6 +7,8 @@
 use futures::stream;
 use quick_error::quick_error;
 
+use crate::target::Target;
+
 const OK: u16 = 200;
 /// Default for the largest accepted body, in bytes. Sized for a status page of 6,000 servers.
 const MAX_DOCUMENT_BYTES: usize = 8 << 20;
@@ -48,7 +50,7 @@
     /// Server address, as `IP:PORT`.
     pub address: String,
     /// Path and query.
-    pub path: String,
+    pub target: Target,
     /// Time limit for the complete answer, from the start of the call.
     pub timeout: Millis,
     /// Longest pause between two parts of the body.
@@ -61,7 +63,7 @@
     fn default() -> Get {
         Get {
             address: String::new(),
-            path: String::new(),
+            target: Target::new("/"),
             timeout: DOCUMENT_TIMEOUT,
             stall_timeout: DOCUMENT_TIMEOUT,
             limit: MAX_DOCUMENT_BYTES,
@@ -122,10 +124,14 @@
 /// # Errors
 ///
 /// Any [`FetchError`], including one for a status other than 200.
-pub async fn fetch(via: &impl Fetch, address: &str, path: &str) -> Result<String, FetchError> {
+pub async fn fetch(
+    via: &impl Fetch,
+    address: &str,
+    path: &'static str,
+) -> Result<String, FetchError> {
     let get = Get {
         address: address.to_owned(),
-        path: path.to_owned(),
+        target: Target::new(path),
         ..Get::default()
     };
     let reply = via.get(get).await?;
@@ -148,7 +154,11 @@
 ///
 /// The result has one entry per address, in the given order. An address that doesn't answer is
 /// included with its error and doesn't delay the others.
-pub async fn fetch_all(via: &impl Fetch, addresses: &[String], path: &str) -> Vec<Document> {
+pub async fn fetch_all(
+    via: &impl Fetch,
+    addresses: &[String],
+    path: &'static str,
+) -> Vec<Document> {
     let reads = addresses.iter().map(|address| async move {
         Document {
             address: address.clone(),
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -23,6 +23,7 @@
 mod poller;
 mod report;
 mod shell;
+mod target;
 mod transport;
 pub mod wire;
 
@@ -51,5 +52,6 @@
 pub use shell::Shell;
 pub use shell::read;
 pub use shell::run;
+pub use target::Target;
 pub use transport::HttpFetch;
 pub use transport::Incoming;
--- a/crates/platform/src/shell/exchange.rs
+++ b/crates/platform/src/shell/exchange.rs
@@ -2,7 +2,6 @@
 
 use async_std::future::timeout;
 use crocushold_base::Millis;
-use http_types::Url;
 
 use crate::call::Answer;
 use crate::call::Call;
@@ -14,6 +13,7 @@
 use crate::fetch::Get;
 use crate::fetch::Reply;
 use crate::shell::Shell;
+use crate::target::Target;
 use crate::wire::ConfigIndex;
 use crate::wire::InstanceList;
 use crate::wire::PartText;
@@ -61,7 +61,7 @@
     let timeout = call_timeout(call, slack);
     let get = Get {
         address: shell.address.clone(),
-        path: path(call),
+        target: target(call),
         timeout,
         stall_timeout: timeout,
         limit: limit(call),
@@ -71,27 +71,17 @@
     decode(call, reply)
 }
 
-fn path(call: &Call) -> String {
+fn target(call: &Call) -> Target {
     match call {
-        Call::Index => "/v1/config".into(),
-        Call::Watch { after, wait } => {
-            format!("/v1/config/watch?after={after}&wait-ms={}", wait.0)
-        }
-        Call::Part { team } => part_path(team),
-        Call::Instances => "/v1/instances".into(),
+        Call::Index => Target::new("/v1/config"),
+        Call::Watch { after, wait } => Target::new("/v1/config/watch")
+            .parameter("after", after)
+            .parameter("wait-ms", wait.0),
+        Call::Part { team } => Target::new("/v1/config/parts").segment(team),
+        Call::Instances => Target::new("/v1/instances"),
     }
 }
 
-/// Returns the path of a team's part. The team name comes from the platform and may contain any
-/// character, so it is percent-encoded.
-fn part_path(team: &str) -> String {
-    let mut url = Url::parse("http://platform/v1/config/parts").expect("a constant URL");
-    if let Ok(mut segments) = url.path_segments_mut() {
-        segments.push(team);
-    }
-    url.path().to_owned()
-}
-
 fn call_timeout(call: &Call, slack: Millis) -> Millis {
     match call {
         Call::Watch { wait, .. } => *wait + slack,
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -22,6 +22,7 @@
 use crate::fetch::Get;
 use crate::fetch::Header;
 use crate::fetch::Reply;
+use crate::target::Target;
 
 /// Performs GET requests over HTTP/1.1.
 ///
@@ -52,7 +53,7 @@
 
     async fn send(&self, get: &Get) -> Result<Incoming, FetchError> {
         let address = address(&get.address)?;
-        let request = request(address, &get.path)?;
+        let request = request(address, &get.target)?;
         let limits = SendLimits {
             head_timeout: get.timeout,
             stall_timeout: get.stall_timeout.min(get.timeout),
@@ -127,9 +128,9 @@
     parsed.map_err(|e| FetchError::Connection(format!("{text}: {e}")))
 }
 
-fn request(address: SocketAddr, path: &str) -> Result<Request, FetchError> {
-    let url = Url::parse(&format!("http://{address}{path}"));
-    let url = url.map_err(|e| FetchError::Connection(format!("{path}: {e}")))?;
+fn request(address: SocketAddr, target: &Target) -> Result<Request, FetchError> {
+    let url = Url::parse(&format!("http://{address}{target}"));
+    let url = url.map_err(|e| FetchError::Connection(format!("{target}: {e}")))?;
     Ok(Request::new(Method::Get, url))
 }
 
--- a/crates/platform/tests/all/main.rs
+++ b/crates/platform/tests/all/main.rs
@@ -6,5 +6,6 @@
 mod instances;
 mod random;
 mod shell;
+mod target;
 mod transport;
 mod wire;
--- a/crates/platform/tests/all/shell.rs
+++ b/crates/platform/tests/all/shell.rs
@@ -56,11 +56,11 @@
 
 impl Fetch for FakeFetch {
     async fn get(&self, get: Get) -> Result<Reply, FetchError> {
-        self.record_path(&get.path);
+        self.record_path(get.target.as_str());
         if self.throttled {
             return Ok(reply(429, "", &[("Retry-After", "9")]));
         }
-        match &*get.path {
+        match get.target.as_str() {
             "/v1/config" => Ok(reply(200, INDEX, &[])),
             "/v1/instances" if self.lists => Ok(reply(200, LIST, &[])),
             "/v1/config/parts/cl%20a%2Fb" => Ok(reply(200, "text", PART_HEADERS)),
--- a/crates/platform/tests/all/transport.rs
+++ b/crates/platform/tests/all/transport.rs
@@ -11,6 +11,7 @@
 use crocushold_platform::Get;
 use crocushold_platform::HttpFetch;
 use crocushold_platform::Reply;
+use crocushold_platform::Target;
 use test_case::test_case;
 
 const LIMIT: usize = 8;
@@ -33,7 +34,7 @@
         });
         let get = Get {
             address,
-            path: "/v1/config".into(),
+            target: Target::new("/v1/config"),
             timeout: Millis(200),
             limit: LIMIT,
             ..Get::default()
@@ -72,7 +73,7 @@
     let address = listener.local_addr().expect("bound").to_string();
     let get = Get {
         address,
-        path: "/v1/config".into(),
+        target: Target::new("/v1/config"),
         timeout: Millis(200),
         stall_timeout,
         limit: 1 << 20,
--- a/src/commands/burn/tests.rs
+++ b/src/commands/burn/tests.rs
@@ -20,7 +20,7 @@
 
 impl Fetch for Instances {
     async fn get(&self, get: Get) -> Result<Reply, FetchError> {
-        assert_eq!(get.path, "/metrics");
+        assert_eq!(get.target.as_str(), "/metrics");
         let end = match &*get.address {
             "fine" => RequestEnd::Completed,
             "burning" => RequestEnd::Cut,
--- a/src/commands/status/tests.rs
+++ b/src/commands/status/tests.rs
@@ -13,7 +13,7 @@
 
 impl Fetch for Instances {
     async fn get(&self, get: Get) -> Result<Reply, FetchError> {
-        assert_eq!(get.path, "/status");
+        assert_eq!(get.target.as_str(), "/status");
         if get.address == "gone" {
             return Err(FetchError::Timeout);
         }
