Bound a listing of the store, and end one that repeats its pages

A listing had a time limit for each page and none as a whole: in pages, calls or memory. A listing whose pages end where an earlier one has ended fails now, and is read again after the usual pauses instead of the short ones of a start. It holds 50,000 entries at most; malformed entries of servers that aren't known are counted and not held, as another writer may leave any number of them.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -189,6 +189,11 @@
         true
     }
 
+    /// Whether a server is listed under this name, or was until a moment ago.
+    pub fn is_known(&self, id: &str) -> bool {
+        self.known.contains(id)
+    }
+
     /// Records that an entry was removed.
     pub fn remove(&mut self, id: &str, now: Millis) -> Removal {
         if !self.known.contains(id) {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -17,6 +17,7 @@
 use crate::fleet::ListOutcome;
 use crate::listing::Listing;
 use crate::listing::read_listing;
+use crate::malformed::MalformedEntries;
 use crate::quarantine::Evidence;
 use crate::quarantine::server_ended;
 use crate::routes::RouteTable;
@@ -239,8 +240,9 @@
             SourceError::Refused(_, Some(asked)) => {
                 self.backoff.retry_after(*asked, &mut self.jitter)
             }
-            // No request can be served before the first listing, so retry more often.
-            _ if shared.table().is_none() => self
+            // No request can be served before the first listing, so retry more often. A listing
+            // that made no progress took several calls, and the next one is likely to end alike.
+            _ if shared.table().is_none() && *error != SourceError::NoProgress => self
                 .backoff
                 .next_pause(&mut self.jitter)
                 .min(STARTUP_BACKOFF_CAP),
@@ -264,6 +266,7 @@
         shared.store.observe(listing.last_change);
         let count = listing.entries.len();
         let mut batch = Batch::new(shared, now);
+        batch.malformed = listing.malformed;
         for entry in listing.entries {
             batch.set(entry);
         }
@@ -415,7 +418,7 @@
         for id in std::mem::take(&mut self.removed) {
             self.apply_removal(&id);
         }
-        self.malformed.log(self.shared);
+        self.malformed.log(&self.shared.metrics);
     }
 
     fn apply_removal(&self, id: &str) {
@@ -424,34 +427,6 @@
     }
 }
 
-/// Entries of one answer that can't be decoded. Another writer may leave a thousand of them, so
-/// they are logged in a single line.
-#[derive(Default)]
-struct MalformedEntries {
-    count: u64,
-    /// Name and problem of the first one.
-    first: Option<(String, String)>,
-}
-
-impl MalformedEntries {
-    fn add(&mut self, name: String, finding: String) {
-        self.count += 1;
-        self.first.get_or_insert((name, finding));
-    }
-
-    fn log(self, shared: &Shared) {
-        let Some((name, finding)) = self.first else {
-            return;
-        };
-        shared.metrics.add_malformed_entries(self.count);
-        let event = Event::new("entries-malformed")
-            .with("count", self.count)
-            .with("first", name)
-            .with("finding", finding);
-        warn!("{event}");
-    }
-}
-
 /// Puts a configuration in force unless the current one is as new.
 ///
 /// Otherwise a delayed answer or an outdated read would undo a change.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod line_report;
 mod listing;
 mod log_fields;
+mod malformed;
 mod metrics;
 mod placing;
 mod protocol;
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -1,16 +1,23 @@
 //! A full listing of the store, which is read page by page.
 
+use std::collections::HashSet;
+
 use crocushold_base::Event;
 use crocushold_base::Millis;
 use log::info;
 
 use crate::era::Revision;
+use crate::malformed::MalformedEntries;
 use crate::shared::Shared;
 use crate::source::Entry;
 use crate::source::Page;
 use crate::source::Source;
 use crate::source::SourceError;
 
+/// The most entries and ends of pages that a listing holds: several times the servers of the largest
+/// fleets, in a fraction of the memory of the smallest instance.
+const MAX_HELD: usize = 50_000;
+
 /// All entries of the store.
 #[derive(Debug, Default)]
 pub(crate) struct Listing {
@@ -19,8 +26,12 @@
     pub(crate) entries: Vec<Entry>,
     /// The revision of the latest change of any entry. Its number is zero if there is none.
     pub(crate) last_change: Revision,
+    /// Entries that can't be decoded and belong to no known server.
+    pub(crate) malformed: MalformedEntries,
     /// Number of pages read.
     pub(crate) pages: u64,
+    /// Names at which pages have ended.
+    ends: HashSet<String>,
 }
 
 impl Listing {
@@ -28,8 +39,13 @@
     ///
     /// # Errors
     ///
-    /// Fails if the page is from another era than the first one.
-    fn add(&mut self, page: Page) -> Result<Option<String>, SourceError> {
+    /// Fails if the page is from another era than the first one, if it ends where an earlier page has
+    /// ended, or if the listing holds too many entries.
+    fn add(
+        &mut self,
+        page: Page,
+        is_known: impl Fn(&str) -> bool,
+    ) -> Result<Option<String>, SourceError> {
         // Changes between the pages are read again by a watch that starts at the first page's
         // revision.
         if self.pages == 0 {
@@ -41,9 +57,31 @@
         }
         self.pages += 1;
         self.last_change = self.last_change.max(page.last_change);
-        self.entries.extend(page.entries);
+        for entry in page.entries {
+            self.add_entry(entry, &is_known);
+        }
+        if self.entries.len() + self.ends.len() > MAX_HELD {
+            return Err(SourceError::TooLarge);
+        }
+        if let Some(end) = &page.next
+            && !self.ends.insert(end.clone())
+        {
+            return Err(SourceError::NoProgress);
+        }
         Ok(page.next)
     }
+
+    /// Adds an entry. Of a malformed one only the name of a known server matters.
+    fn add_entry(&mut self, entry: Entry, is_known: impl Fn(&str) -> bool) {
+        match entry {
+            Entry::Malformed {
+                name,
+                server,
+                finding,
+            } if !server.as_deref().is_some_and(is_known) => self.malformed.add(name, finding),
+            entry => self.entries.push(entry),
+        }
+    }
 }
 
 /// Lists the store.
@@ -60,9 +98,10 @@
     let started = shared.clock.now();
     let mut listing = Listing::default();
     let mut after = None;
+    let is_known = |id: &str| shared.directory().is_known(id);
     loop {
         let page = source.page(after.as_deref()).await?;
-        let Some(next) = listing.add(page)? else {
+        let Some(next) = listing.add(page, is_known)? else {
             return Ok(listing);
         };
         shared.metrics.count_listing_page(listing.entries.len());
@@ -84,3 +123,6 @@
         .with("after", elapsed);
     info!("{event}");
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -78,6 +78,11 @@
         TooLarge {
             display("the answer is too large")
         }
+        /// A page of a listing ends where an earlier page of it has ended, so that the listing
+        /// would never end.
+        NoProgress {
+            display("the pages of the listing repeat")
+        }
         /// The store refused the call.
         Refused(status: u16, retry_after: Option<Millis>) {
             display("refused with status {status}")
