Don't take a successor for the server that began an answer

Cause: an end of the connection was taken for the end of the answer if the server's address accepted a connection ten milliseconds later. The cut holds the end back until a successor listens there.

What is known decides now. An end that arrives within 250 ms after a silence of half a second, in a stream the wait for its head among them, counts as cut, as it may be as old as the silence. So does any end if another process is listed at the address or under the name by then. Both are needed: a successor may not be listed yet, and a cut may be short. Asking the server for its identity was weighed: it waits for a slot, and a process that starts again under its name gives the same answer.

Red before, green now: six cases of a_stream_cut_behind_a_cut_path_is_cut_for_the_caller, successors under another name, under the same one, listed and not. All tests of crocushold-http and of close_delimited pass.

--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -1,7 +1,5 @@
 //! The response to a caller, made from an answer of a server or of another instance.
 
-use std::net::SocketAddr;
-
 use crocushold_http::Answer;
 use crocushold_http::AnswerTimeout;
 use crocushold_http::EventCounter;
@@ -14,6 +12,7 @@
 use http_types::headers::HeaderValues;
 
 use super::Exchange;
+use crate::fleet::Choice;
 use crate::reach;
 use crate::record::RequestRecord;
 use crate::settle::AnswerObserver;
@@ -33,7 +32,7 @@
         let mut response = Response::new(answer.status);
         relay_headers(&answer.headers, response.as_mut());
         let server = match &upstream {
-            Upstream::Server(choice, _) => Some(choice.address),
+            Upstream::Server(choice, _) => Some(choice.clone()),
             Upstream::Peer(_) => None,
         };
         let settle = AnswerObserver {
@@ -71,7 +70,7 @@
         body: &mut RelayBody,
         status: StatusCode,
         content_type: Option<&HeaderValues>,
-        server: Option<SocketAddr>,
+        server: Option<Choice>,
     ) {
         // A failure on a stream's route is described in some other way.
         let untyped_events = self.job.repeat.is_stream() && status.is_success();
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -357,6 +357,25 @@
         (!server.is_leaving(&self.departures)).then_some(server.incarnation)
     }
 
+    /// Whether another process than the chosen one is listed, at its address or under its name.
+    pub fn is_replaced(&self, choice: &Choice) -> bool {
+        let listed = self.ids.values().map(|key| &self.servers[*key]);
+        let mut others = listed.filter(|server| server.incarnation != choice.incarnation);
+        let started = self.started(choice);
+        others.any(|server| {
+            // The entry of a process that was there before may not have lapsed yet.
+            let is_later = server.record.started >= started;
+            server.id == choice.id || (server.record.address == choice.address && is_later)
+        })
+    }
+
+    /// When the chosen process was started, if it is listed and says so.
+    fn started(&self, choice: &Choice) -> Option<u64> {
+        let server = &self.servers[*self.ids.get(&*choice.id)?];
+        let started = server.record.started;
+        started.filter(|_| server.incarnation == choice.incarnation)
+    }
+
     /// Removes a server that is no longer listed.
     pub fn unlist(&mut self, id: &str) {
         let Some(key) = self.ids.remove(id) else {
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -2,7 +2,6 @@
 //! the operators' page.
 
 use std::fmt::Write;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use async_std::task;
@@ -32,10 +31,12 @@
 /// Whether a server lives on after it has closed the connection that delimits an answer. The system
 /// closes the connections of a process that has crashed in the same way as the process does after the
 /// last byte, but then nothing accepts new ones. In doubt it counts as ended: also if this process was
-/// paused, as another server may have got the address meanwhile.
-pub(crate) async fn is_alive(shared: Arc<Shared>, server: SocketAddr) -> bool {
+/// paused, as another server may have got the address meanwhile, or if another one is listed there.
+pub(crate) async fn is_alive(shared: Arc<Shared>, server: Choice) -> bool {
     task::sleep(END_DELAY.into()).await;
-    accepts_connections(server).await == Some(true) && !shared.has_just_resumed()
+    accepts_connections(server.address).await == Some(true)
+        && !shared.has_just_resumed()
+        && !shared.fleet().is_replaced(&server)
 }
 
 /// Records that an attempt had a connection to its server. One that was `reused` doesn't show that
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,5 +1,6 @@
 //! The HTTP client for backend servers.
 
+mod arrivals;
 mod body_meter;
 mod cancel;
 mod error;
--- a/crates/http/src/client/observer.rs
+++ b/crates/http/src/client/observer.rs
@@ -17,6 +17,9 @@
     Failed,
     /// The connection that delimits a stream was closed inside an event.
     InsideEvent,
+    /// The connection that delimits the answer was closed just after a long silence. A path that was
+    /// cut may have held its end back for longer than the server has lived.
+    HeldBack,
     /// The connection that delimits the answer was closed, and nothing shows that the answer was
     /// complete.
     Unproven,
@@ -26,7 +29,11 @@
     /// Whether the connection was lost, as opposed to an answer that was too slow or malformed.
     pub fn is_disconnect(self) -> bool {
         match self {
-            CutCause::Short | CutCause::Failed | CutCause::InsideEvent | CutCause::Unproven => true,
+            CutCause::Short
+            | CutCause::Failed
+            | CutCause::InsideEvent
+            | CutCause::HeldBack
+            | CutCause::Unproven => true,
             CutCause::Stalled | CutCause::Overdue | CutCause::Malformed | CutCause::TooLarge => {
                 false
             }
@@ -43,6 +50,7 @@
             CutCause::TooLarge => "too-large",
             CutCause::Failed => "failed",
             CutCause::InsideEvent => "inside-event",
+            CutCause::HeldBack => "held-back",
             CutCause::Unproven => "unproven",
         }
     }
--- a/crates/http/src/client/relay_body.rs
+++ b/crates/http/src/client/relay_body.rs
@@ -18,6 +18,7 @@
 use crocushold_base::Millis;
 use http_types::Body;
 
+use super::arrivals::Arrivals;
 use super::body_meter::BodyMeter;
 use super::cancel::Cancel;
 use super::limits::SendLimits;
@@ -64,6 +65,9 @@
     framing: Framing,
     clock: Clock,
     meter: BodyMeter,
+    arrivals: Arrivals,
+    /// How long the head of the answer was awaited.
+    awaited: Millis,
     state: State,
     /// `None` once the answer has ended.
     connection: Option<Arc<Connection>>,
@@ -87,11 +91,15 @@
         connection: Arc<Connection>,
         pool_return: Option<PoolReturn>,
         limits: &SendLimits,
+        awaited: Millis,
     ) -> RelayBody {
+        let clock = Clock::start();
         let mut relay = RelayBody {
             body,
             framing,
-            clock: Clock::start(),
+            arrivals: Arrivals::new(clock.now()),
+            awaited,
+            clock,
             meter: BodyMeter::new(limits.answer_bytes, limits.event_bytes),
             state: State::Open,
             cancel: Cancel::new(connection.clone()),
@@ -146,6 +154,7 @@
     pub fn expect_events(&mut self) {
         self.meter.expect_events();
         if self.ends_with_connection() {
+            self.arrivals.count_wait(self.awaited);
             self.boundary = Some(EventBoundary::default());
         }
     }
@@ -233,7 +242,9 @@
     }
 
     fn record_chunk(&mut self, bytes: &[u8]) -> Result<(), CutCause> {
-        self.meter.record(bytes, self.clock.now())?;
+        let now = self.clock.now();
+        self.meter.record(bytes, now)?;
+        self.arrivals.record(now);
         self.stall_timer.reset();
         if let (Framing::Chunked, Some(connection)) = (self.framing, &self.connection) {
             connection.set_remaining(MAX_CHUNK_FRAMING_BYTES);
@@ -267,6 +278,10 @@
                 if !self.boundary.as_ref().is_none_or(between_events) {
                     return Poll::Ready(Err(self.cut_off(CutCause::InsideEvent)));
                 }
+                self.arrivals.record(self.clock.now());
+                if self.arrivals.is_held_back() {
+                    return Poll::Ready(Err(self.cut_off(CutCause::HeldBack)));
+                }
                 self.state = State::Checking;
                 self.poll_end_check(cx)
             }
@@ -376,6 +391,10 @@
             io::ErrorKind::UnexpectedEof,
             "the connection ended inside an event",
         ),
+        CutCause::HeldBack => io::Error::new(
+            io::ErrorKind::UnexpectedEof,
+            "the connection ended just after a long silence, and the answer isn't known to be complete",
+        ),
         CutCause::Unproven => io::Error::new(
             io::ErrorKind::UnexpectedEof,
             "the connection ended, and the answer isn't known to be complete",
--- a/crates/http/src/client/send.rs
+++ b/crates/http/src/client/send.rs
@@ -9,6 +9,7 @@
 use async_std::io::BufReader;
 use async_std::net::SocketAddr;
 use async_std::net::TcpStream;
+use crocushold_base::Clock;
 use crocushold_base::Millis;
 use futures::future::Either;
 use futures::future::select;
@@ -54,6 +55,15 @@
     pool: Arc<Pool>,
 }
 
+/// The head of an answer.
+struct Head {
+    /// The method of the request.
+    method: Method,
+    response: Response,
+    /// How long it was awaited.
+    awaited: Millis,
+}
+
 /// An answer whose body hasn't been read yet.
 #[derive(Debug)]
 pub struct Answer {
@@ -100,8 +110,15 @@
     ) -> Result<Answer, SendError> {
         let exchange = self.connect(server, limits, reuse).await?;
         let method = request.method();
+        let clock = Clock::start();
+        let started = clock.now();
         let response = exchange_heads(&exchange, request, limits).await?;
-        self.answer(&exchange, server, method, response, limits)
+        let head = Head {
+            method,
+            response,
+            awaited: clock.now().since(started),
+        };
+        self.answer(&exchange, server, head, limits)
     }
 
     async fn connect(
@@ -137,10 +154,14 @@
         &self,
         exchange: &Exchange,
         server: SocketAddr,
-        method: Method,
-        mut response: Response,
+        head: Head,
         limits: &SendLimits,
     ) -> Result<Answer, SendError> {
+        let Head {
+            method,
+            mut response,
+            awaited,
+        } = head;
         let framing = answer_framing(&response, method, limits.close_delimited)
             .map_err(|kind| exchange.error(Stage::Answered, kind))?;
         if matches!(framing, Framing::Length(length) if length > limits.answer_bytes) {
@@ -163,7 +184,7 @@
             }
             Framing::Length(_) | Framing::Chunked => response.take_body(),
         };
-        let body = RelayBody::new(body, framing, connection, pool_return, limits);
+        let body = RelayBody::new(body, framing, connection, pool_return, limits, awaited);
         let cancel = body.cancel();
         sanitize_headers(response.as_mut());
         let headers: &Headers = response.as_ref();
