Go on with a listing at the page whose call failed

With a part of the answers lost, a listing of many pages rarely ends (of 12 pages, at 3 in 10 lost, one in seventy tries), and an instance that starts then stays without a configuration, while its calls add to those of all others. What was read is kept for ten seconds now, and the pauses after failures begin anew with each page. After a listing that took longer than the pause between watches, the changes since its first page are read at once.

Red before, green now: a_listing_of_many_pages_ends_while_answers_are_lost, 13 pages beside a store that loses every second answer (not ready within ten seconds).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -16,7 +16,7 @@
 use crate::era::Revision;
 use crate::fleet::ListOutcome;
 use crate::listing::Listing;
-use crate::listing::read_listing;
+use crate::listing::PartialListing;
 use crate::malformed::MalformedEntries;
 use crate::quarantine::Evidence;
 use crate::quarantine::server_ended;
@@ -42,10 +42,9 @@
     let mut follower = Follower::new(&shared);
     loop {
         let result = match follower.at {
-            None => list(&shared, &source).await.and_then(|listing| {
+            None => follower.list(&shared, &source).await.and_then(|listing| {
                 follower.on_answer(&shared, listing.revision)?;
-                follower.apply_listing(&shared, listing);
-                Ok(NextCall::Batch)
+                Ok(follower.apply_listing(&shared, listing))
             }),
             Some(at) => {
                 let Some(changes) = follower.watch(&shared, &source, at).await else {
@@ -61,33 +60,17 @@
         match result {
             // Without a pause, a starting fleet or a series of changes by an operator would wake a
             // watch once for each entry.
-            Ok(NextCall::Batch) => {
+            Ok(next_call) => {
                 follower.schedule_expiry(&shared);
-                task::sleep(follower.times.batch_pause.into()).await;
+                if next_call == NextCall::Batch {
+                    task::sleep(follower.times.batch_pause.into()).await;
+                }
             }
-            Ok(NextCall::Immediate) => {}
             Err(error) => follower.on_failure(&shared, &error).await,
         }
     }
 }
 
-/// Lists everything. Requests that arrive before there is a configuration may wait for the first
-/// listing.
-async fn list(shared: &Shared, source: &impl Source) -> Result<Listing, SourceError> {
-    let is_first = shared.table().is_none();
-    if is_first {
-        shared
-            .start
-            .record(StartStep::ListingAsked, shared.clock.now());
-        shared.start.set_first_read(FirstRead::Running);
-    }
-    let listed = read_listing(shared, source).await;
-    if is_first && listed.is_err() {
-        shared.start.set_first_read(FirstRead::Idle);
-    }
-    listed
-}
-
 /// When to make the next call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum NextCall {
@@ -105,6 +88,8 @@
     /// Whether the next watch must not wait for long: the last one was cancelled because other
     /// instances know of a change, or the last call failed.
     lags: bool,
+    /// The listing in progress.
+    listing: PartialListing,
     /// When the last scheduled expiry of unconfirmed servers is due.
     expiry: Millis,
     times: StoreTimes,
@@ -119,6 +104,7 @@
             at: None,
             era: None,
             lags: false,
+            listing: PartialListing::default(),
             expiry: Millis::ZERO,
             times,
             backoff: Backoff::new(times.backoff),
@@ -126,6 +112,31 @@
         }
     }
 
+    /// Lists everything. Requests that arrive before there is a configuration may wait for the first
+    /// listing.
+    async fn list(
+        &mut self,
+        shared: &Shared,
+        source: &impl Source,
+    ) -> Result<Listing, SourceError> {
+        let is_first = shared.table().is_none();
+        if is_first {
+            shared
+                .start
+                .record(StartStep::ListingAsked, shared.clock.now());
+            shared.start.set_first_read(FirstRead::Running);
+        }
+        let pages = self.listing.pages();
+        let listed = self.listing.read(shared, source).await;
+        if self.listing.pages() > pages {
+            self.backoff.reset();
+        }
+        if is_first && listed.is_err() {
+            shared.start.set_first_read(FirstRead::Idle);
+        }
+        listed
+    }
+
     /// Watches for changes after `at`. Returns `None` if the watch was cancelled.
     ///
     /// After that the changes are known to exist, so the next watch has nothing to wait for: it
@@ -252,7 +263,7 @@
         task::sleep(pause.into()).await;
     }
 
-    fn apply_listing(&mut self, shared: &Arc<Shared>, listing: Listing) {
+    fn apply_listing(&mut self, shared: &Arc<Shared>, listing: Listing) -> NextCall {
         let now = shared.clock.now();
         let ids: HashSet<&str> = listing.entries.iter().filter_map(server_id).collect();
         let zones: HashSet<&str> = listing.entries.iter().filter_map(evacuated_zone).collect();
@@ -283,6 +294,12 @@
             .with("entries", count)
             .with("pages", listing.pages);
         info!("{event}");
+        // Changes since the first page of a long listing have waited for long enough.
+        if now.since(listing.started) > self.times.batch_pause {
+            NextCall::Immediate
+        } else {
+            NextCall::Batch
+        }
     }
 
     fn apply_changes(&mut self, shared: &Arc<Shared>, changes: Changes) -> NextCall {
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -18,6 +18,10 @@
 /// fleets, in a fraction of the memory of the smallest instance.
 const MAX_HELD: usize = 50_000;
 
+/// Age from which an unfinished listing begins anew. The changes since its first page must still be in the
+/// store's history when it ends.
+const MAX_AGE: Millis = Millis::from_secs(10);
+
 /// All entries of the store.
 #[derive(Debug, Default)]
 pub(crate) struct Listing {
@@ -28,6 +32,8 @@
     pub(crate) last_change: Revision,
     /// Entries that can't be decoded and belong to no known server.
     pub(crate) malformed: MalformedEntries,
+    /// When its first page was asked for.
+    pub(crate) started: Millis,
     /// Number of pages read.
     pub(crate) pages: u64,
     /// Names at which pages have ended.
@@ -84,29 +90,59 @@
     }
 }
 
-/// Lists the store.
-pub(crate) async fn read_listing(
-    shared: &Shared,
-    source: &impl Source,
-) -> Result<Listing, SourceError> {
-    let listed = read_pages(shared, source).await;
-    shared.metrics.set_listed_entries(0);
-    listed
+/// A listing in progress.
+///
+/// It is kept while calls fail, and goes on at the page that is missing. If each failure began it anew, a long
+/// listing would never end at a store that loses a part of its answers.
+#[derive(Debug, Default)]
+pub(crate) struct PartialListing {
+    listing: Listing,
+    /// The name after which the next page begins.
+    next: Option<String>,
 }
 
-async fn read_pages(shared: &Shared, source: &impl Source) -> Result<Listing, SourceError> {
-    let started = shared.clock.now();
-    let mut listing = Listing::default();
-    let mut after = None;
-    let is_known = |id: &str| shared.directory().is_known(id);
-    loop {
-        let page = source.page(after.as_deref()).await?;
-        let Some(next) = listing.add(page, is_known)? else {
-            return Ok(listing);
-        };
+impl PartialListing {
+    /// Number of pages read so far.
+    pub(crate) fn pages(&self) -> u64 {
+        self.listing.pages
+    }
+
+    /// Reads the pages that are missing, and returns the listing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a call fails, or a page doesn't fit those before it. Then the listing begins anew.
+    pub(crate) async fn read(
+        &mut self,
+        shared: &Shared,
+        source: &impl Source,
+    ) -> Result<Listing, SourceError> {
+        let now = shared.clock.now();
+        if now.since(self.listing.started) > MAX_AGE {
+            *self = PartialListing::default();
+        }
+        if self.pages() == 0 {
+            self.listing.started = now;
+        }
+        loop {
+            let page = source.page(self.next.as_deref()).await?;
+            let is_known = |id: &str| shared.directory().is_known(id);
+            let added = self.listing.add(page, is_known);
+            if !matches!(added, Ok(Some(_))) {
+                shared.metrics.set_listed_entries(0);
+                let ended = std::mem::take(self);
+                return added.map(|_| ended.listing);
+            }
+            self.next = added?;
+            self.report(shared);
+        }
+    }
+
+    fn report(&self, shared: &Shared) {
+        let listing = &self.listing;
         shared.metrics.count_listing_page(listing.entries.len());
-        log_progress(&listing, &next, shared.clock.now().since(started));
-        after = Some(next);
+        let elapsed = shared.clock.now().since(listing.started);
+        log_progress(listing, self.next.as_deref().unwrap_or_default(), elapsed);
     }
 }
 
