Compare paths with calls as a server may read them

A class of `serve` is bound to calls, and the binding decides who may make a call and whether it may be repeated. Another spelling of the same path (`/booking/%63onfirmations`) wasn't bound, so that it got the account's first class.

Segments are decoded and dot segments removed before they are compared. What is sent to the server stays the same.

Three cases of request_is_in_class (escaped, dot segment, escaped dot segments) failed before, with `clara/slot-lookup` in place of `clara/booking-confirm`, and pass now; cargo test -p crocushold-config passes.

--- a/crates/config/src/resolve.rs
+++ b/crates/config/src/resolve.rs
@@ -1,10 +1,12 @@
 //! Determines the account, class and service of a request.
 
-use quick_error::quick_error;
+use std::borrow::Cow;
 
 use crocushold_base::AccountKey;
 use crocushold_base::ClassKey;
 use crocushold_base::ServiceKey;
+use percent_encoding::percent_decode_str;
+use quick_error::quick_error;
 
 use crate::catalog::Catalog;
 use crate::digest::Credential;
@@ -202,7 +204,7 @@
     /// Returns the class to which the service's owner binds the call; the one with the fewest
     /// wildcards if several match.
     fn bound_class(&self, service: ServiceKey, method: &str, path: &str) -> Option<ClassKey> {
-        let segments: Vec<&str> = segments(path).collect();
+        let segments = segments(path);
         let classes = self.catalog.services[service].classes.iter().copied();
         let calls = classes.flat_map(|key| self.class(key).calls.iter().map(move |c| (c, key)));
         let matching = calls.filter(|(call, _)| matches_call(call, method, &segments));
@@ -247,14 +249,25 @@
     rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
 
-/// Splits a path into segments. Empty segments are skipped, so that a doubled slash can't bypass a
-/// binding.
-fn segments(path: &str) -> impl Iterator<Item = &str> {
-    path.split('/').filter(|segment| !segment.is_empty())
+/// Splits a path into segments, as a server may read it: empty segments and dot segments are removed and escapes
+/// decoded, so that another spelling of a path can't bypass a binding.
+fn segments(path: &str) -> Vec<Cow<'_, str>> {
+    let mut segments = Vec::new();
+    for segment in path.split('/') {
+        let segment = percent_decode_str(segment).decode_utf8_lossy();
+        match &*segment {
+            "" | "." => {}
+            ".." => {
+                segments.pop();
+            }
+            _ => segments.push(segment),
+        }
+    }
+    segments
 }
 
-fn matches_call(call: &CallPattern, method: &str, segments: &[&str]) -> bool {
-    let same = |(pattern, segment): (&String, &&str)| pattern == "*" || pattern == segment;
+fn matches_call(call: &CallPattern, method: &str, segments: &[Cow<'_, str>]) -> bool {
+    let same = |(pattern, segment): (&String, &Cow<'_, str>)| pattern == "*" || pattern == segment;
     call.method == method
         && call.segments.len() == segments.len()
         && call.segments.iter().zip(segments).all(same)
--- a/crates/config/tests/examples.rs
+++ b/crates/config/tests/examples.rs
@@ -75,6 +75,12 @@
 #[test_case(PARENTS, CONFIRM, None, "clara/booking-confirm"; "bound call")]
 #[test_case(PARENTS, Target::Path { method: "POST", path: "/booking//confirmations/" }, None,
             "clara/booking-confirm"; "doubled slash")]
+#[test_case(PARENTS, Target::Path { method: "POST", path: "/booking/%63onfirmations" }, None,
+            "clara/booking-confirm"; "escaped")]
+#[test_case(PARENTS, Target::Path { method: "POST", path: "/booking/./confirmations" }, None,
+            "clara/booking-confirm"; "dot segment")]
+#[test_case(PARENTS, Target::Path { method: "POST", path: "/booking/a/%2e./confirmations" }, None,
+            "clara/booking-confirm"; "escaped dot segments")]
 #[test_case(PARENTS, Target::Path { method: "GET", path: "/booking/slots/7" }, None,
             "clara/slot-lookup"; "wildcard call")]
 fn request_is_in_class(key: &str, target: Target<'_>, requested: Option<&str>, class: &str) {
@@ -103,6 +109,7 @@
 #[test_case(CONFIRM, Some("slot-lookup"); "lowered to an idempotent class")]
 #[test_case(Target::Path { method: "POST", path: "/booking//confirmations/" }, None; "doubled slash")]
 #[test_case(Target::Path { method: "POST", path: "/booking/%63onfirmations" }, None; "escaped")]
+#[test_case(Target::Path { method: "POST", path: "/booking/a/../confirmations" }, None; "dot segments")]
 #[test_case(Target::Path { method: "POST", path: "/booking/other" }, None; "bound to no class")]
 fn call_with_an_effect_is_never_repeated(target: Target<'_>, requested: Option<&str>) {
     let (_, resolved) = resolve_example(PARENTS, target, requested).unwrap();
