Route and forward targets as they were received

Cause: async-h1 parses the target into a URL, which normalizes it; routes were chosen by the path of that URL, and servers sent what it prints. Methods were put in capitals, of two `Host` headers async-h1 took one and the router the other, and a URL in the target counted less than a `Host` header that contradicts it.

A `RequestTarget` is taken from the request line and travels beside the request. async-h1 gets a slash in its place, so no URL holds text that a caller has chosen and none can decide anything. The client writes the request line itself, and async-h1 the rest. Relays and retries send the same value; so do questions about a server's health.

A target may now be as long as the limit on heads, as async-h1 doesn't see it.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -8,6 +8,7 @@
 use crocushold_config as config;
 use crocushold_config::Credential;
 use crocushold_http::Hangup;
+use crocushold_http::request_path;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
@@ -77,7 +78,7 @@
     // Authenticate before the body is read: an unauthenticated caller must not make the instance
     // buffer megabytes.
     let account = authenticate(&config, connection, &request).map_err(Failure::Refused)?;
-    if request.method() == Method::Get && request.url().path() == "/v1/models" {
+    if request.method() == Method::Get && request_path(&request) == "/v1/models" {
         return Ok(list_models(&config, account));
     }
     let decoder = RequestDecoder {
--- a/crates/entry/src/decode.rs
+++ b/crates/entry/src/decode.rs
@@ -14,9 +14,11 @@
 use crocushold_config::Target;
 use crocushold_config::resolve_account;
 use crocushold_http::BodyError;
+use crocushold_http::RequestTarget;
 use crocushold_http::ServerLimits;
 use crocushold_http::read_body;
 use crocushold_http::relay_headers;
+use crocushold_http::request_path;
 use crocushold_http::reserve_memory;
 use crocushold_ownership::AccountId;
 use crocushold_ownership::ClaimKey;
@@ -26,7 +28,6 @@
 use http_types::Method;
 use http_types::Request;
 use http_types::StatusCode;
-use http_types::Url;
 use http_types::headers::Headers;
 use twox_hash::XxHash3_64;
 
@@ -108,7 +109,7 @@
 #[derive(Clone, Debug)]
 struct OutgoingRequest {
     method: Method,
-    target: String,
+    target: RequestTarget,
     headers: Headers,
     body: Vec<u8>,
 }
@@ -131,7 +132,7 @@
         let mut hasher = XxHash3_64::new();
         hasher.write(self.method.to_string().as_bytes());
         hasher.write(b" ");
-        hasher.write(self.target.as_bytes());
+        hasher.write(self.target.as_str().as_bytes());
         hasher.write(b"\n");
         hasher.write(&self.body);
         RequestDigest(hasher.finish())
@@ -140,7 +141,7 @@
     fn fingerprint(&self, account: &str) -> Fingerprint {
         Fingerprint::of(&[
             self.method.as_ref().as_bytes(),
-            self.target.as_bytes(),
+            self.target.as_str().as_bytes(),
             account.as_bytes(),
             &self.body,
         ])
@@ -148,12 +149,9 @@
 }
 
 impl Job {
-    /// Builds the request for the server at `address`.
-    pub(crate) fn request(&self, address: std::net::SocketAddr) -> Request {
-        let text = format!("http://{address}{}", self.outgoing.target);
-        let url =
-            Url::parse(&text).expect("an address and the path of a parsed URL form a valid URL");
-        let mut request = Request::new(self.outgoing.method, url);
+    /// Builds the request for a server.
+    pub(crate) fn request(&self) -> Request {
+        let mut request = self.outgoing.target.request(self.outgoing.method);
         relay_headers(&self.outgoing.headers, request.as_mut());
         request.set_body(self.outgoing.body.clone());
         request
@@ -203,7 +201,7 @@
         };
         let body = read_body(request, &limits).await;
         let body = body.map_err(|error| body_refusal(&error))?;
-        let job = if is_model_call(request.method(), request.url().path()) {
+        let job = if is_model_call(request.method(), request_path(request)) {
             self.model_job(request, &body)
         } else {
             self.plain_job(request, body)
@@ -242,7 +240,7 @@
             requirements: requirements(&resolved, class, payload.prefix, payload.prompt_tokens),
             stream: payload.stream,
             response_timeout: response_timeout(class),
-            outgoing: outgoing(request, body),
+            outgoing: outgoing(request, body)?,
             idempotency_key: None,
             content: unread_content(&payload),
             _reservation: None,
@@ -253,7 +251,7 @@
         let method = request.method().to_string();
         let target = Target::Path {
             method: &method,
-            path: request.url().path(),
+            path: request_path(request),
         };
         let resolved = self.resolve(request, target)?;
         let class = &self.config.catalog.classes[resolved.class];
@@ -270,7 +268,7 @@
             requirements: requirements(&resolved, class, None, 0),
             stream: false,
             response_timeout: response_timeout(class),
-            outgoing: outgoing(request, body),
+            outgoing: outgoing(request, body)?,
             idempotency_key: None,
             content: Fingerprint::of(&[]).into(),
             _reservation: None,
@@ -370,19 +368,20 @@
     span.map_or(Millis::MAX, |span| now + span)
 }
 
-fn outgoing(request: &Request, body: Vec<u8>) -> OutgoingRequest {
-    let mut headers = Request::new(Method::Get, request.url().clone());
+fn outgoing(request: &Request, body: Vec<u8>) -> Result<OutgoingRequest, Refusal> {
+    let target = RequestTarget::of(request).cloned();
+    let target =
+        target.ok_or_else(|| Refusal::not_run(Reason::BadRequest, "the request has no target"))?;
+    let mut headers = target.request(request.method());
     relay_headers(request.as_ref(), headers.as_mut());
     for name in STRIPPED_HEADERS {
         headers.remove_header(name);
     }
-    let url = request.url();
-    let query = url.query().map(|query| format!("?{query}"));
     let headers: &Headers = headers.as_ref();
-    OutgoingRequest {
+    Ok(OutgoingRequest {
         method: request.method(),
-        target: format!("{}{}", url.path(), query.unwrap_or_default()),
+        target,
         headers: headers.clone(),
         body,
-    }
+    })
 }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -387,7 +387,7 @@
         } else {
             Reuse::Fresh
         };
-        let mut request = self.job.request(address);
+        let mut request = self.job.request();
         request.insert_header("x-request-id", self.id);
         let mut guard = AttemptGuard {
             pool: &self.pool,
--- a/crates/entry/src/failpoint.rs
+++ b/crates/entry/src/failpoint.rs
@@ -121,7 +121,7 @@
     /// the crate `fail`, and `GET /failpoints/<name>`, which returns the number of tasks blocked
     /// there.
     pub(crate) fn command(request: &Request) -> Option<Response> {
-        let rest = request.url().path().strip_prefix(PATH)?;
+        let rest = crocushold_http::request_path(request).strip_prefix(PATH)?;
         let (name, actions) = rest.split_once('/').unwrap_or((rest, ""));
         let (_, name, count) = POINTS.iter().find(|(_, known, _)| *known == name)?;
         let mut response = Response::new(StatusCode::Ok);
--- a/crates/entry/src/memory.rs
+++ b/crates/entry/src/memory.rs
@@ -2,6 +2,7 @@
 
 use crocushold_config::CONNECTION_BYTES;
 use crocushold_config::Settings;
+use crocushold_http::RequestTarget;
 use http_types::Headers;
 use http_types::Request;
 
@@ -28,7 +29,9 @@
                 .map(|length| length + HEADER_OVERHEAD_BYTES)
                 .sum::<usize>()
     });
-    let head = headers.sum::<usize>() + request.url().as_str().len() + REQUEST_OVERHEAD_BYTES;
+    let head = headers.sum::<usize>()
+        + RequestTarget::of(request).map_or(0, |target| target.as_str().len())
+        + REQUEST_OVERHEAD_BYTES;
     REQUEST_COPIES * (body + head as u64)
 }
 
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -4,6 +4,7 @@
 
 use async_std::future::timeout;
 use crocushold_base::Millis;
+use crocushold_http::request_path;
 use crocushold_metrics::Window;
 use crocushold_metrics::status::ClassStatus;
 use crocushold_metrics::status::ConfigStatus;
@@ -39,7 +40,7 @@
     if request.method() != Method::Get {
         return text(StatusCode::MethodNotAllowed, "only GET\n");
     }
-    match request.url().path() {
+    match request_path(request) {
         "/health" => health(shared),
         "/ready" => ready(shared),
         "/metrics" => metrics(shared).await,
--- a/crates/gateway/src/cold_check.rs
+++ b/crates/gateway/src/cold_check.rs
@@ -7,11 +7,10 @@
 
 use async_std::task;
 use crocushold_base::Millis;
+use crocushold_http::RequestTarget;
 use crocushold_http::Reuse;
 use crocushold_http::SendLimits;
 use http_types::Method;
-use http_types::Request;
-use http_types::Url;
 
 use crate::fleet::ColdPhase;
 use crate::fleet::ColdQuery;
@@ -40,7 +39,7 @@
 
 /// How much longer the server is cold; `None` if it doesn't say so.
 async fn ask(shared: &Shared, query: &ColdQuery) -> Option<Millis> {
-    let url = Url::parse(&format!("http://{}{}", query.address, query.path)).ok()?;
+    let target = RequestTarget::parse(&query.path).ok()?;
     let limits = SendLimits {
         connect_timeout: ANSWER_TIMEOUT,
         write_timeout: ANSWER_TIMEOUT,
@@ -48,7 +47,7 @@
         stall_timeout: ANSWER_TIMEOUT,
         ..SendLimits::default()
     };
-    let request = Request::new(Method::Get, url);
+    let request = target.request(Method::Get);
     let sent = shared
         .client
         .send(query.address, request, &limits, Reuse::Fresh);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -269,7 +269,7 @@
         let job = self.job;
         let remaining = self.remaining();
         let limits = send_limits(CONNECT_TIMEOUT, remaining);
-        let mut request = job.request(choice.address);
+        let mut request = job.request();
         let forward = Forward {
             server: &choice.id,
             account: job.account.as_deref(),
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -177,7 +177,7 @@
             remaining,
             stream: job.stream,
         };
-        let mut request = job.request(peer);
+        let mut request = job.request();
         relayed.write(request.as_mut());
         let sent = self
             .shared
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -20,6 +20,7 @@
 use crocushold_http::OverloadPolicy;
 use crocushold_http::ServerLimits;
 use crocushold_http::WaitLimits;
+use crocushold_http::request_path;
 use crocushold_routing::RegionKey;
 use http_types::Request;
 use http_types::Response;
@@ -405,7 +406,7 @@
 fn spawn_readiness(listener: Listener, shared: &Arc<Shared>) {
     let shared = shared.clone();
     task::spawn(listener.run(move |request: Request, _| {
-        let known = request.url().path() == shared.protocol.readiness_path();
+        let known = request_path(&request) == shared.protocol.readiness_path();
         let status = match (known, shared.is_ready()) {
             (false, _) => StatusCode::NotFound,
             (true, true) => StatusCode::Ok,
@@ -420,7 +421,7 @@
     task::spawn(listener.run(move |request: Request, _| {
         let shared = shared.clone();
         async move {
-            let text = match request.url().path() {
+            let text = match request_path(&request) {
                 "/metrics" => {
                     let now = shared.clock.now();
                     let slow = shared.fleet().slow_count(SLOW_FACTOR, now);
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -1,12 +1,12 @@
 //! Intake of a caller's request: its route, its account and its body.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use async_std::io::Cursor;
 use crocushold_base::Millis;
 use crocushold_base::Reservation;
 use crocushold_http::BodyError;
+use crocushold_http::RequestTarget;
 use crocushold_http::ServerLimits;
 use crocushold_http::read_reserved_body;
 use crocushold_http::relay_headers;
@@ -16,7 +16,6 @@
 use http_types::Headers;
 use http_types::Method;
 use http_types::Request;
-use http_types::Url;
 use http_types::headers::CONTENT_TYPE;
 use http_types::headers::HOST;
 use twox_hash::XxHash3_64;
@@ -96,7 +95,7 @@
 /// The parts of the request that are sent to a backend server.
 struct Outgoing {
     method: Method,
-    target: String,
+    target: RequestTarget,
     headers: Headers,
     body: SharedBody,
 }
@@ -164,7 +163,7 @@
             entry: Some(relayed.entry),
             resumption: None,
             stream: relayed.stream,
-            outgoing: Outgoing::new(request),
+            outgoing: Outgoing::new(request, received_target(request)?),
             place: None,
             reservation: None,
         };
@@ -201,9 +200,10 @@
         meta: RequestMeta,
         arrived: Millis,
     ) -> Result<Job, Refusal> {
+        let target = received_target(request)?;
         let host = request.header(HOST).map_or("", |values| values.as_str());
         let route = table
-            .route(host, request.url().path())
+            .route(host, target.path())
             .ok_or(Refusal::new(Reason::NoRoute))?;
         let account = match (&meta.key, route.public || !table.requires_keys()) {
             (Some(key), true) => table.account(key),
@@ -253,18 +253,15 @@
             entry: None,
             stream,
             resumption: meta.resumption,
-            outgoing: Outgoing::new(request),
+            outgoing: Outgoing::new(request, target),
             place: None,
             reservation: None,
         })
     }
 
-    /// Builds the request for the server at `address`, without the headers set by the
-    /// [`Protocol`](crate::protocol::Protocol).
-    pub(crate) fn request(&self, address: SocketAddr) -> Request {
-        let text = format!("http://{address}{}", self.outgoing.target);
-        let url = Url::parse(&text).expect("an address and the path of a parsed URL make a URL");
-        let mut request = Request::new(self.outgoing.method, url);
+    /// Builds the request for a server, without the headers set by the [`Protocol`](crate::protocol::Protocol).
+    pub(crate) fn request(&self) -> Request {
+        let mut request = self.outgoing.target.request(self.outgoing.method);
         relay_headers(&self.outgoing.headers, request.as_mut());
         let body = self.outgoing.body.clone();
         let length = body.0.len();
@@ -281,15 +278,13 @@
 }
 
 impl Outgoing {
-    fn new(request: &Request) -> Outgoing {
-        let mut headers = Request::new(Method::Get, request.url().clone());
+    fn new(request: &Request, target: RequestTarget) -> Outgoing {
+        let mut headers = target.request(request.method());
         relay_headers(request.as_ref(), headers.as_mut());
         let headers: &Headers = headers.as_ref();
-        let url = request.url();
-        let query = url.query().map(|query| format!("?{query}"));
         Outgoing {
             method: request.method(),
-            target: format!("{}{}", url.path(), query.unwrap_or_default()),
+            target,
             headers: headers.clone(),
             body: SharedBody(Arc::default()),
         }
@@ -299,13 +294,19 @@
         let account = account.unwrap_or_default();
         Fingerprint::of(&[
             self.method.as_ref().as_bytes(),
-            self.target.as_bytes(),
+            self.target.as_str().as_bytes(),
             account.as_bytes(),
             self.body.as_ref(),
         ])
     }
 }
 
+/// The target of a request, which selects its route and is sent as it was received.
+fn received_target(request: &Request) -> Result<RequestTarget, Refusal> {
+    let target = RequestTarget::of(request).cloned();
+    target.ok_or(Refusal::new(Reason::BadRequest))
+}
+
 /// Maximum wait at a server with which the request is still sent.
 ///
 /// Only the least urgent requests are refused for a long queue. Servers put more urgent requests
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/room.rs
@@ -14,6 +14,7 @@
 use crocushold_base::Millis;
 use crocushold_base::Reservation;
 use crocushold_http::AnswerMemory;
+use crocushold_http::RequestTarget;
 use crocushold_http::reserve_memory;
 use http_types::Headers;
 use http_types::Request;
@@ -175,6 +176,7 @@
         let values = values.iter();
         values.map(move |value| name + value.as_str().len() + HEADER_OVERHEAD_BYTES)
     });
-    let head = headers.sum::<usize>() + request.url().as_str().len();
+    let head = headers.sum::<usize>()
+        + RequestTarget::of(request).map_or(0, |target| target.as_str().len());
     (EXCHANGE_BYTES + HEAD_COPIES * head) as u64
 }
--- a/crates/http/examples/relay_cost/main.rs
+++ b/crates/http/examples/relay_cost/main.rs
@@ -31,6 +31,7 @@
 use crocushold_http::ListenerLimits;
 use crocushold_http::Observer;
 use crocushold_http::PoolLimits;
+use crocushold_http::RequestTarget;
 use crocushold_http::Reuse;
 use crocushold_http::SendLimits;
 use crocushold_http::ServerLimits;
@@ -53,7 +54,8 @@
     let body = read_body(&mut request, &ServerLimits::default())
         .await
         .unwrap();
-    let mut onward = Request::new(request.method(), request.url().clone());
+    let target = RequestTarget::of(&request).unwrap();
+    let mut onward = target.request(request.method());
     relay_headers(request.as_ref(), onward.as_mut());
     onward.set_body(body);
     let limits = SendLimits {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -10,6 +10,7 @@
 mod probe;
 mod receive;
 mod relay_body;
+mod request_encoder;
 mod send;
 
 pub use cancel::Cancel;
--- a/crates/http/src/client/send.rs
+++ b/crates/http/src/client/send.rs
@@ -4,7 +4,6 @@
 use std::pin::pin;
 use std::sync::Arc;
 
-use async_h1::client::Encoder;
 use async_std::future::timeout;
 use async_std::io::BufReader;
 use async_std::net::SocketAddr;
@@ -19,6 +18,7 @@
 use http_types::Response;
 use http_types::StatusCode;
 use http_types::headers::CONNECTION;
+use http_types::headers::HOST;
 
 use super::cancel::Cancel;
 use super::error::SendError;
@@ -35,12 +35,14 @@
 use super::receive::read_answer;
 use super::relay_body::PoolReturn;
 use super::relay_body::RelayBody;
+use super::request_encoder::RequestEncoder;
 use crate::connection::Connection;
 use crate::connection::MessageStream;
 use crate::framing::Framing;
 use crate::headers::has_connection_option;
 use crate::headers::sanitize_headers;
 use crate::keepalive::end_unacknowledged;
+use crate::request_target::RequestTarget;
 use crate::transmit::Transmit;
 use crate::transmit::TransmitError;
 
@@ -85,6 +87,9 @@
 
     /// Sends a request and waits for the head of the answer.
     ///
+    /// The target is the request's [`RequestTarget`](crate::RequestTarget) if it has one, else the path and the query of its
+    /// URL.
+    ///
     /// Dropping the future closes the connection, which cancels the request at the server.
     ///
     /// # Errors
@@ -94,12 +99,15 @@
     pub async fn send(
         &self,
         server: SocketAddr,
-        request: Request,
+        mut request: Request,
         limits: &SendLimits,
         reuse: Reuse,
     ) -> Result<Answer, SendError> {
         let exchange = self.connect(server, limits, reuse).await?;
         let method = request.method();
+        if RequestTarget::of(&request).is_some() && request.header(HOST).is_none() {
+            request.insert_header(HOST, server.to_string());
+        }
         let response = exchange_heads(&exchange, request, limits).await?;
         self.answer(&exchange, server, method, response, limits)
     }
@@ -242,7 +250,7 @@
     limits: &SendLimits,
 ) -> Result<(), SendError> {
     sanitize_headers(request.as_mut());
-    let encoder = Encoder::new(request);
+    let encoder = RequestEncoder::new(request);
     let transmit = Transmit::new(encoder, exchange.connection.clone(), limits.write_timeout);
     let Err(error) = transmit.await else {
         return Ok(());
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -5,6 +5,7 @@
 mod read_buffer;
 
 use std::io;
+use std::ops::Range;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -154,13 +155,12 @@
         view(&mut read_buffer.bytes[start..start + length])
     }
 
-    /// Replaces the head of `length` bytes by `head`.
-    pub(crate) fn replace_head(&self, length: usize, head: &[u8]) {
+    /// Replaces a range of the head by `bytes`.
+    pub(crate) fn replace_head(&self, range: Range<usize>, bytes: &[u8]) {
         let mut read_buffer = self.read_buffer();
         let start = read_buffer.start;
-        read_buffer
-            .bytes
-            .splice(start..start + length, head.iter().copied());
+        let range = start + range.start..start + range.end;
+        read_buffer.bytes.splice(range, bytes.iter().copied());
     }
 
     /// Sets the number of bytes that [`MessageStream`] may still yield.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 //!   bounded number of such connections and shuts down gracefully.
 //! * [`Client`] sends a request to a backend server. A [`SendError`] carries the [`Stage`] that was
 //!   reached, which says whether the server may have run the request.
+//! * A [`RequestTarget`] carries the target of a request byte for byte from the server to the client.
 //! * [`RelayBody`] relays an answer's body as it arrives and fails if the body is truncated. An
 //!   [`Observer`] receives each chunk and exactly one end.
 //! * [`EventCounter`] counts server-sent events without parsing them.
@@ -22,6 +23,7 @@
 mod keepalive;
 mod overdue;
 mod poll_on_wake;
+mod request_target;
 mod retry_after;
 mod server;
 mod sse;
@@ -46,6 +48,9 @@
 pub use client::is_path_failure;
 pub use client::refuses_connections;
 pub use headers::relay_headers;
+pub use request_target::MalformedTarget;
+pub use request_target::RequestTarget;
+pub use request_target::request_path;
 pub use retry_after::parse_retry_after;
 pub use retry_after::retry_after;
 pub use server::AnswerMemory;
--- a/crates/http/src/server/receive.rs
+++ b/crates/http/src/server/receive.rs
@@ -7,9 +7,11 @@
 use futures::future::Aborted;
 use futures::future::Either;
 use futures::future::select;
+use http_types::Method;
 use http_types::Request;
 use http_types::StatusCode;
 use http_types::headers::EXPECT;
+use http_types::headers::HOST;
 
 use super::body::Inbound;
 use super::limits::MAX_HEAD_BYTES;
@@ -25,6 +27,8 @@
 use crate::framing::AmbiguousFraming;
 use crate::framing::Framing;
 use crate::framing::framing;
+use crate::request_target::RequestTarget;
+use crate::request_target::check_host;
 
 /// Memory of a head while it is read, relative to its longest length: the buffer and its copy while it grows.
 const HEAD_BUFFER_FACTOR: usize = 2;
@@ -62,21 +66,23 @@
         Ok(length) => length,
         Err(next) => return next,
     };
-    if let Err(status) = connection.with_head(length, |head| check_head(head)) {
-        return Next::Refused(status);
-    }
+    let line = match connection.with_head(length, |head| request_line(head)) {
+        Ok(line) => line,
+        Err(status) => return Next::Refused(status),
+    };
+    length = hide_target(connection, length, &line);
     let mut removed = Vec::new();
     if length > MAX_HEAD_BYTES {
         match connection.with_head(length, |head| remove_long_lines(head, MAX_HEAD_BYTES)) {
             Some((head, lines)) => {
-                connection.replace_head(length, &head);
+                connection.replace_head(0..length, &head);
                 length = head.len();
                 removed = lines;
             }
             None => return Next::Refused(StatusCode::RequestHeaderFieldsTooLarge),
         }
     }
-    match parse(connection, length).await {
+    match parse(connection, length, line).await {
         Ok(mut incoming) => {
             restore_lines(&mut incoming.request, removed);
             apply_limits(connection, seat, limits, incoming)
@@ -128,34 +134,83 @@
     }
 }
 
-/// Refuses heads on which async-h1 would panic or close the connection without an answer.
-fn check_head(head: &[u8]) -> Result<(), StatusCode> {
+/// The parts of a request line that async-h1 changes.
+struct RequestLine {
+    method: String,
+    target: RequestTarget,
+}
+
+/// Takes the request line of a head. Refuses heads on which async-h1 would panic or close the connection without an
+/// answer.
+fn request_line(head: &[u8]) -> Result<RequestLine, StatusCode> {
     // http-types panics on a header value that isn't ASCII, and the connection would be closed
     // without an answer.
-    if !head.is_ascii() {
-        return Err(StatusCode::BadRequest);
+    let head = std::str::from_utf8(head).ok();
+    let head = head.filter(|head| head.is_ascii());
+    let head = head.ok_or(StatusCode::BadRequest)?;
+    let line = head.split('\r').next().unwrap_or_default();
+    let mut words = line.split(' ');
+    let (method, target, version) = (words.next(), words.next(), words.next_back());
+    if version != Some("HTTP/1.1") {
+        return Err(match version {
+            Some(other) if other.starts_with("HTTP/") => StatusCode::HttpVersionNotSupported,
+            _ => StatusCode::BadRequest,
+        });
     }
-    let line = head.split(|byte| *byte == b'\r').next().unwrap_or_default();
-    if line.ends_with(b" HTTP/1.1") {
-        return Ok(());
+    let (Some(method), Some(target), None) = (method, target, words.next()) else {
+        return Err(StatusCode::BadRequest);
+    };
+    let target = RequestTarget::parse(target).map_err(|_| StatusCode::BadRequest)?;
+    if target.as_str() == "*" && method != Method::Options.as_ref() {
+        return Err(StatusCode::BadRequest);
     }
-    let version = line.rsplit(|byte| *byte == b' ').next().unwrap_or_default();
-    if version.starts_with(b"HTTP/") {
-        return Err(StatusCode::HttpVersionNotSupported);
+    Ok(RequestLine {
+        method: method.to_owned(),
+        target,
+    })
+}
+
+/// Puts a slash in the place of the target, so that async-h1 parses no URL that a caller has chosen. Returns the length
+/// of the changed head.
+fn hide_target(connection: &Connection, length: usize, line: &RequestLine) -> usize {
+    let start = line.method.len() + 1;
+    let target_length = line.target.as_str().len();
+    connection.replace_head(start..start + target_length, b"/");
+    length - target_length + 1
+}
+
+/// Refuses requests that are passed on in another spelling, or in which servers may find another host.
+fn check_request(request: &Request, line: &RequestLine) -> Result<(), StatusCode> {
+    // The tunnel that `CONNECT` asks for has no path, and thus no route.
+    let is_known = request.method().as_ref() == line.method && request.method() != Method::Connect;
+    let hosts = request.header(HOST);
+    let host = hosts.filter(|values| values.iter().count() == 1);
+    let host = host.map_or("", |values| values.as_str());
+    let authority = line.target.authority().unwrap_or(host);
+    let is_one = check_host(host).is_ok() && authority.eq_ignore_ascii_case(host);
+    if is_known && is_one {
+        Ok(())
+    } else {
+        Err(StatusCode::BadRequest)
     }
-    Err(StatusCode::BadRequest)
 }
 
-async fn parse(connection: &Arc<Connection>, length: usize) -> Result<Incoming, StatusCode> {
+async fn parse(
+    connection: &Arc<Connection>,
+    length: usize,
+    line: RequestLine,
+) -> Result<Incoming, StatusCode> {
     connection.set_remaining(length as u64);
     // The whole head has been read, so decoding doesn't wait. The future is boxed because its state
     // has room for 128 headers, which would otherwise enlarge the state of every connection for its
     // whole lifetime.
     let decoded = Box::pin(async_h1::server::decode(MessageStream(connection.clone()))).await;
-    let (request, _) = match decoded {
+    let (mut request, _) = match decoded {
         Ok(Some(decoded)) => decoded,
         Ok(None) | Err(_) => return Err(StatusCode::BadRequest),
     };
+    check_request(&request, &line)?;
+    request.ext_mut().insert(line.target);
     let framing = match framing(request.as_ref()) {
         Ok(framing) => framing.unwrap_or(Framing::Length(0)),
         Err(AmbiguousFraming) => return Err(StatusCode::BadRequest),
--- a/crates/http/tests/listener.rs
+++ b/crates/http/tests/listener.rs
@@ -13,6 +13,7 @@
 use crocushold_http::OverloadPolicy;
 use crocushold_http::ServerLimits;
 use crocushold_http::StopSignal;
+use crocushold_http::request_path;
 use crocushold_http::serve_until;
 use futures::future::join;
 use http_types::Response;
@@ -103,7 +104,7 @@
         let (addr, handle, ended) = serve(limits, move |request, _| {
             let (started, released) = (started.clone(), released.clone());
             async move {
-                if request.url().path() == "/slow" {
+                if request_path(&request) == "/slow" {
                     started.send(()).await.unwrap();
                     released.recv().await.unwrap();
                 }
--- a/crates/measure/src/proxy.rs
+++ b/crates/measure/src/proxy.rs
@@ -17,6 +17,7 @@
 use crocushold_http::ListenerLimits;
 use crocushold_http::Observer;
 use crocushold_http::PoolLimits;
+use crocushold_http::RequestTarget;
 use crocushold_http::Reuse;
 use crocushold_http::SendLimits;
 use crocushold_http::ServerLimits;
@@ -28,7 +29,6 @@
 use http_types::Request;
 use http_types::Response;
 use http_types::StatusCode;
-use http_types::Url;
 
 use crate::MeasureResult;
 
@@ -101,11 +101,10 @@
         return Response::new(StatusCode::ServiceUnavailable);
     };
     let address = proxy.servers[slot.server];
-    let target = format!("http://{address}{}", request.url().path());
-    let Ok(url) = Url::parse(&target) else {
+    let Some(target) = RequestTarget::of(request) else {
         return Response::new(StatusCode::BadRequest);
     };
-    let mut outgoing = Request::new(request.method(), url);
+    let mut outgoing = target.request(request.method());
     relay_headers(request.as_ref(), outgoing.as_mut());
     outgoing.set_body(body);
     let limits = SendLimits {
--- a/tests/all/path.rs
+++ b/tests/all/path.rs
@@ -4,8 +4,11 @@
 use test_case::test_case;
 
 use crate::support::Call;
+use crate::support::RawCaller;
+use crate::support::RawServer;
 use crate::support::Site;
 use crate::support::SiteSettings;
+use crate::support::answer_rest;
 use crate::support::call;
 
 #[test]
@@ -63,6 +66,48 @@
     assert_eq!(answer.header("x-request-ran"), "no");
 }
 
+/// Guards against a target that reaches a server changed, as by a parser of URLs.
+#[test_case("/booking/x?teacher=O'Higgins"; "apostrophe")]
+#[test_case("/booking/a/../x"; "dot segments")]
+#[test_case("/booking/%2e%2e/other/x"; "escaped dot segments")]
+#[test_case("/booking//x//?"; "doubled slashes and an empty query")]
+#[test_case("http://entry/booking/./x"; "absolute form")]
+fn a_target_arrives_unchanged(target: &str) {
+    let site = Site::start(&SiteSettings::default());
+    let server = RawServer::start();
+    let old = site.service.addr().to_string();
+    site.publish(|text| text.replace(&old, &server.addr().to_string()));
+    let entry = site.entry("entry-1");
+    entry.wait_active(2);
+    let booking = Call {
+        path: target.to_owned(),
+        ..Call::booking("b-1")
+    };
+    let mut caller = RawCaller::send(entry.listen, &booking);
+    let (stream, line) = server.accept_line("booking");
+    assert_eq!(line, format!("POST {target} HTTP/1.1"));
+    answer_rest(stream, booking.body.len());
+    assert!(caller.read_until("ok"), "{}", caller.text());
+}
+
+/// Guards against a target that isn't one by RFC 9112 and that a server reads in another way than the instance.
+#[test_case("/booking/x#part"; "fragment")]
+#[test_case("/booking\\x"; "backslash")]
+#[test_case("/booking/%zz"; "incomplete escape")]
+#[test_case("http://other/booking/x"; "another host")]
+fn a_malformed_target_is_refused(target: &str) {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    let booking = Call {
+        path: target.to_owned(),
+        ..Call::booking("b-1")
+    };
+    let mut caller = RawCaller::send(entry.listen, &booking);
+    let answer = caller.read_to_end();
+    assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
+    assert_eq!(site.service.effects("b-1"), 0);
+}
+
 #[test]
 fn the_models_of_an_account_are_listed() {
     let site = Site::start(&SiteSettings::default());
--- a/tests/all/support/raw_server.rs
+++ b/tests/all/support/raw_server.rs
@@ -57,6 +57,19 @@
         }
     }
 
+    /// Accepts connections until one carries a request whose target contains `path`, and reads its head. Returns the request
+    /// line as well.
+    pub fn accept_line(&self, path: &str) -> (TcpStream, String) {
+        loop {
+            let (mut stream, _) = self.listener.accept().unwrap();
+            let head = read_whole_head(&mut stream).unwrap_or_default();
+            let line = head.lines().next().unwrap_or_default();
+            if line.contains(path) {
+                return (stream, line.to_owned());
+            }
+        }
+    }
+
     /// Closes each connection after its request's head for as long as the test runs. Returns their
     /// count.
     pub fn cut_all(self) -> Arc<AtomicUsize> {
@@ -86,6 +99,12 @@
 
 /// Reads the head of a request. Returns `None` if it is a poll or ends early.
 fn read_head(mut stream: TcpStream) -> Option<TcpStream> {
+    let head = read_whole_head(&mut stream)?;
+    (!head.starts_with("GET ")).then_some(stream)
+}
+
+/// Reads the head of a request. Returns `None` if it ends early.
+fn read_whole_head(stream: &mut TcpStream) -> Option<String> {
     stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
     let mut head = Vec::new();
     let mut byte = [0];
@@ -95,7 +114,7 @@
         }
         head.push(byte[0]);
     }
-    (!head.starts_with(b"GET ")).then_some(stream)
+    String::from_utf8(head).ok()
 }
 
 /// Reads the remaining `length` body bytes of a request and answers it with status 200 and the body
