Streams: know how long callers hold them before a version counts as the only one

What callers saw: after all instances were killed at once, streams that version v1 had begun were taken up at v2, with 200 and nothing in the answer to show it. After such a kill nobody remembers an origin; a stream of unknown origin goes on once an instance has had contact to the store, and seen one version, for as long as a stream may last.

Cause: "as long as a stream may last" was the longest timeout of the resumable routes of the configuration in force. That bounds one attempt. A caller takes the stream up until its own deadline, which may be later (X-Deadline-Ms), the route may no longer be resumable (the time was zero then), and the timeout may have been shortened meanwhile. Origins were forgotten by the same wrong bound, five seconds after the end of the first attempt.

Change: an origin is kept until the deadline that the caller named. Each instance keeps the longest time for which callers hold streams, from the deadlines of requests that begin or take up streams, from origins that it is told, and from the timeouts of all routes with streams of each configuration it has had, for an hour or two. Replies about versions carry that time, the contact and the time for which no other version was listed, instead of a verdict by the replier's own bound; the longest time of all replies decides. After a kill of all the callers whose streams were cut say themselves for how long they go on.

The two tests of the rule itself had the former types (a flag and an enum); they are rewritten with the same cases and more: a version that left just within the time, a replier that knows of a longer one.

The relay of the caller's time has no test of its own.

--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -176,6 +176,7 @@
             need: job.need.clone(),
             remaining,
             stream: job.stream,
+            held: job.held_until.since(self.shared.clock.now()),
         };
         let mut request = job.request(peer);
         relayed.write(request.as_mut());
--- a/crates/gateway/src/fleet/software.rs
+++ b/crates/gateway/src/fleet/software.rs
@@ -8,7 +8,7 @@
 
 use super::Fleet;
 use super::short_hash;
-use crate::resumption::SoftwareVersions;
+use crate::resumption::LatestSoftware;
 
 /// How long a version is remembered after its last server has left.
 const MEMORY: Millis = Millis::from_secs(3600);
@@ -42,22 +42,21 @@
 }
 
 impl Fleet {
-    /// The software versions of the servers of a service that were listed within the last `span`. The
-    /// service is given by the hash of its name.
-    pub fn listed_software(&self, service: u32, span: Millis, now: Millis) -> SoftwareVersions {
+    /// The software version of the servers of a service that was listed last. The service is given by
+    /// the hash of its name.
+    pub fn latest_software(&self, service: u32, now: Millis) -> LatestSoftware {
         let mut services = self.listed_software.services.iter();
         let Some((_, versions)) = services.find(|(name, _)| short_hash(name) == service) else {
-            return SoftwareVersions::None;
+            return LatestSoftware::default();
         };
-        let since = span + RECORD_LAG;
-        let recent = versions
-            .iter()
-            .filter(|(_, listed)| now.since(**listed) <= since);
-        let mut recent = recent.map(|(software, _)| *software);
-        match (recent.next(), recent.next()) {
-            (None, _) => SoftwareVersions::None,
-            (Some(software), None) => SoftwareVersions::One(software),
-            (Some(_), Some(_)) => SoftwareVersions::Several,
+        let latest = versions.iter().max_by_key(|(_, listed)| **listed);
+        let software = latest.map(|(software, _)| *software);
+        let others = versions.iter();
+        let others = others.filter(|(other, _)| Some(**other) != software);
+        let last = others.map(|(_, listed)| *listed).max();
+        LatestSoftware {
+            software,
+            alone: last.map_or(Millis::MAX, |last| now.since(last + RECORD_LAG)),
         }
     }
 
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -79,6 +79,8 @@
     pub(crate) arrived: Millis,
     /// Deadline of the request.
     pub(crate) deadline: Millis,
+    /// When the caller gives up, over all of its attempts.
+    pub(crate) held_until: Millis,
     /// Name of the instance that relayed the request to this one, if any.
     pub(crate) entry: Option<String>,
     /// The stream that the caller takes up, if it does.
@@ -161,6 +163,7 @@
             content: unread_content(parts),
             arrived,
             deadline: arrived + relayed.remaining,
+            held_until: arrived + relayed.held,
             entry: Some(relayed.entry),
             resumption: None,
             stream: relayed.stream,
@@ -250,6 +253,7 @@
             content: unread_content(part_fingerprints(service, &meta.prompt)),
             arrived,
             deadline: arrived + timeout.min(route.timeout),
+            held_until: arrived + meta.timeout.unwrap_or(route.timeout),
             entry: None,
             stream,
             resumption: meta.resumption,
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -38,6 +38,8 @@
     pub remaining: Millis,
     /// The stream that it begins or takes up.
     pub stream: Option<StreamKey>,
+    /// Time left until its caller gives up, over all of its attempts.
+    pub held: Millis,
 }
 
 impl RelayedRequest {
--- a/crates/gateway/src/resumption/message.rs
+++ b/crates/gateway/src/resumption/message.rs
@@ -26,7 +26,7 @@
     pub key: StreamKey,
     /// The software version of the server that began it.
     pub software: SoftwareKey,
-    /// How much longer it may be taken up.
+    /// How much longer its caller may hold it.
     pub remaining: Millis,
 }
 
@@ -52,40 +52,42 @@
     pub seen: SeenSoftware,
 }
 
-/// The software versions of a service that an instance has seen in the store within the longest time
-/// for which a stream may last.
+/// The software versions of a service that an instance has seen in the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SeenSoftware {
-    /// Whether it had contact to the store for all of that time.
-    pub complete: bool,
+    /// The longest time for which it knows that callers hold streams.
+    pub span: Millis,
+    /// How long it has had contact to the store; zero if it has none.
+    pub contact: Millis,
     /// The versions.
-    pub versions: SoftwareVersions,
+    pub latest: LatestSoftware,
 }
 
-/// Some software versions.
+/// The software version that was listed last.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub enum SoftwareVersions {
-    /// None.
-    #[default]
-    None,
-    /// A single one.
-    One(SoftwareKey),
-    /// Several.
-    Several,
+pub struct LatestSoftware {
+    /// The version; `None` if none was listed.
+    pub software: Option<SoftwareKey>,
+    /// Time for which no server of another version has served; zero if one is listed.
+    pub alone: Millis,
 }
 
 impl SeenSoftware {
-    /// The only version that has served, according to what several instances have seen: one of them has
-    /// seen all of the time, and none has seen another version.
+    /// Whether it had contact to the store for longer than callers hold streams, as far as it knows.
+    pub fn is_complete(&self) -> bool {
+        self.contact > self.span
+    }
+
+    /// The only version that has served for longer than callers hold streams, according to what several
+    /// instances have seen: one of them has seen all of that time, and none has seen another version in
+    /// it. The one that knows of the longest time decides how long that is.
     pub fn only_version(all: &[SeenSoftware]) -> Option<SoftwareKey> {
-        let complete = all.iter().find(|seen| seen.complete)?;
-        let SoftwareVersions::One(only) = complete.versions else {
-            return None;
-        };
-        let agrees = |seen: &SeenSoftware| match seen.versions {
-            SoftwareVersions::None => !seen.complete,
-            SoftwareVersions::One(software) => software == only,
-            SoftwareVersions::Several => false,
+        let span = all.iter().map(|seen| seen.span).max()?;
+        let complete = all.iter().find(|seen| seen.contact > span)?;
+        let only = complete.latest.software?;
+        let agrees = |seen: &SeenSoftware| match seen.latest.software {
+            None => seen.contact <= span,
+            Some(software) => software == only && seen.latest.alone > span,
         };
         all.iter().all(agrees).then_some(only)
     }
--- a/crates/gateway/src/resumption/mod.rs
+++ b/crates/gateway/src/resumption/mod.rs
@@ -10,23 +10,25 @@
 //! * The instance at which a caller takes the stream up looks at its own records and asks the holders.
 //!   The version becomes a requirement of the request, like its regions: every choice of a server, by
 //!   this instance, by the placer or behind a relay, keeps to it.
-//! * A stream of unknown origin goes on only if a single version has served for as long as a stream
-//!   may last, which an instance in contact to the store has seen. Otherwise it is refused: it isn't
-//!   run, and a guess could spoil it.
+//! * A stream of unknown origin goes on only if a single version has served for longer than callers
+//!   hold streams, which an instance in contact to the store has seen. Otherwise it is refused: it
+//!   isn't run, and a guess could spoil it.
 //!
-//! An origin is forgotten some time after the deadline of the stream.
+//! A caller may hold a stream for longer than the timeout of its route, which bounds each of its
+//! attempts only. An origin is forgotten some time after the deadline that the caller named.
 
 mod holders;
 mod message;
 mod origins;
 mod resolve;
 mod shell;
+mod span;
 
 pub use holders::holders;
+pub use message::LatestSoftware;
 pub use message::OriginQuery;
 pub use message::OriginReply;
 pub use message::SeenSoftware;
-pub use message::SoftwareVersions;
 pub use message::StreamKey;
 pub use message::StreamOrigin;
 pub use origins::Origins;
--- a/crates/gateway/src/resumption/origins.rs
+++ b/crates/gateway/src/resumption/origins.rs
@@ -8,11 +8,12 @@
 
 use super::message::StreamKey;
 use super::message::StreamOrigin;
+use super::span::LongestSpan;
 
 /// Maximum number of origins, with some forty bytes each. The oldest make room for new ones.
 const MAX_ORIGINS: usize = 32 * 1024;
 
-/// How long an origin is kept beyond the deadline of its stream, for clocks that differ and callers
+/// How long an origin is kept beyond the deadline of its caller, for clocks that differ and callers
 /// that come late.
 const GRACE: Millis = Millis::from_secs(5);
 
@@ -32,6 +33,7 @@
     known: HashMap<StreamKey, Origin>,
     /// The known streams in the order in which they were recorded.
     order: VecDeque<StreamKey>,
+    span: LongestSpan,
 }
 
 impl Origins {
@@ -47,6 +49,7 @@
 
     /// Records the origin of a stream, or that the stream goes on.
     pub fn record(&mut self, origin: StreamOrigin, now: Millis) {
+        self.record_span(origin.remaining, now);
         let until = now + origin.remaining.min(MAX_LIFETIME) + GRACE;
         if let Some(known) = self.known.get_mut(&origin.key) {
             known.until = known.until.max(until);
@@ -71,6 +74,16 @@
         origin.software.filter(|_| now < origin.until)
     }
 
+    /// Records that callers may hold streams for so long.
+    pub fn record_span(&mut self, span: Millis, now: Millis) {
+        self.span.record(span, now);
+    }
+
+    /// The longest time for which callers hold streams, according to the last hour or two.
+    pub fn longest_span(&mut self, now: Millis) -> Millis {
+        self.span.longest(now)
+    }
+
     /// Forgets the streams that can't be taken up any more.
     pub fn expire(&mut self, now: Millis) {
         self.known.retain(|_, origin| now < origin.until);
--- a/crates/gateway/src/resumption/resolve.rs
+++ b/crates/gateway/src/resumption/resolve.rs
@@ -31,10 +31,14 @@
 ///
 /// Returns the refusal if the version isn't known. Nothing has run then.
 pub(crate) async fn require_origin(shared: &Arc<Shared>, job: &mut Job) -> Result<(), Refusal> {
-    if !takes_up_stream(job) {
+    let now = shared.clock.now();
+    let takes_up = takes_up_stream(job);
+    if takes_up || job.stream.is_some() {
+        shared.origins.record_span(job.held_until.since(now), now);
+    }
+    if !takes_up {
         return Ok(());
     }
-    let now = shared.clock.now();
     let (software, source) = find_origin(shared, job, now).await;
     shared.metrics.count_resumption(source);
     let name = software.and_then(|key| shared.fleet().software_name(key));
@@ -60,7 +64,7 @@
     let origin = StreamOrigin {
         key,
         software: SoftwareKey::new(&choice.software),
-        remaining: job.deadline.since(now),
+        remaining: job.held_until.since(now),
     };
     shared.origins.record(origin, now);
 }
@@ -87,7 +91,7 @@
     }
     let service = short_hash(&job.need.service);
     let mut seen = vec![seen_software(shared, service)];
-    let needs_others = job.stream.is_some() || !seen[0].complete;
+    let needs_others = job.stream.is_some() || !seen[0].is_complete();
     if needs_others {
         let name = StreamKey::new(job.account.as_deref(), &job.id);
         match shared.origins.find(job.stream, name, service).await {
@@ -102,18 +106,18 @@
     }
 }
 
-/// The software versions of a service that this instance has seen within the longest time for which a
-/// stream that may be taken up may last.
+/// The software versions of a service that this instance has seen.
 fn seen_software(shared: &Shared, service: u32) -> SeenSoftware {
     let now = shared.clock.now();
     let Some(table) = shared.table() else {
         return SeenSoftware::default();
     };
-    let span = table.longest_resumable();
     let contact = shared.directory().contact_age(now);
+    let span = shared.origins.longest_span(now);
     SeenSoftware {
-        complete: contact.is_some_and(|contact| contact >= span),
-        versions: shared.fleet().listed_software(service, span, now),
+        span: span.max(table.longest_stream()),
+        contact: contact.unwrap_or(Millis::ZERO),
+        latest: shared.fleet().latest_software(service, now),
     }
 }
 
--- a/crates/gateway/src/resumption/shell.rs
+++ b/crates/gateway/src/resumption/shell.rs
@@ -102,6 +102,16 @@
         lock(&self.origins).record(origin, now);
     }
 
+    /// Records that callers may hold streams for so long.
+    pub(crate) fn record_span(&self, span: Millis, now: Millis) {
+        lock(&self.origins).record_span(span, now);
+    }
+
+    /// The longest time for which callers hold streams, as far as this instance knows.
+    pub(crate) fn longest_span(&self, now: Millis) -> Millis {
+        lock(&self.origins).longest_span(now)
+    }
+
     /// Replies to a question of another instance, with the versions that this one has seen.
     pub(crate) fn reply(
         &self,
@@ -184,7 +194,7 @@
                     }
                     seen.push(reply.seen);
                     // Without a key there is no better reply to wait for.
-                    if query.key.is_none() && reply.seen.complete {
+                    if query.key.is_none() && reply.seen.is_complete() {
                         break;
                     }
                 }
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -351,10 +351,11 @@
         pauses
     }
 
-    /// The longest time for which a stream that may be taken up may last.
-    pub fn longest_resumable(&self) -> Millis {
+    /// The longest time for which an attempt at a stream may last. Whether streams may be taken up may
+    /// change while one runs.
+    pub fn longest_stream(&self) -> Millis {
         let streams = self.routes.iter();
-        let streams = streams.filter(|route| route.repeat == Repeat::ResumableStream);
+        let streams = streams.filter(|route| route.repeat.is_stream());
         let timeouts = streams.map(|route| route.timeout);
         timeouts.max().unwrap_or(Millis::ZERO)
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -166,6 +166,8 @@
         fleet.set_live_pauses(table.live_pauses());
         fleet.set_slow_starts(table.slow_starts());
         drop(fleet);
+        self.origins
+            .record_span(table.longest_stream(), self.clock.now());
         let mut held = self.table.write().unwrap_or_else(PoisonError::into_inner);
         *held = Some(Arc::new(table));
         drop(held);
--- a/crates/gateway/tests/origins.rs
+++ b/crates/gateway/tests/origins.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 
 use crocushold_base::Millis;
+use crocushold_gateway::LatestSoftware;
 use crocushold_gateway::Origins;
 use crocushold_gateway::Packet;
 use crocushold_gateway::SeenSoftware;
-use crocushold_gateway::SoftwareVersions;
 use crocushold_gateway::StreamKey;
 use crocushold_gateway::StreamOrigin;
 use crocushold_gateway::holders;
@@ -124,27 +124,82 @@
 /// none has seen all of the time.
 #[test]
 fn the_only_version_is_one_that_nobody_contradicts() {
-    let seen = |complete, versions| SeenSoftware { complete, versions };
-    let [first, second] = ["v1", "v2"].map(|name| SoftwareVersions::One(SoftwareKey::new(name)));
+    let span = Millis(5000);
+    let seen = |contact, software: Option<&str>, alone| SeenSoftware {
+        span,
+        contact: Millis(contact),
+        latest: LatestSoftware {
+            software: software.map(SoftwareKey::new),
+            alone,
+        },
+    };
     let only = |all: &[SeenSoftware]| SeenSoftware::only_version(all);
-    let complete = seen(true, first);
+    let complete = seen(6000, Some("v1"), Millis::MAX);
     assert_eq!(only(&[complete]), Some(SoftwareKey::new("v1")));
-    assert_eq!(only(&[seen(false, first), complete]), only(&[complete]));
-    assert_eq!(
-        only(&[SeenSoftware::default(), complete]),
-        only(&[complete])
-    );
+    let young = seen(5000, Some("v1"), Millis::MAX);
+    assert_eq!(only(&[young, complete]), only(&[complete]));
+    let blind = SeenSoftware::default();
+    assert_eq!(only(&[blind, complete]), only(&[complete]));
     assert_eq!(only(&[]), None);
-    assert_eq!(only(&[seen(false, first)]), None);
-    assert_eq!(only(&[seen(false, second), complete]), None);
-    assert_eq!(only(&[complete, seen(true, second)]), None);
-    assert_eq!(
-        only(&[complete, seen(true, SoftwareVersions::Several)]),
-        None
-    );
-    assert_eq!(
-        only(&[complete, seen(false, SoftwareVersions::Several)]),
-        None
-    );
-    assert_eq!(only(&[seen(true, SoftwareVersions::None)]), None);
+    assert_eq!(only(&[young]), None);
+    assert_eq!(only(&[blind]), None);
+    for contact in [0, 5000, 6000] {
+        let contradictions = [
+            seen(contact, Some("v2"), Millis::MAX),
+            seen(contact, Some("v1"), Millis::ZERO),
+            seen(contact, Some("v1"), span),
+        ];
+        for other in contradictions {
+            assert_eq!(only(&[other, complete]), None, "{other:?}");
+            assert_eq!(only(&[complete, other]), None, "{other:?}");
+        }
+    }
+    let left_before = seen(6000, Some("v1"), Millis(5001));
+    assert_eq!(only(&[left_before, complete]), only(&[complete]));
+    let empty = seen(6000, None, Millis::ZERO);
+    assert_eq!(only(&[empty]), None);
+    assert_eq!(only(&[complete, empty]), None);
+}
+
+/// Guards against a version that is taken for the only one by an instance that doesn't know how long
+/// callers hold streams, while another one knows.
+#[test]
+fn the_longest_known_time_decides_which_version_is_the_only_one() {
+    let latest = LatestSoftware {
+        software: Some(SoftwareKey::new("v1")),
+        alone: Millis(8000),
+    };
+    let seen = |span, contact| SeenSoftware {
+        span: Millis(span),
+        contact: Millis(contact),
+        latest,
+    };
+    let only = |all: &[SeenSoftware]| SeenSoftware::only_version(all);
+    assert_eq!(only(&[seen(1000, 5000)]), latest.software);
+    assert_eq!(only(&[seen(1000, 5000), seen(6000, 0)]), None);
+    assert_eq!(only(&[seen(1000, 7000), seen(6000, 0)]), latest.software);
+    // Another version has served in that time.
+    assert_eq!(only(&[seen(1000, 10_000), seen(9000, 0)]), None);
+}
+
+/// Guards against a time that is forgotten while callers still hold streams for so long, and against one
+/// that counts for ever because a single caller has named it.
+#[test]
+fn the_time_for_which_callers_hold_streams_is_known_for_an_hour_or_two() {
+    let hour = 3_600_000;
+    let mut origins = Origins::default();
+    assert_eq!(origins.longest_span(START), Millis::ZERO);
+    origins.record_span(Millis(20_000), START);
+    origins.record(origin("a", "v1"), START);
+    assert_eq!(origins.longest_span(START), Millis(20_000));
+    let last = START + Millis(hour);
+    origins.record_span(Millis(3000), last);
+    assert_eq!(origins.longest_span(last), Millis(20_000));
+    let late = last + Millis(hour);
+    assert_eq!(origins.longest_span(late), Millis(3000));
+    assert_eq!(origins.longest_span(late + Millis(2 * hour)), Millis::ZERO);
+    origins.record(origin("b", "v1"), late);
+    assert_eq!(origins.longest_span(late), origin("b", "v1").remaining);
+    origins.record_span(Millis::MAX, late);
+    assert_eq!(origins.longest_span(late), Millis(hour));
 }
--- a/crates/gateway/tests/routes.rs
+++ b/crates/gateway/tests/routes.rs
@@ -138,3 +138,23 @@
     let pauses: Vec<_> = pauses.iter().map(|(name, gap)| (&**name, *gap)).collect();
     assert_eq!(pauses, [("a", Millis(120))]);
 }
+
+/// Guards against a version that counts as the only one too early, as the streams of a route that was
+/// resumable aren't any more, and against a wait for requests that aren't streams.
+#[test]
+fn the_longest_stream_is_of_any_route_with_streams() {
+    let timed = |repeat, timeout| Route {
+        repeat,
+        timeout: Millis(timeout),
+        ..route("a", "/a/", 0)
+    };
+    let table = RouteTable::new(TableSpec {
+        routes: vec![
+            timed(Repeat::Stream, 3000),
+            timed(Repeat::ResumableStream, 2000),
+            timed(Repeat::Once, 9000),
+        ],
+        ..TableSpec::default()
+    });
+    assert_eq!(table.longest_stream(), Millis(3000));
+}
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -7,10 +7,10 @@
 use common::START;
 use crocushold_base::Millis;
 use crocushold_gateway::Fleet;
+use crocushold_gateway::LatestSoftware;
 use crocushold_gateway::Need;
 use crocushold_gateway::Presence;
 use crocushold_gateway::ServerRecord;
-use crocushold_gateway::SoftwareVersions;
 use crocushold_routing::Outcome;
 use crocushold_routing::Reason;
 use crocushold_routing::SoftwareKey;
@@ -110,20 +110,21 @@
 #[test]
 fn a_version_is_the_only_one_after_the_longest_stream() {
     let mut fleet = fleet(2);
-    let seen = |fleet: &Fleet, now| {
-        let hash = XxHash3_64::oneshot(b"svc") as u32;
-        fleet.listed_software(hash, SPAN, now)
-    };
-    assert_eq!(seen(&fleet, START), SoftwareVersions::Several);
+    let hash = XxHash3_64::oneshot(b"svc") as u32;
+    let seen = |fleet: &Fleet, now| fleet.latest_software(hash, now);
+    assert_eq!(seen(&fleet, START).alone, Millis::ZERO);
     fleet.unlist("e2");
     let soon = START + Millis(500);
     fleet.tick(soon);
-    assert_eq!(seen(&fleet, soon), SoftwareVersions::Several);
+    assert_eq!(seen(&fleet, soon).alone, Millis::ZERO);
+    // The last answer of a server may come some time after its entry has gone.
+    let early = START + SPAN + Millis::from_secs(1);
+    assert!(seen(&fleet, early).alone <= SPAN);
     let late = soon + SPAN + Millis::from_secs(3);
     fleet.tick(late);
-    let only = SoftwareVersions::One(SoftwareKey::new("v2"));
-    assert_eq!(seen(&fleet, late), only);
-    assert_eq!(fleet.listed_software(1, SPAN, late), SoftwareVersions::None);
+    assert_eq!(seen(&fleet, late).software, Some(SoftwareKey::new("v2")));
+    assert!(seen(&fleet, late).alone > SPAN);
+    assert_eq!(fleet.latest_software(1, late), LatestSoftware::default());
 }
 
 /// Guards against a server that is replaced under its name and keeps the version of the former process.
