Pass content types on as they are

A request with a body and without a content type reached its server with `application/octet-stream`; one whose `Content-Type` line was taken out of a long head had both. Answers without a type got the same, and in `serve` a type was parsed and printed again. Cause: http-types sets a type with each body that it is given or that is taken, also while async-h1 parses a message.

What the head says decides now: a type that no line names is removed after parsing, and each place that sets a body restores what was there. docs/design/answer-ends.md counts a success without a type on a stream's route as events; that never happened before, since there was always a type.

Failed before, 6 tests of crates/http/tests/targets.rs: chunks_become_a_length_and_trailers_are_dropped, the_content_type_is_the_caller_s (none; longer than async-h1 parses), the_content_type_of_an_answer_is_the_server_s (a length, chunks) and an_answer_without_a_content_type_is_sent_without_one. They pass now, with the other tests of crocushold-http.

--- a/crates/entry/src/decode.rs
+++ b/crates/entry/src/decode.rs
@@ -28,6 +28,7 @@
 use http_types::Method;
 use http_types::Request;
 use http_types::StatusCode;
+use http_types::headers::CONTENT_TYPE;
 use http_types::headers::Headers;
 use twox_hash::XxHash3_64;
 
@@ -154,6 +155,11 @@
         let mut request = self.outgoing.target.request(self.outgoing.method);
         relay_headers(&self.outgoing.headers, request.as_mut());
         request.set_body(self.outgoing.body.clone());
+        // `set_body` overwrites the content type; restore the caller's.
+        match self.outgoing.headers.get(CONTENT_TYPE) {
+            Some(values) => request.insert_header(CONTENT_TYPE, values),
+            None => request.remove_header(CONTENT_TYPE),
+        };
         request
     }
 }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -39,6 +39,7 @@
 use futures::future::Either;
 use futures::future::select;
 use http_types::Response;
+use http_types::headers::CONTENT_TYPE;
 use log::info;
 
 use self::classify::asked_rest;
@@ -511,10 +512,11 @@
             response.ext_mut().insert(AnswerTimeout(timeout));
         }
         response.set_body(answer.body.into_body(observer));
-        // Setting the body overwrites the content type.
-        if let Some(content_type) = content_type {
-            response.set_content_type(content_type);
-        }
+        // `set_body` overwrites the content type.
+        match answer.headers.get(CONTENT_TYPE) {
+            Some(values) => response.insert_header(CONTENT_TYPE, values),
+            None => response.remove_header(CONTENT_TYPE),
+        };
         response
     }
 
--- a/crates/http/src/client/receive.rs
+++ b/crates/http/src/client/receive.rs
@@ -6,6 +6,7 @@
 use http_types::Response;
 use http_types::StatusCode;
 use http_types::headers::CONNECTION;
+use http_types::headers::CONTENT_TYPE;
 
 use super::error::SendError;
 use super::error::SendErrorKind;
@@ -14,6 +15,7 @@
 use super::limits::SendLimits;
 use crate::connection::HeadError;
 use crate::connection::MessageStream;
+use crate::connection::has_header;
 use crate::framing::AmbiguousFraming;
 use crate::framing::Framing;
 use crate::framing::framing;
@@ -71,13 +73,16 @@
             .read_head(MAX_HEAD_BYTES)
             .await
             .map_err(|error| head_error(exchange, error))?;
-        connection.with_head(length, replace_non_ascii);
+        let has_type = connection.with_head(length, |head| {
+            replace_non_ascii(head);
+            has_header(head, CONTENT_TYPE.as_str())
+        });
         connection.set_remaining(length as u64);
         // The whole head has been read, so decoding doesn't wait. The future is boxed because its
         // state has room for 128 headers, which would otherwise enlarge every enclosing future for
         // its whole lifetime.
         let decoded = Box::pin(async_h1::client::decode(MessageStream(connection.clone()))).await;
-        let response = decoded.map_err(|error| {
+        let mut response = decoded.map_err(|error| {
             let kind = SendErrorKind::HeadMalformed(error.to_string());
             exchange.error(Stage::Answered, kind)
         })?;
@@ -85,6 +90,10 @@
             let kind = SendErrorKind::HeadMalformed("unrequested protocol switch".to_owned());
             return Err(exchange.error(Stage::Answered, kind));
         }
+        // async-h1 sets one with the body.
+        if !has_type {
+            response.remove_header(CONTENT_TYPE);
+        }
         if !response.status().is_informational() {
             return Ok(response);
         }
--- a/crates/http/src/client/send.rs
+++ b/crates/http/src/client/send.rs
@@ -18,6 +18,7 @@
 use http_types::Response;
 use http_types::StatusCode;
 use http_types::headers::CONNECTION;
+use http_types::headers::CONTENT_TYPE;
 use http_types::headers::HOST;
 
 use super::cancel::Cancel;
@@ -164,6 +165,7 @@
             .set_remaining(framing.max_answer_bytes());
         let status = response.status();
         let connection = exchange.connection.clone();
+        let has_type = response.header(CONTENT_TYPE).is_some();
         // async-h1 decodes an answer without framing headers as empty.
         let body = match framing {
             Framing::Close => {
@@ -173,6 +175,10 @@
         };
         let body = RelayBody::new(body, framing, connection, pool_return, limits);
         let cancel = body.cancel();
+        if !has_type {
+            // `take_body` sets one.
+            response.remove_header(CONTENT_TYPE);
+        }
         sanitize_headers(response.as_mut());
         let headers: &Headers = response.as_ref();
         Ok(Answer {
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -28,6 +28,7 @@
 use read_buffer::ReadBuffer;
 
 pub(crate) use head::HeadError;
+pub(crate) use head::has_header;
 pub(crate) use message_stream::MessageStream;
 
 /// Bytes read from the socket at a time while a head is read.
--- a/crates/http/src/connection/head.rs
+++ b/crates/http/src/connection/head.rs
@@ -23,6 +23,15 @@
     }
 }
 
+/// Whether a head has a line for the header `name`.
+pub(crate) fn has_header(head: &[u8], name: &str) -> bool {
+    let mut lines = head.split(|byte| *byte == b'\n');
+    lines.any(|line| {
+        let (start, rest) = line.split_at(name.len().min(line.len()));
+        start.eq_ignore_ascii_case(name.as_bytes()) && rest.starts_with(b":")
+    })
+}
+
 /// Finds the end of a head; the first `scanned` bytes were searched before.
 pub(super) fn head_end(bytes: &[u8], scanned: usize) -> Result<Option<usize>, HeadError> {
     let from = scanned.saturating_sub(3);
--- a/crates/http/src/server/receive.rs
+++ b/crates/http/src/server/receive.rs
@@ -10,6 +10,7 @@
 use http_types::Method;
 use http_types::Request;
 use http_types::StatusCode;
+use http_types::headers::CONTENT_TYPE;
 use http_types::headers::EXPECT;
 use http_types::headers::HOST;
 
@@ -24,6 +25,7 @@
 use crate::connection::Connection;
 use crate::connection::HeadError;
 use crate::connection::MessageStream;
+use crate::connection::has_header;
 use crate::framing::AmbiguousFraming;
 use crate::framing::Framing;
 use crate::framing::framing;
@@ -200,6 +202,7 @@
     length: usize,
     line: RequestLine,
 ) -> Result<Incoming, StatusCode> {
+    let has_type = connection.with_head(length, |head| has_header(head, CONTENT_TYPE.as_str()));
     connection.set_remaining(length as u64);
     // The whole head has been read, so decoding doesn't wait. The future is boxed because its state
     // has room for 128 headers, which would otherwise enlarge the state of every connection for its
@@ -209,6 +212,10 @@
         Ok(Some(decoded)) => decoded,
         Ok(None) | Err(_) => return Err(StatusCode::BadRequest),
     };
+    // async-h1 sets one with the body.
+    if !has_type {
+        request.remove_header(CONTENT_TYPE);
+    }
     check_request(&request, &line)?;
     request.ext_mut().insert(line.target);
     let framing = match framing(request.as_ref()) {
--- a/crates/http/tests/targets.rs
+++ b/crates/http/tests/targets.rs
@@ -27,6 +27,7 @@
 
 use support::block_on;
 use support::connect_and_send;
+use support::fixed_answer_server;
 use support::read_head;
 use support::read_rest;
 use support::read_until;
@@ -181,6 +182,86 @@
     });
 }
 
+/// Guards against a body in chunks that arrives with another framing than its length, or with its trailers.
+#[test]
+fn chunks_become_a_length_and_trailers_are_dropped() {
+    block_on(async {
+        let head = "POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n\
+             1\r\nb\r\n3\r\nody\r\n0\r\nx-trailer: v\r\n\r\n";
+        let (_, received) = send(head).await;
+        let expected = "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody";
+        assert_eq!(received, [expected]);
+    });
+}
+
+/// Guards against a content type that the caller hasn't named, beside one in a line of its own or alone.
+#[test_case("", None; "none")]
+#[test_case("Content-Type: a/b\r\n", Some("a/b"); "short")]
+#[test_case(&format!("content-type: a/b; c={}\r\n", "d".repeat(9000)), Some(&format!("a/b; c={}", "d".repeat(9000))); "longer than async-h1 parses")]
+fn the_content_type_is_the_caller_s(line: &str, expected: Option<&str>) {
+    block_on(async {
+        let limits = ListenerLimits {
+            server: ServerLimits {
+                head_bytes: 16 * 1024,
+                ..ServerLimits::default()
+            },
+            ..ListenerLimits::default()
+        };
+        let (address, _, _) = serve(limits, |request, _| async move {
+            let values = request.header("content-type").into_iter();
+            let values = values.flat_map(|values| values.iter().map(|value| value.as_str()));
+            let mut response = Response::new(200);
+            response.set_body(values.collect::<Vec<_>>().join("\n"));
+            response
+        })
+        .await;
+        let text = format!(
+            "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{line}content-length: 4\r\n\r\nbody"
+        );
+        let mut caller = connect_and_send(address, &text).await;
+        let answer = read_rest(&mut caller).await;
+        let (_, body) = answer.split_once("\r\n\r\n").unwrap();
+        assert_eq!(body, expected.unwrap_or_default());
+    });
+}
+
+/// Guards against an answer with another content type than its server has named.
+#[test_case("content-length: 2\r\n\r\nok", None; "none and a length")]
+#[test_case("transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", None; "none and chunks")]
+#[test_case("Content-Type: Text/X;Q=1\r\ncontent-length: 2\r\n\r\nok", Some("Text/X;Q=1"); "capitals")]
+fn the_content_type_of_an_answer_is_the_server_s(answer: &str, expected: Option<&str>) {
+    block_on(async {
+        let server = fixed_answer_server(format!("HTTP/1.1 200 OK\r\n{answer}")).await;
+        let client = Client::new(PoolLimits::default());
+        let target = RequestTarget::parse("/").unwrap();
+        let request = target.request(Method::Get);
+        let limits = SendLimits::default();
+        let sent = client.send(server, request, &limits, Reuse::Fresh).await;
+        let headers = sent.unwrap().headers;
+        let value = headers.get("content-type").map(|values| values.as_str());
+        assert_eq!(value, expected);
+    });
+}
+
+/// Guards against a content type that the server of callers adds to an answer.
+#[test]
+fn an_answer_without_a_content_type_is_sent_without_one() {
+    block_on(async {
+        let (address, _, _) = serve(ListenerLimits::default(), |_, _| async {
+            let mut response = Response::new(200);
+            response.set_body("body");
+            response.remove_header("content-type");
+            response
+        })
+        .await;
+        let text = "GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+        let mut caller = connect_and_send(address, text).await;
+        let answer = read_rest(&mut caller).await;
+        assert!(answer.ends_with("body"), "{answer}");
+        assert!(!answer.contains("content-type"), "{answer}");
+    });
+}
+
 /// Guards against parts of a request that are passed on changed in place of a refusal.
 #[test_case("get /x HTTP/1.1\r\nhost: a\r\n\r\n"; "method in lower case")]
 #[test_case("CONNECT /x HTTP/1.1\r\nhost: a\r\n\r\n"; "tunnel")]
