Send the platform the targets that were built

The target of a part of the configuration lost its last segments where the team is called `..` or `.`: though encoded, it went through a parser of URLs, which removes dot segments. It is sent as a `RequestTarget` now, byte for byte. Whether the platform reads it as the name isn't shown.

--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -8,6 +8,7 @@
 use crocushold_http::Answer;
 use crocushold_http::Client;
 use crocushold_http::PoolLimits;
+use crocushold_http::RequestTarget;
 use crocushold_http::Reuse;
 use crocushold_http::SendError;
 use crocushold_http::SendErrorKind;
@@ -15,7 +16,6 @@
 use http_types::Headers;
 use http_types::Method;
 use http_types::Request;
-use http_types::Url;
 
 use crate::fetch::Fetch;
 use crate::fetch::FetchError;
@@ -53,7 +53,7 @@
 
     async fn send(&self, get: &Get) -> Result<Incoming, FetchError> {
         let address = address(&get.address)?;
-        let request = request(address, &get.target)?;
+        let request = request(&get.target)?;
         let limits = SendLimits {
             head_timeout: get.timeout,
             stall_timeout: get.stall_timeout.min(get.timeout),
@@ -128,10 +128,10 @@
     parsed.map_err(|e| FetchError::Connection(format!("{text}: {e}")))
 }
 
-fn request(address: SocketAddr, target: &Target) -> Result<Request, FetchError> {
-    let url = Url::parse(&format!("http://{address}{target}"));
-    let url = url.map_err(|e| FetchError::Connection(format!("{target}: {e}")))?;
-    Ok(Request::new(Method::Get, url))
+fn request(target: &Target) -> Result<Request, FetchError> {
+    let parsed = RequestTarget::parse(target.as_str());
+    let parsed = parsed.map_err(|e| FetchError::Connection(format!("{target}: {e}")))?;
+    Ok(parsed.request(Method::Get))
 }
 
 fn headers(headers: &Headers) -> Vec<Header> {
--- a/crates/platform/tests/all/transport.rs
+++ b/crates/platform/tests/all/transport.rs
@@ -53,6 +53,36 @@
     assert_eq!(reply.number("retry-after"), Some(7));
 }
 
+/// Guards against a value that reaches the platform as another one, since a parser of URLs removes dot segments.
+#[test_case(".."; "the parent")]
+#[test_case("."; "a dot")]
+#[test_case("a/../b"; "a path")]
+#[test_case("O'Brien?"; "punctuation")]
+fn a_target_arrives_as_it_was_built(team: &'static str) {
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let target = Target::new("/parts").segment(team).parameter("after", team);
+        let get = Get {
+            address: listener.local_addr().expect("bound").to_string(),
+            target: target.clone(),
+            timeout: Millis(2000),
+            ..Get::default()
+        };
+        let server = task::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut bytes = [0; 1024];
+            let count = stream.read(&mut bytes).await.expect("a request");
+            String::from_utf8_lossy(&bytes[..count]).into_owned()
+        });
+        let _ = HttpFetch::default().get(get).await;
+        let text = server.await;
+        assert!(
+            text.starts_with(&format!("GET {target} HTTP/1.1\r\n")),
+            "{text}"
+        );
+    });
+}
+
 /// The platform closes the connection or hangs within a document, or sends one without a length or
 /// over the limit. None of these may be accepted as a shorter document.
 #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf", false; "short body")]
