Quote what servers' entries say on the page of servers

An entry whose zone or service holds a line break added a line about another server to the gateway's `/servers` page, which wrote both as they are. They are quoted and escaped now as in log lines, where the class was kept off by `Event`; `one_word` is the part of it that both use.

the_page_of_servers_has_a_line_for_each failed before (two lines for one server) and passes now, as do the tests of crocushold-base.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -23,13 +23,7 @@
     /// Appends one pair.
     #[must_use]
     pub fn with(mut self, key: &str, value: impl fmt::Display) -> Event {
-        let text = value.to_string();
-        let plain = !text.is_empty() && text.chars().all(is_plain);
-        let written = if plain {
-            write!(self.line, " {key}={text}")
-        } else {
-            write!(self.line, " {key}={text:?}")
-        };
+        let written = write!(self.line, " {key}={}", one_word(value));
         debug_assert!(written.is_ok(), "writing to a String can't fail");
         self
     }
@@ -41,6 +35,16 @@
     }
 }
 
+/// Writes a value as one word, quoted and escaped unless it is plain.
+pub fn one_word(value: impl fmt::Display) -> String {
+    let text = value.to_string();
+    if !text.is_empty() && text.chars().all(is_plain) {
+        text
+    } else {
+        format!("{text:?}")
+    }
+}
+
 fn is_plain(c: char) -> bool {
     c.is_ascii_alphanumeric() || "-_./:+%[]".contains(c)
 }
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -17,6 +17,7 @@
 pub use clock::Clock;
 pub use clock::Millis;
 pub use event::Event;
+pub use event::one_word;
 pub use keys::AccountKey;
 pub use keys::ClassKey;
 pub use keys::ModelKey;
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -8,6 +8,7 @@
 use async_std::task;
 use crocushold_base::Event;
 use crocushold_base::Millis;
+use crocushold_base::one_word;
 use crocushold_http::SendError;
 use crocushold_http::SendErrorKind;
 use crocushold_http::Stage;
@@ -189,9 +190,9 @@
             text,
             "server={} service={} zone={} unreachable-for={} evidence={evidence} connected={} \
              usual-work={} work={}",
-            server.id,
-            server.service,
-            server.zone,
+            one_word(server.id),
+            one_word(server.service),
+            one_word(server.zone),
             age(failure.map(|failure| failure.since)),
             age(server.connected_at),
             percent(server.work_percent.map(|[usual, _]| usual)),
