Cut an answer whose connection was reset after its end

A server began a 200 without a length before it had read the request, sent a part of the body, closed its sending side and reset the connection. Callers got the part as a complete answer with the server's seal: the last chunk was there, also behind a second instance.

Cause: a socket that has received the end of the stream returns the end to each further read; a reset after it is reported only to writes and by SO_ERROR (EPIPE). Where the answer's head is read first, or the request was written to the buffers of the sockets, nothing is written any more, so nothing took the error and the connection counted as sound. A server that closes while a part of the request is on the way sends both segments by itself. A reset alone was recognized, before and after the head, and with the body in the socket's buffer: Linux returns the bytes and then the error.

`Connection::has_failed` now also takes the socket's pending error.

Early answers with a length or chunks, and early refusals, were right before.

--- a/crates/http/src/client/relay_body.rs
+++ b/crates/http/src/client/relay_body.rs
@@ -287,6 +287,10 @@
             }
         };
         match is_complete {
+            // A reset may have followed the end.
+            Poll::Ready(true) if self.has_failed() => {
+                Poll::Ready(Err(self.cut_off(CutCause::Failed)))
+            }
             Poll::Ready(true) => {
                 self.complete();
                 Poll::Ready(Ok(()))
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -22,6 +22,7 @@
 use async_std::net::TcpStream;
 use futures::FutureExt;
 use futures::future::poll_fn;
+use socket2::SockRef;
 
 use head::head_end;
 use read_buffer::ReadBuffer;
@@ -73,9 +74,13 @@
         self.written.load(Ordering::Relaxed)
     }
 
-    /// Whether the socket has reported an error. It reports one once, and a later read finds the end
-    /// of the stream as after a proper close.
+    /// Whether the socket has failed. It reports an error once, and a later read finds the end of the
+    /// stream as after a proper close; a reset after the peer's proper close is reported to no read.
     pub(crate) fn has_failed(&self) -> bool {
+        let pending = SockRef::from(&self.stream).take_error();
+        if !matches!(pending, Ok(None)) {
+            self.failed.store(true, Ordering::Relaxed);
+        }
         self.failed.load(Ordering::Relaxed)
     }
 
