Cut an early answer that only its connection delimits

A server answered a long upload at once with a 200 without a length, sent a part of the body, and closed the connection after it had read what had arrived. Callers got the part as a complete answer with the server's seal.

Cause: writing of the request stops once the answer's head is read. A server that gives up then closes its connection as one that is done: all that arrived is read, so nothing is reset, and nothing is written that could be. Where the write failed before the head was read, the same answer was cut already, so what a caller got depended on which half was polled first.

An answer that begins before its request is written is now complete by its length or its chunks only; the end of its connection is `unproven`. That the connection isn't kept either comes from the same field instead of a header that was put into the answer.

Price: an early answer that is whole, without a length and chunks, is cut for its caller. One that says that the request wasn't run needs no body and reaches the caller as before.

--- a/crates/http/src/client/receive.rs
+++ b/crates/http/src/client/receive.rs
@@ -5,7 +5,6 @@
 use http_types::Method;
 use http_types::Response;
 use http_types::StatusCode;
-use http_types::headers::CONNECTION;
 
 use super::error::SendError;
 use super::error::SendErrorKind;
@@ -28,6 +27,14 @@
 /// How long to wait for an answer after a write failed.
 const EARLY_ANSWER_TIMEOUT: Millis = Millis::from_secs(1);
 
+/// The head of a final answer.
+pub(super) struct AnswerHead {
+    pub(super) response: Response,
+    /// Whether the server answered before the request was written completely. Nothing more is written
+    /// then.
+    pub(super) early: bool,
+}
+
 /// Reads an answer that the server sent before it had received the whole request.
 ///
 /// A server that refuses a request because of its head answers and closes the connection while the
@@ -37,18 +44,19 @@
     exchange: &Exchange,
     limits: &SendLimits,
     error: SendError,
-) -> Result<Response, SendError> {
+) -> Result<AnswerHead, SendError> {
     let closed = matches!(error.kind, SendErrorKind::Write(_));
     if !closed || error.stage != Stage::Written {
         return Err(error);
     }
     let time_limit = limits.head_timeout.min(EARLY_ANSWER_TIMEOUT);
-    let Ok(mut response) = read_answer(exchange, time_limit).await else {
+    let Ok(response) = read_answer(exchange, time_limit).await else {
         return Err(error);
     };
-    // The request wasn't written completely, so the connection can't be reused.
-    response.insert_header(CONNECTION, "close");
-    Ok(response)
+    Ok(AnswerHead {
+        response,
+        early: true,
+    })
 }
 
 /// Reads the head of the answer.
--- a/crates/http/src/client/relay_body.rs
+++ b/crates/http/src/client/relay_body.rs
@@ -72,6 +72,8 @@
     stall_timer: StallTimer,
     /// Where a stream of events is, if it ends with its connection.
     boundary: Option<EventBoundary>,
+    /// Whether the end of the connection shows nothing.
+    distrusts_end: bool,
     end_check: Option<EndCheck>,
     /// Fires at the end of the total timeout.
     deadline: Option<Sleep>,
@@ -99,6 +101,7 @@
             pool_return,
             stall_timer: StallTimer::new(limits.stall_timeout),
             boundary: None,
+            distrusts_end: false,
             end_check: None,
             deadline: None,
             observer: None,
@@ -157,6 +160,14 @@
         self.end_check = Some(Mutex::new(Box::pin(check)));
     }
 
+    /// Takes no end of the connection for the end of the answer.
+    ///
+    /// A server that answered before the request was written may have given up on it. The rest of the
+    /// request would show that by a reset, but isn't written.
+    pub(crate) fn distrust_end(&mut self) {
+        self.distrusts_end = true;
+    }
+
     /// A handle that cancels this answer.
     pub fn cancel(&self) -> Cancel {
         self.cancel.clone()
@@ -267,6 +278,9 @@
                 if !self.boundary.as_ref().is_none_or(between_events) {
                     return Poll::Ready(Err(self.cut_off(CutCause::InsideEvent)));
                 }
+                if self.distrusts_end {
+                    return Poll::Ready(Err(self.cut_off(CutCause::Unproven)));
+                }
                 self.state = State::Checking;
                 self.poll_end_check(cx)
             }
--- a/crates/http/src/client/send.rs
+++ b/crates/http/src/client/send.rs
@@ -16,9 +16,7 @@
 use http_types::Headers;
 use http_types::Method;
 use http_types::Request;
-use http_types::Response;
 use http_types::StatusCode;
-use http_types::headers::CONNECTION;
 
 use super::cancel::Cancel;
 use super::error::SendError;
@@ -29,6 +27,7 @@
 use super::limits::Reuse;
 use super::limits::SendLimits;
 use super::pool::Pool;
+use super::receive::AnswerHead;
 use super::receive::answer_framing;
 use super::receive::early_answer;
 use super::receive::final_head;
@@ -100,8 +99,8 @@
     ) -> Result<Answer, SendError> {
         let exchange = self.connect(server, limits, reuse).await?;
         let method = request.method();
-        let response = exchange_heads(&exchange, request, limits).await?;
-        self.answer(&exchange, server, method, response, limits)
+        let head = exchange_heads(&exchange, request, limits).await?;
+        self.answer(&exchange, server, method, head, limits)
     }
 
     async fn connect(
@@ -138,15 +137,21 @@
         exchange: &Exchange,
         server: SocketAddr,
         method: Method,
-        mut response: Response,
+        head: AnswerHead,
         limits: &SendLimits,
     ) -> Result<Answer, SendError> {
+        let AnswerHead {
+            mut response,
+            early,
+        } = head;
         let framing = answer_framing(&response, method, limits.close_delimited)
             .map_err(|kind| exchange.error(Stage::Answered, kind))?;
         if matches!(framing, Framing::Length(length) if length > limits.answer_bytes) {
             return Err(exchange.error(Stage::Answered, SendErrorKind::BodyTooLarge));
         }
-        let closes = framing == Framing::Close || has_connection_option(response.as_ref(), "close");
+        // After an early answer the server would take the next request for the rest of this one.
+        let closes =
+            early || framing == Framing::Close || has_connection_option(response.as_ref(), "close");
         let pool_return = (!closes).then(|| PoolReturn {
             pool: self.pool.clone(),
             server,
@@ -163,7 +168,10 @@
             }
             Framing::Length(_) | Framing::Chunked => response.take_body(),
         };
-        let body = RelayBody::new(body, framing, connection, pool_return, limits);
+        let mut body = RelayBody::new(body, framing, connection, pool_return, limits);
+        if early {
+            body.distrust_end();
+        }
         let cancel = body.cancel();
         sanitize_headers(response.as_mut());
         let headers: &Headers = response.as_ref();
@@ -216,17 +224,22 @@
     exchange: &Exchange,
     request: Request,
     limits: &SendLimits,
-) -> Result<Response, SendError> {
+) -> Result<AnswerHead, SendError> {
     let written = pin!(write_request(exchange, request, limits));
     let head = pin!(final_head(exchange));
     match select(written, head).await {
-        Either::Left((Ok(()), _)) => read_answer(exchange, limits.head_timeout).await,
-        Either::Left((Err(error), _)) => early_answer(exchange, limits, error).await,
-        Either::Right((Ok(mut response), _)) => {
-            // The request wasn't written completely, so the connection can't be reused.
-            response.insert_header(CONNECTION, "close");
-            Ok(response)
+        Either::Left((Ok(()), _)) => {
+            let response = read_answer(exchange, limits.head_timeout).await?;
+            Ok(AnswerHead {
+                response,
+                early: false,
+            })
         }
+        Either::Left((Err(error), _)) => early_answer(exchange, limits, error).await,
+        Either::Right((Ok(response), _)) => Ok(AnswerHead {
+            response,
+            early: true,
+        }),
         Either::Right((Err(mut error), _)) => {
             if exchange.write_stage() == Stage::Connected {
                 error.stage = Stage::Connected;
--- a/crates/http/tests/early_answers.rs
+++ b/crates/http/tests/early_answers.rs
@@ -244,12 +244,17 @@
 const UNFRAMED: &str = "HTTP/1.1 200 OK\r\n\r\nhalf of";
 
 /// Guards against an answer that ends with its connection and looks complete, although the connection was
-/// reset while the request was being written.
+/// reset or closed while the request was being written.
 #[test_case(Upload::Whole(LONG_BYTES); "long upload")]
 #[test_case(Upload::Endless; "upload in chunks")]
 #[test_case(Upload::Paused; "upload that waits for its caller")]
 fn an_early_answer_that_ends_with_its_connection_is_cut_off(upload: Upload) {
-    let endings = [Ending::Reset, Ending::FinishAndReset, Ending::Close];
+    let endings = [
+        Ending::Reset,
+        Ending::FinishAndReset,
+        Ending::Close,
+        Ending::DrainAndClose,
+    ];
     let complete = complete_cases(UNFRAMED, upload, &endings);
     assert!(complete.is_empty(), "{complete:?}");
 }
