Test that bytes with no valid status are no answer

A report from another system: a server in trouble answered with the status 000, and the caller got it as an answer. That doesn't happen here. The parser takes three digits, http-types refuses a status that it doesn't list, and the protocol's version must be 1.1, so that 000, 099, 101, 199, 600, 999, four digits, signs, letters, odd spaces and other versions are a malformed head: the connection is closed, the stage proves nothing, and callers get 502, which promises nothing, also where the bytes say that the request wasn't run. 100 and 103 alone aren't an answer either. A 101 leaves no tunnel. A body behind a 204 or a 304 ends the connection. The reason phrase says nothing.

What async-h1 and http-types refuse can't be taken out here.

A 102 or another unlisted interim status before a good answer costs that answer: the caller gets 502, as `http.md` says of such statuses.

--- a/crates/platform/tests/all/transport.rs
+++ b/crates/platform/tests/all/transport.rs
@@ -67,6 +67,18 @@
     assert!(read_from(answer, holds).is_err());
 }
 
+/// Guards against a document that is taken from bytes that are no answer.
+#[test_case("HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok"; "000")]
+#[test_case("HTTP/1.1 099 None\r\nContent-Length: 2\r\n\r\nok"; "099")]
+#[test_case("HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nok"; "interim alone")]
+#[test_case("HTTP/1.1 101 Switching Protocols\r\nContent-Length: 2\r\n\r\nok"; "101")]
+#[test_case("HTTP/1.1 999 Beyond\r\nContent-Length: 2\r\n\r\nok"; "999")]
+#[test_case("HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nok"; "four digits")]
+#[test_case("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok"; "older version")]
+fn a_reply_whose_status_line_is_no_answer_is_an_error(answer: &'static str) {
+    assert!(read_from(answer, true).is_err());
+}
+
 /// A GET request to a server whose answer arrives byte by byte.
 async fn trickled_get(stall_timeout: Millis) -> (Get, JoinHandle<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
--- a/tests/all/sending_faults.rs
+++ b/tests/all/sending_faults.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use test_case::test_case;
+
 use crate::support::Call;
 use crate::support::Entry;
 use crate::support::RawCaller;
@@ -233,6 +235,27 @@
     assert!(!server.has_request(), "sent again");
 }
 
+/// Guards against bytes of a server in trouble that reach the caller of a long booking as an answer: no status, or
+/// a part of a body that only its connection delimits, sent before the booking was read.
+#[test_case("HTTP/1.1 000 None\r\ncontent-length: 2\r\n\r\nok"; "status 000")]
+#[test_case("HTTP/1.1 101 Switching Protocols\r\n\r\n"; "protocol switch")]
+#[test_case("HTTP/1.1 999 Beyond\r\ncontent-length: 2\r\n\r\nok"; "status 999")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\nhalf of"; "ends with its connection")]
+fn a_booking_answered_by_no_answer_while_it_is_sent_is_unknown(text: &str) {
+    let site = Site::start(&SiteSettings::default());
+    let server = RawServer::start();
+    let entry = entry_with(&site, site.service.addr(), server.addr());
+    let caller = spawn_call(entry.listen, &large_booking("odd"));
+    let mut stream = server.accept();
+    stream.write_all(text.as_bytes()).unwrap();
+    drop(stream);
+    let answer = caller.join().unwrap().unwrap();
+    assert_eq!(answer.status, 502, "{}", answer.body);
+    assert_eq!(answer.header("x-request-ran"), "unknown");
+    entry.wait_idle();
+    assert!(!server.has_request(), "sent again");
+}
+
 /// A site with one engine behind a relay, and an instance that reaches the engine through the relay
 /// only.
 fn relayed_engine() -> (Site, Relay, Entry) {
