--- a/crates/http/src/client/relay_body.rs
+++ b/crates/http/src/client/relay_body.rs
@@ -76,6 +76,8 @@
     stall_timer: StallTimer,
     /// Where a stream of events is, if it ends with its connection.
     boundary: Option<EventBoundary>,
+    /// Whether the end of the connection shows nothing.
+    distrusts_end: bool,
     end_check: Option<EndCheck>,
     /// Fires at the end of the total timeout.
     deadline: Option<Sleep>,
@@ -91,14 +93,13 @@
         connection: Arc<Connection>,
         pool_return: Option<PoolReturn>,
         limits: &SendLimits,
-        awaited: Millis,
     ) -> RelayBody {
         let clock = Clock::start();
         let mut relay = RelayBody {
             body,
             framing,
             arrivals: Arrivals::new(clock.now()),
-            awaited,
+            awaited: Millis::ZERO,
             clock,
             meter: BodyMeter::new(limits.answer_bytes, limits.event_bytes),
             state: State::Open,
@@ -107,6 +108,7 @@
             pool_return,
             stall_timer: StallTimer::new(limits.stall_timeout),
             boundary: None,
+            distrusts_end: false,
             end_check: None,
             deadline: None,
             observer: None,
@@ -149,6 +151,11 @@
         self.framing == Framing::Close
     }
 
+    /// Sets how long the head of the answer was awaited.
+    pub(crate) fn set_awaited(&mut self, span: Millis) {
+        self.awaited = span;
+    }
+
     /// Takes the answer for a stream of server-sent events, each of which is bounded in bytes. If it ends
     /// with its connection, it is cut off unless it ends after an event and before the next one.
     pub fn expect_events(&mut self) {
@@ -166,6 +173,14 @@
         self.end_check = Some(Mutex::new(Box::pin(check)));
     }
 
+    /// Takes no end of the connection for the end of the answer.
+    ///
+    /// A server that answered before the request was written may have given up on it. The rest of the
+    /// request would show that by a reset, but isn't written.
+    pub(crate) fn distrust_end(&mut self) {
+        self.distrusts_end = true;
+    }
+
     /// A handle that cancels this answer.
     pub fn cancel(&self) -> Cancel {
         self.cancel.clone()
@@ -278,6 +293,9 @@
                 if !self.boundary.as_ref().is_none_or(between_events) {
                     return Poll::Ready(Err(self.cut_off(CutCause::InsideEvent)));
                 }
+                if self.distrusts_end {
+                    return Poll::Ready(Err(self.cut_off(CutCause::Unproven)));
+                }
                 self.arrivals.record(self.clock.now());
                 if self.arrivals.is_held_back() {
                     return Poll::Ready(Err(self.cut_off(CutCause::HeldBack)));
@@ -302,6 +320,10 @@
             }
         };
         match is_complete {
+            // A reset may have followed the end.
+            Poll::Ready(true) if self.has_failed() => {
+                Poll::Ready(Err(self.cut_off(CutCause::Failed)))
+            }
             Poll::Ready(true) => {
                 self.complete();
                 Poll::Ready(Ok(()))
--- a/crates/http/src/client/send.rs
+++ b/crates/http/src/client/send.rs
@@ -16,9 +16,7 @@
 use http_types::Headers;
 use http_types::Method;
 use http_types::Request;
-use http_types::Response;
 use http_types::StatusCode;
-use http_types::headers::CONNECTION;
 use http_types::headers::CONTENT_TYPE;
 use http_types::headers::HOST;
 
@@ -31,6 +29,7 @@
 use super::limits::Reuse;
 use super::limits::SendLimits;
 use super::pool::Pool;
+use super::receive::AnswerHead;
 use super::receive::answer_framing;
 use super::receive::early_answer;
 use super::receive::final_head;
@@ -58,15 +57,6 @@
     pool: Arc<Pool>,
 }
 
-/// The head of an answer.
-struct Head {
-    /// The method of the request.
-    method: Method,
-    response: Response,
-    /// How long it was awaited.
-    awaited: Millis,
-}
-
 /// An answer whose body hasn't been read yet.
 #[derive(Debug)]
 pub struct Answer {
@@ -121,13 +111,10 @@
         }
         let clock = Clock::start();
         let started = clock.now();
-        let response = exchange_heads(&exchange, request, limits).await?;
-        let head = Head {
-            method,
-            response,
-            awaited: clock.now().since(started),
-        };
-        self.answer(&exchange, server, head, limits)
+        let head = exchange_heads(&exchange, request, limits).await?;
+        let mut answer = self.answer(&exchange, server, method, head, limits)?;
+        answer.body.set_awaited(clock.now().since(started));
+        Ok(answer)
     }
 
     async fn connect(
@@ -163,20 +150,22 @@
         &self,
         exchange: &Exchange,
         server: SocketAddr,
-        head: Head,
+        method: Method,
+        head: AnswerHead,
         limits: &SendLimits,
     ) -> Result<Answer, SendError> {
-        let Head {
-            method,
+        let AnswerHead {
             mut response,
-            awaited,
+            early,
         } = head;
         let framing = answer_framing(&response, method, limits.close_delimited)
             .map_err(|kind| exchange.error(Stage::Answered, kind))?;
         if matches!(framing, Framing::Length(length) if length > limits.answer_bytes) {
             return Err(exchange.error(Stage::Answered, SendErrorKind::BodyTooLarge));
         }
-        let closes = framing == Framing::Close || has_connection_option(response.as_ref(), "close");
+        // After an early answer the server would take the next request for the rest of this one.
+        let closes =
+            early || framing == Framing::Close || has_connection_option(response.as_ref(), "close");
         let pool_return = (!closes).then(|| PoolReturn {
             pool: self.pool.clone(),
             server,
@@ -194,7 +183,10 @@
             }
             Framing::Length(_) | Framing::Chunked => response.take_body(),
         };
-        let body = RelayBody::new(body, framing, connection, pool_return, limits, awaited);
+        let mut body = RelayBody::new(body, framing, connection, pool_return, limits);
+        if early {
+            body.distrust_end();
+        }
         let cancel = body.cancel();
         if !has_type {
             // `take_body` sets one.
@@ -251,17 +243,22 @@
     exchange: &Exchange,
     request: Request,
     limits: &SendLimits,
-) -> Result<Response, SendError> {
+) -> Result<AnswerHead, SendError> {
     let written = pin!(write_request(exchange, request, limits));
     let head = pin!(final_head(exchange));
     match select(written, head).await {
-        Either::Left((Ok(()), _)) => read_answer(exchange, limits.head_timeout).await,
-        Either::Left((Err(error), _)) => early_answer(exchange, limits, error).await,
-        Either::Right((Ok(mut response), _)) => {
-            // The request wasn't written completely, so the connection can't be reused.
-            response.insert_header(CONNECTION, "close");
-            Ok(response)
+        Either::Left((Ok(()), _)) => {
+            let response = read_answer(exchange, limits.head_timeout).await?;
+            Ok(AnswerHead {
+                response,
+                early: false,
+            })
         }
+        Either::Left((Err(error), _)) => early_answer(exchange, limits, error).await,
+        Either::Right((Ok(response), _)) => Ok(AnswerHead {
+            response,
+            early: true,
+        }),
         Either::Right((Err(mut error), _)) => {
             if exchange.write_stage() == Stage::Connected {
                 error.stage = Stage::Connected;
