Refuse what hasn't been passed on when a stop leaves no time for it

Here new requests are refused from the end of the notice on, but those read before it went on whatever became of them: one whose body came slowly, that waited for a server or in the placer's line, or that its server had rejected was sent to a server at any time until the process ended, which then cut it.

At the end of the notice a request that surely hasn't run is refused now with 503, `Retry-After` and `Connection: close`, also in the middle of its body or of its wait. A request that may have run goes on as before.

It doesn't depend on an estimate of the time that the request needs: that isn't known, and in calm the refusal costs its caller one retry at another instance, where the wait in line isn't shorter here either.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -30,6 +30,7 @@
 pub(crate) use self::relay::PeerGuard;
 use crate::fleet::Choice;
 use crate::intake::Job;
+use crate::intake::STOP_RETRY;
 use crate::placing::LineStanding;
 use crate::protocol::AnswerMeta;
 use crate::protocol::Forward;
@@ -176,6 +177,10 @@
     /// Returns the final refusal, or that the caller is gone.
     pub(crate) async fn run(&mut self, hangup: &Hangup) -> Result<Response, Failure> {
         loop {
+            // A request that may have run can't be refused as not run, and goes on.
+            if self.shared.is_stopping() && !self.facts.written {
+                return Err(self.stopping());
+            }
             if self.is_cut_off() {
                 self.pass_quarantine().await?;
                 // A request is relayed once at most.
@@ -193,7 +198,7 @@
                     return Err(relay::unreachable());
                 }
             }
-            let choice = match self.choose_for(hangup).await {
+            let choice = match self.choose_in_time(hangup).await {
                 Ok(choice) => choice,
                 Err(failure) if self.may_be_served_elsewhere() => {
                     return self.relay_unserved(failure, hangup).await;
@@ -224,6 +229,20 @@
         }
     }
 
+    /// Chooses a server unless the shutdown leaves no time for the request first.
+    async fn choose_in_time(&mut self, hangup: &Hangup) -> Result<Choice, Failure> {
+        if self.facts.written {
+            return self.choose_for(hangup).await;
+        }
+        let shared = self.shared;
+        let chosen = shared.unless_stopping(self.choose_for(hangup)).await;
+        chosen.unwrap_or_else(|| Err(self.stopping()))
+    }
+
+    fn stopping(&self) -> Failure {
+        Failure::Refused(self.final_refusal(Reason::Stopping, Some(STOP_RETRY)))
+    }
+
     /// Chooses a server unless the caller leaves. The wait for one is as long as an answer may take
     /// only in the placer's line.
     async fn choose_for(&mut self, hangup: &Hangup) -> Result<Choice, Failure> {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -46,7 +46,7 @@
 
 /// `Retry-After` during shutdown: another instance can take the request at once, but callers
 /// shouldn't all retry in the same moment.
-const STOP_RETRY: Millis = Millis(50);
+pub(crate) const STOP_RETRY: Millis = Millis(50);
 
 /// Maximum wait at a server in percent of the route's target. The rest is for the prefill.
 const WAIT_LIMIT_PERCENT: u64 = 80;
@@ -126,13 +126,17 @@
         // A connection whose last answer began before the shutdown carries requests until that
         // answer has ended. A request accepted now would be cut when the process exits.
         if shared.is_stopping() {
-            return Err(Refusal::later(Reason::Stopping, STOP_RETRY));
+            return Err(refuse_stopping());
         }
-        let table = first_table(shared, &meta).await?;
-        let job = Job::resolve(&table, request, meta, arrived)?;
-        let body_bytes = table.limits().body_bytes;
-        drop(table);
-        job.with_body(shared, request, body_bytes).await
+        let read = async {
+            let table = first_table(shared, &meta).await?;
+            let job = Job::resolve(&table, request, meta, arrived)?;
+            let body_bytes = table.limits().body_bytes;
+            drop(table);
+            job.with_body(shared, request, body_bytes).await
+        };
+        let read = shared.unless_stopping(read).await;
+        read.unwrap_or_else(|| Err(refuse_stopping()))
     }
 
     /// Reads a request that another instance has accepted and relays.
@@ -407,6 +411,11 @@
     fingerprints.collect()
 }
 
+/// The refusal of a request that hasn't been sent to a server when the shutdown leaves no time for that.
+fn refuse_stopping() -> Refusal {
+    Refusal::later(Reason::Stopping, STOP_RETRY)
+}
+
 /// The refusal of a request whose body wasn't received. It didn't run.
 fn refuse_body(error: &BodyError) -> Refusal {
     match error {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,5 +1,7 @@
 //! State shared by the tasks of an instance.
 
+use std::future::Future;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -17,9 +19,12 @@
 use crocushold_http::EndedWaits;
 use crocushold_http::ListenerHandle;
 use crocushold_http::PoolLimits;
+use crocushold_http::StopSignal;
 use crocushold_routing::LoadReport;
 use crocushold_routing::Outcome;
 use crocushold_routing::Quarantine;
+use futures::future::Either;
+use futures::future::select;
 use log::info;
 use twox_hash::XxHash3_64;
 
@@ -61,7 +66,7 @@
 const RESUME_SPAN: Millis = Millis(500);
 
 /// The stages of an instance's life cycle, in order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[repr(u8)]
 pub(crate) enum Stage {
     /// Before a shutdown.
@@ -101,6 +106,8 @@
     /// When this process last found that it had been paused; zero if it never did.
     resumed_at: AtomicU64,
     stage: AtomicU8,
+    /// Set with the stage in which requests are refused.
+    stopping: StopSignal,
 }
 
 impl Shared {
@@ -145,6 +152,7 @@
             last_confirmed: AtomicU64::new(0),
             resumed_at: AtomicU64::new(0),
             stage: AtomicU8::new(Stage::Serving as u8),
+            stopping: StopSignal::new(),
         }
     }
 
@@ -351,6 +359,9 @@
     /// Enters the next stage of the life cycle.
     pub(crate) fn set_stage(&self, stage: Stage) {
         self.stage.store(stage as u8, Ordering::Relaxed);
+        if stage >= Stage::Stopping {
+            self.stopping.stop();
+        }
     }
 
     /// Whether a shutdown has begun.
@@ -363,12 +374,25 @@
         self.stage.load(Ordering::Relaxed) >= Stage::Stopping as u8
     }
 
+    /// Runs `work` until a shutdown reaches the stage in which requests are refused. Returns `None` if that comes first.
+    pub(crate) async fn unless_stopping<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        until(&self.stopping, work).await
+    }
+
     /// Whether the instance accepts connections.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_draining() && self.table().is_some()
     }
 }
 
+/// Runs `work` until the signal is set. Returns `None` if that comes first.
+async fn until<T>(signal: &StopSignal, work: impl Future<Output = T>) -> Option<T> {
+    match select(pin!(work), pin!(signal.wait())).await {
+        Either::Left((result, _)) => Some(result),
+        Either::Right(_) => None,
+    }
+}
+
 fn log_notice(id: &str, change: NoticeChange, source: &str) {
     let event = match change {
         NoticeChange::Leaving => Event::new("server-leaving")
