Keep a signal for a stop that comes behind others

A SIGTERM was dropped if four signals waited at that moment, as the thread that receives signals gave up on a full channel. The process then went on as if nothing had happened, and was killed at the end of its grace period with all that it carried. Four reloads wait if the settings can't be read at once.

The thread waits for room now. Signals that come meanwhile stay pending with the signal handler, which merges equal ones.

`a_stop_behind_many_reloads_is_carried_out` holds the settings back during eight reloads, in a process of its own. It failed before (the process was still there 3 s later) and passes now.

--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -185,7 +185,10 @@
             } else {
                 SignalAction::Stop
             };
-            let _ = sender.try_send(action);
+            // While the channel is full, further signals stay pending.
+            if sender.send_blocking(action).is_err() {
+                return;
+            }
         }
     });
     Ok(receiver)
