Answer what is still open before a planned stop ends

At the end of the grace period the process ended with requests at its servers, and their callers saw a closed connection. The time that was left after the notice was also reckoned from when it should have ended, so that a late timer moved the end towards the kill.

0.4 s before the end, or an eighth of a short grace period, each request whose answer hasn't begun gets 504 now, with the outcome `stopped`. It promises nothing, as a closed connection, but is a complete answer, and tells the caller at once. The process waits half of that margin for these answers to be written; the rest is left for its exit. The end is reckoned from the signal. An answer that has begun is cut as before, so that a stream that may be taken up is.

Two other ways were weighed. To refuse requests from the signal on costs every caller of the notice a retry, and most of their answers are complete in time. To refuse by deadline against what is left would refuse nearly all, as deadlines are far above what requests take.

Before: `a_request_without_an_answer_is_answered_before_the_process_ends` fails on three kinds of routes (one connection open at the end instead of none); `what_runs_has_time_until_the_last_sixth_of_the_grace_period` fails at 1.2 s and 2 s without the shorter margin (805 ms of 1200 ms, 1601 ms of 2000 ms) and passes at 2.4 s. `requests_during_a_stop_are_answered_or_refused` sends a request each 20 ms to a process of its own through grace periods of 2.5 s, 3 s and 8 s, with second signals, reloads and a pause of 0.4 s, to servers that work for 50 ms, 1 s and 12 s.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -58,7 +58,10 @@
     let required = require_origin(shared, job).await;
     let mut exchange = Exchange::new(shared, job);
     let result = match required {
-        Ok(()) => exchange.run(hangup).await,
+        Ok(()) => {
+            let answered = shared.unless_ending(exchange.run(hangup)).await;
+            answered.unwrap_or_else(|| Err(Failure::Refused(Refusal::new(Reason::Stopped))))
+        }
         Err(refusal) => Err(Failure::Refused(refusal)),
     };
     match result {
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -216,8 +217,10 @@
     }
 }
 
-/// Part of the grace period that is left for the process to exit.
+/// Part of the grace period that is left at most for the last answers and for the process to exit, and its part of a
+/// short grace period. What is cut must still run in the last sixth of it.
 const EXIT_MARGIN: Millis = Millis(400);
+const EXIT_DIVISOR: u64 = 8;
 
 /// A running gateway.
 pub struct Gateway {
@@ -297,10 +300,13 @@
 
     /// Shuts down gracefully: readiness fails first, connections are accepted until the load
     /// balancer has noticed, then requests in progress finish as far as the grace period allows.
+    /// Those whose answers haven't begun by then get one that promises nothing.
     ///
     /// Returns the number of connections that were still open at the end.
     pub async fn stop(self) -> usize {
         let settings = &self.shared.settings;
+        let clock = &self.shared.clock;
+        let begun = clock.now();
         self.shared.set_stage(Stage::Draining);
         let running = self.handle.connections();
         info!(
@@ -317,14 +323,20 @@
         if let Some(relay) = &relay {
             relay.stop();
         }
-        let rest = settings.grace.since(notice + EXIT_MARGIN);
-        let serving = async {
+        let margin = EXIT_MARGIN.min(Millis(settings.grace.0 / EXIT_DIVISOR));
+        let end = begun + settings.grace.since(margin);
+        let mut serving = pin!(async {
             self.serving.await;
             if let Some(relaying) = relaying {
                 relaying.await;
             }
-        };
-        let ended = timeout(rest.into(), serving).await;
+        });
+        let rest = end.since(clock.now());
+        let mut ended = timeout(rest.into(), serving.as_mut()).await;
+        if ended.is_err() {
+            self.shared.end_requests();
+            ended = timeout(Millis(margin.0 / 2).into(), serving).await;
+        }
         let open = match ended {
             Ok(()) => 0,
             Err(_) => {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -58,6 +58,8 @@
     Overdue,
     /// The deadline passed while a server had the request.
     Timeout,
+    /// The instance shut down while a server had the request.
+    Stopped,
     /// The connection to the server failed.
     ServerFailed,
     /// The server's answer can't be relayed.
@@ -93,6 +95,7 @@
             Reason::BudgetSpent => "retry-budget-spent",
             Reason::Overdue => "overdue",
             Reason::Timeout => "timeout",
+            Reason::Stopped => "stopped",
             Reason::ServerFailed => "server-failed",
             Reason::BadAnswer => "bad-answer",
         }
@@ -142,7 +145,7 @@
             | Reason::Quarantined
             | Reason::BudgetSpent
             | Reason::Overdue => StatusCode::ServiceUnavailable,
-            Reason::Timeout => StatusCode::GatewayTimeout,
+            Reason::Timeout | Reason::Stopped => StatusCode::GatewayTimeout,
             Reason::ServerFailed | Reason::BadAnswer => StatusCode::BadGateway,
         }
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -108,6 +108,8 @@
     stage: AtomicU8,
     /// Set with the stage in which requests are refused.
     stopping: StopSignal,
+    /// Set when the grace period is over for requests in progress.
+    ending: StopSignal,
 }
 
 impl Shared {
@@ -153,6 +155,7 @@
             resumed_at: AtomicU64::new(0),
             stage: AtomicU8::new(Stage::Serving as u8),
             stopping: StopSignal::new(),
+            ending: StopSignal::new(),
         }
     }
 
@@ -379,6 +382,16 @@
         until(&self.stopping, work).await
     }
 
+    /// Ends the requests whose answers haven't begun.
+    pub(crate) fn end_requests(&self) {
+        self.ending.stop();
+    }
+
+    /// Runs `work` until the grace period is over. Returns `None` if that comes first.
+    pub(crate) async fn unless_ending<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        until(&self.ending, work).await
+    }
+
     /// Whether the instance accepts connections.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_draining() && self.table().is_some()
