http: hold each bound on an endless answer by a test of its own

There was no flood of bytes that are no HTTP, none that begins before a request is written, and none while its body is.

New are the flood `Garbage`, bytes that come on a fresh connection or while 32 MiB of a body are written (an error that doesn't prove the request unsent and is no disconnect; closed, not kept), a connection with bytes behind an answer that isn't kept for a moment, and the turns of a body's reader, counted in polls.

--- a/crates/http/tests/endless.rs
+++ b/crates/http/tests/endless.rs
@@ -5,6 +5,7 @@
 
 mod support;
 
+use std::pin::pin;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -31,6 +32,8 @@
 use crocushold_http::relay_headers;
 use crocushold_standins::Flood;
 use crocushold_standins::Pace;
+use futures::poll;
+use http_types::Method;
 use http_types::Response;
 use test_case::test_case;
 
@@ -56,6 +59,18 @@
 /// Deadline of a request whose caller doesn't read, after which all buffers on the way are full.
 const UNREAD_DEADLINE: Millis = Millis(3000);
 
+/// Body of a request that doesn't fit into the buffers of the sockets.
+const UPLOAD_BYTES: usize = 32 * 1024 * 1024;
+
+/// Bytes that fit into the buffers of the sockets.
+const SHORT_BYTES: usize = 32 * 1024;
+
+/// Time in which they arrive.
+const ARRIVAL: Duration = Duration::from_millis(300);
+
+/// Turns that reading them takes at least: a piece counts 256 bytes beside its own, and a turn is 64 KiB.
+const TURNS: usize = 4;
+
 const SLOW: Pace = Pace::Bytewise(Duration::from_millis(2));
 
 fn limits() -> SendLimits {
@@ -162,6 +177,8 @@
 
 // A head that never ends must neither fill the memory nor hold the request beyond its timeout, and mustn't keep
 // an executor thread from its other tasks.
+#[test_case(Flood::Garbage, Pace::Fast)]
+#[test_case(Flood::Garbage, SLOW)]
 #[test_case(Flood::HeadLine, Pace::Fast)]
 #[test_case(Flood::HeadLine, SLOW)]
 #[test_case(Flood::HeadLines, Pace::Fast)]
@@ -182,6 +199,52 @@
     });
 }
 
+/// Guards against bytes that come before the request has been written, and are read without end or taken for a proof
+/// that the request wasn't run.
+#[test_case(false, 0, Flood::Garbage, Pace::Fast; "garbage before the request")]
+#[test_case(false, 0, Flood::Garbage, SLOW; "garbage before the request, slowly")]
+#[test_case(false, 0, Flood::InterimAnswers, Pace::Fast; "interim answers before the request")]
+#[test_case(true, UPLOAD_BYTES, Flood::Garbage, Pace::Fast; "garbage while the body is written")]
+#[test_case(true, UPLOAD_BYTES, Flood::HeadLine, Pace::Fast; "a head while the body is written")]
+#[test_case(true, UPLOAD_BYTES, Flood::InterimAnswers, Pace::Fast; "interim answers while the body is written")]
+fn bytes_before_the_request_was_written_are_an_error(
+    reads_head: bool,
+    bytes: usize,
+    flood: Flood,
+    pace: Pace,
+) {
+    block_on(async move {
+        let (sender, closed) = unbounded();
+        let server = scripted_server(move |_, mut stream| {
+            let sender = sender.clone();
+            async move {
+                if reads_head {
+                    read_head(&mut stream).await;
+                }
+                let _ = flood.send(&mut stream, "", pace).await;
+                sender.try_send(()).unwrap();
+            }
+        })
+        .await;
+        let mut request = get(server);
+        request.set_method(Method::Post);
+        request.set_body(vec![b'x'; bytes]);
+        let began = Instant::now();
+        let sent = task::spawn(async move {
+            let client = client();
+            let sent = client.send(server, request, &limits(), Reuse::Fresh).await;
+            (sent, client.idle_connections())
+        });
+        let (sent, idle) = with_timeout(sent).await;
+        let error = sent.unwrap_err();
+        assert!(!error.stage.proves_unsent(), "{error}");
+        assert!(!error.is_disconnect(), "{error}");
+        assert!(began.elapsed() < Duration::from(DEADLINE) + SLACK);
+        assert_eq!(idle, 0);
+        with_timeout(closed.recv()).await.unwrap();
+    });
+}
+
 // A server may send a number of interim answers before the final one.
 #[test]
 fn interim_answers_before_the_final_one_are_skipped() {
@@ -312,6 +375,52 @@
     });
 }
 
+/// Guards against a connection that is kept, until it is looked at the next time, though bytes came behind its answer.
+#[test_case(Flood::AfterLength)]
+#[test_case(Flood::EmptyChunks)]
+fn connection_with_bytes_behind_an_answer_is_closed_at_once(flood: Flood) {
+    block_on(async move {
+        let (server, closed) = flooding_server(flood, Pace::Fast).await;
+        let client = client();
+        let limits = limits();
+        let sent = client.send(server, get(server), &limits, Reuse::Fresh);
+        let mut answer = with_timeout(sent).await.unwrap();
+        let mut bytes = Vec::new();
+        // Chunks that are followed by bytes may be an error.
+        let _ = with_timeout(answer.body.read_to_end(&mut bytes)).await;
+        assert_eq!(client.idle_connections(), 0);
+        with_timeout(closed.recv()).await.unwrap();
+    });
+}
+
+/// Polls without a pause until the future is ready, and returns the number of polls.
+async fn polls<T>(future: impl Future<Output = T>) -> usize {
+    let mut future = pin!(future);
+    let mut polls = 1;
+    while poll!(future.as_mut()).is_pending() {
+        polls += 1;
+    }
+    polls
+}
+
+/// Guards against a reader of a body that keeps its thread for as long as bytes are at hand.
+#[test]
+fn reader_of_a_body_lets_other_tasks_run() {
+    block_on(async {
+        let body = "x".repeat(SHORT_BYTES);
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {SHORT_BYTES}\r\n\r\n");
+        let server = support::fixed_answer_server(head + &body).await;
+        let mut answer = send_to(server).await.unwrap();
+        task::sleep(ARRIVAL).await;
+        let read = async {
+            let mut piece = [0; 16];
+            while answer.body.read(&mut piece).await.unwrap() > 0 {}
+        };
+        let polls = polls(read).await;
+        assert!(polls > TURNS, "{polls} polls");
+    });
+}
+
 // A server sends on a connection that is kept for the next request. The connection must be closed although no
 // request comes: its receive buffer would stay full until then.
 #[test]
--- a/crates/standins/src/flood.rs
+++ b/crates/standins/src/flood.rs
@@ -13,6 +13,8 @@
 /// The part of an answer that is sent without end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Flood {
+    /// Bytes that are no HTTP, from the first one on.
+    Garbage,
     /// One line of the head.
     HeadLine,
     /// Lines of the head.
@@ -60,7 +62,8 @@
 
 impl Flood {
     /// All kinds.
-    pub const ALL: [Flood; 17] = [
+    pub const ALL: [Flood; 18] = [
+        Flood::Garbage,
         Flood::HeadLine,
         Flood::HeadLines,
         Flood::BlankLines,
@@ -89,7 +92,7 @@
         match self {
             Flood::HeadLine => format!("{ok}X-Endless: "),
             Flood::HeadLines => ok,
-            Flood::BlankLines | Flood::InterimAnswers => String::new(),
+            Flood::Garbage | Flood::BlankLines | Flood::InterimAnswers => String::new(),
             Flood::ChunkSize | Flood::Chunks | Flood::EmptyChunks => chunked,
             Flood::ChunkExtension => format!("{chunked}4;x="),
             Flood::Trailer => format!("{chunked}4\r\nfour\r\n0\r\nX-Endless: "),
@@ -107,6 +110,7 @@
     /// The bytes that are repeated after the start.
     pub fn cycle(self) -> String {
         let cycle = match self {
+            Flood::Garbage => "\0\u{ff}",
             Flood::HeadLine | Flood::ChunkExtension | Flood::Trailer => "x",
             Flood::HeadLines | Flood::Trailers => "X-Endless: x\r\n",
             Flood::BlankLines => "\r\n",
