http: read interim answers in turns

A server that sends interim answers as fast as they are read kept the thread that read them until their limit of 64 KiB, some 2,600 heads in one poll; other tasks of that thread, and the request's timers, waited for as long.

Reads that find bytes never wait, so the task has to yield by itself, as the reader of a body does: after 64 KiB of work, where a head counts 256 bytes beside its own.

`reader_of_interim_answers_lets_other_tasks_run` failed before: "1 polls" for 32 KiB of interim answers that are at hand.

--- a/crates/http/src/client/receive.rs
+++ b/crates/http/src/client/receive.rs
@@ -1,6 +1,7 @@
 //! Reading the head of an answer.
 
 use async_std::future::timeout;
+use async_std::task;
 use crocushold_base::Millis;
 use http_types::Method;
 use http_types::Response;
@@ -17,6 +18,7 @@
 use crate::framing::AmbiguousFraming;
 use crate::framing::Framing;
 use crate::framing::framing;
+use crate::turn::Turn;
 
 /// The longest head that async-h1 parses, in bytes.
 const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
@@ -66,6 +68,7 @@
 pub(super) async fn final_head(exchange: &Exchange) -> Result<Response, SendError> {
     let connection = &exchange.connection;
     let mut interim_bytes = 0;
+    let mut turn = Turn::default();
     loop {
         let length = connection
             .read_head(MAX_HEAD_BYTES)
@@ -92,6 +95,12 @@
         if interim_bytes > MAX_INTERIM_BYTES {
             return Err(exchange.error(Stage::Answered, SendErrorKind::HeadTooLarge));
         }
+        // A server that sends them fast would otherwise keep the thread until the limit.
+        turn.record(length);
+        if turn.is_over() {
+            task::yield_now().await;
+            turn.begin();
+        }
     }
 }
 
--- a/crates/http/tests/endless.rs
+++ b/crates/http/tests/endless.rs
@@ -421,6 +421,29 @@
     });
 }
 
+/// Guards against interim answers that keep the thread which reads them for as long as they are at hand.
+#[test]
+fn reader_of_interim_answers_lets_other_tasks_run() {
+    block_on(async {
+        let server = scripted_server(|_, mut stream| async move {
+            let interim = "HTTP/1.1 100 Continue\r\n\r\n";
+            let text = interim.repeat(SHORT_BYTES / interim.len());
+            let answer = format!("{text}HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+            stream.write_all(answer.as_bytes()).await.unwrap();
+            read_head(&mut stream).await;
+        })
+        .await;
+        let client = client();
+        let limits = limits();
+        let mut sent = pin!(client.send(server, get(server), &limits, Reuse::Fresh));
+        // Opens the connection.
+        assert!(poll!(sent.as_mut()).is_pending());
+        task::sleep(ARRIVAL).await;
+        let polls = polls(sent).await;
+        assert!(polls > TURNS, "{polls} polls");
+    });
+}
+
 // A server sends on a connection that is kept for the next request. The connection must be closed although no
 // request comes: its receive buffer would stay full until then.
 #[test]
