--- a/tests/all/cells.rs
+++ b/tests/all/cells.rs
@@ -814,6 +814,12 @@
         promises: &[Promise::Once, Promise::Slots],
         test: "sending_faults::a_booking_answered_unavailable_while_it_is_sent_is_sent_once",
     },
+    Cell {
+        fault: Fault::Unavailable,
+        step: Step::Sending,
+        promises: &[Promise::Once, Promise::Slots],
+        test: "sending_faults::a_booking_answered_by_no_answer_while_it_is_sent_is_unknown",
+    },
     Cell {
         fault: Fault::Killed,
         step: Step::Idle,
