Keep a listing for as long as its pages arrive, and bound their number

Where answers are lost in silence each loss takes two seconds, so that a listing of 13 pages was never whole (not ready after 60 s and 58 list calls; with closed connections, as the test had them, it was). It begins anew ten seconds after its last page now; changes that have left the store's history by its end are answered by 410 and listed again, as before. What it confirms counts from its begin.

a_listing_of_many_pages_ends_while_answers_are_lost has both kinds of losses and passes; the number of pages has no test of its own.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -44,6 +44,7 @@
         let result = match follower.at {
             None => follower.list(&shared, &source).await.and_then(|listing| {
                 follower.on_answer(&shared, listing.revision)?;
+                shared.record_confirmed(listing.started);
                 Ok(follower.apply_listing(&shared, listing))
             }),
             Some(at) => {
@@ -251,9 +252,13 @@
             SourceError::Refused(_, Some(asked)) => {
                 self.backoff.retry_after(*asked, &mut self.jitter)
             }
-            // No request can be served before the first listing, so retry more often. A listing
-            // that made no progress took several calls, and the next one is likely to end alike.
-            _ if shared.table().is_none() && *error != SourceError::NoProgress => self
+            // A listing that made no progress, or was too long, took many calls, and the next one is
+            // likely to end alike.
+            SourceError::NoProgress | SourceError::TooLarge => {
+                self.backoff.next_pause(&mut self.jitter)
+            }
+            // No request can be served before the first listing, so retry more often.
+            _ if shared.table().is_none() => self
                 .backoff
                 .next_pause(&mut self.jitter)
                 .min(STARTUP_BACKOFF_CAP),
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -18,9 +18,12 @@
 /// fleets, in a fraction of the memory of the smallest instance.
 const MAX_HELD: usize = 50_000;
 
-/// Age from which an unfinished listing begins anew. The changes since its first page must still be in the
-/// store's history when it ends.
-const MAX_AGE: Millis = Millis::from_secs(10);
+/// The most pages of a listing, so that a store that names fresh entries without end isn't called for ever.
+const MAX_PAGES: u64 = 10_000;
+
+/// Time without a page from which an unfinished listing begins anew. If the changes since its first page aren't
+/// in the store's history any more when it ends, the store says so.
+const MAX_PAUSE: Millis = Millis::from_secs(10);
 
 /// All entries of the store.
 #[derive(Debug, Default)]
@@ -46,7 +49,7 @@
     /// # Errors
     ///
     /// Fails if the page is from another era than the first one, if it ends where an earlier page has
-    /// ended, or if the listing holds too many entries.
+    /// ended, or if the listing has too many pages or entries.
     fn add(
         &mut self,
         page: Page,
@@ -66,7 +69,7 @@
         for entry in page.entries {
             self.add_entry(entry, &is_known);
         }
-        if self.entries.len() + self.ends.len() > MAX_HELD {
+        if self.entries.len() + self.ends.len() > MAX_HELD || self.pages > MAX_PAGES {
             return Err(SourceError::TooLarge);
         }
         if let Some(end) = &page.next
@@ -99,6 +102,8 @@
     listing: Listing,
     /// The name after which the next page begins.
     next: Option<String>,
+    /// When the last page arrived.
+    updated: Millis,
 }
 
 impl PartialListing {
@@ -118,7 +123,7 @@
         source: &impl Source,
     ) -> Result<Listing, SourceError> {
         let now = shared.clock.now();
-        if now.since(self.listing.started) > MAX_AGE {
+        if now.since(self.updated) > MAX_PAUSE {
             *self = PartialListing::default();
         }
         if self.pages() == 0 {
@@ -134,6 +139,7 @@
                 return added.map(|_| ended.listing);
             }
             self.next = added?;
+            self.updated = shared.clock.now();
             self.report(shared);
         }
     }
