--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -116,7 +116,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if a call fails, or a page doesn't fit those before it. Then the listing begins anew.
+    /// Fails if a call fails; the next read goes on at that page. Fails as well if a page doesn't fit those
+    /// before it, and the next read begins anew.
     pub(crate) async fn read(
         &mut self,
         shared: &Shared,
