Hold the work of a request once in the futures that wait for a stop

Cause: `unless_stopping` and `unless_ending` are async functions that take the work by value, so the future of each request held it several times, 500 connections at a time.

--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -380,8 +380,11 @@
     }
 
     /// Runs `work` until a shutdown reaches the stage in which requests are refused. Returns `None` if that comes first.
-    pub(crate) async fn unless_stopping<T>(&self, work: impl Future<Output = T>) -> Option<T> {
-        until(&self.stopping, work).await
+    pub(crate) fn unless_stopping<T>(
+        &self,
+        work: impl Future<Output = T>,
+    ) -> impl Future<Output = Option<T>> {
+        until(&self.stopping, work)
     }
 
     /// Ends the requests whose answers haven't begun.
@@ -390,8 +393,11 @@
     }
 
     /// Runs `work` until the grace period is over. Returns `None` if that comes first.
-    pub(crate) async fn unless_ending<T>(&self, work: impl Future<Output = T>) -> Option<T> {
-        until(&self.ending, work).await
+    pub(crate) fn unless_ending<T>(
+        &self,
+        work: impl Future<Output = T>,
+    ) -> impl Future<Output = Option<T>> {
+        until(&self.ending, work)
     }
 
     /// Whether the instance accepts connections.
@@ -401,10 +407,15 @@
 }
 
 /// Runs `work` until the signal is set. Returns `None` if that comes first.
-async fn until<T>(signal: &StopSignal, work: impl Future<Output = T>) -> Option<T> {
-    match select(pin!(work), pin!(signal.wait())).await {
-        Either::Left((result, _)) => Some(result),
-        Either::Right(_) => None,
+///
+/// The work is boxed, as an `async fn` would hold it once more in each caller's future.
+fn until<T>(signal: &StopSignal, work: impl Future<Output = T>) -> impl Future<Output = Option<T>> {
+    let work = Box::pin(work);
+    async move {
+        match select(work, pin!(signal.wait())).await {
+            Either::Left((result, _)) => Some(result),
+            Either::Right(_) => None,
+        }
     }
 }
 
