Keep the content type of a message in one place; give the listing's confirmation to `on_answer`

`keep_content_type` does it now (the proxy of crocushold-measure keeps its own). The time as of which a listing confirms was set twice, the second over the first. The wait for a head is part of the silences that it counts as, not of the body.

--- a/crates/entry/src/decode.rs
+++ b/crates/entry/src/decode.rs
@@ -16,6 +16,7 @@
 use crocushold_http::BodyError;
 use crocushold_http::RequestTarget;
 use crocushold_http::ServerLimits;
+use crocushold_http::keep_content_type;
 use crocushold_http::read_body;
 use crocushold_http::relay_headers;
 use crocushold_http::request_path;
@@ -28,7 +29,6 @@
 use http_types::Method;
 use http_types::Request;
 use http_types::StatusCode;
-use http_types::headers::CONTENT_TYPE;
 use http_types::headers::Headers;
 use twox_hash::XxHash3_64;
 
@@ -154,12 +154,8 @@
     pub(crate) fn request(&self) -> Request {
         let mut request = self.outgoing.target.request(self.outgoing.method);
         relay_headers(&self.outgoing.headers, request.as_mut());
-        request.set_body(self.outgoing.body.clone());
-        // `set_body` overwrites the content type; restore the caller's.
-        match self.outgoing.headers.get(CONTENT_TYPE) {
-            Some(values) => request.insert_header(CONTENT_TYPE, values),
-            None => request.remove_header(CONTENT_TYPE),
-        };
+        let body = self.outgoing.body.clone();
+        keep_content_type(&mut request, |request| request.set_body(body));
         request
     }
 }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -24,6 +24,7 @@
 use crocushold_http::SendErrorKind;
 use crocushold_http::SendLimits;
 use crocushold_http::is_event_stream;
+use crocushold_http::keep_content_type;
 use crocushold_http::relay_headers;
 use crocushold_metrics::ClassMetrics;
 use crocushold_metrics::GaugeGuard;
@@ -39,7 +40,6 @@
 use futures::future::Either;
 use futures::future::select;
 use http_types::Response;
-use http_types::headers::CONTENT_TYPE;
 use log::info;
 
 use self::classify::asked_rest;
@@ -511,12 +511,8 @@
             answer.body.set_total_timeout(timeout);
             response.ext_mut().insert(AnswerTimeout(timeout));
         }
-        response.set_body(answer.body.into_body(observer));
-        // `set_body` overwrites the content type.
-        match answer.headers.get(CONTENT_TYPE) {
-            Some(values) => response.insert_header(CONTENT_TYPE, values),
-            None => response.remove_header(CONTENT_TYPE),
-        };
+        let body = answer.body.into_body(observer);
+        keep_content_type(&mut response, |response| response.set_body(body));
         response
     }
 
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -5,6 +5,7 @@
 use crocushold_http::EventCounter;
 use crocushold_http::RelayBody;
 use crocushold_http::is_event_stream;
+use crocushold_http::keep_content_type;
 use crocushold_http::relay_headers;
 use http_types::Response;
 use http_types::StatusCode;
@@ -47,20 +48,11 @@
             counter: EventCounter::new(),
             pauses: PauseTracker::from(now),
         };
-        let content_type = answer.headers.get(CONTENT_TYPE).cloned();
-        self.check_end(
-            &mut answer.body,
-            response.status(),
-            content_type.as_ref(),
-            server,
-        );
+        let content_type = answer.headers.get(CONTENT_TYPE);
+        self.check_end(&mut answer.body, response.status(), content_type, server);
         response.ext_mut().insert(AnswerTimeout(self.remaining()));
-        response.set_body(answer.body.into_body(settle));
-        // `set_body` overwrites the content type.
-        match content_type {
-            Some(values) => response.insert_header(CONTENT_TYPE, &values),
-            None => response.remove_header(CONTENT_TYPE),
-        };
+        let body = answer.body.into_body(settle);
+        keep_content_type(&mut response, |response| response.set_body(body));
         response
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -43,8 +43,7 @@
     loop {
         let result = match follower.at {
             None => follower.list(&shared, &source).await.and_then(|listing| {
-                follower.on_answer(&shared, listing.revision)?;
-                shared.record_confirmed(listing.started);
+                follower.on_answer(&shared, listing.revision, listing.started)?;
                 Ok(follower.apply_listing(&shared, listing))
             }),
             Some(at) => {
@@ -52,7 +51,8 @@
                     continue;
                 };
                 changes.and_then(|changes| {
-                    follower.on_answer(&shared, changes.revision)?;
+                    let now = shared.clock.now();
+                    follower.on_answer(&shared, changes.revision, now)?;
                     shared.store.observe(changes.last_change);
                     Ok(follower.apply_changes(&shared, changes))
                 })
@@ -172,14 +172,19 @@
         })
     }
 
-    /// Records an answer of the store. This must precede the processing of its content: the first
+    /// Records an answer of the store, which confirms the known state as of `confirmed`. This must precede the processing of its content: the first
     /// answer after an outage may report removed entries, and those must stay unconfirmed.
     ///
     /// # Errors
     ///
     /// Fails if the answer is from another era than the known state, since its content doesn't
     /// continue that state.
-    fn on_answer(&mut self, shared: &Shared, at: Revision) -> Result<(), SourceError> {
+    fn on_answer(
+        &mut self,
+        shared: &Shared,
+        at: Revision,
+        confirmed: Millis,
+    ) -> Result<(), SourceError> {
         let held = *self.era.get_or_insert(at.era);
         if at.era < held {
             return Err(SourceError::Failed(
@@ -194,7 +199,7 @@
                 .with("after", shared.knowledge_age());
             info!("{event}");
         }
-        shared.record_confirmed(now);
+        shared.record_confirmed(confirmed);
         if at.era == held {
             return Ok(());
         }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -8,6 +8,7 @@
 use crocushold_http::BodyError;
 use crocushold_http::RequestTarget;
 use crocushold_http::ServerLimits;
+use crocushold_http::keep_content_type;
 use crocushold_http::read_reserved_body;
 use crocushold_http::relay_headers;
 use crocushold_routing::Fingerprint;
@@ -16,7 +17,6 @@
 use http_types::Headers;
 use http_types::Method;
 use http_types::Request;
-use http_types::headers::CONTENT_TYPE;
 use http_types::headers::HOST;
 use twox_hash::XxHash3_64;
 
@@ -274,12 +274,8 @@
         let body = self.outgoing.body.clone();
         let length = body.0.len();
         if length > 0 {
-            request.set_body(Body::from_reader(Cursor::new(body), Some(length)));
-            // `set_body` overwrites the content type; restore the caller's.
-            match self.outgoing.headers.get(CONTENT_TYPE) {
-                Some(values) => request.insert_header(CONTENT_TYPE, values),
-                None => request.remove_header(CONTENT_TYPE),
-            };
+            let body = Body::from_reader(Cursor::new(body), Some(length));
+            keep_content_type(&mut request, |request| request.set_body(body));
         }
         request
     }
--- a/crates/http/src/client/arrivals.rs
+++ b/crates/http/src/client/arrivals.rs
@@ -20,6 +20,8 @@
 pub(super) struct Arrivals {
     /// When the last bytes arrived.
     last: Millis,
+    /// How long the head was awaited.
+    awaited: Millis,
     /// When the last long silence ended.
     resumed: Option<Millis>,
 }
@@ -29,14 +31,20 @@
     pub(super) fn new(head: Millis) -> Arrivals {
         Arrivals {
             last: head,
+            awaited: Millis::ZERO,
             resumed: None,
         }
     }
 
-    /// Counts the time for which the head was `awaited` as a silence: it was sent with the first bytes of
-    /// the body, when that was ready.
-    pub(super) fn count_wait(&mut self, awaited: Millis) {
-        if awaited >= MIN_RESTART {
+    /// Sets how long the head was awaited.
+    pub(super) fn set_awaited(&mut self, span: Millis) {
+        self.awaited = span;
+    }
+
+    /// Counts the wait for the head as a silence: it was sent with the first bytes of the body, when that
+    /// was ready.
+    pub(super) fn count_wait(&mut self) {
+        if self.awaited >= MIN_RESTART {
             self.resumed = Some(self.last);
         }
     }
--- a/crates/http/src/client/arrivals/tests.rs
+++ b/crates/http/src/client/arrivals/tests.rs
@@ -28,7 +28,8 @@
 #[test]
 fn an_end_just_after_a_late_head_is_held_back() {
     let mut late = Arrivals::new(Millis(1000));
-    late.count_wait(Millis(600));
+    late.set_awaited(Millis(600));
+    late.count_wait();
     late.record(Millis(1001));
     assert!(late.is_held_back());
     late.record(Millis(1300));
--- a/crates/http/src/client/relay_body.rs
+++ b/crates/http/src/client/relay_body.rs
@@ -66,8 +66,6 @@
     clock: Clock,
     meter: BodyMeter,
     arrivals: Arrivals,
-    /// How long the head of the answer was awaited.
-    awaited: Millis,
     state: State,
     /// `None` once the answer has ended.
     connection: Option<Arc<Connection>>,
@@ -99,7 +97,6 @@
             body,
             framing,
             arrivals: Arrivals::new(clock.now()),
-            awaited: Millis::ZERO,
             clock,
             meter: BodyMeter::new(limits.answer_bytes, limits.event_bytes),
             state: State::Open,
@@ -153,7 +150,7 @@
 
     /// Sets how long the head of the answer was awaited.
     pub(crate) fn set_awaited(&mut self, span: Millis) {
-        self.awaited = span;
+        self.arrivals.set_awaited(span);
     }
 
     /// Takes the answer for a stream of server-sent events, each of which is bounded in bytes. If it ends
@@ -161,7 +158,7 @@
     pub fn expect_events(&mut self) {
         self.meter.expect_events();
         if self.ends_with_connection() {
-            self.arrivals.count_wait(self.awaited);
+            self.arrivals.count_wait();
             self.boundary = Some(EventBoundary::default());
         }
     }
--- a/crates/http/src/client/send.rs
+++ b/crates/http/src/client/send.rs
@@ -16,8 +16,8 @@
 use http_types::Headers;
 use http_types::Method;
 use http_types::Request;
+use http_types::Response;
 use http_types::StatusCode;
-use http_types::headers::CONTENT_TYPE;
 use http_types::headers::HOST;
 
 use super::cancel::Cancel;
@@ -41,6 +41,7 @@
 use crate::connection::MessageStream;
 use crate::framing::Framing;
 use crate::headers::has_connection_option;
+use crate::headers::keep_content_type;
 use crate::headers::sanitize_headers;
 use crate::keepalive::end_unacknowledged;
 use crate::request_target::RequestTarget;
@@ -175,23 +176,20 @@
             .set_remaining(framing.max_answer_bytes());
         let status = response.status();
         let connection = exchange.connection.clone();
-        let has_type = response.header(CONTENT_TYPE).is_some();
         // async-h1 decodes an answer without framing headers as empty.
         let body = match framing {
             Framing::Close => {
                 Body::from_reader(BufReader::new(MessageStream(connection.clone())), None)
             }
-            Framing::Length(_) | Framing::Chunked => response.take_body(),
+            Framing::Length(_) | Framing::Chunked => {
+                keep_content_type(&mut response, Response::take_body)
+            }
         };
         let mut body = RelayBody::new(body, framing, connection, pool_return, limits);
         if early {
             body.distrust_end();
         }
         let cancel = body.cancel();
-        if !has_type {
-            // `take_body` sets one.
-            response.remove_header(CONTENT_TYPE);
-        }
         sanitize_headers(response.as_mut());
         let headers: &Headers = response.as_ref();
         Ok(Answer {
--- a/crates/http/src/headers.rs
+++ b/crates/http/src/headers.rs
@@ -2,6 +2,7 @@
 
 use http_types::Headers;
 use http_types::headers::CONNECTION;
+use http_types::headers::CONTENT_TYPE;
 use http_types::headers::HeaderName;
 
 /// Headers that describe one connection or the framing on it (RFC 9110, section 7.6.1).
@@ -35,6 +36,21 @@
     }
 }
 
+/// Calls `change`, which sets or takes the body of a message, and leaves the content type as it was: http-types would set
+/// one of its own.
+pub fn keep_content_type<M, T>(message: &mut M, change: impl FnOnce(&mut M) -> T) -> T
+where
+    M: AsRef<Headers> + AsMut<Headers>,
+{
+    let values = message.as_ref().get(CONTENT_TYPE).cloned();
+    let result = change(message);
+    match values {
+        Some(values) => message.as_mut().insert(CONTENT_TYPE, &values),
+        None => message.as_mut().remove(CONTENT_TYPE),
+    };
+    result
+}
+
 /// Removes headers whose values contain control characters, and the framing headers, which the
 /// encoder sets.
 ///
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -47,6 +47,7 @@
 pub use client::accepts_connections;
 pub use client::is_path_failure;
 pub use client::refuses_connections;
+pub use headers::keep_content_type;
 pub use headers::relay_headers;
 pub use request_target::MalformedTarget;
 pub use request_target::RequestTarget;
--- a/crates/http/src/server/body_length.rs
+++ b/crates/http/src/server/body_length.rs
@@ -10,7 +10,8 @@
 use async_std::io::Read;
 use http_types::Body;
 use http_types::Response;
-use http_types::headers::CONTENT_TYPE;
+
+use crate::headers::keep_content_type;
 
 /// Makes the body of an answer fail if it ends before its announced length.
 ///
@@ -20,18 +21,14 @@
     let Some(length) = response.len().filter(|length| *length > 0) else {
         return;
     };
-    let content_type = response.header(CONTENT_TYPE).cloned();
-    let body = response.take_body();
-    let remaining = length as u64;
-    response.set_body(Body::from_reader(
-        LengthCheckedBody { body, remaining },
-        Some(length),
-    ));
-    // `set_body` overwrites the content type.
-    match content_type {
-        Some(values) => response.insert_header(CONTENT_TYPE, &values),
-        None => response.remove_header(CONTENT_TYPE),
-    };
+    keep_content_type(response, |response| {
+        let body = response.take_body();
+        let remaining = length as u64;
+        response.set_body(Body::from_reader(
+            LengthCheckedBody { body, remaining },
+            Some(length),
+        ));
+    });
 }
 
 struct LengthCheckedBody {
