--- /dev/null
+++ b/review/standin-2/store.rs
@@ -0,0 +1,259 @@
+//! A stand-in for the platform's store.
+
+use std::collections::BTreeMap;
+use std::io::Result;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::http::Connection;
+
+/// How the store handles calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    Up,
+    /// Closes connections without an answer.
+    Down,
+}
+
+struct Item {
+    data: String,
+    revision: u64,
+    created: u64,
+}
+
+struct State {
+    mode: Mode,
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    /// Revision, key and text of each event.
+    events: Vec<(u64, String)>,
+    /// Raised to end the watches that wait.
+    cuts: u64,
+}
+
+/// A handle to the store. Clones share its state.
+#[derive(Clone)]
+pub struct Store {
+    pub address: SocketAddr,
+    shared: Arc<(Mutex<State>, Condvar)>,
+}
+
+impl Store {
+    pub fn start() -> Store {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let state = State {
+            mode: Mode::Up,
+            revision: 0,
+            items: BTreeMap::new(),
+            events: Vec::new(),
+            cuts: 0,
+        };
+        let store = Store {
+            address: listener.local_addr().expect("a bound address"),
+            shared: Arc::new((Mutex::new(state), Condvar::new())),
+        };
+        let served = store.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = served.clone();
+                thread::spawn(move || store.serve(stream));
+            }
+        });
+        store
+    }
+
+    pub fn set_mode(&self, mode: Mode) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.mode = mode;
+        if mode == Mode::Down {
+            state.cuts += 1;
+        }
+        self.shared.1.notify_all();
+    }
+
+    /// Cuts all watches that wait at this moment; returns after it is recorded.
+    pub fn cut_watches(&self) {
+        self.shared.0.lock().unwrap().cuts += 1;
+        self.shared.1.notify_all();
+    }
+
+    /// Writes an item, if the store is up. Returns whether it was accepted.
+    pub fn put(&self, key: &str, text: &str) -> bool {
+        let mut state = self.shared.0.lock().unwrap();
+        if state.mode == Mode::Down {
+            return false;
+        }
+        state.revision += 1;
+        let revision = state.revision;
+        let data = base64(text.as_bytes());
+        let created = state.items.get(key).map_or(revision, |item| item.created);
+        let event = item_text(key, &data, revision, created);
+        state.events.push((revision, event));
+        let item = Item {
+            data,
+            revision,
+            created,
+        };
+        state.items.insert(key.to_owned(), item);
+        self.shared.1.notify_all();
+        true
+    }
+
+    /// Removes an item and, in the same moment, cuts the watches that wait if `cut` is set.
+    pub fn remove(&self, key: &str, cut: bool) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        state.items.remove(key);
+        let event = format!("{{\"key\":\"{key}\",\"revision\":{revision},\"removed\":true}}");
+        state.events.push((revision, event));
+        if cut {
+            state.cuts += 1;
+        }
+        self.shared.1.notify_all();
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let mut connection = Connection::new(stream);
+        while let Ok(head) = connection.head() {
+            let target = head.word(1).to_owned();
+            let answer = self.answer(&target);
+            let Some((status, body)) = answer else {
+                break;
+            };
+            let text = format!(
+                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            if connection.write(text.as_bytes()).is_err() {
+                break;
+            }
+        }
+        connection.close();
+    }
+
+    /// The status and the body; `None` if the connection is closed instead.
+    fn answer(&self, target: &str) -> Option<(&'static str, String)> {
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        match path {
+            "/v1/kv-range" => self.range(query),
+            "/v1/kv-watch" => self.watch(query),
+            _ => Some(("404 Not Found", "{}".to_owned())),
+        }
+    }
+
+    fn range(&self, query: &str) -> Option<(&'static str, String)> {
+        let state = self.shared.0.lock().unwrap();
+        if state.mode == Mode::Down {
+            return None;
+        }
+        let prefix = parameter(query, "prefix");
+        let after = parameter(query, "after");
+        let items = state.items.iter();
+        let items = items
+            .filter(|(key, _)| key.starts_with(&prefix) && (after.is_empty() || **key > after));
+        let items =
+            items.map(|(key, item)| item_text(key, &item.data, item.revision, item.created));
+        let entries: Vec<String> = items.collect();
+        let body = format!(
+            "{{\"entries\":[{}],\"has-more\":false,\"at\":{}}}",
+            entries.join(","),
+            state.revision
+        );
+        Some(("200 OK", body))
+    }
+
+    fn watch(&self, query: &str) -> Option<(&'static str, String)> {
+        let after: u64 = parameter(query, "after").parse().unwrap_or(0);
+        let wait: u64 = parameter(query, "wait-ms").parse().unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(wait);
+        let (lock, changed) = &*self.shared;
+        let mut state = lock.lock().unwrap();
+        let cuts = state.cuts;
+        loop {
+            if state.mode == Mode::Down || state.cuts != cuts {
+                return None;
+            }
+            let events = state
+                .events
+                .iter()
+                .filter(|(revision, _)| *revision > after);
+            let events: Vec<String> = events.map(|(_, event)| event.clone()).collect();
+            let left = until.saturating_duration_since(Instant::now());
+            if !events.is_empty() || left.is_zero() {
+                let body = format!(
+                    "{{\"events\":[{}],\"at\":{}}}",
+                    events.join(","),
+                    state.revision
+                );
+                return Some(("200 OK", body));
+            }
+            state = changed.wait_timeout(state, left).unwrap().0;
+        }
+    }
+}
+
+fn item_text(key: &str, data: &str, revision: u64, created: u64) -> String {
+    format!(
+        "{{\"key\":\"{key}\",\"data\":\"{data}\",\"revision\":{revision},\"created\":{created},\"lease\":0}}"
+    )
+}
+
+/// The decoded value of a parameter in a query; empty if it is missing.
+fn parameter(query: &str, name: &str) -> String {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let found = pairs.find(|(other, _)| *other == name);
+    found.map_or(String::new(), |(_, value)| percent_decode(value))
+}
+
+fn percent_decode(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let mut decoded = Vec::new();
+    let mut at = 0;
+    while at < bytes.len() {
+        let hex = text.get(at + 1..at + 3).filter(|_| bytes[at] == b'%');
+        let byte = hex.and_then(|hex| u8::from_str_radix(hex, 16).ok());
+        decoded.push(byte.unwrap_or(bytes[at]));
+        at += if byte.is_some() { 3 } else { 1 };
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
+}
+
+fn base64(bytes: &[u8]) -> String {
+    const ALPHABET: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::new();
+    for chunk in bytes.chunks(3) {
+        let mut number = 0u32;
+        for at in 0..3 {
+            number = number << 8 | u32::from(chunk.get(at).copied().unwrap_or(0));
+        }
+        for at in 0..4 {
+            let digit = ALPHABET[(number >> (18 - 6 * at)) as usize & 63];
+            text.push(if at <= chunk.len() {
+                digit as char
+            } else {
+                '='
+            });
+        }
+    }
+    text
+}
+
+/// Waits until `check` holds; fails after ten seconds.
+pub fn eventually(check: impl Fn() -> bool) -> Result<()> {
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while !check() {
+        if Instant::now() > deadline {
+            return Err(std::io::Error::other("a step took longer than ten seconds"));
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    Ok(())
+}
