--- a/review/standin-2/gateway.rs
+++ b/review/standin-2/gateway.rs
@@ -63,7 +63,6 @@
 
 /// A machine that runs a gateway.
 pub struct Gateway {
-    pub name: String,
     pub http: SocketAddr,
     readiness: SocketAddr,
     settings: PathBuf,
@@ -117,7 +116,7 @@
             readiness: SocketAddr::new(ip, ports.readiness),
             log: folder.join(format!("{name}.log")),
             settings,
-            name,
+
             child: None,
         }
     }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,13 +5,14 @@
 mod denied;
 mod early;
 mod gateway;
-mod half;
 mod http;
 mod order;
+mod path;
 mod record;
 mod runner;
 mod smuggle;
 mod store;
+mod unframed;
 
 use std::fs;
 use std::path::Path;
@@ -37,7 +38,7 @@
         "order" => order::run(&folder, &record, has_trouble),
         "smuggle" => smuggle::run(&folder, &record, has_trouble),
         "denied" => denied::run(&folder, &record, has_trouble),
-        "half" => half::run(&folder, &record, has_trouble),
+        "unframed" => unframed::run(&folder, &record, has_trouble),
         "early" => early::run(&folder, &record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -116,6 +116,10 @@
         runner
     }
 
+    pub fn address(&self) -> SocketAddr {
+        self.0.address
+    }
+
     pub fn id(&self) -> &str {
         &self.0.id
     }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -23,7 +23,7 @@
 }
 
 struct Item {
-    data: String,
+    text: String,
     revision: u64,
     created: u64,
 }
@@ -32,8 +32,8 @@
     mode: Mode,
     revision: u64,
     items: BTreeMap<String, Item>,
-    /// Revision, key and text of each event.
-    events: Vec<(u64, String)>,
+    /// Revision, key, text and first revision of each event; no text where the item was removed.
+    events: Vec<(u64, String, Option<String>, u64)>,
     /// Raised to end the watches that wait.
     cuts: u64,
 }
@@ -43,6 +43,8 @@
 pub struct Store {
     pub address: SocketAddr,
     shared: Arc<(Mutex<State>, Condvar)>,
+    /// Texts that are shown here in place of others.
+    rewrites: Arc<Mutex<Vec<(String, String)>>>,
 }
 
 impl Store {
@@ -58,15 +60,44 @@
         let store = Store {
             address: listener.local_addr().expect("a bound address"),
             shared: Arc::new((Mutex::new(state), Condvar::new())),
+            rewrites: Arc::default(),
         };
-        let served = store.clone();
+        store.listen(listener);
+        store
+    }
+
+    /// The same store at another address, where entries may name other addresses.
+    pub fn view(&self) -> Store {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let store = Store {
+            address: listener.local_addr().expect("a bound address"),
+            shared: self.shared.clone(),
+            rewrites: Arc::default(),
+        };
+        store.listen(listener);
+        store
+    }
+
+    /// Shows `to` in place of `from` in all entries.
+    pub fn rewrite(&self, from: &str, to: &str) {
+        let rewrite = (from.to_owned(), to.to_owned());
+        self.rewrites.lock().unwrap().push(rewrite);
+    }
+
+    fn shown(&self, text: &str) -> String {
+        let rewrites = self.rewrites.lock().unwrap();
+        let rewrites = rewrites.iter();
+        rewrites.fold(text.to_owned(), |text, (from, to)| text.replace(from, to))
+    }
+
+    fn listen(&self, listener: TcpListener) {
+        let served = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = served.clone();
                 thread::spawn(move || store.serve(stream));
             }
         });
-        store
     }
 
     pub fn set_mode(&self, mode: Mode) {
@@ -78,12 +109,6 @@
         self.shared.1.notify_all();
     }
 
-    /// Cuts all watches that wait at this moment; returns after it is recorded.
-    pub fn cut_watches(&self) {
-        self.shared.0.lock().unwrap().cuts += 1;
-        self.shared.1.notify_all();
-    }
-
     /// Writes an item, if the store is up. Returns whether it was accepted.
     pub fn put(&self, key: &str, text: &str) -> bool {
         let mut state = self.shared.0.lock().unwrap();
@@ -92,12 +117,11 @@
         }
         state.revision += 1;
         let revision = state.revision;
-        let data = base64(text.as_bytes());
         let created = state.items.get(key).map_or(revision, |item| item.created);
-        let event = item_text(key, &data, revision, created);
-        state.events.push((revision, event));
+        let event = (revision, key.to_owned(), Some(text.to_owned()), created);
+        state.events.push(event);
         let item = Item {
-            data,
+            text: text.to_owned(),
             revision,
             created,
         };
@@ -106,20 +130,6 @@
         true
     }
 
-    /// Removes an item and, in the same moment, cuts the watches that wait if `cut` is set.
-    pub fn remove(&self, key: &str, cut: bool) {
-        let mut state = self.shared.0.lock().unwrap();
-        state.revision += 1;
-        let revision = state.revision;
-        state.items.remove(key);
-        let event = format!("{{\"key\":\"{key}\",\"revision\":{revision},\"removed\":true}}");
-        state.events.push((revision, event));
-        if cut {
-            state.cuts += 1;
-        }
-        self.shared.1.notify_all();
-    }
-
     fn serve(&self, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         while let Ok(head) = connection.head() {
@@ -159,8 +169,9 @@
         let items = state.items.iter();
         let items = items
             .filter(|(key, _)| key.starts_with(&prefix) && (after.is_empty() || **key > after));
-        let items =
-            items.map(|(key, item)| item_text(key, &item.data, item.revision, item.created));
+        let items = items.map(|(key, item)| {
+            item_text(key, &self.shown(&item.text), item.revision, item.created)
+        });
         let entries: Vec<String> = items.collect();
         let body = format!(
             "{{\"entries\":[{}],\"has-more\":false,\"at\":{}}}",
@@ -181,11 +192,12 @@
             if state.mode == Mode::Down || state.cuts != cuts {
                 return None;
             }
-            let events = state
-                .events
-                .iter()
-                .filter(|(revision, _)| *revision > after);
-            let events: Vec<String> = events.map(|(_, event)| event.clone()).collect();
+            let events = state.events.iter().filter(|event| event.0 > after);
+            let events = events.map(|(revision, key, text, created)| match text {
+                Some(text) => item_text(key, &self.shown(text), *revision, *created),
+                None => format!("{{\"key\":\"{key}\",\"revision\":{revision},\"removed\":true}}"),
+            });
+            let events: Vec<String> = events.collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let body = format!(
@@ -200,7 +212,8 @@
     }
 }
 
-fn item_text(key: &str, data: &str, revision: u64, created: u64) -> String {
+fn item_text(key: &str, text: &str, revision: u64, created: u64) -> String {
+    let data = base64(text.as_bytes());
     format!(
         "{{\"key\":\"{key}\",\"data\":\"{data}\",\"revision\":{revision},\"created\":{created},\"lease\":0}}"
     )
