Review case 10: LOST, streams of a split route are taken up at another service

The service of a route that is split by weights is drawn anew for each attempt, so that about a third of the streams that are taken up reach the service that began them; the others are refused.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,7 +2,6 @@
 //! `run.sh` of each case starts it. Exit status: 1 if the rule was broken, 0 if it held, 2 if the case
 //! couldn't run.
 
-mod denied;
 mod early;
 mod gateway;
 mod http;
@@ -11,6 +10,7 @@
 mod record;
 mod runner;
 mod smuggle;
+mod split;
 mod store;
 mod unframed;
 
@@ -37,8 +37,8 @@
     let outcome = match case.as_str() {
         "order" => order::run(&folder, &record, has_trouble),
         "smuggle" => smuggle::run(&folder, &record, has_trouble),
-        "denied" => denied::run(&folder, &record, has_trouble),
         "unframed" => unframed::run(&folder, &record, has_trouble),
+        "split" => split::run(&folder, &record, has_trouble),
         "early" => early::run(&folder, &record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -163,6 +163,16 @@
         *self.0.chunked_head.lock().unwrap() = Some(early);
     }
 
+    /// Sets the version of its software before its first request, and registers it.
+    pub fn set_version(&self, version: &str) {
+        let process = new_process(version);
+        let mut held = self.0.process.lock().unwrap();
+        held.ended.store(true, Ordering::Relaxed);
+        *held = Arc::new(process);
+        drop(held);
+        self.listen();
+    }
+
     /// Ends the process: its connections and its listener close.
     pub fn crash(&self) {
         let process = self.process();
