Review case 6: more streams, entries that expire, and what the case depends on

Entries of the stand-ins' runners expire after three heartbeat intervals of silence now, in all cases.

--- a/review/standin-2/gateway.rs
+++ b/review/standin-2/gateway.rs
@@ -147,11 +147,6 @@
         eventually(|| self.is_ready())
     }
 
-    /// Waits until it accepts connections, ready or not.
-    pub fn wait_until_listening(&self) -> std::io::Result<()> {
-        eventually(|| get(self.readiness, "/v1/readyz").is_ok())
-    }
-
     /// Kills the process (SIGKILL).
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/standin-2/order.rs
+++ b/review/standin-2/order.rs
@@ -23,7 +23,7 @@
 
 const GATEWAYS: usize = 4;
 const RUNNERS: usize = 9;
-const STREAMS: usize = 120;
+const STREAMS: usize = 240;
 
 /// Runners that get the new version, one at a time: a share of 0.44 of all.
 const RELEASED: usize = 4;
@@ -183,7 +183,7 @@
         .map(|at| {
             let (record, addresses, held) = (record.clone(), addresses.clone(), held.clone());
             thread::spawn(move || {
-                thread::sleep(Duration::from_millis(8 * at as u64));
+                thread::sleep(Duration::from_millis(5 * at as u64));
                 let ended = client(&record, &addresses, at);
                 held.lock().unwrap().push(ended);
             })
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -183,6 +183,14 @@
         for stream in process.connections.lock().unwrap().drain(..) {
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
+        // Its entry expires after three heartbeat intervals of silence.
+        let runner = self.clone();
+        thread::spawn(move || {
+            thread::sleep(3 * HEARTBEAT);
+            if runner.process().has_ended() {
+                runner.0.store.remove(&format!("servers/{}", runner.0.id));
+            }
+        });
         // The listener closes within a tick.
         thread::sleep(3 * TICK);
     }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -14,14 +14,6 @@
 
 use crate::http::Connection;
 
-/// How the store handles calls.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mode {
-    Up,
-    /// Closes connections without an answer.
-    Down,
-}
-
 struct Item {
     text: String,
     revision: u64,
@@ -29,13 +21,10 @@
 }
 
 struct State {
-    mode: Mode,
     revision: u64,
     items: BTreeMap<String, Item>,
     /// Revision, key, text and first revision of each event; no text where the item was removed.
     events: Vec<(u64, String, Option<String>, u64)>,
-    /// Raised to end the watches that wait.
-    cuts: u64,
 }
 
 /// A handle to the store. Clones share its state.
@@ -51,11 +40,9 @@
     pub fn start() -> Store {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let state = State {
-            mode: Mode::Up,
             revision: 0,
             items: BTreeMap::new(),
             events: Vec::new(),
-            cuts: 0,
         };
         let store = Store {
             address: listener.local_addr().expect("a bound address"),
@@ -100,21 +87,9 @@
         });
     }
 
-    pub fn set_mode(&self, mode: Mode) {
+    /// Writes an item.
+    pub fn put(&self, key: &str, text: &str) {
         let mut state = self.shared.0.lock().unwrap();
-        state.mode = mode;
-        if mode == Mode::Down {
-            state.cuts += 1;
-        }
-        self.shared.1.notify_all();
-    }
-
-    /// Writes an item, if the store is up. Returns whether it was accepted.
-    pub fn put(&self, key: &str, text: &str) -> bool {
-        let mut state = self.shared.0.lock().unwrap();
-        if state.mode == Mode::Down {
-            return false;
-        }
         state.revision += 1;
         let revision = state.revision;
         let created = state.items.get(key).map_or(revision, |item| item.created);
@@ -127,7 +102,18 @@
         };
         state.items.insert(key.to_owned(), item);
         self.shared.1.notify_all();
-        true
+    }
+
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.shared.0.lock().unwrap();
+        if state.items.remove(key).is_none() {
+            return;
+        }
+        state.revision += 1;
+        let event = (state.revision, key.to_owned(), None, 0);
+        state.events.push(event);
+        self.shared.1.notify_all();
     }
 
     fn serve(&self, stream: TcpStream) {
@@ -161,9 +147,6 @@
 
     fn range(&self, query: &str) -> Option<(&'static str, String)> {
         let state = self.shared.0.lock().unwrap();
-        if state.mode == Mode::Down {
-            return None;
-        }
         let prefix = parameter(query, "prefix");
         let after = parameter(query, "after");
         let items = state.items.iter();
@@ -187,11 +170,7 @@
         let until = Instant::now() + Duration::from_millis(wait);
         let (lock, changed) = &*self.shared;
         let mut state = lock.lock().unwrap();
-        let cuts = state.cuts;
         loop {
-            if state.mode == Mode::Down || state.cuts != cuts {
-                return None;
-            }
             let events = state.events.iter().filter(|event| event.0 > after);
             let events = events.map(|(revision, key, text, created)| match text {
                 Some(text) => item_text(key, &self.shown(text), *revision, *created),
