--- a/review/standin-2/unframed.rs
+++ b/review/standin-2/unframed.rs
@@ -1,9 +1,11 @@
-//! Answers that end with their connection, at a machine whose new connections to runners are refused while the
-//! open ones live on.
+//! Whole answers that end with their connection: after a silence of a sound runner, and at a machine whose new
+//! connections to runners are refused while the open ones live on.
 
+use std::io::Result;
 use std::net::SocketAddr;
 use std::path::Path as FilePath;
 use std::sync::Arc;
+use std::sync::Barrier;
 use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
@@ -20,9 +22,12 @@
 
 const CLIENTS: usize = 12;
 
-/// Work of a runner on a booking.
+/// Time from the head of an answer to its body, as a rule.
 const WORK: Duration = Duration::from_millis(400);
 
+/// The same time at a runner that falls silent.
+const SILENCE: Duration = Duration::from_millis(700);
+
 /// How long the machine is cut off.
 const CUT: Duration = Duration::from_millis(5500);
 
@@ -47,30 +52,22 @@
     status == 200 && body.is_ok()
 }
 
-fn client(record: &Record, address: SocketAddr, number: usize) -> (bool, bool) {
-    let Ok(mut client) = Connection::open(address) else {
-        return (false, false);
-    };
-    let first = exchange(record, &mut client, &format!("{number:04x}0000"));
-    let second = exchange(record, &mut client, &format!("{number:04x}0001"));
-    (first, second)
-}
-
 pub fn run(folder: &FilePath, record: &Record, has_trouble: bool) -> Outcome {
     let store = Store::start();
     store.put("op/config", CONFIG);
-    let ran: Arc<Mutex<usize>> = Arc::default();
+    let work = Arc::new(Mutex::new(WORK));
     let runners = ["i-1", "i-2", "i-3", "i-4"].map(|id| {
-        let ran = ran.clone();
+        let work = work.clone();
         Runner::start(id, "api", false, &store, record, move |runner, _, head, _, connection| {
             let attempt = head.header("x-attempt-id").unwrap_or("none");
-            thread::sleep(WORK);
             let text = format!(
                 "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Seal: seal.{attempt}\r\n\
-                 Content-Type: text/plain\r\nConnection: close\r\n\r\nbooked"
+                 Content-Type: text/plain\r\nConnection: close\r\n\r\n"
             );
             connection.write(text.as_bytes())?;
-            *ran.lock().unwrap() += 1;
+            let pause = *work.lock().unwrap();
+            thread::sleep(pause);
+            connection.write(b"booked")?;
             runner.record().line(&format!("runner {} has sent its whole answer to {attempt}", runner.id()));
             Ok(false)
         })
@@ -99,38 +96,75 @@
     }
     thread::sleep(Duration::from_secs(4));
     let address = gateways[0].http;
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|number| {
-            let record = record.clone();
-            thread::spawn(move || client(&record, address, number))
-        })
-        .collect();
-    // The second bookings are at the runners.
-    thread::sleep(WORK + WORK / 2);
-    if has_trouble {
-        paths.iter().for_each(Path::refuse_new);
-        record.line("new connections of edge-0 to the runners are refused; open ones live on");
-    }
-    let mut results = Vec::new();
-    for client in clients {
-        results.push(client.join().unwrap_or((false, false)));
-    }
+    // First: a sound runner falls silent between the head and the body of its answer.
+    let silence = work.clone();
+    let silent = bookings(record, address, "a", || {
+        if has_trouble {
+            *silence.lock().unwrap() = SILENCE;
+            record.line("the runners are silent for 700 ms in their answers");
+        }
+    })?;
+    *work.lock().unwrap() = WORK;
+    // Second: the machine loses its path to the runners, for new connections.
+    let cut = bookings(record, address, "b", || {
+        thread::sleep(WORK / 2);
+        if has_trouble {
+            paths.iter().for_each(Path::refuse_new);
+            record.line("new connections of edge-0 to the runners are refused; open ones live on");
+        }
+    })?;
     if has_trouble {
         thread::sleep(CUT.saturating_sub(WORK));
         paths.iter().for_each(Path::reopen);
         record.line("the machine reaches the runners again");
     }
-    let kept = results.iter().filter(|(first, _)| *first).count();
-    let lost = results
-        .iter()
-        .filter(|(first, second)| *first && !second)
-        .count();
     record.line(&format!(
-        "{} bookings were made; on {lost} of {kept} kept connections the answer wasn't whole (allowed: 3)",
-        ran.lock().unwrap()
+        "answers that weren't whole, of {CLIENTS}: {silent} after a silence, {cut} in the cut (allowed: 3)"
     ));
-    if kept < CLIENTS {
-        return Err(std::io::Error::other("the first bookings weren't answered"));
+    Ok(silent > 3 || cut > 3)
+}
+
+/// Lets each client make a booking and, on the same connection, a second one. `disturb` is called when all first
+/// ones are answered and the second ones begin. Returns the number of second ones without a whole answer.
+fn bookings(
+    record: &Record,
+    address: SocketAddr,
+    name: &str,
+    disturb: impl FnOnce(),
+) -> Result<usize> {
+    let first = Arc::new(Barrier::new(CLIENTS + 1));
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let (record, first, name) = (record.clone(), first.clone(), name.to_owned());
+            thread::spawn(move || -> Result<bool> {
+                let opened = Connection::open(address);
+                let answered = opened.map(|mut client| {
+                    let answered =
+                        exchange(&record, &mut client, &format!("{name}{number:03x}0000"));
+                    (client, answered)
+                });
+                first.wait();
+                let (mut client, answered) = answered?;
+                if !answered {
+                    return Err(std::io::Error::other("a first booking wasn't answered"));
+                }
+                // The disturbance begins before or after the requests are sent, see `disturb`.
+                thread::sleep(Duration::from_millis(20));
+                Ok(exchange(
+                    &record,
+                    &mut client,
+                    &format!("{name}{number:03x}0001"),
+                ))
+            })
+        })
+        .collect();
+    first.wait();
+    disturb();
+    let mut lost = 0;
+    for client in clients {
+        let joined = client.join();
+        let whole = joined.map_err(|_| std::io::Error::other("a client failed"))??;
+        lost += usize::from(!whole);
     }
-    Ok(lost > 3)
+    Ok(lost)
 }
