Review case 9: what a bare line feed in a header's name lets through

In a long head a header's name with a bare line feed is passed on as it is, in front of the gateway's own X-Tenant. It is recorded and isn't part of the outcome.

--- a/review/standin-2/smuggle.rs
+++ b/review/standin-2/smuggle.rs
@@ -31,7 +31,16 @@
         false,
         &store,
         record,
-        move |_, _, head, _, connection| {
+        move |runner, _, head, _, connection| {
+            let tenants: Vec<&String> = head
+                .headers
+                .iter()
+                .filter(|(name, _)| name == "x-tenant")
+                .map(|(_, value)| value)
+                .collect();
+            runner
+                .record()
+                .line(&format!("the runner reads X-Tenant as {tenants:?}"));
             let attempt = head.header("x-attempt-id").unwrap_or("none");
             log.lock().unwrap().push(attempt.to_owned());
             let text = format!(
@@ -50,6 +59,7 @@
     let short = if has_trouble { "\n\r\n" } else { "\r\n" };
     send(record, gateway.http, 1, 9000, long)?;
     send(record, gateway.http, 2, 4, short)?;
+    forge(record, gateway.http, long)?;
     thread::sleep(Duration::from_secs(1));
     let seen = seen.lock().unwrap().clone();
     record.line(&format!("the runner ran {seen:?}"));
@@ -87,3 +97,20 @@
     thread::sleep(Duration::from_millis(500));
     Ok(())
 }
+
+/// Sends a request whose long head names another tenant behind a line end in the name of a header. What the runner
+/// reads is recorded; the outcome doesn't depend on it.
+fn forge(record: &Record, address: SocketAddr, line_end: &str) -> Result<()> {
+    let text = format!(
+        "POST /book/forged HTTP/1.1\r\nHost: a.example\r\nX-Deadline-Ms: 3000\r\nAuthorization: Token key-1\r\n\
+         X-Attempt-Id: cccc3\r\nX-Empty{line_end}X-Tenant: tenant-2{}\r\nX-Note: {}\r\nContent-Length: 0\r\n\r\n",
+        " ".repeat(300),
+        "n".repeat(9000)
+    );
+    record.line(&format!("client of tenant-1 sends cccc3 with {line_end:?} between \"X-Empty\" and \"X-Tenant: tenant-2\""));
+    let mut client = Connection::open(address)?;
+    client.write(text.as_bytes())?;
+    let answered = client.head();
+    record.line(&format!("client has {:?}", answered.map(|head| head.start)));
+    Ok(())
+}
