Decide where a body ends in one place, the connection

Two readers decided on the end of a body: this crate from the framing headers, and async-h1 from its own reading of them and its decoder of chunks.

The connection reads bodies by the framing that was checked and decodes chunks itself (`chunks`, a state machine with the line ends of heads); async-h1 parses heads alone. Bytes behind a body stay for the next message.

--- a/crates/http/src/client/receive.rs
+++ b/crates/http/src/client/receive.rs
@@ -88,7 +88,7 @@
             replace_non_ascii(head);
             has_header(head, CONTENT_TYPE.as_str())
         });
-        connection.set_remaining(length as u64);
+        connection.begin_head(length);
         // The whole head has been read, so decoding doesn't wait. The future is boxed because its
         // state has room for 128 headers, which would otherwise enlarge every enclosing future for
         // its whole lifetime.
--- a/crates/http/src/client/relay_body.rs
+++ b/crates/http/src/client/relay_body.rs
@@ -212,7 +212,7 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let poll = self.poll_body(cx, buf);
+        let poll = Pin::new(&mut self.body).poll_read(cx, buf);
         if poll.is_pending() {
             self.meter.begin_turn();
         }
@@ -226,7 +226,7 @@
                 })
             }
             Poll::Ready(Err(error)) => {
-                let cause = self.cut_cause(&error);
+                let cause = cut_cause(&error);
                 Poll::Ready(Err(self.cut_off(cause)))
             }
             Poll::Pending if self.stall_timer.poll_expired(cx) => {
@@ -244,15 +244,6 @@
         deadline.is_some_and(|deadline| deadline.as_mut().poll(cx).is_ready())
     }
 
-    fn poll_body(&mut self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
-        let body = &mut self.body;
-        let mut poll = || Pin::new(&mut *body).poll_read(cx, buf);
-        match &self.connection {
-            Some(connection) => connection.poll_decoder(poll),
-            None => poll(),
-        }
-    }
-
     fn record_chunk(&mut self, bytes: &[u8]) -> Result<(), CutCause> {
         let now = self.clock.now();
         self.meter.record(bytes, now)?;
@@ -335,7 +326,7 @@
 
     fn complete(&mut self) {
         self.state = State::Complete;
-        // async-h1's reader holds a reference to the connection, which is released here.
+        // The body holds a reference to the connection, which is released here.
         self.body = Body::empty();
         // A later cancel would hit another request on the same connection.
         self.cancel.disarm();
@@ -357,20 +348,6 @@
         cut_error(cause)
     }
 
-    fn cut_cause(&self, error: &io::Error) -> CutCause {
-        // async-h1 also reports the end of the connection where the bytes of the framing are used up, and where
-        // trailers exceed its buffer.
-        let has_ended = |connection: &Arc<Connection>| connection.has_ended();
-        match error.kind() {
-            io::ErrorKind::UnexpectedEof if self.connection.as_ref().is_some_and(has_ended) => {
-                CutCause::Short
-            }
-            io::ErrorKind::UnexpectedEof => CutCause::Malformed,
-            io::ErrorKind::InvalidData => CutCause::Malformed,
-            _ => CutCause::Failed,
-        }
-    }
-
     fn close(&mut self) {
         if let Some(connection) = self.connection.take() {
             connection.shutdown();
@@ -388,6 +365,14 @@
     }
 }
 
+fn cut_cause(error: &io::Error) -> CutCause {
+    match error.kind() {
+        io::ErrorKind::UnexpectedEof => CutCause::Short,
+        io::ErrorKind::InvalidData => CutCause::Malformed,
+        _ => CutCause::Failed,
+    }
+}
+
 fn cut_error(cause: CutCause) -> io::Error {
     match cause {
         CutCause::Short => io::Error::new(
--- a/crates/http/src/client/send.rs
+++ b/crates/http/src/client/send.rs
@@ -5,18 +5,15 @@
 use std::sync::Arc;
 
 use async_std::future::timeout;
-use async_std::io::BufReader;
 use async_std::net::SocketAddr;
 use async_std::net::TcpStream;
 use crocushold_base::Clock;
 use crocushold_base::Millis;
 use futures::future::Either;
 use futures::future::select;
-use http_types::Body;
 use http_types::Headers;
 use http_types::Method;
 use http_types::Request;
-use http_types::Response;
 use http_types::StatusCode;
 use http_types::headers::HOST;
 
@@ -38,10 +35,8 @@
 use super::relay_body::RelayBody;
 use super::request_encoder::RequestEncoder;
 use crate::connection::Connection;
-use crate::connection::MessageStream;
 use crate::framing::Framing;
 use crate::headers::has_connection_option;
-use crate::headers::keep_content_type;
 use crate::headers::sanitize_headers;
 use crate::keepalive::end_unacknowledged;
 use crate::request_target::RequestTarget;
@@ -171,20 +166,9 @@
             pool: self.pool.clone(),
             server,
         });
-        exchange
-            .connection
-            .set_remaining(framing.max_answer_bytes());
-        let status = response.status();
         let connection = exchange.connection.clone();
-        // async-h1 decodes an answer without framing headers as empty.
-        let body = match framing {
-            Framing::Close => {
-                Body::from_reader(BufReader::new(MessageStream(connection.clone())), None)
-            }
-            Framing::Length(_) | Framing::Chunked => {
-                keep_content_type(&mut response, Response::take_body)
-            }
-        };
+        let body = connection.begin_body(framing, framing.max_answer_bytes());
+        let status = response.status();
         let mut body = RelayBody::new(body, framing, connection, pool_return, limits);
         if early {
             body.distrust_end();
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,5 +1,6 @@
 //! The socket wrapper shared by client and server.
 
+mod chunks;
 mod head;
 mod message_stream;
 mod read_buffer;
@@ -17,14 +18,19 @@
 use std::task::Poll;
 use std::task::ready;
 
+use async_std::io::BufReader;
 use async_std::io::Read;
 use async_std::io::Write;
 use async_std::net::Shutdown;
 use async_std::net::TcpStream;
 use futures::FutureExt;
 use futures::future::poll_fn;
+use http_types::Body;
 use socket2::SockRef;
 
+use crate::framing::Framing;
+use chunks::ChunkDecoder;
+use chunks::MalformedChunks;
 use head::head_end;
 use read_buffer::ReadBuffer;
 
@@ -51,6 +57,7 @@
 /// async-h1 wraps its reader in a buffer of its own and drops that buffer with the message. Bytes
 /// of the next message in it would be lost, and their sender would wait forever. A head is
 /// therefore read here first, and a [`MessageStream`] yields only the bytes of the current message.
+/// async-h1 gets heads alone: where a body ends is decided here.
 pub(crate) struct Connection {
     stream: TcpStream,
     read_buffer: Mutex<ReadBuffer>,
@@ -171,12 +178,33 @@
         read_buffer.bytes.splice(range, bytes.iter().copied());
     }
 
-    /// Sets the number of bytes that [`MessageStream`] may still yield.
+    /// Lets [`MessageStream`] yield a head of `length` bytes.
+    pub(crate) fn begin_head(&self, length: usize) {
+        let mut read_buffer = self.read_buffer();
+        read_buffer.remaining = length as u64;
+        read_buffer.chunks = None;
+    }
+
+    /// The body that follows the head. Its data and its framing take at most `limit` bytes of the connection.
+    pub(crate) fn begin_body(self: &Arc<Connection>, framing: Framing, limit: u64) -> Body {
+        let mut read_buffer = self.read_buffer();
+        read_buffer.remaining = limit;
+        read_buffer.chunks = (framing == Framing::Chunked).then(ChunkDecoder::default);
+        drop(read_buffer);
+        let length = match framing {
+            Framing::Length(0) => return Body::empty(),
+            Framing::Length(length) => usize::try_from(length).ok(),
+            Framing::Chunked | Framing::Close => None,
+        };
+        Body::from_reader(BufReader::new(MessageStream(self.clone())), length)
+    }
+
+    /// Sets the number of bytes of the connection that [`MessageStream`] may still read.
     pub(crate) fn set_remaining(&self, count: u64) {
         self.read_buffer().remaining = count;
     }
 
-    /// The number of bytes that [`MessageStream`] may still yield.
+    /// The number of bytes of the connection that [`MessageStream`] may still read.
     pub(crate) fn remaining(&self) -> u64 {
         self.read_buffer().remaining
     }
@@ -186,26 +214,6 @@
         self.read_buffer().interim = CONTINUE;
     }
 
-    /// Polls a body that async-h1 decodes from this connection.
-    ///
-    /// Its chunk decoder returns `Pending` without registering a waker when the last line of a body
-    /// arrives in two reads, so the body would hang one byte before its end. If the socket itself
-    /// wasn't pending, the decoder is polled again.
-    pub(crate) fn poll_decoder<T>(&self, mut poll: impl FnMut() -> Poll<T>) -> Poll<T> {
-        loop {
-            self.read_buffer().read_pending = false;
-            let polled = poll();
-            if polled.is_ready() || self.read_buffer().read_pending {
-                return polled;
-            }
-        }
-    }
-
-    /// Whether the peer has closed its side, as far as that has been read.
-    pub(crate) fn has_ended(&self) -> bool {
-        self.read_buffer().eof
-    }
-
     /// Whether the read buffer holds unread bytes.
     pub(crate) fn has_unread(&self) -> bool {
         !self.read_buffer().unread().is_empty()
@@ -279,9 +287,38 @@
         Poll::Ready(Ok(count))
     }
 
-    /// Reads bytes of the current message, first from the buffer and then from the socket.
+    /// Reads a head, or the data of a body.
     fn poll_read_message(&self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
         let mut read_buffer = self.read_buffer();
+        let Some(mut chunks) = read_buffer.chunks else {
+            return self.poll_read_bytes(&mut read_buffer, cx, buf);
+        };
+        // Reads that bring framing alone are few, as the decoder bounds its length.
+        while !chunks.is_ended() && !buf.is_empty() {
+            if read_buffer.remaining == 0 {
+                return Poll::Ready(Err(MalformedChunks.into()));
+            }
+            let count = ready!(self.poll_read_bytes(&mut read_buffer, cx, buf))?;
+            if count == 0 {
+                return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+            }
+            let decoded = chunks.decode(&mut buf[..count])?;
+            read_buffer.chunks = Some(chunks);
+            read_buffer.put_back(&buf[decoded.used..count]);
+            if decoded.data > 0 {
+                return Poll::Ready(Ok(decoded.data));
+            }
+        }
+        Poll::Ready(Ok(0))
+    }
+
+    /// Reads bytes of the current message, first from the buffer and then from the socket.
+    fn poll_read_bytes(
+        &self,
+        read_buffer: &mut ReadBuffer,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
         let limit = buf
             .len()
             .min(usize::try_from(read_buffer.remaining).unwrap_or(usize::MAX));
@@ -299,24 +336,14 @@
             return Poll::Ready(Ok(0));
         }
         while !read_buffer.interim.is_empty() {
-            let Poll::Ready(written) = self.poll_write(cx, read_buffer.interim) else {
-                read_buffer.read_pending = true;
-                return Poll::Pending;
-            };
-            read_buffer.interim = &read_buffer.interim[written?..];
-        }
-        match Pin::new(&mut &self.stream).poll_read(cx, &mut buf[..limit]) {
-            Poll::Ready(Ok(count)) => {
-                read_buffer.eof = count == 0;
-                read_buffer.remaining -= count as u64;
-                Poll::Ready(Ok(count))
-            }
-            Poll::Ready(failed) => Poll::Ready(self.note_failure(failed)),
-            Poll::Pending => {
-                read_buffer.read_pending = true;
-                Poll::Pending
-            }
+            let written = ready!(self.poll_write(cx, read_buffer.interim))?;
+            read_buffer.interim = &read_buffer.interim[written..];
         }
+        let read = ready!(Pin::new(&mut &self.stream).poll_read(cx, &mut buf[..limit]));
+        let count = self.note_failure(read)?;
+        read_buffer.eof = count == 0;
+        read_buffer.remaining -= count as u64;
+        Poll::Ready(Ok(count))
     }
 
     pub(crate) fn poll_write(&self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
--- a/crates/http/src/connection/read_buffer.rs
+++ b/crates/http/src/connection/read_buffer.rs
@@ -1,5 +1,7 @@
 //! Bytes that were read from a socket but not consumed yet.
 
+use super::chunks::ChunkDecoder;
+
 /// The largest capacity that an empty buffer retains, in bytes.
 const RETAINED_CAPACITY: usize = 1024;
 
@@ -11,8 +13,8 @@
     pub(super) start: usize,
     /// How many bytes of the current message may still be read.
     pub(super) remaining: u64,
-    /// Whether a read of the current message was pending.
-    pub(super) read_pending: bool,
+    /// The decoder of the current body, if it is in chunks.
+    pub(super) chunks: Option<ChunkDecoder>,
     /// Whether the peer has closed its side.
     pub(super) eof: bool,
     /// The rest of the interim answer, to be written before the body is read.
@@ -45,6 +47,13 @@
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// Puts back bytes that were consumed last.
+    pub(super) fn put_back(&mut self, bytes: &[u8]) {
+        let start = self.start;
+        self.bytes.splice(start..start, bytes.iter().copied());
+        self.remaining += bytes.len() as u64;
+    }
+
     /// Skips blank lines and returns the number of their bytes.
     pub(super) fn skip_blank_lines(&mut self) -> usize {
         let mut count = 0;
--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -4,8 +4,8 @@
 use http_types::headers::CONTENT_LENGTH;
 use http_types::headers::TRANSFER_ENCODING;
 
-/// The most bytes of the connection between two pieces of a body in chunks: async-h1 reads 8 KiB ahead and
-/// accepts trailers of 8 KiB. It has no limit on the digits of a chunk's size.
+/// The most bytes of the connection between two pieces of a body in chunks: a piece of 8 KiB, and its framing with trailers
+/// of 8 KiB.
 pub(crate) const MAX_CHUNK_FRAMING_BYTES: u64 = 32 * 1024;
 
 /// Bytes of the connection for each byte of a body in chunks of one byte.
--- a/crates/http/src/server/body.rs
+++ b/crates/http/src/server/body.rs
@@ -1,19 +1,15 @@
 //! Reading a request's body with limits on its size and duration.
 
 use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::Context;
-use std::task::Poll;
 
 use async_std::future::timeout;
-use async_std::io::Read;
+use async_std::io::ReadExt;
 use async_std::task;
 use crocushold_base::MemoryBudget;
 use crocushold_base::Reservation;
 use futures::future::Abortable;
 use futures::future::Aborted;
-use futures::future::poll_fn;
 use http_types::Request;
 use http_types::StatusCode;
 use quick_error::quick_error;
@@ -23,7 +19,6 @@
 use super::waits::WaitGuard;
 use super::waits::WaitKind;
 use super::waits::Waits;
-use crate::connection::Connection;
 use crate::turn::Turn;
 
 /// Bytes read at a time.
@@ -34,26 +29,13 @@
 
 /// Where a request comes from, set as an extension of the request.
 #[derive(Clone)]
-pub(crate) struct Inbound {
-    /// The connection on which the request arrived; `None` if it didn't arrive at a server of this crate.
-    connection: Option<Arc<Connection>>,
-    seat: Arc<Seat>,
-}
+pub(crate) struct Inbound(pub(crate) Arc<Seat>);
 
 impl Inbound {
-    pub(crate) fn new(connection: Arc<Connection>, seat: Arc<Seat>) -> Inbound {
-        Inbound {
-            connection: Some(connection),
-            seat,
-        }
-    }
-
-    fn of(request: &Request) -> Inbound {
+    /// The seat of the connection on which a request arrived, or a new one if it didn't arrive at a server of this crate.
+    fn seat(request: &Request) -> Arc<Seat> {
         let inbound = request.ext().get::<Inbound>();
-        inbound.cloned().unwrap_or_else(|| Inbound {
-            connection: None,
-            seat: Waits::default().open(),
-        })
+        inbound.map_or_else(|| Waits::default().open(), |inbound| inbound.0.clone())
     }
 }
 
@@ -120,7 +102,7 @@
     budget: &MemoryBudget,
     bytes: u64,
 ) -> Option<Reservation> {
-    let seat = Inbound::of(request).seat;
+    let seat = Inbound::seat(request);
     let reservation = seat.reserve(budget, bytes).await?;
     let reserved = ReservedBytes::of(request) + bytes;
     request.ext_mut().insert(ReservedBytes(reserved));
@@ -226,11 +208,10 @@
     if request.len() == Some(0) {
         return Ok(body);
     }
-    let inbound = Inbound::of(request);
-    let (wait, registration) = inbound.seat.begin(WaitKind::Body, &limits.wait);
+    let seat = Inbound::seat(request);
+    let (wait, registration) = seat.begin(WaitKind::Body, &limits.wait);
     wait.set_reserved(ReservedBytes::of(request));
-    let connection = inbound.connection.as_deref();
-    let read = read_bounded(request, connection, limits.body_bytes, body, wait);
+    let read = read_bounded(request, limits.body_bytes, body, wait);
     let read = timeout(limits.body_timeout.into(), read);
     match Abortable::new(read, registration).await {
         Ok(Ok(result)) => result,
@@ -241,7 +222,6 @@
 
 async fn read_bounded(
     request: &mut Request,
-    connection: Option<&Connection>,
     limit: u64,
     mut body: BodyBuffer,
     mut wait: WaitGuard,
@@ -259,7 +239,7 @@
             task::yield_now().await;
             turn.begin();
         }
-        let count = poll_fn(|cx| poll_piece(request, connection, cx, &mut chunk)).await?;
+        let count = request.read(&mut chunk).await?;
         if count == 0 {
             break;
         }
@@ -267,22 +247,9 @@
         body.append(&chunk[..count], limit, &wait).await?;
         turn.record(count);
     }
-    // async-h1 treats a connection that is closed early as the end of the body.
+    // A connection that is closed early ends a body with a length without an error.
     if announced.is_some_and(|length| length != body.bytes.len()) {
         return Err(BodyError::Short);
     }
     Ok(body)
 }
-
-fn poll_piece(
-    request: &mut Request,
-    connection: Option<&Connection>,
-    cx: &mut Context<'_>,
-    buf: &mut [u8],
-) -> Poll<io::Result<usize>> {
-    let mut poll = || Pin::new(&mut *request).poll_read(cx, buf);
-    match connection {
-        Some(connection) => connection.poll_decoder(poll),
-        None => poll(),
-    }
-}
--- a/crates/http/src/server/receive.rs
+++ b/crates/http/src/server/receive.rs
@@ -30,6 +30,7 @@
 use crate::framing::AmbiguousFraming;
 use crate::framing::Framing;
 use crate::framing::framing;
+use crate::headers::keep_content_type;
 use crate::request_target::RequestTarget;
 use crate::request_target::check_host;
 
@@ -204,7 +205,7 @@
     line: RequestLine,
 ) -> Result<Incoming, StatusCode> {
     let has_type = connection.with_head(length, |head| has_header(head, CONTENT_TYPE.as_str()));
-    connection.set_remaining(length as u64);
+    connection.begin_head(length);
     // The whole head has been read, so decoding doesn't wait. The future is boxed because its state
     // has room for 128 headers, which would otherwise enlarge the state of every connection for its
     // whole lifetime.
@@ -213,7 +214,7 @@
         Ok(Some(decoded)) => decoded,
         Ok(None) | Err(_) => return Err(StatusCode::BadRequest),
     };
-    // async-h1 sets one with the body.
+    // async-h1 sets one with a body of its own.
     if !has_type {
         request.remove_header(CONTENT_TYPE);
     }
@@ -237,7 +238,9 @@
     {
         return Next::Refused(StatusCode::PayloadTooLarge);
     }
-    connection.set_remaining(incoming.framing.max_request_bytes(limits.body_bytes));
+    let bytes = incoming.framing.max_request_bytes(limits.body_bytes);
+    let body = connection.begin_body(incoming.framing, bytes);
+    keep_content_type(&mut incoming.request, |request| request.set_body(body));
     if let Some(expected) = incoming.request.header(EXPECT) {
         if !expected.as_str().eq_ignore_ascii_case("100-continue") {
             return Next::Refused(StatusCode::ExpectationFailed);
@@ -248,6 +251,6 @@
         incoming.request.set_peer_addr(Some(peer));
     }
     let extensions = incoming.request.ext_mut();
-    extensions.insert(Inbound::new(connection.clone(), seat.clone()));
+    extensions.insert(Inbound(seat.clone()));
     Next::Request(Box::new(incoming))
 }
