Forget failures at an address that an entry no longer names

Cause: what an instance has learned about a server is kept under its name and forgotten only if its process was restarted, so failures at the odd address counted against the sound one. They are forgotten with the address now.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -298,7 +298,7 @@
     /// Applies a server's registry entry.
     ///
     /// If the entry has another start time, the process was restarted, and everything learned about
-    /// the server is discarded. The order of the registry decides which entry is current, not the
+    /// the server is discarded. If it has another address, what was learned at the former one is. The order of the registry decides which entry is current, not the
     /// start times, because these come from clocks that may jump. An earlier start time means
     /// either a delayed entry of the previous process, or a new process with a clock that was set
     /// back. In both cases what was learned is unreliable, but a draining server isn't reinstated
@@ -335,19 +335,23 @@
         }
         let before = held.service.clone();
         let restarted = record.started != held.started;
+        let moved = record.address != held.address;
         self.servers[key].update(record);
         self.changed.insert(before);
         self.changed.insert(service.clone());
+        if restarted || moved {
+            // Failures at another address, which an entry of another writer may have named, say nothing about this one.
+            self.reach.forget(key);
+            if let Some(service) = self.services.get_mut(&service) {
+                service.router.server_restarted(key);
+            }
+        }
         if !restarted {
             return ListOutcome::Changed;
         }
         self.servers[key].limit = NamedLimit::of_new_process(now);
         self.servers[key].reported_cold = ReportedCold::default();
         self.rests.remove(key);
-        self.reach.forget(key);
-        if let Some(service) = self.services.get_mut(&service) {
-            service.router.server_restarted(key);
-        }
         ListOutcome::Restarted
     }
 
