Refuse to take streams up at an instance that reads the store late

A stream went on at another software version (ORDER) where it was taken up at an instance that read the store late: cut off from it, silently or by resets, while a server was replaced under its name by a process of another version. The instance knew from others at which version the stream had begun, and took the replaced process for one of it. Cause: an instance's own entries counted as current whatever the age of its reads; only unknown origins were guarded.

A stream waits up to 0.3 s now, and a quarter of its time, until the store has confirmed what the instance has read: contact, an answer within the longest silence of a sound store, and one since a pause of the process. Otherwise it is refused as not run (`unknown-origin`, source `late`), unless other instances say that they have no contact either: while nobody reads the store, streams go on as before. An instance that nobody answers is itself the one that is cut off.

late_versions::a_late_instance_takes_no_replaced_process_for_the_former_one, both cases, failed before ("1 Some(0)": begun at the second server, taken up at the first) in 1 of 1 runs each and pass; streams_go_on_while_nobody_reads_the_store passed before and after. The tests of resumed_streams (22) and of crocushold-gateway pass.

--- a/crates/gateway/src/resumption/resolve.rs
+++ b/crates/gateway/src/resumption/resolve.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use async_std::task;
 use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_routing::SoftwareKey;
@@ -25,6 +26,16 @@
 /// busy to reply.
 const UNKNOWN_RETRY: Millis = Millis(300);
 
+/// How long a stream that is taken up waits for the store to confirm what this instance has read. After a pause of the
+/// process the store answers at once.
+const MAX_READ_WAIT: Millis = Millis(300);
+
+/// The part of the time until its deadline that it waits at most, as a divisor.
+const READ_WAIT_DIVISOR: u64 = 4;
+
+/// Interval of the checks in that time.
+const READ_CHECK_INTERVAL: Millis = Millis(20);
+
 /// Requires the software version that began the stream which the request takes up, if it does.
 ///
 /// # Errors
@@ -39,7 +50,11 @@
     if !takes_up {
         return Ok(());
     }
-    let (software, source) = find_origin(shared, job, now).await;
+    let (software, source) = if knows_versions(shared, job).await {
+        find_origin(shared, job, now).await
+    } else {
+        (None, "late")
+    };
     shared.metrics.count_resumption(source);
     let name = software.and_then(|key| shared.fleet().software_name(key));
     let event = Event::new("stream-taken-up")
@@ -79,6 +94,23 @@
     job.repeat == Repeat::ResumableStream || (job.repeat.is_stream() && has_beginning)
 }
 
+/// Whether this instance knows which version each server has. One that reads the store later than others may take a
+/// process that was replaced under its name for the former one. While nobody reads the store, no replacement is known to
+/// anyone, and streams go on.
+async fn knows_versions(shared: &Shared, job: &Job) -> bool {
+    let now = shared.clock.now();
+    let until = now + MAX_READ_WAIT.min(Millis(job.deadline.since(now).0 / READ_WAIT_DIVISOR));
+    while shared.reads_late() {
+        if shared.clock.now() >= until {
+            let name = StreamKey::new(job.account.as_deref(), &job.id);
+            let service = short_hash(&job.need.service);
+            return shared.origins.is_store_away(name, service).await;
+        }
+        task::sleep(READ_CHECK_INTERVAL.into()).await;
+    }
+    true
+}
+
 /// The software version that began the stream of a request, and how that is known.
 async fn find_origin(
     shared: &Shared,
--- a/crates/gateway/src/resumption/shell.rs
+++ b/crates/gateway/src/resumption/shell.rs
@@ -15,7 +15,6 @@
 use crocushold_base::Millis;
 use crocushold_routing::SoftwareKey;
 use futures::StreamExt;
-use futures::channel::mpsc::UnboundedReceiver;
 use futures::channel::mpsc::UnboundedSender;
 use futures::channel::mpsc::unbounded;
 
@@ -152,11 +151,39 @@
         service: u32,
     ) -> Found {
         let asked = holders(key.unwrap_or(name), &lock(&self.members), ASKED);
-        if asked.is_empty() {
-            return Found::Unknown(Vec::new());
+        // Without a key there is no better reply to wait for than one that has seen enough.
+        let is_enough = |reply: &OriginReply| {
+            reply.software.is_some() || (key.is_none() && reply.seen.is_complete())
+        };
+        let replies = self.ask(&asked, key, service, is_enough).await;
+        if let Some(software) = replies.iter().find_map(|reply| reply.software) {
+            return Found::Elsewhere(software);
+        }
+        if key.is_some() && replies.len() < asked.len() {
+            return Found::Unsure;
         }
+        Found::Unknown(replies.iter().map(|reply| reply.seen).collect())
+    }
+
+    /// Whether no other instance has contact to the store, as far as those that are asked know. If none of them replies, this
+    /// instance is the one that is cut off. `name` spreads the questions of requests over the instances.
+    pub(crate) async fn is_store_away(&self, name: StreamKey, service: u32) -> bool {
+        let asked = holders(name, &lock(&self.members), ASKED);
+        let has_contact = |reply: &OriginReply| reply.seen.contact > Millis::ZERO;
+        let replies = self.ask(&asked, None, service, has_contact).await;
+        asked.is_empty() || (!replies.is_empty() && !replies.iter().any(has_contact))
+    }
+
+    /// Asks instances until all have replied, one reply is enough, or it takes too long.
+    async fn ask(
+        &self,
+        asked: &[SocketAddr],
+        key: Option<StreamKey>,
+        service: u32,
+        is_enough: impl Fn(&OriginReply) -> bool,
+    ) -> Vec<OriginReply> {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let (sender, replies) = unbounded();
+        let (sender, mut arriving) = unbounded();
         lock(&self.pending).insert(number, sender);
         let _pending = PendingQuery {
             service: self,
@@ -167,49 +194,30 @@
             key,
             service,
         };
-        self.ask(&asked, query, replies).await
-    }
-
-    async fn ask(
-        &self,
-        asked: &[SocketAddr],
-        query: OriginQuery,
-        mut replies: UnboundedReceiver<Reply>,
-    ) -> Found {
         let mut silent: HashSet<SocketAddr> = asked.iter().copied().collect();
-        let mut seen = Vec::new();
+        let mut replies = Vec::new();
         for _ in 0..ROUNDS {
             for holder in &silent {
                 self.send(*holder, &Packet::OriginQuery(query));
             }
             let round = async {
                 while !silent.is_empty()
-                    && let Some((from, reply)) = replies.next().await
+                    && let Some((from, reply)) = arriving.next().await
                 {
                     if !silent.remove(&from) {
                         continue;
                     }
-                    if reply.software.is_some() {
-                        return reply.software;
-                    }
-                    seen.push(reply.seen);
-                    // Without a key there is no better reply to wait for.
-                    if query.key.is_none() && reply.seen.is_complete() {
+                    replies.push(reply);
+                    if is_enough(&reply) {
                         break;
                     }
                 }
-                None
             };
-            match timeout(REPEAT_AFTER.into(), round).await {
-                Ok(Some(software)) => return Found::Elsewhere(software),
-                Ok(None) => break,
-                Err(_) => {}
+            if timeout(REPEAT_AFTER.into(), round).await.is_ok() {
+                break;
             }
         }
-        match query.key {
-            Some(_) if !silent.is_empty() => Found::Unsure,
-            _ => Found::Unknown(seen),
-        }
+        replies
     }
 
     /// Forgets the streams that can't be taken up any more. Returns how many are known.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -50,6 +50,7 @@
 use crate::room::Room;
 use crate::routes::RouteTable;
 use crate::start::Start;
+use crate::store_times::StoreTimes;
 use crate::store_watch::StoreWatch;
 
 /// Maximum number of idle connections to one server. A burst opens more, but they aren't worth
@@ -361,6 +362,16 @@
         self.clock.now().since(confirmed)
     }
 
+    /// Whether the store may hold changes that this instance should have read: it has no contact to the store, hears
+    /// nothing from it, or hasn't heard from it since it was paused.
+    pub(crate) fn reads_late(&self) -> bool {
+        let resumed = Millis(self.resumed_at.load(Ordering::Relaxed));
+        let confirmed = Millis(self.last_confirmed.load(Ordering::Relaxed));
+        confirmed < resumed
+            || self.knowledge_age() > StoreTimes::new(&self.settings).longest_silence()
+            || self.directory().contact_age(self.clock.now()).is_none()
+    }
+
     /// Enters the next stage of the life cycle.
     pub(crate) fn set_stage(&self, stage: Stage) {
         self.stage.store(stage as u8, Ordering::Relaxed);
--- a/crates/gateway/src/store_times.rs
+++ b/crates/gateway/src/store_times.rs
@@ -81,6 +81,11 @@
             },
         }
     }
+
+    /// Longest time between two answers of a store that is in contact.
+    pub(crate) fn longest_silence(&self) -> Millis {
+        self.batch_pause + self.watch.timeout
+    }
 }
 
 fn watch_times(wait: Millis) -> WatchTimes {
