Take no process that has ended for one of its entry's software version

A server whose address has refused a connection has no known software version until an entry shows another process, or one that was written three seconds later or more, by its number and the time at which it was read. Streams that are taken up pass it over; those that begin there get no origin.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 mod announcements;
 mod choose;
+mod ended;
 mod evacuation;
 mod need;
 mod notices;
@@ -36,12 +37,14 @@
 use crocushold_routing::ServerSpec;
 use crocushold_routing::SoftwareKey;
 use crocushold_routing::Stage;
+use slotmap::SecondaryMap;
 use slotmap::SlotMap;
 use twox_hash::XxHash3_64;
 
 use self::announcements::Announcements;
 pub(crate) use self::choose::ENGINE_BOUND;
 pub(crate) use self::choose::LineOffer;
+use self::ended::ProbableEnd;
 pub use self::need::Need;
 pub use self::notices::BrittleService;
 pub use self::notices::ColdPhase;
@@ -237,6 +240,8 @@
     departures: Departures,
     /// Software versions that have been listed of late.
     listed_software: ListedSoftware,
+    /// Servers whose processes have probably ended.
+    ends: SecondaryMap<ServerKey, ProbableEnd>,
     /// Servers that asked this instance for rest.
     rests: Rests,
     /// Ends of the rests of processes that aren't listed at the moment.
@@ -277,6 +282,7 @@
             evacuated: HashSet::new(),
             departures: Departures::default(),
             listed_software: ListedSoftware::default(),
+            ends: SecondaryMap::new(),
             ejections: Vec::new(),
             changed: HashSet::new(),
             router_updates: 0,
@@ -307,6 +313,8 @@
         let software = SoftwareKey::new(&record.software);
         self.listed_software.record(&record.service, software, now);
         let listed = self.list_record(record, now);
+        let restarted = listed == ListOutcome::Restarted;
+        self.review_end(&record.id, record.heartbeat.sequence, restarted, now);
         self.record_cold(&record.id, record.heartbeat, now);
         listed
     }
@@ -387,6 +395,7 @@
         };
         self.hashes.remove(&short_hash(id));
         self.suspend_rest(key);
+        self.ends.remove(key);
         self.reach.forget(key);
         if let Some(server) = self.servers.remove(key) {
             self.changed.insert(server.record.service);
@@ -612,7 +621,11 @@
             .map(|(key, server)| {
                 let record = &server.record;
                 let region = settings.regions.get(&record.zone).copied();
-                (spec(key, record, region), record.models.as_slice())
+                let mut spec = spec(key, record, region);
+                if self.ends.contains_key(key) {
+                    spec.software = None;
+                }
+                (spec, record.models.as_slice())
             })
             .collect();
         // Use the same order on every instance, so that their lanes are about the same.
--- a/crates/gateway/src/fleet/notices/cold.rs
+++ b/crates/gateway/src/fleet/notices/cold.rs
@@ -85,6 +85,11 @@
         self.until = until;
     }
 
+    /// Number of the last entry.
+    pub(in crate::fleet) fn sequence(&self) -> u64 {
+        self.heartbeat.sequence
+    }
+
     fn phase(&self, incarnation: Incarnation, now: Millis) -> ColdPhase {
         ColdPhase {
             incarnation,
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -206,7 +206,11 @@
 }
 
 async fn probe_server(shared: Arc<Shared>, choice: Choice) {
-    if refuses_connections(choice.address).await && is_path_open(&shared, &choice).await {
+    let refuses = refuses_connections(choice.address).await;
+    if refuses {
+        shared.fleet().record_refused(&choice, shared.clock.now());
+    }
+    if refuses && is_path_open(&shared, &choice).await {
         server_ended(&shared, &choice.id, choice.incarnation, Evidence::Refused);
     } else {
         shared.quarantine().mark_inconclusive(choice.incarnation);
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -2,6 +2,7 @@
 //! the operators' page.
 
 use std::fmt::Write;
+use std::io::ErrorKind;
 use std::sync::Arc;
 
 use async_std::task;
@@ -65,6 +66,9 @@
     };
     if is_path {
         let mut fleet = shared.fleet();
+        if is_refusal(&error.kind) {
+            fleet.record_refused(choice, shared.clock.now());
+        }
         let changes = fleet.record_connect_failure(choice);
         log_changes(shared, &fleet, &changes);
         if !changes.is_empty() {
@@ -75,6 +79,10 @@
     }
 }
 
+fn is_refusal(kind: &SendErrorKind) -> bool {
+    matches!(kind, SendErrorKind::Connect(cause) if cause.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// Starts the probes that are due.
 pub(crate) fn probe(shared: &Arc<Shared>) {
     let targets = shared.fleet().due_probes(shared.clock.now());
--- a/crates/gateway/src/resumption/resolve.rs
+++ b/crates/gateway/src/resumption/resolve.rs
@@ -70,11 +70,15 @@
     }
 }
 
-/// Records the software version that begins the stream of a request, or goes on with it.
+/// Records the software version that begins the stream of a request, or goes on with it, unless the answer may come from a
+/// process that has replaced the chosen one.
 pub(crate) fn record_origin(shared: &Shared, job: &Job, choice: &Choice) {
     let Some(key) = job.stream else {
         return;
     };
+    if !shared.fleet().knows_software(choice) {
+        return;
+    }
     let now = shared.clock.now();
     let origin = StreamOrigin {
         key,
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -53,6 +53,43 @@
     fleet
 }
 
+/// Guards against a stream that goes on at a process of another version, which has replaced the one of the last entry.
+#[test]
+fn a_process_that_refuses_connections_has_no_version_until_its_next_entry() {
+    let need = need(100, None);
+    let mut fleet = fleet(0);
+    let entry = |sequence, started| {
+        let mut record = engine("e0", "v1");
+        record.heartbeat.sequence = sequence;
+        record.started = started;
+        record
+    };
+    fleet.list(&entry(5, Some(1)), START);
+    let choice = fleet.pick(&need, &[], START).unwrap();
+    assert!(fleet.knows_software(&choice));
+    fleet.record_refused(&choice, START);
+    assert!(!fleet.knows_software(&choice));
+    let refused = |fleet: &mut Fleet, now: Millis| {
+        let picked = fleet.pick(&need, &[], now);
+        picked.is_err_and(|none| none.reason == Reason::Software)
+    };
+    assert!(refused(&mut fleet, START));
+    // An entry that was written before, and one that was read again.
+    fleet.list(&entry(6, Some(1)), START + Millis(1000));
+    assert!(refused(&mut fleet, START + Millis(1000)));
+    fleet.list(&entry(5, Some(1)), START + Millis(4000));
+    assert!(refused(&mut fleet, START + Millis(4000)));
+    // The process has lived on.
+    fleet.list(&entry(7, Some(1)), START + Millis(4000));
+    assert!(!refused(&mut fleet, START + Millis(4000)));
+    // Another process of the same version has started.
+    let choice = fleet.pick(&need, &[], START + Millis(4000)).unwrap();
+    fleet.record_refused(&choice, START + Millis(4000));
+    assert!(refused(&mut fleet, START + Millis(4000)));
+    fleet.list(&entry(1, Some(2)), START + Millis(4500));
+    assert!(!refused(&mut fleet, START + Millis(4500)));
+}
+
 /// Divides the engines among live streams, short and long prompts.
 fn divide(fleet: &mut Fleet) {
     let needs = [
