Say how much of an awaited body has arrived, and when

`BodyError::Timeout` carries the bytes that were read and the age of the last of them, and the gateway logs `body-incomplete` with the cause for each request whose body it gave up.

Tests: bodies of 60,000 bytes in chunks and with a length, with `Expect`, in segments around the sizes of the buffers, with a request behind; they passed at once. a_body_that_stops_tells_how_far_it_came.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use async_std::io::Cursor;
+use crocushold_base::Event;
 use crocushold_base::Millis;
 use crocushold_base::Reservation;
 use crocushold_http::BodyError;
@@ -18,6 +19,7 @@
 use http_types::Method;
 use http_types::Request;
 use http_types::headers::HOST;
+use log::info;
 use twox_hash::XxHash3_64;
 
 use crate::fleet::ENGINE_BOUND;
@@ -194,7 +196,13 @@
             ..defaults
         };
         let body = read_reserved_body(request, &limits, shared.room.bodies()).await;
-        let body = body.map_err(|error| refuse_body(&error))?;
+        let body = body.map_err(|error| {
+            let event = Event::new("body-incomplete")
+                .with("request", &self.id)
+                .with("cause", &error);
+            info!("{event}");
+            refuse_body(&error)
+        })?;
         self.reservation = Some(body.reservation);
         self.outgoing.body = SharedBody(Arc::new(body.bytes));
         self.content.request = self.outgoing.fingerprint(self.account.as_deref());
@@ -421,7 +429,7 @@
 fn refuse_body(error: &BodyError) -> Refusal {
     match error {
         BodyError::TooLarge => Refusal::new(Reason::BodyTooLarge),
-        BodyError::Timeout => Refusal::new(Reason::BodyTimeout),
+        BodyError::Timeout(..) => Refusal::new(Reason::BodyTimeout),
         BodyError::NoMemory => Refusal::later(Reason::Memory, ROOM_RETRY),
         BodyError::Slow => Refusal::later(Reason::SlowBody, ROOM_RETRY),
         BodyError::Short | BodyError::Io(_) => Refusal::new(Reason::BadRequest),
--- a/crates/http/src/server/body.rs
+++ b/crates/http/src/server/body.rs
@@ -2,11 +2,15 @@
 
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use async_std::future::timeout;
 use async_std::io::ReadExt;
 use async_std::task;
+use crocushold_base::Clock;
 use crocushold_base::MemoryBudget;
+use crocushold_base::Millis;
 use crocushold_base::Reservation;
 use futures::future::Abortable;
 use futures::future::Aborted;
@@ -58,9 +62,9 @@
         TooLarge {
             display("the body is longer than the limit")
         }
-        /// It didn't arrive within the timeout.
-        Timeout {
-            display("the body didn't arrive in time")
+        /// It didn't arrive within the timeout. Gives the bytes that did, and how long ago the last of them was read.
+        Timeout(received: u64, silent: Millis) {
+            display("the body didn't arrive in time: {received} bytes, the last of them {silent} ago")
         }
         /// The connection was closed before the announced length.
         Short {
@@ -88,7 +92,7 @@
     pub fn status(&self) -> StatusCode {
         match self {
             BodyError::TooLarge => StatusCode::PayloadTooLarge,
-            BodyError::Timeout => StatusCode::RequestTimeout,
+            BodyError::Timeout(..) => StatusCode::RequestTimeout,
             BodyError::NoMemory | BodyError::Slow => StatusCode::ServiceUnavailable,
             BodyError::Short | BodyError::Io(_) => StatusCode::BadRequest,
         }
@@ -199,6 +203,35 @@
     }
 }
 
+/// How much of a body has arrived, and when its last bytes did.
+struct Progress {
+    clock: Clock,
+    bytes: AtomicU64,
+    last: AtomicU64,
+}
+
+impl Progress {
+    fn start() -> Progress {
+        let clock = Clock::start();
+        Progress {
+            last: AtomicU64::new(clock.now().0),
+            bytes: AtomicU64::new(0),
+            clock,
+        }
+    }
+
+    fn record(&self, count: usize) {
+        self.bytes.fetch_add(count as u64, Ordering::Relaxed);
+        self.last.store(self.clock.now().0, Ordering::Relaxed);
+    }
+
+    fn timeout(&self) -> BodyError {
+        let last = Millis(self.last.load(Ordering::Relaxed));
+        let silent = self.clock.now().since(last);
+        BodyError::Timeout(self.bytes.load(Ordering::Relaxed), silent)
+    }
+}
+
 /// Reads a body into `body`, unless it is ended in favour of another request.
 async fn read_within(
     request: &mut Request,
@@ -211,11 +244,12 @@
     let seat = Inbound::seat(request);
     let (wait, registration) = seat.begin(WaitKind::Body, &limits.wait);
     wait.set_reserved(ReservedBytes::of(request));
-    let read = read_bounded(request, limits.body_bytes, body, wait);
+    let progress = Progress::start();
+    let read = read_bounded(request, limits.body_bytes, body, wait, &progress);
     let read = timeout(limits.body_timeout.into(), read);
     match Abortable::new(read, registration).await {
         Ok(Ok(result)) => result,
-        Ok(Err(_)) => Err(BodyError::Timeout),
+        Ok(Err(_)) => Err(progress.timeout()),
         Err(Aborted) => Err(BodyError::Slow),
     }
 }
@@ -225,6 +259,7 @@
     limit: u64,
     mut body: BodyBuffer,
     mut wait: WaitGuard,
+    progress: &Progress,
 ) -> Result<BodyBuffer, BodyError> {
     let announced = request.len();
     if announced.is_some_and(|length| length as u64 > limit) {
@@ -244,6 +279,7 @@
             break;
         }
         wait.record(count);
+        progress.record(count);
         body.append(&chunk[..count], limit, &wait).await?;
         turn.record(count);
     }
--- a/crates/http/tests/chunks.rs
+++ b/crates/http/tests/chunks.rs
@@ -6,12 +6,19 @@
 
 use std::time::Duration;
 
+use async_std::channel::unbounded;
 use async_std::io::ReadExt;
 use async_std::io::WriteExt;
 use async_std::task;
+use crocushold_base::Millis;
+use crocushold_http::BodyError;
+use crocushold_http::ListenerLimits;
 use crocushold_http::Reuse;
 use crocushold_http::SendLimits;
 use crocushold_http::ServerLimits;
+use crocushold_http::read_body;
+use futures::future::join_all;
+use http_types::Response;
 use test_case::test_case;
 
 use support::block_on;
@@ -24,6 +31,7 @@
 use support::read_rest;
 use support::scripted_server;
 use support::send;
+use support::serve;
 use support::status;
 use support::with_timeout;
 
@@ -150,5 +158,100 @@
         assert!(echoed.ends_with("fourday"), "cut at {cut}: {echoed}");
         assert_eq!(with_timeout(answer).await, "fourday", "cut at {cut}");
     });
-    block_on(futures::future::join_all(cuts));
+    block_on(join_all(cuts));
+}
+
+/// Guards against a long body whose bytes have arrived and wake no reader, and against bytes of the next message that are
+/// taken for its end, wherever segments end relative to the buffers.
+#[test_case(true, 1021; "chunks, short segments")]
+#[test_case(true, 4096; "chunks, segments of a read")]
+#[test_case(true, 8191; "chunks, segments below a buffer")]
+#[test_case(true, 8193; "chunks, segments above a buffer")]
+#[test_case(false, 4096; "length, segments of a read")]
+#[test_case(false, 8193; "length, segments above a buffer")]
+fn long_bodies_are_read_to_their_end(chunked: bool, segment: usize) {
+    let data: String = ('a'..='z').cycle().take(60_000).collect();
+    let (framing, body) = if chunked {
+        // Sizes below, at and above those of the buffers.
+        let mut sizes = [1, 8191, 8192, 8193, 4095, 20_000].into_iter().cycle();
+        let mut body = String::new();
+        let mut rest = data.as_str();
+        while !rest.is_empty() {
+            let (piece, after) = rest.split_at(sizes.next().unwrap().min(rest.len()));
+            body += &format!("{:x}\r\n{piece}\r\n", piece.len());
+            rest = after;
+        }
+        ("transfer-encoding: chunked".to_owned(), body + "0\r\n\r\n")
+    } else {
+        (format!("content-length: {}", data.len()), data.clone())
+    };
+    block_on(async move {
+        let request = format!(
+            "POST / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n{framing}\r\n\r\n{body}"
+        );
+        let next = "GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+        let address = echo(ServerLimits::default()).await;
+        let mut caller = connect_and_send(address, "").await;
+        let mut writer = caller.clone();
+        let sent = task::spawn(async move {
+            for piece in format!("{request}{next}").as_bytes().chunks(segment) {
+                // The server closes behind a body in chunks.
+                let _ = writer.write_all(piece).await;
+                task::sleep(Duration::from_millis(1)).await;
+            }
+        });
+        let answers = read_rest(&mut caller).await;
+        sent.await;
+        assert!(answers.contains(&data), "{} bytes", answers.len());
+        let server = scripted_server(move |_, mut stream| {
+            let answer = format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n{body}");
+            async move {
+                read_head(&mut stream).await;
+                for piece in answer.as_bytes().chunks(segment) {
+                    stream.write_all(piece).await.unwrap();
+                    task::sleep(Duration::from_millis(1)).await;
+                }
+                read_rest(&mut stream).await;
+            }
+        })
+        .await;
+        let read = task::spawn(async move {
+            let mut answer = send(server).await.unwrap();
+            let mut body = String::new();
+            answer.body.read_to_string(&mut body).await.unwrap();
+            body
+        });
+        assert!(with_timeout(read).await == data);
+    });
+}
+
+/// Guards against a body that is awaited in vain without a word of how much of it has arrived, and when.
+#[test]
+fn a_body_that_stops_tells_how_far_it_came() {
+    block_on(async {
+        let limits = ServerLimits {
+            body_timeout: Millis(300),
+            ..ServerLimits::default()
+        };
+        let (sender, errors) = unbounded();
+        let (address, _, _) = serve(ListenerLimits::default(), move |mut request, _| {
+            let (limits, sender) = (limits.clone(), sender.clone());
+            async move {
+                let error = read_body(&mut request, &limits).await.unwrap_err();
+                let response = Response::new(error.status());
+                sender.try_send(error).unwrap();
+                response
+            }
+        })
+        .await;
+        let mut caller = connect_and_send(address, &format!("{REQUEST}4\r\nfo")).await;
+        task::sleep(Duration::from_millis(150)).await;
+        caller.write_all(b"ur").await.unwrap();
+        assert_eq!(status(&read_rest(&mut caller).await), "408");
+        let error = errors.recv().await.unwrap();
+        assert!(
+            matches!(error, BodyError::Timeout(4, silent) if silent <= Millis(200)),
+            "{error}"
+        );
+    });
 }
