Tests: changed bytes of pipelined requests beside a strict reader

Requests with each framing, one behind the other, of which line ends and single bytes are changed: whatever the relay passes on is what an independent reader by the grammar of RFC 9112 finds, in the same order, with the same bodies.

--- a/crates/http/tests/line_ends.rs
+++ b/crates/http/tests/line_ends.rs
@@ -4,27 +4,12 @@
 
 mod support;
 
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
-use async_std::io::ReadExt;
 use async_std::io::WriteExt;
-use async_std::net::SocketAddr;
-use async_std::net::TcpStream;
 use async_std::task;
 use crocushold_base::Millis;
-use crocushold_http::Client;
-use crocushold_http::ListenerLimits;
-use crocushold_http::PoolLimits;
-use crocushold_http::RequestTarget;
-use crocushold_http::Reuse;
 use crocushold_http::SendErrorKind;
-use crocushold_http::SendLimits;
-use crocushold_http::ServerLimits;
-use crocushold_http::read_body;
-use crocushold_http::relay_headers;
-use http_types::Response;
 use proptest::prelude::*;
 use test_case::test_case;
 
@@ -32,131 +17,29 @@
 use support::connect_and_send;
 use support::fixed_answer_server;
 use support::read_rest;
-use support::scripted_server;
+use support::recording_relay::bodies;
+use support::recording_relay::first_body;
+use support::recording_relay::relay;
+use support::recording_relay::relay_bytes;
+use support::recording_relay::strict_body;
 use support::send;
-use support::serve;
 use support::status;
-use support::with_timeout;
 
 /// A request in the body of the one that is sent.
 const INNER: &str = "POST /inner HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n";
 
+/// How long the relay waits for a part of a request.
+const PATIENCE: Millis = Millis(500);
+
+/// The same where most requests have no end, or are followed by none.
+const IMPATIENCE: Millis = Millis(20);
+
 /// Bytes with which a head is longer than async-h1 parses.
 const LONG: usize = 9000;
 
 /// Bytes of a value in a head that async-h1 parses as it is.
 const SHORT: usize = 4;
 
-/// The bytes that servers have received, each on a connection of its own.
-type Received = Arc<Mutex<Vec<String>>>;
-
-/// Starts a relay in front of a server that records what it receives until the relay closes.
-async fn relay() -> (SocketAddr, Received) {
-    let received = Received::default();
-    let kept = received.clone();
-    let server = scripted_server(move |_, mut stream| {
-        let kept = kept.clone();
-        async move {
-            let mut text = String::new();
-            while first_body(&text).is_none() {
-                let read = read_some(&mut stream).await;
-                assert!(!read.is_empty(), "a part of a request: {text:?}");
-                text += &read;
-            }
-            let answer = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
-            stream.write_all(answer).await.unwrap();
-            text += &read_rest(&mut stream).await;
-            kept.lock().unwrap().push(text);
-        }
-    })
-    .await;
-    let limits = ServerLimits {
-        head_bytes: 16 * 1024,
-        body_timeout: Millis(500),
-        ..ServerLimits::default()
-    };
-    let listener = ListenerLimits {
-        server: limits.clone(),
-        ..ListenerLimits::default()
-    };
-    let client = Client::new(PoolLimits::default());
-    let (address, _, _) = serve(listener, move |mut request, _| {
-        let (client, limits) = (client.clone(), limits.clone());
-        async move {
-            let body = match read_body(&mut request, &limits).await {
-                Ok(body) => body,
-                Err(error) => return Response::new(error.status()),
-            };
-            let target = RequestTarget::of(&request).unwrap();
-            let mut outgoing = target.request(request.method());
-            relay_headers(request.as_ref(), outgoing.as_mut());
-            outgoing.set_body(body);
-            let limits = SendLimits::default();
-            let sent = client.send(server, outgoing, &limits, Reuse::Fresh).await;
-            Response::new(sent.unwrap().status)
-        }
-    })
-    .await;
-    (address, received)
-}
-
-/// Sends bytes to a relay and ends. Returns the statuses of the answers, and the text that each server connection carried.
-async fn relay_bytes(text: &str) -> (Vec<String>, Vec<String>) {
-    let (address, received) = relay().await;
-    let mut caller = connect_and_send(address, text).await;
-    let answers = read_rest(&mut caller).await;
-    let statuses = answers.split("HTTP/1.1").skip(1);
-    let statuses: Vec<String> = statuses.map(|answer| status(answer).to_owned()).collect();
-    // A server records what it has received when its connection is closed, after the answer.
-    let served = statuses.iter().filter(|status| *status == "200").count();
-    let recorded = async {
-        while received.lock().unwrap().len() < served {
-            task::sleep(Duration::from_millis(1)).await;
-        }
-    };
-    with_timeout(recorded).await;
-    let texts = received.lock().unwrap().clone();
-    (statuses, texts)
-}
-
-/// The body of the first request in a text, and what follows it, for a reader whose lines end in a line feed, with or without
-/// a carriage return. `None` if a part of the request is missing.
-fn first_body(text: &str) -> Option<(&str, &str)> {
-    let mut length = 0;
-    let mut rest = text;
-    loop {
-        let (line, after) = rest.split_once('\n')?;
-        rest = after;
-        let line = line.trim_end_matches('\r');
-        if line.is_empty() {
-            return rest.split_at_checked(length);
-        }
-        if let Some((name, value)) = line.split_once(':')
-            && name.eq_ignore_ascii_case("content-length")
-        {
-            length = value.trim().parse().unwrap();
-        }
-    }
-}
-
-/// The bodies of all requests in a text, for the same reader.
-fn bodies(text: &str) -> Vec<&str> {
-    let mut bodies = Vec::new();
-    let mut rest = text;
-    while !rest.is_empty() {
-        let (body, after) = first_body(rest).unwrap();
-        bodies.push(body);
-        rest = after;
-    }
-    bodies
-}
-
-async fn read_some(stream: &mut TcpStream) -> String {
-    let mut bytes = [0; 4096];
-    let count = with_timeout(stream.read(&mut bytes)).await.unwrap();
-    String::from_utf8(bytes[..count].to_vec()).unwrap()
-}
-
 /// A head whose line before the length ends as given, with a body that is another request.
 fn request(filler: usize, line_end: &str) -> String {
     format!(
@@ -180,7 +63,7 @@
 #[test_case("\r\n "; "folded line")]
 fn a_body_is_never_read_as_a_request(line_end: &str) {
     for filler in [SHORT, LONG] {
-        let (statuses, received) = block_on(relay_bytes(&request(filler, line_end)));
+        let (statuses, received) = block_on(relay_bytes(&request(filler, line_end), PATIENCE));
         assert_eq!(statuses, ["400"], "{filler} bytes before: {received:?}");
         assert!(received.is_empty(), "{filler} bytes before: {received:?}");
     }
@@ -204,7 +87,7 @@
         let text = format!(
             "GET / HTTP/1.1\r\nhost: a\r\n{line}\r\nx-note: {note}\r\nconnection: close\r\n\r\n"
         );
-        let (statuses, received) = block_on(relay_bytes(&text));
+        let (statuses, received) = block_on(relay_bytes(&text, PATIENCE));
         assert_eq!(statuses, ["400"], "{filler}: {received:?}");
         assert!(received.is_empty(), "{filler}: {received:?}");
     }
@@ -214,7 +97,7 @@
 #[test]
 fn a_blank_line_before_a_request_may_come_in_two_segments() {
     block_on(async {
-        let (address, _) = relay().await;
+        let (address, _) = relay(PATIENCE).await;
         let mut caller = connect_and_send(address, "\r").await;
         task::sleep(Duration::from_millis(50)).await;
         let rest = "\nGET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
@@ -246,7 +129,7 @@
             "POST /outer HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{before}\r\ncontent-length: {}\r\n{after}\r\n\r\n{INNER}",
             INNER.len()
         );
-        let (statuses, received) = block_on(relay_bytes(&sent));
+        let (statuses, received) = block_on(relay_bytes(&sent, PATIENCE));
         let served = statuses.iter().filter(|status| *status == "200").count();
         prop_assert_eq!(served, received.len(), "{:?} {:?}", statuses, received);
         // What the relay itself reads as a request is one for every reader behind it.
@@ -255,28 +138,82 @@
         }
         // A strict reader, for which lines end in CR LF, finds the same requests in what the caller has sent.
         if let Some(text) = received.first() {
-            prop_assert_eq!(strict_body(&sent), first_body(text).map(|(body, _)| body));
+            let strict = strict_body(&sent).map(|(body, _)| body);
+            prop_assert_eq!(strict.as_deref(), first_body(text).map(|(body, _)| body));
+        }
+    }
+}
+
+/// Requests one behind the other, with bodies of each framing.
+fn requests() -> impl Strategy<Value = String> {
+    let request = prop::sample::select(vec![
+        "GET /a HTTP/1.1\r\nhost: a\r\n\r\n",
+        "POST /b HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nfour",
+        "POST /c HTTP/1.1\r\nhost: a\r\nx: y\r\ntransfer-encoding: chunked\r\n\r\n4\r\nfour\r\n1\r\n5\r\n0\r\nx: y\r\n\r\n",
+        "POST /d HTTP/1.1\r\nhost: a\r\ncontent-length: 64\r\n\r\nGET /inner HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\nx: 123456\r\n\r\n",
+    ]);
+    prop::collection::vec(request, 1..4).prop_map(|requests| requests.concat())
+}
+
+/// A change of the bytes of requests.
+#[derive(Clone, Debug)]
+enum Change {
+    Insert(String),
+    Remove,
+    /// Puts another text in the place of a line end.
+    EndLine(&'static str),
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        1 => "[\\r\\n\\x00 \\t:;0-9a-fx,]{1,2}".prop_map(Change::Insert),
+        1 => Just(Change::Remove),
+        3 => prop::sample::select(vec!["\n", "\r", "\n\r\n", "\r\r\n"])
+            .prop_map(Change::EndLine),
+    ]
+}
+
+fn apply(text: &mut String, index: &prop::sample::Index, change: Change) {
+    match change {
+        Change::Insert(inserted) => text.insert_str(index.index(text.len() + 1), &inserted),
+        Change::Remove if text.is_empty() => {}
+        Change::Remove => drop(text.remove(index.index(text.len()))),
+        Change::EndLine(end) => {
+            let ends: Vec<usize> = text.match_indices("\r\n").map(|(at, _)| at).collect();
+            if !ends.is_empty() {
+                let at = *index.get(&ends);
+                text.replace_range(at..at + 2, end);
+            }
         }
     }
 }
 
-/// The body of the first request in a text by the grammar of RFC 9112; `None` if its head isn't of that grammar.
-fn strict_body(text: &str) -> Option<&str> {
-    let (head, rest) = text.split_once("\r\n\r\n")?;
-    let mut length = 0;
-    for line in head.split("\r\n").skip(1) {
-        let (name, value) = line.split_once(':')?;
-        let is_name_byte =
-            |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
-        let is_value_byte = |byte: u8| byte == b'\t' || (b' '..=b'~').contains(&byte);
-        if name.is_empty() || !name.bytes().all(is_name_byte) || !value.bytes().all(is_value_byte) {
-            return None;
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(1024))]
+
+    /// Guards against bytes of a connection in which a strict reader finds other requests than those that are passed on.
+    #[test]
+    fn changed_bytes_of_requests_are_read_in_one_way(
+        requests in requests(),
+        changes in prop::collection::vec((any::<prop::sample::Index>(), change()), 0..4),
+    ) {
+        let mut sent = requests;
+        for (index, change) in changes {
+            apply(&mut sent, &index, change);
         }
-        if name.eq_ignore_ascii_case("content-length") {
-            length = value.trim().parse().ok()?;
+        let (statuses, received) = block_on(relay_bytes(&sent, IMPATIENCE));
+        let mut rest = sent.as_str();
+        for text in &received {
+            prop_assert_eq!(bodies(text).len(), 1, "{:?}", received);
+            // Blank lines before a request are no part of it.
+            let strict = strict_body(rest.trim_start_matches("\r\n"));
+            prop_assert!(strict.is_some(), "{:?} from {:?}", received, sent);
+            let (body, after) = strict.unwrap();
+            prop_assert_eq!(Some(body.as_str()), first_body(text).map(|(body, _)| body));
+            rest = after;
         }
+        prop_assert!(!statuses.is_empty() || received.is_empty());
     }
-    rest.get(..length)
 }
 
 /// Guards against an answer whose framing stands behind a line end that not every reader takes for one.
--- a/crates/http/tests/support/mod.rs
+++ b/crates/http/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, unreachable_pub, missing_docs, clippy::unwrap_used)]
 
+pub mod recording_relay;
+
 use std::future::Future;
 use std::sync::Arc;
 use std::sync::Mutex;
