Use no connection again whose answer names a body that its status doesn't allow

Bytes that come with the head keep the connection from the pool; later ones were read as the answer to the next request.

--- a/crates/http/src/client/receive.rs
+++ b/crates/http/src/client/receive.rs
@@ -142,6 +142,17 @@
     }
 }
 
+/// Whether an answer names a body that its status doesn't allow. Its server may send that body all the same, in front of the next answer.
+pub(super) fn names_forbidden_body(response: &Response) -> bool {
+    let named = framing(response.as_ref());
+    match response.status() {
+        StatusCode::NoContent => !matches!(named, Ok(None | Some(Framing::Length(0)))),
+        // It gives the length of the answer that wasn't modified.
+        StatusCode::NotModified => !matches!(named, Ok(None | Some(Framing::Length(_)))),
+        _ => false,
+    }
+}
+
 /// Determines how the end of the answer's body is found.
 pub(super) fn answer_framing(
     response: &Response,
--- a/crates/http/src/client/send.rs
+++ b/crates/http/src/client/send.rs
@@ -30,6 +30,7 @@
 use super::receive::answer_framing;
 use super::receive::early_answer;
 use super::receive::final_head;
+use super::receive::names_forbidden_body;
 use super::receive::read_answer;
 use super::relay_body::PoolReturn;
 use super::relay_body::RelayBody;
@@ -160,8 +161,10 @@
             return Err(exchange.error(Stage::Answered, SendErrorKind::BodyTooLarge));
         }
         // After an early answer the server would take the next request for the rest of this one.
-        let closes =
-            early || framing == Framing::Close || has_connection_option(response.as_ref(), "close");
+        let closes = early
+            || framing == Framing::Close
+            || has_connection_option(response.as_ref(), "close")
+            || names_forbidden_body(&response);
         let pool_return = (!closes).then(|| PoolReturn {
             pool: self.pool.clone(),
             server,
--- a/crates/http/tests/chunks.rs
+++ b/crates/http/tests/chunks.rs
@@ -255,3 +255,32 @@
         );
     });
 }
+
+/// Guards against bytes that a server sends as a body where there is none, and that are read as the answer to the next
+/// request on the connection.
+#[test_case("204 No Content", "content-length: 4\r\n"; "length")]
+#[test_case("204 No Content", "transfer-encoding: chunked\r\n"; "chunks")]
+#[test_case("304 Not Modified", "transfer-encoding: chunked\r\n"; "chunks and not modified")]
+fn a_body_that_must_not_be_is_no_answer(status: &'static str, framing: &'static str) {
+    block_on(async {
+        let server = scripted_server(move |number, mut stream| async move {
+            read_head(&mut stream).await;
+            let answer = format!("HTTP/1.1 {status}\r\nx-number: {number}\r\n{framing}\r\n");
+            stream.write_all(answer.as_bytes()).await.unwrap();
+            // The body comes once the connection may carry the next request.
+            if !read_head(&mut stream).await.is_empty() {
+                let late = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate";
+                stream.write_all(late.as_bytes()).await.unwrap();
+            }
+        })
+        .await;
+        let client = client();
+        for expected in ["0", "1"] {
+            let limits = SendLimits::default();
+            let sent = client.send(server, get(server), &limits, Reuse::Allowed);
+            let answer = sent.await.unwrap();
+            let number = answer.headers.get("x-number").map(|number| number.as_str());
+            assert_eq!(number, Some(expected), "{}", answer.status);
+        }
+    });
+}
--- a/tests/all/path.rs
+++ b/tests/all/path.rs
@@ -108,6 +108,30 @@
     assert_eq!(site.service.effects("b-1"), 0);
 }
 
+/// Guards against a request that is run though it stood in the body of another one, whose head holds another line end than
+/// CR LF.
+#[test_case("\n"; "line feed")]
+#[test_case("\n\r\n"; "empty line after a line feed")]
+#[test_case("\r"; "carriage return")]
+fn a_request_in_the_body_of_another_one_is_never_run(line_end: &str) {
+    let site = Site::start(&SiteSettings::default());
+    let entry = site.entry("entry-1");
+    let inner = Call::booking("b-inner");
+    let outer = Call {
+        body: inner.head() + &inner.body,
+        ..Call::booking("b-outer")
+    };
+    let note = format!("\r\nx-note: 1{line_end}x-more: 1\r\n");
+    let mut caller = RawCaller::connect(entry.listen);
+    caller.write(outer.head().replacen("\r\n", &note, 1).as_bytes());
+    caller.write(outer.body.as_bytes());
+    let answers = caller.read_to_end();
+    assert!(answers.starts_with("HTTP/1.1 400 "), "{answers}");
+    assert_eq!(answers.matches("HTTP/1.1").count(), 1, "{answers}");
+    assert_eq!(site.service.effects("b-inner"), 0);
+    assert_eq!(site.service.effects("b-outer"), 0);
+}
+
 #[test]
 fn the_models_of_an_account_are_listed() {
     let site = Site::start(&SiteSettings::default());
