--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -43,16 +43,17 @@
     loop {
         let result = match follower.at {
             None => follower.list(&shared, &source).await.and_then(|listing| {
-                follower.on_answer(&shared, listing.revision, listing.started)?;
+                follower.on_answer(&shared, listing.revision, listing.started, listing.started)?;
                 Ok(follower.apply_listing(&shared, listing))
             }),
             Some(at) => {
+                let asked = shared.clock.now();
                 let Some(changes) = follower.watch(&shared, &source, at).await else {
                     continue;
                 };
                 changes.and_then(|changes| {
                     let now = shared.clock.now();
-                    follower.on_answer(&shared, changes.revision, now)?;
+                    follower.on_answer(&shared, changes.revision, asked, now)?;
                     shared.store.observe(changes.last_change);
                     Ok(follower.apply_changes(&shared, changes))
                 })
@@ -143,14 +144,14 @@
     /// After that the changes are known to exist, so the next watch has nothing to wait for: it
     /// isn't cancelled again, or a store whose answers take longer than changes are apart would
     /// never be heard. It is short, as after a failure: the end of an outage must be noticed soon
-    /// also if the store was silent.
+    /// also if the store was silent. So must what changed while this process was paused.
     async fn watch(
         &mut self,
         shared: &Shared,
         source: &impl Source,
         at: Revision,
     ) -> Option<Result<Changes, SourceError>> {
-        let begun = if self.lags {
+        let begun = if self.lags || !shared.has_asked_since_pause() {
             source.watch(at, self.times.lag_watch).await
         } else {
             let started = shared.clock.now();
@@ -172,7 +173,7 @@
         })
     }
 
-    /// Records an answer of the store, which confirms the known state as of `confirmed`. This must precede the processing of its content: the first
+    /// Records an answer of the store to a call at `asked`, which confirms the known state as of `confirmed`. This must precede the processing of its content: the first
     /// answer after an outage may report removed entries, and those must stay unconfirmed.
     ///
     /// # Errors
@@ -183,6 +184,7 @@
         &mut self,
         shared: &Shared,
         at: Revision,
+        asked: Millis,
         confirmed: Millis,
     ) -> Result<(), SourceError> {
         let held = *self.era.get_or_insert(at.era);
@@ -199,7 +201,7 @@
                 .with("after", shared.knowledge_age());
             info!("{event}");
         }
-        shared.record_confirmed(confirmed);
+        shared.record_confirmed(asked, confirmed);
         if at.era == held {
             return Ok(());
         }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -45,6 +45,7 @@
 use crate::routes::CallerLimits;
 use crate::shared::Shared;
 use crate::shared::Stage;
+use crate::shared::TIMER_INTERVAL;
 use crate::sharing::start_gossip;
 use crate::source::Source;
 use crate::start::StartStep;
@@ -56,17 +57,10 @@
 /// moment.
 const SLOW_FACTOR: f64 = 1.5;
 
-/// Interval of timers, such as those of unconfirmed entries and ejected servers.
-const TIMER_INTERVAL: Millis = Millis(500);
-
 /// Delay from which a timer round is reported as late. Requests that arrived meanwhile may have
 /// waited as long.
 const LATE_THRESHOLD: Millis = Millis(250);
 
-/// Delay of a timer round from which the process counts as paused. An address isn't assigned again in so
-/// short a time.
-const PAUSE_THRESHOLD: Millis = Millis(500);
-
 /// Maximum number of file descriptors for each caller connection: its own, and the one to a server.
 const DESCRIPTORS_PER_CALLER: usize = 2;
 
@@ -480,9 +474,7 @@
 fn log_late_timers(shared: &Shared, due: Millis) {
     let now = shared.clock.now();
     let late = now.since(due);
-    if late >= PAUSE_THRESHOLD {
-        shared.record_resumed(now);
-    }
+    shared.record_tick(now, late);
     if late >= LATE_THRESHOLD {
         shared.metrics.count_late_timers();
         warn!("{}", Event::new("process-late").with("by", late));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -63,6 +63,13 @@
 /// How long connections are kept idle. This is below the servers' own idle timeouts.
 const IDLE_TIMEOUT: Millis = Millis::from_secs(2);
 
+/// Interval of timers, such as those of unconfirmed entries and ejected servers.
+pub(crate) const TIMER_INTERVAL: Millis = Millis(500);
+
+/// Delay of a timer round from which the process counts as paused. An address isn't assigned again in so
+/// short a time.
+const PAUSE_THRESHOLD: Millis = Millis(500);
+
 /// Time after a pause of the process in which it handles what has arrived meanwhile.
 const RESUME_SPAN: Millis = Millis(500);
 
@@ -104,6 +111,10 @@
     relays: Mutex<RelayPeers>,
     callers: Mutex<Option<ListenerHandle>>,
     last_confirmed: AtomicU64,
+    /// When the call was made that the store answered last.
+    last_asked: AtomicU64,
+    /// When the timers last ran.
+    ticked_at: AtomicU64,
     /// When this process last found that it had been paused; zero if it never did.
     resumed_at: AtomicU64,
     stage: AtomicU8,
@@ -153,6 +164,8 @@
             relays: Mutex::new(RelayPeers::new(seed)),
             callers: Mutex::new(None),
             last_confirmed: AtomicU64::new(0),
+            last_asked: AtomicU64::new(0),
+            ticked_at: AtomicU64::new(0),
             resumed_at: AtomicU64::new(0),
             stage: AtomicU8::new(Stage::Serving as u8),
             stopping: StopSignal::new(),
@@ -340,19 +353,15 @@
         XxHash3_64::oneshot_with_seed(self.seed, id.as_bytes())
     }
 
-    /// Records that this process was paused, or got no processor time, until `now`.
-    pub(crate) fn record_resumed(&self, now: Millis) {
-        self.resumed_at.store(now.0, Ordering::Relaxed);
-    }
-
     /// Whether this process was paused a moment ago, so that what it learns now may be old.
     pub(crate) fn has_just_resumed(&self) -> bool {
         let resumed = Millis(self.resumed_at.load(Ordering::Relaxed));
         resumed > Millis::ZERO && self.clock.now().since(resumed) < RESUME_SPAN
     }
 
-    /// Records that the store confirmed the known state at `now`.
-    pub(crate) fn record_confirmed(&self, now: Millis) {
+    /// Records that the store confirmed the known state at `now`, in an answer to a call at `asked`.
+    pub(crate) fn record_confirmed(&self, asked: Millis, now: Millis) {
+        self.last_asked.store(asked.0, Ordering::Relaxed);
         self.last_confirmed.store(now.0, Ordering::Relaxed);
     }
 
@@ -362,14 +371,31 @@
         self.clock.now().since(confirmed)
     }
 
+    /// Records that the timers ran, and by how much they were late. After a pause of the process the store is asked anew.
+    pub(crate) fn record_tick(&self, now: Millis, late: Millis) {
+        self.ticked_at.store(now.0, Ordering::Relaxed);
+        if late >= PAUSE_THRESHOLD {
+            self.resumed_at.store(now.0, Ordering::Relaxed);
+            self.store.cancel();
+        }
+    }
+
+    /// Whether the store has answered a call that was made since the last pause of this process.
+    pub(crate) fn has_asked_since_pause(&self) -> bool {
+        let asked = self.last_asked.load(Ordering::Relaxed);
+        asked >= self.resumed_at.load(Ordering::Relaxed)
+    }
+
     /// Whether the store may hold changes that this instance should have read: it has no contact to the store, hears
-    /// nothing from it, or hasn't heard from it since it was paused.
+    /// nothing from it, or hasn't asked it since it was paused. An answer that arrived during a pause may be as old as the
+    /// pause.
     pub(crate) fn reads_late(&self) -> bool {
-        let resumed = Millis(self.resumed_at.load(Ordering::Relaxed));
-        let confirmed = Millis(self.last_confirmed.load(Ordering::Relaxed));
-        confirmed < resumed
+        let now = self.clock.now();
+        let ticked = Millis(self.ticked_at.load(Ordering::Relaxed));
+        !self.has_asked_since_pause()
+            || now.since(ticked) >= TIMER_INTERVAL + PAUSE_THRESHOLD
             || self.knowledge_age() > StoreTimes::new(&self.settings).longest_silence()
-            || self.directory().contact_age(self.clock.now()).is_none()
+            || self.directory().contact_age(now).is_none()
     }
 
     /// Enters the next stage of the life cycle.
