Yield behind the framing of tiny chunks

Ordinary callers waited beside clients that send bodies in chunks of a byte without a pause, on a gateway with one thread: since the connection decodes chunks, a read brings a thousand of them as one piece, while the task's turn counted pieces and their data. The connection yields after 4 KiB of framing now, for requests and answers.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -49,6 +49,9 @@
 /// The most bytes of blank lines before a message. They are no part of it, so that no other limit counts them.
 const MAX_BLANK_BYTES: usize = 1024;
 
+/// Bytes of the framing of chunks that are decoded before the task yields.
+const MAX_FRAMING_TURN: usize = 4096;
+
 /// The interim answer to `Expect: 100-continue`.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -293,6 +296,12 @@
         let Some(mut chunks) = read_buffer.chunks else {
             return self.poll_read_bytes(&mut read_buffer, cx, buf);
         };
+        // Other tasks get their turn beside a peer that sends chunks of a byte without a pause.
+        if read_buffer.framing_bytes >= MAX_FRAMING_TURN {
+            read_buffer.framing_bytes = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         // Reads that bring framing alone are few, as the decoder bounds its length.
         while !chunks.is_ended() && !buf.is_empty() {
             if read_buffer.remaining == 0 {
@@ -304,6 +313,7 @@
             }
             let decoded = chunks.decode(&mut buf[..count])?;
             read_buffer.chunks = Some(chunks);
+            read_buffer.framing_bytes += decoded.used - decoded.data;
             read_buffer.put_back(&buf[decoded.used..count]);
             if decoded.data > 0 {
                 return Poll::Ready(Ok(decoded.data));
--- a/crates/http/src/connection/read_buffer.rs
+++ b/crates/http/src/connection/read_buffer.rs
@@ -15,6 +15,8 @@
     pub(super) remaining: u64,
     /// The decoder of the current body, if it is in chunks.
     pub(super) chunks: Option<ChunkDecoder>,
+    /// Bytes of framing that were decoded since the task last yielded for them.
+    pub(super) framing_bytes: usize,
     /// Whether the peer has closed its side.
     pub(super) eof: bool,
     /// The rest of the interim answer, to be written before the body is read.
--- a/crates/http/tests/chunks.rs
+++ b/crates/http/tests/chunks.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use std::pin::pin;
 use std::time::Duration;
 
 use async_std::channel::unbounded;
@@ -18,6 +19,7 @@
 use crocushold_http::ServerLimits;
 use crocushold_http::read_body;
 use futures::future::join_all;
+use futures::poll;
 use http_types::Response;
 use test_case::test_case;
 
@@ -284,3 +286,24 @@
         }
     });
 }
+
+/// Guards against a reader of tiny chunks that keeps its thread for as long as bytes are at hand.
+#[test]
+fn reader_of_tiny_chunks_lets_other_tasks_run() {
+    const CHUNKS: usize = 10_000;
+    block_on(async {
+        let body = "1\r\nx\r\n".repeat(CHUNKS) + "0\r\n\r\n";
+        let server = fixed_answer_server(format!("{ANSWER}{body}")).await;
+        let mut answer = send(server).await.unwrap();
+        task::sleep(Duration::from_millis(100)).await;
+        let mut data = Vec::new();
+        let mut read = pin!(answer.body.read_to_end(&mut data));
+        let mut polls = 1;
+        while poll!(read.as_mut()).is_pending() {
+            polls += 1;
+        }
+        assert_eq!(data.len(), CHUNKS);
+        // Five bytes of framing a chunk, and a turn for each 4 KiB of them.
+        assert!(polls >= 5 * CHUNKS / 4096 / 2, "{polls} polls");
+    });
+}
