Read-through: one line for a server whose version is unknown, relays included

`software-unknown` says when a server's version isn't known any more, once for each time; a refused connection changes the router's servers only then. Long comments wrapped.

Tests of crocushold-gateway, late_versions, relayed_requests and a_stream_that_is_relayed pass; lint passes.

--- a/crates/gateway/src/fleet/ended.rs
+++ b/crates/gateway/src/fleet/ended.rs
@@ -22,18 +22,22 @@
 
 impl Fleet {
     /// Records that the process of the chosen server has probably ended, as its address refuses connections. The server has no
-    /// known software version from then on, until an entry shows that it lives or that another process has started.
-    pub fn record_refused(&mut self, choice: &Choice, now: Millis) {
+    /// known software version from then on, until an entry shows that it lives or that another process has started. Returns
+    /// whether the version was known before.
+    pub fn record_refused(&mut self, choice: &Choice, now: Millis) -> bool {
         if !self.is_current(choice) {
-            return;
+            return false;
         }
         let server = &self.servers[choice.server];
         let end = ProbableEnd {
             at: now,
             sequence: server.reported_cold.sequence(),
         };
-        self.changed.insert(server.record.service.clone());
-        self.ends.insert(choice.server, end);
+        let is_first = self.ends.insert(choice.server, end).is_none();
+        if is_first {
+            self.changed.insert(server.record.service.clone());
+        }
+        is_first
     }
 
     /// Whether the software version of the chosen server is known.
@@ -48,10 +52,14 @@
         };
         let lives =
             |end: &ProbableEnd| sequence > end.sequence && now.since(end.at) >= MAX_ENTRY_AGE;
-        if restarted || self.ends.get(key).is_some_and(lives) {
+        let is_over = self
+            .ends
+            .get(key)
+            .is_some_and(|end| restarted || lives(end));
+        if is_over {
             self.ends.remove(key);
-            self.changed
-                .insert(self.servers[key].record.service.clone());
+            let service = self.servers[key].record.service.clone();
+            self.changed.insert(service);
         }
     }
 }
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -304,7 +304,9 @@
     /// Applies a server's registry entry.
     ///
     /// If the entry has another start time, the process was restarted, and everything learned about
-    /// the server is discarded. If it has another address, what was learned at the former one is. The order of the registry decides which entry is current, not the
+    /// the server is discarded. If it has another address, what was learned at the former one is.
+    ///
+    /// The order of the registry decides which entry is current, not the
     /// start times, because these come from clocks that may jump. An earlier start time means
     /// either a delayed entry of the previous process, or a new process with a clock that was set
     /// back. In both cases what was learned is unreliable, but a draining server isn't reinstated
@@ -621,10 +623,9 @@
             .map(|(key, server)| {
                 let record = &server.record;
                 let region = settings.regions.get(&record.zone).copied();
-                let mut spec = spec(key, record, region);
-                if self.ends.contains_key(key) {
-                    spec.software = None;
-                }
+                let has_ended = self.ends.contains_key(key);
+                let software = (!has_ended).then(|| SoftwareKey::new(&record.software));
+                let spec = spec(key, record, region, software);
                 (spec, record.models.as_slice())
             })
             .collect();
@@ -652,13 +653,18 @@
     }
 }
 
-fn spec(key: ServerKey, record: &ServerRecord, region: Option<RegionKey>) -> ServerSpec {
+fn spec(
+    key: ServerKey,
+    record: &ServerRecord,
+    region: Option<RegionKey>,
+    software: Option<SoftwareKey>,
+) -> ServerSpec {
     ServerSpec {
         key,
         id: XxHash3_64::oneshot(record.id.as_bytes()),
         zone: record.zone.clone(),
         region,
-        software: Some(SoftwareKey::new(&record.software)),
+        software,
         concurrency: record.slots.saturating_mul(OVERCOMMIT).max(1),
         models: Vec::new(),
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -173,8 +173,10 @@
         })
     }
 
-    /// Records an answer of the store to a call at `asked`, which confirms the known state as of `confirmed`. This must precede the processing of its content: the first
-    /// answer after an outage may report removed entries, and those must stay unconfirmed.
+    /// Records an answer of the store to a call at `asked`, which confirms the known state as of `confirmed`.
+    ///
+    /// This must precede the processing of its content: the first answer after an outage may report removed entries, and
+    /// those must stay unconfirmed.
     ///
     /// # Errors
     ///
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -19,6 +19,7 @@
 
 use crate::fleet::Choice;
 use crate::reach::is_path_open;
+use crate::reach::refused;
 use crate::shared::Shared;
 
 /// Evidence that a server's process has ended.
@@ -208,7 +209,7 @@
 async fn probe_server(shared: Arc<Shared>, choice: Choice) {
     let refuses = refuses_connections(choice.address).await;
     if refuses {
-        shared.fleet().record_refused(&choice, shared.clock.now());
+        refused(&shared, &choice);
     }
     if refuses && is_path_open(&shared, &choice).await {
         server_ended(&shared, &choice.id, choice.incarnation, Evidence::Refused);
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -64,11 +64,11 @@
         SendErrorKind::Connect(cause) => is_path_failure(cause),
         _ => false,
     };
+    if is_refusal(&error.kind) {
+        refused(shared, choice);
+    }
     if is_path {
         let mut fleet = shared.fleet();
-        if is_refusal(&error.kind) {
-            fleet.record_refused(choice, shared.clock.now());
-        }
         let changes = fleet.record_connect_failure(choice);
         log_changes(shared, &fleet, &changes);
         if !changes.is_empty() {
@@ -79,6 +79,16 @@
     }
 }
 
+/// Records that the address of a server has refused a connection, so that its process has probably ended.
+pub(crate) fn refused(shared: &Shared, choice: &Choice) {
+    if shared.fleet().record_refused(choice, shared.clock.now()) {
+        let event = Event::new("software-unknown")
+            .with("server", &choice.id)
+            .with("before", &choice.software);
+        info!("{event}");
+    }
+}
+
 fn is_refusal(kind: &SendErrorKind) -> bool {
     matches!(kind, SendErrorKind::Connect(cause) if cause.kind() == ErrorKind::ConnectionRefused)
 }
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -102,7 +102,9 @@
 fn is_able(shared: &Shared, relayed: &RelayedRequest) -> bool {
     let now = shared.clock.now();
     let accepts = !shared.is_stopping() && shared.table().is_some();
-    accepts && shared.fleet().can_send(&relayed.need, now)
+    // A server may have been replaced by one of another version.
+    let knows_software = relayed.need.software.is_none() || !shared.reads_late();
+    accepts && knows_software && shared.fleet().can_send(&relayed.need, now)
 }
 
 fn unable(shared: &Shared) -> Response {
--- a/crates/http/src/client/receive.rs
+++ b/crates/http/src/client/receive.rs
@@ -142,7 +142,8 @@
     }
 }
 
-/// Whether an answer names a body that its status doesn't allow. Its server may send that body all the same, in front of the next answer.
+/// Whether an answer names a body that its status doesn't allow. Its server may send that body all the same, in front of
+/// the next answer.
 pub(super) fn names_forbidden_body(response: &Response) -> bool {
     let named = framing(response.as_ref());
     match response.status() {
